Lay out the workspace with its shared types and interfaces

Cause: nothing stood yet; the parts need one set of types to meet at. Weighed: one package (the daemon, the client and the lab would share their dependencies) against a workspace of four; the workspace keeps decisions free of sockets and the lab out of what is shipped. Before: empty. Conclusion: parts can be written side by side; none of it is run by tests yet.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+# Each target does its own set-up: a virtual environment with exact versions.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := $(wildcard packages/*)
+STAMP := $(VENV)/installed
+
+.PHONY: demo test lint format clean
+
+$(STAMP): constraints.txt $(wildcard packages/*/pyproject.toml)
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet -c constraints.txt setuptools wheel
+	$(BIN)/python -m pip install --quiet --no-build-isolation -c constraints.txt \
+		$(addprefix -e ./,$(PACKAGES)) \
+		pytest pytest-asyncio pytest-bdd pytest-timeout pytest-xdist hypothesis ruff
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/python -m greengagelatch_lab.demo
+
+test: $(STAMP) lint
+	$(BIN)/python -m pytest -q -n 6
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+format: $(STAMP)
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+clean:
+	rm -rf $(VENV) .pytest_cache .ruff_cache
--- /dev/null
+++ b/packages/greengagelatch-cli/src/greengagelatch_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command-line client."""
--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/__init__.py
@@ -0,0 +1,1 @@
+"""The greengagelatch daemon: filters, controllers, adapters, composition root."""
--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/__init__.py
@@ -0,0 +1,29 @@
+"""Controllers: the parts of the daemon that hold state."""
+
+from __future__ import annotations
+
+from abc import abstractmethod
+from typing import Any, ClassVar
+
+from mode import Service
+
+__all__ = ("Controller",)
+
+
+class Controller(Service):
+    """A part of the daemon with state of its own, started and stopped with it.
+
+    Controllers are wired by the composition root only; they reach each other
+    through interfaces given to their constructors and through named events.
+    Background work is a method marked ``@Service.task``.
+    """
+
+    # tells mode that the class itself is never started
+    abstract: ClassVar[bool] = True
+
+    #: key of this controller in the state dump
+    name: str = ""
+
+    @abstractmethod
+    def dump(self) -> dict[str, Any]:
+        """Return the state as JSON-compatible values, bounded in size."""
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, load tool and experiments."""
--- /dev/null
+++ b/packages/greengagelatch/src/greengagelatch/config/__init__.py
@@ -0,0 +1,1 @@
+"""Operator configuration: objects, selectors, snapshots and their order."""
--- /dev/null
+++ b/packages/greengagelatch/src/greengagelatch/errors.py
@@ -0,0 +1,46 @@
+"""Refusals: the typed reasons for which a request or command is turned down."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+from .verdict import Verdict
+
+__all__ = ("Refusal", "RefusalCode")
+
+
+class RefusalCode(Enum):
+    """Machine-readable reason of a refusal; the value is what callers see."""
+
+    BAD_REQUEST = "bad-request"
+    UNKNOWN_PIPELINE = "unknown-pipeline"
+    UNKNOWN_WORKSPACE = "unknown-workspace"
+    TOO_LARGE = "too-large"
+    KEY_REUSED = "key-reused"
+    REPEAT_UNSETTLED = "repeat-unsettled"
+    IN_PROGRESS = "in-progress"
+    NOT_READY = "not-ready"
+    OVERLOADED = "overloaded"
+    QUOTA = "quota"
+    DEADLINE = "deadline"
+    NO_TARGET = "no-target"
+    STAGE_FAILED = "stage-failed"
+    STORE_UNREACHABLE = "store-unreachable"
+    CONFLICT = "conflict"
+    INTERNAL = "internal"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Refusal:
+    """The final answer to a request that is not answered with a result."""
+
+    code: RefusalCode
+    message: str
+    verdict: Verdict = Verdict.NOT_RUN
+    #: name of the offending field, empty where no single field is to blame
+    field: str = ""
+    #: offending value as text, shortened by whoever builds the refusal
+    value: str = ""
+    #: milliseconds after which asking again may help; ``None``: asking won't help
+    retry_after_ms: int | None = None
--- /dev/null
+++ b/packages/greengagelatch/src/greengagelatch/settings.py
@@ -0,0 +1,243 @@
+"""Settings of the daemon, declared in one table and checked at start."""
+
+from __future__ import annotations
+
+import configparser
+import ipaddress
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from result import Err, Ok, Result
+
+__all__ = ("SETTINGS", "Setting", "SettingError", "Settings", "load", "parse")
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Setting:
+    """One row of the table.
+
+    ``minimum`` and ``maximum`` bound numbers; ``unit`` and ``meaning`` are for
+    the page made from the table.
+    """
+
+    name: str
+    type: type
+    default: Any = None
+    unit: str = ""
+    meaning: str
+    affects: str = "restart"
+    minimum: float | None = None
+    maximum: float | None = None
+    required: bool = False
+    choices: tuple[str, ...] = ()
+    #: the value is ``host:port`` with an IP address as the host
+    endpoint: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class SettingError:
+    """A setting that stops the start; ``str`` of it is the one line shown."""
+
+    name: str
+    value: str
+    reason: str
+
+    def __str__(self) -> str:
+        return f"setting {self.name} = {self.value!r}: {self.reason}"
+
+
+#: names are ``section.key``
+SETTINGS: tuple[Setting, ...] = (
+    Setting(
+        name="instance.id",
+        type=str,
+        required=True,
+        meaning="Id of this instance; unique, and new after each replacement.",
+    ),
+    Setting(
+        name="instance.data_centre",
+        type=str,
+        required=True,
+        meaning="Data centre of this instance.",
+    ),
+    Setting(
+        name="instance.seed",
+        type=int,
+        default=0,
+        meaning="Seed of the random source; 0 takes one from the system.",
+    ),
+    Setting(
+        name="callers.listen",
+        type=str,
+        default="127.0.0.1:8080",
+        endpoint=True,
+        meaning="Address on which callers are served.",
+    ),
+    Setting(
+        name="operators.listen",
+        type=str,
+        default="127.0.0.1:8081",
+        endpoint=True,
+        meaning="Address on which operators are served.",
+    ),
+    Setting(
+        name="peers.listen",
+        type=str,
+        default="127.0.0.1:8082",
+        endpoint=True,
+        meaning="Address on which other entry instances connect.",
+    ),
+    Setting(
+        name="platform.store",
+        type=str,
+        required=True,
+        endpoint=True,
+        meaning="Address of the platform's key-value service.",
+    ),
+    Setting(
+        name="platform.instances",
+        type=str,
+        required=True,
+        endpoint=True,
+        meaning="Address of the platform's list of instances.",
+    ),
+    Setting(
+        name="platform.timeout",
+        type=float,
+        default=2.0,
+        unit="s",
+        minimum=0.05,
+        maximum=60,
+        meaning="Time allowed for one call to the platform, watches excepted.",
+    ),
+    Setting(
+        name="statsd.address",
+        type=str,
+        default="127.0.0.1:8125",
+        endpoint=True,
+        meaning="Address of the statsd server; an IP, as names would be resolved"
+        " in the event loop.",
+    ),
+    Setting(
+        name="log.level",
+        type=str,
+        default="requests",
+        choices=("errors", "requests", "stages"),
+        meaning="What is logged: failures only, one action for each request, or"
+        " also one for each stage call.",
+    ),
+)
+
+_TRUE = frozenset({"yes", "true", "on", "1"})
+_FALSE = frozenset({"no", "false", "off", "0"})
+
+
+class Settings:
+    """Checked settings, looked up by ``section.key``."""
+
+    def __init__(self, values: Mapping[str, Any]) -> None:
+        self._values = dict(values)
+
+    def __getitem__(self, name: str) -> Any:
+        return self._values[name]
+
+    def as_dict(self) -> dict[str, Any]:
+        """Return all values by name, for the state dump."""
+        return dict(self._values)
+
+
+def load(path: str) -> Result[Settings, SettingError]:
+    """Read and check the INI file at ``path``."""
+    try:
+        with open(path, encoding="utf-8") as file:
+            text = file.read()
+    except (OSError, UnicodeDecodeError) as error:
+        return Err(SettingError("file", path, str(error)))
+    return parse(text)
+
+
+def parse(text: str) -> Result[Settings, SettingError]:
+    """Check settings given as INI text; the first error is returned."""
+    parser = configparser.ConfigParser(interpolation=None, strict=True)
+    try:
+        parser.read_string(text)
+    except configparser.Error as error:
+        reason = str(error).replace("\n", " ")
+        return Err(SettingError("file", "", reason))
+    given = {
+        f"{section}.{key}": value
+        for section in parser.sections()
+        for key, value in parser.items(section)
+    }
+    known = {setting.name: setting for setting in SETTINGS}
+    for name in given:
+        if name not in known:
+            return Err(SettingError(name, given[name], "unknown setting"))
+    values = {}
+    for setting in SETTINGS:
+        match _read(setting, given.get(setting.name)):
+            case Ok(value):
+                values[setting.name] = value
+            case Err(error):
+                return Err(error)
+    return Ok(Settings(values))
+
+
+def _read(setting: Setting, text: str | None) -> Result[Any, SettingError]:
+    if text is None:
+        if setting.required:
+            return Err(SettingError(setting.name, "", "is required"))
+        return Ok(setting.default)
+    reason = ""
+    value: Any = text.strip()
+    try:
+        value = _convert(setting, value)
+    except ValueError as error:
+        reason = str(error)
+    if not reason:
+        reason = _find_fault(setting, value)
+    if reason:
+        return Err(SettingError(setting.name, text, reason))
+    return Ok(value)
+
+
+def _convert(setting: Setting, text: str) -> Any:
+    if setting.type is not bool:
+        return setting.type(text)
+    word = text.lower()
+    if word in _TRUE:
+        return True
+    if word in _FALSE:
+        return False
+    raise ValueError("must be yes or no")
+
+
+def _find_fault(setting: Setting, value: Any) -> str:
+    if setting.required and value == "":
+        return "must not be empty"
+    if setting.choices and value not in setting.choices:
+        return f"must be one of {', '.join(setting.choices)}"
+    if setting.endpoint:
+        return _find_endpoint_fault(value)
+    if setting.type not in (int, float):
+        return ""
+    # NaN fails both comparisons below, whichever way they are written
+    if value != value:
+        return "must be a number"
+    if setting.minimum is not None and value < setting.minimum:
+        return f"must be at least {setting.minimum:g} {setting.unit}".rstrip()
+    if setting.maximum is not None and value > setting.maximum:
+        return f"must be at most {setting.maximum:g} {setting.unit}".rstrip()
+    return ""
+
+
+def _find_endpoint_fault(value: str) -> str:
+    host, _, port = value.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        return "must be an IP address and a port, as in 127.0.0.1:8080"
+    if not port.isdecimal() or int(port) > 65535:
+        return "must end in a port between 0 and 65535"
+    return ""
