--- /dev/null
+++ b/packages/greengagelatch/src/greengagelatch/config/snapshot.py
@@ -0,0 +1,26 @@
+"""One generation of the operator configuration."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from .objects import Pipeline, Policy, Service, Workspace
+
+__all__ = ("EMPTY", "Snapshot")
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Snapshot:
+    """All objects in force together; generations rise with every change."""
+
+    generation: int
+    change_id: str = ""
+    pipelines: Mapping[str, Pipeline] = field(default_factory=dict)
+    services: Mapping[str, Service] = field(default_factory=dict)
+    workspaces: Mapping[str, Workspace] = field(default_factory=dict)
+    policies: Mapping[str, Policy] = field(default_factory=dict)
+
+
+#: what an instance holds before it has learnt any configuration
+EMPTY = Snapshot(generation=0)
