--- a/packages/greengagelatch/src/greengagelatch/settings.py
+++ b/packages/greengagelatch/src/greengagelatch/settings.py
@@ -119,6 +119,26 @@
         meaning="Address of the statsd server; an IP, as names would be resolved"
         " in the event loop.",
     ),
+    Setting(
+        name="drain.balancer_lag",
+        type=float,
+        default=3.0,
+        unit="s",
+        minimum=0,
+        maximum=600,
+        meaning="Time for which an instance that is to stop serves on as if nothing"
+        " had happened; longer than the balancer needs to notice it is not ready.",
+    ),
+    Setting(
+        name="drain.longest",
+        type=float,
+        default=30.0,
+        unit="s",
+        minimum=0,
+        maximum=3600,
+        meaning="Time allowed to requests in flight after that; at least the"
+        " longest deadline callers may ask for.",
+    ),
     Setting(
         name="log.level",
         type=str,
