Test the planned stop

Cause: its four promises had no test. Before: none. Conclusion: the whole stop over real processes is still to be shown.

--- /dev/null
+++ b/tests/test_entry/test_drain.py
@@ -0,0 +1,110 @@
+"""Tests of the planned stop."""
+
+from __future__ import annotations
+
+import asyncio
+
+from greengagelatch.clock import ManualClock
+from greengagelatch.events import EventBus
+from greengagelatch_entry.controllers.drain import (
+    DRAIN_STARTED,
+    DrainController,
+    DrainState,
+)
+from greengagelatch_entry.metrics import Metrics
+from greengagelatch_lab.waiting import wait_until
+
+#: bound of every wait in these tests, in seconds
+PATIENCE = 10
+
+
+class Listener:
+    """Stands in for the callers' server and records the order of calls."""
+
+    def __init__(self) -> None:
+        self.steps: list[str] = []
+        self.idle = asyncio.Event()
+
+    async def close(self) -> None:
+        self.steps.append("closed")
+
+    async def wait_idle(self, seconds: float) -> bool:
+        self.steps.append("waiting")
+        await asyncio.wait_for(self.idle.wait(), PATIENCE)
+        return True
+
+
+def create_drain(listener: Listener, lag: float = 0.0) -> DrainController:
+    """Return a controller that drains ``listener``."""
+    return DrainController(
+        clock=ManualClock(),
+        events=EventBus(),
+        metrics=Metrics("127.0.0.1:9"),
+        balancer_lag=lag,
+        longest=PATIENCE,
+        close_listener=listener.close,
+        wait_idle=listener.wait_idle,
+    )
+
+
+async def test_listener_stays_open_while_the_balancer_lags():
+    """Symptom: connections refused during each rollout.
+
+    Sequence: the instance is told to stop and closes its listener while the
+    balancer, which polls readiness, still sends it new connections.
+    Cause: closing came before the balancer could know.
+    """
+    listener = Listener()
+    drain = create_drain(listener, lag=3600)
+    stop = asyncio.create_task(drain.wait())
+    drain.request_stop()
+    await asyncio.sleep(0)
+    assert drain.draining
+    assert drain.state is DrainState.LEAVING
+    assert listener.steps == []
+    stop.cancel()
+    await asyncio.gather(stop, return_exceptions=True)
+
+
+async def test_requests_in_flight_are_finished():
+    """Symptom: a stream ends without its end event whenever an instance stops.
+
+    Sequence: a stream runs, the stop begins, the process exits.
+    Cause: the stop did not wait for what was in flight.
+    """
+    listener = Listener()
+    drain = create_drain(listener)
+    stop = asyncio.create_task(drain.wait())
+    drain.request_stop()
+    await wait_until(lambda: listener.steps == ["closed", "waiting"])
+    assert not stop.done()
+    listener.idle.set()
+    assert await asyncio.wait_for(stop, PATIENCE)
+    assert drain.state is DrainState.STOPPED
+
+
+async def test_second_request_ends_at_once():
+    listener = Listener()
+    drain = create_drain(listener, lag=3600)
+    stop = asyncio.create_task(drain.wait())
+    drain.request_stop()
+    drain.request_stop()
+    assert await asyncio.wait_for(stop, PATIENCE) is False
+
+
+async def test_drain_by_an_operator_is_idempotent():
+    """Symptom: an operator repeats ``drain`` and requests in flight are cut.
+
+    Sequence: drain, its answer is lost, drain again.
+    Cause: the repeat was taken for the second signal, which ends at once.
+    """
+    listener = Listener()
+    drain = create_drain(listener)
+    heard = []
+    drain._events.connect(DRAIN_STARTED, lambda: heard.append(True))
+    stop = asyncio.create_task(drain.wait())
+    drain.start_drain()
+    drain.start_drain()
+    listener.idle.set()
+    assert await asyncio.wait_for(stop, PATIENCE)
+    assert heard == [True]
