--- a/packages/greengagelatch/src/greengagelatch/settings.py
+++ b/packages/greengagelatch/src/greengagelatch/settings.py
@@ -147,6 +147,12 @@
         meaning="What is logged: failures only, one action for each request, or"
         " also one for each stage call.",
     ),
+    Setting(
+        name="log.file",
+        type=str,
+        default="-",
+        meaning="File that log lines are appended to; - is standard output.",
+    ),
 )
 
 _TRUE = frozenset({"yes", "true", "on", "1"})
