Add in-process forms of the platform's services

Cause: decision-level tests need a store and an instance list whose faults they choose. Weighed: a mock library (no leases, no revisions, so tests would prove little) against a small true store; the store won. A watch of an absent key waits, as the HTTP form does, since an immediate answer would make watchers spin before the first configuration.

--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/standins/memory.py
@@ -0,0 +1,327 @@
+"""In-process forms of the platform's services, with faults to inject."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter, defaultdict
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import TypeVar
+
+from result import Err, Ok, Result
+
+from greengagelatch.clock import Clock
+from greengagelatch.instances import Instance, InstanceList, Listing
+from greengagelatch.store import (
+    ABSENT,
+    Entry,
+    Lease,
+    Store,
+    StoreError,
+    StoreErrorKind,
+    WriteOutcome,
+    WriteResult,
+)
+
+__all__ = ("MAX_VALUE", "CallHook", "MemoryInstanceList", "MemoryStore", "StoreFaults")
+
+#: largest value in bytes
+MAX_VALUE = 1024 * 1024
+
+T = TypeVar("T")
+
+#: awaited with the kind of a call (``"get"``, ``"swap"``, ...) and its key
+CallHook = Callable[[str, str], Awaitable[None]]
+
+
+@dataclass(slots=True, kw_only=True)
+class StoreFaults:
+    """Faults of a store; tests change the fields while the store is in use."""
+
+    #: every call fails; a write that is under way then loses its answer
+    outage: bool = False
+    #: number of coming swaps and deletes that take effect but get no answer
+    lost_answers: int = 0
+    #: number of coming swaps and deletes that get no answer and have no effect
+    dropped_writes: int = 0
+    #: number of coming lease calls that take effect but get no answer
+    lost_lease_answers: int = 0
+    #: number of coming calls that are refused before anything is done
+    refused_calls: int = 0
+    #: calls allowed in each second of the clock; 0: no limit
+    rate_limit: int = 0
+    #: awaited before a call has its effect
+    before_call: CallHook | None = None
+    #: awaited once a call has had its effect and before it is answered
+    after_call: CallHook | None = None
+
+    def take(self, name: str) -> bool:
+        """Use up one of the counted faults ``name``; whether one was left."""
+        left = getattr(self, name)
+        if left <= 0:
+            return False
+        setattr(self, name, left - 1)
+        return True
+
+
+@dataclass(slots=True)
+class _HeldLease:
+    ttl: float
+    number: int
+    expires: float
+
+
+class MemoryStore(Store):
+    """The platform's key-value service inside the process.
+
+    Leases lapse by ``clock``, whenever the store is next used. A watch waits in
+    time of the event loop, so tests with a manual clock pass it a short wait.
+    """
+
+    def __init__(self, *, clock: Clock, faults: StoreFaults | None = None) -> None:
+        self.faults = faults or StoreFaults()
+        #: number of calls by kind
+        self.calls: Counter[str] = Counter()
+        self._clock = clock
+        self._entries: dict[str, Entry] = {}
+        self._bindings: dict[str, str] = {}
+        self._leases: dict[str, _HeldLease] = {}
+        self._watchers: dict[str, set[asyncio.Event]] = defaultdict(set)
+        self._revision = ABSENT
+        self._lease_number = 0
+        self._window = 0
+        self._window_calls = 0
+
+    async def get(self, key: str) -> Result[Entry | None, StoreError]:
+        error = await self._enter("get", key)
+        if error:
+            return Err(error)
+        entry = self._entries.get(key)
+        return await self._answer("get", key, entry)
+
+    async def list(self, prefix: str) -> Result[tuple[Entry, ...], StoreError]:
+        error = await self._enter("list", prefix)
+        if error:
+            return Err(error)
+        keys = sorted(key for key in self._entries if key.startswith(prefix))
+        entries = tuple(self._entries[key] for key in keys)
+        return await self._answer("list", prefix, entries)
+
+    async def swap(
+        self, key: str, value: bytes, expected: int, *, lease_id: str = ""
+    ) -> WriteResult:
+        error = await self._enter("swap", key)
+        if error:
+            return WriteResult(WriteOutcome.NOT_APPLIED, message=error.message)
+        if self.faults.take("dropped_writes"):
+            return WriteResult(WriteOutcome.UNKNOWN, message="no answer")
+        result = self._swap(key, value, expected, lease_id)
+        return await self._answer_write("swap", key, result)
+
+    async def delete(self, key: str, expected: int) -> WriteResult:
+        error = await self._enter("delete", key)
+        if error:
+            return WriteResult(WriteOutcome.NOT_APPLIED, message=error.message)
+        if self.faults.take("dropped_writes"):
+            return WriteResult(WriteOutcome.UNKNOWN, message="no answer")
+        found = self._get_revision(key)
+        result = WriteResult(WriteOutcome.CONFLICT, found)
+        if found == expected and found != ABSENT:
+            result = WriteResult(WriteOutcome.APPLIED, self._remove(key))
+        return await self._answer_write("delete", key, result)
+
+    async def watch(
+        self, key: str, after: int, wait: float
+    ) -> Result[Entry | None, StoreError]:
+        error = await self._enter("watch", key)
+        if error:
+            return Err(error)
+        entry = self._get_above(key, after)
+        if entry is None and wait > 0:
+            entry = await self._wait_above(key, after, wait)
+        return await self._answer("watch", key, entry)
+
+    async def grant_lease(self, ttl: float) -> Result[Lease, StoreError]:
+        error = await self._enter("grant", "")
+        if error:
+            return Err(error)
+        self._lease_number += 1
+        lease = Lease(f"lease-{self._lease_number}", ttl, self._lease_number)
+        expires = self._clock.now() + ttl
+        self._leases[lease.lease_id] = _HeldLease(ttl, lease.number, expires)
+        return await self._answer_lease("grant", lease)
+
+    async def keep_lease(self, lease_id: str) -> Result[Lease, StoreError]:
+        error = await self._enter("keep", lease_id)
+        if error:
+            return Err(error)
+        held = self._leases.get(lease_id)
+        if held is None:
+            return Err(StoreError(StoreErrorKind.LEASE_GONE, "lease has lapsed"))
+        held.expires = self._clock.now() + held.ttl
+        return await self._answer_lease("keep", Lease(lease_id, held.ttl, held.number))
+
+    async def revoke_lease(self, lease_id: str) -> WriteResult:
+        error = await self._enter("revoke", lease_id)
+        if error:
+            return WriteResult(WriteOutcome.NOT_APPLIED, message=error.message)
+        self._end_lease(lease_id)
+        result = WriteResult(WriteOutcome.APPLIED, self._revision)
+        if self.faults.take("lost_lease_answers"):
+            result = WriteResult(WriteOutcome.UNKNOWN, message="no answer")
+        return result
+
+    def interrupt_watches(self) -> None:
+        """End every waiting watch, as the begin of an outage does."""
+        for events in list(self._watchers.values()):
+            for event in events:
+                event.set()
+
+    async def _enter(self, kind: str, key: str) -> StoreError | None:
+        self.calls[kind] += 1
+        if self.faults.before_call:
+            await self.faults.before_call(kind, key)
+        if self.faults.outage:
+            return StoreError(StoreErrorKind.UNREACHABLE, "outage")
+        if self.faults.take("refused_calls") or self._is_over_limit():
+            return StoreError(StoreErrorKind.RATE_LIMITED, "too many calls")
+        self._lapse_leases()
+        return None
+
+    def _is_over_limit(self) -> bool:
+        if not self.faults.rate_limit:
+            return False
+        window = int(self._clock.now())
+        if window != self._window:
+            self._window = window
+            self._window_calls = 0
+        self._window_calls += 1
+        return self._window_calls > self.faults.rate_limit
+
+    async def _answer(self, kind: str, key: str, value: T) -> Result[T, StoreError]:
+        if self.faults.after_call:
+            await self.faults.after_call(kind, key)
+        if self.faults.outage:
+            return Err(StoreError(StoreErrorKind.TIMEOUT, "no answer"))
+        return Ok(value)
+
+    async def _answer_lease(self, kind: str, lease: Lease) -> Result[Lease, StoreError]:
+        if self.faults.take("lost_lease_answers"):
+            return Err(StoreError(StoreErrorKind.TIMEOUT, "no answer"))
+        return await self._answer(kind, lease.lease_id, lease)
+
+    async def _answer_write(
+        self, kind: str, key: str, result: WriteResult
+    ) -> WriteResult:
+        if self.faults.after_call:
+            await self.faults.after_call(kind, key)
+        if self.faults.take("lost_answers") or self.faults.outage:
+            return WriteResult(WriteOutcome.UNKNOWN, message="no answer")
+        return result
+
+    def _swap(
+        self, key: str, value: bytes, expected: int, lease_id: str
+    ) -> WriteResult:
+        if len(value) > MAX_VALUE:
+            return WriteResult(WriteOutcome.NOT_APPLIED, message="value too large")
+        if lease_id and lease_id not in self._leases:
+            return WriteResult(WriteOutcome.NOT_APPLIED, message="lease has lapsed")
+        found = self._get_revision(key)
+        if found != expected:
+            return WriteResult(WriteOutcome.CONFLICT, found)
+        self._revision += 1
+        self._entries[key] = Entry(key, value, self._revision)
+        self._bindings.pop(key, None)
+        if lease_id:
+            self._bindings[key] = lease_id
+        for event in self._watchers.get(key, ()):
+            event.set()
+        return WriteResult(WriteOutcome.APPLIED, self._revision)
+
+    def _remove(self, key: str) -> int:
+        self._revision += 1
+        del self._entries[key]
+        self._bindings.pop(key, None)
+        return self._revision
+
+    def _get_revision(self, key: str) -> int:
+        entry = self._entries.get(key)
+        return entry.revision if entry else ABSENT
+
+    def _get_above(self, key: str, after: int) -> Entry | None:
+        entry = self._entries.get(key)
+        if entry is None or entry.revision <= after:
+            return None
+        return entry
+
+    async def _wait_above(self, key: str, after: int, wait: float) -> Entry | None:
+        event = asyncio.Event()
+        self._watchers[key].add(event)
+        try:
+            async with asyncio.timeout(wait):
+                await event.wait()
+        except TimeoutError:
+            pass
+        finally:
+            self._watchers[key].discard(event)
+            if not self._watchers[key]:
+                del self._watchers[key]
+        return self._get_above(key, after)
+
+    def _lapse_leases(self) -> None:
+        now = self._clock.now()
+        lapsed = [name for name, held in self._leases.items() if held.expires <= now]
+        for lease_id in lapsed:
+            self._end_lease(lease_id)
+
+    def _end_lease(self, lease_id: str) -> None:
+        self._leases.pop(lease_id, None)
+        bound = [key for key, owner in self._bindings.items() if owner == lease_id]
+        for key in bound:
+            self._remove(key)
+
+
+class MemoryInstanceList(InstanceList):
+    """The platform's list of instances inside the process.
+
+    The listing shown is the one that was true ``lag`` seconds ago.
+    """
+
+    def __init__(self, *, clock: Clock, lag: float = 0.0) -> None:
+        #: seconds by which the listing lags
+        self.lag = lag
+        self.outage = False
+        #: number of calls by kind
+        self.calls: Counter[str] = Counter()
+        self._clock = clock
+        self._instances: dict[str, Instance] = {}
+        #: listings with the time at which each became true, oldest first
+        self._history = [(clock.now(), Listing(1, ()))]
+
+    def put(self, instance: Instance) -> None:
+        """Add an instance, or replace the one with the same id."""
+        self._instances[instance.instance_id] = instance
+        self._record()
+
+    def remove(self, instance_id: str) -> None:
+        """Remove an instance, if it is there."""
+        self._instances.pop(instance_id, None)
+        self._record()
+
+    async def fetch(self) -> Result[Listing, StoreError]:
+        self.calls["fetch"] += 1
+        if self.outage:
+            return Err(StoreError(StoreErrorKind.UNREACHABLE, "outage"))
+        true_at = self._clock.now() - self.lag
+        while len(self._history) > 1 and self._history[1][0] <= true_at:
+            self._history.pop(0)
+        return Ok(self._history[0][1])
+
+    def _record(self) -> None:
+        instances = tuple(sorted(self._instances.values(), key=_get_id))
+        listing = Listing(self._history[-1][1].as_of + 1, instances)
+        self._history.append((self._clock.now(), listing))
+
+
+def _get_id(instance: Instance) -> str:
+    return instance.instance_id
