--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/state_dump.py
@@ -0,0 +1,97 @@
+"""The dump of a process's state."""
+
+from __future__ import annotations
+
+import importlib.metadata
+import json
+import logging
+from typing import TYPE_CHECKING, Any
+
+import eliot
+import psutil
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from greengagelatch.settings import Settings
+
+    from ..controllers import Controller
+    from ..logs import LogOutput
+    from ..metrics import Metrics
+
+__all__ = ("StateDump", "encode")
+
+logger = logging.getLogger(__name__)
+
+PACKAGE = "greengagelatch-entry"
+
+#: characters of one log line; a longer dump is logged in several parts
+PART_SIZE = 1500
+
+
+def encode(value: Any) -> str:
+    """Return ``value`` as JSON; what JSON has no form for is shown as text."""
+    return json.dumps(value, default=str)
+
+
+class StateDump:
+    """Collects the state of every controller and of the process."""
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        metrics: Metrics,
+        controllers: Callable[[], Mapping[str, Controller]],
+        log_output: LogOutput | None = None,
+    ) -> None:
+        self._settings = settings
+        self._metrics = metrics
+        self._controllers = controllers
+        self._log_output = log_output
+        self._process = psutil.Process()
+
+    def names(self) -> tuple[str, ...]:
+        """Return the names of the controllers."""
+        return tuple(self._controllers())
+
+    def describe_controller(self, name: str) -> Any:
+        """Return one controller's state.
+
+        A dump is wanted most when something is wrong. If one controller's state
+        can't be shown, its place holds the error, and the others are still shown.
+        """
+        try:
+            return self._controllers()[name].dump()
+        except Exception as error:
+            logger.exception("dump of controller %s failed", name)
+            return {"dump_failed": f"{type(error).__name__}: {error}"}
+
+    def describe_process(self) -> dict[str, Any]:
+        """Return everything except the controllers' state."""
+        described = {
+            "version": importlib.metadata.version(PACKAGE),
+            "memory_bytes": self._process.memory_info().rss,
+            "cpu_seconds": sum(self._process.cpu_times()[:2]),
+            "settings": self._settings.as_dict(),
+            "metrics": self._metrics.dump(),
+        }
+        if self._log_output is not None:
+            described["log"] = {
+                "written": self._log_output.written,
+                "dropped": self._log_output.dropped,
+            }
+        return described
+
+    def log_part(self, name: str, value: Any) -> None:
+        """Write one section to the log, in as many lines as it needs."""
+        text = encode(value)
+        parts = range(0, len(text), PART_SIZE)
+        for number, start in enumerate(parts, 1):
+            eliot.log_message(
+                "greengagelatch:dump",
+                section=name,
+                part=number,
+                parts=len(parts),
+                text=text[start : start + PART_SIZE],
+            )
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/logs.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/logs.py
@@ -29,9 +29,11 @@
     "truncate",
 )
 
-#: longest text of one field, in characters
+#: longest text of one field, in bytes
 MAX_VALUE = 200
-#: longest traceback, in characters; its end is kept, as that names the error
+#: longest message of a ``logging`` record, in bytes
+MAX_MESSAGE = 1000
+#: longest traceback, in bytes; its end is kept, as that names the error
 MAX_TRACEBACK = 1500
 #: longest line in bytes; a pipe that polls as writable takes this much at once
 MAX_LINE = 4096
@@ -51,17 +53,18 @@
 
 
 def truncate(value: Any, limit: int = MAX_VALUE) -> str:
-    """Return ``value`` as text of at most ``limit`` characters.
+    """Return ``value`` as text of at most ``limit`` bytes, plus an ellipsis.
 
     Lone surrogates, which JSON input may hold, are replaced: the encoder refuses
     them, and the line would be lost.
     """
     text = value if isinstance(value, str) else str(value)
-    if len(text) > limit:
-        text = f"{text[: limit - 1]}…"
-    if text.isascii():
+    if len(text) <= limit and text.isascii():
         return text
-    return text.encode("utf-8", "replace").decode("utf-8")
+    encoded = text[: limit + 1].encode("utf-8", "replace")
+    if len(encoded) <= limit:
+        return encoded.decode("utf-8")
+    return f"{encoded[:limit].decode('utf-8', 'ignore')}…"
 
 
 class LogOutput:
@@ -139,7 +142,7 @@
     fields = {
         "log_level": record.levelname,
         "logger": record.name,
-        "message": truncate(record.getMessage(), MAX_TRACEBACK),
+        "message": truncate(record.getMessage(), MAX_MESSAGE),
     }
     if record.exc_info and record.exc_info[0] is not None:
         text = "".join(traceback.format_exception(*record.exc_info))
--- /dev/null
+++ b/tests/test_entry/test_logs.py
@@ -0,0 +1,187 @@
+"""Logs of requests and the bridge from ``logging``."""
+
+from __future__ import annotations
+
+import json
+import logging
+import os
+
+import pytest
+
+from greengagelatch.errors import Refusal, RefusalCode
+from greengagelatch.request import Answer, Request
+from greengagelatch.settings import parse
+from greengagelatch.verdict import Verdict
+from greengagelatch_entry import logs
+from greengagelatch_entry.logs import LogLevel, LogOutput, RequestLog, set_up, truncate
+
+SETTINGS = """
+[instance]
+id = entry-1
+data_centre = fukuoka-a
+[platform]
+store = 127.0.0.1:1
+instances = 127.0.0.1:1
+[log]
+level = {level}
+file = {path}
+"""
+
+
+@pytest.fixture
+def open_log(tmp_path):
+    """Return a function that sets logs up and one that reads them back."""
+    path = tmp_path / "log.jsonl"
+    outputs = []
+
+    def set_up_at(level):
+        settings = parse(SETTINGS.format(level=level, path=path)).unwrap()
+        outputs.append(set_up(settings))
+        return RequestLog(LogLevel[level.upper()])
+
+    def read():
+        return [json.loads(line) for line in path.read_text().splitlines()]
+
+    yield set_up_at, read
+    for output in outputs:
+        output.close()
+
+
+def _create_request(**changes):
+    fields = {
+        "request_id": "r-1",
+        "workspace": "broker",
+        "pipeline": "quote",
+        "input": None,
+        "received": 10.0,
+        "deadline": 12.0,
+    }
+    return Request(**{**fields, **changes})
+
+
+def _run_request(log, refusal=None, attempts=1):
+    trace = log.start_request(_create_request())
+    stage = trace.start_stage("draft", "greengage-llm")
+    for number in range(attempts):
+        stage.log_attempt(
+            attempt_id=f"a-{number}",
+            target_id="llm-1",
+            outcome="answered",
+            seconds=0.25,
+            verdict=Verdict.RAN,
+            failed=number < attempts - 1,
+        )
+    stage.finish(outcome="answered", verdict=Verdict.RAN)
+    trace.finish(Answer(request_id="r-1", verdict=Verdict.RAN, refusal=refusal))
+
+
+def test_all_lines_of_a_request_carry_its_id(open_log):
+    set_up_at, read = open_log
+    _run_request(set_up_at("stages"))
+    lines = read()
+    assert {line["task_uuid"] for line in lines} == {"r-1"}
+    assert {line["instance"] for line in lines} == {"entry-1"}
+    levels = [line["task_level"] for line in lines]
+    assert levels == [[1], [2, 1], [2, 2], [2, 3], [3]]
+    assert lines[2]["target"] == "llm-1"
+    assert lines[-1]["outcome"] == "answered"
+
+
+def test_levels_bound_what_is_logged(open_log):
+    set_up_at, read = open_log
+    _run_request(set_up_at("requests"), attempts=3)
+    first, last = read()
+    assert first["budget_ms"] == 2000
+    assert (last["attempts"], last["failed_attempts"]) == (3, 2)
+
+
+def test_level_errors_logs_refusals_only(open_log):
+    set_up_at, read = open_log
+    log = set_up_at("errors")
+    _run_request(log)
+    assert read() == []
+    refusal = Refusal(code=RefusalCode.NO_TARGET, message="none", value="v" * 999)
+    _run_request(log, refusal)
+    last = read()[-1]
+    assert (last["outcome"], last["code"]) == ("refused", "no-target")
+    assert len(last["value"]) == logs.MAX_VALUE + 1
+
+
+def test_attempts_of_a_retry_storm_are_counted_not_logged(open_log):
+    set_up_at, read = open_log
+    _run_request(set_up_at("stages"), attempts=100)
+    lines = read()
+    assert len(lines) == 4 + logs.MAX_ATTEMPTS
+    assert lines[-1]["attempts"] == 100
+
+
+def test_truncate_makes_every_text_encodable():
+    """Symptom: the log line of a request is missing.
+
+    A caller sends a lone surrogate in JSON; the encoder of the log refuses it.
+    Cause: text of callers reached the encoder as it came.
+    """
+    assert truncate("\ud800x") == "?x"
+    assert truncate("é" * 300) == "é" * 100 + "…"
+    assert truncate(12) == "12"
+
+
+def test_logging_is_bridged_with_a_bounded_traceback(open_log):
+    set_up_at, read = open_log
+    set_up_at("errors")
+    logger = logging.getLogger("greengagelatch.test")
+    logger.info("not shown on this level")
+    try:
+        raise RuntimeError("y" * 5000)
+    except RuntimeError:
+        logger.exception("failed: %s", "é" * 5000)
+    (line,) = read()
+    assert line["log_level"] == "ERROR"
+    assert line["message"].startswith("failed: é")
+    assert line["traceback"].endswith("yyy\n")
+
+
+def test_record_that_can_not_be_formatted_stops_nobody(open_log, monkeypatch):
+    """Symptom: a request fails with an error that is raised by its log message.
+
+    A message has more arguments than its format. Cause: the handler lets the error
+    of formatting through to whoever logs.
+    """
+    set_up_at, read = open_log
+    set_up_at("requests")
+    monkeypatch.setattr(logging, "raiseExceptions", False)
+    logging.getLogger("greengagelatch.test").warning("%d", "a", "b")
+    assert read() == []
+
+
+def test_stopped_reader_of_stdout_does_not_block():
+    """Symptom: an instance answers nobody, its process is alive and idle.
+
+    Whatever reads standard output stops; the pipe fills; the next write waits for
+    good, and with it the event loop. Cause: log lines were written blocking.
+    """
+    reader, writer = os.pipe()
+    output = LogOutput(writer, owned=True)
+    try:
+        line = b"x" * 999 + b"\n"
+        for _ in range(1000):
+            output.write(line)
+        assert output.written > 0
+        assert output.dropped > 0
+        assert output.written + output.dropped == 1000
+        os.read(reader, 1 << 20)
+        assert output.write(line) == len(line)
+    finally:
+        os.close(reader)
+        os.close(writer)
+
+
+def test_line_too_long_for_a_pipe_is_dropped_and_counted():
+    reader, writer = os.pipe()
+    output = LogOutput(writer, owned=True)
+    try:
+        assert output.write(b"x" * (logs.MAX_LINE + 1)) == 0
+        assert output.dropped == 1
+    finally:
+        os.close(reader)
+        os.close(writer)
