--- a/packages/greengagelatch-lab/src/greengagelatch_lab/standins/memory.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/standins/memory.py
@@ -23,11 +23,20 @@
     WriteResult,
 )
 
-__all__ = ("MAX_VALUE", "CallHook", "MemoryInstanceList", "MemoryStore", "StoreFaults")
+__all__ = (
+    "MAX_VALUE",
+    "CallHook",
+    "MemoryInstanceList",
+    "MemoryStore",
+    "RefusedWrite",
+    "StoreFaults",
+)
 
 #: largest value in bytes
 MAX_VALUE = 1024 * 1024
 
+LAPSED = StoreError(StoreErrorKind.LEASE_GONE, "lease has lapsed")
+
 T = TypeVar("T")
 
 #: awaited with the kind of a call (``"get"``, ``"swap"``, ...) and its key
@@ -41,13 +50,13 @@
     #: every call fails; a write that is under way then loses its answer
     outage: bool = False
     #: number of coming swaps and deletes that take effect but get no answer
-    lost_answers: int = 0
+    lose_answers: int = 0
     #: number of coming swaps and deletes that get no answer and have no effect
-    dropped_writes: int = 0
+    drop_writes: int = 0
     #: number of coming lease calls that take effect but get no answer
-    lost_lease_answers: int = 0
+    lose_lease_answers: int = 0
     #: number of coming calls that are refused before anything is done
-    refused_calls: int = 0
+    refuse_calls: int = 0
     #: calls allowed in each second of the clock; 0: no limit
     rate_limit: int = 0
     #: awaited before a call has its effect
@@ -64,6 +73,13 @@
         return True
 
 
+@dataclass(frozen=True, slots=True)
+class RefusedWrite(WriteResult):
+    """A write that was refused before anything was done; ``kind`` says why."""
+
+    kind: StoreErrorKind = StoreErrorKind.UNREACHABLE
+
+
 @dataclass(slots=True)
 class _HeldLease:
     ttl: float
@@ -112,8 +128,8 @@
     ) -> WriteResult:
         error = await self._enter("swap", key)
         if error:
-            return WriteResult(WriteOutcome.NOT_APPLIED, message=error.message)
-        if self.faults.take("dropped_writes"):
+            return _refuse(error)
+        if self.faults.take("drop_writes"):
             return WriteResult(WriteOutcome.UNKNOWN, message="no answer")
         result = self._swap(key, value, expected, lease_id)
         return await self._answer_write("swap", key, result)
@@ -121,8 +137,8 @@
     async def delete(self, key: str, expected: int) -> WriteResult:
         error = await self._enter("delete", key)
         if error:
-            return WriteResult(WriteOutcome.NOT_APPLIED, message=error.message)
-        if self.faults.take("dropped_writes"):
+            return _refuse(error)
+        if self.faults.take("drop_writes"):
             return WriteResult(WriteOutcome.UNKNOWN, message="no answer")
         found = self._get_revision(key)
         result = WriteResult(WriteOutcome.CONFLICT, found)
@@ -157,17 +173,17 @@
             return Err(error)
         held = self._leases.get(lease_id)
         if held is None:
-            return Err(StoreError(StoreErrorKind.LEASE_GONE, "lease has lapsed"))
+            return Err(LAPSED)
         held.expires = self._clock.now() + held.ttl
         return await self._answer_lease("keep", Lease(lease_id, held.ttl, held.number))
 
     async def revoke_lease(self, lease_id: str) -> WriteResult:
         error = await self._enter("revoke", lease_id)
         if error:
-            return WriteResult(WriteOutcome.NOT_APPLIED, message=error.message)
+            return _refuse(error)
         self._end_lease(lease_id)
         result = WriteResult(WriteOutcome.APPLIED, self._revision)
-        if self.faults.take("lost_lease_answers"):
+        if self.faults.take("lose_lease_answers"):
             result = WriteResult(WriteOutcome.UNKNOWN, message="no answer")
         return result
 
@@ -183,7 +199,7 @@
             await self.faults.before_call(kind, key)
         if self.faults.outage:
             return StoreError(StoreErrorKind.UNREACHABLE, "outage")
-        if self.faults.take("refused_calls") or self._is_over_limit():
+        if self.faults.take("refuse_calls") or self._is_over_limit():
             return StoreError(StoreErrorKind.RATE_LIMITED, "too many calls")
         self._lapse_leases()
         return None
@@ -206,7 +222,7 @@
         return Ok(value)
 
     async def _answer_lease(self, kind: str, lease: Lease) -> Result[Lease, StoreError]:
-        if self.faults.take("lost_lease_answers"):
+        if self.faults.take("lose_lease_answers"):
             return Err(StoreError(StoreErrorKind.TIMEOUT, "no answer"))
         return await self._answer(kind, lease.lease_id, lease)
 
@@ -215,7 +231,7 @@
     ) -> WriteResult:
         if self.faults.after_call:
             await self.faults.after_call(kind, key)
-        if self.faults.take("lost_answers") or self.faults.outage:
+        if self.faults.take("lose_answers") or self.faults.outage:
             return WriteResult(WriteOutcome.UNKNOWN, message="no answer")
         return result
 
@@ -223,9 +239,9 @@
         self, key: str, value: bytes, expected: int, lease_id: str
     ) -> WriteResult:
         if len(value) > MAX_VALUE:
-            return WriteResult(WriteOutcome.NOT_APPLIED, message="value too large")
+            return _refuse(StoreError(StoreErrorKind.BAD_ANSWER, "value too large"))
         if lease_id and lease_id not in self._leases:
-            return WriteResult(WriteOutcome.NOT_APPLIED, message="lease has lapsed")
+            return _refuse(LAPSED)
         found = self._get_revision(key)
         if found != expected:
             return WriteResult(WriteOutcome.CONFLICT, found)
@@ -323,5 +339,10 @@
         self._history.append((self._clock.now(), listing))
 
 
+def _refuse(error: StoreError) -> RefusedWrite:
+    outcome = WriteOutcome.NOT_APPLIED
+    return RefusedWrite(outcome, message=error.message, kind=error.kind)
+
+
 def _get_id(instance: Instance) -> str:
     return instance.instance_id
--- a/tests/test_lab/test_memory.py
+++ b/tests/test_lab/test_memory.py
@@ -37,9 +37,9 @@
 
 async def test_lost_answer_and_dropped_write_look_alike() -> None:
     store, _ = create_store()
-    store.faults.lost_answers = 1
+    store.faults.lose_answers = 1
     lost = await store.swap("a", b"1", 0)
-    store.faults.dropped_writes = 1
+    store.faults.drop_writes = 1
     dropped = await store.swap("b", b"1", 0)
     assert lost == dropped
     assert lost.outcome is WriteOutcome.UNKNOWN
@@ -47,7 +47,7 @@
     assert (await store.get("b")).ok_value is None
 
 
-async def test_refused_calls_have_no_effect() -> None:
+async def test_refuse_calls_have_no_effect() -> None:
     store, clock = create_store()
     store.faults.rate_limit = 1
     assert (await store.swap("a", b"1", 0)).outcome is WriteOutcome.APPLIED
