Add the platform's list of instances over HTTP

Cause: targets and seeds of the membership come from a list that lags and may hold rows this release can't read. Weighed: giving up on the first bad row (hides all other instances) against skipping and counting it; a kept-alive connection (a silent one swallows calls, and aiohttp sends a GET twice by itself) against a fresh one per call. An unchanged body isn't parsed again; long lists are read in turns of 500 rows.

--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters: the parts of the daemon that touch sockets."""
--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/instances.py
@@ -0,0 +1,174 @@
+"""The platform's list of instances, read over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+import xxhash
+from result import Err, Ok, Result
+
+from greengagelatch.instances import (
+    Instance,
+    InstanceKind,
+    InstanceList,
+    InstanceState,
+    Listing,
+)
+from greengagelatch.store import StoreError, StoreErrorKind
+
+if TYPE_CHECKING:
+    from ..metrics import Metrics
+
+__all__ = ("HttpInstanceList",)
+
+logger = logging.getLogger(__name__)
+
+#: a larger listing is refused; about 100,000 instances
+MAX_LISTING_BYTES = 16 * 1024 * 1024
+
+#: rows read before other work gets a turn, so that a long list can't stall the loop
+ROWS_PER_TURN = 500
+
+
+class HttpInstanceList(InstanceList):
+    """Reads ``GET /instances`` of the platform.
+
+    :param address: ``host:port`` of the platform's list.
+    :param timeout: seconds allowed for one call.
+    """
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        timeout: float,
+        metrics: Metrics,
+        max_bytes: int = MAX_LISTING_BYTES,
+    ) -> None:
+        self._url = f"http://{address}/instances"
+        self._timeout = aiohttp.ClientTimeout(total=timeout)
+        self._metrics = metrics
+        self._max_bytes = max_bytes
+        self._session: aiohttp.ClientSession | None = None
+        self._digest = b""
+        self._listing: Listing | None = None
+
+    async def fetch(self) -> Result[Listing, StoreError]:
+        self._metrics.count("instances.calls")
+        try:
+            async with self._open_session().get(self._url) as response:
+                if response.status != 200:
+                    return Err(_explain_status(response.status))
+                body = await self._read_body(response)
+        except TimeoutError:
+            return Err(StoreError(StoreErrorKind.TIMEOUT, "no answer in time"))
+        except (aiohttp.ClientError, OSError) as error:
+            return Err(StoreError(StoreErrorKind.UNREACHABLE, str(error)))
+        if body is None:
+            return Err(StoreError(StoreErrorKind.BAD_ANSWER, "listing is too large"))
+        return await self._parse(body)
+
+    async def close(self) -> None:
+        """Close the connections."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
+
+    def _open_session(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            # A kept-alive connection that has gone silent would swallow every
+            # other call until its timeout, and aiohttp would send a GET a second
+            # time by itself when one drops; each call uses a fresh connection.
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(force_close=True, limit=2),
+                timeout=self._timeout,
+                trust_env=False,
+            )
+        return self._session
+
+    async def _read_body(self, response: aiohttp.ClientResponse) -> bytes | None:
+        body = bytearray()
+        async for chunk in response.content.iter_any():
+            body += chunk
+            if len(body) > self._max_bytes:
+                return None
+        return bytes(body)
+
+    async def _parse(self, body: bytes) -> Result[Listing, StoreError]:
+        digest = xxhash.xxh3_128_digest(body)
+        if self._listing is not None and digest == self._digest:
+            return Ok(self._listing)
+        try:
+            data = json.loads(body)
+        except (ValueError, RecursionError) as error:
+            return Err(StoreError(StoreErrorKind.BAD_ANSWER, str(error)))
+        rows = data.get("instances") if isinstance(data, dict) else None
+        as_of = data.get("as_of") if isinstance(data, dict) else None
+        if not isinstance(rows, list) or not isinstance(as_of, int):
+            return Err(StoreError(StoreErrorKind.BAD_ANSWER, "not a listing"))
+        instances = await self._read_rows(rows)
+        self._digest = digest
+        self._listing = Listing(as_of, instances)
+        return Ok(self._listing)
+
+    async def _read_rows(self, rows: list[Any]) -> tuple[Instance, ...]:
+        instances = []
+        bad = 0
+        for number, row in enumerate(rows, start=1):
+            if number % ROWS_PER_TURN == 0:
+                await asyncio.sleep(0)
+            instance = _read_row(row)
+            if instance is None:
+                bad += 1
+                continue
+            instances.append(instance)
+        if bad:
+            # one bad row must not hide all other instances
+            self._metrics.count("instances.bad_rows", bad)
+            logger.warning("skipped %s unreadable rows of the instance list", bad)
+        return tuple(instances)
+
+
+def _read_row(row: Any) -> Instance | None:
+    try:
+        instance = Instance(
+            instance_id=row["id"],
+            kind=InstanceKind(row["kind"]),
+            data_centre=row["data_centre"],
+            address=row["address"],
+            state=InstanceState(row["state"]),
+            service=row.get("service") or "",
+        )
+    except (KeyError, TypeError, ValueError, AttributeError):
+        return None
+    texts = (
+        instance.instance_id,
+        instance.data_centre,
+        instance.address,
+        instance.service,
+    )
+    if not all(isinstance(text, str) for text in texts):
+        return None
+    if not instance.instance_id or not _is_endpoint(instance.address):
+        return None
+    if instance.kind is InstanceKind.TARGET and not instance.service:
+        return None
+    return instance
+
+
+def _is_endpoint(address: str) -> bool:
+    host, _, port = address.rpartition(":")
+    return bool(host) and port.isdecimal() and int(port) <= 65535
+
+
+def _explain_status(status: int) -> StoreError:
+    kind = StoreErrorKind.BAD_ANSWER
+    if status == 429:
+        kind = StoreErrorKind.RATE_LIMITED
+    elif status >= 500:
+        kind = StoreErrorKind.UNREACHABLE
+    return StoreError(kind, f"status {status}")
