--- a/packages/greengagelatch/src/greengagelatch/config/effects.py
+++ b/packages/greengagelatch/src/greengagelatch/config/effects.py
@@ -78,7 +78,8 @@
         traffic are independent of each other.
         """
         total = sum(share for _, share in self.shares)
-        point = xxhash.xxh64_intdigest(f"{self.policy}\n{request_id}") % total
+        text = f"{self.policy}\n{request_id}"
+        point = xxhash.xxh64_intdigest(text.encode()) % total
         for name, share in self.shares:
             if point < share:
                 return name
--- a/packages/greengagelatch/src/greengagelatch/config/steering.py
+++ b/packages/greengagelatch/src/greengagelatch/config/steering.py
@@ -4,7 +4,7 @@
 
 from collections import OrderedDict
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from .effects import (
     EffectValue,
@@ -45,12 +45,12 @@
     priority: int = 0
     #: ``None``: no limit
     quota: Quota | None = None
-    weights: Weights = Weights()
+    weights: Weights = field(default_factory=Weights)
     #: which pipeline serves a request, by its id; ``None``: the one it names
     pipeline_split: Split | None = None
     #: which service serves a stage, by the request's id; ``None``: the stage's own
     service_split: Split | None = None
-    placement: Placement = Placement()
+    placement: Placement = field(default_factory=Placement)
 
 
 @dataclass(frozen=True, slots=True)
