Add the request path: callers, filters, stage runner and target calls

Cause: requests had types but nothing that carried them.

Callers' server, filters, stage runner, attempts and the HTTP target client, and a dispatcher without limits as baseline. Weighed: the router of aiohttp's applications (not used, there is one path) and its trace hooks to tell sent from not sent (not used, a payload that is told right before its first write costs nothing and is exact).

--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_connections.py
@@ -0,0 +1,136 @@
+"""Connections of callers, bounded in number, size and time."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+from aiohttp.web_protocol import RequestHandler
+
+from greengagelatch.errors import Refusal, RefusalCode
+
+from .caller_answers import create_headers, describe_refusal, encode
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+__all__ = ("CallerConnections",)
+
+#: seconds that answers under way get when the server ends
+CLOSE_TIMEOUT = 1.0
+#: seconds for which the rest of a refused body is read, so that the refusal is not
+#: lost by a reset of the connection
+LINGER = 1.0
+#: milliseconds after which a place may be free again
+FULL_RETRY_MS = 1000
+#: most header lines of one request
+MAX_HEADERS = 64
+
+
+class CallerConnections:
+    """Creates the protocol of each accepted connection.
+
+    :param handle: answers one request; it is cancelled if the connection is lost
+    """
+
+    def __init__(
+        self,
+        handle: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+        *,
+        max_connections: int,
+        max_header_bytes: int,
+        idle_timeout: float,
+        write_timeout: float,
+    ) -> None:
+        self._max_connections = max_connections
+        self._server = _Server(
+            handle,
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=idle_timeout,
+            lingering_time=LINGER,
+            max_line_size=max_header_bytes,
+            max_field_size=max_header_bytes,
+            max_headers=MAX_HEADERS,
+        )
+
+    def __len__(self) -> int:
+        return len(self._server.connections)
+
+    def create(self) -> asyncio.BaseProtocol:
+        """Return the protocol for a connection that was just accepted."""
+        if len(self) >= self._max_connections:
+            return _TurnAway(self._max_connections)
+        return self._server()
+
+    async def close(self) -> None:
+        """Close every connection."""
+        await self._server.shutdown(CLOSE_TIMEOUT)
+
+
+class _Server(web.Server):
+    """aiohttp's low-level server, with refusals in place of its error pages."""
+
+    def __call__(self) -> RequestHandler:
+        return _Connection(self, loop=self._loop, **self._kwargs)
+
+
+class _Connection(RequestHandler):
+    """One connection of a caller."""
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Answer what can't be parsed as HTTP by a refusal that says so."""
+        if status >= 500:
+            return super().handle_error(request, status, exc, message)
+        refusal = Refusal(
+            code=RefusalCode.BAD_REQUEST,
+            message="not a valid HTTP request",
+            field="header",
+            value=_shorten(message or str(exc or "")),
+        )
+        response = web.Response(
+            status=status,
+            body=encode(describe_refusal("", refusal)),
+            headers=create_headers(refusal),
+        )
+        response.force_close()
+        return response
+
+
+class _TurnAway(asyncio.Protocol):
+    """Answers a connection beyond the bound and closes it.
+
+    Without an answer the caller would see a reset, and could not tell whether its
+    request ran.
+    """
+
+    def __init__(self, limit: int) -> None:
+        refusal = Refusal(
+            code=RefusalCode.OVERLOADED,
+            message="too many open connections",
+            field="connections",
+            value=str(limit),
+            retry_after_ms=FULL_RETRY_MS,
+        )
+        body = encode(describe_refusal("", refusal))
+        lines = ["HTTP/1.1 503 Service Unavailable", "Connection: close"]
+        for name, value in create_headers(refusal).items():
+            lines.append(f"{name}: {value}")
+        lines.append(f"Content-Length: {len(body)}")
+        self._answer = "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        transport.write(self._answer)
+        transport.close()
+
+
+def _shorten(text: str) -> str:
+    return " ".join(text.split())[:64]
--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_stream.py
@@ -0,0 +1,113 @@
+"""A streamed answer on its way to one caller."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import xxhash
+from aiohttp import web
+
+from .caller_answers import describe_end, describe_refusal
+from .event_stream import encode_event
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from greengagelatch.request import Answer
+
+__all__ = ("CallerStream",)
+
+
+class CallerStream:
+    """Writes tokens as they come, and exactly one closing event.
+
+    Tokens arrive as fast as the engine makes them, also while the caller does not
+    read. What is not written yet is bounded: beyond ``limit`` bytes, or once a
+    write takes longer than ``write_timeout`` seconds, the caller counts as gone.
+
+    :param give_up: called once if the caller does not read; cancels the request
+    """
+
+    def __init__(
+        self,
+        request: web.BaseRequest,
+        response: web.StreamResponse,
+        *,
+        limit: int,
+        write_timeout: float,
+        give_up: Callable[[], None],
+    ) -> None:
+        self._request = request
+        self._response = response
+        self._limit = limit
+        self._write_timeout = write_timeout
+        self._give_up = give_up
+        self._pending: list[bytes] = []
+        self._size = 0
+        self._count = 0
+        self._digest = xxhash.xxh64()
+        self._wanted = asyncio.Event()
+        self._finished = False
+        self._writer: asyncio.Task[None] | None = None
+
+    @property
+    def started(self) -> bool:
+        """Whether anything was given to the caller."""
+        return self._writer is not None
+
+    def take_token(self, offset: int, text: str) -> None:
+        """Queue a token for the caller."""
+        if self._writer is None:
+            self._writer = asyncio.create_task(self._write())
+        self._digest.update(text.encode("utf-8", "surrogatepass"))
+        self._count += 1
+        self._queue(encode_event("token", {"offset": offset, "text": text}))
+
+    async def finish(self, answer: Answer) -> None:
+        """Write the closing event and wait until all is handed to the socket."""
+        if self._writer is None:
+            self._writer = asyncio.create_task(self._write())
+        if answer.refusal is not None:
+            fields = describe_refusal(answer.request_id, answer.refusal)
+            event = encode_event("refusal", fields)
+        else:
+            fields = describe_end(
+                answer, count=self._count, digest=self._digest.hexdigest()
+            )
+            event = encode_event("end", fields)
+        self._finished = True
+        self._queue(event)
+        await self._writer
+
+    async def close(self) -> None:
+        """Stop writing; the stream then has no closing event and counts as cut."""
+        if self._writer is None or self._writer.done():
+            return
+        self._writer.cancel()
+        await asyncio.gather(self._writer, return_exceptions=True)
+
+    def _queue(self, event: bytes) -> None:
+        self._pending.append(event)
+        self._size += len(event)
+        self._wanted.set()
+        if self._size > self._limit and not self._finished:
+            self._give_up()
+
+    async def _write(self) -> None:
+        try:
+            async with asyncio.timeout(self._write_timeout):
+                await self._response.prepare(self._request)
+            while not (self._finished and not self._pending):
+                await self._wanted.wait()
+                self._wanted.clear()
+                chunk = b"".join(self._pending)
+                self._pending.clear()
+                async with asyncio.timeout(self._write_timeout):
+                    await self._response.write(chunk)
+                self._size -= len(chunk)
+            async with asyncio.timeout(self._write_timeout):
+                await self._response.write_eof()
+        except (TimeoutError, ConnectionError):
+            self._give_up()
+            raise
--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/callers.py
@@ -0,0 +1,319 @@
+"""HTTP server for callers."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+from aiohttp import web
+from result import Err
+
+from greengagelatch.errors import Refusal, RefusalCode
+from greengagelatch.request import Answer
+from greengagelatch.verdict import Verdict
+
+from ..controllers import Controller
+from ..filters import Exchange
+from ..filters.identify import Arrival
+from .caller_answers import create_headers, encode_answer, find_status
+from .caller_connections import CallerConnections
+from .caller_stream import CallerStream
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from greengagelatch.clock import Clock
+
+    from ..filters import Handler
+    from ..filters.identify import Identifier
+    from ..metrics import Metrics
+
+__all__ = ("CallerLimits", "CallersServer")
+
+PATH_PREFIX = "/v1/pipelines/"
+METHOD = "POST"
+STATUS_METHOD_NOT_ALLOWED = 405
+STATUS_TIMEOUT = 408
+EVENT_STREAM = "text/event-stream"
+#: characters of an offending value that are shown
+MAX_SHOWN = 64
+#: milliseconds after which a caller may ask again where this instance is at fault
+RETRY_MS = 1000
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallerLimits:
+    """Bounds on callers; times in seconds."""
+
+    max_body_bytes: int = 4 * 1024 * 1024
+    max_header_bytes: int = 8190
+    max_connections: int = 4096
+    idle_timeout: float = 75.0
+    body_timeout: float = 10.0
+    write_timeout: float = 10.0
+    #: bytes of a streamed answer that wait for a slow reader
+    max_unwritten_bytes: int = 256 * 1024
+
+
+class _BodyError(Exception):
+    def __init__(self, status: int, refusal: Refusal) -> None:
+        super().__init__(refusal.message)
+        self.status = status
+        self.refusal = refusal
+
+
+class CallersServer(Controller):
+    """Serves callers: reads a request, has it handled and delivers the answer.
+
+    :param listen: ``host:port``; port 0 takes a free one, see :attr:`port`
+    :param handler: the filter chain
+    :param draining: whether this instance is leaving; connections are then not
+        kept for a next request
+    """
+
+    name = "callers"
+
+    def __init__(
+        self,
+        *,
+        listen: str,
+        handler: Handler,
+        identifier: Identifier,
+        clock: Clock,
+        metrics: Metrics,
+        draining: Callable[[], bool],
+        limits: CallerLimits | None = None,
+    ) -> None:
+        super().__init__()
+        self._listen = listen
+        self._handler = handler
+        self._identifier = identifier
+        self._clock = clock
+        self._metrics = metrics
+        self._draining = draining
+        self._limits = limits or CallerLimits()
+        self._connections: CallerConnections | None = None
+        self._listener: asyncio.Server | None = None
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self._in_flight = 0
+        self.port = 0
+
+    @property
+    def in_flight(self) -> int:
+        """Number of requests that are not yet answered in full."""
+        return self._in_flight
+
+    async def on_start(self) -> None:
+        """Bind the address and begin to serve."""
+        loop = asyncio.get_running_loop()
+        limits = self._limits
+        self._connections = CallerConnections(
+            self._handle,
+            max_connections=limits.max_connections,
+            max_header_bytes=limits.max_header_bytes,
+            idle_timeout=limits.idle_timeout,
+            write_timeout=limits.write_timeout,
+        )
+        host, _, port = self._listen.rpartition(":")
+        self._listener = await loop.create_server(
+            self._connections.create, host.strip("[]"), int(port)
+        )
+        self.port = self._listener.sockets[0].getsockname()[1]
+
+    async def close_listener(self) -> None:
+        """Take no new connections; those that are open are served on."""
+        if self._listener is not None:
+            self._listener.close()
+
+    async def wait_idle(self, timeout: float) -> bool:
+        """Wait at most ``timeout`` seconds until no request is in flight."""
+        try:
+            async with asyncio.timeout(timeout):
+                await self._idle.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    async def on_stop(self) -> None:
+        """Close the listener and every connection."""
+        await self.close_listener()
+        if self._connections is not None:
+            await self._connections.close()
+
+    def dump(self) -> dict[str, Any]:
+        open_now = len(self._connections) if self._connections is not None else 0
+        return {
+            "port": self.port,
+            "in_flight": self._in_flight,
+            "connections": open_now,
+            "draining": self._draining(),
+        }
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        self._in_flight += 1
+        self._idle.clear()
+        try:
+            return await self._serve(request)
+        finally:
+            self._in_flight -= 1
+            if self._in_flight == 0:
+                self._idle.set()
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        received = self._clock.now()
+        request_id = self._identifier.create_request_id()
+        refusal, status = _check_line(request)
+        if refusal is not None:
+            return await self._refuse(request, request_id, status, refusal)
+        try:
+            body = await self._read_body(request)
+        except _BodyError as error:
+            return await self._refuse(request, request_id, error.status, error.refusal)
+        arrival = Arrival(
+            request_id=request_id,
+            pipeline=request.path[len(PATH_PREFIX) :],
+            headers=request.headers,
+            body=body,
+            received=received,
+        )
+        result = self._identifier.identify(arrival)
+        if isinstance(result, Err):
+            return await self._refuse(request, request_id, 0, result.err_value)
+        exchange = Exchange(request=result.ok_value)
+        if exchange.request.stream:
+            return await self._answer_stream(request, exchange)
+        answer = await self._handler(exchange)
+        return await self._deliver(request, answer, find_status(answer))
+
+    async def _read_body(self, request: web.BaseRequest) -> bytes:
+        limit = self._limits.max_body_bytes
+        length = request.content_length or 0
+        if length > limit:
+            raise _BodyError(413, _refuse_size(limit, str(length)))
+        chunks: list[bytes] = []
+        size = 0
+        try:
+            async with asyncio.timeout(self._limits.body_timeout):
+                while chunk := await request.content.readany():
+                    size += len(chunk)
+                    if size > limit:
+                        raise _BodyError(413, _refuse_size(limit, f"over {limit}"))
+                    chunks.append(chunk)
+        except TimeoutError:
+            message = f"body not received within {self._limits.body_timeout:g} s"
+            raise _BodyError(
+                STATUS_TIMEOUT, _refuse_body(message, f"{size} bytes")
+            ) from None
+        except web.RequestPayloadError as error:
+            message = f"body can't be read: {str(error)[:MAX_SHOWN]}"
+            raise _BodyError(400, _refuse_body(message, "")) from None
+        return chunks[0] if len(chunks) == 1 else b"".join(chunks)
+
+    async def _refuse(
+        self,
+        request: web.BaseRequest,
+        request_id: str,
+        status: int,
+        refusal: Refusal,
+    ) -> web.StreamResponse:
+        self._metrics.count(f"requests.{refusal.code.value}")
+        answer = Answer(request_id=request_id, verdict=Verdict.NOT_RUN, refusal=refusal)
+        return await self._deliver(request, answer, status or find_status(answer))
+
+    async def _deliver(
+        self, request: web.BaseRequest, answer: Answer, status: int
+    ) -> web.StreamResponse:
+        response = web.Response(
+            body=encode_answer(answer),
+            status=status,
+            headers=create_headers(answer.refusal),
+        )
+        if status == STATUS_METHOD_NOT_ALLOWED:
+            response.headers["Allow"] = METHOD
+        if self._draining():
+            response.force_close()
+        try:
+            async with asyncio.timeout(self._limits.write_timeout):
+                await response.prepare(request)
+                await response.write_eof()
+        except (TimeoutError, ConnectionError):
+            self._abandon(request)
+        return response
+
+    async def _answer_stream(
+        self, request: web.BaseRequest, exchange: Exchange
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(
+            headers={"Content-Type": EVENT_STREAM, "Cache-Control": "no-store"}
+        )
+        if self._draining():
+            response.force_close()
+        stream = CallerStream(
+            request,
+            response,
+            limit=self._limits.max_unwritten_bytes,
+            write_timeout=self._limits.write_timeout,
+            give_up=lambda: self._abandon(request),
+        )
+        exchange.on_token = stream.take_token
+        try:
+            answer = await self._handler(exchange)
+            if answer.refusal is not None and not stream.started:
+                return await self._deliver(request, answer, find_status(answer))
+            await stream.finish(answer)
+        except (TimeoutError, ConnectionError):
+            self._abandon(request)
+        finally:
+            await stream.close()
+        return response
+
+    def _abandon(self, request: web.BaseRequest) -> None:
+        # the connection is dropped at once: what waits in its buffer would be sent
+        # only when the caller reads again, if ever. Its loss cancels the request
+        self._metrics.count("callers.abandoned")
+        transport = request.transport
+        if transport is not None:
+            transport.abort()
+
+
+def _check_line(request: web.BaseRequest) -> tuple[Refusal | None, int]:
+    path = request.path
+    name = path[len(PATH_PREFIX) :]
+    if not path.startswith(PATH_PREFIX) or not name or "/" in name:
+        refusal = Refusal(
+            code=RefusalCode.BAD_REQUEST,
+            message=f"no such path; requests go to {PATH_PREFIX}{{pipeline}}",
+            field="path",
+            value=path[:MAX_SHOWN],
+        )
+        return refusal, 404
+    if request.method != METHOD:
+        refusal = Refusal(
+            code=RefusalCode.BAD_REQUEST,
+            message=f"requests are sent by {METHOD}",
+            field="method",
+            value=request.method[:MAX_SHOWN],
+        )
+        return refusal, STATUS_METHOD_NOT_ALLOWED
+    return None, 0
+
+
+def _refuse_size(limit: int, value: str) -> Refusal:
+    return Refusal(
+        code=RefusalCode.TOO_LARGE,
+        message=f"the body exceeds {limit} bytes",
+        field="body",
+        value=value,
+    )
+
+
+def _refuse_body(message: str, value: str) -> Refusal:
+    return Refusal(
+        code=RefusalCode.BAD_REQUEST,
+        message=message,
+        field="body",
+        value=value,
+        retry_after_ms=RETRY_MS,
+    )
--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/event_stream.py
@@ -0,0 +1,75 @@
+"""Server-sent events, as sent to callers and received from targets."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from typing import Any
+
+__all__ = ("Event", "EventParser", "EventTooLargeError", "encode_event")
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """One event with its raw data."""
+
+    name: str
+    data: bytes
+
+
+class EventTooLargeError(ValueError):
+    """An event exceeds the bound."""
+
+
+class EventParser:
+    """Splits a byte stream into events, holding at most ``limit`` bytes back."""
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self._rest = b""
+        self._name = ""
+        self._data: list[bytes] = []
+        self._size = 0
+
+    def feed(self, chunk: bytes) -> list[Event]:
+        """Return the events completed by ``chunk``.
+
+        :raises EventTooLargeError: if an unfinished event exceeds the limit
+        """
+        lines = (self._rest + chunk).split(b"\n")
+        self._rest = lines.pop()
+        events: list[Event] = []
+        for line in lines:
+            event = self._take_line(line.removesuffix(b"\r"))
+            if event is not None:
+                events.append(event)
+        if self._size + len(self._rest) > self._limit:
+            raise EventTooLargeError(f"event exceeds {self._limit} bytes")
+        return events
+
+    def _take_line(self, line: bytes) -> Event | None:
+        if not line:
+            return self._finish()
+        field, _, value = line.partition(b":")
+        value = value.removeprefix(b" ")
+        if field == b"event":
+            self._name = value.decode("utf-8", "replace")
+        elif field == b"data":
+            self._data.append(value)
+            self._size += len(value)
+        return None
+
+    def _finish(self) -> Event | None:
+        event = None
+        if self._data:
+            event = Event(self._name or "message", b"\n".join(self._data))
+        self._name = ""
+        self._data = []
+        self._size = 0
+        return event
+
+
+def encode_event(name: str, data: Any) -> bytes:
+    """Return an event whose data is ``data`` as JSON, which has no line breaks."""
+    text = json.dumps(data, separators=(",", ":"))
+    return f"event: {name}\ndata: {text}\n\n".encode()
--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/target_answers.py
@@ -0,0 +1,204 @@
+"""Reading of targets' answers: nothing is accepted that belongs to another call."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+import xxhash
+
+from greengagelatch.targets import CallFailure, FailureKind, StageAnswer
+from greengagelatch.verdict import Verdict
+
+if TYPE_CHECKING:
+    from greengagelatch.targets import StageCall, TokenListener
+
+    from .event_stream import Event
+
+__all__ = (
+    "AnswerError",
+    "TokenReader",
+    "encode_call",
+    "read_refusal",
+    "read_whole",
+)
+
+#: characters of a target's words that are passed on
+MAX_SHOWN = 200
+#: statuses with a meaning of their own
+NOT_RUN_STATUS = 503
+CANNOT_RESUME_STATUS = 409
+#: times beyond a day are a target's mistake and are ignored
+MAX_MILLISECONDS = 86_400_000
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerError(Exception):
+    """An answer that can't be accepted."""
+
+    kind: FailureKind
+    message: str
+
+
+def encode_call(call: StageCall, now: float) -> bytes:
+    """Return the body of ``POST /call``.
+
+    :raises ValueError: if the input can't be written as JSON
+    :raises RecursionError: if the input is nested too deeply
+    """
+    fields = {
+        "attempt": call.attempt_id,
+        "request": call.request_id,
+        "stage": call.stage,
+        "workspace": call.workspace,
+        "pipeline": call.pipeline,
+        "kind": call.kind.value,
+        "input": call.input,
+        "repeatable": call.repeatable,
+        "budget_ms": max(1, int((call.deadline - now) * 1000)),
+        "priority": call.priority,
+        "stream": call.stream,
+        "resume_at": call.resume_at,
+    }
+    return json.dumps(fields, separators=(",", ":")).encode()
+
+
+def read_whole(call: StageCall, body: bytes, *, leaving: bool) -> StageAnswer:
+    """Return the answer held by a body with status 200.
+
+    :raises AnswerError: if it belongs to another call or can't be read
+    """
+    fields = _parse(body)
+    _check_ids(call, fields)
+    if "output" not in fields:
+        raise AnswerError(FailureKind.TARGET_ERROR, "answer without output")
+    return StageAnswer(
+        output=fields["output"], cost=_read_cost(fields), leaving=leaving
+    )
+
+
+def read_refusal(call: StageCall, status: int, body: bytes) -> CallFailure:
+    """Return what an answer with another status than 200 says."""
+    fields = _parse_loosely(body)
+    attempt = fields.get("attempt", call.attempt_id)
+    if attempt != call.attempt_id:
+        return CallFailure(
+            kind=FailureKind.CROSSED,
+            verdict=Verdict.MAY_HAVE_RUN,
+            message=f"refusal of another attempt: {str(attempt)[:MAX_SHOWN]}",
+        )
+    # the echoed id is what ties the words "not run" to this very call: without it
+    # another call's refusal would have a booking made twice
+    refused = status == NOT_RUN_STATUS and fields.get("not_run") is True
+    if refused and "attempt" in fields:
+        return CallFailure(
+            kind=FailureKind.TARGET_REFUSED,
+            verdict=Verdict.NOT_RUN,
+            message="the target refused the call",
+            retry_after_ms=_read_milliseconds(fields.get("retry_after_ms")),
+        )
+    if status == CANNOT_RESUME_STATUS and call.resume_at > 0:
+        return CallFailure(
+            kind=FailureKind.CANNOT_RESUME,
+            verdict=Verdict.MAY_HAVE_RUN,
+            message=f"the target can't resume at {call.resume_at}",
+        )
+    text = body[:MAX_SHOWN].decode("utf-8", "replace")
+    return CallFailure(
+        kind=FailureKind.TARGET_ERROR,
+        verdict=Verdict.MAY_HAVE_RUN,
+        message=f"status {status}: {text}",
+    )
+
+
+class TokenReader:
+    """Reads the events of one streamed answer and checks that it is whole."""
+
+    def __init__(self, call: StageCall, listener: TokenListener | None) -> None:
+        self._call = call
+        self._listener = listener
+        self.tokens: list[str] = list(call.received[: call.resume_at])
+        self.answer: StageAnswer | None = None
+
+    def take(self, event: Event, *, leaving: bool) -> None:
+        """Take one event.
+
+        :raises AnswerError: if it does not continue this call's answer
+        """
+        if self.answer is not None:
+            raise AnswerError(FailureKind.CROSSED, "event after the end")
+        fields = _parse(event.data)
+        if event.name == "token":
+            self._take_token(fields)
+        elif event.name == "end":
+            self.answer = self._read_end(fields, leaving)
+
+    def _take_token(self, fields: dict[str, Any]) -> None:
+        if fields.get("attempt") != self._call.attempt_id:
+            raise AnswerError(FailureKind.CROSSED, "token of another attempt")
+        offset, text = fields.get("offset"), fields.get("text")
+        if not isinstance(text, str) or type(offset) is not int:
+            raise AnswerError(FailureKind.TARGET_ERROR, "token without text or offset")
+        if offset != len(self.tokens):
+            message = f"token at offset {offset}, expected {len(self.tokens)}"
+            raise AnswerError(FailureKind.CUT, message)
+        self.tokens.append(text)
+        if self._listener is not None:
+            self._listener(offset, text)
+
+    def _read_end(self, fields: dict[str, Any], leaving: bool) -> StageAnswer:
+        _check_ids(self._call, fields)
+        if fields.get("count") != len(self.tokens):
+            message = f"{len(self.tokens)} tokens of {fields.get('count')!r:.40}"
+            raise AnswerError(FailureKind.CUT, message)
+        whole = "".join(self.tokens)
+        digest = xxhash.xxh64_hexdigest(whole.encode("utf-8", "surrogatepass"))
+        if fields.get("digest") != digest:
+            raise AnswerError(FailureKind.CUT, "digest of the tokens differs")
+        return StageAnswer(
+            output=whole,
+            tokens=tuple(self.tokens),
+            cost=_read_cost(fields),
+            leaving=leaving,
+        )
+
+
+def _check_ids(call: StageCall, fields: dict[str, Any]) -> None:
+    wanted = (call.attempt_id, call.request_id, call.stage)
+    found = (fields.get("attempt"), fields.get("request"), fields.get("stage"))
+    if found == wanted:
+        return
+    # a late answer of an earlier call on the same connection looks just like this
+    # one's; only the ids tell that the caller would read somebody else's result
+    message = f"answer of another call: {str(found)[:MAX_SHOWN]}"
+    raise AnswerError(FailureKind.CROSSED, message)
+
+
+def _parse(body: bytes) -> dict[str, Any]:
+    try:
+        fields = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        message = f"unreadable answer: {str(error)[:MAX_SHOWN]}"
+        raise AnswerError(FailureKind.TARGET_ERROR, message) from error
+    if not isinstance(fields, dict):
+        raise AnswerError(FailureKind.TARGET_ERROR, "answer is not an object")
+    return fields
+
+
+def _parse_loosely(body: bytes) -> dict[str, Any]:
+    try:
+        return _parse(body)
+    except AnswerError:
+        return {}
+
+
+def _read_cost(fields: dict[str, Any]) -> float:
+    milliseconds = _read_milliseconds(fields.get("cost_ms"))
+    return (milliseconds or 0) / 1000
+
+
+def _read_milliseconds(value: Any) -> int | None:
+    if type(value) not in (int, float) or not 0 <= value < MAX_MILLISECONDS:
+        return None
+    return round(value)
--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/target_pool.py
@@ -0,0 +1,148 @@
+"""Connections to targets, kept by target and retired by age."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from contextlib import contextmanager
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Iterator
+
+    from greengagelatch.clock import Clock
+
+__all__ = ("TargetPool",)
+
+#: share of the age limit by which single limits differ, so that the connections of
+#: many instances to one target are not all opened again at the same moment
+JITTER = 0.3
+#: seconds without an acknowledgement after which the kernel gives a connection up
+UNACKNOWLEDGED_LIMIT = 10.0
+#: targets whose pools are kept; the least recently used one is retired first
+MAX_TARGETS = 1024
+
+
+class _Entry:
+    """A session and the number of calls that use it."""
+
+    __slots__ = ("expires", "session", "users")
+
+    def __init__(self, session: aiohttp.ClientSession, expires: float) -> None:
+        self.session = session
+        self.expires = expires
+        self.users = 0
+
+
+class TargetPool:
+    """One session for each target, and one that never reuses a connection.
+
+    A pooled connection that a middlebox has forgotten swallows whatever is written
+    to it, without an error. Whole pools are therefore replaced by age, and at once
+    when one of their connections went silent: what lost track of one connection
+    to a target has probably lost track of the others too.
+    """
+
+    def __init__(
+        self, *, clock: Clock, random_source: random.Random, max_age: float
+    ) -> None:
+        self._clock = clock
+        self._random = random_source
+        self._max_age = max_age
+        self._entries: dict[str, _Entry] = {}
+        self._fresh: aiohttp.ClientSession | None = None
+        self._closing: set[asyncio.Task[None]] = set()
+        self.replaced = 0
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    @contextmanager
+    def use(self, address: str) -> Iterator[aiohttp.ClientSession]:
+        """Give the session whose connections to ``address`` are kept alive."""
+        entry = self._take(address)
+        entry.users += 1
+        try:
+            yield entry.session
+        finally:
+            entry.users -= 1
+            if entry.users == 0 and self._entries.get(address) is not entry:
+                self._close_later(entry)
+
+    def get_fresh(self) -> aiohttp.ClientSession:
+        """Return the session that opens a new connection for every call."""
+        if self._fresh is None:
+            self._fresh = self._open(keep=False)
+        return self._fresh
+
+    def retire(self, address: str) -> None:
+        """Give no further call to the present connections to ``address``."""
+        entry = self._entries.pop(address, None)
+        if entry is not None:
+            self._retire(entry)
+
+    async def close(self) -> None:
+        """Close every connection."""
+        for entry in self._entries.values():
+            await entry.session.close()
+        self._entries.clear()
+        if self._fresh is not None:
+            await self._fresh.close()
+        await asyncio.gather(*self._closing, return_exceptions=True)
+
+    def _take(self, address: str) -> _Entry:
+        now = self._clock.now()
+        entry = self._entries.pop(address, None)
+        if entry is not None and now >= entry.expires:
+            self._retire(entry)
+            entry = None
+        if entry is None:
+            jitter = self._random.uniform(1 - JITTER, 1 + JITTER)
+            entry = _Entry(self._open(keep=True), now + self._max_age * jitter)
+        # put back at the end: the first entry is the least recently used one
+        self._entries[address] = entry
+        if len(self._entries) > MAX_TARGETS:
+            oldest = next(iter(self._entries))
+            self._retire(self._entries.pop(oldest))
+        return entry
+
+    def _retire(self, entry: _Entry) -> None:
+        self.replaced += 1
+        # calls in flight keep their connections; closing now would cut them
+        if entry.users == 0:
+            self._close_later(entry)
+
+    def _close_later(self, entry: _Entry) -> None:
+        task = asyncio.create_task(entry.session.close())
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
+
+    def _open(self, *, keep: bool) -> aiohttp.ClientSession:
+        if keep:
+            connector = aiohttp.TCPConnector(
+                limit=0,
+                keepalive_timeout=self._max_age,
+                socket_factory=_create_socket,
+            )
+        else:
+            connector = aiohttp.TCPConnector(
+                limit=0, force_close=True, socket_factory=_create_socket
+            )
+        return aiohttp.ClientSession(
+            connector=connector,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            auto_decompress=False,
+            skip_auto_headers=("Accept-Encoding", "User-Agent"),
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=None),
+        )
+
+
+def _create_socket(info: aiohttp.AddrInfoType) -> socket.socket:
+    family, kind, protocol, _, _ = info
+    created = socket.socket(family, kind, protocol)
+    limit = int(UNACKNOWLEDGED_LIMIT * 1000)
+    created.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit)
+    return created
--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/targets.py
@@ -0,0 +1,303 @@
+"""Calls to targets over HTTP, each sent at most once."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+from aiohttp import payload
+from result import Err, Ok, Result
+from yarl import URL
+
+from greengagelatch.targets import (
+    CallFailure,
+    FailureKind,
+    StageAnswer,
+    StageCall,
+    Target,
+    TargetClient,
+    TokenListener,
+)
+from greengagelatch.verdict import Verdict
+
+from .event_stream import EventParser, EventTooLargeError
+from .target_answers import (
+    AnswerError,
+    TokenReader,
+    encode_call,
+    read_refusal,
+    read_whole,
+)
+from .target_pool import TargetPool
+
+if TYPE_CHECKING:
+    import random
+
+    from aiohttp.abc import AbstractStreamWriter
+
+    from greengagelatch.clock import Clock
+
+    from ..metrics import Metrics
+
+__all__ = ("HttpTargetClient", "TargetLimits")
+
+STATE_HEADER = "X-Target-State"
+LEAVING = "leaving"
+EVENT_STREAM = "text/event-stream"
+STATUS_OK = 200
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TargetLimits:
+    """Bounds on calls to targets; times in seconds."""
+
+    connect_timeout: float = 1.0
+    #: time without a byte from the target after which a connection is given up
+    stall_timeout: float = 10.0
+    cancel_timeout: float = 1.0
+    #: age at which kept connections are replaced
+    max_age: float = 60.0
+    max_answer_bytes: int = 16 * 1024 * 1024
+    max_event_bytes: int = 1024 * 1024
+
+
+class HttpTargetClient(TargetClient):
+    """Calls targets by ``POST /call`` and stops attempts by ``POST /cancel``.
+
+    aiohttp sends GET, PUT and DELETE a second time by itself when a kept-alive
+    connection drops, and POST again where a redirect says so. A booking would then
+    be made twice without any sign of it here, so calls are POST and follow none.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        random_source: random.Random,
+        metrics: Metrics,
+        limits: TargetLimits | None = None,
+    ) -> None:
+        self._clock = clock
+        self._metrics = metrics
+        self._limits = limits or TargetLimits()
+        self._pool = TargetPool(
+            clock=clock, random_source=random_source, max_age=self._limits.max_age
+        )
+
+    async def close(self) -> None:
+        """Close every connection."""
+        await self._pool.close()
+
+    async def call(
+        self, target: Target, call: StageCall, on_token: TokenListener | None = None
+    ) -> Result[StageAnswer, CallFailure]:
+        now = self._clock.now()
+        if now >= call.deadline:
+            return Err(_fail(FailureKind.DEADLINE, Verdict.NOT_RUN, "deadline over"))
+        try:
+            body = encode_call(call, now)
+        except (ValueError, RecursionError) as error:
+            message = f"input can't be sent: {error}"
+            return Err(_fail(FailureKind.TARGET_ERROR, Verdict.NOT_RUN, message))
+        attempt = _Attempt(self._clock, self._limits, call, on_token)
+        # a kept connection may have gone silent or be closing: the call is then
+        # lost without a proof that it did not run, and must not be sent again
+        if not call.repeatable:
+            result = await attempt.run(self._pool.get_fresh(), target, body)
+        else:
+            with self._pool.use(target.address) as session:
+                result = await attempt.run(session, target, body)
+        if isinstance(result, Err):
+            self._note_failure(target, result.err_value)
+        return result
+
+    async def cancel(self, target: Target, attempt_id: str) -> bool:
+        # on a new connection: the one in use may be the reason for the cancellation
+        session = self._pool.get_fresh()
+        url = URL(f"http://{target.address}/cancel")
+        try:
+            async with (
+                asyncio.timeout(self._limits.cancel_timeout),
+                session.post(
+                    url, json={"attempt": attempt_id}, allow_redirects=False
+                ) as response,
+            ):
+                fields = await response.json()
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+            return False
+        return isinstance(fields, dict) and fields.get("cancelled") is True
+
+    def dump(self) -> dict[str, Any]:
+        """Return the number of targets with open pools and of replaced pools."""
+        return {"pools": len(self._pool), "replaced": self._pool.replaced}
+
+    def _note_failure(self, target: Target, failure: CallFailure) -> None:
+        self._metrics.count(f"targets.failed.{failure.kind.value}")
+        if failure.kind in (FailureKind.STALLED, FailureKind.CROSSED):
+            self._pool.retire(target.address)
+
+
+class _MarkedBody(payload.BytesPayload):
+    """A request body that tells when its first byte is about to be written.
+
+    aiohttp holds the headers back until the body is written, so no byte of the
+    call reaches the socket before :meth:`write_with_length` is called.
+    """
+
+    def __init__(self, body: bytes, attempt: _Attempt) -> None:
+        super().__init__(body, content_type="application/json")
+        self._attempt = attempt
+
+    async def write_with_length(
+        self, writer: AbstractStreamWriter, content_length: int | None
+    ) -> None:
+        self._attempt.note_sending()
+        await super().write_with_length(writer, content_length)
+
+
+class _Attempt:
+    """One attempt: sends once, and reads until the answer is whole."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        limits: TargetLimits,
+        call: StageCall,
+        on_token: TokenListener | None,
+    ) -> None:
+        self._clock = clock
+        self._limits = limits
+        self._call = call
+        self._reader = TokenReader(call, on_token)
+        self._guard: asyncio.Timeout | None = None
+        self._sent = False
+        self._leaving = False
+
+    async def run(
+        self, session: aiohttp.ClientSession, target: Target, body: bytes
+    ) -> Result[StageAnswer, CallFailure]:
+        """Make the call and return its answer or the reason why there is none."""
+        try:
+            async with asyncio.timeout(self._limits.connect_timeout) as guard:
+                self._guard = guard
+                self._extend(self._limits.connect_timeout)
+                return await self._exchange(session, target, body)
+        except TimeoutError:
+            return Err(self._explain_timeout())
+        except AnswerError as error:
+            return Err(self._fail(error.kind, error.message))
+        except EventTooLargeError as error:
+            return Err(self._fail(FailureKind.TARGET_ERROR, str(error)))
+        except (aiohttp.ClientError, OSError) as error:
+            kind = FailureKind.CUT if self._sent else FailureKind.CONNECT
+            return Err(self._fail(kind, f"{type(error).__name__}: {error}"))
+        finally:
+            self._guard = None
+
+    def note_sending(self) -> None:
+        """Note that the next step hands bytes to the socket."""
+        self._sent = True
+        self._extend(self._limits.stall_timeout)
+
+    async def _exchange(
+        self, session: aiohttp.ClientSession, target: Target, body: bytes
+    ) -> Result[StageAnswer, CallFailure]:
+        url = URL(f"http://{target.address}/call")
+        response = await session.post(
+            url, data=_MarkedBody(body, self), allow_redirects=False
+        )
+        try:
+            result = await self._read(response)
+        except BaseException:
+            # not given back: what still arrives on it belongs to this attempt
+            response.close()
+            raise
+        if isinstance(result, Err):
+            response.close()
+        else:
+            response.release()
+        return result
+
+    async def _read(
+        self, response: aiohttp.ClientResponse
+    ) -> Result[StageAnswer, CallFailure]:
+        self._leaving = response.headers.get(STATE_HEADER) == LEAVING
+        if response.status != STATUS_OK:
+            body = await self._read_body(response)
+            failure = read_refusal(self._call, response.status, body)
+            return Err(_mark_leaving(failure) if self._leaving else failure)
+        if self._call.stream and response.content_type == EVENT_STREAM:
+            return Ok(await self._read_stream(response))
+        body = await self._read_body(response)
+        return Ok(read_whole(self._call, body, leaving=self._leaving))
+
+    async def _read_body(self, response: aiohttp.ClientResponse) -> bytes:
+        chunks: list[bytes] = []
+        size = 0
+        while chunk := await response.content.readany():
+            self._extend(self._limits.stall_timeout)
+            size += len(chunk)
+            if size > self._limits.max_answer_bytes:
+                raise AnswerError(FailureKind.TARGET_ERROR, "answer too large")
+            chunks.append(chunk)
+        return chunks[0] if len(chunks) == 1 else b"".join(chunks)
+
+    async def _read_stream(self, response: aiohttp.ClientResponse) -> StageAnswer:
+        parser = EventParser(self._limits.max_event_bytes)
+        size = 0
+        while chunk := await response.content.readany():
+            self._extend(self._limits.stall_timeout)
+            size += len(chunk)
+            if size > self._limits.max_answer_bytes:
+                raise AnswerError(FailureKind.TARGET_ERROR, "answer too large")
+            for event in parser.feed(chunk):
+                self._reader.take(event, leaving=self._leaving)
+        if self._reader.answer is None:
+            raise AnswerError(FailureKind.CUT, "stream without an end event")
+        return self._reader.answer
+
+    def _extend(self, seconds: float) -> None:
+        if self._guard is None or self._guard.expired():
+            return
+        now = self._clock.now()
+        left = min(seconds, self._call.deadline - now)
+        loop = asyncio.get_running_loop()
+        self._guard.reschedule(loop.time() + max(0.0, left))
+
+    def _explain_timeout(self) -> CallFailure:
+        if self._clock.now() >= self._call.deadline:
+            return self._fail(FailureKind.DEADLINE, "deadline over")
+        if not self._sent:
+            return self._fail(FailureKind.CONNECT, "no connection in time")
+        limit = self._limits.stall_timeout
+        return self._fail(FailureKind.STALLED, f"no byte within {limit:g} s")
+
+    def _fail(self, kind: FailureKind, message: str) -> CallFailure:
+        verdict = Verdict.MAY_HAVE_RUN if self._sent else Verdict.NOT_RUN
+        received = tuple(self._reader.tokens)
+        if len(received) > self._call.resume_at:
+            verdict = Verdict.RAN
+        return CallFailure(
+            kind=kind,
+            verdict=verdict,
+            message=message,
+            tokens=received,
+            leaving=self._leaving,
+        )
+
+
+def _fail(kind: FailureKind, verdict: Verdict, message: str) -> CallFailure:
+    return CallFailure(kind=kind, verdict=verdict, message=message)
+
+
+def _mark_leaving(failure: CallFailure) -> CallFailure:
+    return CallFailure(
+        kind=failure.kind,
+        verdict=failure.verdict,
+        message=failure.message,
+        tokens=failure.tokens,
+        retry_after_ms=failure.retry_after_ms,
+        leaving=True,
+    )
--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/filters/observe.py
@@ -0,0 +1,74 @@
+"""Measures and logs every request; the outermost filter."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+from greengagelatch.errors import Refusal, RefusalCode
+from greengagelatch.request import Answer
+
+from . import Exchange, Filter, Handler
+
+if TYPE_CHECKING:
+    from greengagelatch.clock import Clock
+
+    from ..logs import RequestLog
+    from ..metrics import Metrics
+
+__all__ = ("TRACE_NOTE", "ObserveFilter")
+
+logger = logging.getLogger(__name__)
+
+#: note that holds the request's log
+TRACE_NOTE = "trace"
+#: milliseconds after which an error of this instance may be gone
+INTERNAL_RETRY_MS = 1000
+
+
+class ObserveFilter(Filter):
+    """Counts requests by outcome, times them, and answers errors of later steps."""
+
+    def __init__(self, *, clock: Clock, metrics: Metrics, log: RequestLog) -> None:
+        self._clock = clock
+        self._metrics = metrics
+        self._log = log
+
+    async def apply(self, exchange: Exchange, proceed: Handler) -> Answer:
+        trace = self._log.start_request(exchange.request)
+        exchange.notes[TRACE_NOTE] = trace
+        try:
+            answer = await proceed(exchange)
+        except asyncio.CancelledError:
+            self._metrics.count("requests.caller_gone")
+            trace.finish(_refuse(exchange, "the caller left"))
+            raise
+        except Exception:
+            logger.exception("request %s failed", exchange.request.request_id)
+            answer = _refuse(exchange, "error of this instance")
+        self._measure(exchange, answer)
+        trace.finish(answer)
+        return answer
+
+    def _measure(self, exchange: Exchange, answer: Answer) -> None:
+        seconds = self._clock.now() - exchange.request.received
+        refusal = answer.refusal
+        outcome = "answered" if refusal is None else refusal.code.value
+        self._metrics.count(f"requests.{outcome}")
+        self._metrics.timing(f"requests.{outcome}", seconds)
+        if refusal is None and self._clock.now() > exchange.request.deadline:
+            self._metrics.count("requests.late")
+
+
+def _refuse(exchange: Exchange, message: str) -> Answer:
+    return Answer(
+        request_id=exchange.request.request_id,
+        verdict=exchange.verdict,
+        refusal=Refusal(
+            code=RefusalCode.INTERNAL,
+            message=message,
+            verdict=exchange.verdict,
+            retry_after_ms=INTERNAL_RETRY_MS,
+        ),
+    )
--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/stages.py
@@ -0,0 +1,192 @@
+"""Runs the stages of a request's pipeline."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field, replace
+from typing import TYPE_CHECKING, Any
+
+from result import Err
+
+from greengagelatch.errors import Refusal, RefusalCode
+from greengagelatch.request import Answer
+from greengagelatch.stages.graph import build_input, find_ready
+from greengagelatch.stages.ledger import AttemptLedger
+from greengagelatch.stages.plan import StagePlan, plan_by_share
+
+from .attempts import AttemptMaker, StageWork
+from .filters.observe import TRACE_NOTE
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from greengagelatch.clock import Clock
+    from greengagelatch.config.objects import Pipeline, Stage
+
+    from .filters import Exchange
+    from .logs import StageTrace
+    from .metrics import Metrics
+
+__all__ = ("StageRunner",)
+
+#: milliseconds after which a request that ran out of time may be asked again
+DEADLINE_RETRY_MS = 1000
+
+
+@dataclass(slots=True, kw_only=True)
+class _Run:
+    """One request's run through its pipeline."""
+
+    exchange: Exchange
+    pipeline: Pipeline
+    ledger: AttemptLedger = field(default_factory=AttemptLedger)
+    begun: set[str] = field(default_factory=set)
+    results: dict[str, Any] = field(default_factory=dict)
+    seconds: dict[str, float] = field(default_factory=dict)
+    #: seconds of targets' time that led to a result, by stage
+    costs: dict[str, float] = field(default_factory=dict)
+    #: seconds that failed attempts took, by stage
+    wasted: dict[str, float] = field(default_factory=dict)
+
+    def answer(self, refusal: Refusal | None) -> Answer:
+        """Return the final answer; a refusal is given the run's verdict."""
+        verdict = self.exchange.verdict
+        result = None
+        if refusal is not None:
+            refusal = replace(refusal, verdict=verdict)
+        else:
+            result = self.results[self.pipeline.stages[-1].name]
+        return Answer(
+            request_id=self.exchange.request.request_id,
+            verdict=verdict,
+            result=result,
+            refusal=refusal,
+            stage_seconds=self.seconds,
+        )
+
+
+class StageRunner:
+    """Runs pipelines; stages whose inputs are ready run side by side.
+
+    :param plan: gives each stage its own deadline within the request's
+    :param prioritise: returns the priority of a stage's calls
+    """
+
+    def __init__(
+        self,
+        *,
+        attempts: AttemptMaker,
+        clock: Clock,
+        metrics: Metrics,
+        plan: StagePlan = plan_by_share,
+        prioritise: Callable[[Exchange, Stage], int] | None = None,
+    ) -> None:
+        self._attempts = attempts
+        self._clock = clock
+        self._metrics = metrics
+        self._plan = plan
+        self._prioritise = prioritise
+
+    async def run(self, exchange: Exchange, pipeline: Pipeline) -> Answer:
+        """Run all stages and answer with the last one's result."""
+        request = exchange.request
+        run = _Run(exchange=exchange, pipeline=pipeline)
+        refusal: Refusal | None = None
+        try:
+            async with asyncio.timeout(request.deadline - self._clock.now()):
+                refusal = await self._run_stages(run)
+        except TimeoutError:
+            refusal = Refusal(
+                code=RefusalCode.DEADLINE,
+                message="deadline over",
+                field="X-Deadline-Ms",
+                value=f"{(request.deadline - request.received) * 1000:.0f}",
+                retry_after_ms=DEADLINE_RETRY_MS,
+            )
+        finally:
+            exchange.raise_verdict(run.ledger.verdict)
+            self._count_cost(run, useful=refusal is None)
+        return run.answer(refusal)
+
+    async def _run_stages(self, run: _Run) -> Refusal | None:
+        running: set[asyncio.Task[Refusal | None]] = set()
+        try:
+            while True:
+                ready = find_ready(run.pipeline, run.begun, run.results)
+                if len(ready) == 1 and not running:
+                    refusal = await self._run_stage(run, ready[0])
+                    if refusal is not None:
+                        return refusal
+                    continue
+                for stage in ready:
+                    run.begun.add(stage.name)
+                    running.add(asyncio.create_task(self._run_stage(run, stage)))
+                if not running:
+                    return None
+                done, running = await asyncio.wait(
+                    running, return_when=asyncio.FIRST_COMPLETED
+                )
+                for task in done:
+                    refusal = task.result()
+                    if refusal is not None:
+                        return refusal
+        finally:
+            for task in running:
+                task.cancel()
+            if running:
+                await asyncio.gather(*running, return_exceptions=True)
+
+    async def _run_stage(self, run: _Run, stage: Stage) -> Refusal | None:
+        run.begun.add(stage.name)
+        started = self._clock.now()
+        work = self._create_work(run, stage, started)
+        outcome = "given-up"
+        try:
+            result = await self._attempts.make(work)
+            outcome = "refused" if isinstance(result, Err) else "answered"
+        finally:
+            seconds = self._clock.now() - started
+            run.seconds[stage.name] = seconds
+            run.wasted[stage.name] = work.wasted
+            self._metrics.timing(f"stage.{run.pipeline.name}.{stage.name}", seconds)
+            if work.trace is not None:
+                work.trace.finish(outcome=outcome, verdict=run.ledger.verdict)
+        if isinstance(result, Err):
+            return result.err_value
+        run.results[stage.name] = result.ok_value.output
+        run.costs[stage.name] = result.ok_value.cost
+        return None
+
+    def _create_work(self, run: _Run, stage: Stage, now: float) -> StageWork:
+        request = run.exchange.request
+        last = run.pipeline.stages[-1] is stage
+        priority = 0
+        if self._prioritise is not None:
+            priority = self._prioritise(run.exchange, stage)
+        return StageWork(
+            request=request,
+            stage=stage,
+            input=build_input(stage, request.input, run.results),
+            stage_deadline=self._plan(run.pipeline, stage, now, request.deadline),
+            priority=priority,
+            ledger=run.ledger,
+            on_token=run.exchange.on_token if last and request.stream else None,
+            trace=_start_trace(run.exchange, stage),
+        )
+
+    def _count_cost(self, run: _Run, *, useful: bool) -> None:
+        for name, cost in run.costs.items():
+            prefix = f"cost.{run.pipeline.name}.{name}"
+            kind = "useful" if useful else "wasted"
+            self._metrics.count(f"{prefix}.{kind}_ms", round(cost * 1000))
+        for name, cost in run.wasted.items():
+            if cost > 0:
+                prefix = f"cost.{run.pipeline.name}.{name}"
+                self._metrics.count(f"{prefix}.wasted_ms", round(cost * 1000))
+
+
+def _start_trace(exchange: Exchange, stage: Stage) -> StageTrace | None:
+    trace = exchange.notes.get(TRACE_NOTE)
+    if trace is None:
+        return None
+    return trace.start_stage(stage.name, stage.service)
--- /dev/null
+++ b/packages/greengagelatch/src/greengagelatch/load/naive.py
@@ -0,0 +1,55 @@
+"""A dispatcher without any limits, as a baseline to compare others with."""
+
+from __future__ import annotations
+
+from collections import Counter
+from itertools import count
+from typing import TYPE_CHECKING
+
+from result import Err, Ok, Result
+
+from ..errors import Refusal, RefusalCode
+from . import Dispatcher, Grant, Outcome, Ticket
+
+if TYPE_CHECKING:
+    from ..clock import Clock
+    from ..targets.directory import TargetDirectory
+
+__all__ = ("NaiveDispatcher",)
+
+#: milliseconds after which a service without a target may have one again
+NO_TARGET_RETRY_MS = 1000
+
+
+class NaiveDispatcher(Dispatcher):
+    """Takes the targets of a service in turn and never makes a call wait."""
+
+    def __init__(self, *, directory: TargetDirectory, clock: Clock) -> None:
+        self._directory = directory
+        self._clock = clock
+        self._turns: Counter[str] = Counter()
+        self._ids = count(1)
+
+    async def acquire(self, ticket: Ticket) -> Result[Grant, Refusal]:
+        candidates = []
+        for candidate in self._directory.candidates(ticket.service):
+            if candidate.target.target_id in ticket.excluded:
+                continue
+            candidates.append(candidate.target)
+        if not candidates:
+            return Err(
+                Refusal(
+                    code=RefusalCode.NO_TARGET,
+                    message="no target of the service takes calls",
+                    field="service",
+                    value=ticket.service,
+                    retry_after_ms=NO_TARGET_RETRY_MS,
+                )
+            )
+        turn = self._turns[ticket.service]
+        self._turns[ticket.service] = turn + 1
+        target = candidates[turn % len(candidates)]
+        return Ok(Grant(next(self._ids), ticket, target, self._clock.now()))
+
+    def release(self, grant: Grant, outcome: Outcome) -> None:
+        """Do nothing: without limits there is nothing to give back."""
--- a/packages/greengagelatch/src/greengagelatch/targets/__init__.py
+++ b/packages/greengagelatch/src/greengagelatch/targets/__init__.py
@@ -58,6 +58,8 @@
     stream: bool = False
     #: number of tokens already received from earlier attempts
     resume_at: int = 0
+    #: those tokens, without which the digest of the whole can't be checked
+    received: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -85,6 +87,8 @@
     #: an answer that belongs to another attempt, request or stage
     CROSSED = "crossed"
     TARGET_ERROR = "target-error"
+    #: the target can't begin a stream at the wanted offset
+    CANNOT_RESUME = "cannot-resume"
     CANCELLED = "cancelled"
 
 
