Add the target directory

Cause: stages need to know which targets may be given work, from sources that disagree and lag. Weighed: every part reading the list by itself against one reading passed on by an event, at an interval that grows with the fleet; polling all targets against a stable rendezvous subset of a large service within one common rate of polls; sharing load reports between peers is still to be measured. Thin: driven by hand against one target only, tests follow.

--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/listing.py
@@ -0,0 +1,117 @@
+"""Reading of the platform's list of instances, for all parts that need it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from mode import Service
+from result import Err, Ok
+
+from greengagelatch.peers import MemberState
+
+from . import Controller
+
+if TYPE_CHECKING:
+    import random
+
+    from greengagelatch.clock import Clock
+    from greengagelatch.events import EventBus
+    from greengagelatch.instances import InstanceList, Listing
+    from greengagelatch.peers import PeerNetwork
+    from greengagelatch.settings import Settings
+
+    from ..metrics import Metrics
+
+__all__ = ("LISTING_RECEIVED", "ListingController")
+
+#: emitted with a :class:`~greengagelatch.instances.Listing` after each reading,
+#: also where it has not changed
+LISTING_RECEIVED = "listing-received"
+
+#: share of an interval by which it is spread, so that readings don't fall together
+JITTER = 0.25
+
+
+class ListingController(Controller):
+    """Reads the list at an interval that grows with the fleet.
+
+    The platform counts each call, and what it bears grows more slowly than the
+    fleet. So all entry instances together make ``platform.instances_rate`` calls a
+    second at most; what one of them learns of leaving instances, it passes on.
+    """
+
+    name = "listing"
+
+    def __init__(
+        self,
+        *,
+        instance_list: InstanceList,
+        peers: PeerNetwork,
+        clock: Clock,
+        random_source: random.Random,
+        events: EventBus,
+        settings: Settings,
+        metrics: Metrics,
+    ) -> None:
+        super().__init__()
+        self._instance_list = instance_list
+        self._peers = peers
+        self._clock = clock
+        self._random = random_source
+        self._events = events
+        self._metrics = metrics
+        self._interval = settings["platform.instances_interval"]
+        self._rate = settings["platform.instances_rate"]
+        self._newest: Listing | None = None
+        self._received = clock.now()
+        self._error = ""
+        events.declare(LISTING_RECEIVED)
+
+    @property
+    def listing(self) -> Listing | None:
+        """The newest listing that was read."""
+        return self._newest
+
+    async def refresh(self) -> None:
+        """Read the list once."""
+        match await self._instance_list.fetch():
+            case Ok(listing):
+                self._take(listing)
+            case Err(error):
+                self._error = f"{error.kind.value}: {error.message}"
+                self._metrics.count(f"instances.errors.{error.kind.value}")
+
+    def compute_interval(self) -> float:
+        """Return the seconds until the next reading, without jitter."""
+        sharing = sum(
+            member.state in (MemberState.ALIVE, MemberState.SUSPECT)
+            for member in self._peers.members()
+        )
+        return max(self._interval, sharing / self._rate)
+
+    def dump(self) -> dict[str, Any]:
+        newest = self._newest
+        return {
+            "as_of": None if newest is None else newest.as_of,
+            "instances": 0 if newest is None else len(newest.instances),
+            "seconds_since_reading": self._clock.now() - self._received,
+            "interval": self.compute_interval(),
+            "last_error": self._error,
+        }
+
+    @Service.task
+    async def _read_forever(self) -> None:
+        while not self.should_stop:
+            await self.refresh()
+            spread = 1 - JITTER + 2 * JITTER * self._random.random()
+            await self.sleep(self.compute_interval() * spread)
+
+    def _take(self, listing: Listing) -> None:
+        self._error = ""
+        self._received = self._clock.now()
+        if self._newest is not None and listing.as_of < self._newest.as_of:
+            # replicas of the list may lag behind each other
+            self._metrics.count("instances.older_listings")
+            return
+        self._newest = listing
+        self._events.emit(LISTING_RECEIVED, listing)
--- /dev/null
+++ b/packages/greengagelatch/src/greengagelatch/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on which entry instances there are: failure detection and links."""
