Add scheduling of stage calls

Cause: without a queue of its own an instance sends all calls at once; drafts hold up bookings and nothing is refused before its deadline. Weighed: a queue for each target (calls must be moved when it leaves or slows) against one for each service, bound to a target only when that has room; the second was taken. Before: the baseline without limits only. After: a pure scheduler (fair queue, room for short calls, adaptive limit, two choices, breakers, retry budget) and the controller that lets callers wait for it. Conclusion: wired and measured next; no load was measured yet.

--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/scheduling.py
@@ -0,0 +1,194 @@
+"""Scheduling of stage calls: makes callers wait for the scheduler's decisions."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+from mode import Service
+from result import Err, Ok, Result
+
+from greengagelatch.errors import Refusal, RefusalCode
+from greengagelatch.load import Dispatcher, Grant, Outcome, OutcomeKind, Ticket
+from greengagelatch.load.breakers import BreakerState
+from greengagelatch.load.scheduler import Scheduler, create_refusal
+
+from . import Controller
+
+if TYPE_CHECKING:
+    from greengagelatch.clock import Clock
+    from greengagelatch.events import EventBus
+    from greengagelatch.load.service import ServiceLoad
+    from greengagelatch.targets.directory import TargetDirectory
+
+    from ..metrics import Metrics
+
+__all__ = ("TARGET_LEAVING", "SchedulingController")
+
+#: emitted with a target's id as soon as it is known to be leaving
+TARGET_LEAVING = "target-leaving"
+
+#: services and targets that the dump lists at most
+DUMPED = 100
+#: seconds between two rounds of gauges
+GAUGE_INTERVAL = 1.0
+
+
+class SchedulingController(Dispatcher, Controller):
+    """Lets stage calls wait until the scheduler has decided on them.
+
+    Each waiting call has a future. The scheduler is polled after whatever may have
+    made room, and by a timer while calls wait, as load reports and deadlines make
+    no event. A caller that goes away takes its call out of the queue, and a grant
+    that came at the same moment is given back: otherwise the target's room would
+    be taken up by nobody, seen as a limit that is never reached again.
+    """
+
+    name = "scheduling"
+
+    def __init__(
+        self,
+        *,
+        scheduler: Scheduler,
+        directory: TargetDirectory,
+        clock: Clock,
+        events: EventBus,
+        metrics: Metrics,
+    ) -> None:
+        super().__init__()
+        self._scheduler = scheduler
+        self._directory = directory
+        self._clock = clock
+        self._metrics = metrics
+        self._callers: dict[int, asyncio.Future[Result[Grant, Refusal]]] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self._refusing = False
+        events.declare(TARGET_LEAVING)
+        events.connect(TARGET_LEAVING, self._note_leaving)
+
+    async def acquire(self, ticket: Ticket) -> Result[Grant, Refusal]:
+        while True:
+            result = await self._wait(ticket)
+            if isinstance(result, Err):
+                self._metrics.count(f"scheduling.refused.{result.err_value.code.value}")
+                return result
+            grant = result.ok_value
+            if self._directory.accepts(grant.target.target_id):
+                return result
+            # it began to leave between the decision and this task's turn
+            self._metrics.count("scheduling.moved")
+            self.release(grant, Outcome(OutcomeKind.ABANDONED, 0.0))
+
+    def release(self, grant: Grant, outcome: Outcome) -> None:
+        self._scheduler.finish(grant, outcome, self._clock.now())
+        self._metrics.count(f"scheduling.outcome.{outcome.kind.value}")
+        self._poll()
+
+    async def on_stop(self) -> None:
+        """Refuse what still waits, so that no caller hangs until its deadline."""
+        self._refusing = True
+        if self._timer is not None:
+            self._timer.cancel()
+        refusal = create_refusal(RefusalCode.NOT_READY, "this instance is stopping", 0)
+        for waiting_id, future in tuple(self._callers.items()):
+            self._scheduler.withdraw(waiting_id)
+            if not future.done():
+                future.set_result(Err(refusal))
+
+    @Service.task
+    async def _send_gauges(self) -> None:
+        while not self.should_stop:
+            self._metrics.gauge("scheduling.waiting", self._scheduler.waiting)
+            for service in self._scheduler.list_services()[:DUMPED]:
+                prefix = f"scheduling.{service.name}"
+                self._metrics.gauge(f"{prefix}.waiting", len(service.queue))
+                self._metrics.gauge(f"{prefix}.in_flight", service.in_flight)
+            await self.sleep(GAUGE_INTERVAL)
+
+    def dump(self) -> dict[str, Any]:
+        now = self._clock.now()
+        retries = self._scheduler.retries
+        return {
+            "waiting": self._scheduler.waiting,
+            "retries": {"granted": retries.granted, "denied": retries.denied},
+            "services": {
+                service.name: _dump_service(service, now)
+                for service in self._scheduler.list_services()[:DUMPED]
+            },
+        }
+
+    async def _wait(self, ticket: Ticket) -> Result[Grant, Refusal]:
+        if self._refusing:
+            message = "this instance is stopping"
+            return Err(create_refusal(RefusalCode.NOT_READY, message, 0))
+        waiting_id = self._scheduler.submit(ticket, self._clock.now())
+        future = asyncio.get_running_loop().create_future()
+        self._callers[waiting_id] = future
+        self._poll()
+        try:
+            return await future
+        except asyncio.CancelledError:
+            self._give_up(waiting_id, future)
+            raise
+        finally:
+            self._callers.pop(waiting_id, None)
+
+    def _give_up(
+        self, waiting_id: int, future: asyncio.Future[Result[Grant, Refusal]]
+    ) -> None:
+        self._scheduler.withdraw(waiting_id)
+        self._metrics.count("scheduling.given_up")
+        if not future.done() or future.cancelled():
+            return
+        match future.result():
+            case Ok(grant):
+                self.release(grant, Outcome(OutcomeKind.ABANDONED, 0.0))
+
+    def _poll(self) -> None:
+        for decision in self._scheduler.poll(self._clock.now()):
+            future = self._callers.get(decision.waiting_id)
+            if future is not None and not future.done():
+                future.set_result(decision.result)
+                continue
+            match decision.result:
+                case Ok(grant):
+                    outcome = Outcome(OutcomeKind.ABANDONED, 0.0)
+                    self._scheduler.finish(grant, outcome, self._clock.now())
+        self._set_timer()
+
+    def _set_timer(self) -> None:
+        if self._timer is not None or self._refusing:
+            return
+        now = self._clock.now()
+        wake = self._scheduler.find_next_wake(now)
+        if wake is None:
+            return
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(max(0.0, wake - now), self._wake)
+
+    def _wake(self) -> None:
+        self._timer = None
+        self._scheduler.expire(self._clock.now())
+        self._poll()
+
+    def _note_leaving(self, *_target: Any) -> None:
+        self._scheduler.touch()
+        if self._callers:
+            self._poll()
+
+
+def _dump_service(service: ServiceLoad, now: float) -> dict[str, Any]:
+    return {
+        "waiting": len(service.queue),
+        "in_flight": service.in_flight,
+        "targets": {
+            target_id: {
+                "in_flight": load.mine,
+                "limit": round(load.limit.value, 2),
+                "slowness": round(load.breaker.slowness, 2),
+                "breaker": load.breaker.read_state(now).value,
+            }
+            for target_id, load in tuple(service.targets.items())[:DUMPED]
+            if load.mine or load.breaker.read_state(now) is not BreakerState.CLOSED
+        },
+    }
--- /dev/null
+++ b/packages/greengagelatch/src/greengagelatch/load/durations.py
@@ -0,0 +1,117 @@
+"""Measured durations of calls, as percentiles over a sliding window."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Hashable
+
+from hdrh.histogram import HdrHistogram
+
+__all__ = ("DurationTracker",)
+
+#: histogram units in one second: a tenth of a millisecond each
+UNITS = 10_000
+#: longest duration that is told apart from longer ones, in seconds
+LONGEST = 3600
+#: relative error of a recorded duration is at most one in 10 ** DIGITS
+DIGITS = 2
+#: seconds for which a computed percentile is used again
+CACHED = 0.25
+#: fewer durations than this say nothing
+MIN_SAMPLES = 8
+#: windows over which the lowest median counts as the one without load
+BASELINE_WINDOWS = 30
+
+
+class _Series:
+    """Durations of one kind of call: this window's and the one before."""
+
+    __slots__ = ("baseline", "cache", "current", "previous", "rotated")
+
+    def __init__(self, now: float) -> None:
+        self.current = _create_histogram()
+        self.previous = _create_histogram()
+        self.rotated = now
+        self.cache: dict[float, tuple[float, float]] = {}
+        self.baseline: deque[float] = deque(maxlen=BASELINE_WINDOWS)
+
+    def rotate(self, now: float, window: float) -> None:
+        if self.current.get_total_count() < MIN_SAMPLES:
+            # rare calls keep their history until there is something newer
+            self.rotated = now
+            return
+        self.baseline.append(self.current.get_value_at_percentile(50) / UNITS)
+        self.previous, self.current = self.current, self.previous
+        self.current.reset()
+        self.rotated = now if now - self.rotated > 2 * window else self.rotated + window
+
+
+class DurationTracker:
+    """Percentiles of durations by kind of call.
+
+    A percentile covers the present window and the one before it, so it follows a
+    change within two windows and never rests on a handful of calls alone.
+
+    :param window: seconds after which a new window begins.
+    """
+
+    def __init__(self, window: float = 10.0) -> None:
+        self._window = window
+        self._series: dict[Hashable, _Series] = {}
+
+    def record(self, kind: Hashable, seconds: float, now: float) -> None:
+        """Add one measured duration."""
+        series = self._series.get(kind)
+        if series is None:
+            series = self._series[kind] = _Series(now)
+        if now - series.rotated >= self._window:
+            series.rotate(now, self._window)
+        series.current.record_value(_to_units(seconds))
+
+    def estimate(
+        self, kind: Hashable, percentile: float, now: float, prior: float
+    ) -> float:
+        """Return the percentile in seconds, ``prior`` where too little is known."""
+        series = self._series.get(kind)
+        if series is None:
+            return prior
+        cached = series.cache.get(percentile)
+        if cached is not None and now - cached[0] < CACHED:
+            return cached[1]
+        value = _merge_percentile(series, percentile)
+        if value is None:
+            return prior
+        series.cache[percentile] = (now, value)
+        return value
+
+    def find_baseline(self, kind: Hashable, now: float, prior: float) -> float:
+        """Return the median in seconds of the least loaded recent window."""
+        series = self._series.get(kind)
+        if series is None:
+            return prior
+        median = self.estimate(kind, 50, now, prior)
+        return min(*series.baseline, median) if series.baseline else median
+
+    def kinds(self) -> tuple[Hashable, ...]:
+        """Return the kinds of calls of which a duration was ever recorded."""
+        return tuple(self._series)
+
+
+def _create_histogram() -> HdrHistogram:
+    return HdrHistogram(1, LONGEST * UNITS, DIGITS)
+
+
+def _to_units(seconds: float) -> int:
+    return max(1, min(int(seconds * UNITS), LONGEST * UNITS))
+
+
+def _merge_percentile(series: _Series, percentile: float) -> float | None:
+    """Return the percentile over both windows, weighted by their counts."""
+    new, old = series.current.get_total_count(), series.previous.get_total_count()
+    if new + old < MIN_SAMPLES:
+        return None
+    total = 0.0
+    for histogram, count in ((series.current, new), (series.previous, old)):
+        if count:
+            total += histogram.get_value_at_percentile(percentile) * count
+    return total / (new + old) / UNITS
--- /dev/null
+++ b/packages/greengagelatch/src/greengagelatch/load/limits.py
@@ -0,0 +1,121 @@
+"""How many calls a target is given side by side."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+
+__all__ = ("AdaptiveLimit", "ConcurrencyLimit", "LimitRule")
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LimitRule:
+    """Parameters of the adaptive limit."""
+
+    #: limit for a target that has not told its capacity
+    initial: float = 8.0
+    lowest: float = 1.0
+    highest: float = 1024.0
+    #: limit as a multiple of the capacity that the target tells
+    above_capacity: float = 1.0
+    #: latency, as a multiple of the one without load, that is taken as overload
+    tolerance: float = 3.0
+    #: seconds between two changes, at least: a change must show in the latency
+    #: before the next one
+    interval: float = 0.5
+    #: calls between two changes, at least
+    samples: int = 4
+    #: factor on a rejection by the target
+    decrease: float = 0.85
+    #: largest decrease in one change
+    lowest_factor: float = 0.7
+
+
+class ConcurrencyLimit(ABC):
+    """The number of calls one target should hold, those of all instances together."""
+
+    @property
+    @abstractmethod
+    def value(self) -> float:
+        """The limit at present, at least 1."""
+
+    @abstractmethod
+    def note_capacity(self, capacity: int) -> None:
+        """Take in the capacity that the target tells."""
+
+    @abstractmethod
+    def note_latency(self, ratio: float, held: float, now: float) -> None:
+        """Take in a call that took ``ratio`` times what it takes without load.
+
+        :param held: calls the target held at that time, of all instances.
+        """
+
+    @abstractmethod
+    def note_rejection(self, held: float, now: float) -> None:
+        """Take in that the target turned down a call as it holds too many."""
+
+
+class AdaptiveLimit(ConcurrencyLimit):
+    """Additive increase, multiplicative decrease on latency.
+
+    A target that batches continuously answers more calls a second the more it
+    holds, each of them more slowly, up to a knee; beyond it only the latency grows.
+    The limit rises while it is made use of and latency stays within the tolerance,
+    and falls in proportion when it does not. All instances see the same target's
+    latency, so their limits agree without a message.
+    """
+
+    def __init__(self, rule: LimitRule) -> None:
+        self._rule = rule
+        self._value = rule.initial
+        self._ceiling = rule.highest
+        self._capacity = 0
+        self._ratios = 0.0
+        self._samples = 0
+        self._highest_held = 0.0
+        self._changed = float("-inf")
+
+    @property
+    def value(self) -> float:
+        return self._value
+
+    def note_capacity(self, capacity: int) -> None:
+        if capacity <= 0 or capacity == self._capacity:
+            return
+        first = self._capacity == 0
+        self._capacity = capacity
+        self._ceiling = min(self._rule.highest, capacity * self._rule.above_capacity)
+        if first:
+            self._value = self._ceiling
+        self._set(self._value)
+
+    def note_latency(self, ratio: float, held: float, now: float) -> None:
+        self._ratios += ratio
+        self._samples += 1
+        self._highest_held = max(self._highest_held, held)
+        if self._samples < self._rule.samples:
+            return
+        if now - self._changed < self._rule.interval:
+            return
+        mean = self._ratios / self._samples
+        if mean > self._rule.tolerance:
+            factor = max(self._rule.lowest_factor, self._rule.tolerance / mean)
+            self._set(min(self._value, max(1.0, self._highest_held)) * factor)
+        elif self._highest_held >= self._value / 2:
+            self._set(self._value + 1)
+        self._restart(now)
+
+    def note_rejection(self, held: float, now: float) -> None:
+        if now - self._changed < self._rule.interval:
+            return
+        self._set(min(self._value, max(1.0, held)) * self._rule.decrease)
+        self._restart(now)
+
+    def _restart(self, now: float) -> None:
+        self._changed = now
+        self._ratios = 0.0
+        self._samples = 0
+        self._highest_held = 0.0
+
+    def _set(self, value: float) -> None:
+        self._value = max(self._rule.lowest, min(value, self._ceiling))
--- /dev/null
+++ b/packages/greengagelatch/src/greengagelatch/load/loads.py
@@ -0,0 +1,132 @@
+"""What this instance knows of the load of one target."""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from dataclasses import dataclass
+from math import exp
+from typing import TYPE_CHECKING
+
+from .breakers import Breaker, BreakerRule
+from .limits import AdaptiveLimit, LimitRule
+
+if TYPE_CHECKING:
+    from ..targets import Target
+    from ..targets.directory import Candidate, LoadReport
+
+__all__ = ("TargetLoad", "TargetView")
+
+#: seconds after which a report counts for about a third
+REPORT_AGE = 2.0
+#: changes of the number in flight that are kept to be compared with a late report
+HISTORY = 1024
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TargetView:
+    """One target at one moment, as the choice between targets sees it."""
+
+    target: Target
+    #: calls of this instance that the target holds
+    mine: int
+    #: those of them that belong to the service's long calls
+    mine_long: int
+    #: calls that the target holds by expectation, those of all instances together
+    held: float
+    #: calls it should hold at most
+    limit: float
+    #: calls that this instance may have there whatever it believes of the others
+    assured: int = 0
+    #: how long its calls take, as a multiple of the service's median
+    slowness: float = 1.0
+    #: whether it is in this instance's data centre
+    near: bool = True
+    #: whether it is out of service but for a probe
+    ejected: bool = False
+    #: whether it may be given a probe now
+    probing: bool = False
+    cached_prefixes: frozenset[str] = frozenset()
+
+
+class TargetLoad:
+    """Calls in flight, limit and breaker of one target."""
+
+    def __init__(
+        self,
+        *,
+        limit_rule: LimitRule,
+        breaker_rule: BreakerRule,
+        random_source: random.Random,
+    ) -> None:
+        self.limit = AdaptiveLimit(limit_rule)
+        self.breaker = Breaker(breaker_rule, random_source)
+        self.mine = 0
+        self.mine_long = 0
+        #: rounds this instance's share of the limit: were it rounded up everywhere,
+        #: many instances would together exceed a small limit many times over
+        self.lot = random_source.random()
+        self._history: deque[tuple[float, int]] = deque(
+            [(float("-inf"), 0)], maxlen=HISTORY
+        )
+        self._report: LoadReport | None = None
+
+    def change(self, step: int, *, long: bool, now: float) -> None:
+        """Count one call more or less in flight."""
+        self.mine += step
+        if long:
+            self.mine_long += step
+        self._history.append((now, self.mine))
+
+    def take_report(self, report: LoadReport | None) -> None:
+        """Take in the newest report, if it is one."""
+        if report is None or report is self._report:
+            return
+        self._report = report
+        self.limit.note_capacity(report.capacity)
+
+    def count_others(self, now: float, usual: float | None) -> float | None:
+        """Return the calls of other instances that the target holds, by expectation.
+
+        The report counts this instance's calls too, so what it had in flight when
+        the report was taken is subtracted. The older the report, the more counts
+        ``usual``, the mean over the service's targets: a target that looked idle a
+        while ago would otherwise get the calls of every instance at once.
+        """
+        report = self._report
+        if report is None:
+            return usual
+        history = self._history
+        while len(history) > 1 and history[1][0] <= report.taken:
+            history.popleft()
+        others = max(0.0, report.in_flight + report.queued - history[0][1])
+        if usual is None:
+            return others
+        weight = exp(-max(0.0, now - report.taken) / REPORT_AGE)
+        return weight * others + (1 - weight) * usual
+
+    def view(
+        self,
+        candidate: Candidate,
+        *,
+        others: float,
+        choosers: float,
+        near: bool,
+        ejected: bool,
+        probing: bool,
+    ) -> TargetView:
+        """Return a frozen view for one choice."""
+        report = candidate.report
+        return TargetView(
+            target=candidate.target,
+            mine=self.mine,
+            mine_long=self.mine_long,
+            held=self.mine + others,
+            limit=self.limit.value,
+            assured=int(self.limit.value / choosers + self.lot),
+            slowness=self.breaker.slowness,
+            near=near,
+            ejected=ejected,
+            probing=probing,
+            cached_prefixes=frozenset() if report is None else report.cached_prefixes,
+        )
