Add the operators' command-line client

A change gets its id before anything is sent. It goes to the next server only where the first certainly did not get it; otherwise it is settled by its id, and what can't be settled ends with a code of its own, with the id in the message. Ruled out: sending it again to another server with the same id, since the operator could not tell which reply holds. Waiting counts instances out of reach as not confirmed: they may be cut off and still serve.

--- /dev/null
+++ b/packages/greengagelatch-cli/src/greengagelatch_cli/application.py
@@ -0,0 +1,54 @@
+"""The command-line application and its commands."""
+
+from __future__ import annotations
+
+import importlib.metadata
+
+from cleo.application import Application
+from cleo.helpers import option
+
+from .commands.changes import ListChanges, RollBack, ShowChange, WaitForChange
+from .commands.fleet import Drain, Dump, Status
+from .commands.objects import Apply, Delete, Diff, Get
+
+__all__ = ("create_application",)
+
+NAME = "greengagelatch"
+PACKAGE = "greengagelatch-cli"
+
+COMMANDS = (
+    Apply,
+    Get,
+    Diff,
+    Delete,
+    ShowChange,
+    WaitForChange,
+    ListChanges,
+    RollBack,
+    Status,
+    Dump,
+    Drain,
+)
+
+
+def create_application() -> Application:
+    """Return the application; errors are left to the caller, who knows the codes."""
+    application = Application(NAME, importlib.metadata.version(PACKAGE))
+    application.set_display_name(NAME)
+    application.auto_exits(False)
+    application.catch_exceptions(False)
+    application.definition.add_option(
+        option(
+            "server",
+            None,
+            "Operators' addresses of entry instances, host:port[,host:port], tried"
+            " in this order; else the variable GREENGAGELATCH_SERVER.",
+            flag=False,
+        )
+    )
+    application.definition.add_option(
+        option("output", None, "text or json.", flag=False, default="text")
+    )
+    for command in COMMANDS:
+        application.add(command())
+    return application
--- /dev/null
+++ b/packages/greengagelatch-cli/src/greengagelatch_cli/commands/__init__.py
@@ -0,0 +1,149 @@
+"""Commands; each module holds one group of them."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import traceback
+from abc import abstractmethod
+from typing import TYPE_CHECKING
+
+from cleo.commands.command import Command
+from cleo.exceptions import CleoError, CleoValueError
+from result import Err
+
+from ..client import CallFailure, Client, Reply, parse_servers
+from ..exits import ExitCode
+from ..output import Format, Output
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+__all__ = ("OperatorCommand", "ServerCommand", "UsageError")
+
+SERVER_VARIABLE = "GREENGAGELATCH_SERVER"
+
+
+class UsageError(CleoValueError):
+    """An argument or option whose value can't be used."""
+
+
+class OperatorCommand(Command):
+    """A command that writes through :class:`Output` and returns an exit code."""
+
+    @property
+    def output(self) -> Output:
+        """The output in the form chosen by ``--output``, while the command runs."""
+        assert self._output is not None
+        return self._output
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._output: Output | None = None
+
+    def handle(self) -> int:
+        """Carry out the command; called by cleo."""
+        self._output = Output(self.io, self._read_format())
+        try:
+            return self.perform()
+        except KeyboardInterrupt:
+            return self.abandon(ExitCode.INTERRUPTED)
+        except CleoError:
+            raise
+        except Exception:
+            self._output.show_error(traceback.format_exc())
+            return self.abandon(ExitCode.INTERNAL)
+
+    @abstractmethod
+    def perform(self) -> ExitCode:
+        """Carry out the command."""
+
+    def abandon(self, code: ExitCode) -> ExitCode:
+        """Say what holds after an end half way; return the code to end with."""
+        return code
+
+    def read_number(self, option: str, minimum: float) -> float:
+        """Return an option's value as a number.
+
+        :raises UsageError: if it is no number or below ``minimum``
+        """
+        text = str(self.option(option))
+        try:
+            number = float(text)
+        except ValueError:
+            number = float("nan")
+        # false for NaN also
+        if not minimum <= number < float("inf"):
+            msg = f"--{option} = {text!r}: must be a number of at least {minimum:g}"
+            raise UsageError(msg)
+        return number
+
+    def _read_format(self) -> Format:
+        text = self.option("output")
+        try:
+            return Format(text)
+        except ValueError as error:
+            msg = f"--output = {text!r}: must be text or json"
+            raise UsageError(msg) from error
+
+
+class ServerCommand(OperatorCommand):
+    """A command that talks to servers."""
+
+    def perform(self) -> ExitCode:
+        """Connect and carry out the command."""
+        return asyncio.run(self._perform_connected())
+
+    @abstractmethod
+    async def talk(self, client: Client) -> ExitCode:
+        """Carry out the command through ``client``."""
+
+    def show_unreachable(self, failures: Sequence[CallFailure]) -> ExitCode:
+        """Report that no server answered a read."""
+        lines = ["no server could be reached", *(f"  {one}" for one in failures)]
+        data = {"state": "unreachable", "failures": [str(one) for one in failures]}
+        self.output.show_error("\n".join(lines), data)
+        return ExitCode.UNREACHABLE
+
+    def show_refusal(self, reply: Reply) -> ExitCode:
+        """Report a reply to a read that isn't a result."""
+        code = ExitCode.REFUSED if reply.status < 500 else ExitCode.UNREACHABLE
+        data = dict(reply.body) or {"state": "refused", "message": reply.text}
+        self.output.show_error(describe_refusal(reply), data)
+        return code
+
+    async def _perform_connected(self) -> ExitCode:
+        text = self.option("server") or os.environ.get(SERVER_VARIABLE, "")
+        if not text:
+            msg = f"no server: give --server host:port or set {SERVER_VARIABLE}"
+            raise UsageError(msg)
+        servers = parse_servers(text)
+        if isinstance(servers, Err):
+            raise UsageError(servers.err_value)
+        async with Client(servers.ok_value) as client:
+            return await self.talk(client)
+
+
+def describe_refusal(reply: Reply) -> str:
+    """Return lines that name each field and value to blame."""
+    lines = []
+    message = reply.body.get("message", "")
+    if message:
+        lines.append(str(message))
+    for problem in reply.body.get("problems", ()):
+        lines.append(describe_problem(problem))
+    field = reply.body.get("field", "")
+    if field:
+        lines.append(f"  {field} = {reply.body.get('value', '')!r}")
+    if not lines:
+        lines.append(reply.body.get("code", "") or reply.text.strip()[:200])
+    return f"{reply.server}: refused ({reply.status}): " + "\n".join(lines)
+
+
+def describe_problem(problem: dict[str, str]) -> str:
+    """Return one line for a problem of a file."""
+    place = problem.get("file", "") or "-"
+    line = f"{place}: [{problem.get('section', '')}]"
+    if problem.get("key"):
+        line = f"{line} {problem['key']} = {problem.get('value', '')!r}"
+    return f"{line}: {problem.get('reason', '')}"
--- /dev/null
+++ b/packages/greengagelatch-cli/src/greengagelatch_cli/commands/objects.py
@@ -0,0 +1,171 @@
+"""Commands about objects: apply, get, diff, delete."""
+
+from __future__ import annotations
+
+import difflib
+from typing import TYPE_CHECKING, Any
+
+from cleo.helpers import argument, option
+from result import Err
+
+from ..exits import ExitCode
+from . import ServerCommand, UsageError
+from .submitting import SUBMIT_OPTIONS, SubmitCommand, read_file, split_base
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping, Sequence
+
+    from ..client import Client, Reply
+
+__all__ = ("Apply", "Delete", "Diff", "Get", "check_kind", "read_objects")
+
+KINDS = ("service", "pipeline", "workspace", "policy")
+
+OBJECTS_PATH = "/objects"
+
+
+class Apply(SubmitCommand):
+    """Creates or replaces the objects of files."""
+
+    name = "apply"
+    description = "Create or replace objects: one change for each file, whole or not."
+    arguments = (
+        argument("file", "INI file of objects; - is standard input.", multiple=True),
+    )
+    options = SUBMIT_OPTIONS
+
+    async def prepare(self, client: Client) -> Sequence[Mapping[str, Any]] | ExitCode:
+        paths = self.argument("file")
+        if len(paths) > 1 and self.option("change-id"):
+            msg = "--change-id names one change, so it takes one file"
+            raise UsageError(msg)
+        # all are read before any is sent: a wrong name must not stop half way
+        return [_create_change(path) for path in paths]
+
+
+class Diff(ServerCommand):
+    """Shows what applying a file would change."""
+
+    name = "diff"
+    description = "Show what applying a file would change; nothing is changed."
+    arguments = (argument("file", "INI file of objects; - is standard input."),)
+
+    async def talk(self, client: Client) -> ExitCode:
+        change = {
+            **_create_change(self.argument("file")),
+            "change_id": "diff",
+            "dry_run": True,
+        }
+        failures = []
+        for server in client.servers:
+            # a dry run changes nothing, so any server may be asked after another
+            match await client.call(server, "POST", "/changes", body=change):
+                case Err(failure):
+                    failures.append(failure)
+                    continue
+                case answered:
+                    return self._show(answered.ok_value)
+        return self.show_unreachable(failures)
+
+    def _show(self, reply: Reply) -> ExitCode:
+        if reply.state == "conflict":
+            self.output.show_error(
+                f"{reply.server}: objects were changed since the file's generation",
+                reply.body,
+            )
+            return ExitCode.CONFLICT
+        if reply.state != "checked":
+            return self.show_refusal(reply)
+        changed = reply.body.get("changed", ())
+        text = "".join(_compare(one) for one in changed) or "no change\n"
+        self.output.show(text.rstrip("\n"), reply.body)
+        return ExitCode.OK
+
+
+class Get(ServerCommand):
+    """Prints objects in a form that ``apply`` takes."""
+
+    name = "get"
+    description = "Print objects as INI, in a form that apply takes."
+    arguments = (
+        argument("kind", f"One of {', '.join(KINDS)}.", optional=True),
+        argument("name", "Name of one object.", optional=True),
+    )
+    options = (
+        option("selector", None, "Labels to pick by, as tier=gold.", flag=False),
+    )
+
+    async def talk(self, client: Client) -> ExitCode:
+        kind, name = self.argument("kind"), self.argument("name")
+        if kind is not None:
+            check_kind(kind)
+        query = {"kind": kind, "name": name, "selector": self.option("selector")}
+        query = {key: value for key, value in query.items() if value is not None}
+        reply = await read_objects(self, client, query)
+        if isinstance(reply, ExitCode):
+            return reply
+        objects = reply.body["objects"]
+        if name is not None and not objects:
+            self.output.show_error(f"{reply.server}: no {kind} {name!r}", reply.body)
+            return ExitCode.REFUSED
+        self.output.show(_join_texts(reply.body), reply.body)
+        return ExitCode.OK
+
+
+class Delete(SubmitCommand):
+    """Deletes an object."""
+
+    name = "delete"
+    description = "Delete an object."
+    arguments = (
+        argument("kind", f"One of {', '.join(KINDS)}."),
+        argument("name", "Name of the object."),
+    )
+    options = SUBMIT_OPTIONS
+
+    async def prepare(self, client: Client) -> Sequence[Mapping[str, Any]] | ExitCode:
+        kind = check_kind(self.argument("kind"))
+        return ({"mode": "delete", "names": [f"{kind}/{self.argument('name')}"]},)
+
+
+def check_kind(kind: str) -> str:
+    """Return ``kind`` if there are objects of it.
+
+    :raises UsageError: if there are none
+    """
+    if kind not in KINDS:
+        msg = f"kind = {kind!r}: must be one of {', '.join(KINDS)}"
+        raise UsageError(msg)
+    return kind
+
+
+async def read_objects(
+    command: ServerCommand, client: Client, query: Mapping[str, str]
+) -> Reply | ExitCode:
+    """Read objects with their texts, or report why not and return the code."""
+    found = await client.read(OBJECTS_PATH, {**query, "format": "json"})
+    if isinstance(found, Err):
+        return command.show_unreachable(found.err_value)
+    reply = found.ok_value
+    if "objects" not in reply.body:
+        return command.show_refusal(reply)
+    return reply
+
+
+def _create_change(path: str) -> Mapping[str, Any]:
+    text = read_file(path)
+    return {"mode": "apply", "text": text, "file": path, **split_base(text)}
+
+
+def _join_texts(body: Mapping[str, Any]) -> str:
+    texts = [one["text"].strip() for one in body["objects"]]
+    return "\n\n".join([f"# generation {body['generation']}", *texts])
+
+
+def _compare(change: Mapping[str, str]) -> str:
+    before = change["before"].splitlines(keepends=True)
+    after = change["after"].splitlines(keepends=True)
+    name = change["object"]
+    return "".join(
+        difflib.unified_diff(before, after, f"{name} in force", f"{name} in the file")
+    )
--- /dev/null
+++ b/packages/greengagelatch-cli/src/greengagelatch_cli/output.py
@@ -0,0 +1,92 @@
+"""What a command shows: results, errors and progress, as text or JSON."""
+
+from __future__ import annotations
+
+import json
+from enum import Enum
+from typing import TYPE_CHECKING, Any
+
+from cleo.io.outputs.output import Type, Verbosity
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping, Sequence
+
+    from cleo.io.io import IO
+
+__all__ = ("Format", "Output", "render_table")
+
+COLUMN_GAP = "  "
+
+
+class Format(Enum):
+    """Form of results on standard output."""
+
+    TEXT = "text"
+    JSON = "json"
+
+
+class Output:
+    """Writes results to standard output, the rest to standard error.
+
+    Everything is written raw: cleo would take ``<`` and ``>`` in names and values
+    for its own mark-up and drop them.
+    """
+
+    def __init__(self, io: IO, form: Format) -> None:
+        self._io = io
+        self.form = form
+        self._progress = ""
+
+    @property
+    def is_json(self) -> bool:
+        """Whether results are JSON."""
+        return self.form is Format.JSON
+
+    def show(self, text: str, data: Any) -> None:
+        """Write a result: ``text``, or ``data`` as JSON."""
+        if self.is_json:
+            text = json.dumps(data, indent=2, ensure_ascii=False)
+        self._end_progress()
+        self._io.write_line(text, type=Type.RAW)
+
+    def show_error(self, text: str, data: Mapping[str, Any] | None = None) -> None:
+        """Write an error; ``data``, if given, also goes out as a JSON result."""
+        self._end_progress()
+        self._io.write_error_line(text, Verbosity.QUIET, Type.RAW)
+        if data is not None and self.is_json:
+            self.show("", data)
+
+    def show_progress(self, text: str) -> None:
+        """Replace the line of progress on a terminal; else write it if it changed."""
+        if text == self._progress:
+            return
+        self._progress = text
+        if self._io.error_output.is_decorated():
+            self._io.write_error(f"\r\x1b[2K{text}", type=Type.RAW)
+            self._io.error_output.flush()
+        else:
+            self._io.write_error_line(text, type=Type.RAW)
+
+    def _end_progress(self) -> None:
+        if self._progress and self._io.error_output.is_decorated():
+            self._io.write_error_line("", type=Type.RAW)
+        self._progress = ""
+
+
+def render_table(headers: Sequence[str], rows: Sequence[Sequence[Any]]) -> str:
+    """Return aligned columns, without trailing blanks."""
+    lines = [list(headers), *([_show(cell) for cell in row] for row in rows)]
+    widths = [max(len(line[i]) for line in lines) for i in range(len(headers))]
+    shown = []
+    for line in lines:
+        cells = [cell.ljust(width) for cell, width in zip(line, widths, strict=True)]
+        shown.append(COLUMN_GAP.join(cells).rstrip())
+    return "\n".join(shown)
+
+
+def _show(cell: Any) -> str:
+    if cell is None:
+        return "?"
+    if isinstance(cell, bool):
+        return "yes" if cell else "no"
+    return str(cell)
--- /dev/null
+++ b/packages/greengagelatch-cli/src/greengagelatch_cli/submission.py
@@ -0,0 +1,158 @@
+"""Sending a change, and settling it when its reply is lost."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+from urllib.parse import quote
+
+from result import Err, Ok, Result
+
+from .client import CallFailure, Client, FailureKind, Reply
+from .exits import ExitCode
+
+if TYPE_CHECKING:
+    from .output import Output
+
+__all__ = ("Submission", "find_change", "submit")
+
+CHANGES_PATH = "/changes"
+
+#: seconds spent on settling a change whose reply was lost, and between two tries
+SETTLE_TIMEOUT = 10.0
+SETTLE_INTERVAL = 0.5
+
+NOT_APPLIED = 503
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Submission:
+    """What became of a change."""
+
+    code: ExitCode
+    change_id: str
+    #: last reply about the change, if any
+    reply: Reply | None = None
+    failures: tuple[CallFailure, ...] = field(default=())
+
+    def as_dict(self) -> dict[str, Any]:
+        """Return the JSON form: the server's own words where there are any."""
+        if self.code is ExitCode.UNKNOWN:
+            described: dict[str, Any] = {"state": "unknown"}
+        elif self.reply is not None:
+            described = dict(self.reply.body)
+        else:
+            described = {"state": "unreachable"}
+        described.setdefault("change_id", self.change_id)
+        if self.failures:
+            described["failures"] = [str(failure) for failure in self.failures]
+        return described
+
+
+async def submit(
+    client: Client, change: Mapping[str, Any], output: Output
+) -> Submission:
+    """Send ``change`` to the first server that takes it.
+
+    A server that might have got it is the last one tried: if the change went to
+    the next one as well, an operator could not tell which of the two replies holds.
+    What became of it is then found by its id.
+    """
+    change_id = change["change_id"]
+    failures: list[CallFailure] = []
+    not_applied: Reply | None = None
+    for server in client.servers:
+        match await client.call(server, "POST", CHANGES_PATH, body=change):
+            case Err(failure):
+                failures.append(failure)
+                if failure.kind is FailureKind.NOT_SENT:
+                    continue
+                return await _settle(client, change_id, failures, output)
+            case Ok(reply):
+                if reply.status == NOT_APPLIED and reply.state == "not-applied":
+                    not_applied = reply
+                    continue
+                code = _judge(reply)
+                if code is ExitCode.UNKNOWN:
+                    return await _settle(client, change_id, failures, output)
+                return Submission(
+                    code=code,
+                    change_id=change_id,
+                    reply=reply,
+                    failures=tuple(failures),
+                )
+    return Submission(
+        code=ExitCode.UNREACHABLE,
+        change_id=change_id,
+        reply=not_applied,
+        failures=tuple(failures),
+    )
+
+
+async def find_change(
+    client: Client, change_id: str, *, ask: bool = False
+) -> Result[Reply, tuple[CallFailure, ...]]:
+    """Return the best that any server knows of a change.
+
+    An instance may lag behind the others, so "not found" at one of them does not
+    end the search; "settled" at any of them does.
+
+    :param ask: let the server ask the other instances anew where it is in force.
+    """
+    query = {"ask": "yes"} if ask else None
+    failures = []
+    best: Reply | None = None
+    for server in client.servers:
+        path = f"{CHANGES_PATH}/{quote(change_id, safe='')}"
+        match await client.call(server, "GET", path, query=query):
+            case Err(failure):
+                failures.append(failure)
+            case Ok(reply):
+                if reply.state == "settled":
+                    return Ok(reply)
+                if best is None or reply.status < best.status:
+                    best = reply
+    if best is not None:
+        return Ok(best)
+    return Err(tuple(failures))
+
+
+async def _settle(
+    client: Client, change_id: str, failures: list[CallFailure], output: Output
+) -> Submission:
+    end = time.monotonic() + SETTLE_TIMEOUT
+    reply: Reply | None = None
+    while True:
+        output.show_progress(f"reply lost, looking for change {change_id}")
+        found = await find_change(client, change_id)
+        if isinstance(found, Ok):
+            reply = found.ok_value
+            if reply.state == "settled":
+                return Submission(
+                    code=ExitCode.OK,
+                    change_id=change_id,
+                    reply=reply,
+                    failures=tuple(failures),
+                )
+        if time.monotonic() >= end:
+            break
+        await asyncio.sleep(SETTLE_INTERVAL)
+    return Submission(
+        code=ExitCode.UNKNOWN,
+        change_id=change_id,
+        reply=reply,
+        failures=tuple(failures),
+    )
+
+
+def _judge(reply: Reply) -> ExitCode:
+    if reply.status == 200 and reply.state in ("settled", "checked"):
+        return ExitCode.OK
+    if reply.state == "conflict":
+        return ExitCode.CONFLICT
+    if 400 <= reply.status < 500:
+        return ExitCode.REFUSED
+    return ExitCode.UNKNOWN
--- /dev/null
+++ b/packages/greengagelatch-cli/src/greengagelatch_cli/waiting.py
@@ -0,0 +1,92 @@
+"""Waiting until a change is in force on every entry instance."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING, Any
+
+from result import Ok
+
+from .exits import ExitCode
+from .submission import find_change
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping, Sequence
+
+    from .client import Client, Reply
+    from .output import Output
+
+__all__ = ("wait_in_force",)
+
+INTERVAL = 0.5
+
+OUT_OF_REACH = "dead"
+
+
+async def wait_in_force(
+    client: Client, change_id: str, *, timeout: float, output: Output
+) -> ExitCode:
+    """Wait until every known entry instance confirms the change.
+
+    An instance out of reach is waited for as well: it may be cut off and still
+    serve callers by what was in force before.
+    """
+    end = time.monotonic() + timeout
+    reply: Reply | None = None
+    while True:
+        found = await find_change(client, change_id, ask=True)
+        if isinstance(found, Ok):
+            reply = found.ok_value
+        members = _list_members(reply)
+        missing = [member for member in members if not member.get("in_force")]
+        if members and not missing:
+            output.show(f"in force on all {len(members)} entry instances", reply.body)
+            return ExitCode.OK
+        output.show_progress(_describe_progress(change_id, members, missing))
+        if time.monotonic() >= end:
+            break
+        await asyncio.sleep(INTERVAL)
+    return _report_timeout(change_id, reply, missing, timeout, output)
+
+
+def _list_members(reply: Reply | None) -> Sequence[Mapping[str, Any]]:
+    if reply is None or reply.state != "settled":
+        return ()
+    return reply.body.get("in_force", ())
+
+
+def _describe_progress(
+    change_id: str,
+    members: Sequence[Mapping[str, Any]],
+    missing: Sequence[Mapping[str, Any]],
+) -> str:
+    if not members:
+        return f"change {change_id}: not known to be accepted yet"
+    confirmed = len(members) - len(missing)
+    return f"in force on {confirmed} of {len(members)}"
+
+
+def _report_timeout(
+    change_id: str,
+    reply: Reply | None,
+    missing: Sequence[Mapping[str, Any]],
+    timeout: float,
+    output: Output,
+) -> ExitCode:
+    if reply is None or reply.state != "settled":
+        body = dict(reply.body) if reply else {"state": "unreachable"}
+        output.show_error(
+            f"change {change_id}: not known to be accepted after {timeout:g} s", body
+        )
+        return ExitCode.UNKNOWN if reply else ExitCode.UNREACHABLE
+    lines = [f"change {change_id}: accepted, but after {timeout:g} s not in force on:"]
+    for member in missing:
+        reach = ", out of reach" if member["state"] == OUT_OF_REACH else ""
+        generation = member.get("generation")
+        lines.append(
+            f"  {member['instance']} ({member['data_centre']}): {member['state']}"
+            f"{reach}, generation {'?' if generation is None else generation}"
+        )
+    output.show_error("\n".join(lines), reply.body)
+    return ExitCode.TIMED_OUT
--- /dev/null
+++ b/tests/test_cli/conftest.py
@@ -0,0 +1,105 @@
+"""Scripted operators' servers and a way to run the command."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections import defaultdict
+from dataclasses import dataclass
+
+import pytest
+from aiohttp import web
+
+from greengagelatch_cli import submission, waiting
+from greengagelatch_cli.__main__ import run
+
+
+@dataclass(frozen=True)
+class Ended:
+    """How a command ended."""
+
+    code: int
+    out: str
+    err: str
+
+    @property
+    def data(self):
+        return json.loads(self.out)
+
+
+class ScriptedServer:
+    """Answers calls from a script, the last answer again and again.
+
+    An answer is ``(status, body)``; ``None`` cuts the connection after the call
+    has been read.
+    """
+
+    def __init__(self) -> None:
+        self.script = defaultdict(list)
+        self.calls = []
+        self.address = ""
+
+    def answer(self, call, *answers) -> None:
+        self.script[call] = list(answers)
+
+    def bodies(self, call):
+        return [body for made, body in self.calls if made == call]
+
+    async def serve(self, request):
+        text = await request.text()
+        call = f"{request.method} {request.path}"
+        self.calls.append((call, json.loads(text) if text else dict(request.query)))
+        answers = self.script[call]
+        if not answers:
+            return web.json_response({"message": "not in the script"}, status=404)
+        answer = answers.pop(0) if len(answers) > 1 else answers[0]
+        if answer is None:
+            request.transport.close()
+            return web.Response()
+        status, body = answer
+        return web.json_response(body, status=status)
+
+
+@pytest.fixture
+async def start_server():
+    """Return a function that starts a scripted server."""
+    runners = []
+
+    async def start():
+        server = ScriptedServer()
+        application = web.Application()
+        application.router.add_route("*", "/{path:.*}", server.serve)
+        runner = web.AppRunner(application)
+        runners.append(runner)
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        server.address = f"127.0.0.1:{runner.addresses[0][1]}"
+        return server
+
+    yield start
+    for runner in runners:
+        await runner.cleanup()
+
+
+@pytest.fixture
+async def server(start_server):
+    return await start_server()
+
+
+@pytest.fixture
+def run_command(capsys, monkeypatch):
+    """Return a function that runs the command with short waits."""
+    monkeypatch.delenv("GREENGAGELATCH_SERVER", raising=False)
+    monkeypatch.setattr(submission, "SETTLE_TIMEOUT", 0.3)
+    monkeypatch.setattr(submission, "SETTLE_INTERVAL", 0.01)
+    monkeypatch.setattr(waiting, "INTERVAL", 0.01)
+
+    async def run_in_thread(*arguments, servers=()):
+        given = list(arguments)
+        if servers:
+            given += ["--server", ",".join(servers)]
+        code = await asyncio.to_thread(run, given)
+        out, err = capsys.readouterr()
+        return Ended(int(code), out, err)
+
+    return run_in_thread
