Add stand-ins for engines, pools, plain services and links

Cause: calls, streams, orders and faults need something real to meet over loopback. Weighed: one process for many targets (cheaper) against one each; a fault such as a pause must strike one target alone, so one each. A link that swallowed a byte stays silent for good: passing later bytes on would put a hole into a stream, which TCP never does. A run goes on when the caller of a whole answer hangs up, so that only a cancel saves its cost; a stream ends.

--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/standins/batch.py
@@ -0,0 +1,99 @@
+"""Continuous batching: calls join and leave a running batch at each step."""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from .answers import expected_tokens, find_hint
+from .options import EngineOptions
+from .prefixes import PrefixCache
+from .record import read_ms
+from .target import Attempt
+
+__all__ = ("Batch",)
+
+#: share of the usual prefill that a cached prefix still needs
+HIT_SHARE = 0.1
+
+
+@dataclass(slots=True, eq=False)
+class _Sequence:
+    attempt: Attempt
+    texts: tuple[str, ...]
+    #: offset of the next token
+    position: int
+    done: asyncio.Future[None]
+
+
+class Batch:
+    """The calls that an engine decodes together, and those that wait to join."""
+
+    def __init__(
+        self, *, options: EngineOptions, cache: PrefixCache, read_slow: Callable
+    ) -> None:
+        self._options = options
+        self._cache = cache
+        self._read_slow = read_slow
+        self._order = itertools.count()
+        self._waiting: list[tuple[int, int, _Sequence]] = []
+        self._active: list[_Sequence] = []
+        self._arrived = asyncio.Event()
+
+    async def join(self, attempt: Attempt) -> None:
+        """Wait until ``attempt`` has been given all its tokens."""
+        call = attempt.call
+        texts = expected_tokens(call.pipeline, call.stage, call.kind, call.input)
+        done = asyncio.get_running_loop().create_future()
+        sequence = _Sequence(attempt, texts, call.resume_at, done)
+        entry = (-call.priority, next(self._order), sequence)
+        heapq.heappush(self._waiting, entry)
+        self._arrived.set()
+        await done
+
+    async def run_steps(self) -> None:
+        """Decode step by step, for ever."""
+        while True:
+            self._active = [item for item in self._active if not item.done.done()]
+            prefill_ms = self._admit()
+            if not self._active:
+                self._arrived.clear()
+                await self._arrived.wait()
+                continue
+            size = len(self._active)
+            growth = 1 + self._options.batch_growth * (size - 1)
+            step_ms = prefill_ms + self._options.tokens_ms * growth
+            step_ms *= self._read_slow()
+            await asyncio.sleep(step_ms / 1000)
+            self._decode(step_ms / size)
+
+    def _admit(self) -> float:
+        """Let waiting calls join; return the milliseconds their prompts take."""
+        prefill_ms = 0.0
+        while self._waiting and len(self._active) < self._options.capacity:
+            sequence = heapq.heappop(self._waiting)[2]
+            # a call cancelled while it waited must not run
+            if sequence.done.done():
+                continue
+            sequence.attempt.start()
+            self._active.append(sequence)
+            prefix = find_hint(sequence.attempt.call.input, "prefix")
+            hit = self._cache.use(prefix or "", read_ms())
+            share = HIT_SHARE if hit else 1.0
+            prefill_ms += self._options.prefill_ms * share
+        return prefill_ms
+
+    def _decode(self, cost_ms: float) -> None:
+        for sequence in self._active:
+            # the engine's time is shared by all calls of the step
+            sequence.attempt.run.cost_ms += cost_ms
+            if sequence.done.done():
+                continue
+            if sequence.position < len(sequence.texts):
+                sequence.attempt.emit(sequence.texts[sequence.position])
+                sequence.position += 1
+            if sequence.position >= len(sequence.texts):
+                sequence.done.set_result(None)
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/standins/link.py
@@ -0,0 +1,187 @@
+"""A TCP link between two processes that can be cut, silenced and slowed."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from enum import Flag, auto
+from types import TracebackType
+
+__all__ = ("Direction", "Link")
+
+CHUNK = 64 * 1024
+HOST = "127.0.0.1"
+
+
+class Direction(Flag):
+    """Which way bytes go; ``FORWARD`` is from who connected to the target."""
+
+    FORWARD = auto()
+    BACKWARD = auto()
+    BOTH = FORWARD | BACKWARD
+
+
+NEITHER = Direction(0)
+
+
+@dataclass(slots=True, eq=False)
+class _Connection:
+    task: asyncio.Task[None]
+    near: asyncio.StreamWriter
+    far: asyncio.StreamWriter | None = None
+    #: directions in which this connection is silent for good
+    silent: Direction = NEITHER
+
+
+class Link:
+    """Forwards TCP connections from a port of its own to ``target``.
+
+    A connection that has swallowed a byte stays silent that way for good, also
+    after :meth:`heal`: to pass later bytes on would put a hole into the stream,
+    which TCP never does.
+    """
+
+    def __init__(self, target: str) -> None:
+        self._target = target
+        self._port = 0
+        self._server: asyncio.Server | None = None
+        self._connections: set[_Connection] = set()
+        self._silent = NEITHER
+        self._delays = {Direction.FORWARD: 0.0, Direction.BACKWARD: 0.0}
+        #: connections taken so far
+        self.accepted = 0
+
+    @property
+    def address(self) -> str:
+        """``host:port`` to connect to; it stays the same over a cut."""
+        return f"{HOST}:{self._port}"
+
+    async def start(self) -> None:
+        """Begin to take connections."""
+        self._server = await asyncio.start_server(self._accept, HOST, self._port)
+        self._port = self._server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        """Close everything."""
+        await self.cut()
+
+    async def cut(self) -> None:
+        """Close all connections and refuse new ones."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        await self.close_open()
+
+    async def close_open(self) -> None:
+        """Close all connections; new ones work."""
+        tasks = [connection.task for connection in self._connections]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def silence(
+        self, direction: Direction = Direction.BOTH, *, only_open: bool = False
+    ) -> None:
+        """Swallow bytes and ends, while connections stay open.
+
+        :param only_open: silence the open connections for good; new ones work
+        """
+        if not only_open:
+            self._silent |= direction
+            return
+        for connection in self._connections:
+            connection.silent |= direction
+
+    def slow(self, seconds: float, direction: Direction = Direction.BOTH) -> None:
+        """Hold back each piece of data by ``seconds``."""
+        for way in self._delays:
+            if way in direction:
+                self._delays[way] = seconds
+
+    async def heal(self) -> None:
+        """End a cut, a silence and a delay."""
+        self._silent = NEITHER
+        self.slow(0.0)
+        if self._server is None:
+            await self.start()
+
+    async def __aenter__(self) -> Link:
+        await self.start()
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        await self.stop()
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.accepted += 1
+        connection = _Connection(asyncio.current_task(), writer)
+        self._connections.add(connection)
+        try:
+            await self._forward(connection, reader)
+        except* OSError:
+            # the target is out of reach, or one side is gone: so is the other
+            pass
+        except* asyncio.CancelledError:
+            # closed; it would be logged as an error if it went further
+            pass
+        finally:
+            writer.transport.abort()
+            if connection.far is not None:
+                connection.far.transport.abort()
+            self._connections.discard(connection)
+
+    async def _forward(
+        self, connection: _Connection, reader: asyncio.StreamReader
+    ) -> None:
+        host, _, port = self._target.rpartition(":")
+        far_reader, far = await asyncio.open_connection(host, int(port))
+        connection.far = far
+        forward = self._pump(connection, reader, far, Direction.FORWARD)
+        backward = self._pump(
+            connection, far_reader, connection.near, Direction.BACKWARD
+        )
+        async with asyncio.TaskGroup() as group:
+            group.create_task(forward)
+            group.create_task(backward)
+
+    async def _pump(
+        self,
+        connection: _Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        way: Direction,
+    ) -> None:
+        while True:
+            data = await self._read(connection, reader, way)
+            if self._delays[way]:
+                await asyncio.sleep(self._delays[way])
+            if way in self._silent:
+                connection.silent |= way
+            if way in connection.silent and data:
+                continue
+            if way in connection.silent:
+                await asyncio.Event().wait()
+            if not data:
+                break
+            writer.write(data)
+            await writer.drain()
+        writer.write_eof()
+
+    async def _read(
+        self, connection: _Connection, reader: asyncio.StreamReader, way: Direction
+    ) -> bytes:
+        """Return the next piece; nothing where that side ended the connection."""
+        try:
+            return await reader.read(CHUNK)
+        except OSError:
+            # a silent link hides a reset as well
+            if way in self._silent | connection.silent:
+                return b""
+            raise
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/standins/pool.py
@@ -0,0 +1,80 @@
+"""A pool of encoders, retrievers or rerankers, which runs calls in batches."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import AsyncIterator
+
+from aiohttp import web
+
+from .options import TargetOptions, parse_options
+from .serving import run
+from .target import Attempt, Target
+
+__all__ = ("Pool", "main")
+
+#: share by which each further call lengthens a batch
+BATCH_GROWTH = 0.1
+
+
+class Pool(Target):
+    """Runs one batch at a time; what arrives meanwhile makes up the next one."""
+
+    def __init__(self, options: TargetOptions) -> None:
+        super().__init__(options)
+        self._queue: deque[tuple[Attempt, asyncio.Future[None]]] = deque()
+        self._arrived = asyncio.Event()
+
+    def build_app(self) -> web.Application:
+        app = super().build_app()
+        app.cleanup_ctx.append(self._keep_worker)
+        return app
+
+    async def run(self, attempt: Attempt) -> None:
+        done = asyncio.get_running_loop().create_future()
+        self._queue.append((attempt, done))
+        self._arrived.set()
+        await done
+
+    async def _keep_worker(self, app: web.Application) -> AsyncIterator[None]:
+        task = asyncio.create_task(self._run_batches())
+        yield
+        task.cancel()
+
+    async def _run_batches(self) -> None:
+        while True:
+            batch = self._take_batch()
+            if not batch:
+                self._arrived.clear()
+                await self._arrived.wait()
+                continue
+            runs = [attempt.start() for attempt, _ in batch]
+            longest = max(self.draw_service_ms(attempt.call) for attempt, _ in batch)
+            batch_ms = longest * (1 + BATCH_GROWTH * (len(batch) - 1))
+            for run_record in runs:
+                run_record.cost_ms = batch_ms / len(batch)
+            await asyncio.sleep(batch_ms / 1000)
+            for _, done in batch:
+                if not done.done():
+                    done.set_result(None)
+
+    def _take_batch(self) -> list[tuple[Attempt, asyncio.Future[None]]]:
+        batch = []
+        while self._queue and len(batch) < self.options.capacity:
+            attempt, done = self._queue.popleft()
+            # a call cancelled while it waited must not run
+            if done.cancelled():
+                continue
+            batch.append((attempt, done))
+        return batch
+
+
+def main() -> None:
+    """Run the stand-in of a pool of encoders, retrievers or rerankers."""
+    options = parse_options(TargetOptions, main.__doc__)
+    run(Pool(options).build_app(), options.listen)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/standins/prefixes.py
@@ -0,0 +1,109 @@
+"""The prefix cache of an engine, and the events that tell of it."""
+
+from __future__ import annotations
+
+import base64
+import random
+from collections import OrderedDict, deque
+from dataclasses import dataclass
+from typing import Any
+
+import xxhash
+
+__all__ = ("PrefixCache",)
+
+#: events kept for those who ask
+MAX_EVENTS = 2000
+
+
+@dataclass(frozen=True, slots=True)
+class _Event:
+    sequence: int
+    prefix: str
+    cached: bool
+    #: milliseconds at which the event is shown
+    shown_ms: float
+
+
+class PrefixCache:
+    """A few prefixes, of which the least recently used one gives way.
+
+    Events come ``lag_ms`` late, and a share ``gap_rate`` of them never: their
+    sequence numbers are missing.
+    """
+
+    def __init__(
+        self,
+        *,
+        entries: int,
+        lag_ms: float,
+        gap_rate: float,
+        random_source: random.Random,
+    ) -> None:
+        self._limit = entries
+        self._lag_ms = lag_ms
+        self._gap_rate = gap_rate
+        self._random = random_source
+        self._prefixes: OrderedDict[str, None] = OrderedDict()
+        self._events: deque[_Event] = deque(maxlen=MAX_EVENTS)
+        self._sequence = 0
+
+    def use(self, prefix: str, now_ms: float) -> bool:
+        """Use ``prefix``, which is cached from then on; whether it was before."""
+        if not prefix:
+            return False
+        hit = prefix in self._prefixes
+        self.insert(prefix, now_ms)
+        return hit
+
+    def insert(self, prefix: str, now_ms: float) -> None:
+        """Cache ``prefix`` as the most recently used one."""
+        if prefix not in self._prefixes:
+            self._announce(prefix, True, now_ms)
+        self._prefixes[prefix] = None
+        self._prefixes.move_to_end(prefix)
+        while len(self._prefixes) > self._limit:
+            oldest, _ = self._prefixes.popitem(last=False)
+            self._announce(oldest, False, now_ms)
+
+    def list_prefixes(self) -> list[str]:
+        """Return the cached prefixes, the least recently used one first."""
+        return list(self._prefixes)
+
+    def export(self, prefix: str) -> str | None:
+        """Return the cache of ``prefix`` as text; ``None`` if it is not there."""
+        if prefix not in self._prefixes:
+            return None
+        return _encode(prefix)
+
+    def accept(self, prefix: str, data: str, now_ms: float) -> bool:
+        """Take over an exported cache; whether ``data`` belongs to ``prefix``."""
+        if data != _encode(prefix):
+            return False
+        self.insert(prefix, now_ms)
+        return True
+
+    def read_events(self, after: int, now_ms: float) -> dict[str, Any]:
+        """Return the events above ``after`` that are shown by now."""
+        shown = [
+            event
+            for event in self._events
+            if event.sequence > after and event.shown_ms <= now_ms
+        ]
+        events = [
+            {"sequence": event.sequence, "prefix": event.prefix, "cached": event.cached}
+            for event in shown
+        ]
+        last = shown[-1].sequence if shown else after
+        return {"next": last, "events": events}
+
+    def _announce(self, prefix: str, cached: bool, now_ms: float) -> None:
+        self._sequence += 1
+        if self._random.random() < self._gap_rate:
+            return
+        shown_ms = now_ms + self._lag_ms
+        self._events.append(_Event(self._sequence, prefix, cached, shown_ms))
+
+
+def _encode(prefix: str) -> str:
+    return base64.b64encode(xxhash.xxh128_digest(prefix.encode())).decode()
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/standins/target.py
@@ -0,0 +1,276 @@
+"""What all targets' stand-ins share: calls, cancels, load reports, faults, records.
+
+Beside the calls of ``docs/protocols.md`` each serves, for tests and experiments::
+
+    POST /control/faults   any fields of TargetFaults
+    GET  /record           {"runs": [RunRecord]}
+    GET  /record/summary   counts, and costs by stage and outcome
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from abc import ABC, abstractmethod
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+from typing import Any
+
+from aiohttp import web
+
+from .answers import expected_output, find_hint
+from .faults import FAULT_NAMES, Fault, TargetFaults, draw_fault
+from .options import TargetOptions
+from .record import Call, Record, RunOutcome, RunRecord, read_ms
+from .serving import MAX_BODY, ControlError, read_json, update_fields
+
+__all__ = ("Attempt", "Target")
+
+STATES = ("live", "leaving")
+#: what a refused caller is told
+RETRY_AFTER_MS = 50
+#: seconds between two looks at whether a caller that gets no answer has gone
+HOLD_INTERVAL = 0.25
+#: service times spread by this share to either side
+SPREAD = 0.2
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """A call while it is at the target."""
+
+    call: Call
+    record: Record
+    run: RunRecord | None = None
+    task: asyncio.Task[None] | None = None
+    #: texts given so far, from ``call.resume_at`` on
+    tokens: list[str] = field(default_factory=list)
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def start(self) -> RunRecord:
+        """Mark the beginning of the run."""
+        self.run = self.record.begin(self.call)
+        return self.run
+
+    def emit(self, text: str) -> None:
+        """Give one more token."""
+        self.tokens.append(text)
+        self.changed.set()
+
+    def end(self, outcome: RunOutcome) -> None:
+        """Record how the run ended, if it began at all."""
+        if self.run is None:
+            self.record.not_run += 1
+            return
+        self.record.end(self.run, outcome)
+
+
+class Target(ABC):
+    """A target; subclasses say how calls are run."""
+
+    def __init__(self, options: TargetOptions) -> None:
+        self.options = options
+        self.faults = TargetFaults()
+        self.record = Record()
+        self.random = random.Random(options.seed)
+        self._attempts: dict[str, Attempt] = {}
+        self._last: Call | None = None
+        self._reports: list[tuple[float, dict[str, Any]]] = []
+
+    @abstractmethod
+    async def run(self, attempt: Attempt) -> None:
+        """Run ``attempt``, which waits for its turn and is then started.
+
+        It is cancelled when the call is.
+        """
+
+    def build_app(self) -> web.Application:
+        """Return the application that serves this target."""
+        app = web.Application(client_max_size=MAX_BODY)
+        app.add_routes(
+            [
+                web.post("/call", self._call),
+                web.post("/cancel", self._cancel),
+                web.get("/load", self._get_load),
+                web.post("/control/faults", self._set_faults),
+                web.get("/record", self._get_record),
+                web.get("/record/summary", self._get_summary),
+            ]
+        )
+        app.on_response_prepare.append(self._add_state)
+        app.cleanup_ctx.append(self._keep_reports)
+        return app
+
+    def draw_service_ms(self, call: Call) -> float:
+        """Return the service time of ``call`` in milliseconds."""
+        size = find_hint(call.input, "size")
+        factor = size if isinstance(size, int | float) else 1.0
+        spread = self.random.uniform(1 - SPREAD, 1 + SPREAD)
+        return self.options.service_ms * factor * spread * self.faults.slow
+
+    def report_load(self) -> dict[str, Any]:
+        """Return the load at this moment."""
+        running = sum(attempt.run is not None for attempt in self._attempts.values())
+        return {
+            "in_flight": running,
+            "queued": len(self._attempts) - running,
+            "capacity": self.options.capacity,
+            "state": self.faults.state,
+            "cached_prefixes": [],
+            "models": [],
+            "role": "",
+        }
+
+    async def stream(
+        self, request: web.Request, attempt: Attempt, fault: Fault
+    ) -> web.StreamResponse:
+        """Answer ``attempt`` as a stream; targets other than engines can't."""
+        raise web.HTTPBadRequest(text="this target does not stream")
+
+    def choose_ids(self, call: Call, fault: Fault) -> Call:
+        """Return the call whose ids and output the answer to ``call`` carries."""
+        if fault is not Fault.CROSS:
+            return call
+        if self._last is not None and self._last.attempt != call.attempt:
+            return self._last
+        return Call(
+            attempt=f"other-{call.attempt}",
+            request=f"other-{call.request}",
+            stage=call.stage,
+            workspace=call.workspace,
+            pipeline=call.pipeline,
+            kind=call.kind,
+            input="other",
+        )
+
+    async def hold(self, request: web.Request) -> web.Response:
+        """Answer nothing until the caller has closed the connection."""
+        while True:
+            if request.transport is None or request.transport.is_closing():
+                return web.Response()
+            await asyncio.sleep(HOLD_INTERVAL)
+
+    async def _call(self, request: web.Request) -> web.StreamResponse:
+        try:
+            call = Call(**await read_json(request))
+        except TypeError as error:
+            raise web.HTTPBadRequest(text=str(error)) from error
+        self.record.note_arrival()
+        fault = draw_fault(self.faults, self.random)
+        waiting = sum(attempt.run is None for attempt in self._attempts.values())
+        if fault is Fault.REFUSE or waiting >= self.options.queue:
+            self.record.not_run += 1
+            return _refuse(call)
+        if fault is Fault.STALL:
+            self.record.not_run += 1
+            return await self.hold(request)
+        attempt = Attempt(call, self.record)
+        attempt.task = asyncio.create_task(self.run(attempt))
+        self._attempts[call.attempt] = attempt
+        try:
+            if call.stream:
+                return await self.stream(request, attempt, fault)
+            return await self._answer(request, attempt, fault)
+        finally:
+            attempt.task.cancel()
+            # an end that was recorded above stays as it is
+            attempt.end(RunOutcome.CANCELLED)
+            self._last = call
+            if self._attempts.get(call.attempt) is attempt:
+                del self._attempts[call.attempt]
+
+    async def _answer(
+        self, request: web.Request, attempt: Attempt, fault: Fault
+    ) -> web.Response:
+        await asyncio.wait([attempt.task])
+        call = attempt.call
+        if attempt.task.cancelled():
+            if attempt.run is None:
+                return _refuse(call)
+            return _fail(call, "cancelled")
+        attempt.task.result()
+        if fault is Fault.FAIL:
+            attempt.end(RunOutcome.FAILED)
+            return _fail(call, "failed after the run")
+        attempt.end(RunOutcome.DONE)
+        if fault is Fault.MUTE:
+            return await self.hold(request)
+        if fault is Fault.CUT:
+            request.transport.abort()
+            return web.Response()
+        shown = self.choose_ids(call, fault)
+        return web.json_response(
+            {
+                "attempt": shown.attempt,
+                "request": shown.request,
+                "stage": shown.stage,
+                "output": expected_output(
+                    shown.pipeline, shown.stage, shown.kind, shown.input
+                ),
+                "cost_ms": attempt.run.cost_ms,
+            }
+        )
+
+    async def _cancel(self, request: web.Request) -> web.Response:
+        body = await read_json(request)
+        attempt = self._attempts.get(body.get("attempt", ""))
+        stopped = attempt is not None and attempt.task.cancel()
+        return web.json_response({"cancelled": stopped})
+
+    async def _get_load(self, request: web.Request) -> web.Response:
+        if self.faults.load_outage:
+            return await self.hold(request)
+        taken, report = self._reports[0]
+        # the state alone is never late: a target knows its own
+        fresh = {"state": self.faults.state, "age_ms": read_ms() - taken}
+        return web.json_response(report | fresh)
+
+    async def _set_faults(self, request: web.Request) -> web.Response:
+        body = await read_json(request)
+        if body.get("state", "live") not in STATES:
+            raise web.HTTPBadRequest(text=f"state must be one of {STATES}")
+        try:
+            update_fields(self.faults, FAULT_NAMES, body)
+        except ControlError as error:
+            raise web.HTTPBadRequest(text=str(error)) from error
+        if self.faults.state == "live":
+            self.record.leaving_since_ms = None
+        elif self.record.leaving_since_ms is None:
+            self.record.leaving_since_ms = read_ms()
+        return web.json_response({})
+
+    async def _get_record(self, request: web.Request) -> web.Response:
+        return web.json_response({"runs": self.record.encode()})
+
+    async def _get_summary(self, request: web.Request) -> web.Response:
+        return web.json_response(self.record.summarize())
+
+    async def _add_state(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        response.headers["X-Target-State"] = self.faults.state
+
+    async def _keep_reports(self, app: web.Application) -> AsyncIterator[None]:
+        """Take two reports in each lag; the older one is shown."""
+        task = asyncio.create_task(self._take_reports())
+        yield
+        task.cancel()
+
+    async def _take_reports(self) -> None:
+        while True:
+            self._reports.append((read_ms(), self.report_load()))
+            del self._reports[:-2]
+            await asyncio.sleep(max(self.options.load_lag_ms, 1) / 2000)
+
+
+def _refuse(call: Call) -> web.Response:
+    body = {
+        "attempt": call.attempt,
+        "not_run": True,
+        "retry_after_ms": RETRY_AFTER_MS,
+    }
+    return web.json_response(body, status=503)
+
+
+def _fail(call: Call, reason: str) -> web.Response:
+    return web.json_response({"attempt": call.attempt, "error": reason}, status=500)
