Make a backup call where a repeatable one stays silent

Cause: a connection that has gone silent swallows a call without an error, so the request was lost at its deadline although other targets were idle.

Weighed: giving the late call up (loses every call of a stage that just became slower), asking the target over a second connection (tells nothing about the first one), a second call on another target, charged to the dispatcher's retry budget (chosen).

Also: the pool of a target that stayed silent is replaced at once, and a refusal of a request that must not run twice no longer tells the caller to ask again.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/target_pool.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/target_pool.py
@@ -47,10 +47,16 @@
     """
 
     def __init__(
-        self, *, clock: Clock, random_source: random.Random, max_age: float
+        self,
+        *,
+        clock: Clock,
+        random_source: random.Random,
+        idle_timeout: float,
+        max_age: float,
     ) -> None:
         self._clock = clock
         self._random = random_source
+        self._idle_timeout = idle_timeout
         self._max_age = max_age
         self._entries: dict[str, _Entry] = {}
         self._fresh: aiohttp.ClientSession | None = None
@@ -100,8 +106,8 @@
             self._retire(entry)
             entry = None
         if entry is None:
-            jitter = self._random.uniform(1 - JITTER, 1 + JITTER)
-            entry = _Entry(self._open(keep=True), now + self._max_age * jitter)
+            expires = now + self._max_age * self._draw_jitter()
+            entry = _Entry(self._open(keep=True), expires)
         # put back at the end: the first entry is the least recently used one
         self._entries[address] = entry
         if len(self._entries) > MAX_TARGETS:
@@ -120,11 +126,14 @@
         self._closing.add(task)
         task.add_done_callback(self._closing.discard)
 
+    def _draw_jitter(self) -> float:
+        return self._random.uniform(1 - JITTER, 1 + JITTER)
+
     def _open(self, *, keep: bool) -> aiohttp.ClientSession:
         if keep:
             connector = aiohttp.TCPConnector(
                 limit=0,
-                keepalive_timeout=self._max_age,
+                keepalive_timeout=self._idle_timeout * self._draw_jitter(),
                 socket_factory=_create_socket,
             )
         else:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/targets.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/targets.py
@@ -47,6 +47,9 @@
 LEAVING = "leaving"
 EVENT_STREAM = "text/event-stream"
 STATUS_OK = 200
+#: seconds without a byte after which the target's kept connections are replaced;
+#: a needless replacement costs a connect, a missed one costs calls
+SILENCE = 0.5
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -54,9 +57,13 @@
     """Bounds on calls to targets; times in seconds."""
 
     connect_timeout: float = 1.0
-    #: time without a byte from the target after which a connection is given up
-    stall_timeout: float = 10.0
+    #: time without a first byte after which a call is given up
+    stall_timeout: float = 60.0
+    #: time without a further byte of an answer that has begun
+    gap_timeout: float = 2.0
     cancel_timeout: float = 1.0
+    #: time after which a connection that is not used is closed
+    idle_timeout: float = 15.0
     #: age at which kept connections are replaced
     max_age: float = 60.0
     max_answer_bytes: int = 16 * 1024 * 1024
@@ -83,7 +90,10 @@
         self._metrics = metrics
         self._limits = limits or TargetLimits()
         self._pool = TargetPool(
-            clock=clock, random_source=random_source, max_age=self._limits.max_age
+            clock=clock,
+            random_source=random_source,
+            idle_timeout=self._limits.idle_timeout,
+            max_age=self._limits.max_age,
         )
 
     async def close(self) -> None:
@@ -107,10 +117,9 @@
         if not call.repeatable:
             result = await attempt.run(self._pool.get_fresh(), target, body)
         else:
-            with self._pool.use(target.address) as session:
-                result = await attempt.run(session, target, body)
+            result = await self._call_pooled(target, attempt, body)
         if isinstance(result, Err):
-            self._note_failure(target, result.err_value)
+            self._metrics.count(f"targets.failed.{result.err_value.kind.value}")
         return result
 
     async def cancel(self, target: Target, attempt_id: str) -> bool:
@@ -133,10 +142,19 @@
         """Return the number of targets with open pools and of replaced pools."""
         return {"pools": len(self._pool), "replaced": self._pool.replaced}
 
-    def _note_failure(self, target: Target, failure: CallFailure) -> None:
-        self._metrics.count(f"targets.failed.{failure.kind.value}")
-        if failure.kind in (FailureKind.STALLED, FailureKind.CROSSED):
+    async def _call_pooled(
+        self, target: Target, attempt: _Attempt, body: bytes
+    ) -> Result[StageAnswer, CallFailure]:
+        with self._pool.use(target.address) as session:
+            try:
+                result = await attempt.run(session, target, body)
+            finally:
+                # also when cancelled because a backup call has answered instead
+                if attempt.silent_for > SILENCE:
+                    self._pool.retire(target.address)
+        if isinstance(result, Err) and result.err_value.kind is FailureKind.CROSSED:
             self._pool.retire(target.address)
+        return result
 
 
 class _MarkedBody(payload.BytesPayload):
@@ -173,8 +191,17 @@
         self._reader = TokenReader(call, on_token)
         self._guard: asyncio.Timeout | None = None
         self._sent = False
+        self._heard = False
+        self._sent_at = 0.0
         self._leaving = False
 
+    @property
+    def silent_for(self) -> float:
+        """Seconds since the call was sent, 0 once the target has said anything."""
+        if not self._sent or self._heard:
+            return 0.0
+        return self._clock.now() - self._sent_at
+
     async def run(
         self, session: aiohttp.ClientSession, target: Target, body: bytes
     ) -> Result[StageAnswer, CallFailure]:
@@ -199,7 +226,8 @@
     def note_sending(self) -> None:
         """Note that the next step hands bytes to the socket."""
         self._sent = True
-        self._extend(self._limits.stall_timeout)
+        self._sent_at = self._clock.now()
+        self._extend(self._call.patience or self._limits.stall_timeout)
 
     async def _exchange(
         self, session: aiohttp.ClientSession, target: Target, body: bytes
@@ -223,6 +251,8 @@
     async def _read(
         self, response: aiohttp.ClientResponse
     ) -> Result[StageAnswer, CallFailure]:
+        self._heard = True
+        self._extend(self._limits.gap_timeout)
         self._leaving = response.headers.get(STATE_HEADER) == LEAVING
         if response.status != STATUS_OK:
             body = await self._read_body(response)
@@ -237,7 +267,7 @@
         chunks: list[bytes] = []
         size = 0
         while chunk := await response.content.readany():
-            self._extend(self._limits.stall_timeout)
+            self._extend(self._limits.gap_timeout)
             size += len(chunk)
             if size > self._limits.max_answer_bytes:
                 raise AnswerError(FailureKind.TARGET_ERROR, "answer too large")
@@ -248,7 +278,7 @@
         parser = EventParser(self._limits.max_event_bytes)
         size = 0
         while chunk := await response.content.readany():
-            self._extend(self._limits.stall_timeout)
+            self._extend(self._limits.gap_timeout)
             size += len(chunk)
             if size > self._limits.max_answer_bytes:
                 raise AnswerError(FailureKind.TARGET_ERROR, "answer too large")
@@ -271,8 +301,8 @@
             return self._fail(FailureKind.DEADLINE, "deadline over")
         if not self._sent:
             return self._fail(FailureKind.CONNECT, "no connection in time")
-        limit = self._limits.stall_timeout
-        return self._fail(FailureKind.STALLED, f"no byte within {limit:g} s")
+        what = "no further byte" if self._heard else "no answer"
+        return self._fail(FailureKind.STALLED, f"{what} in time")
 
     def _fail(self, kind: FailureKind, message: str) -> CallFailure:
         verdict = Verdict.MAY_HAVE_RUN if self._sent else Verdict.NOT_RUN
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/attempts.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/attempts.py
@@ -1,93 +1,52 @@
-"""Attempts at one stage: choose a target, send once, decide what follows."""
+"""Attempts at one stage, until one is answered or none may follow."""
 
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
 from result import Err, Ok, Result
 
 from greengagelatch.config.objects import StageKind
 from greengagelatch.errors import Refusal, RefusalCode
-from greengagelatch.identity import create_id
 from greengagelatch.load import Outcome, OutcomeKind, Ticket
-from greengagelatch.stages.retries import (
-    GiveUp,
-    RetryRules,
-    decide_retry,
-    may_repeat,
-    needs_cancel,
-)
-from greengagelatch.stages.tokens import TokenCheck, TokenRecord
-from greengagelatch.targets import CallFailure, FailureKind, StageCall
-from greengagelatch.verdict import Verdict
+from greengagelatch.stages.patience import PatienceRule, choose_patience
+from greengagelatch.stages.retries import GiveUp, RetryRules, decide_retry
+from greengagelatch.targets import FailureKind
+
+from .sending import ContradictionError, Sender
 
 if TYPE_CHECKING:
     import random
 
     from greengagelatch.clock import Clock
-    from greengagelatch.config.objects import Stage
     from greengagelatch.load import Dispatcher, Grant
-    from greengagelatch.request import Request
-    from greengagelatch.stages.ledger import AttemptLedger
-    from greengagelatch.targets import StageAnswer, TargetClient, TokenListener
+    from greengagelatch.load.durations import DurationTracker
+    from greengagelatch.targets import CallFailure, StageAnswer, TargetClient
     from greengagelatch.targets.directory import TargetDirectory
 
-    from .logs import StageTrace
     from .metrics import Metrics
+    from .sending import StageWork
 
-__all__ = ("AttemptMaker", "StageWork")
+__all__ = ("AttemptMaker",)
 
 #: milliseconds after which a failed stage may do better
 FAILURE_RETRY_MS = 1000
-#: characters of a prompt that are compared to find requests with a shared prefix
+#: characters of a prompt by which requests with a shared prefix are recognised
 PREFIX_LENGTH = 256
-#: attempts that are being cancelled at targets at the same time
-MAX_CANCELS = 256
-
-_OUTCOMES = {
-    FailureKind.TARGET_REFUSED: OutcomeKind.REJECTED,
-    FailureKind.DEADLINE: OutcomeKind.ABANDONED,
-    FailureKind.CANCELLED: OutcomeKind.ABANDONED,
-    FailureKind.CANNOT_RESUME: OutcomeKind.ABANDONED,
-}
-
-
-class ContradictionError(Exception):
-    """A repeated stream differs from what the caller already holds."""
-
-
-@dataclass(slots=True, kw_only=True)
-class StageWork:
-    """One stage of one request, and what its attempts have come to."""
-
-    request: Request
-    stage: Stage
-    input: Any
-    #: monotonic seconds
-    stage_deadline: float
-    priority: int
-    ledger: AttemptLedger
-    #: gives the caller a token; ``None`` where the stage is not streamed
-    on_token: TokenListener | None = None
-    trace: StageTrace | None = None
-    attempts: int = 0
-    excluded: frozenset[str] = frozenset()
-    #: seconds that failed attempts took
-    wasted: float = 0.0
-    tokens: TokenRecord = field(default_factory=TokenRecord)
-    #: whether the next attempt asks the target to go on at the present offset
-    resume: bool = True
-
-    @property
-    def repeatable(self) -> bool:
-        """Whether a call that may have run may be sent again."""
-        return may_repeat(self.stage, self.request)
+PREFIX_FIELD = "prefix"
+#: percentile of a stage's durations beyond which a call counts as late
+LATE_PERCENTILE = 95
+
+StageResult = Result["StageAnswer", "CallFailure"]
 
 
 class AttemptMaker:
-    """Makes attempts at stages until one is answered or none may follow."""
+    """Makes attempts at stages, one after the other or, when one is late, two.
+
+    :param durations: durations by ``(pipeline, stage)``, kept by the dispatcher;
+        without them lateness is judged by the stage's deadline alone
+    """
 
     def __init__(
         self,
@@ -98,16 +57,25 @@
         clock: Clock,
         random_source: random.Random,
         metrics: Metrics,
+        durations: DurationTracker | None = None,
         rules: RetryRules | None = None,
+        patience: PatienceRule | None = None,
     ) -> None:
         self._dispatcher = dispatcher
         self._directory = directory
-        self._client = client
+        self._sender = Sender(
+            dispatcher=dispatcher,
+            directory=directory,
+            client=client,
+            clock=clock,
+            random_source=random_source,
+            metrics=metrics,
+        )
         self._clock = clock
-        self._random = random_source
         self._metrics = metrics
+        self._durations = durations
         self._rules = rules or RetryRules()
-        self._cancels: set[asyncio.Task[bool]] = set()
+        self._patience = patience or PatienceRule()
 
     async def make(self, work: StageWork) -> Result[StageAnswer, Refusal]:
         """Return the stage's answer, or the refusal of the whole request."""
@@ -115,212 +83,188 @@
             acquired = await self._acquire(work)
             if isinstance(acquired, Err):
                 return acquired
-            grant = acquired.ok_value
-            target_id = grant.target.target_id
-            if not self._directory.accepts(target_id):
-                # it began to leave while the call was queued; nothing was sent
-                self._release(grant, OutcomeKind.ABANDONED)
-                work.excluded |= {target_id}
-                continue
             try:
-                result = await self._attempt(work, grant)
+                result = await self._try_once(work, acquired.ok_value)
             except ContradictionError as error:
-                return Err(self._refuse(work, RefusalCode.STAGE_FAILED, str(error)))
+                return Err(_refuse(work, RefusalCode.STAGE_FAILED, str(error)))
             if isinstance(result, Ok):
                 return result
-            refusal = self._consider(work, target_id, result.err_value)
+            refusal = self._consider(work, result.err_value)
             if refusal is not None:
                 return Err(refusal)
 
     async def close(self) -> None:
-        """Wait for the cancellations under way."""
-        await asyncio.gather(*self._cancels, return_exceptions=True)
-
-    async def _acquire(self, work: StageWork) -> Result[Grant, Refusal]:
-        result = await self._dispatcher.acquire(self._create_ticket(work))
-        if isinstance(result, Ok):
-            return result
-        if result.err_value.code is RefusalCode.NO_TARGET and work.excluded:
-            # every target has failed this call once: rather one of them on a new
-            # connection than none at all
-            work.excluded = frozenset()
-            result = await self._dispatcher.acquire(self._create_ticket(work))
-        return result
-
-    def _create_ticket(self, work: StageWork) -> Ticket:
-        request, stage = work.request, work.stage
-        return Ticket(
-            request_id=request.request_id,
-            workspace=request.workspace,
-            pipeline=request.pipeline,
-            stage=stage.name,
-            service=stage.service,
-            kind=stage.kind,
-            deadline=request.deadline,
-            stage_deadline=work.stage_deadline,
-            priority=work.priority,
-            repeatable=work.repeatable,
-            prefix=_find_prefix(stage.kind, work.input),
-            excluded=work.excluded,
-            retry=work.attempts > 0,
-        )
-
-    async def _attempt(
-        self, work: StageWork, grant: Grant
-    ) -> Result[StageAnswer, CallFailure]:
-        call = self._create_call(work)
-        started = self._clock.now()
-        kind = OutcomeKind.ABANDONED
-        verdict = Verdict.MAY_HAVE_RUN
-        outcome = "cancelled"
-        work.attempts += 1
-        work.ledger.begin(call.attempt_id, grant.target.target_id)
-        answered = False
+        """Wait for the cancellations under way at targets."""
+        await self._sender.close()
+
+    async def _try_once(self, work: StageWork, grant: Grant) -> StageResult:
+        work.excluded |= {grant.target.target_id}
+        if not work.repeatable:
+            return await self._sender.send(work, grant)
+        patience = self._choose_patience(work)
+        if work.streamed or patience is None:
+            # two streams at once could differ from one another
+            return await self._sender.send(work, grant, patience)
+        return await self._race(work, grant, patience)
+
+    async def _race(
+        self, work: StageWork, grant: Grant, patience: float
+    ) -> StageResult:
+        first = asyncio.create_task(self._sender.send(work, grant))
+        tasks: set[asyncio.Task[StageResult | None]] = {first}
         try:
-            listener = self._create_listener(work) if call.stream else None
-            result = await self._client.call(grant.target, call, listener)
-            answered = True
-            kind, verdict, outcome = _judge(result)
-            self._note(grant, result)
-        except ContradictionError:
-            kind, verdict, outcome = (
-                OutcomeKind.SUCCESS,
-                Verdict.RAN,
-                "contradiction",
-            )
-            raise
+            await asyncio.wait(tasks, timeout=patience)
+            if first.done():
+                return first.result()
+            self._metrics.count("attempts.late")
+            work.late |= {grant.target.target_id}
+            tasks.add(asyncio.create_task(self._send_backup(work)))
+            return await _take_first_answer(tasks)
         finally:
-            seconds = self._clock.now() - started
-            work.ledger.settle(call.attempt_id, verdict)
-            self._dispatcher.release(grant, Outcome(kind, seconds))
-            if outcome != "answered":
-                work.wasted += seconds
-            if not answered:
-                self._start_cancel(grant, call.attempt_id)
-            if work.trace is not None:
-                work.trace.log_attempt(
-                    attempt_id=call.attempt_id,
-                    target_id=grant.target.target_id,
-                    outcome=outcome,
-                    seconds=seconds,
-                    verdict=verdict,
-                    failed=outcome != "answered",
-                )
-        if isinstance(result, Err) and needs_cancel(result.err_value):
-            self._start_cancel(grant, call.attempt_id)
-        return result
-
-    def _create_call(self, work: StageWork) -> StageCall:
-        request, stage = work.request, work.stage
-        received = work.tokens.tokens if work.resume else ()
-        return StageCall(
-            attempt_id=create_id("attempt", self._random),
-            request_id=request.request_id,
-            workspace=request.workspace,
-            pipeline=request.pipeline,
-            stage=stage.name,
-            kind=stage.kind,
-            input=work.input,
-            repeatable=work.repeatable,
-            deadline=request.deadline,
-            priority=work.priority,
-            stream=work.on_token is not None and stage.kind is StageKind.GENERATE,
-            resume_at=len(received),
-            received=received,
+            await _stop(tasks)
+
+    async def _send_backup(self, work: StageWork) -> StageResult | None:
+        acquired = await self._acquire(work)
+        if isinstance(acquired, Err):
+            return None
+        grant = acquired.ok_value
+        work.excluded |= {grant.target.target_id}
+        return await self._sender.send(work, grant)
+
+    def _choose_patience(self, work: StageWork) -> float | None:
+        now = self._clock.now()
+        median = late = 0.0
+        if self._durations is not None:
+            kind = (work.request.pipeline, work.stage.name)
+            median = self._durations.estimate(kind, 50, now, 0.0)
+            late = self._durations.estimate(kind, LATE_PERCENTILE, now, 0.0)
+        return choose_patience(
+            self._patience,
+            median=median,
+            late=late,
+            remaining=work.stage_deadline - now,
         )
 
-    def _create_listener(self, work: StageWork) -> TokenListener:
-        def listen(offset: int, text: str) -> None:
-            check = work.tokens.take(offset, text)
-            if check is TokenCheck.NEW:
-                assert work.on_token is not None
-                work.on_token(offset, text)
+    async def _acquire(self, work: StageWork) -> Result[Grant, Refusal]:
+        unfit: frozenset[str] = frozenset()
+        while True:
+            self._reconsider(work, unfit)
+            result = await self._dispatcher.acquire(_create_ticket(work, unfit))
+            if isinstance(result, Err):
+                return result
+            grant = result.ok_value
+            if self._directory.accepts(grant.target.target_id):
+                return result
+            # it began to leave after it was chosen; nothing was sent
+            self._metrics.count("attempts.moved")
+            unfit |= {grant.target.target_id}
+            self._dispatcher.release(grant, Outcome(OutcomeKind.ABANDONED, 0.0))
+
+    def _reconsider(self, work: StageWork, unfit: frozenset[str]) -> None:
+        """Allow all targets again once each of them was tried.
+
+        A service with one replica would otherwise fail on one broken connection.
+        """
+        if not work.excluded:
+            return
+        for candidate in self._directory.candidates(work.stage.service):
+            target_id = candidate.target.target_id
+            if target_id not in work.excluded and target_id not in unfit:
                 return
-            if check is not TokenCheck.REPEATED:
-                raise ContradictionError(
-                    f"the stream was cut and its repetition differs at token {offset}"
-                )
-
-        return listen
-
-    def _note(self, grant: Grant, result: Result[StageAnswer, CallFailure]) -> None:
-        target_id = grant.target.target_id
-        value = result.ok_value if isinstance(result, Ok) else result.err_value
-        if value.leaving:
-            self._directory.note_leaving(target_id)
-        if isinstance(result, Ok):
-            self._directory.note_call(target_id, answered=True)
-        elif result.err_value.kind in (FailureKind.CONNECT, FailureKind.STALLED):
-            self._directory.note_call(target_id, answered=False)
-
-    def _consider(
-        self, work: StageWork, target_id: str, failure: CallFailure
-    ) -> Refusal | None:
-        remaining = work.request.deadline - self._clock.now()
+        work.excluded = frozenset()
+
+    def _consider(self, work: StageWork, failure: CallFailure) -> Refusal | None:
         reason = decide_retry(
             self._rules,
             failure,
             repeatable=work.repeatable,
             attempts=work.attempts,
-            remaining=remaining,
+            remaining=work.request.deadline - self._clock.now(),
         )
         if reason is None:
             self._metrics.count("attempts.repeated")
             if failure.kind is FailureKind.CANNOT_RESUME:
                 work.resume = False
-            else:
-                work.excluded |= {target_id}
+                work.excluded = frozenset()
             return None
         self._metrics.count(f"attempts.given_up.{reason.value}")
-        if reason in (GiveUp.OVER, GiveUp.NO_TIME):
-            return self._refuse(work, RefusalCode.DEADLINE, failure.message)
         code = RefusalCode.STAGE_FAILED
-        if failure.kind is FailureKind.TARGET_REFUSED:
+        if reason in (GiveUp.OVER, GiveUp.NO_TIME):
+            code = RefusalCode.DEADLINE
+        elif failure.kind is FailureKind.TARGET_REFUSED:
             code = RefusalCode.OVERLOADED
-        return self._refuse(work, code, failure.message, failure.retry_after_ms)
-
-    def _refuse(
-        self,
-        work: StageWork,
-        code: RefusalCode,
-        message: str,
-        retry_after_ms: int | None = None,
-    ) -> Refusal:
-        return Refusal(
-            code=code,
-            message=f"stage {work.stage.name}: {message}",
-            verdict=work.ledger.verdict,
-            field="stage",
-            value=work.stage.name,
-            retry_after_ms=retry_after_ms or FAILURE_RETRY_MS,
-        )
-
-    def _release(self, grant: Grant, kind: OutcomeKind) -> None:
-        self._dispatcher.release(grant, Outcome(kind, 0.0))
-
-    def _start_cancel(self, grant: Grant, attempt_id: str) -> None:
-        if len(self._cancels) >= MAX_CANCELS:
-            self._metrics.count("attempts.cancels_dropped")
-            return
-        self._metrics.count("attempts.cancelled")
-        task = asyncio.create_task(self._client.cancel(grant.target, attempt_id))
-        self._cancels.add(task)
-        task.add_done_callback(self._cancels.discard)
-
-
-def _judge(
-    result: Result[StageAnswer, CallFailure],
-) -> tuple[OutcomeKind, Verdict, str]:
-    if isinstance(result, Ok):
-        return OutcomeKind.SUCCESS, Verdict.RAN, "answered"
-    failure = result.err_value
-    kind = _OUTCOMES.get(failure.kind, OutcomeKind.FAILURE)
-    return kind, failure.verdict, failure.kind.value
+        return _refuse(work, code, failure.message, failure.retry_after_ms)
+
+
+def _create_ticket(work: StageWork, unfit: frozenset[str]) -> Ticket:
+    request, stage = work.request, work.stage
+    return Ticket(
+        request_id=request.request_id,
+        workspace=request.workspace,
+        pipeline=request.pipeline,
+        stage=stage.name,
+        service=stage.service,
+        kind=stage.kind,
+        deadline=request.deadline,
+        stage_deadline=work.stage_deadline,
+        priority=work.priority,
+        repeatable=work.repeatable,
+        prefix=_find_prefix(stage.kind, work.input),
+        excluded=work.excluded | unfit,
+        retry=work.attempts > 0,
+    )
 
 
 def _find_prefix(kind: StageKind, value: Any) -> str:
+    """Return the prompt prefix that an input names, or the start of its prompt."""
     if kind is not StageKind.GENERATE:
         return ""
-    if isinstance(value, dict):
-        value = value.get("prompt", "")
-    return value[:PREFIX_LENGTH] if isinstance(value, str) else ""
+    if isinstance(value, str):
+        return value[:PREFIX_LENGTH]
+    if not isinstance(value, dict):
+        return ""
+    for holder in (value, *value.values()):
+        if isinstance(holder, dict) and isinstance(holder.get(PREFIX_FIELD), str):
+            return holder[PREFIX_FIELD][:PREFIX_LENGTH]
+    return ""
+
+
+def _refuse(
+    work: StageWork,
+    code: RefusalCode,
+    message: str,
+    retry_after_ms: int | None = None,
+) -> Refusal:
+    return Refusal(
+        code=code,
+        message=f"stage {work.stage.name}: {message}",
+        verdict=work.ledger.verdict,
+        field="stage",
+        value=work.stage.name,
+        retry_after_ms=retry_after_ms or FAILURE_RETRY_MS,
+    )
+
+
+async def _take_first_answer(
+    tasks: set[asyncio.Task[StageResult | None]],
+) -> StageResult:
+    """Return the first answer, or the last failure if there is none."""
+    failure: StageResult | None = None
+    pending = set(tasks)
+    while pending:
+        done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+        for task in done:
+            result = task.result()
+            if isinstance(result, Ok):
+                return result
+            failure = result or failure
+    assert failure is not None
+    return failure
+
+
+async def _stop(tasks: set[asyncio.Task[StageResult | None]]) -> None:
+    late = [task for task in tasks if not task.done()]
+    for task in late:
+        task.cancel()
+    if late:
+        await asyncio.gather(*late, return_exceptions=True)
--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/sending.py
@@ -0,0 +1,264 @@
+"""One attempt at a stage: sent once, settled once, its grant released once."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+from result import Err, Ok, Result
+
+from greengagelatch.config.objects import StageKind
+from greengagelatch.identity import create_id
+from greengagelatch.load import Outcome, OutcomeKind
+from greengagelatch.stages.retries import may_repeat, needs_cancel
+from greengagelatch.stages.tokens import TokenCheck, TokenRecord
+from greengagelatch.targets import CallFailure, FailureKind, StageCall
+from greengagelatch.verdict import Verdict
+
+if TYPE_CHECKING:
+    import random
+
+    from greengagelatch.clock import Clock
+    from greengagelatch.config.objects import Stage
+    from greengagelatch.load import Dispatcher, Grant
+    from greengagelatch.request import Request
+    from greengagelatch.stages.ledger import AttemptLedger
+    from greengagelatch.targets import StageAnswer, TargetClient, TokenListener
+    from greengagelatch.targets.directory import TargetDirectory
+
+    from .logs import StageTrace
+    from .metrics import Metrics
+
+__all__ = ("ContradictionError", "Sender", "StageWork")
+
+#: attempts that are being cancelled at targets at the same time
+MAX_CANCELS = 256
+
+ANSWERED = "answered"
+CANCELLED = "cancelled"
+
+#: how failures count for the choice of targets; the others are the target's fault
+_OUTCOMES = {
+    FailureKind.TARGET_REFUSED: OutcomeKind.REJECTED,
+    FailureKind.DEADLINE: OutcomeKind.ABANDONED,
+    FailureKind.CANCELLED: OutcomeKind.ABANDONED,
+    FailureKind.CANNOT_RESUME: OutcomeKind.ABANDONED,
+}
+
+
+class ContradictionError(Exception):
+    """A repeated stream differs from what the caller already holds."""
+
+
+@dataclass(slots=True, kw_only=True)
+class StageWork:
+    """One stage of one request, and what its attempts have come to."""
+
+    request: Request
+    stage: Stage
+    input: Any
+    #: monotonic seconds
+    stage_deadline: float
+    priority: int
+    ledger: AttemptLedger
+    #: gives the caller a token; ``None`` where the stage is not streamed
+    on_token: TokenListener | None = None
+    trace: StageTrace | None = None
+    attempts: int = 0
+    excluded: frozenset[str] = frozenset()
+    #: seconds that failed attempts took
+    wasted: float = 0.0
+    tokens: TokenRecord = field(default_factory=TokenRecord)
+    #: whether the next attempt asks the target to go on at the present offset
+    resume: bool = True
+    #: targets that a backup was called in for
+    late: frozenset[str] = frozenset()
+    answered: bool = False
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a call that may have run may be sent again."""
+        return may_repeat(self.stage, self.request)
+
+    @property
+    def streamed(self) -> bool:
+        """Whether the answer is asked for token by token."""
+        return self.on_token is not None and self.stage.kind is StageKind.GENERATE
+
+
+class Sender:
+    """Makes single attempts, and stops at targets those that nobody waits for."""
+
+    def __init__(
+        self,
+        *,
+        dispatcher: Dispatcher,
+        directory: TargetDirectory,
+        client: TargetClient,
+        clock: Clock,
+        random_source: random.Random,
+        metrics: Metrics,
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._directory = directory
+        self._client = client
+        self._clock = clock
+        self._random = random_source
+        self._metrics = metrics
+        self._cancels: set[asyncio.Task[bool]] = set()
+
+    async def send(
+        self, work: StageWork, grant: Grant, patience: float | None = None
+    ) -> Result[StageAnswer, CallFailure]:
+        """Make one attempt and release ``grant``, whatever happens.
+
+        :param patience: seconds without a first byte after which to give up
+        :raises ContradictionError: if the stream differs from what was given
+        """
+        call = self._create_call(work, patience)
+        attempt = _Attempt(work, grant, call, self._clock.now())
+        work.attempts += 1
+        work.ledger.begin(call.attempt_id, grant.target.target_id)
+        try:
+            listener = _create_listener(work) if call.stream else None
+            result = await self._client.call(grant.target, call, listener)
+            attempt.judge(result)
+            work.answered = work.answered or isinstance(result, Ok)
+        except ContradictionError:
+            attempt.note_contradiction()
+            raise
+        finally:
+            # also when the request is cancelled: a grant that is not released takes
+            # up the target's room for good, and an attempt left open at the target
+            # goes on costing
+            self._settle(attempt)
+        self._note(grant, result)
+        return result
+
+    async def close(self) -> None:
+        """Wait for the cancellations under way."""
+        await asyncio.gather(*self._cancels, return_exceptions=True)
+
+    def _create_call(self, work: StageWork, patience: float | None) -> StageCall:
+        request, stage = work.request, work.stage
+        received = work.tokens.tokens if work.resume else ()
+        return StageCall(
+            attempt_id=create_id("attempt", self._random),
+            request_id=request.request_id,
+            workspace=request.workspace,
+            pipeline=request.pipeline,
+            stage=stage.name,
+            kind=stage.kind,
+            input=work.input,
+            repeatable=work.repeatable,
+            deadline=request.deadline,
+            priority=work.priority,
+            stream=work.streamed,
+            resume_at=len(received),
+            received=received,
+            patience=patience,
+        )
+
+    def _settle(self, attempt: _Attempt) -> None:
+        work, call = attempt.work, attempt.call
+        seconds = self._clock.now() - attempt.started
+        attempt.note_overtaken()
+        work.ledger.settle(call.attempt_id, attempt.verdict)
+        self._dispatcher.release(attempt.grant, Outcome(attempt.kind, seconds))
+        answered = attempt.outcome == ANSWERED
+        if not answered:
+            work.wasted += seconds
+        if attempt.left_running:
+            self._start_cancel(attempt)
+        if work.trace is None:
+            return
+        work.trace.log_attempt(
+            attempt_id=call.attempt_id,
+            target_id=attempt.grant.target.target_id,
+            outcome=attempt.outcome,
+            seconds=seconds,
+            verdict=attempt.verdict,
+            failed=not answered,
+            message=attempt.message,
+        )
+
+    def _note(self, grant: Grant, result: Result[StageAnswer, CallFailure]) -> None:
+        target_id = grant.target.target_id
+        value = result.ok_value if isinstance(result, Ok) else result.err_value
+        if value.leaving:
+            self._directory.note_leaving(target_id)
+        if isinstance(result, Ok):
+            self._directory.note_call(target_id, answered=True)
+        elif result.err_value.kind is FailureKind.CONNECT:
+            self._directory.note_call(target_id, answered=False)
+
+    def _start_cancel(self, attempt: _Attempt) -> None:
+        if len(self._cancels) >= MAX_CANCELS:
+            self._metrics.count("attempts.cancels_dropped")
+            return
+        self._metrics.count("attempts.cancelled")
+        task = asyncio.create_task(
+            self._client.cancel(attempt.grant.target, attempt.call.attempt_id)
+        )
+        self._cancels.add(task)
+        task.add_done_callback(self._cancels.discard)
+
+
+@dataclass(slots=True)
+class _Attempt:
+    """What became of one attempt; until judged, it counts as cancelled midway."""
+
+    work: StageWork
+    grant: Grant
+    call: StageCall
+    started: float
+    kind: OutcomeKind = OutcomeKind.ABANDONED
+    verdict: Verdict = Verdict.MAY_HAVE_RUN
+    outcome: str = CANCELLED
+    message: str = ""
+    #: whether the target may still be at work on it
+    left_running: bool = True
+
+    def judge(self, result: Result[StageAnswer, CallFailure]) -> None:
+        """Take over what the result says."""
+        if isinstance(result, Err):
+            failure = result.err_value
+            self.kind = _OUTCOMES.get(failure.kind, OutcomeKind.FAILURE)
+            self.verdict = failure.verdict
+            self.outcome = failure.kind.value
+            self.message = failure.message
+            self.left_running = needs_cancel(failure)
+            return
+        self.kind = OutcomeKind.SUCCESS
+        self.verdict = Verdict.RAN
+        self.outcome = ANSWERED
+        self.left_running = False
+
+    def note_overtaken(self) -> None:
+        """Blame the target if it was late and another one has answered instead."""
+        if self.outcome != CANCELLED or not self.work.answered:
+            return
+        if self.grant.target.target_id in self.work.late:
+            self.kind = OutcomeKind.FAILURE
+            self.outcome = "overtaken"
+
+    def note_contradiction(self) -> None:
+        """Note a whole stream that can't be passed on."""
+        self.kind = OutcomeKind.SUCCESS
+        self.verdict = Verdict.RAN
+        self.outcome = "contradiction"
+
+
+def _create_listener(work: StageWork) -> TokenListener:
+    def listen(offset: int, text: str) -> None:
+        check = work.tokens.take(offset, text)
+        if check is TokenCheck.REPEATED:
+            return
+        if check is not TokenCheck.NEW:
+            message = f"the repetition of a cut stream differs at token {offset}"
+            raise ContradictionError(message)
+        assert work.on_token is not None
+        work.on_token(offset, text)
+
+    return listen
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/stages.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/stages.py
@@ -13,9 +13,11 @@
 from greengagelatch.stages.graph import build_input, find_ready
 from greengagelatch.stages.ledger import AttemptLedger
 from greengagelatch.stages.plan import StagePlan, plan_by_share
+from greengagelatch.stages.retries import may_repeat
+from greengagelatch.verdict import Verdict
 
-from .attempts import AttemptMaker, StageWork
 from .filters.observe import TRACE_NOTE
+from .sending import StageWork
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -23,6 +25,7 @@
     from greengagelatch.clock import Clock
     from greengagelatch.config.objects import Pipeline, Stage
 
+    from .attempts import AttemptMaker
     from .filters import Exchange
     from .logs import StageTrace
     from .metrics import Metrics
@@ -53,7 +56,7 @@
         verdict = self.exchange.verdict
         result = None
         if refusal is not None:
-            refusal = replace(refusal, verdict=verdict)
+            refusal = self._complete(refusal)
         else:
             result = self.results[self.pipeline.stages[-1].name]
         return Answer(
@@ -64,6 +67,20 @@
             stage_seconds=self.seconds,
         )
 
+    def _complete(self, refusal: Refusal) -> Refusal:
+        verdict = self.exchange.verdict
+        retry_after_ms = refusal.retry_after_ms
+        if verdict is not Verdict.NOT_RUN and not self._may_ask_again():
+            # a caller that took the hint would run the request a second time
+            retry_after_ms = None
+        return replace(refusal, verdict=verdict, retry_after_ms=retry_after_ms)
+
+    def _may_ask_again(self) -> bool:
+        request = self.exchange.request
+        if request.key:
+            return True
+        return all(may_repeat(stage, request) for stage in self.pipeline.stages)
+
 
 class StageRunner:
     """Runs pipelines; stages whose inputs are ready run side by side.
--- a/packages/greengagelatch/src/greengagelatch/targets/__init__.py
+++ b/packages/greengagelatch/src/greengagelatch/targets/__init__.py
@@ -60,6 +60,9 @@
     resume_at: int = 0
     #: those tokens, without which the digest of the whole can't be checked
     received: tuple[str, ...] = ()
+    #: seconds without a first byte after which the call is given up; ``None``: as
+    #: long as the client sees fit
+    patience: float | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
