--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/bounds.py
@@ -0,0 +1,56 @@
+"""Bounds of the request path, read from the settings."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from greengagelatch.stages.retries import RetryRules
+
+from .adapters.callers import CallerLimits
+from .adapters.targets import TargetLimits
+from .filters.identify import IdentifierLimits
+
+if TYPE_CHECKING:
+    from greengagelatch.settings import Settings
+
+__all__ = (
+    "read_caller_limits",
+    "read_identifier_limits",
+    "read_retry_rules",
+    "read_target_limits",
+)
+
+
+def read_caller_limits(settings: Settings) -> CallerLimits:
+    """Return the bounds on callers' connections."""
+    return CallerLimits(
+        max_body_bytes=settings["callers.max_body_bytes"],
+        max_header_bytes=settings["callers.max_header_bytes"],
+        max_connections=settings["callers.max_connections"],
+        idle_timeout=settings["callers.idle_timeout"],
+        body_timeout=settings["callers.body_timeout"],
+        write_timeout=settings["callers.write_timeout"],
+        max_unwritten_bytes=settings["callers.max_unwritten_bytes"],
+    )
+
+
+def read_identifier_limits(settings: Settings) -> IdentifierLimits:
+    """Return the bounds on what callers may ask."""
+    return IdentifierLimits(max_deadline_ms=settings["callers.max_deadline_ms"])
+
+
+def read_target_limits(settings: Settings) -> TargetLimits:
+    """Return the bounds on calls to targets."""
+    return TargetLimits(
+        connect_timeout=settings["targets.connect_timeout"],
+        stall_timeout=settings["targets.stall_timeout"],
+        gap_timeout=settings["targets.gap_timeout"],
+        idle_timeout=settings["targets.idle_timeout"],
+        max_age=settings["targets.max_age"],
+        max_answer_bytes=settings["targets.max_answer_bytes"],
+    )
+
+
+def read_retry_rules(settings: Settings) -> RetryRules:
+    """Return the bounds on repeated calls."""
+    return RetryRules(max_attempts=settings["targets.max_attempts"])
