Add failure detection between entry instances, as decisions

Cause: each instance has to know the others without a service of agreement. Weighed: a full mesh of heartbeats (cost grows with the fleet) against probing a few, in the manner of SWIM; probing any member over a new connection each time against a stable random choice of neighbours with some random probes. Leaving overrides all other states of an incarnation; the list only adds instances to try and tells who leaves. Not yet tested.

--- /dev/null
+++ b/packages/greengagelatch/src/greengagelatch/membership/detector.py
@@ -0,0 +1,345 @@
+"""Failure detection between entry instances, in the manner of SWIM.
+
+Each period an instance probes one of its peers. A peer that does not answer is
+probed through a few others, since only the path between the two may be at fault. If
+that fails too it is suspected, and all are told. Unless it refutes that in time, by
+a higher incarnation, it is taken for dead. What instances observe travels with the
+probes and their answers, so the cost for an instance does not grow with the fleet.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Iterable
+
+from ..instances import Listing
+from ..peers import MemberState
+from ..peers.codec import Message
+from .messages import MembersTable, Probe, ProbeAck, ProbeRequest
+from .overlay import choose_neighbours
+from .own import OwnState
+from .probes import PendingProbes
+from .records import Record, Update, decode_update, encode_update
+from .rumours import Rumours
+from .steps import DetectorRules, Identity, Send, Step
+from .table import Table, list_updates
+
+__all__ = ("Detector",)
+
+#: suspected instances probed again in each period, so that they hear of it
+SUSPECTS_PROBED = 2
+
+#: peers told directly when this instance begins to leave
+LEAVING_TOLD = 16
+
+
+class Detector:
+    """The membership as this instance sees it; it neither sends nor waits."""
+
+    def __init__(
+        self, *, identity: Identity, rules: DetectorRules, random_source: random.Random
+    ) -> None:
+        self._own = OwnState(identity)
+        self._rules = rules
+        self._random = random_source
+        self._table = Table()
+        self._rumours = Rumours(factor=rules.spread)
+        self._probes = PendingProbes()
+        self._order: list[str] = []
+        self._periods = 0
+        self._next_period: float | None = None
+        self._next_dead = 0.0
+        self._last: float | None = None
+        self._neighbours: frozenset[str] | None = None
+        self._sends: list[Send] = []
+        self._changed = False
+        self._rumours.add(self._own.update)
+
+    # questions
+
+    @property
+    def own(self) -> OwnState:
+        """What this instance says of itself."""
+        return self._own
+
+    @property
+    def table(self) -> Table:
+        """What is believed of the other instances."""
+        return self._table
+
+    def list_neighbours(self) -> frozenset[str]:
+        """Return the instances to which a link should be kept."""
+        if self._neighbours is None:
+            up = self._table.select(MemberState.ALIVE, MemberState.SUSPECT)
+            self._neighbours = choose_neighbours(
+                self._own.instance_id,
+                self._own.data_centre,
+                [record for record in up if record.address],
+                self._rules.links,
+            )
+        return self._neighbours
+
+    def compute_suspicion(self) -> float:
+        """Return the seconds that a suspected instance has to refute it."""
+        members = max(10, self._count_present())
+        return self._rules.suspicion * self._rules.period * math.log10(members)
+
+    def list_all_updates(self) -> list[Update]:
+        """Return all that is known, this instance included."""
+        return [self._own.update, *list_updates(self._table)]
+
+    # inputs
+
+    def advance(self, now: float) -> Step:
+        """Do what is due; to be called several times in each period."""
+        self._notice_pause(now)
+        self._last = now
+        self._judge_probes(now)
+        self._judge_suspects(now)
+        if self._next_period is None or now >= self._next_period:
+            self._begin_period(now)
+        return self._finish()
+
+    def meet(self, now: float, identity: Identity, *, leaving: bool = False) -> Step:
+        """Take in what a peer says of itself when a link to it is opened."""
+        state = MemberState.LEAVING if leaving else MemberState.ALIVE
+        update = Update(
+            instance_id=identity.instance_id,
+            incarnation=identity.incarnation,
+            state=state,
+            data_centre=identity.data_centre,
+            address=identity.address,
+        )
+        self._merge(now, update)
+        # it may be believed dead by now and has to learn of that to refute it
+        if self._find_state(identity.instance_id) is not MemberState.LEAVING:
+            self._probe(now, identity.instance_id)
+        return self._finish()
+
+    def receive(self, now: float, sender: str, message: Message) -> Step:
+        """Take in a probe, an answer to one or a request for one."""
+        match message:
+            case Probe(sequence, updates):
+                self._merge_all(now, updates)
+                ack = ProbeAck(sequence, self._take_updates(sender))
+                self._sends.append(Send(sender, ack))
+            case ProbeAck(sequence, updates):
+                self._merge_all(now, updates)
+                self._settle(sequence)
+            case ProbeRequest(sequence, instance_id, updates):
+                self._merge_all(now, updates)
+                origin = (sender, sequence)
+                self._probe(now, instance_id, origin=origin)
+            case MembersTable(updates):
+                self._merge_all(now, updates)
+        return self._finish()
+
+    def note_link_lost(self, now: float, instance_id: str) -> Step:
+        """Probe an instance at once, as a link to it has broken."""
+        state = self._find_state(instance_id)
+        if state is MemberState.ALIVE and not self._probes.awaits(instance_id):
+            self._probe(now, instance_id)
+        return self._finish()
+
+    def apply_listing(self, now: float, listing: Listing) -> Step:
+        """Take in the platform's list."""
+        before = len(self._table)
+        news = self._table.apply_listing(listing, self._own.instance_id, now)
+        for update in news:
+            self._rumours.add(update)
+        if news or len(self._table) != before:
+            self._note_change()
+        return self._finish()
+
+    def leave(self, now: float) -> Step:
+        """Announce that this instance is leaving; it can't be undone."""
+        if self._own.leaving:
+            return self._finish()
+        self._own.leave()
+        self._changed = True
+        self._rumours.add(self._own.update)
+        present = self._list_present()
+        for peer in self._pick(present, LEAVING_TOLD, frozenset()):
+            self._probe(now, peer)
+        return self._finish()
+
+    # time
+
+    def _notice_pause(self, now: float) -> None:
+        """Restart all timers after this process stood still.
+
+        A process that was stopped, or whose loop was blocked, finds all its probes
+        unanswered when it runs again. One would notice it by an instance that
+        declares everybody dead at once. So the time that passed is not held against
+        anybody: open probes are dropped and suspicions last longer by the pause.
+        """
+        if self._last is None or now - self._last <= self._rules.pause:
+            return
+        pause = now - self._last
+        self._probes.clear()
+        self._table.delay(pause)
+        self._next_period = now
+        if not self._own.leaving and pause > self._rules.probe_limit:
+            # others may suspect this instance by now; this refutes it beforehand
+            self._own.raise_incarnation()
+            self._rumours.add(self._own.update)
+
+    def _judge_probes(self, now: float) -> None:
+        for sequence, probe in self._probes.list_unhelped(
+            now - self._rules.probe_timeout
+        ):
+            helpers = self._pick(
+                self._list_present(), self._rules.helpers, {probe.instance_id}
+            )
+            for helper in helpers:
+                request = ProbeRequest(
+                    sequence, probe.instance_id, self._take_updates(helper)
+                )
+                self._sends.append(Send(helper, request))
+        for probe in self._probes.take_failed(now - self._rules.probe_limit):
+            if probe.origin is None:
+                self._suspect(now, probe.instance_id)
+
+    def _judge_suspects(self, now: float) -> None:
+        latest = now - self.compute_suspicion()
+        for record in self._table.select(MemberState.SUSPECT):
+            if record.since <= latest:
+                self._observe(now, record, MemberState.DEAD)
+
+    def _begin_period(self, now: float) -> None:
+        self._next_period = now + self._rules.period * (
+            0.9 + 0.2 * self._random.random()
+        )
+        self._periods += 1
+        chosen = self._choose_probed()
+        if chosen is not None:
+            self._probe(now, chosen)
+        suspects = [r.instance_id for r in self._table.select(MemberState.SUSPECT)]
+        for suspect in self._pick(suspects, SUSPECTS_PROBED, {chosen or ""}):
+            self._probe(now, suspect)
+        if now >= self._next_dead:
+            self._begin_dead_period(now)
+
+    def _begin_dead_period(self, now: float) -> None:
+        # dead instances may be on the other side of a partition; trying them, ever
+        # so rarely, is what joins the two sides again when it heals
+        spread = 0.5 + self._random.random()
+        self._next_dead = now + self._rules.dead_interval * spread
+        self._table.forget(now)
+        self._neighbours = None
+        dead = [
+            record.instance_id
+            for record in self._table.select(MemberState.DEAD)
+            if record.address
+        ]
+        for instance_id in self._pick(dead, 1, frozenset()):
+            self._probe(now, instance_id)
+
+    def _choose_probed(self) -> str | None:
+        if self._periods % self._rules.random_share == 0:
+            return next(iter(self._pick(self._list_present(), 1, frozenset())), None)
+        neighbours = self.list_neighbours()
+        while self._order:
+            instance_id = self._order.pop()
+            if instance_id in neighbours:
+                return instance_id
+        # each round visits all neighbours in a new order: none is left out for long
+        self._order = sorted(neighbours)
+        self._random.shuffle(self._order)
+        return self._order.pop() if self._order else None
+
+    # probes
+
+    def _probe(
+        self, now: float, instance_id: str, origin: tuple[str, int] | None = None
+    ) -> None:
+        record = self._table.find(instance_id)
+        if record is None or not record.address:
+            return
+        sequence = self._probes.add(now, instance_id, origin)
+        message = Probe(sequence, self._take_updates(instance_id))
+        self._sends.append(Send(instance_id, message))
+
+    def _settle(self, sequence: int) -> None:
+        probe = self._probes.take(sequence)
+        if probe is None or probe.origin is None:
+            return
+        requester, requested = probe.origin
+        ack = ProbeAck(requested, self._take_updates(requester))
+        self._sends.append(Send(requester, ack))
+
+    def _suspect(self, now: float, instance_id: str) -> None:
+        record = self._table.find(instance_id)
+        if record is None or record.state is not MemberState.ALIVE:
+            return
+        # nobody has met it: there is nobody to refute a suspicion
+        state = MemberState.SUSPECT if record.heard else MemberState.DEAD
+        self._observe(now, record, state)
+
+    # observations
+
+    def _observe(self, now: float, record: Record, state: MemberState) -> None:
+        update = Update(
+            instance_id=record.instance_id,
+            incarnation=record.incarnation,
+            state=state,
+            data_centre=record.data_centre,
+            address=record.address,
+        )
+        self._merge(now, update)
+
+    def _merge_all(self, now: float, updates: Iterable[object]) -> None:
+        for item in updates:
+            update = decode_update(item)
+            if update is not None:
+                self._merge(now, update)
+
+    def _merge(self, now: float, update: Update) -> None:
+        if update.instance_id == self._own.instance_id:
+            if self._own.hear(update):
+                self._rumours.add(self._own.update)
+            return
+        if not self._table.merge(update, now):
+            return
+        self._note_change()
+        record = self._table.find(update.instance_id)
+        if record is not None and record.heard:
+            self._rumours.add(record.update)
+
+    def _take_updates(self, receiver: str) -> tuple[tuple, ...]:
+        record = self._table.find(receiver)
+        updates = []
+        if record is not None and record.state is not MemberState.ALIVE:
+            # what the receiver must hear to refute it, if it can
+            updates.append(record.update)
+        room = self._rules.updates - len(updates)
+        updates += self._rumours.take(room, self._count_present())
+        return tuple(encode_update(update) for update in updates)
+
+    # members
+
+    def _list_present(self) -> list[str]:
+        up = self._table.select(MemberState.ALIVE, MemberState.SUSPECT)
+        return [record.instance_id for record in up if record.address]
+
+    def _count_present(self) -> int:
+        return 1 + len(self._table.select(MemberState.ALIVE, MemberState.SUSPECT))
+
+    def _find_state(self, instance_id: str) -> MemberState | None:
+        record = self._table.find(instance_id)
+        return None if record is None else record.state
+
+    def _pick(self, ids: list[str], number: int, excluded: Iterable[str]) -> list[str]:
+        chosen = [item for item in ids if item not in excluded]
+        return self._random.sample(chosen, min(number, len(chosen)))
+
+    def _note_change(self) -> None:
+        self._changed = True
+        self._neighbours = None
+
+    def _finish(self) -> Step:
+        step = Step(sends=tuple(self._sends), changed=self._changed)
+        self._sends = []
+        self._changed = False
+        return step
--- /dev/null
+++ b/packages/greengagelatch/src/greengagelatch/membership/messages.py
@@ -0,0 +1,57 @@
+"""Messages by which entry instances watch each other."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+from ..peers.codec import Message, register
+
+__all__ = ("MembersQuery", "MembersTable", "Probe", "ProbeAck", "ProbeRequest")
+
+#: an encoded :class:`~greengagelatch.membership.records.Update`
+EncodedUpdate = tuple[Any, ...]
+
+
+@register("probe")
+@dataclass(frozen=True, slots=True)
+class Probe(Message):
+    """Asks whether the receiver is alive."""
+
+    sequence: int = 0
+    updates: tuple[EncodedUpdate, ...] = ()
+
+
+@register("probe-ack")
+@dataclass(frozen=True, slots=True)
+class ProbeAck(Message):
+    """Answers a probe, or tells that the probed instance answered a helper."""
+
+    sequence: int = 0
+    updates: tuple[EncodedUpdate, ...] = ()
+
+
+@register("probe-request")
+@dataclass(frozen=True, slots=True)
+class ProbeRequest(Message):
+    """Asks the receiver to probe another instance on the sender's behalf."""
+
+    sequence: int = 0
+    instance_id: str = ""
+    updates: tuple[EncodedUpdate, ...] = ()
+
+
+@register("members-query")
+@dataclass(frozen=True, slots=True)
+class MembersQuery(Message):
+    """Asks for all members; answered by an empty table if digests are equal."""
+
+    digest: bytes = b""
+
+
+@register("members-table")
+@dataclass(frozen=True, slots=True)
+class MembersTable(Message):
+    """All members that the sender knows."""
+
+    updates: tuple[EncodedUpdate, ...] = ()
--- /dev/null
+++ b/packages/greengagelatch/src/greengagelatch/membership/overlay.py
@@ -0,0 +1,41 @@
+"""Which peers an instance keeps a link to."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Sequence
+
+import xxhash
+
+from .records import Record
+
+__all__ = ("choose_neighbours",)
+
+
+def choose_neighbours(
+    instance_id: str, data_centre: str, records: Sequence[Record], links: int
+) -> frozenset[str]:
+    """Return the instances to which ``instance_id`` keeps a link.
+
+    In a small fleet these are all others. In a large one it is a random but stable
+    half-and-half choice from its own data centre and from the others: links to its
+    own keep a data centre together when it is cut off, the rest carry news between
+    data centres. Each instance opens as many, so all are watched by at least that
+    many, and the number of links does not grow with the fleet.
+
+    :param links: number of links to open.
+    """
+    if len(records) <= 2 * links:
+        return frozenset(record.instance_id for record in records)
+
+    def weigh(record: Record) -> int:
+        pair = f"{instance_id}\x00{record.instance_id}"
+        return xxhash.xxh3_64_intdigest(pair.encode())
+
+    near = [record for record in records if record.data_centre == data_centre]
+    far = [record for record in records if record.data_centre != data_centre]
+    wanted_far = min(len(far), links // 2)
+    wanted_near = min(len(near), links - wanted_far)
+    chosen = heapq.nsmallest(wanted_near, near, key=weigh)
+    chosen += heapq.nsmallest(links - wanted_near, far, key=weigh)
+    return frozenset(record.instance_id for record in chosen)
--- /dev/null
+++ b/packages/greengagelatch/src/greengagelatch/membership/probes.py
@@ -0,0 +1,74 @@
+"""Probes that wait for their answer."""
+
+from __future__ import annotations
+
+import dataclasses
+from dataclasses import dataclass
+
+__all__ = ("PendingProbe", "PendingProbes")
+
+#: probes that may wait at the same time; the oldest is dropped beyond that
+MAX_PENDING = 1024
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PendingProbe:
+    """A probe sent and not yet answered."""
+
+    instance_id: str
+    #: monotonic seconds
+    sent: float
+    #: requester and its own sequence number, where this instance is only a helper
+    origin: tuple[str, int] | None = None
+    #: whether helpers have been asked
+    helped: bool = False
+
+
+class PendingProbes:
+    """Pending probes by sequence number."""
+
+    def __init__(self) -> None:
+        self._sequence = 0
+        self._probes: dict[int, PendingProbe] = {}
+
+    def add(
+        self, now: float, instance_id: str, origin: tuple[str, int] | None = None
+    ) -> int:
+        """Note a probe and return its sequence number."""
+        self._sequence += 1
+        if len(self._probes) >= MAX_PENDING:
+            del self._probes[next(iter(self._probes))]
+        self._probes[self._sequence] = PendingProbe(
+            instance_id=instance_id, sent=now, origin=origin
+        )
+        return self._sequence
+
+    def awaits(self, instance_id: str) -> bool:
+        """Whether a probe of an instance is pending."""
+        return any(item.instance_id == instance_id for item in self._probes.values())
+
+    def take(self, sequence: int) -> PendingProbe | None:
+        """Remove an answered probe; ``None`` if it is not pending any more."""
+        return self._probes.pop(sequence, None)
+
+    def list_unhelped(self, before: float) -> list[tuple[int, PendingProbe]]:
+        """Return own probes sent before that need helpers now, each only once."""
+        found = []
+        for sequence, probe in self._probes.items():
+            if probe.origin is not None or probe.helped or probe.sent > before:
+                continue
+            found.append((sequence, probe))
+        for sequence, probe in found:
+            self._probes[sequence] = dataclasses.replace(probe, helped=True)
+        return found
+
+    def take_failed(self, before: float) -> list[PendingProbe]:
+        """Remove and return the probes sent before that nobody answered."""
+        failed = [
+            sequence for sequence, probe in self._probes.items() if probe.sent <= before
+        ]
+        return [self._probes.pop(sequence) for sequence in failed]
+
+    def clear(self) -> None:
+        """Drop all probes without judging anybody."""
+        self._probes.clear()
--- /dev/null
+++ b/packages/greengagelatch/src/greengagelatch/membership/records.py
@@ -0,0 +1,115 @@
+"""Observations of entry instances and the order in which they override each other."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+from ..peers import MemberState
+
+__all__ = ("Record", "Update", "decode_update", "encode_update")
+
+#: Within one incarnation, a later state of this list overrides an earlier one. Leaving
+#: comes last: it is an instance's own decision, which no later silence takes back.
+_ORDER = (
+    MemberState.ALIVE,
+    MemberState.SUSPECT,
+    MemberState.DEAD,
+    MemberState.LEAVING,
+)
+
+_RANKS = {state: rank for rank, state in enumerate(_ORDER)}
+
+MAX_TEXT = 255
+
+MAX_INCARNATION = 2**53
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Update:
+    """An observation of one entry instance, as it is passed on.
+
+    Observations are totally ordered by incarnation, then by state. As each
+    instance keeps the highest, all come to the same view whatever the order in
+    which they hear of things. Only an instance itself raises its incarnation.
+    """
+
+    instance_id: str
+    #: zero stands for an instance known from the platform's list only
+    incarnation: int
+    state: MemberState
+    #: empty where the sender does not know or need not say it
+    data_centre: str = ""
+    address: str = ""
+
+    def overrides(self, incarnation: int, state: MemberState) -> bool:
+        """Whether this is newer than what an instance believes."""
+        own = (self.incarnation, _RANKS[self.state])
+        return own > (incarnation, _RANKS[state])
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Record:
+    """What this instance believes of another one."""
+
+    instance_id: str
+    data_centre: str
+    address: str
+    incarnation: int
+    state: MemberState
+    #: monotonic seconds at which it came into this state
+    since: float
+    #: whether the newest listing of the platform shows it
+    listed: bool = False
+    #: whether any listing showed it as leaving: that holds for its id for good, as
+    #: a replacement has a new id, whatever it says itself
+    listed_leaving: bool = False
+
+    @property
+    def heard(self) -> bool:
+        """Whether any instance has met it; the list alone does not count."""
+        return self.incarnation > 0
+
+    @property
+    def update(self) -> Update:
+        """This belief in the form in which it is passed on."""
+        return Update(
+            instance_id=self.instance_id,
+            incarnation=self.incarnation,
+            state=self.state,
+            data_centre=self.data_centre,
+            address=self.address,
+        )
+
+
+def encode_update(update: Update) -> tuple[Any, ...]:
+    """Return an update as a short tuple for the wire.
+
+    The address is left out where it is no longer needed.
+    """
+    head = (update.instance_id, update.incarnation, _RANKS[update.state])
+    if update.state in (MemberState.DEAD, MemberState.LEAVING):
+        return head
+    return (*head, update.data_centre, update.address)
+
+
+def decode_update(item: Any) -> Update | None:
+    """Read what a peer sent; ``None`` if it makes no sense."""
+    if not isinstance(item, tuple) or len(item) < 3:
+        return None
+    instance_id, incarnation, rank = item[:3]
+    texts = (instance_id, *item[3:5])
+    if not all(isinstance(text, str) and len(text) <= MAX_TEXT for text in texts):
+        return None
+    numbers = (incarnation, rank)
+    if not all(type(number) is int for number in numbers) or not instance_id:
+        return None
+    if not 0 < incarnation <= MAX_INCARNATION or not 0 <= rank < len(_ORDER):
+        return None
+    return Update(
+        instance_id=instance_id,
+        incarnation=incarnation,
+        state=_ORDER[rank],
+        data_centre=item[3] if len(item) > 3 else "",
+        address=item[4] if len(item) > 4 else "",
+    )
--- /dev/null
+++ b/packages/greengagelatch/src/greengagelatch/membership/rumours.py
@@ -0,0 +1,50 @@
+"""Which observations are passed on with the next message."""
+
+from __future__ import annotations
+
+import math
+
+from .records import Update
+
+__all__ = ("Rumours",)
+
+
+class Rumours:
+    """Recent observations, each passed on a bounded number of times.
+
+    With ``factor`` times the logarithm of the number of members, an observation
+    reaches all of them with high probability while its cost stays bounded.
+
+    :param factor: transmissions for each doubling of the number of members.
+    :param limit: observations kept; the most often sent are dropped first.
+    """
+
+    def __init__(self, *, factor: int, limit: int = 256) -> None:
+        self._factor = factor
+        self._limit = limit
+        #: transmissions so far and the observation, by instance
+        self._items: dict[str, tuple[int, Update]] = {}
+
+    def __len__(self) -> int:
+        return len(self._items)
+
+    def add(self, update: Update) -> None:
+        """Pass on ``update``; it takes the place of an older one."""
+        self._items[update.instance_id] = (0, update)
+        if len(self._items) <= self._limit:
+            return
+        oldest = max(self._items, key=lambda key: self._items[key][0])
+        del self._items[oldest]
+
+    def take(self, number: int, members: int) -> list[Update]:
+        """Return the ``number`` observations sent least often so far."""
+        if not self._items:
+            return []
+        most = self._factor * math.ceil(math.log2(members + 1))
+        chosen = sorted(self._items.values(), key=lambda item: item[0])[:number]
+        for sent, update in chosen:
+            if sent + 1 >= most:
+                del self._items[update.instance_id]
+                continue
+            self._items[update.instance_id] = (sent + 1, update)
+        return [update for _, update in chosen]
--- /dev/null
+++ b/packages/greengagelatch/src/greengagelatch/membership/table.py
@@ -0,0 +1,196 @@
+"""What an instance believes of all others."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Iterable, Iterator
+
+import xxhash
+
+from ..instances import Instance, InstanceKind, InstanceState, Listing
+from ..peers import MemberState
+from .records import Record, Update
+
+__all__ = ("MAX_RECORDS", "Table")
+
+#: instances remembered; beyond that those longest gone make room
+MAX_RECORDS = 8192
+
+#: seconds for which a dead instance is remembered, so that partitions can heal
+DEAD_RETENTION = 24 * 3600.0
+
+#: the same for one that the platform's list no longer shows
+UNLISTED_RETENTION = 600.0
+
+#: seconds for which an instance that left is remembered, so that it can't come back
+LEFT_RETENTION = 24 * 3600.0
+
+
+class Table:
+    """Records of all other instances, by id."""
+
+    def __init__(self) -> None:
+        self._records: dict[str, Record] = {}
+        self._as_of = -1
+        self._applied: Listing | None = None
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def __iter__(self) -> Iterator[Record]:
+        return iter(self._records.values())
+
+    def find(self, instance_id: str) -> Record | None:
+        """Return the record of an instance."""
+        return self._records.get(instance_id)
+
+    def select(self, *states: MemberState) -> list[Record]:
+        """Return the records in one of ``states``, by id."""
+        found = [record for record in self if record.state in states]
+        return sorted(found, key=lambda record: record.instance_id)
+
+    def merge(self, update: Update, now: float) -> bool:
+        """Take in an observation; whether it was newer than what was known."""
+        record = self._records.get(update.instance_id)
+        if record is None:
+            return self._add(update, now)
+        if record.listed_leaving:
+            update = dataclasses.replace(update, state=MemberState.LEAVING)
+        filled = _fill(record, update)
+        if not update.overrides(record.incarnation, record.state):
+            self._records[update.instance_id] = filled
+            return False
+        since = record.since if record.state is update.state else now
+        self._records[update.instance_id] = dataclasses.replace(
+            filled,
+            incarnation=update.incarnation,
+            state=update.state,
+            since=since,
+            # an instance may have moved when it raised its incarnation
+            data_centre=update.data_centre or filled.data_centre,
+            address=update.address or filled.address,
+        )
+        return True
+
+    def apply_listing(self, listing: Listing, own_id: str, now: float) -> list[Update]:
+        """Take in a listing; return what is to be passed on of it.
+
+        The list only adds instances to try and tells which are leaving. It is no
+        proof of life, and what it lacks may be there all the same.
+        """
+        if listing.as_of < self._as_of or listing is self._applied:
+            return []
+        self._as_of = listing.as_of
+        self._applied = listing
+        news = []
+        shown = set()
+        centres = set()
+        for row in listing.instances:
+            if row.kind is not InstanceKind.ENTRY or row.instance_id == own_id:
+                continue
+            shown.add(row.instance_id)
+            centres.add(row.data_centre)
+            update = self._apply_row(row, now)
+            if update is not None:
+                news.append(update)
+        self._mark_listed(shown, centres)
+        return news
+
+    def delay(self, seconds: float) -> None:
+        """Move all times forward, after a pause of this process."""
+        for record in list(self):
+            self._replace(record, since=record.since + seconds)
+
+    def forget(self, now: float) -> None:
+        """Drop what has long been dead or gone."""
+        for record in list(self):
+            if now - record.since < _find_retention(record):
+                continue
+            del self._records[record.instance_id]
+
+    def compute_digest(self) -> bytes:
+        """Return a digest of the instances that are up, equal for equal views."""
+        present = self.select(MemberState.ALIVE, MemberState.SUSPECT)
+        digest = xxhash.xxh3_64()
+        for record in present:
+            if record.heard:
+                digest.update(
+                    f"{record.instance_id}\x00{record.incarnation}\n".encode()
+                )
+        return digest.digest()
+
+    def _mark_listed(self, shown: set[str], centres: set[str]) -> None:
+        for record in list(self):
+            listed = record.instance_id in shown
+            if listed == record.listed:
+                continue
+            # a data centre that vanished as a whole is out of the platform's reach:
+            # its instances are to be remembered until it is back
+            if not listed and record.data_centre not in centres:
+                continue
+            self._replace(record, listed=listed)
+
+    def _make_room(self) -> bool:
+        if len(self._records) < MAX_RECORDS:
+            return True
+        gone = self.select(MemberState.DEAD, MemberState.LEAVING)
+        if not gone:
+            return False
+        oldest = min(gone, key=lambda record: record.since)
+        del self._records[oldest.instance_id]
+        return True
+
+    def _add(self, update: Update, now: float) -> bool:
+        if not self._make_room():
+            return False
+        self._records[update.instance_id] = Record(
+            instance_id=update.instance_id,
+            data_centre=update.data_centre,
+            address=update.address,
+            incarnation=update.incarnation,
+            state=update.state,
+            since=now,
+        )
+        return True
+
+    def _apply_row(self, row: Instance, now: float) -> Update | None:
+        record = self._records.get(row.instance_id)
+        leaving = row.state is InstanceState.LEAVING
+        update = Update(
+            instance_id=row.instance_id,
+            incarnation=0 if record is None else record.incarnation,
+            state=MemberState.LEAVING if leaving else MemberState.ALIVE,
+            data_centre=row.data_centre,
+            address=row.address,
+        )
+        changed = self.merge(update, now)
+        if not leaving or row.instance_id not in self._records:
+            return None
+        self._replace(self._records[row.instance_id], listed_leaving=True)
+        return update if changed and update.incarnation > 0 else None
+
+    def _replace(self, record: Record, **changes: object) -> None:
+        self._records[record.instance_id] = dataclasses.replace(record, **changes)
+
+
+def _fill(record: Record, update: Update) -> Record:
+    if record.address and record.data_centre:
+        return record
+    return dataclasses.replace(
+        record,
+        data_centre=record.data_centre or update.data_centre,
+        address=record.address or update.address,
+    )
+
+
+def _find_retention(record: Record) -> float:
+    if record.state is MemberState.LEAVING:
+        return LEFT_RETENTION
+    if record.state is not MemberState.DEAD:
+        return float("inf")
+    return DEAD_RETENTION if record.listed else UNLISTED_RETENTION
+
+
+def list_updates(records: Iterable[Record]) -> list[Update]:
+    """Return what can be passed on of ``records``."""
+    return [record.update for record in records if record.heard]
--- a/packages/greengagelatch/src/greengagelatch/peers/__init__.py
+++ b/packages/greengagelatch/src/greengagelatch/peers/__init__.py
@@ -53,6 +53,8 @@
     NOT_SENT = "not-sent"
     #: the peer may have acted on the message
     NO_ANSWER = "no-answer"
+    #: the peer's word that it did not act on the message
+    REFUSED = "refused"
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,7 +79,12 @@
 
     @abstractmethod
     def send(self, instance_id: str, message: Message) -> bool:
-        """Queue a message without waiting; ``False`` if there is no link to it."""
+        """Queue a message without waiting; ``False`` if there is no way to it.
+
+        Where no link is open, one is opened and the message waits for it; ``False``
+        is returned for unknown instances and those lately out of reach. ``True``
+        does not mean that the message arrives.
+        """
 
     @abstractmethod
     async def ask(
