--- a/packages/greengagelatch/src/greengagelatch/settings.py
+++ b/packages/greengagelatch/src/greengagelatch/settings.py
@@ -107,8 +107,8 @@
         unit="s",
         minimum=1,
         maximum=3600,
-        meaning="Time after which a connection without a whole request is closed; keep it"
-        " above the balancer's own.",
+        meaning="Time after which a connection without a whole request is closed; keep"
+        " it above the balancer's own.",
     ),
     Setting(
         name="callers.body_timeout",
@@ -327,8 +327,8 @@
         unit="s",
         minimum=0.1,
         maximum=86400,
-        meaning="Age at which connections to a target are replaced, give or take a third;"
-        " one that went silent unnoticed is used no longer than that.",
+        meaning="Age at which connections to a target are replaced, give or take a"
+        " third; one that went silent unnoticed is used no longer than that.",
     ),
     Setting(
         name="targets.max_answer_bytes",
