--- a/packages/greengagelatch/src/greengagelatch/config/effects.py
+++ b/packages/greengagelatch/src/greengagelatch/config/effects.py
@@ -10,8 +10,16 @@
 import xxhash
 from result import Err, Ok, Result
 
-from .names import find_name_fault
 from .objects import Policy, PolicyEffect
+from .values import (
+    build_number_reader,
+    read_name,
+    read_names,
+    read_positive,
+    read_share,
+    read_shares,
+    read_weight,
+)
 
 __all__ = (
     "EFFECT_PARAMETERS",
@@ -28,12 +36,6 @@
 #: priorities lie between the negative of this and this
 MAX_PRIORITY = 100
 
-#: entries allowed in one list of a policy
-MAX_LIST = 64
-
-#: a whole number of shares into which a split divides traffic at most
-MAX_SHARE = 1_000_000
-
 
 @dataclass(frozen=True, slots=True)
 class Priority:
@@ -119,87 +121,28 @@
     reason: str
 
 
-def _read_rate(text: str) -> float:
-    value = float(text)
-    if not (math.isfinite(value) and value > 0):
-        raise ValueError("must be a number above 0")
-    return value
-
-
-def _read_share(text: str) -> float:
-    value = float(text)
-    if not 0 < value <= 1:
-        raise ValueError("must be above 0 and at most 1")
-    return value
-
-
-def _read_weight(text: str) -> float:
-    value = float(text)
-    if not (math.isfinite(value) and value >= 0):
-        raise ValueError("must be a number of at least 0")
-    return value
-
-
-def _read_priority(text: str) -> int:
-    value = int(text)
-    if abs(value) > MAX_PRIORITY:
-        raise ValueError(f"must be between -{MAX_PRIORITY} and {MAX_PRIORITY}")
-    return value
-
-
-def _read_name(text: str) -> str:
-    fault = find_name_fault(text)
-    if fault:
-        raise ValueError(f"{text!r}: {fault}")
-    return text
-
-
-def _read_names(text: str) -> tuple[str, ...]:
-    names = tuple(_read_name(part.strip()) for part in text.split(","))
-    if len(names) > MAX_LIST:
-        raise ValueError(f"must hold at most {MAX_LIST} names")
-    if len(set(names)) < len(names):
-        raise ValueError("names a thing twice")
-    return names
-
-
-def _read_shares(text: str) -> tuple[tuple[str, int], ...]:
-    shares = {}
-    for part in text.split(","):
-        name, sign, number = (piece.strip() for piece in part.partition("="))
-        if not sign:
-            raise ValueError("must be a list such as quote-a=90, quote-b=10")
-        if _read_name(name) in shares:
-            raise ValueError(f"names {name!r} twice")
-        share = int(number)
-        if not 0 <= share <= MAX_SHARE:
-            raise ValueError(f"shares must be between 0 and {MAX_SHARE}")
-        shares[name] = share
-    if len(shares) > MAX_LIST:
-        raise ValueError(f"must hold at most {MAX_LIST} names")
-    if not sum(shares.values()):
-        raise ValueError("at least one share must be above 0")
-    return tuple(shares.items())
-
+_read_priority = build_number_reader(-MAX_PRIORITY, MAX_PRIORITY)
 
 #: parameters of each effect, with what reads them; all are optional, but a policy
 #: must have at least one
 EFFECT_PARAMETERS: Mapping[PolicyEffect, Mapping[str, Callable[[str], Any]]] = {
-    PolicyEffect.SPLIT: {"to_pipelines": _read_shares, "to_services": _read_shares},
-    PolicyEffect.PRIORITY: {"priority": _read_priority},
+    PolicyEffect.SPLIT: {"to_pipelines": read_shares, "to_services": read_shares},
+    PolicyEffect.PRIORITY: {
+        "priority": build_number_reader(-MAX_PRIORITY, MAX_PRIORITY)
+    },
     PolicyEffect.QUOTA: {
-        "requests_per_second": _read_rate,
-        "tokens_per_second": _read_rate,
-        "burst_seconds": _read_rate,
-        "concurrency_share": _read_share,
+        "requests_per_second": read_positive,
+        "tokens_per_second": read_positive,
+        "burst_seconds": read_positive,
+        "concurrency_share": read_share,
     },
     PolicyEffect.PLACEMENT: {
-        "data_centres": _read_names,
-        "models": _read_names,
-        "adapters": _read_names,
-        "role": _read_name,
+        "data_centres": read_names,
+        "models": read_names,
+        "adapters": read_names,
+        "role": read_name,
     },
-    PolicyEffect.WEIGHTS: {"attainment": _read_weight, "cost": _read_weight},
+    PolicyEffect.WEIGHTS: {"attainment": read_weight, "cost": read_weight},
 }
 
 
--- /dev/null
+++ b/packages/greengagelatch/src/greengagelatch/config/ini.py
@@ -0,0 +1,269 @@
+"""Objects read from INI text, whole or not at all.
+
+The text is read in two steps: :mod:`configparser` splits it into sections, and each
+section is then read into an object by its kind. All problems of all steps are
+returned together, so that an operator mends a file in one go.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from result import Err, Ok, Result
+
+from .effects import read_effect
+from .names import ConfigObject, find_name_fault
+from .objects import (
+    Pipeline,
+    Policy,
+    PolicyEffect,
+    Service,
+    Stage,
+    StageKind,
+    Workspace,
+)
+from .problems import MAX_SHOWN_VALUE, Problem
+from .sections import Section, split_sections
+from .values import (
+    build_choice_reader,
+    build_number_reader,
+    read_bool,
+    read_labels,
+    read_name,
+    read_names,
+    read_positive,
+    read_selector,
+)
+
+__all__ = ("parse_objects",)
+
+#: longest deadline that a pipeline may give to callers that name none: a day
+MAX_DEADLINE_MS = 86_400_000
+
+#: ranks of policies lie between the negative of this and this
+MAX_RANK = 1_000_000
+
+
+def parse_objects(
+    text: str, file: str = ""
+) -> Result[tuple[ConfigObject, ...], tuple[Problem, ...]]:
+    """Read all objects of an INI text, or return all that is wrong with it.
+
+    References to objects that the text does not hold are not looked at; see
+    :mod:`greengagelatch.config.validation`.
+
+    :param file: name of the file the text is from, for the problems.
+    """
+    sections, problems = split_sections(text, file)
+    reader = _Reader(file, problems)
+    objects = reader.read(sections)
+    if problems:
+        return Err(tuple(problems))
+    return Ok(objects)
+
+
+def _read_inputs(text: str) -> tuple[str, ...]:
+    return read_names(text) if text else ()
+
+
+@dataclass(frozen=True, slots=True)
+class _Key:
+    """How the value of one key is read."""
+
+    read: Callable[[str], Any]
+    required: bool = False
+    default: Any = None
+
+
+_KIND = _Key(build_choice_reader(StageKind), required=True)
+_LABELS = _Key(read_labels, default={})
+_SELECTOR = _Key(read_selector, default="")
+
+_KEYS: Mapping[str, Mapping[str, _Key]] = {
+    "service": {
+        "kind": _KIND,
+        "labels": _LABELS,
+    },
+    "workspace": {"labels": _LABELS},
+    "pipeline": {
+        "stages": _Key(read_names, required=True),
+        "default_deadline_ms": _Key(build_number_reader(0, MAX_DEADLINE_MS), default=0),
+        "labels": _LABELS,
+    },
+    "stage": {
+        "kind": _KIND,
+        "service": _Key(read_name, required=True),
+        "repeatable": _Key(read_bool, default=True),
+        "share": _Key(read_positive, default=1.0),
+        "inputs": _Key(_read_inputs, default=()),
+        "labels": _LABELS,
+    },
+    "policy": {
+        "effect": _Key(build_choice_reader(PolicyEffect), required=True),
+        "workspaces": _SELECTOR,
+        "pipelines": _SELECTOR,
+        "services": _SELECTOR,
+        "rank": _Key(build_number_reader(-MAX_RANK, MAX_RANK), default=0),
+        "labels": _LABELS,
+    },
+}
+
+
+_OBJECTS: Mapping[str, type] = {
+    "service": Service,
+    "workspace": Workspace,
+    "pipeline": Pipeline,
+    "policy": Policy,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class _StageSection:
+    """A section of a stage; ``stage`` is ``None`` if the section is unsound."""
+
+    inputs: tuple[str, ...]
+    stage: Stage | None
+
+
+@dataclass(slots=True)
+class _Reader:
+    """Reads sections into objects and collects what is wrong."""
+
+    file: str
+    problems: list[Problem]
+    #: by ``PIPELINE/NAME``, of all sections of stages
+    stages: dict[str, _StageSection] = field(default_factory=dict)
+
+    def read(self, sections: tuple[Section, ...]) -> tuple[ConfigObject, ...]:
+        objects: list[ConfigObject | None] = []
+        # stages come first, as a pipeline may stand before its stages
+        for section in sections:
+            if section.kind == "stage":
+                self._read_stage(section)
+        for section in sections:
+            if section.kind == "stage":
+                continue
+            objects.append(self._read_object(section))
+        self._check_orphans(sections)
+        return tuple(item for item in objects if item is not None)
+
+    def _read_object(self, section: Section) -> ConfigObject | None:
+        if section.kind not in _KEYS:
+            known = ", ".join(f"{kind}:NAME" for kind in _KEYS)
+            self._add(section, reason=f"unknown section; known: {known}")
+            return None
+        before = len(self.problems)
+        fault = find_name_fault(section.name)
+        if fault:
+            self._add(section, reason=f"name {fault}")
+        values = self._read_values(section)
+        if section.kind == "pipeline":
+            values["stages"] = self._collect_stages(section, values["stages"] or ())
+        if section.kind == "policy":
+            values["values"] = self._read_parameters(section, values)
+        if len(self.problems) > before:
+            return None
+        return _OBJECTS[section.kind](name=section.name, **values)
+
+    def _read_stage(self, section: Section) -> None:
+        before = len(self.problems)
+        pipeline, slash, name = section.name.partition("/")
+        fault = find_name_fault(pipeline) or find_name_fault(name)
+        if not slash or fault:
+            self._add(section, reason=f"must be stage:PIPELINE/NAME; names {fault}")
+        values = self._read_values(section)
+        sound = len(self.problems) == before
+        stage = Stage(name=name, **values) if sound else None
+        self.stages[section.name] = _StageSection(values["inputs"], stage)
+
+    def _read_values(self, section: Section) -> dict[str, Any]:
+        """Return the values of the known keys; unsound ones have their default."""
+        keys = _KEYS[section.kind]
+        values = {key: item.default for key, item in keys.items()}
+        for key, text in section.values.items():
+            item = keys.get(key)
+            if item is None:
+                # other keys of a policy are parameters of its effect
+                if section.kind != "policy":
+                    self._add(section, key, text, f"unknown key of a {section.kind}")
+                continue
+            try:
+                values[key] = item.read(text)
+            except ValueError as error:
+                self._add(section, key, text, str(error))
+        for key, item in keys.items():
+            if item.required and key not in section.values:
+                self._add(section, key, reason="is required")
+        return values
+
+    def _read_parameters(
+        self, section: Section, values: dict[str, Any]
+    ) -> Mapping[str, str]:
+        known = _KEYS["policy"]
+        parameters = {
+            key: text for key, text in section.values.items() if key not in known
+        }
+        effect = values["effect"]
+        if effect is None:
+            return parameters
+        policy = Policy(name=section.name, effect=effect, values=parameters)
+        match read_effect(policy):
+            case Err(faults):
+                for fault in faults:
+                    self._add(section, fault.key, fault.value, fault.reason)
+        return parameters
+
+    def _collect_stages(
+        self, section: Section, names: tuple[str, ...]
+    ) -> tuple[Stage, ...]:
+        stages = []
+        earlier: set[str] = set()
+        for name in names:
+            title = f"{section.name}/{name}"
+            found = self.stages.get(title)
+            if found is None:
+                reason = f"there is no section [stage:{title}]"
+                self._add(section, "stages", name, reason)
+                continue
+            self._check_inputs(title, found.inputs, earlier)
+            earlier.add(name)
+            if found.stage is not None:
+                stages.append(found.stage)
+        return tuple(stages)
+
+    def _check_inputs(
+        self, title: str, inputs: tuple[str, ...], earlier: set[str]
+    ) -> None:
+        section = Section(f"stage:{title}", {})
+        for name in inputs:
+            if name not in earlier:
+                reason = "is no earlier stage of the pipeline"
+                self._add(section, "inputs", name, reason)
+
+    def _check_orphans(self, sections: tuple[Section, ...]) -> None:
+        listed = set()
+        for section in sections:
+            if section.kind != "pipeline":
+                continue
+            for name in section.values.get("stages", "").split(","):
+                listed.add(f"{section.name}/{name.strip()}")
+        for section in sections:
+            if section.kind != "stage" or section.name in listed:
+                continue
+            reason = "no section [pipeline:NAME] of this text lists it in stages"
+            self._add(section, reason=reason)
+
+    def _add(
+        self, section: Section, key: str = "", value: str = "", reason: str = ""
+    ) -> None:
+        self.problems.append(
+            Problem(
+                file=self.file,
+                section=section.title,
+                key=key,
+                value=value[:MAX_SHOWN_VALUE],
+                reason=reason,
+            )
+        )
--- /dev/null
+++ b/packages/greengagelatch/src/greengagelatch/config/validation.py
@@ -0,0 +1,120 @@
+"""Checks of references between objects, over the whole configuration."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from .effects import Split, Splits, read_effect
+from .names import ConfigObject, ObjectId, ObjectKind
+from .objects import Pipeline, Policy, PolicyEffect, Service, Stage
+from .problems import Problem
+from .selectors import parse_selector
+
+__all__ = ("find_new_problems", "find_problems")
+
+Objects = Mapping[ObjectId, ConfigObject]
+
+
+def find_new_problems(before: Objects, after: Objects, file: str) -> list[Problem]:
+    """Return the problems that a change would bring.
+
+    Those that were there before are left out: objects accepted by a release with
+    laxer checks must not keep operators from changing anything else.
+    """
+    known = set(find_problems(before, file))
+    if not known and before == after:
+        return []
+    problems = []
+    for problem in find_problems(after, file):
+        if problem not in known:
+            problems.append(problem)
+    return problems
+
+
+def find_problems(objects: Objects, file: str) -> list[Problem]:
+    """Return every reference in ``objects`` that does not hold."""
+    checker = _Checker(objects, file)
+    for item in objects.values():
+        if isinstance(item, Pipeline):
+            checker.check_pipeline(item)
+        elif isinstance(item, Policy) and item.effect is PolicyEffect.SPLIT:
+            checker.check_split_policy(item)
+    return checker.problems
+
+
+class _Checker:
+    def __init__(self, objects: Objects, file: str) -> None:
+        self.problems: list[Problem] = []
+        self._objects = objects
+        self._file = file
+
+    def check_pipeline(self, pipeline: Pipeline) -> None:
+        for stage in pipeline.stages:
+            self._check_stage(f"stage:{pipeline.name}/{stage.name}", stage)
+
+    def _check_stage(self, section: str, stage: Stage) -> None:
+        service = self._get_service(stage.service)
+        if service is None:
+            self._add(section, "service", stage.service, "there is no such service")
+            return
+        if service.kind is stage.kind:
+            return
+        reason = f"service {service.name} is of kind {service.kind.value}"
+        self._add(section, "kind", stage.kind.value, reason)
+
+    def check_split_policy(self, policy: Policy) -> None:
+        effect = read_effect(policy)
+        if effect.is_err() or not isinstance(effect.ok_value, Splits):
+            return
+        section = f"policy:{policy.name}"
+        if effect.ok_value.pipelines is not None:
+            self._check_pipelines(section, effect.ok_value.pipelines)
+        if effect.ok_value.services is not None:
+            self._check_services(section, policy, effect.ok_value.services)
+
+    def _check_pipelines(self, section: str, split: Split) -> None:
+        for name, _ in split.shares:
+            if ObjectId(ObjectKind.PIPELINE, name) in self._objects:
+                continue
+            self._add(section, "to_pipelines", name, "there is no such pipeline")
+
+    def _check_services(self, section: str, policy: Policy, split: Split) -> None:
+        kinds = set()
+        for name, _ in split.shares:
+            service = self._get_service(name)
+            if service is None:
+                self._add(section, "to_services", name, "there is no such service")
+                continue
+            kinds.add(service.kind)
+        # a call of one kind sent to a target of another would not be understood
+        for service in self._find_picked(policy):
+            if kinds <= {service.kind}:
+                continue
+            reason = (
+                f"the selector services picks {service.name} of kind"
+                f" {service.kind.value}, which the services here do not all have"
+            )
+            value = policy.values["to_services"]
+            self._add(section, "to_services", value, reason)
+
+    def _find_picked(self, policy: Policy) -> list[Service]:
+        selector = parse_selector(policy.services)
+        if selector.is_err():
+            return []
+        picked = []
+        for item in self._objects.values():
+            if not isinstance(item, Service):
+                continue
+            if selector.ok_value.matches(item.name, item.labels):
+                picked.append(item)
+        return picked
+
+    def _get_service(self, name: str) -> Service | None:
+        item = self._objects.get(ObjectId(ObjectKind.SERVICE, name))
+        return item if isinstance(item, Service) else None
+
+    def _add(self, section: str, key: str, value: str, reason: str) -> None:
+        problem = Problem(
+            file=self._file, section=section, key=key, value=value, reason=reason
+        )
+        self.problems.append(problem)
--- /dev/null
+++ b/packages/greengagelatch/src/greengagelatch/config/values.py
@@ -0,0 +1,188 @@
+"""Readers of values in INI text; each raises ``ValueError`` with a reason in words."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Mapping
+from enum import Enum
+from typing import TypeVar
+
+from .names import find_name_fault
+from .selectors import NAME_LABEL, parse_selector
+
+__all__ = (
+    "MAX_LABELS",
+    "MAX_LIST",
+    "build_choice_reader",
+    "build_number_reader",
+    "read_bool",
+    "read_labels",
+    "read_name",
+    "read_names",
+    "read_positive",
+    "read_selector",
+    "read_share",
+    "read_shares",
+    "read_weight",
+)
+
+#: entries allowed in one list of names
+MAX_LIST = 64
+
+#: labels allowed on one object
+MAX_LABELS = 64
+
+#: largest of the whole numbers by which a split divides traffic
+MAX_SHARE = 1_000_000
+
+_TRUE = frozenset({"yes", "true", "on", "1"})
+_FALSE = frozenset({"no", "false", "off", "0"})
+
+#: words of selectors, which can't be told from keys there
+_RESERVED_KEYS = frozenset({"in", "notin"})
+
+E = TypeVar("E", bound=Enum)
+
+
+def build_choice_reader(choices: type[E]) -> Callable[[str], E]:
+    """Return a reader of the values of an enumeration."""
+
+    def read(text: str) -> E:
+        try:
+            return choices(text)
+        except ValueError:
+            known = ", ".join(item.value for item in choices)
+            raise ValueError(f"must be one of {known}") from None
+
+    return read
+
+
+def build_number_reader(low: int, high: int) -> Callable[[str], int]:
+    """Return a reader of whole numbers between two bounds, both allowed."""
+
+    def read(text: str) -> int:
+        try:
+            value = int(text)
+        except ValueError:
+            raise ValueError("must be a whole number") from None
+        if not low <= value <= high:
+            raise ValueError(f"must be between {low} and {high}")
+        return value
+
+    return read
+
+
+def read_bool(text: str) -> bool:
+    """Read ``yes`` or ``no``."""
+    word = text.lower()
+    if word in _TRUE:
+        return True
+    if word in _FALSE:
+        return False
+    raise ValueError("must be yes or no")
+
+
+def read_weight(text: str) -> float:
+    """Read a number of at least 0."""
+    try:
+        value = float(text)
+    except ValueError:
+        value = math.nan
+    if not (math.isfinite(value) and value >= 0):
+        raise ValueError("must be a number of at least 0")
+    return value
+
+
+def read_positive(text: str) -> float:
+    """Read a number above 0."""
+    try:
+        value = float(text)
+    except ValueError:
+        value = math.nan
+    if not (math.isfinite(value) and value > 0):
+        raise ValueError("must be a number above 0")
+    return value
+
+
+def read_share(text: str) -> float:
+    """Read a number above 0 and at most 1."""
+    value = read_positive(text)
+    if value > 1:
+        raise ValueError("must be at most 1")
+    return value
+
+
+def read_name(text: str) -> str:
+    """Read one name."""
+    fault = find_name_fault(text)
+    if fault:
+        raise ValueError(fault)
+    return text
+
+
+def read_names(text: str) -> tuple[str, ...]:
+    """Read names joined by commas: at least one, and none twice."""
+    names = tuple(_read_part(part) for part in text.split(","))
+    if len(set(names)) < len(names):
+        raise ValueError("holds a name twice")
+    if len(names) > MAX_LIST:
+        raise ValueError(f"must hold at most {MAX_LIST} names")
+    return names
+
+
+def read_labels(text: str) -> Mapping[str, str]:
+    """Read labels such as ``tier=gold, region=luzon``; there may be none."""
+    labels: dict[str, str] = {}
+    if not text:
+        return labels
+    for part in text.split(","):
+        key, value = _read_pair(part, "tier=gold, region=luzon")
+        if key == NAME_LABEL:
+            raise ValueError(f"the label {NAME_LABEL!r} is built in")
+        if key in _RESERVED_KEYS:
+            raise ValueError(f"{key!r} is a word of selectors")
+        if key in labels:
+            raise ValueError(f"sets {key!r} twice")
+        labels[key] = _read_part(value)
+    if len(labels) > MAX_LABELS:
+        raise ValueError(f"must hold at most {MAX_LABELS} labels")
+    return labels
+
+
+def read_shares(text: str) -> tuple[tuple[str, int], ...]:
+    """Read whole shares by name, such as ``quote-a=90, quote-b=10``."""
+    read_number = build_number_reader(0, MAX_SHARE)
+    shares: dict[str, int] = {}
+    for part in text.split(","):
+        name, value = _read_pair(part, "quote-a=90, quote-b=10")
+        if name in shares:
+            raise ValueError(f"sets {name!r} twice")
+        shares[name] = read_number(value)
+    if len(shares) > MAX_LIST:
+        raise ValueError(f"must hold at most {MAX_LIST} names")
+    if not sum(shares.values()):
+        raise ValueError("at least one share must be above 0")
+    return tuple(shares.items())
+
+
+def read_selector(text: str) -> str:
+    """Read a label selector, which is kept as text."""
+    selector = parse_selector(text)
+    if selector.is_err():
+        raise ValueError(f"not a selector: {selector.err_value}")
+    return text
+
+
+def _read_pair(part: str, example: str) -> tuple[str, str]:
+    key, sign, value = (piece.strip() for piece in part.partition("="))
+    if not sign:
+        raise ValueError(f"must be a list such as {example}")
+    return _read_part(key), value
+
+
+def _read_part(part: str) -> str:
+    word = part.strip()
+    fault = find_name_fault(word)
+    if fault:
+        raise ValueError(f"{word!r}: {fault}")
+    return word
--- /dev/null
+++ b/tests/test_core/test_ini.py
@@ -0,0 +1,210 @@
+"""Objects written as INI and read back, and all that can be wrong with them."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from greengagelatch.config.ini import parse_objects
+from greengagelatch.config.ini_writer import format_objects, order_objects
+from greengagelatch.config.names import ObjectId, ObjectKind, identify
+from greengagelatch.config.objects import (
+    Pipeline,
+    Policy,
+    PolicyEffect,
+    Service,
+    Stage,
+    StageKind,
+    Workspace,
+)
+from greengagelatch.config.validation import find_new_problems, find_problems
+
+TEXT = """
+# the drafter of quotes
+[service:greengage-llm]
+kind = generate
+labels = tier=gold, region=kyushu
+
+[service:stockdesk]
+kind = plain
+
+[pipeline:quote]
+stages = draft, hold
+default_deadline_ms = 8000
+[stage:quote/draft]
+kind = generate
+service = greengage-llm
+share = 2.5
+[stage:quote/hold]
+kind = plain
+service = stockdesk
+repeatable = no
+inputs = draft
+
+[workspace:hakata]
+labels = tier=gold
+
+[policy:gold-first]
+effect = priority
+workspaces = tier in (gold), !trial
+rank = 3
+priority = 5
+"""
+
+names = st.from_regex(r"[a-z]([a-z0-9-]{0,6}[a-z0-9])?", fullmatch=True)
+labels = st.dictionaries(
+    names.filter(lambda key: key not in ("in", "notin", "name")), names, max_size=3
+)
+services = st.builds(
+    Service, name=names, kind=st.sampled_from(StageKind), labels=labels
+)
+workspaces = st.builds(Workspace, name=names, labels=labels)
+policies = st.builds(
+    Policy,
+    name=names,
+    effect=st.just(PolicyEffect.PRIORITY),
+    workspaces=st.sampled_from(["", "tier = gold", "a in (b, c), !d"]),
+    rank=st.integers(-9, 9),
+    values=st.builds(lambda number: {"priority": str(number)}, st.integers(-100, 100)),
+    labels=labels,
+)
+
+
+@st.composite
+def pipelines(draw):
+    stages = []
+    for name in draw(st.lists(names, min_size=1, max_size=4, unique=True)):
+        earlier = [stage.name for stage in stages]
+        inputs = (
+            draw(st.lists(st.sampled_from(earlier), unique=True)) if earlier else []
+        )
+        stages.append(
+            Stage(
+                name=name,
+                kind=draw(st.sampled_from(StageKind)),
+                service=draw(names),
+                repeatable=draw(st.booleans()),
+                share=draw(st.floats(1e-6, 1e6)),
+                inputs=tuple(sorted(inputs)),
+                labels=draw(labels),
+            )
+        )
+    return Pipeline(
+        name=draw(names),
+        stages=tuple(stages),
+        default_deadline_ms=draw(st.integers(0, 86_400_000)),
+        labels=draw(labels),
+    )
+
+
+@settings(max_examples=60, deadline=None)
+@given(
+    st.lists(st.one_of(services, workspaces, policies, pipelines()), unique_by=identify)
+)
+def test_canonical_text_reads_back_as_the_same_objects(objects):
+    read = parse_objects(format_objects(objects)).unwrap()
+    assert order_objects(read) == order_objects(objects)
+    assert format_objects(read) == format_objects(objects)
+
+
+def test_every_problem_is_named_with_its_place():
+    """An operator mends one error, sends the file again and learns of the next.
+
+    The text has errors of syntax, of names, of values and of references between its
+    sections, several of each.
+    """
+    text = """stray = 1
+[service:a]
+kind = baker
+colour = red
+[service:a]
+kind = plain
+[service:-b]
+kind = plain
+nonsense
+[pipeline:p]
+stages = one, two
+labels = tier
+[stage:p/one]
+kind = plain
+kind = plain
+service = a
+share = 0
+inputs = two
+[stage:p/three]
+kind = plain
+[policy:q]
+effect = quota
+workspaces = tier in gold
+requests_per_second = many
+[policy:r]
+effect = quota
+speed = 1
+[DEFAULT]
+kind = plain
+"""
+    problems = parse_objects(text, "site.ini").unwrap_err()
+    places = {(problem.section, problem.key) for problem in problems}
+    assert places == {
+        ("", ""),
+        ("service:a", ""),
+        ("service:a", "kind"),
+        ("service:a", "colour"),
+        ("service:-b", ""),
+        ("pipeline:p", "labels"),
+        ("stage:p/one", "kind"),
+        ("stage:p/one", "share"),
+        ("stage:p/three", "service"),
+        ("stage:p/three", ""),
+        ("pipeline:p", "stages"),
+        ("stage:p/one", "inputs"),
+        ("policy:q", "workspaces"),
+        ("policy:q", "requests_per_second"),
+        ("policy:r", "speed"),
+        ("DEFAULT", ""),
+    }
+    assert all(problem.file == "site.ini" for problem in problems)
+
+
+def index(text):
+    return {identify(item): item for item in parse_objects(text).unwrap()}
+
+
+def test_references_are_checked_over_the_whole_configuration():
+    objects = index(TEXT)
+    assert find_problems(objects, "") == []
+    gone = dict(objects)
+    del gone[ObjectId(ObjectKind.SERVICE, "stockdesk")]
+    [problem] = find_new_problems(objects, gone, "f")
+    assert (problem.section, problem.key, problem.value) == (
+        "stage:quote/hold",
+        "service",
+        "stockdesk",
+    )
+    # a fault that was there before keeps no one from changing something else
+    more = gone | index("[workspace:new]\n")
+    assert find_new_problems(gone, more, "f") == []
+
+
+@pytest.mark.parametrize(
+    ("policy", "key", "value"),
+    [
+        ("to_pipelines = quote=9, nowhere=1", "to_pipelines", "nowhere"),
+        ("to_services = nowhere=1", "to_services", "nowhere"),
+        ("to_services = stockdesk=1", "to_services", "stockdesk=1"),
+    ],
+)
+def test_a_split_leads_only_to_what_can_serve_the_calls(policy, key, value):
+    """Calls of a generation stage reach a plain service, which can't answer them.
+
+    A split whose selector also picks services of another kind is accepted, and the
+    calls to these are split as well.
+    """
+    objects = index(TEXT)
+    after = objects | index(f"[policy:s]\neffect = split\n{policy}\n")
+    [problem] = find_new_problems(objects, after, "")
+    assert (problem.section, problem.key, problem.value) == ("policy:s", key, value)
+    kept = f"[policy:s]\neffect = split\nservices = name = stockdesk\n{policy}\n"
+    if "nowhere" not in policy:
+        assert find_new_problems(objects, objects | index(kept), "") == []
