Add both fleets as data and the load tool with its checker

Cause: whether answers are whole, right, own and run once has to be judged from outside, by what callers saw and what targets recorded. Weighed: checking in the daemon's own metrics (it can't see its own doubles), and comparing counts only (crossed answers cancel out). Each request carries a marker, so its one right answer and its effects can be computed and found again. After: the checker is a pure function of observations and records; its own tests feed it a doubled, crossed, cut, wrong and falsely refused request.

--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/fleets/__init__.py
@@ -0,0 +1,20 @@
+"""The two fleets that greengagelatch serves today, as data."""
+
+from __future__ import annotations
+
+from .kyushu import KYUSHU
+from .luzon import LUZON
+from .model import Fleet, FleetService, Traffic, TrafficWorkspace
+
+__all__ = (
+    "FLEETS",
+    "KYUSHU",
+    "LUZON",
+    "Fleet",
+    "FleetService",
+    "Traffic",
+    "TrafficWorkspace",
+)
+
+#: all fleets by name
+FLEETS: dict[str, Fleet] = {fleet.name: fleet for fleet in (LUZON, KYUSHU)}
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/load/__init__.py
@@ -0,0 +1,10 @@
+"""The load tool: plays a fleet's traffic and checks every answer."""
+
+from __future__ import annotations
+
+from .balancer import Balancer, EntryInstance
+from .checking import check_run, plan_run
+from .report import Report
+from .run import LoadRun
+
+__all__ = ("Balancer", "EntryInstance", "LoadRun", "Report", "check_run", "plan_run")
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/load/__main__.py
@@ -0,0 +1,107 @@
+"""``python -m greengagelatch_lab.load``: loads a running fleet and checks it."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import random
+import sys
+from typing import TYPE_CHECKING, TextIO
+
+import aiohttp
+
+from ..fleets import FLEETS
+from ..waiting import wait_until
+from .balancer import Balancer, EntryInstance
+from .checking import check_run, plan_run
+from .client import CallerClient
+from .reading import list_targets
+from .run import LoadRun
+
+if TYPE_CHECKING:
+    from .report import Report
+
+__all__ = ("main",)
+
+#: seconds allowed until the first instance is ready
+READY_TIMEOUT = 20.0
+#: exit codes
+KEPT, BROKEN, NOT_MEASURED = 0, 1, 2
+
+
+def main() -> int:
+    """Run the load tool; return 1 if any answer broke a promise."""
+    options = _parse_options()
+    try:
+        report = asyncio.run(_measure(options))
+    except (aiohttp.ClientError, TimeoutError) as error:
+        print(f"not measured: {error!r}", file=sys.stderr)
+        return NOT_MEASURED
+    print(report.format(), file=_get_progress_file(options))
+    if options.output == "json":
+        print(json.dumps(report.encode()))
+    return KEPT if report.kept else BROKEN
+
+
+def _parse_options() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--fleet", choices=sorted(FLEETS), required=True)
+    parser.add_argument("--platform", required=True, help="host:port of its list")
+    parser.add_argument(
+        "--entry",
+        action="append",
+        required=True,
+        type=_parse_entry,
+        metavar="CALLERS/OPERATORS",
+        help="two host:port of one entry instance; once for each",
+    )
+    parser.add_argument("--seconds", type=float, default=30.0)
+    parser.add_argument("--scale", type=float, default=1.0)
+    parser.add_argument(
+        "--seed", type=int, default=1, help="another one for each run on a fleet"
+    )
+    parser.add_argument("--output", choices=("text", "json"), default="text")
+    return parser.parse_args()
+
+
+def _parse_entry(text: str) -> EntryInstance:
+    callers, sign, operators = text.partition("/")
+    if not sign:
+        raise argparse.ArgumentTypeError("must be CALLERS/OPERATORS")
+    return EntryInstance(instance_id=callers, callers=callers, operators=operators)
+
+
+async def _measure(options: argparse.Namespace) -> Report:
+    fleet = FLEETS[options.fleet]
+    arrivals = plan_run(
+        fleet, seconds=options.seconds, scale=options.scale, seed=options.seed
+    )
+    output = _get_progress_file(options)
+    random_source = random.Random(options.seed)
+    async with (
+        Balancer(random_source=random_source) as balancer,
+        CallerClient() as client,
+    ):
+        for instance in options.entry:
+            balancer.add(instance)
+        await wait_until(
+            lambda: bool(balancer.ready), timeout=READY_TIMEOUT, what="readiness"
+        )
+        run = LoadRun(
+            arrivals=arrivals,
+            balancer=balancer,
+            client=client,
+            show=lambda line: print(line, file=output, flush=True),
+        )
+        await run.run()
+    return await check_run(fleet, run, await list_targets(options.platform))
+
+
+def _get_progress_file(options: argparse.Namespace) -> TextIO:
+    """Return where text goes: not to the output if that is to be JSON."""
+    return sys.stderr if options.output == "json" else sys.stdout
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/load/answers.py
@@ -0,0 +1,155 @@
+"""Checks of one answer by itself: whole, well formed, and the right one."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+import xxhash
+
+from .observations import Ending
+from .violations import Violation, ViolationKind
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+    from .expectation import Expectation
+    from .observations import Observation
+
+__all__ = ("AnswerIndex", "check_answer", "describe")
+
+VERDICTS = ("not-run", "may-have-run", "ran")
+
+
+class AnswerIndex:
+    """The right result of every request sent, found by request and by result."""
+
+    def __init__(
+        self, observations: Iterable[Observation], expectation: Expectation
+    ) -> None:
+        self._results: dict[str, Any] = {}
+        self._owners: dict[str, str] = {}
+        for observation in observations:
+            arrival = observation.arrival
+            if arrival.marker in self._results:
+                continue
+            result = expectation.expect_result(arrival.pipeline, arrival.input)
+            self._results[arrival.marker] = result
+            self._owners[_encode(result)] = arrival.marker
+
+    def get_result(self, marker: str) -> Any:
+        """Return the right result of the request with ``marker``."""
+        return self._results[marker]
+
+    def find_owner(self, result: Any) -> str | None:
+        """Return the marker of the request that ``result`` is right for."""
+        return self._owners.get(_encode(result))
+
+
+def check_answer(observation: Observation, index: AnswerIndex) -> Iterator[Violation]:
+    """Yield what is wrong with one answer."""
+    ending = observation.ending
+    if ending is Ending.UNSENT:
+        return
+    if ending is Ending.CUT:
+        yield describe(observation, ViolationKind.CUT, observation.message)
+        return
+    if ending is Ending.SILENT:
+        yield describe(observation, ViolationKind.SILENT, observation.message)
+        return
+    fault = _find_form_fault(observation)
+    if fault:
+        yield describe(observation, ViolationKind.MALFORMED, fault)
+    if ending is Ending.REFUSAL:
+        yield from _check_begun_stream(observation, index)
+        return
+    fault = _find_gap(observation)
+    if fault:
+        yield describe(observation, ViolationKind.INCOMPLETE, fault)
+    yield from _check_result(observation, index)
+
+
+def describe(observation: Observation, kind: ViolationKind, detail: str) -> Violation:
+    """Return a violation that names the observation's request."""
+    return Violation(
+        kind=kind,
+        index=observation.arrival.index,
+        request_id=observation.request_id,
+        pipeline=observation.arrival.pipeline,
+        detail=f"{detail} (through {observation.instance})",
+    )
+
+
+def _find_form_fault(observation: Observation) -> str:
+    if not observation.request_id:
+        return "no request id"
+    if observation.verdict not in VERDICTS:
+        return f"verdict {observation.verdict!r}"
+    if observation.ending is Ending.RESULT and observation.verdict != "ran":
+        return f"a result with verdict {observation.verdict!r}"
+    if observation.ending is Ending.REFUSAL and not observation.code:
+        return f"refusal without a code, status {observation.status}"
+    return ""
+
+
+def _find_gap(observation: Observation) -> str:
+    if not observation.arrival.stream:
+        return ""
+    offsets = [offset for offset, _ in observation.tokens]
+    if offsets != list(range(len(offsets))):
+        return f"offsets {_shorten(offsets)}"
+    if observation.count != len(offsets):
+        return f"{len(offsets)} tokens, count {observation.count}"
+    digest = xxhash.xxh64_hexdigest(_join(observation).encode())
+    if observation.digest != digest:
+        return f"digest {observation.digest}, tokens have {digest}"
+    return ""
+
+
+def _check_result(observation: Observation, index: AnswerIndex) -> Iterator[Violation]:
+    marker = observation.arrival.marker
+    right = index.get_result(marker)
+    given = [observation.result]
+    if observation.arrival.stream:
+        given.append(_join(observation))
+    for result in given:
+        if result == right:
+            continue
+        owner = index.find_owner(result)
+        if owner is None:
+            detail = f"got {_shorten(result)}, right is {_shorten(right)}"
+            yield describe(observation, ViolationKind.WRONG, detail)
+            return
+        detail = f"got the answer of the request with marker {owner}"
+        yield describe(observation, ViolationKind.CROSSED, detail)
+        return
+
+
+def _check_begun_stream(
+    observation: Observation, index: AnswerIndex
+) -> Iterator[Violation]:
+    """Check tokens given before a refusal: the caller may have used them."""
+    text = _join(observation)
+    right = index.get_result(observation.arrival.marker)
+    if text and not str(right).startswith(text):
+        detail = f"refused after tokens {_shorten(text)}, right is {_shorten(right)}"
+        yield describe(observation, ViolationKind.WRONG, detail)
+
+
+def _join(observation: Observation) -> str:
+    return "".join(text for _, text in observation.tokens)
+
+
+def _encode(result: Any) -> str:
+    return json.dumps(result, sort_keys=True)
+
+
+#: characters of a value shown in a violation
+MAX_SHOWN = 60
+
+
+def _shorten(value: Any) -> str:
+    text = repr(value)
+    if len(text) <= MAX_SHOWN:
+        return text
+    return f"{text[:MAX_SHOWN]}…"
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/load/arrivals.py
@@ -0,0 +1,104 @@
+"""Arrivals: which request is sent when, drawn from one seed."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from ..fleets import Fleet, Traffic
+
+__all__ = ("Arrival", "plan_arrivals")
+
+#: seconds after which a keyed request is sent again, least and most
+REPEAT_DELAY = (0.02, 1.5)
+#: beginnings of prompts that the requests of one workspace and pipeline share
+PROMPT_BEGINNINGS = 4
+#: random bits of a marker: two alike in one run are improbable
+MARKER_BITS = 64
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Arrival:
+    """One request that is to be sent at a set moment, answered or not."""
+
+    index: int
+    #: seconds after the start of the run
+    offset: float
+    workspace: str
+    pipeline: str
+    input: Any
+    #: text found in ``input`` alone; it tells this request's records from others'
+    marker: str
+    deadline_ms: int
+    stream: bool = False
+    repeatable: bool = True
+    #: idempotency key, empty where there is none
+    key: str = ""
+    #: index of the arrival that this one repeats with the same key and input
+    repeat_of: int | None = None
+
+
+def plan_arrivals(
+    fleet: Fleet, *, seconds: float, scale: float, random_source: random.Random
+) -> tuple[Arrival, ...]:
+    """Draw the arrivals of ``seconds`` of the fleet's traffic, by their moment.
+
+    The moments don't depend on any answer: a slow fleet is sent no less.
+
+    :param scale: multiplies the rate of every pipeline
+    """
+    drawn: list[Arrival] = []
+    for traffic in fleet.traffic:
+        offset = random_source.expovariate(traffic.rate * scale)
+        while offset < seconds:
+            arrival = _draw(fleet, traffic, offset, len(drawn), random_source)
+            drawn.append(arrival)
+            if arrival.key and random_source.random() < traffic.repeated:
+                drawn.append(_repeat(arrival, len(drawn), random_source))
+            offset += random_source.expovariate(traffic.rate * scale)
+    return tuple(sorted(drawn, key=lambda arrival: arrival.offset))
+
+
+def _draw(
+    fleet: Fleet,
+    traffic: Traffic,
+    offset: float,
+    index: int,
+    random_source: random.Random,
+) -> Arrival:
+    names = [workspace.name for workspace in fleet.workspaces]
+    weights = [workspace.weight for workspace in fleet.workspaces]
+    workspace = random_source.choices(names, weights)[0]
+    marker = f"{random_source.getrandbits(MARKER_BITS):016x}"
+    keyed = random_source.random() < traffic.keyed
+    return Arrival(
+        index=index,
+        offset=offset,
+        workspace=workspace,
+        pipeline=traffic.pipeline,
+        input=_draw_input(traffic, workspace, marker, random_source),
+        marker=marker,
+        deadline_ms=traffic.deadline_ms,
+        stream=traffic.stream,
+        repeatable=traffic.repeatable,
+        key=f"key-{marker}" if keyed else "",
+    )
+
+
+def _draw_input(
+    traffic: Traffic, workspace: str, marker: str, random_source: random.Random
+) -> dict[str, Any]:
+    number = random_source.randrange(PROMPT_BEGINNINGS)
+    prefix = f"{workspace}/{traffic.pipeline}/{number}"
+    given = {"prompt": f"{prefix}: {marker}", "prefix": prefix, "effect": marker}
+    least, most = traffic.tokens
+    if most:
+        given["tokens"] = random_source.randint(least, most)
+    return given
+
+
+def _repeat(first: Arrival, index: int, random_source: random.Random) -> Arrival:
+    offset = first.offset + random_source.uniform(*REPEAT_DELAY)
+    return replace(first, index=index, offset=offset, repeat_of=first.index)
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/load/balancer.py
@@ -0,0 +1,104 @@
+"""The platform's balancer, as the load tool's callers see it."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+if TYPE_CHECKING:
+    import random
+    from types import TracebackType
+
+__all__ = ("Balancer", "EntryInstance")
+
+#: seconds between two looks at whether an instance is ready: the balancer's lag
+POLL_INTERVAL = 0.5
+#: seconds allowed for one look
+POLL_TIMEOUT = 2.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EntryInstance:
+    """One entry instance's addresses, each as ``host:port``."""
+
+    instance_id: str
+    callers: str
+    operators: str
+
+
+class Balancer:
+    """Picks a ready instance for each request.
+
+    Whether an instance is ready is asked for now and then only, so requests are
+    still sent to an instance for a while after it began to leave.
+    """
+
+    def __init__(
+        self, *, random_source: random.Random, interval: float = POLL_INTERVAL
+    ) -> None:
+        self._random = random_source
+        self._interval = interval
+        self._polls: dict[EntryInstance, asyncio.Task[None]] = {}
+        self._ready: dict[str, EntryInstance] = {}
+        self._session: aiohttp.ClientSession | None = None
+
+    @property
+    def ready(self) -> frozenset[str]:
+        """Ids of the instances that are given requests."""
+        return frozenset(self._ready)
+
+    def add(self, instance: EntryInstance) -> None:
+        """Begin to look at ``instance``."""
+        self._polls[instance] = asyncio.create_task(self._poll(instance))
+
+    def remove(self, instance: EntryInstance) -> None:
+        """Give ``instance`` no more requests and stop looking at it."""
+        self._ready.pop(instance.instance_id, None)
+        poll = self._polls.pop(instance, None)
+        if poll is not None:
+            poll.cancel()
+
+    def pick(self, avoid: str = "") -> EntryInstance | None:
+        """Return a ready instance, other than ``avoid`` if there is one."""
+        names = sorted(name for name in self._ready if name != avoid)
+        if not names:
+            return self._ready.get(avoid)
+        return self._ready[self._random.choice(names)]
+
+    async def __aenter__(self) -> Balancer:
+        timeout = aiohttp.ClientTimeout(total=POLL_TIMEOUT)
+        self._session = aiohttp.ClientSession(timeout=timeout)
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        polls = list(self._polls.values())
+        for poll in polls:
+            poll.cancel()
+        await asyncio.gather(*polls, return_exceptions=True)
+        if self._session is not None:
+            await self._session.close()
+
+    async def _poll(self, instance: EntryInstance) -> None:
+        while True:
+            if await self._ask(instance):
+                self._ready[instance.instance_id] = instance
+            else:
+                self._ready.pop(instance.instance_id, None)
+            await asyncio.sleep(self._interval)
+
+    async def _ask(self, instance: EntryInstance) -> bool:
+        try:
+            async with self._session.get(
+                f"http://{instance.operators}/readyz"
+            ) as response:
+                return response.status == 200
+        except (aiohttp.ClientError, TimeoutError):
+            return False
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/load/checker.py
@@ -0,0 +1,136 @@
+"""Checks all answers of a run against each other and the targets' records."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from typing import TYPE_CHECKING
+
+from .answers import AnswerIndex, check_answer, describe
+from .observations import Ending
+from .violations import Violation, ViolationKind
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator, Sequence
+
+    from .expectation import Expectation
+    from .observations import Observation
+    from .records import StageRecord, TargetRecord
+
+__all__ = ("Checker",)
+
+NOT_RUN = "not-run"
+
+
+class Checker:
+    """Finds every broken promise of one run.
+
+    :param observations: all requests of the run, sent or not
+    :param records: the records of all targets, read after the last answer
+    """
+
+    def __init__(
+        self,
+        *,
+        observations: Sequence[Observation],
+        records: Sequence[TargetRecord],
+        expectation: Expectation,
+    ) -> None:
+        self._observations = observations
+        self._records = records
+        self._expectation = expectation
+        self._runs: dict[str, list[StageRecord]] = defaultdict(list)
+        self._effects: Counter[tuple[str, str]] = Counter()
+        for record in records:
+            self._effects.update(record.effects)
+            for run in record.runs:
+                self._runs[run.request].append(run)
+        # requests with one marker are one request, asked for more than once
+        self._groups: dict[str, list[Observation]] = defaultdict(list)
+        for observation in observations:
+            self._groups[observation.arrival.marker].append(observation)
+
+    def check(self) -> list[Violation]:
+        """Return all violations; empty if every promise was kept."""
+        found = list(self._check_records())
+        index = AnswerIndex(self._observations, self._expectation)
+        for observation in self._observations:
+            found.extend(check_answer(observation, index))
+            found.extend(self._check_not_run(observation))
+            found.extend(self._check_recorded(observation))
+        found.extend(self._check_ids())
+        for group in self._groups.values():
+            found.extend(self._check_doubled(group))
+            found.extend(self._check_effects_of_not_run(group))
+        return found
+
+    def _check_records(self) -> Iterator[Violation]:
+        for record in self._records:
+            if record.dropped:
+                detail = f"{record.target} no longer knows {record.dropped} runs"
+                yield Violation(kind=ViolationKind.RECORD_LOST, detail=detail)
+
+    def _check_not_run(self, observation: Observation) -> Iterator[Violation]:
+        if observation.verdict != NOT_RUN or not observation.request_id:
+            return
+        runs = self._runs.get(observation.request_id)
+        if runs:
+            detail = f"refused with {observation.code}; ran: {_list_runs(runs)}"
+            yield describe(observation, ViolationKind.FALSE_NOT_RUN, detail)
+
+    def _check_recorded(self, observation: Observation) -> Iterator[Violation]:
+        # a replayed result was run for the request that first had the key
+        if observation.ending is not Ending.RESULT or observation.replayed:
+            return
+        runs = self._runs.get(observation.request_id, ())
+        finished = {run.stage for run in runs if run.finished}
+        stages = self._expectation.list_stages(observation.arrival.pipeline)
+        missing = [stage for stage in stages if stage not in finished]
+        if missing:
+            detail = f"no finished run of {', '.join(missing)}"
+            yield describe(observation, ViolationKind.NOT_RECORDED, detail)
+
+    def _check_ids(self) -> Iterator[Violation]:
+        owners: dict[str, Observation] = {}
+        for observation in self._observations:
+            if not observation.request_id:
+                continue
+            first = owners.setdefault(observation.request_id, observation)
+            if first.arrival.marker != observation.arrival.marker:
+                detail = f"has the request id of arrival {first.arrival.index}"
+                yield describe(observation, ViolationKind.CROSSED, detail)
+
+    def _check_doubled(self, group: Sequence[Observation]) -> Iterator[Violation]:
+        arrival = group[0].arrival
+        stages = frozenset(self._expectation.list_stages(arrival.pipeline))
+        if arrival.repeatable:
+            stages = self._expectation.find_unrepeatable(arrival.pipeline)
+        runs = self._list_group_runs(group)
+        counts = Counter(run.stage for run in runs)
+        for stage in sorted(stages):
+            effects = self._effects[(arrival.marker, stage)]
+            if counts[stage] <= 1 and effects <= 1:
+                continue
+            detail = f"{stage}: {counts[stage]} runs, {effects} effects"
+            yield describe(group[0], ViolationKind.DOUBLED, detail)
+
+    def _check_effects_of_not_run(
+        self, group: Sequence[Observation]
+    ) -> Iterator[Violation]:
+        """Find effects of a request all of whose answers say that nothing ran."""
+        for observation in group:
+            unsent = observation.ending is Ending.UNSENT
+            if not unsent and observation.verdict != NOT_RUN:
+                return
+        arrival = group[0].arrival
+        for stage in self._expectation.list_stages(arrival.pipeline):
+            if self._effects[(arrival.marker, stage)]:
+                detail = f"no answer says that it ran; effect of {stage}"
+                yield describe(group[0], ViolationKind.FALSE_NOT_RUN, detail)
+
+    def _list_group_runs(self, group: Sequence[Observation]) -> list[StageRecord]:
+        ids = {item.request_id for item in group if item.request_id}
+        return [run for request in sorted(ids) for run in self._runs.get(request, ())]
+
+
+def _list_runs(runs: Sequence[StageRecord]) -> str:
+    return ", ".join(f"{run.stage} as {run.attempt}" for run in runs)
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/load/costs.py
@@ -0,0 +1,60 @@
+"""Cost by stage, useful and wasted, from the targets' records."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from .observations import Observation
+    from .records import TargetRecord
+
+__all__ = ("StageCost", "measure_costs")
+
+#: pipeline of runs whose request no caller got an answer to
+UNKNOWN = "unknown"
+
+
+@dataclass(slots=True)
+class StageCost:
+    """Milliseconds of targets' time spent on one stage of one pipeline."""
+
+    pipeline: str
+    stage: str
+    useful_ms: float = 0.0
+    wasted_ms: float = 0.0
+    runs: int = 0
+
+
+def measure_costs(
+    observations: Sequence[Observation], records: Sequence[TargetRecord]
+) -> list[StageCost]:
+    """Return the cost of every stage, by name.
+
+    One finished run of a stage counts as useful if its request was answered whole
+    within its deadline; all other runs are waste.
+    """
+    pipelines: dict[str, str] = {}
+    in_time: set[str] = set()
+    for observation in observations:
+        pipelines[observation.request_id] = observation.arrival.pipeline
+        if observation.in_time:
+            in_time.add(observation.request_id)
+    costs: dict[tuple[str, str], StageCost] = {}
+    used: set[tuple[str, str]] = set()
+    for record in records:
+        for run in record.runs:
+            pipeline = pipelines.get(run.request, UNKNOWN)
+            cost = costs.setdefault(
+                (pipeline, run.stage), StageCost(pipeline, run.stage)
+            )
+            cost.runs += 1
+            use = (run.request, run.stage)
+            if run.finished and run.request in in_time and use not in used:
+                used.add(use)
+                cost.useful_ms += run.cost_ms
+                continue
+            cost.wasted_ms += run.cost_ms
+    return [costs[name] for name in sorted(costs)]
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/load/report.py
@@ -0,0 +1,156 @@
+"""The report of one run, as text and as JSON."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from dataclasses import asdict, dataclass
+from typing import TYPE_CHECKING, Any
+
+from .costs import measure_costs
+from .tallies import Tally
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping, Sequence
+
+    from .costs import StageCost
+    from .observations import Observation
+    from .records import TargetRecord
+    from .violations import Violation
+
+__all__ = ("Report", "build_report")
+
+#: violations that are printed; all of them are counted
+MAX_PRINTED = 20
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Report:
+    """What one run measured."""
+
+    fleet: str
+    total: Tally
+    #: repeats of a key, which are not part of the other tallies
+    repeats: Tally
+    pipelines: Mapping[str, Tally]
+    workspaces: Mapping[str, Tally]
+    costs: Sequence[StageCost]
+    violations: Sequence[Violation]
+    #: seconds by which the client itself was late to send, at most
+    client_lag: float
+
+    @property
+    def kept(self) -> bool:
+        """Whether every promise was kept."""
+        return not self.violations
+
+    def encode(self) -> dict[str, Any]:
+        """Return the report as JSON-compatible values."""
+        return {
+            "fleet": self.fleet,
+            "total": self.total.encode(),
+            "repeats": self.repeats.encode(),
+            "pipelines": _encode_tallies(self.pipelines),
+            "workspaces": _encode_tallies(self.workspaces),
+            "costs": [asdict(cost) for cost in self.costs],
+            "violations": dict(Counter(item.kind.value for item in self.violations)),
+            "examples": [str(item) for item in self.violations[:MAX_PRINTED]],
+            "client_lag_ms": round(self.client_lag * 1000, 1),
+        }
+
+    def format(self) -> str:
+        """Return the report as lines of text."""
+        lines = [f"fleet {self.fleet}", _format_head("pipeline")]
+        for name, tally in self.pipelines.items():
+            lines.append(_format_tally(name, tally))
+        lines += ["", _format_head("workspace")]
+        for name, tally in self.workspaces.items():
+            lines.append(_format_tally(name, tally))
+        lines += ["", _format_head("")]
+        lines.append(_format_tally("all first sends", self.total))
+        lines.append(_format_tally("repeats of a key", self.repeats))
+        lines += ["", *_format_costs(self.costs)]
+        lines += ["", f"client late by at most {self.client_lag * 1000:.0f} ms"]
+        for violation in self.violations[:MAX_PRINTED]:
+            lines.append(f"VIOLATION {violation}")
+        hidden = len(self.violations) - MAX_PRINTED
+        if hidden > 0:
+            lines.append(f"and {hidden} more violations")
+        return "\n".join(lines)
+
+
+def build_report(
+    *,
+    fleet: str,
+    observations: Sequence[Observation],
+    records: Sequence[TargetRecord],
+    violations: Sequence[Violation],
+    client_lag: float,
+) -> Report:
+    """Return the report of a run that was checked."""
+    total, repeats = Tally(), Tally()
+    pipelines: dict[str, Tally] = defaultdict(Tally)
+    workspaces: dict[str, Tally] = defaultdict(Tally)
+    for observation in observations:
+        arrival = observation.arrival
+        if arrival.repeat_of is not None:
+            repeats.add(observation)
+            continue
+        total.add(observation)
+        pipelines[arrival.pipeline].add(observation)
+        workspaces[arrival.workspace].add(observation)
+    return Report(
+        fleet=fleet,
+        total=total,
+        repeats=repeats,
+        pipelines=dict(sorted(pipelines.items())),
+        workspaces=dict(sorted(workspaces.items())),
+        costs=measure_costs(observations, records),
+        violations=violations,
+        client_lag=client_lag,
+    )
+
+
+def _encode_tallies(tallies: Mapping[str, Tally]) -> dict[str, Any]:
+    return {name: tally.encode() for name, tally in tallies.items()}
+
+
+def _format_head(name: str) -> str:
+    return (
+        f"{name:<18}{'made':>6}{'in time':>9}{'p50':>8}{'p95':>8}{'p99':>8}"
+        f"{'1st p95':>9}{'gap p95':>9}  otherwise (ms)"
+    )
+
+
+def _format_tally(name: str, tally: Tally) -> str:
+    values = tally.encode()
+    latency = values["latency_ms"]
+    times = "".join(f"{latency.get(key, '-'):>8}" for key in ("p50", "p95", "p99"))
+    first = values["first_token_ms"].get("p95", "-")
+    gap = values["token_gap_ms"].get("p95", "-")
+    return (
+        f"{name:<18}{tally.made:>6}{tally.attainment:>9.1%}{times}"
+        f"{first:>9}{gap:>9}  {_format_rest(tally)}"
+    )
+
+
+def _format_rest(tally: Tally) -> str:
+    parts = [f"{code} {count}" for code, count in sorted(tally.refusals.items())]
+    for ending, count in sorted(tally.endings.items()):
+        if ending not in ("result", "refusal"):
+            parts.append(f"{ending} {count}")
+    late = tally.endings["result"] - tally.in_time
+    if late:
+        parts.append(f"late {late}")
+    if tally.replayed:
+        parts.append(f"replayed {tally.replayed}")
+    return ", ".join(parts)
+
+
+def _format_costs(costs: Sequence[StageCost]) -> list[str]:
+    lines = [f"{'cost by stage':<28}{'runs':>7}{'useful ms':>12}{'wasted ms':>12}"]
+    for cost in costs:
+        name = f"{cost.pipeline}/{cost.stage}"
+        lines.append(
+            f"{name:<28}{cost.runs:>7}{cost.useful_ms:>12.0f}{cost.wasted_ms:>12.0f}"
+        )
+    return lines
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/load/run.py
@@ -0,0 +1,116 @@
+"""An open-loop run: sends arrivals when they are due, whatever comes back."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from .observations import Ending, Observation
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Sequence
+
+    from .arrivals import Arrival
+    from .balancer import Balancer
+    from .client import CallerClient
+
+__all__ = ("LoadRun",)
+
+#: seconds between two lines of progress
+PROGRESS_INTERVAL = 5.0
+
+
+class LoadRun:
+    """Sends arrivals through a balancer and keeps what callers saw.
+
+    :param end_when_unserved: end the arrivals as soon as no entry instance is
+        ready, as callers of a fleet that is switched off would
+    :param show: prints a line of progress
+    """
+
+    def __init__(
+        self,
+        *,
+        arrivals: Sequence[Arrival],
+        balancer: Balancer,
+        client: CallerClient,
+        end_when_unserved: bool = False,
+        show: Callable[[str], None] | None = None,
+    ) -> None:
+        self._arrivals = arrivals
+        self._balancer = balancer
+        self._client = client
+        self._end_when_unserved = end_when_unserved
+        self._show = show
+        #: instance that each arrival was sent to, by index
+        self._instances: dict[int, str] = {}
+        self._in_flight: set[asyncio.Task[None]] = set()
+        self._sent = 0
+        self._started = 0.0
+        self.observations: list[Observation] = []
+        #: seconds by which this client was late to send, at most
+        self.client_lag = 0.0
+
+    @property
+    def in_flight(self) -> int:
+        """Number of requests sent and not answered."""
+        return len(self._in_flight)
+
+    async def run(self) -> list[Observation]:
+        """Send all arrivals and wait until each has ended."""
+        loop = asyncio.get_running_loop()
+        self._started = loop.time()
+        progress = asyncio.create_task(self._show_progress())
+        try:
+            await self._send_all(loop)
+            await asyncio.gather(*self._in_flight)
+        finally:
+            progress.cancel()
+        self._print()
+        return self.observations
+
+    async def _send_all(self, loop: asyncio.AbstractEventLoop) -> None:
+        for arrival in self._arrivals:
+            due = self._started + arrival.offset
+            await asyncio.sleep(max(due - loop.time(), 0))
+            avoid = ""
+            if arrival.repeat_of is not None:
+                avoid = self._instances.get(arrival.repeat_of, "")
+            instance = self._balancer.pick(avoid)
+            if instance is None:
+                if self._end_when_unserved:
+                    return
+                self.observations.append(
+                    Observation(arrival=arrival, ending=Ending.UNSENT)
+                )
+                continue
+            self._instances[arrival.index] = instance.instance_id
+            self._sent += 1
+            self.client_lag = max(self.client_lag, loop.time() - due)
+            work = self._client.send(arrival, instance, due)
+            task = asyncio.create_task(self._keep(work))
+            self._in_flight.add(task)
+            task.add_done_callback(self._in_flight.discard)
+
+    async def _keep(self, work: Awaitable[Observation]) -> None:
+        self.observations.append(await work)
+
+    async def _show_progress(self) -> None:
+        while True:
+            await asyncio.sleep(PROGRESS_INTERVAL)
+            self._print()
+
+    def _print(self) -> None:
+        if self._show is None:
+            return
+        elapsed = asyncio.get_running_loop().time() - self._started
+        in_time = sum(item.in_time for item in self.observations)
+        refused = sum(item.ending is Ending.REFUSAL for item in self.observations)
+        cut = sum(
+            item.ending in (Ending.CUT, Ending.SILENT) for item in self.observations
+        )
+        self._show(
+            f"{elapsed:6.1f} s: {self._sent} sent, {len(self._in_flight)} in flight,"
+            f" {in_time} answered in time, {refused} refused, {cut} cut,"
+            f" {len(self._balancer.ready)} instances ready"
+        )
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/load/tallies.py
@@ -0,0 +1,101 @@
+"""Counts and latency histograms of the requests of one kind."""
+
+from __future__ import annotations
+
+from collections import Counter
+from itertools import pairwise
+from typing import TYPE_CHECKING, Any
+
+from hdrh.histogram import HdrHistogram
+
+from .observations import Ending
+
+if TYPE_CHECKING:
+    from .observations import Observation
+
+__all__ = ("Tally", "summarize")
+
+#: bounds of the histograms in microseconds, and their significant digits
+LOWEST = 1
+HIGHEST = 600_000_000
+DIGITS = 3
+MICROSECONDS = 1_000_000
+
+PERCENTILES = (50, 95, 99)
+
+
+class Tally:
+    """What became of a set of requests.
+
+    Attainment is the share of requests answered whole within their deadline, out
+    of all that the callers made, sent or not.
+    """
+
+    def __init__(self) -> None:
+        self.made = 0
+        self.in_time = 0
+        self.endings: Counter[str] = Counter()
+        self.refusals: Counter[str] = Counter()
+        self.replayed = 0
+        self._latency = _create_histogram()
+        self._first_token = _create_histogram()
+        self._token_gap = _create_histogram()
+
+    def add(self, observation: Observation) -> None:
+        """Count one request."""
+        self.made += 1
+        self.in_time += observation.in_time
+        self.endings[observation.ending.value] += 1
+        self.replayed += observation.replayed
+        if observation.ending is Ending.REFUSAL:
+            self.refusals[f"{observation.code} ({observation.verdict})"] += 1
+        if observation.ending is not Ending.RESULT:
+            return
+        _record(self._latency, observation.seconds)
+        times = observation.token_seconds
+        if not times:
+            return
+        _record(self._first_token, times[0])
+        for earlier, later in pairwise(times):
+            _record(self._token_gap, later - earlier)
+
+    @property
+    def attainment(self) -> float:
+        """Share of requests answered whole in time; 1 if there were none."""
+        return self.in_time / self.made if self.made else 1.0
+
+    def encode(self) -> dict[str, Any]:
+        """Return the counts, and percentiles in milliseconds."""
+        return {
+            "made": self.made,
+            "in_time": self.in_time,
+            "attainment": round(self.attainment, 4),
+            "endings": dict(self.endings),
+            "refusals": dict(self.refusals),
+            "replayed": self.replayed,
+            "latency_ms": summarize(self._latency),
+            "first_token_ms": summarize(self._first_token),
+            "token_gap_ms": summarize(self._token_gap),
+        }
+
+
+def summarize(histogram: HdrHistogram) -> dict[str, float]:
+    """Return percentiles and the largest value in milliseconds."""
+    count = histogram.get_total_count()
+    if not count:
+        return {}
+    values = {
+        f"p{percentile}": round(histogram.get_value_at_percentile(percentile) / 1000, 1)
+        for percentile in PERCENTILES
+    }
+    values["max"] = round(histogram.get_max_value() / 1000, 1)
+    return values
+
+
+def _create_histogram() -> HdrHistogram:
+    return HdrHistogram(LOWEST, HIGHEST, DIGITS)
+
+
+def _record(histogram: HdrHistogram, seconds: float) -> None:
+    value = round(seconds * MICROSECONDS)
+    histogram.record_value(min(max(value, LOWEST), HIGHEST))
