Test the run of a pipeline by a matrix of failures

Each kind of failure with each verdict, for calls that may and may not be repeated, and streams that are cut, can't be resumed or contradict themselves.

--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/standins/raw.py
@@ -0,0 +1,142 @@
+"""A TCP server that does to each connection what a test scripts."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import xxhash
+
+__all__ = (
+    "RawConnection",
+    "RawServer",
+    "encode_answer",
+    "encode_end",
+    "encode_token",
+)
+
+HOST = "127.0.0.1"
+#: head of a streamed answer, whose body ends with the connection
+STREAM_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+
+
+class RawConnection:
+    """One accepted connection."""
+
+    def __init__(
+        self, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        #: position among the accepted connections, from zero
+        self.number = number
+        self.reader = reader
+        self.writer = writer
+
+    async def read_request(self) -> dict[str, Any]:
+        """Read one HTTP request and return its JSON body.
+
+        :raises asyncio.IncompleteReadError: if the connection ends before
+        """
+        head = await self.reader.readuntil(b"\r\n\r\n")
+        length = 0
+        for line in head.split(b"\r\n"):
+            name, _, value = line.partition(b":")
+            if name.lower() == b"content-length":
+                length = int(value)
+        body = await self.reader.readexactly(length)
+        return json.loads(body) if body else {}
+
+    async def send(self, data: bytes) -> None:
+        """Send ``data`` as it is."""
+        self.writer.write(data)
+        await self.writer.drain()
+
+    async def hold(self) -> None:
+        """Stay silent until the other side closes."""
+        while await self.reader.read(65_536):
+            pass
+
+    def reset(self) -> None:
+        """Drop the connection at once."""
+        self.writer.transport.abort()
+
+
+Script = Callable[[RawConnection], Awaitable[None]]
+
+
+class RawServer:
+    """Runs ``script`` for each connection and closes it afterwards."""
+
+    def __init__(self, script: Script) -> None:
+        self._script = script
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        #: connections accepted so far
+        self.accepted = 0
+        self.port = 0
+
+    @property
+    def address(self) -> str:
+        """``host:port`` to connect to."""
+        return f"{HOST}:{self.port}"
+
+    async def __aenter__(self) -> RawServer:
+        self._server = await asyncio.start_server(self._accept, HOST, 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+        return self
+
+    async def __aexit__(self, *_error: object) -> None:
+        assert self._server is not None
+        self._server.close()
+        for task in tuple(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        connection = RawConnection(self.accepted, reader, writer)
+        self.accepted += 1
+        try:
+            await self._script(connection)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            # the other side left, which scripts need not foresee
+            pass
+        finally:
+            writer.close()
+            self._tasks.discard(task)
+
+
+def encode_answer(
+    fields: dict[str, Any], *, status: str = "200 OK", headers: str = ""
+) -> bytes:
+    """Return an HTTP answer with a JSON body, after which the connection stays."""
+    body = json.dumps(fields).encode()
+    head = (
+        f"HTTP/1.1 {status}\r\nContent-Type: application/json\r\n"
+        f"Content-Length: {len(body)}\r\n{headers}\r\n"
+    )
+    return head.encode() + body
+
+
+def encode_token(call: dict[str, Any], offset: int, text: str) -> bytes:
+    """Return the event of one token of ``call``."""
+    fields = {"attempt": call["attempt"], "offset": offset, "text": text}
+    return f"event: token\ndata: {json.dumps(fields)}\n\n".encode()
+
+
+def encode_end(call: dict[str, Any], tokens: tuple[str, ...]) -> bytes:
+    """Return the event that ends a stream of ``tokens``."""
+    fields = {
+        "attempt": call["attempt"],
+        "request": call["request"],
+        "stage": call["stage"],
+        "count": len(tokens),
+        "digest": xxhash.xxh64_hexdigest("".join(tokens)),
+        "cost_ms": 1,
+    }
+    return f"event: end\ndata: {json.dumps(fields)}\n\n".encode()
--- /dev/null
+++ b/tests/test_core/test_stages/test_stage_decisions.py
@@ -0,0 +1,178 @@
+"""Decisions of a request's run: ledger, retries, tokens, patience, order."""
+
+from __future__ import annotations
+
+from itertools import product
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from greengagelatch.config.objects import Pipeline, Stage, StageKind
+from greengagelatch.request import Request
+from greengagelatch.stages.graph import build_input, find_ready
+from greengagelatch.stages.ledger import AttemptLedger
+from greengagelatch.stages.patience import PatienceRule, choose_patience
+from greengagelatch.stages.plan import plan_by_share
+from greengagelatch.stages.retries import (
+    GiveUp,
+    RetryRules,
+    decide_retry,
+    may_repeat,
+)
+from greengagelatch.stages.tokens import TokenCheck, TokenRecord
+from greengagelatch.targets import CallFailure, FailureKind
+from greengagelatch.verdict import Verdict
+
+OVER = {FailureKind.DEADLINE, FailureKind.CANCELLED}
+
+
+def create_stage(name: str, *inputs: str, share: float = 1.0, **fields) -> Stage:
+    return Stage(
+        name=name,
+        kind=fields.pop("kind", StageKind.PLAIN),
+        service="service",
+        inputs=inputs,
+        share=share,
+        **fields,
+    )
+
+
+@given(st.lists(st.tuples(st.booleans(), st.sampled_from(Verdict))))
+def test_verdict_rises_only(steps):
+    """A request refused as "not run" had run at a target.
+
+    Sequence: an attempt is sent; the request is given up before the answer comes.
+    Cause: the attempt was entered only with its answer.
+    """
+    ledger = AttemptLedger()
+    highest = Verdict.NOT_RUN
+    for number, (settled, verdict) in enumerate(steps):
+        ledger.begin(str(number), "target")
+        assert ledger.verdict >= Verdict.MAY_HAVE_RUN
+        if not settled:
+            highest = max(highest, Verdict.MAY_HAVE_RUN)
+            continue
+        ledger.settle(str(number), verdict)
+        ledger.settle(str(number), Verdict.NOT_RUN)
+        highest = max(highest, verdict)
+        assert ledger.verdict >= highest
+    assert ledger.verdict == highest
+
+
+@pytest.mark.parametrize(
+    ("kind", "verdict", "repeatable"),
+    list(product(FailureKind, Verdict, (True, False))),
+)
+def test_call_that_may_have_run_is_repeated_only_where_allowed(
+    kind, verdict, repeatable
+):
+    """A booking was confirmed twice.
+
+    Sequence: the call fails after it was sent and is sent to another target.
+    Cause: the decision looked at the kind of failure and not at the verdict.
+    """
+    failure = CallFailure(kind=kind, verdict=verdict, message="")
+    reason = decide_retry(
+        RetryRules(), failure, repeatable=repeatable, attempts=1, remaining=1.0
+    )
+    if kind in OVER:
+        assert reason is GiveUp.OVER
+    elif not repeatable and verdict is not Verdict.NOT_RUN:
+        assert reason is GiveUp.NOT_REPEATABLE
+    else:
+        assert reason is None
+
+
+def test_repeats_are_bounded():
+    failure = CallFailure(kind=FailureKind.CONNECT, verdict=Verdict.NOT_RUN, message="")
+    rules = RetryRules(max_attempts=2, min_remaining=0.1)
+    decide = {"repeatable": True}
+    assert decide_retry(rules, failure, attempts=1, remaining=1, **decide) is None
+    late = decide_retry(rules, failure, attempts=1, remaining=0.05, **decide)
+    assert late is GiveUp.NO_TIME
+    often = decide_retry(rules, failure, attempts=2, remaining=1, **decide)
+    assert often is GiveUp.ATTEMPTS
+
+
+def test_caller_that_forbids_repeats_protects_undeclared_plain_services():
+    """An order hold was made twice although its caller had forbidden repeats.
+
+    Sequence: the operator left the stage's ``repeatable`` at its default; the call
+    was cut and repeated. Cause: only the stage's declaration was heeded.
+    """
+    request = Request(
+        request_id="request",
+        workspace="workspace",
+        pipeline="pipeline",
+        input=None,
+        received=0,
+        deadline=1,
+        repeatable=False,
+    )
+    assert not may_repeat(create_stage("hold"), request)
+    assert may_repeat(create_stage("scan", kind=StageKind.RETRIEVE), request)
+    forbidden = create_stage("scan", kind=StageKind.RETRIEVE, repeatable=False)
+    assert not may_repeat(forbidden, request)
+
+
+def test_tokens_are_never_repeated_or_contradicted():
+    """A caller read half of one draft and half of another.
+
+    Sequence: the stream is cut; another target begins again from zero.
+    Cause: its tokens were passed on without a look at those already given.
+    """
+    record = TokenRecord()
+    assert record.take(0, "a") is TokenCheck.NEW
+    assert record.take(1, "b") is TokenCheck.NEW
+    assert record.take(0, "a") is TokenCheck.REPEATED
+    assert record.take(1, "x") is TokenCheck.CONTRADICTION
+    assert record.take(3, "d") is TokenCheck.GAP
+    assert record.tokens == ("a", "b")
+
+
+@given(
+    median=st.floats(0.001, 10),
+    spread=st.floats(1, 10),
+    remaining=st.floats(-1, 60),
+)
+def test_backup_comes_late_enough_and_in_time(median, spread, remaining):
+    rule = PatienceRule()
+    late = median * spread
+    patience = choose_patience(rule, median=median, late=late, remaining=remaining)
+    if patience is None:
+        assert remaining < late + rule.reserve * median
+        return
+    assert patience >= late
+    assert remaining - patience >= rule.reserve * median * 0.999
+
+
+def test_unmeasured_stage_leaves_half_of_its_time_to_a_backup():
+    assert choose_patience(PatienceRule(), median=0, late=0, remaining=2) == 1
+
+
+def test_stages_start_once_their_inputs_are_there():
+    pipeline = Pipeline(
+        name="draft",
+        stages=(
+            create_stage("encode"),
+            create_stage("stock"),
+            create_stage("retrieve", "encode"),
+            create_stage("write", "retrieve", "stock", share=2.0),
+        ),
+    )
+    names = [stage.name for stage in find_ready(pipeline, set(), {})]
+    assert names == ["encode", "stock"]
+    results = {"encode": 1, "stock": 2}
+    ready = find_ready(pipeline, {"encode", "stock"}, results)
+    assert [stage.name for stage in ready] == ["retrieve"]
+    write = pipeline.stages[-1]
+    assert not find_ready(pipeline, {"encode", "stock", "retrieve"}, results)
+    assert build_input(write, "given", results | {"retrieve": 3}) == {
+        "retrieve": 3,
+        "stock": 2,
+    }
+    assert build_input(pipeline.stages[0], "given", {}) == "given"
+    # a quarter of the way for each of encode and retrieve, half for write
+    assert plan_by_share(pipeline, pipeline.stages[0], 0.0, 4.0) == 1.0
+    assert plan_by_share(pipeline, write, 3.0, 4.0) == 4.0
--- /dev/null
+++ b/tests/test_entry/test_stage_runner.py
@@ -0,0 +1,404 @@
+"""Runs of pipelines whose targets answer as each test scripts."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from itertools import product
+
+import pytest
+from result import Err, Ok
+
+from greengagelatch.clock import SystemClock
+from greengagelatch.config.objects import Pipeline, Stage, StageKind
+from greengagelatch.errors import RefusalCode
+from greengagelatch.load.naive import NaiveDispatcher
+from greengagelatch.request import Request
+from greengagelatch.targets import CallFailure, FailureKind, StageAnswer, Target
+from greengagelatch.verdict import Verdict
+from greengagelatch_entry.attempts import AttemptMaker
+from greengagelatch_entry.filters import Exchange
+from greengagelatch_entry.metrics import Metrics
+from greengagelatch_entry.stages import StageRunner
+from greengagelatch_lab.scripted import (
+    CountingDispatcher,
+    FixedDirectory,
+    ScriptedClient,
+)
+from greengagelatch_lab.waiting import wait_until
+
+SERVICE = "service"
+TOKENS = ("a", "b", "c", "d")
+
+
+class Bench:
+    """A stage runner over scripted targets."""
+
+    def __init__(self, script, *, targets=3, before_grant=None):
+        self.clock = SystemClock()
+        self.directory = FixedDirectory(
+            Target(f"target-{number}", SERVICE, "hall", "127.0.0.1:1")
+            for number in range(targets)
+        )
+        naive = NaiveDispatcher(directory=self.directory, clock=self.clock)
+        self.dispatcher = CountingDispatcher(naive, before_grant)
+        self.client = ScriptedClient(script)
+        self.metrics = Metrics("127.0.0.1:9")
+        self.attempts = AttemptMaker(
+            dispatcher=self.dispatcher,
+            directory=self.directory,
+            client=self.client,
+            clock=self.clock,
+            random_source=random.Random(7),
+            metrics=self.metrics,
+        )
+        self.runner = StageRunner(
+            attempts=self.attempts, clock=self.clock, metrics=self.metrics
+        )
+        self.given = []
+
+    def create_exchange(self, *, budget=5.0, stream=False, **fields):
+        now = self.clock.now()
+        request = Request(
+            request_id="request-1",
+            workspace="north-commuter",
+            pipeline="booking",
+            input="given",
+            received=now,
+            deadline=now + budget,
+            stream=stream,
+            **fields,
+        )
+        exchange = Exchange(request=request)
+        if stream:
+            exchange.on_token = lambda *token: self.given.append(token)
+        return exchange
+
+    async def run(self, pipeline, **fields):
+        exchange = self.create_exchange(**fields)
+        answer = await self.runner.run(exchange, pipeline)
+        await self.attempts.close()
+        assert not self.dispatcher.find_leaks()
+        assert answer.verdict is exchange.verdict
+        if answer.refusal is not None:
+            assert answer.refusal.verdict is exchange.verdict
+        return answer
+
+
+def create_pipeline(*stages, **fields):
+    return Pipeline(name="booking", stages=stages or (create_stage("book", **fields),))
+
+
+def create_stage(name, *inputs, kind=StageKind.PLAIN, repeatable=True):
+    return Stage(
+        name=name, kind=kind, service=SERVICE, repeatable=repeatable, inputs=inputs
+    )
+
+
+def fail(kind, verdict=Verdict.MAY_HAVE_RUN, **fields):
+    return Err(CallFailure(kind=kind, verdict=verdict, message="scripted", **fields))
+
+
+def answer_all(output="done"):
+    async def script(target, call, on_token):
+        return Ok(StageAnswer(output=output, cost=0.01))
+
+    return script
+
+
+def fail_first(failure, times=1):
+    """Return a script that fails ``times`` calls and then answers."""
+    left = [times]
+
+    async def script(target, call, on_token):
+        if left[0] > 0:
+            left[0] -= 1
+            return failure
+        return Ok(StageAnswer(output="done"))
+
+    return script
+
+
+FAULTS = list(product(FailureKind, Verdict, (True, False)))
+
+
+@pytest.mark.parametrize(("kind", "verdict", "repeatable"), FAULTS)
+async def test_fault_matrix_of_one_call(kind, verdict, repeatable):
+    """A hold was doubled, or a refusal said "not run" of one that ran.
+
+    Sequence: the first call of a stage fails in each way there is, once.
+    Cause: the repeat or the verdict was decided by something but the proof.
+    """
+    bench = Bench(fail_first(fail(kind, verdict)))
+    answer = await bench.run(create_pipeline(repeatable=repeatable))
+    over = kind in (FailureKind.DEADLINE, FailureKind.CANCELLED)
+    repeated = not over and (repeatable or verdict is Verdict.NOT_RUN)
+    assert len(bench.client.calls) == (2 if repeated else 1)
+    if repeated:
+        assert answer.result == "done"
+        assert answer.verdict is Verdict.RAN
+        first, second = (target.target_id for target, _ in bench.client.calls)
+        if kind is not FailureKind.CANNOT_RESUME:
+            assert first != second
+        return
+    assert answer.verdict is verdict
+    if verdict is not Verdict.NOT_RUN and not repeatable:
+        # the hint would have the caller run it a second time
+        assert answer.refusal.retry_after_ms is None
+
+
+async def test_refusal_by_every_target_is_not_run():
+    """A refused booking was reported as perhaps made, and nobody dared repeat it.
+
+    Sequence: each target says "not run". Cause: the verdict rose on sending and
+    could not be taken back by the target's word.
+    """
+    refused = fail(FailureKind.TARGET_REFUSED, Verdict.NOT_RUN, retry_after_ms=70)
+    bench = Bench(fail_first(refused, times=10))
+    answer = await bench.run(create_pipeline(repeatable=False))
+    assert answer.refusal.code is RefusalCode.OVERLOADED
+    assert answer.verdict is Verdict.NOT_RUN
+    assert answer.refusal.retry_after_ms == 70
+
+
+async def test_verdict_of_an_earlier_stage_stays():
+    """A request whose first stage ran was refused as "not run"."""
+
+    async def script(target, call, on_token):
+        if call.stage == "check":
+            return Ok(StageAnswer(output=1))
+        return fail(FailureKind.CONNECT, Verdict.NOT_RUN)
+
+    bench = Bench(script)
+    pipeline = create_pipeline(create_stage("check"), create_stage("book", "check"))
+    answer = await bench.run(pipeline)
+    assert answer.verdict is Verdict.RAN
+
+
+async def test_single_replica_is_tried_again_on_a_new_connection():
+    """A service with one replica failed on its first broken connection."""
+    bench = Bench(fail_first(fail(FailureKind.CUT)), targets=1)
+    answer = await bench.run(create_pipeline())
+    assert answer.result == "done"
+
+
+async def test_target_that_leaves_while_a_call_is_queued_gets_nothing():
+    """A leaving target was given new work.
+
+    Sequence: the call is queued, the target begins to leave, the call is granted
+    to it. Cause: the directory was only asked when the call was queued.
+    """
+
+    def leave(ticket):
+        if not bench.directory.leaving:
+            bench.directory.note_leaving("target-0")
+
+    bench = Bench(answer_all(), before_grant=leave)
+    answer = await bench.run(create_pipeline(repeatable=False))
+    assert answer.result == "done"
+    assert [target.target_id for target, _ in bench.client.calls] == ["target-2"]
+
+
+async def test_directory_and_dispatcher_that_disagree_do_not_stop_the_loop():
+    """The whole instance hung when a granted target never accepted.
+
+    Sequence: candidates still hold a target that does not accept. Cause: the call
+    was moved for ever without once giving up the event loop.
+    """
+    bench = Bench(answer_all(), targets=1)
+    bench.directory.accepts = lambda target_id: False
+    answer = await bench.run(create_pipeline())
+    assert answer.refusal.code is RefusalCode.NO_TARGET
+    assert answer.verdict is Verdict.NOT_RUN
+
+
+async def test_leaving_said_in_an_answer_is_noted():
+    async def script(target, call, on_token):
+        return Ok(StageAnswer(output=1, leaving=True))
+
+    bench = Bench(script)
+    await bench.run(create_pipeline())
+    assert bench.directory.leaving == {"target-0"}
+
+
+async def test_deadline_stops_the_call_at_its_target():
+    """Targets went on working for callers long gone.
+
+    Sequence: the deadline passes while the target works. Cause: nobody told it.
+    """
+
+    async def script(target, call, on_token):
+        await asyncio.Event().wait()
+
+    bench = Bench(script)
+    answer = await bench.run(create_pipeline(repeatable=False), budget=0.05)
+    assert answer.refusal.code is RefusalCode.DEADLINE
+    assert answer.verdict is Verdict.MAY_HAVE_RUN
+    assert bench.client.cancelled == [bench.client.calls[0][1].attempt_id]
+
+
+async def test_caller_that_leaves_stops_the_call_at_its_target():
+    """A wheel plan nobody waited for kept an engine busy.
+
+    Sequence: the caller closes its connection; the handler is cancelled.
+    Cause: the target was not told, and its grant was never given back.
+    """
+
+    async def script(target, call, on_token):
+        await asyncio.Event().wait()
+
+    bench = Bench(script)
+    exchange = bench.create_exchange()
+    task = asyncio.create_task(bench.runner.run(exchange, create_pipeline()))
+    await wait_until(lambda: bench.client.calls, what="call sent")
+    task.cancel()
+    with pytest.raises(asyncio.CancelledError):
+        await task
+    await bench.attempts.close()
+    assert exchange.verdict is Verdict.MAY_HAVE_RUN
+    assert not bench.dispatcher.find_leaks()
+    assert bench.client.cancelled == [bench.client.calls[0][1].attempt_id]
+
+
+@pytest.mark.parametrize("silent_calls", [1, 2])
+async def test_silent_call_gets_a_backup(silent_calls):
+    """A profile check was lost at its deadline although two targets were idle.
+
+    Sequence: the open connection to the first target has gone silent; nothing
+    fails. Cause: the call was only given up by its deadline.
+    """
+
+    async def script(target, call, on_token):
+        if len(bench.client.calls) <= silent_calls:
+            await asyncio.Event().wait()
+        return Ok(StageAnswer(output="done"))
+
+    bench = Bench(script)
+    answer = await bench.run(create_pipeline(), budget=0.4)
+    if silent_calls == 2:
+        # one backup, no more: a silent service must not be flooded
+        assert answer.refusal.code is RefusalCode.DEADLINE
+        assert len(bench.client.calls) == 2
+        return
+    assert answer.result == "done"
+    first, second = bench.client.calls
+    assert first[0] != second[0]
+    assert bench.client.cancelled == [first[1].attempt_id]
+    assert bench.dispatcher.tickets[1].retry
+
+
+async def test_silent_call_that_may_not_be_repeated_gets_none():
+    """A booking was made twice: its first call was only slow."""
+
+    async def script(target, call, on_token):
+        await asyncio.Event().wait()
+
+    bench = Bench(script)
+    answer = await bench.run(create_pipeline(repeatable=False), budget=0.2)
+    assert len(bench.client.calls) == 1
+    assert answer.verdict is Verdict.MAY_HAVE_RUN
+
+
+async def test_failure_of_one_branch_stops_the_other():
+    """A refused request went on costing in its other branch.
+
+    Sequence: two stages run side by side and one fails. Cause: the other one was
+    left running.
+    """
+
+    async def script(target, call, on_token):
+        if call.stage == "stock":
+            await asyncio.Event().wait()
+        return fail(FailureKind.TARGET_ERROR)
+
+    bench = Bench(script)
+    stock = create_stage("stock", repeatable=False)
+    price = create_stage("price", repeatable=False)
+    pipeline = create_pipeline(stock, price, create_stage("write", "stock", "price"))
+    answer = await bench.run(pipeline)
+    assert answer.refusal.value == "price"
+    assert {call.stage for _, call in bench.client.calls} == {"stock", "price"}
+    stopped = [c.attempt_id for _, c in bench.client.calls if c.stage == "stock"]
+    assert bench.client.cancelled == stopped
+
+
+def create_stream(*attempts):
+    """Return a script; each attempt: tokens by offset, and how it ends."""
+    queue = list(attempts)
+
+    async def script(target, call, on_token):
+        texts, end = queue.pop(0)
+        for offset in range(call.resume_at, len(texts)):
+            on_token(offset, texts[offset])
+        if end is None:
+            return Ok(StageAnswer(output="".join(texts), tokens=tuple(texts)))
+        return end
+
+    return script
+
+
+CUT = fail(FailureKind.CUT, Verdict.RAN)
+CANNOT = fail(FailureKind.CANNOT_RESUME)
+DRAFT = Stage(name="write", kind=StageKind.GENERATE, service=SERVICE)
+
+
+@pytest.mark.parametrize(
+    ("attempts", "offsets"),
+    [
+        ([(TOKENS[:2], CUT), (TOKENS, None)], [0, 2]),
+        ([(TOKENS[:2], CUT), (TOKENS[:2], CANNOT), (TOKENS, None)], [0, 2, 0]),
+        ([(TOKENS, CUT), (TOKENS, None)], [0, 4]),
+        ([((), CUT), (TOKENS, None)], [0, 0]),
+    ],
+)
+async def test_cut_stream_goes_on_without_a_gap(attempts, offsets):
+    """A draft came with a hole or a repeated line.
+
+    Sequence: the stream is cut; another engine resumes, or begins again where it
+    can't. Cause: offsets were not carried over to the next attempt.
+    """
+    bench = Bench(create_stream(*attempts))
+    answer = await bench.run(create_pipeline(DRAFT), stream=True)
+    assert answer.result == "abcd"
+    assert bench.given == list(enumerate(TOKENS))
+    assert [call.resume_at for _, call in bench.client.calls] == offsets
+
+
+async def test_stream_that_can_only_be_contradicted_is_refused():
+    """A broker read an offer that changed its price half way.
+
+    Sequence: the stream is cut, no engine can resume, and the repetition differs
+    from what was given. Cause: it was passed on all the same.
+    """
+    bench = Bench(
+        create_stream(
+            (TOKENS[:2], CUT), ((), CANNOT), (("a", "x", "y"), None), (TOKENS, None)
+        )
+    )
+    answer = await bench.run(create_pipeline(DRAFT), stream=True)
+    assert answer.refusal.code is RefusalCode.STAGE_FAILED
+    assert answer.verdict is Verdict.RAN
+    assert bench.given == [(0, "a"), (1, "b")]
+
+
+async def test_stream_that_may_not_be_repeated_is_not_resumed():
+    bench = Bench(create_stream((TOKENS[:2], CUT), (TOKENS, None)))
+    stage = Stage(
+        name="write", kind=StageKind.GENERATE, service=SERVICE, repeatable=False
+    )
+    answer = await bench.run(create_pipeline(stage), stream=True)
+    assert len(bench.client.calls) == 1
+    assert answer.verdict is Verdict.RAN
+
+
+async def test_cost_of_what_ran_for_nothing_is_counted_apart():
+    async def script(target, call, on_token):
+        if call.stage == "check":
+            return Ok(StageAnswer(output=1, cost=0.03))
+        return fail(FailureKind.TARGET_ERROR)
+
+    bench = Bench(script)
+    pipeline = create_pipeline(create_stage("check"), create_stage("book", "check"))
+    await bench.run(pipeline)
+    assert bench.metrics.value("cost.booking.check.wasted_ms") == 30
+    assert bench.metrics.value("cost.booking.check.useful_ms") == 0
