--- a/packages/greengagelatch-lab/src/greengagelatch_lab/standins/raw.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/standins/raw.py
@@ -10,6 +10,7 @@
 import xxhash
 
 __all__ = (
+    "STREAM_HEAD",
     "RawConnection",
     "RawServer",
     "encode_answer",
@@ -72,6 +73,7 @@
         self._script = script
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
+        self._errors: list[Exception] = []
         #: connections accepted so far
         self.accepted = 0
         self.port = 0
@@ -92,6 +94,9 @@
         for task in tuple(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._errors:
+            # a broken script would let a test pass for the wrong reason
+            raise self._errors[0]
 
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -106,6 +111,8 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             # the other side left, which scripts need not foresee
             pass
+        except Exception as error:
+            self._errors.append(error)
         finally:
             writer.close()
             self._tasks.discard(task)
@@ -136,7 +143,7 @@
         "request": call["request"],
         "stage": call["stage"],
         "count": len(tokens),
-        "digest": xxhash.xxh64_hexdigest("".join(tokens)),
+        "digest": xxhash.xxh64_hexdigest("".join(tokens).encode()),
         "cost_ms": 1,
     }
     return f"event: end\ndata: {json.dumps(fields)}\n\n".encode()
