--- a/packages/greengagelatch-cli/src/greengagelatch_cli/application.py
+++ b/packages/greengagelatch-cli/src/greengagelatch_cli/application.py
@@ -8,7 +8,9 @@
 from cleo.helpers import option
 
 from .commands.changes import ListChanges, RollBack, ShowChange, WaitForChange
+from .commands.checks import Check
 from .commands.fleet import Drain, Dump, Status
+from .commands.labels import Label
 from .commands.objects import Apply, Delete, Diff, Get
 
 __all__ = ("create_application",)
@@ -21,6 +23,7 @@
     Get,
     Diff,
     Delete,
+    Label,
     ShowChange,
     WaitForChange,
     ListChanges,
@@ -28,6 +31,7 @@
     Status,
     Dump,
     Drain,
+    Check,
 )
 
 
--- /dev/null
+++ b/packages/greengagelatch-cli/src/greengagelatch_cli/commands/checks.py
@@ -0,0 +1,112 @@
+"""Command that checks files without a server."""
+
+from __future__ import annotations
+
+from dataclasses import asdict
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from cleo.helpers import argument, option
+from result import Err
+
+from greengagelatch import settings
+from greengagelatch.config.ini import parse_objects
+from greengagelatch.config.names import identify
+from greengagelatch.config.sections import split_sections
+from greengagelatch.config.validation import find_problems
+
+from ..exits import ExitCode
+from . import OperatorCommand, UsageError
+from .submitting import read_file
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from greengagelatch.config.problems import Problem
+
+__all__ = ("Check",)
+
+#: in titles of objects, between the kind and the name
+TITLE_SEPARATOR = ":"
+
+
+class Content(Enum):
+    """What a file is checked as."""
+
+    AUTO = "auto"
+    SETTINGS = "settings"
+    OBJECTS = "objects"
+
+
+class Check(OperatorCommand):
+    """Checks a file of settings or of objects."""
+
+    name = "check"
+    description = "Check a file of settings or objects, without a server."
+    arguments = (argument("file", "INI file; - is standard input."),)
+    options = (
+        option("as", None, "settings, objects or auto.", flag=False, default="auto"),
+        option(
+            "complete",
+            None,
+            "The file holds all objects: check references between them too.",
+        ),
+    )
+
+    def perform(self) -> ExitCode:
+        path = self.argument("file")
+        text = read_file(path)
+        content = self._read_content()
+        if content is Content.AUTO:
+            content = _guess_content(text)
+        if content is Content.SETTINGS:
+            return self._check_settings(path, text)
+        return self._check_objects(path, text)
+
+    def _check_settings(self, path: str, text: str) -> ExitCode:
+        checked = settings.parse(text)
+        if isinstance(checked, Err):
+            error = checked.err_value
+            data = {"state": "refused", "problems": [{"file": path, **asdict(error)}]}
+            self.output.show_error(f"{path}: {error}", data)
+            return ExitCode.REFUSED
+        self.output.show(f"{path}: settings are valid", {"state": "checked"})
+        return ExitCode.OK
+
+    def _check_objects(self, path: str, text: str) -> ExitCode:
+        parsed = parse_objects(text, path)
+        if isinstance(parsed, Err):
+            return self._show_problems(parsed.err_value)
+        objects = {identify(item): item for item in parsed.ok_value}
+        if self.option("complete"):
+            problems = find_problems(objects, path)
+            if problems:
+                return self._show_problems(problems)
+        line = f"{path}: {len(objects)} objects are valid"
+        self.output.show(line, {"state": "checked", "objects": len(objects)})
+        return ExitCode.OK
+
+    def _show_problems(self, problems: Sequence[Problem]) -> ExitCode:
+        lines = "\n".join(str(problem) for problem in problems)
+        data = {"state": "refused", "problems": [asdict(one) for one in problems]}
+        self.output.show_error(lines, data)
+        return ExitCode.REFUSED
+
+    def _read_content(self) -> Content:
+        text = self.option("as")
+        try:
+            return Content(text)
+        except ValueError as error:
+            msg = f"--as = {text!r}: must be settings, objects or auto"
+            raise UsageError(msg) from error
+
+
+def _guess_content(text: str) -> Content:
+    sections, _ = split_sections(text, "")
+    known = {setting.name.partition(".")[0] for setting in settings.SETTINGS}
+    for section in sections:
+        if TITLE_SEPARATOR in section.title:
+            return Content.OBJECTS
+        if section.title in known:
+            return Content.SETTINGS
+    return Content.OBJECTS
--- a/packages/greengagelatch-cli/src/greengagelatch_cli/commands/objects.py
+++ b/packages/greengagelatch-cli/src/greengagelatch_cli/commands/objects.py
@@ -8,6 +8,8 @@
 from cleo.helpers import argument, option
 from result import Err
 
+from greengagelatch.config.names import ObjectKind
+
 from ..exits import ExitCode
 from . import ServerCommand, UsageError
 from .submitting import SUBMIT_OPTIONS, SubmitCommand, read_file, split_base
@@ -17,9 +19,9 @@
 
     from ..client import Client, Reply
 
-__all__ = ("Apply", "Delete", "Diff", "Get", "check_kind", "read_objects")
+__all__ = ("KINDS", "Apply", "Delete", "Diff", "Get", "check_kind", "read_objects")
 
-KINDS = ("service", "pipeline", "workspace", "policy")
+KINDS = tuple(kind.value for kind in ObjectKind)
 
 OBJECTS_PATH = "/objects"
 
--- a/tests/test_cli/test_commands.py
+++ b/tests/test_cli/test_commands.py
@@ -28,8 +28,8 @@
 OBJECTS = {
     "generation": 7,
     "objects": [
-        {"kind": "workspace", "name": "broker", "text": "[workspace broker]\n"},
-        {"kind": "workspace", "name": "desk", "text": "[workspace desk]\n"},
+        {"kind": "workspace", "name": "broker", "text": "[workspace:broker]\n"},
+        {"kind": "workspace", "name": "desk", "text": "[workspace:desk]\n"},
     ],
 }
 
@@ -90,7 +90,7 @@
     ended = await run_command(
         "get", "workspace", "--selector", "tier=gold", servers=[server.address]
     )
-    assert ended.out == "# generation 7\n\n[workspace broker]\n\n[workspace desk]\n"
+    assert ended.out == "# generation 7\n\n[workspace:broker]\n\n[workspace:desk]\n"
     (query,) = server.bodies("GET /objects")
     assert query == {
         "kind": "workspace",
@@ -108,12 +108,12 @@
 
 async def test_diff_changes_nothing(server, run_command, tmp_path):
     path = tmp_path / "objects.ini"
-    path.write_text("[workspace broker]\nlabels = tier=gold\n")
+    path.write_text("[workspace:broker]\nlabels = tier=gold\n")
     changed = [
         {
             "object": "workspace/broker",
-            "before": "[workspace broker]\n",
-            "after": "[workspace broker]\nlabels = tier=gold\n",
+            "before": "[workspace:broker]\n",
+            "after": "[workspace:broker]\nlabels = tier=gold\n",
         }
     ]
     body = {"state": "checked", "generation": 7, "changed": changed}
--- a/tests/test_cli/test_submission.py
+++ b/tests/test_cli/test_submission.py
@@ -8,7 +8,7 @@
 
 CLOSED = "127.0.0.1:1"
 
-TEXT = "[workspace broker]\n"
+TEXT = "[workspace:broker]\n"
 
 SETTLED = {"state": "settled", "generation": 8, "changed": ["workspace/broker"]}
 NOT_FOUND = (404, {"state": "not-found", "generation": 7, "oldest_time": 0})
@@ -50,10 +50,10 @@
     conflict = {
         "object": "workspace/broker",
         "base": 5,
-        "yours": "[workspace broker]",
+        "yours": "[workspace:broker]",
         "generation": 6,
         "change_id": "c-other",
-        "current": "[workspace broker]\nlabels = tier=gold",
+        "current": "[workspace:broker]\nlabels = tier=gold",
     }
     body = {"state": "conflict", "generation": 6, "conflicts": [conflict]}
     server.answer("POST /changes", (409, body))
