--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/operators.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/operators.py
@@ -115,6 +115,7 @@
         while not self.should_stop:
             lag = await self._lag.sample()
             self._metrics.gauge("loop.lag_ms", lag * 1000)
+            self._metrics.gauge("log.dropped", self._state_dump.count_dropped_lines())
 
     @Service.task
     async def _log_dumps(self) -> None:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/state_dump.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/state_dump.py
@@ -67,6 +67,10 @@
             logger.exception("dump of controller %s failed", name)
             return {"dump_failed": f"{type(error).__name__}: {error}"}
 
+    def count_dropped_lines(self) -> int:
+        """Return how many log lines were dropped since the start."""
+        return 0 if self._log_output is None else self._log_output.dropped
+
     def describe_process(self) -> dict[str, Any]:
         """Return everything except the controllers' state."""
         described = {
