--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of the claims controller that do input and output."""
--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/claims/committer.py
@@ -0,0 +1,242 @@
+"""Has operations on claims committed, here or by the usual writer of their shard."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from result import Err, Ok
+
+from greengagelatch.claims.attempt import choose_ways
+from greengagelatch.claims.head import Limits
+from greengagelatch.claims.messages import ClaimAnswer, ClaimQuestion
+from greengagelatch.claims.operations import GiveBack, OperationResult, ResultKind
+from greengagelatch.claims.scope import choose_shard, name_head, rank_instances
+from greengagelatch.peers import MemberState, PeerErrorKind
+
+from .layout import Layout
+from .writer import ShardWriter
+
+if TYPE_CHECKING:
+    import random
+
+    from greengagelatch.claims.operations import Operation
+    from greengagelatch.clock import Clock
+    from greengagelatch.peers import PeerNetwork
+    from greengagelatch.settings import Settings
+    from greengagelatch.store import Store
+
+    from ..metrics import Metrics
+
+__all__ = ("Committer",)
+
+#: share of the time left that may be spent on asking another instance
+FORWARD_SHARE = 0.5
+#: seconds for which this instance does not write for itself after it failed to
+PAUSE_AFTER_FAILURE = 1.0
+#: give-backs under way at a time; a key that is not given back is freed all the
+#: same by asking this instance, for as long as it runs
+MAX_GIVE_BACKS = 1024
+#: seconds for which a give-back is tried, and between two tries
+GIVE_BACK_TIME = 30.0
+GIVE_BACK_DELAY = 1.0
+#: instances that are tried for a give-back
+GIVE_BACK_WAYS = 2
+#: seconds that a planned stop waits for give-backs, and for writes
+STOP_TIME = 3.0
+#: seconds after which a shard's state is dropped if nothing was written
+IDLE_TIME = 60.0
+
+UNREACHABLE = OperationResult(ResultKind.UNREACHABLE)
+
+
+class Committer:
+    """Brings operations to whoever usually writes their shard, or writes itself."""
+
+    def __init__(
+        self,
+        *,
+        store: Store,
+        peers: PeerNetwork | None,
+        clock: Clock,
+        random: random.Random,
+        settings: Settings,
+        metrics: Metrics,
+        instance_id: str,
+    ) -> None:
+        self._store = store
+        self._peers = peers
+        self._clock = clock
+        self._random = random
+        self._metrics = metrics
+        self._instance_id = instance_id
+        self._interval: float = settings["claims.interval"]
+        self._forward_timeout: float = settings["claims.forward_timeout"]
+        self._limits = Limits(
+            retention=settings["claims.retention"],
+            clock_margin=settings["claims.clock_margin"],
+            head_claims=settings["claims.head_claims"],
+            segment_claims=settings["claims.segment_claims"],
+            segments=settings["claims.segments"],
+        )
+        self._layout = Layout(
+            store=store,
+            peers=peers,
+            shards=settings["claims.shards"],
+            own=instance_id,
+        )
+        self._writers: dict[int, ShardWriter] = {}
+        self._give_backs: set[asyncio.Task[None]] = set()
+        self._reached_at = clock.now()
+        self._failed_at = float("-inf")
+        if peers is not None:
+            peers.handle(ClaimQuestion, self._answer_claim)
+
+    @property
+    def shards(self) -> int | None:
+        """Number of shards, ``None`` until it is known."""
+        return self._layout.shards
+
+    @property
+    def writing(self) -> tuple[int, ...]:
+        """Shards that this instance has lately written."""
+        return tuple(sorted(self._writers))
+
+    @property
+    def giving_back(self) -> int:
+        """Number of claims that are being given back."""
+        return len(self._give_backs)
+
+    @property
+    def down_for(self) -> float:
+        """Seconds since this instance last had an answer from the store."""
+        return self._clock.now() - self._find_reached()
+
+    async def find_ways(self, key: bytes) -> tuple[str, ...]:
+        """Return who may write for a key, in the order of trying; empty: nobody."""
+        shards = await self._layout.learn()
+        if shards is None:
+            return ()
+        return self._rank_ways(choose_shard(key, shards))
+
+    async def commit(
+        self, way: str, operation: Operation, deadline: float
+    ) -> OperationResult | None:
+        """Have the instance ``way`` commit an operation; ``None``: no answer."""
+        if way == self._instance_id:
+            return await self._commit_here(operation, deadline)
+        remaining = deadline - self._clock.now()
+        timeout = min(self._forward_timeout, remaining * FORWARD_SHARE)
+        question = ClaimQuestion.wrap(operation, int(timeout * 1000))
+        answer = await self._peers.ask(way, question, timeout)
+        match answer:
+            case Ok(ClaimAnswer() as message):
+                self._metrics.count("claims.forwarded")
+                return message.unwrap()
+            case Err(error) if error.kind is PeerErrorKind.NO_ANSWER:
+                self._metrics.count("claims.forward_silent")
+                return None
+        self._metrics.count("claims.forward_failed")
+        return UNREACHABLE
+
+    def give_back(self, operation: GiveBack) -> None:
+        """Free a key in the background."""
+        if len(self._give_backs) >= MAX_GIVE_BACKS:
+            self._metrics.count("claims.give_back_dropped")
+            return
+        task = asyncio.create_task(self._give_back(operation))
+        self._give_backs.add(task)
+        task.add_done_callback(self._give_backs.discard)
+
+    def sweep(self) -> None:
+        """Drop the state of shards that this instance no longer writes."""
+        now = self._clock.now()
+        self._reached_at = self._find_reached()
+        for shard, writer in list(self._writers.items()):
+            if writer.idle and now - writer.used_at > IDLE_TIME:
+                del self._writers[shard]
+
+    async def close(self) -> None:
+        """Finish give-backs and writes, within a few seconds."""
+        tasks = set(self._give_backs)
+        if tasks:
+            await asyncio.wait(tasks, timeout=STOP_TIME)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        closing = [writer.close(STOP_TIME) for writer in self._writers.values()]
+        await asyncio.gather(*closing)
+
+    async def _commit_here(
+        self, operation: Operation, deadline: float
+    ) -> OperationResult:
+        shards = await self._layout.learn()
+        if shards is None:
+            return UNREACHABLE
+        shard = choose_shard(operation.key, shards)
+        usual = self._rank_ways(shard)[0] == self._instance_id
+        paused_for = self._clock.now() - self._failed_at
+        if not usual and paused_for < PAUSE_AFTER_FAILURE:
+            # a slow store makes usual writers late, which sends every instance
+            # here: the store's load must not grow with their number just then
+            return UNREACHABLE
+        writer = self._get_writer(shard)
+        result = await writer.submit(operation, deadline, fresh=not usual)
+        if result.kind in (ResultKind.UNREACHABLE, ResultKind.UNSETTLED):
+            self._failed_at = self._clock.now()
+        return result
+
+    async def _answer_claim(self, sender: str, question: ClaimQuestion) -> ClaimAnswer:
+        try:
+            operation = question.unwrap()
+        except (TypeError, ValueError):
+            return ClaimAnswer.wrap(UNREACHABLE)
+        deadline = self._clock.now() + question.budget_ms / 1000
+        return ClaimAnswer.wrap(await self._commit_here(operation, deadline))
+
+    async def _give_back(self, operation: GiveBack) -> None:
+        expires = self._clock.now() + GIVE_BACK_TIME
+        while self._clock.now() < expires:
+            ways = await self.find_ways(operation.key)
+            for way in ways[:GIVE_BACK_WAYS]:
+                result = await self.commit(way, operation, expires)
+                if result is not None and is_settled(result):
+                    self._metrics.count("claims.given_back")
+                    return
+            await asyncio.sleep(GIVE_BACK_DELAY)
+        self._metrics.count("claims.give_back_failed")
+
+    def _get_writer(self, shard: int) -> ShardWriter:
+        writer = self._writers.get(shard)
+        if writer is None:
+            writer = ShardWriter(
+                shard=shard,
+                store=self._store,
+                clock=self._clock,
+                random=self._random,
+                limits=self._limits,
+                interval=self._interval,
+                metrics=self._metrics,
+            )
+            self._writers[shard] = writer
+        return writer
+
+    def _rank_ways(self, shard: int) -> tuple[str, ...]:
+        members = {self._instance_id}
+        if self._peers is not None:
+            members.update(
+                member.instance_id
+                for member in self._peers.members()
+                if member.state is MemberState.ALIVE
+            )
+        ranked = rank_instances(name_head(shard), members)
+        return choose_ways(self._instance_id, ranked)
+
+    def _find_reached(self) -> float:
+        answers = [writer.answered_at for writer in self._writers.values()]
+        return max([self._reached_at, *answers])
+
+
+def is_settled(result: OperationResult) -> bool:
+    """Whether a give-back is over: done, or the key is no longer held by it."""
+    return result.kind in (ResultKind.GIVEN_BACK, ResultKind.HELD)
--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/claims/holders.py
@@ -0,0 +1,237 @@
+"""Asks other instances for the outcomes of attempts, and answers them."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import defaultdict
+from typing import TYPE_CHECKING
+
+from result import Ok
+
+from greengagelatch.claims.attempt import describe_holder
+from greengagelatch.claims.messages import (
+    HandoverAnswer,
+    HandoverQuestion,
+    OutcomeAnswer,
+    OutcomeQuestion,
+)
+from greengagelatch.claims.registry import AttemptState
+from greengagelatch.claims.scope import rank_instances
+from greengagelatch.peers import MemberState
+
+if TYPE_CHECKING:
+    from greengagelatch.claims import Token
+    from greengagelatch.claims.registry import Record, Registry
+    from greengagelatch.clock import Clock
+    from greengagelatch.peers import PeerNetwork
+
+    from ..metrics import Metrics
+
+__all__ = ("Holders",)
+
+logger = logging.getLogger(__name__)
+
+#: seconds that one question waits for a running attempt, before it is asked anew;
+#: short, so that the loss of the other instance is noticed
+WAIT = 2.0
+#: share of the time left that it waits at most, so that an answer is still of use
+WAIT_SHARE = 0.8
+#: seconds left at which it is too late for another question
+LAST_ANSWER = 0.02
+#: seconds allowed for an answer beyond the wait
+GRACE = 1.0
+#: questions without an answer, one after the other, before an instance counts as
+#: gone
+MAX_SILENT = 2
+#: instances that are asked for what a stopped one may have handed over
+SUCCESSORS = 2
+#: outcomes that are handed over at the same time
+HANDOVER_PARALLEL = 8
+#: seconds for handing over everything
+HANDOVER_TIME = 5.0
+
+OPEN_STATES = (AttemptState.PENDING, AttemptState.RUNNING)
+
+
+class Holders:
+    """Finds out what became of attempts, in this process or another one."""
+
+    def __init__(
+        self,
+        *,
+        registry: Registry,
+        peers: PeerNetwork | None,
+        clock: Clock,
+        metrics: Metrics,
+        instance_id: str,
+        incarnation: int,
+        handover_bytes: int,
+    ) -> None:
+        self._registry = registry
+        self._peers = peers
+        self._clock = clock
+        self._metrics = metrics
+        self._instance_id = instance_id
+        self._incarnation = incarnation
+        self._handover_bytes = handover_bytes
+        self._waiting: defaultdict[Token, set[asyncio.Event]] = defaultdict(set)
+        if peers is not None:
+            peers.handle(OutcomeQuestion, self._answer_outcome)
+            peers.handle(HandoverQuestion, self._answer_handover)
+
+    def notify(self, token: Token) -> None:
+        """Wake whoever waits for the end of an attempt of this process."""
+        for event in self._waiting.pop(token, ()):
+            event.set()
+
+    async def find(self, token: Token, deadline: float) -> Record | None:
+        """Return what is known of an attempt; wait for its end by ``deadline``.
+
+        ``None`` means that nobody can tell: its process is gone and handed nothing
+        over, or can't be reached, or has forgotten.
+        """
+        own = token.instance == self._instance_id
+        if own and token.incarnation == self._incarnation:
+            return await self._wait(token, deadline)
+        known = self._registry.find(token)
+        if known is not None:
+            return known
+        if self._peers is None:
+            return None
+        record = None
+        if not own and self._is_alive(token.instance):
+            record = await self._ask(token.instance, token, deadline)
+        if record is not None:
+            return record
+        for successor in self._rank_successors(token)[:SUCCESSORS]:
+            record = await self._ask(successor, token, deadline)
+            if record is not None:
+                return record
+        return None
+
+    async def hand_over(self) -> int:
+        """Give outcomes to other instances as this one stops; how many were taken.
+
+        Newest first and bounded in bytes and time: an outcome that is not handed
+        over costs its repeats the result, but they are still not run again.
+        """
+        if self._peers is None:
+            return 0
+        chosen = []
+        size = 0
+        for token, outcome in self._registry.list_finished():
+            size += len(outcome)
+            if size > self._handover_bytes:
+                break
+            chosen.append((token, outcome))
+        free = asyncio.Semaphore(HANDOVER_PARALLEL)
+        tasks = [
+            asyncio.create_task(self._hand_over(token, outcome, free))
+            for token, outcome in chosen
+        ]
+        if not tasks:
+            return 0
+        done, late = await asyncio.wait(tasks, timeout=HANDOVER_TIME)
+        for task in late:
+            task.cancel()
+        await asyncio.gather(*late, return_exceptions=True)
+        taken = sum(task.result() for task in done)
+        self._metrics.count("claims.handed_over", taken)
+        return taken
+
+    async def _wait(self, token: Token, deadline: float) -> Record | None:
+        record = self._registry.find(token)
+        remaining = deadline - self._clock.now()
+        if record is None or record.state not in OPEN_STATES or remaining <= 0:
+            return describe_holder(record)
+        event = asyncio.Event()
+        self._waiting[token].add(event)
+        try:
+            async with asyncio.timeout(remaining):
+                await event.wait()
+        except TimeoutError:
+            pass
+        finally:
+            events = self._waiting.get(token, set())
+            events.discard(event)
+            if not events:
+                self._waiting.pop(token, None)
+        return describe_holder(self._registry.find(token))
+
+    async def _ask(
+        self, instance_id: str, token: Token, deadline: float
+    ) -> Record | None:
+        """Ask one instance, again and again while the attempt is running."""
+        silent = 0
+        record = None
+        while silent < MAX_SILENT:
+            remaining = deadline - self._clock.now()
+            if remaining <= LAST_ANSWER:
+                return record
+            wait = min(WAIT, remaining * WAIT_SHARE)
+            question = OutcomeQuestion.wrap(token, int(wait * 1000))
+            answer = await self._peers.ask(
+                instance_id, question, min(wait + GRACE, remaining)
+            )
+            match answer:
+                case Ok(OutcomeAnswer() as found):
+                    silent = 0
+                    record = found.unwrap()
+                case _:
+                    silent += 1
+                    self._metrics.count("claims.holder_silent")
+                    # the link may be about to be made anew
+                    await asyncio.sleep(min(0.1, remaining))
+                    continue
+            if record is None or record.state not in OPEN_STATES:
+                return record
+        return None
+
+    async def _answer_outcome(
+        self, sender: str, question: OutcomeQuestion
+    ) -> OutcomeAnswer:
+        token = question.unwrap()
+        if token is None:
+            return OutcomeAnswer()
+        wait = min(question.wait_ms / 1000, WAIT)
+        record = await self._wait(token, self._clock.now() + wait)
+        return OutcomeAnswer.wrap(record)
+
+    async def _hand_over(
+        self, token: Token, outcome: bytes, free: asyncio.Semaphore
+    ) -> bool:
+        question = HandoverQuestion.wrap(token, outcome)
+        async with free:
+            for successor in self._rank_successors(token)[:1]:
+                answer = await self._peers.ask(successor, question, GRACE)
+                match answer:
+                    case Ok(HandoverAnswer(taken=True)):
+                        return True
+        return False
+
+    def _answer_handover(
+        self, sender: str, question: HandoverQuestion
+    ) -> HandoverAnswer:
+        token = question.unwrap()
+        if token is None or not question.outcome:
+            return HandoverAnswer()
+        if self._registry.find(token) is None:
+            self._registry.finish(token, question.outcome, self._clock.now())
+        return HandoverAnswer(taken=True)
+
+    def _rank_successors(self, token: Token) -> tuple[str, ...]:
+        name = f"{token.instance}\0{token.incarnation}\0{token.serial}"
+        others = [
+            member.instance_id
+            for member in self._peers.members()
+            if member.state is MemberState.ALIVE
+            and member.instance_id not in (self._instance_id, token.instance)
+        ]
+        return rank_instances(name, others)
+
+    def _is_alive(self, instance_id: str) -> bool:
+        for member in self._peers.members():
+            if member.instance_id == instance_id:
+                return member.state is not MemberState.DEAD
+        return False
--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/claims/layout.py
@@ -0,0 +1,104 @@
+"""The number of shards that all instances use, as kept in the store."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+from result import Ok
+
+from greengagelatch.claims.messages import LayoutAnswer, LayoutQuestion
+from greengagelatch.claims.scope import LAYOUT_KEY, rank_instances
+from greengagelatch.peers import MemberState
+from greengagelatch.store import ABSENT, Entry, WriteOutcome
+
+if TYPE_CHECKING:
+    from greengagelatch.peers import PeerNetwork
+    from greengagelatch.store import Store
+
+__all__ = ("Layout",)
+
+logger = logging.getLogger(__name__)
+
+#: seconds allowed for a peer's answer
+ASK_TIMEOUT = 0.5
+#: peers asked if the store can't be reached
+MAX_ASKED = 2
+
+
+class Layout:
+    """Learns the number of shards once, from the store or from a peer.
+
+    Two instances with different numbers would look for one key in two places, and
+    both would run the request. So the first instance ever to start writes its
+    setting to the store, and all others take what stands there.
+    """
+
+    def __init__(
+        self, *, store: Store, peers: PeerNetwork | None, shards: int, own: str
+    ) -> None:
+        self._store = store
+        self._peers = peers
+        self._wanted = shards
+        self._own = own
+        self._lock = asyncio.Lock()
+        #: number of shards, ``None`` until it is known
+        self.shards: int | None = None
+        if peers is not None:
+            peers.handle(LayoutQuestion, self._answer)
+
+    async def learn(self) -> int | None:
+        """Return the number of shards; ``None`` if nobody can tell now."""
+        if self.shards is not None:
+            return self.shards
+        async with self._lock:
+            if self.shards is None:
+                self.shards = await self._read() or await self._ask()
+        if self.shards not in (None, self._wanted):
+            logger.warning(
+                "claims.shards is %d, but %d is in use and kept",
+                self._wanted,
+                self.shards,
+            )
+        return self.shards
+
+    async def _read(self) -> int | None:
+        found = await self._store.get(LAYOUT_KEY)
+        if found == Ok(None):
+            value = str(self._wanted).encode()
+            written = await self._store.swap(LAYOUT_KEY, value, ABSENT)
+            if written.outcome is WriteOutcome.APPLIED:
+                return self._wanted
+            # written by another one, or by this one with its answer lost
+            found = await self._store.get(LAYOUT_KEY)
+        match found:
+            case Ok(Entry(value=value)):
+                return _parse(value)
+        return None
+
+    async def _ask(self) -> int | None:
+        if self._peers is None:
+            return None
+        alive = [
+            member.instance_id
+            for member in self._peers.members()
+            if member.state is MemberState.ALIVE and member.instance_id != self._own
+        ]
+        for instance_id in rank_instances(self._own, alive)[:MAX_ASKED]:
+            answer = await self._peers.ask(instance_id, LayoutQuestion(), ASK_TIMEOUT)
+            match answer:
+                case Ok(LayoutAnswer(shards=shards)) if shards > 0:
+                    return shards
+        return None
+
+    def _answer(self, sender: str, question: LayoutQuestion) -> LayoutAnswer:
+        return LayoutAnswer(self.shards or 0)
+
+
+def _parse(value: bytes) -> int | None:
+    text = value.decode("ascii", "replace")
+    if not text.isdecimal() or not int(text):
+        logger.error("the store holds no number of shards at %s", LAYOUT_KEY)
+        return None
+    return int(text)
--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/claims/writer.py
@@ -0,0 +1,247 @@
+"""Commits operations on one shard of claims, many in one write."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from greengagelatch.claims.commit import Commit, Step, begin
+from greengagelatch.claims.encoding import encode_head, encode_segment
+from greengagelatch.claims.operations import OperationResult, ResultKind
+from greengagelatch.claims.scope import name_head, name_segment
+from greengagelatch.store import WriteOutcome
+
+if TYPE_CHECKING:
+    import random
+
+    from result import Result
+
+    from greengagelatch.claims.head import Limits, Segment, SegmentRef, View
+    from greengagelatch.claims.operations import Operation
+    from greengagelatch.clock import Clock
+    from greengagelatch.store import Entry, Store, StoreError, WriteResult
+
+    from ..metrics import Metrics
+
+__all__ = ("ShardWriter",)
+
+logger = logging.getLogger(__name__)
+
+#: operations in one swap
+MAX_BATCH = 256
+#: operations that wait for a swap; beyond, new ones are turned away at once
+MAX_QUEUE = 4096
+#: swaps that may follow each other at once after a quiet time
+BURST = 4
+#: retired segments deleted after one commit
+MAX_DELETES = 4
+
+BATCH_ID_BITS = 96
+BATCH_ID_BYTES = BATCH_ID_BITS // 8
+
+UNREACHABLE = OperationResult(ResultKind.UNREACHABLE)
+UNSETTLED = OperationResult(ResultKind.UNSETTLED)
+
+
+@dataclass(slots=True)
+class _Waiting:
+    operation: Operation
+    #: monotonic seconds after which nobody wants the result
+    expires: float
+    result: asyncio.Future[OperationResult]
+
+
+class ShardWriter:
+    """Brings operations on one shard into the store.
+
+    An operation that finds the writer idle is committed at once; what arrives
+    while a swap is under way goes into the next one. ``interval`` is the average
+    number of seconds between swaps that is not undercut for long.
+    """
+
+    def __init__(
+        self,
+        *,
+        shard: int,
+        store: Store,
+        clock: Clock,
+        random: random.Random,
+        limits: Limits,
+        interval: float,
+        metrics: Metrics,
+    ) -> None:
+        self._shard = shard
+        self._store = store
+        self._clock = clock
+        self._random = random
+        self._limits = limits
+        self._interval = interval
+        self._metrics = metrics
+        self._queue: list[_Waiting] = []
+        self._task: asyncio.Task[None] | None = None
+        self._view: View | None = None
+        self._segments: tuple[tuple[SegmentRef, Segment], ...] = ()
+        self._deleted: frozenset[int] = frozenset()
+        self._paced = clock.now() - BURST * interval
+        #: monotonic seconds of the last operation
+        self.used_at = clock.now()
+        #: monotonic seconds of the last answer from the store
+        self.answered_at = clock.now()
+
+    @property
+    def idle(self) -> bool:
+        """Whether no operation waits or is under way."""
+        return self._task is None
+
+    async def submit(
+        self, operation: Operation, expires: float, *, fresh: bool = False
+    ) -> OperationResult:
+        """Commit an operation; what became of it if that is known by ``expires``.
+
+        :param fresh: begin by reading the head, as someone else usually writes it
+        """
+        now = self._clock.now()
+        self.used_at = now
+        if len(self._queue) >= MAX_QUEUE:
+            self._metrics.count("claims.queue_full")
+            return OperationResult(ResultKind.FULL)
+        if fresh:
+            self._view = None
+        waiting = _Waiting(operation, expires, asyncio.Future())
+        self._queue.append(waiting)
+        if self._task is None:
+            self._task = asyncio.create_task(self._drain())
+        await asyncio.wait({waiting.result}, timeout=max(0.0, expires - now))
+        if not waiting.result.done():
+            # it may be in a swap that is under way, and stays in the queue otherwise
+            # until its turn, where it is dropped
+            return UNSETTLED
+        return waiting.result.result()
+
+    async def close(self, timeout: float) -> None:
+        """Finish what waits within ``timeout`` seconds, then stop."""
+        task = self._task
+        if task is None:
+            return
+        await asyncio.wait({task}, timeout=timeout)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    async def _drain(self) -> None:
+        batch: list[_Waiting] = []
+        try:
+            while self._queue:
+                await self._pace()
+                batch = self._take_batch()
+                if not batch:
+                    continue
+                commit = await self._commit(tuple(one.operation for one in batch))
+                for waiting, result in zip(batch, commit.results, strict=True):
+                    waiting.result.set_result(result)
+                batch = []
+                await self._delete_retired()
+        except Exception:
+            logger.exception("shard %s: a batch of claims failed", self._shard)
+            self._view = None
+        finally:
+            self._task = None
+            for waiting in batch:
+                waiting.result.set_result(UNSETTLED)
+            for waiting in self._queue:
+                waiting.result.set_result(UNREACHABLE)
+            self._queue.clear()
+
+    async def _pace(self) -> None:
+        now = self._clock.now()
+        self._paced = max(self._paced, now - BURST * self._interval) + self._interval
+        if self._paced > now:
+            await asyncio.sleep(self._paced - now)
+
+    def _take_batch(self) -> list[_Waiting]:
+        now = self._clock.now()
+        taken = self._queue[:MAX_BATCH]
+        del self._queue[:MAX_BATCH]
+        batch = []
+        for waiting in taken:
+            if waiting.expires <= now:
+                waiting.result.set_result(UNREACHABLE)
+                continue
+            batch.append(waiting)
+        return batch
+
+    async def _commit(self, operations: tuple[Operation, ...]) -> Commit:
+        batch_id = self._random.getrandbits(BATCH_ID_BITS).to_bytes(BATCH_ID_BYTES)
+        commit = begin(
+            operations,
+            batch_id=batch_id,
+            now=int(self._clock.wall()),
+            limits=self._limits,
+            view=self._view,
+            segments=self._segments,
+            deleted=self._deleted,
+        )
+        self._view = None
+        while commit.step is not Step.DONE:
+            commit = await self._advance(commit)
+        self._view = commit.view
+        self._segments = commit.segments
+        self._metrics.count("claims.batches")
+        self._metrics.count("claims.operations", len(operations))
+        return commit
+
+    async def _advance(self, commit: Commit) -> Commit:
+        match commit.step:
+            case Step.READ_HEAD:
+                return commit.take_head(await self._read(name_head(self._shard)))
+            case Step.READ_SEGMENT:
+                key = name_segment(self._shard, commit.missing.number)
+                return commit.take_segment(await self._read(key))
+            case Step.READ_OBSTACLE:
+                key = name_segment(self._shard, commit.plan.head.next_segment - 1)
+                return commit.take_obstacle(await self._read(key))
+            case Step.WRITE_SEGMENT:
+                key = name_segment(self._shard, commit.plan.head.next_segment - 1)
+                data = encode_segment(commit.plan.segment)
+                self._metrics.count("claims.segments")
+                written = await self._write(key, data, commit.segment_expected)
+                return commit.take_sealed(written)
+        data = encode_head(commit.plan.head)
+        self._metrics.count("claims.swaps")
+        self._metrics.gauge("claims.head_bytes", len(data))
+        written = await self._write(name_head(self._shard), data, commit.view.revision)
+        if written.outcome is not WriteOutcome.APPLIED:
+            self._metrics.count(f"claims.swap_{written.outcome.value}")
+        return commit.take_swapped(written)
+
+    async def _read(self, key: str) -> Result[Entry | None, StoreError]:
+        self._metrics.count("claims.reads")
+        answer = await self._store.get(key)
+        if answer.is_ok():
+            self.answered_at = self._clock.now()
+        return answer
+
+    async def _write(self, key: str, data: bytes, expected: int) -> WriteResult:
+        written = await self._store.swap(key, data, expected)
+        if written.outcome in (WriteOutcome.APPLIED, WriteOutcome.CONFLICT):
+            self.answered_at = self._clock.now()
+        return written
+
+    async def _delete_retired(self) -> None:
+        """Delete segments that the head no longer needs.
+
+        Only the head says which, so a writer that dies before this leaves nothing
+        behind: the next one reads the same list.
+        """
+        if self._view is None:
+            return
+        retired = self._view.head.retired
+        gone = self._deleted.intersection(ref.number for ref in retired)
+        due = [ref for ref in retired if ref.number not in gone]
+        for ref in due[:MAX_DELETES]:
+            key = name_segment(self._shard, ref.number)
+            written = await self._store.delete(key, ref.revision)
+            if written.outcome in (WriteOutcome.APPLIED, WriteOutcome.CONFLICT):
+                gone |= {ref.number}
+        self._deleted = frozenset(gone)
--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/claims.py
@@ -0,0 +1,286 @@
+"""Claims of keyed requests: gets them, keeps outcomes and gives claims back."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import secrets
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+import cbor2
+from mode import Service
+from result import Ok
+
+from greengagelatch.claims import Token
+from greengagelatch.claims.attempt import Action, Attempt
+from greengagelatch.claims.operations import (
+    Acquire,
+    GiveBack,
+    OperationResult,
+    ResultKind,
+)
+from greengagelatch.claims.outage import Outage, create_policy
+from greengagelatch.claims.outcome import Outcome, decode_outcome, encode_outcome
+from greengagelatch.claims.refusals import (
+    refuse_attempt,
+    refuse_cut,
+    refuse_late,
+    refuse_long,
+    refuse_lost,
+)
+from greengagelatch.claims.registry import Registry
+from greengagelatch.claims.scope import create_digest, create_key
+from greengagelatch.errors import Refusal
+from greengagelatch.request import Answer
+from greengagelatch.verdict import Verdict
+
+from ..claims.committer import Committer
+from ..claims.holders import Holders
+from . import Controller
+
+if TYPE_CHECKING:
+    import random
+
+    from greengagelatch.clock import Clock
+    from greengagelatch.peers import PeerNetwork
+    from greengagelatch.request import Request
+    from greengagelatch.settings import Settings
+    from greengagelatch.store import Store
+
+    from ..metrics import Metrics
+
+__all__ = ("ClaimsController", "Permit")
+
+logger = logging.getLogger(__name__)
+
+INCARNATION_BITS = 63
+#: share of the retention within which a keyed request has to end
+LONGEST_SHARE = 0.5
+#: actions after which more time is needed before anything can run
+UNFINISHED = (Action.CHOOSE_WAYS, Action.ACQUIRE, Action.OUT_OF_REACH)
+#: seconds between two sweeps of what is no longer needed
+SWEEP_INTERVAL = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class Permit:
+    """The right to run a keyed request, once; it must be settled."""
+
+    token: Token
+    key: bytes
+
+
+class ClaimsController(Controller):
+    """Lets a keyed request run at most once, whichever instance it reaches."""
+
+    name = "claims"
+
+    def __init__(
+        self,
+        *,
+        store: Store,
+        peers: PeerNetwork | None,
+        clock: Clock,
+        random: random.Random,
+        settings: Settings,
+        metrics: Metrics,
+        instance_id: str,
+    ) -> None:
+        super().__init__()
+        self._clock = clock
+        self._metrics = metrics
+        self._instance_id = instance_id
+        # not from the seeded source: a restarted process would give its attempts
+        # the tokens of earlier ones, and take their claims for its own
+        self._incarnation = secrets.randbits(INCARNATION_BITS)
+        self._serial = 0
+        self._longest = settings["claims.retention"] * LONGEST_SHARE
+        self._outcome_bytes: int = settings["claims.outcome_bytes"]
+        self._policy = create_policy(settings["claims.store_down"])
+        self._registry = Registry(
+            retention=settings["claims.retention"],
+            max_records=settings["claims.records"],
+            max_bytes=settings["claims.memory_bytes"],
+        )
+        self._holders = Holders(
+            registry=self._registry,
+            peers=peers,
+            clock=clock,
+            metrics=metrics,
+            instance_id=instance_id,
+            incarnation=self._incarnation,
+            handover_bytes=settings["claims.handover_bytes"],
+        )
+        self._committer = Committer(
+            store=store,
+            peers=peers,
+            clock=clock,
+            random=random,
+            settings=settings,
+            metrics=metrics,
+            instance_id=instance_id,
+        )
+
+    async def seek(self, request: Request) -> Permit | Answer:
+        """Claim the request's key; else return the answer it gets instead."""
+        if request.deadline - self._clock.now() > self._longest:
+            return self._refuse(request, refuse_long(self._longest))
+        key = create_key(request.workspace, request.pipeline, request.key)
+        digest = create_digest(request.digest)
+        self._serial += 1
+        token = Token(self._instance_id, self._incarnation, self._serial)
+        attempt = self._begin(Acquire(key, digest, token))
+        self._registry.open(token, key, digest, self._clock.now())
+        try:
+            attempt, answer = await self._pursue(attempt, request)
+        except BaseException:
+            # the operation under way may still be committed
+            self._abandon(token, key, doubtful=True)
+            raise
+        now = self._clock.now()
+        # a process that was paused must not begin what its caller has given up
+        if answer is None and now < request.deadline:
+            self._registry.start(token, now)
+            return Permit(token, key)
+        self._abandon(token, key, doubtful=attempt.doubtful)
+        return answer or self._refuse_late(attempt, request)
+
+    def settle(self, permit: Permit, answer: Answer, verdict: Verdict) -> None:
+        """Keep the outcome of a run, or give its claim back if nothing ran."""
+        outcome = Outcome(
+            verdict=verdict.raise_to(answer.verdict),
+            result=answer.result,
+            refusal=answer.refusal,
+        )
+        self._settle(permit, outcome)
+
+    def settle_cut(self, permit: Permit, verdict: Verdict) -> None:
+        """Settle a run that ended without an answer, as its caller has left."""
+        self._settle(permit, Outcome(verdict=verdict, refusal=refuse_cut(verdict)))
+
+    async def on_stop(self) -> None:
+        """Finish give-backs and writes, and hand outcomes to other instances."""
+        await self._committer.close()
+        taken = await self._holders.hand_over()
+        logger.info("handed over %d outcomes", taken)
+
+    def dump(self) -> dict[str, Any]:
+        open_attempts, closed_attempts = self._registry.counts
+        return {
+            "incarnation": f"{self._incarnation:016x}",
+            "shards": self._committer.shards,
+            "writing": list(self._committer.writing),
+            "giving_back": self._committer.giving_back,
+            "attempts_open": open_attempts,
+            "attempts_closed": closed_attempts,
+            "outcome_bytes": self._registry.size,
+            "store_silent_for": self._committer.down_for,
+        }
+
+    @Service.task
+    async def _sweep(self) -> None:
+        while not self.should_stop:
+            await self.sleep(SWEEP_INTERVAL)
+            self._registry.expire(self._clock.now())
+            self._committer.sweep()
+            self._metrics.gauge("claims.outcome_bytes", self._registry.size)
+
+    def _begin(self, operation: Acquire) -> Attempt:
+        """Begin an attempt; a key that this process holds needs no look-up."""
+        attempt = Attempt(operation=operation)
+        holder = self._registry.find_granted(operation.key)
+        if holder is None:
+            return attempt
+        same = self._registry.find(holder).digest == operation.digest
+        kind = ResultKind.HELD if same else ResultKind.KEY_REUSED
+        return attempt.take_result(OperationResult(kind, holder))
+
+    async def _pursue(
+        self, attempt: Attempt, request: Request
+    ) -> tuple[Attempt, Answer | None]:
+        """Take the attempt to its end; without an answer it may run."""
+        while True:
+            late = self._clock.now() >= request.deadline
+            if late and attempt.action in UNFINISHED:
+                return attempt, self._refuse_late(attempt, request)
+            match attempt.action:
+                case Action.CHOOSE_WAYS:
+                    ways = await self._committer.find_ways(attempt.operation.key)
+                    attempt = attempt.take_ways(ways)
+                case Action.ACQUIRE:
+                    result = await self._committer.commit(
+                        attempt.way, attempt.operation, request.deadline
+                    )
+                    attempt = attempt.take_result(result)
+                case Action.ASK_HOLDER:
+                    record = await self._holders.find(attempt.holder, request.deadline)
+                    attempt = attempt.take_holder(record)
+                case Action.OUT_OF_REACH:
+                    decision = self._policy.decide(self._describe_outage(request))
+                    if isinstance(decision, Refusal):
+                        return attempt, self._refuse(request, decision)
+                    await asyncio.sleep(decision.delay)
+                    attempt = attempt.try_again()
+                case Action.RUN:
+                    return attempt, None
+                case Action.REPLAY:
+                    return attempt, self._replay(attempt, request)
+                case action:
+                    refusal = refuse_attempt(action, request.key)
+                    return attempt, self._refuse(request, refusal)
+
+    def _describe_outage(self, request: Request) -> Outage:
+        now = self._clock.now()
+        return Outage(
+            first_attempt=request.first_attempt,
+            elapsed=now - request.received,
+            remaining=request.deadline - now,
+            down_for=self._committer.down_for,
+        )
+
+    def _settle(self, permit: Permit, outcome: Outcome) -> None:
+        if outcome.verdict is Verdict.NOT_RUN:
+            self._abandon(permit.token, permit.key, doubtful=True)
+            return
+        data = self._encode(outcome)
+        self._registry.finish(permit.token, data, self._clock.now())
+        self._holders.notify(permit.token)
+
+    def _abandon(self, token: Token, key: bytes, *, doubtful: bool) -> None:
+        """Close an attempt that never runs, and free its key if it may hold it."""
+        self._registry.give_back(token, self._clock.now())
+        self._holders.notify(token)
+        if doubtful:
+            self._committer.give_back(GiveBack(key, token))
+
+    def _encode(self, outcome: Outcome) -> bytes:
+        try:
+            data = encode_outcome(outcome)
+        except (cbor2.CBOREncodeError, ValueError) as error:
+            logger.warning("an outcome can't be kept: %s", error)
+        else:
+            if len(data) <= self._outcome_bytes:
+                return data
+        self._metrics.count("claims.outcome_dropped")
+        verdict = outcome.verdict
+        return encode_outcome(Outcome(verdict=verdict, refusal=refuse_lost(verdict)))
+
+    def _replay(self, attempt: Attempt, request: Request) -> Answer:
+        match decode_outcome(attempt.outcome):
+            case Ok(outcome):
+                self._metrics.count("claims.replayed")
+                return outcome.to_answer(request.request_id)
+        refusal = refuse_attempt(Action.REFUSE_UNSETTLED, request.key)
+        return self._refuse(request, refusal)
+
+    def _refuse_late(self, attempt: Attempt, request: Request) -> Answer:
+        # a granted claim shows that no earlier attempt holds the key
+        alone = request.first_attempt or attempt.action is Action.RUN
+        return self._refuse(request, refuse_late(alone))
+
+    def _refuse(self, request: Request, refusal: Refusal) -> Answer:
+        self._metrics.count(f"claims.refused_{refusal.code.value}")
+        return Answer(
+            request_id=request.request_id, verdict=refusal.verdict, refusal=refusal
+        )
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/standins/peers.py
@@ -0,0 +1,125 @@
+"""In-process network of entry instances, with faults to inject."""
+
+from __future__ import annotations
+
+import asyncio
+import inspect
+from collections import Counter
+from typing import TypeVar
+
+from result import Err, Ok, Result
+
+from greengagelatch.peers import (
+    Member,
+    MemberState,
+    MessageHandler,
+    PeerError,
+    PeerErrorKind,
+    PeerNetwork,
+)
+from greengagelatch.peers.codec import Envelope, Message, decode, encode
+
+__all__ = ("MemoryPeers", "Switchboard")
+
+M = TypeVar("M", bound=Message)
+
+
+class Switchboard:
+    """Connects in-process instances; tests change its fields while it is in use."""
+
+    def __init__(self) -> None:
+        #: pairs of sender and receiver between which nothing is handed over
+        self.cut: set[tuple[str, str]] = set()
+        #: pairs of asker and asked between which only the answers are lost
+        self.mute: set[tuple[str, str]] = set()
+        #: what every instance believes of each other one
+        self.states: dict[str, MemberState] = {}
+        #: views that differ, by the instance that has them
+        self.views: dict[str, dict[str, MemberState]] = {}
+        #: number of questions by wire name
+        self.asked: Counter[str] = Counter()
+        self._peers: dict[str, MemoryPeers] = {}
+
+    def join(self, instance_id: str) -> MemoryPeers:
+        """Add an instance that is alive."""
+        peers = MemoryPeers(self, instance_id)
+        self._peers[instance_id] = peers
+        self.states[instance_id] = MemberState.ALIVE
+        return peers
+
+    def leave(self, instance_id: str) -> None:
+        """Remove an instance at once; the others learn that it is dead."""
+        del self._peers[instance_id]
+        self.states[instance_id] = MemberState.DEAD
+
+    def find(self, sender: str, receiver: str) -> MemoryPeers | None:
+        """Return the receiver if a message from the sender would reach it."""
+        if (sender, receiver) in self.cut:
+            return None
+        return self._peers.get(receiver)
+
+
+class MemoryPeers(PeerNetwork):
+    """One instance's end of a :class:`Switchboard`.
+
+    Messages pass through the codec, as they do between processes.
+    """
+
+    def __init__(self, switchboard: Switchboard, instance_id: str) -> None:
+        self._switchboard = switchboard
+        self._instance_id = instance_id
+        self._handlers: dict[type[Message], MessageHandler] = {}
+
+    @property
+    def instance_id(self) -> str:
+        return self._instance_id
+
+    def members(self) -> tuple[Member, ...]:
+        states = self._switchboard.states
+        states = states | self._switchboard.views.get(self._instance_id, {})
+        return tuple(
+            Member(instance_id=one, data_centre="", address="", state=state)
+            for one, state in sorted(states.items())
+        )
+
+    def send(self, instance_id: str, message: Message) -> bool:
+        receiver = self._switchboard.find(self._instance_id, instance_id)
+        if receiver is None:
+            return False
+        asyncio.get_running_loop().create_task(
+            receiver.receive(self._instance_id, message)
+        )
+        return True
+
+    async def ask(
+        self, instance_id: str, message: Message, timeout: float
+    ) -> Result[Message, PeerError]:
+        switchboard = self._switchboard
+        receiver = switchboard.find(self._instance_id, instance_id)
+        if receiver is None:
+            return Err(PeerError(PeerErrorKind.NOT_SENT, "no link"))
+        switchboard.asked[message.wire_name] += 1
+        try:
+            async with asyncio.timeout(timeout):
+                answer = await receiver.receive(self._instance_id, message)
+                if (self._instance_id, instance_id) in switchboard.mute:
+                    await asyncio.Event().wait()
+        except TimeoutError:
+            return Err(PeerError(PeerErrorKind.NO_ANSWER, "timeout"))
+        if answer is None:
+            return Err(PeerError(PeerErrorKind.NO_ANSWER, "no answer"))
+        return Ok(answer)
+
+    def handle(self, message_type: type[M], handler: MessageHandler[M]) -> None:
+        self._handlers[message_type] = handler
+
+    async def receive(self, sender: str, message: Message) -> Message | None:
+        """Have a message handled, in a task of its own as between processes."""
+        copy = decode(encode(Envelope(message))).unwrap().message
+        handler = self._handlers[type(copy)]
+        answer = handler(sender, copy)
+        if inspect.isawaitable(answer):
+            answer = await asyncio.shield(asyncio.ensure_future(answer))
+        if answer is None:
+            return None
+        return decode(encode(Envelope(answer))).unwrap().message
--- /dev/null
+++ b/packages/greengagelatch/src/greengagelatch/claims/messages.py
@@ -0,0 +1,183 @@
+"""Messages between entry instances about claims."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from ..peers.codec import Message, register
+from . import Token
+from .operations import Acquire, GiveBack, Operation, OperationResult, ResultKind
+from .registry import AttemptState, Record
+
+__all__ = (
+    "ClaimAnswer",
+    "ClaimQuestion",
+    "HandoverAnswer",
+    "HandoverQuestion",
+    "LayoutAnswer",
+    "LayoutQuestion",
+    "OutcomeAnswer",
+    "OutcomeQuestion",
+)
+
+#: a token as it is sent: instance, incarnation, serial; empty for none
+WireToken = tuple[str, int, int] | tuple[()]
+
+UNKNOWN = "unknown"
+
+
+@register("claim")
+@dataclass(frozen=True, slots=True)
+class ClaimQuestion(Message):
+    """Asks the usual writer of a shard to commit one operation."""
+
+    #: whether the claim is to be given back instead of acquired
+    give_back: bool = False
+    key: bytes = b""
+    digest: bytes = b""
+    token: WireToken = ()
+    replaces: WireToken = ()
+    #: milliseconds after which the answer is of no use
+    budget_ms: int = 0
+
+    @classmethod
+    def wrap(cls, operation: Operation, budget_ms: int) -> ClaimQuestion:
+        """Return the message for an operation."""
+        if isinstance(operation, GiveBack):
+            return cls(
+                give_back=True,
+                key=operation.key,
+                token=_pack(operation.token),
+                budget_ms=budget_ms,
+            )
+        return cls(
+            key=operation.key,
+            digest=operation.digest,
+            token=_pack(operation.token),
+            replaces=_pack(operation.replaces),
+            budget_ms=budget_ms,
+        )
+
+    def unwrap(self) -> Operation:
+        """Return the operation; :exc:`ValueError` if the message is malformed."""
+        token = _unpack(self.token)
+        if token is None:
+            raise ValueError("a claim needs a token")
+        if self.give_back:
+            return GiveBack(self.key, token)
+        return Acquire(self.key, self.digest, token, _unpack(self.replaces))
+
+
+@register("claim-answer")
+@dataclass(frozen=True, slots=True)
+class ClaimAnswer(Message):
+    """Says what became of an operation."""
+
+    kind: str = ResultKind.UNSETTLED.value
+    holder: WireToken = ()
+
+    @classmethod
+    def wrap(cls, result: OperationResult) -> ClaimAnswer:
+        """Return the message for a result."""
+        return cls(result.kind.value, _pack(result.holder))
+
+    def unwrap(self) -> OperationResult:
+        """Return the result; one of a later release counts as unsettled."""
+        try:
+            return OperationResult(ResultKind(self.kind), _unpack(self.holder))
+        except (TypeError, ValueError):
+            return OperationResult(ResultKind.UNSETTLED)
+
+
+@register("outcome")
+@dataclass(frozen=True, slots=True)
+class OutcomeQuestion(Message):
+    """Asks what is known of an attempt, and waits while it is running."""
+
+    token: WireToken = ()
+    wait_ms: int = 0
+
+    @classmethod
+    def wrap(cls, token: Token, wait_ms: int) -> OutcomeQuestion:
+        """Return the message for an attempt."""
+        return cls(_pack(token), wait_ms)
+
+    def unwrap(self) -> Token | None:
+        """Return the token of the attempt."""
+        return _unpack(self.token)
+
+
+@register("outcome-answer")
+@dataclass(frozen=True, slots=True)
+class OutcomeAnswer(Message):
+    """Says what is known of an attempt."""
+
+    state: str = UNKNOWN
+    outcome: bytes = b""
+
+    @classmethod
+    def wrap(cls, record: Record | None) -> OutcomeAnswer:
+        """Return the message for a record."""
+        if record is None:
+            return cls()
+        return cls(record.state.value, record.outcome)
+
+    def unwrap(self) -> Record | None:
+        """Return the record; ``None`` if nothing is known."""
+        try:
+            return Record(AttemptState(self.state), self.outcome)
+        except ValueError:
+            return None
+
+
+@register("outcome-handover")
+@dataclass(frozen=True, slots=True)
+class HandoverQuestion(Message):
+    """Hands an outcome to another instance, as the sender is about to stop."""
+
+    token: WireToken = ()
+    outcome: bytes = b""
+
+    @classmethod
+    def wrap(cls, token: Token, outcome: bytes) -> HandoverQuestion:
+        """Return the message for an outcome."""
+        return cls(_pack(token), outcome)
+
+    def unwrap(self) -> Token | None:
+        """Return the token of the attempt."""
+        return _unpack(self.token)
+
+
+@register("outcome-handover-answer")
+@dataclass(frozen=True, slots=True)
+class HandoverAnswer(Message):
+    """Says that an outcome was taken over."""
+
+    taken: bool = False
+
+
+@register("claim-layout")
+@dataclass(frozen=True, slots=True)
+class LayoutQuestion(Message):
+    """Asks for the number of shards."""
+
+
+@register("claim-layout-answer")
+@dataclass(frozen=True, slots=True)
+class LayoutAnswer(Message):
+    """Gives the number of shards, 0 if it is not known."""
+
+    shards: int = 0
+
+
+def _pack(token: Token | None) -> WireToken:
+    if token is None:
+        return ()
+    return (token.instance, token.incarnation, token.serial)
+
+
+def _unpack(fields: WireToken) -> Token | None:
+    if not fields:
+        return None
+    instance, incarnation, serial = fields
+    return Token(str(instance), int(incarnation), int(serial))
--- /dev/null
+++ b/packages/greengagelatch/src/greengagelatch/claims/refusals.py
@@ -0,0 +1,86 @@
+"""Refusals of keyed requests."""
+
+from __future__ import annotations
+
+from ..errors import Refusal, RefusalCode
+from ..verdict import Verdict
+from .attempt import Action
+
+__all__ = ("refuse_attempt", "refuse_cut", "refuse_late", "refuse_long", "refuse_lost")
+
+KEY_HEADER = "Idempotency-Key"
+DEADLINE_HEADER = "X-Deadline-Ms"
+
+#: milliseconds after which a running first attempt may be over
+IN_PROGRESS_RETRY_MS = 500
+#: milliseconds after which the instance of an earlier attempt may be found again
+UNSETTLED_RETRY_MS = 2000
+#: milliseconds after which a shard may have room again
+FULL_RETRY_MS = 2000
+
+
+def refuse_attempt(action: Action, key: str) -> Refusal:
+    """Return the refusal with which an attempt ends."""
+    match action:
+        case Action.REFUSE_KEY_REUSED:
+            return Refusal(
+                code=RefusalCode.KEY_REUSED,
+                message="the key was used for another request",
+                field=KEY_HEADER,
+                value=key[:64],
+            )
+        case Action.REFUSE_FULL:
+            return Refusal(
+                code=RefusalCode.OVERLOADED,
+                message="no room for another claim",
+                retry_after_ms=FULL_RETRY_MS,
+            )
+        case Action.REFUSE_IN_PROGRESS:
+            return Refusal(
+                code=RefusalCode.IN_PROGRESS,
+                message="an earlier attempt with this key is still running",
+                verdict=Verdict.MAY_HAVE_RUN,
+                retry_after_ms=IN_PROGRESS_RETRY_MS,
+            )
+    return Refusal(
+        code=RefusalCode.REPEAT_UNSETTLED,
+        message="an earlier attempt with this key may have run; its outcome is lost",
+        verdict=Verdict.MAY_HAVE_RUN,
+        retry_after_ms=UNSETTLED_RETRY_MS,
+    )
+
+
+def refuse_late(first_attempt: bool) -> Refusal:
+    """Return the refusal of a request whose deadline passed before its claim."""
+    return Refusal(
+        code=RefusalCode.DEADLINE,
+        message="the deadline passed before the key was claimed",
+        verdict=Verdict.NOT_RUN if first_attempt else Verdict.MAY_HAVE_RUN,
+    )
+
+
+def refuse_long(limit: float) -> Refusal:
+    """Return the refusal of a request that could outlive its claim."""
+    return Refusal(
+        code=RefusalCode.BAD_REQUEST,
+        message=f"requests with a key must end within {limit:g} s",
+        field=DEADLINE_HEADER,
+    )
+
+
+def refuse_cut(verdict: Verdict) -> Refusal:
+    """Return what repeats are told if the first attempt was broken off."""
+    return Refusal(
+        code=RefusalCode.REPEAT_UNSETTLED,
+        message="the first attempt with this key was broken off",
+        verdict=verdict,
+    )
+
+
+def refuse_lost(verdict: Verdict) -> Refusal:
+    """Return what repeats are told if the first one's result can't be kept."""
+    return Refusal(
+        code=RefusalCode.REPEAT_UNSETTLED,
+        message="the first attempt with this key ran; its result is too large to keep",
+        verdict=verdict,
+    )
--- /dev/null
+++ b/packages/greengagelatch/src/greengagelatch/claims/registry.py
@@ -0,0 +1,149 @@
+"""What an instance knows of its own attempts at keyed requests."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections import OrderedDict
+from dataclasses import dataclass
+from enum import Enum
+
+from . import Token
+
+__all__ = ("AttemptState", "Record", "Registry")
+
+
+class AttemptState(Enum):
+    """Where an attempt stands; it only moves down this list, or stays."""
+
+    #: a claim is being sought; nothing was sent
+    PENDING = "pending"
+    #: stage calls may have been sent
+    RUNNING = "running"
+    #: it ran, or may have; there is an outcome
+    FINISHED = "finished"
+    #: nothing was sent, and nothing ever will be
+    GIVEN_BACK = "given-back"
+
+
+@dataclass(frozen=True, slots=True)
+class Record:
+    """State of one attempt; ``outcome`` is empty if it is not kept (any more)."""
+
+    state: AttemptState
+    outcome: bytes = b""
+    #: monotonic seconds of the last change of state
+    since: float = 0.0
+    #: key and digest of the claim; empty for attempts of other instances
+    key: bytes = b""
+    digest: bytes = b""
+
+
+def may_run(state: AttemptState | None) -> bool:
+    """Whether stage calls may be made for an attempt.
+
+    A claim may be granted after its attempt was given up, by a writer that was
+    slow or paused. The attempt's word that it never ran has been given by then,
+    and another instance may be running the request on the strength of it.
+    """
+    return state is AttemptState.PENDING
+
+
+class Registry:
+    """Attempts of this process, bounded in number, bytes and time.
+
+    An attempt that is not known (any more) has to be taken for one that may have
+    run, so that forgetting early costs an answer but never doubles a run.
+    """
+
+    def __init__(self, *, retention: float, max_records: int, max_bytes: int) -> None:
+        self._retention = retention
+        self._max_records = max_records
+        self._max_bytes = max_bytes
+        self._open: dict[Token, Record] = {}
+        self._closed: OrderedDict[Token, Record] = OrderedDict()
+        #: attempts that were granted their claims and did not give them back
+        self._granted: dict[bytes, Token] = {}
+        self._bytes = 0
+
+    @property
+    def size(self) -> int:
+        """Bytes of all outcomes that are kept."""
+        return self._bytes
+
+    @property
+    def counts(self) -> tuple[int, int]:
+        """Number of open and of closed attempts."""
+        return len(self._open), len(self._closed)
+
+    def find(self, token: Token) -> Record | None:
+        """Return what is known of an attempt."""
+        return self._open.get(token) or self._closed.get(token)
+
+    def find_granted(self, key: bytes) -> Token | None:
+        """Return the attempt of this process that holds a key, if it is known."""
+        return self._granted.get(key)
+
+    def open(self, token: Token, key: bytes, digest: bytes, now: float) -> None:
+        """Add a new attempt, which is pending."""
+        self._open[token] = Record(AttemptState.PENDING, b"", now, key, digest)
+
+    def start(self, token: Token, now: float) -> bool:
+        """Whether the attempt may run; it counts as running from now on."""
+        record = self.find(token)
+        if not may_run(record.state if record else None):
+            return False
+        self._open[token] = dataclasses.replace(
+            record, state=AttemptState.RUNNING, since=now
+        )
+        self._granted[record.key] = token
+        return True
+
+    def give_back(self, token: Token, now: float) -> None:
+        """Close an attempt for which nothing was sent."""
+        record = self._open.pop(token)
+        self._drop_granted(token, record)
+        self._close(
+            token,
+            dataclasses.replace(record, state=AttemptState.GIVEN_BACK, since=now),
+        )
+
+    def finish(self, token: Token, outcome: bytes, now: float) -> None:
+        """Close an attempt that ran or may have, here or on another instance."""
+        record = self._open.pop(token, Record(AttemptState.FINISHED))
+        self._close(
+            token,
+            dataclasses.replace(
+                record, state=AttemptState.FINISHED, outcome=outcome, since=now
+            ),
+        )
+
+    def expire(self, now: float) -> None:
+        """Forget closed attempts whose time is over."""
+        while self._closed:
+            token, record = next(iter(self._closed.items()))
+            if now - record.since <= self._retention:
+                return
+            self._forget(token)
+
+    def list_finished(self) -> tuple[tuple[Token, bytes], ...]:
+        """Return the attempts whose outcomes are kept, the newest first."""
+        return tuple(
+            (token, record.outcome)
+            for token, record in reversed(self._closed.items())
+            if record.outcome
+        )
+
+    def _close(self, token: Token, record: Record) -> None:
+        self._closed[token] = record
+        self._bytes += len(record.outcome)
+        while len(self._closed) > self._max_records or self._bytes > self._max_bytes:
+            self._forget(next(iter(self._closed)))
+
+    def _forget(self, token: Token) -> None:
+        record = self._closed.pop(token)
+        self._drop_granted(token, record)
+        self._bytes -= len(record.outcome)
+
+    def _drop_granted(self, token: Token, record: Record) -> None:
+        if self._granted.get(record.key) == token:
+            del self._granted[record.key]
