Add links between entry instances

Cause: instances have to talk to each other and to notice who is there. Weighed: heartbeats of our own against the library's pings, which are smaller and answered by its protocol; its ping timeout stays unused, because its task waits for the ping to be handed over, which never happens on a silent connection with a full send buffer. Silence is judged by the last byte received. Of two links for a pair the newer is kept, or, if both dialled at once, that of the lower id.

--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_link.py
@@ -0,0 +1,182 @@
+"""One open link to a peer: its queue, its reader and its writer."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from dataclasses import dataclass, field
+from enum import IntEnum
+from typing import TYPE_CHECKING
+
+from websockets.exceptions import ConnectionClosed
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from greengagelatch.peers.messages import Hello
+
+    from .peer_sockets import Connection, Traffic
+
+__all__ = ("CloseCode", "Link", "Outgoing")
+
+#: messages without an answer that may wait; the oldest is dropped beyond that
+MAX_GOSSIP = 256
+
+#: questions and answers that may wait; a question beyond that is not taken
+MAX_URGENT = 1024
+
+#: bytes of both that may wait
+MAX_QUEUED_BYTES = 4 * 1024 * 1024
+
+
+class CloseCode(IntEnum):
+    """Codes with which links are closed, from the range for applications."""
+
+    DUPLICATE = 4001
+    IDENTITY = 4002
+    FULL = 4003
+    IDLE = 4004
+
+
+@dataclass(slots=True, eq=False)
+class Outgoing:
+    """A message on its way to the socket."""
+
+    frame: bytes
+    kind: str
+    #: set right before the first byte may reach the socket, never taken back
+    handed_over: bool = False
+    #: whoever sent it no longer wants it sent
+    cancelled: bool = False
+    done: Callable[[], None] | None = field(default=None, repr=False)
+
+
+class Link:
+    """A link whose other end has told who it is."""
+
+    def __init__(
+        self,
+        *,
+        connection: Connection,
+        peer: Hello,
+        initiated: bool,
+        traffic: Traffic,
+    ) -> None:
+        self._connection = connection
+        self._traffic = traffic
+        self._gossip: deque[Outgoing] = deque()
+        self._urgent: deque[Outgoing] = deque()
+        self._queued_bytes = 0
+        self._filled = asyncio.Event()
+        self.peer = peer
+        self.initiated = initiated
+        self.opened = asyncio.get_running_loop().time()
+        #: seconds of the loop's clock at which a message other than probes passed
+        self.last_used = self.opened
+        self.dropped = 0
+        #: not used for anything new
+        self.retired = False
+
+    @property
+    def instance_id(self) -> str:
+        """Id of the instance at the other end."""
+        return self.peer.instance_id
+
+    @property
+    def last_received(self) -> float:
+        """Seconds of the loop's clock at which the last byte came."""
+        return max(self._connection.last_received, self.opened)
+
+    @property
+    def ended_in_order(self) -> bool:
+        """Whether either side closed it as no longer needed."""
+        needless = (CloseCode.DUPLICATE, CloseCode.IDLE)
+        return self.retired or self._connection.close_code in needless
+
+    def excuse_silence(self) -> None:
+        """Count silence from now, after this process itself stood still."""
+        self._connection.last_received = asyncio.get_running_loop().time()
+
+    def offer(self, outgoing: Outgoing, *, droppable: bool) -> bool:
+        """Queue a message; ``False`` if there is no room for it.
+
+        Messages that want no answer make room for newer ones; questions and answers
+        are never dropped once they are taken.
+        """
+        size = len(outgoing.frame)
+        if droppable:
+            while self._gossip and self._lacks_room(size):
+                self._drop_oldest()
+        if self._queued_bytes + size > MAX_QUEUED_BYTES:
+            return False
+        if droppable:
+            self._gossip.append(outgoing)
+        elif len(self._urgent) >= MAX_URGENT:
+            return False
+        else:
+            self._urgent.append(outgoing)
+        self._queued_bytes += size
+        self._filled.set()
+        return True
+
+    async def run(self, receive: Callable[[Link, bytes], None]) -> None:
+        """Read and write until the connection is closed."""
+        writer = asyncio.create_task(self._write_forever())
+        try:
+            async for data in self._connection:
+                if isinstance(data, str):
+                    break
+                receive(self, data)
+        except ConnectionClosed:
+            pass
+        finally:
+            writer.cancel()
+            await asyncio.gather(writer, return_exceptions=True)
+            await self.close(1000, "")
+
+    async def close(self, code: int, reason: str) -> None:
+        """Close the connection; returns within the closing timeout."""
+        await self._connection.close(code, reason)
+
+    def abort(self) -> None:
+        """Drop the connection at once, without a word to a peer that is silent."""
+        self._connection.transport.abort()
+
+    async def _write_forever(self) -> None:
+        while True:
+            await self._filled.wait()
+            outgoing = self._take()
+            if outgoing is None:
+                self._filled.clear()
+                continue
+            if not outgoing.cancelled:
+                await self._write(outgoing)
+            if outgoing.done is not None:
+                outgoing.done()
+
+    async def _write(self, outgoing: Outgoing) -> None:
+        outgoing.handed_over = True
+        self._traffic.count_frame(outgoing.kind, len(outgoing.frame))
+        try:
+            await self._connection.send(outgoing.frame)
+        except ConnectionClosed:
+            # the reader notices as well and ends the link
+            await asyncio.sleep(0)
+
+    def _take(self) -> Outgoing | None:
+        queue = self._urgent or self._gossip
+        if not queue:
+            return None
+        outgoing = queue.popleft()
+        self._queued_bytes -= len(outgoing.frame)
+        return outgoing
+
+    def _lacks_room(self, size: int) -> bool:
+        if len(self._gossip) >= MAX_GOSSIP:
+            return True
+        return self._queued_bytes + size > MAX_QUEUED_BYTES
+
+    def _drop_oldest(self) -> None:
+        oldest = self._gossip.popleft()
+        self._queued_bytes -= len(oldest.frame)
+        self.dropped += 1
--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_links.py
@@ -0,0 +1,361 @@
+"""All links of this instance: accepted, dialled, replaced and closed."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Protocol
+
+from result import Err, Ok, Result
+from websockets.exceptions import WebSocketException
+
+from greengagelatch.membership.backoff import compute_backoff
+from greengagelatch.peers.codec import PROTOCOL_VERSION, Envelope, decode, encode
+from greengagelatch.peers.messages import Hello
+
+from .peer_link import CloseCode, Link
+from .peer_sockets import SocketOptions, Traffic, listen, open_connection
+
+if TYPE_CHECKING:
+    import random
+
+    from websockets.asyncio.server import Server
+
+    from ..metrics import Metrics
+    from .peer_sockets import Connection
+
+__all__ = ("LinkEvents", "LinkLimits", "PeerLinks")
+
+logger = logging.getLogger(__name__)
+
+#: connections that have not yet told who they are
+MAX_UNIDENTIFIED = 64
+
+#: dials under way at the same time
+MAX_DIALS = 16
+
+#: seconds before a failed dial is tried again: first, and at most
+DIAL_BASE = 0.2
+DIAL_LONGEST = 10.0
+
+#: seconds for which a replaced link still delivers answers
+RETIREMENT = 2.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LinkLimits:
+    """Limits of links; times in seconds."""
+
+    heartbeat: float
+    silence: float
+    open_timeout: float
+    idle: float
+    max_links: int
+
+
+class LinkEvents(Protocol):
+    """What links need of whoever owns them."""
+
+    def describe(self) -> Hello:
+        """Return what this instance says of itself."""
+
+    def find_fault(self, hello: Hello) -> str:
+        """Return why a peer's word on itself can't be true, empty if it can."""
+
+    def note_open(self, link: Link) -> None:
+        """Take note of a new link."""
+
+    def note_closed(self, link: Link) -> None:
+        """Take note that a link, of whatever standing, was closed."""
+
+    def receive(self, link: Link, data: bytes) -> None:
+        """Take in a frame."""
+
+
+class PeerLinks:
+    """At most one link to each peer."""
+
+    def __init__(
+        self,
+        *,
+        events: LinkEvents,
+        limits: LinkLimits,
+        random_source: random.Random,
+        metrics: Metrics,
+    ) -> None:
+        self._events = events
+        self._limits = limits
+        self._random = random_source
+        self._metrics = metrics
+        self._traffic = Traffic()
+        self._options = SocketOptions(
+            open_timeout=limits.open_timeout, heartbeat=limits.heartbeat
+        )
+        self._server: Server | None = None
+        self._links: dict[str, Link] = {}
+        self._dials: dict[str, asyncio.Task[Link | None]] = {}
+        #: failed attempts and the loop time before which there is no next one
+        self._failed: dict[str, tuple[int, float]] = {}
+        self._unidentified = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._closing = False
+
+    @property
+    def traffic(self) -> Traffic:
+        """Bytes since the last report."""
+        return self._traffic
+
+    @property
+    def port(self) -> int:
+        """Port that is listened on."""
+        assert self._server is not None
+        return next(iter(self._server.sockets)).getsockname()[1]
+
+    def find(self, instance_id: str) -> Link | None:
+        """Return the open link to an instance."""
+        return self._links.get(instance_id)
+
+    def list_links(self) -> tuple[Link, ...]:
+        """Return all open links."""
+        return tuple(self._links.values())
+
+    async def start(self, host: str, port: int) -> None:
+        """Begin to accept links."""
+        self._server = await listen(
+            host, port, self._accept, self._traffic, self._options
+        )
+
+    async def stop(self) -> None:
+        """Close all links; returns within the closing timeout."""
+        self._closing = True
+        if self._server is not None:
+            self._server.close(close_connections=False)
+        for dial in self._dials.values():
+            dial.cancel()
+        links = [link.close(1001, "stopping") for link in self.list_links()]
+        await asyncio.gather(*links, *self._dials.values(), return_exceptions=True)
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
+
+    def dial(self, instance_id: str, address: str) -> asyncio.Task[Link | None] | None:
+        """Open a link to an instance; ``None`` if it may not be tried now."""
+        dial = self._dials.get(instance_id)
+        if dial is not None:
+            return dial
+        _, not_before = self._failed.get(instance_id, (0, 0.0))
+        if self._closing or asyncio.get_running_loop().time() < not_before:
+            return None
+        if len(self._dials) >= MAX_DIALS or not self._make_room():
+            self._metrics.count("peers.dials_refused")
+            return None
+        dial = asyncio.create_task(self._dial(instance_id, address))
+        self._dials[instance_id] = dial
+        dial.add_done_callback(lambda _: self._dials.pop(instance_id, None))
+        return dial
+
+    def excuse_silence(self) -> None:
+        """Count the silence of all links from now, after this process stood still."""
+        for link in self._links.values():
+            link.excuse_silence()
+
+    def tend(self, kept: frozenset[str]) -> None:
+        """Drop silent links, and idle ones to peers that are not in ``kept``."""
+        now = asyncio.get_running_loop().time()
+        for link in self.list_links():
+            if now - link.last_received > self._limits.silence:
+                # An open connection that something on the way has lost track of
+                # stays silent for good while new ones work. It would swallow
+                # questions until they time out; dropped, it is replaced by a dial.
+                self._metrics.count("peers.silent_links")
+                self._drop(link)
+                link.abort()
+                continue
+            idle = now - link.last_used > self._limits.idle
+            # the one that opened a link closes it: the other may still want it
+            if idle and link.initiated and link.instance_id not in kept:
+                self._retire(link, CloseCode.IDLE, "idle")
+
+    # opening
+
+    async def _dial(self, instance_id: str, address: str) -> Link | None:
+        self._metrics.count("peers.dials")
+        match await self._open(instance_id, address):
+            case Ok(link):
+                self._failed.pop(instance_id, None)
+                return link
+            case Err(reason):
+                self._metrics.count("peers.dial_failures")
+                logger.debug("no link to %s at %s: %s", instance_id, address, reason)
+                self._note_failure(instance_id)
+                # the peer may have dialled at the same time
+                return self._links.get(instance_id)
+
+    async def _open(self, instance_id: str, address: str) -> Result[Link, str]:
+        try:
+            connection = await open_connection(address, self._traffic, self._options)
+        except (OSError, TimeoutError, ValueError, WebSocketException) as error:
+            return Err(str(error) or type(error).__name__)
+        try:
+            await connection.send(encode(Envelope(self._events.describe())))
+            hello = await self._read_hello(connection)
+        except (TimeoutError, WebSocketException) as error:
+            await connection.close()
+            return Err(str(error) or type(error).__name__)
+        except asyncio.CancelledError:
+            connection.transport.abort()
+            raise
+        fault = self._find_fault(hello, instance_id)
+        if fault or hello is None:
+            await connection.close(CloseCode.IDENTITY, fault[:100])
+            return Err(fault)
+        link = Link(
+            connection=connection, peer=hello, initiated=True, traffic=self._traffic
+        )
+        if not self._register(link):
+            await connection.close(CloseCode.DUPLICATE, "duplicate")
+            return Err("the peer's own link came first")
+        task = asyncio.create_task(self._run(link))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return Ok(link)
+
+    async def _accept(self, connection: Connection) -> None:
+        if self._closing or self._unidentified >= MAX_UNIDENTIFIED:
+            await connection.close(CloseCode.FULL, "too many connections")
+            return
+        self._unidentified += 1
+        try:
+            hello = await self._read_hello(connection)
+        except (TimeoutError, WebSocketException):
+            return
+        finally:
+            self._unidentified -= 1
+        fault = self._find_fault(hello, "")
+        if fault or hello is None:
+            self._metrics.count("peers.rejected")
+            logger.warning("rejected a link: %s", fault)
+            await connection.close(CloseCode.IDENTITY, fault[:100])
+            return
+        known = hello.instance_id in self._links
+        if not known and len(self._links) >= self._limits.max_links:
+            self._metrics.count("peers.links_refused")
+            await connection.close(CloseCode.FULL, "too many links")
+            return
+        link = Link(
+            connection=connection, peer=hello, initiated=False, traffic=self._traffic
+        )
+        if self._loses(link):
+            await connection.close(CloseCode.DUPLICATE, "duplicate")
+            return
+        try:
+            await connection.send(encode(Envelope(self._events.describe())))
+        except WebSocketException:
+            return
+        if not self._register(link):
+            await connection.close(CloseCode.DUPLICATE, "duplicate")
+            return
+        await self._run(link)
+
+    async def _read_hello(self, connection: Connection) -> Hello | None:
+        async with asyncio.timeout(self._limits.open_timeout):
+            data = await connection.recv()
+        if isinstance(data, str):
+            return None
+        match decode(data):
+            case Ok(Envelope(message=Hello() as hello)):
+                return hello
+        return None
+
+    def _find_fault(self, hello: Hello | None, dialled: str) -> str:
+        if hello is None:
+            return "no readable hello"
+        if hello.protocol != PROTOCOL_VERSION:
+            return f"protocol {hello.protocol!r} instead of {PROTOCOL_VERSION}"
+        if dialled and hello.instance_id != dialled:
+            return f"{hello.instance_id!r} answered in place of {dialled!r}"
+        return self._events.find_fault(hello)
+
+    # one link for each pair
+
+    def _loses(self, link: Link) -> bool:
+        """Whether the link that is already open is to be kept instead.
+
+        Usually the newer one is kept: a peer dials only when it has no link, so it
+        knows that the older one is gone, which this side may learn much later. If
+        both sides dialled at the same time, both must keep the same one: that of
+        the lower id.
+        """
+        held = self._links.get(link.instance_id)
+        if held is None or held.initiated == link.initiated:
+            return False
+        if link.peer.incarnation != held.peer.incarnation:
+            return link.peer.incarnation < held.peer.incarnation
+        if link.opened - held.opened > self._limits.open_timeout:
+            return False
+        own_is_lower = self._events.describe().instance_id < link.instance_id
+        return held.initiated == own_is_lower
+
+    def _register(self, link: Link) -> bool:
+        if self._closing or self._loses(link):
+            return False
+        held = self._links.get(link.instance_id)
+        if held is not None:
+            self._retire(held, CloseCode.DUPLICATE, "replaced")
+        self._links[link.instance_id] = link
+        self._failed.pop(link.instance_id, None)
+        self._events.note_open(link)
+        return True
+
+    async def _run(self, link: Link) -> None:
+        try:
+            await link.run(self._events.receive)
+        finally:
+            self._metrics.count("peers.dropped", link.dropped)
+            self._drop(link)
+            self._events.note_closed(link)
+
+    def _drop(self, link: Link) -> None:
+        if self._links.get(link.instance_id) is link:
+            del self._links[link.instance_id]
+
+    def _retire(self, link: Link, code: int, reason: str) -> None:
+        """Use a link no more, but let answers on their way still arrive."""
+        link.retired = True
+        self._drop(link)
+        task = asyncio.create_task(self._close_later(link, code, reason))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _close_later(self, link: Link, code: int, reason: str) -> None:
+        await asyncio.sleep(RETIREMENT)
+        await link.close(code, reason)
+
+    def _make_room(self) -> bool:
+        if len(self._links) + len(self._dials) < self._limits.max_links:
+            return True
+        own = [link for link in self._links.values() if link.initiated]
+        now = asyncio.get_running_loop().time()
+        unused = [link for link in own if now - link.last_used > RETIREMENT]
+        if not unused:
+            return False
+        longest = min(unused, key=lambda link: link.last_used)
+        self._retire(longest, CloseCode.IDLE, "making room")
+        return True
+
+    def _note_failure(self, instance_id: str) -> None:
+        attempts = self._failed.get(instance_id, (0, 0.0))[0] + 1
+        delay = compute_backoff(
+            attempts,
+            base=DIAL_BASE,
+            longest=DIAL_LONGEST,
+            random_source=self._random,
+        )
+        now = asyncio.get_running_loop().time()
+        if len(self._failed) > 4096:
+            self._failed.clear()
+        self._failed[instance_id] = (attempts, now + delay)
--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/membership.py
@@ -0,0 +1,321 @@
+"""Which entry instances there are, kept up to date by probing a few of them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from mode import Service
+from result import Ok
+
+from greengagelatch.membership.detector import Detector
+from greengagelatch.membership.messages import (
+    MembersQuery,
+    MembersTable,
+    Probe,
+    ProbeAck,
+    ProbeRequest,
+)
+from greengagelatch.membership.records import MAX_TEXT, encode_update
+from greengagelatch.membership.steps import DetectorRules, Identity, Step
+from greengagelatch.peers import Member, MemberState
+from greengagelatch.peers.messages import Hello
+
+from . import Controller
+from .drain import DRAIN_STARTED
+from .listing import LISTING_RECEIVED
+
+if TYPE_CHECKING:
+    import random
+
+    from greengagelatch.clock import Clock
+    from greengagelatch.events import EventBus
+    from greengagelatch.instances import Listing
+    from greengagelatch.membership.records import Record
+    from greengagelatch.peers import PeerNetwork
+    from greengagelatch.peers.codec import Message
+    from greengagelatch.settings import Settings
+
+    from ..metrics import Metrics
+
+__all__ = ("MEMBERS_CHANGED", "MembershipController", "is_probe")
+
+#: emitted without arguments once ``members`` has changed
+MEMBERS_CHANGED = "members-changed"
+
+#: seconds between two looks at what is due
+TICK = 0.1
+
+#: seconds between two comparisons of all that is known with one peer
+SYNC_INTERVAL = 60.0
+
+#: the same until the first one succeeds
+FIRST_SYNC_INTERVAL = 1.0
+
+SYNC_TIMEOUT = 3.0
+
+#: seconds for which an instance that left is still shown
+LEAVING_SHOWN = 600.0
+
+#: seconds for which an unchanged list of members is shown
+SHOWN_LIFE = 1.0
+
+_PROBES = (Probe, ProbeAck, ProbeRequest)
+
+
+def is_probe(message: Message) -> bool:
+    """Whether a message is part of failure detection, and no use of a link."""
+    return isinstance(message, _PROBES)
+
+
+class MembershipController(Controller):
+    """Runs the failure detector: gives it time and messages, sends what it says.
+
+    It is created and started by the network of peers that it is part of.
+    """
+
+    name = "membership"
+
+    def __init__(
+        self,
+        *,
+        peers: PeerNetwork,
+        clock: Clock,
+        random_source: random.Random,
+        events: EventBus,
+        settings: Settings,
+        metrics: Metrics,
+    ) -> None:
+        super().__init__()
+        self._peers = peers
+        self._clock = clock
+        self._random = random_source
+        self._events = events
+        self._metrics = metrics
+        self._rules = DetectorRules(
+            period=settings["peers.probe_interval"],
+            dead_interval=settings["peers.dead_interval"],
+            links=settings["peers.links"],
+        )
+        self._identity = Identity(
+            instance_id=settings["instance.id"],
+            data_centre=settings["instance.data_centre"],
+            address=settings["peers.advertise"] or settings["peers.listen"],
+            # later processes of the same id must have higher ones
+            incarnation=int(clock.wall()),
+        )
+        self._detector = self._create_detector()
+        #: members as last shown; asked for by each request, and made from many
+        self._shown: tuple[Member, ...] | None = None
+        self._shown_until = 0.0
+        events.declare(MEMBERS_CHANGED)
+        events.declare(LISTING_RECEIVED)
+        events.declare(DRAIN_STARTED)
+        events.connect(LISTING_RECEIVED, self._apply_listing)
+        events.connect(DRAIN_STARTED, self._leave)
+        for message_type in _PROBES:
+            peers.handle(message_type, self._receive)
+        peers.handle(MembersQuery, self._answer_query)
+
+    @property
+    def instance_id(self) -> str:
+        """Id of this instance."""
+        return self._identity.instance_id
+
+    def begin(self, address: str) -> None:
+        """Set the address of this instance, once it is known."""
+        if address == self._identity.address:
+            return
+        self._identity = Identity(
+            instance_id=self._identity.instance_id,
+            data_centre=self._identity.data_centre,
+            address=address,
+            incarnation=self._identity.incarnation,
+        )
+        self._detector = self._create_detector()
+        self._shown = None
+
+    # questions
+
+    def members(self) -> tuple[Member, ...]:
+        """Return all known entry instances, this one included, by id."""
+        now = self._clock.now()
+        if self._shown is not None and now < self._shown_until:
+            return self._shown
+        self._shown = self._list_members(now)
+        self._shown_until = now + SHOWN_LIFE
+        return self._shown
+
+    def _list_members(self, now: float) -> tuple[Member, ...]:
+        own = self._detector.own
+        found = [
+            Member(
+                instance_id=own.instance_id,
+                data_centre=own.data_centre,
+                address=self._identity.address,
+                state=MemberState.LEAVING if own.leaving else MemberState.ALIVE,
+            )
+        ]
+        for record in self._detector.table:
+            if _is_shown(record, now):
+                found.append(_show(record))
+        return tuple(sorted(found, key=lambda member: member.instance_id))
+
+    def list_neighbours(self) -> tuple[str, ...]:
+        """Return the instances to which a link should be open by now."""
+        return tuple(sorted(self._detector.list_neighbours()))
+
+    def find_address(self, instance_id: str) -> str:
+        """Return where to reach an instance, empty if it is not known."""
+        record = self._detector.table.find(instance_id)
+        return "" if record is None else record.address
+
+    def describe(self) -> Hello:
+        """Return what this instance says of itself."""
+        own = self._detector.own
+        return Hello(
+            instance_id=own.instance_id,
+            data_centre=own.data_centre,
+            address=self._identity.address,
+            incarnation=own.incarnation,
+            leaving=own.leaving,
+        )
+
+    def find_fault(self, hello: Hello, linked_address: str) -> str:
+        """Return why a peer's word on itself can't be true, empty if it can.
+
+        Two processes under one id would each get messages meant for the other, and
+        each would refute what the other says. One notices it by an instance that
+        changes its address to and fro. So whoever came first keeps the id.
+
+        :param linked_address: address of the peer of that id with an open link.
+        """
+        if not _is_readable(hello):
+            return "a hello that can't be read"
+        if hello.instance_id == self.instance_id:
+            return f"id {hello.instance_id!r} is this instance's own"
+        if linked_address and linked_address != hello.address:
+            return f"id {hello.instance_id!r} is in use at {linked_address}"
+        record = self._detector.table.find(hello.instance_id)
+        if record is None or not record.heard or record.address == hello.address:
+            return ""
+        if record.state is not MemberState.ALIVE or not record.address:
+            return ""
+        if hello.incarnation > record.incarnation:
+            return ""
+        return f"id {hello.instance_id!r} is in use at {record.address}"
+
+    def dump(self) -> dict[str, Any]:
+        now = self._clock.now()
+        shown = [record for record in self._detector.table if _is_shown(record, now)]
+        return {
+            "incarnation": self._detector.own.incarnation,
+            "leaving": self._detector.own.leaving,
+            "neighbours": list(self.list_neighbours()),
+            "members": {
+                record.instance_id: {
+                    "state": record.state.value,
+                    "data_centre": record.data_centre,
+                    "address": record.address,
+                    "incarnation": record.incarnation,
+                    "seconds_in_state": now - record.since,
+                    "listed": record.listed,
+                }
+                for record in shown[:1000]
+            },
+        }
+
+    # inputs
+
+    def meet(self, identity: Identity, *, leaving: bool) -> None:
+        """Take in what a peer says of itself when a link to it is opened."""
+        self._do(self._detector.meet(self._clock.now(), identity, leaving=leaving))
+
+    def note_link_lost(self, instance_id: str) -> None:
+        """Take note that a link broke."""
+        self._do(self._detector.note_link_lost(self._clock.now(), instance_id))
+
+    def _apply_listing(self, listing: Listing) -> None:
+        self._do(self._detector.apply_listing(self._clock.now(), listing))
+
+    def _leave(self) -> None:
+        self._do(self._detector.leave(self._clock.now()))
+
+    def _receive(self, sender: str, message: Message) -> None:
+        self._do(self._detector.receive(self._clock.now(), sender, message))
+
+    def _answer_query(self, sender: str, message: MembersQuery) -> MembersTable:
+        if message.digest == self._detector.compute_digest():
+            return MembersTable()
+        updates = self._detector.list_all_updates()
+        return MembersTable(tuple(encode_update(update) for update in updates))
+
+    # service
+
+    @Service.task
+    async def _advance_forever(self) -> None:
+        while not self.should_stop:
+            self._do(self._detector.advance(self._clock.now()))
+            await self.sleep(TICK)
+
+    @Service.task
+    async def _sync_forever(self) -> None:
+        interval = FIRST_SYNC_INTERVAL
+        while not self.should_stop:
+            if await self._sync():
+                interval = SYNC_INTERVAL
+            await self.sleep(interval * (0.75 + 0.5 * self._random.random()))
+
+    async def _sync(self) -> bool:
+        up = [
+            member.instance_id
+            for member in self.members()
+            if member.state is MemberState.ALIVE
+            and member.instance_id != self.instance_id
+        ]
+        if not up:
+            return False
+        peer = self._random.choice(up)
+        query = MembersQuery(self._detector.compute_digest())
+        match await self._peers.ask(peer, query, SYNC_TIMEOUT):
+            case Ok(MembersTable() as table):
+                self._receive(peer, table)
+                return True
+        return False
+
+    def _create_detector(self) -> Detector:
+        return Detector(
+            identity=self._identity, rules=self._rules, random_source=self._random
+        )
+
+    def _do(self, step: Step) -> None:
+        if step.changed:
+            self._shown = None
+        for item in step.sends:
+            if not self._peers.send(item.instance_id, item.message):
+                self._metrics.count("peers.probes_unsent")
+        if step.changed:
+            self._events.emit(MEMBERS_CHANGED)
+
+
+def _is_readable(hello: Hello) -> bool:
+    texts = (hello.instance_id, hello.data_centre, hello.address)
+    if not all(isinstance(text, str) and 0 < len(text) <= MAX_TEXT for text in texts):
+        return False
+    return type(hello.incarnation) is int and hello.incarnation > 0
+
+
+def _is_shown(record: Record, now: float) -> bool:
+    if not record.heard:
+        return False
+    if record.state is not MemberState.LEAVING:
+        return True
+    return now - record.since < LEAVING_SHOWN
+
+
+def _show(record: Record) -> Member:
+    return Member(
+        instance_id=record.instance_id,
+        data_centre=record.data_centre,
+        address=record.address,
+        state=record.state,
+    )
--- a/packages/greengagelatch/src/greengagelatch/membership/detector.py
+++ b/packages/greengagelatch/src/greengagelatch/membership/detector.py
@@ -13,6 +13,8 @@
 import random
 from collections.abc import Iterable
 
+import xxhash
+
 from ..instances import Listing
 from ..peers import MemberState
 from ..peers.codec import Message
@@ -89,6 +91,20 @@
         """Return all that is known, this instance included."""
         return [self._own.update, *list_updates(self._table)]
 
+    def compute_digest(self) -> bytes:
+        """Return a digest of who is up, this instance included."""
+        present = {
+            record.instance_id: record.incarnation
+            for record in self._table.select(MemberState.ALIVE, MemberState.SUSPECT)
+            if record.heard
+        }
+        if not self._own.leaving:
+            present[self._own.instance_id] = self._own.incarnation
+        digest = xxhash.xxh3_64()
+        for instance_id, incarnation in sorted(present.items()):
+            digest.update(f"{instance_id}\x00{incarnation}\n".encode())
+        return digest.digest()
+
     # inputs
 
     def advance(self, now: float) -> Step:
--- a/packages/greengagelatch/src/greengagelatch/membership/table.py
+++ b/packages/greengagelatch/src/greengagelatch/membership/table.py
@@ -5,8 +5,6 @@
 import dataclasses
 from collections.abc import Iterable, Iterator
 
-import xxhash
-
 from ..instances import Instance, InstanceKind, InstanceState, Listing
 from ..peers import MemberState
 from .records import Record, Update
@@ -108,17 +106,6 @@
                 continue
             del self._records[record.instance_id]
 
-    def compute_digest(self) -> bytes:
-        """Return a digest of the instances that are up, equal for equal views."""
-        present = self.select(MemberState.ALIVE, MemberState.SUSPECT)
-        digest = xxhash.xxh3_64()
-        for record in present:
-            if record.heard:
-                digest.update(
-                    f"{record.instance_id}\x00{record.incarnation}\n".encode()
-                )
-        return digest.digest()
-
     def _mark_listed(self, shown: set[str], centres: set[str]) -> None:
         for record in list(self):
             listed = record.instance_id in shown
