Bound callers that send nonsense, stay silent or read slowly

Cause: a caller that vanishes without closing was served to its deadline, and one that waits to be asked for its body was never asked. The kernel now gives such connections up, error pages are refusals with a verdict, and idle connections close when the listener does.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_connections.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_connections.py
@@ -3,20 +3,26 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+import logging
+import socket
+from typing import TYPE_CHECKING, Any
 
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
 from greengagelatch.errors import Refusal, RefusalCode
+from greengagelatch.verdict import Verdict
 
 from .caller_answers import create_headers, describe_refusal, encode
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-__all__ = ("CallerConnections",)
+__all__ = ("CallerConnections", "mark_busy")
 
+logger = logging.getLogger(__name__)
+
+STATUS_INTERNAL = 500
 #: seconds that answers under way get when the server ends
 CLOSE_TIMEOUT = 1.0
 #: seconds for which the rest of a refused body is read, so that the refusal is not
@@ -26,6 +32,12 @@
 FULL_RETRY_MS = 1000
 #: most header lines of one request
 MAX_HEADERS = 64
+#: characters of an offending value that are shown
+MAX_SHOWN = 64
+#: seconds of quiet after which the kernel probes whether a caller is still there
+PROBE_AFTER = 10
+#: seconds between two probes
+PROBE_INTERVAL = 5
 
 
 class CallerConnections:
@@ -46,6 +58,7 @@
         self._max_connections = max_connections
         self._server = _Server(
             handle,
+            write_timeout=write_timeout,
             handler_cancellation=True,
             access_log=None,
             keepalive_timeout=idle_timeout,
@@ -64,6 +77,12 @@
             return _TurnAway(self._max_connections)
         return self._server()
 
+    def close_idle(self) -> None:
+        """Close the connections on which no request is being served."""
+        for connection in self._server.connections:
+            if isinstance(connection, _Connection) and not connection.busy:
+                connection.force_close()
+
     async def close(self) -> None:
         """Close every connection."""
         await self._server.shutdown(CLOSE_TIMEOUT)
@@ -72,13 +91,33 @@
 class _Server(web.Server):
     """aiohttp's low-level server, with refusals in place of its error pages."""
 
+    def __init__(
+        self,
+        handle: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+        *,
+        write_timeout: float,
+        **options: Any,
+    ) -> None:
+        super().__init__(handle, **options)
+        self._write_timeout = write_timeout
+
     def __call__(self) -> RequestHandler:
-        return _Connection(self, loop=self._loop, **self._kwargs)
+        return _Connection(self, self._write_timeout, loop=self._loop, **self._kwargs)
 
 
 class _Connection(RequestHandler):
     """One connection of a caller."""
 
+    def __init__(self, server: _Server, write_timeout: float, **options: Any) -> None:
+        super().__init__(server, **options)
+        self._write_timeout = write_timeout
+        #: whether a request is being served
+        self.busy = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        _detect_loss(transport.get_extra_info("socket"), self._write_timeout)
+
     def handle_error(
         self,
         request: web.BaseRequest,
@@ -86,15 +125,24 @@
         exc: BaseException | None = None,
         message: str | None = None,
     ) -> web.StreamResponse:
-        """Answer what can't be parsed as HTTP by a refusal that says so."""
-        if status >= 500:
-            return super().handle_error(request, status, exc, message)
-        refusal = Refusal(
-            code=RefusalCode.BAD_REQUEST,
-            message="not a valid HTTP request",
-            field="header",
-            value=_shorten(message or str(exc or "")),
-        )
+        """Answer a request that can't be parsed or handled by a refusal."""
+        if request.writer.output_size > 0:
+            # part of another answer is out already: only a cut is honest
+            raise ConnectionError("an answer has begun")
+        if status < STATUS_INTERNAL:
+            refusal = Refusal(
+                code=RefusalCode.BAD_REQUEST,
+                message="not a valid HTTP request",
+                field="header",
+                value=_shorten(message or str(exc or "")),
+            )
+        else:
+            logger.error("a request failed", exc_info=exc)
+            refusal = Refusal(
+                code=RefusalCode.INTERNAL,
+                message="error of this instance",
+                verdict=Verdict.MAY_HAVE_RUN,
+            )
         response = web.Response(
             status=status,
             body=encode(describe_refusal("", refusal)),
@@ -104,6 +152,29 @@
         return response
 
 
+def mark_busy(request: web.BaseRequest, busy: bool) -> None:
+    """Note whether the request's connection is serving it."""
+    if isinstance(request.protocol, _Connection):
+        request.protocol.busy = busy
+
+
+def _detect_loss(connection: socket.socket, write_timeout: float) -> None:
+    """Have the kernel give up a connection whose other end is gone.
+
+    A caller that vanished without closing would be waited for, and worked for,
+    until its deadline; what was written to it would be kept for a quarter of an
+    hour.
+    """
+    limit = int(write_timeout * 1000)
+    options = (
+        (socket.TCP_USER_TIMEOUT, limit),
+        (socket.TCP_KEEPIDLE, PROBE_AFTER),
+        (socket.TCP_KEEPINTVL, PROBE_INTERVAL),
+    )
+    for option, value in options:
+        connection.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
 class _TurnAway(asyncio.Protocol):
     """Answers a connection beyond the bound and closes it.
 
@@ -133,4 +204,4 @@
 
 
 def _shorten(text: str) -> str:
-    return " ".join(text.split())[:64]
+    return " ".join(text.split())[:MAX_SHOWN]
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/callers.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/callers.py
@@ -17,7 +17,7 @@
 from ..filters import Exchange
 from ..filters.identify import Arrival
 from .caller_answers import create_headers, encode_answer, find_status
-from .caller_connections import CallerConnections
+from .caller_connections import CallerConnections, mark_busy
 from .caller_stream import CallerStream
 
 if TYPE_CHECKING:
@@ -35,6 +35,9 @@
 METHOD = "POST"
 STATUS_METHOD_NOT_ALLOWED = 405
 STATUS_TIMEOUT = 408
+STATUS_TOO_LARGE = 413
+#: after these the rest of the body is not read, so the connection can't be kept
+_CLOSING = frozenset({STATUS_TIMEOUT, STATUS_TOO_LARGE})
 EVENT_STREAM = "text/event-stream"
 #: characters of an offending value that are shown
 MAX_SHOWN = 64
@@ -123,9 +126,11 @@
         self.port = self._listener.sockets[0].getsockname()[1]
 
     async def close_listener(self) -> None:
-        """Take no new connections; those that are open are served on."""
+        """Take no new connections and close the idle ones; the others are served."""
         if self._listener is not None:
             self._listener.close()
+        if self._connections is not None:
+            self._connections.close_idle()
 
     async def wait_idle(self, timeout: float) -> bool:
         """Wait at most ``timeout`` seconds until no request is in flight."""
@@ -152,11 +157,13 @@
         }
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        mark_busy(request, True)
         self._in_flight += 1
         self._idle.clear()
         try:
             return await self._serve(request)
         finally:
+            mark_busy(request, False)
             self._in_flight -= 1
             if self._in_flight == 0:
                 self._idle.set()
@@ -191,7 +198,8 @@
         limit = self._limits.max_body_bytes
         length = request.content_length or 0
         if length > limit:
-            raise _BodyError(413, _refuse_size(limit, str(length)))
+            raise _BodyError(STATUS_TOO_LARGE, _refuse_size(limit, str(length)))
+        await _invite_body(request)
         chunks: list[bytes] = []
         size = 0
         try:
@@ -199,7 +207,9 @@
                 while chunk := await request.content.readany():
                     size += len(chunk)
                     if size > limit:
-                        raise _BodyError(413, _refuse_size(limit, f"over {limit}"))
+                        raise _BodyError(
+                            STATUS_TOO_LARGE, _refuse_size(limit, f"over {limit}")
+                        )
                     chunks.append(chunk)
         except TimeoutError:
             message = f"body not received within {self._limits.body_timeout:g} s"
@@ -232,7 +242,7 @@
         )
         if status == STATUS_METHOD_NOT_ALLOWED:
             response.headers["Allow"] = METHOD
-        if self._draining():
+        if self._draining() or status in _CLOSING:
             response.force_close()
         try:
             async with asyncio.timeout(self._limits.write_timeout):
@@ -278,6 +288,15 @@
             transport.abort()
 
 
+async def _invite_body(request: web.BaseRequest) -> None:
+    """Ask for the body where the caller waits to be asked (RFC 9110, 10.1.1)."""
+    if request.headers.get("Expect", "").lower() != "100-continue":
+        return
+    await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+    # the answer proper has not begun
+    request.writer.output_size = 0
+
+
 def _check_line(request: web.BaseRequest) -> tuple[Refusal | None, int]:
     path = request.path
     name = path[len(PATH_PREFIX) :]
