Let stand-ins tell a waiting stream's cancel from a running one's

Cause: a stream cancelled while it waited had its status sent already, so it could not be answered as not run, and was counted as not run twice. Before: headers at arrival; the cost of a cancelled call's last step was missing; fields of a later release in a call were refused. Ruled out: an event for it inside the stream, which the protocol does not have.

--- a/packages/greengagelatch-lab/src/greengagelatch_lab/standins/batch.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/standins/batch.py
@@ -33,7 +33,11 @@
     """The calls that an engine decodes together, and those that wait to join."""
 
     def __init__(
-        self, *, options: EngineOptions, cache: PrefixCache, read_slow: Callable
+        self,
+        *,
+        options: EngineOptions,
+        cache: PrefixCache,
+        read_slow: Callable[[], float],
     ) -> None:
         self._options = options
         self._cache = cache
@@ -67,8 +71,11 @@
             growth = 1 + self._options.batch_growth * (size - 1)
             step_ms = prefill_ms + self._options.tokens_ms * growth
             step_ms *= self._read_slow()
+            # the engine's time is shared by all calls of the step
+            for sequence in self._active:
+                sequence.attempt.run.cost_ms += step_ms / size
             await asyncio.sleep(step_ms / 1000)
-            self._decode(step_ms / size)
+            self._decode()
 
     def _admit(self) -> float:
         """Let waiting calls join; return the milliseconds their prompts take."""
@@ -86,10 +93,8 @@
             prefill_ms += self._options.prefill_ms * share
         return prefill_ms
 
-    def _decode(self, cost_ms: float) -> None:
+    def _decode(self) -> None:
         for sequence in self._active:
-            # the engine's time is shared by all calls of the step
-            sequence.attempt.run.cost_ms += cost_ms
             if sequence.done.done():
                 continue
             if sequence.position < len(sequence.texts):
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/standins/engine.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/standins/engine.py
@@ -22,7 +22,7 @@
 from .prefixes import PrefixCache
 from .record import RunOutcome, read_ms
 from .serving import read_json, run
-from .target import Attempt, Target
+from .target import Attempt, Target, refuse
 
 __all__ = ("Engine", "main")
 
@@ -83,6 +83,10 @@
         if cannot or call.resume_at > len(texts):
             return web.json_response({"attempt": call.attempt}, status=409)
         attempt.task.add_done_callback(lambda _: attempt.changed.set())
+        await attempt.changed.wait()
+        if attempt.run is None:
+            # cancelled while it waited; the status is not sent yet, so it can say so
+            return refuse(call)
         response = web.StreamResponse(headers=STREAM_HEADERS)
         await response.prepare(request)
         try:
@@ -96,7 +100,8 @@
             await self.hold(request)
             return response
         if not whole or fault is Fault.FAIL:
-            attempt.end(RunOutcome.FAILED)
+            cancelled = attempt.task.cancelled()
+            attempt.end(RunOutcome.CANCELLED if cancelled else RunOutcome.FAILED)
             request.transport.abort()
             return response
         attempt.end(RunOutcome.DONE)
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/standins/record.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/standins/record.py
@@ -4,11 +4,12 @@
 
 import time
 from collections import Counter, defaultdict, deque
-from dataclasses import asdict, dataclass
+from collections.abc import Mapping
+from dataclasses import asdict, dataclass, fields
 from enum import Enum
 from typing import Any
 
-__all__ = ("Call", "Record", "RunOutcome", "RunRecord", "read_ms")
+__all__ = ("Call", "Record", "RunOutcome", "RunRecord", "decode_call", "read_ms")
 
 #: ended runs kept; older ones are dropped, which the summary says
 MAX_RUNS = 200_000
@@ -41,6 +42,9 @@
     resume_at: int = 0
 
 
+CALL_FIELDS = frozenset(item.name for item in fields(Call))
+
+
 @dataclass(slots=True, kw_only=True)
 class RunRecord:
     """One run of a call; times are wall-clock milliseconds."""
@@ -120,6 +124,11 @@
         }
 
 
+def decode_call(body: Mapping[str, Any]) -> Call:
+    """Return the call in ``body``; unknown fields are those of a later release."""
+    return Call(**{name: body[name] for name in CALL_FIELDS & body.keys()})
+
+
 def read_ms() -> float:
     """Return wall-clock milliseconds, comparable between processes."""
     return time.time() * 1000
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/standins/target.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/standins/target.py
@@ -21,10 +21,10 @@
 from .answers import expected_output, find_hint
 from .faults import FAULT_NAMES, Fault, TargetFaults, draw_fault
 from .options import TargetOptions
-from .record import Call, Record, RunOutcome, RunRecord, read_ms
+from .record import Call, Record, RunOutcome, RunRecord, decode_call, read_ms
 from .serving import MAX_BODY, ControlError, read_json, update_fields
 
-__all__ = ("Attempt", "Target")
+__all__ = ("Attempt", "Target", "refuse")
 
 STATES = ("live", "leaving")
 #: what a refused caller is told
@@ -46,6 +46,7 @@
     #: texts given so far, from ``call.resume_at`` on
     tokens: list[str] = field(default_factory=list)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
+    ended: bool = False
 
     def start(self) -> RunRecord:
         """Mark the beginning of the run."""
@@ -58,7 +59,10 @@
         self.changed.set()
 
     def end(self, outcome: RunOutcome) -> None:
-        """Record how the run ended, if it began at all."""
+        """Record how the run ended; a second time changes nothing."""
+        if self.ended:
+            return
+        self.ended = True
         if self.run is None:
             self.record.not_run += 1
             return
@@ -152,7 +156,7 @@
 
     async def _call(self, request: web.Request) -> web.StreamResponse:
         try:
-            call = Call(**await read_json(request))
+            call = decode_call(await read_json(request))
         except TypeError as error:
             raise web.HTTPBadRequest(text=str(error)) from error
         self.record.note_arrival()
@@ -160,7 +164,7 @@
         waiting = sum(attempt.run is None for attempt in self._attempts.values())
         if fault is Fault.REFUSE or waiting >= self.options.queue:
             self.record.not_run += 1
-            return _refuse(call)
+            return refuse(call)
         if fault is Fault.STALL:
             self.record.not_run += 1
             return await self.hold(request)
@@ -186,7 +190,7 @@
         call = attempt.call
         if attempt.task.cancelled():
             if attempt.run is None:
-                return _refuse(call)
+                return refuse(call)
             return _fail(call, "cancelled")
         attempt.task.result()
         if fault is Fault.FAIL:
@@ -263,7 +267,8 @@
             await asyncio.sleep(max(self.options.load_lag_ms, 1) / 2000)
 
 
-def _refuse(call: Call) -> web.Response:
+def refuse(call: Call) -> web.Response:
+    """Return the answer which says that nothing of ``call`` ran."""
     body = {
         "attempt": call.attempt,
         "not_run": True,
--- a/tests/test_lab/test_targets.py
+++ b/tests/test_lab/test_targets.py
@@ -256,3 +256,41 @@
         assert state == old["wanted"]
     orders = (await get(session, "/record/orders"))["orders"]
     assert [order["fence"] for order in orders] == [2, 1]
+
+
+async def test_cancel_of_a_waiting_stream_is_not_run(starter: Starter) -> None:
+    session = await starter.start("engine", "--capacity", "1")
+    long = {"tokens": 4000}
+    call = build_call(1, "generate", stream=True, input=long)
+    async with session.post("/call", json=call) as response:
+        await response.content.readline()
+        later = build_call(2, "generate", stream=True, input=long)
+        waiting = asyncio.create_task(post(session, "/call", later))
+        await wait_for(session, "/load", "queued", 1)
+        await post(session, "/cancel", {"attempt": "a-2"})
+        status, answer = await waiting
+        assert (status, answer["not_run"]) == (503, True)
+        await post(session, "/cancel", {"attempt": "a-1"})
+        with pytest.raises(aiohttp.ClientError):
+            await response.read()
+    summary = await get(session, "/record/summary")
+    assert (summary["runs"], summary["not_run"]) == ({"cancelled": 1}, 1)
+
+
+async def test_higher_priority_overtakes_in_the_queue(starter: Starter) -> None:
+    session = await starter.start(
+        "engine", "--capacity", "1", "--tokens-ms", "5", "--prefill-ms", "1"
+    )
+    first = build_call(1, "generate", stream=True, input={"tokens": 4000})
+    async with session.post("/call", json=first) as response:
+        await response.content.readline()
+        tasks = []
+        for number, priority in ((2, 0), (3, 5)):
+            call = build_call(number, "generate", priority=priority)
+            tasks.append(asyncio.create_task(post(session, "/call", call)))
+            await wait_for(session, "/load", "queued", number - 1)
+        await post(session, "/cancel", {"attempt": "a-1"})
+        await asyncio.gather(*tasks)
+        response.close()
+    runs = (await get(session, "/record"))["runs"]
+    assert [run["attempt"] for run in runs] == ["a-1", "a-3", "a-2"]
