--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PACKAGES := $(wildcard packages/*)
 STAMP := $(VENV)/installed
 
-.PHONY: demo test lint format clean
+.PHONY: demo test lint format docs clean
 
 $(STAMP): constraints.txt $(wildcard packages/*/pyproject.toml)
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -29,5 +29,8 @@
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
 
+docs: $(STAMP)
+	$(BIN)/python -m greengagelatch_lab.pages docs/operators
+
 clean:
 	rm -rf $(VENV) .pytest_cache .ruff_cache
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/state_dump.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/state_dump.py
@@ -62,7 +62,11 @@
         can't be shown, its place holds the error, and the others are still shown.
         """
         try:
-            return self._controllers()[name].dump()
+            state = self._controllers()[name].dump()
+            # what has no JSON form, such as a tuple as a key, is found here, where
+            # it costs one section and not the whole dump
+            encode(state)
+            return state
         except Exception as error:
             logger.exception("dump of controller %s failed", name)
             return {"dump_failed": f"{type(error).__name__}: {error}"}
--- a/tests/test_entry/test_operators.py
+++ b/tests/test_entry/test_operators.py
@@ -61,6 +61,13 @@
         return {"held": [1, 2]}
 
 
+class Unencodable(Controller):
+    name = "unencodable"
+
+    def dump(self):
+        return {("a", "b"): 1}
+
+
 class Broken(Controller):
     name = "broken"
 
@@ -76,7 +83,8 @@
         self.drains = 0
         self.left: list[str] = []
         metrics = Metrics("127.0.0.1:8125")
-        controllers = {"broken": Broken(), "healthy": Healthy()}
+        parts = (Broken(), Unencodable(), Healthy())
+        controllers = {part.name: part for part in parts}
         self.server = OperatorsServer(
             listen="127.0.0.1:0",
             state_dump=StateDump(
@@ -136,6 +144,7 @@
     assert status == 200
     assert body["controllers"]["healthy"] == {"held": [1, 2]}
     assert "half-built state" in body["controllers"]["broken"]["dump_failed"]
+    assert "TypeError" in body["controllers"]["unencodable"]["dump_failed"]
     assert body["settings"]["instance.id"] == "entry-1"
     assert body["memory_bytes"] > 0
     assert body["version"]
