--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/demo.py
@@ -0,0 +1,127 @@
+"""``python -m greengagelatch_lab.demo``: serves both fleets and checks all answers.
+
+Each fleet runs with nine daemons in three data centres. Its objects are applied by
+the operators' client, its traffic is played, and all daemons are stopped while
+requests are still being sent. The exit status is 0 only if every answer was whole,
+right and the caller's own, nothing ran twice, no "not run" was false, and the stop
+cut nothing.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import sys
+import tempfile
+import time
+from dataclasses import dataclass
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from .fleets import FLEETS
+from .fleets.playing import play
+from .fleets.runner import FleetRunner
+
+if TYPE_CHECKING:
+    from .fleets import Fleet
+    from .load import Report
+
+__all__ = ("main",)
+
+#: seconds of traffic before the stop, and at most during it
+LOAD_SECONDS = 15.0
+STOP_SECONDS = 10.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DemoResult:
+    """What one fleet's demo showed."""
+
+    report: Report
+    #: requests being answered when the daemons were told to stop
+    in_flight_at_stop: int
+    #: exit statuses of the daemons; 0 means that every request was finished
+    statuses: tuple[int, ...]
+
+    @property
+    def passed(self) -> bool:
+        """Whether every promise was kept and every daemon stopped cleanly."""
+        served = self.report.total.in_time > 0
+        return served and self.report.kept and not any(self.statuses)
+
+
+def main() -> int:
+    """Run the demo; return 0 only if every promise was kept."""
+    parser = argparse.ArgumentParser(description=main.__doc__)
+    parser.add_argument("--seconds", type=float, default=LOAD_SECONDS)
+    parser.add_argument("--scale", type=float, default=1.0)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--fleet", choices=sorted(FLEETS), action="append")
+    options = parser.parse_args()
+    results: dict[str, DemoResult] = {}
+    for name in options.fleet or FLEETS:
+        with tempfile.TemporaryDirectory(prefix="greengagelatch-") as directory:
+            results[name] = asyncio.run(
+                _run_fleet(FLEETS[name], Path(directory), options)
+            )
+    for name, result in results.items():
+        _print_verdict(name, result)
+    passed = all(result.passed for result in results.values())
+    print("demo passed" if passed else "demo FAILED")
+    return 0 if passed else 1
+
+
+async def _run_fleet(
+    fleet: Fleet, directory: Path, options: argparse.Namespace
+) -> DemoResult:
+    started = time.monotonic()
+    async with FleetRunner(fleet, directory) as runner:
+        _show(
+            f"{fleet.name}: {len(runner.daemons)} daemons,"
+            f" {len(runner.targets)} targets started"
+        )
+        _show(await runner.apply_objects())
+        await runner.wait_ready()
+        _show(f"{fleet.name}: ready after {time.monotonic() - started:.1f} s")
+        result = await _serve(runner, options)
+    print(result.report.format(), flush=True)
+    return result
+
+
+async def _serve(runner: FleetRunner, options: argparse.Namespace) -> DemoResult:
+    async with play(
+        runner,
+        seconds=options.seconds + STOP_SECONDS,
+        scale=options.scale,
+        seed=options.seed,
+        end_when_unserved=True,
+        show=_show,
+    ) as playing:
+        await asyncio.sleep(options.seconds)
+        in_flight = playing.run.in_flight
+        _show(f"stopping all daemons with {in_flight} requests in flight")
+        stops = [runner.stop_daemon(daemon) for daemon in list(runner.daemons)]
+        statuses = await asyncio.gather(*stops)
+        report = await playing.check()
+    return DemoResult(
+        report=report, in_flight_at_stop=in_flight, statuses=tuple(statuses)
+    )
+
+
+def _print_verdict(name: str, result: DemoResult) -> None:
+    total, repeats = result.report.total, result.report.repeats
+    kinds = result.report.encode()["violations"]
+    broken = ", ".join(f"{kind} {count}" for kind, count in sorted(kinds.items()))
+    print(
+        f"{name}: {total.made + repeats.made} answers checked, attainment"
+        f" {total.attainment:.2%}, {result.in_flight_at_stop} in flight at the stop,"
+        f" exit statuses {set(result.statuses)}, violations: {broken or 'none'}"
+    )
+
+
+def _show(line: str) -> None:
+    print(line, flush=True)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/fleets/playing.py
@@ -0,0 +1,82 @@
+"""Plays a fleet's traffic on a running fleet, in the background."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ..load import Balancer, LoadRun, check_run, plan_run
+from ..load.client import CallerClient
+from ..waiting import wait_until
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable
+
+    from ..load import Report
+    from .runner import FleetRunner
+
+__all__ = ("Playing", "play")
+
+#: seconds allowed until the balancer sees every daemon
+READY_TIMEOUT = 10.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Playing:
+    """Traffic that is being played."""
+
+    runner: FleetRunner
+    balancer: Balancer
+    run: LoadRun
+    #: ends when every request has
+    task: asyncio.Task
+
+    async def check(self) -> Report:
+        """Wait until every request has ended, and check them all."""
+        await self.task
+        return await check_run(self.runner.fleet, self.run, self.runner.targets)
+
+
+@asynccontextmanager
+async def play(
+    runner: FleetRunner,
+    *,
+    seconds: float,
+    scale: float = 1.0,
+    seed: int = 1,
+    end_when_unserved: bool = False,
+    show: Callable[[str], None] | None = None,
+) -> AsyncIterator[Playing]:
+    """Begin to play the fleet's traffic once the balancer sees every daemon.
+
+    The parameters are those of :func:`plan_run` and :class:`LoadRun`.
+    """
+    arrivals = plan_run(runner.fleet, seconds=seconds, scale=scale, seed=seed)
+    async with (
+        Balancer(random_source=random.Random(seed)) as balancer,
+        CallerClient() as client,
+    ):
+        for daemon in runner.daemons:
+            balancer.add(daemon.entry)
+        count = len(runner.daemons)
+        await wait_until(
+            lambda: len(balancer.ready) == count,
+            timeout=READY_TIMEOUT,
+            what="readiness of every daemon",
+        )
+        run = LoadRun(
+            arrivals=arrivals,
+            balancer=balancer,
+            client=client,
+            end_when_unserved=end_when_unserved,
+            show=show,
+        )
+        task = asyncio.create_task(run.run())
+        try:
+            yield Playing(runner=runner, balancer=balancer, run=run, task=task)
+        finally:
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/load/run.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/load/run.py
@@ -46,6 +46,7 @@
         self._instances: dict[int, str] = {}
         self._in_flight: set[asyncio.Task[None]] = set()
         self._sent = 0
+        self._ended = False
         self._started = 0.0
         self.observations: list[Observation] = []
         #: seconds by which this client was late to send, at most
@@ -56,6 +57,10 @@
         """Number of requests sent and not answered."""
         return len(self._in_flight)
 
+    def end(self) -> None:
+        """Send no further arrivals; those sent are still waited for."""
+        self._ended = True
+
     async def run(self) -> list[Observation]:
         """Send all arrivals and wait until each has ended."""
         loop = asyncio.get_running_loop()
@@ -73,6 +78,8 @@
         for arrival in self._arrivals:
             due = self._started + arrival.offset
             await asyncio.sleep(max(due - loop.time(), 0))
+            if self._ended:
+                return
             avoid = ""
             if arrival.repeat_of is not None:
                 avoid = self._instances.get(arrival.repeat_of, "")
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/rolling.py
@@ -0,0 +1,105 @@
+"""``python -m greengagelatch_lab.rolling``: replaces every daemon under load.
+
+One after the other, each daemon is told to stop while a replacement with a new id
+starts; the platform's list shows both with a lag. The exit status is 0 only if every
+daemon was replaced, each stopped cleanly, and every answer kept every promise.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import sys
+import tempfile
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from .fleets import FLEETS
+from .fleets.playing import play
+from .fleets.runner import FleetRunner
+
+if TYPE_CHECKING:
+    from .fleets import Fleet
+    from .fleets.daemon import Daemon
+    from .fleets.playing import Playing
+    from .load import Report
+
+__all__ = ("main",)
+
+#: seconds by which the platform's list lags
+LIST_LAG = 2.0
+#: seconds of traffic before the first stop and after the last one
+MARGIN = 3.0
+#: seconds for which arrivals are drawn; they end with the last replacement
+LONGEST = 300.0
+
+
+def main() -> int:
+    """Replace all daemons of a fleet; return 0 only if every promise was kept."""
+    parser = argparse.ArgumentParser(description=main.__doc__)
+    parser.add_argument("--fleet", choices=sorted(FLEETS), default="luzon")
+    parser.add_argument("--scale", type=float, default=1.0)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--list-lag", type=float, default=LIST_LAG)
+    options = parser.parse_args()
+    with tempfile.TemporaryDirectory(prefix="greengagelatch-") as directory:
+        report, statuses = asyncio.run(
+            _roll_fleet(FLEETS[options.fleet], Path(directory), options)
+        )
+    print(report.format())
+    passed = report.kept and report.total.in_time > 0 and not any(statuses)
+    print(
+        f"{len(statuses)} daemons replaced, exit statuses {set(statuses)}, attainment"
+        f" {report.total.attainment:.2%}, violations: {len(report.violations)}"
+    )
+    print("rolling restart passed" if passed else "rolling restart FAILED")
+    return 0 if passed else 1
+
+
+async def _roll_fleet(
+    fleet: Fleet, directory: Path, options: argparse.Namespace
+) -> tuple[Report, list[int]]:
+    async with FleetRunner(fleet, directory) as runner:
+        _show(await runner.apply_objects())
+        await runner.wait_ready()
+        await runner.registry.set_faults(list_lag_s=options.list_lag)
+        async with play(
+            runner,
+            seconds=LONGEST,
+            scale=options.scale,
+            seed=options.seed,
+            show=_show,
+        ) as playing:
+            await asyncio.sleep(MARGIN)
+            statuses = []
+            for daemon in list(runner.daemons):
+                statuses.append(await _replace(playing, daemon))
+            await asyncio.sleep(MARGIN)
+            playing.run.end()
+            return await playing.check(), statuses
+
+
+async def _replace(playing: Playing, daemon: Daemon) -> int:
+    """Replace one daemon as the platform would; return its exit status."""
+    runner = playing.runner
+    old = daemon.entry
+    await runner.registry.put([daemon.describe("leaving")])
+    stop = asyncio.create_task(runner.stop_daemon(daemon))
+    replacement = await runner.start_daemon(
+        f"{daemon.instance_id}-next", daemon.data_centre
+    )
+    playing.balancer.add(replacement.entry)
+    await runner.wait_ready(replacement)
+    status = await stop
+    playing.balancer.remove(old)
+    await runner.registry.remove([daemon.instance_id])
+    _show(f"{daemon.instance_id} replaced, exit status {status}")
+    return status
+
+
+def _show(line: str) -> None:
+    print(line, flush=True)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
