Tell a settled change from another one with the same id

Where the reply to a change with an id given by the operator is lost, the id may be found settled because it was used before; the command then reported the change as accepted. The change is now sent once more, which can't take effect under a settled id, and the answer tells the two apart. A stop from the keyboard after sending is tested with a real process.

--- a/packages/greengagelatch-cli/src/greengagelatch_cli/commands/submitting.py
+++ b/packages/greengagelatch-cli/src/greengagelatch_cli/commands/submitting.py
@@ -84,10 +84,11 @@
     ) -> ExitCode:
         # the id is known before anything is sent, so whatever happens on the way
         # the operator can be told what to ask for
-        change_id = self._read_change_id() or _create_change_id()
+        given = self._read_change_id()
+        change_id = given or _create_change_id()
         self._open_change = change_id
         sent = {**change, "change_id": change_id}
-        submission = await submit(client, sent, self.output)
+        submission = await submit(client, sent, self.output, new_id=not given)
         waits = submission.code is ExitCode.OK and self.option("wait")
         # one JSON document for each change: that of the wait says more
         if not (waits and self.output.is_json):
--- a/packages/greengagelatch-cli/src/greengagelatch_cli/submission.py
+++ b/packages/greengagelatch-cli/src/greengagelatch_cli/submission.py
@@ -53,13 +53,16 @@
 
 
 async def submit(
-    client: Client, change: Mapping[str, Any], output: Output
+    client: Client, change: Mapping[str, Any], output: Output, *, new_id: bool
 ) -> Submission:
     """Send ``change`` to the first server that takes it.
 
     A server that might have got it is the last one tried: if the change went to
     the next one as well, an operator could not tell which of the two replies holds.
     What became of it is then found by its id.
+
+    :param new_id: whether the id was made for this change, and not given by the
+        operator, who may have used it before.
     """
     change_id = change["change_id"]
     failures: list[CallFailure] = []
@@ -70,14 +73,14 @@
                 failures.append(failure)
                 if failure.kind is FailureKind.NOT_SENT:
                     continue
-                return await _settle(client, change_id, failures, output)
+                return await _settle(client, change, failures, output, new_id)
             case Ok(reply):
                 if reply.status == NOT_APPLIED and reply.state == "not-applied":
                     not_applied = reply
                     continue
                 code = _judge(reply)
                 if code is ExitCode.UNKNOWN:
-                    return await _settle(client, change_id, failures, output)
+                    return await _settle(client, change, failures, output, new_id)
                 return Submission(
                     code=code,
                     change_id=change_id,
@@ -121,33 +124,46 @@
 
 
 async def _settle(
-    client: Client, change_id: str, failures: list[CallFailure], output: Output
+    client: Client,
+    change: Mapping[str, Any],
+    failures: list[CallFailure],
+    output: Output,
+    new_id: bool,
 ) -> Submission:
+    change_id = change["change_id"]
     end = time.monotonic() + SETTLE_TIMEOUT
-    reply: Reply | None = None
+    code, reply = ExitCode.UNKNOWN, None
     while True:
         output.show_progress(f"reply lost, looking for change {change_id}")
         found = await find_change(client, change_id)
         if isinstance(found, Ok):
             reply = found.ok_value
-            if reply.state == "settled":
-                return Submission(
-                    code=ExitCode.OK,
-                    change_id=change_id,
-                    reply=reply,
-                    failures=tuple(failures),
-                )
-        if time.monotonic() >= end:
+            if reply.state == "settled" and new_id:
+                code = ExitCode.OK
+            elif reply.state == "settled":
+                code, reply = await _confirm(client, change, reply)
+        if code is not ExitCode.UNKNOWN or time.monotonic() >= end:
             break
         await asyncio.sleep(SETTLE_INTERVAL)
     return Submission(
-        code=ExitCode.UNKNOWN,
-        change_id=change_id,
-        reply=reply,
-        failures=tuple(failures),
+        code=code, change_id=change_id, reply=reply, failures=tuple(failures)
     )
 
 
+async def _confirm(
+    client: Client, change: Mapping[str, Any], found: Reply
+) -> tuple[ExitCode, Reply]:
+    """Tell whether a settled id is this change's or was used for another before.
+
+    Both look the same by id, and the second would be reported as accepted. Sending
+    the change again tells them apart; it can't take effect, as its id is settled.
+    """
+    answered = await client.call(found.server, "POST", CHANGES_PATH, body=change)
+    if isinstance(answered, Err):
+        return ExitCode.UNKNOWN, found
+    return _judge(answered.ok_value), answered.ok_value
+
+
 def _judge(reply: Reply) -> ExitCode:
     if reply.status == 200 and reply.state in ("settled", "checked"):
         return ExitCode.OK
--- a/tests/test_cli/conftest.py
+++ b/tests/test_cli/conftest.py
@@ -38,6 +38,16 @@
         self.script = defaultdict(list)
         self.calls = []
         self.address = ""
+        self.called = asyncio.Event()
+        self._released = asyncio.Event()
+        self._released.set()
+
+    def hold(self) -> None:
+        """Give no answer until :meth:`release`."""
+        self._released.clear()
+
+    def release(self) -> None:
+        self._released.set()
 
     def answer(self, call, *answers) -> None:
         self.script[call] = list(answers)
@@ -48,7 +58,9 @@
     async def serve(self, request):
         text = await request.text()
         call = f"{request.method} {request.path}"
+        self.called.set()
         self.calls.append((call, json.loads(text) if text else dict(request.query)))
+        await self._released.wait()
         answers = self.script[call]
         if not answers:
             return web.json_response({"message": "not in the script"}, status=404)
--- a/tests/test_cli/test_submission.py
+++ b/tests/test_cli/test_submission.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
+import signal
+import sys
+
 import pytest
 
+from greengagelatch_cli.commands import submitting
 from greengagelatch_cli.exits import ExitCode
 
 CLOSED = "127.0.0.1:1"
@@ -82,7 +87,7 @@
 
 
 async def test_lost_reply_is_settled_by_id_and_not_sent_again(
-    start_server, run_command, file
+    start_server, run_command, file, monkeypatch
 ):
     """Symptom: one command is accepted as two generations.
 
@@ -90,23 +95,45 @@
     change to the next server. Cause: a call without a reply was taken for one that
     was not sent.
     """
+    monkeypatch.setattr(submitting, "_create_change_id", lambda: "c-1")
     server, spare = await start_server(), await start_server()
     server.answer("POST /changes", None)
     server.answer("GET /changes/c-1", NOT_FOUND)
     spare.answer("GET /changes/c-1", NOT_FOUND, (200, SETTLED))
-    ended = await run_command(
-        "apply",
-        file,
-        "--change-id",
-        "c-1",
-        servers=[server.address, spare.address],
-    )
+    ended = await run_command("apply", file, servers=[server.address, spare.address])
     assert ended.code == ExitCode.OK
     assert "generation 8" in ended.out
     assert len(server.bodies("POST /changes")) == 1
     assert spare.bodies("POST /changes") == []
 
 
+@pytest.mark.parametrize(
+    ("answer", "code"),
+    [
+        ((200, {**SETTLED, "repeated": True}), ExitCode.OK),
+        (
+            (409, {"state": "refused", "code": "change-id-reused"}),
+            ExitCode.REFUSED,
+        ),
+        (None, ExitCode.UNKNOWN),
+    ],
+)
+async def test_settled_id_of_another_change_is_not_taken_for_this_one(
+    server, run_command, file, answer, code
+):
+    """Symptom: a change is reported as accepted and is in force nowhere.
+
+    An operator gives an id that was used before; the refusal is lost; looking for
+    the id finds the earlier change. Cause: the id alone was taken as proof.
+    """
+    server.answer("POST /changes", None, answer)
+    server.answer("GET /changes/c-1", (200, SETTLED))
+    ended = await run_command(
+        "apply", file, "--change-id", "c-1", servers=[server.address]
+    )
+    assert ended.code == code
+
+
 @pytest.mark.parametrize(
     "answer", [None, (504, {"state": "unknown"}), (500, {}), (200, {})]
 )
@@ -243,3 +270,30 @@
     )
     assert ended.code == ExitCode.UNKNOWN
     assert "change show c-1" in ended.err
+
+
+@pytest.mark.processes
+async def test_interrupt_after_sending_names_the_change(start_server, file):
+    """Symptom: an operator stops a slow command and drops a change that is accepted.
+
+    The change is sent and its reply is late; the command is stopped from the
+    keyboard and ends with the code of a refusal. Cause: whether anything had been
+    sent was not asked at that point.
+    """
+    server = await start_server()
+    server.hold()
+    process = await asyncio.create_subprocess_exec(
+        *(sys.executable, "-m", "greengagelatch_cli"),
+        *("apply", file, "--change-id", "c-1", "--server", server.address),
+        stderr=asyncio.subprocess.PIPE,
+    )
+    try:
+        await asyncio.wait_for(server.called.wait(), 30)
+        process.send_signal(signal.SIGINT)
+        _, errors = await asyncio.wait_for(process.communicate(), 30)
+    finally:
+        if process.returncode is None:
+            process.kill()
+        server.release()
+    assert process.returncode == ExitCode.UNKNOWN
+    assert b"change show c-1" in errors
