List targets for operators and report failed background tasks

Cause: status had no way to name targets; a controller whose task failed went unnoticed while the process served on with a state that no longer changed. Before: neither. Conclusion: not tested yet.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/__init__.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from abc import abstractmethod
+from collections.abc import Callable
 from typing import Any, ClassVar
 
 from mode import Service
@@ -24,6 +25,19 @@
     #: key of this controller in the state dump
     name: str = ""
 
+    #: called when a background task fails; set by the application
+    crash_listener: Callable[[Controller, BaseException], None] | None = None
+
     @abstractmethod
     def dump(self) -> dict[str, Any]:
         """Return the state as JSON-compatible values, bounded in size."""
+
+    async def crash(self, reason: BaseException) -> None:
+        """Record a failed background task and report it.
+
+        The other controllers would go on without this one, serving with a state
+        that no longer changes, so the application is told and ends the process.
+        """
+        await super().crash(reason)
+        if self.crash_listener is not None:
+            self.crash_listener(self, reason)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/targets.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/targets.py
@@ -144,6 +144,10 @@
         self._metrics.count("targets.unreached_calls")
         self._take(self._ledger.note_unreached(target_id))
 
+    def list_targets(self) -> tuple[tuple[Target, bool], ...]:
+        """Return all targets not leaving, each with whether it is set aside."""
+        return self._ledger.list_targets()
+
     def apply_listing(self, listing: Listing) -> None:
         """Take in a listing of the platform."""
         change = self._ledger.apply_listing(listing)
--- a/packages/greengagelatch/src/greengagelatch/targets/ledger.py
+++ b/packages/greengagelatch/src/greengagelatch/targets/ledger.py
@@ -211,6 +211,11 @@
         newest = list(islice(reversed(self._leaving), limit))
         return tuple(reversed(newest))
 
+    def list_targets(self) -> tuple[tuple[Target, bool], ...]:
+        """Return all targets not leaving, each with whether it is set aside."""
+        records = self._records.values()
+        return tuple((record.target, record.set_aside) for record in records)
+
     def is_leaving(self, target_id: str) -> bool:
         """Whether a target is known to be leaving."""
         return target_id in self._leaving
