Add changes, learning and the operators' calls of the configuration

Cause: an accepted change must be in force everywhere and never revert, with the store down, answers lost and data centres cut off. Weighed: content-addressed keys alone (ruled out: a shard being deleted could be named again by a change under way), keys with a salt new for each change (taken); giving up a lost swap after one look at the head (ruled out: it may land later, as long as the head stands still), making the swap again (taken); sending peers the whole head (a thousand ids for one change), a delta checked by a digest (taken). Before: no controller.

--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""How the daemon reads, learns and changes the operator configuration."""
--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/configuration/driver.py
@@ -0,0 +1,187 @@
+"""Carries out the steps of changes against the store."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+from result import Err, Result
+
+from greengagelatch.config.changes import (
+    DeleteShards,
+    Pause,
+    ReadHead,
+    ReadShards,
+    Step,
+    SwapHead,
+    WriteShards,
+    run_change,
+)
+from greengagelatch.config.head import HEAD_KEY, ShardRef
+from greengagelatch.config.replica import HeldShard, open_shard
+from greengagelatch.config.requests import NotApplied, Settled
+from greengagelatch.store import (
+    ABSENT,
+    Entry,
+    Store,
+    StoreError,
+    StoreErrorKind,
+    WriteOutcome,
+    WriteResult,
+)
+
+if TYPE_CHECKING:
+    import random
+
+    from greengagelatch.clock import Clock
+    from greengagelatch.config.requests import ChangeOutcome, ChangeRequest
+
+    from ..metrics import Metrics
+    from .shards import ShardReader
+
+__all__ = ("ChangeDriver",)
+
+#: shards written or deleted side by side
+MAX_WRITES = 16
+
+_LATE = "the time for the change is over"
+
+#: gets the head and the shards of a change that this instance has made
+SettledListener = "Callable[[Head, Mapping[ShardRef, HeldShard]], None]"
+
+
+class ChangeDriver:
+    """Makes one change at a time, each within a time limit.
+
+    Changes of one instance wait for each other, as they would only lose each other's
+    swaps. When the time of a change is over, no further store call is made for it;
+    what is known of it then is its outcome.
+
+    :param timeout: seconds for one change, waiting for earlier ones included.
+    :param on_settled: told of the new head as soon as a change is in force.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: Store,
+        reader: ShardReader,
+        clock: Clock,
+        random_source: random.Random,
+        metrics: Metrics,
+        timeout: float,
+        on_settled: SettledListener,
+    ) -> None:
+        self._store = store
+        self._reader = reader
+        self._clock = clock
+        self._random = random_source
+        self._metrics = metrics
+        self._timeout = timeout
+        self._on_settled = on_settled
+        self._turn = asyncio.Lock()
+        self._slots = asyncio.Semaphore(MAX_WRITES)
+
+    async def change(self, request: ChangeRequest) -> ChangeOutcome:
+        """Make a change and return what became of it."""
+        deadline = self._clock.now() + self._timeout
+        try:
+            async with asyncio.timeout(self._timeout):
+                await self._turn.acquire()
+        except TimeoutError:
+            return NotApplied(message="too many changes are waiting", base=request.base)
+        try:
+            outcome = await self._run(request, deadline)
+        finally:
+            self._turn.release()
+        kind = type(outcome).__name__.lower()
+        self._metrics.count(f"configuration.changes.{kind}")
+        return outcome
+
+    async def _run(self, request: ChangeRequest, deadline: float) -> ChangeOutcome:
+        fresh: dict[ShardRef, HeldShard] = {}
+        process = run_change(request, wall=self._clock.wall, random_source=self._random)
+        reply: Any = None
+        while True:
+            try:
+                step = process.send(reply)
+            except StopIteration as stop:
+                outcome = stop.value
+                break
+            reply = await self._perform(step, deadline, fresh)
+        if isinstance(outcome, Settled):
+            self._on_settled(outcome.head, fresh)
+        return outcome
+
+    async def _perform(
+        self, step: Step, deadline: float, fresh: dict[ShardRef, HeldShard]
+    ) -> Any:
+        late = self._clock.now() >= deadline
+        match step:
+            case Pause(seconds=seconds):
+                return await asyncio.sleep(0 if late else seconds)
+            case ReadHead():
+                return Err(_fail_late()) if late else await self._read_head()
+            case ReadShards(refs=refs):
+                return Err(_fail_late()) if late else await self._read(refs, fresh)
+            case WriteShards(shards=shards):
+                if late:
+                    return [_refuse_late()] * len(shards)
+                results = await asyncio.gather(
+                    *(self._write(ref, data) for ref, data in shards)
+                )
+                _keep_written(shards, results, fresh)
+                return results
+            case DeleteShards(refs=refs):
+                if late:
+                    return [_refuse_late()] * len(refs)
+                return await asyncio.gather(*(self._delete(ref) for ref in refs))
+            case SwapHead(value=value, expected=expected):
+                if late:
+                    return _refuse_late()
+                return await self._store.swap(HEAD_KEY, value, expected)
+
+    async def _read_head(self) -> Result[Entry | None, StoreError]:
+        return await self._store.get(HEAD_KEY)
+
+    async def _read(
+        self, refs: tuple[ShardRef, ...], fresh: dict[ShardRef, HeldShard]
+    ) -> Result[Any, StoreError]:
+        answer = await self._reader.read(refs)
+        if answer.is_err():
+            return answer
+        fresh.update(answer.ok_value)
+        return answer.map(
+            lambda found: {ref: held.shard for ref, held in found.items()}
+        )
+
+    async def _write(self, ref: ShardRef, data: bytes) -> WriteResult:
+        async with self._slots:
+            return await self._store.swap(ref.key, data, ABSENT)
+
+    async def _delete(self, ref: ShardRef) -> WriteResult:
+        async with self._slots:
+            return await self._store.delete(ref.key, ref.revision)
+
+
+def _keep_written(
+    shards: tuple[tuple[ShardRef, bytes], ...],
+    results: list[WriteResult],
+    fresh: dict[ShardRef, HeldShard],
+) -> None:
+    """Keep what was written, so that it need not be read back from the store."""
+    for (ref, data), result in zip(shards, results, strict=True):
+        if result.outcome not in (WriteOutcome.APPLIED, WriteOutcome.CONFLICT):
+            continue
+        named = ShardRef(ref.digest, ref.salt, result.revision)
+        held = open_shard(named, data)
+        if held is not None:
+            fresh[named] = held
+
+
+def _fail_late() -> StoreError:
+    return StoreError(StoreErrorKind.TIMEOUT, _LATE)
+
+
+def _refuse_late() -> WriteResult:
+    return WriteResult(WriteOutcome.NOT_APPLIED, message=_LATE)
--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/configuration/learner.py
@@ -0,0 +1,175 @@
+"""Takes over generations found in the store or at a peer."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+from result import Err, Ok, Result
+
+from greengagelatch.config.head import ShardRef, apply_delta, decode_head
+from greengagelatch.config.messages import ConfigChunk, ConfigFetch
+from greengagelatch.config.replica import HeldShard, open_shard
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Mapping
+
+    from greengagelatch.config.head import Head
+    from greengagelatch.config.replica import Replica
+    from greengagelatch.peers import PeerNetwork
+    from greengagelatch.store import Entry
+
+    from ..metrics import Metrics
+    from .shards import ShardReader
+
+__all__ = ("Learner",)
+
+logger = logging.getLogger(__name__)
+
+#: shards fetched from one peer side by side
+MAX_FETCHES = 8
+
+#: largest value that a peer may send: that of the store
+MAX_VALUE_BYTES = 1024 * 1024
+
+
+class Learner:
+    """Fetches what a newer generation needs, then puts it in force at once.
+
+    Nothing of a generation is visible before all of it is here: a peer or the store
+    may go away half way, and half a change must not be served.
+
+    :param on_adopted: called after a newer generation was put in force.
+    """
+
+    def __init__(
+        self,
+        *,
+        replica: Replica,
+        reader: ShardReader,
+        peers: PeerNetwork,
+        metrics: Metrics,
+        fetch_timeout: float,
+        on_adopted: Callable[[], None],
+    ) -> None:
+        self._replica = replica
+        self._reader = reader
+        self._peers = peers
+        self._metrics = metrics
+        self._fetch_timeout = fetch_timeout
+        self._on_adopted = on_adopted
+
+    def adopt(self, head: Head, fresh: Mapping[ShardRef, HeldShard]) -> bool:
+        """Put a generation in force whose shards are all here."""
+        if not self._replica.adopt(head, fresh):
+            return False
+        self._on_adopted()
+        return True
+
+    async def learn_entry(self, entry: Entry) -> bool:
+        """Take over the head that the store gave; whether that is now in force."""
+        decoded = decode_head(entry.value)
+        if decoded.is_err():
+            self._metrics.count("configuration.bad_heads")
+            logger.error("head at revision %s: %s", entry.revision, decoded.err_value)
+            return False
+        head = decoded.ok_value
+        if head.generation <= self._replica.generation:
+            return True
+        shards = await self._reader.read(head.shards.values())
+        if shards.is_err():
+            return False
+        self.adopt(head, shards.ok_value)
+        return self._replica.generation >= head.generation
+
+    async def learn_from_peer(self, instance_id: str) -> bool:
+        """Take over a peer's generation; ``False`` if that could not be fetched."""
+        match await self._fetch_head(instance_id):
+            case Err(reason):
+                self._note_failure(instance_id, reason)
+                return False
+            case Ok(head):
+                pass
+        if head.generation <= self._replica.generation:
+            return True
+        fresh = await self._fetch_shards(instance_id, head)
+        if fresh is None:
+            return False
+        self.adopt(head, fresh)
+        return self._replica.generation >= head.generation
+
+    async def _fetch_head(self, instance_id: str) -> Result[Head, str]:
+        base = self._replica.head
+        chunk, data = await self._fetch(instance_id, "", base.generation)
+        if chunk is None:
+            return Err("no head")
+        if not chunk.delta:
+            return decode_head(data)
+        applied = apply_delta(base, data)
+        if applied.is_ok():
+            return applied
+        self._metrics.count("configuration.bad_deltas")
+        logger.warning("delta from %s: %s", instance_id, applied.err_value)
+        chunk, data = await self._fetch(instance_id, "", 0)
+        return Err("no head") if chunk is None else decode_head(data)
+
+    async def _fetch_shards(
+        self, instance_id: str, head: Head
+    ) -> Mapping[ShardRef, HeldShard] | None:
+        missing = self._replica.find_missing(head.shards.values())
+        slots = asyncio.Semaphore(MAX_FETCHES)
+
+        async def fetch(ref: ShardRef) -> HeldShard | None:
+            async with slots:
+                _, data = await self._fetch(instance_id, ref.key, 0)
+            return open_shard(ref, data)
+
+        shards = await _gather(fetch, missing)
+        if any(shard is None for shard in shards):
+            self._note_failure(instance_id, "a shard is missing")
+            return None
+        return dict(zip(missing, shards, strict=True))
+
+    async def _fetch(
+        self, instance_id: str, key: str, generation: int
+    ) -> tuple[ConfigChunk | None, bytes]:
+        """Return the first chunk and all bytes; ``None`` if any of it is missing."""
+        first: ConfigChunk | None = None
+        data = b""
+        while first is None or len(data) < first.total:
+            question = ConfigFetch(key, generation, len(data))
+            answer = await self._peers.ask(instance_id, question, self._fetch_timeout)
+            chunk = answer.ok()
+            if not isinstance(chunk, ConfigChunk) or not chunk.data:
+                return None, b""
+            if first is None:
+                first = chunk
+            if not _continues(first, chunk, len(data)):
+                return None, b""
+            data += chunk.data
+        return first, data
+
+    def _note_failure(self, instance_id: str, reason: str) -> None:
+        self._metrics.count("configuration.failed_fetches")
+        logger.info("fetch from %s failed: %s", instance_id, reason)
+
+
+def _continues(first: ConfigChunk, chunk: ConfigChunk, offset: int) -> bool:
+    """Whether a chunk belongs to the same bytes as the first one.
+
+    The peer may have moved on to another generation in between, and its head's bytes
+    with it.
+    """
+    if chunk.total > MAX_VALUE_BYTES or chunk.offset != offset:
+        return False
+    if (chunk.generation, chunk.total) != (first.generation, first.total):
+        return False
+    return chunk.delta == first.delta and offset + len(chunk.data) <= chunk.total
+
+
+async def _gather(
+    fetch: Callable[[ShardRef], Awaitable[HeldShard | None]],
+    refs: tuple[ShardRef, ...],
+) -> list[HeldShard | None]:
+    return list(await asyncio.gather(*(fetch(ref) for ref in refs)))
--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/configuration/shards.py
@@ -0,0 +1,67 @@
+"""Shards read from the store, unless they are here already."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable, Mapping
+from typing import TYPE_CHECKING
+
+from result import Err, Ok, Result
+
+from greengagelatch.config.replica import HeldShard, open_shard
+
+if TYPE_CHECKING:
+    from greengagelatch.config.head import ShardRef
+    from greengagelatch.config.replica import Replica
+    from greengagelatch.store import Store, StoreError
+
+    from ..metrics import Metrics
+
+__all__ = ("ShardReader",)
+
+#: shards read from the store side by side
+MAX_READS = 16
+
+
+class ShardReader:
+    """Reads shards from the store and checks that they are what they should be."""
+
+    def __init__(self, *, store: Store, replica: Replica, metrics: Metrics) -> None:
+        self._store = store
+        self._replica = replica
+        self._metrics = metrics
+        self._slots = asyncio.Semaphore(MAX_READS)
+
+    async def read(
+        self, refs: Iterable[ShardRef]
+    ) -> Result[Mapping[ShardRef, HeldShard], StoreError]:
+        """Return shards; those that the store does not hold are left out."""
+        found: dict[ShardRef, HeldShard] = {}
+        missing = []
+        for ref in refs:
+            held = self._replica.get(ref.key)
+            if held is None:
+                missing.append(ref)
+                continue
+            found[ref] = held
+        answers = await asyncio.gather(*(self._read_one(ref) for ref in missing))
+        for ref, answer in zip(missing, answers, strict=True):
+            match answer:
+                case Err(error):
+                    return Err(error)
+                case Ok(HeldShard() as held):
+                    found[ref] = held
+        return Ok(found)
+
+    async def _read_one(self, ref: ShardRef) -> Result[HeldShard | None, StoreError]:
+        async with self._slots:
+            answer = await self._store.get(ref.key)
+        if answer.is_err():
+            return Err(answer.err_value)
+        entry = answer.ok_value
+        if entry is None:
+            return Ok(None)
+        held = open_shard(ref, entry.value)
+        if held is None:
+            self._metrics.count("configuration.bad_shards")
+        return Ok(held)
--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/configuration.py
@@ -0,0 +1,437 @@
+"""The operator configuration of this instance: learns it, passes it on, changes it."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING, Any
+
+from mode import Service
+from result import Err, Ok, Result
+
+from greengagelatch.config.gossip import (
+    Knowledge,
+    choose_listeners,
+    choose_watchers,
+    list_alive,
+)
+from greengagelatch.config.head import HEAD_KEY, Head, decode_head, find_change
+from greengagelatch.config.messages import ConfigAdvert, ConfigQuery
+from greengagelatch.config.replica import Replica
+from greengagelatch.membership.backoff import compute_backoff
+from greengagelatch.peers import MemberState
+
+from ..configuration.driver import ChangeDriver
+from ..configuration.learner import Learner
+from ..configuration.report import MemberGeneration, Sought
+from ..configuration.serving import ConfigServer
+from ..configuration.shards import ShardReader
+from . import Controller
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+    from random import Random
+
+    from greengagelatch.clock import Clock
+    from greengagelatch.config.records import Record
+    from greengagelatch.config.requests import ChangeOutcome, ChangeRequest
+    from greengagelatch.config.snapshot import Snapshot
+    from greengagelatch.events import EventBus
+    from greengagelatch.peers import Member, PeerNetwork
+    from greengagelatch.settings import Settings
+    from greengagelatch.store import Entry, Store, StoreError
+
+    from ..metrics import Metrics
+
+__all__ = ("CONFIGURATION_CHANGED", "ConfigurationController")
+
+logger = logging.getLogger(__name__)
+
+#: emitted with the snapshot each time a newer one is in force here
+CONFIGURATION_CHANGED = "configuration-changed"
+
+#: seconds between two looks at whether this instance is to watch the head
+WATCH_TICK = 1.0
+
+#: shortest and longest delay in seconds after a failed call
+RETRY_BASE = 0.2
+RETRY_LONGEST = 5.0
+
+#: members asked side by side, and at all, for the generation that they have
+MAX_ASKED_AT_ONCE = 32
+MAX_ASKED = 1024
+
+#: peers asked at once by an instance that knows no configuration
+START_PEERS = 2
+
+
+class ConfigurationController(Controller):
+    """Holds the newest configuration that this instance has learnt.
+
+    A few instances of each data centre watch the head in the store; the others hear
+    of a new generation from peers, and fetch it there. An instance that has long had
+    no word of what is newest looks for itself: those that watch may be cut off from
+    the store while it is not.
+    """
+
+    name = "configuration"
+
+    def __init__(
+        self,
+        *,
+        store: Store,
+        peers: PeerNetwork,
+        clock: Clock,
+        random: Random,
+        events: EventBus,
+        settings: Settings,
+        metrics: Metrics,
+        data_centre: str,
+    ) -> None:
+        super().__init__()
+        self._store = store
+        self._peers = peers
+        self._clock = clock
+        self._random = random
+        self._events = events
+        self._metrics = metrics
+        self._data_centre = data_centre
+        self._watch_wait: float = settings["configuration.watch_wait"]
+        self._gossip_interval: float = settings["configuration.gossip_interval"]
+        self._stale_after: float = settings["configuration.stale_after"]
+        self._fetch_timeout: float = settings["configuration.fetch_timeout"]
+        self._replica = Replica()
+        self._knowledge = Knowledge()
+        #: revision of the newest head seen in the store
+        self._revision = 0
+        self._fetch_wanted = asyncio.Event()
+        reader = ShardReader(store=store, replica=self._replica, metrics=metrics)
+        self._learner = Learner(
+            replica=self._replica,
+            reader=reader,
+            peers=peers,
+            metrics=metrics,
+            fetch_timeout=self._fetch_timeout,
+            on_adopted=self._note_adopted,
+        )
+        self._driver = ChangeDriver(
+            store=store,
+            reader=reader,
+            clock=clock,
+            random_source=random,
+            metrics=metrics,
+            timeout=settings["configuration.change_timeout"],
+            on_settled=self._learner.adopt,
+        )
+        ConfigServer(replica=self._replica, peers=peers, metrics=metrics)
+        peers.handle(ConfigAdvert, self._receive_advert)
+        peers.handle(ConfigQuery, self._answer_query)
+        events.declare(CONFIGURATION_CHANGED)
+
+    # what others ask
+
+    @property
+    def snapshot(self) -> Snapshot:
+        """Objects in force here; empty before any are known."""
+        return self._replica.snapshot
+
+    @property
+    def ready(self) -> bool:
+        """Whether any configuration is known."""
+        return self._replica.generation > 0
+
+    @property
+    def head(self) -> Head:
+        """Head of the generation in force here."""
+        return self._replica.head
+
+    @property
+    def instance_id(self) -> str:
+        """Id of this instance."""
+        return self._peers.instance_id
+
+    @property
+    def data_centre(self) -> str:
+        """Data centre of this instance."""
+        return self._data_centre
+
+    def list_records(self) -> Mapping[str, Record]:
+        """Return all records in force by ``KIND/NAME``, deleted ones included."""
+        return self._replica.list_records()
+
+    def find_generation(self, instance_id: str) -> int | None:
+        """Return the generation an instance is known to have; ``None``: unknown."""
+        if instance_id == self.instance_id:
+            return self._replica.generation
+        sighting = self._knowledge.find(instance_id)
+        return None if sighting is None else sighting.generation
+
+    def get_store_age(self) -> float | None:
+        """Return seconds since the generation here was surely the newest."""
+        generation = self._replica.generation
+        return self._knowledge.get_store_age(generation, self._clock.now())
+
+    async def change(self, request: ChangeRequest) -> ChangeOutcome:
+        """Make a change and return what became of it."""
+        return await self._driver.change(request)
+
+    async def find_change(self, change_id: str) -> Result[Sought, StoreError]:
+        """Look for a change: here first, then in the store's newest head."""
+        head = self._replica.head
+        entry = find_change(head, change_id)
+        if entry is not None:
+            return Ok(Sought(head, entry))
+        answer = await self._read_head()
+        if answer.is_err():
+            return Err(answer.err_value)
+        if answer.ok_value is None:
+            return Ok(Sought(head, None))
+        decoded = decode_head(answer.ok_value.value)
+        if decoded.is_err():
+            return Ok(Sought(head, None))
+        newest = decoded.ok_value
+        return Ok(Sought(newest, find_change(newest, change_id)))
+
+    async def list_generations(
+        self, *, ask: bool = False
+    ) -> tuple[MemberGeneration, ...]:
+        """Return every known entry instance with the generation it has in force.
+
+        :param ask: ask all members anew instead of telling what is known.
+        """
+        members = self._peers.members()
+        if ask:
+            await self._ask_members(members)
+        return tuple(self._describe_member(member) for member in members)
+
+    def dump(self) -> dict[str, Any]:
+        head = self._replica.head
+        return {
+            "generation": head.generation,
+            "objects": {
+                "pipelines": len(self.snapshot.pipelines),
+                "services": len(self.snapshot.services),
+                "workspaces": len(self.snapshot.workspaces),
+                "policies": len(self.snapshot.policies),
+            },
+            "shards": len(head.shards),
+            "bytes": self._replica.bytes_held,
+            "recent_changes": len(head.changes),
+            "store_revision": self._revision,
+            "store_age_seconds": self.get_store_age(),
+            "watching": self._is_watcher(),
+        }
+
+    # learning from the store
+
+    @Service.task
+    async def _watch_forever(self) -> None:
+        failures = 0
+        while not self.should_stop:
+            if not self._is_watcher():
+                failures = 0
+                await self.sleep(WATCH_TICK)
+                continue
+            begun = self._clock.now()
+            seen = self._revision
+            if await self._watch_once():
+                failures = 0
+                # a store that answers at once without news, as it may while there is
+                # no head, must not be asked in a tight loop: it counts each call
+                tick = min(WATCH_TICK, self._watch_wait)
+                if self._revision == seen and self._clock.now() - begun < tick:
+                    await self.sleep(tick)
+                continue
+            failures += 1
+            await self._wait_to_retry(failures)
+
+    async def _watch_once(self) -> bool:
+        answer = await self._store.watch(HEAD_KEY, self._revision, self._watch_wait)
+        if answer.is_err():
+            self._metrics.count("configuration.failed_watches")
+            return False
+        entry = answer.ok_value
+        if entry is None:
+            self._confirm_newest()
+            return True
+        return await self._learn_entry(entry)
+
+    async def _learn_entry(self, entry: Entry) -> bool:
+        if not await self._learner.learn_entry(entry):
+            return False
+        # only now: a head whose shards could not be read is to be seen again
+        if entry.revision >= self._revision:
+            self._revision = entry.revision
+            self._confirm_newest()
+        return True
+
+    def _confirm_newest(self) -> None:
+        self._knowledge.confirm(self._replica.generation, self._clock.now())
+
+    async def _read_head(self) -> Result[Entry | None, StoreError]:
+        answer = await self._store.get(HEAD_KEY)
+        entry = answer.ok()
+        if entry is not None:
+            await self._learn_entry(entry)
+        return answer
+
+    @Service.task
+    async def _start_up(self) -> None:
+        failures = 0
+        while not self.should_stop and not self.ready:
+            await self._ask_some()
+            answer = await self._read_head()
+            if answer.is_ok() and answer.ok_value is None:
+                # there is no configuration yet; the watch will tell of the first
+                return
+            failures += 1
+            if not self.ready:
+                await self._wait_to_retry(failures)
+
+    async def _ask_some(self) -> None:
+        others = [
+            member
+            for member in list_alive(self._peers.members())
+            if member.instance_id != self.instance_id
+        ]
+        count = min(START_PEERS, len(others))
+        await self._ask_members(self._random.sample(others, count))
+
+    def _is_watcher(self) -> bool:
+        watchers = choose_watchers(self._peers.members(), self._data_centre)
+        # an instance that no view of its own shows as alive still has to look
+        return not watchers or self.instance_id in watchers
+
+    async def _wait_to_retry(self, failures: int) -> None:
+        delay = compute_backoff(
+            failures,
+            base=RETRY_BASE,
+            longest=RETRY_LONGEST,
+            random_source=self._random,
+        )
+        await self.sleep(delay)
+
+    # learning from peers
+
+    @Service.task
+    async def _gossip_forever(self) -> None:
+        while not self.should_stop:
+            share = self._random.uniform(0.5, 1.5)
+            await self.sleep(self._gossip_interval * share)
+            self._metrics.gauge("configuration.generation", self._replica.generation)
+            alive = list_alive(self._peers.members())
+            others = [one for one in alive if one.instance_id != self.instance_id]
+            if others:
+                chosen = self._random.choice(others)
+                self._peers.send(chosen.instance_id, self._create_advert())
+            if self._is_stale() and self._random.random() * len(alive) < 1:
+                # each looks seldom, so that the fleet as a whole asks no more often
+                # the larger it is
+                self._metrics.count("configuration.stale_reads")
+                await self._read_head()
+
+    @Service.task
+    async def _fetch_forever(self) -> None:
+        failures = 0
+        while not self.should_stop:
+            await self.wait(self._fetch_wanted)
+            candidates = self._list_ahead()
+            if not candidates:
+                self._fetch_wanted.clear()
+                failures = 0
+                continue
+            if await self._learner.learn_from_peer(self._random.choice(candidates)):
+                failures = 0
+                continue
+            failures += 1
+            await self._wait_to_retry(failures)
+
+    def _list_ahead(self) -> list[str]:
+        ahead = []
+        for member in list_alive(self._peers.members()):
+            generation = self.find_generation(member.instance_id)
+            if generation is not None and generation > self._replica.generation:
+                ahead.append(member.instance_id)
+        return ahead
+
+    def _receive_advert(self, sender: str, advert: ConfigAdvert) -> None:
+        self._take_in(sender, advert)
+        if advert.generation < self._replica.generation:
+            # it will fetch what it has missed
+            self._peers.send(sender, self._create_advert())
+
+    def _answer_query(self, sender: str, query: ConfigQuery) -> ConfigAdvert:
+        return self._create_advert()
+
+    def _take_in(self, sender: str, advert: ConfigAdvert) -> None:
+        now = self._clock.now()
+        for instance_id, data_centre, generation, age in advert.seen:
+            self._knowledge.note(instance_id, data_centre, generation, now - age)
+        self._knowledge.note(sender, advert.data_centre, advert.generation, now)
+        if advert.store_age >= 0:
+            taken = now - advert.store_age
+            self._knowledge.confirm(advert.generation, taken)
+        if self._list_ahead():
+            self._fetch_wanted.set()
+
+    def _create_advert(self) -> ConfigAdvert:
+        now = self._clock.now()
+        alive = {one.instance_id for one in list_alive(self._peers.members())}
+        age = self.get_store_age()
+        return ConfigAdvert(
+            generation=self._replica.generation,
+            data_centre=self._data_centre,
+            store_age=-1.0 if age is None else age,
+            seen=self._knowledge.pick_rows(
+                now, frozenset(alive - {self.instance_id}), self._random
+            ),
+        )
+
+    def _is_stale(self) -> bool:
+        age = self.get_store_age()
+        return age is None or age > self._stale_after
+
+    def _note_adopted(self) -> None:
+        generation = self._replica.generation
+        logger.info("configuration generation %s is in force", generation)
+        self._metrics.gauge("configuration.generation", generation)
+        self._metrics.count("configuration.adopted")
+        self._events.emit(CONFIGURATION_CHANGED, self._replica.snapshot)
+        listeners = choose_listeners(
+            self._peers.members(), self.instance_id, self._data_centre, self._random
+        )
+        advert = self._create_advert()
+        for instance_id in listeners:
+            self._peers.send(instance_id, advert)
+
+    async def _ask_members(self, members: list[Member] | tuple[Member, ...]) -> None:
+        slots = asyncio.Semaphore(MAX_ASKED_AT_ONCE)
+
+        async def ask(instance_id: str) -> None:
+            async with slots:
+                answer = await self._peers.ask(
+                    instance_id, ConfigQuery(), self._fetch_timeout
+                )
+            advert = answer.ok()
+            if isinstance(advert, ConfigAdvert):
+                self._take_in(instance_id, advert)
+
+        others = [one for one in members if one.instance_id != self.instance_id]
+        asked = [one for one in others if one.state is not MemberState.DEAD]
+        await asyncio.gather(*(ask(one.instance_id) for one in asked[:MAX_ASKED]))
+
+    def _describe_member(self, member: Member) -> MemberGeneration:
+        own = member.instance_id == self.instance_id
+        sighting = self._knowledge.find(member.instance_id)
+        age = None
+        if own:
+            age = 0.0
+        elif sighting is not None:
+            age = max(0.0, self._clock.now() - sighting.taken)
+        return MemberGeneration(
+            instance_id=member.instance_id,
+            data_centre=self._data_centre if own else member.data_centre,
+            state=member.state.value,
+            generation=self.find_generation(member.instance_id),
+            age=age,
+        )
--- /dev/null
+++ b/packages/greengagelatch/src/greengagelatch/config/head.py
@@ -0,0 +1,306 @@
+"""The head: the one value by which a generation of the configuration is in force.
+
+Changes write new shards first and then swap the head once, so that a change is in
+force as a whole or not at all, and all changes have one order.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+import cbor2
+from result import Err, Ok, Result
+
+__all__ = (
+    "EMPTY_HEAD",
+    "HEAD_KEY",
+    "HEAD_VERSION",
+    "ChangeEntry",
+    "Head",
+    "ShardRef",
+    "advance",
+    "apply_delta",
+    "decode_head",
+    "encode_delta",
+    "encode_head",
+    "find_change",
+    "find_shards_at",
+    "get_oldest_generation",
+    "list_refs",
+)
+
+HEAD_KEY = "config/head"
+SHARD_PREFIX = "config/shards/"
+
+#: raised when a release writes what an earlier one would misread
+HEAD_VERSION = 1
+
+#: changes that are kept in the head whatever their age
+KEPT_CHANGES = 1024
+
+#: changes that the head can hold at all, which bounds its size to about 300 kB
+MAX_CHANGES = 4096
+
+#: seconds for which every change is kept, so that lost answers can be settled
+KEPT_SECONDS = 3600.0
+
+#: generations whose shards are kept, so that they can be put in force again
+KEPT_GENERATIONS = 256
+
+#: shards waiting to be deleted that the head names at most
+MAX_GARBAGE = 2048
+
+DIGEST_BYTES = 16
+
+
+@dataclass(frozen=True, slots=True)
+class ShardRef:
+    """A shard in the store.
+
+    The salt is new for each change, so that no two changes ever write the same key.
+    A key that has left the head then can't come back into it, and deleting it can't
+    take away a shard which a change under way is about to name again.
+    """
+
+    digest: bytes
+    salt: int
+    #: revision of the store at which it was written
+    revision: int = 0
+
+    @property
+    def key(self) -> str:
+        """Key of the shard in the store."""
+        return f"{SHARD_PREFIX}{self.digest.hex()}-{self.salt:016x}"
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeEntry:
+    """A change that took effect."""
+
+    change_id: str
+    generation: int
+    #: seconds since the Unix epoch by the clock of the instance that made it
+    time: float
+    #: digest of what was asked for, to notice an id used for two changes
+    digest: bytes
+    #: shards that the change replaced, by bucket; empty once these are not kept
+    previous: Mapping[int, ShardRef | None] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Head:
+    """One generation: its shards by bucket, and the changes that led to it."""
+
+    generation: int = 0
+    shards: Mapping[int, ShardRef] = field(default_factory=dict)
+    #: oldest first
+    changes: tuple[ChangeEntry, ...] = ()
+    #: shards that no kept generation names, oldest first
+    garbage: tuple[ShardRef, ...] = ()
+
+
+EMPTY_HEAD = Head()
+
+
+def find_change(head: Head, change_id: str) -> ChangeEntry | None:
+    """Return the entry of a change; ``None`` if it is not in force or too old."""
+    for entry in reversed(head.changes):
+        if entry.change_id == change_id:
+            return entry
+    return None
+
+
+def get_oldest_generation(head: Head) -> int:
+    """Return the oldest generation whose shards are kept."""
+    oldest = head.generation
+    for entry in reversed(head.changes[-KEPT_GENERATIONS:]):
+        oldest = entry.generation - 1
+    return oldest
+
+
+def find_shards_at(head: Head, generation: int) -> Mapping[int, ShardRef] | None:
+    """Return the shards of an earlier generation; ``None`` if they are not kept."""
+    if not get_oldest_generation(head) <= generation <= head.generation:
+        return None
+    shards: dict[int, ShardRef] = dict(head.shards)
+    for entry in reversed(head.changes):
+        if entry.generation <= generation:
+            break
+        for bucket, ref in entry.previous.items():
+            if ref is None:
+                shards.pop(bucket, None)
+            else:
+                shards[bucket] = ref
+    return shards
+
+
+def list_refs(head: Head) -> frozenset[ShardRef]:
+    """Return all shards that a head names, in whatever role."""
+    refs = {*head.shards.values(), *head.garbage}
+    for entry in head.changes:
+        refs.update(ref for ref in entry.previous.values() if ref is not None)
+    return frozenset(refs)
+
+
+def advance(
+    head: Head,
+    *,
+    change_id: str,
+    digest: bytes,
+    shards: Mapping[int, ShardRef],
+    now: float,
+    deleted: frozenset[ShardRef] = frozenset(),
+) -> Result[Head, str]:
+    """Return the head with one more change; the error says why there is no room.
+
+    :param shards: new shards of the buckets that the change touches.
+    :param now: seconds since the Unix epoch.
+    :param deleted: garbage that the store no longer holds.
+    """
+    changes = _drop_old(head.changes, now)
+    if len(changes) >= MAX_CHANGES:
+        return Err(f"more than {MAX_CHANGES} changes within the hour")
+    previous = {bucket: head.shards.get(bucket) for bucket in shards}
+    generation = head.generation + 1
+    changes.append(ChangeEntry(change_id, generation, now, digest, previous))
+    garbage = [ref for ref in head.garbage if ref not in deleted]
+    if len(changes) > KEPT_GENERATIONS:
+        garbage.extend(_drop_previous(changes))
+    return Ok(
+        Head(
+            generation=generation,
+            shards={**head.shards, **shards},
+            changes=tuple(changes),
+            garbage=tuple(garbage[-MAX_GARBAGE:]),
+        )
+    )
+
+
+def _drop_old(changes: tuple[ChangeEntry, ...], now: float) -> list[ChangeEntry]:
+    kept = list(changes)
+    while len(kept) >= KEPT_CHANGES and now - kept[0].time > KEPT_SECONDS:
+        del kept[0]
+    return kept
+
+
+def _drop_previous(changes: list[ChangeEntry]) -> list[ShardRef]:
+    """Forget the shards before the oldest kept generation and return them."""
+    position = len(changes) - KEPT_GENERATIONS - 1
+    entry = changes[position]
+    changes[position] = ChangeEntry(
+        entry.change_id, entry.generation, entry.time, entry.digest
+    )
+    return [ref for ref in entry.previous.values() if ref is not None]
+
+
+def encode_head(head: Head) -> bytes:
+    """Return the head's value in the store; equal heads have equal values."""
+    frame = {
+        "v": HEAD_VERSION,
+        "generation": head.generation,
+        "shards": {bucket: _to_row(ref) for bucket, ref in head.shards.items()},
+        "changes": [_to_change_row(entry) for entry in head.changes],
+        "garbage": [_to_row(ref) for ref in head.garbage],
+    }
+    return cbor2.dumps(frame, canonical=True)
+
+
+def decode_head(data: bytes) -> Result[Head, str]:
+    """Read a head's value; the error is a reason in words."""
+    return _decode(data, _read_head)
+
+
+def encode_delta(head: Head, since: int) -> bytes | None:
+    """Return what leads from generation ``since`` to ``head``.
+
+    A head holds the ids of more than a thousand changes; one change is a few hundred
+    bytes. ``None`` if the changes in between are not all known with what each of
+    them replaced.
+    """
+    count = head.generation - since
+    if not 0 < count <= min(len(head.changes), KEPT_GENERATIONS):
+        return None
+    changes = head.changes[-count:]
+    buckets = {bucket for entry in changes for bucket in entry.previous}
+    frame = {
+        "v": HEAD_VERSION,
+        "since": since,
+        "shards": {bucket: _to_row(head.shards[bucket]) for bucket in buckets},
+        "changes": [_to_change_row(entry) for entry in changes],
+        "digest": _compute_shards_digest(head.shards),
+    }
+    return cbor2.dumps(frame, canonical=True)
+
+
+def apply_delta(head: Head, data: bytes) -> Result[Head, str]:
+    """Return the head that a delta leads to; the error is a reason in words.
+
+    The digest of all shards is compared: were the two ends to differ in what a
+    generation holds, one of them would go on with another configuration under the
+    same number, and nothing else would ever show it.
+    """
+    return _decode(data, lambda frame: _follow(head, frame))
+
+
+def _follow(head: Head, frame: Any) -> Head:
+    if frame["since"] != head.generation:
+        raise ValueError(f"begins at generation {frame['since']}")
+    changes = tuple(_to_change(row) for row in frame["changes"])
+    fresh = {key: ShardRef(*row) for key, row in frame["shards"].items()}
+    shards = {**head.shards, **fresh}
+    if _compute_shards_digest(shards) != frame["digest"]:
+        raise ValueError("leads to other shards than those of the sender")
+    return Head(
+        generation=changes[-1].generation,
+        shards=shards,
+        changes=(*head.changes, *changes)[-MAX_CHANGES:],
+    )
+
+
+def _read_head(frame: Any) -> Head:
+    return Head(
+        generation=int(frame["generation"]),
+        shards={key: ShardRef(*row) for key, row in frame["shards"].items()},
+        changes=tuple(_to_change(row) for row in frame["changes"]),
+        garbage=tuple(ShardRef(*row) for row in frame["garbage"]),
+    )
+
+
+def _decode(data: bytes, read: Callable[[Any], Head]) -> Result[Head, str]:
+    try:
+        frame = cbor2.loads(data)
+        if frame["v"] != HEAD_VERSION:
+            return Err(f"head of version {frame['v']}, known is {HEAD_VERSION}")
+        return Ok(read(frame))
+    except (cbor2.CBORDecodeError, AttributeError) as error:
+        return Err(f"not a head: {error}")
+    except (ValueError, TypeError, LookupError) as error:
+        return Err(f"not a head: {error}")
+
+
+def _compute_shards_digest(shards: Mapping[int, ShardRef]) -> bytes:
+    rows = [[bucket, shards[bucket].digest] for bucket in sorted(shards)]
+    return hashlib.blake2b(cbor2.dumps(rows), digest_size=DIGEST_BYTES).digest()
+
+
+def _to_change_row(entry: ChangeEntry) -> list[Any]:
+    previous = {bucket: _to_row(ref) for bucket, ref in entry.previous.items()}
+    return [entry.change_id, entry.generation, entry.time, entry.digest, previous]
+
+
+def _to_change(row: list[Any]) -> ChangeEntry:
+    change_id, generation, time, digest, previous = row
+    refs = {
+        bucket: None if ref is None else ShardRef(*ref)
+        for bucket, ref in previous.items()
+    }
+    return ChangeEntry(change_id, generation, time, digest, refs)
+
+
+def _to_row(ref: ShardRef | None) -> list | None:
+    if ref is None:
+        return None
+    return [ref.digest, ref.salt, ref.revision]
--- /dev/null
+++ b/packages/greengagelatch/src/greengagelatch/config/plan.py
@@ -0,0 +1,197 @@
+"""What a change does to the records in force, and whether it may."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from result import Err, Ok, Result
+
+from .ini_writer import format_object
+from .names import ConfigObject, identify, parse_object_id
+from .problems import Problem
+from .records import Record, build_object, compute_bucket, to_body
+from .requests import (
+    ChangeMode,
+    ChangeRequest,
+    Conflict,
+    Conflicted,
+    Difference,
+    Refused,
+    RefusedCode,
+)
+from .validation import find_new_problems
+
+__all__ = ("Plan", "build_plan", "describe", "group_records")
+
+Body = Mapping[str, Any]
+Records = Mapping[str, Record]
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """Bodies to be written by ``KIND/NAME``; ``None`` deletes the object."""
+
+    bodies: Mapping[str, Body | None]
+
+    @property
+    def changed(self) -> tuple[str, ...]:
+        """Ids of the objects that differ afterwards."""
+        return tuple(sorted(self.bodies))
+
+
+def build_plan(
+    request: ChangeRequest,
+    records: Records,
+    target: Records,
+    *,
+    base: int,
+    generation: int,
+) -> Result[Plan, Conflicted | Refused]:
+    """Return what the change does to ``records``.
+
+    Objects that already are as asked for are left alone, so that two operators who
+    make the same edit don't get into each other's way.
+
+    :param target: records of the generation that a rollback goes back to.
+    :param base: generation that the operator's edit began from.
+    :param generation: generation of ``records``.
+    """
+    wanted = _list_wanted(request, records, target)
+    bodies = {
+        object_id: body
+        for object_id, body in wanted.items()
+        if _get_body(records, object_id) != body
+    }
+    conflicts = _find_conflicts(bodies, records, base)
+    if conflicts:
+        return Err(Conflicted(generation=generation, conflicts=conflicts))
+    problems = _find_missing_names(request, records)
+    problems.extend(_find_reference_problems(request, bodies, records))
+    if problems:
+        return Err(
+            Refused(
+                code=RefusedCode.INVALID,
+                message=f"{len(problems)} problems",
+                problems=tuple(problems),
+            )
+        )
+    return Ok(Plan(bodies))
+
+
+def describe(plan: Plan, records: Records) -> tuple[Difference, ...]:
+    """Return each changed object as INI before and after."""
+    differences = []
+    for object_id in plan.changed:
+        before = _format(object_id, _get_body(records, object_id))
+        after = _format(object_id, plan.bodies[object_id])
+        differences.append(Difference(object_id, before, after))
+    return tuple(differences)
+
+
+def group_records(
+    plan: Plan, records: Records, *, change_id: str, generation: int, oldest: int
+) -> Mapping[int, Records]:
+    """Return the new records of each bucket that the plan touches.
+
+    :param generation: generation that the change brings.
+    :param oldest: deletions before this generation are no longer remembered.
+    """
+    buckets: dict[int, dict[str, Record]] = {}
+    for object_id in plan.bodies:
+        buckets[compute_bucket(object_id)] = {}
+    for object_id, record in records.items():
+        bucket = compute_bucket(object_id)
+        if bucket not in buckets:
+            continue
+        if record.body is None and record.generation < oldest:
+            continue
+        buckets[bucket][object_id] = record
+    for object_id, body in plan.bodies.items():
+        record = Record(generation, change_id, body)
+        buckets[compute_bucket(object_id)][object_id] = record
+    return buckets
+
+
+def _list_wanted(
+    request: ChangeRequest, records: Records, target: Records
+) -> dict[str, Body | None]:
+    match request.mode:
+        case ChangeMode.APPLY:
+            return {str(identify(item)): to_body(item) for item in request.objects}
+        case ChangeMode.DELETE:
+            return {str(name): None for name in request.names}
+        case ChangeMode.ROLLBACK:
+            wanted: dict[str, Body | None] = dict.fromkeys(records)
+            wanted.update((name, record.body) for name, record in target.items())
+            return wanted
+
+
+def _find_conflicts(
+    bodies: Mapping[str, Body | None], records: Records, base: int
+) -> tuple[Conflict, ...]:
+    conflicts = []
+    for object_id in sorted(bodies):
+        record = records.get(object_id)
+        if record is None or record.generation <= base:
+            continue
+        conflicts.append(
+            Conflict(
+                object_id=object_id,
+                base=base,
+                yours=_format(object_id, bodies[object_id]),
+                generation=record.generation,
+                change_id=record.change_id,
+                current=_format(object_id, record.body),
+            )
+        )
+    return tuple(conflicts)
+
+
+def _find_missing_names(request: ChangeRequest, records: Records) -> list[Problem]:
+    problems = []
+    for name in request.names:
+        if _get_body(records, str(name)) is not None:
+            continue
+        problems.append(
+            Problem(
+                file=request.file,
+                key="names",
+                value=str(name),
+                reason="there is no such object",
+            )
+        )
+    return problems
+
+
+def _find_reference_problems(
+    request: ChangeRequest, bodies: Mapping[str, Body | None], records: Records
+) -> list[Problem]:
+    before = {}
+    for object_id, record in records.items():
+        _place(before, object_id, record.body)
+    after = dict(before)
+    for object_id, body in bodies.items():
+        _place(after, object_id, body)
+    return find_new_problems(before, after, request.file)
+
+
+def _place(objects: dict[Any, ConfigObject], object_id: str, body: Body | None) -> None:
+    parsed = parse_object_id(object_id)
+    if parsed.is_err():
+        return
+    objects.pop(parsed.ok_value, None)
+    item = None if body is None else build_object(object_id, body)
+    if item is not None:
+        objects[parsed.ok_value] = item
+
+
+def _get_body(records: Records, object_id: str) -> Body | None:
+    record = records.get(object_id)
+    return None if record is None else record.body
+
+
+def _format(object_id: str, body: Body | None) -> str:
+    item = None if body is None else build_object(object_id, body)
+    return "" if item is None else format_object(item)
--- /dev/null
+++ b/packages/greengagelatch/src/greengagelatch/config/records.py
@@ -0,0 +1,192 @@
+"""Objects as they are stored: records in shards, each shard one immutable value."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+import cbor2
+import xxhash
+from result import Err, Ok, Result
+
+from .names import ConfigObject, ObjectKind, identify
+from .objects import (
+    Pipeline,
+    Policy,
+    PolicyEffect,
+    Service,
+    Stage,
+    StageKind,
+    Workspace,
+)
+
+__all__ = (
+    "BUCKETS",
+    "MAX_SHARD_BYTES",
+    "Record",
+    "Shard",
+    "build_object",
+    "compute_bucket",
+    "compute_digest",
+    "decode_shard",
+    "encode_shard",
+    "to_body",
+)
+
+#: shards among which objects are divided by a hash of their names; never changed, as
+#: instances of neighbouring releases must agree on it
+BUCKETS = 256
+
+#: largest shard in bytes, which leaves room below the store's megabyte
+MAX_SHARD_BYTES = 900_000
+
+DIGEST_BYTES = 16
+
+
+@dataclass(frozen=True, slots=True)
+class Record:
+    """One object with what last changed it; ``body`` is ``None`` once deleted.
+
+    Deleted objects leave a record for a while: an edit that began before the
+    deletion would otherwise bring the object back without a word.
+    """
+
+    generation: int
+    change_id: str
+    body: Mapping[str, Any] | None
+
+
+@dataclass(frozen=True, slots=True)
+class Shard:
+    """Records of one bucket by ``KIND/NAME``, with the objects that they hold.
+
+    A record that this release can't read, as one of a later release may be, is kept
+    as it is and has no object.
+    """
+
+    records: Mapping[str, Record]
+    objects: Mapping[str, ConfigObject] = field(default_factory=dict)
+
+
+def compute_bucket(object_id: str) -> int:
+    """Return the bucket of the object ``KIND/NAME``."""
+    return xxhash.xxh64_intdigest(object_id.encode()) % BUCKETS
+
+
+def compute_digest(data: bytes) -> bytes:
+    """Return the digest by which a shard's content is known."""
+    return hashlib.blake2b(data, digest_size=DIGEST_BYTES).digest()
+
+
+def encode_shard(records: Mapping[str, Record]) -> bytes:
+    """Return a shard's value; equal records have equal values."""
+    rows = {
+        object_id: [record.generation, record.change_id, record.body]
+        for object_id, record in records.items()
+    }
+    return cbor2.dumps(rows, canonical=True)
+
+
+def decode_shard(data: bytes) -> Result[Shard, str]:
+    """Read a shard's value; the error is a reason in words."""
+    try:
+        rows = cbor2.loads(data)
+        records = {
+            str(object_id): Record(int(row[0]), str(row[1]), row[2])
+            for object_id, row in rows.items()
+        }
+    except (cbor2.CBORDecodeError, ValueError, TypeError, LookupError) as error:
+        return Err(f"not a shard: {error}")
+    return Ok(Shard(records, _build_objects(records.items())))
+
+
+def to_body(item: ConfigObject) -> Mapping[str, Any]:
+    """Return an object's fields as CBOR holds them, without its name."""
+    body: dict[str, Any] = {"labels": dict(item.labels)}
+    match item:
+        case Service():
+            body["kind"] = item.kind.value
+        case Pipeline():
+            body["default_deadline_ms"] = item.default_deadline_ms
+            body["stages"] = [_to_stage_body(stage) for stage in item.stages]
+        case Policy():
+            body["effect"] = item.effect.value
+            body["workspaces"] = item.workspaces
+            body["pipelines"] = item.pipelines
+            body["services"] = item.services
+            body["rank"] = item.rank
+            body["values"] = dict(item.values)
+    return body
+
+
+def build_object(object_id: str, body: Mapping[str, Any]) -> ConfigObject | None:
+    """Return the object of a record; ``None`` if this release can't read it."""
+    kind, _, name = object_id.partition("/")
+    try:
+        return _build(ObjectKind(kind), name, body)
+    except (KeyError, TypeError, ValueError):
+        return None
+
+
+def _build_objects(rows: Iterable[tuple[str, Record]]) -> Mapping[str, ConfigObject]:
+    objects = {}
+    for object_id, record in rows:
+        if record.body is None:
+            continue
+        item = build_object(object_id, record.body)
+        if item is not None and str(identify(item)) == object_id:
+            objects[object_id] = item
+    return objects
+
+
+def _build(kind: ObjectKind, name: str, body: Mapping[str, Any]) -> ConfigObject:
+    labels = dict(body["labels"])
+    match kind:
+        case ObjectKind.SERVICE:
+            return Service(name=name, kind=StageKind(body["kind"]), labels=labels)
+        case ObjectKind.WORKSPACE:
+            return Workspace(name=name, labels=labels)
+        case ObjectKind.PIPELINE:
+            return Pipeline(
+                name=name,
+                stages=tuple(_build_stage(row) for row in body["stages"]),
+                default_deadline_ms=int(body["default_deadline_ms"]),
+                labels=labels,
+            )
+        case ObjectKind.POLICY:
+            return Policy(
+                name=name,
+                effect=PolicyEffect(body["effect"]),
+                workspaces=str(body["workspaces"]),
+                pipelines=str(body["pipelines"]),
+                services=str(body["services"]),
+                rank=int(body["rank"]),
+                values=dict(body["values"]),
+                labels=labels,
+            )
+
+
+def _to_stage_body(stage: Stage) -> dict[str, Any]:
+    return {
+        "name": stage.name,
+        "kind": stage.kind.value,
+        "service": stage.service,
+        "repeatable": stage.repeatable,
+        "share": stage.share,
+        "inputs": list(stage.inputs),
+        "labels": dict(stage.labels),
+    }
+
+
+def _build_stage(body: Mapping[str, Any]) -> Stage:
+    return Stage(
+        name=str(body["name"]),
+        kind=StageKind(body["kind"]),
+        service=str(body["service"]),
+        repeatable=bool(body["repeatable"]),
+        share=float(body["share"]),
+        inputs=tuple(body["inputs"]),
+        labels=dict(body["labels"]),
+    )
--- /dev/null
+++ b/packages/greengagelatch/src/greengagelatch/config/replica.py
@@ -0,0 +1,141 @@
+"""What one instance holds of the configuration, moving to higher generations only."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from .head import EMPTY_HEAD, Head, ShardRef, encode_head
+from .names import ConfigObject
+from .objects import Pipeline, Policy, Service, Workspace
+from .records import Record, Shard, compute_digest, decode_shard
+from .snapshot import EMPTY, Snapshot
+
+__all__ = ("HeldShard", "Replica", "open_shard")
+
+#: replaced shards kept for peers that still fetch the generation before
+KEPT_SHARDS = 64
+
+
+@dataclass(frozen=True, slots=True)
+class HeldShard:
+    """A shard as it was sent and as it was read."""
+
+    data: bytes
+    shard: Shard
+
+
+def open_shard(ref: ShardRef, data: bytes) -> HeldShard | None:
+    """Read a shard's value; ``None`` if it is not what the reference names."""
+    if compute_digest(data) != ref.digest:
+        return None
+    shard = decode_shard(data)
+    if shard.is_err():
+        return None
+    return HeldShard(data, shard.ok_value)
+
+
+class Replica:
+    """The newest complete generation that this instance has learnt.
+
+    Heads come from the store, from watches and from peers, and any of these may be
+    late. A head is taken over only if its generation is higher than the one in
+    force and all its shards are here; so nothing reverts and no part of a change is
+    ever visible.
+    """
+
+    def __init__(self) -> None:
+        self._head = EMPTY_HEAD
+        self._head_data: bytes | None = None
+        self._snapshot = EMPTY
+        self._shards: OrderedDict[str, HeldShard] = OrderedDict()
+
+    @property
+    def head(self) -> Head:
+        """Head of the generation in force here."""
+        return self._head
+
+    @property
+    def generation(self) -> int:
+        """Generation in force here; 0 before any is known."""
+        return self._head.generation
+
+    @property
+    def snapshot(self) -> Snapshot:
+        """Objects in force here."""
+        return self._snapshot
+
+    @property
+    def bytes_held(self) -> int:
+        """Bytes of all shards held."""
+        return sum(len(held.data) for held in self._shards.values())
+
+    def encode_head(self) -> bytes:
+        """Return the head as peers are sent it."""
+        if self._head_data is None:
+            self._head_data = encode_head(self._head)
+        return self._head_data
+
+    def find_missing(self, refs: Iterable[ShardRef]) -> tuple[ShardRef, ...]:
+        """Return those shards that are not here."""
+        return tuple(ref for ref in refs if ref.key not in self._shards)
+
+    def get(self, key: str) -> HeldShard | None:
+        """Return a shard by its key, if it is here."""
+        return self._shards.get(key)
+
+    def adopt(self, head: Head, fresh: Mapping[ShardRef, HeldShard]) -> bool:
+        """Put a generation in force; ``False`` if it is no higher or incomplete.
+
+        :param fresh: shards of it that are not here yet.
+        """
+        if head.generation <= self._head.generation:
+            return False
+        missing = self.find_missing(head.shards.values())
+        if any(ref not in fresh for ref in missing):
+            return False
+        for ref in missing:
+            self._shards[ref.key] = fresh[ref]
+        self._head = head
+        self._head_data = None
+        self._snapshot = self._build_snapshot(head)
+        self._drop_unused()
+        return True
+
+    def list_records(self) -> Mapping[str, Record]:
+        """Return all records in force by ``KIND/NAME``, deleted ones included."""
+        records: dict[str, Record] = {}
+        for ref in self._head.shards.values():
+            records.update(self._shards[ref.key].shard.records)
+        return records
+
+    def _build_snapshot(self, head: Head) -> Snapshot:
+        pipelines: dict[str, Pipeline] = {}
+        services: dict[str, Service] = {}
+        workspaces: dict[str, Workspace] = {}
+        policies: dict[str, Policy] = {}
+        places: Mapping[type, dict[str, ConfigObject]] = {
+            Pipeline: pipelines,
+            Service: services,
+            Workspace: workspaces,
+            Policy: policies,
+        }
+        for ref in head.shards.values():
+            for item in self._shards[ref.key].shard.objects.values():
+                places[type(item)][item.name] = item
+        change_id = head.changes[-1].change_id if head.changes else ""
+        return Snapshot(
+            generation=head.generation,
+            change_id=change_id,
+            pipelines=pipelines,
+            services=services,
+            workspaces=workspaces,
+            policies=policies,
+        )
+
+    def _drop_unused(self) -> None:
+        used = {ref.key for ref in self._head.shards.values()}
+        unused = [key for key in self._shards if key not in used]
+        for key in unused[: max(0, len(unused) - KEPT_SHARDS)]:
+            del self._shards[key]
