Stream a text that was found whole as one token

Cause: a repeat of a keyed, streamed request was answered by an end event with a result but without any token. Before: count 0; after: one token and count 1.

The count of a stream's end event is now tested by itself: with the check removed, the test of the digest had hidden that.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_stream.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_stream.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import xxhash
 from aiohttp import web
@@ -72,6 +72,7 @@
             fields = describe_refusal(answer.request_id, answer.refusal)
             event = encode_event("refusal", fields)
         else:
+            self._give_whole(answer.result)
             fields = describe_end(
                 answer, count=self._count, digest=self._digest.hexdigest()
             )
@@ -87,6 +88,12 @@
         self._writer.cancel()
         await asyncio.gather(self._writer, return_exceptions=True)
 
+    def _give_whole(self, result: Any) -> None:
+        # a text that was kept under the request's key, or that its target gave
+        # whole, would else reach the caller without any token of it
+        if self._count == 0 and isinstance(result, str) and result:
+            self.take_token(0, result)
+
     def _queue(self, event: bytes) -> None:
         self._pending.append(event)
         self._size += len(event)
--- a/tests/test_entry/test_adapters/test_callers.py
+++ b/tests/test_entry/test_adapters/test_callers.py
@@ -431,6 +431,24 @@
     assert fields["digest"] == xxhash.xxh64_hexdigest(whole)
 
 
+async def test_text_found_whole_is_streamed_as_one_token():
+    """A caller that asked again for its draft was given an empty one.
+
+    Sequence: the request's answer is found under its key, whole. Cause: callers
+    that read tokens look at the result of the closing event only to compare.
+    """
+
+    async def handler(exchange):
+        return replace(await answer(exchange, "draft"), replayed=True)
+
+    async with open_bench(handler) as bench, aiohttp.ClientSession() as session:
+        body = b'{"input":1,"stream":true}'
+        async with session.post(bench.url(), data=body, headers=HEADERS) as response:
+            token, end = await read_events(response)
+    assert token == ("token", {"offset": 0, "text": "draft"})
+    assert (end[1]["result"], end[1]["count"]) == ("draft", 1)
+
+
 async def test_stream_refused_before_its_first_token_has_a_status():
     async with open_bench(refuse()) as bench, aiohttp.ClientSession() as session:
         body = b'{"input":1,"stream":true}'
--- a/tests/test_entry/test_adapters/test_target_calls.py
+++ b/tests/test_entry/test_adapters/test_target_calls.py
@@ -384,7 +384,7 @@
         pytest.param(lambda r, e: [e[0], *e[2:]], FailureKind.CUT, id="gap"),
         pytest.param(lambda r, e: [e[0], *e], FailureKind.CUT, id="repeated"),
         pytest.param(
-            lambda r, e: [*e[:3], encode_end(r, (*TOKENS[:3], "x"))],
+            lambda r, e: [*e[:4], encode_end(r, (*TOKENS, ""))],
             FailureKind.CUT,
             id="count",
         ),
