Wire the daemon: a request is served from caller to targets and back

Cause: the parts stood side by side; nothing started them. Weighed: parts that find each other in a registry at run time (a missing one shows only when it is used) against one composition root that names every constructor; the root was taken. Before: no daemon.

--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/__main__.py
@@ -0,0 +1,86 @@
+"""Entry point of ``greengagelatchd``."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import sys
+
+from cleo.application import Application as CommandLine
+from cleo.commands.command import Command
+from cleo.helpers import option
+from cleo.io.inputs.argv_input import ArgvInput
+from result import Err
+
+from greengagelatch import __version__
+from greengagelatch.settings import Settings, load
+
+from .application import Application, ExitCode
+from .composition import compose
+from .logs import LogOutput, set_up
+
+__all__ = ("main",)
+
+PROGRAM_NAME = "greengagelatchd"
+RUN = "run"
+
+#: allocations between two collections of the youngest generation; the default of
+#: 700 makes the collector run several times in each request
+GC_THRESHOLD = 50_000
+
+
+class DaemonCommand(Command):
+    """Runs the daemon, or only checks its settings."""
+
+    name = RUN
+    description = "Serves pipelines on an entry instance."
+    options = [  # noqa: RUF012 - cleo declares them so
+        option("config", "c", "Settings file (INI).", flag=False),
+        option("check", None, "Check the settings and exit."),
+    ]
+
+    def handle(self) -> int:
+        path = self.option("config")
+        if not path:
+            self.line_error("--config FILE is required")
+            return ExitCode.BAD_START
+        result = load(path)
+        if isinstance(result, Err):
+            self.line_error(str(result.err_value))
+            return ExitCode.BAD_START
+        if self.option("check"):
+            self.line(f"{path}: settings are valid")
+            return ExitCode.FINISHED
+        return _run(result.ok_value)
+
+
+def _run(settings: Settings) -> int:
+    try:
+        output = set_up(settings)
+    except OSError as error:
+        print(f"setting log.file = {settings['log.file']!r}: {error}", file=sys.stderr)
+        return ExitCode.BAD_START
+    # what was imported lives as long as the process: no need to look at it again
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(GC_THRESHOLD)
+    try:
+        return asyncio.run(_serve(settings, output))
+    finally:
+        output.close()
+
+
+async def _serve(settings: Settings, output: LogOutput) -> int:
+    return await Application(compose(settings, output)).run()
+
+
+def main() -> int:
+    """Run the command line; return the exit code."""
+    command_line = CommandLine(PROGRAM_NAME, __version__)
+    command_line.add(DaemonCommand())
+    # the only command needs no name on the command line
+    return command_line.run(ArgvInput([PROGRAM_NAME, RUN, *sys.argv[1:]]))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/composition.py
@@ -0,0 +1,278 @@
+"""The composition root: builds all parts of a daemon and wires them."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from greengagelatch.clock import SystemClock
+from greengagelatch.config.steering import resolve
+from greengagelatch.events import EventBus
+from greengagelatch.load.deadlines import DeadlinePlan
+from greengagelatch.load.durations import DurationTracker
+from greengagelatch.load.scheduler import Scheduler, SchedulerRule
+
+from .adapters.callers import CallersServer
+from .adapters.instances import HttpInstanceList
+from .adapters.operators import OperatorsServer
+from .adapters.operators_configuration import add_configuration_routes
+from .adapters.peers import PeerHub
+from .adapters.state_dump import StateDump
+from .adapters.store import HttpStore
+from .adapters.targets import HttpTargetClient
+from .attempts import AttemptMaker
+from .controllers import Controller
+from .controllers.claims import ClaimsController
+from .controllers.configuration import ConfigurationController
+from .controllers.drain import DrainController
+from .controllers.listing import ListingController
+from .controllers.scheduling import SchedulingController
+from .controllers.targets import TargetsController
+from .filters import Handler, chain
+from .filters.check import CheckFilter
+from .filters.deduplication import DeduplicationFilter
+from .filters.identify import Identifier
+from .filters.observe import ObserveFilter
+from .filters.run import RunHandler
+from .logs import LogLevel, RequestLog
+from .metrics import Metrics
+from .stages import StageRunner
+from .status import StatusView
+
+if TYPE_CHECKING:
+    from greengagelatch.config.objects import Stage
+    from greengagelatch.settings import Settings
+
+    from .filters import Exchange
+    from .logs import LogOutput
+
+__all__ = ("Parts", "compose")
+
+#: entry instances that are taken to call a target before any peer is known
+LONE = 1.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Parts:
+    """The parts of one daemon."""
+
+    #: in the order in which they start
+    controllers: tuple[Controller, ...]
+    callers: CallersServer
+    operators: OperatorsServer
+    peers: PeerHub
+    drain: DrainController
+    #: IP address on which callers are served
+    host: str
+    #: closes the clients towards targets and the platform
+    close: Callable[[], Awaitable[None]]
+
+
+def compose(settings: Settings, log_output: LogOutput | None = None) -> Parts:
+    """Build and wire all parts; nothing is started yet."""
+    return _Composer(settings, log_output).compose()
+
+
+class _Composer:
+    """Holds what most parts are built from while they are wired."""
+
+    def __init__(self, settings: Settings, log_output: LogOutput | None) -> None:
+        self.settings = settings
+        self.log_output = log_output
+        self.clock = SystemClock()
+        self.random = random.Random(settings["instance.seed"] or None)
+        self.events = EventBus()
+        self.metrics = Metrics(settings["statsd.address"])
+
+    def compose(self) -> Parts:
+        self.store = HttpStore(
+            address=self.settings["platform.store"],
+            timeout=self.settings["platform.timeout"],
+            metrics=self.metrics,
+        )
+        self.instance_list = HttpInstanceList(
+            address=self.settings["platform.instances"],
+            timeout=self.settings["platform.timeout"],
+            metrics=self.metrics,
+        )
+        self._build_state()
+        self._build_request_path()
+        self._build_servers()
+        return Parts(
+            controllers=self._list_controllers(),
+            callers=self.callers,
+            operators=self.operators,
+            peers=self.peers,
+            drain=self.drain,
+            host=self.settings["callers.listen"].rpartition(":")[0],
+            close=self._close,
+        )
+
+    def _build_state(self) -> None:
+        common = {
+            "clock": self.clock,
+            "random_source": self.random,
+            "events": self.events,
+            "settings": self.settings,
+            "metrics": self.metrics,
+        }
+        self.peers = PeerHub(**common)
+        self.listing = ListingController(
+            instance_list=self.instance_list, peers=self.peers, **common
+        )
+        self.targets = TargetsController(peers=self.peers, **common)
+        self.configuration = ConfigurationController(
+            store=self.store,
+            peers=self.peers,
+            data_centre=self.settings["instance.data_centre"],
+            clock=self.clock,
+            random=self.random,
+            events=self.events,
+            settings=self.settings,
+            metrics=self.metrics,
+        )
+        self.claims = ClaimsController(
+            store=self.store,
+            peers=self.peers,
+            clock=self.clock,
+            random=self.random,
+            settings=self.settings,
+            metrics=self.metrics,
+            instance_id=self.settings["instance.id"],
+        )
+
+    def _build_request_path(self) -> None:
+        durations = DurationTracker()
+        plan = DeadlinePlan(
+            durations=durations,
+            find_pipeline=lambda name: self.configuration.snapshot.pipelines.get(name),
+        )
+        scheduler = Scheduler(
+            directory=self.targets,
+            rule=SchedulerRule(),
+            data_centre=self.settings["instance.data_centre"],
+            random_source=self.random,
+            weigh=lambda workspace: 1.0,
+            count_choosers=self._count_choosers,
+            estimate_rest=plan.estimate_rest,
+            durations=durations,
+            now=self.clock.now(),
+        )
+        self.scheduling = SchedulingController(
+            scheduler=scheduler,
+            directory=self.targets,
+            clock=self.clock,
+            events=self.events,
+            metrics=self.metrics,
+        )
+        self.client = HttpTargetClient(
+            clock=self.clock, random_source=self.random, metrics=self.metrics
+        )
+        self.attempts = AttemptMaker(
+            dispatcher=self.scheduling,
+            directory=self.targets,
+            client=self.client,
+            clock=self.clock,
+            random_source=self.random,
+            metrics=self.metrics,
+        )
+        runner = StageRunner(
+            attempts=self.attempts,
+            clock=self.clock,
+            metrics=self.metrics,
+            plan=plan,
+            prioritise=self._prioritise,
+        )
+        self.handler = self._build_chain(runner)
+
+    def _build_chain(self, runner: StageRunner) -> Handler:
+        log = RequestLog(LogLevel[self.settings["log.level"].upper()])
+        filters = (
+            ObserveFilter(clock=self.clock, metrics=self.metrics, log=log),
+            CheckFilter(snapshot=lambda: self.configuration.snapshot),
+            DeduplicationFilter(claims=self.claims),
+        )
+        return chain(filters, RunHandler(runner=runner))
+
+    def _build_servers(self) -> None:
+        identifier = Identifier(
+            clock=self.clock,
+            random_source=self.random,
+            snapshot=lambda: self.configuration.snapshot,
+        )
+        self.callers = CallersServer(
+            listen=self.settings["callers.listen"],
+            handler=self.handler,
+            identifier=identifier,
+            clock=self.clock,
+            metrics=self.metrics,
+            draining=lambda: self.drain.draining,
+        )
+        self.drain = DrainController(
+            clock=self.clock,
+            events=self.events,
+            metrics=self.metrics,
+            balancer_lag=self.settings["drain.balancer_lag"],
+            longest=self.settings["drain.longest"],
+            close_listener=self.callers.close_listener,
+            wait_idle=self.callers.wait_idle,
+        )
+        status = StatusView(
+            settings=self.settings,
+            configuration=self.configuration,
+            drain=self.drain,
+            peers=self.peers,
+            targets=self.targets,
+            ready=self._is_ready,
+        )
+        self.operators = OperatorsServer(
+            listen=self.settings["operators.listen"],
+            state_dump=StateDump(
+                settings=self.settings,
+                metrics=self.metrics,
+                controllers=self._name_controllers,
+                log_output=self.log_output,
+            ),
+            status=status.describe,
+            ready=self._is_ready,
+            drain=self.drain.start_drain,
+            note_leaving=self.targets.note_leaving,
+            metrics=self.metrics,
+            routes=[lambda app: add_configuration_routes(app, self.configuration)],
+        )
+
+    async def _close(self) -> None:
+        await self.attempts.close()
+        await self.client.close()
+        await self.instance_list.close()
+        await self.store.close()
+
+    def _list_controllers(self) -> tuple[Controller, ...]:
+        return (
+            self.peers,
+            self.listing,
+            self.configuration,
+            self.targets,
+            self.scheduling,
+            self.claims,
+            self.drain,
+            self.operators,
+            self.callers,
+        )
+
+    def _name_controllers(self) -> dict[str, Controller]:
+        return {controller.name: controller for controller in self._list_controllers()}
+
+    def _is_ready(self) -> bool:
+        return self.configuration.ready and not self.drain.draining
+
+    def _count_choosers(self, service: str) -> float:
+        return max(LONE, float(len(self.peers.members())))
+
+    def _prioritise(self, exchange: Exchange, stage: Stage) -> int:
+        request = exchange.request
+        snapshot = self.configuration.snapshot
+        steering = resolve(snapshot, request.workspace, request.pipeline, stage.service)
+        return steering.priority
