Give the request path its bounds from the settings

Cause: declared bounds had no effect. Before: defaults whatever the settings said; an instance was ready before it knew any target. After: bounds are read; ready needs a first listing.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/composition.py
@@ -23,6 +23,12 @@
 from .adapters.store import HttpStore
 from .adapters.targets import HttpTargetClient
 from .attempts import AttemptMaker
+from .bounds import (
+    read_caller_limits,
+    read_identifier_limits,
+    read_retry_rules,
+    read_target_limits,
+)
 from .controllers import Controller
 from .controllers.claims import ClaimsController
 from .controllers.configuration import ConfigurationController
@@ -168,7 +174,10 @@
             metrics=self.metrics,
         )
         self.client = HttpTargetClient(
-            clock=self.clock, random_source=self.random, metrics=self.metrics
+            clock=self.clock,
+            random_source=self.random,
+            metrics=self.metrics,
+            limits=read_target_limits(self.settings),
         )
         self.attempts = AttemptMaker(
             dispatcher=self.scheduling,
@@ -177,6 +186,7 @@
             clock=self.clock,
             random_source=self.random,
             metrics=self.metrics,
+            rules=read_retry_rules(self.settings),
         )
         runner = StageRunner(
             attempts=self.attempts,
@@ -201,6 +211,7 @@
             clock=self.clock,
             random_source=self.random,
             snapshot=lambda: self.configuration.snapshot,
+            limits=read_identifier_limits(self.settings),
         )
         self.callers = CallersServer(
             listen=self.settings["callers.listen"],
@@ -209,6 +220,7 @@
             clock=self.clock,
             metrics=self.metrics,
             draining=lambda: self.drain.draining,
+            limits=read_caller_limits(self.settings),
         )
         self.drain = DrainController(
             clock=self.clock,
@@ -266,7 +278,10 @@
         return {controller.name: controller for controller in self._list_controllers()}
 
     def _is_ready(self) -> bool:
-        return self.configuration.ready and not self.drain.draining
+        # without a first listing no target is known: the balancer's other
+        # instances can answer what this one would have to refuse
+        informed = self.configuration.ready and self.listing.listing is not None
+        return informed and not self.drain.draining
 
     def _count_choosers(self, service: str) -> float:
         return max(LONE, float(len(self.peers.members())))
