--- a/packages/greengagelatch-cli/src/greengagelatch_cli/commands/__init__.py
+++ b/packages/greengagelatch-cli/src/greengagelatch_cli/commands/__init__.py
@@ -14,6 +14,7 @@
 
 from ..client import CallFailure, Client, Reply, parse_servers
 from ..exits import ExitCode
+from ..messages import describe_refusal
 from ..output import Format, Output
 
 if TYPE_CHECKING:
@@ -122,28 +123,3 @@
             raise UsageError(servers.err_value)
         async with Client(servers.ok_value) as client:
             return await self.talk(client)
-
-
-def describe_refusal(reply: Reply) -> str:
-    """Return lines that name each field and value to blame."""
-    lines = []
-    message = reply.body.get("message", "")
-    if message:
-        lines.append(str(message))
-    for problem in reply.body.get("problems", ()):
-        lines.append(describe_problem(problem))
-    field = reply.body.get("field", "")
-    if field:
-        lines.append(f"  {field} = {reply.body.get('value', '')!r}")
-    if not lines:
-        lines.append(reply.body.get("code", "") or reply.text.strip()[:200])
-    return f"{reply.server}: refused ({reply.status}): " + "\n".join(lines)
-
-
-def describe_problem(problem: dict[str, str]) -> str:
-    """Return one line for a problem of a file."""
-    place = problem.get("file", "") or "-"
-    line = f"{place}: [{problem.get('section', '')}]"
-    if problem.get("key"):
-        line = f"{line} {problem['key']} = {problem.get('value', '')!r}"
-    return f"{line}: {problem.get('reason', '')}"
--- a/packages/greengagelatch-cli/src/greengagelatch_cli/commands/changes.py
+++ b/packages/greengagelatch-cli/src/greengagelatch_cli/commands/changes.py
@@ -8,6 +8,7 @@
 from result import Err
 
 from ..exits import ExitCode
+from ..messages import describe_time
 from ..output import render_table
 from ..submission import CHANGES_PATH, find_change
 from ..waiting import wait_in_force
@@ -83,7 +84,7 @@
         if "changes" not in reply.body:
             return self.show_refusal(reply)
         rows = [
-            (change["generation"], change["change_id"], change["time"])
+            (change["generation"], change["change_id"], describe_time(change["time"]))
             for change in reply.body["changes"]
         ]
         table = render_table(("GENERATION", "CHANGE", "TIME"), rows)
@@ -128,6 +129,6 @@
     body = reply.body
     return (
         f"change {change_id}: not in force at generation {body.get('generation')};"
-        f" changes are known since {body.get('oldest_time')}.\n"
+        f" changes are known since {describe_time(body.get('oldest_time'))}.\n"
         "A write that is still under way may yet take effect."
     )
--- a/packages/greengagelatch-cli/src/greengagelatch_cli/commands/objects.py
+++ b/packages/greengagelatch-cli/src/greengagelatch_cli/commands/objects.py
@@ -11,6 +11,7 @@
 from greengagelatch.config.names import ObjectKind
 
 from ..exits import ExitCode
+from ..messages import describe_conflict
 from . import ServerCommand, UsageError
 from .submitting import SUBMIT_OPTIONS, SubmitCommand, read_file, split_base
 
@@ -71,10 +72,7 @@
 
     def _show(self, reply: Reply) -> ExitCode:
         if reply.state == "conflict":
-            self.output.show_error(
-                f"{reply.server}: objects were changed since the file's generation",
-                reply.body,
-            )
+            self.output.show_error(describe_conflict(reply.body), reply.body)
             return ExitCode.CONFLICT
         if reply.state != "checked":
             return self.show_refusal(reply)
--- a/packages/greengagelatch-cli/src/greengagelatch_cli/commands/submitting.py
+++ b/packages/greengagelatch-cli/src/greengagelatch_cli/commands/submitting.py
@@ -14,9 +14,10 @@
 from greengagelatch.identity import create_id
 
 from ..exits import ExitCode
+from ..messages import advise, describe_failure, describe_success
 from ..submission import submit
 from ..waiting import wait_in_force
-from . import ServerCommand, UsageError, describe_refusal
+from . import ServerCommand, UsageError
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
@@ -105,15 +106,15 @@
         """Show what became of the change."""
         data = submission.as_dict()
         if submission.code is ExitCode.OK:
-            self.output.show(_describe_success(data), data)
+            self.output.show(describe_success(data), data)
             return
-        self.output.show_error(_describe_failure(submission), data)
+        self.output.show_error(describe_failure(submission), data)
 
     def abandon(self, code: ExitCode) -> ExitCode:
         """Name the change that may have been sent."""
         if not self._open_change:
             return code
-        self.output.show_error(_advise(self._open_change))
+        self.output.show_error(advise(self._open_change))
         return ExitCode.UNKNOWN
 
     def _read_change_id(self) -> str:
@@ -154,53 +155,3 @@
 
 def _create_change_id() -> str:
     return create_id("c", random.SystemRandom())
-
-
-def _describe_success(data: Mapping[str, Any]) -> str:
-    change_id, generation = data["change_id"], data.get("generation")
-    if data.get("repeated"):
-        return f"change {change_id} was already accepted as generation {generation}"
-    lines = [f"change {change_id} accepted as generation {generation}"]
-    lines.extend(f"  {name}" for name in data.get("changed", ()))
-    return "\n".join(lines)
-
-
-def _describe_failure(submission: Submission) -> str:
-    reply = submission.reply
-    match submission.code:
-        case ExitCode.UNKNOWN:
-            return _advise(submission.change_id)
-        case ExitCode.CONFLICT if reply is not None:
-            return _describe_conflict(reply.body)
-        case ExitCode.UNREACHABLE if reply is not None:
-            message = reply.body.get("message", "")
-            return f"{reply.server}: nothing took effect: {message}"
-        case ExitCode.REFUSED if reply is not None:
-            return describe_refusal(reply)
-    lines = ["no server could be reached; nothing took effect"]
-    lines.extend(f"  {failure}" for failure in submission.failures)
-    return "\n".join(lines)
-
-
-def _describe_conflict(body: Mapping[str, Any]) -> str:
-    lines = ["conflict: nothing took effect"]
-    for conflict in body.get("conflicts", ()):
-        lines.append(
-            f"{conflict['object']}: your edit began from generation"
-            f" {conflict['base']}, but change {conflict['change_id']} made it"
-            f" generation {conflict['generation']}"
-        )
-        lines.append("now in force:")
-        lines.extend(f"  {line}" for line in conflict["current"].splitlines())
-        lines.append("yours:")
-        lines.extend(f"  {line}" for line in conflict["yours"].splitlines())
-    return "\n".join(lines)
-
-
-def _advise(change_id: str) -> str:
-    return (
-        f"outcome unknown: change {change_id} may or may not have taken effect.\n"
-        f"Ask: greengagelatch change show {change_id}\n"
-        f"or repeat the command with --change-id {change_id}, which changes nothing"
-        " twice."
-    )
