--- a/packages/greengagelatch-lab/src/greengagelatch_lab/demo.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/demo.py
@@ -18,9 +18,13 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
+import aiohttp
+
 from .fleets import FLEETS
 from .fleets.playing import play
 from .fleets.runner import FleetRunner
+from .fleets.tool import run_tool
+from .processes import ProcessError
 
 if TYPE_CHECKING:
     from .fleets import Fleet
@@ -61,9 +65,12 @@
     results: dict[str, DemoResult] = {}
     for name in options.fleet or FLEETS:
         with tempfile.TemporaryDirectory(prefix="greengagelatch-") as directory:
-            results[name] = asyncio.run(
-                _run_fleet(FLEETS[name], Path(directory), options)
-            )
+            work = _run_fleet(FLEETS[name], Path(directory), options)
+            try:
+                results[name] = run_tool(work)
+            except (ProcessError, TimeoutError, aiohttp.ClientError) as error:
+                print(f"{name}: not measured: {error!r}\ndemo FAILED")
+                return 1
     for name, result in results.items():
         _print_verdict(name, result)
     passed = all(result.passed for result in results.values())
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/load/client.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/load/client.py
@@ -25,7 +25,6 @@
 
 #: connections kept open to all instances together
 MAX_CONNECTIONS = 256
-#: seconds beyond its deadline after which a request counts as never answered
 GRACE = 5.0
 #: bytes of one event
 MAX_EVENT = 1024 * 1024
@@ -48,10 +47,16 @@
     """Sends requests over a bounded number of kept connections.
 
     Nothing is sent twice: an answer that doesn't come is what is to be measured.
+
+    :param grace: seconds beyond its deadline after which a request counts as never
+        answered
     """
 
-    def __init__(self, *, max_connections: int = MAX_CONNECTIONS) -> None:
+    def __init__(
+        self, *, max_connections: int = MAX_CONNECTIONS, grace: float = GRACE
+    ) -> None:
         self._max_connections = max_connections
+        self._grace = grace
         self._session: aiohttp.ClientSession | None = None
 
     async def __aenter__(self) -> CallerClient:
@@ -78,13 +83,13 @@
         :param due: loop time at which it was to be sent
         """
         reading = _Reading()
-        limit = due + arrival.deadline_ms / 1000 + GRACE
+        limit = due + arrival.deadline_ms / 1000 + self._grace
         try:
             async with asyncio.timeout_at(limit):
                 await self._exchange(arrival, instance, due, reading)
         except TimeoutError:
             reading.ending = Ending.SILENT
-            reading.message = f"no whole answer {GRACE:g} s after the deadline"
+            reading.message = f"no whole answer {self._grace:g} s after the deadline"
         except (aiohttp.ClientError, OSError, ValueError) as error:
             reading.ending = Ending.CUT
             reading.message = repr(error)
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/rolling.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/rolling.py
@@ -14,9 +14,13 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
+import aiohttp
+
 from .fleets import FLEETS
 from .fleets.playing import play
 from .fleets.runner import FleetRunner
+from .fleets.tool import run_tool
+from .processes import ProcessError
 
 if TYPE_CHECKING:
     from .fleets import Fleet
@@ -43,9 +47,12 @@
     parser.add_argument("--list-lag", type=float, default=LIST_LAG)
     options = parser.parse_args()
     with tempfile.TemporaryDirectory(prefix="greengagelatch-") as directory:
-        report, statuses = asyncio.run(
-            _roll_fleet(FLEETS[options.fleet], Path(directory), options)
-        )
+        work = _roll_fleet(FLEETS[options.fleet], Path(directory), options)
+        try:
+            report, statuses = run_tool(work)
+        except (ProcessError, TimeoutError, aiohttp.ClientError) as error:
+            print(f"not measured: {error!r}\nrolling restart FAILED")
+            return 1
     print(report.format())
     passed = report.kept and report.total.in_time > 0 and not any(statuses)
     print(
