Keep other tests' log lines out of the tests of logs

Cause: eliot keeps what is logged before its first destination and hands it to that one; a test that ran earlier in the same process left lines. Ruled out: a line of the request under another id (the extra id belonged to another test's request). Before: 2 of 9 failed whenever tests of requests ran first. After: all of tests/test_entry pass in one process group. Assertions unchanged.

--- a/tests/test_entry/test_logs.py
+++ b/tests/test_entry/test_logs.py
@@ -6,6 +6,7 @@
 import logging
 import os
 
+import eliot
 import pytest
 
 from greengagelatch.errors import Refusal, RefusalCode
@@ -31,6 +32,10 @@
 @pytest.fixture
 def open_log(tmp_path):
     """Return a function that sets logs up and one that reads them back."""
+    # eliot keeps what is logged before its first destination, and hands it to that
+    # one: lines of tests that ran earlier in this process would stand in this file
+    eliot.add_destinations(_discard)
+    eliot.remove_destination(_discard)
     path = tmp_path / "log.jsonl"
     outputs = []
 
@@ -47,6 +52,10 @@
         output.close()
 
 
+def _discard(message):
+    pass
+
+
 def _create_request(**changes):
     fields = {
         "request_id": "r-1",
