--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/callers.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/callers.py
@@ -23,6 +23,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from aiohttp import StreamReader
+
     from greengagelatch.clock import Clock
 
     from ..filters import Handler
@@ -39,6 +41,8 @@
 #: after these the rest of the body is not read, so the connection can't be kept
 _CLOSING = frozenset({STATUS_TIMEOUT, STATUS_TOO_LARGE})
 EVENT_STREAM = "text/event-stream"
+#: bytes of an answer below which the connection's buffer takes it at once
+SMALL_ANSWER = 32 * 1024
 #: characters of an offending value that are shown
 MAX_SHOWN = 64
 #: milliseconds after which a caller may ask again where this instance is at fault
@@ -199,27 +203,23 @@
         length = request.content_length or 0
         if length > limit:
             raise _BodyError(STATUS_TOO_LARGE, _refuse_size(limit, str(length)))
+        content = request.content
+        if content.is_eof():
+            # the usual case: the body came with the head
+            body = content.read_nowait()
+            if len(body) > limit:
+                raise _BodyError(STATUS_TOO_LARGE, _refuse_size(limit, str(len(body))))
+            return body
         await _invite_body(request)
-        chunks: list[bytes] = []
-        size = 0
         try:
             async with asyncio.timeout(self._limits.body_timeout):
-                while chunk := await request.content.readany():
-                    size += len(chunk)
-                    if size > limit:
-                        raise _BodyError(
-                            STATUS_TOO_LARGE, _refuse_size(limit, f"over {limit}")
-                        )
-                    chunks.append(chunk)
+                return await _collect(content, limit)
         except TimeoutError:
             message = f"body not received within {self._limits.body_timeout:g} s"
-            raise _BodyError(
-                STATUS_TIMEOUT, _refuse_body(message, f"{size} bytes")
-            ) from None
+            raise _BodyError(STATUS_TIMEOUT, _refuse_body(message, "")) from None
         except web.RequestPayloadError as error:
             message = f"body can't be read: {str(error)[:MAX_SHOWN]}"
             raise _BodyError(400, _refuse_body(message, "")) from None
-        return chunks[0] if len(chunks) == 1 else b"".join(chunks)
 
     async def _refuse(
         self,
@@ -235,8 +235,9 @@
     async def _deliver(
         self, request: web.BaseRequest, answer: Answer, status: int
     ) -> web.StreamResponse:
+        body = encode_answer(answer)
         response = web.Response(
-            body=encode_answer(answer),
+            body=body,
             status=status,
             headers=create_headers(answer.refusal),
         )
@@ -245,7 +246,11 @@
         if self._draining() or status in _CLOSING:
             response.force_close()
         try:
-            async with asyncio.timeout(self._limits.write_timeout):
+            # what is small goes to the connection's buffer without any wait, and
+            # the kernel gives the connection up if it stays there
+            large = len(body) > SMALL_ANSWER or request.protocol.writing_paused
+            limit = self._limits.write_timeout if large else None
+            async with asyncio.timeout(limit):
                 await response.prepare(request)
                 await response.write_eof()
         except (TimeoutError, ConnectionError):
@@ -288,6 +293,17 @@
             transport.abort()
 
 
+async def _collect(content: StreamReader, limit: int) -> bytes:
+    chunks: list[bytes] = []
+    size = 0
+    while chunk := await content.readany():
+        size += len(chunk)
+        if size > limit:
+            raise _BodyError(STATUS_TOO_LARGE, _refuse_size(limit, f"over {limit}"))
+        chunks.append(chunk)
+    return b"".join(chunks)
+
+
 async def _invite_body(request: web.BaseRequest) -> None:
     """Ask for the body where the caller waits to be asked (RFC 9110, 10.1.1)."""
     if request.headers.get("Expect", "").lower() != "100-continue":
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/targets.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/targets.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from dataclasses import dataclass
+from functools import lru_cache
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
@@ -50,6 +51,8 @@
 #: seconds without a byte after which the target's kept connections are replaced;
 #: a needless replacement costs a connect, a missed one costs calls
 SILENCE = 0.5
+#: targets whose parsed URL is kept
+MAX_URLS = 1024
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -207,9 +210,9 @@
     ) -> Result[StageAnswer, CallFailure]:
         """Make the call and return its answer or the reason why there is none."""
         try:
-            async with asyncio.timeout(self._limits.connect_timeout) as guard:
+            limit = self._bound(self._limits.connect_timeout)
+            async with asyncio.timeout(limit) as guard:
                 self._guard = guard
-                self._extend(self._limits.connect_timeout)
                 return await self._exchange(session, target, body)
         except TimeoutError:
             return Err(self._explain_timeout())
@@ -232,9 +235,10 @@
     async def _exchange(
         self, session: aiohttp.ClientSession, target: Target, body: bytes
     ) -> Result[StageAnswer, CallFailure]:
-        url = URL(f"http://{target.address}/call")
         response = await session.post(
-            url, data=_MarkedBody(body, self), allow_redirects=False
+            _create_url(target.address),
+            data=_MarkedBody(body, self),
+            allow_redirects=False,
         )
         try:
             result = await self._read(response)
@@ -252,7 +256,8 @@
         self, response: aiohttp.ClientResponse
     ) -> Result[StageAnswer, CallFailure]:
         self._heard = True
-        self._extend(self._limits.gap_timeout)
+        if not response.content.is_eof():
+            self._extend(self._limits.gap_timeout)
         self._leaving = response.headers.get(STATE_HEADER) == LEAVING
         if response.status != STATUS_OK:
             body = await self._read_body(response)
@@ -266,12 +271,15 @@
     async def _read_body(self, response: aiohttp.ClientResponse) -> bytes:
         chunks: list[bytes] = []
         size = 0
-        while chunk := await response.content.readany():
-            self._extend(self._limits.gap_timeout)
+        content = response.content
+        while chunk := await content.readany():
             size += len(chunk)
             if size > self._limits.max_answer_bytes:
                 raise AnswerError(FailureKind.TARGET_ERROR, "answer too large")
             chunks.append(chunk)
+            if content.at_eof():
+                break
+            self._extend(self._limits.gap_timeout)
         return chunks[0] if len(chunks) == 1 else b"".join(chunks)
 
     async def _read_stream(self, response: aiohttp.ClientResponse) -> StageAnswer:
@@ -291,10 +299,12 @@
     def _extend(self, seconds: float) -> None:
         if self._guard is None or self._guard.expired():
             return
-        now = self._clock.now()
-        left = min(seconds, self._call.deadline - now)
         loop = asyncio.get_running_loop()
-        self._guard.reschedule(loop.time() + max(0.0, left))
+        self._guard.reschedule(loop.time() + self._bound(seconds))
+
+    def _bound(self, seconds: float) -> float:
+        """Return ``seconds``, or what is left of the deadline if that is less."""
+        return max(0.0, min(seconds, self._call.deadline - self._clock.now()))
 
     def _explain_timeout(self) -> CallFailure:
         if self._clock.now() >= self._call.deadline:
@@ -318,6 +328,11 @@
         )
 
 
+@lru_cache(maxsize=MAX_URLS)
+def _create_url(address: str) -> URL:
+    return URL(f"http://{address}/call")
+
+
 def _fail(kind: FailureKind, verdict: Verdict, message: str) -> CallFailure:
     return CallFailure(kind=kind, verdict=verdict, message=message)
 
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/overhead/passing.py
@@ -0,0 +1,46 @@
+"""A bare pass-through on aiohttp, as the least that a proxy of that library costs."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import AsyncIterator
+
+import aiohttp
+from aiohttp import web
+
+from ..standins.serving import run
+
+__all__ = ("main",)
+
+SESSION = web.AppKey("session", aiohttp.ClientSession)
+
+
+async def _keep_session(app: web.Application) -> AsyncIterator[None]:
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        app[SESSION] = session
+        yield
+
+
+def main() -> None:
+    """Serve on the first argument what the target at the second one answers."""
+    listen, target = sys.argv[1:]
+    url = f"http://{target}/call"
+
+    async def forward(request: web.Request) -> web.Response:
+        body = await request.read()
+        async with request.app[SESSION].post(url, data=body) as response:
+            return web.Response(
+                body=await response.read(),
+                status=response.status,
+                content_type=response.content_type,
+            )
+
+    app = web.Application()
+    app.cleanup_ctx.append(_keep_session)
+    app.router.add_post("/call", forward)
+    run(app, listen)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/overhead/ways.py
@@ -0,0 +1,87 @@
+"""The ways to the target that are compared, and how each is taken and timed."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import statistics
+import time
+from dataclasses import dataclass
+from typing import Any
+
+import aiohttp
+import psutil
+
+__all__ = ("Rate", "Way", "measure_latencies", "measure_rate")
+
+#: requests under way at the same time when a rate is measured
+CONCURRENCY = 64
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Way:
+    """One way to the target."""
+
+    name: str
+    url: str
+    headers: dict[str, str]
+    body: bytes
+    #: process whose processor time counts
+    pid: int
+
+
+@dataclass(frozen=True, slots=True)
+class Rate:
+    """What one way carried."""
+
+    per_second: float
+    per_core_second: float
+
+
+async def measure_latencies(
+    session: aiohttp.ClientSession, ways: list[Way], rounds: int
+) -> dict[str, float]:
+    """Return the median of each way in milliseconds, one call at a time.
+
+    The ways take turns, so that whatever else the machine does strikes all alike.
+    """
+    times: dict[str, list[float]] = {way.name: [] for way in ways}
+    for _ in range(rounds):
+        for way in ways:
+            started = time.perf_counter()
+            await _take(session, way)
+            times[way.name].append((time.perf_counter() - started) * 1000)
+    return {name: statistics.median(values) for name, values in times.items()}
+
+
+async def measure_rate(
+    session: aiohttp.ClientSession, way: Way, seconds: float
+) -> Rate:
+    """Return requests a second, and a second of the process's own processor time."""
+    process = psutil.Process(way.pid)
+    before = process.cpu_times()
+    started = time.perf_counter()
+    end = started + seconds
+    counts = await asyncio.gather(
+        *(_repeat(session, way, end) for _ in range(CONCURRENCY))
+    )
+    elapsed = time.perf_counter() - started
+    after = process.cpu_times()
+    spent = after.user + after.system - before.user - before.system
+    return Rate(sum(counts) / elapsed, sum(counts) / spent)
+
+
+async def _repeat(session: aiohttp.ClientSession, way: Way, end: float) -> int:
+    count = 0
+    while time.perf_counter() < end:
+        await _take(session, way)
+        count += 1
+    return count
+
+
+async def _take(session: aiohttp.ClientSession, way: Way) -> dict[str, Any]:
+    async with session.post(way.url, data=way.body, headers=way.headers) as response:
+        body = await response.read()
+        if response.status != 200:
+            raise RuntimeError(f"{way.name}: status {response.status}: {body[:200]!r}")
+        return json.loads(body)
