Add leases of target groups and orders to engines

Cause: engines take orders that any paused or replaced instance could still give. Weighed: the number of the store's lease as the fencing number (a lease granted early can win the key late, so it goes back), the revision of the write that took the key (rises with every write): the latter.

--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/orders.py
@@ -0,0 +1,219 @@
+"""Orders to engines over HTTP, each sent at most once."""
+
+from __future__ import annotations
+
+import json
+import socket
+import struct
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+from aiohttp import payload
+from result import Err, Ok, Result
+
+from greengagelatch.orders import (
+    EngineReport,
+    EngineState,
+    Order,
+    OrderAnswer,
+    OrderClient,
+    OrderGuard,
+    OrderOutcome,
+)
+
+if TYPE_CHECKING:
+    from aiohttp.abc import AbstractStreamWriter
+
+    from greengagelatch.targets import Target
+
+    from ..metrics import Metrics
+
+__all__ = ("HttpOrderClient",)
+
+#: a longer answer is not read
+MAX_ANSWER_BYTES = 262_144
+
+STATUS_OK = 200
+STATUS_OLD_FENCE = 409
+#: the engine could not understand or accept the order, so nothing was done
+REFUSALS = frozenset({400, 404, 405, 413, 415, 422})
+
+#: share of the time-out that may pass until a connection is made
+CONNECT_SHARE = 0.4
+
+#: closing with a linger time of zero drops what was not sent
+LINGER_OFF = struct.pack("ii", 1, 0)
+
+
+class _ForbiddenError(Exception):
+    """The guard forbade an order when it was about to be sent."""
+
+
+class HttpOrderClient(OrderClient):
+    """Gives orders by ``POST /orders`` and reads them back by ``GET /orders``.
+
+    Orders are POST, as aiohttp sends GET, PUT and DELETE a second time by itself
+    when a kept connection drops; no redirect is followed, as it would send the order
+    to an engine that nobody chose. Each call has a connection of its own: a kept one
+    may have gone silent, and an order swallowed by it keeps its group waiting.
+
+    An order that has left this process can still wait in the kernel while the
+    network is down, and arrive once the lease is long over. The connection therefore
+    gives up after ``timeout`` without an acknowledgement, and closing it, also by
+    the end of the process, drops what was not sent.
+
+    :param timeout: seconds allowed for one call.
+    """
+
+    def __init__(self, *, timeout: float, metrics: Metrics) -> None:
+        self._timeout = timeout
+        self._metrics = metrics
+        self._session: aiohttp.ClientSession | None = None
+
+    async def close(self) -> None:
+        """Close all connections."""
+        session, self._session = self._session, None
+        if session is not None:
+            await session.close()
+
+    async def give(
+        self, target: Target, order: Order, guard: OrderGuard
+    ) -> OrderAnswer:
+        body = _GuardedBody(_encode_order(order), guard)
+        try:
+            async with self._open_session().post(
+                _locate(target), data=body, allow_redirects=False
+            ) as response:
+                data = await _read(response)
+                status = response.status
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return _explain(body, error)
+        return _judge(status, data)
+
+    async def read(self, target: Target) -> Result[EngineReport, str]:
+        # a hidden second try by the client is harmless here
+        self._metrics.count("orders.reads")
+        try:
+            async with self._open_session().get(
+                _locate(target), allow_redirects=False
+            ) as response:
+                data = await _read(response)
+                status = response.status
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return Err(f"{type(error).__name__}: {error}")
+        if status != STATUS_OK:
+            return Err(f"status {status}")
+        return _parse_report(data)
+
+    def _open_session(self) -> aiohttp.ClientSession:
+        # made on first use, as it needs the running loop
+        if self._session is None:
+            connector = aiohttp.TCPConnector(
+                limit=0, force_close=True, socket_factory=self._create_socket
+            )
+            self._session = aiohttp.ClientSession(
+                connector=connector,
+                cookie_jar=aiohttp.DummyCookieJar(),
+                timeout=aiohttp.ClientTimeout(
+                    total=self._timeout, connect=self._timeout * CONNECT_SHARE
+                ),
+                trust_env=False,
+            )
+        return self._session
+
+    def _create_socket(self, info: aiohttp.AddrInfoType) -> socket.socket:
+        family, kind, protocol, _, _ = info
+        created = socket.socket(family, kind, protocol)
+        limit = int(self._timeout * 1000)
+        created.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit)
+        created.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_OFF)
+        return created
+
+
+class _GuardedBody(payload.BytesPayload):
+    """A body that asks the guard right before its first byte is written.
+
+    aiohttp holds the headers back until the body is written, so no byte of the
+    order reaches the socket if the guard forbids it. Asking any earlier, say before
+    the connection is made, would let an order out that was allowed a while ago: a
+    process can be paused while it connects, and its lease lapses meanwhile.
+    """
+
+    def __init__(self, body: bytes, guard: OrderGuard) -> None:
+        super().__init__(body, content_type="application/json")
+        self._guard = guard
+        self.sent = False
+
+    async def write_with_length(
+        self, writer: AbstractStreamWriter, content_length: int | None
+    ) -> None:
+        if not self._guard():
+            raise _ForbiddenError
+        self.sent = True
+        await super().write_with_length(writer, content_length)
+
+
+def _locate(target: Target) -> str:
+    return f"http://{target.address}/orders"
+
+
+async def _read(response: aiohttp.ClientResponse) -> bytes:
+    body = bytearray()
+    async for chunk in response.content.iter_any():
+        body += chunk
+        if len(body) > MAX_ANSWER_BYTES:
+            return b""
+    return bytes(body)
+
+
+def _encode_order(order: Order) -> bytes:
+    wanted = {
+        "models": order.wanted.models,
+        "adapters": order.wanted.adapters,
+        "role": order.wanted.role,
+    }
+    return json.dumps({"fence": order.fence, "wanted": wanted}).encode()
+
+
+def _explain(body: _GuardedBody, error: Exception) -> OrderAnswer:
+    outcome = OrderOutcome.UNKNOWN if body.sent else OrderOutcome.NOT_SENT
+    return OrderAnswer(outcome=outcome, message=f"{type(error).__name__}: {error}")
+
+
+def _judge(status: int, data: bytes) -> OrderAnswer:
+    if status == STATUS_OLD_FENCE:
+        return OrderAnswer(outcome=OrderOutcome.OLD_FENCE, message=_shorten(data))
+    if status in REFUSALS:
+        message = f"status {status}: {_shorten(data)}"
+        return OrderAnswer(outcome=OrderOutcome.REFUSED, message=message)
+    if status == STATUS_OK:
+        return OrderAnswer(outcome=OrderOutcome.DONE)
+    # any other error may have struck after the order took effect
+    return OrderAnswer(outcome=OrderOutcome.UNKNOWN, message=f"status {status}")
+
+
+def _shorten(data: bytes) -> str:
+    return data[:100].decode(errors="replace")
+
+
+def _parse_report(data: bytes) -> Result[EngineReport, str]:
+    try:
+        fields = json.loads(data)
+        state = fields["state"]
+        report = EngineReport(
+            state=EngineState(
+                models=_read_names(state["models"]),
+                adapters=_read_names(state["adapters"]),
+                role=str(state["role"]),
+            ),
+            fence=int(fields["fence"]),
+        )
+    except (KeyError, TypeError, ValueError, RecursionError) as error:
+        return Err(f"can't be read: {type(error).__name__}: {error}")
+    return Ok(report)
+
+
+def _read_names(names: Any) -> tuple[str, ...]:
+    if not isinstance(names, list):
+        raise TypeError("names must be a list")
+    return tuple(str(name) for name in names)
--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/leases.py
@@ -0,0 +1,238 @@
+"""Leases of this instance: gets, keeps and gives them up."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING, Any
+
+from mode import Service
+
+from greengagelatch.leases.contention import Wish, choose_wish
+from greengagelatch.leases.instants import read_instant
+from greengagelatch.leases.rules import LeaseRules
+from greengagelatch.leases.tenure import Tenure, TenureStep
+from greengagelatch.store import ABSENT
+
+from . import Controller
+
+if TYPE_CHECKING:
+    from collections.abc import Set
+
+    from greengagelatch.clock import Clock
+    from greengagelatch.leases.instants import Instant
+    from greengagelatch.peers import PeerNetwork
+    from greengagelatch.settings import Settings
+    from greengagelatch.store import Store
+
+    from ..metrics import Metrics
+
+__all__ = ("LeasesController",)
+
+logger = logging.getLogger(__name__)
+
+#: first part of the keys of leases in the store
+PREFIX = "leases"
+
+#: seconds between two looks at which calls are due
+TICK = 0.1
+
+#: groups shown in the state dump
+MAX_SHOWN = 200
+
+
+class LeasesController(Controller):
+    """Holds leases for groups that other controllers ask for.
+
+    Nothing is called as long as nobody wants a group. Each group has one call to the
+    store under way at most.
+
+    :param longest_action: seconds that one guarded action takes at most
+    """
+
+    name = "leases"
+
+    def __init__(
+        self,
+        *,
+        store: Store,
+        peers: PeerNetwork,
+        clock: Clock,
+        settings: Settings,
+        metrics: Metrics,
+        longest_action: float,
+    ) -> None:
+        super().__init__()
+        self._store = store
+        self._peers = peers
+        self._clock = clock
+        self._metrics = metrics
+        self._data_centre: str = settings["instance.data_centre"]
+        self._rules = LeaseRules.create(
+            ttl=settings["leases.ttl"],
+            margin=settings["leases.margin"],
+            longest_action=longest_action,
+        )
+        self._timeout: float = settings["platform.timeout"]
+        self._wanted: frozenset[str] = frozenset()
+        self._busy: frozenset[str] = frozenset()
+        self._tenures: dict[str, Tenure] = {}
+        self._calls: dict[str, asyncio.Task[None]] = {}
+        #: number of leases held, as last reported
+        self._held = 0
+        #: last failed call by group, for the state dump
+        self._errors: dict[str, str] = {}
+
+    def want(self, groups: Set[str], *, busy: Set[str]) -> None:
+        """Say which groups' leases are wanted.
+
+        :param busy: groups whose lease, if held, is not to be given up now, as what
+            is done under it may not have ended yet
+        """
+        self._wanted = frozenset(groups)
+        self._busy = frozenset(busy)
+
+    def find(self, group: str) -> Tenure | None:
+        """Return what is known of a group's lease at this moment.
+
+        The lease may lapse at any later one, so whoever acts under it asks anew
+        right before.
+        """
+        return self._tenures.get(group)
+
+    def give_up(self, group: str) -> None:
+        """Stop acting for a group at once, and try for its lease anew later."""
+        tenure = self._tenures.get(group)
+        if tenure is None:
+            return
+        self._metrics.count("leases.given_up")
+        self._tenures[group] = tenure.leave()
+
+    async def on_stop(self) -> None:
+        """Give up what is held, or others would have to wait for it to lapse."""
+        self.want(frozenset(), busy=self._busy)
+        await self._wait_calls()
+        self._plan()
+        await self._wait_calls()
+
+    def dump(self) -> dict[str, Any]:
+        now = read_instant(self._clock)
+        groups = {}
+        for group, tenure in sorted(self._tenures.items())[:MAX_SHOWN]:
+            groups[group] = {
+                "wish": self._choose_wish(group).value,
+                "step": tenure.step.value,
+                "fence": tenure.fence,
+                "seconds_left": tenure.compute_left(now),
+                "last_error": self._errors.get(group, ""),
+            }
+        return {"ttl": self._rules.ttl, "margin": self._rules.margin, "groups": groups}
+
+    @Service.task
+    async def _run_forever(self) -> None:
+        while not self.should_stop:
+            self._plan()
+            await self.sleep(TICK)
+
+    async def _wait_calls(self) -> None:
+        if self._calls:
+            # what is not answered by then lapses by itself
+            await asyncio.wait(self._calls.values(), timeout=self._timeout)
+
+    def _plan(self) -> None:
+        now = read_instant(self._clock)
+        for group in sorted(self._wanted | self._tenures.keys()):
+            if group in self._calls:
+                continue
+            tenure = self._tenures.get(group)
+            if tenure is None:
+                tenure = Tenure(instance_id=self._peers.instance_id, rules=self._rules)
+            wish = self._choose_wish(group)
+            tenure = tenure.plan(now, wish)
+            if wish is Wish.LET_GO and not tenure.lease_id:
+                self._tenures.pop(group, None)
+                self._errors.pop(group, None)
+                continue
+            self._tenures[group] = tenure
+            if tenure.step is TenureStep.REST:
+                continue
+            call = asyncio.create_task(self._call(group))
+            self._calls[group] = call
+            call.add_done_callback(lambda _, group=group: self._calls.pop(group))
+        self._report_held(now)
+
+    def _report_held(self, now: Instant) -> None:
+        held = sum(tenure.compute_left(now) > 0 for tenure in self._tenures.values())
+        if held != self._held:
+            self._held = held
+            self._metrics.gauge("leases.held", held)
+
+    def _choose_wish(self, group: str) -> Wish:
+        if group in self._busy:
+            return Wish.HOLD
+        if group not in self._wanted:
+            return Wish.LET_GO
+        return choose_wish(
+            group,
+            self._peers.members(),
+            data_centre=self._data_centre,
+            instance_id=self._peers.instance_id,
+        )
+
+    async def _call(self, group: str) -> None:
+        """Make the calls of a group until none is due."""
+        while True:
+            tenure = self._tenures[group].begin(read_instant(self._clock))
+            if tenure.step is TenureStep.REST:
+                return
+            self._tenures[group] = tenure
+            after = await self._make_call(group, tenure)
+            if self._tenures[group].step is not tenure.step:
+                # given up meanwhile; the answer must not bring the lease back
+                after = self._tenures[group]
+            self._note_change(group, tenure, after)
+            self._tenures[group] = after
+
+    async def _make_call(self, group: str, tenure: Tenure) -> Tenure:
+        key = f"{PREFIX}/{group}"
+        match tenure.step:
+            case TenureStep.LOOK:
+                found = await self._store.get(key)
+                self._note_error(group, found)
+                wish = self._choose_wish(group)
+                return tenure.take_looked(found, read_instant(self._clock), wish)
+            case TenureStep.GRANT:
+                granted = await self._store.grant_lease(self._rules.ttl)
+                self._note_error(group, granted)
+                return tenure.take_granted(granted, read_instant(self._clock))
+            case TenureStep.ACQUIRE:
+                written = await self._store.swap(
+                    key, tenure.value, ABSENT, lease_id=tenure.lease_id
+                )
+                return tenure.take_acquired(written, read_instant(self._clock))
+            case TenureStep.SETTLE:
+                found = await self._store.get(key)
+                self._note_error(group, found)
+                return tenure.take_settled(found, read_instant(self._clock))
+            case TenureStep.KEEP:
+                kept = await self._store.keep_lease(tenure.lease_id)
+                self._note_error(group, kept)
+                return tenure.take_kept(kept, read_instant(self._clock))
+        await self._store.revoke_lease(tenure.lease_id)
+        return tenure.take_revoked(read_instant(self._clock))
+
+    def _note_error(self, group: str, answer: Any) -> None:
+        if answer.is_ok():
+            self._errors.pop(group, None)
+            return
+        error = answer.err_value
+        self._errors[group] = f"{error.kind.value}: {error.message}"
+        self._metrics.count(f"leases.errors.{error.kind.value}")
+
+    def _note_change(self, group: str, before: Tenure, after: Tenure) -> None:
+        if after.held and not before.held:
+            self._metrics.count("leases.acquired")
+            logger.info("lease of %s acquired, number %d", group, after.fence)
+        if before.held and not after.held:
+            self._metrics.count("leases.ended")
+            logger.info("lease of %s ended, number %d", group, before.fence)
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/standins/engines.py
@@ -0,0 +1,94 @@
+"""In-process engines that take orders, with faults to inject."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from result import Err, Ok, Result
+
+from greengagelatch.orders import (
+    EngineReport,
+    EngineState,
+    Order,
+    OrderAnswer,
+    OrderClient,
+    OrderGuard,
+    OrderOutcome,
+)
+
+from .orders import EngineState as HeldState
+from .orders import OrderBook
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from greengagelatch.targets import Target
+
+__all__ = ("MemoryEngines",)
+
+
+class MemoryEngines(OrderClient):
+    """The engines of a test, reached without a socket.
+
+    :param checks: whether the engines refuse orders with old numbers
+    :param duration: seconds that an order takes
+    """
+
+    def __init__(self, *, checks: bool = False, duration: float = 1.0) -> None:
+        self.checks = checks
+        self.duration = duration
+        #: number of coming orders that are carried out and not answered
+        self.lose_answers = 0
+        #: targets that can't be connected to
+        self.unreachable: set[str] = set()
+        #: awaited with the order when connected, right before the guard is asked
+        self.before_send: Callable[[Order], Awaitable[None]] | None = None
+        self.reads = 0
+        self._books: dict[str, OrderBook] = {}
+        self._running: set[asyncio.Task[bool]] = set()
+
+    def find(self, target_id: str) -> OrderBook:
+        """Return the orders of one engine."""
+        if target_id not in self._books:
+            self._books[target_id] = OrderBook(
+                checks=self.checks, duration=self.duration
+            )
+        return self._books[target_id]
+
+    async def give(
+        self, target: Target, order: Order, guard: OrderGuard
+    ) -> OrderAnswer:
+        if target.target_id in self.unreachable:
+            return OrderAnswer(outcome=OrderOutcome.NOT_SENT)
+        if self.before_send is not None:
+            await self.before_send(order)
+        if not guard():
+            return OrderAnswer(outcome=OrderOutcome.NOT_SENT)
+        wanted = HeldState(
+            models=order.wanted.models,
+            adapters=order.wanted.adapters,
+            role=order.wanted.role,
+        )
+        book = self.find(target.target_id)
+        run = asyncio.create_task(book.carry_out(order.fence, wanted))
+        self._running.add(run)
+        run.add_done_callback(self._running.discard)
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            return OrderAnswer(outcome=OrderOutcome.UNKNOWN)
+        accepted = await asyncio.shield(run)
+        outcome = OrderOutcome.DONE if accepted else OrderOutcome.OLD_FENCE
+        return OrderAnswer(outcome=outcome)
+
+    async def read(self, target: Target) -> Result[EngineReport, str]:
+        self.reads += 1
+        if target.target_id in self.unreachable:
+            return Err("out of reach")
+        book = self.find(target.target_id)
+        state = EngineState(
+            models=book.state.models,
+            adapters=book.state.adapters,
+            role=book.state.role,
+        )
+        return Ok(EngineReport(state, book.fence))
--- /dev/null
+++ b/packages/greengagelatch/src/greengagelatch/orders/group.py
@@ -0,0 +1,187 @@
+"""The engines of one group under one tenure of its lease."""
+
+from __future__ import annotations
+
+import dataclasses
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+from ..placement.wanted import count_loads, want_state
+from . import EngineReport, EngineState, Order
+from .budget import LoadBudget
+from .engine import EngineAction, EngineRecord
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from ..config.effects import Placement
+    from .rules import OrderRules
+
+__all__ = ("EngineGroup", "EngineStep")
+
+#: engines of one group that are read at the same time
+MAX_READS = 8
+
+#: state of an engine that was not read yet
+UNREAD = EngineState()
+
+
+@dataclass(frozen=True, slots=True)
+class EngineStep:
+    """A call that is due; ``order`` is ``None`` for a reading."""
+
+    target_id: str
+    order: Order | None = None
+    #: what the order makes the weight store give
+    loads: int = 0
+
+
+class EngineGroup:
+    """Says which engine is read or given an order next.
+
+    One order at a time: engines that load are slow to serve, and a wrong placement
+    is noticed before all of them follow it. An order without an answer counts until
+    it is settled.
+
+    :param fence: fencing number of the tenure
+    :param now: monotonic seconds
+    """
+
+    def __init__(self, *, fence: int, rules: OrderRules, now: float) -> None:
+        self.fence = fence
+        self._rules = rules
+        self._records: dict[str, EngineRecord] = {}
+        self._under_way: dict[str, EngineStep] = {}
+        self._budget = LoadBudget(at=now)
+
+    @property
+    def ordering(self) -> bool:
+        """Whether an order is under way, or may still be."""
+        if any(step.order is not None for step in self._under_way.values()):
+            return True
+        return any(record.unsettled is not None for record in self._records.values())
+
+    def plan(
+        self,
+        now: float,
+        target_ids: Iterable[str],
+        placement: Placement,
+        *,
+        loads_per_minute: float,
+        may_order: bool,
+    ) -> tuple[EngineStep, ...]:
+        """Return the calls that are due; each is taken as begun.
+
+        :param target_ids: the engines that are neither leaving nor gone
+        :param loads_per_minute: this group's share of the weight store's rate
+        """
+        self._budget = self._budget.refill(now, loads_per_minute)
+        self._keep_only(target_ids)
+        steps = []
+        for target_id, record in self._records.items():
+            if target_id in self._under_way:
+                continue
+            step = self._plan_engine(now, target_id, record, placement, may_order)
+            if step is None:
+                continue
+            self._under_way[target_id] = step
+            steps.append(step)
+        return tuple(steps)
+
+    def note_sending(self, now: float, step: EngineStep) -> None:
+        """Record that the first byte of an order is about to be sent."""
+        if step.order is None:
+            return
+        self._budget = self._budget.spend(step.loads)
+        self._update(step.target_id, lambda r: r.note_sending(now, step.order))
+
+    def end_read(
+        self, now: float, step: EngineStep, report: EngineReport | None, delay: float
+    ) -> None:
+        """Take in a reading.
+
+        :param report: ``None`` if the engine could not be read
+        :param delay: seconds after which it is tried again in that case
+        """
+        self._under_way.pop(step.target_id, None)
+        if report is None:
+            self._update(step.target_id, lambda r: r.note_failed(now, delay))
+            return
+        rules = self._rules
+        self._update(step.target_id, lambda r: r.note_read(now, report, rules))
+
+    def end_order(self, now: float, step: EngineStep, *, settled: bool) -> None:
+        """Take in the end of an order's call; the engine is read back next.
+
+        :param settled: whether the order certainly is not under way any longer
+        """
+        self._under_way.pop(step.target_id, None)
+        if settled:
+            self._update(step.target_id, lambda r: r.note_ended(now))
+            return
+        self._update(step.target_id, lambda r: r.note_unanswered(now))
+
+    def fail(self, now: float, step: EngineStep, delay: float) -> None:
+        """Take in that a call certainly had no effect; the next waits ``delay``."""
+        self._under_way.pop(step.target_id, None)
+        self._update(
+            step.target_id,
+            lambda r: dataclasses.replace(r, unsettled=None).note_failed(now, delay),
+        )
+
+    def count_failures(self, target_id: str) -> int:
+        """Return how many calls in a row to an engine came to nothing."""
+        record = self._records.get(target_id)
+        return 0 if record is None else record.failures
+
+    def dump(self, now: float, placement: Placement) -> dict[str, Any]:
+        """Return the engines' states by id."""
+        engines = {}
+        for target_id, record in self._records.items():
+            present = UNREAD if record.report is None else record.report.state
+            engines[target_id] = {
+                "read": record.report is not None,
+                "models": present.models,
+                "adapters": present.adapters,
+                "role": present.role,
+                "fence": None if record.report is None else record.report.fence,
+                "as_wanted": record.report is not None
+                and present.equals(want_state(placement, present)),
+                "unsettled_seconds": None
+                if record.unsettled is None
+                else now - record.sent,
+                "failures": record.failures,
+            }
+        return engines
+
+    def _plan_engine(
+        self,
+        now: float,
+        target_id: str,
+        record: EngineRecord,
+        placement: Placement,
+        may_order: bool,
+    ) -> EngineStep | None:
+        present = UNREAD if record.report is None else record.report.state
+        wanted = want_state(placement, present)
+        match record.plan(now, wanted):
+            case EngineAction.READ if len(self._under_way) < MAX_READS:
+                return EngineStep(target_id)
+            case EngineAction.ORDER if may_order and not self.ordering:
+                loads = count_loads(wanted, present)
+                if not self._budget.allows(loads):
+                    return None
+                return EngineStep(target_id, Order(self.fence, wanted), loads)
+        return None
+
+    def _keep_only(self, target_ids: Iterable[str]) -> None:
+        records = {}
+        for target_id in sorted(target_ids):
+            records[target_id] = self._records.get(target_id) or EngineRecord()
+        self._records = records
+
+    def _update(self, target_id: str, change: Any) -> None:
+        record = self._records.get(target_id)
+        if record is not None:
+            # it may have begun to leave while the call was under way
+            self._records[target_id] = change(record)
--- /dev/null
+++ b/packages/greengagelatch/src/greengagelatch/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on what the engines of a data centre should hold."""
--- /dev/null
+++ b/packages/greengagelatch/src/greengagelatch/placement/wanted.py
@@ -0,0 +1,49 @@
+"""What the engines of a service should hold, by the operators' policies."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import TYPE_CHECKING
+
+from ..config.objects import StageKind
+from ..config.steering import resolve
+from ..orders import EngineState
+
+if TYPE_CHECKING:
+    from ..config.effects import Placement
+    from ..config.snapshot import Snapshot
+
+__all__ = ("count_loads", "find_placements", "want_state")
+
+
+def find_placements(snapshot: Snapshot) -> Mapping[str, Placement]:
+    """Return the placement of each service whose engines are to be given orders.
+
+    Only policies without a selector of workspaces or pipelines count: an engine
+    serves all of them. Only model engines take orders.
+    """
+    found = {}
+    for name, service in sorted(snapshot.services.items()):
+        if service.kind is not StageKind.GENERATE:
+            continue
+        placement = resolve(snapshot, workspace="", service=name).placement
+        if not (placement.models or placement.adapters or placement.role):
+            continue
+        found[name] = placement
+    return found
+
+
+def want_state(placement: Placement, present: EngineState) -> EngineState:
+    """Return the state an engine should be in; what is not named stays."""
+    return EngineState(
+        models=placement.models or present.models,
+        adapters=placement.adapters or present.adapters,
+        role=placement.role or present.role,
+    )
+
+
+def count_loads(wanted: EngineState, present: EngineState) -> int:
+    """Return how many models and adapters the weight store has to give."""
+    models = set(wanted.models) - set(present.models)
+    adapters = set(wanted.adapters) - set(present.adapters)
+    return len(models) + len(adapters)
--- a/packages/greengagelatch/src/greengagelatch/settings.py
+++ b/packages/greengagelatch/src/greengagelatch/settings.py
@@ -593,6 +593,67 @@
         maximum=60,
         meaning="Time allowed to a peer for one answer on the configuration.",
     ),
+    Setting(
+        name="leases.ttl",
+        type=float,
+        default=45.0,
+        unit="s",
+        minimum=0.3,
+        maximum=3600,
+        meaning="Time after which the store lets a lease lapse that is not renewed; at"
+        " least three times orders.timeout and leases.margin together, which is used"
+        " where this is shorter.",
+    ),
+    Setting(
+        name="leases.margin",
+        type=float,
+        default=2.0,
+        unit="s",
+        minimum=0,
+        maximum=600,
+        meaning="Time by which a holder gives a lease up before the store does; more"
+        " than instances' clocks can differ in speed over leases.ttl.",
+    ),
+    Setting(
+        name="orders.timeout",
+        type=float,
+        default=10.0,
+        unit="s",
+        minimum=0.05,
+        maximum=600,
+        meaning="Time allowed for one call to an engine; an order that takes longer is"
+        " settled by reading the engine's state.",
+    ),
+    Setting(
+        name="orders.longest",
+        type=float,
+        default=120.0,
+        unit="s",
+        minimum=0,
+        maximum=7200,
+        meaning="Longest time an engine takes to carry out an order it has received."
+        " Orders without an answer are not repeated earlier, and a new holder waits"
+        " for it where engines don't check fencing numbers.",
+    ),
+    Setting(
+        name="orders.interval",
+        type=float,
+        default=10.0,
+        unit="s",
+        minimum=0.05,
+        maximum=3600,
+        meaning="Time between two readings of an engine's state by the holder.",
+    ),
+    Setting(
+        name="orders.loads_per_minute",
+        type=float,
+        default=6.0,
+        unit="1/min",
+        minimum=0.01,
+        maximum=100000,
+        meaning="Models and adapters that orders make the weight store give to one data"
+        " centre, in the long run.",
+    ),
     Setting(
         name="statsd.address",
         type=str,
