Explore the interleavings of keyed requests

Cause: claims rest on few guards; a random test would find the loss of one late. Weighed: random schedules of the controllers alone, and a separate model in a checker's language; ruled out, as the first says nothing of what was not tried and the second drifts from the code. The model drives the real steps (commit, attempt, operations, encoding) and adds network, store, lost answers, late writes, crashes, give-backs, sealing and deletion. Forgetting by time is not part of the model.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/claims.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/claims.py
@@ -140,8 +140,8 @@
             raise
         now = self._clock.now()
         # a process that was paused must not begin what its caller has given up
-        if answer is None and now < request.deadline:
-            self._registry.start(token, now)
+        timely = answer is None and now < request.deadline
+        if timely and self._registry.start(token, now):
             return Permit(token, key)
         self._abandon(token, key, doubtful=attempt.doubtful)
         return answer or self._refuse_late(attempt, request)
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/claims_model.py
@@ -0,0 +1,623 @@
+"""Model of keyed requests: every interleaving of writers, repeats and faults.
+
+The steps are those of the real code in :mod:`greengagelatch.claims`; the model adds
+the network, the store and what may go wrong. A process that is paused is one that
+takes no step while others do, so pauses need no step of their own.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from typing import Any
+
+from result import Ok
+
+from greengagelatch.claims import Claim, Token, attempt, registry
+from greengagelatch.claims.attempt import Action, Attempt
+from greengagelatch.claims.commit import Commit, Step, begin
+from greengagelatch.claims.encoding import (
+    decode_head,
+    decode_segment,
+    encode_head,
+    encode_segment,
+)
+from greengagelatch.claims.head import Head, Limits, View
+from greengagelatch.claims.operations import (
+    Acquire,
+    GiveBack,
+    Operation,
+    OperationResult,
+    ResultKind,
+    find_claim,
+)
+from greengagelatch.claims.registry import AttemptState, Record
+from greengagelatch.store import ABSENT, Entry, WriteOutcome, WriteResult
+
+from .explore import Model
+
+__all__ = ("OTHER_KEY", "Budget", "ClaimsModel", "Seeker", "World")
+
+#: wall-clock seconds; time stands still, forgetting has tests of its own
+NOW = 1000
+KEY = b"k" * 16
+OTHER_KEY = b"o" * 16
+FILLER = Claim(b"f" * 16, b"f" * 8, Token("none", 1, 0), NOW + 600)
+OUTCOME = b"outcome"
+HEAD_KEY = 0
+
+NOT_FOUND = Ok(None)
+UNKNOWN = WriteResult(WriteOutcome.UNKNOWN)
+UNREACHABLE = OperationResult(ResultKind.UNREACHABLE)
+
+#: actions that tell a caller that nothing of its request ran
+NOT_RUN_ACTIONS = (Action.REFUSE_KEY_REUSED, Action.REFUSE_FULL, Action.OUT_OF_REACH)
+
+
+@dataclass(frozen=True, slots=True)
+class Seeker:
+    """A request with a key, and where it arrives."""
+
+    instance: int
+    #: instances that may commit for it, in the order of trying
+    ways: tuple[int, ...]
+    digest: bytes = b"d" * 8
+    key: bytes = KEY
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Budget:
+    """How often each fault may happen in one run."""
+
+    #: swaps whose answer is lost; they take effect at any later time, or never
+    lost_swaps: int = 0
+    #: swaps that are refused before anything is done
+    refused_swaps: int = 0
+    #: questions to another instance that get no answer in time
+    timeouts: int = 0
+    #: requests that are given up while their claim is sought
+    give_ups: int = 0
+    #: claimed requests for which nothing is sent
+    not_run: int = 0
+    #: give-backs that are sent twice
+    resends: int = 0
+    crashes: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Slot:
+    """State of one seeker's request at its instance."""
+
+    #: ``None`` before it has arrived
+    state: AttemptState | None = None
+    attempt: Attempt | None = None
+    #: number of the try whose result is awaited; 0: none
+    awaited: int = 0
+    tries: int = 0
+    #: final action told to the caller
+    told: Action | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Letter:
+    """An operation on its way to a writer, or waiting in its queue."""
+
+    operation: Operation
+    seeker: int = -1
+    number: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Writer:
+    """The shard's writer of one instance."""
+
+    alive: bool = True
+    queue: tuple[Letter, ...] = ()
+    batch: tuple[Letter, ...] = ()
+    commit: Commit | None = None
+    view: View | None = None
+    segments: tuple[Any, ...] = ()
+    batches: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class LateSwap:
+    """A write whose sender has given up on the answer."""
+
+    key: int
+    value: bytes
+    expected: int
+    batch_id: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class World:
+    """State of everything."""
+
+    budget: Budget
+    slots: tuple[Slot, ...]
+    writers: tuple[Writer, ...]
+    #: entries by number, the head being number 0
+    entries: tuple[tuple[int, bytes, int], ...] = ()
+    revision: int = 1
+    #: operations on their way: receiver and letter
+    letters: frozenset[tuple[int, Letter]] = frozenset()
+    late: tuple[LateSwap, ...] = ()
+    #: seekers whose request ran
+    runs: tuple[int, ...] = ()
+    #: batches that took effect, with how often
+    applied: tuple[bytes, ...] = ()
+    #: attempts that were told that their give-back took effect
+    freed: frozenset[Token] = frozenset()
+    fault: str = ""
+    _hash: int = field(default=0, compare=False, repr=False)
+
+    def __hash__(self) -> int:
+        # a state is looked up many times, and its parts are deep
+        if not self._hash:
+            parts = tuple(
+                getattr(self, name) for name in World.__slots__ if name != "_hash"
+            )
+            object.__setattr__(self, "_hash", hash(parts) or 1)
+        return self._hash
+
+    def change(self, **changes: Any) -> World:
+        """Return a copy with changes."""
+        return dataclasses.replace(self, _hash=0, **changes)
+
+    def find(self, key: int) -> Entry | None:
+        """Return what the store holds under ``key``."""
+        for number, value, revision in self.entries:
+            if number == key:
+                return Entry(str(key), value, revision)
+        return None
+
+
+class ClaimsModel(Model[World]):
+    """Seekers of few keys, the writers of their shard, and a budget of faults.
+
+    :param filler: whether the head already holds another claim, so that claims are
+        sealed at once
+    :param final_give_backs: whether a claim that was given back must never hold its
+        key again; not so if operations may be sent twice, as a late second one
+        claims the key anew, for an attempt that its instance knows to be over
+    """
+
+    def __init__(
+        self,
+        seekers: tuple[Seeker, ...],
+        *,
+        writers: int,
+        budget: Budget,
+        filler: bool = False,
+        final_give_backs: bool = False,
+    ) -> None:
+        self._seekers = seekers
+        self._writers = writers
+        self._budget = budget
+        self._filler = filler
+        self._final_give_backs = final_give_backs
+        self._limits = Limits(
+            retention=600,
+            clock_margin=60,
+            head_claims=1 if filler else 8,
+            segment_claims=8,
+            segments=4,
+        )
+
+    def start(self) -> Iterable[World]:
+        entries = ()
+        if self._filler:
+            head = Head(sequence=1, written_at=NOW, claims=(FILLER,))
+            entries = ((HEAD_KEY, encode_head(head), 1),)
+        yield World(
+            budget=self._budget,
+            slots=tuple(Slot() for _ in self._seekers),
+            writers=tuple(Writer() for _ in range(self._writers)),
+            entries=entries,
+        )
+
+    def steps(self, state: World) -> Iterator[tuple[str, World]]:
+        for number in range(len(self._seekers)):
+            yield from self._seek(state, number)
+        for number in range(self._writers):
+            yield from self._write(state, number)
+        for receiver, letter in sorted(state.letters, key=_get_order):
+            moved = state.change(letters=state.letters - {(receiver, letter)})
+            text = f"{_name(letter)} reaches writer {receiver}"
+            yield text, self._enqueue(moved, receiver, letter)
+        for late in state.late:
+            rest = tuple(one for one in state.late if one is not late)
+            arrived, result = self._swap(state.change(late=rest), late)
+            yield f"late write of {late.key}: {result.outcome.value}", arrived
+        if state.budget.crashes:
+            for number, writer in enumerate(state.writers):
+                if writer.alive:
+                    yield f"instance {number} dies", self._crash(state, number)
+
+    def find_fault(self, state: World) -> str:
+        if state.fault:
+            return state.fault
+        keys = {self._seekers[number].key for number in state.runs}
+        if len(state.runs) > len(keys):
+            return "a request ran twice"
+        for number, slot in enumerate(state.slots):
+            if slot.told in NOT_RUN_ACTIONS and number in state.runs:
+                return f"seeker {number} was told 'not run', and ran"
+        if len(set(state.applied)) < len(state.applied):
+            return "a batch took effect twice"
+        if self._final_give_backs and state.freed:
+            for holder in self._list_holders(state):
+                if holder.token in state.freed:
+                    return "a claim that was given back holds its key again"
+        if not state.runs:
+            return ""
+        held = {holder.token for holder in self._list_holders(state)}
+        for number in state.runs:
+            if self._create_token(number) not in held:
+                return f"the claim of seeker {number}, which ran, is gone"
+        return ""
+
+    def find_final_fault(self, state: World) -> str:
+        for number, slot in enumerate(state.slots):
+            if (
+                slot.told is None
+                and state.writers[self._seekers[number].instance].alive
+            ):
+                return f"seeker {number} is never answered"
+        if state.budget.crashes < self._budget.crashes:
+            return ""
+        for holder in self._list_holders(state):
+            if holder.token.serial == FILLER.token.serial:
+                continue
+            if state.slots[holder.token.serial - 1].state is None:
+                return "a key is held by an attempt that never was"
+        return ""
+
+    # seekers
+
+    def _seek(self, state: World, number: int) -> Iterator[tuple[str, World]]:
+        slot = state.slots[number]
+        seeker = self._seekers[number]
+        if not state.writers[seeker.instance].alive or slot.told is not None:
+            return
+        budget = state.budget
+        if slot.state is None:
+            token = self._create_token(number)
+            operation = Acquire(seeker.key, seeker.digest, token)
+            slot = Slot(AttemptState.PENDING, Attempt(operation=operation))
+            yield f"seeker {number} arrives", self._advance(state, number, slot)
+            return
+        if slot.state is AttemptState.RUNNING:
+            ended = dataclasses.replace(
+                slot, state=AttemptState.FINISHED, told=Action.RUN
+            )
+            yield f"seeker {number} ends", _put_slot(state, number, ended)
+            return
+        if slot.awaited and int(slot.attempt.way) != seeker.instance:
+            yield from self._time_out(state, number)
+        if slot.awaited and budget.give_ups:
+            spent = state.change(budget=_spend(budget, "give_ups"))
+            given_up = self._abandon(spent, number, Action.OUT_OF_REACH)
+            yield f"seeker {number} is given up", given_up
+        if slot.attempt.action is Action.ASK_HOLDER:
+            yield from self._ask_holder(state, number)
+        if slot.attempt.action is Action.RUN:
+            yield f"seeker {number} runs", self._run(state, number)
+            if budget.not_run:
+                spent = state.change(budget=_spend(budget, "not_run"))
+                refused = self._abandon(spent, number, Action.OUT_OF_REACH)
+                yield f"seeker {number} is refused with nothing sent", refused
+
+    def _time_out(self, state: World, number: int) -> Iterator[tuple[str, World]]:
+        way = int(state.slots[number].attempt.way)
+        budget = state.budget
+        # an instance that has died never answers, which costs no fault of its own
+        if state.writers[way].alive:
+            if not budget.timeouts:
+                return
+            budget = _spend(budget, "timeouts")
+        spent = state.change(budget=budget)
+        text = f"seeker {number} gets no answer from {way}"
+        yield text, self._take_result(spent, number, None)
+
+    def _advance(self, state: World, number: int, slot: Slot) -> World:
+        """Do what needs no other process after an attempt has changed."""
+        current = slot.attempt
+        seeker = self._seekers[number]
+        if current.action is Action.CHOOSE_WAYS:
+            current = current.take_ways(tuple(str(way) for way in seeker.ways))
+        slot = dataclasses.replace(slot, attempt=current, awaited=0)
+        match current.action:
+            case Action.ACQUIRE:
+                tries = slot.tries + 1
+                slot = dataclasses.replace(slot, tries=tries, awaited=tries)
+                state = _put_slot(state, number, slot)
+                letter = Letter(current.operation, number, tries)
+                return self._post(state, seeker.instance, int(current.way), letter)
+            case Action.RUN | Action.ASK_HOLDER:
+                return _put_slot(state, number, slot)
+        state = _put_slot(state, number, slot)
+        fault = state.fault or self._check_told(state, number, current)
+        return self._abandon(state, number, current.action).change(fault=fault)
+
+    def _check_told(self, state: World, number: int, ended: Attempt) -> str:
+        """Return a fault if a caller is told something untrue."""
+        digest = self._seekers[number].digest
+        if ended.action is Action.REPLAY:
+            holder = self._seekers[ended.holder.serial - 1]
+            if holder.digest != digest:
+                return f"seeker {number} was given the result of another request"
+        if ended.action is Action.REFUSE_KEY_REUSED:
+            for other in state.runs:
+                if self._seekers[other].digest == digest:
+                    return f"seeker {number} was told 'not run' after its request ran"
+        return ""
+
+    def _take_result(
+        self, state: World, number: int, result: OperationResult | None
+    ) -> World:
+        slot = state.slots[number]
+        taken = slot.attempt.take_result(result)
+        return self._advance(state, number, dataclasses.replace(slot, attempt=taken))
+
+    def _ask_holder(self, state: World, number: int) -> Iterator[tuple[str, World]]:
+        slot = state.slots[number]
+        holder = slot.attempt.holder
+        for label, record in self._list_answers(state, holder):
+            taken = slot.attempt.take_holder(record)
+            asked = dataclasses.replace(slot, attempt=taken)
+            text = f"seeker {number} asks the holder: {label}"
+            yield text, self._advance(state, number, asked)
+
+    def _list_answers(
+        self, state: World, holder: Token
+    ) -> Iterator[tuple[str, Record | None]]:
+        yield "no answer", None
+        if not state.writers[int(holder.instance)].alive:
+            return
+        slot = state.slots[holder.serial - 1]
+        record = Record(slot.state, OUTCOME)
+        yield slot.state.value, attempt.describe_holder(record)
+
+    def _run(self, state: World, number: int) -> World:
+        slot = state.slots[number]
+        if not registry.may_run(slot.state):
+            return state
+        slot = dataclasses.replace(slot, state=AttemptState.RUNNING)
+        return _put_slot(state, number, slot).change(runs=(*state.runs, number))
+
+    def _abandon(self, state: World, number: int, action: Action) -> World:
+        slot = state.slots[number]
+        doubtful = slot.awaited or slot.attempt.doubtful
+        slot = dataclasses.replace(
+            slot, state=AttemptState.GIVEN_BACK, told=action, awaited=0
+        )
+        state = _put_slot(state, number, slot)
+        if not doubtful:
+            return state
+        seeker = self._seekers[number]
+        letter = Letter(GiveBack(seeker.key, self._create_token(number)))
+        if state.budget.resends:
+            state = state.change(budget=_spend(state.budget, "resends"))
+            state = self._post(state, seeker.instance, seeker.ways[-1], letter)
+        return self._post(state, seeker.instance, seeker.ways[0], letter)
+
+    def _create_token(self, number: int) -> Token:
+        return Token(str(self._seekers[number].instance), 1, number + 1)
+
+    # writers
+
+    def _post(self, state: World, sender: int, receiver: int, letter: Letter) -> World:
+        if sender == receiver:
+            return self._enqueue(state, receiver, letter)
+        return state.change(letters=state.letters | {(receiver, letter)})
+
+    def _enqueue(self, state: World, number: int, letter: Letter) -> World:
+        writer = state.writers[number]
+        if not writer.alive:
+            return state
+        writer = dataclasses.replace(writer, queue=(*writer.queue, letter))
+        return self._begin(_put_writer(state, number, writer), number)
+
+    def _begin(self, state: World, number: int) -> World:
+        """Begin a batch if the writer is idle and something waits."""
+        writer = state.writers[number]
+        if writer.commit is not None or not writer.queue:
+            return state
+        commit = begin(
+            tuple(letter.operation for letter in writer.queue),
+            batch_id=bytes([number, writer.batches]),
+            now=NOW,
+            limits=self._limits,
+            view=writer.view,
+            segments=writer.segments,
+        )
+        writer = dataclasses.replace(
+            writer,
+            queue=(),
+            batch=writer.queue,
+            commit=commit,
+            view=None,
+            batches=writer.batches + 1,
+        )
+        return self._go_on(_put_writer(state, number, writer), number, commit)
+
+    def _write(self, state: World, number: int) -> Iterator[tuple[str, World]]:
+        writer = state.writers[number]
+        commit = writer.commit
+        if not writer.alive:
+            return
+        if commit is None:
+            yield from self._delete_retired(state, number)
+            return
+        label = f"writer {number}: {commit.step.value}"
+        match commit.step:
+            case Step.READ_HEAD:
+                answer = Ok(state.find(HEAD_KEY))
+                yield label, self._go_on(state, number, commit.take_head(answer))
+                return
+            case Step.READ_SEGMENT:
+                answer = Ok(state.find(commit.missing.number))
+                yield label, self._go_on(state, number, commit.take_segment(answer))
+                return
+            case Step.READ_OBSTACLE:
+                answer = Ok(state.find(commit.plan.head.next_segment - 1))
+                yield label, self._go_on(state, number, commit.take_obstacle(answer))
+                return
+            case Step.WRITE_SEGMENT:
+                key = commit.plan.head.next_segment - 1
+                value = encode_segment(commit.plan.segment)
+                write = LateSwap(key, value, commit.segment_expected, b"")
+                take = commit.take_sealed
+            case Step.SWAP_HEAD:
+                value = encode_head(commit.plan.head)
+                expected = commit.view.revision
+                write = LateSwap(HEAD_KEY, value, expected, commit.batch_id)
+                take = commit.take_swapped
+        done, result = self._swap(state, write)
+        text = f"{label}: {result.outcome.value}"
+        yield text, self._go_on(done, number, take(result))
+        budget = state.budget
+        if budget.lost_swaps:
+            lost = state.change(
+                budget=_spend(budget, "lost_swaps"), late=(*state.late, write)
+            )
+            yield f"{label}: no answer", self._go_on(lost, number, take(UNKNOWN))
+        if budget.refused_swaps:
+            refused = state.change(budget=_spend(budget, "refused_swaps"))
+            result = WriteResult(WriteOutcome.NOT_APPLIED)
+            yield f"{label}: refused", self._go_on(refused, number, take(result))
+
+    def _delete_retired(self, state: World, number: int) -> Iterator[tuple[str, World]]:
+        """Delete a segment that the writer's head no longer needs."""
+        view = state.writers[number].view
+        if view is None:
+            return
+        for ref in view.head.retired:
+            found = state.find(ref.number)
+            if found is None or not is_expected(found.revision, ref.revision):
+                continue
+            entries = tuple(entry for entry in state.entries if entry[0] != ref.number)
+            text = f"writer {number} deletes segment {ref.number}"
+            yield text, state.change(entries=entries, revision=state.revision + 1)
+
+    def _go_on(self, state: World, number: int, commit: Commit) -> World:
+        writer = state.writers[number]
+        if commit.step is not Step.DONE:
+            return _put_writer(
+                state, number, dataclasses.replace(writer, commit=commit)
+            )
+        batch = writer.batch
+        writer = dataclasses.replace(
+            writer,
+            commit=None,
+            batch=(),
+            view=commit.view,
+            segments=commit.segments,
+        )
+        state = _put_writer(state, number, writer)
+        for letter, result in zip(batch, commit.results, strict=True):
+            state = self._deliver(state, letter, result)
+        return self._begin(state, number)
+
+    def _deliver(self, state: World, letter: Letter, result: OperationResult) -> World:
+        if letter.seeker < 0:
+            if result.kind is ResultKind.GIVEN_BACK:
+                freed = state.freed | {letter.operation.token}
+                return state.change(freed=freed)
+            return state
+        slot = state.slots[letter.seeker]
+        seeker = self._seekers[letter.seeker]
+        if not state.writers[seeker.instance].alive:
+            return state
+        if slot.awaited == letter.number:
+            return self._take_result(state, letter.seeker, result)
+        if result.kind is ResultKind.GRANTED:
+            # too late: the attempt may have been given up meanwhile
+            return self._start_late(state, letter.seeker)
+        return state
+
+    def _start_late(self, state: World, number: int) -> World:
+        slot = state.slots[number]
+        if slot.state is AttemptState.PENDING or not registry.may_run(slot.state):
+            return state
+        return self._run(state, number)
+
+    def _swap(self, state: World, write: LateSwap) -> tuple[World, WriteResult]:
+        entry = state.find(write.key)
+        found = entry.revision if entry else ABSENT
+        if not is_expected(found, write.expected):
+            return state, WriteResult(WriteOutcome.CONFLICT, found)
+        revision = state.revision + 1
+        entries = {key: (value, one) for key, value, one in state.entries}
+        entries[write.key] = (write.value, revision)
+        applied = state.applied
+        if write.batch_id:
+            applied = (*applied, write.batch_id)
+        changed = state.change(
+            entries=tuple((key, *entry) for key, entry in sorted(entries.items())),
+            revision=revision,
+            applied=applied,
+        )
+        return changed, WriteResult(WriteOutcome.APPLIED, revision)
+
+    def _crash(self, state: World, number: int) -> World:
+        state = state.change(
+            budget=_spend(state.budget, "crashes"),
+            letters=frozenset(
+                (receiver, letter)
+                for receiver, letter in state.letters
+                if receiver != number
+            ),
+        )
+        return _put_writer(state, number, Writer(alive=False))
+
+    def _list_holders(self, state: World) -> list[Claim]:
+        """Return the claims that hold their keys by what is in the store."""
+        entry = state.find(HEAD_KEY)
+        if entry is None:
+            return []
+        head = decode_head(entry.value).unwrap()
+        segments = []
+        for ref in head.segments:
+            found = state.find(ref.number)
+            if found is None or found.revision != ref.revision:
+                continue
+            segments.append(decode_segment(found.value).unwrap())
+        view = View(head, entry.revision, tuple(segments))
+        claims = {claim.key: claim for claim in head.claims}
+        keys = {seeker.key for seeker in self._seekers} | {FILLER.key}
+        found = (find_claim(claims, view, key) for key in sorted(keys))
+        return [claim for claim in found if claim is not None and not claim.state]
+
+
+def is_expected(found: int, expected: int) -> bool:
+    """The store's compare: whether a write may take effect."""
+    return found == expected
+
+
+def _spend(budget: Budget, name: str) -> Budget:
+    return dataclasses.replace(budget, **{name: getattr(budget, name) - 1})
+
+
+def _put_slot(state: World, number: int, slot: Slot) -> World:
+    slots = (*state.slots[:number], slot, *state.slots[number + 1 :])
+    return state.change(slots=slots)
+
+
+def _put_writer(state: World, number: int, writer: Writer) -> World:
+    writers = (*state.writers[:number], writer, *state.writers[number + 1 :])
+    return state.change(writers=writers)
+
+
+def _get_order(item: tuple[int, Letter]) -> tuple[int, ...]:
+    receiver, letter = item
+    return receiver, letter.seeker, letter.number, letter.operation.token.serial
+
+
+def _name(letter: Letter) -> str:
+    if letter.seeker < 0:
+        return f"give-back of attempt {letter.operation.token.serial}"
+    return f"claim {letter.number} of seeker {letter.seeker}"
--- a/packages/greengagelatch/src/greengagelatch/claims/operations.py
+++ b/packages/greengagelatch/src/greengagelatch/claims/operations.py
@@ -187,6 +187,11 @@
     return operation.digest == current.digest
 
 
+def is_sealed(view: View, key: bytes) -> bool:
+    """Whether a sealed segment holds a record under ``key``."""
+    return _find_sealed(view, key) is not None
+
+
 def _acquire(
     claims: dict[bytes, Claim],
     operation: Acquire,
@@ -221,7 +226,7 @@
     if not may_give_back(operation, current):
         return OperationResult(ResultKind.HELD, current.token if current else None)
     claims.pop(operation.key, None)
-    if _find_sealed(view, operation.key) is not None:
+    if is_sealed(view, operation.key):
         # segments are never changed: without this record the sealed claim would
         # come to light again
         claims[operation.key] = dataclasses.replace(
