Test the ledger of targets and the schedule of load reports

Cause: what the ledger promises was not tested. Found by it: a target that was missing from one listing before its whole data centre vanished was given up at the next failed call; a data centre out of the platform's reach now ends the count.

--- a/packages/greengagelatch/src/greengagelatch/targets/ledger.py
+++ b/packages/greengagelatch/src/greengagelatch/targets/ledger.py
@@ -255,13 +255,20 @@
                 leaving.append(row.instance_id)
                 continue
             self._show(row, changed)
-        self._missing = {
-            target_id
-            for target_id, record in self._records.items()
-            if target_id not in shown and record.target.data_centre in centres
-        }
+        self._mark_missing(shown, centres)
         return leaving
 
+    def _mark_missing(self, shown: set[str], centres: set[str]) -> None:
+        self._missing.clear()
+        for target_id, record in self._records.items():
+            if target_id in shown:
+                continue
+            if record.target.data_centre in centres:
+                self._missing.add(target_id)
+                continue
+            # its whole data centre is out of the platform's reach
+            record.missing = 0
+
     def _show(self, row: Instance, changed: set[str]) -> None:
         record = self._records.get(row.instance_id)
         if record is not None:
--- /dev/null
+++ b/tests/test_core/test_targets/test_ledger.py
@@ -0,0 +1,244 @@
+"""Tests of the ledger of targets."""
+
+from __future__ import annotations
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from greengagelatch.instances import Instance, InstanceKind, InstanceState, Listing
+from greengagelatch.targets.directory import LoadReport
+from greengagelatch.targets.ledger import Ledger, LedgerRules
+
+SERVICE = "greengage-llm"
+CENTRES = ("fukuoka-a", "fukuoka-b", "kumamoto")
+IDS = tuple(f"t-{number}" for number in range(6))
+
+
+def find_centre(target_id: str) -> str:
+    return CENTRES[int(target_id[2:]) % 3]
+
+
+def make_listing(
+    as_of: int, live: tuple[str, ...], leaving: tuple[str, ...] = ()
+) -> Listing:
+    rows = []
+    for target_id in (*live, *leaving):
+        state = InstanceState.LEAVING if target_id in leaving else InstanceState.LIVE
+        rows.append(
+            Instance(
+                instance_id=target_id,
+                kind=InstanceKind.TARGET,
+                data_centre=find_centre(target_id),
+                address=f"10.0.0.{int(target_id[2:]) + 1}:9000",
+                state=state,
+                service=SERVICE,
+            )
+        )
+    return Listing(as_of, tuple(rows))
+
+
+def make_ledger(**rules) -> Ledger:
+    return Ledger(instance_id="entry-1", rules=LedgerRules(**rules))
+
+
+def list_ids(ledger: Ledger) -> list[str]:
+    candidates = ledger.list_candidates(0.0, SERVICE)
+    return [candidate.target.target_id for candidate in candidates]
+
+
+def test_leaving_sticks_against_a_stale_list():
+    """
+    Symptom: a target that is shutting down gets new work. Sequence: it says on an
+    answer that it leaves; the list, which lags, goes on showing it as live, also in
+    listings that are new. Cause: the list was given precedence.
+    """
+    ledger = make_ledger()
+    ledger.apply_listing(make_listing(1, IDS))
+    assert ledger.mark_leaving(["t-0"]).leaving == ("t-0",)
+    change = ledger.apply_listing(make_listing(2, IDS))
+    assert not change.leaving
+    assert "t-0" not in list_ids(ledger)
+    assert not ledger.accepts("t-0")
+
+
+def test_leaving_heard_of_before_the_target_is_listed():
+    ledger = make_ledger()
+    ledger.mark_leaving(["t-0"])
+    ledger.apply_listing(make_listing(1, IDS))
+    assert "t-0" not in list_ids(ledger)
+
+
+def test_older_listing_is_ignored():
+    ledger = make_ledger()
+    ledger.apply_listing(make_listing(5, IDS))
+    change = ledger.apply_listing(make_listing(4, (), leaving=IDS))
+    assert change.stale
+    assert list_ids(ledger) == list(IDS)
+
+
+def test_one_listing_without_a_target_proves_nothing():
+    """
+    Symptom: a service loses a good target for seconds, over and over. Sequence: one
+    listing lacks it, the next shows it again. Cause: absence was taken for a stop.
+    """
+    ledger = make_ledger(missing_listings=3)
+    ledger.apply_listing(make_listing(1, IDS))
+    # t-3 is of the same data centre, which is not missing as a whole
+    without = make_listing(2, IDS[1:])
+    ledger.apply_listing(without)
+    ledger.apply_listing(without)
+    assert "t-0" in list_ids(ledger)
+    ledger.apply_listing(without)
+    assert "t-0" not in list_ids(ledger)
+    ledger.apply_listing(make_listing(3, IDS))
+    assert "t-0" in list_ids(ledger)
+
+
+def test_missing_and_unreachable_is_gone_at_once():
+    ledger = make_ledger()
+    ledger.apply_listing(make_listing(1, IDS))
+    ledger.apply_listing(make_listing(2, IDS[1:]))
+    ledger.note_unreached("t-0")
+    assert not ledger.accepts("t-0")
+
+
+def test_unreachable_data_centre_is_not_leaving():
+    """
+    Symptom: after a partition a data centre's targets get no work any more.
+    Sequence: the listings show nothing of it and no call reaches it; later calls
+    do again, while the list still lags. Cause: out of reach was recorded like
+    leaving or gone.
+    """
+    ledger = make_ledger()
+    ledger.apply_listing(make_listing(1, IDS))
+    lost = [target_id for target_id in IDS if find_centre(target_id) == "kumamoto"]
+    rest = tuple(target_id for target_id in IDS if target_id not in lost)
+    # the list loses sight of one first
+    ledger.apply_listing(make_listing(2, (*rest, lost[0])))
+    for as_of in range(3, 20):
+        ledger.apply_listing(make_listing(as_of, rest))
+        for target_id in lost:
+            ledger.note_unreached(target_id)
+    assert list_ids(ledger) == list(rest)
+    for target_id in lost:
+        ledger.note_reached(target_id)
+    assert list_ids(ledger) == list(IDS)
+
+
+def test_service_is_never_emptied_by_failed_calls():
+    """
+    Symptom: an instance refuses all requests although most targets work. Sequence:
+    its own network fails for a moment and every call with it. Cause: each target
+    was set aside on this instance's view alone, up to the last.
+    """
+    ledger = make_ledger(minimum=2)
+    ledger.apply_listing(make_listing(1, IDS))
+    for target_id in IDS * 2:
+        ledger.note_unreached(target_id)
+    kept = list_ids(ledger)
+    assert len(kept) == 2
+    assert all(ledger.accepts(target_id) for target_id in kept)
+    # the ones that fail once more give way to others
+    for target_id in kept:
+        ledger.note_unreached(target_id)
+    assert not set(kept) & set(list_ids(ledger))
+
+
+def test_large_service_is_used_in_part_and_keeps_its_size():
+    ledger = make_ledger(subset=3)
+    ledger.apply_listing(make_listing(1, IDS))
+    first = list_ids(ledger)
+    assert len(first) == 3
+    for target_id in [first[0]] * 2:
+        ledger.note_unreached(target_id)
+    second = list_ids(ledger)
+    # one has been replaced, the others stay
+    assert len(second) == 3
+    assert set(first[1:]) < set(second)
+    assert first[0] in ledger.list_watched(0.0)
+
+
+def test_load_report_ages_and_does_not_go_back():
+    ledger = make_ledger(report_life=10)
+    ledger.apply_listing(make_listing(1, IDS))
+
+    def report(taken: float, queued: int) -> LoadReport:
+        return LoadReport(in_flight=0, queued=queued, capacity=1, taken=taken)
+
+    def read() -> LoadReport | None:
+        return ledger.list_candidates(0.0, SERVICE)[0].report
+
+    ledger.apply_report("t-0", report(100.0, 1))
+    ledger.apply_report("t-0", report(99.0, 2))
+    assert read().queued == 1
+    ledger.expire_reports(109.0)
+    assert read() is not None
+    ledger.expire_reports(111.0)
+    assert read() is None
+
+
+target_ids = st.sampled_from(IDS)
+some_ids = st.lists(target_ids, unique=True).map(tuple)
+
+
+class LedgerMachine(RuleBasedStateMachine):
+    """Any order of news from all sources."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.ledger = make_ledger(subset=4, minimum=1)
+        self.left: set[str] = set()
+        self.told: list[str] = []
+        self.as_of = 0
+        self.shown: set[str] = set()
+
+    @rule(live=some_ids, leaving=some_ids, older=st.booleans())
+    def list_targets(self, live, leaving, older):
+        leaving = tuple(target_id for target_id in leaving if target_id not in live)
+        as_of = self.as_of - 1 if older else self.as_of + 1
+        change = self.ledger.apply_listing(make_listing(as_of, live, leaving))
+        self.told += change.leaving
+        assert change.stale == (older and self.as_of > 0)
+        if change.stale:
+            return
+        self.as_of = max(as_of, 0)
+        self.left.update(leaving)
+        self.shown = set(live)
+
+    @rule(target_id=target_ids)
+    def leave(self, target_id):
+        self.told += self.ledger.mark_leaving([target_id]).leaving
+        self.left.add(target_id)
+
+    @rule(target_id=target_ids, answered=st.booleans())
+    def call(self, target_id, answered):
+        if answered:
+            self.ledger.note_reached(target_id)
+        else:
+            self.ledger.note_unreached(target_id)
+
+    @invariant()
+    def never_offers_what_left(self):
+        assert not self.left & set(list_ids(self.ledger))
+        assert not any(self.ledger.accepts(target_id) for target_id in self.left)
+
+    @invariant()
+    def tells_of_each_leaving_target_once(self):
+        assert sorted(self.told) == sorted(self.left)
+
+    @invariant()
+    def offers_what_it_accepts(self):
+        offered = list_ids(self.ledger)
+        assert len(offered) <= 4
+        assert all(self.ledger.accepts(target_id) for target_id in offered)
+
+    @invariant()
+    def is_empty_only_without_targets(self):
+        if self.shown - self.left and not list_ids(self.ledger):
+            # all that were shown have been missing or refused since
+            assert not any(self.ledger.find_target(item) for item in self.shown)
+
+
+LedgerMachine.TestCase.settings = settings(max_examples=60, deadline=None)
+TestLedgerMachine = LedgerMachine.TestCase
--- /dev/null
+++ b/tests/test_core/test_targets/test_polling.py
@@ -0,0 +1,83 @@
+"""Tests of load reports and of when they are asked for."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from greengagelatch.targets.polling import PollSchedule
+from greengagelatch.targets.reports import read_report
+
+REPORT = {"in_flight": 2, "queued": 1, "capacity": 4, "state": "live", "age_ms": 500}
+
+
+def test_age_is_subtracted_from_the_time_of_asking():
+    report = read_report(REPORT, asked=100.0)
+    assert report.load.taken == 99.5
+    assert not report.leaving
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"in_flight": -1},
+        {"queued": "3"},
+        {"capacity": True},
+        {"capacity": None},
+        {"in_flight": 1e400},
+    ],
+)
+def test_unusable_report_still_tells_of_leaving(change):
+    report = read_report({**REPORT, **change, "state": "leaving"}, asked=100.0)
+    assert report.load is None
+    assert report.leaving
+
+
+@pytest.mark.parametrize(
+    ("age", "taken"),
+    [(-5, 100.0), ("x", 100.0), (float("nan"), -3500.0), (1e99, -3500.0)],
+)
+def test_odd_ages(age, taken):
+    assert read_report({**REPORT, "age_ms": age}, asked=100.0).load.taken == taken
+
+
+def count_polls(schedule: PollSchedule, seconds: float) -> dict[str, int]:
+    polls: dict[str, int] = {}
+    for tick in range(int(seconds * 10)):
+        now = tick / 10
+        for target_id in schedule.take(now, 100):
+            polls[target_id] = polls.get(target_id, 0) + 1
+            schedule.postpone(now, target_id, 1.0)
+    return polls
+
+
+def test_common_rate_bounds_polls_and_leaves_nobody_out():
+    """
+    Symptom: an instance spends its time on load reports, or never asks some
+    targets. Sequence: far more targets are watched than the rate allows. Cause: a
+    bound for each target only, or one that serves whoever comes first.
+    """
+    schedule = PollSchedule(rate=10, random_source=random.Random(1))
+    schedule.watch(0.0, {f"t-{number}": 1.0 for number in range(50)})
+    polls = count_polls(schedule, 100)
+    assert sum(polls.values()) <= 10 * 100 + 10
+    assert len(polls) == 50
+    assert min(polls.values()) >= 15
+
+
+def test_pause_does_not_end_in_a_burst():
+    schedule = PollSchedule(rate=10, random_source=random.Random(1))
+    schedule.watch(0.0, {f"t-{number}": 1.0 for number in range(50)})
+    schedule.take(0.0, 100)
+    assert len(schedule.take(600.0, 100)) == 10
+
+
+def test_asked_target_is_not_asked_again_before_it_answers():
+    schedule = PollSchedule(rate=10, random_source=random.Random(1))
+    schedule.watch(0.0, {"t-1": 1.0})
+    assert schedule.take(2.0, 100) == ("t-1",)
+    schedule.watch(3.0, {"t-1": 0.1})
+    assert schedule.take(50.0, 100) == ()
+    schedule.postpone(50.0, "t-1", 1.0)
+    assert schedule.take(52.0, 100) == ("t-1",)
