--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/matrix/__init__.py
@@ -0,0 +1,1 @@
+"""The fault matrix: real entry instances in one process, and faults at each step."""
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/matrix/bench.py
@@ -0,0 +1,291 @@
+"""Three entry instances, targets, platform and callers in one event loop."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+from result import Err
+
+from greengagelatch.claims.scope import create_key
+from greengagelatch.config.head import HEAD_KEY, SHARD_PREFIX
+from greengagelatch.config.objects import Workspace
+from greengagelatch.config.requests import ChangeMode, ChangeRequest
+from greengagelatch.instances import Instance, InstanceKind, InstanceState
+from greengagelatch.store import StoreError, StoreErrorKind, WriteOutcome, WriteResult
+
+from ..standins.memory import MemoryInstanceList, MemoryStore, StoreFaults
+from ..waiting import wait_until
+from .callers import Caller, Wish
+from .fleet import FleetTarget, TargetRecord
+from .front import Ask
+from .instance import EntryInstance, LoopClock
+from .network import Network
+from .objects import OBJECTS, SERVICES, WORKSPACE
+from .peers import Exchange
+from .processes import SimulatedProcess, spawn_outside
+from .steps import Announcer, Step
+
+if TYPE_CHECKING:
+    from greengagelatch.config.names import ConfigObject
+    from greengagelatch.config.requests import ChangeOutcome
+
+__all__ = ("Bench", "Change")
+
+NORTH = "north"
+SOUTH = "south"
+#: data centre of each entry instance
+INSTANCES = {"instance-1": NORTH, "instance-2": NORTH, "instance-3": SOUTH}
+#: data centre of each replica of a service
+REPLICAS = (NORTH, NORTH, SOUTH)
+
+WRITES = frozenset({"swap", "delete", "revoke"})
+#: seconds between two looks at which generations are in force
+WATCH_INTERVAL = 0.1
+#: seconds until the first generation is to be in force everywhere
+START_LIMIT = 20.0
+
+
+@dataclass(slots=True, eq=False)
+class Change:
+    """One change that an operator asked for."""
+
+    change_id: str
+    instance: str
+    objects: tuple[ConfigObject, ...]
+    submitted: float
+    outcome: ChangeOutcome | None = None
+    settled: float | None = None
+
+
+class Bench:
+    """All parts of one run; everything random comes from its seed."""
+
+    def __init__(self, seed: int) -> None:
+        self.random = random.Random(seed)
+        self.network = Network(self.random)
+        self.announcer = Announcer()
+        self.exchange = Exchange(self.network)
+        self.faults = StoreFaults()
+        clock = LoopClock()
+        self.store = MemoryStore(clock=clock, faults=self.faults)
+        self.instance_list = MemoryInstanceList(clock=clock, lag=0.2)
+        self.record = TargetRecord()
+        #: targets by address
+        self.targets: dict[str, FleetTarget] = {}
+        #: marker of each request by its id
+        self.markers: dict[str, str] = {}
+        self.asks: list[Ask] = []
+        self.callers: list[Caller] = []
+        self.changes: list[Change] = []
+        #: number of coming writes that take effect and get no answer
+        self.lost_answers = 0
+        #: markers of requests that nothing excuses from a result
+        self.last: set[str] = set()
+        self._changing: dict[str, str] = {}
+        self._keys: dict[bytes, str] = {}
+        self._tasks: list[asyncio.Task[Any]] = []
+        self._calls: list[asyncio.Task[None]] = []
+        self._create_targets()
+        self.instances = [
+            self._create_instance(number, name)
+            for number, name in enumerate(INSTANCES, start=1)
+        ]
+
+    async def start(self) -> None:
+        """Start everything, and wait until the first configuration is in force."""
+        for instance in self.instances:
+            instance.start()
+        self.spawn(self._watch_generations())
+        await asyncio.sleep(0.5)
+        await self.operate(self.instances[0], "base", OBJECTS)
+        await wait_until(
+            lambda: all(one.generations for one in self.instances),
+            timeout=START_LIMIT,
+            what="first configuration in force",
+        )
+
+    async def finish(self) -> None:
+        """Wait until all callers have their answers."""
+        await asyncio.gather(*self._calls)
+
+    def find(self, name: str) -> EntryInstance:
+        """Return the instance with a name."""
+        return next(one for one in self.instances if one.name == name)
+
+    # callers
+
+    def call(self, wish: Wish, *instances: EntryInstance) -> Caller:
+        """Start a caller that asks the given instances one after the other."""
+        caller = Caller(self, wish)
+        self.callers.append(caller)
+        if wish.keyed:
+            self._keys[create_key(WORKSPACE, wish.pipeline, wish.key)] = wish.marker
+        self._calls.append(spawn_outside(caller.run(list(instances))))
+        return caller
+
+    def send(self, ask: Ask, instance: EntryInstance) -> None:
+        """Carry a request to an instance."""
+        if not instance.front.listening:
+            ask.refused = True
+            ask.over.set()
+            return
+        # callers are in the data centre of the instance they ask
+        instance.process.deliver(instance.front.accept, ask)
+
+    # operators
+
+    def submit(
+        self, instance: EntryInstance, change_id: str, labels: dict[str, str]
+    ) -> Change:
+        """Have an operator change the labels of the spare workspace."""
+        objects = (Workspace(name="spare", labels=labels),)
+        change = self._note_change(instance, change_id, objects)
+        self._tasks.append(instance.process.spawn(self._make(instance, change)))
+        return change
+
+    async def operate(
+        self,
+        instance: EntryInstance,
+        change_id: str,
+        objects: tuple[ConfigObject, ...],
+    ) -> Change:
+        """Make a change and wait for its outcome."""
+        change = self._note_change(instance, change_id, objects)
+        await instance.process.spawn(self._make(instance, change))
+        return change
+
+    def _note_change(
+        self,
+        instance: EntryInstance,
+        change_id: str,
+        objects: tuple[ConfigObject, ...],
+    ) -> Change:
+        now = asyncio.get_running_loop().time()
+        change = Change(change_id, instance.name, objects, now)
+        self.changes.append(change)
+        return change
+
+    async def _make(self, instance: EntryInstance, change: Change) -> None:
+        self._changing[instance.name] = change.change_id
+        await self.announcer.reach(Step.SUBMITTED, change.change_id, instance.process)
+        request = ChangeRequest(
+            change_id=change.change_id,
+            mode=ChangeMode.APPLY,
+            objects=change.objects,
+        )
+        change.outcome = await instance.configuration.change(request)
+        change.settled = asyncio.get_running_loop().time()
+
+    # what is noted
+
+    def note_store_call(
+        self, process: SimulatedProcess, kind: str, key: str, value: bytes, answer: Any
+    ) -> Any:
+        """Announce what a call has done, and return the answer that it gets."""
+        if kind == "swap" and answer.outcome is WriteOutcome.APPLIED:
+            self._announce_write(process, key, value)
+        if kind not in WRITES:
+            if self.faults.outage:
+                return Err(StoreError(StoreErrorKind.TIMEOUT, "no answer"))
+            return answer
+        if self.lost_answers > 0:
+            self.lost_answers -= 1
+            return WriteResult(WriteOutcome.UNKNOWN, message="no answer")
+        if self.faults.outage and answer.outcome is WriteOutcome.APPLIED:
+            return WriteResult(WriteOutcome.UNKNOWN, message="no answer")
+        return answer
+
+    def _announce_write(
+        self, process: SimulatedProcess, key: str, value: bytes
+    ) -> None:
+        change_id = self._changing.get(process.name, "")
+        if key.startswith(SHARD_PREFIX):
+            self.announcer.announce(Step.SHARDS_WRITTEN, change_id, process)
+        elif key == HEAD_KEY:
+            self.announcer.announce(Step.HEAD_SWAPPED, change_id, process)
+            self.announcer.announce(Step.CONFIGURATION_WATCHER, change_id, process)
+        for claimed, marker in self._keys.items():
+            if claimed in value:
+                self.announcer.announce(Step.CLAIMED, marker, process)
+                self.announcer.announce(Step.CLAIM_WRITER, marker, process)
+
+    async def _watch_generations(self) -> None:
+        while True:
+            now = asyncio.get_running_loop().time()
+            for instance in self.instances:
+                self._note_generation(instance, now)
+            await asyncio.sleep(WATCH_INTERVAL)
+
+    def _note_generation(self, instance: EntryInstance, now: float) -> None:
+        generation = instance.configuration.snapshot.generation
+        seen = instance.generations[-1][1] if instance.generations else 0
+        if generation == seen:
+            return
+        instance.generations.append((now, generation))
+        change_id = instance.configuration.snapshot.change_id
+        submitters = {change.change_id: change.instance for change in self.changes}
+        if instance.name != submitters.get(change_id):
+            self.announcer.announce(Step.SPREADING, change_id, instance.process)
+        living = [one for one in self.instances if one.alive]
+        if all(one.configuration.snapshot.change_id == change_id for one in living):
+            self.announcer.announce(Step.IN_FORCE, change_id, instance.process)
+
+    # parts
+
+    def _create_instance(self, number: int, name: str) -> EntryInstance:
+        address = f"127.0.1.{number}:7000"
+        self.instance_list.put(
+            Instance(
+                instance_id=name,
+                kind=InstanceKind.ENTRY,
+                data_centre=INSTANCES[name],
+                address=address,
+            )
+        )
+        return EntryInstance(
+            self,
+            name=name,
+            data_centre=INSTANCES[name],
+            address=address,
+            seed=self.random.randrange(1, 2**31),
+        )
+
+    def _create_targets(self) -> None:
+        for service in SERVICES:
+            for number, data_centre in enumerate(REPLICAS, start=1):
+                self.add_target(service.name, f"{service.name}-{number}", data_centre)
+
+    def add_target(self, service: str, target_id: str, data_centre: str) -> None:
+        """Add a replica of a service."""
+        address = f"127.0.2.{len(self.targets) + 1}:9000"
+        self.targets[address] = FleetTarget(
+            target_id=target_id,
+            service=service,
+            data_centre=data_centre,
+            address=address,
+            record=self.record,
+            random_source=self.random,
+            resumes=self.random.random() < 0.5,
+        )
+        self.list_target(self.targets[address])
+
+    def list_target(self, target: FleetTarget) -> None:
+        """Show a target in the platform's list as it is now."""
+        state = InstanceState.LEAVING if target.leaving else InstanceState.LIVE
+        self.instance_list.put(
+            Instance(
+                instance_id=target.target_id,
+                kind=InstanceKind.TARGET,
+                data_centre=target.data_centre,
+                address=target.address,
+                state=state,
+                service=target.service,
+            )
+        )
+
+    def spawn(self, work: Any) -> None:
+        """Start a task that belongs to no process."""
+        self._tasks.append(spawn_outside(work))
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/matrix/cells.py
@@ -0,0 +1,86 @@
+"""Which cells the matrix has, and why some of them can't occur."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from itertools import combinations
+
+from .faults import FAULTS
+from .steps import Step
+
+__all__ = ("Cell", "find_excuse", "list_cells", "list_pairs")
+
+REQUEST_STEPS = (
+    Step.RECEIVED,
+    Step.CLAIMED,
+    Step.QUEUED,
+    Step.CONNECTING,
+    Step.SENT,
+    Step.FIRST_TOKEN,
+    Step.BETWEEN_TOKENS,
+    Step.BETWEEN_STAGES,
+    Step.ANSWERING,
+    Step.ANSWERED,
+)
+CHANGE_STEPS = (
+    Step.SUBMITTED,
+    Step.SHARDS_WRITTEN,
+    Step.HEAD_SWAPPED,
+    Step.SPREADING,
+    Step.IN_FORCE,
+)
+ORDER_STEPS = (
+    Step.LEASE_HELD,
+    Step.ORDER_SENDING,
+    Step.ORDER_SENT,
+    Step.ORDER_READ_BACK,
+)
+TAKEOVER_STEPS = (Step.CLAIM_WRITER, Step.CONFIGURATION_WATCHER, Step.ORDER_LEASE)
+STOP_STEPS = (Step.LEAVING, Step.FINISHING)
+
+#: steps at which two faults come together
+COSTLY_STEPS = (
+    Step.CLAIMED,
+    Step.SENT,
+    Step.BETWEEN_STAGES,
+    Step.ANSWERING,
+    Step.HEAD_SWAPPED,
+)
+
+LEASE_FAULT = "lease lapsed during a pause"
+NO_LEASE = (
+    "no lease is held at this step: it rests on compare-and-swap alone, and the"
+    " pause itself is the row above"
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Cell:
+    """One or two faults at a step."""
+
+    faults: tuple[str, ...]
+    step: Step
+
+    def __str__(self) -> str:
+        return f"{' + '.join(self.faults)} / {self.step.value}"
+
+
+def list_cells() -> tuple[Cell, ...]:
+    """Return every single fault at every step."""
+    return tuple(Cell((name,), step) for name in FAULTS for step in Step)
+
+
+def list_pairs() -> tuple[Cell, ...]:
+    """Return every pair of faults at the costly steps."""
+    names = [name for name in FAULTS if name != LEASE_FAULT]
+    return tuple(
+        Cell(pair, step) for step in COSTLY_STEPS for pair in combinations(names, 2)
+    )
+
+
+def find_excuse(cell: Cell) -> str:
+    """Return why a cell can't occur; empty if it can."""
+    leased = (*ORDER_STEPS, Step.ORDER_LEASE)
+    if LEASE_FAULT in cell.faults and cell.step not in leased:
+        return NO_LEASE
+    return ""
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/matrix/checker.py
@@ -0,0 +1,227 @@
+"""Decides from the records of a run whether each promise was kept."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from .fleet import write_tokens
+from .records import ChangeState
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from .fleet import Run
+    from .records import AskRecord, ChangeRecord, InstanceRecord, RunRecord
+
+__all__ = ("Breach", "Promise", "check")
+
+#: seconds after its deadline by which a request must have its final answer
+ANSWER_SLACK = 0.5
+#: seconds after which a leaving target gets no new work
+LEAVING_BOUND = 5.0
+#: seconds after which an accepted change is in force everywhere, once nothing fails
+SPREADING_BOUND = 20.0
+#: refusals for which no time to come back is due: asking again changes nothing
+FINAL_CODES = frozenset({"bad-request", "too-large", "key-reused"})
+
+NOT_RUN = "not-run"
+UNREPEATABLE_STAGE = "book"
+
+
+class Promise(Enum):
+    """What must always hold."""
+
+    LOST = "lost"
+    DOUBLED = "doubled"
+    CROSSED = "crossed"
+    CUT = "cut"
+    FALSE_NOT_RUN = "false not run"
+    LATE = "late"
+    NO_RETURN_TIME = "no time to come back"
+    LEAVING_USED = "leaving target used"
+    REVERTED = "reverted"
+    NOT_IN_FORCE = "not in force"
+    NOT_RECOVERED = "not recovered"
+
+
+@dataclass(frozen=True, slots=True)
+class Breach:
+    """A broken promise."""
+
+    promise: Promise
+    detail: str
+
+    def __str__(self) -> str:
+        return f"{self.promise.value}: {self.detail}"
+
+
+def check(record: RunRecord) -> list[Breach]:
+    """Return every broken promise of a run."""
+    return list(_Checker(record).check())
+
+
+class _Checker:
+    def __init__(self, record: RunRecord) -> None:
+        self._record = record
+        self._instances = {one.name: one for one in record.instances}
+        self._runs: dict[str, list[Run]] = defaultdict(list)
+        for run in record.targets.runs:
+            self._runs[run.request].append(run)
+
+    def check(self) -> Iterator[Breach]:
+        for ask in self._record.asks:
+            yield from self._check_answer(ask)
+            yield from self._check_tokens(ask)
+            yield from self._check_not_run(ask)
+            yield from self._check_refusal(ask)
+            yield from self._check_recovery(ask)
+        yield from self._check_groups()
+        yield from self._check_targets()
+        for instance in self._record.instances:
+            yield from self._check_instance(instance)
+        yield from self._check_changes()
+
+    # requests
+
+    def _check_answer(self, ask: AskRecord) -> Iterator[Breach]:
+        instance = self._instances[ask.instance]
+        if ask.answers > 1:
+            yield Breach(Promise.DOUBLED, f"{ask.marker}: {ask.answers} final answers")
+        if ask.refused or instance.killed:
+            return
+        if ask.reset or not ask.answers:
+            what = "was reset" if ask.reset else "has no final answer"
+            kind = Promise.CUT if instance.stopping else Promise.LOST
+            yield Breach(kind, f"{ask.marker} at {ask.instance} {what}")
+            return
+        due = _extend(ask.deadline, instance) + ANSWER_SLACK
+        if ask.answered > due:
+            late = ask.answered - ask.deadline
+            detail = f"{ask.marker} at {ask.instance}: {late:.3f} s after its deadline"
+            yield Breach(Promise.LATE, detail)
+
+    def _check_tokens(self, ask: AskRecord) -> Iterator[Breach]:
+        expected = write_tokens(ask.marker)
+        whole = "".join(expected)
+        offsets = [offset for offset, _ in ask.tokens]
+        text = "".join(text for _, text in ask.tokens)
+        if not whole.startswith(text):
+            yield Breach(Promise.CROSSED, f"{ask.marker} was given {text!r}")
+        if offsets != list(range(len(offsets))):
+            yield Breach(Promise.DOUBLED, f"{ask.marker}: tokens at {offsets}")
+        if ask.result is None:
+            return
+        if ask.result != whole:
+            yield Breach(Promise.CROSSED, f"{ask.marker}: result {ask.result!r}")
+        if ask.stream and text != whole:
+            yield Breach(Promise.LOST, f"{ask.marker}: only {text!r} and the end")
+        if ask.verdict != "ran":
+            yield Breach(Promise.FALSE_NOT_RUN, f"{ask.marker}: result, {ask.verdict}")
+
+    def _check_not_run(self, ask: AskRecord) -> Iterator[Breach]:
+        runs = self._runs.get(ask.request, ())
+        if ask.verdict == NOT_RUN and runs:
+            stages = ", ".join(run.stage for run in runs)
+            detail = f"{ask.marker} at {ask.instance} ({ask.code}); ran: {stages}"
+            yield Breach(Promise.FALSE_NOT_RUN, detail)
+
+    def _check_refusal(self, ask: AskRecord) -> Iterator[Breach]:
+        if ask.verdict != NOT_RUN or not ask.code or ask.code in FINAL_CODES:
+            return
+        if ask.retry_after_ms is None:
+            detail = f"{ask.marker} at {ask.instance}: {ask.code}"
+            yield Breach(Promise.NO_RETURN_TIME, detail)
+
+    def _check_recovery(self, ask: AskRecord) -> Iterator[Breach]:
+        if ask.must_succeed and ask.result is None:
+            what = ask.code or ("reset" if ask.reset else "refused or silent")
+            detail = f"{ask.marker} at {ask.instance}: {what} after the fault's end"
+            yield Breach(Promise.NOT_RECOVERED, detail)
+
+    def _check_groups(self) -> Iterator[Breach]:
+        """Check what was asked more than once under one key."""
+        groups: dict[str, list[AskRecord]] = defaultdict(list)
+        for ask in self._record.asks:
+            groups[ask.marker].append(ask)
+        effects: Counter[str] = Counter()
+        for run in self._record.targets.runs:
+            if run.stage == UNREPEATABLE_STAGE:
+                effects[run.marker] += 1
+        for marker, asks in groups.items():
+            runs = effects[marker]
+            if runs > 1 and not asks[0].repeatable:
+                yield Breach(Promise.DOUBLED, f"{marker}: {runs} runs of book")
+            untrue = all(ask.refused or ask.verdict == NOT_RUN for ask in asks)
+            if runs and untrue:
+                detail = f"{marker}: no answer says that it ran"
+                yield Breach(Promise.FALSE_NOT_RUN, detail)
+            if not runs and any(ask.result for ask in asks) and not asks[0].repeatable:
+                yield Breach(Promise.LOST, f"{marker}: a result without a run of book")
+
+    # targets
+
+    def _check_targets(self) -> Iterator[Breach]:
+        targets = self._record.targets
+        for text in targets.mixed:
+            yield Breach(Promise.CROSSED, f"inputs of one stage: {text}")
+        for time, target in targets.arrivals:
+            since = targets.leaving.get(target)
+            if since is not None and time > since + LEAVING_BOUND:
+                detail = f"{target} got a call {time - since:.1f} s after it left"
+                yield Breach(Promise.LEAVING_USED, detail)
+
+    # instances and changes
+
+    def _check_instance(self, instance: InstanceRecord) -> Iterator[Breach]:
+        if instance.finished is False:
+            yield Breach(Promise.CUT, f"{instance.name} stopped with requests open")
+        numbers = [generation for _, generation in instance.generations]
+        if numbers != sorted(numbers):
+            yield Breach(Promise.REVERTED, f"{instance.name}: generations {numbers}")
+
+    def _check_changes(self) -> Iterator[Breach]:
+        living = [
+            one
+            for one in self._record.instances
+            if not one.killed and one.finished is None
+        ]
+        generations = {one.generations[-1][1] for one in living if one.generations}
+        if len(generations) > 1:
+            detail = f"generations at the end: {sorted(generations)}"
+            yield Breach(Promise.NOT_IN_FORCE, detail)
+        for change in self._record.changes:
+            for instance in living:
+                present = change.change_id in instance.changes
+                if change.state == ChangeState.SETTLED and not present:
+                    detail = f"{change.change_id} at {instance.name}"
+                    yield Breach(Promise.NOT_IN_FORCE, detail)
+                if change.state == ChangeState.REJECTED and present:
+                    detail = f"{change.change_id} was rejected and is in force"
+                    yield Breach(Promise.REVERTED, detail)
+            if change.state == ChangeState.SETTLED:
+                yield from self._check_spreading(change, living)
+
+    def _check_spreading(
+        self, change: ChangeRecord, living: list[InstanceRecord]
+    ) -> Iterator[Breach]:
+        start = max(change.settled, self._record.healed)
+        for instance in living:
+            times = [
+                time
+                for time, generation in instance.generations
+                if generation >= change.generation
+            ]
+            if times and times[0] > start + SPREADING_BOUND:
+                detail = f"{change.change_id} at {instance.name} only at {times[0]:.1f}"
+                yield Breach(Promise.NOT_IN_FORCE, detail)
+
+
+def _extend(deadline: float, instance: InstanceRecord) -> float:
+    """Return a deadline, or the end of a pause of the instance that spans it."""
+    for begin, end in instance.pauses:
+        if begin <= deadline + ANSWER_SLACK:
+            deadline = max(deadline, end)
+    return deadline
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/matrix/fleet.py
@@ -0,0 +1,249 @@
+"""Targets that keep an independent record of all that they ran."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+import xxhash
+
+from greengagelatch_entry.adapters.event_stream import encode_event
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+__all__ = ("FleetTarget", "Run", "TargetRecord", "find_markers", "write_tokens")
+
+TOKENS = 6
+#: seconds of one call by kind of stage, and of one token
+SECONDS = {"retrieve": 0.02, "plain": 0.03, "generate": 0.02}
+TOKEN_SECONDS = 0.02
+#: calls that a target runs side by side, and that may wait there
+CAPACITY = 4
+MAX_WAITING = 8
+
+
+@dataclass(slots=True, kw_only=True)
+class Run:
+    """One run of a call; ``effect`` once its side effect has happened."""
+
+    attempt: str
+    request: str
+    stage: str
+    target: str
+    marker: str
+    started: float
+    ended: float | None = None
+    effect: bool = False
+
+
+@dataclass(slots=True)
+class TargetRecord:
+    """What all targets ran and were given, in the order of time."""
+
+    runs: list[Run] = field(default_factory=list)
+    #: time and target of each call that arrived
+    arrivals: list[tuple[float, str]] = field(default_factory=list)
+    #: time since which a target leaves, by its id
+    leaving: dict[str, float] = field(default_factory=dict)
+    #: inputs that held the words of more than one request
+    mixed: list[str] = field(default_factory=list)
+
+
+def write_tokens(marker: str) -> tuple[str, ...]:
+    """Return the tokens of the answer to the request with a marker."""
+    return tuple(f"{marker}/{number} " for number in range(TOKENS))
+
+
+def find_markers(value: Any) -> set[str]:
+    """Return all markers that a value holds, at any depth."""
+    if isinstance(value, dict):
+        found = {value["marker"]} if isinstance(value.get("marker"), str) else set()
+        for inner in value.values():
+            found |= find_markers(inner)
+        return found
+    return set()
+
+
+class FleetTarget:
+    """One replica of a service."""
+
+    def __init__(
+        self,
+        *,
+        target_id: str,
+        service: str,
+        data_centre: str,
+        address: str,
+        record: TargetRecord,
+        random_source: random.Random,
+        resumes: bool = True,
+    ) -> None:
+        self.target_id = target_id
+        self.service = service
+        self.data_centre = data_centre
+        self.address = address
+        #: factor by which it is slower than usual
+        self.slowness = 1.0
+        #: share of the calls that end in an error, before or after their effect
+        self.failing = 0.0
+        self.leaving = False
+        #: whether its process is there at all
+        self.alive = True
+        self._record = record
+        self._random = random_source
+        self._resumes = resumes
+        self._slots = asyncio.Semaphore(CAPACITY)
+        self._waiting = 0
+        self._running = 0
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._cancelled: set[str] = set()
+
+    def begin_to_leave(self) -> None:
+        """Leave; from now on each answer says so."""
+        self.leaving = True
+        now = asyncio.get_running_loop().time()
+        self._record.leaving.setdefault(self.target_id, now)
+
+    def die(self) -> None:
+        """End its process; what runs there is cut."""
+        self.alive = False
+        for task in self._tasks.values():
+            task.cancel()
+
+    def describe_load(self) -> bytes:
+        """Return the answer to ``GET /load``."""
+        report = {
+            "in_flight": self._running,
+            "queued": self._waiting,
+            "capacity": CAPACITY,
+            "state": "leaving" if self.leaving else "live",
+            "age_ms": 0,
+        }
+        return json.dumps(report).encode()
+
+    def cancel(self, attempt: str) -> bool:
+        """Stop an attempt, also one that is yet to arrive."""
+        self._cancelled.add(attempt)
+        task = self._tasks.get(attempt)
+        return task is not None and task.cancel()
+
+    async def serve(
+        self, call: Mapping[str, Any], answer: Callable[[int, bytes, bool], None]
+    ) -> None:
+        """Run one call.
+
+        :param answer: called with status, bytes and whether these are the last
+        """
+        now = asyncio.get_running_loop().time()
+        self._record.arrivals.append((now, self.target_id))
+        attempt = call["attempt"]
+        if attempt in self._cancelled or self._waiting >= MAX_WAITING:
+            answer(503, _refuse(attempt), True)
+            return
+        self._tasks[attempt] = asyncio.current_task()
+        try:
+            self._waiting += 1
+            try:
+                await self._slots.acquire()
+            finally:
+                self._waiting -= 1
+            try:
+                self._running += 1
+                await self._run(call, answer)
+            finally:
+                self._running -= 1
+                self._slots.release()
+        finally:
+            del self._tasks[attempt]
+
+    async def _run(
+        self, call: Mapping[str, Any], answer: Callable[[int, bytes, bool], None]
+    ) -> None:
+        markers = sorted(find_markers(call["input"]))
+        if len(markers) != 1:
+            self._record.mixed.append(f"{call['request']} {call['stage']}: {markers}")
+        run = Run(
+            attempt=call["attempt"],
+            request=call["request"],
+            stage=call["stage"],
+            target=self.target_id,
+            marker=markers[0],
+            started=asyncio.get_running_loop().time(),
+        )
+        self._record.runs.append(run)
+        early, late = self._random.random(), self._random.random()
+        fails = self._random.random() < self.failing
+        if fails and early < 0.5:
+            answer(500, b"failed before its effect", True)
+            return
+        await asyncio.sleep(SECONDS[call["kind"]] * self.slowness)
+        run.effect = True
+        if fails and late < 0.5:
+            answer(500, b"failed after its effect", True)
+            return
+        if call["kind"] == "generate":
+            await self._write(run, call, answer, fails)
+        else:
+            answer(200, _create_answer(call, {"marker": run.marker}), True)
+        run.ended = asyncio.get_running_loop().time()
+
+    async def _write(
+        self,
+        run: Run,
+        call: Mapping[str, Any],
+        answer: Callable[[int, bytes, bool], None],
+        fails: bool,
+    ) -> None:
+        tokens = write_tokens(run.marker)
+        if not call["stream"]:
+            await asyncio.sleep(TOKEN_SECONDS * self.slowness * len(tokens))
+            answer(200, _create_answer(call, "".join(tokens)), True)
+            return
+        start = call["resume_at"]
+        if start and not self._resumes:
+            answer(409, b"can't resume", True)
+            return
+        for offset in range(start, len(tokens)):
+            if fails and offset == len(tokens) // 2:
+                # the stream is cut half way
+                answer(200, b"", True)
+                return
+            fields = {
+                "attempt": call["attempt"],
+                "offset": offset,
+                "text": tokens[offset],
+            }
+            answer(200, encode_event("token", fields), False)
+            await asyncio.sleep(TOKEN_SECONDS * self.slowness)
+        answer(200, encode_event("end", _describe_end(call, tokens)), True)
+
+
+def _create_answer(call: Mapping[str, Any], output: Any) -> bytes:
+    fields = {
+        "attempt": call["attempt"],
+        "request": call["request"],
+        "stage": call["stage"],
+        "output": output,
+        "cost_ms": 1,
+    }
+    return json.dumps(fields).encode()
+
+
+def _describe_end(call: Mapping[str, Any], tokens: tuple[str, ...]) -> dict[str, Any]:
+    return {
+        "attempt": call["attempt"],
+        "request": call["request"],
+        "stage": call["stage"],
+        "count": len(tokens),
+        "digest": xxhash.xxh64_hexdigest("".join(tokens).encode()),
+        "cost_ms": 1,
+    }
+
+
+def _refuse(attempt: str) -> bytes:
+    fields = {"attempt": attempt, "not_run": True, "retry_after_ms": 100}
+    return json.dumps(fields).encode()
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/matrix/front.py
@@ -0,0 +1,221 @@
+"""The callers' side of an entry instance, without sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+from result import Err
+
+from greengagelatch.request import Answer
+from greengagelatch.verdict import Verdict
+from greengagelatch_entry.controllers import Controller
+from greengagelatch_entry.filters import Exchange
+from greengagelatch_entry.filters.identify import Arrival
+
+from .network import Pipe
+from .steps import Step
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from greengagelatch.clock import Clock
+    from greengagelatch_entry.filters import Handler
+    from greengagelatch_entry.filters.identify import Identifier
+
+    from .network import Network
+    from .processes import SimulatedProcess
+    from .steps import Announcer
+
+__all__ = ("Ask", "Front")
+
+
+@dataclass(slots=True, eq=False)
+class Ask:
+    """One request of a caller on its connection, and what came back on it."""
+
+    marker: str
+    pipeline: str
+    headers: Mapping[str, str]
+    stream: bool
+    place: str
+    instance: str
+    sent: float
+    deadline: float
+    request_id: str = ""
+    tokens: list[tuple[int, str]] = field(default_factory=list)
+    answers: list[Answer] = field(default_factory=list)
+    answered: float | None = None
+    #: whether the connection was refused, or reset before the answer was whole
+    refused: bool = False
+    reset: bool = False
+    #: set once nothing more is to be expected
+    over: asyncio.Event = field(default_factory=asyncio.Event)
+    pipe: Pipe = field(default_factory=Pipe)
+
+    @property
+    def body(self) -> bytes:
+        """The body of the request."""
+        fields = {"input": {"marker": self.marker}, "stream": self.stream}
+        return json.dumps(fields).encode()
+
+    def take_token(self, offset: int, text: str) -> None:
+        """Take a token that has arrived."""
+        self.tokens.append((offset, text))
+
+    def take_answer(self, answer: Answer) -> None:
+        """Take the final answer."""
+        self.answers.append(answer)
+        self.answered = asyncio.get_running_loop().time()
+        self.over.set()
+
+    def lose(self) -> None:
+        """Note that the connection was reset."""
+        self.reset = True
+        self.over.set()
+
+
+class Front(Controller):
+    """Serves callers in the place of ``CallersServer``."""
+
+    name = "callers"
+
+    def __init__(
+        self,
+        *,
+        process: SimulatedProcess,
+        place: str,
+        network: Network,
+        announcer: Announcer,
+        markers: dict[str, str],
+        handler: Handler,
+        identifier: Identifier,
+        clock: Clock,
+        draining: Callable[[], bool],
+        **_adapter: Any,
+    ) -> None:
+        super().__init__()
+        self.port = 0
+        self.process = process
+        self._place = place
+        self._network = network
+        self._announcer = announcer
+        self._markers = markers
+        self._handler = handler
+        self._identifier = identifier
+        self._clock = clock
+        self._draining = draining
+        self._listening = False
+        self._open: dict[asyncio.Task[None], Ask] = {}
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    @property
+    def listening(self) -> bool:
+        """Whether new connections are taken."""
+        return self._listening and not self.process.killed
+
+    @property
+    def in_flight(self) -> int:
+        """Number of requests not yet answered."""
+        return len(self._open)
+
+    async def on_start(self) -> None:
+        self._listening = True
+
+    async def close_listener(self) -> None:
+        """Take no new connections."""
+        self._listening = False
+
+    async def wait_idle(self, timeout: float) -> bool:
+        """Wait at most ``timeout`` seconds until no request is in flight."""
+        try:
+            async with asyncio.timeout(timeout):
+                await self._idle.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    async def on_stop(self) -> None:
+        await self.close_listener()
+        for task, ask in list(self._open.items()):
+            task.cancel()
+            ask.lose()
+        await asyncio.gather(*self._open, return_exceptions=True)
+
+    def dump(self) -> dict[str, Any]:
+        return {"in_flight": self.in_flight}
+
+    def reset(self) -> None:
+        """Close all connections of a process that has ended, as its system does."""
+        for ask in self._open.values():
+            ask.pipe.carry(self._network.draw_latency(self._place, ask.place), ask.lose)
+
+    def accept(self, ask: Ask) -> None:
+        """Take a request that has arrived."""
+        task = asyncio.create_task(self._serve(ask))
+        self._open[task] = ask
+        self._idle.clear()
+        task.add_done_callback(self._end)
+
+    def _end(self, task: asyncio.Task[None]) -> None:
+        del self._open[task]
+        if not self._open:
+            self._idle.set()
+
+    async def _serve(self, ask: Ask) -> None:
+        received = self._clock.now()
+        request_id = self._identifier.create_request_id()
+        ask.request_id = request_id
+        self._markers[request_id] = ask.marker
+        await self._announcer.reach(Step.RECEIVED, ask.marker, self.process)
+        arrival = Arrival(
+            request_id=request_id,
+            pipeline=ask.pipeline,
+            headers=ask.headers,
+            body=ask.body,
+            received=received,
+        )
+        result = self._identifier.identify(arrival)
+        if isinstance(result, Err):
+            answer = Answer(
+                request_id=request_id,
+                verdict=Verdict.NOT_RUN,
+                refusal=result.err_value,
+            )
+            self._give(ask, ask.take_answer, answer)
+            return
+        exchange = Exchange(request=result.ok_value)
+        given = 0
+
+        def take_token(offset: int, text: str) -> None:
+            nonlocal given
+            given += 1
+            self._announce_token(ask.marker, given)
+            self._give(ask, ask.take_token, offset, text)
+
+        if exchange.request.stream:
+            exchange.on_token = take_token
+        answer = await self._handler(exchange)
+        await self._announcer.reach(Step.ANSWERING, ask.marker, self.process)
+        if ask.stream and not given and isinstance(answer.result, str):
+            take_token(0, answer.result)
+        self._give(ask, ask.take_answer, answer)
+        await self._announcer.reach(Step.ANSWERED, ask.marker, self.process)
+
+    def _announce_token(self, marker: str, given: int) -> None:
+        step = {1: Step.FIRST_TOKEN, 3: Step.BETWEEN_TOKENS}.get(given)
+        if step is not None:
+            self._announcer.announce(step, marker, self.process)
+
+    def _give(self, ask: Ask, take: Callable[..., None], *given: Any) -> None:
+        """Hand something to the caller's connection."""
+        latency = self._network.draw_latency(self._place, ask.place)
+
+        def arrive() -> None:
+            if not ask.over.is_set():
+                take(*given)
+
+        ask.pipe.carry(latency, arrive)
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/matrix/instance.py
@@ -0,0 +1,257 @@
+"""One entry instance of a bench, wired by the real composition root."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from contextlib import ExitStack
+from functools import partial
+from typing import TYPE_CHECKING, Any
+from unittest import mock
+
+from greengagelatch.clock import Clock
+from greengagelatch.settings import parse
+from greengagelatch_entry import composition
+from greengagelatch_entry.adapters import targets as target_adapter
+from greengagelatch_entry.application import Application
+from greengagelatch_entry.controllers import Controller
+from greengagelatch_entry.controllers import claims as claims_controller
+from greengagelatch_entry.controllers.scheduling import SchedulingController
+from greengagelatch_entry.controllers.targets import TargetsController
+from greengagelatch_entry.metrics import Metrics
+
+from .front import Front
+from .peers import SimulatedPeers
+from .platform import PlatformLink, RemoteInstanceList, RemoteStore
+from .processes import SimulatedProcess
+from .sessions import Dialer, SimulatedPool
+from .steps import Step
+
+if TYPE_CHECKING:
+    from result import Result
+
+    from greengagelatch.errors import Refusal
+    from greengagelatch.load import Grant, Ticket
+    from greengagelatch.targets import Target
+
+    from .bench import Bench
+
+__all__ = ("EntryInstance", "LoopClock")
+
+#: seconds since the Unix epoch at which every run begins
+EPOCH = 1_700_000_000.0
+
+SETTINGS = """
+[instance]
+id = {name}
+data_centre = {data_centre}
+seed = {seed}
+[peers]
+listen = {address}
+[platform]
+store = 127.0.0.1:1
+instances = 127.0.0.1:2
+[claims]
+shards = 4
+[drain]
+longest = 20
+[log]
+level = errors
+"""
+
+
+class LoopClock(Clock):
+    """The time of the running event loop."""
+
+    def now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def wall(self) -> float:
+        return EPOCH + asyncio.get_running_loop().time()
+
+
+class CountingMetrics(Metrics):
+    """Metrics that are kept and sent nowhere."""
+
+    def __init__(self, _address: str) -> None:
+        super().__init__("127.0.0.1:9")
+        self._client._sock.close()
+        self._client = mock.create_autospec(self._client, spec_set=True)
+
+
+class PolledTargets(TargetsController):
+    """The real directory; only the polls of load reports need no socket."""
+
+    def __init__(self, *, dialer: Dialer, **parts: Any) -> None:
+        super().__init__(**parts)
+        self._dialer = dialer
+
+    async def on_start(self) -> None:
+        """Open nothing."""
+
+    async def _fetch_report(self, target: Target) -> bytes:
+        polled = self._dialer.targets[target.address]
+        if not polled.alive or not self._dialer.reaches(polled):
+            await asyncio.sleep(self._timeout.total)
+            raise TimeoutError
+        return polled.describe_load()
+
+
+class ObservedScheduling(SchedulingController):
+    """The real controller; it announces what has come to its queue."""
+
+    def __init__(self, *, dialer: Dialer, **parts: Any) -> None:
+        super().__init__(**parts)
+        self._dialer = dialer
+
+    async def acquire(self, ticket: Ticket) -> Result[Grant, Refusal]:
+        step = {"check": Step.QUEUED, "reply": Step.BETWEEN_STAGES}.get(ticket.stage)
+        if step is not None:
+            dialer = self._dialer
+            marker = dialer.markers.get(ticket.request_id, "")
+            await dialer.announcer.reach(step, marker, dialer.process)
+        return await super().acquire(ticket)
+
+
+class NoOperators(Controller):
+    """In the place of ``OperatorsServer``; the bench calls controllers itself."""
+
+    name = "operators"
+    port = 0
+
+    def __init__(self, **_parts: Any) -> None:
+        super().__init__()
+
+    def dump(self) -> dict[str, Any]:
+        return {}
+
+
+class BenchApplication(Application):
+    """The real application, without signals and words to whoever started it."""
+
+    def _listen_to_signals(self) -> None:
+        return
+
+    def _announce(self) -> None:
+        return
+
+
+class EntryInstance:
+    """One process with all parts of the daemon."""
+
+    def __init__(
+        self, bench: Bench, *, name: str, data_centre: str, address: str, seed: int
+    ) -> None:
+        self.name = name
+        self.data_centre = data_centre
+        self.address = address
+        self.process = SimulatedProcess(name)
+        #: generations in force, with the loop time at which each was first seen
+        self.generations: list[tuple[float, int]] = []
+        self.exit_code: int | None = None
+        self.stopping = False
+        self._bench = bench
+        self._seed = seed
+        self._task: asyncio.Task[None] | None = None
+        network = bench.network
+        self.link = PlatformLink(
+            network=network,
+            process=self.process,
+            place=data_centre,
+            note=bench.note_store_call,
+        )
+        self.dialer = Dialer(
+            process=self.process,
+            place=data_centre,
+            network=network,
+            targets=bench.targets,
+            announcer=bench.announcer,
+            markers=bench.markers,
+        )
+        self.parts = self.process.run(self._compose)
+        self.front: Front = self.parts.callers
+        found = {part.name: part for part in self.parts.controllers}
+        self.configuration = found["configuration"]
+        self.claims = found["claims"]
+        self.targets = found["targets"]
+        self.peers: SimulatedPeers = found["peers"]
+        self.controllers = found
+
+    @property
+    def alive(self) -> bool:
+        """Whether it serves: neither killed nor stopped nor about to be."""
+        return not self.process.killed and not self.stopping
+
+    def start(self) -> None:
+        """Start the daemon."""
+        self._task = self.process.spawn(self._run())
+
+    def kill(self) -> None:
+        """End the process as by SIGKILL."""
+        if self.process.killed:
+            return
+        self.process.kill()
+        self.front.reset()
+        self._bench.exchange.reset(self.name)
+
+    def stop(self) -> None:
+        """Begin a planned stop."""
+        self.stopping = True
+        self.process.deliver(self.parts.drain.request_stop)
+
+    def silence(self) -> None:
+        """Have all its open connections go silent for good."""
+        self._bench.exchange.silence(self.name)
+        self.dialer.silence()
+        self.link.silence()
+
+    async def _run(self) -> None:
+        self.exit_code = await BenchApplication(self.parts).run()
+
+    def _compose(self) -> composition.Parts:
+        text = SETTINGS.format(
+            name=self.name,
+            data_centre=self.data_centre,
+            address=self.address,
+            seed=self._seed,
+        )
+        settings = parse(text).unwrap()
+        draws = random.Random(self._seed)
+        with ExitStack() as stack:
+            patch = partial(_patch, stack)
+            for name, substitute in self._list_substitutes().items():
+                patch(composition, name, substitute)
+            patch(
+                target_adapter, "TargetPool", partial(SimulatedPool, dialer=self.dialer)
+            )
+            # it draws from the system, which no seed would bring back
+            patch(claims_controller, "secrets", mock.Mock(randbits=draws.getrandbits))
+            return composition.compose(settings)
+
+    def _list_substitutes(self) -> dict[str, Any]:
+        bench = self._bench
+        common = {"process": self.process, "place": self.data_centre}
+        return {
+            "SystemClock": LoopClock,
+            "Metrics": CountingMetrics,
+            "HttpStore": partial(RemoteStore, store=bench.store, link=self.link),
+            "HttpInstanceList": partial(
+                RemoteInstanceList, instance_list=bench.instance_list, link=self.link
+            ),
+            "PeerHub": partial(SimulatedPeers, exchange=bench.exchange, **common),
+            "TargetsController": partial(PolledTargets, dialer=self.dialer),
+            "SchedulingController": partial(ObservedScheduling, dialer=self.dialer),
+            "OperatorsServer": NoOperators,
+            "CallersServer": partial(
+                Front,
+                network=bench.network,
+                announcer=bench.announcer,
+                markers=bench.markers,
+                **common,
+            ),
+        }
+
+
+def _patch(stack: ExitStack, owner: Any, name: str, substitute: Any) -> None:
+    # checks that the name exists: a part that was renamed is an error here
+    stack.enter_context(mock.patch.object(owner, name, substitute))
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/matrix/objects.py
@@ -0,0 +1,55 @@
+"""The configuration that every run of the matrix begins with."""
+
+from __future__ import annotations
+
+from greengagelatch.config.objects import Pipeline, Service, Stage, StageKind, Workspace
+
+__all__ = ("BOOKING", "DRAFT", "OBJECTS", "SERVICES", "WORKSPACE")
+
+WORKSPACE = "depot"
+BOOKING = "booking"
+DRAFT = "draft"
+
+SERVICES = (
+    Service(name="profiles", kind=StageKind.RETRIEVE),
+    Service(name="desk", kind=StageKind.PLAIN),
+    Service(name="llm", kind=StageKind.GENERATE),
+)
+
+_CHECK = Stage(name="check", kind=StageKind.RETRIEVE, service="profiles")
+_BOOK = Stage(
+    name="book",
+    kind=StageKind.PLAIN,
+    service="desk",
+    repeatable=False,
+    inputs=("check",),
+)
+
+OBJECTS = (
+    *SERVICES,
+    Pipeline(
+        name=BOOKING,
+        stages=(
+            _CHECK,
+            _BOOK,
+            Stage(
+                name="reply",
+                kind=StageKind.GENERATE,
+                service="llm",
+                inputs=("check", "book"),
+            ),
+        ),
+    ),
+    Pipeline(
+        name=DRAFT,
+        stages=(
+            _CHECK,
+            Stage(
+                name="reply", kind=StageKind.GENERATE, service="llm", inputs=("check",)
+            ),
+        ),
+    ),
+    Workspace(name=WORKSPACE),
+    # has no requests of its own: changes of the configuration go to its labels
+    Workspace(name="spare"),
+)
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/matrix/peers.py
@@ -0,0 +1,324 @@
+"""Links between the entry instances of a bench, with the real failure detector."""
+
+from __future__ import annotations
+
+import asyncio
+import inspect
+import itertools
+from collections import defaultdict
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+from mode import Service
+from result import Err, Ok, Result
+
+from greengagelatch.membership.steps import Identity
+from greengagelatch.peers import (
+    Member,
+    MessageHandler,
+    PeerError,
+    PeerErrorKind,
+    PeerNetwork,
+)
+from greengagelatch.peers.codec import Envelope, Message, decode, encode
+from greengagelatch.peers.messages import NotUnderstood, Unanswered
+from greengagelatch_entry.controllers import Controller
+from greengagelatch_entry.controllers.membership import MembershipController
+
+from .network import Pipe
+
+if TYPE_CHECKING:
+    import random
+
+    from greengagelatch.clock import Clock
+    from greengagelatch.events import EventBus
+    from greengagelatch.settings import Settings
+    from greengagelatch_entry.metrics import Metrics
+
+    from .network import Network
+    from .processes import SimulatedProcess
+
+__all__ = ("Exchange", "SimulatedPeers")
+
+#: seconds between two looks at the links
+TICK = 0.5
+
+
+@dataclass(slots=True, eq=False)
+class _Link:
+    """A connection of two instances, as TCP keeps it: bytes wait while it is cut."""
+
+    ends: tuple[SimulatedPeers, SimulatedPeers]
+    #: whether something between the ends has lost track of it
+    silent: bool = False
+    open: bool = True
+    #: loop time at which each end last heard of the other
+    heard: dict[str, float] = field(default_factory=dict)
+    #: frames by receiver that could not be handed over yet
+    waiting: dict[str, list[bytes]] = field(default_factory=dict)
+    pipes: dict[str, Pipe] = field(default_factory=lambda: defaultdict(Pipe))
+
+    def get_other(self, end: SimulatedPeers) -> SimulatedPeers:
+        return self.ends[1] if self.ends[0] is end else self.ends[0]
+
+
+class Exchange:
+    """All instances by address, and the links between them."""
+
+    def __init__(self, network: Network) -> None:
+        self.network = network
+        self._peers: dict[str, SimulatedPeers] = {}
+        self._links: dict[frozenset[str], _Link] = {}
+
+    def join(self, address: str, peers: SimulatedPeers) -> None:
+        """Add an instance that listens at ``address``."""
+        self._peers[address] = peers
+
+    def silence(self, instance_id: str) -> None:
+        """Have all open links of an instance go silent for good."""
+        for names, link in self._links.items():
+            if instance_id in names:
+                link.silent = True
+
+    def reset(self, instance_id: str) -> None:
+        """Close all links of a process that has ended, as its system does."""
+        for names, link in list(self._links.items()):
+            if instance_id in names:
+                self.close(link)
+
+    def find(self, one: str, other: str) -> _Link | None:
+        """Return the open link between two instances."""
+        return self._links.get(frozenset((one, other)))
+
+    def dial(self, caller: SimulatedPeers, address: str) -> _Link | None:
+        """Open a link; ``None`` if nobody answers at the address."""
+        called = self._peers.get(address)
+        if called is None or not called.accepting or not self._connects(caller, called):
+            return None
+        names = frozenset((caller.instance_id, called.instance_id))
+        held = self._links.get(names)
+        if held is not None:
+            return held
+        link = _Link((caller, called))
+        now = asyncio.get_running_loop().time()
+        self._links[names] = link
+        for end in link.ends:
+            link.heard[end.instance_id] = now
+            end.process.deliver(end.note_open, link.get_other(end))
+        return link
+
+    def close(self, link: _Link) -> None:
+        """Close a link; an end that can be reached is told."""
+        if not link.open:
+            return
+        link.open = False
+        names = frozenset(end.instance_id for end in link.ends)
+        self._links.pop(names, None)
+        for end in link.ends:
+            end.process.deliver(end.note_closed, link, link.get_other(end).instance_id)
+
+    def carry(self, link: _Link, sender: SimulatedPeers, frame: bytes) -> None:
+        """Hand a frame over, or keep it until the link carries again."""
+        receiver = link.get_other(sender)
+        if not self._carries(link, sender, receiver):
+            link.waiting.setdefault(receiver.instance_id, []).append(frame)
+            return
+        latency = self.network.draw_latency(sender.place, receiver.place)
+        pipe = link.pipes[receiver.instance_id]
+        pipe.carry(latency, self._arrive, link, receiver, frame)
+
+    def tend(self, end: SimulatedPeers) -> list[_Link]:
+        """Note what one end hears on its links, and return its open ones."""
+        now = asyncio.get_running_loop().time()
+        own = [link for link in self._links.values() if end in link.ends]
+        for link in own:
+            other = link.get_other(end)
+            if other.process.running and self._carries(link, other, end):
+                link.heard[end.instance_id] = now
+                for frame in link.waiting.pop(end.instance_id, ()):
+                    end.process.deliver(end.receive, link, frame)
+        return own
+
+    def _connects(self, one: SimulatedPeers, other: SimulatedPeers) -> bool:
+        both_ways = self.network.reaches(one.place, other.place) and (
+            self.network.reaches(other.place, one.place)
+        )
+        return both_ways and other.process.running
+
+    def _carries(
+        self, link: _Link, sender: SimulatedPeers, receiver: SimulatedPeers
+    ) -> bool:
+        return not link.silent and self.network.reaches(sender.place, receiver.place)
+
+    def _arrive(self, link: _Link, receiver: SimulatedPeers, frame: bytes) -> None:
+        if link.open:
+            receiver.process.deliver(receiver.receive, link, frame)
+
+
+class SimulatedPeers(Controller, PeerNetwork):
+    """One instance's end of an :class:`Exchange`, in the place of ``PeerHub``."""
+
+    name = "peers"
+
+    def __init__(
+        self,
+        *,
+        exchange: Exchange,
+        process: SimulatedProcess,
+        place: str,
+        clock: Clock,
+        random_source: random.Random,
+        events: EventBus,
+        settings: Settings,
+        metrics: Metrics,
+    ) -> None:
+        super().__init__()
+        self.process = process
+        self.place = place
+        self.accepting = False
+        self.port = 0
+        self._exchange = exchange
+        self._address: str = settings["peers.listen"]
+        self._silence: float = settings["peers.silence"]
+        self._handlers: dict[type[Message], MessageHandler] = {}
+        self._questions: dict[int, tuple[_Link, asyncio.Future[Any]]] = {}
+        self._numbers = itertools.count(1)
+        self._last_tick = 0.0
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._membership = MembershipController(
+            peers=self,
+            clock=clock,
+            random_source=random_source,
+            events=events,
+            settings=settings,
+            metrics=metrics,
+        )
+        self.add_dependency(self._membership)
+
+    @property
+    def instance_id(self) -> str:
+        return self._membership.instance_id
+
+    def members(self) -> tuple[Member, ...]:
+        return self._membership.members()
+
+    def send(self, instance_id: str, message: Message) -> bool:
+        link = self._find_link(instance_id)
+        if link is None:
+            return False
+        self._exchange.carry(link, self, encode(Envelope(message)))
+        return True
+
+    async def ask(
+        self, instance_id: str, message: Message, timeout: float
+    ) -> Result[Message, PeerError]:
+        link = self._find_link(instance_id)
+        if link is None:
+            return Err(PeerError(PeerErrorKind.NOT_SENT, f"no link to {instance_id}"))
+        number = next(self._numbers)
+        answer: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
+        self._questions[number] = (link, answer)
+        self._exchange.carry(link, self, encode(Envelope(message, question=number)))
+        try:
+            async with asyncio.timeout(timeout):
+                reply = await answer
+        except TimeoutError:
+            return Err(PeerError(PeerErrorKind.NO_ANSWER, "no answer in time"))
+        except ConnectionError:
+            return Err(PeerError(PeerErrorKind.NO_ANSWER, "the link closed"))
+        finally:
+            del self._questions[number]
+        if isinstance(reply, NotUnderstood):
+            return Err(PeerError(PeerErrorKind.REFUSED, "not understood"))
+        if isinstance(reply, Unanswered):
+            return Err(PeerError(PeerErrorKind.NO_ANSWER, "the peer's handler failed"))
+        return Ok(reply)
+
+    def handle(self, message_type: type[Message], handler: MessageHandler) -> None:
+        if message_type in self._handlers:
+            msg = f"{message_type.__name__} already has a handler"
+            raise ValueError(msg)
+        self._handlers[message_type] = handler
+
+    def dump(self) -> dict[str, Any]:
+        return self._membership.dump()
+
+    async def on_start(self) -> None:
+        self._exchange.join(self._address, self)
+        self.accepting = True
+
+    async def on_stop(self) -> None:
+        self.accepting = False
+        self._exchange.reset(self.instance_id)
+
+    @Service.task
+    async def _tend_forever(self) -> None:
+        loop = asyncio.get_running_loop()
+        while not self.should_stop:
+            now = loop.time()
+            paused = now - self._last_tick > 2 * TICK
+            self._last_tick = now
+            for link in self._exchange.tend(self):
+                # after a pause what was sent meanwhile is yet to be read
+                silent = now - link.heard[self.instance_id] > self._silence
+                if silent and not paused:
+                    self._exchange.close(link)
+            for instance_id in self._membership.list_neighbours():
+                self._find_link(instance_id)
+            await self.sleep(TICK)
+
+    def note_open(self, other: SimulatedPeers) -> None:
+        """Take note of a new link, on which each end has told who it is."""
+        hello = other.describe()
+        identity = Identity(
+            instance_id=hello.instance_id,
+            data_centre=hello.data_centre,
+            address=hello.address,
+            incarnation=hello.incarnation,
+        )
+        self._membership.meet(identity, leaving=hello.leaving)
+
+    def describe(self) -> Any:
+        """Return what this instance says of itself."""
+        return self._membership.describe()
+
+    def note_closed(self, link: _Link, instance_id: str) -> None:
+        """Take note that a link was closed."""
+        for used, answer in self._questions.values():
+            if used is link and not answer.done():
+                answer.set_exception(ConnectionResetError())
+        self._membership.note_link_lost(instance_id)
+
+    def receive(self, link: _Link, frame: bytes) -> None:
+        """Take in a frame."""
+        envelope = decode(frame).unwrap()
+        if envelope.answer:
+            used, answer = self._questions.get(envelope.answer, (None, None))
+            if used is link and not answer.done():
+                answer.set_result(envelope.message)
+            return
+        handler = self._handlers.get(type(envelope.message))
+        if handler is None:
+            self._answer(link, envelope.question, NotUnderstood("no handler"))
+            return
+        answer = handler(link.get_other(self).instance_id, envelope.message)
+        if not inspect.isawaitable(answer):
+            self._answer(link, envelope.question, answer or Unanswered())
+            return
+        task = asyncio.create_task(self._finish(link, envelope.question, answer))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _finish(self, link: _Link, question: int, pending: Any) -> None:
+        self._answer(link, question, await pending or Unanswered())
+
+    def _answer(self, link: _Link, question: int, message: Message) -> None:
+        if question and link.open:
+            self._exchange.carry(link, self, encode(Envelope(message, answer=question)))
+
+    def _find_link(self, instance_id: str) -> _Link | None:
+        link = self._exchange.find(self.instance_id, instance_id)
+        if link is not None:
+            return link
+        address = self._membership.find_address(instance_id)
+        return self._exchange.dial(self, address) if address else None
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/matrix/platform.py
@@ -0,0 +1,225 @@
+"""The platform's services as one entry instance reaches them."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+from result import Err, Result
+
+from greengagelatch.instances import InstanceList, Listing
+from greengagelatch.store import (
+    Entry,
+    Lease,
+    Store,
+    StoreError,
+    StoreErrorKind,
+    WriteOutcome,
+    WriteResult,
+)
+
+from .network import PLATFORM
+from .processes import spawn_outside
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from .network import Network
+    from .processes import SimulatedProcess
+
+__all__ = ("PlatformLink", "RemoteInstanceList", "RemoteStore")
+
+NO_ANSWER = StoreError(StoreErrorKind.TIMEOUT, "no answer")
+
+
+class PlatformLink:
+    """Carries one process's calls to the platform and the answers back.
+
+    What was sent takes effect whether or not its sender still lives: a write of a
+    process that has died meanwhile is in the platform's hands.
+
+    :param note: called with kind, key, value and answer after each call has had its
+        effect; it returns the answer that is given
+    """
+
+    def __init__(
+        self,
+        *,
+        network: Network,
+        process: SimulatedProcess,
+        place: str,
+        note: Callable[[SimulatedProcess, str, str, bytes, Any], Any],
+    ) -> None:
+        self.process = process
+        self._network = network
+        self._place = place
+        self._note = note
+        self._open: set[_Call] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def silence(self) -> None:
+        """Have the connections that are in use go silent."""
+        for call in self._open:
+            call.silent = True
+
+    async def call(
+        self,
+        kind: str,
+        key: str,
+        operate: Callable[[], Awaitable[Any]],
+        *,
+        timeout: float,
+        value: bytes = b"",
+    ) -> Any:
+        """Make a call and return its answer.
+
+        :raises TimeoutError: if there is none in time
+        """
+        call = _Call(asyncio.get_running_loop().create_future())
+        self._open.add(call)
+        call.task = spawn_outside(self._serve(call, kind, key, operate, value))
+        try:
+            async with asyncio.timeout(timeout):
+                return await call.answer
+        finally:
+            self._open.discard(call)
+
+    async def _serve(
+        self,
+        call: _Call,
+        kind: str,
+        key: str,
+        operate: Callable[[], Awaitable[Any]],
+        value: bytes,
+    ) -> None:
+        await asyncio.sleep(self._network.draw_latency(self._place, PLATFORM))
+        if call.silent or not self._network.reaches(self._place, PLATFORM):
+            return
+        answer = await operate()
+        answer = self._note(self.process, kind, key, value, answer)
+        await asyncio.sleep(self._network.draw_latency(PLATFORM, self._place))
+        if call.silent or not self._network.reaches(PLATFORM, self._place):
+            return
+        self.process.deliver(call.settle, answer)
+
+
+@dataclass(slots=True, eq=False)
+class _Call:
+    """One call on its way; ``silent`` once its connection carries nothing more."""
+
+    answer: asyncio.Future[Any]
+    silent: bool = False
+    task: asyncio.Task[None] | None = None
+
+    def settle(self, answer: Any) -> None:
+        if not self.answer.done():
+            self.answer.set_result(answer)
+
+
+class RemoteStore(Store):
+    """A store over a :class:`PlatformLink`, in the place of ``HttpStore``."""
+
+    def __init__(
+        self, *, store: Store, link: PlatformLink, timeout: float, **_adapter: Any
+    ) -> None:
+        self._store = store
+        self._link = link
+        self._timeout = timeout
+
+    async def close(self) -> None:
+        """Close nothing."""
+
+    async def get(self, key: str) -> Result[Entry | None, StoreError]:
+        return await self._read("get", key, lambda: self._store.get(key))
+
+    async def list(self, prefix: str) -> Result[tuple[Entry, ...], StoreError]:
+        return await self._read("list", prefix, lambda: self._store.list(prefix))
+
+    async def swap(
+        self, key: str, value: bytes, expected: int, *, lease_id: str = ""
+    ) -> WriteResult:
+        def operate() -> Awaitable[WriteResult]:
+            return self._store.swap(key, value, expected, lease_id=lease_id)
+
+        return await self._write("swap", key, operate, value)
+
+    async def delete(self, key: str, expected: int) -> WriteResult:
+        return await self._write(
+            "delete", key, lambda: self._store.delete(key, expected)
+        )
+
+    async def watch(
+        self, key: str, after: int, wait: float
+    ) -> Result[Entry | None, StoreError]:
+        return await self._read(
+            "watch", key, lambda: self._store.watch(key, after, wait), wait
+        )
+
+    async def grant_lease(self, ttl: float) -> Result[Lease, StoreError]:
+        return await self._read("grant", "", lambda: self._store.grant_lease(ttl))
+
+    async def keep_lease(self, lease_id: str) -> Result[Lease, StoreError]:
+        return await self._read(
+            "keep", lease_id, lambda: self._store.keep_lease(lease_id)
+        )
+
+    async def revoke_lease(self, lease_id: str) -> WriteResult:
+        return await self._write(
+            "revoke", lease_id, lambda: self._store.revoke_lease(lease_id)
+        )
+
+    async def _read(
+        self,
+        kind: str,
+        key: str,
+        operate: Callable[[], Awaitable[Any]],
+        wait: float = 0.0,
+    ) -> Any:
+        try:
+            return await self._link.call(
+                kind, key, operate, timeout=self._timeout + wait
+            )
+        except TimeoutError:
+            return Err(NO_ANSWER)
+
+    async def _write(
+        self,
+        kind: str,
+        key: str,
+        operate: Callable[[], Awaitable[WriteResult]],
+        value: bytes = b"",
+    ) -> WriteResult:
+        try:
+            return await self._link.call(
+                kind, key, operate, timeout=self._timeout, value=value
+            )
+        except TimeoutError:
+            return WriteResult(WriteOutcome.UNKNOWN, message="no answer")
+
+
+class RemoteInstanceList(InstanceList):
+    """The list over a :class:`PlatformLink`, in the place of ``HttpInstanceList``."""
+
+    def __init__(
+        self,
+        *,
+        instance_list: InstanceList,
+        link: PlatformLink,
+        timeout: float,
+        **_adapter: Any,
+    ) -> None:
+        self._instance_list = instance_list
+        self._link = link
+        self._timeout = timeout
+
+    async def close(self) -> None:
+        """Close nothing."""
+
+    async def fetch(self) -> Result[Listing, StoreError]:
+        try:
+            return await self._link.call(
+                "fetch", "", self._instance_list.fetch, timeout=self._timeout
+            )
+        except TimeoutError:
+            return Err(NO_ANSWER)
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/matrix/steps.py
@@ -0,0 +1,82 @@
+"""The steps at which faults are brought about, and who announces them."""
+
+from __future__ import annotations
+
+import asyncio
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from .processes import call_outside
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from .processes import SimulatedProcess
+
+__all__ = ("Announcer", "Step")
+
+
+class Step(Enum):
+    """A moment at which a fault may come."""
+
+    RECEIVED = "received"
+    CLAIMED = "claimed"
+    QUEUED = "queued"
+    CONNECTING = "connecting"
+    SENT = "sent"
+    FIRST_TOKEN = "first token"
+    BETWEEN_TOKENS = "between tokens"
+    BETWEEN_STAGES = "between stages"
+    ANSWERING = "answering"
+    ANSWERED = "answered"
+
+    SUBMITTED = "submitted"
+    SHARDS_WRITTEN = "shards written"
+    HEAD_SWAPPED = "head swapped"
+    SPREADING = "spreading"
+    IN_FORCE = "in force"
+
+    LEASE_HELD = "lease held"
+    ORDER_SENDING = "order sending"
+    ORDER_SENT = "order sent"
+    ORDER_READ_BACK = "order read back"
+
+    CLAIM_WRITER = "takeover of the claim writer"
+    CONFIGURATION_WATCHER = "takeover of the configuration watcher"
+    ORDER_LEASE = "takeover of the order lease"
+
+    LEAVING = "leaving"
+    FINISHING = "finishing"
+
+
+class Announcer:
+    """Calls a listener the first time that a step is reached for a subject.
+
+    A subject is the marker of a request or the id of a change.
+    """
+
+    def __init__(self) -> None:
+        self._listeners: dict[tuple[Step, str], Callable[..., None]] = {}
+        #: steps reached, with their subjects
+        self.reached: set[tuple[Step, str]] = set()
+
+    def await_step(
+        self, step: Step, subject: str, listener: Callable[[SimulatedProcess], None]
+    ) -> None:
+        """Have ``listener`` called once the step is reached."""
+        self._listeners[step, subject] = listener
+
+    def announce(self, step: Step, subject: str, process: SimulatedProcess) -> None:
+        """Tell that ``process`` has come to a step."""
+        self.reached.add((step, subject))
+        listener = self._listeners.pop((step, subject), None)
+        if listener is not None:
+            call_outside(listener, process)
+
+    async def reach(self, step: Step, subject: str, process: SimulatedProcess) -> None:
+        """Announce a step from within the process.
+
+        The caller's task goes on only if the process still runs afterwards.
+        """
+        self.announce(step, subject, process)
+        await asyncio.sleep(0)
--- /dev/null
+++ b/tests/test_matrix/conftest.py
@@ -0,0 +1,34 @@
+"""Steps that the features of the matrix share."""
+
+from __future__ import annotations
+
+import pytest
+from pytest_bdd import given, parsers, then, when
+
+from greengagelatch_lab.matrix.cells import Cell
+from greengagelatch_lab.matrix.run import run_cell
+from greengagelatch_lab.matrix.steps import Step
+
+#: seed of the cells in the usual run of the tests
+SEED = 1
+
+
+@pytest.fixture
+def seed() -> int:
+    return SEED
+
+
+@given("three entry instances in two data centres")
+def three_instances(seed):
+    print(f"seed {seed}")
+
+
+@when(parsers.parse('"{fault}" comes at the step "{step}"'), target_fixture="result")
+def one_fault(fault, step, seed):
+    return run_cell(Cell((fault,), Step(step)), seed)
+
+
+@then("every promise is kept")
+def every_promise_is_kept(result):
+    assert result.reached, "the step was not reached"
+    assert not result.breaches, "\n".join(map(str, result.breaches))
