Test keyed requests under faults, and bound what the tests found

The new ones found three faults: a request could be held beyond its deadline while the number of shards was being learnt (the store hung at the very first call), a batch larger than the head's room was refused in part, and waiting repeats could take up all the questions that a peer link works on. Weighed: cancelling the learning with the request that began it (others wait for it, too); ruled out. It is now a task of its own that each request waits for within its own deadline; batches are at most a head's size; at most 64 questions wait.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/claims/committer.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/claims/committer.py
@@ -112,9 +112,9 @@
         """Seconds since this instance last had an answer from the store."""
         return self._clock.now() - self._find_reached()
 
-    async def find_ways(self, key: bytes) -> tuple[str, ...]:
+    async def find_ways(self, key: bytes, deadline: float) -> tuple[str, ...]:
         """Return who may write for a key, in the order of trying; empty: nobody."""
-        shards = await self._layout.learn()
+        shards = await self._layout.learn(deadline - self._clock.now())
         if shards is None:
             return ()
         return self._rank_ways(choose_shard(key, shards))
@@ -164,13 +164,14 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        await self._layout.close()
         closing = [writer.close(STOP_TIME) for writer in self._writers.values()]
         await asyncio.gather(*closing)
 
     async def _commit_here(
         self, operation: Operation, deadline: float
     ) -> OperationResult:
-        shards = await self._layout.learn()
+        shards = await self._layout.learn(deadline - self._clock.now())
         if shards is None:
             return UNREACHABLE
         shard = choose_shard(operation.key, shards)
@@ -197,7 +198,7 @@
     async def _give_back(self, operation: GiveBack) -> None:
         expires = self._clock.now() + GIVE_BACK_TIME
         while self._clock.now() < expires:
-            ways = await self.find_ways(operation.key)
+            ways = await self.find_ways(operation.key, expires)
             for way in ways[:GIVE_BACK_WAYS]:
                 result = await self.commit(way, operation, expires)
                 if result is not None and is_settled(result):
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/claims/holders.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/claims/holders.py
@@ -7,7 +7,7 @@
 from collections import defaultdict
 from typing import TYPE_CHECKING
 
-from result import Ok
+from result import Err, Ok
 
 from greengagelatch.claims.attempt import describe_holder
 from greengagelatch.claims.messages import (
@@ -18,7 +18,7 @@
 )
 from greengagelatch.claims.registry import AttemptState
 from greengagelatch.claims.scope import rank_instances
-from greengagelatch.peers import MemberState
+from greengagelatch.peers import MemberState, PeerError, PeerErrorKind
 
 if TYPE_CHECKING:
     from greengagelatch.claims import Token
@@ -44,6 +44,13 @@
 #: questions without an answer, one after the other, before an instance counts as
 #: gone
 MAX_SILENT = 2
+#: questions turned away, one after the other, before an instance counts as gone
+MAX_REFUSED = 20
+#: seconds between two questions to an instance that did not make them wait
+PAUSE = 0.2
+#: questions of other instances that wait here at a time; a link takes only so many
+#: questions, and those for claims must not find them all taken
+MAX_WAITING = 64
 #: instances that are asked for what a stopped one may have handed over
 SUCCESSORS = 2
 #: outcomes that are handed over at the same time
@@ -75,6 +82,8 @@
         self._instance_id = instance_id
         self._incarnation = incarnation
         self._handover_bytes = handover_bytes
+        #: questions of other instances that are waiting
+        self._answering = 0
         self._waiting: defaultdict[Token, set[asyncio.Event]] = defaultdict(set)
         if peers is not None:
             peers.handle(OutcomeQuestion, self._answer_outcome)
@@ -164,9 +173,11 @@
     ) -> Record | None:
         """Ask one instance, again and again while the attempt is running."""
         silent = 0
+        refused = 0
         record = None
-        while silent < MAX_SILENT:
-            remaining = deadline - self._clock.now()
+        while silent < MAX_SILENT and refused < MAX_REFUSED:
+            started = self._clock.now()
+            remaining = deadline - started
             if remaining <= LAST_ANSWER:
                 return record
             wait = min(WAIT, remaining * WAIT_SHARE)
@@ -176,16 +187,19 @@
             )
             match answer:
                 case Ok(OutcomeAnswer() as found):
-                    silent = 0
+                    silent = refused = 0
                     record = found.unwrap()
+                    if record is None or record.state not in OPEN_STATES:
+                        return record
+                case Err(PeerError(kind=PeerErrorKind.REFUSED)):
+                    refused += 1
                 case _:
+                    # the link may be about to be made anew
                     silent += 1
                     self._metrics.count("claims.holder_silent")
-                    # the link may be about to be made anew
-                    await asyncio.sleep(min(0.1, remaining))
-                    continue
-            if record is None or record.state not in OPEN_STATES:
-                return record
+            waited = self._clock.now() - started
+            if waited < PAUSE:
+                await asyncio.sleep(min(PAUSE - waited, remaining))
         return None
 
     async def _answer_outcome(
@@ -195,7 +209,13 @@
         if token is None:
             return OutcomeAnswer()
         wait = min(question.wait_ms / 1000, WAIT)
-        record = await self._wait(token, self._clock.now() + wait)
+        if self._answering >= MAX_WAITING:
+            wait = 0.0
+        self._answering += 1
+        try:
+            record = await self._wait(token, self._clock.now() + wait)
+        finally:
+            self._answering -= 1
         return OutcomeAnswer.wrap(record)
 
     async def _hand_over(
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/claims/layout.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/claims/layout.py
@@ -42,26 +42,39 @@
         self._peers = peers
         self._wanted = shards
         self._own = own
-        self._lock = asyncio.Lock()
+        self._task: asyncio.Task[None] | None = None
         #: number of shards, ``None`` until it is known
         self.shards: int | None = None
         if peers is not None:
             peers.handle(LayoutQuestion, self._answer)
 
-    async def learn(self) -> int | None:
-        """Return the number of shards; ``None`` if nobody can tell now."""
+    async def learn(self, timeout: float) -> int | None:
+        """Return the number of shards; ``None`` if nobody tells it in time."""
         if self.shards is not None:
             return self.shards
-        async with self._lock:
-            if self.shards is None:
-                self.shards = await self._read() or await self._ask()
+        if self._task is None:
+            self._task = asyncio.create_task(self._learn())
+        # not cancelled by a request that is over: others may be waiting for it
+        await asyncio.wait({self._task}, timeout=max(0.0, timeout))
+        return self.shards
+
+    async def close(self) -> None:
+        """Stop learning."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _learn(self) -> None:
+        try:
+            self.shards = await self._read() or await self._ask()
+        finally:
+            self._task = None
         if self.shards not in (None, self._wanted):
             logger.warning(
                 "claims.shards is %d, but %d is in use and kept",
                 self._wanted,
                 self.shards,
             )
-        return self.shards
 
     async def _read(self) -> int | None:
         found = await self._store.get(LAYOUT_KEY)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/claims/writer.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/claims/writer.py
@@ -161,8 +161,10 @@
 
     def _take_batch(self) -> list[_Waiting]:
         now = self._clock.now()
-        taken = self._queue[:MAX_BATCH]
-        del self._queue[:MAX_BATCH]
+        # a head has room for one more batch of this size before it is sealed
+        size = min(MAX_BATCH, self._limits.head_claims)
+        taken = self._queue[:size]
+        del self._queue[:size]
         batch = []
         for waiting in taken:
             if waiting.expires <= now:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/claims.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/claims.py
@@ -206,7 +206,9 @@
                 return attempt, self._refuse_late(attempt, request)
             match attempt.action:
                 case Action.CHOOSE_WAYS:
-                    ways = await self._committer.find_ways(attempt.operation.key)
+                    ways = await self._committer.find_ways(
+                        attempt.operation.key, request.deadline
+                    )
                     attempt = attempt.take_ways(ways)
                 case Action.ACQUIRE:
                     result = await self._committer.commit(
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/standins/peers.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/standins/peers.py
@@ -49,7 +49,7 @@
 
     def leave(self, instance_id: str) -> None:
         """Remove an instance at once; the others learn that it is dead."""
-        del self._peers[instance_id]
+        self._peers.pop(instance_id, None)
         self.states[instance_id] = MemberState.DEAD
 
     def find(self, sender: str, receiver: str) -> MemoryPeers | None:
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/standins/store_view.py
@@ -0,0 +1,101 @@
+"""One instance's way to a store that others use as well, with faults of its own."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Awaitable, Callable
+
+from result import Err, Result
+
+from greengagelatch.store import (
+    Entry,
+    Lease,
+    Store,
+    StoreError,
+    StoreErrorKind,
+    WriteOutcome,
+    WriteResult,
+)
+
+from .memory import StoreFaults
+
+__all__ = ("StoreView",)
+
+OUTAGE = StoreError(StoreErrorKind.UNREACHABLE, "cut off")
+LOST = WriteResult(WriteOutcome.UNKNOWN, message="no answer")
+REFUSED = WriteResult(WriteOutcome.NOT_APPLIED, message="refused")
+
+
+class StoreView(Store):
+    """Passes calls on to ``store``, unless a fault of this view stops them."""
+
+    def __init__(self, store: Store) -> None:
+        self.faults = StoreFaults()
+        #: number of calls by kind
+        self.calls: Counter[str] = Counter()
+        self._store = store
+
+    async def get(self, key: str) -> Result[Entry | None, StoreError]:
+        if not await self._enter("get", key):
+            return Err(OUTAGE)
+        return await self._store.get(key)
+
+    async def list(self, prefix: str) -> Result[tuple[Entry, ...], StoreError]:
+        if not await self._enter("list", prefix):
+            return Err(OUTAGE)
+        return await self._store.list(prefix)
+
+    async def swap(
+        self, key: str, value: bytes, expected: int, *, lease_id: str = ""
+    ) -> WriteResult:
+        return await self._write(
+            "swap",
+            key,
+            lambda: self._store.swap(key, value, expected, lease_id=lease_id),
+        )
+
+    async def delete(self, key: str, expected: int) -> WriteResult:
+        return await self._write(
+            "delete", key, lambda: self._store.delete(key, expected)
+        )
+
+    async def watch(
+        self, key: str, after: int, wait: float
+    ) -> Result[Entry | None, StoreError]:
+        if not await self._enter("watch", key):
+            return Err(OUTAGE)
+        return await self._store.watch(key, after, wait)
+
+    async def grant_lease(self, ttl: float) -> Result[Lease, StoreError]:
+        if not await self._enter("grant", ""):
+            return Err(OUTAGE)
+        return await self._store.grant_lease(ttl)
+
+    async def keep_lease(self, lease_id: str) -> Result[Lease, StoreError]:
+        if not await self._enter("keep", lease_id):
+            return Err(OUTAGE)
+        return await self._store.keep_lease(lease_id)
+
+    async def revoke_lease(self, lease_id: str) -> WriteResult:
+        return await self._write(
+            "revoke", lease_id, lambda: self._store.revoke_lease(lease_id)
+        )
+
+    async def _enter(self, kind: str, key: str) -> bool:
+        """Count a call; whether it gets through."""
+        self.calls[kind] += 1
+        if self.faults.before_call:
+            await self.faults.before_call(kind, key)
+        return not (self.faults.outage or self.faults.take("refuse_calls"))
+
+    async def _write(
+        self, kind: str, key: str, write: Callable[[], Awaitable[WriteResult]]
+    ) -> WriteResult:
+        if not await self._enter(kind, key):
+            return REFUSED
+        if self.faults.take("drop_writes"):
+            return LOST
+        result = await write()
+        if self.faults.take("lose_answers") or self.faults.outage:
+            return LOST
+        return result
--- a/tests/test_entry/test_controllers/test_claims.py
+++ b/tests/test_entry/test_controllers/test_claims.py
@@ -20,6 +20,7 @@
 from greengagelatch_entry.metrics import Metrics
 from greengagelatch_lab.standins.memory import MemoryStore
 from greengagelatch_lab.standins.peers import Switchboard
+from greengagelatch_lab.standins.store_view import StoreView
 from greengagelatch_lab.waiting import wait_until
 
 CLOCK = SystemClock()
@@ -44,7 +45,7 @@
         self.name = name
         self.metrics = Metrics("127.0.0.1:9")
         self.claims = ClaimsController(
-            store=fleet.store,
+            store=fleet.stores[name],
             peers=peers,
             clock=CLOCK,
             random=random.Random(name),
@@ -90,9 +91,13 @@
 
     def __init__(self, **settings: object) -> None:
         self.settings = {"shards": 1, "interval": 0, **settings}
-        self.store = MemoryStore(clock=CLOCK)
+        self._store = MemoryStore(clock=CLOCK)
+        #: each instance's own way to the one store
+        self.stores: dict[str, StoreView] = {}
         self.switchboard = Switchboard()
         self.runs: list[tuple[str, str]] = []
+        #: answers that said "not run" about a key that had run
+        self.lies: list[tuple[str, Answer]] = []
         self.requests = 0
         #: closed: runs wait until it is opened
         self.gate = asyncio.Event()
@@ -102,6 +107,7 @@
     async def start(self, name: str, *, alone: bool = False) -> Instance:
         """Start an instance."""
         peers = None if alone else self.switchboard.join(name)
+        self.stores[name] = StoreView(self._store)
         instance = Instance(self, name, peers)
         await instance.claims.start()
         self.instances[name] = instance
@@ -114,6 +120,10 @@
         await instance.claims.stop()
         self.switchboard.leave(name)
 
+    def each(self) -> list[Instance]:
+        """Return all instances."""
+        return list(self.instances.values())
+
     def kill(self, name: str) -> None:
         """Make an instance unreachable for good, without its stopping anything."""
         self.switchboard.leave(name)
@@ -215,3 +225,359 @@
     assert third.refusal.code is RefusalCode.IN_PROGRESS
     assert third.verdict is Verdict.MAY_HAVE_RUN
     assert len(fleet.runs) == 1
+
+
+async def test_answer_of_the_usual_writer_is_lost():
+    """A claim is forwarded and committed, but the answer never comes.
+
+    Symptom: the request is refused, or claimed a second time and stuck.
+    Sequence: the writer swaps the head; its answer is lost on the link; the asking
+    instance has to find out by itself.
+    Cause: nothing but the store can tell whether the claim was committed.
+    """
+    async with run_fleet("a", "b", "c", forward_timeout=0.1) as fleet:
+        await fleet.instances["a"].ask("warm-up")
+        writer = get_usual_writer(fleet)
+        others = [name for name in fleet.instances if name != writer]
+        fleet.switchboard.mute |= {(name, writer) for name in others}
+        first = await fleet.instances[others[0]].ask("k")
+        fleet.switchboard.mute.clear()
+        second = await fleet.instances[others[1]].ask("k")
+    assert first.verdict is Verdict.RAN
+    assert second.replayed
+    assert second.result == first.result
+    assert count_runs(fleet, "k") == 1
+
+
+async def test_usual_writer_is_out_of_reach():
+    """The usual writer of a shard is cut off from the other instances.
+
+    Symptom: keyed requests wait for a new owner of the shard, or are refused.
+    Sequence: no question reaches the writer; the others still see it as alive.
+    Cause: a shard that only one instance may write stalls with that instance.
+    """
+    async with run_fleet("a", "b", "c") as fleet:
+        await fleet.instances["a"].ask("warm-up")
+        writer = get_usual_writer(fleet)
+        others = [name for name in fleet.instances if name != writer]
+        for name in others:
+            fleet.switchboard.cut |= {(name, writer), (writer, name)}
+        first = await fleet.instances[others[0]].ask("k")
+        second = await fleet.instances[others[1]].ask("k")
+        third = await fleet.instances[writer].ask("k")
+    assert first.verdict is Verdict.RAN
+    assert second.result == first.result
+    # the writer sees the claim, but can't reach the instance that has the outcome
+    assert third.refusal.code is RefusalCode.REPEAT_UNSETTLED
+    assert third.verdict is Verdict.MAY_HAVE_RUN
+    assert count_runs(fleet, "k") == 1
+
+
+async def test_instance_cut_off_from_the_store_claims_through_others():
+    """One instance, the usual writer, can't reach the store; the others can.
+
+    Symptom: keyed requests at that instance are refused though its peers serve.
+    Sequence: its own swap fails, then it asks other instances to write for it.
+    Cause: a data centre may be cut off from the platform, but not from its peers.
+    """
+    async with run_fleet("a", "b", "c") as fleet:
+        await fleet.instances["a"].ask("warm-up")
+        writer = get_usual_writer(fleet)
+        fleet.stores[writer].faults.outage = True
+        answer = await fleet.instances[writer].ask("k")
+        other = next(name for name in fleet.instances if name != writer)
+        repeat = await fleet.instances[other].ask("k")
+    assert answer.verdict is Verdict.RAN
+    assert repeat.result == answer.result
+    assert count_runs(fleet, "k") == 1
+
+
+@pytest.mark.parametrize("fault", ["lose_answers", "drop_writes", "refuse_calls"])
+async def test_store_gives_no_answer_to_a_swap(fault):
+    """A swap takes effect and its answer is lost, or is lost on its way there.
+
+    Symptom: a request runs twice, or its key is stuck.
+    Sequence: the writer hears nothing, reads the head back and looks for its batch.
+    Cause: a write without an answer may or may not have taken effect.
+    """
+    async with run_fleet("a", "b") as fleet:
+        await fleet.instances["a"].ask("warm-up")
+        for store in fleet.stores.values():
+            setattr(store.faults, fault, 1)
+        first = await fleet.instances["a"].ask("k")
+        second = await fleet.instances["b"].ask("k")
+    assert first.verdict is Verdict.RAN
+    assert second.result == first.result
+    assert count_runs(fleet, "k") == 1
+
+
+@pytest.mark.parametrize("policy", ["refuse", "refuse-later"])
+async def test_nobody_reaches_the_store(policy):
+    """The store is down for all instances.
+
+    Symptom: keyed requests run without a claim, and again once it is back.
+    Sequence: a declared first attempt and a repeat arrive during the outage, then
+    the repeat once more after it.
+    Cause: with no claim in the store, other instances know nothing of a run.
+    """
+    async with run_fleet("a", "b", store_down=policy) as fleet:
+        await fleet.instances["a"].ask("warm-up")
+        for store in fleet.stores.values():
+            store.faults.outage = True
+        first = await fleet.instances["a"].ask("k", first=True, seconds=0.6)
+        repeat = await fleet.instances["b"].ask("k", seconds=0.6)
+        assert fleet.runs == [("a", "warm-up")]
+        for store in fleet.stores.values():
+            store.faults.outage = False
+        last = await fleet.instances["b"].ask("k")
+    assert first.refusal.code is RefusalCode.STORE_UNREACHABLE
+    assert first.verdict is Verdict.NOT_RUN
+    assert first.refusal.retry_after_ms
+    assert repeat.refusal.code is RefusalCode.STORE_UNREACHABLE
+    assert repeat.verdict is Verdict.MAY_HAVE_RUN
+    assert last.verdict is Verdict.RAN
+    assert count_runs(fleet, "k") == 1
+
+
+async def test_short_outage_is_waited_out():
+    async with run_fleet("a") as fleet:
+        await fleet.instances["a"].ask("warm-up")
+        fleet.stores["a"].faults.outage = True
+        asked = asyncio.create_task(fleet.instances["a"].ask("k"))
+        calls = fleet.stores["a"].calls
+        await wait_until(lambda: calls["get"] + calls["swap"] > 4, timeout=5)
+        fleet.stores["a"].faults.outage = False
+        assert (await asked).verdict is Verdict.RAN
+
+
+async def test_instance_of_the_first_attempt_is_gone():
+    """The instance that runs a request dies, and its caller asks again elsewhere.
+
+    Symptom: the request runs a second time.
+    Sequence: a claims and begins to run; a dies; the repeat reaches b.
+    Cause: nobody can tell how far the first run came.
+    """
+    async with run_fleet("a", "b") as fleet:
+        fleet.gate.clear()
+        first = asyncio.create_task(fleet.instances["a"].ask("k"))
+        await wait_until(lambda: fleet.runs, timeout=5)
+        fleet.kill("a")
+        repeat = await fleet.instances["b"].ask("k")
+        fleet.gate.set()
+        await first
+    assert repeat.refusal.code is RefusalCode.REPEAT_UNSETTLED
+    assert repeat.verdict is Verdict.MAY_HAVE_RUN
+    assert fleet.runs == [("a", "k")]
+
+
+async def test_instance_restarts_under_its_old_id():
+    """An instance dies and comes back with the same id and the same seed.
+
+    Symptom: it takes an earlier claim for its own and runs the request again.
+    Sequence: a runs the request and dies; the new a gets the repeat.
+    Cause: tokens drawn from the seeded source, or counted anew, would be equal.
+    """
+    async with run_fleet("a", "b") as fleet:
+        await fleet.instances["a"].ask("k")
+        fleet.kill("a")
+        old = fleet.instances.pop("a")
+        new = await fleet.start("a")
+        repeat = await new.ask("k")
+        await old.claims.stop()
+    assert repeat.refusal.code is RefusalCode.REPEAT_UNSETTLED
+    assert fleet.runs == [("a", "k")]
+
+
+async def test_planned_stop_hands_outcomes_over():
+    """All instances are restarted one after the other, then a caller asks again.
+
+    Symptom: the caller learns only that its request may have run.
+    Sequence: a runs the request and stops, then b stops, then c gets the repeat.
+    Cause: outcomes live in the memory of instances that keep nothing.
+    """
+    async with run_fleet("a", "b", "c") as fleet:
+        first = await fleet.instances["a"].ask("k")
+        await fleet.stop("a")
+        await fleet.stop("b")
+        repeat = await fleet.instances["c"].ask("k")
+    assert repeat.replayed
+    assert repeat.result == first.result
+    assert fleet.runs == [("a", "k")]
+
+
+async def test_caller_leaves_while_its_request_runs():
+    """A caller hangs up while its request runs, and asks again.
+
+    Symptom: the repeat runs the request anew, or waits for ever.
+    Sequence: the first request is cancelled once a call was handed to a socket.
+    Cause: a cancelled run has no answer that could be kept.
+    """
+    async with run_fleet("a", "b") as fleet:
+        fleet.gate.clear()
+        first = asyncio.create_task(fleet.instances["a"].ask("k"))
+        await wait_until(lambda: fleet.runs, timeout=5)
+        first.cancel()
+        await asyncio.gather(first, return_exceptions=True)
+        repeat = await fleet.instances["b"].ask("k")
+    assert repeat.verdict is Verdict.MAY_HAVE_RUN
+    assert repeat.refusal.code is RefusalCode.REPEAT_UNSETTLED
+    assert len(fleet.runs) == 1
+
+
+async def test_claim_is_committed_after_its_request_was_given_up():
+    """A writer commits a claim whose request has met its deadline meanwhile.
+
+    Symptom: the key is stuck: held by an attempt that never runs.
+    Sequence: the store is slow; the request at a is refused as not run; then the
+    swap takes effect; the repeat reaches b.
+    Cause: an operation that was sent can't be called back.
+    """
+    async with run_fleet("a", "b") as fleet:
+        await fleet.instances["a"].ask("warm-up")
+        slow = asyncio.Event()
+
+        async def hold(kind: str, key: str) -> None:
+            if kind == "swap":
+                await slow.wait()
+
+        for store in fleet.stores.values():
+            store.faults.before_call = hold
+        first = await fleet.instances["a"].ask("k", first=True, seconds=0.3)
+        slow.set()
+        repeat = await fleet.instances["b"].ask("k")
+    assert first.refusal.code is RefusalCode.DEADLINE
+    assert first.verdict is Verdict.NOT_RUN
+    assert repeat.verdict is Verdict.RAN
+    assert fleet.runs == [("a", "warm-up"), ("b", "k")]
+
+
+@pytest.mark.parametrize("kind", ["get", "swap"])
+async def test_store_hangs_at_the_first_request(kind):
+    """The store takes the very first calls and never answers.
+
+    Symptom: a request is held long beyond its deadline.
+    Sequence: the instance asks for the number of shards, or writes it, and waits.
+    Cause: that call belongs to no single request, so its deadline did not apply.
+    """
+    async with run_fleet("a") as fleet:
+
+        async def hang(called: str, key: str) -> None:
+            if called == kind:
+                await asyncio.Event().wait()
+
+        fleet.stores["a"].faults.before_call = hang
+        async with asyncio.timeout(10):
+            answer = await fleet.instances["a"].ask("k", first=True, seconds=0.2)
+    assert answer.verdict is Verdict.NOT_RUN
+    assert fleet.runs == []
+
+
+async def test_instances_with_different_numbers_of_shards():
+    """An instance is started with another ``claims.shards`` than the rest.
+
+    Symptom: a repeat runs a second time.
+    Sequence: a claims in one shard, b looks in another one.
+    Cause: the shard of a key depends on the number of shards.
+    """
+    async with run_fleet("a", shards=7) as fleet:
+        first = await fleet.instances["a"].ask("k")
+        fleet.settings["shards"] = 5
+        late = await fleet.start("b")
+        repeat = await late.ask("k")
+        assert late.claims.dump()["shards"] == 7
+    assert repeat.result == first.result
+
+
+async def test_outcome_that_is_too_large_is_not_run_again():
+    async with run_fleet("a", "b", outcome_bytes=200) as fleet:
+        await fleet.instances["a"].ask("k", body="x" * 300)
+        repeat = await fleet.instances["b"].ask("k", body="x" * 300)
+    assert repeat.verdict is Verdict.RAN
+    assert repeat.refusal.code is RefusalCode.REPEAT_UNSETTLED
+    assert len(fleet.runs) == 1
+
+
+async def test_request_that_could_outlive_its_claim_is_refused():
+    async with run_fleet("a", retention=10) as fleet:
+        answer = await fleet.instances["a"].ask("k", seconds=6)
+    assert answer.refusal.code is RefusalCode.BAD_REQUEST
+    assert fleet.runs == []
+
+
+async def test_claims_are_grouped_and_sealed():
+    async with run_fleet("a", "b", head_claims=20, segment_claims=50) as fleet:
+        keys = [f"k{number}" for number in range(200)]
+        asked = [fleet.instances["a"].ask(key) for key in keys]
+        answers = await asyncio.gather(*asked)
+        swaps = sum(one.metrics.value("claims.swaps") for one in fleet.each())
+        sealed = sum(one.metrics.value("claims.segments") for one in fleet.each())
+        repeats = [await fleet.instances["b"].ask(key) for key in keys]
+    assert all(answer.verdict is Verdict.RAN for answer in answers)
+    assert swaps < len(keys) / 4
+    assert sealed
+    assert all(answer.replayed for answer in repeats)
+    assert len(fleet.runs) == len(keys)
+
+
+@pytest.mark.parametrize("seed", range(6))
+async def test_random_faults_run_no_request_twice(seed):
+    """Answers are lost, stores and links go away at random, callers ask again.
+
+    Symptom: a request runs twice, or was said not to have run although it has.
+    Sequence: drawn at random from the seed.
+    Cause: any of those that the other tests bring about one by one, or several.
+    """
+    chooser = random.Random(seed)
+    async with run_fleet(
+        "a", "b", "c", forward_timeout=0.1, head_claims=4, shards=2
+    ) as fleet:
+        stop = asyncio.Event()
+        trouble = asyncio.create_task(make_trouble(fleet, chooser, stop))
+        callers = [ask_until_settled(fleet, f"k{n}", chooser) for n in range(30)]
+        await asyncio.gather(*callers)
+        stop.set()
+        await trouble
+    for number in range(30):
+        assert count_runs(fleet, f"k{number}") <= 1
+    assert fleet.lies == []
+
+
+async def ask_until_settled(fleet: Fleet, key: str, chooser: random.Random) -> None:
+    """Ask for one key up to six times, at instances chosen at random."""
+    for _ in range(6):
+        name = chooser.choice(sorted(fleet.instances))
+        runs = Verdict.NOT_RUN if chooser.random() < 0.2 else Verdict.RAN
+        answer = await fleet.instances[name].ask(
+            key, seconds=chooser.choice((0.05, 0.5, 2.0)), runs=runs
+        )
+        if answer.verdict is Verdict.NOT_RUN and count_runs(fleet, key):
+            fleet.lies.append((key, answer))
+        if answer.verdict is Verdict.RAN:
+            return
+        await asyncio.sleep(chooser.random() * 0.05)
+
+
+async def make_trouble(
+    fleet: Fleet, chooser: random.Random, stop: asyncio.Event
+) -> None:
+    """Inject faults at random until ``stop``, and leave none behind."""
+    names = sorted(fleet.instances)
+    while not stop.is_set():
+        store = fleet.stores[chooser.choice(names)]
+        store.faults.outage = chooser.random() < 0.3
+        store.faults.lose_answers = chooser.randrange(3)
+        store.faults.drop_writes = chooser.randrange(2)
+        pair = (chooser.choice(names), chooser.choice(names))
+        chooser.choice((fleet.switchboard.mute, fleet.switchboard.cut)).add(pair)
+        if chooser.random() < 0.5:
+            fleet.switchboard.mute.clear()
+            fleet.switchboard.cut.clear()
+        await asyncio.sleep(chooser.random() * 0.03)
+    fleet.switchboard.mute.clear()
+    fleet.switchboard.cut.clear()
+    for store in fleet.stores.values():
+        store.faults.outage = False
+
+
+def count_runs(fleet: Fleet, key: str) -> int:
+    return sum(1 for _, run in fleet.runs if run == key)
