--- /dev/null
+++ b/tests/test_core/test_config/test_replica.py
@@ -0,0 +1,101 @@
+"""What an instance holds of the configuration, whoever it hears from and when."""
+
+from __future__ import annotations
+
+import cbor2
+import pytest
+
+from greengagelatch.config.head import (
+    Head,
+    ShardRef,
+    advance,
+    apply_delta,
+    encode_delta,
+)
+from greengagelatch.config.objects import Workspace
+from greengagelatch.config.records import (
+    Record,
+    compute_bucket,
+    compute_digest,
+    encode_shard,
+    to_body,
+)
+from greengagelatch.config.replica import Replica, open_shard
+
+
+def build(head, number):
+    """Return the next head, which changes one workspace, with its new shard."""
+    body = to_body(Workspace(name="a", labels={"v": str(number)}))
+    change_id = f"c{number}"
+    data = encode_shard({"workspace/a": Record(number, change_id, body)})
+    ref = ShardRef(compute_digest(data), salt=number, revision=number)
+    bucket = compute_bucket("workspace/a")
+    following = advance(
+        head, change_id=change_id, digest=b"", shards={bucket: ref}, now=number
+    )
+    return following.unwrap(), {ref: open_shard(ref, data)}
+
+
+@pytest.fixture
+def generations():
+    built = []
+    head = Head()
+    for number in range(1, 6):
+        head, fresh = build(head, number)
+        built.append((head, fresh))
+    return built
+
+
+def test_a_stale_watch_or_peer_reverts_nothing(generations):
+    """A change that was in force is gone on some instances.
+
+    A watch or a peer answers late, with the generation before.
+    """
+    replica = Replica()
+    assert replica.adopt(*generations[2])
+    assert not replica.adopt(*generations[1])
+    assert not replica.adopt(*generations[2])
+    assert replica.generation == 3
+    assert replica.snapshot.workspaces["a"].labels == {"v": "3"}
+
+
+def test_a_generation_without_all_its_shards_is_not_in_force(generations):
+    """Some objects of a change are in force and others are not.
+
+    The head was read, and the store goes away before its shards are.
+    """
+    replica = Replica()
+    replica.adopt(*generations[0])
+    assert not replica.adopt(generations[1][0], {})
+    assert replica.snapshot.workspaces["a"].labels == {"v": "1"}
+
+
+def test_a_shard_that_is_not_what_the_head_names_is_not_read(generations):
+    """An instance serves objects that no operator has made.
+
+    A peer sends other bytes than those asked for.
+    """
+    [(_, other)] = [generations[0]]
+    [ref] = generations[1][1]
+    [held] = other.values()
+    assert open_shard(ref, held.data) is None
+
+
+def test_a_delta_leads_to_the_same_generation_as_the_head(generations):
+    first, last = generations[0][0], generations[4][0]
+    delta = encode_delta(last, 1)
+    led = apply_delta(first, delta).unwrap()
+    assert (led.generation, led.shards, led.changes) == (5, last.shards, last.changes)
+    assert apply_delta(generations[1][0], delta).is_err()
+    assert encode_delta(last, 5) is None
+
+
+def test_a_delta_that_leads_elsewhere_is_refused(generations):
+    """Two instances hold different configurations under one generation.
+
+    What one of them has of the generation before is not what the sender had.
+    """
+    first, last = generations[0][0], generations[4][0]
+    frame = cbor2.loads(encode_delta(last, 1))
+    frame["shards"] = {bucket + 1: row for bucket, row in frame["shards"].items()}
+    assert apply_delta(first, cbor2.dumps(frame)).is_err()
