--- a/packages/greengagelatch-entry/src/greengagelatch_entry/stages.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/stages.py
@@ -192,14 +192,15 @@
         )
 
     def _count_cost(self, run: _Run, *, useful: bool) -> None:
+        pipeline = run.pipeline.name
+        kind = "useful" if useful else "wasted"
         for name, cost in run.costs.items():
-            prefix = f"cost.{run.pipeline.name}.{name}"
-            kind = "useful" if useful else "wasted"
-            self._metrics.count(f"{prefix}.{kind}_ms", round(cost * 1000))
+            amount = round(cost * 1000)
+            self._metrics.count(f"cost.{pipeline}.{name}.{kind}_ms", amount)
         for name, cost in run.wasted.items():
-            if cost > 0:
-                prefix = f"cost.{run.pipeline.name}.{name}"
-                self._metrics.count(f"{prefix}.wasted_ms", round(cost * 1000))
+            amount = round(cost * 1000)
+            if amount > 0:
+                self._metrics.count(f"cost.{pipeline}.{name}.wasted_ms", amount)
 
 
 def _start_trace(exchange: Exchange, stage: Stage) -> StageTrace | None:
--- a/tests/test_entry/test_adapters/test_callers.py
+++ b/tests/test_entry/test_adapters/test_callers.py
@@ -471,7 +471,9 @@
         await proceed.wait()
         return await answer(exchange)
 
-    async with open_bench(handler) as bench:
+    # longer than the test may take: only the drain can end the idle connection
+    limits = replace(LIMITS, idle_timeout=600.0)
+    async with open_bench(handler, limits) as bench:
         idle_reader, idle_writer = await bench.connect()
         reader, writer = await bench.connect()
         writer.write(encode_request())
--- /dev/null
+++ b/tests/test_entry/test_racing.py
@@ -0,0 +1,107 @@
+"""Races of a call against its backup."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from result import Err, Ok
+
+from greengagelatch.targets import CallFailure, FailureKind, StageAnswer
+from greengagelatch.verdict import Verdict
+from greengagelatch_entry.racing import race
+
+PATIENCE = 0.02
+
+
+def answer(output):
+    return Ok(StageAnswer(output=output))
+
+
+def fail(message):
+    kind, verdict = FailureKind.CUT, Verdict.MAY_HAVE_RUN
+    return Err(CallFailure(kind=kind, verdict=verdict, message=message))
+
+
+class Call:
+    """A call that ends with ``result`` once ``gate`` is set."""
+
+    def __init__(self, result, *, open_at_once=False):
+        self.result = result
+        self.gate = asyncio.Event()
+        self.started = asyncio.Event()
+        self.cancelled = False
+        if open_at_once:
+            self.gate.set()
+
+    async def __call__(self):
+        self.started.set()
+        try:
+            await self.gate.wait()
+        except asyncio.CancelledError:
+            self.cancelled = True
+            raise
+        return self.result
+
+
+async def test_answered_call_is_never_followed_by_a_backup():
+    """A target was called for a request answered long before.
+
+    Sequence: the call is answered in time; the time for its backup comes. Cause:
+    the timer was left running.
+    """
+    first, backup = Call(answer("first"), open_at_once=True), Call(answer("backup"))
+    assert (await race(first, backup, PATIENCE)).ok_value.output == "first"
+    await asyncio.sleep(3 * PATIENCE)
+    assert not backup.started.is_set()
+
+
+async def test_failure_waits_for_the_backup_under_way():
+    """A request failed although its backup was about to be answered."""
+    first, backup = Call(fail("first")), Call(answer("backup"))
+    task = asyncio.create_task(race(first, backup, PATIENCE))
+    await backup.started.wait()
+    first.gate.set()
+    await asyncio.sleep(0)
+    backup.gate.set()
+    assert (await task).ok_value.output == "backup"
+
+
+@pytest.mark.parametrize("backup_result", [fail("backup"), None])
+async def test_failed_backup_leaves_the_first_call_alone(backup_result):
+    """A call was given up because no second one could be made."""
+    first, backup = Call(answer("first")), Call(backup_result, open_at_once=True)
+    task = asyncio.create_task(race(first, backup, PATIENCE))
+    await backup.started.wait()
+    await asyncio.sleep(0)
+    assert not first.cancelled
+    first.gate.set()
+    assert (await task).ok_value.output == "first"
+
+
+async def test_first_answer_stops_the_backup():
+    first, backup = Call(answer("first")), Call(answer("backup"))
+    task = asyncio.create_task(race(first, backup, PATIENCE))
+    await backup.started.wait()
+    first.gate.set()
+    assert (await task).ok_value.output == "first"
+    assert backup.cancelled
+
+
+async def test_cancelled_race_leaves_nothing_running():
+    first, backup = Call(answer("first")), Call(answer("backup"))
+    task = asyncio.create_task(race(first, backup, PATIENCE))
+    await backup.started.wait()
+    task.cancel()
+    with pytest.raises(asyncio.CancelledError):
+        await task
+    assert first.cancelled
+    assert backup.cancelled
+
+
+async def test_both_failures_are_one():
+    first, backup = Call(fail("first")), Call(fail("backup"), open_at_once=True)
+    task = asyncio.create_task(race(first, backup, PATIENCE))
+    await backup.started.wait()
+    first.gate.set()
+    assert (await task).err_value.kind is FailureKind.CUT
