--- a/tests/test_entry/test_stage_runner.py
+++ b/tests/test_entry/test_stage_runner.py
@@ -285,6 +285,9 @@
     assert first[0] != second[0]
     assert bench.client.cancelled == [first[1].attempt_id]
     assert bench.dispatcher.tickets[1].retry
+    # the silent target is blamed, or calls would go on being sent to it
+    kinds = [outcome.kind for outcome in bench.dispatcher.outcomes]
+    assert sorted(kind.value for kind in kinds) == ["failure", "success"]
 
 
 async def test_silent_call_that_may_not_be_repeated_gets_none():
