--- a/packages/greengagelatch-lab/src/greengagelatch_lab/standins/peers.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/standins/peers.py
@@ -34,15 +34,18 @@
         self.mute: set[tuple[str, str]] = set()
         #: what every instance believes of each other one
         self.states: dict[str, MemberState] = {}
+        #: data centres by instance
+        self.data_centres: dict[str, str] = {}
         #: views that differ, by the instance that has them
         self.views: dict[str, dict[str, MemberState]] = {}
         #: number of questions by wire name
         self.asked: Counter[str] = Counter()
         self._peers: dict[str, MemoryPeers] = {}
 
-    def join(self, instance_id: str) -> MemoryPeers:
+    def join(self, instance_id: str, data_centre: str = "") -> MemoryPeers:
         """Add an instance that is alive."""
         peers = MemoryPeers(self, instance_id)
+        self.data_centres[instance_id] = data_centre
         self._peers[instance_id] = peers
         self.states[instance_id] = MemberState.ALIVE
         return peers
@@ -77,8 +80,14 @@
     def members(self) -> tuple[Member, ...]:
         states = self._switchboard.states
         states = states | self._switchboard.views.get(self._instance_id, {})
+        places = self._switchboard.data_centres
         return tuple(
-            Member(instance_id=one, data_centre="", address="", state=state)
+            Member(
+                instance_id=one,
+                data_centre=places.get(one, ""),
+                address="",
+                state=state,
+            )
             for one, state in sorted(states.items())
         )
 
