Hash prompt prefixes as bytes

Cause: xxhash takes bytes only; the choice between several targets for a call with a prefix raised, and the caller got "internal". Ruled out: calls without a prefix, and services with one candidate (both answered).

--- a/packages/greengagelatch/src/greengagelatch/load/choice.py
+++ b/packages/greengagelatch/src/greengagelatch/load/choice.py
@@ -96,7 +96,8 @@
 
 
 def _rank(view: TargetView, prefix: str) -> tuple[bool, int]:
-    digest = xxhash.xxh64_intdigest(f"{prefix}\0{view.target.target_id}")
+    text = f"{prefix}\0{view.target.target_id}"
+    digest = xxhash.xxh64_intdigest(text.encode())
     return (prefix not in view.cached_prefixes, digest)
 
 
