--- a/packages/greengagelatch/src/greengagelatch/load/choice.py
+++ b/packages/greengagelatch/src/greengagelatch/load/choice.py
@@ -97,7 +97,8 @@
 
 def _rank(view: TargetView, prefix: str) -> tuple[bool, int]:
     text = f"{prefix}\0{view.target.target_id}"
-    digest = xxhash.xxh64_intdigest(text.encode())
+    # JSON may hold halves of surrogate pairs, which a strict encoder refuses
+    digest = xxhash.xxh64_intdigest(text.encode("utf-8", "surrogatepass"))
     return (prefix not in view.cached_prefixes, digest)
 
 
--- a/tests/test_core/test_load/test_choice.py
+++ b/tests/test_core/test_load/test_choice.py
@@ -35,6 +35,17 @@
     assert len(chosen) == 1
 
 
+def test_prefix_need_not_be_valid_text():
+    """Symptom: one caller's drafting calls are refused as internal errors.
+
+    Sequence: its JSON holds a lone half of a surrogate pair.
+    Cause: such text can't be encoded strictly.
+    """
+    views = (create_view("t1"), create_view("t2"))
+    choice = TwoChoices(ChoiceRule())
+    assert choice.choose(views, "\ud800", random.Random(1)) in views
+
+
 def test_calls_without_a_prefix_are_spread():
     choice = TwoChoices(ChoiceRule(affinity_targets=1))
     views = tuple(create_view(f"t{number}") for number in range(6))
