Pass leaving targets on more surely

Cause: what one instance hears of a leaving target went to four peers, each of which passed it on to four; in a test of twelve instances one was missed and learnt of it by a reminder only, seconds later. Before: reminders every 5 s. After: whoever finds out tells up to 16, those who hear of it 3 each, and reminders go out each second.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/targets.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/targets.py
@@ -56,14 +56,17 @@
 #: an unused service's targets are polled this many times less often
 UNUSED_FACTOR = 10
 
-#: peers told at once of a leaving target; each tells as many in turn, once
-FANOUT = 4
+#: peers told at once of what this instance has found out: all in a small fleet
+FANOUT_FOUND = 16
+
+#: peers told at once of what this instance has heard from another
+FANOUT_HEARD = 3
 
 #: ids of leaving targets in one message
 MAX_TOLD = 500
 
 #: seconds between reminders of what has lately begun to leave
-REMIND_INTERVAL = 5.0
+REMIND_INTERVAL = 1.0
 
 #: reminders of one leaving target that each instance sends, to one peer each
 REMINDERS = 6
@@ -114,8 +117,8 @@
         )
         self._polls: set[asyncio.Task[None]] = set()
         self._session: aiohttp.ClientSession | None = None
-        #: leaving targets not yet passed on
-        self._untold: list[str] = []
+        #: leaving targets not yet passed on, by whether a peer told of them
+        self._untold: dict[bool, list[str]] = {False: [], True: []}
         #: reminders still to be sent, by leaving target
         self._reminders: dict[str, int] = {}
         self._next_expiry = 0.0
@@ -275,10 +278,10 @@
 
     # peers
 
-    def _take(self, change: LedgerChange) -> None:
+    def _take(self, change: LedgerChange, *, heard: bool = False) -> None:
         for target_id in change.leaving:
             self._metrics.count("targets.leaving")
-            self._untold.append(target_id)
+            self._untold[heard].append(target_id)
             self._reminders[target_id] = REMINDERS
             self._events.emit(TARGET_LEAVING, target_id)
         for service in change.services:
@@ -286,18 +289,19 @@
 
     def _hear_leaving(self, sender: str, message: TargetsLeaving) -> None:
         ids = [item for item in message.target_ids if isinstance(item, str)]
-        self._take(self._ledger.mark_leaving(ids))
+        self._take(self._ledger.mark_leaving(ids), heard=True)
 
     def _answer_query(self, sender: str, message: LeavingQuery) -> TargetsLeaving:
         return TargetsLeaving(self._ledger.list_leaving(MAX_ANSWERED))
 
     def _tell_peers(self) -> None:
-        if not self._untold:
-            return
-        told, self._untold = self._untold[:MAX_TOLD], self._untold[MAX_TOLD:]
-        message = TargetsLeaving(tuple(told))
-        for peer in self._pick_peers(FANOUT):
-            self._peers.send(peer, message)
+        for heard, untold in self._untold.items():
+            if not untold:
+                continue
+            message = TargetsLeaving(tuple(untold[:MAX_TOLD]))
+            del untold[:MAX_TOLD]
+            for peer in self._pick_peers(FANOUT_HEARD if heard else FANOUT_FOUND):
+                self._peers.send(peer, message)
 
     def _remind_peer(self) -> None:
         peers = self._pick_peers(1)
--- a/tests/test_entry/test_controllers/test_targets.py
+++ b/tests/test_entry/test_controllers/test_targets.py
@@ -170,6 +170,23 @@
         assert not one.directory.accepts("t-1")
 
 
+async def test_reminders_repair_what_was_lost(begin):
+    """
+    Symptom: one instance of many goes on using a leaving target. Sequence: it is
+    out of reach when the word goes round, and back a moment later. Cause: each
+    instance passes a word on just once.
+    """
+    switchboard = Switchboard()
+    fleet = [await begin(switchboard.join(f"e-{n}"), seed=n) for n in range(3)]
+    await wait_until(lambda: switchboard.asked["leaving-query"] == 3)
+    switchboard.cut = {("e-0", "e-2"), ("e-1", "e-2")}
+    fleet[0].directory.note_leaving("t-1")
+    await wait_until(lambda: fleet[1].left == ["t-1"])
+    await wait_until(lambda: not any(fleet[1].directory._untold.values()))
+    switchboard.cut = set()
+    await wait_until(lambda: fleet[2].left == ["t-1"])
+
+
 async def test_new_instance_asks_what_is_leaving(begin):
     """
     Symptom: a fresh instance sends work to a target that left its peers' books
@@ -179,6 +196,8 @@
     switchboard = Switchboard()
     old = await begin(switchboard.join("e-1"))
     old.directory.note_leaving("t-1")
+    await wait_until(lambda: not any(old.directory._untold.values()))
+    old.directory._reminders.clear()
     new = await begin(switchboard.join("e-2"), seed=2)
     new.events.emit(LISTING_RECEIVED, make_listing(1, Desk(address="127.0.0.1:1")))
     await wait_until(lambda: new.left == ["t-1"])
@@ -199,6 +218,10 @@
     await runner.cleanup()
     await wait_until(lambda: one.list_ids() == ["t-2"])
     assert one.left == []
+    failures = one.metrics.value("targets.poll_failures")
+    await wait_until(
+        lambda: one.metrics.value("targets.poll_failures") >= failures + 12
+    )
     await serve(lost, port=int(lost.address.rpartition(":")[2]))
     await wait_until(lambda: one.list_ids() == ["t-1", "t-2"])
 
