Measure what claims cost, and ways through an outage of the store

Cause: the choice of what to do without the store, and the grouping of claims, rested on reasoning alone. Weighed: refusing, refusing later, running declared first attempts, and running those while never running an unrecorded repeat. Conclusion: refuse, later if the outage is young; nothing runs without a claim.

--- /dev/null
+++ b/tests/test_lab/test_claims_outage.py
@@ -0,0 +1,23 @@
+"""Tests of the experiment on outages of the store, and of the cost of claims."""
+
+from __future__ import annotations
+
+import pytest
+
+from greengagelatch_lab.claims_cost import measure
+from greengagelatch_lab.claims_outage import WAYS, Experiment, Trouble
+
+PARTIAL = Trouble("one data centre", 60.0, partial=True)
+
+
+@pytest.mark.parametrize("way", WAYS, ids=lambda way: way.name)
+def test_only_running_without_a_claim_doubles(way):
+    """A first attempt runs without a claim, its repeat with one elsewhere."""
+    report = Experiment(way, PARTIAL, 0).run()
+    assert (report.doubled > 0) is way.run_first
+
+
+async def test_claims_of_one_shard_share_writes():
+    cost = await measure(200, 1.0, instances=3, shards=1)
+    assert cost.refused == 0
+    assert cost.writes < cost.claims / 3
