Check changes against objects already read, and split the gossip off

Weighed: checking only what a change touches (ruled out: a deletion breaks references elsewhere), using the objects that the shards hold (taken).

--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/configuration/gossip.py
@@ -0,0 +1,174 @@
+"""What is told to peers of generations, and what is heard from them."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from greengagelatch.config.gossip import Knowledge, choose_listeners, list_alive
+from greengagelatch.config.messages import ConfigAdvert, ConfigQuery
+from greengagelatch.peers import MemberState
+
+from .report import MemberGeneration
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+    from random import Random
+
+    from greengagelatch.clock import Clock
+    from greengagelatch.config.replica import Replica
+    from greengagelatch.peers import Member, PeerNetwork
+
+__all__ = ("Gossip",)
+
+#: members asked side by side, and at all, for the generation that they have
+MAX_ASKED_AT_ONCE = 32
+MAX_ASKED = 1024
+
+
+class Gossip:
+    """Tells peers which generation is in force here and remembers what they tell.
+
+    :param fetch_timeout: seconds that a peer is given for one answer.
+    :param on_news: called when a peer may have a newer generation.
+    """
+
+    def __init__(
+        self,
+        *,
+        replica: Replica,
+        peers: PeerNetwork,
+        clock: Clock,
+        random_source: Random,
+        data_centre: str,
+        fetch_timeout: float,
+        on_news: Callable[[], None],
+    ) -> None:
+        self._replica = replica
+        self._peers = peers
+        self._clock = clock
+        self._random = random_source
+        self._data_centre = data_centre
+        self._fetch_timeout = fetch_timeout
+        self._on_news = on_news
+        self._knowledge = Knowledge()
+        peers.handle(ConfigAdvert, self._receive_advert)
+        peers.handle(ConfigQuery, self._answer_query)
+
+    def confirm_newest(self) -> None:
+        """Record that the store holds nothing newer than what is in force here."""
+        self._knowledge.confirm(self._replica.generation, self._clock.now())
+
+    def get_store_age(self) -> float | None:
+        """Return seconds since the generation here was surely the newest."""
+        now = self._clock.now()
+        return self._knowledge.get_store_age(self._replica.generation, now)
+
+    def find_generation(self, instance_id: str) -> int | None:
+        """Return the generation an instance is known to have; ``None``: unknown."""
+        if instance_id == self._peers.instance_id:
+            return self._replica.generation
+        sighting = self._knowledge.find(instance_id)
+        return None if sighting is None else sighting.generation
+
+    def list_others(self) -> list[Member]:
+        """Return the other instances that can be talked to."""
+        own_id = self._peers.instance_id
+        alive = list_alive(self._peers.members())
+        return [member for member in alive if member.instance_id != own_id]
+
+    def list_ahead(self) -> list[str]:
+        """Return the instances that have a newer generation than this one."""
+        ahead = []
+        for member in self.list_others():
+            generation = self.find_generation(member.instance_id)
+            if generation is not None and generation > self._replica.generation:
+                ahead.append(member.instance_id)
+        return ahead
+
+    def tell_one(self) -> None:
+        """Tell a random member, so that whatever was missed is heard at last."""
+        others = self.list_others()
+        if others:
+            chosen = self._random.choice(others)
+            self._peers.send(chosen.instance_id, self._create_advert())
+
+    def tell_listeners(self) -> None:
+        """Tell a few at once that a newer generation is in force here."""
+        listeners = choose_listeners(
+            self._peers.members(),
+            self._peers.instance_id,
+            self._data_centre,
+            self._random,
+        )
+        advert = self._create_advert()
+        for instance_id in listeners:
+            self._peers.send(instance_id, advert)
+
+    async def ask(self, members: Sequence[Member]) -> None:
+        """Ask members which generation they have in force, and take that in."""
+        slots = asyncio.Semaphore(MAX_ASKED_AT_ONCE)
+
+        async def ask(instance_id: str) -> None:
+            async with slots:
+                answer = await self._peers.ask(
+                    instance_id, ConfigQuery(), self._fetch_timeout
+                )
+            advert = answer.ok()
+            if isinstance(advert, ConfigAdvert):
+                self._take_in(instance_id, advert)
+
+        own_id = self._peers.instance_id
+        asked = [
+            member.instance_id
+            for member in members
+            if member.instance_id != own_id and member.state is not MemberState.DEAD
+        ]
+        await asyncio.gather(*(ask(name) for name in asked[:MAX_ASKED]))
+
+    def describe(self, member: Member) -> MemberGeneration:
+        """Return what is known of a member's generation."""
+        own = member.instance_id == self._peers.instance_id
+        sighting = self._knowledge.find(member.instance_id)
+        age = None
+        if own:
+            age = 0.0
+        elif sighting is not None:
+            age = max(0.0, self._clock.now() - sighting.taken)
+        return MemberGeneration(
+            instance_id=member.instance_id,
+            data_centre=self._data_centre if own else member.data_centre,
+            state=member.state.value,
+            generation=self.find_generation(member.instance_id),
+            age=age,
+        )
+
+    def _receive_advert(self, sender: str, advert: ConfigAdvert) -> None:
+        self._take_in(sender, advert)
+        if advert.generation < self._replica.generation:
+            # it will fetch what it has missed
+            self._peers.send(sender, self._create_advert())
+
+    def _answer_query(self, sender: str, query: ConfigQuery) -> ConfigAdvert:
+        return self._create_advert()
+
+    def _take_in(self, sender: str, advert: ConfigAdvert) -> None:
+        now = self._clock.now()
+        for instance_id, data_centre, generation, age in advert.seen:
+            self._knowledge.note(instance_id, data_centre, generation, now - age)
+        self._knowledge.note(sender, advert.data_centre, advert.generation, now)
+        if advert.store_age >= 0:
+            taken = now - advert.store_age
+            self._knowledge.confirm(advert.generation, taken)
+        if self.list_ahead():
+            self._on_news()
+
+    def _create_advert(self) -> ConfigAdvert:
+        alive = frozenset(member.instance_id for member in self.list_others())
+        age = self.get_store_age()
+        return ConfigAdvert(
+            generation=self._replica.generation,
+            data_centre=self._data_centre,
+            store_age=-1.0 if age is None else age,
+            seen=self._knowledge.pick_rows(self._clock.now(), alive, self._random),
+        )
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/configuration.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/configuration.py
@@ -9,19 +9,13 @@
 from mode import Service
 from result import Err, Ok, Result
 
-from greengagelatch.config.gossip import (
-    Knowledge,
-    choose_listeners,
-    choose_watchers,
-    list_alive,
-)
+from greengagelatch.config.gossip import choose_watchers
 from greengagelatch.config.head import HEAD_KEY, Head, decode_head, find_change
-from greengagelatch.config.messages import ConfigAdvert, ConfigQuery
 from greengagelatch.config.replica import Replica
 from greengagelatch.membership.backoff import compute_backoff
-from greengagelatch.peers import MemberState
 
 from ..configuration.driver import ChangeDriver
+from ..configuration.gossip import Gossip
 from ..configuration.learner import Learner
 from ..configuration.report import MemberGeneration, Sought
 from ..configuration.serving import ConfigServer
@@ -37,7 +31,7 @@
     from greengagelatch.config.requests import ChangeOutcome, ChangeRequest
     from greengagelatch.config.snapshot import Snapshot
     from greengagelatch.events import EventBus
-    from greengagelatch.peers import Member, PeerNetwork
+    from greengagelatch.peers import PeerNetwork
     from greengagelatch.settings import Settings
     from greengagelatch.store import Entry, Store, StoreError
 
@@ -57,10 +51,6 @@
 RETRY_BASE = 0.2
 RETRY_LONGEST = 5.0
 
-#: members asked side by side, and at all, for the generation that they have
-MAX_ASKED_AT_ONCE = 32
-MAX_ASKED = 1024
-
 #: peers asked at once by an instance that knows no configuration
 START_PEERS = 2
 
@@ -99,9 +89,7 @@
         self._watch_wait: float = settings["configuration.watch_wait"]
         self._gossip_interval: float = settings["configuration.gossip_interval"]
         self._stale_after: float = settings["configuration.stale_after"]
-        self._fetch_timeout: float = settings["configuration.fetch_timeout"]
         self._replica = Replica()
-        self._knowledge = Knowledge()
         #: revision of the newest head seen in the store
         self._revision = 0
         self._fetch_wanted = asyncio.Event()
@@ -111,7 +99,7 @@
             reader=reader,
             peers=peers,
             metrics=metrics,
-            fetch_timeout=self._fetch_timeout,
+            fetch_timeout=settings["configuration.fetch_timeout"],
             on_adopted=self._note_adopted,
         )
         self._driver = ChangeDriver(
@@ -123,9 +111,16 @@
             timeout=settings["configuration.change_timeout"],
             on_settled=self._learner.adopt,
         )
+        self._gossip = Gossip(
+            replica=self._replica,
+            peers=peers,
+            clock=clock,
+            random_source=random,
+            data_centre=data_centre,
+            fetch_timeout=settings["configuration.fetch_timeout"],
+            on_news=self._fetch_wanted.set,
+        )
         ConfigServer(replica=self._replica, peers=peers, metrics=metrics)
-        peers.handle(ConfigAdvert, self._receive_advert)
-        peers.handle(ConfigQuery, self._answer_query)
         events.declare(CONFIGURATION_CHANGED)
 
     # what others ask
@@ -161,15 +156,11 @@
 
     def find_generation(self, instance_id: str) -> int | None:
         """Return the generation an instance is known to have; ``None``: unknown."""
-        if instance_id == self.instance_id:
-            return self._replica.generation
-        sighting = self._knowledge.find(instance_id)
-        return None if sighting is None else sighting.generation
+        return self._gossip.find_generation(instance_id)
 
     def get_store_age(self) -> float | None:
         """Return seconds since the generation here was surely the newest."""
-        generation = self._replica.generation
-        return self._knowledge.get_store_age(generation, self._clock.now())
+        return self._gossip.get_store_age()
 
     async def change(self, request: ChangeRequest) -> ChangeOutcome:
         """Make a change and return what became of it."""
@@ -201,8 +192,8 @@
         """
         members = self._peers.members()
         if ask:
-            await self._ask_members(members)
-        return tuple(self._describe_member(member) for member in members)
+            await self._gossip.ask(members)
+        return tuple(self._gossip.describe(member) for member in members)
 
     def dump(self) -> dict[str, Any]:
         head = self._replica.head
@@ -252,7 +243,7 @@
             return False
         entry = answer.ok_value
         if entry is None:
-            self._confirm_newest()
+            self._gossip.confirm_newest()
             return True
         return await self._learn_entry(entry)
 
@@ -262,12 +253,9 @@
         # only now: a head whose shards could not be read is to be seen again
         if entry.revision >= self._revision:
             self._revision = entry.revision
-            self._confirm_newest()
+            self._gossip.confirm_newest()
         return True
 
-    def _confirm_newest(self) -> None:
-        self._knowledge.confirm(self._replica.generation, self._clock.now())
-
     async def _read_head(self) -> Result[Entry | None, StoreError]:
         answer = await self._store.get(HEAD_KEY)
         entry = answer.ok()
@@ -289,13 +277,9 @@
                 await self._wait_to_retry(failures)
 
     async def _ask_some(self) -> None:
-        others = [
-            member
-            for member in list_alive(self._peers.members())
-            if member.instance_id != self.instance_id
-        ]
+        others = self._gossip.list_others()
         count = min(START_PEERS, len(others))
-        await self._ask_members(self._random.sample(others, count))
+        await self._gossip.ask(self._random.sample(others, count))
 
     def _is_watcher(self) -> bool:
         watchers = choose_watchers(self._peers.members(), self._data_centre)
@@ -319,12 +303,9 @@
             share = self._random.uniform(0.5, 1.5)
             await self.sleep(self._gossip_interval * share)
             self._metrics.gauge("configuration.generation", self._replica.generation)
-            alive = list_alive(self._peers.members())
-            others = [one for one in alive if one.instance_id != self.instance_id]
-            if others:
-                chosen = self._random.choice(others)
-                self._peers.send(chosen.instance_id, self._create_advert())
-            if self._is_stale() and self._random.random() * len(alive) < 1:
+            self._gossip.tell_one()
+            fleet = 1 + len(self._gossip.list_others())
+            if self._is_stale() and self._random.random() * fleet < 1:
                 # each looks seldom, so that the fleet as a whole asks no more often
                 # the larger it is
                 self._metrics.count("configuration.stale_reads")
@@ -335,7 +316,7 @@
         failures = 0
         while not self.should_stop:
             await self.wait(self._fetch_wanted)
-            candidates = self._list_ahead()
+            candidates = self._gossip.list_ahead()
             if not candidates:
                 self._fetch_wanted.clear()
                 failures = 0
@@ -346,47 +327,6 @@
             failures += 1
             await self._wait_to_retry(failures)
 
-    def _list_ahead(self) -> list[str]:
-        ahead = []
-        for member in list_alive(self._peers.members()):
-            generation = self.find_generation(member.instance_id)
-            if generation is not None and generation > self._replica.generation:
-                ahead.append(member.instance_id)
-        return ahead
-
-    def _receive_advert(self, sender: str, advert: ConfigAdvert) -> None:
-        self._take_in(sender, advert)
-        if advert.generation < self._replica.generation:
-            # it will fetch what it has missed
-            self._peers.send(sender, self._create_advert())
-
-    def _answer_query(self, sender: str, query: ConfigQuery) -> ConfigAdvert:
-        return self._create_advert()
-
-    def _take_in(self, sender: str, advert: ConfigAdvert) -> None:
-        now = self._clock.now()
-        for instance_id, data_centre, generation, age in advert.seen:
-            self._knowledge.note(instance_id, data_centre, generation, now - age)
-        self._knowledge.note(sender, advert.data_centre, advert.generation, now)
-        if advert.store_age >= 0:
-            taken = now - advert.store_age
-            self._knowledge.confirm(advert.generation, taken)
-        if self._list_ahead():
-            self._fetch_wanted.set()
-
-    def _create_advert(self) -> ConfigAdvert:
-        now = self._clock.now()
-        alive = {one.instance_id for one in list_alive(self._peers.members())}
-        age = self.get_store_age()
-        return ConfigAdvert(
-            generation=self._replica.generation,
-            data_centre=self._data_centre,
-            store_age=-1.0 if age is None else age,
-            seen=self._knowledge.pick_rows(
-                now, frozenset(alive - {self.instance_id}), self._random
-            ),
-        )
-
     def _is_stale(self) -> bool:
         age = self.get_store_age()
         return age is None or age > self._stale_after
@@ -397,41 +337,4 @@
         self._metrics.gauge("configuration.generation", generation)
         self._metrics.count("configuration.adopted")
         self._events.emit(CONFIGURATION_CHANGED, self._replica.snapshot)
-        listeners = choose_listeners(
-            self._peers.members(), self.instance_id, self._data_centre, self._random
-        )
-        advert = self._create_advert()
-        for instance_id in listeners:
-            self._peers.send(instance_id, advert)
-
-    async def _ask_members(self, members: list[Member] | tuple[Member, ...]) -> None:
-        slots = asyncio.Semaphore(MAX_ASKED_AT_ONCE)
-
-        async def ask(instance_id: str) -> None:
-            async with slots:
-                answer = await self._peers.ask(
-                    instance_id, ConfigQuery(), self._fetch_timeout
-                )
-            advert = answer.ok()
-            if isinstance(advert, ConfigAdvert):
-                self._take_in(instance_id, advert)
-
-        others = [one for one in members if one.instance_id != self.instance_id]
-        asked = [one for one in others if one.state is not MemberState.DEAD]
-        await asyncio.gather(*(ask(one.instance_id) for one in asked[:MAX_ASKED]))
-
-    def _describe_member(self, member: Member) -> MemberGeneration:
-        own = member.instance_id == self.instance_id
-        sighting = self._knowledge.find(member.instance_id)
-        age = None
-        if own:
-            age = 0.0
-        elif sighting is not None:
-            age = max(0.0, self._clock.now() - sighting.taken)
-        return MemberGeneration(
-            instance_id=member.instance_id,
-            data_centre=self._data_centre if own else member.data_centre,
-            state=member.state.value,
-            generation=self.find_generation(member.instance_id),
-            age=age,
-        )
+        self._gossip.tell_listeners()
--- a/packages/greengagelatch/src/greengagelatch/config/changes.py
+++ b/packages/greengagelatch/src/greengagelatch/config/changes.py
@@ -35,6 +35,7 @@
     get_oldest_generation,
     list_refs,
 )
+from .names import ConfigObject
 from .plan import Plan, build_plan, describe, group_records
 from .records import (
     MAX_SHARD_BYTES,
@@ -231,6 +232,7 @@
         planned = build_plan(
             request,
             records,
+            _merge_objects(shards, head.shards),
             _merge(shards, target_refs),
             base=self._base or 0,
             generation=head.generation,
@@ -375,3 +377,12 @@
     for ref in refs.values():
         records.update(shards[ref].records)
     return records
+
+
+def _merge_objects(
+    shards: Mapping[ShardRef, Shard], refs: Mapping[int, ShardRef]
+) -> Mapping[str, ConfigObject]:
+    objects: dict[str, ConfigObject] = {}
+    for ref in refs.values():
+        objects.update(shards[ref].objects)
+    return objects
--- a/packages/greengagelatch/src/greengagelatch/config/plan.py
+++ b/packages/greengagelatch/src/greengagelatch/config/plan.py
@@ -9,7 +9,7 @@
 from result import Err, Ok, Result
 
 from .ini_writer import format_object
-from .names import ConfigObject, identify, parse_object_id
+from .names import ConfigObject, identify
 from .problems import Problem
 from .records import Record, build_object, compute_bucket, to_body
 from .requests import (
@@ -27,6 +27,7 @@
 
 Body = Mapping[str, Any]
 Records = Mapping[str, Record]
+Objects = Mapping[str, ConfigObject]
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,6 +45,7 @@
 def build_plan(
     request: ChangeRequest,
     records: Records,
+    objects: Objects,
     target: Records,
     *,
     base: int,
@@ -54,6 +56,7 @@
     Objects that already are as asked for are left alone, so that two operators who
     make the same edit don't get into each other's way.
 
+    :param objects: the objects that ``records`` hold.
     :param target: records of the generation that a rollback goes back to.
     :param base: generation that the operator's edit began from.
     :param generation: generation of ``records``.
@@ -68,7 +71,7 @@
     if conflicts:
         return Err(Conflicted(generation=generation, conflicts=conflicts))
     problems = _find_missing_names(request, records)
-    problems.extend(_find_reference_problems(request, bodies, records))
+    problems.extend(_find_reference_problems(request, bodies, objects))
     if problems:
         return Err(
             Refused(
@@ -166,27 +169,17 @@
 
 
 def _find_reference_problems(
-    request: ChangeRequest, bodies: Mapping[str, Body | None], records: Records
+    request: ChangeRequest, bodies: Mapping[str, Body | None], before: Objects
 ) -> list[Problem]:
-    before = {}
-    for object_id, record in records.items():
-        _place(before, object_id, record.body)
     after = dict(before)
     for object_id, body in bodies.items():
-        _place(after, object_id, body)
+        after.pop(object_id, None)
+        item = None if body is None else build_object(object_id, body)
+        if item is not None:
+            after[object_id] = item
     return find_new_problems(before, after, request.file)
 
 
-def _place(objects: dict[Any, ConfigObject], object_id: str, body: Body | None) -> None:
-    parsed = parse_object_id(object_id)
-    if parsed.is_err():
-        return
-    objects.pop(parsed.ok_value, None)
-    item = None if body is None else build_object(object_id, body)
-    if item is not None:
-        objects[parsed.ok_value] = item
-
-
 def _get_body(records: Records, object_id: str) -> Body | None:
     record = records.get(object_id)
     return None if record is None else record.body
--- a/packages/greengagelatch/src/greengagelatch/config/validation.py
+++ b/packages/greengagelatch/src/greengagelatch/config/validation.py
@@ -2,17 +2,18 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Hashable, Mapping
 
 from .effects import Split, Splits, read_effect
-from .names import ConfigObject, ObjectId, ObjectKind
+from .names import ConfigObject
 from .objects import Pipeline, Policy, PolicyEffect, Service, Stage
 from .problems import Problem
 from .selectors import parse_selector
 
 __all__ = ("find_new_problems", "find_problems")
 
-Objects = Mapping[ObjectId, ConfigObject]
+#: objects by whatever tells them apart
+Objects = Mapping[Hashable, ConfigObject]
 
 
 def find_new_problems(before: Objects, after: Objects, file: str) -> list[Problem]:
@@ -21,14 +22,11 @@
     Those that were there before are left out: objects accepted by a release with
     laxer checks must not keep operators from changing anything else.
     """
-    known = set(find_problems(before, file))
-    if not known and before == after:
+    problems = find_problems(after, file)
+    if not problems:
         return []
-    problems = []
-    for problem in find_problems(after, file):
-        if problem not in known:
-            problems.append(problem)
-    return problems
+    known = set(find_problems(before, file))
+    return [problem for problem in problems if problem not in known]
 
 
 def find_problems(objects: Objects, file: str) -> list[Problem]:
@@ -45,15 +43,21 @@
 class _Checker:
     def __init__(self, objects: Objects, file: str) -> None:
         self.problems: list[Problem] = []
-        self._objects = objects
         self._file = file
+        self._services: dict[str, Service] = {}
+        self._pipelines: set[str] = set()
+        for item in objects.values():
+            if isinstance(item, Service):
+                self._services[item.name] = item
+            elif isinstance(item, Pipeline):
+                self._pipelines.add(item.name)
 
     def check_pipeline(self, pipeline: Pipeline) -> None:
         for stage in pipeline.stages:
             self._check_stage(f"stage:{pipeline.name}/{stage.name}", stage)
 
     def _check_stage(self, section: str, stage: Stage) -> None:
-        service = self._get_service(stage.service)
+        service = self._services.get(stage.service)
         if service is None:
             self._add(section, "service", stage.service, "there is no such service")
             return
@@ -74,14 +78,14 @@
 
     def _check_pipelines(self, section: str, split: Split) -> None:
         for name, _ in split.shares:
-            if ObjectId(ObjectKind.PIPELINE, name) in self._objects:
+            if name in self._pipelines:
                 continue
             self._add(section, "to_pipelines", name, "there is no such pipeline")
 
     def _check_services(self, section: str, policy: Policy, split: Split) -> None:
         kinds = set()
         for name, _ in split.shares:
-            service = self._get_service(name)
+            service = self._services.get(name)
             if service is None:
                 self._add(section, "to_services", name, "there is no such service")
                 continue
@@ -102,17 +106,11 @@
         if selector.is_err():
             return []
         picked = []
-        for item in self._objects.values():
-            if not isinstance(item, Service):
-                continue
-            if selector.ok_value.matches(item.name, item.labels):
-                picked.append(item)
+        for service in self._services.values():
+            if selector.ok_value.matches(service.name, service.labels):
+                picked.append(service)
         return picked
 
-    def _get_service(self, name: str) -> Service | None:
-        item = self._objects.get(ObjectId(ObjectKind.SERVICE, name))
-        return item if isinstance(item, Service) else None
-
     def _add(self, section: str, key: str, value: str, reason: str) -> None:
         problem = Problem(
             file=self._file, section=section, key=key, value=value, reason=reason
--- a/tests/test_core/test_config/test_ini.py
+++ b/tests/test_core/test_config/test_ini.py
@@ -8,7 +8,7 @@
 
 from greengagelatch.config.ini import parse_objects
 from greengagelatch.config.ini_writer import format_objects, order_objects
-from greengagelatch.config.names import ObjectId, ObjectKind, identify
+from greengagelatch.config.names import identify
 from greengagelatch.config.objects import (
     Pipeline,
     Policy,
@@ -168,14 +168,14 @@
 
 
 def index(text):
-    return {identify(item): item for item in parse_objects(text).unwrap()}
+    return {str(identify(item)): item for item in parse_objects(text).unwrap()}
 
 
 def test_references_are_checked_over_the_whole_configuration():
     objects = index(TEXT)
     assert find_problems(objects, "") == []
     gone = dict(objects)
-    del gone[ObjectId(ObjectKind.SERVICE, "stockdesk")]
+    del gone["service/stockdesk"]
     [problem] = find_new_problems(objects, gone, "f")
     assert (problem.section, problem.key, problem.value) == (
         "stage:quote/hold",
