--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_stream.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_stream.py
@@ -49,6 +49,7 @@
         self._digest = xxhash.xxh64()
         self._wanted = asyncio.Event()
         self._finished = False
+        self._gone = False
         self._writer: asyncio.Task[None] | None = None
 
     @property
@@ -83,9 +84,10 @@
 
     async def close(self) -> None:
         """Stop writing; the stream then has no closing event and counts as cut."""
-        if self._writer is None or self._writer.done():
+        if self._writer is None:
             return
         self._writer.cancel()
+        # also takes note of an error that the request's cancellation overtook
         await asyncio.gather(self._writer, return_exceptions=True)
 
     def _give_whole(self, result: Any) -> None:
@@ -95,11 +97,19 @@
             self.take_token(0, result)
 
     def _queue(self, event: bytes) -> None:
+        if self._gone:
+            self._wanted.set()
+            return
         self._pending.append(event)
         self._size += len(event)
         self._wanted.set()
         if self._size > self._limit and not self._finished:
-            self._give_up()
+            self._abandon()
+
+    def _abandon(self) -> None:
+        self._gone = True
+        self._pending.clear()
+        self._give_up()
 
     async def _write(self) -> None:
         try:
@@ -116,5 +126,5 @@
             async with asyncio.timeout(self._write_timeout):
                 await self._response.write_eof()
         except (TimeoutError, ConnectionError):
-            self._give_up()
+            self._abandon()
             raise
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/callers.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/callers.py
@@ -287,10 +287,11 @@
     def _abandon(self, request: web.BaseRequest) -> None:
         # the connection is dropped at once: what waits in its buffer would be sent
         # only when the caller reads again, if ever. Its loss cancels the request
-        self._metrics.count("callers.abandoned")
         transport = request.transport
-        if transport is not None:
-            transport.abort()
+        if transport is None or transport.is_closing():
+            return
+        self._metrics.count("callers.abandoned")
+        transport.abort()
 
 
 async def _write(request: web.BaseRequest, response: web.Response) -> None:
--- a/tests/test_entry/test_adapters/test_callers.py
+++ b/tests/test_entry/test_adapters/test_callers.py
@@ -391,7 +391,7 @@
         writer.write(encode_request(b'{"input":1,"stream":true}'))
         async with asyncio.timeout(20):
             await cancelled.wait()
-        assert bench.metrics.value("callers.abandoned") >= 1
+        assert bench.metrics.value("callers.abandoned") == 1
         writer.close()
 
 
--- a/tests/test_entry/test_adapters/test_target_calls.py
+++ b/tests/test_entry/test_adapters/test_target_calls.py
@@ -428,6 +428,23 @@
     assert result.err_value.verdict is Verdict.MAY_HAVE_RUN
 
 
+async def test_patience_ends_a_call_before_its_deadline():
+    """A draft stayed with a silent engine until its deadline.
+
+    Sequence: the engine takes the call and gives no token. Cause: only the client's
+    own limit on silence was heeded, which is longer than most deadlines.
+    """
+
+    async def script(connection):
+        await connection.read_request()
+        await connection.hold()
+
+    limits = replace(LIMITS, stall_timeout=60.0)
+    call = create_stream_call(patience=0.1)
+    result, _ = await run_one(script, call, limits)
+    assert result.err_value.kind is FailureKind.STALLED
+
+
 async def test_leaving_is_heard_from_answers_and_refusals():
     async def script(connection):
         call = await connection.read_request()
