Finish keyed requests whose callers have left

Cause: a caller whose connection breaks has its request cancelled. Under a key the request can't be run again, so its repeat was told for good that it may have run: a lost reply became a lost request. Weighed: cancelling while nothing was sent (the run's verdict is known only at its end) and running repeatable requests again (a key then promises less). Chosen: such a run goes on within its deadline, at most 512 at a time, and a planned stop waits for it; claims.finish = no cancels as before, for those who weigh cost more. Before: the repeat got may-have-run.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/claims.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/claims.py
@@ -59,6 +59,8 @@
 LONGEST_SHARE = 0.5
 #: actions after which more time is needed before anything can run
 UNFINISHED = (Action.CHOOSE_WAYS, Action.ACQUIRE, Action.OUT_OF_REACH)
+#: runs without a caller at a time; more are cancelled
+MAX_LEFT = 512
 #: seconds between two sweeps of what is no longer needed
 SWEEP_INTERVAL = 5.0
 
@@ -96,6 +98,10 @@
         self._incarnation = secrets.randbits(INCARNATION_BITS)
         self._serial = 0
         self._longest = settings["claims.retention"] * LONGEST_SHARE
+        self._longest_stop: float = settings["drain.longest"]
+        self._finish_left: bool = settings["claims.finish"]
+        #: runs whose callers have left
+        self._left: set[asyncio.Task[Answer]] = set()
         self._outcome_bytes: int = settings["claims.outcome_bytes"]
         self._policy = create_policy(settings["claims.store_down"])
         self._registry = Registry(
@@ -159,8 +165,19 @@
         """Settle a run that ended without an answer, as its caller has left."""
         self._settle(permit, Outcome(verdict=verdict, refusal=refuse_cut(verdict)))
 
+    def adopt(self, run: asyncio.Task[Answer]) -> None:
+        """Let a run end whose caller has left, so that a repeat gets its result."""
+        if not self._finish_left or len(self._left) >= MAX_LEFT:
+            run.cancel()
+        else:
+            self._metrics.count("claims.caller_left")
+        self._left.add(run)
+        run.add_done_callback(self._drop_left)
+
     async def on_stop(self) -> None:
-        """Finish give-backs and writes, and hand outcomes to other instances."""
+        """Finish runs, give-backs and writes, and hand over outcomes."""
+        if self._left:
+            await asyncio.wait(self._left, timeout=self._longest_stop)
         await self._committer.close()
         taken = await self._holders.hand_over()
         logger.info("handed over %d outcomes", taken)
@@ -172,6 +189,7 @@
             "shards": self._committer.shards,
             "writing": list(self._committer.writing),
             "giving_back": self._committer.giving_back,
+            "runs_without_caller": len(self._left),
             "attempts_open": open_attempts,
             "attempts_closed": closed_attempts,
             "outcome_bytes": self._registry.size,
@@ -241,6 +259,11 @@
             down_for=self._committer.down_for,
         )
 
+    def _drop_left(self, run: asyncio.Task[Answer]) -> None:
+        self._left.discard(run)
+        if not run.cancelled() and run.exception() is not None:
+            logger.error("a run whose caller had left failed: %r", run.exception())
+
     def _settle(self, permit: Permit, outcome: Outcome) -> None:
         if outcome.verdict is Verdict.NOT_RUN:
             self._abandon(permit.token, permit.key, doubtful=True)
--- a/packages/greengagelatch/src/greengagelatch/settings.py
+++ b/packages/greengagelatch/src/greengagelatch/settings.py
@@ -509,6 +509,13 @@
         meaning="Keyed requests while nobody reaches the store: refuse at once, or"
         " try again for half of the deadline first while the outage is young.",
     ),
+    Setting(
+        name="claims.finish",
+        type=bool,
+        default=True,
+        meaning="Whether a keyed request whose caller has left is run to its end, so"
+        " that a repeat gets its result; else it is cancelled and has none.",
+    ),
     Setting(
         name="claims.records",
         type=int,
--- a/tests/test_entry/test_controllers/test_claims.py
+++ b/tests/test_entry/test_controllers/test_claims.py
@@ -406,13 +406,33 @@
 
 
 async def test_caller_leaves_while_its_request_runs():
-    """A caller hangs up while its request runs, and asks again.
+    """A caller's connection breaks while its request runs, and it asks again.
+
+    Symptom: the repeat is told for good that the request may have run.
+    Sequence: the handler of the first request is cancelled; the repeat arrives.
+    Cause: a run that is cancelled half way has no result and can't be made again.
+    """
+    async with run_fleet("a", "b") as fleet:
+        fleet.gate.clear()
+        first = asyncio.create_task(fleet.instances["a"].ask("k"))
+        await wait_until(lambda: fleet.runs, timeout=5)
+        first.cancel()
+        await asyncio.gather(first, return_exceptions=True)
+        repeat = asyncio.create_task(fleet.instances["b"].ask("k"))
+        fleet.gate.set()
+        assert (await repeat).verdict is Verdict.RAN
+        assert (await repeat).replayed
+    assert len(fleet.runs) == 1
+
+
+async def test_cancelled_run_is_not_made_again():
+    """The same, where runs without a caller are cancelled by the settings.
 
     Symptom: the repeat runs the request anew, or waits for ever.
-    Sequence: the first request is cancelled once a call was handed to a socket.
+    Sequence: as above.
     Cause: a cancelled run has no answer that could be kept.
     """
-    async with run_fleet("a", "b") as fleet:
+    async with run_fleet("a", "b", finish="no") as fleet:
         fleet.gate.clear()
         first = asyncio.create_task(fleet.instances["a"].ask("k"))
         await wait_until(lambda: fleet.runs, timeout=5)
@@ -424,6 +444,22 @@
     assert len(fleet.runs) == 1
 
 
+async def test_planned_stop_finishes_runs_whose_callers_left():
+    async with run_fleet("a", "b") as fleet:
+        fleet.gate.clear()
+        first = asyncio.create_task(fleet.instances["a"].ask("k"))
+        await wait_until(lambda: fleet.runs, timeout=5)
+        first.cancel()
+        await asyncio.gather(first, return_exceptions=True)
+        stopped = asyncio.create_task(fleet.stop("a"))
+        await asyncio.sleep(0)
+        fleet.gate.set()
+        await stopped
+        repeat = await fleet.instances["b"].ask("k")
+    assert repeat.replayed
+    assert len(fleet.runs) == 1
+
+
 async def test_claim_is_committed_after_its_request_was_given_up():
     """A writer commits a claim whose request has met its deadline meanwhile.
 
