Charge only calls that reached a target as repeats

Cause: with one of three replicas dead, a third of the calls can't connect until it is known to be gone, and their repeats used up the budget of a tenth that others needed. Weighed: charging no call that certainly did not run (a refusal by a busy target costs it something, so it stays charged). Bounded still by the attempts of each stage.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/attempts.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/attempts.py
@@ -112,6 +112,7 @@
     async def _send_backup(self, work: StageWork, late: Grant) -> CallResult | None:
         self._metrics.count("attempts.late")
         work.late |= {late.target.target_id}
+        work.charged = True
         acquired = await self._acquire(work)
         if isinstance(acquired, Err):
             return None
@@ -171,6 +172,9 @@
         )
         if reason is None:
             self._metrics.count("attempts.repeated")
+            # a call that reached nobody adds no load; were it charged, the calls to
+            # one replica that died would use up the budget of all others
+            work.charged = failure.kind is not FailureKind.CONNECT
             if failure.kind is FailureKind.CANNOT_RESUME:
                 work.resume = False
                 work.excluded = frozenset()
@@ -199,7 +203,7 @@
         repeatable=work.repeatable,
         prefix=_find_prefix(stage.kind, work.input),
         excluded=work.excluded | unfit,
-        retry=work.attempts > 0,
+        retry=work.charged,
     )
 
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/sending.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/sending.py
@@ -67,6 +67,8 @@
     trace: StageTrace | None = None
     attempts: int = 0
     excluded: frozenset[str] = frozenset()
+    #: whether the next attempt counts against the budget of repeated calls
+    charged: bool = False
     #: seconds that failed attempts took
     wasted: float = 0.0
     tokens: TokenRecord = field(default_factory=TokenRecord)
--- a/tests/test_entry/test_stage_runner.py
+++ b/tests/test_entry/test_stage_runner.py
@@ -161,6 +161,19 @@
     assert answer.refusal.retry_after_ms == 70
 
 
+@pytest.mark.parametrize("kind", [FailureKind.CONNECT, FailureKind.CUT])
+async def test_only_what_reached_a_target_is_charged_as_a_repeat(kind):
+    """Requests failed for one dead replica of three although two were idle.
+
+    Sequence: a third of all calls can't connect, and their repeats use up the
+    budget of repeated calls. Cause: they were charged like calls that had cost.
+    """
+    bench = Bench(fail_first(fail(kind, Verdict.NOT_RUN)))
+    await bench.run(create_pipeline())
+    charged = [ticket.retry for ticket in bench.dispatcher.tickets]
+    assert charged == [False, kind is FailureKind.CUT]
+
+
 async def test_verdict_of_an_earlier_stage_stays():
     """A request whose first stage ran was refused as "not run"."""
 
