--- a/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/scheduling.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/scheduling.py
@@ -11,7 +11,8 @@
 from greengagelatch.errors import Refusal, RefusalCode
 from greengagelatch.load import Dispatcher, Grant, Outcome, OutcomeKind, Ticket
 from greengagelatch.load.breakers import BreakerState
-from greengagelatch.load.scheduler import Scheduler, create_refusal
+from greengagelatch.load.refusals import create_refusal
+from greengagelatch.load.scheduler import Scheduler
 
 from . import Controller
 
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/experiment/fleet.py
@@ -0,0 +1,146 @@
+"""A modelled fleet: targets, and what each entry instance knows of them."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from greengagelatch.config.objects import StageKind
+from greengagelatch.instances import Instance, InstanceKind, Listing
+from greengagelatch.targets import Target
+from greengagelatch.targets.directory import Candidate, TargetDirectory
+from greengagelatch.targets.ledger import Ledger, LedgerRules
+
+from ..fleets import Fleet
+from .events import EventClock
+from .models import EngineModel, EngineRule, ModelCall, PoolModel, TargetModel
+
+__all__ = ("Link", "ModelDirectory", "ModelFleet")
+
+#: calls that a worker pool runs side by side
+POOL_CAPACITY = 4
+#: seconds one way, within a data centre and between two
+NEAR = 0.0002
+FAR = 0.001
+#: seconds until a refused connection is noticed, and one without any answer
+REFUSED = 0.002
+UNANSWERED = 1.0
+#: seconds between two load reports of one target, and their age on arrival
+REPORT_INTERVAL = 1.0
+REPORT_LAG = 0.25
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Link:
+    """The way from one entry instance to one target."""
+
+    model: TargetModel
+    delay: float
+
+
+class ModelFleet:
+    """All targets of a fleet, spread over its data centres."""
+
+    def __init__(self, fleet: Fleet, clock: EventClock, engine: EngineRule) -> None:
+        self.clock = clock
+        self.data_centres = fleet.data_centres
+        self.models: dict[str, TargetModel] = {}
+        for service in fleet.services:
+            for index in range(service.replicas):
+                centre = fleet.data_centres[index % len(fleet.data_centres)]
+                name = f"{service.name}-{index}"
+                target = Target(name, service.name, centre, f"127.0.0.1:{index + 1}")
+                self.models[name] = self._create(service.kind, target, engine)
+
+    def list_instances(self) -> Listing:
+        """Return the platform's list of the targets."""
+        rows = [
+            Instance(
+                instance_id=model.target.target_id,
+                kind=InstanceKind.TARGET,
+                data_centre=model.target.data_centre,
+                address=model.target.address,
+                service=model.target.service,
+            )
+            for model in self.models.values()
+        ]
+        return Listing(1, tuple(rows))
+
+    def send(
+        self,
+        data_centre: str,
+        target_id: str,
+        call: ModelCall,
+        on_unreached: Callable[[bool], None],
+    ) -> None:
+        """Hand a call to a target.
+
+        :param on_unreached: called with whether the target certainly did not run
+            it, if the call came to nothing.
+        """
+        model = self.models[target_id]
+        near = model.target.data_centre == data_centre
+        self.clock.call_later(
+            NEAR if near else FAR, lambda: self._arrive(model, call, on_unreached)
+        )
+
+    def _arrive(
+        self, model: TargetModel, call: ModelCall, on_unreached: Callable[[bool], None]
+    ) -> None:
+        if call.over:
+            return
+        if model.dead:
+            self.clock.call_later(REFUSED, lambda: on_unreached(True))
+        elif model.silent:
+            self.clock.call_later(UNANSWERED, lambda: on_unreached(False))
+        elif not model.submit(call):
+            on_unreached(True)
+
+    def _create(
+        self, kind: StageKind, target: Target, engine: EngineRule
+    ) -> TargetModel:
+        if kind is StageKind.GENERATE:
+            return EngineModel(target, self.clock, engine)
+        return PoolModel(target, self.clock, POOL_CAPACITY)
+
+
+class ModelDirectory(TargetDirectory):
+    """The real ledger, fed with late load reports."""
+
+    def __init__(
+        self, instance_id: str, fleet: ModelFleet, random_source: random.Random
+    ) -> None:
+        self._clock = fleet.clock
+        self._fleet = fleet
+        self._ledger = Ledger(instance_id=instance_id, rules=LedgerRules())
+        self._ledger.apply_listing(fleet.list_instances())
+        for model in fleet.models.values():
+            delay = random_source.random() * REPORT_INTERVAL
+            self._clock.call_later(delay, lambda m=model: self._ask(m))
+
+    def candidates(self, service: str) -> tuple[Candidate, ...]:
+        return self._ledger.list_candidates(self._clock.now(), service)
+
+    def accepts(self, target_id: str) -> bool:
+        return self._ledger.accepts(target_id)
+
+    def note_leaving(self, target_id: str) -> None:
+        self._ledger.mark_leaving((target_id,))
+
+    def note_call(self, target_id: str, *, answered: bool) -> None:
+        if answered:
+            self._ledger.note_reached(target_id)
+        else:
+            self._ledger.note_unreached(target_id)
+
+    def _ask(self, model: TargetModel) -> None:
+        target_id = model.target.target_id
+        self._clock.call_later(REPORT_INTERVAL, lambda: self._ask(model))
+        if not model.reachable:
+            self._ledger.note_unreached(target_id)
+            return
+        report = model.report()
+        self._clock.call_later(
+            REPORT_LAG, lambda: self._ledger.apply_report(target_id, report)
+        )
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/experiment/models.py
@@ -0,0 +1,246 @@
+"""Models of targets: engines that batch continuously, and pools of workers."""
+
+from __future__ import annotations
+
+import heapq
+from abc import ABC, abstractmethod
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass
+from itertools import count
+
+from greengagelatch.targets import Target
+from greengagelatch.targets.directory import LoadReport
+
+from .events import EventClock
+
+__all__ = ("EngineModel", "EngineRule", "ModelCall", "PoolModel", "TargetModel", "Work")
+
+#: calls that may wait at a target; more are refused as not run
+QUEUE_BOUND = 64
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Work:
+    """What one stage of one request asks of its target."""
+
+    #: seconds of a worker, for pools
+    seconds: float = 0.0
+    #: tokens to generate, for engines
+    tokens: int = 0
+    prefix: str = ""
+
+
+@dataclass(slots=True, eq=False, kw_only=True)
+class ModelCall:
+    """A call at a target."""
+
+    work: Work
+    priority: int
+    on_done: Callable[[], None]
+    #: called if the target dies while it holds the call
+    on_cut: Callable[[], None]
+    on_first_token: Callable[[], None] = lambda: None
+    over: bool = False
+    #: whether its answer was used
+    answered: bool = False
+    given: int = 0
+    #: seconds of the target's time used up so far
+    cost: float = 0.0
+
+
+class TargetModel(ABC):
+    """A target; ``slow`` multiplies all its times."""
+
+    def __init__(self, target: Target, clock: EventClock, capacity: int) -> None:
+        self.target = target
+        self.clock = clock
+        self.capacity = capacity
+        self.slow = 1.0
+        #: refuses connections, and its calls are cut
+        self.dead = False
+        #: answers nothing at all any more
+        self.silent = False
+        self.active: list[ModelCall] = []
+        self.waiting: list[tuple[int, int, ModelCall]] = []
+        self._order = count()
+
+    @property
+    def reachable(self) -> bool:
+        """Whether a call to it comes to anything."""
+        return not (self.dead or self.silent)
+
+    def submit(self, call: ModelCall) -> bool:
+        """Take in a call; ``False`` if too many wait."""
+        if len(self.waiting) >= QUEUE_BOUND:
+            self.waiting = [entry for entry in self.waiting if not entry[2].over]
+            heapq.heapify(self.waiting)
+        if len(self.waiting) >= QUEUE_BOUND:
+            return False
+        entry = (self.rank(call), next(self._order), call)
+        heapq.heappush(self.waiting, entry)
+        self.start_waiting()
+        return True
+
+    def cancel(self, call: ModelCall) -> None:
+        """Stop a call."""
+        call.over = True
+
+    def kill(self) -> None:
+        """End the target; all its calls are cut."""
+        self.dead = True
+        calls = [*self.active, *(call for _, _, call in self.waiting)]
+        self.active, self.waiting = [], []
+        for call in calls:
+            if not call.over:
+                call.over = True
+                call.on_cut()
+
+    def report(self) -> LoadReport:
+        """Return the load at this moment."""
+        return LoadReport(
+            in_flight=sum(not call.over for call in self.active),
+            queued=sum(not call.over for _, _, call in self.waiting),
+            capacity=self.capacity,
+            taken=self.clock.now(),
+            cached_prefixes=self.list_prefixes(),
+        )
+
+    def list_prefixes(self) -> frozenset[str]:
+        """Return the prefixes that are cached."""
+        return frozenset()
+
+    def rank(self, call: ModelCall) -> int:
+        """Return the order in which waiting calls are taken; lowest first."""
+        return 0
+
+    @abstractmethod
+    def start_waiting(self) -> None:
+        """Begin waiting calls if there is room."""
+
+
+class PoolModel(TargetModel):
+    """Workers that take one call each, in the order of arrival."""
+
+    def start_waiting(self) -> None:
+        self.active = [call for call in self.active if not call.over]
+        while self.waiting and len(self.active) < self.capacity and self.reachable:
+            call = heapq.heappop(self.waiting)[2]
+            if call.over:
+                continue
+            self.active.append(call)
+            seconds = call.work.seconds * self.slow
+            self.clock.call_later(seconds, lambda c=call, s=seconds: self._end(c, s))
+
+    def cancel(self, call: ModelCall) -> None:
+        # a worker can't be interrupted: it goes on, for nothing
+        if call not in self.active:
+            call.over = True
+        call.on_done = lambda: None
+
+    def _end(self, call: ModelCall, seconds: float) -> None:
+        if call.over or not self.reachable:
+            return
+        call.over = True
+        call.cost += seconds
+        call.on_done()
+        self.start_waiting()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EngineRule:
+    """Parameters of an engine."""
+
+    capacity: int = 16
+    #: seconds of one token for a batch of one
+    token: float = 0.012
+    #: share by which each further call of a batch lengthens a step
+    growth: float = 0.1
+    #: batch beyond which memory runs short and steps lengthen by the square
+    knee: int = 10
+    shortage: float = 0.05
+    #: seconds to read a prompt, and the share of it if its prefix is cached
+    prefill: float = 0.06
+    hit_share: float = 0.1
+    cache_entries: int = 8
+
+    def measure_step(self, size: int) -> float:
+        """Return the seconds of one step of a batch, without prompts."""
+        excess = max(0, size - self.knee)
+        growth = self.growth * (size - 1) + self.shortage * excess * excess
+        return self.token * (1 + growth)
+
+    def find_best_batch(self) -> int:
+        """Return the batch that gives the most tokens a second."""
+        sizes = range(1, self.capacity + 1)
+        return max(sizes, key=lambda size: size / self.measure_step(size))
+
+
+class EngineModel(TargetModel):
+    """An engine: calls join and leave its batch at each step."""
+
+    def __init__(self, target: Target, clock: EventClock, rule: EngineRule) -> None:
+        super().__init__(target, clock, rule.capacity)
+        self._rule = rule
+        self._stepping = False
+        self._cache: OrderedDict[str, None] = OrderedDict()
+
+    def rank(self, call: ModelCall) -> int:
+        return -call.priority
+
+    def list_prefixes(self) -> frozenset[str]:
+        return frozenset(self._cache)
+
+    def start_waiting(self) -> None:
+        if not self._stepping:
+            self._step()
+
+    def _step(self) -> None:
+        self._stepping = False
+        if not self.reachable:
+            return
+        self.active = [call for call in self.active if not call.over]
+        seconds = self._admit()
+        if not self.active:
+            return
+        seconds += self._rule.measure_step(len(self.active))
+        seconds *= self.slow
+        self._stepping = True
+        self.clock.call_later(seconds, lambda: self._end_step(seconds))
+
+    def _admit(self) -> float:
+        seconds = 0.0
+        while self.waiting and len(self.active) < self.capacity:
+            call = heapq.heappop(self.waiting)[2]
+            if call.over:
+                continue
+            self.active.append(call)
+            hit = self._use(call.work.prefix)
+            seconds += self._rule.prefill * (self._rule.hit_share if hit else 1.0)
+        return seconds
+
+    def _end_step(self, seconds: float) -> None:
+        if not self.reachable:
+            return
+        share = seconds / max(1, len(self.active))
+        for call in self.active:
+            call.cost += share
+            if call.over:
+                continue
+            call.given += 1
+            if call.given == 1:
+                call.on_first_token()
+            if call.given >= call.work.tokens:
+                call.over = True
+                call.on_done()
+        self._step()
+
+    def _use(self, prefix: str) -> bool:
+        if not prefix:
+            return False
+        hit = prefix in self._cache
+        self._cache[prefix] = None
+        self._cache.move_to_end(prefix)
+        while len(self._cache) > self._rule.cache_entries:
+            self._cache.popitem(last=False)
+        return hit
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/experiment/policies.py
@@ -0,0 +1,136 @@
+"""The policies that are compared: this project's, and the one without limits."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from result import Result
+
+from greengagelatch.config.objects import Stage
+from greengagelatch.config.snapshot import Snapshot
+from greengagelatch.errors import Refusal
+from greengagelatch.load import Grant, Outcome, Ticket
+from greengagelatch.load.admission import AdmissionRule, Arrival, EstimateAdmission
+from greengagelatch.load.deadlines import DeadlinePlan
+from greengagelatch.load.durations import DurationTracker
+from greengagelatch.load.naive import NaiveDispatcher
+from greengagelatch.load.scheduler import Scheduler, SchedulerRule
+from greengagelatch.stages.plan import plan_by_share
+
+from .entry import Entry, Run, drive
+from .traces import Request
+
+__all__ = ("NaiveEntry", "SchedulingEntry")
+
+
+class NaiveEntry(Entry):
+    """Takes targets in turn, without limits."""
+
+    def __init__(self, *, snapshot: Snapshot, choosers: int, **values) -> None:
+        super().__init__(**values)
+        self._dispatcher = NaiveDispatcher(directory=self.directory, clock=self.clock)
+
+    def plan(self, run: Run, stage: Stage) -> float:
+        request = run.request
+        now = self.clock.now()
+        return plan_by_share(request.pipeline, stage, now, request.deadline)
+
+    def acquire(
+        self, ticket: Ticket, receive: Callable[[Result[Grant, Refusal]], None]
+    ) -> object:
+        receive(drive(self._dispatcher.acquire(ticket)))
+        return None
+
+    def release(self, grant: Grant, outcome: Outcome) -> None:
+        self._dispatcher.release(grant, outcome)
+
+
+class SchedulingEntry(Entry):
+    """Uses the scheduler, and what goes with it."""
+
+    def __init__(self, *, snapshot: Snapshot, choosers: int, **values) -> None:
+        super().__init__(**values)
+        self._snapshot = snapshot
+        self._durations = DurationTracker()
+        self._plan = DeadlinePlan(
+            durations=self._durations, find_pipeline=snapshot.pipelines.get
+        )
+        self._scheduler = Scheduler(
+            directory=self.directory,
+            rule=SchedulerRule(),
+            data_centre=self.data_centre,
+            random_source=self.random,
+            weigh=lambda workspace: 1.0,
+            count_choosers=lambda service: choosers,
+            estimate_rest=self._plan.estimate_rest,
+            durations=self._durations,
+            now=self.clock.now(),
+        )
+        self._admission = EstimateAdmission(
+            rule=AdmissionRule(), find_service=self._scheduler.find_service
+        )
+        self._receivers: dict[int, Callable[[Result[Grant, Refusal]], None]] = {}
+        self._polling = False
+        self._waking = False
+
+    def find_priority(self, request: Request) -> int:
+        urgent = request.pipeline.labels.get("urgency") == "short"
+        return 10 if urgent else 0
+
+    def admit(self, run: Run) -> Refusal | None:
+        request = run.request
+        arrival = Arrival(
+            workspace=request.arrival.workspace,
+            pipeline=request.pipeline,
+            priority=self.find_priority(request),
+            deadline=request.deadline,
+        )
+        return self._admission.check(arrival, self.clock.now())
+
+    def plan(self, run: Run, stage: Stage) -> float:
+        request = run.request
+        return self._plan(request.pipeline, stage, self.clock.now(), request.deadline)
+
+    def acquire(
+        self, ticket: Ticket, receive: Callable[[Result[Grant, Refusal]], None]
+    ) -> object:
+        waiting_id = self._scheduler.submit(ticket, self.clock.now())
+        self._receivers[waiting_id] = receive
+        self._poll()
+        return waiting_id
+
+    def withdraw(self, waiting: object) -> None:
+        self._scheduler.withdraw(waiting)
+        self._receivers.pop(waiting, None)
+
+    def release(self, grant: Grant, outcome: Outcome) -> None:
+        self._scheduler.finish(grant, outcome, self.clock.now())
+        self._poll()
+
+    def _poll(self) -> None:
+        if self._polling:
+            return
+        self._polling = True
+        while True:
+            decisions = self._scheduler.poll(self.clock.now())
+            if not decisions:
+                break
+            for decision in decisions:
+                receive = self._receivers.pop(decision.waiting_id, None)
+                if receive is not None:
+                    receive(decision.result)
+        self._polling = False
+        self._set_timer()
+
+    def _set_timer(self) -> None:
+        if self._waking:
+            return
+        wake = self._scheduler.find_next_wake(self.clock.now())
+        if wake is not None:
+            self._waking = True
+            self.clock.call_at(wake, self._wake)
+
+    def _wake(self) -> None:
+        self._waking = False
+        self._scheduler.expire(self.clock.now())
+        self._poll()
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/experiment/scenarios.py
@@ -0,0 +1,198 @@
+"""What happens to a fleet in each experiment."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import Enum
+
+from greengagelatch.config.objects import StageKind
+
+from ..fleets import Fleet
+from .entry import Entry, Run
+from .events import EventClock
+from .fleet import ModelDirectory, ModelFleet
+from .models import EngineRule
+from .traces import (
+    Request,
+    TraceRule,
+    find_full_scale,
+    plan_requests,
+    read_snapshot,
+)
+
+__all__ = ("SCENARIOS", "Fault", "FaultKind", "Scenario", "Trial", "run_trial")
+
+#: entry instances in each data centre
+ENTRIES = 3
+#: seconds until the balancer sends nothing more to instances that have died
+BALANCER_LAG = 1.0
+#: seconds before requests are counted, and the seconds of those that are
+WARM_UP = 10.0
+MEASURED = 30.0
+#: seconds at which faults begin
+FAULT_AT = 15.0
+#: longer than any deadline: time for the last requests to end
+TAIL = 8.0
+
+
+class FaultKind(Enum):
+    """What fails."""
+
+    SLOW = "slow"
+    DEAD = "dead"
+    CENTRE = "centre"
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """Something that fails for the rest of the run.
+
+    ``index`` counts the engines, or for a data centre the fleet's data centres.
+    """
+
+    kind: FaultKind
+    index: int = 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Scenario:
+    """Load and faults of one experiment."""
+
+    name: str
+    load: float
+    burst: tuple[float, float, float] | None = None
+    faults: tuple[Fault, ...] = ()
+
+
+SLOW = Fault(FaultKind.SLOW, 1)
+DEAD = Fault(FaultKind.DEAD, 2)
+
+SCENARIOS = (
+    Scenario(name="steady", load=0.6),
+    Scenario(name="burst", load=0.6, burst=(18.0, 23.0, 1.2)),
+    Scenario(name="slow-target", load=0.6, faults=(SLOW,)),
+    Scenario(name="failed-target", load=0.6, faults=(DEAD,)),
+    Scenario(name="failed-data-centre", load=0.5, faults=(Fault(FaultKind.CENTRE, 1),)),
+    Scenario(name="load-0.8", load=0.8),
+    Scenario(name="load-1.0", load=1.0),
+    Scenario(name="load-1.3", load=1.3),
+    Scenario(name="load-2.0", load=2.0),
+    Scenario(name="load-1.3-slow-failed", load=1.3, faults=(SLOW, DEAD)),
+)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Trial:
+    """One run: its requests, and what became of them."""
+
+    fleet: Fleet
+    scenario: Scenario
+    engine: EngineRule
+    requests: tuple[Request, ...]
+    runs: Sequence[Run]
+    #: requests that arrived at an instance that had died
+    lost: frozenset[int]
+
+    @property
+    def counted(self) -> list[Run]:
+        """Runs of the requests that count."""
+        return [run for run in self.runs if is_counted(run.request)]
+
+
+def is_counted(request: Request) -> bool:
+    """Whether a request came after the warm-up."""
+    return WARM_UP <= request.received < WARM_UP + MEASURED
+
+
+def run_trial(
+    fleet: Fleet, scenario: Scenario, entry_type: type[Entry], seed: int, **values
+) -> Trial:
+    """Run one scenario under one policy."""
+    engine = EngineRule()
+    snapshot = read_snapshot(fleet)
+    rule = TraceRule(
+        seconds=WARM_UP + MEASURED, load=scenario.load, burst=scenario.burst
+    )
+    scale = find_full_scale(fleet, snapshot, engine)
+    requests = plan_requests(fleet, snapshot, rule, scale, seed)
+    clock = EventClock()
+    model = ModelFleet(fleet, clock, engine)
+    centres = [name for name in fleet.data_centres for _ in range(ENTRIES)]
+    entries = []
+    for index, centre in enumerate(centres):
+        source = random.Random(f"{seed}/{index}")
+        instance_id = f"entry-{index}"
+        entries.append(
+            entry_type(
+                snapshot=snapshot,
+                choosers=len(centres),
+                instance_id=instance_id,
+                data_centre=centre,
+                clock=clock,
+                fleet=model,
+                directory=ModelDirectory(instance_id, model, source),
+                random_source=source,
+                **values,
+            )
+        )
+    for fault in scenario.faults:
+        clock.call_at(FAULT_AT, lambda f=fault: _apply(f, fleet, model, entries))
+    runs: list[Run] = []
+    lost: set[int] = set()
+    balancer = random.Random(f"{seed}/balancer")
+    for request in requests:
+        draw = balancer.random()
+        clock.call_at(
+            request.received,
+            lambda r=request, d=draw: _balance(r, d, entries, clock, runs, lost),
+        )
+    clock.run(WARM_UP + MEASURED + TAIL)
+    return Trial(
+        fleet=fleet,
+        scenario=scenario,
+        engine=engine,
+        requests=requests,
+        runs=runs,
+        lost=frozenset(lost),
+    )
+
+
+def _balance(
+    request: Request,
+    draw: float,
+    entries: list[Entry],
+    clock: EventClock,
+    runs: list[Run],
+    lost: set[int],
+) -> None:
+    known = entries
+    if clock.now() > FAULT_AT + BALANCER_LAG:
+        known = [entry for entry in entries if entry.alive]
+    entry = known[int(draw * len(known))]
+    if not entry.alive:
+        lost.add(id(request))
+    runs.append(entry.start(request))
+
+
+def _apply(fault: Fault, fleet: Fleet, model: ModelFleet, entries: list[Entry]) -> None:
+    engines = [
+        model.models[f"{service.name}-{index}"]
+        for service in fleet.services
+        if service.kind is StageKind.GENERATE
+        for index in range(service.replicas)
+    ]
+    match fault.kind:
+        case FaultKind.SLOW:
+            engines[fault.index].slow = 10.0
+        case FaultKind.DEAD:
+            engines[fault.index].kill()
+        case FaultKind.CENTRE:
+            name = fleet.data_centres[fault.index]
+            for target in model.models.values():
+                if target.target.data_centre == name:
+                    target.silent = True
+            for entry in entries:
+                if entry.data_centre == name:
+                    entry.alive = False
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/experiment/traces.py
@@ -0,0 +1,125 @@
+"""Seeded requests of a fleet, the same for every policy."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from math import exp
+
+from greengagelatch.config.ini import parse_objects
+from greengagelatch.config.objects import Pipeline, Service, Stage, StageKind
+from greengagelatch.config.snapshot import Snapshot
+
+from ..fleets import Fleet
+from ..load.arrivals import Arrival, plan_arrivals
+from .models import EngineRule, Work
+
+__all__ = ("Request", "TraceRule", "find_full_scale", "plan_requests", "read_snapshot")
+
+#: seconds of a worker for one call, the median, by kind of stage
+POOL_SECONDS = {
+    StageKind.PLAIN: 0.05,
+    StageKind.ENCODE: 0.03,
+    StageKind.RETRIEVE: 0.04,
+    StageKind.RERANK: 0.06,
+}
+#: spread of the logarithm of these
+POOL_SIGMA = 0.4
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TraceRule:
+    """How much is asked for, and when."""
+
+    seconds: float
+    #: load as a share of what the engines can do without cached prefixes
+    load: float
+    #: start, end and load of additional traffic
+    burst: tuple[float, float, float] | None = None
+
+
+@dataclass(slots=True, eq=False, kw_only=True)
+class Request:
+    """One request and what its stages ask of their targets."""
+
+    arrival: Arrival
+    pipeline: Pipeline
+    received: float
+    deadline: float
+    work: Mapping[str, Work] = field(default_factory=dict)
+
+
+def read_snapshot(fleet: Fleet) -> Snapshot:
+    """Return the fleet's own objects as one configuration."""
+    objects = parse_objects(fleet.read_objects()).unwrap()
+    return Snapshot(
+        generation=1,
+        pipelines={each.name: each for each in objects if isinstance(each, Pipeline)},
+        services={each.name: each for each in objects if isinstance(each, Service)},
+    )
+
+
+def find_full_scale(fleet: Fleet, snapshot: Snapshot, engine: EngineRule) -> float:
+    """Return the scale of the traffic that fills the engines, nothing cached."""
+    best = engine.find_best_batch()
+    token = engine.measure_step(best) / best
+    busy = 0.0
+    for traffic in fleet.traffic:
+        for stage in snapshot.pipelines[traffic.pipeline].stages:
+            if stage.kind is StageKind.GENERATE:
+                tokens = sum(traffic.tokens) / 2
+                busy += traffic.rate * (engine.prefill + tokens * token)
+    replicas = sum(
+        service.replicas
+        for service in fleet.services
+        if service.kind is StageKind.GENERATE
+    )
+    return replicas / busy
+
+
+def plan_requests(
+    fleet: Fleet, snapshot: Snapshot, rule: TraceRule, full_scale: float, seed: int
+) -> tuple[Request, ...]:
+    """Draw the requests of one run, by the time of their arrival."""
+    source = random.Random(seed)
+    scale = full_scale * rule.load
+    planned = [
+        (arrival.offset, arrival)
+        for arrival in plan_arrivals(
+            fleet, seconds=rule.seconds, scale=scale, random_source=source
+        )
+    ]
+    if rule.burst is not None:
+        start, end, load = rule.burst
+        extra = plan_arrivals(
+            fleet, seconds=end - start, scale=full_scale * load, random_source=source
+        )
+        planned.extend((start + arrival.offset, arrival) for arrival in extra)
+    planned.sort(key=lambda pair: pair[0])
+    requests = []
+    for received, arrival in planned:
+        # a repeat of a keyed request is answered by the first one's result
+        if arrival.repeat_of is not None:
+            continue
+        pipeline = snapshot.pipelines[arrival.pipeline]
+        requests.append(
+            Request(
+                arrival=arrival,
+                pipeline=pipeline,
+                received=received,
+                deadline=received + arrival.deadline_ms / 1000,
+                work={
+                    stage.name: _draw_work(stage, arrival, source)
+                    for stage in pipeline.stages
+                },
+            )
+        )
+    return tuple(requests)
+
+
+def _draw_work(stage: Stage, arrival: Arrival, source: random.Random) -> Work:
+    if stage.kind is StageKind.GENERATE:
+        return Work(tokens=arrival.input["tokens"], prefix=arrival.input["prefix"])
+    spread = exp(source.gauss(0, POOL_SIGMA))
+    return Work(seconds=POOL_SECONDS[stage.kind] * spread)
--- a/packages/greengagelatch/src/greengagelatch/load/__init__.py
+++ b/packages/greengagelatch/src/greengagelatch/load/__init__.py
@@ -32,6 +32,8 @@
     #: higher is served first
     priority: int = 0
     repeatable: bool = True
+    #: whether an earlier stage of the request has already been answered
+    begun: bool = False
     #: text whose equality suggests a shared prompt prefix; empty: none
     prefix: str = ""
     #: targets that must not be chosen, such as those that failed this call
@@ -68,6 +70,8 @@
 
     kind: OutcomeKind
     seconds: float
+    #: tokens received, where the call was a stream; also of one that was given up
+    tokens: int = 0
 
 
 class Dispatcher(ABC):
--- /dev/null
+++ b/packages/greengagelatch/src/greengagelatch/load/admission.py
@@ -0,0 +1,101 @@
+"""Admission: whether a request can be answered whole within its deadline."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from ..config.objects import Pipeline, Stage
+from ..errors import Refusal, RefusalCode
+from .deadlines import measure_below
+from .refusals import create_refusal
+from .service import ServiceLoad
+
+__all__ = ("Admission", "AdmissionRule", "Arrival", "EstimateAdmission")
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Arrival:
+    """A request that may be begun."""
+
+    workspace: str
+    pipeline: Pipeline
+    priority: int
+    #: monotonic seconds
+    deadline: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AdmissionRule:
+    """Parameters of admission."""
+
+    #: percentile of the stages' durations that must fit where targets are idle, and
+    #: where they are busy
+    idle_percentile: float = 10
+    busy_percentile: float = 80
+
+
+class Admission(ABC):
+    """Decides at a request's arrival whether it is begun."""
+
+    @abstractmethod
+    def check(self, arrival: Arrival, now: float) -> Refusal | None:
+        """Return why the request must not be begun, ``None`` if it may."""
+
+
+class EstimateAdmission(Admission):
+    """Adds up what each stage would wait and take if it came now.
+
+    A request that is begun and then runs out of time has cost the targets as much
+    as an answered one; under overload most of the work is then for nothing. One
+    that is refused at once can be sent again in good time.
+
+    :param find_service: returns the load of a service by its name.
+    """
+
+    def __init__(
+        self, *, rule: AdmissionRule, find_service: Callable[[str], ServiceLoad]
+    ) -> None:
+        self._rule = rule
+        self._find_service = find_service
+
+    def check(self, arrival: Arrival, now: float) -> Refusal | None:
+        pipeline = arrival.pipeline
+        waits: dict[str, float] = {}
+        totals: dict[str, float] = {}
+        remaining = arrival.deadline - now
+        shares = sum(stage.share for stage in pipeline.stages)
+        for stage in pipeline.stages:
+            allotted = remaining * stage.share / shares
+            wait, seconds = self._estimate(arrival, stage, allotted, now)
+            waits[stage.name] = wait
+            totals[stage.name] = wait + seconds
+        longest = max(
+            totals[stage.name] + measure_below(pipeline, stage.name, totals)
+            for stage in pipeline.stages
+        )
+        if longest <= remaining:
+            return None
+        message = (
+            f"pipeline {pipeline.name} needs about {longest * 1000:.0f} ms now and"
+            f" {remaining * 1000:.0f} ms are left"
+        )
+        waiting = max(waits.values())
+        code = RefusalCode.OVERLOADED if waiting > 0 else RefusalCode.DEADLINE
+        return create_refusal(code, message, max(waiting, longest - remaining))
+
+    def _estimate(
+        self, arrival: Arrival, stage: Stage, allotted: float, now: float
+    ) -> tuple[float, float]:
+        """Return the seconds that a stage waits, and those that it takes."""
+        service = self._find_service(stage.service)
+        kind = (arrival.pipeline.name, stage.name)
+        if not service.is_busy(now):
+            percentile = self._rule.idle_percentile
+            return 0.0, service.estimate_duration(kind, allotted, percentile, now)
+        usual = service.estimate_duration(kind, allotted, 50, now)
+        wait = service.estimate_wait(arrival.workspace, arrival.priority, usual, now)
+        percentile = self._rule.busy_percentile
+        safe = service.estimate_safe_duration(kind, allotted, percentile, now)
+        return wait, safe
--- a/packages/greengagelatch/src/greengagelatch/load/choice.py
+++ b/packages/greengagelatch/src/greengagelatch/load/choice.py
@@ -23,9 +23,9 @@
     #: load, as a share of the limit, by which a far target must be better
     distance: float = 0.25
     #: load, as a share of the limit, that a cached prefix is worth
-    affinity: float = 0.5
+    affinity: float = 1.0
     #: targets that calls with one prefix are kept to
-    affinity_targets: int = 2
+    affinity_targets: int = 1
     #: load, as a multiple of the mean, beyond which affinity counts for nothing
     affinity_bound: float = 1.25
 
@@ -39,6 +39,12 @@
     ) -> TargetView:
         """Return one of ``views``, which is not empty."""
 
+    @abstractmethod
+    def find_familiar(
+        self, views: tuple[TargetView, ...], prefix: str
+    ) -> list[TargetView]:
+        """Return the targets that probably hold a prefix and are not overloaded."""
+
 
 class TwoChoices(TargetChoice):
     """The better of a few random targets, near ones and familiar ones first.
@@ -59,7 +65,7 @@
         far = [view for view in views if not view.near]
         sampled = _sample(near, self._rule.near_samples, random_source)
         sampled += _sample(far, self._rule.far_samples, random_source)
-        familiar = self._find_familiar(views, prefix)
+        familiar = self.find_familiar(views, prefix)
         sampled += [view for view in familiar if view not in sampled]
         return min(
             sampled, key=lambda view: self._estimate_cost(view, view in familiar)
@@ -73,15 +79,12 @@
             cost -= self._rule.affinity
         return cost
 
-    def _find_familiar(
+    def find_familiar(
         self, views: tuple[TargetView, ...], prefix: str
     ) -> list[TargetView]:
-        """Return the targets that probably hold the prefix and are not overloaded.
-
-        Which they are follows from a hash, so that all instances agree without a
-        message, also when cache events are late or missing; a target that is said
-        to hold the prefix goes first.
-        """
+        # which they are follows from a hash, so that all instances agree without a
+        # message, also when cache events are late or missing; a target that is said
+        # to hold the prefix goes first
         if not prefix:
             return []
         ranked = sorted(views, key=lambda view: _rank(view, prefix))
--- a/packages/greengagelatch/src/greengagelatch/load/durations.py
+++ b/packages/greengagelatch/src/greengagelatch/load/durations.py
@@ -13,12 +13,16 @@
 UNITS = 10_000
 #: longest duration that is told apart from longer ones, in seconds
 LONGEST = 3600
-#: relative error of a recorded duration is at most one in 10 ** DIGITS
-DIGITS = 2
+#: significant digits: durations are told apart to about six in a hundred; with two
+#: digits, finding a percentile took ten times as long and half of the processor
+#: time of all decisions
+DIGITS = 1
 #: seconds for which a computed percentile is used again
-CACHED = 0.25
+CACHED = 0.5
 #: fewer durations than this say nothing
 MIN_SAMPLES = 8
+#: windows without any duration after which the last ones say nothing any more
+STALE_WINDOWS = 2
 #: windows over which the lowest median counts as the one without load
 BASELINE_WINDOWS = 30
 
@@ -26,12 +30,13 @@
 class _Series:
     """Durations of one kind of call: this window's and the one before."""
 
-    __slots__ = ("baseline", "cache", "current", "previous", "rotated")
+    __slots__ = ("baseline", "cache", "current", "previous", "recorded", "rotated")
 
     def __init__(self, now: float) -> None:
         self.current = _create_histogram()
         self.previous = _create_histogram()
         self.rotated = now
+        self.recorded = now
         self.cache: dict[float, tuple[float, float]] = {}
         self.baseline: deque[float] = deque(maxlen=BASELINE_WINDOWS)
 
@@ -66,6 +71,7 @@
             series = self._series[kind] = _Series(now)
         if now - series.rotated >= self._window:
             series.rotate(now, self._window)
+        series.recorded = now
         series.current.record_value(_to_units(seconds))
 
     def estimate(
@@ -81,6 +87,10 @@
         value = _merge_percentile(series, percentile)
         if value is None:
             return prior
+        if now - series.recorded > STALE_WINDOWS * self._window:
+            # a service that was slow and is given no calls for it would otherwise
+            # count as slow for good
+            value = min([value, *series.baseline])
         series.cache[percentile] = (now, value)
         return value
 
--- a/packages/greengagelatch/src/greengagelatch/load/limits.py
+++ b/packages/greengagelatch/src/greengagelatch/load/limits.py
@@ -16,8 +16,12 @@
     initial: float = 8.0
     lowest: float = 1.0
     highest: float = 1024.0
-    #: limit as a multiple of the capacity that the target tells
-    above_capacity: float = 1.0
+    #: seconds of waiting at a target that are allowed beyond its capacity. What an
+    #: instance knows of a target's load is up to a report's interval old, many
+    #: calls of a fast service; without some calls waiting there its workers idle
+    wait: float = 0.1
+    #: most calls held as a multiple of the capacity
+    stretch: float = 4.0
     #: latency, as a multiple of the one without load, that is taken as overload
     tolerance: float = 3.0
     #: seconds between two changes, at least: a change must show in the latency
@@ -40,8 +44,11 @@
         """The limit at present, at least 1."""
 
     @abstractmethod
-    def note_capacity(self, capacity: int) -> None:
-        """Take in the capacity that the target tells."""
+    def note_capacity(self, capacity: float, longest: float) -> None:
+        """Take in how many calls the target serves side by side.
+
+        :param longest: seconds that its longest calls take without load, 0 if unknown.
+        """
 
     @abstractmethod
     def note_latency(self, ratio: float, held: float, now: float) -> None:
@@ -69,7 +76,7 @@
         self._rule = rule
         self._value = rule.initial
         self._ceiling = rule.highest
-        self._capacity = 0
+        self._capacity = 0.0
         self._ratios = 0.0
         self._samples = 0
         self._highest_held = 0.0
@@ -79,15 +86,16 @@
     def value(self) -> float:
         return self._value
 
-    def note_capacity(self, capacity: int) -> None:
-        if capacity <= 0 or capacity == self._capacity:
+    def note_capacity(self, capacity: float, longest: float) -> None:
+        if capacity <= 0:
             return
-        first = self._capacity == 0
+        rule = self._rule
+        stretch = min(1 + rule.wait / longest, rule.stretch) if longest > 0 else 1.0
+        ceiling = min(rule.highest, capacity * stretch)
+        untouched = self._capacity == 0 or self._value >= self._ceiling
         self._capacity = capacity
-        self._ceiling = min(self._rule.highest, capacity * self._rule.above_capacity)
-        if first:
-            self._value = self._ceiling
-        self._set(self._value)
+        self._ceiling = ceiling
+        self._set(ceiling if untouched else self._value)
 
     def note_latency(self, ratio: float, held: float, now: float) -> None:
         self._ratios += ratio
--- a/packages/greengagelatch/src/greengagelatch/load/loads.py
+++ b/packages/greengagelatch/src/greengagelatch/load/loads.py
@@ -38,6 +38,8 @@
     limit: float
     #: calls that this instance may have there whatever it believes of the others
     assured: int = 0
+    #: further calls that it may send there while calls wait everywhere
+    spare: int = 0
     #: how long its calls take, as a multiple of the service's median
     slowness: float = 1.0
     #: whether it is in this instance's data centre
@@ -59,6 +61,7 @@
         breaker_rule: BreakerRule,
         random_source: random.Random,
     ) -> None:
+        self._random = random_source
         self.limit = AdaptiveLimit(limit_rule)
         self.breaker = Breaker(breaker_rule, random_source)
         self.mine = 0
@@ -70,6 +73,11 @@
             [(float("-inf"), 0)], maxlen=HISTORY
         )
         self._report: LoadReport | None = None
+        #: rounds this instance's share of the room that the report shows
+        self._report_lot = 0.0
+        #: calls held, summed over all reports, and the number of reports
+        self.reported = 0.0
+        self.reports = 0
 
     def change(self, step: int, *, long: bool, now: float) -> None:
         """Count one call more or less in flight."""
@@ -78,12 +86,22 @@
             self.mine_long += step
         self._history.append((now, self.mine))
 
-    def take_report(self, report: LoadReport | None) -> None:
-        """Take in the newest report, if it is one."""
+    def take_report(
+        self, report: LoadReport | None, longest: float, knee: float | None
+    ) -> None:
+        """Take in the newest report, if it is one.
+
+        :param longest: seconds that the longest calls take without load.
+        :param knee: calls beyond which the service's targets only become slower.
+        """
         if report is None or report is self._report:
             return
         self._report = report
-        self.limit.note_capacity(report.capacity)
+        self._report_lot = self._random.random()
+        self.reported += report.in_flight + report.queued
+        self.reports += 1
+        capacity = report.capacity if knee is None else min(report.capacity, knee)
+        self.limit.note_capacity(capacity, longest)
 
     def count_others(self, now: float, usual: float | None) -> float | None:
         """Return the calls of other instances that the target holds, by expectation.
@@ -96,15 +114,33 @@
         report = self._report
         if report is None:
             return usual
-        history = self._history
-        while len(history) > 1 and history[1][0] <= report.taken:
-            history.popleft()
-        others = max(0.0, report.in_flight + report.queued - history[0][1])
+        others = max(0.0, report.in_flight + report.queued - self._count_then(report))
         if usual is None:
             return others
         weight = exp(-max(0.0, now - report.taken) / REPORT_AGE)
         return weight * others + (1 - weight) * usual
 
+    def count_spare(self, choosers: float) -> int:
+        """Return how many more calls this instance may send in a rush.
+
+        While calls wait everywhere, every instance sees the same free room in the
+        same report and would fill it: one notices targets that hold far more than
+        their limit. So each takes its share of that room until the next report.
+        """
+        report = self._report
+        if report is None:
+            return 0
+        free = max(0.0, self.limit.value - report.in_flight - report.queued)
+        taken = max(0, self.mine - self._count_then(report))
+        return int(free / choosers + self._report_lot) - taken
+
+    def _count_then(self, report: LoadReport) -> int:
+        """Return this instance's calls in flight when the report was taken."""
+        history = self._history
+        while len(history) > 1 and history[1][0] <= report.taken:
+            history.popleft()
+        return history[0][1]
+
     def view(
         self,
         candidate: Candidate,
@@ -124,6 +160,7 @@
             held=self.mine + others,
             limit=self.limit.value,
             assured=int(self.limit.value / choosers + self.lot),
+            spare=self.count_spare(choosers),
             slowness=self.breaker.slowness,
             near=near,
             ejected=ejected,
--- a/packages/greengagelatch/src/greengagelatch/load/queue.py
+++ b/packages/greengagelatch/src/greengagelatch/load/queue.py
@@ -11,7 +11,7 @@
 
 from . import Ticket
 
-__all__ = ("FAIR_PERIOD", "CallQueue", "FairQueue", "Waiting")
+__all__ = ("FAIR_PERIOD", "CallQueue", "FairQueue", "SelectionTest", "Waiting")
 
 #: every such selection ignores priorities, which bounds how long the least
 #: important workspace waits: see :class:`FairQueue`
@@ -19,6 +19,9 @@
 #: seconds of service by which a workspace may be ahead of its fair share while
 #: urgency still decides
 QUANTUM = 1.0
+#: seconds before a call must start within which none that is merely preferred goes
+#: before it
+HURRY = 0.5
 #: calls of a workspace that are looked at in one selection; calls that no target
 #: suits are few, as only those that were tried before exclude any target
 SCANNED = 16
@@ -35,12 +38,25 @@
     expected: float
     #: monotonic seconds by which it should start to keep to its stage's deadline
     urgency: float
-    #: monotonic seconds after which starting it would be pointless
+    #: monotonic seconds after which it would probably, or surely, end too late
+    safe_start: float
     latest_start: float
     #: whether it belongs to the service's long calls
     long: bool = False
 
 
+class SelectionTest(ABC):
+    """Says which calls can be served now, and which of them would be served best."""
+
+    @abstractmethod
+    def suits(self, waiting: Waiting) -> bool:
+        """Whether the call can be served."""
+
+    @abstractmethod
+    def prefers(self, waiting: Waiting) -> bool:
+        """Whether a call that suits would be served with less work than usual."""
+
+
 class CallQueue(ABC):
     """Calls waiting for one service."""
 
@@ -53,12 +69,15 @@
         """Take out a call, ``None`` if it isn't there."""
 
     @abstractmethod
-    def select(self, suits: Callable[[Waiting], bool]) -> Waiting | None:
-        """Take out the call to be served next among those that ``suits`` accepts."""
+    def select(self, test: SelectionTest, now: float) -> Waiting | None:
+        """Take out the call to be served next among those that suit."""
 
     @abstractmethod
-    def sum_pending(self) -> dict[str, float]:
-        """Return the seconds of service that wait, by workspace."""
+    def sum_pending(self, priority: int) -> dict[str, float]:
+        """Return the seconds of service that wait, by workspace.
+
+        :param priority: calls of lower priorities are left out.
+        """
 
     @property
     @abstractmethod
@@ -88,8 +107,8 @@
         self.by_urgency = (SortedKeyList(key=_sort_key), SortedKeyList(key=_sort_key))
         #: seconds of service received, divided by the weight
         self.virtual = 0.0
-        #: seconds of service that wait
-        self.pending = 0.0
+        #: seconds of service that wait, by priority
+        self.pending: dict[int, float] = {}
 
     def __len__(self) -> int:
         return len(self.by_age[False]) + len(self.by_age[True])
@@ -97,20 +116,29 @@
     def add(self, waiting: Waiting) -> None:
         self.by_age[waiting.long][waiting.waiting_id] = waiting
         self.by_urgency[waiting.long].add(waiting)
-        self.pending += waiting.expected
+        priority = waiting.ticket.priority
+        pending = self.pending.get(priority, 0.0)
+        self.pending[priority] = pending + waiting.expected
 
     def discard(self, waiting: Waiting) -> None:
         del self.by_age[waiting.long][waiting.waiting_id]
         self.by_urgency[waiting.long].remove(waiting)
-        # sums of floats drift; an empty lane must hold nothing
-        self.pending = self.pending - waiting.expected if len(self) else 0.0
+        self.pending[waiting.ticket.priority] -= waiting.expected
+        if not len(self):
+            # sums of floats drift: an empty lane must hold exactly nothing
+            self.pending.clear()
 
-    def find_oldest(self, suits: Callable[[Waiting], bool]) -> Waiting | None:
-        heads = [_find_first(calls.values(), suits) for calls in self.by_age]
+    def find_oldest(self, test: SelectionTest) -> Waiting | None:
+        heads = [_find_first(calls.values(), test.suits) for calls in self.by_age]
         return min(filter(None, heads), key=_age_key, default=None)
 
-    def find_most_urgent(self, suits: Callable[[Waiting], bool]) -> Waiting | None:
-        heads = [_find_first(calls, suits) for calls in self.by_urgency]
+    def find_most_urgent(
+        self, test: SelectionTest, *, preferred: bool = False
+    ) -> Waiting | None:
+        def accepts(waiting: Waiting) -> bool:
+            return test.suits(waiting) and (not preferred or test.prefers(waiting))
+
+        heads = [_find_first(calls, accepts) for calls in self.by_urgency]
         return min(filter(None, heads), key=_sort_key, default=None)
 
 
@@ -179,19 +207,24 @@
         self._lanes[waiting.ticket.workspace].discard(waiting)
         return waiting
 
-    def select(self, suits: Callable[[Waiting], bool]) -> Waiting | None:
+    def select(self, test: SelectionTest, now: float) -> Waiting | None:
         fair_turn = (self._selections + 1) % FAIR_PERIOD == 0
-        heads = self._find_heads(suits, by_age=fair_turn)
+        heads = self._find_heads(test, by_age=fair_turn)
         if not heads:
             return None
-        chosen = _pick_fair(heads) if fair_turn else self._pick(heads)
+        chosen = _pick_fair(heads) if fair_turn else self._pick(heads, test, now)
         self._selections += 1
         self._charge(chosen)
         self.remove(chosen.waiting_id)
         return chosen
 
-    def sum_pending(self) -> dict[str, float]:
-        return {name: lane.pending for name, lane in self._lanes.items() if lane}
+    def sum_pending(self, priority: int) -> dict[str, float]:
+        pending = {}
+        for name, lane in self._lanes.items():
+            work = sum(w for other, w in lane.pending.items() if other >= priority)
+            if work > 0:
+                pending[name] = work
+        return pending
 
     @property
     def long_waits(self) -> bool:
@@ -204,7 +237,7 @@
         return iter(tuple(self._waiting.values()))
 
     def _find_heads(
-        self, suits: Callable[[Waiting], bool], *, by_age: bool
+        self, test: SelectionTest, *, by_age: bool
     ) -> list[tuple[_Lane, Waiting]]:
         heads = []
         for name, lane in tuple(self._lanes.items()):
@@ -214,17 +247,28 @@
                     del self._lanes[name]
                 continue
             find = lane.find_oldest if by_age else lane.find_most_urgent
-            head = find(suits)
+            head = find(test)
             if head is not None:
                 heads.append((lane, head))
         return heads
 
-    def _pick(self, heads: list[tuple[_Lane, Waiting]]) -> Waiting:
+    def _pick(
+        self, heads: list[tuple[_Lane, Waiting]], test: SelectionTest, now: float
+    ) -> Waiting:
         top = max(head.ticket.priority for _, head in heads)
         first = [pair for pair in heads if pair[1].ticket.priority == top]
         limit = min(lane.virtual for lane, _ in first) + self._quantum
-        eligible = [head for lane, head in first if lane.virtual <= limit]
-        return min(eligible, key=_sort_key)
+        eligible = [pair for pair in first if pair[0].virtual <= limit]
+        urgent = min((head for _, head in eligible), key=_sort_key)
+        if urgent.safe_start - now < HURRY:
+            return urgent
+        found = [lane.find_most_urgent(test, preferred=True) for lane, _ in eligible]
+        preferred = [
+            waiting
+            for waiting in found
+            if waiting is not None and waiting.ticket.priority == top
+        ]
+        return min(preferred, key=_sort_key, default=urgent)
 
     def _charge(self, waiting: Waiting) -> None:
         name = waiting.ticket.workspace
--- a/packages/greengagelatch/src/greengagelatch/load/room.py
+++ b/packages/greengagelatch/src/greengagelatch/load/room.py
@@ -8,15 +8,17 @@
 from ..targets import Target
 from .choice import TargetChoice
 from .loads import TargetView
-from .queue import Waiting
+from .queue import SelectionTest, Waiting
 
 __all__ = ("Room",)
 
+#: share of the limits that calls take up from which a service counts as busy
+BUSY_SHARE = 0.5
 #: a probe goes only to a call that has this many times its duration left
 PROBE_SLACK = 2.0
 
 
-class Room:
+class Room(SelectionTest):
     """The room of all targets of one service while calls are being granted.
 
     Long calls leave a share of each limit free, so that a short call which comes
@@ -40,20 +42,41 @@
         self._choice = choice
         self._random = random_source
         self._long_waits = False
+        self._rush = False
 
     @property
     def views(self) -> tuple[TargetView, ...]:
         """All targets as they are now."""
         return tuple(self._views.values())
 
-    def begin(self, *, long_waits: bool) -> None:
-        """Prepare for one selection; ``long_waits``: a long call is among the rest."""
+    @property
+    def busy(self) -> bool:
+        """Whether the targets are so full that calls take clearly longer."""
+        sound = [view for view in self._views.values() if not view.ejected]
+        held = sum(view.held for view in sound)
+        return held > BUSY_SHARE * sum(view.limit for view in sound)
+
+    def begin(self, *, long_waits: bool, rush: bool) -> None:
+        """Prepare for one selection.
+
+        :param long_waits: a long call is among those that wait.
+        :param rush: several calls wait, as they then probably do everywhere.
+        """
         self._long_waits = long_waits
+        self._rush = rush
 
     def suits(self, waiting: Waiting) -> bool:
         """Whether some target has room for the call."""
         return any(self._fits(view, waiting) for view in self._views.values())
 
+    def prefers(self, waiting: Waiting) -> bool:
+        """Whether a target that has room probably holds the call's prefix."""
+        prefix = waiting.ticket.prefix
+        if not prefix:
+            return False
+        familiar = self._choice.find_familiar(self.views, prefix)
+        return any(self._fits(view, waiting) for view in familiar)
+
     def choose(self, waiting: Waiting, now: float) -> Target:
         """Return the target for a call that :meth:`suits` has accepted."""
         fitting = tuple(v for v in self._views.values() if self._fits(v, waiting))
@@ -72,6 +95,7 @@
             mine=view.mine + 1,
             mine_long=view.mine_long + long,
             held=view.held + 1,
+            spare=view.spare - 1,
         )
         return view.held
 
@@ -80,20 +104,25 @@
             return False
         if view.ejected:
             return view.probing and view.mine == 0 and waiting.ticket.repeatable
-        common = view.limit * (1 - self._short_share)
+        common = max(1.0, view.limit * (1 - self._short_share))
         if waiting.long:
             own = max(1, int(view.assured * (1 - self._short_share)))
-            assured = view.assured > 0 and view.mine_long < own
-            return assured or view.held + 1 <= max(1.0, common)
+            if view.assured > 0 and view.mine_long < own:
+                return True
+            return view.held + 1 <= common and self._may_share(view)
         if view.mine < view.assured:
             return True
-        if view.held + 1 > max(1.0, view.limit):
+        if view.held + 1 > max(1.0, view.limit) or not self._may_share(view):
             return False
         if not self._long_waits or view.held + 1 <= common:
             return True
         reserved = max(1.0, view.limit * self._short_share)
         return view.mine - view.mine_long < reserved
 
+    def _may_share(self, view: TargetView) -> bool:
+        """Whether this instance may use room that is nobody's own."""
+        return not self._rush or view.spare > 0
+
     def _find_probe(
         self, views: tuple[TargetView, ...], waiting: Waiting, now: float
     ) -> TargetView | None:
--- a/packages/greengagelatch/src/greengagelatch/load/scheduler.py
+++ b/packages/greengagelatch/src/greengagelatch/load/scheduler.py
@@ -17,17 +17,15 @@
 from .durations import DurationTracker
 from .limits import LimitRule
 from .queue import FairQueue, Waiting
+from .refusals import create_refusal
 from .room import Room
 from .service import ServiceLoad
 
-__all__ = ("Decision", "Scheduler", "SchedulerRule", "create_refusal")
+__all__ = ("Decision", "Scheduler", "SchedulerRule")
 
 #: seconds after which calls that wait are looked at again, as load reports and
 #: deadlines make no event
 WAKE_INTERVAL = 0.02
-#: bounds of the time after which a caller is told to ask again, in seconds
-SHORTEST_RETRY = 0.05
-LONGEST_RETRY = 30.0
 #: seconds after which a lost data centre or service may be back
 NO_TARGET_RETRY = 1.0
 
@@ -46,10 +44,12 @@
     queue_bound: int = 2000
     #: share of each target's limit that only short calls may use
     short_share: float = 0.2
-    #: percentile of the stage's duration that must fit for a call to start
-    start_percentile: float = 20
-    #: seconds a call is taken to last before any was measured
-    prior: float = 0.05
+    #: percentile of the stage's duration that must fit for a call to start where
+    #: nothing else waits, and where something does that has more time
+    idle_percentile: float = 10
+    busy_percentile: float = 80
+    #: share of the calls started where others wait that may yet end too late
+    late_share: float = 0.03
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,7 +126,7 @@
                 limit_rule=self._rule.limit,
                 breaker_rule=self._rule.breaker,
                 short_share=self._rule.short_share,
-                prior=self._rule.prior,
+                late_share=self._rule.late_share,
                 data_centre=self._data_centre,
                 random_source=self._random,
                 durations=self._durations,
@@ -173,8 +173,9 @@
                 continue
             self._dirty.add(service.name)
             service.note_overdue(now)
+            busy = _is_contended(service, now)
             for waiting in service.queue:
-                if now <= waiting.latest_start:
+                if not _is_late(waiting, busy, now):
                     continue
                 service.queue.remove(waiting.waiting_id)
                 self._refuse_late(service, waiting, now)
@@ -219,16 +220,22 @@
         return self._create_overload(service, ticket, message, now)
 
     def _prepare(self, service: ServiceLoad, ticket: Ticket, now: float) -> Waiting:
-        expected = service.estimate_duration(ticket, 50, now)
-        least = service.estimate_duration(ticket, self._rule.start_percentile, now)
+        kind = (ticket.pipeline, ticket.stage)
+        allotted = max(0.0, ticket.stage_deadline - now)
+        rule = self._rule
+        expected = service.estimate_duration(kind, allotted, 50, now)
+        least = service.estimate_duration(kind, allotted, rule.idle_percentile, now)
+        most = service.estimate_safe_duration(kind, allotted, rule.busy_percentile, now)
+        end = ticket.deadline - self._estimate_rest(ticket, now)
         return Waiting(
             waiting_id=self._last_id,
             ticket=ticket,
             entered=now,
             expected=expected,
             urgency=ticket.stage_deadline - expected,
-            latest_start=ticket.deadline - self._estimate_rest(ticket, now) - least,
-            long=service.is_long(ticket, now),
+            latest_start=end - least,
+            safe_start=end - most,
+            long=service.is_long(kind, now),
         )
 
     def _serve(self, service: ServiceLoad, now: float) -> None:
@@ -240,11 +247,12 @@
             return
         room = service.find_room(now)
         while True:
-            room.begin(long_waits=service.queue.long_waits)
-            waiting = service.queue.select(room.suits)
+            queue = service.queue
+            room.begin(long_waits=queue.long_waits, rush=len(queue) > 1)
+            waiting = service.queue.select(room, now)
             if waiting is None:
                 return
-            if now > waiting.latest_start:
+            if _is_late(waiting, service.is_busy(now), now):
                 self._refuse_late(service, waiting, now)
                 continue
             self._grant(service, waiting, room, now)
@@ -274,8 +282,10 @@
     def _create_overload(
         self, service: ServiceLoad, ticket: Ticket, message: str, now: float
     ) -> Refusal:
-        work = service.estimate_duration(ticket, 50, now)
-        wait = service.estimate_wait(ticket.workspace, work, now)
+        kind = (ticket.pipeline, ticket.stage)
+        allotted = max(0.0, ticket.stage_deadline - now)
+        work = service.estimate_duration(kind, allotted, 50, now)
+        wait = service.estimate_wait(ticket.workspace, ticket.priority, work, now)
         return create_refusal(RefusalCode.OVERLOADED, message, wait)
 
     def _decide(self, waiting: Waiting, result: Result[Grant, Refusal]) -> None:
@@ -283,7 +293,19 @@
         self._decided.append(Decision(waiting.waiting_id, result))
 
 
-def create_refusal(code: RefusalCode, message: str, wait: float) -> Refusal:
-    """Return a refusal to ask again after ``wait`` seconds, within bounds."""
-    wait = min(max(wait, SHORTEST_RETRY), LONGEST_RETRY)
-    return Refusal(code=code, message=message, retry_after_ms=int(wait * 1000))
+def _is_late(waiting: Waiting, busy: bool, now: float) -> bool:
+    """Whether starting a call is pointless.
+
+    Where targets are busy, a call that will probably end too late takes the place
+    of one that would not: under overload they would then work mostly for nothing,
+    seen as attainment that falls as the load rises. Where they are idle, or where
+    only a short call is missing to a request on which work was spent, the least
+    chance is worth taking.
+    """
+    cautious = busy and (waiting.long or not waiting.ticket.begun)
+    return now > (waiting.safe_start if cautious else waiting.latest_start)
+
+
+def _is_contended(service: ServiceLoad, now: float) -> bool:
+    """Whether some call waits that would still end in time."""
+    return any(now <= waiting.safe_start for waiting in service.queue)
--- a/packages/greengagelatch/src/greengagelatch/load/service.py
+++ b/packages/greengagelatch/src/greengagelatch/load/service.py
@@ -8,10 +8,12 @@
 from statistics import fmean
 
 from ..targets.directory import Candidate, TargetDirectory
-from . import Grant, Outcome, OutcomeKind, Ticket
+from . import Grant, Outcome, OutcomeKind
 from .breakers import BreakerRule, BreakerState, find_ejected
+from .caution import Caution
 from .choice import TargetChoice
 from .durations import DurationTracker
+from .knees import KneeCurve
 from .limits import LimitRule
 from .loads import TargetLoad
 from .queue import CallQueue, Waiting
@@ -27,6 +29,11 @@
 LONG_RATIO = 4.0
 #: a call is overdue at this multiple of its median, and at each doubling of it
 OVERDUE = 4.0
+#: seconds before the deadline at which a call that ends counts as too late: it was
+#: given up at the deadline, which the clock may show slightly early
+LATE_MARGIN = 0.01
+#: part of a stage's time that a call takes by expectation before any was measured
+PRIOR_SHARE = 0.3
 #: targets that have gone are forgotten once there are this many
 FORGET_ABOVE = 64
 
@@ -38,6 +45,9 @@
     grant: Grant
     long: bool
     held: float
+    #: calls held by its target over all reports so far, and number of reports
+    reported: float
+    reports: int
     overdue: float = OVERDUE
 
 
@@ -52,7 +62,7 @@
         limit_rule: LimitRule,
         breaker_rule: BreakerRule,
         short_share: float,
-        prior: float,
+        late_share: float,
         data_centre: str,
         random_source: random.Random,
         durations: DurationTracker,
@@ -67,7 +77,6 @@
         self._limit_rule = limit_rule
         self._breaker_rule = breaker_rule
         self._short_share = short_share
-        self._prior = prior
         self._data_centre = data_centre
         self._random = random_source
         self._durations = durations
@@ -78,6 +87,8 @@
         self._running: dict[int, _Running] = {}
         self._kinds: set[Kind] = set()
         self._drain = DrainRate()
+        self._curve = KneeCurve()
+        self._caution = Caution(late_share)
 
     @property
     def targets(self) -> dict[str, TargetLoad]:
@@ -89,19 +100,35 @@
         """Number of granted calls."""
         return len(self._running)
 
-    def estimate_duration(self, ticket: Ticket, percentile: float, now: float) -> float:
-        """Return seconds that such a call takes once it has started."""
-        kind = (ticket.pipeline, ticket.stage)
-        return self._durations.estimate(kind, percentile, now, self._prior)
+    def estimate_duration(
+        self, kind: Kind, allotted: float, percentile: float, now: float
+    ) -> float:
+        """Return seconds that such a call takes once it has started.
 
-    def is_long(self, ticket: Ticket, now: float) -> bool:
+        :param allotted: seconds of the deadline that are meant for the stage; until
+            some calls were measured, one is taken to need a part of them.
+        """
+        prior = allotted * PRIOR_SHARE
+        return self._durations.estimate(kind, percentile, now, prior)
+
+    def estimate_safe_duration(
+        self, kind: Kind, allotted: float, percentile: float, now: float
+    ) -> float:
+        """Return seconds within which all but a few of such calls end."""
+        seconds = self.estimate_duration(kind, allotted, percentile, now)
+        return seconds * self._caution.find_factor(kind, now)
+
+    def is_busy(self, now: float) -> bool:
+        """Whether its targets are so full that calls take clearly longer."""
+        return len(self.queue) > 0 or self.find_room(now).busy
+
+    def is_long(self, kind: Kind, now: float) -> bool:
         """Whether the call belongs to the long ones of this service.
 
         The boundary lies between the shortest and the longest kind that the service
         is called with, by measured medians; a service whose kinds take about the
         same time has no long calls.
         """
-        kind = (ticket.pipeline, ticket.stage)
         self._kinds.add(kind)
         estimate = self._durations.estimate
         medians = [estimate(each, 50, now, 0.0) for each in self._kinds]
@@ -115,7 +142,11 @@
         """Return the room of all targets as of ``now``."""
         choosers = max(1.0, self._count_choosers(self.name))
         candidates = self._directory.candidates(self.name)
-        loads = [self._load_of(candidate) for candidate in candidates]
+        longest = max(
+            (self._durations.find_baseline(kind, now, 0.0) for kind in self._kinds),
+            default=0.0,
+        )
+        loads = [self._load_of(candidate, longest) for candidate in candidates]
         known = [load.count_others(now, None) for load in loads]
         told = [count for count in known if count is not None]
         usual = fmean(told) if told else 0.0
@@ -148,10 +179,13 @@
 
     def start(self, grant: Grant, waiting: Waiting, held: float) -> None:
         """Count a granted call; ``held`` is what its target held by expectation."""
-        self._drain.note_started(waiting.expected, grant.granted)
+        priority = grant.ticket.priority
+        self._drain.note_started(priority, waiting.expected, grant.granted)
         load = self._targets[grant.target.target_id]
         load.change(1, long=waiting.long, now=grant.granted)
-        self._running[grant.grant_id] = _Running(grant, waiting.long, held)
+        self._running[grant.grant_id] = _Running(
+            grant, waiting.long, held, load.reported, load.reports
+        )
 
     def finish(self, grant: Grant, outcome: Outcome, now: float) -> None:
         """Count out a granted call and learn from how it ended."""
@@ -162,22 +196,24 @@
         load.change(-1, long=running.long, now=now)
         kind = (grant.ticket.pipeline, grant.ticket.stage)
         median = self._durations.estimate(kind, 50, now, outcome.seconds)
+        if outcome.tokens:
+            self._note_tokens(running, load, outcome, now)
+        late = now >= grant.ticket.deadline - LATE_MARGIN
         match outcome.kind:
             case OutcomeKind.SUCCESS:
+                self._caution.note(kind, late=late, now=now)
                 baseline = self._durations.find_baseline(kind, now, outcome.seconds)
                 load.breaker.note_success(_divide(outcome.seconds, median), now)
-                ratio = _divide(outcome.seconds, baseline)
-                load.limit.note_latency(ratio, running.held, now)
+                usual = baseline + self._limit_rule.wait
+                load.limit.note_latency(outcome.seconds / usual, running.held, now)
                 self._durations.record(kind, outcome.seconds, now)
             case OutcomeKind.FAILURE:
                 load.breaker.note_failure(now)
             case OutcomeKind.REJECTED:
                 load.limit.note_rejection(running.held, now)
             case OutcomeKind.ABANDONED:
-                # it would have taken longer still: leaving it out would make the
-                # service look faster the more calls are given up
-                if outcome.seconds > median:
-                    self._durations.record(kind, outcome.seconds, now)
+                if late:
+                    self._caution.note(kind, late=True, now=now)
 
     def note_overdue(self, now: float) -> None:
         """Tell the breakers of calls that have run far longer than usual."""
@@ -192,17 +228,31 @@
             breaker.note_overdue(elapsed / median, now)
             running.overdue *= 2
 
-    def estimate_wait(self, workspace: str, work: float, now: float) -> float:
+    def estimate_wait(
+        self, workspace: str, priority: int, work: float, now: float
+    ) -> float:
         """Return seconds that a call of ``work`` seconds would wait, if it came now."""
-        pending = self.queue.sum_pending()
+        if not len(self.queue):
+            return 0.0
+        pending = self.queue.sum_pending(priority)
         pending[workspace] = pending.get(workspace, 0.0) + work
-        wait = estimate_fair_wait(pending, workspace, self._weigh, self.find_rate(now))
-        return wait if len(self.queue) else 0.0
+        rate = self.find_rate(priority, now)
+        return estimate_fair_wait(pending, workspace, self._weigh, rate)
 
-    def find_rate(self, now: float) -> float:
-        """Return the seconds of work that the service starts for us each second."""
+    def find_rate(self, priority: int, now: float) -> float:
+        """Return the seconds of work of a priority that are started each second."""
         self._drain.note_queue(len(self.queue), now)
-        return self._drain.estimate(self._count_slots(now), now)
+        return self._drain.estimate(priority, self._count_slots(now), now)
+
+    def _note_tokens(
+        self, running: _Running, load: TargetLoad, outcome: Outcome, now: float
+    ) -> None:
+        """Tell the curve of a stream and of how many calls its target held then."""
+        reports = load.reports - running.reports
+        held = running.held
+        if reports > 0:
+            held = (load.reported - running.reported) / reports
+        self._curve.note(held, outcome.seconds, outcome.tokens, now)
 
     def _count_slots(self, now: float) -> float:
         """Return how many calls this instance can have in flight, by expectation."""
@@ -213,7 +263,7 @@
             if not view.ejected
         )
 
-    def _load_of(self, candidate: Candidate) -> TargetLoad:
+    def _load_of(self, candidate: Candidate, longest: float) -> TargetLoad:
         target_id = candidate.target.target_id
         load = self._targets.get(target_id)
         if load is None:
@@ -223,7 +273,7 @@
                 breaker_rule=self._breaker_rule,
                 random_source=self._random,
             )
-        load.take_report(candidate.report)
+        load.take_report(candidate.report, longest, self._curve.find_knee())
         return load
 
     def _forget_idle(self) -> None:
--- a/packages/greengagelatch/src/greengagelatch/load/waits.py
+++ b/packages/greengagelatch/src/greengagelatch/load/waits.py
@@ -9,6 +9,11 @@
 
 #: seconds over which the rate is measured
 HORIZON = 2.0
+#: share of the rate that calls of low priority have in any case, as some turns
+#: ignore priorities
+SMALLEST_SHARE = 1 / 8
+#: seconds of work in one second, so that an estimate stays finite
+SMALLEST_RATE = 0.01
 
 
 def estimate_fair_wait(
@@ -33,21 +38,21 @@
         if other == workspace:
             continue
         ahead += min(work, own * weigh(other) / weight)
-    return ahead / max(rate, 1e-6)
+    return ahead / rate
 
 
 class DrainRate:
-    """Seconds of work a service starts in one second while calls wait for it."""
+    """Seconds of work that a service starts in one second, by priority."""
 
     def __init__(self) -> None:
-        self._work = 0.0
+        self._work: dict[int, float] = {}
         self._updated = float("-inf")
         self._busy_since: float | None = None
 
-    def note_started(self, work: float, now: float) -> None:
+    def note_started(self, priority: int, work: float, now: float) -> None:
         """Count started work, in seconds."""
         self._decay(now)
-        self._work += work
+        self._work[priority] = self._work.get(priority, 0.0) + work
 
     def note_queue(self, length: int, now: float) -> None:
         """Take in the number of calls that wait."""
@@ -56,18 +61,23 @@
         elif self._busy_since is None:
             self._busy_since = now
 
-    def estimate(self, slots: float, now: float) -> float:
-        """Return the rate.
+    def estimate(self, priority: int, slots: float, now: float) -> float:
+        """Return the rate that is left for calls of a priority.
 
-        Without a queue little is started because little is asked for; then the
-        number of calls that the targets have room for stands in: each does a
+        What is started with higher priorities is taken off, as such calls go on
+        coming. Without a queue little is started because little is asked for; then
+        the number of calls that the targets have room for stands in: each does a
         second of work in a second.
         """
-        if self._busy_since is None or now - self._busy_since < HORIZON:
-            return slots
         self._decay(now)
-        return max(self._work / HORIZON, 0.1)
+        higher = sum(w for other, w in self._work.items() if other > priority)
+        total = slots
+        if self._busy_since is not None and now - self._busy_since >= HORIZON:
+            total = sum(self._work.values()) / HORIZON
+        return max(total - higher / HORIZON, SMALLEST_SHARE * total, SMALLEST_RATE)
 
     def _decay(self, now: float) -> None:
-        self._work *= exp(-max(0.0, now - self._updated) / HORIZON)
+        factor = exp(-max(0.0, now - self._updated) / HORIZON)
         self._updated = now
+        for priority in self._work:
+            self._work[priority] *= factor
