--- a/packages/greengagelatch-entry/src/greengagelatch_entry/configuration/driver.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/configuration/driver.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING, Any
 
 from result import Err, Result
@@ -17,7 +18,7 @@
     WriteShards,
     run_change,
 )
-from greengagelatch.config.head import HEAD_KEY, ShardRef
+from greengagelatch.config.head import HEAD_KEY, Head, ShardRef
 from greengagelatch.config.replica import HeldShard, open_shard
 from greengagelatch.config.requests import NotApplied, Settled
 from greengagelatch.store import (
@@ -47,7 +48,7 @@
 _LATE = "the time for the change is over"
 
 #: gets the head and the shards of a change that this instance has made
-SettledListener = "Callable[[Head, Mapping[ShardRef, HeldShard]], None]"
+SettledListener = Callable[[Head, Mapping[ShardRef, HeldShard]], object]
 
 
 class ChangeDriver:
@@ -58,6 +59,7 @@
     what is known of it then is its outcome.
 
     :param timeout: seconds for one change, waiting for earlier ones included.
+    :param get_generation: returns the generation in force here.
     :param on_settled: told of the new head as soon as a change is in force.
     """
 
@@ -70,6 +72,7 @@
         random_source: random.Random,
         metrics: Metrics,
         timeout: float,
+        get_generation: Callable[[], int],
         on_settled: SettledListener,
     ) -> None:
         self._store = store
@@ -78,6 +81,7 @@
         self._random = random_source
         self._metrics = metrics
         self._timeout = timeout
+        self._get_generation = get_generation
         self._on_settled = on_settled
         self._turn = asyncio.Lock()
         self._slots = asyncio.Semaphore(MAX_WRITES)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/configuration.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/configuration.py
@@ -109,6 +109,7 @@
             random_source=random,
             metrics=metrics,
             timeout=settings["configuration.change_timeout"],
+            get_generation=lambda: self._replica.generation,
             on_settled=self._learner.adopt,
         )
         self._gossip = Gossip(
--- a/packages/greengagelatch/src/greengagelatch/config/changes.py
+++ b/packages/greengagelatch/src/greengagelatch/config/changes.py
@@ -17,7 +17,6 @@
 
 import random
 from collections.abc import Callable, Generator, Mapping
-from dataclasses import dataclass
 from typing import Any
 
 from result import Err, Ok, Result
@@ -55,6 +54,15 @@
     Settled,
     Unsettled,
 )
+from .steps import (
+    DeleteShards,
+    Pause,
+    ReadHead,
+    ReadShards,
+    Step,
+    SwapHead,
+    WriteShards,
+)
 
 __all__ = (
     "DeleteShards",
@@ -82,62 +90,24 @@
 SALT_BITS = 64
 
 
-@dataclass(frozen=True, slots=True)
-class ReadHead:
-    """Read the head; the answer is ``Result[Entry | None, StoreError]``."""
-
-
-@dataclass(frozen=True, slots=True)
-class ReadShards:
-    """Read shards; the answer is ``Result[Mapping[ShardRef, Shard], StoreError]``.
-
-    A shard that the store does not hold is left out of the map.
-    """
-
-    refs: tuple[ShardRef, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class WriteShards:
-    """Write shards under new keys; the answer is a ``WriteResult`` for each."""
-
-    shards: tuple[tuple[ShardRef, bytes], ...]
-
-
-@dataclass(frozen=True, slots=True)
-class DeleteShards:
-    """Delete shards that nothing names; the answer is a ``WriteResult`` for each."""
-
-    refs: tuple[ShardRef, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class SwapHead:
-    """Swap the head; the answer is a ``WriteResult``."""
-
-    value: bytes
-    expected: int
-
-
-@dataclass(frozen=True, slots=True)
-class Pause:
-    """Wait some seconds; there is no answer."""
-
-    seconds: float
-
-
-Step = ReadHead | ReadShards | WriteShards | DeleteShards | SwapHead | Pause
 Process = Generator[Step, Any, ChangeOutcome]
 
 
 def run_change(
-    request: ChangeRequest, *, wall: Callable[[], float], random_source: random.Random
+    request: ChangeRequest,
+    *,
+    wall: Callable[[], float],
+    random_source: random.Random,
+    known: int = 0,
 ) -> Process:
     """Make a change; the generator's value is what became of it.
 
     :param wall: seconds since the Unix epoch, for the record of the change.
+    :param known: generation in force at this instance. On top of a lower one no
+        change is made: instances don't go back, so it would be accepted and never
+        be in force.
     """
-    return _Change(request, wall, random_source).run()
+    return _Change(request, wall, random_source, known).run()
 
 
 class _Change:
@@ -148,8 +118,10 @@
         request: ChangeRequest,
         wall: Callable[[], float],
         random_source: random.Random,
+        known: int,
     ) -> None:
         self._request = request
+        self._known = known
         self._wall = wall
         self._random = random_source
         self._base = request.base
@@ -163,6 +135,7 @@
         self._in_doubt: list[ShardRef] = []
 
     def run(self) -> Process:
+        reason = ""
         for _ in range(MAX_ROUNDS):
             reading = yield ReadHead()
             if reading.is_err():
@@ -171,6 +144,11 @@
             if decoded.is_err():
                 return self._give_up(decoded.err_value)
             head = decoded.ok_value
+            if head.generation < self._known:
+                # a slow read, or a store that was put back to a time long past
+                reason = f"the store shows generation {head.generation}"
+                yield Pause(self._random.uniform(0, MAX_PAUSE))
+                continue
             if self._unanswered is not None and revision > self._unanswered:
                 # whatever has no answer has taken effect by now or never will
                 yield from self._withdraw(self._in_doubt, head)
@@ -184,8 +162,9 @@
             outcome = yield from self._try(head, revision)
             if outcome is not None:
                 return outcome
+            reason = "too many other changes at the same time"
             yield Pause(self._random.uniform(0, MAX_PAUSE))
-        return self._give_up("too many other changes at the same time")
+        return self._give_up(reason)
 
     def _find_self(self, head: Head) -> ChangeOutcome | None:
         entry = find_change(head, self._request.change_id)
--- a/tests/test_core/test_config/test_changes.py
+++ b/tests/test_core/test_config/test_changes.py
@@ -104,13 +104,15 @@
 class Writer:
     """One change under way, advanced step by step."""
 
-    def __init__(self, world, request, seed=0):
+    def __init__(self, world, request, seed=0, known=0):
         self.world = world
         self.request = request
         self.outcome = None
         self.late = []
         source = random.Random(seed)
-        self._process = run_change(request, wall=world.clock.wall, random_source=source)
+        self._process = run_change(
+            request, wall=world.clock.wall, random_source=source, known=known
+        )
         self.step = next(self._process)
 
     def advance(self, perform=None):
@@ -390,6 +392,18 @@
     assert find_change(world.read_head(), "c3") is not None
 
 
+def test_no_change_is_made_on_top_of_a_lower_generation(world):
+    """A change is accepted and is never in force anywhere.
+
+    The store was put back to a time long past: instances keep the generation that
+    they have, and the change would get one that is lower.
+    """
+    Writer(world, label("c1", "a", 1)).finish()
+    outcome = Writer(world, label("c2", "a", 2), known=7).finish()
+    assert isinstance(outcome, NotApplied)
+    assert world.read_head().generation == 1
+
+
 class ChangesMachine(RuleBasedStateMachine):
     """Writers and readers whose steps interleave, with a naive model beside them.
 
