Stop counting killed instances once the platform has dropped them

Cause: an instance that is killed never says that it leaves; it stayed a member out of reach for ten minutes, and every change was reported as not in force everywhere. Ruled out: hiding all dead instances (one in a cut data centre may be serving); hiding unlisted ones (none is listed while the list is down). Before: in a run of faults under load, changes applied after a kill waited 30 s and ended with status 6.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/membership.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/membership.py
@@ -307,7 +307,7 @@
 
 
 def _is_shown(record: Record, now: float) -> bool:
-    if not record.heard:
+    if not record.heard or record.is_gone(now):
         return False
     if record.state is not MemberState.LEAVING:
         return True
--- a/packages/greengagelatch/src/greengagelatch/membership/records.py
+++ b/packages/greengagelatch/src/greengagelatch/membership/records.py
@@ -20,6 +20,9 @@
 
 _RANKS = {state: rank for rank, state in enumerate(_ORDER)}
 
+#: seconds for which an instance must be dead before it can count as gone
+GONE_AFTER = 5.0
+
 MAX_TEXT = 255
 
 MAX_INCARNATION = 2**53
@@ -61,6 +64,8 @@
     since: float
     #: whether the newest listing of the platform shows it
     listed: bool = False
+    #: whether a listing showed it and a later one no longer does
+    delisted: bool = False
     #: whether any listing showed it as leaving: that holds for its id for good, as
     #: a replacement has a new id, whatever it says itself
     listed_leaving: bool = False
@@ -70,6 +75,17 @@
         """Whether any instance has met it; the list alone does not count."""
         return self.incarnation > 0
 
+    def is_gone(self, now: float) -> bool:
+        """Whether both its peers and the platform have given it up.
+
+        A killed instance can't say that it leaves. While it is counted as a member
+        out of reach, no change of the configuration is known to be in force
+        everywhere. One that the list still shows, or never did, may be cut off and
+        serving, so neither word is enough by itself.
+        """
+        dead = self.state is MemberState.DEAD
+        return dead and self.delisted and now - self.since >= GONE_AFTER
+
     @property
     def update(self) -> Update:
         """This belief in the form in which it is passed on."""
--- a/packages/greengagelatch/src/greengagelatch/membership/table.py
+++ b/packages/greengagelatch/src/greengagelatch/membership/table.py
@@ -115,7 +115,7 @@
             # its instances are to be remembered until it is back
             if not listed and record.data_centre not in centres:
                 continue
-            self._replace(record, listed=listed)
+            self._replace(record, listed=listed, delisted=not listed)
 
     def _make_room(self) -> bool:
         if len(self._records) < MAX_RECORDS:
