--- a/packages/greengagelatch-entry/src/greengagelatch_entry/claims/committer.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/claims/committer.py
@@ -37,6 +37,9 @@
 #: give-backs under way at a time; a key that is not given back is freed all the
 #: same by asking this instance, for as long as it runs
 MAX_GIVE_BACKS = 1024
+#: seconds for which an instance that gave no answer is not asked again: a paused one
+#: counts as alive for a while, and would cost each request the whole time-out
+AVOID_SILENT = 5.0
 #: seconds for which a give-back is tried, and between two tries
 GIVE_BACK_TIME = 30.0
 GIVE_BACK_DELAY = 1.0
@@ -89,6 +92,8 @@
         self._give_backs: set[asyncio.Task[None]] = set()
         self._reached_at = clock.now()
         self._failed_at = float("-inf")
+        #: monotonic seconds at which an instance last gave no answer
+        self._silent: dict[str, float] = {}
         if peers is not None:
             peers.handle(ClaimQuestion, self._answer_claim)
 
@@ -131,9 +136,11 @@
         answer = await self._peers.ask(way, question, timeout)
         match answer:
             case Ok(ClaimAnswer() as message):
+                self._silent.pop(way, None)
                 self._metrics.count("claims.forwarded")
                 return message.unwrap()
             case Err(error) if error.kind is PeerErrorKind.NO_ANSWER:
+                self._silent[way] = self._clock.now()
                 self._metrics.count("claims.forward_silent")
                 return None
         self._metrics.count("claims.forward_failed")
@@ -152,6 +159,9 @@
         """Drop the state of shards that this instance no longer writes."""
         now = self._clock.now()
         self._reached_at = self._find_reached()
+        for way, since in list(self._silent.items()):
+            if now - since > AVOID_SILENT:
+                del self._silent[way]
         for shard, writer in list(self._writers.items()):
             if writer.idle and now - writer.used_at > IDLE_TIME:
                 del self._writers[shard]
@@ -229,10 +239,15 @@
                 member.instance_id
                 for member in self._peers.members()
                 if member.state is MemberState.ALIVE
+                and not self._is_silent(member.instance_id)
             )
         ranked = rank_instances(name_head(shard), members)
         return choose_ways(self._instance_id, ranked)
 
+    def _is_silent(self, instance_id: str) -> bool:
+        since = self._silent.get(instance_id)
+        return since is not None and self._clock.now() - since <= AVOID_SILENT
+
     def _find_reached(self) -> float:
         answers = [writer.answered_at for writer in self._writers.values()]
         return max([self._reached_at, *answers])
--- a/packages/greengagelatch/src/greengagelatch/settings.py
+++ b/packages/greengagelatch/src/greengagelatch/settings.py
@@ -494,7 +494,7 @@
     Setting(
         name="claims.forward_timeout",
         type=float,
-        default=2.5,
+        default=1.0,
         unit="s",
         minimum=0.05,
         maximum=60,
--- a/tests/test_entry/test_controllers/test_claims.py
+++ b/tests/test_entry/test_controllers/test_claims.py
@@ -240,7 +240,11 @@
         writer = get_usual_writer(fleet)
         others = [name for name in fleet.instances if name != writer]
         fleet.switchboard.mute |= {(name, writer) for name in others}
-        first = await fleet.instances[others[0]].ask("k")
+        asking = fleet.instances[others[0]]
+        first = await asking.ask("k")
+        await asking.ask("other")
+        # the second request does not wait for the silent writer once more
+        assert asking.metrics.value("claims.forward_silent") == 1
         fleet.switchboard.mute.clear()
         second = await fleet.instances[others[1]].ask("k")
     assert first.verdict is Verdict.RAN
