Test that shards out of use are deleted

Cause: nothing showed that the store does not fill up. Measured: 17 tests of changes pass; without the deletion of garbage the new one fails, and so it does without the withdrawal of a failed swap's shards.

--- a/tests/test_core/test_config/test_changes.py
+++ b/tests/test_core/test_config/test_changes.py
@@ -404,6 +404,23 @@
     assert world.read_head().generation == 1
 
 
+def test_old_shards_are_deleted(world, monkeypatch):
+    """The store fills up with shards that no generation names.
+
+    Every change replaces one; those of generations that can't be put in force again
+    are of no use, and neither are those of swaps that failed.
+    """
+    monkeypatch.setattr(head_module, "KEPT_GENERATIONS", 3)
+    for number in range(20):
+        loser = Writer(world, label(f"l{number}", "a", 99), seed=100 + number)
+        loser.advance_to(SwapHead)
+        Writer(world, label(f"c{number}", "a", number), seed=number).finish()
+        assert isinstance(loser.finish(), Conflicted)
+    kept = world.wait(world.store.list("config/shards/")).unwrap()
+    # the newest one, those of three earlier generations, and one to be deleted next
+    assert len(kept) == 5
+
+
 class ChangesMachine(RuleBasedStateMachine):
     """Writers and readers whose steps interleave, with a naive model beside them.
 
