Let faults strike a whole fleet under load

Cause: faults were shown by tests of parts; no run had a fleet of real processes under load struck by kills, pauses, silent targets, outages, lost answers, a lagging list and racing operators.

--- a/packages/greengagelatch-lab/src/greengagelatch_lab/fleets/runner.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/fleets/runner.py
@@ -20,6 +20,7 @@
     from pathlib import Path
     from types import TracebackType
 
+    from ..processes import Process
     from .model import Fleet, FleetService
 
 __all__ = ("FleetRunner",)
@@ -93,6 +94,13 @@
     ) -> None:
         await self._stack.aclose()
 
+    def find_process(self, name: str) -> Process:
+        """Return the process of a target or daemon that was started last."""
+        for process in reversed(self._group.processes):
+            if process.name == name:
+                return process
+        raise LookupError(name)
+
     async def start_daemon(self, instance_id: str, data_centre: str) -> Daemon:
         """Start one more daemon and enter it into the platform's list."""
         daemon = Daemon(
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/outages/__init__.py
@@ -0,0 +1,38 @@
+"""Faults that strike a running fleet while its traffic is played."""
+
+from __future__ import annotations
+
+import random
+from abc import ABC, abstractmethod
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from ..fleets.playing import Playing
+
+__all__ = ("Fault", "Scene")
+
+
+@dataclass(slots=True)
+class Scene:
+    """A fleet that serves, and what has struck it so far."""
+
+    playing: Playing
+    random_source: random.Random
+    #: entry instances whose callers may see a connection end or stay silent
+    struck: set[str] = field(default_factory=set)
+
+
+class Fault(ABC):
+    """Something that goes wrong for a while."""
+
+    #: name on the command line
+    name: str = ""
+
+    @abstractmethod
+    async def begin(self, scene: Scene) -> None:
+        """Bring the fault about."""
+
+    @abstractmethod
+    async def end(self, scene: Scene) -> None:
+        """Mend what can be mended; a killed process stays dead."""
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/outages/__main__.py
@@ -0,0 +1,161 @@
+"""``python -m greengagelatch_lab.outages``: lets faults strike a fleet under load.
+
+Nine daemons serve the fleet's traffic while one fault after the other comes and goes.
+The exit status is 0 only if every promise was kept. Callers of an instance that was
+killed or stood still may see their connection end or stay silent meanwhile; nothing
+else is excused.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import random
+import sys
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+
+from ..fleets import FLEETS
+from ..fleets.playing import play
+from ..fleets.runner import FleetRunner
+from ..fleets.tool import run_tool
+from ..load.violations import ViolationKind
+from ..processes import ProcessError
+from . import Scene
+from .faults import FAULTS
+from .watch import GenerationWatch, find_work_after_leaving
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from ..fleets import Fleet
+    from ..load import Report
+    from ..load.violations import Violation
+
+__all__ = ("main",)
+
+#: seconds for which each fault lasts, and of quiet after each
+FAULT_SECONDS = 5.0
+QUIET_SECONDS = 3.0
+#: seconds for which arrivals are drawn; they end with the last fault
+LONGEST = 600.0
+
+EXCUSED = (ViolationKind.CUT, ViolationKind.SILENT)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Result:
+    """What the run showed."""
+
+    report: Report
+    violations: Sequence[Violation]
+    excused: int
+    reverted: Sequence[str]
+    late_work: Sequence[str]
+    #: times that an instance's generation was looked at
+    looks: int
+
+    @property
+    def passed(self) -> bool:
+        """Whether every promise was kept."""
+        broken = (*self.violations, *self.reverted, *self.late_work)
+        return not broken and self.looks > 0 and self.report.total.in_time > 0
+
+    def encode(self) -> dict[str, Any]:
+        """Return the result as JSON-compatible values."""
+        return {
+            "passed": self.passed,
+            "answers": self.report.total.made + self.report.repeats.made,
+            "attainment": round(self.report.total.attainment, 4),
+            "violations": [str(item) for item in self.violations],
+            "excused": self.excused,
+            "reverted": list(self.reverted),
+            "late_work": list(self.late_work),
+        }
+
+
+def main() -> int:
+    """Let faults strike a fleet; return 0 only if every promise was kept."""
+    parser = argparse.ArgumentParser(description=main.__doc__)
+    parser.add_argument("--fleet", choices=sorted(FLEETS), default="luzon")
+    parser.add_argument("--scale", type=float, default=1.0)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--fault", choices=FAULTS, action="append")
+    parser.add_argument("--seconds", type=float, default=FAULT_SECONDS)
+    options = parser.parse_args()
+    with tempfile.TemporaryDirectory(prefix="greengagelatch-") as directory:
+        work = _run(FLEETS[options.fleet], Path(directory), options)
+        try:
+            result = run_tool(work)
+        except (ProcessError, TimeoutError, aiohttp.ClientError) as error:
+            print(f"not measured: {error!r}\noutages FAILED")
+            return 1
+    print(result.report.format())
+    print("outages passed" if result.passed else "outages FAILED")
+    print(json.dumps(result.encode()))
+    return 0 if result.passed else 1
+
+
+async def _run(fleet: Fleet, directory: Path, options: argparse.Namespace) -> Result:
+    async with FleetRunner(fleet, directory) as runner:
+        await runner.apply_objects()
+        await runner.wait_ready()
+        watch = GenerationWatch(runner)
+        watching = asyncio.create_task(watch.run())
+        async with play(
+            runner,
+            seconds=LONGEST,
+            scale=options.scale,
+            seed=options.seed,
+            show=_show,
+        ) as playing:
+            scene = Scene(playing=playing, random_source=random.Random(options.seed))
+            for name in options.fault or FAULTS:
+                await _strike(scene, name, options.seconds)
+            playing.run.end()
+            report = await playing.check()
+        watching.cancel()
+        await asyncio.gather(watching, return_exceptions=True)
+        late_work = await find_work_after_leaving(runner)
+    broken = [item for item in report.violations if not _is_excused(item, scene)]
+    return Result(
+        report=report,
+        violations=broken,
+        excused=len(report.violations) - len(broken),
+        reverted=watch.reverted,
+        late_work=late_work,
+        looks=watch.looks,
+    )
+
+
+async def _strike(scene: Scene, name: str, seconds: float) -> None:
+    fault = FAULTS[name]
+    _show(f"{name} begins")
+    await fault.begin(scene)
+    await asyncio.sleep(seconds)
+    await fault.end(scene)
+    _show(f"{name} ends")
+    await asyncio.sleep(QUIET_SECONDS)
+
+
+def _is_excused(violation: Violation, scene: Scene) -> bool:
+    """Whether a caller's connection ended because its instance was struck."""
+    if violation.kind not in EXCUSED:
+        return False
+    for observation in scene.playing.run.observations:
+        if observation.arrival.index == violation.index:
+            return observation.instance in scene.struck
+    return False
+
+
+def _show(line: str) -> None:
+    print(line, flush=True)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/outages/faults.py
@@ -0,0 +1,186 @@
+"""The faults: of entry instances, targets, the platform and the operators."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+
+from ..processes import ProcessError
+from . import Fault, Scene
+
+if TYPE_CHECKING:
+    from ..fleets.daemon import Daemon
+    from ..processes import Process
+
+__all__ = ("FAULTS",)
+
+#: milliseconds by which a slow platform answers later
+SLOW_MS = 400
+#: writes whose answers are lost
+LOST_ANSWERS = 40
+#: changes that two operators make side by side
+RACING_CHANGES = 6
+#: seconds allowed to a stand-in for taking over its faults
+CONTROL_TIMEOUT = 5.0
+
+
+class LastingFault(Fault):
+    """A fault that has no end of its own."""
+
+    async def end(self, scene: Scene) -> None:
+        pass
+
+
+class DaemonKilled(LastingFault):
+    """An entry instance dies; another takes its place."""
+
+    name = "daemon-killed"
+
+    async def begin(self, scene: Scene) -> None:
+        runner = scene.playing.runner
+        daemon = _pick_daemon(scene)
+        daemon.process.kill()
+        await daemon.process.wait()
+        runner.daemons.remove(daemon)
+        replacement = await runner.start_daemon(
+            f"{daemon.instance_id}-next", daemon.data_centre
+        )
+        scene.playing.balancer.add(replacement.entry)
+        scene.playing.balancer.remove(daemon.entry)
+        await runner.registry.remove([daemon.instance_id])
+
+
+class DaemonPaused(Fault):
+    """An entry instance stands still and then goes on as if nothing had been."""
+
+    name = "daemon-paused"
+
+    def __init__(self) -> None:
+        self._paused: Daemon | None = None
+
+    async def begin(self, scene: Scene) -> None:
+        self._paused = _pick_daemon(scene)
+        self._paused.process.pause()
+
+    async def end(self, scene: Scene) -> None:
+        self._paused.process.resume()
+
+
+class TargetSilent(Fault):
+    """A target's connections go silent for a while: the process stands still."""
+
+    name = "target-silent"
+
+    def __init__(self) -> None:
+        self._paused: Process | None = None
+
+    async def begin(self, scene: Scene) -> None:
+        target = scene.random_source.choice(scene.playing.runner.targets)
+        self._paused = scene.playing.runner.find_process(target["id"])
+        self._paused.pause()
+
+    async def end(self, scene: Scene) -> None:
+        self._paused.resume()
+
+
+class TargetLeaving(LastingFault):
+    """A target says that it leaves; the list does not show it yet."""
+
+    name = "target-leaving"
+
+    async def begin(self, scene: Scene) -> None:
+        target = scene.random_source.choice(scene.playing.runner.targets)
+        await _set_target_faults(target, {"state": "leaving"})
+
+
+class TargetsFailing(Fault):
+    """All targets refuse, fail, cross and cut a few calls."""
+
+    name = "targets-failing"
+    _RATES = ("refuse_rate", "fail_rate", "cross_rate", "cut_rate")
+    _RATE = 0.02
+
+    async def begin(self, scene: Scene) -> None:
+        await self._set_all(scene, self._RATE)
+
+    async def end(self, scene: Scene) -> None:
+        await self._set_all(scene, 0.0)
+
+    async def _set_all(self, scene: Scene, rate: float) -> None:
+        faults = dict.fromkeys(self._RATES, rate)
+        for target in scene.playing.runner.targets:
+            await _set_target_faults(target, faults)
+
+
+class PlatformFault(Fault):
+    """The platform is out of order in one way."""
+
+    def __init__(self, name: str, during: dict[str, Any], after: dict[str, Any]):
+        self.name = name
+        self._during = during
+        self._after = after
+
+    async def begin(self, scene: Scene) -> None:
+        await scene.playing.runner.registry.set_faults(**self._during)
+
+    async def end(self, scene: Scene) -> None:
+        await scene.playing.runner.registry.set_faults(**self._after)
+
+
+class OperatorsRacing(LastingFault):
+    """Two operators change labels at the same time, by different instances."""
+
+    name = "operators-racing"
+
+    async def begin(self, scene: Scene) -> None:
+        work = [_label(scene, number) for number in range(RACING_CHANGES)]
+        await asyncio.gather(*work)
+
+
+async def _label(scene: Scene, number: int) -> None:
+    workspace = scene.playing.runner.fleet.workspaces[number % 2].name
+    try:
+        await scene.playing.runner.run_client(
+            "label", "workspace", workspace, f"race=n{number}", "--wait"
+        )
+    except ProcessError as error:
+        # the loser of a race is told so; anything else is a fault of ours
+        if "conflict" not in str(error):
+            raise
+
+
+def _pick_daemon(scene: Scene) -> Daemon:
+    daemon = scene.random_source.choice(scene.playing.runner.daemons)
+    scene.struck.add(daemon.instance_id)
+    return daemon
+
+
+async def _set_target_faults(target: dict[str, str], faults: dict[str, Any]) -> None:
+    timeout = aiohttp.ClientTimeout(total=CONTROL_TIMEOUT)
+    url = f"http://{target['address']}/control/faults"
+    async with (
+        aiohttp.ClientSession(timeout=timeout) as session,
+        session.post(url, json=faults) as response,
+    ):
+        response.raise_for_status()
+
+
+#: by name, in the order in which they strike by default
+FAULTS: dict[str, Fault] = {
+    fault.name: fault
+    for fault in (
+        DaemonKilled(),
+        DaemonPaused(),
+        TargetSilent(),
+        PlatformFault("store-down", {"outage": True}, {"outage": False}),
+        PlatformFault("store-slow", {"slow_ms": SLOW_MS}, {"slow_ms": 0}),
+        PlatformFault("answers-lost", {"lose_answers": LOST_ANSWERS}, {}),
+        PlatformFault("list-lagging", {"list_lag_s": 10.0}, {"list_lag_s": 0.0}),
+        PlatformFault("list-down", {"list_outage": True}, {"list_outage": False}),
+        TargetsFailing(),
+        OperatorsRacing(),
+        TargetLeaving(),
+    )
+}
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/outages/watch.py
@@ -0,0 +1,71 @@
+"""Watches that run beside the traffic: generations, and work of leaving targets."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+if TYPE_CHECKING:
+    from ..fleets.runner import FleetRunner
+
+__all__ = ("GenerationWatch", "find_work_after_leaving")
+
+POLL_INTERVAL = 0.2
+POLL_TIMEOUT = 1.0
+#: milliseconds after which a leaving target must get no new work
+LEAVING_BOUND_MS = 3000
+
+
+class GenerationWatch:
+    """Notes every instance whose configuration went back to an earlier generation."""
+
+    def __init__(self, runner: FleetRunner) -> None:
+        self._runner = runner
+        self._highest: dict[str, int] = {}
+        self.reverted: list[str] = []
+        self.looks = 0
+
+    async def run(self) -> None:
+        """Look at all instances until cancelled."""
+        timeout = aiohttp.ClientTimeout(total=POLL_TIMEOUT)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            while True:
+                for daemon in list(self._runner.daemons):
+                    url = f"http://{daemon.entry.operators}/status"
+                    await self._look(session, daemon.instance_id, url)
+                await asyncio.sleep(POLL_INTERVAL)
+
+    async def _look(
+        self, session: aiohttp.ClientSession, instance_id: str, url: str
+    ) -> None:
+        try:
+            async with session.get(url) as response:
+                generation = (await response.json())["generation"]
+        except (aiohttp.ClientError, TimeoutError):
+            return
+        self.looks += 1
+        highest = self._highest.get(instance_id, 0)
+        if generation < highest:
+            self.reverted.append(f"{instance_id}: {highest} to {generation}")
+        self._highest[instance_id] = max(highest, generation)
+
+
+async def find_work_after_leaving(runner: FleetRunner) -> list[str]:
+    """Return the runs that leaving targets began too late."""
+    found = []
+    async with aiohttp.ClientSession() as session:
+        for target in runner.targets:
+            base = f"http://{target['address']}/record"
+            async with session.get(f"{base}/summary") as response:
+                since = (await response.json())["leaving_since_ms"]
+            if since is None:
+                continue
+            async with session.get(base) as response:
+                runs = (await response.json())["runs"]
+            for run in runs:
+                late = run["started_ms"] - since
+                if late > LEAVING_BOUND_MS:
+                    found.append(f"{target['id']}: {run['attempt']} after {late} ms")
+    return found
