--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_links.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_links.py
@@ -4,8 +4,9 @@
 
 import asyncio
 import logging
+from abc import ABC, abstractmethod
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
 from result import Err, Ok, Result
 from websockets.exceptions import WebSocketException
@@ -25,7 +26,7 @@
     from ..metrics import Metrics
     from .peer_sockets import Connection
 
-__all__ = ("LinkEvents", "LinkLimits", "PeerLinks")
+__all__ = ("LinkLimits", "LinkOwner", "PeerLinks")
 
 logger = logging.getLogger(__name__)
 
@@ -54,21 +55,26 @@
     max_links: int
 
 
-class LinkEvents(Protocol):
+class LinkOwner(ABC):
     """What links need of whoever owns them."""
 
+    @abstractmethod
     def describe(self) -> Hello:
         """Return what this instance says of itself."""
 
+    @abstractmethod
     def find_fault(self, hello: Hello) -> str:
         """Return why a peer's word on itself can't be true, empty if it can."""
 
+    @abstractmethod
     def note_open(self, link: Link) -> None:
         """Take note of a new link."""
 
+    @abstractmethod
     def note_closed(self, link: Link) -> None:
         """Take note that a link, of whatever standing, was closed."""
 
+    @abstractmethod
     def receive(self, link: Link, data: bytes) -> None:
         """Take in a frame."""
 
@@ -79,12 +85,12 @@
     def __init__(
         self,
         *,
-        events: LinkEvents,
+        owner: LinkOwner,
         limits: LinkLimits,
         random_source: random.Random,
         metrics: Metrics,
     ) -> None:
-        self._events = events
+        self._owner = owner
         self._limits = limits
         self._random = random_source
         self._metrics = metrics
@@ -201,7 +207,7 @@
         except (OSError, TimeoutError, ValueError, WebSocketException) as error:
             return Err(str(error) or type(error).__name__)
         try:
-            await connection.send(encode(Envelope(self._events.describe())))
+            await connection.send(encode(Envelope(self._owner.describe())))
             hello = await self._read_hello(connection)
         except (TimeoutError, WebSocketException) as error:
             await connection.close()
@@ -253,7 +259,7 @@
             await connection.close(CloseCode.DUPLICATE, "duplicate")
             return
         try:
-            await connection.send(encode(Envelope(self._events.describe())))
+            await connection.send(encode(Envelope(self._owner.describe())))
         except WebSocketException:
             return
         if not self._register(link):
@@ -278,7 +284,7 @@
             return f"protocol {hello.protocol!r} instead of {PROTOCOL_VERSION}"
         if dialled and hello.instance_id != dialled:
             return f"{hello.instance_id!r} answered in place of {dialled!r}"
-        return self._events.find_fault(hello)
+        return self._owner.find_fault(hello)
 
     # one link for each pair
 
@@ -297,7 +303,7 @@
             return link.peer.incarnation < held.peer.incarnation
         if link.opened - held.opened > self._limits.open_timeout:
             return False
-        own_is_lower = self._events.describe().instance_id < link.instance_id
+        own_is_lower = self._owner.describe().instance_id < link.instance_id
         return held.initiated == own_is_lower
 
     def _register(self, link: Link) -> bool:
@@ -308,16 +314,16 @@
             self._retire(held, CloseCode.DUPLICATE, "replaced")
         self._links[link.instance_id] = link
         self._failed.pop(link.instance_id, None)
-        self._events.note_open(link)
+        self._owner.note_open(link)
         return True
 
     async def _run(self, link: Link) -> None:
         try:
-            await link.run(self._events.receive)
+            await link.run(self._owner.receive)
         finally:
             self._metrics.count("peers.dropped", link.dropped)
             self._drop(link)
-            self._events.note_closed(link)
+            self._owner.note_closed(link)
 
     def _drop(self, link: Link) -> None:
         if self._links.get(link.instance_id) is link:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_sockets.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_sockets.py
@@ -55,15 +55,13 @@
 
     def report(self, metrics: Metrics) -> None:
         """Add what came together to the metrics."""
-        totals = {"peers.wire_out": self.sent, "peers.wire_in": self.received}
-        totals["peers.bytes_out"] = self.sent_by_kind.total()
+        metrics.count("peers.wire_out", self.sent)
+        metrics.count("peers.wire_in", self.received)
+        metrics.count("peers.bytes_out", self.sent_by_kind.total())
         for kind, size in self.sent_by_kind.items():
-            totals[f"peers.bytes_out.{kind}"] = size
+            metrics.count(f"peers.bytes_out.{kind}", size)
         for kind, number in self.frames_by_kind.items():
-            totals[f"peers.frames_out.{kind}"] = number
-        for name, amount in totals.items():
-            if amount:
-                metrics.count(name, amount)
+            metrics.count(f"peers.frames_out.{kind}", number)
         self.sent = self.received = 0
         self.sent_by_kind.clear()
         self.frames_by_kind.clear()
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peers.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peers.py
@@ -31,7 +31,7 @@
 from ..controllers import Controller
 from ..controllers.membership import MembershipController, is_probe
 from .peer_link import Outgoing
-from .peer_links import LinkLimits, PeerLinks
+from .peer_links import LinkLimits, LinkOwner, PeerLinks
 from .peer_questions import Questions
 
 if TYPE_CHECKING:
@@ -61,7 +61,7 @@
 REPORT_INTERVAL = 1.0
 
 
-class PeerHub(Controller, PeerNetwork):
+class PeerHub(Controller, PeerNetwork, LinkOwner):
     """Links to other entry instances, and what is known of them.
 
     Peers are trusted as far as their network is: an id is checked against what is
@@ -92,7 +92,7 @@
         self._last_report = 0.0
         self._last_tick: float | None = None
         self._links = PeerLinks(
-            events=self,
+            owner=self,
             limits=_read_limits(settings),
             random_source=random_source,
             metrics=metrics,
@@ -225,17 +225,14 @@
     # what links need
 
     def describe(self) -> Hello:
-        """Return what this instance says of itself."""
         return self._membership.describe()
 
     def find_fault(self, hello: Hello) -> str:
-        """Return why a peer's word on itself can't be true, empty if it can."""
         held = self._links.find(hello.instance_id)
         linked_address = "" if held is None else held.peer.address
         return self._membership.find_fault(hello, linked_address)
 
     def note_open(self, link: Link) -> None:
-        """Take note of a new link."""
         hello = link.peer
         identity = Identity(
             instance_id=hello.instance_id,
@@ -246,13 +243,11 @@
         self._membership.meet(identity, leaving=hello.leaving)
 
     def note_closed(self, link: Link) -> None:
-        """Take note that a link, of whatever standing, was closed."""
         self._questions.abandon(link)
         if not link.ended_in_order:
             self._membership.note_link_lost(link.instance_id)
 
     def receive(self, link: Link, data: bytes) -> None:
-        """Take in a frame."""
         match decode(data):
             case Ok(envelope):
                 self._dispatch(link, envelope)
