Apply traffic splits, and judge lateness by measured durations

Weighed: splitting before deduplication (a repeat could be steered elsewhere and scope its key to another pipeline) against after it; after it was taken. Before: a split had no effect.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/composition.py
@@ -37,11 +37,12 @@
 from .controllers.scheduling import SchedulingController
 from .controllers.targets import TargetsController
 from .filters import Handler, chain
-from .filters.check import CheckFilter
+from .filters.check import SNAPSHOT_NOTE, CheckFilter
 from .filters.deduplication import DeduplicationFilter
 from .filters.identify import Identifier
 from .filters.observe import ObserveFilter
 from .filters.run import RunHandler
+from .filters.steer import SteerFilter
 from .logs import LogLevel, RequestLog
 from .metrics import Metrics
 from .stages import StageRunner
@@ -186,6 +187,7 @@
             clock=self.clock,
             random_source=self.random,
             metrics=self.metrics,
+            durations=durations,
             rules=read_retry_rules(self.settings),
         )
         runner = StageRunner(
@@ -203,6 +205,7 @@
             ObserveFilter(clock=self.clock, metrics=self.metrics, log=log),
             CheckFilter(snapshot=lambda: self.configuration.snapshot),
             DeduplicationFilter(claims=self.claims),
+            SteerFilter(),
         )
         return chain(filters, RunHandler(runner=runner))
 
@@ -288,6 +291,6 @@
 
     def _prioritise(self, exchange: Exchange, stage: Stage) -> int:
         request = exchange.request
-        snapshot = self.configuration.snapshot
+        snapshot = exchange.notes[SNAPSHOT_NOTE]
         steering = resolve(snapshot, request.workspace, request.pipeline, stage.service)
         return steering.priority
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/filters/run.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/filters/run.py
@@ -4,10 +4,9 @@
 
 from typing import TYPE_CHECKING
 
-from .check import SNAPSHOT_NOTE
+from .steer import PIPELINE_NOTE
 
 if TYPE_CHECKING:
-    from greengagelatch.config.snapshot import Snapshot
     from greengagelatch.request import Answer
 
     from ..stages import StageRunner
@@ -17,13 +16,11 @@
 
 
 class RunHandler:
-    """Runs the pipeline that the request's own snapshot holds."""
+    """Runs the pipeline that the request was steered to."""
 
     def __init__(self, *, runner: StageRunner) -> None:
         self._runner = runner
 
     async def __call__(self, exchange: Exchange) -> Answer:
         """Return the final answer of the pipeline."""
-        snapshot: Snapshot = exchange.notes[SNAPSHOT_NOTE]
-        pipeline = snapshot.pipelines[exchange.request.pipeline]
-        return await self._runner.run(exchange, pipeline)
+        return await self._runner.run(exchange, exchange.notes[PIPELINE_NOTE])
--- /dev/null
+++ b/tests/test_entry/test_filters/test_steer.py
@@ -0,0 +1,93 @@
+"""Tests of greengagelatch_entry.filters.steer."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from greengagelatch.config.objects import (
+    Pipeline,
+    Policy,
+    PolicyEffect,
+    Service,
+    Stage,
+    StageKind,
+    Workspace,
+)
+from greengagelatch.config.snapshot import Snapshot
+from greengagelatch.request import Answer, Request
+from greengagelatch.verdict import Verdict
+from greengagelatch_entry.filters import Exchange
+from greengagelatch_entry.filters.check import SNAPSHOT_NOTE
+from greengagelatch_entry.filters.steer import PIPELINE_NOTE, SteerFilter
+
+REQUESTS = 400
+
+
+def create_snapshot(**values):
+    stage = Stage(name="write", kind=StageKind.GENERATE, service="llm")
+    names = ("draft", "draft-next")
+    policy = Policy(name="canary", effect=PolicyEffect.SPLIT, values=values)
+    return Snapshot(
+        generation=1,
+        pipelines={name: Pipeline(name=name, stages=(stage,)) for name in names},
+        services={
+            "llm": Service(name="llm", kind=StageKind.GENERATE),
+            "llm-next": Service(name="llm-next", kind=StageKind.GENERATE),
+            "desk": Service(name="desk", kind=StageKind.PLAIN),
+        },
+        workspaces={"depot": Workspace(name="depot")},
+        policies={"canary": policy},
+    )
+
+
+async def steer(snapshot, number=0):
+    """Return the exchange of one request after it was steered."""
+    request = Request(
+        request_id=f"request-{number}",
+        workspace="depot",
+        pipeline="draft",
+        input=None,
+        received=0.0,
+        deadline=1.0,
+    )
+    exchange = Exchange(request=request, notes={SNAPSHOT_NOTE: snapshot})
+
+    async def proceed(passed):
+        return Answer(request_id=passed.request.request_id, verdict=Verdict.NOT_RUN)
+
+    await SteerFilter().apply(exchange, proceed)
+    return exchange
+
+
+async def test_pipelines_share_traffic_as_the_policy_says():
+    snapshot = create_snapshot(to_pipelines="draft=3, draft-next=1")
+    counts = Counter()
+    for number in range(REQUESTS):
+        exchange = await steer(snapshot, number)
+        assert exchange.notes[PIPELINE_NOTE].name == exchange.request.pipeline
+        counts[exchange.request.pipeline] += 1
+    assert counts["draft"] + counts["draft-next"] == REQUESTS
+    assert REQUESTS / 8 < counts["draft-next"] < REQUESTS * 3 / 8
+
+
+async def test_services_share_the_calls_of_a_stage():
+    snapshot = create_snapshot(to_services="llm=1, llm-next=1")
+    counts = Counter()
+    for number in range(REQUESTS):
+        (stage,) = (await steer(snapshot, number)).notes[PIPELINE_NOTE].stages
+        counts[stage.service] += 1
+    assert set(counts) == {"llm", "llm-next"}
+    assert min(counts.values()) > REQUESTS / 3
+
+
+async def test_names_that_are_gone_or_do_not_fit_are_passed_over():
+    """Symptom: callers are refused right after an operator deletes a pipeline.
+
+    Sequence: a split names a pipeline or service; it is deleted, or its kind is
+    changed; a request falls to its share.
+    Cause: what the split named was run without a look at what there is.
+    """
+    for values in ({"to_pipelines": "gone=1"}, {"to_services": "desk=1"}):
+        pipeline = (await steer(create_snapshot(**values))).notes[PIPELINE_NOTE]
+        assert pipeline.name == "draft"
+        assert pipeline.stages[0].service == "llm"
