Measure the cost of each role by what drives it

Each role has a small module that varies its drivers over several points and fits a line; make capacity runs them all and ends in JSON. Weighed: one load test of a whole fleet, which shows no single role's slope, and whole daemons for every role, which can't be had in the sizes wanted on one machine. So decisions and controllers are measured in process, requests, tokens, polls and the idle fleet on real daemons. Tests are small runs that check what is counted, not times.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PACKAGES := $(wildcard packages/*)
 STAMP := $(VENV)/installed
 
-.PHONY: demo test lint format docs clean
+.PHONY: demo capacity test lint format docs clean
 
 $(STAMP): constraints.txt $(wildcard packages/*/pyproject.toml)
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -18,6 +18,9 @@
 demo: $(STAMP)
 	$(BIN)/python -m greengagelatch_lab.demo
 
+capacity: $(STAMP)
+	$(BIN)/python -m greengagelatch_lab.capacity
+
 test: $(STAMP) lint
 	$(BIN)/python -m pytest -q -n 6
 
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/capacity/claims.py
@@ -0,0 +1,175 @@
+"""Cost of the writer of one shard of claims."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Sequence
+
+from result import Result
+
+from greengagelatch.claims import Claim, Token
+from greengagelatch.claims.encoding import encode_segment
+from greengagelatch.claims.head import Limits, Segment
+from greengagelatch.claims.operations import Acquire, ResultKind
+from greengagelatch.claims.scope import create_digest, create_key
+from greengagelatch.clock import SystemClock
+from greengagelatch.store import Entry, StoreError, WriteResult
+from greengagelatch_entry.claims.writer import ShardWriter
+from greengagelatch_entry.metrics import Metrics
+
+from ..standins.memory import MemoryStore
+from .fits import Point, Series
+from .meters import measure_cpu, measure_memory
+
+__all__ = ("measure_memory_of_claims", "measure_writer")
+
+STATSD = "127.0.0.1:9"
+#: claims a second of one shard
+RATES = (2, 10, 30, 100)
+#: claims that stand in the head when the measurement begins
+HELD = (0, 350)
+RETAINED = (1000, 8000, 32_000)
+SECONDS = 3.0
+INTERVAL = 0.1
+#: seconds that the store takes for a call
+STORE_DELAY = 0.002
+TIMEOUT = 20.0
+
+
+class _CountingStore(MemoryStore):
+    """Counts the bytes of the values that are read and written."""
+
+    def __init__(self) -> None:
+        super().__init__(clock=SystemClock())
+        self.bytes_written = 0
+        self.bytes_read = 0
+        self.faults.before_call = self._delay
+
+    async def get(self, key: str) -> Result[Entry | None, StoreError]:
+        answer = await super().get(key)
+        if answer.is_ok() and answer.ok_value is not None:
+            self.bytes_read += len(answer.ok_value.value)
+        return answer
+
+    async def swap(
+        self, key: str, value: bytes, expected: int, *, lease_id: str = ""
+    ) -> WriteResult:
+        self.bytes_written += len(value)
+        return await super().swap(key, value, expected, lease_id=lease_id)
+
+    async def _delay(self, kind: str, key: str) -> None:
+        await asyncio.sleep(STORE_DELAY)
+
+
+async def measure_writer(
+    rates: Sequence[float] = RATES,
+    held: Sequence[int] = HELD,
+    seconds: float = SECONDS,
+) -> Series:
+    """Commit claims at a steady rate to a head that already holds some."""
+    points = []
+    for before in held:
+        for rate in rates:
+            points.append(await _measure_rate(rate, before, seconds))
+    return Series(
+        role="writer of one shard of claims",
+        points=points,
+        lines={
+            "cpu_ms_per_swap": ("batch", "head_kb"),
+        },
+    )
+
+
+def measure_memory_of_claims(counts: Sequence[int] = RETAINED) -> Series:
+    """Hold sealed claims, as a writer does of its shard."""
+    points = []
+    for count in counts:
+        claims = [_create_claim(number) for number in range(count)]
+        data = len(encode_segment(Segment.create(1, claims)))
+        del claims
+        with measure_memory() as held:
+            segment = Segment.create(1, [_create_claim(n) for n in range(count)])
+        figures = {
+            "memory_kb": held.bytes / 1000,
+            "stored_kb": data / 1000,
+        }
+        points.append(Point(drivers={"claims": len(segment)}, figures=figures))
+    return Series(
+        role="claims retained by the writer of a shard",
+        points=points,
+        lines={"memory_kb": ("claims",), "stored_kb": ("claims",)},
+    )
+
+
+async def _measure_rate(rate: float, before: int, seconds: float) -> Point:
+    store = _CountingStore()
+    writer = _create_writer(store)
+    await asyncio.gather(*(_claim(writer, -number - 1) for number in range(before)))
+    await asyncio.sleep(INTERVAL)
+    calls, written = store.calls.copy(), store.bytes_written
+    waits = []
+    begun = time.monotonic()
+    with measure_cpu() as spent:
+        tasks = []
+        for number in range(max(1, int(rate * seconds))):
+            await asyncio.sleep(max(0.0, begun + number / rate - time.monotonic()))
+            tasks.append(asyncio.create_task(_claim(writer, number)))
+        waits = sorted(await asyncio.gather(*tasks))
+    elapsed = time.monotonic() - begun
+    await writer.close(1.0)
+    swaps = store.calls["swap"] - calls["swap"]
+    reads = store.calls["get"] - calls["get"]
+    return Point(
+        drivers={
+            "rate": rate,
+            "batch": len(tasks) / swaps,
+            "head_kb": (store.bytes_written - written) / swaps / 1000,
+        },
+        figures={
+            "swaps_per_s": swaps / elapsed,
+            "reads_per_s": reads / elapsed,
+            "cpu_ms_per_swap": spent.cpu_ms / swaps,
+            "cpu_ms_per_claim": spent.cpu_ms / len(tasks),
+            "wait_ms_p95": waits[int(len(waits) * 0.95)] * 1000,
+        },
+    )
+
+
+def _create_writer(store: MemoryStore) -> ShardWriter:
+    limits = Limits(
+        retention=1200,
+        clock_margin=60,
+        head_claims=400,
+        segment_claims=8000,
+        segments=64,
+    )
+    return ShardWriter(
+        shard=1,
+        store=store,
+        clock=SystemClock(),
+        random=random.Random(1),
+        limits=limits,
+        interval=INTERVAL,
+        metrics=Metrics(STATSD),
+    )
+
+
+async def _claim(writer: ShardWriter, number: int) -> float:
+    begun = time.monotonic()
+    claim = _create_claim(number)
+    operation = Acquire(claim.key, claim.digest, claim.token)
+    result = await writer.submit(operation, begun + TIMEOUT)
+    if result.kind is not ResultKind.GRANTED:
+        raise RuntimeError(f"claim {number} was not granted: {result.kind}")
+    return time.monotonic() - begun
+
+
+def _create_claim(number: int) -> Claim:
+    return Claim(
+        key=create_key("workspace", "pipeline", str(number)),
+        digest=create_digest(str(number)),
+        token=Token(f"entry-{number % 570:05d}", 2**62 + number % 570, abs(number)),
+        forget_at=1_780_001_200,
+    )
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/capacity/fits.py
@@ -0,0 +1,111 @@
+"""Measured points and the straight lines through them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import numpy
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping, Sequence
+
+__all__ = ("Fit", "Point", "Series", "fit_points")
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Point:
+    """One measurement: what was varied, and what was measured."""
+
+    drivers: Mapping[str, float]
+    figures: Mapping[str, float]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Fit:
+    """``figure = base + slope * driver + …``, by least squares."""
+
+    figure: str
+    base: float
+    slopes: Mapping[str, float]
+    #: largest distance of a point from the line, over the largest figure
+    error: float
+
+    def predict(self, **drivers: float) -> float:
+        """Return the figure that the line gives."""
+        return self.base + sum(
+            slope * drivers[name] for name, slope in self.slopes.items()
+        )
+
+    def format(self) -> str:
+        """Return the line as text."""
+        terms = [f"{self.base:.4g}"]
+        terms += [f"{slope:.4g} * {name}" for name, slope in self.slopes.items()]
+        return f"{self.figure} = {' + '.join(terms)}  (largest error {self.error:.0%})"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Series:
+    """What was measured of one role, with the lines through it.
+
+    :param lines: drivers of each figure that a line is wanted of
+    """
+
+    role: str
+    points: Sequence[Point]
+    lines: Mapping[str, Sequence[str]] = field(default_factory=dict)
+
+    def fit(self, figure: str) -> Fit:
+        """Return the line of one figure."""
+        return fit_points(self.points, figure, self.lines[figure])
+
+    def format(self) -> str:
+        """Return points and lines as text."""
+        rows = [self.role]
+        for point in self.points:
+            drivers = ", ".join(f"{k}={v:g}" for k, v in point.drivers.items())
+            figures = ", ".join(f"{k}={v:.4g}" for k, v in point.figures.items())
+            rows.append(f"  {drivers}: {figures}")
+        rows += [f"  {self.fit(figure).format()}" for figure in self.lines]
+        return "\n".join(rows)
+
+    def encode(self) -> dict[str, object]:
+        """Return points and lines in the form of JSON."""
+        fits = [self.fit(figure) for figure in self.lines]
+        return {
+            "role": self.role,
+            "points": [
+                {**point.drivers, **{k: round(v, 6) for k, v in point.figures.items()}}
+                for point in self.points
+            ],
+            "fits": {
+                one.figure: {"base": one.base, **one.slopes, "error": one.error}
+                for one in fits
+            },
+        }
+
+
+def fit_points(points: Sequence[Point], figure: str, drivers: Sequence[str]) -> Fit:
+    """Return the line nearest to the points by the sum of squared distances.
+
+    :raises ValueError: if there are too few points to tell the drivers apart
+    """
+    rows = [[1.0, *(point.drivers[name] for name in drivers)] for point in points]
+    matrix = numpy.array(rows)
+    values = numpy.array([point.figures[figure] for point in points])
+    # a driver is scaled to at most 1, or tens of thousands beside one would be
+    # taken for the same within rounding
+    scales = numpy.abs(matrix).max(axis=0)
+    scales[scales == 0] = 1.0
+    found, _, rank, _ = numpy.linalg.lstsq(matrix / scales, values, rcond=None)
+    if rank < len(drivers) + 1:
+        raise ValueError(f"{figure}: the points don't tell {drivers} apart")
+    found = found / scales
+    distance = float(numpy.abs(matrix @ found - values).max())
+    largest = float(numpy.abs(values).max())
+    return Fit(
+        figure=figure,
+        base=float(found[0]),
+        slopes={name: float(found[n + 1]) for n, name in enumerate(drivers)},
+        error=distance / largest if largest else 0.0,
+    )
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/capacity/serving.py
@@ -0,0 +1,333 @@
+"""Cost of requests, tokens and polls to one daemon."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+import aiohttp
+
+from ..fleets.daemon import Daemon
+from ..fleets.registry import Registry, describe_instance
+from ..processes import Process, ProcessGroup
+from .fits import Point, Series
+from .meters import ProcessMeter
+
+__all__ = ("measure_in_flight", "measure_polls", "measure_requests", "measure_tokens")
+
+PLATFORM = "greengagelatch_lab.standins.platform"
+ECHO = "greengagelatch_lab.overhead.echo"
+ENGINE = "greengagelatch_lab.standins.engine"
+PLAIN = "greengagelatch_lab.standins.plain"
+ANY_PORT = "127.0.0.1:0"
+DATA_CENTRE = "tutuban-hall"
+WORKSPACE = "metro-east"
+STAGES = (1, 3, 6)
+RATES = (13, 50, 100)
+TOKENS = (20, 200, 400)
+STREAMS_PER_SECOND = 8
+IN_FLIGHT = (0, 40, 80, 160)
+POLL_RATES = (1, 20, 60)
+POLL_TARGETS = 400
+POLL_SERVICES = 20
+SECONDS = 6.0
+SETTLE = 3.0
+DEADLINE_MS = 20_000
+#: names under which one process is listed: limits of concurrency are learnt for each
+#: target and begin low
+ALIASES = 40
+WIDE = {"targets.subset": str(ALIASES)}
+READY_TIMEOUT = 20.0
+CAPACITY = 1024
+#: time of one call of the service whose requests stay in flight
+SLOW_MS = 6000
+SETTINGS = {"drain.balancer_lag": "0", "drain.longest": "8", "log.level": "requests"}
+
+
+@dataclass(slots=True)
+class _Bench:
+    """One daemon, its platform and its targets."""
+
+    group: ProcessGroup
+    session: aiohttp.ClientSession
+    daemon: Daemon
+    platform: Process
+
+    @classmethod
+    async def start(
+        cls,
+        group: ProcessGroup,
+        session: aiohttp.ClientSession,
+        name: str,
+        targets: Sequence[dict[str, str]],
+        settings: Mapping[str, str],
+        objects: str,
+    ) -> _Bench:
+        """Start platform and daemon and wait until a request is answered."""
+        platform = await group.run_module(f"{name}-platform", PLATFORM)
+        daemon = Daemon(
+            name,
+            DATA_CENTRE,
+            directory=group.directory,
+            platform=platform.ready,
+            settings={**SETTINGS, **settings},
+        )
+        group.processes.append(daemon.process)
+        await daemon.start()
+        async with Registry(platform.ready) as registry:
+            await registry.put([*targets, daemon.describe()])
+        bench = cls(group, session, daemon, platform)
+        await bench._apply(objects)
+        await bench._wait_ready()
+        return bench
+
+    async def call(self, pipeline: str, *, stream: bool, tokens: int = 1) -> None:
+        """Make one request and read its whole answer."""
+        url = f"http://{self.daemon.entry.callers}/v1/pipelines/{pipeline}"
+        headers = {"X-Workspace": WORKSPACE, "X-Deadline-Ms": str(DEADLINE_MS)}
+        body = {"input": {"tokens": tokens}, "stream": stream}
+        data = json.dumps(body).encode()
+        async with self.session.post(url, data=data, headers=headers) as response:
+            answer = await response.read()
+        if response.status != 200 or b"event: refusal" in answer:
+            raise RuntimeError(f"status {response.status}: {answer[-300:]!r}")
+
+    async def call_at(self, rate: float, number: int, pipeline: str, **how) -> None:
+        """Begin ``number`` requests at a steady rate and wait for them all."""
+        begun = time.monotonic()
+        calls = []
+        for index in range(number):
+            await asyncio.sleep(max(0.0, begun + index / rate - time.monotonic()))
+            calls.append(asyncio.create_task(self.call(pipeline, **how)))
+        await asyncio.gather(*calls)
+
+    async def read_counters(self) -> dict[str, int]:
+        """Return the daemon's counters."""
+        url = f"http://{self.daemon.entry.operators}/dump"
+        async with self.session.get(url) as response:
+            return (await response.json())["metrics"]["counters"]
+
+    async def _apply(self, objects: str) -> None:
+        url = f"http://{self.daemon.entry.operators}/changes"
+        body = {"change_id": "objects", "mode": "apply", "text": objects}
+        async with self.session.post(url, json=body) as response:
+            answer = await response.json()
+        if answer.get("state") != "settled":
+            raise RuntimeError(f"objects were not applied: {answer}")
+
+    async def _wait_ready(self) -> None:
+        async with asyncio.timeout(READY_TIMEOUT):
+            while True:
+                try:
+                    await self.call("ready", stream=False)
+                except RuntimeError:
+                    await asyncio.sleep(0.1)
+                    continue
+                return
+
+
+async def measure_requests(
+    group: ProcessGroup,
+    stages: Sequence[int] = STAGES,
+    rates: Sequence[float] = RATES,
+    seconds: float = SECONDS,
+) -> Series:
+    """Serve whole answers of pipelines of several lengths at several rates."""
+    echo = await group.run_module("echo", ECHO, ANY_PORT)
+    objects = _describe_objects("plain", {f"p{n}": n for n in stages})
+    async with _open_session() as session:
+        bench = await _Bench.start(
+            group, session, "requests", [_describe(echo)], {}, objects
+        )
+        idle = await _measure_idle(bench, seconds)
+        points = []
+        for count in stages:
+            for rate in rates:
+                number = max(5, int(rate * seconds))
+                meter = ProcessMeter(bench.daemon.process.pid)
+                begun = time.monotonic()
+                await bench.call_at(rate, number, f"p{count}", stream=False)
+                own = meter.read_cpu_ms() - idle * (time.monotonic() - begun)
+                figures = {"cpu_ms": own / number}
+                point = Point(drivers={"stages": count, "rate": rate}, figures=figures)
+                points.append(point)
+    return Series(
+        role="serving, one whole answer",
+        points=points,
+        lines={"cpu_ms": ("stages", "rate")},
+    )
+
+
+async def measure_tokens(
+    group: ProcessGroup,
+    tokens: Sequence[int] = TOKENS,
+    rate: float = STREAMS_PER_SECOND,
+    seconds: float = SECONDS,
+) -> Series:
+    """Serve streamed answers of several lengths."""
+    engine = await group.run_module(
+        "engine",
+        ENGINE,
+        f"--capacity={CAPACITY}",
+        "--tokens-ms=5",
+        "--batch-growth=0",
+        "--prefill-ms=1",
+    )
+    objects = _describe_objects("generate", {"p1": 1})
+    async with _open_session() as session:
+        bench = await _Bench.start(
+            group, session, "tokens", _describe_aliases(engine), WIDE, objects
+        )
+        idle = await _measure_idle(bench, seconds)
+        points = []
+        for count in tokens:
+            number = max(3, int(rate * seconds))
+            meter = ProcessMeter(bench.daemon.process.pid)
+            begun = time.monotonic()
+            await bench.call_at(rate, number, "p1", stream=True, tokens=count)
+            elapsed = time.monotonic() - begun
+            own = meter.read_cpu_ms() - idle * elapsed
+            figures = {"cpu_ms": own / number, "tokens_per_s": number * count / elapsed}
+            points.append(Point(drivers={"tokens": count}, figures=figures))
+    return Series(
+        role="serving, one streamed answer of one stage",
+        points=points,
+        lines={"cpu_ms": ("tokens",)},
+    )
+
+
+async def measure_in_flight(
+    group: ProcessGroup, counts: Sequence[int] = IN_FLIGHT, slow_ms: int = SLOW_MS
+) -> Series:
+    """Hold more and more requests in flight and read the memory."""
+    slow = await group.run_module(
+        "slow",
+        PLAIN,
+        f"--capacity={CAPACITY}",
+        f"--queue={CAPACITY}",
+        f"--service-ms={slow_ms}",
+    )
+    echo = await group.run_module("quick", ECHO, ANY_PORT)
+    # repeatable calls that take long would get a backup
+    objects = _describe_objects("plain", {"p1": 1}, ready="quick", repeatable="no")
+    targets = [*_describe_aliases(slow), _describe(echo, service="quick")]
+    async with _open_session() as session:
+        bench = await _Bench.start(group, session, "in-flight", targets, WIDE, objects)
+        points = []
+        for count in counts:
+            calls = [
+                asyncio.create_task(bench.call("p1", stream=False))
+                for _ in range(count)
+            ]
+            await asyncio.sleep(slow_ms / 2000)
+            memory = ProcessMeter(bench.daemon.process.pid).read_mb()
+            await asyncio.gather(*calls)
+            figures = {"memory_mb": memory}
+            points.append(Point(drivers={"in_flight": count}, figures=figures))
+    return Series(
+        role="serving, requests in flight",
+        points=points,
+        lines={"memory_mb": ("in_flight",)},
+    )
+
+
+async def measure_polls(
+    group: ProcessGroup,
+    rates: Sequence[float] = POLL_RATES,
+    targets: int = POLL_TARGETS,
+    seconds: float = SECONDS,
+) -> Series:
+    """Poll the load of many targets, which one process stands for."""
+    echo = await group.run_module("polled", ECHO, ANY_PORT)
+    rows = [
+        _describe(echo, number, f"service-{number % POLL_SERVICES}")
+        for number in range(targets)
+    ]
+    rows.append(_describe(echo))
+    points = []
+    async with _open_session() as session:
+        for rate in rates:
+            bench = await _Bench.start(
+                group,
+                session,
+                f"polls-{rate:g}",
+                rows,
+                {"targets.load_rate": str(rate), "targets.load_interval": "0.1"},
+                _describe_objects("plain", {"p1": 1}),
+            )
+            await asyncio.sleep(SETTLE)
+            before = await bench.read_counters()
+            meter = ProcessMeter(bench.daemon.process.pid)
+            await asyncio.sleep(seconds)
+            percent = meter.read_cpu_percent()
+            after = await bench.read_counters()
+            made = after["targets.polls"] - before["targets.polls"]
+            await bench.daemon.process.stop()
+            point = Point(
+                drivers={"polls_per_s": made / seconds},
+                figures={"cpu_percent": percent},
+            )
+            points.append(point)
+    return Series(
+        role="load reports asked for by one daemon",
+        points=points,
+        lines={"cpu_percent": ("polls_per_s",)},
+    )
+
+
+async def _measure_idle(bench: _Bench, seconds: float) -> float:
+    """Return the milliseconds of processor time that an idle second costs."""
+    meter = ProcessMeter(bench.daemon.process.pid)
+    await asyncio.sleep(seconds)
+    return meter.read_cpu_ms() / seconds
+
+
+def _open_session() -> aiohttp.ClientSession:
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0),
+        timeout=aiohttp.ClientTimeout(total=DEADLINE_MS / 1000 + 5),
+    )
+
+
+def _describe(
+    process: Process, number: int = 0, service: str = "service"
+) -> dict[str, str]:
+    return describe_instance(
+        f"{service}-{number}", "target", DATA_CENTRE, process.ready, service=service
+    )
+
+
+def _describe_aliases(process: Process) -> list[dict[str, str]]:
+    return [_describe(process, number) for number in range(ALIASES)]
+
+
+def _describe_objects(
+    kind: str,
+    pipelines: Mapping[str, int],
+    ready: str = "service",
+    repeatable: str = "yes",
+) -> str:
+    rows = [f"[service:service]\nkind = {kind}\n", f"[workspace:{WORKSPACE}]\n"]
+    if ready != "service":
+        rows.append(f"[service:{ready}]\nkind = plain\n")
+    rows.append(_describe_pipeline("ready", 1, kind, ready, "yes"))
+    for name, stages in pipelines.items():
+        rows.append(_describe_pipeline(name, stages, kind, "service", repeatable))
+    return "\n".join(rows)
+
+
+def _describe_pipeline(
+    name: str, stages: int, kind: str, service: str, repeatable: str
+) -> str:
+    names = [f"s{number}" for number in range(stages)]
+    rows = [f"[pipeline:{name}]\nstages = {', '.join(names)}\n"]
+    for number, stage in enumerate(names):
+        inputs = f"inputs = {names[number - 1]}\n" if number else ""
+        rows.append(
+            f"[stage:{name}/{stage}]\nkind = {kind}\nservice = {service}\n"
+            f"repeatable = {repeatable}\n{inputs}"
+        )
+    return "\n".join(rows)
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/capacity/targets.py
@@ -0,0 +1,235 @@
+"""Cost of the directory of targets and of choosing among them."""
+
+from __future__ import annotations
+
+import json
+import random
+import time
+from collections.abc import Sequence
+
+import aiohttp
+
+from greengagelatch.config.objects import StageKind
+from greengagelatch.instances import Instance, InstanceKind, InstanceState, Listing
+from greengagelatch.load import Outcome, OutcomeKind, Ticket
+from greengagelatch.load.durations import DurationTracker
+from greengagelatch.load.scheduler import Scheduler, SchedulerRule
+from greengagelatch.targets import Target
+from greengagelatch.targets.directory import Candidate, LoadReport, TargetDirectory
+from greengagelatch.targets.ledger import Ledger, LedgerRules
+from greengagelatch_entry.adapters.instances import HttpInstanceList
+from greengagelatch_entry.metrics import Metrics
+
+from ..fleets.registry import Registry, describe_instance
+from ..processes import ProcessGroup
+from .fits import Point, Series
+from .meters import measure_cpu, measure_memory
+
+__all__ = ("measure_choice", "measure_directory", "measure_listing")
+
+PLATFORM = "greengagelatch_lab.standins.platform"
+#: nobody listens there; datagrams to it are lost
+STATSD = "127.0.0.1:9"
+REPLICAS = (50, 500, 2000, 6000, 12_000)
+CANDIDATES = (3, 20, 100, 400)
+SERVICES = 11
+DATA_CENTRES = 11
+#: instances entered into the platform's list by one call
+BATCH = 2000
+LISTING_ROUNDS = 3
+CHOICES = 2000
+TIMEOUT = 30.0
+
+
+async def measure_listing(
+    group: ProcessGroup, replicas: Sequence[int] = REPLICAS
+) -> Series:
+    """Read the platform's list over HTTP, changed and unchanged."""
+    points = []
+    for count in replicas:
+        platform = await group.run_module(f"platform-{count}", PLATFORM)
+        async with Registry(platform.ready) as registry:
+            rows = [_describe(number) for number in range(count)]
+            for start in range(0, count, BATCH):
+                await registry.put(rows[start : start + BATCH])
+            points.append(await _read_listing(registry, count))
+        await platform.stop()
+    return Series(
+        role="list of instances, one reading",
+        points=points,
+        lines={
+            "bytes": ("replicas",),
+            "changed_cpu_ms": ("replicas",),
+            "same_cpu_ms": ("replicas",),
+        },
+    )
+
+
+async def measure_directory(replicas: Sequence[int] = REPLICAS) -> Series:
+    """Keep all targets in a ledger and take in a listing with one change."""
+    points = []
+    for count in replicas:
+        with measure_memory() as held:
+            listing = _create_listing(count, as_of=1)
+            ledger = Ledger(instance_id="entry-1", rules=LedgerRules())
+            ledger.apply_listing(listing)
+        listings = [_create_listing(count, as_of=n) for n in range(2, 5)]
+        with measure_cpu() as spent:
+            for one in listings:
+                ledger.apply_listing(one)
+                _ask_all(ledger)
+        point = Point(
+            drivers={"replicas": count},
+            figures={
+                "memory_kb": held.bytes / 1000,
+                "apply_cpu_ms": spent.cpu_ms / len(listings),
+            },
+        )
+        points.append(point)
+    return Series(
+        role="directory of targets",
+        points=points,
+        lines={"memory_kb": ("replicas",), "apply_cpu_ms": ("replicas",)},
+    )
+
+
+def measure_choice(
+    candidates: Sequence[int] = CANDIDATES, choices: int = CHOICES
+) -> Series:
+    """Schedule calls one after the other among more and more candidates."""
+    points = []
+    for count in candidates:
+        scheduler = _create_scheduler(count)
+        _schedule(scheduler, choices // 10 + 1)
+        with measure_cpu() as spent:
+            _schedule(scheduler, choices)
+        figures = {"choice_cpu_us": spent.cpu_ms * 1000 / choices}
+        points.append(Point(drivers={"candidates": count}, figures=figures))
+    return Series(
+        role="scheduler, one call",
+        points=points,
+        lines={"choice_cpu_us": ("candidates",)},
+    )
+
+
+async def _read_listing(registry: Registry, count: int) -> Point:
+    reader = HttpInstanceList(
+        address=registry.address, timeout=TIMEOUT, metrics=Metrics(STATSD)
+    )
+    changed = same = 0.0
+    try:
+        for number in range(LISTING_ROUNDS):
+            await registry.put([_describe(0, port=2000 + number)])
+            changed += await _fetch(reader)
+            same += await _fetch(reader)
+    finally:
+        await reader.close()
+    url = f"http://{registry.address}/instances"
+    async with aiohttp.ClientSession() as session, session.get(url) as response:
+        size = len(await response.read())
+    return Point(
+        drivers={"replicas": count},
+        figures={
+            "bytes": size,
+            "changed_cpu_ms": changed / LISTING_ROUNDS,
+            "same_cpu_ms": same / LISTING_ROUNDS,
+        },
+    )
+
+
+async def _fetch(reader: HttpInstanceList) -> float:
+    with measure_cpu() as spent:
+        answer = await reader.fetch()
+    if answer.is_err():
+        raise RuntimeError(f"the list was not read: {answer.err_value}")
+    return spent.cpu_ms
+
+
+def _describe(number: int, port: int = 8080) -> dict[str, str]:
+    return describe_instance(
+        f"target-{number:05d}",
+        "target",
+        f"centre-{number % DATA_CENTRES:02d}",
+        f"10.{number // 62500}.{number // 250 % 250}.{number % 250}:{port}",
+        service=f"service-{number % SERVICES:02d}",
+    )
+
+
+def _create_listing(count: int, as_of: int) -> Listing:
+    rows = []
+    for number in range(count):
+        # read anew each time, as from bytes: equal texts must not be shared
+        row = json.loads(json.dumps(_describe(number, 8080 if number else as_of)))
+        instance = Instance(
+            instance_id=row["id"],
+            kind=InstanceKind.TARGET,
+            data_centre=row["data_centre"],
+            address=row["address"],
+            state=InstanceState.LIVE,
+            service=row["service"],
+        )
+        rows.append(instance)
+    return Listing(as_of, tuple(rows))
+
+
+def _ask_all(ledger: Ledger) -> None:
+    for number in range(SERVICES):
+        ledger.list_candidates(0.0, f"service-{number:02d}")
+
+
+class _ReportingDirectory(TargetDirectory):
+    """Targets of one service, each with a load report."""
+
+    def __init__(self, count: int) -> None:
+        now = time.monotonic()
+        report = LoadReport(in_flight=1, queued=0, capacity=64, taken=now)
+        targets = (
+            Target(f"target-{n:05d}", "service", f"centre-{n % DATA_CENTRES:02d}", "")
+            for n in range(count)
+        )
+        self._candidates = tuple(Candidate(target, report) for target in targets)
+
+    def candidates(self, service: str) -> tuple[Candidate, ...]:
+        return self._candidates
+
+    def accepts(self, target_id: str) -> bool:
+        return True
+
+    def note_leaving(self, target_id: str) -> None:
+        """Do nothing; none leaves here."""
+
+    def note_call(self, target_id: str, *, answered: bool) -> None:
+        """Do nothing; all are reached here."""
+
+
+def _create_scheduler(count: int) -> Scheduler:
+    return Scheduler(
+        directory=_ReportingDirectory(count),
+        rule=SchedulerRule(),
+        data_centre="centre-00",
+        random_source=random.Random(1),
+        weigh=lambda workspace: 1.0,
+        count_choosers=lambda service: 10.0,
+        estimate_rest=lambda ticket, now: 0.0,
+        durations=DurationTracker(),
+        now=time.monotonic(),
+    )
+
+
+def _schedule(scheduler: Scheduler, choices: int) -> None:
+    for number in range(choices):
+        now = time.monotonic()
+        ticket = Ticket(
+            request_id=f"request-{number}",
+            workspace="workspace",
+            pipeline="pipeline",
+            stage="stage",
+            service="service",
+            kind=StageKind.GENERATE,
+            deadline=now + 6.0,
+            stage_deadline=now + 3.0,
+        )
+        scheduler.submit(ticket, now)
+        (decision,) = scheduler.poll(now)
+        grant = decision.result.unwrap()
+        scheduler.finish(grant, Outcome(OutcomeKind.SUCCESS, 0.05), now)
--- /dev/null
+++ b/tests/test_lab/test_capacity/test_roles.py
@@ -0,0 +1,104 @@
+"""Small runs of each measurement: what it counts, not how long it takes."""
+
+import pytest
+
+from greengagelatch_lab.capacity import (
+    claims,
+    configuration,
+    fleet_check,
+    leases,
+    serving,
+    targets,
+)
+from greengagelatch_lab.processes import ProcessGroup
+
+
+@pytest.fixture
+async def group(tmp_path):
+    async with ProcessGroup(tmp_path) as running:
+        yield running
+
+
+def get_figures(series, figure):
+    return [point.figures[figure] for point in series.points]
+
+
+async def test_directory_grows_with_replicas():
+    series = await targets.measure_directory((50, 400))
+    small, large = get_figures(series, "memory_kb")
+    assert large > 4 * small
+    assert series.fit("memory_kb").slopes["replicas"] > 0
+
+
+def test_choice_is_measured_for_each_number_of_candidates():
+    series = targets.measure_choice((3, 40), choices=50)
+    assert [point.drivers["candidates"] for point in series.points] == [3, 40]
+    assert all(cost > 0 for cost in get_figures(series, "choice_cpu_us"))
+
+
+@pytest.mark.processes
+async def test_listing_is_read_in_full(group):
+    series = await targets.measure_listing(group, (10, 200))
+    assert series.fit("bytes").slopes["replicas"] > 100
+
+
+async def test_claims_that_arrive_together_share_a_write():
+    series = await claims.measure_writer((5, 200), held=(0, 20), seconds=0.5)
+    rows = series.points
+    assert rows[1].drivers["batch"] > 2 * rows[0].drivers["batch"]
+    # a head that holds more is larger
+    assert rows[2].drivers["head_kb"] > rows[0].drivers["head_kb"]
+
+
+def test_retained_claims_take_memory():
+    small, large = claims.measure_memory_of_claims((10, 1000)).points
+    assert large.figures["memory_kb"] > 10 * small.figures["memory_kb"]
+
+
+async def test_store_calls_of_a_change_don_t_depend_on_workspaces():
+    series = await configuration.measure_changes((5, 40), histories=(0, 5), rounds=2)
+    assert get_figures(series, "store_writes") == [2, 2, 2, 2]
+    heads = get_figures(series, "head_kb")
+    assert heads[0] < heads[1]
+
+
+async def test_leases_cost_the_same_calls_whatever_the_instances():
+    series = await leases.measure_leases((1, 3), instances=(2, 4), seconds=2.0)
+    keeps = get_figures(series, "keeps_per_ttl")
+    assert keeps[1] > keeps[0]
+    assert keeps[3] == pytest.approx(keeps[1], rel=0.5)
+
+
+@pytest.mark.processes
+async def test_whole_and_streamed_answers_are_all_served(group):
+    # an answer that is refused or cut ends the measurement with an error
+    series = await serving.measure_requests(group, (1, 3), (10, 20), seconds=1.0)
+    assert [point.drivers["stages"] for point in series.points] == [1, 1, 3, 3]
+    series = await serving.measure_tokens(group, (5, 60), rate=5, seconds=1.0)
+    short, long = get_figures(series, "tokens_per_s")
+    assert long > short
+
+
+@pytest.mark.processes
+async def test_memory_is_read_while_requests_are_in_flight(group):
+    series = await serving.measure_in_flight(group, (0, 5), slow_ms=800)
+    assert all(memory > 20 for memory in get_figures(series, "memory_mb"))
+
+
+@pytest.mark.processes
+async def test_polls_keep_to_their_rate(group):
+    series = await serving.measure_polls(group, (5, 20), targets=60, seconds=2.0)
+    rates = [point.drivers["polls_per_s"] for point in series.points]
+    assert rates[0] <= 8
+    assert rates[1] > rates[0]
+
+
+@pytest.mark.processes
+async def test_fleet_is_read_idle_and_under_changes(tmp_path):
+    idle, changing, delays = await fleet_check.measure_fleet(
+        tmp_path, (2, 3), seconds=2.0, settle=1.0
+    )
+    assert get_figures(idle, "bytes_per_s")[1] > 0
+    assert get_figures(changing, "calls_swap_per_s")[0] > 0
+    assert get_figures(idle, "calls_fetch_per_s")[0] > 0
+    assert min(get_figures(delays, "changes")) >= 2
