Use more of a large service where few instances share it

Weighed: a larger fixed size (wrong at another size), choice from the targets' side (even, but 12,000 times 570 hashes at a start), and a size that follows replicas by instances, which was taken: each target has 8 users on average. Failing first: the new test fails with the fixed size (scratch copy).

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/targets.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/targets.py
@@ -209,6 +209,7 @@
         now = self._clock.now()
         if now >= self._next_expiry:
             self._next_expiry = now + 1.0
+            self._count_instances()
             self._ledger.expire_reports(now)
             self._watch(now)
         room = MAX_POLLS - len(self._polls)
@@ -316,6 +317,12 @@
             if self._reminders[target_id] <= 0:
                 del self._reminders[target_id]
 
+    def _count_instances(self) -> None:
+        working = (MemberState.ALIVE, MemberState.SUSPECT)
+        states = [member.state for member in self._peers.members()]
+        number = sum(state in working for state in states)
+        self._take(self._ledger.share_with(number))
+
     def _pick_peers(self, number: int) -> list[str]:
         reachable = [
             member.instance_id
@@ -329,6 +336,7 @@
 def _read_rules(settings: Settings) -> LedgerRules:
     return LedgerRules(
         subset=settings["targets.subset"],
+        spread=settings["targets.spread"],
         missing_listings=settings["targets.missing_listings"],
         failures=settings["targets.failures"],
         minimum=settings["targets.minimum"],
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/capacity/fleet.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/capacity/fleet.py
@@ -5,13 +5,13 @@
 import heapq
 import random
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from greengagelatch.instances import Instance, InstanceKind, InstanceState, Listing
 from greengagelatch.membership.detector import Detector
 from greengagelatch.membership.messages import MembersTable
-from greengagelatch.membership.records import encode_update
+from greengagelatch.membership.records import Update, encode_update
 from greengagelatch.membership.steps import DetectorRules, Identity, Step
 from greengagelatch.peers import MemberState
 from greengagelatch.peers.codec import Envelope, Message, encode
@@ -51,6 +51,7 @@
 class DetectorFleet:
     """Detectors whose messages are delivered after a delay, or lost.
 
+    :param judged: whether to count false suspicions, which takes time of its own.
     :param loses: whether a message from the first to the second instance is lost.
     """
 
@@ -60,6 +61,7 @@
         *,
         seed: int,
         rules: DetectorRules | None = None,
+        judged: bool = True,
         loses: Callable[[str, str], bool] | None = None,
     ) -> None:
         self.now = START
@@ -70,6 +72,7 @@
         self.false_suspicions = 0
         self.false_deaths = 0
         self._rules = rules or DetectorRules()
+        self._judged = judged
         self._queue: list[_Delivery] = []
         self._number = 0
         self._as_of = 0
@@ -123,12 +126,15 @@
 
     def introduce_all(self) -> None:
         """Let all instances know each other, as after a long time."""
-        updates = [
-            encode_update(node.detector.own.update) for node in self.nodes.values()
-        ]
-        table = MembersTable(tuple(updates))
-        for instance_id, node in self.nodes.items():
-            self.perform(instance_id, node.detector.receive(self.now, "", table))
+        updates = [node.detector.own.update for node in self.nodes.values()]
+        for instance_id in self.nodes:
+            self.teach(instance_id, updates)
+
+    def teach(self, instance_id: str, updates: Iterable[Update]) -> None:
+        """Give one instance a table of members, as from a peer."""
+        table = MembersTable(tuple(encode_update(update) for update in updates))
+        node = self.nodes[instance_id]
+        self.perform(instance_id, node.detector.receive(self.now, "", table))
 
     def introduce(self, instance_id: str) -> None:
         """Let one instance meet all others, as by opening links to them."""
@@ -150,6 +156,9 @@
             for instance_id, node in list(self.nodes.items()):
                 if node.paused or node.stopped:
                     continue
+                if not self._judged:
+                    self.perform(instance_id, node.detector.advance(self.now))
+                    continue
                 before = self._count_bad(node)
                 self.perform(instance_id, node.detector.advance(self.now))
                 self._count_false(node, before)
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/capacity/membership.py
@@ -0,0 +1,250 @@
+"""Cost of membership and of the target directory, by the size of the fleet.
+
+``python -m greengagelatch_lab.capacity.membership`` prints a table and, on its last
+line, the same as JSON. Sizes of fleets are measured at the level of decisions, with
+the real codec; a few real links over loopback show what the wire adds.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import dataclasses
+import json
+import random
+import time
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+from greengagelatch.instances import Instance, InstanceKind, Listing
+from greengagelatch.targets.directory import LoadReport
+from greengagelatch.targets.ledger import Ledger, LedgerRules
+from greengagelatch.targets.polling import PollSchedule
+
+from .fleet import DATA_CENTRES, DetectorFleet
+from .links import measure_links
+from .meters import measure_memory
+
+__all__ = ("main", "measure_ledger", "measure_members")
+
+MEMBER_COUNTS = (9, 50, 150, 300, 570)
+REPLICA_COUNTS = (50, 200, 1000, 4000, 12000)
+LINKED_COUNTS = (9, 40)
+LARGEST = MEMBER_COUNTS[-1]
+
+#: virtual seconds between two replacements of an instance
+CHURN_INTERVAL = 20.0
+
+SERVICES = 5
+SUBSET = 20
+LOAD_RATE = 20.0
+LOAD_INTERVAL = 1.0
+LISTING_INTERVAL = 11.4
+REQUESTS_PER_SECOND = 50
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class MemberCost:
+    """Cost of failure detection for one instance; replaced: one each 20 s."""
+
+    members: int
+    messages_per_second: float
+    bytes_per_second: float
+    #: the same while instances are being replaced
+    churn_bytes_per_second: float
+    cpu_share: float
+    memory_bytes: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LedgerCost:
+    """Cost of the target directory for one instance, without its HTTP calls."""
+
+    replicas: int
+    watched: int
+    polls_per_second: float
+    cpu_share: float
+    #: longest single step, which is a changed listing
+    listing_seconds: float
+    memory_bytes: int
+
+
+def measure_members(members: int, seconds: float) -> MemberCost:
+    """Measure failure detection in a fleet of ``members``."""
+    fleet = DetectorFleet(members, seed=1, judged=False)
+    fleet.introduce_all()
+    fleet.run(5)
+    quiet = _run_fleet(fleet, seconds, churn=False)
+    churned = _run_fleet(fleet, seconds, churn=True)
+    share = members * seconds
+    return MemberCost(
+        members=members,
+        messages_per_second=quiet["messages"] / share,
+        bytes_per_second=quiet["bytes"] / share,
+        churn_bytes_per_second=churned["bytes"] / share,
+        cpu_share=max(quiet["cpu"], churned["cpu"]) / share,
+        memory_bytes=_measure_memory(lambda: _build_detector(members)),
+    )
+
+
+def measure_ledger(replicas: int, seconds: int) -> LedgerCost:
+    """Measure the target directory with ``replicas`` in five services."""
+    listings = [_make_listing(as_of, replicas) for as_of in (1, 2)]
+    ledger = Ledger(instance_id="entry-1", rules=LedgerRules(subset=SUBSET))
+    # entry instances grow with the targets
+    ledger.share_with(max(MEMBER_COUNTS[0], replicas * LARGEST // REPLICA_COUNTS[-1]))
+    ledger.apply_listing(listings[0])
+    begun = time.process_time()
+    ledger.apply_listing(listings[1])
+    listing_seconds = time.process_time() - begun
+    schedule = PollSchedule(rate=LOAD_RATE, random_source=random.Random(1))
+    begun = time.process_time()
+    polls = _run_directory(ledger, schedule, seconds)
+    cpu = time.process_time() - begun
+    watched = len(ledger.list_watched(0.0))
+    return LedgerCost(
+        replicas=replicas,
+        watched=watched,
+        polls_per_second=polls / seconds,
+        cpu_share=cpu / seconds + listing_seconds / LISTING_INTERVAL,
+        listing_seconds=listing_seconds,
+        memory_bytes=_measure_memory(lambda: _build_ledger(listings[0])),
+    )
+
+
+def _run_fleet(
+    fleet: DetectorFleet, seconds: float, *, churn: bool
+) -> dict[str, float]:
+    nodes = fleet.nodes.values()
+    bytes_before = sum(node.sent_bytes for node in nodes)
+    messages_before = sum(node.sent.total() for node in nodes)
+    begun = time.process_time()
+    remaining = seconds
+    while remaining > 0:
+        step = min(CHURN_INTERVAL, remaining)
+        if churn:
+            _replace_one(fleet)
+        fleet.run(step)
+        remaining -= step
+    cpu = time.process_time() - begun
+    return {
+        "bytes": sum(node.sent_bytes for node in nodes) - bytes_before,
+        "messages": sum(node.sent.total() for node in nodes) - messages_before,
+        "cpu": cpu,
+    }
+
+
+def _replace_one(fleet: DetectorFleet) -> None:
+    running = [key for key, node in fleet.nodes.items() if not node.stopped]
+    fleet.nodes[fleet.random.choice(running)].stopped = True
+    node = fleet.add(len(fleet.nodes))
+    fleet.show(fleet.list_instances())
+    known = fleet.nodes[fleet.random.choice(running)].detector
+    fleet.perform(
+        node.identity.instance_id,
+        node.detector.meet(fleet.now, fleet.nodes[running[0]].identity),
+    )
+    fleet.perform(
+        running[0], fleet.nodes[running[0]].detector.meet(fleet.now, node.identity)
+    )
+    fleet.teach(node.identity.instance_id, known.list_all_updates())
+
+
+def _build_detector(members: int) -> DetectorFleet:
+    fleet = DetectorFleet(1, seed=1)
+    others = DetectorFleet(members, seed=1)
+    updates = [node.detector.own.update for node in others.nodes.values()]
+    fleet.teach(next(iter(fleet.nodes)), updates)
+    return fleet
+
+
+def _build_ledger(listing: Listing) -> Ledger:
+    ledger = Ledger(instance_id="entry-1", rules=LedgerRules(subset=SUBSET))
+    ledger.apply_listing(listing)
+    for number in range(SERVICES):
+        ledger.list_candidates(0.0, f"service-{number}")
+    return ledger
+
+
+def _measure_memory(build: Callable[[], Any]) -> int:
+    """Return the bytes that are kept by what ``build`` returns."""
+    with measure_memory() as meter:
+        kept = build()
+    del kept
+    return meter.bytes
+
+
+def _make_listing(as_of: int, replicas: int) -> Listing:
+    # one target in a hundred is replaced from one listing to the next
+    rows = [
+        Instance(
+            instance_id=f"target-{index}-{as_of if index % 100 == 0 else 0}",
+            kind=InstanceKind.TARGET,
+            data_centre=DATA_CENTRES[index % len(DATA_CENTRES)],
+            address=f"10.{index // 62500}.{index // 250 % 250}.{index % 250}:9000",
+            service=f"service-{index % SERVICES}",
+        )
+        for index in range(replicas)
+    ]
+    return Listing(as_of, tuple(rows))
+
+
+def _run_directory(ledger: Ledger, schedule: PollSchedule, seconds: int) -> int:
+    polls = 0
+    for tick in range(seconds * 10):
+        now = tick / 10
+        if tick % 10 == 0:
+            ledger.expire_reports(now)
+            watched = ledger.list_watched(now - 60)
+            schedule.watch(now, dict.fromkeys(watched, LOAD_INTERVAL))
+        for target_id in schedule.take(now, 32):
+            polls += 1
+            report = LoadReport(in_flight=1, queued=0, capacity=4, taken=now)
+            ledger.apply_report(target_id, report)
+            schedule.postpone(now, target_id, LOAD_INTERVAL)
+        for number in range(REQUESTS_PER_SECOND // 10):
+            ledger.list_candidates(now, f"service-{number % SERVICES}")
+    return polls
+
+
+def _print_table(title: str, rows: Sequence[Any]) -> None:
+    names = [item.name for item in dataclasses.fields(rows[0])]
+    print(title)
+    print("  ".join(f"{name:>22}" for name in names))
+    for row in rows:
+        values = [getattr(row, name) for name in names]
+        cells = [
+            f"{value:>22}" if isinstance(value, int) else f"{value:>22.5f}"
+            for value in values
+        ]
+        print("  ".join(cells))
+    print()
+
+
+def main(arguments: Sequence[str] | None = None) -> None:
+    """Measure all sizes and print them."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=float, default=40.0)
+    parser.add_argument("--members", type=int, nargs="*", default=MEMBER_COUNTS)
+    parser.add_argument("--replicas", type=int, nargs="*", default=REPLICA_COUNTS)
+    parser.add_argument("--linked", type=int, nargs="*", default=LINKED_COUNTS)
+    options = parser.parse_args(arguments)
+    members = [measure_members(size, options.seconds) for size in options.members]
+    replicas = [measure_ledger(size, 100) for size in options.replicas]
+    links = [
+        asyncio.run(measure_links(size, options.seconds)) for size in options.linked
+    ]
+    tables = {"members": members, "targets": replicas, "links": links}
+    for title, rows in tables.items():
+        if rows:
+            _print_table(title, rows)
+    result = {
+        title: [dataclasses.asdict(row) for row in rows]
+        for title, rows in tables.items()
+    }
+    print(json.dumps(result))
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/greengagelatch/src/greengagelatch/settings.py
+++ b/packages/greengagelatch/src/greengagelatch/settings.py
@@ -291,8 +291,17 @@
         default=20,
         minimum=1,
         maximum=10000,
-        meaning="Targets of one service that this instance uses; of a service with"
-        " fewer it uses all.",
+        meaning="Targets of one service that this instance uses at least; of a service"
+        " with fewer it uses all.",
+    ),
+    Setting(
+        name="targets.spread",
+        type=int,
+        default=8,
+        minimum=1,
+        maximum=1000,
+        meaning="Entry instances that use each target, on average; where few instances"
+        " share a large service, each uses more than `targets.subset` of it.",
     ),
     Setting(
         name="targets.missing_listings",
--- a/packages/greengagelatch/src/greengagelatch/targets/ledger.py
+++ b/packages/greengagelatch/src/greengagelatch/targets/ledger.py
@@ -17,6 +17,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from itertools import islice
@@ -38,8 +39,10 @@
 class LedgerRules:
     """Limits of the ledger."""
 
-    #: targets of one service that this instance uses
+    #: targets of one service that this instance uses at least
     subset: int = 20
+    #: entry instances that use each target, on average
+    spread: int = 8
     #: listings in a row without a target until it is gone
     missing_listings: int = 3
     #: failures in a row until a target is set aside
@@ -81,6 +84,8 @@
         self._missing: set[str] = set()
         self._as_of = -1
         self._applied: Listing | None = None
+        #: ``None`` until it is known; subsets have their least size until then
+        self._instances: int | None = None
 
     # news
 
@@ -165,6 +170,25 @@
                 record.report = None
                 group.candidates = None
 
+    def share_with(self, instances: int) -> LedgerChange:
+        """Set the number of entry instances, this one included.
+
+        Subsets of a fixed size leave targets without any user where few instances
+        share a large service: nine instances with twenty each can't use four hundred
+        targets. One would notice it by targets that stay idle while others queue. So
+        each instance uses more of a service the fewer share it.
+        """
+        if max(1, instances) == self._instances:
+            return _NOTHING
+        self._instances = max(1, instances)
+        changed = set()
+        for service, group in self._groups.items():
+            if len(group.records) <= self._rules.subset:
+                continue
+            group.chosen = None
+            changed.add(service)
+        return LedgerChange(services=frozenset(changed))
+
     # questions
 
     def list_candidates(self, now: float, service: str) -> tuple[Candidate, ...]:
@@ -173,7 +197,7 @@
         if group is None:
             return ()
         group.used = now
-        return group.list_candidates(self._rules.subset, self._rules.minimum)
+        return group.list_candidates(self._find_size(group), self._rules.minimum)
 
     def accepts(self, target_id: str) -> bool:
         """Whether a target may be given new work."""
@@ -318,7 +342,13 @@
         return LedgerChange(services=frozenset({service}))
 
     def _choose(self, group: Group) -> tuple[Record, ...]:
-        return group.choose(self._rules.subset, self._rules.minimum)
+        return group.choose(self._find_size(group), self._rules.minimum)
+
+    def _find_size(self, group: Group) -> int:
+        if self._instances is None:
+            return self._rules.subset
+        needed = math.ceil(self._rules.spread * len(group.records) / self._instances)
+        return max(self._rules.subset, needed)
 
     def _refresh_leaving(self, target_id: str) -> None:
         # moved to the end: what a listing still shows must be forgotten last, or
--- a/tests/test_core/test_targets/test_ledger.py
+++ b/tests/test_core/test_targets/test_ledger.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
@@ -30,7 +32,7 @@
                 instance_id=target_id,
                 kind=InstanceKind.TARGET,
                 data_centre=find_centre(target_id),
-                address=f"10.0.0.{int(target_id[2:]) + 1}:9000",
+                address=f"10.0.0.1:{int(target_id[2:]) + 1}",
                 state=state,
                 service=SERVICE,
             )
@@ -38,8 +40,8 @@
     return Listing(as_of, tuple(rows))
 
 
-def make_ledger(**rules) -> Ledger:
-    return Ledger(instance_id="entry-1", rules=LedgerRules(**rules))
+def make_ledger(instance_id: str = "entry-1", **rules) -> Ledger:
+    return Ledger(instance_id=instance_id, rules=LedgerRules(**rules))
 
 
 def list_ids(ledger: Ledger) -> list[str]:
@@ -159,6 +161,25 @@
     assert first[0] in ledger.list_watched(0.0)
 
 
+def test_few_instances_use_all_of_a_large_service():
+    """
+    Symptom: targets of a large service stay idle while the others queue. Sequence:
+    nine instances with a subset of twenty share four hundred targets. Cause: the
+    subsets together are smaller than the service.
+    """
+    ids = tuple(f"t-{number}" for number in range(400))
+    listing = make_listing(1, ids)
+    users: Counter[str] = Counter()
+    for number in range(9):
+        ledger = make_ledger(f"entry-{number}")
+        ledger.apply_listing(listing)
+        assert len(list_ids(ledger)) == 20
+        change = ledger.share_with(9)
+        assert change.services == {SERVICE}
+        users.update(list_ids(ledger))
+    assert set(users) == set(ids)
+
+
 def test_load_report_ages_and_does_not_go_back():
     ledger = make_ledger(report_life=10)
     ledger.apply_listing(make_listing(1, IDS))
--- /dev/null
+++ b/tests/test_lab/test_capacity/test_membership.py
@@ -0,0 +1,23 @@
+"""Tests of the measurement of membership and of the target directory."""
+
+from __future__ import annotations
+
+import json
+
+from greengagelatch_lab.capacity.membership import main
+
+#: bytes a second that one entry instance may spend on its peers
+BUDGET = 2048
+
+
+def test_last_line_holds_all_tables(capsys):
+    arguments = ["--seconds", "5", "--members", "9", "20", "--replicas", "200"]
+    main([*arguments, "--linked"])
+    result = json.loads(capsys.readouterr().out.splitlines()[-1])
+    assert [row["members"] for row in result["members"]] == [9, 20]
+    assert all(row["churn_bytes_per_second"] < BUDGET for row in result["members"])
+    (ledger,) = result["targets"]
+    # five services of forty targets; nine instances have to use nearly all of them
+    assert 100 < ledger["watched"] <= 202
+    assert ledger["polls_per_second"] <= 21
+    assert result["links"] == []
