--- a/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/targets.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/targets.py
@@ -74,6 +74,9 @@
 #: ids of leaving targets that a new instance is told
 MAX_ANSWERED = 5000
 
+#: longer ids are not taken from peers
+MAX_ID = 255
+
 QUERY_TIMEOUT = 2.0
 
 #: delay before the first probe of a target that can't be reached, in seconds
@@ -291,7 +294,12 @@
             self._events.emit(TARGETS_CHANGED, service)
 
     def _hear_leaving(self, sender: str, message: TargetsLeaving) -> None:
-        ids = [item for item in message.target_ids if isinstance(item, str)]
+        # what a peer sends is remembered for long, so it is bounded
+        ids = [
+            item
+            for item in message.target_ids[:MAX_ANSWERED]
+            if isinstance(item, str) and len(item) <= MAX_ID
+        ]
         self._take(self._ledger.mark_leaving(ids), heard=True)
 
     def _answer_query(self, sender: str, message: LeavingQuery) -> TargetsLeaving:
