Keep a call from being given for ever to a target that refuses it

Cause: the fault matrix found a whole instance standing still, with a core busy, once its data centre was cut off. A target was set aside; whoever asked whether a target accepts work had the choice of targets made anew, but the list of candidates stayed the old one. The scheduler then gave a call to the target set aside, the controller gave it back as not accepted, and as a grant comes without a wait while there is room, the event loop never got another turn. After: candidates are made anew with the choice; and a call is never offered twice to a target that did not accept it, so that no disagreement of the two can stop the loop.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/scheduling.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/scheduling.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
 from mode import Service
@@ -74,9 +75,13 @@
                 self._metrics.count(f"scheduling.refused.{result.err_value.code.value}")
                 return result
             grant = result.ok_value
-            if self._directory.accepts(grant.target.target_id):
+            target_id = grant.target.target_id
+            if self._directory.accepts(target_id):
                 return result
-            # it began to leave between the decision and this task's turn
+            # it began to leave between the decision and this task's turn. A grant
+            # comes without a wait while there is room, so that a call given to the
+            # same target again would keep the event loop from ever going on
+            ticket = replace(ticket, excluded=ticket.excluded | {target_id})
             self._metrics.count("scheduling.moved")
             self.release(grant, Outcome(OutcomeKind.ABANDONED, 0.0))
 
--- a/packages/greengagelatch/src/greengagelatch/targets/records.py
+++ b/packages/greengagelatch/src/greengagelatch/targets/records.py
@@ -65,12 +65,15 @@
             reachable.extend(least[:missing])
         self.watched = (*reachable, *(r for r in passed if r not in reachable))
         self.chosen = tuple(sorted(reachable, key=lambda r: r.target.target_id))
+        # made from the choice before: one that is not accepted any more would be
+        # chosen again and again
+        self.candidates = None
         return self.chosen
 
     def list_candidates(self, subset: int, minimum: int) -> tuple[Candidate, ...]:
         """Return the candidates, by id."""
-        if self.candidates is None or self.chosen is None:
-            chosen = self.choose(subset, minimum)
+        chosen = self.choose(subset, minimum)
+        if self.candidates is None:
             self.candidates = tuple(Candidate(r.target, r.report) for r in chosen)
         return self.candidates
 
