Tell when to come back after a claim that came too late

Cause: the refusal of a keyed request whose deadline passed before its claim had no time to come back; found by the matrix (store down at claimed). Before: that cell failed.

--- a/packages/greengagelatch/src/greengagelatch/claims/refusals.py
+++ b/packages/greengagelatch/src/greengagelatch/claims/refusals.py
@@ -15,6 +15,10 @@
 IN_PROGRESS_RETRY_MS = 500
 #: milliseconds after which the instance of an earlier attempt may be found again
 UNSETTLED_RETRY_MS = 2000
+#: milliseconds after which a key may be claimed within its deadline
+LATE_RETRY_MS = 1000
+#: milliseconds after which a slow store or writer may be quick again
+LATE_RETRY_MS = 1000
 #: milliseconds after which a shard may have room again
 FULL_RETRY_MS = 2000
 
@@ -56,6 +60,7 @@
         code=RefusalCode.DEADLINE,
         message="the deadline passed before the key was claimed",
         verdict=Verdict.NOT_RUN if first_attempt else Verdict.MAY_HAVE_RUN,
+        retry_after_ms=LATE_RETRY_MS,
     )
 
 
