--- /dev/null
+++ b/tests/test_entry/test_application.py
@@ -0,0 +1,111 @@
+"""Tests of greengagelatch_entry.application."""
+
+from __future__ import annotations
+
+import asyncio
+from types import SimpleNamespace
+
+from mode import Service
+
+from greengagelatch.clock import ManualClock
+from greengagelatch.events import EventBus
+from greengagelatch_entry.application import Application, ExitCode
+from greengagelatch_entry.controllers import Controller
+from greengagelatch_entry.controllers.drain import DrainController
+from greengagelatch_entry.metrics import Metrics
+
+#: bound of every wait in these tests, in seconds
+PATIENCE = 10
+
+
+class Part(Controller):
+    """A controller that notes when it starts and stops."""
+
+    def __init__(self, name: str, steps: list[str]) -> None:
+        super().__init__()
+        self.name = name
+        self.port = 1
+        self._steps = steps
+
+    async def on_start(self) -> None:
+        self._steps.append(f"start {self.name}")
+
+    async def on_stop(self) -> None:
+        self._steps.append(f"stop {self.name}")
+
+    def dump(self):
+        return {}
+
+
+class FailingPart(Part):
+    """A controller whose background task raises."""
+
+    @Service.task
+    async def _work(self) -> None:
+        raise RuntimeError("out of order")
+
+
+class UnboundPart(Part):
+    """A controller whose address is taken."""
+
+    async def on_start(self) -> None:
+        raise OSError("address in use")
+
+
+async def do_nothing() -> None:
+    pass
+
+
+async def find_nothing(seconds: float) -> bool:
+    return True
+
+
+def create_application(*parts: Part) -> tuple[Application, DrainController]:
+    drain = DrainController(
+        clock=ManualClock(),
+        events=EventBus(),
+        metrics=Metrics("127.0.0.1:9"),
+        balancer_lag=0.0,
+        longest=PATIENCE,
+        close_listener=do_nothing,
+        wait_idle=find_nothing,
+    )
+    last = parts[-1]
+    wired = SimpleNamespace(
+        controllers=(*parts, drain),
+        callers=last,
+        operators=last,
+        peers=last,
+        drain=drain,
+        host="127.0.0.1",
+        close=do_nothing,
+    )
+    return Application(wired), drain
+
+
+async def test_parts_stop_in_the_reverse_order_of_their_start():
+    steps: list[str] = []
+    application, drain = create_application(Part("a", steps), Part("b", steps))
+    drain.start_drain()
+    async with asyncio.timeout(PATIENCE):
+        assert await application.run() == ExitCode.FINISHED
+    assert steps == ["start a", "start b", "stop b", "stop a"]
+
+
+async def test_failed_background_task_ends_the_process():
+    """Symptom: one instance goes on serving with a configuration of last week.
+
+    Sequence: the task that learns of changes raises; everything else runs on.
+    Cause: nobody was told that the task had ended.
+    """
+    application, _ = create_application(FailingPart("a", []))
+    async with asyncio.timeout(PATIENCE):
+        assert await application.run() == ExitCode.FAILED
+
+
+async def test_taken_address_ends_the_start_and_stops_what_runs():
+    steps: list[str] = []
+    application, _ = create_application(Part("a", steps), UnboundPart("b", steps))
+    async with asyncio.timeout(PATIENCE):
+        assert await application.run() == ExitCode.BAD_START
+    assert steps == ["start a", "stop a"]
