Show leaving targets until the list drops them

Cause: the ledger kept only the ids of leaving targets, so that /status lost a target as soon as it was drained, and a repeated drain of it answered 404.

Before: two tests, of the ledger and of the status, failed. After: a leaving target is shown with the state "leaving" for as long as the list shows it, or its whole data centre is out of the platform's reach; draining it again is answered as the first time. Both tests pass.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/targets.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/targets.py
@@ -154,6 +154,10 @@
         """Return all targets not leaving, each with whether it is set aside."""
         return self._ledger.list_targets()
 
+    def list_leaving_targets(self) -> tuple[Target, ...]:
+        """Return the leaving targets that the platform's list still shows."""
+        return self._ledger.list_leaving_targets()
+
     def apply_listing(self, listing: Listing) -> None:
         """Take in a listing of the platform."""
         change = self._ledger.apply_listing(listing)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/status.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/status.py
@@ -10,6 +10,7 @@
 if TYPE_CHECKING:
     from greengagelatch.peers import PeerNetwork
     from greengagelatch.settings import Settings
+    from greengagelatch.targets import Target
 
     from .controllers.configuration import ConfigurationController
     from .controllers.drain import DrainController
@@ -18,6 +19,7 @@
 __all__ = ("StatusView",)
 
 LIVE = "live"
+LEAVING = "leaving"
 SET_ASIDE = "set-aside"
 
 
@@ -64,9 +66,15 @@
 
     def _describe_targets(self) -> Iterator[TargetStatus]:
         for target, set_aside in self._targets.list_targets():
-            yield TargetStatus(
-                target_id=target.target_id,
-                service=target.service,
-                data_centre=target.data_centre,
-                state=SET_ASIDE if set_aside else LIVE,
-            )
+            yield _describe_target(target, SET_ASIDE if set_aside else LIVE)
+        for target in self._targets.list_leaving_targets():
+            yield _describe_target(target, LEAVING)
+
+
+def _describe_target(target: Target, state: str) -> TargetStatus:
+    return TargetStatus(
+        target_id=target.target_id,
+        service=target.service,
+        data_centre=target.data_centre,
+        state=state,
+    )
--- a/packages/greengagelatch/src/greengagelatch/targets/ledger.py
+++ b/packages/greengagelatch/src/greengagelatch/targets/ledger.py
@@ -81,6 +81,8 @@
         self._groups: dict[str, Group] = {}
         #: ids in the order in which they were last heard of
         self._leaving: dict[str, None] = {}
+        #: those of them that the newest listings show, for operators
+        self._leaving_targets: dict[str, Target] = {}
         self._missing: set[str] = set()
         self._as_of = -1
         self._applied: Listing | None = None
@@ -115,6 +117,7 @@
             news.append(target_id)
             record = self._records.get(target_id)
             if record is not None:
+                self._leaving_targets[target_id] = record.target
                 changed.add(self._remove(record))
         self._forget_oldest()
         return LedgerChange(leaving=tuple(news), services=frozenset(changed))
@@ -240,6 +243,10 @@
         records = self._records.values()
         return tuple((record.target, record.set_aside) for record in records)
 
+    def list_leaving_targets(self) -> tuple[Target, ...]:
+        """Return the leaving targets that the list still shows."""
+        return tuple(self._leaving_targets.values())
+
     def is_leaving(self, target_id: str) -> bool:
         """Whether a target is known to be leaving."""
         return target_id in self._leaving
@@ -272,7 +279,10 @@
                 continue
             centres.add(row.data_centre)
             shown.add(row.instance_id)
-            if row.instance_id in self._leaving:
+            known = row.instance_id in self._leaving
+            if known or row.state is InstanceState.LEAVING:
+                self._leaving_targets[row.instance_id] = _read_target(row)
+            if known:
                 self._refresh_leaving(row.instance_id)
                 continue
             if row.state is InstanceState.LEAVING:
@@ -280,8 +290,14 @@
                 continue
             self._show(row, changed)
         self._mark_missing(shown, centres)
+        self._forget_left(shown, centres)
         return leaving
 
+    def _forget_left(self, shown: set[str], centres: set[str]) -> None:
+        for target_id, target in list(self._leaving_targets.items()):
+            if target_id not in shown and target.data_centre in centres:
+                del self._leaving_targets[target_id]
+
     def _mark_missing(self, shown: set[str], centres: set[str]) -> None:
         self._missing.clear()
         for target_id, record in self._records.items():
@@ -300,7 +316,7 @@
             if _describes(row, record.target):
                 return
             changed.add(self._remove(record))
-        target = Target(row.instance_id, row.service, row.data_centre, row.address)
+        target = _read_target(row)
         self._add(target)
         changed.add(target.service)
 
@@ -358,7 +374,13 @@
 
     def _forget_oldest(self) -> None:
         while len(self._leaving) > MAX_LEAVING:
-            del self._leaving[next(iter(self._leaving))]
+            oldest = next(iter(self._leaving))
+            del self._leaving[oldest]
+            self._leaving_targets.pop(oldest, None)
+
+
+def _read_target(row: Instance) -> Target:
+    return Target(row.instance_id, row.service, row.data_centre, row.address)
 
 
 def _describes(row: Instance, target: Target) -> bool:
--- a/tests/test_core/test_targets/test_ledger.py
+++ b/tests/test_core/test_targets/test_ledger.py
@@ -263,3 +263,29 @@
 
 LedgerMachine.TestCase.settings = settings(max_examples=60, deadline=None)
 TestLedgerMachine = LedgerMachine.TestCase
+
+
+def test_leaving_targets_are_shown_until_the_list_drops_them():
+    """
+    Symptom: an operator drains a target and looks: it is nowhere; draining it again
+    answers that there is no such target. Sequence: the target is marked as leaving,
+    and goes on being listed for minutes. Cause: only its id was kept.
+    """
+    ledger = make_ledger()
+
+    def list_shown() -> list[str]:
+        targets = ledger.list_leaving_targets()
+        return sorted(target.target_id for target in targets)
+
+    ledger.apply_listing(make_listing(1, IDS))
+    ledger.mark_leaving(["t-0", "t-8"])
+    assert list_shown() == ["t-0"]
+    ledger.apply_listing(make_listing(2, IDS[:5], leaving=("t-5",)))
+    assert list_shown() == ["t-0", "t-5"]
+    # a data centre of which nothing is listed is out of the platform's reach
+    ledger.apply_listing(make_listing(3, IDS[1:2], leaving=("t-4",)))
+    assert list_shown() == ["t-0", "t-4", "t-5"]
+    ledger.apply_listing(make_listing(4, IDS[1:5]))
+    assert list_shown() == ["t-4"]
+    ledger.apply_listing(make_listing(5, IDS[1:4]))
+    assert list_shown() == []
--- /dev/null
+++ b/tests/test_entry/test_status.py
@@ -0,0 +1,71 @@
+"""Tests of what operators are shown of the targets."""
+
+from __future__ import annotations
+
+import random
+from types import SimpleNamespace
+
+from greengagelatch.clock import SystemClock
+from greengagelatch.events import EventBus
+from greengagelatch.instances import Instance, InstanceKind, Listing
+from greengagelatch.settings import parse
+from greengagelatch_entry.controllers.targets import TargetsController
+from greengagelatch_entry.metrics import Metrics
+from greengagelatch_entry.status import StatusView
+from greengagelatch_lab.standins.peers import Switchboard
+
+SETTINGS = """
+[instance]
+id = e-1
+data_centre = kumamoto
+[platform]
+store = 127.0.0.1:1
+instances = 127.0.0.1:1
+"""
+
+
+def test_leaving_target_is_shown_and_may_be_drained_again():
+    """
+    Symptom: a second ``drain --target`` says that there is no such target. Sequence:
+    the first one marks the target as leaving; the command is repeated, as one does
+    whose answer was lost. Cause: a leaving target vanished from what is shown.
+    """
+    settings = parse(SETTINGS).unwrap()
+    peers = Switchboard().join("e-1")
+    targets = TargetsController(
+        peers=peers,
+        clock=SystemClock(),
+        random_source=random.Random(1),
+        events=EventBus(),
+        settings=settings,
+        metrics=Metrics("127.0.0.1:9"),
+    )
+    rows = tuple(
+        Instance(
+            instance_id=name,
+            kind=InstanceKind.TARGET,
+            data_centre="kumamoto",
+            address="127.0.0.1:1",
+            service="stockdesk",
+        )
+        for name in ("t-1", "t-2")
+    )
+    targets.apply_listing(Listing(1, rows))
+    targets.note_leaving("t-1")
+    view = StatusView(
+        settings=settings,
+        configuration=SimpleNamespace(
+            snapshot=SimpleNamespace(generation=1), find_generation=lambda name: 1
+        ),
+        drain=SimpleNamespace(draining=False),
+        peers=peers,
+        targets=targets,
+        ready=lambda: True,
+    )
+    status = view.describe()
+    assert status.knows_target("t-1")
+    shown = status.as_dict()["targets"]["stockdesk"]
+    assert {name: target["state"] for name, target in shown.items()} == {
+        "t-1": "leaving",
+        "t-2": "live",
+    }
