Measure keyed and streamed requests too

The overhead tool knew plain requests only, while keys and tokens are what most of the fleets' work carries.

--- a/packages/greengagelatch-lab/src/greengagelatch_lab/overhead/__main__.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/overhead/__main__.py
@@ -11,6 +11,7 @@
 import statistics
 import sys
 import tempfile
+from dataclasses import replace
 from pathlib import Path
 
 import aiohttp
@@ -18,6 +19,7 @@
 from ..fleets.daemon import Daemon
 from ..fleets.registry import Registry, describe_instance
 from ..processes import Process, ProcessGroup
+from .echo import TOKENS
 from .ways import Rate, Way, measure_latencies, measure_rate
 
 PLATFORM = "greengagelatch_lab.standins.platform"
@@ -27,6 +29,7 @@
 ANY_PORT = "127.0.0.1:0"
 DATA_CENTRE = "tutuban-hall"
 SERVICE = "lathe-desk"
+ENGINE = "planner-llm"
 WORKSPACE = "metro-east"
 #: stages of the longer pipeline
 STAGES = 3
@@ -35,6 +38,9 @@
 [service:{SERVICE}]
 kind = plain
 
+[service:{ENGINE}]
+kind = generate
+
 [workspace:{WORKSPACE}]
 
 [pipeline:one]
@@ -68,12 +74,22 @@
 kind = plain
 service = {SERVICE}
 repeatable = no
+
+[pipeline:stream]
+stages = first
+
+[stage:stream/first]
+kind = generate
+service = {ENGINE}
 """
 
+MICROSECONDS = 1_000_000
 WARM_UP = 200
 LATENCY_ROUNDS = 600
 RATE_ROUNDS = 3
 RATE_SECONDS = 3.0
+#: ways whose throughput is measured
+RATED = ("passing", "one", "keyed", "stream")
 #: seconds until the daemon must have answered a first request
 READY_TIMEOUT = 20.0
 
@@ -117,10 +133,11 @@
     group.processes.append(daemon.process)
     await daemon.start()
     async with Registry(platform.ready) as registry:
-        target = describe_instance(
-            "target-1", "target", DATA_CENTRE, echo.ready, service=SERVICE
-        )
-        await registry.put([target, daemon.describe()])
+        targets = [
+            describe_instance(name, "target", DATA_CENTRE, echo.ready, service=service)
+            for name, service in (("target-1", SERVICE), ("target-2", ENGINE))
+        ]
+        await registry.put([*targets, daemon.describe()])
     await _apply(group, daemon)
     ways = {
         "direct": _create_call("direct", echo),
@@ -128,7 +145,10 @@
     }
     for pipeline in ("one", "three", "once"):
         ways[pipeline] = _create_request(pipeline, daemon)
+    ways["keyed"] = replace(ways["one"], name="keyed", keyed=True)
+    ways["stream"] = _create_request("stream", daemon, stream=True)
     await _wait_ready(ways["one"])
+    await _wait_ready(ways["stream"])
     return ways
 
 
@@ -160,13 +180,14 @@
     )
 
 
-def _create_request(pipeline: str, daemon: Daemon) -> Way:
+def _create_request(pipeline: str, daemon: Daemon, *, stream: bool = False) -> Way:
     return Way(
         name=pipeline,
         url=f"http://{daemon.entry.callers}/v1/pipelines/{pipeline}",
         headers={"X-Workspace": WORKSPACE, "X-Deadline-Ms": "5000"},
-        body=json.dumps({"input": CALL["input"]}).encode(),
+        body=json.dumps({"input": CALL["input"], "stream": stream}).encode(),
         pid=daemon.process.pid,
+        stream=stream,
     )
 
 
@@ -185,19 +206,21 @@
 async def _measure(
     session: aiohttp.ClientSession, ways: dict[str, Way]
 ) -> dict[str, float]:
-    compared = list(ways.values())
+    # a stream takes the time of its tokens
+    compared = [way for way in ways.values() if not way.stream]
     await measure_latencies(session, compared, WARM_UP)
     medians = await measure_latencies(session, compared, LATENCY_ROUNDS)
-    rates: dict[str, list[Rate]] = {"passing": [], "one": []}
+    rates: dict[str, list[Rate]] = {name: [] for name in RATED}
     for _ in range(RATE_ROUNDS):
         for name, found in rates.items():
             found.append(await measure_rate(session, ways[name], RATE_SECONDS))
-    figures = {f"{name}_ms": medians[name] for name in ways}
+    figures = {f"{name}_ms": value for name, value in medians.items()}
     direct = medians["direct"]
     figures["passing_added_ms"] = medians["passing"] - direct
     figures["added_one_stage_ms"] = medians["one"] - direct
     figures["added_per_stage_of_three_ms"] = medians["three"] / STAGES - direct
     figures["added_once_ms"] = medians["once"] - direct
+    figures["added_keyed_ms"] = medians["keyed"] - direct
     for name, found in rates.items():
         seconds = [rate.per_second for rate in found]
         cores = [rate.per_core_second for rate in found]
@@ -206,6 +229,8 @@
     for unit in ("per_second", "per_core_second"):
         ratio = figures[f"one_{unit}"] / figures[f"passing_{unit}"]
         figures[f"{unit}_ratio"] = ratio
+    tokens = figures["stream_per_core_second"] * TOKENS
+    figures["token_us"] = MICROSECONDS / tokens
     return {name: round(value, 3) for name, value in figures.items()}
 
 
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/overhead/ways.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/overhead/ways.py
@@ -7,7 +7,7 @@
 import statistics
 import time
 from dataclasses import dataclass
-from typing import Any
+from uuid import uuid4
 
 import aiohttp
 import psutil
@@ -28,6 +28,10 @@
     body: bytes
     #: process whose processor time counts
     pid: int
+    #: whether each request carries a key of its own
+    keyed: bool = False
+    #: whether the answer is a stream of tokens
+    stream: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,9 +83,15 @@
     return count
 
 
-async def _take(session: aiohttp.ClientSession, way: Way) -> dict[str, Any]:
-    async with session.post(way.url, data=way.body, headers=way.headers) as response:
+async def _take(session: aiohttp.ClientSession, way: Way) -> None:
+    headers = way.headers
+    if way.keyed:
+        headers = {**headers, "Idempotency-Key": uuid4().hex}
+    async with session.post(way.url, data=way.body, headers=headers) as response:
         body = await response.read()
         if response.status != 200:
             raise RuntimeError(f"{way.name}: status {response.status}: {body[:200]!r}")
-        return json.loads(body)
+        if not way.stream:
+            json.loads(body)
+        elif b"event: end" not in body:
+            raise RuntimeError(f"{way.name}: a stream without end: {body[-200:]!r}")
