Start instances while the platform is out of reach

Cause: an instance knew its peers and its targets from the platform's list only. Started during an outage it was never ready, and a data centre cut off from the platform did not see new targets. The configuration came from peers already.

Weighed: telling listings to all (bytes all the time), only the changed rows (a proof of equality would be needed), ready without targets (others can answer what it would refuse). Chosen: seed addresses in the settings, tried while no other instance is known, and asking a random peer for a newer listing when a reading fails; in pages, paced to 1 kB/s.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/instances.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/instances.py
@@ -11,13 +11,8 @@
 import xxhash
 from result import Err, Ok, Result
 
-from greengagelatch.instances import (
-    Instance,
-    InstanceKind,
-    InstanceList,
-    InstanceState,
-    Listing,
-)
+from greengagelatch.instances import Instance, InstanceList, Listing
+from greengagelatch.instances.rows import read_row
 from greengagelatch.store import StoreError, StoreErrorKind
 
 if TYPE_CHECKING:
@@ -124,7 +119,7 @@
         for number, row in enumerate(rows, start=1):
             if number % ROWS_PER_TURN == 0:
                 await asyncio.sleep(0)
-            instance = self._find_known(row) or _read_row(row)
+            instance = self._find_known(row) or read_row(row)
             if instance is None:
                 bad += 1
                 continue
@@ -147,38 +142,6 @@
         return held[1] if held is not None and held[0] == row else None
 
 
-def _read_row(row: Any) -> Instance | None:
-    try:
-        instance = Instance(
-            instance_id=row["id"],
-            kind=InstanceKind(row["kind"]),
-            data_centre=row["data_centre"],
-            address=row["address"],
-            state=InstanceState(row["state"]),
-            service=row.get("service") or "",
-        )
-    except (KeyError, TypeError, ValueError, AttributeError):
-        return None
-    texts = (
-        instance.instance_id,
-        instance.data_centre,
-        instance.address,
-        instance.service,
-    )
-    if not all(isinstance(text, str) for text in texts):
-        return None
-    if not instance.instance_id or not _is_endpoint(instance.address):
-        return None
-    if instance.kind is InstanceKind.TARGET and not instance.service:
-        return None
-    return instance
-
-
-def _is_endpoint(address: str) -> bool:
-    host, _, port = address.rpartition(":")
-    return bool(host) and port.isdecimal() and int(port) <= 65535
-
-
 def _explain_status(status: int) -> StoreError:
     kind = StoreErrorKind.BAD_ANSWER
     if status == 429:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_links.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_links.py
@@ -164,6 +164,14 @@
         dial.add_done_callback(lambda _: self._dials.pop(instance_id, None))
         return dial
 
+    def dial_any(self, address: str) -> asyncio.Task[Link | None] | None:
+        """Open a link to whichever instance is at an address; see :meth:`dial`.
+
+        At most one such dial is under way, and a failed one delays the next,
+        whatever its address.
+        """
+        return self.dial("", address)
+
     def excuse_silence(self) -> None:
         """Count the silence of all links from now, after this process stood still."""
         for link in self._links.values():
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peers.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peers.py
@@ -27,6 +27,7 @@
     encode,
 )
 from greengagelatch.peers.messages import Busy, Hello, NotUnderstood, Unanswered
+from greengagelatch.settings import split_endpoints
 
 from ..controllers import Controller
 from ..controllers.membership import MembershipController, is_probe
@@ -85,6 +86,8 @@
         self._listen: str = settings["peers.listen"]
         self._silence: float = settings["peers.silence"]
         self._advertise: str = settings["peers.advertise"]
+        self._seeds = split_endpoints(settings["peers.seeds"])
+        self._random = random_source
         self._handlers: dict[type[Message], MessageHandler] = {}
         self._questions = Questions()
         self._in_work: set[asyncio.Task[None]] = set()
@@ -210,11 +213,22 @@
         for instance_id in neighbours:
             if self._links.find(instance_id) is None:
                 self._dial(instance_id)
+        if not neighbours:
+            self._dial_seed()
         if now - self._last_report >= REPORT_INTERVAL:
             self._last_report = now
             self._links.traffic.report(self._metrics)
             self._metrics.gauge("peers.links", len(self._links.list_links()))
 
+    def _dial_seed(self) -> None:
+        """Try to meet others by one of the addresses given in the settings."""
+        own = self._membership.describe().address
+        seeds = [address for address in self._seeds if address != own]
+        if not seeds:
+            return
+        if self._links.dial_any(self._random.choice(seeds)) is not None:
+            self._metrics.count("peers.seed_dials")
+
     def _notice_pause(self, now: float) -> None:
         last, self._last_tick = self._last_tick, now
         if last is not None and now - last > self._silence / 2:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/listing.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/listing.py
@@ -9,6 +9,7 @@
 
 from greengagelatch.peers import MemberState
 
+from ..listings import ListingExchange
 from . import Controller
 
 if TYPE_CHECKING:
@@ -38,6 +39,10 @@
     The platform counts each call, and what it bears grows more slowly than the
     fleet. So all entry instances together make ``platform.instances_rate`` calls a
     second at most; what one of them learns of leaving instances, it passes on.
+
+    An instance that can't read the list asks a peer for it instead. So a data centre
+    cut off from the platform still sees new targets through the others, and an
+    instance started while the platform is down finds targets at all.
     """
 
     name = "listing"
@@ -65,21 +70,31 @@
         self._newest: Listing | None = None
         self._received = clock.now()
         self._error = ""
+        self._exchange = ListingExchange(
+            peers=peers,
+            clock=clock,
+            random_source=random_source,
+            metrics=metrics,
+            get_newest=lambda: self._newest,
+        )
         events.declare(LISTING_RECEIVED)
 
     @property
     def listing(self) -> Listing | None:
-        """The newest listing that was read."""
+        """The newest listing that was read, or learnt from a peer."""
         return self._newest
 
     async def refresh(self) -> None:
-        """Read the list once."""
+        """Read the list once; if that fails, ask a peer for it."""
         match await self._instance_list.fetch():
             case Ok(listing):
+                self._error = ""
+                self._received = self._clock.now()
                 self._take(listing)
             case Err(error):
                 self._error = f"{error.kind.value}: {error.message}"
                 self._metrics.count(f"instances.errors.{error.kind.value}")
+                await self._ask_peer()
 
     def compute_interval(self) -> float:
         """Return the seconds until the next reading, without jitter."""
@@ -97,6 +112,7 @@
             "seconds_since_reading": self._clock.now() - self._received,
             "interval": self.compute_interval(),
             "last_error": self._error,
+            "learnt_from": self._exchange.learnt_from,
         }
 
     @Service.task
@@ -106,9 +122,13 @@
             spread = 1 - JITTER + 2 * JITTER * self._random.random()
             await self.sleep(self.compute_interval() * spread)
 
+    async def _ask_peer(self) -> None:
+        listing = await self._exchange.fetch()
+        if listing is not None:
+            self._metrics.count("instances.learnt_from_peers")
+            self._take(listing)
+
     def _take(self, listing: Listing) -> None:
-        self._error = ""
-        self._received = self._clock.now()
         if self._newest is not None and listing.as_of < self._newest.as_of:
             # replicas of the list may lag behind each other
             self._metrics.count("instances.older_listings")
--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/listings.py
@@ -0,0 +1,132 @@
+"""Passing of the platform's list between entry instances."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from result import Ok
+
+from greengagelatch.instances import Instance, Listing
+from greengagelatch.instances.messages import ListingPage, ListingQuery
+from greengagelatch.instances.rows import cut_page, decode_row
+from greengagelatch.peers import MemberState
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from greengagelatch.clock import Clock
+    from greengagelatch.peers import PeerNetwork
+
+    from .metrics import Metrics
+
+__all__ = ("ListingExchange",)
+
+#: seconds that a peer is given for one page
+QUERY_TIMEOUT = 2.0
+
+#: rows of the longest listing that is taken from a peer
+MAX_ROWS = 100_000
+
+#: rows a second, about 1 kB, that are taken from peers on average; an instance's
+#: traffic with its peers has bounds that a long list must not exceed
+ROWS_PER_SECOND = 12
+
+
+class ListingExchange:
+    """Answers peers that ask for the list, and asks them.
+
+    :param get_newest: returns the newest listing that is known here.
+    """
+
+    def __init__(
+        self,
+        *,
+        peers: PeerNetwork,
+        clock: Clock,
+        random_source: random.Random,
+        metrics: Metrics,
+        get_newest: Callable[[], Listing | None],
+    ) -> None:
+        self._peers = peers
+        self._clock = clock
+        self._random = random_source
+        self._metrics = metrics
+        self._get_newest = get_newest
+        self._next_question = clock.now()
+        #: instance that the newest listing was learnt from, empty if from none
+        self.learnt_from = ""
+        peers.handle(ListingQuery, self._answer_query)
+
+    async def fetch(self) -> Listing | None:
+        """Ask a peer for a listing newer than the newest known here.
+
+        ``None`` if it has none, and while the rows of the last one are paid off.
+        """
+        others = self._list_others()
+        if not others or self._clock.now() < self._next_question:
+            return None
+        peer = self._random.choice(others)
+        newest = self._get_newest()
+        known = -1 if newest is None else newest.as_of
+        listing = await self._fetch_from(peer, known)
+        if listing is None or listing.as_of <= known:
+            return None
+        self.learnt_from = peer
+        pause = len(listing.instances) / ROWS_PER_SECOND
+        self._next_question = self._clock.now() + pause
+        return listing
+
+    async def _fetch_from(self, peer: str, known: int) -> Listing | None:
+        pages: list[ListingPage] = []
+        count = 0
+        while not pages or count < pages[0].total:
+            question = ListingQuery(known, count)
+            match await self._peers.ask(peer, question, QUERY_TIMEOUT):
+                case Ok(ListingPage() as page) if _continues(pages, page, count):
+                    pages.append(page)
+                    count += len(page.rows)
+                case _:
+                    self._metrics.count("instances.failed_questions")
+                    return None
+        return Listing(pages[0].as_of, self._decode_rows(pages))
+
+    def _decode_rows(self, pages: list[ListingPage]) -> tuple[Instance, ...]:
+        instances = []
+        for page in pages:
+            for row in page.rows:
+                instance = decode_row(row)
+                if instance is None:
+                    # one bad row must not hide all other instances
+                    self._metrics.count("instances.bad_rows")
+                    continue
+                instances.append(instance)
+        return tuple(instances)
+
+    def _answer_query(self, sender: str, query: ListingQuery) -> ListingPage:
+        newest = self._get_newest()
+        if newest is None or newest.as_of <= query.as_of or query.offset < 0:
+            return ListingPage()
+        return cut_page(newest, query.offset)
+
+    def _list_others(self) -> list[str]:
+        own_id = self._peers.instance_id
+        return [
+            member.instance_id
+            for member in self._peers.members()
+            if member.state is not MemberState.DEAD and member.instance_id != own_id
+        ]
+
+
+def _continues(pages: list[ListingPage], page: ListingPage, count: int) -> bool:
+    """Whether a page belongs to the same listing as those before it.
+
+    The peer may have read a newer listing in between. Joined with pages of the older
+    one it would lack instances that are in both.
+    """
+    if page.total > MAX_ROWS or page.offset != count:
+        return False
+    if not pages:
+        return page.total == 0 or len(page.rows) > 0
+    first = pages[0]
+    return (page.as_of, page.total) == (first.as_of, first.total) and bool(page.rows)
--- a/packages/greengagelatch/src/greengagelatch/config/messages.py
+++ b/packages/greengagelatch/src/greengagelatch/config/messages.py
@@ -3,9 +3,8 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import Any
 
-from ..peers.codec import Message, register
+from ..peers.codec import Message, check_type, register
 
 __all__ = (
     "CHUNK_BYTES",
@@ -36,16 +35,14 @@
     seen: tuple[SeenRow, ...] = ()
 
     def __post_init__(self) -> None:
-        # the codec checks names, not types, and takes ValueError for a bad frame; an
-        # error later on would end the task that all learning depends on
-        _check(self.generation, int)
-        _check(self.data_centre, str)
-        _check(self.store_age, (int, float))
-        _check(self.seen, tuple)
+        check_type(self.generation, int)
+        check_type(self.data_centre, str)
+        check_type(self.store_age, (int, float))
+        check_type(self.seen, tuple)
         for row in self.seen:
-            _check(row, tuple)
+            check_type(row, tuple)
             for value, kind in zip(row, _SEEN_TYPES, strict=True):
-                _check(value, kind)
+                check_type(value, kind)
 
 
 @register("config-query")
@@ -68,9 +65,9 @@
     offset: int = 0
 
     def __post_init__(self) -> None:
-        _check(self.key, str)
-        _check(self.generation, int)
-        _check(self.offset, int)
+        check_type(self.key, str)
+        check_type(self.generation, int)
+        check_type(self.offset, int)
 
 
 @register("config-chunk")
@@ -87,13 +84,8 @@
     delta: bool = False
 
     def __post_init__(self) -> None:
-        _check(self.key, str)
+        check_type(self.key, str)
         for number in (self.generation, self.offset, self.total):
-            _check(number, int)
-        _check(self.data, bytes)
-        _check(self.delta, bool)
-
-
-def _check(value: Any, kind: type | tuple[type, ...]) -> None:
-    if not isinstance(value, kind):
-        raise ValueError(f"unexpected {type(value).__name__}")
+            check_type(number, int)
+        check_type(self.data, bytes)
+        check_type(self.delta, bool)
--- /dev/null
+++ b/packages/greengagelatch/src/greengagelatch/instances/rows.py
@@ -0,0 +1,79 @@
+"""Rows of a listing as the platform gives them and as peers pass them on."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any
+
+from . import Instance, InstanceKind, InstanceState, Listing
+from .messages import ListingPage
+
+__all__ = ("PAGE_ROWS", "cut_page", "decode_row", "encode_row", "read_row")
+
+#: rows of one page, about 50 kB, so that no frame holds up heartbeats for long
+PAGE_ROWS = 500
+
+#: fields of a row in the order in which peers pass them on
+FIELDS = ("id", "kind", "data_centre", "address", "state", "service")
+
+HIGHEST_PORT = 65535
+
+
+def read_row(row: Any) -> Instance | None:
+    """Read a row as the platform gives it; ``None`` if it makes no sense."""
+    try:
+        instance = Instance(
+            instance_id=row["id"],
+            kind=InstanceKind(row["kind"]),
+            data_centre=row["data_centre"],
+            address=row["address"],
+            state=InstanceState(row["state"]),
+            service=row.get("service") or "",
+        )
+    except (KeyError, TypeError, ValueError, AttributeError):
+        return None
+    texts = (
+        instance.instance_id,
+        instance.data_centre,
+        instance.address,
+        instance.service,
+    )
+    if not all(isinstance(text, str) for text in texts):
+        return None
+    if not instance.instance_id or not _is_endpoint(instance.address):
+        return None
+    if instance.kind is InstanceKind.TARGET and not instance.service:
+        return None
+    return instance
+
+
+def encode_row(instance: Instance) -> tuple[str, ...]:
+    """Return a row as peers pass it on."""
+    return (
+        instance.instance_id,
+        instance.kind.value,
+        instance.data_centre,
+        instance.address,
+        instance.state.value,
+        instance.service,
+    )
+
+
+def decode_row(row: Any) -> Instance | None:
+    """Read a row that a peer passed on; ``None`` if it makes no sense."""
+    if not isinstance(row, tuple) or len(row) < len(FIELDS):
+        return None
+    fields: Mapping[str, Any] = dict(zip(FIELDS, row, strict=False))
+    return read_row(fields)
+
+
+def cut_page(listing: Listing, offset: int) -> ListingPage:
+    """Return the page of a listing that begins with the row at ``offset``."""
+    instances = listing.instances[offset : offset + PAGE_ROWS]
+    rows = tuple(encode_row(instance) for instance in instances)
+    return ListingPage(listing.as_of, len(listing.instances), offset, rows)
+
+
+def _is_endpoint(address: str) -> bool:
+    host, _, port = address.rpartition(":")
+    return bool(host) and port.isdecimal() and int(port) <= HIGHEST_PORT
--- a/packages/greengagelatch/src/greengagelatch/peers/codec.py
+++ b/packages/greengagelatch/src/greengagelatch/peers/codec.py
@@ -15,6 +15,7 @@
     "DecodeError",
     "Envelope",
     "Message",
+    "check_type",
     "decode",
     "encode",
     "register",
@@ -59,6 +60,18 @@
     return decorate
 
 
+def check_type(value: Any, kind: type | tuple[type, ...]) -> None:
+    """Check a field of a message when it is made.
+
+    The codec checks names, not types; a wrong type would end whatever task uses it
+    later on.
+
+    :raises ValueError: which the codec takes for a bad frame.
+    """
+    if not isinstance(value, kind):
+        raise ValueError(f"unexpected {type(value).__name__}")
+
+
 @dataclass(frozen=True, slots=True)
 class Envelope:
     """A message with what is needed to answer it.
--- a/packages/greengagelatch/src/greengagelatch/settings.py
+++ b/packages/greengagelatch/src/greengagelatch/settings.py
@@ -10,7 +10,15 @@
 
 from result import Err, Ok, Result
 
-__all__ = ("SETTINGS", "Setting", "SettingError", "Settings", "load", "parse")
+__all__ = (
+    "SETTINGS",
+    "Setting",
+    "SettingError",
+    "Settings",
+    "load",
+    "parse",
+    "split_endpoints",
+)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -33,6 +41,8 @@
     choices: tuple[str, ...] = ()
     #: the value is ``host:port`` with an IP address as the host
     endpoint: bool = False
+    #: the value is any number of these, with commas between them
+    endpoints: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -169,6 +179,15 @@
         meaning="Address that other entry instances are told; empty: the one that is"
         " listened on.",
     ),
+    Setting(
+        name="peers.seeds",
+        type=str,
+        default="",
+        endpoints=True,
+        meaning="Peer addresses of some other entry instances, with commas between"
+        " them. They are tried while no other instance is known, so that one can"
+        " start while the platform's list is down.",
+    ),
     Setting(
         name="peers.heartbeat",
         type=float,
@@ -732,6 +751,11 @@
         return dict(self._values)
 
 
+def split_endpoints(text: str) -> tuple[str, ...]:
+    """Split addresses that have commas between them."""
+    return tuple(part.strip() for part in text.split(",") if part.strip())
+
+
 def load(path: str) -> Result[Settings, SettingError]:
     """Read and check the INI file at ``path``."""
     try:
@@ -805,6 +829,9 @@
         return f"must be one of {', '.join(setting.choices)}"
     if setting.endpoint:
         return _find_endpoint_fault(value)
+    if setting.endpoints:
+        faults = map(_find_endpoint_fault, split_endpoints(value))
+        return next(filter(None, faults), "")
     if setting.type not in (int, float):
         return ""
     # NaN fails both comparisons below, whichever way they are written
--- a/tests/test_core/test_settings.py
+++ b/tests/test_core/test_settings.py
@@ -51,6 +51,7 @@
         ("callers.listen", "127.0.0.1", "must be an IP address"),
         ("callers.listen", "127.0.0.1:70000", "port between 0 and 65535"),
         ("callers.listen", "127.0.0.1:http", "port between 0 and 65535"),
+        ("peers.seeds", "127.0.0.1:1, entry-2:8082", "must be an IP address"),
         ("log.level", "debug", "must be one of errors, requests, stages"),
         ("instance.id", "", "must not be empty"),
     ],
--- a/tests/test_entry/test_adapters/test_peers.py
+++ b/tests/test_entry/test_adapters/test_peers.py
@@ -41,6 +41,7 @@
 data_centre = tutuban-hall
 [peers]
 listen = 127.0.0.1:0
+seeds = {seeds}
 heartbeat = 0.1
 silence = {silence}
 probe_interval = 0.2
@@ -117,8 +118,8 @@
 async def start():
     peers = []
 
-    async def create(instance_id: str, *, silence: float = 5) -> Peer:
-        text = SETTINGS.format(instance_id=instance_id, silence=silence)
+    async def create(instance_id: str, *, silence: float = 5, seeds: str = "") -> Peer:
+        text = SETTINGS.format(instance_id=instance_id, silence=silence, seeds=seeds)
         events, metrics, clock = EventBus(), Metrics("127.0.0.1:9"), JumpClock()
         hub = PeerHub(
             clock=clock,
@@ -308,6 +309,24 @@
     assert (await second.hub.ask("e-3", Echo("x"), TIMEOUT)) == Ok(Echo("x"))
 
 
+async def test_new_instance_finds_the_others_by_a_seed(start):
+    """
+    Symptom: an instance started while the platform's list is down stays alone.
+    Sequence: of the two addresses that it was given, one belongs to an instance that
+    is gone; the other leads to all others. Cause: peers were only learnt from the
+    list, or one bad address kept it from trying the next.
+    """
+    first, second = await start("e-1"), await start("e-2")
+    first.show(("e-2", second.address))
+    new = await start("e-3", seeds=f"127.0.0.1:1, {first.address}")
+    trio = [first, second, new]
+    await wait_until(lambda: all(know_each_other(peer, trio) for peer in trio))
+    dials = new.metrics.value("peers.seed_dials")
+    assert dials >= 1
+    new.hub.tend()
+    assert new.metrics.value("peers.seed_dials") == dials
+
+
 async def find_close_code(address: str, first_frame: bytes) -> int | None:
     async with connect(f"ws://{address}", proxy=None, max_size=None) as raw:
         try:
--- /dev/null
+++ b/tests/test_processes/test_start_in_outage.py
@@ -0,0 +1,73 @@
+"""A new instance while the platform is out of reach, with real processes."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from greengagelatch.config.objects import StageKind
+from greengagelatch_lab.fleets import Fleet, FleetService
+from greengagelatch_lab.fleets.runner import FleetRunner
+from greengagelatch_lab.load.arrivals import Arrival
+from greengagelatch_lab.load.client import CallerClient
+from greengagelatch_lab.load.observations import Ending
+
+pytestmark = [pytest.mark.processes, pytest.mark.timeout(90)]
+
+PORTAL = Fleet(
+    name="portal",
+    data_centres=("north", "south"),
+    services=(FleetService(name="portal", kind=StageKind.RERANK, replicas=2),),
+    workspaces=(),
+    traffic=(),
+)
+
+OBJECTS = """
+[service:portal]
+kind = rerank
+
+[workspace:member]
+
+[pipeline:status]
+stages = look-up
+
+[stage:status/look-up]
+kind = rerank
+service = portal
+"""
+
+
+async def test_instance_starts_while_the_platform_is_down(tmp_path):
+    """
+    Symptom: an instance that is replaced during an outage of the platform is never
+    ready, so that each replacement makes the fleet smaller. Sequence: the store and
+    the list are down; a new instance starts in a data centre that is cut off from
+    the platform, with the addresses of two others, one of them dead. Cause: the
+    configuration came from peers, but peers and targets only from the list.
+    """
+    async with (
+        FleetRunner(PORTAL, tmp_path, entries=1, routed=True) as runner,
+        CallerClient() as client,
+    ):
+        await runner.apply_objects(OBJECTS)
+        await runner.wait_ready()
+        await runner.registry.set_faults(outage=True)
+        for path in runner.network.find_platform_paths("south"):
+            path.link.silence()
+        old = runner.daemons[0]
+        seeds = f"127.0.0.1:1, {old.peers}"
+        new = await runner.start_daemon("south-next", "south", {"peers.seeds": seeds})
+        await runner.wait_ready(new)
+        arrival = Arrival(
+            index=1,
+            offset=0.0,
+            workspace="member",
+            pipeline="status",
+            input={"prompt": "marker-1"},
+            marker="marker-1",
+            deadline_ms=8000,
+        )
+        due = asyncio.get_running_loop().time()
+        seen = await client.send(arrival, new.entry, due)
+    assert seen.ending is Ending.RESULT
