Count the instances that share a target by their subsets

Cause: all members, dead ones too, were taken to call every target; in a fleet with subsets the fair share of each limit came out far too small. Ruled out: counting from the targets' reports (late, and they can't tell callers apart). Before: 300 instances with 20 of 600 targets counted 300 users of each. After: 10; the new test fails without the method.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/composition.py
@@ -57,9 +57,6 @@
 
 __all__ = ("Parts", "compose")
 
-#: entry instances that are taken to call a target before any peer is known
-LONE = 1.0
-
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Parts:
@@ -162,7 +159,7 @@
             data_centre=self.settings["instance.data_centre"],
             random_source=self.random,
             weigh=lambda workspace: 1.0,
-            count_choosers=self._count_choosers,
+            count_choosers=self.targets.estimate_users,
             estimate_rest=plan.estimate_rest,
             durations=durations,
             now=self.clock.now(),
@@ -286,9 +283,6 @@
         informed = self.configuration.ready and self.listing.listing is not None
         return informed and not self.drain.draining
 
-    def _count_choosers(self, service: str) -> float:
-        return max(LONE, float(len(self.peers.members())))
-
     def _prioritise(self, exchange: Exchange, stage: Stage) -> int:
         request = exchange.request
         snapshot = exchange.notes[SNAPSHOT_NOTE]
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/targets.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/targets.py
@@ -150,6 +150,10 @@
         self._metrics.count("targets.unreached_calls")
         self._take(self._ledger.note_unreached(target_id))
 
+    def estimate_users(self, service: str) -> float:
+        """Return how many entry instances use one target of ``service``."""
+        return self._ledger.estimate_users(service)
+
     def list_targets(self) -> tuple[tuple[Target, bool], ...]:
         """Return all targets not leaving, each with whether it is set aside."""
         return self._ledger.list_targets()
--- a/packages/greengagelatch/src/greengagelatch/targets/ledger.py
+++ b/packages/greengagelatch/src/greengagelatch/targets/ledger.py
@@ -216,6 +216,18 @@
         record = self._records.get(target_id)
         return None if record is None else record.target
 
+    def estimate_users(self, service: str) -> float:
+        """Return how many entry instances use one target of ``service``, at least 1.
+
+        Each instance uses a subset of its own, so of many instances only a few
+        share a target; all are taken to use as many targets as this one does.
+        """
+        group = self._groups.get(service)
+        if group is None or self._instances is None:
+            return 1.0
+        used = min(self._find_size(group), len(group.records))
+        return max(1.0, self._instances * used / len(group.records))
+
     def list_watched(self, used_since: float) -> Mapping[str, bool]:
         """Return the targets to poll; whether their service was used lately."""
         watched = {}
--- a/tests/test_core/test_targets/test_ledger.py
+++ b/tests/test_core/test_targets/test_ledger.py
@@ -180,6 +180,20 @@
     assert set(users) == set(ids)
 
 
+def test_few_of_many_instances_share_a_target_of_a_large_service():
+    """
+    Symptom: in a large fleet each instance sends a target a fraction of what it
+    could. Sequence: 300 instances use 20 of 600 targets each. Cause: all instances
+    were taken to share each target, where ten do.
+    """
+    ledger = make_ledger(subset=20)
+    ledger.apply_listing(make_listing(1, tuple(f"t-{n}" for n in range(600))))
+    assert ledger.estimate_users(SERVICE) == 1
+    ledger.share_with(300)
+    assert ledger.estimate_users(SERVICE) == 10
+    assert ledger.estimate_users("unknown") == 1
+
+
 def test_load_report_ages_and_does_not_go_back():
     ledger = make_ledger(report_life=10)
     ledger.apply_listing(make_listing(1, IDS))
