Start an instance during the trials of outages

The platform is down, store and list; the new instance is given the addresses of two others and has to become ready. A seed is no longer counted as dialled while its dial is under way.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_links.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_links.py
@@ -165,12 +165,12 @@
         return dial
 
     def dial_any(self, address: str) -> asyncio.Task[Link | None] | None:
-        """Open a link to whichever instance is at an address; see :meth:`dial`.
+        """Open a link to whichever instance is at an address.
 
-        At most one such dial is under way, and a failed one delays the next,
-        whatever its address.
+        ``None`` if it may not be tried now: at most one such dial is under way, and
+        a failed one delays the next, whatever its address.
         """
-        return self.dial("", address)
+        return None if "" in self._dials else self.dial("", address)
 
     def excuse_silence(self) -> None:
         """Count the silence of all links from now, after this process stood still."""
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/outages/faults.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/outages/faults.py
@@ -10,6 +10,7 @@
 from ..processes import ProcessError
 from . import Fault, Scene
 from .partitions import PARTITIONS
+from .starts import StartInOutage
 
 if TYPE_CHECKING:
     from ..fleets.daemon import Daemon
@@ -183,6 +184,7 @@
         TargetsFailing(),
         OperatorsRacing(),
         *PARTITIONS,
+        StartInOutage(),
         TargetLeaving(),
     )
 }
