Notice slow targets by first tokens, and probe them sparingly

Cause: a target ten times slower kept its share of the calls for ten seconds, and then got a probe from each instance twice a second. Weighed: slowness of whole calls (seconds late), fixed bounds (a loaded service looks slow as a whole); taken: first tokens, time of each token and overdue calls against the median of the service's targets, one probe for each pause, short calls only, a sooner backup for probes, a lowest limit after coming back.

--- a/packages/greengagelatch-lab/src/greengagelatch_lab/experiment/entry.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/experiment/entry.py
@@ -123,13 +123,12 @@
     def release(self, grant: Grant, outcome: Outcome) -> None:
         """Give back a grant."""
 
-    def find_hedge_delay(self, ticket: Ticket) -> float | None:
-        """Return the seconds after which a second call is made beside the first."""
-        return None
+    def note_first_token(self, grant: Grant, seconds: float) -> None:  # noqa: B027
+        """Take in that a stream has begun."""
 
-    def take_hedge(self) -> bool:
-        """Whether a second call may be made now."""
-        return False
+    def find_patience(self, grant: Grant) -> float | None:
+        """Return the seconds after which a backup call is made."""
+        return None
 
     # running
 
@@ -219,7 +218,7 @@
             priority=grant.ticket.priority,
             on_done=lambda: self._answer(stage_run, attempt),
             on_cut=lambda: self._fail(stage_run, attempt, FailureKind.CUT),
-            on_first_token=lambda: self._note_first_token(stage_run),
+            on_first_token=lambda: self._note_first_token(stage_run, attempt),
         )
         attempt = Attempt(grant, call, self.clock.now())
         stage_run.attempts += 1
@@ -235,31 +234,44 @@
                 FailureKind.CONNECT if not_run else FailureKind.STALLED,
             ),
         )
-        self._plan_hedge(stage_run, attempt)
+        self._plan_backup(stage_run, attempt)
 
-    def _plan_hedge(self, stage_run: StageRun, attempt: Attempt) -> None:
-        if stage_run.attempts > 1 or not stage_run.stage.repeatable:
+    def _plan_backup(self, stage_run: StageRun, attempt: Attempt) -> None:
+        if not stage_run.stage.repeatable:
+            return
+        streamed = stage_run.run.request.arrival.stream
+        if streamed and stage_run.attempts > 1:
+            # the calls that may be made are better spent on waiting
             return
-        delay = self.find_hedge_delay(attempt.grant.ticket)
-        if delay is None:
+        patience = self.find_patience(attempt.grant)
+        if patience is None:
             return
-        self.clock.call_later(delay, lambda: self._hedge(stage_run, attempt))
+        self.clock.call_later(patience, lambda: self._back_up(stage_run, attempt))
 
-    def _hedge(self, stage_run: StageRun, attempt: Attempt) -> None:
+    def _back_up(self, stage_run: StageRun, attempt: Attempt) -> None:
         run = stage_run.run
-        if run.over or attempt not in stage_run.open or not self.take_hedge():
+        if run.over or stage_run.open != [attempt]:
             return
-        # a stream that has begun would have to be begun again
-        if attempt.call.given:
+        if run.request.arrival.stream:
+            if attempt.call.given:
+                return
+            # two streams at once could differ: the first one is given up
+            model = self.fleet.models[attempt.grant.target.target_id]
+            model.cancel(attempt.call)
+            self._fail(stage_run, attempt, FailureKind.STALLED)
             return
         run.hedges += 1
         stage_run.excluded |= {attempt.grant.target.target_id}
-        self._ask(stage_run, retry=False, hedge=True)
+        self._ask(stage_run, retry=True, hedge=True)
 
-    def _note_first_token(self, stage_run: StageRun) -> None:
+    def _note_first_token(self, stage_run: StageRun, attempt: Attempt) -> None:
         run = stage_run.run
-        if run.first_token is None and not run.over:
-            run.first_token = self.clock.now()
+        if run.over or not run.request.arrival.stream:
+            return
+        now = self.clock.now()
+        self.note_first_token(attempt.grant, now - attempt.started)
+        if run.first_token is None:
+            run.first_token = now
 
     def _answer(self, stage_run: StageRun, attempt: Attempt) -> None:
         if attempt not in stage_run.open:
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/experiment/policies.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/experiment/policies.py
@@ -2,19 +2,20 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Hashable
 
 from result import Result
 
-from greengagelatch.config.objects import Stage
+from greengagelatch.config.objects import Stage, StageKind
 from greengagelatch.config.snapshot import Snapshot
 from greengagelatch.errors import Refusal
 from greengagelatch.load import Grant, Outcome, Ticket
 from greengagelatch.load.admission import AdmissionRule, Arrival, EstimateAdmission
 from greengagelatch.load.deadlines import DeadlinePlan
-from greengagelatch.load.durations import DurationTracker
+from greengagelatch.load.durations import DurationTracker, create_first_token_kind
 from greengagelatch.load.naive import NaiveDispatcher
 from greengagelatch.load.scheduler import Scheduler, SchedulerRule
+from greengagelatch.stages.patience import PatienceRule, choose_patience
 from greengagelatch.stages.plan import plan_by_share
 
 from .entry import Entry, Run, drive
@@ -22,11 +23,23 @@
 
 __all__ = ("NaiveEntry", "SchedulingEntry")
 
+#: percentile from which a call counts as late, as in the daemon
+LATE_PERCENTILE = 95
+#: medians after which a probe gets a backup
+PROBE_PATIENCE = 2.0
+
 
 class NaiveEntry(Entry):
     """Takes targets in turn, without limits."""
 
-    def __init__(self, *, snapshot: Snapshot, choosers: int, **values) -> None:
+    def __init__(
+        self,
+        *,
+        snapshot: Snapshot,
+        choosers: int,
+        streams: frozenset[str],
+        **values,
+    ) -> None:
         super().__init__(**values)
         self._dispatcher = NaiveDispatcher(directory=self.directory, clock=self.clock)
 
@@ -48,10 +61,20 @@
 class SchedulingEntry(Entry):
     """Uses the scheduler, and what goes with it."""
 
-    def __init__(self, *, snapshot: Snapshot, choosers: int, **values) -> None:
+    def __init__(
+        self,
+        *,
+        snapshot: Snapshot,
+        choosers: int,
+        streams: frozenset[str],
+        **values,
+    ) -> None:
         super().__init__(**values)
         self._snapshot = snapshot
         self._durations = DurationTracker()
+        self._patience = PatienceRule()
+        self._stream_patience = PatienceRule(factor=3.0, floor=0.3)
+        self._streams = streams
         self._plan = DeadlinePlan(
             durations=self._durations, find_pipeline=snapshot.pipelines.get
         )
@@ -91,6 +114,27 @@
         request = run.request
         return self._plan(request.pipeline, stage, self.clock.now(), request.deadline)
 
+    def note_first_token(self, grant: Grant, seconds: float) -> None:
+        self._scheduler.note_first_token(grant, seconds, self.clock.now())
+
+    def find_patience(self, grant: Grant) -> float | None:
+        ticket = grant.ticket
+        now = self.clock.now()
+        kind: Hashable = (ticket.pipeline, ticket.stage)
+        rule = self._patience
+        if ticket.kind is StageKind.GENERATE and ticket.pipeline in self._streams:
+            kind = create_first_token_kind(ticket.pipeline, ticket.stage)
+            rule = self._stream_patience
+        median = self._durations.estimate(kind, 50, now, 0.0)
+        if grant.probe and median > 0:
+            return PROBE_PATIENCE * median
+        return choose_patience(
+            rule,
+            median=median,
+            late=self._durations.estimate(kind, LATE_PERCENTILE, now, 0.0),
+            remaining=ticket.stage_deadline - now,
+        )
+
     def acquire(
         self, ticket: Ticket, receive: Callable[[Result[Grant, Refusal]], None]
     ) -> object:
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/experiment/scenarios.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/experiment/scenarios.py
@@ -29,10 +29,10 @@
 #: seconds until the balancer sends nothing more to instances that have died
 BALANCER_LAG = 1.0
 #: seconds before requests are counted, and the seconds of those that are
-WARM_UP = 10.0
+WARM_UP = 30.0
 MEASURED = 30.0
 #: seconds at which faults begin
-FAULT_AT = 15.0
+FAULT_AT = 35.0
 #: longer than any deadline: time for the last requests to end
 TAIL = 8.0
 
@@ -71,7 +71,7 @@
 
 SCENARIOS = (
     Scenario(name="steady", load=0.6),
-    Scenario(name="burst", load=0.6, burst=(18.0, 23.0, 1.2)),
+    Scenario(name="burst", load=0.6, burst=(40.0, 45.0, 1.2)),
     Scenario(name="slow-target", load=0.6, faults=(SLOW,)),
     Scenario(name="failed-target", load=0.6, faults=(DEAD,)),
     Scenario(name="failed-data-centre", load=0.5, faults=(Fault(FaultKind.CENTRE, 1),)),
@@ -113,7 +113,10 @@
     engine = EngineRule()
     snapshot = read_snapshot(fleet)
     rule = TraceRule(
-        seconds=WARM_UP + MEASURED, load=scenario.load, burst=scenario.burst
+        warm_up=WARM_UP,
+        seconds=MEASURED,
+        load=scenario.load,
+        burst=scenario.burst,
     )
     scale = find_full_scale(fleet, snapshot, engine)
     requests = plan_requests(fleet, snapshot, rule, scale, seed)
@@ -128,6 +131,7 @@
             entry_type(
                 snapshot=snapshot,
                 choosers=len(centres),
+                streams=frozenset(t.pipeline for t in fleet.traffic if t.stream),
                 instance_id=instance_id,
                 data_centre=centre,
                 clock=clock,
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/experiment/traces.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/experiment/traces.py
@@ -26,12 +26,17 @@
 }
 #: spread of the logarithm of these
 POOL_SIGMA = 0.4
+#: load of the warm-up, at most
+WARM_UP_LOAD = 0.6
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class TraceRule:
     """How much is asked for, and when."""
 
+    #: seconds of a moderate load before it, so that durations have been measured
+    warm_up: float
+    #: seconds of the load itself
     seconds: float
     #: load as a share of what the engines can do without cached prefixes
     load: float
@@ -83,19 +88,21 @@
 ) -> tuple[Request, ...]:
     """Draw the requests of one run, by the time of their arrival."""
     source = random.Random(seed)
-    scale = full_scale * rule.load
-    planned = [
-        (arrival.offset, arrival)
-        for arrival in plan_arrivals(
-            fleet, seconds=rule.seconds, scale=scale, random_source=source
-        )
+    spans = [
+        (0.0, rule.warm_up, min(rule.load, WARM_UP_LOAD)),
+        (rule.warm_up, rule.warm_up + rule.seconds, rule.load),
     ]
     if rule.burst is not None:
-        start, end, load = rule.burst
-        extra = plan_arrivals(
-            fleet, seconds=end - start, scale=full_scale * load, random_source=source
+        spans.append(rule.burst)
+    planned = []
+    for start, end, load in spans:
+        arrivals = plan_arrivals(
+            fleet,
+            seconds=end - start,
+            scale=full_scale * load,
+            random_source=source,
         )
-        planned.extend((start + arrival.offset, arrival) for arrival in extra)
+        planned.extend((start + arrival.offset, arrival) for arrival in arrivals)
     planned.sort(key=lambda pair: pair[0])
     requests = []
     for received, arrival in planned:
--- a/packages/greengagelatch/src/greengagelatch/load/__init__.py
+++ b/packages/greengagelatch/src/greengagelatch/load/__init__.py
@@ -51,6 +51,9 @@
     target: Target
     #: monotonic seconds
     granted: float
+    #: whether the call is to show if a target that was out of service works again;
+    #: it should get a backup sooner than others
+    probe: bool = False
 
 
 class OutcomeKind(Enum):
@@ -81,6 +84,13 @@
     async def acquire(self, ticket: Ticket) -> Result[Grant, Refusal]:
         """Wait for a target; a refusal comes as soon as waiting is pointless."""
 
+    def note_first_token(self, grant: Grant, seconds: float) -> None:  # noqa: B027
+        """Take in that a granted stream has begun, ``seconds`` after it was sent.
+
+        A target that has become slow shows it in the first token long before any
+        of its streams ends.
+        """
+
     @abstractmethod
     def release(self, grant: Grant, outcome: Outcome) -> None:
         """Give back a grant, exactly once."""
--- a/packages/greengagelatch/src/greengagelatch/load/breakers.py
+++ b/packages/greengagelatch/src/greengagelatch/load/breakers.py
@@ -7,8 +7,9 @@
 from dataclasses import dataclass
 from enum import Enum
 from math import ceil
+from statistics import median_low
 
-__all__ = ("Breaker", "BreakerRule", "BreakerState", "find_ejected")
+__all__ = ("Breaker", "BreakerRule", "BreakerState", "find_ejected", "trip_slow")
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -21,10 +22,13 @@
     failed_share: float = 0.5
     #: calls over which that share is taken, by an exponentially weighted mean
     calls: int = 10
-    #: slowness, as a multiple of the service's median, that opens it
+    #: slowness, as a multiple of the usual one of the service's targets, that opens it
     slowness: float = 4.0
+    #: weight of one time in the slowness, and times that are needed
+    slowness_weight: float = 0.2
+    timed: int = 3
     #: seconds it stays open the first time; doubled each time in a row
-    first_pause: float = 1.0
+    first_pause: float = 2.0
     longest_pause: float = 30.0
     #: largest share of a service's targets that may be out at once, rounded up
     ejected_share: float = 0.5
@@ -46,12 +50,15 @@
         self._rule = rule
         self._random = random_source
         self._open = False
+        self._probing = False
         self._until = 0.0
         self._pause = rule.first_pause
         self._in_a_row = 0
         self._failed = 0.0
         self._slowness = 1.0
+        self._last_ratio = 1.0
         self._calls = 0
+        self._timed = 0
 
     @property
     def slowness(self) -> float:
@@ -69,66 +76,88 @@
             return BreakerState.CLOSED
         return BreakerState.OPEN if now < self._until else BreakerState.PROBING
 
-    def note_success(self, ratio: float, now: float) -> None:
-        """Take in an answer that took ``ratio`` times the service's median."""
+    @property
+    def is_slow(self) -> bool:
+        """Whether enough is known to call the target slow, if others are not."""
+        return not self._open and self._timed >= self._rule.timed
+
+    def note_success(self) -> bool:
+        """Take in an answer; whether it brings the target back into service."""
         self._in_a_row = 0
         self._note(0.0)
-        self._note_slowness(ratio)
-        if self._open:
-            self._settle_probe(ratio, now)
-        elif self._slowness > self._rule.slowness and self._calls >= 3:
-            self._trip(now)
+        return self._probing and self._settle_probe()
 
     def note_failure(self, now: float) -> None:
         """Take in a call without an answer that is the target's doing."""
         self._in_a_row += 1
         self._note(1.0)
         if self._open:
-            # calls sent before it opened fail late: only a probe's counts
-            if now >= self._until:
-                self._trip(now)
+            # it is out already, and the pause before the next probe is set
             return
         enough = self._calls >= self._rule.calls
         if self._in_a_row >= self._rule.failures or (
             enough and self._failed > self._rule.failed_share
         ):
-            self._trip(now)
+            self.trip(now)
 
-    def note_overdue(self, ratio: float, now: float) -> None:
-        """Take in a call without an answer yet after ``ratio`` times the median.
+    def note_time(self, ratio: float) -> None:
+        """Take in a time that was ``ratio`` times the service's median.
 
-        A target that has become ten times slower answers nothing for a long time;
-        waiting for its answers would send it work all the while.
+        It may be that of a whole call, of a first token, of each token, or how long
+        a call has been out so far. A target that has become ten times slower
+        answers nothing for a long time; waiting for its answers would send it work
+        all the while.
         """
-        self._note_slowness(ratio)
-        if not self._open and self._slowness > self._rule.slowness:
-            self._trip(now)
+        self._timed += 1
+        self._last_ratio = ratio
+        self._slowness += (ratio - self._slowness) * self._rule.slowness_weight
 
-    def _settle_probe(self, ratio: float, now: float) -> None:
-        if now < self._until:
-            return
-        if ratio > self._rule.slowness:
-            self._trip(now)
-            return
-        self._open = False
-        self._pause = self._rule.first_pause
-        self._failed = 0.0
-        self._slowness = ratio
+    def begin_probe(self, now: float) -> None:
+        """Take in that a call was sent to see whether the target works again.
+
+        The next one follows after another pause only, whatever becomes of this one:
+        it may well be given up without a word on the target.
+        """
+        self.trip(now)
+        self._probing = True
 
-    def _trip(self, now: float) -> None:
+    def trip(self, now: float) -> None:
+        """Take the target out of service for a while."""
         self._open = True
         # jitter: or all instances would probe a weak target at the same moment
         self._until = now + self._pause * self._random.uniform(0.75, 1.25)
         self._pause = min(self._pause * 2, self._rule.longest_pause)
 
+    def _settle_probe(self) -> bool:
+        self._probing = False
+        if self._last_ratio > self._rule.slowness:
+            return False
+        self._open = False
+        self._pause = self._rule.first_pause
+        self._failed = 0.0
+        self._timed = 0
+        self._slowness = self._last_ratio
+        return True
+
     def _note(self, failed: float) -> None:
         self._calls += 1
         self._failed += (failed - self._failed) / min(self._calls, self._rule.calls)
 
-    def _note_slowness(self, ratio: float) -> None:
-        self._slowness += (ratio - self._slowness) / min(
-            max(self._calls, 1), self._rule.calls
-        )
+
+def trip_slow(breakers: Iterable[Breaker], rule: BreakerRule, now: float) -> None:
+    """Trip the breakers of targets that are far slower than their service's others.
+
+    Compared with the median of all, a service that is slow as a whole has no slow
+    target: its load is a matter of limits, and taking targets out would only make
+    it worse.
+    """
+    known = tuple(breakers)
+    if len(known) < 2:
+        return
+    usual = max(1.0, median_low(breaker.slowness for breaker in known))
+    for breaker in known:
+        if breaker.is_slow and breaker.slowness > rule.slowness * usual:
+            breaker.trip(now)
 
 
 def find_ejected(
--- a/packages/greengagelatch/src/greengagelatch/load/durations.py
+++ b/packages/greengagelatch/src/greengagelatch/load/durations.py
@@ -7,7 +7,7 @@
 
 from hdrh.histogram import HdrHistogram
 
-__all__ = ("DurationTracker",)
+__all__ = ("DurationTracker", "create_first_token_kind")
 
 #: histogram units in one second: a tenth of a millisecond each
 UNITS = 10_000
@@ -107,6 +107,11 @@
         return tuple(self._series)
 
 
+def create_first_token_kind(pipeline: str, stage: str) -> Hashable:
+    """Return the kind under which the times to a stage's first token are kept."""
+    return (pipeline, stage, "first-token")
+
+
 def _create_histogram() -> HdrHistogram:
     return HdrHistogram(1, LONGEST * UNITS, DIGITS)
 
--- a/packages/greengagelatch/src/greengagelatch/load/limits.py
+++ b/packages/greengagelatch/src/greengagelatch/load/limits.py
@@ -50,6 +50,10 @@
         :param longest: seconds that its longest calls take without load, 0 if unknown.
         """
 
+    @abstractmethod
+    def restart(self, now: float) -> None:
+        """Begin again from the lowest limit, as the target was out of service."""
+
     @abstractmethod
     def note_latency(self, ratio: float, held: float, now: float) -> None:
         """Take in a call that took ``ratio`` times what it takes without load.
@@ -97,6 +101,10 @@
         self._ceiling = ceiling
         self._set(ceiling if untouched else self._value)
 
+    def restart(self, now: float) -> None:
+        self._set(self._rule.lowest)
+        self._begin(now)
+
     def note_latency(self, ratio: float, held: float, now: float) -> None:
         self._ratios += ratio
         self._samples += 1
@@ -111,15 +119,15 @@
             self._set(min(self._value, max(1.0, self._highest_held)) * factor)
         elif self._highest_held >= self._value / 2:
             self._set(self._value + 1)
-        self._restart(now)
+        self._begin(now)
 
     def note_rejection(self, held: float, now: float) -> None:
         if now - self._changed < self._rule.interval:
             return
         self._set(min(self._value, max(1.0, held)) * self._rule.decrease)
-        self._restart(now)
+        self._begin(now)
 
-    def _restart(self, now: float) -> None:
+    def _begin(self, now: float) -> None:
         self._changed = now
         self._ratios = 0.0
         self._samples = 0
--- a/packages/greengagelatch/src/greengagelatch/load/loads.py
+++ b/packages/greengagelatch/src/greengagelatch/load/loads.py
@@ -86,22 +86,21 @@
             self.mine_long += step
         self._history.append((now, self.mine))
 
-    def take_report(
-        self, report: LoadReport | None, longest: float, knee: float | None
-    ) -> None:
-        """Take in the newest report, if it is one.
+    def is_new(self, report: LoadReport) -> bool:
+        """Whether a report has not been taken in yet."""
+        return report is not self._report
+
+    def take_report(self, report: LoadReport, longest: float, knee: float) -> None:
+        """Take in a new report.
 
         :param longest: seconds that the longest calls take without load.
         :param knee: calls beyond which the service's targets only become slower.
         """
-        if report is None or report is self._report:
-            return
         self._report = report
         self._report_lot = self._random.random()
         self.reported += report.in_flight + report.queued
         self.reports += 1
-        capacity = report.capacity if knee is None else min(report.capacity, knee)
-        self.limit.note_capacity(capacity, longest)
+        self.limit.note_capacity(knee, longest)
 
     def count_others(self, now: float, usual: float | None) -> float | None:
         """Return the calls of other instances that the target holds, by expectation.
--- a/packages/greengagelatch/src/greengagelatch/load/queue.py
+++ b/packages/greengagelatch/src/greengagelatch/load/queue.py
@@ -193,6 +193,7 @@
         name = waiting.ticket.workspace
         lane = self._lanes.get(name)
         if lane is None:
+            self._forget_idle()
             lane = self._lanes[name] = _Lane()
         if not lane:
             # time without calls earns no claim on service later
@@ -208,11 +209,9 @@
         return waiting
 
     def select(self, test: SelectionTest, now: float) -> Waiting | None:
-        fair_turn = (self._selections + 1) % FAIR_PERIOD == 0
-        heads = self._find_heads(test, by_age=fair_turn)
-        if not heads:
+        chosen = self._choose(test, now)
+        if chosen is None:
             return None
-        chosen = _pick_fair(heads) if fair_turn else self._pick(heads, test, now)
         self._selections += 1
         self._charge(chosen)
         self.remove(chosen.waiting_id)
@@ -236,15 +235,28 @@
     def __iter__(self) -> Iterator[Waiting]:
         return iter(tuple(self._waiting.values()))
 
+    def _choose(self, test: SelectionTest, now: float) -> Waiting | None:
+        if len(self._waiting) <= 1:
+            # nobody to be fair to, as for most calls of a service that has room
+            return _find_first(self._waiting.values(), test.suits)
+        fair_turn = (self._selections + 1) % FAIR_PERIOD == 0
+        heads = self._find_heads(test, by_age=fair_turn)
+        if not heads:
+            return None
+        return _pick_fair(heads) if fair_turn else self._pick(heads, test, now)
+
+    def _forget_idle(self) -> None:
+        """Drop the lanes of workspaces that would start anew at the common time."""
+        for name, lane in tuple(self._lanes.items()):
+            if not lane and lane.virtual <= self._virtual:
+                del self._lanes[name]
+
     def _find_heads(
         self, test: SelectionTest, *, by_age: bool
     ) -> list[tuple[_Lane, Waiting]]:
         heads = []
-        for name, lane in tuple(self._lanes.items()):
+        for lane in self._lanes.values():
             if not lane:
-                if lane.virtual <= self._virtual:
-                    # it would start at the common virtual time anyway
-                    del self._lanes[name]
                 continue
             find = lane.find_oldest if by_age else lane.find_most_urgent
             head = find(test)
--- a/packages/greengagelatch/src/greengagelatch/load/room.py
+++ b/packages/greengagelatch/src/greengagelatch/load/room.py
@@ -5,7 +5,6 @@
 import random
 from dataclasses import replace
 
-from ..targets import Target
 from .choice import TargetChoice
 from .loads import TargetView
 from .queue import SelectionTest, Waiting
@@ -52,9 +51,14 @@
     @property
     def busy(self) -> bool:
         """Whether the targets are so full that calls take clearly longer."""
-        sound = [view for view in self._views.values() if not view.ejected]
-        held = sum(view.held for view in sound)
-        return held > BUSY_SHARE * sum(view.limit for view in sound)
+        limit = sum(view.limit for view in self._list_sound())
+        return sum(view.held for view in self._list_sound()) > BUSY_SHARE * limit
+
+    @property
+    def mean_held(self) -> float:
+        """Calls that a target in service holds, on average."""
+        sound = self._list_sound()
+        return sum(view.held for view in sound) / max(1, len(sound))
 
     def begin(self, *, long_waits: bool, rush: bool) -> None:
         """Prepare for one selection.
@@ -77,20 +81,18 @@
         familiar = self._choice.find_familiar(self.views, prefix)
         return any(self._fits(view, waiting) for view in familiar)
 
-    def choose(self, waiting: Waiting, now: float) -> Target:
+    def choose(self, waiting: Waiting, now: float) -> TargetView:
         """Return the target for a call that :meth:`suits` has accepted."""
         fitting = tuple(v for v in self._views.values() if self._fits(v, waiting))
         probe = self._find_probe(fitting, waiting, now)
         if probe is not None:
-            return probe.target
+            return probe
         sound = tuple(view for view in fitting if not view.ejected) or fitting
-        view = self._choice.choose(sound, waiting.ticket.prefix, self._random)
-        return view.target
+        return self._choice.choose(sound, waiting.ticket.prefix, self._random)
 
-    def take(self, target_id: str, *, long: bool) -> float:
+    def take(self, view: TargetView, *, long: bool) -> float:
         """Count a call given to a target; return how many it held before."""
-        view = self._views[target_id]
-        self._views[target_id] = replace(
+        self._views[view.target.target_id] = replace(
             view,
             mine=view.mine + 1,
             mine_long=view.mine_long + long,
@@ -99,11 +101,14 @@
         )
         return view.held
 
+    def _list_sound(self) -> list[TargetView]:
+        return [view for view in self._views.values() if not view.ejected]
+
     def _fits(self, view: TargetView, waiting: Waiting) -> bool:
         if view.target.target_id in waiting.ticket.excluded:
             return False
         if view.ejected:
-            return view.probing and view.mine == 0 and waiting.ticket.repeatable
+            return view.probing and view.mine == 0 and self._may_probe(waiting)
         common = max(1.0, view.limit * (1 - self._short_share))
         if waiting.long:
             own = max(1, int(view.assured * (1 - self._short_share)))
@@ -123,6 +128,15 @@
         """Whether this instance may use room that is nobody's own."""
         return not self._rush or view.spare > 0
 
+    def _may_probe(self, waiting: Waiting) -> bool:
+        """Whether a call is fit to try a target that was out of service.
+
+        Long calls are not: on a target that is still slow they cost it, and
+        themselves, seconds; nor are those that could not be made again elsewhere.
+        """
+        ticket = waiting.ticket
+        return ticket.repeatable and not ticket.retry and not waiting.long
+
     def _find_probe(
         self, views: tuple[TargetView, ...], waiting: Waiting, now: float
     ) -> TargetView | None:
--- a/packages/greengagelatch/src/greengagelatch/load/scheduler.py
+++ b/packages/greengagelatch/src/greengagelatch/load/scheduler.py
@@ -172,7 +172,6 @@
             if not len(service.queue):
                 continue
             self._dirty.add(service.name)
-            service.note_overdue(now)
             busy = _is_contended(service, now)
             for waiting in service.queue:
                 if not _is_late(waiting, busy, now):
@@ -192,6 +191,10 @@
         service.finish(grant, outcome, now)
         self._dirty.add(service.name)
 
+    def note_first_token(self, grant: Grant, seconds: float, now: float) -> None:
+        """Take in that a granted stream has begun."""
+        self.find_service(grant.ticket.service).note_first_token(grant, seconds, now)
+
     def touch(self) -> None:
         """Look again at all services, as the directory has changed."""
         self._dirty.update(self._services)
@@ -240,6 +243,7 @@
 
     def _serve(self, service: ServiceLoad, now: float) -> None:
         """Grant calls until nothing suits or there is no room."""
+        service.watch(now)
         if not len(service.queue):
             return
         if not self._directory.candidates(service.name):
@@ -260,10 +264,12 @@
     def _grant(
         self, service: ServiceLoad, waiting: Waiting, room: Room, now: float
     ) -> None:
-        target = room.choose(waiting, now)
+        view = room.choose(waiting, now)
         self._last_grant += 1
-        grant = Grant(self._last_grant, waiting.ticket, target, now)
-        held = room.take(target.target_id, long=waiting.long)
+        grant = Grant(
+            self._last_grant, waiting.ticket, view.target, now, probe=view.ejected
+        )
+        held = room.take(view, long=waiting.long)
         service.start(grant, waiting, held)
         self._decide(waiting, Ok(grant))
 
--- a/packages/greengagelatch/src/greengagelatch/load/service.py
+++ b/packages/greengagelatch/src/greengagelatch/load/service.py
@@ -3,17 +3,17 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Hashable
 from dataclasses import dataclass
 from statistics import fmean
 
 from ..targets.directory import Candidate, TargetDirectory
 from . import Grant, Outcome, OutcomeKind
-from .breakers import BreakerRule, BreakerState, find_ejected
+from .breakers import BreakerRule, BreakerState, find_ejected, trip_slow
 from .caution import Caution
 from .choice import TargetChoice
-from .durations import DurationTracker
-from .knees import KneeCurve
+from .durations import DurationTracker, create_first_token_kind
+from .knees import KneeFinder
 from .limits import LimitRule
 from .loads import TargetLoad
 from .queue import CallQueue, Waiting
@@ -32,6 +32,8 @@
 #: seconds before the deadline at which a call that ends counts as too late: it was
 #: given up at the deadline, which the clock may show slightly early
 LATE_MARGIN = 0.01
+#: seconds between two looks at the calls that are out
+WATCH_INTERVAL = 0.1
 #: part of a stage's time that a call takes by expectation before any was measured
 PRIOR_SHARE = 0.3
 #: targets that have gone are forgotten once there are this many
@@ -49,6 +51,8 @@
     reported: float
     reports: int
     overdue: float = OVERDUE
+    #: whether its first token has come
+    begun: bool = False
 
 
 class ServiceLoad:
@@ -87,7 +91,8 @@
         self._running: dict[int, _Running] = {}
         self._kinds: set[Kind] = set()
         self._drain = DrainRate()
-        self._curve = KneeCurve()
+        self._watched = float("-inf")
+        self._knees = KneeFinder()
         self._caution = Caution(late_share)
 
     @property
@@ -116,6 +121,7 @@
     ) -> float:
         """Return seconds within which all but a few of such calls end."""
         seconds = self.estimate_duration(kind, allotted, percentile, now)
+        seconds *= self._knees.find_slowdown(self.find_room(now).mean_held + 1)
         return seconds * self._caution.find_factor(kind, now)
 
     def is_busy(self, now: float) -> bool:
@@ -146,7 +152,7 @@
             (self._durations.find_baseline(kind, now, 0.0) for kind in self._kinds),
             default=0.0,
         )
-        loads = [self._load_of(candidate, longest) for candidate in candidates]
+        loads = [self._load_of(candidate, longest, now) for candidate in candidates]
         known = [load.count_others(now, None) for load in loads]
         told = [count for count in known if count is not None]
         usual = fmean(told) if told else 0.0
@@ -183,6 +189,8 @@
         self._drain.note_started(priority, waiting.expected, grant.granted)
         load = self._targets[grant.target.target_id]
         load.change(1, long=waiting.long, now=grant.granted)
+        if grant.probe:
+            load.breaker.begin_probe(grant.granted)
         self._running[grant.grant_id] = _Running(
             grant, waiting.long, held, load.reported, load.reports
         )
@@ -195,7 +203,6 @@
         load = self._targets[grant.target.target_id]
         load.change(-1, long=running.long, now=now)
         kind = (grant.ticket.pipeline, grant.ticket.stage)
-        median = self._durations.estimate(kind, 50, now, outcome.seconds)
         if outcome.tokens:
             self._note_tokens(running, load, outcome, now)
         late = now >= grant.ticket.deadline - LATE_MARGIN
@@ -203,7 +210,9 @@
             case OutcomeKind.SUCCESS:
                 self._caution.note(kind, late=late, now=now)
                 baseline = self._durations.find_baseline(kind, now, outcome.seconds)
-                load.breaker.note_success(_divide(outcome.seconds, median), now)
+                self._note_time(load, running, outcome, now)
+                if load.breaker.note_success():
+                    load.limit.restart(now)
                 usual = baseline + self._limit_rule.wait
                 load.limit.note_latency(outcome.seconds / usual, running.held, now)
                 self._durations.record(kind, outcome.seconds, now)
@@ -214,19 +223,59 @@
             case OutcomeKind.ABANDONED:
                 if late:
                     self._caution.note(kind, late=True, now=now)
+                if outcome.tokens:
+                    self._note_time(load, running, outcome, now)
 
-    def note_overdue(self, now: float) -> None:
-        """Tell the breakers of calls that have run far longer than usual."""
+    def note_first_token(self, grant: Grant, seconds: float, now: float) -> None:
+        """Learn from how long a stream took to begin."""
+        running = self._running.get(grant.grant_id)
+        if running is None:
+            return
+        running.begun = True
+        kind = create_first_token_kind(grant.ticket.pipeline, grant.ticket.stage)
+        median = self._durations.estimate(kind, 50, now, seconds)
+        load = self._targets[grant.target.target_id]
+        load.breaker.note_time(_divide(seconds, median))
+        self._durations.record(kind, seconds, now)
+
+    def watch(self, now: float) -> None:
+        """Notice calls that are out far longer than usual, and slow targets."""
+        if now - self._watched < WATCH_INTERVAL:
+            return
+        self._watched = now
         for running in self._running.values():
-            grant = running.grant
-            kind = (grant.ticket.pipeline, grant.ticket.stage)
-            elapsed = now - grant.granted
-            median = self._durations.estimate(kind, 50, now, 0.0)
-            if median <= 0 or elapsed < running.overdue * median:
-                continue
-            breaker = self._targets[grant.target.target_id].breaker
-            breaker.note_overdue(elapsed / median, now)
-            running.overdue *= 2
+            self._note_overdue(running, now)
+        breakers = [load.breaker for load in self._targets.values()]
+        trip_slow(breakers, self._breaker_rule, now)
+
+    def _note_overdue(self, running: _Running, now: float) -> None:
+        ticket = running.grant.ticket
+        elapsed = now - running.grant.granted
+        whole = self._durations.estimate((ticket.pipeline, ticket.stage), 50, now, 0.0)
+        first = create_first_token_kind(ticket.pipeline, ticket.stage)
+        usual = self._durations.estimate(first, 50, now, whole)
+        if running.begun:
+            usual = whole
+        if usual <= 0 or elapsed < running.overdue * usual:
+            return
+        load = self._targets[running.grant.target.target_id]
+        load.breaker.note_time(elapsed / usual)
+        running.overdue *= 2
+
+    def _note_time(
+        self, load: TargetLoad, running: _Running, outcome: Outcome, now: float
+    ) -> None:
+        """Compare a call's time with the usual one; of streams, that of one token."""
+        ticket = running.grant.ticket
+        seconds = outcome.seconds
+        kind: Hashable = (ticket.pipeline, ticket.stage)
+        if outcome.tokens:
+            seconds /= outcome.tokens
+            kind = (ticket.pipeline, ticket.stage, "token")
+        usual = self._durations.estimate(kind, 50, now, seconds)
+        load.breaker.note_time(_divide(seconds, usual))
+        if outcome.tokens:
+            self._durations.record(kind, seconds, now)
 
     def estimate_wait(
         self, workspace: str, priority: int, work: float, now: float
@@ -252,7 +301,7 @@
         held = running.held
         if reports > 0:
             held = (load.reported - running.reported) / reports
-        self._curve.note(held, outcome.seconds, outcome.tokens, now)
+        self._knees.note(held, outcome.seconds, outcome.tokens, now)
 
     def _count_slots(self, now: float) -> float:
         """Return how many calls this instance can have in flight, by expectation."""
@@ -263,7 +312,7 @@
             if not view.ejected
         )
 
-    def _load_of(self, candidate: Candidate, longest: float) -> TargetLoad:
+    def _load_of(self, candidate: Candidate, longest: float, now: float) -> TargetLoad:
         target_id = candidate.target.target_id
         load = self._targets.get(target_id)
         if load is None:
@@ -273,7 +322,12 @@
                 breaker_rule=self._breaker_rule,
                 random_source=self._random,
             )
-        load.take_report(candidate.report, longest, self._curve.find_knee())
+        report = candidate.report
+        if report is None or not load.is_new(report):
+            return load
+        pressed = len(self.queue) > 1
+        knee = self._knees.find(report.capacity, pressed=pressed, now=now)
+        load.take_report(report, longest, knee)
         return load
 
     def _forget_idle(self) -> None:
