Dial no seed that a link is open to

Cause: seeds are dialled while no member to talk to is known, which holds while the only seed that answers is leaving; the link was opened anew five times a second. Before: the new test failed. After: it passes.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peers.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peers.py
@@ -222,8 +222,9 @@
 
     def _dial_seed(self) -> None:
         """Try to meet others by one of the addresses given in the settings."""
-        own = self._membership.describe().address
-        seeds = [address for address in self._seeds if address != own]
+        known = {link.peer.address for link in self._links.list_links()}
+        known.add(self._membership.describe().address)
+        seeds = [address for address in self._seeds if address not in known]
         if not seeds:
             return
         if self._links.dial_any(self._random.choice(seeds)) is not None:
--- a/tests/test_entry/test_adapters/test_peers.py
+++ b/tests/test_entry/test_adapters/test_peers.py
@@ -327,6 +327,22 @@
     assert new.metrics.value("peers.seed_dials") == dials
 
 
+async def test_seed_that_leaves_is_dialled_once(start):
+    """
+    Symptom: links opened and closed five times a second. Sequence: the only seed
+    that answers is leaving, so that no member to talk to is known. Cause: seeds were
+    dialled for as long as there is none.
+    """
+    leaving = await start("e-1")
+    leaving.events.emit(DRAIN_STARTED)
+    new = await start("e-2", seeds=leaving.address)
+    await wait_until(lambda: new.find_state("e-1") is MemberState.LEAVING)
+    dials = new.metrics.value("peers.seed_dials")
+    for _ in range(5):
+        new.hub.tend()
+    assert new.metrics.value("peers.seed_dials") == dials
+
+
 async def find_close_code(address: str, first_frame: bytes) -> int | None:
     async with connect(f"ws://{address}", proxy=None, max_size=None) as raw:
         try:
