Split the unused part of a quota evenly

The demo refused 8 requests of workspaces that asked for 3 to 7 of their 60 requests per second: a share that follows demand alone leaves an instance that was not asked for a while nearly nothing, and its bucket held one request. Now each instance gets what is asked of it and an even part of the rest, which still adds up to the quota; above it shares are in proportion as before. A greater floor was ruled out: it would take as much from where demand is.

--- a/packages/greengagelatch/src/greengagelatch/quotas/ledger.py
+++ b/packages/greengagelatch/src/greengagelatch/quotas/ledger.py
@@ -12,7 +12,7 @@
 from .bucket import Bucket
 from .demand import DemandMeter
 from .messages import DemandReport
-from .shares import FLOOR, ShareFacts, compute_share
+from .shares import ShareFacts, compute_part, compute_share
 from .sightings import ROWS_A_ROUND, Sighting, Sightings
 
 __all__ = ("QuotaLedger", "Use")
@@ -219,6 +219,7 @@
         )
         self._keep_shares(use, rows, own + others)
         facts = ShareFacts(
+            rate=use.quota.requests_per_second or 0.0,
             own=own,
             others=others,
             alive=len(roster.alive),
@@ -241,6 +242,7 @@
         total = reached + sum(rates.values())
         count = len(roster.alive) + len(lost)
         free = max(0.0, 1.0 - sum(use.kept.values()))
+        rate = free * (use.quota.requests_per_second or 0.0)
         for origin in lost:
-            part = rates.get(origin, 0.0) / total if total > 0 else 1.0 / count
-            use.kept[origin] = free * (FLOOR / count + (1 - FLOOR) * part)
+            part = compute_part(rates.get(origin, 0.0), total, count, rate)
+            use.kept[origin] = free * part
--- a/packages/greengagelatch/src/greengagelatch/quotas/shares.py
+++ b/packages/greengagelatch/src/greengagelatch/quotas/shares.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-__all__ = ("FLOOR", "ShareFacts", "compute_share")
+__all__ = ("FLOOR", "ShareFacts", "compute_part", "compute_share")
 
 #: part of a quota that is split evenly, so that each instance can begin
 FLOOR = 0.05
@@ -14,6 +14,8 @@
 class ShareFacts:
     """What an instance's share of one quota depends on."""
 
+    #: requests per second of the whole quota; 0: it limits something else
+    rate: float
     #: requests per second asked here
     own: float
     #: the same at the other instances that are believed alive
@@ -37,8 +39,23 @@
     """
     free = max(0.0, 1.0 - facts.kept_share)
     total = facts.own + facts.others
-    part = facts.own / total if total > 0 else 1.0 / facts.alive
-    share = free * (FLOOR / facts.alive + (1 - FLOOR) * part)
+    part = compute_part(facts.own, total, facts.alive, free * facts.rate)
+    share = free * part
     if facts.young:
         share = min(share, 1.0 / (facts.alive + facts.kept))
     return share
+
+
+def compute_part(own: float, total: float, count: int, rate: float) -> float:
+    """Return one instance's part of a rate that ``count`` instances divide.
+
+    Each gets what is asked of it, and what is left is split evenly: demand comes
+    in bursts, and an instance that was not asked for a while has to have room for
+    the next ones. Of more demand than there is, each gets its part, and of
+    :data:`FLOOR` its even part.
+    """
+    if total <= 0:
+        return 1.0 / count
+    if total < (1 - FLOOR) * rate:
+        return own / rate + (1 - total / rate) / count
+    return FLOOR / count + (1 - FLOOR) * own / total
--- a/tests/test_core/test_quotas/test_ledger.py
+++ b/tests/test_core/test_quotas/test_ledger.py
@@ -117,6 +117,23 @@
     assert all(share > rate for share, rate in zip(shares, asked, strict=True))
 
 
+def test_an_instance_that_is_seldom_asked_has_room_for_a_burst():
+    """Symptom: a workspace far below its quota has some requests refused.
+
+    Sequence: few callers, so that an instance gets none for a while; then two
+    within a moment; the second is refused. Cause: a share that followed demand
+    alone, with nothing left where there was none.
+    """
+    model = create_model()
+    model.demand = [4.0] * 8 + [0.05]
+    asked = model.quota
+    model.run(FOLLOWED)
+    admissions = [
+        model.ledgers[8].ask(asked, model.workspaces[0], model.now) for _ in range(5)
+    ]
+    assert all(admission.admitted for admission in admissions)
+
+
 def test_reports_stay_small_with_many_keys():
     model = create_model(keys=1200)
     model.demand = [1.0] * 9
--- /dev/null
+++ b/tests/test_entry/test_filters/test_admission.py
@@ -0,0 +1,200 @@
+"""Tests of greengagelatch_entry.filters.admission with its controller."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+
+from greengagelatch.clock import ManualClock
+from greengagelatch.config.objects import (
+    Pipeline,
+    Policy,
+    PolicyEffect,
+    Stage,
+    StageKind,
+    Workspace,
+)
+from greengagelatch.config.snapshot import Snapshot
+from greengagelatch.config.steering import resolve
+from greengagelatch.errors import RefusalCode
+from greengagelatch.request import Answer, Request
+from greengagelatch.settings import parse
+from greengagelatch.verdict import Verdict
+from greengagelatch_entry.controllers.claims import ClaimsController
+from greengagelatch_entry.controllers.quotas import QuotasController
+from greengagelatch_entry.filters import Exchange, chain
+from greengagelatch_entry.filters.admission import AdmissionFilter
+from greengagelatch_entry.filters.check import CheckFilter
+from greengagelatch_entry.filters.deduplication import DeduplicationFilter
+from greengagelatch_entry.metrics import Metrics
+from greengagelatch_lab.standins.memory import MemoryStore
+from greengagelatch_lab.standins.peers import Switchboard
+
+SETTINGS = """
+[instance]
+id = entry
+data_centre = north
+[platform]
+store = 127.0.0.1:1
+instances = 127.0.0.1:1
+"""
+
+
+class CountingStore(MemoryStore):
+    """Counts what is written."""
+
+    writes = 0
+
+    async def swap(self, *args, **options):
+        self.writes += 1
+        return await super().swap(*args, **options)
+
+
+class Entry:
+    """One instance up to its last handler, which counts what it is given."""
+
+    def __init__(self, **values) -> None:
+        self.clock = ManualClock(100.0)
+        self.metrics = Metrics("127.0.0.1:9")
+        self.store = CountingStore(clock=self.clock)
+        self.ran = []
+        self.verdict = Verdict.RAN
+        stage = Stage(name="write", kind=StageKind.GENERATE, service="llm")
+        policy = Policy(name="small", effect=PolicyEffect.QUOTA, values=values)
+        self.snapshot = Snapshot(
+            generation=1,
+            pipelines={"draft": Pipeline(name="draft", stages=(stage,))},
+            workspaces={"depot": Workspace(name="depot")},
+            policies={"small": policy},
+        )
+        peers = Switchboard().join("entry", "north")
+        common = {
+            "peers": peers,
+            "clock": self.clock,
+            "settings": parse(SETTINGS).unwrap(),
+            "metrics": self.metrics,
+            "instance_id": "entry",
+        }
+        self.quotas = QuotasController(random_source=random.Random(1), **common)
+        self.claims = ClaimsController(
+            store=self.store, random=random.Random(2), **common
+        )
+        filters = (
+            CheckFilter(snapshot=lambda: self.snapshot),
+            AdmissionFilter(quotas=self.quotas, claimed=False),
+            DeduplicationFilter(claims=self.claims),
+            AdmissionFilter(quotas=self.quotas, claimed=True),
+        )
+        self._handler = chain(filters, self._run)
+
+    async def ask(self, key="", *, first=False, stream=False) -> Answer:
+        now = self.clock.now()
+        request = Request(
+            request_id=f"request-{random.random()}",
+            workspace="depot",
+            pipeline="draft",
+            input=None,
+            received=now,
+            deadline=now + 5,
+            key=key,
+            digest="a",
+            first_attempt=first,
+            stream=stream,
+        )
+        on_token = (lambda offset, text: None) if stream else None
+        return await self._handler(Exchange(request=request, on_token=on_token))
+
+    async def _run(self, exchange: Exchange) -> Answer:
+        self.ran.append(exchange.request)
+        exchange.raise_verdict(self.verdict)
+        if exchange.on_token is not None:
+            for offset in range(10):
+                exchange.on_token(offset, "word")
+        return Answer(
+            request_id=exchange.request.request_id,
+            verdict=self.verdict,
+            result=len(self.ran),
+        )
+
+
+@pytest.mark.parametrize(("key", "first"), [("", False), ("one", True), ("one", False)])
+async def test_refusal_runs_nothing_and_tells_when_to_ask_again(key, first):
+    entry = Entry(requests_per_second="2", burst_seconds="0.5")
+    await entry.ask()
+    writes = entry.store.writes
+    refused = await entry.ask(key, first=first)
+    assert refused.verdict is Verdict.NOT_RUN
+    assert refused.refusal.verdict is Verdict.NOT_RUN
+    assert refused.refusal.code is RefusalCode.QUOTA
+    assert refused.refusal.retry_after_ms == 500
+    assert len(entry.ran) == 1
+    # only a key that may have been used before has to be claimed
+    assert (entry.store.writes > writes) == bool(key and not first)
+    # the key, if any, is as good as new
+    entry.clock.advance(0.5)
+    answer = await entry.ask(key, first=first)
+    assert answer.verdict is Verdict.RAN
+    assert not answer.replayed
+    assert len(entry.ran) == 2
+
+
+@pytest.mark.parametrize("first", [False, True])
+async def test_repeat_gets_its_answer_although_the_quota_is_used_up(first):
+    entry = Entry(requests_per_second="2", burst_seconds="0.5")
+    await entry.ask("one", first=first)
+    repeat = await entry.ask("one")
+    assert repeat.replayed
+    assert repeat.result == 1
+
+
+async def test_what_used_nothing_is_given_back():
+    entry = Entry(requests_per_second="2", burst_seconds="0.5")
+    entry.verdict = Verdict.NOT_RUN
+    for _ in range(5):
+        assert (await entry.ask()).refusal is None
+    entry.verdict = Verdict.MAY_HAVE_RUN
+    await entry.ask()
+    assert (await entry.ask()).refusal.code is RefusalCode.QUOTA
+    assert entry.metrics.value("quotas.given_back") == 5
+    assert entry.metrics.value("quotas.refused") == 1
+
+
+async def test_streamed_tokens_are_charged_after_the_answer():
+    entry = Entry(tokens_per_second="4", burst_seconds="1")
+    assert (await entry.ask(stream=True)).refusal is None
+    refused = await entry.ask(stream=True)
+    # 6 beyond the burst of 4, and 1 to begin with
+    assert refused.refusal.retry_after_ms == 1750
+    entry.clock.advance(1.75)
+    assert (await entry.ask()).refusal is None
+    assert entry.quotas.dump()["uses"]["small/depot"]["share"] == 1.0
+
+
+async def test_instances_learn_of_each_others_demand():
+    switchboard = Switchboard()
+    clock = ManualClock(100.0)
+    entries = [
+        QuotasController(
+            peers=switchboard.join(name, "north"),
+            clock=clock,
+            random_source=random.Random(name),
+            settings=parse(SETTINGS).unwrap(),
+            metrics=Metrics("127.0.0.1:9"),
+            instance_id=name,
+        )
+        for name in ("entry-a", "entry-b")
+    ]
+    entry = Entry(requests_per_second="20")
+    quota = resolve(entry.snapshot, "depot").quota
+    for _ in range(20):
+        for controller, count in zip(entries, (30, 10), strict=True):
+            for _ in range(count):
+                controller.admit(quota, "depot")
+        clock.advance(1.0)
+        for controller in entries:
+            await controller.run_round()
+            await asyncio.sleep(0)
+    shares = [one.dump()["uses"]["small/depot"]["share"] for one in entries]
+    assert shares == pytest.approx([0.7375, 0.2625], abs=0.02)
