Kill the holders of keyed requests in the trials of outages

Cause: the trials killed an instance at any moment, but nobody asked for its requests elsewhere at once.

'make outages' runs both fleets.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PACKAGES := $(wildcard packages/*)
 STAMP := $(VENV)/installed
 
-.PHONY: demo capacity matrix differential test lint format docs clean
+.PHONY: demo capacity matrix differential outages test lint format docs clean
 
 $(STAMP): constraints.txt $(wildcard packages/*/pyproject.toml)
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -30,6 +30,10 @@
 differential: $(STAMP)
 	$(BIN)/python -m greengagelatch_lab.differential --seeds $(SEEDS)
 
+outages: $(STAMP)
+	$(BIN)/python -m greengagelatch_lab.outages --fleet luzon
+	$(BIN)/python -m greengagelatch_lab.outages --fleet kyushu
+
 test: $(STAMP) lint
 	$(BIN)/python -m pytest -q -n 6
 
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/outages/__init__.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/outages/__init__.py
@@ -8,9 +8,10 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from ..fleets.daemon import Daemon
     from ..fleets.playing import Playing
 
-__all__ = ("Fault", "Scene")
+__all__ = ("Fault", "LastingFault", "Scene")
 
 
 @dataclass(slots=True)
@@ -24,6 +25,12 @@
     #: promises that a fault found broken by itself
     broken: list[str] = field(default_factory=list)
 
+    def pick_daemon(self) -> Daemon:
+        """Return a random entry instance, which counts as struck from now on."""
+        daemon = self.random_source.choice(self.playing.runner.daemons)
+        self.struck.add(daemon.instance_id)
+        return daemon
+
 
 class Fault(ABC):
     """Something that goes wrong for a while."""
@@ -40,3 +47,10 @@
     @abstractmethod
     async def end(self, scene: Scene) -> None:
         """Mend what can be mended; a killed process stays dead."""
+
+
+class LastingFault(Fault):
+    """A fault that has no end of its own."""
+
+    async def end(self, scene: Scene) -> None:
+        pass
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/outages/faults.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/outages/faults.py
@@ -8,7 +8,8 @@
 import aiohttp
 
 from ..processes import ProcessError
-from . import Fault, Scene
+from . import Fault, LastingFault, Scene
+from .kills import DaemonKilled, HolderKilled
 from .partitions import PARTITIONS
 from .starts import StartInOutage
 
@@ -28,32 +29,6 @@
 CONTROL_TIMEOUT = 5.0
 
 
-class LastingFault(Fault):
-    """A fault that has no end of its own."""
-
-    async def end(self, scene: Scene) -> None:
-        pass
-
-
-class DaemonKilled(LastingFault):
-    """An entry instance dies; another takes its place."""
-
-    name = "daemon-killed"
-
-    async def begin(self, scene: Scene) -> None:
-        runner = scene.playing.runner
-        daemon = _pick_daemon(scene)
-        daemon.process.kill()
-        await daemon.process.wait()
-        runner.daemons.remove(daemon)
-        replacement = await runner.start_daemon(
-            f"{daemon.instance_id}-next", daemon.data_centre
-        )
-        scene.playing.balancer.add(replacement.entry)
-        scene.playing.balancer.remove(daemon.entry)
-        await runner.registry.remove([daemon.instance_id])
-
-
 class DaemonPaused(Fault):
     """An entry instance stands still and then goes on as if nothing had been."""
 
@@ -63,7 +38,7 @@
         self._paused: Daemon | None = None
 
     async def begin(self, scene: Scene) -> None:
-        self._paused = _pick_daemon(scene)
+        self._paused = scene.pick_daemon()
         self._paused.process.pause()
 
     async def end(self, scene: Scene) -> None:
@@ -153,12 +128,6 @@
             raise
 
 
-def _pick_daemon(scene: Scene) -> Daemon:
-    daemon = scene.random_source.choice(scene.playing.runner.daemons)
-    scene.struck.add(daemon.instance_id)
-    return daemon
-
-
 async def _set_target_faults(target: dict[str, str], faults: dict[str, Any]) -> None:
     timeout = aiohttp.ClientTimeout(total=CONTROL_TIMEOUT)
     url = f"http://{target['address']}/control/faults"
@@ -174,6 +143,7 @@
     fault.name: fault
     for fault in (
         DaemonKilled(),
+        HolderKilled(),
         DaemonPaused(),
         TargetSilent(),
         PlatformFault("store-down", {"outage": True}, {"outage": False}),
