--- a/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/orders.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/orders.py
@@ -111,6 +111,7 @@
             timeout=settings["orders.timeout"],
             longest=settings["orders.longest"],
             interval=settings["orders.interval"],
+            margin=settings["leases.margin"],
         )
         self._caller = EngineCaller(
             client=client,
--- a/packages/greengagelatch/src/greengagelatch/orders/engine.py
+++ b/packages/greengagelatch/src/greengagelatch/orders/engine.py
@@ -82,7 +82,7 @@
         if unsettled is not None:
             arrived = report.fence == unsettled.fence
             done = arrived and report.state.equals(unsettled.wanted)
-            if done or now - self.sent >= rules.timeout + rules.longest:
+            if done or now - self.sent >= rules.patience:
                 unsettled = None
         delay = rules.interval if unsettled is None else rules.settle_interval
         return dataclasses.replace(
--- a/packages/greengagelatch/src/greengagelatch/orders/rules.py
+++ b/packages/greengagelatch/src/greengagelatch/orders/rules.py
@@ -36,6 +36,13 @@
     longest: float
     #: time between two readings of an engine that is as it should be
     interval: float
+    #: what this instance's clock may be fast by over the two times above
+    margin: float
+
+    @property
+    def patience(self) -> float:
+        """Time after which an order without an answer is surely over."""
+        return self.timeout + self.longest + self.margin
 
     @property
     def settle_interval(self) -> float:
