Work out each role's cost at the planned size

Found: idle and changing daemons cost more the more members there are, for each adopted generation opens links for thirteen words; lease holders work out their places at each tick; the list of instances is read in full by every node. Weighed for the crowd: whole daemons (61 MB each, too many for one machine) and fake peers (would not show the cost of links); members with real links and configuration that share processes were taken.

--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/capacity/farm.py
@@ -0,0 +1,170 @@
+"""Many members of a fleet in one process, as company for the daemons measured.
+
+Each has the links, the failure detector and the configuration of a daemon, and no
+callers, targets or operators. The list of instances is read once for all of them.
+Run with ``--platform``, ``--first`` and ``--count``; it lists its members itself and
+prints a line ``ready`` with their number, then a line ``in-force GENERATION SECONDS``
+each time that all of them have moved on, in seconds of the machine's monotonic clock.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import random
+import signal
+import sys
+import time
+from functools import partial
+from typing import TYPE_CHECKING
+
+from greengagelatch.clock import SystemClock
+from greengagelatch.events import EventBus
+from greengagelatch.settings import Settings, parse
+from greengagelatch.targets.messages import LeavingQuery, TargetsLeaving
+from greengagelatch_entry.adapters.instances import HttpInstanceList
+from greengagelatch_entry.adapters.peers import PeerHub
+from greengagelatch_entry.adapters.store import HttpStore
+from greengagelatch_entry.controllers.configuration import (
+    CONFIGURATION_CHANGED,
+    ConfigurationController,
+)
+from greengagelatch_entry.controllers.listing import LISTING_RECEIVED
+from greengagelatch_entry.metrics import Metrics
+
+from ..fleets.registry import Registry, describe_instance
+
+if TYPE_CHECKING:
+    from greengagelatch.config.snapshot import Snapshot
+    from greengagelatch_entry.controllers import Controller
+
+__all__ = ("DATA_CENTRES", "main")
+
+STATSD = "127.0.0.1:9"
+DATA_CENTRES = tuple(f"centre-{number:02d}" for number in range(11))
+LIST_INTERVAL = 5.0
+TIMEOUT = 10.0
+SETTINGS = """
+[instance]
+id = {name}
+data_centre = {data_centre}
+
+[peers]
+listen = 127.0.0.1:0
+
+[platform]
+store = {platform}
+instances = {platform}
+"""
+
+
+class _Member:
+    """One member: links, failure detection and configuration."""
+
+    def __init__(self, number: int, platform: str) -> None:
+        self.name = f"member-{number:04d}"
+        self.data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
+        settings = self._read_settings(platform)
+        self.events = EventBus()
+        clock = SystemClock()
+        metrics = Metrics(STATSD)
+        source = random.Random(number)
+        self.store = HttpStore(address=platform, timeout=TIMEOUT, metrics=metrics)
+        self._hub = PeerHub(
+            clock=clock,
+            random_source=source,
+            events=self.events,
+            settings=settings,
+            metrics=metrics,
+        )
+        # daemons ask for leaving targets until somebody answers
+        self._hub.handle(LeavingQuery, lambda sender, query: TargetsLeaving(()))
+        self._hub.handle(TargetsLeaving, lambda sender, message: None)
+        configuration = ConfigurationController(
+            store=self.store,
+            peers=self._hub,
+            data_centre=self.data_centre,
+            clock=clock,
+            random=source,
+            events=self.events,
+            settings=settings,
+            metrics=metrics,
+        )
+        self.controllers: tuple[Controller, ...] = (self._hub, configuration)
+
+    def describe(self) -> dict[str, str]:
+        """Return the member as an entry of the platform's list."""
+        address = f"127.0.0.1:{self._hub.port}"
+        return describe_instance(self.name, "entry", self.data_centre, address)
+
+    def _read_settings(self, platform: str) -> Settings:
+        text = SETTINGS.format(
+            name=self.name, data_centre=self.data_centre, platform=platform
+        )
+        return parse(text).unwrap()
+
+
+class _Progress:
+    """Tells when all members have a generation."""
+
+    def __init__(self, members: list[_Member]) -> None:
+        self._generations = {member.name: 0 for member in members}
+        self._told = 0
+        for member in members:
+            member.events.connect(CONFIGURATION_CHANGED, partial(self._note, member))
+
+    def _note(self, member: _Member, snapshot: Snapshot) -> None:
+        self._generations[member.name] = snapshot.generation
+        lowest = min(self._generations.values())
+        if lowest > self._told:
+            self._told = lowest
+            print("in-force", lowest, time.monotonic(), flush=True)
+
+
+async def _run(platform: str, first: int, count: int) -> None:
+    members = [_Member(first + n, platform) for n in range(count)]
+    _Progress(members)
+    for member in members:
+        for controller in member.controllers:
+            await controller.start()
+    async with Registry(platform) as registry:
+        await registry.put([member.describe() for member in members])
+    print("ready", count, flush=True)
+    stopped = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stopped.set)
+    reader = HttpInstanceList(
+        address=platform, timeout=TIMEOUT, metrics=Metrics(STATSD)
+    )
+    try:
+        while not stopped.is_set():
+            answer = await reader.fetch()
+            for member in members:
+                if answer.is_ok():
+                    member.events.emit(LISTING_RECEIVED, answer.ok_value)
+            try:
+                async with asyncio.timeout(LIST_INTERVAL):
+                    await stopped.wait()
+            except TimeoutError:
+                continue
+    finally:
+        await reader.close()
+        for member in members:
+            await member.store.close()
+
+
+def main() -> None:
+    """Run members until SIGTERM; they end with the process, as after a crash."""
+    parser = argparse.ArgumentParser(description=main.__doc__)
+    parser.add_argument("--platform", required=True)
+    parser.add_argument("--first", type=int, default=0)
+    parser.add_argument("--count", type=int, required=True)
+    options = parser.parse_args()
+    loop = asyncio.new_event_loop()
+    loop.run_until_complete(_run(options.platform, options.first, options.count))
+    # services that were not stopped would be waited for
+    sys.stdout.flush()
+    loop.close()
+
+
+if __name__ == "__main__":
+    main()
