Let the pace of changes be chosen where fleets are measured

The interval is an argument now, the test asks for what it did, and a second one has members as company reach each generation. 2 tests pass.

--- a/packages/greengagelatch-lab/src/greengagelatch_lab/capacity/fleet_check.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/capacity/fleet_check.py
@@ -50,7 +50,7 @@
 #: seconds until all members must have the first configuration
 START_TIMEOUT = 120.0
 #: seconds between two changes
-CHANGE_INTERVAL = 2.0
+CHANGE_INTERVAL = 1.0
 POLL = 0.02
 TIMEOUT = 30.0
 SETTINGS = {"drain.balancer_lag": "0", "drain.longest": "2"}
@@ -206,6 +206,7 @@
     sizes: Sequence[int] = SIZES,
     seconds: float = SECONDS,
     settle: float = SETTLE,
+    interval: float = CHANGE_INTERVAL,
 ) -> tuple[Series, Series, Series]:
     """Run fleets of several sizes: idle, under changes, and how long these take."""
     idle, changing, spread = [], [], []
@@ -218,10 +219,10 @@
             await asyncio.sleep(settle)
             idle.append(await _measure(fleet, size, asyncio.sleep(seconds)))
             delays: list[float] = []
-            work = _change_for(fleet, seconds, delays)
+            work = _change_for(fleet, seconds, interval, delays)
             changing.append(await _measure(fleet, size, work))
             spread.append(_describe_delays(size, delays))
-    return _describe_series("of a fleet", idle, changing, spread)
+    return _describe_series("of a fleet", interval, idle, changing, spread)
 
 
 async def measure_crowd(
@@ -229,6 +230,7 @@
     sizes: Sequence[int] = CROWDS,
     seconds: float = SECONDS,
     settle: float = SETTLE,
+    interval: float = CHANGE_INTERVAL,
 ) -> tuple[Series, Series, Series]:
     """Measure a few daemons among more and more members, idle and under changes."""
     idle, changing, spread = [], [], []
@@ -246,12 +248,16 @@
             await asyncio.sleep(settle)
             idle.append(await _measure(fleet, size, asyncio.sleep(seconds)))
             made: list[tuple[int, float]] = []
-            work = _change_unwatched(fleet, seconds, made)
+            work = _change_unwatched(fleet, seconds, interval, made)
             changing.append(await _measure(fleet, size, work))
-            await asyncio.sleep(settle)
+            await wait_until(
+                partial(fleet.has_all, made[-1][0]),
+                timeout=START_TIMEOUT,
+                what="the last change at all members",
+            )
             delays = [fleet.find_in_force(one) - accepted for one, accepted in made]
             spread.append(_describe_delays(size, delays))
-    return _describe_series("among members", idle, changing, spread)
+    return _describe_series("among members", interval, idle, changing, spread)
 
 
 async def _measure(fleet: _Fleet, size: int, work: Any) -> Point:
@@ -285,7 +291,9 @@
     return Point(drivers={"members": size}, figures=figures)
 
 
-async def _change_for(fleet: _Fleet, seconds: float, delays: list[float]) -> None:
+async def _change_for(
+    fleet: _Fleet, seconds: float, interval: float, delays: list[float]
+) -> None:
     """Make changes at a steady pace and note when each is in force everywhere."""
     end = time.monotonic() + seconds
     number = 0
@@ -296,11 +304,11 @@
         )
         accepted = time.monotonic()
         delays.append(max(await fleet.wait_in_force(generation)) - accepted)
-        await asyncio.sleep(max(0.0, accepted + CHANGE_INTERVAL - time.monotonic()))
+        await asyncio.sleep(max(0.0, accepted + interval - time.monotonic()))
 
 
 async def _change_unwatched(
-    fleet: _Fleet, seconds: float, made: list[tuple[int, float]]
+    fleet: _Fleet, seconds: float, interval: float, made: list[tuple[int, float]]
 ) -> None:
     """Make changes at a steady pace, and ask nobody for them."""
     end = time.monotonic() + seconds
@@ -308,11 +316,15 @@
         number = len(made) + 1
         generation = await fleet.change(_describe_workspace(number, number))
         made.append((generation, time.monotonic()))
-        await asyncio.sleep(CHANGE_INTERVAL)
+        await asyncio.sleep(interval)
 
 
 def _describe_series(
-    what: str, idle: list[Point], changing: list[Point], spread: list[Point]
+    what: str,
+    interval: float,
+    idle: list[Point],
+    changing: list[Point],
+    spread: list[Point],
 ) -> tuple[Series, Series, Series]:
     lines = {
         "cpu_percent": ("members",),
@@ -323,7 +335,7 @@
     return (
         Series(role=f"daemon {what}, idle", points=idle, lines=lines),
         Series(
-            role=f"daemon {what}, a change each {CHANGE_INTERVAL:g} s",
+            role=f"daemon {what}, a change each {interval:g} s",
             points=changing,
             lines=lines,
         ),
--- a/tests/test_lab/test_capacity/test_roles.py
+++ b/tests/test_lab/test_capacity/test_roles.py
@@ -1,5 +1,7 @@
 """Small runs of each measurement: what it counts, not how long it takes."""
 
+import math
+
 import pytest
 
 from greengagelatch_lab.capacity import (
@@ -96,9 +98,19 @@
 @pytest.mark.processes
 async def test_fleet_is_read_idle_and_under_changes(tmp_path):
     idle, changing, delays = await fleet_check.measure_fleet(
-        tmp_path, (2, 3), seconds=2.0, settle=1.0
+        tmp_path, (2, 3), seconds=2.0, settle=1.0, interval=0.2
     )
     assert get_figures(idle, "bytes_per_s")[1] > 0
     assert get_figures(changing, "calls_swap_per_s")[0] > 0
     assert get_figures(idle, "calls_fetch_per_s")[0] > 0
     assert min(get_figures(delays, "changes")) >= 2
+
+
+@pytest.mark.processes
+async def test_company_is_part_of_the_fleet(tmp_path):
+    idle, _, delays = await fleet_check.measure_crowd(
+        tmp_path, (4, 6), seconds=1.0, settle=1.0, interval=0.2
+    )
+    assert get_figures(idle, "company_percent")[0] > 0
+    # each generation has reached every member
+    assert all(map(math.isfinite, get_figures(delays, "worst_s")))
