Wire leases and orders, and halt a holder in the middle of an order

Cause: the daemon did not carry out placement policies, and the guard right before sending had been tried in one process only. Weighed for the test: SIGSTOP from outside, which hardly ever falls between check and first byte, or a daemon that halts itself there: the latter. Before: no orders. After: two tests with real processes pass: an order held up before the check is withheld, one held up after it is refused by an engine that checks.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/composition.py
@@ -18,6 +18,7 @@
 from .adapters.instances import HttpInstanceList
 from .adapters.operators import OperatorsServer
 from .adapters.operators_configuration import add_configuration_routes
+from .adapters.orders import HttpOrderClient
 from .adapters.peers import PeerHub
 from .adapters.state_dump import StateDump
 from .adapters.store import HttpStore
@@ -33,7 +34,9 @@
 from .controllers.claims import ClaimsController
 from .controllers.configuration import ConfigurationController
 from .controllers.drain import DrainController
+from .controllers.leases import LeasesController
 from .controllers.listing import ListingController
+from .controllers.orders import OrdersController
 from .controllers.quotas import QuotasController
 from .controllers.scheduling import SchedulingController
 from .controllers.targets import TargetsController
@@ -104,6 +107,7 @@
             metrics=self.metrics,
         )
         self._build_state()
+        self._build_orders()
         self._build_request_path()
         self._build_servers()
         return Parts(
@@ -158,6 +162,30 @@
             instance_id=self.settings["instance.id"],
         )
 
+    def _build_orders(self) -> None:
+        timeout = self.settings["orders.timeout"]
+        self.order_client = HttpOrderClient(timeout=timeout, metrics=self.metrics)
+        self.leases = LeasesController(
+            store=self.store,
+            peers=self.peers,
+            clock=self.clock,
+            settings=self.settings,
+            metrics=self.metrics,
+            longest_action=timeout,
+        )
+        self.orders = OrdersController(
+            leases=self.leases,
+            client=self.order_client,
+            targets=self.targets,
+            snapshot=lambda: self.configuration.snapshot,
+            get_store_age=self.configuration.get_store_age,
+            clock=self.clock,
+            random_source=self.random,
+            events=self.events,
+            settings=self.settings,
+            metrics=self.metrics,
+        )
+
     def _build_request_path(self) -> None:
         durations = DurationTracker()
         plan = DeadlinePlan(
@@ -271,6 +299,7 @@
     async def _close(self) -> None:
         await self.attempts.close()
         await self.client.close()
+        await self.order_client.close()
         await self.instance_list.close()
         await self.store.close()
 
@@ -280,6 +309,8 @@
             self.listing,
             self.configuration,
             self.targets,
+            self.leases,
+            self.orders,
             self.scheduling,
             self.claims,
             self.quotas,
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/fleets/daemon.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/fleets/daemon.py
@@ -29,6 +29,8 @@
     :param platform: address of the platform's service and list
     :param settings: further settings by ``section.key``
     :param network: paths between data centres; ``None``: all reach each other directly
+    :param command: module to run instead of the daemon's own, and its arguments before
+        those of the daemon
     """
 
     def __init__(
@@ -40,6 +42,7 @@
         platform: str,
         settings: Mapping[str, str],
         network: Network | None = None,
+        command: tuple[str, ...] = (),
     ) -> None:
         self.instance_id = instance_id
         self.data_centre = data_centre
@@ -56,7 +59,7 @@
             "log.file": str(directory / f"{instance_id}.log"),
             **settings,
         }
-        module, arguments = _find_module(data_centre, network)
+        module, *arguments = command or _find_command(data_centre, network)
         self.process = Process.run_module(
             instance_id,
             module,
@@ -109,8 +112,8 @@
             parser.write(file)
 
 
-def _find_module(data_centre: str, network: Network | None) -> tuple[str, list[str]]:
+def _find_command(data_centre: str, network: Network | None) -> tuple[str, ...]:
     """Return the module to run and its arguments before those of the daemon."""
     if network is None:
-        return MODULE, []
-    return ROUTED_MODULE, [f"--from={network.get_number(data_centre)}"]
+        return (MODULE,)
+    return (ROUTED_MODULE, f"--from={network.get_number(data_centre)}")
