Work out the room of targets once for each call

Cause, by a profile of the chain without sockets: a call had the room of its service's targets worked out three times, for what it may take, for its grant and for whether the targets are busy.

The room is now kept for one moment: the same clock reading, the same candidates, and nothing started, ended or tripped in between. The controller gives arrival and decision the same reading. Ruled out: keeping it for a short time, as a grant or an answer in between would be missed.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/scheduling.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/scheduling.py
@@ -85,10 +85,14 @@
             self._metrics.count("scheduling.moved")
             self.release(grant, Outcome(OutcomeKind.ABANDONED, 0.0))
 
+    def note_first_token(self, grant: Grant, seconds: float) -> None:
+        self._scheduler.note_first_token(grant, seconds, self._clock.now())
+
     def release(self, grant: Grant, outcome: Outcome) -> None:
-        self._scheduler.finish(grant, outcome, self._clock.now())
+        now = self._clock.now()
+        self._scheduler.finish(grant, outcome, now)
         self._metrics.count(f"scheduling.outcome.{outcome.kind.value}")
-        self._poll()
+        self._poll(now)
 
     async def on_stop(self) -> None:
         """Refuse what still waits, so that no caller hangs until its deadline."""
@@ -127,10 +131,12 @@
         if self._refusing:
             message = "this instance is stopping"
             return Err(create_refusal(RefusalCode.NOT_READY, message, 0))
-        waiting_id = self._scheduler.submit(ticket, self._clock.now())
+        # one moment for both, as what the scheduler works out holds for one moment
+        now = self._clock.now()
+        waiting_id = self._scheduler.submit(ticket, now)
         future = asyncio.get_running_loop().create_future()
         self._callers[waiting_id] = future
-        self._poll()
+        self._poll(now)
         try:
             return await future
         except asyncio.CancelledError:
@@ -150,8 +156,8 @@
             case Ok(grant):
                 self.release(grant, Outcome(OutcomeKind.ABANDONED, 0.0))
 
-    def _poll(self) -> None:
-        for decision in self._scheduler.poll(self._clock.now()):
+    def _poll(self, now: float) -> None:
+        for decision in self._scheduler.poll(now):
             future = self._callers.get(decision.waiting_id)
             if future is not None and not future.done():
                 future.set_result(decision.result)
@@ -159,13 +165,12 @@
             match decision.result:
                 case Ok(grant):
                     outcome = Outcome(OutcomeKind.ABANDONED, 0.0)
-                    self._scheduler.finish(grant, outcome, self._clock.now())
-        self._set_timer()
+                    self._scheduler.finish(grant, outcome, now)
+        self._set_timer(now)
 
-    def _set_timer(self) -> None:
+    def _set_timer(self, now: float) -> None:
         if self._timer is not None or self._refusing:
             return
-        now = self._clock.now()
         wake = self._scheduler.find_next_wake(now)
         if wake is None:
             return
@@ -174,13 +179,14 @@
 
     def _wake(self) -> None:
         self._timer = None
-        self._scheduler.expire(self._clock.now())
-        self._poll()
+        now = self._clock.now()
+        self._scheduler.expire(now)
+        self._poll(now)
 
     def _note_leaving(self, *_target: Any) -> None:
         self._scheduler.touch()
         if self._callers:
-            self._poll()
+            self._poll(self._clock.now())
 
 
 def _dump_service(service: ServiceLoad, now: float) -> dict[str, Any]:
--- a/packages/greengagelatch/src/greengagelatch/load/service.py
+++ b/packages/greengagelatch/src/greengagelatch/load/service.py
@@ -55,6 +55,15 @@
     begun: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class _KnownRoom:
+    """The room as it was worked out last, and from what."""
+
+    at: float
+    candidates: tuple[Candidate, ...]
+    room: Room
+
+
 class ServiceLoad:
     """Queue, calls in flight and targets of one service."""
 
@@ -94,6 +103,7 @@
         self._watched = float("-inf")
         self._knees = KneeFinder()
         self._caution = Caution(late_share)
+        self._known_room: _KnownRoom | None = None
 
     @property
     def targets(self) -> dict[str, TargetLoad]:
@@ -145,9 +155,20 @@
         return estimate(kind, 50, now, 0.0) > boundary
 
     def find_room(self, now: float) -> Room:
-        """Return the room of all targets as of ``now``."""
-        choosers = max(1.0, self._count_choosers(self.name))
+        """Return the room of all targets as of ``now``.
+
+        A call is asked about several times at one moment, from its arrival to its
+        grant, and working the room out is most of what a decision costs.
+        """
         candidates = self._directory.candidates(self.name)
+        known = self._known_room
+        if known is None or known.at != now or known.candidates != candidates:
+            room = self._work_out_room(candidates, now)
+            known = self._known_room = _KnownRoom(now, candidates, room)
+        return known.room
+
+    def _work_out_room(self, candidates: tuple[Candidate, ...], now: float) -> Room:
+        choosers = max(1.0, self._count_choosers(self.name))
         longest = max(
             (self._durations.find_baseline(kind, now, 0.0) for kind in self._kinds),
             default=0.0,
@@ -187,6 +208,7 @@
         """Count a granted call; ``held`` is what its target held by expectation."""
         priority = grant.ticket.priority
         self._drain.note_started(priority, waiting.expected, grant.granted)
+        self._known_room = None
         load = self._targets[grant.target.target_id]
         load.change(1, long=waiting.long, now=grant.granted)
         if grant.probe:
@@ -200,6 +222,7 @@
         running = self._running.pop(grant.grant_id, None)
         if running is None:
             return
+        self._known_room = None
         load = self._targets[grant.target.target_id]
         load.change(-1, long=running.long, now=now)
         kind = (grant.ticket.pipeline, grant.ticket.stage)
@@ -232,6 +255,7 @@
         if running is None:
             return
         running.begun = True
+        self._known_room = None
         kind = create_first_token_kind(grant.ticket.pipeline, grant.ticket.stage)
         median = self._durations.estimate(kind, 50, now, seconds)
         load = self._targets[grant.target.target_id]
@@ -243,6 +267,7 @@
         if now - self._watched < WATCH_INTERVAL:
             return
         self._watched = now
+        self._known_room = None
         for running in self._running.values():
             self._note_overdue(running, now)
         breakers = [load.breaker for load in self._targets.values()]
