Tell of a new generation over the links that are open

Cause: each instance that adopted a generation told three members of its own data centre and one of each other, picked anew, so with eleven data centres thirteen words a change, most of them a dial and a handshake at both ends; and the word now and then went to any member, so a link was opened each two seconds and kept for fifteen. Ruled out: only those that read the store tell other data centres (leaves the handshakes within one); a fixed ring (one instance that stands still holds up the rest). Now the neighbours are told, half of which are in other data centres; an eighth of the words now and then still go to anyone, for views that differ. A network that keeps no links is told as before.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peers.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peers.py
@@ -124,6 +124,9 @@
     def members(self) -> tuple[Member, ...]:
         return self._membership.members()
 
+    def neighbours(self) -> tuple[str, ...]:
+        return self._membership.list_neighbours()
+
     def send(self, instance_id: str, message: Message) -> bool:
         frame = self._encode(Envelope(message))
         if frame is None:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/configuration/gossip.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/configuration/gossip.py
@@ -5,7 +5,12 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from greengagelatch.config.gossip import Knowledge, choose_listeners, list_alive
+from greengagelatch.config.gossip import (
+    Knowledge,
+    choose_listener,
+    choose_listeners,
+    list_alive,
+)
 from greengagelatch.config.messages import ConfigAdvert, ConfigQuery
 from greengagelatch.peers import MemberState
 
@@ -16,6 +21,7 @@
     from random import Random
 
     from greengagelatch.clock import Clock
+    from greengagelatch.config.messages import SeenRow
     from greengagelatch.config.replica import Replica
     from greengagelatch.peers import Member, PeerNetwork
 
@@ -87,21 +93,27 @@
         return ahead
 
     def tell_one(self) -> None:
-        """Tell a random member, so that whatever was missed is heard at last."""
-        others = self.list_others()
-        if others:
-            chosen = self._random.choice(others)
-            self._peers.send(chosen.instance_id, self._create_advert())
+        """Tell one of the others, so that whatever was missed is heard at last."""
+        chosen = choose_listener(
+            self._peers.members(),
+            self._peers.neighbours(),
+            self._peers.instance_id,
+            self._random,
+        )
+        if chosen is not None:
+            self._peers.send(chosen, self._create_advert())
 
     def tell_listeners(self) -> None:
         """Tell a few at once that a newer generation is in force here."""
         listeners = choose_listeners(
             self._peers.members(),
+            self._peers.neighbours(),
             self._peers.instance_id,
             self._data_centre,
             self._random,
         )
-        advert = self._create_advert()
+        # without what was heard of others: that many of them would be most of the cost
+        advert = self._create_advert(rows=False)
         for instance_id in listeners:
             self._peers.send(instance_id, advert)
 
@@ -164,12 +176,15 @@
         if self.list_ahead():
             self._on_news()
 
-    def _create_advert(self) -> ConfigAdvert:
-        alive = frozenset(member.instance_id for member in self.list_others())
+    def _create_advert(self, *, rows: bool = True) -> ConfigAdvert:
         age = self.get_store_age()
         return ConfigAdvert(
             generation=self._replica.generation,
             data_centre=self._data_centre,
             store_age=-1.0 if age is None else age,
-            seen=self._knowledge.pick_rows(self._clock.now(), alive, self._random),
+            seen=self._pick_rows() if rows else (),
         )
+
+    def _pick_rows(self) -> tuple[SeenRow, ...]:
+        alive = frozenset(member.instance_id for member in self.list_others())
+        return self._knowledge.pick_rows(self._clock.now(), alive, self._random)
--- a/packages/greengagelatch/src/greengagelatch/config/gossip.py
+++ b/packages/greengagelatch/src/greengagelatch/config/gossip.py
@@ -14,6 +14,7 @@
 __all__ = (
     "Knowledge",
     "Sighting",
+    "choose_listener",
     "choose_listeners",
     "choose_watchers",
     "list_alive",
@@ -25,6 +26,9 @@
 #: members of one's own data centre told of a new generation at once
 FANOUT = 3
 
+#: share of the words now and then that go to any member and not to a neighbour
+ANYONE_SHARE = 0.125
+
 #: other instances whose generations are passed on in one advert
 SEEN_ROWS = 8
 
@@ -56,19 +60,31 @@
 
 
 def choose_listeners(
-    members: Sequence[Member], own_id: str, data_centre: str, source: random.Random
+    members: Sequence[Member],
+    neighbours: Sequence[str],
+    own_id: str,
+    data_centre: str,
+    source: random.Random,
 ) -> tuple[str, ...]:
     """Return whom to tell of a new generation at once.
 
-    A few in one's own data centre and one in each other: those that learn tell
-    others in turn, so that the cost of a change to each does not grow with the
-    fleet, and a data centre that can't reach the store hears it from another.
+    These are the neighbours: links to them are open, some lead to other data centres,
+    and as each that learns tells its own in turn, all hear of it. Words to members
+    picked anew each time would each cost a handshake: with eleven data centres a
+    change then kept all instances busy for seconds, seen as a change that takes long
+    to be in force and as instances that are suspected meanwhile.
+
+    Where no links are kept these are a few of one's own data centre and one of each
+    other.
     """
+    usable = [member for member in list_alive(members) if member.instance_id != own_id]
+    kept = frozenset(neighbours)
+    linked = [one.instance_id for one in usable if one.instance_id in kept]
+    if linked:
+        return tuple(linked)
     near = []
     far: dict[str, list[str]] = {}
-    for member in list_alive(members):
-        if member.instance_id == own_id:
-            continue
+    for member in usable:
         if member.data_centre == data_centre:
             near.append(member.instance_id)
         else:
@@ -79,6 +95,31 @@
     return tuple(chosen)
 
 
+def choose_listener(
+    members: Sequence[Member],
+    neighbours: Sequence[str],
+    own_id: str,
+    source: random.Random,
+) -> str | None:
+    """Return whom to tell now and then, so that whatever was missed is heard at last.
+
+    Mostly this is a neighbour, to which a link is open. Now and then it is any member:
+    where views differ, neighbours alone may not reach everyone.
+    """
+    usable = [
+        member.instance_id
+        for member in list_alive(members)
+        if member.instance_id != own_id
+    ]
+    if not usable:
+        return None
+    kept = frozenset(neighbours)
+    linked = [name for name in usable if name in kept]
+    if linked and source.random() >= ANYONE_SHARE:
+        return source.choice(linked)
+    return source.choice(usable)
+
+
 @dataclass(frozen=True, slots=True)
 class Sighting:
     """The last known generation of an instance."""
--- a/packages/greengagelatch/src/greengagelatch/peers/__init__.py
+++ b/packages/greengagelatch/src/greengagelatch/peers/__init__.py
@@ -77,6 +77,14 @@
     def members(self) -> tuple[Member, ...]:
         """Return all known entry instances, this one included, by id."""
 
+    def neighbours(self) -> tuple[str, ...]:
+        """Return the instances to which a link is kept open, if any are.
+
+        A message to one of them costs no handshake, and what each passes on to its
+        neighbours reaches every instance.
+        """
+        return ()
+
     @abstractmethod
     def send(self, instance_id: str, message: Message) -> bool:
         """Queue a message without waiting; ``False`` if there is no way to it.
--- /dev/null
+++ b/tests/test_core/test_config/test_gossip.py
@@ -0,0 +1,96 @@
+import random
+
+import pytest
+
+from greengagelatch.config.gossip import choose_listener, choose_listeners
+from greengagelatch.membership.overlay import choose_neighbours
+from greengagelatch.membership.records import Record
+from greengagelatch.peers import Member, MemberState
+
+MEMBERS = 570
+DATA_CENTRES = 11
+LINKS = 8
+
+
+@pytest.fixture(scope="module")
+def members():
+    return [
+        Member(
+            instance_id=f"i-{number:03d}",
+            data_centre=f"centre-{number % DATA_CENTRES}",
+            address="127.0.0.1:1",
+            state=MemberState.ALIVE,
+        )
+        for number in range(MEMBERS)
+    ]
+
+
+@pytest.fixture(scope="module")
+def neighbours(members):
+    """Neighbours of each member, as the links are chosen."""
+    found = {}
+    for own in members:
+        others = [
+            Record(
+                instance_id=one.instance_id,
+                data_centre=one.data_centre,
+                address=one.address,
+                incarnation=1,
+                state=one.state,
+                since=0.0,
+            )
+            for one in members
+            if one is not own
+        ]
+        chosen = choose_neighbours(own.instance_id, own.data_centre, others, LINKS)
+        found[own.instance_id] = tuple(sorted(chosen))
+    return found
+
+
+def spread(members, neighbours, start):
+    """Return who hears of a generation, if each that does tells its listeners."""
+    source = random.Random(1)
+    places = {member.instance_id: member.data_centre for member in members}
+    heard, waiting = {start}, [start]
+    while waiting:
+        own = waiting.pop()
+        told = choose_listeners(members, neighbours[own], own, places[own], source)
+        assert len(told) <= LINKS
+        news = set(told) - heard
+        heard |= news
+        waiting.extend(news)
+    return heard
+
+
+def test_a_change_reaches_every_instance_over_open_links(members, neighbours):
+    """A change takes seconds to be in force, and instances are suspected meanwhile.
+
+    Each instance that learns it tells members picked anew, to whom no link is open;
+    the handshakes of all of them keep all of them busy.
+    """
+    assert len(spread(members, neighbours, "i-000")) == MEMBERS
+
+
+def test_a_change_reaches_every_instance_of_a_data_centre_that_is_cut_off(
+    members, neighbours
+):
+    """Some instances of a data centre never hear of a change.
+
+    The data centre is cut off from the others, so that only links within it are left.
+    """
+    inside = [one for one in members if one.data_centre == "centre-3"]
+    heard = spread(inside, neighbours, inside[0].instance_id)
+    assert len(heard) == len(inside)
+
+
+def test_now_and_then_a_member_without_a_link_is_told(members, neighbours):
+    """Two parts of the fleet hold different configurations for good.
+
+    Their views of the members differ so that no neighbour of the one is in the other.
+    """
+    source = random.Random(1)
+    own = neighbours["i-000"]
+    told = [choose_listener(members, own, "i-000", source) for _ in range(400)]
+    others = [name for name in told if name not in own]
+    assert 0.05 < len(others) / len(told) < 0.25
+    assert choose_listener(members[:1], (), "i-000", source) is None
--- a/tests/test_core/test_config/test_replica.py
+++ b/tests/test_core/test_config/test_replica.py
@@ -127,7 +127,7 @@
     for count in (4, 40, 400):
         members = create_members(count)
         assert len(choose_watchers(members, "north")) == 2
-        told = choose_listeners(members, "i-0", "south", random.Random(1))
+        told = choose_listeners(members, (), "i-0", "south", random.Random(1))
         assert len(told) <= 4
         assert "i-0" not in told
     assert choose_watchers(create_members(4), "nowhere") == ()
