Keep to quotas also with many workspaces in use

Cause: with 300 keys at 9 instances (decision level, 20 % of the reports lost) the shares of a key added up to 1.52 on average 40 s after the start. The time to settle counted only the rows known so far, and averages that still rose from nothing were told as low demand. Below one request per second the least demand of a while also says little, and shares added up to 0.3.

Now the time to settle counts the rows that there will be, twice; averages begin as plain means and grow longer with it; chance is reckoned from the present rate.

With the plain mean taken out the new test fails; with the time to settle cut short alone it still passes.

Adds greengagelatch_lab.quotas, which prints the figures.

--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/quotas/__main__.py
@@ -0,0 +1,97 @@
+"""Measures how closely quotas are kept, and what that costs."""
+
+from __future__ import annotations
+
+import time
+
+from greengagelatch.config.effects import Quota
+
+from .model import QuotaModel
+
+#: requests per second of the quota
+RATE = 200.0
+#: part of the reports that are lost
+LOSS = 0.2
+#: rounds of each phase, and of a window over which use is averaged
+ROUNDS = 60
+WINDOW = 5
+SIZES = (9, 50)
+CENTRES = {9: 3, 50: 5}
+KEYS = (1, 100, 1200)
+
+
+def main() -> None:
+    """Print both tables."""
+    print("instances phase               most  least  last20  (of the quota)")
+    for size in SIZES:
+        measure_phases(size)
+    print("instances keys   bytes/s  rows   settling s  ms/round")
+    for size in SIZES:
+        for keys in KEYS:
+            measure_cost(size, keys)
+
+
+def measure_phases(size: int) -> None:
+    """Print use in each phase; demand is twice the quota or more throughout."""
+    model = create_model(size)
+    even = [2 * RATE / size] * size
+    single = [0.1 * RATE / size] * size
+    single[0] = 2 * RATE
+    outside = [
+        rate * (1 if centre == "dc0" else 3)
+        for rate, centre in zip(even, model.centres, strict=True)
+    ]
+    model.demand = even
+    print_phase(model, "start (with burst)")
+    print_phase(model, "steady")
+    model.demand = single
+    print_phase(model, "all moves to one")
+    model.demand = even
+    print_phase(model, "and back")
+    model.cut = {"dc0"}
+    print_phase(model, "cut")
+    model.demand = outside
+    print_phase(model, "cut, thrice outside")
+    model.cut = set()
+    print_phase(model, "healed")
+    model.crashed = {1}
+    print_phase(model, "one crashed")
+
+
+def print_phase(model: QuotaModel, name: str) -> None:
+    """Run a phase and print the use in its windows."""
+    counts = model.run(ROUNDS)
+    windows = [
+        sum(counts[start : start + WINDOW]) / WINDOW / RATE
+        for start in range(0, ROUNDS, WINDOW)
+    ]
+    last = sum(counts[-20:]) / 20 / RATE
+    size = len(model.centres)
+    print(f"{size:9d} {name:19s} {max(windows):5.2f}  {min(windows):5.2f}  {last:6.2f}")
+
+
+def measure_cost(size: int, keys: int) -> None:
+    """Print what gossip costs with all keys in use at all instances."""
+    model = create_model(size, keys=keys)
+    model.demand = [0.5] * size
+    rounds = 20
+    started = time.process_time()
+    model.run(rounds)
+    seconds = (time.process_time() - started) / rounds / size
+    ledger = model.ledgers[0]
+    sent = max(model.sent) / model.now
+    print(
+        f"{size:9d} {keys:4d}  {sent:8.0f}  {ledger.rows:5d}"
+        f"  {ledger.settling:9.0f}  {seconds * 1000:8.2f}"
+    )
+
+
+def create_model(size: int, keys: int = 1) -> QuotaModel:
+    """Return a model with the instances spread over its data centres."""
+    centres = [f"dc{index % CENTRES[size]}" for index in range(size)]
+    quota = Quota(policy="measured", requests_per_second=RATE)
+    return QuotaModel(centres, quota, loss=LOSS, keys=keys)
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/quotas/model.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/quotas/model.py
@@ -61,9 +61,9 @@
         """Return the number of requests admitted in each round."""
         return [self._run_round() for _ in range(rounds)]
 
-    def sum_shares(self) -> float:
-        """Return the sum of all shares of the first workspace's quota."""
-        key = QuotaKey(self.quota.policy, self.workspaces[0])
+    def sum_shares(self, number: int = 0) -> float:
+        """Return the sum of all shares of one workspace's quota."""
+        key = QuotaKey(self.quota.policy, self.workspaces[number])
         uses = [
             ledger.find(key)
             for index, ledger in enumerate(self.ledgers)
--- a/packages/greengagelatch/src/greengagelatch/quotas/demand.py
+++ b/packages/greengagelatch/src/greengagelatch/quotas/demand.py
@@ -6,8 +6,11 @@
 
 __all__ = ("DemandMeter",)
 
-#: seconds over which demand is averaged
+#: seconds over which demand is averaged, at least
 AVERAGED = 5.0
+#: the same as a part of the time in which a change is known everywhere: what
+#: changes faster can't be followed, and its noise is heard of too late
+AVERAGED_PART = 0.5
 #: factor by which demand counts as unchanged
 STEADY = 1.3
 #: standard deviations of the average that count as chance
@@ -27,7 +30,9 @@
 
     def __init__(self, now: float) -> None:
         self.rate = 0.0
+        self._averaged = AVERAGED
         self._asked = 0
+        self._began = now
         self._rolled = now
         self._turned = now
         self._least = math.inf
@@ -41,13 +46,17 @@
         """Take what was asked since the last call into the average.
 
         :param settling: seconds in which the others hear of a change.
-        :param young: whether the average still rises from nothing, so that its
+        :param young: whether the average is still of too short a time, so that its
             least would be too low.
         """
         passed = now - self._rolled
         if passed <= 0:
             return
-        weight = 1 - math.exp(-passed / AVERAGED)
+        self._averaged = max(AVERAGED, AVERAGED_PART * settling)
+        # a plain mean at first: an average that slowly rose from nothing would be
+        # told as a demand that is too low, and the others would take what is left
+        mean = passed / (now - self._began)
+        weight = max(mean, 1 - math.exp(-passed / self._averaged))
         self.rate += (self._asked / passed - self.rate) * weight
         self._asked = 0
         self._rolled = now
@@ -66,5 +75,6 @@
         least = min(self._least, self._least_before)
         if math.isinf(least):
             return self.rate
-        chance = CHANCE * math.sqrt(least / (2 * AVERAGED))
+        # of the present rate: after a while without a request the least is zero
+        chance = CHANCE * math.sqrt(self.rate / (2 * self._averaged))
         return min(self.rate, least * STEADY + chance)
--- a/packages/greengagelatch/src/greengagelatch/quotas/ledger.py
+++ b/packages/greengagelatch/src/greengagelatch/quotas/ledger.py
@@ -19,6 +19,8 @@
 
 #: seconds in which news of few keys has reached nearly all instances
 SETTLING = 8.0
+#: times that a row has to be told to be known nearly everywhere
+TIMES_TOLD = 2
 #: seconds without a request after which a key is forgotten
 IDLE = 60.0
 #: keys that are counted; requests of further ones are admitted uncounted
@@ -117,9 +119,11 @@
     def settling(self) -> float:
         """Seconds in which a change of demand is known everywhere.
 
-        Every row has to be told in turn, so more rows take longer.
+        Every instance's row of every key has to be told in turn, also those that
+        are not known here yet, and some are told to whom they are no news.
         """
-        return SETTLING + len(self._sightings) / ROWS_A_ROUND
+        rows = self._sightings.count_keys() * len(self._roster.alive)
+        return SETTLING + TIMES_TOLD * rows / ROWS_A_ROUND
 
     def list_uses(self) -> list[tuple[QuotaKey, Use]]:
         """Return all keys in use here."""
--- a/packages/greengagelatch/src/greengagelatch/quotas/sightings.py
+++ b/packages/greengagelatch/src/greengagelatch/quotas/sightings.py
@@ -47,6 +47,10 @@
     def __len__(self) -> int:
         return self._count
 
+    def count_keys(self) -> int:
+        """Return the number of keys."""
+        return len(self._keys)
+
     def list_keys(self) -> list[int]:
         """Return the digests of all keys."""
         return list(self._keys)
--- a/tests/test_core/test_quotas/test_ledger.py
+++ b/tests/test_core/test_quotas/test_ledger.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -141,6 +143,23 @@
     assert 500 < max(model.sent) / model.now < 2000
 
 
+def test_many_keys_keep_to_their_quotas_from_the_start():
+    """Symptom: with many workspaces in use, each gets half as much again.
+
+    Sequence: rows of many keys are told in turn and heard late; an average that
+    still rises is told as a low demand; everyone takes what the others seem not to
+    need. Cause: an average that starts at nothing, and a time to settle that did
+    not count rows that were not known yet.
+    """
+    model = create_model(keys=100, loss=0.2)
+    model.demand = [2.5 * RATE / 9 / 100] * 9
+    model.quota = replace(model.quota, requests_per_second=RATE / 100)
+    for _ in range(60):
+        model.run(1)
+        sums = [model.sum_shares(number) for number in range(100)]
+        assert sum(sums) / 100 <= 1 + SPARE
+
+
 def list_uses(model):
     key = QuotaKey("small", model.workspaces[0])
     return [ledger.find(key) for ledger in model.ledgers]
--- a/tests/test_entry/test_filters/test_admission.py
+++ b/tests/test_entry/test_filters/test_admission.py
@@ -79,7 +79,7 @@
         }
         self.quotas = QuotasController(random_source=random.Random(1), **common)
         self.claims = ClaimsController(
-            store=self.store, random=random.Random(2), **common
+            store=self.store, random_source=random.Random(2), **common
         )
         filters = (
             CheckFilter(snapshot=lambda: self.snapshot),
