Name the random source the same everywhere

Cause: half of the constructors called it random, which also hid the module. Before: two names. After: random_source.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/claims/committer.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/claims/committer.py
@@ -62,7 +62,7 @@
         store: Store,
         peers: PeerNetwork | None,
         clock: Clock,
-        random: random.Random,
+        random_source: random.Random,
         settings: Settings,
         metrics: Metrics,
         instance_id: str,
@@ -70,7 +70,7 @@
         self._store = store
         self._peers = peers
         self._clock = clock
-        self._random = random
+        self._random = random_source
         self._metrics = metrics
         self._instance_id = instance_id
         self._interval: float = settings["claims.interval"]
@@ -224,7 +224,7 @@
                 shard=shard,
                 store=self._store,
                 clock=self._clock,
-                random=self._random,
+                random_source=self._random,
                 limits=self._limits,
                 interval=self._interval,
                 metrics=self._metrics,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/claims/writer.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/claims/writer.py
@@ -67,7 +67,7 @@
         shard: int,
         store: Store,
         clock: Clock,
-        random: random.Random,
+        random_source: random.Random,
         limits: Limits,
         interval: float,
         metrics: Metrics,
@@ -75,7 +75,7 @@
         self._shard = shard
         self._store = store
         self._clock = clock
-        self._random = random
+        self._random = random_source
         self._limits = limits
         self._interval = interval
         self._metrics = metrics
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/configuration.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/configuration.py
@@ -72,7 +72,7 @@
         store: Store,
         peers: PeerNetwork,
         clock: Clock,
-        random: Random,
+        random_source: Random,
         events: EventBus,
         settings: Settings,
         metrics: Metrics,
@@ -82,7 +82,7 @@
         self._store = store
         self._peers = peers
         self._clock = clock
-        self._random = random
+        self._random = random_source
         self._events = events
         self._metrics = metrics
         self._data_centre = data_centre
@@ -106,7 +106,7 @@
             store=store,
             reader=reader,
             clock=clock,
-            random_source=random,
+            random_source=random_source,
             metrics=metrics,
             timeout=settings["configuration.change_timeout"],
             get_generation=lambda: self._replica.generation,
@@ -116,7 +116,7 @@
             replica=self._replica,
             peers=peers,
             clock=clock,
-            random_source=random,
+            random_source=random_source,
             data_centre=data_centre,
             fetch_timeout=settings["configuration.fetch_timeout"],
             on_news=self._fetch_wanted.set,
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/capacity/claims.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/capacity/claims.py
@@ -149,7 +149,7 @@
         shard=1,
         store=store,
         clock=SystemClock(),
-        random=random.Random(1),
+        random_source=random.Random(1),
         limits=limits,
         interval=INTERVAL,
         metrics=Metrics(STATSD),
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/capacity/farm.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/capacity/farm.py
@@ -85,7 +85,7 @@
             peers=self._hub,
             data_centre=self.data_centre,
             clock=clock,
-            random=source,
+            random_source=source,
             events=self.events,
             settings=settings,
             metrics=metrics,
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/claims_cost.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/claims_cost.py
@@ -87,7 +87,7 @@
                 store=store,
                 peers=switchboard.join(name),
                 clock=clock,
-                random=random.Random(number),
+                random_source=random.Random(number),
                 settings=settings,
                 metrics=Metrics(NOWHERE),
                 instance_id=name,
--- a/tests/test_cli/test_end_to_end.py
+++ b/tests/test_cli/test_end_to_end.py
@@ -61,7 +61,7 @@
             store=store,
             peers=switchboard.join(name),
             clock=SystemClock(),
-            random=random.Random(name),
+            random_source=random.Random(name),
             events=EventBus(),
             settings=settings,
             metrics=metrics,
--- a/tests/test_entry/test_adapters/test_operators_configuration.py
+++ b/tests/test_entry/test_adapters/test_operators_configuration.py
@@ -47,7 +47,7 @@
             store=self.view,
             peers=Switchboard().join("a", "north"),
             clock=clock,
-            random=random.Random(1),
+            random_source=random.Random(1),
             events=EventBus(),
             settings=parse(SETTINGS).unwrap(),
             metrics=Metrics("127.0.0.1:9"),
--- a/tests/test_entry/test_controllers/test_claims.py
+++ b/tests/test_entry/test_controllers/test_claims.py
@@ -48,7 +48,7 @@
             store=fleet.stores[name],
             peers=peers,
             clock=CLOCK,
-            random=random.Random(name),
+            random_source=random.Random(name),
             settings=parse(text).unwrap(),
             metrics=self.metrics,
             instance_id=name,
--- a/tests/test_entry/test_controllers/test_configuration.py
+++ b/tests/test_entry/test_controllers/test_configuration.py
@@ -71,7 +71,7 @@
             store=self.views[name],
             peers=(switchboard or self.switchboard).join(name, place),
             clock=CLOCK,
-            random=random.Random(name),
+            random_source=random.Random(name),
             events=events,
             settings=parse(SETTINGS.format(name=name, place=place)).unwrap(),
             metrics=Metrics("127.0.0.1:9"),
