Weigh attainment against cost, and compare policies by a tool

Cause: a policy's weights changed nothing, and trials were run by hand. Before: no way to turn cost.

--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/filters/feasibility.py
@@ -0,0 +1,55 @@
+"""Refuses requests that can't be answered whole within their deadline."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from greengagelatch.config.steering import resolve
+from greengagelatch.load.admission import Arrival
+from greengagelatch.request import Answer
+
+from . import Filter
+from .check import SNAPSHOT_NOTE
+from .steer import PIPELINE_NOTE
+
+if TYPE_CHECKING:
+    from greengagelatch.clock import Clock
+    from greengagelatch.load.admission import Admission
+
+    from ..metrics import Metrics
+    from . import Exchange, Handler
+
+__all__ = ("FeasibilityFilter",)
+
+
+class FeasibilityFilter(Filter):
+    """Asks admission before anything of a request is run.
+
+    It comes last before the run, when the pipeline is known that the policies have
+    picked. A keyed request that is refused here has its claim already and gives it
+    back, as nothing ran.
+    """
+
+    def __init__(self, *, admission: Admission, clock: Clock, metrics: Metrics) -> None:
+        self._admission = admission
+        self._clock = clock
+        self._metrics = metrics
+
+    async def apply(self, exchange: Exchange, proceed: Handler) -> Answer:
+        request = exchange.request
+        snapshot = exchange.notes[SNAPSHOT_NOTE]
+        steering = resolve(snapshot, request.workspace, request.pipeline)
+        arrival = Arrival(
+            workspace=request.workspace,
+            pipeline=exchange.notes[PIPELINE_NOTE],
+            priority=steering.priority,
+            deadline=request.deadline,
+            weights=steering.weights,
+        )
+        refusal = self._admission.check(arrival, self._clock.now())
+        if refusal is None:
+            return await proceed(exchange)
+        self._metrics.count(f"admission.refused.{refusal.code.value}")
+        return Answer(
+            request_id=request.request_id, verdict=exchange.verdict, refusal=refusal
+        )
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/experiment/fleet.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/experiment/fleet.py
@@ -16,7 +16,7 @@
 from .events import EventClock
 from .models import EngineModel, EngineRule, ModelCall, PoolModel, TargetModel
 
-__all__ = ("Link", "ModelDirectory", "ModelFleet")
+__all__ = ("FRESH", "USUAL", "ModelDirectory", "ModelFleet", "ReportRule")
 
 #: calls that a worker pool runs side by side
 POOL_CAPACITY = 4
@@ -26,17 +26,19 @@
 #: seconds until a refused connection is noticed, and one without any answer
 REFUSED = 0.002
 UNANSWERED = 1.0
-#: seconds between two load reports of one target, and their age on arrival
-REPORT_INTERVAL = 1.0
-REPORT_LAG = 0.25
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Link:
-    """The way from one entry instance to one target."""
+@dataclass(frozen=True, slots=True)
+class ReportRule:
+    """Seconds between two load reports of one target, and their age on arrival."""
 
-    model: TargetModel
-    delay: float
+    interval: float
+    lag: float
+
+
+USUAL = ReportRule(1.0, 0.25)
+#: as if every instance saw every target's load
+FRESH = ReportRule(0.05, 0.0)
 
 
 class ModelFleet:
@@ -109,14 +111,18 @@
     """The real ledger, fed with late load reports."""
 
     def __init__(
-        self, instance_id: str, fleet: ModelFleet, random_source: random.Random
+        self,
+        instance_id: str,
+        fleet: ModelFleet,
+        random_source: random.Random,
+        reports: ReportRule,
     ) -> None:
         self._clock = fleet.clock
-        self._fleet = fleet
+        self._reports = reports
         self._ledger = Ledger(instance_id=instance_id, rules=LedgerRules())
         self._ledger.apply_listing(fleet.list_instances())
         for model in fleet.models.values():
-            delay = random_source.random() * REPORT_INTERVAL
+            delay = random_source.random() * reports.interval
             self._clock.call_later(delay, lambda m=model: self._ask(m))
 
     def candidates(self, service: str) -> tuple[Candidate, ...]:
@@ -136,11 +142,11 @@
 
     def _ask(self, model: TargetModel) -> None:
         target_id = model.target.target_id
-        self._clock.call_later(REPORT_INTERVAL, lambda: self._ask(model))
+        self._clock.call_later(self._reports.interval, lambda: self._ask(model))
         if not model.reachable:
             self._ledger.note_unreached(target_id)
             return
         report = model.report()
         self._clock.call_later(
-            REPORT_LAG, lambda: self._ledger.apply_report(target_id, report)
+            self._reports.lag, lambda: self._ledger.apply_report(target_id, report)
         )
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/experiment/policies.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/experiment/policies.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Hashable
+from dataclasses import replace
 
 from result import Result
 
 from greengagelatch.config.objects import Stage, StageKind
 from greengagelatch.config.snapshot import Snapshot
+from greengagelatch.config.steering import Weights
 from greengagelatch.errors import Refusal
 from greengagelatch.load import Grant, Outcome, Ticket
 from greengagelatch.load.admission import AdmissionRule, Arrival, EstimateAdmission
@@ -15,6 +17,7 @@
 from greengagelatch.load.durations import DurationTracker, create_first_token_kind
 from greengagelatch.load.naive import NaiveDispatcher
 from greengagelatch.load.scheduler import Scheduler, SchedulerRule
+from greengagelatch.load.weights import scale_patience
 from greengagelatch.stages.patience import PatienceRule, choose_patience
 from greengagelatch.stages.plan import plan_by_share
 
@@ -23,6 +26,8 @@
 
 __all__ = ("NaiveEntry", "SchedulingEntry")
 
+#: attainment and cost count the same
+BALANCED = Weights()
 #: percentile from which a call counts as late, as in the daemon
 LATE_PERCENTILE = 95
 #: medians after which a probe gets a backup
@@ -67,9 +72,11 @@
         snapshot: Snapshot,
         choosers: int,
         streams: frozenset[str],
+        weights: Weights = BALANCED,
         **values,
     ) -> None:
         super().__init__(**values)
+        self._weights = weights
         self._snapshot = snapshot
         self._durations = DurationTracker()
         self._patience = PatienceRule()
@@ -86,6 +93,7 @@
             weigh=lambda workspace: 1.0,
             count_choosers=lambda service: choosers,
             estimate_rest=self._plan.estimate_rest,
+            find_weights=lambda workspace, pipeline: weights,
             durations=self._durations,
             now=self.clock.now(),
         )
@@ -107,6 +115,7 @@
             pipeline=request.pipeline,
             priority=self.find_priority(request),
             deadline=request.deadline,
+            weights=self._weights,
         )
         return self._admission.check(arrival, self.clock.now())
 
@@ -125,6 +134,8 @@
         if ticket.kind is StageKind.GENERATE and ticket.pipeline in self._streams:
             kind = create_first_token_kind(ticket.pipeline, ticket.stage)
             rule = self._stream_patience
+        scale = scale_patience(self._weights)
+        rule = replace(rule, factor=rule.factor * scale)
         median = self._durations.estimate(kind, 50, now, 0.0)
         if grant.probe and median > 0:
             return PROBE_PATIENCE * median
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/experiment/scenarios.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/experiment/scenarios.py
@@ -12,7 +12,7 @@
 from ..fleets import Fleet
 from .entry import Entry, Run
 from .events import EventClock
-from .fleet import ModelDirectory, ModelFleet
+from .fleet import FRESH, USUAL, ModelDirectory, ModelFleet
 from .models import EngineRule
 from .traces import (
     Request,
@@ -107,9 +107,19 @@
 
 
 def run_trial(
-    fleet: Fleet, scenario: Scenario, entry_type: type[Entry], seed: int, **values
+    fleet: Fleet,
+    scenario: Scenario,
+    entry_type: type[Entry],
+    seed: int,
+    *,
+    informed: bool = False,
+    **values,
 ) -> Trial:
-    """Run one scenario under one policy."""
+    """Run one scenario under one policy.
+
+    :param informed: one instance, which sees every target's load at once, takes all
+        requests: what the policy would do if nobody had to guess.
+    """
     engine = EngineRule()
     snapshot = read_snapshot(fleet)
     rule = TraceRule(
@@ -123,6 +133,8 @@
     clock = EventClock()
     model = ModelFleet(fleet, clock, engine)
     centres = [name for name in fleet.data_centres for _ in range(ENTRIES)]
+    if informed:
+        centres = list(fleet.data_centres[:1])
     entries = []
     for index, centre in enumerate(centres):
         source = random.Random(f"{seed}/{index}")
@@ -136,7 +148,9 @@
                 data_centre=centre,
                 clock=clock,
                 fleet=model,
-                directory=ModelDirectory(instance_id, model, source),
+                directory=ModelDirectory(
+                    instance_id, model, source, FRESH if informed else USUAL
+                ),
                 random_source=source,
                 **values,
             )
--- a/packages/greengagelatch/src/greengagelatch/load/admission.py
+++ b/packages/greengagelatch/src/greengagelatch/load/admission.py
@@ -4,13 +4,15 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from ..config.objects import Pipeline, Stage
+from ..config.steering import Weights
 from ..errors import Refusal, RefusalCode
 from .deadlines import measure_below
 from .refusals import create_refusal
 from .service import ServiceLoad
+from .weights import scale_margin
 
 __all__ = ("Admission", "AdmissionRule", "Arrival", "EstimateAdmission")
 
@@ -24,16 +26,15 @@
     priority: int
     #: monotonic seconds
     deadline: float
+    weights: Weights = field(default_factory=Weights)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class AdmissionRule:
     """Parameters of admission."""
 
-    #: percentile of the stages' durations that must fit where targets are idle, and
-    #: where they are busy
+    #: percentile of the stages' durations that must fit where targets are idle
     idle_percentile: float = 10
-    busy_percentile: float = 80
 
 
 class Admission(ABC):
@@ -96,6 +97,5 @@
             return 0.0, service.estimate_duration(kind, allotted, percentile, now)
         usual = service.estimate_duration(kind, allotted, 50, now)
         wait = service.estimate_wait(arrival.workspace, arrival.priority, usual, now)
-        percentile = self._rule.busy_percentile
-        safe = service.estimate_safe_duration(kind, allotted, percentile, now)
-        return wait, safe
+        safe = service.estimate_safe_duration(kind, allotted, now)
+        return wait, safe * scale_margin(arrival.weights)
--- a/packages/greengagelatch/src/greengagelatch/load/caution.py
+++ b/packages/greengagelatch/src/greengagelatch/load/caution.py
@@ -10,7 +10,7 @@
 #: factor by which one call that ended too late lengthens what is assumed, at most
 STEP = 0.15
 #: bounds of the factor
-LOWEST = 0.8
+LOWEST = 1.0
 HIGHEST = 4.0
 #: seconds after which what was learnt has faded to a third
 MEMORY = 30.0
--- a/packages/greengagelatch/src/greengagelatch/load/scheduler.py
+++ b/packages/greengagelatch/src/greengagelatch/load/scheduler.py
@@ -8,6 +8,7 @@
 
 from result import Err, Ok, Result
 
+from ..config.steering import Weights
 from ..errors import Refusal, RefusalCode
 from ..targets.directory import TargetDirectory
 from . import Grant, Outcome, Ticket
@@ -20,6 +21,7 @@
 from .refusals import create_refusal
 from .room import Room
 from .service import ServiceLoad
+from .weights import scale_margin, weigh_evenly
 
 __all__ = ("Decision", "Scheduler", "SchedulerRule")
 
@@ -45,9 +47,8 @@
     #: share of each target's limit that only short calls may use
     short_share: float = 0.2
     #: percentile of the stage's duration that must fit for a call to start where
-    #: nothing else waits, and where something does that has more time
+    #: targets are idle
     idle_percentile: float = 10
-    busy_percentile: float = 80
     #: share of the calls started where others wait that may yet end too late
     late_share: float = 0.03
 
@@ -73,6 +74,8 @@
     :param weigh: returns a workspace's weight in the fair shares, above 0.
     :param count_choosers: returns how many instances send calls to one target of
         the named service.
+    :param find_weights: returns how a workspace's calls of a pipeline weigh
+        attainment against cost.
     :param estimate_rest: returns the seconds that the stages after a ticket's own
         are expected to take.
     """
@@ -89,6 +92,7 @@
         estimate_rest: Callable[[Ticket, float], float],
         durations: DurationTracker,
         now: float,
+        find_weights: Callable[[str, str], Weights] = weigh_evenly,
     ) -> None:
         self._directory = directory
         self._rule = rule
@@ -97,6 +101,7 @@
         self._weigh = weigh
         self._count_choosers = count_choosers
         self._estimate_rest = estimate_rest
+        self._find_weights = find_weights
         self._durations = durations
         self._retries = Budget(rule.retries, now)
         self._services: dict[str, ServiceLoad] = {}
@@ -228,7 +233,9 @@
         rule = self._rule
         expected = service.estimate_duration(kind, allotted, 50, now)
         least = service.estimate_duration(kind, allotted, rule.idle_percentile, now)
-        most = service.estimate_safe_duration(kind, allotted, rule.busy_percentile, now)
+        weights = self._find_weights(ticket.workspace, ticket.pipeline)
+        most = service.estimate_safe_duration(kind, allotted, now)
+        most *= scale_margin(weights)
         end = ticket.deadline - self._estimate_rest(ticket, now)
         return Waiting(
             waiting_id=self._last_id,
--- a/packages/greengagelatch/src/greengagelatch/load/service.py
+++ b/packages/greengagelatch/src/greengagelatch/load/service.py
@@ -34,6 +34,8 @@
 LATE_MARGIN = 0.01
 #: seconds between two looks at the calls that are out
 WATCH_INTERVAL = 0.1
+#: percentile of the durations that is taken as safe, before any caution
+SAFE_PERCENTILE = 95.0
 #: part of a stage's time that a call takes by expectation before any was measured
 PRIOR_SHARE = 0.3
 #: targets that have gone are forgotten once there are this many
@@ -126,11 +128,9 @@
         prior = allotted * PRIOR_SHARE
         return self._durations.estimate(kind, percentile, now, prior)
 
-    def estimate_safe_duration(
-        self, kind: Kind, allotted: float, percentile: float, now: float
-    ) -> float:
+    def estimate_safe_duration(self, kind: Kind, allotted: float, now: float) -> float:
         """Return seconds within which all but a few of such calls end."""
-        seconds = self.estimate_duration(kind, allotted, percentile, now)
+        seconds = self.estimate_duration(kind, allotted, SAFE_PERCENTILE, now)
         seconds *= self._knees.find_slowdown(self.find_room(now).mean_held + 1)
         return seconds * self._caution.find_factor(kind, now)
 
--- a/tests/test_core/test_load/test_scheduler.py
+++ b/tests/test_core/test_load/test_scheduler.py
@@ -7,6 +7,7 @@
 from result import Err, Ok
 
 from greengagelatch.config.objects import StageKind
+from greengagelatch.config.steering import Weights
 from greengagelatch.errors import RefusalCode
 from greengagelatch.load import Grant, Outcome, OutcomeKind, Ticket
 from greengagelatch.load.durations import DurationTracker
@@ -51,6 +52,7 @@
         weigh=lambda workspace: 1.0,
         count_choosers=lambda service: 1,
         estimate_rest=lambda ticket, now: 0.0,
+        find_weights=lambda workspace, pipeline: Weights(),
         durations=durations or DurationTracker(),
         now=0.0,
     )
--- a/tests/test_entry/test_controllers/test_scheduling.py
+++ b/tests/test_entry/test_controllers/test_scheduling.py
@@ -9,6 +9,7 @@
 
 from greengagelatch.clock import SystemClock
 from greengagelatch.config.objects import StageKind
+from greengagelatch.config.steering import Weights
 from greengagelatch.errors import RefusalCode
 from greengagelatch.events import EventBus
 from greengagelatch.load import Outcome, OutcomeKind, Ticket
@@ -62,6 +63,7 @@
             weigh=lambda workspace: 1.0,
             count_choosers=lambda service: 1,
             estimate_rest=lambda ticket, now: 0.0,
+            find_weights=lambda workspace, pipeline: Weights(),
             durations=DurationTracker(),
             now=self.clock.now(),
         )
