--- a/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/leases.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/leases.py
@@ -21,7 +21,7 @@
 
     from greengagelatch.clock import Clock
     from greengagelatch.leases.instants import Instant
-    from greengagelatch.peers import PeerNetwork
+    from greengagelatch.peers import Member, PeerNetwork
     from greengagelatch.settings import Settings
     from greengagelatch.store import Store
 
@@ -78,6 +78,10 @@
         self._busy: frozenset[str] = frozenset()
         self._tenures: dict[str, Tenure] = {}
         self._calls: dict[str, asyncio.Task[None]] = {}
+        #: members as last seen, and what follows from them for each group: to work
+        #: it out takes a hash for each member, far too many for every tick
+        self._ranked: tuple[Member, ...] = ()
+        self._wishes: dict[str, Wish] = {}
         #: number of leases held, as last reported
         self._held = 0
         #: last failed call by group, for the state dump
@@ -172,12 +176,19 @@
             return Wish.HOLD
         if group not in self._wanted:
             return Wish.LET_GO
-        return choose_wish(
-            group,
-            self._peers.members(),
-            data_centre=self._data_centre,
-            instance_id=self._peers.instance_id,
-        )
+        members = self._peers.members()
+        if members is not self._ranked:
+            self._ranked = members
+            self._wishes.clear()
+        wish = self._wishes.get(group)
+        if wish is None:
+            wish = self._wishes[group] = choose_wish(
+                group,
+                members,
+                data_centre=self._data_centre,
+                instance_id=self._peers.instance_id,
+            )
+        return wish
 
     async def _call(self, group: str) -> None:
         """Make the calls of a group until none is due."""
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/capacity/leases.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/capacity/leases.py
@@ -28,6 +28,7 @@
 START = 2.0
 SECONDS = 4.0
 LONGEST_ACTION = 0.3
+SHOWN_LIFE = 1.0
 DATA_CENTRE = "centre"
 SETTINGS = f"""
 [instance]
@@ -45,13 +46,23 @@
 
 
 class _NearPeers(MemoryPeers):
-    """Peers that are all in the same data centre."""
+    """Peers that are all in the same data centre.
+
+    Members are listed anew once a second, as by the network of daemons.
+    """
+
+    _shown: tuple[Member, ...] = ()
+    _shown_until = 0.0
 
     def members(self) -> tuple[Member, ...]:
-        return tuple(
-            dataclasses.replace(member, data_centre=DATA_CENTRE)
-            for member in super().members()
-        )
+        now = time.monotonic()
+        if now >= self._shown_until:
+            self._shown_until = now + SHOWN_LIFE
+            self._shown = tuple(
+                dataclasses.replace(member, data_centre=DATA_CENTRE)
+                for member in super().members()
+            )
+        return self._shown
 
 
 async def measure_leases(
