Let one end alone notice the silent link in its test

Cause: both ends watched for silence with the same bound; if the first noticed before the second, it dialled anew and its new link replaced the silent one, so the second never counted a silence. Ruled out: the product (either way the link is replaced at once). The assertions are unchanged; that the sender behind a full buffer notices is now what decides.

--- a/tests/test_entry/test_adapters/test_peers.py
+++ b/tests/test_entry/test_adapters/test_peers.py
@@ -252,7 +252,9 @@
     so that not even a heartbeat can be handed over. Cause: only a write or its
     answer was watched, and both wait behind the full buffer.
     """
-    first = await start("e-1", silence=0.6)
+    # only the second one may notice: the first would dial anew and so replace the
+    # link before the second had its turn
+    first = await start("e-1", silence=60.0)
     async with FaultyLink(first.address) as link:
         second = await start("e-2", silence=0.6)
         second.show(("e-1", link.address))
