Don't take a first request for a hundred in a second

Cause: the mean of a key's demand was taken over the time since its first request, which may be 10 ms; 100 requests per second were told, and the others were left with nearly no share. Now 2 s without requests are presumed before the first one. A longer average was ruled out: it hides a real rise.

--- a/packages/greengagelatch/src/greengagelatch/quotas/demand.py
+++ b/packages/greengagelatch/src/greengagelatch/quotas/demand.py
@@ -11,6 +11,9 @@
 #: the same as a part of the time in which a change is known everywhere: what
 #: changes faster can't be followed, and its noise is heard of too late
 AVERAGED_PART = 0.5
+#: seconds without requests that are presumed before the first one: it would else
+#: count as a hundred in a second if the average was taken just after it
+PRESUMED = 2.0
 #: factor by which demand counts as unchanged
 STEADY = 1.3
 #: standard deviations of the average that count as chance
@@ -55,7 +58,7 @@
         self._averaged = max(AVERAGED, AVERAGED_PART * settling)
         # a plain mean at first: an average that slowly rose from nothing would be
         # told as a demand that is too low, and the others would take what is left
-        mean = passed / (now - self._began)
+        mean = passed / (now - self._began + PRESUMED)
         weight = max(mean, 1 - math.exp(-passed / self._averaged))
         self.rate += (self._asked / passed - self.rate) * weight
         self._asked = 0
--- /dev/null
+++ b/tests/test_core/test_quotas/test_demand.py
@@ -0,0 +1,36 @@
+"""Tests of greengagelatch.quotas.demand."""
+
+from __future__ import annotations
+
+import pytest
+
+from greengagelatch.quotas.demand import DemandMeter
+
+SETTLING = 8.0
+
+
+def test_first_request_does_not_count_as_many():
+    """Symptom: a workspace far below its quota is refused at other instances.
+
+    Sequence: its first request comes 10 ms before the round; the average of these
+    10 ms, 100 requests per second, is told; the others are left with nearly no
+    share. Cause: a mean of too short a time.
+    """
+    meter = DemandMeter(100.0)
+    meter.count()
+    meter.roll(SETTLING, True, 100.01)
+    assert meter.rate < 1.0
+
+
+def test_rise_counts_late_and_fall_at_once():
+    meter = DemandMeter(0.0)
+    for second in range(1, 80):
+        for _ in range(100 if 30 <= second < 60 else 10):
+            meter.count()
+        meter.roll(SETTLING, second < SETTLING, float(second))
+        if 30 <= second < 30 + SETTLING - 1:
+            assert meter.known < 25
+        if second == 30 + 3 * SETTLING:
+            assert meter.known > 80
+        if second >= 60:
+            assert meter.known == pytest.approx(meter.rate, rel=0.01)
