Let starting instances learn the configuration from peers first

Cause: an instance that started took itself for a watcher before it knew any peer, and read every shard from the store, by the watch and at the start side by side: up to 256 calls each time. 52 instances of a data centre that comes back would ask for 13,000 values, seven seconds of all that the store answers. Weighed: one call that lists all shards (brings replaced ones too, of unbounded size, and the store's bounds for lists are not known); a random delay (spreads the calls and makes no fewer). Now peers are given a second before shards are read from the store, one learns at a time, and who is not to watch asks the store only after three seconds without an answer from peers.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/configuration.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/configuration.py
@@ -51,6 +51,12 @@
 RETRY_BASE = 0.2
 RETRY_LONGEST = 5.0
 
+#: seconds that peers are given before an instance that knows no configuration reads
+#: it from the store, and before one that is not to watch the store asks there at all
+PEERS_FIRST = 1.0
+START_PATIENCE = 3.0
+START_TICK = 0.1
+
 #: peers asked at once by an instance that knows no configuration
 START_PEERS = 2
 
@@ -93,6 +99,7 @@
         #: revision of the newest head seen in the store
         self._revision = 0
         self._fetch_wanted = asyncio.Event()
+        self._learning = asyncio.Lock()
         reader = ShardReader(store=store, replica=self._replica, metrics=metrics)
         self._learner = Learner(
             replica=self._replica,
@@ -249,7 +256,12 @@
         return await self._learn_entry(entry)
 
     async def _learn_entry(self, entry: Entry) -> bool:
-        if not await self._learner.learn_entry(entry):
+        # one at a time, or the watch and the start would each read all shards
+        async with self._learning:
+            if not self.ready:
+                await self._wait_for_peers()
+            learnt = await self._learner.learn_entry(entry)
+        if not learnt:
             return False
         # only now: a head whose shards could not be read is to be seen again
         if entry.revision >= self._revision:
@@ -267,8 +279,13 @@
     @Service.task
     async def _start_up(self) -> None:
         failures = 0
+        begun = self._clock.now()
         while not self.should_stop and not self.ready:
             await self._ask_some()
+            patient = self._clock.now() - begun < START_PATIENCE
+            if patient and not self._is_watcher():
+                await self.sleep(START_TICK)
+                continue
             answer = await self._read_head()
             if answer.is_ok() and answer.ok_value is None:
                 # there is no configuration yet; the watch will tell of the first
@@ -277,6 +294,21 @@
             if not self.ready:
                 await self._wait_to_retry(failures)
 
+    async def _wait_for_peers(self) -> None:
+        """Let peers give the first configuration, if any are there in time.
+
+        The store holds it in up to 256 shards and counts the reading of each. When a
+        data centre comes back, all its instances would read them side by side: seen
+        as seconds in which the store answers nobody else in time.
+        """
+        end = self._clock.now() + PEERS_FIRST
+        asked = False
+        while not self.ready and self._clock.now() < end:
+            if not asked and self._gossip.list_others():
+                asked = True
+                await self._ask_some()
+            await self.sleep(START_TICK)
+
     async def _ask_some(self) -> None:
         others = self._gossip.list_others()
         count = min(START_PEERS, len(others))
--- a/tests/test_entry/test_controllers/test_configuration.py
+++ b/tests/test_entry/test_controllers/test_configuration.py
@@ -160,6 +160,32 @@
         assert get_value(fleet.instances["b"]) == "1"
 
 
+async def test_instances_that_start_learn_from_peers():
+    """The store answers nobody in time while a data centre comes back.
+
+    All its instances start at once, and each reads every shard from the store.
+    """
+    async with run_fleet() as fleet:
+        await fleet.start("a")
+        await label(fleet.instances["a"], "c1", 1, count=60)
+        for number in range(6):
+            await fleet.start(f"b-{number}")
+        await fleet.wait_for(1)
+        for number in range(6):
+            calls = fleet.views[f"b-{number}"].calls
+            # at most the head, by the watch and at the start
+            assert calls["get"] + calls["watch"] < 10
+
+
+async def test_a_lone_instance_that_starts_reads_the_store():
+    """An instance waits for peers for good, as it is the only one."""
+    async with run_fleet() as fleet:
+        first = await fleet.start("a")
+        await label(first, "c1", 1, count=60)
+        await fleet.start("apart", switchboard=Switchboard())
+        await fleet.wait_for(1)
+
+
 async def test_a_data_centre_cut_off_from_the_platform():
     """A data centre goes on with an old configuration for as long as it is cut off.
 
