--- /dev/null
+++ b/tests/test_core/test_leases/test_tenure.py
@@ -0,0 +1,108 @@
+"""Tests of one lease and of who tries for it."""
+
+from __future__ import annotations
+
+from result import Err, Ok
+
+from greengagelatch.leases.contention import Wish, choose_wish
+from greengagelatch.leases.instants import Instant
+from greengagelatch.leases.rules import LeaseRules
+from greengagelatch.leases.tenure import Tenure, TenureStep
+from greengagelatch.peers import Member, MemberState
+from greengagelatch.store import (
+    Lease,
+    StoreError,
+    StoreErrorKind,
+    WriteOutcome,
+    WriteResult,
+)
+
+RULES = LeaseRules(ttl=40.0, margin=2.0)
+TIMEOUT = Err(StoreError(StoreErrorKind.TIMEOUT, ""))
+GONE = Err(StoreError(StoreErrorKind.LEASE_GONE, ""))
+
+
+def at(seconds):
+    return Instant(seconds, seconds)
+
+
+def hold(*, asked=0.0, answered=0.0, ttl=40.0):
+    tenure = Tenure(instance_id="a", rules=RULES).plan(at(asked), Wish.HOLD)
+    tenure = tenure.begin(at(asked)).take_looked(Ok(None), at(asked), Wish.HOLD)
+    tenure = tenure.begin(at(asked))
+    tenure = tenure.take_granted(Ok(Lease("lease-1", ttl, 1)), at(answered))
+    written = WriteResult(WriteOutcome.APPLIED, 9)
+    return tenure.begin(at(answered)).take_acquired(written, at(answered))
+
+
+def renew(tenure, *, asked, answered, answer):
+    tenure = tenure.plan(at(asked), Wish.HOLD)
+    assert tenure.step is TenureStep.KEEP
+    return tenure.begin(at(asked)).take_kept(answer, at(answered))
+
+
+def test_time_counts_from_before_the_grant_was_asked_for():
+    tenure = hold(asked=0.0, answered=5.0)
+    assert tenure.fence == 9
+    assert tenure.compute_left(at(5.0)) == 40 - 2 - 5
+    assert tenure.acquired == 5.0
+
+
+def test_a_shorter_lease_than_asked_for_counts_as_the_store_says():
+    assert hold(ttl=10.0).compute_left(at(0.0)) == 8
+
+
+def test_a_renewal_without_an_answer_counts_as_not_made():
+    tenure = renew(hold(), asked=10.0, answered=12.0, answer=TIMEOUT)
+    assert tenure.compute_left(at(12.0)) == 40 - 2 - 12
+    # the store had it all along: its next answer says that nobody else could get it
+    lease = Ok(Lease("lease-1", 40.0, 1))
+    tenure = renew(tenure, asked=39.0, answered=41.0, answer=lease)
+    assert tenure.compute_left(at(41.0)) == 40 - 2 - 2
+    assert tenure.fence == 9
+
+
+def test_nothing_is_covered_once_the_store_says_that_the_lease_is_gone():
+    tenure = renew(hold(), asked=10.0, answered=11.0, answer=GONE)
+    assert not tenure.held
+    assert not tenure.covers(at(11.0), 0.0)
+    assert not tenure.lease_id
+
+
+def test_a_lease_always_outlasts_the_guarded_action():
+    rules = LeaseRules.create(ttl=1.0, margin=2.0, longest_action=10.0)
+    assert rules.ttl - rules.margin - rules.interval - rules.retry > 10.0
+
+
+def create_members(count, data_centre="north"):
+    return [
+        Member(
+            instance_id=f"{data_centre}-{number}",
+            data_centre=data_centre,
+            address="",
+            state=MemberState.ALIVE,
+        )
+        for number in range(count)
+    ]
+
+
+def choose_all(group, members):
+    return [
+        choose_wish(group, members, data_centre="north", instance_id=member.instance_id)
+        for member in members
+        if member.data_centre == "north"
+    ]
+
+
+def test_one_member_of_the_data_centre_tries_and_one_stands_by():
+    members = [*create_members(9), *create_members(9, "south")]
+    for number in range(20):
+        wishes = choose_all(f"north/service-{number}", members)
+        assert wishes.count(Wish.HOLD) == 1
+        assert wishes.count(Wish.STAND_BY) == 1
+        assert wishes.count(Wish.LET_GO) == 7
+
+
+def test_a_cut_off_instance_still_tries_by_itself():
+    wish = choose_wish("north/writer", [], data_centre="north", instance_id="a")
+    assert wish is Wish.HOLD
--- /dev/null
+++ b/tests/test_core/test_placement/test_placement.py
@@ -0,0 +1,133 @@
+"""Tests of what engines should hold, where, and how fast it may be loaded."""
+
+from __future__ import annotations
+
+import math
+
+import pytest
+
+from greengagelatch.config.effects import Placement
+from greengagelatch.config.objects import Policy, PolicyEffect, Service, StageKind
+from greengagelatch.config.snapshot import Snapshot
+from greengagelatch.orders import EngineState
+from greengagelatch.orders.budget import LoadBudget
+from greengagelatch.orders.rules import Fencing, read_fencing
+from greengagelatch.placement.demand import Demand, DemandRule, measure_load
+from greengagelatch.placement.wanted import count_loads, find_placements, want_state
+from greengagelatch.targets import Target
+from greengagelatch.targets.directory import Candidate, LoadReport
+
+RULE = DemandRule(high=1.2, low=0.6, rise=30, fall=300)
+
+
+def create_policy(name, *, workspaces="", services="", **values):
+    return Policy(
+        name=name,
+        effect=PolicyEffect.PLACEMENT,
+        workspaces=workspaces,
+        services=services,
+        values=values,
+    )
+
+
+def find(*policies):
+    services = [
+        Service(name="writer", kind=StageKind.GENERATE),
+        Service(name="desk", kind=StageKind.PLAIN),
+    ]
+    return find_placements(
+        Snapshot(
+            generation=1,
+            services={service.name: service for service in services},
+            policies={policy.name: policy for policy in policies},
+        )
+    )
+
+
+def test_only_engines_and_policies_for_all_workspaces_count():
+    assert find() == {}
+    assert find(create_policy("a", workspaces="tier = gold", models="m")) == {}
+    assert find(create_policy("a", services="name = desk", models="m")) == {}
+    # where work runs, but nothing that an engine could be told
+    assert find(create_policy("a", data_centres="north")) == {}
+    found = find(create_policy("a", models="m"))
+    assert found == {"writer": Placement(models=("m",))}
+
+
+def test_what_a_placement_does_not_name_stays():
+    present = EngineState(models=("old",), adapters=("kept",), role="decode")
+    wanted = want_state(Placement(models=("new", "old")), present)
+    assert wanted == EngineState(
+        models=("new", "old"), adapters=("kept",), role="decode"
+    )
+    assert count_loads(wanted, present) == 1
+    turned = EngineState(models=("old", "new"), adapters=("kept",), role="decode")
+    assert wanted.equals(turned)
+    assert not wanted.equals(present)
+
+
+@pytest.mark.parametrize(
+    ("labels", "fencing"),
+    [
+        ({}, Fencing.IGNORED),
+        ({"fencing": "ignored"}, Fencing.IGNORED),
+        ({"fencing": "Checked"}, Fencing.IGNORED),
+        ({"fencing": "checked"}, Fencing.CHECKED),
+    ],
+)
+def test_engines_are_taken_to_ignore_numbers_unless_told_otherwise(labels, fencing):
+    service = Service(name="writer", kind=StageKind.GENERATE, labels=labels)
+    assert read_fencing(service) is fencing
+
+
+def follow(demand, loads, *, begin=0):
+    """Take in one load a second; return what it comes to and the last second."""
+    now = begin
+    for now, load in enumerate(loads, begin):
+        demand = demand.update(float(now), load, RULE)
+    return demand, now
+
+
+def test_demand_follows_a_load_that_lasts():
+    demand, _ = follow(Demand(), [1.3] * 29 + [1.1] + [1.3] * 29)
+    assert not demand.overflowing
+    demand, now = follow(Demand(), [1.3] * 31)
+    assert demand.overflowing
+    # between the two loads nothing changes, however long that lasts
+    demand, now = follow(demand, [0.7] * 1000, begin=now)
+    assert demand.overflowing
+    demand, now = follow(demand, [0.5] * 299 + [None] + [0.5] * 299, begin=now)
+    assert demand.overflowing
+    demand, _ = follow(demand, [0.5] * 302, begin=now)
+    assert not demand.overflowing
+
+
+def test_load_is_that_of_the_preferred_data_centres():
+    placement = Placement(models=("m",), data_centres=("south",))
+
+    def create(number, data_centre, work):
+        target = Target(f"t{number}", "writer", data_centre, "127.0.0.1:1")
+        report = None
+        if work is not None:
+            report = LoadReport(in_flight=work, queued=1, capacity=4, taken=0.0)
+        return Candidate(target, report)
+
+    here = create(1, "north", 100)
+    assert measure_load(placement, [here]) == math.inf
+    assert measure_load(placement, [here, create(2, "south", None)]) is None
+    south = [create(2, "south", 3), create(3, "south", 7)]
+    assert measure_load(placement, [here, *south]) == 12 / 8
+
+
+def test_a_new_holder_begins_without_saved_up_loads():
+    budget = LoadBudget(at=100.0)
+    assert not budget.allows(1)
+    assert budget.allows(0)
+    budget = budget.refill(110.0, per_minute=6)
+    assert budget.allows(3)
+    budget = budget.spend(3)
+    # two are owed, and the next one is not allowed before a third has come in
+    assert not budget.refill(129.0, per_minute=6).allows(1)
+    assert budget.refill(140.0, per_minute=6).allows(1)
+    # nothing beyond one is saved up while there is nothing to load
+    assert budget.refill(10_000.0, per_minute=6).level == 1.0
