--- /dev/null
+++ b/packages/greengagelatch/src/greengagelatch/settings/__init__.py
@@ -0,0 +1,158 @@
+"""Settings of the daemon, declared in one table and checked at start."""
+
+from __future__ import annotations
+
+import configparser
+import ipaddress
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from result import Err, Ok, Result
+
+from .declaration import Setting
+from .table import SETTINGS
+
+__all__ = (
+    "SETTINGS",
+    "Setting",
+    "SettingError",
+    "Settings",
+    "load",
+    "parse",
+    "split_endpoints",
+)
+
+
+@dataclass(frozen=True, slots=True)
+class SettingError:
+    """A setting that stops the start; ``str`` of it is the one line shown."""
+
+    name: str
+    value: str
+    reason: str
+
+    def __str__(self) -> str:
+        return f"setting {self.name} = {self.value!r}: {self.reason}"
+
+
+_TRUE = frozenset({"yes", "true", "on", "1"})
+_FALSE = frozenset({"no", "false", "off", "0"})
+
+
+class Settings:
+    """Checked settings, looked up by ``section.key``."""
+
+    def __init__(self, values: Mapping[str, Any]) -> None:
+        self._values = dict(values)
+
+    def __getitem__(self, name: str) -> Any:
+        return self._values[name]
+
+    def as_dict(self) -> dict[str, Any]:
+        """Return all values by name, for the state dump."""
+        return dict(self._values)
+
+
+def split_endpoints(text: str) -> tuple[str, ...]:
+    """Split addresses that have commas between them."""
+    return tuple(part.strip() for part in text.split(",") if part.strip())
+
+
+def load(path: str) -> Result[Settings, SettingError]:
+    """Read and check the INI file at ``path``."""
+    try:
+        with open(path, encoding="utf-8") as file:
+            text = file.read()
+    except (OSError, UnicodeDecodeError) as error:
+        return Err(SettingError("file", path, str(error)))
+    return parse(text)
+
+
+def parse(text: str) -> Result[Settings, SettingError]:
+    """Check settings given as INI text; the first error is returned."""
+    parser = configparser.ConfigParser(interpolation=None, strict=True)
+    try:
+        parser.read_string(text)
+    except configparser.Error as error:
+        reason = str(error).replace("\n", " ")
+        return Err(SettingError("file", "", reason))
+    given = {
+        f"{section}.{key}": value
+        for section in parser.sections()
+        for key, value in parser.items(section)
+    }
+    known = {setting.name: setting for setting in SETTINGS}
+    for name in given:
+        if name not in known:
+            return Err(SettingError(name, given[name], "unknown setting"))
+    values = {}
+    for setting in SETTINGS:
+        match _read(setting, given.get(setting.name)):
+            case Ok(value):
+                values[setting.name] = value
+            case Err(error):
+                return Err(error)
+    return Ok(Settings(values))
+
+
+def _read(setting: Setting, text: str | None) -> Result[Any, SettingError]:
+    if text is None:
+        if setting.required:
+            return Err(SettingError(setting.name, "", "is required"))
+        return Ok(setting.default)
+    reason = ""
+    value: Any = text.strip()
+    try:
+        value = _convert(setting, value)
+    except ValueError as error:
+        reason = str(error)
+    if not reason:
+        reason = _find_fault(setting, value)
+    if reason:
+        return Err(SettingError(setting.name, text, reason))
+    return Ok(value)
+
+
+def _convert(setting: Setting, text: str) -> Any:
+    if setting.type is not bool:
+        return setting.type(text)
+    word = text.lower()
+    if word in _TRUE:
+        return True
+    if word in _FALSE:
+        return False
+    raise ValueError("must be yes or no")
+
+
+def _find_fault(setting: Setting, value: Any) -> str:
+    if setting.required and value == "":
+        return "must not be empty"
+    if setting.choices and value not in setting.choices:
+        return f"must be one of {', '.join(setting.choices)}"
+    if setting.endpoint:
+        return _find_endpoint_fault(value)
+    if setting.endpoints:
+        faults = map(_find_endpoint_fault, split_endpoints(value))
+        return next(filter(None, faults), "")
+    if setting.type not in (int, float):
+        return ""
+    # NaN fails both comparisons below, whichever way they are written
+    if value != value:
+        return "must be a number"
+    if setting.minimum is not None and value < setting.minimum:
+        return f"must be at least {setting.minimum:g} {setting.unit}".rstrip()
+    if setting.maximum is not None and value > setting.maximum:
+        return f"must be at most {setting.maximum:g} {setting.unit}".rstrip()
+    return ""
+
+
+def _find_endpoint_fault(value: str) -> str:
+    host, _, port = value.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        return "must be an IP address and a port, as in 127.0.0.1:8080"
+    if not port.isdecimal() or int(port) > 65535:
+        return "must end in a port between 0 and 65535"
+    return ""
