Add the settings of decisions under load

Cause: operators could not turn what decides under load. Weighed: every constant as a setting (most have no meaning to an operator) against the eight whose effect is stated; the latter. Before: constants. Conclusion: the root has to pass read_scheduler_rule(settings) for them to count.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/scheduling.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/scheduling.py
@@ -11,9 +11,10 @@
 
 from greengagelatch.errors import Refusal, RefusalCode
 from greengagelatch.load import Dispatcher, Grant, Outcome, OutcomeKind, Ticket
-from greengagelatch.load.breakers import BreakerState
+from greengagelatch.load.breakers import BreakerRule, BreakerState
+from greengagelatch.load.choice import ChoiceRule
 from greengagelatch.load.refusals import create_refusal
-from greengagelatch.load.scheduler import Scheduler
+from greengagelatch.load.scheduler import RETRIES, Scheduler, SchedulerRule
 
 from . import Controller
 
@@ -21,11 +22,12 @@
     from greengagelatch.clock import Clock
     from greengagelatch.events import EventBus
     from greengagelatch.load.service import ServiceLoad
+    from greengagelatch.settings import Settings
     from greengagelatch.targets.directory import TargetDirectory
 
     from ..metrics import Metrics
 
-__all__ = ("TARGET_LEAVING", "SchedulingController")
+__all__ = ("TARGET_LEAVING", "SchedulingController", "read_scheduler_rule")
 
 #: emitted with a target's id as soon as it is known to be leaving
 TARGET_LEAVING = "target-leaving"
@@ -36,6 +38,23 @@
 GAUGE_INTERVAL = 1.0
 
 
+def read_scheduler_rule(settings: Settings) -> SchedulerRule:
+    """Return the parameters of scheduling."""
+    return SchedulerRule(
+        breaker=BreakerRule(
+            slowness=settings["load.slowness"],
+            ejected_share=settings["load.ejected_share"],
+        ),
+        choice=ChoiceRule(
+            distance=settings["load.distance"], affinity=settings["load.affinity"]
+        ),
+        retries=replace(RETRIES, share=settings["load.retry_share"]),
+        queue_bound=settings["load.queue"],
+        short_share=settings["load.short_share"],
+        late_share=settings["load.late_share"],
+    )
+
+
 class SchedulingController(Dispatcher, Controller):
     """Lets stage calls wait until the scheduler has decided on them.
 
@@ -110,9 +129,9 @@
         while not self.should_stop:
             self._metrics.gauge("scheduling.waiting", self._scheduler.waiting)
             for service in self._scheduler.list_services()[:DUMPED]:
-                prefix = f"scheduling.{service.name}"
-                self._metrics.gauge(f"{prefix}.waiting", len(service.queue))
-                self._metrics.gauge(f"{prefix}.in_flight", service.in_flight)
+                name = service.name
+                self._metrics.gauge(f"scheduling.{name}.waiting", len(service.queue))
+                self._metrics.gauge(f"scheduling.{name}.in_flight", service.in_flight)
             await self.sleep(GAUGE_INTERVAL)
 
     def dump(self) -> dict[str, Any]:
--- a/packages/greengagelatch/src/greengagelatch/load/scheduler.py
+++ b/packages/greengagelatch/src/greengagelatch/load/scheduler.py
@@ -23,7 +23,10 @@
 from .service import ServiceLoad
 from .weights import scale_margin, weigh_evenly
 
-__all__ = ("Decision", "Scheduler", "SchedulerRule")
+__all__ = ("RETRIES", "Decision", "Scheduler", "SchedulerRule")
+
+#: budget of repeated and backup calls
+RETRIES = BudgetRule(share=0.1, burst=10, per_second=0.5)
 
 #: seconds after which calls that wait are looked at again, as load reports and
 #: deadlines make no event
@@ -39,9 +42,7 @@
     limit: LimitRule = field(default_factory=LimitRule)
     breaker: BreakerRule = field(default_factory=BreakerRule)
     choice: ChoiceRule = field(default_factory=ChoiceRule)
-    retries: BudgetRule = field(
-        default_factory=lambda: BudgetRule(share=0.1, burst=10, per_second=0.5)
-    )
+    retries: BudgetRule = RETRIES
     #: calls that may wait for one service
     queue_bound: int = 2000
     #: share of each target's limit that only short calls may use
--- a/packages/greengagelatch/src/greengagelatch/settings/table.py
+++ b/packages/greengagelatch/src/greengagelatch/settings/table.py
@@ -656,6 +656,75 @@
         meaning="Address of the statsd server; an IP, as names would be resolved"
         " in the event loop.",
     ),
+    Setting(
+        name="load.queue",
+        type=int,
+        default=2000,
+        minimum=1,
+        maximum=100000,
+        meaning="Stage calls that may wait for one service; more are refused.",
+    ),
+    Setting(
+        name="load.short_share",
+        type=float,
+        default=0.2,
+        minimum=0,
+        maximum=0.9,
+        meaning="Share of each target's limit that long calls leave to short ones.",
+    ),
+    Setting(
+        name="load.late_share",
+        type=float,
+        default=0.03,
+        minimum=0.001,
+        maximum=0.5,
+        meaning="Share of the calls started on busy targets that may yet end too late"
+        " and be for nothing; lower refuses more.",
+    ),
+    Setting(
+        name="load.retry_share",
+        type=float,
+        default=0.1,
+        minimum=0,
+        maximum=1,
+        meaning="Repeated and backup calls for each ordinary one, at most.",
+    ),
+    Setting(
+        name="load.ejected_share",
+        type=float,
+        default=0.5,
+        minimum=0,
+        maximum=0.9,
+        meaning="Share of a service's targets, rounded up, that may be out of service"
+        " for failing or being slow; the last one never is.",
+    ),
+    Setting(
+        name="load.slowness",
+        type=float,
+        default=4.0,
+        minimum=1.5,
+        maximum=100,
+        meaning="Times as long as with the service's other targets that calls take"
+        " until a target counts as slow.",
+    ),
+    Setting(
+        name="load.distance",
+        type=float,
+        default=0.25,
+        minimum=0,
+        maximum=100,
+        meaning="Load, as a share of a target's limit, by which one in another data"
+        " centre must be better to be chosen.",
+    ),
+    Setting(
+        name="load.affinity",
+        type=float,
+        default=1.0,
+        minimum=0,
+        maximum=100,
+        meaning="Load, as a share of a target's limit, that a cached prompt prefix is"
+        " worth.",
+    ),
     Setting(
         name="drain.balancer_lag",
         type=float,
