Give orders also where readings are due at every look

Cause: a reading that was due went before an order, so with an interval shorter than that between two looks (0.25 s now, for less work in large fleets) engines were read for ever; found by the test with real processes, which timed out. Weighed: a longer minimum of the interval (hides it), orders first, once per reading since the last order: taken. Before: no order with orders.interval = 0.2. Groups and their targets are kept in a module of their own, and the targets listed once a look instead of once a group.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/orders.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/orders.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
 from mode import Service
@@ -13,14 +12,8 @@
 from greengagelatch.orders.group import EngineGroup
 from greengagelatch.orders.permission import has_turn
 from greengagelatch.orders.rules import Fencing, OrderRules, read_fencing
-from greengagelatch.placement.demand import (
-    Demand,
-    DemandRule,
-    is_preferred,
-    measure_load,
-)
-from greengagelatch.placement.wanted import find_placements
 
+from ..engine_groups import GroupTable
 from ..ordering import EngineCaller
 from . import Controller
 from .drain import DRAIN_STARTED
@@ -30,15 +23,14 @@
     from collections.abc import Callable
 
     from greengagelatch.clock import Clock
-    from greengagelatch.config.effects import Placement
     from greengagelatch.config.snapshot import Snapshot
     from greengagelatch.events import EventBus
     from greengagelatch.leases.tenure import Tenure
     from greengagelatch.orders import OrderClient
     from greengagelatch.orders.group import EngineStep
     from greengagelatch.settings import Settings
-    from greengagelatch.targets import Target
 
+    from ..engine_groups import Group
     from ..metrics import Metrics
     from .leases import LeasesController
     from .targets import TargetsController
@@ -48,29 +40,7 @@
 logger = logging.getLogger(__name__)
 
 #: seconds between two looks at what is due
-TICK = 0.2
-
-DEMAND_RULE = DemandRule()
-
-
-@dataclass(slots=True)
-class _Group:
-    """The engines of one service in this data centre."""
-
-    service: str
-    placement: Placement
-    demand: Demand = field(default_factory=Demand)
-    #: ``None`` while the lease is not held
-    engines: EngineGroup | None = None
-    #: whether the configuration was proved the newest under this tenure
-    current: bool = False
-    #: last call that came to nothing, for the state dump
-    error: str = ""
-
-    @property
-    def ordering(self) -> bool:
-        """Whether an order is under way, or may still be."""
-        return self.engines is not None and self.engines.ordering
+TICK = 0.25
 
 
 class OrdersController(Controller):
@@ -100,18 +70,16 @@
     ) -> None:
         super().__init__()
         self._leases = leases
-        self._targets = targets
         self._snapshot = snapshot
         self._get_store_age = get_store_age
         self._clock = clock
-        self._data_centre: str = settings["instance.data_centre"]
         self._margin: float = settings["leases.margin"]
         self._loads_per_minute: float = settings["orders.loads_per_minute"]
         self._rules = OrderRules(
             timeout=settings["orders.timeout"],
             longest=settings["orders.longest"],
             interval=settings["orders.interval"],
-            margin=settings["leases.margin"],
+            margin=self._margin,
         )
         self._caller = EngineCaller(
             client=client,
@@ -123,7 +91,9 @@
             random_source=random_source,
             metrics=metrics,
         )
-        self._groups: dict[str, _Group] = {}
+        self._groups = GroupTable(
+            data_centre=settings["instance.data_centre"], targets=targets
+        )
         self._calls: set[asyncio.Task[None]] = set()
         self._draining = False
         events.declare(DRAIN_STARTED)
@@ -139,11 +109,11 @@
     def dump(self) -> dict[str, Any]:
         now = self._clock.now()
         groups = {}
-        for name, group in sorted(self._groups.items()):
+        for group in self._groups.list_groups():
             engines = group.engines
-            groups[name] = {
+            groups[group.name] = {
                 "fencing": self._read_fencing(group).value,
-                "placed": self._is_placed(group),
+                "placed": group.placed,
                 "overflowing": group.demand.overflowing,
                 "fence": 0 if engines is None else engines.fence,
                 "configuration_current": group.current,
@@ -157,10 +127,10 @@
     @Service.task
     async def _run_forever(self) -> None:
         while not self.should_stop:
-            self._update_groups()
+            self._groups.update(self._clock.now(), self._snapshot())
             self._tell_leases()
-            for name, group in self._groups.items():
-                self._serve(name, group)
+            for group in self._groups.list_groups():
+                self._serve(group)
             await self.sleep(TICK)
 
     def _note_drain(self) -> None:
@@ -168,90 +138,42 @@
         self._draining = True
         self._tell_leases()
 
-    # which groups there are
-
-    def _update_groups(self) -> None:
-        placements = find_placements(self._snapshot())
-        groups = {}
-        for service, placement in placements.items():
-            name = f"{self._data_centre}/{service}"
-            group = self._groups.get(name) or _Group(service, placement)
-            group.placement = placement
-            self._update_demand(group)
-            groups[name] = group
-        for name, group in self._groups.items():
-            # with its policy gone it has still to end what it began, or its lease
-            # would be given up and the next holder begin too early
-            if name not in groups and group.ordering:
-                groups[name] = group
-        self._groups = groups
-
-    def _update_demand(self, group: _Group) -> None:
-        if is_preferred(group.placement, self._data_centre):
-            return
-        aside = {
-            target.target_id for target, aside in self._targets.list_targets() if aside
-        }
-        load = measure_load(
-            group.placement,
-            (
-                candidate
-                for candidate in self._targets.candidates(group.service)
-                if candidate.target.target_id not in aside
-            ),
-        )
-        group.demand = group.demand.update(self._clock.now(), load, DEMAND_RULE)
-
-    def _is_placed(self, group: _Group) -> bool:
-        preferred = is_preferred(group.placement, self._data_centre)
-        return preferred or group.demand.overflowing
-
     def _tell_leases(self) -> None:
         wanted = set()
         busy = set()
-        for name, group in self._groups.items():
+        for group in self._groups.list_groups():
             if group.ordering:
-                busy.add(name)
-            if not self._draining and self._is_placed(group):
-                wanted.add(name)
+                busy.add(group.name)
+            if group.placed and not self._draining:
+                wanted.add(group.name)
         self._leases.want(wanted, busy=busy)
 
     # one group
 
-    def _serve(self, name: str, group: _Group) -> None:
-        tenure = self._leases.find(name)
+    def _serve(self, group: Group) -> None:
+        tenure = self._leases.find(group.name)
         if tenure is None or not tenure.held:
             group.engines = None
             group.current = False
             return
-        now = read_instant(self._clock)
+        now = self._clock.now()
         if group.engines is None or group.engines.fence != tenure.fence:
             group.current = False
-            group.engines = EngineGroup(
-                fence=tenure.fence, rules=self._rules, now=now.monotonic
-            )
+            group.engines = EngineGroup(fence=tenure.fence, rules=self._rules, now=now)
         steps = group.engines.plan(
-            now.monotonic,
-            [target.target_id for target in self._list_engines(group)],
+            now,
+            group.targets,
             group.placement,
             loads_per_minute=self._loads_per_minute / len(self._groups),
             may_order=self._may_order(group, tenure),
         )
         for step in steps:
-            call = asyncio.create_task(self._call(name, group, group.engines, step))
+            call = asyncio.create_task(self._call(group, group.engines, step))
             self._calls.add(call)
             call.add_done_callback(self._calls.discard)
 
-    def _list_engines(self, group: _Group) -> list[Target]:
-        return [
-            target
-            for target, _ in self._targets.list_targets()
-            if target.service == group.service
-            and target.data_centre == self._data_centre
-        ]
-
-    def _may_order(self, group: _Group, tenure: Tenure) -> bool:
-        if self._draining or not self._is_placed(group):
+    def _may_order(self, group: Group, tenure: Tenure) -> bool:
+        if self._draining or not group.placed:
             return False
         group.current = group.current or self._is_current(tenure)
         if not group.current:
@@ -273,31 +195,22 @@
         # an age is too low by as long as the proof was on its way
         return self._clock.now() - age >= tenure.acquired + self._margin
 
-    def _read_fencing(self, group: _Group) -> Fencing:
+    def _read_fencing(self, group: Group) -> Fencing:
         service = self._snapshot().services.get(group.service)
         return Fencing.IGNORED if service is None else read_fencing(service)
 
-    # one call
-
-    async def _call(
-        self, name: str, group: _Group, engines: EngineGroup, step: EngineStep
-    ) -> None:
-        target = self._find_target(group, step.target_id)
+    async def _call(self, group: Group, engines: EngineGroup, step: EngineStep) -> None:
+        target = group.targets.get(step.target_id)
         try:
             if target is None:
+                # it has left since, and its record goes with the next plan
                 engines.fail(self._clock.now(), step, self._rules.interval)
-                return
-            if step.order is None:
+            elif step.order is None:
                 group.error = await self._caller.read(engines, step, target)
-                return
-            fencing = self._read_fencing(group)
-            group.error = await self._caller.order(name, fencing, engines, step, target)
+            else:
+                group.error = await self._caller.order(
+                    group.name, self._read_fencing(group), engines, step, target
+                )
         except Exception:
             logger.exception("call to engine %s failed", step.target_id)
             engines.end_order(self._clock.now(), step, settled=False)
-
-    def _find_target(self, group: _Group, target_id: str) -> Target | None:
-        for target in self._list_engines(group):
-            if target.target_id == target_id:
-                return target
-        return None
--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/engine_groups.py
@@ -0,0 +1,115 @@
+"""The groups of engines in this data centre that placement policies name."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from greengagelatch.placement.demand import (
+    Demand,
+    DemandRule,
+    is_preferred,
+    measure_load,
+)
+from greengagelatch.placement.wanted import find_placements
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from greengagelatch.config.effects import Placement
+    from greengagelatch.config.snapshot import Snapshot
+    from greengagelatch.orders.group import EngineGroup
+    from greengagelatch.targets import Target
+
+    from .controllers.targets import TargetsController
+
+__all__ = ("Group", "GroupTable")
+
+DEMAND_RULE = DemandRule()
+
+
+@dataclass(slots=True)
+class Group:
+    """The engines of one service in this data centre."""
+
+    name: str
+    service: str
+    placement: Placement
+    #: whether the engines here are to hold what the placement names
+    placed: bool = False
+    demand: Demand = field(default_factory=Demand)
+    #: targets that are neither leaving nor gone, by id
+    targets: dict[str, Target] = field(default_factory=dict)
+    #: ``None`` while the lease is not held
+    engines: EngineGroup | None = None
+    #: whether the configuration was proved the newest under this tenure
+    current: bool = False
+    #: last call that came to nothing, for the state dump
+    error: str = ""
+
+    @property
+    def ordering(self) -> bool:
+        """Whether an order is under way, or may still be."""
+        return self.engines is not None and self.engines.ordering
+
+
+class GroupTable:
+    """Keeps the groups up to date with configuration, targets and demand."""
+
+    def __init__(self, *, data_centre: str, targets: TargetsController) -> None:
+        self._data_centre = data_centre
+        self._targets = targets
+        self._groups: dict[str, Group] = {}
+
+    def __len__(self) -> int:
+        return len(self._groups)
+
+    def list_groups(self) -> tuple[Group, ...]:
+        """Return all groups, by name."""
+        return tuple(self._groups[name] for name in sorted(self._groups))
+
+    def update(self, now: float, snapshot: Snapshot) -> None:
+        """Take in what has changed; ``now`` is in monotonic seconds."""
+        placements = find_placements(snapshot)
+        groups = {}
+        for service, placement in placements.items():
+            name = f"{self._data_centre}/{service}"
+            group = self._groups.get(name) or Group(name, service, placement)
+            group.placement = placement
+            groups[name] = group
+        for name, group in self._groups.items():
+            # with its policy gone it has still to end what it began, or its lease
+            # would be given up and the next holder begin too early
+            if name not in groups and group.ordering:
+                group.placed = False
+                groups[name] = group
+        self._groups = groups
+        if not groups:
+            return
+        listed = self._targets.list_targets()
+        self._assign_targets(target for target, _ in listed)
+        aside = frozenset(target.target_id for target, aside in listed if aside)
+        for service in placements:
+            group = groups[f"{self._data_centre}/{service}"]
+            group.placed = self._decide_placed(now, group, aside)
+
+    def _assign_targets(self, targets: Iterable[Target]) -> None:
+        by_service: dict[str, dict[str, Target]] = {}
+        for target in targets:
+            if target.data_centre != self._data_centre:
+                continue
+            by_service.setdefault(target.service, {})[target.target_id] = target
+        for group in self._groups.values():
+            group.targets = by_service.get(group.service, {})
+
+    def _decide_placed(self, now: float, group: Group, aside: frozenset[str]) -> bool:
+        if is_preferred(group.placement, self._data_centre):
+            return True
+        reachable = [
+            candidate
+            for candidate in self._targets.candidates(group.service)
+            if candidate.target.target_id not in aside
+        ]
+        load = measure_load(group.placement, reachable)
+        group.demand = group.demand.update(now, load, DEMAND_RULE)
+        return group.demand.overflowing
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/orders_model.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/orders_model.py
@@ -391,15 +391,16 @@
             return
         now = self._read_clock(state, number)
         wanted = EngineState(models=(str(number),))
-        action = contender.record.plan(now.monotonic, wanted)
+        may_order = permission.has_turn(
+            tenure, now, rules=self._rules, fencing=self._fencing
+        )
+        action = contender.record.plan(now.monotonic, wanted, may_order=may_order)
         if action is EngineAction.READ:
             report = EngineReport(state.engine.state, state.engine.fence)
             record = contender.record.note_read(now.monotonic, report, self._rules)
             read = dataclasses.replace(contender, record=record)
             yield f"{number} reads", _put(state, number, read)
-        if action is EngineAction.ORDER and permission.has_turn(
-            tenure, now, rules=self._rules, fencing=self._fencing
-        ):
+        if action is EngineAction.ORDER:
             planned = dataclasses.replace(
                 contender, planned=Order(tenure.fence, wanted)
             )
--- a/packages/greengagelatch/src/greengagelatch/orders/engine.py
+++ b/packages/greengagelatch/src/greengagelatch/orders/engine.py
@@ -30,6 +30,8 @@
     """
 
     report: EngineReport | None = None
+    #: whether ``report`` was read after the last order had ended
+    current: bool = False
     #: an order that may still be under way, since its answer is lost
     unsettled: Order | None = None
     #: when that order was sent
@@ -39,24 +41,28 @@
     #: calls in a row that came to nothing
     failures: int = 0
 
-    def plan(self, now: float, wanted: EngineState) -> EngineAction:
+    def plan(self, now: float, wanted: EngineState, *, may_order: bool) -> EngineAction:
         """Choose what to do next.
 
         An order follows only on a state that was read under this tenure, and never
         on another one that may still be under way: an engine that takes its time
-        could carry out the older of the two last.
+        could carry out the older of the two last. It goes before a reading that is
+        due again, or a short interval would leave no room for any order.
+
+        :param may_order: whether an order may be given to this engine now
         """
-        if now >= self.due:
-            return EngineAction.READ
+        if may_order and self._needs_order(wanted):
+            return EngineAction.ORDER
+        return EngineAction.READ if now >= self.due else EngineAction.REST
+
+    def _needs_order(self, wanted: EngineState) -> bool:
         if self.report is None or self.unsettled is not None or self.failures:
-            return EngineAction.REST
-        if self.report.state.equals(wanted):
-            return EngineAction.REST
-        return EngineAction.ORDER
+            return False
+        return self.current and not self.report.state.equals(wanted)
 
     def note_sending(self, now: float, order: Order) -> EngineRecord:
         """Record that the first byte of an order is about to be sent."""
-        return dataclasses.replace(self, unsettled=order, sent=now)
+        return dataclasses.replace(self, unsettled=order, sent=now, current=False)
 
     def note_ended(self, now: float) -> EngineRecord:
         """Record that the engine answered an order; it is read back at once."""
@@ -86,5 +92,10 @@
                 unsettled = None
         delay = rules.interval if unsettled is None else rules.settle_interval
         return dataclasses.replace(
-            self, report=report, unsettled=unsettled, due=now + delay, failures=0
+            self,
+            report=report,
+            current=True,
+            unsettled=unsettled,
+            due=now + delay,
+            failures=0,
         )
--- a/packages/greengagelatch/src/greengagelatch/orders/group.py
+++ b/packages/greengagelatch/src/greengagelatch/orders/group.py
@@ -164,14 +164,13 @@
     ) -> EngineStep | None:
         present = UNREAD if record.report is None else record.report.state
         wanted = want_state(placement, present)
-        match record.plan(now, wanted):
+        loads = count_loads(wanted, present)
+        may_order = may_order and not self.ordering and self._budget.allows(loads)
+        match record.plan(now, wanted, may_order=may_order):
+            case EngineAction.ORDER:
+                return EngineStep(target_id, Order(self.fence, wanted), loads)
             case EngineAction.READ if len(self._under_way) < MAX_READS:
                 return EngineStep(target_id)
-            case EngineAction.ORDER if may_order and not self.ordering:
-                loads = count_loads(wanted, present)
-                if not self._budget.allows(loads):
-                    return None
-                return EngineStep(target_id, Order(self.fence, wanted), loads)
         return None
 
     def _keep_only(self, target_ids: Iterable[str]) -> None:
--- /dev/null
+++ b/tests/test_core/test_orders/test_engine.py
@@ -0,0 +1,54 @@
+"""Tests of what is due with one engine."""
+
+from __future__ import annotations
+
+from greengagelatch.orders import EngineReport, EngineState, Order
+from greengagelatch.orders.engine import EngineAction, EngineRecord
+from greengagelatch.orders.rules import OrderRules
+
+RULES = OrderRules(timeout=5.0, longest=20.0, interval=0.1, margin=2.0)
+EMPTY = EngineState()
+WANTED = EngineState(models=("draft-1",))
+ORDER = Order(7, WANTED)
+
+
+def read(record, now, state=EMPTY, fence=0):
+    return record.note_read(now, EngineReport(state, fence), RULES)
+
+
+def test_an_order_goes_before_a_reading_that_is_due_again():
+    """An engine is read for ever and never given the order it needs.
+
+    The interval between readings is shorter than that between two looks, so that a
+    reading is due at each of them. The cause would be readings that go first.
+    """
+    record = EngineRecord()
+    assert record.plan(0.0, WANTED, may_order=True) is EngineAction.READ
+    record = read(record, 0.0)
+    assert record.plan(9.0, WANTED, may_order=True) is EngineAction.ORDER
+    assert record.plan(9.0, WANTED, may_order=False) is EngineAction.READ
+    assert record.plan(0.05, WANTED, may_order=False) is EngineAction.REST
+
+
+def test_an_engine_is_read_back_before_the_next_order():
+    record = read(EngineRecord(), 0.0).note_sending(1.0, ORDER).note_ended(2.0)
+    assert record.plan(2.0, WANTED, may_order=True) is EngineAction.READ
+
+
+def test_an_order_without_an_answer_is_over_when_it_shows_or_its_time_is():
+    sent = read(EngineRecord(), 0.0).note_sending(1.0, ORDER).note_unanswered(6.0)
+    other = EngineState(models=("draft-0",))
+    # the wanted state alone may come from an older order, and the new one yet to come
+    for state, fence in ((other, 7), (WANTED, 6)):
+        assert read(sent, 7.0, state, fence).unsettled == ORDER
+    assert read(sent, 7.0, WANTED, 7).unsettled is None
+    assert read(sent, 27.9, other, 6).unsettled == ORDER
+    assert read(sent, 28.0, other, 6).unsettled is None
+
+
+def test_an_engine_out_of_reach_is_read_before_it_is_given_an_order():
+    record = read(EngineRecord(), 0.0).note_failed(1.0, 4.0)
+    assert record.plan(2.0, WANTED, may_order=True) is EngineAction.REST
+    assert record.plan(5.0, WANTED, may_order=True) is EngineAction.READ
+    record = read(record, 5.0)
+    assert record.plan(5.0, WANTED, may_order=True) is EngineAction.ORDER
