Part the times of calls from the load of a service

Cause: the module of a service's load had grown to 370 lines with two jobs. Weighed: parting by kind of signal (breaker, limit, duration) against parting what is known of durations from what is known of targets; the latter.

--- a/packages/greengagelatch/src/greengagelatch/load/service.py
+++ b/packages/greengagelatch/src/greengagelatch/load/service.py
@@ -3,46 +3,28 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Hashable
+from collections.abc import Callable
 from dataclasses import dataclass
 from statistics import fmean
 
 from ..targets.directory import Candidate, TargetDirectory
 from . import Grant, Outcome, OutcomeKind
 from .breakers import BreakerRule, BreakerState, find_ejected, trip_slow
-from .caution import Caution
 from .choice import TargetChoice
-from .durations import DurationTracker, create_first_token_kind
-from .knees import KneeFinder
+from .durations import DurationTracker
 from .limits import LimitRule
 from .loads import TargetLoad
 from .queue import CallQueue, Waiting
 from .room import Room
+from .times import CallTimes, Kind, find_kind
 from .waits import DrainRate, estimate_fair_wait
 
-__all__ = ("Kind", "ServiceLoad")
+__all__ = ("ServiceLoad",)
 
-#: pipeline and stage: calls of one kind take about the same time
-Kind = tuple[str, str]
-
-#: longest over shortest median of a service's kinds from which it has long calls
-LONG_RATIO = 4.0
 #: a call is overdue at this multiple of its median, and at each doubling of it
 OVERDUE = 4.0
-#: seconds before the deadline at which a call that ends counts as too late: it was
-#: given up at the deadline, which the clock may show slightly early
-LATE_MARGIN = 0.01
 #: seconds between two looks at the calls that are out
 WATCH_INTERVAL = 0.1
-#: percentile of the durations that is taken as safe, before any caution
-SAFE_PERCENTILE = 95.0
-#: part of a stage's time that a call takes by expectation before any was measured
-PRIOR_SHARE = 0.3
-#: seconds that a call is taken to last before any was made, weight of later ones in
-#: the mean, and its lowest value
-FIRST_MEAN = 1.0
-MEAN_WEIGHT = 0.05
-SHORTEST_MEAN = 0.001
 #: targets that have gone are forgotten once there are this many
 FORGET_ABOVE = 64
 
@@ -99,20 +81,14 @@
         self._short_share = short_share
         self._data_centre = data_centre
         self._random = random_source
-        self._durations = durations
+        self._times = CallTimes(durations, late_share=late_share)
         self._choice = choice
         self._weigh = weigh
         self._count_choosers = count_choosers
         self._targets: dict[str, TargetLoad] = {}
         self._running: dict[int, _Running] = {}
-        self._kinds: set[Kind] = set()
         self._drain = DrainRate()
         self._watched = float("-inf")
-        self._knees = KneeFinder()
-        self._caution = Caution(late_share)
-        #: seconds that a call lasts, mean over the latest calls
-        self._mean_call = FIRST_MEAN
-        self._answers = 0
         self._known_room: _KnownRoom | None = None
 
     @property
@@ -128,40 +104,25 @@
     def estimate_duration(
         self, kind: Kind, allotted: float, percentile: float, now: float
     ) -> float:
-        """Return seconds that such a call takes once it has started.
+        """Return seconds that a call takes once it has started.
 
-        :param allotted: seconds of the deadline that are meant for the stage; until
-            some calls were measured, one is taken to need a part of them.
+        :param allotted: seconds of the deadline that are meant for the stage.
         """
-        prior = allotted * PRIOR_SHARE
-        return self._durations.estimate(kind, percentile, now, prior)
+        return self._times.estimate(kind, allotted, percentile, now)
 
     def estimate_safe_duration(self, kind: Kind, allotted: float, now: float) -> float:
         """Return seconds within which all but a few of such calls end."""
-        seconds = self.estimate_duration(kind, allotted, SAFE_PERCENTILE, now)
-        seconds *= self._knees.find_slowdown(self.find_room(now).mean_held + 1)
-        return seconds * self._caution.find_factor(kind, now)
+        held = self.find_room(now).mean_held
+        return self._times.estimate_safe(kind, allotted, held, now)
+
+    def is_long(self, kind: Kind, now: float) -> bool:
+        """Whether the call belongs to the long ones of this service."""
+        return self._times.is_long(kind, now)
 
     def is_busy(self, now: float) -> bool:
         """Whether its targets are so full that calls take clearly longer."""
         return len(self.queue) > 0 or self.find_room(now).busy
 
-    def is_long(self, kind: Kind, now: float) -> bool:
-        """Whether the call belongs to the long ones of this service.
-
-        The boundary lies between the shortest and the longest kind that the service
-        is called with, by measured medians; a service whose kinds take about the
-        same time has no long calls.
-        """
-        self._kinds.add(kind)
-        estimate = self._durations.estimate
-        medians = [estimate(each, 50, now, 0.0) for each in self._kinds]
-        measured = [median for median in medians if median > 0]
-        if not measured or max(measured) < LONG_RATIO * min(measured):
-            return False
-        boundary = (max(measured) * min(measured)) ** 0.5
-        return estimate(kind, 50, now, 0.0) > boundary
-
     def find_room(self, now: float) -> Room:
         """Return the room of all targets as of ``now``.
 
@@ -177,10 +138,7 @@
 
     def _work_out_room(self, candidates: tuple[Candidate, ...], now: float) -> Room:
         choosers = max(1.0, self._count_choosers(self.name))
-        longest = max(
-            (self._durations.find_baseline(kind, now, 0.0) for kind in self._kinds),
-            default=0.0,
-        )
+        longest = self._times.find_longest(now)
         loads = [self._load_of(candidate, longest, now) for candidate in candidates]
         known = [load.count_reported_others() for load in loads]
         told = [count for count in known if count is not None]
@@ -193,7 +151,7 @@
         ejected = find_ejected(breakers, self._breaker_rule, now)
         views = []
         for candidate, load in zip(candidates, loads, strict=True):
-            others = load.estimate_others(now, usual, self._mean_call)
+            others = load.estimate_others(now, usual, self._times.mean)
             state = load.breaker.read_state(now)
             views.append(
                 load.view(
@@ -233,30 +191,20 @@
         self._known_room = None
         load = self._targets[grant.target.target_id]
         load.change(-1, long=running.long, now=now)
-        kind = (grant.ticket.pipeline, grant.ticket.stage)
         if outcome.tokens:
             self._note_tokens(running, load, outcome, now)
-        late = now >= grant.ticket.deadline - LATE_MARGIN
+        ticket = grant.ticket
         match outcome.kind:
             case OutcomeKind.SUCCESS:
-                self._note_mean(outcome.seconds)
-                self._caution.note(kind, late=late, now=now)
-                baseline = self._durations.find_baseline(kind, now, outcome.seconds)
-                self._note_time(load, running, outcome, now)
-                if load.breaker.note_success():
-                    load.limit.restart(now)
-                usual = baseline + self._limit_rule.wait
-                load.limit.note_latency(outcome.seconds / usual, running.held, now)
-                self._durations.record(kind, outcome.seconds, now)
+                self._note_answer(running, load, outcome, now)
             case OutcomeKind.FAILURE:
                 load.breaker.note_failure(now)
             case OutcomeKind.REJECTED:
                 load.limit.note_rejection(running.held, now)
             case OutcomeKind.ABANDONED:
-                if late:
-                    self._caution.note(kind, late=True, now=now)
                 if outcome.tokens:
-                    self._note_time(load, running, outcome, now)
+                    load.breaker.note_time(self._times.rate_end(ticket, outcome, now))
+        self._times.note_end(ticket, outcome, now)
 
     def note_first_token(self, grant: Grant, seconds: float, now: float) -> None:
         """Learn from how long a stream took to begin."""
@@ -265,11 +213,8 @@
             return
         running.begun = True
         self._known_room = None
-        kind = create_first_token_kind(grant.ticket.pipeline, grant.ticket.stage)
-        median = self._durations.estimate(kind, 50, now, seconds)
-        load = self._targets[grant.target.target_id]
-        load.breaker.note_time(_divide(seconds, median))
-        self._durations.record(kind, seconds, now)
+        ratio = self._times.rate_first_token(grant.ticket, seconds, now)
+        self._targets[grant.target.target_id].breaker.note_time(ratio)
 
     def watch(self, now: float) -> None:
         """Notice calls that are out far longer than usual, and slow targets."""
@@ -283,33 +228,25 @@
         trip_slow(breakers, self._breaker_rule, now)
 
     def _note_overdue(self, running: _Running, now: float) -> None:
-        ticket = running.grant.ticket
-        elapsed = now - running.grant.granted
-        whole = self._durations.estimate((ticket.pipeline, ticket.stage), 50, now, 0.0)
-        first = create_first_token_kind(ticket.pipeline, ticket.stage)
-        usual = self._durations.estimate(first, 50, now, whole)
-        if running.begun:
-            usual = whole
-        if usual <= 0 or elapsed < running.overdue * usual:
+        grant = running.grant
+        elapsed = now - grant.granted
+        ratio = self._times.rate_open(grant.ticket, elapsed, now, begun=running.begun)
+        if ratio < running.overdue:
             return
-        load = self._targets[running.grant.target.target_id]
-        load.breaker.note_time(elapsed / usual)
+        self._targets[grant.target.target_id].breaker.note_time(ratio)
         running.overdue *= 2
 
-    def _note_time(
-        self, load: TargetLoad, running: _Running, outcome: Outcome, now: float
+    def _note_answer(
+        self, running: _Running, load: TargetLoad, outcome: Outcome, now: float
     ) -> None:
-        """Compare a call's time with the usual one; of streams, that of one token."""
         ticket = running.grant.ticket
         seconds = outcome.seconds
-        kind: Hashable = (ticket.pipeline, ticket.stage)
-        if outcome.tokens:
-            seconds /= outcome.tokens
-            kind = (ticket.pipeline, ticket.stage, "token")
-        usual = self._durations.estimate(kind, 50, now, seconds)
-        load.breaker.note_time(_divide(seconds, usual))
-        if outcome.tokens:
-            self._durations.record(kind, seconds, now)
+        baseline = self._times.find_baseline(find_kind(ticket), seconds, now)
+        load.breaker.note_time(self._times.rate_end(ticket, outcome, now))
+        if load.breaker.note_success():
+            load.limit.restart(now)
+        usual = baseline + self._limit_rule.wait
+        load.limit.note_latency(seconds / usual, running.held, now)
 
     def estimate_wait(
         self, workspace: str, priority: int, work: float, now: float
@@ -327,12 +264,6 @@
         self._drain.note_queue(len(self.queue), now)
         return self._drain.estimate(priority, self._count_slots(now), now)
 
-    def _note_mean(self, seconds: float) -> None:
-        self._answers += 1
-        weight = max(MEAN_WEIGHT, 1 / self._answers)
-        mean = self._mean_call + (seconds - self._mean_call) * weight
-        self._mean_call = max(mean, SHORTEST_MEAN)
-
     def _note_tokens(
         self, running: _Running, load: TargetLoad, outcome: Outcome, now: float
     ) -> None:
@@ -341,7 +272,7 @@
         held = running.held
         if reports > 0:
             held = (load.reported - running.reported) / reports
-        self._knees.note(held, outcome.seconds, outcome.tokens, now)
+        self._times.knees.note(held, outcome.seconds, outcome.tokens, now)
 
     def _count_slots(self, now: float) -> float:
         """Return how many calls this instance can have in flight, by expectation."""
@@ -366,7 +297,7 @@
         if report is None or not load.is_new(report):
             return load
         pressed = len(self.queue) > 1
-        knee = self._knees.find(report.capacity, pressed=pressed, now=now)
+        knee = self._times.knees.find(report.capacity, pressed=pressed, now=now)
         load.take_report(report, longest, knee)
         return load
 
@@ -381,7 +312,3 @@
         for target_id, load in tuple(self._targets.items()):
             if load.mine == 0 and target_id not in present:
                 del self._targets[target_id]
-
-
-def _divide(seconds: float, usual: float) -> float:
-    return seconds / usual if usual > 0 else 1.0
