Start members some at a time and show when they stood still

Cause: members that share a process are all late when it is, and suspect each other for it; among 100 members on a machine with a load of 17 to 20 their loops were late by 0.3 to 2.8 s, and probes and dials kept them so. That is shown beside each point now, and members start twenty at a time, each lot once the one before has its configuration.

--- a/packages/greengagelatch-lab/src/greengagelatch_lab/capacity/__main__.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/capacity/__main__.py
@@ -56,6 +56,11 @@
         yield series
 
 
+async def _measure_crowd(group: ProcessGroup) -> AsyncIterator[Series]:
+    for series in await fleet_check.measure_crowd(group.directory):
+        yield series
+
+
 #: by name, in the order in which they run
 MEASUREMENTS = {
     "targets": _measure_targets,
@@ -64,6 +69,7 @@
     "leases": _measure_leases,
     "serving": _measure_serving,
     "fleet": _measure_fleet,
+    "crowd": _measure_crowd,
 }
 
 
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/capacity/daemons.py
@@ -0,0 +1,233 @@
+"""Daemons on one platform without callers, and the company they keep."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import random
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+from functools import partial
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+
+from ..fleets.daemon import Daemon
+from ..fleets.registry import Registry, describe_instance
+from ..processes import Process, ProcessGroup
+from ..waiting import wait_until
+from .farm import DATA_CENTRES
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+__all__ = (
+    "START_TIMEOUT",
+    "WORKSPACES",
+    "Reading",
+    "RunningFleet",
+    "describe_objects",
+    "describe_workspace",
+)
+
+PLATFORM = "greengagelatch_lab.standins.platform"
+ECHO = "greengagelatch_lab.overhead.echo"
+FARM = "greengagelatch_lab.capacity.farm"
+ANY_PORT = "127.0.0.1:0"
+#: members in one process
+FARM_SIZE = 20
+#: daemons started side by side
+STARTS = 6
+WORKSPACES = 300
+#: listed targets, all served by one process
+TARGETS = 40
+SERVICES = 4
+#: seconds until all members must have the first configuration
+START_TIMEOUT = 120.0
+POLL = 0.02
+TIMEOUT = 30.0
+SETTINGS = {"drain.balancer_lag": "0", "drain.longest": "2"}
+
+
+@dataclass(slots=True)
+class Reading:
+    """Counters of all daemons at one moment."""
+
+    sent: int = 0
+    received: int = 0
+    kinds: Counter[str] = field(default_factory=Counter)
+    megabytes: list[float] = field(default_factory=list)
+
+
+class RunningFleet:
+    """Daemons on one platform, without callers.
+
+    :param size: number of daemons
+    :param company: members that are no daemons
+    """
+
+    def __init__(self, directory: Path, size: int, company: int = 0) -> None:
+        self._group = ProcessGroup(directory)
+        self._size = size
+        self._company = company
+        self.farms: list[Process] = []
+        self._random = random.Random(size)
+        self._number = 0
+        self.daemons: list[Daemon] = []
+
+    async def __aenter__(self) -> RunningFleet:
+        await self._group.__aenter__()
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0),
+            timeout=aiohttp.ClientTimeout(total=TIMEOUT),
+        )
+        try:
+            await self._start()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        await self._session.close()
+        await self._group.__aexit__(None, None, None)
+
+    async def change(self, text: str) -> int:
+        """Apply objects through a random daemon; return the new generation."""
+        self._number += 1
+        body = {
+            "change_id": f"change-{self._size}-{self._number}",
+            "mode": "apply",
+            "text": text,
+            "file": "objects.ini",
+        }
+        url = f"http://{self._random.choice(self.daemons).entry.operators}/changes"
+        async with self._session.post(url, json=body) as response:
+            answer = await response.json()
+        if answer.get("state") != "settled":
+            raise RuntimeError(f"a change was not settled: {answer}")
+        return answer["generation"]
+
+    async def wait_in_force(self, generation: int) -> list[float]:
+        """Return when each daemon has a generation in force, in monotonic seconds."""
+        waits = [self._wait_one(daemon, generation) for daemon in self.daemons]
+        async with asyncio.timeout(TIMEOUT):
+            return list(await asyncio.gather(*waits))
+
+    def find_in_force(self, generation: int) -> float:
+        """Return when all company had a generation, in monotonic seconds."""
+        latest = 0.0
+        for farm in self.farms:
+            text = farm.stdout.read_text(encoding="utf-8")
+            rows = [line.split() for line in text.splitlines() if "in-force" in line]
+            times = [float(row[2]) for row in rows if int(row[1]) >= generation]
+            latest = max(latest, min(times, default=math.inf))
+        return latest
+
+    def sum_lags(self) -> float:
+        """Return the seconds that processes of company have stood still so far."""
+        total = 0.0
+        for farm in self.farms:
+            text = farm.stdout.read_text(encoding="utf-8")
+            rows = [line.split() for line in text.splitlines() if "late" in line]
+            total += sum(float(row[1]) for row in rows)
+        return total
+
+    def has_all(self, generation: int) -> bool:
+        """Whether all company has a generation."""
+        return math.isfinite(self.find_in_force(generation))
+
+    async def read(self) -> Reading:
+        """Return the counters of all daemons."""
+        reading = Reading()
+        for daemon in self.daemons:
+            dump = await self._get(f"http://{daemon.entry.operators}/dump")
+            counters = dump["metrics"]["counters"]
+            reading.sent += counters.get("peers.wire_out", 0)
+            reading.received += counters.get("peers.wire_in", 0)
+            reading.megabytes.append(dump["memory_bytes"] / 1e6)
+            for name, value in counters.items():
+                reading.kinds[name] += value
+        return reading
+
+    async def count_calls(self) -> Counter[str]:
+        """Return the calls that the platform has counted."""
+        answer = await self._get(f"http://{self._platform}/control/calls")
+        return Counter(answer["calls"])
+
+    async def _start(self) -> None:
+        platform = await self._group.run_module("platform", PLATFORM)
+        echo = await self._group.run_module("echo", ECHO, ANY_PORT)
+        self._platform = platform.ready
+        slots = asyncio.Semaphore(STARTS)
+        async with Registry(platform.ready) as registry:
+            await registry.put(
+                [_describe_target(n, echo.ready) for n in range(TARGETS)]
+            )
+            starts = [self._start_daemon(n, slots) for n in range(self._size)]
+            self.daemons = list(await asyncio.gather(*starts))
+            await registry.put([daemon.describe() for daemon in self.daemons])
+
+    async def add_company(self, generation: int) -> None:
+        """Start the members that are no daemons, some at a time."""
+        for first in range(0, self._company, FARM_SIZE):
+            farm = await self._group.run_module(
+                f"farm-{first}",
+                FARM,
+                f"--platform={self._platform}",
+                f"--first={first}",
+                f"--count={min(FARM_SIZE, self._company - first)}",
+            )
+            self.farms.append(farm)
+            # starting all at once is another matter than running them
+            await wait_until(
+                partial(self.has_all, generation),
+                timeout=START_TIMEOUT,
+                what="the first configuration at all members",
+            )
+
+    async def _start_daemon(self, number: int, slots: asyncio.Semaphore) -> Daemon:
+        daemon = Daemon(
+            f"entry-{number + 1:03d}",
+            DATA_CENTRES[number % len(DATA_CENTRES)],
+            directory=self._group.directory,
+            platform=self._platform,
+            settings=SETTINGS,
+        )
+        self._group.processes.append(daemon.process)
+        async with slots:
+            await daemon.start()
+        return daemon
+
+    async def _wait_one(self, daemon: Daemon, generation: int) -> float:
+        url = f"http://{daemon.entry.operators}/generation"
+        while True:
+            answer = await self._get(url)
+            if answer["generation"] >= generation:
+                return time.monotonic()
+            await asyncio.sleep(POLL)
+
+    async def _get(self, url: str) -> dict[str, Any]:
+        async with self._session.get(url) as response:
+            return await response.json()
+
+
+def describe_workspace(number: int, version: int) -> str:
+    return f"[workspace:workspace-{number:04d}]\nlabels = version=v{version}\n"
+
+
+def describe_objects() -> str:
+    rows = [f"[service:service-{n}]\nkind = plain\n" for n in range(SERVICES)]
+    rows += [describe_workspace(number, 0) for number in range(WORKSPACES)]
+    return "\n".join(rows)
+
+
+def _describe_target(number: int, address: str) -> dict[str, str]:
+    return describe_instance(
+        f"target-{number:03d}",
+        "target",
+        DATA_CENTRES[number % len(DATA_CENTRES)],
+        address,
+        service=f"service-{number % SERVICES}",
+    )
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/capacity/farm.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/capacity/farm.py
@@ -4,7 +4,8 @@
 callers, targets or operators. The list of instances is read once for all of them.
 Run with ``--platform``, ``--first`` and ``--count``; it lists its members itself and
 prints a line ``ready`` with their number, then a line ``in-force GENERATION SECONDS``
-each time that all of them have moved on, in seconds of the machine's monotonic clock.
+each time that all of them have moved on, in seconds of the machine's monotonic clock,
+and a line ``late SECONDS`` whenever the loop was late by so much.
 """
 
 from __future__ import annotations
@@ -43,6 +44,9 @@
 STATSD = "127.0.0.1:9"
 DATA_CENTRES = tuple(f"centre-{number:02d}" for number in range(11))
 LIST_INTERVAL = 5.0
+LAG_TICK = 0.1
+#: lag in seconds that is told of
+LATE = 0.2
 TIMEOUT = 10.0
 SETTINGS = """
 [instance]
@@ -121,6 +125,16 @@
             print("in-force", lowest, time.monotonic(), flush=True)
 
 
+async def _tell_lag() -> None:
+    """Tell of the times at which all members stood still together."""
+    while True:
+        due = time.monotonic() + LAG_TICK
+        await asyncio.sleep(LAG_TICK)
+        late = time.monotonic() - due
+        if late >= LATE:
+            print("late", round(late, 3), flush=True)
+
+
 async def _run(platform: str, first: int, count: int) -> None:
     members = [_Member(first + n, platform) for n in range(count)]
     _Progress(members)
@@ -135,6 +149,7 @@
     reader = HttpInstanceList(
         address=platform, timeout=TIMEOUT, metrics=Metrics(STATSD)
     )
+    watch = asyncio.create_task(_tell_lag())
     try:
         while not stopped.is_set():
             answer = await reader.fetch()
@@ -147,6 +162,7 @@
             except TimeoutError:
                 continue
     finally:
+        watch.cancel()
         await reader.close()
         for member in members:
             await member.store.close()
