--- a/packages/greengagelatch-lab/src/greengagelatch_lab/orders_model.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/orders_model/model.py
@@ -1,20 +1,12 @@
-"""Model of orders to one engine: every interleaving of two contenders and faults.
-
-The decisions are those of the real code in :mod:`greengagelatch.leases` and
-:mod:`greengagelatch.orders`; the model adds clocks, the network, the store, the engine
-and what may go wrong. Time passes in whole ticks between any two steps. A process that
-is paused is one that takes no step while ticks pass, so pauses need no step of their
-own.
-"""
+"""Steps of the model of orders to one engine, and what must never be the case."""
 
 from __future__ import annotations
 
 import dataclasses
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, field
 from typing import Any
 
-from result import Err, Ok
+from result import Err
 
 from greengagelatch.leases.contention import Wish
 from greengagelatch.leases.instants import Instant
@@ -25,21 +17,27 @@
 from greengagelatch.orders.rules import Fencing, OrderRules
 from greengagelatch.store import (
     ABSENT,
-    Entry,
-    Lease,
     StoreError,
     StoreErrorKind,
     WriteOutcome,
     WriteResult,
 )
 
-from .explore import Model
+from ..explore import Model
+from .store import TTL, apply_call, drop_unbound
+from .world import (
+    Budget,
+    Call,
+    Contender,
+    Delivery,
+    Engine,
+    OrdersWorld,
+    put_contender,
+    spend,
+)
 
-__all__ = ("Budget", "OrdersModel", "OrdersWorld")
+__all__ = ("OrdersModel",)
 
-KEY = "leases/group"
-#: ticks for which the store keeps a lease
-TTL = 4
 #: ticks within which the engine has carried out an order that has reached it
 DURATION = 1
 #: ticks between two readings; those of an unsettled order are five times as frequent
@@ -48,121 +46,11 @@
 #: enough for a clock that runs at three quarters of the right speed
 LEASE_RULES = LeaseRules(ttl=TTL, margin=1.0)
 
-UNREAD = EngineRecord()
-EMPTY = EngineState()
-
 #: calls whose number in one run is bounded, by the name of the bound
 BUDGETED = {TenureStep.GRANT: "grants", TenureStep.KEEP: "keeps"}
 
 LOST = Err(StoreError(StoreErrorKind.TIMEOUT, ""))
-GONE = Err(StoreError(StoreErrorKind.LEASE_GONE, ""))
 UNKNOWN = WriteResult(WriteOutcome.UNKNOWN)
-NOT_APPLIED = WriteResult(WriteOutcome.NOT_APPLIED)
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Budget:
-    """How often each fault may happen in one run, and how long a run may be."""
-
-    ticks: int
-    #: leases asked of the store
-    grants: int = 1
-    #: renewals
-    keeps: int = 0
-    #: calls to the store whose answer is lost; one that has not reached the store
-    #: may do so at any later time, or never
-    lost_calls: int = 0
-    #: orders that are lost on their way, or whose answer is
-    lost_orders: int = 0
-    #: leases that are given up to another instance
-    let_go: int = 0
-    crashes: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class Call:
-    """A call to the store, and its answer once it was handled."""
-
-    step: TenureStep
-    lease_id: str
-    value: bytes
-    answer: Any = None
-
-
-@dataclass(frozen=True, slots=True)
-class Contender:
-    """One entry instance."""
-
-    tenure: Tenure
-    alive: bool = True
-    call: Call | None = None
-    record: EngineRecord = UNREAD
-    #: an order for which the connection is being made
-    planned: Order | None = None
-    #: an order whose answer is awaited
-    awaited: Order | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class Delivery:
-    """An order on its way, or being carried out, at the latest until ``until``."""
-
-    order: Order
-    sender: int
-    until: int
-
-
-@dataclass(frozen=True, slots=True)
-class Engine:
-    """The engine, with the orders on their way to it."""
-
-    state: EngineState = EMPTY
-    fence: int = ABSENT
-    highest: int = ABSENT
-    on_wire: tuple[Delivery, ...] = ()
-    running: tuple[Delivery, ...] = ()
-
-
-@dataclass(frozen=True, slots=True)
-class KeyValue:
-    """The store: one key, and leases with the tick at which each lapses."""
-
-    value: bytes = b""
-    revision: int = ABSENT
-    lease_id: str = ""
-    writes: int = 0
-    granted: int = 0
-    leases: tuple[tuple[str, int], ...] = ()
-
-
-@dataclass(frozen=True, slots=True)
-class OrdersWorld:
-    """State of everything."""
-
-    budget: Budget
-    contenders: tuple[Contender, ...]
-    store: KeyValue = KeyValue()
-    engine: Engine = Engine()
-    time: int = 0
-    #: calls whose sender has given up on the answer
-    late: tuple[Call, ...] = ()
-    #: highest fencing number that a holder has had
-    fence: int = ABSENT
-    fault: str = ""
-    _hash: int = field(default=0, compare=False, repr=False)
-
-    def __hash__(self) -> int:
-        # a state is looked up many times, and its parts are deep
-        if not self._hash:
-            parts = tuple(
-                getattr(self, name) for name in OrdersWorld.__slots__ if name != "_hash"
-            )
-            object.__setattr__(self, "_hash", hash(parts) or 1)
-        return self._hash
-
-    def change(self, **changes: Any) -> OrdersWorld:
-        """Return a copy with changes."""
-        return dataclasses.replace(self, _hash=0, **changes)
 
 
 class OrdersModel(Model[OrdersWorld]):
@@ -220,7 +108,7 @@
             # the former holder's time is not what this run is about
             holder = world.contenders[0]
             tenure = dataclasses.replace(holder.tenure, acquired=-100.0)
-            world = _put(world, 0, dataclasses.replace(holder, tenure=tenure))
+            world = put_contender(world, 0, dataclasses.replace(holder, tenure=tenure))
         yield world
 
     def steps(self, state: OrdersWorld) -> Iterator[tuple[str, OrdersWorld]]:
@@ -234,12 +122,12 @@
                 yield from self._step_orders(state, number)
             if state.budget.crashes:
                 dead = dataclasses.replace(contender, alive=False, call=None)
-                spent = _spend(state, "crashes")
-                yield f"{number} dies", _put(spent, number, dead)
+                spent = spend(state, "crashes")
+                yield f"{number} dies", put_contender(spent, number, dead)
         yield from self._step_engine(state)
         for call in state.late:
             rest = tuple(one for one in state.late if one is not call)
-            store, _ = _apply(state.store, call, state.time)
+            store, _ = apply_call(state.store, call, state.time)
             yield f"late {call.step.value}", state.change(store=store, late=rest)
         if self._may_tick(state):
             yield "tick", self._tick(state)
@@ -274,7 +162,7 @@
         store = state.store
         leases = tuple(item for item in store.leases if item[1] > time)
         store = dataclasses.replace(store, leases=leases)
-        return state.change(time=time, store=_drop_unbound(store))
+        return state.change(time=time, store=drop_unbound(store))
 
     # the lease
 
@@ -297,7 +185,7 @@
         else:
             yield f"{name} is answered", self._answer(state, number, call.answer)
         if state.budget.lost_calls:
-            lost = _spend(state, "lost_calls")
+            lost = spend(state, "lost_calls")
             if call.answer is None:
                 lost = lost.change(late=(*lost.late, call))
             answer = UNKNOWN if call.step is TenureStep.ACQUIRE else LOST
@@ -315,12 +203,12 @@
         name = BUDGETED.get(step)
         if name is not None:
             if getattr(state.budget, name):
-                yield f"{number} begins {step.value}", _spend(begun, name)
+                yield f"{number} begins {step.value}", spend(begun, name)
         elif step is not TenureStep.REST:
             yield f"{number} begins {step.value}", begun
         busy = contender.awaited or contender.planned or contender.record.unsettled
         if state.budget.let_go and contender.tenure.held and not busy:
-            spent = _spend(state, "let_go")
+            spent = spend(state, "let_go")
             yield f"{number} lets go", self._begin(spent, number, Wish.LET_GO)
 
     def _begin(self, state: OrdersWorld, number: int, wish: Wish) -> OrdersWorld:
@@ -335,10 +223,10 @@
 
     def _handle(self, state: OrdersWorld, number: int) -> OrdersWorld:
         contender = state.contenders[number]
-        store, answer = _apply(state.store, contender.call, state.time)
+        store, answer = apply_call(state.store, contender.call, state.time)
         call = dataclasses.replace(contender.call, answer=answer)
         contender = dataclasses.replace(contender, call=call)
-        return _put(state.change(store=store), number, contender)
+        return put_contender(state.change(store=store), number, contender)
 
     def _answer(self, state: OrdersWorld, number: int, answer: Any) -> OrdersWorld:
         tenure = state.contenders[number].tenure
@@ -372,7 +260,7 @@
         contender = dataclasses.replace(
             contender, tenure=tenure, call=call, record=record
         )
-        return _put(state, number, contender)
+        return put_contender(state, number, contender)
 
     # orders
 
@@ -399,12 +287,12 @@
             report = EngineReport(state.engine.state, state.engine.fence)
             record = contender.record.note_read(now.monotonic, report, self._rules)
             read = dataclasses.replace(contender, record=record)
-            yield f"{number} reads", _put(state, number, read)
+            yield f"{number} reads", put_contender(state, number, read)
         if action is EngineAction.ORDER:
             planned = dataclasses.replace(
                 contender, planned=Order(tenure.fence, wanted)
             )
-            yield f"{number} plans an order", _put(state, number, planned)
+            yield f"{number} plans an order", put_contender(state, number, planned)
 
     def _send(
         self, state: OrdersWorld, number: int
@@ -417,7 +305,7 @@
         )
         if not allowed:
             idle = dataclasses.replace(contender, planned=None)
-            yield f"{number} withholds its order", _put(state, number, idle)
+            yield f"{number} withholds its order", put_contender(state, number, idle)
             return
         engine = state.engine
         under_way = (*engine.on_wire, *engine.running)
@@ -431,7 +319,7 @@
             awaited=order,
             record=contender.record.note_sending(now.monotonic, order),
         )
-        state = _put(state.change(engine=engine), number, sent)
+        state = put_contender(state.change(engine=engine), number, sent)
         yield f"{number} sends its order", state
 
     def _stop_waiting(
@@ -443,7 +331,7 @@
             return
         record = contender.record.note_unanswered(now)
         given_up = dataclasses.replace(contender, awaited=None, record=record)
-        yield f"{number} stops waiting", _put(state, number, given_up)
+        yield f"{number} stops waiting", put_contender(state, number, given_up)
 
     # the engine
 
@@ -455,7 +343,7 @@
             name = f"{delivery.sender}'s order"
             yield f"{name} arrives", self._arrive(state, moved, delivery)
             if state.budget.lost_orders:
-                lost = _spend(state, "lost_orders")
+                lost = spend(state, "lost_orders")
                 yield f"{name} is lost", lost.change(engine=moved)
         for delivery in engine.running:
             rest = tuple(one for one in engine.running if one is not delivery)
@@ -464,7 +352,7 @@
             done = self._carry_out(state, moved, delivery)
             yield f"{name} is carried out", self._tell(done, delivery, old=False)
             if state.budget.lost_orders:
-                lost = _spend(done, "lost_orders")
+                lost = spend(done, "lost_orders")
                 yield f"{name} is carried out, the answer is lost", lost
 
     def _arrive(
@@ -505,70 +393,4 @@
         if old:
             tenure = contender.tenure.leave()
             contender = dataclasses.replace(contender, tenure=tenure, call=None)
-        return _put(state, number, contender)
-
-
-def _put(state: OrdersWorld, number: int, contender: Contender) -> OrdersWorld:
-    contenders = list(state.contenders)
-    contenders[number] = contender
-    return state.change(contenders=tuple(contenders))
-
-
-def _spend(state: OrdersWorld, name: str) -> OrdersWorld:
-    left = getattr(state.budget, name) - 1
-    return state.change(budget=dataclasses.replace(state.budget, **{name: left}))
-
-
-def _drop_unbound(store: KeyValue) -> KeyValue:
-    """Let the key vanish with its lease; that is a write like any other."""
-    if not store.lease_id or store.lease_id in dict(store.leases):
-        return store
-    return dataclasses.replace(
-        store, value=b"", revision=ABSENT, lease_id="", writes=store.writes + 1
-    )
-
-
-def _apply(store: KeyValue, call: Call, time: int) -> tuple[KeyValue, Any]:
-    """Handle a call at the store; return the store after it and its answer."""
-    match call.step:
-        case TenureStep.LOOK | TenureStep.SETTLE:
-            entry = None
-            if store.revision != ABSENT:
-                entry = Entry(KEY, store.value, store.revision)
-            return store, Ok(entry)
-        case TenureStep.GRANT:
-            number = store.granted + 1
-            lease = Lease(f"lease-{number}", TTL, number)
-            leases = (*store.leases, (lease.lease_id, time + TTL))
-            return dataclasses.replace(store, granted=number, leases=leases), Ok(lease)
-        case TenureStep.ACQUIRE:
-            return _apply_write(store, call)
-        case TenureStep.KEEP:
-            return _apply_keep(store, call, time)
-    leases = tuple(item for item in store.leases if item[0] != call.lease_id)
-    return _drop_unbound(dataclasses.replace(store, leases=leases)), Ok(None)
-
-
-def _apply_write(store: KeyValue, call: Call) -> tuple[KeyValue, WriteResult]:
-    if call.lease_id not in dict(store.leases):
-        return store, NOT_APPLIED
-    if store.revision != ABSENT:
-        return store, WriteResult(WriteOutcome.CONFLICT, store.revision)
-    revision = store.writes + 1
-    store = dataclasses.replace(
-        store,
-        value=call.value,
-        revision=revision,
-        lease_id=call.lease_id,
-        writes=revision,
-    )
-    return store, WriteResult(WriteOutcome.APPLIED, revision)
-
-
-def _apply_keep(store: KeyValue, call: Call, time: int) -> tuple[KeyValue, Any]:
-    if call.lease_id not in dict(store.leases):
-        return store, GONE
-    leases = dict(store.leases) | {call.lease_id: time + TTL}
-    number = int(call.lease_id.rpartition("-")[2])
-    store = dataclasses.replace(store, leases=tuple(leases.items()))
-    return store, Ok(Lease(call.lease_id, TTL, number))
+        return put_contender(state, number, contender)
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/orders_model/store.py
@@ -0,0 +1,85 @@
+"""The store of the model of orders: one key, and leases it may be bound to."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Any
+
+from result import Err, Ok
+
+from greengagelatch.leases.tenure import TenureStep
+from greengagelatch.store import (
+    ABSENT,
+    Entry,
+    Lease,
+    StoreError,
+    StoreErrorKind,
+    WriteOutcome,
+    WriteResult,
+)
+
+from .world import Call, KeyValue
+
+__all__ = ("TTL", "apply_call", "drop_unbound")
+
+KEY = "leases/group"
+#: ticks for which the store keeps a lease
+TTL = 4
+
+GONE = Err(StoreError(StoreErrorKind.LEASE_GONE, ""))
+NOT_APPLIED = WriteResult(WriteOutcome.NOT_APPLIED)
+
+
+def drop_unbound(store: KeyValue) -> KeyValue:
+    """Let the key vanish with its lease; that is a write like any other."""
+    if not store.lease_id or store.lease_id in dict(store.leases):
+        return store
+    return dataclasses.replace(
+        store, value=b"", revision=ABSENT, lease_id="", writes=store.writes + 1
+    )
+
+
+def apply_call(store: KeyValue, call: Call, time: int) -> tuple[KeyValue, Any]:
+    """Handle a call at the store; return the store after it and its answer."""
+    match call.step:
+        case TenureStep.LOOK | TenureStep.SETTLE:
+            entry = None
+            if store.revision != ABSENT:
+                entry = Entry(KEY, store.value, store.revision)
+            return store, Ok(entry)
+        case TenureStep.GRANT:
+            number = store.granted + 1
+            lease = Lease(f"lease-{number}", TTL, number)
+            leases = (*store.leases, (lease.lease_id, time + TTL))
+            return dataclasses.replace(store, granted=number, leases=leases), Ok(lease)
+        case TenureStep.ACQUIRE:
+            return _apply_write(store, call)
+        case TenureStep.KEEP:
+            return _apply_keep(store, call, time)
+    leases = tuple(item for item in store.leases if item[0] != call.lease_id)
+    return drop_unbound(dataclasses.replace(store, leases=leases)), Ok(None)
+
+
+def _apply_write(store: KeyValue, call: Call) -> tuple[KeyValue, WriteResult]:
+    if call.lease_id not in dict(store.leases):
+        return store, NOT_APPLIED
+    if store.revision != ABSENT:
+        return store, WriteResult(WriteOutcome.CONFLICT, store.revision)
+    revision = store.writes + 1
+    store = dataclasses.replace(
+        store,
+        value=call.value,
+        revision=revision,
+        lease_id=call.lease_id,
+        writes=revision,
+    )
+    return store, WriteResult(WriteOutcome.APPLIED, revision)
+
+
+def _apply_keep(store: KeyValue, call: Call, time: int) -> tuple[KeyValue, Any]:
+    if call.lease_id not in dict(store.leases):
+        return store, GONE
+    leases = dict(store.leases) | {call.lease_id: time + TTL}
+    number = int(call.lease_id.rpartition("-")[2])
+    store = dataclasses.replace(store, leases=tuple(leases.items()))
+    return store, Ok(Lease(call.lease_id, TTL, number))
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/orders_model/world.py
@@ -0,0 +1,145 @@
+"""State of the model of orders to one engine."""
+
+from __future__ import annotations
+
+import dataclasses
+from dataclasses import dataclass, field
+from typing import Any
+
+from greengagelatch.leases.tenure import Tenure, TenureStep
+from greengagelatch.orders import EngineState, Order
+from greengagelatch.orders.engine import EngineRecord
+from greengagelatch.store import ABSENT
+
+__all__ = (
+    "Budget",
+    "Call",
+    "Contender",
+    "Delivery",
+    "Engine",
+    "KeyValue",
+    "OrdersWorld",
+    "put_contender",
+    "spend",
+)
+
+UNREAD = EngineRecord()
+EMPTY = EngineState()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Budget:
+    """How often each fault may happen in one run, and how long a run may be."""
+
+    ticks: int
+    #: leases asked of the store
+    grants: int = 1
+    #: renewals
+    keeps: int = 0
+    #: calls to the store whose answer is lost; one that has not reached the store
+    #: may do so at any later time, or never
+    lost_calls: int = 0
+    #: orders that are lost on their way, or whose answer is
+    lost_orders: int = 0
+    #: leases that are given up to another instance
+    let_go: int = 0
+    crashes: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """A call to the store, and its answer once it was handled."""
+
+    step: TenureStep
+    lease_id: str
+    value: bytes
+    answer: Any = None
+
+
+@dataclass(frozen=True, slots=True)
+class Contender:
+    """One entry instance."""
+
+    tenure: Tenure
+    alive: bool = True
+    call: Call | None = None
+    record: EngineRecord = UNREAD
+    #: an order for which the connection is being made
+    planned: Order | None = None
+    #: an order whose answer is awaited
+    awaited: Order | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Delivery:
+    """An order on its way, or being carried out, at the latest until ``until``."""
+
+    order: Order
+    sender: int
+    until: int
+
+
+@dataclass(frozen=True, slots=True)
+class Engine:
+    """The engine, with the orders on their way to it."""
+
+    state: EngineState = EMPTY
+    fence: int = ABSENT
+    highest: int = ABSENT
+    on_wire: tuple[Delivery, ...] = ()
+    running: tuple[Delivery, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class KeyValue:
+    """The store: one key, and leases with the tick at which each lapses."""
+
+    value: bytes = b""
+    revision: int = ABSENT
+    lease_id: str = ""
+    writes: int = 0
+    granted: int = 0
+    leases: tuple[tuple[str, int], ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class OrdersWorld:
+    """State of everything."""
+
+    budget: Budget
+    contenders: tuple[Contender, ...]
+    store: KeyValue = KeyValue()
+    engine: Engine = Engine()
+    time: int = 0
+    #: calls whose sender has given up on the answer
+    late: tuple[Call, ...] = ()
+    #: highest fencing number that a holder has had
+    fence: int = ABSENT
+    fault: str = ""
+    _hash: int = field(default=0, compare=False, repr=False)
+
+    def __hash__(self) -> int:
+        # a state is looked up many times, and its parts are deep
+        if not self._hash:
+            parts = tuple(
+                getattr(self, name) for name in OrdersWorld.__slots__ if name != "_hash"
+            )
+            object.__setattr__(self, "_hash", hash(parts) or 1)
+        return self._hash
+
+    def change(self, **changes: Any) -> OrdersWorld:
+        """Return a copy with changes."""
+        return dataclasses.replace(self, _hash=0, **changes)
+
+
+def put_contender(state: OrdersWorld, number: int, contender: Contender) -> OrdersWorld:
+    """Return the world with one contender exchanged."""
+    contenders = list(state.contenders)
+    contenders[number] = contender
+    return state.change(contenders=tuple(contenders))
+
+
+def spend(state: OrdersWorld, name: str) -> OrdersWorld:
+    """Return the world with one less left of a budgeted fault."""
+    left = getattr(state.budget, name) - 1
+    return state.change(budget=dataclasses.replace(state.budget, **{name: left}))
--- a/tests/test_entry/test_controllers/test_orders.py
+++ b/tests/test_entry/test_controllers/test_orders.py
@@ -3,230 +3,17 @@
 from __future__ import annotations
 
 import asyncio
-import random
 from collections import Counter
-from unittest.mock import AsyncMock
 
 import pytest
 
-from greengagelatch.clock import Clock
-from greengagelatch.config.objects import Policy, PolicyEffect, Service, StageKind
-from greengagelatch.config.snapshot import Snapshot
-from greengagelatch.events import EventBus
-from greengagelatch.orders import OrderClient
-from greengagelatch.peers import Member, MemberState
-from greengagelatch.settings import parse
-from greengagelatch.targets import Target
-from greengagelatch.targets.directory import Candidate, LoadReport
+from greengagelatch.peers import MemberState
 from greengagelatch_entry.controllers.drain import DRAIN_STARTED
-from greengagelatch_entry.controllers.leases import LeasesController
-from greengagelatch_entry.controllers.orders import OrdersController
-from greengagelatch_entry.metrics import Metrics
-from greengagelatch_lab.standins.engines import MemoryEngines
-from greengagelatch_lab.standins.memory import MemoryStore
+from greengagelatch_lab.standins.orders_fleet import GROUP, OrdersFleet
 from greengagelatch_lab.waiting import wait_until
 
 pytestmark = pytest.mark.looptime
 
-GROUP = "north/writer"
-SETTINGS = """
-[instance]
-id = {name}
-data_centre = north
-[platform]
-store = 127.0.0.1:1
-instances = 127.0.0.1:1
-[leases]
-ttl = 30
-margin = 2
-[orders]
-timeout = 5
-longest = 20
-interval = 4
-loads_per_minute = 60
-"""
-
-
-class LoopClock(Clock):
-    """The loop's time; ``lead`` is added to the wall clock only."""
-
-    def __init__(self) -> None:
-        self.lead = 0.0
-
-    def now(self) -> float:
-        return asyncio.get_running_loop().time()
-
-    def wall(self) -> float:
-        return self.now() + self.lead
-
-
-class Directory:
-    """Targets of a test."""
-
-    def __init__(self) -> None:
-        self.targets = []
-        self.aside = set()
-        self.loads = {}
-        self.leaving = set()
-
-    def list_targets(self):
-        return tuple(
-            (target, target.target_id in self.aside)
-            for target in self.targets
-            if target.target_id not in self.leaving
-        )
-
-    def accepts(self, target_id):
-        return target_id not in self.leaving
-
-    def candidates(self, service):
-        found = []
-        for target, _ in self.list_targets():
-            load = self.loads.get(target.target_id)
-            report = None
-            if load is not None:
-                report = LoadReport(in_flight=load, queued=0, capacity=10, taken=0.0)
-            found.append(Candidate(target, report))
-        return tuple(found)
-
-
-class Peers:
-    """What one instance knows of the members."""
-
-    def __init__(self, fleet, name) -> None:
-        self.instance_id = name
-        self._fleet = fleet
-
-    def members(self):
-        return tuple(
-            Member(instance_id=name, data_centre="north", address="", state=state)
-            for name, state in sorted(self._fleet.states.items())
-        )
-
-
-class Recorder(OrderClient):
-    """Notes when orders are sent."""
-
-    def __init__(self, engines, sent_at) -> None:
-        self._engines = engines
-        self._sent_at = sent_at
-
-    async def give(self, target, order, guard):
-        def note():
-            allowed = guard()
-            if allowed:
-                self._sent_at.append(asyncio.get_running_loop().time())
-            return allowed
-
-        return await self._engines.give(target, order, note)
-
-    async def read(self, target):
-        return await self._engines.read(target)
-
-
-class Instance:
-    """Leases and orders of one entry instance."""
-
-    def __init__(self, fleet, name) -> None:
-        self.name = name
-        self.clock = LoopClock()
-        self.metrics = Metrics("127.0.0.1:9")
-        self.events = EventBus()
-        self.snapshot = fleet.snapshot
-        self.store_age = 0.0
-        #: loop times at which orders were sent
-        self.sent_at = []
-        settings = parse(SETTINGS.format(name=name)).unwrap()
-        self.leases = LeasesController(
-            store=fleet.store,
-            peers=Peers(fleet, name),
-            clock=self.clock,
-            settings=settings,
-            metrics=self.metrics,
-            longest_action=settings["orders.timeout"],
-        )
-        self.orders = OrdersController(
-            leases=self.leases,
-            client=Recorder(fleet.engines, self.sent_at),
-            targets=fleet.directory,
-            snapshot=lambda: self.snapshot,
-            get_store_age=lambda: self.store_age,
-            clock=self.clock,
-            random_source=random.Random(name),
-            events=self.events,
-            settings=settings,
-            metrics=self.metrics,
-        )
-
-    @property
-    def fence(self):
-        tenure = self.leases.find(GROUP)
-        return 0 if tenure is None or not tenure.held else tenure.fence
-
-    async def start(self):
-        await self.leases.start()
-        await self.orders.start()
-
-    async def crash(self):
-        """End without giving anything up."""
-        self.leases.want = lambda *_, **__: None
-        self.leases.on_stop = AsyncMock()
-        await self.stop()
-
-    async def stop(self):
-        await self.orders.stop()
-        await self.leases.stop()
-
-
-class Fleet:
-    """Instances of one data centre, its engines and the store."""
-
-    def __init__(self, *, checks=False, engines=1, **placement) -> None:
-        self.store = MemoryStore(clock=LoopClock())
-        self.engines = MemoryEngines(checks=checks)
-        self.directory = Directory()
-        self.states = {}
-        self.instances = []
-        fencing = {"fencing": "checked"} if checks else {}
-        self.service = Service(name="writer", kind=StageKind.GENERATE, labels=fencing)
-        self.snapshot = self.place(**(placement or {"models": "draft-1"}))
-        for number in range(engines):
-            self.add_target(f"engine-{number}", "north")
-
-    def place(self, **values):
-        policy = Policy(name="place", effect=PolicyEffect.PLACEMENT, values=values)
-        policies = {"place": policy} if values else {}
-        return Snapshot(
-            generation=1, services={"writer": self.service}, policies=policies
-        )
-
-    def add_target(self, target_id, data_centre):
-        target = Target(target_id, "writer", data_centre, "127.0.0.1:1")
-        self.directory.targets.append(target)
-
-    async def add(self, name, *, state=MemberState.ALIVE):
-        self.states[name] = state
-        instance = Instance(self, name)
-        self.instances.append(instance)
-        await instance.start()
-        return instance
-
-    def find_models(self, target_id="engine-0"):
-        return self.engines.find(target_id).state.models
-
-    def list_orders(self, target_id="engine-0"):
-        return [
-            (order.fence, order.wanted.models)
-            for order in self.engines.find(target_id).orders
-        ]
-
-    async def __aenter__(self):
-        return self
-
-    async def __aexit__(self, *failure):
-        for instance in self.instances:
-            await instance.stop()
-
 
 async def wait_for(condition, seconds=200.0):
     """Wait in loop time, which costs next to nothing."""
@@ -234,7 +21,7 @@
 
 
 async def test_engines_reach_the_wanted_state_in_turn():
-    async with Fleet(engines=3) as fleet:
+    async with OrdersFleet(engines=3) as fleet:
         holder = await fleet.add("a")
         await wait_for(lambda: fleet.find_models("engine-2") == ("draft-1",))
         wanted = [(holder.fence, ("draft-1",))]
@@ -247,7 +34,7 @@
 
 
 async def test_without_placement_the_store_is_not_called():
-    async with Fleet() as fleet:
+    async with OrdersFleet() as fleet:
         fleet.snapshot = fleet.place()
         await fleet.add("a")
         await asyncio.sleep(100)
@@ -261,7 +48,7 @@
     The holder dies with an order under way, which the engine carries out after the
     next holder's. The cause would be a holder that begins as soon as it has the lease.
     """
-    async with Fleet() as fleet:
+    async with OrdersFleet() as fleet:
         fleet.engines.duration = 19.0
         first = await fleet.add("a")
         await wait_for(lambda: first.metrics.value("orders.sent") == 1)
@@ -278,7 +65,7 @@
 
 
 async def test_engines_that_check_need_no_wait():
-    async with Fleet(checks=True) as fleet:
+    async with OrdersFleet(checks=True) as fleet:
         holder = await fleet.add("a")
         await wait_for(lambda: fleet.find_models() == ("draft-1",))
         assert holder.sent_at[0] < holder.leases.find(GROUP).acquired + 20
@@ -291,7 +78,7 @@
     moves it: its monotonic clock stands still, and only the wall clock shows it. The
     cause would be a lease that is counted by one clock alone.
     """
-    async with Fleet() as fleet:
+    async with OrdersFleet() as fleet:
         holder = await fleet.add("a")
 
         async def halt(order):
@@ -310,7 +97,7 @@
     The store is down or cut off for longer than the lease lasts. The cause would be
     a holder that takes silence for consent.
     """
-    async with Fleet() as fleet:
+    async with OrdersFleet() as fleet:
         holder = await fleet.add("a")
         await wait_for(lambda: fleet.find_models() == ("draft-1",))
         fleet.store.faults.outage = True
@@ -332,7 +119,7 @@
     The answer to the write that takes the lease, or to the grant before, is lost.
     The cause would be an outcome that is guessed instead of read.
     """
-    async with Fleet() as fleet:
+    async with OrdersFleet() as fleet:
         setattr(fleet.store.faults, fault, 1)
         holder = await fleet.add("a")
         await wait_for(lambda: fleet.find_models() == ("draft-1",))
@@ -346,7 +133,7 @@
     The answer to an order is lost while the engine carries it out. The cause would
     be an order that is repeated before it is known to be over.
     """
-    async with Fleet() as fleet:
+    async with OrdersFleet() as fleet:
         fleet.engines.duration = 15.0
         fleet.engines.lose_answers = 1
         holder = await fleet.add("a")
@@ -365,7 +152,7 @@
     The engine has had an order with a higher number. The cause would be a refusal
     that is taken for a failure of that engine alone.
     """
-    async with Fleet(checks=True) as fleet:
+    async with OrdersFleet(checks=True) as fleet:
         book = fleet.engines.find("engine-0")
         book.duration = 0.0
         newer = 1000
@@ -383,7 +170,7 @@
     It begins to leave while the connection for the order is made. The cause would be
     a check when the order is planned only.
     """
-    async with Fleet(engines=2) as fleet:
+    async with OrdersFleet(engines=2) as fleet:
         holder = await fleet.add("a")
 
         async def leave(order):
@@ -401,7 +188,7 @@
     The instance is drained with an order under way. The causes would be a lease that
     is given up before the order has ended, or kept until it lapses.
     """
-    async with Fleet() as fleet:
+    async with OrdersFleet() as fleet:
         fleet.engines.duration = 4.0
         first = await fleet.add("a")
         await wait_for(lambda: first.metrics.value("orders.sent") == 1)
@@ -420,7 +207,7 @@
 
 async def test_a_lease_is_kept_until_the_order_under_way_has_ended():
     """As above, but the policy is deleted instead."""
-    async with Fleet() as fleet:
+    async with OrdersFleet() as fleet:
         fleet.engines.duration = 4.0
         holder = await fleet.add("a")
         await wait_for(lambda: holder.metrics.value("orders.sent") == 1)
@@ -438,7 +225,7 @@
     The former holder acted on a newer generation than the new one knows as yet. The
     cause would be a holder that does not make sure it knows the newest.
     """
-    async with Fleet() as fleet:
+    async with OrdersFleet() as fleet:
         holder = await fleet.add("a")
         holder.store_age = None
         await asyncio.sleep(100)
@@ -449,7 +236,7 @@
 
 
 async def test_orders_keep_to_the_rate_of_the_weight_store():
-    async with Fleet(engines=6, models="a, b", adapters="c") as fleet:
+    async with OrdersFleet(engines=6, models="a, b", adapters="c") as fleet:
         holder = await fleet.add("a")
         await wait_for(lambda: fleet.find_models("engine-5"))
         begun = holder.sent_at[0]
@@ -458,7 +245,7 @@
 
 
 async def test_an_engine_out_of_reach_does_not_hold_up_the_others():
-    async with Fleet(engines=2) as fleet:
+    async with OrdersFleet(engines=2) as fleet:
         fleet.engines.unreachable.add("engine-0")
         await fleet.add("a")
         await wait_for(lambda: fleet.find_models("engine-1") == ("draft-1",))
@@ -467,7 +254,7 @@
 
 
 async def test_few_instances_call_the_store_for_one_lease():
-    async with Fleet() as fleet:
+    async with OrdersFleet() as fleet:
         for number in range(8):
             fleet.states[f"i{number}"] = MemberState.ALIVE
         for number in range(8):
@@ -483,7 +270,7 @@
 
 async def test_engines_elsewhere_follow_when_work_overflows():
     placement = {"models": "draft-1", "data_centres": "south"}
-    async with Fleet(**placement) as fleet:
+    async with OrdersFleet(**placement) as fleet:
         fleet.add_target("far-engine", "south")
         fleet.directory.loads["far-engine"] = 5
         await fleet.add("a")
