--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/fleets/desk.py
@@ -0,0 +1,36 @@
+"""A fleet of one plain service whose bookings may not be repeated, for tests."""
+
+from __future__ import annotations
+
+from greengagelatch.config.objects import StageKind
+
+from .model import Fleet, FleetService
+
+__all__ = ("DESK_OBJECTS", "create_desk")
+
+DESK_OBJECTS = """
+[service:desk]
+kind = plain
+
+[workspace:member]
+
+[pipeline:booking]
+stages = book
+
+[stage:booking/book]
+kind = plain
+service = desk
+repeatable = no
+"""
+
+
+def create_desk(replicas: int) -> Fleet:
+    """Return the fleet with ``replicas`` targets in one data centre."""
+    service = FleetService(name="desk", kind=StageKind.PLAIN, replicas=replicas)
+    return Fleet(
+        name="desk",
+        data_centres=("centre",),
+        services=(service,),
+        workspaces=(),
+        traffic=(),
+    )
--- a/tests/test_processes/test_keyed_calls.py
+++ b/tests/test_processes/test_keyed_calls.py
@@ -8,8 +8,8 @@
 from result import Ok
 
 from greengagelatch.config.ini import parse_objects
-from greengagelatch.config.objects import Pipeline, StageKind
-from greengagelatch_lab.fleets import Fleet, FleetService
+from greengagelatch.config.objects import Pipeline
+from greengagelatch_lab.fleets.desk import DESK_OBJECTS, create_desk
 from greengagelatch_lab.fleets.runner import FleetRunner
 from greengagelatch_lab.load.arrivals import Arrival
 from greengagelatch_lab.load.checker import Checker
@@ -20,28 +20,7 @@
 
 pytestmark = [pytest.mark.processes, pytest.mark.timeout(90)]
 
-DESK = Fleet(
-    name="desk",
-    data_centres=("centre",),
-    services=(FleetService(name="desk", kind=StageKind.PLAIN, replicas=1),),
-    workspaces=(),
-    traffic=(),
-)
-
-OBJECTS = """
-[service:desk]
-kind = plain
-
-[workspace:member]
-
-[pipeline:booking]
-stages = book
-
-[stage:booking/book]
-kind = plain
-service = desk
-repeatable = no
-"""
+DESK = create_desk(1)
 
 #: multiple of the usual time of a call, so that it lasts about two seconds
 SIZE = 200
@@ -84,7 +63,7 @@
 
     async def check(self) -> None:
         """Check what callers saw against what the service did."""
-        match parse_objects(OBJECTS):
+        match parse_objects(DESK_OBJECTS):
             case Ok(objects):
                 pipelines = [item for item in objects if isinstance(item, Pipeline)]
             case failure:
@@ -114,7 +93,7 @@
         FleetRunner(DESK, tmp_path, entries=2) as runner,
         CallerClient() as client,
     ):
-        await runner.apply_objects(OBJECTS)
+        await runner.apply_objects(DESK_OBJECTS)
         await runner.wait_ready()
         killed, other = runner.daemons
         trial = Trial(runner, client)
@@ -141,7 +120,7 @@
         FleetRunner(DESK, tmp_path, entries=2) as runner,
         CallerClient() as client,
     ):
-        await runner.apply_objects(OBJECTS)
+        await runner.apply_objects(DESK_OBJECTS)
         await runner.wait_ready()
         paused, other = runner.daemons
         trial = Trial(runner, client)
--- a/tests/test_processes/test_keyed_requests.py
+++ b/tests/test_processes/test_keyed_requests.py
@@ -8,8 +8,8 @@
 from result import Ok
 
 from greengagelatch.config.ini import parse_objects
-from greengagelatch.config.objects import Pipeline, StageKind
-from greengagelatch_lab.fleets import Fleet, FleetService
+from greengagelatch.config.objects import Pipeline
+from greengagelatch_lab.fleets.desk import DESK_OBJECTS, create_desk
 from greengagelatch_lab.fleets.runner import FleetRunner
 from greengagelatch_lab.load.arrivals import Arrival
 from greengagelatch_lab.load.checker import Checker
@@ -20,28 +20,7 @@
 
 pytestmark = [pytest.mark.processes, pytest.mark.timeout(90)]
 
-DESK = Fleet(
-    name="desk",
-    data_centres=("centre",),
-    services=(FleetService(name="desk", kind=StageKind.PLAIN, replicas=2),),
-    workspaces=(),
-    traffic=(),
-)
-
-OBJECTS = """
-[service:desk]
-kind = plain
-
-[workspace:member]
-
-[pipeline:booking]
-stages = book
-
-[stage:booking/book]
-kind = plain
-service = desk
-repeatable = no
-"""
+DESK = create_desk(2)
 
 #: requests in each step, so that every instance is the usual writer of some
 COUNT = 12
@@ -82,7 +61,7 @@
 
 
 def read_expectation() -> Expectation:
-    match parse_objects(OBJECTS):
+    match parse_objects(DESK_OBJECTS):
         case Ok(objects):
             pipelines = [item for item in objects if isinstance(item, Pipeline)]
             return Expectation({item.name: item for item in pipelines})
@@ -104,7 +83,7 @@
         FleetRunner(DESK, tmp_path, entries=3, settings=settings) as runner,
         CallerClient() as client,
     ):
-        await runner.apply_objects(OBJECTS)
+        await runner.apply_objects(DESK_OBJECTS)
         await runner.wait_ready()
         paused, killed, stopped = runner.daemons
         caller = Caller(client)
