Keep short calls in time when an engine is slow

Cause: with a slow and a dead engine profile checks and chats were refused although they would have been in time: the 95th percentile, which holds the times of high load, was lengthened once more by the present load, and streams of the slow engine bent the curve. Long calls kept a slot at each target, so a share could not be held free. The part of service that ignores priorities is counted in seconds, not calls, and the room for short calls over all targets.

--- a/packages/greengagelatch/src/greengagelatch/load/queue.py
+++ b/packages/greengagelatch/src/greengagelatch/load/queue.py
@@ -13,7 +13,7 @@
 
 __all__ = ("FAIR_PERIOD", "CallQueue", "FairQueue", "SelectionTest", "Waiting")
 
-#: every such selection ignores priorities, which bounds how long the least
+#: one such part of the service ignores priorities, which bounds how long the least
 #: important workspace waits: see :class:`FairQueue`
 FAIR_PERIOD = 8
 #: seconds of service by which a workspace may be ahead of its fair share while
@@ -169,11 +169,13 @@
     shares decide under overload, when one workspace asks for more than its own.
 
     Strict priority starves whoever comes last, seen as a workspace with no answer
-    at all while others flood the service. So every :data:`FAIR_PERIOD`-th selection
-    takes the oldest call of the workspace with the lowest virtual time, whatever
-    its priority. Bound: of ``FAIR_PERIOD * k`` selections in a row among ``k``
-    workspaces of equal weight and equal calls, each that had a call waiting all the
-    time gets at least one.
+    at all while others flood the service. So one part in :data:`FAIR_PERIOD` of the
+    service goes to the oldest call of the workspace with the lowest virtual time,
+    whatever its priority. It is a part of the service, not of the calls: a long call
+    in every eighth place would leave next to nothing to the short ones before it.
+    Bound: of ``FAIR_PERIOD * k`` selections in a row among ``k`` workspaces of equal
+    weight and equal calls, each that had a call waiting all the time gets at least
+    one.
 
     :param weigh: returns a workspace's weight, above 0.
     """
@@ -189,7 +191,8 @@
         #: start. At the highest, a workspace whose calls come one by one would lose
         #: what it is behind by each time that its queue is empty
         self._virtual = 0.0
-        self._selections = 0
+        #: seconds of service that may ignore priorities
+        self._fair_credit = 0.0
 
     def push(self, waiting: Waiting) -> None:
         name = waiting.ticket.workspace
@@ -214,7 +217,6 @@
         chosen = self._choose(test, now)
         if chosen is None:
             return None
-        self._selections += 1
         self._charge(chosen)
         self.remove(chosen.waiting_id)
         return chosen
@@ -241,11 +243,17 @@
         if len(self._waiting) <= 1:
             # nobody to be fair to, as for most calls of a service that has room
             return _find_first(self._waiting.values(), test.suits)
-        fair_turn = (self._selections + 1) % FAIR_PERIOD == 0
-        heads = self._find_heads(test, by_age=fair_turn)
+        heads = self._find_heads(test, by_age=True)
         if not heads:
             return None
-        return _pick_fair(heads) if fair_turn else self._pick(heads, test, now)
+        fair = _pick_fair(heads)
+        if self._fair_credit >= fair.expected:
+            self._fair_credit -= fair.expected
+            chosen = fair
+        else:
+            chosen = self._pick(self._find_heads(test, by_age=False), test, now)
+        self._fair_credit += chosen.expected / FAIR_PERIOD
+        return chosen
 
     def _forget_idle(self) -> None:
         """Drop the lanes of workspaces that would start anew at the common time."""
--- a/packages/greengagelatch/src/greengagelatch/load/room.py
+++ b/packages/greengagelatch/src/greengagelatch/load/room.py
@@ -111,8 +111,7 @@
             return view.probing and view.mine == 0 and self._may_probe(waiting)
         common = max(1.0, view.limit * (1 - self._short_share))
         if waiting.long:
-            own = max(1, int(view.assured * (1 - self._short_share)))
-            if view.assured > 0 and view.mine_long < own:
+            if view.mine < view.assured and self._has_long_share():
                 return True
             return view.held + 1 <= common and self._may_share(view)
         if view.mine < view.assured:
@@ -124,6 +123,16 @@
         reserved = max(1.0, view.limit * self._short_share)
         return view.mine - view.mine_long < reserved
 
+    def _has_long_share(self) -> bool:
+        """Whether long calls leave enough of this instance's own share to short ones.
+
+        It is counted over all targets: of a share of one call at each of them, no
+        part could be left free at any single one.
+        """
+        sound = self._list_sound()
+        own = sum(view.assured for view in sound) * (1 - self._short_share)
+        return sum(view.mine_long for view in sound) < max(1, int(own))
+
     def _may_share(self, view: TargetView) -> bool:
         """Whether this instance may use room that is nobody's own."""
         return not self._rush or view.spare > 0
--- a/packages/greengagelatch/src/greengagelatch/load/service.py
+++ b/packages/greengagelatch/src/greengagelatch/load/service.py
@@ -25,6 +25,8 @@
 OVERDUE = 4.0
 #: seconds between two looks at the calls that are out
 WATCH_INTERVAL = 0.1
+#: slowness from which a target's streams don't count for the curve of all targets
+SLOW_FOR_CURVE = 2.0
 #: targets that have gone are forgotten once there are this many
 FORGET_ABOVE = 64
 
@@ -267,7 +269,13 @@
     def _note_tokens(
         self, running: _Running, load: TargetLoad, outcome: Outcome, now: float
     ) -> None:
-        """Tell the curve of a stream and of how many calls its target held then."""
+        """Tell the curve of a stream and of how many calls its target held then.
+
+        Not of one at a slow target: it would seem that few calls side by side take
+        as long as many.
+        """
+        if load.breaker.slowness > SLOW_FOR_CURVE:
+            return
         reports = load.reports - running.reports
         held = running.held
         if reports > 0:
--- a/packages/greengagelatch/src/greengagelatch/load/times.py
+++ b/packages/greengagelatch/src/greengagelatch/load/times.py
@@ -21,6 +21,8 @@
 LATE_MARGIN = 0.01
 #: percentile of the durations that is taken as safe, before any caution
 SAFE_PERCENTILE = 95.0
+#: 95th percentile over median of calls under one and the same load, about
+SPREAD = 2.0
 #: part of a stage's time that a call takes by expectation before any was measured
 PRIOR_SHARE = 0.3
 #: seconds that a call is taken to last before any was made, weight of later ones in
@@ -73,9 +75,12 @@
 
         :param held: calls that a target holds, on average.
         """
-        seconds = self.estimate(kind, allotted, SAFE_PERCENTILE, now)
-        seconds *= self.knees.find_slowdown(held + 1)
-        return seconds * self._caution.find_factor(kind, now)
+        slowdown = self.knees.find_slowdown(held + 1)
+        # percentiles contain the times of high load too, so only the median is
+        # scaled beyond them
+        usual = self.estimate(kind, allotted, 50, now) * slowdown * SPREAD
+        late = self.estimate(kind, allotted, SAFE_PERCENTILE, now) * min(1.0, slowdown)
+        return max(usual, late) * self._caution.find_factor(kind, now)
 
     def is_long(self, kind: Kind, now: float) -> bool:
         """Whether the call belongs to the long ones of this service.
