--- a/packages/greengagelatch-entry/src/greengagelatch_entry/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/composition.py
@@ -10,9 +10,10 @@
 from greengagelatch.clock import SystemClock
 from greengagelatch.config.steering import resolve
 from greengagelatch.events import EventBus
+from greengagelatch.load.admission import AdmissionRule, EstimateAdmission
 from greengagelatch.load.deadlines import DeadlinePlan
 from greengagelatch.load.durations import DurationTracker
-from greengagelatch.load.scheduler import Scheduler, SchedulerRule
+from greengagelatch.load.scheduler import Scheduler
 
 from .adapters.callers import CallersServer
 from .adapters.instances import HttpInstanceList
@@ -38,12 +39,13 @@
 from .controllers.listing import ListingController
 from .controllers.orders import OrdersController
 from .controllers.quotas import QuotasController
-from .controllers.scheduling import SchedulingController
+from .controllers.scheduling import SchedulingController, read_scheduler_rule
 from .controllers.targets import TargetsController
 from .filters import Handler, chain
 from .filters.admission import AdmissionFilter
 from .filters.check import SNAPSHOT_NOTE, CheckFilter
 from .filters.deduplication import DeduplicationFilter
+from .filters.feasibility import FeasibilityFilter
 from .filters.identify import Identifier
 from .filters.observe import ObserveFilter
 from .filters.run import RunHandler
@@ -55,6 +57,7 @@
 
 if TYPE_CHECKING:
     from greengagelatch.config.objects import Stage
+    from greengagelatch.config.steering import Weights
     from greengagelatch.settings import Settings
 
     from .filters import Exchange
@@ -194,7 +197,7 @@
         )
         scheduler = Scheduler(
             directory=self.targets,
-            rule=SchedulerRule(),
+            rule=read_scheduler_rule(self.settings),
             data_centre=self.settings["instance.data_centre"],
             random_source=self.random,
             weigh=lambda workspace: 1.0,
@@ -202,6 +205,10 @@
             estimate_rest=plan.estimate_rest,
             durations=durations,
             now=self.clock.now(),
+            find_weights=self._find_weights,
+        )
+        self.admission = EstimateAdmission(
+            rule=AdmissionRule(), find_service=scheduler.find_service
         )
         self.scheduling = SchedulingController(
             scheduler=scheduler,
@@ -244,6 +251,9 @@
             DeduplicationFilter(claims=self.claims),
             AdmissionFilter(quotas=self.quotas, claimed=True),
             SteerFilter(),
+            FeasibilityFilter(
+                admission=self.admission, clock=self.clock, metrics=self.metrics
+            ),
         )
         return chain(filters, RunHandler(runner=runner))
 
@@ -328,6 +338,9 @@
         informed = self.configuration.ready and self.listing.listing is not None
         return informed and not self.drain.draining
 
+    def _find_weights(self, workspace: str, pipeline: str) -> Weights:
+        return resolve(self.configuration.snapshot, workspace, pipeline).weights
+
     def _prioritise(self, exchange: Exchange, stage: Stage) -> int:
         request = exchange.request
         snapshot = exchange.notes[SNAPSHOT_NOTE]
