Poll targets that nobody uses at their own, longer interval

Cause: the interval of unused services was used for the first poll only; each answer planned the next one as for a target in use. An idle daemon with 40 targets made 20 polls a second, all that targets.load_rate allows, and a target in use among many unused ones was asked too seldom for its reports to count. Ruled out: fewer watched targets, as an unused one still has to show that it is reachable. Before: 1,178 polls in 60 s of an idle daemon with 40 targets.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/targets.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/targets.py
@@ -23,6 +23,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Mapping
 
     from greengagelatch.clock import Clock
     from greengagelatch.events import EventBus
@@ -118,6 +119,8 @@
         self._schedule = PollSchedule(
             rate=settings["targets.load_rate"], random_source=random_source
         )
+        #: seconds between polls of each watched target
+        self._intervals: Mapping[str, float] = {}
         self._polls: set[asyncio.Task[None]] = set()
         self._session: aiohttp.ClientSession | None = None
         #: leaving targets not yet passed on, by whether a peer told of them
@@ -239,6 +242,7 @@
             target_id: self._interval if used else unused
             for target_id, used in watched.items()
         }
+        self._intervals = intervals
         self._schedule.watch(now, intervals)
 
     async def _poll(self, target: Target) -> None:
@@ -280,7 +284,7 @@
 
     def _plan_poll(self, target_id: str) -> None:
         failures = self._ledger.count_failures(target_id)
-        delay = self._interval
+        delay = self._intervals.get(target_id, self._interval)
         if failures:
             delay = compute_backoff(
                 failures,
--- a/tests/test_entry/test_controllers/test_targets.py
+++ b/tests/test_entry/test_controllers/test_targets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 from dataclasses import dataclass, field
 
@@ -141,6 +142,25 @@
     assert one.list_ids() == []
 
 
+async def test_targets_that_nobody_uses_are_polled_seldom(serve, begin):
+    """Load reports of targets in use are too old to choose by.
+
+    Others, which no request needs, are polled as often, and take up the common rate.
+    """
+    used, unused = Desk(), Desk()
+    await serve(used)
+    await serve(unused)
+    rows = make_listing(1, used, unused).instances
+    rows = (rows[0], dataclasses.replace(rows[1], service="notify"))
+    one = await begin(Switchboard().join("e-1"))
+    one.events.emit(LISTING_RECEIVED, Listing(1, rows))
+    await wait_until(lambda: one.list_ids() and used.polls >= 20)
+    assert 1 <= unused.polls < used.polls / 2
+    assert one.directory.candidates("notify")
+    before = unused.polls
+    await wait_until(lambda: unused.polls >= before + 10)
+
+
 async def test_header_of_a_failed_poll_tells_of_leaving(serve, begin):
     desk = Desk(status=503, headers={"X-Target-State": "leaving"})
     await serve(desk)
