Tell of quotas over the links that are open, too

Cause: two peers picked anew in each round of a second, so two dials a second and the links kept for 15 s, at each instance. The choice that the configuration's gossip makes is one function now, with an eighth of the words to any member.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/configuration/gossip.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/configuration/gossip.py
@@ -7,12 +7,12 @@
 
 from greengagelatch.config.gossip import (
     Knowledge,
-    choose_listener,
     choose_listeners,
     list_alive,
 )
 from greengagelatch.config.messages import ConfigAdvert, ConfigQuery
 from greengagelatch.peers import MemberState
+from greengagelatch.peers.choice import choose_peers
 
 from .report import MemberGeneration
 
@@ -94,14 +94,9 @@
 
     def tell_one(self) -> None:
         """Tell one of the others, so that whatever was missed is heard at last."""
-        chosen = choose_listener(
-            self._peers.members(),
-            self._peers.neighbours(),
-            self._peers.instance_id,
-            self._random,
-        )
-        if chosen is not None:
-            self._peers.send(chosen, self._create_advert())
+        others = [member.instance_id for member in self.list_others()]
+        for name in choose_peers(others, self._peers.neighbours(), 1, self._random):
+            self._peers.send(name, self._create_advert())
 
     def tell_listeners(self) -> None:
         """Tell a few at once that a newer generation is in force here."""
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/quotas.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/quotas.py
@@ -8,6 +8,7 @@
 from mode import Service
 
 from greengagelatch.peers import MemberState
+from greengagelatch.peers.choice import choose_peers
 from greengagelatch.quotas import Admission, QuotaKey
 from greengagelatch.quotas.ledger import QuotaLedger
 from greengagelatch.quotas.messages import DemandReport
@@ -135,8 +136,8 @@
             for member in self._peers.members()
             if member.state is MemberState.ALIVE and member.instance_id != own_id
         ]
-        listeners = self._random.sample(others, min(LISTENERS, len(others)))
-        for instance_id in listeners:
+        neighbours = self._peers.neighbours()
+        for instance_id in choose_peers(others, neighbours, LISTENERS, self._random):
             report = self._ledger.create_report(self._clock.now())
             self._peers.send(instance_id, report)
 
--- a/packages/greengagelatch/src/greengagelatch/config/gossip.py
+++ b/packages/greengagelatch/src/greengagelatch/config/gossip.py
@@ -14,7 +14,6 @@
 __all__ = (
     "Knowledge",
     "Sighting",
-    "choose_listener",
     "choose_listeners",
     "choose_watchers",
     "list_alive",
@@ -26,9 +25,6 @@
 #: members of one's own data centre told of a new generation at once
 FANOUT = 3
 
-#: share of the words now and then that go to any member and not to a neighbour
-ANYONE_SHARE = 0.125
-
 #: other instances whose generations are passed on in one advert
 SEEN_ROWS = 8
 
@@ -95,31 +91,6 @@
     return tuple(chosen)
 
 
-def choose_listener(
-    members: Sequence[Member],
-    neighbours: Sequence[str],
-    own_id: str,
-    source: random.Random,
-) -> str | None:
-    """Return whom to tell now and then, so that whatever was missed is heard at last.
-
-    Mostly this is a neighbour, to which a link is open. Now and then it is any member:
-    where views differ, neighbours alone may not reach everyone.
-    """
-    usable = [
-        member.instance_id
-        for member in list_alive(members)
-        if member.instance_id != own_id
-    ]
-    if not usable:
-        return None
-    kept = frozenset(neighbours)
-    linked = [name for name in usable if name in kept]
-    if linked and source.random() >= ANYONE_SHARE:
-        return source.choice(linked)
-    return source.choice(usable)
-
-
 @dataclass(frozen=True, slots=True)
 class Sighting:
     """The last known generation of an instance."""
