--- a/tests/test_matrix/conftest.py
+++ b/tests/test_matrix/conftest.py
@@ -30,6 +30,14 @@
     return run_cell(Cell((fault,), Step(step)), seed)
 
 
+@when(
+    parsers.parse('"{fault}" and "{other}" come at the step "{step}"'),
+    target_fixture="result",
+)
+def two_faults(fault, other, step, seed):
+    return run_cell(Cell((fault, other), Step(step)), seed)
+
+
 @then("every promise is kept")
 def every_promise_is_kept(result):
     assert not result.missing
--- /dev/null
+++ b/tests/test_matrix/test_pairs.py
@@ -0,0 +1,7 @@
+"""The cells of pairs.feature."""
+
+from __future__ import annotations
+
+from pytest_bdd import scenarios
+
+scenarios("pairs.feature")
