--- a/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/leases.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/leases.py
@@ -136,7 +136,8 @@
     async def _run_forever(self) -> None:
         while not self.should_stop:
             self._plan()
-            await self.sleep(TICK)
+            # the service's own sleep starts a task each time
+            await asyncio.sleep(TICK)
 
     async def _wait_calls(self) -> None:
         if self._calls:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/orders.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/orders.py
@@ -131,7 +131,8 @@
             self._tell_leases()
             for group in self._groups.list_groups():
                 self._serve(group)
-            await self.sleep(TICK)
+            # the service's own sleep starts a task each time
+            await asyncio.sleep(TICK)
 
     def _note_drain(self) -> None:
         # at once, and not at the next tick: no order begins after this
