--- a/packages/greengagelatch-lab/src/greengagelatch_lab/capacity/__main__.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/capacity/__main__.py
@@ -7,23 +7,38 @@
 from __future__ import annotations
 
 import argparse
+import dataclasses
 import json
 import tempfile
 import time
 from pathlib import Path
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from ..fleets.tool import run_tool
 from ..processes import ProcessGroup
-from . import claims, configuration, fleet_check, leases, serving, targets
+from . import (
+    claims,
+    configuration,
+    fleet_check,
+    leases,
+    links,
+    membership,
+    serving,
+    targets,
+)
+from .fits import Point, Series
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
-
-    from .fits import Series
+    from collections.abc import AsyncIterator, Sequence
 
 __all__ = ("MEASUREMENTS", "main")
 
+#: sizes of fleets on virtual time, and of those with links in one process
+MEMBERS = (9, 50, 150, 300)
+LINKED = (9, 24, 40)
+VIRTUAL_SECONDS = 20.0
+LINK_SECONDS = 15.0
+
 
 async def _measure_targets(group: ProcessGroup) -> AsyncIterator[Series]:
     yield targets.measure_choice()
@@ -61,6 +76,29 @@
         yield series
 
 
+async def _measure_membership(group: ProcessGroup) -> AsyncIterator[Series]:
+    yield _describe_costs(
+        "failure detection at one of several members",
+        [membership.measure_members(size, VIRTUAL_SECONDS) for size in MEMBERS],
+        ("bytes_per_second", "cpu_share", "memory_bytes"),
+    )
+    yield _describe_costs(
+        "links of one of several members",
+        [await links.measure_links(size, LINK_SECONDS) for size in LINKED],
+        ("wire_bytes_per_second", "cpu_share"),
+    )
+
+
+def _describe_costs(role: str, costs: Sequence[Any], figures: Sequence[str]) -> Series:
+    points = []
+    for cost in costs:
+        fields = dataclasses.asdict(cost)
+        drivers = {"members": fields.pop("members")}
+        points.append(Point(drivers=drivers, figures=fields))
+    lines = dict.fromkeys(figures, ("members",))
+    return Series(role=role, points=points, lines=lines)
+
+
 #: by name, in the order in which they run
 MEASUREMENTS = {
     "targets": _measure_targets,
@@ -68,6 +106,7 @@
     "configuration": _measure_configuration,
     "leases": _measure_leases,
     "serving": _measure_serving,
+    "membership": _measure_membership,
     "fleet": _measure_fleet,
     "crowd": _measure_crowd,
 }
