--- a/packages/greengagelatch-lab/src/greengagelatch_lab/matrix/table.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/matrix/table.py
@@ -5,6 +5,7 @@
 import json
 import logging
 import signal
+import warnings
 from collections import Counter
 from collections.abc import Iterable, Sequence
 from concurrent.futures import ProcessPoolExecutor
@@ -100,8 +101,10 @@
 
 def _run(work: tuple[Cell, int]) -> _Found:
     cell, seed = work
-    # what the parts complain of while faults last is meant to happen
+    # what the parts complain of while faults last is meant to happen, and so is that
+    # a killed process leaves things undone
     logging.disable(logging.CRITICAL)
+    warnings.filterwarnings("ignore", message="coroutine .* was never awaited")
     signal.signal(signal.SIGALRM, _interrupt)
     signal.alarm(HANGING)
     try:
