--- a/packages/greengagelatch-lab/src/greengagelatch_lab/differential/naive.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/differential/naive.py
@@ -35,7 +35,7 @@
     from greengagelatch_entry.filters import Exchange
 
     from ..matrix.bench import Bench
-    from ..matrix.sessions import Connection
+    from ..matrix.connections import Connection
 
 __all__ = ("NaiveInstance",)
 
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/matrix/connections.py
@@ -0,0 +1,235 @@
+"""Connections to the bench's targets: what they carry, lose and deliver late."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections import deque
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+
+from .network import Pipe
+from .processes import schedule_outside, spawn_outside
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Awaitable, Callable
+
+    from .fleet import FleetTarget
+    from .network import Network
+    from .processes import SimulatedProcess
+    from .sessions import SimulatedSession
+    from .steps import Announcer
+
+    #: given status, bytes and whether these are the last
+    Answer = Callable[[int, bytes, bool], None]
+    #: what a target does with a request
+    Request = Callable[[FleetTarget, Answer], Awaitable[None]]
+
+__all__ = ("Connection", "Dialer", "SimulatedResponse")
+
+EVENT_STREAM = "text/event-stream"
+JSON = "application/json"
+#: in the place of a status: the connection was reset
+RESET = 0
+#: seconds after which bytes are sent again that did not arrive
+RETRANSMISSION = 0.2
+
+
+class Dialer:
+    """Opens one process's connections to targets.
+
+    :param markers: marker of each request by its id, for the announcer
+    """
+
+    def __init__(
+        self,
+        *,
+        process: SimulatedProcess,
+        place: str,
+        network: Network,
+        targets: dict[str, FleetTarget],
+        announcer: Announcer,
+        markers: dict[str, str],
+    ) -> None:
+        self.process = process
+        self.place = place
+        self.network = network
+        self.targets = targets
+        self.announcer = announcer
+        self.markers = markers
+        self._connections: list[Connection] = []
+
+    def silence(self) -> None:
+        """Have all open connections go silent for good; new ones work."""
+        for connection in self._connections:
+            connection.silent = True
+
+    async def open(self, address: str, *, lingers_off: bool = False) -> Connection:
+        """Open a connection."""
+        target = self.targets[address]
+        delay = 2 * self.network.draw_latency(self.place, target.data_centre)
+        if not self.reaches(target):
+            # nothing comes back: whoever waits has a time limit
+            await asyncio.Event().wait()
+        await asyncio.sleep(delay)
+        if not target.alive:
+            raise aiohttp.ClientConnectionError("refused")
+        connection = Connection(self, target, lingers_off=lingers_off)
+        self._connections.append(connection)
+        return connection
+
+    def reaches(self, target: FleetTarget) -> bool:
+        """Whether messages pass both ways."""
+        there = self.network.reaches(self.place, target.data_centre)
+        return there and self.network.reaches(target.data_centre, self.place)
+
+    def forget(self, connection: Connection) -> None:
+        """Drop a closed connection."""
+        if connection in self._connections:
+            self._connections.remove(connection)
+
+
+class Connection:
+    """One connection to one target; it carries one call at a time.
+
+    Bytes that were handed over wait while the way is cut, and arrive afterwards if
+    the connection is still open.
+    """
+
+    def __init__(
+        self, dialer: Dialer, target: FleetTarget, *, lingers_off: bool = False
+    ) -> None:
+        self.dialer = dialer
+        self.target = target
+        #: whether bytes not yet sent are dropped when the process ends
+        self.lingers_off = lingers_off
+        self.silent = False
+        self.open = True
+        self._response: SimulatedResponse | None = None
+        #: from the target and to it
+        self._pipes = (Pipe(), Pipe())
+
+    def send(self, request: Request, response: SimulatedResponse) -> None:
+        """Send a request, whose answer goes to ``response``."""
+        self._response = response
+        self._pass(self.target.data_centre, self._arrive, request, response)
+
+    def close(self) -> None:
+        """Close the connection; the target runs on until it is told to stop."""
+        self.open = False
+        self._response = None
+        self.dialer.forget(self)
+
+    def _arrive(self, request: Request, response: SimulatedResponse) -> None:
+        def answer(status: int, data: bytes, last: bool) -> None:
+            state = "leaving" if self.target.leaving else "live"
+            place = self.dialer.place
+            self._pass(place, self._return, response, status, state, data, last)
+
+        if not self.target.alive:
+            answer(RESET, b"", True)
+            return
+        spawn_outside(_serve(self.target, request, answer))
+
+    def _return(self, response: SimulatedResponse, *answer: Any) -> None:
+        if self._response is response:
+            self.dialer.process.deliver(response.take, *answer)
+
+    def _pass(self, place: str, callback: Callable[..., None], *args: Any) -> None:
+        """Carry something to a place, as late as TCP does where the way is cut."""
+        there = callback != self._return
+        sender = self.dialer.place if there else self.target.data_centre
+        network = self.dialer.network
+
+        def arrive() -> None:
+            if self.silent or not self.open:
+                return
+            if network.reaches(sender, place):
+                callback(*args)
+            elif not (self.lingers_off and self.dialer.process.killed):
+                schedule_outside(RETRANSMISSION, arrive)
+
+        self._pipes[there].carry(network.draw_latency(sender, place), arrive)
+
+
+async def _serve(target: FleetTarget, request: Request, answer: Answer) -> None:
+    try:
+        await request(target, answer)
+    except asyncio.CancelledError:
+        # stopped at the caller's word; what ran until then is in the record
+        if not target.alive:
+            answer(RESET, b"", True)
+
+
+class SimulatedResponse:
+    """The answer to one call, as far as the client of targets uses it.
+
+    It stands for the response and for its body, which is read in chunks.
+    """
+
+    def __init__(self, session: SimulatedSession, connection: Connection) -> None:
+        self.status = 0
+        self.headers: dict[str, str] = {}
+        self.content_type = JSON
+        self._session = session
+        self._connection = connection
+        self._chunks: deque[bytes] = deque()
+        self._last = False
+        self._wanted = asyncio.Event()
+
+    @property
+    def content(self) -> SimulatedResponse:
+        """The body."""
+        return self
+
+    def take(self, status: int, state: str, data: bytes, last: bool) -> None:
+        """Take in what has arrived."""
+        self.status = status
+        self.headers["X-Target-State"] = state
+        if data.startswith(b"event:"):
+            self.content_type = EVENT_STREAM
+        if data:
+            self._chunks.append(data)
+        self._last = last
+        self._wanted.set()
+
+    async def wait_for_head(self) -> None:
+        """Wait until the answer has begun."""
+        await self._wanted.wait()
+        if self.status == RESET:
+            raise aiohttp.ServerDisconnectedError
+
+    def is_eof(self) -> bool:
+        """Whether all has arrived."""
+        return self._last
+
+    def at_eof(self) -> bool:
+        """Whether all has been read."""
+        return self._last and not self._chunks
+
+    async def readany(self) -> bytes:
+        """Return what has arrived; empty at the end."""
+        while not self._chunks:
+            if self._last:
+                return b""
+            self._wanted.clear()
+            await self._wanted.wait()
+        return self._chunks.popleft()
+
+    async def iter_any(self) -> AsyncIterator[bytes]:
+        """Yield what arrives until the end."""
+        while chunk := await self.readany():
+            yield chunk
+
+    async def json(self) -> Any:
+        """Return the body read as JSON."""
+        return json.loads(b"".join(self._chunks))
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._connection.close()
+
+    def release(self) -> None:
+        """Give the connection back."""
+        self._session.keep(self._connection)
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/matrix/instance.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/matrix/instance.py
@@ -37,7 +37,7 @@
     from greengagelatch.targets import Target
 
     from .bench import Bench
-    from .sessions import Dialer
+    from .connections import Dialer
 
 __all__ = ("EntryInstance", "LoopClock")
 
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/matrix/serving.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/matrix/serving.py
@@ -5,9 +5,9 @@
 from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING
 
+from .connections import Dialer
 from .platform import PlatformLink
 from .processes import SimulatedProcess
-from .sessions import Dialer
 
 if TYPE_CHECKING:
     from greengagelatch.config.requests import ChangeOutcome, ChangeRequest
