--- a/packages/greengagelatch/src/greengagelatch/load/weights.py
+++ b/packages/greengagelatch/src/greengagelatch/load/weights.py
@@ -8,19 +8,19 @@
 
 #: factor on the time that a call must have left to be started on busy targets,
 #: where only attainment counts, and where only cost does
-ATTAINMENT_MARGIN = 0.9
-COST_MARGIN = 1.4
+ATTAINMENT_MARGIN = 1.1
+COST_MARGIN = 1.7
 #: factor on the patience before a backup call, likewise
-ATTAINMENT_PATIENCE = 1.0
+ATTAINMENT_PATIENCE = 1.5
 COST_PATIENCE = 4.0
 
 
 def scale_margin(weights: Weights) -> float:
     """Return the factor on the time a call must have left on busy targets.
 
-    A low one starts calls that may end too late. Up to a point that answers more
-    requests, at the price of work for nothing; beyond it there is so much of that
-    work that fewer are answered.
+    A high one refuses calls that might just have been in time. A low one starts
+    calls that end too late; below the lower bound there is so much work for nothing
+    that fewer requests are answered, so less than that is never asked.
     """
     return _interpolate(ATTAINMENT_MARGIN, COST_MARGIN, weights)
 
