--- a/Makefile
+++ b/Makefile
@@ -2,12 +2,12 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := $(wildcard packages/*)
+PACKAGES := $(wildcard packages/*) platform
 STAMP := $(VENV)/installed
 
 .PHONY: demo bench capacity matrix differential outages test lint format docs clean
 
-$(STAMP): constraints.txt $(wildcard packages/*/pyproject.toml)
+$(STAMP): constraints.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
 	$(BIN)/python -m pip install --quiet -c constraints.txt setuptools wheel
 	$(BIN)/python -m pip install --quiet --no-build-isolation -c constraints.txt \
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/__main__.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/__main__.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import gc
 import sys
 
 from cleo.application import Application as CommandLine
@@ -17,6 +16,7 @@
 
 from .application import Application, ExitCode
 from .composition import compose
+from .garbage import freeze_imports
 from .logs import LogOutput, set_up
 
 __all__ = ("main",)
@@ -24,10 +24,6 @@
 PROGRAM_NAME = "greengagelatchd"
 RUN = "run"
 
-#: allocations between two collections of the youngest generation; the default of
-#: 700 makes the collector run several times in each request
-GC_THRESHOLD = 50_000
-
 
 class DaemonCommand(Command):
     """Runs the daemon, or only checks its settings."""
@@ -60,10 +56,7 @@
     except OSError as error:
         print(f"setting log.file = {settings['log.file']!r}: {error}", file=sys.stderr)
         return ExitCode.BAD_START
-    # what was imported lives as long as the process: no need to look at it again
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(GC_THRESHOLD)
+    freeze_imports()
     try:
         return asyncio.run(_serve(settings, output))
     finally:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_answers.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_answers.py
@@ -32,6 +32,7 @@
     RefusalCode.BAD_REQUEST: 400,
     RefusalCode.UNKNOWN_PIPELINE: 404,
     RefusalCode.UNKNOWN_WORKSPACE: 404,
+    RefusalCode.UNAUTHORIZED: 401,
     RefusalCode.TOO_LARGE: 413,
     RefusalCode.KEY_REUSED: 422,
     RefusalCode.REPEAT_UNSETTLED: 409,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/callers.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/callers.py
@@ -17,14 +17,13 @@
 from ..filters import Exchange
 from ..filters.identify import Arrival
 from .caller_answers import create_headers, encode_answer, find_status
+from .caller_bodies import CLOSING_STATUSES, BodyError, read_body
 from .caller_connections import CallerConnections, mark_busy
 from .caller_stream import CallerStream
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from aiohttp import StreamReader
-
     from greengagelatch.clock import Clock
 
     from ..filters import Handler
@@ -36,17 +35,11 @@
 PATH_PREFIX = "/v1/pipelines/"
 METHOD = "POST"
 STATUS_METHOD_NOT_ALLOWED = 405
-STATUS_TIMEOUT = 408
-STATUS_TOO_LARGE = 413
-#: after these the rest of the body is not read, so the connection can't be kept
-_CLOSING = frozenset({STATUS_TIMEOUT, STATUS_TOO_LARGE})
 EVENT_STREAM = "text/event-stream"
 #: bytes of an answer below which the connection's buffer takes it at once
 SMALL_ANSWER = 32 * 1024
 #: characters of an offending value that are shown
 MAX_SHOWN = 64
-#: milliseconds after which a caller may ask again where this instance is at fault
-RETRY_MS = 1000
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -63,13 +56,6 @@
     max_unwritten_bytes: int = 256 * 1024
 
 
-class _BodyError(Exception):
-    def __init__(self, status: int, refusal: Refusal) -> None:
-        super().__init__(refusal.message)
-        self.status = status
-        self.refusal = refusal
-
-
 class CallersServer(Controller):
     """Serves callers: reads a request, has it handled and delivers the answer.
 
@@ -179,8 +165,12 @@
         if refusal is not None:
             return await self._refuse(request, request_id, status, refusal)
         try:
-            body = await self._read_body(request)
-        except _BodyError as error:
+            body = await read_body(
+                request,
+                limit=self._limits.max_body_bytes,
+                timeout=self._limits.body_timeout,
+            )
+        except BodyError as error:
             return await self._refuse(request, request_id, error.status, error.refusal)
         arrival = Arrival(
             request_id=request_id,
@@ -198,29 +188,6 @@
         answer = await self._handler(exchange)
         return await self._deliver(request, answer, find_status(answer))
 
-    async def _read_body(self, request: web.BaseRequest) -> bytes:
-        limit = self._limits.max_body_bytes
-        length = request.content_length or 0
-        if length > limit:
-            raise _BodyError(STATUS_TOO_LARGE, _refuse_size(limit, str(length)))
-        content = request.content
-        if content.is_eof():
-            # the usual case: the body came with the head
-            body = content.read_nowait()
-            if len(body) > limit:
-                raise _BodyError(STATUS_TOO_LARGE, _refuse_size(limit, str(len(body))))
-            return body
-        await _invite_body(request)
-        try:
-            async with asyncio.timeout(self._limits.body_timeout):
-                return await _collect(content, limit)
-        except TimeoutError:
-            message = f"body not received within {self._limits.body_timeout:g} s"
-            raise _BodyError(STATUS_TIMEOUT, _refuse_body(message, "")) from None
-        except web.RequestPayloadError as error:
-            message = f"body can't be read: {str(error)[:MAX_SHOWN]}"
-            raise _BodyError(400, _refuse_body(message, "")) from None
-
     async def _refuse(
         self,
         request: web.BaseRequest,
@@ -243,7 +210,7 @@
         )
         if status == STATUS_METHOD_NOT_ALLOWED:
             response.headers["Allow"] = METHOD
-        if self._draining() or status in _CLOSING:
+        if self._draining() or status in CLOSING_STATUSES:
             response.force_close()
         try:
             # what is small goes to the connection's buffer without any wait, and
@@ -299,26 +266,6 @@
     await response.write_eof()
 
 
-async def _collect(content: StreamReader, limit: int) -> bytes:
-    chunks: list[bytes] = []
-    size = 0
-    while chunk := await content.readany():
-        size += len(chunk)
-        if size > limit:
-            raise _BodyError(STATUS_TOO_LARGE, _refuse_size(limit, f"over {limit}"))
-        chunks.append(chunk)
-    return b"".join(chunks)
-
-
-async def _invite_body(request: web.BaseRequest) -> None:
-    """Ask for the body where the caller waits to be asked (RFC 9110, 10.1.1)."""
-    if request.headers.get("Expect", "").lower() != "100-continue":
-        return
-    await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-    # the answer proper has not begun
-    request.writer.output_size = 0
-
-
 def _check_line(request: web.BaseRequest) -> tuple[Refusal | None, int]:
     path = request.path
     name = path[len(PATH_PREFIX) :]
@@ -339,22 +286,3 @@
         )
         return refusal, STATUS_METHOD_NOT_ALLOWED
     return None, 0
-
-
-def _refuse_size(limit: int, value: str) -> Refusal:
-    return Refusal(
-        code=RefusalCode.TOO_LARGE,
-        message=f"the body exceeds {limit} bytes",
-        field="body",
-        value=value,
-    )
-
-
-def _refuse_body(message: str, value: str) -> Refusal:
-    return Refusal(
-        code=RefusalCode.BAD_REQUEST,
-        message=message,
-        field="body",
-        value=value,
-        retry_after_ms=RETRY_MS,
-    )
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/application.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/application.py
@@ -4,12 +4,12 @@
 
 import asyncio
 import logging
-import signal
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from .composition import Parts
     from .controllers import Controller
+    from .relay.composition import RelayParts
 
 __all__ = ("Application", "ExitCode")
 
@@ -35,7 +35,7 @@
     first, links to peers last.
     """
 
-    def __init__(self, parts: Parts) -> None:
+    def __init__(self, parts: Parts | RelayParts) -> None:
         self._parts = parts
         self._failed = False
 
@@ -59,18 +59,13 @@
 
     def _listen_to_signals(self) -> None:
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._parts.drain.request_stop)
+        for number, handler in self._parts.signals.items():
+            loop.add_signal_handler(number, handler)
 
     def _announce(self) -> None:
         """Tell whoever started the process which ports the system gave it."""
-        parts = self._parts
-        addresses = {
-            "callers": parts.callers.port,
-            "operators": parts.operators.port,
-            "peers": parts.peers.port,
-        }
-        words = [f"{name}={parts.host}:{port}" for name, port in addresses.items()]
+        addresses = self._parts.list_addresses()
+        words = [f"{name}={address}" for name, address in addresses.items()]
         print("ready", *words, flush=True)
 
     def _note_crash(self, controller: Controller, reason: BaseException) -> None:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/composition.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import signal
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -80,6 +81,17 @@
     host: str
     #: closes the clients towards targets and the platform
     close: Callable[[], Awaitable[None]]
+    #: what is done on signals, by number
+    signals: dict[int, Callable[[], None]]
+
+    def list_addresses(self) -> dict[str, str]:
+        """Return what this instance listens on."""
+        ports = {
+            "callers": self.callers.port,
+            "operators": self.operators.port,
+            "peers": self.peers.port,
+        }
+        return {name: f"{self.host}:{port}" for name, port in ports.items()}
 
 
 def compose(settings: Settings, log_output: LogOutput | None = None) -> Parts:
@@ -121,6 +133,10 @@
             drain=self.drain,
             host=self.settings["callers.listen"].rpartition(":")[0],
             close=self._close,
+            signals={
+                signal.SIGTERM: self.drain.request_stop,
+                signal.SIGINT: self.drain.request_stop,
+            },
         )
 
     def _build_state(self) -> None:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/logs.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/logs.py
@@ -24,7 +24,9 @@
     "LogOutput",
     "RequestLog",
     "RequestTrace",
+    "STDOUT",
     "StageTrace",
+    "open_output",
     "set_up",
     "truncate",
 )
@@ -156,14 +158,21 @@
     :raises OSError: if the file can't be opened
     """
     level = LogLevel[settings["log.level"].upper()]
-    path = settings["log.file"]
+    return open_output(settings["log.file"], level, settings["instance.id"])
+
+
+def open_output(path: str, level: LogLevel, instance_id: str) -> LogOutput:
+    """Open an output, :data:`STDOUT` or a file, and route all logs to it.
+
+    :raises OSError: if the file can't be opened
+    """
     if path == STDOUT:
         output = LogOutput(sys.stdout.fileno(), owned=False)
     else:
         flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
         output = LogOutput(os.open(path, flags, 0o644), owned=True)
     output.attach(level)
-    eliot.add_global_fields(instance=settings["instance.id"])
+    eliot.add_global_fields(instance=instance_id)
     return output
 
 
--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Opaque requests: the way from a caller to a target and back."""
--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -0,0 +1,296 @@
+"""The composition root of an instance that passes opaque requests on."""
+
+from __future__ import annotations
+
+import random
+import signal
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+from greengagelatch.clock import SystemClock
+from greengagelatch.events import EventBus
+from greengagelatch.relay.batches import SharedCalls
+from greengagelatch.relay.deployment import CallerBounds
+from greengagelatch.relay.fleet import Fleet
+from greengagelatch.relay.targets import TargetBook
+
+from ..controllers import Controller
+from ..controllers.drain import DrainController
+from ..filters import chain
+from .budgets import RepeatBudgets
+from .configuration import ConfigurationFollower
+from .decisions import DecisionLog
+from .desk import LocalDesk
+from .filters import ObserveFilter, RouteFilter, RunHandler, SplitFilter
+from .front import RelayFront
+from .links import TargetLinks
+from .listing import ListingFollower
+from .plain import PlainRunner
+from .prometheus import PrometheusMetrics
+from .readiness import ReadinessServer
+from .run_times import RunTimes
+from .sending import TargetSender
+from .stage_pool import StagePool
+from .stages import StageRunner
+from .streams import StreamRunner
+
+if TYPE_CHECKING:
+    from greengagelatch.relay.repeats import RepeatRule
+    from greengagelatch.store.ranges import RangeStore
+
+    from .codecs import CallerCodec, DeploymentCodec, ListingCodec, TargetCodec
+
+__all__ = ("RelayAdapters", "RelayParts", "RelayRules", "compose_relay")
+
+#: instances assumed to share a budget before others are known; more than there
+#: usually are, so that the share errs on the safe side
+ASSUMED_INSTANCES = 10
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RelayRules:
+    """What an instance is told at its start; times in seconds."""
+
+    instance_id: str
+    data_centre: str
+    callers_listen: str
+    readiness_listen: str
+    readiness_path: str
+    #: empty: no metrics are served
+    metrics_listen: str
+    metrics_path: str
+    #: time for which the balancer may still send connections after a stop signal
+    balancer_lag: float
+    #: time that requests in flight get after that
+    longest_drain: float
+    repeats: RepeatRule
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RelayAdapters:
+    """What speaks the platform's protocols."""
+
+    create_store: Callable[[PrometheusMetrics], RangeStore]
+    callers: CallerCodec
+    targets: TargetCodec
+    deployments: DeploymentCodec
+    listings: ListingCodec
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RelayParts:
+    """The parts of one instance."""
+
+    #: in the order in which they start
+    controllers: tuple[Controller, ...]
+    front: RelayFront
+    drain: DrainController
+    close: Callable[[], Awaitable[None]]
+    #: what is done on signals, by number
+    signals: dict[int, Callable[[], None]] = field(default_factory=dict)
+
+    def list_addresses(self) -> dict[str, str]:
+        """Return what this instance listens on."""
+        return {"callers": str(self.front.port)}
+
+
+def compose_relay(
+    rules: RelayRules,
+    adapters: RelayAdapters,
+    reload: Callable[[], None] = lambda: None,
+) -> RelayParts:
+    """Build and wire all parts; nothing is started yet.
+
+    :param reload: reads the settings file again
+    """
+    return _Composer(rules, adapters, reload).compose()
+
+
+class _Composer:
+    """Holds what most parts are built from while they are wired."""
+
+    def __init__(
+        self,
+        rules: RelayRules,
+        adapters: RelayAdapters,
+        reload: Callable[[], None],
+    ) -> None:
+        self.rules = rules
+        self.adapters = adapters
+        self.reload = reload
+        self.clock = SystemClock()
+        self.random = random.Random()
+        self.events = EventBus()
+        self.metrics = PrometheusMetrics()
+        self.decisions = DecisionLog(clock=self.clock, metrics=self.metrics)
+
+    def compose(self) -> RelayParts:
+        self.store = self.adapters.create_store(self.metrics)
+        self._build_state()
+        self._build_request_path()
+        self._build_servers()
+        return RelayParts(
+            controllers=self._list_controllers(),
+            front=self.front,
+            drain=self.drain,
+            close=self._close,
+            signals={
+                # a second signal must not cut what the first one lets finish
+                signal.SIGTERM: self.drain.start_drain,
+                signal.SIGINT: self.drain.start_drain,
+                signal.SIGHUP: self.reload,
+            },
+        )
+
+    def _build_state(self) -> None:
+        self.book = TargetBook()
+        self.fleet = Fleet(
+            book=self.book,
+            data_centre=self.rules.data_centre,
+            random_source=self.random,
+        )
+        self.links = TargetLinks(clock=self.clock, metrics=self.metrics)
+        common = {
+            "store": self.store,
+            "clock": self.clock,
+            "random_source": self.random,
+            "metrics": self.metrics,
+            "decisions": self.decisions,
+        }
+        self.configuration = ConfigurationFollower(
+            codec=self.adapters.deployments, **common
+        )
+        self.listing = ListingFollower(
+            codec=self.adapters.listings,
+            book=self.book,
+            note_gone=self._note_gone,
+            **common,
+        )
+        self.budgets = RepeatBudgets(
+            rule=self.rules.repeats,
+            clock=self.clock,
+            count_instances=lambda: ASSUMED_INSTANCES,
+        )
+
+    def _build_request_path(self) -> None:
+        self.desk = LocalDesk(create_pool=self._create_pool)
+        stages = StageRunner(
+            desk=self.desk,
+            clock=self.clock,
+            decisions=self.decisions,
+            data_centre=self.rules.data_centre,
+        )
+        common = {
+            "sender": TargetSender(
+                links=self.links,
+                codec=self.adapters.targets,
+                fleet=self.fleet,
+                book=self.book,
+                clock=self.clock,
+                decisions=self.decisions,
+            ),
+            "fleet": self.fleet,
+            "budgets": self.budgets,
+            "clock": self.clock,
+        }
+        streams = StreamRunner(
+            stages=stages,
+            codec=self.adapters.targets,
+            times=RunTimes(),
+            **common,
+        )
+        filters = (
+            ObserveFilter(
+                clock=self.clock, metrics=self.metrics, decisions=self.decisions
+            ),
+            RouteFilter(find_table=lambda: self.configuration.table),
+            SplitFilter(random_source=self.random),
+        )
+        last = RunHandler(plain=PlainRunner(**common), streams=streams)
+        self.handler = chain(filters, last)
+
+    def _build_servers(self) -> None:
+        self.front = RelayFront(
+            listen=self.rules.callers_listen,
+            codec=self.adapters.callers,
+            handler=self.handler,
+            bounds=self._find_bounds,
+            draining=lambda: self.drain.draining,
+            clock=self.clock,
+            metrics=self.metrics,
+        )
+        self.drain = DrainController(
+            clock=self.clock,
+            events=self.events,
+            metrics=self.metrics,
+            balancer_lag=self.rules.balancer_lag,
+            longest=self.rules.longest_drain,
+            close_listener=self.front.close_listener,
+            wait_idle=self.front.wait_idle,
+        )
+        self.readiness = ReadinessServer(
+            listen=self.rules.readiness_listen,
+            readiness_path=self.rules.readiness_path,
+            metrics_listen=self.rules.metrics_listen,
+            metrics_path=self.rules.metrics_path,
+            ready=self._is_ready,
+            metrics=self.metrics,
+            describe=self._describe,
+        )
+
+    def _create_pool(self, service: str) -> StagePool:
+        return StagePool(
+            service,
+            find_profile=lambda: self._find_maker(service),
+            policy=SharedCalls(),
+            book=self.book,
+            links=self.links,
+            codec=self.adapters.targets,
+            budgets=self.budgets,
+            clock=self.clock,
+            metrics=self.metrics,
+            decisions=self.decisions,
+        )
+
+    def _list_controllers(self) -> tuple[Controller, ...]:
+        return (
+            self.configuration,
+            self.listing,
+            self.desk,
+            self.drain,
+            self.front,
+            self.readiness,
+        )
+
+    def _find_maker(self, service: str):
+        deployment = self.configuration.deployment
+        found = deployment.services.get(service) if deployment else None
+        return found.maker if found else None
+
+    def _find_bounds(self) -> CallerBounds:
+        deployment = self.configuration.deployment
+        return deployment.bounds if deployment else CallerBounds()
+
+    def _is_ready(self) -> bool:
+        informed = self.configuration.table is not None and self.listing.informed
+        return informed and not self.drain.draining
+
+    def _note_gone(self, target_id: str) -> None:
+        self.links.drop(target_id)
+        self.fleet.forget(target_id)
+
+    def _describe(self) -> dict[str, Any]:
+        parts = {part.name: part.dump() for part in self._list_controllers()}
+        return {
+            "instance": self.rules.instance_id,
+            "data_centre": self.rules.data_centre,
+            **parts,
+            "targets": self.fleet.describe(self.clock.now()),
+            "links": {"idle": self.links.count_idle()},
+            "metrics": self.metrics.dump(),
+        }
+
+    async def _close(self) -> None:
+        self.links.drop_all()
+        await self.store.close()
--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/configuration.py
@@ -0,0 +1,125 @@
+"""The configuration in force on this instance."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from result import Err, Ok
+
+from greengagelatch.relay.routes import RouteTable
+
+from .following import FollowingController
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from greengagelatch.relay.deployment import Deployment
+    from greengagelatch.store.ranges import Changes, Scan
+
+    from .codecs import DeploymentCodec
+
+__all__ = ("ConfigurationFollower",)
+
+
+class ConfigurationFollower(FollowingController):
+    """Follows the configuration and never goes back to an older version.
+
+    A stale read, a peer that is behind, or an answer that was held up must not take
+    back what callers and targets have already seen in force.
+    """
+
+    name = "configuration"
+
+    def __init__(self, *, codec: DeploymentCodec, **common: Any) -> None:
+        super().__init__(prefix=codec.key, **common)
+        self._codec = codec
+        self._table: RouteTable | None = None
+        self._revision = 0
+        self._value = b""
+        self._since = 0.0
+        #: called without arguments once another version is in force
+        self.listeners: list[Callable[[], None]] = []
+
+    @property
+    def table(self) -> RouteTable | None:
+        """Routes and keys in force; ``None`` before any are known."""
+        return self._table
+
+    @property
+    def deployment(self) -> Deployment | None:
+        """The configuration in force; ``None`` before any is known."""
+        return None if self._table is None else self._table.deployment
+
+    @property
+    def revision(self) -> int:
+        """Revision of the store at which the version in force was written."""
+        return self._revision
+
+    @property
+    def value(self) -> bytes:
+        """The configuration in force, encoded."""
+        return self._value
+
+    def take_scan(self, scan: Scan) -> None:
+        for entry in scan.entries:
+            if entry.key == self._codec.key:
+                self.take(entry.value, entry.revision, "store")
+
+    def take_changes(self, changes: Changes) -> None:
+        for entry in changes.written:
+            if entry.key == self._codec.key:
+                self.take(entry.value, entry.revision, "store")
+
+    def take(self, value: bytes, revision: int, origin: str) -> bool:
+        """Put a configuration in force if it is newer; whether it was."""
+        if revision <= self._revision:
+            return False
+        match self._codec.decode(value, revision):
+            case Ok((deployment, problems)):
+                self._put(deployment, value, origin)
+            case Err(problem):
+                self._decisions.note_belief(
+                    "configuration-unreadable", revision=revision, reason=str(problem)
+                )
+                return False
+        for problem in problems:
+            self._decisions.note_belief(
+                "configuration-problem", revision=revision, reason=str(problem)
+            )
+        return True
+
+    def _put(self, deployment: Deployment, value: bytes, origin: str) -> None:
+        before = self.deployment
+        if before is not None and deployment.version < before.version:
+            self._decisions.note_belief(
+                "configuration-older",
+                version=deployment.version,
+                in_force=before.version,
+                revision=deployment.revision,
+            )
+            return
+        self._table = RouteTable(deployment)
+        self._revision = deployment.revision
+        self._value = value
+        self._since = self._clock.now()
+        self._decisions.note_belief(
+            "configuration",
+            version=deployment.version,
+            before=before.version if before else 0,
+            revision=deployment.revision,
+            origin=origin,
+            routes=len(deployment.routes),
+            workspaces=len(deployment.workspaces),
+        )
+        for listener in self.listeners:
+            listener()
+
+    def dump(self) -> dict[str, Any]:
+        deployment = self.deployment
+        return {
+            **super().dump(),
+            "version": deployment.version if deployment else 0,
+            "in_force_revision": self._revision,
+            "in_force_seconds": self._clock.now() - self._since,
+            "routes": len(deployment.routes) if deployment else 0,
+        }
--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/desk.py
@@ -0,0 +1,53 @@
+"""Stage work that this instance has made by itself."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from ..controllers import Controller
+from .stage_pool import StagePool
+from .stages import StageDesk
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from greengagelatch.relay.pieces import Bundle, PieceResult
+
+__all__ = ("LocalDesk",)
+
+
+class LocalDesk(Controller, StageDesk):
+    """One pool for each service, made when its first bundle comes.
+
+    :param create_pool: makes the pool of a service
+    """
+
+    name = "stages"
+
+    def __init__(self, *, create_pool: Callable[[str], StagePool]) -> None:
+        super().__init__()
+        self._create_pool = create_pool
+        self._pools: dict[str, StagePool] = {}
+
+    async def make(self, bundle: Bundle) -> tuple[PieceResult, ...]:
+        return await self.find_pool(bundle.service).make(bundle)
+
+    def free(self, service: str, handles: tuple[str, ...]) -> None:
+        self.find_pool(service).free(handles)
+
+    def estimate_wait(self, service: str) -> float:
+        return self.find_pool(service).estimate_wait()
+
+    def find_pool(self, service: str) -> StagePool:
+        """Return the pool of a service."""
+        pool = self._pools.get(service)
+        if pool is None:
+            pool = self._pools[service] = self._create_pool(service)
+        return pool
+
+    async def on_stop(self) -> None:
+        for pool in self._pools.values():
+            await pool.close()
+
+    def dump(self) -> dict[str, Any]:
+        return {name: pool.describe() for name, pool in self._pools.items()}
--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/filters.py
@@ -0,0 +1,181 @@
+"""The steps that every opaque request passes, in order."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING
+
+from greengagelatch.errors import RefusalCode
+from greengagelatch.relay.deployment import RouteKind
+from greengagelatch.relay.requests import RefusedError
+
+from .exchange import CallerGoneError, RelayExchange
+from .refusals import create_error, find_refusal_status
+
+if TYPE_CHECKING:
+    import random
+
+    from greengagelatch.clock import Clock
+    from greengagelatch.relay.routes import RouteTable
+
+    from ..metrics import Metrics
+    from .decisions import DecisionLog
+    from .runners import Runner
+
+__all__ = (
+    "ObserveFilter",
+    "RelayFilter",
+    "RelayHandler",
+    "RouteFilter",
+    "RunHandler",
+    "SplitFilter",
+)
+
+RelayHandler = Callable[[RelayExchange], Awaitable[None]]
+
+#: seconds after which an instance that has just started should know a configuration
+NOT_READY_RETRY = 0.5
+
+
+class RelayFilter(ABC):
+    """One step of the chain."""
+
+    @abstractmethod
+    async def apply(self, exchange: RelayExchange, proceed: RelayHandler) -> None:
+        """Answer the exchange, usually by ``proceed``."""
+
+
+class ObserveFilter(RelayFilter):
+    """Logs and counts each request once it is settled."""
+
+    def __init__(
+        self, *, clock: Clock, metrics: Metrics, decisions: DecisionLog
+    ) -> None:
+        self._clock = clock
+        self._metrics = metrics
+        self._decisions = decisions
+
+    async def apply(self, exchange: RelayExchange, proceed: RelayHandler) -> None:
+        reason = ""
+        try:
+            await proceed(exchange)
+        except RefusedError as error:
+            exchange.outcome = error.refusal.code.value
+            exchange.status = error.status or find_refusal_status(error.refusal)
+            reason = error.refusal.message
+            raise
+        except CallerGoneError:
+            exchange.outcome = "caller-gone"
+            raise
+        except BaseException:
+            exchange.outcome = "cancelled"
+            raise
+        finally:
+            self._note(exchange, reason)
+
+    def _note(self, exchange: RelayExchange, reason: str) -> None:
+        seconds = self._clock.now() - exchange.request.received
+        self._metrics.count(f"requests.{exchange.outcome}")
+        self._metrics.timing("requests", seconds)
+        route, deployment = exchange.route, exchange.deployment
+        self._decisions.note(
+            "request",
+            request=exchange.request.request_id,
+            outcome=exchange.outcome,
+            status=exchange.status,
+            reason=reason,
+            verdict=exchange.verdict.name,
+            route=route.name if route else "",
+            service=exchange.service,
+            workspace=exchange.workspace,
+            version=deployment.version if deployment else 0,
+            targets=exchange.targets[-4:],
+            stages_ms=round(exchange.stage_seconds * 1000),
+            ms=round(seconds * 1000),
+            left_ms=round((exchange.deadline - self._clock.now()) * 1000),
+        )
+
+
+class RouteFilter(RelayFilter):
+    """Finds the route and the workspace, by the configuration in force on arrival.
+
+    :param find_table: returns the routes in force; ``None`` before any is known
+    """
+
+    def __init__(self, *, find_table: Callable[[], RouteTable | None]) -> None:
+        self._find_table = find_table
+
+    async def apply(self, exchange: RelayExchange, proceed: RelayHandler) -> None:
+        table = self._find_table()
+        if table is None:
+            # no answer on routes or keys: only a configuration can give one
+            raise create_error(
+                exchange,
+                RefusalCode.NOT_READY,
+                "no configuration is known yet",
+                retry_after=NOT_READY_RETRY,
+            )
+        request = exchange.request
+        exchange.deployment = table.deployment
+        route = table.find_route(request.host, request.target)
+        if route is None:
+            raise create_error(
+                exchange,
+                RefusalCode.UNKNOWN_PIPELINE,
+                "no route of this host begins the path",
+                field="path",
+                value=request.target[:64],
+            )
+        exchange.route = route
+        exchange.priority = route.priority
+        exchange.deadline = request.received + min(request.patience, route.timeout)
+        if table.deployment.keyed and not route.public:
+            self._authorize(exchange, table)
+        await proceed(exchange)
+
+    def _authorize(self, exchange: RelayExchange, table: RouteTable) -> None:
+        workspace = table.find_workspace(exchange.request.key)
+        if workspace is None:
+            raise create_error(
+                exchange,
+                RefusalCode.UNAUTHORIZED,
+                "the key is not known",
+                field="authorization",
+            )
+        exchange.workspace = workspace.name
+        if workspace.priority is not None:
+            exchange.priority = workspace.priority
+
+
+class SplitFilter(RelayFilter):
+    """Draws the service where a route is split between several."""
+
+    def __init__(self, *, random_source: random.Random) -> None:
+        self._random = random_source
+
+    async def apply(self, exchange: RelayExchange, proceed: RelayHandler) -> None:
+        split = exchange.route.split
+        if len(split) == 1:
+            exchange.service = split[0][0]
+        elif split:
+            names = [name for name, _ in split]
+            weights = [weight for _, weight in split]
+            if not any(weights):
+                weights = [1.0] * len(split)
+            exchange.service = self._random.choices(names, weights)[0]
+        await proceed(exchange)
+
+
+class RunHandler:
+    """Last step: hands the exchange to what runs its kind of request."""
+
+    def __init__(self, *, plain: Runner, streams: Runner) -> None:
+        self._plain = plain
+        self._streams = streams
+
+    async def __call__(self, exchange: RelayExchange) -> None:
+        if exchange.route.kind is RouteKind.STREAMING:
+            await self._streams.run(exchange)
+        else:
+            await self._plain.run(exchange)
--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/front.py
@@ -0,0 +1,180 @@
+"""HTTP server for callers whose requests are passed on unchanged."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING, Any
+
+from greengagelatch.errors import Refusal, RefusalCode
+from greengagelatch.relay.requests import RefusedError
+from greengagelatch.verdict import Verdict
+
+from ..adapters.caller_bodies import CLOSING_STATUSES, BodyError, read_body
+from ..adapters.caller_connections import CallerConnections, mark_busy
+from ..controllers import Controller
+from .exchange import AnswerWriter, CallerGoneError, RelayExchange
+from .refusals import describe, find_refusal_status
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from aiohttp import web
+
+    from greengagelatch.clock import Clock
+    from greengagelatch.relay.deployment import CallerBounds
+
+    from ..metrics import Metrics
+    from .codecs import CallerCodec
+
+__all__ = ("RelayFront",)
+
+logger = logging.getLogger(__name__)
+
+#: connections of callers; the instances' descriptors are shared with targets
+MAX_CONNECTIONS = 2400
+#: seconds beyond the callers' own bound for which an idle connection is kept, so
+#: that none is closed while a request is on its way
+IDLE_MARGIN = 5.0
+#: seconds allowed for writing to a caller before the kernel gives it up
+WRITE_TIMEOUT = 5.0
+
+
+class RelayFront(Controller):
+    """Reads a request, has it handled, and sees to it that it is answered once."""
+
+    name = "front"
+
+    def __init__(
+        self,
+        *,
+        listen: str,
+        codec: CallerCodec,
+        handler: Callable[[RelayExchange], Awaitable[None]],
+        bounds: Callable[[], CallerBounds],
+        draining: Callable[[], bool],
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        super().__init__()
+        self._listen = listen
+        self._codec = codec
+        self._handler = handler
+        self._bounds = bounds
+        self._draining = draining
+        self._clock = clock
+        self._metrics = metrics
+        self._connections: CallerConnections | None = None
+        self._listener: asyncio.Server | None = None
+        self._in_flight = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self.port = 0
+
+    async def on_start(self) -> None:
+        """Bind the address and begin to serve."""
+        bounds = self._bounds()
+        self._connections = CallerConnections(
+            self._handle,
+            max_connections=MAX_CONNECTIONS,
+            max_header_bytes=bounds.max_header_bytes,
+            idle_timeout=bounds.idle_timeout + IDLE_MARGIN,
+            write_timeout=WRITE_TIMEOUT,
+        )
+        host, _, port = self._listen.rpartition(":")
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(
+            self._connections.create, host, int(port), backlog=1024
+        )
+        self.port = self._listener.sockets[0].getsockname()[1]
+
+    async def close_listener(self) -> None:
+        """Take no new connections and close the idle ones; the others are served."""
+        if self._listener is not None:
+            self._listener.close()
+        if self._connections is not None:
+            self._connections.close_idle()
+
+    async def wait_idle(self, timeout: float) -> bool:
+        """Wait at most ``timeout`` seconds until no request is in flight."""
+        try:
+            async with asyncio.timeout(timeout):
+                await self._idle.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    async def on_stop(self) -> None:
+        """Close the listener and every connection."""
+        await self.close_listener()
+        if self._connections is not None:
+            await self._connections.close()
+
+    def dump(self) -> dict[str, Any]:
+        open_now = len(self._connections) if self._connections is not None else 0
+        return {
+            "port": self.port,
+            "in_flight": self._in_flight,
+            "connections": open_now,
+        }
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        mark_busy(request, True)
+        self._in_flight += 1
+        self._idle.clear()
+        try:
+            return await self._serve(request)
+        finally:
+            mark_busy(request, False)
+            self._in_flight -= 1
+            if self._in_flight == 0:
+                self._idle.set()
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        received = self._clock.now()
+        writer = AnswerWriter(request, keep=not self._draining())
+        bounds = self._bounds()
+        request_id = ""
+        try:
+            body = await read_body(
+                request, limit=bounds.max_body_bytes, timeout=bounds.header_timeout
+            )
+            opaque = self._codec.decode(
+                method=request.method,
+                target=request.raw_path,
+                headers=request.raw_headers,
+                body=body,
+                received=received,
+            )
+            request_id = opaque.request_id
+            await self._handler(RelayExchange(request=opaque, writer=writer))
+        except BodyError as error:
+            await self._refuse(writer, request_id, error.refusal, error.status)
+        except RefusedError as error:
+            await self._refuse(writer, request_id, error.refusal, error.status)
+        except CallerGoneError:
+            self._metrics.count("front.gone")
+        except Exception:
+            logger.exception("request %s failed", request_id)
+            self._metrics.count("front.errors")
+            refusal = Refusal(
+                code=RefusalCode.INTERNAL,
+                message="error of this instance",
+                verdict=Verdict.MAY_HAVE_RUN,
+            )
+            await self._refuse(writer, request_id, refusal, 0)
+        return writer.response
+
+    async def _refuse(
+        self, writer: AnswerWriter, request_id: str, refusal: Refusal, status: int
+    ) -> None:
+        if writer.started:
+            # a part of another answer is out: only a cut is honest
+            writer.abort()
+            return
+        status = status or find_refusal_status(refusal)
+        headers, body = describe(request_id, refusal)
+        try:
+            await writer.send(status, headers, body, close=status in CLOSING_STATUSES)
+        except CallerGoneError:
+            self._metrics.count("front.gone")
--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/links.py
@@ -0,0 +1,307 @@
+"""Connections to targets: each request is written once, and known to be or not."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections import defaultdict
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from aiohttp import ClientError
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.http_exceptions import HttpProcessingError
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable
+
+    from aiohttp import StreamReader
+    from aiohttp.http import RawResponseMessage
+
+    from greengagelatch.clock import Clock
+
+    from ..metrics import Metrics
+    from .messages import Outbound
+
+__all__ = (
+    "LinkError",
+    "NotSentError",
+    "TargetLinks",
+    "TargetReply",
+    "set_up_socket",
+)
+
+#: seconds allowed for opening a connection; the far end is milliseconds away, and
+#: the kernel sends a lost opening packet again after one second
+CONNECT_TIMEOUT = 1.2
+#: seconds for which an idle connection is used again where the target says nothing
+IDLE_SECONDS = 3.0
+#: share of the idle time that a target announces which is used
+IDLE_SHARE = 0.5
+#: seconds without an acknowledgement after which the kernel gives a connection up
+UNACKNOWLEDGED_LIMIT = 2.0
+#: seconds of quiet after which the kernel probes the other end, and between probes
+PROBE_AFTER = 1
+PROBE_COUNT = 2
+#: bytes of an answer that wait to be read
+READ_BUFFER = 256 * 1024
+MAX_HEADER_BYTES = 32_768
+#: idle connections kept for one target
+MAX_IDLE = 16
+
+
+class NotSentError(Exception):
+    """No byte of a request reached its target."""
+
+
+class LinkError(Exception):
+    """An answer that did not come, or not whole; the request may have run."""
+
+
+def set_up_socket(connection: socket.socket) -> None:
+    """Have the kernel notice an end that is gone without a word.
+
+    A connection behind a partition, or one that something between the two ends has
+    lost track of, accepts writes and never answers; a request on it would be held
+    until its deadline.
+    """
+    options = (
+        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(UNACKNOWLEDGED_LIMIT * 1000)),
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_AFTER),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_AFTER),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBE_COUNT),
+    )
+    for level, option, value in options:
+        connection.setsockopt(level, option, value)
+
+
+class _Link(ResponseHandler):
+    """One connection; remembers whether it was reset."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        #: whether it ended by anything but an orderly close
+        self.reset = False
+        #: monotonic seconds until which it may be used again
+        self.usable_until = 0.0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        set_up_socket(transport.get_extra_info("socket"))
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        # the parser takes the end of a connection for the end of an answer without
+        # a length, also where a reset cut it short
+        self.reset = exc is not None
+        super().connection_lost(exc)
+
+    @property
+    def reusable(self) -> bool:
+        """Whether nothing is left on it of an earlier request."""
+        if not self.is_connected() or self.should_close:
+            return False
+        return self.transport.get_write_buffer_size() == 0
+
+
+@dataclass(slots=True)
+class TargetReply:
+    """An answer whose head is there; it must be released or aborted."""
+
+    message: RawResponseMessage
+    content: StreamReader
+    _link: _Link
+    _give_back: Callable[[_Link, RawResponseMessage], None]
+    #: whether a request had used the connection before
+    kept: bool = False
+
+    async def iterate(self) -> AsyncIterator[bytes]:
+        """Yield the body as it arrives.
+
+        :raises LinkError: if it ends before it is whole
+        """
+        try:
+            while chunk := await self.content.readany():
+                yield chunk
+        except (ClientError, HttpProcessingError, OSError) as error:
+            raise LinkError(f"answer cut: {type(error).__name__}") from error
+        if self._link.reset and not self._is_framed():
+            raise LinkError("answer without a length ended by a reset")
+
+    async def read(self, limit: int) -> bytes:
+        """Return the whole body.
+
+        :raises LinkError: if it is cut or larger than ``limit`` bytes
+        """
+        chunks = []
+        size = 0
+        async for chunk in self.iterate():
+            size += len(chunk)
+            if size > limit:
+                raise LinkError(f"answer of more than {limit} bytes")
+            chunks.append(chunk)
+        return b"".join(chunks)
+
+    def release(self) -> None:
+        """Give the connection back, if nothing is left on it."""
+        self._give_back(self._link, self.message)
+
+    def abort(self) -> None:
+        """Close the connection at once; the target may stop its work."""
+        self._link.abort()
+
+    def _is_framed(self) -> bool:
+        headers = self.message.headers
+        return self.message.chunked or "Content-Length" in headers
+
+
+class TargetLinks:
+    """Opens, keeps and ends connections, by the life of the target they lead to.
+
+    A library's client sends a request again by itself when a kept connection drops;
+    here each request is written once, so that one which may run only once does.
+    """
+
+    def __init__(self, *, clock: Clock, metrics: Metrics) -> None:
+        self._clock = clock
+        self._metrics = metrics
+        self._idle: dict[str, list[_Link]] = defaultdict(list)
+
+    async def send(
+        self,
+        *,
+        target_id: str,
+        address: str,
+        outbound: Outbound,
+        fresh: bool,
+        timeout: float,
+        may_send: Callable[[], bool] | None = None,
+    ) -> TargetReply:
+        """Write a request and wait for the head of its answer.
+
+        :param fresh: whether to leave kept connections alone; on one of them a
+            request may be lost without a word on whether it ran
+        :param timeout: seconds until the head must be there
+        :param may_send: asked again once the connection stands
+        :raises NotSentError: if no byte left
+        :raises LinkError: if it was written and no answer came
+        """
+        end = asyncio.get_running_loop().time() + timeout
+        link = None if fresh else self._take(target_id)
+        kept = link is not None
+        if link is None:
+            link = await self._open(address, min(timeout, CONNECT_TIMEOUT))
+        if may_send is not None and not may_send():
+            self._put(target_id, link)
+            raise NotSentError("the target began to leave")
+        link.set_response_params(
+            skip_payload=outbound.method == "HEAD",
+            read_until_eof=True,
+            auto_decompress=False,
+            read_bufsize=READ_BUFFER,
+            max_line_size=MAX_HEADER_BYTES,
+            max_field_size=MAX_HEADER_BYTES,
+        )
+        try:
+            link.transport.write(_serialize(outbound, address))
+            async with asyncio.timeout_at(end):
+                message, content = await self._read_head(link)
+        except TimeoutError:
+            link.abort()
+            raise LinkError("no answer in time") from None
+        except (ClientError, HttpProcessingError, OSError) as error:
+            link.abort()
+            raise LinkError(f"no answer: {type(error).__name__}") from error
+        except BaseException:
+            link.abort()
+            raise
+        return TargetReply(
+            message,
+            content,
+            link,
+            lambda one, head: self._give_back(target_id, one, head),
+            kept,
+        )
+
+    def drop(self, target_id: str) -> None:
+        """Close the idle connections to a target that is gone."""
+        for link in self._idle.pop(target_id, ()):
+            link.abort()
+
+    def drop_all(self) -> None:
+        """Close every idle connection, as all may have gone silent."""
+        for target_id in tuple(self._idle):
+            self.drop(target_id)
+
+    def count_idle(self) -> int:
+        """Return the number of connections that are kept."""
+        return sum(len(links) for links in self._idle.values())
+
+    async def _read_head(self, link: _Link) -> tuple[RawResponseMessage, StreamReader]:
+        while True:
+            message, content = await link.read()
+            # an interim answer such as 100 is not the answer
+            if message.code >= 200:
+                return message, content
+
+    async def _open(self, address: str, timeout: float) -> _Link:
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        self._metrics.count("links.opened")
+        try:
+            async with asyncio.timeout(timeout):
+                _, link = await loop.create_connection(
+                    lambda: _Link(loop), host, int(port)
+                )
+        except TimeoutError:
+            raise NotSentError("no connection in time") from None
+        except (OSError, ValueError) as error:
+            raise NotSentError(f"no connection: {type(error).__name__}") from error
+        return link
+
+    def _take(self, target_id: str) -> _Link | None:
+        links = self._idle.get(target_id)
+        now = self._clock.now()
+        while links:
+            link = links.pop()
+            if link.reusable and now < link.usable_until:
+                return link
+            link.abort()
+        return None
+
+    def _put(self, target_id: str, link: _Link, seconds: float = IDLE_SECONDS) -> None:
+        links = self._idle[target_id]
+        if len(links) >= MAX_IDLE:
+            link.abort()
+            return
+        link.usable_until = self._clock.now() + seconds
+        links.append(link)
+
+    def _give_back(
+        self, target_id: str, link: _Link, message: RawResponseMessage
+    ) -> None:
+        seconds = _find_idle_seconds(message.headers.get("Keep-Alive", ""))
+        if message.should_close or not link.reusable or seconds <= 0:
+            link.abort()
+            return
+        self._put(target_id, link, seconds)
+
+
+def _find_idle_seconds(text: str) -> float:
+    """Return the seconds for which a connection may be used after an answer."""
+    for part in text.split(","):
+        name, _, value = part.strip().partition("=")
+        if name.lower() == "timeout" and value.strip().isdecimal():
+            return min(IDLE_SECONDS, int(value) * IDLE_SHARE)
+    return IDLE_SECONDS
+
+
+def _serialize(outbound: Outbound, address: str) -> bytes:
+    lines = [f"{outbound.method} {outbound.target} HTTP/1.1".encode()]
+    if not any(name.lower() == b"host" for name, _ in outbound.headers):
+        lines.append(b"Host: " + address.encode())
+    lines.extend(name + b": " + value for name, value in outbound.headers)
+    if outbound.body or outbound.method in ("POST", "PUT", "PATCH"):
+        lines.append(f"Content-Length: {len(outbound.body)}".encode())
+    return b"\r\n".join(lines) + b"\r\n\r\n" + outbound.body
--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/plain.py
@@ -0,0 +1,144 @@
+"""Requests that one target answers whole."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from greengagelatch.relay.deployment import RouteKind
+from greengagelatch.relay.outcomes import SendOutcome
+
+from .links import LinkError
+from .messages import RelayCall
+from .runners import Runner
+from .sending import Answered, Unanswered
+
+if TYPE_CHECKING:
+    from greengagelatch.relay.targets import ListedTarget
+
+    from .exchange import RelayExchange
+    from .messages import AnswerHead
+
+__all__ = ("PlainRunner",)
+
+#: largest answer that is passed on
+MAX_ANSWER_BYTES = 32 * 1024 * 1024
+#: silence, as a multiple of the route's objective, after which an idempotent request
+#: is sent to another target: one that is mute answers nothing until the deadline
+PATIENCE = 1.0
+#: the same at the least, in seconds
+LEAST_PATIENCE = 0.15
+STATUS_SERVER_ERROR = 500
+
+
+@dataclass(frozen=True, slots=True)
+class _Whole:
+    """An answer that was read to its end."""
+
+    head: AnswerHead
+    body: bytes
+
+
+class PlainRunner(Runner):
+    """Sends a request until a target has answered it, or it may not be sent again."""
+
+    async def run(self, exchange: RelayExchange) -> None:
+        self._budgets.note_request(exchange.service)
+        excluded: frozenset[str] = frozenset()
+        last: Unanswered | None = None
+        failed: _Whole | None = None
+        while True:
+            target = self._fleet.choose_plain(
+                exchange.service, excluded, self._clock.now()
+            )
+            if target is None:
+                break
+            result = await self._try(exchange, target)
+            if isinstance(result, _Whole):
+                if result.head.succeeded:
+                    await self._deliver(exchange, result)
+                    return
+                failed = result
+                if result.head.status < STATUS_SERVER_ERROR:
+                    break
+                outcome = SendOutcome.FAILED
+            else:
+                last, outcome = result, result.outcome
+            excluded |= {target.target_id}
+            if not self._may_repeat(exchange, outcome):
+                break
+        if failed is not None:
+            # the target's own word is better than ours about it
+            await self._deliver(exchange, failed)
+            return
+        raise self._refuse(exchange, last)
+
+    async def _try(
+        self, exchange: RelayExchange, target: ListedTarget
+    ) -> _Whole | Unanswered:
+        left = self._find_left(exchange)
+        if left <= 0:
+            return Unanswered(SendOutcome.UNSENT, "deadline over")
+        call = RelayCall(
+            target_id=target.target_id, remaining=left, workspace=exchange.workspace
+        )
+        timeout = self._choose_patience(exchange, left)
+        end = asyncio.get_running_loop().time() + timeout
+        self._fleet.start(target.target_id)
+        try:
+            result = await self._sender.send(
+                exchange,
+                target,
+                call,
+                timeout=timeout,
+                fresh=not exchange.route.repeatable,
+            )
+            if isinstance(result, Unanswered):
+                return result
+            return await self._read(exchange, target, result, end)
+        finally:
+            self._fleet.finish(target.target_id)
+
+    async def _read(
+        self,
+        exchange: RelayExchange,
+        target: ListedTarget,
+        answered: Answered,
+        end: float,
+    ) -> _Whole | Unanswered:
+        reply = answered.reply
+        try:
+            async with asyncio.timeout_at(end):
+                body = await reply.read(MAX_ANSWER_BYTES)
+        except TimeoutError:
+            reply.abort()
+            return self._sender.note_lost(exchange, target, "answer not whole in time")
+        except LinkError as error:
+            reply.abort()
+            return self._sender.note_lost(exchange, target, str(error))
+        except BaseException:
+            reply.abort()
+            raise
+        reply.release()
+        if answered.head.succeeded:
+            self._fleet.note_success(target.target_id)
+        else:
+            self._fleet.note_failure(target.target_id, self._clock.now())
+        return _Whole(answered.head, body)
+
+    def _choose_patience(self, exchange: RelayExchange, left: float) -> float:
+        route = exchange.route
+        again = len(exchange.targets) + 1 < route.max_attempts
+        if route.kind is not RouteKind.SAFE or not again:
+            return left
+        patience = max(LEAST_PATIENCE, route.objective * PATIENCE)
+        return min(patience, left / 2)
+
+    async def _deliver(self, exchange: RelayExchange, whole: _Whole) -> None:
+        head = whole.head
+        exchange.status = head.status
+        exchange.outcome = "answered" if head.succeeded else "failed"
+        await exchange.writer.send(
+            head.status, head.headers, whole.body, reason=head.reason
+        )
--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/prometheus.py
@@ -0,0 +1,90 @@
+"""Counters, gauges and histograms for a scrape."""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from collections import Counter
+from typing import TYPE_CHECKING, Any
+
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    HistogramMetricFamily,
+)
+from prometheus_client.registry import Collector
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+__all__ = ("PrometheusMetrics",)
+
+#: upper bounds of the buckets, in seconds: from a short call to the longest deadline
+BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 20.0)
+PREFIX = "greengagelatch"
+
+
+class PrometheusMetrics(Collector):
+    """Keeps running totals and shows them when they are asked for.
+
+    It takes the place of the client that sends metrics: here they are fetched.
+    """
+
+    def __init__(self) -> None:
+        self._counts: Counter[str] = Counter()
+        self._gauges: dict[str, float] = {}
+        self._buckets: dict[str, list[int]] = {}
+        self._sums: Counter[str] = Counter()
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Add ``amount`` to a counter."""
+        self._counts[name] += amount
+
+    def gauge(self, name: str, value: float) -> None:
+        """Set a gauge."""
+        self._gauges[name] = value
+
+    def timing(self, name: str, seconds: float) -> None:
+        """Report a duration."""
+        buckets = self._buckets.setdefault(name, [0] * (len(BUCKETS) + 1))
+        buckets[bisect_left(BUCKETS, seconds)] += 1
+        self._sums[name] += seconds
+
+    def value(self, name: str) -> int:
+        """Return the total of a counter."""
+        return self._counts[name]
+
+    def dump(self) -> dict[str, Any]:
+        """Return all totals and gauges."""
+        return {"counters": dict(self._counts), "gauges": dict(self._gauges)}
+
+    def flush(self) -> None:
+        """Do nothing: metrics are fetched."""
+
+    def collect(self) -> Iterator[Any]:
+        """Yield all metrics for one scrape."""
+        events = CounterMetricFamily(
+            f"{PREFIX}_events", "Events by name.", labels=("event",)
+        )
+        for name, total in sorted(self._counts.items()):
+            events.add_metric((name,), total)
+        yield events
+        gauges = GaugeMetricFamily(
+            f"{PREFIX}_gauges", "Values by name.", labels=("gauge",)
+        )
+        for name, value in sorted(self._gauges.items()):
+            gauges.add_metric((name,), value)
+        yield gauges
+        yield self._collect_times()
+
+    def _collect_times(self) -> HistogramMetricFamily:
+        family = HistogramMetricFamily(
+            f"{PREFIX}_seconds", "Durations by operation.", labels=("operation",)
+        )
+        for name, counts in sorted(self._buckets.items()):
+            total = 0
+            rows = []
+            for bound, count in zip((*BUCKETS, None), counts, strict=True):
+                total += count
+                rows.append(("+Inf" if bound is None else str(bound), total))
+            family.add_metric((name,), rows, sum_value=self._sums[name])
+        return family
--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/refusals.py
@@ -0,0 +1,73 @@
+"""Refusals of opaque requests: their status, and when to come back."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from greengagelatch.errors import Refusal, RefusalCode
+from greengagelatch.relay.requests import RefusedError
+from greengagelatch.verdict import Verdict
+
+from ..adapters.caller_answers import CONTENT_TYPE, describe_refusal, encode
+
+if TYPE_CHECKING:
+    from .exchange import RelayExchange
+
+__all__ = ("create_error", "describe", "find_refusal_status")
+
+_FINAL = {
+    RefusalCode.BAD_REQUEST: 400,
+    RefusalCode.UNAUTHORIZED: 401,
+    RefusalCode.UNKNOWN_PIPELINE: 404,
+    RefusalCode.TOO_LARGE: 413,
+    RefusalCode.QUOTA: 429,
+}
+STATUS_UNAVAILABLE = 503
+STATUS_BAD_GATEWAY = 502
+STATUS_GATEWAY_TIMEOUT = 504
+
+
+def find_refusal_status(refusal: Refusal) -> int:
+    """Return the status; one that promises "not run" only where that is true."""
+    final = _FINAL.get(refusal.code)
+    if final is not None:
+        return final
+    if refusal.verdict is Verdict.NOT_RUN:
+        return STATUS_UNAVAILABLE
+    if refusal.code is RefusalCode.DEADLINE:
+        return STATUS_GATEWAY_TIMEOUT
+    return STATUS_BAD_GATEWAY
+
+
+def describe(
+    request_id: str, refusal: Refusal
+) -> tuple[tuple[tuple[str, str], ...], bytes]:
+    """Return the headers and the body of a refusal."""
+    headers = [("Content-Type", CONTENT_TYPE)]
+    if refusal.retry_after_ms is not None and refusal.verdict is Verdict.NOT_RUN:
+        headers.append(("Retry-After", f"{refusal.retry_after_ms / 1000:.3f}"))
+    return tuple(headers), encode(describe_refusal(request_id, refusal))
+
+
+def create_error(
+    exchange: RelayExchange,
+    code: RefusalCode,
+    message: str,
+    *,
+    retry_after: float | None = None,
+    field: str = "",
+    value: str = "",
+) -> RefusedError:
+    """Return the error that refuses ``exchange`` with what is known of it.
+
+    :param retry_after: seconds after which asking again may help
+    """
+    refusal = Refusal(
+        code=code,
+        message=message,
+        verdict=exchange.verdict,
+        field=field,
+        value=value,
+        retry_after_ms=None if retry_after is None else round(retry_after * 1000),
+    )
+    return RefusedError(refusal)
--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/sending.py
@@ -0,0 +1,168 @@
+"""One send of a request to a target, and what is learnt from how it ends."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from greengagelatch.relay.outcomes import SendOutcome
+from greengagelatch.verdict import Verdict
+
+from .links import LinkError, NotSentError
+
+if TYPE_CHECKING:
+    from greengagelatch.clock import Clock
+    from greengagelatch.relay.fleet import Fleet
+    from greengagelatch.relay.targets import ListedTarget, TargetBook
+
+    from .codecs import TargetCodec
+    from .decisions import DecisionLog
+    from .exchange import RelayExchange
+    from .links import TargetLinks, TargetReply
+    from .messages import AnswerHead, RelayCall
+
+__all__ = ("Answered", "TargetSender", "Unanswered")
+
+#: statuses by which a target says that it did not run a request, if marked so
+STATUS_CONFLICT = 409
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """A target's answer; its body is still to be read."""
+
+    head: AnswerHead
+    reply: TargetReply
+
+
+@dataclass(frozen=True, slots=True)
+class Unanswered:
+    """A send without an answer that could be passed on."""
+
+    outcome: SendOutcome
+    reason: str
+    #: status by which the target rejected it; 0: no status
+    status: int = 0
+
+
+class TargetSender:
+    """Sends requests to targets and keeps the record of what each has had."""
+
+    def __init__(
+        self,
+        *,
+        links: TargetLinks,
+        codec: TargetCodec,
+        fleet: Fleet,
+        book: TargetBook,
+        clock: Clock,
+        decisions: DecisionLog,
+    ) -> None:
+        self._links = links
+        self._codec = codec
+        self._fleet = fleet
+        self._book = book
+        self._clock = clock
+        self._decisions = decisions
+
+    async def send(
+        self,
+        exchange: RelayExchange,
+        target: ListedTarget,
+        call: RelayCall,
+        *,
+        timeout: float,
+        fresh: bool,
+    ) -> Answered | Unanswered:
+        """Send once; the verdict of ``exchange`` rises by what is known then.
+
+        :param timeout: seconds until the answer's head must be there
+        """
+        target_id = target.target_id
+        outbound = self._codec.encode_request(exchange.request, call)
+        try:
+            reply = await self._links.send(
+                target_id=target_id,
+                address=target.address,
+                outbound=outbound,
+                fresh=fresh,
+                timeout=timeout,
+                may_send=lambda: self._book.accepts(target_id),
+            )
+        except NotSentError as error:
+            exchange.unsent += 1
+            return self._note(exchange, target, SendOutcome.UNSENT, str(error))
+        except LinkError as error:
+            exchange.targets.append(target_id)
+            return self._note(exchange, target, SendOutcome.LOST, str(error))
+        except asyncio.CancelledError:
+            exchange.raise_verdict(Verdict.MAY_HAVE_RUN)
+            raise
+        exchange.targets.append(target_id)
+        return self._judge(exchange, target, reply)
+
+    def note_lost(
+        self, exchange: RelayExchange, target: ListedTarget, reason: str
+    ) -> Unanswered:
+        """Take in that an answer broke off after its head."""
+        return self._note(exchange, target, SendOutcome.LOST, reason)
+
+    def _judge(
+        self, exchange: RelayExchange, target: ListedTarget, reply: TargetReply
+    ) -> Answered | Unanswered:
+        head = self._codec.read_head(reply)
+        if head.load is not None:
+            self._fleet.note_report(target.target_id, head.load, self._clock.now())
+        if head.request_id != exchange.request.request_id and not head.misdirected:
+            # an answer to somebody else's request, or one that nobody can place
+            reply.abort()
+            reason = f"answer to request {head.request_id[:40]!r}"
+            return self._note(exchange, target, SendOutcome.LOST, reason)
+        if head.misdirected:
+            reply.abort()
+            exchange.targets.pop()
+            exchange.unsent += 1
+            return self._note(exchange, target, SendOutcome.MISDIRECTED, "other life")
+        if head.not_run:
+            reply.abort()
+            return self._note(
+                exchange,
+                target,
+                SendOutcome.REJECTED,
+                f"rejected by status {head.status}",
+                head.status,
+            )
+        if head.encoded or not head.signed:
+            reply.abort()
+            reason = f"unsigned answer of status {head.status}"
+            return self._note(exchange, target, SendOutcome.LOST, reason)
+        exchange.raise_verdict(Verdict.RAN)
+        return Answered(head, reply)
+
+    def _note(
+        self,
+        exchange: RelayExchange,
+        target: ListedTarget,
+        outcome: SendOutcome,
+        reason: str,
+        status: int = 0,
+    ) -> Unanswered:
+        if not outcome.proves_not_run:
+            exchange.raise_verdict(Verdict.MAY_HAVE_RUN)
+        now = self._clock.now()
+        if outcome in (SendOutcome.UNSENT, SendOutcome.LOST):
+            self._fleet.note_failure(target.target_id, now)
+            # what is kept open to it may be as dead as this one
+            self._links.drop(target.target_id)
+        self._decisions.note(
+            "send",
+            request=exchange.request.request_id,
+            target=target.target_id,
+            address=target.address,
+            outcome=outcome.value,
+            reason=reason,
+            sends=len(exchange.targets),
+            left_ms=round((exchange.deadline - now) * 1000),
+        )
+        return Unanswered(outcome, reason, status)
--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
@@ -0,0 +1,429 @@
+"""Gathers the pieces of one service and has its makers make them."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from greengagelatch.relay.pieces import PieceFailure, PieceResult
+from greengagelatch.relay.room import MakerRoom
+
+from .links import LinkError, NotSentError
+from .makers import Maker
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from greengagelatch.clock import Clock
+    from greengagelatch.relay.batches import BatchPolicy, PlannedCall
+    from greengagelatch.relay.deployment import MakerProfile
+    from greengagelatch.relay.pieces import Bundle, Piece
+    from greengagelatch.relay.targets import TargetBook
+
+    from ..metrics import Metrics
+    from .budgets import RepeatBudgets
+    from .codecs import TargetCodec
+    from .decisions import DecisionLog
+    from .links import TargetLinks
+
+__all__ = ("StagePool",)
+
+#: times that one piece is sent to makers
+MAX_SENDS = 3
+#: times that a piece is given back for lack of room or by a busy maker
+MAX_RETURNS = 30
+#: bytes of an answer to a call
+MAX_ANSWER_BYTES = 4 * 1024 * 1024
+#: seconds after which pieces that wait are looked at again
+LOOK_AGAIN = 0.05
+#: seconds for which results to be freed are gathered
+FREE_DELAY = 0.03
+FREE_TIMEOUT = 1.0
+STATUS_OK = 200
+
+
+@dataclass(slots=True, eq=False)
+class _Work:
+    """A bundle and how far it has come."""
+
+    bundle: Bundle
+    left: list[Piece]
+    done: asyncio.Future[tuple[PieceResult, ...]]
+    results: dict[int, PieceResult] = field(default_factory=dict)
+    sends: dict[int, int] = field(default_factory=dict)
+    returns: int = 0
+    withdrawn: bool = False
+
+
+class StagePool:
+    """Queue, makers and calls of one service.
+
+    Pieces wait here and not at their makers: who is late, dropped, or less urgent
+    than a newcomer can then still be told apart when a maker becomes idle.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        *,
+        find_profile: Callable[[], MakerProfile | None],
+        policy: BatchPolicy,
+        book: TargetBook,
+        links: TargetLinks,
+        codec: TargetCodec,
+        budgets: RepeatBudgets,
+        clock: Clock,
+        metrics: Metrics,
+        decisions: DecisionLog,
+    ) -> None:
+        self._service = service
+        self._find_profile = find_profile
+        self._policy = policy
+        self._book = book
+        self._links = links
+        self._codec = codec
+        self._budgets = budgets
+        self._clock = clock
+        self._metrics = metrics
+        self._decisions = decisions
+        self._works: list[_Work] = []
+        self._makers: dict[str, Maker] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._timer: asyncio.TimerHandle | None = None
+        self._to_free: dict[str, list[str]] = {}
+        self._free_timer: asyncio.TimerHandle | None = None
+
+    async def make(self, bundle: Bundle) -> tuple[PieceResult, ...]:
+        """Return the results of a bundle's pieces, in order."""
+        self._budgets.note_request(self._service)
+        done = asyncio.get_running_loop().create_future()
+        work = _Work(bundle, list(bundle.pieces), done)
+        self._works.append(work)
+        self._look()
+        try:
+            return await done
+        except asyncio.CancelledError:
+            self._withdraw(work)
+            raise
+
+    def estimate_wait(self) -> float:
+        """Return the seconds until a piece that came now would be begun."""
+        profile = self._find_profile()
+        if profile is None:
+            return 0.0
+        makers = self._list_makers(profile)
+        if not makers:
+            return 0.0
+        waiting = sum(len(work.left) for work in self._works)
+        full = profile.estimate_seconds(profile.batch)
+        now = self._clock.now()
+        speed = sum(1 / maker.find_slowness(now) for maker in makers)
+        return waiting / profile.batch * full / max(0.1, speed)
+
+    def free(self, handles: tuple[str, ...]) -> None:
+        """Have makers drop results, those of a short while together."""
+        for handle in handles:
+            address = self._codec.find_maker_address(handle)
+            self._to_free.setdefault(address, []).append(handle)
+            for maker in self._makers.values():
+                if maker.target.address == address:
+                    maker.room.free(handle)
+        if self._free_timer is None and self._to_free:
+            loop = asyncio.get_running_loop()
+            self._free_timer = loop.call_later(FREE_DELAY, self._send_freeing)
+        self._look()
+
+    def describe(self) -> dict[str, object]:
+        """Return the state for the dump."""
+        now = self._clock.now()
+        return {
+            "bundles": len(self._works),
+            "pieces": sum(len(work.left) for work in self._works),
+            "makers": {
+                target_id: {
+                    "calls": maker.calls,
+                    "slowness": round(maker.find_slowness(now), 2),
+                    "free_bytes": round(maker.room.find_free(now)),
+                }
+                for target_id, maker in self._makers.items()
+            },
+        }
+
+    async def close(self) -> None:
+        """End what is under way."""
+        for timer in (self._timer, self._free_timer):
+            if timer is not None:
+                timer.cancel()
+        for task in tuple(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    # decisions
+
+    def _look(self) -> None:
+        """Begin the calls that are due."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if not self._works:
+            return
+        profile = self._find_profile()
+        makers = self._list_makers(profile) if profile is not None else []
+        now = self._clock.now()
+        if not makers:
+            self._fail_all(PieceFailure.NO_MAKER)
+            return
+        self._drop_late(profile, now)
+        pairs = [(work.bundle, work.left) for work in self._works if work.left]
+        views = [maker.view(now) for maker in makers]
+        for call in self._policy.plan(pairs, views, profile, now):
+            task = asyncio.create_task(self._run_call(call))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        if any(work.left for work in self._works):
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(LOOK_AGAIN, self._look)
+
+    def _list_makers(self, profile: MakerProfile) -> list[Maker]:
+        listed = self._book.list_service(self._service)
+        ids = {target.target_id for target in listed}
+        for target_id in tuple(self._makers):
+            if target_id not in ids and self._makers[target_id].calls == 0:
+                del self._makers[target_id]
+        for target in listed:
+            maker = self._makers.get(target.target_id)
+            if maker is None or maker.profile != profile:
+                room = MakerRoom(profile.room_bytes, profile.keep_seconds)
+                self._makers[target.target_id] = Maker(target, profile, room)
+        return [self._makers[target.target_id] for target in listed]
+
+    def _drop_late(self, profile: MakerProfile, now: float) -> None:
+        """Fail the bundles whose request can't be answered in time any more."""
+        for work in tuple(self._works):
+            if not work.left:
+                continue
+            if now + profile.estimate_seconds(1) > work.bundle.latest:
+                self._fail(work, PieceFailure.LATE)
+
+    def _fail_all(self, failure: PieceFailure) -> None:
+        for work in tuple(self._works):
+            if work.left:
+                self._fail(work, failure)
+
+    # calls
+
+    async def _run_call(self, call: PlannedCall) -> None:
+        maker = self._makers[call.target_id]
+        now = self._clock.now()
+        size = sum(bundle.result_bytes for bundle, _ in call.pieces)
+        maker.room.reserve(size)
+        allowed = maker.begin(len(call.pieces), now)
+        works = [self._find_work(bundle) for bundle, _ in call.pieces]
+        results: tuple[PieceResult, ...] | None = None
+        outcome = "cancelled"
+        try:
+            outcome, results = await self._exchange(maker, call, works, allowed, now)
+        finally:
+            made = {}
+            for (bundle, _), result in zip(call.pieces, results or (), strict=False):
+                if result.failure is None:
+                    made[result.handle] = bundle.result_bytes
+            maker.room.settle(size, made, self._clock.now())
+        self._decisions.note(
+            "stage-call",
+            service=self._service,
+            target=call.target_id,
+            pieces=len(call.pieces),
+            requests=len({bundle.request_id for bundle, _ in call.pieces}),
+            outcome=outcome,
+            ms=round((self._clock.now() - now) * 1000),
+            waiting=sum(len(work.left) for work in self._works),
+            slowness=round(maker.find_slowness(self._clock.now()), 2),
+        )
+        self._take_results(call, works, outcome, results)
+        self._look()
+
+    async def _exchange(
+        self,
+        maker: Maker,
+        call: PlannedCall,
+        works: list[_Work | None],
+        allowed: float,
+        started: float,
+    ) -> tuple[str, tuple[PieceResult, ...] | None]:
+        pieces = tuple(piece for _, piece in call.pieces)
+        remaining = tuple(
+            max(0.0, bundle.latest - started) for bundle, _ in call.pieces
+        )
+        target = maker.target
+        outbound = self._codec.encode_pieces(pieces, remaining, target.target_id)
+        count = len(pieces)
+        try:
+            async with asyncio.timeout(allowed):
+                reply = await self._links.send(
+                    target_id=target.target_id,
+                    address=target.address,
+                    outbound=outbound,
+                    # a late second answer could be taken for this call's
+                    fresh=True,
+                    timeout=allowed,
+                    may_send=lambda: self._book.accepts(target.target_id),
+                )
+                try:
+                    head = self._codec.read_head(reply)
+                    body = await reply.read(MAX_ANSWER_BYTES)
+                finally:
+                    reply.abort()
+        except NotSentError:
+            maker.note_failure(self._clock.now())
+            return "unsent", None
+        except TimeoutError:
+            maker.note_timeout(count, started, self._clock.now())
+            return "timeout", None
+        except LinkError as error:
+            now = self._clock.now()
+            if now - started >= allowed:
+                maker.note_timeout(count, started, now)
+            else:
+                maker.note_failure(now)
+            return str(error), None
+        except asyncio.CancelledError:
+            maker.calls -= 1
+            raise
+        now = self._clock.now()
+        if head.misdirected:
+            maker.note_failure(now)
+            return "unsent", None
+        if head.not_run:
+            maker.note_rejection(now)
+            return "rejected", None
+        results = None
+        if head.status == STATUS_OK:
+            results = self._codec.read_pieces(body, count, target.data_centre)
+        if results is None:
+            maker.note_failure(now)
+            return f"status {head.status}", None
+        maker.note_end(count, started, now)
+        return "made", results
+
+    # results
+
+    def _take_results(
+        self,
+        call: PlannedCall,
+        works: list[_Work | None],
+        outcome: str,
+        results: tuple[PieceResult, ...] | None,
+    ) -> None:
+        unwanted = []
+        for index, (_, piece) in enumerate(call.pieces):
+            work = works[index]
+            result = None if results is None else results[index]
+            if work is None or work.withdrawn or work.done.done():
+                if result is not None and result.failure is None:
+                    unwanted.append(result.handle)
+                continue
+            self._take_result(work, piece, outcome, result)
+        if unwanted:
+            self.free(tuple(unwanted))
+
+    def _take_result(
+        self, work: _Work, piece: Piece, outcome: str, result: PieceResult | None
+    ) -> None:
+        if result is not None and result.failure is None:
+            work.results[piece.segment] = result
+            if len(work.results) == len(work.bundle.pieces):
+                self._finish(work)
+            return
+        if result is not None and result.failure is PieceFailure.GONE:
+            self._fail(work, PieceFailure.GONE)
+            return
+        if result is not None and result.failure is PieceFailure.LATE:
+            self._fail(work, PieceFailure.LATE)
+            return
+        if outcome in ("unsent", "rejected") or (
+            result is not None and result.failure is PieceFailure.ROOM
+        ):
+            work.returns += 1
+            if work.returns > MAX_RETURNS:
+                self._fail(work, PieceFailure.ROOM)
+                return
+            if outcome != "unsent" and not self._budgets.take(self._service):
+                self._fail(work, PieceFailure.ROOM)
+                return
+            work.left.append(piece)
+            return
+        self._send_again(work, piece)
+
+    def _send_again(self, work: _Work, piece: Piece) -> None:
+        sends = work.sends.get(piece.segment, 0) + 1
+        work.sends[piece.segment] = sends
+        if sends >= MAX_SENDS or not self._budgets.take(self._service):
+            self._fail(work, PieceFailure.LOST)
+            return
+        work.left.append(piece)
+
+    def _finish(self, work: _Work) -> None:
+        self._works.remove(work)
+        ordered = tuple(work.results[piece.segment] for piece in work.bundle.pieces)
+        if not work.done.done():
+            work.done.set_result(ordered)
+
+    def _fail(self, work: _Work, failure: PieceFailure) -> None:
+        self._metrics.count(f"stages.failed.{failure.value}")
+        if work in self._works:
+            self._works.remove(work)
+        results = tuple(
+            work.results.get(piece.segment, PieceResult(failure=failure))
+            for piece in work.bundle.pieces
+        )
+        if not work.done.done():
+            work.done.set_result(results)
+
+    def _withdraw(self, work: _Work) -> None:
+        work.withdrawn = True
+        if work in self._works:
+            self._works.remove(work)
+        made = tuple(one.handle for one in work.results.values())
+        if made:
+            self.free(made)
+
+    def _find_work(self, bundle: Bundle) -> _Work | None:
+        for work in self._works:
+            if work.bundle is bundle:
+                return work
+        return None
+
+    # freeing
+
+    def _send_freeing(self) -> None:
+        self._free_timer = None
+        waiting, self._to_free = self._to_free, {}
+        for address, handles in waiting.items():
+            task = asyncio.create_task(self._free_at(address, tuple(handles)))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _free_at(self, address: str, handles: tuple[str, ...]) -> None:
+        target_id = ""
+        for maker in self._makers.values():
+            if maker.target.address == address:
+                target_id = maker.target.target_id
+        outbound = self._codec.encode_freeing(handles, target_id)
+        try:
+            reply = await self._links.send(
+                target_id=target_id or address,
+                address=address,
+                outbound=outbound,
+                fresh=not target_id,
+                timeout=FREE_TIMEOUT,
+            )
+            await reply.read(MAX_ANSWER_BYTES)
+            reply.release()
+        except (NotSentError, LinkError) as error:
+            # its maker drops them by itself after a while
+            self._metrics.count("stages.unfreed", len(handles))
+            self._decisions.note(
+                "unfreed", service=self._service, address=address, reason=str(error)
+            )
--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
@@ -0,0 +1,252 @@
+"""The stage work of one request: which pieces, when, and when results are freed."""
+
+from __future__ import annotations
+
+import asyncio
+from abc import ABC, abstractmethod
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from greengagelatch.errors import RefusalCode
+from greengagelatch.relay.pieces import Bundle, PieceFailure, PieceResult
+from greengagelatch.relay.stage_plan import StagePlan
+
+from .refusals import create_error
+
+if TYPE_CHECKING:
+    from greengagelatch.clock import Clock
+    from greengagelatch.relay.stage_plan import StageWork
+
+    from .decisions import DecisionLog
+    from .exchange import RelayExchange
+
+__all__ = ("StageDesk", "StageResults", "StageRunner")
+
+#: times that stages are made again because results of earlier ones are gone
+MAX_REMAKES = 2
+#: seconds after which makers that are behind may have caught up, at the least
+LEAST_RETRY = 0.3
+
+
+class StageDesk(ABC):
+    """Takes bundles of pieces and has them made."""
+
+    @abstractmethod
+    async def make(self, bundle: Bundle) -> tuple[PieceResult, ...]:
+        """Return the results of all pieces, in order.
+
+        Cancelling it withdraws the pieces that are not yet being made.
+        """
+
+    @abstractmethod
+    def free(self, service: str, handles: tuple[str, ...]) -> None:
+        """Give up results."""
+
+    @abstractmethod
+    def estimate_wait(self, service: str) -> float:
+        """Return the seconds that a piece would wait if it came now."""
+
+
+@dataclass(slots=True)
+class StageResults:
+    """What a request's target needs of its stages."""
+
+    #: handles for the target; ``None`` where the route has no stages
+    inputs: tuple[str, ...] | None = None
+    #: bytes of these by the data centre of their makers
+    bytes_by_data_centre: dict[str, int] = field(default_factory=dict)
+
+
+class _StageFailedError(Exception):
+    def __init__(self, work: StageWork, failure: PieceFailure) -> None:
+        super().__init__(f"stage {work.number} of {work.service}: {failure.value}")
+        self.work = work
+        self.failure = failure
+
+
+class StageRunner:
+    """Makes the stages of requests, each as soon as those it reads are made."""
+
+    def __init__(
+        self,
+        *,
+        desk: StageDesk,
+        clock: Clock,
+        decisions: DecisionLog,
+        data_centre: str,
+    ) -> None:
+        self._desk = desk
+        self._clock = clock
+        self._decisions = decisions
+        self._data_centre = data_centre
+
+    def estimate(self, exchange: RelayExchange) -> float:
+        """Return the seconds that the stages would take if they began now."""
+        plan = StagePlan(exchange.request, exchange.route, exchange.deployment)
+        waits = {work.service for work in plan.works.values()}
+        return plan.seconds + sum(self._desk.estimate_wait(one) for one in waits)
+
+    def begin(
+        self, exchange: RelayExchange, first_seconds: float, whole_seconds: float
+    ) -> _Run:
+        """Return the stage work of one request, not yet started.
+
+        :param first_seconds: expected time of the target until its answer begins
+        :param whole_seconds: the same until its answer ends
+        """
+        return _Run(self, exchange, first_seconds, whole_seconds)
+
+
+class _Run:
+    """The stages of one request, and the results that it holds."""
+
+    def __init__(
+        self,
+        runner: StageRunner,
+        exchange: RelayExchange,
+        first_seconds: float,
+        whole_seconds: float,
+    ) -> None:
+        self._desk = runner._desk
+        self._clock = runner._clock
+        self._decisions = runner._decisions
+        self._data_centre = runner._data_centre
+        self._exchange = exchange
+        self._first_seconds = first_seconds
+        self._whole_seconds = whole_seconds
+        self._plan = StagePlan(exchange.request, exchange.route, exchange.deployment)
+        self._held: dict[int, tuple[PieceResult, ...]] = {}
+        self._tasks: dict[int, asyncio.Task[None]] = {}
+        self._readers = {
+            number: sum(number in work.after for work in self._plan.works.values())
+            for number in self._plan.works
+        }
+
+    async def make(self) -> StageResults:
+        """Make all stages and return what the target needs.
+
+        :raises RefusedError: if they can't be made in time
+        """
+        if not self._exchange.route.stages:
+            return StageResults()
+        started = self._clock.now()
+        for _ in range(MAX_REMAKES):
+            try:
+                await self._make_all()
+                break
+            except _StageFailedError as error:
+                self.free()
+                if error.failure is not PieceFailure.GONE:
+                    raise self._refuse(error) from error
+        else:
+            raise create_error(
+                self._exchange,
+                RefusalCode.STAGE_FAILED,
+                "stage results were lost again and again",
+                retry_after=LEAST_RETRY,
+            )
+        self._exchange.stage_seconds += self._clock.now() - started
+        return self._collect()
+
+    def free(self) -> None:
+        """Give up every result that is held."""
+        for number in tuple(self._held):
+            self._free_stage(number)
+
+    async def _make_all(self) -> None:
+        self._tasks = {}
+        for number in self._plan.works:
+            self._start(number)
+        tasks = tuple(self._tasks.values())
+        try:
+            await asyncio.gather(*tasks)
+        except BaseException:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            self.free()
+            raise
+
+    def _start(self, number: int) -> asyncio.Task[None]:
+        task = self._tasks.get(number)
+        if task is None:
+            earlier = [self._start(one) for one in self._plan.works[number].after]
+            task = asyncio.create_task(self._make_stage(number, earlier))
+            self._tasks[number] = task
+        return task
+
+    async def _make_stage(self, number: int, earlier: list[asyncio.Task[None]]) -> None:
+        for task in earlier:
+            # shielded: a stage that is cancelled must not cancel those it reads
+            await asyncio.shield(task)
+        work = self._plan.works[number]
+        handles = {
+            one: tuple(result.handle for result in self._held[one])
+            for one in work.after
+        }
+        bundle = self._create_bundle(work, handles)
+        results = await self._desk.make(bundle)
+        failed = next((one.failure for one in results if one.failure), None)
+        made = tuple(one for one in results if one.failure is None)
+        self._held[number] = made
+        if failed is not None:
+            raise _StageFailedError(work, failed)
+        for one in work.after:
+            self._readers[one] -= 1
+            if self._readers[one] == 0 and one not in self._plan.final:
+                self._free_stage(one)
+
+    def _create_bundle(
+        self, work: StageWork, handles: dict[int, tuple[str, ...]]
+    ) -> Bundle:
+        exchange = self._exchange
+        objective = exchange.request.received + exchange.route.objective
+        return Bundle(
+            bundle_id=f"{exchange.request.request_id}/{work.number}",
+            service=work.service,
+            pieces=self._plan.create_pieces(work, handles),
+            result_bytes=work.result_bytes,
+            aim=objective - work.rest - self._first_seconds,
+            latest=exchange.deadline - work.rest - self._whole_seconds,
+            priority=exchange.priority,
+            data_centre=self._data_centre,
+            begun=bool(work.after),
+        )
+
+    def _collect(self) -> StageResults:
+        results = StageResults(inputs=())
+        sizes = results.bytes_by_data_centre
+        for number in self._plan.final:
+            for result in self._held[number]:
+                results.inputs += (result.handle,)
+                size = self._plan.works[number].result_bytes
+                sizes[result.data_centre] = sizes.get(result.data_centre, 0) + size
+        return results
+
+    def _free_stage(self, number: int) -> None:
+        held = self._held.pop(number, ())
+        if held:
+            handles = tuple(result.handle for result in held)
+            self._desk.free(self._plan.works[number].service, handles)
+
+    def _refuse(self, error: _StageFailedError):
+        late = error.failure in (PieceFailure.LATE, PieceFailure.ROOM)
+        code = RefusalCode.OVERLOADED if late else RefusalCode.STAGE_FAILED
+        wait = self._desk.estimate_wait(error.work.service)
+        self._decisions.note(
+            "stage-failed",
+            request=self._exchange.request.request_id,
+            stage=error.work.number,
+            service=error.work.service,
+            reason=error.failure.value,
+            wait_ms=round(wait * 1000),
+            left_ms=round((self._exchange.deadline - self._clock.now()) * 1000),
+        )
+        return create_error(
+            self._exchange,
+            code,
+            str(error),
+            retry_after=max(LEAST_RETRY, wait),
+            field="stage",
+            value=str(error.work.number),
+        )
--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -0,0 +1,293 @@
+"""Requests that are answered by a stream of events."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from greengagelatch.errors import RefusalCode
+from greengagelatch.relay.fleet import EngineNeed
+from greengagelatch.relay.outcomes import SendOutcome
+from greengagelatch.relay.requests import Prompt
+
+from .event_split import EventSplitter
+from .links import LinkError
+from .messages import RelayCall
+from .refusals import create_error
+from .runners import Runner
+from .sending import STATUS_CONFLICT, Answered, Unanswered
+
+if TYPE_CHECKING:
+    from greengagelatch.relay.targets import ListedTarget
+
+    from .codecs import TargetCodec
+    from .exchange import RelayExchange
+    from .messages import AnswerHead
+    from .run_times import RunTimes
+    from .stages import StageResults, StageRunner
+
+__all__ = ("StreamRunner",)
+
+#: largest failure answer that is passed on whole
+MAX_FAILURE_BYTES = 1024 * 1024
+#: share of the route's objective without a first event after which a stream that
+#: can be resumed is tried elsewhere, and the least such time in seconds
+FIRST_EVENT_SHARE = 0.9
+LEAST_FIRST_EVENT = 1.0
+#: the same between events, as a multiple of the longest pause that is on time
+PAUSE_FACTOR = 3.0
+LEAST_PAUSE = 0.75
+
+
+class StreamRunner(Runner):
+    """Makes the stages, then passes a target's events on as they arrive.
+
+    A stream that breaks off goes on at another target after the last whole event,
+    if its route allows that; the caller sees one answer with the first one's head.
+    """
+
+    def __init__(
+        self,
+        *,
+        stages: StageRunner,
+        codec: TargetCodec,
+        times: RunTimes,
+        **common,
+    ) -> None:
+        super().__init__(**common)
+        self._stages = stages
+        self._codec = codec
+        self._times = times
+
+    async def run(self, exchange: RelayExchange) -> None:
+        self._budgets.note_request(exchange.service)
+        first, whole = self._times.estimate(exchange)
+        self._check_feasible(exchange, first)
+        run = self._stages.begin(exchange, first, whole)
+        try:
+            results = await run.make()
+            await _Stream(self, exchange, run, results).serve()
+        finally:
+            run.free()
+
+    def _check_feasible(self, exchange: RelayExchange, first: float) -> None:
+        """Refuse at once what would not be answered in time.
+
+        Held until its deadline it would take the makers' time from requests that
+        can still be answered, and its caller could not turn elsewhere.
+        """
+        needed = self._stages.estimate(exchange) + first
+        left = self._find_left(exchange)
+        if needed <= left:
+            return
+        raise create_error(
+            exchange,
+            RefusalCode.OVERLOADED,
+            f"needs about {needed:.1f} s of {left:.1f} s left",
+            retry_after=max(0.3, needed - left),
+        )
+
+
+class _Stream:
+    """One stream on its way to the caller."""
+
+    def __init__(
+        self,
+        runner: StreamRunner,
+        exchange: RelayExchange,
+        run,
+        results: StageResults,
+    ) -> None:
+        self._runner = runner
+        self._exchange = exchange
+        self._run = run
+        self._results = results
+        self._prompt = exchange.request.prompt or Prompt()
+        self._last_id = exchange.request.resume_after
+        self._begun = False
+        self._sent_at = 0.0
+
+    async def serve(self) -> None:
+        """Send until the stream is whole, or may not go on."""
+        exchange, runner = self._exchange, self._runner
+        excluded: frozenset[str] = frozenset()
+        last: Unanswered | None = None
+        while True:
+            target = self._choose(excluded)
+            if target is None:
+                break
+            last = await self._try(target)
+            if last is None:
+                return
+            excluded |= {target.target_id}
+            if not runner._may_repeat(exchange, last.outcome):
+                break
+            if last.status == STATUS_CONFLICT or self._begun:
+                # results that were read are freed; another target reads them anew
+                self._run.free()
+                self._results = await self._run.make()
+        raise runner._refuse(exchange, last)
+
+    def _choose(self, excluded: frozenset[str]) -> ListedTarget | None:
+        need = EngineNeed(self._prompt, self._results.bytes_by_data_centre)
+        fleet, now = self._runner._fleet, self._runner._clock.now()
+        return fleet.choose_engine(self._exchange.service, need, excluded, now)
+
+    async def _try(self, target: ListedTarget) -> Unanswered | None:
+        """Send once and pass events on; ``None`` if the answer is complete."""
+        runner, exchange = self._runner, self._exchange
+        left = runner._find_left(exchange)
+        if left <= 0:
+            return Unanswered(SendOutcome.UNSENT, "deadline over")
+        call = RelayCall(
+            target_id=target.target_id,
+            remaining=left,
+            workspace=exchange.workspace,
+            resume_after=self._last_id,
+            inputs=self._results.inputs,
+        )
+        now = runner._clock.now()
+        tokens = runner._fleet.count_tokens(target.target_id, self._prompt, now)
+        self._sent_at = now
+        reading = _Reading(runner._fleet, target.target_id, tokens)
+        try:
+            result = await runner._sender.send(
+                exchange,
+                target,
+                call,
+                timeout=self._choose_first_patience(left),
+                fresh=not exchange.route.repeatable,
+            )
+            if isinstance(result, Unanswered):
+                return result
+            return await self._pass_on(target, result, reading)
+        finally:
+            reading.end()
+
+    async def _pass_on(
+        self, target: ListedTarget, answered: Answered, reading: _Reading
+    ) -> Unanswered | None:
+        reply = answered.reply
+        try:
+            if not answered.head.succeeded:
+                return await self._pass_failure(target, answered)
+            await self._pass_events(target, answered, reading)
+        except LinkError as error:
+            reply.abort()
+            return self._runner._sender.note_lost(self._exchange, target, str(error))
+        except BaseException:
+            reply.abort()
+            raise
+        reply.release()
+        self._runner._fleet.note_success(target.target_id)
+        self._exchange.outcome = "answered"
+        return None
+
+    async def _pass_events(
+        self, target: ListedTarget, answered: Answered, reading: _Reading
+    ) -> None:
+        splitter = EventSplitter()
+        writer = self._exchange.writer
+        chunks = answered.reply.iterate()
+        while True:
+            data = await self._read_chunk(chunks)
+            if data is None:
+                break
+            events = splitter.feed(data)
+            if not events:
+                continue
+            self._note_begun(target, reading)
+            if not writer.started:
+                self._exchange.status = answered.head.status
+                await writer.begin(answered.head)
+            for event in events:
+                event_id = self._runner._codec.read_event_id(event)
+                if event_id is not None:
+                    self._last_id = event_id
+            await writer.write(b"".join(events))
+        if splitter.pending:
+            raise LinkError("stream ended within an event")
+        if not writer.started:
+            await writer.begin(answered.head)
+        await writer.finish()
+        self._runner._times.note_whole(
+            self._exchange, self._runner._clock.now() - self._sent_at
+        )
+
+    async def _read_chunk(self, chunks) -> bytes | None:
+        left = self._runner._find_left(self._exchange)
+        patience = min(left, self._choose_pause())
+        try:
+            async with asyncio.timeout(max(0.0, patience)):
+                return await anext(chunks, None)
+        except TimeoutError:
+            raise LinkError("no further event in time") from None
+
+    def _note_begun(self, target: ListedTarget, reading: _Reading) -> None:
+        if not reading.note_begun():
+            return
+        runner = self._runner
+        now = runner._clock.now()
+        runner._times.note_first(self._exchange, now - self._sent_at)
+        runner._fleet.note_parts(target.target_id, self._prompt, now)
+        self._begun = True
+        # the target has read the stages' results; their makers need the room
+        self._run.free()
+
+    async def _pass_failure(
+        self, target: ListedTarget, answered: Answered
+    ) -> Unanswered | None:
+        head: AnswerHead = answered.head
+        body = await answered.reply.read(MAX_FAILURE_BYTES)
+        answered.reply.release()
+        self._runner._fleet.note_failure(target.target_id, self._runner._clock.now())
+        exchange = self._exchange
+        if exchange.writer.started:
+            return Unanswered(SendOutcome.FAILED, f"status {head.status} on resuming")
+        exchange.status = head.status
+        exchange.outcome = "failed"
+        await exchange.writer.send(head.status, head.headers, body, reason=head.reason)
+        return None
+
+    def _choose_first_patience(self, left: float) -> float:
+        if not self._may_go_elsewhere():
+            return left
+        patience = self._exchange.route.objective * FIRST_EVENT_SHARE
+        return min(left, max(LEAST_FIRST_EVENT, patience))
+
+    def _choose_pause(self) -> float:
+        left = self._runner._find_left(self._exchange)
+        if not self._may_go_elsewhere():
+            return left
+        if not self._begun:
+            return self._choose_first_patience(left)
+        return max(LEAST_PAUSE, self._exchange.route.longest_pause * PAUSE_FACTOR)
+
+    def _may_go_elsewhere(self) -> bool:
+        route = self._exchange.route
+        sent = len(set(self._exchange.targets))
+        return route.resumable and sent <= route.max_attempts - 1
+
+
+class _Reading:
+    """Counts a request at its engine: first as a prompt to read, then as running."""
+
+    def __init__(self, fleet, target_id: str, tokens: float) -> None:
+        self._fleet = fleet
+        self._target_id = target_id
+        self._tokens = tokens
+        self._reading = True
+        fleet.start(target_id, tokens)
+
+    def note_begun(self) -> bool:
+        """Take in the first event; whether it was the first."""
+        if not self._reading:
+            return False
+        self._reading = False
+        self._fleet.begin(self._target_id, self._tokens)
+        return True
+
+    def end(self) -> None:
+        """Take in the end of the send."""
+        self.note_begun()
+        self._fleet.finish(self._target_id)
--- a/packages/greengagelatch/src/greengagelatch/errors.py
+++ b/packages/greengagelatch/src/greengagelatch/errors.py
@@ -16,6 +16,7 @@
     BAD_REQUEST = "bad-request"
     UNKNOWN_PIPELINE = "unknown-pipeline"
     UNKNOWN_WORKSPACE = "unknown-workspace"
+    UNAUTHORIZED = "unauthorized"
     TOO_LARGE = "too-large"
     KEY_REUSED = "key-reused"
     REPEAT_UNSETTLED = "repeat-unsettled"
--- /dev/null
+++ b/packages/greengagelatch/src/greengagelatch/relay/batches.py
@@ -0,0 +1,184 @@
+"""Which pieces share a call to a maker, and when the call is made."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass, field
+from math import ceil
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from .deployment import MakerProfile
+    from .pieces import Bundle, Piece
+
+__all__ = ("BatchPolicy", "MakerView", "PlannedCall", "SeparateCalls", "SharedCalls")
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class MakerView:
+    """One maker at the moment of a decision."""
+
+    target_id: str
+    data_centre: str
+    #: monotonic seconds at which it should be able to begin another call
+    free_at: float
+    #: bytes of results that it has room for
+    free_bytes: float
+    #: how long its calls take, as a multiple of what the profile says
+    slowness: float = 1.0
+
+
+@dataclass(slots=True)
+class PlannedCall:
+    """A call that is to be made now."""
+
+    target_id: str
+    #: pieces in order, each with its bundle
+    pieces: list[tuple[Bundle, Piece]] = field(default_factory=list)
+
+
+class BatchPolicy(ABC):
+    """Fills calls from the bundles that wait."""
+
+    @abstractmethod
+    def plan(
+        self,
+        bundles: list[tuple[Bundle, list[Piece]]],
+        makers: list[MakerView],
+        profile: MakerProfile,
+        now: float,
+    ) -> list[PlannedCall]:
+        """Return the calls to make now.
+
+        :param bundles: each with its pieces that are not yet being made
+        :param makers: all makers, busy ones included
+        """
+
+
+class SharedCalls(BatchPolicy):
+    """Lets requests share calls, the most urgent ones first.
+
+    A call has a high fixed cost and a low one for each piece, so full calls make
+    about twice as many pieces as calls for one request each. Under light load
+    there are more idle makers than bundles, and each bundle has its own call; as
+    load rises, bundles wait while makers are busy, and calls fill up by themselves.
+    """
+
+    def plan(
+        self,
+        bundles: list[tuple[Bundle, list[Piece]]],
+        makers: list[MakerView],
+        profile: MakerProfile,
+        now: float,
+    ) -> list[PlannedCall]:
+        waiting = [pair for pair in bundles if pair[1]]
+        waiting.sort(key=lambda pair: _rank(pair[0], len(pair[1]), profile, now))
+        idle = _list_useful(makers, profile, now)
+        calls = []
+        while waiting and idle:
+            share = _count_share(waiting, len(idle), profile)
+            maker = _choose_maker(idle, waiting[0][0])
+            idle.remove(maker)
+            call = _fill(maker, waiting, share, profile)
+            waiting = [pair for pair in waiting if pair[1]]
+            if call.pieces:
+                calls.append(call)
+        return calls
+
+
+class SeparateCalls(BatchPolicy):
+    """One bundle a call, in the order of arrival; the baseline to compare with."""
+
+    def plan(
+        self,
+        bundles: list[tuple[Bundle, list[Piece]]],
+        makers: list[MakerView],
+        profile: MakerProfile,
+        now: float,
+    ) -> list[PlannedCall]:
+        calls = []
+        idle = [maker for maker in makers if maker.free_at <= now]
+        for bundle, left in bundles:
+            if not idle:
+                break
+            if not left:
+                continue
+            call = _fill(idle.pop(0), [(bundle, left)], profile.batch, profile)
+            if call.pieces:
+                calls.append(call)
+        return calls
+
+
+def _rank(
+    bundle: Bundle, count: int, profile: MakerProfile, now: float
+) -> tuple[bool, int, float]:
+    """Order bundles: those that can still meet their aim, then by urgency.
+
+    One that can't meet its aim any more has lost most of its worth; let it wait
+    for those that have not.
+    """
+    end = now + profile.estimate_seconds(min(count, profile.batch))
+    late = end > bundle.aim
+    return (late, bundle.priority if late else 0, bundle.aim)
+
+
+def _list_useful(
+    makers: list[MakerView], profile: MakerProfile, now: float
+) -> list[MakerView]:
+    """Return the idle makers that end a call before any other one could.
+
+    A maker that has become five times slower is idle more often than not to the
+    eye of a late binding; work sent to it would be late, though another maker could
+    have begun a moment later and still ended sooner.
+    """
+    usual = profile.estimate_seconds(max(1, profile.batch // 2))
+    soonest = min(
+        (max(now, one.free_at) + usual * one.slowness for one in makers), default=0.0
+    )
+    useful = []
+    for one in makers:
+        if one.free_at > now:
+            continue
+        if now + usual * one.slowness > soonest + usual:
+            continue
+        useful.append(one)
+    return useful
+
+
+def _count_share(
+    waiting: list[tuple[Bundle, list[Piece]]], idle: int, profile: MakerProfile
+) -> int:
+    pieces = sum(len(left) for _, left in waiting)
+    return max(1, min(profile.batch, ceil(pieces / idle)))
+
+
+def _choose_maker(idle: list[MakerView], bundle: Bundle) -> MakerView:
+    """Prefer fast makers, then near ones, then those with the most room."""
+    return min(
+        idle,
+        key=lambda one: (
+            round(one.slowness, 1),
+            one.data_centre != bundle.data_centre,
+            -one.free_bytes,
+        ),
+    )
+
+
+def _fill(
+    maker: MakerView,
+    waiting: list[tuple[Bundle, list[Piece]]],
+    share: int,
+    profile: MakerProfile,
+) -> PlannedCall:
+    """Take pieces off ``waiting``: whole bundles up to ``share``, then the bound."""
+    call = PlannedCall(maker.target_id)
+    free = maker.free_bytes
+    for bundle, left in waiting:
+        if call.pieces and len(call.pieces) >= share:
+            break
+        while left and len(call.pieces) < profile.batch:
+            if bundle.result_bytes > free:
+                break
+            free -= bundle.result_bytes
+            call.pieces.append((bundle, left.pop(0)))
+    return call
--- /dev/null
+++ b/packages/greengagelatch/src/greengagelatch/relay/fleet.py
@@ -0,0 +1,221 @@
+"""Which target gets a request: least time to the answer, kept prompt parts, health."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from ..load.breakers import Breaker, BreakerRule, find_ejected
+from ..targets.subset import compute_weight
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Mapping
+
+    from .requests import Prompt
+    from .targets import ListedTarget, TargetBook
+
+__all__ = ("EngineNeed", "Fleet", "LoadReport")
+
+#: a target is out after two failures in a row: with three targets, a third of all
+#: requests find out about one that is lost, so each further sample is dear
+BREAKER = BreakerRule(failures=2, first_pause=1.0, longest_pause=4.0)
+#: seconds after which a target's own word about its load counts for nothing
+REPORT_LIFE = 1.0
+#: share of a slot by which a target in another data centre seems fuller
+FAR_PENALTY = 0.05
+#: tokens whose prefill a running request delays about as much
+RUNNING_TOKENS = 60.0
+#: tokens that seem as dear as moving one byte of results to another data centre
+TOKENS_PER_FAR_BYTE = 0.001
+#: seconds for which a prompt part is expected to stay in an engine's memory
+PART_LIFE = 20.0
+#: prompt parts remembered for one engine
+MAX_PARTS = 2048
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """A target's own word about its load."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@dataclass(frozen=True, slots=True)
+class EngineNeed:
+    """What a request needs of its engine."""
+
+    prompt: Prompt
+    #: bytes of stage results that it reads, by the data centre of their makers
+    result_bytes: Mapping[str, int] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class _TargetState:
+    breaker: Breaker
+    in_flight: int = 0
+    #: prompt tokens of requests sent and not yet begun
+    pending_tokens: float = 0.0
+    report: LoadReport | None = None
+    reported: float = 0.0
+    #: prompt parts by the time of their last use
+    parts: OrderedDict[str, float] = field(default_factory=OrderedDict)
+
+
+class Fleet:
+    """Chooses among the targets that are listed, and learns from outcomes."""
+
+    def __init__(
+        self, *, book: TargetBook, data_centre: str, random_source: random.Random
+    ) -> None:
+        self._book = book
+        self._data_centre = data_centre
+        self._random = random_source
+        self._states: dict[str, _TargetState] = {}
+
+    def choose_plain(
+        self, service: str, excluded: frozenset[str], now: float
+    ) -> ListedTarget | None:
+        """Return the least loaded sound target, near ones first."""
+        candidates = self._list_candidates(service, excluded, now)
+        if not candidates:
+            return None
+        return min(candidates, key=lambda one: self._rate_plain(one, now))
+
+    def choose_engine(
+        self, service: str, need: EngineNeed, excluded: frozenset[str], now: float
+    ) -> ListedTarget | None:
+        """Return the engine that should have the least to read and to move.
+
+        The first shared part names a home for it, the same for all instances
+        without a word between them. An engine that waits to read more than the
+        others gives way, or a much used part would overload its home.
+        """
+        candidates = self._list_candidates(service, excluded, now)
+        if not candidates:
+            return None
+        shared = need.prompt.shared
+        home = ""
+        if shared:
+            first = shared[0].part_id
+            home = min(
+                (compute_weight(first, one.target_id), one.target_id)
+                for one in candidates
+            )[1]
+        return min(candidates, key=lambda one: self._rate_engine(one, need, home, now))
+
+    def start(self, target_id: str, tokens: float = 0.0) -> None:
+        """Count a request that is being sent."""
+        state = self._find(target_id)
+        state.in_flight += 1
+        state.pending_tokens += tokens
+
+    def begin(self, target_id: str, tokens: float) -> None:
+        """Take in that an engine has read a request's prompt."""
+        state = self._find(target_id)
+        state.pending_tokens = max(0.0, state.pending_tokens - tokens)
+
+    def finish(self, target_id: str) -> None:
+        """Count out a request."""
+        state = self._find(target_id)
+        state.in_flight = max(0, state.in_flight - 1)
+
+    def note_parts(self, target_id: str, prompt: Prompt, now: float) -> None:
+        """Remember what an engine has read for a request."""
+        parts = self._find(target_id).parts
+        for part in prompt.shared:
+            parts.pop(part.part_id, None)
+            parts[part.part_id] = now
+        while len(parts) > MAX_PARTS:
+            parts.popitem(last=False)
+
+    def note_success(self, target_id: str) -> None:
+        """Take in an answer."""
+        self._find(target_id).breaker.note_success()
+
+    def note_failure(self, target_id: str, now: float) -> None:
+        """Take in a failure that is the target's doing."""
+        self._find(target_id).breaker.note_failure(now)
+
+    def note_report(self, target_id: str, report: LoadReport, now: float) -> None:
+        """Take in a target's own word about its load."""
+        state = self._find(target_id)
+        state.report = report
+        state.reported = now
+
+    def count_tokens(self, target_id: str, prompt: Prompt, now: float) -> float:
+        """Return the prompt tokens that an engine does not seem to keep."""
+        parts = self._find(target_id).parts
+        kept = 0
+        for part in prompt.shared:
+            if now - parts.get(part.part_id, -PART_LIFE) >= PART_LIFE:
+                break
+            kept += part.tokens
+        return max(0.0, prompt.tokens_in - kept)
+
+    def forget(self, target_id: str) -> None:
+        """Drop what is known of a target that is gone."""
+        self._states.pop(target_id, None)
+
+    def describe(self, now: float) -> dict[str, dict[str, float | str]]:
+        """Return what is believed of each target, for the state dump."""
+        return {
+            target_id: {
+                "breaker": state.breaker.read_state(now).value,
+                "in_flight": state.in_flight,
+                "pending_tokens": state.pending_tokens,
+                "report_age": now - state.reported if state.report else -1.0,
+            }
+            for target_id, state in self._states.items()
+        }
+
+    def _find(self, target_id: str) -> _TargetState:
+        state = self._states.get(target_id)
+        if state is None:
+            state = _TargetState(Breaker(BREAKER, self._random))
+            self._states[target_id] = state
+        return state
+
+    def _list_candidates(
+        self, service: str, excluded: frozenset[str], now: float
+    ) -> list[ListedTarget]:
+        listed = self._book.list_service(service)
+        breakers = [
+            (one.target_id, self._find(one.target_id).breaker) for one in listed
+        ]
+        ejected = find_ejected(breakers, BREAKER, now)
+        left = [one for one in listed if one.target_id not in excluded]
+        sound = [one for one in left if one.target_id not in ejected]
+        return sound or left
+
+    def _rate_plain(self, target: ListedTarget, now: float) -> tuple[float, float]:
+        state = self._find(target.target_id)
+        held = state.in_flight + self._count_others(state, now)
+        far = 0.0 if target.data_centre == self._data_centre else FAR_PENALTY
+        return held / max(1, target.slots) + far, self._random.random()
+
+    def _rate_engine(
+        self, target: ListedTarget, need: EngineNeed, home: str, now: float
+    ) -> tuple[float, float]:
+        state = self._find(target.target_id)
+        tokens = self.count_tokens(target.target_id, need.prompt, now)
+        if target.target_id == home:
+            # others will have sent the part there, whatever this instance saw
+            tokens = min(tokens, need.prompt.tokens_in - need.prompt.shared[0].tokens)
+        running = state.in_flight + self._count_others(state, now)
+        far = sum(
+            size
+            for data_centre, size in need.result_bytes.items()
+            if data_centre != target.data_centre
+        )
+        cost = tokens + state.pending_tokens + running * RUNNING_TOKENS
+        return cost + far * TOKENS_PER_FAR_BYTE, self._random.random()
+
+    def _count_others(self, state: _TargetState, now: float) -> float:
+        if state.report is None or now - state.reported > REPORT_LIFE:
+            return 0.0
+        told = state.report.running + state.report.waiting
+        return max(0.0, float(told - state.in_flight))
--- /dev/null
+++ b/packages/greengagelatch/src/greengagelatch/relay/outcomes.py
@@ -0,0 +1,85 @@
+"""What one send to a target came to, and what may follow it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+__all__ = ("NextStep", "RepeatFacts", "SendOutcome", "decide_next")
+
+
+class SendOutcome(Enum):
+    """How one send to a target ended without an answer for the caller."""
+
+    #: no byte of it reached the target
+    UNSENT = "unsent"
+    #: another target has the address now; nothing ran
+    MISDIRECTED = "misdirected"
+    #: the target said that it did not run it
+    REJECTED = "rejected"
+    #: it may have run, and no answer says what became of it
+    LOST = "lost"
+    #: the target answered that it failed
+    FAILED = "failed"
+    #: a stream broke off after some of its events
+    BROKEN_OFF = "broken-off"
+
+    @property
+    def proves_not_run(self) -> bool:
+        """Whether the request certainly did not run."""
+        return self in _NOT_RUN
+
+
+_NOT_RUN = frozenset(
+    {SendOutcome.UNSENT, SendOutcome.MISDIRECTED, SendOutcome.REJECTED}
+)
+
+
+class NextStep(Enum):
+    """What follows a send that was not answered."""
+
+    #: send it to another target, charged to the budget of repeats
+    REPEAT = "repeat"
+    #: send it to another target; no target has had it yet
+    SEND = "send"
+    #: tell the caller what is known
+    GIVE_UP = "give-up"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RepeatFacts:
+    """What a repeat depends on."""
+
+    outcome: SendOutcome
+    #: whether a request that may have run may be sent again
+    repeatable: bool
+    #: targets that have had it so far
+    arrivals: int
+    max_attempts: int
+    #: sends that reached no target so far
+    unsent: int
+    #: seconds that are left
+    remaining: float
+    #: seconds that a send needs at the least to be of use
+    least: float
+
+
+#: sends of one request that reach nobody, after which the way is taken to be broken
+MAX_UNSENT = 4
+
+
+def decide_next(facts: RepeatFacts) -> NextStep:
+    """Say what follows a send that was not answered.
+
+    A request that may run only once is sent again only where it certainly did not
+    run: a booking whose answer was lost may have been made.
+    """
+    if facts.remaining <= facts.least:
+        return NextStep.GIVE_UP
+    if facts.outcome in (SendOutcome.UNSENT, SendOutcome.MISDIRECTED):
+        return NextStep.SEND if facts.unsent < MAX_UNSENT else NextStep.GIVE_UP
+    if not facts.repeatable and not facts.outcome.proves_not_run:
+        return NextStep.GIVE_UP
+    if facts.arrivals >= facts.max_attempts:
+        return NextStep.GIVE_UP
+    return NextStep.REPEAT
--- /dev/null
+++ b/packages/greengagelatch/src/greengagelatch/relay/pieces.py
@@ -0,0 +1,74 @@
+"""Pieces of stage work: what is asked of makers, and what comes of it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+__all__ = ("Bundle", "Piece", "PieceFailure", "PieceResult")
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Piece:
+    """One result that a stage has to make for a request."""
+
+    request_id: str
+    stage: int
+    segment: int
+    #: names the input of a stage that reads no other one's results
+    key: str = ""
+    #: handles of the results that it reads
+    inputs: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Bundle:
+    """The pieces of one stage of one request; times are monotonic seconds."""
+
+    bundle_id: str
+    service: str
+    pieces: tuple[Piece, ...]
+    #: approximate size of one result
+    result_bytes: int
+    #: end of the stage up to which the request can still meet its objective
+    aim: float
+    #: end of the stage after which the request can't be answered in time
+    latest: float
+    #: 0 is the most urgent
+    priority: int = 0
+    #: data centre of the instance that serves the request
+    data_centre: str = ""
+    #: whether earlier stages of the request have been made already
+    begun: bool = False
+
+    @property
+    def request_id(self) -> str:
+        """Id of the request that the pieces belong to."""
+        return self.pieces[0].request_id
+
+
+class PieceFailure(Enum):
+    """Why there is no result of a piece."""
+
+    #: it could not be made in time
+    LATE = "late"
+    #: a result that it reads is gone
+    GONE = "gone"
+    #: the maker has no room for its result
+    ROOM = "room"
+    #: the maker failed
+    ERROR = "error"
+    #: nobody knows: the call broke off, or the maker could not be reached
+    LOST = "lost"
+    #: no maker is listed
+    NO_MAKER = "no-maker"
+
+
+@dataclass(frozen=True, slots=True)
+class PieceResult:
+    """Handle of a result, or why there is none."""
+
+    handle: str = ""
+    failure: PieceFailure | None = None
+    #: data centre of the maker
+    data_centre: str = ""
--- /dev/null
+++ b/packages/greengagelatch/src/greengagelatch/relay/room.py
@@ -0,0 +1,45 @@
+"""Room for results at one maker, as far as this instance fills it."""
+
+from __future__ import annotations
+
+__all__ = ("MakerRoom",)
+
+#: share of the room that is used: sizes of results are approximate
+USED_SHARE = 0.95
+
+
+class MakerRoom:
+    """Counts the bytes of results that a maker keeps for this instance.
+
+    A result takes up room from the start of its call until it is freed, or until
+    its maker drops it. A call beyond the room is refused piece by piece, and its
+    fixed cost is lost.
+    """
+
+    def __init__(self, size: int, keep_seconds: float) -> None:
+        self._size = size * USED_SHARE
+        self._keep_seconds = keep_seconds
+        self._reserved = 0.0
+        self._held: dict[str, tuple[int, float]] = {}
+
+    def find_free(self, now: float) -> float:
+        """Return the bytes that are free."""
+        for handle, (_, until) in tuple(self._held.items()):
+            if until <= now:
+                del self._held[handle]
+        held = sum(size for size, _ in self._held.values())
+        return self._size - self._reserved - held
+
+    def reserve(self, size: int) -> None:
+        """Take room for a call that begins."""
+        self._reserved += size
+
+    def settle(self, size: int, results: dict[str, int], now: float) -> None:
+        """Turn a call's reservation into the results that it made."""
+        self._reserved = max(0.0, self._reserved - size)
+        for handle, result_size in results.items():
+            self._held[handle] = (result_size, now + self._keep_seconds)
+
+    def free(self, handle: str) -> None:
+        """Give back a result's room."""
+        self._held.pop(handle, None)
--- /dev/null
+++ b/packages/greengagelatch/src/greengagelatch/relay/stage_plan.py
@@ -0,0 +1,106 @@
+"""The stage work of one request, in the order in which it can be done."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from .pieces import Piece
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from .deployment import Deployment, Route
+    from .requests import OpaqueRequest
+
+__all__ = ("StagePlan", "StageWork")
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StageWork:
+    """One stage that a request needs; times in seconds."""
+
+    number: int
+    service: str
+    count: int
+    result_bytes: int
+    #: stages that it reads and that the request has
+    after: tuple[int, ...]
+    #: expected time from its start to its end
+    seconds: float
+    #: the same for all that follows it before the target runs the request
+    rest: float
+
+
+class StagePlan:
+    """Stages of a route that one request needs, and what depends on what."""
+
+    def __init__(
+        self, request: OpaqueRequest, route: Route, deployment: Deployment
+    ) -> None:
+        self._request = request
+        counts = dict(enumerate(request.piece_counts))
+        numbers = [
+            number for number in range(len(route.stages)) if counts.get(number, 0) > 0
+        ]
+        seconds = {
+            number: _estimate(route.stages[number].service, counts[number], deployment)
+            for number in numbers
+        }
+        self.works: dict[int, StageWork] = {}
+        for number in reversed(numbers):
+            stage = route.stages[number]
+            self.works[number] = StageWork(
+                number=number,
+                service=stage.service,
+                count=counts[number],
+                result_bytes=stage.result_bytes,
+                after=tuple(one for one in stage.after if one in seconds),
+                seconds=seconds[number],
+                rest=_find_rest(number, route, seconds),
+            )
+        read = {one for work in self.works.values() for one in work.after}
+        #: stages whose results the target itself reads, in order
+        self.final = tuple(sorted(set(self.works) - read))
+
+    @property
+    def seconds(self) -> float:
+        """Expected time of the longest chain of stages."""
+        return max(
+            (work.seconds + work.rest for work in self.works.values()), default=0
+        )
+
+    def create_pieces(
+        self, work: StageWork, handles: Mapping[int, tuple[str, ...]]
+    ) -> tuple[Piece, ...]:
+        """Return the pieces of a stage.
+
+        :param handles: results of the stages made so far, by stage
+        """
+        inputs = tuple(handle for one in work.after for handle in handles[one])
+        return tuple(
+            Piece(
+                request_id=self._request.request_id,
+                stage=work.number,
+                segment=segment,
+                key="" if work.after else self._request.piece_key,
+                inputs=inputs,
+            )
+            for segment in range(work.count)
+        )
+
+
+def _estimate(service: str, count: int, deployment: Deployment) -> float:
+    found = deployment.services.get(service)
+    if found is None or found.maker is None:
+        return 0.0
+    return found.maker.estimate_seconds(min(count, found.maker.batch))
+
+
+def _find_rest(number: int, route: Route, seconds: Mapping[int, float]) -> float:
+    """Return the seconds of the longest chain that follows a stage."""
+    rest = 0.0
+    for other in seconds:
+        if number in route.stages[other].after:
+            rest = max(rest, seconds[other] + _find_rest(other, route, seconds))
+    return rest
--- a/packages/greengagelatch/src/greengagelatch/store/__init__.py
+++ b/packages/greengagelatch/src/greengagelatch/store/__init__.py
@@ -50,6 +50,8 @@
     RATE_LIMITED = "rate-limited"
     LEASE_GONE = "lease-gone"
     BAD_ANSWER = "bad-answer"
+    #: the history that a watch asks for is gone
+    COMPACTED = "compacted"
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_entry/test_application.py
+++ b/tests/test_entry/test_application.py
@@ -70,15 +70,12 @@
         close_listener=do_nothing,
         wait_idle=find_nothing,
     )
-    last = parts[-1]
     wired = SimpleNamespace(
         controllers=(*parts, drain),
-        callers=last,
-        operators=last,
-        peers=last,
         drain=drain,
-        host="127.0.0.1",
         close=do_nothing,
+        signals={},
+        list_addresses=dict,
     )
     return Application(wired), drain
 
