Let one instance gather the pieces of a service for all

Ruled out: makers' room (no piece was refused for it) and the engines (1.3 busiest to mean, no queue).

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -10,11 +10,14 @@
 
 from greengagelatch.clock import SystemClock
 from greengagelatch.events import EventBus
+from greengagelatch.peers import MemberState
 from greengagelatch.relay.batches import SharedCalls
 from greengagelatch.relay.deployment import CallerBounds
 from greengagelatch.relay.fleet import Fleet
 from greengagelatch.relay.targets import TargetBook
+from greengagelatch.settings import Settings
 
+from ..adapters.peers import PeerHub
 from ..controllers import Controller
 from ..controllers.drain import DrainController
 from ..filters import chain
@@ -23,9 +26,12 @@
 from .decisions import DecisionLog
 from .desk import LocalDesk
 from .filters import ObserveFilter, RouteFilter, RunHandler, SplitFilter
+from .following import StoreFollower
 from .front import RelayFront
 from .links import TargetLinks
 from .listing import ListingFollower
+from .news import NewsController
+from .owned_desk import OwnedDesk
 from .plain import PlainRunner
 from .prometheus import PrometheusMetrics
 from .readiness import ReadinessServer
@@ -46,6 +52,21 @@
 #: instances assumed to share a budget before others are known; more than there
 #: usually are, so that the share errs on the safe side
 ASSUMED_INSTANCES = 10
+#: instances that may gather the pieces of one service at the same time, while they
+#: don't agree on who is alive
+ASSUMED_OWNERS = 3
+#: bounds of the links between instances; times in seconds. A link that is silent
+#: for so long is dropped, and the stage work asked for over it is asked for elsewhere
+PEER_BOUNDS = {
+    "peers.heartbeat": 0.3,
+    "peers.silence": 1.0,
+    "peers.open_timeout": 1.0,
+    "peers.idle": 15.0,
+    "peers.links": 8,
+    "peers.max_links": 128,
+    "peers.probe_interval": 0.5,
+    "peers.dead_interval": 2.0,
+}
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -55,6 +76,10 @@
     instance_id: str
     data_centre: str
     callers_listen: str
+    #: where other instances connect
+    peers_listen: str
+    #: addresses of some of these, with commas between them
+    peers_seeds: str
     readiness_listen: str
     readiness_path: str
     #: empty: no metrics are served
@@ -151,30 +176,62 @@
             random_source=self.random,
         )
         self.links = TargetLinks(clock=self.clock, metrics=self.metrics)
-        common = {
-            "store": self.store,
-            "clock": self.clock,
-            "random_source": self.random,
-            "metrics": self.metrics,
-            "decisions": self.decisions,
-        }
         self.configuration = ConfigurationFollower(
-            codec=self.adapters.deployments, **common
+            codec=self.adapters.deployments,
+            clock=self.clock,
+            decisions=self.decisions,
         )
         self.listing = ListingFollower(
             codec=self.adapters.listings,
             book=self.book,
             note_gone=self._note_gone,
-            **common,
+            clock=self.clock,
+            decisions=self.decisions,
+        )
+        self.follower = StoreFollower(
+            store=self.store,
+            subscribers=(self.configuration, self.listing),
+            clock=self.clock,
+            random_source=self.random,
+            metrics=self.metrics,
+            decisions=self.decisions,
+        )
+        self.peers = PeerHub(
+            clock=self.clock,
+            random_source=self.random,
+            events=self.events,
+            settings=_create_peer_settings(self.rules),
+            metrics=self.metrics,
+        )
+        self.news = NewsController(
+            peers=self.peers,
+            follower=self.follower,
+            configuration=self.configuration,
+            listing=self.listing,
+            book=self.book,
+            random_source=self.random,
+            metrics=self.metrics,
         )
         self.budgets = RepeatBudgets(
             rule=self.rules.repeats,
             clock=self.clock,
-            count_instances=lambda: ASSUMED_INSTANCES,
+            count_instances=self._count_instances,
+        )
+        self.stage_budgets = RepeatBudgets(
+            rule=self.rules.repeats,
+            clock=self.clock,
+            count_instances=lambda: ASSUMED_OWNERS,
         )
 
     def _build_request_path(self) -> None:
-        self.desk = LocalDesk(create_pool=self._create_pool)
+        self.local_desk = LocalDesk(create_pool=self._create_pool)
+        self.desk = OwnedDesk(
+            local=self.local_desk,
+            peers=self.peers,
+            clock=self.clock,
+            metrics=self.metrics,
+            decisions=self.decisions,
+        )
         stages = StageRunner(
             desk=self.desk,
             clock=self.clock,
@@ -247,16 +304,26 @@
             book=self.book,
             links=self.links,
             codec=self.adapters.targets,
-            budgets=self.budgets,
+            budgets=self.stage_budgets,
             clock=self.clock,
             metrics=self.metrics,
             decisions=self.decisions,
         )
 
+    def _count_instances(self) -> int:
+        """Return how many instances share budgets, rather too many than too few."""
+        alive = sum(
+            member.state in (MemberState.ALIVE, MemberState.SUSPECT)
+            for member in self.peers.members()
+        )
+        return max(alive, ASSUMED_INSTANCES)
+
     def _list_controllers(self) -> tuple[Controller, ...]:
         return (
-            self.configuration,
-            self.listing,
+            self.peers,
+            self.follower,
+            self.news,
+            self.local_desk,
             self.desk,
             self.drain,
             self.front,
@@ -282,6 +349,8 @@
 
     def _describe(self) -> dict[str, Any]:
         parts = {part.name: part.dump() for part in self._list_controllers()}
+        parts["configuration"] = self.configuration.dump()
+        parts["listing"] = self.listing.dump()
         return {
             "instance": self.rules.instance_id,
             "data_centre": self.rules.data_centre,
@@ -294,3 +363,16 @@
     async def _close(self) -> None:
         self.links.drop_all()
         await self.store.close()
+
+
+def _create_peer_settings(rules: RelayRules) -> Settings:
+    return Settings(
+        {
+            "instance.id": rules.instance_id,
+            "instance.data_centre": rules.data_centre,
+            "peers.listen": rules.peers_listen,
+            "peers.advertise": rules.peers_listen,
+            "peers.seeds": rules.peers_seeds,
+            **PEER_BOUNDS,
+        }
+    )
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/configuration.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/configuration.py
@@ -8,31 +8,35 @@
 
 from greengagelatch.relay.routes import RouteTable
 
-from .following import FollowingController
+from .following import StoreSubscriber
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from greengagelatch.clock import Clock
     from greengagelatch.relay.deployment import Deployment
     from greengagelatch.store.ranges import Changes, Scan
 
     from .codecs import DeploymentCodec
+    from .decisions import DecisionLog
 
 __all__ = ("ConfigurationFollower",)
 
 
-class ConfigurationFollower(FollowingController):
+class ConfigurationFollower(StoreSubscriber):
     """Follows the configuration and never goes back to an older version.
 
     A stale read, a peer that is behind, or an answer that was held up must not take
     back what callers and targets have already seen in force.
     """
 
-    name = "configuration"
-
-    def __init__(self, *, codec: DeploymentCodec, **common: Any) -> None:
-        super().__init__(prefix=codec.key, **common)
+    def __init__(
+        self, *, codec: DeploymentCodec, clock: Clock, decisions: DecisionLog
+    ) -> None:
+        self.prefix = codec.key
         self._codec = codec
+        self._clock = clock
+        self._decisions = decisions
         self._table: RouteTable | None = None
         self._revision = 0
         self._value = b""
@@ -116,8 +120,8 @@
 
     def dump(self) -> dict[str, Any]:
         deployment = self.deployment
+        """Return the state as JSON-compatible values."""
         return {
-            **super().dump(),
             "version": deployment.version if deployment else 0,
             "in_force_revision": self._revision,
             "in_force_seconds": self._clock.now() - self._since,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/following.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/following.py
@@ -1,15 +1,16 @@
-"""A prefix of the store that is read once and then followed."""
+"""The store's keys, read once and then followed by a single watch."""
 
 from __future__ import annotations
 
 import asyncio
-from abc import abstractmethod
+from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING, Any
 
 from mode import Service
 from result import Err, Ok
 
 from greengagelatch.store import StoreErrorKind
+from greengagelatch.store.ranges import Changes, Scan
 
 from ..controllers import Controller
 
@@ -17,29 +18,57 @@
     import random
 
     from greengagelatch.clock import Clock
-    from greengagelatch.store.ranges import Changes, RangeStore, Scan
+    from greengagelatch.store import StoreError
+    from greengagelatch.store.ranges import RangeStore
 
     from ..metrics import Metrics
     from .decisions import DecisionLog
 
-__all__ = ("FollowingController",)
+__all__ = ("StoreFollower", "StoreSubscriber")
 
-#: seconds that one watch waits; a connection that has gone silent is noticed by
-#: probes of the kernel much sooner
-WATCH_SECONDS = 5.0
+#: prefix that covers all keys
+ALL_KEYS = ""
+#: seconds that one watch waits. A store that has lost the history of a watch may
+#: leave it waiting without a word, so what has changed is seen with the next one:
+#: this bounds how old beliefs get, against one call for each wait
+WATCH_SECONDS = 1.2
 #: seconds after a failed call: first, and at the most
-FIRST_PAUSE = 0.1
-LONGEST_PAUSE = 0.5
+FIRST_PAUSE = 0.05
+LONGEST_PAUSE = 0.4
 
 
-class FollowingController(Controller):
-    """Keeps what lies below a prefix, as far as the store can be heard."""
+class StoreSubscriber(ABC):
+    """A part that keeps what lies below one prefix."""
+
+    #: prefix of the keys that it is told of
+    prefix: str
+
+    @abstractmethod
+    def take_scan(self, scan: Scan) -> None:
+        """Take in all that lies below the prefix."""
+
+    @abstractmethod
+    def take_changes(self, changes: Changes) -> None:
+        """Take in what has changed below the prefix."""
+
+    def note_regained(self) -> None:  # noqa: B027
+        """Take in that the store answers again."""
+
+
+class StoreFollower(Controller):
+    """Follows all keys by one watch, and tells each part of what it keeps.
+
+    The platform counts each call, a waiting watch as one, so that two watches cost
+    twice as much and say no more.
+    """
+
+    name = "store"
 
     def __init__(
         self,
         *,
         store: RangeStore,
-        prefix: str,
+        subscribers: tuple[StoreSubscriber, ...],
         clock: Clock,
         random_source: random.Random,
         metrics: Metrics,
@@ -47,7 +76,7 @@
     ) -> None:
         super().__init__()
         self._store = store
-        self._prefix = prefix
+        self._subscribers = subscribers
         self._clock = clock
         self._random = random_source
         self._metrics = metrics
@@ -69,17 +98,8 @@
         """Whether the last call to the store was answered."""
         return self._reached
 
-    @abstractmethod
-    def take_scan(self, scan: Scan) -> None:
-        """Take in all that lies below the prefix."""
-
-    @abstractmethod
-    def take_changes(self, changes: Changes) -> None:
-        """Take in what has changed."""
-
     def dump(self) -> dict[str, Any]:
         return {
-            "prefix": self._prefix,
             "revision": self._after,
             "seconds_since_answer": round(self.silence, 3),
             "reached": self._reached,
@@ -94,54 +114,66 @@
                 self._pause = min(LONGEST_PAUSE, self._pause * 2)
 
     async def _step(self) -> bool:
-        """Scan or watch once; whether it was answered."""
+        """Scan or watch once; whether to go on at once."""
         if self._after is None:
-            result = await self._store.scan(self._prefix)
+            result = await self._store.scan(ALL_KEYS)
         else:
-            result = await self._store.follow(self._prefix, self._after, WATCH_SECONDS)
+            result = await self._store.follow(ALL_KEYS, self._after, WATCH_SECONDS)
         match result:
             case Ok(found):
                 self._note_reached()
-                if self._after is None:
-                    self.take_scan(found)
-                else:
-                    self.take_changes(found)
+                self._tell(found)
                 self._after = max(self._after or 0, found.revision)
                 return True
             case Err(error):
-                if error.kind is StoreErrorKind.COMPACTED:
-                    self._decisions.note_belief(
-                        "history-lost", prefix=self._prefix, after=self._after
-                    )
-                    self._after = None
-                    return True
-                self._note_lost(f"{error.kind.value}: {error.message}")
+                return self._take_error(error)
+
+    def _take_error(self, error: StoreError) -> bool:
+        if error.kind is StoreErrorKind.COMPACTED:
+            self._decisions.note_belief("history-lost", after=self._after)
+            self._after = None
+            return True
+        if error.kind is StoreErrorKind.TIMEOUT and self._after is not None:
+            # a watch without an answer may be one whose history is gone
+            self._after = None
+        self._note_lost(f"{error.kind.value}: {error.message}")
         return False
 
+    def _tell(self, found: Scan | Changes) -> None:
+        for subscriber in self._subscribers:
+            prefix = subscriber.prefix
+            if isinstance(found, Scan):
+                entries = tuple(
+                    entry for entry in found.entries if entry.key.startswith(prefix)
+                )
+                subscriber.take_scan(Scan(entries, found.revision))
+                continue
+            written = tuple(
+                entry for entry in found.written if entry.key.startswith(prefix)
+            )
+            removed = tuple(row for row in found.removed if row[0].startswith(prefix))
+            if written or removed:
+                subscriber.take_changes(Changes(written, removed, found.revision))
+
     def _note_reached(self) -> None:
         now = self._clock.now()
         if not self._reached:
             self._reached = True
             self._decisions.note_belief(
                 "store-regained",
-                prefix=self._prefix,
                 after=self._after,
                 silence_ms=round((now - self._heard) * 1000),
             )
-            self.note_regained(now - self._heard)
+            for subscriber in self._subscribers:
+                subscriber.note_regained()
         self._heard = now
         self._pause = FIRST_PAUSE
         self._error = ""
 
-    def note_regained(self, silence: float) -> None:
-        """Take in that the store answers again after ``silence`` seconds."""
-
     def _note_lost(self, error: str) -> None:
         self._metrics.count("store.errors")
         self._error = error
         if not self._reached:
             return
         self._reached = False
-        self._decisions.note_belief(
-            "store-lost", prefix=self._prefix, after=self._after, reason=error
-        )
+        self._decisions.note_belief("store-lost", after=self._after, reason=error)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/listing.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/listing.py
@@ -9,44 +9,53 @@
 
 from greengagelatch.relay.targets import RETURN_SECONDS
 
-from .following import FollowingController
+from .following import StoreSubscriber
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from greengagelatch.clock import Clock
     from greengagelatch.relay.targets import ListedTarget, TargetBook
     from greengagelatch.store import Entry
     from greengagelatch.store.ranges import Changes, Scan
 
     from .codecs import ListingCodec
+    from .decisions import DecisionLog
 
 __all__ = ("ListingFollower",)
 
 
-class ListingFollower(FollowingController):
+class ListingFollower(StoreSubscriber):
     """Follows the targets' entries and keeps the book of targets.
 
     :param note_gone: called with the id of each target that is gone
     """
 
-    name = "listing"
-
     def __init__(
         self,
         *,
         codec: ListingCodec,
         book: TargetBook,
         note_gone: Callable[[str], None],
-        **common: Any,
+        clock: Clock,
+        decisions: DecisionLog,
     ) -> None:
-        super().__init__(prefix=codec.prefix, **common)
+        self.prefix = codec.prefix
+        self._clock = clock
+        self._decisions = decisions
         self._codec = codec
         self._book = book
         self._note_gone = note_gone
         self._informed = False
+        self._revision = 0
         #: monotonic seconds until which a missing entry may yet be written again
         self._returning_until = float("-inf")
 
+    @property
+    def revision(self) -> int:
+        """Revision of the store up to which targets' entries are known."""
+        return self._revision
+
     @property
     def informed(self) -> bool:
         """Whether a listing has been read at all."""
@@ -61,6 +70,7 @@
             self._lose(target, scan.revision)
         for target in targets:
             self._put(target)
+        self._revision = max(self._revision, scan.revision)
         self._informed = True
 
     def take_changes(self, changes: Changes) -> None:
@@ -73,8 +83,22 @@
             target = known.get(key.removeprefix(self._codec.prefix))
             if target is not None:
                 self._lose(target, revision)
+        self._revision = max(self._revision, changes.revision)
+
+    def take_news(self, targets: tuple[ListedTarget, ...], revision: int) -> None:
+        """Take in a listing that a peer has read later than this instance."""
+        if revision <= self._revision and self._informed:
+            return
+        listed = {target.target_id for target in targets}
+        for target in self._book.list_all():
+            if target.target_id not in listed and target.revision <= revision:
+                self._remove(target, revision, lapsed=True)
+        for target in targets:
+            self._put(target)
+        self._revision = max(self._revision, revision)
+        self._informed = True
 
-    def note_regained(self, silence: float) -> None:
+    def note_regained(self) -> None:
         # entries lapse while targets can't renew them; those that live write them
         # again within this time
         self._returning_until = self._clock.now() + RETURN_SECONDS
@@ -139,8 +163,8 @@
         return None
 
     def dump(self) -> dict[str, Any]:
+        """Return the state as JSON-compatible values."""
         return {
-            **super().dump(),
             "informed": self._informed,
             "targets": len(self._book),
         }
--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/owned_desk.py
@@ -0,0 +1,213 @@
+"""Stage work that one instance gathers for all."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+from result import Err
+
+from greengagelatch.peers import MemberState
+from greengagelatch.relay.messages import (
+    PiecesDropped,
+    PiecesMade,
+    PiecesWanted,
+    ResultsFreed,
+    decode_bundle,
+    decode_results,
+    encode_bundle,
+    encode_results,
+)
+from greengagelatch.relay.owners import rank_owners
+
+from ..controllers import Controller
+from .stages import StageDesk
+
+if TYPE_CHECKING:
+    from greengagelatch.clock import Clock
+    from greengagelatch.peers import PeerNetwork
+    from greengagelatch.relay.pieces import Bundle, PieceResult
+
+    from ..metrics import Metrics
+    from .decisions import DecisionLog
+    from .desk import LocalDesk
+
+__all__ = ("OwnedDesk",)
+
+#: seconds for which an owner that did not answer is passed over; the membership
+#: has noticed by then whether it is gone
+SHUNNED_SECONDS = 3.0
+#: seconds beyond a bundle's last moment for which its owner is waited for
+ANSWER_MARGIN = 0.3
+#: seconds for which an owner's word about its queue counts
+WAIT_LIFE = 0.6
+#: owners tried for one bundle before this instance makes it by itself
+MAX_OWNERS = 2
+#: seconds for which the list of members is used again
+MEMBERS_LIFE = 0.1
+
+
+class OwnedDesk(Controller, StageDesk):
+    """Sends bundles to the owner of their service, which fills calls from all.
+
+    A call to a maker costs as much as several pieces. Instances that each fill
+    their own calls send many that are almost empty, and know nothing of each
+    other's queues and room. So one instance, the same in the eyes of all, gathers a
+    service's pieces. If it does not answer, the next one does, or this one itself:
+    a piece may be made again.
+    """
+
+    name = "owned-stages"
+
+    def __init__(
+        self,
+        *,
+        local: LocalDesk,
+        peers: PeerNetwork,
+        clock: Clock,
+        metrics: Metrics,
+        decisions: DecisionLog,
+    ) -> None:
+        super().__init__()
+        self._local = local
+        self._peers = peers
+        self._clock = clock
+        self._metrics = metrics
+        self._decisions = decisions
+        self._shunned: dict[str, float] = {}
+        #: seconds of wait that an owner told, and when
+        self._waits: dict[str, tuple[float, float]] = {}
+        #: owner by handle, for results that are not freed yet
+        self._makers_owner: dict[str, str] = {}
+        #: bundles of peers in work, by peer and bundle id
+        self._in_work: dict[tuple[str, str], asyncio.Task[Any]] = {}
+        self._candidates: tuple[str, ...] = ()
+        self._candidates_until = 0.0
+        peers.handle(PiecesWanted, self._answer_wanted)
+        peers.handle(PiecesDropped, self._take_dropped)
+        peers.handle(ResultsFreed, self._take_freed)
+
+    async def make(self, bundle: Bundle) -> tuple[PieceResult, ...]:
+        own = self._peers.instance_id
+        for owner in self._rank(bundle.service)[:MAX_OWNERS]:
+            if owner == own:
+                break
+            results = await self._ask(owner, bundle)
+            if results is not None:
+                return results
+        return await self._local.make(bundle)
+
+    def free(self, service: str, handles: tuple[str, ...]) -> None:
+        by_owner: dict[str, list[str]] = {}
+        for handle in handles:
+            owner = self._makers_owner.pop(handle, "")
+            by_owner.setdefault(owner, []).append(handle)
+        for owner, freed in by_owner.items():
+            message = ResultsFreed(service, tuple(freed))
+            if not owner or not self._peers.send(owner, message):
+                self._local.free(service, tuple(freed))
+
+    def estimate_wait(self, service: str) -> float:
+        ranked = self._rank(service)
+        if not ranked or ranked[0] == self._peers.instance_id:
+            return self._local.estimate_wait(service)
+        seconds, told = self._waits.get(service, (0.0, 0.0))
+        if self._clock.now() - told > WAIT_LIFE:
+            return 0.0
+        return seconds
+
+    async def on_stop(self) -> None:
+        for task in tuple(self._in_work.values()):
+            task.cancel()
+        await asyncio.gather(*self._in_work.values(), return_exceptions=True)
+
+    def dump(self) -> dict[str, Any]:
+        return {
+            "instances": list(self._find_candidates()),
+            "shunned": list(self._shunned),
+            "bundles_of_peers": len(self._in_work),
+            "results_held": len(self._makers_owner),
+        }
+
+    # as one that asks
+
+    async def _ask(self, owner: str, bundle: Bundle) -> tuple[PieceResult, ...] | None:
+        now = self._clock.now()
+        timeout = max(0.0, bundle.latest - now) + ANSWER_MARGIN
+        try:
+            reply = await self._peers.ask(owner, encode_bundle(bundle, now), timeout)
+        except asyncio.CancelledError:
+            self._peers.send(owner, PiecesDropped(bundle.bundle_id))
+            raise
+        if isinstance(reply, Err):
+            self._shun(owner, bundle, reply.err_value.message)
+            return None
+        answer = reply.ok_value
+        results = None
+        if isinstance(answer, PiecesMade):
+            results = decode_results(answer.results, len(bundle.pieces))
+        if results is None:
+            self._shun(owner, bundle, "answer can't be read")
+            return None
+        self._waits[bundle.service] = (answer.wait_seconds, self._clock.now())
+        for result in results:
+            if result.failure is None:
+                self._makers_owner[result.handle] = owner
+        return results
+
+    def _shun(self, owner: str, bundle: Bundle, reason: str) -> None:
+        self._metrics.count("stages.owner_lost")
+        self._shunned[owner] = self._clock.now() + SHUNNED_SECONDS
+        self._candidates_until = 0.0
+        self._decisions.note_belief(
+            "owner-lost",
+            owner=owner,
+            service=bundle.service,
+            request=bundle.request_id,
+            reason=reason,
+        )
+
+    def _rank(self, service: str) -> tuple[str, ...]:
+        return rank_owners(service, self._find_candidates())
+
+    def _find_candidates(self) -> tuple[str, ...]:
+        now = self._clock.now()
+        if now < self._candidates_until:
+            return self._candidates
+        self._candidates_until = now + MEMBERS_LIFE
+        for owner, until in tuple(self._shunned.items()):
+            if until <= now:
+                del self._shunned[owner]
+        own = self._peers.instance_id
+        self._candidates = tuple(
+            member.instance_id
+            for member in self._peers.members()
+            if member.instance_id == own
+            or (
+                member.state is MemberState.ALIVE
+                and member.instance_id not in self._shunned
+            )
+        )
+        return self._candidates
+
+    # as an owner
+
+    async def _answer_wanted(self, sender: str, message: PiecesWanted) -> PiecesMade:
+        bundle = decode_bundle(message, self._clock.now())
+        place = (sender, bundle.bundle_id)
+        task = asyncio.ensure_future(self._local.make(bundle))
+        self._in_work[place] = task
+        try:
+            results = await task
+        finally:
+            self._in_work.pop(place, None)
+        wait = self._local.estimate_wait(bundle.service)
+        return PiecesMade(encode_results(results), wait)
+
+    def _take_dropped(self, sender: str, message: PiecesDropped) -> None:
+        task = self._in_work.get((sender, message.bundle_id))
+        if task is not None:
+            task.cancel()
+
+    def _take_freed(self, sender: str, message: ResultsFreed) -> None:
+        self._local.free(message.service, tuple(message.handles))
--- /dev/null
+++ b/packages/greengagelatch/src/greengagelatch/relay/messages.py
@@ -0,0 +1,208 @@
+"""Messages by which instances share stage work and pass on what they learnt."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+from ..peers.codec import Message, check_type, register
+from .pieces import Bundle, Piece, PieceFailure, PieceResult
+
+__all__ = (
+    "News",
+    "NewsQuery",
+    "PiecesDropped",
+    "PiecesMade",
+    "PiecesWanted",
+    "ResultsFreed",
+    "decode_bundle",
+    "decode_results",
+    "encode_bundle",
+    "encode_results",
+)
+
+#: pieces of one bundle that are accepted from a peer
+MAX_PIECES = 4096
+
+
+@register("pieces-wanted")
+@dataclass(frozen=True, slots=True)
+class PiecesWanted(Message):
+    """Asks the owner of a service to have a bundle made; times from now on.
+
+    The clocks of two instances have nothing in common, so that times are told as
+    seconds that are left when the message is written.
+    """
+
+    bundle_id: str = ""
+    service: str = ""
+    request_id: str = ""
+    stage: int = 0
+    segments: tuple[int, ...] = ()
+    key: str = ""
+    inputs: tuple[str, ...] = ()
+    result_bytes: int = 0
+    aim_seconds: float = 0.0
+    latest_seconds: float = 0.0
+    priority: int = 0
+    data_centre: str = ""
+    begun: bool = False
+
+    def __post_init__(self) -> None:
+        for text in (self.bundle_id, self.service, self.request_id, self.key):
+            check_type(text, str)
+        check_type(self.data_centre, str)
+        for number in (self.stage, self.result_bytes, self.priority):
+            check_type(number, int)
+        for seconds in (self.aim_seconds, self.latest_seconds):
+            check_type(seconds, (int, float))
+        for rows in (self.segments, self.inputs):
+            check_type(rows, (tuple, list))
+        if not 0 < len(self.segments) <= MAX_PIECES:
+            raise ValueError("a bundle of no piece, or of too many")
+
+
+@register("pieces-made")
+@dataclass(frozen=True, slots=True)
+class PiecesMade(Message):
+    """Answers with the results, in the order of the segments."""
+
+    #: pairs of a handle and its maker's data centre, or of an empty text and why
+    results: tuple[Any, ...] = ()
+    #: seconds that a piece which came now would wait at the owner
+    wait_seconds: float = 0.0
+
+    def __post_init__(self) -> None:
+        check_type(self.results, (tuple, list))
+        check_type(self.wait_seconds, (int, float))
+
+
+@register("pieces-dropped")
+@dataclass(frozen=True, slots=True)
+class PiecesDropped(Message):
+    """Tells an owner that nobody wants a bundle any more."""
+
+    bundle_id: str = ""
+
+
+@register("results-freed")
+@dataclass(frozen=True, slots=True)
+class ResultsFreed(Message):
+    """Tells an owner that results are not needed any more."""
+
+    service: str = ""
+    handles: tuple[str, ...] = ()
+
+    def __post_init__(self) -> None:
+        check_type(self.service, str)
+        check_type(self.handles, (tuple, list))
+
+
+@register("news-query")
+@dataclass(frozen=True, slots=True)
+class NewsQuery(Message):
+    """Asks a peer for what it has heard of the store since these revisions."""
+
+    configuration_revision: int = 0
+    listing_revision: int = 0
+
+    def __post_init__(self) -> None:
+        check_type(self.configuration_revision, int)
+        check_type(self.listing_revision, int)
+
+
+@register("news")
+@dataclass(frozen=True, slots=True)
+class News(Message):
+    """What the sender knows beyond the question's revisions."""
+
+    configuration_revision: int = 0
+    #: empty if the asker's is as new
+    configuration: bytes = b""
+    listing_revision: int = 0
+    #: whether ``targets`` is a listing at all
+    listed: bool = False
+    #: see :func:`~greengagelatch.relay.news.encode_target`
+    targets: tuple[Any, ...] = ()
+
+    def __post_init__(self) -> None:
+        check_type(self.configuration, bytes)
+        check_type(self.configuration_revision, int)
+        check_type(self.listing_revision, int)
+        check_type(self.targets, (tuple, list))
+
+
+def encode_bundle(bundle: Bundle, now: float) -> PiecesWanted:
+    """Return the message that asks for a bundle."""
+    first = bundle.pieces[0]
+    return PiecesWanted(
+        bundle_id=bundle.bundle_id,
+        service=bundle.service,
+        request_id=first.request_id,
+        stage=first.stage,
+        segments=tuple(piece.segment for piece in bundle.pieces),
+        key=first.key,
+        inputs=first.inputs,
+        result_bytes=bundle.result_bytes,
+        aim_seconds=bundle.aim - now,
+        latest_seconds=bundle.latest - now,
+        priority=bundle.priority,
+        data_centre=bundle.data_centre,
+        begun=bundle.begun,
+    )
+
+
+def decode_bundle(message: PiecesWanted, now: float) -> Bundle:
+    """Return the bundle that a message asks for."""
+    pieces = tuple(
+        Piece(
+            request_id=message.request_id,
+            stage=message.stage,
+            segment=segment,
+            key=message.key,
+            inputs=tuple(message.inputs),
+        )
+        for segment in message.segments
+    )
+    return Bundle(
+        bundle_id=message.bundle_id,
+        service=message.service,
+        pieces=pieces,
+        result_bytes=message.result_bytes,
+        aim=now + message.aim_seconds,
+        latest=now + message.latest_seconds,
+        priority=message.priority,
+        data_centre=message.data_centre,
+        begun=message.begun,
+    )
+
+
+def encode_results(results: tuple[PieceResult, ...]) -> tuple[Any, ...]:
+    """Return results as a message holds them."""
+    return tuple(
+        (one.handle, one.data_centre)
+        if one.failure is None
+        else ("", one.failure.value)
+        for one in results
+    )
+
+
+def decode_results(rows: tuple[Any, ...], count: int) -> tuple[PieceResult, ...] | None:
+    """Return the results of a message; ``None`` if it can't be used."""
+    if len(rows) != count:
+        return None
+    results = []
+    for row in rows:
+        if not isinstance(row, tuple | list) or len(row) != 2:
+            return None
+        handle, detail = row
+        if not isinstance(handle, str) or not isinstance(detail, str):
+            return None
+        if handle:
+            results.append(PieceResult(handle=handle, data_centre=detail))
+            continue
+        try:
+            results.append(PieceResult(failure=PieceFailure(detail)))
+        except ValueError:
+            return None
+    return tuple(results)
--- a/packages/greengagelatch/src/greengagelatch/relay/targets.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/targets.py
@@ -39,7 +39,6 @@
         self._targets: dict[str, ListedTarget] = {}
         self._left: dict[str, None] = {}
         self._services: dict[str, tuple[ListedTarget, ...]] = {}
-        self.revision = 0
 
     def __len__(self) -> int:
         return len(self._targets)
@@ -98,26 +97,6 @@
         self._services.clear()
         return True
 
-    def replace(
-        self, targets: tuple[ListedTarget, ...], revision: int
-    ) -> tuple[str, ...]:
-        """Take in a whole listing; return the ids that are no longer listed.
-
-        A listing is read in pages at different moments, so an entry that is newer
-        than the listing stays.
-        """
-        listed = {target.target_id for target in targets}
-        gone = tuple(
-            target_id
-            for target_id, target in self._targets.items()
-            if target_id not in listed and target.revision <= revision
-        )
-        for target_id in gone:
-            self.remove(target_id, revision, lapsed=True)
-        for target in targets:
-            self.put(target)
-        return gone
-
     def _remember_left(self, target_id: str) -> None:
         self._left[target_id] = None
         if len(self._left) > MAX_LEFT:
