Send newcomers away that would be late, and keep bundles whole

Ruled out: makers' speed (calls took what the profile says) and the engines. Now: instances meet through the store under leases; repeats wait for their budget; a maker that refuses is taken to be full for a moment; owners tell how long their queues are; a newcomer that would be late behind a queue comes back instead; bundles are split only where room is ample.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_links.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_links.py
@@ -40,8 +40,11 @@
 DIAL_BASE = 0.2
 DIAL_LONGEST = 10.0
 
-#: seconds for which a replaced link still delivers answers
-RETIREMENT = 2.0
+#: seconds for which a replaced link still delivers answers: as long as the longest
+#: questions wait, or those asked over it would be asked again elsewhere
+RETIREMENT = 8.0
+#: seconds without use after which a link may make room for another one
+UNUSED = 2.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -354,7 +357,7 @@
             return True
         own = [link for link in self._links.values() if link.initiated]
         now = asyncio.get_running_loop().time()
-        unused = [link for link in own if now - link.last_used > RETIREMENT]
+        unused = [link for link in own if now - link.last_used > UNUSED]
         if not unused:
             return False
         longest = min(unused, key=lambda link: link.last_used)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/budgets.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/budgets.py
@@ -37,6 +37,11 @@
         """Spend one repeat; ``False`` if none is left."""
         return self._find(service).take(self._clock.now(), self._count_instances())
 
+    def count_left(self, service: str) -> int:
+        """Return how many repeats may be spent now."""
+        budget = self._find(service)
+        return budget.count_left(self._clock.now(), self._count_instances())
+
     def _find(self, service: str) -> RepeatBudget:
         budget = self._budgets.get(service)
         if budget is None:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -11,6 +11,7 @@
 from greengagelatch.clock import SystemClock
 from greengagelatch.events import EventBus
 from greengagelatch.peers import MemberState
+from greengagelatch.relay.admission import EstimateRule
 from greengagelatch.relay.batches import SharedCalls
 from greengagelatch.relay.deployment import CallerBounds
 from greengagelatch.relay.fleet import Fleet
@@ -35,6 +36,7 @@
 from .plain import PlainRunner
 from .prometheus import PrometheusMetrics
 from .readiness import ReadinessServer
+from .registry import RegistryController
 from .run_times import RunTimes
 from .sending import TargetSender
 from .stage_pool import StagePool
@@ -188,9 +190,18 @@
             clock=self.clock,
             decisions=self.decisions,
         )
+        self.registry = RegistryController(
+            store=self.store,
+            instance_id=self.rules.instance_id,
+            data_centre=self.rules.data_centre,
+            address=self.rules.peers_listen,
+            events=self.events,
+            metrics=self.metrics,
+            decisions=self.decisions,
+        )
         self.follower = StoreFollower(
             store=self.store,
-            subscribers=(self.configuration, self.listing),
+            subscribers=(self.configuration, self.listing, self.registry),
             clock=self.clock,
             random_source=self.random,
             metrics=self.metrics,
@@ -255,6 +266,7 @@
             stages=stages,
             codec=self.adapters.targets,
             times=RunTimes(),
+            admission=EstimateRule(),
             **common,
         )
         filters = (
@@ -321,6 +333,7 @@
     def _list_controllers(self) -> tuple[Controller, ...]:
         return (
             self.peers,
+            self.registry,
             self.follower,
             self.news,
             self.local_desk,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/desk.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/desk.py
@@ -38,6 +38,10 @@
     def estimate_wait(self, service: str) -> float:
         return self.find_pool(service).estimate_wait()
 
+    def list_waits(self) -> list[tuple[str, float]]:
+        """Return how long a piece of each service would wait, in seconds."""
+        return [(name, pool.estimate_wait()) for name, pool in self._pools.items()]
+
     def find_pool(self, service: str) -> StagePool:
         """Return the pool of a service."""
         pool = self._pools.get(service)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
@@ -118,6 +118,15 @@
     outcome: str = ""
     status: int = 0
 
+    @property
+    def waited(self) -> float:
+        """Seconds for which the caller has waited before this attempt, it seems.
+
+        A caller that comes back after a refusal has less time left than its route
+        would give it.
+        """
+        return max(0.0, self.route.timeout - self.request.patience)
+
     def raise_verdict(self, verdict: Verdict) -> None:
         """Raise the verdict; a lower one changes nothing."""
         self.verdict = self.verdict.raise_to(verdict)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/makers.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/makers.py
@@ -24,7 +24,7 @@
 #: slowness that is believed at the most
 MAX_SLOWNESS = 10.0
 #: seconds for which a maker that failed gets no call: first, and at the most
-FIRST_PAUSE = 0.4
+FIRST_PAUSE = 0.25
 LONGEST_PAUSE = 3.0
 
 
@@ -91,7 +91,8 @@
     def note_rejection(self, now: float) -> None:
         """Take in that it is busy with the calls of others."""
         self.calls -= 1
-        self.paused_until = now + self.profile.call_seconds / 4
+        self.room.note_refusal(now)
+        self.pause(now)
 
     def pause(self, now: float) -> None:
         """Give it nothing for a while, longer each time in a row."""
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/owned_desk.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/owned_desk.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING, Any
 
+from mode import Service
 from result import Err
 
 from greengagelatch.peers import MemberState
@@ -13,6 +14,7 @@
     PiecesMade,
     PiecesWanted,
     ResultsFreed,
+    StageWaits,
     decode_bundle,
     decode_results,
     encode_bundle,
@@ -41,6 +43,11 @@
 ANSWER_MARGIN = 0.3
 #: seconds for which an owner's word about its queue counts
 WAIT_LIFE = 0.6
+#: seconds between two words about queues, and the least wait worth a word
+TELL_INTERVAL = 0.15
+LEAST_TOLD = 0.05
+#: seconds for which a peer that asked is told of queues
+ASKER_LIFE = 10.0
 #: owners tried for one bundle before this instance makes it by itself
 MAX_OWNERS = 2
 #: seconds for which the list of members is used again
@@ -81,11 +88,15 @@
         self._makers_owner: dict[str, str] = {}
         #: bundles of peers in work, by peer and bundle id
         self._in_work: dict[tuple[str, str], asyncio.Task[Any]] = {}
+        #: peers that asked lately, and until when they are told of queues
+        self._askers: dict[str, float] = {}
+        self._told: set[str] = set()
         self._candidates: tuple[str, ...] = ()
         self._candidates_until = 0.0
         peers.handle(PiecesWanted, self._answer_wanted)
         peers.handle(PiecesDropped, self._take_dropped)
         peers.handle(ResultsFreed, self._take_freed)
+        peers.handle(StageWaits, self._take_waits)
 
     async def make(self, bundle: Bundle) -> tuple[PieceResult, ...]:
         own = self._peers.instance_id
@@ -149,7 +160,6 @@
         if results is None:
             self._shun(owner, bundle, "answer can't be read")
             return None
-        self._waits[bundle.service] = (answer.wait_seconds, self._clock.now())
         for result in results:
             if result.failure is None:
                 self._makers_owner[result.handle] = owner
@@ -179,6 +189,7 @@
             if until <= now:
                 del self._shunned[owner]
         own = self._peers.instance_id
+        before = self._candidates
         self._candidates = tuple(
             member.instance_id
             for member in self._peers.members()
@@ -188,12 +199,20 @@
                 and member.instance_id not in self._shunned
             )
         )
+        if self._candidates != before:
+            self._decisions.note_belief(
+                "instances",
+                gone=sorted(set(before) - set(self._candidates)),
+                come=sorted(set(self._candidates) - set(before)),
+                shunned=sorted(self._shunned),
+            )
         return self._candidates
 
     # as an owner
 
     async def _answer_wanted(self, sender: str, message: PiecesWanted) -> PiecesMade:
         bundle = decode_bundle(message, self._clock.now())
+        self._askers[sender] = self._clock.now() + ASKER_LIFE
         place = (sender, bundle.bundle_id)
         task = asyncio.ensure_future(self._local.make(bundle))
         self._in_work[place] = task
@@ -201,8 +220,41 @@
             results = await task
         finally:
             self._in_work.pop(place, None)
-        wait = self._local.estimate_wait(bundle.service)
-        return PiecesMade(encode_results(results), wait)
+        return PiecesMade(encode_results(results))
+
+    @Service.task
+    async def _tell_forever(self) -> None:
+        while not self.should_stop:
+            await asyncio.sleep(TELL_INTERVAL)
+            self._tell_waits()
+
+    def _tell_waits(self) -> None:
+        """Tell those that ask this instance how long its queues are.
+
+        Without it they would begin requests behind a queue that they don't see.
+        """
+        now = self._clock.now()
+        askers = [one for one, until in self._askers.items() if until > now]
+        if not askers:
+            self._askers.clear()
+            return
+        waits = tuple(
+            (service, round(wait, 3))
+            for service, wait in self._local.list_waits()
+            if wait >= LEAST_TOLD or service in self._told
+        )
+        self._told = {service for service, wait in waits if wait >= LEAST_TOLD}
+        if not waits:
+            return
+        message = StageWaits(waits)
+        for asker in askers:
+            self._peers.send(asker, message)
+
+    def _take_waits(self, sender: str, message: StageWaits) -> None:
+        now = self._clock.now()
+        for service, seconds in message.waits:
+            if self._rank(service)[:1] == (sender,):
+                self._waits[service] = (float(seconds), now)
 
     def _take_dropped(self, sender: str, message: PiecesDropped) -> None:
         task = self._in_work.get((sender, message.bundle_id))
--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/registry.py
@@ -0,0 +1,152 @@
+"""Instances make themselves known to each other through the store."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import TYPE_CHECKING, Any
+
+from mode import Service
+from result import Err
+
+from greengagelatch.instances import Instance, InstanceKind, Listing
+from greengagelatch.store import ABSENT, StoreErrorKind, WriteOutcome
+
+from ..controllers import Controller
+from ..controllers.listing import LISTING_RECEIVED
+from .following import StoreSubscriber
+
+if TYPE_CHECKING:
+    from greengagelatch.events import EventBus
+    from greengagelatch.store import Entry
+    from greengagelatch.store.ranges import Changes, RangeStore, Scan
+
+    from ..metrics import Metrics
+    from .decisions import DecisionLog
+
+__all__ = ("RegistryController",)
+
+#: prefix of the keys of instances in the store
+PREFIX = "greengagelatch/instances/"
+#: seconds after which the entry of an instance that is gone lapses; a few renewals
+LEASE_SECONDS = 8.0
+RENEW_SECONDS = 2.5
+#: seconds after a failed call
+PAUSE_SECONDS = 0.7
+
+
+class RegistryController(Controller, StoreSubscriber):
+    """Keeps this instance's entry alive, and tells the membership of the others.
+
+    Seeds name a few instances only, and these may be gone. Instances that know
+    different seeds could form groups that never hear of each other; one would
+    notice it by two owners of one service, who send their calls to the same makers.
+    """
+
+    name = "registry"
+    prefix = PREFIX
+
+    def __init__(
+        self,
+        *,
+        store: RangeStore,
+        instance_id: str,
+        data_centre: str,
+        address: str,
+        events: EventBus,
+        metrics: Metrics,
+        decisions: DecisionLog,
+    ) -> None:
+        super().__init__()
+        self._store = store
+        self._instance_id = instance_id
+        self._data_centre = data_centre
+        self._address = address
+        self._events = events
+        self._metrics = metrics
+        self._decisions = decisions
+        self._lease_id = ""
+        self._instances: dict[str, Instance] = {}
+        self._revision = 0
+        events.declare(LISTING_RECEIVED)
+
+    def take_scan(self, scan: Scan) -> None:
+        self._instances = {}
+        for entry in scan.entries:
+            self._put(entry)
+        self._tell(scan.revision)
+
+    def take_changes(self, changes: Changes) -> None:
+        for entry in changes.written:
+            self._put(entry)
+        for key, _ in changes.removed:
+            self._instances.pop(key, None)
+        self._tell(changes.revision)
+
+    async def on_stop(self) -> None:
+        """Give the entry up, so that nobody looks for this instance."""
+        if self._lease_id:
+            await self._store.revoke_lease(self._lease_id)
+
+    def dump(self) -> dict[str, Any]:
+        return {
+            "registered": bool(self._lease_id),
+            "instances": sorted(self._instances),
+            "revision": self._revision,
+        }
+
+    @Service.task
+    async def _register_forever(self) -> None:
+        while not self.should_stop:
+            kept = await self._keep() if self._lease_id else await self._register()
+            await asyncio.sleep(RENEW_SECONDS if kept else PAUSE_SECONDS)
+
+    async def _register(self) -> bool:
+        granted = await self._store.grant_lease(LEASE_SECONDS)
+        if isinstance(granted, Err):
+            self._metrics.count("registry.errors")
+            return False
+        lease_id = granted.ok_value.lease_id
+        value = json.dumps(
+            {"address": self._address, "data_centre": self._data_centre}
+        ).encode()
+        key = PREFIX + self._instance_id
+        written = await self._store.swap(key, value, ABSENT, lease_id=lease_id)
+        if written.outcome in (WriteOutcome.APPLIED, WriteOutcome.CONFLICT):
+            # a conflict is this process's own write, whose answer was lost
+            self._lease_id = lease_id
+            self._decisions.note_belief("registered", lease=lease_id)
+            return True
+        self._metrics.count("registry.errors")
+        return False
+
+    async def _keep(self) -> bool:
+        kept = await self._store.keep_lease(self._lease_id)
+        if not isinstance(kept, Err):
+            return True
+        if kept.err_value.kind is StoreErrorKind.LEASE_GONE:
+            self._decisions.note_belief("registration-lapsed", lease=self._lease_id)
+            self._lease_id = ""
+        self._metrics.count("registry.errors")
+        return False
+
+    def _put(self, entry: Entry) -> None:
+        try:
+            fields = json.loads(entry.value)
+            address, data_centre = fields["address"], fields["data_centre"]
+        except (ValueError, KeyError, TypeError) as error:
+            self._decisions.note_belief(
+                "instance-unreadable", key=entry.key, reason=str(error)
+            )
+            return
+        self._instances[entry.key] = Instance(
+            instance_id=entry.key.removeprefix(PREFIX),
+            kind=InstanceKind.ENTRY,
+            data_centre=str(data_centre),
+            address=str(address),
+        )
+
+    def _tell(self, revision: int) -> None:
+        self._revision = max(self._revision, revision)
+        instances = tuple(self._instances.values())
+        self._events.emit(LISTING_RECEIVED, Listing(self._revision, instances))
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -29,10 +30,13 @@
 
 __all__ = ("StagePool",)
 
-#: times that one piece is sent to makers
-MAX_SENDS = 3
-#: times that a piece is given back for lack of room or by a busy maker
-MAX_RETURNS = 30
+#: pieces of one bundle that may be lost by makers until it is given up
+MAX_LOSSES = 60
+#: seconds over which the pieces made are counted
+RATE_SECONDS = 2.0
+#: share of makers' speed that is believed at the least, as a queue that has just
+#: formed has seen no piece made yet
+LEAST_SPEED = 0.3
 #: bytes of an answer to a call
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 #: seconds after which pieces that wait are looked at again
@@ -51,8 +55,10 @@
     left: list[Piece]
     done: asyncio.Future[tuple[PieceResult, ...]]
     results: dict[int, PieceResult] = field(default_factory=dict)
+    #: calls by which each piece went to a maker, by segment
     sends: dict[int, int] = field(default_factory=dict)
-    returns: int = 0
+    #: pieces that makers lost, or failed at
+    losses: int = 0
     withdrawn: bool = False
 
 
@@ -90,6 +96,8 @@
         self._works: list[_Work] = []
         self._makers: dict[str, Maker] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        #: times of calls that were answered, and the pieces made by each
+        self._made: deque[tuple[float, int]] = deque()
         self._timer: asyncio.TimerHandle | None = None
         self._to_free: dict[str, list[str]] = {}
         self._free_timer: asyncio.TimerHandle | None = None
@@ -119,7 +127,17 @@
         full = profile.estimate_seconds(profile.batch)
         now = self._clock.now()
         speed = sum(1 / maker.find_slowness(now) for maker in makers)
-        return waiting / profile.batch * full / max(0.1, speed)
+        rate = profile.batch / full * max(0.1, speed)
+        if waiting > profile.batch:
+            # makers' room may bind long before their time does
+            rate = min(rate, max(rate * LEAST_SPEED, self._find_rate(now)))
+        return waiting / rate
+
+    def _find_rate(self, now: float) -> float:
+        """Return the pieces made a second, of late."""
+        while self._made and self._made[0][0] < now - RATE_SECONDS:
+            self._made.popleft()
+        return sum(count for _, count in self._made) / RATE_SECONDS
 
     def free(self, handles: tuple[str, ...]) -> None:
         """Have makers drop results, those of a short while together."""
@@ -175,9 +193,9 @@
             self._fail_all(PieceFailure.NO_MAKER)
             return
         self._drop_late(profile, now)
-        pairs = [(work.bundle, work.left) for work in self._works if work.left]
         views = [maker.view(now) for maker in makers]
-        for call in self._policy.plan(pairs, views, profile, now):
+        for call in self._policy.plan(self._list_ready(), views, profile, now):
+            self._take_out(call)
             task = asyncio.create_task(self._run_call(call))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
@@ -185,6 +203,36 @@
             loop = asyncio.get_running_loop()
             self._timer = loop.call_later(LOOK_AGAIN, self._look)
 
+    def _list_ready(self) -> list[tuple[Bundle, list[Piece]]]:
+        """Return the pieces that may be sent; repeats wait for their budget.
+
+        To fail them instead would lose whole requests over a maker that was full
+        for a moment.
+        """
+        repeats = self._budgets.count_left(self._service)
+        ready = []
+        for work in self._works:
+            pieces = []
+            for piece in work.left:
+                if work.sends.get(piece.segment):
+                    if repeats < 1:
+                        continue
+                    repeats -= 1
+                pieces.append(piece)
+            if pieces:
+                ready.append((work.bundle, pieces))
+        return ready
+
+    def _take_out(self, call: PlannedCall) -> None:
+        """Take the pieces of a call off those that wait."""
+        for bundle, piece in call.pieces:
+            work = self._find_work(bundle)
+            work.left.remove(piece)
+            sends = work.sends.get(piece.segment, 0)
+            work.sends[piece.segment] = sends + 1
+            if sends:
+                self._budgets.take(self._service)
+
     def _list_makers(self, profile: MakerProfile) -> list[Maker]:
         listed = self._book.list_service(self._service)
         ids = {target.target_id for target in listed}
@@ -229,7 +277,14 @@
             for (bundle, _), result in zip(call.pieces, results or (), strict=False):
                 if result.failure is None:
                     made[result.handle] = bundle.result_bytes
+                elif result.failure is PieceFailure.ROOM:
+                    maker.room.note_refusal(self._clock.now())
             maker.room.settle(size, made, self._clock.now())
+            if made:
+                self._made.append((self._clock.now(), len(made)))
+            if outcome == "timeout":
+                # it goes on with the call, and keeps the results for a while
+                maker.room.hold_unknown(f"lost at {now}", size, self._clock.now())
         self._decisions.note(
             "stage-call",
             service=self._service,
@@ -342,26 +397,16 @@
         if result is not None and result.failure is PieceFailure.LATE:
             self._fail(work, PieceFailure.LATE)
             return
-        if outcome in ("unsent", "rejected") or (
-            result is not None and result.failure is PieceFailure.ROOM
+        if outcome == "unsent":
+            # no maker has had it
+            work.sends[piece.segment] -= 1
+        elif outcome != "rejected" and (
+            result is None or result.failure is not PieceFailure.ROOM
         ):
-            work.returns += 1
-            if work.returns > MAX_RETURNS:
-                self._fail(work, PieceFailure.ROOM)
-                return
-            if outcome != "unsent" and not self._budgets.take(self._service):
-                self._fail(work, PieceFailure.ROOM)
+            work.losses += 1
+            if work.losses >= MAX_LOSSES:
+                self._fail(work, PieceFailure.LOST)
                 return
-            work.left.append(piece)
-            return
-        self._send_again(work, piece)
-
-    def _send_again(self, work: _Work, piece: Piece) -> None:
-        sends = work.sends.get(piece.segment, 0) + 1
-        work.sends[piece.segment] = sends
-        if sends >= MAX_SENDS or not self._budgets.take(self._service):
-            self._fail(work, PieceFailure.LOST)
-            return
         work.left.append(piece)
 
     def _finish(self, work: _Work) -> None:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
@@ -80,11 +80,12 @@
         self._decisions = decisions
         self._data_centre = data_centre
 
-    def estimate(self, exchange: RelayExchange) -> float:
-        """Return the seconds that the stages would take if they began now."""
+    def estimate(self, exchange: RelayExchange) -> tuple[float, float]:
+        """Return the seconds that the stages would wait, and would take."""
         plan = StagePlan(exchange.request, exchange.route, exchange.deployment)
-        waits = {work.service for work in plan.works.values()}
-        return plan.seconds + sum(self._desk.estimate_wait(one) for one in waits)
+        services = {work.service for work in plan.works.values()}
+        wait = sum(self._desk.estimate_wait(one) for one in services)
+        return wait, plan.seconds
 
     def begin(
         self, exchange: RelayExchange, first_seconds: float, whole_seconds: float
@@ -201,18 +202,32 @@
     ) -> Bundle:
         exchange = self._exchange
         objective = exchange.request.received + exchange.route.objective
+        objective -= exchange.waited
+        rest = work.rest + self._estimate_waits(work.number)
         return Bundle(
             bundle_id=f"{exchange.request.request_id}/{work.number}",
             service=work.service,
             pieces=self._plan.create_pieces(work, handles),
             result_bytes=work.result_bytes,
-            aim=objective - work.rest - self._first_seconds,
-            latest=exchange.deadline - work.rest - self._whole_seconds,
+            aim=objective - rest - self._first_seconds,
+            latest=exchange.deadline - rest - self._whole_seconds,
             priority=exchange.priority,
             data_centre=self._data_centre,
             begun=bool(work.after),
         )
 
+    def _estimate_waits(self, number: int) -> float:
+        """Return the seconds that the stages which read ``number`` would wait."""
+        return max(
+            (
+                self._desk.estimate_wait(work.service)
+                + self._estimate_waits(work.number)
+                for work in self._plan.works.values()
+                if number in work.after
+            ),
+            default=0.0,
+        )
+
     def _collect(self) -> StageResults:
         results = StageResults(inputs=())
         sizes = results.bytes_by_data_centre
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from greengagelatch.errors import RefusalCode
+from greengagelatch.relay.admission import Estimate
 from greengagelatch.relay.fleet import EngineNeed
 from greengagelatch.relay.outcomes import SendOutcome
 from greengagelatch.relay.requests import Prompt
@@ -18,6 +19,7 @@
 from .sending import STATUS_CONFLICT, Answered, Unanswered
 
 if TYPE_CHECKING:
+    from greengagelatch.relay.admission import RouteAdmission
     from greengagelatch.relay.targets import ListedTarget
 
     from .codecs import TargetCodec
@@ -52,9 +54,11 @@
         stages: StageRunner,
         codec: TargetCodec,
         times: RunTimes,
+        admission: RouteAdmission,
         **common,
     ) -> None:
         super().__init__(**common)
+        self._admission = admission
         self._stages = stages
         self._codec = codec
         self._times = times
@@ -62,7 +66,7 @@
     async def run(self, exchange: RelayExchange) -> None:
         self._budgets.note_request(exchange.service)
         first, whole = self._times.estimate(exchange)
-        self._check_feasible(exchange, first)
+        self._check_admission(exchange, first)
         run = self._stages.begin(exchange, first, whole)
         try:
             results = await run.make()
@@ -70,21 +74,27 @@
         finally:
             run.free()
 
-    def _check_feasible(self, exchange: RelayExchange, first: float) -> None:
-        """Refuse at once what would not be answered in time.
-
-        Held until its deadline it would take the makers' time from requests that
-        can still be answered, and its caller could not turn elsewhere.
-        """
-        needed = self._stages.estimate(exchange) + first
-        left = self._find_left(exchange)
-        if needed <= left:
+    def _check_admission(self, exchange: RelayExchange, first: float) -> None:
+        """Refuse at once what should not be begun now."""
+        wait, seconds = self._stages.estimate(exchange)
+        route = exchange.route
+        elapsed = self._clock.now() - exchange.request.received
+        estimate = Estimate(
+            wait=wait,
+            work=seconds + first,
+            left=self._find_left(exchange),
+            objective_left=route.objective - exchange.waited - elapsed,
+            waited_share=exchange.waited / route.timeout if route.timeout else 0.0,
+        )
+        decision = self._admission.decide(estimate)
+        if decision.admitted:
             return
         raise create_error(
             exchange,
             RefusalCode.OVERLOADED,
-            f"needs about {needed:.1f} s of {left:.1f} s left",
-            retry_after=max(0.3, needed - left),
+            f"{decision.reason}: {wait:.1f} s of queue, {seconds + first:.1f} s of"
+            f" work, {estimate.left:.1f} s left",
+            retry_after=decision.retry_after,
         )
 
 
--- /dev/null
+++ b/packages/greengagelatch/src/greengagelatch/relay/admission.py
@@ -0,0 +1,88 @@
+"""Whether a request is begun now, or refused with a time to come back."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+
+__all__ = ("AdmitAll", "Decision", "Estimate", "EstimateRule", "RouteAdmission")
+
+#: share of a route's timeout that must have passed before a caller's attempt for it to
+#: count as one that came back; clocks and headers round a little
+RETURNED_SHARE = 0.04
+#: seconds of queue up to which a request that will be late is begun all the same: the
+#: queue is gone before another one could be refused for it
+SHORT_QUEUE = 0.35
+#: bounds of the time to come back, in seconds
+LEAST_RETRY = 0.3
+MOST_RETRY = 3.0
+#: share of the time left within which a caller can come back
+RETRY_SHARE = 0.3
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Estimate:
+    """What is expected of a request; times in seconds from now on."""
+
+    #: until the stages' queues reach it
+    wait: float
+    #: its own stages, and its target until the answer begins
+    work: float
+    #: until the answer stops being of use
+    left: float
+    #: until its objective is over
+    objective_left: float
+    #: share of the route's timeout that had passed before this attempt was sent
+    waited_share: float
+
+
+@dataclass(frozen=True, slots=True)
+class Decision:
+    """Whether to begin, and if not, when to come back."""
+
+    admitted: bool
+    #: seconds
+    retry_after: float = 0.0
+    reason: str = ""
+
+
+class RouteAdmission(ABC):
+    """Decides on requests before anything is done for them."""
+
+    @abstractmethod
+    def decide(self, estimate: Estimate) -> Decision:
+        """Return whether to begin a request."""
+
+
+class EstimateRule(RouteAdmission):
+    """Begins what can be on time, and what came back as long as it is of use.
+
+    Load pattern: a burst of one kind of request for some seconds, of twice what the
+    makers can do. Were all begun, everything in the queue would end late and hold
+    makers' room meanwhile, which slows those ahead of it. So newcomers that can't be
+    on time are sent away until the burst has passed, at once, while they have time to
+    come back; then they are let in before others are sent away for them.
+    """
+
+    def decide(self, estimate: Estimate) -> Decision:
+        needed = estimate.wait + estimate.work
+        if needed > estimate.left:
+            return _refuse(estimate, "can't be answered in time")
+        if needed <= estimate.objective_left or estimate.wait <= SHORT_QUEUE:
+            return Decision(True)
+        if estimate.waited_share > RETURNED_SHARE:
+            return Decision(True)
+        return _refuse(estimate, "would be late behind the queue")
+
+
+class AdmitAll(RouteAdmission):
+    """Begins everything; the baseline to compare with."""
+
+    def decide(self, estimate: Estimate) -> Decision:
+        return Decision(True)
+
+
+def _refuse(estimate: Estimate, reason: str) -> Decision:
+    latest = min(MOST_RETRY, estimate.left * RETRY_SHARE)
+    seconds = max(LEAST_RETRY, min(estimate.wait, latest))
+    return Decision(False, seconds, reason)
--- a/packages/greengagelatch/src/greengagelatch/relay/batches.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/batches.py
@@ -13,6 +13,13 @@
 
 __all__ = ("BatchPolicy", "MakerView", "PlannedCall", "SeparateCalls", "SharedCalls")
 
+#: seconds by which a bundle seems less urgent for each rank of its priority: enough to
+#: order bundles that came together, too little to starve any
+PRIORITY_SECONDS = 0.4
+
+#: times a bundle's results that a maker must have room for before it is split
+ROOMY = 3.0
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class MakerView:
@@ -111,15 +118,14 @@
 
 def _rank(
     bundle: Bundle, count: int, profile: MakerProfile, now: float
-) -> tuple[bool, int, float]:
+) -> tuple[bool, float]:
     """Order bundles: those that can still meet their aim, then by urgency.
 
     One that can't meet its aim any more has lost most of its worth; let it wait
     for those that have not.
     """
     end = now + profile.estimate_seconds(min(count, profile.batch))
-    late = end > bundle.aim
-    return (late, bundle.priority if late else 0, bundle.aim)
+    return (end > bundle.aim, bundle.aim + bundle.priority * PRIORITY_SECONDS)
 
 
 def _list_useful(
@@ -170,15 +176,37 @@
     share: int,
     profile: MakerProfile,
 ) -> PlannedCall:
-    """Take pieces off ``waiting``: whole bundles up to ``share``, then the bound."""
+    """Take pieces off ``waiting`` for one call, whole bundles if possible.
+
+    A bundle of which only some pieces are made holds room at its maker for nothing
+    until the others are. It is split only where it would not fit any call, or where
+    the maker has room for more than this call could fill.
+    """
     call = PlannedCall(maker.target_id)
     free = maker.free_bytes
     for bundle, left in waiting:
         if call.pieces and len(call.pieces) >= share:
             break
-        while left and len(call.pieces) < profile.batch:
-            if bundle.result_bytes > free:
-                break
+        fitting = profile.batch - len(call.pieces)
+        if bundle.result_bytes > 0:
+            fitting = min(fitting, int(free // bundle.result_bytes))
+        if fitting < len(left) and not _may_split(bundle, left, call, free, profile):
+            continue
+        for _ in range(min(fitting, len(left))):
             free -= bundle.result_bytes
             call.pieces.append((bundle, left.pop(0)))
     return call
+
+
+def _may_split(
+    bundle: Bundle,
+    left: list[Piece],
+    call: PlannedCall,
+    free: float,
+    profile: MakerProfile,
+) -> bool:
+    if len(left) > profile.batch:
+        return True
+    if len(left) * bundle.result_bytes > profile.room_bytes:
+        return not call.pieces
+    return free >= ROOMY * len(left) * bundle.result_bytes
--- a/packages/greengagelatch/src/greengagelatch/relay/messages.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/messages.py
@@ -15,6 +15,7 @@
     "PiecesMade",
     "PiecesWanted",
     "ResultsFreed",
+    "StageWaits",
     "decode_bundle",
     "decode_results",
     "encode_bundle",
@@ -69,12 +70,26 @@
 
     #: pairs of a handle and its maker's data centre, or of an empty text and why
     results: tuple[Any, ...] = ()
-    #: seconds that a piece which came now would wait at the owner
-    wait_seconds: float = 0.0
 
     def __post_init__(self) -> None:
         check_type(self.results, (tuple, list))
-        check_type(self.wait_seconds, (int, float))
+
+
+@register("stage-waits")
+@dataclass(frozen=True, slots=True)
+class StageWaits(Message):
+    """Tells how long a piece would wait that came to the sender now."""
+
+    #: pairs of a service and seconds
+    waits: tuple[Any, ...] = ()
+
+    def __post_init__(self) -> None:
+        check_type(self.waits, (tuple, list))
+        for row in self.waits:
+            check_type(row, (tuple, list))
+            service, seconds = row
+            check_type(service, str)
+            check_type(seconds, (int, float))
 
 
 @register("pieces-dropped")
--- a/packages/greengagelatch/src/greengagelatch/relay/repeats.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/repeats.py
@@ -48,14 +48,18 @@
 
     def take(self, now: float, instances: int) -> bool:
         """Spend one repeat; ``False`` if this instance's share is used up."""
+        if self.count_left(now, instances) < 1:
+            return False
+        self._repeats.append(now)
+        return True
+
+    def count_left(self, now: float, instances: int) -> int:
+        """Return how many repeats may be spent now."""
         self._drop_old(now)
         share = self._rule.slack * USED_SLACK / max(1, instances)
         # at least one, or no request of a quiet instance could ever be repeated
         allowed = max(1.0, share) + self._rule.ratio * USED_RATIO * len(self._requests)
-        if len(self._repeats) + 1 > allowed:
-            return False
-        self._repeats.append(now)
-        return True
+        return max(0, int(allowed - len(self._repeats)))
 
     def _drop_old(self, now: float) -> None:
         horizon = now - self._rule.window
--- a/packages/greengagelatch/src/greengagelatch/relay/room.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/room.py
@@ -5,7 +5,9 @@
 __all__ = ("MakerRoom",)
 
 #: share of the room that is used: sizes of results are approximate
-USED_SHARE = 0.95
+USED_SHARE = 0.97
+#: seconds for which a maker's room is taken to be filled by others
+FOREIGN_SECONDS = 0.5
 
 
 class MakerRoom:
@@ -20,6 +22,9 @@
         self._size = size * USED_SHARE
         self._keep_seconds = keep_seconds
         self._reserved = 0.0
+        #: bytes that others must hold, and until when that is believed
+        self._foreign = 0.0
+        self._foreign_until = 0.0
         self._held: dict[str, tuple[int, float]] = {}
 
     def find_free(self, now: float) -> float:
@@ -28,7 +33,8 @@
             if until <= now:
                 del self._held[handle]
         held = sum(size for size, _ in self._held.values())
-        return self._size - self._reserved - held
+        foreign = self._foreign if now < self._foreign_until else 0.0
+        return self._size - self._reserved - held - foreign
 
     def reserve(self, size: int) -> None:
         """Take room for a call that begins."""
@@ -40,6 +46,20 @@
         for handle, result_size in results.items():
             self._held[handle] = (result_size, now + self._keep_seconds)
 
+    def note_refusal(self, now: float) -> None:
+        """Take in that there was no room: results of others fill it.
+
+        They are those of an owner that is gone, or of one that does not know of this
+        one. Going on with calls that are refused would cost more than waiting until
+        some of these have lapsed.
+        """
+        self._foreign += max(0.0, self.find_free(now))
+        self._foreign_until = now + FOREIGN_SECONDS
+
+    def hold_unknown(self, name: str, size: int, until: float) -> None:
+        """Count results whose handles were lost on the way, until they lapse."""
+        self._held[name] = (size, until + self._keep_seconds)
+
     def free(self, handle: str) -> None:
         """Give back a result's room."""
         self._held.pop(handle, None)
