--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/desk.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/desk.py
@@ -29,8 +29,10 @@
         self._create_pool = create_pool
         self._pools: dict[str, StagePool] = {}
 
-    async def make(self, bundle: Bundle) -> tuple[PieceResult, ...]:
-        return await self.find_pool(bundle.service).make(bundle)
+    async def make(
+        self, bundle: Bundle, note_read: Callable[[], None]
+    ) -> tuple[PieceResult, ...]:
+        return await self.find_pool(bundle.service).make(bundle, note_read)
 
     def free(self, service: str, handles: tuple[str, ...]) -> None:
         self.find_pool(service).free(handles)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/owned_desk.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/owned_desk.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 from mode import Service
@@ -12,6 +13,7 @@
 from greengagelatch.relay.messages import (
     PiecesDropped,
     PiecesMade,
+    PiecesRead,
     PiecesWanted,
     ResultsFreed,
     StageWaits,
@@ -26,6 +28,8 @@
 from .stages import StageDesk
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from greengagelatch.clock import Clock
     from greengagelatch.peers import PeerNetwork
     from greengagelatch.relay.pieces import Bundle, PieceResult
@@ -86,6 +90,8 @@
         self._waits: dict[str, tuple[float, float]] = {}
         #: owner by handle, for results that are not freed yet
         self._makers_owner: dict[str, str] = {}
+        #: what to call once the inputs of a bundle are read, by owner and bundle id
+        self._asked: dict[tuple[str, str], Callable[[], None]] = {}
         #: bundles of peers in work, by peer and bundle id
         self._in_work: dict[tuple[str, str], asyncio.Task[Any]] = {}
         #: peers that asked lately, and until when they are told of queues
@@ -95,18 +101,21 @@
         self._candidates_until = 0.0
         peers.handle(PiecesWanted, self._answer_wanted)
         peers.handle(PiecesDropped, self._take_dropped)
+        peers.handle(PiecesRead, self._take_read)
         peers.handle(ResultsFreed, self._take_freed)
         peers.handle(StageWaits, self._take_waits)
 
-    async def make(self, bundle: Bundle) -> tuple[PieceResult, ...]:
+    async def make(
+        self, bundle: Bundle, note_read: Callable[[], None]
+    ) -> tuple[PieceResult, ...]:
         own = self._peers.instance_id
         for owner in self._rank(bundle.service)[:MAX_OWNERS]:
             if owner == own:
                 break
-            results = await self._ask(owner, bundle)
+            results = await self._ask(owner, bundle, note_read)
             if results is not None:
                 return results
-        return await self._local.make(bundle)
+        return await self._local.make(bundle, note_read)
 
     def free(self, service: str, handles: tuple[str, ...]) -> None:
         by_owner: dict[str, list[str]] = {}
@@ -142,14 +151,20 @@
 
     # as one that asks
 
-    async def _ask(self, owner: str, bundle: Bundle) -> tuple[PieceResult, ...] | None:
+    async def _ask(
+        self, owner: str, bundle: Bundle, note_read: Callable[[], None]
+    ) -> tuple[PieceResult, ...] | None:
         now = self._clock.now()
         timeout = max(0.0, bundle.latest - now) + ANSWER_MARGIN
+        place = (owner, bundle.bundle_id)
+        self._asked[place] = note_read
         try:
             reply = await self._peers.ask(owner, encode_bundle(bundle, now), timeout)
         except asyncio.CancelledError:
             self._peers.send(owner, PiecesDropped(bundle.bundle_id))
             raise
+        finally:
+            del self._asked[place]
         if isinstance(reply, Err):
             self._shun(owner, bundle, reply.err_value.message)
             return None
@@ -214,7 +229,8 @@
         bundle = decode_bundle(message, self._clock.now())
         self._askers[sender] = self._clock.now() + ASKER_LIFE
         place = (sender, bundle.bundle_id)
-        task = asyncio.ensure_future(self._local.make(bundle))
+        note_read = partial(self._peers.send, sender, PiecesRead(bundle.bundle_id))
+        task = asyncio.ensure_future(self._local.make(bundle, note_read))
         self._in_work[place] = task
         try:
             results = await task
@@ -261,5 +277,10 @@
         if task is not None:
             task.cancel()
 
+    def _take_read(self, sender: str, message: PiecesRead) -> None:
+        note_read = self._asked.get((sender, message.bundle_id))
+        if note_read is not None:
+            note_read()
+
     def _take_freed(self, sender: str, message: ResultsFreed) -> None:
         self._local.free(message.service, tuple(message.handles))
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
@@ -44,6 +44,11 @@
 #: seconds for which results to be freed are gathered
 FREE_DELAY = 0.03
 FREE_TIMEOUT = 1.0
+#: seconds after which a call that began at once has fetched its inputs, which takes
+#: a few milliseconds on these links
+READ_SECONDS = 0.1
+#: slowness up to which a maker is taken to begin at once
+STEADY = 1.5
 STATUS_OK = 200
 
 
@@ -54,6 +59,7 @@
     bundle: Bundle
     left: list[Piece]
     done: asyncio.Future[tuple[PieceResult, ...]]
+    note_read: Callable[[], None]
     results: dict[int, PieceResult] = field(default_factory=dict)
     #: calls by which each piece went to a maker, by segment
     sends: dict[int, int] = field(default_factory=dict)
@@ -102,11 +108,16 @@
         self._to_free: dict[str, list[str]] = {}
         self._free_timer: asyncio.TimerHandle | None = None
 
-    async def make(self, bundle: Bundle) -> tuple[PieceResult, ...]:
-        """Return the results of a bundle's pieces, in order."""
+    async def make(
+        self, bundle: Bundle, note_read: Callable[[], None]
+    ) -> tuple[PieceResult, ...]:
+        """Return the results of a bundle's pieces, in order.
+
+        :param note_read: called once makers have read the inputs of all pieces
+        """
         self._budgets.note_request(self._service)
         done = asyncio.get_running_loop().create_future()
-        work = _Work(bundle, list(bundle.pieces), done)
+        work = _Work(bundle, list(bundle.pieces), done, note_read)
         self._works.append(work)
         self._look()
         try:
@@ -270,9 +281,12 @@
         works = [self._find_work(bundle) for bundle, _ in call.pieces]
         results: tuple[PieceResult, ...] | None = None
         outcome = "cancelled"
+        loop = asyncio.get_running_loop()
+        reading = loop.call_later(READ_SECONDS, self._note_read, maker, works)
         try:
             outcome, results = await self._exchange(maker, call, works, allowed, now)
         finally:
+            reading.cancel()
             made = {}
             for (bundle, _), result in zip(call.pieces, results or (), strict=False):
                 if result.failure is None:
@@ -362,6 +376,19 @@
         maker.note_end(count, started, now)
         return "made", results
 
+    def _note_read(self, maker: Maker, works: list[_Work | None]) -> None:
+        """Take in that a call has begun and has fetched what its pieces read.
+
+        Inputs fill the room of the makers before; kept until the call ends, they
+        would fill it for a third of a second longer.
+        """
+        if maker.calls > 1 or maker.find_slowness(self._clock.now()) > STEADY:
+            # its turn may not have come yet
+            return
+        for work in dict.fromkeys(works):
+            if work is not None and not work.left and not work.losses:
+                work.note_read()
+
     # results
 
     def _take_results(
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
@@ -14,6 +14,8 @@
 from .refusals import create_error
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from greengagelatch.clock import Clock
     from greengagelatch.relay.stage_plan import StageWork
 
@@ -32,9 +34,14 @@
     """Takes bundles of pieces and has them made."""
 
     @abstractmethod
-    async def make(self, bundle: Bundle) -> tuple[PieceResult, ...]:
+    async def make(
+        self, bundle: Bundle, note_read: Callable[[], None]
+    ) -> tuple[PieceResult, ...]:
         """Return the results of all pieces, in order.
 
+        ``note_read`` is called once the makers have what the pieces read, if that is
+        known before the results are there.
+
         Cancelling it withdraws the pieces that are not yet being made.
         """
 
@@ -118,10 +125,7 @@
         self._plan = StagePlan(exchange.request, exchange.route, exchange.deployment)
         self._held: dict[int, tuple[PieceResult, ...]] = {}
         self._tasks: dict[int, asyncio.Task[None]] = {}
-        self._readers = {
-            number: sum(number in work.after for work in self._plan.works.values())
-            for number in self._plan.works
-        }
+        self._readers = self._list_readers()
 
     async def make(self) -> StageResults:
         """Make all stages and return what the target needs.
@@ -154,8 +158,16 @@
         for number in tuple(self._held):
             self._free_stage(number)
 
+    def _list_readers(self) -> dict[int, set[int]]:
+        works = self._plan.works.values()
+        return {
+            number: {work.number for work in works if number in work.after}
+            for number in self._plan.works
+        }
+
     async def _make_all(self) -> None:
         self._tasks = {}
+        self._readers = self._list_readers()
         for number in self._plan.works:
             self._start(number)
         tasks = tuple(self._tasks.values())
@@ -186,15 +198,20 @@
             for one in work.after
         }
         bundle = self._create_bundle(work, handles)
-        results = await self._desk.make(bundle)
+        results = await self._desk.make(bundle, lambda: self._note_read(work))
         failed = next((one.failure for one in results if one.failure), None)
         made = tuple(one for one in results if one.failure is None)
         self._held[number] = made
         if failed is not None:
             raise _StageFailedError(work, failed)
+        self._note_read(work)
+
+    def _note_read(self, work: StageWork) -> None:
+        """Free what a stage has read, once no other stage is to read it."""
         for one in work.after:
-            self._readers[one] -= 1
-            if self._readers[one] == 0 and one not in self._plan.final:
+            readers = self._readers[one]
+            readers.discard(work.number)
+            if not readers and one not in self._plan.final:
                 self._free_stage(one)
 
     def _create_bundle(
@@ -212,10 +229,19 @@
             aim=objective - rest - self._first_seconds,
             latest=exchange.deadline - rest - self._whole_seconds,
             priority=exchange.priority,
-            data_centre=self._data_centre,
+            data_centre=self._find_data_centre(work),
             begun=bool(work.after),
         )
 
+    def _find_data_centre(self, work: StageWork) -> str:
+        """Return where most of what a stage reads lies."""
+        sizes: dict[str, int] = {}
+        for one in work.after:
+            size = self._plan.works[one].result_bytes
+            for result in self._held[one]:
+                sizes[result.data_centre] = sizes.get(result.data_centre, 0) + size
+        return max(sizes, key=sizes.get) if sizes else self._data_centre
+
     def _estimate_waits(self, number: int) -> float:
         """Return the seconds that the stages which read ``number`` would wait."""
         return max(
--- a/packages/greengagelatch/src/greengagelatch/relay/batches.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/batches.py
@@ -17,8 +17,10 @@
 #: order bundles that came together, too little to starve any
 PRIORITY_SECONDS = 0.4
 
+#: seconds by which a bundle seems less urgent to a maker far from its inputs
+FAR_SECONDS = 0.3
 #: times a bundle's results that a maker must have room for before it is split
-ROOMY = 3.0
+ROOMY = 2.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -79,13 +81,14 @@
         now: float,
     ) -> list[PlannedCall]:
         waiting = [pair for pair in bundles if pair[1]]
-        waiting.sort(key=lambda pair: _rank(pair[0], len(pair[1]), profile, now))
         idle = _list_useful(makers, profile, now)
         calls = []
         while waiting and idle:
+            waiting.sort(key=lambda pair: _rank(pair, profile, now))
             share = _count_share(waiting, len(idle), profile)
             maker = _choose_maker(idle, waiting[0][0])
             idle.remove(maker)
+            waiting.sort(key=lambda pair: _rank(pair, profile, now, maker))
             call = _fill(maker, waiting, share, profile)
             waiting = [pair for pair in waiting if pair[1]]
             if call.pieces:
@@ -117,15 +120,23 @@
 
 
 def _rank(
-    bundle: Bundle, count: int, profile: MakerProfile, now: float
+    pair: tuple[Bundle, list[Piece]],
+    profile: MakerProfile,
+    now: float,
+    maker: MakerView | None = None,
 ) -> tuple[bool, float]:
     """Order bundles: those that can still meet their aim, then by urgency.
 
     One that can't meet its aim any more has lost most of its worth; let it wait
-    for those that have not.
+    for those that have not. Bundles whose inputs lie near the maker go first among
+    others: each piece reads all of them, over links that are paid for.
     """
-    end = now + profile.estimate_seconds(min(count, profile.batch))
-    return (end > bundle.aim, bundle.aim + bundle.priority * PRIORITY_SECONDS)
+    bundle, left = pair
+    end = now + profile.estimate_seconds(min(len(left), profile.batch))
+    urgency = bundle.aim + bundle.priority * PRIORITY_SECONDS
+    if maker is not None and bundle.data_centre != maker.data_centre:
+        urgency += FAR_SECONDS
+    return (end > bundle.aim, urgency)
 
 
 def _list_useful(
--- a/packages/greengagelatch/src/greengagelatch/relay/messages.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/messages.py
@@ -13,6 +13,7 @@
     "NewsQuery",
     "PiecesDropped",
     "PiecesMade",
+    "PiecesRead",
     "PiecesWanted",
     "ResultsFreed",
     "StageWaits",
@@ -92,6 +93,14 @@
             check_type(seconds, (int, float))
 
 
+@register("pieces-read")
+@dataclass(frozen=True, slots=True)
+class PiecesRead(Message):
+    """Tells who asked for a bundle that its inputs are not needed any more."""
+
+    bundle_id: str = ""
+
+
 @register("pieces-dropped")
 @dataclass(frozen=True, slots=True)
 class PiecesDropped(Message):
--- a/packages/greengagelatch/src/greengagelatch/relay/pieces.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/pieces.py
@@ -36,7 +36,7 @@
     latest: float
     #: 0 is the most urgent
     priority: int = 0
-    #: data centre of the instance that serves the request
+    #: data centre of what the pieces read, or of the instance that asks for them
     data_centre: str = ""
     #: whether earlier stages of the request have been made already
     begun: bool = False
