--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
@@ -230,6 +230,7 @@
             latest=exchange.deadline - rest - self._whole_seconds,
             priority=exchange.priority,
             data_centre=self._find_data_centre(work),
+            read_bytes=work.count * self._count_input_bytes(work),
             begun=bool(work.after),
         )
 
@@ -242,6 +243,12 @@
                 sizes[result.data_centre] = sizes.get(result.data_centre, 0) + size
         return max(sizes, key=sizes.get) if sizes else self._data_centre
 
+    def _count_input_bytes(self, work: StageWork) -> int:
+        return sum(
+            len(self._held[one]) * self._plan.works[one].result_bytes
+            for one in work.after
+        )
+
     def _estimate_waits(self, number: int) -> float:
         """Return the seconds that the stages which read ``number`` would wait."""
         return max(
--- a/packages/greengagelatch/src/greengagelatch/relay/batches.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/batches.py
@@ -17,6 +17,12 @@
 #: order bundles that came together, too little to starve any
 PRIORITY_SECONDS = 0.4
 
+#: bytes that a bundle reads from which it waits for a maker near them
+MUCH_READ = 500_000
+#: seconds that it waits at the most; a full call takes about as long
+LONGEST_HOLD = 0.45
+#: slowness up to which a maker is waited for
+STEADY = 1.5
 #: seconds by which a bundle seems less urgent to a maker far from its inputs
 FAR_SECONDS = 0.3
 #: times a bundle's results that a maker must have room for before it is split
@@ -83,6 +89,8 @@
         waiting = [pair for pair in bundles if pair[1]]
         idle = _list_useful(makers, profile, now)
         calls = []
+        waiting.sort(key=lambda pair: _rank(pair, profile, now))
+        waiting = _leave_for_near(waiting, idle, makers, profile, now)
         while waiting and idle:
             waiting.sort(key=lambda pair: _rank(pair, profile, now))
             share = _count_share(waiting, len(idle), profile)
@@ -139,6 +147,49 @@
     return (end > bundle.aim, urgency)
 
 
+def _leave_for_near(
+    waiting: list[tuple[Bundle, list[Piece]]],
+    idle: list[MakerView],
+    makers: list[MakerView],
+    profile: MakerProfile,
+    now: float,
+) -> list[tuple[Bundle, list[Piece]]]:
+    """Return the bundles to place now, without those that wait for a near maker.
+
+    What crosses data centres is paid for, and every piece reads all of its bundle's
+    inputs. A bundle that reads much waits for a maker beside them as long as that
+    one can take it with its next call, in time for the request's objective.
+    """
+    idle_places = {one.data_centre for one in idle}
+    held: dict[str, int] = {}
+    placed = []
+    for pair in waiting:
+        bundle, left = pair
+        place = bundle.data_centre
+        near = [one for one in makers if one.data_centre == place]
+        count = held.get(place, 0) + len(left)
+        if (
+            bundle.read_bytes < MUCH_READ
+            or place in idle_places
+            or count > profile.batch * len(near)
+            or not any(_is_soon(one, bundle, count, profile, now) for one in near)
+        ):
+            placed.append(pair)
+            continue
+        held[place] = count
+    return placed
+
+
+def _is_soon(
+    maker: MakerView, bundle: Bundle, count: int, profile: MakerProfile, now: float
+) -> bool:
+    """Whether a busy maker will be done with ``count`` pieces in time."""
+    if maker.free_at > now + LONGEST_HOLD or maker.slowness > STEADY:
+        return False
+    end = maker.free_at + profile.estimate_seconds(min(count, profile.batch))
+    return end <= bundle.aim
+
+
 def _list_useful(
     makers: list[MakerView], profile: MakerProfile, now: float
 ) -> list[MakerView]:
--- a/packages/greengagelatch/src/greengagelatch/relay/fleet.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/fleet.py
@@ -28,7 +28,7 @@
 #: tokens whose prefill a running request delays about as much
 RUNNING_TOKENS = 60.0
 #: tokens that seem as dear as moving one byte of results to another data centre
-TOKENS_PER_FAR_BYTE = 0.001
+TOKENS_PER_FAR_BYTE = 0.003
 #: seconds for which a prompt part is expected to stay in an engine's memory
 PART_LIFE = 20.0
 #: prompt parts remembered for one engine
--- a/packages/greengagelatch/src/greengagelatch/relay/pieces.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/pieces.py
@@ -38,6 +38,8 @@
     priority: int = 0
     #: data centre of what the pieces read, or of the instance that asks for them
     data_centre: str = ""
+    #: bytes that all pieces together read
+    read_bytes: int = 0
     #: whether earlier stages of the request have been made already
     begun: bool = False
 
