--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/desk.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/desk.py
@@ -13,6 +13,8 @@
 
     from greengagelatch.relay.pieces import Bundle, PieceResult
 
+    from .stages import QueueWait
+
 __all__ = ("LocalDesk",)
 
 
@@ -37,11 +39,11 @@
     def free(self, service: str, handles: tuple[str, ...]) -> None:
         self.find_pool(service).free(handles)
 
-    def estimate_wait(self, service: str) -> float:
+    def estimate_wait(self, service: str) -> QueueWait:
         return self.find_pool(service).estimate_wait()
 
-    def list_waits(self) -> list[tuple[str, float]]:
-        """Return how long a piece of each service would wait, in seconds."""
+    def list_waits(self) -> list[tuple[str, QueueWait]]:
+        """Return how long a piece of each service would wait."""
         return [(name, pool.estimate_wait()) for name, pool in self._pools.items()]
 
     def find_pool(self, service: str) -> StagePool:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/owned_desk.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/owned_desk.py
@@ -25,7 +25,7 @@
 from greengagelatch.relay.owners import rank_owners
 
 from ..controllers import Controller
-from .stages import StageDesk
+from .stages import QueueWait, StageDesk
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -86,8 +86,8 @@
         self._metrics = metrics
         self._decisions = decisions
         self._shunned: dict[str, float] = {}
-        #: seconds of wait that an owner told, and when
-        self._waits: dict[str, tuple[float, float]] = {}
+        #: what an owner told of its queue, and when
+        self._waits: dict[str, tuple[QueueWait, float]] = {}
         #: owner by handle, for results that are not freed yet
         self._makers_owner: dict[str, str] = {}
         #: what to call once the inputs of a bundle are read, by owner and bundle id
@@ -127,14 +127,14 @@
             if not owner or not self._peers.send(owner, message):
                 self._local.free(service, tuple(freed))
 
-    def estimate_wait(self, service: str) -> float:
+    def estimate_wait(self, service: str) -> QueueWait:
         ranked = self._rank(service)
         if not ranked or ranked[0] == self._peers.instance_id:
             return self._local.estimate_wait(service)
-        seconds, told = self._waits.get(service, (0.0, 0.0))
+        wait, told = self._waits.get(service, (QueueWait(), 0.0))
         if self._clock.now() - told > WAIT_LIFE:
-            return 0.0
-        return seconds
+            return QueueWait()
+        return wait
 
     async def on_stop(self) -> None:
         for task in tuple(self._in_work.values()):
@@ -255,11 +255,11 @@
             self._askers.clear()
             return
         waits = tuple(
-            (service, round(wait, 3))
+            (service, round(wait.urgent, 3), round(wait.whole, 3))
             for service, wait in self._local.list_waits()
-            if wait >= LEAST_TOLD or service in self._told
+            if wait.whole >= LEAST_TOLD or service in self._told
         )
-        self._told = {service for service, wait in waits if wait >= LEAST_TOLD}
+        self._told = {service for service, _, whole in waits if whole >= LEAST_TOLD}
         if not waits:
             return
         message = StageWaits(waits)
@@ -268,9 +268,9 @@
 
     def _take_waits(self, sender: str, message: StageWaits) -> None:
         now = self._clock.now()
-        for service, seconds in message.waits:
+        for service, urgent, whole in message.waits:
             if self._rank(service)[:1] == (sender,):
-                self._waits[service] = (float(seconds), now)
+                self._waits[service] = (QueueWait(urgent, whole), now)
 
     def _take_dropped(self, sender: str, message: PiecesDropped) -> None:
         task = self._in_work.get((sender, message.bundle_id))
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
@@ -7,11 +7,13 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from greengagelatch.relay.batches import is_late
 from greengagelatch.relay.pieces import PieceFailure, PieceResult
 from greengagelatch.relay.room import MakerRoom
 
 from .links import LinkError, NotSentError
 from .makers import Maker
+from .stages import QueueWait
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -126,23 +128,26 @@
             self._withdraw(work)
             raise
 
-    def estimate_wait(self) -> float:
-        """Return the seconds until a piece that came now would be begun."""
+    def estimate_wait(self) -> QueueWait:
+        """Return how long a piece that came now would wait."""
         profile = self._find_profile()
-        if profile is None:
-            return 0.0
-        makers = self._list_makers(profile)
-        if not makers:
-            return 0.0
-        waiting = sum(len(work.left) for work in self._works)
-        full = profile.estimate_seconds(profile.batch)
+        makers = self._list_makers(profile) if profile is not None else []
+        if not makers or not self._works:
+            return QueueWait()
         now = self._clock.now()
+        waiting = urgent = 0
+        for work in self._works:
+            count = len(work.left)
+            waiting += count
+            if count and not is_late(work.bundle, count, profile, now):
+                urgent += count
         speed = sum(1 / maker.find_slowness(now) for maker in makers)
-        rate = profile.batch / full * max(0.1, speed)
+        rate = profile.batch / profile.estimate_seconds(profile.batch)
+        rate *= max(0.1, speed)
         if waiting > profile.batch:
             # makers' room may bind long before their time does
             rate = min(rate, max(rate * LEAST_SPEED, self._find_rate(now)))
-        return waiting / rate
+        return QueueWait(urgent / rate, waiting / rate)
 
     def _find_rate(self, now: float) -> float:
         """Return the pieces made a second, of late."""
@@ -207,7 +212,12 @@
         views = [maker.view(now) for maker in makers]
         for call in self._policy.plan(self._list_ready(), views, profile, now):
             self._take_out(call)
-            task = asyncio.create_task(self._run_call(call))
+            # counted before its task runs: more bundles may come until then, and
+            # the maker would seem idle to each of them
+            maker = self._makers[call.target_id]
+            allowed = maker.begin(len(call.pieces), now)
+            maker.room.reserve(_sum_sizes(call))
+            task = asyncio.create_task(self._run_call(call, maker, allowed, now))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
         if any(work.left for work in self._works):
@@ -272,12 +282,10 @@
 
     # calls
 
-    async def _run_call(self, call: PlannedCall) -> None:
-        maker = self._makers[call.target_id]
-        now = self._clock.now()
-        size = sum(bundle.result_bytes for bundle, _ in call.pieces)
-        maker.room.reserve(size)
-        allowed = maker.begin(len(call.pieces), now)
+    async def _run_call(
+        self, call: PlannedCall, maker: Maker, allowed: float, now: float
+    ) -> None:
+        size = _sum_sizes(call)
         works = [self._find_work(bundle) for bundle, _ in call.pieces]
         results: tuple[PieceResult, ...] | None = None
         outcome = "cancelled"
@@ -499,3 +507,8 @@
             self._decisions.note(
                 "unfreed", service=self._service, address=address, reason=str(error)
             )
+
+
+def _sum_sizes(call: PlannedCall) -> int:
+    """Return the bytes of the results that a call makes."""
+    return sum(bundle.result_bytes for bundle, _ in call.pieces)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
@@ -22,7 +22,7 @@
     from .decisions import DecisionLog
     from .exchange import RelayExchange
 
-__all__ = ("StageDesk", "StageResults", "StageRunner")
+__all__ = ("QueueWait", "StageDesk", "StageResults", "StageRunner")
 
 #: times that stages are made again because results of earlier ones are gone
 MAX_REMAKES = 2
@@ -50,8 +50,18 @@
         """Give up results."""
 
     @abstractmethod
-    def estimate_wait(self, service: str) -> float:
-        """Return the seconds that a piece would wait if it came now."""
+    def estimate_wait(self, service: str) -> QueueWait:
+        """Return how long a piece would wait if it came now."""
+
+
+@dataclass(frozen=True, slots=True)
+class QueueWait:
+    """Seconds that a piece would wait which came now."""
+
+    #: behind those whose requests can still be on time
+    urgent: float = 0.0
+    #: behind all
+    whole: float = 0.0
 
 
 @dataclass(slots=True)
@@ -87,12 +97,14 @@
         self._decisions = decisions
         self._data_centre = data_centre
 
-    def estimate(self, exchange: RelayExchange) -> tuple[float, float]:
-        """Return the seconds that the stages would wait, and would take."""
+    def estimate(self, exchange: RelayExchange) -> tuple[QueueWait, float]:
+        """Return how long the stages would wait, and the seconds they would take."""
         plan = StagePlan(exchange.request, exchange.route, exchange.deployment)
         services = {work.service for work in plan.works.values()}
-        wait = sum(self._desk.estimate_wait(one) for one in services)
-        return wait, plan.seconds
+        waits = [self._desk.estimate_wait(one) for one in services]
+        urgent = sum(wait.urgent for wait in waits)
+        whole = sum(wait.whole for wait in waits)
+        return QueueWait(urgent, whole), plan.seconds
 
     def begin(
         self, exchange: RelayExchange, first_seconds: float, whole_seconds: float
@@ -253,7 +265,7 @@
         """Return the seconds that the stages which read ``number`` would wait."""
         return max(
             (
-                self._desk.estimate_wait(work.service)
+                self._desk.estimate_wait(work.service).urgent
                 + self._estimate_waits(work.number)
                 for work in self._plan.works.values()
                 if number in work.after
@@ -280,7 +292,7 @@
     def _refuse(self, error: _StageFailedError):
         late = error.failure in (PieceFailure.LATE, PieceFailure.ROOM)
         code = RefusalCode.OVERLOADED if late else RefusalCode.STAGE_FAILED
-        wait = self._desk.estimate_wait(error.work.service)
+        wait = self._desk.estimate_wait(error.work.service).whole
         self._decisions.note(
             "stage-failed",
             request=self._exchange.request.request_id,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -80,7 +80,8 @@
         route = exchange.route
         elapsed = self._clock.now() - exchange.request.received
         estimate = Estimate(
-            wait=wait,
+            wait=wait.whole,
+            urgent_wait=wait.urgent,
             work=seconds + first,
             left=self._find_left(exchange),
             objective_left=route.objective - exchange.waited - elapsed,
@@ -92,8 +93,8 @@
         raise create_error(
             exchange,
             RefusalCode.OVERLOADED,
-            f"{decision.reason}: {wait:.1f} s of queue, {seconds + first:.1f} s of"
-            f" work, {estimate.left:.1f} s left",
+            f"{decision.reason}: {wait.urgent:.1f} of {wait.whole:.1f} s of queue,"
+            f" {seconds + first:.1f} s of work, {estimate.left:.1f} s left",
             retry_after=decision.retry_after,
         )
 
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the users' platform, written from its pages: store and targets."""
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/__main__.py
@@ -0,0 +1,39 @@
+"""Runs the platform program on the stand-ins until it is interrupted."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import tempfile
+from pathlib import Path
+
+from .deployment import HOST, KEY
+from .fleet import PlatformFleet
+
+__all__ = ("main",)
+
+
+async def _run() -> None:
+    with tempfile.TemporaryDirectory() as directory:
+        fleet = PlatformFleet(Path(directory))
+        try:
+            await fleet.start()
+            for instance in fleet.instances:
+                print(
+                    f"{instance.name}: http://{instance.front}/look/1"
+                    f" (Host: {HOST}, Authorization: Bearer {KEY}),"
+                    f" metrics http://127.0.0.1:{instance.metrics_port}/metrics"
+                )
+            await asyncio.Event().wait()
+        finally:
+            await fleet.stop()
+
+
+def main() -> None:
+    """Run until interrupted."""
+    with contextlib.suppress(KeyboardInterrupt):
+        asyncio.run(_run())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/fleet.py
@@ -0,0 +1,173 @@
+"""Instances of the platform program as processes, on the stand-ins."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from .deployment import create_configuration
+from .store import StoreStandIn
+from .targets import TargetStandIn
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+__all__ = ("Instance", "PlatformFleet")
+
+#: seconds allowed for an instance to be ready; a busy machine takes its time
+READY_LIMIT = 30.0
+#: targets of each service
+TARGETS = 2
+
+
+@dataclass(slots=True)
+class Instance:
+    """One process of the program."""
+
+    name: str
+    front: str
+    readiness: str
+    control: str
+    metrics_port: int
+    settings: Path
+    process: asyncio.subprocess.Process | None = None
+
+    @property
+    def log(self) -> Path:
+        """What the process writes to standard output."""
+        return self.settings.with_suffix(".log")
+
+    async def is_ready(self, session: aiohttp.ClientSession) -> bool:
+        """Whether it says so."""
+        try:
+            async with session.get(f"http://{self.readiness}/v1/readyz") as response:
+                return response.status == 200
+        except aiohttp.ClientError:
+            return False
+
+
+@dataclass(slots=True)
+class PlatformFleet:
+    """Store, targets and instances; all on loopback."""
+
+    directory: Path
+    count: int = 2
+    store: StoreStandIn = field(default_factory=StoreStandIn)
+    targets: list[TargetStandIn] = field(default_factory=list)
+    instances: list[Instance] = field(default_factory=list)
+
+    async def start(self) -> None:
+        """Start all parts and wait until every instance is ready."""
+        await self.store.start()
+        self.store.put("op/config", create_configuration())
+        for service in ("desk", "llm", "portal", "ledger"):
+            for number in range(TARGETS):
+                await self.add_target(f"{service}-{number}", service)
+        seeds: list[str] = []
+        for number in range(self.count):
+            instance = self._create_instance(f"entry-{number}", seeds)
+            seeds.append(instance.control)
+            self.instances.append(instance)
+            await self.launch(instance)
+        for instance in self.instances:
+            await self.wait_ready(instance)
+
+    async def stop(self) -> None:
+        """Stop all parts."""
+        for instance in self.instances:
+            await self.kill(instance)
+        for target in self.targets:
+            await target.stop()
+        await self.store.stop()
+
+    async def add_target(self, target_id: str, service: str) -> TargetStandIn:
+        """Start and list a target."""
+        target = TargetStandIn(target_id, service)
+        await target.start()
+        target.register(self.store)
+        self.targets.append(target)
+        return target
+
+    def find_targets(self, service: str) -> list[TargetStandIn]:
+        """Return the targets of a service."""
+        return [target for target in self.targets if target.service == service]
+
+    async def launch(self, instance: Instance) -> None:
+        """Start the process of an instance."""
+        log = os.open(instance.log, os.O_WRONLY | os.O_CREAT | os.O_APPEND)
+        try:
+            instance.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "greengagelatch_platform",
+                "--settings",
+                str(instance.settings),
+                "--metrics",
+                f"{instance.metrics_port}/metrics",
+                stdout=log,
+                env=os.environ | {"PYTHONUNBUFFERED": "1"},
+            )
+        finally:
+            os.close(log)
+
+    async def wait_ready(self, instance: Instance) -> None:
+        """Wait until an instance says that it is ready."""
+        async with (
+            asyncio.timeout(READY_LIMIT),
+            aiohttp.ClientSession() as session,
+        ):
+            while not await instance.is_ready(session):  # noqa: ASYNC110
+                await asyncio.sleep(0.05)
+
+    async def kill(self, instance: Instance) -> None:
+        """Kill the process of an instance, if it still runs."""
+        process = instance.process
+        if process is not None and process.returncode is None:
+            process.send_signal(signal.SIGKILL)
+            await process.wait()
+
+    def _create_instance(self, name: str, seeds: list[str]) -> Instance:
+        ports = _find_free_ports(4)
+        instance = Instance(
+            name=name,
+            front=f"127.0.0.1:{ports[0]}",
+            readiness=f"127.0.0.1:{ports[1]}",
+            control=f"127.0.0.1:{ports[2]}",
+            metrics_port=ports[3],
+            settings=self.directory / f"{name}.json",
+        )
+        settings = {
+            "node-name": name,
+            "ip": "127.0.0.1",
+            "zone": "north",
+            "listen": {
+                "front": instance.front,
+                "readiness": instance.readiness,
+                "control": instance.control,
+            },
+            "seeds": seeds[:3],
+            "bounds": {"grace-s": 8, "retry-ratio": 0.2, "retry-slack": 58},
+            "platform": {"address": self.store.address},
+        }
+        instance.settings.write_text(json.dumps(settings), encoding="utf-8")
+        return instance
+
+
+def _find_free_ports(count: int) -> list[int]:
+    """Return ports that were free a moment ago, each another one."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for one in sockets:
+            one.bind(("127.0.0.1", 0))
+        return [one.getsockname()[1] for one in sockets]
+    finally:
+        for one in sockets:
+            one.close()
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/store.py
@@ -0,0 +1,257 @@
+"""A stand-in of the platform's metadata store."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING, Any
+
+from aiohttp import web
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__ = ("StoreFault", "StoreStandIn")
+
+#: items on one page; the platform's holds about ten times as many
+PAGE = 50
+STATUS_CONFLICT = 412
+STATUS_GONE = 410
+
+
+class StoreFault(Enum):
+    """How the store treats calls."""
+
+    NONE = "none"
+    #: every call is answered 503, nothing is done
+    BUSY = "busy"
+    #: no call is answered, nothing is done
+    SILENT = "silent"
+    #: writes are done and not answered
+    LOST = "lost"
+
+
+@dataclass(slots=True)
+class _Item:
+    value: bytes
+    revision: int
+    created: int
+    lease: int
+
+
+class StoreStandIn:
+    """Keeps items, history and leases in memory and serves them over HTTP."""
+
+    def __init__(self) -> None:
+        self.fault = StoreFault.NONE
+        #: number of calls by path
+        self.calls: dict[str, int] = {}
+        self._items: dict[str, _Item] = {}
+        self._revision = 1
+        self._compacted = 0
+        self._history: list[tuple[str, int]] = []
+        self._leases: dict[int, tuple[float, asyncio.TimerHandle]] = {}
+        self._changed = asyncio.Event()
+        self._runner: web.AppRunner | None = None
+        self.address = ""
+
+    async def start(self) -> None:
+        """Serve on a free port of loopback."""
+        app = web.Application(middlewares=[self._apply_fault])
+        app.add_routes(
+            [
+                web.get("/v1/kv-key", self._get),
+                web.get("/v1/kv-range", self._list),
+                web.get("/v1/kv-watch", self._watch),
+                web.post("/v1/kv-txn", self._write),
+                web.post("/v1/kv-lease", self._grant),
+                web.post("/v1/kv-keep/{lease}", self._keep),
+                web.delete("/v1/kv-lease-end/{lease}", self._end),
+            ]
+        )
+        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, "127.0.0.1", 0)
+        await site.start()
+        port = self._runner.addresses[0][1]
+        self.address = f"127.0.0.1:{port}"
+
+    async def stop(self) -> None:
+        """Close every connection."""
+        for _, timer in self._leases.values():
+            timer.cancel()
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    # what the operator and the targets do
+
+    def put(self, key: str, fields: dict[str, Any], lease: int = 0) -> int:
+        """Write an item and return its revision."""
+        return self._put(key, json.dumps(fields).encode(), lease)
+
+    def remove(self, key: str) -> None:
+        """Remove an item."""
+        if self._items.pop(key, None) is not None:
+            self._note(key)
+
+    def compact(self) -> None:
+        """Forget the history."""
+        self._compacted = self._revision
+        self._history.clear()
+
+    def find(self, prefix: str) -> dict[str, bytes]:
+        """Return the values below a prefix."""
+        return {
+            key: item.value
+            for key, item in self._items.items()
+            if key.startswith(prefix)
+        }
+
+    # calls
+
+    @web.middleware
+    async def _apply_fault(
+        self, request: web.Request, handler: Callable[..., Any]
+    ) -> web.StreamResponse:
+        self.calls[request.path] = self.calls.get(request.path, 0) + 1
+        if self.fault is StoreFault.BUSY:
+            return web.Response(status=503)
+        if self.fault is StoreFault.SILENT:
+            await asyncio.sleep(3600)
+        response = await handler(request)
+        if self.fault is StoreFault.LOST and request.method == "POST":
+            await asyncio.sleep(3600)
+        return response
+
+    async def _get(self, request: web.Request) -> web.Response:
+        key = request.query["key"]
+        if key not in self._items:
+            return web.json_response({}, status=404)
+        return web.json_response(self._describe(key))
+
+    async def _list(self, request: web.Request) -> web.Response:
+        prefix = request.query["prefix"]
+        after = request.query.get("after", "")
+        keys = sorted(
+            key for key in self._items if key.startswith(prefix) and key > after
+        )
+        return web.json_response(
+            {
+                "items": [self._describe(key) for key in keys[:PAGE]],
+                "has-more": len(keys) > PAGE,
+                "store-revision": self._revision,
+            }
+        )
+
+    async def _watch(self, request: web.Request) -> web.Response:
+        prefix = request.query["prefix"]
+        after = int(request.query["after"])
+        loop = asyncio.get_running_loop()
+        end = loop.time() + int(request.query["wait-ms"]) / 1000
+        while True:
+            if after < self._compacted:
+                return web.json_response({}, status=STATUS_GONE)
+            events = self._list_events(prefix, after)
+            left = end - loop.time()
+            if events or left <= 0:
+                return web.json_response(
+                    {"events": events, "store-revision": self._revision}
+                )
+            await self._wait_change(left)
+
+    async def _write(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        expected = body.get("expected", [])
+        for row in expected:
+            item = self._items.get(row["key"])
+            if (item.revision if item else 0) != row["revision"]:
+                return web.json_response({"items": []}, status=STATUS_CONFLICT)
+        for put in body.get("puts", []):
+            if put.get("lease") and put["lease"] not in self._leases:
+                return web.json_response({}, status=404)
+        for put in body.get("puts", []):
+            value = base64.b64decode(put["value"], validate=True)
+            self._put(put["key"], value, put.get("lease", 0))
+        for key in body.get("remove", []):
+            self.remove(key)
+        return web.json_response({"revision": self._revision})
+
+    async def _grant(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        lease = self._revision * 1000 + len(self._leases)
+        self._hold(lease, body["ttl-ms"] / 1000)
+        return web.json_response({"lease": lease, "ttl-ms": body["ttl-ms"]})
+
+    async def _keep(self, request: web.Request) -> web.Response:
+        lease = int(request.match_info["lease"])
+        if lease not in self._leases:
+            return web.json_response({}, status=404)
+        ttl, timer = self._leases[lease]
+        timer.cancel()
+        self._hold(lease, ttl)
+        return web.json_response({"ttl-ms": round(ttl * 1000)})
+
+    async def _end(self, request: web.Request) -> web.Response:
+        self._lapse(int(request.match_info["lease"]))
+        return web.json_response({})
+
+    # state
+
+    def _put(self, key: str, value: bytes, lease: int) -> int:
+        revision = self._note(key)
+        known = self._items.get(key)
+        created = known.created if known else revision
+        self._items[key] = _Item(value, revision, created, lease)
+        return revision
+
+    def _note(self, key: str) -> int:
+        self._revision += 1
+        self._history.append((key, self._revision))
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+        return self._revision
+
+    async def _wait_change(self, seconds: float) -> None:
+        try:
+            async with asyncio.timeout(seconds):
+                await self._changed.wait()
+        except TimeoutError:
+            return
+
+    def _list_events(self, prefix: str, after: int) -> list[dict[str, Any]]:
+        events = []
+        for key, revision in self._history:
+            if revision <= after or not key.startswith(prefix):
+                continue
+            item = self._items.get(key)
+            if item is None:
+                events.append({"key": key, "revision": revision, "tombstone": True})
+            elif item.revision == revision:
+                events.append(self._describe(key))
+        return events
+
+    def _describe(self, key: str) -> dict[str, Any]:
+        item = self._items[key]
+        return {
+            "key": key,
+            "value": base64.b64encode(item.value).decode(),
+            "revision": item.revision,
+            "created": item.created,
+            "lease": item.lease,
+            "store-revision": self._revision,
+        }
+
+    def _hold(self, lease: int, ttl: float) -> None:
+        loop = asyncio.get_running_loop()
+        self._leases[lease] = (ttl, loop.call_later(ttl, self._lapse, lease))
+
+    def _lapse(self, lease: int) -> None:
+        held = self._leases.pop(lease, None)
+        if held is None:
+            return
+        held[1].cancel()
+        for key in [key for key, item in self._items.items() if item.lease == lease]:
+            self.remove(key)
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/targets.py
@@ -0,0 +1,260 @@
+"""Stand-ins of the platform's targets: plain services, engines and stage makers."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+import struct
+from collections import Counter
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from .store import StoreStandIn
+
+__all__ = ("TargetFault", "TargetStandIn")
+
+SIGNATURE = "signed-by-"
+#: events of one stream
+EVENTS = 5
+EVENT_SECONDS = 0.01
+CALL_SECONDS = 0.03
+MAX_BODY = 8 * 1024 * 1024
+
+
+class TargetFault(Enum):
+    """How a target treats requests."""
+
+    NONE = "none"
+    #: it answers 503 and says that it did not run the request
+    FULL = "full"
+    #: it runs the request and closes the connection without an answer
+    LOSE_ANSWER = "lose-answer"
+    #: it runs the request and says nothing
+    MUTE = "mute"
+    #: it runs the request and fails
+    FAIL = "fail"
+    #: it sends a second answer after a complete one
+    EXTRA = "extra"
+    #: it breaks off in the middle of its answer
+    TRUNCATE = "truncate"
+    #: it answers without a length and resets the connection
+    UNFRAMED_RESET = "unframed-reset"
+    #: it answers with the id of another request
+    FOREIGN = "foreign"
+
+
+@dataclass(frozen=True, slots=True)
+class _Request:
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclass(slots=True)
+class TargetStandIn:
+    """One life of a target, written on bare streams so that it can misbehave."""
+
+    target_id: str
+    service: str
+    data_centre: str = "north"
+    fault: TargetFault = TargetFault.NONE
+    #: requests that ran, by their id
+    runs: Counter[str] = field(default_factory=Counter)
+    #: requests as they arrived
+    seen: list[_Request] = field(default_factory=list)
+    #: pieces made, by request id, stage and segment
+    pieces: Counter[tuple[str, int, int]] = field(default_factory=Counter)
+    #: sizes of the calls for pieces
+    batches: list[int] = field(default_factory=list)
+    freed: set[str] = field(default_factory=set)
+    connections: int = 0
+    address: str = ""
+    #: after how many events a stream breaks off; ``None``: it does not
+    break_after: int | None = None
+    _server: asyncio.Server | None = None
+    _writers: set[asyncio.StreamWriter] = field(default_factory=set)
+
+    async def start(self) -> None:
+        """Serve on a free port of loopback."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+
+    async def stop(self) -> None:
+        """Close every connection, as a crash does."""
+        self._server.close()
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+
+    def register(self, store: StoreStandIn, state: str = "ready") -> None:
+        """Write this target's entry."""
+        store.put(
+            f"servers/{self.target_id}",
+            {
+                "service": self.service,
+                "address": self.address,
+                "zone": self.data_centre,
+                "version": "v1",
+                "slots": 4,
+                "state": state,
+                "cold-left-ms": 0,
+                "seq-no": 1,
+            },
+        )
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        self._writers.add(writer)
+        try:
+            while (request := await _read(reader)) is not None:
+                if not await self._answer(request, writer):
+                    return
+                await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError):
+            return
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _answer(self, request: _Request, writer: asyncio.StreamWriter) -> bool:
+        """Answer one request; whether the connection stays."""
+        expected = request.headers.get("x-expected-replica")
+        if expected not in (None, self.target_id):
+            _write(writer, 421, {"X-Replica-Id": self.target_id}, b"")
+            return True
+        if request.target == "/v1/stage-run":
+            return await self._make(request, writer)
+        if request.target == "/v1/stage-free":
+            self.freed.update(json.loads(request.body)["handles"])
+            _write(writer, 200, {}, b"{}")
+            return True
+        self.seen.append(request)
+        request_id = request.headers.get("x-attempt-id", "")
+        headers = {"X-Attempt-Id": request_id}
+        if self.fault is TargetFault.FULL:
+            _write(writer, 503, {**headers, "X-Not-Executed": "1"}, b"")
+            return True
+        self.runs[request_id] += 1
+        headers["X-Replica-Signature"] = SIGNATURE + self.target_id
+        if "x-prefix-hash" in request.headers:
+            return await self._stream(request, headers, writer)
+        return await self._answer_plain(request, headers, writer)
+
+    async def _answer_plain(
+        self, request: _Request, headers: dict[str, str], writer: asyncio.StreamWriter
+    ) -> bool:
+        body = b"answer to " + headers["X-Attempt-Id"].encode() + b" " + request.body
+        match self.fault:
+            case TargetFault.LOSE_ANSWER:
+                writer.transport.abort()
+                return False
+            case TargetFault.MUTE:
+                await asyncio.sleep(3600)
+            case TargetFault.FAIL:
+                _write(writer, 500, headers, b"failed")
+                return True
+            case TargetFault.TRUNCATE:
+                _write(writer, 200, headers, body, length=len(body) + 10)
+                await writer.drain()
+                writer.transport.abort()
+                return False
+            case TargetFault.UNFRAMED_RESET:
+                _write(writer, 200, headers, body, length=None)
+                await writer.drain()
+                writer.transport.set_write_buffer_limits(0)
+                _reset(writer)
+                return False
+            case TargetFault.FOREIGN:
+                headers = {**headers, "X-Attempt-Id": "somebody-else"}
+        _write(writer, 200, headers, body)
+        if self.fault is TargetFault.EXTRA:
+            _write(writer, 200, headers, b"once more")
+        return True
+
+    async def _stream(
+        self, request: _Request, headers: dict[str, str], writer: asyncio.StreamWriter
+    ) -> bool:
+        if self.fault is TargetFault.MUTE:
+            await asyncio.sleep(3600)
+        first = int(request.headers.get("last-event-id", "0")) + 1
+        lines = {**headers, "Content-Type": "text/event-stream"}
+        _write(writer, 200, lines, b"", chunked=True)
+        for number in range(first, EVENTS + 1):
+            if self.break_after is not None and number > self.break_after:
+                half = f"id: {number}\ndata: ha".encode()
+                writer.write(f"{len(half):x}\r\n".encode() + half + b"\r\n")
+                await writer.drain()
+                writer.transport.abort()
+                return False
+            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            await writer.drain()
+            await asyncio.sleep(EVENT_SECONDS)
+        writer.write(b"0\r\n\r\n")
+        return True
+
+    async def _make(self, request: _Request, writer: asyncio.StreamWriter) -> bool:
+        items = json.loads(request.body)["items"]
+        if self.fault is TargetFault.FULL:
+            _write(writer, 503, {"X-Not-Executed": "1"}, b"")
+            return True
+        if self.fault is TargetFault.MUTE:
+            await asyncio.sleep(3600)
+        self.batches.append(len(items))
+        await asyncio.sleep(CALL_SECONDS)
+        results = [self._make_piece(item) for item in items]
+        body = json.dumps({"items": results}).encode()
+        _write(writer, 200, {"Content-Type": "application/json"}, body)
+        return True
+
+    def _make_piece(self, item: dict[str, Any]) -> dict[str, str]:
+        place = (item["id"], item["stage"], item["segment"])
+        self.pieces[place] += 1
+        name = "-".join(map(str, place))
+        return {"handle": f"{self.address}/{name}-{self.pieces[place]}"}
+
+
+async def _read(reader: asyncio.StreamReader) -> _Request | None:
+    head = await reader.readuntil(b"\r\n\r\n") if not reader.at_eof() else b""
+    if not head:
+        return None
+    first, *lines = head.decode("latin-1").split("\r\n")[:-2]
+    method, target, _ = first.split(" ", 2)
+    headers = {}
+    for line in lines:
+        name, _, value = line.partition(":")
+        headers[name.strip().lower()] = value.strip()
+    length = min(MAX_BODY, int(headers.get("content-length", "0")))
+    body = await reader.readexactly(length) if length else b""
+    return _Request(method, target, headers, body)
+
+
+def _write(
+    writer: asyncio.StreamWriter,
+    status: int,
+    headers: dict[str, str],
+    body: bytes,
+    *,
+    length: int | None = -1,
+    chunked: bool = False,
+) -> None:
+    lines = [f"HTTP/1.1 {status} Said"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    if chunked:
+        lines.append("Transfer-Encoding: chunked")
+    elif length is not None:
+        lines.append(f"Content-Length: {len(body) if length < 0 else length}")
+    writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Reset the connection: closing with a linger of zero does."""
+    connection = writer.get_extra_info("socket")
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
--- a/packages/greengagelatch/src/greengagelatch/relay/admission.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/admission.py
@@ -13,6 +13,10 @@
 #: seconds of queue up to which a request that will be late is begun all the same: the
 #: queue is gone before another one could be refused for it
 SHORT_QUEUE = 0.35
+#: seconds of queue that those may fill that will be late. They end in the four seconds
+#: or so that a caller which came back has left, so this gives them a sixth of the
+#: makers' time while newcomers could use it all
+LATE_QUEUE = 0.6
 #: bounds of the time to come back, in seconds
 LEAST_RETRY = 0.3
 MOST_RETRY = 3.0
@@ -24,8 +28,10 @@
 class Estimate:
     """What is expected of a request; times in seconds from now on."""
 
-    #: until the stages' queues reach it
+    #: until the stages' queues reach one that goes behind all
     wait: float
+    #: the same for one that goes before those that will be late anyway
+    urgent_wait: float
     #: its own stages, and its target until the answer begins
     work: float
     #: until the answer stops being of use
@@ -61,18 +67,22 @@
     makers can do. Were all begun, everything in the queue would end late and hold
     makers' room meanwhile, which slows those ahead of it. So newcomers that can't be
     on time are sent away until the burst has passed, at once, while they have time to
-    come back; then they are let in before others are sent away for them.
+    come back. Those that came back are begun as long as few of them wait: each is
+    worth little by then, yet a caller that is sent away twice gets nothing.
     """
 
     def decide(self, estimate: Estimate) -> Decision:
-        needed = estimate.wait + estimate.work
-        if needed > estimate.left:
-            return _refuse(estimate, "can't be answered in time")
-        if needed <= estimate.objective_left or estimate.wait <= SHORT_QUEUE:
+        if estimate.urgent_wait + estimate.work <= estimate.objective_left:
             return Decision(True)
-        if estimate.waited_share > RETURNED_SHARE:
+        if estimate.wait + estimate.work > estimate.left:
+            return _refuse(estimate, "can't be answered in time")
+        if estimate.wait <= SHORT_QUEUE:
             return Decision(True)
-        return _refuse(estimate, "would be late behind the queue")
+        if estimate.waited_share <= RETURNED_SHARE:
+            return _refuse(estimate, "would be late behind the queue")
+        if estimate.wait - estimate.urgent_wait > LATE_QUEUE:
+            return _refuse(estimate, "too many that will be late wait")
+        return Decision(True)
 
 
 class AdmitAll(RouteAdmission):
--- a/packages/greengagelatch/src/greengagelatch/relay/batches.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/batches.py
@@ -11,7 +11,14 @@
     from .deployment import MakerProfile
     from .pieces import Bundle, Piece
 
-__all__ = ("BatchPolicy", "MakerView", "PlannedCall", "SeparateCalls", "SharedCalls")
+__all__ = (
+    "BatchPolicy",
+    "MakerView",
+    "PlannedCall",
+    "SeparateCalls",
+    "SharedCalls",
+    "is_late",
+)
 
 #: seconds by which a bundle seems less urgent for each rank of its priority: enough to
 #: order bundles that came together, too little to starve any
@@ -25,6 +32,8 @@
 STEADY = 1.5
 #: seconds by which a bundle seems less urgent to a maker far from its inputs
 FAR_SECONDS = 0.3
+#: seconds before a bundle's last moment at which it goes first: a call and a half
+LAST_CHANCE = 0.6
 #: times a bundle's results that a maker must have room for before it is split
 ROOMY = 2.0
 
@@ -136,15 +145,23 @@
     """Order bundles: those that can still meet their aim, then by urgency.
 
     One that can't meet its aim any more has lost most of its worth; let it wait
-    for those that have not. Bundles whose inputs lie near the maker go first among
-    others: each piece reads all of them, over links that are paid for.
+    for those that have not, up to its last chance: what was made for it is not to be
+    thrown away, and few such are begun. Bundles whose inputs lie near the maker go
+    first among others: each piece reads all of them, over links that are paid for.
     """
     bundle, left = pair
-    end = now + profile.estimate_seconds(min(len(left), profile.batch))
     urgency = bundle.aim + bundle.priority * PRIORITY_SECONDS
     if maker is not None and bundle.data_centre != maker.data_centre:
         urgency += FAR_SECONDS
-    return (end > bundle.aim, urgency)
+    late = is_late(bundle, len(left), profile, now)
+    if late and now > bundle.latest - LAST_CHANCE:
+        return (False, now)
+    return (late, urgency)
+
+
+def is_late(bundle: Bundle, count: int, profile: MakerProfile, now: float) -> bool:
+    """Whether a bundle's request can't meet its objective any more."""
+    return now + profile.estimate_seconds(min(count, profile.batch)) > bundle.aim
 
 
 def _leave_for_near(
--- a/packages/greengagelatch/src/greengagelatch/relay/messages.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/messages.py
@@ -82,16 +82,18 @@
 class StageWaits(Message):
     """Tells how long a piece would wait that came to the sender now."""
 
-    #: pairs of a service and seconds
+    #: rows of a service, the seconds behind those that can still be on time, and
+    #: the seconds behind all
     waits: tuple[Any, ...] = ()
 
     def __post_init__(self) -> None:
         check_type(self.waits, (tuple, list))
         for row in self.waits:
             check_type(row, (tuple, list))
-            service, seconds = row
+            service, urgent, whole = row
             check_type(service, str)
-            check_type(seconds, (int, float))
+            check_type(urgent, (int, float))
+            check_type(whole, (int, float))
 
 
 @register("pieces-read")
--- /dev/null
+++ b/tests/test_core/test_relay/test_admission.py
@@ -0,0 +1,68 @@
+"""Tests of greengagelatch.relay.admission."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from greengagelatch.relay.admission import AdmitAll, Estimate, EstimateRule
+
+CALM = Estimate(
+    wait=0.0,
+    urgent_wait=0.0,
+    work=0.9,
+    left=6.0,
+    objective_left=1.9,
+    waited_share=0.0,
+)
+RULE = EstimateRule()
+
+
+def test_request_that_can_be_on_time_is_begun():
+    assert RULE.decide(CALM).admitted
+    assert RULE.decide(replace(CALM, wait=3.0, urgent_wait=0.9)).admitted
+
+
+def test_newcomer_that_would_be_late_comes_back():
+    decision = RULE.decide(replace(CALM, wait=1.5, urgent_wait=1.5))
+    assert not decision.admitted
+    assert 0 < decision.retry_after <= CALM.left / 3
+
+
+def test_caller_that_came_back_is_begun_though_late():
+    """Symptom: under a burst some callers are sent away twice and get nothing.
+
+    Sequence: a caller is told to come back, does so, and is judged as a newcomer
+    that can't be on time.
+    Cause: nobody asked whether it had been sent away before.
+    """
+    returned = replace(
+        CALM, wait=1.5, urgent_wait=1.2, left=4.0, objective_left=0.1, waited_share=0.3
+    )
+    assert RULE.decide(returned).admitted
+
+
+def test_those_that_will_be_late_fill_a_part_of_the_queue_only():
+    """Symptom: in a burst hardly any answer is on time, though half of them could be.
+
+    Sequence: callers that came back fill the queue; newcomers wait behind them and
+    become late themselves.
+    Cause: what is worth little by now took the place of what is worth all.
+    """
+    returned = replace(
+        CALM, wait=2.5, urgent_wait=1.2, left=4.0, objective_left=0.1, waited_share=0.3
+    )
+    assert not RULE.decide(returned).admitted
+    assert RULE.decide(replace(CALM, wait=2.5, urgent_wait=0.9)).admitted
+
+
+def test_what_can_not_be_answered_in_time_is_refused_at_once():
+    decision = RULE.decide(replace(CALM, wait=5.5, urgent_wait=5.5))
+    assert not decision.admitted
+
+
+def test_late_request_is_begun_where_hardly_anything_waits():
+    assert RULE.decide(replace(CALM, objective_left=0.1, wait=0.2)).admitted
+
+
+def test_baseline_begins_everything():
+    assert AdmitAll().decide(replace(CALM, wait=60.0)).admitted
--- /dev/null
+++ b/tests/test_core/test_relay/test_fleet.py
@@ -0,0 +1,126 @@
+"""Tests of greengagelatch.relay.fleet."""
+
+from __future__ import annotations
+
+import random
+
+from greengagelatch.relay.fleet import EngineNeed, Fleet, LoadReport
+from greengagelatch.relay.requests import Prompt, PromptPart
+from greengagelatch.relay.targets import ListedTarget, TargetBook
+
+NOW = 50.0
+NOBODY: frozenset[str] = frozenset()
+
+
+def create_fleet(count: int = 5, *, slots: int = 6) -> Fleet:
+    book = TargetBook()
+    for number in range(count):
+        book.put(
+            ListedTarget(
+                target_id=f"t-{number}",
+                service="s",
+                address=f"10.0.0.{number}:80",
+                data_centre=("north", "south", "east")[number % 3],
+                slots=slots,
+                revision=number + 1,
+            )
+        )
+    return Fleet(book=book, data_centre="north", random_source=random.Random(4))
+
+
+def create_need(part: str, tokens: int = 9000, **sizes: int) -> EngineNeed:
+    parts = (PromptPart(part, 2500), PromptPart(f"own-{part}", tokens - 2500))
+    return EngineNeed(Prompt(tokens_in=tokens, parts=parts), sizes)
+
+
+def choose(fleet: Fleet, need: EngineNeed, excluded=NOBODY) -> str:
+    return fleet.choose_engine("s", need, excluded, NOW).target_id
+
+
+def test_near_target_is_preferred():
+    fleet = create_fleet()
+    chosen = fleet.choose_plain("s", NOBODY, NOW)
+    assert chosen.data_centre == "north"
+
+
+def test_least_loaded_target_is_chosen():
+    fleet = create_fleet(3)
+    fleet.start("t-0")
+    fleet.start("t-0")
+    assert fleet.choose_plain("s", NOBODY, NOW).target_id != "t-0"
+
+
+def test_targets_word_on_its_load_counts_for_a_while():
+    fleet = create_fleet(1 + 1)
+    fleet.note_report("t-0", LoadReport(6, 3, 6), NOW)
+    assert fleet.choose_plain("s", NOBODY, NOW).target_id == "t-1"
+    assert fleet.choose_plain("s", NOBODY, NOW + 5).target_id == "t-0"
+
+
+def test_failing_target_is_out_for_a_while():
+    """Symptom: every third booking fails for as long as one replica is lost.
+
+    Sequence: a target crashes and stays listed; each request finds out anew.
+    Cause: outcomes were not remembered.
+    """
+    fleet = create_fleet(3)
+    fleet.note_failure("t-0", NOW)
+    fleet.note_failure("t-0", NOW)
+    for _ in range(20):
+        assert fleet.choose_plain("s", NOBODY, NOW + 0.2).target_id != "t-0"
+
+
+def test_service_is_never_emptied_by_failures():
+    """Symptom: an instance refuses everything, though its targets answer others.
+
+    Sequence: the network of one instance is at fault for a moment, and every target
+    seems to fail.
+    Cause: all of them were taken out.
+    """
+    fleet = create_fleet(3)
+    for number in range(3):
+        for _ in range(3):
+            fleet.note_failure(f"t-{number}", NOW)
+    assert fleet.choose_plain("s", NOBODY, NOW + 0.1) is not None
+
+
+def test_excluded_targets_are_not_chosen():
+    fleet = create_fleet(2)
+    assert fleet.choose_plain("s", frozenset({"t-0", "t-1"}), NOW) is None
+
+
+def test_instances_agree_on_the_home_of_a_prompt_part():
+    first, second = create_fleet(), create_fleet()
+    for number in range(20):
+        need = create_need(f"part-{number}")
+        assert choose(first, need) == choose(second, need)
+
+
+def test_home_that_has_too_much_to_read_gives_way():
+    """Symptom: one engine is late with everything while the others idle.
+
+    Sequence: half of the requests share one prompt part, and its home gets them all.
+    Cause: what the home has still to read did not count.
+    """
+    fleet = create_fleet()
+    need = create_need("hot")
+    home = choose(fleet, need)
+    for _ in range(3):
+        fleet.start(home, 9000)
+    assert choose(fleet, need) != home
+
+
+def test_engine_that_has_read_a_part_is_preferred():
+    fleet = create_fleet()
+    need = create_need("part")
+    home = choose(fleet, need)
+    other = choose(fleet, need, frozenset({home}))
+    fleet.note_parts(other, need.prompt, NOW)
+    assert fleet.count_tokens(other, need.prompt, NOW) == 9000 - 2500
+    assert fleet.count_tokens(other, need.prompt, NOW + 60) == 9000
+
+
+def test_engine_near_large_results_is_preferred():
+    fleet = create_fleet()
+    need = create_need("part", east=6_000_000)
+    assert choose(fleet, need) in ("t-2",)
--- /dev/null
+++ b/tests/test_core/test_relay/test_messages.py
@@ -0,0 +1,107 @@
+"""Tests of greengagelatch.relay.messages and greengagelatch.relay.news."""
+
+from __future__ import annotations
+
+import pytest
+from result import Err, Ok
+
+from greengagelatch.peers.codec import Envelope, decode, encode
+from greengagelatch.relay.messages import (
+    News,
+    PiecesWanted,
+    StageWaits,
+    decode_bundle,
+    decode_results,
+    encode_bundle,
+    encode_results,
+)
+from greengagelatch.relay.news import decode_target, encode_target
+from greengagelatch.relay.pieces import Bundle, Piece, PieceFailure, PieceResult
+from greengagelatch.relay.targets import ListedTarget
+
+BUNDLE = Bundle(
+    bundle_id="r-1/2",
+    service="s",
+    pieces=tuple(
+        Piece(request_id="r-1", stage=2, segment=number, inputs=("10.0.0.1:80/h",))
+        for number in range(3)
+    ),
+    result_bytes=6000,
+    aim=101.5,
+    latest=104.0,
+    priority=1,
+    data_centre="north",
+    read_bytes=18000,
+    begun=True,
+)
+
+
+def pass_on(message):
+    match decode(encode(Envelope(message))):
+        case Ok(envelope):
+            return envelope.message
+        case Err(error):
+            raise AssertionError(error)
+
+
+def test_bundle_arrives_with_times_of_the_other_clock():
+    message = pass_on(encode_bundle(BUNDLE, now=100.0))
+    bundle = decode_bundle(message, now=500.0)
+    assert bundle.pieces == BUNDLE.pieces
+    assert bundle.aim == pytest.approx(501.5)
+    assert bundle.latest == pytest.approx(504.0)
+    assert (bundle.read_bytes, bundle.begun) == (18000, True)
+
+
+def test_results_arrive_in_order():
+    results = (
+        PieceResult(handle="10.0.0.1:80/a", data_centre="north"),
+        PieceResult(failure=PieceFailure.GONE),
+    )
+    assert decode_results(encode_results(results), 2) == results
+
+
+@pytest.mark.parametrize(
+    "rows", [(), (("h", "north"),), (("h", 1), ("h", "n")), (("", "no"), ("h", "n"))]
+)
+def test_results_that_do_not_fit_are_not_used(rows):
+    """Symptom: a request is given the results of fewer pieces than it has.
+
+    Sequence: a peer of another release, or one that fails, answers with other rows.
+    Cause: rows were taken as they came.
+    """
+    assert decode_results(rows, 2) is None
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"segments": ()},
+        {"segments": (1,), "aim_seconds": "soon"},
+        {"segments": (1,), "service": 3},
+    ],
+)
+def test_request_for_pieces_is_checked(fields):
+    with pytest.raises(ValueError):
+        PiecesWanted(**fields)
+
+
+def test_waits_are_checked():
+    with pytest.raises(ValueError):
+        StageWaits((("s", 0.1),))
+
+
+def test_news_pass_targets_on():
+    target = ListedTarget(
+        target_id="t-1",
+        service="s",
+        address="10.0.0.1:80",
+        data_centre="north",
+        slots=3,
+        leaving=True,
+        revision=9,
+    )
+    news = pass_on(News(listed=True, targets=(encode_target(target),)))
+    assert decode_target(news.targets[0]) == target
+    assert decode_target(("t-1", "s")) is None
+    assert decode_target(("t-1", "s", "a", "d", "3", True, 9)) is None
--- /dev/null
+++ b/tests/test_core/test_relay/test_repeats.py
@@ -0,0 +1,49 @@
+"""Tests of greengagelatch.relay.repeats."""
+
+from __future__ import annotations
+
+from greengagelatch.relay.repeats import RepeatBudget, RepeatRule
+
+RULE = RepeatRule(ratio=0.2, slack=58.0, window=10.0)
+
+
+def spend(budget: RepeatBudget, now: float, instances: int) -> int:
+    count = 0
+    while budget.take(now, instances):
+        count += 1
+    return count
+
+
+def test_all_instances_together_keep_to_the_bound():
+    """Symptom: targets that fail get twice the load that they fail under.
+
+    Sequence: every call to a service fails on all instances at the same time, and
+    each of them repeats what it may.
+    Cause: each instance took the whole bound for its own.
+    """
+    for instances in (1, 9, 60, 77):
+        total = 0
+        for _ in range(instances):
+            budget = RepeatBudget(RULE)
+            for _ in range(20):
+                budget.note_request(0.0)
+            total += spend(budget, 0.0, instances)
+        assert total <= RULE.ratio * 20 * instances + RULE.slack + instances
+
+
+def test_quiet_instance_may_repeat_one():
+    assert spend(RepeatBudget(RULE), 0.0, 77) == 1
+
+
+def test_budget_comes_back_after_the_window():
+    budget = RepeatBudget(RULE)
+    assert spend(budget, 0.0, 9) > 0
+    assert not budget.take(9.9, 9)
+    assert budget.take(10.1, 9)
+
+
+def test_requests_of_an_earlier_window_earn_nothing():
+    budget = RepeatBudget(RULE)
+    for _ in range(100):
+        budget.note_request(0.0)
+    assert budget.count_left(0.0, 77) > budget.count_left(10.1, 77)
--- /dev/null
+++ b/tests/test_core/test_relay/test_stage_plan.py
@@ -0,0 +1,89 @@
+"""Tests of greengagelatch.relay.stage_plan."""
+
+from __future__ import annotations
+
+from greengagelatch.relay.deployment import (
+    Deployment,
+    MakerProfile,
+    Route,
+    RoutedService,
+    RouteKind,
+    RouteStage,
+)
+from greengagelatch.relay.requests import OpaqueRequest
+from greengagelatch.relay.stage_plan import StagePlan
+
+MAKER = MakerProfile(
+    slots=1,
+    queue=2,
+    batch=10,
+    call_seconds=0.2,
+    item_seconds=0.01,
+    room_bytes=1000,
+    keep_seconds=4.0,
+)
+DEPLOYMENT = Deployment(
+    version=1,
+    services={name: RoutedService(name=name, maker=MAKER) for name in "abc"},
+)
+ROUTE = Route(
+    name="r",
+    host="h",
+    prefix="/",
+    kind=RouteKind.STREAMING,
+    timeout=6.0,
+    objective=1.9,
+    stages=(
+        RouteStage(service="a"),
+        RouteStage(service="a"),
+        RouteStage(service="b", after=(1,)),
+        RouteStage(service="c", after=(2,)),
+    ),
+)
+
+
+def create_plan(*counts: int) -> StagePlan:
+    request = OpaqueRequest(
+        request_id="r-1",
+        method="POST",
+        host="h",
+        target="/",
+        headers=(),
+        body=b"",
+        received=0.0,
+        patience=6.0,
+        piece_counts=counts,
+        piece_key="key",
+    )
+    return StagePlan(request, ROUTE, DEPLOYMENT)
+
+
+def test_target_reads_the_stages_that_nothing_follows():
+    assert create_plan(2, 1, 6, 10).final == (0, 3)
+
+
+def test_stage_without_pieces_is_left_out():
+    plan = create_plan(0, 1, 6, 10)
+    assert sorted(plan.works) == [1, 2, 3]
+    assert plan.final == (3,)
+
+
+def test_pieces_read_all_results_before_them():
+    plan = create_plan(2, 1, 2, 10)
+    pieces = plan.create_pieces(plan.works[3], {2: ("h-1", "h-2")})
+    assert len(pieces) == 10
+    assert {piece.inputs for piece in pieces} == {("h-1", "h-2")}
+    assert {piece.key for piece in pieces} == {""}
+
+
+def test_first_stages_get_the_requests_key():
+    plan = create_plan(2, 1, 6, 10)
+    pieces = plan.create_pieces(plan.works[0], {})
+    assert [(piece.segment, piece.key) for piece in pieces] == [(0, "key"), (1, "key")]
+
+
+def test_time_of_the_longest_chain_counts():
+    plan = create_plan(2, 1, 6, 10)
+    assert round(plan.seconds, 3) == round(0.21 + 0.26 + 0.3, 3)
+    assert round(plan.works[1].rest, 3) == round(0.26 + 0.3, 3)
+    assert plan.works[3].rest == 0.0
--- /dev/null
+++ b/tests/test_entry/test_relay/conftest.py
@@ -0,0 +1,190 @@
+"""One instance in the test's own process, on the stand-ins of the platform."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+import aiohttp
+import pytest
+from yarl import URL
+
+from greengagelatch.relay.repeats import RepeatRule
+from greengagelatch_entry.relay.composition import (
+    RelayAdapters,
+    RelayParts,
+    RelayRules,
+    compose_relay,
+)
+from greengagelatch_lab.platform_standins.deployment import (
+    HOST,
+    KEY,
+    create_configuration,
+)
+from greengagelatch_lab.platform_standins.store import StoreStandIn
+from greengagelatch_lab.platform_standins.targets import TargetStandIn
+from greengagelatch_platform.callers import PlatformCallerCodec
+from greengagelatch_platform.configuration import PlatformDeploymentCodec
+from greengagelatch_platform.listing import PlatformListingCodec
+from greengagelatch_platform.store import PlatformStore
+from greengagelatch_platform.targets import PlatformTargetCodec
+
+#: bound of every wait, in seconds
+PATIENCE = 20
+
+
+@dataclass(frozen=True)
+class Reply:
+    """A whole answer, or the error by which it was cut."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    error: str = ""
+
+
+class World:
+    """Store, targets and one instance; everything on loopback."""
+
+    def __init__(self) -> None:
+        self.store = StoreStandIn()
+        self.targets: dict[str, TargetStandIn] = {}
+        self.parts: RelayParts | None = None
+        self.session: aiohttp.ClientSession | None = None
+        self._numbers = iter(range(1, 1_000_000))
+
+    async def start(self, *, configured: bool = True) -> None:
+        await self.store.start()
+        if configured:
+            self.store.put("op/config", create_configuration())
+        self.parts = compose_relay(self._create_rules(), self._create_adapters())
+        for controller in self.parts.controllers:
+            await controller.start()
+        self.session = aiohttp.ClientSession()
+
+    async def stop(self) -> None:
+        await self.session.close()
+        for controller in reversed(self.parts.controllers):
+            await controller.stop()
+        await self.parts.close()
+        for target in self.targets.values():
+            await target.stop()
+        await self.store.stop()
+
+    async def add(self, target_id: str, service: str, **fields) -> TargetStandIn:
+        target = TargetStandIn(target_id, service, **fields)
+        await target.start()
+        target.register(self.store)
+        self.targets[target_id] = target
+        return target
+
+    def find(self, controller: str):
+        return next(one for one in self.parts.controllers if one.name == controller)
+
+    async def wait_for(self, condition) -> None:
+        """Wait until ``condition`` holds."""
+        async with asyncio.timeout(PATIENCE):
+            while not condition():  # noqa: ASYNC110 - any part may make it true
+                await asyncio.sleep(0.01)
+
+    async def wait_known(self, targets: int) -> None:
+        """Wait until the configuration and so many targets are known."""
+        book = self.find("news")._book
+        configuration = self.find("news")._configuration
+        await self.wait_for(
+            lambda: configuration.table is not None and len(book) >= targets
+        )
+
+    async def ask(
+        self,
+        path: str,
+        *,
+        method: str = "GET",
+        body: bytes = b"",
+        key: str | None = KEY,
+        request_id: str = "",
+        **headers: str,
+    ) -> Reply:
+        """Send one request and read the whole answer."""
+        lines = {
+            "Host": HOST,
+            "X-Attempt-Id": request_id or f"r-{next(self._numbers)}",
+            "X-Deadline-Ms": "2000",
+            **{name.replace("_", "-"): value for name, value in headers.items()},
+        }
+        if key is not None:
+            lines["Authorization"] = f"Bearer {key}"
+        # encoded: the client's library would normalize the path
+        url = URL(f"http://127.0.0.1:{self.parts.front.port}{path}", encoded=True)
+        try:
+            async with self.session.request(
+                method, url, headers=lines, data=body
+            ) as response:
+                text = await response.read()
+                return Reply(response.status, dict(response.headers), text)
+        except aiohttp.ClientError as error:
+            return Reply(0, {}, b"", type(error).__name__)
+
+    async def stream(self, route: str = "draft", **headers: str) -> Reply:
+        """Send a request that is answered by a stream."""
+        lines = {
+            "X-Model": "m",
+            "X-Token-Counts": "100,20",
+            "X-Prefix-Hash": "aa:60,bb:40",
+            "X-Pieces": "2,3",
+            "X-Piece-Key": "piece-key",
+            **headers,
+        }
+        return await self.ask(f"/{route}/1", method="POST", body=b"prompt", **lines)
+
+    def _create_rules(self) -> RelayRules:
+        return RelayRules(
+            instance_id="entry-1",
+            data_centre="north",
+            callers_listen="127.0.0.1:0",
+            peers_listen="127.0.0.1:0",
+            peers_seeds="",
+            readiness_listen="127.0.0.1:0",
+            readiness_path="/ready",
+            metrics_listen="",
+            metrics_path="",
+            balancer_lag=0.0,
+            longest_drain=1.0,
+            repeats=RepeatRule(),
+        )
+
+    def _create_adapters(self) -> RelayAdapters:
+        return RelayAdapters(
+            create_store=lambda metrics: PlatformStore(
+                address=self.store.address, metrics=metrics
+            ),
+            callers=PlatformCallerCodec(),
+            targets=PlatformTargetCodec(),
+            deployments=PlatformDeploymentCodec(),
+            listings=PlatformListingCodec(),
+        )
+
+
+@pytest.fixture
+async def world():
+    """An instance with two plain targets."""
+    created = World()
+    await created.start()
+    await created.add("desk-1", "desk")
+    await created.add("desk-2", "desk")
+    await created.wait_known(2)
+    yield created
+    await created.stop()
+
+
+@pytest.fixture
+async def pipeline():
+    """An instance with two engines and two makers for each stage."""
+    created = World()
+    await created.start()
+    for service in ("llm", "portal", "ledger"):
+        for number in (1, 2):
+            await created.add(f"{service}-{number}", service)
+    await created.wait_known(6)
+    yield created
+    await created.stop()
--- /dev/null
+++ b/tests/test_entry/test_relay/test_plain.py
@@ -0,0 +1,194 @@
+"""Tests of greengagelatch_entry.relay.plain on a whole instance."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from greengagelatch_lab.platform_standins.deployment import create_configuration
+from greengagelatch_lab.platform_standins.targets import TargetFault
+
+
+def set_fault(world, fault: TargetFault) -> None:
+    for target in world.targets.values():
+        target.fault = fault
+
+
+def count_runs(world, request_id: str) -> int:
+    return sum(target.runs[request_id] for target in world.targets.values())
+
+
+async def test_answer_passes_unchanged(world):
+    reply = await world.ask("/look/1?a=%2F&&b", request_id="r-1")
+    assert reply.status == 200
+    assert reply.body == b"answer to r-1 "
+    assert reply.headers["X-Replica-Signature"].startswith("signed-by-desk-")
+    seen = [one for target in world.targets.values() for one in target.seen]
+    assert seen[0].target == "/look/1?a=%2F&&b"
+
+
+async def test_system_sets_its_own_headers(world):
+    """Symptom: a caller names another workspace, or steers a target's memory.
+
+    Sequence: a request comes with headers that only the system may set.
+    Cause: they were passed on as sent.
+    """
+    await world.ask(
+        "/look/1",
+        X_Tenant="south",
+        X_Hold="h-1",
+        X_Pin_Ms="100",
+        Kv_From="10.0.0.1:80/h",
+        X_Expected_Replica="other",
+        Connection="keep-alive, X-Private",
+        X_Private="1",
+        X_Other="kept",
+    )
+    headers = next(one for t in world.targets.values() for one in t.seen).headers
+    assert headers["x-tenant"] == "north"
+    assert headers["x-expected-replica"] in world.targets
+    assert headers["x-other"] == "kept"
+    assert 0 < int(headers["x-deadline-ms"]) <= 2000
+    for name in ("authorization", "x-hold", "x-pin-ms", "kv-from", "x-private"):
+        assert name not in headers
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [
+        TargetFault.LOSE_ANSWER,
+        TargetFault.TRUNCATE,
+        TargetFault.UNFRAMED_RESET,
+        TargetFault.FOREIGN,
+    ],
+)
+async def test_booking_whose_answer_is_lost_runs_once(world, fault):
+    """Symptom: one coach set is booked on two lathes.
+
+    Sequence: the target books and its answer is cut, or is that of another request;
+    the instance sends the booking to the other target.
+    Cause: no answer was taken for a proof that it did not run.
+    """
+    set_fault(world, fault)
+    reply = await world.ask("/book/1", method="POST", body=b"x", request_id="b-1")
+    assert reply.status == 502
+    assert "Retry-After" not in reply.headers
+    assert count_runs(world, "b-1") == 1
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [
+        TargetFault.LOSE_ANSWER,
+        TargetFault.TRUNCATE,
+        TargetFault.UNFRAMED_RESET,
+        TargetFault.FOREIGN,
+        TargetFault.MUTE,
+        TargetFault.FULL,
+        TargetFault.FAIL,
+    ],
+)
+async def test_idempotent_request_is_answered_by_the_other_target(world, fault):
+    world.targets["desk-1"].fault = fault
+    for number in range(4):
+        reply = await world.ask("/look/1", request_id=f"s-{number}")
+        assert reply.status == 200
+        assert reply.body == f"answer to s-{number} ".encode()
+
+
+async def test_refusal_of_all_targets_is_a_promise(world):
+    set_fault(world, TargetFault.FULL)
+    reply = await world.ask("/book/1", method="POST", request_id="b-1")
+    assert reply.status == 503
+    assert float(reply.headers["Retry-After"]) > 0
+    assert count_runs(world, "b-1") == 0
+
+
+async def test_failure_of_a_target_is_passed_on(world):
+    set_fault(world, TargetFault.FAIL)
+    reply = await world.ask("/book/1", method="POST", request_id="b-1")
+    assert (reply.status, reply.body) == (500, b"failed")
+    assert "X-Replica-Signature" in reply.headers
+    assert count_runs(world, "b-1") == 1
+
+
+async def test_second_answer_reaches_nobody(world):
+    """Symptom: a caller gets the answer to somebody else's request.
+
+    Sequence: a target sends another answer after a complete one; the next request
+    on the same connection takes it for its own.
+    Cause: what was left on a connection was not looked at.
+    """
+    set_fault(world, TargetFault.EXTRA)
+    for number in range(8):
+        reply = await world.ask("/look/1", request_id=f"s-{number}")
+        assert reply.body == f"answer to s-{number} ".encode()
+
+
+async def test_address_of_another_target_is_not_run(world):
+    """Symptom: a request is run by a service that it must not go to.
+
+    Sequence: a target ends, its address is given to another one, and the entry of
+    the first is still listed.
+    Cause: a request was sent to an address, whoever has it.
+    """
+    other = await world.add("other-1", "other")
+    fields = {"service": "desk", "address": other.address, "zone": "north"}
+    world.store.put("servers/desk-3", fields)
+    await world.wait_known(4)
+    for number in range(12):
+        reply = await world.ask("/look/1", request_id=f"s-{number}")
+        assert reply.status == 200
+    assert other.runs.total() == 0
+
+
+async def test_leaving_target_gets_nothing_more(world):
+    world.targets["desk-1"].register(world.store, state="draining")
+    book = world.find("news")._book
+    await world.wait_for(lambda: not book.accepts("desk-1"))
+    before = world.targets["desk-1"].runs.total()
+    for _ in range(6):
+        assert (await world.ask("/look/1")).status == 200
+    assert world.targets["desk-1"].runs.total() == before
+
+
+@pytest.mark.parametrize("key", [None, "wrong", ""])
+async def test_unknown_key_is_refused(world, key):
+    reply = await world.ask("/look/1", key=key)
+    assert reply.status == 401
+    assert json.loads(reply.body)["code"] == "unauthorized"
+
+
+async def test_public_route_needs_no_key(world):
+    assert (await world.ask("/open/1", key=None)).status == 200
+
+
+async def test_unknown_path_is_not_found(world):
+    assert (await world.ask("/nowhere/1")).status == 404
+
+
+async def test_withdrawn_key_is_refused(world):
+    configuration = world.find("news")._configuration
+    before = configuration.revision
+    world.store.put("op/config", create_configuration(9, keys=("another",)))
+    await world.wait_for(lambda: configuration.revision > before)
+    assert (await world.ask("/look/1")).status == 401
+    assert (await world.ask("/look/1", key="another")).status == 200
+
+
+async def test_body_beyond_the_bound_is_refused(world):
+    reply = await world.ask("/book/1", method="POST", body=b"x" * 70_000)
+    assert reply.status == 413
+    assert json.loads(reply.body)["field"] == "body"
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [("X-Deadline-Ms", "soon"), ("X-Deadline-Ms", "nan"), ("Last-Event-Id", "x")],
+)
+async def test_header_without_a_meaning_is_named(world, name, value):
+    reply = await world.ask("/look/1", **{name.replace("-", "_"): value})
+    fields = json.loads(reply.body)
+    assert reply.status == 400
+    assert (fields["field"], fields["value"]) == (name.lower(), value)
--- /dev/null
+++ b/tests/test_entry/test_relay/test_store_outages.py
@@ -0,0 +1,94 @@
+"""Tests of greengagelatch_entry.relay.following through outages of the store."""
+
+from __future__ import annotations
+
+from greengagelatch_lab.platform_standins.deployment import create_configuration
+from greengagelatch_lab.platform_standins.store import StoreFault
+
+from .conftest import World
+
+
+async def test_instance_without_a_configuration_says_that_it_is_not_ready():
+    """Symptom: callers are told for good that their route or key does not exist.
+
+    Sequence: an instance starts while the store is out of reach.
+    Cause: not knowing was taken for knowing that there is none.
+    """
+    world = World()
+    await world.start(configured=False)
+    try:
+        reply = await world.ask("/look/1")
+        assert reply.status == 503
+        assert "Retry-After" in reply.headers
+    finally:
+        await world.stop()
+
+
+async def test_instance_serves_on_while_the_store_is_away(world):
+    follower = world.find("store")
+    world.store.fault = StoreFault.BUSY
+    await world.wait_for(lambda: not follower.reached)
+    assert (await world.ask("/look/1")).status == 200
+    world.store.fault = StoreFault.NONE
+    await world.wait_for(lambda: follower.reached)
+
+
+async def test_lost_history_is_read_again(world):
+    """Symptom: a withdrawn key is accepted for minutes.
+
+    Sequence: the store forgets its history while a watch waits; changes made
+    meanwhile are in none of its answers.
+    Cause: the watch went on from a revision whose history was gone.
+    """
+    configuration = world.find("news")._configuration
+    world.store.fault = StoreFault.BUSY
+    follower = world.find("store")
+    await world.wait_for(lambda: not follower.reached)
+    world.store.put("op/config", create_configuration(12))
+    world.store.remove("servers/desk-1")
+    world.store.compact()
+    world.store.fault = StoreFault.NONE
+    await world.wait_for(lambda: configuration.deployment.version == 12)
+    book = world.find("news")._book
+    await world.wait_for(lambda: not book.accepts("desk-1"))
+
+
+async def test_older_configuration_is_not_taken_back(world):
+    configuration = world.find("news")._configuration
+    world.store.put("op/config", create_configuration(12))
+    await world.wait_for(lambda: configuration.deployment.version == 12)
+    assert not configuration.take(b"{}", configuration.revision, "peer")
+    assert not configuration.take(b"{}", configuration.revision - 1, "peer")
+    assert configuration.deployment.version == 12
+
+
+async def test_bad_route_sets_only_itself_aside(world):
+    configuration = world.find("news")._configuration
+    fields = create_configuration(12)
+    fields["routes"].append({"name": "bad", "prefix": "no-slash"})
+    world.store.put("op/config", fields)
+    await world.wait_for(lambda: configuration.deployment.version == 12)
+    assert (await world.ask("/look/1")).status == 200
+
+
+async def test_unreadable_entry_sets_only_itself_aside(world):
+    world.store.put("servers/bad", {"service": 7})
+    await world.add("desk-3", "desk")
+    await world.wait_known(3)
+    assert (await world.ask("/look/1")).status == 200
+
+
+async def test_unreadable_configuration_leaves_the_former_one(world):
+    configuration = world.find("news")._configuration
+    follower = world.find("store")
+    revision = world.store.put("op/config", {"routes": 7})
+    await world.wait_for(lambda: (follower.dump()["revision"] or 0) >= revision)
+    assert configuration.deployment.version == 3
+    assert (await world.ask("/look/1")).status == 200
+
+
+async def test_registration_lapses_and_comes_back(world):
+    registry = world.find("registry")
+    await world.wait_for(lambda: registry.dump()["registered"])
+    prefix = "greengagelatch/instances/"
+    assert list(world.store.find(prefix)) == [f"{prefix}entry-1"]
--- /dev/null
+++ b/tests/test_entry/test_relay/test_streams.py
@@ -0,0 +1,182 @@
+"""Tests of greengagelatch_entry.relay.streams on a whole instance."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from greengagelatch_lab.platform_standins.targets import EVENTS, TargetFault
+
+WHOLE = b"".join(
+    f"id: {number}\ndata: piece {number}\n\n".encode()
+    for number in range(1, EVENTS + 1)
+)
+
+
+def engines(world):
+    return [world.targets["llm-1"], world.targets["llm-2"]]
+
+
+def makers(world):
+    return [one for one in world.targets.values() if one.service != "llm"]
+
+
+def is_busy(pool) -> bool:
+    return pool["bundles"] > 0 or any(one["calls"] for one in pool["makers"].values())
+
+
+async def test_stream_passes_whole(pipeline):
+    reply = await pipeline.stream()
+    assert reply.status == 200
+    assert reply.body == WHOLE
+
+
+async def test_stages_are_made_once_and_their_results_read(pipeline):
+    await pipeline.stream(X_Attempt_Id="r-1")
+    seen = [one for engine in engines(pipeline) for one in engine.seen]
+    inputs = seen[0].headers["x-inputs"].split(",")
+    assert len(inputs) == 3
+    made = {place: n for maker in makers(pipeline) for place, n in maker.pieces.items()}
+    assert made == {
+        ("r-1", 0, 0): 1,
+        ("r-1", 0, 1): 1,
+        ("r-1", 1, 0): 1,
+        ("r-1", 1, 1): 1,
+        ("r-1", 1, 2): 1,
+    }
+
+
+async def test_results_are_freed_at_their_makers(pipeline):
+    """Symptom: makers refuse pieces for lack of room under light load.
+
+    Sequence: requests end, and their results stay until they lapse.
+    Cause: nobody gave them up.
+    """
+    await pipeline.stream()
+    await pipeline.wait_for(
+        lambda: sum(len(maker.freed) for maker in makers(pipeline)) == 5
+    )
+
+
+async def test_requests_share_calls_to_makers(pipeline):
+    """Symptom: makers turn calls away as full, with hardly a piece in each call.
+
+    Sequence: requests come at the same moment, and each finds the same maker idle.
+    Cause: a call was counted only once its task ran.
+    """
+    replies = await asyncio.gather(*(pipeline.stream() for _ in range(12)))
+    assert [reply.body for reply in replies] == [WHOLE] * 12
+    batches = [size for maker in makers(pipeline) for size in maker.batches]
+    assert sum(batches) == 12 * 5
+    assert max(batches) > 3
+
+
+async def test_stream_goes_on_elsewhere_after_a_break_within_an_event(pipeline):
+    """Symptom: a caller reads a piece twice, or one that is cut.
+
+    Sequence: an engine dies in the middle of an event; another one goes on after the
+    last whole one.
+    Cause: the beginning of the event had been passed on.
+    """
+    for engine in engines(pipeline):
+        engine.break_after = 2
+    first = engines(pipeline)[0]
+    await pipeline.stream()
+    first.break_after = None
+    engines(pipeline)[1].break_after = None
+    reply = await pipeline.stream()
+    assert reply.body == WHOLE
+
+
+@pytest.mark.parametrize("broken", ["llm-1", "llm-2"])
+async def test_resumed_stream_is_whole(pipeline, broken):
+    pipeline.targets[broken].break_after = 2
+    for _ in range(3):
+        reply = await pipeline.stream()
+        assert (reply.status, reply.body) == (200, WHOLE)
+
+
+async def test_stream_that_can_not_go_on_does_not_look_whole(pipeline):
+    """Symptom: half a summary is taken for a whole one.
+
+    Sequence: the engine dies in mid-stream, on a route that can't be resumed.
+    Cause: the answer's end was written all the same.
+    """
+    for engine in engines(pipeline):
+        engine.break_after = 2
+    reply = await pipeline.stream("scan", X_Attempt_Id="r-1")
+    assert reply.error
+    assert sum(engine.runs["r-1"] for engine in engines(pipeline)) == 1
+
+
+async def test_stream_that_a_mute_engine_holds_goes_elsewhere(pipeline):
+    engines(pipeline)[0].fault = TargetFault.MUTE
+    for _ in range(2):
+        reply = await pipeline.stream()
+        assert (reply.status, reply.body) == (200, WHOLE)
+
+
+async def test_rejected_stream_is_refused_as_not_run(pipeline):
+    for engine in engines(pipeline):
+        engine.fault = TargetFault.FULL
+    reply = await pipeline.stream("scan")
+    assert reply.status == 503
+    assert "Retry-After" in reply.headers
+    assert sum(engine.runs.total() for engine in engines(pipeline)) == 0
+
+
+async def test_pieces_of_a_lost_maker_are_made_by_the_other(pipeline):
+    """Symptom: requests fail for as long as one maker is lost.
+
+    Sequence: a maker dies and stays listed; calls to it reach nobody.
+    Cause: pieces were bound to a maker.
+    """
+    await pipeline.targets["portal-1"].stop()
+    for _ in range(3):
+        reply = await pipeline.stream()
+        assert (reply.status, reply.body) == (200, WHOLE)
+
+
+async def test_maker_that_is_full_is_tried_again(pipeline):
+    for maker in makers(pipeline):
+        maker.fault = TargetFault.FULL
+    waiting = asyncio.create_task(pipeline.stream())
+    await asyncio.sleep(0.2)
+    for maker in makers(pipeline):
+        maker.fault = TargetFault.NONE
+    assert (await waiting).body == WHOLE
+
+
+async def test_stages_without_a_maker_are_refused_at_once(pipeline):
+    for number in (1, 2):
+        pipeline.store.remove(f"servers/portal-{number}")
+    book = pipeline.find("news")._book
+    await pipeline.wait_for(lambda: not book.list_service("portal"))
+    reply = await pipeline.stream()
+    assert reply.status == 503
+
+
+async def test_caller_that_leaves_frees_what_was_made_for_it(pipeline):
+    """Symptom: makers work for callers that have gone.
+
+    Sequence: a caller closes its connection while its stages are being made.
+    Cause: the work went on, and its results stayed.
+    """
+    task = asyncio.create_task(pipeline.stream(X_Attempt_Id="gone"))
+    await pipeline.wait_for(lambda: any(maker.pieces for maker in makers(pipeline)))
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    desk = pipeline.find("stages")
+    await pipeline.wait_for(
+        lambda: all(
+            pool["bundles"] == 0
+            and not any(m["calls"] for m in pool["makers"].values())
+            for pool in desk.dump().values()
+        )
+    )
+    made = sum(maker.pieces.total() for maker in makers(pipeline))
+    await pipeline.wait_for(
+        lambda: sum(len(maker.freed) for maker in makers(pipeline)) >= made
+    )
+    assert sum(engine.runs["gone"] for engine in engines(pipeline)) <= 1
--- /dev/null
+++ b/tests/test_platform/test_configuration.py
@@ -0,0 +1,84 @@
+"""Tests of greengagelatch_platform.configuration."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from greengagelatch.relay.deployment import RouteKind
+from greengagelatch_lab.platform_standins.deployment import create_configuration
+from greengagelatch_platform.configuration import PlatformDeploymentCodec
+
+
+def decode(fields):
+    value = fields if isinstance(fields, bytes) else json.dumps(fields).encode()
+    return PlatformDeploymentCodec().decode(value, 17)
+
+
+def test_configuration_is_decoded_into_the_products_words():
+    deployment, problems = decode(create_configuration()).unwrap()
+    assert problems == ()
+    assert (deployment.version, deployment.revision, deployment.keyed) == (3, 17, True)
+    draft = next(route for route in deployment.routes if route.name == "draft")
+    assert draft.kind is RouteKind.STREAMING
+    assert (draft.timeout, draft.objective, draft.longest_pause) == (3.0, 0.5, 0.25)
+    assert [stage.after for stage in draft.stages] == [(), (0,)]
+    assert draft.split == (("llm", 1.0),)
+    maker = deployment.services["portal"].maker
+    assert (maker.batch, maker.call_seconds, maker.room_bytes) == (8, 0.03, 10_000_000)
+    assert deployment.services["llm"].engine.token_capacity == 100_000
+    assert deployment.workspaces[0].keys == ("key-of-north",)
+
+
+def test_split_between_services_is_read():
+    fields = create_configuration()
+    route = fields["routes"][0]
+    del route["service"]
+    route["split"] = [
+        {"service": "desk", "weight": 90},
+        {"service": "new", "weight": 10},
+    ]
+    deployment, _ = decode(fields).unwrap()
+    assert deployment.routes[0].split == (("desk", 90), ("new", 10))
+
+
+def test_configuration_without_workspaces_needs_no_keys():
+    fields = create_configuration()
+    del fields["tenants"]
+    deployment, _ = decode(fields).unwrap()
+    assert not deployment.keyed
+
+
+@pytest.mark.parametrize(
+    ("change", "key"),
+    [
+        ({"route-kind": "odd"}, "route-kind"),
+        ({"prefix": "x/"}, "prefix"),
+        ({"timeout-ms": "long"}, "timeout-ms"),
+        ({"timeout-ms": -1}, "timeout-ms"),
+        ({"service": None}, "service"),
+        ({"stages": [{"service": "portal", "after": ["0"]}]}, "after"),
+        ({"public": "yes"}, "public"),
+    ],
+)
+def test_route_that_can_not_be_read_is_set_aside_and_named(change, key):
+    fields = create_configuration()
+    count = len(fields["routes"])
+    fields["routes"][1] |= change
+    deployment, problems = decode(fields).unwrap()
+    assert len(deployment.routes) == count - 1
+    assert [problem.key for problem in problems] == [key]
+    assert problems[0].section == "routes[1]"
+
+
+@pytest.mark.parametrize("value", [b"", b"[]", b"\xff", b"{}", b'{"version": "7"}'])
+def test_configuration_that_can_not_be_read_is_an_error(value):
+    assert decode(value).is_err()
+
+
+def test_unknown_fields_are_ignored():
+    fields = create_configuration(novelty=1)
+    fields["routes"][0]["novelty"] = {}
+    _, problems = decode(fields).unwrap()
+    assert problems == ()
--- /dev/null
+++ b/tests/test_platform/test_settings.py
@@ -0,0 +1,72 @@
+"""Tests of greengagelatch_platform.settings and the program's command line."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from greengagelatch_platform.__main__ import main
+from greengagelatch_platform.settings import read_settings
+from greengagelatch_platform.values import FieldError
+
+SETTINGS = {
+    "node-name": "edge-1",
+    "ip": "10.1.0.41",
+    "zone": "north",
+    "listen": {
+        "front": "10.1.0.41:8625",
+        "readiness": "10.1.0.41:8621",
+        "control": "10.1.0.41:8628",
+    },
+    "port-range": [7740, 7755],
+    "seeds": ["10.2.0.25:8628"],
+    "bounds": {"grace-s": 8, "drain-ms": 2000, "retry-ratio": 0.2, "retry-slack": 58},
+    "platform": {"address": "10.200.1.7:8624"},
+    "novelty": {"unknown": True},
+}
+
+
+def read(**changes):
+    return read_settings(json.dumps({**SETTINGS, **changes}))
+
+
+def test_settings_are_decoded():
+    settings = read()
+    assert (settings.instance_id, settings.data_centre) == ("edge-1", "north")
+    assert settings.store_address == "10.200.1.7:8624"
+    assert settings.peers_listen == "10.1.0.41:8628"
+    assert (settings.grace, settings.leaving_bound) == (8, 2.0)
+    assert (settings.repeats.ratio, settings.repeats.slack) == (0.2, 58)
+
+
+def test_peers_connect_on_a_free_port_where_no_address_is_given():
+    listen = {name: SETTINGS["listen"][name] for name in ("front", "readiness")}
+    assert read(listen=listen).peers_listen == "10.1.0.41:7740"
+
+
+@pytest.mark.parametrize(
+    ("change", "name"),
+    [
+        ({"zone": 7}, "zone"),
+        ({"listen": None}, "listen"),
+        ({"platform": {}}, "address"),
+        ({"bounds": {"grace-s": "eight"}}, "grace-s"),
+        ({"seeds": "10.2.0.25:8628"}, "seeds"),
+        ({"listen": {"front": "a:1", "readiness": "a:2"}, "port-range": []}, "port"),
+    ],
+)
+def test_bad_field_is_named_with_its_value(change, name):
+    with pytest.raises(FieldError) as caught:
+        read(**change)
+    assert name in str(caught.value)
+
+
+def test_check_says_whether_settings_are_valid(tmp_path, capsys):
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps(SETTINGS))
+    assert main(["--settings", str(path), "--check"]) == 0
+    path.write_text("{")
+    assert main(["--settings", str(path), "--check"]) == 2
+    assert main(["--settings", str(tmp_path / "none.json"), "--check"]) == 2
+    assert "settings:" in capsys.readouterr().err
--- /dev/null
+++ b/tests/test_platform/test_store.py
@@ -0,0 +1,112 @@
+"""Tests of greengagelatch_platform.store against the stand-in."""
+
+from __future__ import annotations
+
+import pytest
+
+from greengagelatch.store import ABSENT, StoreErrorKind, WriteOutcome
+from greengagelatch_entry.relay.prometheus import PrometheusMetrics
+from greengagelatch_lab.platform_standins.store import StoreFault, StoreStandIn
+from greengagelatch_platform import store as store_module
+from greengagelatch_platform.store import PlatformStore
+
+
+@pytest.fixture
+async def standin():
+    created = StoreStandIn()
+    await created.start()
+    yield created
+    await created.stop()
+
+
+@pytest.fixture
+async def store(standin):
+    created = PlatformStore(address=standin.address, metrics=PrometheusMetrics())
+    yield created
+    await created.close()
+
+
+async def test_entries_are_written_under_a_condition(store):
+    first = await store.swap("a", b"1", ABSENT)
+    assert first.outcome is WriteOutcome.APPLIED
+    again = await store.swap("a", b"2", ABSENT)
+    assert again.outcome is WriteOutcome.CONFLICT
+    entry = (await store.get("a")).unwrap()
+    assert (entry.value, entry.revision) == (b"1", first.revision)
+    assert (await store.delete("a", first.revision)).outcome is WriteOutcome.APPLIED
+    assert (await store.get("a")).unwrap() is None
+
+
+async def test_scan_reads_all_pages(store, standin):
+    for number in range(120):
+        standin.put(f"servers/{number:03}", {"n": number})
+    standin.put("other", {})
+    scan = (await store.scan("servers/")).unwrap()
+    assert len(scan.entries) == 120
+    assert scan.revision == scan.entries[-1].revision + 1
+
+
+async def test_changes_are_followed(store, standin):
+    revision = standin.put("servers/a", {"n": 1})
+    standin.put("servers/b", {"n": 1})
+    standin.put("servers/b", {"n": 2})
+    standin.remove("servers/a")
+    changes = (await store.follow("servers/", revision, 1.0)).unwrap()
+    assert [(one.key, one.value) for one in changes.written] == [
+        ("servers/b", b'{"n": 2}')
+    ]
+    assert [key for key, _ in changes.removed] == ["servers/a"]
+
+
+async def test_watch_without_a_change_ends_after_its_wait(store, standin):
+    revision = standin.put("a", {})
+    changes = (await store.follow("", revision, 0.05)).unwrap()
+    assert (changes.written, changes.removed) == ((), ())
+
+
+async def test_lost_history_is_told(store, standin):
+    revision = standin.put("a", {})
+    standin.put("a", {})
+    standin.compact()
+    result = await store.follow("", revision, 0.05)
+    assert result.unwrap_err().kind is StoreErrorKind.COMPACTED
+
+
+async def test_lease_ends_with_its_entries(store, standin):
+    lease = (await store.grant_lease(60.0)).unwrap()
+    await store.swap("a", b"1", ABSENT, lease_id=lease.lease_id)
+    assert (await store.keep_lease(lease.lease_id)).is_ok()
+    await store.revoke_lease(lease.lease_id)
+    assert (await store.get("a")).unwrap() is None
+    gone = await store.keep_lease(lease.lease_id)
+    assert gone.unwrap_err().kind is StoreErrorKind.LEASE_GONE
+
+
+async def test_refusal_says_that_nothing_was_written(store, standin):
+    standin.fault = StoreFault.BUSY
+    result = await store.swap("a", b"1", ABSENT)
+    assert result.outcome is WriteOutcome.NOT_APPLIED
+    assert (await store.get("a")).unwrap_err().kind is StoreErrorKind.RATE_LIMITED
+
+
+@pytest.mark.parametrize("fault", [StoreFault.LOST, StoreFault.SILENT])
+async def test_write_without_an_answer_is_unknown(store, standin, monkeypatch, fault):
+    """Symptom: two instances hold the same entry, each sure that it is alone.
+
+    Sequence: a write is done and its answer is lost; the writer takes it for undone.
+    Cause: no answer was taken for a refusal.
+    """
+    monkeypatch.setattr(store_module, "CALL_TIMEOUT", 0.1)
+    monkeypatch.setattr(PlatformStore._call, "__defaults__", (None, 0.1))
+    standin.fault = fault
+    result = await store.swap("a", b"1", ABSENT)
+    assert result.outcome is WriteOutcome.UNKNOWN
+
+
+async def test_store_that_is_not_there_is_unreachable(standin):
+    address = standin.address
+    await standin.stop()
+    store = PlatformStore(address=address, metrics=PrometheusMetrics())
+    result = await store.scan("")
+    assert result.unwrap_err().kind is StoreErrorKind.UNREACHABLE
+    await store.close()
--- /dev/null
+++ b/tests/test_platform/test_targets.py
@@ -0,0 +1,87 @@
+"""Tests of greengagelatch_platform.targets."""
+
+from __future__ import annotations
+
+import json
+
+from greengagelatch.relay.pieces import Piece, PieceFailure
+from greengagelatch.relay.requests import OpaqueRequest
+from greengagelatch_entry.relay.messages import RelayCall
+from greengagelatch_platform.targets import PlatformTargetCodec
+
+CODEC = PlatformTargetCodec()
+REQUEST = OpaqueRequest(
+    request_id="r-1",
+    method="POST",
+    host="a.example",
+    target="/x/1",
+    headers=((b"X-Attempt-Id", b"r-1"),),
+    body=b"body",
+    received=0.0,
+    patience=1.0,
+)
+
+
+def test_request_carries_what_the_system_knows():
+    call = RelayCall(
+        target_id="i-1",
+        remaining=0.7504,
+        workspace="north",
+        resume_after=12,
+        inputs=("10.0.0.1:80/a", "10.0.0.2:80/b"),
+    )
+    outbound = CODEC.encode_request(REQUEST, call)
+    assert dict(outbound.headers) == {
+        b"X-Attempt-Id": b"r-1",
+        b"X-Deadline-Ms": b"750",
+        b"X-Expected-Replica": b"i-1",
+        b"X-Tenant": b"north",
+        b"Last-Event-Id": b"12",
+        b"X-Inputs": b"10.0.0.1:80/a,10.0.0.2:80/b",
+    }
+    assert (outbound.target, outbound.body) == ("/x/1", b"body")
+
+
+def test_pieces_of_first_stages_have_a_key_and_others_inputs():
+    pieces = (
+        Piece(request_id="r-1", stage=0, segment=2, key="7c1e"),
+        Piece(request_id="r-2", stage=2, segment=0, inputs=("10.0.0.1:80/a",)),
+    )
+    outbound = CODEC.encode_pieces(pieces, (0.9, 2.0), "i-1")
+    assert json.loads(outbound.body)["items"] == [
+        {"id": "r-1", "stage": 0, "segment": 2, "remaining-ms": 900, "key": "7c1e"},
+        {
+            "id": "r-2",
+            "stage": 2,
+            "segment": 0,
+            "remaining-ms": 2000,
+            "inputs": ["10.0.0.1:80/a"],
+        },
+    ]
+
+
+def test_results_are_read_in_order():
+    body = b'{"items":[{"handle":"10.0.0.1:80/a"},{"reason":"gone"},{"reason":"new"}]}'
+    results = CODEC.read_pieces(body, 3, "north")
+    assert results[0].handle == "10.0.0.1:80/a"
+    assert [one.failure for one in results] == [
+        None,
+        PieceFailure.GONE,
+        PieceFailure.ERROR,
+    ]
+
+
+def test_answer_for_another_number_of_pieces_is_not_used():
+    assert CODEC.read_pieces(b'{"items":[{"handle":"a"}]}', 2, "north") is None
+    assert CODEC.read_pieces(b"{}", 1, "north") is None
+    assert CODEC.read_pieces(b"no", 1, "north") is None
+
+
+def test_event_ids_are_read():
+    assert CODEC.read_event_id(b"id: 12\ndata: x\n\n") == 12
+    assert CODEC.read_event_id(b"x-weight-versions: 3\nid:7\r\ndata: x\r\n\r\n") == 7
+    assert CODEC.read_event_id(b"data: id: 4\n\n") is None
+
+
+def test_maker_of_a_result_is_named_by_its_handle():
+    assert CODEC.find_maker_address("10.0.0.1:80/91bd/x") == "10.0.0.1:80"
