--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
@@ -44,7 +44,7 @@
 #: seconds after which pieces that wait are looked at again
 LOOK_AGAIN = 0.05
 #: seconds for which results to be freed are gathered
-FREE_DELAY = 0.03
+FREE_DELAY = 0.01
 FREE_TIMEOUT = 1.0
 #: seconds after which a call that began at once has fetched its inputs, which takes
 #: a few milliseconds on these links
@@ -160,13 +160,9 @@
         for handle in handles:
             address = self._codec.find_maker_address(handle)
             self._to_free.setdefault(address, []).append(handle)
-            for maker in self._makers.values():
-                if maker.target.address == address:
-                    maker.room.free(handle)
         if self._free_timer is None and self._to_free:
             loop = asyncio.get_running_loop()
             self._free_timer = loop.call_later(FREE_DELAY, self._send_freeing)
-        self._look()
 
     def describe(self) -> dict[str, object]:
         """Return the state for the dump."""
@@ -486,10 +482,11 @@
             task.add_done_callback(self._tasks.discard)
 
     async def _free_at(self, address: str, handles: tuple[str, ...]) -> None:
-        target_id = ""
+        holder = None
         for maker in self._makers.values():
             if maker.target.address == address:
-                target_id = maker.target.target_id
+                holder = maker
+        target_id = holder.target.target_id if holder else ""
         outbound = self._codec.encode_freeing(handles, target_id)
         try:
             reply = await self._links.send(
@@ -507,6 +504,13 @@
             self._decisions.note(
                 "unfreed", service=self._service, address=address, reason=str(error)
             )
+            return
+        if holder is None:
+            return
+        # only now: a call that began earlier would still find the room taken
+        for handle in handles:
+            holder.room.free(handle)
+        self._look()
 
 
 def _sum_sizes(call: PlannedCall) -> int:
--- a/packages/greengagelatch/src/greengagelatch/relay/admission.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/admission.py
@@ -14,9 +14,9 @@
 #: queue is gone before another one could be refused for it
 SHORT_QUEUE = 0.35
 #: seconds of queue that those may fill that will be late. They end in the four seconds
-#: or so that a caller which came back has left, so this gives them a sixth of the
+#: or so that a caller which came back has left, so this gives them a third of the
 #: makers' time while newcomers could use it all
-LATE_QUEUE = 0.6
+LATE_QUEUE = 1.2
 #: bounds of the time to come back, in seconds
 LEAST_RETRY = 0.3
 MOST_RETRY = 3.0
