--- /dev/null
+++ b/tests/test_entry/test_relay/test_owned_desk.py
@@ -0,0 +1,243 @@
+"""Tests of greengagelatch_entry.relay.owned_desk with peers in one process."""
+
+from __future__ import annotations
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+from result import Err, Ok
+
+from greengagelatch.clock import ManualClock
+from greengagelatch.peers import Member, MemberState, PeerError, PeerErrorKind
+from greengagelatch.relay.messages import PiecesWanted
+from greengagelatch.relay.owners import rank_owners
+from greengagelatch.relay.pieces import Bundle, Piece, PieceFailure, PieceResult
+from greengagelatch_entry.relay.decisions import DecisionLog
+from greengagelatch_entry.relay.owned_desk import OwnedDesk
+from greengagelatch_entry.relay.prometheus import PrometheusMetrics
+from greengagelatch_entry.relay.stages import QueueWait
+
+NAMES = ("entry-1", "entry-2", "entry-3")
+SERVICE = "ledger"
+BUNDLE = Bundle(
+    bundle_id="r-1/0",
+    service=SERVICE,
+    pieces=(
+        Piece(request_id="r-1", stage=0, segment=0, key="k"),
+        Piece(request_id="r-1", stage=0, segment=1, key="k"),
+    ),
+    result_bytes=100,
+    aim=1001.0,
+    latest=1004.0,
+)
+
+
+class Network:
+    """Links between desks; some instances may be out of reach."""
+
+    def __init__(self) -> None:
+        self.handlers: dict[str, dict] = {name: {} for name in NAMES}
+        self.gone: set[str] = set()
+        self.dead: set[str] = set()
+
+    def create_peers(self, name: str) -> SimpleNamespace:
+        return SimpleNamespace(
+            instance_id=name,
+            members=self.list_members,
+            handle=self.handlers[name].__setitem__,
+            ask=lambda to, message, timeout: self.ask(name, to, message),
+            send=lambda to, message: self.send(name, to, message),
+        )
+
+    def list_members(self) -> tuple[Member, ...]:
+        return tuple(
+            Member(
+                instance_id=name,
+                data_centre="north",
+                address=name,
+                state=MemberState.DEAD if name in self.dead else MemberState.ALIVE,
+            )
+            for name in NAMES
+        )
+
+    async def ask(self, sender: str, to: str, message):
+        if to in self.gone:
+            return Err(PeerError(PeerErrorKind.NO_ANSWER, "the link closed"))
+        answer = self.handlers[to][type(message)](sender, message)
+        return Ok(await answer)
+
+    def send(self, sender: str, to: str, message) -> bool:
+        if to in self.gone:
+            return False
+        self.handlers[to][type(message)](sender, message)
+        return True
+
+
+class Local:
+    """Makes pieces at once and notes which."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.made: list[str] = []
+        self.freed: list[str] = []
+        self.wait = QueueWait()
+        self.hold: asyncio.Event | None = None
+        self.cancelled = 0
+
+    async def make(self, bundle, note_read):
+        self.made.append(bundle.bundle_id)
+        try:
+            if self.hold is not None:
+                await self.hold.wait()
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        note_read()
+        return tuple(
+            PieceResult(handle=f"{self.name}/{piece.segment}", data_centre="north")
+            for piece in bundle.pieces
+        )
+
+    def free(self, service, handles):
+        self.freed.extend(handles)
+
+    def estimate_wait(self, service):
+        return self.wait
+
+    def list_waits(self):
+        return [(SERVICE, self.wait)]
+
+
+class World:
+    def __init__(self) -> None:
+        self.network = Network()
+        self.clock = ManualClock()
+        self.local = {name: Local(name) for name in NAMES}
+        metrics = PrometheusMetrics()
+        self.desks = {
+            name: OwnedDesk(
+                local=self.local[name],
+                peers=self.network.create_peers(name),
+                clock=self.clock,
+                metrics=metrics,
+                decisions=DecisionLog(clock=self.clock, metrics=metrics),
+            )
+            for name in NAMES
+        }
+        self.ranked = rank_owners(SERVICE, NAMES)
+
+    def count_made(self) -> dict[str, int]:
+        return {name: len(local.made) for name, local in self.local.items()}
+
+
+@pytest.fixture
+def world():
+    return World()
+
+
+def do_nothing() -> None:
+    pass
+
+
+async def test_all_instances_ask_the_same_owner(world):
+    for desk in world.desks.values():
+        results = await desk.make(BUNDLE, do_nothing)
+        assert [one.failure for one in results] == [None, None]
+    owner = world.ranked[0]
+    assert world.count_made() == {name: 3 * (name == owner) for name in NAMES}
+
+
+async def test_next_one_is_asked_where_the_owner_is_lost(world):
+    """Symptom: stages stand still for seconds after one instance has died.
+
+    Sequence: the owner of a service dies; the membership has not noticed yet.
+    Cause: only the membership could name another owner.
+    """
+    owner, second, third = world.ranked
+    world.network.gone.add(owner)
+    await world.desks[third].make(BUNDLE, do_nothing)
+    assert world.local[second].made == [BUNDLE.bundle_id]
+    await world.desks[third].make(BUNDLE, do_nothing)
+    assert len(world.local[second].made) == 2
+
+
+async def test_owner_that_is_back_is_asked_again(world):
+    owner, _, third = world.ranked
+    world.network.gone.add(owner)
+    await world.desks[third].make(BUNDLE, do_nothing)
+    world.network.gone.clear()
+    world.clock.advance(5.0)
+    await world.desks[third].make(BUNDLE, do_nothing)
+    assert len(world.local[owner].made) == 1
+
+
+async def test_instance_that_reaches_nobody_makes_its_pieces_itself(world):
+    third = world.ranked[2]
+    world.network.gone.update(world.ranked[:2])
+    results = await world.desks[third].make(BUNDLE, do_nothing)
+    assert results[0].handle == f"{third}/0"
+
+
+async def test_dead_instance_owns_nothing(world):
+    world.network.dead.add(world.ranked[0])
+    await world.desks[world.ranked[2]].make(BUNDLE, do_nothing)
+    assert world.count_made()[world.ranked[1]] == 1
+
+
+async def test_caller_that_leaves_withdraws_its_bundle_at_the_owner(world):
+    owner, _, third = world.ranked
+    world.local[owner].hold = asyncio.Event()
+    task = asyncio.create_task(world.desks[third].make(BUNDLE, do_nothing))
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    await asyncio.sleep(0)
+    assert world.local[owner].cancelled == 1
+
+
+async def test_results_are_freed_by_the_owner_that_made_them(world):
+    owner, _, third = world.ranked
+    results = await world.desks[third].make(BUNDLE, do_nothing)
+    world.desks[third].free(SERVICE, tuple(one.handle for one in results))
+    assert world.local[owner].freed == [one.handle for one in results]
+
+
+async def test_results_of_an_owner_that_is_gone_are_freed_directly(world):
+    owner, _, third = world.ranked
+    results = await world.desks[third].make(BUNDLE, do_nothing)
+    world.network.gone.add(owner)
+    world.desks[third].free(SERVICE, tuple(one.handle for one in results))
+    assert world.local[third].freed == [one.handle for one in results]
+
+
+async def test_reader_is_told_that_inputs_are_read(world):
+    read = []
+    await world.desks[world.ranked[2]].make(BUNDLE, lambda: read.append(True))
+    assert read == [True]
+
+
+async def test_owner_tells_how_long_its_queue_is(world):
+    owner, _, third = world.ranked
+    await world.desks[third].make(BUNDLE, do_nothing)
+    world.local[owner].wait = QueueWait(0.5, 1.5)
+    world.desks[owner]._tell_waits()
+    assert world.desks[third].estimate_wait(SERVICE) == QueueWait(0.5, 1.5)
+    world.clock.advance(2.0)
+    assert world.desks[third].estimate_wait(SERVICE) == QueueWait()
+
+
+async def test_failure_of_pieces_is_passed_on(world):
+    owner, _, third = world.ranked
+
+    async def fail(sender, message):
+        return await world.desks[owner]._answer_wanted(sender, message)
+
+    async def make_nothing(bundle, note_read):
+        return (PieceResult(failure=PieceFailure.LATE),) * len(bundle.pieces)
+
+    world.local[owner].make = make_nothing
+    world.network.handlers[owner][PiecesWanted] = fail
+    results = await world.desks[third].make(BUNDLE, do_nothing)
+    assert {one.failure for one in results} == {PieceFailure.LATE}
--- /dev/null
+++ b/tests/test_processes/test_platform_program.py
@@ -0,0 +1,205 @@
+"""The platform program as real processes on the stand-ins."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+
+import aiohttp
+import pytest
+
+from greengagelatch_lab.platform_standins.deployment import (
+    HOST,
+    KEY,
+    create_configuration,
+)
+from greengagelatch_lab.platform_standins.fleet import PlatformFleet
+from greengagelatch_lab.platform_standins.store import StoreFault
+from greengagelatch_lab.platform_standins.targets import EVENTS
+
+pytestmark = [pytest.mark.processes, pytest.mark.timeout(180)]
+
+#: bound of every wait, in seconds
+PATIENCE = 60
+
+
+@pytest.fixture
+async def fleet(tmp_path):
+    created = PlatformFleet(tmp_path, count=3)
+    try:
+        await created.start()
+        yield created
+    finally:
+        await created.stop()
+
+
+@pytest.fixture
+async def session():
+    async with aiohttp.ClientSession() as created:
+        yield created
+
+
+async def ask(session, instance, path="/look/1", *, key=KEY, **headers) -> int:
+    """Return the status of one request, or 0 if it was cut."""
+    lines = {
+        "Host": HOST,
+        "X-Attempt-Id": headers.pop("request_id", "r-1"),
+        "X-Deadline-Ms": "2500",
+        "Authorization": f"Bearer {key}",
+        **headers,
+    }
+    method = "GET" if path.startswith("/look") else "POST"
+    try:
+        async with session.request(
+            method, f"http://{instance.front}{path}", headers=lines
+        ) as response:
+            await response.read()
+            return response.status
+    except aiohttp.ClientError:
+        return 0
+
+
+async def wait_for_status(session, instance, status: int, **fields) -> None:
+    async with asyncio.timeout(PATIENCE):
+        while await ask(session, instance, **fields) != status:  # noqa: ASYNC110
+            await asyncio.sleep(0.05)
+
+
+def read_log(instance, kind: str) -> list[dict]:
+    lines = []
+    for line in instance.log.read_text(encoding="utf-8").splitlines():
+        if not line.startswith("{"):
+            continue
+        fields = json.loads(line)
+        if fields["message_type"] == f"greengagelatch:{kind}":
+            lines.append(fields)
+    return lines
+
+
+async def test_plain_and_streamed_requests_are_served(fleet, session):
+    for number, instance in enumerate(fleet.instances):
+        assert await ask(session, instance) == 200
+        status = await ask(
+            session,
+            instance,
+            "/draft/1",
+            request_id=f"d-{number}",
+            **{
+                "X-Token-Counts": "100,20",
+                "X-Prefix-Hash": "aa:60,bb:40",
+                "X-Pieces": "1,2",
+                "X-Piece-Key": "k",
+            },
+        )
+        assert status == 200
+    engines = fleet.find_targets("llm")
+    assert sum(engine.runs.total() for engine in engines) == len(fleet.instances)
+    assert EVENTS > 1
+
+
+async def test_stop_cuts_no_request(fleet, session):
+    """Symptom: every rollout cuts some requests.
+
+    Sequence: an instance is told to stop, twice, while callers keep sending on open
+    and on new connections; the balancer takes it out some seconds later.
+    Cause: it stopped listening at once, or took the second signal for impatience.
+    """
+    instance = fleet.instances[0]
+    statuses = []
+    stopped = asyncio.Event()
+
+    async def send_forever() -> None:
+        while not stopped.is_set():
+            statuses.append(await ask(session, instance))
+
+    senders = [asyncio.create_task(send_forever()) for _ in range(3)]
+    await asyncio.sleep(0.3)
+    instance.process.send_signal(signal.SIGTERM)
+    await asyncio.sleep(0.5)
+    assert not await instance.is_ready(session)
+    instance.process.send_signal(signal.SIGTERM)
+    await asyncio.sleep(1.0)
+    stopped.set()
+    await asyncio.gather(*senders)
+    assert set(statuses) == {200}
+    async with asyncio.timeout(PATIENCE):
+        assert await instance.process.wait() == 0
+
+
+async def test_hangup_cuts_nothing(fleet, session):
+    instance = fleet.instances[0]
+    instance.process.send_signal(signal.SIGHUP)
+    for _ in range(5):
+        assert await ask(session, instance) == 200
+    assert instance.process.returncode is None
+
+
+async def test_withdrawn_key_is_learnt_from_peers(fleet, session):
+    """Symptom: a withdrawn key opens the doors of one instance for minutes.
+
+    Sequence: the store turns all calls of that instance away and serves the others.
+    Here it is silent to all once the others have read the change.
+    Cause: an instance waited for the store, whatever its peers knew.
+    """
+    late = fleet.instances[2]
+    await fleet.kill(late)
+    fleet.store.put("op/config", create_configuration(8, keys=("new",)))
+    for instance in fleet.instances[:2]:
+        await wait_for_status(session, instance, 200, key="new")
+    fleet.store.fault = StoreFault.BUSY
+    await fleet.launch(late)
+    await fleet.wait_ready(late)
+    assert await ask(session, late, key="new") == 200
+    assert await ask(session, late) == 401
+    assert read_log(late, "configuration")[-1]["origin"] == "peer"
+
+
+async def test_fleet_serves_through_the_loss_of_an_instance(fleet, session):
+    """Symptom: no stage is made for seconds after one instance has died.
+
+    Sequence: the instance that gathers the pieces of a service is killed.
+    Cause: the others went on asking it.
+    """
+    headers = {
+        "X-Token-Counts": "100,20",
+        "X-Prefix-Hash": "aa:60,bb:40",
+        "X-Pieces": "1,2",
+        "X-Piece-Key": "k",
+    }
+    await fleet.kill(fleet.instances[1])
+    for number in range(6):
+        instance = fleet.instances[0 if number % 2 else 2]
+        status = await ask(
+            session, instance, "/draft/1", request_id=f"d-{number}", **headers
+        )
+        assert status == 200
+
+
+async def test_log_leads_from_a_request_to_its_targets(fleet, session):
+    instance = fleet.instances[0]
+    assert await ask(session, instance, request_id="look-for-me") == 200
+    lines: list[dict] = []
+    async with asyncio.timeout(PATIENCE):
+        while not lines:
+            await asyncio.sleep(0.05)
+            lines = read_log(instance, "request")
+            lines = [one for one in lines if one["request"] == "look-for-me"]
+    assert lines[0]["outcome"] == "answered"
+    assert lines[0]["version"] == 3
+    assert lines[0]["targets"][0].startswith("desk-")
+
+
+async def test_metrics_and_state_are_served(fleet, session):
+    instance = fleet.instances[0]
+    await ask(session, instance)
+    base = f"http://127.0.0.1:{instance.metrics_port}"
+    async with session.get(f"{base}/metrics") as response:
+        text = await response.text()
+    assert 'greengagelatch_events_total{event="requests.answered"} 1.0' in text
+    assert 'greengagelatch_seconds_bucket{le="+Inf",operation="requests"} 1.0' in text
+    async with session.get(f"{base}/state") as response:
+        state = await response.json()
+    assert state["configuration"]["version"] == 3
+    assert state["listing"]["targets"] == 8
+    assert "seconds_since_answer" in state["store"]
