--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/links.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/links.py
@@ -31,9 +31,10 @@
     "set_up_socket",
 )
 
-#: seconds allowed for opening a connection; the far end is milliseconds away, and
-#: the kernel sends a lost opening packet again after one second
-CONNECT_TIMEOUT = 1.2
+#: seconds allowed for opening a connection. The far end is milliseconds away, and the
+#: kernel sends a lost opening packet again after a second only: another target is
+#: reached sooner. One behind a partition would hold a booking until its deadline
+CONNECT_TIMEOUT = 0.3
 #: seconds for which an idle connection is used again where the target says nothing
 IDLE_SECONDS = 3.0
 #: share of the idle time that a target announces which is used
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/makers.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/makers.py
@@ -21,6 +21,8 @@
 #: time allowed for a call, as a multiple of the expected one, and in seconds
 CALL_FACTOR = 2.0
 CALL_EXTRA = 0.35
+#: seconds for which a maker whose answer was lost may lose others
+LOSS_LIFE = 5.0
 #: slowness that is believed at the most
 MAX_SLOWNESS = 10.0
 #: seconds for which a maker that failed gets no call: first, and at the most
@@ -42,6 +44,7 @@
     _pause: float = FIRST_PAUSE
     _slowness: float = 1.0
     _measured: float = 0.0
+    _lost: float = float("-inf")
 
     def view(self, now: float) -> MakerView:
         """Return the maker as decisions see it."""
@@ -78,14 +81,20 @@
     def note_timeout(self, items: int, started: float, now: float) -> None:
         """Take in a call that was given up: it is slower than it was allowed."""
         self.calls -= 1
+        self._lost = now
         self._note_ratio((now - started) / self.profile.estimate_seconds(items), now)
         self._measured = now
         self._slowness = max(self._slowness, 3.0)
         self.pause(now)
 
+    def lost_lately(self, now: float) -> bool:
+        """Whether answers of this maker were lost in the last few seconds."""
+        return now - self._lost < LOSS_LIFE
+
     def note_failure(self, now: float) -> None:
         """Take in a call that broke off or did not reach it."""
         self.calls -= 1
+        self._lost = now
         self.pause(now)
 
     def note_rejection(self, now: float) -> None:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
@@ -36,8 +36,7 @@
 MAX_LOSSES = 60
 #: seconds over which the pieces made are counted
 RATE_SECONDS = 2.0
-#: share of makers' speed that is believed at the least, as a queue that has just
-#: formed has seen no piece made yet
+#: share of makers' speed that is believed at the least
 LEAST_SPEED = 0.3
 #: bytes of an answer to a call
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
@@ -52,6 +51,13 @@
 #: slowness up to which a maker is taken to begin at once
 STEADY = 1.5
 STATUS_OK = 200
+MADE = "made"
+#: no byte of the call reached the maker
+UNSENT = "unsent"
+#: the maker said that it did not begin
+REJECTED = "rejected"
+#: how calls end of which nothing is left at the maker but what the answer names
+ANSWERED = frozenset({MADE, UNSENT, REJECTED})
 
 
 @dataclass(slots=True, eq=False)
@@ -104,6 +110,8 @@
         self._works: list[_Work] = []
         self._makers: dict[str, Maker] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        #: monotonic seconds since when more than one call's pieces have waited
+        self._queued_since = clock.now()
         #: times of calls that were answered, and the pieces made by each
         self._made: deque[tuple[float, int]] = deque()
         self._timer: asyncio.TimerHandle | None = None
@@ -132,9 +140,10 @@
         """Return how long a piece that came now would wait."""
         profile = self._find_profile()
         makers = self._list_makers(profile) if profile is not None else []
+        now = self._clock.now()
         if not makers or not self._works:
+            self._queued_since = now
             return QueueWait()
-        now = self._clock.now()
         waiting = urgent = 0
         for work in self._works:
             count = len(work.left)
@@ -144,7 +153,9 @@
         speed = sum(1 / maker.find_slowness(now) for maker in makers)
         rate = profile.batch / profile.estimate_seconds(profile.batch)
         rate *= max(0.1, speed)
-        if waiting > profile.batch:
+        if waiting <= profile.batch:
+            self._queued_since = now
+        elif now - self._queued_since >= RATE_SECONDS:
             # makers' room may bind long before their time does
             rate = min(rate, max(rate * LEAST_SPEED, self._find_rate(now)))
         return QueueWait(urgent / rate, waiting / rate)
@@ -300,8 +311,8 @@
             maker.room.settle(size, made, self._clock.now())
             if made:
                 self._made.append((self._clock.now(), len(made)))
-            if outcome == "timeout":
-                # it goes on with the call, and keeps the results for a while
+            if outcome not in ANSWERED:
+                # it may go on with the call, and keep the results for a while
                 maker.room.hold_unknown(f"lost at {now}", size, self._clock.now())
         self._decisions.note(
             "stage-call",
@@ -350,7 +361,7 @@
                     reply.abort()
         except NotSentError:
             maker.note_failure(self._clock.now())
-            return "unsent", None
+            return UNSENT, None
         except TimeoutError:
             maker.note_timeout(count, started, self._clock.now())
             return "timeout", None
@@ -367,10 +378,10 @@
         now = self._clock.now()
         if head.misdirected:
             maker.note_failure(now)
-            return "unsent", None
+            return UNSENT, None
         if head.not_run:
             maker.note_rejection(now)
-            return "rejected", None
+            return REJECTED, None
         results = None
         if head.status == STATUS_OK:
             results = self._codec.read_pieces(body, count, target.data_centre)
@@ -378,7 +389,7 @@
             maker.note_failure(now)
             return f"status {head.status}", None
         maker.note_end(count, started, now)
-        return "made", results
+        return MADE, results
 
     def _note_read(self, maker: Maker, works: list[_Work | None]) -> None:
         """Take in that a call has begun and has fetched what its pieces read.
@@ -386,9 +397,13 @@
         Inputs fill the room of the makers before; kept until the call ends, they
         would fill it for a third of a second longer.
         """
-        if maker.calls > 1 or maker.find_slowness(self._clock.now()) > STEADY:
+        now = self._clock.now()
+        if maker.calls > 1 or maker.find_slowness(now) > STEADY:
             # its turn may not have come yet
             return
+        if maker.lost_lately(now):
+            # what it reads may have to be read again
+            return
         for work in dict.fromkeys(works):
             if work is not None and not work.left and not work.losses:
                 work.note_read()
@@ -428,10 +443,10 @@
         if result is not None and result.failure is PieceFailure.LATE:
             self._fail(work, PieceFailure.LATE)
             return
-        if outcome == "unsent":
+        if outcome == UNSENT:
             # no maker has had it
             work.sends[piece.segment] -= 1
-        elif outcome != "rejected" and (
+        elif outcome != REJECTED and (
             result is None or result.failure is not PieceFailure.ROOM
         ):
             work.losses += 1
