--- /dev/null
+++ b/tests/test_entry/test_relay/test_guards.py
@@ -0,0 +1,129 @@
+"""Guards of the relay, each taken out: the fault that it prevents must then show.
+
+Symptom: a guard is lost in a change and no test fails. Sequence: the fault that it was
+written for comes, on a whole instance. Cause: tests that would pass without it.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from greengagelatch.relay.outcomes import NextStep
+from greengagelatch.relay.targets import ListedTarget, TargetBook
+from greengagelatch_entry.relay import runners
+from greengagelatch_entry.relay.event_split import EventSplitter
+from greengagelatch_entry.relay.links import _Link
+from greengagelatch_lab.platform_standins.targets import TargetFault
+from greengagelatch_platform import headers
+from greengagelatch_platform.targets import PlatformTargetCodec
+
+
+def set_fault(world, fault: TargetFault) -> None:
+    for target in world.targets.values():
+        target.fault = fault
+
+
+async def test_kind_of_a_request_decides_on_repeats(world, monkeypatch):
+    steps = iter([NextStep.REPEAT, NextStep.GIVE_UP])
+    monkeypatch.setattr(runners, "decide_next", lambda facts: next(steps))
+    set_fault(world, TargetFault.LOSE_ANSWER)
+    await world.ask("/book/1", method="POST", request_id="b-1")
+    runs = sum(target.runs["b-1"] for target in world.targets.values())
+    assert runs == 2
+
+
+async def test_echoed_id_keeps_answers_apart(world, monkeypatch):
+    read_head = PlatformTargetCodec.read_head
+
+    def read_without_id(self, reply):
+        return replace(read_head(self, reply), request_id="b-1")
+
+    monkeypatch.setattr(PlatformTargetCodec, "read_head", read_without_id)
+    set_fault(world, TargetFault.FOREIGN)
+    reply = await world.ask("/book/1", method="POST", request_id="b-1")
+    assert reply.status == 200
+
+
+async def test_reset_is_told_from_an_orderly_end(world, monkeypatch):
+    lose = _Link.connection_lost
+
+    def lose_in_order(self, exc):
+        lose(self, None)
+
+    monkeypatch.setattr(_Link, "connection_lost", lose_in_order)
+    set_fault(world, TargetFault.UNFRAMED_RESET)
+    reply = await world.ask("/book/1", method="POST", request_id="b-1")
+    assert reply.status == 200
+
+
+async def test_expected_life_keeps_addresses_apart(world, monkeypatch):
+    encode = PlatformTargetCodec.encode_request
+
+    def encode_without_life(self, request, call):
+        outbound = encode(self, request, call)
+        lines = tuple(
+            line for line in outbound.headers if line[0] != b"X-Expected-Replica"
+        )
+        return replace(outbound, headers=lines)
+
+    monkeypatch.setattr(PlatformTargetCodec, "encode_request", encode_without_life)
+    other = await world.add("other-1", "other")
+    for name in ("desk-1", "desk-2"):
+        world.store.remove(f"servers/{name}")
+    world.store.put(
+        "servers/desk-3", {"service": "desk", "address": other.address, "zone": "north"}
+    )
+    book = world.find("news")._book
+    await world.wait_for(lambda: book.accepts("desk-3") and not book.accepts("desk-1"))
+    await world.ask("/look/1", request_id="s-1")
+    assert other.runs["s-1"] == 1
+
+
+async def test_only_whole_events_are_passed_on(pipeline, monkeypatch):
+    whole = (await pipeline.stream()).body
+    engines = [pipeline.targets["llm-1"], pipeline.targets["llm-2"]]
+    # the prompt's home is asked first
+    home = next(engine for engine in engines if engine.seen)
+    home.break_after = 2
+    assert (await pipeline.stream()).body == whole
+    monkeypatch.setattr(EventSplitter, "feed", lambda self, data: [data])
+    monkeypatch.setattr(EventSplitter, "pending", False)
+    assert (await pipeline.stream()).body != whole
+
+
+def test_targets_that_left_are_remembered(monkeypatch):
+    monkeypatch.setattr(TargetBook, "_remember_left", lambda self, target_id: None)
+    book = TargetBook()
+    target = ListedTarget(
+        target_id="t-1",
+        service="desk",
+        address="10.0.0.1:80",
+        data_centre="north",
+        revision=1,
+    )
+    book.put(replace(target, leaving=True, revision=2))
+    book.put(replace(target, revision=3))
+    assert book.accepts("t-1")
+
+
+async def test_revision_keeps_the_configuration_from_going_back(world, monkeypatch):
+    configuration = world.find("news")._configuration
+    old = configuration.value
+    fields = old.replace(b'"version": 3', b'"version": 9')
+    assert configuration.take(fields, configuration.revision + 10, "peer")
+    assert not configuration.take(old, configuration.revision - 5, "peer")
+    monkeypatch.setattr(configuration, "_revision", 0)
+    # the version itself is the second guard
+    configuration.take(old, 1, "peer")
+    assert configuration.deployment.version == 9
+
+
+@pytest.mark.parametrize("name", ["x-tenant", "x-hold", "authorization"])
+async def test_headers_of_the_system_are_taken_out(world, monkeypatch, name):
+    left = headers.SYSTEM_HEADERS - {name.encode()}
+    monkeypatch.setattr(headers, "SYSTEM_HEADERS", left)
+    await world.ask("/look/1", X_Tenant="south", X_Hold="h-1")
+    seen = next(one for target in world.targets.values() for one in target.seen)
+    assert name in seen.headers
