--- a/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/targets.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/targets.py
@@ -75,6 +75,8 @@
     address: str = ""
     #: after how many events a stream breaks off; ``None``: it does not
     break_after: int | None = None
+    #: the same for the next streams only; may be shared by targets
+    breaks: list[int] = field(default_factory=list)
     _server: asyncio.Server | None = None
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
 
@@ -183,14 +185,15 @@
         if self.fault is TargetFault.MUTE:
             await asyncio.sleep(3600)
         first = int(request.headers.get("last-event-id", "0")) + 1
+        break_after = self.breaks.pop() if self.breaks else self.break_after
         lines = {**headers, "Content-Type": "text/event-stream"}
         _write(writer, 200, lines, b"", chunked=True)
         for number in range(first, EVENTS + 1):
-            if self.break_after is not None and number > self.break_after:
+            if break_after is not None and number > break_after:
                 half = f"id: {number}\ndata: ha".encode()
                 writer.write(f"{len(half):x}\r\n".encode() + half + b"\r\n")
                 await writer.drain()
-                writer.transport.abort()
+                # an orderly close: a reset would take what is not yet read with it
                 return False
             event = f"id: {number}\ndata: piece {number}\n\n".encode()
             writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
--- a/tests/test_entry/test_relay/test_guards.py
+++ b/tests/test_entry/test_relay/test_guards.py
@@ -82,14 +82,13 @@
 
 
 async def test_only_whole_events_are_passed_on(pipeline, monkeypatch):
+    breaks = pipeline.targets["llm-1"].breaks = pipeline.targets["llm-2"].breaks
     whole = (await pipeline.stream()).body
-    engines = [pipeline.targets["llm-1"], pipeline.targets["llm-2"]]
-    # the prompt's home is asked first
-    home = next(engine for engine in engines if engine.seen)
-    home.break_after = 2
+    breaks.append(2)
     assert (await pipeline.stream()).body == whole
     monkeypatch.setattr(EventSplitter, "feed", lambda self, data: [data])
     monkeypatch.setattr(EventSplitter, "pending", False)
+    breaks.append(2)
     assert (await pipeline.stream()).body != whole
 
 
