--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -248,6 +248,7 @@
             clock=self.clock,
             decisions=self.decisions,
             data_centre=self.rules.data_centre,
+            fleet=self.fleet,
         )
         common = {
             "sender": TargetSender(
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
@@ -17,6 +17,7 @@
     from collections.abc import Callable
 
     from greengagelatch.clock import Clock
+    from greengagelatch.relay.fleet import Fleet
     from greengagelatch.relay.stage_plan import StageWork
 
     from .decisions import DecisionLog
@@ -91,7 +92,9 @@
         clock: Clock,
         decisions: DecisionLog,
         data_centre: str,
+        fleet: Fleet,
     ) -> None:
+        self._fleet = fleet
         self._desk = desk
         self._clock = clock
         self._decisions = decisions
@@ -131,6 +134,7 @@
         self._clock = runner._clock
         self._decisions = runner._decisions
         self._data_centre = runner._data_centre
+        self._fleet = runner._fleet
         self._exchange = exchange
         self._first_seconds = first_seconds
         self._whole_seconds = whole_seconds
@@ -242,21 +246,37 @@
             latest=exchange.deadline - rest - self._whole_seconds,
             priority=exchange.priority,
             data_centre=self._find_data_centre(work),
-            read_bytes=work.count * self._count_input_bytes(work),
+            moved_bytes=self._count_moved_bytes(work),
             begun=bool(work.after),
         )
 
     def _find_data_centre(self, work: StageWork) -> str:
-        """Return where most of what a stage reads lies."""
+        """Return where a stage's results are best made.
+
+        Each piece reads all results of the stages before; those of a first stage go
+        to the engine, most likely the one that keeps the prompt's parts.
+        """
         sizes: dict[str, int] = {}
         for one in work.after:
             size = self._plan.works[one].result_bytes
             for result in self._held[one]:
                 sizes[result.data_centre] = sizes.get(result.data_centre, 0) + size
-        return max(sizes, key=sizes.get) if sizes else self._data_centre
-
-    def _count_input_bytes(self, work: StageWork) -> int:
-        return sum(
+        if sizes:
+            return max(sizes, key=sizes.get)
+        exchange = self._exchange
+        if work.number in self._plan.final and exchange.request.prompt is not None:
+            home = self._fleet.find_home(
+                exchange.service, exchange.request.prompt, self._clock.now()
+            )
+            if home is not None:
+                return home.data_centre
+        return self._data_centre
+
+    def _count_moved_bytes(self, work: StageWork) -> int:
+        """Return the bytes that cross data centres if a far maker is chosen."""
+        if not work.after:
+            return work.count * work.result_bytes
+        return work.count * sum(
             len(self._held[one]) * self._plan.works[one].result_bytes
             for one in work.after
         )
--- a/packages/greengagelatch/src/greengagelatch/relay/batches.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/batches.py
@@ -24,8 +24,8 @@
 #: order bundles that came together, too little to starve any
 PRIORITY_SECONDS = 0.4
 
-#: bytes that a bundle reads from which it waits for a maker near them
-MUCH_READ = 500_000
+#: bytes that a bundle moves from which it waits for a maker in the right place
+MUCH_MOVED = 500_000
 #: seconds that it waits at the most; a full call takes about as long
 LONGEST_HOLD = 0.45
 #: slowness up to which a maker is waited for
@@ -155,7 +155,8 @@
     """
     bundle, left = pair
     urgency = bundle.aim + bundle.priority * PRIORITY_SECONDS
-    if maker is not None and bundle.data_centre != maker.data_centre:
+    moves_much = bundle.moved_bytes >= MUCH_MOVED
+    if moves_much and maker is not None and bundle.data_centre != maker.data_centre:
         urgency += FAR_SECONDS
     late = is_late(bundle, len(left), profile, now)
     if late and bundle.begun:
@@ -192,7 +193,7 @@
         near = [one for one in makers if one.data_centre == place]
         count = held.get(place, 0) + len(left)
         if (
-            bundle.read_bytes < MUCH_READ
+            bundle.moved_bytes < MUCH_MOVED
             or place in idle_places
             or count > profile.batch * len(near)
             or not any(_is_soon(one, bundle, count, profile, now) for one in near)
--- a/packages/greengagelatch/src/greengagelatch/relay/fleet.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/fleet.py
@@ -27,8 +27,9 @@
 FAR_PENALTY = 0.05
 #: tokens whose prefill a running request delays about as much
 RUNNING_TOKENS = 60.0
-#: tokens that seem as dear as moving one byte of results to another data centre
-TOKENS_PER_FAR_BYTE = 0.003
+#: tokens whose reading is as dear as moving one byte of results to another data
+#: centre, by the prices of both on the sheets, and a little more for the delay
+TOKENS_PER_FAR_BYTE = 0.0005
 #: seconds for which a prompt part is expected to stay in an engine's memory
 PART_LIFE = 20.0
 #: prompt parts remembered for one engine
@@ -97,15 +98,17 @@
         candidates = self._list_candidates(service, excluded, now)
         if not candidates:
             return None
-        shared = need.prompt.shared
-        home = ""
-        if shared:
-            first = shared[0].part_id
-            home = min(
-                (compute_weight(first, one.target_id), one.target_id)
-                for one in candidates
-            )[1]
-        return min(candidates, key=lambda one: self._rate_engine(one, need, home, now))
+        home = _find_home(need.prompt, candidates)
+        home_id = home.target_id if home else ""
+        return min(
+            candidates, key=lambda one: self._rate_engine(one, need, home_id, now)
+        )
+
+    def find_home(
+        self, service: str, prompt: Prompt, now: float
+    ) -> ListedTarget | None:
+        """Return the engine that a prompt's first shared part should be sent to."""
+        return _find_home(prompt, self._list_candidates(service, frozenset(), now))
 
     def start(self, target_id: str, tokens: float = 0.0) -> None:
         """Count a request that is being sent."""
@@ -219,3 +222,13 @@
             return 0.0
         told = state.report.running + state.report.waiting
         return max(0.0, float(told - state.in_flight))
+
+
+def _find_home(prompt: Prompt, candidates: list[ListedTarget]) -> ListedTarget | None:
+    if not prompt.shared or not candidates:
+        return None
+    first = prompt.shared[0].part_id
+    return min(
+        candidates,
+        key=lambda one: (compute_weight(first, one.target_id), one.target_id),
+    )
--- a/packages/greengagelatch/src/greengagelatch/relay/messages.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/messages.py
@@ -48,14 +48,14 @@
     latest_seconds: float = 0.0
     priority: int = 0
     data_centre: str = ""
-    read_bytes: int = 0
+    moved_bytes: int = 0
     begun: bool = False
 
     def __post_init__(self) -> None:
         for text in (self.bundle_id, self.service, self.request_id, self.key):
             check_type(text, str)
         check_type(self.data_centre, str)
-        for number in (self.stage, self.result_bytes, self.read_bytes, self.priority):
+        for number in (self.stage, self.result_bytes, self.moved_bytes, self.priority):
             check_type(number, int)
         for seconds in (self.aim_seconds, self.latest_seconds):
             check_type(seconds, (int, float))
@@ -175,7 +175,7 @@
         latest_seconds=bundle.latest - now,
         priority=bundle.priority,
         data_centre=bundle.data_centre,
-        read_bytes=bundle.read_bytes,
+        moved_bytes=bundle.moved_bytes,
         begun=bundle.begun,
     )
 
@@ -201,7 +201,7 @@
         latest=now + message.latest_seconds,
         priority=message.priority,
         data_centre=message.data_centre,
-        read_bytes=message.read_bytes,
+        moved_bytes=message.moved_bytes,
         begun=message.begun,
     )
 
--- a/packages/greengagelatch/src/greengagelatch/relay/pieces.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/pieces.py
@@ -36,10 +36,11 @@
     latest: float
     #: 0 is the most urgent
     priority: int = 0
-    #: data centre of what the pieces read, or of the instance that asks for them
+    #: data centre in which the results are best made: of what the pieces read, or of
+    #: what reads them
     data_centre: str = ""
-    #: bytes that all pieces together read
-    read_bytes: int = 0
+    #: bytes that cross data centres if they are made in another one
+    moved_bytes: int = 0
     #: whether earlier stages of the request have been made already
     begun: bool = False
 
--- a/tests/test_core/test_relay/test_batches.py
+++ b/tests/test_core/test_relay/test_batches.py
@@ -25,7 +25,7 @@
     aim: float = NOW + 5.0,
     latest: float = NOW + 20.0,
     size: int = 1000,
-    read_bytes: int = 0,
+    moved_bytes: int = 0,
     data_centre: str = "north",
     priority: int = 0,
     begun: bool = False,
@@ -41,7 +41,7 @@
         result_bytes=size,
         aim=aim,
         latest=latest,
-        read_bytes=read_bytes,
+        moved_bytes=moved_bytes,
         data_centre=data_centre,
         priority=priority,
         begun=begun,
@@ -182,19 +182,20 @@
 def test_bundle_that_reads_much_waits_for_a_near_maker():
     near = create_maker("near", free_at=NOW + 0.2)
     far = create_maker("far", data_centre="south")
-    bundle = create_bundle("a", 6, read_bytes=2_000_000)
+    bundle = create_bundle("a", 6, moved_bytes=2_000_000)
     assert plan([bundle], [near, far]) == {}
 
 
 def test_bundle_that_reads_much_does_not_wait_beyond_its_aim():
     near = create_maker("near", free_at=NOW + 0.2)
     far = create_maker("far", data_centre="south")
-    bundle = create_bundle("a", 6, read_bytes=2_000_000, aim=NOW + 0.3)
+    bundle = create_bundle("a", 6, moved_bytes=2_000_000, aim=NOW + 0.3)
     assert plan([bundle], [near, far]) == {"far": ["a"] * 6}
 
 
 def test_near_bundle_goes_first_at_a_maker():
-    far = create_bundle("far", 16, data_centre="south", aim=NOW + 5.0)
-    near = create_bundle("near", 16, data_centre="north", aim=NOW + 5.1)
+    much = 2_000_000
+    far = create_bundle("far", 16, data_centre="south", aim=NOW + 5.0, moved_bytes=much)
+    near = create_bundle("near", 16, aim=NOW + 5.1, moved_bytes=much)
     calls = plan([far, near], [create_maker()])
     assert calls["m-1"][0] == "near"
--- a/tests/test_core/test_relay/test_messages.py
+++ b/tests/test_core/test_relay/test_messages.py
@@ -31,7 +31,7 @@
     latest=104.0,
     priority=1,
     data_centre="north",
-    read_bytes=18000,
+    moved_bytes=18000,
     begun=True,
 )
 
@@ -50,7 +50,7 @@
     assert bundle.pieces == BUNDLE.pieces
     assert bundle.aim == pytest.approx(501.5)
     assert bundle.latest == pytest.approx(504.0)
-    assert (bundle.read_bytes, bundle.begun) == (18000, True)
+    assert (bundle.moved_bytes, bundle.begun) == (18000, True)
 
 
 def test_results_arrive_in_order():
