Take back two tries that made stage work slower

Tried: (1) bundles of first stages wait up to 0.45 s for a maker near their engine; (2) late bundles whose earlier stages are made go on as if they had 0.4 s left.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
@@ -273,9 +273,11 @@
         return self._data_centre
 
     def _count_moved_bytes(self, work: StageWork) -> int:
-        """Return the bytes that cross data centres if a far maker is chosen."""
-        if not work.after:
-            return work.count * work.result_bytes
+        """Return the bytes that cross data centres if a far maker is chosen.
+
+        Of first stages it is none: they have the most to wait for, and waiting for a
+        maker near the engine cost more than it saved.
+        """
         return work.count * sum(
             len(self._held[one]) * self._plan.works[one].result_bytes
             for one in work.after
--- a/packages/greengagelatch/src/greengagelatch/relay/batches.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/batches.py
@@ -34,8 +34,6 @@
 FAR_SECONDS = 0.3
 #: seconds before a bundle's last moment at which it goes first: a call and a half
 LAST_CHANCE = 0.6
-#: seconds that a late bundle seems to have whose earlier stages are made
-BEGUN_SECONDS = 0.4
 #: times a bundle's results that a maker must have room for before it is split
 ROOMY = 2.0
 
@@ -148,10 +146,8 @@
 
     One that can't meet its aim any more has lost most of its worth; let it wait
     for those that have not, up to its last chance: what was made for it is not to be
-    thrown away, and few such are begun. One whose earlier stages are made holds room
-    that others wait for, until its results lapse; it goes on like one with a little
-    time. Bundles whose inputs lie near the maker go
-    first among others: each piece reads all of them, over links that are paid for.
+    thrown away, and few such are begun. Bundles that move much go first at a maker in
+    the right place: what crosses data centres is paid for.
     """
     bundle, left = pair
     urgency = bundle.aim + bundle.priority * PRIORITY_SECONDS
@@ -159,8 +155,6 @@
     if moves_much and maker is not None and bundle.data_centre != maker.data_centre:
         urgency += FAR_SECONDS
     late = is_late(bundle, len(left), profile, now)
-    if late and bundle.begun:
-        return (False, now + BEGUN_SECONDS)
     if late and now > bundle.latest - LAST_CHANCE:
         return (False, now)
     return (late, urgency)
