--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
@@ -321,6 +321,7 @@
             pieces=len(call.pieces),
             requests=len({bundle.request_id for bundle, _ in call.pieces}),
             outcome=outcome,
+            unmade=_count_failures(results),
             ms=round((self._clock.now() - now) * 1000),
             waiting=sum(len(work.left) for work in self._works),
             slowness=round(maker.find_slowness(self._clock.now()), 2),
@@ -531,3 +532,9 @@
 def _sum_sizes(call: PlannedCall) -> int:
     """Return the bytes of the results that a call makes."""
     return sum(bundle.result_bytes for bundle, _ in call.pieces)
+
+
+def _count_failures(results: tuple[PieceResult, ...] | None) -> dict[str, int]:
+    """Return how many pieces of an answered call were not made, by the reason."""
+    failures = [one.failure for one in results or () if one.failure is not None]
+    return {one.value: failures.count(one) for one in dict.fromkeys(failures)}
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
@@ -159,6 +159,7 @@
                 self.free()
                 if error.failure is not PieceFailure.GONE:
                     raise self._refuse(error) from error
+                self._note_again(error, started)
         else:
             raise create_error(
                 self._exchange,
@@ -169,6 +170,16 @@
         self._exchange.stage_seconds += self._clock.now() - started
         return self._collect()
 
+    def _note_again(self, error: _StageFailedError, started: float) -> None:
+        self._decisions.note(
+            "stages-again",
+            request=self._exchange.request.request_id,
+            stage=error.work.number,
+            service=error.work.service,
+            reason=error.failure.value,
+            ms=round((self._clock.now() - started) * 1000),
+        )
+
     def free(self) -> None:
         """Give up every result that is held."""
         for number in tuple(self._held):
@@ -244,6 +255,7 @@
             result_bytes=work.result_bytes,
             aim=objective - rest - self._first_seconds,
             latest=exchange.deadline - rest - self._whole_seconds,
+            inputs_until=self._find_lapse(work),
             priority=exchange.priority,
             data_centre=self._find_data_centre(work),
             moved_bytes=self._count_moved_bytes(work),
@@ -272,6 +284,17 @@
                 return home.data_centre
         return self._data_centre
 
+    def _find_lapse(self, work: StageWork) -> float:
+        """Return when the first of the results that a stage reads lapses."""
+        now = self._clock.now()
+        services = self._exchange.deployment.services
+        lapses = [float("inf")]
+        for one in work.after:
+            found = services.get(self._plan.works[one].service)
+            if found is not None and found.maker is not None:
+                lapses.append(now + found.maker.keep_seconds)
+        return min(lapses)
+
     def _count_moved_bytes(self, work: StageWork) -> int:
         """Return the bytes that cross data centres if a far maker is chosen.
 
--- a/packages/greengagelatch/src/greengagelatch/relay/batches.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/batches.py
@@ -32,7 +32,8 @@
 STEADY = 1.5
 #: seconds by which a bundle seems less urgent to a maker far from its inputs
 FAR_SECONDS = 0.3
-#: seconds before a bundle's last moment at which it goes first: a call and a half
+#: seconds before a bundle's last moment, or that of what it reads, at which it goes
+#: first: a call and a half
 LAST_CHANCE = 0.6
 #: times a bundle's results that a maker must have room for before it is split
 ROOMY = 2.0
@@ -155,7 +156,7 @@
     if moves_much and maker is not None and bundle.data_centre != maker.data_centre:
         urgency += FAR_SECONDS
     late = is_late(bundle, len(left), profile, now)
-    if late and now > bundle.latest - LAST_CHANCE:
+    if late and now > min(bundle.latest, bundle.inputs_until) - LAST_CHANCE:
         return (False, now)
     return (late, urgency)
 
--- a/packages/greengagelatch/src/greengagelatch/relay/messages.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/messages.py
@@ -46,6 +46,8 @@
     result_bytes: int = 0
     aim_seconds: float = 0.0
     latest_seconds: float = 0.0
+    #: until what the pieces read lapses; ``None``: it does not
+    inputs_seconds: float | None = None
     priority: int = 0
     data_centre: str = ""
     moved_bytes: int = 0
@@ -59,6 +61,7 @@
             check_type(number, int)
         for seconds in (self.aim_seconds, self.latest_seconds):
             check_type(seconds, (int, float))
+        check_type(self.inputs_seconds, (int, float, type(None)))
         for rows in (self.segments, self.inputs):
             check_type(rows, (tuple, list))
         if not 0 < len(self.segments) <= MAX_PIECES:
@@ -173,6 +176,7 @@
         result_bytes=bundle.result_bytes,
         aim_seconds=bundle.aim - now,
         latest_seconds=bundle.latest - now,
+        inputs_seconds=_find_seconds(bundle.inputs_until, now),
         priority=bundle.priority,
         data_centre=bundle.data_centre,
         moved_bytes=bundle.moved_bytes,
@@ -199,6 +203,7 @@
         result_bytes=message.result_bytes,
         aim=now + message.aim_seconds,
         latest=now + message.latest_seconds,
+        inputs_until=_find_moment(message.inputs_seconds, now),
         priority=message.priority,
         data_centre=message.data_centre,
         moved_bytes=message.moved_bytes,
@@ -206,6 +211,14 @@
     )
 
 
+def _find_seconds(moment: float, now: float) -> float | None:
+    return None if moment == float("inf") else moment - now
+
+
+def _find_moment(seconds: float | None, now: float) -> float:
+    return float("inf") if seconds is None else now + seconds
+
+
 def encode_results(results: tuple[PieceResult, ...]) -> tuple[Any, ...]:
     """Return results as a message holds them."""
     return tuple(
--- a/packages/greengagelatch/src/greengagelatch/relay/pieces.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/pieces.py
@@ -34,6 +34,8 @@
     aim: float
     #: end of the stage after which the request can't be answered in time
     latest: float
+    #: when what the pieces read lapses at its makers
+    inputs_until: float = float("inf")
     #: 0 is the most urgent
     priority: int = 0
     #: data centre in which the results are best made: of what the pieces read, or of
--- a/tests/test_core/test_relay/test_batches.py
+++ b/tests/test_core/test_relay/test_batches.py
@@ -28,6 +28,7 @@
     moved_bytes: int = 0,
     data_centre: str = "north",
     priority: int = 0,
+    inputs_until: float = float("inf"),
 ) -> tuple[Bundle, list[Piece]]:
     pieces = tuple(
         Piece(request_id=name, stage=0, segment=number, key="k")
@@ -43,6 +44,7 @@
         moved_bytes=moved_bytes,
         data_centre=data_centre,
         priority=priority,
+        inputs_until=inputs_until,
     )
     return bundle, list(pieces)
 
@@ -147,6 +149,21 @@
     assert calls["m-1"][:10] == ["late"] * 10
 
 
+def test_late_request_goes_on_before_what_it_reads_lapses():
+    """Symptom: stages are made a second time for requests that nothing happened to.
+
+    Sequence: a request becomes late between two stages and waits behind all that can
+    be on time; after four seconds the maker drops the results that it was to read.
+    Cause: only the request's own last moment was looked at.
+    """
+    late = create_bundle(
+        "late", 10, aim=NOW - 1.0, latest=NOW + 9.0, inputs_until=NOW + 0.5
+    )
+    fresh = create_bundle("fresh", 10, aim=NOW + 0.6)
+    calls = plan([fresh, late], [create_maker()])
+    assert calls["m-1"][:10] == ["late"] * 10
+
+
 def test_maker_that_has_become_slow_is_left_alone():
     """Symptom: requests are late by seconds while other makers idle a moment later.
 
--- a/tests/test_core/test_relay/test_messages.py
+++ b/tests/test_core/test_relay/test_messages.py
@@ -29,6 +29,7 @@
     result_bytes=6000,
     aim=101.5,
     latest=104.0,
+    inputs_until=103.0,
     priority=1,
     data_centre="north",
     moved_bytes=18000,
@@ -50,6 +51,7 @@
     assert bundle.pieces == BUNDLE.pieces
     assert bundle.aim == pytest.approx(501.5)
     assert bundle.latest == pytest.approx(504.0)
+    assert bundle.inputs_until == pytest.approx(503.0)
     assert (bundle.moved_bytes, bundle.begun) == (18000, True)
 
 
