Ask an owner again where two links crossed, and dial no former life

Restarted instances also dialled their own former life, listed until its lease ended. Ruled out: slow registration (all knew each other 0.5 s after their start).

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/owned_desk.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/owned_desk.py
@@ -30,8 +30,11 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from result import Result
+
     from greengagelatch.clock import Clock
-    from greengagelatch.peers import PeerNetwork
+    from greengagelatch.peers import PeerError, PeerNetwork
+    from greengagelatch.peers.codec import Message
     from greengagelatch.relay.pieces import Bundle, PieceResult
 
     from ..metrics import Metrics
@@ -42,7 +45,12 @@
 
 #: seconds for which an owner that did not answer is passed over; the membership
 #: has noticed by then whether it is gone
-SHUNNED_SECONDS = 3.0
+SHUNNED_SECONDS = 1.5
+#: seconds within which a link that closes is taken for one of two that were opened at
+#: the same time: the owner is asked once more over the other one
+CROSSING_SECONDS = 0.4
+#: seconds until it is
+CROSSING_PAUSE = 0.05
 #: seconds beyond a bundle's last moment for which its owner is waited for
 ANSWER_MARGIN = 0.3
 #: seconds for which an owner's word about its queue counts
@@ -154,12 +162,15 @@
     async def _ask(
         self, owner: str, bundle: Bundle, note_read: Callable[[], None]
     ) -> tuple[PieceResult, ...] | None:
-        now = self._clock.now()
-        timeout = max(0.0, bundle.latest - now) + ANSWER_MARGIN
         place = (owner, bundle.bundle_id)
         self._asked[place] = note_read
+        asked = self._clock.now()
         try:
-            reply = await self._peers.ask(owner, encode_bundle(bundle, now), timeout)
+            reply = await self._send(owner, bundle)
+            if isinstance(reply, Err) and self._clock.now() - asked < CROSSING_SECONDS:
+                # its answer, if it was on its way, is lost; it knows the bundle
+                await asyncio.sleep(CROSSING_PAUSE)
+                reply = await self._send(owner, bundle)
         except asyncio.CancelledError:
             self._peers.send(owner, PiecesDropped(bundle.bundle_id))
             raise
@@ -180,6 +191,11 @@
                 self._makers_owner[result.handle] = owner
         return results
 
+    async def _send(self, owner: str, bundle: Bundle) -> Result[Message, PeerError]:
+        now = self._clock.now()
+        timeout = max(0.0, bundle.latest - now) + ANSWER_MARGIN
+        return await self._peers.ask(owner, encode_bundle(bundle, now), timeout)
+
     def _shun(self, owner: str, bundle: Bundle, reason: str) -> None:
         self._metrics.count("stages.owner_lost")
         self._shunned[owner] = self._clock.now() + SHUNNED_SECONDS
@@ -229,13 +245,14 @@
         bundle = decode_bundle(message, self._clock.now())
         self._askers[sender] = self._clock.now() + ASKER_LIFE
         place = (sender, bundle.bundle_id)
-        note_read = partial(self._peers.send, sender, PiecesRead(bundle.bundle_id))
-        task = asyncio.ensure_future(self._local.make(bundle, note_read))
-        self._in_work[place] = task
-        try:
-            results = await task
-        finally:
-            self._in_work.pop(place, None)
+        task = self._in_work.get(place)
+        if task is None:
+            note_read = partial(self._peers.send, sender, PiecesRead(bundle.bundle_id))
+            task = asyncio.ensure_future(self._local.make(bundle, note_read))
+            self._in_work[place] = task
+            task.add_done_callback(lambda _: self._in_work.pop(place, None))
+        # shielded: the same bundle may be asked for again over another link
+        results = await asyncio.shield(task)
         return PiecesMade(encode_results(results))
 
     @Service.task
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/registry.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/registry.py
@@ -66,7 +66,8 @@
         self._metrics = metrics
         self._decisions = decisions
         self._lease_id = ""
-        self._instances: dict[str, Instance] = {}
+        #: instances by key, each with the revision of its entry
+        self._instances: dict[str, tuple[int, Instance]] = {}
         self._revision = 0
         events.declare(LISTING_RECEIVED)
 
@@ -139,14 +140,22 @@
                 "instance-unreadable", key=entry.key, reason=str(error)
             )
             return
-        self._instances[entry.key] = Instance(
+        instance = Instance(
             instance_id=entry.key.removeprefix(PREFIX),
             kind=InstanceKind.ENTRY,
             data_centre=str(data_centre),
             address=str(address),
         )
+        self._instances[entry.key] = (entry.revision, instance)
 
     def _tell(self, revision: int) -> None:
         self._revision = max(self._revision, revision)
-        instances = tuple(self._instances.values())
+        newest: dict[str, tuple[int, Instance]] = {}
+        for row in self._instances.values():
+            # the entry of a former life at the same address lapses only later; to
+            # dial that one would find this instance itself, or the new life
+            address = row[1].address
+            if address not in newest or newest[address][0] < row[0]:
+                newest[address] = row
+        instances = tuple(instance for _, instance in newest.values())
         self._events.emit(LISTING_RECEIVED, Listing(self._revision, instances))
--- a/tests/test_entry/test_relay/test_owned_desk.py
+++ b/tests/test_entry/test_relay/test_owned_desk.py
@@ -162,6 +162,41 @@
     assert len(world.local[second].made) == 2
 
 
+async def test_owner_is_asked_again_where_two_links_crossed(world):
+    """Symptom: after a restart of all, several instances own one service for seconds.
+
+    Sequence: two instances open a link to each other at the same time; one of the two
+    links is closed, with a question on it.
+    Cause: the owner was passed over for a link that was not needed.
+    """
+    owner, _, third = world.ranked
+    ask = world.network.ask
+    calls = []
+
+    async def ask_over_two_links(sender, to, message):
+        calls.append(to)
+        if len(calls) == 1:
+            return Err(PeerError(PeerErrorKind.NO_ANSWER, "the link closed"))
+        return await ask(sender, to, message)
+
+    world.network.ask = ask_over_two_links
+    await world.desks[third].make(BUNDLE, do_nothing)
+    assert calls == [owner, owner]
+    assert len(world.local[owner].made) == 1
+
+
+async def test_bundle_that_is_asked_for_twice_is_made_once(world):
+    owner, _, third = world.ranked
+    world.local[owner].hold = asyncio.Event()
+    desk = world.desks[third]
+    tasks = [asyncio.create_task(desk._send(owner, BUNDLE)) for _ in range(2)]
+    await asyncio.sleep(0.01)
+    world.local[owner].hold.set()
+    replies = await asyncio.gather(*tasks)
+    assert len(world.local[owner].made) == 1
+    assert replies[0].ok_value == replies[1].ok_value
+
+
 async def test_owner_that_is_back_is_asked_again(world):
     owner, _, third = world.ranked
     world.network.gone.add(owner)
