Give streams no more time than their callers do

Admission and stages now go by the moment at which the first event must be out. The build replaces what differs only.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -11,9 +11,13 @@
         -c constraints.txt -r deploy/requirements.txt
     touch "$stamp"
 fi
-for name in greengagelatch greengagelatch_entry greengagelatch_platform; do
-    rm -rf "${deps:?}/$name"
-done
-cp -r packages/greengagelatch/src/greengagelatch \
-    packages/greengagelatch-entry/src/greengagelatch_entry \
-    platform/src/greengagelatch_platform "$deps"
+# replaced only where it differs: another run may be starting from it
+copy() {
+    if ! diff -rq --exclude=__pycache__ "$1" "$deps/$2" > /dev/null 2>&1; then
+        rm -rf "${deps:?}/$2"
+        cp -r "$1" "$deps/$2"
+    fi
+}
+copy packages/greengagelatch/src/greengagelatch greengagelatch
+copy packages/greengagelatch-entry/src/greengagelatch_entry greengagelatch_entry
+copy platform/src/greengagelatch_platform greengagelatch_platform
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
@@ -127,6 +127,12 @@
         """
         return max(0.0, self.route.timeout - self.request.patience)
 
+    @property
+    def first_deadline(self) -> float:
+        """Monotonic seconds by which the first part of a stream must be out."""
+        limit = self.request.received + self.route.silence_limit
+        return min(self.deadline, limit)
+
     def raise_verdict(self, verdict: Verdict) -> None:
         """Raise the verdict; a lower one changes nothing."""
         self.verdict = self.verdict.raise_to(verdict)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
@@ -254,7 +254,10 @@
             pieces=self._plan.create_pieces(work, handles),
             result_bytes=work.result_bytes,
             aim=objective - rest - self._first_seconds,
-            latest=exchange.deadline - rest - self._whole_seconds,
+            latest=min(
+                exchange.first_deadline - rest - self._first_seconds,
+                exchange.deadline - rest - self._whole_seconds,
+            ),
             inputs_until=self._find_lapse(work),
             priority=exchange.priority,
             data_centre=self._find_data_centre(work),
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -83,7 +83,7 @@
             wait=wait.whole,
             urgent_wait=wait.urgent,
             work=seconds + first,
-            left=self._find_left(exchange),
+            left=exchange.first_deadline - self._clock.now(),
             objective_left=route.objective - exchange.waited - elapsed,
             waited_share=exchange.waited / route.timeout if route.timeout else 0.0,
         )
--- a/packages/greengagelatch/src/greengagelatch/relay/deployment.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/deployment.py
@@ -19,6 +19,11 @@
 
 #: bytes that the platform counts as one megabyte of results
 MEGABYTE = 1_000_000
+#: silence after which callers give up a stream, as their pages say: the longest of so
+#: many seconds, objectives and pauses
+LEAST_SILENCE = 2.0
+OBJECTIVES_OF_SILENCE = 4.0
+PAUSES_OF_SILENCE = 8.0
 
 
 class RouteKind(Enum):
@@ -70,6 +75,19 @@
     #: longest pause between two events of a stream that is still on time
     longest_pause: float = 0.0
 
+    @property
+    def silence_limit(self) -> float:
+        """Seconds of silence after which callers give a stream up.
+
+        It holds before the first event as well, and may be far shorter than the
+        route's timeout: what begins later is made for nobody.
+        """
+        return max(
+            LEAST_SILENCE,
+            OBJECTIVES_OF_SILENCE * self.objective,
+            PAUSES_OF_SILENCE * self.longest_pause,
+        )
+
     @property
     def repeatable(self) -> bool:
         """Whether a request that may have run may be sent again."""
