--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_listener.py
@@ -0,0 +1,106 @@
+"""An address on which callers are served, and what is in flight there."""
+
+from __future__ import annotations
+
+import asyncio
+from abc import abstractmethod
+from typing import TYPE_CHECKING, Any, ClassVar
+
+from ..controllers import Controller
+from .caller_connections import CallerConnections, mark_busy
+
+if TYPE_CHECKING:
+    from aiohttp import web
+
+__all__ = ("CallerListener",)
+
+
+class CallerListener(Controller):
+    """Accepts connections and counts requests until they are answered in full.
+
+    :param listen: ``host:port``; port 0 takes a free one, see :attr:`port`
+    """
+
+    abstract: ClassVar[bool] = True
+
+    #: connections that the kernel accepts before this process does
+    backlog: ClassVar[int] = 100
+
+    def __init__(self, listen: str) -> None:
+        super().__init__()
+        self._listen = listen
+        self._connections: CallerConnections | None = None
+        self._listener: asyncio.Server | None = None
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self._in_flight = 0
+        self.port = 0
+
+    @property
+    def in_flight(self) -> int:
+        """Number of requests that are not yet answered in full."""
+        return self._in_flight
+
+    @abstractmethod
+    def create_connections(self) -> CallerConnections:
+        """Return what makes the protocol of each connection."""
+
+    @abstractmethod
+    async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request."""
+
+    async def on_start(self) -> None:
+        """Bind the address and begin to serve."""
+        loop = asyncio.get_running_loop()
+        self._connections = self.create_connections()
+        host, _, port = self._listen.rpartition(":")
+        self._listener = await loop.create_server(
+            self._connections.create,
+            host.strip("[]"),
+            int(port),
+            backlog=self.backlog,
+        )
+        self.port = self._listener.sockets[0].getsockname()[1]
+
+    async def close_listener(self) -> None:
+        """Take no new connections and close the idle ones; the others are served."""
+        if self._listener is not None:
+            self._listener.close()
+        if self._connections is not None:
+            self._connections.close_idle()
+
+    async def wait_idle(self, timeout: float) -> bool:
+        """Wait at most ``timeout`` seconds until no request is in flight."""
+        try:
+            async with asyncio.timeout(timeout):
+                await self._idle.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    async def on_stop(self) -> None:
+        """Close the listener and every connection."""
+        await self.close_listener()
+        if self._connections is not None:
+            await self._connections.close()
+
+    def dump(self) -> dict[str, Any]:
+        open_now = len(self._connections) if self._connections is not None else 0
+        return {
+            "port": self.port,
+            "in_flight": self._in_flight,
+            "connections": open_now,
+        }
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Serve one request and count it as long as that takes."""
+        mark_busy(request, True)
+        self._in_flight += 1
+        self._idle.clear()
+        try:
+            return await self.serve(request)
+        finally:
+            mark_busy(request, False)
+            self._in_flight -= 1
+            if self._in_flight == 0:
+                self._idle.set()
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/callers.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/callers.py
@@ -13,12 +13,12 @@
 from greengagelatch.request import Answer
 from greengagelatch.verdict import Verdict
 
-from ..controllers import Controller
 from ..filters import Exchange
 from ..filters.identify import Arrival
 from .caller_answers import create_headers, encode_answer, find_status
 from .caller_bodies import CLOSING_STATUSES, BodyError, read_body
-from .caller_connections import CallerConnections, mark_busy
+from .caller_connections import CallerConnections
+from .caller_listener import CallerListener
 from .caller_stream import CallerStream
 
 if TYPE_CHECKING:
@@ -56,7 +56,7 @@
     max_unwritten_bytes: int = 256 * 1024
 
 
-class CallersServer(Controller):
+class CallersServer(CallerListener):
     """Serves callers: reads a request, has it handled and delivers the answer.
 
     :param listen: ``host:port``; port 0 takes a free one, see :attr:`port`
@@ -78,87 +78,28 @@
         draining: Callable[[], bool],
         limits: CallerLimits | None = None,
     ) -> None:
-        super().__init__()
-        self._listen = listen
+        super().__init__(listen)
         self._handler = handler
         self._identifier = identifier
         self._clock = clock
         self._metrics = metrics
         self._draining = draining
         self._limits = limits or CallerLimits()
-        self._connections: CallerConnections | None = None
-        self._listener: asyncio.Server | None = None
-        self._idle = asyncio.Event()
-        self._idle.set()
-        self._in_flight = 0
-        self.port = 0
 
-    @property
-    def in_flight(self) -> int:
-        """Number of requests that are not yet answered in full."""
-        return self._in_flight
-
-    async def on_start(self) -> None:
-        """Bind the address and begin to serve."""
-        loop = asyncio.get_running_loop()
+    def create_connections(self) -> CallerConnections:
         limits = self._limits
-        self._connections = CallerConnections(
-            self._handle,
+        return CallerConnections(
+            self.handle,
             max_connections=limits.max_connections,
             max_header_bytes=limits.max_header_bytes,
             idle_timeout=limits.idle_timeout,
             write_timeout=limits.write_timeout,
         )
-        host, _, port = self._listen.rpartition(":")
-        self._listener = await loop.create_server(
-            self._connections.create, host.strip("[]"), int(port)
-        )
-        self.port = self._listener.sockets[0].getsockname()[1]
-
-    async def close_listener(self) -> None:
-        """Take no new connections and close the idle ones; the others are served."""
-        if self._listener is not None:
-            self._listener.close()
-        if self._connections is not None:
-            self._connections.close_idle()
-
-    async def wait_idle(self, timeout: float) -> bool:
-        """Wait at most ``timeout`` seconds until no request is in flight."""
-        try:
-            async with asyncio.timeout(timeout):
-                await self._idle.wait()
-        except TimeoutError:
-            return False
-        return True
-
-    async def on_stop(self) -> None:
-        """Close the listener and every connection."""
-        await self.close_listener()
-        if self._connections is not None:
-            await self._connections.close()
 
     def dump(self) -> dict[str, Any]:
-        open_now = len(self._connections) if self._connections is not None else 0
-        return {
-            "port": self.port,
-            "in_flight": self._in_flight,
-            "connections": open_now,
-            "draining": self._draining(),
-        }
-
-    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        mark_busy(request, True)
-        self._in_flight += 1
-        self._idle.clear()
-        try:
-            return await self._serve(request)
-        finally:
-            mark_busy(request, False)
-            self._in_flight -= 1
-            if self._in_flight == 0:
-                self._idle.set()
+        return {**super().dump(), "draining": self._draining()}
 
-    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         received = self._clock.now()
         request_id = self._identifier.create_request_id()
         refusal, status = _check_line(request)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/front.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/front.py
@@ -2,17 +2,16 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from greengagelatch.errors import Refusal, RefusalCode
 from greengagelatch.relay.requests import RefusedError
 from greengagelatch.verdict import Verdict
 
 from ..adapters.caller_bodies import CLOSING_STATUSES, BodyError, read_body
-from ..adapters.caller_connections import CallerConnections, mark_busy
-from ..controllers import Controller
+from ..adapters.caller_connections import CallerConnections
+from ..adapters.caller_listener import CallerListener
 from .exchange import AnswerWriter, CallerGoneError, RelayExchange
 from .refusals import describe, find_refusal_status
 
@@ -40,10 +39,12 @@
 WRITE_TIMEOUT = 5.0
 
 
-class RelayFront(Controller):
+class RelayFront(CallerListener):
     """Reads a request, has it handled, and sees to it that it is answered once."""
 
     name = "front"
+    # a burst of new connections beyond it would wait for seconds to be let in
+    backlog = 1024
 
     def __init__(
         self,
@@ -56,81 +57,25 @@
         clock: Clock,
         metrics: Metrics,
     ) -> None:
-        super().__init__()
-        self._listen = listen
+        super().__init__(listen)
         self._codec = codec
         self._handler = handler
         self._bounds = bounds
         self._draining = draining
         self._clock = clock
         self._metrics = metrics
-        self._connections: CallerConnections | None = None
-        self._listener: asyncio.Server | None = None
-        self._in_flight = 0
-        self._idle = asyncio.Event()
-        self._idle.set()
-        self.port = 0
-
-    async def on_start(self) -> None:
-        """Bind the address and begin to serve."""
+
+    def create_connections(self) -> CallerConnections:
         bounds = self._bounds()
-        self._connections = CallerConnections(
-            self._handle,
+        return CallerConnections(
+            self.handle,
             max_connections=MAX_CONNECTIONS,
             max_header_bytes=bounds.max_header_bytes,
             idle_timeout=bounds.idle_timeout + IDLE_MARGIN,
             write_timeout=WRITE_TIMEOUT,
         )
-        host, _, port = self._listen.rpartition(":")
-        loop = asyncio.get_running_loop()
-        self._listener = await loop.create_server(
-            self._connections.create, host, int(port), backlog=1024
-        )
-        self.port = self._listener.sockets[0].getsockname()[1]
-
-    async def close_listener(self) -> None:
-        """Take no new connections and close the idle ones; the others are served."""
-        if self._listener is not None:
-            self._listener.close()
-        if self._connections is not None:
-            self._connections.close_idle()
 
-    async def wait_idle(self, timeout: float) -> bool:
-        """Wait at most ``timeout`` seconds until no request is in flight."""
-        try:
-            async with asyncio.timeout(timeout):
-                await self._idle.wait()
-        except TimeoutError:
-            return False
-        return True
-
-    async def on_stop(self) -> None:
-        """Close the listener and every connection."""
-        await self.close_listener()
-        if self._connections is not None:
-            await self._connections.close()
-
-    def dump(self) -> dict[str, Any]:
-        open_now = len(self._connections) if self._connections is not None else 0
-        return {
-            "port": self.port,
-            "in_flight": self._in_flight,
-            "connections": open_now,
-        }
-
-    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        mark_busy(request, True)
-        self._in_flight += 1
-        self._idle.clear()
-        try:
-            return await self._serve(request)
-        finally:
-            mark_busy(request, False)
-            self._in_flight -= 1
-            if self._in_flight == 0:
-                self._idle.set()
-
-    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         received = self._clock.now()
         writer = AnswerWriter(request, keep=not self._draining())
         bounds = self._bounds()
