--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
@@ -11,7 +11,8 @@
 from greengagelatch.relay.pieces import PieceFailure, PieceResult
 from greengagelatch.relay.room import MakerRoom
 
-from .links import LinkError, NotSentError
+from .freeing import ResultFreeing
+from .maker_calls import ANSWERED, REJECTED, UNSENT, CallEnd, MakerCaller
 from .makers import Maker
 from .stages import QueueWait
 
@@ -38,26 +39,13 @@
 RATE_SECONDS = 2.0
 #: share of makers' speed that is believed at the least
 LEAST_SPEED = 0.3
-#: bytes of an answer to a call
-MAX_ANSWER_BYTES = 4 * 1024 * 1024
 #: seconds after which pieces that wait are looked at again
 LOOK_AGAIN = 0.05
-#: seconds for which results to be freed are gathered
-FREE_DELAY = 0.01
-FREE_TIMEOUT = 1.0
 #: seconds after which a call that began at once has fetched its inputs, which takes
 #: a few milliseconds on these links
 READ_SECONDS = 0.1
 #: slowness up to which a maker is taken to begin at once
 STEADY = 1.5
-STATUS_OK = 200
-MADE = "made"
-#: no byte of the call reached the maker
-UNSENT = "unsent"
-#: the maker said that it did not begin
-REJECTED = "rejected"
-#: how calls end of which nothing is left at the maker but what the answer names
-ANSWERED = frozenset({MADE, UNSENT, REJECTED})
 
 
 @dataclass(slots=True, eq=False)
@@ -101,8 +89,6 @@
         self._find_profile = find_profile
         self._policy = policy
         self._book = book
-        self._links = links
-        self._codec = codec
         self._budgets = budgets
         self._clock = clock
         self._metrics = metrics
@@ -115,8 +101,16 @@
         #: times of calls that were answered, and the pieces made by each
         self._made: deque[tuple[float, int]] = deque()
         self._timer: asyncio.TimerHandle | None = None
-        self._to_free: dict[str, list[str]] = {}
-        self._free_timer: asyncio.TimerHandle | None = None
+        self._caller = MakerCaller(links=links, codec=codec, book=book, clock=clock)
+        self._freeing = ResultFreeing(
+            service,
+            find_maker=self._find_maker_at,
+            note_freed=self._look,
+            links=links,
+            codec=codec,
+            metrics=metrics,
+            decisions=decisions,
+        )
 
     async def make(
         self, bundle: Bundle, note_read: Callable[[], None]
@@ -167,13 +161,14 @@
         return sum(count for _, count in self._made) / RATE_SECONDS
 
     def free(self, handles: tuple[str, ...]) -> None:
-        """Have makers drop results, those of a short while together."""
-        for handle in handles:
-            address = self._codec.find_maker_address(handle)
-            self._to_free.setdefault(address, []).append(handle)
-        if self._free_timer is None and self._to_free:
-            loop = asyncio.get_running_loop()
-            self._free_timer = loop.call_later(FREE_DELAY, self._send_freeing)
+        """Have makers drop results."""
+        self._freeing.free(handles)
+
+    def _find_maker_at(self, address: str) -> Maker | None:
+        for maker in self._makers.values():
+            if maker.target.address == address:
+                return maker
+        return None
 
     def describe(self) -> dict[str, object]:
         """Return the state for the dump."""
@@ -193,9 +188,9 @@
 
     async def close(self) -> None:
         """End what is under way."""
-        for timer in (self._timer, self._free_timer):
-            if timer is not None:
-                timer.cancel()
+        if self._timer is not None:
+            self._timer.cancel()
+        await self._freeing.close()
         for task in tuple(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -292,105 +287,48 @@
     async def _run_call(
         self, call: PlannedCall, maker: Maker, allowed: float, now: float
     ) -> None:
-        size = _sum_sizes(call)
         works = [self._find_work(bundle) for bundle, _ in call.pieces]
-        results: tuple[PieceResult, ...] | None = None
-        outcome = "cancelled"
+        end = CallEnd()
         loop = asyncio.get_running_loop()
         reading = loop.call_later(READ_SECONDS, self._note_read, maker, works)
         try:
-            outcome, results = await self._exchange(maker, call, works, allowed, now)
+            end = await self._caller.call(maker, call, allowed, now)
         finally:
             reading.cancel()
-            made = {}
-            for (bundle, _), result in zip(call.pieces, results or (), strict=False):
-                if result.failure is None:
-                    made[result.handle] = bundle.result_bytes
-                elif result.failure is PieceFailure.ROOM:
-                    maker.room.note_refusal(self._clock.now())
-            maker.room.settle(size, made, self._clock.now())
-            if made:
-                self._made.append((self._clock.now(), len(made)))
-            if outcome not in ANSWERED:
-                # it may go on with the call, and keep the results for a while
-                maker.room.hold_unknown(f"lost at {now}", size, self._clock.now())
+            self._settle_room(maker, call, end, now)
         self._decisions.note(
             "stage-call",
             service=self._service,
             target=call.target_id,
             pieces=len(call.pieces),
             requests=len({bundle.request_id for bundle, _ in call.pieces}),
-            outcome=outcome,
-            unmade=_count_failures(results),
+            outcome=end.outcome,
+            unmade=_count_failures(end.results),
             ms=round((self._clock.now() - now) * 1000),
             waiting=sum(len(work.left) for work in self._works),
             slowness=round(maker.find_slowness(self._clock.now()), 2),
         )
-        self._take_results(call, works, outcome, results)
+        self._take_results(call, works, end)
         self._look()
 
-    async def _exchange(
-        self,
-        maker: Maker,
-        call: PlannedCall,
-        works: list[_Work | None],
-        allowed: float,
-        started: float,
-    ) -> tuple[str, tuple[PieceResult, ...] | None]:
-        pieces = tuple(piece for _, piece in call.pieces)
-        remaining = tuple(
-            max(0.0, bundle.latest - started) for bundle, _ in call.pieces
-        )
-        target = maker.target
-        outbound = self._codec.encode_pieces(pieces, remaining, target.target_id)
-        count = len(pieces)
-        try:
-            async with asyncio.timeout(allowed):
-                reply = await self._links.send(
-                    target_id=target.target_id,
-                    address=target.address,
-                    outbound=outbound,
-                    # a late second answer could be taken for this call's
-                    fresh=True,
-                    timeout=allowed,
-                    may_send=lambda: self._book.accepts(target.target_id),
-                )
-                try:
-                    head = self._codec.read_head(reply)
-                    body = await reply.read(MAX_ANSWER_BYTES)
-                finally:
-                    reply.abort()
-        except NotSentError:
-            maker.note_failure(self._clock.now())
-            return UNSENT, None
-        except TimeoutError:
-            maker.note_timeout(count, started, self._clock.now())
-            return "timeout", None
-        except LinkError as error:
-            now = self._clock.now()
-            if now - started >= allowed:
-                maker.note_timeout(count, started, now)
-            else:
-                maker.note_failure(now)
-            return str(error), None
-        except asyncio.CancelledError:
-            maker.calls -= 1
-            raise
+    def _settle_room(
+        self, maker: Maker, call: PlannedCall, end: CallEnd, started: float
+    ) -> None:
+        """Turn the room that was reserved for a call into what it left there."""
         now = self._clock.now()
-        if head.misdirected:
-            maker.note_failure(now)
-            return UNSENT, None
-        if head.not_run:
-            maker.note_rejection(now)
-            return REJECTED, None
-        results = None
-        if head.status == STATUS_OK:
-            results = self._codec.read_pieces(body, count, target.data_centre)
-        if results is None:
-            maker.note_failure(now)
-            return f"status {head.status}", None
-        maker.note_end(count, started, now)
-        return MADE, results
+        size = _sum_sizes(call)
+        made = {}
+        for (bundle, _), result in zip(call.pieces, end.results or (), strict=False):
+            if result.failure is None:
+                made[result.handle] = bundle.result_bytes
+            elif result.failure is PieceFailure.ROOM:
+                maker.room.note_refusal(now)
+        maker.room.settle(size, made, now)
+        if made:
+            self._made.append((now, len(made)))
+        if end.outcome not in ANSWERED:
+            # it may go on with the call, and keep the results for a while
+            maker.room.hold_unknown(f"lost at {started}", size, now)
 
     def _note_read(self, maker: Maker, works: list[_Work | None]) -> None:
         """Take in that a call has begun and has fetched what its pieces read.
@@ -415,18 +353,17 @@
         self,
         call: PlannedCall,
         works: list[_Work | None],
-        outcome: str,
-        results: tuple[PieceResult, ...] | None,
+        end: CallEnd,
     ) -> None:
         unwanted = []
         for index, (_, piece) in enumerate(call.pieces):
             work = works[index]
-            result = None if results is None else results[index]
+            result = None if end.results is None else end.results[index]
             if work is None or work.withdrawn or work.done.done():
                 if result is not None and result.failure is None:
                     unwanted.append(result.handle)
                 continue
-            self._take_result(work, piece, outcome, result)
+            self._take_result(work, piece, end.outcome, result)
         if unwanted:
             self.free(tuple(unwanted))
 
@@ -487,47 +424,6 @@
                 return work
         return None
 
-    # freeing
-
-    def _send_freeing(self) -> None:
-        self._free_timer = None
-        waiting, self._to_free = self._to_free, {}
-        for address, handles in waiting.items():
-            task = asyncio.create_task(self._free_at(address, tuple(handles)))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
-
-    async def _free_at(self, address: str, handles: tuple[str, ...]) -> None:
-        holder = None
-        for maker in self._makers.values():
-            if maker.target.address == address:
-                holder = maker
-        target_id = holder.target.target_id if holder else ""
-        outbound = self._codec.encode_freeing(handles, target_id)
-        try:
-            reply = await self._links.send(
-                target_id=target_id or address,
-                address=address,
-                outbound=outbound,
-                fresh=not target_id,
-                timeout=FREE_TIMEOUT,
-            )
-            await reply.read(MAX_ANSWER_BYTES)
-            reply.release()
-        except (NotSentError, LinkError) as error:
-            # its maker drops them by itself after a while
-            self._metrics.count("stages.unfreed", len(handles))
-            self._decisions.note(
-                "unfreed", service=self._service, address=address, reason=str(error)
-            )
-            return
-        if holder is None:
-            return
-        # only now: a call that began earlier would still find the room taken
-        for handle in handles:
-            holder.room.free(handle)
-        self._look()
-
 
 def _sum_sizes(call: PlannedCall) -> int:
     """Return the bytes of the results that a call makes."""
