--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
@@ -11,6 +11,8 @@
 from greengagelatch.verdict import Verdict
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
+
     from greengagelatch.relay.deployment import Deployment, Route
     from greengagelatch.relay.requests import OpaqueRequest
 
@@ -85,7 +87,7 @@
         await response.prepare(self._request)
         await response.write_eof()
 
-    async def _guard(self, writing) -> None:
+    async def _guard(self, writing: Awaitable[object]) -> None:
         try:
             async with asyncio.timeout(WRITE_TIMEOUT):
                 await writing
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/plain.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/plain.py
@@ -44,13 +44,13 @@
     """Sends a request until a target has answered it, or it may not be sent again."""
 
     async def run(self, exchange: RelayExchange) -> None:
-        self._budgets.note_request(exchange.service)
+        self.budgets.note_request(exchange.service)
         excluded: frozenset[str] = frozenset()
         last: Unanswered | None = None
         failed: _Whole | None = None
         while True:
-            target = self._fleet.choose_plain(
-                exchange.service, excluded, self._clock.now()
+            target = self.fleet.choose_plain(
+                exchange.service, excluded, self.clock.now()
             )
             if target is None:
                 break
@@ -66,18 +66,18 @@
             else:
                 last, outcome = result, result.outcome
             excluded |= {target.target_id}
-            if not self._may_repeat(exchange, outcome):
+            if not self.may_repeat(exchange, outcome):
                 break
         if failed is not None:
             # the target's own word is better than ours about it
             await self._deliver(exchange, failed)
             return
-        raise self._refuse(exchange, last)
+        raise self.create_refusal(exchange, last)
 
     async def _try(
         self, exchange: RelayExchange, target: ListedTarget
     ) -> _Whole | Unanswered:
-        left = self._find_left(exchange)
+        left = self.find_left(exchange)
         if left <= 0:
             return Unanswered(SendOutcome.UNSENT, "deadline over")
         call = RelayCall(
@@ -85,9 +85,9 @@
         )
         timeout = self._choose_patience(exchange, left)
         end = asyncio.get_running_loop().time() + timeout
-        self._fleet.start(target.target_id)
+        self.fleet.start(target.target_id)
         try:
-            result = await self._sender.send(
+            result = await self.sender.send(
                 exchange,
                 target,
                 call,
@@ -98,7 +98,7 @@
                 return result
             return await self._read(exchange, target, result, end)
         finally:
-            self._fleet.finish(target.target_id)
+            self.fleet.finish(target.target_id)
 
     async def _read(
         self,
@@ -113,18 +113,18 @@
                 body = await reply.read(MAX_ANSWER_BYTES)
         except TimeoutError:
             reply.abort()
-            return self._sender.note_lost(exchange, target, "answer not whole in time")
+            return self.sender.note_lost(exchange, target, "answer not whole in time")
         except LinkError as error:
             reply.abort()
-            return self._sender.note_lost(exchange, target, str(error))
+            return self.sender.note_lost(exchange, target, str(error))
         except BaseException:
             reply.abort()
             raise
         reply.release()
         if answered.head.succeeded:
-            self._fleet.note_success(target.target_id)
+            self.fleet.note_success(target.target_id)
         else:
-            self._fleet.note_failure(target.target_id, self._clock.now())
+            self.fleet.note_failure(target.target_id, self.clock.now())
         return _Whole(answered.head, body)
 
     def _choose_patience(self, exchange: RelayExchange, left: float) -> float:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/runners.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/runners.py
@@ -18,6 +18,7 @@
 if TYPE_CHECKING:
     from greengagelatch.clock import Clock
     from greengagelatch.relay.fleet import Fleet
+    from greengagelatch.relay.requests import RefusedError
 
     from .budgets import RepeatBudgets
     from .exchange import RelayExchange
@@ -46,10 +47,10 @@
         budgets: RepeatBudgets,
         clock: Clock,
     ) -> None:
-        self._sender = sender
-        self._fleet = fleet
-        self._budgets = budgets
-        self._clock = clock
+        self.sender = sender
+        self.fleet = fleet
+        self.budgets = budgets
+        self.clock = clock
 
     @abstractmethod
     async def run(self, exchange: RelayExchange) -> None:
@@ -58,11 +59,11 @@
         :raises RefusedError: if it is to be refused
         """
 
-    def _find_left(self, exchange: RelayExchange) -> float:
+    def find_left(self, exchange: RelayExchange) -> float:
         """Return the seconds until the deadline."""
-        return exchange.deadline - self._clock.now()
+        return exchange.deadline - self.clock.now()
 
-    def _may_repeat(self, exchange: RelayExchange, outcome: SendOutcome) -> bool:
+    def may_repeat(self, exchange: RelayExchange, outcome: SendOutcome) -> bool:
         """Whether to send again after ``outcome``; a repeat is charged."""
         route = exchange.route
         facts = RepeatFacts(
@@ -71,17 +72,19 @@
             arrivals=len(set(exchange.targets)),
             max_attempts=route.max_attempts,
             unsent=exchange.unsent,
-            remaining=self._find_left(exchange),
+            remaining=self.find_left(exchange),
             least=LEAST_SECONDS,
         )
         match decide_next(facts):
             case NextStep.SEND:
                 return True
             case NextStep.REPEAT:
-                return self._budgets.take(exchange.service)
+                return self.budgets.take(exchange.service)
         return False
 
-    def _refuse(self, exchange: RelayExchange, last: Unanswered | None):
+    def create_refusal(
+        self, exchange: RelayExchange, last: Unanswered | None
+    ) -> RefusedError:
         """Return the error that ends ``exchange`` after its last send."""
         if last is None:
             return create_error(
@@ -95,6 +98,6 @@
         code, retry = RefusalCode.STAGE_FAILED, UNSENT_RETRY
         if last.outcome is SendOutcome.REJECTED:
             code, retry = RefusalCode.OVERLOADED, REJECTED_RETRY
-        elif self._find_left(exchange) <= LEAST_SECONDS:
+        elif self.find_left(exchange) <= LEAST_SECONDS:
             code = RefusalCode.DEADLINE
         return create_error(exchange, code, last.reason, retry_after=retry)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
@@ -18,12 +18,13 @@
 
     from greengagelatch.clock import Clock
     from greengagelatch.relay.fleet import Fleet
+    from greengagelatch.relay.requests import RefusedError
     from greengagelatch.relay.stage_plan import StageWork
 
     from .decisions import DecisionLog
     from .exchange import RelayExchange
 
-__all__ = ("QueueWait", "StageDesk", "StageResults", "StageRunner")
+__all__ = ("QueueWait", "StageDesk", "StageResults", "StageRun", "StageRunner")
 
 #: times that stages are made again because results of earlier ones are gone
 MAX_REMAKES = 2
@@ -94,33 +95,33 @@
         data_centre: str,
         fleet: Fleet,
     ) -> None:
-        self._fleet = fleet
-        self._desk = desk
-        self._clock = clock
-        self._decisions = decisions
-        self._data_centre = data_centre
+        self.fleet = fleet
+        self.desk = desk
+        self.clock = clock
+        self.decisions = decisions
+        self.data_centre = data_centre
 
     def estimate(self, exchange: RelayExchange) -> tuple[QueueWait, float]:
         """Return how long the stages would wait, and the seconds they would take."""
         plan = StagePlan(exchange.request, exchange.route, exchange.deployment)
         services = {work.service for work in plan.works.values()}
-        waits = [self._desk.estimate_wait(one) for one in services]
+        waits = [self.desk.estimate_wait(one) for one in services]
         urgent = sum(wait.urgent for wait in waits)
         whole = sum(wait.whole for wait in waits)
         return QueueWait(urgent, whole), plan.seconds
 
     def begin(
         self, exchange: RelayExchange, first_seconds: float, whole_seconds: float
-    ) -> _Run:
+    ) -> StageRun:
         """Return the stage work of one request, not yet started.
 
         :param first_seconds: expected time of the target until its answer begins
         :param whole_seconds: the same until its answer ends
         """
-        return _Run(self, exchange, first_seconds, whole_seconds)
+        return StageRun(self, exchange, first_seconds, whole_seconds)
 
 
-class _Run:
+class StageRun:
     """The stages of one request, and the results that it holds."""
 
     def __init__(
@@ -130,11 +131,11 @@
         first_seconds: float,
         whole_seconds: float,
     ) -> None:
-        self._desk = runner._desk
-        self._clock = runner._clock
-        self._decisions = runner._decisions
-        self._data_centre = runner._data_centre
-        self._fleet = runner._fleet
+        self._desk = runner.desk
+        self._clock = runner.clock
+        self._decisions = runner.decisions
+        self._data_centre = runner.data_centre
+        self._fleet = runner.fleet
         self._exchange = exchange
         self._first_seconds = first_seconds
         self._whole_seconds = whole_seconds
@@ -337,7 +338,7 @@
             handles = tuple(result.handle for result in held)
             self._desk.free(self._plan.works[number].service, handles)
 
-    def _refuse(self, error: _StageFailedError):
+    def _refuse(self, error: _StageFailedError) -> RefusedError:
         late = error.failure in (PieceFailure.LATE, PieceFailure.ROOM)
         code = RefusalCode.OVERLOADED if late else RefusalCode.STAGE_FAILED
         wait = self._desk.estimate_wait(error.work.service).whole
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -19,14 +19,17 @@
 from .sending import STATUS_CONFLICT, Answered, Unanswered
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
     from greengagelatch.relay.admission import RouteAdmission
+    from greengagelatch.relay.fleet import Fleet
     from greengagelatch.relay.targets import ListedTarget
 
     from .codecs import TargetCodec
     from .exchange import RelayExchange
     from .messages import AnswerHead
     from .run_times import RunTimes
-    from .stages import StageResults, StageRunner
+    from .stages import StageResults, StageRun, StageRunner
 
 __all__ = ("StreamRunner",)
 
@@ -60,12 +63,12 @@
         super().__init__(**common)
         self._admission = admission
         self._stages = stages
-        self._codec = codec
-        self._times = times
+        self.codec = codec
+        self.times = times
 
     async def run(self, exchange: RelayExchange) -> None:
-        self._budgets.note_request(exchange.service)
-        first, whole = self._times.estimate(exchange)
+        self.budgets.note_request(exchange.service)
+        first, whole = self.times.estimate(exchange)
         self._check_admission(exchange, first)
         run = self._stages.begin(exchange, first, whole)
         try:
@@ -78,12 +81,12 @@
         """Refuse at once what should not be begun now."""
         wait, seconds = self._stages.estimate(exchange)
         route = exchange.route
-        elapsed = self._clock.now() - exchange.request.received
+        elapsed = self.clock.now() - exchange.request.received
         estimate = Estimate(
             wait=wait.whole,
             urgent_wait=wait.urgent,
             work=seconds + first,
-            left=exchange.first_deadline - self._clock.now(),
+            left=exchange.first_deadline - self.clock.now(),
             objective_left=route.objective - exchange.waited - elapsed,
             waited_share=exchange.waited / route.timeout if route.timeout else 0.0,
         )
@@ -106,7 +109,7 @@
         self,
         runner: StreamRunner,
         exchange: RelayExchange,
-        run,
+        run: StageRun,
         results: StageResults,
     ) -> None:
         self._runner = runner
@@ -131,23 +134,23 @@
             if last is None:
                 return
             excluded |= {target.target_id}
-            if not runner._may_repeat(exchange, last.outcome):
+            if not runner.may_repeat(exchange, last.outcome):
                 break
             if last.status == STATUS_CONFLICT or self._begun:
                 # results that were read are freed; another target reads them anew
                 self._run.free()
                 self._results = await self._run.make()
-        raise runner._refuse(exchange, last)
+        raise runner.create_refusal(exchange, last)
 
     def _choose(self, excluded: frozenset[str]) -> ListedTarget | None:
         need = EngineNeed(self._prompt, self._results.bytes_by_data_centre)
-        fleet, now = self._runner._fleet, self._runner._clock.now()
+        fleet, now = self._runner.fleet, self._runner.clock.now()
         return fleet.choose_engine(self._exchange.service, need, excluded, now)
 
     async def _try(self, target: ListedTarget) -> Unanswered | None:
         """Send once and pass events on; ``None`` if the answer is complete."""
         runner, exchange = self._runner, self._exchange
-        left = runner._find_left(exchange)
+        left = runner.find_left(exchange)
         if left <= 0:
             return Unanswered(SendOutcome.UNSENT, "deadline over")
         call = RelayCall(
@@ -157,12 +160,12 @@
             resume_after=self._last_id,
             inputs=self._results.inputs,
         )
-        now = runner._clock.now()
-        tokens = runner._fleet.count_tokens(target.target_id, self._prompt, now)
+        now = runner.clock.now()
+        tokens = runner.fleet.count_tokens(target.target_id, self._prompt, now)
         self._sent_at = now
-        reading = _Reading(runner._fleet, target.target_id, tokens)
+        reading = _Reading(runner.fleet, target.target_id, tokens)
         try:
-            result = await runner._sender.send(
+            result = await runner.sender.send(
                 exchange,
                 target,
                 call,
@@ -185,12 +188,12 @@
             await self._pass_events(target, answered, reading)
         except LinkError as error:
             reply.abort()
-            return self._runner._sender.note_lost(self._exchange, target, str(error))
+            return self._runner.sender.note_lost(self._exchange, target, str(error))
         except BaseException:
             reply.abort()
             raise
         reply.release()
-        self._runner._fleet.note_success(target.target_id)
+        self._runner.fleet.note_success(target.target_id)
         self._exchange.outcome = "answered"
         return None
 
@@ -212,7 +215,7 @@
                 self._exchange.status = answered.head.status
                 await writer.begin(answered.head)
             for event in events:
-                event_id = self._runner._codec.read_event_id(event)
+                event_id = self._runner.codec.read_event_id(event)
                 if event_id is not None:
                     self._last_id = event_id
             await writer.write(b"".join(events))
@@ -221,12 +224,12 @@
         if not writer.started:
             await writer.begin(answered.head)
         await writer.finish()
-        self._runner._times.note_whole(
-            self._exchange, self._runner._clock.now() - self._sent_at
+        self._runner.times.note_whole(
+            self._exchange, self._runner.clock.now() - self._sent_at
         )
 
-    async def _read_chunk(self, chunks) -> bytes | None:
-        left = self._runner._find_left(self._exchange)
+    async def _read_chunk(self, chunks: AsyncIterator[bytes]) -> bytes | None:
+        left = self._runner.find_left(self._exchange)
         patience = min(left, self._choose_pause())
         try:
             async with asyncio.timeout(max(0.0, patience)):
@@ -238,9 +241,9 @@
         if not reading.note_begun():
             return
         runner = self._runner
-        now = runner._clock.now()
-        runner._times.note_first(self._exchange, now - self._sent_at)
-        runner._fleet.note_parts(target.target_id, self._prompt, now)
+        now = runner.clock.now()
+        runner.times.note_first(self._exchange, now - self._sent_at)
+        runner.fleet.note_parts(target.target_id, self._prompt, now)
         self._begun = True
         # the target has read the stages' results; their makers need the room
         self._run.free()
@@ -251,7 +254,7 @@
         head: AnswerHead = answered.head
         body = await answered.reply.read(MAX_FAILURE_BYTES)
         answered.reply.release()
-        self._runner._fleet.note_failure(target.target_id, self._runner._clock.now())
+        self._runner.fleet.note_failure(target.target_id, self._runner.clock.now())
         exchange = self._exchange
         if exchange.writer.started:
             return Unanswered(SendOutcome.FAILED, f"status {head.status} on resuming")
@@ -267,7 +270,7 @@
         return min(left, max(LEAST_FIRST_EVENT, patience))
 
     def _choose_pause(self) -> float:
-        left = self._runner._find_left(self._exchange)
+        left = self._runner.find_left(self._exchange)
         if not self._may_go_elsewhere():
             return left
         if not self._begun:
@@ -283,8 +286,8 @@
 class _Reading:
     """Counts a request at its engine: first as a prompt to read, then as running."""
 
-    def __init__(self, fleet, target_id: str, tokens: float) -> None:
-        self._fleet = fleet
+    def __init__(self, fleet: Fleet, target_id: str, tokens: float) -> None:
+        self.fleet = fleet
         self._target_id = target_id
         self._tokens = tokens
         self._reading = True
@@ -295,10 +298,10 @@
         if not self._reading:
             return False
         self._reading = False
-        self._fleet.begin(self._target_id, self._tokens)
+        self.fleet.begin(self._target_id, self._tokens)
         return True
 
     def end(self) -> None:
         """Take in the end of the send."""
         self.note_begun()
-        self._fleet.finish(self._target_id)
+        self.fleet.finish(self._target_id)
