--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/links.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/links.py
@@ -47,8 +47,9 @@
 #: bytes of an answer that wait to be read
 READ_BUFFER = 256 * 1024
 MAX_HEADER_BYTES = 32_768
-#: idle connections kept for one target
-MAX_IDLE = 16
+#: idle connections kept for one target, which takes a hundred or so from all
+#: instances together
+MAX_IDLE = 4
 
 
 class NotSentError(Exception):
@@ -114,8 +115,6 @@
     content: StreamReader
     _link: _Link
     _give_back: Callable[[_Link, RawResponseMessage], None]
-    #: whether a request had used the connection before
-    kept: bool = False
 
     async def iterate(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives.
@@ -190,7 +189,6 @@
         """
         end = asyncio.get_running_loop().time() + timeout
         link = None if fresh else self._take(target_id)
-        kept = link is not None
         if link is None:
             link = await self._open(address, min(timeout, CONNECT_TIMEOUT))
         if may_send is not None and not may_send():
@@ -222,7 +220,6 @@
             content,
             link,
             lambda one, head: self._give_back(target_id, one, head),
-            kept,
         )
 
     def drop(self, target_id: str) -> None:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/messages.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/messages.py
@@ -36,8 +36,6 @@
     resume_after: int | None = None
     #: handles of the stage results that the target reads; ``None``: no stages
     inputs: tuple[str, ...] | None = None
-    #: 0 is the most urgent; ``None``: the target's usual one
-    urgency: int | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -56,12 +54,8 @@
     not_run: bool = False
     #: whether another life answered than the one that was meant
     misdirected: bool = False
-    #: whether the answer is a stream of events
-    streamed: bool = False
     #: whether the body is encoded in a way that nobody asked for
     encoded: bool = False
-    #: length that the target announced
-    length: int | None = None
     load: LoadReport | None = None
 
     @property
--- a/packages/greengagelatch/src/greengagelatch/relay/outcomes.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/outcomes.py
@@ -21,8 +21,6 @@
     LOST = "lost"
     #: the target answered that it failed
     FAILED = "failed"
-    #: a stream broke off after some of its events
-    BROKEN_OFF = "broken-off"
 
     @property
     def proves_not_run(self) -> bool:
