--- a/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/fleet.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/fleet.py
@@ -18,16 +18,25 @@
 from .targets import TargetStandIn
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from pathlib import Path
 
-__all__ = ("Instance", "PlatformFleet")
+__all__ = ("Instance", "PlatformFleet", "PortTakenError", "find_free_ports")
 
 #: seconds allowed for an instance to be ready; a busy machine takes its time
 READY_LIMIT = 30.0
+#: times that an instance gets other ports
+PORT_TRIES = 5
+#: what a process says that could not have an address
+TAKEN = "address already in use"
 #: targets of each service
 TARGETS = 2
 
 
+class PortTakenError(Exception):
+    """An instance could not have one of its addresses."""
+
+
 @dataclass(slots=True)
 class Instance:
     """One process of the program."""
@@ -63,6 +72,8 @@
     store: StoreStandIn = field(default_factory=StoreStandIn)
     targets: list[TargetStandIn] = field(default_factory=list)
     instances: list[Instance] = field(default_factory=list)
+    #: returns so many free ports
+    find_ports: Callable[[int], list[int]] = field(default=lambda n: find_free_ports(n))
 
     async def start(self) -> None:
         """Start all parts and wait until every instance is ready."""
@@ -73,12 +84,25 @@
                 await self.add_target(f"{service}-{number}", service)
         seeds: list[str] = []
         for number in range(self.count):
-            instance = self._create_instance(f"entry-{number}", seeds)
+            instance = await self.start_instance(f"entry-{number}", seeds)
             seeds.append(instance.control)
             self.instances.append(instance)
+
+    async def start_instance(self, name: str, seeds: list[str]) -> Instance:
+        """Start an instance and wait until it is ready.
+
+        Its ports were free a moment before; the system may have given one of them to
+        somebody else since. The process then says so and ends, and gets others.
+        """
+        for _ in range(PORT_TRIES):
+            instance = self.create_instance(name, seeds)
             await self.launch(instance)
-        for instance in self.instances:
-            await self.wait_ready(instance)
+            try:
+                await self.wait_ready(instance)
+            except PortTakenError:
+                continue
+            return instance
+        raise PortTakenError(name)
 
     async def stop(self) -> None:
         """Stop all parts."""
@@ -119,14 +143,27 @@
             os.close(log)
 
     async def wait_ready(self, instance: Instance) -> None:
-        """Wait until an instance says that it is ready."""
+        """Wait until an instance says that it is ready.
+
+        :raises PortTakenError: if it ended because an address was taken
+        :raises RuntimeError: if it ended for another reason
+        """
         async with (
             asyncio.timeout(READY_LIMIT),
             aiohttp.ClientSession() as session,
         ):
-            while not await instance.is_ready(session):  # noqa: ASYNC110
+            while not await instance.is_ready(session):
+                self._check_alive(instance)
                 await asyncio.sleep(0.05)
 
+    def _check_alive(self, instance: Instance) -> None:
+        if instance.process is None or instance.process.returncode is None:
+            return
+        text = instance.log.read_text(encoding="utf-8")
+        if TAKEN in text:
+            raise PortTakenError(instance.name)
+        raise RuntimeError(f"{instance.name} ended: {text[-500:]}")
+
     async def kill(self, instance: Instance) -> None:
         """Kill the process of an instance, if it still runs."""
         process = instance.process
@@ -134,8 +171,9 @@
             process.send_signal(signal.SIGKILL)
             await process.wait()
 
-    def _create_instance(self, name: str, seeds: list[str]) -> Instance:
-        ports = _find_free_ports(4)
+    def create_instance(self, name: str, seeds: list[str]) -> Instance:
+        """Return an instance on free ports, with its settings written."""
+        ports = self.find_ports(4)
         instance = Instance(
             name=name,
             front=f"127.0.0.1:{ports[0]}",
@@ -161,7 +199,7 @@
         return instance
 
 
-def _find_free_ports(count: int) -> list[int]:
+def find_free_ports(count: int) -> list[int]:
     """Return ports that were free a moment ago, each another one."""
     sockets = [socket.socket() for _ in range(count)]
     try:
--- a/tests/test_processes/test_platform_program.py
+++ b/tests/test_processes/test_platform_program.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import signal
+import socket
 
 import aiohttp
 import pytest
@@ -14,7 +15,10 @@
     KEY,
     create_configuration,
 )
-from greengagelatch_lab.platform_standins.fleet import PlatformFleet
+from greengagelatch_lab.platform_standins.fleet import (
+    PlatformFleet,
+    find_free_ports,
+)
 from greengagelatch_lab.platform_standins.store import StoreFault
 from greengagelatch_lab.platform_standins.targets import EVENTS
 
@@ -203,3 +207,26 @@
     assert state["configuration"]["version"] == 3
     assert state["listing"]["targets"] == 8
     assert "seconds_since_answer" in state["store"]
+
+
+async def test_instance_whose_port_is_taken_gets_another(tmp_path):
+    """Symptom: one test in a thousand waits half a minute for an instance and fails.
+
+    Sequence: a free port is looked up; before the process binds it, the system gives
+    it to somebody else. Cause: nobody looked whether the process had ended.
+    """
+    taken = socket.socket()
+    taken.bind(("127.0.0.1", 0))
+    taken.listen()
+    given = iter([[*find_free_ports(3), taken.getsockname()[1]]])
+
+    def find_ports(count: int) -> list[int]:
+        return next(given, None) or find_free_ports(count)
+
+    fleet = PlatformFleet(tmp_path, count=1, find_ports=find_ports)
+    try:
+        await fleet.start()
+        assert fleet.instances[0].process.returncode is None
+    finally:
+        await fleet.stop()
+        taken.close()
