Plan a request's stages once, and keep the totals of metrics in one place

Found on reading the change again: the stages of each streamed request were planned twice, once to estimate them and once to make them; counters, gauges and their dump stood in both kinds of metrics.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/metrics.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/metrics.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-__all__ = ("Metrics",)
+__all__ = ("MetricTotals", "Metrics")
 
 #: prefix of every metric's name
 PREFIX = "greengagelatch"
@@ -25,7 +25,31 @@
 _FORBIDDEN = str.maketrans(dict.fromkeys(":|@# \n", "_"))
 
 
-class Metrics:
+class MetricTotals:
+    """Running totals, however they are shown."""
+
+    def __init__(self) -> None:
+        self._counts: Counter[str] = Counter()
+        self._gauges: dict[str, float] = {}
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Add ``amount`` to a counter."""
+        self._counts[name] += amount
+
+    def gauge(self, name: str, value: float) -> None:
+        """Set a gauge."""
+        self._gauges[name] = value
+
+    def value(self, name: str) -> int:
+        """Return the total of a counter."""
+        return self._counts[name]
+
+    def dump(self) -> dict[str, Any]:
+        """Return all totals and gauges."""
+        return {"counters": dict(self._counts), "gauges": dict(self._gauges)}
+
+
+class Metrics(MetricTotals):
     """Gathers metrics, sends them by UDP and keeps the running totals.
 
     statsd's client is synchronous, but a datagram to an IP address never waits
@@ -39,14 +63,13 @@
     """
 
     def __init__(self, address: str, now: Callable[[], float] = time.monotonic) -> None:
+        super().__init__()
         host, _, port = address.rpartition(":")
         host = host.strip("[]")
         self._client = statsd.StatsClient(
             host, int(port), PREFIX, maxudpsize=MAX_DATAGRAM, ipv6=":" in host
         )
         self._now = now
-        self._counts: Counter[str] = Counter()
-        self._gauges: dict[str, float] = {}
         self._new_counts: Counter[str] = Counter()
         self._new_gauges: dict[str, float] = {}
         self._timings: list[tuple[str, float]] = []
@@ -54,13 +77,13 @@
 
     def count(self, name: str, amount: int = 1) -> None:
         """Add ``amount`` to a counter."""
-        self._counts[name] += amount
+        super().count(name, amount)
         self._new_counts[name] += amount
         self._send_if_due()
 
     def gauge(self, name: str, value: float) -> None:
         """Set a gauge."""
-        self._gauges[name] = value
+        super().gauge(name, value)
         self._new_gauges[name] = value
         self._send_if_due()
 
@@ -69,14 +92,6 @@
         self._timings.append((name, seconds))
         self._send_if_due()
 
-    def value(self, name: str) -> int:
-        """Return the total of a counter."""
-        return self._counts[name]
-
-    def dump(self) -> dict[str, Any]:
-        """Return all totals and gauges."""
-        return {"counters": dict(self._counts), "gauges": dict(self._gauges)}
-
     def flush(self) -> None:
         """Send what was gathered."""
         self._sent = self._now()
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/prometheus.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/prometheus.py
@@ -13,6 +13,8 @@
 )
 from prometheus_client.registry import Collector
 
+from ..metrics import MetricTotals
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
@@ -23,40 +25,23 @@
 PREFIX = "greengagelatch"
 
 
-class PrometheusMetrics(Collector):
+class PrometheusMetrics(MetricTotals, Collector):
     """Keeps running totals and shows them when they are asked for.
 
     It takes the place of the client that sends metrics: here they are fetched.
     """
 
     def __init__(self) -> None:
-        self._counts: Counter[str] = Counter()
-        self._gauges: dict[str, float] = {}
+        super().__init__()
         self._buckets: dict[str, list[int]] = {}
         self._sums: Counter[str] = Counter()
 
-    def count(self, name: str, amount: int = 1) -> None:
-        """Add ``amount`` to a counter."""
-        self._counts[name] += amount
-
-    def gauge(self, name: str, value: float) -> None:
-        """Set a gauge."""
-        self._gauges[name] = value
-
     def timing(self, name: str, seconds: float) -> None:
         """Report a duration."""
         buckets = self._buckets.setdefault(name, [0] * (len(BUCKETS) + 1))
         buckets[bisect_left(BUCKETS, seconds)] += 1
         self._sums[name] += seconds
 
-    def value(self, name: str) -> int:
-        """Return the total of a counter."""
-        return self._counts[name]
-
-    def dump(self) -> dict[str, Any]:
-        """Return all totals and gauges."""
-        return {"counters": dict(self._counts), "gauges": dict(self._gauges)}
-
     def flush(self) -> None:
         """Do nothing: metrics are fetched."""
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
@@ -101,15 +101,6 @@
         self.decisions = decisions
         self.data_centre = data_centre
 
-    def estimate(self, exchange: RelayExchange) -> tuple[QueueWait, float]:
-        """Return how long the stages would wait, and the seconds they would take."""
-        plan = StagePlan(exchange.request, exchange.route, exchange.deployment)
-        services = {work.service for work in plan.works.values()}
-        waits = [self.desk.estimate_wait(one) for one in services]
-        urgent = sum(wait.urgent for wait in waits)
-        whole = sum(wait.whole for wait in waits)
-        return QueueWait(urgent, whole), plan.seconds
-
     def begin(
         self, exchange: RelayExchange, first_seconds: float, whole_seconds: float
     ) -> StageRun:
@@ -144,6 +135,19 @@
         self._tasks: dict[int, asyncio.Task[None]] = {}
         self._readers = self._list_readers()
 
+    @property
+    def seconds(self) -> float:
+        """Seconds that the stages take if nothing waits before them."""
+        return self._plan.seconds
+
+    def estimate_wait(self) -> QueueWait:
+        """Return how long the stages would wait, one after the other."""
+        services = {work.service for work in self._plan.works.values()}
+        waits = [self._desk.estimate_wait(one) for one in services]
+        urgent = sum(wait.urgent for wait in waits)
+        whole = sum(wait.whole for wait in waits)
+        return QueueWait(urgent, whole)
+
     async def make(self) -> StageResults:
         """Make all stages and return what the target needs.
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -69,23 +69,26 @@
     async def run(self, exchange: RelayExchange) -> None:
         self.budgets.note_request(exchange.service)
         first, whole = self.times.estimate(exchange)
-        self._check_admission(exchange, first)
         run = self._stages.begin(exchange, first, whole)
+        self._check_admission(exchange, run, first)
         try:
             results = await run.make()
             await _Stream(self, exchange, run, results).serve()
         finally:
             run.free()
 
-    def _check_admission(self, exchange: RelayExchange, first: float) -> None:
+    def _check_admission(
+        self, exchange: RelayExchange, run: StageRun, first: float
+    ) -> None:
         """Refuse at once what should not be begun now."""
-        wait, seconds = self._stages.estimate(exchange)
+        wait = run.estimate_wait()
+        work = run.seconds + first
         route = exchange.route
         elapsed = self.clock.now() - exchange.request.received
         estimate = Estimate(
             wait=wait.whole,
             urgent_wait=wait.urgent,
-            work=seconds + first,
+            work=work,
             left=exchange.first_deadline - self.clock.now(),
             objective_left=route.objective - exchange.waited - elapsed,
             waited_share=exchange.waited / route.timeout if route.timeout else 0.0,
@@ -97,7 +100,7 @@
             exchange,
             RefusalCode.OVERLOADED,
             f"{decision.reason}: {wait.urgent:.1f} of {wait.whole:.1f} s of queue,"
-            f" {seconds + first:.1f} s of work, {estimate.left:.1f} s left",
+            f" {work:.1f} s of work, {estimate.left:.1f} s left",
             retry_after=decision.retry_after,
         )
 
