Spare links at rest, the store and the start of a process

Links say that they are there by one frame nobody answers, only after they have sent nothing, and rarely at rest. In fleets of more than twelve, two instances of each data centre follow the store; the others ask them and follow it themselves once that is stale.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -21,3 +21,6 @@
 copy packages/greengagelatch/src/greengagelatch greengagelatch
 copy packages/greengagelatch-entry/src/greengagelatch_entry greengagelatch_entry
 copy platform/src/greengagelatch_platform greengagelatch_platform
+# an instance can't write here, so that each start would compile them anew
+python3 -m compileall -q "$deps/greengagelatch" "$deps/greengagelatch_entry" \
+    "$deps/greengagelatch_platform"
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_link.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_link.py
@@ -28,6 +28,10 @@
 #: bytes of both that may wait
 MAX_QUEUED_BYTES = 4 * 1024 * 1024
 
+#: seconds after its last use for which a link counts as in use: longer than most
+#: questions wait
+USE_LIFE = 2.0
+
 
 class CloseCode(IntEnum):
     """Codes with which links are closed, from the range for applications."""
@@ -51,6 +55,10 @@
     done: Callable[[], None] | None = field(default=None, repr=False)
 
 
+#: a frame that says nothing but that its sender is there
+HEARTBEAT = b""
+
+
 class Link:
     """A link whose other end has told who it is."""
 
@@ -73,6 +81,10 @@
         self.opened = asyncio.get_running_loop().time()
         #: seconds of the loop's clock at which a message other than probes passed
         self.last_used = self.opened
+        #: the same, of the first one after a rest
+        self.used_since = self.opened
+        #: seconds of the loop's clock at which a frame was last handed over
+        self.last_sent = self.opened
         self.dropped = 0
         #: not used for anything new
         self.retired = False
@@ -93,6 +105,33 @@
         needless = (CloseCode.DUPLICATE, CloseCode.IDLE)
         return self.retired or self._connection.close_code in needless
 
+    def note_use(self) -> None:
+        """Take in that a message other than probes passes."""
+        now = asyncio.get_running_loop().time()
+        if not self.is_used(now):
+            self.used_since = now
+        self.last_used = now
+
+    def is_used(self, now: float) -> bool:
+        """Whether messages other than probes passed of late."""
+        return now - self.last_used < USE_LIFE
+
+    def find_silence(self, now: float) -> float:
+        """Return the seconds without a byte.
+
+        Those of a rest don't count once the link is used: heartbeats were rare.
+        """
+        heard = self.last_received
+        if self.is_used(now):
+            heard = max(heard, self.used_since)
+        return now - heard
+
+    def send_heartbeat(self, now: float, interval: float) -> None:
+        """Say that this end is there, if it has sent nothing for ``interval``."""
+        if now - self.last_sent >= interval and not self._urgent and not self._gossip:
+            self.last_sent = now
+            self.offer(Outgoing(HEARTBEAT, "heartbeat"), droppable=True)
+
     def excuse_silence(self) -> None:
         """Count silence from now, after this process itself stood still."""
         self._connection.last_received = asyncio.get_running_loop().time()
@@ -156,9 +195,14 @@
 
     async def _write(self, outgoing: Outgoing) -> None:
         outgoing.handed_over = True
+        self.last_sent = asyncio.get_running_loop().time()
         self._traffic.count_frame(outgoing.kind, len(outgoing.frame))
         try:
-            await self._connection.send(outgoing.frame)
+            if outgoing.frame == HEARTBEAT:
+                # nobody answers a pong, so that a heartbeat costs one frame
+                await self._connection.pong()
+            else:
+                await self._connection.send(outgoing.frame)
         except ConnectionClosed:
             # the reader notices as well and ends the link
             await asyncio.sleep(0)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_links.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_links.py
@@ -53,6 +53,8 @@
 
     heartbeat: float
     silence: float
+    #: how much longer both are on links at rest
+    rest_factor: float
     open_timeout: float
     idle: float
     max_links: int
@@ -98,9 +100,7 @@
         self._random = random_source
         self._metrics = metrics
         self._traffic = Traffic()
-        self._options = SocketOptions(
-            open_timeout=limits.open_timeout, heartbeat=limits.heartbeat
-        )
+        self._options = SocketOptions(open_timeout=limits.open_timeout)
         self._server: Server | None = None
         self._links: dict[str, Link] = {}
         self._dials: dict[str, asyncio.Task[Link | None]] = {}
@@ -181,10 +181,16 @@
             link.excuse_silence()
 
     def tend(self, kept: frozenset[str]) -> None:
-        """Drop silent links, and idle ones to peers that are not in ``kept``."""
+        """Drop silent links, and idle ones to peers that are not in ``kept``.
+
+        Links at rest have rare heartbeats: with one in each direction every 0.3 s,
+        an instance with eight links spent two thirds of its idle time on them.
+        """
         now = asyncio.get_running_loop().time()
         for link in self.list_links():
-            if now - link.last_received > self._limits.silence:
+            factor = 1.0 if link.is_used(now) else self._limits.rest_factor
+            link.send_heartbeat(now, self._limits.heartbeat * factor)
+            if link.find_silence(now) > self._limits.silence * factor:
                 # An open connection that something on the way has lost track of
                 # stays silent for good while new ones work. It would swallow
                 # questions until they time out; dropped, it is replaced by a dial.
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_sockets.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_sockets.py
@@ -34,7 +34,6 @@
     """Times of a connection, in seconds."""
 
     open_timeout: float
-    heartbeat: float
 
 
 @dataclass(slots=True, eq=False)
@@ -101,12 +100,11 @@
     return {
         "open_timeout": options.open_timeout,
         "close_timeout": CLOSE_TIMEOUT,
-        # Pings are heartbeats both ways: each side sends its own and answers the
-        # other's. The library's timeout for them stays unused. Its task waits until
-        # a ping is handed over, which never happens on a silent connection whose
-        # send buffer is full; silence is judged by the last byte received instead.
-        "ping_interval": options.heartbeat,
-        "ping_timeout": None,
+        # The library's pings stay unused: each is answered, on links that carry
+        # messages too, and its task waits until a ping is handed over, which never
+        # happens on a silent connection whose send buffer is full. Links send
+        # heartbeats of their own, and judge silence by the last byte received.
+        "ping_interval": None,
         # messages are too small to gain from it, and each link would hold buffers
         "compression": None,
         "max_size": MAX_MESSAGE_BYTES,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peers.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peers.py
@@ -49,7 +49,7 @@
 
 logger = logging.getLogger(__name__)
 
-#: seconds between two looks at the links
+#: seconds between two looks at the links, at the most
 TICK = 0.2
 
 #: questions of peers in work at the same time; more are answered "busy"
@@ -85,6 +85,7 @@
         self._metrics = metrics
         self._listen: str = settings["peers.listen"]
         self._silence: float = settings["peers.silence"]
+        self._tick = min(TICK, settings["peers.heartbeat"])
         self._advertise: str = settings["peers.advertise"]
         self._seeds = split_endpoints(settings["peers.seeds"])
         self._random = random_source
@@ -154,7 +155,7 @@
             link = await self._find_link(instance_id, deadline)
             if link is None:
                 return answer
-            link.last_used = asyncio.get_running_loop().time()
+            link.note_use()
             answer = await self._questions.ask(link, message, deadline)
             if not _is_unsent(answer) or self._links.find(instance_id) is link:
                 return answer
@@ -205,7 +206,7 @@
         while not self.should_stop:
             self.tend()
             # cheaper than the service's own sleep, which starts a task each time
-            await asyncio.sleep(TICK)
+            await asyncio.sleep(self._tick)
 
     def tend(self) -> None:
         """Drop links that went silent or idle, open those that are missing."""
@@ -286,7 +287,7 @@
                 self._metrics.count("peers.late_answers")
             return
         if not is_probe(message):
-            link.last_used = asyncio.get_running_loop().time()
+            link.note_use()
         handler = self._handlers.get(type(message))
         if handler is None:
             self._metrics.count("peers.unhandled_messages")
@@ -340,7 +341,7 @@
 
     def _offer(self, link: Link, outgoing: Outgoing, message: Message) -> bool:
         if not is_probe(message):
-            link.last_used = asyncio.get_running_loop().time()
+            link.note_use()
         return link.offer(outgoing, droppable=True)
 
     async def _offer_later(
@@ -393,6 +394,7 @@
     return LinkLimits(
         heartbeat=settings["peers.heartbeat"],
         silence=settings["peers.silence"],
+        rest_factor=settings["peers.rest_factor"],
         open_timeout=settings["peers.open_timeout"],
         idle=settings["peers.idle"],
         max_links=settings["peers.max_links"],
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/garbage.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/garbage.py
@@ -12,7 +12,11 @@
 
 
 def freeze_imports() -> None:
-    """Leave what was imported out of collections: it lives as long as the process."""
+    """Leave what was imported out of collections: it lives as long as the process.
+
+    From then on the collector runs, also if it was off during imports.
+    """
     gc.collect()
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD)
+    gc.enable()
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -15,6 +15,7 @@
 from greengagelatch.relay.batches import SharedCalls
 from greengagelatch.relay.deployment import CallerBounds
 from greengagelatch.relay.fleet import Fleet
+from greengagelatch.relay.listeners import choose_listeners
 from greengagelatch.relay.targets import TargetBook
 from greengagelatch.settings import Settings
 
@@ -44,6 +45,7 @@
 from .streams import StreamRunner
 
 if TYPE_CHECKING:
+    from greengagelatch.peers import Member
     from greengagelatch.relay.repeats import RepeatRule
     from greengagelatch.store.ranges import RangeStore
 
@@ -62,6 +64,7 @@
 PEER_BOUNDS = {
     "peers.heartbeat": 0.3,
     "peers.silence": 1.0,
+    "peers.rest_factor": 5.0,
     "peers.open_timeout": 1.0,
     "peers.idle": 15.0,
     "peers.links": 8,
@@ -151,6 +154,9 @@
         self.events = EventBus()
         self.metrics = PrometheusMetrics()
         self.decisions = DecisionLog(clock=self.clock, metrics=self.metrics)
+        self.listeners: frozenset[str] = frozenset()
+        #: members by which these were chosen
+        self.listening_members: tuple[Member, ...] = ()
 
     def compose(self) -> RelayParts:
         self.store = self.adapters.create_store(self.metrics)
@@ -202,6 +208,7 @@
         self.follower = StoreFollower(
             store=self.store,
             subscribers=(self.configuration, self.listing, self.registry),
+            is_listener=lambda: self.peers.instance_id in self._list_listeners(),
             clock=self.clock,
             random_source=self.random,
             metrics=self.metrics,
@@ -216,10 +223,13 @@
         )
         self.news = NewsController(
             peers=self.peers,
+            list_listeners=self._list_listeners,
+            data_centre=self.rules.data_centre,
             follower=self.follower,
             configuration=self.configuration,
             listing=self.listing,
             book=self.book,
+            clock=self.clock,
             random_source=self.random,
             metrics=self.metrics,
         )
@@ -331,6 +341,20 @@
         )
         return max(alive, ASSUMED_INSTANCES)
 
+    def _list_listeners(self) -> frozenset[str]:
+        members = self.peers.members()
+        if members is not self.listening_members:
+            # asked for several times a second, and changes rarely
+            self.listening_members = members
+            self.listeners = choose_listeners(
+                {
+                    member.instance_id: member.data_centre
+                    for member in members
+                    if member.state in (MemberState.ALIVE, MemberState.SUSPECT)
+                }
+            )
+        return self.listeners
+
     def _list_controllers(self) -> tuple[Controller, ...]:
         return (
             self.peers,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/following.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/following.py
@@ -16,6 +16,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
 
     from greengagelatch.clock import Clock
     from greengagelatch.store import StoreError
@@ -30,11 +31,22 @@
 ALL_KEYS = ""
 #: seconds that one watch waits. A store that has lost the history of a watch may
 #: leave it waiting without a word, so what has changed is seen with the next one:
-#: this bounds how old beliefs get, against one call for each wait
-WATCH_SECONDS = 1.2
+#: this bounds how old beliefs get, against one call for each wait. Peers are asked
+#: meanwhile, whose watches began at other moments
+WATCH_SECONDS = 2.5
+#: seconds between two watches at the least: changes that come one after the other,
+#: as when all instances start, are then told by one answer
+LEAST_SPACING = 0.2
 #: seconds after a failed call: first, and at the most
 FIRST_PAUSE = 0.05
 LONGEST_PAUSE = 0.4
+#: the same at the most for an instance that others follow the store for
+LONGEST_PAUSE_AT_REST = 2.0
+#: age of what peers tell from which an instance follows the store by itself: a watch
+#: of theirs, and some time to find another one of them
+STALE_SECONDS = 4.0
+#: seconds after which one that leaves the store to others looks again whether it may
+LOOK_AGAIN = 0.25
 
 
 class StoreSubscriber(ABC):
@@ -59,7 +71,10 @@
     """Follows all keys by one watch, and tells each part of what it keeps.
 
     The platform counts each call, a waiting watch as one, so that two watches cost
-    twice as much and say no more.
+    twice as much and say no more. In a large fleet a few instances follow it for
+    all; the others do so only while those tell them nothing new enough.
+
+    :param is_listener: whether this instance is one of those that follow it
     """
 
     name = "store"
@@ -69,6 +84,7 @@
         *,
         store: RangeStore,
         subscribers: tuple[StoreSubscriber, ...],
+        is_listener: Callable[[], bool],
         clock: Clock,
         random_source: random.Random,
         metrics: Metrics,
@@ -77,20 +93,25 @@
         super().__init__()
         self._store = store
         self._subscribers = subscribers
+        self._is_listener = is_listener
         self._clock = clock
         self._random = random_source
         self._metrics = metrics
         self._decisions = decisions
         #: revision from which to follow; ``None``: scan first
         self._after: int | None = None
+        #: monotonic seconds at which the store was last known to have said nothing
+        #: newer, by its own word or a peer's
         self._heard = clock.now()
+        self._asked = float("-inf")
         self._reached = True
+        self._resting = False
         self._pause = FIRST_PAUSE
         self._error = ""
 
     @property
     def silence(self) -> float:
-        """Seconds since the store last answered."""
+        """Seconds since the store last answered, here or to a peer that told so."""
         return self._clock.now() - self._heard
 
     @property
@@ -98,23 +119,64 @@
         """Whether the last call to the store was answered."""
         return self._reached
 
+    @property
+    def resting(self) -> bool:
+        """Whether the store is left to other instances for now."""
+        return self._resting
+
+    def note_news(self, seconds: float) -> None:
+        """Take in that a peer has told all that the store said so long ago."""
+        self._heard = max(self._heard, self._clock.now() - seconds)
+
     def dump(self) -> dict[str, Any]:
         return {
             "revision": self._after,
             "seconds_since_answer": round(self.silence, 3),
             "reached": self._reached,
+            "resting": self._resting,
             "last_error": self._error,
         }
 
     @Service.task
     async def _follow_forever(self) -> None:
         while not self.should_stop:
-            if not await self._step():
-                await asyncio.sleep(self._pause * self._random.uniform(0.7, 1.3))
-                self._pause = min(LONGEST_PAUSE, self._pause * 2)
+            if self._may_rest():
+                await asyncio.sleep(LOOK_AGAIN)
+                continue
+            if await self._step():
+                await self._keep_spacing()
+                continue
+            await asyncio.sleep(self._pause * self._random.uniform(0.7, 1.3))
+            listens = self._is_listener()
+            longest = LONGEST_PAUSE if listens else LONGEST_PAUSE_AT_REST
+            self._pause = min(longest, self._pause * 2)
+
+    def _may_rest(self) -> bool:
+        """Whether others follow the store, and tell what they hear."""
+        rests = (
+            self._after is not None
+            and not self._is_listener()
+            and self.silence < STALE_SECONDS
+        )
+        if rests != self._resting:
+            self._resting = rests
+            self._decisions.note_belief(
+                "store-left-to-others" if rests else "store-followed",
+                silence_ms=round(self.silence * 1000),
+            )
+            if not rests:
+                # much may have changed; a watch from so long ago is refused
+                self._after = None
+        return rests
+
+    async def _keep_spacing(self) -> None:
+        left = LEAST_SPACING - (self._clock.now() - self._asked)
+        if left > 0:
+            await asyncio.sleep(left)
 
     async def _step(self) -> bool:
         """Scan or watch once; whether to go on at once."""
+        self._asked = self._clock.now()
         if self._after is None:
             result = await self._store.scan(ALL_KEYS)
         else:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/registry.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/registry.py
@@ -29,8 +29,8 @@
 #: prefix of the keys of instances in the store
 PREFIX = "greengagelatch/instances/"
 #: seconds after which the entry of an instance that is gone lapses; a few renewals
-LEASE_SECONDS = 8.0
-RENEW_SECONDS = 2.5
+LEASE_SECONDS = 12.0
+RENEW_SECONDS = 4.0
 #: seconds after a failed call
 PAUSE_SECONDS = 0.7
 
--- a/packages/greengagelatch/src/greengagelatch/relay/messages.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/messages.py
@@ -146,8 +146,11 @@
 class News(Message):
     """What the sender knows beyond the question's revisions."""
 
+    #: seconds since the store was last known to have said nothing newer; ``None``
+    #: from an earlier release, which does not tell
+    heard_seconds: float | None = None
     configuration_revision: int = 0
-    #: empty if the asker's is as new
+    #: compressed; empty if the asker's is as new
     configuration: bytes = b""
     listing_revision: int = 0
     #: whether ``targets`` is a listing at all
@@ -156,6 +159,7 @@
     targets: tuple[Any, ...] = ()
 
     def __post_init__(self) -> None:
+        check_type(self.heard_seconds, (int, float, type(None)))
         check_type(self.configuration, bytes)
         check_type(self.configuration_revision, int)
         check_type(self.listing_revision, int)
--- a/packages/greengagelatch/src/greengagelatch/settings/table.py
+++ b/packages/greengagelatch/src/greengagelatch/settings/table.py
@@ -144,7 +144,8 @@
         unit="s",
         minimum=0.05,
         maximum=60,
-        meaning="Time between two heartbeats that each side of a link sends.",
+        meaning="Time without a message after which each side of a link sends a"
+        " heartbeat.",
     ),
     Setting(
         name="peers.silence",
@@ -156,6 +157,15 @@
         meaning="Time without a byte after which a link is dropped; several"
         " heartbeats.",
     ),
+    Setting(
+        name="peers.rest_factor",
+        type=float,
+        default=1.0,
+        minimum=1,
+        maximum=100,
+        meaning="How many times longer `peers.heartbeat` and `peers.silence` are on a"
+        " link that has carried nothing but probes for two seconds.",
+    ),
     Setting(
         name="peers.open_timeout",
         type=float,
