--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peers.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peers.py
@@ -52,9 +52,6 @@
 #: seconds between two looks at the links, at the most
 TICK = 0.2
 
-#: questions of peers in work at the same time; more are answered "busy"
-MAX_IN_WORK = 256
-
 #: times a question is tried on a new link after one closed with it unsent
 TRIES = 2
 
@@ -86,6 +83,7 @@
         self._listen: str = settings["peers.listen"]
         self._silence: float = settings["peers.silence"]
         self._tick = min(TICK, settings["peers.heartbeat"])
+        self._max_in_work: int = settings["peers.in_work"]
         self._advertise: str = settings["peers.advertise"]
         self._seeds = split_endpoints(settings["peers.seeds"])
         self._random = random_source
@@ -294,7 +292,7 @@
             reason = f"no handler for {message.wire_name}"
             self._answer(link, envelope.question, NotUnderstood(reason))
             return
-        if len(self._in_work) >= MAX_IN_WORK:
+        if len(self._in_work) >= self._max_in_work:
             # answers are still read, or two peers that wait for each other's
             # answers would both be stuck
             self._metrics.count("peers.busy")
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -69,6 +69,10 @@
     "peers.idle": 15.0,
     "peers.links": 8,
     "peers.max_links": 128,
+    # bundles wait with their owner: of 200 a second each waits for seconds in a
+    # burst. One that called itself busy was passed over, and two owners filled the
+    # makers' room without a word between them
+    "peers.in_work": 8192,
     "peers.probe_interval": 0.5,
     "peers.dead_interval": 2.0,
 }
--- a/packages/greengagelatch/src/greengagelatch/settings/table.py
+++ b/packages/greengagelatch/src/greengagelatch/settings/table.py
@@ -201,6 +201,15 @@
         maximum=10000,
         meaning="Links that may be open at the same time, whoever opened them.",
     ),
+    Setting(
+        name="peers.in_work",
+        type=int,
+        default=256,
+        minimum=16,
+        maximum=100000,
+        meaning="Questions of other entry instances in work at the same time; more"
+        " are answered that this one is busy.",
+    ),
     Setting(
         name="peers.probe_interval",
         type=float,
