Home prompts by all that they share

Cause: the first shared part named a prompt's home. There are four of them for the longest prompts, so that four of 45 engines got most of the work (busiest/mean 5.85), streams were tried elsewhere without a first event, and stage results waited at their makers meanwhile, which had no room for more. Ruled out: too few engines (a calm burst needs a third of what they read).

--- a/packages/greengagelatch/src/greengagelatch/relay/fleet.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/fleet.py
@@ -91,9 +91,11 @@
     ) -> ListedTarget | None:
         """Return the engine that should have the least to read and to move.
 
-        The first shared part names a home for it, the same for all instances
-        without a word between them. An engine that waits to read more than the
-        others gives way, or a much used part would overload its home.
+        The last shared part names a home for all that are shared, the same for all
+        instances without a word between them. The first one would not do: a handful
+        of them begins most prompts, and as few engines would get all requests of a
+        large fleet. An engine that waits to read more than the others gives way, or
+        a much used part would overload its home.
         """
         candidates = self._list_candidates(service, excluded, now)
         if not candidates:
@@ -107,7 +109,7 @@
     def find_home(
         self, service: str, prompt: Prompt, now: float
     ) -> ListedTarget | None:
-        """Return the engine that a prompt's first shared part should be sent to."""
+        """Return the engine that a prompt's shared parts should be sent to."""
         return _find_home(prompt, self._list_candidates(service, frozenset(), now))
 
     def start(self, target_id: str, tokens: float = 0.0) -> None:
@@ -206,8 +208,9 @@
         state = self._find(target.target_id)
         tokens = self.count_tokens(target.target_id, need.prompt, now)
         if target.target_id == home:
-            # others will have sent the part there, whatever this instance saw
-            tokens = min(tokens, need.prompt.tokens_in - need.prompt.shared[0].tokens)
+            # others will have sent the parts there, whatever this instance saw
+            shared = sum(part.tokens for part in need.prompt.shared)
+            tokens = min(tokens, need.prompt.tokens_in - shared)
         running = state.in_flight + self._count_others(state, now)
         far = sum(
             size
@@ -227,8 +230,8 @@
 def _find_home(prompt: Prompt, candidates: list[ListedTarget]) -> ListedTarget | None:
     if not prompt.shared or not candidates:
         return None
-    first = prompt.shared[0].part_id
+    last = prompt.shared[-1].part_id
     return min(
         candidates,
-        key=lambda one: (compute_weight(first, one.target_id), one.target_id),
+        key=lambda one: (compute_weight(last, one.target_id), one.target_id),
     )
--- a/tests/test_core/test_relay/test_fleet.py
+++ b/tests/test_core/test_relay/test_fleet.py
@@ -28,8 +28,12 @@
     return Fleet(book=book, data_centre="north", random_source=random.Random(4))
 
 
-def create_need(part: str, tokens: int = 9000, **sizes: int) -> EngineNeed:
+def create_need(
+    part: str, tokens: int = 9000, first: str = "", **sizes: int
+) -> EngineNeed:
     parts = (PromptPart(part, 2500), PromptPart(f"own-{part}", tokens - 2500))
+    if first:
+        parts = (PromptPart(first, 0), *parts)
     return EngineNeed(Prompt(tokens_in=tokens, parts=parts), sizes)
 
 
@@ -96,6 +100,20 @@
         assert choose(first, need) == choose(second, need)
 
 
+def test_common_beginning_does_not_bring_requests_together():
+    """Symptom: four engines of 45 are late with everything, most others idle.
+
+    Sequence: many instances send long prompts of which four different beginnings are
+    shared; each sends a few, so that none sees what waits at the engines.
+    Cause: the first shared part alone named the home of a prompt.
+    """
+    fleet = create_fleet(45)
+    needs = [create_need(f"part-{number}", first="common") for number in range(90)]
+    homes = [choose(fleet, need) for need in needs]
+    assert len(set(homes)) > 30
+    assert max(homes.count(one) for one in homes) <= 8
+
+
 def test_home_that_has_too_much_to_read_gives_way():
     """Symptom: one engine is late with everything while the others idle.
 
