--- a/tests/test_core/test_relay/test_fleet.py
+++ b/tests/test_core/test_relay/test_fleet.py
@@ -33,7 +33,8 @@
 ) -> EngineNeed:
     parts = (PromptPart(part, 2500), PromptPart(f"own-{part}", tokens - 2500))
     if first:
-        parts = (PromptPart(first, 0), *parts)
+        parts = (PromptPart(first, 2500), *parts)
+        tokens += 2500
     return EngineNeed(Prompt(tokens_in=tokens, parts=parts), sizes)
 
 
