Make large results when they are due; a tool for trials of stage work

Cause: results of 1.5 MB fill a seventh of a maker each; those of requests that also have a chain of three stages were made at once and waited a second for its end. They are begun now when the chain is about to end.

The tool runs the real queues, batches, admission and choice of engines in virtual time against modelled makers, engines and callers.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from abc import ABC, abstractmethod
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -30,6 +31,11 @@
 MAX_REMAKES = 2
 #: seconds after which makers that are behind may have caught up, at the least
 LEAST_RETRY = 0.3
+#: slack of a stage at which it is begun, in seconds: about as long as a piece waits
+#: for a maker to end the call before
+LEAST_SLACK = 0.1
+#: seconds for which it is not worth waiting
+LEAST_PAUSE = 0.005
 
 
 class StageDesk(ABC):
@@ -134,6 +140,9 @@
         self._held: dict[int, tuple[PieceResult, ...]] = {}
         self._tasks: dict[int, asyncio.Task[None]] = {}
         self._readers = self._list_readers()
+        #: expected moments of the ends of stages that have begun
+        self._ends: dict[int, float] = {}
+        self._ended = asyncio.Event()
 
     @property
     def seconds(self) -> float:
@@ -200,6 +209,7 @@
     async def _make_all(self) -> None:
         self._tasks = {}
         self._readers = self._list_readers()
+        self._ends = {}
         for number in self._plan.works:
             self._start(number)
         tasks = tuple(self._tasks.values())
@@ -225,6 +235,9 @@
             # shielded: a stage that is cancelled must not cancel those it reads
             await asyncio.shield(task)
         work = self._plan.works[number]
+        await self._wait_for_others(work)
+        self._ends[number] = self._clock.now() + self._find_wait(work.service)
+        self._ends[number] += work.seconds
         handles = {
             one: tuple(result.handle for result in self._held[one])
             for one in work.after
@@ -234,10 +247,29 @@
         failed = next((one.failure for one in results if one.failure), None)
         made = tuple(one for one in results if one.failure is None)
         self._held[number] = made
+        self._ends[number] = self._clock.now()
+        self._ended.set()
         if failed is not None:
             raise _StageFailedError(work, failed)
         self._note_read(work)
 
+    async def _wait_for_others(self, work: StageWork) -> None:
+        """Wait as long as a stage's results would only wait for those of others."""
+        while True:
+            slack = self._plan.find_slack(
+                work, self._clock.now(), self._ends, self._find_wait
+            )
+            pause = slack - LEAST_SLACK
+            if pause < LEAST_PAUSE:
+                return
+            self._ended.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(pause):
+                    await self._ended.wait()
+
+    def _find_wait(self, service: str) -> float:
+        return self._desk.estimate_wait(service).urgent
+
     def _note_read(self, work: StageWork) -> None:
         """Free what a stage has read, once no other stage is to read it."""
         for one in work.after:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -73,10 +73,16 @@
         self._check_admission(exchange, run, first)
         try:
             results = await run.make()
-            await _Stream(self, exchange, run, results).serve()
+            await self.pass_on(exchange, run, results)
         finally:
             run.free()
 
+    async def pass_on(
+        self, exchange: RelayExchange, run: StageRun, results: StageResults
+    ) -> None:
+        """Send a request whose stages are made, and pass its events on."""
+        await _Stream(self, exchange, run, results).serve()
+
     def _check_admission(
         self, exchange: RelayExchange, run: StageRun, first: float
     ) -> None:
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/__init__.py
@@ -0,0 +1,1 @@
+"""Stage work under load: the real decisions and queues in virtual time."""
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/__main__.py
@@ -0,0 +1,88 @@
+"""Trials of stage work: ``python -m greengagelatch_lab.stage_load``."""
+
+from __future__ import annotations
+
+import argparse
+from concurrent.futures import ProcessPoolExecutor
+from statistics import mean, median
+from typing import TYPE_CHECKING
+
+from greengagelatch.relay.admission import AdmitAll
+from greengagelatch.relay.batches import SeparateCalls
+
+from .shapes import SCENARIOS, SHAPES
+from .trial import Policies, run_trial
+
+if TYPE_CHECKING:
+    from .trial import Outcome
+
+__all__ = ("main",)
+
+#: processes that run trials at the same time
+WORKERS = 6
+#: the decisions that are compared
+VARIANTS = {
+    "ours": Policies(),
+    "admit-all": Policies(create_admission=AdmitAll),
+    "naive": Policies(create_batches=SeparateCalls, create_admission=AdmitAll),
+}
+
+
+def main() -> None:
+    """Run trials and print a line for each fleet, scenario and variant."""
+    arguments = _parse()
+    keys = [
+        (fleet, scenario, variant)
+        for fleet in arguments.fleet
+        for scenario in arguments.scenario
+        for variant in arguments.variant
+    ]
+    with ProcessPoolExecutor(WORKERS) as pool:
+        runs = {
+            key: [pool.submit(_run, *key, seed) for seed in arguments.seeds]
+            for key in keys
+        }
+        for key, futures in runs.items():
+            outcomes = [future.result() for future in futures]
+            print(f"{key[0]:13}{key[1]:13}{key[2]:10}{describe(outcomes)}", flush=True)
+
+
+def describe(outcomes: list[Outcome]) -> str:
+    """Return a line about several trials of one kind."""
+    credits = [one.credit for one in outcomes]
+    spread = max(credits) - min(credits)
+    parts = [
+        f"credit {median(credits):.3f} (spread {spread:.3f})",
+        f"unserved {mean(one.unserved_share for one in outcomes):.3f}",
+        f"unread {mean(one.unread_share for one in outcomes):.3f}",
+        f"moved {mean(one.moved_bytes for one in outcomes) / 1e9:.2f} GB",
+    ]
+    for name in outcomes[0].classes:
+        rows = [one.classes[name] for one in outcomes]
+        asked = sum(row.asked for row in rows)
+        in_time = sum(row.in_time for row in rows) / asked
+        served = in_time + sum(row.late for row in rows) / asked
+        times = sorted(time for row in rows for time in row.times)
+        parts.append(f"{name} {in_time:.2f}/{served:.2f} p50 {median(times):.2f}")
+    return ", ".join(parts)
+
+
+def _run(fleet: str, scenario: str, variant: str, seed: int) -> Outcome:
+    return run_trial(SHAPES[fleet], SCENARIOS[scenario], VARIANTS[variant], seed)
+
+
+def _parse() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--fleet", nargs="+", choices=sorted(SHAPES), default=["luzon"])
+    parser.add_argument(
+        "--scenario", nargs="+", choices=sorted(SCENARIOS), default=list(SCENARIOS)
+    )
+    parser.add_argument(
+        "--variant", nargs="+", choices=sorted(VARIANTS), default=list(VARIANTS)
+    )
+    parser.add_argument("--seeds", type=int, nargs="+", default=[1, 2, 3])
+    return parser.parse_args()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/models.py
@@ -0,0 +1,275 @@
+"""Makers and engines in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from itertools import count
+from typing import TYPE_CHECKING
+
+from greengagelatch.relay.pieces import PieceFailure, PieceResult
+from greengagelatch_entry.relay.codecs import TargetCodec
+from greengagelatch_entry.relay.links import NotSentError
+from greengagelatch_entry.relay.messages import AnswerHead, Outbound
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from greengagelatch.relay.pieces import Piece
+
+    from .shapes import MakerShape, StageShape
+
+__all__ = ("Engine", "Maker", "ModelCodec", "ModelLinks", "Results")
+
+#: bytes that a link carries in a second
+LINK_BYTES = 10_000e6 / 8
+#: seconds of one way between two processes
+ONE_WAY = 0.0006
+#: seconds until a connection to a lost maker fails
+UNREACHABLE = 0.3
+#: share by which the time of a call varies to either side
+VARIATION = 0.08
+#: prompt tokens that an engine reads in a second
+READ_TOKENS = 41_400.0
+#: seconds of one step of an engine
+STEP = 0.006
+#: seconds for which a prompt part is kept
+PART_LIFE = 30.0
+
+
+@dataclass(slots=True)
+class Result:
+    """A result that lies at its maker."""
+
+    maker: Maker
+    size: int
+    until: float
+
+
+@dataclass(slots=True)
+class Results:
+    """All results that exist, by handle, and what became of the work on them."""
+
+    held: dict[str, Result] = field(default_factory=dict)
+    #: bytes that crossed data centres
+    moved_bytes: float = 0.0
+    #: results that were never read
+    unread: int = 0
+    made: int = 0
+    read: set[str] = field(default_factory=set)
+    numbers: count = field(default_factory=count)
+
+    def drop(self, handle: str) -> None:
+        """Remove a result; its room is free."""
+        result = self.held.pop(handle, None)
+        if result is None:
+            return
+        result.maker.used -= result.size
+        if handle not in self.read:
+            self.unread += 1
+        self.read.discard(handle)
+
+    def read_all(self, handles: tuple[str, ...], data_centre: str) -> float | None:
+        """Return the seconds of fetching results; ``None`` if one is gone."""
+        size = 0
+        for handle in handles:
+            result = self.held.get(handle)
+            if result is None:
+                return None
+            size += result.size
+            if result.maker.data_centre != data_centre:
+                self.moved_bytes += result.size
+        self.read.update(handles)
+        return size / LINK_BYTES
+
+
+class Maker:
+    """One maker: a call at a time, and room for few results."""
+
+    def __init__(
+        self,
+        shape: MakerShape,
+        address: str,
+        data_centre: str,
+        results: Results,
+        random_source: random.Random,
+    ) -> None:
+        self.shape = shape
+        self.address = address
+        self.data_centre = data_centre
+        self.used = 0.0
+        self.lost = False
+        self.busy_seconds = 0.0
+        self.calls = 0
+        self.pieces = 0
+        self._results = results
+        self._random = random_source
+        self._turn = asyncio.Lock()
+
+    async def run(
+        self,
+        pieces: tuple[Piece, ...],
+        remaining: tuple[float, ...],
+        sizes: tuple[int, ...],
+        works: tuple[float, ...],
+    ) -> tuple[PieceResult, ...]:
+        """Make pieces when their turn comes.
+
+        :param works: time of each, as a multiple of the usual one
+        """
+        loop = asyncio.get_running_loop()
+        came = loop.time()
+        async with self._turn:
+            waited = loop.time() - came
+            outcomes = [
+                self._begin(piece, left - waited, size)
+                for piece, left, size in zip(pieces, remaining, sizes, strict=True)
+            ]
+            fetching = sum(seconds for seconds, _ in outcomes)
+            work = sum(
+                work
+                for (_, failure), work in zip(outcomes, works, strict=True)
+                if failure is None
+            )
+            seconds = self.shape.call_seconds + work * self.shape.item_seconds
+            seconds *= self._random.uniform(1 - VARIATION, 1 + VARIATION)
+            await asyncio.sleep(fetching + seconds)
+        self.busy_seconds += seconds
+        self.calls += 1
+        self.pieces += len(pieces)
+        return tuple(
+            self._finish(size) if failure is None else PieceResult(failure=failure)
+            for (_, failure), size in zip(outcomes, sizes, strict=True)
+        )
+
+    def _begin(
+        self, piece: Piece, left: float, size: int
+    ) -> tuple[float, PieceFailure | None]:
+        if left <= 0:
+            return 0.0, PieceFailure.LATE
+        if self.used + size > self.shape.room_bytes:
+            return 0.0, PieceFailure.ROOM
+        seconds = self._results.read_all(piece.inputs, self.data_centre)
+        if seconds is None:
+            return 0.0, PieceFailure.GONE
+        self.used += size
+        return seconds, None
+
+    def _finish(self, size: int) -> PieceResult:
+        loop = asyncio.get_running_loop()
+        handle = f"{self.address}/{next(self._results.numbers)}"
+        until = loop.time() + self.shape.keep_seconds
+        self._results.held[handle] = Result(self, size, until)
+        self._results.made += 1
+        loop.call_at(until, self._results.drop, handle)
+        return PieceResult(handle=handle, data_centre=self.data_centre)
+
+
+class Engine:
+    """One engine: reads prompts one after the other, keeps their parts."""
+
+    def __init__(self, target_id: str, data_centre: str, results: Results) -> None:
+        self.target_id = target_id
+        self.data_centre = data_centre
+        self.read_tokens = 0.0
+        self._results = results
+        self._parts: dict[str, float] = {}
+        self._reading = asyncio.Lock()
+
+    async def read(
+        self, inputs: tuple[str, ...], part: str, shared: int, own: int
+    ) -> bool:
+        """Wait until the first event is out; ``False`` if a result is gone."""
+        seconds = self._results.read_all(inputs, self.data_centre)
+        if seconds is None:
+            return False
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(seconds + ONE_WAY)
+        async with self._reading:
+            kept = self._parts.get(part, -PART_LIFE) > loop.time() - PART_LIFE
+            tokens = own if kept else own + shared
+            self.read_tokens += tokens
+            await asyncio.sleep(tokens / READ_TOKENS + STEP)
+            self._parts[part] = loop.time()
+        return True
+
+
+@dataclass(slots=True)
+class _Reply:
+    """What a maker answered, with nothing to decode."""
+
+    results: tuple[PieceResult, ...]
+
+    async def read(self, limit: int) -> tuple[PieceResult, ...]:
+        return self.results
+
+    def release(self) -> None:
+        pass
+
+    def abort(self) -> None:
+        pass
+
+
+class ModelLinks:
+    """Takes calls to their makers.
+
+    :param find_stage: returns the stage of a piece
+    """
+
+    def __init__(
+        self,
+        makers: dict[str, Maker],
+        results: Results,
+        find_stage: Callable[[Piece], StageShape],
+    ) -> None:
+        self._makers = makers
+        self._results = results
+        self._find_stage = find_stage
+
+    async def send(self, *, address: str, outbound: Outbound, **_) -> _Reply:
+        """Do what a call asks for."""
+        maker = self._makers[address]
+        if maker.lost:
+            await asyncio.sleep(UNREACHABLE)
+            raise NotSentError("no connection in time")
+        await asyncio.sleep(ONE_WAY)
+        if outbound.target == "free":
+            for handle in outbound.body:
+                self._results.drop(handle)
+            return _Reply(())
+        pieces, remaining = outbound.body
+        stages = [self._find_stage(piece) for piece in pieces]
+        results = await maker.run(
+            pieces,
+            remaining,
+            tuple(stage.result_bytes for stage in stages),
+            tuple(stage.work for stage in stages),
+        )
+        await asyncio.sleep(ONE_WAY)
+        return _Reply(results)
+
+
+class ModelCodec(TargetCodec):
+    """Passes objects where the real one writes and reads bytes."""
+
+    def encode_request(self, request, call) -> Outbound:
+        raise NotImplementedError
+
+    def encode_pieces(self, pieces, remaining, target_id) -> Outbound:
+        return Outbound(method="POST", target="run", body=(pieces, remaining))
+
+    def encode_freeing(self, handles, target_id) -> Outbound:
+        return Outbound(method="POST", target="free", body=handles)
+
+    def read_head(self, reply) -> AnswerHead:
+        return AnswerHead(status=200, reason="OK")
+
+    def read_pieces(self, body, count, data_centre):
+        return body
+
+    def find_maker_address(self, handle: str) -> str:
+        return handle.partition("/")[0]
+
+    def read_event_id(self, event: bytes) -> int | None:
+        return None
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/shapes.py
@@ -0,0 +1,311 @@
+"""Fleets and loads of the experiments with stage work."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+__all__ = (
+    "SCENARIOS",
+    "SHAPES",
+    "Burst",
+    "CallerClass",
+    "FleetShape",
+    "Loss",
+    "MakerShape",
+    "Scenario",
+    "StageShape",
+)
+
+#: bytes in a megabyte of results
+MEGABYTE = 1_000_000
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class MakerShape:
+    """The makers of one service; times in seconds."""
+
+    name: str
+    count: int
+    batch: int
+    item_seconds: float
+    room_bytes: float
+    call_seconds: float = 0.2
+    keep_seconds: float = 4.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StageShape:
+    """One stage of a class of requests."""
+
+    service: str
+    result_bytes: int
+    #: share of the requests that have it
+    share: float = 1.0
+    #: mean number of pieces; numbers vary around it, up to four times as many
+    pieces: float = 1.0
+    #: time of a piece, as a multiple of the usual one of its service
+    work: float = 1.0
+    after: tuple[int, ...] = ()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallerClass:
+    """One kind of request; times in seconds."""
+
+    name: str
+    per_second: float
+    objective: float
+    deadline: float
+    worth: float
+    late_worth: float
+    priority: int
+    #: prompt tokens that other requests share, and those that are its own
+    shared_tokens: int
+    own_tokens: int
+    #: subjects to which the shared parts belong
+    subjects: int
+    #: seconds of generation after the first event
+    generation: float
+    stages: tuple[StageShape, ...] = ()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FleetShape:
+    """Makers, engines and the usual load of one fleet."""
+
+    name: str
+    data_centres: int
+    engines: int
+    makers: tuple[MakerShape, ...]
+    classes: tuple[CallerClass, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Burst:
+    """More traffic for a while; an empty name means that of all classes."""
+
+    caller_class: str
+    begin: float
+    seconds: float
+    factor: float
+
+
+@dataclass(frozen=True, slots=True)
+class Loss:
+    """One maker of a service is lost for a while."""
+
+    service: str
+    begin: float
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Scenario:
+    """What happens in one trial."""
+
+    name: str
+    seconds: float = 34.0
+    bursts: tuple[Burst, ...] = ()
+    losses: tuple[Loss, ...] = ()
+
+
+def _list_chain(
+    services: tuple[str, str, str], middle_pieces: int, first: int = 0
+) -> tuple[StageShape, ...]:
+    """Return three stages, each reading the one before; ``first`` is its number."""
+    return (
+        StageShape(service=services[0], result_bytes=8_000, work=0.3),
+        StageShape(
+            service=services[1],
+            result_bytes=60_000,
+            pieces=middle_pieces,
+            after=(first,),
+        ),
+        StageShape(
+            service=services[2], result_bytes=6_000, pieces=10, after=(first + 1,)
+        ),
+    )
+
+
+def _list_classes(
+    *,
+    rates: tuple[float, float, float],
+    objectives: tuple[float, float, float],
+    deadlines: tuple[float, float, float],
+    services: tuple[str, str, str],
+    middle_pieces: int,
+    chained_drafts: bool,
+) -> tuple[CallerClass, ...]:
+    """Return drafts, summaries and short talks; either the first or the last ones
+    have the chain of stages besides their large results.
+    """
+    large = StageShape(
+        service=services[0], result_bytes=1_500_000, pieces=2.5, share=0.7
+    )
+    small = StageShape(
+        service=services[0], result_bytes=1_500_000, pieces=1.5, share=0.4
+    )
+    chained = (small, *_list_chain(services, middle_pieces, first=1))
+    return (
+        CallerClass(
+            name="draft",
+            per_second=rates[0],
+            objective=objectives[0],
+            deadline=deadlines[0],
+            worth=3.8,
+            late_worth=0.57,
+            priority=1,
+            shared_tokens=6300,
+            own_tokens=2890,
+            subjects=163,
+            generation=0.3,
+            stages=chained if chained_drafts else (large,),
+        ),
+        CallerClass(
+            name="summary",
+            per_second=rates[1],
+            objective=objectives[1],
+            deadline=deadlines[1],
+            worth=2.1,
+            late_worth=0.32,
+            priority=0,
+            shared_tokens=568,
+            own_tokens=1800,
+            subjects=90,
+            generation=0.15,
+            stages=_list_chain(services, middle_pieces),
+        ),
+        CallerClass(
+            name="talk",
+            per_second=rates[2],
+            objective=objectives[2],
+            deadline=deadlines[2],
+            worth=0.47,
+            late_worth=0.07,
+            priority=2,
+            shared_tokens=172,
+            own_tokens=543,
+            subjects=136,
+            generation=1.5,
+            stages=(large,) if chained_drafts else chained,
+        ),
+    )
+
+
+def _list_makers(*rows: tuple[str, int, int, float, float]) -> tuple[MakerShape, ...]:
+    return tuple(
+        MakerShape(
+            name=name,
+            count=count,
+            batch=batch,
+            item_seconds=item,
+            room_bytes=room * MEGABYTE,
+        )
+        for name, count, batch, item, room in rows
+    )
+
+
+#: the first users' fleets, of today and as they will have grown
+SHAPES = {
+    "luzon": FleetShape(
+        name="luzon",
+        data_centres=3,
+        engines=5,
+        makers=_list_makers(
+            ("portal", 3, 5, 0.0336, 11.25),
+            ("ledger", 3, 17, 0.0101, 2.295),
+            ("audit", 3, 28, 0.00607, 0.3624),
+        ),
+        classes=_list_classes(
+            rates=(4.65, 5.73, 5.8),
+            objectives=(1.1, 1.9, 1.7),
+            deadlines=(6.0, 6.0, 20.0),
+            services=("portal", "ledger", "audit"),
+            middle_pieces=6,
+            chained_drafts=False,
+        ),
+    ),
+    "kyushu": FleetShape(
+        name="kyushu",
+        data_centres=3,
+        engines=5,
+        makers=_list_makers(
+            ("price", 3, 4, 0.042, 9.5),
+            ("ledger", 3, 8, 0.02125, 1.12),
+            ("alert", 3, 23, 0.00743, 0.2957),
+        ),
+        classes=_list_classes(
+            rates=(4.2, 5.21, 5.25),
+            objectives=(2.0, 1.9, 0.79),
+            deadlines=(8.0, 6.0, 15.0),
+            services=("price", "ledger", "alert"),
+            middle_pieces=4,
+            chained_drafts=True,
+        ),
+    ),
+    "luzon-grown": FleetShape(
+        name="luzon-grown",
+        data_centres=3,
+        engines=70,
+        makers=_list_makers(
+            ("portal", 9, 18, 0.0095, 40.0),
+            ("ledger", 8, 62, 0.00277, 8.079),
+            ("audit", 8, 84, 0.00204, 1.12),
+        ),
+        classes=_list_classes(
+            rates=(77.7, 93.4, 35.9),
+            objectives=(1.135, 1.819, 1.715),
+            deadlines=(6.2, 6.06, 20.2),
+            services=("portal", "ledger", "audit"),
+            middle_pieces=6,
+            chained_drafts=False,
+        ),
+    ),
+    "kyushu-grown": FleetShape(
+        name="kyushu-grown",
+        data_centres=4,
+        engines=45,
+        makers=_list_makers(
+            ("price", 9, 14, 0.012, 32.0),
+            ("ledger", 8, 34, 0.00508, 4.533),
+            ("alert", 8, 76, 0.0023, 0.99),
+        ),
+        classes=_list_classes(
+            rates=(48.0, 59.3, 50.7),
+            objectives=(2.035, 1.819, 0.805),
+            deadlines=(8.1, 6.06, 15.3),
+            services=("price", "ledger", "alert"),
+            middle_pieces=4,
+            chained_drafts=True,
+        ),
+    ),
+}
+
+_BURSTS = (
+    Burst("draft", 5.0, 6.0, 2.3),
+    Burst("summary", 14.0, 6.0, 2.3),
+    Burst("", 25.0, 4.0, 1.6),
+)
+
+#: loads that the decisions are for
+SCENARIOS = {
+    "calm": Scenario(name="calm"),
+    "bursts": Scenario(name="bursts", bursts=_BURSTS),
+    "heavy": Scenario(
+        name="heavy",
+        bursts=(
+            Burst("draft", 5.0, 6.0, 3.0),
+            Burst("summary", 14.0, 6.0, 3.0),
+            Burst("", 25.0, 4.0, 2.0),
+        ),
+    ),
+    "lost-first": Scenario(
+        name="lost-first", bursts=_BURSTS, losses=(Loss(":0", 12.0, 5.0),)
+    ),
+    "lost-second": Scenario(
+        name="lost-second", bursts=_BURSTS, losses=(Loss(":1", 13.0, 5.0),)
+    ),
+    "lost-third": Scenario(
+        name="lost-third", bursts=_BURSTS, losses=(Loss(":2", 13.0, 5.0),)
+    ),
+}
--- a/packages/greengagelatch/src/greengagelatch/relay/stage_plan.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/stage_plan.py
@@ -8,13 +8,17 @@
 from .pieces import Piece
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
 
-    from .deployment import Deployment, Route
+    from .deployment import Deployment, Route, RouteStage
     from .requests import OpaqueRequest
 
 __all__ = ("StagePlan", "StageWork")
 
+#: share of a maker's room from which a stage's results should not wait for others:
+#: those of 1.5 MB fill a seventh each, those of 8 kB hardly any
+LARGE_SHARE = 0.02
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class StageWork:
@@ -30,6 +34,8 @@
     seconds: float
     #: the same for all that follows it before the target runs the request
     rest: float
+    #: share of one maker's room that its results fill
+    room_share: float = 0.0
 
 
 class StagePlan:
@@ -58,6 +64,7 @@
                 after=tuple(one for one in stage.after if one in seconds),
                 seconds=seconds[number],
                 rest=_find_rest(number, route, seconds),
+                room_share=_find_room_share(stage, counts[number], deployment),
             )
         read = {one for work in self.works.values() for one in work.after}
         #: stages whose results the target itself reads, in order
@@ -70,6 +77,49 @@
             (work.seconds + work.rest for work in self.works.values()), default=0
         )
 
+    def find_slack(
+        self,
+        work: StageWork,
+        now: float,
+        ends: Mapping[int, float],
+        find_wait: Callable[[str], float],
+    ) -> float:
+        """Return the seconds for which a stage can wait without delaying the target.
+
+        The target begins once all final stages are made. Results of a short chain
+        fill their makers' room until the longest one ends: those that are large
+        held a third of all room for a second, while other requests waited for it.
+
+        :param ends: expected moments of the ends of stages that have begun
+        :param find_wait: returns the seconds that a service's queue takes
+        """
+        if work.after or work.number not in self.final:
+            return 0.0
+        if work.room_share < LARGE_SHARE:
+            return 0.0
+        others = [
+            self._estimate_end(one, now, ends, find_wait)
+            for one in self.final
+            if one != work.number
+        ]
+        own = now + find_wait(work.service) + work.seconds
+        return max(others, default=own) - own
+
+    def _estimate_end(
+        self,
+        number: int,
+        now: float,
+        ends: Mapping[int, float],
+        find_wait: Callable[[str], float],
+    ) -> float:
+        if number in ends:
+            return max(now, ends[number])
+        work = self.works[number]
+        begin = now
+        for one in work.after:
+            begin = max(begin, self._estimate_end(one, now, ends, find_wait))
+        return begin + find_wait(work.service) + work.seconds
+
     def create_pieces(
         self, work: StageWork, handles: Mapping[int, tuple[str, ...]]
     ) -> tuple[Piece, ...]:
@@ -97,6 +147,13 @@
     return found.maker.estimate_seconds(min(count, found.maker.batch))
 
 
+def _find_room_share(stage: RouteStage, count: int, deployment: Deployment) -> float:
+    found = deployment.services.get(stage.service)
+    if found is None or found.maker is None or found.maker.room_bytes <= 0:
+        return 0.0
+    return count * stage.result_bytes / found.maker.room_bytes
+
+
 def _find_rest(number: int, route: Route, seconds: Mapping[int, float]) -> float:
     """Return the seconds of the longest chain that follows a stage."""
     rest = 0.0
--- a/tests/test_core/test_relay/test_stage_plan.py
+++ b/tests/test_core/test_relay/test_stage_plan.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import dataclasses
+
+import pytest
+
 from greengagelatch.relay.deployment import (
     Deployment,
     MakerProfile,
@@ -42,7 +46,7 @@
 )
 
 
-def create_plan(*counts: int) -> StagePlan:
+def create_plan(*counts: int, route: Route = ROUTE) -> StagePlan:
     request = OpaqueRequest(
         request_id="r-1",
         method="POST",
@@ -55,7 +59,7 @@
         piece_counts=counts,
         piece_key="key",
     )
-    return StagePlan(request, ROUTE, DEPLOYMENT)
+    return StagePlan(request, route, DEPLOYMENT)
 
 
 def test_target_reads_the_stages_that_nothing_follows():
@@ -87,3 +91,46 @@
     assert round(plan.seconds, 3) == round(0.21 + 0.26 + 0.3, 3)
     assert round(plan.works[1].rest, 3) == round(0.26 + 0.3, 3)
     assert plan.works[3].rest == 0.0
+
+
+LARGE_ROUTE = dataclasses.replace(
+    ROUTE,
+    stages=(RouteStage(service="a", result_bytes=400), *ROUTE.stages[1:]),
+)
+
+
+def find_slack(plan: StagePlan, now: float, ends: dict[int, float], **waits: float):
+    return plan.find_slack(plan.works[0], now, ends, lambda name: waits.get(name, 0.0))
+
+
+def test_large_results_are_not_made_before_others_are_due():
+    """Symptom: makers refuse pieces for lack of room at two thirds of their load.
+
+    Sequence: a request has a large first stage and a chain of three others; the
+    large results are there after one call and wait for two more.
+    Cause: all stages that read nothing were begun at once.
+    """
+    plan = create_plan(1, 1, 6, 10, route=LARGE_ROUTE)
+    chain = sum(plan.works[number].seconds for number in (1, 2, 3))
+    own = plan.works[0].seconds
+    assert find_slack(plan, 5.0, {}) == pytest.approx(chain - own)
+    ends = {1: 5.2, 2: 5.5}
+    left = plan.works[3].seconds
+    assert find_slack(plan, 5.5, ends) == pytest.approx(left - own)
+
+
+def test_queues_count_in_the_slack_of_large_results():
+    plan = create_plan(1, 1, 6, 10, route=LARGE_ROUTE)
+    bare = find_slack(plan, 5.0, {})
+    assert find_slack(plan, 5.0, {}, c=0.4) == pytest.approx(bare + 0.4)
+    # one's own queue is waited for as well, before the chain's first stage too
+    assert find_slack(plan, 5.0, {}, a=0.4) == pytest.approx(bare)
+
+
+def test_small_results_are_made_at_once():
+    assert find_slack(create_plan(1, 1, 6, 10), 5.0, {}) == 0.0
+
+
+def test_single_chain_has_no_slack():
+    plan = create_plan(2, 0, 0, 0, route=LARGE_ROUTE)
+    assert find_slack(plan, 5.0, {}) == 0.0
