Count routes' priorities among workspaces of the same priority

Cause: a workspace's priority took the place of its route's. Where all workspaces have the same one, as on one of the deployments, routes' did not count at all, and summaries ranked first were late before chats. A rank holds both now, the workspace's first.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
@@ -108,7 +108,7 @@
     service: str = ""
     workspace: str = ""
     #: 0 is the most urgent
-    priority: int = 0
+    rank: float = 0.0
     #: monotonic seconds by which the answer must be out
     deadline: float = 0.0
     verdict: Verdict = Verdict.NOT_RUN
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/filters.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/filters.py
@@ -9,6 +9,7 @@
 from greengagelatch.errors import RefusalCode
 from greengagelatch.relay.deployment import RouteKind
 from greengagelatch.relay.requests import RefusedError
+from greengagelatch.relay.urgency import compute_rank
 
 from .exchange import CallerGoneError, RelayExchange
 from .refusals import create_error, find_refusal_status
@@ -17,6 +18,7 @@
     import random
 
     from greengagelatch.clock import Clock
+    from greengagelatch.relay.deployment import RoutedWorkspace
     from greengagelatch.relay.routes import RouteTable
 
     from ..metrics import Metrics
@@ -128,13 +130,17 @@
                 value=request.target[:64],
             )
         exchange.route = route
-        exchange.priority = route.priority
         exchange.deadline = request.received + min(request.patience, route.timeout)
+        workspace = None
         if table.deployment.keyed and not route.public:
-            self._authorize(exchange, table)
+            workspace = self._authorize(exchange, table)
+            exchange.workspace = workspace.name
+        exchange.rank = compute_rank(
+            route.priority, None if workspace is None else workspace.priority
+        )
         await proceed(exchange)
 
-    def _authorize(self, exchange: RelayExchange, table: RouteTable) -> None:
+    def _authorize(self, exchange: RelayExchange, table: RouteTable) -> RoutedWorkspace:
         workspace = table.find_workspace(exchange.request.key)
         if workspace is None:
             raise create_error(
@@ -143,9 +149,7 @@
                 "the key is not known",
                 field="authorization",
             )
-        exchange.workspace = workspace.name
-        if workspace.priority is not None:
-            exchange.priority = workspace.priority
+        return workspace
 
 
 class SplitFilter(RelayFilter):
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
@@ -296,7 +296,7 @@
                 exchange.deadline - rest - self._whole_seconds,
             ),
             inputs_until=self._find_lapse(work),
-            priority=exchange.priority,
+            rank=exchange.rank,
             data_centre=self._find_data_centre(work),
             moved_bytes=self._count_moved_bytes(work),
             begun=bool(work.after),
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/arrivals.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/arrivals.py
@@ -30,6 +30,7 @@
     caller_class: CallerClass
     prompt: Prompt
     piece_counts: tuple[int, ...]
+    workspace_priority: int
 
 
 def draw_arrivals(shape: FleetShape, scenario: Scenario, seed: int) -> list[Arrival]:
@@ -44,7 +45,8 @@
             if at >= scenario.seconds:
                 break
             for _ in range(CLUMP):
-                arrivals.append(_draw(caller_class, at, source))
+                workspace = source.choice(shape.workspace_priorities)
+                arrivals.append(_draw(caller_class, at, workspace, source))
     return sorted(arrivals, key=lambda one: one.at)
 
 
@@ -58,7 +60,12 @@
     return factor
 
 
-def _draw(caller_class: CallerClass, at: float, source: random.Random) -> Arrival:
+def _draw(
+    caller_class: CallerClass,
+    at: float,
+    workspace_priority: int,
+    source: random.Random,
+) -> Arrival:
     counts = tuple(
         _draw_pieces(stage.pieces, source) if source.random() < stage.share else 0
         for stage in caller_class.stages
@@ -73,6 +80,7 @@
             tokens_in=shared.tokens + own, parts=(shared, PromptPart("own", own))
         ),
         piece_counts=counts,
+        workspace_priority=workspace_priority,
     )
 
 
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/shapes.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/shapes.py
@@ -78,6 +78,8 @@
     engines: int
     makers: tuple[MakerShape, ...]
     classes: tuple[CallerClass, ...]
+    #: those of the workspaces that callers belong to
+    workspace_priorities: tuple[int, ...] = (1,)
 
 
 @dataclass(frozen=True, slots=True)
@@ -211,6 +213,7 @@
         name="luzon",
         data_centres=3,
         engines=5,
+        workspace_priorities=(1, 0, 1, 0, 1),
         makers=_list_makers(
             ("portal", 3, 5, 0.0336, 11.25),
             ("ledger", 3, 17, 0.0101, 2.295),
@@ -247,6 +250,7 @@
         name="luzon-grown",
         data_centres=3,
         engines=70,
+        workspace_priorities=(1, 0, 1, 0, 1),
         makers=_list_makers(
             ("portal", 9, 18, 0.0095, 40.0),
             ("ledger", 8, 62, 0.00277, 8.079),
@@ -282,9 +286,9 @@
 }
 
 _BURSTS = (
-    Burst("draft", 5.0, 6.0, 2.3),
-    Burst("summary", 14.0, 6.0, 2.3),
-    Burst("", 25.0, 4.0, 1.6),
+    Burst("draft", 5.0, 6.0, 3.2),
+    Burst("summary", 14.0, 5.0, 3.2),
+    Burst("", 25.0, 4.0, 1.8),
 )
 
 #: loads that the decisions are for
@@ -294,9 +298,9 @@
     "heavy": Scenario(
         name="heavy",
         bursts=(
-            Burst("draft", 5.0, 6.0, 3.0),
-            Burst("summary", 14.0, 6.0, 3.0),
-            Burst("", 25.0, 4.0, 2.0),
+            Burst("draft", 5.0, 6.0, 4.0),
+            Burst("summary", 14.0, 6.0, 4.0),
+            Burst("", 25.0, 4.0, 2.5),
         ),
     ),
     "lost-first": Scenario(
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/trial.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/trial.py
@@ -27,6 +27,7 @@
     RefusedError,
 )
 from greengagelatch.relay.targets import ListedTarget, TargetBook
+from greengagelatch.relay.urgency import compute_rank
 from greengagelatch_entry.relay.budgets import RepeatBudgets
 from greengagelatch_entry.relay.desk import LocalDesk
 from greengagelatch_entry.relay.exchange import RelayExchange
@@ -339,7 +340,7 @@
             deployment=self.deployment,
             route=route,
             service=ENGINES,
-            priority=route.priority,
+            rank=compute_rank(route.priority, arrival.workspace_priority),
             deadline=now + left,
         )
         try:
--- a/packages/greengagelatch/src/greengagelatch/relay/batches.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/batches.py
@@ -20,9 +20,9 @@
     "is_late",
 )
 
-#: seconds by which a bundle seems less urgent for each rank of its priority: enough to
-#: order bundles that came together, too little to starve any
-PRIORITY_SECONDS = 0.4
+#: seconds by which a bundle seems less urgent for each rank: enough to order bundles
+#: that came together, too little to starve any
+RANK_SECONDS = 0.8
 
 #: bytes that a bundle moves from which it waits for a maker in the right place
 MUCH_MOVED = 500_000
@@ -151,7 +151,7 @@
     the right place: what crosses data centres is paid for.
     """
     bundle, left = pair
-    urgency = bundle.aim + bundle.priority * PRIORITY_SECONDS
+    urgency = bundle.aim + bundle.rank * RANK_SECONDS
     moves_much = bundle.moved_bytes >= MUCH_MOVED
     if moves_much and maker is not None and bundle.data_centre != maker.data_centre:
         urgency += FAR_SECONDS
--- a/packages/greengagelatch/src/greengagelatch/relay/deployment.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/deployment.py
@@ -148,7 +148,7 @@
 
     name: str
     keys: tuple[str, ...] = ()
-    #: goes before the priority of routes; ``None``: the route's counts
+    #: goes before the priority of routes; ``None``: only the route's counts
     priority: int | None = None
 
 
--- a/packages/greengagelatch/src/greengagelatch/relay/messages.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/messages.py
@@ -48,7 +48,7 @@
     latest_seconds: float = 0.0
     #: until what the pieces read lapses; ``None``: it does not
     inputs_seconds: float | None = None
-    priority: int = 0
+    rank: float = 0.0
     data_centre: str = ""
     moved_bytes: int = 0
     begun: bool = False
@@ -57,10 +57,10 @@
         for text in (self.bundle_id, self.service, self.request_id, self.key):
             check_type(text, str)
         check_type(self.data_centre, str)
-        for number in (self.stage, self.result_bytes, self.moved_bytes, self.priority):
+        for number in (self.stage, self.result_bytes, self.moved_bytes):
             check_type(number, int)
-        for seconds in (self.aim_seconds, self.latest_seconds):
-            check_type(seconds, (int, float))
+        for number in (self.aim_seconds, self.latest_seconds, self.rank):
+            check_type(number, (int, float))
         check_type(self.inputs_seconds, (int, float, type(None)))
         for rows in (self.segments, self.inputs):
             check_type(rows, (tuple, list))
@@ -181,7 +181,7 @@
         aim_seconds=bundle.aim - now,
         latest_seconds=bundle.latest - now,
         inputs_seconds=_find_seconds(bundle.inputs_until, now),
-        priority=bundle.priority,
+        rank=bundle.rank,
         data_centre=bundle.data_centre,
         moved_bytes=bundle.moved_bytes,
         begun=bundle.begun,
@@ -208,7 +208,7 @@
         aim=now + message.aim_seconds,
         latest=now + message.latest_seconds,
         inputs_until=_find_moment(message.inputs_seconds, now),
-        priority=message.priority,
+        rank=message.rank,
         data_centre=message.data_centre,
         moved_bytes=message.moved_bytes,
         begun=message.begun,
--- a/packages/greengagelatch/src/greengagelatch/relay/pieces.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/pieces.py
@@ -37,7 +37,7 @@
     #: when what the pieces read lapses at its makers
     inputs_until: float = float("inf")
     #: 0 is the most urgent
-    priority: int = 0
+    rank: float = 0.0
     #: data centre in which the results are best made: of what the pieces read, or of
     #: what reads them
     data_centre: str = ""
--- a/tests/test_core/test_relay/test_batches.py
+++ b/tests/test_core/test_relay/test_batches.py
@@ -27,7 +27,7 @@
     size: int = 1000,
     moved_bytes: int = 0,
     data_centre: str = "north",
-    priority: int = 0,
+    rank: float = 0.0,
     inputs_until: float = float("inf"),
 ) -> tuple[Bundle, list[Piece]]:
     pieces = tuple(
@@ -43,7 +43,7 @@
         latest=latest,
         moved_bytes=moved_bytes,
         data_centre=data_centre,
-        priority=priority,
+        rank=rank,
         inputs_until=inputs_until,
     )
     return bundle, list(pieces)
