Tell in the log which connection a request came on, and how a stop goes on

Cause looked for: requests taken long after a stop request. The log could not tell whether they came on connections that were kept or on new ones, nor how many were left open. Request lines now name the connection and the request's number there, and how long after the stop request it came; a stop says how many connections it closes and keeps, and how it ended.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_connections.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_connections.py
@@ -5,6 +5,8 @@
 import asyncio
 import logging
 import socket
+from dataclasses import dataclass
+from itertools import count
 from typing import TYPE_CHECKING, Any
 
 from aiohttp import web
@@ -18,7 +20,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-__all__ = ("CallerConnections", "mark_busy")
+__all__ = ("CallerConnections", "ConnectionUse", "find_use", "mark_busy")
 
 logger = logging.getLogger(__name__)
 
@@ -40,6 +42,14 @@
 PROBE_INTERVAL = 5
 
 
+@dataclass(frozen=True, slots=True)
+class ConnectionUse:
+    """Which connection a request came on, and as which one there, both from 1."""
+
+    connection: int = 0
+    request: int = 0
+
+
 class CallerConnections:
     """Creates the protocol of each accepted connection.
 
@@ -77,11 +87,14 @@
             return _TurnAway(self._max_connections)
         return self._server()
 
-    def close_idle(self) -> None:
-        """Close the connections on which no request is being served."""
+    def close_idle(self) -> int:
+        """Close the connections on which no request is served; return their number."""
+        closed = 0
         for connection in self._server.connections:
             if isinstance(connection, _Connection) and not connection.busy:
                 connection.force_close()
+                closed += 1
+        return closed
 
     async def close(self) -> None:
         """Close every connection."""
@@ -100,6 +113,7 @@
     ) -> None:
         super().__init__(handle, **options)
         self._write_timeout = write_timeout
+        self.numbers = count(1)
 
     def __call__(self) -> RequestHandler:
         return _Connection(self, self._write_timeout, loop=self._loop, **self._kwargs)
@@ -113,6 +127,10 @@
         self._write_timeout = write_timeout
         #: whether a request is being served
         self.busy = False
+        #: number among the connections of this process
+        self.number = next(server.numbers)
+        #: requests that came on it so far
+        self.requests = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
@@ -156,6 +174,15 @@
     """Note whether the request's connection is serving it."""
     if isinstance(request.protocol, _Connection):
         request.protocol.busy = busy
+        request.protocol.requests += busy
+
+
+def find_use(request: web.BaseRequest) -> ConnectionUse:
+    """Return which connection the request came on."""
+    connection = request.protocol
+    if not isinstance(connection, _Connection):
+        return ConnectionUse()
+    return ConnectionUse(connection.number, connection.requests)
 
 
 def _detect_loss(connection: socket.socket, write_timeout: float) -> None:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_listener.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from abc import abstractmethod
 from typing import TYPE_CHECKING, Any, ClassVar
 
@@ -14,6 +15,8 @@
 
 __all__ = ("CallerListener",)
 
+logger = logging.getLogger(__name__)
+
 
 class CallerListener(Controller):
     """Accepts connections and counts requests until they are answered in full.
@@ -64,10 +67,17 @@
 
     async def close_listener(self) -> None:
         """Take no new connections and close the idle ones; the others are served."""
-        if self._listener is not None:
-            self._listener.close()
-        if self._connections is not None:
-            self._connections.close_idle()
+        if self._listener is None:
+            return
+        self._listener.close()
+        self._listener = None
+        closed = self._connections.close_idle()
+        logger.info(
+            "no new connections: %d idle ones closed, %d kept, %d requests in flight",
+            closed,
+            len(self._connections) - closed,
+            self._in_flight,
+        )
 
     async def wait_idle(self, timeout: float) -> bool:
         """Wait at most ``timeout`` seconds until no request is in flight."""
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/drain.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/drain.py
@@ -87,6 +87,11 @@
         """Whether a stop has begun."""
         return self._state is not DrainState.SERVING
 
+    @property
+    def started_at(self) -> float | None:
+        """Monotonic seconds at which the stop was requested; ``None`` before."""
+        return self._started_at
+
     def request_stop(self) -> None:
         """Begin a planned stop; a second call ends it without waiting."""
         if self._requested.is_set():
@@ -117,6 +122,8 @@
         self._state = DrainState.STOPPED
         finished = results[0] is True
         self._metrics.count("drain.finished" if finished else "drain.cut")
+        ending = "every request is answered" if finished else "requests are cut"
+        logger.info("%s, %.2f s after the stop request", ending, self._find_elapsed())
         return finished
 
     async def _finish(self) -> bool:
@@ -126,7 +133,8 @@
         return await self._wait_idle(self._longest)
 
     def dump(self) -> dict[str, Any]:
-        elapsed = None
-        if self._started_at is not None:
-            elapsed = self._clock.now() - self._started_at
+        elapsed = None if self._started_at is None else self._find_elapsed()
         return {"state": self._state.value, "seconds_since_request": elapsed}
+
+    def _find_elapsed(self) -> float:
+        return self._clock.now() - (self._started_at or 0.0)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -286,7 +286,10 @@
         )
         filters = (
             ObserveFilter(
-                clock=self.clock, metrics=self.metrics, decisions=self.decisions
+                find_stop=lambda: self.drain.started_at,
+                clock=self.clock,
+                metrics=self.metrics,
+                decisions=self.decisions,
             ),
             RouteFilter(find_table=lambda: self.configuration.table),
             SplitFilter(random_source=self.random),
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
@@ -10,6 +10,8 @@
 
 from greengagelatch.verdict import Verdict
 
+from ..adapters.caller_connections import ConnectionUse
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable
 
@@ -102,6 +104,7 @@
 
     request: OpaqueRequest
     writer: AnswerWriter
+    use: ConnectionUse = field(default_factory=ConnectionUse)
     #: set by the filter that looks the route up
     deployment: Deployment | None = None
     route: Route | None = None
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/filters.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/filters.py
@@ -49,11 +49,20 @@
 
 
 class ObserveFilter(RelayFilter):
-    """Logs and counts each request once it is settled."""
+    """Logs and counts each request once it is settled.
+
+    :param find_stop: returns the moment at which this instance was told to stop
+    """
 
     def __init__(
-        self, *, clock: Clock, metrics: Metrics, decisions: DecisionLog
+        self,
+        *,
+        find_stop: Callable[[], float | None],
+        clock: Clock,
+        metrics: Metrics,
+        decisions: DecisionLog,
     ) -> None:
+        self._find_stop = find_stop
         self._clock = clock
         self._metrics = metrics
         self._decisions = decisions
@@ -81,6 +90,10 @@
         self._metrics.count(f"requests.{exchange.outcome}")
         self._metrics.timing("requests", seconds)
         route, deployment = exchange.route, exchange.deployment
+        stop = self._find_stop()
+        received = exchange.request.received
+        # below 0: it came before the stop
+        since_stop = {} if stop is None else {"since_stop_ms": _to_ms(received - stop)}
         self._decisions.note(
             "request",
             request=exchange.request.request_id,
@@ -93,12 +106,19 @@
             workspace=exchange.workspace,
             version=deployment.version if deployment else 0,
             targets=exchange.targets[-4:],
-            stages_ms=round(exchange.stage_seconds * 1000),
-            ms=round(seconds * 1000),
-            left_ms=round((exchange.deadline - self._clock.now()) * 1000),
+            stages_ms=_to_ms(exchange.stage_seconds),
+            ms=_to_ms(seconds),
+            left_ms=_to_ms(exchange.deadline - self._clock.now()),
+            connection=exchange.use.connection,
+            connection_request=exchange.use.request,
+            **since_stop,
         )
 
 
+def _to_ms(seconds: float) -> int:
+    return round(seconds * 1000)
+
+
 class RouteFilter(RelayFilter):
     """Finds the route and the workspace, by the configuration in force on arrival.
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/front.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/front.py
@@ -10,7 +10,7 @@
 from greengagelatch.verdict import Verdict
 
 from ..adapters.caller_bodies import CLOSING_STATUSES, BodyError, read_body
-from ..adapters.caller_connections import CallerConnections
+from ..adapters.caller_connections import CallerConnections, find_use
 from ..adapters.caller_listener import CallerListener
 from .exchange import AnswerWriter, CallerGoneError, RelayExchange
 from .refusals import describe, find_refusal_status
@@ -92,7 +92,10 @@
                 received=received,
             )
             request_id = opaque.request_id
-            await self._handler(RelayExchange(request=opaque, writer=writer))
+            exchange = RelayExchange(
+                request=opaque, writer=writer, use=find_use(request)
+            )
+            await self._handler(exchange)
         except BodyError as error:
             await self._refuse(writer, request_id, error.refusal, error.status)
         except RefusedError as error:
