--- a/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/deployment.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/deployment.py
@@ -23,29 +23,19 @@
 
 
 def create_configuration(
-    version: int = 3, *, keys: tuple[str, ...] = (KEY,), **changes: Any
+    version: int = 3,
+    *,
+    keys: tuple[str, ...] = (KEY,),
+    timeout_ms: int = 3000,
+    **changes: Any,
 ) -> dict[str, Any]:
     """Return a configuration with a route of each kind; ``changes`` replace fields."""
+    routes = _create_routes()
+    for route in routes:
+        route["timeout-ms"] = timeout_ms
     return {
         "version": version,
-        "routes": [
-            _create_route("look", "safe", service="desk", **{"max-attempts": 2}),
-            _create_route("book", "unsafe", service="desk"),
-            _create_route(
-                "draft",
-                "streaming",
-                service="llm",
-                resumable=True,
-                sticky=True,
-                stages=[
-                    {"service": "portal", "after": [], "bytes": 1000},
-                    {"service": "ledger", "after": [0], "bytes": 1000},
-                ],
-                **{"max-attempts": 2, "itl-target-ms": 250},
-            ),
-            _create_route("scan", "streaming", service="llm", sticky=True),
-            _create_route("open", "safe", service="desk", public=True),
-        ],
+        "routes": routes,
         "services": [
             {"name": "desk", "health-path": "/healthz", "max-conns": 100},
             {"name": "llm", "health-path": "/healthz", "engine": _ENGINE},
@@ -63,13 +53,33 @@
     }
 
 
+def _create_routes() -> list[dict[str, Any]]:
+    return [
+        _create_route("look", "safe", service="desk", **{"max-attempts": 2}),
+        _create_route("book", "unsafe", service="desk"),
+        _create_route(
+            "draft",
+            "streaming",
+            service="llm",
+            resumable=True,
+            sticky=True,
+            stages=[
+                {"service": "portal", "after": [], "bytes": 1000},
+                {"service": "ledger", "after": [0], "bytes": 1000},
+            ],
+            **{"max-attempts": 2, "itl-target-ms": 250},
+        ),
+        _create_route("scan", "streaming", service="llm", sticky=True),
+        _create_route("open", "safe", service="desk", public=True),
+    ]
+
+
 def _create_route(name: str, kind: str, **fields: Any) -> dict[str, Any]:
     return {
         "name": name,
         "hostname": HOST,
         "prefix": f"/{name}/",
         "route-kind": kind,
-        "timeout-ms": 3000,
         "slo-ms": 500,
         "priority": 1,
         "max-attempts": 1,
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/targets.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/targets.py
@@ -72,6 +72,8 @@
     batches: list[int] = field(default_factory=list)
     freed: set[str] = field(default_factory=set)
     connections: int = 0
+    #: what it waits for before it answers, also calls for pieces
+    gate: asyncio.Event | None = None
     address: str = ""
     #: after how many events a stream breaks off; ``None``: it does not
     break_after: int | None = None
@@ -144,6 +146,7 @@
             return True
         self.runs[request_id] += 1
         headers["X-Replica-Signature"] = SIGNATURE + self.target_id
+        await self._wait_for_gate()
         if "x-prefix-hash" in request.headers:
             return await self._stream(request, headers, writer)
         return await self._answer_plain(request, headers, writer)
@@ -210,12 +213,17 @@
         if self.fault is TargetFault.MUTE:
             await asyncio.sleep(3600)
         self.batches.append(len(items))
+        await self._wait_for_gate()
         await asyncio.sleep(CALL_SECONDS)
         results = [self._make_piece(item) for item in items]
         body = json.dumps({"items": results}).encode()
         _write(writer, 200, {"Content-Type": "application/json"}, body)
         return True
 
+    async def _wait_for_gate(self) -> None:
+        if self.gate is not None:
+            await self.gate.wait()
+
     def _make_piece(self, item: dict[str, Any]) -> dict[str, str]:
         place = (item["id"], item["stage"], item["segment"])
         self.pieces[place] += 1
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,7 +1,10 @@
-"""Settings of hypothesis for all tests."""
+"""Settings of hypothesis for all tests, and the tests that are known to fail."""
 
 from __future__ import annotations
 
+from pathlib import Path
+
+import pytest
 from hypothesis import settings
 
 # the same examples in each run, so that the verdict of CI is the same as well; look
@@ -9,3 +12,37 @@
 settings.register_profile("same", derandomize=True, deadline=None)
 settings.register_profile("explore", deadline=None)
 settings.load_profile("same")
+
+#: one line for each test that fails for a known fault: test | cause | issue | command
+KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
+#: most of them at a time; more would hide what is broken
+MOST_KNOWN_RED = 3
+
+
+def read_known_red() -> dict[str, str]:
+    """Return the rest of each line by the id of its test."""
+    if not KNOWN_RED.exists():
+        return {}
+    known = {}
+    for line in KNOWN_RED.read_text(encoding="utf-8").splitlines():
+        test, _, rest = line.partition("|")
+        if test.strip() and not line.startswith("#"):
+            known[test.strip()] = rest.strip()
+    return known
+
+
+def pytest_collection_modifyitems(items):
+    """Pass over known failures; one that passes fails the run, so that it is listed
+    no longer than it is true."""
+    known = read_known_red()
+    if len(known) > MOST_KNOWN_RED:
+        raise pytest.UsageError(f"KNOWN-RED.txt: at most {MOST_KNOWN_RED} tests")
+    for item in items:
+        if item.nodeid in known:
+            mark = pytest.mark.xfail(reason=known[item.nodeid], strict=True)
+            item.add_marker(mark)
+
+
+def pytest_terminal_summary(terminalreporter):
+    for test, rest in read_known_red().items():
+        terminalreporter.write_line(f"KNOWN RED {test} | {rest}")
--- a/tests/test_entry/test_relay/conftest.py
+++ b/tests/test_entry/test_relay/conftest.py
@@ -149,7 +149,7 @@
             metrics_listen="",
             metrics_path="",
             balancer_lag=0.0,
-            longest_drain=1.0,
+            longest_drain=0.2,
             repeats=RepeatRule(),
         )
 
--- /dev/null
+++ b/tests/test_entry/test_relay/test_stop.py
@@ -0,0 +1,149 @@
+"""Tests of a planned stop, from callers that go on using their connections."""
+
+from __future__ import annotations
+
+import asyncio
+
+from greengagelatch_lab.platform_standins.deployment import (
+    HOST,
+    KEY,
+    create_configuration,
+)
+
+#: bound of every wait, in seconds
+PATIENCE = 20
+
+
+def encode_request(request_id: str) -> bytes:
+    lines = [
+        "GET /look/1 HTTP/1.1",
+        f"Host: {HOST}",
+        f"X-Attempt-Id: {request_id}",
+        "X-Deadline-Ms: 15000",
+        f"Authorization: Bearer {KEY}",
+    ]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n"
+
+
+async def read_answer(reader: asyncio.StreamReader) -> tuple[int, str]:
+    """Return status and head of the next answer; status 0 if there is none."""
+    async with asyncio.timeout(PATIENCE):
+        try:
+            head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return 0, ""
+        length = head.partition("content-length:")[2].split("\r\n")[0]
+        await reader.readexactly(int(length))
+    return int(head.split(" ")[1]), head
+
+
+async def connect(world) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    return await asyncio.open_connection("127.0.0.1", world.parts.front.port)
+
+
+def hold_targets(world) -> asyncio.Event:
+    """Have all targets wait with their answers; return what lets them go on."""
+    gate = asyncio.Event()
+    for target in world.targets.values():
+        target.gate = gate
+    return gate
+
+
+def count_runs(world, request_id: str) -> int:
+    return sum(target.runs[request_id] for target in world.targets.values())
+
+
+async def test_connection_that_was_busy_at_the_stop_takes_nothing_more(world):
+    """An instance was told to stop, served on for 2.6 s, closed its listener and the
+    connections that were idle then, and waited 4.9 s for what was in flight. A
+    connection that served a request in that instant stayed open: whether to keep it
+    had been decided as its request came, before the stop. Callers sent their next
+    requests on it and these were taken up to 4.1 s after the listener was closed;
+    some were still waiting for stage work, or in the middle of their stream, when
+    the process was killed. In four days of restarts 42 requests came so, each on a
+    connection whose request before came ahead of the signal and ended after the
+    close; none came on a connection that was new:
+
+    no new connections: 11 idle ones closed, 3 kept, 3 requests in flight
+    request … "connection_request":4,"since_stop_ms":4414
+    """
+    gate = hold_targets(world)
+    reader, writer = await connect(world)
+    writer.write(encode_request("before"))
+    await world.wait_for(lambda: count_runs(world, "before") == 1)
+    world.parts.drain.request_stop()
+    await world.parts.front.close_listener()
+    gate.set()
+    status, _ = await read_answer(reader)
+    assert status == 200
+    writer.write(encode_request("after"))
+    status, head = await read_answer(reader)
+    assert count_runs(world, "after") == 0
+    # closed, or refused as not run and closed
+    assert status == 0 or (status == 503 and "connection: close" in head)
+    writer.close()
+
+
+async def test_request_that_is_read_as_idle_connections_close_is_answered(world):
+    """A process that had been kept from running for 50 ms read a request and, in the
+    same turn of its loop, found the time come to close idle connections. A
+    connection counted as idle until the request's handler had begun, two turns
+    later. So the connection was closed and the request went on to a target all the
+    same; it ran 3 ms after the close, and its caller got neither an answer nor a
+    refusal:
+
+    50.653 s  the instance is told to stop
+    53.256 s  a target runs the request, 2.603 s later
+    53.257 s  its caller's connection is closed
+    """
+    reader, writer = await connect(world)
+    writer.write(encode_request("first"))
+    assert (await read_answer(reader))[0] == 200
+    front = world.parts.front
+    (connection,) = front._connections._server.connections
+    connection.data_received(encode_request("second"))
+    await front.close_listener()
+    status, head = await read_answer(reader)
+    assert status in (200, 503)
+    assert "connection: close" in head
+    assert count_runs(world, "second") == (status == 200)
+    writer.close()
+
+
+async def test_what_is_in_flight_at_the_end_of_a_stop_is_answered(pipeline):
+    """Two scans waited for a maker of their stages when the time for requests in
+    flight was over, 7.5 s after the signal. Nothing refused them, although nothing
+    of them had run: the server waited 1 s for its handlers, and the process was
+    killed 0.5 s later. In a day of 27 restarts 8 to 15 processes were killed so.
+
+    43.964 s  [^RelayFront]: Stopping...
+    44.461 s  the connection is closed with no answer
+    """
+    await pipeline.add("desk-1", "desk")
+    # longer than the test may take: only the end of the stop can end the requests
+    pipeline.store.put("op/config", create_configuration(4, timeout_ms=60_000))
+    await pipeline.wait_known(7)
+    configuration = pipeline.find("news")._configuration
+    await pipeline.wait_for(lambda: configuration.deployment.version == 4)
+    gate = hold_targets(pipeline)
+    waits = {"X_Deadline_Ms": "60000"}
+    staged = asyncio.create_task(pipeline.stream(**waits))
+    booked = asyncio.create_task(
+        pipeline.ask("/book/1", method="POST", request_id="booking", **waits)
+    )
+    pool = pipeline.find("stages").find_pool("portal")
+    await pipeline.wait_for(lambda: pool.describe()["bundles"] == 1)
+    await pipeline.wait_for(lambda: count_runs(pipeline, "booking") == 1)
+    drain = pipeline.parts.drain
+    drain.request_stop()
+    async with asyncio.timeout(PATIENCE):
+        assert not await drain.wait()
+        # the stop itself answers: the process may be killed right after it
+        refused, unsettled = await asyncio.gather(staged, booked)
+    gate.set()
+    assert (refused.status, refused.error) == (503, "")
+    assert "Retry-After" in refused.headers
+    # it may have run, and no answer may promise that it has not
+    assert (unsettled.status, unsettled.error) == (502, "")
+    engines = [one for one in pipeline.targets.values() if one.service == "llm"]
+    assert not any(engine.runs for engine in engines)
