Close callers' connections as soon as they are idle in a stop, and answer what is left

Cause: what a stop does to callers' connections was decided once, in an instant, and not kept. (1) Idle connections were closed once; one that was busy then stayed open after its answer, whose head had said so before the stop, and brought requests until the process was killed. (2) A connection counted as idle until its request's handler ran, two turns of the loop after its bytes were read: a request read in the turn of the close was passed on and its caller cut off. (3) What was in flight at the end got no answer: the server waited 1 s for its handlers, 0.5 s before the kill.

Ruled out: new connections after the listener was closed.

Change: connections are busy from a request's first byte on; from the close of the listener on each is closed behind its answer, and what is read later is refused as not run; whether to keep one is asked when an answer begins; requests get no deadline beyond the end of the stop; what is in flight at its end is broken off and answered by its verdict, with time left before the kill. The daemon of our own interface had the same faults and has the same mend.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_connections.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_connections.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import select
 import socket
 from dataclasses import dataclass
 from itertools import count
@@ -18,15 +19,22 @@
 from .caller_answers import create_headers, describe_refusal, encode
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Iterable
 
-__all__ = ("CallerConnections", "ConnectionUse", "find_use", "mark_busy")
+__all__ = (
+    "CallerConnections",
+    "ConnectionUse",
+    "begin_request",
+    "end_request",
+    "find_use",
+)
 
 logger = logging.getLogger(__name__)
 
 STATUS_INTERNAL = 500
-#: seconds that answers under way get when the server ends
-CLOSE_TIMEOUT = 1.0
+#: seconds that answers under way get when the server ends, twice over; a planned
+#: stop has given them their time before, and what is left of it is short
+CLOSE_TIMEOUT = 0.1
 #: seconds for which the rest of a refused body is read, so that the refusal is not
 #: lost by a reset of the connection
 LINGER = 1.0
@@ -48,6 +56,8 @@
 
     connection: int = 0
     request: int = 0
+    #: whether its first byte was read after connections began to be closed
+    late: bool = False
 
 
 class CallerConnections:
@@ -88,12 +98,24 @@
         return self._server()
 
     def close_idle(self) -> int:
-        """Close the connections on which no request is served; return their number."""
+        """Close idle connections now, and the others as soon as they are idle.
+
+        :return: how many were closed now
+        """
+        self._server.closing = True
+        idle = [
+            connection
+            for connection in self._server.connections
+            if isinstance(connection, _Connection) and not connection.busy
+        ]
+        unread = _find_readable(idle)
         closed = 0
-        for connection in self._server.connections:
-            if isinstance(connection, _Connection) and not connection.busy:
-                connection.force_close()
-                closed += 1
+        for connection in idle:
+            # closed with a request unread it would be reset
+            if connection in unread:
+                continue
+            connection.force_close()
+            closed += 1
         return closed
 
     async def close(self) -> None:
@@ -114,6 +136,8 @@
         super().__init__(handle, **options)
         self._write_timeout = write_timeout
         self.numbers = count(1)
+        #: whether connections are closed as soon as they are idle
+        self.closing = False
 
     def __call__(self) -> RequestHandler:
         return _Connection(self, self._write_timeout, loop=self._loop, **self._kwargs)
@@ -125,8 +149,13 @@
     def __init__(self, server: _Server, write_timeout: float, **options: Any) -> None:
         super().__init__(server, **options)
         self._write_timeout = write_timeout
-        #: whether a request is being served
+        self._callers_server = server
+        #: whether a request is being read or served. It is from its first byte on: a
+        #: handler begins some turns of the loop later, and a connection closed in
+        #: between would pass a request on that nobody waits for any more
         self.busy = False
+        #: whether that request began after connections began to be closed
+        self.late = False
         #: number among the connections of this process
         self.number = next(server.numbers)
         #: requests that came on it so far
@@ -136,6 +165,27 @@
         super().connection_made(transport)
         _detect_loss(transport.get_extra_info("socket"), self._write_timeout)
 
+    def data_received(self, data: bytes) -> None:
+        if data and not self.busy:
+            self._begin()
+        super().data_received(data)
+
+    def _begin(self) -> None:
+        self.busy = True
+        self.late = self._callers_server.closing
+
+    def end_request(self) -> None:
+        """Take in that a request is answered, and close if it was the last one.
+
+        Whether to keep the connection was told with the head of the answer, maybe
+        before a stop. Kept after it, it would bring requests to the very end.
+        """
+        self.busy = False
+        if self._messages:
+            self._begin()
+        elif self._callers_server.closing:
+            self.close()
+
     def handle_error(
         self,
         request: web.BaseRequest,
@@ -170,11 +220,16 @@
         return response
 
 
-def mark_busy(request: web.BaseRequest, busy: bool) -> None:
-    """Note whether the request's connection is serving it."""
+def begin_request(request: web.BaseRequest) -> None:
+    """Count a request on its connection."""
+    if isinstance(request.protocol, _Connection):
+        request.protocol.requests += 1
+
+
+def end_request(request: web.BaseRequest) -> None:
+    """Note that a request is answered."""
     if isinstance(request.protocol, _Connection):
-        request.protocol.busy = busy
-        request.protocol.requests += busy
+        request.protocol.end_request()
 
 
 def find_use(request: web.BaseRequest) -> ConnectionUse:
@@ -182,7 +237,22 @@
     connection = request.protocol
     if not isinstance(connection, _Connection):
         return ConnectionUse()
-    return ConnectionUse(connection.number, connection.requests)
+    return ConnectionUse(connection.number, connection.requests, connection.late)
+
+
+def _find_readable(connections: Iterable[_Connection]) -> set[_Connection]:
+    """Return the connections on which something has come that is not read yet."""
+    poll = select.poll()
+    by_number: dict[int, _Connection] = {}
+    for connection in connections:
+        if connection.transport is None:
+            continue
+        number = connection.transport.get_extra_info("socket").fileno()
+        if number < 0:
+            continue
+        by_number[number] = connection
+        poll.register(number, select.POLLIN)
+    return {by_number[number] for number, _ in poll.poll(0)}
 
 
 def _detect_loss(connection: socket.socket, write_timeout: float) -> None:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_listener.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_listener.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING, Any, ClassVar
 
 from ..controllers import Controller
-from .caller_connections import CallerConnections, mark_busy
+from .caller_connections import CallerConnections, begin_request, end_request
 
 if TYPE_CHECKING:
     from aiohttp import web
@@ -44,6 +44,11 @@
         """Number of requests that are not yet answered in full."""
         return self._in_flight
 
+    @property
+    def closing(self) -> bool:
+        """Whether connections are closed as soon as they are idle."""
+        return self._listener is None
+
     @abstractmethod
     def create_connections(self) -> CallerConnections:
         """Return what makes the protocol of each connection."""
@@ -66,7 +71,7 @@
         self.port = self._listener.sockets[0].getsockname()[1]
 
     async def close_listener(self) -> None:
-        """Take no new connections and close the idle ones; the others are served."""
+        """Take no new connections; close the others as soon as they are idle."""
         if self._listener is None:
             return
         self._listener.close()
@@ -104,13 +109,13 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve one request and count it as long as that takes."""
-        mark_busy(request, True)
+        begin_request(request)
         self._in_flight += 1
         self._idle.clear()
         try:
             return await self.serve(request)
         finally:
-            mark_busy(request, False)
+            end_request(request)
             self._in_flight -= 1
             if self._in_flight == 0:
                 self._idle.set()
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/callers.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/callers.py
@@ -15,9 +15,10 @@
 
 from ..filters import Exchange
 from ..filters.identify import Arrival
+from ..filters.stop import STOPPING_RETRY_MS
 from .caller_answers import create_headers, encode_answer, find_status
 from .caller_bodies import CLOSING_STATUSES, BodyError, read_body
-from .caller_connections import CallerConnections
+from .caller_connections import CallerConnections, find_use
 from .caller_listener import CallerListener
 from .caller_stream import CallerStream
 
@@ -102,6 +103,9 @@
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         received = self._clock.now()
         request_id = self._identifier.create_request_id()
+        if find_use(request).late:
+            # what is begun so late may not be finished before the process is killed
+            return await self._refuse(request, request_id, 0, _refuse_late())
         refusal, status = _check_line(request)
         if refusal is not None:
             return await self._refuse(request, request_id, status, refusal)
@@ -207,6 +211,14 @@
     await response.write_eof()
 
 
+def _refuse_late() -> Refusal:
+    return Refusal(
+        code=RefusalCode.NOT_READY,
+        message="this instance is stopping",
+        retry_after_ms=STOPPING_RETRY_MS,
+    )
+
+
 def _check_line(request: web.BaseRequest) -> tuple[Refusal | None, int]:
     path = request.path
     name = path[len(PATH_PREFIX) :]
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/composition.py
@@ -51,6 +51,8 @@
 from .filters.observe import ObserveFilter
 from .filters.run import RunHandler
 from .filters.steer import SteerFilter
+from .filters.stop import StopFilter
+from .inflight import InFlight
 from .logs import LogLevel, RequestLog
 from .metrics import Metrics
 from .stages import StageRunner
@@ -108,6 +110,7 @@
         self.clock = SystemClock()
         self.random = random.Random(settings["instance.seed"] or None)
         self.events = EventBus()
+        self.in_flight = InFlight()
         self.metrics = Metrics(settings["statsd.address"])
 
     def compose(self) -> Parts:
@@ -262,6 +265,7 @@
         log = RequestLog(LogLevel[self.settings["log.level"].upper()])
         filters = (
             ObserveFilter(clock=self.clock, metrics=self.metrics, log=log),
+            StopFilter(in_flight=self.in_flight),
             CheckFilter(snapshot=lambda: self.configuration.snapshot),
             AdmissionFilter(quotas=self.quotas, claimed=False),
             DeduplicationFilter(claims=self.claims),
@@ -297,6 +301,7 @@
             longest=self.settings["drain.longest"],
             close_listener=self.callers.close_listener,
             wait_idle=self.callers.wait_idle,
+            break_off=self.in_flight.break_off,
         )
         status = StatusView(
             settings=self.settings,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/drain.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/drain.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 from enum import Enum
 from typing import TYPE_CHECKING, Any
 
@@ -33,9 +34,16 @@
     LEAVING = "leaving"
     #: no new connections; requests in flight are finished
     FINISHING = "finishing"
+    #: requests in flight are broken off and get their final answers
+    ENDING = "ending"
     STOPPED = "stopped"
 
 
+#: seconds for the final answers to requests that are broken off; some times the
+#: longest pause of a processor whose share is used up (0.1 s)
+LAST_ANSWERS = 0.3
+
+
 class DrainController(Controller):
     """Runs the steps of a planned stop.
 
@@ -44,10 +52,13 @@
     the requests sent meanwhile, which callers see as resets during every rollout.
     So it first only reports itself not ready, serves on for ``balancer_lag``
     seconds, and then finishes what is in flight for at most ``longest`` seconds.
+    What is not finished by then is broken off and answered: left to the end of the
+    process, callers would see closed connections that tell them nothing.
 
     :param close_listener: stops taking new connections.
     :param wait_idle: waits until no request is in flight, at most the given
         seconds; returns whether none is left.
+    :param break_off: breaks off the requests in flight, so that each is answered.
     """
 
     name = "drain"
@@ -62,6 +73,7 @@
         longest: float,
         close_listener: Callable[[], Awaitable[None]],
         wait_idle: Callable[[float], Awaitable[bool]],
+        break_off: Callable[[], None],
     ) -> None:
         super().__init__()
         self._clock = clock
@@ -71,6 +83,7 @@
         self._longest = longest
         self._close_listener = close_listener
         self._wait_idle = wait_idle
+        self._break_off = break_off
         self._state = DrainState.SERVING
         self._started_at: float | None = None
         self._requested = asyncio.Event()
@@ -92,6 +105,13 @@
         """Monotonic seconds at which the stop was requested; ``None`` before."""
         return self._started_at
 
+    @property
+    def ends_at(self) -> float:
+        """Monotonic seconds at which requests are broken off; infinite if never."""
+        if self._started_at is None:
+            return math.inf
+        return self._started_at + self._balancer_lag + self._longest
+
     def request_stop(self) -> None:
         """Begin a planned stop; a second call ends it without waiting."""
         if self._requested.is_set():
@@ -122,7 +142,7 @@
         self._state = DrainState.STOPPED
         finished = results[0] is True
         self._metrics.count("drain.finished" if finished else "drain.cut")
-        ending = "every request is answered" if finished else "requests are cut"
+        ending = "every request is finished" if finished else "requests broken off"
         logger.info("%s, %.2f s after the stop request", ending, self._find_elapsed())
         return finished
 
@@ -130,7 +150,12 @@
         await asyncio.sleep(self._balancer_lag)
         self._state = DrainState.FINISHING
         await self._close_listener()
-        return await self._wait_idle(self._longest)
+        if await self._wait_idle(self._longest):
+            return True
+        self._state = DrainState.ENDING
+        self._break_off()
+        await self._wait_idle(LAST_ANSWERS)
+        return False
 
     def dump(self) -> dict[str, Any]:
         elapsed = None if self._started_at is None else self._find_elapsed()
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -23,11 +23,12 @@
 from ..controllers import Controller
 from ..controllers.drain import DrainController
 from ..filters import chain
+from ..inflight import InFlight
 from .budgets import RepeatBudgets
 from .configuration import ConfigurationFollower
 from .decisions import DecisionLog
 from .desk import LocalDesk
-from .filters import ObserveFilter, RouteFilter, RunHandler, SplitFilter
+from .filters import ObserveFilter, RouteFilter, RunHandler, SplitFilter, StopFilter
 from .following import StoreFollower
 from .front import RelayFront
 from .links import TargetLinks
@@ -156,6 +157,7 @@
         self.clock = SystemClock()
         self.random = random.Random()
         self.events = EventBus()
+        self.in_flight = InFlight()
         self.metrics = PrometheusMetrics()
         self.decisions = DecisionLog(clock=self.clock, metrics=self.metrics)
         self.listeners: frozenset[str] = frozenset()
@@ -291,7 +293,11 @@
                 metrics=self.metrics,
                 decisions=self.decisions,
             ),
-            RouteFilter(find_table=lambda: self.configuration.table),
+            StopFilter(in_flight=self.in_flight),
+            RouteFilter(
+                find_table=lambda: self.configuration.table,
+                find_end=lambda: self.drain.ends_at,
+            ),
             SplitFilter(random_source=self.random),
         )
         last = RunHandler(plain=PlainRunner(**common), streams=streams)
@@ -315,6 +321,7 @@
             longest=self.rules.longest_drain,
             close_listener=self.front.close_listener,
             wait_idle=self.front.wait_idle,
+            break_off=self.in_flight.break_off,
         )
         self.readiness = ReadinessServer(
             listen=self.rules.readiness_listen,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
@@ -13,7 +13,7 @@
 from ..adapters.caller_connections import ConnectionUse
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable
+    from collections.abc import Awaitable, Callable
 
     from greengagelatch.relay.deployment import Deployment, Route
     from greengagelatch.relay.requests import OpaqueRequest
@@ -31,9 +31,12 @@
 
 
 class AnswerWriter:
-    """Writes one answer to a caller, whole or event by event."""
+    """Writes one answer to a caller, whole or event by event.
 
-    def __init__(self, request: web.BaseRequest, *, keep: bool) -> None:
+    :param keep: whether the connection is kept after an answer that begins now
+    """
+
+    def __init__(self, request: web.BaseRequest, *, keep: Callable[[], bool]) -> None:
         self._request = request
         self._keep = keep
         self._stream: web.StreamResponse | None = None
@@ -57,7 +60,7 @@
         """Write a whole answer."""
         response = web.Response(status=status, reason=reason, body=body)
         _copy(headers, response)
-        if close or not self._keep:
+        if close or not self._keep():
             response.force_close()
         self.response = response
         await self._guard(self._write_whole(response))
@@ -66,7 +69,7 @@
         """Write the head of a stream."""
         response = web.StreamResponse(status=head.status, reason=head.reason)
         _copy(head.headers, response)
-        if not self._keep:
+        if not self._keep():
             response.force_close()
         self.response = self._stream = response
         await self._guard(response.prepare(self._request))
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/filters.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/filters.py
@@ -11,6 +11,7 @@
 from greengagelatch.relay.requests import RefusedError
 from greengagelatch.relay.urgency import compute_rank
 
+from ..inflight import BrokenOffError
 from .exchange import CallerGoneError, RelayExchange
 from .refusals import create_error, find_refusal_status
 
@@ -21,6 +22,7 @@
     from greengagelatch.relay.deployment import RoutedWorkspace
     from greengagelatch.relay.routes import RouteTable
 
+    from ..inflight import InFlight
     from ..metrics import Metrics
     from .decisions import DecisionLog
     from .runners import Runner
@@ -32,12 +34,16 @@
     "RouteFilter",
     "RunHandler",
     "SplitFilter",
+    "StopFilter",
 )
 
 RelayHandler = Callable[[RelayExchange], Awaitable[None]]
 
 #: seconds after which an instance that has just started should know a configuration
 NOT_READY_RETRY = 0.5
+#: the same where this one stops: the others serve, and a caller's next connection
+#: leads to one of them
+STOPPING_RETRY = 0.0
 
 
 class RelayFilter(ABC):
@@ -119,14 +125,44 @@
     return round(seconds * 1000)
 
 
+class StopFilter(RelayFilter):
+    """Answers for this instance where a planned stop leaves no time for a request."""
+
+    def __init__(self, *, in_flight: InFlight) -> None:
+        self._in_flight = in_flight
+
+    async def apply(self, exchange: RelayExchange, proceed: RelayHandler) -> None:
+        if exchange.use.late:
+            # what is begun so late may not be finished before the process is killed
+            raise self._refuse(exchange, "this instance is stopping")
+        try:
+            await self._in_flight.run(proceed(exchange))
+        except BrokenOffError:
+            raise self._refuse(exchange, "broken off by a stop") from None
+
+    def _refuse(self, exchange: RelayExchange, message: str) -> RefusedError:
+        return create_error(
+            exchange, RefusalCode.NOT_READY, message, retry_after=STOPPING_RETRY
+        )
+
+
 class RouteFilter(RelayFilter):
     """Finds the route and the workspace, by the configuration in force on arrival.
 
     :param find_table: returns the routes in force; ``None`` before any is known
+    :param find_end: returns when a stop breaks requests off. No more time than that
+        is promised to targets and stages, so that what can't be made until then is
+        refused while its caller has time to go elsewhere
     """
 
-    def __init__(self, *, find_table: Callable[[], RouteTable | None]) -> None:
+    def __init__(
+        self,
+        *,
+        find_table: Callable[[], RouteTable | None],
+        find_end: Callable[[], float],
+    ) -> None:
         self._find_table = find_table
+        self._find_end = find_end
 
     async def apply(self, exchange: RelayExchange, proceed: RelayHandler) -> None:
         table = self._find_table()
@@ -150,7 +186,9 @@
                 value=request.target[:64],
             )
         exchange.route = route
-        exchange.deadline = request.received + min(request.patience, route.timeout)
+        exchange.deadline = min(
+            request.received + min(request.patience, route.timeout), self._find_end()
+        )
         workspace = None
         if table.deployment.keyed and not route.public:
             workspace = self._authorize(exchange, table)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/front.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/front.py
@@ -77,7 +77,7 @@
 
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         received = self._clock.now()
-        writer = AnswerWriter(request, keep=not self._draining())
+        writer = AnswerWriter(request, keep=self._keeps_connections)
         bounds = self._bounds()
         request_id = ""
         try:
@@ -113,6 +113,9 @@
             await self._refuse(writer, request_id, refusal, 0)
         return writer.response
 
+    def _keeps_connections(self) -> bool:
+        return not self._draining() and not self.closing
+
     async def _refuse(
         self, writer: AnswerWriter, request_id: str, refusal: Refusal, status: int
     ) -> None:
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/targets.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/targets.py
@@ -74,6 +74,8 @@
     connections: int = 0
     #: what it waits for before it answers, also calls for pieces
     gate: asyncio.Event | None = None
+    #: what a stream waits for after its first event
+    pause: asyncio.Event | None = None
     address: str = ""
     #: after how many events a stream breaks off; ``None``: it does not
     break_after: int | None = None
@@ -201,6 +203,8 @@
             event = f"id: {number}\ndata: piece {number}\n\n".encode()
             writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
             await writer.drain()
+            if number == first and self.pause is not None:
+                await self.pause.wait()
             await asyncio.sleep(EVENT_SECONDS)
         writer.write(b"0\r\n\r\n")
         return True
--- a/tests/test_entry/test_drain.py
+++ b/tests/test_entry/test_drain.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 
 from greengagelatch.clock import ManualClock
 from greengagelatch.events import EventBus
@@ -24,14 +25,19 @@
     def __init__(self) -> None:
         self.steps: list[str] = []
         self.idle = asyncio.Event()
+        #: what it says of the requests in flight
+        self.finished = True
 
     async def close(self) -> None:
         self.steps.append("closed")
 
+    def break_off(self) -> None:
+        self.steps.append("broken off")
+
     async def wait_idle(self, seconds: float) -> bool:
         self.steps.append("waiting")
         await asyncio.wait_for(self.idle.wait(), PATIENCE)
-        return True
+        return self.finished
 
 
 def create_drain(listener: Listener, lag: float = 0.0) -> DrainController:
@@ -44,6 +50,7 @@
         longest=PATIENCE,
         close_listener=listener.close,
         wait_idle=listener.wait_idle,
+        break_off=listener.break_off,
     )
 
 
@@ -108,3 +115,26 @@
     listener.idle.set()
     assert await asyncio.wait_for(stop, PATIENCE)
     assert heard == [True]
+
+
+async def test_what_is_not_finished_in_time_is_broken_off():
+    """Symptom: callers see closed connections at the end of a stop.
+
+    Sequence: the time for requests in flight is over, and the process ends.
+    Cause: nobody gave these requests their final answers.
+    """
+    listener = Listener()
+    listener.idle.set()
+    listener.finished = False
+    drain = create_drain(listener)
+    stop = asyncio.create_task(drain.wait())
+    drain.request_stop()
+    assert await asyncio.wait_for(stop, PATIENCE) is False
+    assert listener.steps == ["closed", "waiting", "broken off", "waiting"]
+
+
+def test_end_of_a_stop_is_known_once_it_is_requested():
+    drain = create_drain(Listener(), lag=2.0)
+    assert drain.ends_at == math.inf
+    drain.request_stop()
+    assert drain.ends_at == drain.started_at + 2.0 + PATIENCE
--- /dev/null
+++ b/tests/test_entry/test_filters/test_stop.py
@@ -0,0 +1,81 @@
+"""Tests of greengagelatch_entry.filters.stop."""
+
+from __future__ import annotations
+
+import asyncio
+
+from greengagelatch.errors import RefusalCode
+from greengagelatch.request import Answer, Request
+from greengagelatch.verdict import Verdict
+from greengagelatch_entry.filters import Exchange, chain
+from greengagelatch_entry.filters.stop import StopFilter
+from greengagelatch_entry.inflight import InFlight
+
+REQUEST = Request(
+    request_id="r-1",
+    workspace="north",
+    pipeline="ask",
+    input=1,
+    received=0.0,
+    deadline=10.0,
+)
+
+
+def create_handler(in_flight: InFlight, verdict: Verdict, started: asyncio.Event):
+    """Return a chain whose last step never answers."""
+
+    async def wait_forever(exchange: Exchange) -> Answer:
+        exchange.raise_verdict(verdict)
+        started.set()
+        await asyncio.Event().wait()
+
+    return chain((StopFilter(in_flight=in_flight),), wait_forever)
+
+
+async def break_off(verdict: Verdict) -> Answer:
+    in_flight, started = InFlight(), asyncio.Event()
+    handler = create_handler(in_flight, verdict, started)
+    answering = asyncio.create_task(handler(Exchange(request=REQUEST)))
+    await started.wait()
+    in_flight.break_off()
+    answer = await answering
+    assert len(in_flight) == 0
+    return answer
+
+
+async def test_request_that_has_not_run_is_refused_so():
+    """Callers saw closed connections when a stop took longer than it may.
+
+    A request waited for a stage when the time for requests in flight was over. The
+    process ended, and its caller could not know that nothing had run.
+    """
+    answer = await break_off(Verdict.NOT_RUN)
+    assert answer.refusal.code is RefusalCode.NOT_READY
+    assert answer.refusal.verdict is Verdict.NOT_RUN
+    assert answer.refusal.retry_after_ms == 0
+
+
+async def test_request_that_may_have_run_is_not_called_not_run():
+    answer = await break_off(Verdict.MAY_HAVE_RUN)
+    assert answer.verdict is Verdict.MAY_HAVE_RUN
+    assert answer.refusal.verdict is Verdict.MAY_HAVE_RUN
+
+
+async def test_request_that_begins_after_the_end_is_refused():
+    in_flight = InFlight()
+    in_flight.break_off()
+    handler = create_handler(in_flight, Verdict.NOT_RUN, asyncio.Event())
+    answer = await handler(Exchange(request=REQUEST))
+    assert answer.refusal.code is RefusalCode.NOT_READY
+
+
+async def test_caller_that_leaves_is_not_answered():
+    """A caller's leaving cancels its request, which is no end of a stop."""
+    in_flight, started = InFlight(), asyncio.Event()
+    handler = create_handler(in_flight, Verdict.NOT_RUN, started)
+    answering = asyncio.create_task(handler(Exchange(request=REQUEST)))
+    await started.wait()
+    answering.cancel()
+    (result,) = await asyncio.gather(answering, return_exceptions=True)
+    assert isinstance(result, asyncio.CancelledError)
+    assert len(in_flight) == 0
--- a/tests/test_entry/test_relay/test_guards.py
+++ b/tests/test_entry/test_relay/test_guards.py
@@ -12,13 +12,17 @@
 
 from greengagelatch.relay.outcomes import NextStep
 from greengagelatch.relay.targets import ListedTarget, TargetBook
+from greengagelatch_entry.adapters.caller_connections import _Connection
 from greengagelatch_entry.relay import runners
 from greengagelatch_entry.relay.event_split import EventSplitter
+from greengagelatch_entry.relay.front import RelayFront
 from greengagelatch_entry.relay.links import _Link
 from greengagelatch_lab.platform_standins.targets import TargetFault
 from greengagelatch_platform import headers
 from greengagelatch_platform.targets import PlatformTargetCodec
 
+from . import test_stop
+
 
 def set_fault(world, fault: TargetFault) -> None:
     for target in world.targets.values():
@@ -126,3 +130,40 @@
     await world.ask("/look/1", X_Tenant="south", X_Hold="h-1")
     seen = next(one for target in world.targets.values() for one in target.seen)
     assert name in seen.headers
+
+
+async def test_connections_are_closed_once_their_request_is_answered(
+    world, monkeypatch
+):
+    def end_as_idle(connection):
+        connection.busy = False
+
+    def begin_in_time(connection):
+        connection.busy = True
+
+    # two more guards stand beside it: answers that begin during a stop say that the
+    # connection ends, and what comes late is refused
+    monkeypatch.setattr(RelayFront, "_keeps_connections", lambda self: True)
+    monkeypatch.setattr(_Connection, "end_request", end_as_idle)
+    monkeypatch.setattr(_Connection, "_begin", begin_in_time)
+    with pytest.raises(AssertionError):
+        await test_stop.test_connection_that_was_busy_at_the_stop_takes_nothing_more(
+            world
+        )
+
+
+async def test_connections_are_busy_from_the_first_byte(world, monkeypatch):
+    monkeypatch.setattr(_Connection, "_begin", lambda self: None)
+    with pytest.raises(AssertionError):
+        await test_stop.test_request_that_is_read_as_idle_connections_close_is_answered(
+            world
+        )
+
+
+async def test_end_of_a_stop_breaks_requests_off(pipeline, monkeypatch):
+    monkeypatch.setattr(pipeline.parts.drain, "_break_off", lambda: None)
+    monkeypatch.setattr(test_stop, "PATIENCE", 2)
+    with pytest.raises(TimeoutError):
+        await test_stop.test_what_is_in_flight_at_the_end_of_a_stop_is_answered(
+            pipeline
+        )
--- a/tests/test_entry/test_relay/test_stop.py
+++ b/tests/test_entry/test_relay/test_stop.py
@@ -14,13 +14,14 @@
 PATIENCE = 20
 
 
-def encode_request(request_id: str) -> bytes:
+def encode_request(request_id: str, path: str = "/look/1", *more: str) -> bytes:
     lines = [
-        "GET /look/1 HTTP/1.1",
+        f"GET {path} HTTP/1.1",
         f"Host: {HOST}",
         f"X-Attempt-Id: {request_id}",
         "X-Deadline-Ms: 15000",
         f"Authorization: Bearer {KEY}",
+        *more,
     ]
     return "\r\n".join(lines).encode() + b"\r\n\r\n"
 
@@ -84,6 +85,27 @@
     writer.close()
 
 
+async def test_connection_is_closed_behind_a_stream_that_began_before_the_stop(world):
+    """The head of the stream has said that the connection is kept, so that only its
+    close can tell the caller to send its next request elsewhere.
+    """
+    engine = await world.add("llm-1", "llm")
+    engine.pause = asyncio.Event()
+    await world.wait_known(3)
+    reader, writer = await connect(world)
+    writer.write(encode_request("streamed", "/scan/1", "X-Prefix-Hash: aa:100"))
+    async with asyncio.timeout(PATIENCE):
+        head = await reader.readuntil(b"\r\n\r\n")
+    assert b"connection: close" not in head.lower()
+    world.parts.drain.request_stop()
+    await world.parts.front.close_listener()
+    engine.pause.set()
+    async with asyncio.timeout(PATIENCE):
+        rest = await reader.read()
+    assert rest.endswith(b"\r\n0\r\n\r\n")
+    writer.close()
+
+
 async def test_request_that_is_read_as_idle_connections_close_is_answered(world):
     """A process that had been kept from running for 50 ms read a request and, in the
     same turn of its loop, found the time come to close idle connections. A
@@ -147,3 +169,20 @@
     assert (unsettled.status, unsettled.error) == (502, "")
     engines = [one for one in pipeline.targets.values() if one.service == "llm"]
     assert not any(engine.runs for engine in engines)
+
+
+async def test_request_that_comes_during_a_stop_is_given_no_time_beyond_it(world):
+    """Symptom: requests taken while the balancer lags are broken off at the end.
+
+    Sequence: an instance that is to stop takes a request whose deadline lies after
+    the end of the stop, and begins work that can't be finished by then.
+    Cause: the request's own deadline alone decided what was begun, and for how long.
+    """
+    drain = world.parts.drain
+    drain._longest = 1.0
+    drain.request_stop()
+    reply = await world.ask("/look/1", X_Deadline_Ms="60000")
+    assert reply.status == 200
+    assert reply.headers["Connection"] == "close"
+    (seen,) = [one for target in world.targets.values() for one in target.seen]
+    assert int(seen.headers["x-deadline-ms"]) <= 1000
--- a/tests/test_processes/test_platform_program.py
+++ b/tests/test_processes/test_platform_program.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import re
 import signal
 import socket
 
@@ -81,6 +82,60 @@
     return lines
 
 
+def find_log_message(instance, text: str) -> bool:
+    return any(text in str(line["message"]) for line in read_log(instance, "log"))
+
+
+class KeptCaller:
+    """Sends streams one after the other on one connection until it is closed."""
+
+    def __init__(self, instance, number: int) -> None:
+        self._instance = instance
+        self._number = number
+
+    async def call(self) -> list[int]:
+        """Return the statuses of the whole answers; 0 for one that is cut."""
+        host, _, port = self._instance.front.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        statuses = []
+        async with asyncio.timeout(PATIENCE):
+            while True:
+                writer.write(self._encode(len(statuses)))
+                try:
+                    head = await reader.readuntil(b"\r\n\r\n")
+                except (asyncio.IncompleteReadError, ConnectionError):
+                    break
+                statuses.append(await self._read_rest(reader, head))
+        writer.close()
+        return statuses
+
+    def _encode(self, sent: int) -> bytes:
+        lines = [
+            "POST /scan/1 HTTP/1.1",
+            f"Host: {HOST}",
+            f"Authorization: Bearer {KEY}",
+            f"X-Attempt-Id: kept-{self._number}-{sent}",
+            "X-Deadline-Ms: 15000",
+            "X-Model: m",
+            "X-Token-Counts: 100,20",
+            "X-Prefix-Hash: aa:60,bb:40",
+            "Content-Length: 0",
+        ]
+        return "\r\n".join(lines).encode() + b"\r\n\r\n"
+
+    async def _read_rest(self, reader: asyncio.StreamReader, head: bytes) -> int:
+        status = int(head.split(b" ")[1])
+        length = re.search(rb"content-length: (\d+)", head.lower())
+        try:
+            if length is not None:
+                await reader.readexactly(int(length[1]))
+            else:
+                await reader.readuntil(b"\r\n0\r\n\r\n")
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return 0
+        return status
+
+
 async def test_plain_and_streamed_requests_are_served(fleet, session):
     for number, instance in enumerate(fleet.instances):
         assert await ask(session, instance) == 200
@@ -131,6 +186,37 @@
         assert await instance.process.wait() == 0
 
 
+async def test_stop_answers_what_comes_on_kept_connections(fleet):
+    """Symptom: rolling restarts lose requests.
+
+    Sequence: streams are under way on kept connections when an instance is told to
+    stop; they end after it has closed its listener, and callers send their next
+    requests on the same connections until the process is gone.
+    Cause: a connection that was busy as the idle ones were closed took requests to
+    the very end.
+    """
+    instance = fleet.instances[0]
+    engines = fleet.find_targets("llm")
+    gate = asyncio.Event()
+    for engine in engines:
+        engine.gate = gate
+    callers = [asyncio.create_task(KeptCaller(instance, n).call()) for n in range(4)]
+    async with asyncio.timeout(PATIENCE):
+        while sum(engine.runs.total() for engine in engines) < len(callers):  # noqa: ASYNC110
+            await asyncio.sleep(0.02)
+    instance.process.send_signal(signal.SIGTERM)
+    async with asyncio.timeout(PATIENCE):
+        while not find_log_message(instance, "no new connections"):  # noqa: ASYNC110
+            await asyncio.sleep(0.02)
+    gate.set()
+    answered = await asyncio.gather(*callers)
+    # each had its whole answer, and its connection was closed behind it
+    assert answered == [[200]] * len(callers)
+    assert sum(engine.runs.total() for engine in engines) == len(callers)
+    async with asyncio.timeout(PATIENCE):
+        assert await instance.process.wait() == 0
+
+
 async def test_hangup_cuts_nothing(fleet, session):
     instance = fleet.instances[0]
     instance.process.send_signal(signal.SIGHUP)
