--- a/packages/greengagelatch-entry/src/greengagelatch_entry/application.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/application.py
@@ -42,6 +42,9 @@
     async def run(self) -> int:
         """Run until a stop is requested and carried out; return the exit code."""
         started: list[Controller] = []
+        # before the first part serves: until then a signal ends the process at once,
+        # and callers that a part had already let in would be cut
+        self._listen_to_signals()
         try:
             for controller in self._parts.controllers:
                 controller.crash_listener = self._note_crash
@@ -51,7 +54,6 @@
             logger.error("can't start %s: %s", controller.name, error)
             await self._stop(started)
             return ExitCode.BAD_START
-        self._listen_to_signals()
         self._announce()
         finished = await self._parts.drain.wait()
         await self._stop(started)
--- a/tests/test_entry/test_application.py
+++ b/tests/test_entry/test_application.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import signal
 from types import SimpleNamespace
 
 from mode import Service
@@ -75,7 +77,8 @@
         controllers=(*parts, drain),
         drain=drain,
         close=do_nothing,
-        signals={},
+        # a signal that does nothing by default, so that a missed one ends no test
+        signals={signal.SIGWINCH: drain.start_drain},
         list_addresses=dict,
     )
     return Application(wired), drain
@@ -101,6 +104,28 @@
         assert await application.run() == ExitCode.FAILED
 
 
+class SignalledPart(Part):
+    """A controller during whose start the process is signalled."""
+
+    async def on_start(self) -> None:
+        await super().on_start()
+        os.kill(os.getpid(), signal.SIGWINCH)
+        await asyncio.sleep(0)
+
+
+async def test_signal_during_the_start_is_not_missed():
+    """Symptom: a process that is told to stop while it starts ends at once.
+
+    Sequence: a part serves already, the signal comes, and later parts are starting.
+    Cause: handlers were installed only once all parts had started.
+    """
+    steps: list[str] = []
+    application, _ = create_application(SignalledPart("a", steps), Part("b", steps))
+    async with asyncio.timeout(PATIENCE):
+        assert await application.run() == ExitCode.FINISHED
+    assert steps == ["start a", "start b", "stop b", "stop a"]
+
+
 async def test_taken_address_ends_the_start_and_stops_what_runs():
     steps: list[str] = []
     application, _ = create_application(Part("a", steps), UnboundPart("b", steps))
