--- a/tests/test_entry/test_drain.py
+++ b/tests/test_entry/test_drain.py
@@ -133,6 +133,27 @@
     assert listener.steps == ["closed", "waiting", "broken off", "waiting"]
 
 
+async def test_step_that_fails_is_told_and_breaks_off(caplog):
+    """Symptom: an instance ends its stop in silence, and its callers are cut.
+
+    Sequence: closing the listener fails.
+    Cause: the error was taken for the result of the stop, and what follows left out.
+    """
+    listener = Listener()
+    listener.idle.set()
+    drain = create_drain(listener)
+
+    async def fail() -> None:
+        raise RuntimeError("no such descriptor")
+
+    drain._close_listener = fail
+    stop = asyncio.create_task(drain.wait())
+    drain.request_stop()
+    assert await asyncio.wait_for(stop, PATIENCE) is False
+    assert listener.steps == ["broken off", "waiting"]
+    assert "no such descriptor" in caplog.text
+
+
 def test_end_of_a_stop_is_known_once_it_is_requested():
     drain = create_drain(Listener(), lag=2.0)
     assert drain.ends_at == math.inf
--- a/tests/test_entry/test_filters/test_stop.py
+++ b/tests/test_entry/test_filters/test_stop.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
 from greengagelatch.errors import RefusalCode
 from greengagelatch.request import Answer, Request
@@ -69,6 +70,14 @@
     assert answer.refusal.code is RefusalCode.NOT_READY
 
 
+async def test_nothing_of_what_begins_after_the_end_is_run():
+    in_flight, started = InFlight(), asyncio.Event()
+    in_flight.break_off()
+    handler = create_handler(in_flight, Verdict.NOT_RUN, started)
+    await handler(Exchange(request=REQUEST))
+    assert not started.is_set()
+
+
 async def test_caller_that_leaves_is_not_answered():
     """A caller's leaving cancels its request, which is no end of a stop."""
     in_flight, started = InFlight(), asyncio.Event()
@@ -79,3 +88,31 @@
     (result,) = await asyncio.gather(answering, return_exceptions=True)
     assert isinstance(result, asyncio.CancelledError)
     assert len(in_flight) == 0
+
+
+async def test_request_under_a_key_is_not_called_not_run():
+    """Symptom: a caller is told that its booking has not run, and it runs later.
+
+    Sequence: a request with a key is with its target when a stop breaks it off; its
+    run goes on without its caller, so that a repeat finds its outcome.
+    Cause: the verdict rises only once the run has ended.
+    """
+    in_flight, started = InFlight(), asyncio.Event()
+    runs: list[asyncio.Task[None]] = []
+
+    async def shield_run(exchange: Exchange) -> Answer:
+        run = asyncio.create_task(asyncio.sleep(60))
+        runs.append(run)
+        started.set()
+        await asyncio.shield(run)
+
+    handler = chain((StopFilter(in_flight=in_flight),), shield_run)
+    exchange = Exchange(request=replace(REQUEST, key="k-1"))
+    answering = asyncio.create_task(handler(exchange))
+    await started.wait()
+    in_flight.break_off()
+    answer = await answering
+    assert answer.refusal.verdict is Verdict.MAY_HAVE_RUN
+    assert exchange.verdict is Verdict.MAY_HAVE_RUN
+    assert not runs[0].done()
+    runs[0].cancel()
--- a/tests/test_entry/test_relay/test_stop.py
+++ b/tests/test_entry/test_relay/test_stop.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from greengagelatch_entry.controllers.drain import DrainState
 from greengagelatch_lab.platform_standins.deployment import (
     HOST,
     KEY,
@@ -186,3 +187,78 @@
     assert reply.headers["Connection"] == "close"
     (seen,) = [one for target in world.targets.values() for one in target.seen]
     assert int(seen.headers["x-deadline-ms"]) <= 1000
+
+
+async def stop_instance(world) -> bool:
+    """Carry out a stop that was requested as the application does."""
+    async with asyncio.timeout(PATIENCE):
+        finished = await world.parts.drain.wait()
+        await world.parts.front.stop()
+    return finished
+
+
+async def test_request_read_as_the_listener_closes_is_waited_for(world):
+    """Symptom: an idle instance is told to stop, and a request that it passed on is
+    cut at the end of the balancer's lag.
+
+    Sequence: the loop stands still for a moment; the request's bytes and the end of
+    the lag fall due in the same turn; the connection is kept, as it is busy, but
+    nothing counts as in flight yet, and the stop goes on to its end.
+    Cause: a request was in flight only once its handler had begun, two turns later.
+    """
+    drain, front = world.parts.drain, world.parts.front
+    drain._longest = PATIENCE
+    reader, writer = await connect(world)
+    writer.write(encode_request("first"))
+    assert (await read_answer(reader))[0] == 200
+    gate = hold_targets(world)
+    (connection,) = front._connections._server.connections
+    close_listener = drain._close_listener
+
+    async def read_and_close() -> None:
+        connection.data_received(encode_request("second"))
+        await close_listener()
+
+    drain._close_listener = read_and_close
+    drain.request_stop()
+    stopping = asyncio.create_task(stop_instance(world))
+    await world.wait_for(lambda: count_runs(world, "second") == 1)
+    # time enough for a stop that waits for nothing
+    await asyncio.sleep(0.05)
+    assert drain.state is DrainState.FINISHING
+    gate.set()
+    assert (await read_answer(reader))[0] == 200
+    assert await stopping
+    writer.close()
+
+
+async def test_late_request_is_refused_before_its_body_is_there(world):
+    """Symptom: a stop takes longer than its requests in flight.
+
+    Sequence: a request whose first byte is late sends its body slowly; it is refused
+    once the body is whole, or cut at the end.
+    Cause: the body was read before the request was known to come too late.
+    """
+    gate = hold_targets(world)
+    _, writer = await connect(world)
+    writer.write(encode_request("first"))
+    await world.wait_for(lambda: count_runs(world, "first") == 1)
+    other_reader, other_writer = await connect(world)
+    await world.wait_for(lambda: len(world.parts.front._connections) == 2)
+    world.parts.drain.request_stop()
+    (late,) = [
+        one
+        for one in world.parts.front._connections._server.connections
+        if not one.busy
+    ]
+    # its bytes are on their way, so that it is not closed as idle
+    other_writer.write(encode_request("late", "/book/1", "Content-Length: 5"))
+    await other_writer.drain()
+    await world.parts.front.close_listener()
+    assert late.transport is not None
+    status, head = await read_answer(other_reader)
+    assert status == 503
+    assert "connection: close" in head
+    gate.set()
+    writer.close()
+    other_writer.close()
