Wait for what is read in a stop, and call nothing not run that goes on

(2) On our own interface a run under a key goes on when its caller is broken off, while the verdict was still not-run. (3) An error of a step ended a stop in silence and nobody was answered.

Taken out one by one, the check for unread bytes, the refusal of late requests on either interface and the look at pipelined requests each fail a test now; none did before.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_connections.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_connections.py
@@ -35,6 +35,8 @@
 #: seconds that answers under way get when the server ends, twice over; a planned
 #: stop has given them their time before, and what is left of it is short
 CLOSE_TIMEOUT = 0.1
+#: seconds for which a stop waits for the rest of a head whose first byte has come
+HEAD_SECONDS = 0.5
 #: seconds for which the rest of a refused body is read, so that the refusal is not
 #: lost by a reset of the connection
 LINGER = 1.0
@@ -118,6 +120,17 @@
             closed += 1
         return closed
 
+    def count_busy(self) -> int:
+        """Return on how many connections a request is being read or an answer sent.
+
+        Not counted are heads that are not whole some time after their first byte.
+        """
+        now = asyncio.get_running_loop().time()
+        return sum(
+            isinstance(connection, _Connection) and connection.is_busy(now)
+            for connection in self._server.connections
+        )
+
     async def close(self) -> None:
         """Close every connection."""
         await self._server.shutdown(CLOSE_TIMEOUT)
@@ -154,6 +167,8 @@
         #: handler begins some turns of the loop later, and a connection closed in
         #: between would pass a request on that nobody waits for any more
         self.busy = False
+        #: when its first byte was read, in seconds of the loop's clock
+        self._began = 0.0
         #: whether that request began after connections began to be closed
         self.late = False
         #: number among the connections of this process
@@ -172,8 +187,19 @@
 
     def _begin(self) -> None:
         self.busy = True
+        self._began = self._loop.time()
         self.late = self._callers_server.closing
 
+    def is_busy(self, now: float) -> bool:
+        """Whether a request was read lately, or an answer is not yet with the kernel.
+
+        :param now: seconds of the loop's clock
+        """
+        if self.busy and now - self._began < HEAD_SECONDS:
+            return True
+        transport = self.transport
+        return transport is not None and transport.get_write_buffer_size() > 0
+
     def end_request(self) -> None:
         """Take in that a request is answered, and close if it was the last one.
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_listener.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_listener.py
@@ -18,6 +18,10 @@
 logger = logging.getLogger(__name__)
 
 
+#: seconds between two looks for requests in flight in a stop
+IDLE_POLL = 0.01
+
+
 class CallerListener(Controller):
     """Accepts connections and counts requests until they are answered in full.
 
@@ -34,8 +38,6 @@
         self._listen = listen
         self._connections: CallerConnections | None = None
         self._listener: asyncio.Server | None = None
-        self._idle = asyncio.Event()
-        self._idle.set()
         self._in_flight = 0
         self.port = 0
 
@@ -85,14 +87,23 @@
         )
 
     async def wait_idle(self, timeout: float) -> bool:
-        """Wait at most ``timeout`` seconds until no request is in flight."""
-        try:
-            async with asyncio.timeout(timeout):
-                await self._idle.wait()
-        except TimeoutError:
-            return False
+        """Wait at most ``timeout`` seconds until no request is in flight.
+
+        One that has been read and not yet handed to its handler is in flight too: a
+        stop that went on without it would cut it off after it was passed on.
+        """
+        loop = asyncio.get_running_loop()
+        end = loop.time() + timeout
+        while self._in_flight or self._count_busy():
+            left = end - loop.time()
+            if left <= 0:
+                return False
+            await asyncio.sleep(min(IDLE_POLL, left))
         return True
 
+    def _count_busy(self) -> int:
+        return self._connections.count_busy() if self._connections is not None else 0
+
     async def on_stop(self) -> None:
         """Close the listener and every connection."""
         await self.close_listener()
@@ -111,11 +122,8 @@
         """Serve one request and count it as long as that takes."""
         begin_request(request)
         self._in_flight += 1
-        self._idle.clear()
         try:
             return await self.serve(request)
         finally:
             end_request(request)
             self._in_flight -= 1
-            if self._in_flight == 0:
-                self._idle.set()
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/drain.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/drain.py
@@ -147,16 +147,23 @@
         return finished
 
     async def _finish(self) -> bool:
-        await asyncio.sleep(self._balancer_lag)
-        self._state = DrainState.FINISHING
-        await self._close_listener()
-        if await self._wait_idle(self._longest):
-            return True
+        try:
+            if await self._finish_requests():
+                return True
+        except Exception:
+            logger.exception("a step of the stop failed")
         self._state = DrainState.ENDING
         self._break_off()
         await self._wait_idle(LAST_ANSWERS)
         return False
 
+    async def _finish_requests(self) -> bool:
+        await asyncio.sleep(self._balancer_lag)
+        self._state = DrainState.FINISHING
+        await self._close_listener()
+        # from the request on: a process that stood still meanwhile has less time left
+        return await self._wait_idle(max(0.0, self.ends_at - self._clock.now()))
+
     def dump(self) -> dict[str, Any]:
         elapsed = None if self._started_at is None else self._find_elapsed()
         return {"state": self._state.value, "seconds_since_request": elapsed}
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/filters/stop.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/filters/stop.py
@@ -6,6 +6,7 @@
 
 from greengagelatch.errors import Refusal, RefusalCode
 from greengagelatch.request import Answer
+from greengagelatch.verdict import Verdict
 
 from ..inflight import BrokenOffError
 from . import Exchange, Filter, Handler
@@ -30,14 +31,21 @@
         try:
             return await self._in_flight.run(proceed(exchange))
         except BrokenOffError:
-            refusal = Refusal(
-                code=RefusalCode.NOT_READY,
-                message="broken off by a stop",
-                verdict=exchange.verdict,
-                retry_after_ms=STOPPING_RETRY_MS,
-            )
-            return Answer(
-                request_id=exchange.request.request_id,
-                verdict=exchange.verdict,
-                refusal=refusal,
-            )
+            return self._refuse(exchange)
+
+    def _refuse(self, exchange: Exchange) -> Answer:
+        if exchange.request.key:
+            # its run goes on without its caller, and raises the verdict at its end
+            # only: called not run now, it would run after that
+            exchange.raise_verdict(Verdict.MAY_HAVE_RUN)
+        refusal = Refusal(
+            code=RefusalCode.NOT_READY,
+            message="broken off by a stop",
+            verdict=exchange.verdict,
+            retry_after_ms=STOPPING_RETRY_MS,
+        )
+        return Answer(
+            request_id=exchange.request.request_id,
+            verdict=exchange.verdict,
+            refusal=refusal,
+        )
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/inflight.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/inflight.py
@@ -6,7 +6,8 @@
 from typing import TYPE_CHECKING, TypeVar
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable
+    from collections.abc import Coroutine
+    from typing import Any
 
 __all__ = ("BrokenOffError", "InFlight")
 
@@ -32,12 +33,15 @@
     def __len__(self) -> int:
         return len(self._bounds)
 
-    async def run(self, work: Awaitable[Result]) -> Result:
+    async def run(self, work: Coroutine[Any, Any, Result]) -> Result:
         """Return the result of ``work``.
 
-        :raises BrokenOffError: if it is broken off
+        :raises BrokenOffError: if it is broken off, or comes when all has been
         """
-        bound = asyncio.timeout(0 if self._over else None)
+        if self._over:
+            work.close()
+            raise BrokenOffError
+        bound = asyncio.timeout(None)
         try:
             async with bound:
                 self._bounds.add(bound)
@@ -51,7 +55,7 @@
             raise BrokenOffError from None
 
     def break_off(self) -> None:
-        """Break off all work, and what still begins."""
+        """Break off all work, and let none begin any more."""
         self._over = True
         now = asyncio.get_running_loop().time()
         for bound in self._bounds:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/filters.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/filters.py
@@ -79,7 +79,8 @@
             await proceed(exchange)
         except RefusedError as error:
             exchange.outcome = error.refusal.code.value
-            exchange.status = error.status or find_refusal_status(error.refusal)
+            if not exchange.writer.started:
+                exchange.status = error.status or find_refusal_status(error.refusal)
             reason = error.refusal.message
             raise
         except CallerGoneError:
@@ -92,7 +93,8 @@
             self._note(exchange, reason)
 
     def _note(self, exchange: RelayExchange, reason: str) -> None:
-        seconds = self._clock.now() - exchange.request.received
+        now = self._clock.now()
+        seconds = now - exchange.request.received
         self._metrics.count(f"requests.{exchange.outcome}")
         self._metrics.timing("requests", seconds)
         route, deployment = exchange.route, exchange.deployment
@@ -114,7 +116,7 @@
             targets=exchange.targets[-4:],
             stages_ms=_to_ms(exchange.stage_seconds),
             ms=_to_ms(seconds),
-            left_ms=_to_ms(exchange.deadline - self._clock.now()),
+            left_ms=_to_ms(exchange.deadline - now) if exchange.deadline else None,
             connection=exchange.use.connection,
             connection_request=exchange.use.request,
             **since_stop,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/front.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/front.py
@@ -78,12 +78,11 @@
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         received = self._clock.now()
         writer = AnswerWriter(request, keep=self._keeps_connections)
-        bounds = self._bounds()
+        use = find_use(request)
         request_id = ""
         try:
-            body = await read_body(
-                request, limit=bounds.max_body_bytes, timeout=bounds.header_timeout
-            )
+            # a late one is refused, whatever its body
+            body = b"" if use.late else await self._read_body(request)
             opaque = self._codec.decode(
                 method=request.method,
                 target=request.raw_path,
@@ -92,10 +91,7 @@
                 received=received,
             )
             request_id = opaque.request_id
-            exchange = RelayExchange(
-                request=opaque, writer=writer, use=find_use(request)
-            )
-            await self._handler(exchange)
+            await self._handler(RelayExchange(request=opaque, writer=writer, use=use))
         except BodyError as error:
             await self._refuse(writer, request_id, error.refusal, error.status)
         except RefusedError as error:
@@ -113,6 +109,12 @@
             await self._refuse(writer, request_id, refusal, 0)
         return writer.response
 
+    async def _read_body(self, request: web.BaseRequest) -> bytes:
+        bounds = self._bounds()
+        return await read_body(
+            request, limit=bounds.max_body_bytes, timeout=bounds.header_timeout
+        )
+
     def _keeps_connections(self) -> bool:
         return not self._draining() and not self.closing
 
--- a/tests/test_entry/test_adapters/test_callers.py
+++ b/tests/test_entry/test_adapters/test_callers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import os
 import random
 from contextlib import asynccontextmanager
 from dataclasses import replace
@@ -490,3 +491,25 @@
             await bench.connect()
         writer.close()
         idle_writer.close()
+
+
+async def test_request_that_comes_after_the_close_is_refused():
+    """A rollout cut requests that came on connections that were being closed.
+
+    Sequence: a request's bytes arrive while idle connections are closed. Cause: it
+    was begun, though the process might be killed before its end, or its connection
+    was closed with the bytes unread, which resets it.
+    """
+    async with open_bench(answer) as bench:
+        reader, writer = await bench.connect()
+        await wait_until(lambda: len(bench.server._connections) == 1, what="accepted")
+        # straight to the kernel, and no turn of the loop before the close
+        os.write(writer.get_extra_info("socket").fileno(), encode_request())
+        bench.draining = True
+        await bench.server.close_listener()
+        status, headers, body = await read_answer(reader)
+        assert (status, body["code"]) == (503, "not-ready")
+        assert headers["connection"] == "close"
+        assert bench.ran == []
+        assert await bench.server.wait_idle(5)
+        writer.close()
--- a/tests/test_entry/test_relay/test_stop.py
+++ b/tests/test_entry/test_relay/test_stop.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 
 from greengagelatch_entry.controllers.drain import DrainState
 from greengagelatch_lab.platform_standins.deployment import (
@@ -262,3 +263,53 @@
     gate.set()
     writer.close()
     other_writer.close()
+
+
+async def test_connection_with_an_unread_request_is_not_reset(world):
+    """Symptom: callers see resets when an instance closes its idle connections.
+
+    Sequence: a request arrives while the loop stands still, and its connection is
+    closed before the bytes are read.
+    Cause: a connection without a request in the process's own hands was idle.
+    """
+    reader, writer = await connect(world)
+    await world.wait_for(lambda: len(world.parts.front._connections) == 1)
+    # straight to the kernel, and no turn of the loop before the close
+    os.write(
+        writer.get_extra_info("socket").fileno(),
+        encode_request("unread"),
+    )
+    await world.parts.front.close_listener()
+    status, head = await read_answer(reader)
+    assert status == 503
+    assert "connection: close" in head
+    assert count_runs(world, "unread") == 0
+    writer.close()
+
+
+async def test_request_sent_during_a_stream_is_refused_after_it(world):
+    """Symptom: a request that was read while the one before was answered is cut.
+
+    Sequence: it comes on a connection whose stream began before the stop and ends
+    after the listener is closed; its bytes have been read by then.
+    Cause: a connection was idle between two requests, whatever had been read.
+    """
+    engine = await world.add("llm-1", "llm")
+    engine.pause = asyncio.Event()
+    await world.wait_known(3)
+    reader, writer = await connect(world)
+    writer.write(encode_request("streamed", "/scan/1", "X-Prefix-Hash: aa:100"))
+    async with asyncio.timeout(PATIENCE):
+        await reader.readuntil(b"\r\n\r\n")
+    (connection,) = world.parts.front._connections._server.connections
+    connection.data_received(encode_request("next"))
+    world.parts.drain.request_stop()
+    await world.parts.front.close_listener()
+    engine.pause.set()
+    async with asyncio.timeout(PATIENCE):
+        await reader.readuntil(b"\r\n0\r\n\r\n")
+    status, head = await read_answer(reader)
+    assert status == 503
+    assert "connection: close" in head
+    assert count_runs(world, "next") == 0
+    writer.close()
