Keep the same link of two on both sides, and end the other at rest

Symptom: right after two instances have met, a question fails with "the link closed". Cause: both dialled; one side had accepted the other's link and asked on it, and the other, on learning that its own dial was answered too, closed that link unread. Besides, which link is kept was decided by the time each side saw them opened, so a dial after a cut, or by an instance that has started again within the same second, was refused as crossed for as long as opening may take.

Ruled out: the writer of the link (the question was handed over), the detector (no member changed), the closing of idle links (8 s after the last use). A link in use that is closed by its dialler as idle has the same fault where a question meets the close.

Hellos carry a number that rises over restarts; which link is kept follows from the numbers, which both sides know. The other one is read on, and closed once nothing is under way on it, with the word that all is answered: a question that met it was not looked at and is asked again. A stop closes retired links too; it waited up to 8 s for those that it had accepted. Handlers' calls and dials' pauses are modules of their own.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_link.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_link.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import deque
+from contextlib import suppress
 from dataclasses import dataclass, field
 from enum import IntEnum
 from typing import TYPE_CHECKING
@@ -33,6 +34,11 @@
 USE_LIFE = 2.0
 
 
+#: reason with which a link is closed once nothing is under way on it: its sender's
+#: word that it has answered all it took up, and takes up nothing more
+ALL_ANSWERED = "all answered"
+
+
 class CloseCode(IntEnum):
     """Codes with which links are closed, from the range for applications."""
 
@@ -69,6 +75,7 @@
         peer: Hello,
         initiated: bool,
         traffic: Traffic,
+        number: int = 0,
     ) -> None:
         self._connection = connection
         self._traffic = traffic
@@ -78,6 +85,8 @@
         self._filled = asyncio.Event()
         self.peer = peer
         self.initiated = initiated
+        #: number of the hello that this side sent on it
+        self.number = number
         self.opened = asyncio.get_running_loop().time()
         #: seconds of the loop's clock at which a message other than probes passed
         self.last_used = self.opened
@@ -88,6 +97,16 @@
         self.dropped = 0
         #: not used for anything new
         self.retired = False
+        #: own questions on it that wait for their answers
+        self.questions = 0
+        #: messages of the peer that are being handled
+        self.calls = 0
+        #: dropped because not a byte came
+        self.silent = False
+        #: closed with the word that all is answered
+        self.finished = False
+        #: neither reads nor writes any more
+        self.ended = False
 
     @property
     def instance_id(self) -> str:
@@ -105,6 +124,19 @@
         needless = (CloseCode.DUPLICATE, CloseCode.IDLE)
         return self.retired or self._connection.close_code in needless
 
+    @property
+    def under_way(self) -> bool:
+        """Whether anything on it is neither answered nor sent."""
+        return bool(self.questions or self.calls or self._urgent or self._gossip)
+
+    @property
+    def peer_finished(self) -> bool:
+        """Whether the peer closed it with its word that all is answered.
+
+        What it has not answered, it has not looked at.
+        """
+        return self._connection.close_reason == ALL_ANSWERED
+
     def note_use(self) -> None:
         """Take in that a message other than probes passes."""
         now = asyncio.get_running_loop().time()
@@ -158,9 +190,11 @@
         self._filled.set()
         return True
 
-    async def run(self, receive: Callable[[Link, bytes], None]) -> None:
-        """Read and write until the connection is closed."""
-        writer = asyncio.create_task(self._write_forever())
+    async def run(
+        self, receive: Callable[[Link, bytes], None], greeting: bytes = b""
+    ) -> None:
+        """Send ``greeting``, if any; read and write until the connection is closed."""
+        writer = asyncio.create_task(self._write_forever(greeting))
         try:
             async for data in self._connection:
                 if isinstance(data, str):
@@ -172,6 +206,16 @@
             writer.cancel()
             await asyncio.gather(writer, return_exceptions=True)
             await self.close(1000, "")
+            self.ended = True
+
+    async def finish(self, code: int) -> None:
+        """Close the connection, on which nothing is under way.
+
+        Questions that come while it closes must not be handled: the peer takes them
+        for untouched and asks them again elsewhere.
+        """
+        self.finished = True
+        await self.close(code, ALL_ANSWERED)
 
     async def close(self, code: int, reason: str) -> None:
         """Close the connection; returns within the closing timeout."""
@@ -181,7 +225,10 @@
         """Drop the connection at once, without a word to a peer that is silent."""
         self._connection.transport.abort()
 
-    async def _write_forever(self) -> None:
+    async def _write_forever(self, greeting: bytes) -> None:
+        if greeting:
+            with suppress(ConnectionClosed):
+                await self._connection.send(greeting)
         while True:
             await self._filled.wait()
             outgoing = self._take()
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_links.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_links.py
@@ -5,21 +5,24 @@
 import asyncio
 import logging
 from abc import ABC, abstractmethod
-from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING, Any
 
 from result import Err, Ok, Result
 from websockets.exceptions import WebSocketException
 
-from greengagelatch.membership.backoff import compute_backoff
 from greengagelatch.peers.codec import PROTOCOL_VERSION, Envelope, decode, encode
 from greengagelatch.peers.messages import Hello
 
+from .peer_dials import DialPauses
+from .peer_endings import end_later
 from .peer_link import CloseCode, Link
+from .peer_pairs import replaces
 from .peer_sockets import SocketOptions, Traffic, listen, open_connection
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Coroutine
 
     from websockets.asyncio.server import Server
 
@@ -36,13 +39,6 @@
 #: dials under way at the same time
 MAX_DIALS = 16
 
-#: seconds before a failed dial is tried again: first, and at most
-DIAL_BASE = 0.2
-DIAL_LONGEST = 10.0
-
-#: seconds for which a replaced link still delivers answers: as long as the longest
-#: questions wait, or those asked over it would be asked again elsewhere
-RETIREMENT = 8.0
 #: seconds without use after which a link may make room for another one
 UNUSED = 2.0
 
@@ -94,18 +90,25 @@
         limits: LinkLimits,
         random_source: random.Random,
         metrics: Metrics,
+        number: int,
     ) -> None:
+        """Create the links.
+
+        :param number: that of the hello before the first: higher than any that an
+            earlier process of the same id has sent.
+        """
         self._owner = owner
+        self._number = number
         self._limits = limits
-        self._random = random_source
         self._metrics = metrics
         self._traffic = Traffic()
         self._options = SocketOptions(open_timeout=limits.open_timeout)
         self._server: Server | None = None
         self._links: dict[str, Link] = {}
+        #: all that read and write, also those that are used for nothing new
+        self._running: set[Link] = set()
         self._dials: dict[str, asyncio.Task[Link | None]] = {}
-        #: failed attempts and the loop time before which there is no next one
-        self._failed: dict[str, tuple[int, float]] = {}
+        self._pauses = DialPauses(random_source)
         self._unidentified = 0
         self._tasks: set[asyncio.Task[None]] = set()
         self._closing = False
@@ -142,7 +145,8 @@
             self._server.close(close_connections=False)
         for dial in self._dials.values():
             dial.cancel()
-        links = [link.close(1001, "stopping") for link in self.list_links()]
+        # also those retired: the server waits for all that it has accepted
+        links = [link.close(1001, "stopping") for link in self._running]
         await asyncio.gather(*links, *self._dials.values(), return_exceptions=True)
         for task in self._tasks:
             task.cancel()
@@ -156,8 +160,7 @@
         dial = self._dials.get(instance_id)
         if dial is not None:
             return dial
-        _, not_before = self._failed.get(instance_id, (0, 0.0))
-        if self._closing or asyncio.get_running_loop().time() < not_before:
+        if self._closing or self._pauses.lasts(instance_id):
             return None
         if len(self._dials) >= MAX_DIALS or not self._make_room():
             self._metrics.count("peers.dials_refused")
@@ -196,6 +199,7 @@
                 # questions until they time out; dropped, it is replaced by a dial.
                 self._metrics.count("peers.silent_links")
                 self._drop(link)
+                link.silent = True
                 link.abort()
                 continue
             idle = now - link.last_used > self._limits.idle
@@ -209,22 +213,32 @@
         self._metrics.count("peers.dials")
         match await self._open(instance_id, address):
             case Ok(link):
-                self._failed.pop(instance_id, None)
+                self._pauses.end(instance_id)
                 return link
             case Err(reason):
+                held = self._links.get(instance_id)
+                if held is not None:
+                    # the peer has dialled at the same time
+                    return held
                 self._metrics.count("peers.dial_failures")
                 logger.debug("no link to %s at %s: %s", instance_id, address, reason)
-                self._note_failure(instance_id)
-                # the peer may have dialled at the same time
-                return self._links.get(instance_id)
+                self._pauses.extend(instance_id)
+                return None
 
     async def _open(self, instance_id: str, address: str) -> Result[Link, str]:
         try:
             connection = await open_connection(address, self._traffic, self._options)
         except (OSError, TimeoutError, ValueError, WebSocketException) as error:
             return Err(str(error) or type(error).__name__)
+        held = self._links.get(instance_id)
+        if held is not None:
+            # the peer has dialled meanwhile; a hello now would say that this side
+            # knows of no link, and replace the one that is in use
+            self._spawn(connection.close(CloseCode.DUPLICATE, "duplicate"))
+            return Ok(held)
+        own = self._describe()
         try:
-            await connection.send(encode(Envelope(self._owner.describe())))
+            await connection.send(encode(Envelope(own)))
             hello = await self._read_hello(connection)
         except (TimeoutError, WebSocketException) as error:
             await connection.close()
@@ -237,15 +251,15 @@
             await connection.close(CloseCode.IDENTITY, fault[:100])
             return Err(fault)
         link = Link(
-            connection=connection, peer=hello, initiated=True, traffic=self._traffic
+            connection=connection,
+            peer=hello,
+            initiated=True,
+            traffic=self._traffic,
+            number=own.number,
         )
-        if not self._register(link):
-            await connection.close(CloseCode.DUPLICATE, "duplicate")
-            return Err("the peer's own link came first")
-        task = asyncio.create_task(self._run(link))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return Ok(link)
+        self._register(link)
+        self._spawn(self._run(link))
+        return Ok(self._links.get(link.instance_id, link))
 
     async def _accept(self, connection: Connection) -> None:
         if self._closing or self._unidentified >= MAX_UNIDENTIFIED:
@@ -269,20 +283,26 @@
             self._metrics.count("peers.links_refused")
             await connection.close(CloseCode.FULL, "too many links")
             return
+        own = self._describe()
         link = Link(
-            connection=connection, peer=hello, initiated=False, traffic=self._traffic
+            connection=connection,
+            peer=hello,
+            initiated=False,
+            traffic=self._traffic,
+            number=own.number,
         )
-        if self._loses(link):
-            await connection.close(CloseCode.DUPLICATE, "duplicate")
-            return
-        try:
-            await connection.send(encode(Envelope(self._owner.describe())))
-        except WebSocketException:
-            return
-        if not self._register(link):
+        if self._closing or self._loses(link):
+            # the other side has no hello yet, and so has asked nothing on it
             await connection.close(CloseCode.DUPLICATE, "duplicate")
             return
-        await self._run(link)
+        # in the same turn as the number is drawn, or a dial that is sent in between
+        # would look as if it knew of this link
+        self._register(link)
+        await self._run(link, encode(Envelope(own)))
+
+    def _describe(self) -> Hello:
+        self._number += 1
+        return replace(self._owner.describe(), number=self._number)
 
     async def _read_hello(self, connection: Connection) -> Hello | None:
         async with asyncio.timeout(self._limits.open_timeout):
@@ -306,38 +326,32 @@
     # one link for each pair
 
     def _loses(self, link: Link) -> bool:
-        """Whether the link that is already open is to be kept instead.
-
-        Usually the newer one is kept: a peer dials only when it has no link, so it
-        knows that the older one is gone, which this side may learn much later. If
-        both sides dialled at the same time, both must keep the same one: that of
-        the lower id.
-        """
+        """Whether the link that is already open is to be kept instead."""
         held = self._links.get(link.instance_id)
-        if held is None or held.initiated == link.initiated:
+        if held is None:
             return False
-        if link.peer.incarnation != held.peer.incarnation:
-            return link.peer.incarnation < held.peer.incarnation
-        if link.opened - held.opened > self._limits.open_timeout:
-            return False
-        own_is_lower = self._owner.describe().instance_id < link.instance_id
-        return held.initiated == own_is_lower
+        own_id = self._owner.describe().instance_id
+        return not replaces(link, held, own_id, self._limits.open_timeout)
 
-    def _register(self, link: Link) -> bool:
-        if self._closing or self._loses(link):
-            return False
+    def _register(self, link: Link) -> None:
+        self._running.add(link)
+        if self._loses(link):
+            # the other side may have asked on it before it learns of the one kept:
+            # closed unread, questions would fail though no instance was lost
+            self._retire(link, CloseCode.DUPLICATE, "duplicate")
+            return
         held = self._links.get(link.instance_id)
         if held is not None:
             self._retire(held, CloseCode.DUPLICATE, "replaced")
         self._links[link.instance_id] = link
-        self._failed.pop(link.instance_id, None)
+        self._pauses.end(link.instance_id)
         self._owner.note_open(link)
-        return True
 
-    async def _run(self, link: Link) -> None:
+    async def _run(self, link: Link, greeting: bytes = b"") -> None:
         try:
-            await link.run(self._owner.receive)
+            await link.run(self._owner.receive, greeting)
         finally:
+            self._running.discard(link)
             self._metrics.count("peers.dropped", link.dropped)
             self._drop(link)
             self._owner.note_closed(link)
@@ -347,17 +361,16 @@
             del self._links[link.instance_id]
 
     def _retire(self, link: Link, code: int, reason: str) -> None:
-        """Use a link no more, but let answers on their way still arrive."""
+        """Use a link no more, but let what is under way on it end."""
         link.retired = True
         self._drop(link)
-        task = asyncio.create_task(self._close_later(link, code, reason))
+        self._spawn(end_later(link, code, reason))
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _close_later(self, link: Link, code: int, reason: str) -> None:
-        await asyncio.sleep(RETIREMENT)
-        await link.close(code, reason)
-
     def _make_room(self) -> bool:
         if len(self._links) + len(self._dials) < self._limits.max_links:
             return True
@@ -369,16 +382,3 @@
         longest = min(unused, key=lambda link: link.last_used)
         self._retire(longest, CloseCode.IDLE, "making room")
         return True
-
-    def _note_failure(self, instance_id: str) -> None:
-        attempts = self._failed.get(instance_id, (0, 0.0))[0] + 1
-        delay = compute_backoff(
-            attempts,
-            base=DIAL_BASE,
-            longest=DIAL_LONGEST,
-            random_source=self._random,
-        )
-        now = asyncio.get_running_loop().time()
-        if len(self._failed) > 4096:
-            self._failed.clear()
-        self._failed[instance_id] = (attempts, now + delay)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_questions.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_questions.py
@@ -31,6 +31,10 @@
     """The link closed before the answer came."""
 
 
+class UntouchedError(LinkClosedError):
+    """The peer closed it with its word that it had answered all it took up."""
+
+
 class Questions:
     """Open questions by number."""
 
@@ -53,14 +57,19 @@
             return Err(PeerError(PeerErrorKind.NOT_SENT, "too much waits to be sent"))
         answer: asyncio.Future[Message] = asyncio.get_running_loop().create_future()
         self._open[number] = _Question(link, outgoing, answer)
+        link.questions += 1
         try:
             async with asyncio.timeout_at(deadline):
                 reply = await answer
         except TimeoutError:
             return Err(_explain(outgoing, "no answer in time"))
+        except UntouchedError:
+            reason = "the peer ended the link before it looked at the question"
+            return Err(PeerError(PeerErrorKind.NOT_SENT, reason))
         except LinkClosedError:
-            return Err(_explain(outgoing, "the link closed"))
+            return Err(_explain(outgoing, "the link closed", cut=not link.silent))
         finally:
+            link.questions -= 1
             outgoing.cancelled = True
             del self._open[number]
         return _read_reply(reply)
@@ -77,15 +86,16 @@
 
     def abandon(self, link: Link) -> None:
         """End all questions on a link that has closed."""
+        error = UntouchedError if link.peer_finished else LinkClosedError
         for question in self._open.values():
             if question.link is link and not question.answer.done():
-                question.answer.set_exception(LinkClosedError())
+                question.answer.set_exception(error())
 
 
-def _explain(outgoing: Outgoing, reason: str) -> PeerError:
+def _explain(outgoing: Outgoing, reason: str, *, cut: bool = False) -> PeerError:
     if outgoing.handed_over:
-        return PeerError(PeerErrorKind.NO_ANSWER, reason)
-    return PeerError(PeerErrorKind.NOT_SENT, f"{reason}; it was not sent")
+        return PeerError(PeerErrorKind.NO_ANSWER, reason, cut)
+    return PeerError(PeerErrorKind.NOT_SENT, f"{reason}; it was not sent", cut)
 
 
 def _read_reply(reply: Message) -> Result[Message, PeerError]:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peers.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peers.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import inspect
 import logging
 from typing import TYPE_CHECKING, Any
 
@@ -19,18 +18,17 @@
     PeerNetwork,
 )
 from greengagelatch.peers.codec import (
-    MAX_MESSAGE_BYTES,
     DecodeError,
     Envelope,
     Message,
     decode,
-    encode,
 )
-from greengagelatch.peers.messages import Busy, Hello, NotUnderstood, Unanswered
+from greengagelatch.peers.messages import Hello, NotUnderstood
 from greengagelatch.settings import split_endpoints
 
 from ..controllers import Controller
 from ..controllers.membership import MembershipController, is_probe
+from .peer_calls import Calls, encode_bounded
 from .peer_link import Outgoing
 from .peer_links import LinkLimits, LinkOwner, PeerLinks
 from .peer_questions import Questions
@@ -55,6 +53,9 @@
 #: times a question is tried on a new link after one closed with it unsent
 TRIES = 2
 
+#: hellos that an instance surely sends fewer of in a second
+HELLOS_PER_SECOND = 1_000_000
+
 #: seconds between two reports of traffic
 REPORT_INTERVAL = 1.0
 
@@ -83,13 +84,11 @@
         self._listen: str = settings["peers.listen"]
         self._silence: float = settings["peers.silence"]
         self._tick = min(TICK, settings["peers.heartbeat"])
-        self._max_in_work: int = settings["peers.in_work"]
         self._advertise: str = settings["peers.advertise"]
         self._seeds = split_endpoints(settings["peers.seeds"])
         self._random = random_source
-        self._handlers: dict[type[Message], MessageHandler] = {}
+        self._calls = Calls(max_in_work=settings["peers.in_work"], metrics=metrics)
         self._questions = Questions()
-        self._in_work: set[asyncio.Task[None]] = set()
         self._waiting: set[asyncio.Task[None]] = set()
         self._last_report = 0.0
         self._last_tick: float | None = None
@@ -98,6 +97,8 @@
             limits=_read_limits(settings),
             random_source=random_source,
             metrics=metrics,
+            # as with incarnations, a later process of the same id has higher ones
+            number=int(clock.wall() * HELLOS_PER_SECOND),
         )
         self._membership = MembershipController(
             peers=self,
@@ -127,7 +128,7 @@
         return self._membership.list_neighbours()
 
     def send(self, instance_id: str, message: Message) -> bool:
-        frame = self._encode(Envelope(message))
+        frame = encode_bounded(Envelope(message), self._metrics)
         if frame is None:
             return False
         outgoing = Outgoing(frame, message.wire_name)
@@ -146,7 +147,7 @@
         self, instance_id: str, message: Message, timeout: float
     ) -> Result[Message, PeerError]:
         deadline = asyncio.get_running_loop().time() + timeout
-        if self._encode(Envelope(message)) is None:
+        if encode_bounded(Envelope(message), self._metrics) is None:
             return _fail_unsent("the message is too large")
         answer = _fail_unsent(f"no link to {instance_id}")
         for _ in range(TRIES):
@@ -160,10 +161,7 @@
         return answer
 
     def handle(self, message_type: type[Message], handler: MessageHandler) -> None:
-        if message_type in self._handlers:
-            msg = f"{message_type.__name__} already has a handler"
-            raise ValueError(msg)
-        self._handlers[message_type] = handler
+        self._calls.handle(message_type, handler)
 
     def dump(self) -> dict[str, Any]:
         now = asyncio.get_running_loop().time()
@@ -180,7 +178,7 @@
         return {
             "links": links,
             "questions": len(self._questions),
-            "in_work": len(self._in_work),
+            "in_work": len(self._calls),
             **self._membership.dump(),
         }
 
@@ -192,7 +190,8 @@
         self._membership.begin(self._advertise or f"{host}:{self.port}")
 
     async def on_stop(self) -> None:
-        tasks = (*self._in_work, *self._waiting)
+        await self._calls.stop()
+        tasks = tuple(self._waiting)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -270,7 +269,7 @@
                 self._dispatch(link, envelope)
             case Err(DecodeError(unknown=True) as error):
                 self._metrics.count("peers.unknown_messages")
-                self._answer(link, error.question, NotUnderstood(error.reason))
+                self._calls.answer(link, error.question, NotUnderstood(error.reason))
             case Err(error):
                 self._metrics.count("peers.bad_frames")
                 logger.warning("bad frame from %s: %s", link.instance_id, error.reason)
@@ -286,56 +285,7 @@
             return
         if not is_probe(message):
             link.note_use()
-        handler = self._handlers.get(type(message))
-        if handler is None:
-            self._metrics.count("peers.unhandled_messages")
-            reason = f"no handler for {message.wire_name}"
-            self._answer(link, envelope.question, NotUnderstood(reason))
-            return
-        if len(self._in_work) >= self._max_in_work:
-            # answers are still read, or two peers that wait for each other's
-            # answers would both be stuck
-            self._metrics.count("peers.busy")
-            self._answer(link, envelope.question, Busy())
-            return
-        self._call(link, envelope.question, handler, message)
-
-    def _call(
-        self, link: Link, question: int, handler: MessageHandler, message: Message
-    ) -> None:
-        try:
-            answer = handler(link.instance_id, message)
-        except Exception:
-            logger.exception("handler of %s failed", message.wire_name)
-            self._answer(link, question, Unanswered())
-            return
-        if not inspect.isawaitable(answer):
-            self._answer(link, question, answer or Unanswered())
-            return
-        task = asyncio.create_task(self._finish_call(link, question, answer, message))
-        self._in_work.add(task)
-        task.add_done_callback(self._in_work.discard)
-
-    async def _finish_call(
-        self, link: Link, question: int, pending: Any, message: Message
-    ) -> None:
-        answer: Message | None = None
-        try:
-            answer = await pending
-        except Exception:
-            logger.exception("handler of %s failed", message.wire_name)
-        self._answer(link, question, answer or Unanswered())
-
-    def _answer(self, link: Link, question: int, message: Message) -> None:
-        if not question:
-            return
-        frame = self._encode(Envelope(message, answer=question))
-        if frame is None:
-            frame = encode(Envelope(Unanswered(), answer=question))
-        if not link.offer(Outgoing(frame, message.wire_name), droppable=False):
-            # a peer that does not read its answers; it is told nothing more
-            self._metrics.count("peers.answers_without_room")
-            link.abort()
+        self._calls.take(link, envelope.question, message)
 
     def _offer(self, link: Link, outgoing: Outgoing, message: Message) -> bool:
         if not is_probe(message):
@@ -347,6 +297,8 @@
     ) -> None:
         link = await asyncio.shield(dial)
         if link is not None:
+            # it may have been replaced since the dial ended
+            link = self._links.find(link.instance_id) or link
             self._offer(link, outgoing, message)
 
     async def _find_link(self, instance_id: str, deadline: float) -> Link | None:
@@ -358,9 +310,12 @@
             return None
         try:
             async with asyncio.timeout_at(deadline):
-                return await asyncio.shield(dial)
+                await asyncio.shield(dial)
         except TimeoutError:
             return None
+        # and not the one that was dialled: it may have been replaced or closed since,
+        # and a question on a closed one would wait until its deadline
+        return self._links.find(instance_id)
 
     def _dial(self, instance_id: str) -> asyncio.Task[Link | None] | None:
         address = self._membership.find_address(instance_id)
@@ -368,14 +323,6 @@
             return None
         return self._links.dial(instance_id, address)
 
-    def _encode(self, envelope: Envelope) -> bytes | None:
-        frame = encode(envelope)
-        if len(frame) <= MAX_MESSAGE_BYTES:
-            return frame
-        self._metrics.count("peers.too_large")
-        logger.error("%s of %s bytes not sent", envelope.message, len(frame))
-        return None
-
 
 def _fail_unsent(reason: str) -> Err[PeerError]:
     return Err(PeerError(PeerErrorKind.NOT_SENT, reason))
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/membership.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/membership.py
@@ -303,6 +303,8 @@
     texts = (hello.instance_id, hello.data_centre, hello.address)
     if not all(isinstance(text, str) and 0 < len(text) <= MAX_TEXT for text in texts):
         return False
+    if type(hello.number) is not int or hello.number < 0:
+        return False
     return type(hello.incarnation) is int and hello.incarnation > 0
 
 
--- a/packages/greengagelatch/src/greengagelatch/peers/__init__.py
+++ b/packages/greengagelatch/src/greengagelatch/peers/__init__.py
@@ -49,7 +49,8 @@
 class PeerErrorKind(Enum):
     """Why a peer gave no answer."""
 
-    #: nothing was handed to a socket
+    #: nothing was handed to a socket, or the peer ended the link with its word that it
+    #: took nothing more up
     NOT_SENT = "not-sent"
     #: the peer may have acted on the message
     NO_ANSWER = "no-answer"
@@ -63,6 +64,9 @@
 
     kind: PeerErrorKind
     message: str
+    #: the link broke before the answer came, and not for its silence: the peer may
+    #: well be reached over another one
+    cut: bool = False
 
 
 class PeerNetwork(ABC):
--- a/packages/greengagelatch/src/greengagelatch/peers/messages.py
+++ b/packages/greengagelatch/src/greengagelatch/peers/messages.py
@@ -21,6 +21,9 @@
     incarnation: int = 0
     leaving: bool = False
     protocol: int = PROTOCOL_VERSION
+    #: rises with each hello that its sender sends, to whomever, also over restarts;
+    #: zero from releases that do not number them
+    number: int = 0
 
 
 @register("not-understood")
--- a/tests/test_entry/test_adapters/test_crossed_links.py
+++ b/tests/test_entry/test_adapters/test_crossed_links.py
@@ -3,18 +3,24 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import random
 from dataclasses import dataclass, field
 
 import pytest
-from result import Ok
+from result import Err, Ok
 
 from greengagelatch.clock import SystemClock
 from greengagelatch.events import EventBus
 from greengagelatch.instances import Instance, InstanceKind, Listing
+from greengagelatch.peers import PeerErrorKind
 from greengagelatch.peers.codec import Message, register
+from greengagelatch.peers.messages import Hello
 from greengagelatch.settings import parse
-from greengagelatch_entry.adapters import peer_links
+from greengagelatch_entry.adapters import peer_endings, peer_links
+from greengagelatch_entry.adapters.peer_link import CloseCode, Link
+from greengagelatch_entry.adapters.peer_pairs import replaces
+from greengagelatch_entry.adapters.peer_sockets import Traffic
 from greengagelatch_entry.adapters.peers import PeerHub
 from greengagelatch_entry.controllers.listing import LISTING_RECEIVED
 from greengagelatch_entry.metrics import Metrics
@@ -29,7 +35,7 @@
 id = {instance_id}
 data_centre = tutuban-hall
 [peers]
-listen = 127.0.0.1:0
+listen = 127.0.0.1:{port}
 heartbeat = 0.1
 silence = {silence}
 open_timeout = 60
@@ -47,6 +53,22 @@
     text: str = ""
 
 
+@register("test-crossed-hold")
+@dataclass(frozen=True, slots=True)
+class Hold(Message):
+    pass
+
+
+class OffsetClock(SystemClock):
+    """A clock whose time of day is given."""
+
+    def __init__(self, wall: float) -> None:
+        self._wall = wall
+
+    def wall(self) -> float:
+        return self._wall
+
+
 @dataclass
 class Gates:
     """Where an instance waits before it reads a hello; open unless a test shuts it."""
@@ -91,6 +113,8 @@
     metrics: Metrics
     gates: Gates
     echoed: list[str] = field(default_factory=list)
+    holds: int = 0
+    released: asyncio.Event = field(default_factory=asyncio.Event)
 
     @property
     def address(self) -> str:
@@ -121,10 +145,24 @@
         self.echoed.append(message.text)
         return message
 
+    async def hold(self, sender: str, message: Hold) -> Echo:
+        self.holds += 1
+        await self.released.wait()
+        return Echo("released")
+
+    def find_link(self, instance_id: str) -> Link:
+        return self.hub._links.find(instance_id)
+
+    def retire(self, instance_id: str) -> Link:
+        """Have a link make room, which the other side does not know of."""
+        link = self.find_link(instance_id)
+        self.hub._links._retire(link, CloseCode.IDLE, "making room")
+        return link
+
 
 @pytest.fixture
 async def start(monkeypatch):
-    peers = {}
+    peers: dict[str, Peer] = {}
     dial, listen = peer_links.open_connection, peer_links.listen
 
     async def dial_held(address, traffic, options):
@@ -146,11 +184,17 @@
     monkeypatch.setattr(peer_links, "open_connection", dial_held)
     monkeypatch.setattr(peer_links, "listen", listen_held)
 
-    async def create(instance_id: str, *, silence: float = 60.0) -> Peer:
-        text = SETTINGS.format(instance_id=instance_id, silence=silence)
+    async def create(
+        instance_id: str,
+        *,
+        silence: float = 60.0,
+        port: int = 0,
+        clock: SystemClock | None = None,
+    ) -> Peer:
+        text = SETTINGS.format(instance_id=instance_id, silence=silence, port=port)
         events, metrics = EventBus(), Metrics("127.0.0.1:9")
         hub = PeerHub(
-            clock=SystemClock(),
+            clock=clock or SystemClock(),
             random_source=random.Random(instance_id),
             events=events,
             settings=parse(text).unwrap(),
@@ -158,6 +202,7 @@
         )
         peer = Peer(hub, events, metrics, Gates())
         hub.handle(Echo, peer.echo)
+        hub.handle(Hold, peer.hold)
         peers[instance_id] = peer
         await hub.start()
         return peer
@@ -226,3 +271,156 @@
         assert await second.hub.ask("e-1", Echo("x"), TIMEOUT) == Ok(Echo("x"))
         held = first.hub.dump()["links"]["e-2"]
         assert held["initiated"] is False
+
+
+async def meet(start) -> tuple[Peer, Peer]:
+    """Start two instances, of which the first has dialled the second."""
+    first, second = await start("e-1"), await start("e-2")
+    first.show(("e-2", second.address))
+    await wait_until(lambda: first.count_links() == second.count_links() == 1)
+    return first, second
+
+
+async def test_instance_that_starts_again_under_its_address_is_not_refused(start):
+    """
+    Symptom: an instance that has started again can't reach another one. Sequence: its
+    machine is gone without a word, so that the other still has the old link; it starts
+    again within the same second. Cause: its dial was taken for one that had crossed
+    the old link, as both have the same incarnation, and refused.
+    """
+    second = await start("e-2", clock=OffsetClock(1_000_000.1))
+    async with FaultyLink(second.address) as way:
+        first = await start("e-1")
+        first.show(("e-2", way.address))
+        await wait_until(lambda: first.count_links() == second.count_links() == 1)
+        way.silence(only_open=True)
+        port = second.hub.port
+        await second.hub.stop()
+        again = await start("e-2", port=port, clock=OffsetClock(1_000_000.4))
+        again.show(("e-1", first.address))
+        assert await again.hub.ask("e-1", Echo("x"), TIMEOUT) == Ok(Echo("x"))
+        assert await first.hub.ask("e-2", Echo("y"), TIMEOUT) == Ok(Echo("y"))
+        assert first.find_link("e-2").initiated is False
+
+
+async def test_question_that_meets_the_end_of_its_link_is_asked_again(start):
+    """
+    Symptom: a question fails with "the link closed" though no instance was lost.
+    Sequence: one side ends a link that it needs no more; a question of the other is
+    on its way as it does. Cause: nothing told whether it had been looked at.
+    """
+    first, second = await meet(start)
+    link = first.find_link("e-2")
+    link.finished = True
+    asked = asyncio.create_task(second.hub.ask("e-1", Echo("x"), TIMEOUT))
+    unread = first.metrics
+    await wait_until(lambda: unread.value("peers.untouched_questions") == 1)
+    await link.finish(CloseCode.IDLE)
+    assert await asked == Ok(Echo("x"))
+    assert first.echoed == ["x"]
+
+
+@pytest.mark.parametrize("asks", ["e-1", "e-2"])
+async def test_link_ends_only_once_nothing_is_under_way(start, monkeypatch, asks):
+    """
+    Symptom: a question that takes long fails as its link ends. Sequence: either side
+    asks; the link makes room for another; its time is over before the answer is there.
+    Cause: it was closed at that time, whatever was under way on it.
+    """
+    looks = 0
+    under_way = Link.under_way.fget
+
+    def look(link: Link) -> bool:
+        nonlocal looks
+        looks += 1
+        return under_way(link)
+
+    first, second = await meet(start)
+    monkeypatch.setattr(Link, "under_way", property(look))
+    monkeypatch.setattr(peer_endings, "RETIREMENT", 0.0)
+    monkeypatch.setattr(peer_endings, "LOOK_INTERVAL", 0.01)
+    asking, asked = (first, second) if asks == "e-1" else (second, first)
+    other = asked.hub.instance_id
+    waiting = asyncio.create_task(asking.hub.ask(other, Hold(), TIMEOUT))
+    await wait_until(lambda: asked.holds == 1)
+    link = first.retire("e-2")
+    await wait_until(lambda: looks >= 3)
+    assert not link.ended
+    asked.released.set()
+    assert await waiting == Ok(Echo("released"))
+    await wait_until(lambda: link.ended)
+    assert asked.holds == 1
+
+
+async def test_link_that_never_rests_ends_without_its_word(start, monkeypatch):
+    """
+    Symptom: retired links and their sockets grow in number, or a question is handled
+    twice. Sequence: a handler does not end; its link is retired. Cause: the link was
+    kept for good, or closed as one on which all is answered.
+    """
+    first, second = await meet(start)
+    monkeypatch.setattr(peer_endings, "RETIREMENT", 0.0)
+    monkeypatch.setattr(peer_endings, "LONGEST_RETIREMENT", 0.0)
+    waiting = asyncio.create_task(second.hub.ask("e-1", Hold(), TIMEOUT))
+    await wait_until(lambda: first.holds == 1)
+    link = first.retire("e-2")
+    match await waiting:
+        case Err(error):
+            assert error.kind is PeerErrorKind.NO_ANSWER
+            assert error.cut
+        case answer:
+            pytest.fail(f"answered: {answer}")
+    await wait_until(lambda: link.ended)
+    assert first.holds == 1
+
+
+async def test_stop_does_not_wait_for_retired_links(start, monkeypatch):
+    """
+    Symptom: an instance takes eight seconds longer to stop. Sequence: a link that it
+    has accepted was replaced shortly before. Cause: only the links in use were
+    closed, and the server waits for all.
+    """
+    monkeypatch.setattr(peer_endings, "RETIREMENT", 3600.0)
+    _, second = await meet(start)
+    link = second.retire("e-1")
+    async with asyncio.timeout(TIMEOUT):
+        await second.hub.stop()
+    assert link.ended
+
+
+def create_link(own: str, dialler: str, numbers: dict[str, int]) -> Link:
+    other = "e-2" if own == "e-1" else "e-1"
+    return Link(
+        connection=None,
+        peer=Hello(instance_id=other, number=numbers[other]),
+        initiated=dialler == own,
+        traffic=Traffic(),
+        number=numbers[own],
+    )
+
+
+async def test_both_sides_keep_the_same_link():
+    """
+    Symptom: two instances lose each link a moment after it was opened. Sequence: two
+    links cross, or one follows the other; the two sides learn of them in different
+    orders. Cause: each side decides by what only it knows.
+    """
+    ids = ("e-1", "e-2")
+    for diallers in itertools.product(ids, ids):
+        for orders in itertools.product((False, True), repeat=2):
+            links = []
+            for place, dialler in enumerate(diallers):
+                numbers = {}
+                for one, later in zip(ids, orders, strict=True):
+                    numbers[one] = 5 + (place if later else -place)
+                links.append((dialler, numbers))
+            kept = set()
+            for own in ids:
+                one, two = (create_link(own, *link) for link in links)
+                second_stays = replaces(two, one, own, 1.0)
+                assert replaces(one, two, own, 1.0) is not second_stays
+                kept.add(second_stays)
+            assert len(kept) == 1
+            if orders[0] == orders[1]:
+                # the hellos of one are both later: it follows the other
+                assert kept == {orders[0]}
