Ask an owner again where its link broke, not by the time it took

Cause of the old rule: a link that closed within 0.4 s was taken for one of two that had crossed, and after 0.05 s the owner was asked once more, whatever had failed. What stays is a link that breaks while the owner works, also one closed by a peer of an earlier release: the network now says that it broke, and not for silence, and the owner, which knows the bundle, is asked once more at once. Where it gave no answer in time, went silent, refused or could not be reached, it is asked once, as before for all that took longer than 0.4 s.

The test of crossed links now gives the mark in its error; what it asks for is the same. Four cases of owners that are asked only once are new.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_questions.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_questions.py
@@ -67,7 +67,9 @@
             reason = "the peer ended the link before it looked at the question"
             return Err(PeerError(PeerErrorKind.NOT_SENT, reason))
         except LinkClosedError:
-            return Err(_explain(outgoing, "the link closed", cut=not link.silent))
+            if link.silent:
+                return Err(_explain(outgoing, "the link went silent"))
+            return Err(_explain(outgoing, "the link closed", cut=True))
         finally:
             link.questions -= 1
             outgoing.cancelled = True
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/owned_desk.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/owned_desk.py
@@ -46,11 +46,6 @@
 #: seconds for which an owner that did not answer is passed over; the membership
 #: has noticed by then whether it is gone
 SHUNNED_SECONDS = 1.5
-#: seconds within which a link that closes is taken for one of two that were opened at
-#: the same time: the owner is asked once more over the other one
-CROSSING_SECONDS = 0.4
-#: seconds until it is
-CROSSING_PAUSE = 0.05
 #: seconds beyond a bundle's last moment for which its owner is waited for
 ANSWER_MARGIN = 0.3
 #: seconds for which an owner's word about its queue counts
@@ -164,12 +159,12 @@
     ) -> tuple[PieceResult, ...] | None:
         place = (owner, bundle.bundle_id)
         self._asked[place] = note_read
-        asked = self._clock.now()
         try:
             reply = await self._send(owner, bundle)
-            if isinstance(reply, Err) and self._clock.now() - asked < CROSSING_SECONDS:
-                # its answer, if it was on its way, is lost; it knows the bundle
-                await asyncio.sleep(CROSSING_PAUSE)
+            if isinstance(reply, Err) and reply.err_value.cut:
+                # Passed over for a link that broke, it would not be the owner here
+                # while it is elsewhere, and both would overrun the makers. It knows
+                # the bundle, and a dial tells at once if its process is gone.
                 reply = await self._send(owner, bundle)
         except asyncio.CancelledError:
             self._peers.send(owner, PiecesDropped(bundle.bundle_id))
--- a/tests/test_entry/test_adapters/test_crossed_links.py
+++ b/tests/test_entry/test_adapters/test_crossed_links.py
@@ -265,8 +265,13 @@
         first = await start("e-1")
         first.show(("e-2", way.address))
         await wait_until(lambda: first.count_links() == second.count_links() == 1)
+        waiting = asyncio.create_task(second.hub.ask("e-1", Hold(), TIMEOUT))
+        await wait_until(lambda: first.holds == 1)
         way.silence(only_open=True)
         await wait_until(lambda: second.metrics.value("peers.silent_links") == 1)
+        # the machine may be gone: nothing says that another link would reach it
+        error = (await waiting).err_value
+        assert (error.kind, error.cut) == (PeerErrorKind.NO_ANSWER, False)
         second.show(("e-1", first.address))
         assert await second.hub.ask("e-1", Echo("x"), TIMEOUT) == Ok(Echo("x"))
         held = first.hub.dump()["links"]["e-2"]
--- a/tests/test_entry/test_relay/test_owned_desk.py
+++ b/tests/test_entry/test_relay/test_owned_desk.py
@@ -166,7 +166,7 @@
     """Symptom: after a restart of all, several instances own one service for seconds.
 
     Sequence: two instances open a link to each other at the same time; one of the two
-    links is closed, with a question on it.
+    links is closed, with a question on it, as by a peer of an earlier release.
     Cause: the owner was passed over for a link that was not needed.
     """
     owner, _, third = world.ranked
@@ -176,7 +176,7 @@
     async def ask_over_two_links(sender, to, message):
         calls.append(to)
         if len(calls) == 1:
-            return Err(PeerError(PeerErrorKind.NO_ANSWER, "the link closed"))
+            return Err(PeerError(PeerErrorKind.NO_ANSWER, "the link closed", cut=True))
         return await ask(sender, to, message)
 
     world.network.ask = ask_over_two_links
@@ -185,6 +185,37 @@
     assert len(world.local[owner].made) == 1
 
 
+@pytest.mark.parametrize(
+    "error",
+    [
+        PeerError(PeerErrorKind.NO_ANSWER, "no answer in time"),
+        # a dial of a machine that is lost would take as long again
+        PeerError(PeerErrorKind.NO_ANSWER, "the link went silent"),
+        PeerError(PeerErrorKind.NOT_SENT, "no link"),
+        PeerError(PeerErrorKind.REFUSED, "the peer is busy"),
+    ],
+)
+async def test_owner_that_does_not_answer_is_asked_once(world, error):
+    """Symptom: stage work ends late where its owner's machine was lost.
+
+    Sequence: the owner does not answer, or nothing can be sent to it.
+    Cause: it is asked again, though no other link leads to it.
+    """
+    owner, second, third = world.ranked
+    ask = world.network.ask
+    calls = []
+
+    async def ask_in_vain(sender, to, message):
+        calls.append(to)
+        if to == owner:
+            return Err(error)
+        return await ask(sender, to, message)
+
+    world.network.ask = ask_in_vain
+    await world.desks[third].make(BUNDLE, do_nothing)
+    assert calls == [owner, second]
+
+
 async def test_bundle_that_is_asked_for_twice_is_made_once(world):
     owner, _, third = world.ranked
     world.local[owner].hold = asyncio.Event()
