Close what a stopped simulated process had just started; fail on unawaited coroutines

The warning "coroutine 'OrdersController._call' was never awaited" came from the simulation, and was harmless: a process that is killed or paused gets no further callback, so the first step of a task that it had started in the same turn never came, nor did its cancellation at the end of the run. The controller is right: a real process that ends so runs nothing more either, and one that is continued takes the step. The end of a run now closes such coroutines.

A warning of that kind, also from a coroutine in a cycle, now fails the tests.

--- a/packages/greengagelatch-lab/src/greengagelatch_lab/matrix/processes.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/matrix/processes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import inspect
 import itertools
 import logging
 from contextvars import Context, ContextVar, copy_context
@@ -239,11 +240,24 @@
             for task in tasks:
                 task.cancel()
             loop.run_until_complete(asyncio.wait(tasks, timeout=1.0))
+        _close_unstarted(loop)
         loop.close()
     finally:
         logging.disable(level)
 
 
+def _close_unstarted(loop: ProcessLoop) -> None:
+    """Close the coroutines of tasks whose first step a stopped process held back.
+
+    Their cancellation would come with that step. Left open, each warns that it was
+    never awaited, in whatever test runs as it is collected.
+    """
+    for task in asyncio.all_tasks(loop):
+        work = task.get_coro()
+        if inspect.getcoroutinestate(work) == inspect.CORO_CREATED:
+            work.close()
+
+
 def call_outside(function: Callable[..., T], *args: Any) -> T:
     """Call a function as part of no process."""
     return Context().run(function, *args)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 from pathlib import Path
 
 import pytest
@@ -19,6 +20,16 @@
 MOST_KNOWN_RED = 3
 
 
+@pytest.fixture(scope="session", autouse=True)
+def collect_what_is_left():
+    """Find coroutines that nobody awaited while a test can still fail for them.
+
+    Those in cycles would be found as a worker ends, when nobody hears of it.
+    """
+    yield
+    gc.collect()
+
+
 def read_known_red() -> dict[str, str]:
     """Return the rest of each line by the id of its test."""
     if not KNOWN_RED.exists():
