--- a/tests/test_entry/test_adapters/test_crossed_links.py
+++ b/tests/test_entry/test_adapters/test_crossed_links.py
@@ -429,3 +429,23 @@
             if orders[0] == orders[1]:
                 # the hellos of one are both later: it follows the other
                 assert kept == {orders[0]}
+
+
+@pytest.mark.parametrize("apart", [0.0, 5.0])
+async def test_peer_without_numbers_gets_the_rule_by_time(apart):
+    """
+    Symptom: during a rolling upgrade instances lose links that they have just opened.
+    Sequence: two links of an instance and one of an earlier release cross, or one
+    follows the other. Cause: they were decided on by numbers that one side lacks.
+    """
+    # seconds for which the earlier release takes two links for crossed
+    crossing = 1.0
+    for own in ("e-1", "e-2"):
+        numbers = {"e-1": 0, "e-2": 0, own: 7}
+        held = create_link(own, "e-1", numbers)
+        new = create_link(own, "e-2", numbers | {own: 8})
+        new.opened = held.opened + apart
+        # crossed, the one of the lower id is kept; later, it is the newer
+        assert replaces(new, held, own, crossing) is (apart > crossing)
+        new = create_link(own, "e-1", numbers | {own: 8})
+        assert replaces(new, held, own, crossing)
