Failing tests of two instances that gather one service's stage work

Two more pass already and keep what the mend must not break: an instance that leaves last makes its pieces itself, and bundles in work for peers finish. The makers are those of the lab, in virtual time: the order of events is the same in each run.

--- a/tests/test_entry/test_relay/test_owned_desk.py
+++ b/tests/test_entry/test_relay/test_owned_desk.py
@@ -40,6 +40,7 @@
         self.handlers: dict[str, dict] = {name: {} for name in NAMES}
         self.gone: set[str] = set()
         self.dead: set[str] = set()
+        self.leaving: set[str] = set()
 
     def create_peers(self, name: str) -> SimpleNamespace:
         return SimpleNamespace(
@@ -56,11 +57,18 @@
                 instance_id=name,
                 data_centre="north",
                 address=name,
-                state=MemberState.DEAD if name in self.dead else MemberState.ALIVE,
+                state=self._find_state(name),
             )
             for name in NAMES
         )
 
+    def _find_state(self, name: str) -> MemberState:
+        if name in self.dead:
+            return MemberState.DEAD
+        if name in self.leaving:
+            return MemberState.LEAVING
+        return MemberState.ALIVE
+
     async def ask(self, sender: str, to: str, message):
         if to in self.gone:
             return Err(PeerError(PeerErrorKind.NO_ANSWER, "the link closed"))
@@ -220,6 +228,44 @@
     assert world.count_made()[world.ranked[1]] == 1
 
 
+async def test_instance_that_leaves_asks_the_next_owner(world):
+    """Symptom: while instances restart, two own one service for seconds.
+
+    Sequence: the owner of a service begins to leave; its peers ask the next one; it
+    goes on for as long as its own requests do.
+    Cause: it was the first candidate in its own eyes whatever its state.
+    """
+    owner, second, _ = world.ranked
+    world.network.leaving.add(owner)
+    results = await world.desks[owner].make(BUNDLE, do_nothing)
+    assert [one.handle for one in results] == [f"{second}/0", f"{second}/1"]
+    assert world.count_made() == {name: int(name == second) for name in NAMES}
+
+
+async def test_instance_that_leaves_last_makes_its_pieces_itself(world):
+    owner = world.ranked[0]
+    world.network.leaving.update(NAMES)
+    results = await world.desks[owner].make(BUNDLE, do_nothing)
+    assert results[0].handle == f"{owner}/0"
+    assert world.count_made() == {name: int(name == owner) for name in NAMES}
+
+
+async def test_instance_that_leaves_finishes_the_bundles_of_its_peers(world):
+    owner, _, third = world.ranked
+    local = world.local[owner]
+    local.hold = asyncio.Event()
+    task = asyncio.create_task(world.desks[third].make(BUNDLE, do_nothing))
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    assert local.made == [BUNDLE.bundle_id]
+    world.network.leaving.add(owner)
+    world.clock.advance(1.0)
+    local.hold.set()
+    results = await task
+    assert [one.handle for one in results] == [f"{owner}/0", f"{owner}/1"]
+    assert local.cancelled == 0
+
+
 async def test_caller_that_leaves_withdraws_its_bundle_at_the_owner(world):
     owner, _, third = world.ranked
     world.local[owner].hold = asyncio.Event()
