Say that inputs are read only where one instance's calls are at the makers

Symptom: while instances restart, about a tenth of stage pieces fail as "input gone" and requests end 503 "stage results were lost again and again".

Cause: (1) a call's inputs were said to be read 0.1 s after it was sent, unless this instance itself had another call at the maker. Behind a call of another owner it still waited; its inputs were freed and were gone at its turn. (2) Two owners at once mostly came from an instance that leaves: it stayed its own first candidate whatever its state, while its peers asked the next one already.

Ruled out: this instance's own calls.

Change: OwnedDesk.is_sole(service): this instance owns the service in its own eyes, and who may own has been the same for 10 s (grace of an instance that leaves, 8, and 2 for its last calls). The pool says "read" early only then; otherwise inputs are freed when the call has ended, as after a loss already. A leaving instance is no candidate, in its own eyes either; with no candidate left it makes its pieces itself. Who comes and goes is noted in quiet times as well. The dump of owned-stages has unchanged_seconds.

The lab's trials take it too, with a variant "unsettled" for what it costs.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -337,6 +337,7 @@
         return StagePool(
             service,
             find_profile=lambda: self._find_maker(service),
+            is_sole=lambda: self.desk.is_sole(service),
             policy=SharedCalls(),
             book=self.book,
             links=self.links,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/owned_desk.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/owned_desk.py
@@ -64,6 +64,10 @@
 MAX_OWNERS = 2
 #: seconds for which the list of members is used again
 MEMBERS_LIFE = 0.1
+#: seconds after a change of who may own stage work in which calls of an owner before
+#: may still be at makers: an instance that leaves goes on for the platform's
+#: ``grace-s``, usually 8, and a call that it began last for less than 2 more
+SETTLING_SECONDS = 10.0
 
 
 class OwnedDesk(Controller, StageDesk):
@@ -107,6 +111,8 @@
         self._told: set[str] = set()
         self._candidates: tuple[str, ...] = ()
         self._candidates_until = 0.0
+        #: since when the candidates have been the same
+        self._unchanged_since = clock.now()
         peers.handle(PiecesWanted, self._answer_wanted)
         peers.handle(PiecesDropped, self._take_dropped)
         peers.handle(PiecesRead, self._take_read)
@@ -144,6 +150,17 @@
             return QueueWait()
         return wait
 
+    def is_sole(self, service: str) -> bool:
+        """Return whether no other instance's calls are at the makers of a service.
+
+        So it is where this instance owns the service and nobody has come or gone
+        for as long as an owner before could go on. An instance that leaves owns
+        nothing, although it finishes what it has in work for its peers.
+        """
+        if self._rank(service)[:1] != (self._peers.instance_id,):
+            return False
+        return self._find_unchanged() >= SETTLING_SECONDS
+
     async def on_stop(self) -> None:
         for task in tuple(self._in_work.values()):
             task.cancel()
@@ -152,6 +169,7 @@
     def dump(self) -> dict[str, Any]:
         return {
             "instances": list(self._find_candidates()),
+            "unchanged_seconds": round(self._find_unchanged(), 1),
             "shunned": list(self._shunned),
             "bundles_of_peers": len(self._in_work),
             "results_held": len(self._makers_owner),
@@ -219,18 +237,17 @@
         for owner, until in tuple(self._shunned.items()):
             if until <= now:
                 del self._shunned[owner]
-        own = self._peers.instance_id
         before = self._candidates
+        # this instance by the same rule: peers of one that leaves ask the next owner
+        # already, and two that fill calls to the same makers are in each other's way
         self._candidates = tuple(
             member.instance_id
             for member in self._peers.members()
-            if member.instance_id == own
-            or (
-                member.state is MemberState.ALIVE
-                and member.instance_id not in self._shunned
-            )
+            if member.state is MemberState.ALIVE
+            and member.instance_id not in self._shunned
         )
         if self._candidates != before:
+            self._unchanged_since = now
             self._decisions.note_belief(
                 "instances",
                 gone=sorted(set(before) - set(self._candidates)),
@@ -239,6 +256,11 @@
             )
         return self._candidates
 
+    def _find_unchanged(self) -> float:
+        """Return the seconds for which the candidates have been the same."""
+        self._find_candidates()
+        return self._clock.now() - self._unchanged_since
+
     # as an owner
 
     async def _answer_wanted(self, sender: str, message: PiecesWanted) -> PiecesMade:
@@ -259,6 +281,8 @@
     async def _tell_forever(self) -> None:
         while not self.should_stop:
             await asyncio.sleep(TELL_INTERVAL)
+            # who comes and goes is noted in quiet times as well
+            self._find_candidates()
             self._tell_waits()
 
     def _tell_waits(self) -> None:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
@@ -69,6 +69,8 @@
 
     Pieces wait here and not at their makers: who is late, dropped, or less urgent
     than a newcomer can then still be told apart when a maker becomes idle.
+
+    :param is_sole: tells whether no other instance's calls are at the makers
     """
 
     def __init__(
@@ -76,6 +78,7 @@
         service: str,
         *,
         find_profile: Callable[[], MakerProfile | None],
+        is_sole: Callable[[], bool],
         policy: BatchPolicy,
         book: TargetBook,
         links: TargetLinks,
@@ -87,6 +90,7 @@
     ) -> None:
         self._service = service
         self._find_profile = find_profile
+        self._is_sole = is_sole
         self._policy = policy
         self._book = book
         self._budgets = budgets
@@ -334,8 +338,13 @@
         """Take in that a call has begun and has fetched what its pieces read.
 
         Inputs fill the room of the makers before; kept until the call ends, they
-        would fill it for a third of a second longer.
+        would fill it for a third of a second longer. Nothing tells that a call has
+        begun but that there is none before it, of this instance or of another one:
+        inputs that are freed while it waits are gone at its turn, and the request's
+        stages are made again or fail.
         """
+        if not self._is_sole():
+            return
         now = self._clock.now()
         if maker.calls > 1 or maker.find_slowness(now) > STEADY:
             # its turn may not have come yet
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/__main__.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/__main__.py
@@ -23,6 +23,7 @@
 #: the decisions that are compared
 VARIANTS = {
     "ours": Policies(),
+    "unsettled": Policies(sole=False),
     "admit-all": Policies(create_admission=AdmitAll),
     "naive": Policies(create_batches=SeparateCalls, create_admission=AdmitAll),
 }
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/trial.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/trial.py
@@ -87,6 +87,8 @@
 
     create_batches: Callable[[], BatchPolicy] = SharedCalls
     create_admission: Callable[[], RouteAdmission] = EstimateRule
+    #: whether the instance knows that no other one calls the makers
+    sole: bool = True
 
 
 @dataclass(slots=True)
@@ -245,6 +247,7 @@
             create_pool=lambda service: StagePool(
                 service,
                 find_profile=lambda: services[service].maker,
+                is_sole=lambda: policies.sole,
                 policy=policies.create_batches(),
                 **parts,
             )
--- a/tests/test_entry/test_relay/test_owned_desk.py
+++ b/tests/test_entry/test_relay/test_owned_desk.py
@@ -14,7 +14,7 @@
 from greengagelatch.relay.owners import rank_owners
 from greengagelatch.relay.pieces import Bundle, Piece, PieceFailure, PieceResult
 from greengagelatch_entry.relay.decisions import DecisionLog
-from greengagelatch_entry.relay.owned_desk import OwnedDesk
+from greengagelatch_entry.relay.owned_desk import SETTLING_SECONDS, OwnedDesk
 from greengagelatch_entry.relay.prometheus import PrometheusMetrics
 from greengagelatch_entry.relay.stages import QueueWait
 
@@ -266,6 +266,51 @@
     assert local.cancelled == 0
 
 
+async def test_owner_is_sole_once_nobody_has_come_or_gone_for_long(world):
+    """Symptom: pieces fail as "input gone" for seconds after an instance has left.
+
+    Sequence: the owner leaves, and is gone; the next one's calls wait at makers
+    behind its last ones.
+    Cause: the next one took the makers for its own at once.
+    """
+    owner, second, _ = world.ranked
+    desks = world.desks
+    assert not desks[owner].is_sole(SERVICE)
+    world.clock.advance(SETTLING_SECONDS)
+    for desk in desks.values():
+        desk.estimate_wait(SERVICE)
+    world.clock.advance(SETTLING_SECONDS)
+    soles = [desks[name].is_sole(SERVICE) for name in world.ranked]
+    assert soles == [True, False, False]
+    world.network.leaving.add(owner)
+    world.clock.advance(1.0)
+    soles = [desks[name].is_sole(SERVICE) for name in world.ranked]
+    assert soles == [False, False, False]
+    world.clock.advance(SETTLING_SECONDS - 1.0)
+    assert not desks[second].is_sole(SERVICE)
+    world.clock.advance(1.0)
+    soles = [desks[name].is_sole(SERVICE) for name in world.ranked]
+    assert soles == [False, True, False]
+
+
+async def test_instance_that_passed_the_owner_over_is_not_sole(world):
+    """Symptom: pieces fail as "input gone" beside lines "owner-lost".
+
+    Sequence: an instance can't reach the owner and asks the next one, or makes its
+    pieces itself; the owner goes on with those of others.
+    Cause: whoever makes pieces took the makers for its own.
+    """
+    owner, second, third = world.ranked
+    for desk in world.desks.values():
+        desk.estimate_wait(SERVICE)
+    world.clock.advance(SETTLING_SECONDS)
+    world.network.gone.update((owner, second))
+    await world.desks[third].make(BUNDLE, do_nothing)
+    assert world.local[third].made == [BUNDLE.bundle_id]
+    assert not world.desks[third].is_sole(SERVICE)
+    assert not world.desks[second].is_sole(SERVICE)
+
+
 async def test_caller_that_leaves_withdraws_its_bundle_at_the_owner(world):
     owner, _, third = world.ranked
     world.local[owner].hold = asyncio.Event()
--- a/tests/test_entry/test_relay/test_two_owners.py
+++ b/tests/test_entry/test_relay/test_two_owners.py
@@ -8,6 +8,7 @@
 import asyncio
 import random
 from types import SimpleNamespace
+from typing import TYPE_CHECKING
 
 import pytest
 
@@ -31,6 +32,9 @@
 from greengagelatch_lab.stage_load.shapes import MakerShape, StageShape
 from greengagelatch_lab.stage_load.trial import LoopClock
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 pytestmark = pytest.mark.looptime
 
 SERVICE = "ledger"
@@ -72,7 +76,7 @@
             target_id="m", service=SERVICE, address="m:1", data_centre="north"
         )
 
-    def create_pool(self) -> StagePool:
+    def create_pool(self, is_sole: Callable[[], bool] = lambda: False) -> StagePool:
         budgets = SimpleNamespace(
             note_request=lambda service: None,
             count_left=lambda service: 99,
@@ -85,6 +89,7 @@
         return StagePool(
             SERVICE,
             find_profile=lambda: PROFILE,
+            is_sole=is_sole,
             policy=SharedCalls(),
             book=book,
             links=self.links,
@@ -98,7 +103,11 @@
     def create_desk(self, members: dict[str, MemberState]) -> OwnedDesk:
         """Return the desk of the first of ``members``, as that one sees them."""
         desk = OwnedDesk(
-            local=LocalDesk(create_pool=lambda service: self.create_pool()),
+            local=LocalDesk(
+                create_pool=lambda service: self.create_pool(
+                    lambda: desk.is_sole(service)
+                )
+            ),
             peers=SimpleNamespace(
                 instance_id=next(iter(members)),
                 members=lambda: tuple(
@@ -220,3 +229,30 @@
     newcomer = world.create_desk(dict(reversed(members.items())))
     made = await world.make_both(newcomer._local, before._local)
     assert made == [{None}, {None}]
+
+
+async def test_inputs_of_a_sole_owner_are_freed_while_its_call_is_made(world):
+    """Symptom: calls wait for room on quiet days, though no instance came or went.
+
+    Sequence: an instance has owned a service for long; its call begins at once.
+    Cause: what pieces read lies at its makers until their call has ended.
+    """
+    desk = world.create_desk({"entry-1": MemberState.ALIVE})
+    await asyncio.sleep(LONG)
+    bundle = world.create_bundle("r-1")
+    read = []
+    task = asyncio.create_task(desk.make(bundle, lambda: read.append(task.done())))
+    assert [one.failure for one in await task] == [None] * 4
+    assert read == [False]
+
+
+async def test_inputs_of_a_new_owner_are_kept_until_its_call_has_ended(world):
+    members = {"entry-1": MemberState.ALIVE, "entry-2": MemberState.ALIVE}
+    desk = world.create_desk(members)
+    await asyncio.sleep(LONG)
+    del members["entry-2"]
+    bundle = world.create_bundle("r-1")
+    read = []
+    results = await desk._local.make(bundle, lambda: read.append(True))
+    assert [one.failure for one in results] == [None] * 4
+    assert read == []
