--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
@@ -4,16 +4,16 @@
 
 import asyncio
 from collections import deque
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from greengagelatch.relay.batches import find_hopeless, is_late
-from greengagelatch.relay.pieces import PieceFailure, PieceResult
+from greengagelatch.relay.pieces import PieceFailure
 from greengagelatch.relay.room import MakerRoom
 
 from .freeing import ResultFreeing
-from .maker_calls import ANSWERED, REJECTED, UNSENT, CallEnd, MakerCaller
+from .maker_calls import ANSWERED, CallEnd, MakerCaller
 from .makers import Maker
+from .stage_queue import BundleQueue
 from .stages import QueueWait
 
 if TYPE_CHECKING:
@@ -22,7 +22,7 @@
     from greengagelatch.clock import Clock
     from greengagelatch.relay.batches import BatchPolicy, MakerView, PlannedCall
     from greengagelatch.relay.deployment import MakerProfile
-    from greengagelatch.relay.pieces import Bundle, Piece
+    from greengagelatch.relay.pieces import Bundle, PieceResult
     from greengagelatch.relay.targets import TargetBook
 
     from ..metrics import Metrics
@@ -30,11 +30,10 @@
     from .codecs import TargetCodec
     from .decisions import DecisionLog
     from .links import TargetLinks
+    from .stage_queue import Work
 
 __all__ = ("StagePool",)
 
-#: pieces of one bundle that may be lost by makers until it is given up
-MAX_LOSSES = 60
 #: seconds over which the pieces made are counted
 RATE_SECONDS = 2.0
 #: share of makers' speed that is believed at the least
@@ -48,22 +47,6 @@
 STEADY = 1.5
 
 
-@dataclass(slots=True, eq=False)
-class _Work:
-    """A bundle and how far it has come."""
-
-    bundle: Bundle
-    left: list[Piece]
-    done: asyncio.Future[tuple[PieceResult, ...]]
-    note_read: Callable[[], None]
-    results: dict[int, PieceResult] = field(default_factory=dict)
-    #: calls by which each piece went to a maker, by segment
-    sends: dict[int, int] = field(default_factory=dict)
-    #: pieces that makers lost, or failed at
-    losses: int = 0
-    withdrawn: bool = False
-
-
 class StagePool:
     """Queue, makers and calls of one service.
 
@@ -93,11 +76,11 @@
         self._is_sole = is_sole
         self._policy = policy
         self._book = book
-        self._budgets = budgets
         self._clock = clock
-        self._metrics = metrics
         self._decisions = decisions
-        self._works: list[_Work] = []
+        self._queue = BundleQueue(
+            service, free=self.free, budgets=budgets, metrics=metrics
+        )
         self._makers: dict[str, Maker] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         #: monotonic seconds since when more than one call's pieces have waited
@@ -123,15 +106,12 @@
 
         :param note_read: called once makers have read the inputs of all pieces
         """
-        self._budgets.note_request(self._service)
-        done = asyncio.get_running_loop().create_future()
-        work = _Work(bundle, list(bundle.pieces), done, note_read)
-        self._works.append(work)
+        work = self._queue.add(bundle, note_read)
         self._look()
         try:
-            return await done
+            return await work.done
         except asyncio.CancelledError:
-            self._withdraw(work)
+            self._queue.withdraw(work)
             raise
 
     def estimate_wait(self) -> QueueWait:
@@ -139,11 +119,11 @@
         profile = self._find_profile()
         makers = self._list_makers(profile) if profile is not None else []
         now = self._clock.now()
-        if not makers or not self._works:
+        if not makers or not self._queue:
             self._queued_since = now
             return QueueWait()
         waiting = urgent = 0
-        for work in self._works:
+        for work in self._queue:
             count = len(work.left)
             waiting += count
             if count and not is_late(work.bundle, count, profile, now):
@@ -178,8 +158,8 @@
         """Return the state for the dump."""
         now = self._clock.now()
         return {
-            "bundles": len(self._works),
-            "pieces": sum(len(work.left) for work in self._works),
+            "bundles": len(self._queue),
+            "pieces": self._queue.count_waiting(),
             "makers": {
                 target_id: {
                     "calls": maker.calls,
@@ -206,18 +186,18 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        if not self._works:
+        if not self._queue:
             return
         profile = self._find_profile()
         makers = self._list_makers(profile) if profile is not None else []
         now = self._clock.now()
         if not makers:
-            self._fail_all(PieceFailure.NO_MAKER)
+            self._queue.fail_all(PieceFailure.NO_MAKER)
             return
         views = [maker.view(now) for maker in makers]
         self._drop_hopeless(views, profile, now)
-        for call in self._policy.plan(self._list_ready(), views, profile, now):
-            self._take_out(call)
+        for call in self._policy.plan(self._queue.list_ready(), views, profile, now):
+            self._queue.take_out(call)
             # counted before its task runs: more bundles may come until then, and
             # the maker would seem idle to each of them
             maker = self._makers[call.target_id]
@@ -226,40 +206,10 @@
             task = asyncio.create_task(self._run_call(call, maker, allowed, now))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
-        if any(work.left for work in self._works):
+        if self._queue.count_waiting():
             loop = asyncio.get_running_loop()
             self._timer = loop.call_later(LOOK_AGAIN, self._look)
 
-    def _list_ready(self) -> list[tuple[Bundle, list[Piece]]]:
-        """Return the pieces that may be sent; repeats wait for their budget.
-
-        To fail them instead would lose whole requests over a maker that was full
-        for a moment.
-        """
-        repeats = self._budgets.count_left(self._service)
-        ready = []
-        for work in self._works:
-            pieces = []
-            for piece in work.left:
-                if work.sends.get(piece.segment):
-                    if repeats < 1:
-                        continue
-                    repeats -= 1
-                pieces.append(piece)
-            if pieces:
-                ready.append((work.bundle, pieces))
-        return ready
-
-    def _take_out(self, call: PlannedCall) -> None:
-        """Take the pieces of a call off those that wait."""
-        for bundle, piece in call.pieces:
-            work = self._find_work(bundle)
-            work.left.remove(piece)
-            sends = work.sends.get(piece.segment, 0)
-            work.sends[piece.segment] = sends + 1
-            if sends:
-                self._budgets.take(self._service)
-
     def _list_makers(self, profile: MakerProfile) -> list[Maker]:
         listed = self._book.list_service(self._service)
         ids = {target.target_id for target in listed}
@@ -277,21 +227,16 @@
         self, views: list[MakerView], profile: MakerProfile, now: float
     ) -> None:
         """Fail the bundles whose request can't be answered in time any more."""
-        waiting = [(work.bundle, work.left) for work in self._works]
+        waiting = self._queue.list_waiting()
         for bundle in find_hopeless(waiting, views, profile, now):
-            self._fail(self._find_work(bundle), PieceFailure.LATE)
-
-    def _fail_all(self, failure: PieceFailure) -> None:
-        for work in tuple(self._works):
-            if work.left:
-                self._fail(work, failure)
+            self._queue.fail(self._queue.find(bundle), PieceFailure.LATE)
 
     # calls
 
     async def _run_call(
         self, call: PlannedCall, maker: Maker, allowed: float, now: float
     ) -> None:
-        works = [self._find_work(bundle) for bundle, _ in call.pieces]
+        works = [self._queue.find(bundle) for bundle, _ in call.pieces]
         end = CallEnd()
         loop = asyncio.get_running_loop()
         reading = loop.call_later(READ_SECONDS, self._note_read, maker, works)
@@ -309,10 +254,10 @@
             outcome=end.outcome,
             unmade=_count_failures(end.results),
             ms=round((self._clock.now() - now) * 1000),
-            waiting=sum(len(work.left) for work in self._works),
+            waiting=self._queue.count_waiting(),
             slowness=round(maker.find_slowness(self._clock.now()), 2),
         )
-        self._take_results(call, works, end)
+        self._queue.take_results(call, works, end)
         self._look()
 
     def _settle_room(
@@ -334,7 +279,7 @@
             # it may go on with the call, and keep the results for a while
             maker.room.hold_unknown(f"lost at {started}", size, now)
 
-    def _note_read(self, maker: Maker, works: list[_Work | None]) -> None:
+    def _note_read(self, maker: Maker, works: list[Work | None]) -> None:
         """Take in that a call has begun and has fetched what its pieces read.
 
         Inputs fill the room of the makers before; kept until the call ends, they
@@ -356,83 +301,6 @@
             if work is not None and not work.left and not work.losses:
                 work.note_read()
 
-    # results
-
-    def _take_results(
-        self,
-        call: PlannedCall,
-        works: list[_Work | None],
-        end: CallEnd,
-    ) -> None:
-        unwanted = []
-        for index, (_, piece) in enumerate(call.pieces):
-            work = works[index]
-            result = None if end.results is None else end.results[index]
-            if work is None or work.withdrawn or work.done.done():
-                if result is not None and result.failure is None:
-                    unwanted.append(result.handle)
-                continue
-            self._take_result(work, piece, end.outcome, result)
-        if unwanted:
-            self.free(tuple(unwanted))
-
-    def _take_result(
-        self, work: _Work, piece: Piece, outcome: str, result: PieceResult | None
-    ) -> None:
-        if result is not None and result.failure is None:
-            work.results[piece.segment] = result
-            if len(work.results) == len(work.bundle.pieces):
-                self._finish(work)
-            return
-        if result is not None and result.failure is PieceFailure.GONE:
-            self._fail(work, PieceFailure.GONE)
-            return
-        if result is not None and result.failure is PieceFailure.LATE:
-            self._fail(work, PieceFailure.LATE)
-            return
-        if outcome == UNSENT:
-            # no maker has had it
-            work.sends[piece.segment] -= 1
-        elif outcome != REJECTED and (
-            result is None or result.failure is not PieceFailure.ROOM
-        ):
-            work.losses += 1
-            if work.losses >= MAX_LOSSES:
-                self._fail(work, PieceFailure.LOST)
-                return
-        work.left.append(piece)
-
-    def _finish(self, work: _Work) -> None:
-        self._works.remove(work)
-        ordered = tuple(work.results[piece.segment] for piece in work.bundle.pieces)
-        if not work.done.done():
-            work.done.set_result(ordered)
-
-    def _fail(self, work: _Work, failure: PieceFailure) -> None:
-        self._metrics.count(f"stages.failed.{failure.value}")
-        if work in self._works:
-            self._works.remove(work)
-        results = tuple(
-            work.results.get(piece.segment, PieceResult(failure=failure))
-            for piece in work.bundle.pieces
-        )
-        if not work.done.done():
-            work.done.set_result(results)
-
-    def _withdraw(self, work: _Work) -> None:
-        work.withdrawn = True
-        if work in self._works:
-            self._works.remove(work)
-        made = tuple(one.handle for one in work.results.values())
-        if made:
-            self.free(made)
-
-    def _find_work(self, bundle: Bundle) -> _Work | None:
-        for work in self._works:
-            if work.bundle is bundle:
-                return work
-        return None
-
 
 def _sum_sizes(call: PlannedCall) -> int:
     """Return the bytes of the results that a call makes."""
