Calls in which nothing was made don't make their maker seem fast

Symptom: makers at which pieces fail as "input gone" seem faster than others, and so are chosen first.

Cause: the time of an answered call was compared with that of making all its pieces, also where the maker had made none, because inputs were gone or its room was full.

Ruled out: rejected calls and those that broke off, which leave the slowness alone.

Change: a call in which no piece was made counts only if it took longer than the maker is expected to take: then it has waited. Calls in which some were made count as before.

Before: two of the four new tests fail (slowness 0.89 instead of 1.0). After: all pass.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/maker_calls.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/maker_calls.py
@@ -128,5 +128,6 @@
         if results is None:
             maker.note_failure(now)
             return CallEnd(f"status {head.status}")
-        maker.note_end(count, started, now)
+        made = any(result.failure is None for result in results)
+        maker.note_end(count, started, now, made=made)
         return CallEnd(MADE, results)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/makers.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/makers.py
@@ -72,11 +72,21 @@
         self.busy_until = now + expected
         return expected * CALL_FACTOR + CALL_EXTRA
 
-    def note_end(self, items: int, started: float, now: float) -> None:
-        """Take in a call that was answered."""
+    def note_end(
+        self, items: int, started: float, now: float, *, made: bool = True
+    ) -> None:
+        """Take in a call that was answered.
+
+        :param made: whether the maker made any of its pieces
+        """
         self.calls -= 1
         self._pause = FIRST_PAUSE
-        self._note_ratio((now - started) / self.profile.estimate_seconds(items), now)
+        ratio = (now - started) / self.profile.estimate_seconds(items)
+        if not made and ratio < self.find_slowness(now):
+            # nothing was to be made: a maker at which pieces fail would seem fast,
+            # and be given more of them
+            return
+        self._note_ratio(ratio, now)
 
     def note_timeout(self, items: int, started: float, now: float) -> None:
         """Take in a call that was given up: it is slower than it was allowed."""
--- /dev/null
+++ b/tests/test_entry/test_relay/test_makers.py
@@ -0,0 +1,132 @@
+"""Tests of what calls tell of a maker, on the lab's makers in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from types import SimpleNamespace
+
+import pytest
+
+from greengagelatch.relay.batches import PlannedCall
+from greengagelatch.relay.deployment import MakerProfile
+from greengagelatch.relay.pieces import Bundle, Piece, PieceFailure
+from greengagelatch.relay.room import MakerRoom
+from greengagelatch.relay.targets import ListedTarget
+from greengagelatch_entry.relay.maker_calls import MADE, MakerCaller
+from greengagelatch_entry.relay.makers import Maker
+from greengagelatch_lab.stage_load import models
+from greengagelatch_lab.stage_load.shapes import MakerShape, StageShape
+from greengagelatch_lab.stage_load.trial import LoopClock
+
+pytestmark = pytest.mark.looptime
+
+SHAPE = MakerShape(
+    name="ledger", count=1, batch=10, item_seconds=0.01, room_bytes=10_000
+)
+PROFILE = MakerProfile(
+    slots=1,
+    queue=2,
+    batch=SHAPE.batch,
+    call_seconds=SHAPE.call_seconds,
+    item_seconds=SHAPE.item_seconds,
+    room_bytes=10_000,
+    keep_seconds=SHAPE.keep_seconds,
+)
+#: seconds that one call is allowed
+ALLOWED = 5.0
+
+
+class World:
+    """A maker, and what is known of it."""
+
+    def __init__(self) -> None:
+        self.clock = LoopClock()
+        self.results = models.Results()
+        self.modelled = models.Maker(
+            SHAPE, "m:1", "north", self.results, random.Random(1)
+        )
+        target = ListedTarget(
+            target_id="m", service="ledger", address="m:1", data_centre="north"
+        )
+        self.maker = Maker(target, PROFILE, MakerRoom(10_000, 4.0))
+        stage = StageShape(service="ledger", result_bytes=100)
+        self.caller = MakerCaller(
+            links=models.ModelLinks(
+                {"m:1": self.modelled}, self.results, lambda _: stage
+            ),
+            codec=models.ModelCodec(),
+            book=SimpleNamespace(accepts=lambda target_id: True),
+            clock=self.clock,
+        )
+
+    async def call(self, *inputs: str) -> set[PieceFailure | None]:
+        """Have four pieces made that read ``inputs``; return what failed."""
+        now = self.clock.now()
+        pieces = tuple(
+            Piece(request_id="r", stage=1, segment=one, key="k", inputs=inputs)
+            for one in range(4)
+        )
+        bundle = Bundle(
+            bundle_id="r/1",
+            service="ledger",
+            pieces=pieces,
+            result_bytes=100,
+            aim=now + ALLOWED,
+            latest=now + ALLOWED,
+        )
+        call = PlannedCall("m", [(bundle, piece) for piece in pieces])
+        self.maker.begin(len(pieces), now)
+        end = await self.caller.call(self.maker, call, ALLOWED, now)
+        assert end.outcome == MADE
+        return {one.failure for one in end.results}
+
+    def find_slowness(self) -> float:
+        return self.maker.find_slowness(self.clock.now())
+
+
+@pytest.fixture
+async def world():
+    return World()
+
+
+async def test_call_whose_inputs_are_gone_does_not_make_its_maker_seem_fast(world):
+    """Symptom: makers at which pieces fail as "input gone" get most of the calls.
+
+    Sequence: the inputs of all pieces of a call are gone; its maker answers sooner,
+    as there is nothing to make.
+    Cause: the time of that call was compared with that of making the pieces.
+    """
+    assert await world.call("nowhere/1") == {PieceFailure.GONE}
+    assert world.find_slowness() == 1.0
+
+
+async def test_call_without_room_does_not_make_its_maker_seem_fast(world):
+    world.modelled.used = 10_000.0
+    assert await world.call() == {PieceFailure.ROOM}
+    assert world.find_slowness() == 1.0
+
+
+async def test_call_that_waited_for_nothing_tells_that_its_maker_is_slow(world):
+    async with world.modelled._turn:
+        task = asyncio.create_task(world.call("nowhere/1"))
+        await asyncio.sleep(1.0)
+    assert await task == {PieceFailure.GONE}
+    assert world.find_slowness() > 2.0
+    assert world.maker.calls == 0
+
+
+async def test_call_that_is_made_in_half_the_time_tells_that_its_maker_is_fast(world):
+    for _ in range(3):
+        assert await world.call() == {None}
+    usual = world.find_slowness()
+    world.modelled.shape = MakerShape(
+        name="ledger",
+        count=1,
+        batch=10,
+        item_seconds=0.005,
+        room_bytes=10_000,
+        call_seconds=0.1,
+    )
+    assert await world.call() == {None}
+    assert world.find_slowness() < usual - 0.1
