Make only the stages again that are linked to lost results

Symptom: after a result was lost, makers are busy with work of the same request that was done and lay ready for its target.

Cause: all stages of a request were given up and made again when one failed as gone.

Weighed: to make only the lost results again. A maker says that an input is gone, not which, and what the stages before had read is freed by then; so all stages that are linked to the failed one by what they read are made again, and only these. Stages apart from them go on or keep their results. Each group is made twice at the most.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 from abc import ABC, abstractmethod
+from collections import Counter
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -27,8 +28,8 @@
 
 __all__ = ("QueueWait", "StageDesk", "StageResults", "StageRun", "StageRunner")
 
-#: times that stages are made again because results of earlier ones are gone
-MAX_REMAKES = 2
+#: times that stages are made, because results of earlier ones are gone
+MAX_MAKES = 2
 #: seconds after which makers that are behind may have caught up, at the least
 LEAST_RETRY = 0.3
 #: slack of a stage at which it is begun, in seconds: about as long as a piece waits
@@ -165,22 +166,17 @@
         if not self._exchange.route.stages:
             return StageResults()
         started = self._clock.now()
-        for _ in range(MAX_REMAKES):
-            try:
-                await self._make_all()
-                break
-            except _StageFailedError as error:
-                self.free()
-                if error.failure is not PieceFailure.GONE:
-                    raise self._refuse(error) from error
-                self._note_again(error, started)
-        else:
+        try:
+            await self._make_all(started)
+        except _StageFailedError as error:
+            if error.failure is not PieceFailure.GONE:
+                raise self._refuse(error) from error
             raise create_error(
                 self._exchange,
                 RefusalCode.STAGE_FAILED,
                 "stage results were lost again and again",
                 retry_after=LEAST_RETRY,
-            )
+            ) from error
         self._exchange.stage_seconds += self._clock.now() - started
         return self._collect()
 
@@ -206,22 +202,74 @@
             for number in self._plan.works
         }
 
-    async def _make_all(self) -> None:
+    async def _make_all(self, started: float) -> None:
+        """Make all stages; those of a part again whose results are gone."""
         self._tasks = {}
-        self._readers = self._list_readers()
         self._ends = {}
-        for number in self._plan.works:
-            self._start(number)
-        tasks = tuple(self._tasks.values())
+        self._start_all(tuple(self._plan.works))
+        lost: Counter[tuple[int, ...]] = Counter()
         try:
-            await asyncio.gather(*tasks)
+            while (error := await self._wait_made()) is not None:
+                part = self._find_part(error)
+                lost[part] += 1
+                if error.failure is PieceFailure.GONE:
+                    self._note_again(error, started)
+                if error.failure is not PieceFailure.GONE or lost[part] >= MAX_MAKES:
+                    raise error
+                await self._give_up(part)
+                self._start_all(part)
         except BaseException:
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
-            self.free()
+            await self._give_up(tuple(self._tasks))
             raise
 
+    async def _wait_made(self) -> _StageFailedError | None:
+        """Wait until all stages are made or one has failed, and return its error."""
+        if not self._tasks:
+            # a request may need none of its route's stages
+            return None
+        done, _ = await asyncio.wait(
+            self._tasks.values(), return_when=asyncio.FIRST_EXCEPTION
+        )
+        found = None
+        for task in done:
+            error = task.exception()
+            if error is None:
+                continue
+            if not isinstance(error, _StageFailedError):
+                raise error
+            # one that can't be made again decides
+            if found is None or error.failure is not PieceFailure.GONE:
+                found = error
+        return found
+
+    def _find_part(self, error: _StageFailedError) -> tuple[int, ...]:
+        """Return the stages that have to be made again with one that failed.
+
+        A maker doesn't say which input is gone, and what the stages before had read
+        is freed by then. So these are all that are linked to it by what they read;
+        results of others are kept.
+        """
+        parts = self._plan.list_parts()
+        return next(part for part in parts if error.work.number in part)
+
+    def _start_all(self, numbers: tuple[int, ...]) -> None:
+        readers = self._list_readers()
+        for number in numbers:
+            self._tasks.pop(number, None)
+            self._ends.pop(number, None)
+            self._readers[number] = readers[number]
+        for number in numbers:
+            self._start(number)
+
+    async def _give_up(self, numbers: tuple[int, ...]) -> None:
+        """End the work on stages, and free their results."""
+        tasks = [self._tasks[number] for number in numbers]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for number in numbers:
+            self._free_stage(number)
+
     def _start(self, number: int) -> asyncio.Task[None]:
         task = self._tasks.get(number)
         if task is None:
--- a/packages/greengagelatch/src/greengagelatch/relay/stage_plan.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/stage_plan.py
@@ -77,6 +77,20 @@
             (work.seconds + work.rest for work in self.works.values()), default=0
         )
 
+    def list_parts(self) -> list[tuple[int, ...]]:
+        """Return the stages in groups of which none reads another one's results."""
+        parts: list[set[int]] = []
+        for number, work in self.works.items():
+            joined = {number, *work.after}
+            apart = []
+            for part in parts:
+                if part & joined:
+                    joined |= part
+                    continue
+                apart.append(part)
+            parts = [*apart, joined]
+        return [tuple(one for one in self.works if one in part) for part in parts]
+
     def find_slack(
         self,
         work: StageWork,
--- a/tests/test_core/test_relay/test_stage_plan.py
+++ b/tests/test_core/test_relay/test_stage_plan.py
@@ -66,6 +66,33 @@
     assert create_plan(2, 1, 6, 10).final == (0, 3)
 
 
+def test_stages_that_read_each_other_are_of_one_part():
+    assert sorted(map(sorted, create_plan(2, 1, 6, 10).list_parts())) == [
+        [0],
+        [1, 2, 3],
+    ]
+
+
+def test_stages_that_one_stage_reads_are_of_one_part():
+    stages = (
+        RouteStage(service="a"),
+        RouteStage(service="a"),
+        RouteStage(service="a"),
+        RouteStage(service="b", after=(0, 2)),
+        RouteStage(service="c", after=(1,)),
+    )
+    route = dataclasses.replace(ROUTE, stages=stages)
+    parts = create_plan(1, 1, 1, 1, 1, route=route).list_parts()
+    assert sorted(map(sorted, parts)) == [[0, 2, 3], [1, 4]]
+    assert sorted(
+        map(sorted, create_plan(1, 1, 1, 0, 1, route=route).list_parts())
+    ) == [
+        [0],
+        [1, 4],
+        [2],
+    ]
+
+
 def test_stage_without_pieces_is_left_out():
     plan = create_plan(0, 1, 6, 10)
     assert sorted(plan.works) == [1, 2, 3]
