Send what is to be freed at a stop, for 0.2 s at the most

Symptom: the next owner finds no room at makers where it has no results.

Cause: results given up within 10 ms before a stop were dropped with the timer that gathers them, and those being sent were cancelled; they fill room until they lapse.

Change: close sends what waits and waits 0.2 s for it. The pools of an instance close together, so a stop is longer by 0.2 s at the most, of the less than 1 s that it has left then; with nothing to free it waits for nothing.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/desk.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/desk.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING, Any
 
 from ..controllers import Controller
@@ -54,8 +55,8 @@
         return pool
 
     async def on_stop(self) -> None:
-        for pool in self._pools.values():
-            await pool.close()
+        # together: each may wait for a moment, of which a stop has few left
+        await asyncio.gather(*(pool.close() for pool in self._pools.values()))
 
     def dump(self) -> dict[str, Any]:
         return {name: pool.describe() for name, pool in self._pools.items()}
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/freeing.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/freeing.py
@@ -21,6 +21,9 @@
 #: seconds for which results to be freed are gathered
 FREE_DELAY = 0.01
 FREE_TIMEOUT = 1.0
+#: seconds for which a stop waits for these; they take a few milliseconds, and a stop
+#: has less than a second left when it comes to them
+CLOSE_SECONDS = 0.2
 MAX_ANSWER_BYTES = 64 * 1024
 
 
@@ -63,12 +66,21 @@
             self._timer = loop.call_later(FREE_DELAY, self._send_all)
 
     async def close(self) -> None:
-        """End what is under way."""
+        """Send what waits, for a moment at the most, and end the rest.
+
+        Results that are not freed at a stop fill their makers' room until they lapse,
+        seconds later: calls of the next owner find no room, without any of its own
+        results there.
+        """
         if self._timer is not None:
             self._timer.cancel()
-        for task in self._tasks:
+        self._send_all()
+        tasks = tuple(self._tasks)
+        if tasks:
+            await asyncio.wait(tasks, timeout=CLOSE_SECONDS)
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     def _send_all(self) -> None:
         self._timer = None
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
@@ -172,9 +172,10 @@
 
     async def close(self) -> None:
         """End what is under way."""
+        # before the timer: room that becomes free is looked at once more
+        await self._freeing.close()
         if self._timer is not None:
             self._timer.cancel()
-        await self._freeing.close()
         for task in tuple(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
