Make a bundle that is asked for again right after it was withdrawn

Symptom: a stage that is made again waits until its last moment for nothing; its asker then passes the owner over ("owner-lost", no answer), and two own the service.

Cause: bundles are known by request and stage. One that was withdrawn stayed listed until its cancellation had run; the same one asked for in that moment waited for what was being cancelled. Its handler ended as cancelled, which the links don't answer (read in the code, not seen in a log). Found while looking at what is made again.

Change: it is taken out as soon as it is withdrawn.

Before: the new test fails with CancelledError. After: it passes; tests of relay, lab trials of stage work and platform: 170 passed.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/owned_desk.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/owned_desk.py
@@ -272,11 +272,16 @@
             note_read = partial(self._peers.send, sender, PiecesRead(bundle.bundle_id))
             task = asyncio.ensure_future(self._local.make(bundle, note_read))
             self._in_work[place] = task
-            task.add_done_callback(lambda _: self._in_work.pop(place, None))
+            task.add_done_callback(partial(self._forget, place))
         # shielded: the same bundle may be asked for again over another link
         results = await asyncio.shield(task)
         return PiecesMade(encode_results(results))
 
+    def _forget(self, place: tuple[str, str], task: asyncio.Task[Any]) -> None:
+        """Take out a bundle that has ended, unless it was asked for again."""
+        if self._in_work.get(place) is task:
+            del self._in_work[place]
+
     @Service.task
     async def _tell_forever(self) -> None:
         while not self.should_stop:
@@ -314,7 +319,9 @@
                 self._waits[service] = (QueueWait(urgent, whole), now)
 
     def _take_dropped(self, sender: str, message: PiecesDropped) -> None:
-        task = self._in_work.get((sender, message.bundle_id))
+        # taken out at once: the stage may be asked for again in the same moment, and
+        # would wait for what is being cancelled
+        task = self._in_work.pop((sender, message.bundle_id), None)
         if task is not None:
             task.cancel()
 
--- a/tests/test_entry/test_relay/test_owned_desk.py
+++ b/tests/test_entry/test_relay/test_owned_desk.py
@@ -10,7 +10,7 @@
 
 from greengagelatch.clock import ManualClock
 from greengagelatch.peers import Member, MemberState, PeerError, PeerErrorKind
-from greengagelatch.relay.messages import PiecesWanted
+from greengagelatch.relay.messages import PiecesDropped, PiecesWanted
 from greengagelatch.relay.owners import rank_owners
 from greengagelatch.relay.pieces import Bundle, Piece, PieceFailure, PieceResult
 from greengagelatch_entry.relay.decisions import DecisionLog
@@ -323,6 +323,31 @@
     assert world.local[owner].cancelled == 1
 
 
+async def test_bundle_that_is_asked_for_right_after_it_was_withdrawn_is_made(world):
+    """Symptom: stages that are made again wait until their last moment for nothing.
+
+    Sequence: a stage is given up and asked for again at once, under the same name;
+    the owner reads both messages together.
+    Cause: it took the work that was being cancelled for that which is asked for.
+    """
+    owner, _, third = world.ranked
+    local = world.local[owner]
+    local.hold = asyncio.Event()
+    desk = world.desks[third]
+    first = asyncio.create_task(desk._send(owner, BUNDLE))
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    assert local.made == [BUNDLE.bundle_id]
+    world.network.send(third, owner, PiecesDropped(BUNDLE.bundle_id))
+    second = asyncio.create_task(desk._send(owner, BUNDLE))
+    await asyncio.sleep(0.01)
+    local.hold.set()
+    reply = await second
+    assert len(reply.ok_value.results) == len(BUNDLE.pieces)
+    assert local.cancelled == 1
+    await asyncio.gather(first, return_exceptions=True)
+
+
 async def test_results_are_freed_by_the_owner_that_made_them(world):
     owner, _, third = world.ranked
     results = await world.desks[third].make(BUNDLE, do_nothing)
