--- a/tests/test_entry/test_relay/test_owned_desk.py
+++ b/tests/test_entry/test_relay/test_owned_desk.py
@@ -10,11 +10,11 @@
 
 from greengagelatch.clock import ManualClock
 from greengagelatch.peers import Member, MemberState, PeerError, PeerErrorKind
-from greengagelatch.relay.messages import PiecesWanted
+from greengagelatch.relay.messages import PiecesDropped, PiecesWanted
 from greengagelatch.relay.owners import rank_owners
 from greengagelatch.relay.pieces import Bundle, Piece, PieceFailure, PieceResult
 from greengagelatch_entry.relay.decisions import DecisionLog
-from greengagelatch_entry.relay.owned_desk import OwnedDesk
+from greengagelatch_entry.relay.owned_desk import SETTLING_SECONDS, OwnedDesk
 from greengagelatch_entry.relay.prometheus import PrometheusMetrics
 from greengagelatch_entry.relay.stages import QueueWait
 
@@ -40,6 +40,7 @@
         self.handlers: dict[str, dict] = {name: {} for name in NAMES}
         self.gone: set[str] = set()
         self.dead: set[str] = set()
+        self.leaving: set[str] = set()
 
     def create_peers(self, name: str) -> SimpleNamespace:
         return SimpleNamespace(
@@ -56,11 +57,18 @@
                 instance_id=name,
                 data_centre="north",
                 address=name,
-                state=MemberState.DEAD if name in self.dead else MemberState.ALIVE,
+                state=self._find_state(name),
             )
             for name in NAMES
         )
 
+    def _find_state(self, name: str) -> MemberState:
+        if name in self.dead:
+            return MemberState.DEAD
+        if name in self.leaving:
+            return MemberState.LEAVING
+        return MemberState.ALIVE
+
     async def ask(self, sender: str, to: str, message):
         if to in self.gone:
             return Err(PeerError(PeerErrorKind.NO_ANSWER, "the link closed"))
@@ -251,6 +259,89 @@
     assert world.count_made()[world.ranked[1]] == 1
 
 
+async def test_instance_that_leaves_asks_the_next_owner(world):
+    """Symptom: while instances restart, two own one service for seconds.
+
+    Sequence: the owner of a service begins to leave; its peers ask the next one; it
+    goes on for as long as its own requests do.
+    Cause: it was the first candidate in its own eyes whatever its state.
+    """
+    owner, second, _ = world.ranked
+    world.network.leaving.add(owner)
+    results = await world.desks[owner].make(BUNDLE, do_nothing)
+    assert [one.handle for one in results] == [f"{second}/0", f"{second}/1"]
+    assert world.count_made() == {name: int(name == second) for name in NAMES}
+
+
+async def test_instance_that_leaves_last_makes_its_pieces_itself(world):
+    owner = world.ranked[0]
+    world.network.leaving.update(NAMES)
+    results = await world.desks[owner].make(BUNDLE, do_nothing)
+    assert results[0].handle == f"{owner}/0"
+    assert world.count_made() == {name: int(name == owner) for name in NAMES}
+
+
+async def test_instance_that_leaves_finishes_the_bundles_of_its_peers(world):
+    owner, _, third = world.ranked
+    local = world.local[owner]
+    local.hold = asyncio.Event()
+    task = asyncio.create_task(world.desks[third].make(BUNDLE, do_nothing))
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    assert local.made == [BUNDLE.bundle_id]
+    world.network.leaving.add(owner)
+    world.clock.advance(1.0)
+    local.hold.set()
+    results = await task
+    assert [one.handle for one in results] == [f"{owner}/0", f"{owner}/1"]
+    assert local.cancelled == 0
+
+
+async def test_owner_is_sole_once_nobody_has_come_or_gone_for_long(world):
+    """Symptom: pieces fail as "input gone" for seconds after an instance has left.
+
+    Sequence: the owner leaves, and is gone; the next one's calls wait at makers
+    behind its last ones.
+    Cause: the next one took the makers for its own at once.
+    """
+    owner, second, _ = world.ranked
+    desks = world.desks
+    assert not desks[owner].is_sole(SERVICE)
+    world.clock.advance(SETTLING_SECONDS)
+    for desk in desks.values():
+        desk.estimate_wait(SERVICE)
+    world.clock.advance(SETTLING_SECONDS)
+    soles = [desks[name].is_sole(SERVICE) for name in world.ranked]
+    assert soles == [True, False, False]
+    world.network.leaving.add(owner)
+    world.clock.advance(1.0)
+    soles = [desks[name].is_sole(SERVICE) for name in world.ranked]
+    assert soles == [False, False, False]
+    world.clock.advance(SETTLING_SECONDS - 1.0)
+    assert not desks[second].is_sole(SERVICE)
+    world.clock.advance(1.0)
+    soles = [desks[name].is_sole(SERVICE) for name in world.ranked]
+    assert soles == [False, True, False]
+
+
+async def test_instance_that_passed_the_owner_over_is_not_sole(world):
+    """Symptom: pieces fail as "input gone" beside lines "owner-lost".
+
+    Sequence: an instance can't reach the owner and asks the next one, or makes its
+    pieces itself; the owner goes on with those of others.
+    Cause: whoever makes pieces took the makers for its own.
+    """
+    owner, second, third = world.ranked
+    for desk in world.desks.values():
+        desk.estimate_wait(SERVICE)
+    world.clock.advance(SETTLING_SECONDS)
+    world.network.gone.update((owner, second))
+    await world.desks[third].make(BUNDLE, do_nothing)
+    assert world.local[third].made == [BUNDLE.bundle_id]
+    assert not world.desks[third].is_sole(SERVICE)
+    assert not world.desks[second].is_sole(SERVICE)
+
+
 async def test_caller_that_leaves_withdraws_its_bundle_at_the_owner(world):
     owner, _, third = world.ranked
     world.local[owner].hold = asyncio.Event()
@@ -263,6 +354,31 @@
     assert world.local[owner].cancelled == 1
 
 
+async def test_bundle_that_is_asked_for_right_after_it_was_withdrawn_is_made(world):
+    """Symptom: stages that are made again wait until their last moment for nothing.
+
+    Sequence: a stage is given up and asked for again at once, under the same name;
+    the owner reads both messages together.
+    Cause: it took the work that was being cancelled for that which is asked for.
+    """
+    owner, _, third = world.ranked
+    local = world.local[owner]
+    local.hold = asyncio.Event()
+    desk = world.desks[third]
+    first = asyncio.create_task(desk._send(owner, BUNDLE))
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    assert local.made == [BUNDLE.bundle_id]
+    world.network.send(third, owner, PiecesDropped(BUNDLE.bundle_id))
+    second = asyncio.create_task(desk._send(owner, BUNDLE))
+    await asyncio.sleep(0.01)
+    local.hold.set()
+    reply = await second
+    assert len(reply.ok_value.results) == len(BUNDLE.pieces)
+    assert local.cancelled == 1
+    await asyncio.gather(first, return_exceptions=True)
+
+
 async def test_results_are_freed_by_the_owner_that_made_them(world):
     owner, _, third = world.ranked
     results = await world.desks[third].make(BUNDLE, do_nothing)
