--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_calls.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_calls.py
@@ -56,7 +56,7 @@
         self._handlers[message_type] = handler
 
     async def stop(self) -> None:
-        """End what is under way, unanswered."""
+        """End what is under way; those who asked are told that it has no answer."""
         tasks = tuple(self._in_work)
         for task in tasks:
             task.cancel()
@@ -121,6 +121,11 @@
         answer: Message | None = None
         try:
             answer = await pending
+        except asyncio.CancelledError:
+            # what it waited for was broken off, as by a stop; its asker would hear
+            # nothing until the link ends, and could ask nobody else
+            self.answer(link, question, Unanswered())
+            raise
         except Exception:
             logger.exception("handler of %s failed", message.wire_name)
         self.answer(link, question, answer or Unanswered())
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -320,7 +320,7 @@
             balancer_lag=self.rules.balancer_lag,
             longest=self.rules.longest_drain,
             close_listener=self.front.close_listener,
-            wait_idle=self.front.wait_idle,
+            wait_idle=self._wait_idle,
             break_off=self.in_flight.break_off,
         )
         self.readiness = ReadinessServer(
@@ -396,6 +396,13 @@
         informed = self.configuration.table is not None and self.listing.informed
         return informed and not self.drain.draining
 
+    async def _wait_idle(self, timeout: float) -> bool:
+        """Wait until neither a caller nor a peer waits for this instance."""
+        end = self.clock.now() + timeout
+        if not await self.front.wait_idle(timeout):
+            return False
+        return await self.desk.wait_idle(max(0.0, end - self.clock.now()))
+
     def _note_gone(self, target_id: str) -> None:
         self.links.drop(target_id)
         self.fleet.forget(target_id)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/owned_desk.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/owned_desk.py
@@ -156,6 +156,17 @@
             return False
         return self._find_unchanged() >= SETTLING_SECONDS
 
+    async def wait_idle(self, timeout: float) -> bool:
+        """Wait at most ``timeout`` seconds until no bundle of a peer is in work.
+
+        Peers ask others for new ones as soon as they know that this instance leaves;
+        those that it has would have to be made again.
+        """
+        if not self._in_work:
+            return True
+        _, left = await asyncio.wait(tuple(self._in_work.values()), timeout=timeout)
+        return not left
+
     async def on_stop(self) -> None:
         for task in tuple(self._in_work.values()):
             task.cancel()
--- a/tests/test_entry/test_relay/test_owned_desk.py
+++ b/tests/test_entry/test_relay/test_owned_desk.py
@@ -297,6 +297,28 @@
     assert local.cancelled == 0
 
 
+async def test_stop_waits_for_the_bundles_of_peers(world):
+    """Symptom: while instances restart, pieces are made twice and come late.
+
+    Sequence: an owner whose own requests are done stops with bundles of its peers in
+    work, which these then ask the next owner for.
+    Cause: the stop waited for its own callers only.
+    """
+    owner, _, third = world.ranked
+    desk, local = world.desks[owner], world.local[owner]
+    assert await desk.wait_idle(0.0)
+    local.hold = asyncio.Event()
+    asking = asyncio.create_task(world.desks[third].make(BUNDLE, do_nothing))
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    assert local.made == [BUNDLE.bundle_id]
+    assert not await desk.wait_idle(0.0)
+    waiting = asyncio.create_task(desk.wait_idle(60.0))
+    local.hold.set()
+    assert await waiting
+    assert [one.handle for one in await asking] == [f"{owner}/0", f"{owner}/1"]
+
+
 async def test_owner_is_sole_once_nobody_has_come_or_gone_for_long(world):
     """Symptom: pieces fail as "input gone" for seconds after an instance has left.
 
