--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -286,6 +286,10 @@
             admission=EstimateRule(),
             **common,
         )
+
+        def find_end() -> float:
+            return self.drain.ends_at
+
         filters = (
             ObserveFilter(
                 find_stop=lambda: self.drain.started_at,
@@ -293,11 +297,8 @@
                 metrics=self.metrics,
                 decisions=self.decisions,
             ),
-            StopFilter(in_flight=self.in_flight),
-            RouteFilter(
-                find_table=lambda: self.configuration.table,
-                find_end=lambda: self.drain.ends_at,
-            ),
+            StopFilter(in_flight=self.in_flight, find_end=find_end),
+            RouteFilter(find_table=lambda: self.configuration.table, find_end=find_end),
             SplitFilter(random_source=self.random),
         )
         last = RunHandler(plain=PlainRunner(**common), streams=streams)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/filters.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/filters.py
@@ -4,6 +4,7 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from greengagelatch.errors import RefusalCode
@@ -128,10 +129,14 @@
 
 
 class StopFilter(RelayFilter):
-    """Answers for this instance where a planned stop leaves no time for a request."""
+    """Answers for this instance where a planned stop leaves no time for a request.
 
-    def __init__(self, *, in_flight: InFlight) -> None:
+    :param find_end: returns when a stop breaks requests off
+    """
+
+    def __init__(self, *, in_flight: InFlight, find_end: Callable[[], float]) -> None:
         self._in_flight = in_flight
+        self._find_end = find_end
 
     async def apply(self, exchange: RelayExchange, proceed: RelayHandler) -> None:
         if exchange.use.late:
@@ -141,6 +146,13 @@
             await self._in_flight.run(proceed(exchange))
         except BrokenOffError:
             raise self._refuse(exchange, "broken off by a stop") from None
+        except RefusedError as error:
+            helps = error.refusal.retry_after_ms is not None
+            if not helps or exchange.deadline < self._find_end():
+                raise
+            # other instances have the time that this one lacks: come back now
+            refusal = replace(error.refusal, retry_after_ms=0)
+            raise RefusedError(refusal, error.status) from error
 
     def _refuse(self, exchange: RelayExchange, message: str) -> RefusedError:
         return create_error(
--- a/tests/test_entry/test_relay/test_stop.py
+++ b/tests/test_entry/test_relay/test_stop.py
@@ -190,6 +190,22 @@
     assert int(seen.headers["x-deadline-ms"]) <= 1000
 
 
+async def test_request_for_which_a_stop_has_no_time_may_come_back_at_once(pipeline):
+    """Symptom: callers wait before they turn to an instance that has time for them.
+
+    Sequence: a request comes during a stop, and its stages can't be made before the
+    end of it; it is refused, with the time after which the queue may be shorter.
+    Cause: the refusal spoke of a queue, although it was the stop that left no time.
+    """
+    drain = pipeline.parts.drain
+    drain._longest = 0.05
+    drain.request_stop()
+    reply = await pipeline.stream(X_Deadline_Ms="15000")
+    assert reply.status == 503
+    assert float(reply.headers["Retry-After"]) == 0.0
+    assert not any(target.pieces for target in pipeline.targets.values())
+
+
 async def stop_instance(world) -> bool:
     """Carry out a stop that was requested as the application does."""
     async with asyncio.timeout(PATIENCE):
