--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/codecs.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/codecs.py
@@ -10,6 +10,7 @@
 
     from greengagelatch.config.problems import Problem
     from greengagelatch.relay.deployment import Deployment
+    from greengagelatch.relay.incarnations import Incarnation
     from greengagelatch.relay.pieces import Piece, PieceResult
     from greengagelatch.relay.requests import HeaderLine, OpaqueRequest
     from greengagelatch.relay.targets import ListedTarget
@@ -51,7 +52,7 @@
         self,
         pieces: tuple[Piece, ...],
         remaining: tuple[float, ...],
-        target_id: str,
+        incarnation: Incarnation,
     ) -> Outbound:
         """Return the call that asks a maker for ``pieces``.
 
@@ -59,7 +60,9 @@
         """
 
     @abstractmethod
-    def encode_freeing(self, handles: tuple[str, ...], target_id: str) -> Outbound:
+    def encode_freeing(
+        self, handles: tuple[str, ...], incarnation: Incarnation | None
+    ) -> Outbound:
         """Return the call that gives up results at their maker."""
 
     @abstractmethod
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -4,7 +4,7 @@
 
 import random
 import signal
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
@@ -47,6 +47,7 @@
 
 if TYPE_CHECKING:
     from greengagelatch.peers import Member
+    from greengagelatch.relay.incarnations import Incarnation
     from greengagelatch.relay.repeats import RepeatRule
     from greengagelatch.store.ranges import RangeStore
 
@@ -199,9 +200,12 @@
             codec=self.adapters.listings,
             book=self.book,
             note_gone=self._note_gone,
+            find_services=self._find_services,
             clock=self.clock,
+            metrics=self.metrics,
             decisions=self.decisions,
         )
+        self.configuration.listeners.append(self.listing.check_services)
         self.registry = RegistryController(
             store=self.store,
             instance_id=self.rules.instance_id,
@@ -382,6 +386,10 @@
             self.readiness,
         )
 
+    def _find_services(self) -> Collection[str] | None:
+        deployment = self.configuration.deployment
+        return deployment.services if deployment else None
+
     def _find_maker(self, service: str):
         deployment = self.configuration.deployment
         found = deployment.services.get(service) if deployment else None
@@ -395,9 +403,9 @@
         informed = self.configuration.table is not None and self.listing.informed
         return informed and not self.drain.draining
 
-    def _note_gone(self, target_id: str) -> None:
-        self.links.drop(target_id)
-        self.fleet.forget(target_id)
+    def _note_gone(self, incarnation: Incarnation) -> None:
+        self.links.drop(incarnation)
+        self.fleet.forget(incarnation)
 
     def _describe(self) -> dict[str, Any]:
         parts = {part.name: part.dump() for part in self._list_controllers()}
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
@@ -16,6 +16,7 @@
     from collections.abc import Awaitable, Callable
 
     from greengagelatch.relay.deployment import Deployment, Route
+    from greengagelatch.relay.incarnations import Incarnation
     from greengagelatch.relay.requests import OpaqueRequest
 
     from .messages import AnswerHead
@@ -119,7 +120,7 @@
     deadline: float = 0.0
     verdict: Verdict = Verdict.NOT_RUN
     #: targets that have had the request, in order
-    targets: list[str] = field(default_factory=list)
+    targets: list[Incarnation] = field(default_factory=list)
     #: sends that reached no target
     unsent: int = 0
     stage_seconds: float = 0.0
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/filters.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/filters.py
@@ -111,7 +111,7 @@
             service=exchange.service,
             workspace=exchange.workspace,
             version=deployment.version if deployment else 0,
-            targets=exchange.targets[-4:],
+            targets=[str(one) for one in exchange.targets[-4:]],
             stages_ms=_to_ms(exchange.stage_seconds),
             ms=_to_ms(seconds),
             left_ms=_to_ms(exchange.deadline - self._clock.now()),
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/freeing.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/freeing.py
@@ -5,6 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from greengagelatch.relay.incarnations import Incarnation
+
 from .links import LinkError, NotSentError
 
 if TYPE_CHECKING:
@@ -80,13 +82,13 @@
 
     async def _send(self, address: str, handles: tuple[str, ...]) -> None:
         maker = self._find_maker(address)
-        target_id = maker.target.target_id if maker else ""
+        incarnation = maker.target.incarnation if maker else None
         try:
             reply = await self._links.send(
-                target_id=target_id or address,
+                incarnation=incarnation or Incarnation(address),
                 address=address,
-                outbound=self._codec.encode_freeing(handles, target_id),
-                fresh=not target_id,
+                outbound=self._codec.encode_freeing(handles, incarnation),
+                fresh=incarnation is None,
                 timeout=FREE_TIMEOUT,
             )
             await reply.read(MAX_ANSWER_BYTES)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/links.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/links.py
@@ -19,6 +19,7 @@
     from aiohttp.http import RawResponseMessage
 
     from greengagelatch.clock import Clock
+    from greengagelatch.relay.incarnations import Incarnation
 
     from ..metrics import Metrics
     from .messages import Outbound
@@ -157,7 +158,7 @@
 
 
 class TargetLinks:
-    """Opens, keeps and ends connections, by the life of the target they lead to.
+    """Opens, keeps and ends connections, by the incarnation that they lead to.
 
     A library's client sends a request again by itself when a kept connection drops;
     here each request is written once, so that one which may run only once does.
@@ -166,12 +167,12 @@
     def __init__(self, *, clock: Clock, metrics: Metrics) -> None:
         self._clock = clock
         self._metrics = metrics
-        self._idle: dict[str, list[_Link]] = defaultdict(list)
+        self._idle: dict[Incarnation, list[_Link]] = defaultdict(list)
 
     async def send(
         self,
         *,
-        target_id: str,
+        incarnation: Incarnation,
         address: str,
         outbound: Outbound,
         fresh: bool,
@@ -183,16 +184,16 @@
         :param fresh: whether to leave kept connections alone; on one of them a
             request may be lost without a word on whether it ran
         :param timeout: seconds until the head must be there
-        :param may_send: asked again once the connection stands
+        :param may_send: asked again once the connection stands, and before it is kept
         :raises NotSentError: if no byte left
         :raises LinkError: if it was written and no answer came
         """
         end = asyncio.get_running_loop().time() + timeout
-        link = None if fresh else self._take(target_id)
+        link = None if fresh else self._take(incarnation)
         if link is None:
             link = await self._open(address, min(timeout, CONNECT_TIMEOUT))
         if may_send is not None and not may_send():
-            self._put(target_id, link)
+            link.abort()
             raise NotSentError("the target began to leave")
         link.set_response_params(
             skip_payload=outbound.method == "HEAD",
@@ -219,18 +220,18 @@
             message,
             content,
             link,
-            lambda one, head: self._give_back(target_id, one, head),
+            lambda one, head: self._give_back(incarnation, one, head, may_send),
         )
 
-    def drop(self, target_id: str) -> None:
+    def drop(self, incarnation: Incarnation) -> None:
         """Close the idle connections to a target that is gone."""
-        for link in self._idle.pop(target_id, ()):
+        for link in self._idle.pop(incarnation, ()):
             link.abort()
 
     def drop_all(self) -> None:
         """Close every idle connection, as all may have gone silent."""
-        for target_id in tuple(self._idle):
-            self.drop(target_id)
+        for incarnation in tuple(self._idle):
+            self.drop(incarnation)
 
     def count_idle(self) -> int:
         """Return the number of connections that are kept."""
@@ -258,8 +259,8 @@
             raise NotSentError(f"no connection: {type(error).__name__}") from error
         return link
 
-    def _take(self, target_id: str) -> _Link | None:
-        links = self._idle.get(target_id)
+    def _take(self, incarnation: Incarnation) -> _Link | None:
+        links = self._idle.get(incarnation)
         now = self._clock.now()
         while links:
             link = links.pop()
@@ -268,8 +269,10 @@
             link.abort()
         return None
 
-    def _put(self, target_id: str, link: _Link, seconds: float = IDLE_SECONDS) -> None:
-        links = self._idle[target_id]
+    def _put(
+        self, incarnation: Incarnation, link: _Link, seconds: float = IDLE_SECONDS
+    ) -> None:
+        links = self._idle[incarnation]
         if len(links) >= MAX_IDLE:
             link.abort()
             return
@@ -277,13 +280,22 @@
         links.append(link)
 
     def _give_back(
-        self, target_id: str, link: _Link, message: RawResponseMessage
+        self,
+        incarnation: Incarnation,
+        link: _Link,
+        message: RawResponseMessage,
+        may_send: Callable[[], bool] | None,
     ) -> None:
         seconds = _find_idle_seconds(message.headers.get("Keep-Alive", ""))
+        if may_send is not None and not may_send():
+            # nobody would take it or close it: each restart of a target would leave
+            # some open
+            link.abort()
+            return
         if message.should_close or not link.reusable or seconds <= 0:
             link.abort()
             return
-        self._put(target_id, link, seconds)
+        self._put(incarnation, link, seconds)
 
 
 def _find_idle_seconds(text: str) -> float:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/maker_calls.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/maker_calls.py
@@ -87,13 +87,13 @@
             max(0.0, bundle.latest - started) for bundle, _ in call.pieces
         )
         reply = await self._links.send(
-            target_id=target.target_id,
+            incarnation=target.incarnation,
             address=target.address,
-            outbound=self._codec.encode_pieces(pieces, remaining, target.target_id),
+            outbound=self._codec.encode_pieces(pieces, remaining, target.incarnation),
             # a late second answer could be taken for this call's
             fresh=True,
             timeout=allowed,
-            may_send=lambda: self._book.accepts(target.target_id),
+            may_send=lambda: self._book.accepts(target.incarnation),
         )
         try:
             head = self._codec.read_head(reply)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/makers.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/makers.py
@@ -53,7 +53,7 @@
             # a call that overruns may end at any moment
             free_at = max(free_at, self.busy_until, now + 0.02)
         return MakerView(
-            target_id=self.target.target_id,
+            incarnation=self.target.incarnation,
             data_centre=self.target.data_centre,
             free_at=free_at,
             free_bytes=self.room.find_free(now),
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/messages.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/messages.py
@@ -7,6 +7,7 @@
 
 if TYPE_CHECKING:
     from greengagelatch.relay.fleet import LoadReport
+    from greengagelatch.relay.incarnations import Incarnation
     from greengagelatch.relay.requests import HeaderLine
 
 __all__ = ("AnswerHead", "Outbound", "RelayCall")
@@ -27,8 +28,8 @@
 class RelayCall:
     """What a request is sent to a target with, beside the request itself."""
 
-    #: the life of the target that is meant; any other one must not run it
-    target_id: str
+    #: the target that is meant; one of another id must not run it
+    incarnation: Incarnation
     #: seconds that are left
     remaining: float
     workspace: str = ""
@@ -52,7 +53,7 @@
     signed: bool = False
     #: whether the target says that it did not run the request
     not_run: bool = False
-    #: whether another life answered than the one that was meant
+    #: whether a target of another id answered than the one that was meant
     misdirected: bool = False
     #: whether the body is encoded in a way that nobody asked for
     encoded: bool = False
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/plain.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/plain.py
@@ -15,6 +15,7 @@
 from .sending import Answered, Unanswered
 
 if TYPE_CHECKING:
+    from greengagelatch.relay.incarnations import Incarnation
     from greengagelatch.relay.targets import ListedTarget
 
     from .exchange import RelayExchange
@@ -45,7 +46,7 @@
 
     async def run(self, exchange: RelayExchange) -> None:
         self.budgets.note_request(exchange.service)
-        excluded: frozenset[str] = frozenset()
+        excluded: frozenset[Incarnation] = frozenset()
         last: Unanswered | None = None
         failed: _Whole | None = None
         while True:
@@ -65,7 +66,7 @@
                 outcome = SendOutcome.FAILED
             else:
                 last, outcome = result, result.outcome
-            excluded |= {target.target_id}
+            excluded |= {target.incarnation}
             if not self.may_repeat(exchange, outcome):
                 break
         if failed is not None:
@@ -81,11 +82,13 @@
         if left <= 0:
             return Unanswered(SendOutcome.UNSENT, "deadline over")
         call = RelayCall(
-            target_id=target.target_id, remaining=left, workspace=exchange.workspace
+            incarnation=target.incarnation,
+            remaining=left,
+            workspace=exchange.workspace,
         )
         timeout = self._choose_patience(exchange, left)
         end = asyncio.get_running_loop().time() + timeout
-        self.fleet.start(target.target_id)
+        self.fleet.start(target.incarnation)
         try:
             result = await self.sender.send(
                 exchange,
@@ -98,7 +101,7 @@
                 return result
             return await self._read(exchange, target, result, end)
         finally:
-            self.fleet.finish(target.target_id)
+            self.fleet.finish(target.incarnation)
 
     async def _read(
         self,
@@ -122,9 +125,9 @@
             raise
         reply.release()
         if answered.head.succeeded:
-            self.fleet.note_success(target.target_id)
+            self.fleet.note_success(target.incarnation)
         else:
-            self.fleet.note_failure(target.target_id, self.clock.now())
+            self.fleet.note_failure(target.incarnation, self.clock.now())
         return _Whole(answered.head, body)
 
     def _choose_patience(self, exchange: RelayExchange, left: float) -> float:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/sending.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/sending.py
@@ -79,27 +79,27 @@
 
         :param timeout: seconds until the answer's head must be there
         """
-        target_id = target.target_id
+        incarnation = target.incarnation
         outbound = self._codec.encode_request(exchange.request, call)
         try:
             reply = await self._links.send(
-                target_id=target_id,
+                incarnation=incarnation,
                 address=target.address,
                 outbound=outbound,
                 fresh=fresh,
                 timeout=timeout,
-                may_send=lambda: self._book.accepts(target_id),
+                may_send=lambda: self._book.accepts(incarnation),
             )
         except NotSentError as error:
             exchange.unsent += 1
             return self._note(exchange, target, SendOutcome.UNSENT, str(error))
         except LinkError as error:
-            exchange.targets.append(target_id)
+            exchange.targets.append(incarnation)
             return self._note(exchange, target, SendOutcome.LOST, str(error))
         except asyncio.CancelledError:
             exchange.raise_verdict(Verdict.MAY_HAVE_RUN)
             raise
-        exchange.targets.append(target_id)
+        exchange.targets.append(incarnation)
         return self._judge(exchange, target, reply)
 
     def note_lost(
@@ -113,7 +113,7 @@
     ) -> Answered | Unanswered:
         head = self._codec.read_head(reply)
         if head.load is not None:
-            self._fleet.note_report(target.target_id, head.load, self._clock.now())
+            self._fleet.note_report(target.incarnation, head.load, self._clock.now())
         if head.request_id != exchange.request.request_id and not head.misdirected:
             # an answer to somebody else's request, or one that nobody can place
             reply.abort()
@@ -123,7 +123,7 @@
             reply.abort()
             exchange.targets.pop()
             exchange.unsent += 1
-            return self._note(exchange, target, SendOutcome.MISDIRECTED, "other life")
+            return self._note(exchange, target, SendOutcome.MISDIRECTED, "other id")
         if head.not_run:
             reply.abort()
             return self._note(
@@ -152,13 +152,13 @@
             exchange.raise_verdict(Verdict.MAY_HAVE_RUN)
         now = self._clock.now()
         if outcome in (SendOutcome.UNSENT, SendOutcome.LOST):
-            self._fleet.note_failure(target.target_id, now)
+            self._fleet.note_failure(target.incarnation, now)
             # what is kept open to it may be as dead as this one
-            self._links.drop(target.target_id)
+            self._links.drop(target.incarnation)
         self._decisions.note(
             "send",
             request=exchange.request.request_id,
-            target=target.target_id,
+            target=str(target.incarnation),
             address=target.address,
             outcome=outcome.value,
             reason=reason,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
@@ -22,6 +22,7 @@
     from greengagelatch.clock import Clock
     from greengagelatch.relay.batches import BatchPolicy, MakerView, PlannedCall
     from greengagelatch.relay.deployment import MakerProfile
+    from greengagelatch.relay.incarnations import Incarnation
     from greengagelatch.relay.pieces import Bundle, Piece
     from greengagelatch.relay.targets import TargetBook
 
@@ -94,7 +95,7 @@
         self._metrics = metrics
         self._decisions = decisions
         self._works: list[_Work] = []
-        self._makers: dict[str, Maker] = {}
+        self._makers: dict[Incarnation, Maker] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         #: monotonic seconds since when more than one call's pieces have waited
         self._queued_since = clock.now()
@@ -177,12 +178,12 @@
             "bundles": len(self._works),
             "pieces": sum(len(work.left) for work in self._works),
             "makers": {
-                target_id: {
+                str(incarnation): {
                     "calls": maker.calls,
                     "slowness": round(maker.find_slowness(now), 2),
                     "free_bytes": round(maker.room.find_free(now)),
                 }
-                for target_id, maker in self._makers.items()
+                for incarnation, maker in self._makers.items()
             },
         }
 
@@ -216,7 +217,7 @@
             self._take_out(call)
             # counted before its task runs: more bundles may come until then, and
             # the maker would seem idle to each of them
-            maker = self._makers[call.target_id]
+            maker = self._makers[call.incarnation]
             allowed = maker.begin(len(call.pieces), now)
             maker.room.reserve(_sum_sizes(call))
             task = asyncio.create_task(self._run_call(call, maker, allowed, now))
@@ -258,16 +259,16 @@
 
     def _list_makers(self, profile: MakerProfile) -> list[Maker]:
         listed = self._book.list_service(self._service)
-        ids = {target.target_id for target in listed}
-        for target_id in tuple(self._makers):
-            if target_id not in ids and self._makers[target_id].calls == 0:
-                del self._makers[target_id]
+        known = {target.incarnation for target in listed}
+        for incarnation, maker in tuple(self._makers.items()):
+            if incarnation not in known and maker.calls == 0:
+                del self._makers[incarnation]
         for target in listed:
-            maker = self._makers.get(target.target_id)
+            maker = self._makers.get(target.incarnation)
             if maker is None or maker.profile != profile:
                 room = MakerRoom(profile.room_bytes, profile.keep_seconds)
-                self._makers[target.target_id] = Maker(target, profile, room)
-        return [self._makers[target.target_id] for target in listed]
+                self._makers[target.incarnation] = Maker(target, profile, room)
+        return [self._makers[target.incarnation] for target in listed]
 
     def _drop_hopeless(
         self, views: list[MakerView], profile: MakerProfile, now: float
@@ -299,7 +300,7 @@
         self._decisions.note(
             "stage-call",
             service=self._service,
-            target=call.target_id,
+            target=str(call.incarnation),
             pieces=len(call.pieces),
             requests=len({bundle.request_id for bundle, _ in call.pieces}),
             outcome=end.outcome,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -23,6 +23,7 @@
 
     from greengagelatch.relay.admission import RouteAdmission
     from greengagelatch.relay.fleet import Fleet
+    from greengagelatch.relay.incarnations import Incarnation
     from greengagelatch.relay.targets import ListedTarget
 
     from .codecs import TargetCodec
@@ -133,7 +134,7 @@
     async def serve(self) -> None:
         """Send until the stream is whole, or may not go on."""
         exchange, runner = self._exchange, self._runner
-        excluded: frozenset[str] = frozenset()
+        excluded: frozenset[Incarnation] = frozenset()
         last: Unanswered | None = None
         while True:
             target = self._choose(excluded)
@@ -142,7 +143,7 @@
             last = await self._try(target)
             if last is None:
                 return
-            excluded |= {target.target_id}
+            excluded |= {target.incarnation}
             if not runner.may_repeat(exchange, last.outcome):
                 break
             if last.status == STATUS_CONFLICT or self._begun:
@@ -151,7 +152,7 @@
                 self._results = await self._run.make()
         raise runner.create_refusal(exchange, last)
 
-    def _choose(self, excluded: frozenset[str]) -> ListedTarget | None:
+    def _choose(self, excluded: frozenset[Incarnation]) -> ListedTarget | None:
         need = EngineNeed(self._prompt, self._results.bytes_by_data_centre)
         fleet, now = self._runner.fleet, self._runner.clock.now()
         return fleet.choose_engine(self._exchange.service, need, excluded, now)
@@ -163,16 +164,16 @@
         if left <= 0:
             return Unanswered(SendOutcome.UNSENT, "deadline over")
         call = RelayCall(
-            target_id=target.target_id,
+            incarnation=target.incarnation,
             remaining=left,
             workspace=exchange.workspace,
             resume_after=self._last_id,
             inputs=self._results.inputs,
         )
         now = runner.clock.now()
-        tokens = runner.fleet.count_tokens(target.target_id, self._prompt, now)
+        tokens = runner.fleet.count_tokens(target.incarnation, self._prompt, now)
         self._sent_at = now
-        reading = _Reading(runner.fleet, target.target_id, tokens)
+        reading = _Reading(runner.fleet, target.incarnation, tokens)
         try:
             result = await runner.sender.send(
                 exchange,
@@ -202,7 +203,7 @@
             reply.abort()
             raise
         reply.release()
-        self._runner.fleet.note_success(target.target_id)
+        self._runner.fleet.note_success(target.incarnation)
         self._exchange.outcome = "answered"
         return None
 
@@ -252,7 +253,7 @@
         runner = self._runner
         now = runner.clock.now()
         runner.times.note_first(self._exchange, now - self._sent_at)
-        runner.fleet.note_parts(target.target_id, self._prompt, now)
+        runner.fleet.note_parts(target.incarnation, self._prompt, now)
         self._begun = True
         # the target has read the stages' results; their makers need the room
         self._run.free()
@@ -263,7 +264,7 @@
         head: AnswerHead = answered.head
         body = await answered.reply.read(MAX_FAILURE_BYTES)
         answered.reply.release()
-        self._runner.fleet.note_failure(target.target_id, self._runner.clock.now())
+        self._runner.fleet.note_failure(target.incarnation, self._runner.clock.now())
         exchange = self._exchange
         if exchange.writer.started:
             return Unanswered(SendOutcome.FAILED, f"status {head.status} on resuming")
@@ -295,22 +296,22 @@
 class _Reading:
     """Counts a request at its engine: first as a prompt to read, then as running."""
 
-    def __init__(self, fleet: Fleet, target_id: str, tokens: float) -> None:
+    def __init__(self, fleet: Fleet, incarnation: Incarnation, tokens: float) -> None:
         self.fleet = fleet
-        self._target_id = target_id
+        self._incarnation = incarnation
         self._tokens = tokens
         self._reading = True
-        fleet.start(target_id, tokens)
+        fleet.start(incarnation, tokens)
 
     def note_begun(self) -> bool:
         """Take in the first event; whether it was the first."""
         if not self._reading:
             return False
         self._reading = False
-        self.fleet.begin(self._target_id, self._tokens)
+        self.fleet.begin(self._incarnation, self._tokens)
         return True
 
     def end(self) -> None:
         """Take in the end of the send."""
         self.note_begun()
-        self.fleet.finish(self._target_id)
+        self.fleet.finish(self._incarnation)
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/store.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/store.py
@@ -90,7 +90,11 @@
 
     def put(self, key: str, fields: dict[str, Any], lease: int = 0) -> int:
         """Write an item and return its revision."""
-        return self._put(key, json.dumps(fields).encode(), lease)
+        return self.put_bytes(key, json.dumps(fields).encode(), lease)
+
+    def put_bytes(self, key: str, value: bytes, lease: int = 0) -> int:
+        """Write an item of any bytes and return its revision."""
+        return self._put(key, value, lease)
 
     def remove(self, key: str) -> None:
         """Remove an item."""
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/targets.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/targets.py
@@ -22,6 +22,9 @@
 EVENT_SECONDS = 0.01
 CALL_SECONDS = 0.03
 MAX_BODY = 8 * 1024 * 1024
+#: Unix milliseconds of the first start of a target, and between two starts
+FIRST_START = 1_700_000_000_000
+BETWEEN_STARTS = 1000
 
 
 class TargetFault(Enum):
@@ -56,11 +59,13 @@
 
 @dataclass(slots=True)
 class TargetStandIn:
-    """One life of a target, written on bare streams so that it can misbehave."""
+    """One target, written on bare streams so that it can misbehave."""
 
     target_id: str
     service: str
     data_centre: str = "north"
+    #: Unix milliseconds of its start; ``None``: it does not tell
+    born: int | None = FIRST_START
     fault: TargetFault = TargetFault.NONE
     #: requests that ran, by their id
     runs: Counter[str] = field(default_factory=Counter)
@@ -71,6 +76,8 @@
     #: sizes of the calls for pieces
     batches: list[int] = field(default_factory=list)
     freed: set[str] = field(default_factory=set)
+    #: handles of the results that it holds
+    made: set[str] = field(default_factory=set)
     connections: int = 0
     #: what it waits for before it answers, also calls for pieces
     gate: asyncio.Event | None = None
@@ -82,35 +89,60 @@
     #: the same for the next streams only; may be shared by targets
     breaks: list[int] = field(default_factory=list)
     _server: asyncio.Server | None = None
+    _port: int = 0
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
 
     async def start(self) -> None:
         """Serve on a free port of loopback."""
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        port = self._server.sockets[0].getsockname()[1]
-        self.address = f"127.0.0.1:{port}"
+        self._port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{self._port}"
 
     async def stop(self) -> None:
         """Close every connection, as a crash does."""
         self._server.close()
+        self.abort_connections()
+
+    def abort_connections(self) -> None:
+        """Break off whatever is in work."""
         for writer in tuple(self._writers):
             writer.transport.abort()
 
+    async def restart(self, store: StoreStandIn, *, cut: bool = True) -> None:
+        """Start again under the same id and address, knowing nothing of before.
+
+        :param cut: whether open connections are closed; else what is in work on them
+            goes on and is answered, as by a process that is slow to end
+        """
+        if cut:
+            await self.stop()
+            self._server = await asyncio.start_server(
+                self._serve, "127.0.0.1", self._port
+            )
+        if self.born is not None:
+            self.born += BETWEEN_STARTS
+        self.made.clear()
+        self.register(store)
+
     def register(self, store: StoreStandIn, state: str = "ready") -> None:
         """Write this target's entry."""
-        store.put(
-            f"servers/{self.target_id}",
-            {
-                "service": self.service,
-                "address": self.address,
-                "zone": self.data_centre,
-                "version": "v1",
-                "slots": 4,
-                "state": state,
-                "cold-left-ms": 0,
-                "seq-no": 1,
-            },
-        )
+        store.put(f"servers/{self.target_id}", self.describe(state))
+
+    def describe(self, state: str = "ready") -> dict[str, Any]:
+        """Return this target's entry."""
+        fields = {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.data_centre,
+            "version": "v1",
+            "slots": 4,
+            "state": state,
+            "cold-left-ms": 0,
+            "seq-no": 1,
+        }
+        if self.born is not None:
+            fields["born"] = self.born
+        return fields
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -137,7 +169,9 @@
         if request.target == "/v1/stage-run":
             return await self._make(request, writer)
         if request.target == "/v1/stage-free":
-            self.freed.update(json.loads(request.body)["handles"])
+            handles = json.loads(request.body)["handles"]
+            self.freed.update(handles)
+            self.made.difference_update(handles)
             _write(writer, 200, {}, b"{}")
             return True
         self.seen.append(request)
@@ -232,7 +266,9 @@
         place = (item["id"], item["stage"], item["segment"])
         self.pieces[place] += 1
         name = "-".join(map(str, place))
-        return {"handle": f"{self.address}/{name}-{self.pieces[place]}"}
+        handle = f"{self.address}/{name}-{self.pieces[place]}"
+        self.made.add(handle)
+        return {"handle": handle}
 
 
 async def _read(reader: asyncio.StreamReader) -> _Request | None:
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/models.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/models.py
@@ -256,10 +256,10 @@
     def encode_request(self, request, call) -> Outbound:
         raise NotImplementedError
 
-    def encode_pieces(self, pieces, remaining, target_id) -> Outbound:
+    def encode_pieces(self, pieces, remaining, incarnation) -> Outbound:
         return Outbound(method="POST", target="run", body=(pieces, remaining))
 
-    def encode_freeing(self, handles, target_id) -> Outbound:
+    def encode_freeing(self, handles, incarnation) -> Outbound:
         return Outbound(method="POST", target="free", body=handles)
 
     def read_head(self, reply) -> AnswerHead:
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/trial.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/trial.py
@@ -21,6 +21,7 @@
     RouteStage,
 )
 from greengagelatch.relay.fleet import EngineNeed, Fleet
+from greengagelatch.relay.incarnations import Incarnation
 from greengagelatch.relay.repeats import RepeatRule
 from greengagelatch.relay.requests import (
     OpaqueRequest,
@@ -146,21 +147,21 @@
         need = EngineNeed(prompt, results.bytes_by_data_centre)
         started = self.clock.now()
         target = self.fleet.choose_engine(ENGINES, need, frozenset(), started)
-        tokens = self.fleet.count_tokens(target.target_id, prompt, started)
-        self.fleet.start(target.target_id, tokens)
+        tokens = self.fleet.count_tokens(target.incarnation, prompt, started)
+        self.fleet.start(target.incarnation, tokens)
         shared, own = prompt.parts
         engine = self._engines[target.target_id]
         read = await engine.read(
             results.inputs or (), shared.part_id, shared.tokens, own.tokens
         )
         now = self.clock.now()
-        self.fleet.begin(target.target_id, tokens)
+        self.fleet.begin(target.incarnation, tokens)
         if read:
             self.times.note_first(exchange, now - started)
-            self.fleet.note_parts(target.target_id, prompt, now)
+            self.fleet.note_parts(target.incarnation, prompt, now)
             exchange.outcome = "answered"
         run.free()
-        self.fleet.finish(target.target_id)
+        self.fleet.finish(target.incarnation)
 
 
 class _Trial:
@@ -217,7 +218,7 @@
     def _list_target(self, target_id: str, service: str, place: str) -> None:
         self.book.put(
             ListedTarget(
-                target_id=target_id,
+                incarnation=Incarnation(target_id),
                 service=service,
                 address=target_id,
                 data_centre=place,
--- a/packages/greengagelatch/src/greengagelatch/load/breakers.py
+++ b/packages/greengagelatch/src/greengagelatch/load/breakers.py
@@ -8,9 +8,13 @@
 from enum import Enum
 from math import ceil
 from statistics import median_low
+from typing import TypeVar
 
 __all__ = ("Breaker", "BreakerRule", "BreakerState", "find_ejected", "trip_slow")
 
+#: what a target is known by; ordered
+Key = TypeVar("Key")
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class BreakerRule:
@@ -161,9 +165,9 @@
 
 
 def find_ejected(
-    breakers: Iterable[tuple[str, Breaker]], rule: BreakerRule, now: float
-) -> frozenset[str]:
-    """Return which targets of one service are out, by target id.
+    breakers: Iterable[tuple[Key, Breaker]], rule: BreakerRule, now: float
+) -> frozenset[Key]:
+    """Return which targets of one service are out, by what each is known by.
 
     One instance's view may be wrong about all targets at once, when its own network
     is at fault or the whole service is slow. It would then stop serving a service
@@ -172,10 +176,10 @@
     """
     known = tuple(breakers)
     bad = [
-        (breaker.badness, target_id)
-        for target_id, breaker in known
+        (breaker.badness, key)
+        for key, breaker in known
         if breaker.read_state(now) is not BreakerState.CLOSED
     ]
     allowed = min(ceil(len(known) * rule.ejected_share), len(known) - 1)
     worst = sorted(bad, reverse=True)[: max(0, allowed)]
-    return frozenset(target_id for _, target_id in worst)
+    return frozenset(key for _, key in worst)
--- a/packages/greengagelatch/src/greengagelatch/relay/batches.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/batches.py
@@ -9,6 +9,7 @@
 
 if TYPE_CHECKING:
     from .deployment import MakerProfile
+    from .incarnations import Incarnation
     from .pieces import Bundle, Piece
 
 __all__ = (
@@ -51,7 +52,7 @@
 class MakerView:
     """One maker at the moment of a decision."""
 
-    target_id: str
+    incarnation: Incarnation
     data_centre: str
     #: monotonic seconds at which it should be able to begin another call
     free_at: float
@@ -65,7 +66,7 @@
 class PlannedCall:
     """A call that is to be made now."""
 
-    target_id: str
+    incarnation: Incarnation
     #: pieces in order, each with its bundle
     pieces: list[tuple[Bundle, Piece]] = field(default_factory=list)
 
@@ -304,7 +305,7 @@
     until the others are. It is split only where it would not fit any call, or where
     the maker has room for more than this call could fill.
     """
-    call = PlannedCall(maker.target_id)
+    call = PlannedCall(maker.incarnation)
     free = maker.free_bytes
     for bundle, left in waiting:
         if call.pieces and len(call.pieces) >= share:
--- a/packages/greengagelatch/src/greengagelatch/relay/fleet.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/fleet.py
@@ -13,6 +13,7 @@
     import random
     from collections.abc import Mapping
 
+    from .incarnations import Incarnation
     from .requests import Prompt
     from .targets import ListedTarget, TargetBook
 
@@ -75,10 +76,10 @@
         self._book = book
         self._data_centre = data_centre
         self._random = random_source
-        self._states: dict[str, _TargetState] = {}
+        self._states: dict[Incarnation, _TargetState] = {}
 
     def choose_plain(
-        self, service: str, excluded: frozenset[str], now: float
+        self, service: str, excluded: frozenset[Incarnation], now: float
     ) -> ListedTarget | None:
         """Return the least loaded sound target, near ones first."""
         candidates = self._list_candidates(service, excluded, now)
@@ -87,7 +88,11 @@
         return min(candidates, key=lambda one: self._rate_plain(one, now))
 
     def choose_engine(
-        self, service: str, need: EngineNeed, excluded: frozenset[str], now: float
+        self,
+        service: str,
+        need: EngineNeed,
+        excluded: frozenset[Incarnation],
+        now: float,
     ) -> ListedTarget | None:
         """Return the engine that should have the least to read and to move.
 
@@ -101,10 +106,8 @@
         if not candidates:
             return None
         home = _find_home(need.prompt, candidates)
-        home_id = home.target_id if home else ""
-        return min(
-            candidates, key=lambda one: self._rate_engine(one, need, home_id, now)
-        )
+        place = home.incarnation if home else None
+        return min(candidates, key=lambda one: self._rate_engine(one, need, place, now))
 
     def find_home(
         self, service: str, prompt: Prompt, now: float
@@ -112,48 +115,56 @@
         """Return the engine that a prompt's shared parts should be sent to."""
         return _find_home(prompt, self._list_candidates(service, frozenset(), now))
 
-    def start(self, target_id: str, tokens: float = 0.0) -> None:
+    def start(self, incarnation: Incarnation, tokens: float = 0.0) -> None:
         """Count a request that is being sent."""
-        state = self._find(target_id)
+        state = self._find(incarnation)
         state.in_flight += 1
         state.pending_tokens += tokens
 
-    def begin(self, target_id: str, tokens: float) -> None:
+    def begin(self, incarnation: Incarnation, tokens: float) -> None:
         """Take in that an engine has read a request's prompt."""
-        state = self._find(target_id)
+        state = self._find(incarnation)
         state.pending_tokens = max(0.0, state.pending_tokens - tokens)
 
-    def finish(self, target_id: str) -> None:
+    def finish(self, incarnation: Incarnation) -> None:
         """Count out a request."""
-        state = self._find(target_id)
+        state = self._find(incarnation)
         state.in_flight = max(0, state.in_flight - 1)
+        if not state.in_flight and not self._book.accepts(incarnation):
+            # the last word of one that is gone must not bring its state back: each
+            # restart would use more memory
+            self.forget(incarnation)
 
-    def note_parts(self, target_id: str, prompt: Prompt, now: float) -> None:
+    def note_parts(self, incarnation: Incarnation, prompt: Prompt, now: float) -> None:
         """Remember what an engine has read for a request."""
-        parts = self._find(target_id).parts
+        parts = self._find(incarnation).parts
         for part in prompt.shared:
             parts.pop(part.part_id, None)
             parts[part.part_id] = now
         while len(parts) > MAX_PARTS:
             parts.popitem(last=False)
 
-    def note_success(self, target_id: str) -> None:
+    def note_success(self, incarnation: Incarnation) -> None:
         """Take in an answer."""
-        self._find(target_id).breaker.note_success()
+        self._find(incarnation).breaker.note_success()
 
-    def note_failure(self, target_id: str, now: float) -> None:
+    def note_failure(self, incarnation: Incarnation, now: float) -> None:
         """Take in a failure that is the target's doing."""
-        self._find(target_id).breaker.note_failure(now)
+        self._find(incarnation).breaker.note_failure(now)
 
-    def note_report(self, target_id: str, report: LoadReport, now: float) -> None:
+    def note_report(
+        self, incarnation: Incarnation, report: LoadReport, now: float
+    ) -> None:
         """Take in a target's own word about its load."""
-        state = self._find(target_id)
+        state = self._find(incarnation)
         state.report = report
         state.reported = now
 
-    def count_tokens(self, target_id: str, prompt: Prompt, now: float) -> float:
+    def count_tokens(
+        self, incarnation: Incarnation, prompt: Prompt, now: float
+    ) -> float:
         """Return the prompt tokens that an engine does not seem to keep."""
-        parts = self._find(target_id).parts
+        parts = self._find(incarnation).parts
         kept = 0
         for part in prompt.shared:
             if now - parts.get(part.part_id, -PART_LIFE) >= PART_LIFE:
@@ -161,53 +172,57 @@
             kept += part.tokens
         return max(0.0, prompt.tokens_in - kept)
 
-    def forget(self, target_id: str) -> None:
+    def forget(self, incarnation: Incarnation) -> None:
         """Drop what is known of a target that is gone."""
-        self._states.pop(target_id, None)
+        self._states.pop(incarnation, None)
 
     def describe(self, now: float) -> dict[str, dict[str, float | str]]:
         """Return what is believed of each target, for the state dump."""
         return {
-            target_id: {
+            str(incarnation): {
                 "breaker": state.breaker.read_state(now).value,
                 "in_flight": state.in_flight,
                 "pending_tokens": state.pending_tokens,
                 "report_age": now - state.reported if state.report else -1.0,
             }
-            for target_id, state in self._states.items()
+            for incarnation, state in self._states.items()
         }
 
-    def _find(self, target_id: str) -> _TargetState:
-        state = self._states.get(target_id)
+    def _find(self, incarnation: Incarnation) -> _TargetState:
+        state = self._states.get(incarnation)
         if state is None:
             state = _TargetState(Breaker(BREAKER, self._random))
-            self._states[target_id] = state
+            self._states[incarnation] = state
         return state
 
     def _list_candidates(
-        self, service: str, excluded: frozenset[str], now: float
+        self, service: str, excluded: frozenset[Incarnation], now: float
     ) -> list[ListedTarget]:
         listed = self._book.list_service(service)
         breakers = [
-            (one.target_id, self._find(one.target_id).breaker) for one in listed
+            (one.incarnation, self._find(one.incarnation).breaker) for one in listed
         ]
         ejected = find_ejected(breakers, BREAKER, now)
-        left = [one for one in listed if one.target_id not in excluded]
-        sound = [one for one in left if one.target_id not in ejected]
+        left = [one for one in listed if one.incarnation not in excluded]
+        sound = [one for one in left if one.incarnation not in ejected]
         return sound or left
 
     def _rate_plain(self, target: ListedTarget, now: float) -> tuple[float, float]:
-        state = self._find(target.target_id)
+        state = self._find(target.incarnation)
         held = state.in_flight + self._count_others(state, now)
         far = 0.0 if target.data_centre == self._data_centre else FAR_PENALTY
         return held / max(1, target.slots) + far, self._random.random()
 
     def _rate_engine(
-        self, target: ListedTarget, need: EngineNeed, home: str, now: float
+        self,
+        target: ListedTarget,
+        need: EngineNeed,
+        home: Incarnation | None,
+        now: float,
     ) -> tuple[float, float]:
-        state = self._find(target.target_id)
-        tokens = self.count_tokens(target.target_id, need.prompt, now)
-        if target.target_id == home:
+        state = self._find(target.incarnation)
+        tokens = self.count_tokens(target.incarnation, need.prompt, now)
+        if target.incarnation == home:
             # others will have sent the parts there, whatever this instance saw
             shared = sum(part.tokens for part in need.prompt.shared)
             tokens = min(tokens, need.prompt.tokens_in - shared)
@@ -231,6 +246,8 @@
     if not prompt.shared or not candidates:
         return None
     last = prompt.shared[-1].part_id
+    # by the id: this says where parts are to go and not where they are. By the
+    # incarnation, a restart would move other engines' parts as well
     return min(
         candidates,
         key=lambda one: (compute_weight(last, one.target_id), one.target_id),
--- a/packages/greengagelatch/src/greengagelatch/relay/news.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/news.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 
+from .incarnations import Incarnation
 from .targets import ListedTarget
 
 __all__ = ("decode_target", "encode_target")
@@ -13,6 +14,7 @@
     """Return a target as a message holds it."""
     return (
         target.target_id,
+        target.incarnation.born,
         target.service,
         target.address,
         target.data_centre,
@@ -24,17 +26,20 @@
 
 def decode_target(row: Any) -> ListedTarget | None:
     """Return the target of a row; ``None`` if it can't be used."""
-    kinds = (str, str, str, str, int, bool, int)
+    kinds = (str, int, str, str, str, int, bool, int)
     if not isinstance(row, tuple | list) or len(row) != len(kinds):
         return None
     if not all(isinstance(one, kind) for one, kind in zip(row, kinds, strict=True)):
         return None
+    target_id, born, service, address, data_centre, slots, leaving, revision = row
+    if isinstance(born, bool) or born < 0:
+        return None
     return ListedTarget(
-        target_id=row[0],
-        service=row[1],
-        address=row[2],
-        data_centre=row[3],
-        slots=row[4],
-        leaving=row[5],
-        revision=row[6],
+        incarnation=Incarnation(target_id, born),
+        service=service,
+        address=address,
+        data_centre=data_centre,
+        slots=slots,
+        leaving=leaving,
+        revision=revision,
     )
--- a/packages/greengagelatch/src/greengagelatch/relay/targets.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/targets.py
@@ -2,22 +2,24 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+
+from .incarnations import Incarnation, Succession
 
 __all__ = ("ListedTarget", "TargetBook")
 
 #: seconds after the platform's store is back within which entries that lapsed while
 #: it was away are written again by targets that live
 RETURN_SECONDS = 2.0
-#: targets that left whose ids are remembered
+#: targets that left, and ids whose newest incarnation is known, that are remembered
 MAX_LEFT = 4096
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ListedTarget:
-    """One life of a target; a restart gets a new id."""
+    """One incarnation of a target, as its entry tells of it."""
 
-    target_id: str
+    incarnation: Incarnation
     service: str
     #: ``host:port``; may be given to another target once this one has ended
     address: str
@@ -27,26 +29,52 @@
     #: revision of the store at which its entry was written
     revision: int = 0
 
+    @property
+    def target_id(self) -> str:
+        """The id, which a later incarnation may have as well."""
+        return self.incarnation.target_id
+
 
 class TargetBook:
     """All targets that are listed, by service.
 
     A target that has begun to leave stays out for good, also if an older entry of
-    it is read again from a store that lags: work sent to it would be cut.
+    it is read again from a store that lags: work sent to it would be cut. One that
+    starts again under its id is another target: of each id only the newest
+    incarnation is listed.
     """
 
     def __init__(self) -> None:
+        #: by id: there is one entry for each
         self._targets: dict[str, ListedTarget] = {}
-        self._left: dict[str, None] = {}
+        #: what was last read of each id, also of those that are not listed any more
+        self._newest: dict[str, ListedTarget] = {}
+        self._left: dict[Incarnation, None] = {}
         self._services: dict[str, tuple[ListedTarget, ...]] = {}
 
     def __len__(self) -> int:
         return len(self._targets)
 
-    def accepts(self, target_id: str) -> bool:
+    def accepts(self, incarnation: Incarnation) -> bool:
         """Whether a target may still be sent work."""
-        target = self._targets.get(target_id)
-        return target is not None and not target.leaving
+        target = self._targets.get(incarnation.target_id)
+        if target is None or target.incarnation != incarnation:
+            return False
+        return not target.leaving
+
+    def is_former(self, incarnation: Incarnation) -> bool:
+        """Whether the target has started again since: all that it held is lost."""
+        newest = self._newest.get(incarnation.target_id)
+        return newest is not None and newest.incarnation > incarnation
+
+    def find_newest(self, target_id: str) -> Incarnation | None:
+        """Return the newest incarnation known of an id, listed or not."""
+        newest = self._newest.get(target_id)
+        return None if newest is None else newest.incarnation
+
+    def find_listed(self, target_id: str) -> ListedTarget | None:
+        """Return the target that is listed under an id."""
+        return self._targets.get(target_id)
 
     def list_service(self, service: str) -> tuple[ListedTarget, ...]:
         """Return the targets of a service that may be sent work, by id."""
@@ -59,7 +87,7 @@
                         for target in self._targets.values()
                         if target.service == service and not target.leaving
                     ),
-                    key=lambda target: target.target_id,
+                    key=lambda target: target.incarnation,
                 )
             )
             self._services[service] = found
@@ -69,35 +97,77 @@
         """Return every target listed, also those that leave."""
         return tuple(self._targets.values())
 
+    def compare(self, target: ListedTarget) -> Succession:
+        """Say how an entry stands to the newest incarnation known of its id.
+
+        An entry that tells no start can't prove a new one. It is of the incarnation
+        that is known where its address is the same; elsewhere nobody can say whose
+        it is.
+        """
+        newest = self._newest.get(target.target_id)
+        if newest is None:
+            return Succession.FIRST
+        born, known = target.incarnation.born, newest.incarnation.born
+        if born == known:
+            return Succession.SAME
+        if not born:
+            same = target.address == newest.address
+            return Succession.SAME if same else Succession.UNTOLD
+        return Succession.NEWER if born > known else Succession.OUTDATED
+
     def put(self, target: ListedTarget) -> bool:
         """Take in an entry; whether it changed what may be sent work."""
+        match self.compare(target):
+            case Succession.OUTDATED | Succession.UNTOLD:
+                return False
+            case Succession.NEWER:
+                self._targets.pop(target.target_id, None)
+            case Succession.SAME:
+                newest = self._newest[target.target_id].incarnation
+                target = replace(target, incarnation=newest)
         known = self._targets.get(target.target_id)
         if known is not None and known.revision > target.revision:
             return False
-        if target.target_id in self._left and not target.leaving:
+        if target.incarnation in self._left and not target.leaving:
             return False
         if target.leaving:
-            self._remember_left(target.target_id)
+            self._remember_left(target.incarnation)
         self._targets[target.target_id] = target
+        self._remember_newest(target)
         self._services.clear()
         return known is None or known.leaving != target.leaving
 
-    def remove(self, target_id: str, revision: int, *, lapsed: bool = False) -> bool:
+    def remove(
+        self, incarnation: Incarnation, revision: int, *, lapsed: bool = False
+    ) -> bool:
         """Take in that an entry is gone; whether it was there.
 
         :param lapsed: whether the entry may have ended only because its target
             could not renew it; such a target may be listed again
         """
-        known = self._targets.get(target_id)
-        if known is None or known.revision > revision > 0:
+        known = self._targets.get(incarnation.target_id)
+        if known is None or known.incarnation != incarnation:
             return False
-        del self._targets[target_id]
+        if known.revision > revision > 0:
+            return False
+        del self._targets[incarnation.target_id]
         if not lapsed:
-            self._remember_left(target_id)
+            self._remember_left(incarnation)
         self._services.clear()
         return True
 
-    def _remember_left(self, target_id: str) -> None:
-        self._left[target_id] = None
+    def _remember_left(self, incarnation: Incarnation) -> None:
+        self._left[incarnation] = None
         if len(self._left) > MAX_LEFT:
             del self._left[next(iter(self._left))]
+
+    def _remember_newest(self, target: ListedTarget) -> None:
+        # to the end, so that those unheard of for the longest time are dropped first
+        self._newest.pop(target.target_id, None)
+        self._newest[target.target_id] = target
+        if len(self._newest) <= MAX_LEFT:
+            return
+        for target_id in self._newest:
+            if target_id not in self._targets:
+                del self._newest[target_id]
+                return
--- a/tests/test_core/test_relay/test_batches.py
+++ b/tests/test_core/test_relay/test_batches.py
@@ -11,6 +11,7 @@
     find_hopeless,
 )
 from greengagelatch.relay.deployment import MakerProfile
+from greengagelatch.relay.incarnations import Incarnation
 from greengagelatch.relay.pieces import Bundle, Piece
 
 PROFILE = MakerProfile(
@@ -65,7 +66,7 @@
     slowness: float = 1.0,
 ) -> MakerView:
     return MakerView(
-        target_id=name,
+        incarnation=Incarnation(name),
         data_centre=data_centre,
         free_at=free_at,
         free_bytes=free_bytes,
@@ -76,7 +77,7 @@
 def plan(bundles, makers, policy=None):
     calls = (policy or SharedCalls()).plan(bundles, makers, PROFILE, NOW)
     return {
-        call.target_id: [bundle.bundle_id for bundle, _ in call.pieces]
+        call.incarnation.target_id: [bundle.bundle_id for bundle, _ in call.pieces]
         for call in calls
     }
 
--- a/tests/test_core/test_relay/test_fleet.py
+++ b/tests/test_core/test_relay/test_fleet.py
@@ -5,11 +5,12 @@
 import random
 
 from greengagelatch.relay.fleet import EngineNeed, Fleet, LoadReport
+from greengagelatch.relay.incarnations import Incarnation
 from greengagelatch.relay.requests import Prompt, PromptPart
 from greengagelatch.relay.targets import ListedTarget, TargetBook
 
 NOW = 50.0
-NOBODY: frozenset[str] = frozenset()
+NOBODY: frozenset[Incarnation] = frozenset()
 
 
 def create_fleet(count: int = 5, *, slots: int = 6) -> Fleet:
@@ -17,7 +18,7 @@
     for number in range(count):
         book.put(
             ListedTarget(
-                target_id=f"t-{number}",
+                incarnation=Incarnation(f"t-{number}"),
                 service="s",
                 address=f"10.0.0.{number}:80",
                 data_centre=("north", "south", "east")[number % 3],
@@ -50,14 +51,14 @@
 
 def test_least_loaded_target_is_chosen():
     fleet = create_fleet(3)
-    fleet.start("t-0")
-    fleet.start("t-0")
+    fleet.start(Incarnation("t-0"))
+    fleet.start(Incarnation("t-0"))
     assert fleet.choose_plain("s", NOBODY, NOW).target_id != "t-0"
 
 
 def test_targets_word_on_its_load_counts_for_a_while():
     fleet = create_fleet(1 + 1)
-    fleet.note_report("t-0", LoadReport(6, 3, 6), NOW)
+    fleet.note_report(Incarnation("t-0"), LoadReport(6, 3, 6), NOW)
     assert fleet.choose_plain("s", NOBODY, NOW).target_id == "t-1"
     assert fleet.choose_plain("s", NOBODY, NOW + 5).target_id == "t-0"
 
@@ -69,8 +70,8 @@
     Cause: outcomes were not remembered.
     """
     fleet = create_fleet(3)
-    fleet.note_failure("t-0", NOW)
-    fleet.note_failure("t-0", NOW)
+    fleet.note_failure(Incarnation("t-0"), NOW)
+    fleet.note_failure(Incarnation("t-0"), NOW)
     for _ in range(20):
         assert fleet.choose_plain("s", NOBODY, NOW + 0.2).target_id != "t-0"
 
@@ -85,13 +86,18 @@
     fleet = create_fleet(3)
     for number in range(3):
         for _ in range(3):
-            fleet.note_failure(f"t-{number}", NOW)
+            fleet.note_failure(Incarnation(f"t-{number}"), NOW)
     assert fleet.choose_plain("s", NOBODY, NOW + 0.1) is not None
 
 
 def test_excluded_targets_are_not_chosen():
     fleet = create_fleet(2)
-    assert fleet.choose_plain("s", frozenset({"t-0", "t-1"}), NOW) is None
+    assert (
+        fleet.choose_plain(
+            "s", frozenset({Incarnation("t-0"), Incarnation("t-1")}), NOW
+        )
+        is None
+    )
 
 
 def test_instances_agree_on_the_home_of_a_prompt_part():
@@ -125,7 +131,7 @@
     need = create_need("hot")
     home = choose(fleet, need)
     for _ in range(3):
-        fleet.start(home, 9000)
+        fleet.start(Incarnation(home), 9000)
     assert choose(fleet, need) != home
 
 
@@ -133,10 +139,10 @@
     fleet = create_fleet()
     need = create_need("part")
     home = choose(fleet, need)
-    other = choose(fleet, need, frozenset({home}))
-    fleet.note_parts(other, need.prompt, NOW)
-    assert fleet.count_tokens(other, need.prompt, NOW) == 9000 - 2500
-    assert fleet.count_tokens(other, need.prompt, NOW + 60) == 9000
+    other = choose(fleet, need, frozenset({Incarnation(home)}))
+    fleet.note_parts(Incarnation(other), need.prompt, NOW)
+    assert fleet.count_tokens(Incarnation(other), need.prompt, NOW) == 9000 - 2500
+    assert fleet.count_tokens(Incarnation(other), need.prompt, NOW + 60) == 9000
 
 
 def test_engine_near_large_results_is_preferred():
--- a/tests/test_core/test_relay/test_messages.py
+++ b/tests/test_core/test_relay/test_messages.py
@@ -6,6 +6,7 @@
 from result import Err, Ok
 
 from greengagelatch.peers.codec import Envelope, decode, encode
+from greengagelatch.relay.incarnations import Incarnation
 from greengagelatch.relay.messages import (
     News,
     PiecesWanted,
@@ -95,7 +96,7 @@
 
 def test_news_pass_targets_on():
     target = ListedTarget(
-        target_id="t-1",
+        incarnation=Incarnation("t-1", 1_700_000_000_123),
         service="s",
         address="10.0.0.1:80",
         data_centre="north",
@@ -106,4 +107,4 @@
     news = pass_on(News(listed=True, targets=(encode_target(target),)))
     assert decode_target(news.targets[0]) == target
     assert decode_target(("t-1", "s")) is None
-    assert decode_target(("t-1", "s", "a", "d", "3", True, 9)) is None
+    assert decode_target(("t-1", 5, "s", "a", "d", "3", True, 9)) is None
--- a/tests/test_core/test_relay/test_targets.py
+++ b/tests/test_core/test_relay/test_targets.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+from greengagelatch.relay.incarnations import Incarnation
 from greengagelatch.relay.targets import ListedTarget, TargetBook
 
 
 def create(target_id: str, revision: int, *, leaving: bool = False) -> ListedTarget:
     return ListedTarget(
-        target_id=target_id,
+        incarnation=Incarnation(target_id),
         service="desk",
         address="10.0.0.1:80",
         data_centre="north",
@@ -28,7 +29,7 @@
     book = TargetBook()
     book.put(create("t-1", 1))
     assert book.put(create("t-1", 2, leaving=True))
-    assert not book.accepts("t-1")
+    assert not book.accepts(Incarnation("t-1"))
     assert book.list_service("desk") == ()
 
 
@@ -44,9 +45,9 @@
     book.put(create("t-1", 7, leaving=True))
     assert not book.put(create("t-1", 6))
     assert not book.put(create("t-1", 8))
-    book.remove("t-1", 9)
+    book.remove(Incarnation("t-1"), 9)
     assert not book.put(create("t-1", 10))
-    assert not book.accepts("t-1")
+    assert not book.accepts(Incarnation("t-1"))
 
 
 def test_lapsed_entry_may_come_back():
@@ -57,14 +58,14 @@
     """
     book = TargetBook()
     book.put(create("t-1", 5))
-    assert book.remove("t-1", 6, lapsed=True)
-    assert not book.accepts("t-1")
+    assert book.remove(Incarnation("t-1"), 6, lapsed=True)
+    assert not book.accepts(Incarnation("t-1"))
     assert book.put(create("t-1", 7))
-    assert book.accepts("t-1")
+    assert book.accepts(Incarnation("t-1"))
 
 
 def test_removal_that_is_older_than_the_entry_is_ignored():
     book = TargetBook()
     book.put(create("t-1", 5))
-    assert not book.remove("t-1", 4)
-    assert book.accepts("t-1")
+    assert not book.remove(Incarnation("t-1"), 4)
+    assert book.accepts(Incarnation("t-1"))
--- a/tests/test_entry/test_relay/conftest.py
+++ b/tests/test_entry/test_relay/conftest.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from dataclasses import dataclass
+from typing import Any
 
 import aiohttp
 import pytest
@@ -81,12 +82,41 @@
     def find(self, controller: str):
         return next(one for one in self.parts.controllers if one.name == controller)
 
+    def describe(self) -> dict[str, Any]:
+        """Return the state as the instance shows it to operators."""
+        return self.find("readiness")._describe()
+
+    def count(self, name: str) -> int:
+        """Return a counter's total."""
+        return self.describe()["metrics"]["counters"].get(name, 0)
+
+    def accepts(self, target_id: str) -> bool:
+        """Whether the target listed under an id may be sent work."""
+        book = self.find("news")._book
+        listed = book.find_listed(target_id)
+        return listed is not None and book.accepts(listed.incarnation)
+
     async def wait_for(self, condition) -> None:
         """Wait until ``condition`` holds."""
         async with asyncio.timeout(PATIENCE):
             while not condition():  # noqa: ASYNC110 - any part may make it true
                 await asyncio.sleep(0.01)
 
+    async def wait_heard(self, revision: int) -> None:
+        """Wait until the store has been heard up to a revision."""
+        follower = self.find("store")
+        await self.wait_for(lambda: (follower.dump()["revision"] or 0) >= revision)
+
+    async def wait_for_breaker(self, incarnation: object, state: str) -> None:
+        """Send requests until a target's breaker is in a state."""
+        async with asyncio.timeout(PATIENCE):
+            while self._read_breaker(incarnation) != state:
+                await self.ask("/look/1")
+
+    def _read_breaker(self, incarnation: object) -> str:
+        believed = self.describe()["targets"]
+        return believed.get(str(incarnation), {}).get("breaker", "")
+
     async def wait_known(self, targets: int) -> None:
         """Wait until the configuration and so many targets are known."""
         book = self.find("news")._book
--- a/tests/test_entry/test_relay/test_guards.py
+++ b/tests/test_entry/test_relay/test_guards.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from greengagelatch.relay.incarnations import Incarnation
 from greengagelatch.relay.outcomes import NextStep
 from greengagelatch.relay.targets import ListedTarget, TargetBook
 from greengagelatch_entry.adapters.caller_connections import _Connection
@@ -76,11 +77,11 @@
     other = await world.add("other-1", "other")
     for name in ("desk-1", "desk-2"):
         world.store.remove(f"servers/{name}")
-    world.store.put(
-        "servers/desk-3", {"service": "desk", "address": other.address, "zone": "north"}
-    )
+    world.store.put("servers/desk-3", {**other.describe(), "service": "desk"})
     book = world.find("news")._book
-    await world.wait_for(lambda: book.accepts("desk-3") and not book.accepts("desk-1"))
+    await world.wait_for(
+        lambda: book.find_listed("desk-3") and not book.find_listed("desk-1")
+    )
     await world.ask("/look/1", request_id="s-1")
     assert other.runs["s-1"] == 1
 
@@ -100,7 +101,7 @@
     monkeypatch.setattr(TargetBook, "_remember_left", lambda self, target_id: None)
     book = TargetBook()
     target = ListedTarget(
-        target_id="t-1",
+        incarnation=Incarnation("t-1"),
         service="desk",
         address="10.0.0.1:80",
         data_centre="north",
@@ -108,7 +109,7 @@
     )
     book.put(replace(target, leaving=True, revision=2))
     book.put(replace(target, revision=3))
-    assert book.accepts("t-1")
+    assert book.accepts(Incarnation("t-1"))
 
 
 async def test_revision_keeps_the_configuration_from_going_back(world, monkeypatch):
--- a/tests/test_entry/test_relay/test_plain.py
+++ b/tests/test_entry/test_relay/test_plain.py
@@ -134,8 +134,7 @@
     Cause: a request was sent to an address, whoever has it.
     """
     other = await world.add("other-1", "other")
-    fields = {"service": "desk", "address": other.address, "zone": "north"}
-    world.store.put("servers/desk-3", fields)
+    world.store.put("servers/desk-3", {**other.describe(), "service": "desk"})
     await world.wait_known(4)
     for number in range(12):
         reply = await world.ask("/look/1", request_id=f"s-{number}")
@@ -145,8 +144,7 @@
 
 async def test_leaving_target_gets_nothing_more(world):
     world.targets["desk-1"].register(world.store, state="draining")
-    book = world.find("news")._book
-    await world.wait_for(lambda: not book.accepts("desk-1"))
+    await world.wait_for(lambda: not world.accepts("desk-1"))
     before = world.targets["desk-1"].runs.total()
     for _ in range(6):
         assert (await world.ask("/look/1")).status == 200
--- a/tests/test_entry/test_relay/test_store_outages.py
+++ b/tests/test_entry/test_relay/test_store_outages.py
@@ -49,8 +49,7 @@
     world.store.compact()
     world.store.fault = StoreFault.NONE
     await world.wait_for(lambda: configuration.deployment.version == 12)
-    book = world.find("news")._book
-    await world.wait_for(lambda: not book.accepts("desk-1"))
+    await world.wait_for(lambda: not world.accepts("desk-1"))
 
 
 async def test_older_configuration_is_not_taken_back(world):
--- a/tests/test_platform/test_targets.py
+++ b/tests/test_platform/test_targets.py
@@ -4,6 +4,7 @@
 
 import json
 
+from greengagelatch.relay.incarnations import Incarnation
 from greengagelatch.relay.pieces import Piece, PieceFailure
 from greengagelatch.relay.requests import OpaqueRequest
 from greengagelatch_entry.relay.messages import RelayCall
@@ -24,7 +25,7 @@
 
 def test_request_carries_what_the_system_knows():
     call = RelayCall(
-        target_id="i-1",
+        incarnation=Incarnation("i-1", 1_700_000_000_123),
         remaining=0.7504,
         workspace="north",
         resume_after=12,
@@ -47,7 +48,7 @@
         Piece(request_id="r-1", stage=0, segment=2, key="7c1e"),
         Piece(request_id="r-2", stage=2, segment=0, inputs=("10.0.0.1:80/a",)),
     )
-    outbound = CODEC.encode_pieces(pieces, (0.9, 2.0), "i-1")
+    outbound = CODEC.encode_pieces(pieces, (0.9, 2.0), Incarnation("i-1", 5))
     assert json.loads(outbound.body)["items"] == [
         {"id": "r-1", "stage": 0, "segment": 2, "remaining-ms": 900, "key": "7c1e"},
         {
