Take no entry for a target of which a field is missing or not as named

Another writer may write below the targets' prefix. A state other than the two named counted as ready; an entry that turned unreadable left its target in use. Now such an entry names no target: nothing new is sent, what was sent stays, and it is used again once its entry reads well. One line for each such entry and its bytes, one count for each reading. A service in no configuration is told once and used once it is named. An item of the store whose bytes can't be read loses no other any more.

--- /dev/null
+++ b/tests/test_entry/test_relay/test_listing.py
@@ -0,0 +1,264 @@
+"""Tests of greengagelatch_entry.relay.listing: entries that name no target to use."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from greengagelatch.clock import ManualClock
+from greengagelatch.peers.codec import Envelope, decode, encode
+from greengagelatch.relay.messages import News
+from greengagelatch.relay.news import decode_target, encode_target
+from greengagelatch.relay.targets import TargetBook
+from greengagelatch.store import Entry
+from greengagelatch.store.ranges import Changes, Scan
+from greengagelatch_entry.relay.decisions import DecisionLog
+from greengagelatch_entry.relay.listing import ListingFollower
+from greengagelatch_entry.relay.prometheus import PrometheusMetrics
+from greengagelatch_lab.platform_standins.deployment import create_configuration
+from greengagelatch_platform.listing import PlatformListingCodec
+
+GOOD = {
+    "service": "desk",
+    "address": "10.0.0.1:8080",
+    "zone": "north",
+    "version": "v1",
+    "slots": 4,
+    "state": "ready",
+    "cold-left-ms": 0,
+    "seq-no": 1,
+    "born": 1_700_000_000_000,
+}
+
+
+class Listing:
+    """A follower of its own, told directly what a store would tell."""
+
+    def __init__(self) -> None:
+        clock = ManualClock()
+        self.metrics = PrometheusMetrics()
+        self.book = TargetBook()
+        self.gone: list[str] = []
+        self.services = {"desk"}
+        self.follower = ListingFollower(
+            codec=PlatformListingCodec(),
+            book=self.book,
+            note_gone=lambda incarnation: self.gone.append(str(incarnation)),
+            find_services=lambda: self.services,
+            clock=clock,
+            metrics=self.metrics,
+            decisions=DecisionLog(clock=clock, metrics=self.metrics),
+        )
+
+    def write(self, revision: int, **values: bytes) -> None:
+        """Take in that entries were written; names stand for ids."""
+        entries = tuple(
+            Entry(f"servers/{name}", value, revision) for name, value in values.items()
+        )
+        self.follower.take_changes(Changes(entries, (), revision))
+
+    def accepts(self, target_id: str) -> bool:
+        listed = self.book.find_listed(target_id)
+        return listed is not None and self.book.accepts(listed.incarnation)
+
+
+def write_fields(**changes: object) -> bytes:
+    return json.dumps({**GOOD, **changes}).encode()
+
+
+@pytest.mark.parametrize(
+    "value", [b"\xff\xfe", b"", b"[]", write_fields(state="resting"), b'{"service":']
+)
+def test_target_whose_entry_names_none_gets_nothing_until_it_does_again(value):
+    """Symptom: requests go to a target that says, in words not known, that it must
+    not have them.
+
+    Sequence: another writer changes the entry of a target that was ready.
+    Cause: an entry that could not be read changed nothing, or its state counted as
+    ready.
+    """
+    listing = Listing()
+    listing.write(1, one=write_fields(), two=write_fields())
+    listing.write(2, one=value)
+    assert not listing.accepts("one")
+    assert listing.accepts("two")
+    listing.write(3, one=write_fields())
+    assert listing.accepts("one")
+    # nothing says that it has ended
+    assert listing.gone == ["one@1700000000000"]
+
+
+def test_bad_entry_is_told_once_and_again_when_its_bytes_change():
+    """Symptom: the log is full of lines about one entry.
+
+    Sequence: the listing is read again after each outage of the store.
+    Cause: a line was written for each reading.
+    """
+    listing = Listing()
+    bad = Entry("servers/bad", b"{}", 3)
+    for _ in range(3):
+        listing.follower.take_scan(Scan((bad,), 9))
+    count = listing.metrics.value
+    assert count("beliefs.target-unreadable") == 1
+    assert count("targets.unreadable") == 3
+    listing.write(10, bad=b"[]")
+    assert count("beliefs.target-unreadable") == 2
+    assert set(listing.follower.dump()["bad_entries"]) == {"servers/bad"}
+    listing.follower.take_scan(Scan((), 12))
+    assert listing.follower.dump()["bad_entries"] == {}
+
+
+def test_entry_without_a_start_at_another_address_is_set_aside():
+    listing = Listing()
+    listing.write(1, one=write_fields())
+    fields = {**GOOD, "address": "10.0.0.2:80"}
+    del fields["born"]
+    listing.write(2, one=json.dumps(fields).encode())
+    assert not listing.accepts("one")
+    assert listing.metrics.value("beliefs.target-unreadable") == 1
+
+
+def test_service_in_no_configuration_is_told_once_and_used_once_it_is():
+    listing = Listing()
+    listing.write(1, one=write_fields(service="new"))
+    listing.write(2, one=write_fields(service="new", slots=5))
+    assert listing.metrics.value("beliefs.target-unknown-service") == 1
+    assert listing.book.list_service("desk") == ()
+    listing.services = {"desk", "new"}
+    listing.follower.check_services()
+    assert listing.follower.dump()["unknown_services"] == {}
+    assert len(listing.book.list_service("new")) == 1
+
+
+def test_target_that_moves_to_an_unknown_service_gets_nothing():
+    listing = Listing()
+    listing.write(1, one=write_fields())
+    listing.write(2, one=write_fields(service="new"))
+    assert listing.book.list_service("desk") == ()
+
+
+_scalars = st.one_of(
+    st.none(),
+    st.booleans(),
+    st.integers(),
+    st.floats(),
+    st.text(max_size=12),
+    st.sampled_from(["ready", "draining", "desk", "10.0.0.1:80", "[::1]:9", "\ud800"]),
+)
+_anything = st.recursive(
+    _scalars,
+    lambda inner: st.one_of(
+        st.lists(inner, max_size=3), st.dictionaries(st.text(max_size=6), inner)
+    ),
+    max_leaves=6,
+)
+_changed = st.dictionaries(st.sampled_from(list(GOOD)), _anything, max_size=4).map(
+    lambda changes: json.dumps({**GOOD, **changes}).encode()
+)
+_missing = st.sets(st.sampled_from(list(GOOD)), max_size=3).map(
+    lambda names: json.dumps(
+        {name: value for name, value in GOOD.items() if name not in names}
+    ).encode()
+)
+_values = st.one_of(
+    st.binary(max_size=40),
+    _changed,
+    _missing,
+    _anything.map(lambda value: json.dumps(value).encode()),
+    st.just(b"[" * 100_000),
+)
+_keys = st.one_of(
+    st.sampled_from(["servers/one", "servers/two", "servers/"]),
+    st.text(max_size=8).map(lambda text: f"servers/{text}"),
+)
+_steps = st.lists(
+    st.tuples(st.sampled_from(["scan", "write", "remove"]), _keys, _values), max_size=8
+)
+
+
+@given(_steps)
+@settings(suppress_health_check=[HealthCheck.too_slow])
+def test_drawn_entries_never_raise_and_others_hold(steps):
+    listing = Listing()
+    good = Entry("servers/good", write_fields(), 1)
+    listing.write(1, good=good.value)
+    for revision, (step, key, value) in enumerate(steps, start=2):
+        if key == good.key:
+            continue
+        entry = Entry(key, value, revision)
+        match step:
+            case "scan":
+                listing.follower.take_scan(Scan((good, entry), revision))
+            case "write":
+                listing.follower.take_changes(Changes((entry,), (), revision))
+            case "remove":
+                listing.follower.take_changes(Changes((), ((key, revision),), revision))
+        assert listing.accepts("good")
+    listed = listing.book.list_all()
+    # what is listed can be told to peers and written into a request
+    rows = tuple(map(encode_target, listed))
+    message = decode(encode(Envelope(News(listed=True, targets=rows)))).unwrap()
+    assert tuple(map(decode_target, message.message.targets)) == listed
+    for target in listed:
+        assert target.target_id.isascii()
+        assert target.address.rpartition(":")[2].isdecimal()
+        assert target.incarnation.born >= 0
+
+
+# on a whole instance
+
+
+async def test_work_of_a_target_goes_on_while_its_entry_can_not_be_read(world):
+    """Symptom: requests in work are given up, or new ones go on to a target whose
+    entry somebody has overwritten.
+
+    Sequence: the entry of a target with work turns into bytes that can't be read, and
+    is mended later.
+    Cause: such an entry changed nothing, or was taken for the target's end.
+    """
+    busy = world.targets["desk-1"]
+    other = world.targets["desk-2"]
+    busy.gate = asyncio.Event()
+    asking = [
+        asyncio.create_task(
+            world.ask("/book/1", method="POST", request_id=f"b-{number}")
+        )
+        for number in range(4)
+    ]
+    await world.wait_for(lambda: busy.runs.total() >= 1)
+    revision = world.store.put_bytes("servers/desk-1", b"\xff\x00")
+    await world.wait_for(lambda: not world.accepts("desk-1"))
+    await world.wait_heard(revision)
+    before = busy.runs.total()
+    for number in range(6):
+        reply = await world.ask("/look/1", request_id=f"s-{number}")
+        assert reply.status == 200
+    assert busy.runs.total() == before
+    assert other.runs.total() >= 6
+    busy.gate.set()
+    assert [reply.status for reply in await asyncio.gather(*asking)] == [200] * 4
+    assert world.count("beliefs.target-unreadable") == 1
+    busy.register(world.store)
+    await world.wait_for(lambda: world.accepts("desk-1"))
+    world.store.remove("servers/desk-2")
+    await world.wait_for(lambda: not world.accepts("desk-2"))
+    assert (await world.ask("/look/1")).status == 200
+
+
+async def test_entry_for_an_unknown_service_is_used_once_it_is_configured(world):
+    await world.add("new-1", "new")
+    await world.wait_for(lambda: world.count("beliefs.target-unknown-service") == 1)
+    fields = create_configuration(12)
+    fields["services"].append({"name": "new", "health-path": "/h", "max-conns": 9})
+    for route in fields["routes"]:
+        if route["name"] == "look":
+            route["service"] = "new"
+    world.store.put("op/config", fields)
+    configuration = world.find("news")._configuration
+    await world.wait_for(lambda: configuration.deployment.version == 12)
+    assert (await world.ask("/look/1", request_id="n-1")).status == 200
+    assert world.targets["new-1"].runs["n-1"] == 1
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -46,6 +46,30 @@
     assert scan.revision == scan.entries[-1].revision + 1
 
 
+async def test_item_that_can_not_be_read_loses_no_other(store, standin, monkeypatch):
+    """Symptom: an instance hears nothing of the store for as long as one item is bad.
+
+    Sequence: the text that stands for an item's bytes is not what it should be.
+    Cause: the whole answer was refused.
+    """
+    describe = StoreStandIn._describe
+
+    def describe_badly(self, key):
+        item = describe(self, key)
+        return {**item, "value": "!"} if key == "servers/bad" else item
+
+    monkeypatch.setattr(StoreStandIn, "_describe", describe_badly)
+    revision = standin.put("servers/a", {"n": 1})
+    standin.put("servers/bad", {"n": 1})
+    entries = (await store.scan("servers/")).unwrap().entries
+    assert [(one.key, one.value) for one in entries] == [
+        ("servers/a", b'{"n": 1}'),
+        ("servers/bad", b""),
+    ]
+    changes = (await store.follow("servers/", revision, 1.0)).unwrap()
+    assert [one.value for one in changes.written] == [b""]
+
+
 async def test_changes_are_followed(store, standin):
     revision = standin.put("servers/a", {"n": 1})
     standin.put("servers/b", {"n": 1})
