Make stage results again that a maker lost by starting again

Results remember the incarnation that made them, also on their way between instances. Once it has started again they are lost: pieces are made again where there is time, no maker and no engine is sent a handle of before (asked again once the connection stands), an answer that the old process still gives is not used, and no freeing is sent. Freeing names the maker that is meant, also where this instance has no calls with it.

Existing tests: results, bundles and rows carry the maker (test_messages, test_owned_desk, test_targets of platform); rows that don't fit have more cases.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/codecs.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/codecs.py
@@ -61,7 +61,7 @@
 
     @abstractmethod
     def encode_freeing(
-        self, handles: tuple[str, ...], incarnation: Incarnation | None
+        self, handles: tuple[str, ...], incarnation: Incarnation
     ) -> Outbound:
         """Return the call that gives up results at their maker."""
 
@@ -71,7 +71,7 @@
 
     @abstractmethod
     def read_pieces(
-        self, body: bytes, count: int, data_centre: str
+        self, body: bytes, count: int, maker: ListedTarget
     ) -> tuple[PieceResult, ...] | None:
         """Return the results that a maker tells; ``None`` if it can't be read."""
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -269,6 +269,7 @@
             decisions=self.decisions,
             data_centre=self.rules.data_centre,
             fleet=self.fleet,
+            book=self.book,
         )
         common = {
             "sender": TargetSender(
@@ -406,6 +407,7 @@
     def _note_gone(self, incarnation: Incarnation) -> None:
         self.links.drop(incarnation)
         self.fleet.forget(incarnation)
+        self.local_desk.note_gone(incarnation)
 
     def _describe(self) -> dict[str, Any]:
         parts = {part.name: part.dump() for part in self._list_controllers()}
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/desk.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/desk.py
@@ -11,6 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from greengagelatch.relay.incarnations import Incarnation
     from greengagelatch.relay.pieces import Bundle, PieceResult
 
     from .stages import QueueWait
@@ -36,12 +37,17 @@
     ) -> tuple[PieceResult, ...]:
         return await self.find_pool(bundle.service).make(bundle, note_read)
 
-    def free(self, service: str, handles: tuple[str, ...]) -> None:
-        self.find_pool(service).free(handles)
+    def free(self, service: str, results: tuple[PieceResult, ...]) -> None:
+        self.find_pool(service).free(results)
 
     def estimate_wait(self, service: str) -> QueueWait:
         return self.find_pool(service).estimate_wait()
 
+    def note_gone(self, incarnation: Incarnation) -> None:
+        """Take in that a maker is gone, or has started again."""
+        for pool in self._pools.values():
+            pool.note_gone(incarnation)
+
     def list_waits(self) -> list[tuple[str, QueueWait]]:
         """Return how long a piece of each service would wait."""
         return [(name, pool.estimate_wait()) for name, pool in self._pools.items()]
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/freeing.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/freeing.py
@@ -5,13 +5,15 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from greengagelatch.relay.incarnations import Incarnation
-
 from .links import LinkError, NotSentError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from greengagelatch.relay.incarnations import Incarnation
+    from greengagelatch.relay.pieces import PieceResult
+    from greengagelatch.relay.targets import TargetBook
+
     from ..metrics import Metrics
     from .codecs import TargetCodec
     from .decisions import DecisionLog
@@ -29,7 +31,9 @@
 class ResultFreeing:
     """Tells makers of results that are not needed, those of a moment together.
 
-    :param find_maker: returns the maker at an address, if it is one of the service's
+    Those of a maker that has started again are gone, and nothing is sent for them.
+
+    :param find_maker: returns what is known of a maker, if it is one of the service's
     :param note_freed: called once room has become free
     """
 
@@ -37,8 +41,9 @@
         self,
         service: str,
         *,
-        find_maker: Callable[[str], Maker | None],
+        find_maker: Callable[[Incarnation], Maker | None],
         note_freed: Callable[[], None],
+        book: TargetBook,
         links: TargetLinks,
         codec: TargetCodec,
         metrics: Metrics,
@@ -47,19 +52,24 @@
         self._service = service
         self._find_maker = find_maker
         self._note_freed = note_freed
+        self._book = book
         self._links = links
         self._codec = codec
         self._metrics = metrics
         self._decisions = decisions
-        self._waiting: dict[str, list[str]] = {}
+        #: handles by their maker and its address
+        self._waiting: dict[tuple[Incarnation, str], list[str]] = {}
         self._timer: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def free(self, handles: tuple[str, ...]) -> None:
+    def free(self, results: tuple[PieceResult, ...]) -> None:
         """Have makers drop results."""
-        for handle in handles:
-            address = self._codec.find_maker_address(handle)
-            self._waiting.setdefault(address, []).append(handle)
+        for result in results:
+            if result.maker is None:
+                # a row of a peer that stands for a piece which was not made
+                continue
+            place = (result.maker, self._codec.find_maker_address(result.handle))
+            self._waiting.setdefault(place, []).append(result.handle)
         if self._timer is None and self._waiting:
             loop = asyncio.get_running_loop()
             self._timer = loop.call_later(FREE_DELAY, self._send_all)
@@ -75,24 +85,33 @@
     def _send_all(self) -> None:
         self._timer = None
         waiting, self._waiting = self._waiting, {}
-        for address, handles in waiting.items():
-            task = asyncio.create_task(self._send(address, tuple(handles)))
+        for (incarnation, address), handles in waiting.items():
+            if self._book.is_former(incarnation):
+                self._metrics.count("stages.lost_by_restart", len(handles))
+                continue
+            sending = self._send(incarnation, address, tuple(handles))
+            task = asyncio.create_task(sending)
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
-    async def _send(self, address: str, handles: tuple[str, ...]) -> None:
-        maker = self._find_maker(address)
-        incarnation = maker.target.incarnation if maker else None
+    async def _send(
+        self, incarnation: Incarnation, address: str, handles: tuple[str, ...]
+    ) -> None:
         try:
             reply = await self._links.send(
-                incarnation=incarnation or Incarnation(address),
+                incarnation=incarnation,
                 address=address,
                 outbound=self._codec.encode_freeing(handles, incarnation),
-                fresh=incarnation is None,
+                fresh=False,
                 timeout=FREE_TIMEOUT,
+                # one that leaves holds its results until it ends
+                may_send=lambda: not self._book.is_former(incarnation),
             )
             await reply.read(MAX_ANSWER_BYTES)
-            reply.release()
+            if self._book.accepts(incarnation):
+                reply.release()
+            else:
+                reply.abort()
         except (NotSentError, LinkError) as error:
             # its maker drops them by itself after a while
             self._metrics.count("stages.unfreed", len(handles))
@@ -100,6 +119,7 @@
                 "unfreed", service=self._service, address=address, reason=str(error)
             )
             return
+        maker = self._find_maker(incarnation)
         if maker is None:
             return
         # only now: a call that began earlier would still find the room taken
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/links.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/links.py
@@ -194,7 +194,7 @@
             link = await self._open(address, min(timeout, CONNECT_TIMEOUT))
         if may_send is not None and not may_send():
             link.abort()
-            raise NotSentError("the target began to leave")
+            raise NotSentError("the target began to leave, or its inputs are lost")
         link.set_response_params(
             skip_payload=outbound.method == "HEAD",
             read_until_eof=True,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/listing.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/listing.py
@@ -121,6 +121,7 @@
         self._returning_until = self._clock.now() + RETURN_SECONDS
 
     def _put(self, target: ListedTarget) -> None:
+        former = None
         match self._book.compare(target):
             case Succession.OUTDATED:
                 self._note_outdated(target)
@@ -131,8 +132,10 @@
                 self._metrics.count("targets.untold")
                 return
             case Succession.NEWER:
-                self._note_restart(target)
+                former = self._book.find_newest(target.target_id)
         changed = self._book.put(target)
+        if former is not None:
+            self._note_restart(target, former)
         self._check_service(target.target_id)
         if not changed:
             return
@@ -148,14 +151,13 @@
         if target.leaving:
             self._note_gone(target.incarnation)
 
-    def _note_restart(self, target: ListedTarget) -> None:
+    def _note_restart(self, target: ListedTarget, former: Incarnation) -> None:
         """Drop all that is known of the incarnation before.
 
         Believed of the new one, it would be sent prompts whose parts it has lost, be
         passed over for failures that are not its own, or get nothing for good where
         the former one was leaving.
         """
-        former = self._book.find_newest(target.target_id)
         self._metrics.count("targets.restarted")
         self._outdated.pop(target.target_id, None)
         self._decisions.note_belief(
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/maker_calls.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/maker_calls.py
@@ -93,7 +93,7 @@
             # a late second answer could be taken for this call's
             fresh=True,
             timeout=allowed,
-            may_send=lambda: self._book.accepts(target.incarnation),
+            may_send=lambda: self._may_send(maker, call),
         )
         try:
             head = self._codec.read_head(reply)
@@ -101,6 +101,14 @@
         finally:
             reply.abort()
 
+    def _may_send(self, maker: Maker, call: PlannedCall) -> bool:
+        """Whether the maker takes calls, and none of what they read is lost."""
+        if not self._book.accepts(maker.target.incarnation):
+            return False
+        return not any(
+            self._book.has_former(bundle.input_makers) for bundle, _ in call.pieces
+        )
+
     def _note_lost(
         self, maker: Maker, count: int, allowed: float, started: float, reason: str
     ) -> CallEnd:
@@ -123,8 +131,7 @@
             return CallEnd(REJECTED)
         results = None
         if head.status == STATUS_OK:
-            place = maker.target.data_centre
-            results = self._codec.read_pieces(body, count, place)
+            results = self._codec.read_pieces(body, count, maker.target)
         if results is None:
             maker.note_failure(now)
             return CallEnd(f"status {head.status}")
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/owned_desk.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/owned_desk.py
@@ -125,13 +125,13 @@
                 return results
         return await self._local.make(bundle, note_read)
 
-    def free(self, service: str, handles: tuple[str, ...]) -> None:
-        by_owner: dict[str, list[str]] = {}
-        for handle in handles:
-            owner = self._makers_owner.pop(handle, "")
-            by_owner.setdefault(owner, []).append(handle)
+    def free(self, service: str, results: tuple[PieceResult, ...]) -> None:
+        by_owner: dict[str, list[PieceResult]] = {}
+        for result in results:
+            owner = self._makers_owner.pop(result.handle, "")
+            by_owner.setdefault(owner, []).append(result)
         for owner, freed in by_owner.items():
-            message = ResultsFreed(service, tuple(freed))
+            message = ResultsFreed(service, encode_results(tuple(freed)))
             if not owner or not self._peers.send(owner, message):
                 self._local.free(service, tuple(freed))
 
@@ -300,4 +300,6 @@
             note_read()
 
     def _take_freed(self, sender: str, message: ResultsFreed) -> None:
-        self._local.free(message.service, tuple(message.handles))
+        results = decode_results(message.results, len(message.results))
+        if results is not None:
+            self._local.free(message.service, results)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/sending.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/sending.py
@@ -12,6 +12,8 @@
 from .links import LinkError, NotSentError
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from greengagelatch.clock import Clock
     from greengagelatch.relay.fleet import Fleet
     from greengagelatch.relay.targets import ListedTarget, TargetBook
@@ -74,10 +76,13 @@
         *,
         timeout: float,
         fresh: bool,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> Answered | Unanswered:
         """Send once; the verdict of ``exchange`` rises by what is known then.
 
         :param timeout: seconds until the answer's head must be there
+        :param may_send: asked once the connection stands: what ``call`` names may have
+            been lost by then
         """
         incarnation = target.incarnation
         outbound = self._codec.encode_request(exchange.request, call)
@@ -88,7 +93,7 @@
                 outbound=outbound,
                 fresh=fresh,
                 timeout=timeout,
-                may_send=lambda: self._book.accepts(incarnation),
+                may_send=lambda: self._book.accepts(incarnation) and may_send(),
             )
         except NotSentError as error:
             exchange.unsent += 1
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
@@ -105,7 +105,8 @@
         self._caller = MakerCaller(links=links, codec=codec, book=book, clock=clock)
         self._freeing = ResultFreeing(
             service,
-            find_maker=self._find_maker_at,
+            find_maker=self._makers.get,
+            book=book,
             note_freed=self._look,
             links=links,
             codec=codec,
@@ -121,6 +122,9 @@
         :param note_read: called once makers have read the inputs of all pieces
         """
         self._budgets.note_request(self._service)
+        if self._book.has_former(bundle.input_makers):
+            gone = PieceResult(failure=PieceFailure.GONE)
+            return (gone,) * len(bundle.pieces)
         done = asyncio.get_running_loop().create_future()
         work = _Work(bundle, list(bundle.pieces), done, note_read)
         self._works.append(work)
@@ -161,15 +165,33 @@
             self._made.popleft()
         return sum(count for _, count in self._made) / RATE_SECONDS
 
-    def free(self, handles: tuple[str, ...]) -> None:
+    def free(self, results: tuple[PieceResult, ...]) -> None:
         """Have makers drop results."""
-        self._freeing.free(handles)
+        self._freeing.free(results)
 
-    def _find_maker_at(self, address: str) -> Maker | None:
-        for maker in self._makers.values():
-            if maker.target.address == address:
-                return maker
-        return None
+    def note_gone(self, incarnation: Incarnation) -> None:
+        """Take in that a maker is gone; if it has started again, its results are lost.
+
+        Their pieces are made again: an engine that was sent their handles would turn
+        the request away, after all stages.
+        """
+        if not self._book.is_former(incarnation):
+            return
+        for work in tuple(self._works):
+            self._drop_lost(work, incarnation)
+        self._look()
+
+    def _drop_lost(self, work: _Work, incarnation: Incarnation) -> None:
+        if work.left and incarnation in work.bundle.input_makers:
+            self._fail(work, PieceFailure.GONE)
+            return
+        for piece in work.bundle.pieces:
+            result = work.results.get(piece.segment)
+            if result is None or result.maker != incarnation:
+                continue
+            del work.results[piece.segment]
+            work.losses += 1
+            work.left.append(piece)
 
     def describe(self) -> dict[str, object]:
         """Return the state for the dump."""
@@ -362,8 +384,10 @@
             result = None if end.results is None else end.results[index]
             if work is None or work.withdrawn or work.done.done():
                 if result is not None and result.failure is None:
-                    unwanted.append(result.handle)
+                    unwanted.append(result)
                 continue
+            if result is not None and self._is_lost(result):
+                result = PieceResult(failure=PieceFailure.LOST)
             self._take_result(work, piece, end.outcome, result)
         if unwanted:
             self.free(tuple(unwanted))
@@ -392,8 +416,16 @@
             if work.losses >= MAX_LOSSES:
                 self._fail(work, PieceFailure.LOST)
                 return
+        if self._book.has_former(work.bundle.input_makers):
+            # one of them started again while the piece was at a maker
+            self._fail(work, PieceFailure.GONE)
+            return
         work.left.append(piece)
 
+    def _is_lost(self, result: PieceResult) -> bool:
+        """Whether a result was made by a maker that has started again since."""
+        return result.failure is None and self._book.is_former(result.maker)
+
     def _finish(self, work: _Work) -> None:
         self._works.remove(work)
         ordered = tuple(work.results[piece.segment] for piece in work.bundle.pieces)
@@ -415,7 +447,7 @@
         work.withdrawn = True
         if work in self._works:
             self._works.remove(work)
-        made = tuple(one.handle for one in work.results.values())
+        made = tuple(work.results.values())
         if made:
             self.free(made)
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
@@ -15,12 +15,14 @@
 from .refusals import create_error
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
     from greengagelatch.clock import Clock
     from greengagelatch.relay.fleet import Fleet
+    from greengagelatch.relay.incarnations import Incarnation
     from greengagelatch.relay.requests import RefusedError
     from greengagelatch.relay.stage_plan import StageWork
+    from greengagelatch.relay.targets import TargetBook
 
     from .decisions import DecisionLog
     from .exchange import RelayExchange
@@ -54,7 +56,7 @@
         """
 
     @abstractmethod
-    def free(self, service: str, handles: tuple[str, ...]) -> None:
+    def free(self, service: str, results: tuple[PieceResult, ...]) -> None:
         """Give up results."""
 
     @abstractmethod
@@ -80,6 +82,8 @@
     inputs: tuple[str, ...] | None = None
     #: bytes of these by the data centre of their makers
     bytes_by_data_centre: dict[str, int] = field(default_factory=dict)
+    #: what holds them
+    makers: frozenset[Incarnation] = frozenset()
 
 
 class _StageFailedError(Exception):
@@ -100,8 +104,10 @@
         decisions: DecisionLog,
         data_centre: str,
         fleet: Fleet,
+        book: TargetBook,
     ) -> None:
         self.fleet = fleet
+        self.book = book
         self.desk = desk
         self.clock = clock
         self.decisions = decisions
@@ -133,6 +139,7 @@
         self._decisions = runner.decisions
         self._data_centre = runner.data_centre
         self._fleet = runner.fleet
+        self._book = runner.book
         self._exchange = exchange
         self._first_seconds = first_seconds
         self._whole_seconds = whole_seconds
@@ -194,6 +201,15 @@
             ms=round((self._clock.now() - started) * 1000),
         )
 
+    def is_lost(self, results: StageResults) -> bool:
+        """Whether a maker of results has started again: it holds none of them."""
+        return self._book.has_former(results.makers)
+
+    def _list_makers(self, numbers: Collection[int]) -> tuple[Incarnation, ...]:
+        """Return the makers of what some stages have made, each once."""
+        makers = (result.maker for one in numbers for result in self._held[one])
+        return tuple(dict.fromkeys(makers))
+
     def free(self) -> None:
         """Give up every result that is held."""
         for number in tuple(self._held):
@@ -236,6 +252,8 @@
             await asyncio.shield(task)
         work = self._plan.works[number]
         await self._wait_for_others(work)
+        if self._book.has_former(self._list_makers(work.after)):
+            raise _StageFailedError(work, PieceFailure.GONE)
         self._ends[number] = self._clock.now() + self._find_wait(work.service)
         self._ends[number] += work.seconds
         handles = {
@@ -296,6 +314,7 @@
                 exchange.deadline - rest - self._whole_seconds,
             ),
             inputs_until=self._find_lapse(work),
+            input_makers=self._list_makers(work.after),
             rank=exchange.rank,
             data_centre=self._find_data_centre(work),
             moved_bytes=self._count_moved_bytes(work),
@@ -362,6 +381,7 @@
         results = StageResults(inputs=())
         sizes = results.bytes_by_data_centre
         for number in self._plan.final:
+            results.makers |= {result.maker for result in self._held[number]}
             for result in self._held[number]:
                 results.inputs += (result.handle,)
                 size = self._plan.works[number].result_bytes
@@ -371,8 +391,7 @@
     def _free_stage(self, number: int) -> None:
         held = self._held.pop(number, ())
         if held:
-            handles = tuple(result.handle for result in held)
-            self._desk.free(self._plan.works[number].service, handles)
+            self._desk.free(self._plan.works[number].service, held)
 
     def _refuse(self, error: _StageFailedError) -> RefusedError:
         late = error.failure in (PieceFailure.LATE, PieceFailure.ROOM)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -137,21 +137,28 @@
         excluded: frozenset[Incarnation] = frozenset()
         last: Unanswered | None = None
         while True:
+            if self._run.is_lost(self._results):
+                await self._make_again()
             target = self._choose(excluded)
             if target is None:
                 break
             last = await self._try(target)
             if last is None:
                 return
-            excluded |= {target.incarnation}
+            lost = self._run.is_lost(self._results)
+            if not lost or last.outcome is not SendOutcome.UNSENT:
+                excluded |= {target.incarnation}
             if not runner.may_repeat(exchange, last.outcome):
                 break
             if last.status == STATUS_CONFLICT or self._begun:
                 # results that were read are freed; another target reads them anew
-                self._run.free()
-                self._results = await self._run.make()
+                await self._make_again()
         raise runner.create_refusal(exchange, last)
 
+    async def _make_again(self) -> None:
+        self._run.free()
+        self._results = await self._run.make()
+
     def _choose(self, excluded: frozenset[Incarnation]) -> ListedTarget | None:
         need = EngineNeed(self._prompt, self._results.bytes_by_data_centre)
         fleet, now = self._runner.fleet, self._runner.clock.now()
@@ -181,6 +188,7 @@
                 call,
                 timeout=self._choose_first_patience(left),
                 fresh=not exchange.route.repeatable,
+                may_send=lambda: not self._run.is_lost(self._results),
             )
             if isinstance(result, Unanswered):
                 return result
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/targets.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/targets.py
@@ -76,6 +76,8 @@
     #: sizes of the calls for pieces
     batches: list[int] = field(default_factory=list)
     freed: set[str] = field(default_factory=set)
+    #: handles that pieces were to be made from, in order
+    read: list[str] = field(default_factory=list)
     #: handles of the results that it holds
     made: set[str] = field(default_factory=set)
     connections: int = 0
@@ -265,6 +267,7 @@
     def _make_piece(self, item: dict[str, Any]) -> dict[str, str]:
         place = (item["id"], item["stage"], item["segment"])
         self.pieces[place] += 1
+        self.read.extend(item.get("inputs", ()))
         name = "-".join(map(str, place))
         handle = f"{self.address}/{name}-{self.pieces[place]}"
         self.made.add(handle)
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/models.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/models.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from itertools import count
 from typing import TYPE_CHECKING
 
@@ -265,8 +265,8 @@
     def read_head(self, reply) -> AnswerHead:
         return AnswerHead(status=200, reason="OK")
 
-    def read_pieces(self, body, count, data_centre):
-        return body
+    def read_pieces(self, body, count, maker):
+        return tuple(replace(one, maker=maker.incarnation) for one in body)
 
     def find_maker_address(self, handle: str) -> str:
         return handle.partition("/")[0]
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/trial.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/trial.py
@@ -256,6 +256,7 @@
             decisions=_Silent(),
             data_centre=self.centres[0],
             fleet=fleet,
+            book=self.book,
         )
         return _ModelledStreams(
             engines=self.engines,
--- a/packages/greengagelatch/src/greengagelatch/relay/messages.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/messages.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from ..peers.codec import Message, check_type, register
+from .incarnations import Incarnation
 from .pieces import Bundle, Piece, PieceFailure, PieceResult
 
 __all__ = (
@@ -48,6 +49,8 @@
     latest_seconds: float = 0.0
     #: until what the pieces read lapses; ``None``: it does not
     inputs_seconds: float | None = None
+    #: pairs of id and start of the makers of what the pieces read
+    input_makers: tuple[Any, ...] = ()
     rank: float = 0.0
     data_centre: str = ""
     moved_bytes: int = 0
@@ -62,8 +65,10 @@
         for number in (self.aim_seconds, self.latest_seconds, self.rank):
             check_type(number, (int, float))
         check_type(self.inputs_seconds, (int, float, type(None)))
-        for rows in (self.segments, self.inputs):
+        for rows in (self.segments, self.inputs, self.input_makers):
             check_type(rows, (tuple, list))
+        for row in self.input_makers:
+            _check_maker(row)
         if not 0 < len(self.segments) <= MAX_PIECES:
             raise ValueError("a bundle of no piece, or of too many")
 
@@ -73,7 +78,7 @@
 class PiecesMade(Message):
     """Answers with the results, in the order of the segments."""
 
-    #: pairs of a handle and its maker's data centre, or of an empty text and why
+    #: see :func:`encode_results`
     results: tuple[Any, ...] = ()
 
     def __post_init__(self) -> None:
@@ -121,11 +126,12 @@
     """Tells an owner that results are not needed any more."""
 
     service: str = ""
-    handles: tuple[str, ...] = ()
+    #: see :func:`encode_results`
+    results: tuple[Any, ...] = ()
 
     def __post_init__(self) -> None:
         check_type(self.service, str)
-        check_type(self.handles, (tuple, list))
+        check_type(self.results, (tuple, list))
 
 
 @register("news-query")
@@ -181,6 +187,7 @@
         aim_seconds=bundle.aim - now,
         latest_seconds=bundle.latest - now,
         inputs_seconds=_find_seconds(bundle.inputs_until, now),
+        input_makers=tuple((one.target_id, one.born) for one in bundle.input_makers),
         rank=bundle.rank,
         data_centre=bundle.data_centre,
         moved_bytes=bundle.moved_bytes,
@@ -208,6 +215,7 @@
         aim=now + message.aim_seconds,
         latest=now + message.latest_seconds,
         inputs_until=_find_moment(message.inputs_seconds, now),
+        input_makers=tuple(Incarnation(*row) for row in message.input_makers),
         rank=message.rank,
         data_centre=message.data_centre,
         moved_bytes=message.moved_bytes,
@@ -224,9 +232,13 @@
 
 
 def encode_results(results: tuple[PieceResult, ...]) -> tuple[Any, ...]:
-    """Return results as a message holds them."""
+    """Return results as a message holds them.
+
+    A row has the handle, the maker's data centre, and the maker's id and start; one
+    of a piece that was not made has an empty text and the reason.
+    """
     return tuple(
-        (one.handle, one.data_centre)
+        (one.handle, one.data_centre, one.maker.target_id, one.maker.born)
         if one.failure is None
         else ("", one.failure.value)
         for one in results
@@ -239,16 +251,36 @@
         return None
     results = []
     for row in rows:
-        if not isinstance(row, tuple | list) or len(row) != 2:
-            return None
-        handle, detail = row
-        if not isinstance(handle, str) or not isinstance(detail, str):
-            return None
-        if handle:
-            results.append(PieceResult(handle=handle, data_centre=detail))
-            continue
         try:
-            results.append(PieceResult(failure=PieceFailure(detail)))
-        except ValueError:
+            results.append(_decode_result(row))
+        except (TypeError, ValueError):
             return None
     return tuple(results)
+
+
+def _decode_result(row: Any) -> PieceResult:
+    """Return the result of one row.
+
+    :raises ValueError: if it can't be used; also TypeError
+    """
+    check_type(row, (tuple, list))
+    handle, detail, *maker = row
+    check_type(handle, str)
+    check_type(detail, str)
+    if not handle:
+        return PieceResult(failure=PieceFailure(detail))
+    _check_maker(maker)
+    return PieceResult(handle=handle, data_centre=detail, maker=Incarnation(*maker))
+
+
+def _check_maker(row: Any) -> None:
+    """Check an id and a start.
+
+    :raises ValueError: if they can't be used
+    """
+    check_type(row, (tuple, list))
+    target_id, born = row
+    check_type(target_id, str)
+    check_type(born, int)
+    if isinstance(born, bool) or born < 0:
+        raise ValueError("a start is a whole number from 0 on")
--- a/packages/greengagelatch/src/greengagelatch/relay/pieces.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/pieces.py
@@ -4,6 +4,10 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from .incarnations import Incarnation
 
 __all__ = ("Bundle", "Piece", "PieceFailure", "PieceResult")
 
@@ -36,6 +40,8 @@
     latest: float
     #: when what the pieces read lapses at its makers
     inputs_until: float = float("inf")
+    #: makers of what the pieces read; once one has started again, it is lost
+    input_makers: tuple[Incarnation, ...] = ()
     #: 0 is the most urgent
     rank: float = 0.0
     #: data centre in which the results are best made: of what the pieces read, or of
@@ -77,3 +83,5 @@
     failure: PieceFailure | None = None
     #: data centre of the maker
     data_centre: str = ""
+    #: what made it, and holds it for as long as it lives
+    maker: Incarnation | None = None
--- a/packages/greengagelatch/src/greengagelatch/relay/targets.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/targets.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING
 
 from .incarnations import Incarnation, Succession
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
 __all__ = ("ListedTarget", "TargetBook")
 
 #: seconds after the platform's store is back within which entries that lapsed while
@@ -67,6 +71,10 @@
         newest = self._newest.get(incarnation.target_id)
         return newest is not None and newest.incarnation > incarnation
 
+    def has_former(self, incarnations: Iterable[Incarnation]) -> bool:
+        """Whether any of several targets has started again since."""
+        return any(map(self.is_former, incarnations))
+
     def find_newest(self, target_id: str) -> Incarnation | None:
         """Return the newest incarnation known of an id, listed or not."""
         newest = self._newest.get(target_id)
--- a/tests/test_core/test_relay/test_messages.py
+++ b/tests/test_core/test_relay/test_messages.py
@@ -31,6 +31,7 @@
     aim=101.5,
     latest=104.0,
     inputs_until=103.0,
+    input_makers=(Incarnation("m-1", 5), Incarnation("m-2")),
     rank=1.45,
     data_centre="north",
     moved_bytes=18000,
@@ -38,6 +39,9 @@
 )
 
 
+ROW = ("h", "north", "m", 5)
+
+
 def pass_on(message):
     match decode(encode(Envelope(message))):
         case Ok(envelope):
@@ -54,18 +58,34 @@
     assert bundle.latest == pytest.approx(504.0)
     assert bundle.inputs_until == pytest.approx(503.0)
     assert (bundle.moved_bytes, bundle.begun) == (18000, True)
+    assert bundle.input_makers == BUNDLE.input_makers
 
 
 def test_results_arrive_in_order():
     results = (
-        PieceResult(handle="10.0.0.1:80/a", data_centre="north"),
+        PieceResult(
+            handle="10.0.0.1:80/a",
+            data_centre="north",
+            maker=Incarnation("m-1", 1_700_000_000_123),
+        ),
         PieceResult(failure=PieceFailure.GONE),
     )
     assert decode_results(encode_results(results), 2) == results
 
 
 @pytest.mark.parametrize(
-    "rows", [(), (("h", "north"),), (("h", 1), ("h", "n")), (("", "no"), ("h", "n"))]
+    "rows",
+    [
+        (),
+        (ROW,),
+        (("h", 1, "m", 5), ROW),
+        (("", "no"), ROW),
+        (("h", "north"), ROW),
+        (("h", "north", "m", -5), ROW),
+        (("h", "north", "m", True), ROW),
+        (("h", "north", 7, 5), ROW),
+        (7, ROW),
+    ],
 )
 def test_results_that_do_not_fit_are_not_used(rows):
     """Symptom: a request is given the results of fewer pieces than it has.
@@ -82,6 +102,8 @@
         {"segments": ()},
         {"segments": (1,), "aim_seconds": "soon"},
         {"segments": (1,), "service": 3},
+        {"segments": (1,), "input_makers": (("m",),)},
+        {"segments": (1,), "input_makers": (("m", -1),)},
     ],
 )
 def test_request_for_pieces_is_checked(fields):
--- a/tests/test_entry/test_relay/test_owned_desk.py
+++ b/tests/test_entry/test_relay/test_owned_desk.py
@@ -10,6 +10,7 @@
 
 from greengagelatch.clock import ManualClock
 from greengagelatch.peers import Member, MemberState, PeerError, PeerErrorKind
+from greengagelatch.relay.incarnations import Incarnation
 from greengagelatch.relay.messages import PiecesWanted
 from greengagelatch.relay.owners import rank_owners
 from greengagelatch.relay.pieces import Bundle, Piece, PieceFailure, PieceResult
@@ -19,6 +20,7 @@
 from greengagelatch_entry.relay.stages import QueueWait
 
 NAMES = ("entry-1", "entry-2", "entry-3")
+MAKER = Incarnation("m-1", 1_700_000_000_123)
 SERVICE = "ledger"
 BUNDLE = Bundle(
     bundle_id="r-1/0",
@@ -80,7 +82,7 @@
     def __init__(self, name: str) -> None:
         self.name = name
         self.made: list[str] = []
-        self.freed: list[str] = []
+        self.freed: list[PieceResult] = []
         self.wait = QueueWait()
         self.hold: asyncio.Event | None = None
         self.cancelled = 0
@@ -95,12 +97,16 @@
             raise
         note_read()
         return tuple(
-            PieceResult(handle=f"{self.name}/{piece.segment}", data_centre="north")
+            PieceResult(
+                handle=f"{self.name}/{piece.segment}",
+                data_centre="north",
+                maker=MAKER,
+            )
             for piece in bundle.pieces
         )
 
-    def free(self, service, handles):
-        self.freed.extend(handles)
+    def free(self, service, results):
+        self.freed.extend(results)
 
     def estimate_wait(self, service):
         return self.wait
@@ -235,16 +241,16 @@
 async def test_results_are_freed_by_the_owner_that_made_them(world):
     owner, _, third = world.ranked
     results = await world.desks[third].make(BUNDLE, do_nothing)
-    world.desks[third].free(SERVICE, tuple(one.handle for one in results))
-    assert world.local[owner].freed == [one.handle for one in results]
+    world.desks[third].free(SERVICE, results)
+    assert world.local[owner].freed == list(results)
 
 
 async def test_results_of_an_owner_that_is_gone_are_freed_directly(world):
     owner, _, third = world.ranked
     results = await world.desks[third].make(BUNDLE, do_nothing)
     world.network.gone.add(owner)
-    world.desks[third].free(SERVICE, tuple(one.handle for one in results))
-    assert world.local[third].freed == [one.handle for one in results]
+    world.desks[third].free(SERVICE, results)
+    assert world.local[third].freed == list(results)
 
 
 async def test_reader_is_told_that_inputs_are_read(world):
--- a/tests/test_entry/test_relay/test_restarts.py
+++ b/tests/test_entry/test_relay/test_restarts.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import json
 
 import pytest
 
+from greengagelatch.store import Entry
+from greengagelatch.store.ranges import Changes
 from greengagelatch_lab.platform_standins.targets import TargetFault
 
 
@@ -25,6 +28,22 @@
     )
 
 
+async def restart_known(world, targets, *, cut: bool = True) -> None:
+    """Start targets again and let the instance know at that moment.
+
+    What is in work is given up within half a second; the store would tell of each
+    restart later than that at times.
+    """
+    for target in targets:
+        await target.restart(world.store, cut=cut)
+        key = f"servers/{target.target_id}"
+        value = json.dumps(target.describe()).encode()
+        revision = world.store.put_bytes(key, value)
+        entry = Entry(key, value, revision)
+        listing = world.find("news")._listing
+        listing.take_changes(Changes((entry,), (), listing.revision))
+
+
 async def test_restart_is_told_once_and_everything_of_before_is_dropped(world):
     """Symptom: a target that is back and well gets no work for seconds.
 
@@ -167,3 +186,95 @@
     reply = await asking
     assert (reply.status, reply.error) == (200, "")
     assert reply.body.count(b"id: ") == 5
+
+
+def read_inputs(engine, request_id: str) -> list[str]:
+    """Return the handles that an engine was sent last with a request."""
+    seen = [one for one in engine.seen if one.headers["x-attempt-id"] == request_id]
+    return seen[-1].headers["x-inputs"].split(",")
+
+
+def list_targets(world, service: str):
+    return [one for one in world.targets.values() if one.service == service]
+
+
+async def test_results_lost_before_the_next_stage_are_made_again(pipeline):
+    """Symptom: makers turn pieces away as what they read is gone, after all waiting.
+
+    Sequence: a stage is made; its makers start again while the next stage waits for a
+    maker with room.
+    Cause: the handles of before were sent on.
+    """
+    for maker in list_targets(pipeline, "ledger"):
+        maker.fault = TargetFault.FULL
+    asking = asyncio.create_task(
+        pipeline.stream(X_Attempt_Id="r-1", X_Deadline_Ms="6000")
+    )
+    portals = list_targets(pipeline, "portal")
+    await pipeline.wait_for(lambda: sum(one.pieces.total() for one in portals) == 2)
+    former = set().union(*(one.made for one in portals))
+    await restart_known(pipeline, portals)
+    for maker in list_targets(pipeline, "ledger"):
+        maker.fault = TargetFault.NONE
+    assert (await asking).status == 200
+    read = [one for maker in list_targets(pipeline, "ledger") for one in maker.read]
+    assert read
+    assert not former & set(read)
+    assert not former & set().union(*(one.freed for one in portals))
+
+
+async def test_results_lost_before_a_further_engine_reads_them_are_made_again(pipeline):
+    """Symptom: an engine refuses a request as its inputs are gone, after all stages.
+
+    Sequence: an engine is mute, so that the request goes to another one; meanwhile
+    the makers of what it reads have started again.
+    Cause: the handles of before were sent to the other engine.
+    """
+    engines = list_targets(pipeline, "llm")
+    for engine in engines:
+        engine.fault = TargetFault.MUTE
+    asking = asyncio.create_task(
+        pipeline.stream(X_Attempt_Id="r-1", X_Deadline_Ms="6000")
+    )
+    await pipeline.wait_for(lambda: any(one.runs["r-1"] for one in engines))
+    for engine in engines:
+        engine.fault = TargetFault.NONE
+    mute = next(one for one in engines if one.runs["r-1"])
+    other = next(one for one in engines if one is not mute)
+    former = set(read_inputs(mute, "r-1"))
+    makers = list_targets(pipeline, "ledger")
+    await restart_known(pipeline, makers)
+    assert (await asking).status == 200
+    again = set(read_inputs(other, "r-1"))
+    assert len(again) == len(former) == 3
+    assert not former & again
+    # no freeing is sent for what has been lost anyway
+    await pipeline.wait_for(
+        lambda: again <= set().union(*(one.freed for one in makers))
+    )
+    assert not former & set().union(*(one.freed for one in makers))
+    assert pipeline.count("stages.lost_by_restart") >= len(former)
+
+
+async def test_answer_of_a_former_maker_is_not_used(pipeline):
+    """Symptom: as above, though the maker was known to have started again.
+
+    Sequence: a maker starts again with a call in work; the old process, which is slow
+    to end, still answers it.
+    Cause: its results were taken for those of the new one.
+    """
+    portals = list_targets(pipeline, "portal")
+    gate = asyncio.Event()
+    for portal in portals:
+        portal.gate = gate
+    asking = asyncio.create_task(
+        pipeline.stream(X_Attempt_Id="r-1", X_Deadline_Ms="6000")
+    )
+    await pipeline.wait_for(lambda: any(one.batches for one in portals))
+    await restart_known(pipeline, portals, cut=False)
+    gate.set()
+    assert (await asking).status == 200
+    read = [one for maker in list_targets(pipeline, "ledger") for one in maker.read]
+    assert read
+    # the second making of each piece
+    assert {one.rpartition("-")[2] for one in read} == {"2"}
--- a/tests/test_platform/test_targets.py
+++ b/tests/test_platform/test_targets.py
@@ -7,10 +7,17 @@
 from greengagelatch.relay.incarnations import Incarnation
 from greengagelatch.relay.pieces import Piece, PieceFailure
 from greengagelatch.relay.requests import OpaqueRequest
+from greengagelatch.relay.targets import ListedTarget
 from greengagelatch_entry.relay.messages import RelayCall
 from greengagelatch_platform.targets import PlatformTargetCodec
 
 CODEC = PlatformTargetCodec()
+MAKER = ListedTarget(
+    incarnation=Incarnation("i-1", 5),
+    service="s",
+    address="10.0.0.1:80",
+    data_centre="north",
+)
 REQUEST = OpaqueRequest(
     request_id="r-1",
     method="POST",
@@ -63,8 +70,9 @@
 
 def test_results_are_read_in_order():
     body = b'{"items":[{"handle":"10.0.0.1:80/a"},{"reason":"gone"},{"reason":"new"}]}'
-    results = CODEC.read_pieces(body, 3, "north")
+    results = CODEC.read_pieces(body, 3, MAKER)
     assert results[0].handle == "10.0.0.1:80/a"
+    assert (results[0].data_centre, results[0].maker) == ("north", MAKER.incarnation)
     assert [one.failure for one in results] == [
         None,
         PieceFailure.GONE,
@@ -73,9 +81,9 @@
 
 
 def test_answer_for_another_number_of_pieces_is_not_used():
-    assert CODEC.read_pieces(b'{"items":[{"handle":"a"}]}', 2, "north") is None
-    assert CODEC.read_pieces(b"{}", 1, "north") is None
-    assert CODEC.read_pieces(b"no", 1, "north") is None
+    assert CODEC.read_pieces(b'{"items":[{"handle":"a"}]}', 2, MAKER) is None
+    assert CODEC.read_pieces(b"{}", 1, MAKER) is None
+    assert CODEC.read_pieces(b"no", 1, MAKER) is None
 
 
 def test_event_ids_are_read():
