Take the guard of incarnations out in turn: each test of restarts notices

With the start of targets ignored eight tests of test_restarts.py must fail, and with the kind of a request ignored the one that a booking is not sent to a new start.

--- a/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/store.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/store.py
@@ -101,6 +101,11 @@
         if self._items.pop(key, None) is not None:
             self._note(key)
 
+    @property
+    def revision(self) -> int:
+        """Revision of the last change."""
+        return self._revision
+
     def compact(self) -> None:
         """Forget the history."""
         self._compacted = self._revision
--- a/tests/test_entry/test_relay/test_guards.py
+++ b/tests/test_entry/test_relay/test_guards.py
@@ -20,9 +20,10 @@
 from greengagelatch_entry.relay.links import _Link
 from greengagelatch_lab.platform_standins.targets import TargetFault
 from greengagelatch_platform import headers
+from greengagelatch_platform.listing import PlatformListingCodec
 from greengagelatch_platform.targets import PlatformTargetCodec
 
-from . import test_stop
+from . import conftest, test_restarts, test_stop
 
 
 def set_fault(world, fault: TargetFault) -> None:
@@ -168,3 +169,62 @@
         await test_stop.test_what_is_in_flight_at_the_end_of_a_stop_is_answered(
             pipeline
         )
+
+
+def has_heard_all(world, target) -> bool:
+    return (world.find("store").dump()["revision"] or 0) >= world.store.revision
+
+
+def ignore_starts(monkeypatch) -> None:
+    """Have every start of an id taken for the same target."""
+    decode = PlatformListingCodec.decode
+
+    def decode_without_start(self, key, value, revision):
+        return decode(self, key, value, revision).map(
+            lambda target: replace(target, incarnation=Incarnation(target.target_id))
+        )
+
+    monkeypatch.setattr(PlatformListingCodec, "decode", decode_without_start)
+
+
+@pytest.mark.parametrize(
+    "name",
+    [
+        "test_restart_is_told_once_and_everything_of_before_is_dropped",
+        "test_target_that_left_and_starts_again_is_used",
+        "test_entry_of_the_former_one_changes_nothing",
+        "test_connections_of_the_former_one_are_not_used",
+        "test_request_that_may_be_repeated_goes_to_the_new_start",
+    ],
+)
+async def test_starts_of_targets_are_told_apart(world, monkeypatch, name):
+    ignore_starts(monkeypatch)
+    monkeypatch.setattr(test_restarts, "is_known", has_heard_all)
+    monkeypatch.setattr(conftest, "PATIENCE", 3)
+    with pytest.raises((AssertionError, TimeoutError)):
+        await getattr(test_restarts, name)(world)
+
+
+@pytest.mark.parametrize(
+    "name",
+    [
+        "test_results_lost_before_the_next_stage_are_made_again",
+        "test_results_lost_before_a_further_engine_reads_them_are_made_again",
+        "test_answer_of_a_former_maker_is_not_used",
+    ],
+)
+async def test_starts_of_makers_are_told_apart(pipeline, monkeypatch, name):
+    ignore_starts(monkeypatch)
+    monkeypatch.setattr(conftest, "PATIENCE", 3)
+    with pytest.raises((AssertionError, TimeoutError)):
+        await getattr(test_restarts, name)(pipeline)
+
+
+async def test_kind_of_a_request_decides_on_repeats_to_a_new_start(world, monkeypatch):
+    steps = iter([NextStep.REPEAT, NextStep.GIVE_UP])
+    monkeypatch.setattr(runners, "decide_next", lambda facts: next(steps))
+    with pytest.raises(AssertionError):
+        await test_restarts.test_booking_that_may_have_run_before_is_not_sent_again(
+            world
+        )
+    assert world.targets["desk-1"].runs["b-1"] == 2
--- a/tests/test_entry/test_relay/test_restarts.py
+++ b/tests/test_entry/test_relay/test_restarts.py
@@ -16,16 +16,16 @@
     return world.find("news")._book.find_listed(target_id)
 
 
+def is_known(world, target) -> bool:
+    """Whether the instance knows the start that a target tells."""
+    return find_listed(world, target.target_id).incarnation.born == target.born
+
+
 async def restart(world, target_id: str, *, cut: bool = True) -> None:
     """Start a target again and wait until the instance knows."""
     target = world.targets[target_id]
     await target.restart(world.store, cut=cut)
-    await world.wait_for(
-        lambda: (
-            world.accepts(target_id)
-            and find_listed(world, target_id).incarnation.born == target.born
-        )
-    )
+    await world.wait_for(lambda: world.accepts(target_id) and is_known(world, target))
 
 
 async def restart_known(world, targets, *, cut: bool = True) -> None:
