Blame no engine or maker for results that were lost before they could be sent

An owner that has not heard of a restart names its results by the former start. They were refused at the send, once for each engine, and counted as the engines' failures. Now the stages are made once more and the request is refused if that is no better; a send that is held back for lost inputs is nobody's failure. A test of news between two instances that know different starts, and of an owner that says "gone".

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/maker_calls.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/maker_calls.py
@@ -66,7 +66,11 @@
             async with asyncio.timeout(allowed):
                 head, body = await self._exchange(maker, call, allowed, started)
         except NotSentError:
-            maker.note_failure(self._clock.now())
+            if self._may_send(maker, call):
+                maker.note_failure(self._clock.now())
+            else:
+                # not its doing: what the pieces read was lost meanwhile
+                maker.calls -= 1
             return CallEnd(UNSENT)
         except TimeoutError:
             maker.note_timeout(count, started, self._clock.now())
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/sending.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/sending.py
@@ -97,7 +97,9 @@
             )
         except NotSentError as error:
             exchange.unsent += 1
-            return self._note(exchange, target, SendOutcome.UNSENT, str(error))
+            return self._note(
+                exchange, target, SendOutcome.UNSENT, str(error), blamed=may_send()
+            )
         except LinkError as error:
             exchange.targets.append(incarnation)
             return self._note(exchange, target, SendOutcome.LOST, str(error))
@@ -152,11 +154,13 @@
         outcome: SendOutcome,
         reason: str,
         status: int = 0,
+        *,
+        blamed: bool = True,
     ) -> Unanswered:
         if not outcome.proves_not_run:
             exchange.raise_verdict(Verdict.MAY_HAVE_RUN)
         now = self._clock.now()
-        if outcome in (SendOutcome.UNSENT, SendOutcome.LOST):
+        if blamed and outcome in (SendOutcome.UNSENT, SendOutcome.LOST):
             self._fleet.note_failure(target.incarnation, now)
             # what is kept open to it may be as dead as this one
             self._links.drop(target.incarnation)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
@@ -175,6 +175,7 @@
         for _ in range(MAX_REMAKES):
             try:
                 await self._make_all()
+                self._check_final()
                 break
             except _StageFailedError as error:
                 self.free()
@@ -201,6 +202,17 @@
             ms=round((self._clock.now() - started) * 1000),
         )
 
+    def _check_final(self) -> None:
+        """Check that what the target is to read is not lost already.
+
+        It may be named so by an owner that has not heard of a restart yet; sent on, it
+        would be turned away by one engine after the other.
+        """
+        for number in self._plan.final:
+            if self._book.has_former(self._list_makers((number,))):
+                work = self._plan.works[number]
+                raise _StageFailedError(work, PieceFailure.GONE)
+
     def is_lost(self, results: StageResults) -> bool:
         """Whether a maker of results has started again: it holds none of them."""
         return self._book.has_former(results.makers)
--- a/tests/test_entry/test_relay/test_listing.py
+++ b/tests/test_entry/test_relay/test_listing.py
@@ -141,6 +141,27 @@
     assert listing.book.list_service("desk") == ()
 
 
+def test_of_two_instances_that_know_different_starts_the_later_one_wins():
+    """Symptom: an instance sends handles and prompts by what a former start held.
+
+    Sequence: one instance has heard that a target started again; news go both ways.
+    Cause: what a peer told last was believed.
+    """
+    ahead, behind = Listing(), Listing()
+    ahead.write(1, one=write_fields())
+    behind.write(1, one=write_fields())
+    later = GOOD["born"] + 5
+    ahead.write(2, one=write_fields(born=later))
+    # whatever revision the one behind may claim
+    ahead.follower.take_news(behind.book.list_all(), 9)
+    behind.follower.take_news(ahead.book.list_all(), 9)
+    for listing in (ahead, behind):
+        assert listing.book.find_newest("one").born == later
+        assert listing.accepts("one")
+        assert listing.gone == [f"one@{GOOD['born']}"]
+    assert ahead.metrics.value("targets.outdated") == 1
+
+
 _scalars = st.one_of(
     st.none(),
     st.booleans(),
--- a/tests/test_entry/test_relay/test_restarts.py
+++ b/tests/test_entry/test_relay/test_restarts.py
@@ -4,11 +4,15 @@
 
 import asyncio
 import json
+from dataclasses import replace
 
 import pytest
 
+from greengagelatch.relay.incarnations import Incarnation
+from greengagelatch.relay.pieces import Bundle, Piece, PieceFailure
 from greengagelatch.store import Entry
 from greengagelatch.store.ranges import Changes
+from greengagelatch_entry.relay.desk import LocalDesk
 from greengagelatch_lab.platform_standins.targets import TargetFault
 
 
@@ -256,6 +260,57 @@
     assert pipeline.count("stages.lost_by_restart") >= len(former)
 
 
+async def test_owner_that_knows_of_a_restart_says_that_inputs_are_gone(pipeline):
+    """Symptom: makers are asked for pieces whose inputs nobody holds.
+
+    Sequence: an instance that has not heard of a restart asks an owner that has.
+    Cause: the owner went by the handles alone.
+    """
+    former = find_listed(pipeline, "portal-1").incarnation
+    await restart_known(pipeline, [pipeline.targets["portal-1"]])
+    bundle = Bundle(
+        bundle_id="r-1/1",
+        service="ledger",
+        pieces=(Piece(request_id="r-1", stage=1, segment=0, inputs=("h",)),),
+        result_bytes=1000,
+        aim=1e9,
+        latest=1e9,
+        input_makers=(former,),
+    )
+    results = await pipeline.find("stages").make(bundle, lambda: None)
+    assert [one.failure for one in results] == [PieceFailure.GONE]
+
+
+async def test_owner_that_does_not_know_of_a_restart_fails_no_engine(pipeline):
+    """Symptom: engines that are well get no work for a second.
+
+    Sequence: the owner of a service names results by a former start of their maker
+    for as long as it has not heard of the restart; this instance has.
+    Cause: requests that could not be sent for that were counted against engines.
+    """
+    make = LocalDesk.make
+    former = Incarnation("ledger-1", 1)
+    engines = [find_listed(pipeline, one).incarnation for one in ("llm-1", "llm-2")]
+
+    async def make_unaware(self, bundle, note_read):
+        results = await make(self, bundle, note_read)
+        if bundle.service != "ledger":
+            return results
+        return tuple(replace(one, maker=former) for one in results)
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(LocalDesk, "make", make_unaware)
+        reply = await pipeline.stream(X_Attempt_Id="r-1")
+    assert reply.status in (502, 503)
+    assert not any(one.runs["r-1"] for one in list_targets(pipeline, "llm"))
+    believed = pipeline.describe()["targets"]
+    assert all(
+        believed.get(str(one), {}).get("breaker", "closed") == "closed"
+        for one in engines
+    )
+    assert (await pipeline.stream()).status == 200
+
+
 async def test_answer_of_a_former_maker_is_not_used(pipeline):
     """Symptom: as above, though the maker was known to have started again.
 
