--- a/packages/greengagelatch/src/greengagelatch/relay/fleet.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/fleet.py
@@ -106,8 +106,7 @@
         if not candidates:
             return None
         home = _find_home(need.prompt, candidates)
-        place = home.incarnation if home else None
-        return min(candidates, key=lambda one: self._rate_engine(one, need, place, now))
+        return min(candidates, key=lambda one: self._rate_engine(one, need, home, now))
 
     def find_home(
         self, service: str, prompt: Prompt, now: float
@@ -164,13 +163,7 @@
         self, incarnation: Incarnation, prompt: Prompt, now: float
     ) -> float:
         """Return the prompt tokens that an engine does not seem to keep."""
-        parts = self._find(incarnation).parts
-        kept = 0
-        for part in prompt.shared:
-            if now - parts.get(part.part_id, -PART_LIFE) >= PART_LIFE:
-                break
-            kept += part.tokens
-        return max(0.0, prompt.tokens_in - kept)
+        return _count_tokens(self._find(incarnation).parts, prompt, now)
 
     def forget(self, incarnation: Incarnation) -> None:
         """Drop what is known of a target that is gone."""
@@ -203,7 +196,11 @@
             (one.incarnation, self._find(one.incarnation).breaker) for one in listed
         ]
         ejected = find_ejected(breakers, BREAKER, now)
-        left = [one for one in listed if one.incarnation not in excluded]
+        left = list(listed)
+        if excluded:
+            left = [one for one in left if one.incarnation not in excluded]
+        if not ejected:
+            return left
         sound = [one for one in left if one.incarnation not in ejected]
         return sound or left
 
@@ -217,12 +214,12 @@
         self,
         target: ListedTarget,
         need: EngineNeed,
-        home: Incarnation | None,
+        home: ListedTarget | None,
         now: float,
     ) -> tuple[float, float]:
         state = self._find(target.incarnation)
-        tokens = self.count_tokens(target.incarnation, need.prompt, now)
-        if target.incarnation == home:
+        tokens = _count_tokens(state.parts, need.prompt, now)
+        if target is home:
             # others will have sent the parts there, whatever this instance saw
             shared = sum(part.tokens for part in need.prompt.shared)
             tokens = min(tokens, need.prompt.tokens_in - shared)
@@ -242,6 +239,15 @@
         return max(0.0, float(told - state.in_flight))
 
 
+def _count_tokens(parts: Mapping[str, float], prompt: Prompt, now: float) -> float:
+    kept = 0
+    for part in prompt.shared:
+        if now - parts.get(part.part_id, -PART_LIFE) >= PART_LIFE:
+            break
+        kept += part.tokens
+    return max(0.0, prompt.tokens_in - kept)
+
+
 def _find_home(prompt: Prompt, candidates: list[ListedTarget]) -> ListedTarget | None:
     if not prompt.shared or not candidates:
         return None
@@ -250,5 +256,8 @@
     # incarnation, a restart would move other engines' parts as well
     return min(
         candidates,
-        key=lambda one: (compute_weight(last, one.target_id), one.target_id),
+        key=lambda one: (
+            compute_weight(last, one.incarnation.target_id),
+            one.incarnation.target_id,
+        ),
     )
