--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/maker_calls.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/maker_calls.py
@@ -66,7 +66,11 @@
             async with asyncio.timeout(allowed):
                 head, body = await self._exchange(maker, call, allowed, started)
         except NotSentError:
-            maker.note_failure(self._clock.now())
+            if self._may_send(maker, call):
+                maker.note_failure(self._clock.now())
+            else:
+                # not its doing: what the pieces read was lost meanwhile
+                maker.calls -= 1
             return CallEnd(UNSENT)
         except TimeoutError:
             maker.note_timeout(count, started, self._clock.now())
@@ -87,13 +91,13 @@
             max(0.0, bundle.latest - started) for bundle, _ in call.pieces
         )
         reply = await self._links.send(
-            target_id=target.target_id,
+            incarnation=target.incarnation,
             address=target.address,
-            outbound=self._codec.encode_pieces(pieces, remaining, target.target_id),
+            outbound=self._codec.encode_pieces(pieces, remaining, target.incarnation),
             # a late second answer could be taken for this call's
             fresh=True,
             timeout=allowed,
-            may_send=lambda: self._book.accepts(target.target_id),
+            may_send=lambda: self._may_send(maker, call),
         )
         try:
             head = self._codec.read_head(reply)
@@ -101,6 +105,14 @@
         finally:
             reply.abort()
 
+    def _may_send(self, maker: Maker, call: PlannedCall) -> bool:
+        """Whether the maker takes calls, and none of what they read is lost."""
+        if not self._book.accepts(maker.target.incarnation):
+            return False
+        return not any(
+            self._book.has_former(bundle.input_makers) for bundle, _ in call.pieces
+        )
+
     def _note_lost(
         self, maker: Maker, count: int, allowed: float, started: float, reason: str
     ) -> CallEnd:
@@ -123,8 +135,7 @@
             return CallEnd(REJECTED)
         results = None
         if head.status == STATUS_OK:
-            place = maker.target.data_centre
-            results = self._codec.read_pieces(body, count, place)
+            results = self._codec.read_pieces(body, count, maker.target)
         if results is None:
             maker.note_failure(now)
             return CallEnd(f"status {head.status}")
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from greengagelatch.relay.batches import find_hopeless, is_late
-from greengagelatch.relay.pieces import PieceFailure
+from greengagelatch.relay.pieces import PieceFailure, PieceResult
 from greengagelatch.relay.room import MakerRoom
 
 from .freeing import ResultFreeing
@@ -22,7 +22,8 @@
     from greengagelatch.clock import Clock
     from greengagelatch.relay.batches import BatchPolicy, MakerView, PlannedCall
     from greengagelatch.relay.deployment import MakerProfile
-    from greengagelatch.relay.pieces import Bundle, PieceResult
+    from greengagelatch.relay.incarnations import Incarnation
+    from greengagelatch.relay.pieces import Bundle
     from greengagelatch.relay.targets import TargetBook
 
     from ..metrics import Metrics
@@ -79,9 +80,9 @@
         self._clock = clock
         self._decisions = decisions
         self._queue = BundleQueue(
-            service, free=self.free, budgets=budgets, metrics=metrics
+            service, free=self.free, book=book, budgets=budgets, metrics=metrics
         )
-        self._makers: dict[str, Maker] = {}
+        self._makers: dict[Incarnation, Maker] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         #: monotonic seconds since when more than one call's pieces have waited
         self._queued_since = clock.now()
@@ -91,7 +92,8 @@
         self._caller = MakerCaller(links=links, codec=codec, book=book, clock=clock)
         self._freeing = ResultFreeing(
             service,
-            find_maker=self._find_maker_at,
+            find_maker=self._makers.get,
+            book=book,
             note_freed=self._look,
             links=links,
             codec=codec,
@@ -106,6 +108,9 @@
 
         :param note_read: called once makers have read the inputs of all pieces
         """
+        if self._book.has_former(bundle.input_makers):
+            gone = PieceResult(failure=PieceFailure.GONE)
+            return (gone,) * len(bundle.pieces)
         work = self._queue.add(bundle, note_read)
         self._look()
         try:
@@ -144,15 +149,20 @@
             self._made.popleft()
         return sum(count for _, count in self._made) / RATE_SECONDS
 
-    def free(self, handles: tuple[str, ...]) -> None:
+    def free(self, results: tuple[PieceResult, ...]) -> None:
         """Have makers drop results."""
-        self._freeing.free(handles)
+        self._freeing.free(results)
 
-    def _find_maker_at(self, address: str) -> Maker | None:
-        for maker in self._makers.values():
-            if maker.target.address == address:
-                return maker
-        return None
+    def note_gone(self, incarnation: Incarnation) -> None:
+        """Take in that a maker is gone; if it has started again, its results are lost.
+
+        Their pieces are made again: an engine that was sent their handles would turn
+        the request away, after all stages.
+        """
+        if not self._book.is_former(incarnation):
+            return
+        self._queue.drop_lost(incarnation)
+        self._look()
 
     def describe(self) -> dict[str, object]:
         """Return the state for the dump."""
@@ -161,12 +171,12 @@
             "bundles": len(self._queue),
             "pieces": self._queue.count_waiting(),
             "makers": {
-                target_id: {
+                str(incarnation): {
                     "calls": maker.calls,
                     "slowness": round(maker.find_slowness(now), 2),
                     "free_bytes": round(maker.room.find_free(now)),
                 }
-                for target_id, maker in self._makers.items()
+                for incarnation, maker in self._makers.items()
             },
         }
 
@@ -201,7 +211,7 @@
             self._queue.take_out(call)
             # counted before its task runs: more bundles may come until then, and
             # the maker would seem idle to each of them
-            maker = self._makers[call.target_id]
+            maker = self._makers[call.incarnation]
             allowed = maker.begin(len(call.pieces), now)
             maker.room.reserve(_sum_sizes(call))
             task = asyncio.create_task(self._run_call(call, maker, allowed, now))
@@ -213,16 +223,16 @@
 
     def _list_makers(self, profile: MakerProfile) -> list[Maker]:
         listed = self._book.list_service(self._service)
-        ids = {target.target_id for target in listed}
-        for target_id in tuple(self._makers):
-            if target_id not in ids and self._makers[target_id].calls == 0:
-                del self._makers[target_id]
+        known = {target.incarnation for target in listed}
+        for incarnation, maker in tuple(self._makers.items()):
+            if incarnation not in known and maker.calls == 0:
+                del self._makers[incarnation]
         for target in listed:
-            maker = self._makers.get(target.target_id)
+            maker = self._makers.get(target.incarnation)
             if maker is None or maker.profile != profile:
                 room = MakerRoom(profile.room_bytes, profile.keep_seconds)
-                self._makers[target.target_id] = Maker(target, profile, room)
-        return [self._makers[target.target_id] for target in listed]
+                self._makers[target.incarnation] = Maker(target, profile, room)
+        return [self._makers[target.incarnation] for target in listed]
 
     def _drop_hopeless(
         self, views: list[MakerView], profile: MakerProfile, now: float
@@ -249,7 +259,7 @@
         self._decisions.note(
             "stage-call",
             service=self._service,
-            target=call.target_id,
+            target=str(call.incarnation),
             pieces=len(call.pieces),
             requests=len({bundle.request_id for bundle, _ in call.pieces}),
             outcome=end.outcome,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_queue.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_queue.py
@@ -14,7 +14,9 @@
     from collections.abc import Callable, Iterator
 
     from greengagelatch.relay.batches import PlannedCall
+    from greengagelatch.relay.incarnations import Incarnation
     from greengagelatch.relay.pieces import Bundle, Piece
+    from greengagelatch.relay.targets import TargetBook
 
     from ..metrics import Metrics
     from .budgets import RepeatBudgets
@@ -46,18 +48,21 @@
     """Bundles of one service in the order of arrival, until they are made or fail.
 
     :param free: has makers drop results that nobody waits for
+    :param book: tells which makers have started again, and lost what they had made
     """
 
     def __init__(
         self,
         service: str,
         *,
-        free: Callable[[tuple[str, ...]], None],
+        free: Callable[[tuple[PieceResult, ...]], None],
+        book: TargetBook,
         budgets: RepeatBudgets,
         metrics: Metrics,
     ) -> None:
         self._service = service
         self._free = free
+        self._book = book
         self._budgets = budgets
         self._metrics = metrics
         self._works: list[Work] = []
@@ -127,6 +132,23 @@
             if work.left:
                 self.fail(work, failure)
 
+    def drop_lost(self, incarnation: Incarnation) -> None:
+        """Take in that a maker has started again: what it had made is lost."""
+        for work in tuple(self._works):
+            self._drop_lost(work, incarnation)
+
+    def _drop_lost(self, work: Work, incarnation: Incarnation) -> None:
+        if work.left and incarnation in work.bundle.input_makers:
+            self.fail(work, PieceFailure.GONE)
+            return
+        for piece in work.bundle.pieces:
+            result = work.results.get(piece.segment)
+            if result is None or result.maker != incarnation:
+                continue
+            del work.results[piece.segment]
+            work.losses += 1
+            work.left.append(piece)
+
     def take_results(
         self,
         call: PlannedCall,
@@ -143,8 +165,10 @@
             result = None if end.results is None else end.results[index]
             if work is None or work.withdrawn or work.done.done():
                 if result is not None and result.failure is None:
-                    unwanted.append(result.handle)
+                    unwanted.append(result)
                 continue
+            if result is not None and self._is_lost(result):
+                result = PieceResult(failure=PieceFailure.LOST)
             self._take_result(work, piece, end.outcome, result)
         if unwanted:
             self._free(tuple(unwanted))
@@ -173,8 +197,16 @@
             if work.losses >= MAX_LOSSES:
                 self.fail(work, PieceFailure.LOST)
                 return
+        if self._book.has_former(work.bundle.input_makers):
+            # one of them started again while the piece was at a maker
+            self.fail(work, PieceFailure.GONE)
+            return
         work.left.append(piece)
 
+    def _is_lost(self, result: PieceResult) -> bool:
+        """Whether a result was made by a maker that has started again since."""
+        return result.failure is None and self._book.is_former(result.maker)
+
     def _finish(self, work: Work) -> None:
         self._works.remove(work)
         ordered = tuple(work.results[piece.segment] for piece in work.bundle.pieces)
@@ -198,6 +230,6 @@
         work.withdrawn = True
         if work in self._works:
             self._works.remove(work)
-        made = tuple(one.handle for one in work.results.values())
+        made = tuple(work.results.values())
         if made:
             self._free(made)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
@@ -16,12 +16,14 @@
 from .refusals import create_error
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
     from greengagelatch.clock import Clock
     from greengagelatch.relay.fleet import Fleet
+    from greengagelatch.relay.incarnations import Incarnation
     from greengagelatch.relay.requests import RefusedError
     from greengagelatch.relay.stage_plan import StageWork
+    from greengagelatch.relay.targets import TargetBook
 
     from .decisions import DecisionLog
     from .exchange import RelayExchange
@@ -55,7 +57,7 @@
         """
 
     @abstractmethod
-    def free(self, service: str, handles: tuple[str, ...]) -> None:
+    def free(self, service: str, results: tuple[PieceResult, ...]) -> None:
         """Give up results."""
 
     @abstractmethod
@@ -81,6 +83,8 @@
     inputs: tuple[str, ...] | None = None
     #: bytes of these by the data centre of their makers
     bytes_by_data_centre: dict[str, int] = field(default_factory=dict)
+    #: what holds them
+    makers: frozenset[Incarnation] = frozenset()
 
 
 class _StageFailedError(Exception):
@@ -101,8 +105,10 @@
         decisions: DecisionLog,
         data_centre: str,
         fleet: Fleet,
+        book: TargetBook,
     ) -> None:
         self.fleet = fleet
+        self.book = book
         self.desk = desk
         self.clock = clock
         self.decisions = decisions
@@ -134,6 +140,7 @@
         self._decisions = runner.decisions
         self._data_centre = runner.data_centre
         self._fleet = runner.fleet
+        self._book = runner.book
         self._exchange = exchange
         self._first_seconds = first_seconds
         self._whole_seconds = whole_seconds
@@ -190,6 +197,26 @@
             ms=round((self._clock.now() - started) * 1000),
         )
 
+    def _find_lost(self) -> _StageFailedError | None:
+        """Return the error of a stage whose results for the target are lost already.
+
+        They may be named by an owner that has not heard of a restart yet; sent on, the
+        request would be turned away by one engine after the other.
+        """
+        for number in self._plan.final:
+            if self._book.has_former(self._list_makers((number,))):
+                return _StageFailedError(self._plan.works[number], PieceFailure.GONE)
+        return None
+
+    def is_lost(self, results: StageResults) -> bool:
+        """Whether a maker of results has started again: it holds none of them."""
+        return self._book.has_former(results.makers)
+
+    def _list_makers(self, numbers: Collection[int]) -> tuple[Incarnation, ...]:
+        """Return the makers of what some stages have made, each once."""
+        makers = (result.maker for one in numbers for result in self._held[one])
+        return tuple(dict.fromkeys(makers))
+
     def free(self) -> None:
         """Give up every result that is held."""
         for number in tuple(self._held):
@@ -240,7 +267,7 @@
             # one that can't be made again decides
             if found is None or error.failure is not PieceFailure.GONE:
                 found = error
-        return found
+        return found or self._find_lost()
 
     def _find_part(self, error: _StageFailedError) -> tuple[int, ...]:
         """Return the stages that have to be made again with one that failed.
@@ -284,6 +311,8 @@
             await asyncio.shield(task)
         work = self._plan.works[number]
         await self._wait_for_others(work)
+        if self._book.has_former(self._list_makers(work.after)):
+            raise _StageFailedError(work, PieceFailure.GONE)
         self._ends[number] = self._clock.now() + self._find_wait(work.service)
         self._ends[number] += work.seconds
         handles = {
@@ -344,6 +373,7 @@
                 exchange.deadline - rest - self._whole_seconds,
             ),
             inputs_until=self._find_lapse(work),
+            input_makers=self._list_makers(work.after),
             rank=exchange.rank,
             data_centre=self._find_data_centre(work),
             moved_bytes=self._count_moved_bytes(work),
@@ -410,6 +440,7 @@
         results = StageResults(inputs=())
         sizes = results.bytes_by_data_centre
         for number in self._plan.final:
+            results.makers |= {result.maker for result in self._held[number]}
             for result in self._held[number]:
                 results.inputs += (result.handle,)
                 size = self._plan.works[number].result_bytes
@@ -419,8 +450,7 @@
     def _free_stage(self, number: int) -> None:
         held = self._held.pop(number, ())
         if held:
-            handles = tuple(result.handle for result in held)
-            self._desk.free(self._plan.works[number].service, handles)
+            self._desk.free(self._plan.works[number].service, held)
 
     def _refuse(self, error: _StageFailedError) -> RefusedError:
         late = error.failure in (PieceFailure.LATE, PieceFailure.ROOM)
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/models.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/models.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from itertools import count
 from typing import TYPE_CHECKING
 
@@ -256,17 +256,17 @@
     def encode_request(self, request, call) -> Outbound:
         raise NotImplementedError
 
-    def encode_pieces(self, pieces, remaining, target_id) -> Outbound:
+    def encode_pieces(self, pieces, remaining, incarnation) -> Outbound:
         return Outbound(method="POST", target="run", body=(pieces, remaining))
 
-    def encode_freeing(self, handles, target_id) -> Outbound:
+    def encode_freeing(self, handles, incarnation) -> Outbound:
         return Outbound(method="POST", target="free", body=handles)
 
     def read_head(self, reply) -> AnswerHead:
         return AnswerHead(status=200, reason="OK")
 
-    def read_pieces(self, body, count, data_centre):
-        return body
+    def read_pieces(self, body, count, maker):
+        return tuple(replace(one, maker=maker.incarnation) for one in body)
 
     def find_maker_address(self, handle: str) -> str:
         return handle.partition("/")[0]
--- a/tests/test_entry/test_relay/test_freeing.py
+++ b/tests/test_entry/test_relay/test_freeing.py
@@ -7,6 +7,9 @@
 
 import pytest
 
+from greengagelatch.relay.incarnations import Incarnation
+from greengagelatch.relay.pieces import PieceResult
+from greengagelatch.relay.targets import TargetBook
 from greengagelatch_entry.relay.decisions import DecisionLog
 from greengagelatch_entry.relay.freeing import CLOSE_SECONDS, ResultFreeing
 from greengagelatch_entry.relay.prometheus import PrometheusMetrics
@@ -34,12 +37,17 @@
         return b""
 
 
+def create_result(handle: str) -> PieceResult:
+    return PieceResult(handle=handle, maker=Incarnation(handle.partition(":")[0], 1))
+
+
 def create_freeing(links: Links) -> ResultFreeing:
     metrics = PrometheusMetrics()
     return ResultFreeing(
         "ledger",
-        find_maker=lambda address: None,
+        find_maker=lambda incarnation: None,
         note_freed=lambda: None,
+        book=TargetBook(),
         links=links,
         codec=ModelCodec(),
         metrics=metrics,
@@ -56,7 +64,7 @@
     """
     links = Links(0.002)
     freeing = create_freeing(links)
-    freeing.free(("m:1/0", "n:1/0"))
+    freeing.free((create_result("m:1/0"), create_result("n:1/0")))
     await freeing.close()
     assert sorted(links.freed) == ["m:1/0", "n:1/0"]
 
@@ -64,7 +72,7 @@
 async def test_results_that_are_being_freed_at_a_stop_are_waited_for():
     links = Links(0.05)
     freeing = create_freeing(links)
-    freeing.free(("m:1/0",))
+    freeing.free((create_result("m:1/0"),))
     await asyncio.sleep(0.03)
     assert links.sent == ["m:1/0"]
     await freeing.close()
@@ -74,7 +82,7 @@
 async def test_stop_does_not_wait_for_makers_that_are_out_of_reach():
     links = Links(60.0)
     freeing = create_freeing(links)
-    freeing.free(("m:1/0",))
+    freeing.free((create_result("m:1/0"),))
     began = asyncio.get_running_loop().time()
     await freeing.close()
     assert links.sent == ["m:1/0"]
--- a/tests/test_entry/test_relay/test_makers.py
+++ b/tests/test_entry/test_relay/test_makers.py
@@ -10,6 +10,7 @@
 
 from greengagelatch.relay.batches import PlannedCall
 from greengagelatch.relay.deployment import MakerProfile
+from greengagelatch.relay.incarnations import Incarnation
 from greengagelatch.relay.pieces import Bundle, Piece, PieceFailure
 from greengagelatch.relay.room import MakerRoom
 from greengagelatch.relay.targets import ListedTarget
@@ -47,7 +48,10 @@
             SHAPE, "m:1", "north", self.results, random.Random(1)
         )
         target = ListedTarget(
-            target_id="m", service="ledger", address="m:1", data_centre="north"
+            incarnation=Incarnation("m", 1),
+            service="ledger",
+            address="m:1",
+            data_centre="north",
         )
         self.maker = Maker(target, PROFILE, MakerRoom(10_000, 4.0))
         stage = StageShape(service="ledger", result_bytes=100)
@@ -56,7 +60,7 @@
                 {"m:1": self.modelled}, self.results, lambda _: stage
             ),
             codec=models.ModelCodec(),
-            book=SimpleNamespace(accepts=lambda target_id: True),
+            book=SimpleNamespace(accepts=lambda incarnation: True),
             clock=self.clock,
         )
 
@@ -75,7 +79,7 @@
             aim=now + ALLOWED,
             latest=now + ALLOWED,
         )
-        call = PlannedCall("m", [(bundle, piece) for piece in pieces])
+        call = PlannedCall(Incarnation("m", 1), [(bundle, piece) for piece in pieces])
         self.maker.begin(len(pieces), now)
         end = await self.caller.call(self.maker, call, ALLOWED, now)
         assert end.outcome == MADE
--- a/tests/test_entry/test_relay/test_stages.py
+++ b/tests/test_entry/test_relay/test_stages.py
@@ -15,8 +15,10 @@
     RouteKind,
     RouteStage,
 )
+from greengagelatch.relay.incarnations import Incarnation
 from greengagelatch.relay.pieces import Bundle, PieceFailure, PieceResult
 from greengagelatch.relay.requests import OpaqueRequest, RefusedError
+from greengagelatch.relay.targets import TargetBook
 from greengagelatch_entry.relay.decisions import DecisionLog
 from greengagelatch_entry.relay.exchange import RelayExchange
 from greengagelatch_entry.relay.prometheus import PrometheusMetrics
@@ -30,6 +32,7 @@
 
 pytestmark = pytest.mark.looptime
 
+MADE_BY = Incarnation("m", 1)
 MAKER = MakerProfile(
     slots=1,
     queue=2,
@@ -79,14 +82,14 @@
         planned = self._failures.get(stage, [])
         failure = planned.pop(0) if planned else None
         return tuple(
-            PieceResult(handle=f"{stage}/{number}/{piece.segment}")
+            PieceResult(handle=f"{stage}/{number}/{piece.segment}", maker=MADE_BY)
             if failure is None
             else PieceResult(failure=failure)
             for piece in bundle.pieces
         )
 
-    def free(self, service: str, handles: tuple[str, ...]) -> None:
-        self.freed.extend(handles)
+    def free(self, service: str, results: tuple[PieceResult, ...]) -> None:
+        self.freed.extend(result.handle for result in results)
 
     def estimate_wait(self, service: str) -> QueueWait:
         return QueueWait()
@@ -100,6 +103,7 @@
         decisions=DecisionLog(clock=clock, metrics=PrometheusMetrics()),
         data_centre="north",
         fleet=None,
+        book=TargetBook(),
     )
     request = OpaqueRequest(
         request_id="r-1",
--- a/tests/test_entry/test_relay/test_two_owners.py
+++ b/tests/test_entry/test_relay/test_two_owners.py
@@ -15,6 +15,7 @@
 from greengagelatch.peers import Member, MemberState
 from greengagelatch.relay.batches import SharedCalls
 from greengagelatch.relay.deployment import MakerProfile
+from greengagelatch.relay.incarnations import Incarnation
 from greengagelatch.relay.pieces import Bundle, Piece, PieceFailure
 from greengagelatch.relay.targets import ListedTarget
 from greengagelatch_entry.relay.decisions import DecisionLog
@@ -73,7 +74,10 @@
             {"m:1": self.maker}, self.results, find_stage=lambda piece: STAGE
         )
         self.target = ListedTarget(
-            target_id="m", service=SERVICE, address="m:1", data_centre="north"
+            incarnation=Incarnation("m", 1),
+            service=SERVICE,
+            address="m:1",
+            data_centre="north",
         )
 
     def create_pool(self, is_sole: Callable[[], bool] = lambda: False) -> StagePool:
@@ -84,7 +88,9 @@
         )
         book = SimpleNamespace(
             list_service=lambda service: [self.target],
-            accepts=lambda target_id: True,
+            accepts=lambda incarnation: True,
+            is_former=lambda incarnation: False,
+            has_former=lambda incarnations: False,
         )
         return StagePool(
             SERVICE,
