--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/desk.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/desk.py
@@ -6,8 +6,8 @@
 from typing import TYPE_CHECKING, Any
 
 from ..controllers import Controller
+from .stage_desk import StageDesk
 from .stage_pool import StagePool
-from .stages import StageDesk
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -15,7 +15,7 @@
     from greengagelatch.relay.incarnations import Incarnation
     from greengagelatch.relay.pieces import Bundle, PieceResult
 
-    from .stages import QueueWait
+    from .stage_desk import QueueWait
 
 __all__ = ("LocalDesk",)
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/owned_desk.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/owned_desk.py
@@ -25,7 +25,7 @@
 from greengagelatch.relay.owners import rank_owners
 
 from ..controllers import Controller
-from .stages import QueueWait, StageDesk
+from .stage_desk import QueueWait, StageDesk
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
@@ -13,8 +13,8 @@
 from .freeing import ResultFreeing
 from .maker_calls import ANSWERED, CallEnd, MakerCaller
 from .makers import Maker
+from .stage_desk import QueueWait
 from .stage_queue import BundleQueue
-from .stages import QueueWait
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-from abc import ABC, abstractmethod
 from collections import Counter
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -14,9 +13,10 @@
 from greengagelatch.relay.stage_plan import StagePlan
 
 from .refusals import create_error
+from .stage_desk import QueueWait
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection
+    from collections.abc import Collection
 
     from greengagelatch.clock import Clock
     from greengagelatch.relay.fleet import Fleet
@@ -27,8 +27,9 @@
 
     from .decisions import DecisionLog
     from .exchange import RelayExchange
+    from .stage_desk import StageDesk
 
-__all__ = ("QueueWait", "StageDesk", "StageResults", "StageRun", "StageRunner")
+__all__ = ("StageResults", "StageRun", "StageRunner")
 
 #: times that stages are made, because results of earlier ones are gone
 MAX_MAKES = 2
@@ -41,40 +42,6 @@
 LEAST_PAUSE = 0.005
 
 
-class StageDesk(ABC):
-    """Takes bundles of pieces and has them made."""
-
-    @abstractmethod
-    async def make(
-        self, bundle: Bundle, note_read: Callable[[], None]
-    ) -> tuple[PieceResult, ...]:
-        """Return the results of all pieces, in order.
-
-        ``note_read`` is called once the makers have what the pieces read, if that is
-        known before the results are there.
-
-        Cancelling it withdraws the pieces that are not yet being made.
-        """
-
-    @abstractmethod
-    def free(self, service: str, results: tuple[PieceResult, ...]) -> None:
-        """Give up results."""
-
-    @abstractmethod
-    def estimate_wait(self, service: str) -> QueueWait:
-        """Return how long a piece would wait if it came now."""
-
-
-@dataclass(frozen=True, slots=True)
-class QueueWait:
-    """Seconds that a piece would wait which came now."""
-
-    #: behind those whose requests can still be on time
-    urgent: float = 0.0
-    #: behind all
-    whole: float = 0.0
-
-
 @dataclass(slots=True)
 class StageResults:
     """What a request's target needs of its stages."""
--- a/tests/test_entry/test_relay/test_owned_desk.py
+++ b/tests/test_entry/test_relay/test_owned_desk.py
@@ -17,7 +17,7 @@
 from greengagelatch_entry.relay.decisions import DecisionLog
 from greengagelatch_entry.relay.owned_desk import SETTLING_SECONDS, OwnedDesk
 from greengagelatch_entry.relay.prometheus import PrometheusMetrics
-from greengagelatch_entry.relay.stages import QueueWait
+from greengagelatch_entry.relay.stage_desk import QueueWait
 
 NAMES = ("entry-1", "entry-2", "entry-3")
 MAKER = Incarnation("m-1", 1_700_000_000_123)
