--- a/tests/test_matrix/test_simulated_processes.py
+++ b/tests/test_matrix/test_simulated_processes.py
@@ -33,6 +33,8 @@
         end(process)
         await asyncio.sleep(1.0)
 
+    # what other tests have left is not this one's
+    gc.collect()
     loop = create_loop()
     with warnings.catch_warnings(record=True) as caught:
         warnings.simplefilter("always")
