--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/owned_desk.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/owned_desk.py
@@ -60,8 +60,8 @@
 #: seconds for which the list of members is used again
 MEMBERS_LIFE = 0.1
 #: seconds after a change of who may own stage work in which calls of an owner before
-#: may still be at makers: an instance that leaves goes on for the platform's
-#: ``grace-s``, usually 8, and a call that it began last for less than 2 more
+#: may still be at makers: an instance that leaves goes on until it is killed, usually
+#: 8 s after its stop request, and a call that it began last for less than 2 more
 SETTLING_SECONDS = 10.0
 
 
