Order the pieces that wait only where a maker can begin a call

Cause: the instance that gathers a service's pieces put all that wait in order for each bundle that came, each result that was freed and each call that ended, several times over, although no maker was idle; admission counted the whole queue anew for each request.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/makers.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/makers.py
@@ -46,6 +46,10 @@
     _measured: float = 0.0
     _lost: float = float("-inf")
 
+    def is_idle(self, now: float) -> bool:
+        """Whether it can begin a call at once."""
+        return self.calls < self.profile.slots and self.paused_until <= now
+
     def view(self, now: float) -> MakerView:
         """Return the maker as decisions see it."""
         free_at = max(self.paused_until, 0.0)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
@@ -3,24 +3,23 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
 from typing import TYPE_CHECKING
 
-from greengagelatch.relay.batches import find_hopeless, is_late
+from greengagelatch.relay.batches import find_hopeless
 from greengagelatch.relay.pieces import PieceFailure, PieceResult
 from greengagelatch.relay.room import MakerRoom
 
 from .freeing import ResultFreeing
 from .maker_calls import ANSWERED, CallEnd, MakerCaller
 from .makers import Maker
-from .stage_desk import QueueWait
 from .stage_queue import BundleQueue
+from .wait_estimates import WaitEstimate
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from greengagelatch.clock import Clock
-    from greengagelatch.relay.batches import BatchPolicy, MakerView, PlannedCall
+    from greengagelatch.relay.batches import BatchPolicy, PlannedCall
     from greengagelatch.relay.deployment import MakerProfile
     from greengagelatch.relay.incarnations import Incarnation
     from greengagelatch.relay.pieces import Bundle
@@ -31,15 +30,13 @@
     from .codecs import TargetCodec
     from .decisions import DecisionLog
     from .links import TargetLinks
+    from .stage_desk import QueueWait
     from .stage_queue import Work
 
 __all__ = ("StagePool",)
 
-#: seconds over which the pieces made are counted
-RATE_SECONDS = 2.0
-#: share of makers' speed that is believed at the least
-LEAST_SPEED = 0.3
-#: seconds after which pieces that wait are looked at again
+#: seconds after which pieces that wait are looked at again, and between two searches
+#: for those that can't be made in time
 LOOK_AGAIN = 0.05
 #: seconds after which a call that began at once has fetched its inputs, which takes
 #: a few milliseconds on these links
@@ -83,11 +80,12 @@
             service, free=self.free, book=book, budgets=budgets, metrics=metrics
         )
         self._makers: dict[Incarnation, Maker] = {}
+        #: the makers listed, as of the entries and the profile they were made from
+        self._listed: list[Maker] = []
+        self._listed_from: tuple[object, MakerProfile] | None = None
+        self._estimate = WaitEstimate(clock.now())
+        self._hopeless_sought = 0.0
         self._tasks: set[asyncio.Task[None]] = set()
-        #: monotonic seconds since when more than one call's pieces have waited
-        self._queued_since = clock.now()
-        #: times of calls that were answered, and the pieces made by each
-        self._made: deque[tuple[float, int]] = deque()
         self._timer: asyncio.TimerHandle | None = None
         self._caller = MakerCaller(links=links, codec=codec, book=book, clock=clock)
         self._freeing = ResultFreeing(
@@ -113,6 +111,7 @@
             return (gone,) * len(bundle.pieces)
         work = self._queue.add(bundle, note_read)
         self._look()
+        self._estimate.note_added(len(work.left))
         try:
             return await work.done
         except asyncio.CancelledError:
@@ -123,31 +122,7 @@
         """Return how long a piece that came now would wait."""
         profile = self._find_profile()
         makers = self._list_makers(profile) if profile is not None else []
-        now = self._clock.now()
-        if not makers or not self._queue:
-            self._queued_since = now
-            return QueueWait()
-        waiting = urgent = 0
-        for work in self._queue:
-            count = len(work.left)
-            waiting += count
-            if count and not is_late(work.bundle, count, profile, now):
-                urgent += count
-        speed = sum(1 / maker.find_slowness(now) for maker in makers)
-        rate = profile.batch / profile.estimate_seconds(profile.batch)
-        rate *= max(0.1, speed)
-        if waiting <= profile.batch:
-            self._queued_since = now
-        elif now - self._queued_since >= RATE_SECONDS:
-            # makers' room may bind long before their time does
-            rate = min(rate, max(rate * LEAST_SPEED, self._find_rate(now)))
-        return QueueWait(urgent / rate, waiting / rate)
-
-    def _find_rate(self, now: float) -> float:
-        """Return the pieces made a second, of late."""
-        while self._made and self._made[0][0] < now - RATE_SECONDS:
-            self._made.popleft()
-        return sum(count for _, count in self._made) / RATE_SECONDS
+        return self._estimate.read(self._queue, makers, profile, self._clock.now())
 
     def free(self, results: tuple[PieceResult, ...]) -> None:
         """Have makers drop results."""
@@ -193,10 +168,11 @@
     # decisions
 
     def _look(self) -> None:
-        """Begin the calls that are due."""
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
+        """Begin the calls that are due.
+
+        It is called for whatever changes, hundreds of times a second in a large
+        deployment, so it takes long only where a maker can begin a call.
+        """
         if not self._queue:
             return
         profile = self._find_profile()
@@ -205,8 +181,23 @@
         if not makers:
             self._queue.fail_all(PieceFailure.NO_MAKER)
             return
+        if now >= self._hopeless_sought + LOOK_AGAIN:
+            self._hopeless_sought = now
+            self._drop_hopeless(makers, profile, now)
+        if any(maker.is_idle(now) for maker in makers):
+            self._begin_calls(makers, profile, now)
+        if self._timer is None and self._queue.has_waiting():
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(LOOK_AGAIN, self._look_again)
+
+    def _look_again(self) -> None:
+        self._timer = None
+        self._look()
+
+    def _begin_calls(
+        self, makers: list[Maker], profile: MakerProfile, now: float
+    ) -> None:
         views = [maker.view(now) for maker in makers]
-        self._drop_hopeless(views, profile, now)
         for call in self._policy.plan(self._queue.list_ready(), views, profile, now):
             self._queue.take_out(call)
             # counted before its task runs: more bundles may come until then, and
@@ -217,12 +208,14 @@
             task = asyncio.create_task(self._run_call(call, maker, allowed, now))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
-        if self._queue.count_waiting():
-            loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(LOOK_AGAIN, self._look)
 
     def _list_makers(self, profile: MakerProfile) -> list[Maker]:
         listed = self._book.list_service(self._service)
+        if self._listed_from is not None:
+            before, known_profile = self._listed_from
+            # the book makes a new list when one of its entries changes
+            if before is listed and known_profile == profile:
+                return self._listed
         known = {target.incarnation for target in listed}
         for incarnation, maker in tuple(self._makers.items()):
             if incarnation not in known and maker.calls == 0:
@@ -232,12 +225,15 @@
             if maker is None or maker.profile != profile:
                 room = MakerRoom(profile.room_bytes, profile.keep_seconds)
                 self._makers[target.incarnation] = Maker(target, profile, room)
-        return [self._makers[target.incarnation] for target in listed]
+        self._listed = [self._makers[target.incarnation] for target in listed]
+        self._listed_from = (listed, profile)
+        return self._listed
 
     def _drop_hopeless(
-        self, views: list[MakerView], profile: MakerProfile, now: float
+        self, makers: list[Maker], profile: MakerProfile, now: float
     ) -> None:
         """Fail the bundles whose request can't be answered in time any more."""
+        views = [maker.view(now) for maker in makers]
         waiting = self._queue.list_waiting()
         for bundle in find_hopeless(waiting, views, profile, now):
             self._queue.fail(self._queue.find(bundle), PieceFailure.LATE)
@@ -285,7 +281,7 @@
                 maker.room.note_refusal(now)
         maker.room.settle(size, made, now)
         if made:
-            self._made.append((now, len(made)))
+            self._estimate.note_made(len(made), now)
         if end.outcome not in ANSWERED:
             # it may go on with the call, and keep the results for a while
             maker.room.hold_unknown(f"lost at {started}", size, now)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_queue.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_queue.py
@@ -65,36 +65,38 @@
         self._book = book
         self._budgets = budgets
         self._metrics = metrics
-        self._works: list[Work] = []
+        #: by the identity of their bundles: two peers may ask for one of the same id
+        self._works: dict[int, Work] = {}
 
     def __len__(self) -> int:
         return len(self._works)
 
     def __iter__(self) -> Iterator[Work]:
-        return iter(self._works)
+        return iter(self._works.values())
 
     def add(self, bundle: Bundle, note_read: Callable[[], None]) -> Work:
         """Take in a bundle, of which nothing is made yet."""
         self._budgets.note_request(self._service)
         done = asyncio.get_running_loop().create_future()
         work = Work(bundle, list(bundle.pieces), done, note_read)
-        self._works.append(work)
+        self._works[id(bundle)] = work
         return work
 
     def find(self, bundle: Bundle) -> Work | None:
         """Return the work on a bundle, unless that has ended."""
-        for work in self._works:
-            if work.bundle is bundle:
-                return work
-        return None
+        return self._works.get(id(bundle))
 
     def count_waiting(self) -> int:
         """Return the pieces that are not yet being made."""
-        return sum(len(work.left) for work in self._works)
+        return sum(len(work.left) for work in self)
+
+    def has_waiting(self) -> bool:
+        """Whether any piece is not yet being made."""
+        return any(work.left for work in self)
 
     def list_waiting(self) -> list[tuple[Bundle, list[Piece]]]:
-        """Return all bundles, each with its pieces that are not yet being made."""
-        return [(work.bundle, work.left) for work in self._works]
+        """Return the bundles of which pieces wait, each with these."""
+        return [(work.bundle, work.left) for work in self if work.left]
 
     def list_ready(self) -> list[tuple[Bundle, list[Piece]]]:
         """Return the pieces that may be sent; repeats wait for their budget.
@@ -104,7 +106,12 @@
         """
         repeats = self._budgets.count_left(self._service)
         ready = []
-        for work in self._works:
+        for work in self:
+            if not work.left:
+                continue
+            if not work.sends:
+                ready.append((work.bundle, list(work.left)))
+                continue
             pieces = []
             for piece in work.left:
                 if work.sends.get(piece.segment):
@@ -128,13 +135,13 @@
 
     def fail_all(self, failure: PieceFailure) -> None:
         """Fail all bundles of which pieces wait."""
-        for work in tuple(self._works):
+        for work in tuple(self):
             if work.left:
                 self.fail(work, failure)
 
     def drop_lost(self, incarnation: Incarnation) -> None:
         """Take in that a maker has started again: what it had made is lost."""
-        for work in tuple(self._works):
+        for work in tuple(self):
             self._drop_lost(work, incarnation)
 
     def _drop_lost(self, work: Work, incarnation: Incarnation) -> None:
@@ -208,7 +215,7 @@
         return result.failure is None and self._book.is_former(result.maker)
 
     def _finish(self, work: Work) -> None:
-        self._works.remove(work)
+        self._take_off(work)
         ordered = tuple(work.results[piece.segment] for piece in work.bundle.pieces)
         if not work.done.done():
             work.done.set_result(ordered)
@@ -216,8 +223,7 @@
     def fail(self, work: Work, failure: PieceFailure) -> None:
         """End a bundle; those of its results that are there are passed on."""
         self._metrics.count(f"stages.failed.{failure.value}")
-        if work in self._works:
-            self._works.remove(work)
+        self._take_off(work)
         results = tuple(
             work.results.get(piece.segment, PieceResult(failure=failure))
             for piece in work.bundle.pieces
@@ -225,11 +231,13 @@
         if not work.done.done():
             work.done.set_result(results)
 
+    def _take_off(self, work: Work) -> None:
+        self._works.pop(id(work.bundle), None)
+
     def withdraw(self, work: Work) -> None:
         """Take out a bundle that nobody waits for any more."""
         work.withdrawn = True
-        if work in self._works:
-            self._works.remove(work)
+        self._take_off(work)
         made = tuple(work.results.values())
         if made:
             self._free(made)
--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/wait_estimates.py
@@ -0,0 +1,103 @@
+"""How long a piece that came now would wait for the makers of its service."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+from greengagelatch.relay.batches import is_late
+
+from .stage_desk import QueueWait
+
+if TYPE_CHECKING:
+    from greengagelatch.relay.deployment import MakerProfile
+
+    from .makers import Maker
+    from .stage_queue import BundleQueue
+
+__all__ = ("WaitEstimate",)
+
+#: seconds over which the pieces made are counted
+RATE_SECONDS = 2.0
+#: share of makers' speed that is believed at the least
+LEAST_SPEED = 0.3
+#: seconds for which a count of the queue is used again
+COUNT_LIFE = 0.02
+
+
+class WaitEstimate:
+    """Estimates the wait from the pieces that wait and the speed of their makers.
+
+    Every request asks, some several times. With the whole queue counted for each, a
+    burst in a large deployment would cost more of the processor than the calls; so it
+    is counted fifty times a second, and what has come since is added.
+    """
+
+    def __init__(self, now: float) -> None:
+        #: monotonic seconds since when more than one call's pieces have waited
+        self._queued_since = now
+        #: times of calls that were answered, and the pieces made by each
+        self._made: deque[tuple[float, int]] = deque()
+        self._counted_until = 0.0
+        #: pieces that waited when they were counted, and those that came since
+        self._urgent = 0
+        self._waiting = 0
+        self._added = 0
+        #: pieces made a second
+        self._rate = 1.0
+
+    def note_made(self, count: int, now: float) -> None:
+        """Take in the pieces that a call has made."""
+        self._made.append((now, count))
+
+    def note_added(self, count: int) -> None:
+        """Take in pieces that came and wait."""
+        self._added += count
+
+    def read(
+        self,
+        queue: BundleQueue,
+        makers: list[Maker],
+        profile: MakerProfile | None,
+        now: float,
+    ) -> QueueWait:
+        """Return how long a piece that came now would wait."""
+        if not makers or not queue:
+            self._queued_since = now
+            self._counted_until = 0.0
+            return QueueWait()
+        if now >= self._counted_until:
+            self._count(queue, makers, profile, now)
+            self._counted_until = now + COUNT_LIFE
+        return QueueWait(
+            (self._urgent + self._added) / self._rate,
+            (self._waiting + self._added) / self._rate,
+        )
+
+    def _count(
+        self,
+        queue: BundleQueue,
+        makers: list[Maker],
+        profile: MakerProfile,
+        now: float,
+    ) -> None:
+        self._urgent = self._waiting = self._added = 0
+        for bundle, left in queue.list_waiting():
+            self._waiting += len(left)
+            if not is_late(bundle, len(left), profile, now):
+                self._urgent += len(left)
+        speed = sum(1 / maker.find_slowness(now) for maker in makers)
+        rate = profile.batch / profile.estimate_seconds(profile.batch)
+        rate *= max(0.1, speed)
+        if self._waiting <= profile.batch:
+            self._queued_since = now
+        elif now - self._queued_since >= RATE_SECONDS:
+            # makers' room may bind long before their time does
+            rate = min(rate, max(rate * LEAST_SPEED, self._find_rate(now)))
+        self._rate = rate
+
+    def _find_rate(self, now: float) -> float:
+        """Return the pieces made a second, of late."""
+        while self._made and self._made[0][0] < now - RATE_SECONDS:
+            self._made.popleft()
+        return sum(count for _, count in self._made) / RATE_SECONDS
--- a/packages/greengagelatch/src/greengagelatch/relay/batches.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/batches.py
@@ -105,19 +105,17 @@
         profile: MakerProfile,
         now: float,
     ) -> list[PlannedCall]:
-        waiting = [pair for pair in bundles if pair[1]]
         idle = _list_useful(makers, profile, now)
         calls = []
-        waiting.sort(key=lambda pair: _rank(pair, profile, now))
-        waiting = _leave_for_near(waiting, idle, makers, profile, now)
+        waiting = _leave_for_near(
+            _order(bundles, profile, now), idle, makers, profile, now
+        )
         while waiting and idle:
-            waiting.sort(key=lambda pair: _rank(pair, profile, now))
             share = _count_share(waiting, len(idle), profile)
-            maker = _choose_maker(idle, waiting[0][0])
+            maker = _choose_maker(idle, waiting[0].bundle)
             idle.remove(maker)
-            waiting.sort(key=lambda pair: _rank(pair, profile, now, maker))
-            call = _fill(maker, waiting, share, profile)
-            waiting = [pair for pair in waiting if pair[1]]
+            call = _fill(maker, _order_for(maker, waiting), share, profile)
+            waiting = [one for one in waiting if one.left]
             if call.pieces:
                 calls.append(call)
         return calls
@@ -140,35 +138,69 @@
                 break
             if not left:
                 continue
-            call = _fill(idle.pop(0), [(bundle, left)], profile.batch, profile)
+            waiting = [_Waiting(bundle, left)]
+            call = _fill(idle.pop(0), waiting, profile.batch, profile)
             if call.pieces:
                 calls.append(call)
         return calls
 
 
-def _rank(
-    pair: tuple[Bundle, list[Piece]],
-    profile: MakerProfile,
-    now: float,
-    maker: MakerView | None = None,
-) -> tuple[bool, float]:
+@dataclass(slots=True)
+class _Waiting:
+    """A bundle that waits, and its place in the order."""
+
+    bundle: Bundle
+    #: pieces that are not yet being made
+    left: list[Piece]
+    late: bool = False
+    urgency: float = 0.0
+
+    @property
+    def moves_much(self) -> bool:
+        """Whether it is best made in one place."""
+        return self.bundle.moved_bytes >= MUCH_MOVED
+
+
+def _order(
+    bundles: list[tuple[Bundle, list[Piece]]], profile: MakerProfile, now: float
+) -> list[_Waiting]:
     """Order bundles: those that can still meet their aim, then by urgency.
 
     One that can't meet its aim any more has lost most of its worth; let it wait
     for those that have not, up to its last chance: what was made for it is not to be
-    thrown away, and few such are begun. Bundles that move much go first at a maker in
-    the right place: what crosses data centres is paid for.
+    thrown away, and few such are begun.
+    """
+    waiting = []
+    for bundle, left in bundles:
+        if not left:
+            continue
+        late = is_late(bundle, len(left), profile, now)
+        urgency = bundle.aim + bundle.rank * RANK_SECONDS
+        if late and now > _find_last_chance(bundle):
+            late, urgency = False, now
+        waiting.append(_Waiting(bundle, left, late, urgency))
+    waiting.sort(key=lambda one: (one.late, one.urgency))
+    return waiting
+
+
+def _find_last_chance(bundle: Bundle) -> float:
+    return min(bundle.latest - LAST_CHANCE, bundle.inputs_until - LAPSE_CHANCE)
+
+
+def _order_for(maker: MakerView, waiting: list[_Waiting]) -> list[_Waiting]:
+    """Put bundles that move much first at a maker in the right place.
+
+    What crosses data centres is paid for.
     """
-    bundle, left = pair
-    urgency = bundle.aim + bundle.rank * RANK_SECONDS
-    moves_much = bundle.moved_bytes >= MUCH_MOVED
-    if moves_much and maker is not None and bundle.data_centre != maker.data_centre:
-        urgency += FAR_SECONDS
-    late = is_late(bundle, len(left), profile, now)
-    chance = min(bundle.latest - LAST_CHANCE, bundle.inputs_until - LAPSE_CHANCE)
-    if late and now > chance:
-        return (False, now)
-    return (late, urgency)
+    if not any(one.moves_much for one in waiting):
+        return waiting
+    return sorted(waiting, key=lambda one: (one.late, _find_urgency(one, maker)))
+
+
+def _find_urgency(one: _Waiting, maker: MakerView) -> float:
+    if one.moves_much and one.bundle.data_centre != maker.data_centre:
+        return one.urgency + FAR_SECONDS
+    return one.urgency
 
 
 def is_late(bundle: Bundle, count: int, profile: MakerProfile, now: float) -> bool:
@@ -193,28 +225,27 @@
     speed = sum(1 / max(one.slowness, LEAST_SLOWNESS) for one in makers)
     rate = speed * profile.batch / profile.estimate_seconds(profile.batch)
     rate *= COUNTED_SPEED
+    least = now + profile.estimate_seconds(1)
     hopeless = []
     before = 0
-    ordered = sorted(bundles, key=lambda pair: _rank(pair, profile, now))
-    for bundle, left in ordered:
-        if not left:
+    for one in _order(bundles, profile, now):
+        count = len(one.left)
+        call = profile.estimate_seconds(min(count, profile.batch))
+        latest = one.bundle.latest
+        if least > latest or now + before / rate + call > latest:
+            hopeless.append(one.bundle)
             continue
-        call = profile.estimate_seconds(min(len(left), profile.batch))
-        least = now + profile.estimate_seconds(1)
-        if least > bundle.latest or now + before / rate + call > bundle.latest:
-            hopeless.append(bundle)
-            continue
-        before += len(left)
+        before += count
     return hopeless
 
 
 def _leave_for_near(
-    waiting: list[tuple[Bundle, list[Piece]]],
+    waiting: list[_Waiting],
     idle: list[MakerView],
     makers: list[MakerView],
     profile: MakerProfile,
     now: float,
-) -> list[tuple[Bundle, list[Piece]]]:
+) -> list[_Waiting]:
     """Return the bundles to place now, without those that wait for a near maker.
 
     What crosses data centres is paid for, and every piece reads all of its bundle's
@@ -222,20 +253,24 @@
     one can take it with its next call, in time for the request's objective.
     """
     idle_places = {one.data_centre for one in idle}
+    near: dict[str, list[MakerView]] = {}
+    for maker in makers:
+        near.setdefault(maker.data_centre, []).append(maker)
     held: dict[str, int] = {}
     placed = []
-    for pair in waiting:
-        bundle, left = pair
-        place = bundle.data_centre
-        near = [one for one in makers if one.data_centre == place]
-        count = held.get(place, 0) + len(left)
+    for one in waiting:
+        place = one.bundle.data_centre
+        beside = near.get(place, [])
+        count = held.get(place, 0) + len(one.left)
         if (
-            bundle.moved_bytes < MUCH_MOVED
+            not one.moves_much
             or place in idle_places
-            or count > profile.batch * len(near)
-            or not any(_is_soon(one, bundle, count, profile, now) for one in near)
+            or count > profile.batch * len(beside)
+            or not any(
+                _is_soon(maker, one.bundle, count, profile, now) for maker in beside
+            )
         ):
-            placed.append(pair)
+            placed.append(one)
             continue
         held[place] = count
     return placed
@@ -274,10 +309,8 @@
     return useful
 
 
-def _count_share(
-    waiting: list[tuple[Bundle, list[Piece]]], idle: int, profile: MakerProfile
-) -> int:
-    pieces = sum(len(left) for _, left in waiting)
+def _count_share(waiting: list[_Waiting], idle: int, profile: MakerProfile) -> int:
+    pieces = sum(len(one.left) for one in waiting)
     return max(1, min(profile.batch, ceil(pieces / idle)))
 
 
@@ -294,10 +327,7 @@
 
 
 def _fill(
-    maker: MakerView,
-    waiting: list[tuple[Bundle, list[Piece]]],
-    share: int,
-    profile: MakerProfile,
+    maker: MakerView, waiting: list[_Waiting], share: int, profile: MakerProfile
 ) -> PlannedCall:
     """Take pieces off ``waiting`` for one call, whole bundles if possible.
 
@@ -307,7 +337,8 @@
     """
     call = PlannedCall(maker.incarnation)
     free = maker.free_bytes
-    for bundle, left in waiting:
+    for one in waiting:
+        bundle, left = one.bundle, one.left
         if call.pieces and len(call.pieces) >= share:
             break
         fitting = profile.batch - len(call.pieces)
--- a/packages/greengagelatch/src/greengagelatch/relay/room.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/room.py
@@ -25,16 +25,15 @@
         #: bytes that others must hold, and until when that is believed
         self._foreign = 0.0
         self._foreign_until = 0.0
+        #: bytes of each result and when it lapses, those that lapse first in front
         self._held: dict[str, tuple[int, float]] = {}
+        self._held_bytes = 0
 
     def find_free(self, now: float) -> float:
         """Return the bytes that are free."""
-        for handle, (_, until) in tuple(self._held.items()):
-            if until <= now:
-                del self._held[handle]
-        held = sum(size for size, _ in self._held.values())
+        self._drop_lapsed(now)
         foreign = self._foreign if now < self._foreign_until else 0.0
-        return self._size - self._reserved - held - foreign
+        return self._size - self._reserved - self._held_bytes - foreign
 
     def reserve(self, size: int) -> None:
         """Take room for a call that begins."""
@@ -44,7 +43,7 @@
         """Turn a call's reservation into the results that it made."""
         self._reserved = max(0.0, self._reserved - size)
         for handle, result_size in results.items():
-            self._held[handle] = (result_size, now + self._keep_seconds)
+            self._hold(handle, result_size, now + self._keep_seconds)
 
     def note_refusal(self, now: float) -> None:
         """Take in that there was no room: results of others fill it.
@@ -58,8 +57,21 @@
 
     def hold_unknown(self, name: str, size: int, until: float) -> None:
         """Count results whose handles were lost on the way, until they lapse."""
-        self._held[name] = (size, until + self._keep_seconds)
+        self._hold(name, size, until + self._keep_seconds)
 
     def free(self, handle: str) -> None:
         """Give back a result's room."""
-        self._held.pop(handle, None)
+        size, _ = self._held.pop(handle, (0, 0.0))
+        self._held_bytes -= size
+
+    def _hold(self, name: str, size: int, until: float) -> None:
+        self.free(name)
+        self._held[name] = (size, until)
+        self._held_bytes += size
+
+    def _drop_lapsed(self, now: float) -> None:
+        while self._held:
+            handle, (_, until) = next(iter(self._held.items()))
+            if until > now:
+                return
+            self.free(handle)
