Keep idle connections within what a target takes from all; wait for calls of former owners only

An instance keeps its share of two fifths of what the target accepts, and only where a request would have taken a kept one of late.

Cause: inputs of a call are freed while it is made only by an owner that no other one's calls can be beside, and any instance that came or went made it wait for 10 s. With instances restarting in turn it never was. Only a change of the owner itself asks for that long; after others come or go, 2 s.

Ruled out: asking a maker whether a call waits: what it says is some hundred ms old, as long as a call.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -13,6 +13,7 @@
 from greengagelatch.peers import MemberState
 from greengagelatch.relay.admission import EstimateRule
 from greengagelatch.relay.batches import SharedCalls
+from greengagelatch.relay.connections import count_kept
 from greengagelatch.relay.deployment import CallerBounds
 from greengagelatch.relay.fleet import Fleet
 from greengagelatch.relay.listeners import choose_listeners
@@ -190,7 +191,9 @@
             data_centre=self.rules.data_centre,
             random_source=self.random,
         )
-        self.links = TargetLinks(clock=self.clock, metrics=self.metrics)
+        self.links = TargetLinks(
+            count_kept=self._count_kept, clock=self.clock, metrics=self.metrics
+        )
         self.configuration = ConfigurationFollower(
             codec=self.adapters.deployments,
             clock=self.clock,
@@ -362,6 +365,20 @@
         )
         return max(alive, ASSUMED_INSTANCES)
 
+    def _count_kept(self, incarnation: Incarnation) -> int:
+        """Return how many idle connections may be kept to a target."""
+        target = self.book.find_listed(incarnation.target_id)
+        deployment = self.configuration.deployment
+        service = None
+        if target is not None and deployment is not None:
+            service = deployment.services.get(target.service)
+        return count_kept(
+            service.max_connections if service else 0,
+            self._count_instances(),
+            self.rules.instance_id,
+            incarnation.target_id,
+        )
+
     def _list_listeners(self) -> frozenset[str]:
         members = self.peers.members()
         if members is not self.listening_members:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/links.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/links.py
@@ -48,9 +48,6 @@
 #: bytes of an answer that wait to be read
 READ_BUFFER = 256 * 1024
 MAX_HEADER_BYTES = 32_768
-#: idle connections kept for one target, which takes a hundred or so from all
-#: instances together
-MAX_IDLE = 4
 
 
 class NotSentError(Exception):
@@ -162,12 +159,23 @@
 
     A library's client sends a request again by itself when a kept connection drops;
     here each request is written once, so that one which may run only once does.
+
+    :param count_kept: returns how many idle connections may be kept to a target
     """
 
-    def __init__(self, *, clock: Clock, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        *,
+        count_kept: Callable[[Incarnation], int],
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self._count_kept = count_kept
         self._clock = clock
         self._metrics = metrics
         self._idle: dict[Incarnation, list[_Link]] = defaultdict(list)
+        #: monotonic seconds at which a kept connection was last asked for
+        self._wanted: dict[Incarnation, float] = {}
 
     async def send(
         self,
@@ -225,6 +233,7 @@
 
     def drop(self, incarnation: Incarnation) -> None:
         """Close the idle connections to a target that is gone."""
+        self._wanted.pop(incarnation, None)
         for link in self._idle.pop(incarnation, ()):
             link.abort()
 
@@ -262,6 +271,7 @@
     def _take(self, incarnation: Incarnation) -> _Link | None:
         links = self._idle.get(incarnation)
         now = self._clock.now()
+        self._wanted[incarnation] = now
         while links:
             link = links.pop()
             if link.reusable and now < link.usable_until:
@@ -273,12 +283,23 @@
         self, incarnation: Incarnation, link: _Link, seconds: float = IDLE_SECONDS
     ) -> None:
         links = self._idle[incarnation]
-        if len(links) >= MAX_IDLE:
+        now = self._clock.now()
+        if not self._is_wanted(incarnation, now) or len(links) >= self._count_kept(
+            incarnation
+        ):
             link.abort()
             return
-        link.usable_until = self._clock.now() + seconds
+        link.usable_until = now + seconds
         links.append(link)
 
+    def _is_wanted(self, incarnation: Incarnation, now: float) -> bool:
+        """Whether a request might use a kept connection.
+
+        Requests that run only once never do; kept after these alone, connections
+        would take those that their target accepts from instances in need of one.
+        """
+        return now - self._wanted.get(incarnation, float("-inf")) < IDLE_SECONDS
+
     def _give_back(
         self,
         incarnation: Incarnation,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/owned_desk.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/owned_desk.py
@@ -59,10 +59,13 @@
 MAX_OWNERS = 2
 #: seconds for which the list of members is used again
 MEMBERS_LIFE = 0.1
-#: seconds after a change of who may own stage work in which calls of an owner before
-#: may still be at makers: an instance that leaves goes on until it is killed, usually
+#: seconds for which an instance has been the owner until calls of the owner before
+#: are at no maker any more: an instance that leaves goes on until it is killed, usually
 #: 8 s after its stop request, and a call that it began last for less than 2 more
 SETTLING_SECONDS = 10.0
+#: seconds after any other change in which an instance that does not know the owner
+#: may make pieces itself: until it has heard of the others, and its call has ended
+MEETING_SECONDS = 2.0
 
 
 class OwnedDesk(Controller, StageDesk):
@@ -106,6 +109,10 @@
         self._told: set[str] = set()
         self._candidates: tuple[str, ...] = ()
         self._candidates_until = 0.0
+        #: owners in order by service, as of the candidates
+        self._ranked: dict[str, tuple[str, ...]] = {}
+        #: since when this instance has been the owner, by service
+        self._owner_since: dict[str, float] = {}
         #: since when the candidates have been the same
         self._unchanged_since = clock.now()
         peers.handle(PiecesWanted, self._answer_wanted)
@@ -148,13 +155,19 @@
     def is_sole(self, service: str) -> bool:
         """Return whether no other instance's calls are at the makers of a service.
 
-        So it is where this instance owns the service and nobody has come or gone
-        for as long as an owner before could go on. An instance that leaves owns
-        nothing, although it finishes what it has in work for its peers.
+        So it is where this instance has owned the service for as long as an owner
+        before could go on, and nobody has come or gone just now. An instance that
+        leaves owns nothing, although it finishes what it has in work for its peers.
+
+        Others that come and go own nothing: were their changes waited for like a
+        change of the owner, inputs would fill the makers' room through whole days of
+        restarts, and calls would be two thirds as full.
         """
         if self._rank(service)[:1] != (self._peers.instance_id,):
             return False
-        return self._find_unchanged() >= SETTLING_SECONDS
+        if self._find_unchanged() < MEETING_SECONDS:
+            return False
+        return self._clock.now() - self._owner_since[service] >= SETTLING_SECONDS
 
     async def wait_idle(self, timeout: float) -> bool:
         """Wait at most ``timeout`` seconds until no bundle of a peer is in work.
@@ -233,7 +246,19 @@
         )
 
     def _rank(self, service: str) -> tuple[str, ...]:
-        return rank_owners(service, self._find_candidates())
+        """Return who may own a service, its owner first."""
+        candidates = self._find_candidates()
+        ranked = self._ranked.get(service)
+        if ranked is None:
+            ranked = self._ranked[service] = rank_owners(service, candidates)
+            self._note_owner(service, ranked)
+        return ranked
+
+    def _note_owner(self, service: str, ranked: tuple[str, ...]) -> None:
+        if ranked[:1] == (self._peers.instance_id,):
+            self._owner_since.setdefault(service, self._clock.now())
+        else:
+            self._owner_since.pop(service, None)
 
     def _find_candidates(self) -> tuple[str, ...]:
         now = self._clock.now()
@@ -254,6 +279,11 @@
         )
         if self._candidates != before:
             self._unchanged_since = now
+            # at once: who owns a service only in between has calls at its makers too
+            for service in tuple(self._ranked):
+                ranked = rank_owners(service, self._candidates)
+                self._ranked[service] = ranked
+                self._note_owner(service, ranked)
             self._decisions.note_belief(
                 "instances",
                 gone=sorted(set(before) - set(self._candidates)),
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/shapes.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/shapes.py
@@ -112,7 +112,10 @@
 
 
 def _list_chain(
-    services: tuple[str, str, str], middle_pieces: int, first: int = 0
+    services: tuple[str, str, str],
+    middle_pieces: int,
+    first: int = 0,
+    last_pieces: int = 10,
 ) -> tuple[StageShape, ...]:
     """Return three stages, each reading the one before; ``first`` is its number."""
     return (
@@ -124,7 +127,10 @@
             after=(first,),
         ),
         StageShape(
-            service=services[2], result_bytes=6_000, pieces=10, after=(first + 1,)
+            service=services[2],
+            result_bytes=6_000,
+            pieces=last_pieces,
+            after=(first + 1,),
         ),
     )
 
@@ -194,7 +200,69 @@
     )
 
 
-def _list_makers(*rows: tuple[str, int, int, float, float]) -> tuple[MakerShape, ...]:
+def _list_research_classes(
+    *,
+    rates: tuple[float, float, float],
+    objectives: tuple[float, float, float],
+    deadlines: tuple[float, float, float],
+    worths: tuple[float, float, float],
+) -> tuple[CallerClass, ...]:
+    """Return drafts of large results, summaries with a chain of stages, and checks
+    that have both.
+    """
+    services = ("registry", "finance", "portal")
+    chain = {"middle_pieces": 4, "last_pieces": 6}
+    large = StageShape(service=services[0], result_bytes=800_000, pieces=2.5, share=0.7)
+    small = StageShape(service=services[0], result_bytes=800_000, pieces=1.5, share=0.4)
+    return (
+        CallerClass(
+            name="draft",
+            per_second=rates[0],
+            objective=objectives[0],
+            deadline=deadlines[0],
+            worth=worths[0],
+            late_worth=worths[0] * 0.15,
+            priority=1,
+            shared_tokens=5382,
+            own_tokens=6610,
+            subjects=300,
+            generation=1.5,
+            stages=(large,),
+        ),
+        CallerClass(
+            name="summary",
+            per_second=rates[1],
+            objective=objectives[1],
+            deadline=deadlines[1],
+            worth=worths[1],
+            late_worth=worths[1] * 0.15,
+            priority=0,
+            shared_tokens=198,
+            own_tokens=628,
+            subjects=130,
+            generation=1.2,
+            stages=_list_chain(services, **chain),
+        ),
+        CallerClass(
+            name="check",
+            per_second=rates[2],
+            objective=objectives[2],
+            deadline=deadlines[2],
+            worth=worths[2],
+            late_worth=worths[2] * 0.15,
+            priority=2,
+            shared_tokens=568,
+            own_tokens=1800,
+            subjects=200,
+            generation=0.15,
+            stages=(small, *_list_chain(services, first=1, **chain)),
+        ),
+    )
+
+
+def _list_makers(
+    *rows: tuple[str, int, int, float, float], call_seconds: float = 0.2
+) -> tuple[MakerShape, ...]:
     return tuple(
         MakerShape(
             name=name,
@@ -202,12 +270,13 @@
             batch=batch,
             item_seconds=item,
             room_bytes=room * MEGABYTE,
+            call_seconds=call_seconds,
         )
         for name, count, batch, item, room in rows
     )
 
 
-#: the first users' fleets, of today and as they will have grown
+#: the users' fleets, of today and as they will have grown
 SHAPES = {
     "luzon": FleetShape(
         name="luzon",
@@ -283,6 +352,42 @@
             chained_drafts=True,
         ),
     ),
+    "mwangaza": FleetShape(
+        name="mwangaza",
+        data_centres=4,
+        engines=9,
+        workspace_priorities=(1, 0, 1, 0, 1),
+        makers=_list_makers(
+            ("registry", 4, 9, 0.02333, 10.93),
+            ("finance", 4, 19, 0.01089, 2.153),
+            ("portal", 4, 29, 0.00714, 0.3152),
+            call_seconds=0.24,
+        ),
+        classes=_list_research_classes(
+            rates=(8.28, 10.6, 11.2),
+            objectives=(1.4, 1.9, 2.0),
+            deadlines=(15.0, 15.0, 6.0),
+            worths=(4.6, 1.5, 0.48),
+        ),
+    ),
+    "mwangaza-grown": FleetShape(
+        name="mwangaza-grown",
+        data_centres=4,
+        engines=70,
+        workspace_priorities=(1, 0, 1, 0, 1),
+        makers=_list_makers(
+            ("registry", 9, 19, 0.01053, 22.8),
+            ("finance", 8, 43, 0.00481, 4.861),
+            ("portal", 8, 58, 0.0035, 0.65),
+            call_seconds=0.24,
+        ),
+        classes=_list_research_classes(
+            rates=(50.5, 30.4, 85.6),
+            objectives=(1.445, 1.919, 2.022),
+            deadlines=(12.4, 12.1, 6.07),
+            worths=(3.6, 2.3, 0.31),
+        ),
+    ),
 }
 
 _BURSTS = (
--- a/tests/test_entry/test_relay/test_owned_desk.py
+++ b/tests/test_entry/test_relay/test_owned_desk.py
@@ -15,7 +15,11 @@
 from greengagelatch.relay.owners import rank_owners
 from greengagelatch.relay.pieces import Bundle, Piece, PieceFailure, PieceResult
 from greengagelatch_entry.relay.decisions import DecisionLog
-from greengagelatch_entry.relay.owned_desk import SETTLING_SECONDS, OwnedDesk
+from greengagelatch_entry.relay.owned_desk import (
+    MEETING_SECONDS,
+    SETTLING_SECONDS,
+    OwnedDesk,
+)
 from greengagelatch_entry.relay.prometheus import PrometheusMetrics
 from greengagelatch_entry.relay.stage_desk import QueueWait
 
@@ -352,6 +356,48 @@
     assert soles == [False, True, False]
 
 
+async def test_owner_stays_sole_while_others_come_and_go(world):
+    """Symptom: on days on which instances restart in turn, makers' calls are two
+    thirds as full, and their room binds.
+
+    Sequence: instances that own nothing leave, one after the other, a few seconds
+    apart.
+    Cause: each of them made the owner wait for calls of an owner before.
+    """
+    owner, second, third = world.ranked
+    world.desks[owner].estimate_wait(SERVICE)
+    world.clock.advance(SETTLING_SECONDS)
+    assert world.desks[owner].is_sole(SERVICE)
+    for other in (third, second):
+        world.network.leaving.add(other)
+        world.clock.advance(1.0)
+        assert not world.desks[owner].is_sole(SERVICE)
+        world.clock.advance(MEETING_SECONDS)
+        assert world.desks[owner].is_sole(SERVICE)
+
+
+async def test_owner_that_was_not_for_a_moment_is_not_sole(world):
+    """Symptom and cause as above for an owner that left.
+
+    Sequence: an instance that goes before the owner comes and leaves again.
+    """
+    owner, second, _ = world.ranked
+    world.network.leaving.add(owner)
+    world.desks[second].estimate_wait(SERVICE)
+    world.clock.advance(SETTLING_SECONDS)
+    assert world.desks[second].is_sole(SERVICE)
+    world.network.leaving.discard(owner)
+    world.clock.advance(1.0)
+    assert not world.desks[second].is_sole(SERVICE)
+    world.network.leaving.add(owner)
+    world.clock.advance(1.0)
+    assert not world.desks[second].is_sole(SERVICE)
+    world.clock.advance(SETTLING_SECONDS - 1.0)
+    assert not world.desks[second].is_sole(SERVICE)
+    world.clock.advance(1.0)
+    assert world.desks[second].is_sole(SERVICE)
+
+
 async def test_instance_that_passed_the_owner_over_is_not_sole(world):
     """Symptom: pieces fail as "input gone" beside lines "owner-lost".
 
