Make the large results of a late request after its other stages

Conclusion: kept, as it gives room back where requests are late; it is worth little, and the requests that become late after their large results were made hold most of the room still.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
@@ -10,7 +10,7 @@
 
 from greengagelatch.errors import RefusalCode
 from greengagelatch.relay.pieces import Bundle, PieceFailure, PieceResult
-from greengagelatch.relay.stage_plan import StagePlan
+from greengagelatch.relay.stage_plan import StagePlan, TargetBounds
 
 from .refusals import create_error
 from .stage_desk import QueueWait
@@ -301,7 +301,12 @@
         """Wait as long as a stage's results would only wait for those of others."""
         while True:
             slack = self._plan.find_slack(
-                work, self._clock.now(), self._ends, self._find_wait
+                work,
+                self._clock.now(),
+                self._ends,
+                self._find_wait,
+                self._find_bounds(),
+                self._held,
             )
             pause = slack - LEAST_SLACK
             if pause < LEAST_PAUSE:
@@ -311,6 +316,18 @@
                 async with asyncio.timeout(pause):
                     await self._ended.wait()
 
+    def _find_bounds(self) -> TargetBounds:
+        """Return when the target has to begin with the request."""
+        exchange = self._exchange
+        objective = exchange.request.received + exchange.route.objective
+        return TargetBounds(
+            aim=objective - exchange.waited - self._first_seconds,
+            latest=min(
+                exchange.first_deadline - self._first_seconds,
+                exchange.deadline - self._whole_seconds,
+            ),
+        )
+
     def _find_wait(self, service: str) -> float:
         return self._desk.estimate_wait(service).urgent
 
@@ -326,19 +343,15 @@
         self, work: StageWork, handles: dict[int, tuple[str, ...]]
     ) -> Bundle:
         exchange = self._exchange
-        objective = exchange.request.received + exchange.route.objective
-        objective -= exchange.waited
+        bounds = self._find_bounds()
         rest = work.rest + self._estimate_waits(work.number)
         return Bundle(
             bundle_id=f"{exchange.request.request_id}/{work.number}",
             service=work.service,
             pieces=self._plan.create_pieces(work, handles),
             result_bytes=work.result_bytes,
-            aim=objective - rest - self._first_seconds,
-            latest=min(
-                exchange.first_deadline - rest - self._first_seconds,
-                exchange.deadline - rest - self._whole_seconds,
-            ),
+            aim=bounds.aim - rest,
+            latest=bounds.latest - rest,
             inputs_until=self._find_lapse(work),
             input_makers=self._list_makers(work.after),
             rank=exchange.rank,
--- a/packages/greengagelatch/src/greengagelatch/relay/stage_plan.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/stage_plan.py
@@ -8,12 +8,12 @@
 from .pieces import Piece
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
+    from collections.abc import Callable, Container, Mapping
 
     from .deployment import Deployment, Route, RouteStage
     from .requests import OpaqueRequest
 
-__all__ = ("StagePlan", "StageWork")
+__all__ = ("StagePlan", "StageWork", "TargetBounds")
 
 #: share of a maker's room from which a stage's results should not wait for others:
 #: those of 1.5 MB fill a seventh each, those of 8 kB hardly any
@@ -38,6 +38,16 @@
     room_share: float = 0.0
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TargetBounds:
+    """When a target has to begin with a request; monotonic seconds."""
+
+    #: up to which the answer can meet its objective
+    aim: float
+    #: after which the answer can't be whole in time
+    latest: float
+
+
 class StagePlan:
     """Stages of a route that one request needs, and what depends on what."""
 
@@ -97,15 +107,21 @@
         now: float,
         ends: Mapping[int, float],
         find_wait: Callable[[str], float],
+        bounds: TargetBounds,
+        made: Container[int] = (),
     ) -> float:
-        """Return the seconds for which a stage can wait without delaying the target.
+        """Return the seconds for which a stage can wait without harm to the request.
 
         The target begins once all final stages are made. Results of a short chain
         fill their makers' room until the longest one ends: those that are large
         held a third of all room for a second, while other requests waited for it.
+        Once the target begins too late for the objective anyway, the longest chain
+        may wait for seconds behind requests that can be on time; the short ones are
+        then begun after it.
 
         :param ends: expected moments of the ends of stages that have begun
         :param find_wait: returns the seconds that a service's queue takes
+        :param made: stages whose results are there
         """
         if work.after or work.number not in self.final:
             return 0.0
@@ -114,10 +130,14 @@
         others = [
             self._estimate_end(one, now, ends, find_wait)
             for one in self.final
-            if one != work.number
+            if one != work.number and one not in made
         ]
+        if not others:
+            return 0.0
         own = now + find_wait(work.service) + work.seconds
-        return max(others, default=own) - own
+        if max(own, *others) > bounds.aim:
+            return bounds.latest - own
+        return max(others) - own
 
     def _estimate_end(
         self,
--- a/tests/test_core/test_relay/test_stage_plan.py
+++ b/tests/test_core/test_relay/test_stage_plan.py
@@ -15,7 +15,7 @@
     RouteStage,
 )
 from greengagelatch.relay.requests import OpaqueRequest
-from greengagelatch.relay.stage_plan import StagePlan
+from greengagelatch.relay.stage_plan import StagePlan, TargetBounds
 
 MAKER = MakerProfile(
     slots=1,
@@ -126,8 +126,21 @@
 )
 
 
-def find_slack(plan: StagePlan, now: float, ends: dict[int, float], **waits: float):
-    return plan.find_slack(plan.works[0], now, ends, lambda name: waits.get(name, 0.0))
+#: of a request that has all the time
+FAR_BOUNDS = TargetBounds(aim=100.0, latest=200.0)
+
+
+def find_slack(
+    plan: StagePlan,
+    now: float,
+    ends: dict[int, float],
+    bounds: TargetBounds = FAR_BOUNDS,
+    made: tuple[int, ...] = (),
+    **waits: float,
+):
+    return plan.find_slack(
+        plan.works[0], now, ends, lambda name: waits.get(name, 0.0), bounds, made
+    )
 
 
 def test_large_results_are_not_made_before_others_are_due():
@@ -154,6 +167,24 @@
     assert find_slack(plan, 5.0, {}, a=0.4) == pytest.approx(bare)
 
 
+def test_large_results_of_a_late_request_are_made_after_the_others():
+    """Symptom: in a burst, large results of the least urgent requests fill most of
+    their makers' room, for three seconds each.
+
+    Sequence: a request can't meet its objective any more; its chain waits behind
+    those of requests that can, long after its last stage was expected to end.
+    Cause: the large results were made when the chain was expected to end.
+    """
+    plan = create_plan(1, 1, 6, 10, route=LARGE_ROUTE)
+    bounds = TargetBounds(aim=6.0, latest=9.0)
+    own = plan.works[0].seconds
+    overrun = {1: 5.2, 2: 5.5, 3: 5.9}
+    assert find_slack(plan, 6.5, overrun, bounds) == pytest.approx(9.0 - 6.5 - own)
+    assert find_slack(plan, 6.5, overrun, bounds, made=(1, 2, 3)) == 0.0
+    # as long as it can be on time, it may not wait for what is about to end
+    assert find_slack(plan, 5.7, overrun, bounds) <= 0.0
+
+
 def test_small_results_are_made_at_once():
     assert find_slack(create_plan(1, 1, 6, 10), 5.0, {}) == 0.0
 
