Free inputs once an engine with free places has fetched them

So they are freed then, where the engine has told of free places of late; a request that leaves the engine has its stages made again.

Also here: a dial that is meant for a former process leaves the link to the present one, and former processes whose address another one has are not probed. Each instance tries the dead now and then; whoever is at the address took the hello for a newer link and gave up the one in use.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_links.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_links.py
@@ -162,6 +162,8 @@
             return dial
         if self._closing or self._pauses.lasts(instance_id):
             return None
+        if self._is_of_another(instance_id, address):
+            return None
         if len(self._dials) >= MAX_DIALS or not self._make_room():
             self._metrics.count("peers.dials_refused")
             return None
@@ -170,6 +172,17 @@
         dial.add_done_callback(lambda _: self._dials.pop(instance_id, None))
         return dial
 
+    def _is_of_another(self, instance_id: str, address: str) -> bool:
+        """Whether another instance is known to be at an address, by an open link.
+
+        A process that starts at the address of a former one has an id of its own. Its
+        peer would give up the link in use for a dial that is meant for the former one.
+        """
+        return any(
+            link.peer.address == address and link.instance_id != instance_id
+            for link in self._links.values()
+        )
+
     def dial_any(self, address: str) -> asyncio.Task[Link | None] | None:
         """Open a link to whichever instance is at an address.
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -12,6 +12,7 @@
 from greengagelatch.relay.requests import Prompt
 
 from .event_split import EventSplitter
+from .input_fetch import InputFetch
 from .links import LinkError
 from .messages import RelayCall
 from .refusals import create_error
@@ -129,6 +130,8 @@
         self._prompt = exchange.request.prompt or Prompt()
         self._last_id = exchange.request.resume_after
         self._begun = False
+        #: whether results were freed that another target would have to read
+        self._freed = False
         self._sent_at = 0.0
 
     async def serve(self) -> None:
@@ -150,13 +153,14 @@
                 excluded |= {target.incarnation}
             if not runner.may_repeat(exchange, last.outcome):
                 break
-            if last.status == STATUS_CONFLICT or self._begun:
-                # results that were read are freed; another target reads them anew
+            if last.status == STATUS_CONFLICT or self._freed:
+                # another target reads them anew
                 await self._make_again()
         raise runner.create_refusal(exchange, last)
 
     async def _make_again(self) -> None:
         self._run.free()
+        self._freed = False
         self._results = await self._run.make()
 
     def _choose(self, excluded: frozenset[Incarnation]) -> ListedTarget | None:
@@ -181,6 +185,7 @@
         tokens = runner.fleet.count_tokens(target.incarnation, self._prompt, now)
         self._sent_at = now
         reading = _Reading(runner.fleet, target.incarnation, tokens)
+        fetching = InputFetch(lambda: self._note_fetched(target))
         try:
             result = await runner.sender.send(
                 exchange,
@@ -188,14 +193,28 @@
                 call,
                 timeout=self._choose_first_patience(left),
                 fresh=not exchange.route.repeatable,
-                may_send=lambda: not self._run.is_lost(self._results),
+                may_send=lambda: fetching.begin(not self._run.is_lost(self._results)),
             )
             if isinstance(result, Unanswered):
                 return result
             return await self._pass_on(target, result, reading)
         finally:
+            fetching.end()
             reading.end()
 
+    def _note_fetched(self, target: ListedTarget) -> None:
+        """Free what the target has fetched by now, although it is still to begin.
+
+        An engine fetches a request's inputs as it takes the request in, and begins to
+        answer after its prompt and those before it: for that long results filled the
+        room that their makers need for others.
+        """
+        now = self._runner.clock.now()
+        if not self._runner.fleet.takes_in(target, now):
+            return
+        self._freed = True
+        self._run.free()
+
     async def _pass_on(
         self, target: ListedTarget, answered: Answered, reading: _Reading
     ) -> Unanswered | None:
@@ -262,7 +281,7 @@
         now = runner.clock.now()
         runner.times.note_first(self._exchange, now - self._sent_at)
         runner.fleet.note_parts(target.incarnation, self._prompt, now)
-        self._begun = True
+        self._begun = self._freed = True
         # the target has read the stages' results; their makers need the room
         self._run.free()
 
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/targets.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/targets.py
@@ -83,6 +83,8 @@
     connections: int = 0
     #: what it waits for before it answers, also calls for pieces
     gate: asyncio.Event | None = None
+    #: running, waiting and slots as it tells them, with commas; empty: it does not
+    load: str = ""
     #: what a stream waits for after its first event
     pause: asyncio.Event | None = None
     address: str = ""
@@ -179,6 +181,8 @@
         self.seen.append(request)
         request_id = request.headers.get("x-attempt-id", "")
         headers = {"X-Attempt-Id": request_id}
+        if self.load:
+            headers["X-Replica-Load"] = self.load
         if self.fault is TargetFault.FULL:
             _write(writer, 503, {**headers, "X-Not-Executed": "1"}, b"")
             return True
--- a/packages/greengagelatch/src/greengagelatch/membership/detector.py
+++ b/packages/greengagelatch/src/greengagelatch/membership/detector.py
@@ -246,14 +246,26 @@
         self._next_dead = now + self._rules.dead_interval * spread
         self._table.forget(now)
         self._neighbours = None
+        taken = self._list_taken_addresses()
         dead = [
             record.instance_id
             for record in self._table.select(MemberState.DEAD)
-            if record.address
+            if record.address and record.address not in taken
         ]
         for instance_id in self._pick(dead, 1, frozenset()):
             self._probe(now, instance_id)
 
+    def _list_taken_addresses(self) -> set[str]:
+        """Return the addresses at which an instance is that is not dead.
+
+        A dead one whose address another process has was a former process there. It
+        never answers, and each probe of it would have three helpers try it as well.
+        """
+        present = self._table.select(
+            MemberState.ALIVE, MemberState.SUSPECT, MemberState.LEAVING
+        )
+        return {self._own.update.address, *(record.address for record in present)}
+
     def _choose_probed(self) -> str | None:
         if self._periods % self._rules.random_share == 0:
             return next(iter(self._pick(self._list_present(), 1, frozenset())), None)
--- a/packages/greengagelatch/src/greengagelatch/relay/fleet.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/fleet.py
@@ -24,6 +24,10 @@
 BREAKER = BreakerRule(failures=2, first_pause=1.0, longest_pause=4.0)
 #: seconds after which a target's own word about its load counts for nothing
 REPORT_LIFE = 1.0
+#: the same where it matters only whether it was nearly full
+PLACES_LIFE = 3.0
+#: share of an engine's places up to which it is taken to have free ones
+FREE_SHARE = 0.5
 #: share of a slot by which a target in another data centre seems fuller
 FAR_PENALTY = 0.05
 #: tokens whose prefill a running request delays about as much
@@ -114,6 +118,24 @@
         """Return the engine that a prompt's shared parts should be sent to."""
         return _find_home(prompt, self._list_candidates(service, frozenset(), now))
 
+    def takes_in(self, target: ListedTarget, now: float) -> bool:
+        """Whether an engine has places for what it is sent, rather than a queue.
+
+        One that is full takes a request in when another one ends. Told by itself of
+        late, with half of its places for what others have sent it since. In a large
+        fleet most have told this instance nothing for seconds; then the others of its
+        service must be half as full on average.
+        """
+        state = self._find(target.incarnation)
+        own = _find_taken_share(state, now)
+        if own is not None:
+            return own <= FREE_SHARE
+        listed = self._book.list_service(target.service)
+        states = [self._find(one.incarnation) for one in listed]
+        shares = [_find_taken_share(one, now) for one in states]
+        told = [share for share in shares if share is not None]
+        return bool(told) and sum(told) / len(told) <= FREE_SHARE / 2
+
     def start(self, incarnation: Incarnation, tokens: float = 0.0) -> None:
         """Count a request that is being sent."""
         state = self._find(incarnation)
@@ -239,6 +261,14 @@
         return max(0.0, float(told - state.in_flight))
 
 
+def _find_taken_share(state: _TargetState, now: float) -> float | None:
+    """Return the share of an engine's places that are taken; ``None`` if not told."""
+    report = state.report
+    if report is None or now - state.reported > PLACES_LIFE or report.slots <= 0:
+        return None
+    return max(report.running + report.waiting, state.in_flight) / report.slots
+
+
 def _count_tokens(parts: Mapping[str, float], prompt: Prompt, now: float) -> float:
     kept = 0
     for part in prompt.shared:
--- a/tests/test_core/test_membership/test_detector.py
+++ b/tests/test_core/test_membership/test_detector.py
@@ -6,8 +6,10 @@
 import random
 
 from greengagelatch.instances import Instance, InstanceKind, InstanceState, Listing
-from greengagelatch.membership.messages import MembersTable, Probe
+from greengagelatch.membership.detector import Detector
+from greengagelatch.membership.messages import MembersTable, Probe, ProbeAck
 from greengagelatch.membership.records import Update, encode_update
+from greengagelatch.membership.steps import DetectorRules, Identity
 from greengagelatch.peers import MemberState
 from greengagelatch_lab.capacity.fleet import DetectorFleet, Node
 
@@ -174,6 +176,42 @@
     )
 
 
+def test_former_process_at_the_address_of_a_present_one_is_not_probed():
+    """
+    Symptom: after all instances were killed at once, each goes on dialling for
+    minutes. Sequence: each starts again at its address under an id of its own; the
+    former ids are dead. Cause: the dead are probed in case that a partition heals,
+    also where another process has their address.
+    """
+    detector = Detector(
+        identity=create_identity("e-1", "10.0.0.1:1"),
+        rules=DetectorRules(),
+        random_source=random.Random(3),
+    )
+    former = (("e-2-former", "10.0.0.2:1"), ("e-1-former", "10.0.0.1:1"))
+    for name, address in (*former, ("e-3", "10.0.0.3:1")):
+        detector.meet(0.0, create_identity(name, address))
+        update = Update(instance_id=name, incarnation=5, state=MemberState.DEAD)
+        detector.receive(0.0, "e-2", MembersTable((encode_update(update),)))
+    probed = set()
+    step = detector.meet(0.0, create_identity("e-2", "10.0.0.2:1"))
+    for tick in range(300):
+        now = tick * 0.2
+        probed |= {one.instance_id for one in step.sends}
+        for one in step.sends:
+            if one.instance_id == "e-2" and isinstance(one.message, Probe):
+                detector.receive(now, "e-2", ProbeAck(one.message.sequence, ()))
+        step = detector.advance(now)
+    assert probed.isdisjoint(name for name, _ in former)
+    assert "e-3" in probed
+
+
+def create_identity(instance_id: str, address: str) -> Identity:
+    return Identity(
+        instance_id=instance_id, data_centre="north", address=address, incarnation=5
+    )
+
+
 def test_lost_messages_rarely_raise_suspicion():
     """
     Symptom: under some loss, instances that work are taken for dead. Sequence: one
--- a/tests/test_core/test_relay/test_fleet.py
+++ b/tests/test_core/test_relay/test_fleet.py
@@ -149,3 +149,28 @@
     fleet = create_fleet()
     need = create_need("part", east=6_000_000)
     assert choose(fleet, need) in ("t-2",)
+
+
+def test_engine_that_told_of_free_places_takes_requests_in():
+    fleet = create_fleet(2)
+    first, second = fleet._book.list_service("s")
+    fleet.note_report(first.incarnation, LoadReport(2, 0, 6), NOW)
+    fleet.note_report(second.incarnation, LoadReport(6, 3, 6), NOW)
+    assert fleet.takes_in(first, NOW)
+    assert not fleet.takes_in(second, NOW)
+
+
+def test_engine_of_which_nothing_was_heard_is_taken_for_the_others():
+    """Symptom: inputs of requests are freed before their engine has fetched them.
+
+    Sequence: an instance sends to an engine that it has not heard of for long.
+    Cause: what is not known was taken for free places.
+    """
+    fleet = create_fleet(3)
+    unheard, second, third = fleet._book.list_service("s")
+    assert not fleet.takes_in(unheard, NOW)
+    fleet.note_report(second.incarnation, LoadReport(1, 0, 6), NOW)
+    assert fleet.takes_in(unheard, NOW)
+    fleet.note_report(third.incarnation, LoadReport(5, 0, 6), NOW)
+    assert not fleet.takes_in(unheard, NOW)
+    assert not fleet.takes_in(unheard, NOW + 60.0)
--- a/tests/test_entry/test_adapters/test_peers.py
+++ b/tests/test_entry/test_adapters/test_peers.py
@@ -202,6 +202,29 @@
     assert sorted(second.echoed) == sorted(str(number) for number in range(20))
 
 
+async def test_dial_of_a_former_process_leaves_the_link_to_the_present_one(start):
+    """
+    Symptom: after all instances were killed at once, links are closed and opened for
+    minutes, and instances that live are suspected over and over. Sequence: a process
+    starts at the address of a former one under an id of its own; the former one, which
+    is believed dead, is tried now and then. Cause: whoever is at the address takes the
+    hello for a newer link and gives up the one that is in use; the dialler finds
+    another id than it dialled and closes the new one as well.
+    """
+    first, second = await start("e-1"), await start("e-2")
+    shown = (("e-1", first.address), ("e-2", second.address))
+    first.show(*shown)
+    second.show(*shown)
+    assert isinstance(await first.hub.ask("e-2", Echo("x"), TIMEOUT), Ok)
+    held = [peer.hub._links.list_links() for peer in (first, second)]
+    first.show(*shown, ("e-0", second.address))
+    for _ in range(5):
+        assert isinstance(await first.hub.ask("e-0", Echo("y"), 0.2), Err)
+        await asyncio.sleep(0.1)
+    assert [peer.hub._links.list_links() for peer in (first, second)] == held
+    assert second.echoed == ["x"]
+
+
 async def test_errors_tell_whether_the_peer_may_have_acted(start):
     trio = await start_trio(start)
     hub = trio[0].hub
--- a/tests/test_entry/test_relay/test_streams.py
+++ b/tests/test_entry/test_relay/test_streams.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from greengagelatch_entry.relay.input_fetch import FETCH_SECONDS
 from greengagelatch_lab.platform_standins.targets import EVENTS, TargetFault
 
 WHOLE = b"".join(
@@ -59,6 +60,79 @@
     )
 
 
+def count_freed(world) -> int:
+    return sum(len(maker.freed) for maker in makers(world))
+
+
+async def start_held_stream(pipeline, load: str) -> asyncio.Task:
+    """Start a stream at engines that have told ``load`` and hold their answers."""
+    for engine in engines(pipeline):
+        engine.load = load
+    for _ in range(4):
+        await pipeline.stream()
+    await pipeline.wait_for(lambda: count_freed(pipeline) == 20)
+    for engine in engines(pipeline):
+        engine.gate = asyncio.Event()
+    runs = sum(engine.runs.total() for engine in engines(pipeline))
+    held = asyncio.create_task(pipeline.stream())
+    await pipeline.wait_for(
+        lambda: sum(engine.runs.total() for engine in engines(pipeline)) > runs
+    )
+    return held
+
+
+async def release(pipeline, held: asyncio.Task) -> None:
+    for engine in engines(pipeline):
+        engine.gate.set()
+    assert (await held).body == WHOLE
+
+
+async def test_results_are_freed_once_an_engine_has_fetched_them(pipeline):
+    """Symptom: makers have no room while calls are half full and engines have places.
+
+    Sequence: an engine takes a request in, fetches its inputs, and reads prompts for
+    half a second before the first event.
+    Cause: the inputs were freed at the first event.
+    """
+    held = await start_held_stream(pipeline, "1,0,4")
+    await pipeline.wait_for(lambda: count_freed(pipeline) == 25)
+    assert not held.done()
+    await release(pipeline, held)
+
+
+async def test_results_are_kept_for_an_engine_that_has_a_queue(pipeline):
+    held = await start_held_stream(pipeline, "4,2,4")
+    # those of the last stage, which only the engine reads, stay
+    await pipeline.wait_for(lambda: count_freed(pipeline) == 20 + 2)
+    await asyncio.sleep(2 * FETCH_SECONDS)
+    assert count_freed(pipeline) == 20 + 2
+    await release(pipeline, held)
+
+
+async def test_stream_is_whole_that_leaves_an_engine_which_had_fetched(pipeline):
+    """Symptom: streams that go elsewhere are refused there, as their inputs are gone.
+
+    Sequence: an engine fetches a request's inputs and falls silent; they were freed;
+    the request goes to another engine.
+    Cause: it went with the handles of before.
+    """
+    for engine in engines(pipeline):
+        engine.load = "1,0,4"
+    for _ in range(4):
+        await pipeline.stream()
+    silent, other = engines(pipeline)
+    silent.fault = TargetFault.MUTE
+    for number in range(4):
+        reply = await pipeline.stream(X_Attempt_Id=f"left-{number}")
+        assert (reply.status, reply.body) == (200, WHOLE)
+    left = {one.headers["x-attempt-id"]: one for one in silent.seen}
+    moved = [one for one in other.seen if one.headers["x-attempt-id"] in left]
+    assert moved
+    for one in moved:
+        before = left[one.headers["x-attempt-id"]].headers["x-inputs"].split(",")
+        assert not set(before) & set(one.headers["x-inputs"].split(","))
+
+
 async def test_requests_share_calls_to_makers(pipeline):
     """Symptom: makers turn calls away as full, with hardly a piece in each call.
 
