--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/filters.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/filters.py
@@ -12,6 +12,7 @@
 from greengagelatch.relay.requests import RefusedError
 from greengagelatch.relay.urgency import compute_rank
 
+from ..filters.stop import STOPPING_RETRY_MS
 from ..inflight import BrokenOffError
 from .exchange import CallerGoneError, RelayExchange
 from .refusals import create_error, find_refusal_status
@@ -42,9 +43,6 @@
 
 #: seconds after which an instance that has just started should know a configuration
 NOT_READY_RETRY = 0.5
-#: the same where this one stops: the others serve, and a caller's next connection
-#: leads to one of them
-STOPPING_RETRY = 0.0
 
 
 class RelayFilter(ABC):
@@ -151,12 +149,15 @@
             if not helps or exchange.deadline < self._find_end():
                 raise
             # other instances have the time that this one lacks: come back now
-            refusal = replace(error.refusal, retry_after_ms=0)
+            refusal = replace(error.refusal, retry_after_ms=STOPPING_RETRY_MS)
             raise RefusedError(refusal, error.status) from error
 
     def _refuse(self, exchange: RelayExchange, message: str) -> RefusedError:
         return create_error(
-            exchange, RefusalCode.NOT_READY, message, retry_after=STOPPING_RETRY
+            exchange,
+            RefusalCode.NOT_READY,
+            message,
+            retry_after=STOPPING_RETRY_MS / 1000,
         )
 
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
@@ -9,10 +9,11 @@
 from typing import TYPE_CHECKING
 
 from greengagelatch.errors import RefusalCode
-from greengagelatch.relay.pieces import Bundle, PieceFailure, PieceResult
-from greengagelatch.relay.stage_plan import StagePlan, TargetBounds
+from greengagelatch.relay.pieces import PieceFailure, PieceResult
+from greengagelatch.relay.stage_plan import StagePlan
 
 from .refusals import create_error
+from .stage_bundles import BundleFactory
 from .stage_desk import QueueWait
 
 if TYPE_CHECKING:
@@ -105,13 +106,19 @@
         self._desk = runner.desk
         self._clock = runner.clock
         self._decisions = runner.decisions
-        self._data_centre = runner.data_centre
-        self._fleet = runner.fleet
         self._book = runner.book
         self._exchange = exchange
-        self._first_seconds = first_seconds
-        self._whole_seconds = whole_seconds
         self._plan = StagePlan(exchange.request, exchange.route, exchange.deployment)
+        self._bundles = BundleFactory(
+            exchange=exchange,
+            plan=self._plan,
+            desk=runner.desk,
+            fleet=runner.fleet,
+            clock=runner.clock,
+            data_centre=runner.data_centre,
+            first_seconds=first_seconds,
+            whole_seconds=whole_seconds,
+        )
         self._held: dict[int, tuple[PieceResult, ...]] = {}
         self._tasks: dict[int, asyncio.Task[None]] = {}
         self._readers = self._list_readers()
@@ -282,11 +289,7 @@
             raise _StageFailedError(work, PieceFailure.GONE)
         self._ends[number] = self._clock.now() + self._find_wait(work.service)
         self._ends[number] += work.seconds
-        handles = {
-            one: tuple(result.handle for result in self._held[one])
-            for one in work.after
-        }
-        bundle = self._create_bundle(work, handles)
+        bundle = self._bundles.create(work, self._held)
         results = await self._desk.make(bundle, lambda: self._note_read(work))
         failed = next((one.failure for one in results if one.failure), None)
         made = tuple(one for one in results if one.failure is None)
@@ -305,7 +308,7 @@
                 self._clock.now(),
                 self._ends,
                 self._find_wait,
-                self._find_bounds(),
+                self._bundles.find_bounds(),
                 self._held,
             )
             pause = slack - LEAST_SLACK
@@ -316,18 +319,6 @@
                 async with asyncio.timeout(pause):
                     await self._ended.wait()
 
-    def _find_bounds(self) -> TargetBounds:
-        """Return when the target has to begin with the request."""
-        exchange = self._exchange
-        objective = exchange.request.received + exchange.route.objective
-        return TargetBounds(
-            aim=objective - exchange.waited - self._first_seconds,
-            latest=min(
-                exchange.first_deadline - self._first_seconds,
-                exchange.deadline - self._whole_seconds,
-            ),
-        )
-
     def _find_wait(self, service: str) -> float:
         return self._desk.estimate_wait(service).urgent
 
@@ -339,83 +330,6 @@
             if not readers and one not in self._plan.final:
                 self._free_stage(one)
 
-    def _create_bundle(
-        self, work: StageWork, handles: dict[int, tuple[str, ...]]
-    ) -> Bundle:
-        exchange = self._exchange
-        bounds = self._find_bounds()
-        rest = work.rest + self._estimate_waits(work.number)
-        return Bundle(
-            bundle_id=f"{exchange.request.request_id}/{work.number}",
-            service=work.service,
-            pieces=self._plan.create_pieces(work, handles),
-            result_bytes=work.result_bytes,
-            aim=bounds.aim - rest,
-            latest=bounds.latest - rest,
-            inputs_until=self._find_lapse(work),
-            input_makers=self._list_makers(work.after),
-            rank=exchange.rank,
-            data_centre=self._find_data_centre(work),
-            moved_bytes=self._count_moved_bytes(work),
-            begun=bool(work.after),
-        )
-
-    def _find_data_centre(self, work: StageWork) -> str:
-        """Return where a stage's results are best made.
-
-        Each piece reads all results of the stages before; those of a first stage go
-        to the engine, most likely the one that keeps the prompt's parts.
-        """
-        sizes: dict[str, int] = {}
-        for one in work.after:
-            size = self._plan.works[one].result_bytes
-            for result in self._held[one]:
-                sizes[result.data_centre] = sizes.get(result.data_centre, 0) + size
-        if sizes:
-            return max(sizes, key=sizes.get)
-        exchange = self._exchange
-        if work.number in self._plan.final and exchange.request.prompt is not None:
-            home = self._fleet.find_home(
-                exchange.service, exchange.request.prompt, self._clock.now()
-            )
-            if home is not None:
-                return home.data_centre
-        return self._data_centre
-
-    def _find_lapse(self, work: StageWork) -> float:
-        """Return when the first of the results that a stage reads lapses."""
-        now = self._clock.now()
-        services = self._exchange.deployment.services
-        lapses = [float("inf")]
-        for one in work.after:
-            found = services.get(self._plan.works[one].service)
-            if found is not None and found.maker is not None:
-                lapses.append(now + found.maker.keep_seconds)
-        return min(lapses)
-
-    def _count_moved_bytes(self, work: StageWork) -> int:
-        """Return the bytes that cross data centres if a far maker is chosen.
-
-        Of first stages it is none: they have the most to wait for, and waiting for a
-        maker near the engine cost more than it saved.
-        """
-        return work.count * sum(
-            len(self._held[one]) * self._plan.works[one].result_bytes
-            for one in work.after
-        )
-
-    def _estimate_waits(self, number: int) -> float:
-        """Return the seconds that the stages which read ``number`` would wait."""
-        return max(
-            (
-                self._desk.estimate_wait(work.service).urgent
-                + self._estimate_waits(work.number)
-                for work in self._plan.works.values()
-                if number in work.after
-            ),
-            default=0.0,
-        )
-
     def _collect(self) -> StageResults:
         results = StageResults(inputs=())
         sizes = results.bytes_by_data_centre
