--- a/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/shapes.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/shapes.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from greengagelatch.relay.deployment import MakerProfile
+
 __all__ = (
     "SCENARIOS",
     "SHAPES",
@@ -32,6 +34,18 @@
     call_seconds: float = 0.2
     keep_seconds: float = 4.0
 
+    def create_profile(self) -> MakerProfile:
+        """Return what a configuration says of these makers."""
+        return MakerProfile(
+            slots=1,
+            queue=2,
+            batch=self.batch,
+            call_seconds=self.call_seconds,
+            item_seconds=self.item_seconds,
+            room_bytes=round(self.room_bytes),
+            keep_seconds=self.keep_seconds,
+        )
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class StageShape:
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/trial.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/trial.py
@@ -14,7 +14,6 @@
 from greengagelatch.relay.batches import BatchPolicy, SharedCalls
 from greengagelatch.relay.deployment import (
     Deployment,
-    MakerProfile,
     Route,
     RoutedService,
     RouteKind,
@@ -383,15 +382,7 @@
     services = {
         one.name: RoutedService(
             name=one.name,
-            maker=MakerProfile(
-                slots=1,
-                queue=2,
-                batch=one.batch,
-                call_seconds=one.call_seconds,
-                item_seconds=one.item_seconds,
-                room_bytes=round(one.room_bytes),
-                keep_seconds=one.keep_seconds,
-            ),
+            maker=one.create_profile(),
         )
         for one in shape.makers
     }
--- a/tests/test_entry/test_relay/test_makers.py
+++ b/tests/test_entry/test_relay/test_makers.py
@@ -9,7 +9,6 @@
 import pytest
 
 from greengagelatch.relay.batches import PlannedCall
-from greengagelatch.relay.deployment import MakerProfile
 from greengagelatch.relay.incarnations import Incarnation
 from greengagelatch.relay.pieces import Bundle, Piece, PieceFailure
 from greengagelatch.relay.room import MakerRoom
@@ -25,15 +24,7 @@
 SHAPE = MakerShape(
     name="ledger", count=1, batch=10, item_seconds=0.01, room_bytes=10_000
 )
-PROFILE = MakerProfile(
-    slots=1,
-    queue=2,
-    batch=SHAPE.batch,
-    call_seconds=SHAPE.call_seconds,
-    item_seconds=SHAPE.item_seconds,
-    room_bytes=10_000,
-    keep_seconds=SHAPE.keep_seconds,
-)
+PROFILE = SHAPE.create_profile()
 #: seconds that one call is allowed
 ALLOWED = 5.0
 
--- a/tests/test_entry/test_relay/test_stage_pool.py
+++ b/tests/test_entry/test_relay/test_stage_pool.py
@@ -9,7 +9,6 @@
 import pytest
 
 from greengagelatch.relay.batches import BatchPolicy, SharedCalls
-from greengagelatch.relay.deployment import MakerProfile
 from greengagelatch.relay.incarnations import Incarnation
 from greengagelatch.relay.pieces import Bundle, Piece, PieceFailure
 from greengagelatch.relay.targets import ListedTarget
@@ -26,15 +25,7 @@
 SHAPE = MakerShape(
     name=SERVICE, count=1, batch=10, item_seconds=0.01, room_bytes=1_000_000
 )
-PROFILE = MakerProfile(
-    slots=1,
-    queue=2,
-    batch=SHAPE.batch,
-    call_seconds=SHAPE.call_seconds,
-    item_seconds=SHAPE.item_seconds,
-    room_bytes=1_000_000,
-    keep_seconds=SHAPE.keep_seconds,
-)
+PROFILE = SHAPE.create_profile()
 STAGE = StageShape(service=SERVICE, result_bytes=100)
 #: seconds of patience of the bundles here
 PATIENCE = 60.0
--- a/tests/test_entry/test_relay/test_two_owners.py
+++ b/tests/test_entry/test_relay/test_two_owners.py
@@ -14,7 +14,6 @@
 
 from greengagelatch.peers import Member, MemberState
 from greengagelatch.relay.batches import SharedCalls
-from greengagelatch.relay.deployment import MakerProfile
 from greengagelatch.relay.incarnations import Incarnation
 from greengagelatch.relay.pieces import Bundle, Piece, PieceFailure
 from greengagelatch.relay.targets import ListedTarget
@@ -42,15 +41,7 @@
 SHAPE = MakerShape(
     name=SERVICE, count=1, batch=10, item_seconds=0.01, room_bytes=1_000_000
 )
-PROFILE = MakerProfile(
-    slots=1,
-    queue=2,
-    batch=SHAPE.batch,
-    call_seconds=SHAPE.call_seconds,
-    item_seconds=SHAPE.item_seconds,
-    room_bytes=1_000_000,
-    keep_seconds=SHAPE.keep_seconds,
-)
+PROFILE = SHAPE.create_profile()
 STAGE = StageShape(service=SERVICE, result_bytes=100)
 #: seconds by which the second owner's call comes after the first one's, of about
 #: 0.25 that each takes
