--- a/packages/greengagelatch-entry/src/greengagelatch_entry/logs.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/logs.py
@@ -45,8 +45,8 @@
 
 STDOUT = "-"
 
-#: libraries that tell of each connection at its start and end: a sixth of all lines in
-#: a large fleet, of nothing that was decided or is believed
+#: libraries that log each connection's start and end: lines that grow with the number
+#: of peers, of nothing that was decided or is believed
 QUIET_LIBRARIES = ("websockets",)
 
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/links.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/links.py
@@ -49,6 +49,9 @@
 READ_BUFFER = 256 * 1024
 MAX_HEADER_BYTES = 32_768
 
+#: targets of which it is remembered when a kept connection was asked for
+MAX_WANTED = 1024
+
 
 class NotSentError(Exception):
     """No byte of a request reached its target."""
@@ -271,7 +274,7 @@
     def _take(self, incarnation: Incarnation) -> _Link | None:
         links = self._idle.get(incarnation)
         now = self._clock.now()
-        self._wanted[incarnation] = now
+        self._note_wanted(incarnation, now)
         while links:
             link = links.pop()
             if link.reusable and now < link.usable_until:
@@ -284,14 +287,20 @@
     ) -> None:
         links = self._idle[incarnation]
         now = self._clock.now()
-        if not self._is_wanted(incarnation, now) or len(links) >= self._count_kept(
-            incarnation
-        ):
+        wanted = self._is_wanted(incarnation, now)
+        if len(links) >= (self._count_kept(incarnation) if wanted else 0):
             link.abort()
             return
         link.usable_until = now + seconds
         links.append(link)
 
+    def _note_wanted(self, incarnation: Incarnation, now: float) -> None:
+        # to the end, so that those asked for longest ago are forgotten first
+        self._wanted.pop(incarnation, None)
+        self._wanted[incarnation] = now
+        if len(self._wanted) > MAX_WANTED:
+            del self._wanted[next(iter(self._wanted))]
+
     def _is_wanted(self, incarnation: Incarnation, now: float) -> bool:
         """Whether a request might use a kept connection.
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/owned_desk.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/owned_desk.py
@@ -165,8 +165,8 @@
         leaves owns nothing, although it finishes what it has in work for its peers.
 
         Others that come and go own nothing: were their changes waited for like a
-        change of the owner, inputs would fill the makers' room through whole days of
-        restarts, and calls would be two thirds as full.
+        change of the owner, inputs would fill the makers' room and leave calls half
+        empty through a whole rolling restart.
         """
         if self._rank(service)[:1] != (self._peers.instance_id,):
             return False
@@ -300,8 +300,8 @@
         """Whether a member is there, or is suspected since a moment only.
 
         Most suspicions are refuted within a tenth of a second: if owners changed with
-        each, two would fill the makers' room, and one that leaves and is the owner
-        again would keep its inputs for seconds.
+        each, two would fill the makers' room, and the one that owns them again would
+        count as new and keep its inputs for seconds.
         """
         if member.state is not MemberState.SUSPECT:
             self._suspected.pop(member.instance_id, None)
