Rank owners and list makers in one place each; comments without measurements

Who owns a service was ranked and noted in two places, the makers of held results were listed in two; a comment on late bundles and one on hopeless ones told figures.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/owned_desk.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/owned_desk.py
@@ -253,13 +253,12 @@
     def _rank(self, service: str) -> tuple[str, ...]:
         """Return who may own a service, its owner first."""
         candidates = self._find_candidates()
-        ranked = self._ranked.get(service)
-        if ranked is None:
-            ranked = self._ranked[service] = rank_owners(service, candidates)
-            self._note_owner(service, ranked)
-        return ranked
+        if service not in self._ranked:
+            self._rank_anew(service, candidates)
+        return self._ranked[service]
 
-    def _note_owner(self, service: str, ranked: tuple[str, ...]) -> None:
+    def _rank_anew(self, service: str, candidates: tuple[str, ...]) -> None:
+        ranked = self._ranked[service] = rank_owners(service, candidates)
         if ranked[:1] == (self._peers.instance_id,):
             self._owner_since.setdefault(service, self._clock.now())
         else:
@@ -285,9 +284,7 @@
             self._unchanged_since = now
             # at once: who owns a service only in between has calls at its makers too
             for service in tuple(self._ranked):
-                ranked = rank_owners(service, self._candidates)
-                self._ranked[service] = ranked
-                self._note_owner(service, ranked)
+                self._rank_anew(service, self._candidates)
             self._decisions.note_belief(
                 "instances",
                 gone=sorted(set(before) - set(self._candidates)),
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_bundles.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_bundles.py
@@ -8,17 +8,26 @@
 from greengagelatch.relay.stage_plan import TargetBounds
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Collection, Mapping
 
     from greengagelatch.clock import Clock
     from greengagelatch.relay.fleet import Fleet
+    from greengagelatch.relay.incarnations import Incarnation
     from greengagelatch.relay.pieces import PieceResult
     from greengagelatch.relay.stage_plan import StagePlan, StageWork
 
     from .exchange import RelayExchange
     from .stage_desk import StageDesk
 
-__all__ = ("BundleFactory",)
+__all__ = ("BundleFactory", "list_makers")
+
+
+def list_makers(
+    held: Mapping[int, tuple[PieceResult, ...]], numbers: Collection[int]
+) -> tuple[Incarnation, ...]:
+    """Return the makers of what some stages have made, each once."""
+    makers = (result.maker for one in numbers for result in held[one])
+    return tuple(dict.fromkeys(makers))
 
 
 class BundleFactory:
@@ -70,7 +79,6 @@
         """
         bounds = self.find_bounds()
         rest = work.rest + self._estimate_waits(work.number)
-        inputs = [result for one in work.after for result in held[one]]
         handles = {
             one: tuple(result.handle for result in held[one]) for one in work.after
         }
@@ -82,7 +90,7 @@
             aim=bounds.aim - rest,
             latest=bounds.latest - rest,
             inputs_until=self._find_lapse(work),
-            input_makers=tuple(dict.fromkeys(result.maker for result in inputs)),
+            input_makers=list_makers(held, work.after),
             rank=self._exchange.rank,
             data_centre=self._find_data_centre(work, held),
             moved_bytes=self._count_moved_bytes(work, held),
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
@@ -13,12 +13,10 @@
 from greengagelatch.relay.stage_plan import StagePlan
 
 from .refusals import create_error
-from .stage_bundles import BundleFactory
+from .stage_bundles import BundleFactory, list_makers
 from .stage_desk import QueueWait
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
-
     from greengagelatch.clock import Clock
     from greengagelatch.relay.fleet import Fleet
     from greengagelatch.relay.incarnations import Incarnation
@@ -178,7 +176,7 @@
         request would be turned away by one engine after the other.
         """
         for number in self._plan.final:
-            if self._book.has_former(self._list_makers((number,))):
+            if self._book.has_former(list_makers(self._held, (number,))):
                 return _StageFailedError(self._plan.works[number], PieceFailure.GONE)
         return None
 
@@ -186,11 +184,6 @@
         """Whether a maker of results has started again: it holds none of them."""
         return self._book.has_former(results.makers)
 
-    def _list_makers(self, numbers: Collection[int]) -> tuple[Incarnation, ...]:
-        """Return the makers of what some stages have made, each once."""
-        makers = (result.maker for one in numbers for result in self._held[one])
-        return tuple(dict.fromkeys(makers))
-
     def free(self) -> None:
         """Give up every result that is held."""
         for number in tuple(self._held):
@@ -285,7 +278,7 @@
             await asyncio.shield(task)
         work = self._plan.works[number]
         await self._wait_for_others(work)
-        if self._book.has_former(self._list_makers(work.after)):
+        if self._book.has_former(list_makers(self._held, work.after)):
             raise _StageFailedError(work, PieceFailure.GONE)
         self._ends[number] = self._clock.now() + self._find_wait(work.service)
         self._ends[number] += work.seconds
--- a/packages/greengagelatch/src/greengagelatch/relay/batches.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/batches.py
@@ -35,8 +35,7 @@
 #: seconds by which a bundle seems less urgent to a maker far from its inputs
 FAR_SECONDS = 0.3
 #: seconds before a bundle's last moment at which it goes first: about a call. With
-#: twice as much, late bundles took the place of others that could still be on time:
-#: 0.005 to 0.009 of the worth of all requests
+#: more, late bundles take the place of others that could still be on time
 LAST_CHANCE = 0.3
 #: the same before what it reads lapses, which would be made again: a call and some
 LAPSE_CHANCE = 0.4
@@ -219,8 +218,7 @@
     Load pattern: a burst, or lost makers, of more than can be made for seconds.
     Those behind too much are found out at once and not at their last moment: their
     callers would hear of it when there is no time left to come back, and until then
-    they would make the queue seem longer to newcomers. Worth 0.008 to 0.01 of all
-    requests' worth in trials of such bursts.
+    they would make the queue seem longer to newcomers.
     """
     speed = sum(1 / max(one.slowness, LEAST_SLOWNESS) for one in makers)
     rate = speed * profile.batch / profile.estimate_seconds(profile.batch)
