Tell a full processor, a full link and a late loop apart in logs and metrics

Each instance samples once a second what it uses; a line is logged when it becomes short of something, and when it no longer is.

The time at work is that between two waits of the event loop: where the processor is metered from outside, a process's own clock of processor time shows elapsed time (seen: 1.94 of 0.52 of a core at all 77 instances).

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -13,6 +13,7 @@
 from greengagelatch.peers import MemberState
 from greengagelatch.relay.admission import EstimateRule
 from greengagelatch.relay.batches import SharedCalls
+from greengagelatch.relay.capacity import Capacity
 from greengagelatch.relay.connections import count_kept
 from greengagelatch.relay.deployment import CallerBounds
 from greengagelatch.relay.fleet import Fleet
@@ -45,6 +46,7 @@
 from .stage_pool import StagePool
 from .stages import StageRunner
 from .streams import StreamRunner
+from .usage import UsageController
 
 if TYPE_CHECKING:
     from greengagelatch.peers import Member
@@ -102,6 +104,7 @@
     #: time that requests in flight get after that
     longest_drain: float
     repeats: RepeatRule
+    capacity: Capacity = field(default_factory=Capacity)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -136,12 +139,14 @@
     rules: RelayRules,
     adapters: RelayAdapters,
     reload: Callable[[], None] = lambda: None,
+    read_work: Callable[[], float] = lambda: 0.0,
 ) -> RelayParts:
     """Build and wire all parts; nothing is started yet.
 
     :param reload: reads the settings file again
+    :param read_work: returns the seconds that the event loop has been at work
     """
-    return _Composer(rules, adapters, reload).compose()
+    return _Composer(rules, adapters, reload, read_work).compose()
 
 
 class _Composer:
@@ -152,10 +157,12 @@
         rules: RelayRules,
         adapters: RelayAdapters,
         reload: Callable[[], None],
+        read_work: Callable[[], float],
     ) -> None:
         self.rules = rules
         self.adapters = adapters
         self.reload = reload
+        self.read_work = read_work
         self.clock = SystemClock()
         self.random = random.Random()
         self.events = EventBus()
@@ -341,6 +348,13 @@
             metrics=self.metrics,
             describe=self._describe,
         )
+        self.usage = UsageController(
+            capacity=self.rules.capacity,
+            read_work=self.read_work,
+            clock=self.clock,
+            metrics=self.metrics,
+            decisions=self.decisions,
+        )
 
     def _create_pool(self, service: str) -> StagePool:
         return StagePool(
@@ -404,6 +418,7 @@
             self.drain,
             self.front,
             self.readiness,
+            self.usage,
         )
 
     def _find_services(self) -> Collection[str] | None:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
@@ -35,11 +35,19 @@
     """Writes one answer to a caller, whole or event by event.
 
     :param keep: whether the connection is kept after an answer that begins now
+    :param note_sent: called with the bytes of each part of a body
     """
 
-    def __init__(self, request: web.BaseRequest, *, keep: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        request: web.BaseRequest,
+        *,
+        keep: Callable[[], bool],
+        note_sent: Callable[[int], None] = lambda _: None,
+    ) -> None:
         self._request = request
         self._keep = keep
+        self._note_sent = note_sent
         self._stream: web.StreamResponse | None = None
         #: what the connection's handler has to return
         self.response: web.StreamResponse | None = None
@@ -64,6 +72,7 @@
         if close or not self._keep():
             response.force_close()
         self.response = response
+        self._note_sent(len(body))
         await self._guard(self._write_whole(response))
 
     async def begin(self, head: AnswerHead) -> None:
@@ -77,6 +86,7 @@
 
     async def write(self, data: bytes) -> None:
         """Write a part of a stream."""
+        self._note_sent(len(data))
         await self._guard(self._stream.write(data))
 
     async def finish(self) -> None:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/front.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/front.py
@@ -77,7 +77,9 @@
 
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         received = self._clock.now()
-        writer = AnswerWriter(request, keep=self._keeps_connections)
+        writer = AnswerWriter(
+            request, keep=self._keeps_connections, note_sent=self._note_sent
+        )
         use = find_use(request)
         request_id = ""
         try:
@@ -115,6 +117,9 @@
             request, limit=bounds.max_body_bytes, timeout=bounds.header_timeout
         )
 
+    def _note_sent(self, size: int) -> None:
+        self._metrics.count("front.bytes_out", size)
+
     def _keeps_connections(self) -> bool:
         return not self._draining() and not self.closing
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/links.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/links.py
@@ -215,7 +215,9 @@
             max_field_size=MAX_HEADER_BYTES,
         )
         try:
-            link.transport.write(_serialize(outbound, address))
+            data = _serialize(outbound, address)
+            self._metrics.count("links.bytes_out", len(data))
+            link.transport.write(data)
             async with asyncio.timeout_at(end):
                 message, content = await self._read_head(link)
         except TimeoutError:
--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/usage.py
@@ -0,0 +1,106 @@
+"""How much of its processor and network link this instance uses."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+from mode import Service
+
+from greengagelatch.relay.capacity import Usage, is_busy
+
+from ..controllers import Controller
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from greengagelatch.clock import Clock
+    from greengagelatch.relay.capacity import Capacity
+
+    from ..metrics import MetricTotals
+    from .decisions import DecisionLog
+
+__all__ = ("UsageController",)
+
+#: seconds between two samples
+INTERVAL = 1.0
+#: counters of the bytes that leave this instance
+SENT_BYTES = ("links.bytes_out", "peers.wire_out", "front.bytes_out")
+
+
+class UsageController(Controller):
+    """Samples what this instance uses, and tells when it is short of anything.
+
+    Whatever an instance is short of delays all that it does, so that calls to others
+    look slow. Without this, a slow target, a full processor and a full link are the
+    same in the log.
+
+    :param read_work: returns the seconds that the event loop has been at work
+    """
+
+    name = "usage"
+
+    def __init__(
+        self,
+        *,
+        capacity: Capacity,
+        read_work: Callable[[], float],
+        clock: Clock,
+        metrics: MetricTotals,
+        decisions: DecisionLog,
+    ) -> None:
+        super().__init__()
+        self._capacity = capacity
+        self._read_work = read_work
+        self._clock = clock
+        self._metrics = metrics
+        self._decisions = decisions
+        self._usage = Usage(work=0.0, link=0.0, lag=0.0)
+        self._busy = False
+
+    def dump(self) -> dict[str, Any]:
+        return {"busy": self._busy, **self._describe()}
+
+    @Service.task
+    async def _sample_forever(self) -> None:
+        while not self.should_stop:
+            self._take(await self._sample())
+
+    async def _sample(self) -> Usage:
+        began = self._clock.now()
+        work, sent = self._read_work(), self._count_sent()
+        await asyncio.sleep(INTERVAL)
+        seconds = self._clock.now() - began
+        return Usage(
+            work=_find_share(self._read_work() - work, seconds),
+            link=_find_share(
+                self._count_sent() - sent, seconds * self._capacity.link_bytes
+            ),
+            lag=max(0.0, seconds - INTERVAL),
+        )
+
+    def _take(self, usage: Usage) -> None:
+        self._usage = usage
+        self._metrics.gauge("usage.work", usage.work)
+        self._metrics.gauge("usage.link", usage.link)
+        self._metrics.gauge("usage.loop_lag", usage.lag)
+        busy = is_busy(usage, self._busy)
+        if busy != self._busy:
+            self._busy = busy
+            self._decisions.note_belief(
+                "busy" if busy else "relieved", **self._describe()
+            )
+
+    def _count_sent(self) -> int:
+        return sum(self._metrics.value(name) for name in SENT_BYTES)
+
+    def _describe(self) -> dict[str, float]:
+        return {
+            "work": round(self._usage.work, 2),
+            "link": round(self._usage.link, 2),
+            "lag_ms": round(self._usage.lag * 1000),
+        }
+
+
+def _find_share(used: float, allowed: float) -> float:
+    return used / allowed if allowed > 0 else 0.0
--- /dev/null
+++ b/tests/test_entry/test_adapters/test_measured_loop.py
@@ -0,0 +1,29 @@
+"""Tests of greengagelatch_entry.adapters.measured_loop."""
+
+from __future__ import annotations
+
+from greengagelatch_entry.adapters.measured_loop import WorkMeter, create_measured_loop
+
+
+def test_time_between_waits_counts_as_work():
+    moments = iter((0.0, 3.0, 10.0, 11.0, 20.0))
+    meter = WorkMeter(lambda: next(moments))
+    meter.select(0)
+    assert meter.seconds == 3.0
+    meter.select(0)
+    assert meter.seconds == 4.0
+    meter.close()
+
+
+def test_loop_waits_by_its_meter():
+    meter = WorkMeter()
+    loop = create_measured_loop(meter)
+    try:
+        assert loop.run_until_complete(_answer()) == 1
+    finally:
+        loop.close()
+    assert meter.seconds > 0
+
+
+async def _answer() -> int:
+    return 1
--- /dev/null
+++ b/tests/test_entry/test_relay/test_usage.py
@@ -0,0 +1,72 @@
+"""Tests of greengagelatch_entry.relay.usage."""
+
+from __future__ import annotations
+
+import asyncio
+
+from greengagelatch.clock import Clock
+from greengagelatch.relay.capacity import Capacity
+from greengagelatch_entry.metrics import MetricTotals
+from greengagelatch_entry.relay import usage
+from greengagelatch_entry.relay.usage import UsageController
+
+LINK_BYTES = 1000
+
+
+class StepClock(Clock):
+    """Gives the moments of a list, one after the other."""
+
+    def __init__(self, *moments: float) -> None:
+        self._moments = list(moments)
+
+    def now(self) -> float:
+        return self._moments.pop(0)
+
+    def wall(self) -> float:
+        return 0.0
+
+
+class Beliefs:
+    """Keeps what is logged."""
+
+    def __init__(self) -> None:
+        self.lines: list[tuple[str, dict]] = []
+
+    def note_belief(self, kind: str, **fields) -> None:
+        self.lines.append((kind, fields))
+
+
+async def sample(monkeypatch, metrics, clock, sent=0):
+    """Take one sample while so many bytes are sent."""
+    monkeypatch.setattr(usage, "INTERVAL", 0.0)
+    beliefs = Beliefs()
+    controller = UsageController(
+        capacity=Capacity(cores=1.0, link_bytes=LINK_BYTES),
+        clock=clock,
+        read_work=iter((1.0, 1.0)).__next__,
+        metrics=metrics,
+        decisions=beliefs,
+    )
+    sampling = asyncio.create_task(controller._sample())
+    await asyncio.sleep(0)
+    metrics.count("links.bytes_out", sent)
+    controller._take(await sampling)
+    return controller, beliefs
+
+
+async def test_full_link_is_told_apart_from_a_late_loop(monkeypatch):
+    metrics = MetricTotals()
+    _, beliefs = await sample(monkeypatch, metrics, StepClock(5.0, 5.01), sent=9)
+    kind, fields = beliefs.lines[0]
+    assert kind == "busy"
+    assert fields["link"] == 0.9
+    assert fields["lag_ms"] == 10
+
+
+async def test_late_loop_is_told_apart_from_a_full_link(monkeypatch):
+    controller, beliefs = await sample(monkeypatch, MetricTotals(), StepClock(5.0, 5.2))
+    kind, fields = beliefs.lines[0]
+    assert kind == "busy"
+    assert fields["link"] == 0.0
+    assert fields["lag_ms"] == 200
+    assert controller.dump()["busy"]
--- a/tests/test_platform/test_settings.py
+++ b/tests/test_platform/test_settings.py
@@ -23,6 +23,7 @@
     "seeds": ["10.2.0.25:8628"],
     "bounds": {"grace-s": 8, "drain-ms": 2000, "retry-ratio": 0.2, "retry-slack": 58},
     "platform": {"address": "10.200.1.7:8624"},
+    "limits": {"cpu-share": 0.717, "cores": 3, "link-mbps": 100.0},
     "novelty": {"unknown": True},
 }
 
@@ -40,6 +41,13 @@
     assert (settings.repeats.ratio, settings.repeats.slack) == (0.2, 58)
 
 
+def test_capacity_is_decoded_and_may_be_missing():
+    capacity = read().capacity
+    assert capacity.cores == pytest.approx(2.151)
+    assert capacity.link_bytes == 12_500_000
+    assert read(limits=None).capacity.cores == 0
+
+
 def test_peers_connect_on_a_free_port_where_no_address_is_given():
     listen = {name: SETTINGS["listen"][name] for name in ("front", "readiness")}
     assert read(listen=listen).peers_listen == "10.1.0.41:7740"
@@ -53,6 +61,7 @@
         ({"platform": {}}, "address"),
         ({"bounds": {"grace-s": "eight"}}, "grace-s"),
         ({"seeds": "10.2.0.25:8628"}, "seeds"),
+        ({"limits": {"cpu-share": "half"}}, "cpu-share"),
         ({"listen": {"front": "a:1", "readiness": "a:2"}, "port-range": []}, "port"),
     ],
 )
