Tell peers how much stage work an instance can gather

What an instance can gather follows from its processor and its link by its settings. It travels with hellos, observations, listings and entries in the store; earlier releases ignore it. Nothing decides by it yet.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peers.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peers.py
@@ -77,7 +77,12 @@
         events: EventBus,
         settings: Settings,
         metrics: Metrics,
+        capacity: int = 0,
     ) -> None:
+        """Create the hub.
+
+        :param capacity: stage work that this instance can gather; 0: not told
+        """
         super().__init__()
         self._clock = clock
         self._metrics = metrics
@@ -107,6 +112,7 @@
             events=events,
             settings=settings,
             metrics=metrics,
+            capacity=capacity,
         )
         self.add_dependency(self._membership)
 
@@ -255,6 +261,7 @@
             data_centre=hello.data_centre,
             address=hello.address,
             incarnation=hello.incarnation,
+            capacity=hello.capacity,
         )
         self._membership.meet(identity, leaving=hello.leaving)
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/membership.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/membership.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
 from mode import Service
@@ -85,6 +86,7 @@
         events: EventBus,
         settings: Settings,
         metrics: Metrics,
+        capacity: int = 0,
     ) -> None:
         super().__init__()
         self._peers = peers
@@ -103,6 +105,7 @@
             address=settings["peers.advertise"] or settings["peers.listen"],
             # later processes of the same id must have higher ones
             incarnation=int(clock.wall()),
+            capacity=capacity,
         )
         self._detector = self._create_detector()
         #: members as last shown; asked for by each request, and made from many
@@ -126,12 +129,7 @@
         """Set the address of this instance, once it is known."""
         if address == self._identity.address:
             return
-        self._identity = Identity(
-            instance_id=self._identity.instance_id,
-            data_centre=self._identity.data_centre,
-            address=address,
-            incarnation=self._identity.incarnation,
-        )
+        self._identity = replace(self._identity, address=address)
         self._detector = self._create_detector()
         self._shown = None
 
@@ -154,6 +152,7 @@
                 data_centre=own.data_centre,
                 address=self._identity.address,
                 state=MemberState.LEAVING if own.leaving else MemberState.ALIVE,
+                capacity=self._identity.capacity,
             )
         ]
         for record in self._detector.table:
@@ -179,6 +178,7 @@
             address=self._identity.address,
             incarnation=own.incarnation,
             leaving=own.leaving,
+            capacity=self._identity.capacity,
         )
 
     def find_fault(self, hello: Hello, linked_address: str) -> str:
@@ -218,6 +218,7 @@
                     "data_centre": record.data_centre,
                     "address": record.address,
                     "incarnation": record.incarnation,
+                    "capacity": record.capacity,
                     "seconds_in_state": now - record.since,
                     "listed": record.listed,
                 }
@@ -303,8 +304,9 @@
     texts = (hello.instance_id, hello.data_centre, hello.address)
     if not all(isinstance(text, str) and 0 < len(text) <= MAX_TEXT for text in texts):
         return False
-    if type(hello.number) is not int or hello.number < 0:
-        return False
+    for number in (hello.number, hello.capacity):
+        if type(number) is not int or number < 0:
+            return False
     return type(hello.incarnation) is int and hello.incarnation > 0
 
 
@@ -322,4 +324,5 @@
         data_centre=record.data_centre,
         address=record.address,
         state=record.state,
+        capacity=record.capacity,
     )
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -221,6 +221,7 @@
             instance_id=self.rules.instance_id,
             data_centre=self.rules.data_centre,
             address=self.rules.peers_listen,
+            capacity=self.rules.capacity.bundles,
             events=self.events,
             metrics=self.metrics,
             decisions=self.decisions,
@@ -240,6 +241,7 @@
             events=self.events,
             settings=_create_peer_settings(self.rules),
             metrics=self.metrics,
+            capacity=self.rules.capacity.bundles,
         )
         self.news = NewsController(
             peers=self.peers,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/registry.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/registry.py
@@ -53,6 +53,7 @@
         instance_id: str,
         data_centre: str,
         address: str,
+        capacity: int,
         events: EventBus,
         metrics: Metrics,
         decisions: DecisionLog,
@@ -62,6 +63,7 @@
         self._instance_id = instance_id
         self._data_centre = data_centre
         self._address = address
+        self._capacity = capacity
         self._events = events
         self._metrics = metrics
         self._decisions = decisions
@@ -109,7 +111,11 @@
             return False
         lease_id = granted.ok_value.lease_id
         value = json.dumps(
-            {"address": self._address, "data_centre": self._data_centre}
+            {
+                "address": self._address,
+                "data_centre": self._data_centre,
+                "capacity": self._capacity,
+            }
         ).encode()
         key = PREFIX + self._instance_id
         written = await self._store.swap(key, value, ABSENT, lease_id=lease_id)
@@ -135,6 +141,8 @@
         try:
             fields = json.loads(entry.value)
             address, data_centre = fields["address"], fields["data_centre"]
+            # entries of earlier releases don't tell it
+            capacity = int(fields.get("capacity", 0))
         except (ValueError, KeyError, TypeError) as error:
             self._decisions.note_belief(
                 "instance-unreadable", key=entry.key, reason=str(error)
@@ -145,6 +153,7 @@
             kind=InstanceKind.ENTRY,
             data_centre=str(data_centre),
             address=str(address),
+            capacity=max(0, capacity),
         )
         self._instances[entry.key] = (entry.revision, instance)
 
--- a/packages/greengagelatch/src/greengagelatch/instances/__init__.py
+++ b/packages/greengagelatch/src/greengagelatch/instances/__init__.py
@@ -45,6 +45,8 @@
     state: InstanceState = InstanceState.LIVE
     #: the service a target provides; empty for entry instances
     service: str = ""
+    #: stage work that an entry instance can gather; 0: not told
+    capacity: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/greengagelatch/src/greengagelatch/membership/detector.py
+++ b/packages/greengagelatch/src/greengagelatch/membership/detector.py
@@ -126,6 +126,7 @@
             state=state,
             data_centre=identity.data_centre,
             address=identity.address,
+            capacity=identity.capacity,
         )
         self._merge(now, update)
         # it may be believed dead by now and has to learn of that to refute it
@@ -316,6 +317,7 @@
             state=state,
             data_centre=record.data_centre,
             address=record.address,
+            capacity=record.capacity,
         )
         self._merge(now, update)
 
--- a/packages/greengagelatch/src/greengagelatch/membership/own.py
+++ b/packages/greengagelatch/src/greengagelatch/membership/own.py
@@ -51,6 +51,7 @@
             state=MemberState.LEAVING if self._leaving else MemberState.ALIVE,
             data_centre=self._identity.data_centre,
             address=self._identity.address,
+            capacity=self._identity.capacity,
         )
 
     def leave(self) -> None:
--- a/packages/greengagelatch/src/greengagelatch/membership/records.py
+++ b/packages/greengagelatch/src/greengagelatch/membership/records.py
@@ -44,6 +44,8 @@
     #: empty where the sender does not know or need not say it
     data_centre: str = ""
     address: str = ""
+    #: stage work that it can gather, as :attr:`Capacity.bundles` says; 0: not told
+    capacity: int = 0
 
     def overrides(self, incarnation: int, state: MemberState) -> bool:
         """Whether this is newer than what an instance believes."""
@@ -69,6 +71,8 @@
     #: whether any listing showed it as leaving: that holds for its id for good, as
     #: a replacement has a new id, whatever it says itself
     listed_leaving: bool = False
+    #: stage work that it can gather; 0: not told
+    capacity: int = 0
 
     @property
     def heard(self) -> bool:
@@ -95,18 +99,21 @@
             state=self.state,
             data_centre=self.data_centre,
             address=self.address,
+            capacity=self.capacity,
         )
 
 
 def encode_update(update: Update) -> tuple[Any, ...]:
     """Return an update as a short tuple for the wire.
 
-    The address is left out where it is no longer needed.
+    The address is left out where it is no longer needed, and a capacity that is not
+    told.
     """
     head = (update.instance_id, update.incarnation, _RANKS[update.state])
     if update.state in (MemberState.DEAD, MemberState.LEAVING):
         return head
-    return (*head, update.data_centre, update.address)
+    row = (*head, update.data_centre, update.address)
+    return (*row, update.capacity) if update.capacity else row
 
 
 def decode_update(item: Any) -> Update | None:
@@ -117,15 +124,19 @@
     texts = (instance_id, *item[3:5])
     if not all(isinstance(text, str) and len(text) <= MAX_TEXT for text in texts):
         return None
-    numbers = (incarnation, rank)
+    capacity = item[5] if len(item) > 5 else 0
+    numbers = (incarnation, rank, capacity)
     if not all(type(number) is int for number in numbers) or not instance_id:
         return None
     if not 0 < incarnation <= MAX_INCARNATION or not 0 <= rank < len(_ORDER):
         return None
+    if capacity < 0:
+        return None
     return Update(
         instance_id=instance_id,
         incarnation=incarnation,
         state=_ORDER[rank],
         data_centre=item[3] if len(item) > 3 else "",
         address=item[4] if len(item) > 4 else "",
+        capacity=capacity,
     )
--- a/packages/greengagelatch/src/greengagelatch/membership/steps.py
+++ b/packages/greengagelatch/src/greengagelatch/membership/steps.py
@@ -46,6 +46,8 @@
     address: str
     #: seconds since the Unix epoch at its start, raised by one for each refutation
     incarnation: int
+    #: stage work that it can gather; 0: not told
+    capacity: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/greengagelatch/src/greengagelatch/membership/table.py
+++ b/packages/greengagelatch/src/greengagelatch/membership/table.py
@@ -67,6 +67,7 @@
             # an instance may have moved when it raised its incarnation
             data_centre=update.data_centre or filled.data_centre,
             address=update.address or filled.address,
+            capacity=update.capacity or filled.capacity,
         )
         return True
 
@@ -137,6 +138,7 @@
             incarnation=update.incarnation,
             state=update.state,
             since=now,
+            capacity=update.capacity,
         )
         return True
 
@@ -149,6 +151,7 @@
             state=MemberState.LEAVING if leaving else MemberState.ALIVE,
             data_centre=row.data_centre,
             address=row.address,
+            capacity=row.capacity,
         )
         changed = self.merge(update, now)
         if not leaving or row.instance_id not in self._records:
@@ -161,12 +164,13 @@
 
 
 def _fill(record: Record, update: Update) -> Record:
-    if record.address and record.data_centre:
+    if record.address and record.data_centre and record.capacity:
         return record
     return dataclasses.replace(
         record,
         data_centre=record.data_centre or update.data_centre,
         address=record.address or update.address,
+        capacity=record.capacity or update.capacity,
     )
 
 
--- a/packages/greengagelatch/src/greengagelatch/peers/__init__.py
+++ b/packages/greengagelatch/src/greengagelatch/peers/__init__.py
@@ -44,6 +44,8 @@
     data_centre: str
     address: str
     state: MemberState
+    #: stage work that it can gather, as :attr:`Capacity.bundles` says; 0: not told
+    capacity: int = 0
 
 
 class PeerErrorKind(Enum):
--- a/packages/greengagelatch/src/greengagelatch/peers/messages.py
+++ b/packages/greengagelatch/src/greengagelatch/peers/messages.py
@@ -24,6 +24,8 @@
     #: rises with each hello that its sender sends, to whomever, also over restarts;
     #: zero from releases that do not number them
     number: int = 0
+    #: stage work that the sender can gather; 0: not told, as by earlier releases
+    capacity: int = 0
 
 
 @register("not-understood")
--- a/packages/greengagelatch/src/greengagelatch/relay/capacity.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/capacity.py
@@ -4,8 +4,12 @@
 
 from dataclasses import dataclass
 
-__all__ = ("Capacity", "Usage", "is_busy")
+__all__ = ("BUSY_SHARE", "Capacity", "Usage", "is_busy")
 
+#: processor seconds, and bytes sent, that an owner of stage work spends on each bundle
+#: of pieces: it takes it in, calls makers, answers, and has its results freed
+BUNDLE_SECONDS = 0.0025
+BUNDLE_BYTES = 3000
 #: share of a resource from which an instance counts as busy, and below which it does
 #: not any more; apart, so that one near the limit is told of once
 BUSY_SHARE = 0.8
@@ -24,6 +28,20 @@
     #: bytes that its network link carries in a second
     link_bytes: float = 0.0
 
+    @property
+    def bundles(self) -> int:
+        """Bundles of stage work that it can gather in a second; 0: not told.
+
+        The scarcer resource decides. A processor that is not told of counts for
+        nothing, as does such a link, unless neither is.
+        """
+        rates = []
+        if self.cores > 0:
+            rates.append(self.cores / BUNDLE_SECONDS)
+        if self.link_bytes > 0:
+            rates.append(self.link_bytes / BUNDLE_BYTES)
+        return int(min(rates, default=0))
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Usage:
--- /dev/null
+++ b/tests/test_core/test_membership/test_capacity.py
@@ -0,0 +1,52 @@
+"""Tests of what instances tell each other of their capacity."""
+
+from __future__ import annotations
+
+from greengagelatch.instances import Instance, InstanceKind, Listing
+from greengagelatch.membership.records import Update, decode_update, encode_update
+from greengagelatch.membership.table import Table
+from greengagelatch.peers import MemberState
+
+
+def create_update(**fields) -> Update:
+    told = {
+        "instance_id": "e1",
+        "incarnation": 3,
+        "state": MemberState.ALIVE,
+        "data_centre": "north",
+        "address": "10.0.0.1:7",
+    }
+    return Update(**{**told, **fields})
+
+
+def test_capacity_travels_with_observations():
+    update = create_update(capacity=206)
+    assert decode_update(encode_update(update)) == update
+
+
+def test_observation_of_an_earlier_release_tells_no_capacity():
+    row = encode_update(create_update())
+    assert len(row) == 5
+    assert decode_update(row).capacity == 0
+    assert decode_update((*row, -1)) is None
+    assert decode_update((*row, "many")) is None
+
+
+def test_capacity_that_is_known_is_kept_where_it_is_not_told_again():
+    table = Table()
+    table.merge(create_update(capacity=206), 0.0)
+    table.merge(create_update(incarnation=4), 1.0)
+    assert table.find("e1").capacity == 206
+
+
+def test_listing_tells_the_capacity_of_instances_not_met_yet():
+    table = Table()
+    row = Instance(
+        instance_id="e2",
+        kind=InstanceKind.ENTRY,
+        data_centre="north",
+        address="10.0.0.2:7",
+        capacity=860,
+    )
+    table.apply_listing(Listing(1, (row,)), "e1", 0.0)
+    assert table.find("e2").capacity == 860
--- a/tests/test_core/test_relay/test_capacity.py
+++ b/tests/test_core/test_relay/test_capacity.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from greengagelatch.relay.capacity import Usage, is_busy
+from greengagelatch.relay.capacity import Capacity, Usage, is_busy
 
 REST = {"work": 0.1, "link": 0.1, "lag": 0.0}
 
@@ -21,3 +21,11 @@
     assert not is_busy(usage, before=False)
     assert is_busy(usage, before=True)
     assert not is_busy(Usage(**REST), before=True)
+
+
+def test_scarcer_resource_bounds_the_bundles_that_an_instance_gathers():
+    strong = Capacity(cores=2.0, link_bytes=12_500_000)
+    small_link = Capacity(cores=2.0, link_bytes=625_000)
+    assert small_link.bundles < strong.bundles
+    assert strong.bundles == Capacity(cores=2.0).bundles
+    assert Capacity().bundles == 0
