Trials with all instances of a fleet; failing test of an owner short of its link

Trials of stage work had one instance and no links. Now the grown fleets can be tried with all of theirs: real owners and askers in virtual time, each message and call at the cost of its sender's processor and link.

--- a/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/__main__.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/__main__.py
@@ -14,7 +14,7 @@
 from .trial import Policies, run_trial
 
 if TYPE_CHECKING:
-    from .trial import Outcome
+    from .outcomes import Outcome
 
 __all__ = ("main",)
 
@@ -45,7 +45,7 @@
         }
         for key, futures in runs.items():
             outcomes = [future.result() for future in futures]
-            print(f"{key[0]:13}{key[1]:13}{key[2]:10}{describe(outcomes)}", flush=True)
+            print(f"{key[0]:23}{key[1]:13}{key[2]:10}{describe(outcomes)}", flush=True)
 
 
 def describe(outcomes: list[Outcome]) -> str:
@@ -57,6 +57,7 @@
         f"unserved {mean(one.unserved_share for one in outcomes):.3f}",
         f"unread {mean(one.unread_share for one in outcomes):.3f}",
         f"moved {mean(one.moved_bytes for one in outcomes) / 1e9:.2f} GB",
+        f"link {max(one.busiest_link for one in outcomes):.2f}",
     ]
     for name in outcomes[0].classes:
         rows = [one.classes[name] for one in outcomes]
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/instances.py
@@ -0,0 +1,202 @@
+"""Entry instances of a trial: the real decisions, on modelled targets and links."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from greengagelatch.relay.fleet import EngineNeed, Fleet
+from greengagelatch.relay.repeats import RepeatRule
+from greengagelatch_entry.relay.budgets import RepeatBudgets
+from greengagelatch_entry.relay.desk import LocalDesk
+from greengagelatch_entry.relay.owned_desk import OwnedDesk
+from greengagelatch_entry.relay.run_times import RunTimes
+from greengagelatch_entry.relay.stage_pool import StagePool
+from greengagelatch_entry.relay.stages import StageRunner
+from greengagelatch_entry.relay.streams import StreamRunner
+
+from .models import ModelCodec
+from .network import Machine, ModelNetwork
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from greengagelatch.clock import Clock
+    from greengagelatch.relay.admission import RouteAdmission
+    from greengagelatch.relay.batches import BatchPolicy
+    from greengagelatch.relay.deployment import Deployment
+    from greengagelatch.relay.targets import TargetBook
+    from greengagelatch_entry.relay.exchange import RelayExchange
+    from greengagelatch_entry.relay.stages import StageResults, StageRun
+
+    from .models import Engine, ModelLinks
+    from .shapes import FleetShape
+
+__all__ = ("ENGINES", "InstanceFactory", "ModelledInstance", "Silent")
+
+#: name of the service of engines
+ENGINES = "engines"
+
+
+class Silent:
+    """Takes the place of logs and metrics."""
+
+    def note(self, kind: str, **fields) -> None:
+        pass
+
+    def note_belief(self, kind: str, **fields) -> None:
+        pass
+
+    def count(self, name: str, number: float = 1) -> None:
+        pass
+
+
+class ModelledStreams(StreamRunner):
+    """Runs requests at modelled engines instead of sending them."""
+
+    def __init__(self, *, engines: dict[str, Engine], **parts) -> None:
+        super().__init__(**parts)
+        self._engines = engines
+
+    async def pass_on(
+        self, exchange: RelayExchange, run: StageRun, results: StageResults
+    ) -> None:
+        prompt = exchange.request.prompt
+        need = EngineNeed(prompt, results.bytes_by_data_centre)
+        started = self.clock.now()
+        target = self.fleet.choose_engine(ENGINES, need, frozenset(), started)
+        tokens = self.fleet.count_tokens(target.incarnation, prompt, started)
+        self.fleet.start(target.incarnation, tokens)
+        shared, own = prompt.parts
+        engine = self._engines[target.target_id]
+        read = await engine.read(
+            results.inputs or (), shared.part_id, shared.tokens, own.tokens
+        )
+        now = self.clock.now()
+        self.fleet.begin(target.incarnation, tokens)
+        if read:
+            self.times.note_first(exchange, now - started)
+            self.fleet.note_parts(target.incarnation, prompt, now)
+            exchange.outcome = "answered"
+        run.free()
+        self.fleet.finish(target.incarnation)
+
+
+@dataclass(frozen=True, slots=True)
+class ModelledInstance:
+    """What serves the requests of one instance."""
+
+    streams: ModelledStreams
+    #: ``None`` where it does all stage work by itself
+    desk: OwnedDesk | None = None
+    machine: Machine | None = None
+
+
+class InstanceFactory:
+    """Builds the instances of a trial, all on the same targets."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        book: TargetBook,
+        deployment: Deployment,
+        engines: dict[str, Engine],
+        links: ModelLinks,
+        centres: list[str],
+        random_source: random.Random,
+        create_batches: Callable[[], BatchPolicy],
+        create_admission: Callable[[], RouteAdmission],
+    ) -> None:
+        self._clock = clock
+        self._book = book
+        self._deployment = deployment
+        self._engines = engines
+        self._links = links
+        self._centres = centres
+        self._random = random_source
+        self._create_batches = create_batches
+        self._create_admission = create_admission
+
+    def create_single(self, *, sole: bool) -> ModelledInstance:
+        """Return an instance that does all stage work by itself.
+
+        :param sole: whether it knows that no other one calls the makers
+        """
+        desk = self._create_local(self._links, lambda service: sole)
+        return ModelledInstance(self._create_streams(desk, self._centres[0], ""))
+
+    def create_all(self, shape: FleetShape) -> list[ModelledInstance]:
+        """Return the instances of a fleet, linked with each other."""
+        network = ModelNetwork()
+        return [
+            self._create_linked(network, f"{centre}-{size}-{number}", centre, machine)
+            for centre in self._centres
+            for size, instances in enumerate(shape.instances)
+            for number, machine in enumerate(
+                Machine(instances) for _ in range(instances.count)
+            )
+        ]
+
+    def _create_linked(
+        self, network: ModelNetwork, instance_id: str, centre: str, machine: Machine
+    ) -> ModelledInstance:
+        peers = network.join(instance_id, centre, machine)
+        local = self._create_local(
+            self._links.through(machine), lambda service: desk.is_sole(service)
+        )
+        desk = OwnedDesk(
+            local=local,
+            peers=peers,
+            clock=self._clock,
+            metrics=Silent(),
+            decisions=Silent(),
+        )
+        streams = self._create_streams(desk, centre, centre)
+        return ModelledInstance(streams, desk, machine)
+
+    def _create_local(self, links, is_sole: Callable[[str], bool]) -> LocalDesk:
+        services = self._deployment.services
+        return LocalDesk(
+            create_pool=lambda service: StagePool(
+                service,
+                find_profile=lambda: services[service].maker,
+                is_sole=lambda: is_sole(service),
+                policy=self._create_batches(),
+                book=self._book,
+                links=links,
+                codec=ModelCodec(),
+                budgets=self._create_budgets(),
+                clock=self._clock,
+                metrics=Silent(),
+                decisions=Silent(),
+            )
+        )
+
+    def _create_budgets(self) -> RepeatBudgets:
+        return RepeatBudgets(
+            rule=RepeatRule(slack=1e6), clock=self._clock, count_instances=lambda: 1
+        )
+
+    def _create_streams(self, desk, centre: str, near: str) -> ModelledStreams:
+        fleet = Fleet(book=self._book, data_centre=near, random_source=self._random)
+        stages = StageRunner(
+            desk=desk,
+            clock=self._clock,
+            decisions=Silent(),
+            data_centre=centre,
+            fleet=fleet,
+            book=self._book,
+        )
+        return ModelledStreams(
+            engines=self._engines,
+            stages=stages,
+            codec=ModelCodec(),
+            times=RunTimes(),
+            admission=self._create_admission(),
+            sender=None,
+            fleet=fleet,
+            budgets=self._create_budgets(),
+            clock=self._clock,
+        )
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/models.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/models.py
@@ -18,6 +18,7 @@
 
     from greengagelatch.relay.pieces import Piece
 
+    from .network import Machine
     from .shapes import MakerShape, StageShape
 
 __all__ = ("Engine", "Maker", "ModelCodec", "ModelLinks", "Results")
@@ -28,6 +29,12 @@
 ONE_WAY = 0.0006
 #: seconds until a connection to a lost maker fails
 UNREACHABLE = 0.3
+#: bytes of a call, of each piece that it asks for, and of each handle that it names
+CALL_BYTES = 250
+PIECE_BYTES = 78
+HANDLE_BYTES = 31
+#: processor seconds of one core to make a call, and again to read its answer
+CALL_WORK = 0.0006
 #: share by which the time of a call varies to either side
 VARIATION = 0.08
 #: prompt tokens that an engine reads in a second
@@ -227,6 +234,10 @@
         self._results = results
         self._find_stage = find_stage
 
+    def through(self, machine: Machine) -> ModelLinks:
+        """Return the same links as one instance uses them, by its own machine."""
+        return _MachineLinks(self, machine)
+
     async def send(self, *, address: str, outbound: Outbound, **_) -> _Reply:
         """Do what a call asks for."""
         maker = self._makers[address]
@@ -250,6 +261,30 @@
         return _Reply(results)
 
 
+class _MachineLinks:
+    """Calls that cost their sender's processor and link."""
+
+    def __init__(self, links: ModelLinks, machine: Machine) -> None:
+        self._links = links
+        self._machine = machine
+
+    async def send(self, *, outbound: Outbound, **details) -> _Reply:
+        await self._machine.work(CALL_WORK)
+        await self._machine.send(_count_bytes(outbound))
+        reply = await self._links.send(outbound=outbound, **details)
+        await self._machine.work(CALL_WORK)
+        return reply
+
+
+def _count_bytes(outbound: Outbound) -> int:
+    """Return about how many bytes a call takes on its way."""
+    if outbound.target == "free":
+        return CALL_BYTES + len(outbound.body) * HANDLE_BYTES
+    pieces, _ = outbound.body
+    handles = sum(len(piece.inputs) for piece in pieces)
+    return CALL_BYTES + len(pieces) * PIECE_BYTES + handles * HANDLE_BYTES
+
+
 class ModelCodec(TargetCodec):
     """Passes objects where the real one writes and reads bytes."""
 
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/network.py
@@ -0,0 +1,158 @@
+"""Entry instances of a trial, and the links between them, in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+import inspect
+from typing import TYPE_CHECKING
+
+from result import Err, Ok, Result
+
+from greengagelatch.peers import (
+    Member,
+    MemberState,
+    MessageHandler,
+    PeerError,
+    PeerErrorKind,
+    PeerNetwork,
+)
+from greengagelatch.peers.codec import Envelope, Message, encode
+from greengagelatch.relay.capacity import Capacity
+
+if TYPE_CHECKING:
+    from .shapes import InstanceShape
+
+__all__ = ("Machine", "ModelNetwork", "ModelPeers")
+
+#: seconds of one way between two instances
+ONE_WAY = 0.0009
+#: bytes of a message's headers on its way
+HEADER_BYTES = 80
+#: processor seconds of one core to send or to take in a message
+MESSAGE_SECONDS = 0.0002
+#: seconds over which the use of a link is measured
+SPAN = 1.0
+
+
+class _Queue:
+    """Something that serves one after the other, such as a processor or a link."""
+
+    def __init__(self) -> None:
+        self._free_at = 0.0
+
+    async def use(self, seconds: float) -> None:
+        """Wait for one's turn and for so many seconds of service."""
+        now = asyncio.get_running_loop().time()
+        self._free_at = max(self._free_at, now) + seconds
+        await asyncio.sleep(self._free_at - now)
+
+
+class Machine:
+    """What one instance runs on: a processor, and a link to all others."""
+
+    def __init__(self, shape: InstanceShape) -> None:
+        self.capacity = Capacity(cores=shape.cores, link_bytes=shape.link_bytes)
+        self.busiest_link = 0.0
+        self._processor = _Queue()
+        self._link = _Queue()
+        self._span_end = 0.0
+        self._sent = 0
+
+    async def work(self, seconds: float) -> None:
+        """Use so much of one core."""
+        await self._processor.use(seconds / self.capacity.cores)
+
+    async def send(self, size: int) -> None:
+        """Send so many bytes."""
+        self._count(size)
+        await self._link.use(size / self.capacity.link_bytes)
+
+    def _count(self, size: int) -> None:
+        now = asyncio.get_running_loop().time()
+        if now >= self._span_end:
+            self._span_end, self._sent = now + SPAN, 0
+        self._sent += size
+        share = self._sent / (self.capacity.link_bytes * SPAN)
+        self.busiest_link = max(self.busiest_link, share)
+
+
+class ModelNetwork:
+    """All instances of a trial."""
+
+    def __init__(self) -> None:
+        self.peers: dict[str, ModelPeers] = {}
+        self._members: tuple[Member, ...] = ()
+
+    def join(self, instance_id: str, data_centre: str, machine: Machine) -> ModelPeers:
+        """Add an instance."""
+        peers = ModelPeers(self, instance_id, machine)
+        self.peers[instance_id] = peers
+        member = Member(
+            instance_id=instance_id,
+            data_centre=data_centre,
+            address="",
+            state=MemberState.ALIVE,
+            capacity=machine.capacity.bundles,
+        )
+        self._members = (*self._members, member)
+        return peers
+
+    def list_members(self) -> tuple[Member, ...]:
+        """Return all instances."""
+        return self._members
+
+
+class ModelPeers(PeerNetwork):
+    """One instance's end of the network."""
+
+    def __init__(
+        self, network: ModelNetwork, instance_id: str, machine: Machine
+    ) -> None:
+        self._network = network
+        self._instance_id = instance_id
+        self._machine = machine
+        self._handlers: dict[type[Message], MessageHandler] = {}
+        self._tasks: set[asyncio.Task[object]] = set()
+
+    @property
+    def instance_id(self) -> str:
+        return self._instance_id
+
+    def members(self) -> tuple[Member, ...]:
+        return self._network.list_members()
+
+    def send(self, instance_id: str, message: Message) -> bool:
+        receiver = self._network.peers[instance_id]
+        task = asyncio.create_task(self._deliver(receiver, message))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return True
+
+    async def ask(
+        self, instance_id: str, message: Message, timeout: float
+    ) -> Result[Message, PeerError]:
+        receiver = self._network.peers[instance_id]
+        try:
+            async with asyncio.timeout(timeout):
+                answer = await self._deliver(receiver, message)
+                await receiver._carry(answer, self._machine)
+        except TimeoutError:
+            return Err(PeerError(PeerErrorKind.NO_ANSWER, "no answer in time"))
+        return Ok(answer)
+
+    def handle(self, message_type, handler) -> None:
+        self._handlers[message_type] = handler
+
+    async def _deliver(self, receiver: ModelPeers, message: Message) -> Message | None:
+        await self._carry(message, receiver._machine)
+        answer = receiver._handlers[type(message)](self._instance_id, message)
+        if inspect.isawaitable(answer):
+            return await asyncio.shield(asyncio.ensure_future(answer))
+        return answer
+
+    async def _carry(self, message: Message, machine: Machine) -> None:
+        size = len(encode(Envelope(message))) + HEADER_BYTES
+        await self._machine.work(MESSAGE_SECONDS)
+        await self._machine.send(size)
+        await asyncio.sleep(ONE_WAY)
+        await machine.work(MESSAGE_SECONDS)
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/shapes.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/shapes.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from greengagelatch.relay.deployment import MakerProfile
 
@@ -12,6 +12,7 @@
     "Burst",
     "CallerClass",
     "FleetShape",
+    "InstanceShape",
     "Loss",
     "MakerShape",
     "Scenario",
@@ -83,13 +84,26 @@
     stages: tuple[StageShape, ...] = ()
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class InstanceShape:
+    """Entry instances of one size."""
+
+    #: in each data centre
+    count: int
+    cores: float
+    #: bytes a second
+    link_bytes: float
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class FleetShape:
-    """Makers, engines and the usual load of one fleet."""
+    """Makers, engines, entry instances and the usual load of one fleet."""
 
     name: str
     data_centres: int
     engines: int
+    #: empty: one instance, which does all stage work by itself
+    instances: tuple[InstanceShape, ...] = ()
     makers: tuple[MakerShape, ...]
     classes: tuple[CallerClass, ...]
     #: those of the workspaces that callers belong to
@@ -404,6 +418,30 @@
     ),
 }
 
+#: bytes a second of a link of one megabit
+MEGABIT = 125_000
+
+
+def _list_instances(strong: int, small: int) -> tuple[InstanceShape, ...]:
+    """Return the instances of a grown fleet, by their number in each data centre."""
+    return (
+        InstanceShape(count=strong, cores=2.15, link_bytes=100 * MEGABIT),
+        InstanceShape(count=small, cores=0.516, link_bytes=5 * MEGABIT),
+    )
+
+
+#: the same fleets with all their instances and the links between them
+SHAPES |= {
+    f"{name}-linked": replace(
+        SHAPES[name], name=f"{name}-linked", instances=_list_instances(*counts)
+    )
+    for name, counts in {
+        "luzon-grown": (2, 24),
+        "kyushu-grown": (2, 13),
+        "mwangaza-grown": (2, 19),
+    }.items()
+}
+
 _BURSTS = (
     Burst("draft", 5.0, 6.0, 3.2),
     Burst("summary", 14.0, 5.0, 3.2),
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/trial.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/trial.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from looptime import LoopTimeEventLoop
@@ -19,38 +19,27 @@
     RouteKind,
     RouteStage,
 )
-from greengagelatch.relay.fleet import EngineNeed, Fleet
 from greengagelatch.relay.incarnations import Incarnation
-from greengagelatch.relay.repeats import RepeatRule
-from greengagelatch.relay.requests import (
-    OpaqueRequest,
-    RefusedError,
-)
+from greengagelatch.relay.requests import OpaqueRequest, RefusedError
 from greengagelatch.relay.targets import ListedTarget, TargetBook
 from greengagelatch.relay.urgency import compute_rank
-from greengagelatch_entry.relay.budgets import RepeatBudgets
-from greengagelatch_entry.relay.desk import LocalDesk
 from greengagelatch_entry.relay.exchange import RelayExchange
-from greengagelatch_entry.relay.run_times import RunTimes
-from greengagelatch_entry.relay.stage_pool import StagePool
-from greengagelatch_entry.relay.stages import StageRunner
-from greengagelatch_entry.relay.streams import StreamRunner
 
 from .arrivals import draw_arrivals
-from .models import Engine, Maker, ModelCodec, ModelLinks, Results
+from .instances import ENGINES, InstanceFactory, ModelledInstance
+from .models import Engine, Maker, ModelLinks, Results
+from .outcomes import ClassOutcome, Outcome
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from greengagelatch.relay.pieces import Piece
-    from greengagelatch_entry.relay.stages import StageResults, StageRun
 
     from .arrivals import Arrival
     from .shapes import CallerClass, FleetShape, Scenario, StageShape
 
-__all__ = ("Outcome", "Policies", "run_trial")
+__all__ = ("Policies", "run_trial")
 
-ENGINES = "engines"
 #: share of the time left within which callers come back after a refusal
 RETURN_SHARE = 1 / 3
 #: seconds after the last arrival for which the trial goes on
@@ -71,16 +60,6 @@
         return self.now()
 
 
-class _Silent:
-    """Takes the place of logs and metrics."""
-
-    def note(self, kind: str, **fields) -> None:
-        pass
-
-    def count(self, name: str, number: float = 1) -> None:
-        pass
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Policies:
     """The decisions that a trial is run with."""
@@ -91,80 +70,6 @@
     sole: bool = True
 
 
-@dataclass(slots=True)
-class ClassOutcome:
-    """What became of one class's requests."""
-
-    asked: int = 0
-    in_time: int = 0
-    late: int = 0
-    refused: int = 0
-    refused_again: int = 0
-    #: seconds until the first event, of those answered
-    times: list[float] = field(default_factory=list)
-
-    @property
-    def unserved(self) -> int:
-        """Requests that nobody answered."""
-        return self.asked - self.in_time - self.late
-
-
-@dataclass(slots=True)
-class Outcome:
-    """What a trial came to."""
-
-    classes: dict[str, ClassOutcome] = field(default_factory=dict)
-    earned: float = 0.0
-    owed: float = 0.0
-    #: seconds of makers' work, and the share of results that nobody read
-    maker_seconds: float = 0.0
-    unread_share: float = 0.0
-    moved_bytes: float = 0.0
-    read_tokens: float = 0.0
-
-    @property
-    def credit(self) -> float:
-        """Share of the worth owed that was earned."""
-        return self.earned / self.owed if self.owed else 1.0
-
-    @property
-    def unserved_share(self) -> float:
-        """Share of the requests that nobody answered."""
-        asked = sum(one.asked for one in self.classes.values())
-        return sum(one.unserved for one in self.classes.values()) / max(1, asked)
-
-
-class _ModelledStreams(StreamRunner):
-    """Runs requests at modelled engines instead of sending them."""
-
-    def __init__(self, *, engines: dict[str, Engine], **parts) -> None:
-        super().__init__(**parts)
-        self._engines = engines
-
-    async def pass_on(
-        self, exchange: RelayExchange, run: StageRun, results: StageResults
-    ) -> None:
-        prompt = exchange.request.prompt
-        need = EngineNeed(prompt, results.bytes_by_data_centre)
-        started = self.clock.now()
-        target = self.fleet.choose_engine(ENGINES, need, frozenset(), started)
-        tokens = self.fleet.count_tokens(target.incarnation, prompt, started)
-        self.fleet.start(target.incarnation, tokens)
-        shared, own = prompt.parts
-        engine = self._engines[target.target_id]
-        read = await engine.read(
-            results.inputs or (), shared.part_id, shared.tokens, own.tokens
-        )
-        now = self.clock.now()
-        self.fleet.begin(target.incarnation, tokens)
-        if read:
-            self.times.note_first(exchange, now - started)
-            self.fleet.note_parts(target.incarnation, prompt, now)
-            exchange.outcome = "answered"
-        run.free()
-        self.fleet.finish(target.incarnation)
-
-
 class _Trial:
     def __init__(
         self, shape: FleetShape, scenario: Scenario, policies: Policies, seed: int
@@ -184,13 +89,20 @@
         self.routes = {one.name: _create_route(one) for one in shape.classes}
         self.deployment = _create_deployment(shape, tuple(self.routes.values()))
         self._list_targets()
-        self.runner = self._create_runner(policies)
+        self.instances = self._create_instances(policies)
+        #: by which callers come to an instance; the same whatever is decided
+        self.balancer = random.Random(f"{seed} balancer")
         self.number = 0
 
     async def run(self) -> Outcome:
         losses = [self._lose(loss) for loss in self.scenario.losses]
+        desks = [one.desk for one in self.instances if one.desk is not None]
+        for desk in desks:
+            await desk.start()
         await asyncio.gather(self._send_all(), *losses)
         await asyncio.sleep(TAIL)
+        for desk in desks:
+            await desk.stop()
         self.outcome.maker_seconds = sum(
             maker.busy_seconds for maker in self.makers.values()
         )
@@ -199,6 +111,10 @@
         self.outcome.read_tokens = sum(
             engine.read_tokens for engine in self.engines.values()
         )
+        machines = [one.machine for one in self.instances if one.machine is not None]
+        self.outcome.busiest_link = max(
+            (machine.busiest_link for machine in machines), default=0.0
+        )
         return self.outcome
 
     def _list_targets(self) -> None:
@@ -227,50 +143,21 @@
             )
         )
 
-    def _create_runner(self, policies: Policies) -> _ModelledStreams:
-        fleet = Fleet(book=self.book, data_centre="", random_source=self.random)
-        budgets = RepeatBudgets(
-            rule=RepeatRule(slack=1e6), clock=self.clock, count_instances=lambda: 1
-        )
-        links = ModelLinks(self.makers, self.results, self._find_stage)
-        parts = {
-            "book": self.book,
-            "links": links,
-            "codec": ModelCodec(),
-            "budgets": budgets,
-            "clock": self.clock,
-            "metrics": _Silent(),
-            "decisions": _Silent(),
-        }
-        services = self.deployment.services
-        desk = LocalDesk(
-            create_pool=lambda service: StagePool(
-                service,
-                find_profile=lambda: services[service].maker,
-                is_sole=lambda: policies.sole,
-                policy=policies.create_batches(),
-                **parts,
-            )
-        )
-        stages = StageRunner(
-            desk=desk,
+    def _create_instances(self, policies: Policies) -> list[ModelledInstance]:
+        factory = InstanceFactory(
             clock=self.clock,
-            decisions=_Silent(),
-            data_centre=self.centres[0],
-            fleet=fleet,
             book=self.book,
-        )
-        return _ModelledStreams(
+            deployment=self.deployment,
             engines=self.engines,
-            stages=stages,
-            codec=parts["codec"],
-            times=RunTimes(),
-            admission=policies.create_admission(),
-            sender=None,
-            fleet=fleet,
-            budgets=budgets,
-            clock=self.clock,
+            links=ModelLinks(self.makers, self.results, self._find_stage),
+            centres=self.centres,
+            random_source=self.random,
+            create_batches=policies.create_batches,
+            create_admission=policies.create_admission,
         )
+        if not self.shape.instances:
+            return [factory.create_single(sole=policies.sole)]
+        return factory.create_all(self.shape)
 
     def _find_stage(self, piece: Piece) -> StageShape:
         name = piece.request_id.partition("/")[0]
@@ -322,6 +209,7 @@
     async def _try(self, arrival: Arrival, left: float) -> float | None:
         """Send once; ``None`` if it was answered, else when to come back."""
         now = self.clock.now()
+        instance = self.balancer.choice(self.instances)
         name = arrival.caller_class.name
         route = self.routes[name]
         request = OpaqueRequest(
@@ -349,7 +237,7 @@
         )
         try:
             async with asyncio.timeout(left):
-                await self.runner.run(exchange)
+                await instance.streams.run(exchange)
         except RefusedError as error:
             return (error.refusal.retry_after_ms or 0) / 1000
         except TimeoutError:
--- a/tests/test_lab/test_stage_load/test_trial.py
+++ b/tests/test_lab/test_stage_load/test_trial.py
@@ -8,8 +8,10 @@
 
 from greengagelatch.relay.admission import AdmitAll
 from greengagelatch.relay.batches import SeparateCalls
+from greengagelatch.relay.capacity import BUSY_SHARE
+from greengagelatch_lab.stage_load.outcomes import Outcome
 from greengagelatch_lab.stage_load.shapes import SCENARIOS, SHAPES, Scenario
-from greengagelatch_lab.stage_load.trial import Outcome, Policies, run_trial
+from greengagelatch_lab.stage_load.trial import Policies, run_trial
 
 CALM = dataclasses.replace(SCENARIOS["calm"], seconds=6.0)
 NAIVE = Policies(create_batches=SeparateCalls, create_admission=AdmitAll)
@@ -53,3 +55,11 @@
     assert outcome.credit > 0.85
     assert outcome.unserved_share < 0.02
     assert outcome.unread_share < 0.02
+
+
+def test_owner_of_stage_work_is_not_short_of_its_link():
+    """Guards against calls that wait for the full link of the one that owns them."""
+    outcome = run_trial(SHAPES["luzon-grown-linked"], CALM, Policies(), 1)
+    assert outcome.busiest_link < BUSY_SHARE
+    for one in outcome.classes.values():
+        assert one.in_time_share > 0.9
