Ask the owner of the makers beside an instance where theirs is out of reach

Callers saw whole seconds of late and failed answers after a data centre was cut off.

Now it asks the strongest instance of its own data centre, which has the makers there called for all that are cut off with it. Makers can also be divided by data centre for good, which is done where no instance could gather for all of them, by capacity.

Divided makers are idle while others have a queue; results between data centres are a tenth. So makers stay together wherever an instance is strong enough.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -17,6 +17,7 @@
 from greengagelatch.relay.connections import count_kept
 from greengagelatch.relay.deployment import CallerBounds
 from greengagelatch.relay.fleet import Fleet
+from greengagelatch.relay.groups import ByCapacity
 from greengagelatch.relay.listeners import choose_listeners
 from greengagelatch.relay.targets import TargetBook
 from greengagelatch.settings import Settings
@@ -37,12 +38,14 @@
 from .listing import ListingFollower
 from .news import NewsController
 from .owned_desk import OwnedDesk
+from .ownership import Ownership
 from .plain import PlainRunner
 from .prometheus import PrometheusMetrics
 from .readiness import ReadinessServer
 from .registry import RegistryController
 from .run_times import RunTimes
 from .sending import TargetSender
+from .stage_groups import MakerGroups
 from .stage_pool import StagePool
 from .stages import StageRunner
 from .streams import StreamRunner
@@ -50,6 +53,7 @@
 
 if TYPE_CHECKING:
     from greengagelatch.peers import Member
+    from greengagelatch.relay.groups import MakerGroup
     from greengagelatch.relay.incarnations import Incarnation
     from greengagelatch.relay.repeats import RepeatRule
     from greengagelatch.store.ranges import RangeStore
@@ -73,7 +77,8 @@
     "peers.open_timeout": 1.0,
     "peers.idle": 15.0,
     "peers.links": 8,
-    "peers.max_links": 128,
+    # an owner of stage work is asked by all instances that there are
+    "peers.max_links": 512,
     # bundles wait with their owner: of 200 a second each waits for seconds in a
     # burst. One that called itself busy was passed over, and two owners filled the
     # makers' room without a word between them
@@ -263,15 +268,31 @@
         self.stage_budgets = RepeatBudgets(
             rule=self.rules.repeats,
             clock=self.clock,
-            count_instances=lambda: ASSUMED_OWNERS,
+            count_instances=self._count_owners,
         )
 
     def _build_request_path(self) -> None:
-        self.local_desk = LocalDesk(create_pool=self._create_pool)
+        self.groups = MakerGroups(
+            rule=ByCapacity(),
+            book=self.book,
+            list_members=self.peers.members,
+            find_profile=self._find_maker,
+        )
+        self.local_desk = LocalDesk(
+            create_pool=self._create_pool, find_group=self.groups.find_group
+        )
+        self.ownership = Ownership(
+            peers=self.peers, clock=self.clock, decisions=self.decisions
+        )
         self.desk = OwnedDesk(
             local=self.local_desk,
+            groups=self.groups,
+            ownership=self.ownership,
             peers=self.peers,
+            data_centre=self.rules.data_centre,
+            find_profile=self._find_maker,
             clock=self.clock,
+            random_source=self.random,
             metrics=self.metrics,
             decisions=self.decisions,
         )
@@ -358,11 +379,12 @@
             decisions=self.decisions,
         )
 
-    def _create_pool(self, service: str) -> StagePool:
+    def _create_pool(self, group: MakerGroup) -> StagePool:
         return StagePool(
-            service,
-            find_profile=lambda: self._find_maker(service),
-            is_sole=lambda: self.desk.is_sole(service),
+            group,
+            list_makers=lambda: self.groups.list_makers(group),
+            find_profile=lambda: self._find_maker(group.service),
+            is_sole=lambda: self.ownership.is_sole(group),
             policy=SharedCalls(),
             book=self.book,
             links=self.links,
@@ -381,6 +403,10 @@
         )
         return max(alive, ASSUMED_INSTANCES)
 
+    def _count_owners(self) -> int:
+        """Return how many instances share budgets of stage work."""
+        return max(ASSUMED_OWNERS, self.groups.count_most())
+
     def _count_kept(self, incarnation: Incarnation) -> int:
         """Return how many idle connections may be kept to a target."""
         target = self.book.find_listed(incarnation.target_id)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/desk.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/desk.py
@@ -5,6 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING, Any
 
+from greengagelatch.relay.groups import MakerGroup
+
 from ..controllers import Controller
 from .stage_desk import StageDesk
 from .stage_pool import StagePool
@@ -21,43 +23,67 @@
 
 
 class LocalDesk(Controller, StageDesk):
-    """One pool for each service, made when its first bundle comes.
+    """One pool for each group of makers, made when its first bundle comes.
 
-    :param create_pool: makes the pool of a service
+    :param create_pool: makes the pool of a group
+    :param find_group: returns the group of a service's makers in a data centre
     """
 
     name = "stages"
 
-    def __init__(self, *, create_pool: Callable[[str], StagePool]) -> None:
+    def __init__(
+        self,
+        *,
+        create_pool: Callable[[MakerGroup], StagePool],
+        find_group: Callable[[str, str], MakerGroup] = lambda service, _: MakerGroup(
+            service
+        ),
+    ) -> None:
         super().__init__()
         self._create_pool = create_pool
-        self._pools: dict[str, StagePool] = {}
+        self._find_group = find_group
+        self._pools: dict[MakerGroup, StagePool] = {}
 
     async def make(
         self, bundle: Bundle, note_read: Callable[[], None]
     ) -> tuple[PieceResult, ...]:
-        return await self.find_pool(bundle.service).make(bundle, note_read)
+        return await self.make_in(MakerGroup(bundle.service), bundle, note_read)
+
+    async def make_in(
+        self, group: MakerGroup, bundle: Bundle, note_read: Callable[[], None]
+    ) -> tuple[PieceResult, ...]:
+        """Have a bundle made by the makers of a group."""
+        return await self.find_pool(group).make(bundle, note_read)
 
     def free(self, service: str, results: tuple[PieceResult, ...]) -> None:
-        self.find_pool(service).free(results)
+        by_group: dict[MakerGroup, list[PieceResult]] = {}
+        for result in results:
+            group = self._find_group(service, result.data_centre)
+            by_group.setdefault(group, []).append(result)
+        for group, freed in by_group.items():
+            self.find_pool(group).free(tuple(freed))
 
     def estimate_wait(self, service: str) -> QueueWait:
-        return self.find_pool(service).estimate_wait()
+        return self.estimate_wait_in(MakerGroup(service))
+
+    def estimate_wait_in(self, group: MakerGroup) -> QueueWait:
+        """Return how long a piece would wait for the makers of a group."""
+        return self.find_pool(group).estimate_wait()
 
     def note_gone(self, incarnation: Incarnation) -> None:
         """Take in that a maker is gone, or has started again."""
         for pool in self._pools.values():
             pool.note_gone(incarnation)
 
-    def list_waits(self) -> list[tuple[str, QueueWait]]:
-        """Return how long a piece of each service would wait."""
-        return [(name, pool.estimate_wait()) for name, pool in self._pools.items()]
+    def list_waits(self) -> list[tuple[MakerGroup, QueueWait]]:
+        """Return how long a piece would wait for the makers of each group."""
+        return [(group, pool.estimate_wait()) for group, pool in self._pools.items()]
 
-    def find_pool(self, service: str) -> StagePool:
-        """Return the pool of a service."""
-        pool = self._pools.get(service)
+    def find_pool(self, group: MakerGroup) -> StagePool:
+        """Return the pool of a group."""
+        pool = self._pools.get(group)
         if pool is None:
-            pool = self._pools[service] = self._create_pool(service)
+            pool = self._pools[group] = self._create_pool(group)
         return pool
 
     async def on_stop(self) -> None:
@@ -65,4 +91,4 @@
         await asyncio.gather(*(pool.close() for pool in self._pools.values()))
 
     def dump(self) -> dict[str, Any]:
-        return {name: pool.describe() for name, pool in self._pools.items()}
+        return {str(group): pool.describe() for group, pool in self._pools.items()}
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
@@ -1,4 +1,4 @@
-"""Gathers the pieces of one service and has its makers make them."""
+"""Gathers pieces for a group of makers and has these make them."""
 
 from __future__ import annotations
 
@@ -16,14 +16,15 @@
 from .wait_estimates import WaitEstimate
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from greengagelatch.clock import Clock
     from greengagelatch.relay.batches import BatchPolicy, PlannedCall
     from greengagelatch.relay.deployment import MakerProfile
+    from greengagelatch.relay.groups import MakerGroup
     from greengagelatch.relay.incarnations import Incarnation
     from greengagelatch.relay.pieces import Bundle
-    from greengagelatch.relay.targets import TargetBook
+    from greengagelatch.relay.targets import ListedTarget, TargetBook
 
     from ..metrics import Metrics
     from .budgets import RepeatBudgets
@@ -46,18 +47,21 @@
 
 
 class StagePool:
-    """Queue, makers and calls of one service.
+    """Queue and calls of one group of makers.
 
     Pieces wait here and not at their makers: who is late, dropped, or less urgent
     than a newcomer can then still be told apart when a maker becomes idle.
 
+    :param list_makers: returns the makers listed, the same object as long as nothing
+        changes
     :param is_sole: tells whether no other instance's calls are at the makers
     """
 
     def __init__(
         self,
-        service: str,
+        group: MakerGroup,
         *,
+        list_makers: Callable[[], Sequence[ListedTarget]],
         find_profile: Callable[[], MakerProfile | None],
         is_sole: Callable[[], bool],
         policy: BatchPolicy,
@@ -69,7 +73,8 @@
         metrics: Metrics,
         decisions: DecisionLog,
     ) -> None:
-        self._service = service
+        self._group = group
+        self._list_targets = list_makers
         self._find_profile = find_profile
         self._is_sole = is_sole
         self._policy = policy
@@ -77,7 +82,7 @@
         self._clock = clock
         self._decisions = decisions
         self._queue = BundleQueue(
-            service, free=self.free, book=book, budgets=budgets, metrics=metrics
+            group.service, free=self.free, book=book, budgets=budgets, metrics=metrics
         )
         self._makers: dict[Incarnation, Maker] = {}
         #: the makers listed, as of the entries and the profile they were made from
@@ -89,7 +94,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._caller = MakerCaller(links=links, codec=codec, book=book, clock=clock)
         self._freeing = ResultFreeing(
-            service,
+            group.service,
             find_maker=self._makers.get,
             book=book,
             note_freed=self._look,
@@ -210,10 +215,9 @@
             task.add_done_callback(self._tasks.discard)
 
     def _list_makers(self, profile: MakerProfile) -> list[Maker]:
-        listed = self._book.list_service(self._service)
+        listed = self._list_targets()
         if self._listed_from is not None:
             before, known_profile = self._listed_from
-            # the book makes a new list when one of its entries changes
             if before is listed and known_profile == profile:
                 return self._listed
         known = {target.incarnation for target in listed}
@@ -254,7 +258,8 @@
             self._settle_room(maker, call, end, now)
         self._decisions.note(
             "stage-call",
-            service=self._service,
+            service=self._group.service,
+            makers=self._group.data_centre,
             target=str(call.incarnation),
             pieces=len(call.pieces),
             requests=len({bundle.request_id for bundle, _ in call.pieces}),
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/__main__.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/__main__.py
@@ -9,6 +9,7 @@
 
 from greengagelatch.relay.admission import AdmitAll
 from greengagelatch.relay.batches import SeparateCalls
+from greengagelatch.relay.groups import Divided, Undivided
 
 from .shapes import SCENARIOS, SHAPES
 from .trial import Policies, run_trial
@@ -24,6 +25,8 @@
 VARIANTS = {
     "ours": Policies(),
     "unsettled": Policies(sole=False),
+    "undivided": Policies(create_division=Undivided),
+    "divided": Policies(create_division=Divided),
     "admit-all": Policies(create_admission=AdmitAll),
     "naive": Policies(create_batches=SeparateCalls, create_admission=AdmitAll),
 }
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/instances.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/instances.py
@@ -10,7 +10,9 @@
 from greengagelatch_entry.relay.budgets import RepeatBudgets
 from greengagelatch_entry.relay.desk import LocalDesk
 from greengagelatch_entry.relay.owned_desk import OwnedDesk
+from greengagelatch_entry.relay.ownership import Ownership
 from greengagelatch_entry.relay.run_times import RunTimes
+from greengagelatch_entry.relay.stage_groups import MakerGroups
 from greengagelatch_entry.relay.stage_pool import StagePool
 from greengagelatch_entry.relay.stages import StageRunner
 from greengagelatch_entry.relay.streams import StreamRunner
@@ -25,7 +27,8 @@
     from greengagelatch.clock import Clock
     from greengagelatch.relay.admission import RouteAdmission
     from greengagelatch.relay.batches import BatchPolicy
-    from greengagelatch.relay.deployment import Deployment
+    from greengagelatch.relay.deployment import Deployment, MakerProfile
+    from greengagelatch.relay.groups import DivisionRule, MakerGroup
     from greengagelatch.relay.targets import TargetBook
     from greengagelatch_entry.relay.exchange import RelayExchange
     from greengagelatch_entry.relay.stages import StageResults, StageRun
@@ -108,6 +111,7 @@
         random_source: random.Random,
         create_batches: Callable[[], BatchPolicy],
         create_admission: Callable[[], RouteAdmission],
+        create_division: Callable[[], DivisionRule],
     ) -> None:
         self._clock = clock
         self._book = book
@@ -118,13 +122,15 @@
         self._random = random_source
         self._create_batches = create_batches
         self._create_admission = create_admission
+        self._create_division = create_division
 
     def create_single(self, *, sole: bool) -> ModelledInstance:
         """Return an instance that does all stage work by itself.
 
         :param sole: whether it knows that no other one calls the makers
         """
-        desk = self._create_local(self._links, lambda service: sole)
+        groups = self._create_groups(tuple)
+        desk = self._create_local(self._links, groups, lambda group: sole)
         return ModelledInstance(self._create_streams(desk, self._centres[0], ""))
 
     def create_all(self, shape: FleetShape) -> list[ModelledInstance]:
@@ -143,26 +149,47 @@
         self, network: ModelNetwork, instance_id: str, centre: str, machine: Machine
     ) -> ModelledInstance:
         peers = network.join(instance_id, centre, machine)
+        ownership = Ownership(peers=peers, clock=self._clock, decisions=Silent())
+        groups = self._create_groups(peers.members)
         local = self._create_local(
-            self._links.through(machine), lambda service: desk.is_sole(service)
+            self._links.through(machine), groups, ownership.is_sole
         )
         desk = OwnedDesk(
             local=local,
+            groups=groups,
+            ownership=ownership,
             peers=peers,
+            data_centre=centre,
+            find_profile=self._find_profile,
             clock=self._clock,
+            random_source=self._random,
             metrics=Silent(),
             decisions=Silent(),
         )
         streams = self._create_streams(desk, centre, centre)
         return ModelledInstance(streams, desk, machine)
 
-    def _create_local(self, links, is_sole: Callable[[str], bool]) -> LocalDesk:
-        services = self._deployment.services
+    def _create_groups(self, list_members) -> MakerGroups:
+        return MakerGroups(
+            rule=self._create_division(),
+            book=self._book,
+            list_members=list_members,
+            find_profile=self._find_profile,
+        )
+
+    def _find_profile(self, service: str) -> MakerProfile | None:
+        return self._deployment.services[service].maker
+
+    def _create_local(
+        self, links, groups: MakerGroups, is_sole: Callable[[MakerGroup], bool]
+    ) -> LocalDesk:
         return LocalDesk(
-            create_pool=lambda service: StagePool(
-                service,
-                find_profile=lambda: services[service].maker,
-                is_sole=lambda: is_sole(service),
+            find_group=groups.find_group,
+            create_pool=lambda group: StagePool(
+                group,
+                list_makers=lambda: groups.list_makers(group),
+                find_profile=lambda: self._find_profile(group.service),
+                is_sole=lambda: is_sole(group),
                 policy=self._create_batches(),
                 book=self._book,
                 links=links,
@@ -171,7 +198,7 @@
                 clock=self._clock,
                 metrics=Silent(),
                 decisions=Silent(),
-            )
+            ),
         )
 
     def _create_budgets(self) -> RepeatBudgets:
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/shapes.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/shapes.py
@@ -442,6 +442,18 @@
     }.items()
 }
 
+#: the same of small instances only
+SHAPES |= {
+    f"{name}-small": replace(
+        SHAPES[name], name=f"{name}-small", instances=_list_instances(0, count)
+    )
+    for name, count in {
+        "luzon-grown": 26,
+        "kyushu-grown": 15,
+        "mwangaza-grown": 21,
+    }.items()
+}
+
 _BURSTS = (
     Burst("draft", 5.0, 6.0, 3.2),
     Burst("summary", 14.0, 5.0, 3.2),
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/trial.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/trial.py
@@ -19,6 +19,7 @@
     RouteKind,
     RouteStage,
 )
+from greengagelatch.relay.groups import ByCapacity, DivisionRule
 from greengagelatch.relay.incarnations import Incarnation
 from greengagelatch.relay.requests import OpaqueRequest, RefusedError
 from greengagelatch.relay.targets import ListedTarget, TargetBook
@@ -66,6 +67,7 @@
 
     create_batches: Callable[[], BatchPolicy] = SharedCalls
     create_admission: Callable[[], RouteAdmission] = EstimateRule
+    create_division: Callable[[], DivisionRule] = ByCapacity
     #: whether the instance knows that no other one calls the makers
     sole: bool = True
 
@@ -154,6 +156,7 @@
             random_source=self.random,
             create_batches=policies.create_batches,
             create_admission=policies.create_admission,
+            create_division=policies.create_division,
         )
         if not self.shape.instances:
             return [factory.create_single(sole=policies.sole)]
--- /dev/null
+++ b/packages/greengagelatch/src/greengagelatch/relay/groups.py
@@ -0,0 +1,192 @@
+"""Makers of a service in groups, each with an owner, and which group makes what."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ..targets.subset import compute_weight
+from .batches import MUCH_MOVED, is_late
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Collection, Mapping, Sequence
+
+    from .deployment import MakerProfile
+    from .pieces import Bundle
+
+__all__ = (
+    "ByCapacity",
+    "Divided",
+    "DivisionRule",
+    "GroupView",
+    "MakerGroup",
+    "ServiceView",
+    "Undivided",
+    "choose_group",
+    "estimate_load",
+    "find_home",
+)
+
+#: makers for each data centre, on average, from which a service's makers are divided,
+#: and below which they are put together again; apart, so that one maker that comes and
+#: goes does not change all owners
+DIVIDED_FROM = 1.5
+UNDIVIDED_BELOW = 1.0
+#: share of the strongest instance's capacity below which they are put together again
+UNDIVIDED_SHARE = 0.5
+#: pieces of a bundle, about
+BUNDLE_PIECES = 5
+#: seconds by which makers in another data centre must be sooner
+FAR_SECONDS = 0.05
+#: the same for a bundle whose inputs would cross data centres, which is paid for
+FAR_SECONDS_MOVED = 0.3
+#: seconds by which a near queue must be longer than a far one for every bundle to go
+#: there. All instances hear of the same queues, a moment late: were each to choose the
+#: shorter one, it would be the longer one by then
+CERTAIN_GAP = 0.4
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class MakerGroup:
+    """Makers of one service that have one owner."""
+
+    service: str
+    #: where they are; empty: all makers of the service
+    data_centre: str = ""
+
+    def __str__(self) -> str:
+        return (
+            f"{self.service}/{self.data_centre}" if self.data_centre else self.service
+        )
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class GroupView:
+    """A group, and the seconds that a piece would wait there."""
+
+    group: MakerGroup
+    #: behind those whose requests can still be on time
+    urgent_wait: float = 0.0
+    #: behind all
+    whole_wait: float = 0.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServiceView:
+    """What the division of a service's makers depends on."""
+
+    #: number of makers by the data centre whose instances may own them
+    makers: Mapping[str, int]
+    #: bundles that all of them could take in a second
+    load: float
+    #: bundles that the strongest instance could gather in a second; 0: not told
+    capacity: int
+
+
+class DivisionRule(ABC):
+    """Says whether the makers of a service have one owner, or one in each place."""
+
+    @abstractmethod
+    def is_divided(self, view: ServiceView, before: bool) -> bool:
+        """Return whether makers are divided by data centre.
+
+        :param before: whether they were
+        """
+
+
+class ByCapacity(DivisionRule):
+    """Divides makers that could take more work than any instance could gather.
+
+    One owner for all fills calls best and has the next idle maker sooner: bundles of
+    three data centres wait for a third as long as those of one. But everything goes
+    through its processor and link, so that where no instance is strong enough for
+    all makers, each data centre has an owner.
+    """
+
+    def is_divided(self, view: ServiceView, before: bool) -> bool:
+        if not view.capacity or len(view.makers) < 2:
+            return False
+        share = sum(view.makers.values()) / len(view.makers)
+        if before:
+            weak = view.load > view.capacity * UNDIVIDED_SHARE
+            return weak and share >= UNDIVIDED_BELOW
+        return view.load > view.capacity and share >= DIVIDED_FROM
+
+
+class Undivided(DivisionRule):
+    """One owner for all makers of a service; a baseline to compare with."""
+
+    def is_divided(self, view: ServiceView, before: bool) -> bool:
+        return False
+
+
+class Divided(DivisionRule):
+    """An owner in each data centre that has makers; a baseline to compare with."""
+
+    def is_divided(self, view: ServiceView, before: bool) -> bool:
+        return len(view.makers) > 1
+
+
+def estimate_load(profile: MakerProfile, makers: int) -> float:
+    """Return the bundles that so many makers could take in a second."""
+    rate = profile.batch / profile.estimate_seconds(profile.batch)
+    return makers * rate / BUNDLE_PIECES
+
+
+def find_home(place: str, homes: Collection[str]) -> str:
+    """Return the data centre whose instances own the makers of ``place``.
+
+    Makers in a data centre without instances are owned from another one.
+    """
+    if place in homes or not homes:
+        return place
+    return min(homes, key=lambda one: (compute_weight(one, place), one))
+
+
+def choose_group(
+    bundle: Bundle,
+    views: Sequence[GroupView],
+    profile: MakerProfile | None,
+    now: float,
+    random_source: random.Random,
+) -> MakerGroup:
+    """Return the group that should make a bundle: the near one, unless it is behind.
+
+    Load pattern: a burst that falls on one data centre, or makers that are lost in
+    one: the queue there grows while others are short.
+
+    :param views: at least one
+    """
+    late = profile is not None and is_late(bundle, len(bundle.pieces), profile, now)
+    near = next(
+        (one for one in views if one.group.data_centre == bundle.data_centre), None
+    )
+    others = [one for one in views if one is not near]
+    if near is None:
+        return min(others, key=lambda one: _find_wait(one, late)).group
+    if not others:
+        return near.group
+    moved = bundle.moved_bytes >= MUCH_MOVED
+    if moved and not late and _is_on_time(near, bundle, profile, now):
+        return near.group
+    best = min(others, key=lambda one: _find_wait(one, late))
+    gap = _find_wait(near, late) - _find_wait(best, late)
+    gap -= FAR_SECONDS_MOVED if moved else FAR_SECONDS
+    if random_source.random() * CERTAIN_GAP < gap:
+        return best.group
+    return near.group
+
+
+def _find_wait(view: GroupView, late: bool) -> float:
+    return view.whole_wait if late else view.urgent_wait
+
+
+def _is_on_time(
+    view: GroupView, bundle: Bundle, profile: MakerProfile | None, now: float
+) -> bool:
+    if profile is None:
+        return True
+    count = min(len(bundle.pieces), profile.batch)
+    return now + view.urgent_wait + profile.estimate_seconds(count) <= bundle.aim
--- a/packages/greengagelatch/src/greengagelatch/relay/messages.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/messages.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from ..peers.codec import Message, check_type, register
 from .incarnations import Incarnation
 from .pieces import Bundle, Piece, PieceFailure, PieceResult
 
+if TYPE_CHECKING:
+    from .groups import MakerGroup
+
 __all__ = (
     "News",
     "NewsQuery",
@@ -55,11 +58,14 @@
     data_centre: str = ""
     moved_bytes: int = 0
     begun: bool = False
+    #: data centre of the makers that are meant; empty: all of the service
+    group: str = ""
 
     def __post_init__(self) -> None:
         for text in (self.bundle_id, self.service, self.request_id, self.key):
             check_type(text, str)
         check_type(self.data_centre, str)
+        check_type(self.group, str)
         for number in (self.stage, self.result_bytes, self.moved_bytes):
             check_type(number, int)
         for number in (self.aim_seconds, self.latest_seconds, self.rank):
@@ -93,15 +99,12 @@
     #: rows of a service, the seconds behind those that can still be on time, and
     #: the seconds behind all
     waits: tuple[Any, ...] = ()
+    #: the same for the makers of one data centre, named after the service
+    divided: tuple[Any, ...] = ()
 
     def __post_init__(self) -> None:
-        check_type(self.waits, (tuple, list))
-        for row in self.waits:
-            check_type(row, (tuple, list))
-            service, urgent, whole = row
-            check_type(service, str)
-            check_type(urgent, (int, float))
-            check_type(whole, (int, float))
+        _check_rows(self.waits, (str,))
+        _check_rows(self.divided, (str, str))
 
 
 @register("pieces-read")
@@ -172,8 +175,8 @@
         check_type(self.targets, (tuple, list))
 
 
-def encode_bundle(bundle: Bundle, now: float) -> PiecesWanted:
-    """Return the message that asks for a bundle."""
+def encode_bundle(bundle: Bundle, group: MakerGroup, now: float) -> PiecesWanted:
+    """Return the message that asks for a bundle of the makers of a group."""
     first = bundle.pieces[0]
     return PiecesWanted(
         bundle_id=bundle.bundle_id,
@@ -192,6 +195,7 @@
         data_centre=bundle.data_centre,
         moved_bytes=bundle.moved_bytes,
         begun=bundle.begun,
+        group=group.data_centre,
     )
 
 
@@ -284,3 +288,16 @@
     check_type(born, int)
     if isinstance(born, bool) or born < 0:
         raise ValueError("a start is a whole number from 0 on")
+
+
+def _check_rows(rows: Any, names: tuple[type, ...]) -> None:
+    """Check rows of names and of two waits.
+
+    :raises ValueError: if they can't be used
+    """
+    check_type(rows, (tuple, list))
+    kinds = (*names, (int, float), (int, float))
+    for row in rows:
+        check_type(row, (tuple, list))
+        for value, kind in zip(row, kinds, strict=True):
+            check_type(value, kind)
--- a/packages/greengagelatch/src/greengagelatch/relay/owners.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/owners.py
@@ -1,4 +1,4 @@
-"""Which instance gathers the stage work of a service."""
+"""Which instance gathers the stage work of a group of makers."""
 
 from __future__ import annotations
 
@@ -10,6 +10,7 @@
     from collections.abc import Collection
 
     from ..peers import Member
+    from .groups import MakerGroup
 
 __all__ = ("rank_owners",)
 
@@ -17,20 +18,25 @@
 STRONG_SHARE = 0.5
 
 
-def rank_owners(service: str, members: Collection[Member]) -> tuple[str, ...]:
-    """Return instances in the order in which they should own ``service``.
+def rank_owners(group: MakerGroup, members: Collection[Member]) -> tuple[str, ...]:
+    """Return instances in the order in which they should own a group of makers.
 
-    Strong ones go first: an owner sends each call and each result of a service over
+    Those in the group's data centre own it, so that a partition leaves owner and
+    makers on the same side; others only where there is none.
+
+    Strong ones go first: an owner sends each call and each result of its makers over
     its own link, and one whose link is full makes all makers seem slow. Among equals,
-    hashes spread services over them.
+    hashes spread groups over them.
 
     All instances that know the same others agree without a word, and one that
-    comes or goes moves only the services that it owns.
+    comes or goes moves only the groups that it owns.
     """
-    strong = max((one.capacity for one in members), default=0) * STRONG_SHARE
+    near = [one for one in members if one.data_centre == group.data_centre]
+    chosen = near or members
+    strong = max((one.capacity for one in chosen), default=0) * STRONG_SHARE
 
     def rate(one: Member) -> tuple[bool, int, str]:
         weak = one.capacity < strong
-        return weak, compute_weight(one.instance_id, service), one.instance_id
+        return weak, compute_weight(one.instance_id, group.service), one.instance_id
 
-    return tuple(one.instance_id for one in sorted(members, key=rate))
+    return tuple(one.instance_id for one in sorted(chosen, key=rate))
--- a/tests/test_core/test_relay/test_messages.py
+++ b/tests/test_core/test_relay/test_messages.py
@@ -6,6 +6,7 @@
 from result import Err, Ok
 
 from greengagelatch.peers.codec import Envelope, decode, encode
+from greengagelatch.relay.groups import MakerGroup
 from greengagelatch.relay.incarnations import Incarnation
 from greengagelatch.relay.messages import (
     News,
@@ -51,7 +52,7 @@
 
 
 def test_bundle_arrives_with_times_of_the_other_clock():
-    message = pass_on(encode_bundle(BUNDLE, now=100.0))
+    message = pass_on(encode_bundle(BUNDLE, MakerGroup("ledger", "north"), now=100.0))
     bundle = decode_bundle(message, now=500.0)
     assert bundle.pieces == BUNDLE.pieces
     assert bundle.aim == pytest.approx(501.5)
@@ -59,6 +60,7 @@
     assert bundle.inputs_until == pytest.approx(503.0)
     assert (bundle.moved_bytes, bundle.begun) == (18000, True)
     assert bundle.input_makers == BUNDLE.input_makers
+    assert message.group == "north"
 
 
 def test_results_arrive_in_order():
--- a/tests/test_core/test_relay/test_owners.py
+++ b/tests/test_core/test_relay/test_owners.py
@@ -5,6 +5,7 @@
 from collections import Counter
 
 from greengagelatch.peers import Member, MemberState
+from greengagelatch.relay.groups import MakerGroup
 from greengagelatch.relay.owners import rank_owners
 
 
@@ -25,27 +26,29 @@
     """Guards against a service whose owner is the smallest of all instances."""
     members = create_members(*[200] * 20, 860, 500, *[200] * 20)
     for number in range(50):
-        ranked = rank_owners(f"service-{number}", members)
+        ranked = rank_owners(MakerGroup(f"service-{number}"), members)
         assert set(ranked[:2]) == {"entry-20", "entry-21"}
         assert len(set(ranked)) == len(members)
 
 
 def test_services_are_spread_over_equals():
     members = create_members(*[600] * 9)
-    firsts = Counter(rank_owners(f"service-{n}", members)[0] for n in range(300))
+    firsts = Counter(
+        rank_owners(MakerGroup(f"service-{n}"), members)[0] for n in range(300)
+    )
     assert len(firsts) == 9
     assert max(firsts.values()) < 3 * 300 / 9
 
 
 def test_all_agree_whatever_the_order_in_which_they_know_members():
     members = create_members(200, 860, 0, 860, 200)
-    ranked = rank_owners("ledger", members)
-    assert rank_owners("ledger", members[::-1]) == ranked
+    ranked = rank_owners(MakerGroup("ledger"), members)
+    assert rank_owners(MakerGroup("ledger"), members[::-1]) == ranked
 
 
 def test_instance_that_goes_moves_only_what_it_owns():
     members = create_members(*[600] * 9)
     for number in range(50):
-        ranked = rank_owners(f"service-{number}", members)
+        ranked = rank_owners(MakerGroup(f"service-{number}"), members)
         left = [one for one in members if one.instance_id != ranked[4]]
-        assert rank_owners(f"service-{number}", left)[0] == ranked[0]
+        assert rank_owners(MakerGroup(f"service-{number}"), left)[0] == ranked[0]
--- a/tests/test_entry/test_relay/test_owned_desk.py
+++ b/tests/test_entry/test_relay/test_owned_desk.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from types import SimpleNamespace
 
 import pytest
@@ -10,24 +11,34 @@
 
 from greengagelatch.clock import ManualClock
 from greengagelatch.peers import Member, MemberState, PeerError, PeerErrorKind
+from greengagelatch.relay.groups import ByCapacity, MakerGroup
 from greengagelatch.relay.incarnations import Incarnation
 from greengagelatch.relay.messages import PiecesDropped, PiecesWanted
 from greengagelatch.relay.owners import rank_owners
 from greengagelatch.relay.pieces import Bundle, Piece, PieceFailure, PieceResult
+from greengagelatch.relay.targets import ListedTarget
 from greengagelatch_entry.relay.decisions import DecisionLog
-from greengagelatch_entry.relay.owned_desk import (
+from greengagelatch_entry.relay.owned_desk import OwnedDesk
+from greengagelatch_entry.relay.ownership import (
     MEETING_SECONDS,
     MEMBERS_LIFE,
     SETTLING_SECONDS,
     SUSPICION_SECONDS,
-    OwnedDesk,
+    Ownership,
 )
 from greengagelatch_entry.relay.prometheus import PrometheusMetrics
 from greengagelatch_entry.relay.stage_desk import QueueWait
+from greengagelatch_entry.relay.stage_groups import MakerGroups
 
 NAMES = ("entry-1", "entry-2", "entry-3")
 MAKER = Incarnation("m-1", 1_700_000_000_123)
 SERVICE = "ledger"
+WHOLE = MakerGroup(SERVICE)
+MAKERS = (
+    ListedTarget(
+        incarnation=MAKER, service=SERVICE, address="m:1", data_centre="north"
+    ),
+)
 BUNDLE = Bundle(
     bundle_id="r-1/0",
     service=SERVICE,
@@ -50,6 +61,7 @@
         self.dead: set[str] = set()
         self.leaving: set[str] = set()
         self.suspected: set[str] = set()
+        self.places: dict[str, str] = {}
 
     def create_peers(self, name: str) -> SimpleNamespace:
         return SimpleNamespace(
@@ -64,7 +76,7 @@
         return tuple(
             Member(
                 instance_id=name,
-                data_centre="north",
+                data_centre=self.places.get(name, "north"),
                 address=name,
                 state=self._find_state(name),
             )
@@ -99,13 +111,15 @@
     def __init__(self, name: str) -> None:
         self.name = name
         self.made: list[str] = []
+        self.groups: list[MakerGroup] = []
         self.freed: list[PieceResult] = []
         self.wait = QueueWait()
         self.hold: asyncio.Event | None = None
         self.cancelled = 0
 
-    async def make(self, bundle, note_read):
+    async def make_in(self, group, bundle, note_read):
         self.made.append(bundle.bundle_id)
+        self.groups.append(group)
         try:
             if self.hold is not None:
                 await self.hold.wait()
@@ -125,11 +139,11 @@
     def free(self, service, results):
         self.freed.extend(results)
 
-    def estimate_wait(self, service):
+    def estimate_wait_in(self, group):
         return self.wait
 
     def list_waits(self):
-        return [(SERVICE, self.wait)]
+        return [(WHOLE, self.wait)]
 
 
 class World:
@@ -137,18 +151,35 @@
         self.network = Network()
         self.clock = ManualClock()
         self.local = {name: Local(name) for name in NAMES}
-        metrics = PrometheusMetrics()
-        self.desks = {
-            name: OwnedDesk(
-                local=self.local[name],
-                peers=self.network.create_peers(name),
-                clock=self.clock,
-                metrics=metrics,
-                decisions=DecisionLog(clock=self.clock, metrics=metrics),
-            )
-            for name in NAMES
-        }
-        self.ranked = rank_owners(SERVICE, self.network.list_members())
+        self.metrics = PrometheusMetrics()
+        self.decisions = DecisionLog(clock=self.clock, metrics=self.metrics)
+        self.ownerships: dict[str, Ownership] = {}
+        self.desks = {name: self._create_desk(name) for name in NAMES}
+        self.ranked = rank_owners(WHOLE, self.network.list_members())
+
+    def _create_desk(self, name: str) -> OwnedDesk:
+        peers = self.network.create_peers(name)
+        book = SimpleNamespace(list_service=lambda service: MAKERS)
+        self.ownerships[name] = Ownership(
+            peers=peers, clock=self.clock, decisions=self.decisions
+        )
+        return OwnedDesk(
+            local=self.local[name],
+            groups=MakerGroups(
+                rule=ByCapacity(),
+                book=book,
+                list_members=peers.members,
+                find_profile=lambda service: None,
+            ),
+            ownership=self.ownerships[name],
+            peers=peers,
+            data_centre="north",
+            find_profile=lambda service: None,
+            clock=self.clock,
+            random_source=random.Random(1),
+            metrics=self.metrics,
+            decisions=self.decisions,
+        )
 
     def count_made(self) -> dict[str, int]:
         return {name: len(local.made) for name, local in self.local.items()}
@@ -243,7 +274,7 @@
     owner, _, third = world.ranked
     world.local[owner].hold = asyncio.Event()
     desk = world.desks[third]
-    tasks = [asyncio.create_task(desk._send(owner, BUNDLE)) for _ in range(2)]
+    tasks = [asyncio.create_task(desk._send(owner, WHOLE, BUNDLE)) for _ in range(2)]
     await asyncio.sleep(0.01)
     world.local[owner].hold.set()
     replies = await asyncio.gather(*tasks)
@@ -251,6 +282,18 @@
     assert replies[0].ok_value == replies[1].ok_value
 
 
+async def test_cut_off_instances_ask_the_owner_of_the_makers_beside_them(world):
+    """Guards against calls of each by itself in a data centre that is cut off."""
+    owner, second, third = world.ranked
+    world.network.places[owner] = "south"
+    world.network.gone.add(owner)
+    near = rank_owners(MakerGroup(SERVICE, "north"), world.network.list_members())[0]
+    for asker in (second, third):
+        await world.desks[asker].make(BUNDLE, do_nothing)
+    assert world.count_made() == {name: 2 * (name == near) for name in NAMES}
+    assert world.local[near].groups == [MakerGroup(SERVICE, "north")] * 2
+
+
 async def test_owner_that_is_back_is_asked_again(world):
     owner, _, third = world.ranked
     world.network.gone.add(owner)
@@ -343,21 +386,21 @@
     """
     owner, second, _ = world.ranked
     desks = world.desks
-    assert not desks[owner].is_sole(SERVICE)
+    assert not world.ownerships[owner].is_sole(WHOLE)
     world.clock.advance(SETTLING_SECONDS)
     for desk in desks.values():
         desk.estimate_wait(SERVICE)
     world.clock.advance(SETTLING_SECONDS)
-    soles = [desks[name].is_sole(SERVICE) for name in world.ranked]
+    soles = [world.ownerships[name].is_sole(WHOLE) for name in world.ranked]
     assert soles == [True, False, False]
     world.network.leaving.add(owner)
     world.clock.advance(1.0)
-    soles = [desks[name].is_sole(SERVICE) for name in world.ranked]
+    soles = [world.ownerships[name].is_sole(WHOLE) for name in world.ranked]
     assert soles == [False, False, False]
     world.clock.advance(SETTLING_SECONDS - 1.0)
-    assert not desks[second].is_sole(SERVICE)
+    assert not world.ownerships[second].is_sole(WHOLE)
     world.clock.advance(1.0)
-    soles = [desks[name].is_sole(SERVICE) for name in world.ranked]
+    soles = [world.ownerships[name].is_sole(WHOLE) for name in world.ranked]
     assert soles == [False, True, False]
 
 
@@ -372,13 +415,13 @@
     owner, second, third = world.ranked
     world.desks[owner].estimate_wait(SERVICE)
     world.clock.advance(SETTLING_SECONDS)
-    assert world.desks[owner].is_sole(SERVICE)
+    assert world.ownerships[owner].is_sole(WHOLE)
     for other in (third, second):
         world.network.leaving.add(other)
         world.clock.advance(1.0)
-        assert not world.desks[owner].is_sole(SERVICE)
+        assert not world.ownerships[owner].is_sole(WHOLE)
         world.clock.advance(MEETING_SECONDS)
-        assert world.desks[owner].is_sole(SERVICE)
+        assert world.ownerships[owner].is_sole(WHOLE)
 
 
 async def test_owner_that_is_suspected_for_a_moment_stays_the_owner(world):
@@ -410,17 +453,17 @@
     world.network.leaving.add(owner)
     world.desks[second].estimate_wait(SERVICE)
     world.clock.advance(SETTLING_SECONDS)
-    assert world.desks[second].is_sole(SERVICE)
+    assert world.ownerships[second].is_sole(WHOLE)
     world.network.leaving.discard(owner)
     world.clock.advance(1.0)
-    assert not world.desks[second].is_sole(SERVICE)
+    assert not world.ownerships[second].is_sole(WHOLE)
     world.network.leaving.add(owner)
     world.clock.advance(1.0)
-    assert not world.desks[second].is_sole(SERVICE)
+    assert not world.ownerships[second].is_sole(WHOLE)
     world.clock.advance(SETTLING_SECONDS - 1.0)
-    assert not world.desks[second].is_sole(SERVICE)
+    assert not world.ownerships[second].is_sole(WHOLE)
     world.clock.advance(1.0)
-    assert world.desks[second].is_sole(SERVICE)
+    assert world.ownerships[second].is_sole(WHOLE)
 
 
 async def test_instance_that_passed_the_owner_over_is_not_sole(world):
@@ -437,8 +480,8 @@
     world.network.gone.update((owner, second))
     await world.desks[third].make(BUNDLE, do_nothing)
     assert world.local[third].made == [BUNDLE.bundle_id]
-    assert not world.desks[third].is_sole(SERVICE)
-    assert not world.desks[second].is_sole(SERVICE)
+    assert not world.ownerships[third].is_sole(WHOLE)
+    assert not world.ownerships[second].is_sole(WHOLE)
 
 
 async def test_caller_that_leaves_withdraws_its_bundle_at_the_owner(world):
@@ -464,12 +507,12 @@
     local = world.local[owner]
     local.hold = asyncio.Event()
     desk = world.desks[third]
-    first = asyncio.create_task(desk._send(owner, BUNDLE))
+    first = asyncio.create_task(desk._send(owner, WHOLE, BUNDLE))
     await asyncio.sleep(0)
     await asyncio.sleep(0)
     assert local.made == [BUNDLE.bundle_id]
     world.network.send(third, owner, PiecesDropped(BUNDLE.bundle_id))
-    second = asyncio.create_task(desk._send(owner, BUNDLE))
+    second = asyncio.create_task(desk._send(owner, WHOLE, BUNDLE))
     await asyncio.sleep(0.01)
     local.hold.set()
     reply = await second
@@ -503,7 +546,7 @@
     owner, _, third = world.ranked
     await world.desks[third].make(BUNDLE, do_nothing)
     world.local[owner].wait = QueueWait(0.5, 1.5)
-    world.desks[owner]._tell_waits()
+    world.desks[owner]._words.tell(world.local[owner].list_waits())
     assert world.desks[third].estimate_wait(SERVICE) == QueueWait(0.5, 1.5)
     world.clock.advance(2.0)
     assert world.desks[third].estimate_wait(SERVICE) == QueueWait()
@@ -515,10 +558,10 @@
     async def fail(sender, message):
         return await world.desks[owner]._answer_wanted(sender, message)
 
-    async def make_nothing(bundle, note_read):
+    async def make_nothing(group, bundle, note_read):
         return (PieceResult(failure=PieceFailure.LATE),) * len(bundle.pieces)
 
-    world.local[owner].make = make_nothing
+    world.local[owner].make_in = make_nothing
     world.network.handlers[owner][PiecesWanted] = fail
     results = await world.desks[third].make(BUNDLE, do_nothing)
     assert {one.failure for one in results} == {PieceFailure.LATE}
--- /dev/null
+++ b/tests/test_entry/test_relay/test_stage_groups.py
@@ -0,0 +1,115 @@
+"""Tests of greengagelatch_entry.relay.stage_groups."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+
+import pytest
+
+from greengagelatch.peers import Member, MemberState
+from greengagelatch.relay.deployment import MakerProfile
+from greengagelatch.relay.groups import ByCapacity, MakerGroup
+from greengagelatch.relay.incarnations import Incarnation
+from greengagelatch.relay.targets import ListedTarget
+from greengagelatch_entry.relay.stage_groups import MakerGroups
+
+SERVICE = "ledger"
+PLACES = ("east", "north", "west")
+PROFILE = MakerProfile(
+    slots=1,
+    queue=2,
+    batch=60,
+    call_seconds=0.2,
+    item_seconds=0.003,
+    room_bytes=8_000_000,
+    keep_seconds=4.0,
+)
+WHOLE = MakerGroup(SERVICE)
+
+
+class World:
+    """Makers in several data centres, and the instances that are known."""
+
+    def __init__(self) -> None:
+        self.makers = self.list_makers(*PLACES * 3)
+        self.members = self.list_members(*PLACES)
+        self.groups = MakerGroups(
+            rule=ByCapacity(),
+            book=SimpleNamespace(list_service=lambda service: self.makers),
+            list_members=lambda: self.members,
+            find_profile=lambda service: PROFILE,
+        )
+
+    def list_makers(self, *places: str) -> tuple[ListedTarget, ...]:
+        return tuple(
+            ListedTarget(
+                incarnation=Incarnation(f"m-{number}"),
+                service=SERVICE,
+                address=f"10.0.0.{number}:80",
+                data_centre=place,
+            )
+            for number, place in enumerate(places)
+        )
+
+    def list_members(
+        self,
+        *places: str,
+        capacity: int = 100,
+        state: MemberState = MemberState.ALIVE,
+    ) -> tuple[Member, ...]:
+        return tuple(
+            Member(
+                instance_id=f"entry-{place}",
+                data_centre=place,
+                address="",
+                state=state,
+                capacity=capacity,
+            )
+            for place in places
+        )
+
+
+@pytest.fixture
+def world():
+    return World()
+
+
+def test_each_data_centre_has_its_makers(world):
+    groups = world.groups.list_groups(SERVICE)
+    assert groups == tuple(MakerGroup(SERVICE, place) for place in PLACES)
+    for group in groups:
+        makers = world.groups.list_makers(group)
+        assert {one.data_centre for one in makers} == {group.data_centre}
+        assert len(makers) == 3
+
+
+def test_strong_instance_has_all_makers(world):
+    world.members += world.list_members("south", capacity=900)
+    assert world.groups.list_groups(SERVICE) == (WHOLE,)
+    assert world.groups.list_makers(WHOLE) == world.makers
+
+
+def test_instance_that_is_cut_off_keeps_the_groups(world):
+    """Guards against owners that change with each partition."""
+    before = world.groups.list_groups(SERVICE)
+    dead = world.list_members("east", "west", state=MemberState.DEAD)
+    world.members = world.list_members("north") + dead
+    assert world.groups.list_groups(SERVICE) == before
+
+
+def test_makers_are_listed_anew_only_where_something_changed(world):
+    group = MakerGroup(SERVICE, "north")
+    before = world.groups.list_makers(group)
+    assert world.groups.list_makers(group) is before
+    world.makers = world.list_makers(*PLACES)
+    assert len(world.groups.list_makers(group)) == 1
+
+
+def test_makers_beside_an_instance_are_found_whether_divided_or_not(world):
+    near = MakerGroup(SERVICE, "north")
+    assert world.groups.find_near(SERVICE, "north") == near
+    assert world.groups.find_near(SERVICE, "nowhere") == WHOLE
+    assert world.groups.find_group(SERVICE, "north") == near
+    world.members = world.list_members(*PLACES, capacity=900)
+    assert world.groups.find_near(SERVICE, "north") == near
+    assert world.groups.find_group(SERVICE, "north") == WHOLE
--- a/tests/test_entry/test_relay/test_stage_pool.py
+++ b/tests/test_entry/test_relay/test_stage_pool.py
@@ -9,6 +9,7 @@
 import pytest
 
 from greengagelatch.relay.batches import BatchPolicy, SharedCalls
+from greengagelatch.relay.groups import MakerGroup
 from greengagelatch.relay.incarnations import Incarnation
 from greengagelatch.relay.pieces import Bundle, Piece, PieceFailure
 from greengagelatch.relay.targets import ListedTarget
@@ -61,7 +62,8 @@
         )
         metrics = PrometheusMetrics()
         self.pool = StagePool(
-            SERVICE,
+            MakerGroup(SERVICE),
+            list_makers=lambda: listed,
             find_profile=lambda: PROFILE,
             is_sole=lambda: False,
             policy=self.policy,
--- a/tests/test_entry/test_relay/test_stop.py
+++ b/tests/test_entry/test_relay/test_stop.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 
+from greengagelatch.relay.groups import MakerGroup
 from greengagelatch_entry.controllers.drain import DrainState
 from greengagelatch_lab.platform_standins.deployment import (
     HOST,
@@ -155,7 +156,7 @@
     booked = asyncio.create_task(
         pipeline.ask("/book/1", method="POST", request_id="booking", **waits)
     )
-    pool = pipeline.find("stages").find_pool("portal")
+    pool = pipeline.find("stages").find_pool(MakerGroup("portal"))
     await pipeline.wait_for(lambda: pool.describe()["bundles"] == 1)
     await pipeline.wait_for(lambda: count_runs(pipeline, "booking") == 1)
     drain = pipeline.parts.drain
--- a/tests/test_entry/test_relay/test_two_owners.py
+++ b/tests/test_entry/test_relay/test_two_owners.py
@@ -14,13 +14,16 @@
 
 from greengagelatch.peers import Member, MemberState
 from greengagelatch.relay.batches import SharedCalls
+from greengagelatch.relay.groups import ByCapacity, MakerGroup
 from greengagelatch.relay.incarnations import Incarnation
 from greengagelatch.relay.pieces import Bundle, Piece, PieceFailure
 from greengagelatch.relay.targets import ListedTarget
 from greengagelatch_entry.relay.decisions import DecisionLog
 from greengagelatch_entry.relay.desk import LocalDesk
 from greengagelatch_entry.relay.owned_desk import OwnedDesk
+from greengagelatch_entry.relay.ownership import Ownership
 from greengagelatch_entry.relay.prometheus import PrometheusMetrics
+from greengagelatch_entry.relay.stage_groups import MakerGroups
 from greengagelatch_entry.relay.stage_pool import StagePool
 from greengagelatch_lab.stage_load.models import (
     Maker,
@@ -38,6 +41,7 @@
 pytestmark = pytest.mark.looptime
 
 SERVICE = "ledger"
+WHOLE = MakerGroup(SERVICE)
 SHAPE = MakerShape(
     name=SERVICE, count=1, batch=10, item_seconds=0.01, room_bytes=1_000_000
 )
@@ -70,6 +74,13 @@
             address="m:1",
             data_centre="north",
         )
+        self.makers = (self.target,)
+        self.book = SimpleNamespace(
+            list_service=lambda service: self.makers,
+            accepts=lambda incarnation: True,
+            is_former=lambda incarnation: False,
+            has_former=lambda incarnations: False,
+        )
 
     def create_pool(self, is_sole: Callable[[], bool] = lambda: False) -> StagePool:
         budgets = SimpleNamespace(
@@ -77,18 +88,13 @@
             count_left=lambda service: 99,
             take=lambda service: None,
         )
-        book = SimpleNamespace(
-            list_service=lambda service: [self.target],
-            accepts=lambda incarnation: True,
-            is_former=lambda incarnation: False,
-            has_former=lambda incarnations: False,
-        )
         return StagePool(
-            SERVICE,
+            WHOLE,
+            list_makers=lambda: self.makers,
             find_profile=lambda: PROFILE,
             is_sole=is_sole,
             policy=SharedCalls(),
-            book=book,
+            book=self.book,
             links=self.links,
             codec=ModelCodec(),
             budgets=budgets,
@@ -99,23 +105,33 @@
 
     def create_desk(self, members: dict[str, MemberState]) -> OwnedDesk:
         """Return the desk of the first of ``members``, as that one sees them."""
+        peers = SimpleNamespace(
+            instance_id=next(iter(members)),
+            members=lambda: tuple(
+                Member(instance_id=name, data_centre="north", address="", state=state)
+                for name, state in members.items()
+            ),
+            handle=lambda kind, handler: None,
+        )
+        ownership = Ownership(peers=peers, clock=self.clock, decisions=self.decisions)
         desk = OwnedDesk(
             local=LocalDesk(
-                create_pool=lambda service: self.create_pool(
-                    lambda: desk.is_sole(service)
+                create_pool=lambda group: self.create_pool(
+                    lambda: ownership.is_sole(group)
                 )
             ),
-            peers=SimpleNamespace(
-                instance_id=next(iter(members)),
-                members=lambda: tuple(
-                    Member(
-                        instance_id=name, data_centre="north", address="", state=state
-                    )
-                    for name, state in members.items()
-                ),
-                handle=lambda kind, handler: None,
+            groups=MakerGroups(
+                rule=ByCapacity(),
+                book=self.book,
+                list_members=peers.members,
+                find_profile=lambda service: PROFILE,
             ),
+            ownership=ownership,
+            peers=peers,
+            data_centre="north",
+            find_profile=lambda service: PROFILE,
             clock=self.clock,
+            random_source=random.Random(1),
             metrics=self.metrics,
             decisions=self.decisions,
         )
