Follow the store where no peer tells of it, and watch it more often for others

Cause: in a large fleet instances leave the store to two of each data centre, and ask these. When half of all instances lost power, most of those were among them; each question to one that is gone takes up to a second, another one is drawn each time, and only after 4 s without news did an instance turn to the store itself. It was up and reached all the while. Beside it, news of an instance whose watch had lost its history could be 2.5 s old when they were passed on, of 3.0 that are allowed.

Now an instance that no peer has told anything for a second follows the store, and those that others rely on watch it for 1.5 s at a time.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -235,6 +235,7 @@
             store=self.store,
             subscribers=(self.configuration, self.listing, self.registry),
             is_listener=lambda: self.peers.instance_id in self._list_listeners(),
+            is_relied_on=self._is_relied_on,
             clock=self.clock,
             random_source=self.random,
             metrics=self.metrics,
@@ -435,6 +436,13 @@
             )
         return self.listeners
 
+    def _is_relied_on(self) -> bool:
+        """Whether others leave the store to this instance."""
+        listeners = self._list_listeners()
+        if self.peers.instance_id not in listeners:
+            return False
+        return len(listeners) < len(self.listening_members)
+
     def _list_controllers(self) -> tuple[Controller, ...]:
         return (
             self.peers,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/following.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/following.py
@@ -34,6 +34,9 @@
 #: this bounds how old beliefs get, against one call for each wait. Peers are asked
 #: meanwhile, whose watches began at other moments
 WATCH_SECONDS = 2.5
+#: the same for an instance that others follow the store by: what it tells reaches them
+#: half a second later still
+WATCH_SECONDS_FOR_OTHERS = 1.5
 #: seconds between two watches at the least: changes that come one after the other,
 #: as when all instances start, are then told by one answer
 LEAST_SPACING = 0.2
@@ -43,8 +46,12 @@
 #: the same at the most for an instance that others follow the store for
 LONGEST_PAUSE_AT_REST = 2.0
 #: age of what peers tell from which an instance follows the store by itself: a watch
-#: of theirs, and some time to find another one of them
-STALE_SECONDS = 4.0
+#: of theirs, and two questions
+STALE_SECONDS = 2.5
+#: seconds without an answer of any peer after which it does the same: when many
+#: instances are lost at once, most of those that follow the store are among them, and
+#: to find one that is left takes a second for each that is not
+UNTOLD_SECONDS = 1.0
 #: seconds after which one that leaves the store to others looks again whether it may
 LOOK_AGAIN = 0.25
 
@@ -75,6 +82,7 @@
     all; the others do so only while those tell them nothing new enough.
 
     :param is_listener: whether this instance is one of those that follow it
+    :param is_relied_on: whether others leave the store to this instance
     """
 
     name = "store"
@@ -85,6 +93,7 @@
         store: RangeStore,
         subscribers: tuple[StoreSubscriber, ...],
         is_listener: Callable[[], bool],
+        is_relied_on: Callable[[], bool],
         clock: Clock,
         random_source: random.Random,
         metrics: Metrics,
@@ -94,6 +103,7 @@
         self._store = store
         self._subscribers = subscribers
         self._is_listener = is_listener
+        self._is_relied_on = is_relied_on
         self._clock = clock
         self._random = random_source
         self._metrics = metrics
@@ -103,6 +113,8 @@
         #: monotonic seconds at which the store was last known to have said nothing
         #: newer, by its own word or a peer's
         self._heard = clock.now()
+        #: when a peer last told anything of it
+        self._told = float("-inf")
         self._asked = float("-inf")
         self._reached = True
         self._resting = False
@@ -126,7 +138,8 @@
 
     def note_news(self, seconds: float) -> None:
         """Take in that a peer has told all that the store said so long ago."""
-        self._heard = max(self._heard, self._clock.now() - seconds)
+        self._told = self._clock.now()
+        self._heard = max(self._heard, self._told - seconds)
 
     def dump(self) -> dict[str, Any]:
         return {
@@ -157,6 +170,7 @@
             self._after is not None
             and not self._is_listener()
             and self.silence < STALE_SECONDS
+            and self._clock.now() - self._told < UNTOLD_SECONDS
         )
         if rests != self._resting:
             self._resting = rests
@@ -180,7 +194,9 @@
         if self._after is None:
             result = await self._store.scan(ALL_KEYS)
         else:
-            result = await self._store.follow(ALL_KEYS, self._after, WATCH_SECONDS)
+            relied_on = self._is_relied_on()
+            seconds = WATCH_SECONDS_FOR_OTHERS if relied_on else WATCH_SECONDS
+            result = await self._store.follow(ALL_KEYS, self._after, seconds)
         match result:
             case Ok(found):
                 self._note_reached()
