Name the same request by the same digest in lines on requests and sends

The log named requests by the id of an attempt. Whether one request came again and again, under which targets ended, could not be told from targets that ended by themselves with whatever was on them.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
@@ -124,6 +124,8 @@
     route: Route | None = None
     service: str = ""
     workspace: str = ""
+    #: the same for all attempts that carry the same request
+    digest: str = ""
     #: 0 is the most urgent
     rank: float = 0.0
     #: monotonic seconds by which the answer must be out
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/filters.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/filters.py
@@ -9,6 +9,7 @@
 
 from greengagelatch.errors import RefusalCode
 from greengagelatch.relay.deployment import RouteKind
+from greengagelatch.relay.digests import compute_digest
 from greengagelatch.relay.requests import RefusedError
 from greengagelatch.relay.urgency import compute_rank
 
@@ -104,6 +105,7 @@
         self._decisions.note(
             "request",
             request=exchange.request.request_id,
+            digest=exchange.digest,
             outcome=exchange.outcome,
             status=exchange.status,
             reason=reason,
@@ -211,6 +213,7 @@
         exchange.rank = compute_rank(
             route.priority, None if workspace is None else workspace.priority
         )
+        exchange.digest = compute_digest(request, exchange.workspace)
         await proceed(exchange)
 
     def _authorize(self, exchange: RelayExchange, table: RouteTable) -> RoutedWorkspace:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/sending.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/sending.py
@@ -167,6 +167,7 @@
         self._decisions.note(
             "send",
             request=exchange.request.request_id,
+            digest=exchange.digest,
             target=str(target.incarnation),
             address=target.address,
             outcome=outcome.value,
