Failing test of a request that crashes the targets which run it

Three instances as processes, on stand-ins: a request comes again at each in turn. After it has crashed three targets and all had three seconds to hear of it, it reaches 12 more in 12 attempts (plain, once-only and streamed alike); 3 are allowed.

--- a/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/fleet.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/fleet.py
@@ -9,7 +9,7 @@
 import socket
 import sys
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import aiohttp
 
@@ -112,9 +112,11 @@
             await target.stop()
         await self.store.stop()
 
-    async def add_target(self, target_id: str, service: str) -> TargetStandIn:
+    async def add_target(
+        self, target_id: str, service: str, **fields: Any
+    ) -> TargetStandIn:
         """Start and list a target."""
-        target = TargetStandIn(target_id, service)
+        target = TargetStandIn(target_id, service, **fields)
         await target.start()
         target.register(self.store)
         self.targets.append(target)
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/targets.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/targets.py
@@ -92,6 +92,8 @@
     break_after: int | None = None
     #: the same for the next streams only; may be shared by targets
     breaks: list[int] = field(default_factory=list)
+    #: paths of the requests that crash it as they begin to run
+    crashed_by: frozenset[str] = frozenset()
     _server: asyncio.Server | None = None
     _port: int = 0
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
@@ -189,6 +191,9 @@
         self.runs[request_id] += 1
         headers["X-Replica-Signature"] = SIGNATURE + self.target_id
         await self._wait_for_gate()
+        if request.target in self.crashed_by:
+            await self.stop()
+            return False
         if "x-prefix-hash" in request.headers:
             return await self._stream(request, headers, writer)
         return await self._answer_plain(request, headers, writer)
--- /dev/null
+++ b/tests/test_processes/test_crashing_requests.py
@@ -0,0 +1,138 @@
+"""Requests that crash the targets which run them, over several instances."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+
+import aiohttp
+import pytest
+
+from greengagelatch_lab.platform_standins.deployment import HOST, KEY
+from greengagelatch_lab.platform_standins.fleet import PlatformFleet
+
+pytestmark = [pytest.mark.processes, pytest.mark.timeout(180)]
+
+#: bound of every wait, in seconds
+PATIENCE = 60
+#: seconds after the last crash that counts in which all instances know of it
+KNOWN_WITHIN = 3.0
+#: targets that a request may crash, and times that it may reach one once it has
+CRASHES = 3
+STRAYS = 3
+#: times that it comes again after that
+RETURNS = 12
+
+
+class Callers:
+    """Sends requests to the instances in turn, and keeps a service in targets."""
+
+    def __init__(self, fleet, session, service: str, crashed_by: str) -> None:
+        self._fleet = fleet
+        self._session = session
+        self._service = service
+        self._crashed_by = frozenset({crashed_by})
+        self._numbers = itertools.count(1)
+        self.instances = itertools.cycle(fleet.instances)
+        for target in fleet.find_targets(service):
+            target.crashed_by = self._crashed_by
+
+    async def ask(self, path: str, instance=None) -> int:
+        """Return the status of one request; 0 if it was cut."""
+        instance = instance or next(self.instances)
+        headers = {
+            "Host": HOST,
+            "X-Attempt-Id": f"r-{next(self._numbers)}",
+            "X-Deadline-Ms": "2500",
+            "Authorization": f"Bearer {KEY}",
+        }
+        method = "GET" if path.startswith("/look") else "POST"
+        if path.startswith("/scan"):
+            headers |= {"X-Token-Counts": "100,20", "X-Prefix-Hash": "aa:60,bb:40"}
+        url = f"http://{instance.front}{path}"
+        try:
+            async with self._session.request(method, url, headers=headers) as response:
+                await response.read()
+                return response.status
+        except aiohttp.ClientError:
+            return 0
+
+    def list_crashed(self) -> list:
+        targets = self._fleet.find_targets(self._service)
+        return [one for one in targets if not one._server.is_serving()]
+
+    def count_arrivals(self, path: str) -> int:
+        targets = self._fleet.find_targets(self._service)
+        return sum(one.target == path for target in targets for one in target.seen)
+
+    async def replace_crashed(self, sound: str) -> None:
+        """List a new target for each that has crashed, and wait until it serves."""
+        for target in self.list_crashed():
+            self._fleet.store.remove(f"servers/{target.target_id}")
+        listed = self._fleet.store.find("servers/")
+        services = [
+            one
+            for one in self._fleet.find_targets(self._service)
+            if f"servers/{one.target_id}" in listed
+        ]
+        for _ in range(2 - len(services)):
+            await self._fleet.add_target(
+                f"{self._service}-new-{next(self._numbers)}",
+                self._service,
+                crashed_by=self._crashed_by,
+            )
+        for instance in self._fleet.instances:
+            async with asyncio.timeout(PATIENCE):
+                while await self.ask(sound, instance) != 200:  # noqa: ASYNC110
+                    await asyncio.sleep(0.05)
+
+
+@pytest.fixture
+async def fleet(tmp_path):
+    created = PlatformFleet(tmp_path, count=3)
+    try:
+        await created.start()
+        yield created
+    finally:
+        await created.stop()
+
+
+@pytest.fixture
+async def session():
+    async with aiohttp.ClientSession() as created:
+        yield created
+
+
+async def crash_three(callers: Callers, path: str, sound: str) -> None:
+    """Send a request that crashes targets until it has crashed three."""
+    async with asyncio.timeout(PATIENCE):
+        while len(callers.list_crashed()) < CRASHES:
+            await callers.ask(path)
+            await callers.replace_crashed(sound)
+
+
+async def come_again(callers: Callers, path: str, sound: str) -> list[int]:
+    """Return what the request gets that comes again and again."""
+    statuses = []
+    for _ in range(RETURNS):
+        statuses.append(await callers.ask(path))
+        await callers.replace_crashed(sound)
+    return statuses
+
+
+@pytest.mark.parametrize(
+    ("service", "kind"), [("desk", "look"), ("desk", "book"), ("llm", "scan")]
+)
+async def test_request_that_crashes_targets_is_kept_from_them(
+    fleet, session, service, kind
+):
+    """Guards against a request that takes down one target after the other."""
+    crashing, sound = f"/{kind}/crashing", f"/{kind}/sound"
+    callers = Callers(fleet, session, service, crashing)
+    await crash_three(callers, crashing, sound)
+    await asyncio.sleep(KNOWN_WITHIN)
+    before = callers.count_arrivals(crashing)
+    statuses = await come_again(callers, crashing, sound)
+    assert callers.count_arrivals(crashing) - before <= STRAYS
+    # what was kept from targets has not run, and says so
+    assert statuses[STRAYS:] == [503] * (RETURNS - STRAYS)
