Keep requests from targets under which one target after the other has ended

Cause: what an instance knew of a request ended with its answer. Each attempt has an id of its own, a fresh number of targets that it may be sent to, and reaches any instance; nothing recognised the request when it came again, and instances told each other nothing of targets that ended under it.

Ruled out: repeats within an attempt (none was at more than its route's two engines) and the budget of repeats (58 in ten seconds; each attempt is a request of its own and charges nothing).

Now: a connection that breaks before its answer, with nobody listening at the address any more or the target gone from the listing within seconds, is a target that ended; what was on it is reported by digest. Reports stand in the store for ten minutes, so that they outlast instances; peers are told directly while the store takes none, and those that leave the store to others are told with the news. A request under which three targets have ended is refused at once, before its stages and before each send. Most of what is on a target when it ends is sound: a request is not blamed for an end that another one explains better, nor if it was answered lately; those that nothing tells apart need two more ends.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_answers.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_answers.py
@@ -43,6 +43,7 @@
     RefusalCode.STAGE_FAILED: 502,
     RefusalCode.NOT_READY: 503,
     RefusalCode.OVERLOADED: 503,
+    RefusalCode.QUARANTINED: 503,
     RefusalCode.NO_TARGET: 503,
     RefusalCode.STORE_UNREACHABLE: 503,
     RefusalCode.DEADLINE: 504,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -19,6 +19,7 @@
 from greengagelatch.relay.fleet import Fleet
 from greengagelatch.relay.groups import ByCapacity
 from greengagelatch.relay.listeners import choose_listeners
+from greengagelatch.relay.quarantine import Quarantine
 from greengagelatch.relay.targets import TargetBook
 from greengagelatch.settings import Settings
 
@@ -29,9 +30,17 @@
 from ..inflight import InFlight
 from .budgets import RepeatBudgets
 from .configuration import ConfigurationFollower
+from .crashes import CrashWatch
 from .decisions import DecisionLog
 from .desk import LocalDesk
-from .filters import ObserveFilter, RouteFilter, RunHandler, SplitFilter, StopFilter
+from .filters import (
+    ObserveFilter,
+    QuarantineFilter,
+    RouteFilter,
+    RunHandler,
+    SplitFilter,
+    StopFilter,
+)
 from .following import StoreFollower
 from .front import RelayFront
 from .links import TargetLinks
@@ -198,6 +207,7 @@
 
     def _build_state(self) -> None:
         self.book = TargetBook()
+        self.quarantine = Quarantine()
         self.fleet = Fleet(
             book=self.book,
             data_centre=self.rules.data_centre,
@@ -231,23 +241,39 @@
             metrics=self.metrics,
             decisions=self.decisions,
         )
-        self.follower = StoreFollower(
-            store=self.store,
-            subscribers=(self.configuration, self.listing, self.registry),
-            is_listener=lambda: self.peers.instance_id in self._list_listeners(),
-            is_relied_on=self._is_relied_on,
+        self.peers = PeerHub(
             clock=self.clock,
             random_source=self.random,
+            events=self.events,
+            settings=_create_peer_settings(self.rules),
+            metrics=self.metrics,
+            capacity=self.rules.capacity.bundles,
+        )
+        self.crashes = CrashWatch(
+            instance_id=self.rules.instance_id,
+            quarantine=self.quarantine,
+            book=self.book,
+            links=self.links,
+            store=self.store,
+            peers=self.peers,
+            clock=self.clock,
             metrics=self.metrics,
             decisions=self.decisions,
         )
-        self.peers = PeerHub(
+        self.follower = StoreFollower(
+            store=self.store,
+            subscribers=(
+                self.configuration,
+                self.listing,
+                self.registry,
+                self.crashes,
+            ),
+            is_listener=lambda: self.peers.instance_id in self._list_listeners(),
+            is_relied_on=self._is_relied_on,
             clock=self.clock,
             random_source=self.random,
-            events=self.events,
-            settings=_create_peer_settings(self.rules),
             metrics=self.metrics,
-            capacity=self.rules.capacity.bundles,
+            decisions=self.decisions,
         )
         self.news = NewsController(
             peers=self.peers,
@@ -256,6 +282,7 @@
             follower=self.follower,
             configuration=self.configuration,
             listing=self.listing,
+            crashes=self.crashes,
             book=self.book,
             clock=self.clock,
             random_source=self.random,
@@ -311,11 +338,13 @@
                 codec=self.adapters.targets,
                 fleet=self.fleet,
                 book=self.book,
+                crashes=self.crashes,
                 clock=self.clock,
                 decisions=self.decisions,
             ),
             "fleet": self.fleet,
             "budgets": self.budgets,
+            "quarantine": self.quarantine,
             "clock": self.clock,
         }
         streams = StreamRunner(
@@ -338,6 +367,7 @@
             ),
             StopFilter(in_flight=self.in_flight, find_end=find_end),
             RouteFilter(find_table=lambda: self.configuration.table, find_end=find_end),
+            QuarantineFilter(quarantine=self.quarantine, clock=self.clock),
             SplitFilter(random_source=self.random),
         )
         last = RunHandler(plain=PlainRunner(**common), streams=streams)
@@ -447,6 +477,7 @@
         return (
             self.peers,
             self.registry,
+            self.crashes,
             self.follower,
             self.news,
             self.local_desk,
@@ -483,6 +514,7 @@
 
     def _note_gone(self, incarnation: Incarnation) -> None:
         self.links.drop(incarnation)
+        self.crashes.note_gone(incarnation)
         self.fleet.forget(incarnation)
         self.local_desk.note_gone(incarnation)
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/filters.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/filters.py
@@ -16,13 +16,14 @@
 from ..filters.stop import STOPPING_RETRY_MS
 from ..inflight import BrokenOffError
 from .exchange import CallerGoneError, RelayExchange
-from .refusals import create_error, find_refusal_status
+from .refusals import create_error, create_hold_error, find_refusal_status
 
 if TYPE_CHECKING:
     import random
 
     from greengagelatch.clock import Clock
     from greengagelatch.relay.deployment import RoutedWorkspace
+    from greengagelatch.relay.quarantine import Quarantine
     from greengagelatch.relay.routes import RouteTable
 
     from ..inflight import InFlight
@@ -32,6 +33,7 @@
 
 __all__ = (
     "ObserveFilter",
+    "QuarantineFilter",
     "RelayFilter",
     "RelayHandler",
     "RouteFilter",
@@ -147,7 +149,9 @@
         except BrokenOffError:
             raise self._refuse(exchange, "broken off by a stop") from None
         except RefusedError as error:
-            helps = error.refusal.retry_after_ms is not None
+            # what is held here is held by all instances
+            held = error.refusal.code is RefusalCode.QUARANTINED
+            helps = error.refusal.retry_after_ms is not None and not held
             if not helps or exchange.deadline < self._find_end():
                 raise
             # other instances have the time that this one lacks: come back now
@@ -228,6 +232,20 @@
         return workspace
 
 
+class QuarantineFilter(RelayFilter):
+    """Keeps requests from all targets under which one after the other has ended."""
+
+    def __init__(self, *, quarantine: Quarantine, clock: Clock) -> None:
+        self._quarantine = quarantine
+        self._clock = clock
+
+    async def apply(self, exchange: RelayExchange, proceed: RelayHandler) -> None:
+        hold = self._quarantine.find_hold(exchange.digest, self._clock.now())
+        if hold is not None:
+            raise create_hold_error(exchange, hold)
+        await proceed(exchange)
+
+
 class SplitFilter(RelayFilter):
     """Draws the service where a route is split between several."""
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/links.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/links.py
@@ -58,7 +58,14 @@
 
 
 class LinkError(Exception):
-    """An answer that did not come, or not whole; the request may have run."""
+    """An answer that did not come, or not whole; the request may have run.
+
+    :param broken: whether the other end closed or reset the connection
+    """
+
+    def __init__(self, message: str, *, broken: bool = False) -> None:
+        super().__init__(message)
+        self.broken = broken
 
 
 def set_up_socket(connection: socket.socket) -> None:
@@ -126,9 +133,9 @@
             while chunk := await self.content.readany():
                 yield chunk
         except (ClientError, HttpProcessingError, OSError) as error:
-            raise LinkError(f"answer cut: {type(error).__name__}") from error
+            raise _describe("answer cut", error) from error
         if self._link.reset and not self._is_framed():
-            raise LinkError("answer without a length ended by a reset")
+            raise LinkError("answer without a length ended by a reset", broken=True)
 
     async def read(self, limit: int) -> bytes:
         """Return the whole body.
@@ -225,7 +232,7 @@
             raise LinkError("no answer in time") from None
         except (ClientError, HttpProcessingError, OSError) as error:
             link.abort()
-            raise LinkError(f"no answer: {type(error).__name__}") from error
+            raise _describe("no answer", error) from error
         except BaseException:
             link.abort()
             raise
@@ -236,6 +243,18 @@
             lambda one, head: self._give_back(incarnation, one, head, may_send),
         )
 
+    async def is_closed(self, address: str) -> bool:
+        """Whether nobody listens at an address: its process has ended.
+
+        One that is silent may be out of reach only.
+        """
+        try:
+            link = await self._open(address, CONNECT_TIMEOUT)
+        except NotSentError as error:
+            return isinstance(error.__cause__, ConnectionRefusedError)
+        link.abort()
+        return False
+
     def drop(self, incarnation: Incarnation) -> None:
         """Close the idle connections to a target that is gone."""
         self._wanted.pop(incarnation, None)
@@ -330,6 +349,12 @@
         self._put(incarnation, link, seconds)
 
 
+def _describe(what: str, error: Exception) -> LinkError:
+    # bytes that are no answer come from a process that lives
+    broken = not isinstance(error, HttpProcessingError)
+    return LinkError(f"{what}: {type(error).__name__}", broken=broken)
+
+
 def _find_idle_seconds(text: str) -> float:
     """Return the seconds for which a connection may be used after an answer."""
     for part in text.split(","):
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/news.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/news.py
@@ -25,6 +25,7 @@
 
     from ..metrics import Metrics
     from .configuration import ConfigurationFollower
+    from .crashes import CrashWatch
     from .following import StoreFollower
     from .listing import ListingFollower
 
@@ -67,6 +68,7 @@
         follower: StoreFollower,
         configuration: ConfigurationFollower,
         listing: ListingFollower,
+        crashes: CrashWatch,
         book: TargetBook,
         clock: Clock,
         random_source: random.Random,
@@ -79,6 +81,7 @@
         self._follower = follower
         self._configuration = configuration
         self._listing = listing
+        self._crashes = crashes
         self._book = book
         self._clock = clock
         self._random = random_source
@@ -105,7 +108,11 @@
         peer = self._choose_peer()
         if peer is None:
             return
-        question = NewsQuery(self._configuration.revision, self._listing.revision)
+        question = NewsQuery(
+            self._configuration.revision,
+            self._listing.revision,
+            self._crashes.revision,
+        )
         asked = self._clock.now()
         reply = await self._peers.ask(peer, question, TIMEOUT)
         self._answered = not isinstance(reply, Err)
@@ -149,6 +156,7 @@
         if news.listed:
             targets = tuple(filter(None, map(decode_target, news.targets)))
             self._listing.take_news(targets, news.listing_revision)
+        self._crashes.take_news(news.crashes)
         if news.heard_seconds is not None:
             self._follower.note_news(news.heard_seconds + seconds)
 
@@ -165,6 +173,7 @@
             listing_revision=self._listing.revision,
             listed=listed,
             targets=tuple(map(encode_target, self._book.list_all())) if listed else (),
+            crashes=self._crashes.list_newer(query.crashes_revision),
         )
 
     def _pack(self) -> bytes:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/plain.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/plain.py
@@ -55,6 +55,7 @@
             )
             if target is None:
                 break
+            self.check_hold(exchange)
             result = await self._try(exchange, target)
             if isinstance(result, _Whole):
                 if result.head.succeeded:
@@ -116,14 +117,16 @@
                 body = await reply.read(MAX_ANSWER_BYTES)
         except TimeoutError:
             reply.abort()
-            return self.sender.note_lost(exchange, target, "answer not whole in time")
+            late = LinkError("answer not whole in time")
+            return self.sender.note_lost(exchange, target, late)
         except LinkError as error:
             reply.abort()
-            return self.sender.note_lost(exchange, target, str(error))
+            return self.sender.note_lost(exchange, target, error)
         except BaseException:
             reply.abort()
             raise
         reply.release()
+        self.sender.note_survived(exchange, target)
         if answered.head.succeeded:
             self.fleet.note_success(target.incarnation)
         else:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/refusals.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/refusals.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from .exchange import RelayExchange
 
-__all__ = ("create_error", "describe", "find_refusal_status")
+__all__ = ("create_error", "create_hold_error", "describe", "find_refusal_status")
 
 _FINAL = {
     RefusalCode.BAD_REQUEST: 400,
@@ -71,3 +71,18 @@
         retry_after_ms=None if retry_after is None else round(retry_after * 1000),
     )
     return RefusedError(refusal)
+
+
+def create_hold_error(exchange: RelayExchange, seconds: float) -> RefusedError:
+    """Return the error that refuses a request which ends the targets that run it.
+
+    :param seconds: for how long it is kept from them
+    """
+    return create_error(
+        exchange,
+        RefusalCode.QUARANTINED,
+        f"targets have ended under this request; held for {seconds:.0f} s more",
+        retry_after=seconds,
+        field="digest",
+        value=exchange.digest,
+    )
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/runners.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/runners.py
@@ -13,11 +13,12 @@
     decide_next,
 )
 
-from .refusals import create_error
+from .refusals import create_error, create_hold_error
 
 if TYPE_CHECKING:
     from greengagelatch.clock import Clock
     from greengagelatch.relay.fleet import Fleet
+    from greengagelatch.relay.quarantine import Quarantine
     from greengagelatch.relay.requests import RefusedError
 
     from .budgets import RepeatBudgets
@@ -45,8 +46,10 @@
         sender: TargetSender,
         fleet: Fleet,
         budgets: RepeatBudgets,
+        quarantine: Quarantine,
         clock: Clock,
     ) -> None:
+        self._quarantine = quarantine
         self.sender = sender
         self.fleet = fleet
         self.budgets = budgets
@@ -63,6 +66,18 @@
         """Return the seconds until the deadline."""
         return exchange.deadline - self.clock.now()
 
+    def check_hold(self, exchange: RelayExchange) -> None:
+        """Look again whether ``exchange`` may be sent.
+
+        Targets may have ended under the same request while this one waited for its
+        stages, or under this one itself.
+
+        :raises RefusedError: if not
+        """
+        hold = self._quarantine.find_hold(exchange.digest, self.clock.now())
+        if hold is not None:
+            raise create_hold_error(exchange, hold)
+
     def may_repeat(self, exchange: RelayExchange, outcome: SendOutcome) -> bool:
         """Whether to send again after ``outcome``; a repeat is charged."""
         route = exchange.route
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/sending.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/sending.py
@@ -19,6 +19,7 @@
     from greengagelatch.relay.targets import ListedTarget, TargetBook
 
     from .codecs import TargetCodec
+    from .crashes import CrashWatch
     from .decisions import DecisionLog
     from .exchange import RelayExchange
     from .links import TargetLinks, TargetReply
@@ -28,6 +29,9 @@
 
 #: statuses by which a target says that it did not run a request, if marked so
 STATUS_CONFLICT = 409
+#: seconds of work after which the end of a target is not put down to a request: what
+#: crashes one does so as it begins to run
+BEGINNING_SECONDS = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,9 +62,11 @@
         codec: TargetCodec,
         fleet: Fleet,
         book: TargetBook,
+        crashes: CrashWatch,
         clock: Clock,
         decisions: DecisionLog,
     ) -> None:
+        self._crashes = crashes
         self._links = links
         self._codec = codec
         self._fleet = fleet
@@ -102,7 +108,7 @@
             )
         except LinkError as error:
             exchange.targets.append(incarnation)
-            return self._note(exchange, target, SendOutcome.LOST, str(error))
+            return self.note_lost(exchange, target, error)
         except asyncio.CancelledError:
             exchange.raise_verdict(Verdict.MAY_HAVE_RUN)
             raise
@@ -110,10 +116,23 @@
         return self._judge(exchange, target, reply)
 
     def note_lost(
-        self, exchange: RelayExchange, target: ListedTarget, reason: str
+        self,
+        exchange: RelayExchange,
+        target: ListedTarget,
+        error: LinkError,
+        ran: float = 0.0,
     ) -> Unanswered:
-        """Take in that an answer broke off after its head."""
-        return self._note(exchange, target, SendOutcome.LOST, reason)
+        """Take in that an answer did not come, or broke off.
+
+        :param ran: seconds for which the target is known to have been at work on it
+        """
+        if error.broken and ran < BEGINNING_SECONDS:
+            self._crashes.note_broken(target, exchange.digest)
+        return self._note(exchange, target, SendOutcome.LOST, str(error))
+
+    def note_survived(self, exchange: RelayExchange, target: ListedTarget) -> None:
+        """Take in that a target has answered to the end, if only that it failed."""
+        self._crashes.note_survived(target, exchange.digest)
 
     def _judge(
         self, exchange: RelayExchange, target: ListedTarget, reply: TargetReply
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -134,6 +134,8 @@
         #: whether results were freed that another target would have to read
         self._freed = False
         self._sent_at = 0.0
+        #: when the first event of the send under way came
+        self._begun_at: float | None = None
 
     async def serve(self) -> None:
         """Send until the stream is whole, or may not go on."""
@@ -146,6 +148,7 @@
             target = self._choose(excluded)
             if target is None:
                 break
+            runner.check_hold(exchange)
             last = await self._try(target)
             if last is None:
                 return
@@ -185,6 +188,7 @@
         now = runner.clock.now()
         tokens = runner.fleet.count_tokens(target.incarnation, self._prompt, now)
         self._sent_at = now
+        self._begun_at = None
         reading = _Reading(runner.fleet, target.incarnation, tokens)
         fetching = InputFetch(lambda: self._note_fetched(target))
         try:
@@ -226,12 +230,14 @@
             await self._pass_events(target, answered, reading)
         except LinkError as error:
             reply.abort()
-            return self._runner.sender.note_lost(self._exchange, target, str(error))
+            ran = self._find_ran()
+            return self._runner.sender.note_lost(self._exchange, target, error, ran)
         except BaseException:
             reply.abort()
             raise
         reply.release()
         self._runner.fleet.note_success(target.incarnation)
+        self._runner.sender.note_survived(self._exchange, target)
         self._exchange.outcome = "answered"
         return None
 
@@ -258,7 +264,7 @@
                     self._last_id = event_id
             await writer.write(b"".join(events))
         if splitter.pending:
-            raise LinkError("stream ended within an event")
+            raise LinkError("stream ended within an event", broken=True)
         if not writer.started:
             await writer.begin(answered.head)
         await writer.finish()
@@ -280,6 +286,7 @@
             return
         runner = self._runner
         now = runner.clock.now()
+        self._begun_at = now
         runner.times.note_first(self._exchange, now - self._sent_at)
         runner.fleet.note_parts(target.incarnation, self._prompt, now)
         self._begun = self._freed = True
@@ -292,6 +299,7 @@
         head: AnswerHead = answered.head
         body = await answered.reply.read(MAX_FAILURE_BYTES)
         answered.reply.release()
+        self._runner.sender.note_survived(self._exchange, target)
         self._runner.fleet.note_failure(target.incarnation, self._runner.clock.now())
         exchange = self._exchange
         if exchange.writer.started:
@@ -301,6 +309,12 @@
         await exchange.writer.send(head.status, head.headers, body, reason=head.reason)
         return None
 
+    def _find_ran(self) -> float:
+        """Return for how long the target has been sending events."""
+        if self._begun_at is None:
+            return 0.0
+        return self._runner.clock.now() - self._begun_at
+
     def _choose_first_patience(self, left: float) -> float:
         if not self._may_go_elsewhere():
             return left
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/instances.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/instances.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from greengagelatch.relay.fleet import EngineNeed, Fleet
+from greengagelatch.relay.quarantine import Quarantine
 from greengagelatch.relay.repeats import RepeatRule
 from greengagelatch_entry.relay.budgets import RepeatBudgets
 from greengagelatch_entry.relay.desk import LocalDesk
@@ -223,6 +224,7 @@
             times=RunTimes(),
             admission=self._create_admission(),
             sender=None,
+            quarantine=Quarantine(),
             fleet=fleet,
             budgets=self._create_budgets(),
             clock=self._clock,
--- a/packages/greengagelatch/src/greengagelatch/errors.py
+++ b/packages/greengagelatch/src/greengagelatch/errors.py
@@ -24,6 +24,7 @@
     NOT_READY = "not-ready"
     OVERLOADED = "overloaded"
     QUOTA = "quota"
+    QUARANTINED = "quarantined"
     DEADLINE = "deadline"
     NO_TARGET = "no-target"
     STAGE_FAILED = "stage-failed"
--- /dev/null
+++ b/packages/greengagelatch/src/greengagelatch/relay/crash_reports.py
@@ -0,0 +1,53 @@
+"""Reports on targets that ended, as instances keep them in the store."""
+
+from __future__ import annotations
+
+import json
+
+from .incarnations import Incarnation
+from .quarantine import CrashReport
+
+__all__ = ("MAX_DIGESTS", "decode_reports", "encode_reports")
+
+#: requests of one report; an instance has few more on one target
+MAX_DIGESTS = 128
+#: reports of one value
+MAX_REPORTS = 256
+
+
+def encode_reports(reports: tuple[CrashReport, ...]) -> bytes:
+    """Return reports as the store keeps them."""
+    rows = [
+        {
+            "target": one.target.target_id,
+            "born": one.target.born,
+            "requests": one.digests,
+        }
+        for one in reports
+    ]
+    return json.dumps(rows, separators=(",", ":")).encode()
+
+
+def decode_reports(value: bytes) -> tuple[CrashReport, ...]:
+    """Return the reports of a value.
+
+    :raises ValueError: naming the field that can't be used
+    """
+    rows = json.loads(value)
+    if not isinstance(rows, list) or len(rows) > MAX_REPORTS:
+        raise ValueError(f"not a list of {MAX_REPORTS} reports at the most")
+    return tuple(map(_decode, rows))
+
+
+def _decode(row: object) -> CrashReport:
+    if not isinstance(row, dict):
+        raise ValueError(f"a report is a {type(row).__name__}")
+    target, born, digests = row.get("target"), row.get("born"), row.get("requests")
+    if not isinstance(target, str) or not target:
+        raise ValueError(f"target: {str(target)[:64]!r}")
+    if not isinstance(born, int) or isinstance(born, bool) or born < 0:
+        raise ValueError(f"born: {str(born)[:64]!r}")
+    sound = isinstance(digests, list) and len(digests) <= MAX_DIGESTS
+    if not sound or not all(isinstance(one, str) for one in digests):
+        raise ValueError(f"requests: {str(digests)[:64]!r}")
+    return CrashReport(Incarnation(target, born), tuple(digests))
--- a/packages/greengagelatch/src/greengagelatch/relay/messages.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/messages.py
@@ -13,6 +13,7 @@
     from .groups import MakerGroup
 
 __all__ = (
+    "CrashesSeen",
     "News",
     "NewsQuery",
     "PiecesDropped",
@@ -145,10 +146,12 @@
 
     configuration_revision: int = 0
     listing_revision: int = 0
+    crashes_revision: int = 0
 
     def __post_init__(self) -> None:
         check_type(self.configuration_revision, int)
         check_type(self.listing_revision, int)
+        check_type(self.crashes_revision, int)
 
 
 @register("news")
@@ -167,8 +170,11 @@
     listed: bool = False
     #: see :func:`~greengagelatch.relay.news.encode_target`
     targets: tuple[Any, ...] = ()
+    #: key, revision and value of reports on targets that ended, oldest first
+    crashes: tuple[Any, ...] = ()
 
     def __post_init__(self) -> None:
+        check_type(self.crashes, (tuple, list))
         check_type(self.heard_seconds, (int, float, type(None)))
         check_type(self.configuration, bytes)
         check_type(self.configuration_revision, int)
@@ -176,6 +182,18 @@
         check_type(self.targets, (tuple, list))
 
 
+@register("crashes-seen")
+@dataclass(frozen=True, slots=True)
+class CrashesSeen(Message):
+    """Reports on targets that ended, which the store has not taken yet."""
+
+    #: key and value of each, as they are to stand in the store
+    rows: tuple[Any, ...] = ()
+
+    def __post_init__(self) -> None:
+        check_type(self.rows, (tuple, list))
+
+
 def encode_bundle(bundle: Bundle, group: MakerGroup, now: float) -> PiecesWanted:
     """Return the message that asks for a bundle of the makers of a group."""
     first = bundle.pieces[0]
--- /dev/null
+++ b/packages/greengagelatch/src/greengagelatch/relay/quarantine.py
@@ -0,0 +1,141 @@
+"""Requests that end the targets which run them, told from those beside them."""
+
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from .incarnations import Incarnation
+
+__all__ = ("HOLD_SECONDS", "CrashReport", "Quarantine")
+
+#: targets that may end under a request before it is kept from all others
+MAX_ENDED = 3
+#: the same where another request was on all of these: as many as a sound one meets in
+#: two attempts of its caller, each sent to two targets, and one more
+MAX_ENDED_TIED = 5
+#: seconds for which a target's end counts against the requests that were on it
+HOLD_SECONDS = 600.0
+#: seconds for which a request that was answered is taken to be sound: one that many
+#: callers send is on every target when a data centre loses power
+SOUND_SECONDS = 60.0
+#: requests that are remembered as sound
+MAX_SOUND = 4096
+#: ends of targets under requests that are remembered; the oldest go first
+MAX_ENDS = 16_384
+
+
+@dataclass(frozen=True, slots=True)
+class CrashReport:
+    """A target that ended, and the requests on it that one instance had sent."""
+
+    target: Incarnation
+    #: digests of those that it had not answered and not been running for long
+    digests: tuple[str, ...]
+
+
+class Quarantine:
+    """Finds requests under which one target after the other ends.
+
+    Whatever was on a target when it ended is suspected, most of it wrongly. A request
+    is not blamed for the end of a target on which there was another one that more
+    targets ended under, nor if it was answered lately. Where two can't be told apart,
+    more targets have to end, so that chance does not decide about a sound one.
+
+    Answers depend only on the reports, not on their order, so that instances which
+    know the same reports agree.
+    """
+
+    def __init__(self) -> None:
+        #: targets that ended under a request, and when that was learnt
+        self._ended: dict[str, dict[Incarnation, float]] = {}
+        self._suspects: dict[Incarnation, set[str]] = {}
+        #: every end under a request in the order in which they were learnt
+        self._order: deque[tuple[float, Incarnation, str]] = deque()
+        self._sound: OrderedDict[str, float] = OrderedDict()
+
+    def note_crash(self, report: CrashReport, now: float) -> None:
+        """Take in that a target ended; a report that is known changes nothing."""
+        self._drop_old(now)
+        for digest in report.digests:
+            targets = self._ended.setdefault(digest, {})
+            if report.target in targets:
+                continue
+            targets[report.target] = now
+            self._suspects.setdefault(report.target, set()).add(digest)
+            self._order.append((now, report.target, digest))
+
+    def note_survived(self, digest: str, now: float) -> None:
+        """Take in that a target has answered a request, and lives."""
+        self._sound.pop(digest, None)
+        self._sound[digest] = now
+        if len(self._sound) > MAX_SOUND:
+            self._sound.popitem(last=False)
+        for target in self._ended.pop(digest, {}):
+            self._forget_suspect(target, digest)
+
+    def is_sound(self, digest: str, now: float) -> bool:
+        """Whether a request was answered lately."""
+        return now - self._sound.get(digest, float("-inf")) < SOUND_SECONDS
+
+    def find_hold(self, digest: str, now: float) -> float | None:
+        """Return for how many seconds a request is kept from targets.
+
+        ``None``: it may be sent.
+        """
+        targets = self._ended.get(digest)
+        if targets is None or len(targets) < MAX_ENDED:
+            return None
+        self._drop_old(now)
+        blamed = self._find_blamed(digest)
+        limit = MAX_ENDED_TIED if self._is_tied(digest, blamed) else MAX_ENDED
+        if len(blamed) < limit or self.is_sound(digest, now):
+            return None
+        # held until so many of these have lapsed that fewer than the limit are left
+        learnt = sorted(targets[target] for target in blamed)
+        return learnt[-limit] + HOLD_SECONDS - now
+
+    def list_ended(self, digest: str) -> tuple[Incarnation, ...]:
+        """Return the targets that ended with a request on them."""
+        return tuple(self._ended.get(digest, ()))
+
+    def _find_blamed(self, digest: str) -> set[Incarnation]:
+        """Return the targets whose end nothing else on them explains better."""
+        targets = self._ended.get(digest, {})
+        return {
+            target
+            for target in targets
+            if not any(
+                len(self._ended[other]) > len(targets)
+                for other in self._suspects[target]
+            )
+        }
+
+    def _is_tied(self, digest: str, blamed: set[Incarnation]) -> bool:
+        """Whether another request was on the same targets, and on no more."""
+        if not blamed:
+            return False
+        shared = set.intersection(*(self._suspects[target] for target in blamed))
+        return len(shared - {digest}) > 0
+
+    def _drop_old(self, now: float) -> None:
+        while self._order:
+            learnt, target, digest = self._order[0]
+            if now - learnt < HOLD_SECONDS and len(self._order) <= MAX_ENDS:
+                return
+            self._order.popleft()
+            targets = self._ended.get(digest, {})
+            if targets.get(target) != learnt:
+                continue
+            del targets[target]
+            if not targets:
+                del self._ended[digest]
+            self._forget_suspect(target, digest)
+
+    def _forget_suspect(self, target: Incarnation, digest: str) -> None:
+        suspects = self._suspects[target]
+        suspects.discard(digest)
+        if not suspects:
+            del self._suspects[target]
--- /dev/null
+++ b/tests/test_core/test_relay/test_crash_reports.py
@@ -0,0 +1,53 @@
+"""Reports on targets that ended, as the store keeps them."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from greengagelatch.relay.crash_reports import decode_reports, encode_reports
+from greengagelatch.relay.incarnations import Incarnation
+from greengagelatch.relay.quarantine import CrashReport
+
+REPORT = CrashReport(Incarnation("t1", 7), ("aa", "bb"))
+
+
+def test_reports_come_back_as_they_were():
+    reports = (REPORT, CrashReport(Incarnation("t2"), ()))
+    assert decode_reports(encode_reports(reports)) == reports
+
+
+@pytest.mark.parametrize(
+    ("change", "field"),
+    [
+        ({"target": 3}, "target"),
+        ({"target": ""}, "target"),
+        ({"born": -1}, "born"),
+        ({"born": True}, "born"),
+        ({"requests": "aa"}, "requests"),
+        ({"requests": [1]}, "requests"),
+        ({"requests": ["a"] * 1000}, "requests"),
+    ],
+)
+def test_field_that_cannot_be_used_is_named(change, field):
+    rows = json.loads(encode_reports((REPORT,)))
+    value = json.dumps([rows[0] | change]).encode()
+    with pytest.raises(ValueError, match=field):
+        decode_reports(value)
+
+
+@given(
+    st.binary()
+    | st.recursive(
+        st.none() | st.booleans() | st.integers() | st.text(),
+        lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    ).map(lambda value: json.dumps(value).encode())
+)
+def test_any_bytes_are_read_or_refused(value):
+    try:
+        decode_reports(value)
+    except ValueError:
+        return
--- /dev/null
+++ b/tests/test_core/test_relay/test_quarantine.py
@@ -0,0 +1,154 @@
+"""Which requests are kept from targets, and which only were beside them."""
+
+from __future__ import annotations
+
+import itertools
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from greengagelatch.relay.incarnations import Incarnation
+from greengagelatch.relay.quarantine import HOLD_SECONDS, CrashReport, Quarantine
+
+
+def report(target: str, *digests: str) -> CrashReport:
+    return CrashReport(Incarnation(target), digests)
+
+
+def create(*reports: CrashReport, now: float = 0.0) -> Quarantine:
+    quarantine = Quarantine()
+    for one in reports:
+        quarantine.note_crash(one, now)
+    return quarantine
+
+
+def holds(quarantine: Quarantine, digest: str, now: float = 0.0) -> bool:
+    return quarantine.find_hold(digest, now) is not None
+
+
+def test_three_targets_that_ended_are_enough():
+    quarantine = create(report("t1", "bad"), report("t2", "bad"))
+    assert not holds(quarantine, "bad")
+    quarantine.note_crash(report("t3", "bad"), 0.0)
+    assert holds(quarantine, "bad")
+
+
+def test_one_target_told_of_by_several_instances_counts_once():
+    quarantine = create(*[report("t1", "bad")] * 3, report("t2", "bad"))
+    assert not holds(quarantine, "bad")
+
+
+def test_restarted_target_counts_again():
+    lives = [CrashReport(Incarnation("t1", born), ("bad",)) for born in (1, 2, 3)]
+    assert holds(create(*lives), "bad")
+
+
+def test_requests_beside_it_are_not_held():
+    """Guards against sound requests that pay for the one beside them."""
+    quarantine = create(
+        report("t1", "bad", "a", "b"),
+        report("t2", "bad", "a"),
+        report("t3", "bad", "a", "c"),
+        report("t4", "bad"),
+    )
+    assert holds(quarantine, "bad")
+    assert not any(holds(quarantine, one) for one in "abc")
+
+
+def test_requests_that_nothing_tells_apart_wait_for_more_ends():
+    """Guards against chance: one of two that were on the same targets is sound."""
+    quarantine = create(*(report(one, "bad", "a") for one in ("t1", "t2", "t3")))
+    assert not holds(quarantine, "bad")
+    assert not holds(quarantine, "a")
+    quarantine.note_crash(report("t4", "bad"), 0.0)
+    assert holds(quarantine, "bad")
+    assert not holds(quarantine, "a")
+
+
+def test_both_are_held_once_five_targets_have_ended_under_both():
+    """Guards against two such requests that hide behind each other."""
+    ends = [report(f"t{number}", "bad", "worse") for number in range(5)]
+    quarantine = create(*ends)
+    assert holds(quarantine, "bad")
+    assert holds(quarantine, "worse")
+
+
+def test_loss_of_a_data_centre_holds_nothing_that_is_answered():
+    """Guards against a refusal of what many callers send, as many targets end."""
+    quarantine = Quarantine()
+    quarantine.note_survived("status", 95.0)
+    for number in range(20):
+        quarantine.note_crash(report(f"t{number}", "status", "rare"), 100.0)
+    assert not holds(quarantine, "status", 100.0)
+
+
+def test_answer_clears_a_request():
+    quarantine = create(report("t1", "a"), report("t2", "a"))
+    quarantine.note_survived("a", 1.0)
+    quarantine.note_crash(report("t3", "a"), 2.0)
+    assert not holds(quarantine, "a", 100.0)
+
+
+def test_hold_lapses():
+    quarantine = create(report("t1", "bad"), report("t2", "bad"))
+    quarantine.note_crash(report("t3", "bad"), 50.0)
+    assert quarantine.find_hold("bad", 100.0) == HOLD_SECONDS - 100.0
+    assert not holds(quarantine, "bad", HOLD_SECONDS + 1.0)
+
+
+def test_memory_is_bounded():
+    quarantine = Quarantine()
+    for number in range(40_000):
+        quarantine.note_crash(report(f"t{number}", f"d{number % 7}", "x"), 0.0)
+    assert len(quarantine._order) <= 16_386
+    assert sum(map(len, quarantine._ended.values())) <= 16_386
+
+
+REPORTS = st.lists(
+    st.builds(
+        lambda target, digests: report(target, *sorted(digests)),
+        st.sampled_from([f"t{number}" for number in range(6)]),
+        st.sets(st.sampled_from("abcde"), min_size=1),
+    ),
+    max_size=12,
+)
+
+
+@given(REPORTS, st.randoms(use_true_random=False))
+def test_instances_that_know_the_same_reports_agree(reports, rng):
+    shuffled = list(reports)
+    rng.shuffle(shuffled)
+    one, other = create(*reports), create(*shuffled)
+    for digest in "abcde":
+        assert one.find_hold(digest, 1.0) == other.find_hold(digest, 1.0)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_replayed_storm_of_repeats_holds_only_the_cause(seed):
+    """Guards against innocents held where all engines end within seconds.
+
+    Each attempt goes to two engines. The request that ends them comes again and again;
+    a sound one that was cut goes to the next engine as well, and comes back once.
+    """
+    rng = random.Random(seed)
+    quarantine = Quarantine()
+    names = itertools.count()
+    #: sends that each sound request has left
+    left: dict[str, int] = {}
+    reached = 0
+    while not holds(quarantine, "bad"):
+        reached += 1
+        for _ in range(2):
+            left |= {f"sound-{next(names)}": 4 for _ in range(rng.randrange(0, 6))}
+            beside = [one for one in left if rng.random() < 0.7]
+            for one in beside:
+                left[one] -= 1
+            end = report(f"t{next(names)}", "bad", *beside)
+            quarantine.note_crash(end, 0.0)
+            left = {one: sends for one, sends in left.items() if sends}
+            assert not any(holds(quarantine, one) for one in left)
+    assert reached <= 3
+    sound = set(quarantine._ended) - {"bad"}
+    assert not any(holds(quarantine, one) for one in sound)
--- /dev/null
+++ b/tests/test_entry/test_relay/test_crashes.py
@@ -0,0 +1,93 @@
+"""Targets that end under requests, as one instance finds them and tells of them."""
+
+from __future__ import annotations
+
+from greengagelatch.relay.crash_reports import encode_reports
+from greengagelatch.relay.incarnations import Incarnation
+from greengagelatch.relay.quarantine import CrashReport
+from greengagelatch_entry.relay.crashes import MAX_TOLD, PREFIX
+from greengagelatch_lab.platform_standins.targets import TargetFault
+
+LOST = "/look/lost"
+
+
+async def lose_answers(world) -> None:
+    """Have a request lose its answer at four targets, each alive."""
+    for number in (3, 4):
+        await world.add(f"desk-{number}", "desk")
+    await world.wait_known(4)
+    for target in world.targets.values():
+        target.fault = TargetFault.LOSE_ANSWER
+    while any(not target.seen for target in world.targets.values()):
+        await world.ask(LOST)
+    for target in world.targets.values():
+        target.fault = TargetFault.NONE
+
+
+def describe(world) -> dict:
+    return world.describe()["crashes"]
+
+
+async def test_targets_that_lose_answers_and_live_are_not_blamed(world):
+    """Guards against a sound request that is held for answers which got lost."""
+    await lose_answers(world)
+    await world.wait_for(lambda: len(describe(world)["suspected"]) == 4)
+    assert (await world.ask(LOST)).status == 200
+    assert describe(world)["held_count"] == 0
+
+
+async def test_planned_end_of_a_target_is_not_blamed_on_what_it_cut(world):
+    """Guards against a sound request that is held for a release."""
+    target = world.targets["desk-1"]
+    world.targets["desk-2"].register(world.store, state="draining")
+    await world.wait_for(lambda: not world.accepts("desk-2"))
+    target.fault = TargetFault.LOSE_ANSWER
+    await world.ask(LOST)
+    assert describe(world)["suspected"] == ["desk-1@1700000000000"]
+    target.register(world.store, state="draining")
+    await world.wait_for(lambda: not world.accepts("desk-1"))
+    world.store.remove("servers/desk-1")
+    await world.wait_for(lambda: world.find("news")._book.find_listed("desk-1") is None)
+    assert world.count("targets.ended_under_requests") == 0
+
+
+async def test_target_that_starts_again_at_once_is_found_by_the_listing(world):
+    """Guards against a crash that nobody sees, as a dial finds the next process."""
+    target = world.targets["desk-1"]
+    target.fault = TargetFault.LOSE_ANSWER
+    world.targets["desk-2"].fault = TargetFault.LOSE_ANSWER
+    await world.ask(LOST)
+    await world.wait_for(lambda: len(describe(world)["suspected"]) == 2)
+    await target.restart(world.store)
+    await world.wait_for(lambda: world.count("targets.ended_under_requests") == 1)
+
+
+def put_report(world, key: str, *targets: str) -> int:
+    reports = tuple(CrashReport(Incarnation(one), ("aa",)) for one in targets)
+    return world.store.put_bytes(PREFIX + key, encode_reports(reports))
+
+
+async def test_what_others_found_counts(world):
+    put_report(world, "entry-2/1", "t1", "t2")
+    await world.wait_heard(put_report(world, "entry-3/1", "t3"))
+    assert list(describe(world)["held"]) == ["aa"]
+
+
+async def test_entry_that_cannot_be_read_hides_no_other(world):
+    world.store.put_bytes(PREFIX + "entry-2/1", b"\xff")
+    world.store.put_bytes(PREFIX + "entry-2/2", b"[{}]")
+    await world.wait_heard(put_report(world, "entry-2/3", "t1", "t2", "t3"))
+    assert describe(world)["held_count"] == 1
+    assert world.count("crashes.unreadable") == 2
+
+
+async def test_peers_are_told_the_oldest_first(world):
+    """Guards against reports that a peer passes over as it asks for later ones."""
+    revisions = [put_report(world, f"entry-2/{n}", f"t{n}") for n in range(100)]
+    await world.wait_heard(revisions[-1])
+    crashes = world.find("crashes")
+    told = crashes.list_newer(revisions[9])
+    assert [row[1] for row in told] == revisions[10 : 10 + MAX_TOLD]
+    assert crashes.list_newer(crashes.revision) == ()
+    crashes.take_news([("other", "row"), None, ("k", -1, b"[]")])
+    assert crashes.revision >= revisions[-1]
--- a/tests/test_entry/test_relay/test_guards.py
+++ b/tests/test_entry/test_relay/test_guards.py
@@ -17,13 +17,13 @@
 from greengagelatch_entry.relay import runners
 from greengagelatch_entry.relay.event_split import EventSplitter
 from greengagelatch_entry.relay.front import RelayFront
-from greengagelatch_entry.relay.links import _Link
+from greengagelatch_entry.relay.links import TargetLinks, _Link
 from greengagelatch_lab.platform_standins.targets import TargetFault
 from greengagelatch_platform import headers
 from greengagelatch_platform.listing import PlatformListingCodec
 from greengagelatch_platform.targets import PlatformTargetCodec
 
-from . import conftest, test_restarts, test_stop
+from . import conftest, test_crashes, test_restarts, test_stop
 
 
 def set_fault(world, fault: TargetFault) -> None:
@@ -228,3 +228,13 @@
             world
         )
     assert world.targets["desk-1"].runs["b-1"] == 2
+
+
+async def test_dial_tells_lost_answers_from_crashes(world, monkeypatch):
+    async def believe(self, address):
+        return True
+
+    monkeypatch.setattr(TargetLinks, "is_closed", believe)
+    await test_crashes.lose_answers(world)
+    await world.wait_for(lambda: world.describe()["crashes"]["held_count"] == 1)
+    assert (await world.ask(test_crashes.LOST)).status == 503
--- a/tests/test_processes/test_crashing_requests.py
+++ b/tests/test_processes/test_crashing_requests.py
@@ -10,6 +10,7 @@
 
 from greengagelatch_lab.platform_standins.deployment import HOST, KEY
 from greengagelatch_lab.platform_standins.fleet import PlatformFleet
+from greengagelatch_lab.platform_standins.store import StoreFault
 
 pytestmark = [pytest.mark.processes, pytest.mark.timeout(180)]
 
@@ -136,3 +137,75 @@
     assert callers.count_arrivals(crashing) - before <= STRAYS
     # what was kept from targets has not run, and says so
     assert statuses[STRAYS:] == [503] * (RETURNS - STRAYS)
+
+
+async def test_requests_beside_it_are_served_when_they_come_again(fleet, session):
+    """Guards against sound requests that pay for one beside them."""
+    crashing, sound = "/look/crashing", "/look/sound"
+    beside = [f"/look/beside-{number}" for number in range(3)]
+    callers = Callers(fleet, session, "desk", crashing)
+    async with asyncio.timeout(PATIENCE):
+        while len(callers.list_crashed()) <= CRASHES:
+            before = len(callers.list_crashed())
+            gate = asyncio.Event()
+            targets = fleet.find_targets("desk")
+            for target in targets:
+                target.gate = gate
+            seen = sum(len(target.seen) for target in targets)
+            asking = [
+                asyncio.create_task(callers.ask(path)) for path in (*beside, crashing)
+            ]
+            while sum(len(target.seen) for target in targets) < seen + len(asking):  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+            gate.set()
+            await asyncio.gather(*asking)
+            for target in targets:
+                target.gate = None
+            if len(callers.list_crashed()) == before:
+                break
+            await callers.replace_crashed(sound)
+    await asyncio.sleep(KNOWN_WITHIN)
+    for instance in fleet.instances:
+        assert await callers.ask(crashing, instance) == 503
+        for path in beside:
+            assert await callers.ask(path, instance) == 200
+
+
+async def test_instances_that_start_again_know_of_it(fleet, session):
+    """Guards against what all instances forget as all are killed at once."""
+    crashing, sound = "/look/crashing", "/look/sound"
+    callers = Callers(fleet, session, "desk", crashing)
+    await crash_three(callers, crashing, sound)
+    await asyncio.sleep(KNOWN_WITHIN)
+    for instance in fleet.instances:
+        await fleet.kill(instance)
+    for instance in fleet.instances:
+        await fleet.launch(instance)
+        await fleet.wait_ready(instance)
+    before = callers.count_arrivals(crashing)
+    for instance in fleet.instances:
+        assert await callers.ask(crashing, instance) == 503
+    assert callers.count_arrivals(crashing) == before
+
+
+async def test_peers_hear_of_it_while_the_store_takes_nothing(fleet, session):
+    """Guards against one instance after the other that learns it by itself."""
+    crashing, sound = "/look/crashing", "/look/sound"
+    callers = Callers(fleet, session, "desk", crashing)
+    for number in range(2 * CRASHES):
+        await fleet.add_target(
+            f"desk-more-{number}", "desk", crashed_by=frozenset({crashing})
+        )
+    for instance in fleet.instances:
+        async with asyncio.timeout(PATIENCE):
+            while await callers.ask(sound, instance) != 200:  # noqa: ASYNC110
+                await asyncio.sleep(0.05)
+    fleet.store.fault = StoreFault.BUSY
+    async with asyncio.timeout(PATIENCE):
+        while len(callers.list_crashed()) < CRASHES:
+            await callers.ask(crashing, fleet.instances[0])
+    await asyncio.sleep(KNOWN_WITHIN)
+    before = callers.count_arrivals(crashing)
+    for instance in fleet.instances:
+        assert await callers.ask(crashing, instance) == 503
+    assert callers.count_arrivals(crashing) == before
