Failing test of pieces that crash the makers which make them

The same cause elsewhere: a bundle whose call broke is given to the next maker, up to 60 times, and its request comes again at any instance.

--- a/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/targets.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/targets.py
@@ -92,7 +92,8 @@
     break_after: int | None = None
     #: the same for the next streams only; may be shared by targets
     breaks: list[int] = field(default_factory=list)
-    #: paths of the requests that crash it as they begin to run
+    #: paths of the requests that crash it as they begin to run, and keys of the inputs
+    #: of pieces that do
     crashed_by: frozenset[str] = frozenset()
     _server: asyncio.Server | None = None
     _port: int = 0
@@ -263,6 +264,9 @@
             await asyncio.sleep(3600)
         self.batches.append(len(items))
         await self._wait_for_gate()
+        if any(item.get("key") in self.crashed_by for item in items):
+            await self.stop()
+            return False
         await asyncio.sleep(CALL_SECONDS)
         results = [self._make_piece(item) for item in items]
         body = json.dumps({"items": results}).encode()
--- a/tests/test_processes/test_crashing_requests.py
+++ b/tests/test_processes/test_crashing_requests.py
@@ -48,8 +48,10 @@
             "Authorization": f"Bearer {KEY}",
         }
         method = "GET" if path.startswith("/look") else "POST"
-        if path.startswith("/scan"):
+        if path.startswith(("/scan", "/draft")):
             headers |= {"X-Token-Counts": "100,20", "X-Prefix-Hash": "aa:60,bb:40"}
+        if path.startswith("/draft"):
+            headers |= {"X-Pieces": "2,3", "X-Piece-Key": path}
         url = f"http://{instance.front}{path}"
         try:
             async with self._session.request(method, url, headers=headers) as response:
@@ -209,3 +211,21 @@
     for instance in fleet.instances:
         assert await callers.ask(crashing, instance) == 503
     assert callers.count_arrivals(crashing) == before
+
+
+async def test_request_whose_pieces_crash_makers_is_kept_from_them(fleet, session):
+    """Guards against a request that takes down all makers of a stage, and the calls
+    that it shares with others."""
+    crashing, sound = "/draft/crashing", "/draft/sound"
+    callers = Callers(fleet, session, "portal", crashing)
+    await crash_three(callers, crashing, sound)
+    await asyncio.sleep(KNOWN_WITHIN)
+    before = len(callers.list_crashed())
+    statuses = []
+    for number in range(RETURNS):
+        beside = callers.ask(f"/draft/beside-{number}")
+        answers = await asyncio.gather(callers.ask(crashing), beside)
+        statuses.append(answers)
+        await callers.replace_crashed(sound)
+    assert len(callers.list_crashed()) - before <= STRAYS
+    assert statuses[STRAYS:] == [[503, 200]] * (RETURNS - STRAYS)
