Make pieces alone that makers have ended under, and hold them after three

A bundle whose call broke was given to the next maker, with all that shared the call, up to 60 times; its request came again at any instance.

Makers that end under a stage of a request are counted as targets are, apart from its other stages: pieces of the others are made well meanwhile. From the second end on a bundle shares no call, so that those beside it are made and the third shows the cause. Then it fails as held, also before its first call.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -48,6 +48,7 @@
 from .news import NewsController
 from .owned_desk import OwnedDesk
 from .ownership import Ownership
+from .piece_suspects import WatchedPieces
 from .plain import PlainRunner
 from .prometheus import PrometheusMetrics
 from .readiness import ReadinessServer
@@ -416,6 +417,9 @@
             list_makers=lambda: self.groups.list_makers(group),
             find_profile=lambda: self._find_maker(group.service),
             is_sole=lambda: self.ownership.is_sole(group),
+            suspects=WatchedPieces(
+                quarantine=self.quarantine, crashes=self.crashes, clock=self.clock
+            ),
             policy=SharedCalls(),
             book=self.book,
             links=self.links,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/maker_calls.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/maker_calls.py
@@ -40,6 +40,8 @@
 
     outcome: str = "cancelled"
     results: tuple[PieceResult, ...] | None = None
+    #: whether the maker broke it off
+    broken: bool = False
 
 
 class MakerCaller:
@@ -76,7 +78,7 @@
             maker.note_timeout(count, started, self._clock.now())
             return CallEnd(TIMED_OUT)
         except LinkError as error:
-            return self._note_lost(maker, count, allowed, started, str(error))
+            return self._note_lost(maker, count, allowed, started, error)
         except asyncio.CancelledError:
             maker.calls -= 1
             raise
@@ -114,14 +116,19 @@
         )
 
     def _note_lost(
-        self, maker: Maker, count: int, allowed: float, started: float, reason: str
+        self,
+        maker: Maker,
+        count: int,
+        allowed: float,
+        started: float,
+        error: LinkError,
     ) -> CallEnd:
         now = self._clock.now()
         if now - started >= allowed:
             maker.note_timeout(count, started, now)
         else:
             maker.note_failure(now)
-        return CallEnd(reason)
+        return CallEnd(str(error), broken=error.broken)
 
     def _judge(
         self, maker: Maker, head: AnswerHead, body: bytes, count: int, started: float
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_bundles.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_bundles.py
@@ -95,6 +95,7 @@
             data_centre=self._find_data_centre(work, held),
             moved_bytes=self._count_moved_bytes(work, held),
             begun=bool(work.after),
+            digest=self._exchange.digest,
         )
 
     def _find_data_centre(
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
@@ -32,6 +32,7 @@
     from .codecs import TargetCodec
     from .decisions import DecisionLog
     from .links import TargetLinks
+    from .piece_suspects import PieceSuspects
     from .stage_queue import Work
 
 __all__ = ("StagePool",)
@@ -64,6 +65,7 @@
         list_makers: Callable[[], Sequence[ListedTarget]],
         find_profile: Callable[[], MakerProfile | None],
         is_sole: Callable[[], bool],
+        suspects: PieceSuspects,
         policy: BatchPolicy,
         book: TargetBook,
         links: TargetLinks,
@@ -77,6 +79,7 @@
         self._list_targets = list_makers
         self._find_profile = find_profile
         self._is_sole = is_sole
+        self._suspects = suspects
         self._policy = policy
         self._book = book
         self._clock = clock
@@ -202,8 +205,7 @@
     def _begin_calls(
         self, makers: list[Maker], profile: MakerProfile, now: float
     ) -> None:
-        views = [maker.view(now) for maker in makers]
-        for call in self._policy.plan(self._queue.list_ready(), views, profile, now):
+        for call in self._plan_calls(makers, profile, now):
             self._queue.take_out(call)
             # counted before its task runs: more bundles may come until then, and
             # the maker would seem idle to each of them
@@ -214,6 +216,25 @@
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
+    def _plan_calls(
+        self, makers: list[Maker], profile: MakerProfile, now: float
+    ) -> Sequence[PlannedCall]:
+        """Return the calls to begin; a suspected bundle shares its own with none.
+
+        Left in shared calls, it would end them all, and nothing would tell it from
+        those beside it.
+        """
+        self._drop_held()
+        views = [maker.view(now) for maker in makers]
+        ready = self._queue.list_ready()
+        suspected = [row for row in ready if self._suspects.is_suspect(row[0])]
+        for row in suspected:
+            calls = self._policy.plan([row], views, profile, now)
+            if calls:
+                return calls
+        shared = [row for row in ready if row not in suspected] if suspected else ready
+        return self._policy.plan(shared, views, profile, now)
+
     def _list_makers(self, profile: MakerProfile) -> list[Maker]:
         listed = self._list_targets()
         if self._listed_from is not None:
@@ -242,6 +263,12 @@
         for bundle in find_hopeless(waiting, views, profile, now):
             self._queue.fail(self._queue.find(bundle), PieceFailure.LATE)
 
+    def _drop_held(self) -> None:
+        """Fail the bundles under which makers have ended."""
+        for work in tuple(self._queue):
+            if work.left and self._suspects.is_held(work.bundle):
+                self._queue.fail(work, PieceFailure.HELD)
+
     # calls
 
     async def _run_call(
@@ -269,9 +296,17 @@
             waiting=self._queue.count_waiting(),
             slowness=round(maker.find_slowness(self._clock.now()), 2),
         )
+        self._note_end(maker, call, end)
         self._queue.take_results(call, works, end)
         self._look()
 
+    def _note_end(self, maker: Maker, call: PlannedCall, end: CallEnd) -> None:
+        bundles = [bundle for bundle, _ in call.pieces]
+        if end.broken:
+            self._suspects.note_broken(maker.target, bundles)
+        elif end.results is not None:
+            self._suspects.note_made(maker.target, bundles)
+
     def _settle_room(
         self, maker: Maker, call: PlannedCall, end: CallEnd, started: float
     ) -> None:
--- a/packages/greengagelatch/src/greengagelatch/relay/messages.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/messages.py
@@ -61,10 +61,13 @@
     begun: bool = False
     #: data centre of the makers that are meant; empty: all of the service
     group: str = ""
+    #: of the request; empty: from an earlier release
+    digest: str = ""
 
     def __post_init__(self) -> None:
         for text in (self.bundle_id, self.service, self.request_id, self.key):
             check_type(text, str)
+        check_type(self.digest, str)
         check_type(self.data_centre, str)
         check_type(self.group, str)
         for number in (self.stage, self.result_bytes, self.moved_bytes):
@@ -215,6 +218,7 @@
         moved_bytes=bundle.moved_bytes,
         begun=bundle.begun,
         group=group.data_centre,
+        digest=bundle.digest,
     )
 
 
@@ -243,6 +247,7 @@
         data_centre=message.data_centre,
         moved_bytes=message.moved_bytes,
         begun=message.begun,
+        digest=message.digest,
     )
 
 
--- a/packages/greengagelatch/src/greengagelatch/relay/pieces.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/pieces.py
@@ -51,6 +51,8 @@
     moved_bytes: int = 0
     #: whether earlier stages of the request have been made already
     begun: bool = False
+    #: of the request; empty: not told
+    digest: str = ""
 
     @property
     def request_id(self) -> str:
@@ -71,6 +73,8 @@
     ERROR = "error"
     #: nobody knows: the call broke off, or the maker could not be reached
     LOST = "lost"
+    #: makers have ended under such pieces
+    HELD = "held"
     #: no maker is listed
     NO_MAKER = "no-maker"
 
--- a/packages/greengagelatch/src/greengagelatch/relay/quarantine.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/quarantine.py
@@ -97,6 +97,10 @@
         learnt = sorted(targets[target] for target in blamed)
         return learnt[-limit] + HOLD_SECONDS - now
 
+    def count_ended(self, digest: str) -> int:
+        """Return how many targets ended with a request on them."""
+        return len(self._ended.get(digest, ()))
+
     def list_ended(self, digest: str) -> tuple[Incarnation, ...]:
         """Return the targets that ended with a request on them."""
         return tuple(self._ended.get(digest, ()))
--- a/tests/test_entry/test_relay/test_stage_pool.py
+++ b/tests/test_entry/test_relay/test_stage_pool.py
@@ -14,6 +14,7 @@
 from greengagelatch.relay.pieces import Bundle, Piece, PieceFailure
 from greengagelatch.relay.targets import ListedTarget
 from greengagelatch_entry.relay.decisions import DecisionLog
+from greengagelatch_entry.relay.piece_suspects import NoSuspects
 from greengagelatch_entry.relay.prometheus import PrometheusMetrics
 from greengagelatch_entry.relay.stage_pool import LOOK_AGAIN, StagePool
 from greengagelatch_lab.stage_load.models import Maker, ModelCodec, ModelLinks, Results
@@ -38,10 +39,28 @@
     def __init__(self) -> None:
         self.plans = 0
         self._policy = SharedCalls()
+        #: the requests of each call
+        self.calls: list[set[str]] = []
 
     def plan(self, bundles, makers, profile, now):
         self.plans += 1
-        return self._policy.plan(bundles, makers, profile, now)
+        calls = self._policy.plan(bundles, makers, profile, now)
+        self.calls += [{one.request_id for one, _ in call.pieces} for call in calls]
+        return calls
+
+
+class NamedSuspects(NoSuspects):
+    """Suspects and holds the requests whose names it is given."""
+
+    def __init__(self) -> None:
+        self.suspected: set[str] = set()
+        self.held: set[str] = set()
+
+    def is_suspect(self, bundle: Bundle) -> bool:
+        return bundle.request_id in self.suspected
+
+    def is_held(self, bundle: Bundle) -> bool:
+        return bundle.request_id in self.held
 
 
 class World:
@@ -50,6 +69,7 @@
     def __init__(self) -> None:
         self.clock = LoopClock()
         self.policy = CountingPolicy()
+        self.suspects = NamedSuspects()
         self.results = Results()
         self.maker = Maker(SHAPE, "m:1", "north", self.results, random.Random(1))
         listed = (
@@ -66,6 +86,7 @@
             list_makers=lambda: listed,
             find_profile=lambda: PROFILE,
             is_sole=lambda: False,
+            suspects=self.suspects,
             policy=self.policy,
             book=SimpleNamespace(
                 list_service=lambda service: listed,
@@ -160,3 +181,21 @@
     assert hopeless.done()
     assert {one.failure for one in hopeless.result()} == {PieceFailure.LATE}
     await asyncio.gather(*tasks)
+
+
+async def test_bundle_under_which_makers_ended_shares_calls_with_none(world):
+    """Guards against sound requests whose calls a suspected one ends."""
+    world.suspects.suspected = {"r3"}
+    await asyncio.gather(*(world.ask(number) for number in range(8)))
+    shared = [call for call in world.policy.calls if "r3" in call]
+    assert shared == [{"r3"}]
+    assert set().union(*world.policy.calls) == {f"r{number}" for number in range(8)}
+
+
+async def test_held_bundle_goes_to_no_maker(world):
+    """Guards against a maker that ends under a bundle known to end makers."""
+    world.suspects.held = {"r1"}
+    held, sound = await asyncio.gather(world.ask(1), world.ask(2))
+    assert [one.failure for one in held] == [PieceFailure.HELD]
+    assert [one.failure for one in sound] == [None]
+    assert world.policy.calls == [{"r2"}]
--- a/tests/test_entry/test_relay/test_two_owners.py
+++ b/tests/test_entry/test_relay/test_two_owners.py
@@ -22,6 +22,7 @@
 from greengagelatch_entry.relay.desk import LocalDesk
 from greengagelatch_entry.relay.owned_desk import OwnedDesk
 from greengagelatch_entry.relay.ownership import Ownership
+from greengagelatch_entry.relay.piece_suspects import NoSuspects
 from greengagelatch_entry.relay.prometheus import PrometheusMetrics
 from greengagelatch_entry.relay.stage_groups import MakerGroups
 from greengagelatch_entry.relay.stage_pool import StagePool
@@ -93,6 +94,7 @@
             list_makers=lambda: self.makers,
             find_profile=lambda: PROFILE,
             is_sole=is_sole,
+            suspects=NoSuspects(),
             policy=SharedCalls(),
             book=self.book,
             links=self.links,
