--- a/packages/greengagelatch-entry/src/greengagelatch_entry/application.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/application.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from .composition import Parts
     from .controllers import Controller
-    from .relay.composition import RelayParts
+    from .relay.parts import RelayParts
 
 __all__ = ("Application", "ExitCode")
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -4,8 +4,7 @@
 
 import random
 import signal
-from collections.abc import Awaitable, Callable, Collection
-from dataclasses import dataclass, field
+from collections.abc import Callable, Collection
 from typing import TYPE_CHECKING, Any
 
 from greengagelatch.clock import SystemClock
@@ -13,7 +12,6 @@
 from greengagelatch.peers import MemberState
 from greengagelatch.relay.admission import EstimateRule
 from greengagelatch.relay.batches import SharedCalls
-from greengagelatch.relay.capacity import Capacity
 from greengagelatch.relay.connections import count_kept
 from greengagelatch.relay.deployment import CallerBounds
 from greengagelatch.relay.fleet import Fleet
@@ -21,7 +19,6 @@
 from greengagelatch.relay.listeners import choose_listeners
 from greengagelatch.relay.quarantine import Quarantine
 from greengagelatch.relay.targets import TargetBook
-from greengagelatch.settings import Settings
 
 from ..adapters.peers import PeerHub
 from ..controllers import Controller
@@ -48,6 +45,8 @@
 from .news import NewsController
 from .owned_desk import OwnedDesk
 from .ownership import Ownership
+from .parts import RelayAdapters, RelayParts, RelayRules
+from .peer_settings import create_peer_settings
 from .piece_suspects import WatchedPieces
 from .plain import PlainRunner
 from .prometheus import PrometheusMetrics
@@ -65,12 +64,9 @@
     from greengagelatch.peers import Member
     from greengagelatch.relay.groups import MakerGroup
     from greengagelatch.relay.incarnations import Incarnation
-    from greengagelatch.relay.repeats import RepeatRule
-    from greengagelatch.store.ranges import RangeStore
 
-    from .codecs import CallerCodec, DeploymentCodec, ListingCodec, TargetCodec
 
-__all__ = ("RelayAdapters", "RelayParts", "RelayRules", "compose_relay")
+__all__ = ("compose_relay",)
 
 #: instances assumed to share a budget before others are known; more than there
 #: usually are, so that the share errs on the safe side
@@ -78,76 +74,6 @@
 #: instances that may gather the pieces of one service at the same time, while they
 #: don't agree on who is alive
 ASSUMED_OWNERS = 3
-#: bounds of the links between instances; times in seconds. A link that is silent
-#: for so long is dropped, and the stage work asked for over it is asked for elsewhere
-PEER_BOUNDS = {
-    "peers.heartbeat": 0.3,
-    "peers.silence": 1.0,
-    "peers.rest_factor": 5.0,
-    "peers.open_timeout": 1.0,
-    "peers.idle": 15.0,
-    "peers.links": 8,
-    # an owner of stage work is asked by all instances that there are
-    "peers.max_links": 512,
-    # bundles wait with their owner: of 200 a second each waits for seconds in a
-    # burst. One that called itself busy was passed over, and two owners filled the
-    # makers' room without a word between them
-    "peers.in_work": 8192,
-    "peers.probe_interval": 0.5,
-    "peers.dead_interval": 2.0,
-}
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class RelayRules:
-    """What an instance is told at its start; times in seconds."""
-
-    instance_id: str
-    data_centre: str
-    callers_listen: str
-    #: where other instances connect
-    peers_listen: str
-    #: addresses of some of these, with commas between them
-    peers_seeds: str
-    readiness_listen: str
-    readiness_path: str
-    #: empty: no metrics are served
-    metrics_listen: str
-    metrics_path: str
-    #: time for which the balancer may still send connections after a stop signal
-    balancer_lag: float
-    #: time that requests in flight get after that
-    longest_drain: float
-    repeats: RepeatRule
-    capacity: Capacity = field(default_factory=Capacity)
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class RelayAdapters:
-    """What speaks the platform's protocols."""
-
-    create_store: Callable[[PrometheusMetrics], RangeStore]
-    callers: CallerCodec
-    targets: TargetCodec
-    deployments: DeploymentCodec
-    listings: ListingCodec
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class RelayParts:
-    """The parts of one instance."""
-
-    #: in the order in which they start
-    controllers: tuple[Controller, ...]
-    front: RelayFront
-    drain: DrainController
-    close: Callable[[], Awaitable[None]]
-    #: what is done on signals, by number
-    signals: dict[int, Callable[[], None]] = field(default_factory=dict)
-
-    def list_addresses(self) -> dict[str, str]:
-        """Return what this instance listens on."""
-        return {"callers": str(self.front.port)}
 
 
 def compose_relay(
@@ -246,7 +172,7 @@
             clock=self.clock,
             random_source=self.random,
             events=self.events,
-            settings=_create_peer_settings(self.rules),
+            settings=create_peer_settings(self.rules),
             metrics=self.metrics,
             capacity=self.rules.capacity.bundles,
         )
@@ -538,16 +464,3 @@
     async def _close(self) -> None:
         self.links.drop_all()
         await self.store.close()
-
-
-def _create_peer_settings(rules: RelayRules) -> Settings:
-    return Settings(
-        {
-            "instance.id": rules.instance_id,
-            "instance.data_centre": rules.data_centre,
-            "peers.listen": rules.peers_listen,
-            "peers.advertise": rules.peers_listen,
-            "peers.seeds": rules.peers_seeds,
-            **PEER_BOUNDS,
-        }
-    )
--- a/tests/test_entry/test_relay/conftest.py
+++ b/tests/test_entry/test_relay/conftest.py
@@ -11,12 +11,8 @@
 from yarl import URL
 
 from greengagelatch.relay.repeats import RepeatRule
-from greengagelatch_entry.relay.composition import (
-    RelayAdapters,
-    RelayParts,
-    RelayRules,
-    compose_relay,
-)
+from greengagelatch_entry.relay.composition import compose_relay
+from greengagelatch_entry.relay.parts import RelayAdapters, RelayParts, RelayRules
 from greengagelatch_lab.platform_standins.deployment import (
     HOST,
     KEY,
