--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -27,7 +27,8 @@
 from ..inflight import InFlight
 from .budgets import RepeatBudgets
 from .configuration import ConfigurationFollower
-from .crashes import CrashWatch
+from .crash_watch import CrashWatch
+from .crashes import CrashBoard
 from .decisions import DecisionLog
 from .desk import LocalDesk
 from .filters import (
@@ -176,17 +177,24 @@
             metrics=self.metrics,
             capacity=self.rules.capacity.bundles,
         )
-        self.crashes = CrashWatch(
+        self.crashes = CrashBoard(
             instance_id=self.rules.instance_id,
             quarantine=self.quarantine,
-            book=self.book,
-            links=self.links,
             store=self.store,
             peers=self.peers,
             clock=self.clock,
             metrics=self.metrics,
             decisions=self.decisions,
         )
+        self.crash_watch = CrashWatch(
+            board=self.crashes,
+            quarantine=self.quarantine,
+            book=self.book,
+            links=self.links,
+            clock=self.clock,
+            metrics=self.metrics,
+            decisions=self.decisions,
+        )
         self.follower = StoreFollower(
             store=self.store,
             subscribers=(
@@ -265,7 +273,7 @@
                 codec=self.adapters.targets,
                 fleet=self.fleet,
                 book=self.book,
-                crashes=self.crashes,
+                crashes=self.crash_watch,
                 clock=self.clock,
                 decisions=self.decisions,
             ),
@@ -344,7 +352,7 @@
             find_profile=lambda: self._find_maker(group.service),
             is_sole=lambda: self.ownership.is_sole(group),
             suspects=WatchedPieces(
-                quarantine=self.quarantine, crashes=self.crashes, clock=self.clock
+                quarantine=self.quarantine, crashes=self.crash_watch, clock=self.clock
             ),
             policy=SharedCalls(),
             book=self.book,
@@ -408,6 +416,7 @@
             self.peers,
             self.registry,
             self.crashes,
+            self.crash_watch,
             self.follower,
             self.news,
             self.local_desk,
@@ -444,7 +453,7 @@
 
     def _note_gone(self, incarnation: Incarnation) -> None:
         self.links.drop(incarnation)
-        self.crashes.note_gone(incarnation)
+        self.crash_watch.note_gone(incarnation)
         self.fleet.forget(incarnation)
         self.local_desk.note_gone(incarnation)
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/crashes.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/crashes.py
@@ -1,21 +1,17 @@
-"""Targets that end under requests: found here, and told to all instances."""
+"""What instances tell each other of targets that ended under requests."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
 from collections import OrderedDict, deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 from mode import Service
 from result import Err
 
-from greengagelatch.relay.crash_reports import (
-    MAX_DIGESTS,
-    decode_reports,
-    encode_reports,
-)
+from greengagelatch.relay.crash_reports import decode_reports, encode_reports
 from greengagelatch.relay.messages import CrashesSeen
 from greengagelatch.relay.quarantine import HOLD_SECONDS, CrashReport
 from greengagelatch.store import ABSENT, WriteOutcome
@@ -28,27 +24,16 @@
 
     from greengagelatch.clock import Clock
     from greengagelatch.peers import PeerNetwork
-    from greengagelatch.relay.incarnations import Incarnation
     from greengagelatch.relay.quarantine import Quarantine
-    from greengagelatch.relay.targets import ListedTarget, TargetBook
     from greengagelatch.store.ranges import Changes, RangeStore, Scan
 
     from ..metrics import Metrics
     from .decisions import DecisionLog
-    from .links import TargetLinks
 
-__all__ = ("CrashWatch",)
+__all__ = ("CrashBoard",)
 
 #: prefix of the keys of reports in the store
 PREFIX = "greengagelatch/crashes/"
-#: seconds for which requests are gathered that were on the same target: their
-#: connections break in the same moment
-GATHER_SECONDS = 0.05
-#: seconds in which a target that ended has gone from the listing, or is listed with
-#: another start: its entry lapses after three of its heartbeats
-CONFIRM_SECONDS = 5.0
-#: targets that are looked after at the same time
-MAX_SUSPICIONS = 256
 #: seconds for which one lease serves for further reports. Entries lapse by themselves
 #: this much before they count no more
 LEASE_REUSE = 30.0
@@ -63,15 +48,6 @@
 MAX_SHOWN = 16
 
 
-@dataclass(slots=True)
-class _Suspicion:
-    """A target whose connections broke, and the requests that were on it."""
-
-    digests: dict[str, None] = field(default_factory=dict)
-    #: set once the listing tells that it has ended
-    gone: asyncio.Event = field(default_factory=asyncio.Event)
-
-
 @dataclass(frozen=True, slots=True)
 class _Kept:
     """A value of the store, for peers that ask."""
@@ -81,16 +57,12 @@
     heard: float
 
 
-class CrashWatch(Controller, StoreSubscriber):
-    """Finds targets that ended with requests on them, and tells all instances.
+class CrashBoard(Controller, StoreSubscriber):
+    """Tells all instances of targets that ended, and hears of those of others.
 
     A request that crashes what runs it comes again at any instance, which then knows
     nothing of it. What each has seen stands in the store, so that it outlasts the
     instance; peers are told directly while the store does not take it.
-
-    A connection that breaks does not show a crash: answers get lost, and connections
-    are reset, at targets that live. It is one if nobody listens at the address any
-    more, or the listing tells soon that the target has ended.
     """
 
     name = "crashes"
@@ -101,8 +73,6 @@
         *,
         instance_id: str,
         quarantine: Quarantine,
-        book: TargetBook,
-        links: TargetLinks,
         store: RangeStore,
         peers: PeerNetwork,
         clock: Clock,
@@ -112,15 +82,11 @@
         super().__init__()
         self._instance_id = instance_id
         self._quarantine = quarantine
-        self._book = book
-        self._links = links
         self._store = store
         self._peers = peers
         self._clock = clock
         self._metrics = metrics
         self._decisions = decisions
-        self._suspicions: dict[Incarnation, _Suspicion] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
         self._found: list[CrashReport] = []
         self._wake = asyncio.Event()
         #: values to be written, by their keys
@@ -139,67 +105,8 @@
         """Revision of the store up to which all reports are known."""
         return self._revision
 
-    # what requests tell
-
-    def note_broken(self, target: ListedTarget, digest: str) -> None:
-        """Take in that a connection broke before its request was answered."""
-        incarnation = target.incarnation
-        if self._quarantine.is_sound(digest, self._clock.now()):
-            return
-        suspicion = self._suspicions.get(incarnation)
-        if suspicion is None:
-            # one that leaves ends as planned, with whatever is left on it
-            leaving = not self._book.accepts(incarnation)
-            if leaving or len(self._suspicions) >= MAX_SUSPICIONS:
-                return
-            suspicion = self._suspicions[incarnation] = _Suspicion()
-            task = asyncio.create_task(self._confirm(target, suspicion))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
-        if len(suspicion.digests) < MAX_DIGESTS:
-            suspicion.digests[digest] = None
-
-    def note_survived(self, target: ListedTarget, digest: str) -> None:
-        """Take in that a target has answered a request."""
-        self._quarantine.note_survived(digest, self._clock.now())
-        suspicion = self._suspicions.get(target.incarnation)
-        if suspicion is not None:
-            suspicion.digests.pop(digest, None)
-
-    def note_gone(self, incarnation: Incarnation) -> None:
-        """Take in that the listing tells of a target's end, or that it leaves."""
-        suspicion = self._suspicions.get(incarnation)
-        listed = self._book.find_listed(incarnation.target_id)
-        leaves = listed is not None and listed.incarnation == incarnation
-        if suspicion is not None and not leaves:
-            suspicion.gone.set()
-
-    async def _confirm(self, target: ListedTarget, suspicion: _Suspicion) -> None:
-        incarnation = target.incarnation
-        try:
-            origin = "refused"
-            if not await self._links.is_closed(target.address):
-                origin = "listing"
-                async with asyncio.timeout(CONFIRM_SECONDS):
-                    await suspicion.gone.wait()
-            await asyncio.sleep(GATHER_SECONDS)
-        except TimeoutError:
-            self._metrics.count("targets.broke_and_live")
-            return
-        finally:
-            del self._suspicions[incarnation]
-        report = CrashReport(incarnation, tuple(suspicion.digests))
-        if not report.digests:
-            return
-        self._metrics.count("targets.ended_under_requests")
-        self._decisions.note_belief(
-            "target-ended",
-            target=str(incarnation),
-            service=target.service,
-            address=target.address,
-            origin=origin,
-            digests=report.digests[:MAX_SHOWN],
-        )
+    def publish(self, report: CrashReport) -> None:
+        """Take in what this instance found, and tell the others."""
         self._note((report,))
         self._found.append(report)
         self._wake.set()
@@ -346,12 +253,6 @@
                 return
             del self._kept[key]
 
-    async def on_stop(self) -> None:
-        """Give up what is not confirmed yet."""
-        for task in tuple(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-
     def dump(self) -> dict[str, Any]:
         now = self._clock.now()
         holds = {one: self._quarantine.find_hold(one, now) for one in self._held}
@@ -361,5 +262,4 @@
             "held_count": len(held),
             "values_known": len(self._kept),
             "values_unwritten": len(self._unwritten),
-            "suspected": [str(one) for one in tuple(self._suspicions)[:MAX_SHOWN]],
         }
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/piece_suspects.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/piece_suspects.py
@@ -13,7 +13,7 @@
     from greengagelatch.relay.quarantine import Quarantine
     from greengagelatch.relay.targets import ListedTarget
 
-    from .crashes import CrashWatch
+    from .crash_watch import CrashWatch
 
 __all__ = ("NoSuspects", "PieceSuspects", "WatchedPieces")
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/sending.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/sending.py
@@ -19,7 +19,7 @@
     from greengagelatch.relay.targets import ListedTarget, TargetBook
 
     from .codecs import TargetCodec
-    from .crashes import CrashWatch
+    from .crash_watch import CrashWatch
     from .decisions import DecisionLog
     from .exchange import RelayExchange
     from .links import TargetLinks, TargetReply
--- a/tests/test_entry/test_relay/test_crashes.py
+++ b/tests/test_entry/test_relay/test_crashes.py
@@ -28,10 +28,14 @@
     return world.describe()["crashes"]
 
 
+def list_suspected(world) -> list[str]:
+    return world.describe()["crash-watch"]["suspected"]
+
+
 async def test_targets_that_lose_answers_and_live_are_not_blamed(world):
     """Guards against a sound request that is held for answers which got lost."""
     await lose_answers(world)
-    await world.wait_for(lambda: len(describe(world)["suspected"]) == 4)
+    await world.wait_for(lambda: len(list_suspected(world)) == 4)
     assert (await world.ask(LOST)).status == 200
     assert describe(world)["held_count"] == 0
 
@@ -43,7 +47,7 @@
     await world.wait_for(lambda: not world.accepts("desk-2"))
     target.fault = TargetFault.LOSE_ANSWER
     await world.ask(LOST)
-    assert describe(world)["suspected"] == ["desk-1@1700000000000"]
+    assert list_suspected(world) == ["desk-1@1700000000000"]
     target.register(world.store, state="draining")
     await world.wait_for(lambda: not world.accepts("desk-1"))
     world.store.remove("servers/desk-1")
@@ -57,7 +61,7 @@
     target.fault = TargetFault.LOSE_ANSWER
     world.targets["desk-2"].fault = TargetFault.LOSE_ANSWER
     await world.ask(LOST)
-    await world.wait_for(lambda: len(describe(world)["suspected"]) == 2)
+    await world.wait_for(lambda: len(list_suspected(world)) == 2)
     await target.restart(world.store)
     await world.wait_for(lambda: world.count("targets.ended_under_requests") == 1)
 
