Tell peers each report on ended targets once, and write no value that can't be read

Read in the code, both with a test that failed: while the store took nothing only the first of several reports was told to peers, and again each second; more ends at once than one value may hold, as when a data centre is lost, were written as one that nobody reads.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/crashes.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/crashes.py
@@ -11,7 +11,11 @@
 from mode import Service
 from result import Err
 
-from greengagelatch.relay.crash_reports import decode_reports, encode_reports
+from greengagelatch.relay.crash_reports import (
+    MAX_REPORTS,
+    decode_reports,
+    encode_reports,
+)
 from greengagelatch.relay.messages import CrashesSeen
 from greengagelatch.relay.quarantine import HOLD_SECONDS, CrashReport
 from greengagelatch.store import ABSENT, WriteOutcome
@@ -92,6 +96,8 @@
         #: values to be written, by their keys
         self._unwritten: deque[tuple[str, bytes]] = deque(maxlen=MAX_UNWRITTEN)
         self._written = 0
+        #: keys of those that peers have been told
+        self._told: set[str] = set()
         self._lease_id = ""
         self._lease_granted = float("-inf")
         self._kept: OrderedDict[str, _Kept] = OrderedDict()
@@ -145,7 +151,7 @@
         while not self.should_stop:
             await self._wake.wait()
             self._wake.clear()
-            if self._found:
+            while self._found:
                 self._enqueue()
             while self._unwritten:
                 if await self._write(*self._unwritten[0]):
@@ -160,11 +166,11 @@
 
     def _enqueue(self) -> None:
         """Put what was found in line, as one value."""
-        found, self._found = self._found, []
+        found = tuple(self._found[:MAX_REPORTS])
+        del self._found[:MAX_REPORTS]
         self._written += 1
         key = f"{PREFIX}{self._instance_id}/{self._written}"
-        value = encode_reports(tuple(found))
-        self._unwritten.append((key, value))
+        self._unwritten.append((key, encode_reports(found)))
 
     async def _write(self, key: str, value: bytes) -> bool:
         lease_id = await self._find_lease()
@@ -175,10 +181,18 @@
                 return True
         self._lease_id = ""
         self._metrics.count("crashes.unwritten")
-        seen = CrashesSeen(((key, value),))
+        self._tell_peers()
+        return False
+
+    def _tell_peers(self) -> None:
+        """Tell the peers beside this instance what the store does not take."""
+        untold = [row for row in self._unwritten if row[0] not in self._told]
+        if not untold:
+            return
+        seen = CrashesSeen(tuple(untold))
         for peer in self._peers.neighbours():
             self._peers.send(peer, seen)
-        return False
+        self._told = {key for key, _ in self._unwritten}
 
     async def _find_lease(self) -> str:
         """Return the lease that reports are kept under; empty if there is none."""
--- a/packages/greengagelatch/src/greengagelatch/relay/crash_reports.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/crash_reports.py
@@ -7,7 +7,7 @@
 from .incarnations import Incarnation
 from .quarantine import CrashReport
 
-__all__ = ("MAX_DIGESTS", "decode_reports", "encode_reports")
+__all__ = ("MAX_DIGESTS", "MAX_REPORTS", "decode_reports", "encode_reports")
 
 #: requests of one report; an instance has few more on one target
 MAX_DIGESTS = 128
--- a/tests/test_entry/test_relay/test_crashes.py
+++ b/tests/test_entry/test_relay/test_crashes.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
-from greengagelatch.relay.crash_reports import encode_reports
+from greengagelatch.relay.crash_reports import decode_reports, encode_reports
 from greengagelatch.relay.incarnations import Incarnation
+from greengagelatch.relay.messages import CrashesSeen
 from greengagelatch.relay.quarantine import CrashReport
 from greengagelatch_entry.relay.crashes import MAX_TOLD, PREFIX
+from greengagelatch_lab.platform_standins.store import StoreFault
 from greengagelatch_lab.platform_standins.targets import TargetFault
 
 LOST = "/look/lost"
@@ -95,3 +97,44 @@
     assert crashes.list_newer(crashes.revision) == ()
     crashes.take_news([("other", "row"), None, ("k", -1, b"[]")])
     assert crashes.revision >= revisions[-1]
+
+
+class RecordingPeers:
+    """Takes what is sent to the peers beside an instance."""
+
+    def __init__(self) -> None:
+        self.sent: list[CrashesSeen] = []
+
+    def neighbours(self) -> tuple[str, ...]:
+        return ("e-2",)
+
+    def send(self, instance_id: str, message: CrashesSeen) -> bool:
+        self.sent.append(message)
+        return True
+
+    def list_keys(self) -> list[str]:
+        return [key for message in self.sent for key, _ in message.rows]
+
+
+async def test_each_report_is_told_once_while_the_store_takes_none(world):
+    """Guards against peers that hear of the first report only, or of one for ever."""
+    crashes = world.find("crashes")
+    peers = crashes._peers = RecordingPeers()
+    world.store.fault = StoreFault.BUSY
+    for number in (1, 2, 3):
+        crashes.publish(CrashReport(Incarnation(f"t{number}"), ("aa",)))
+        await world.wait_for(lambda count=number: len(peers.list_keys()) == count)
+    await world.wait_for(lambda: world.count("crashes.unwritten") >= 5)
+    assert len(set(peers.list_keys())) == len(peers.list_keys()) == 3
+    world.store.fault = StoreFault.NONE
+    await world.wait_for(lambda: len(world.store.find(PREFIX)) == 3)
+
+
+async def test_many_ends_at_once_are_written_in_values_that_can_be_read(world):
+    """Guards against a loss of a data centre whose reports nobody can read."""
+    crashes = world.find("crashes")
+    for number in range(600):
+        crashes.publish(CrashReport(Incarnation(f"t{number}"), ("aa",)))
+    await world.wait_for(lambda: len(world.store.find(PREFIX)) == 3)
+    values = world.store.find(PREFIX).values()
+    assert sum(len(decode_reports(value)) for value in values) == 600
