Hold no request for ends of targets most of which it had no part in

Three ends say little where targets of the service end all the time. Where more of them ended without a request than with it, from its first end to its last and those left out that another request explains better, six are needed: a sound one meets four at the most.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/crash_watch.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/crash_watch.py
@@ -124,7 +124,7 @@
             return
         finally:
             del self._suspicions[incarnation]
-        report = CrashReport(incarnation, tuple(suspicion.digests))
+        report = CrashReport(incarnation, target.service, tuple(suspicion.digests))
         if not report.digests:
             return
         self._metrics.count("targets.ended_under_requests")
--- a/packages/greengagelatch/src/greengagelatch/relay/crash_reports.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/crash_reports.py
@@ -21,6 +21,7 @@
         {
             "target": one.target.target_id,
             "born": one.target.born,
+            "service": one.service,
             "requests": one.digests,
         }
         for one in reports
@@ -43,6 +44,9 @@
     if not isinstance(row, dict):
         raise ValueError(f"a report is a {type(row).__name__}")
     target, born, digests = row.get("target"), row.get("born"), row.get("requests")
+    service = row.get("service")
+    if not isinstance(service, str):
+        raise ValueError(f"service: {str(service)[:64]!r}")
     if not isinstance(target, str) or not target:
         raise ValueError(f"target: {str(target)[:64]!r}")
     if not isinstance(born, int) or isinstance(born, bool) or born < 0:
@@ -50,4 +54,4 @@
     sound = isinstance(digests, list) and len(digests) <= MAX_DIGESTS
     if not sound or not all(isinstance(one, str) for one in digests):
         raise ValueError(f"requests: {str(digests)[:64]!r}")
-    return CrashReport(Incarnation(target, born), tuple(digests))
+    return CrashReport(Incarnation(target, born), service, tuple(digests))
--- a/packages/greengagelatch/src/greengagelatch/relay/quarantine.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/quarantine.py
@@ -16,6 +16,8 @@
 #: the same where another request was on all of these: as many as a sound one meets in
 #: two attempts of its caller, each sent to two targets, and one more
 MAX_ENDED_TIED = 5
+#: targets that may end under a request whatever else ends meanwhile
+MOST_ENDED = 6
 #: seconds for which a target's end counts against the requests that were on it
 HOLD_SECONDS = 600.0
 #: seconds for which a request that was answered is taken to be sound: one that many
@@ -32,6 +34,7 @@
     """A target that ended, and the requests on it that one instance had sent."""
 
     target: Incarnation
+    service: str
     #: digests of those that it had not answered and not been running for long
     digests: tuple[str, ...]
 
@@ -41,17 +44,20 @@
 
     Whatever was on a target when it ended is suspected, most of it wrongly. A request
     is not blamed for the end of a target on which there was another one that more
-    targets ended under, nor if it was answered lately. Where two can't be told apart,
-    more targets have to end, so that chance does not decide about a sound one.
+    targets ended under, nor if it was answered lately. More targets have to end, so
+    that chance does not decide about a sound one, where two requests can't be told
+    apart, and where most targets of the service that end meanwhile do so without it.
 
-    Answers depend only on the reports, not on their order, so that instances which
-    know the same reports agree.
+    Answers depend on the reports and on when they came, not on their order, so that
+    instances which know the same reports agree.
     """
 
     def __init__(self) -> None:
         #: targets that ended under a request, and when that was learnt
         self._ended: dict[str, dict[Incarnation, float]] = {}
         self._suspects: dict[Incarnation, set[str]] = {}
+        #: service and time of each end
+        self._ends: dict[Incarnation, tuple[str, float]] = {}
         #: every end under a request in the order in which they were learnt
         self._order: deque[tuple[float, Incarnation, str]] = deque()
         self._sound: OrderedDict[str, float] = OrderedDict()
@@ -65,6 +71,7 @@
                 continue
             targets[report.target] = now
             self._suspects.setdefault(report.target, set()).add(digest)
+            self._ends.setdefault(report.target, (report.service, now))
             self._order.append((now, report.target, digest))
 
     def note_survived(self, digest: str, now: float) -> None:
@@ -90,7 +97,7 @@
             return None
         self._drop_old(now)
         blamed = self._find_blamed(digest)
-        limit = MAX_ENDED_TIED if self._is_tied(digest, blamed) else MAX_ENDED
+        limit = self._find_limit(digest, blamed)
         if len(blamed) < limit or self.is_sound(digest, now):
             return None
         # held until so many of these have lapsed that fewer than the limit are left
@@ -105,16 +112,38 @@
         """Return the targets that ended with a request on them."""
         return tuple(self._ended.get(digest, ()))
 
+    def _find_limit(self, digest: str, blamed: set[Incarnation]) -> int:
+        """Return how many ends a request must be blamed for to be held."""
+        if self._count_others(digest, blamed) > len(blamed):
+            return MOST_ENDED
+        return MAX_ENDED_TIED if self._is_tied(digest, blamed) else MAX_ENDED
+
+    def _count_others(self, digest: str, blamed: set[Incarnation]) -> int:
+        """Return how many targets ended without a request, from its first end on.
+
+        Those are left out that another request explains better.
+        """
+        if not blamed:
+            return 0
+        services = {self._ends[target][0] for target in blamed}
+        first = min(self._ends[target][1] for target in blamed)
+        last = max(self._ends[target][1] for target in blamed)
+        return sum(
+            digest not in self._suspects[target]
+            and not self._is_explained(target, len(blamed))
+            for target, (service, moment) in self._ends.items()
+            if service in services and first <= moment <= last
+        )
+
+    def _is_explained(self, target: Incarnation, ends: int) -> bool:
+        """Whether a request was on a target that more than ``ends`` ended under."""
+        return any(len(self._ended[one]) > ends for one in self._suspects[target])
+
     def _find_blamed(self, digest: str) -> set[Incarnation]:
         """Return the targets whose end nothing else on them explains better."""
         targets = self._ended.get(digest, {})
         return {
-            target
-            for target in targets
-            if not any(
-                len(self._ended[other]) > len(targets)
-                for other in self._suspects[target]
-            )
+            target for target in targets if not self._is_explained(target, len(targets))
         }
 
     def _is_tied(self, digest: str, blamed: set[Incarnation]) -> bool:
@@ -143,3 +172,4 @@
         suspects.discard(digest)
         if not suspects:
             del self._suspects[target]
+            del self._ends[target]
