--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_link.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_link.py
@@ -29,6 +29,11 @@
 #: bytes of both that may wait
 MAX_QUEUED_BYTES = 4 * 1024 * 1024
 
+#: seconds after its last use for which a link counts as in use: longer than most
+#: questions wait
+USE_LIFE = 2.0
+
+
 #: reason with which a link is closed once nothing is under way on it: its sender's
 #: word that it has answered all it took up, and takes up nothing more
 ALL_ANSWERED = "all answered"
@@ -85,14 +90,15 @@
         self.opened = asyncio.get_running_loop().time()
         #: seconds of the loop's clock at which a message other than probes passed
         self.last_used = self.opened
+        #: the same, of the first one after a rest
+        self.used_since = self.opened
         #: seconds of the loop's clock at which a frame was last handed over
         self.last_sent = self.opened
         self.dropped = 0
         #: not used for anything new
         self.retired = False
-        #: own questions on it that wait for their answers, and since when any has
+        #: own questions on it that wait for their answers
         self.questions = 0
-        self.asking_since = self.opened
         #: messages of the peer that are being handled
         self.calls = 0
         #: dropped because not a byte came
@@ -133,26 +139,23 @@
 
     def note_use(self) -> None:
         """Take in that a message other than probes passes."""
-        self.last_used = asyncio.get_running_loop().time()
-
-    def begin_question(self) -> None:
-        """Count a question that waits for its answer from now on."""
-        if not self.questions:
-            self.asking_since = asyncio.get_running_loop().time()
-        self.questions += 1
+        now = asyncio.get_running_loop().time()
+        if not self.is_used(now):
+            self.used_since = now
+        self.last_used = now
 
-    def end_question(self) -> None:
-        """Count a question out."""
-        self.questions -= 1
+    def is_used(self, now: float) -> bool:
+        """Whether messages other than probes passed of late."""
+        return now - self.last_used < USE_LIFE
 
     def find_silence(self, now: float) -> float:
         """Return the seconds without a byte.
 
-        Those before a question don't count once it waits: heartbeats were rare.
+        Those of a rest don't count once the link is used: heartbeats were rare.
         """
         heard = self.last_received
-        if self.questions:
-            heard = max(heard, self.asking_since)
+        if self.is_used(now):
+            heard = max(heard, self.used_since)
         return now - heard
 
     def send_heartbeat(self, now: float, interval: float) -> None:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_links.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_links.py
@@ -199,18 +199,14 @@
     def tend(self, kept: frozenset[str]) -> None:
         """Drop silent links, and idle ones to peers that are not in ``kept``.
 
-        An end that owes an answer has frequent heartbeats, and one that waits for an
-        answer a short patience; all other heartbeats are rare. Frequent ones on every
-        link would be most of what instances of a large fleet send each other.
+        Links at rest have rare heartbeats: with one in each direction every 0.3 s,
+        an instance with eight links spent two thirds of its idle time on them.
         """
         now = asyncio.get_running_loop().time()
         for link in self.list_links():
-            rest = self._limits.rest_factor
-            link.send_heartbeat(
-                now, self._limits.heartbeat * (1 if link.calls else rest)
-            )
-            patience = self._limits.silence * (1 if link.questions else rest)
-            if link.find_silence(now) > patience:
+            factor = 1.0 if link.is_used(now) else self._limits.rest_factor
+            link.send_heartbeat(now, self._limits.heartbeat * factor)
+            if link.find_silence(now) > self._limits.silence * factor:
                 # An open connection that something on the way has lost track of
                 # stays silent for good while new ones work. It would swallow
                 # questions until they time out; dropped, it is replaced by a dial.
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_questions.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_questions.py
@@ -57,7 +57,7 @@
             return Err(PeerError(PeerErrorKind.NOT_SENT, "too much waits to be sent"))
         answer: asyncio.Future[Message] = asyncio.get_running_loop().create_future()
         self._open[number] = _Question(link, outgoing, answer)
-        link.begin_question()
+        link.questions += 1
         try:
             async with asyncio.timeout_at(deadline):
                 reply = await answer
@@ -71,7 +71,7 @@
                 return Err(_explain(outgoing, "the link went silent"))
             return Err(_explain(outgoing, "the link closed", cut=True))
         finally:
-            link.end_question()
+            link.questions -= 1
             outgoing.cancelled = True
             del self._open[number]
         return _read_reply(reply)
--- a/packages/greengagelatch/src/greengagelatch/settings/table.py
+++ b/packages/greengagelatch/src/greengagelatch/settings/table.py
@@ -163,8 +163,8 @@
         default=1.0,
         minimum=1,
         maximum=100,
-        meaning="How many times longer `peers.heartbeat` is for an end that owes no"
-        " answer, and `peers.silence` for one that waits for none.",
+        meaning="How many times longer `peers.heartbeat` and `peers.silence` are on a"
+        " link that has carried nothing but probes for two seconds.",
     ),
     Setting(
         name="peers.open_timeout",
