Keep a hold that stands, and count ends whose requests were answered since

Read in the code, each with a test that failed: a held request was released as other targets ended within ten seconds, as at a power loss, and could end more; and an end was forgotten as soon as all that had been on the target was answered, so that in a storm of ends the last one left stood out alone.

--- a/packages/greengagelatch/src/greengagelatch/relay/quarantine.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/quarantine.py
@@ -60,8 +60,11 @@
         #: targets that ended under a request, and when that was learnt
         self._ended: dict[str, dict[Incarnation, float]] = {}
         self._suspects: dict[Incarnation, set[str]] = {}
-        #: service and time of each end
-        self._ends: dict[Incarnation, tuple[str, float]] = {}
+        #: service and time of each end, those learnt first in front
+        self._ends: OrderedDict[Incarnation, tuple[str, float]] = OrderedDict()
+        #: limit by which each request is held: what ends by itself later on does not
+        #: speak for it any more
+        self._limits: dict[str, int] = {}
         #: every end under a request in the order in which they were learnt
         self._order: deque[tuple[float, Incarnation, str]] = deque()
         self._sound: OrderedDict[str, float] = OrderedDict()
@@ -84,6 +87,7 @@
         self._sound[digest] = now
         if len(self._sound) > MAX_SOUND:
             self._sound.popitem(last=False)
+        self._limits.pop(digest, None)
         for target in self._ended.pop(digest, {}):
             self._forget_suspect(target, digest)
 
@@ -101,9 +105,11 @@
             return None
         self._drop_old(now)
         blamed = self._find_blamed(digest)
-        limit = self._find_limit(digest, blamed)
+        limit = self._limits.get(digest) or self._find_limit(digest, blamed)
         if len(blamed) < limit or self.is_sound(digest, now):
+            self._limits.pop(digest, None)
             return None
+        self._limits[digest] = limit
         # held until so many of these have lapsed that fewer than the limit are left
         learnt = sorted(targets[target] for target in blamed)
         return learnt[-limit] + HOLD_SECONDS - now
@@ -130,7 +136,7 @@
         return any(
             len(self._ended[one]) >= MAX_ENDED
             and self._stands_out(one, set(self._ended[one]))
-            for one in self._suspects[target]
+            for one in self._suspects.get(target, ())
         )
 
     def _stands_out(self, digest: str, blamed: set[Incarnation]) -> bool:
@@ -139,8 +145,9 @@
 
     def _list_others(self, digest: str, blamed: set[Incarnation]) -> list[Incarnation]:
         """Return the targets that ended without a request about the same time."""
-        services = {self._ends[target][0] for target in blamed}
-        moments = [self._ends[target][1] for target in blamed]
+        known = [self._ends[target] for target in blamed if target in self._ends]
+        services = {service for service, _ in known}
+        moments = [moment for _, moment in known]
         first = min(moments, default=0.0) - AROUND_SECONDS
         last = max(moments, default=0.0) + AROUND_SECONDS
         return [
@@ -148,7 +155,7 @@
             for target, (service, moment) in self._ends.items()
             if service in services
             and first <= moment <= last
-            and digest not in self._suspects[target]
+            and digest not in self._suspects.get(target, ())
         ]
 
     def _is_explained(self, target: Incarnation, ends: int) -> bool:
@@ -170,6 +177,12 @@
         return len(shared - {digest}) > 0
 
     def _drop_old(self, now: float) -> None:
+        horizon = now - HOLD_SECONDS
+        while self._ends:
+            target, (_, moment) = next(iter(self._ends.items()))
+            if moment > horizon and len(self._ends) <= MAX_ENDS:
+                break
+            del self._ends[target]
         while self._order:
             learnt, target, digest = self._order[0]
             if now - learnt < HOLD_SECONDS and len(self._order) <= MAX_ENDS:
@@ -181,6 +194,7 @@
             del targets[target]
             if not targets:
                 del self._ended[digest]
+                self._limits.pop(digest, None)
             self._forget_suspect(target, digest)
 
     def _forget_suspect(self, target: Incarnation, digest: str) -> None:
@@ -188,4 +202,3 @@
         suspects.discard(digest)
         if not suspects:
             del self._suspects[target]
-            del self._ends[target]
--- a/tests/test_core/test_relay/test_quarantine.py
+++ b/tests/test_core/test_relay/test_quarantine.py
@@ -111,6 +111,25 @@
         assert holds(quarantine, "bad", number) == (number == 5)
 
 
+def test_held_request_is_not_released_by_targets_that_end_by_themselves():
+    """Guards against one that goes on as soon as a data centre loses power."""
+    quarantine = create(report("t1", "bad"), report("t2", "bad"), report("t3", "bad"))
+    assert holds(quarantine, "bad")
+    for number in range(20):
+        quarantine.note_crash(report(f"u{number}", f"a{number}"), 1.0)
+    assert holds(quarantine, "bad", 1.0)
+
+
+def test_ends_count_though_what_was_on_them_is_answered_since():
+    """Guards against a sound request that alone is left of those on ended targets."""
+    quarantine = Quarantine()
+    for number in range(3):
+        quarantine.note_crash(report(f"t{number}", "a"), number)
+        quarantine.note_crash(report(f"u{number}", f"b{number}"), number)
+        quarantine.note_survived(f"b{number}", number)
+    assert not holds(quarantine, "a", 3)
+
+
 def test_two_that_end_targets_at_the_same_time_are_both_held():
     """Guards against one that hides behind the ends of another that is held."""
     quarantine = Quarantine()
@@ -159,6 +178,7 @@
         quarantine.note_crash(report(f"t{number}", f"d{number % 7}", "x"), 0.0)
     assert len(quarantine._order) <= 16_386
     assert sum(map(len, quarantine._ended.values())) <= 16_386
+    assert len(quarantine._ends) <= 16_386
 
 
 REPORTS = st.lists(
