--- a/packages/greengagelatch/src/greengagelatch/relay/quarantine.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/quarantine.py
@@ -14,10 +14,10 @@
 #: targets that may end under a request before it is kept from all others
 MAX_ENDED = 3
 #: the same where another request was on all of these: as many as a sound one meets in
-#: two attempts of its caller, each sent to two targets, and one more
-MAX_ENDED_TIED = 5
-#: targets that may end under a request whatever else ends meanwhile
-MOST_ENDED = 6
+#: two attempts of its caller, each sent to two targets, so that it loses none by it
+MAX_ENDED_TIED = 4
+#: the same where targets end by themselves: one more than a sound one meets so
+MOST_ENDED = 5
 #: seconds around the ends under a request in which other ends of the service speak for
 #: it
 AROUND_SECONDS = 10.0
--- a/tests/test_core/test_relay/test_quarantine.py
+++ b/tests/test_core/test_relay/test_quarantine.py
@@ -69,9 +69,9 @@
     assert not holds(quarantine, "a")
 
 
-def test_both_are_held_once_five_targets_have_ended_under_both():
+def test_both_are_held_once_four_targets_have_ended_under_both():
     """Guards against two such requests that hide behind each other."""
-    ends = [report(f"t{number}", "bad", "worse") for number in range(5)]
+    ends = [report(f"t{number}", "bad", "worse") for number in range(4)]
     quarantine = create(*ends)
     assert holds(quarantine, "bad")
     assert holds(quarantine, "worse")
@@ -104,11 +104,11 @@
 def test_request_that_ends_targets_while_others_end_by_themselves():
     """Guards against one that hides among other ends for good."""
     quarantine = Quarantine()
-    for number in range(6):
+    for number in range(5):
         for copy in range(3):
             quarantine.note_crash(report(f"t{number}-{copy}", f"a{number}"), number)
         quarantine.note_crash(report(f"u{number}", "bad"), number)
-        assert holds(quarantine, "bad", number) == (number == 5)
+        assert holds(quarantine, "bad", number) == (number == 4)
 
 
 def test_held_request_is_not_released_by_targets_that_end_by_themselves():
