--- a/packages/greengagelatch/src/greengagelatch/relay/quarantine.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/quarantine.py
@@ -13,11 +13,9 @@
 
 #: targets that may end under a request before it is kept from all others
 MAX_ENDED = 3
-#: the same where another request was on all of these: as many as a sound one meets in
-#: two attempts of its caller, each sent to two targets, so that it loses none by it
-MAX_ENDED_TIED = 4
-#: the same where targets end by themselves: one more than a sound one meets so
-MOST_ENDED = 5
+#: the same where another request was on all of these, or targets end by themselves:
+#: one more than a sound request meets in two attempts of two sends each
+MAX_ENDED_DOUBTED = 5
 #: seconds around the ends under a request in which other ends of the service speak for
 #: it
 AROUND_SECONDS = 10.0
@@ -128,8 +126,8 @@
             others = self._list_others(digest, blamed)
             left = [one for one in others if not self._has_standing_out(one)]
             if len(left) >= len(blamed):
-                return MOST_ENDED
-        return MAX_ENDED_TIED if self._is_tied(digest, blamed) else MAX_ENDED
+                return MAX_ENDED_DOUBTED
+        return MAX_ENDED_DOUBTED if self._is_tied(digest, blamed) else MAX_ENDED
 
     def _has_standing_out(self, target: Incarnation) -> bool:
         """Whether a request was on a target that ends of targets stand out for."""
