Ask for suspected pieces only where any target has ended with a request on it

Each call of a maker looked every waiting bundle up twice; an owner in a large fleet has a thousand of them in a burst. No change of what is decided.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/piece_suspects.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/piece_suspects.py
@@ -32,6 +32,10 @@
     def note_made(self, maker: ListedTarget, bundles: Iterable[Bundle]) -> None:
         """Take in that a maker answered a call with pieces of these."""
 
+    @abstractmethod
+    def has_any(self) -> bool:
+        """Whether any bundle may be suspected: asked for each call of a maker."""
+
     @abstractmethod
     def is_suspect(self, bundle: Bundle) -> bool:
         """Whether a bundle must not share calls with others."""
@@ -50,6 +54,9 @@
     def note_made(self, maker: ListedTarget, bundles: Iterable[Bundle]) -> None:
         pass
 
+    def has_any(self) -> bool:
+        return False
+
     def is_suspect(self, bundle: Bundle) -> bool:
         return False
 
@@ -80,6 +87,9 @@
             if self._quarantine.count_ended(subject):
                 self._crashes.note_survived(maker, subject)
 
+    def has_any(self) -> bool:
+        return self._quarantine.has_ends()
+
     def is_suspect(self, bundle: Bundle) -> bool:
         return self._quarantine.count_ended(_name(bundle)) >= MAX_ENDED_SHARED
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
@@ -224,15 +224,17 @@
         Left in shared calls, it would end them all, and nothing would tell it from
         those beside it.
         """
-        self._drop_held()
         views = [maker.view(now) for maker in makers]
+        if not self._suspects.has_any():
+            return self._policy.plan(self._queue.list_ready(), views, profile, now)
+        self._drop_held()
         ready = self._queue.list_ready()
         suspected = [row for row in ready if self._suspects.is_suspect(row[0])]
         for row in suspected:
             calls = self._policy.plan([row], views, profile, now)
             if calls:
                 return calls
-        shared = [row for row in ready if row not in suspected] if suspected else ready
+        shared = [row for row in ready if not self._suspects.is_suspect(row[0])]
         return self._policy.plan(shared, views, profile, now)
 
     def _list_makers(self, profile: MakerProfile) -> list[Maker]:
--- a/packages/greengagelatch/src/greengagelatch/relay/quarantine.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/quarantine.py
@@ -112,6 +112,10 @@
         learnt = sorted(targets[target] for target in blamed)
         return learnt[-limit] + HOLD_SECONDS - now
 
+    def has_ends(self) -> bool:
+        """Whether any target ended with a request on it."""
+        return bool(self._ended)
+
     def count_ended(self, digest: str) -> int:
         """Return how many targets ended with a request on them."""
         return len(self._ended.get(digest, ()))
--- a/tests/test_entry/test_relay/test_stage_pool.py
+++ b/tests/test_entry/test_relay/test_stage_pool.py
@@ -56,6 +56,9 @@
         self.suspected: set[str] = set()
         self.held: set[str] = set()
 
+    def has_any(self) -> bool:
+        return bool(self.suspected or self.held)
+
     def is_suspect(self, bundle: Bundle) -> bool:
         return bundle.request_id in self.suspected
 
