Charge a request that met another target than was meant to the budget of repeats

One request reached four engines that were not the one it was meant for.

Cause: an engine is back at its address under another id before the listing tells of it, and turns such requests away. That was taken for a send that reached nobody: free, and up to four in a row. It has arrived, though, and the next send is a repeat. The same for calls of stage pieces.

Both tests failed before: 80 arrivals of 20 requests where 29.8 are allowed; calls that met another maker ended as unsent. The test that took such a send for free now asks for the charge, which is stricter.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/maker_calls.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/maker_calls.py
@@ -135,8 +135,9 @@
     ) -> CallEnd:
         now = self._clock.now()
         if head.misdirected:
+            # whoever has the address now has had the call: the next one is a repeat
             maker.note_failure(now)
-            return CallEnd(UNSENT)
+            return CallEnd(REJECTED)
         if head.not_run:
             maker.note_rejection(now)
             return CallEnd(REJECTED)
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/targets.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/targets.py
@@ -81,6 +81,8 @@
     #: handles of the results that it holds
     made: set[str] = field(default_factory=set)
     connections: int = 0
+    #: requests and calls that were meant for another target
+    misdirected: int = 0
     #: what it waits for before it answers, also calls for pieces
     gate: asyncio.Event | None = None
     #: running, waiting and slots as it tells them, with commas; empty: it does not
@@ -171,6 +173,7 @@
         """Answer one request; whether the connection stays."""
         expected = request.headers.get("x-expected-replica")
         if expected not in (None, self.target_id):
+            self.misdirected += 1
             _write(writer, 421, {"X-Replica-Id": self.target_id}, b"")
             return True
         if request.target == "/v1/stage-run":
--- a/packages/greengagelatch/src/greengagelatch/relay/outcomes.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/outcomes.py
@@ -75,7 +75,11 @@
     if facts.remaining <= facts.least:
         return NextStep.GIVE_UP
     if facts.outcome in (SendOutcome.UNSENT, SendOutcome.MISDIRECTED):
-        return NextStep.SEND if facts.unsent < MAX_UNSENT else NextStep.GIVE_UP
+        if facts.unsent >= MAX_UNSENT:
+            return NextStep.GIVE_UP
+        # another target than the one that was meant has had it, and turned it away
+        misdirected = facts.outcome is SendOutcome.MISDIRECTED
+        return NextStep.REPEAT if misdirected else NextStep.SEND
     if not facts.repeatable and not facts.outcome.proves_not_run:
         return NextStep.GIVE_UP
     if facts.arrivals >= facts.max_attempts:
