--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/sending.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/sending.py
@@ -179,7 +179,7 @@
         if not outcome.proves_not_run:
             exchange.raise_verdict(Verdict.MAY_HAVE_RUN)
         now = self._clock.now()
-        if blamed and outcome in (SendOutcome.UNSENT, SendOutcome.LOST):
+        if blamed and outcome is not SendOutcome.REJECTED:
             self._fleet.note_failure(target.incarnation, now)
             # what is kept open to it may be as dead as this one
             self._links.drop(target.incarnation)
