Send an undecided request to one target at a time

What callers saw: a request that crashes its targets reached up to nine more after all instances knew of its third crash, each a target that had just started, with the harmless requests on it.

Cause: below the limit of five crashes nothing bounded how many attempts were on targets at once. After four crashes in half a second no target is left and nothing is learned; as the targets are back at about the same moment, each attempt of the next half second is sent, until the fifth crash is known.

Ruled out: the limit. A wait after each crash does not help either: the attempts come after it.

Now a request with three or more crashes that is not quarantined is sent again only once the outcome of its last send is known, or after a second. Others of its attempts wait for that within their instance, and are then refused as not run, with the time to come back. The filter, the log and pieces of stages ask for the decision without counting as a send.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/bundle_quarantine.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/bundle_quarantine.py
@@ -95,9 +95,7 @@
 
     def is_quarantined(self, bundle: Bundle) -> bool:
         key = _build_key(bundle)
-        return (
-            self._quarantine.find_quarantine_seconds(key, self._clock.now()) is not None
-        )
+        return self._quarantine.find_hold_seconds(key, self._clock.now()) is not None
 
 
 def _list_keys(bundles: Iterable[Bundle]) -> set[str]:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -56,6 +56,7 @@
 from .stages import StageRunner
 from .store_follower import StoreFollower
 from .streams import StreamRunner
+from .suspect_admission import SuspectAdmission
 from .target_connections import TargetConnectionPool
 from .target_sender import TargetSender
 from .unary import UnaryRunner
@@ -194,6 +195,11 @@
             metrics=self.metrics,
             decisions=self.decisions,
         )
+        self.suspects = SuspectAdmission(
+            quarantine=self.quarantine,
+            crash_detector=self.crash_detector,
+            clock=self.clock,
+        )
         self.follower = StoreFollower(
             store=self.store,
             subscribers=(
@@ -278,7 +284,7 @@
             ),
             "load_balancer": self.load_balancer,
             "budgets": self.retry_budgets,
-            "quarantine": self.quarantine,
+            "suspects": self.suspects,
             "clock": self.clock,
         }
         streams = StreamRunner(
@@ -304,7 +310,7 @@
                 find_table=lambda: self.configuration.table,
                 find_stop_deadline=find_stop_deadline,
             ),
-            QuarantineFilter(quarantine=self.quarantine, clock=self.clock),
+            QuarantineFilter(suspects=self.suspects),
             SplitFilter(random_source=self.random),
         )
         last = RunHandler(unary=UnaryRunner(**common), streams=streams)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/crash_detector.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/crash_detector.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
@@ -30,6 +31,8 @@
 #: seconds within which a target that ended is removed from the listing, or listed with
 #: a new start time: its entry expires after three missed heartbeats
 CONFIRM_SECONDS = 5.0
+#: seconds within which most crashes are confirmed: the target's port is closed then
+CHECK_SECONDS = 0.3
 #: maximum number of targets checked at the same time
 MAX_SUSPICIONS = 256
 #: maximum number of digests or targets in one log entry or in the state dump
@@ -43,6 +46,8 @@
     digests: dict[str, None] = field(default_factory=dict)
     #: set once the listing shows that the target has ended
     ended: asyncio.Event = field(default_factory=asyncio.Event)
+    #: set once the target has been checked and a crash has been reported
+    done: asyncio.Event = field(default_factory=asyncio.Event)
 
 
 class CrashDetector(Controller):
@@ -90,7 +95,7 @@
             if draining or len(self._suspicions) >= MAX_SUSPICIONS:
                 return
             suspicion = self._suspicions[incarnation] = _Suspicion()
-            task = asyncio.create_task(self._confirm(target, suspicion))
+            task = asyncio.create_task(self._check(target, suspicion))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
         if len(suspicion.digests) < MAX_DIGESTS:
@@ -103,6 +108,28 @@
         if suspicion is not None:
             suspicion.digests.pop(digest, None)
 
+    def is_checking(self, digest: str) -> bool:
+        """Return whether a target that broke off while it ran a request is checked."""
+        return any(digest in one.digests for one in self._suspicions.values())
+
+    async def wait_checked(self, digest: str) -> None:
+        """Wait for checks of targets that ran a request, :data:`CHECK_SECONDS` at most.
+
+        Requests that did not crash any target before don't wait.
+        """
+        if not self._quarantine.count_crashed(digest):
+            return
+        checked = [
+            one.done.wait()
+            for one in self._suspicions.values()
+            if digest in one.digests
+        ]
+        if not checked:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CHECK_SECONDS):
+                await asyncio.gather(*checked)
+
     def record_removal(self, incarnation: Incarnation) -> None:
         """Record that a target was removed from the listing, or started to drain."""
         suspicion = self._suspicions.get(incarnation)
@@ -111,27 +138,40 @@
         if suspicion is not None and not is_draining:
             suspicion.ended.set()
 
-    async def _confirm(self, target: ListedTarget, suspicion: _Suspicion) -> None:
-        incarnation = target.incarnation
+    async def _check(self, target: ListedTarget, suspicion: _Suspicion) -> None:
         try:
-            origin = "refused"
-            if not await self._connections.is_port_closed(target.address):
-                origin = "listing"
+            origin = await self._find_evidence(target, suspicion)
+            if not origin:
+                self._metrics.count("targets.broke_and_live")
+            elif suspicion.digests:
+                self._report(target, suspicion, origin)
+        finally:
+            del self._suspicions[target.incarnation]
+            suspicion.done.set()
+
+    async def _find_evidence(
+        self, target: ListedTarget, suspicion: _Suspicion
+    ) -> str | None:
+        """Return what shows that a target has crashed; ``None`` if nothing does."""
+        origin = "refused"
+        if not await self._connections.is_port_closed(target.address):
+            origin = "listing"
+            try:
                 async with asyncio.timeout(CONFIRM_SECONDS):
                     await suspicion.ended.wait()
-            await asyncio.sleep(COLLECT_SECONDS)
-        except TimeoutError:
-            self._metrics.count("targets.broke_and_live")
-            return
-        finally:
-            del self._suspicions[incarnation]
-        report = CrashReport(incarnation, target.service, tuple(suspicion.digests))
-        if not report.digests:
-            return
+            except TimeoutError:
+                return None
+        await asyncio.sleep(COLLECT_SECONDS)
+        return origin
+
+    def _report(self, target: ListedTarget, suspicion: _Suspicion, origin: str) -> None:
+        report = CrashReport(
+            target.incarnation, target.service, tuple(suspicion.digests)
+        )
         self._metrics.count("targets.ended_under_requests")
         self._decisions.log_state_change(
             "target-ended",
-            target=str(incarnation),
+            target=str(target.incarnation),
             service=target.service,
             address=target.address,
             origin=origin,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/crash_report_replicator.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/crash_report_replicator.py
@@ -125,7 +125,7 @@
         suspected = {digest for report in reports for digest in report.digests}
         for digest in sorted(suspected | self._quarantined_digests):
             self._update_quarantined(
-                digest, self._quarantine.find_quarantine_seconds(digest, now)
+                digest, self._quarantine.find_hold_seconds(digest, now)
             )
 
     def _update_quarantined(self, digest: str, seconds: float | None) -> None:
@@ -275,7 +275,7 @@
     def dump(self) -> dict[str, Any]:
         now = self._clock.now()
         holds = {
-            one: self._quarantine.find_quarantine_seconds(one, now)
+            one: self._quarantine.find_hold_seconds(one, now)
             for one in self._quarantined_digests
         }
         held = {one: round(left) for one, left in holds.items() if left is not None}
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/filters.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/filters.py
@@ -16,20 +16,20 @@
 from ..filters.stop import STOPPING_RETRY_MS
 from ..in_flight_requests import RequestAbortedError
 from .exchange import CallerDisconnectedError, RelayExchange
-from .refusals import create_error, create_quarantine_error, find_refusal_status
+from .refusals import create_error, find_refusal_status
 
 if TYPE_CHECKING:
     import random
 
     from greengagelatch.clock import Clock
     from greengagelatch.relay.deployment import RoutedWorkspace
-    from greengagelatch.relay.quarantine import Quarantine
     from greengagelatch.relay.routes import RouteTable
 
     from ..in_flight_requests import InFlightRequests
     from ..metrics import Metrics
     from .decisions import DecisionLog
     from .runners import Runner
+    from .suspect_admission import SuspectAdmission
 
 __all__ = (
     "ObserveFilter",
@@ -247,16 +247,11 @@
 class QuarantineFilter(RelayFilter):
     """Refuses quarantined requests, which are suspected of crashing targets."""
 
-    def __init__(self, *, quarantine: Quarantine, clock: Clock) -> None:
-        self._quarantine = quarantine
-        self._clock = clock
+    def __init__(self, *, suspects: SuspectAdmission) -> None:
+        self._suspects = suspects
 
     async def apply(self, exchange: RelayExchange, proceed: RelayHandler) -> None:
-        hold = self._quarantine.find_quarantine_seconds(
-            exchange.digest, self._clock.now()
-        )
-        if hold is not None:
-            raise create_quarantine_error(exchange, hold)
+        self._suspects.check(exchange)
         await proceed(exchange)
 
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/refusals.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/refusals.py
@@ -16,6 +16,7 @@
 __all__ = (
     "create_error",
     "create_quarantine_error",
+    "create_trial_error",
     "encode_refusal",
     "find_refusal_status",
 )
@@ -91,3 +92,19 @@
         field="digest",
         value=exchange.digest,
     )
+
+
+def create_trial_error(exchange: RelayExchange, seconds: float) -> RefusedError:
+    """Return the error that refuses a suspected request while another send of it runs.
+
+    :param seconds: time until its outcome is known at the latest
+    """
+    return create_error(
+        exchange,
+        RefusalCode.QUARANTINED,
+        "targets have crashed on this request; the outcome of another attempt is not"
+        " known yet",
+        retry_after=seconds,
+        field="digest",
+        value=exchange.digest,
+    )
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/runners.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/runners.py
@@ -13,16 +13,16 @@
     decide_next,
 )
 
-from .refusals import create_error, create_quarantine_error
+from .refusals import create_error
 
 if TYPE_CHECKING:
     from greengagelatch.clock import Clock
     from greengagelatch.relay.load_balancer import LoadBalancer
-    from greengagelatch.relay.quarantine import Quarantine
     from greengagelatch.relay.requests import RefusedError
 
     from .exchange import RelayExchange
     from .retry_budgets import RetryBudgets
+    from .suspect_admission import SuspectAdmission
     from .target_sender import FailedSend, TargetSender
 
 __all__ = ("Runner",)
@@ -47,13 +47,13 @@
         sender: TargetSender,
         load_balancer: LoadBalancer,
         budgets: RetryBudgets,
-        quarantine: Quarantine,
+        suspects: SuspectAdmission,
         clock: Clock,
     ) -> None:
-        self._quarantine = quarantine
         self.sender = sender
         self.load_balancer = load_balancer
         self.budgets = budgets
+        self.suspects = suspects
         self.clock = clock
 
     @abstractmethod
@@ -67,20 +67,6 @@
         """Return the seconds until the deadline."""
         return exchange.deadline - self.clock.now()
 
-    def check_quarantine(self, exchange: RelayExchange) -> None:
-        """Check again that the request of ``exchange`` is not in quarantine.
-
-        Targets may have crashed under other attempts of the same request while this
-        one waited for its stages, or under this one itself.
-
-        :raises RefusedError: if the request is held
-        """
-        seconds = self._quarantine.find_quarantine_seconds(
-            exchange.digest, self.clock.now()
-        )
-        if seconds is not None:
-            raise create_quarantine_error(exchange, seconds)
-
     def may_retry(self, exchange: RelayExchange, outcome: SendOutcome) -> bool:
         """Return whether to send again after ``outcome``; a retry is charged."""
         route = exchange.route
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -147,11 +147,11 @@
         while True:
             if self._run.is_lost(self._results):
                 await self._rerun_stages()
-            target = self._choose(excluded)
-            if target is None:
-                break
-            runner.check_quarantine(exchange)
-            last = await self._attempt(target)
+            async with runner.suspects.admit(exchange):
+                target = self._choose(excluded)
+                if target is None:
+                    break
+                last = await self._attempt(target)
             if last is None:
                 return
             lost = self._run.is_lost(self._results)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/unary.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/unary.py
@@ -51,13 +51,13 @@
         last: FailedSend | None = None
         error_response: _FullResponse | None = None
         while True:
-            target = self.load_balancer.choose_least_loaded(
-                exchange.service, excluded, self.clock.now()
-            )
-            if target is None:
-                break
-            self.check_quarantine(exchange)
-            result = await self._attempt(exchange, target)
+            async with self.suspects.admit(exchange):
+                target = self.load_balancer.choose_least_loaded(
+                    exchange.service, excluded, self.clock.now()
+                )
+                if target is None:
+                    break
+                result = await self._attempt(exchange, target)
             if isinstance(result, _FullResponse):
                 if result.head.succeeded:
                     await self._deliver(exchange, result)
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/instances.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/instances.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING
 
 from greengagelatch.relay.load_balancer import EngineDemand, LoadBalancer
-from greengagelatch.relay.quarantine import Quarantine
 from greengagelatch.relay.retry_budget import RetryBudgetRule
 from greengagelatch_entry.relay.bundle_quarantine import DisabledBundleQuarantine
 from greengagelatch_entry.relay.forwarding_stage_executor import ForwardingStageExecutor
@@ -243,7 +242,7 @@
             times=RouteLatencies(),
             admission=self._create_admission(),
             sender=None,
-            quarantine=Quarantine(),
+            suspects=None,
             load_balancer=load_balancer,
             budgets=self._create_budgets(),
             clock=self._clock,
--- a/packages/greengagelatch/src/greengagelatch/relay/quarantine.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/quarantine.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from .incarnations import Incarnation
 
-__all__ = ("QUARANTINE_SECONDS", "CrashReport", "Quarantine")
+__all__ = ("QUARANTINE_SECONDS", "TRIAL_SECONDS", "CrashReport", "Quarantine")
 
 #: crashes of targets running a request after which it is quarantined
 CRASH_LIMIT = 3
@@ -17,6 +17,9 @@
 #: crash without the request: one more than a harmless request meets in two attempts
 #: of two sends each
 AMBIGUOUS_CRASH_LIMIT = 5
+#: seconds for which one send of an undecided request holds back the next, unless its
+#: outcome is known earlier
+TRIAL_SECONDS = 1.0
 #: seconds before and after the crashes of a request within which other crashes of the
 #: service count as evidence against a connection
 CORRELATION_SECONDS = 10.0
@@ -51,6 +54,9 @@
     targets, or where at least half of the service's crashes in the same period happen
     without the request.
 
+    Between the two limits a request is sent to one target at a time. Attempts sent at
+    once would all reach targets before the next crash is known.
+
     Decisions depend on the reports and their arrival times but not on their order, so
     that instances with the same reports agree.
     """
@@ -64,6 +70,8 @@
         #: limit by which each request was quarantined: later crashes without the
         #: request don't raise it
         self._limits: dict[str, int] = {}
+        #: time of the last send of each undecided request whose outcome is not known
+        self._trials: dict[str, float] = {}
         #: time, target and digest of each suspicion, in order of arrival
         self._suspicions: deque[tuple[float, Incarnation, str]] = deque()
         self._cleared: OrderedDict[str, float] = OrderedDict()
@@ -72,6 +80,7 @@
         """Record a crash report; idempotent."""
         self._expire(now)
         for digest in report.digests:
+            self._trials.pop(digest, None)
             targets = self._crashed_targets.setdefault(digest, {})
             if report.target in targets:
                 continue
@@ -87,6 +96,7 @@
         if len(self._cleared) > MAX_CLEARED:
             self._cleared.popitem(last=False)
         self._limits.pop(digest, None)
+        self._trials.pop(digest, None)
         for target in self._crashed_targets.pop(digest, {}):
             self._remove_suspect(target, digest)
 
@@ -95,6 +105,25 @@
         return now - self._cleared.get(digest, float("-inf")) < CLEARED_SECONDS
 
     def find_quarantine_seconds(self, digest: str, now: float) -> float | None:
+        """Return the seconds for which a request must not be sent.
+
+        ``None``: it may be sent now. If its crashes leave undecided whether it is
+        harmless, the next send waits until a crash is reported, :meth:`end_trial` is
+        called or :data:`TRIAL_SECONDS` have passed.
+        """
+        held = self.find_hold_seconds(digest, now)
+        if held is not None:
+            return held
+        if self.count_crashed(digest) < CRASH_LIMIT or self.is_cleared(digest, now):
+            return None
+        started = self._trials.get(digest)
+        # the same time: the same send is checked again
+        if started is not None and started < now < started + TRIAL_SECONDS:
+            return started + TRIAL_SECONDS - now
+        self._trials[digest] = now
+        return None
+
+    def find_hold_seconds(self, digest: str, now: float) -> float | None:
         """Return the seconds for which a request stays in quarantine.
 
         ``None``: it is not quarantined.
@@ -113,6 +142,10 @@
         reported_at = sorted(targets[target] for target in blamed)
         return reported_at[-limit] + QUARANTINE_SECONDS - now
 
+    def end_trial(self, digest: str) -> None:
+        """Record that a send has ended, so that the next one need not wait for it."""
+        self._trials.pop(digest, None)
+
     def has_crashes(self) -> bool:
         """Return whether any target crashed while it ran a request."""
         return bool(self._crashed_targets)
@@ -207,6 +240,7 @@
             if not targets:
                 del self._crashed_targets[digest]
                 self._limits.pop(digest, None)
+                self._trials.pop(digest, None)
             self._remove_suspect(target, digest)
 
     def _remove_suspect(self, target: Incarnation, digest: str) -> None:
--- a/tests/test_core/test_relay/test_quarantine.py
+++ b/tests/test_core/test_relay/test_quarantine.py
@@ -10,7 +10,12 @@
 from hypothesis import strategies as st
 
 from greengagelatch.relay.incarnations import Incarnation
-from greengagelatch.relay.quarantine import QUARANTINE_SECONDS, CrashReport, Quarantine
+from greengagelatch.relay.quarantine import (
+    QUARANTINE_SECONDS,
+    TRIAL_SECONDS,
+    CrashReport,
+    Quarantine,
+)
 
 
 def report(target: str, *digests: str) -> CrashReport:
@@ -145,6 +150,43 @@
     assert is_quarantined(quarantine, "worse", 3)
 
 
+def test_undecided_request_is_sent_one_at_a_time():
+    """Guards against several targets crashed at once before the next crash is known."""
+    quarantine = create(*(report(one, "bad", "a") for one in ("t1", "t2", "t3")))
+    assert not is_quarantined(quarantine, "bad", 4.0)
+    assert quarantine.find_quarantine_seconds("bad", 4.25) == TRIAL_SECONDS - 0.25
+    assert not is_quarantined(quarantine, "a", 4.25)
+    quarantine.record_crash(report("t4", "bad", "a"), 4.5)
+    assert not is_quarantined(quarantine, "bad", 4.5)
+    assert is_quarantined(quarantine, "bad", 4.75)
+    quarantine.end_trial("bad")
+    assert not is_quarantined(quarantine, "bad", 4.75)
+    assert not is_quarantined(quarantine, "bad", 4.75 + TRIAL_SECONDS)
+
+
+def test_request_explained_by_others_is_sent_one_at_a_time():
+    """Guards against a crashing request shielded by harmless ones that met more."""
+    quarantine = create(
+        *(report(one, "bad", "a", "b") for one in ("t1", "t2", "t3")),
+        report("t4", "a", "b"),
+    )
+    assert not is_quarantined(quarantine, "bad", 4.0)
+    assert is_quarantined(quarantine, "bad", 4.25)
+
+
+def test_request_with_two_crashes_is_not_held_back():
+    """Guards against harmless requests that wait after two independent crashes."""
+    quarantine = create(report("t1", "a"), report("t2", "a"))
+    assert not is_quarantined(quarantine, "a", 1.0)
+    assert not is_quarantined(quarantine, "a", 1.25)
+
+
+def test_hold_is_not_affected_by_trials():
+    quarantine = create(*(report(one, "bad", "a") for one in ("t1", "t2", "t3")))
+    assert not is_quarantined(quarantine, "bad", 4.0)
+    assert quarantine.find_hold_seconds("bad", 4.25) is None
+
+
 def test_crashes_of_another_service_do_not_clear_a_request():
     quarantine = create(report("t1", "bad"), report("t2", "bad"), report("t3", "bad"))
     for number in range(9):
