Quarantine no request whose crashes have another possible cause

What callers saw: with suspected requests sent one after the other, a harmless one may be judged by three crashes: two that it shared with a crashing request and an independent one. It was refused for ten minutes.

Cause: the higher limit applied only where one other request ran on all of the same targets, or where half of the crashes of the period happened without the request. Two requests of three crashes each, two of them shared, were both held. A report names the requests of one instance only, so that a harmless request also seemed to be alone on a target until the other reports arrived, and the limit by which it was held then stayed.

Now three crashes are enough only if every other request on those targets has fewer, and if one other request at most can have caused the crashes without it; else five. A further report on a crash reconsiders the limit of those that ran on the target. The decision has one rule instead of two for crashes of others.

The crashing request needs five crashes instead of three where an independent one falls into the ten seconds around; they are sent one after the other.

--- a/packages/greengagelatch/src/greengagelatch/relay/quarantine.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/quarantine.py
@@ -13,9 +13,8 @@
 
 #: crashes of targets running a request after which it is quarantined
 CRASH_LIMIT = 3
-#: the same where another request ran on all of these targets too, or where targets
-#: crash without the request: one more than a harmless request meets in two attempts
-#: of two sends each
+#: the same where the crashes may have another cause: one more than a harmless request
+#: meets in two attempts of two sends each
 AMBIGUOUS_CRASH_LIMIT = 5
 #: seconds for which one send of an undecided request holds back the next, unless its
 #: outcome is known earlier
@@ -50,9 +49,9 @@
     All requests that run on a target when it crashes become suspects, most of them
     wrongly. A request is not blamed for a crash if another request on that target has
     more crashes, nor if it was answered recently. The limit is higher, so that a
-    harmless request is not quarantined by chance, where two requests ran on the same
-    targets, or where at least half of the service's crashes in the same period happen
-    without the request.
+    harmless request is not quarantined by chance, where other requests on the same
+    targets have as many crashes, or where targets of the service also crash without
+    it.
 
     Between the two limits a request is sent to one target at a time. Attempts sent at
     once would all reach targets before the next crash is known.
@@ -79,6 +78,11 @@
     def record_crash(self, report: CrashReport, now: float) -> None:
         """Record a crash report; idempotent."""
         self._expire(now)
+        suspects = self._suspects.get(report.target, set())
+        if not suspects.issuperset(report.digests):
+            # another request on the same target may explain the crash as well
+            for digest in suspects:
+                self._limits.pop(digest, None)
         for digest in report.digests:
             self._trials.pop(digest, None)
             targets = self._crashed_targets.setdefault(digest, {})
@@ -160,43 +164,51 @@
 
     def _find_limit(self, digest: str, blamed: set[Incarnation]) -> int:
         """Return the number of crashes for which a request is quarantined."""
-        if not self._dominates(digest, blamed):
-            others = self._list_unrelated(digest, blamed)
-            left = [one for one in others if not self._has_dominant_request(one)]
-            if len(left) >= len(blamed):
-                return AMBIGUOUS_CRASH_LIMIT
-        return (
-            AMBIGUOUS_CRASH_LIMIT if self._is_ambiguous(digest, blamed) else CRASH_LIMIT
+        if self._count_undisputed(digest, blamed) < CRASH_LIMIT:
+            return AMBIGUOUS_CRASH_LIMIT
+        if self._has_unexplained(self._list_unrelated(digest, blamed)):
+            return AMBIGUOUS_CRASH_LIMIT
+        return CRASH_LIMIT
+
+    def _count_undisputed(self, digest: str, blamed: set[Incarnation]) -> int:
+        """Count the crashes for which every other request has fewer crashes."""
+        crashes = len(self._crashed_targets[digest])
+        return sum(
+            all(
+                len(self._crashed_targets[other]) < crashes
+                for other in self._suspects[target]
+                if other != digest
+            )
+            for target in blamed
         )
 
-    def _has_dominant_request(self, target: Incarnation) -> bool:
-        """Return whether a target ran a request that dominates its crashes."""
-        return any(
-            len(self._crashed_targets[one]) >= CRASH_LIMIT
-            and self._dominates(one, set(self._crashed_targets[one]))
-            for one in self._suspects.get(target, ())
+    def _has_unexplained(self, targets: set[Incarnation]) -> bool:
+        """Return whether no single request can have caused all of some crashes."""
+        if not targets:
+            return False
+        others = set().union(*(self._suspects.get(one, ()) for one in targets))
+        return not any(
+            len(self._crashed_targets[other]) >= CRASH_LIMIT
+            and targets <= self._crashed_targets[other].keys()
+            for other in others
         )
 
-    def _dominates(self, digest: str, blamed: set[Incarnation]) -> bool:
-        """Return whether most crashes of the period happened with a request."""
-        return len(self._list_unrelated(digest, blamed)) < len(blamed)
-
     def _list_unrelated(
         self, digest: str, blamed: set[Incarnation]
-    ) -> list[Incarnation]:
+    ) -> set[Incarnation]:
         """Return the targets that crashed in the same period without a request."""
         known = [self._crashes[target] for target in blamed if target in self._crashes]
         services = {service for service, _ in known}
         times = [crashed_at for _, crashed_at in known]
         first = min(times, default=0.0) - CORRELATION_SECONDS
         last = max(times, default=0.0) + CORRELATION_SECONDS
-        return [
+        return {
             target
             for target, (service, crashed_at) in self._crashes.items()
             if service in services
             and first <= crashed_at <= last
             and digest not in self._suspects.get(target, ())
-        ]
+        }
 
     def _is_explained(self, target: Incarnation, crashes: int) -> bool:
         """Return whether a target ran a request with more crashes than a number."""
@@ -211,13 +223,6 @@
             target for target in targets if not self._is_explained(target, len(targets))
         }
 
-    def _is_ambiguous(self, digest: str, blamed: set[Incarnation]) -> bool:
-        """Return whether another request ran on all of the same targets."""
-        if not blamed:
-            return False
-        shared = set.intersection(*(self._suspects[target] for target in blamed))
-        return len(shared - {digest}) > 0
-
     def _expire(self, now: float) -> None:
         horizon = now - QUARANTINE_SECONDS
         while self._crashes:
--- a/tests/test_core/test_relay/test_quarantine.py
+++ b/tests/test_core/test_relay/test_quarantine.py
@@ -187,6 +187,39 @@
     assert quarantine.find_hold_seconds("bad", 4.25) is None
 
 
+def test_harmless_request_that_met_two_crashes_of_another_is_not_quarantined():
+    """Guards against quarantine by chance: the third crash was an independent one."""
+    quarantine = create(
+        report("t1", "bad", "a"),
+        report("t2", "bad", "a"),
+        report("t3", "bad"),
+        report("t4", "a"),
+    )
+    assert quarantine.find_hold_seconds("a", 1.0) is None
+    quarantine.record_crash(report("t5", "bad"), 1.0)
+    assert quarantine.find_hold_seconds("bad", 1.0) is not None
+    assert quarantine.find_hold_seconds("a", 1.0) is None
+
+
+def test_independent_crash_in_the_same_period_raises_the_limit():
+    """Guards against quarantine by chance while targets also crash by themselves."""
+    quarantine = create(*(report(one, "a") for one in ("t1", "t2", "t3")))
+    assert quarantine.find_hold_seconds("a", 0.0) is not None
+    quarantine = create(
+        *(report(one, "a") for one in ("t1", "t2", "t3")), report("t4", "b")
+    )
+    assert quarantine.find_hold_seconds("a", 0.0) is None
+
+
+def test_further_report_on_a_crash_ends_a_mistaken_quarantine():
+    """Guards against quarantine by the first report on a crash that others follow."""
+    quarantine = create(*(report(one, "a") for one in ("t1", "t2", "t3")))
+    assert quarantine.find_hold_seconds("a", 0.0) is not None
+    for target in ("t1", "t2", "t3"):
+        quarantine.record_crash(report(target, "bad"), 0.25)
+    assert quarantine.find_hold_seconds("a", 0.25) is None
+
+
 def test_crashes_of_another_service_do_not_clear_a_request():
     quarantine = create(report("t1", "bad"), report("t2", "bad"), report("t3", "bad"))
     for number in range(9):
