Send a suspected request by one instance at a time

One instance at a time was bounded, nine or 77 were not, and each crash was sent on before the others knew of it.

Cause: what an instance knows of the sends of a request ends at that instance, and reports take some tenths of a second.

Now a request with two or more crashes is sent under a claim in the store, by compare-and-swap and under a lease of five seconds. Before it, an instance waits until the last crash is confirmed and the reports of all have arrived; after a crash the claim is kept as long, so that the next one knows. Others wait up to 1.5 s and are then refused as not run. While the store takes no claims, harmless requests go before late arrivals and are sent without.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -57,6 +57,7 @@
 from .store_follower import StoreFollower
 from .streams import StreamRunner
 from .suspect_admission import SuspectAdmission
+from .suspect_claims import SuspectClaims
 from .target_connections import TargetConnectionPool
 from .target_sender import TargetSender
 from .unary import UnaryRunner
@@ -195,10 +196,19 @@
             metrics=self.metrics,
             decisions=self.decisions,
         )
+        self.suspect_claims = SuspectClaims(
+            instance_id=self.settings.instance_id,
+            store=self.store,
+            is_store_reachable=lambda: self.follower.reachable,
+            clock=self.clock,
+            metrics=self.metrics,
+        )
         self.suspects = SuspectAdmission(
             quarantine=self.quarantine,
+            claims=self.suspect_claims,
             crash_detector=self.crash_detector,
             clock=self.clock,
+            decisions=self.decisions,
         )
         self.follower = StoreFollower(
             store=self.store,
@@ -207,6 +217,7 @@
                 self.listing,
                 self.registry,
                 self.crash_reports,
+                self.suspect_claims,
             ),
             is_follower=lambda: self.peers.instance_id in self._list_followers(),
             has_dependents=self._has_dependents,
@@ -427,6 +438,7 @@
             self.registry,
             self.crash_reports,
             self.crash_detector,
+            self.suspect_claims,
             self.follower,
             self.peer_sync,
             self.local_executor,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/filters.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/filters.py
@@ -251,7 +251,7 @@
         self._suspects = suspects
 
     async def apply(self, exchange: RelayExchange, proceed: RelayHandler) -> None:
-        self._suspects.check(exchange)
+        await self._suspects.check(exchange)
         await proceed(exchange)
 
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/refusals.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/refusals.py
@@ -97,7 +97,7 @@
 def create_trial_error(exchange: RelayExchange, seconds: float) -> RefusedError:
     """Return the error that refuses a suspected request while another send of it runs.
 
-    :param seconds: time until its outcome is known at the latest
+    :param seconds: time after which its outcome should be known
     """
     return create_error(
         exchange,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/suspect_admission.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/suspect_admission.py
@@ -15,12 +15,22 @@
     from greengagelatch.relay.quarantine import Quarantine
 
     from .crash_detector import CrashDetector
+    from .decisions import DecisionLog
     from .exchange import RelayExchange
+    from .suspect_claims import Claim, SuspectClaims
 
 __all__ = ("SuspectAdmission",)
 
+#: crashes from which on a request is sent by one instance at a time
+CLAIMED_CRASHES = 2
+#: seconds from the first report on a crash until those of all instances have arrived
+SETTLE_SECONDS = 0.5
 #: seconds for which a send waits at most for another one of the same request
 MAX_WAIT_SECONDS = 1.5
+#: seconds between two attempts to acquire a claim
+CLAIM_RETRY_SECONDS = 0.1
+#: seconds after which callers may retry a request whose other send was awaited in vain
+CLAIMED_RETRY_AFTER = 1.0
 
 
 class SuspectAdmission:
@@ -32,20 +42,29 @@
     """
 
     def __init__(
-        self, *, quarantine: Quarantine, crash_detector: CrashDetector, clock: Clock
+        self,
+        *,
+        quarantine: Quarantine,
+        claims: SuspectClaims,
+        crash_detector: CrashDetector,
+        clock: Clock,
+        decisions: DecisionLog,
     ) -> None:
         self._quarantine = quarantine
+        self._claims = claims
         self._crash_detector = crash_detector
         self._clock = clock
+        self._decisions = decisions
 
-    def check(self, exchange: RelayExchange) -> None:
+    async def check(self, exchange: RelayExchange) -> None:
         """Check that a request is not in quarantine.
 
         :raises RefusedError: if it is
         """
-        seconds = self._quarantine.find_hold_seconds(exchange.digest, self._clock.now())
-        if seconds is not None:
-            raise create_quarantine_error(exchange, seconds)
+        if self._find_hold_seconds(exchange) is None:
+            return
+        await self._wait_for_reports(exchange.digest)
+        self._check_hold(exchange)
 
     @asynccontextmanager
     async def admit(self, exchange: RelayExchange) -> AsyncIterator[None]:
@@ -58,24 +77,66 @@
         if not self._quarantine.count_crashed(digest):
             yield
             return
-        await self._wait_for_turn(exchange)
+        claim = await self._wait_for_turn(exchange)
         try:
             yield
         finally:
             # the report of a crash ends the trial as well
-            if not self._crash_detector.is_checking(digest):
+            broke_off = self._crash_detector.is_checking(digest)
+            if not broke_off:
                 self._quarantine.end_trial(digest)
-
-    async def _wait_for_turn(self, exchange: RelayExchange) -> None:
-        digest = exchange.digest
-        give_up_at = min(self._clock.now() + MAX_WAIT_SECONDS, exchange.deadline)
+            if claim is not None:
+                # the next instance must have the report of a crash
+                self._claims.release(claim, SETTLE_SECONDS if broke_off else 0.0)
+
+    async def _wait_for_turn(self, exchange: RelayExchange) -> Claim | None:
+        """Return the claim under which to send; ``None``: it needs none."""
+        digest, began_at = exchange.digest, self._clock.now()
+        give_up_at = min(began_at + MAX_WAIT_SECONDS, exchange.deadline)
         while True:
             await self._crash_detector.wait_checked(digest)
-            self.check(exchange)
+            await self._wait_for_reports(digest)
+            self._check_hold(exchange)
             now = self._clock.now()
-            seconds = self._quarantine.find_quarantine_seconds(digest, now)
-            if seconds is None:
-                return
-            if now + seconds > give_up_at:
-                raise create_trial_error(exchange, seconds)
-            await asyncio.sleep(seconds)
+            wait = self._quarantine.find_quarantine_seconds(digest, now)
+            if wait is None:
+                if self._quarantine.count_crashed(digest) < CLAIMED_CRASHES:
+                    return None
+                claim = await self._claims.acquire(digest)
+                if claim is not None:
+                    self._log(exchange, claim, began_at)
+                    return claim
+                self._quarantine.end_trial(digest)
+                wait = CLAIM_RETRY_SECONDS
+            if self._clock.now() + wait > give_up_at:
+                raise create_trial_error(exchange, CLAIMED_RETRY_AFTER)
+            await asyncio.sleep(wait)
+
+    async def _wait_for_reports(self, digest: str) -> None:
+        """Wait until all instances have reported the latest crash of a request.
+
+        The report of one instance names only its own requests, so that a harmless one
+        may seem to be the only request on the target.
+        """
+        if self._quarantine.count_crashed(digest) < CLAIMED_CRASHES:
+            return
+        settled_at = self._quarantine.find_last_crash(digest) + SETTLE_SECONDS
+        await asyncio.sleep(max(0.0, settled_at - self._clock.now()))
+
+    def _check_hold(self, exchange: RelayExchange) -> None:
+        seconds = self._find_hold_seconds(exchange)
+        if seconds is not None:
+            raise create_quarantine_error(exchange, seconds)
+
+    def _find_hold_seconds(self, exchange: RelayExchange) -> float | None:
+        return self._quarantine.find_hold_seconds(exchange.digest, self._clock.now())
+
+    def _log(self, exchange: RelayExchange, claim: Claim, began_at: float) -> None:
+        self._decisions.log_decision(
+            "suspect",
+            request=exchange.request.request_id,
+            digest=exchange.digest,
+            crashes=self._quarantine.count_crashed(exchange.digest),
+            claimed=bool(claim.lease_id),
+            waited_ms=round((self._clock.now() - began_at) * 1000),
+        )
--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/suspect_claims.py
@@ -0,0 +1,173 @@
+"""Claims on suspected requests, each held by one instance at a time."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+from result import Err
+
+from greengagelatch.store import ABSENT, WriteOutcome
+
+from ..controllers import Controller
+from .store_follower import StoreSubscriber
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from greengagelatch.clock import Clock
+    from greengagelatch.store import Entry
+    from greengagelatch.store.ranges import Changes, RangeStore, Scan
+
+    from ..metrics import Metrics
+
+__all__ = ("Claim", "SuspectClaims")
+
+#: prefix of the claims' keys in the store; a digest follows
+PREFIX = "greengagelatch/suspects/"
+#: lease duration of a claim in seconds: long enough for a target to start running the
+#: request, and the longest time for which an instance that fails blocks it
+CLAIM_TTL_SECONDS = 5.0
+#: seconds allowed for each call; a suspected request waits for it
+CALL_TIMEOUT = 0.3
+#: maximum number of claims of an instance; with more suspects at a time, targets crash
+#: for another reason than a request
+MAX_CLAIMS = 16
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """The right to send a suspected request."""
+
+    digest: str
+    #: empty: the store could not be asked, and other instances may hold a claim too
+    lease_id: str = ""
+
+
+class SuspectClaims(Controller, StoreSubscriber):
+    """Acquires claims in the store by compare-and-swap.
+
+    Claims keep instances from sending a suspected request at the same time, each to a
+    target of its own. While the store can't be asked, they are granted regardless of
+    other instances: harmless requests would be refused otherwise until it is back.
+
+    :param is_store_reachable: returns whether the last call to the store succeeded
+    """
+
+    name = "suspects"
+    prefix = PREFIX
+
+    def __init__(
+        self,
+        *,
+        instance_id: str,
+        store: RangeStore,
+        is_store_reachable: Callable[[], bool],
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        super().__init__()
+        self._instance_id = instance_id
+        self._store = store
+        self._is_store_reachable = is_store_reachable
+        self._clock = clock
+        self._metrics = metrics
+        #: keys of the claims in the store, with the time at which each was received
+        self._received_at: dict[str, float] = {}
+        #: leases of the claims that this instance holds or tries to acquire
+        self._lease_ids: set[str] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def acquire(self, digest: str) -> Claim | None:
+        """Return a claim; ``None`` while another one is held."""
+        if self._is_claimed(digest):
+            return None
+        lease_id = await self._grant_lease()
+        if not lease_id:
+            self._metrics.count("suspects.unclaimed")
+            return Claim(digest)
+        claim = Claim(digest, lease_id)
+        self._lease_ids.add(lease_id)
+        try:
+            conflict = await self._write(claim)
+        except BaseException:
+            self.release(claim)
+            raise
+        if conflict:
+            self.release(claim)
+            return None
+        return claim
+
+    def release(self, claim: Claim, delay: float = 0.0) -> None:
+        """Release a claim in the background.
+
+        :param delay: seconds after which the next send may begin
+        """
+        if not claim.lease_id:
+            return
+        task = asyncio.create_task(self._revoke(claim.lease_id, delay))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _grant_lease(self) -> str:
+        """Return the id of a new lease; empty if none could be granted."""
+        if len(self._lease_ids) >= MAX_CLAIMS or not self._is_store_reachable():
+            return ""
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT):
+                granted = await self._store.grant_lease(CLAIM_TTL_SECONDS)
+        except TimeoutError:
+            return ""
+        return "" if isinstance(granted, Err) else granted.ok_value.lease_id
+
+    async def _write(self, claim: Claim) -> bool:
+        """Write a claim to the store; return whether another one is held."""
+        key, value = PREFIX + claim.digest, self._instance_id.encode()
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT):
+                written = await self._store.swap(
+                    key, value, ABSENT, lease_id=claim.lease_id
+                )
+        except TimeoutError:
+            return False
+        return written.outcome is WriteOutcome.CONFLICT
+
+    async def _revoke(self, lease_id: str, delay: float) -> None:
+        try:
+            await self.sleep(delay)
+            await self._store.revoke_lease(lease_id)
+        finally:
+            self._lease_ids.discard(lease_id)
+
+    # claims that the store holds
+
+    def apply_scan(self, scan: Scan) -> None:
+        self._received_at = {}
+        self._record(scan.entries)
+
+    def apply_changes(self, changes: Changes) -> None:
+        for key, _ in changes.removed:
+            self._received_at.pop(key, None)
+        self._record(changes.written)
+
+    def _record(self, entries: Iterable[Entry]) -> None:
+        now = self._clock.now()
+        self._received_at |= {entry.key: now for entry in entries}
+
+    def _is_claimed(self, digest: str) -> bool:
+        """Return whether a claim is known without asking the store.
+
+        Claims expire here by themselves: an instance that no longer follows the store
+        does not receive their removal.
+        """
+        received_at = self._received_at.get(PREFIX + digest, float("-inf"))
+        return self._clock.now() - received_at < CLAIM_TTL_SECONDS
+
+    async def on_stop(self) -> None:
+        """Revoke the leases of released claims without further delay."""
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=CALL_TIMEOUT)
+
+    def dump(self) -> dict[str, Any]:
+        return {"claims": len(self._lease_ids), "claimed": len(self._received_at)}
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/trial.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/trial.py
@@ -7,9 +7,6 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from looptime import LoopTimeEventLoop
-
-from greengagelatch.clock import Clock
 from greengagelatch.relay.admission import DeadlineAdmission, RouteAdmission
 from greengagelatch.relay.batches import BatchPolicy, CrossRequestBatching
 from greengagelatch.relay.deployment import (
@@ -30,6 +27,7 @@
 from .instances import ENGINES, InstanceFactory, ModelledInstance
 from .models import Engine, Maker, ModelConnections, ResultTable
 from .outcomes import ClassOutcome, Outcome
+from .virtual_time import LoopClock, run_in_virtual_time
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -47,20 +45,6 @@
 DRAIN_SECONDS = 8.0
 
 
-class _VirtualLoop(LoopTimeEventLoop, asyncio.SelectorEventLoop):
-    """An event loop in virtual time, which never sleeps."""
-
-
-class LoopClock(Clock):
-    """Reads the virtual time of the running event loop."""
-
-    def now(self) -> float:
-        return asyncio.get_running_loop().time()
-
-    def wall(self) -> float:
-        return self.now()
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Policies:
     """The policies under which a trial runs."""
@@ -288,13 +272,7 @@
     shape: FleetShape, scenario: Scenario, policies: Policies, seed: int
 ) -> Outcome:
     """Run one trial in virtual time and return its outcome."""
-    loop = _VirtualLoop(start=0.0, noop_cycles=0)
-    asyncio.set_event_loop(loop)
-    try:
-        return loop.run_until_complete(_create_and_run(shape, scenario, policies, seed))
-    finally:
-        loop.close()
-        asyncio.set_event_loop(None)
+    return run_in_virtual_time(_create_and_run(shape, scenario, policies, seed))
 
 
 async def _create_and_run(
--- a/packages/greengagelatch/src/greengagelatch/relay/quarantine.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/quarantine.py
@@ -150,6 +150,14 @@
         """Record that a send has ended, so that the next one need not wait for it."""
         self._trials.pop(digest, None)
 
+    def find_last_crash(self, digest: str) -> float:
+        """Return when the latest crash of a request was reported.
+
+        ``-inf``: no target crashed while it ran the request.
+        """
+        targets = self._crashed_targets.get(digest, {})
+        return max(targets.values(), default=float("-inf"))
+
     def has_crashes(self) -> bool:
         """Return whether any target crashed while it ran a request."""
         return bool(self._crashed_targets)
