Send pieces of a suspected request in one call at a time

What callers saw: attempts at one request that come at once crash a maker each, with the pieces of the requests that wait for these makers.

A suspected bundle shared no call, but its pieces went to all idle makers at once, and so did the bundles of other attempts, each by its own owner.

Evidence: three instances, 14 targets, two crashes, then 36 attempts in three bursts (test_attempts_at_once_crash_targets_one_after_the_other).

Now an owner sends a suspected bundle in one call at a time and under a claim, and judges it once all reports on its last crash have arrived. It waits in the queue. A claim whose pieces are not sent is released after a second.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/bundle_quarantine.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/bundle_quarantine.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 from abc import ABC, abstractmethod
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from .suspect_admission import CLAIM_RETRY_SECONDS, SETTLE_SECONDS
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -14,16 +18,24 @@
     from greengagelatch.relay.targets import ListedTarget
 
     from .crash_detector import CrashDetector
+    from .suspect_claims import Claim, SuspectClaims
 
 __all__ = ("DisabledBundleQuarantine", "BundleQuarantine", "SharedBundleQuarantine")
 
 #: crashes of makers after which a bundle no longer shares calls with others
 MAX_SHARED_CRASHES = 2
+#: seconds after which a claim is released whose pieces were not sent: they may have
+#: been withdrawn, or no maker may be idle
+UNUSED_TURN_SECONDS = 1.0
 
 
 class BundleQuarantine(ABC):
     """Tracks the bundles in calls that broke off."""
 
+    @abstractmethod
+    def record_start(self, bundles: Iterable[Bundle]) -> None:
+        """Record that a call with pieces of ``bundles`` starts."""
+
     @abstractmethod
     def record_disconnect(self, maker: ListedTarget, bundles: Iterable[Bundle]) -> None:
         """Record that a call with pieces of ``bundles`` broke off."""
@@ -32,6 +44,10 @@
     def record_success(self, maker: ListedTarget, bundles: Iterable[Bundle]) -> None:
         """Record that a maker answered a call with pieces of ``bundles``."""
 
+    @abstractmethod
+    def record_end(self, bundles: Iterable[Bundle]) -> None:
+        """Record that a call with pieces of ``bundles`` has ended in any way."""
+
     @abstractmethod
     def has_suspects(self) -> bool:
         """Return whether any bundle may be suspected; called for each call."""
@@ -40,6 +56,10 @@
     def is_suspect(self, bundle: Bundle) -> bool:
         """Return whether a bundle must not share calls with others."""
 
+    @abstractmethod
+    def may_send(self, bundle: Bundle) -> bool:
+        """Return whether a suspect may be sent now, rather than wait for its turn."""
+
     @abstractmethod
     def is_quarantined(self, bundle: Bundle) -> bool:
         """Return whether a bundle must not be sent to any maker."""
@@ -48,44 +68,82 @@
 class DisabledBundleQuarantine(BundleQuarantine):
     """Suspects no bundle."""
 
+    def record_start(self, bundles: Iterable[Bundle]) -> None:
+        pass
+
     def record_disconnect(self, maker: ListedTarget, bundles: Iterable[Bundle]) -> None:
         pass
 
     def record_success(self, maker: ListedTarget, bundles: Iterable[Bundle]) -> None:
         pass
 
+    def record_end(self, bundles: Iterable[Bundle]) -> None:
+        pass
+
     def has_suspects(self) -> bool:
         return False
 
     def is_suspect(self, bundle: Bundle) -> bool:
         return False
 
+    def may_send(self, bundle: Bundle) -> bool:
+        return True
+
     def is_quarantined(self, bundle: Bundle) -> bool:
         return False
 
 
+@dataclass(slots=True)
+class _Turn:
+    """The right to send pieces under one key, once it has been claimed."""
+
+    claim: Claim | None = None
+    in_call: bool = False
+
+
 class SharedBundleQuarantine(BundleQuarantine):
     """Counts the makers that a bundle crashed, over all instances.
 
     Each stage of a request is counted separately, and apart from the request itself:
-    one of them may crash its targets while the others are harmless.
+    one of them may crash its makers while the others are harmless. Suspects are sent
+    one call at a time, as several attempts at a request would crash a maker each.
     """
 
     def __init__(
-        self, *, quarantine: Quarantine, crashes: CrashDetector, clock: Clock
+        self,
+        *,
+        quarantine: Quarantine,
+        claims: SuspectClaims,
+        crash_detector: CrashDetector,
+        clock: Clock,
     ) -> None:
         self._quarantine = quarantine
-        self._crashes = crashes
+        self._claims = claims
+        self._crash_detector = crash_detector
         self._clock = clock
+        self._turns: dict[str, _Turn] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def record_start(self, bundles: Iterable[Bundle]) -> None:
+        for key in _list_keys(bundles):
+            turn = self._turns.get(key)
+            if turn is not None:
+                turn.in_call = True
 
     def record_disconnect(self, maker: ListedTarget, bundles: Iterable[Bundle]) -> None:
         for key in _list_keys(bundles):
-            self._crashes.record_disconnect(maker, key)
+            self._crash_detector.record_disconnect(maker, key)
 
     def record_success(self, maker: ListedTarget, bundles: Iterable[Bundle]) -> None:
         for key in _list_keys(bundles):
             if self._quarantine.count_crashed(key):
-                self._crashes.record_answer(maker, key)
+                self._crash_detector.record_answer(maker, key)
+
+    def record_end(self, bundles: Iterable[Bundle]) -> None:
+        for key in _list_keys(bundles):
+            turn = self._turns.get(key)
+            if turn is not None and turn.in_call:
+                self._end_turn(key, turn)
 
     def has_suspects(self) -> bool:
         return self._quarantine.has_crashes()
@@ -93,9 +151,47 @@
     def is_suspect(self, bundle: Bundle) -> bool:
         return self._quarantine.count_crashed(_build_key(bundle)) >= MAX_SHARED_CRASHES
 
+    def may_send(self, bundle: Bundle) -> bool:
+        key = _build_key(bundle)
+        if not self._is_settled(key):
+            return False
+        turn = self._turns.get(key)
+        if turn is not None:
+            return turn.claim is not None and not turn.in_call
+        turn = self._turns[key] = _Turn()
+        task = asyncio.create_task(self._begin_turn(key, turn))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return False
+
     def is_quarantined(self, bundle: Bundle) -> bool:
         key = _build_key(bundle)
-        return self._quarantine.find_hold_seconds(key, self._clock.now()) is not None
+        if self._quarantine.find_hold_seconds(key, self._clock.now()) is None:
+            return False
+        return self._is_settled(key)
+
+    async def _begin_turn(self, key: str, turn: _Turn) -> None:
+        """Claim a key; the next scheduling run sends its pieces."""
+        turn.claim = await self._claims.acquire(key)
+        seconds = CLAIM_RETRY_SECONDS if turn.claim is None else UNUSED_TURN_SECONDS
+        asyncio.get_running_loop().call_later(seconds, self._drop_unused, key, turn)
+
+    def _drop_unused(self, key: str, turn: _Turn) -> None:
+        if self._turns.get(key) is turn and not turn.in_call:
+            self._end_turn(key, turn)
+
+    def _end_turn(self, key: str, turn: _Turn) -> None:
+        del self._turns[key]
+        if turn.claim is not None:
+            broke_off = self._crash_detector.is_checking(key)
+            self._claims.release(turn.claim, SETTLE_SECONDS if broke_off else 0.0)
+
+    def _is_settled(self, key: str) -> bool:
+        """Return whether all reports on the latest crash have arrived."""
+        if self._crash_detector.is_checking(key):
+            return False
+        settled_at = self._quarantine.find_last_crash(key) + SETTLE_SECONDS
+        return settled_at <= self._clock.now()
 
 
 def _list_keys(bundles: Iterable[Bundle]) -> set[str]:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -251,6 +251,12 @@
         )
 
     def _build_request_path(self) -> None:
+        self.bundle_quarantine = SharedBundleQuarantine(
+            quarantine=self.quarantine,
+            claims=self.suspect_claims,
+            crash_detector=self.crash_detector,
+            clock=self.clock,
+        )
         self.maker_groups = MakerGroups(
             rule=CapacityBasedOwnership(),
             target_table=self.target_table,
@@ -370,11 +376,7 @@
             list_makers=lambda: self.maker_groups.list_makers(group),
             find_profile=lambda: self._find_maker(group.service),
             is_exclusive=lambda: self.ownership.is_exclusive(group),
-            quarantine=SharedBundleQuarantine(
-                quarantine=self.quarantine,
-                crashes=self.crash_detector,
-                clock=self.clock,
-            ),
+            quarantine=self.bundle_quarantine,
             policy=CrossRequestBatching(),
             target_table=self.target_table,
             connections=self.connections,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/crash_detector.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/crash_detector.py
@@ -43,6 +43,8 @@
 class _Suspicion:
     """The requests whose connections to one target broke."""
 
+    #: monotonic time in seconds at which the first connection broke
+    began_at: float
     digests: dict[str, None] = field(default_factory=dict)
     #: set once the listing shows that the target has ended
     ended: asyncio.Event = field(default_factory=asyncio.Event)
@@ -94,7 +96,7 @@
             draining = not self._target_table.is_available(incarnation)
             if draining or len(self._suspicions) >= MAX_SUSPICIONS:
                 return
-            suspicion = self._suspicions[incarnation] = _Suspicion()
+            suspicion = self._suspicions[incarnation] = _Suspicion(self._clock.now())
             task = asyncio.create_task(self._check(target, suspicion))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
@@ -109,8 +111,15 @@
             suspicion.digests.pop(digest, None)
 
     def is_checking(self, digest: str) -> bool:
-        """Return whether a target that broke off while it ran a request is checked."""
-        return any(digest in one.digests for one in self._suspicions.values())
+        """Return whether a target broke off just now while it ran a request.
+
+        Most crashes are confirmed within :data:`CHECK_SECONDS`.
+        """
+        since = self._clock.now() - CHECK_SECONDS
+        return any(
+            digest in one.digests and one.began_at > since
+            for one in self._suspicions.values()
+        )
 
     async def wait_checked(self, digest: str) -> None:
         """Wait for checks of targets that ran a request, :data:`CHECK_SECONDS` at most.
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
@@ -213,6 +213,7 @@
     ) -> None:
         for call in self._plan_calls(makers, profile, now):
             self._queue.dequeue(call)
+            self._quarantine.record_start(bundle for bundle, _ in call.pieces)
             # counted before its task runs: the maker would seem idle to bundles that
             # are added in the meantime
             maker = self._makers[call.incarnation]
@@ -225,10 +226,10 @@
     def _plan_calls(
         self, makers: list[Maker], profile: MakerProfile, now: float
     ) -> Sequence[PlannedCall]:
-        """Return the calls to start; a suspected bundle gets calls of its own.
+        """Return the calls to start; a suspected bundle gets one call of its own.
 
         In shared calls it would crash them all, and could not be distinguished from the
-        other bundles in them.
+        other bundles in them; in several calls it would crash a maker in each.
         """
         views = [maker.view(now) for maker in makers]
         if not self._quarantine.has_suspects():
@@ -237,9 +238,11 @@
         ready = self._queue.list_ready()
         suspected = [row for row in ready if self._quarantine.is_suspect(row[0])]
         for row in suspected:
+            if not self._quarantine.may_send(row[0]):
+                continue
             calls = self._policy.plan([row], views, profile, now)
             if calls:
-                return calls
+                return calls[:1]
         shared = [row for row in ready if not self._quarantine.is_suspect(row[0])]
         return self._policy.plan(shared, views, profile, now)
 
@@ -320,6 +323,7 @@
             self._quarantine.record_disconnect(maker.target, bundles)
         elif call_result.results is not None:
             self._quarantine.record_success(maker.target, bundles)
+        self._quarantine.record_end(bundles)
 
     def _settle_memory(
         self, maker: Maker, call: PlannedCall, call_result: CallResult, started: float
--- a/tests/test_entry/test_relay/test_stage_pool.py
+++ b/tests/test_entry/test_relay/test_stage_pool.py
@@ -60,6 +60,8 @@
     def __init__(self) -> None:
         self.suspected: set[str] = set()
         self.quarantined: set[str] = set()
+        #: suspected ones that have to wait for their turn
+        self.waiting: set[str] = set()
 
     def has_suspects(self) -> bool:
         return bool(self.suspected or self.quarantined)
@@ -67,6 +69,9 @@
     def is_suspect(self, bundle: Bundle) -> bool:
         return bundle.request_id in self.suspected
 
+    def may_send(self, bundle: Bundle) -> bool:
+        return bundle.request_id not in self.waiting
+
     def is_quarantined(self, bundle: Bundle) -> bool:
         return bundle.request_id in self.quarantined
 
@@ -206,3 +211,16 @@
     assert [one.failure for one in held] == [PieceFailure.HELD]
     assert [one.failure for one in sound] == [None]
     assert world.policy.calls == [{"r2"}]
+
+
+async def test_suspected_bundle_waits_for_its_turn(world):
+    """Guards against several attempts that crash a maker each."""
+    world.quarantine.suspected = {"r1"}
+    world.quarantine.waiting = {"r1"}
+    suspected, sound = world.submit(1), world.submit(2)
+    await sound
+    await asyncio.sleep(1.0)
+    assert not suspected.done()
+    world.quarantine.waiting = set()
+    await suspected
+    assert world.policy.calls == [{"r2"}, {"r1"}]
--- a/tests/test_processes/test_crashing_requests.py
+++ b/tests/test_processes/test_crashing_requests.py
@@ -230,3 +230,29 @@
         await callers.replace_crashed(sound)
     assert len(callers.list_crashed()) - before <= MAX_STRAYS
     assert statuses[MAX_STRAYS:] == [[503, 200]] * (REPEATS - MAX_STRAYS)
+
+
+@pytest.mark.parametrize(
+    ("service", "kind"), [("desk", "look"), ("llm", "scan"), ("portal", "draft")]
+)
+async def test_attempts_at_once_crash_targets_one_after_the_other(
+    fleet, session, service, kind
+):
+    """Guard against targets crashed by the attempts of one moment at all instances."""
+    crashing, sound = f"/{kind}/crashing", f"/{kind}/sound"
+    callers = Callers(fleet, session, service, crashing)
+    await callers.replace_crashed(sound)
+    while len(callers.list_crashed()) < 2:
+        await callers.ask(crashing)
+        await callers.replace_crashed(sound)
+    for number in range(4 * MAX_CRASHES):
+        await fleet.add_target(
+            f"{service}-more-{number}", service, crashed_by=frozenset({crashing})
+        )
+    await asyncio.sleep(REPLICATION_SECONDS)
+    before = len(callers.list_crashed())
+    for _ in range(3):
+        asked = [callers.ask(crashing) for _ in range(4 * len(fleet.instances))]
+        await asyncio.gather(*asked)
+    # one more is decisive where no other request was on these targets
+    assert len(callers.list_crashed()) - before <= MAX_CRASHES
