Give crash reports to instances that start during a store outage

What callers saw: a request that crashes its targets ran again at an instance that started while the store was away, and crashed up to five more targets there, each with the harmless requests on it.

Cause: a report that the store has not accepted has no revision, and peers are asked for reports after a revision. Those next to the origin had it sent to them as it was made; nobody passed it on later.

Evidence: test_instance_that_starts_during_a_store_outage_knows_of_it, three processes, failed before: 502 where 503 is due, the request had run.

Now a peer that is asked from revision 0 on, which is by an instance that has not read the store yet, answers with the reports without a revision first.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/crash_report_replicator.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/crash_report_replicator.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import itertools
 from collections import OrderedDict, deque
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
@@ -48,6 +49,8 @@
 MAX_ENTRIES = 2048
 #: maximum number of entries in one answer to a peer
 MAX_ANSWER_ENTRIES = 64
+#: revision of entries that the store has not accepted yet
+UNWRITTEN_REVISION = 0
 #: maximum number of digests or targets in one log entry or in the state dump
 MAX_LOGGED_ITEMS = 16
 
@@ -221,15 +224,29 @@
         self._revision = max(self._revision, changes.revision)
 
     def list_newer(self, revision: int) -> tuple[tuple[str, int, bytes], ...]:
-        """Return the oldest entries after a revision, as key, revision and value."""
+        """Return the oldest entries after a revision, as key, revision and value.
+
+        An instance that asks from revision 0 has started during an outage of the store:
+        it also gets the entries that the store has not accepted yet.
+        """
         rows = sorted(
             (stored.revision, key, stored.value)
             for key, stored in self._entries.items()
             if stored.revision > revision
         )
-        return tuple(
-            (key, found, value) for found, key, value in rows[:MAX_ANSWER_ENTRIES]
+        newer = ((key, found, value) for found, key, value in rows)
+        unwritten = () if revision else self._list_unwritten()
+        return tuple(itertools.islice((*unwritten, *newer), MAX_ANSWER_ENTRIES))
+
+    def _list_unwritten(self) -> list[tuple[str, int, bytes]]:
+        """Return the entries of this instance and of peers that have no revision."""
+        received = (
+            (key, UNWRITTEN_REVISION, stored.value)
+            for key, stored in self._entries.items()
+            if stored.revision == UNWRITTEN_REVISION
         )
+        own = ((key, UNWRITTEN_REVISION, value) for key, value in self._unwritten)
+        return [*own, *received]
 
     def apply_updates(self, rows: Iterable[object]) -> None:
         """Apply store entries that a peer knows beyond :attr:`revision`."""
@@ -243,7 +260,7 @@
         for row in message.rows:
             match row:
                 case (str(key), bytes(value)):
-                    self._apply_entry(key, value, 0)
+                    self._apply_entry(key, value, UNWRITTEN_REVISION)
 
     def _apply_entry(self, key: str, value: bytes, revision: int) -> None:
         known = self._entries.get(key)
--- a/tests/test_processes/test_crashing_requests.py
+++ b/tests/test_processes/test_crashing_requests.py
@@ -215,6 +215,34 @@
     assert callers.count_arrivals(crashing) == before
 
 
+async def test_instance_that_starts_during_a_store_outage_knows_of_it(fleet, session):
+    """Guard against reports that only instances which ran before the outage have."""
+    crashing, sound = "/look/crashing", "/look/sound"
+    callers = Callers(fleet, session, "desk", crashing)
+    for number in range(2 * MAX_CRASHES):
+        await fleet.add_target(
+            f"desk-more-{number}", "desk", crashed_by=frozenset({crashing})
+        )
+    await callers.replace_crashed(sound)
+    await asyncio.sleep(REPLICATION_SECONDS)
+    fleet.store.fault = StoreFault.UNAVAILABLE
+    async with asyncio.timeout(WAIT_TIMEOUT):
+        while len(callers.list_crashed()) < MAX_CRASHES:
+            await callers.ask(crashing, fleet.instances[0])
+    await asyncio.sleep(REPLICATION_SECONDS)
+    last = fleet.instances[-1]
+    await fleet.kill(last)
+    await fleet.launch(last)
+    await fleet.wait_ready(last)
+    # until its breakers are open for the targets that have crashed
+    async with asyncio.timeout(WAIT_TIMEOUT):
+        while await callers.ask(sound, last) != 200:  # noqa: ASYNC110
+            await asyncio.sleep(0.05)
+    before = callers.count_arrivals(crashing)
+    assert await callers.ask(crashing, last) == 503
+    assert callers.count_arrivals(crashing) == before
+
+
 async def test_request_whose_pieces_crash_makers_is_kept_from_them(fleet, session):
     """Guard against a request that crashes makers, and the calls that it shares."""
     crashing, sound = "/draft/crashing", "/draft/sound"
