Let time pass in the tests of target calls only where they say so

Seen: test_call_ends_at_its_deadline failed once in a fresh copy, verdict NOT_RUN where MAY_HAVE_RUN was expected.

Cause: the deadline was 0.1 s after the creation of the call, on the wall clock. Where the event loop was held up while connecting, it passed before the call was sent. So the verdict was true, and the test depended on the speed of the machine. Ruled out: that a call is sent and reported as not sent.

Now the time of the event loop is advanced by the tests, once the server has read the call. The same for the tests beside it: stall and gap timeouts of 0.2 and 0.6 s applied to every answer of the file, and a late answer was one after 50 ms. The check stays, and the case that was met has a test of its own: a deadline that passes while connecting ends with NOT_RUN and nothing received.

--- a/tests/test_entry/test_adapters/test_target_calls.py
+++ b/tests/test_entry/test_adapters/test_target_calls.py
@@ -7,15 +7,17 @@
 from contextlib import asynccontextmanager
 from dataclasses import replace
 
+import aiohttp
 import pytest
 from result import Ok
 
-from greengagelatch.clock import ManualClock, SystemClock
+from greengagelatch.clock import ManualClock
 from greengagelatch.config.objects import StageKind
 from greengagelatch.targets import FailureKind, StageCall, Target
 from greengagelatch.verdict import Verdict
 from greengagelatch_entry.adapters.targets import HttpTargetClient, TargetLimits
 from greengagelatch_entry.metrics import Metrics
+from greengagelatch_lab.stage_load.virtual_time import LoopClock
 from greengagelatch_lab.standins.scripted_server import (
     STREAM_HEAD,
     ScriptedServer,
@@ -25,14 +27,39 @@
 )
 from greengagelatch_lab.waiting import wait_until
 
-LIMITS = TargetLimits(connect_timeout=5.0, gap_timeout=0.2, stall_timeout=0.2)
+#: longer than any pause of a busy machine: tests in which time passes advance it
+LIMITS = TargetLimits(connect_timeout=60.0, gap_timeout=20.0, stall_timeout=30.0)
+#: seconds until the deadline of a call
+DEADLINE_SECONDS = 60.0
 TOKENS = ("spindle ", "two ", "at ", "nine")
 
 
+class LoopTime:
+    """The time of the running event loop, which tests can advance."""
+
+    def __init__(self, loop):
+        self._read = loop.time
+        self._advanced = 0.0
+
+    def __call__(self):
+        return self._read() + self._advanced
+
+    def advance(self, seconds):
+        self._advanced += seconds
+
+
+@pytest.fixture
+async def loop_time(monkeypatch):
+    loop = asyncio.get_running_loop()
+    adjustable = LoopTime(loop)
+    monkeypatch.setattr(loop, "time", adjustable)
+    return adjustable
+
+
 @asynccontextmanager
 async def open_client(limits=LIMITS, clock=None):
     client = HttpTargetClient(
-        clock=clock or SystemClock(),
+        clock=clock or LoopClock(),
         random_source=random.Random(3),
         metrics=Metrics("127.0.0.1:9"),
         limits=limits,
@@ -53,7 +80,7 @@
         "kind": StageKind.PLAIN,
         "input": {"set": 4},
         "repeatable": True,
-        "deadline": SystemClock().now() + 10,
+        "deadline": asyncio.get_running_loop().time() + DEADLINE_SECONDS,
     }
     return StageCall(**values | fields)
 
@@ -191,15 +218,16 @@
             await serve(connection)
         call = await connection.read_request()
         await connection.send(encode_answer(create_answer(call)))
-        await asyncio.sleep(0.05)
+        await answered.wait()
         await connection.send(encode_answer(create_answer(call)))
         late.set()
         await connection.hold()
 
-    late = asyncio.Event()
+    answered, late = asyncio.Event(), asyncio.Event()
     async with ScriptedServer(script) as server, open_client() as client:
         target = create_target(server)
         await client.call(target, create_call(1))
+        answered.set()
         await late.wait()
         second = await client.call(target, create_call(2))
         if not isinstance(second, Ok):
@@ -232,7 +260,7 @@
 
 
 @pytest.mark.parametrize("repeatable", [True, False])
-async def test_unresponsive_connections_are_replaced_at_once(repeatable):
+async def test_unresponsive_connections_are_replaced_at_once(loop_time, repeatable):
     """Guards against a series of lost calls to a healthy target.
 
     A middlebox drops the state of the open connections. The next call must not use
@@ -246,12 +274,12 @@
             if call["input"] == "warm":
                 await gate.wait()
             elif connection.number < silent:
+                loop_time.advance(LIMITS.stall_timeout)
                 await connection.hold()
             await connection.send(encode_answer(create_answer(call)))
 
     gate = asyncio.Event()
-    limits = replace(LIMITS, stall_timeout=0.6)
-    async with ScriptedServer(script) as server, open_client(limits) as client:
+    async with ScriptedServer(script) as server, open_client() as client:
         target = create_target(server)
         warm = [
             asyncio.create_task(client.call(target, create_call(n, input="warm")))
@@ -331,15 +359,22 @@
     return create_call(kind=StageKind.GENERATE, stream=True, **fields)
 
 
-async def run_stream(change, call=None):
-    """Return the result and tokens of a stream with events altered by ``change``."""
+async def run_stream(change, call=None, loop_time=None):
+    """Return the result and tokens of a stream with events altered by ``change``.
+
+    :param loop_time: advanced in place of events that are ``None``
+    """
     given = []
 
     async def script(connection):
         request = await connection.read_request()
         await connection.send(STREAM_HEAD)
-        for event in change(request, encode_stream(request)):
+        for number, event in enumerate(change(request, encode_stream(request))):
             if event is None:
+                await wait_until(
+                    lambda sent=number: len(given) == sent, what="events received"
+                )
+                loop_time.advance(LIMITS.stall_timeout)
                 await connection.hold()
             await connection.send(event)
 
@@ -397,13 +432,13 @@
         pytest.param(lambda r, e: [None], FailureKind.STALLED, id="only a head"),
     ],
 )
-async def test_incomplete_stream_is_a_failure(change, kind):
+async def test_incomplete_stream_is_a_failure(loop_time, change, kind):
     """Guards against truncated streams that are delivered as complete.
 
     The stream ends early, skips or repeats tokens, or stalls. The end of the
     connection must not count as the end of the answer.
     """
-    result, given = await run_stream(change)
+    result, given = await run_stream(change, loop_time=loop_time)
     assert result.err_value.kind is kind
     ran = Verdict.RAN if given else Verdict.MAY_HAVE_RUN
     assert result.err_value.verdict is ran
@@ -411,32 +446,65 @@
     assert result.err_value.tokens == TOKENS[: len(given)]
 
 
-async def test_call_ends_at_its_deadline():
+async def test_call_ends_at_its_deadline(loop_time):
     async def script(connection):
         await connection.read_request()
+        loop_time.advance(DEADLINE_SECONDS)
         await connection.hold()
 
-    limits = replace(LIMITS, stall_timeout=60.0)
-    call = create_call(deadline=SystemClock().now() + 0.1)
-    result, _ = await call_once(script, call, limits)
+    limits = replace(LIMITS, stall_timeout=2 * DEADLINE_SECONDS)
+    result, _ = await call_once(script, limits=limits)
     assert result.err_value.kind is FailureKind.DEADLINE
     assert result.err_value.verdict is Verdict.MAY_HAVE_RUN
 
 
-async def test_first_byte_timeout_ends_a_call_before_its_deadline():
+async def test_call_whose_deadline_passes_while_connecting_has_not_run(
+    loop_time, monkeypatch
+):
+    """Guards against the verdict "not run" for a call that its target has received."""
+    received = bytearray()
+    ended = asyncio.Event()
+
+    async def script(connection):
+        while data := await connection.reader.read(1000):
+            received.extend(data)
+        ended.set()
+
+    connect = aiohttp.TCPConnector.connect
+
+    async def connect_late(*args, **fields):
+        connection = await connect(*args, **fields)
+        loop_time.advance(DEADLINE_SECONDS)
+        try:
+            await asyncio.Event().wait()
+        finally:
+            connection.close()
+
+    monkeypatch.setattr(aiohttp.TCPConnector, "connect", connect_late)
+    async with ScriptedServer(script) as server:
+        async with open_client() as client:
+            result = await client.call(create_target(server), create_call())
+        await ended.wait()
+    assert result.err_value.kind is FailureKind.DEADLINE
+    assert result.err_value.verdict is Verdict.NOT_RUN
+    assert not received
+
+
+async def test_first_byte_timeout_ends_a_call_before_its_deadline(loop_time):
     """Guards against calls to an unresponsive engine that last until their deadline.
 
     The engine accepts the call and sends no token. The client's general stall timeout
     is longer than most deadlines, so the timeout of the call must apply.
     """
+    first_byte_timeout = LIMITS.stall_timeout / 3
 
     async def script(connection):
         await connection.read_request()
+        loop_time.advance(first_byte_timeout)
         await connection.hold()
 
-    limits = replace(LIMITS, stall_timeout=60.0)
-    call = create_stream_call(first_byte_timeout=0.1)
-    result, _ = await call_once(script, call, limits)
+    call = create_stream_call(first_byte_timeout=first_byte_timeout)
+    result, _ = await call_once(script, call)
     assert result.err_value.kind is FailureKind.STALLED
 
 
