Let the interrupted command of a test receive its interrupt

Cause: both runs were started in the background of a script. Such commands run with SIGINT ignored, their children inherit it, and Python installs no handler then. Shown by runs of the test alone: in the background 1 of 1 failed, from a shell that ignores the signal 1 of 1 failed, in the foreground passed.

A command that is started so should ignore the signal, so the product stays. The test sets the default for its child. After: passes in all three.

--- a/tests/test_cli/test_submission.py
+++ b/tests/test_cli/test_submission.py
@@ -279,7 +279,20 @@
     assert "change show c-1" in result.err
 
 
+@pytest.fixture
+def interruptible():
+    """Let child processes be interrupted, also if this process ignores it.
+
+    Shells start background commands with the interrupt signal ignored, and children
+    inherit that.
+    """
+    before = signal.signal(signal.SIGINT, signal.default_int_handler)
+    yield
+    signal.signal(signal.SIGINT, before)
+
+
 @pytest.mark.processes
+@pytest.mark.usefixtures("interruptible")
 async def test_interrupt_after_sending_reports_the_change_id(start_server, file):
     """Guards against reporting a change as refused after a keyboard interrupt.
 
