Answer the requests in flight at a second stop request

What callers saw: the connection of a request in flight closed without an answer when the operator sent a second SIGTERM, so that nothing told whether it had run.

Cause: the second request cancelled the task of the drain, and with it the step that aborts the requests and waits for their answers; the log said that they were aborted.

Evidence: test_second_stop_request_answers_the_requests_in_flight on an instance and test_second_stop_request_aborts_the_requests_in_flight; both failed before (no answer; steps end with the wait).

Now that step is not part of the task that a second request cancels: it follows whenever not every request was completed.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/drain.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/drain.py
@@ -114,9 +114,9 @@
         return self._started_at + self._balancer_lag + self._max_drain_seconds
 
     def request_stop(self) -> None:
-        """Start a graceful shutdown; a second call ends it without waiting."""
+        """Start a graceful shutdown; a second call aborts the requests in flight."""
         if self._shutdown_requested.is_set():
-            logger.warning("second shutdown request: exiting with requests in flight")
+            logger.warning("second shutdown request: aborting requests in flight")
             self._exit_requested.set()
             return
         self._started_at = self._clock.now()
@@ -143,30 +143,36 @@
         if not drain_task.done():
             drain_task.cancel()
         results = await asyncio.gather(drain_task, return_exceptions=True)
-        self._state = DrainState.STOPPED
         finished = results[0] is True
+        if not finished:
+            await self._abort()
+        self._state = DrainState.STOPPED
         self._metrics.count("drain.finished" if finished else "drain.cut")
         outcome = "all requests completed" if finished else "requests aborted"
         logger.info("%s %.2f s after shutdown request", outcome, self._find_elapsed())
         return finished
 
     async def _drain(self) -> bool:
+        """Return whether every request in flight was completed."""
         try:
-            if await self._drain_requests():
-                return True
+            await asyncio.sleep(self._balancer_lag)
+            self._state = DrainState.FINISHING
+            await self._close_listener()
+            # counted from the request, so that a suspended process does not overrun it
+            seconds = max(0.0, self.drain_deadline - self._clock.now())
+            return await self._wait_idle(seconds)
         except Exception:
             logger.exception("graceful shutdown failed; aborting requests in flight")
+            return False
+
+    async def _abort(self) -> None:
+        """Abort the requests in flight and wait until they are answered."""
         self._state = DrainState.ABORTING
         self._abort_requests()
-        await self._wait_idle(ABORT_RESPONSE_SECONDS)
-        return False
-
-    async def _drain_requests(self) -> bool:
-        await asyncio.sleep(self._balancer_lag)
-        self._state = DrainState.FINISHING
-        await self._close_listener()
-        # counted from the request, so that a suspended process does not overrun it
-        return await self._wait_idle(max(0.0, self.drain_deadline - self._clock.now()))
+        try:
+            await self._wait_idle(ABORT_RESPONSE_SECONDS)
+        except Exception:
+            logger.exception("can't tell whether aborted requests were answered")
 
     def dump(self) -> dict[str, Any]:
         elapsed = None if self._started_at is None else self._find_elapsed()
--- a/tests/test_entry/test_drain.py
+++ b/tests/test_entry/test_drain.py
@@ -36,7 +36,10 @@
 
     async def wait_idle(self, seconds: float) -> bool:
         self.steps.append("waiting")
-        await asyncio.wait_for(self.idle.wait(), TIMEOUT)
+        try:
+            await asyncio.wait_for(self.idle.wait(), seconds)
+        except TimeoutError:
+            return False
         return self.finished
 
 
@@ -97,6 +100,19 @@
     assert await asyncio.wait_for(stop, TIMEOUT) is False
 
 
+async def test_second_stop_request_aborts_the_requests_in_flight():
+    """Guards against connections closed without an answer by a second signal."""
+    listener = FakeListener()
+    drain = create_drain(listener)
+    stop = asyncio.create_task(drain.wait())
+    drain.request_stop()
+    await wait_until(lambda: listener.steps == ["closed", "waiting"])
+    drain.request_stop()
+    assert await asyncio.wait_for(stop, TIMEOUT) is False
+    assert listener.steps == ["closed", "waiting", "broken off", "waiting"]
+    assert drain.state is DrainState.STOPPED
+
+
 async def test_drain_by_an_operator_is_idempotent():
     """Guards against requests in flight that are cancelled by a second ``drain``.
 
--- a/tests/test_entry/test_relay/test_stop.py
+++ b/tests/test_entry/test_relay/test_stop.py
@@ -164,6 +164,23 @@
     assert not any(engine.runs for engine in engines)
 
 
+async def test_second_stop_request_answers_the_requests_in_flight(world):
+    """Guards against connections closed without an answer by a second signal."""
+    gate = hold_targets(world)
+    asked = asyncio.create_task(
+        world.ask("/book/1", method="POST", request_id="booking")
+    )
+    await world.wait_for(lambda: count_runs(world, "booking") == 1)
+    drain = world.parts.drain
+    drain._balancer_lag = WAIT_SECONDS
+    drain.request_stop()
+    drain.request_stop()
+    assert not await stop_instance(world)
+    gate.set()
+    reply = await asked
+    assert (reply.status, reply.error) == (502, "")
+
+
 async def test_deadline_of_a_request_is_capped_by_the_end_of_a_stop(world):
     """Guards against cancelling requests accepted during the balancer lag.
 
