Reject only the entry whose number is too large

What callers saw: a version in which one number is out of range was not put in force at all; a time-out of 10**400 ends the task that follows the store, and with it the process, on every instance.

Cause: a whole number of any size passed the check of its field and raised OverflowError when it was divided, which nobody caught; one of over 4,300 digits made Python reject the whole text as no JSON; and an invalid limit on callers rejected the version.

--- a/tests/test_platform/test_configuration.py
+++ b/tests/test_platform/test_configuration.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from greengagelatch.relay.deployment import RouteKind
+from greengagelatch.relay.deployment import CallerLimits, RouteKind
 from greengagelatch_lab.platform_standins.deployment import create_configuration
 from greengagelatch_platform.configuration import PlatformDeploymentCodec
 
@@ -65,6 +65,10 @@
         ({"prefix": "x/"}, "prefix"),
         ({"timeout-ms": "long"}, "timeout-ms"),
         ({"timeout-ms": -1}, "timeout-ms"),
+        ({"timeout-ms": 10**400}, "timeout-ms"),
+        ({"timeout-ms": 1e30}, "timeout-ms"),
+        ({"priority": 10**400}, "priority"),
+        ({"stages": [{"service": "portal", "bytes": 10**400}]}, "bytes"),
         ({"service": None}, "service"),
         ({"stages": [{"service": "portal", "after": ["0"]}]}, "after"),
         ({"public": "yes"}, "public"),
@@ -80,6 +84,32 @@
     assert problems[0].section == "routes[1]"
 
 
+def test_number_with_too_many_digits_rejects_only_its_route():
+    """Guards against a configuration that is dropped whole for one number.
+
+    Python refuses to decode integers of more than 4,300 digits.
+    """
+    value = json.dumps(create_configuration()).encode()
+    assert value.count(b'"timeout-ms": 3000') >= 1
+    long = value.replace(b'"timeout-ms": 3000', b'"timeout-ms": ' + b"9" * 5000, 1)
+    deployment, problems = decode(long).unwrap()
+    routes = create_configuration()["routes"]
+    assert len(deployment.routes) == len(routes) - 1
+    assert [problem.key for problem in problems] == ["timeout-ms"]
+
+
+@pytest.mark.parametrize(
+    "limits", [{"max-body-bytes": 10**400}, {"idle-timeout-ms": "long"}, []]
+)
+def test_invalid_limits_are_replaced_by_the_defaults(limits):
+    """Guards against a configuration that is dropped whole for a limit."""
+    fields = create_configuration(limits=limits)
+    deployment, problems = decode(fields).unwrap()
+    assert deployment.limits == CallerLimits()
+    assert len(deployment.routes) == len(fields["routes"])
+    assert [problem.section for problem in problems] == ["limits"]
+
+
 @pytest.mark.parametrize("value", [b"", b"[]", b"\xff", b"{}", b'{"version": "7"}'])
 def test_malformed_configuration_is_an_error(value):
     assert decode(value).is_err()
