--- a/tests/test_platform/test_callers.py
+++ b/tests/test_platform/test_callers.py
@@ -83,6 +83,10 @@
         (b"X-Prefix-Hash", b"5c1e:-3"),
         (b"X-Pieces", b"1,,2"),
         (b"Last-Event-Id", b"-1"),
+        (b"Last-Event-Id", b"9" * 5000),
+        (b"X-Pieces", b"1," + b"9" * 5000),
+        (b"X-Token-Counts", b"9" * 5000),
+        (b"X-Prefix-Hash", b"5c1e:" + b"9" * 5000),
     ],
 )
 def test_refusal_names_the_invalid_header_and_value(name, value):
