--- a/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/store.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/store.py
@@ -22,6 +22,10 @@
 STATUS_GONE = 410
 
 
+#: keys that instances may not write
+READ_ONLY_PREFIXES = ("op/", "servers/")
+
+
 class StoreFault(Enum):
     """Fault that the store injects into calls."""
 
@@ -32,6 +36,8 @@
     UNRESPONSIVE = "silent"
     #: writes take effect but are not answered
     LOST_RESPONSE = "lost"
+    #: writes take effect and are answered with 500
+    FAILED_RESPONSE = "failed"
 
 
 @dataclass(slots=True)
@@ -133,6 +139,8 @@
         response = await handler(request)
         if self.fault is StoreFault.LOST_RESPONSE and request.method == "POST":
             await asyncio.sleep(3600)
+        if self.fault is StoreFault.FAILED_RESPONSE and request.method == "POST":
+            return web.json_response({}, status=500)
         return response
 
     async def _get(self, request: web.Request) -> web.Response:
@@ -179,6 +187,8 @@
             if (item.revision if item else 0) != row["revision"]:
                 return web.json_response({"items": []}, status=STATUS_CONFLICT)
         for put in body.get("puts", []):
+            if put["key"].startswith(READ_ONLY_PREFIXES):
+                return web.json_response({}, status=403)
             if put.get("lease") and put["lease"] not in self._leases:
                 return web.json_response({}, status=404)
         for put in body.get("puts", []):
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -115,14 +115,21 @@
     assert (await store.get("a")).unwrap_err().kind is StoreErrorKind.RATE_LIMITED
 
 
-@pytest.mark.parametrize("fault", [StoreFault.LOST_RESPONSE, StoreFault.UNRESPONSIVE])
+@pytest.mark.parametrize(
+    "fault",
+    [
+        StoreFault.LOST_RESPONSE,
+        StoreFault.UNRESPONSIVE,
+        StoreFault.FAILED_RESPONSE,
+    ],
+)
 async def test_write_without_a_response_has_an_unknown_outcome(
     store, standin, monkeypatch, fault
 ):
     """Guards against two instances that both believe to hold the same entry.
 
-    A write is applied and its response is lost; the writer must not treat the missing
-    response as a rejection of the write.
+    A write is applied and its response is lost, or an error; the writer must not treat
+    that as a rejection of the write.
     """
     monkeypatch.setattr(store_module, "CALL_TIMEOUT", 0.1)
     monkeypatch.setattr(PlatformStore._call, "__defaults__", (None, 0.1))
@@ -131,6 +138,13 @@
     assert result.outcome is WriteOutcome.UNKNOWN
 
 
+async def test_write_that_the_store_rejects_is_not_applied(store):
+    result = await store.swap("servers/a", b"1", ABSENT)
+    assert result.outcome is WriteOutcome.NOT_APPLIED
+    result = await store.swap("a", b"1", ABSENT, lease_id="999")
+    assert result.outcome is WriteOutcome.NOT_APPLIED
+
+
 async def test_stopped_store_is_reported_as_unreachable(standin):
     address = standin.address
     await standin.stop()
