Make no change on top of a store that was put back

What operators saw: a change reported as applied, with a generation lower than the one in force, and never in force anywhere: instances keep the newer one.

Cause: the driver of changes got the generation in force and did not pass it on to the change.

Evidence: test_change_after_the_store_was_put_back_is_not_applied: the store's head is put back from generation 3 to 1 and a change made. Before: settled as generation 2. Now: not applied, naming both generations.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/configuration/driver.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/configuration/driver.py
@@ -107,7 +107,12 @@
 
     async def _run(self, request: ChangeRequest, deadline: float) -> ChangeOutcome:
         new_shards: dict[ShardRef, LoadedShard] = {}
-        process = run_change(request, wall=self._clock.wall, random_source=self._random)
+        process = run_change(
+            request,
+            wall=self._clock.wall,
+            random_source=self._random,
+            min_generation=self._get_generation(),
+        )
         reply: Any = None
         while True:
             try:
--- a/packages/greengagelatch/src/greengagelatch/config/changes.py
+++ b/packages/greengagelatch/src/greengagelatch/config/changes.py
@@ -140,7 +140,8 @@
         for _ in range(MAX_ATTEMPTS):
             reading = yield ReadHead()
             if reading.is_err():
-                return self._fail(f"store: {reading.err_value.message}")
+                error = f"store: {reading.err_value.message}"
+                return self._fail(f"{reason}; {error}" if reason else error)
             revision, decoded = _decode_entry(reading.ok_value)
             if decoded.is_err():
                 return self._fail(decoded.err_value)
--- a/tests/test_entry/test_controllers/test_configuration.py
+++ b/tests/test_entry/test_controllers/test_configuration.py
@@ -10,7 +10,12 @@
 from greengagelatch.config.head import HEAD_KEY
 from greengagelatch.config.ini import parse_objects
 from greengagelatch.config.messages import ConfigAdvert
-from greengagelatch.config.requests import ChangeMode, ChangeRequest, Settled
+from greengagelatch.config.requests import (
+    ChangeMode,
+    ChangeRequest,
+    NotApplied,
+    Settled,
+)
 from greengagelatch.events import EventBus
 from greengagelatch.settings import parse
 from greengagelatch_entry.configuration import serving
@@ -111,16 +116,19 @@
             await controller.stop()
 
 
-async def apply_labels(controller, change_id, value, count=1):
+def create_request(change_id, value, count=1):
     text = "".join(
         f"[workspace:w{number}]\nlabels = v={value}\n" for number in range(count)
     )
-    request = ChangeRequest(
+    return ChangeRequest(
         change_id=change_id,
         mode=ChangeMode.APPLY,
         objects=parse_objects(text).unwrap(),
     )
-    outcome = await controller.change(request)
+
+
+async def apply_labels(controller, change_id, value, count=1):
+    outcome = await controller.change(create_request(change_id, value, count))
     assert isinstance(outcome, Settled)
     return outcome
 
@@ -154,6 +162,27 @@
         assert [instance.generation for instance in reported] == [2] * 12
 
 
+async def test_change_after_the_store_was_put_back_is_not_applied():
+    """Guards against a change that is reported as applied and never becomes active.
+
+    The store is restored from an earlier state, and instances never move to a lower
+    generation.
+    """
+    async with run_fleet() as fleet:
+        controller = await fleet.start("a")
+        await apply_labels(controller, "c1", 1)
+        earlier = (await fleet.store.get(HEAD_KEY)).unwrap()
+        await apply_labels(controller, "c2", 2)
+        await apply_labels(controller, "c3", 3)
+        await fleet.wait_for(3)
+        current = (await fleet.store.get(HEAD_KEY)).unwrap()
+        await fleet.store.swap(HEAD_KEY, earlier.value, current.revision)
+        outcome = await controller.change(create_request("c4", 4))
+        assert isinstance(outcome, NotApplied)
+        assert "generation 1" in outcome.message
+        assert get_label(controller) == "3"
+
+
 async def test_instance_starts_during_a_store_outage():
     """A replaced instance would not become ready during an outage of the store.
 
