Raise the limit only where half of the crashes have another cause

What callers saw: where a target crashed by itself within ten seconds of a crashing request, that request had to crash five targets instead of three, each with the harmless requests on it.

--- a/packages/greengagelatch/src/greengagelatch/relay/quarantine.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/quarantine.py
@@ -50,8 +50,8 @@
     wrongly. A request is not blamed for a crash if another request on that target has
     more crashes, nor if it was answered recently. The limit is higher, so that a
     harmless request is not quarantined by chance, where other requests on the same
-    targets have as many crashes, or where targets of the service also crash without
-    it.
+    targets have as many crashes, or where at least half of the service's crashes in the
+    same period happen without it and have no other single cause.
 
     Between the two limits a request is sent to one target at a time. Attempts sent at
     once would all reach targets before the next crash is known.
@@ -174,7 +174,8 @@
         """Return the number of crashes for which a request is quarantined."""
         if self._count_undisputed(digest, blamed) < CRASH_LIMIT:
             return AMBIGUOUS_CRASH_LIMIT
-        if self._has_unexplained(self._list_unrelated(digest, blamed)):
+        others = self._list_unrelated(digest, blamed)
+        if self._count_unexplained(others) >= len(blamed):
             return AMBIGUOUS_CRASH_LIMIT
         return CRASH_LIMIT
 
@@ -190,16 +191,15 @@
             for target in blamed
         )
 
-    def _has_unexplained(self, targets: set[Incarnation]) -> bool:
-        """Return whether no single request can have caused all of some crashes."""
-        if not targets:
-            return False
-        others = set().union(*(self._suspects.get(one, ()) for one in targets))
-        return not any(
-            len(self._crashed_targets[other]) >= CRASH_LIMIT
-            and targets <= self._crashed_targets[other].keys()
-            for other in others
+    def _count_unexplained(self, targets: set[Incarnation]) -> int:
+        """Count the crashes that are left if one request has caused all it can."""
+        requests = set().union(*(self._suspects.get(one, ()) for one in targets))
+        explained = (
+            len(targets & crashed.keys())
+            for crashed in map(self._crashed_targets.get, requests)
+            if len(crashed) >= CRASH_LIMIT
         )
+        return len(targets) - max(explained, default=0)
 
     def _list_unrelated(
         self, digest: str, blamed: set[Incarnation]
