Tell all instances that a suspected request was answered

What callers saw: a request that was on three targets as these crashed, and was then answered by one instance, was refused by the others for ten minutes. So for what many callers send, when a data centre loses power: instances that had not answered it in the minute before never send it again, and so never learn.

Cause: crashes are shared, answers were not.

Evidence: test_answer_at_another_instance_ends_a_quarantine and test_answer_to_a_suspected_request_is_reported failed before.

Now an instance that gets the answer to a request with two or more crashes reports that in the store, as an entry of its own: earlier releases reject entries with rows that they do not know. Entries of a scan are applied in the order in which they were written, as an answer clears what was before it.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/bundle_quarantine.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/bundle_quarantine.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from greengagelatch.relay.quarantine import SUSPECT_CRASHES
+
 from .suspect_admission import CLAIM_RETRY_SECONDS, SETTLE_SECONDS
 
 if TYPE_CHECKING:
@@ -22,8 +24,6 @@
 
 __all__ = ("DisabledBundleQuarantine", "BundleQuarantine", "SharedBundleQuarantine")
 
-#: crashes of makers after which a bundle no longer shares calls with others
-MAX_SHARED_CRASHES = 2
 #: seconds after which a claim is released whose pieces were not sent: they may have
 #: been withdrawn, or no maker may be idle
 UNUSED_TURN_SECONDS = 1.0
@@ -149,7 +149,7 @@
         return self._quarantine.has_crashes()
 
     def is_suspect(self, bundle: Bundle) -> bool:
-        return self._quarantine.count_crashed(_build_key(bundle)) >= MAX_SHARED_CRASHES
+        return self._quarantine.count_crashed(_build_key(bundle)) >= SUSPECT_CRASHES
 
     def may_send(self, bundle: Bundle) -> bool:
         key = _build_key(bundle)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/crash_detector.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/crash_detector.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING, Any
 
 from greengagelatch.relay.crash_reports import MAX_DIGESTS
-from greengagelatch.relay.quarantine import CrashReport
+from greengagelatch.relay.quarantine import SUSPECT_CRASHES, CrashReport
 
 from ..controllers import Controller
 
@@ -105,7 +105,10 @@
 
     def record_answer(self, target: ListedTarget, digest: str) -> None:
         """Record that a target has answered a request."""
-        self._quarantine.record_survival(digest, self._clock.now())
+        if self._quarantine.count_crashed(digest) >= SUSPECT_CRASHES:
+            self._replicator.publish_survival(digest)
+        else:
+            self._quarantine.record_survival(digest, self._clock.now())
         suspicion = self._suspicions.get(target.incarnation)
         if suspicion is not None:
             suspicion.digests.pop(digest, None)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/crash_report_replicator.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/crash_report_replicator.py
@@ -1,4 +1,4 @@
-"""Replication of crash reports between instances."""
+"""Replication of crash and survival reports between instances."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
     encode_reports,
 )
 from greengagelatch.relay.messages import CrashReportsUpdate
-from greengagelatch.relay.quarantine import QUARANTINE_SECONDS, CrashReport
+from greengagelatch.relay.quarantine import QUARANTINE_SECONDS, SurvivalReport
 from greengagelatch.store import ABSENT, WriteOutcome
 
 from ..controllers import Controller
@@ -29,7 +29,8 @@
 
     from greengagelatch.clock import Clock
     from greengagelatch.peers import PeerNetwork
-    from greengagelatch.relay.quarantine import Quarantine
+    from greengagelatch.relay.crash_reports import Report
+    from greengagelatch.relay.quarantine import CrashReport, Quarantine
     from greengagelatch.store.ranges import Changes, RangeStore, Scan
 
     from ..metrics import Metrics
@@ -65,7 +66,7 @@
 
 
 class CrashReportReplicator(Controller, StoreSubscriber):
-    """Publishes this instance's crash reports and applies those of other instances.
+    """Publishes this instance's reports and applies those of other instances.
 
     A request that crashes its target may be retried at an instance that has not seen
     the crash. Reports are written to the store, so that they outlive the instance;
@@ -94,7 +95,8 @@
         self._clock = clock
         self._metrics = metrics
         self._decisions = decisions
-        self._pending: list[CrashReport] = []
+        self._pending: list[Report] = []
+        self._pending_survivals: list[Report] = []
         self._wake = asyncio.Event()
         #: keys and values of entries to be written
         self._unwritten: deque[tuple[str, bytes]] = deque(maxlen=MAX_UNWRITTEN)
@@ -120,12 +122,27 @@
         self._pending.append(report)
         self._wake.set()
 
-    def _record(self, reports: Iterable[CrashReport]) -> None:
+    def publish_survival(self, digest: str) -> None:
+        """Apply the answer to a request of this instance, and queue it for the others.
+
+        An instance that does not send the request would hold it although another one
+        has found it harmless.
+        """
+        self._metrics.count("requests.cleared")
+        self._pending_survivals.append(SurvivalReport(digest))
+        self._record(self._pending_survivals[-1:])
+        self._wake.set()
+
+    def _record(self, reports: Iterable[Report]) -> None:
         now = self._clock.now()
+        suspected = set()
         for report in reports:
+            if isinstance(report, SurvivalReport):
+                self._quarantine.record_survival(report.digest, now)
+                continue
             self._quarantine.record_crash(report, now)
+            suspected.update(report.digests)
         # a further crash may also clear another request of suspicion
-        suspected = {digest for report in reports for digest in report.digests}
         for digest in sorted(suspected | self._quarantined_digests):
             self._update_quarantined(
                 digest, self._quarantine.find_hold_seconds(digest, now)
@@ -156,8 +173,9 @@
         while not self.should_stop:
             await self._wake.wait()
             self._wake.clear()
-            while self._pending:
-                self._enqueue()
+            # entries of their own: earlier releases reject entries with answers
+            self._enqueue(self._pending)
+            self._enqueue(self._pending_survivals)
             while self._unwritten:
                 if await self._write(*self._unwritten[0]):
                     self._unwritten.popleft()
@@ -169,13 +187,13 @@
             if self._unwritten:
                 self._wake.set()
 
-    def _enqueue(self) -> None:
-        """Encode the pending reports as one entry and queue it to be written."""
-        found = tuple(self._pending[:MAX_REPORTS])
-        del self._pending[:MAX_REPORTS]
-        self._entry_count += 1
-        key = f"{PREFIX}{self._instance_id}/{self._entry_count}"
-        self._unwritten.append((key, encode_reports(found)))
+    def _enqueue(self, pending: list[Report]) -> None:
+        """Encode pending reports as entries and queue them to be written."""
+        while pending:
+            self._entry_count += 1
+            key = f"{PREFIX}{self._instance_id}/{self._entry_count}"
+            self._unwritten.append((key, encode_reports(pending[:MAX_REPORTS])))
+            del pending[:MAX_REPORTS]
 
     async def _write(self, key: str, value: bytes) -> bool:
         lease_id = await self._ensure_lease()
@@ -213,7 +231,8 @@
     # receiving from other instances
 
     def apply_scan(self, scan: Scan) -> None:
-        for entry in scan.entries:
+        # an answer clears a request of the crashes before it
+        for entry in sorted(scan.entries, key=lambda one: one.revision):
             self._apply_entry(entry.key, entry.value, entry.revision)
         self._revision = max(self._revision, scan.revision)
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/suspect_admission.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/suspect_admission.py
@@ -6,6 +6,8 @@
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
+from greengagelatch.relay.quarantine import SUSPECT_CRASHES
+
 from .refusals import create_quarantine_error, create_trial_error
 
 if TYPE_CHECKING:
@@ -21,8 +23,6 @@
 
 __all__ = ("SuspectAdmission",)
 
-#: crashes from which on a request is sent by one instance at a time
-CLAIMED_CRASHES = 2
 #: seconds from the first report on a crash until those of all instances have arrived
 SETTLE_SECONDS = 0.5
 #: seconds for which a send waits at most for another one of the same request
@@ -100,7 +100,7 @@
             now = self._clock.now()
             wait = self._quarantine.find_quarantine_seconds(digest, now)
             if wait is None:
-                if self._quarantine.count_crashed(digest) < CLAIMED_CRASHES:
+                if self._quarantine.count_crashed(digest) < SUSPECT_CRASHES:
                     return None
                 claim = await self._claims.acquire(digest)
                 if claim is not None:
@@ -118,7 +118,7 @@
         The report of one instance names only its own requests, so that a harmless one
         may seem to be the only request on the target.
         """
-        if self._quarantine.count_crashed(digest) < CLAIMED_CRASHES:
+        if self._quarantine.count_crashed(digest) < SUSPECT_CRASHES:
             return
         settled_at = self._quarantine.find_last_crash(digest) + SETTLE_SECONDS
         await asyncio.sleep(max(0.0, settled_at - self._clock.now()))
--- a/packages/greengagelatch/src/greengagelatch/relay/crash_reports.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/crash_reports.py
@@ -1,13 +1,19 @@
-"""Encoding of crash reports in the store."""
+"""Encoding of crash and survival reports in the store."""
 
 from __future__ import annotations
 
 import json
+from typing import TYPE_CHECKING
 
 from .incarnations import Incarnation
-from .quarantine import CrashReport
+from .quarantine import CrashReport, SurvivalReport
 
-__all__ = ("MAX_DIGESTS", "MAX_REPORTS", "decode_reports", "encode_reports")
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+__all__ = ("MAX_DIGESTS", "MAX_REPORTS", "Report", "decode_reports", "encode_reports")
+
+Report = CrashReport | SurvivalReport
 
 #: most requests in one report; an instance rarely has more on one target
 MAX_DIGESTS = 128
@@ -15,21 +21,24 @@
 MAX_REPORTS = 256
 
 
-def encode_reports(reports: tuple[CrashReport, ...]) -> bytes:
+def encode_reports(reports: Iterable[Report]) -> bytes:
     """Return the value under which the store keeps reports."""
-    rows = [
-        {
-            "target": one.target.target_id,
-            "born": one.target.started_ms,
-            "service": one.service,
-            "requests": one.digests,
-        }
-        for one in reports
-    ]
+    rows = [_encode(one) for one in reports]
     return json.dumps(rows, separators=(",", ":")).encode()
 
 
-def decode_reports(value: bytes) -> tuple[CrashReport, ...]:
+def _encode(report: Report) -> dict[str, object]:
+    if isinstance(report, SurvivalReport):
+        return {"answered": report.digest}
+    return {
+        "target": report.target.target_id,
+        "born": report.target.started_ms,
+        "service": report.service,
+        "requests": report.digests,
+    }
+
+
+def decode_reports(value: bytes) -> tuple[Report, ...]:
     """Return the reports of a value from the store.
 
     :raises ValueError: naming the invalid field
@@ -40,9 +49,14 @@
     return tuple(map(_decode, rows))
 
 
-def _decode(row: object) -> CrashReport:
+def _decode(row: object) -> Report:
     if not isinstance(row, dict):
         raise ValueError(f"crash report is not an object: {type(row).__name__}")
+    if "answered" in row:
+        answered = row["answered"]
+        if not isinstance(answered, str) or not answered:
+            raise ValueError(f"invalid answered: {str(answered)[:64]!r}")
+        return SurvivalReport(answered)
     target, started_ms, digests = (
         row.get("target"),
         row.get("born"),
--- a/packages/greengagelatch/src/greengagelatch/relay/quarantine.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/quarantine.py
@@ -9,9 +9,18 @@
 if TYPE_CHECKING:
     from .incarnations import Incarnation
 
-__all__ = ("QUARANTINE_SECONDS", "TRIAL_SECONDS", "CrashReport", "Quarantine")
-
-#: crashes of targets running a request after which it is quarantined
+__all__ = (
+    "QUARANTINE_SECONDS",
+    "SUSPECT_CRASHES",
+    "TRIAL_SECONDS",
+    "CrashReport",
+    "Quarantine",
+    "SurvivalReport",
+)
+
+#: crashes of targets running a request from which on instances coordinate its sends
+SUSPECT_CRASHES = 2
+#: crashes after which it is quarantined
 CRASH_LIMIT = 3
 #: the same where the crashes may have another cause: one more than a harmless request
 #: meets in two attempts of two sends each
@@ -43,6 +52,13 @@
     digests: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class SurvivalReport:
+    """An answered request that had run on targets as they crashed."""
+
+    digest: str
+
+
 class Quarantine:
     """Finds requests that crash one target after the other.
 
--- a/tests/test_core/test_relay/test_crash_reports.py
+++ b/tests/test_core/test_relay/test_crash_reports.py
@@ -10,13 +10,17 @@
 
 from greengagelatch.relay.crash_reports import decode_reports, encode_reports
 from greengagelatch.relay.incarnations import Incarnation
-from greengagelatch.relay.quarantine import CrashReport
+from greengagelatch.relay.quarantine import CrashReport, SurvivalReport
 
 REPORT = CrashReport(Incarnation("t1", 7), "llm", ("aa", "bb"))
 
 
 def test_reports_survive_a_round_trip():
-    reports = (REPORT, CrashReport(Incarnation("t2"), "llm", ()))
+    reports = (
+        REPORT,
+        SurvivalReport("aa"),
+        CrashReport(Incarnation("t2"), "llm", ()),
+    )
     assert decode_reports(encode_reports(reports)) == reports
 
 
@@ -31,6 +35,8 @@
         ({"requests": "aa"}, "requests"),
         ({"requests": [1]}, "requests"),
         ({"requests": ["a"] * 1000}, "requests"),
+        ({"answered": 3}, "answered"),
+        ({"answered": ""}, "answered"),
     ],
 )
 def test_error_names_the_invalid_field(change, field):
--- a/tests/test_entry/test_relay/conftest.py
+++ b/tests/test_entry/test_relay/conftest.py
@@ -10,6 +10,8 @@
 import pytest
 from yarl import URL
 
+from greengagelatch.relay.digests import compute_digest
+from greengagelatch.relay.requests import OpaqueRequest
 from greengagelatch.relay.retry_budget import RetryBudgetRule
 from greengagelatch_entry.relay.composition import compose_relay
 from greengagelatch_entry.relay.parts import RelayAdapters, RelayParts, RelaySettings
@@ -191,6 +193,21 @@
         )
 
 
+def find_digest(path: str) -> str:
+    """Return the digest of a GET request for ``path`` by :meth:`World.ask`."""
+    request = OpaqueRequest(
+        request_id="",
+        method="GET",
+        host=HOST,
+        target=path,
+        headers=(),
+        body=b"",
+        received=0.0,
+        timeout=1.0,
+    )
+    return compute_digest(request, "north")
+
+
 @pytest.fixture
 async def world():
     """An instance with two targets of a unary service."""
--- a/tests/test_entry/test_relay/test_crash_fleets.py
+++ b/tests/test_entry/test_relay/test_crash_fleets.py
@@ -146,7 +146,12 @@
         )
         self.detector = CrashDetector(
             replicator=SimpleNamespace(
-                publish=lambda report: fleet.publish(self, report)
+                publish=lambda report: fleet.publish(
+                    self, lambda one, now: one.record_crash(report, now)
+                ),
+                publish_survival=lambda digest: fleet.publish(
+                    self, lambda one, now: one.record_survival(digest, now)
+                ),
             ),
             quarantine=self.quarantine,
             target_table=SimpleNamespace(is_available=lambda incarnation: True),
@@ -199,14 +204,13 @@
             await instance.claims.stop()
         return self.result
 
-    def publish(self, origin: Instance, report) -> None:
+    def publish(self, origin: Instance, record) -> None:
+        """Record at all instances, at those but ``origin`` after some time."""
         for instance in self._instances:
             delay = self._draw(self.conditions.report) if instance is not origin else 0
             self._call_later(
                 delay,
-                lambda one=instance: one.quarantine.record_crash(
-                    report, self.clock.now()
-                ),
+                lambda one=instance: record(one.quarantine, self.clock.now()),
             )
 
     def _repeat(self, rate: float, action) -> None:
@@ -356,6 +360,6 @@
 
 def test_attempts_reach_engines_at_once_without_claims(monkeypatch):
     """Guards against a simulation that would pass without claims."""
-    monkeypatch.setattr(suspect_admission, "CLAIMED_CRASHES", 99)
+    monkeypatch.setattr(suspect_admission, "SUSPECT_CRASHES", 99)
     result = simulate(49, instances=77, report=(0.1, 0.7))
     assert result.count_late_arrivals() > MAX_LATE_ARRIVALS
--- a/tests/test_entry/test_relay/test_crash_report_replicator.py
+++ b/tests/test_entry/test_relay/test_crash_report_replicator.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import pytest
+
 from greengagelatch.relay.crash_reports import decode_reports, encode_reports
 from greengagelatch.relay.incarnations import Incarnation
 from greengagelatch.relay.messages import CrashReportsUpdate
-from greengagelatch.relay.quarantine import CrashReport
+from greengagelatch.relay.quarantine import CrashReport, SurvivalReport
+from greengagelatch.store import Entry
+from greengagelatch.store.ranges import Scan
 from greengagelatch_entry.relay.crash_report_replicator import (
     MAX_ANSWER_ENTRIES,
     PREFIX,
@@ -13,6 +17,8 @@
 from greengagelatch_lab.platform_standins.store import StoreFault
 from greengagelatch_lab.platform_standins.targets import TargetFault
 
+from .conftest import find_digest
+
 LOST = "/look/lost"
 
 
@@ -84,6 +90,49 @@
     assert list(describe(world)["held"]) == ["aa"]
 
 
+def put_survival(world, key: str, digest: str) -> int:
+    value = encode_reports((SurvivalReport(digest),))
+    return world.store.put_bytes(PREFIX + key, value)
+
+
+async def test_answer_at_another_instance_ends_a_quarantine(world):
+    """Guard against a harmless request that is served by one instance only."""
+    await world.wait_for_revision(put_report(world, "entry-2/1", "t1", "t2", "t3"))
+    assert list(describe(world)["held"]) == ["aa"]
+    await world.wait_for_revision(put_survival(world, "entry-3/1", "aa"))
+    assert describe(world)["held_count"] == 0
+
+
+async def test_reports_of_a_scan_are_applied_in_the_order_of_their_revisions(world):
+    """Guard against a request held by an instance that starts after its answer."""
+    crashes = world.find("crashes")
+    crash = encode_reports(
+        tuple(CrashReport(Incarnation(f"t{n}"), "desk", ("aa",)) for n in range(3))
+    )
+    entries = (
+        Entry(PREFIX + "entry-2/1", encode_reports((SurvivalReport("aa"),)), 9),
+        Entry(PREFIX + "entry-3/1", crash, 8),
+    )
+    crashes.apply_scan(Scan(entries, 9))
+    assert crashes._quarantine.count_crashed("aa") == 0
+
+
+@pytest.mark.parametrize(("count", "written"), [(2, 1), (1, 0)])
+async def test_answer_to_a_suspected_request_is_reported(world, count, written):
+    """Guard against a harmless request that other instances hold after its answer."""
+    digest = find_digest("/look/suspected")
+    reports = tuple(
+        CrashReport(Incarnation(f"t{number}"), "desk", (digest,))
+        for number in range(count)
+    )
+    value = encode_reports(reports)
+    await world.wait_for_revision(world.store.put_bytes(PREFIX + "entry-2/1", value))
+    assert (await world.ask("/look/suspected")).status == 200
+    assert world.count("requests.cleared") == written
+    own = PREFIX + "entry-1/"
+    await world.wait_for(lambda: len(world.store.find(own)) == written)
+
+
 async def test_entry_that_cannot_be_read_hides_no_other(world):
     world.store.put_bytes(PREFIX + "entry-2/1", b"\xff")
     world.store.put_bytes(PREFIX + "entry-2/2", b"[{}]")
--- a/tests/test_entry/test_relay/test_suspect_admission.py
+++ b/tests/test_entry/test_relay/test_suspect_admission.py
@@ -7,38 +7,23 @@
 import pytest
 
 from greengagelatch.relay.crash_reports import encode_reports
-from greengagelatch.relay.digests import compute_digest
 from greengagelatch.relay.incarnations import Incarnation
 from greengagelatch.relay.quarantine import CrashReport
-from greengagelatch.relay.requests import OpaqueRequest
 from greengagelatch.store import Entry
 from greengagelatch.store.ranges import Changes, Scan
 from greengagelatch_entry.relay import suspect_claims
 from greengagelatch_entry.relay.crash_report_replicator import PREFIX
-from greengagelatch_lab.platform_standins.deployment import HOST
 from greengagelatch_lab.platform_standins.store import StoreFault
 from greengagelatch_lab.stage_load.instances import NullTelemetry
 from greengagelatch_lab.stage_load.virtual_time import LoopClock
 
+from .conftest import find_digest
+
 PATH = "/look/suspected"
 #: number of attempts sent at once
 ATTEMPTS = 4
 
 
-def find_digest(path: str) -> str:
-    request = OpaqueRequest(
-        request_id="",
-        method="GET",
-        host=HOST,
-        target=path,
-        headers=(),
-        body=b"",
-        received=0.0,
-        timeout=1.0,
-    )
-    return compute_digest(request, "north")
-
-
 async def report_crashes(world, *digests: str, count: int = 3) -> None:
     """Report the crashes of targets that ran some requests."""
     reports = tuple(
