Find instances that restart in a partitioned data centre

Cause: such an instance knows no peer: the store and the seeds of its settings are out of reach. Those beside it meet it when they dial the address of its former process, and did so late: they probed one random dead instance of all, most of them on the other side, and queried instances there in vain, each for 0.6 s.

That a dial is enough, and that three processes of one data centre find each other again after SIGKILL and SIGTERM without the store, was so before and has a test now.

Now a dead instance of the own data centre is probed in each interval beside one of the others, and after a query that failed one in the own data centre is asked.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/peer_sync.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/peer_sync.py
@@ -131,7 +131,9 @@
 
         A passive instance prefers followers in its own data centre, unless the last
         query failed. If this instance can't reach the store, its neighbours may not
-        reach it either, so that any other instance may be chosen.
+        reach it either, so that any other instance may be chosen; after a query that
+        failed, one in the own data centre is: the others may be out of reach, and a
+        process that has restarted beside this one knows no peer until it is dialled.
         """
         own = self._peers.instance_id
         others = [
@@ -142,12 +144,14 @@
         if self._follower.passive:
             followers = self._list_followers()
             candidates = [one for one in others if one.instance_id in followers]
-            others = self._select_same_data_centre(candidates) or candidates or others
+            if self._last_query_answered:
+                candidates = self._select_same_data_centre(candidates) or candidates
+            others = candidates or others
+        elif not self._last_query_answered:
+            others = self._select_same_data_centre(others) or others
         return self._random.choice(others).instance_id if others else None
 
     def _select_same_data_centre(self, members: list[Member]) -> list[Member]:
-        if not self._last_query_answered:
-            return []
         return [one for one in members if one.data_centre == self._data_centre]
 
     def _apply(self, update: PeerSyncAnswer, elapsed: float) -> None:
--- a/packages/greengagelatch/src/greengagelatch/membership/detector.py
+++ b/packages/greengagelatch/src/greengagelatch/membership/detector.py
@@ -256,12 +256,16 @@
         self._table.expire(now)
         self._neighbours = None
         used = self._list_used_addresses()
-        dead = [
-            record.instance_id
-            for record in self._table.select(MemberState.DEAD)
-            if record.address and record.address not in used
-        ]
-        for instance_id in self._sample(dead, 1, frozenset()):
+        local: list[str] = []
+        remote: list[str] = []
+        for record in self._table.select(MemberState.DEAD):
+            if not record.address or record.address in used:
+                continue
+            beside = record.data_centre == self._own.data_centre
+            (local if beside else remote).append(record.instance_id)
+        # one that restarts while this data centre is partitioned may know no peer, and
+        # is found only by a probe of its address
+        for instance_id in (*self._sample(local, 1, ()), *self._sample(remote, 1, ())):
             self._probe(now, instance_id)
 
     def _list_used_addresses(self) -> set[str]:
--- a/tests/test_core/test_membership/test_detector.py
+++ b/tests/test_core/test_membership/test_detector.py
@@ -204,9 +204,41 @@
     assert "e-3" in probed
 
 
-def create_identity(instance_id: str, address: str) -> Identity:
+def test_dead_instances_of_the_own_data_centre_are_probed_in_each_interval():
+    """
+    Guards against an instance that restarts in a data centre that is cut off and is
+    found late. It knows no peer; those beside it probe its address among those of
+    many instances that are dead to them, as they are out of reach.
+    """
+    rules = DetectorRules()
+    detector = Detector(
+        identity=create_identity("e-1", "10.0.0.1:1"),
+        rules=rules,
+        random_source=random.Random(3),
+    )
+    remote = [(f"far-{number}", f"10.0.1.{number}:1", "south") for number in range(30)]
+    for name, address, data_centre in [("near", "10.0.0.2:1", "north"), *remote]:
+        detector.register_peer(0.0, create_identity(name, address, data_centre))
+        update = MemberUpdate(instance_id=name, incarnation=5, state=MemberState.DEAD)
+        detector.receive(0.0, "near", MembersTable((encode_update(update),)))
+    probed = []
+    for tick in range(round(4 * rules.dead_interval / 0.2)):
+        step = detector.advance(tick * 0.2)
+        probed += [
+            one.instance_id for one in step.sends if isinstance(one.message, Probe)
+        ]
+    assert probed.count("near") >= 3
+    assert len([name for name in probed if name != "near"]) >= 3
+
+
+def create_identity(
+    instance_id: str, address: str, data_centre: str = "north"
+) -> Identity:
     return Identity(
-        instance_id=instance_id, data_centre="north", address=address, incarnation=5
+        instance_id=instance_id,
+        data_centre=data_centre,
+        address=address,
+        incarnation=5,
     )
 
 
--- a/tests/test_processes/test_platform_program.py
+++ b/tests/test_processes/test_platform_program.py
@@ -276,6 +276,24 @@
         assert status == 200
 
 
+@pytest.mark.parametrize("stop_signal", [signal.SIGKILL, signal.SIGTERM])
+async def test_peers_find_an_instance_that_restarts_without_the_store(
+    fleet, session, stop_signal
+):
+    """Guards against instances that refuse everybody until the store is back.
+
+    An instance restarts in a data centre that is partitioned from the store and from
+    the seeds in its settings. It knows no peer, but its peers know its address.
+    """
+    restarted = fleet.instances[0]
+    fleet.store.fault = StoreFault.UNAVAILABLE
+    restarted.process.send_signal(stop_signal)
+    await restarted.process.wait()
+    await fleet.launch(restarted)
+    await fleet.wait_ready(restarted)
+    assert await ask(session, restarted) == 200
+
+
 async def test_log_leads_from_a_request_to_its_targets(fleet, session):
     instance = fleet.instances[0]
     assert await ask(session, instance, request_id="look-for-me") == 200
