--- a/packages/greengagelatch-lab/src/greengagelatch_lab/capacity/running_fleet.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/capacity/running_fleet.py
@@ -125,9 +125,11 @@
         """Return the monotonic time when all lightweight members had a generation."""
         latest = 0.0
         for process in self.member_processes:
-            text = process.stdout.read_text(encoding="utf-8")
-            rows = [line.split() for line in text.splitlines() if "in-force" in line]
-            times = [float(row[2]) for row in rows if int(row[1]) >= generation]
+            times = [
+                float(seconds)
+                for lowest, seconds in _read_rows(process, "in-force")
+                if int(lowest) >= generation
+            ]
             latest = max(latest, min(times, default=math.inf))
         return latest
 
@@ -135,9 +137,7 @@
         """Return the event-loop lag that member processes reported, in seconds."""
         total = 0.0
         for process in self.member_processes:
-            text = process.stdout.read_text(encoding="utf-8")
-            rows = [line.split() for line in text.splitlines() if "late" in line]
-            total += sum(float(row[1]) for row in rows)
+            total += sum(float(lag) for (lag,) in _read_rows(process, "late"))
         return total
 
     def is_in_force(self, generation: int) -> bool:
@@ -237,3 +237,13 @@
         address,
         service=f"service-{number % SERVICES}",
     )
+
+
+def _read_rows(process: Process, kind: str) -> list[list[str]]:
+    """Return the values of a process's output lines of one kind.
+
+    The process may be writing its last line, which does not count until it ends.
+    """
+    complete, _, _ = process.stdout.read_text(encoding="utf-8").rpartition("\n")
+    rows = [line.split() for line in complete.splitlines()]
+    return [row[1:] for row in rows if row and row[0] == kind]
