--- a/tests/test_platform/test_settings.py
+++ b/tests/test_platform/test_settings.py
@@ -8,7 +8,7 @@
 
 from greengagelatch_platform.__main__ import main
 from greengagelatch_platform.json_fields import FieldError
-from greengagelatch_platform.settings import parse_settings
+from greengagelatch_platform.settings import load_settings, parse_settings
 
 SETTINGS = {
     "node-name": "edge-1",
@@ -79,3 +79,14 @@
     assert main(["--settings", str(path), "--check"]) == 2
     assert main(["--settings", str(tmp_path / "none.json"), "--check"]) == 2
     assert "settings:" in capsys.readouterr().err
+
+
+@pytest.mark.parametrize("data", [b"\xff\xfe{}", b"[" * 100_000])
+def test_unreadable_settings_file_is_named(tmp_path, capsys, data):
+    """Guards against a traceback in place of an error that operators can act on."""
+    path = tmp_path / "settings.json"
+    path.write_bytes(data)
+    assert main(["--check", "--settings", str(path)]) == 2
+    assert "settings" in capsys.readouterr().err
+    with pytest.raises(FieldError):
+        load_settings(str(path))
