Truncate the reason of a rejected hello by bytes

The reason was cut at 100 characters, and a close frame takes 123 bytes. The new case of test_invalid_first_frame_closes_the_link failed before.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_links.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_links.py
@@ -39,6 +39,9 @@
 #: maximum number of concurrent dials
 MAX_DIALS = 16
 
+#: most bytes of the reason in a close frame
+MAX_REASON_BYTES = 123
+
 #: seconds without use after which a link may be evicted for another one
 EVICTION_IDLE_SECONDS = 2.0
 
@@ -261,7 +264,7 @@
             raise
         problem = self._check_hello(hello, instance_id)
         if problem or hello is None:
-            await connection.close(CloseCode.IDENTITY, problem[:100])
+            await connection.close(CloseCode.IDENTITY, _truncate_reason(problem))
             return Err(problem)
         link = Link(
             connection=connection,
@@ -289,7 +292,7 @@
         if problem or hello is None:
             self._metrics.count("peers.rejected")
             logger.warning("rejected link from a peer: %s", problem)
-            await connection.close(CloseCode.IDENTITY, problem[:100])
+            await connection.close(CloseCode.IDENTITY, _truncate_reason(problem))
             return
         known = hello.instance_id in self._links
         if not known and len(self._links) >= self._limits.max_links:
@@ -399,3 +402,7 @@
         least_recent = min(evictable, key=lambda link: link.last_used)
         self._retire(least_recent, CloseCode.IDLE, "making room")
         return True
+
+
+def _truncate_reason(reason: str) -> str:
+    return reason.encode()[:MAX_REASON_BYTES].decode(errors="ignore")
--- a/tests/test_entry/test_adapters/test_peers.py
+++ b/tests/test_entry/test_adapters/test_peers.py
@@ -391,9 +391,17 @@
     assert await trio[0].hub.ask("e-2", Echo("x"), TIMEOUT) == Ok(Echo("x"))
 
 
+LONG_PROTOCOL = encode(Envelope(Hello(instance_id="e-2", protocol="é" * 90)))
+
+
 @pytest.mark.parametrize(
     ("frame", "code"),
-    [(b"\xff" * 50, 4002), (b"x" * (MAX_MESSAGE_BYTES + 1), 1009)],
+    [
+        (b"\xff" * 50, 4002),
+        (b"x" * (MAX_MESSAGE_BYTES + 1), 1009),
+        # the reason in a close frame has 123 bytes at the most
+        (LONG_PROTOCOL, 4002),
+    ],
 )
 async def test_invalid_first_frame_closes_the_link(start, frame, code):
     peer = await start("e-1")
