Count the results of all calls that were lost together

Callers could see pieces that a maker refused for want of room: two calls to it that began in the same planning run and were both lost counted once, under the time of their start.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
@@ -344,7 +344,7 @@
             self._estimator.record_completion(len(made), now - started, now)
         if call_result.outcome not in SETTLED_OUTCOMES:
             # the maker may continue the call and keep its results for a while
-            maker.result_memory.hold_unidentified(f"lost at {started}", size, now)
+            maker.result_memory.hold_unidentified(size, now)
 
     def _report_inputs_read(
         self, maker: Maker, entries: list[QueuedBundle | None]
--- a/packages/greengagelatch/src/greengagelatch/relay/result_memory.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/result_memory.py
@@ -28,6 +28,8 @@
         #: size and time of expiry of each result, the earliest expiry first
         self._results: dict[str, tuple[int, float]] = {}
         self._result_bytes = 0
+        #: number of calls so far whose results can't be identified
+        self._unidentified = 0
 
     def find_free(self, now: float) -> float:
         """Return the number of free bytes."""
@@ -55,9 +57,11 @@
         self._occupied_by_others += max(0.0, self.find_free(now))
         self._occupied_until = now + REFUSAL_SECONDS
 
-    def hold_unidentified(self, name: str, size: int, until: float) -> None:
+    def hold_unidentified(self, size: int, now: float) -> None:
         """Count results whose handles were lost in transit until they expire."""
-        self._hold(name, size, until + self._retention_seconds)
+        self._unidentified += 1
+        name = f"unidentified {self._unidentified}"
+        self._hold(name, size, now + self._retention_seconds)
 
     def release(self, handle: str) -> None:
         """Release the memory of a result."""
