--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/bundle_quarantine.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/bundle_quarantine.py
@@ -9,7 +9,7 @@
 
 from greengagelatch.relay.quarantine import SUSPECT_CRASHES
 
-from .suspect_admission import CLAIM_RETRY_SECONDS, SETTLE_SECONDS
+from .suspect_admission import LOCK_RETRY_SECONDS, SETTLE_SECONDS
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -20,11 +20,11 @@
     from greengagelatch.relay.targets import ListedTarget
 
     from .crash_detector import CrashDetector
-    from .suspect_claims import Claim, SuspectClaims
+    from .suspect_locks import Lock, SuspectLocks
 
 __all__ = ("DisabledBundleQuarantine", "BundleQuarantine", "SharedBundleQuarantine")
 
-#: seconds after which a claim is released whose pieces were not sent: they may have
+#: seconds after which a lock is released whose pieces were not sent: they may have
 #: been withdrawn, or no maker may be idle
 UNUSED_TURN_SECONDS = 1.0
 
@@ -95,9 +95,9 @@
 
 @dataclass(slots=True)
 class _Turn:
-    """The right to send pieces under one key, once it has been claimed."""
+    """The right to send pieces under one key, once it has been locked."""
 
-    claim: Claim | None = None
+    lock: Lock | None = None
     in_call: bool = False
 
 
@@ -113,12 +113,12 @@
         self,
         *,
         quarantine: Quarantine,
-        claims: SuspectClaims,
+        locks: SuspectLocks,
         crash_detector: CrashDetector,
         clock: Clock,
     ) -> None:
         self._quarantine = quarantine
-        self._claims = claims
+        self._locks = locks
         self._crash_detector = crash_detector
         self._clock = clock
         self._turns: dict[str, _Turn] = {}
@@ -157,7 +157,7 @@
             return False
         turn = self._turns.get(key)
         if turn is not None:
-            return turn.claim is not None and not turn.in_call
+            return turn.lock is not None and not turn.in_call
         turn = self._turns[key] = _Turn()
         task = asyncio.create_task(self._begin_turn(key, turn))
         self._tasks.add(task)
@@ -171,9 +171,9 @@
         return self._is_settled(key)
 
     async def _begin_turn(self, key: str, turn: _Turn) -> None:
-        """Claim a key; the next scheduling run sends its pieces."""
-        turn.claim = await self._claims.acquire(key)
-        seconds = CLAIM_RETRY_SECONDS if turn.claim is None else UNUSED_TURN_SECONDS
+        """Lock a key; the next scheduling run sends its pieces."""
+        turn.lock = await self._locks.acquire(key)
+        seconds = LOCK_RETRY_SECONDS if turn.lock is None else UNUSED_TURN_SECONDS
         asyncio.get_running_loop().call_later(seconds, self._drop_unused, key, turn)
 
     def _drop_unused(self, key: str, turn: _Turn) -> None:
@@ -182,9 +182,9 @@
 
     def _end_turn(self, key: str, turn: _Turn) -> None:
         del self._turns[key]
-        if turn.claim is not None:
+        if turn.lock is not None:
             broke_off = self._crash_detector.is_checking(key)
-            self._claims.release(turn.claim, SETTLE_SECONDS if broke_off else 0.0)
+            self._locks.release(turn.lock, SETTLE_SECONDS if broke_off else 0.0)
 
     def _is_settled(self, key: str) -> bool:
         """Return whether all reports on the latest crash have arrived."""
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -57,7 +57,7 @@
 from .store_follower import StoreFollower
 from .streams import StreamRunner
 from .suspect_admission import SuspectAdmission
-from .suspect_claims import SuspectClaims
+from .suspect_locks import SuspectLocks
 from .target_connections import TargetConnectionPool
 from .target_sender import TargetSender
 from .unary import UnaryRunner
@@ -196,7 +196,7 @@
             metrics=self.metrics,
             decisions=self.decisions,
         )
-        self.suspect_claims = SuspectClaims(
+        self.suspect_locks = SuspectLocks(
             instance_id=self.settings.instance_id,
             store=self.store,
             is_store_reachable=lambda: self.follower.reachable,
@@ -205,7 +205,7 @@
         )
         self.suspects = SuspectAdmission(
             quarantine=self.quarantine,
-            claims=self.suspect_claims,
+            locks=self.suspect_locks,
             crash_detector=self.crash_detector,
             clock=self.clock,
             decisions=self.decisions,
@@ -217,7 +217,7 @@
                 self.listing,
                 self.registry,
                 self.crash_reports,
-                self.suspect_claims,
+                self.suspect_locks,
             ),
             is_follower=lambda: self.peers.instance_id in self._list_followers(),
             has_dependents=self._has_dependents,
@@ -253,7 +253,7 @@
     def _build_request_path(self) -> None:
         self.bundle_quarantine = SharedBundleQuarantine(
             quarantine=self.quarantine,
-            claims=self.suspect_claims,
+            locks=self.suspect_locks,
             crash_detector=self.crash_detector,
             clock=self.clock,
         )
@@ -440,7 +440,7 @@
             self.registry,
             self.crash_reports,
             self.crash_detector,
-            self.suspect_claims,
+            self.suspect_locks,
             self.follower,
             self.peer_sync,
             self.local_executor,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/suspect_admission.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/suspect_admission.py
@@ -19,7 +19,7 @@
     from .crash_detector import CrashDetector
     from .decisions import DecisionLog
     from .exchange import RelayExchange
-    from .suspect_claims import Claim, SuspectClaims
+    from .suspect_locks import Lock, SuspectLocks
 
 __all__ = ("SuspectAdmission",)
 
@@ -27,10 +27,10 @@
 SETTLE_SECONDS = 0.5
 #: seconds for which a send waits at most for another one of the same request
 MAX_WAIT_SECONDS = 1.5
-#: seconds between two attempts to acquire a claim
-CLAIM_RETRY_SECONDS = 0.1
+#: seconds between two attempts to acquire a lock
+LOCK_RETRY_SECONDS = 0.1
 #: seconds after which callers may retry a request whose other send was awaited in vain
-CLAIMED_RETRY_AFTER = 1.0
+AWAITED_RETRY_AFTER = 1.0
 
 
 class SuspectAdmission:
@@ -45,13 +45,13 @@
         self,
         *,
         quarantine: Quarantine,
-        claims: SuspectClaims,
+        locks: SuspectLocks,
         crash_detector: CrashDetector,
         clock: Clock,
         decisions: DecisionLog,
     ) -> None:
         self._quarantine = quarantine
-        self._claims = claims
+        self._locks = locks
         self._crash_detector = crash_detector
         self._clock = clock
         self._decisions = decisions
@@ -77,7 +77,7 @@
         if not self._quarantine.count_crashed(digest):
             yield
             return
-        claim = await self._wait_for_turn(exchange)
+        lock = await self._wait_for_turn(exchange)
         try:
             yield
         finally:
@@ -85,12 +85,12 @@
             broke_off = self._crash_detector.is_checking(digest)
             if not broke_off:
                 self._quarantine.end_trial(digest)
-            if claim is not None:
+            if lock is not None:
                 # the next instance must have the report of a crash
-                self._claims.release(claim, SETTLE_SECONDS if broke_off else 0.0)
+                self._locks.release(lock, SETTLE_SECONDS if broke_off else 0.0)
 
-    async def _wait_for_turn(self, exchange: RelayExchange) -> Claim | None:
-        """Return the claim under which to send; ``None``: it needs none."""
+    async def _wait_for_turn(self, exchange: RelayExchange) -> Lock | None:
+        """Return the lock under which to send; ``None``: it needs none."""
         digest, began_at = exchange.digest, self._clock.now()
         give_up_at = min(began_at + MAX_WAIT_SECONDS, exchange.deadline)
         while True:
@@ -102,14 +102,14 @@
             if wait is None:
                 if self._quarantine.count_crashed(digest) < SUSPECT_CRASHES:
                     return None
-                claim = await self._claims.acquire(digest)
-                if claim is not None:
-                    self._log(exchange, claim, began_at)
-                    return claim
+                lock = await self._locks.acquire(digest)
+                if lock is not None:
+                    self._log(exchange, lock, began_at)
+                    return lock
                 self._quarantine.end_trial(digest)
-                wait = CLAIM_RETRY_SECONDS
+                wait = LOCK_RETRY_SECONDS
             if self._clock.now() + wait > give_up_at:
-                raise create_trial_error(exchange, CLAIMED_RETRY_AFTER)
+                raise create_trial_error(exchange, AWAITED_RETRY_AFTER)
             await asyncio.sleep(wait)
 
     async def _wait_for_reports(self, digest: str) -> None:
@@ -131,12 +131,12 @@
     def _find_hold_seconds(self, exchange: RelayExchange) -> float | None:
         return self._quarantine.find_hold_seconds(exchange.digest, self._clock.now())
 
-    def _log(self, exchange: RelayExchange, claim: Claim, began_at: float) -> None:
+    def _log(self, exchange: RelayExchange, lock: Lock, began_at: float) -> None:
         self._decisions.log_decision(
             "suspect",
             request=exchange.request.request_id,
             digest=exchange.digest,
             crashes=self._quarantine.count_crashed(exchange.digest),
-            claimed=bool(claim.lease_id),
+            locked=bool(lock.lease_id),
             waited_ms=round((self._clock.now() - began_at) * 1000),
         )
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/suspect_claims.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/suspect_locks.py
@@ -1,4 +1,4 @@
-"""Claims on suspected requests, each held by one instance at a time."""
+"""Locks on suspected requests, each held by one instance at a time."""
 
 from __future__ import annotations
 
@@ -22,33 +22,33 @@
 
     from ..metrics import Metrics
 
-__all__ = ("Claim", "SuspectClaims")
+__all__ = ("Lock", "SuspectLocks")
 
-#: prefix of the claims' keys in the store; a digest follows
+#: prefix of the locks' keys in the store; a digest follows
 PREFIX = "greengagelatch/suspects/"
-#: lease duration of a claim in seconds: long enough for a target to start running the
+#: lease duration of a lock in seconds: long enough for a target to start running the
 #: request, and the longest time for which an instance that fails blocks it
-CLAIM_TTL_SECONDS = 5.0
+LOCK_TTL_SECONDS = 5.0
 #: seconds allowed for each call; a suspected request waits for it
 CALL_TIMEOUT = 0.3
-#: maximum number of claims of an instance; with more suspects at a time, targets crash
+#: maximum number of locks of an instance; with more suspects at a time, targets crash
 #: for another reason than a request
-MAX_CLAIMS = 16
+MAX_LOCKS = 16
 
 
 @dataclass(frozen=True, slots=True)
-class Claim:
+class Lock:
     """The right to send a suspected request."""
 
     digest: str
-    #: empty: the store could not be asked, and other instances may hold a claim too
+    #: empty: the store could not be asked, and other instances may hold a lock too
     lease_id: str = ""
 
 
-class SuspectClaims(Controller, StoreSubscriber):
-    """Acquires claims in the store by compare-and-swap.
+class SuspectLocks(Controller, StoreSubscriber):
+    """Acquires locks in the store by compare-and-swap.
 
-    Claims keep instances from sending a suspected request at the same time, each to a
+    Locks keep instances from sending a suspected request at the same time, each to a
     target of its own. While the store can't be asked, they are granted regardless of
     other instances: harmless requests would be refused otherwise until it is back.
 
@@ -73,61 +73,61 @@
         self._is_store_reachable = is_store_reachable
         self._clock = clock
         self._metrics = metrics
-        #: keys of the claims in the store, with the time at which each was received
+        #: keys of the locks in the store, with the time at which each was received
         self._received_at: dict[str, float] = {}
-        #: leases of the claims that this instance holds or tries to acquire
+        #: leases of the locks that this instance holds or tries to acquire
         self._lease_ids: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
-    async def acquire(self, digest: str) -> Claim | None:
-        """Return a claim; ``None`` while another one is held."""
-        if self._is_claimed(digest):
+    async def acquire(self, digest: str) -> Lock | None:
+        """Return a lock; ``None`` while another one is held."""
+        if self._is_locked(digest):
             return None
         lease_id = await self._grant_lease()
         if not lease_id:
-            self._metrics.count("suspects.unclaimed")
-            return Claim(digest)
-        claim = Claim(digest, lease_id)
+            self._metrics.count("suspects.unlocked")
+            return Lock(digest)
+        lock = Lock(digest, lease_id)
         self._lease_ids.add(lease_id)
         try:
-            conflict = await self._write(claim)
+            conflict = await self._write(lock)
         except BaseException:
-            self.release(claim)
+            self.release(lock)
             raise
         if conflict:
-            self.release(claim)
+            self.release(lock)
             return None
-        return claim
+        return lock
 
-    def release(self, claim: Claim, delay: float = 0.0) -> None:
-        """Release a claim in the background.
+    def release(self, lock: Lock, delay: float = 0.0) -> None:
+        """Release a lock in the background.
 
         :param delay: seconds after which the next send may begin
         """
-        if not claim.lease_id:
+        if not lock.lease_id:
             return
-        task = asyncio.create_task(self._revoke(claim.lease_id, delay))
+        task = asyncio.create_task(self._revoke(lock.lease_id, delay))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
     async def _grant_lease(self) -> str:
         """Return the id of a new lease; empty if none could be granted."""
-        if len(self._lease_ids) >= MAX_CLAIMS or not self._is_store_reachable():
+        if len(self._lease_ids) >= MAX_LOCKS or not self._is_store_reachable():
             return ""
         try:
             async with asyncio.timeout(CALL_TIMEOUT):
-                granted = await self._store.grant_lease(CLAIM_TTL_SECONDS)
+                granted = await self._store.grant_lease(LOCK_TTL_SECONDS)
         except TimeoutError:
             return ""
         return "" if isinstance(granted, Err) else granted.ok_value.lease_id
 
-    async def _write(self, claim: Claim) -> bool:
-        """Write a claim to the store; return whether another one is held."""
-        key, value = PREFIX + claim.digest, self._instance_id.encode()
+    async def _write(self, lock: Lock) -> bool:
+        """Write a lock to the store; return whether another one is held."""
+        key, value = PREFIX + lock.digest, self._instance_id.encode()
         try:
             async with asyncio.timeout(CALL_TIMEOUT):
                 written = await self._store.swap(
-                    key, value, ABSENT, lease_id=claim.lease_id
+                    key, value, ABSENT, lease_id=lock.lease_id
                 )
         except TimeoutError:
             return False
@@ -140,7 +140,7 @@
         finally:
             self._lease_ids.discard(lease_id)
 
-    # claims that the store holds
+    # locks that the store holds
 
     def apply_scan(self, scan: Scan) -> None:
         self._received_at = {}
@@ -155,19 +155,19 @@
         now = self._clock.now()
         self._received_at |= {entry.key: now for entry in entries}
 
-    def _is_claimed(self, digest: str) -> bool:
-        """Return whether a claim is known without asking the store.
+    def _is_locked(self, digest: str) -> bool:
+        """Return whether a lock is known without asking the store.
 
-        Claims expire here by themselves: an instance that no longer follows the store
+        Locks expire here by themselves: an instance that no longer follows the store
         does not receive their removal.
         """
         received_at = self._received_at.get(PREFIX + digest, float("-inf"))
-        return self._clock.now() - received_at < CLAIM_TTL_SECONDS
+        return self._clock.now() - received_at < LOCK_TTL_SECONDS
 
     async def on_stop(self) -> None:
-        """Revoke the leases of released claims without further delay."""
+        """Revoke the leases of released locks without further delay."""
         if self._tasks:
             await asyncio.wait(self._tasks, timeout=CALL_TIMEOUT)
 
     def dump(self) -> dict[str, Any]:
-        return {"claims": len(self._lease_ids), "claimed": len(self._received_at)}
+        return {"held": len(self._lease_ids), "known": len(self._received_at)}
--- a/tests/test_entry/test_relay/test_bundle_quarantine.py
+++ b/tests/test_entry/test_relay/test_bundle_quarantine.py
@@ -15,7 +15,7 @@
     SharedBundleQuarantine,
 )
 from greengagelatch_entry.relay.suspect_admission import SETTLE_SECONDS
-from greengagelatch_entry.relay.suspect_claims import Claim
+from greengagelatch_entry.relay.suspect_locks import Lock
 from greengagelatch_lab.stage_load.virtual_time import LoopClock
 
 pytestmark = pytest.mark.looptime
@@ -23,8 +23,8 @@
 KEY = "aa/ledger"
 
 
-class FakeClaims:
-    """Grants claims unless another instance holds one."""
+class FakeLocks:
+    """Grants locks unless another instance holds one."""
 
     def __init__(self) -> None:
         self.held_elsewhere = False
@@ -33,9 +33,9 @@
 
     async def acquire(self, digest):
         await asyncio.sleep(0.01)
-        return None if self.held_elsewhere else Claim(digest, "1")
+        return None if self.held_elsewhere else Lock(digest, "1")
 
-    def release(self, claim, delay=0.0):
+    def release(self, lock, delay=0.0):
         self.releases.append(delay)
 
 
@@ -44,11 +44,11 @@
 
     def __init__(self) -> None:
         self.quarantine = Quarantine()
-        self.claims = FakeClaims()
+        self.locks = FakeLocks()
         self.checking = False
         self.shared = SharedBundleQuarantine(
             quarantine=self.quarantine,
-            claims=self.claims,
+            locks=self.locks,
             crash_detector=SimpleNamespace(is_checking=lambda key: self.checking),
             clock=LoopClock(),
         )
@@ -91,11 +91,11 @@
     await asyncio.sleep(2 * UNUSED_TURN_SECONDS)
     assert not world.shared.may_send(second)
     world.shared.record_end([first])
-    assert world.claims.releases == [0.0]
+    assert world.locks.releases == [0.0]
     await world.wait_for_turn(second)
 
 
-async def test_claim_outlasts_the_report_of_a_crash(world):
+async def test_lock_outlasts_the_report_of_a_crash(world):
     """Guards against a next attempt that is sent before the crash is known."""
     world.crash("m1", "m2")
     bundle = create_bundle(1)
@@ -103,27 +103,27 @@
     world.shared.record_start([bundle])
     world.checking = True
     world.shared.record_end([bundle])
-    assert world.claims.releases == [SETTLE_SECONDS]
+    assert world.locks.releases == [SETTLE_SECONDS]
     assert not world.shared.may_send(bundle)
 
 
 async def test_bundle_that_another_owner_sends_waits(world):
     """Guards against attempts that reach makers through several owners at once."""
     world.crash("m1", "m2")
-    world.claims.held_elsewhere = True
+    world.locks.held_elsewhere = True
     bundle = create_bundle(1)
     with pytest.raises(TimeoutError):
         await world.wait_for_turn(bundle)
-    world.claims.held_elsewhere = False
+    world.locks.held_elsewhere = False
     await world.wait_for_turn(bundle)
 
 
-async def test_unused_claim_is_released(world):
+async def test_unused_lock_is_released(world):
     """Guards against a harmless request blocked by an attempt that was withdrawn."""
     world.crash("m1", "m2")
     await world.wait_for_turn(create_bundle(1))
     await asyncio.sleep(UNUSED_TURN_SECONDS)
-    assert world.claims.releases == [0.0]
+    assert world.locks.releases == [0.0]
 
 
 async def test_bundle_is_not_quarantined_before_all_reports_have_arrived(world):
--- a/tests/test_entry/test_relay/test_crash_fleets.py
+++ b/tests/test_entry/test_relay/test_crash_fleets.py
@@ -23,7 +23,7 @@
 from greengagelatch_entry.relay import suspect_admission
 from greengagelatch_entry.relay.crash_detector import CrashDetector
 from greengagelatch_entry.relay.suspect_admission import SuspectAdmission
-from greengagelatch_entry.relay.suspect_claims import SuspectClaims
+from greengagelatch_entry.relay.suspect_locks import SuspectLocks
 from greengagelatch_lab.stage_load.instances import NullTelemetry
 from greengagelatch_lab.stage_load.virtual_time import (
     LoopClock,
@@ -95,8 +95,8 @@
         return sum(moment > known for moment in self.arrivals)
 
 
-class ClaimStore:
-    """The calls by which claims are made, each with a delay."""
+class LockStore:
+    """The calls by which locks are made, each with a delay."""
 
     def __init__(self, conditions: Conditions, random_source: random.Random) -> None:
         self._conditions = conditions
@@ -137,7 +137,7 @@
     def __init__(self, name: str, fleet: Fleet) -> None:
         self.quarantine = Quarantine()
         telemetry = NullTelemetry()
-        self.claims = SuspectClaims(
+        self.locks = SuspectLocks(
             instance_id=name,
             store=fleet.store,
             is_store_reachable=lambda: fleet.conditions.store_up,
@@ -162,7 +162,7 @@
         )
         self.admission = SuspectAdmission(
             quarantine=self.quarantine,
-            claims=self.claims,
+            locks=self.locks,
             crash_detector=self.detector,
             clock=fleet.clock,
             decisions=telemetry,
@@ -177,7 +177,7 @@
         self.clock = LoopClock()
         self.result = Result()
         self.random = random.Random(seed)
-        self.store = ClaimStore(conditions, random.Random(seed))
+        self.store = LockStore(conditions, random.Random(seed))
         self._numbers = itertools.count()
         self._engines: list[Engine] = []
         self._tasks: set[asyncio.Task[None]] = set()
@@ -201,7 +201,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for instance in self._instances:
             await instance.detector.on_stop()
-            await instance.claims.stop()
+            await instance.locks.stop()
         return self.result
 
     def publish(self, origin: Instance, record) -> None:
@@ -358,8 +358,8 @@
     assert result.count_late_arrivals() <= MAX_LATE_ARRIVALS
 
 
-def test_attempts_reach_engines_at_once_without_claims(monkeypatch):
-    """Guards against a simulation that would pass without claims."""
+def test_attempts_reach_engines_at_once_without_locks(monkeypatch):
+    """Guards against a simulation that would pass without locks."""
     monkeypatch.setattr(suspect_admission, "SUSPECT_CRASHES", 99)
     result = simulate(49, instances=77, report=(0.1, 0.7))
     assert result.count_late_arrivals() > MAX_LATE_ARRIVALS
--- a/tests/test_entry/test_relay/test_suspect_admission.py
+++ b/tests/test_entry/test_relay/test_suspect_admission.py
@@ -11,7 +11,7 @@
 from greengagelatch.relay.quarantine import CrashReport
 from greengagelatch.store import Entry
 from greengagelatch.store.ranges import Changes, Scan
-from greengagelatch_entry.relay import suspect_claims
+from greengagelatch_entry.relay import suspect_locks
 from greengagelatch_entry.relay.crash_report_replicator import PREFIX
 from greengagelatch_lab.platform_standins.store import StoreFault
 from greengagelatch_lab.stage_load.instances import NullTelemetry
@@ -88,9 +88,9 @@
     assert {(await one).status for one in asked} == {200}
 
 
-async def claim_elsewhere(world) -> str:
-    """Claim the suspected request for another instance; return the claim's key."""
-    key = suspect_claims.PREFIX + find_digest(PATH)
+async def lock_elsewhere(world) -> str:
+    """Lock the suspected request for another instance; return the lock's key."""
+    key = suspect_locks.PREFIX + find_digest(PATH)
     await world.wait_for_revision(world.store.put_bytes(key, b"entry-2"))
     return key
 
@@ -98,7 +98,7 @@
 async def test_request_that_another_instance_sends_is_refused_as_not_run(world):
     """Guards against attempts that reach targets through several instances at once."""
     await report_crashes(world, find_digest(PATH), "another", count=2)
-    key = await claim_elsewhere(world)
+    key = await lock_elsewhere(world)
     reply = await world.ask(PATH, X_Deadline_Ms="900")
     assert reply.status == 503
     assert float(reply.headers["Retry-After"]) == 1
@@ -107,67 +107,67 @@
     assert (await world.ask(PATH)).status == 200
 
 
-async def test_claim_unknown_to_this_instance_is_respected(world):
-    """Guards against claims of others that the watch has not delivered yet."""
+async def test_lock_unknown_to_this_instance_is_respected(world):
+    """Guards against locks of others that the watch has not delivered yet."""
     await report_crashes(world, find_digest(PATH), "another", count=2)
-    key = await claim_elsewhere(world)
-    claims = world.find("suspects")
-    claims.apply_changes(Changes((), ((key, 1),), 1))
-    assert await claims.acquire(find_digest(PATH)) is None
-    await world.wait_for(lambda: claims.dump()["claims"] == 0)
+    key = await lock_elsewhere(world)
+    locks = world.find("suspects")
+    locks.apply_changes(Changes((), ((key, 1),), 1))
+    assert await locks.acquire(find_digest(PATH)) is None
+    await world.wait_for(lambda: locks.dump()["held"] == 0)
 
 
-async def test_claim_is_released_after_the_answer(world):
-    """Guards against a harmless request that stays claimed after it was answered."""
+async def test_lock_is_released_after_the_answer(world):
+    """Guards against a harmless request that stays locked after it was answered."""
     await report_crashes(world, find_digest(PATH), "another", count=2)
     assert (await world.ask(PATH)).status == 200
-    await world.wait_for(lambda: not world.store.find(suspect_claims.PREFIX))
-    assert world.find("suspects").dump() == {"claims": 0, "claimed": 0}
+    await world.wait_for(lambda: not world.store.find(suspect_locks.PREFIX))
+    assert world.find("suspects").dump() == {"held": 0, "known": 0}
 
 
-async def test_claim_is_released_when_the_caller_leaves(world, gate):
+async def test_lock_is_released_when_the_caller_leaves(world, gate):
     """Guards against a request that is blocked by a caller who has left."""
     await report_crashes(world, find_digest(PATH), "another", count=2)
     asked = asyncio.create_task(world.ask(PATH))
     await world.wait_for(lambda: list_arrivals(world))
-    assert world.store.find(suspect_claims.PREFIX)
+    assert world.store.find(suspect_locks.PREFIX)
     asked.cancel()
-    await world.wait_for(lambda: not world.store.find(suspect_claims.PREFIX))
+    await world.wait_for(lambda: not world.store.find(suspect_locks.PREFIX))
 
 
 async def test_suspected_request_is_served_during_a_store_outage(world):
-    """Guards against harmless requests refused because no claim can be written."""
+    """Guards against harmless requests refused because no lock can be written."""
     await report_crashes(world, find_digest(PATH), "another", count=2)
     world.store.fault = StoreFault.UNAVAILABLE
     assert (await world.ask(PATH)).status == 200
 
 
-async def test_claims_are_bounded(world, monkeypatch):
+async def test_locks_are_bounded(world, monkeypatch):
     """Guards against a burst of writes when a data centre loses power."""
-    monkeypatch.setattr(suspect_claims, "MAX_CLAIMS", 2)
-    claims = world.find("suspects")
-    made = [await claims.acquire(f"d{number}") for number in range(3)]
+    monkeypatch.setattr(suspect_locks, "MAX_LOCKS", 2)
+    locks = world.find("suspects")
+    made = [await locks.acquire(f"d{number}") for number in range(3)]
     assert [bool(one.lease_id) for one in made] == [True, True, False]
     for one in made:
-        claims.release(one)
-    await world.wait_for(lambda: claims.dump()["claims"] == 0)
+        locks.release(one)
+    await world.wait_for(lambda: locks.dump()["held"] == 0)
 
 
 @pytest.mark.looptime
-async def test_received_claims_expire():
+async def test_received_locks_expire():
     """Guards against a request blocked at an instance that no longer follows the store.
 
-    It does not receive the removal of a claim.
+    It does not receive the removal of a lock.
     """
-    claims = suspect_claims.SuspectClaims(
+    locks = suspect_locks.SuspectLocks(
         instance_id="entry-1",
         store=None,
         is_store_reachable=lambda: False,
         clock=LoopClock(),
         metrics=NullTelemetry(),
     )
-    entry = Entry(suspect_claims.PREFIX + "aa", b"entry-2", 1)
-    claims.apply_scan(Scan((entry,), 1))
-    assert await claims.acquire("aa") is None
-    await asyncio.sleep(suspect_claims.CLAIM_TTL_SECONDS)
-    assert await claims.acquire("aa") == suspect_claims.Claim("aa")
+    entry = Entry(suspect_locks.PREFIX + "aa", b"entry-2", 1)
+    locks.apply_scan(Scan((entry,), 1))
+    assert await locks.acquire("aa") is None
+    await asyncio.sleep(suspect_locks.LOCK_TTL_SECONDS)
+    assert await locks.acquire("aa") == suspect_locks.Lock("aa")
