Tests of reports during an outage: share their steps

test_peers_receive_reports_during_a_store_outage began the outage before all instances knew the targets, so that 503 could also mean that none of these was left. It waits for them now, and checks that each instance serves another request, as the test beside it does. Both share these steps, and two tests of target calls the script that records bytes.

--- a/tests/test_entry/test_adapters/test_target_calls.py
+++ b/tests/test_entry/test_adapters/test_target_calls.py
@@ -94,6 +94,19 @@
     return ids | {"output": call["attempt"], "cost_ms": 3} | fields
 
 
+class Recorder:
+    """A script that records what it receives until the client disconnects."""
+
+    def __init__(self):
+        self.received = bytearray()
+        self.ended = asyncio.Event()
+
+    async def __call__(self, connection):
+        while data := await connection.reader.read(1000):
+            self.received.extend(data)
+        self.ended.set()
+
+
 async def serve(connection):
     """Answer every call correctly."""
     while True:
@@ -167,13 +180,7 @@
     Writing the body marks the call as sent, so the HTTP client must not write the
     headers before it starts to write the body.
     """
-    received = bytearray()
-    ended = asyncio.Event()
-
-    async def script(connection):
-        while data := await connection.reader.read(1000):
-            received.extend(data)
-        ended.set()
+    recorder = Recorder()
 
     def refuse(attempt):
         raise ConnectionError("stopped before the first byte")
@@ -181,11 +188,11 @@
     monkeypatch.setattr(
         "greengagelatch_entry.adapters.targets._Attempt.record_sending", refuse
     )
-    async with ScriptedServer(script) as server, open_client() as client:
+    async with ScriptedServer(recorder) as server, open_client() as client:
         result = await client.call(create_target(server), create_call())
-        await ended.wait()
+        await recorder.ended.wait()
     assert result.err_value.verdict is Verdict.NOT_RUN
-    assert not received
+    assert not recorder.received
 
 
 @pytest.mark.parametrize("field", ["attempt", "request", "stage"])
@@ -462,13 +469,7 @@
     loop_time, monkeypatch
 ):
     """Guards against the verdict "not run" for a call that its target has received."""
-    received = bytearray()
-    ended = asyncio.Event()
-
-    async def script(connection):
-        while data := await connection.reader.read(1000):
-            received.extend(data)
-        ended.set()
+    recorder = Recorder()
 
     connect = aiohttp.TCPConnector.connect
 
@@ -481,13 +482,13 @@
             connection.close()
 
     monkeypatch.setattr(aiohttp.TCPConnector, "connect", connect_late)
-    async with ScriptedServer(script) as server:
+    async with ScriptedServer(recorder) as server:
         async with open_client() as client:
             result = await client.call(create_target(server), create_call())
-        await ended.wait()
+        await recorder.ended.wait()
     assert result.err_value.kind is FailureKind.DEADLINE
     assert result.err_value.verdict is Verdict.NOT_RUN
-    assert not received
+    assert not recorder.received
 
 
 async def test_first_byte_timeout_ends_a_call_before_its_deadline(loop_time):
--- a/tests/test_processes/test_crashing_requests.py
+++ b/tests/test_processes/test_crashing_requests.py
@@ -86,9 +86,13 @@
                 crashed_by=self._crashed_by,
             )
         for instance in self._fleet.instances:
-            async with asyncio.timeout(WAIT_TIMEOUT):
-                while await self.ask(sound, instance) != 200:  # noqa: ASYNC110
-                    await asyncio.sleep(0.05)
+            await self.wait_served(instance, sound)
+
+    async def wait_served(self, instance, path: str) -> None:
+        """Wait until an instance serves a request; targets that crashed delay it."""
+        async with asyncio.timeout(WAIT_TIMEOUT):
+            while await self.ask(path, instance) != 200:  # noqa: ASYNC110
+                await asyncio.sleep(0.05)
 
 
 @pytest.fixture
@@ -192,55 +196,49 @@
     assert callers.count_arrivals(crashing) == before
 
 
-async def test_peers_receive_reports_during_a_store_outage(fleet, session):
-    """Guard against crash reports that reach no peers during a store outage."""
-    crashing, sound = "/look/crashing", "/look/sound"
-    callers = Callers(fleet, session, "desk", crashing)
+async def crash_targets_during_outage(fleet, callers, path: str, sound: str) -> None:
+    """Crash three targets through one instance while the store takes no reports."""
     for number in range(2 * MAX_CRASHES):
         await fleet.add_target(
-            f"desk-more-{number}", "desk", crashed_by=frozenset({crashing})
+            f"desk-more-{number}", "desk", crashed_by=frozenset({path})
         )
-    for instance in fleet.instances:
-        async with asyncio.timeout(WAIT_TIMEOUT):
-            while await callers.ask(sound, instance) != 200:  # noqa: ASYNC110
-                await asyncio.sleep(0.05)
+    await callers.replace_crashed(sound)
+    # until all instances know all targets
+    await asyncio.sleep(REPLICATION_SECONDS)
     fleet.store.fault = StoreFault.UNAVAILABLE
     async with asyncio.timeout(WAIT_TIMEOUT):
         while len(callers.list_crashed()) < MAX_CRASHES:
-            await callers.ask(crashing, fleet.instances[0])
+            await callers.ask(path, fleet.instances[0])
     await asyncio.sleep(REPLICATION_SECONDS)
-    before = callers.count_arrivals(crashing)
+
+
+async def check_held(callers, instance, path: str, sound: str) -> None:
+    """Check that an instance serves requests, but sends one request to no target."""
+    await callers.wait_served(instance, sound)
+    before = callers.count_arrivals(path)
+    assert await callers.ask(path, instance) == 503
+    assert callers.count_arrivals(path) == before
+
+
+async def test_peers_receive_reports_during_a_store_outage(fleet, session):
+    """Guard against crash reports that reach no peers during a store outage."""
+    crashing, sound = "/look/crashing", "/look/sound"
+    callers = Callers(fleet, session, "desk", crashing)
+    await crash_targets_during_outage(fleet, callers, crashing, sound)
     for instance in fleet.instances:
-        assert await callers.ask(crashing, instance) == 503
-    assert callers.count_arrivals(crashing) == before
+        await check_held(callers, instance, crashing, sound)
 
 
 async def test_instance_that_starts_during_a_store_outage_knows_of_it(fleet, session):
     """Guard against reports that only instances which ran before the outage have."""
     crashing, sound = "/look/crashing", "/look/sound"
     callers = Callers(fleet, session, "desk", crashing)
-    for number in range(2 * MAX_CRASHES):
-        await fleet.add_target(
-            f"desk-more-{number}", "desk", crashed_by=frozenset({crashing})
-        )
-    await callers.replace_crashed(sound)
-    await asyncio.sleep(REPLICATION_SECONDS)
-    fleet.store.fault = StoreFault.UNAVAILABLE
-    async with asyncio.timeout(WAIT_TIMEOUT):
-        while len(callers.list_crashed()) < MAX_CRASHES:
-            await callers.ask(crashing, fleet.instances[0])
-    await asyncio.sleep(REPLICATION_SECONDS)
+    await crash_targets_during_outage(fleet, callers, crashing, sound)
     last = fleet.instances[-1]
     await fleet.kill(last)
     await fleet.launch(last)
     await fleet.wait_ready(last)
-    # until its breakers are open for the targets that have crashed
-    async with asyncio.timeout(WAIT_TIMEOUT):
-        while await callers.ask(sound, last) != 200:  # noqa: ASYNC110
-            await asyncio.sleep(0.05)
-    before = callers.count_arrivals(crashing)
-    assert await callers.ask(crashing, last) == 503
-    assert callers.count_arrivals(crashing) == before
+    await check_held(callers, last, crashing, sound)
 
 
 async def test_request_whose_pieces_crash_makers_is_kept_from_them(fleet, session):
