Keep the lock on a suspected request for its whole attempt

Callers waited about a second between the two sends of an attempt at a suspected request: its lock was released after the first and had to be acquired again.

Now the exchange holds the lock until it ends, so that the second send waits for the reports only. An attempt that finds the lock held keeps its lease for the next try, 0.25 s later: five tries cost one grant and five writes, which a test counts.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
@@ -20,6 +20,7 @@
     from greengagelatch.relay.requests import OpaqueRequest
 
     from .messages import ResponseHead
+    from .suspect_locks import Lock
 
 __all__ = ("ResponseWriter", "CallerDisconnectedError", "RelayExchange")
 
@@ -136,6 +137,8 @@
     targets: list[Incarnation] = field(default_factory=list)
     #: attempts in which no target received the request
     unsent: int = 0
+    #: held while the request is sent, if it is suspected of crashing targets
+    suspect_lock: Lock | None = None
     stage_seconds: float = 0.0
     outcome: str = ""
     status: int = 0
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/filters.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/filters.py
@@ -252,7 +252,10 @@
 
     async def apply(self, exchange: RelayExchange, proceed: RelayHandler) -> None:
         await self._suspects.check(exchange)
-        await proceed(exchange)
+        try:
+            await proceed(exchange)
+        finally:
+            self._suspects.release(exchange)
 
 
 class SplitFilter(RelayFilter):
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/suspect_admission.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/suspect_admission.py
@@ -20,14 +20,14 @@
     from .crash_detector import CrashDetector
     from .decisions import DecisionLog
     from .exchange import RelayExchange
-    from .suspect_locks import Lock, SuspectLocks
+    from .suspect_locks import SuspectLocks
 
 __all__ = ("SuspectAdmission",)
 
 #: seconds for which a send waits at most for another one of the same request
 MAX_WAIT_SECONDS = 1.5
 #: seconds between two attempts to acquire a lock
-LOCK_RETRY_SECONDS = 0.1
+LOCK_RETRY_SECONDS = 0.25
 #: seconds after which callers may retry a request whose other send was awaited in vain
 AWAITED_RETRY_AFTER = 1.0
 
@@ -75,20 +75,23 @@
         if not self._quarantine.count_crashed(digest):
             yield
             return
-        lock = await self._wait_for_turn(exchange)
+        await self._wait_for_turn(exchange)
         try:
             yield
         finally:
-            settled = self._crash_detector.is_settled(digest)
-            if settled:
-                # otherwise the report of a crash ends it
+            # otherwise the report of a crash ends the trial
+            if self._crash_detector.is_settled(digest):
                 self._quarantine.end_trial(digest)
-            if lock is not None:
-                # the next instance must have the report of a crash
-                self._locks.release(lock, 0.0 if settled else SETTLE_SECONDS)
 
-    async def _wait_for_turn(self, exchange: RelayExchange) -> Lock | None:
-        """Return the lock under which to send; ``None``: it needs none."""
+    def release(self, exchange: RelayExchange) -> None:
+        """Let other instances send the request once this one does not send it again."""
+        lock, exchange.suspect_lock = exchange.suspect_lock, None
+        if lock is not None:
+            # the next instance must have the report of a crash
+            settled = self._crash_detector.is_settled(exchange.digest)
+            self._locks.release(lock, 0.0 if settled else SETTLE_SECONDS)
+
+    async def _wait_for_turn(self, exchange: RelayExchange) -> None:
         digest, began_at = exchange.digest, self._clock.now()
         give_up_at = min(began_at + MAX_WAIT_SECONDS, exchange.deadline)
         while True:
@@ -97,18 +100,23 @@
             now = self._clock.now()
             wait = self._quarantine.find_quarantine_seconds(digest, now)
             if wait is None:
-                if self._quarantine.count_crashed(digest) < SUSPECT_CRASHES:
-                    return None
-                lock = await self._locks.acquire(digest)
-                if lock is not None:
-                    self._log(exchange, lock, began_at)
-                    return lock
+                if await self._ensure_lock(exchange):
+                    self._log(exchange, now - began_at)
+                    return
                 self._quarantine.end_trial(digest)
                 wait = LOCK_RETRY_SECONDS
             if self._clock.now() + wait > give_up_at:
                 raise create_trial_error(exchange, AWAITED_RETRY_AFTER)
             await asyncio.sleep(wait)
 
+    async def _ensure_lock(self, exchange: RelayExchange) -> bool:
+        """Return whether no other instance sends the request as far as is known."""
+        if self._quarantine.count_crashed(exchange.digest) < SUSPECT_CRASHES:
+            return True
+        if exchange.suspect_lock is None:
+            exchange.suspect_lock = await self._locks.acquire(exchange.digest)
+        return exchange.suspect_lock is not None
+
     def _check_hold(self, exchange: RelayExchange) -> None:
         seconds = self._find_hold_seconds(exchange)
         if seconds is not None:
@@ -117,12 +125,15 @@
     def _find_hold_seconds(self, exchange: RelayExchange) -> float | None:
         return self._quarantine.find_hold_seconds(exchange.digest, self._clock.now())
 
-    def _log(self, exchange: RelayExchange, lock: Lock, began_at: float) -> None:
+    def _log(self, exchange: RelayExchange, waited: float) -> None:
+        lock = exchange.suspect_lock
+        if lock is None:
+            return
         self._decisions.log_decision(
             "suspect",
             request=exchange.request.request_id,
             digest=exchange.digest,
             crashes=self._quarantine.count_crashed(exchange.digest),
             locked=bool(lock.lease_id),
-            waited_ms=round((self._clock.now() - began_at) * 1000),
+            waited_ms=round(waited * 1000),
         )
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/suspect_locks.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/suspect_locks.py
@@ -29,6 +29,9 @@
 #: lease duration of a lock in seconds: long enough for a target to start running the
 #: request, and the longest time for which an instance that fails blocks it
 LOCK_TTL_SECONDS = 5.0
+#: age in seconds up to which a lease that was granted for one attempt to acquire a
+#: lock serves the next; each attempt would cost three calls otherwise
+MAX_SPARE_SECONDS = 1.0
 #: seconds allowed for each call; a suspected request waits for it
 CALL_TIMEOUT = 0.3
 #: maximum number of locks of an instance; with more suspects at a time, targets crash
@@ -75,27 +78,29 @@
         self._metrics = metrics
         #: keys of the locks in the store, with the time at which each was received
         self._received_at: dict[str, float] = {}
-        #: leases of the locks that this instance holds or tries to acquire
-        self._lease_ids: set[str] = set()
+        #: leases of the locks that this instance holds or tries to acquire, with the
+        #: time of each grant
+        self._leases: dict[str, float] = {}
+        #: lease of an attempt to acquire a lock that another instance held
+        self._spare_lease: tuple[str, float] = ("", 0.0)
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def acquire(self, digest: str) -> Lock | None:
         """Return a lock; ``None`` while another one is held."""
         if self._is_locked(digest):
             return None
-        lease_id = await self._grant_lease()
+        lease_id = await self._take_lease()
         if not lease_id:
             self._metrics.count("suspects.unlocked")
             return Lock(digest)
         lock = Lock(digest, lease_id)
-        self._lease_ids.add(lease_id)
         try:
             conflict = await self._write(lock)
         except BaseException:
             self.release(lock)
             raise
         if conflict:
-            self.release(lock)
+            self._spare_lease = (lease_id, self._leases.pop(lease_id))
             return None
         return lock
 
@@ -110,10 +115,19 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _grant_lease(self) -> str:
-        """Return the id of a new lease; empty if none could be granted."""
-        if len(self._lease_ids) >= MAX_LOCKS or not self._is_store_reachable():
+    async def _take_lease(self) -> str:
+        """Return the id of a lease; empty if none could be granted."""
+        if len(self._leases) >= MAX_LOCKS or not self._is_store_reachable():
             return ""
+        (lease_id, granted_at), self._spare_lease = self._spare_lease, ("", 0.0)
+        now = self._clock.now()
+        if not lease_id or now - granted_at > MAX_SPARE_SECONDS:
+            lease_id, granted_at = await self._grant_lease(), now
+        if lease_id:
+            self._leases[lease_id] = granted_at
+        return lease_id
+
+    async def _grant_lease(self) -> str:
         try:
             async with asyncio.timeout(CALL_TIMEOUT):
                 granted = await self._store.grant_lease(LOCK_TTL_SECONDS)
@@ -138,7 +152,7 @@
             await self.sleep(delay)
             await self._store.revoke_lease(lease_id)
         finally:
-            self._lease_ids.discard(lease_id)
+            self._leases.pop(lease_id, None)
 
     # locks that the store holds
 
@@ -170,4 +184,4 @@
             await asyncio.wait(self._tasks, timeout=CALL_TIMEOUT)
 
     def dump(self) -> dict[str, Any]:
-        return {"held": len(self._lease_ids), "known": len(self._received_at)}
+        return {"held": len(self._leases), "known": len(self._received_at)}
--- a/tests/test_entry/test_relay/test_crash_fleets.py
+++ b/tests/test_entry/test_relay/test_crash_fleets.py
@@ -257,8 +257,16 @@
             deadline=self.clock.now() + DEADLINE_SECONDS,
             request=SimpleNamespace(request_id=digest),
             verdict=Verdict.NOT_RUN,
+            suspect_lock=None,
         )
         await instance.admission.check(exchange)
+        try:
+            return await self._send_repeatedly(instance, exchange)
+        finally:
+            instance.admission.release(exchange)
+
+    async def _send_repeatedly(self, instance: Instance, exchange) -> bool:
+        digest = exchange.digest
         for _ in range(self.conditions.sends):
             async with instance.admission.admit(exchange):
                 if not self._engines:
--- a/tests/test_entry/test_relay/test_suspect_admission.py
+++ b/tests/test_entry/test_relay/test_suspect_admission.py
@@ -117,6 +117,26 @@
     await world.wait_for(lambda: locks.dump()["held"] == 0)
 
 
+async def test_waiting_for_a_lock_costs_few_calls(world):
+    """Guards against a store that is overloaded by attempts at one request.
+
+    Instances that do not follow the store ask it each time whether the lock is held.
+    """
+    await report_crashes(world, find_digest(PATH), "another", count=2)
+    key = await lock_elsewhere(world)
+    locks = world.find("suspects")
+    locks.apply_changes(Changes((), ((key, 1),), 1))
+    before = dict(world.store.calls)
+    for _ in range(5):
+        assert await locks.acquire(find_digest(PATH)) is None
+    calls = {
+        path: count - before.get(path, 0) for path, count in world.store.calls.items()
+    }
+    assert calls["/v1/kv-lease"] == 1
+    assert calls["/v1/kv-txn"] == 5
+    assert locks.dump()["held"] == 0
+
+
 async def test_lock_is_released_after_the_answer(world):
     """Guards against a harmless request that stays locked after it was answered."""
     await report_crashes(world, find_digest(PATH), "another", count=2)
