Keep requests that crash targets from them on our own interface too

What callers saw: a request whose stage crashes what runs it was sent to up to three targets with each attempt, at each instance, each time it came again; the requests beside it on these targets failed or were sent again.

The decision stood in the program for the platform only; here a request that comes again was not recognised.

Now each stage asks the same decision before it is called, with the same crash detector. A stage is known by workspace, pipeline, input and name, a target by its id. Reports, and answers that clear a suspect, go from peer to peer, each passed on once by all that receive it. Within an instance one attempt at an undecided request is sent at a time, and a suspect is not hedged.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/attempt_sender.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/attempt_sender.py
@@ -29,6 +29,7 @@
 
     from .logs import StageTrace
     from .metrics import Metrics
+    from .stage_quarantine import StageQuarantine
 
 __all__ = ("StreamMismatchError", "AttemptSender", "StageExecution")
 
@@ -102,7 +103,9 @@
         clock: Clock,
         random_source: random.Random,
         metrics: Metrics,
+        quarantine: StageQuarantine,
     ) -> None:
+        self._quarantine = quarantine
         self._dispatcher = dispatcher
         self._directory = directory
         self._client = client
@@ -140,6 +143,7 @@
             # cancelled at the target would continue to consume its resources
             self._finish_attempt(attempt)
         self._update_directory(grant, result)
+        self._quarantine.record_result(execution, grant.target, result)
         return result
 
     async def close(self) -> None:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/composition.py
@@ -15,6 +15,7 @@
 from greengagelatch.load.deadlines import DeadlinePlan
 from greengagelatch.load.durations import DurationTracker
 from greengagelatch.load.scheduler import Scheduler
+from greengagelatch.relay.quarantine import Quarantine
 
 from .adapters.callers import CallersServer
 from .adapters.instances import HttpInstanceList
@@ -22,12 +23,14 @@
 from .adapters.operators_configuration import add_configuration_routes
 from .adapters.orders import HttpOrderClient
 from .adapters.peers import PeerHub
+from .adapters.port_probe import PortProbe
 from .adapters.state_dump import StateDump
 from .adapters.store import HttpStore
 from .adapters.targets import HttpTargetClient
 from .controllers import Controller
 from .controllers.claims import ClaimsController
 from .controllers.configuration import ConfigurationController
+from .controllers.crash_report_gossip import CrashReportGossip
 from .controllers.drain import DrainController
 from .controllers.leases import LeasesController
 from .controllers.listing import ListingController
@@ -55,7 +58,10 @@
 from .logs import LogLevel, RequestLog
 from .metrics import Metrics
 from .pipeline_runner import PipelineRunner
+from .relay.crash_detector import CrashDetector
+from .relay.decisions import DecisionLog
 from .stage_caller import StageCaller
+from .stage_quarantine import DirectoryAvailability, SharedStageQuarantine
 from .status import StatusView
 
 if TYPE_CHECKING:
@@ -175,6 +181,21 @@
             instance_id=self.settings["instance.id"],
         )
 
+        self.quarantine = Quarantine()
+        self.crash_detector = CrashDetector(
+            replicator=CrashReportGossip(
+                quarantine=self.quarantine,
+                peers=self.peers,
+                clock=self.clock,
+                metrics=self.metrics,
+            ),
+            quarantine=self.quarantine,
+            target_table=DirectoryAvailability(self.targets),
+            connections=PortProbe(),
+            clock=self.clock,
+            metrics=self.metrics,
+            decisions=DecisionLog(clock=self.clock, metrics=self.metrics),
+        )
         self.quotas = QuotasController(
             peers=self.peers,
             clock=self.clock,
@@ -251,6 +272,11 @@
             metrics=self.metrics,
             durations=durations,
             retry_rules=read_retry_rules(self.settings),
+            quarantine=SharedStageQuarantine(
+                quarantine=self.quarantine,
+                crash_detector=self.crash_detector,
+                clock=self.clock,
+            ),
         )
         runner = PipelineRunner(
             stage_caller=self.stage_caller,
@@ -345,6 +371,7 @@
             self.scheduling,
             self.claims,
             self.quotas,
+            self.crash_detector,
             self.drain,
             self.operators,
             self.callers,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/filters/request_parser.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/filters/request_parser.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import json
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -14,6 +13,8 @@
 from greengagelatch.identity import create_id
 from greengagelatch.request import Request
 
+from ..request_digests import compute_digest
+
 if TYPE_CHECKING:
     import random
     from collections.abc import Callable
@@ -37,7 +38,6 @@
 MAX_SHOWN_CHARS = 64
 #: maximum digits of a deadline; longer ones are rejected without being parsed
 MAX_DEADLINE_DIGITS = 12
-DIGEST_BYTES = 16
 
 _YES_NO = {"yes": True, "no": False}
 
@@ -120,17 +120,17 @@
         stream = fields.get(STREAM_FIELD, False)
         if not isinstance(stream, bool):
             raise _InvalidFieldError(STREAM_FIELD, stream, "must be true or false")
-        pipeline_input = fields[INPUT_FIELD]
+        pipeline, pipeline_input = received_request.pipeline, fields[INPUT_FIELD]
         return Request(
             request_id=received_request.request_id,
             workspace=workspace,
-            pipeline=received_request.pipeline,
+            pipeline=pipeline,
             input=pipeline_input,
             received=received_request.received,
             deadline=received_request.received + budget / 1000,
             repeatable=repeatable,
             key=key,
-            digest=_digest(workspace, received_request.pipeline, fields) if key else "",
+            digest=compute_digest(workspace, pipeline, pipeline_input) if key else "",
             first_attempt=first,
             stream=stream,
         )
@@ -226,12 +226,6 @@
 _DECODER = json.JSONDecoder(parse_constant=_reject_constant)
 
 
-def _digest(workspace: str, pipeline: str, fields: dict[str, Any]) -> str:
-    digested = [workspace, pipeline, fields[INPUT_FIELD]]
-    text = json.dumps(digested, sort_keys=True, separators=(",", ":"))
-    return hashlib.blake2b(text.encode(), digest_size=DIGEST_BYTES).hexdigest()
-
-
 def _truncate(value: Any) -> str:
     text = value if isinstance(value, str) else json.dumps(value)
     return text[:MAX_SHOWN_CHARS]
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/stage_caller.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/stage_caller.py
@@ -15,6 +15,7 @@
 
 from .attempt_sender import AttemptSender, StreamMismatchError
 from .hedged_call import CallResult, call_with_hedge
+from .stage_quarantine import DisabledStageQuarantine
 
 if TYPE_CHECKING:
     import random
@@ -27,6 +28,7 @@
 
     from .attempt_sender import StageExecution
     from .metrics import Metrics
+    from .stage_quarantine import StageQuarantine
 
 __all__ = ("StageCaller",)
 
@@ -44,6 +46,8 @@
 
     :param durations: durations by ``(pipeline, stage)``, recorded by the dispatcher;
         without them the hedge delay depends on the stage's deadline alone
+    :param quarantine: keeps requests that crash targets from them; ``None``: no request
+        is suspected
     """
 
     def __init__(
@@ -58,9 +62,11 @@
         durations: DurationTracker | None = None,
         retry_rules: RetryRules | None = None,
         hedge_rule: HedgeRule | None = None,
+        quarantine: StageQuarantine | None = None,
     ) -> None:
         self._dispatcher = dispatcher
         self._directory = directory
+        self._quarantine = quarantine or DisabledStageQuarantine()
         self._sender = AttemptSender(
             dispatcher=dispatcher,
             directory=directory,
@@ -68,6 +74,7 @@
             clock=clock,
             random_source=random_source,
             metrics=metrics,
+            quarantine=self._quarantine,
         )
         self._clock = clock
         self._metrics = metrics
@@ -78,6 +85,9 @@
     async def call(self, execution: StageExecution) -> Result[StageAnswer, Refusal]:
         """Call a stage; return its answer, or the refusal of the whole request."""
         while True:
+            refusal = await self._quarantine.check(execution)
+            if refusal is not None:
+                return Err(refusal)
             acquired = await self._acquire(execution)
             if isinstance(acquired, Err):
                 return acquired
@@ -99,7 +109,7 @@
         self, execution: StageExecution, grant: Grant
     ) -> CallResult:
         execution.excluded |= {grant.target.target_id}
-        if not execution.repeatable:
+        if not execution.repeatable or self._quarantine.is_suspect(execution):
             return await self._sender.send(execution, grant)
         hedge_delay = self._choose_hedge_delay(execution)
         if execution.streamed or hedge_delay is None:
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/matrix/instance.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/matrix/instance.py
@@ -9,11 +9,14 @@
 from typing import TYPE_CHECKING, Any
 from unittest import mock
 
+import aiohttp
+
 from greengagelatch.clock import Clock
 from greengagelatch.settings import parse
 from greengagelatch_entry import composition
 from greengagelatch_entry.adapters import targets as target_adapter
 from greengagelatch_entry.adapters.orders import HttpOrderClient
+from greengagelatch_entry.adapters.port_probe import CONNECT_TIMEOUT
 from greengagelatch_entry.application import Application
 from greengagelatch_entry.controllers import Controller
 from greengagelatch_entry.controllers import claims as claims_controller
@@ -143,6 +146,24 @@
         return SimulatedSession(self._dialer, keep=False, timeout=self._timeout)
 
 
+class SimulatedPortProbe:
+    """Replaces ``PortProbe``, with simulated connections in place of sockets."""
+
+    def __init__(self, *, dialer: Dialer) -> None:
+        self._dialer = dialer
+
+    async def is_port_closed(self, address: str) -> bool:
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT):
+                connection = await self._dialer.open(address)
+        except aiohttp.ClientConnectionError:
+            return True
+        except TimeoutError:
+            return False
+        connection.close()
+        return False
+
+
 class NoOperators(Controller):
     """Replaces ``OperatorsServer``; the bench calls controllers directly."""
 
@@ -235,6 +256,7 @@
             "PeerHub": partial(SimulatedPeers, links=bench.links, **common),
             "TargetsController": partial(PolledTargets, dialer=self.dialer),
             "SchedulingController": partial(ObservedScheduling, dialer=self.dialer),
+            "PortProbe": partial(SimulatedPortProbe, dialer=self.dialer),
             "HttpOrderClient": partial(SimulatedOrderClient, dialer=self.dialer),
             "OperatorsServer": NoOperators,
             "CallersServer": partial(
