Send nothing into evacuated data centres

Operators evacuate a data centre by an entry in the store.

The entries are followed by the watch that exists, and handed on by peers to instances that the store turns away. The target table, which every send, retry, resumption and stage call asks once connected, excludes the targets of evacuated data centres; results that their makers hold are not released there but expire.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/codecs.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/codecs.py
@@ -18,7 +18,13 @@
     from .messages import AttemptContext, OutboundRequest, ResponseHead
     from .target_connections import TargetResponse
 
-__all__ = ("CallerCodec", "DeploymentCodec", "ListingCodec", "TargetCodec")
+__all__ = (
+    "CallerCodec",
+    "DeploymentCodec",
+    "EvacuationCodec",
+    "ListingCodec",
+    "TargetCodec",
+)
 
 
 class CallerCodec(ABC):
@@ -110,3 +116,15 @@
         self, key: str, value: bytes, revision: int
     ) -> Result[ListedTarget, Problem]:
         """Return the target that an entry describes."""
+
+
+class EvacuationCodec(ABC):
+    """Decodes the store entries that evacuate data centres."""
+
+    #: prefix of the entries' keys in the store; an entry exists while its data centre
+    #: is evacuated
+    prefix: str
+
+    @abstractmethod
+    def read_data_centre(self, key: str) -> str:
+        """Return the data centre that the entry of a key evacuates."""
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -30,6 +30,7 @@
 from .crash_detector import CrashDetector
 from .crash_report_replicator import CrashReportReplicator
 from .decisions import DecisionLog
+from .evacuation import EvacuationFollower
 from .filters import (
     ObserveFilter,
     QuarantineFilter,
@@ -160,6 +161,13 @@
             decisions=self.decisions,
         )
         self.configuration.callbacks.append(self.listing.check_services)
+        self.evacuation = EvacuationFollower(
+            codec=self.adapters.evacuations,
+            target_table=self.target_table,
+            on_ended=lambda data_centre: None,
+            metrics=self.metrics,
+            decisions=self.decisions,
+        )
         self.registry = RegistryController(
             store=self.store,
             instance_id=self.settings.instance_id,
@@ -214,6 +222,8 @@
             store=self.store,
             subscribers=(
                 self.configuration,
+                # before the listing: targets of an evacuated data centre may be new
+                self.evacuation,
                 self.listing,
                 self.registry,
                 self.crash_reports,
@@ -233,6 +243,7 @@
             follower=self.follower,
             configuration=self.configuration,
             listing=self.listing,
+            evacuation=self.evacuation,
             crash_reports=self.crash_reports,
             target_table=self.target_table,
             clock=self.clock,
@@ -485,6 +496,7 @@
         parts = {part.name: part.dump() for part in self._list_controllers()}
         parts["configuration"] = self.configuration.dump()
         parts["listing"] = self.listing.dump()
+        parts["evacuation"] = self.evacuation.dump()
         return {
             "instance": self.settings.instance_id,
             "data_centre": self.settings.data_centre,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/parts.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/parts.py
@@ -14,7 +14,13 @@
 
     from ..controllers import Controller
     from ..controllers.drain import DrainController
-    from .codecs import CallerCodec, DeploymentCodec, ListingCodec, TargetCodec
+    from .codecs import (
+        CallerCodec,
+        DeploymentCodec,
+        EvacuationCodec,
+        ListingCodec,
+        TargetCodec,
+    )
     from .front import RelayFront
     from .prometheus import PrometheusMetrics
 
@@ -54,6 +60,7 @@
     targets: TargetCodec
     deployments: DeploymentCodec
     listings: ListingCodec
+    evacuations: EvacuationCodec
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/peer_sync.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/peer_sync.py
@@ -10,6 +10,7 @@
 from result import Err
 
 from greengagelatch.peers import MemberState
+from greengagelatch.relay.evacuations import Evacuation
 from greengagelatch.relay.messages import PeerSyncAnswer, PeerSyncQuery
 from greengagelatch.relay.target_rows import decode_target, encode_target
 
@@ -26,6 +27,7 @@
     from ..metrics import Metrics
     from .configuration import ConfigurationFollower
     from .crash_report_replicator import CrashReportReplicator
+    from .evacuation import EvacuationFollower
     from .listing import ListingFollower
     from .store_follower import StoreFollower
 
@@ -69,6 +71,7 @@
         follower: StoreFollower,
         configuration: ConfigurationFollower,
         listing: ListingFollower,
+        evacuation: EvacuationFollower,
         crash_reports: CrashReportReplicator,
         target_table: TargetTable,
         clock: Clock,
@@ -82,6 +85,7 @@
         self._follower = follower
         self._configuration = configuration
         self._listing = listing
+        self._evacuation = evacuation
         self._crash_reports = crash_reports
         self._target_table = target_table
         self._clock = clock
@@ -117,6 +121,7 @@
             self._configuration.revision,
             self._listing.revision,
             self._crash_reports.revision,
+            self._evacuation.revision,
         )
         sent_at = self._clock.now()
         reply = await self._peers.ask(peer, query, QUERY_TIMEOUT)
@@ -166,6 +171,11 @@
                 self._metrics.count("news.unreadable")
                 return
             self._configuration.apply(value, update.configuration_revision, "peer")
+        # before the listing: the targets of an evacuated data centre may be new here
+        self._evacuation.apply_peer_evacuations(
+            tuple(Evacuation(*row) for row in update.evacuations),
+            update.evacuations_revision,
+        )
         if update.listed:
             targets = tuple(filter(None, map(decode_target, update.targets)))
             self._listing.apply_peer_listing(targets, update.listing_revision)
@@ -179,6 +189,8 @@
         listed = (
             self._listing.synced and self._listing.revision > query.listing_revision
         )
+        evacuation = self._evacuation
+        evacuations_newer = evacuation.revision > query.evacuations_revision
         return PeerSyncAnswer(
             heard_seconds=self._follower.staleness,
             configuration_revision=configuration.revision,
@@ -189,6 +201,12 @@
             if listed
             else (),
             crashes=self._crash_reports.list_newer(query.crashes_revision),
+            evacuations_revision=evacuation.revision if evacuations_newer else 0,
+            evacuations=tuple(
+                (one.data_centre, one.revision) for one in evacuation.list_active()
+            )
+            if evacuations_newer
+            else (),
         )
 
     def _compress_configuration(self) -> bytes:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/result_releaser.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/result_releaser.py
@@ -101,11 +101,21 @@
             if self._target_table.is_superseded(incarnation):
                 self._metrics.count("stages.lost_by_restart", len(handles))
                 continue
+            if not self._may_send(incarnation):
+                self._metrics.count("stages.unfreed", len(handles))
+                continue
             sending = self._send(incarnation, address, tuple(handles))
             task = asyncio.create_task(sending)
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
+    def _may_send(self, incarnation: Incarnation) -> bool:
+        if self._target_table.is_superseded(incarnation):
+            return False
+        target = self._target_table.find_listed(incarnation.target_id)
+        # results in an evacuated data centre expire by themselves
+        return target is None or not self._target_table.is_evacuated(target.data_centre)
+
     async def _send(
         self, incarnation: Incarnation, address: str, handles: tuple[str, ...]
     ) -> None:
@@ -117,7 +127,7 @@
                 fresh=False,
                 timeout=FREE_TIMEOUT,
                 # a draining maker holds its results until it stops
-                may_send=lambda: not self._target_table.is_superseded(incarnation),
+                may_send=lambda: self._may_send(incarnation),
             )
             await reply.read(MAX_ANSWER_BYTES)
             if self._target_table.is_available(incarnation):
--- a/packages/greengagelatch/src/greengagelatch/relay/messages.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/messages.py
@@ -152,11 +152,13 @@
     configuration_revision: int = 0
     listing_revision: int = 0
     crashes_revision: int = 0
+    evacuations_revision: int = 0
 
     def __post_init__(self) -> None:
         check_type(self.configuration_revision, int)
         check_type(self.listing_revision, int)
         check_type(self.crashes_revision, int)
+        check_type(self.evacuations_revision, int)
 
 
 @register("news")
@@ -177,9 +179,15 @@
     targets: tuple[Any, ...] = ()
     #: key, revision and value of crash reports, oldest first
     crashes: tuple[Any, ...] = ()
+    #: 0: sent by an earlier release, or not newer than the revision of the query
+    evacuations_revision: int = 0
+    #: pairs of evacuated data centre and revision of its evacuation
+    evacuations: tuple[Any, ...] = ()
 
     def __post_init__(self) -> None:
         check_type(self.crashes, (tuple, list))
+        check_type(self.evacuations_revision, int)
+        _check_evacuations(self.evacuations)
         check_type(self.heard_seconds, (int, float, type(None)))
         check_type(self.configuration, bytes)
         check_type(self.configuration_revision, int)
@@ -199,6 +207,16 @@
         check_type(self.rows, (tuple, list))
 
 
+def _check_evacuations(rows: Any) -> None:
+    check_type(rows, (tuple, list))
+    for row in rows:
+        check_type(row, (tuple, list))
+        if len(row) != 2:
+            raise ValueError(f"evacuation has {len(row)} fields, not 2")
+        check_type(row[0], str)
+        check_type(row[1], int)
+
+
 def encode_bundle(bundle: Bundle, group: MakerGroup, now: float) -> BundleRequest:
     """Return the message that asks the owner of a group for a bundle."""
     first = bundle.pieces[0]
--- a/packages/greengagelatch/src/greengagelatch/relay/targets.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/targets.py
@@ -56,6 +56,7 @@
         self._newest: dict[str, ListedTarget] = {}
         self._departed: dict[Incarnation, None] = {}
         self._services: dict[str, tuple[ListedTarget, ...]] = {}
+        self._evacuated: frozenset[str] = frozenset()
 
     def __len__(self) -> int:
         return len(self._targets)
@@ -65,7 +66,16 @@
         target = self._targets.get(incarnation.target_id)
         if target is None or target.incarnation != incarnation:
             return False
-        return not target.leaving
+        return self._accepts_requests(target)
+
+    def is_evacuated(self, data_centre: str) -> bool:
+        """Return whether the targets of a data centre are to receive nothing."""
+        return data_centre in self._evacuated
+
+    def set_evacuated(self, data_centres: frozenset[str]) -> None:
+        """Set the data centres whose targets are to receive nothing."""
+        self._evacuated = data_centres
+        self._services.clear()
 
     def is_superseded(self, incarnation: Incarnation) -> bool:
         """Return whether the target has restarted since and lost its state."""
@@ -94,7 +104,7 @@
                     (
                         target
                         for target in self._targets.values()
-                        if target.service == service and not target.leaving
+                        if target.service == service and self._accepts_requests(target)
                     ),
                     key=lambda target: target.incarnation,
                 )
@@ -164,6 +174,9 @@
         self._services.clear()
         return True
 
+    def _accepts_requests(self, target: ListedTarget) -> bool:
+        return not target.leaving and target.data_centre not in self._evacuated
+
     def _remember_departed(self, incarnation: Incarnation) -> None:
         self._departed[incarnation] = None
         if len(self._departed) > MAX_REMEMBERED:
--- a/tests/test_entry/test_relay/conftest.py
+++ b/tests/test_entry/test_relay/conftest.py
@@ -24,6 +24,7 @@
 from greengagelatch_lab.platform_standins.targets import SimulatedTarget
 from greengagelatch_platform.callers import PlatformCallerCodec
 from greengagelatch_platform.configuration import PlatformDeploymentCodec
+from greengagelatch_platform.evacuations import PlatformEvacuationCodec
 from greengagelatch_platform.listing import PlatformListingCodec
 from greengagelatch_platform.store import PlatformStore
 from greengagelatch_platform.targets import PlatformTargetCodec
@@ -88,6 +89,14 @@
         """Return the total of a counter."""
         return self.describe()["metrics"]["counters"].get(name, 0)
 
+    def evacuate(self, data_centre: str) -> None:
+        """Order that the targets of a data centre receive nothing more."""
+        self.store.put(f"op/evacuate/{data_centre}", {})
+
+    def restore(self, data_centre: str) -> None:
+        """End the evacuation of a data centre."""
+        self.store.remove(f"op/evacuate/{data_centre}")
+
     def accepts(self, target_id: str) -> bool:
         """Return whether the target listed under an id accepts requests."""
         book = self.find("news")._target_table
@@ -190,6 +199,7 @@
             targets=PlatformTargetCodec(),
             deployments=PlatformDeploymentCodec(),
             listings=PlatformListingCodec(),
+            evacuations=PlatformEvacuationCodec(),
         )
 
 
--- a/tests/test_entry/test_relay/test_peer_sync.py
+++ b/tests/test_entry/test_relay/test_peer_sync.py
@@ -78,6 +78,9 @@
         ),
         configuration=SimpleNamespace(revision=1),
         listing=SimpleNamespace(revision=1),
+        evacuation=SimpleNamespace(
+            revision=1, apply_peer_evacuations=lambda rows, revision: None
+        ),
         crash_reports=SimpleNamespace(revision=1, apply_updates=lambda rows: None),
         target_table=None,
         clock=LoopClock(),
