Bound the requests that all instances send to a cold target

A target is cold for some seconds after its start, after an evacuation, or at any moment, and crashes when it gets more than the configured rate. Nothing bounded this: the field of the entry was read and dropped.

Ways weighed: a share for each instance of the number that may exist (at 89 instances 0.24 requests a second each, so that a target may still get 89 at once); grants through the store (a call for each, and none during an outage); the instances chosen for each target by rendezvous hashing over all that may exist. The last is kept: one request each in 1.4 s for as many instances as the rate allows, the slack of the bound unused.

Two processes whose views differ could each count themselves in. So cold targets are only used while the own registration is certain, and by a view confirmed three seconds after it.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -12,7 +12,8 @@
 from greengagelatch.peers import MemberState
 from greengagelatch.relay.admission import DeadlineAdmission
 from greengagelatch.relay.batches import CrossRequestBatching
-from greengagelatch.relay.deployment import CallerLimits
+from greengagelatch.relay.cold_targets import ColdTargets
+from greengagelatch.relay.deployment import CallerLimits, RoutedService
 from greengagelatch.relay.groups import CapacityBasedOwnership
 from greengagelatch.relay.idle_connections import count_idle_connections
 from greengagelatch.relay.load_balancer import LoadBalancer
@@ -23,6 +24,7 @@
 from ..adapters.peers import PeerHub
 from ..controllers import Controller
 from ..controllers.drain import DrainController
+from ..controllers.listing import LISTING_RECEIVED
 from ..filters import chain
 from ..in_flight_requests import InFlightRequests
 from .bundle_quarantine import SharedBundleQuarantine
@@ -41,6 +43,7 @@
 )
 from .forwarding_stage_executor import ForwardingStageExecutor
 from .front import RelayFront
+from .known_instances import KnownInstances
 from .listing import ListingFollower
 from .local_stage_executor import LocalStageExecutor
 from .ownership import Ownership
@@ -66,6 +69,7 @@
 
 if TYPE_CHECKING:
     from greengagelatch.peers import Member
+    from greengagelatch.relay.deployment import MakerProfile
     from greengagelatch.relay.groups import MakerGroup
     from greengagelatch.relay.incarnations import Incarnation
 
@@ -138,8 +142,22 @@
     def _build_state(self) -> None:
         self.target_table = TargetTable()
         self.quarantine = Quarantine()
+        self.known_instances = KnownInstances(
+            own=self.settings.peers_listen,
+            list_members=lambda: self.peers.members(),
+            find_registration=lambda: self.registry.registered_at,
+            find_confirmation=lambda: self.follower.confirmed_at,
+            clock=self.clock,
+        )
+        self.cold_targets = ColdTargets(
+            own=self.settings.peers_listen,
+            rule=self.settings.cold_targets,
+            find_instances=self.known_instances.find_addresses,
+            find_rate=lambda service: self._find_service(service).cold_rate,
+        )
         self.load_balancer = LoadBalancer(
             target_table=self.target_table,
+            cold_targets=self.cold_targets,
             data_centre=self.settings.data_centre,
             random_source=self.random,
         )
@@ -154,8 +172,10 @@
         self.listing = ListingFollower(
             codec=self.adapters.listings,
             target_table=self.target_table,
+            cold_targets=self.cold_targets,
             on_removed=self._forget_target,
             find_services=self._find_services,
+            find_cold_seconds=lambda service: self._find_service(service).cold_seconds,
             clock=self.clock,
             metrics=self.metrics,
             decisions=self.decisions,
@@ -164,7 +184,7 @@
         self.evacuation = EvacuationFollower(
             codec=self.adapters.evacuations,
             target_table=self.target_table,
-            on_ended=lambda data_centre: None,
+            on_ended=self.listing.handle_evacuation_ended,
             metrics=self.metrics,
             decisions=self.decisions,
         )
@@ -175,9 +195,11 @@
             address=self.settings.peers_listen,
             capacity=self.settings.capacity.bundles,
             events=self.events,
+            clock=self.clock,
             metrics=self.metrics,
             decisions=self.decisions,
         )
+        self.events.connect(LISTING_RECEIVED, self.known_instances.apply_listing)
         self.peers = PeerHub(
             clock=self.clock,
             random_source=self.random,
@@ -246,6 +268,7 @@
             evacuation=self.evacuation,
             crash_reports=self.crash_reports,
             target_table=self.target_table,
+            cold_targets=self.cold_targets,
             clock=self.clock,
             random_source=self.random,
             metrics=self.metrics,
@@ -413,10 +436,7 @@
     def _find_idle_limit(self, incarnation: Incarnation) -> int:
         """Return the maximum number of idle connections to a target."""
         target = self.target_table.find_listed(incarnation.target_id)
-        deployment = self.configuration.deployment
-        service = None
-        if target is not None and deployment is not None:
-            service = deployment.services.get(target.service)
+        service = self._find_service(target.service) if target else None
         return count_idle_connections(
             service.max_connections if service else 0,
             self._count_instances(),
@@ -466,10 +486,14 @@
         deployment = self.configuration.deployment
         return deployment.services if deployment else None
 
-    def _find_maker(self, service: str):
+    def _find_service(self, name: str) -> RoutedService:
+        """Return a configured service; one without capacities if it is unknown."""
         deployment = self.configuration.deployment
-        found = deployment.services.get(service) if deployment else None
-        return found.maker if found else None
+        found = deployment.services.get(name) if deployment else None
+        return found or RoutedService(name=name)
+
+    def _find_maker(self, service: str) -> MakerProfile | None:
+        return self._find_service(service).maker
 
     def _find_limits(self) -> CallerLimits:
         deployment = self.configuration.deployment
@@ -490,6 +514,7 @@
         self.connections.close_idle(incarnation)
         self.crash_detector.record_removal(incarnation)
         self.load_balancer.forget(incarnation)
+        self.cold_targets.forget(incarnation)
         self.local_executor.record_removal(incarnation)
 
     def _describe(self) -> dict[str, Any]:
@@ -502,6 +527,7 @@
             "data_centre": self.settings.data_centre,
             **parts,
             "targets": self.load_balancer.describe(self.clock.now()),
+            "cold_targets": self.cold_targets.describe(self.clock.now()),
             "links": {"idle": self.connections.count_idle()},
             "metrics": self.metrics.dump(),
         }
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/listing.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/listing.py
@@ -17,6 +17,7 @@
     from collections.abc import Callable, Collection
 
     from greengagelatch.clock import Clock
+    from greengagelatch.relay.cold_targets import ColdTargets
     from greengagelatch.relay.incarnations import Incarnation
     from greengagelatch.relay.targets import ListedTarget, TargetTable
     from greengagelatch.store import Entry
@@ -35,10 +36,13 @@
 class ListingFollower(StoreSubscriber):
     """Follows the entries of targets and maintains the target book.
 
+    :param cold_targets: told for how long targets are cold, by their entries
     :param on_removed: called with each incarnation that has left, restarted or been
         removed
     :param find_services: returns the configured services; ``None`` until a
         configuration has been loaded
+    :param find_cold_seconds: returns for how long a target of a service is cold after
+        its start
     """
 
     def __init__(
@@ -46,8 +50,10 @@
         *,
         codec: ListingCodec,
         target_table: TargetTable,
+        cold_targets: ColdTargets,
         on_removed: Callable[[Incarnation], None],
         find_services: Callable[[], Collection[str] | None],
+        find_cold_seconds: Callable[[str], float],
         clock: Clock,
         metrics: Metrics,
         decisions: DecisionLog,
@@ -57,8 +63,10 @@
         self._decisions = decisions
         self._codec = codec
         self._target_table = target_table
+        self._cold_targets = cold_targets
         self._on_removed = on_removed
         self._find_services = find_services
+        self._find_cold_seconds = find_cold_seconds
         self._metrics = metrics
         self._invalid = InvalidEntries(metrics=metrics, decisions=decisions)
         #: incarnations whose outdated entries have been logged, by target id
@@ -142,6 +150,7 @@
         changed = self._target_table.put(target)
         if former is not None:
             self._handle_restart(target, former)
+        self.record_cold(target.incarnation, target.cold_seconds, "entry")
         self._check_service(target.target_id)
         if not changed:
             return
@@ -175,6 +184,31 @@
         )
         self._on_removed(former)
 
+    def handle_evacuation_ended(self, data_centre: str) -> None:
+        """Count the targets of a data centre as cold, as they have been idle.
+
+        Their entries tell so only later.
+        """
+        for target in self._target_table.list_all():
+            if target.data_centre != data_centre:
+                continue
+            seconds = self._find_cold_seconds(target.service)
+            self.record_cold(target.incarnation, seconds, "evacuation")
+
+    def record_cold(
+        self, incarnation: Incarnation, seconds: float, reason: str
+    ) -> None:
+        """Record that a target may be cold for some seconds from now."""
+        if not self._cold_targets.record(incarnation, seconds, self._clock.now()):
+            return
+        self._metrics.count("targets.cold")
+        self._decisions.log_state_change(
+            "target-cold",
+            target=str(incarnation),
+            cold_ms=round(seconds * 1000),
+            reason=reason,
+        )
+
     def _record_outdated(self, target: ListedTarget) -> None:
         """Count and log an entry of an incarnation that has already ended."""
         self._metrics.count("targets.outdated")
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/parts.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/parts.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from greengagelatch.relay.capacity import Capacity
+from greengagelatch.relay.cold_targets import ColdTargetRule
 
 if TYPE_CHECKING:
     from greengagelatch.relay.retry_budget import RetryBudgetRule
@@ -48,6 +49,7 @@
     #: time after that in which requests in flight may finish
     longest_drain: float
     retry_budget: RetryBudgetRule
+    cold_targets: ColdTargetRule = field(default_factory=ColdTargetRule)
     capacity: Capacity = field(default_factory=Capacity)
 
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/peer_sync.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/peer_sync.py
@@ -11,6 +11,7 @@
 
 from greengagelatch.peers import MemberState
 from greengagelatch.relay.evacuations import Evacuation
+from greengagelatch.relay.incarnations import Incarnation
 from greengagelatch.relay.messages import PeerSyncAnswer, PeerSyncQuery
 from greengagelatch.relay.target_rows import decode_target, encode_target
 
@@ -22,6 +23,7 @@
 
     from greengagelatch.clock import Clock
     from greengagelatch.peers import Member, PeerNetwork
+    from greengagelatch.relay.cold_targets import ColdTargets
     from greengagelatch.relay.targets import TargetTable
 
     from ..metrics import Metrics
@@ -74,6 +76,7 @@
         evacuation: EvacuationFollower,
         crash_reports: CrashReportReplicator,
         target_table: TargetTable,
+        cold_targets: ColdTargets,
         clock: Clock,
         random_source: random.Random,
         metrics: Metrics,
@@ -88,6 +91,7 @@
         self._evacuation = evacuation
         self._crash_reports = crash_reports
         self._target_table = target_table
+        self._cold_targets = cold_targets
         self._clock = clock
         self._random = random_source
         self._metrics = metrics
@@ -179,6 +183,10 @@
         if update.listed:
             targets = tuple(filter(None, map(decode_target, update.targets)))
             self._listing.apply_peer_listing(targets, update.listing_revision)
+        for target_id, started_ms, seconds in update.cold_targets:
+            self._listing.record_cold(
+                Incarnation(target_id, started_ms), seconds, "peer"
+            )
         self._crash_reports.apply_updates(update.crashes)
         if update.heard_seconds is not None:
             self._follower.record_peer_report(update.heard_seconds + elapsed)
@@ -207,6 +215,10 @@
             )
             if evacuations_newer
             else (),
+            cold_targets=tuple(
+                (one.target_id, one.started_ms, seconds)
+                for one, seconds in self._cold_targets.list_cold(self._clock.now())
+            ),
         )
 
     def _compress_configuration(self) -> bytes:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/registry.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/registry.py
@@ -17,6 +17,7 @@
 from .store_follower import StoreSubscriber
 
 if TYPE_CHECKING:
+    from greengagelatch.clock import Clock
     from greengagelatch.events import EventBus
     from greengagelatch.store import Entry
     from greengagelatch.store.ranges import Changes, RangeStore, Scan
@@ -32,6 +33,9 @@
 #: spans several renewals
 LEASE_TTL_SECONDS = 12.0
 RENEW_INTERVAL_SECONDS = 4.0
+#: seconds after a renewal for which the lease has certainly not expired, whatever the
+#: drift of the clocks
+CERTAIN_TTL_SECONDS = LEASE_TTL_SECONDS * 0.95
 #: seconds between two attempts after a failed call
 RETRY_SECONDS = 0.7
 
@@ -56,6 +60,7 @@
         address: str,
         capacity: int,
         events: EventBus,
+        clock: Clock,
         metrics: Metrics,
         decisions: DecisionLog,
     ) -> None:
@@ -66,14 +71,28 @@
         self._address = address
         self._capacity = capacity
         self._events = events
+        self._clock = clock
         self._metrics = metrics
         self._decisions = decisions
         self._lease_id = ""
+        #: monotonic time in seconds until which the registration can't have expired
+        self._registered_until = float("-inf")
+        self._registered_at = float("inf")
         #: instances by key, each with the revision of its entry
         self._instances: dict[str, tuple[int, Instance]] = {}
         self._revision = 0
         events.declare(LISTING_RECEIVED)
 
+    @property
+    def registered_at(self) -> float:
+        """Monotonic time in seconds since which this instance is registered.
+
+        Infinite unless the registration has certainly not expired.
+        """
+        if self._clock.now() >= self._registered_until:
+            return float("inf")
+        return self._registered_at
+
     def apply_scan(self, scan: Scan) -> None:
         self._instances = {}
         for entry in scan.entries:
@@ -106,6 +125,7 @@
             await asyncio.sleep(RENEW_INTERVAL_SECONDS if renewed else RETRY_SECONDS)
 
     async def _register(self) -> bool:
+        started = self._clock.now()
         granted = await self._store.grant_lease(LEASE_TTL_SECONDS)
         if isinstance(granted, Err):
             self._metrics.count("registry.errors")
@@ -123,20 +143,25 @@
         if written.outcome in (WriteOutcome.APPLIED, WriteOutcome.CONFLICT):
             # a conflict means that an earlier write of this process had succeeded
             self._lease_id = lease_id
+            self._registered_at = self._clock.now()
+            self._registered_until = started + CERTAIN_TTL_SECONDS
             self._decisions.log_state_change("registered", lease=lease_id)
             return True
         self._metrics.count("registry.errors")
         return False
 
     async def _renew(self) -> bool:
+        started = self._clock.now()
         renewed = await self._store.renew_lease(self._lease_id)
         if not isinstance(renewed, Err):
+            self._registered_until = started + CERTAIN_TTL_SECONDS
             return True
         if renewed.err_value.kind is StoreErrorKind.LEASE_GONE:
             self._decisions.log_state_change(
                 "registration-lapsed", lease=self._lease_id
             )
             self._lease_id = ""
+            self._registered_until = float("-inf")
         self._metrics.count("registry.errors")
         return False
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/runners.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/runners.py
@@ -94,7 +94,7 @@
             return create_error(
                 exchange,
                 RefusalCode.NO_TARGET,
-                f"no target of {exchange.service} is listed",
+                f"no target of {exchange.service} accepts requests",
                 retry_after=NO_TARGET_RETRY_AFTER,
                 field="service",
                 value=exchange.service,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/store_follower.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/store_follower.py
@@ -127,6 +127,11 @@
         """Seconds since the state was last confirmed by the store or by a peer."""
         return self._clock.now() - self._confirmed_at
 
+    @property
+    def confirmed_at(self) -> float:
+        """Monotonic time in seconds at which the state was last known to be current."""
+        return self._confirmed_at
+
     @property
     def reachable(self) -> bool:
         """Whether the last call to the store succeeded."""
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/deployment.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/deployment.py
@@ -19,6 +19,7 @@
     "handle-s": 4,
     "link-mbps": 10000,
 }
+_COLD_START = {"cold-start-s": 3.0, "cold-per-s": 2.0}
 _ENGINE = {"slots": 16, "kv-capacity": 100000, "models": [{"name": "m"}]}
 
 
@@ -37,8 +38,18 @@
         "version": version,
         "routes": routes,
         "services": [
-            {"name": "desk", "health-path": "/healthz", "max-conns": 100},
-            {"name": "llm", "health-path": "/healthz", "engine": _ENGINE},
+            {
+                "name": "desk",
+                "health-path": "/healthz",
+                "max-conns": 100,
+                **_COLD_START,
+            },
+            {
+                "name": "llm",
+                "health-path": "/healthz",
+                "engine": _ENGINE,
+                **_COLD_START,
+            },
             {"name": "portal", "health-path": "/healthz", "segments": _MAKER},
             {"name": "ledger", "health-path": "/healthz", "segments": _MAKER},
         ],
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/instances.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/instances.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from greengagelatch.relay.cold_targets import ColdTargets
 from greengagelatch.relay.load_balancer import EngineDemand, LoadBalancer
 from greengagelatch.relay.retry_budget import RetryBudgetRule
 from greengagelatch_entry.relay.bundle_quarantine import DisabledBundleQuarantine
@@ -224,6 +225,7 @@
     ) -> ModelledStreams:
         load_balancer = LoadBalancer(
             target_table=self._target_table,
+            cold_targets=ColdTargets(),
             data_centre=balancer_data_centre,
             random_source=self._random,
         )
--- a/packages/greengagelatch/src/greengagelatch/relay/deployment.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/deployment.py
@@ -140,6 +140,10 @@
     max_connections: int = 0
     engine: EngineProfile | None = None
     maker: MakerProfile | None = None
+    #: seconds for which a target is cold after its start
+    cold_seconds: float = 0.0
+    #: requests per second that a cold target tolerates; 0: not limited
+    cold_rate: float = 0.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
@@ -13,6 +13,7 @@
     import random
     from collections.abc import Mapping
 
+    from .cold_targets import ColdTargets
     from .incarnations import Incarnation
     from .requests import Prompt
     from .targets import ListedTarget, TargetTable
@@ -78,10 +79,12 @@
         self,
         *,
         target_table: TargetTable,
+        cold_targets: ColdTargets,
         data_centre: str,
         random_source: random.Random,
     ) -> None:
         self._target_table = target_table
+        self._cold_targets = cold_targets
         self._data_centre = data_centre
         self._random = random_source
         self._states: dict[Incarnation, _TargetState] = {}
@@ -89,11 +92,16 @@
     def choose_least_loaded(
         self, service: str, excluded: frozenset[Incarnation], now: float
     ) -> ListedTarget | None:
-        """Return the least loaded healthy target; local ones win ties."""
+        """Return the least loaded healthy target; local ones win ties.
+
+        The request counts as sent to it.
+        """
         candidates = self._list_candidates(service, excluded, now)
         if not candidates:
             return None
-        return min(candidates, key=lambda one: self._score_target(one, now))
+        chosen = min(candidates, key=lambda one: self._score_target(one, now))
+        self._cold_targets.record_send(chosen.incarnation, now)
+        return chosen
 
     def choose_engine(
         self,
@@ -109,15 +117,19 @@
         would not do: a handful of first parts begins most prompts, so that a few
         engines would get all requests of a large fleet. The cost includes the pending
         prefill of an engine, or a popular part would overload its affinity target.
+
+        The request counts as sent to the engine.
         """
         candidates = self._list_candidates(service, excluded, now)
         if not candidates:
             return None
         affinity_target = _find_affinity_target(need.prompt, candidates)
-        return min(
+        chosen = min(
             candidates,
             key=lambda one: self._score_engine(one, need, affinity_target, now),
         )
+        self._cold_targets.record_send(chosen.incarnation, now)
+        return chosen
 
     def find_affinity_target(
         self, service: str, prompt: Prompt, now: float
@@ -224,13 +236,17 @@
     def _list_candidates(
         self, service: str, excluded: frozenset[Incarnation], now: float
     ) -> list[ListedTarget]:
-        listed = self._target_table.list_service(service)
+        listed = [
+            one
+            for one in self._target_table.list_service(service)
+            if self._cold_targets.may_send(one, now)
+        ]
         breakers = [
             (one.incarnation, self._find_state(one.incarnation).breaker)
             for one in listed
         ]
         ejected = find_ejected(breakers, BREAKER_RULE, now)
-        left = list(listed)
+        left = listed
         if excluded:
             left = [one for one in left if one.incarnation not in excluded]
         if not ejected:
--- a/packages/greengagelatch/src/greengagelatch/relay/messages.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/messages.py
@@ -183,11 +183,14 @@
     evacuations_revision: int = 0
     #: pairs of evacuated data centre and revision of its evacuation
     evacuations: tuple[Any, ...] = ()
+    #: id and start of cold targets, and the seconds for which each may still be cold
+    cold_targets: tuple[Any, ...] = ()
 
     def __post_init__(self) -> None:
         check_type(self.crashes, (tuple, list))
         check_type(self.evacuations_revision, int)
-        _check_evacuations(self.evacuations)
+        _check_rows(self.evacuations, (str, int), 0)
+        _check_rows(self.cold_targets, (str, int), 1)
         check_type(self.heard_seconds, (int, float, type(None)))
         check_type(self.configuration, bytes)
         check_type(self.configuration_revision, int)
@@ -207,16 +210,6 @@
         check_type(self.rows, (tuple, list))
 
 
-def _check_evacuations(rows: Any) -> None:
-    check_type(rows, (tuple, list))
-    for row in rows:
-        check_type(row, (tuple, list))
-        if len(row) != 2:
-            raise ValueError(f"evacuation has {len(row)} fields, not 2")
-        check_type(row[0], str)
-        check_type(row[1], int)
-
-
 def encode_bundle(bundle: Bundle, group: MakerGroup, now: float) -> BundleRequest:
     """Return the message that asks the owner of a group for a bundle."""
     first = bundle.pieces[0]
--- a/packages/greengagelatch/src/greengagelatch/relay/targets.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/targets.py
@@ -31,6 +31,9 @@
     slots: int = 1
     #: whether it is draining
     leaving: bool = False
+    #: seconds for which it was still cold when the entry was written; a cold target
+    #: tolerates few requests
+    cold_seconds: float = 0.0
     #: store revision at which its entry was written
     revision: int = 0
 
--- a/tests/test_entry/test_relay/conftest.py
+++ b/tests/test_entry/test_relay/conftest.py
@@ -10,6 +10,7 @@
 import pytest
 from yarl import URL
 
+from greengagelatch.relay.cold_targets import ColdTargetRule
 from greengagelatch.relay.digests import compute_digest
 from greengagelatch.relay.requests import OpaqueRequest
 from greengagelatch.relay.retry_budget import RetryBudgetRule
@@ -81,6 +82,11 @@
     def find(self, controller: str):
         return next(one for one in self.parts.controllers if one.name == controller)
 
+    def find_known_instances(self):
+        """Return what the instance knows of its fleet."""
+        find_addresses = self.find("news")._cold_targets._find_instances
+        return find_addresses.__self__
+
     def describe(self) -> dict[str, Any]:
         """Return the state that the instance exposes to operators."""
         return self.find("readiness")._describe()
@@ -188,6 +194,7 @@
             balancer_lag=0.0,
             longest_drain=0.2,
             retry_budget=RetryBudgetRule(),
+            cold_targets=ColdTargetRule(overshoot=1.5, slack=1),
         )
 
     def _create_adapters(self) -> RelayAdapters:
--- a/tests/test_entry/test_relay/test_listing.py
+++ b/tests/test_entry/test_relay/test_listing.py
@@ -11,6 +11,7 @@
 
 from greengagelatch.clock import ManualClock
 from greengagelatch.peers.codec import Envelope, decode, encode
+from greengagelatch.relay.cold_targets import ColdTargets
 from greengagelatch.relay.messages import PeerSyncAnswer
 from greengagelatch.relay.target_rows import decode_target, encode_target
 from greengagelatch.relay.targets import TargetTable
@@ -42,13 +43,16 @@
         clock = ManualClock()
         self.metrics = PrometheusMetrics()
         self.book = TargetTable()
+        self.cold_targets = ColdTargets()
         self.gone: list[str] = []
         self.services = {"desk"}
         self.follower = ListingFollower(
             codec=PlatformListingCodec(),
             target_table=self.book,
+            cold_targets=self.cold_targets,
             on_removed=lambda incarnation: self.gone.append(str(incarnation)),
             find_services=lambda: self.services,
+            find_cold_seconds=lambda service: 3.0,
             clock=clock,
             metrics=self.metrics,
             decisions=DecisionLog(clock=clock, metrics=self.metrics),
--- a/tests/test_entry/test_relay/test_peer_sync.py
+++ b/tests/test_entry/test_relay/test_peer_sync.py
@@ -10,6 +10,7 @@
 from result import Err, Ok
 
 from greengagelatch.peers import Member, MemberState, PeerError, PeerErrorKind
+from greengagelatch.relay.cold_targets import ColdTargets
 from greengagelatch.relay.messages import PeerSyncAnswer
 from greengagelatch_entry.relay.peer_sync import POLL_INTERVAL, PeerSyncController
 from greengagelatch_lab.stage_load.instances import NullTelemetry
@@ -83,6 +84,7 @@
         ),
         crash_reports=SimpleNamespace(revision=1, apply_updates=lambda rows: None),
         target_table=None,
+        cold_targets=ColdTargets(),
         clock=LoopClock(),
         random_source=random.Random(1),
         metrics=NullTelemetry(),
