Keep requests and their stage work in the regions that they may use

Routes and workspaces may be restricted to regions; where both are, both bind. Neither was read, so that requests and pieces went to targets of all regions.

The data centres that a request may use are found once, with its route, and bind the choice of engines and plain targets, the preferred place of stages, and the makers that its pieces may share calls with. Bodies of requests never leave the instance that received them, as stage work names pieces by keys and handles.

An invalid restriction rejects its route or workspace: ignoring it would send data out of its regions.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -17,6 +17,7 @@
 from greengagelatch.relay.groups import CapacityBasedOwnership
 from greengagelatch.relay.idle_connections import count_idle_connections
 from greengagelatch.relay.load_balancer import LoadBalancer
+from greengagelatch.relay.placed_batches import PlacedBatching
 from greengagelatch.relay.quarantine import Quarantine
 from greengagelatch.relay.store_followers import choose_followers
 from greengagelatch.relay.targets import TargetTable
@@ -360,6 +361,7 @@
             RouteFilter(
                 find_table=lambda: self.configuration.table,
                 find_stop_deadline=find_stop_deadline,
+                regions=self.settings.regions,
             ),
             QuarantineFilter(suspects=self.suspects),
             SplitFilter(random_source=self.random),
@@ -411,7 +413,7 @@
             find_profile=lambda: self._find_maker(group.service),
             is_exclusive=lambda: self.ownership.is_exclusive(group),
             quarantine=self.bundle_quarantine,
-            policy=CrossRequestBatching(),
+            policy=PlacedBatching(CrossRequestBatching()),
             target_table=self.target_table,
             connections=self.connections,
             codec=self.adapters.targets,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
@@ -126,6 +126,8 @@
     route: Route | None = None
     service: str = ""
     workspace: str = ""
+    #: data centres that it may be sent to; ``None``: all
+    data_centres: frozenset[str] | None = None
     #: identifies the content of a request; equal for all attempts at it
     digest: str = ""
     #: priority rank; 0 is the most urgent
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/filters.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/filters.py
@@ -10,6 +10,7 @@
 from greengagelatch.errors import RefusalCode
 from greengagelatch.relay.deployment import RouteKind
 from greengagelatch.relay.digests import compute_digest
+from greengagelatch.relay.regions import find_allowed_data_centres
 from greengagelatch.relay.requests import RefusedError
 from greengagelatch.relay.urgency import compute_rank
 
@@ -20,6 +21,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Mapping
 
     from greengagelatch.clock import Clock
     from greengagelatch.relay.deployment import RoutedWorkspace
@@ -185,6 +187,7 @@
         requests in flight. It bounds the deadlines of targets and stages, so that a
         request that can't finish in time is refused while its caller can still turn
         to another instance
+    :param regions: region of each data centre
     """
 
     def __init__(
@@ -192,8 +195,10 @@
         *,
         find_table: Callable[[], RouteTable | None],
         find_stop_deadline: Callable[[], float],
+        regions: Mapping[str, str],
     ) -> None:
         self._find_table = find_table
+        self._regions = regions
         self._find_stop_deadline = find_stop_deadline
 
     async def apply(self, exchange: RelayExchange, proceed: RelayHandler) -> None:
@@ -226,6 +231,11 @@
         if table.deployment.requires_key and not route.public:
             workspace = self._authorize(exchange, table)
             exchange.workspace = workspace.name
+        exchange.data_centres = find_allowed_data_centres(
+            self._regions,
+            route.regions,
+            frozenset() if workspace is None else workspace.regions,
+        )
         exchange.rank = compute_rank(
             route.priority, None if workspace is None else workspace.priority
         )
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/forwarding_stage_executor.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/forwarding_stage_executor.py
@@ -23,6 +23,7 @@
     encode_results,
 )
 from greengagelatch.relay.pieces import PieceFailure
+from greengagelatch.relay.regions import is_allowed
 
 from ..controllers import Controller
 from .queue_wait_reports import QueueWaitReports
@@ -111,13 +112,19 @@
         results = await self._execute_in(self._choose_group(bundle), bundle, on_read)
         if results is None or _lack_makers(results):
             local_group = self._groups.find_local_group(
-                bundle.service, self._data_centre
+                bundle.service, self._find_local_data_centre(bundle)
             )
             results = await self._execute_in(local_group, bundle, on_read)
             if results is None:
                 results = await self._local.execute_in(local_group, bundle, on_read)
         return results
 
+    def _find_local_data_centre(self, bundle: Bundle) -> str:
+        """Return the data centre whose makers to fall back to; empty: any."""
+        if is_allowed(self._data_centre, bundle.data_centres):
+            return self._data_centre
+        return ""
+
     def free(self, service: str, results: tuple[PieceResult, ...]) -> None:
         by_owner: dict[str, list[PieceResult]] = {}
         for result in results:
@@ -163,6 +170,11 @@
 
     def _choose_group(self, bundle: Bundle) -> MakerGroup:
         views = self._list_views(bundle.service)
+        views = [
+            one
+            for one in views
+            if is_allowed(one.group.data_centre, bundle.data_centres)
+        ] or views
         if len(views) == 1:
             return views[0].group
         profile = self._find_profile(bundle.service)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/parts.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/parts.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -49,6 +49,8 @@
     #: time after that in which requests in flight may finish
     longest_drain: float
     retry_budget: RetryBudgetRule
+    #: region of each data centre
+    regions: Mapping[str, str] = field(default_factory=dict)
     cold_targets: ColdTargetRule = field(default_factory=ColdTargetRule)
     capacity: Capacity = field(default_factory=Capacity)
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_bundles.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_bundles.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from greengagelatch.relay.pieces import Bundle
+from greengagelatch.relay.regions import is_allowed
 from greengagelatch.relay.stage_plan import TargetDeadlines
 
 if TYPE_CHECKING:
@@ -96,6 +97,7 @@
             moved_bytes=self._count_moved_bytes(work, held),
             begun=bool(work.after),
             digest=self._exchange.digest,
+            data_centres=self._exchange.data_centres,
         )
 
     def _find_data_centre(
@@ -116,11 +118,16 @@
         exchange = self._exchange
         if work.number in self._plan.final and exchange.request.prompt is not None:
             home = self._load_balancer.find_affinity_target(
-                exchange.service, exchange.request.prompt, self._clock.now()
+                exchange.service,
+                exchange.request.prompt,
+                self._clock.now(),
+                exchange.data_centres,
             )
             if home is not None:
                 return home.data_centre
-        return self._data_centre
+        if is_allowed(self._data_centre, exchange.data_centres):
+            return self._data_centre
+        return min(exchange.data_centres, default="")
 
     def _find_input_expiry(self, work: StageWork) -> float:
         """Return when the first input of a stage expires at its maker."""
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
@@ -272,10 +272,23 @@
     ) -> None:
         """Fail the bundles whose request can no longer meet its deadline."""
         views = [maker.view(now) for maker in makers]
+        self._fail_unplaceable(makers)
         waiting = self._queue.list_waiting()
         for bundle in find_infeasible(waiting, views, profile, now):
             self._queue.fail(self._queue.find(bundle), PieceFailure.LATE)
 
+    def _fail_unplaceable(self, makers: list[Maker]) -> None:
+        """Fail the bundles that none of the makers may make."""
+        data_centres = {maker.target.data_centre for maker in makers}
+        for entry in tuple(self._queue):
+            allowed = entry.bundle.data_centres
+            if (
+                allowed is not None
+                and entry.pending
+                and data_centres.isdisjoint(allowed)
+            ):
+                self._queue.fail(entry, PieceFailure.NO_MAKER)
+
     def _fail_quarantined(self) -> None:
         """Fail the bundles that are held in quarantine."""
         for entry in tuple(self._queue):
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -170,7 +170,11 @@
         self._results = await self._run.execute()
 
     def _choose(self, excluded: frozenset[Incarnation]) -> ListedTarget | None:
-        need = EngineDemand(self._prompt, self._results.bytes_by_data_centre)
+        need = EngineDemand(
+            self._prompt,
+            self._results.bytes_by_data_centre,
+            self._exchange.data_centres,
+        )
         fleet, now = self._runner.load_balancer, self._runner.clock.now()
         return fleet.choose_engine(self._exchange.service, need, excluded, now)
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/unary.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/unary.py
@@ -53,7 +53,10 @@
         while True:
             async with self.suspects.admit(exchange):
                 target = self.load_balancer.choose_least_loaded(
-                    exchange.service, excluded, self.clock.now()
+                    exchange.service,
+                    excluded,
+                    self.clock.now(),
+                    exchange.data_centres,
                 )
                 if target is None:
                     break
--- a/packages/greengagelatch/src/greengagelatch/relay/deployment.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/deployment.py
@@ -74,6 +74,8 @@
     resumable: bool = False
     #: longest pause between two events of a stream that meets its objective
     longest_pause: float = 0.0
+    #: regions to which its requests are restricted; empty: none
+    regions: frozenset[str] = frozenset()
 
     @property
     def silence_limit(self) -> float:
@@ -154,6 +156,8 @@
     keys: tuple[str, ...] = ()
     #: takes precedence over the priority of routes; ``None``: only the route's counts
     priority: int | None = None
+    #: regions to which its requests are restricted; empty: none
+    regions: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
@@ -8,6 +8,7 @@
 
 from ..load.breakers import Breaker, BreakerRule, find_ejected
 from ..targets.subset import compute_weight
+from .regions import is_allowed
 
 if TYPE_CHECKING:
     import random
@@ -58,6 +59,8 @@
     prompt: Prompt
     #: bytes of stage results to read, by the data centre of their makers
     result_bytes: Mapping[str, int] = field(default_factory=dict)
+    #: data centres of the engines that it may be sent to; ``None``: all
+    data_centres: frozenset[str] | None = None
 
 
 @dataclass(slots=True)
@@ -90,13 +93,19 @@
         self._states: dict[Incarnation, _TargetState] = {}
 
     def choose_least_loaded(
-        self, service: str, excluded: frozenset[Incarnation], now: float
+        self,
+        service: str,
+        excluded: frozenset[Incarnation],
+        now: float,
+        data_centres: frozenset[str] | None = None,
     ) -> ListedTarget | None:
         """Return the least loaded healthy target; local ones win ties.
 
         The request counts as sent to it.
+
+        :param data_centres: those of the targets to choose from; ``None``: all
         """
-        candidates = self._list_candidates(service, excluded, now)
+        candidates = self._list_candidates(service, excluded, now, data_centres)
         if not candidates:
             return None
         chosen = min(candidates, key=lambda one: self._score_target(one, now))
@@ -120,7 +129,7 @@
 
         The request counts as sent to the engine.
         """
-        candidates = self._list_candidates(service, excluded, now)
+        candidates = self._list_candidates(service, excluded, now, need.data_centres)
         if not candidates:
             return None
         affinity_target = _find_affinity_target(need.prompt, candidates)
@@ -132,12 +141,15 @@
         return chosen
 
     def find_affinity_target(
-        self, service: str, prompt: Prompt, now: float
+        self,
+        service: str,
+        prompt: Prompt,
+        now: float,
+        data_centres: frozenset[str] | None = None,
     ) -> ListedTarget | None:
         """Return the engine to which consistent hashing assigns a prompt's parts."""
-        return _find_affinity_target(
-            prompt, self._list_candidates(service, frozenset(), now)
-        )
+        candidates = self._list_candidates(service, frozenset(), now, data_centres)
+        return _find_affinity_target(prompt, candidates)
 
     def has_free_slots(self, target: ListedTarget, now: float) -> bool:
         """Return whether an engine starts a request at once rather than queue it.
@@ -234,12 +246,17 @@
         return state
 
     def _list_candidates(
-        self, service: str, excluded: frozenset[Incarnation], now: float
+        self,
+        service: str,
+        excluded: frozenset[Incarnation],
+        now: float,
+        data_centres: frozenset[str] | None,
     ) -> list[ListedTarget]:
         listed = [
             one
             for one in self._target_table.list_service(service)
-            if self._cold_targets.may_send(one, now)
+            if is_allowed(one.data_centre, data_centres)
+            and self._cold_targets.may_send(one, now)
         ]
         breakers = [
             (one.incarnation, self._find_state(one.incarnation).breaker)
--- a/packages/greengagelatch/src/greengagelatch/relay/messages.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/messages.py
@@ -63,6 +63,8 @@
     group: str = ""
     #: digest of the request; empty: sent by an earlier release
     digest: str = ""
+    #: data centres of the makers that may make it; ``None``: all
+    allowed: tuple[Any, ...] | None = None
 
     def __post_init__(self) -> None:
         for text in (self.bundle_id, self.service, self.request_id, self.key):
@@ -74,6 +76,9 @@
             check_type(number, int)
         for number in (self.aim_seconds, self.latest_seconds, self.rank):
             check_type(number, (int, float))
+        check_type(self.allowed, (tuple, list, type(None)))
+        for data_centre in self.allowed or ():
+            check_type(data_centre, str)
         check_type(self.inputs_seconds, (int, float, type(None)))
         for rows in (self.segments, self.inputs, self.input_makers):
             check_type(rows, (tuple, list))
@@ -234,6 +239,9 @@
         begun=bundle.begun,
         group=group.data_centre,
         digest=bundle.digest,
+        allowed=None
+        if bundle.data_centres is None
+        else tuple(sorted(bundle.data_centres)),
     )
 
 
@@ -263,6 +271,7 @@
         moved_bytes=message.moved_bytes,
         begun=message.begun,
         digest=message.digest,
+        data_centres=None if message.allowed is None else frozenset(message.allowed),
     )
 
 
--- a/packages/greengagelatch/src/greengagelatch/relay/pieces.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/pieces.py
@@ -54,6 +54,8 @@
     begun: bool = False
     #: digest of the request; empty: unknown
     digest: str = ""
+    #: data centres of the makers that may make it; ``None``: all
+    data_centres: frozenset[str] | None = None
 
     @property
     def request_id(self) -> str:
--- a/tests/test_entry/test_relay/conftest.py
+++ b/tests/test_entry/test_relay/conftest.py
@@ -194,6 +194,7 @@
             balancer_lag=0.0,
             longest_drain=0.2,
             retry_budget=RetryBudgetRule(),
+            regions={"north": "red", "south": "green", "east": "blue", "west": "blue"},
             cold_targets=ColdTargetRule(overshoot=1.5, slack=1),
         )
 
--- a/tests/test_platform/test_configuration.py
+++ b/tests/test_platform/test_configuration.py
@@ -39,6 +39,39 @@
     assert deployment.workspaces[0].keys == ("key-of-north",)
 
 
+def test_fields_of_cold_targets_and_regions_are_decoded():
+    fields = create_configuration()
+    fields["routes"][0]["allowed-regions"] = ["red", "green"]
+    fields["tenants"][0]["allowed-regions"] = ["red"]
+    deployment, problems = decode(fields).unwrap()
+    assert problems == ()
+    assert deployment.routes[0].regions == {"red", "green"}
+    assert deployment.routes[1].regions == frozenset()
+    assert deployment.workspaces[0].regions == {"red"}
+    desk = deployment.services["desk"]
+    assert (desk.cold_seconds, desk.cold_rate) == (3.0, 2.0)
+
+
+@pytest.mark.parametrize("name", ["cold-start-s", "cold-per-s"])
+@pytest.mark.parametrize("value", ["3", -1, True, 10**400])
+def test_invalid_field_of_cold_targets_is_named(name, value):
+    fields = create_configuration()
+    fields["services"][0][name] = value
+    deployment, problems = decode(fields).unwrap()
+    assert [problem.key for problem in problems] == [name]
+    assert "desk" not in deployment.services
+    assert "llm" in deployment.services
+
+
+def test_workspace_with_invalid_regions_is_rejected():
+    """Guards against requests that leave their regions for a mistake in a list."""
+    fields = create_configuration()
+    fields["tenants"][0]["allowed-regions"] = "red"
+    deployment, problems = decode(fields).unwrap()
+    assert [problem.key for problem in problems] == ["allowed-regions"]
+    assert deployment.workspaces == ()
+
+
 def test_traffic_split_between_services_is_decoded():
     fields = create_configuration()
     route = fields["routes"][0]
@@ -72,6 +105,8 @@
         ({"service": None}, "service"),
         ({"stages": [{"service": "portal", "after": ["0"]}]}, "after"),
         ({"public": "yes"}, "public"),
+        ({"allowed-regions": "red"}, "allowed-regions"),
+        ({"allowed-regions": ["red", 1]}, "allowed-regions"),
     ],
 )
 def test_invalid_route_is_rejected_and_reported(change, key):
--- a/tests/test_platform/test_settings.py
+++ b/tests/test_platform/test_settings.py
@@ -62,6 +62,10 @@
         ({"bounds": {"grace-s": "eight"}}, "grace-s"),
         ({"seeds": "10.2.0.25:8628"}, "seeds"),
         ({"limits": {"cpu-share": "half"}}, "cpu-share"),
+        ({"zones": ["north"]}, "zones"),
+        ({"zones": {"north": 3}}, "zones.north"),
+        ({"bounds": {"cold-overshoot": "much"}}, "cold-overshoot"),
+        ({"bounds": {"cold-slack": -1}}, "cold-slack"),
         ({"listen": {"front": "a:1", "readiness": "a:2"}, "port-range": []}, "port"),
     ],
 )
