--- a/tests/test_processes/test_platform_program.py
+++ b/tests/test_processes/test_platform_program.py
@@ -45,8 +45,10 @@
         yield created
 
 
-async def ask(session, instance, path="/look/1", *, key=API_KEY, **headers) -> int:
-    """Return the status of one request, or 0 if it was interrupted."""
+async def ask(
+    session, instance, path="/look/1", *, key=API_KEY, **headers
+) -> int | str:
+    """Return the status of one request, or the error that interrupted it."""
     lines = {
         "Host": HOST,
         "X-Attempt-Id": headers.pop("request_id", "r-1"),
@@ -61,8 +63,8 @@
         ) as response:
             await response.read()
             return response.status
-    except aiohttp.ClientError:
-        return 0
+    except aiohttp.ClientError as error:
+        return f"{type(error).__name__}: {error}"
 
 
 async def wait_for_status(session, instance, status: int, **fields) -> None:
