Send frequent heartbeats only to peers that wait for an answer

A link counted as in use for two seconds after any message, so that reports which an owner pushes one way cost a heartbeat each 0.3 s the other way.

A link now carries frequent heartbeats only from a side that works on a call of the other, and only that other side drops the link after the short silence, counted from its first pending call.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_link.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_link.py
@@ -29,11 +29,6 @@
 #: maximum queued bytes of both kinds
 MAX_QUEUED_BYTES = 4 * 1024 * 1024
 
-#: seconds after its last use for which a link counts as in use: longer than most
-#: calls take
-IN_USE_SECONDS = 2.0
-
-
 #: close reason of a link without pending work: its sender has answered every call
 #: that it handled, and handles no further ones
 ALL_ANSWERED = "all answered"
@@ -90,8 +85,8 @@
         self.opened = asyncio.get_running_loop().time()
         #: loop time of the last message other than probes, in either direction
         self.last_used = self.opened
-        #: loop time of the first such message after the link was idle
-        self.used_since = self.opened
+        #: loop time at which this instance began to wait for an answer on it
+        self.waiting_since = self.opened
         #: loop time at which the last frame was handed to the socket
         self.last_sent = self.opened
         self.dropped = 0
@@ -144,24 +139,19 @@
 
     def record_use(self) -> None:
         """Record that a message other than probes is sent or received."""
-        now = asyncio.get_running_loop().time()
-        if not self.is_used(now):
-            self.used_since = now
-        self.last_used = now
-
-    def is_used(self, now: float) -> bool:
-        """Whether messages other than probes were sent or received recently."""
-        return now - self.last_used < IN_USE_SECONDS
+        self.last_used = asyncio.get_running_loop().time()
+        if not self.pending_calls:
+            self.waiting_since = self.last_used
 
     def find_silence(self, now: float) -> float:
         """Return the seconds without a received byte.
 
-        On a link in use, idle time before that use is not counted, as heartbeats are
-        rare on idle links.
+        While a call is pending, the time before it is not counted, as heartbeats are
+        rare on links on which no answer is due.
         """
         last_received = self.last_received
-        if self.is_used(now):
-            last_received = max(last_received, self.used_since)
+        if self.pending_calls:
+            last_received = max(last_received, self.waiting_since)
         return now - last_received
 
     def send_heartbeat(self, now: float, interval: float) -> None:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_links.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_links.py
@@ -52,7 +52,7 @@
 
     heartbeat_interval: float
     silence_timeout: float
-    #: factor by which both are longer on idle links
+    #: factor by which both are longer while no answer is due
     idle_factor: float
     open_timeout: float
     idle_timeout: float
@@ -202,13 +202,16 @@
     def maintain(self, neighbours: frozenset[str]) -> None:
         """Send heartbeats, drop silent links, close idle ones to non-neighbours.
 
-        Heartbeats are rarer on idle links: at one in each direction every 0.3 s, an
-        instance with eight links spends two thirds of its CPU time at idle on them.
+        Heartbeats are frequent only towards a peer that waits for an answer, as only a
+        call has to fail over soon: at one in each direction every 0.3 s, they would be
+        more than half of all frames.
         """
         now = asyncio.get_running_loop().time()
+        rare = self._limits.idle_factor
         for link in self.list_links():
-            factor = 1.0 if link.is_used(now) else self._limits.idle_factor
+            factor = 1.0 if link.active_handlers else rare
             link.send_heartbeat(now, self._limits.heartbeat_interval * factor)
+            factor = 1.0 if link.pending_calls else rare
             if link.find_silence(now) > self._limits.silence_timeout * factor:
                 # A middlebox that has lost the state of an open connection drops its
                 # packets for good, while new connections work. Calls on it would
--- a/packages/greengagelatch/src/greengagelatch/settings/table.py
+++ b/packages/greengagelatch/src/greengagelatch/settings/table.py
@@ -166,7 +166,7 @@
         minimum=1,
         maximum=100,
         description="Factor by which `peers.heartbeat` and `peers.silence` are longer"
-        " on a link that has carried only probes for two seconds.",
+        " while nobody waits for an answer of the sender on the link.",
     ),
     Setting(
         name="peers.open_timeout",
--- a/tests/test_entry/test_adapters/test_peers.py
+++ b/tests/test_entry/test_adapters/test_peers.py
@@ -44,6 +44,7 @@
 seeds = {seeds}
 heartbeat = 0.1
 silence = {silence}
+rest_factor = {rest}
 probe_interval = 0.2
 dead_interval = 0.5
 [platform]
@@ -118,8 +119,12 @@
 async def start():
     peers = []
 
-    async def create(instance_id: str, *, silence: float = 5, seeds: str = "") -> Peer:
-        text = SETTINGS.format(instance_id=instance_id, silence=silence, seeds=seeds)
+    async def create(
+        instance_id: str, *, silence: float = 5, rest: float = 1, seeds: str = ""
+    ) -> Peer:
+        text = SETTINGS.format(
+            instance_id=instance_id, silence=silence, rest=rest, seeds=seeds
+        )
         events, metrics, clock = EventBus(), Metrics("127.0.0.1:9"), AdvanceableClock()
         hub = PeerHub(
             clock=clock,
@@ -287,6 +292,35 @@
         assert await second.hub.ask("e-1", Echo("y"), TIMEOUT) == Ok(Echo("y"))
 
 
+async def test_call_on_a_link_that_was_silent_at_rest_fails_soon(start):
+    """Guards against stage calls that wait until their deadline for a dead link.
+
+    On a link without calls, silence is detected late, as heartbeats are rare there.
+    """
+    first = await start("e-1", silence=60.0, rest=100)
+    async with FaultyLink(first.address) as link:
+        second = await start("e-2", silence=0.6, rest=100)
+        second.emit_listing(("e-1", link.address))
+        await wait_until(lambda: second.find_state("e-1") is MemberState.ALIVE)
+        link.blackhole(only_open=True)
+        async with asyncio.timeout(TIMEOUT):
+            answer = await second.hub.ask("e-1", Echo("y"), 60.0)
+        assert isinstance(answer, Err)
+        assert second.metrics.value("peers.silent_links") == 1
+
+
+async def test_peer_that_works_on_a_call_sends_heartbeats(start):
+    """Guards against long calls that fail as their link counts as silent."""
+    first = await start("e-1", silence=0.6, rest=100)
+    second = await start("e-2", silence=0.6, rest=100)
+    second.emit_listing(("e-1", first.address))
+    await wait_until(lambda: second.find_state("e-1") is MemberState.ALIVE)
+    answer = await second.hub.ask("e-1", Hang(), 2.0)
+    assert answer.unwrap_err().kind is PeerErrorKind.NO_ANSWER
+    assert second.metrics.value("peers.silent_links") == 0
+    assert second.count_links() == 1
+
+
 async def test_pause_keeps_links(start):
     """Guards against the loss of all links after a process is paused and resumed.
 
