Let instances leave the store to its followers as soon as these answer

An instance that is no follower of the store went on watching it until its own news were 1.6 seconds old, because only then it asked a peer, and only a peer's report lets it stop.

It now asks the followers in any case. Instances count as known to each other only five seconds after the start, as some learn of others by gossip alone.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/known_instances.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/known_instances.py
@@ -15,8 +15,8 @@
 
 #: seconds after the first listing, and after the registration, from which an up-to-date
 #: view contains all instances: those that started at the same time are listed by then,
-#: and have this one in their listing
-SETTLING_SECONDS = 3.0
+#: and have this one in their listing or their membership
+SETTLING_SECONDS = 5.0
 
 
 class KnownInstances:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/peer_sync.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/peer_sync.py
@@ -52,7 +52,7 @@
 
 
 class PeerSyncController(Controller):
-    """Queries a random peer periodically while the store is not followed directly.
+    """Queries a random peer periodically unless the store is followed directly.
 
     The store may reject some instances while it serves others and the operators. An
     instance that only waited for it would keep using revoked keys and removed routes,
@@ -111,7 +111,8 @@
             await asyncio.sleep(POLL_INTERVAL)
             follower = self._follower
             if (
-                follower.passive
+                # also while it still follows the store: reports let it stop
+                follower.is_replaceable
                 or not follower.reachable
                 or follower.staleness > STALENESS_THRESHOLD
             ):
@@ -138,10 +139,10 @@
     def _choose_peer(self) -> str | None:
         """Return the peer to query.
 
-        A passive instance prefers followers in its own data centre, unless the last
-        query failed. If this instance can't reach the store, its neighbours may not
-        reach it either, so that any other instance may be chosen; after a query that
-        failed, one in the own data centre is: the others may be out of reach, and a
+        An instance that is no follower prefers followers in its own data centre, unless
+        the last query failed. If this instance can't reach the store, its neighbours
+        may not reach it either, so that any other instance may be chosen; after a query
+        that failed, one in the own data centre is: the others may be out of reach, and a
         process that has restarted beside this one knows no peer until it is dialled.
         """
         own = self._peers.instance_id
@@ -150,7 +151,7 @@
             for member in self._peers.members()
             if member.instance_id != own and member.state is not MemberState.DEAD
         ]
-        if self._follower.passive:
+        if self._follower.is_replaceable:
             followers = self._list_followers()
             candidates = [one for one in others if one.instance_id in followers]
             if self._last_query_answered:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/store_follower.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/store_follower.py
@@ -142,6 +142,11 @@
         """Whether this instance currently relies on followers for updates."""
         return self._passive
 
+    @property
+    def is_replaceable(self) -> bool:
+        """Whether other instances follow the store for this one."""
+        return not self._is_follower()
+
     def record_peer_report(self, seconds: float) -> None:
         """Record that a peer has shared its state of the store.
 
--- a/tests/test_entry/test_relay/test_peer_sync.py
+++ b/tests/test_entry/test_relay/test_peer_sync.py
@@ -60,23 +60,12 @@
     )
 
 
-async def test_instances_of_a_partitioned_data_centre_query_each_other():
-    """Guards against an instance that restarts there and is found late.
-
-    It knows no peer. Those beside it reach it at the address of its former process,
-    but queried mostly instances on the other side, each for as long as it took.
-    """
-    peers = PartitionedPeers()
-    sync = PeerSyncController(
+def create_sync(peers, *, followers=frozenset(), **follower) -> PeerSyncController:
+    return PeerSyncController(
         peers=peers,
-        list_followers=frozenset,
+        list_followers=lambda: followers,
         data_centre="north",
-        follower=SimpleNamespace(
-            passive=False,
-            reachable=False,
-            staleness=9.0,
-            record_peer_report=lambda seconds: None,
-        ),
+        follower=SimpleNamespace(record_peer_report=lambda seconds: None, **follower),
         configuration=SimpleNamespace(revision=1),
         listing=SimpleNamespace(revision=1),
         evacuation=SimpleNamespace(
@@ -89,6 +78,37 @@
         random_source=random.Random(1),
         metrics=NullTelemetry(),
     )
+
+
+async def test_instance_that_others_follow_the_store_for_asks_them_at_once():
+    """Guards against calls to the store by all instances of a fleet that starts.
+
+    Reports of peers let an instance stop following the store. Queried only once its
+    own news of the store were old, peers were asked after the start had calmed down.
+    """
+    peers = PartitionedPeers()
+    sync = create_sync(
+        peers,
+        followers=frozenset({"far-3", "near"}),
+        is_replaceable=True,
+        reachable=True,
+        staleness=0.0,
+    )
+    await sync.start()
+    await asyncio.sleep(4 * POLL_INTERVAL)
+    await sync.stop()
+    assert len(peers.asked) >= 3
+    assert set(peers.asked) <= {"far-3", "near"}
+
+
+async def test_instances_of_a_partitioned_data_centre_query_each_other():
+    """Guards against an instance that restarts there and is found late.
+
+    It knows no peer. Those beside it reach it at the address of its former process,
+    but queried mostly instances on the other side, each for as long as it took.
+    """
+    peers = PartitionedPeers()
+    sync = create_sync(peers, is_replaceable=False, reachable=False, staleness=9.0)
     await sync.start()
     await asyncio.sleep(10 * POLL_INTERVAL)
     await sync.stop()
