--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/peer_sync.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/peer_sync.py
@@ -142,7 +142,7 @@
         An instance that is no follower prefers followers in its own data centre, unless
         the last query failed. If this instance can't reach the store, its neighbours
         may not reach it either, so that any other instance may be chosen; after a query
-        that failed, one in the own data centre is: the others may be out of reach, and a
+        that failed, one in the own data centre is: the others may be unreachable, and a
         process that has restarted beside this one knows no peer until it is dialled.
         """
         own = self._peers.instance_id
