--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -4,7 +4,7 @@
 
 import random
 import signal
-from collections.abc import Callable, Collection
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
 from greengagelatch.clock import SystemClock
@@ -13,13 +13,11 @@
 from greengagelatch.relay.admission import DeadlineAdmission
 from greengagelatch.relay.batches import CrossRequestBatching
 from greengagelatch.relay.cold_targets import ColdTargets
-from greengagelatch.relay.deployment import CallerLimits, RoutedService
 from greengagelatch.relay.groups import CapacityBasedOwnership
 from greengagelatch.relay.idle_connections import count_idle_connections
 from greengagelatch.relay.load_balancer import LoadBalancer
 from greengagelatch.relay.placed_batches import PlacedBatching
 from greengagelatch.relay.quarantine import Quarantine
-from greengagelatch.relay.store_followers import choose_followers
 from greengagelatch.relay.targets import TargetTable
 
 from ..adapters.peers import PeerHub
@@ -42,6 +40,7 @@
     SplitFilter,
     StopFilter,
 )
+from .follower_selection import FollowerSelection
 from .forwarding_stage_executor import ForwardingStageExecutor
 from .front import RelayFront
 from .known_instances import KnownInstances
@@ -69,8 +68,6 @@
 from .usage import UsageController
 
 if TYPE_CHECKING:
-    from greengagelatch.peers import Member
-    from greengagelatch.relay.deployment import MakerProfile
     from greengagelatch.relay.groups import MakerGroup
     from greengagelatch.relay.incarnations import Incarnation
 
@@ -118,9 +115,6 @@
         self.in_flight = InFlightRequests()
         self.metrics = PrometheusMetrics()
         self.decisions = DecisionLog(clock=self.clock, metrics=self.metrics)
-        self.followers: frozenset[str] = frozenset()
-        #: membership from which ``followers`` was computed
-        self.follower_members: tuple[Member, ...] = ()
 
     def compose(self) -> RelayParts:
         self.store = self.adapters.create_store(self.metrics)
@@ -154,7 +148,9 @@
             own=self.settings.peers_listen,
             rule=self.settings.cold_targets,
             find_instances=self.known_instances.find_addresses,
-            find_rate=lambda service: self._find_service(service).cold_rate,
+            find_rate=lambda service: (
+                self.configuration.find_service(service).cold_rate
+            ),
         )
         self.load_balancer = LoadBalancer(
             target_table=self.target_table,
@@ -175,8 +171,10 @@
             target_table=self.target_table,
             cold_targets=self.cold_targets,
             on_removed=self._forget_target,
-            find_services=self._find_services,
-            find_cold_seconds=lambda service: self._find_service(service).cold_seconds,
+            find_services=self.configuration.find_services,
+            find_cold_seconds=lambda service: (
+                self.configuration.find_service(service).cold_seconds
+            ),
             clock=self.clock,
             metrics=self.metrics,
             decisions=self.decisions,
@@ -227,6 +225,7 @@
             metrics=self.metrics,
             decisions=self.decisions,
         )
+        self.follower_selection = FollowerSelection(self.peers)
         self.suspect_locks = SuspectLocks(
             instance_id=self.settings.instance_id,
             store=self.store,
@@ -252,8 +251,8 @@
                 self.crash_reports,
                 self.suspect_locks,
             ),
-            is_follower=lambda: self.peers.instance_id in self._list_followers(),
-            has_dependents=self._has_dependents,
+            is_follower=self.follower_selection.is_follower,
+            has_dependents=self.follower_selection.has_dependents,
             clock=self.clock,
             random_source=self.random,
             metrics=self.metrics,
@@ -261,7 +260,7 @@
         )
         self.peer_sync = PeerSyncController(
             peers=self.peers,
-            list_followers=self._list_followers,
+            list_followers=self.follower_selection.list_followers,
             data_centre=self.settings.data_centre,
             follower=self.follower,
             configuration=self.configuration,
@@ -296,7 +295,7 @@
             rule=CapacityBasedOwnership(),
             target_table=self.target_table,
             list_members=self.peers.members,
-            find_profile=self._find_maker,
+            find_profile=self.configuration.find_maker,
         )
         self.local_executor = LocalStageExecutor(
             create_pool=self._create_pool, find_group=self.maker_groups.find_group
@@ -310,7 +309,7 @@
             ownership=self.ownership,
             peers=self.peers,
             data_centre=self.settings.data_centre,
-            find_profile=self._find_maker,
+            find_profile=self.configuration.find_maker,
             clock=self.clock,
             random_source=self.random,
             metrics=self.metrics,
@@ -374,7 +373,7 @@
             listen=self.settings.callers_listen,
             codec=self.adapters.callers,
             handler=self.handler,
-            find_limits=self._find_limits,
+            find_limits=self.configuration.find_limits,
             is_draining=lambda: self.drain.draining,
             clock=self.clock,
             metrics=self.metrics,
@@ -410,7 +409,7 @@
         return StagePool(
             group,
             list_makers=lambda: self.maker_groups.list_makers(group),
-            find_profile=lambda: self._find_maker(group.service),
+            find_profile=lambda: self.configuration.find_maker(group.service),
             is_exclusive=lambda: self.ownership.is_exclusive(group),
             quarantine=self.bundle_quarantine,
             policy=PlacedBatching(CrossRequestBatching()),
@@ -438,7 +437,7 @@
     def _find_idle_limit(self, incarnation: Incarnation) -> int:
         """Return the maximum number of idle connections to a target."""
         target = self.target_table.find_listed(incarnation.target_id)
-        service = self._find_service(target.service) if target else None
+        service = self.configuration.find_service(target.service) if target else None
         return count_idle_connections(
             service.max_connections if service else 0,
             self._count_instances(),
@@ -446,27 +445,6 @@
             incarnation.target_id,
         )
 
-    def _list_followers(self) -> frozenset[str]:
-        members = self.peers.members()
-        if members is not self.follower_members:
-            # cached: read several times a second, while the membership changes rarely
-            self.follower_members = members
-            self.followers = choose_followers(
-                {
-                    member.instance_id: member.data_centre
-                    for member in members
-                    if member.state in (MemberState.ALIVE, MemberState.SUSPECT)
-                }
-            )
-        return self.followers
-
-    def _has_dependents(self) -> bool:
-        """Whether other instances rely on this one to watch the store."""
-        followers = self._list_followers()
-        if self.peers.instance_id not in followers:
-            return False
-        return len(followers) < len(self.follower_members)
-
     def _list_controllers(self) -> tuple[Controller, ...]:
         return (
             self.peers,
@@ -484,23 +462,6 @@
             self.usage,
         )
 
-    def _find_services(self) -> Collection[str] | None:
-        deployment = self.configuration.deployment
-        return deployment.services if deployment else None
-
-    def _find_service(self, name: str) -> RoutedService:
-        """Return a configured service; one without capacities if it is unknown."""
-        deployment = self.configuration.deployment
-        found = deployment.services.get(name) if deployment else None
-        return found or RoutedService(name=name)
-
-    def _find_maker(self, service: str) -> MakerProfile | None:
-        return self._find_service(service).maker
-
-    def _find_limits(self) -> CallerLimits:
-        deployment = self.configuration.deployment
-        return deployment.limits if deployment else CallerLimits()
-
     def _is_ready(self) -> bool:
         synced = self.configuration.table is not None and self.listing.synced
         return synced and not self.drain.draining
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/configuration.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/configuration.py
@@ -6,15 +6,16 @@
 
 from result import Err, Ok
 
+from greengagelatch.relay.deployment import CallerLimits, RoutedService
 from greengagelatch.relay.routes import RouteTable
 
 from .store_follower import StoreSubscriber
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
     from greengagelatch.clock import Clock
-    from greengagelatch.relay.deployment import Deployment
+    from greengagelatch.relay.deployment import Deployment, MakerProfile
     from greengagelatch.store.ranges import Changes, Scan
 
     from .codecs import DeploymentCodec
@@ -64,6 +65,26 @@
         """Active configuration in its encoded form."""
         return self._value
 
+    def find_services(self) -> Collection[str] | None:
+        """Return the names of the services; ``None`` until they are known."""
+        deployment = self.deployment
+        return deployment.services if deployment else None
+
+    def find_service(self, name: str) -> RoutedService:
+        """Return a service; one without capacities if it is not configured."""
+        deployment = self.deployment
+        found = deployment.services.get(name) if deployment else None
+        return found or RoutedService(name=name)
+
+    def find_maker(self, service: str) -> MakerProfile | None:
+        """Return the profile of the makers of a service; ``None`` if it has none."""
+        return self.find_service(service).maker
+
+    def find_limits(self) -> CallerLimits:
+        """Return the limits on callers."""
+        deployment = self.deployment
+        return deployment.limits if deployment else CallerLimits()
+
     def apply_scan(self, scan: Scan) -> None:
         for entry in scan.entries:
             if entry.key == self._codec.key:
@@ -122,8 +143,8 @@
             callback()
 
     def dump(self) -> dict[str, Any]:
-        deployment = self.deployment
         """Return the state as JSON-compatible values."""
+        deployment = self.deployment
         return {
             "version": deployment.version if deployment else 0,
             "in_force_revision": self._revision,
