Keep peers from prolonging the cold time of targets

While the store is away, instances ask each other, and each counted a target's cold time from the arrival of the answer: what A told B came back to A a little longer with each round. The time counts from the query now, so that it never exceeds what the peer knows. Besides, targets that are never listed here are dropped once they are warm, and a share follows a change of the configured rate.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/peer_sync.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/peer_sync.py
@@ -186,7 +186,10 @@
             self._listing.apply_peer_listing(targets, update.listing_revision)
         for target_id, started_ms, seconds in update.cold_targets:
             self._listing.record_cold(
-                Incarnation(target_id, started_ms), seconds, "peer"
+                Incarnation(target_id, started_ms),
+                # as of the query: peers that ask each other would prolong it else
+                seconds - elapsed,
+                "peer",
             )
         self._crash_reports.apply_updates(update.crashes)
         if update.heard_seconds is not None:
--- a/packages/greengagelatch/src/greengagelatch/relay/cold_targets.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/cold_targets.py
@@ -86,9 +86,10 @@
     until: float
     #: monotonic times of the requests sent to it
     sent: deque[float] = field(default_factory=deque)
-    #: cached share of this instance, and the instances that it was computed from
+    #: cached share of this instance, and what it was computed from
     share: int = 0
     instances: Collection[str] | None = None
+    rate: float = 0.0
 
 
 class ColdTargets:
@@ -128,12 +129,19 @@
         seconds = min(seconds, MAX_COLD_SECONDS)
         known = self._cold.get(incarnation)
         if known is None:
+            # some of them may never have been listed here, and are asked for by nobody
+            self._drop_warm(now)
             self._cold[incarnation] = _ColdTarget(now + seconds)
             return True
         was_warm = known.until <= now
         known.until = max(known.until, now + seconds)
         return was_warm
 
+    def _drop_warm(self, now: float) -> None:
+        for incarnation, known in tuple(self._cold.items()):
+            if known.until <= now:
+                del self._cold[incarnation]
+
     def list_cold(self, now: float) -> list[tuple[Incarnation, float]]:
         """Return the cold targets and the seconds for which each may still be cold."""
         return [
@@ -183,8 +191,8 @@
         instances = self._find_instances()
         if instances is None:
             return 0
-        if instances is not known.instances:
-            known.instances = instances
+        if instances is not known.instances or rate != known.rate:
+            known.instances, known.rate = instances, rate
             known.share = compute_share(
                 target.target_id,
                 self._own,
--- a/tests/test_core/test_relay/test_cold_targets.py
+++ b/tests/test_core/test_relay/test_cold_targets.py
@@ -110,6 +110,31 @@
         targets.record_send(TARGET.incarnation, 10.5)
 
 
+def test_share_follows_the_configured_rate():
+    rates = [11.0]
+    addresses = list_addresses(1)
+    targets = ColdTargets(
+        own="10.0.0.0:7",
+        rule=RULE,
+        find_instances=lambda: addresses,
+        find_rate=lambda service: rates[-1],
+    )
+    targets.record(TARGET.incarnation, 3.0, 10.0)
+    for _ in range(4):
+        assert targets.may_send(TARGET, 10.0)
+        targets.record_send(TARGET.incarnation, 10.0)
+    rates.append(2.0)
+    assert not targets.may_send(TARGET, 10.1)
+
+
+def test_targets_that_are_never_listed_are_forgotten():
+    """Guards against memory that grows with each restart of a target elsewhere."""
+    targets = create_targets()
+    for number in range(50):
+        targets.record(Incarnation(f"t-{number}", 1), 3.0, 10.0 * number)
+    assert len(targets._cold) == 1
+
+
 def test_older_report_does_not_shorten_the_cold_time():
     """Guards against entries and peers whose news are older than the target's."""
     targets = create_targets()
--- a/tests/test_entry/test_relay/test_cold_targets.py
+++ b/tests/test_entry/test_relay/test_cold_targets.py
@@ -86,3 +86,17 @@
     received = decode(encode(Envelope(PeerSyncAnswer(cold_targets=(row,)))))
     sync._apply(received.unwrap().message, 0.0)
     assert len(world.describe()["cold_targets"]) == 1
+
+
+async def test_peers_do_not_prolong_the_cold_time_of_each_other(world):
+    """Guards against targets that stay limited for good while the store is away.
+
+    Each instance then hears from the others what they heard from it, and counted the
+    time from when the answer arrived.
+    """
+    sync = world.find("news")
+    await add_cold_target(world)
+    (row,) = sync._handle_query("peer", PeerSyncQuery()).cold_targets
+    sync._apply(PeerSyncAnswer(cold_targets=(row,)), 0.5)
+    (after,) = sync._handle_query("peer", PeerSyncQuery()).cold_targets
+    assert after[2] <= row[2]
