Stand-ins fall silent and go on

A simulated target may fall silent before a response or after any event, as often as listed, until it is told to go on; the TCP proxy may hold a link in either direction, which also stops reading. Neither loses a byte.

--- a/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/targets.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/targets.py
@@ -94,6 +94,11 @@
     break_after: int | None = None
     #: the same for one stream each, last first; targets may share the list
     breaks: list[int] = field(default_factory=list)
+    #: places at which it falls silent until :meth:`resume`, next first: the number of
+    #: events that it has sent of a response; 0: before the response
+    silences: list[int] = field(default_factory=list)
+    #: whether it is silent
+    silent: bool = False
     #: paths of requests, and input keys of stage calls, that crash it when they start
     #: to run
     crashed_by: frozenset[str] = frozenset()
@@ -105,6 +110,7 @@
     _port: int = 0
     _arrivals: list[float] = field(default_factory=list)
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
+    _resumed: asyncio.Event = field(default_factory=asyncio.Event)
 
     async def start(self) -> None:
         """Start serving on a free loopback port."""
@@ -122,6 +128,11 @@
         for writer in tuple(self._writers):
             writer.transport.abort()
 
+    def resume(self) -> None:
+        """End a silence; the target goes on where it was."""
+        self.silent = False
+        self._resumed.set()
+
     async def restart(self, store: SimulatedStore, *, cut: bool = True) -> None:
         """Restart under the same id and address, without the results held before.
 
@@ -203,6 +214,7 @@
         self.runs[request_id] += 1
         headers["X-Replica-Signature"] = SIGNATURE + self.target_id
         await self._wait_for_gate()
+        await self._keep_silence(0)
         if request.target in self.crashed_by:
             await self.stop()
             return False
@@ -269,6 +281,7 @@
             await writer.drain()
             if number == first and self.stream_gate is not None:
                 await self.stream_gate.wait()
+            await self._keep_silence(number)
             await asyncio.sleep(EVENT_SECONDS)
         writer.write(b"0\r\n\r\n")
         return True
@@ -295,6 +308,13 @@
         if self.gate is not None:
             await self.gate.wait()
 
+    async def _keep_silence(self, events: int) -> None:
+        while self.silences and self.silences[0] == events:
+            del self.silences[0]
+            self._resumed.clear()
+            self.silent = True
+            await self._resumed.wait()
+
     def _make_piece(self, item: dict[str, Any]) -> dict[str, str]:
         place = (item["id"], item["stage"], item["segment"])
         self.pieces[place] += 1
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/standins/tcp_proxy.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/standins/tcp_proxy.py
@@ -1,4 +1,4 @@
-"""TCP proxy between processes that injects disconnects, blackholing and delay."""
+"""TCP proxy between processes that disconnects, blackholes, pauses and delays."""
 
 from __future__ import annotations
 
@@ -50,6 +50,11 @@
         self._server: asyncio.Server | None = None
         self._connections: set[_Connection] = set()
         self._blackholed = NO_DIRECTION
+        self._open = {
+            Direction.FORWARD: asyncio.Event(),
+            Direction.BACKWARD: asyncio.Event(),
+        }
+        self.resume()
         self._delays = {Direction.FORWARD: 0.0, Direction.BACKWARD: 0.0}
         #: number of connections accepted so far
         self.accepted = 0
@@ -95,6 +100,17 @@
         for connection in self._connections:
             connection.blackholed |= direction
 
+    def pause(self, direction: Direction = Direction.BOTH) -> None:
+        """Stop reading and writing until :meth:`resume`, without losing a byte."""
+        for single, event in self._open.items():
+            if single in direction:
+                event.clear()
+
+    def resume(self) -> None:
+        """Go on with all data that was held back."""
+        for event in self._open.values():
+            event.set()
+
     def delay(self, seconds: float, direction: Direction = Direction.BOTH) -> None:
         """Delay each chunk of data by ``seconds``."""
         for single in self._delays:
@@ -105,6 +121,7 @@
         """Clear all faults; connections that have lost data keep discarding it."""
         self._blackholed = NO_DIRECTION
         self.delay(0.0)
+        self.resume()
         if self._server is None:
             await self.start()
 
@@ -163,6 +180,7 @@
     ) -> None:
         while True:
             data = await self._read(connection, reader, direction)
+            await self._open[direction].wait()
             if self._delays[direction]:
                 await asyncio.sleep(self._delays[direction])
             if direction in self._blackholed:
--- a/tests/test_lab/test_tcp_proxy.py
+++ b/tests/test_lab/test_tcp_proxy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import AsyncIterator
 
 import pytest
@@ -107,3 +108,33 @@
         await client.ask(b"a", LOSS_TIMEOUT)
     proxy.delay(0.0)
     assert await client.ask(b"b") in (b"a", b"ab")
+
+
+@pytest.mark.parametrize("direction", list(Direction))
+async def test_paused_link_loses_nothing(proxy: TcpProxy, direction) -> None:
+    """Guards against pauses that would pass for a lost connection."""
+    client = await connect(proxy)
+    assert await client.ask(b"a") == b"a"
+    for sent in (b"b", b"c"):
+        proxy.pause(direction)
+        with pytest.raises(TimeoutError):
+            await client.ask(sent, LOSS_TIMEOUT)
+        proxy.resume()
+        async with asyncio.timeout(TIMEOUT):
+            assert await client.reader.read(100) == sent
+
+
+async def test_paused_link_stops_reading(proxy: TcpProxy) -> None:
+    """The sender's buffers fill up, as at a process that is stopped."""
+    client = await connect(proxy)
+    proxy.pause(Direction.FORWARD)
+    connection = client.writer.get_extra_info("socket")
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 64 * 1024)
+    size = 2 * 1024 * 1024
+    client.writer.write(bytes(size))
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(LOSS_TIMEOUT):
+            await client.writer.drain()
+    proxy.resume()
+    async with asyncio.timeout(TIMEOUT):
+        assert len(await client.reader.readexactly(size)) == size
