--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
@@ -12,6 +12,8 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http_exceptions import HttpProcessingError
 
+from greengagelatch.relay.connection_loss import ConnectionLossRule
+
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
 
@@ -40,11 +42,10 @@
 MAX_IDLE_SECONDS = 3.0
 #: fraction of the idle timeout announced by a target that is used
 KEEP_ALIVE_FRACTION = 0.5
-#: seconds without an acknowledgement after which the kernel drops a connection
-UNACKNOWLEDGED_SECONDS = 2.0
-#: TCP keepalive: seconds of idleness before the first probe and between probes
-PROBE_INTERVAL = 1
-PROBE_COUNT = 2
+#: when the kernel drops a connection to a silent target
+LOSS_RULE = ConnectionLossRule(
+    user_timeout=2.0, probe_idle=1, probe_interval=1, probe_count=2
+)
 #: size in bytes of the read buffer for a response
 READ_BUFFER_BYTES = 256 * 1024
 MAX_HEADER_BYTES = 32_768
@@ -68,7 +69,7 @@
         self.broken = broken
 
 
-def configure_socket(connection: socket.socket) -> None:
+def configure_socket(connection: socket.socket, rule: ConnectionLossRule) -> None:
     """Configure the kernel to detect a peer that vanished silently.
 
     A connection across a partition, or one whose state a middlebox has lost, accepts
@@ -76,19 +77,15 @@
     wait until its deadline.
     """
     options = (
-        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-        (
-            socket.IPPROTO_TCP,
-            socket.TCP_USER_TIMEOUT,
-            int(UNACKNOWLEDGED_SECONDS * 1000),
-        ),
-        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_INTERVAL),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBE_COUNT),
+        (socket.TCP_NODELAY, 1),
+        (socket.TCP_USER_TIMEOUT, int(rule.user_timeout * 1000)),
+        (socket.TCP_KEEPIDLE, rule.probe_idle),
+        (socket.TCP_KEEPINTVL, rule.probe_interval),
+        (socket.TCP_KEEPCNT, rule.probe_count),
     )
-    for level, option, value in options:
-        connection.setsockopt(level, option, value)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in options:
+        connection.setsockopt(socket.IPPROTO_TCP, option, value)
 
 
 class _TargetConnection(ResponseHandler):
@@ -103,7 +100,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
-        configure_socket(transport.get_extra_info("socket"))
+        configure_socket(transport.get_extra_info("socket"), LOSS_RULE)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         # the parser takes the end of the connection for the end of a response without
