--- a/tests/test_entry/test_relay/conftest.py
+++ b/tests/test_entry/test_relay/conftest.py
@@ -47,11 +47,14 @@
 class World:
     """Store, targets and one instance on the loopback interface."""
 
-    def __init__(self) -> None:
+    def __init__(self, retry_budget: RetryBudgetRule | None = None) -> None:
+        self._retry_budget = retry_budget or RetryBudgetRule()
         self.store = SimulatedStore()
         self.targets: dict[str, SimulatedTarget] = {}
         self.parts: RelayParts | None = None
         self.session: aiohttp.ClientSession | None = None
+        #: time that callers allow for a request
+        self.timeout_ms = 2000
         self._numbers = iter(range(1, 1_000_000))
 
     async def start(self, *, configured: bool = True) -> None:
@@ -103,6 +106,15 @@
         """End the evacuation of a data centre."""
         self.store.remove(f"op/evacuate/{data_centre}")
 
+    async def extend_timeouts(self) -> None:
+        """Configure timeouts that no request reaches, and use them for requests."""
+        configuration = self.find("news")._configuration
+        before = configuration.revision
+        self.timeout_ms = WAIT_SECONDS * 1000
+        changed = create_configuration(9, timeout_ms=self.timeout_ms)
+        self.store.put("op/config", changed)
+        await self.wait_for(lambda: configuration.revision > before)
+
     def accepts(self, target_id: str) -> bool:
         """Return whether the target listed under an id accepts requests."""
         book = self.find("news")._target_table
@@ -115,6 +127,16 @@
             while not condition():  # noqa: ASYNC110 - no event covers every condition
                 await asyncio.sleep(0.01)
 
+    async def wait_for_silence(self, request: asyncio.Task[Reply]) -> None:
+        """Wait until a request has endured a silence longer than the usual patience.
+
+        Returns also once the request has ended.
+        """
+        count = self.count("decisions.silence")
+        await self.wait_for(
+            lambda: request.done() or self.count("decisions.silence") > count
+        )
+
     async def wait_for_revision(self, revision: int) -> None:
         """Wait until the store follower has reached a revision."""
         follower = self.find("store")
@@ -152,7 +174,7 @@
         lines = {
             "Host": HOST,
             "X-Attempt-Id": request_id or f"r-{next(self._numbers)}",
-            "X-Deadline-Ms": "2000",
+            "X-Deadline-Ms": str(self.timeout_ms),
             **{name.replace("_", "-"): value for name, value in headers.items()},
         }
         if key is not None:
@@ -193,7 +215,7 @@
             metrics_path="",
             balancer_lag=0.0,
             longest_drain=0.2,
-            retry_budget=RetryBudgetRule(),
+            retry_budget=self._retry_budget,
             regions={"north": "red", "south": "green", "east": "blue", "west": "blue"},
             cold_targets=ColdTargetRule(overshoot=1.5, slack=1),
         )
@@ -226,14 +248,27 @@
     return compute_digest(request, "north")
 
 
+async def start_desk(world: World) -> World:
+    """Start an instance with two targets of a unary service."""
+    await world.start()
+    await world.add("desk-1", "desk")
+    await world.add("desk-2", "desk")
+    await world.wait_until_synced(2)
+    return world
+
+
 @pytest.fixture
 async def world():
     """An instance with two targets of a unary service."""
-    created = World()
-    await created.start()
-    await created.add("desk-1", "desk")
-    await created.add("desk-2", "desk")
-    await created.wait_until_synced(2)
+    created = await start_desk(World())
+    yield created
+    await created.stop()
+
+
+@pytest.fixture
+async def frugal_world():
+    """An instance as ``world`` that may retry once in several seconds."""
+    created = await start_desk(World(RetryBudgetRule(ratio=0.0, slack=0.0)))
     yield created
     await created.stop()
 
--- a/tests/test_entry/test_relay/test_streams.py
+++ b/tests/test_entry/test_relay/test_streams.py
@@ -255,3 +255,30 @@
         lambda: sum(len(maker.freed_handles) for maker in makers(pipeline)) >= made
     )
     assert sum(engine.runs["gone"] for engine in engines(pipeline)) <= 1
+
+
+async def stream_with_silences(world, engine, places: list[int]):
+    """Return the reply to a stream whose engine outlasts the patience at each place."""
+    engine.silences = list(places)
+    held = asyncio.create_task(world.stream())
+    for _ in places:
+        await world.wait_for(lambda: engine.silent or held.done())
+        await world.wait_for_silence(held)
+        engine.resume()
+    return await held
+
+
+async def test_stream_outlasts_the_silence_of_an_engine_without_another(pipeline):
+    """Guards against streams cut off at a silent engine that would have gone on.
+
+    The stream was given up before it was known that no other engine could resume it,
+    and its caller's connection was aborted.
+    """
+    await pipeline.extend_timeouts()
+    silent, other = engines(pipeline)
+    other.register(pipeline.store, state="draining")
+    await pipeline.wait_for(lambda: not pipeline.accepts(other.target_id))
+    # twice in a row in the middle, and before the first event
+    for places in ([2, 2], [0]):
+        reply = await stream_with_silences(pipeline, silent, places)
+        assert (reply.status, reply.error, reply.body) == (200, "", WHOLE)
--- a/tests/test_entry/test_relay/test_unary.py
+++ b/tests/test_entry/test_relay/test_unary.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 
 import pytest
@@ -188,3 +189,33 @@
     fields = json.loads(reply.body)
     assert reply.status == 400
     assert (fields["field"], fields["value"]) == (name.lower(), value)
+
+
+async def test_request_outlasts_the_silence_of_a_target_without_a_retry(frugal_world):
+    """Guards against requests given up at a silent target that would have answered.
+
+    A safe request was given up after its latency objective, before it was known that
+    the retry budget was spent.
+    """
+    world = frugal_world
+    await world.extend_timeouts()
+    for target in world.targets.values():
+        target.silences = [0, 0]
+    # there is one retry for both
+    requests = {
+        name: asyncio.create_task(world.ask("/look/1", request_id=name))
+        for name in ("s-1", "s-2")
+    }
+    await world.wait_for(
+        lambda: (
+            world.count("decisions.silence") >= 2
+            or any(one.done() for one in requests.values())
+        )
+    )
+    for target in world.targets.values():
+        target.silences.clear()
+        target.resume()
+    for name, request in requests.items():
+        reply = await request
+        assert (reply.status, reply.body) == (200, f"answer to {name} ".encode())
+    assert sum(count_runs(world, name) for name in requests) == 3
