Keep connections to targets that are silent for a few seconds

Callers of a request that may run once got 502, and those of a stream that had begun a closed connection, when the target was silent for a second or two and went on. TCP_USER_TIMEOUT of 2 s with probes after 1 s and each second ended a connection as soon as one probe was not answered within a second, and one to a target that did not read for 2 s although its kernel answered.

Connections to the store keep their own bounds.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
@@ -44,7 +44,7 @@
 KEEP_ALIVE_FRACTION = 0.5
 #: when the kernel drops a connection to a silent target
 LOSS_RULE = ConnectionLossRule(
-    user_timeout=2.0, probe_idle=1, probe_interval=1, probe_count=2
+    user_timeout=5.0, probe_idle=1, probe_interval=1, probe_count=4
 )
 #: size in bytes of the read buffer for a response
 READ_BUFFER_BYTES = 256 * 1024
--- a/tests/test_entry/test_relay/test_target_connections.py
+++ b/tests/test_entry/test_relay/test_target_connections.py
@@ -2,12 +2,22 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
 
 from greengagelatch.relay.connection_loss import ConnectionLossRule
+from greengagelatch.relay.incarnations import Incarnation
+from greengagelatch_entry.relay.messages import OutboundRequest
 
 #: seconds: two silences of a sound target with a lost probe between them
 SOUND_SILENCE = 4.0
+#: seconds within which a target that vanished without a reset is found
+VANISHED_SECONDS = 5.0
+#: seconds for which a target stands still, as a process that is stopped
+HALT_SECONDS = 3.0
+#: size in bytes of a body for which the buffers of both ends have no room
+LARGE_BODY = 4 * 1024 * 1024
+SMALL_BUFFER = 4096
 
 
 def count_idle(world) -> int:
@@ -58,3 +68,41 @@
     rule = read_rule(connection.transport.get_extra_info("socket"))
     assert rule.find_survived_silence() >= SOUND_SILENCE
     assert rule.count_losable_probes() >= 1
+    assert rule.find_drop_time() <= VANISHED_SECONDS
+
+
+async def start_halted_target() -> asyncio.Server:
+    """Start a target that reads nothing at first, then responds to one request."""
+
+    async def serve(reader, writer) -> None:
+        writer.transport.pause_reading()
+        await asyncio.sleep(HALT_SECONDS)
+        writer.transport.resume_reading()
+        await reader.readuntil(b"\r\n\r\n")
+        await reader.readexactly(LARGE_BODY)
+        writer.write(b"HTTP/1.1 200 Said\r\nContent-Length: 4\r\n\r\nread")
+        await writer.drain()
+
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER)
+    listener.bind(("127.0.0.1", 0))
+    return await asyncio.start_server(serve, sock=listener)
+
+
+async def test_request_outlasts_a_target_that_stops_reading(world):
+    """Guards against a kernel that drops a connection with a zero window.
+
+    A user timeout ends it even though the target's kernel answers the probes.
+    """
+    pool = world.find("crash-watch")._connections
+    async with await start_halted_target() as server:
+        _, port = server.sockets[0].getsockname()
+        response = await pool.send(
+            incarnation=Incarnation("halted"),
+            address=f"127.0.0.1:{port}",
+            outbound=OutboundRequest(method="POST", target="/", body=bytes(LARGE_BODY)),
+            fresh=True,
+            timeout=20,
+        )
+        assert await response.read(SMALL_BUFFER) == b"read"
+        response.abort()
