Use ejected targets again once they answer

A target that failed two requests in a row, for example as it was silent for a second, got no further request from that instance until its entry changed; the other targets bore its load. A circuit breaker closes only by the success of a probe, and the load balancer never began one: half-open targets were left out like open ones.

Evidence: with four targets, two failures of one and answers from all since, it got none of 600 requests in the minute after, and its breaker stayed half-open. A half-open target is a candidate again now, and a request that is sent to it is the one probe of its ejection time: it gets over 200 of the 600 if it answers, and at most 21 if it still fails.

--- a/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from ..load.breakers import Breaker, BreakerRule, find_ejected
+from ..load.breakers import Breaker, BreakerRule, BreakerState, find_ejected
 from ..targets.subset import compute_weight
 from .regions import is_allowed
 
@@ -109,7 +109,7 @@
         if not candidates:
             return None
         chosen = min(candidates, key=lambda one: self._score_target(one, now))
-        self._cold_targets.record_send(chosen.incarnation, now)
+        self._record_send(chosen.incarnation, now)
         return chosen
 
     def choose_engine(
@@ -137,7 +137,7 @@
             candidates,
             key=lambda one: self._score_engine(one, need, affinity_target, now),
         )
-        self._cold_targets.record_send(chosen.incarnation, now)
+        self._record_send(chosen.incarnation, now)
         return chosen
 
     def find_affinity_target(
@@ -245,6 +245,14 @@
             self._states[incarnation] = state
         return state
 
+    def _record_send(self, incarnation: Incarnation, now: float) -> None:
+        self._cold_targets.record_send(incarnation, now)
+        if self._read_breaker(incarnation, now) is BreakerState.HALF_OPEN:
+            self._find_state(incarnation).breaker.begin_probe(now)
+
+    def _read_breaker(self, incarnation: Incarnation, now: float) -> BreakerState:
+        return self._find_state(incarnation).breaker.read_state(now)
+
     def _list_candidates(
         self,
         service: str,
@@ -262,7 +270,11 @@
             (one.incarnation, self._find_state(one.incarnation).breaker)
             for one in listed
         ]
-        ejected = find_ejected(breakers, BREAKER_RULE, now)
+        ejected = {
+            incarnation
+            for incarnation in find_ejected(breakers, BREAKER_RULE, now)
+            if self._read_breaker(incarnation, now) is BreakerState.OPEN
+        }
         left = listed
         if excluded:
             left = [one for one in left if one.incarnation not in excluded]
--- a/tests/test_core/test_relay/test_load_balancer.py
+++ b/tests/test_core/test_relay/test_load_balancer.py
@@ -86,6 +86,45 @@
         )
 
 
+def send_for_a_minute(balancer: LoadBalancer, *, answers: bool) -> int:
+    """Send ten requests a second; return how many went to ``t-0``.
+
+    :param answers: whether ``t-0`` answers; the others do
+    """
+    sent = 0
+    for tick in range(600):
+        now = NOW + tick / 10
+        chosen = balancer.choose_least_loaded("s", NO_TARGETS, now).incarnation
+        if chosen.target_id == "t-0":
+            sent += 1
+        if chosen.target_id == "t-0" and not answers:
+            balancer.record_failure(chosen, now)
+            continue
+        balancer.record_success(chosen)
+    return sent
+
+
+def test_ejected_target_that_answers_again_is_used_again():
+    """Guards against a target that an instance never uses again after two failures.
+
+    Nothing began a probe, and only the success of a probe closes a circuit breaker.
+    """
+    # t-0 and t-3 are in the data centre of the instance
+    balancer = create_balancer(4)
+    for _ in range(2):
+        balancer.record_failure(Incarnation("t-0"), NOW)
+    assert send_for_a_minute(balancer, answers=True) > 200
+    assert balancer.describe(NOW + 60)["t-0"]["breaker"] == "closed"
+
+
+def test_target_that_still_fails_gets_one_probe_per_ejection_time():
+    balancer = create_balancer(4)
+    for _ in range(2):
+        balancer.record_failure(Incarnation("t-0"), NOW)
+    # ejection times double up to 4 s, with a jitter of a quarter
+    assert 0 < send_for_a_minute(balancer, answers=False) <= 21
+
+
 def test_circuit_breakers_never_eject_all_targets():
     """Guards against an instance that refuses all requests of a healthy service.
 
