Leave a silent target only for a retry that is certain: safe requests

Callers of safe requests got 502 when their target was silent for longer than the latency objective and the retry budget was spent, although the target would have answered. A request was given up on a timeout, and only then was it found out whether it could be sent again.

After the same time the runner now asks whether another target is healthy, an attempt is left and the retry budget allows one; if so, the retry is charged and the target left; otherwise it goes on waiting and asks again each quarter of a second. The charge is kept for the retry, so that it is made once, also if the answer arrives in the same turn of the loop. A loop that stood still reads what has arrived before it asks. Each silence that is waited for writes one "silence" line with its reason and counts against the target's breaker.

A target that never answers ends its request at the deadline with 504 as before.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -337,6 +337,7 @@
             "budgets": self.retry_budgets,
             "suspects": self.suspects,
             "clock": self.clock,
+            "decisions": self.decisions,
         }
         streams = StreamRunner(
             stages=stages,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
@@ -139,6 +139,8 @@
     targets: list[Incarnation] = field(default_factory=list)
     #: attempts in which no target received the request
     unsent: int = 0
+    #: whether its next retry is already charged to the retry budget
+    retry_charged: bool = False
     #: held while the request is sent, if it is suspected of crashing targets
     suspect_lock: Lock | None = None
     stage_seconds: float = 0.0
--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/patience.py
@@ -0,0 +1,68 @@
+"""Waits for a target that may be silent."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__ = ("ASK_INTERVAL", "Patience", "PatientWait")
+
+#: seconds after which it is asked again whether a silent target may be left
+ASK_INTERVAL = 0.25
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Patience:
+    """How long to wait for a silent target while another one could be used.
+
+    :param until: event loop time in seconds
+    :param may_leave: called after that time, and again at intervals; returns whether
+        to leave the target. The argument tells whether it was called before
+    """
+
+    until: float
+    may_leave: Callable[[bool], bool]
+
+
+class PatientWait:
+    """Async context manager around a wait for a target.
+
+    :param end: event loop time in seconds at which the wait ends in any case
+    :param patience: ``None`` if no other target could be used
+    :raises TimeoutError: at ``end``, or once the target may be left
+    """
+
+    __slots__ = ("_asked", "_patience", "_scope", "_timer")
+
+    def __init__(self, end: float, patience: Patience | None) -> None:
+        self._scope = asyncio.timeout_at(end)
+        self._patience = patience
+        self._timer: asyncio.Handle | None = None
+        self._asked = False
+
+    async def __aenter__(self) -> None:
+        await self._scope.__aenter__()
+        if self._patience is not None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_at(self._patience.until, self._read_first)
+
+    async def __aexit__(self, kind, error, traceback) -> bool | None:
+        if self._timer is not None:
+            self._timer.cancel()
+        return await self._scope.__aexit__(kind, error, traceback)
+
+    def _read_first(self) -> None:
+        # a loop that stood still finds the timer due along with data of the target
+        self._timer = asyncio.get_running_loop().call_soon(self._ask)
+
+    def _ask(self) -> None:
+        loop = asyncio.get_running_loop()
+        if self._patience.may_leave(self._asked):
+            self._scope.reschedule(loop.time())
+            return
+        self._asked = True
+        self._timer = loop.call_later(ASK_INTERVAL, self._read_first)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/runners.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/runners.py
@@ -10,16 +10,21 @@
     NextStep,
     RetryContext,
     SendOutcome,
+    SilenceDecision,
     decide_next,
+    decide_on_silence,
 )
 
 from .refusals import create_error
 
 if TYPE_CHECKING:
     from greengagelatch.clock import Clock
+    from greengagelatch.relay.incarnations import Incarnation
     from greengagelatch.relay.load_balancer import LoadBalancer
     from greengagelatch.relay.requests import RefusedError
+    from greengagelatch.relay.targets import ListedTarget
 
+    from .decisions import DecisionLog
     from .exchange import RelayExchange
     from .retry_budgets import RetryBudgets
     from .suspect_admission import SuspectAdmission
@@ -49,12 +54,14 @@
         budgets: RetryBudgets,
         suspects: SuspectAdmission,
         clock: Clock,
+        decisions: DecisionLog,
     ) -> None:
         self.sender = sender
         self.load_balancer = load_balancer
         self.budgets = budgets
         self.suspects = suspects
         self.clock = clock
+        self.decisions = decisions
 
     @abstractmethod
     async def run(self, exchange: RelayExchange) -> None:
@@ -69,22 +76,79 @@
 
     def may_retry(self, exchange: RelayExchange, outcome: SendOutcome) -> bool:
         """Return whether to send again after ``outcome``; a retry is charged."""
+        facts = self._describe(exchange, outcome, frozenset(exchange.targets))
+        match decide_next(facts):
+            case NextStep.SEND:
+                return True
+            case NextStep.RETRY:
+                charged, exchange.retry_charged = exchange.retry_charged, False
+                return charged or self.budgets.try_spend(exchange.service)
+        return False
+
+    def may_leave(
+        self,
+        exchange: RelayExchange,
+        target: ListedTarget,
+        excluded: frozenset[Incarnation],
+        asked: bool,
+    ) -> bool:
+        """Return whether to leave a silent target; the retry is charged then.
+
+        :param excluded: targets that a retry would not use either
+        :param asked: whether the answer was no before
+        """
+        now = self.clock.now()
+        incarnation = target.incarnation
+        received = frozenset(exchange.targets) | {incarnation}
+        decision = decide_on_silence(
+            self._describe(exchange, SendOutcome.LOST, received),
+            targets=self.load_balancer.count_healthy(
+                exchange.service,
+                excluded | {incarnation},
+                now,
+                exchange.data_centres,
+            ),
+            retries=exchange.retry_charged or self.budgets.count_left(exchange.service),
+        )
+        if decision is SilenceDecision.LEAVE:
+            if not exchange.retry_charged:
+                exchange.retry_charged = self.budgets.try_spend(exchange.service)
+            return True
+        if not asked:
+            self._record_silence(exchange, target, decision)
+        return False
+
+    def _record_silence(
+        self, exchange: RelayExchange, target: ListedTarget, decision: SilenceDecision
+    ) -> None:
+        # new requests prefer other targets
+        self.load_balancer.record_failure(target.incarnation, self.clock.now())
+        self.decisions.log_decision(
+            "silence",
+            request=exchange.request.request_id,
+            digest=exchange.digest,
+            target=str(target.incarnation),
+            address=target.address,
+            reason=decision.value,
+            left_ms=round(self.find_remaining(exchange) * 1000),
+        )
+
+    def _describe(
+        self,
+        exchange: RelayExchange,
+        outcome: SendOutcome,
+        received: frozenset[Incarnation],
+    ) -> RetryContext:
         route = exchange.route
-        facts = RetryContext(
+        return RetryContext(
             outcome=outcome,
             repeatable=route.repeatable,
-            deliveries=len(set(exchange.targets)),
+            deliveries=len(received),
             max_attempts=route.max_attempts,
             unsent=exchange.unsent,
             remaining=self.find_remaining(exchange),
             min_seconds=MIN_ATTEMPT_SECONDS,
         )
-        match decide_next(facts):
-            case NextStep.SEND:
-                return True
-            case NextStep.RETRY:
-                return self.budgets.try_spend(exchange.service)
-        return False
 
     def create_refusal(
         self, exchange: RelayExchange, last: FailedSend | None
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -205,6 +205,7 @@
                 target,
                 call,
                 timeout=self._choose_first_event_timeout(left),
+                patience=None,
                 fresh=not exchange.route.repeatable,
                 may_send=lambda: fetch_timer.start(
                     not self._run.is_lost(self._results)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
@@ -14,6 +14,8 @@
 
 from greengagelatch.relay.connection_loss import ConnectionLossRule
 
+from .patience import PatientWait
+
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
 
@@ -25,6 +27,7 @@
 
     from ..metrics import Metrics
     from .messages import OutboundRequest
+    from .patience import Patience
 
 __all__ = (
     "TargetResponseError",
@@ -199,6 +202,7 @@
         outbound: OutboundRequest,
         fresh: bool,
         timeout: float,
+        patience: Patience | None = None,
         may_send: Callable[[], bool] | None = None,
     ) -> TargetResponse:
         """Write a request and wait for the head of its response.
@@ -206,6 +210,7 @@
         :param fresh: whether to open a new connection; a pooled one may drop the
             request without evidence of whether it ran
         :param timeout: seconds until the head must have arrived
+        :param patience: when a target that is silent may be left before that
         :param may_send: checked once connected, and again before pooling the connection
         :raises NotSentError: if no byte was sent
         :raises TargetResponseError: if the request was written without a response
@@ -231,7 +236,7 @@
             data = _serialize(outbound, address)
             self._metrics.count("links.bytes_out", len(data))
             connection.transport.write(data)
-            async with asyncio.timeout_at(end):
+            async with PatientWait(end, patience):
                 message, content = await self._read_head(connection)
         except TimeoutError:
             connection.abort()
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_sender.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_sender.py
@@ -23,6 +23,7 @@
     from .decisions import DecisionLog
     from .exchange import RelayExchange
     from .messages import AttemptContext, ResponseHead
+    from .patience import Patience
     from .target_connections import TargetConnectionPool, TargetResponse
 
 __all__ = ("ReceivedResponse", "TargetSender", "FailedSend")
@@ -81,12 +82,14 @@
         call: AttemptContext,
         *,
         timeout: float,
+        patience: Patience | None,
         fresh: bool,
         may_send: Callable[[], bool] = lambda: True,
     ) -> ReceivedResponse | FailedSend:
         """Send once and raise the verdict of ``exchange`` accordingly.
 
         :param timeout: seconds until the response head must have arrived
+        :param patience: when a target that is silent may be left before that
         :param may_send: checked once connected, as inputs named in ``call`` may have
             been lost by then
         """
@@ -99,6 +102,7 @@
                 outbound=outbound,
                 fresh=fresh,
                 timeout=timeout,
+                patience=patience,
                 may_send=lambda: (
                     self._target_table.is_available(incarnation) and may_send()
                 ),
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/unary.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/unary.py
@@ -4,12 +4,14 @@
 
 import asyncio
 from dataclasses import dataclass
+from functools import partial
 from typing import TYPE_CHECKING
 
 from greengagelatch.relay.deployment import RouteKind
 from greengagelatch.relay.outcomes import SendOutcome
 
 from .messages import AttemptContext
+from .patience import Patience, PatientWait
 from .runners import Runner
 from .target_connections import TargetResponseError
 from .target_sender import FailedSend, ReceivedResponse
@@ -25,12 +27,12 @@
 
 #: maximum size in bytes of a forwarded response
 MAX_RESPONSE_BYTES = 32 * 1024 * 1024
-#: attempt timeout of idempotent requests as a multiple of the route's latency
-#: objective. After it the request fails over to another target, as a hung target would
+#: patience of idempotent requests as a multiple of the route's latency objective.
+#: After it the request fails over to another target if it may, as a hung target would
 #: hold it until the deadline
-ATTEMPT_TIMEOUT_FACTOR = 1.0
-#: minimum attempt timeout in seconds
-MIN_ATTEMPT_TIMEOUT = 0.15
+PATIENCE_FACTOR = 1.0
+#: minimum patience in seconds
+MIN_PATIENCE = 0.15
 STATUS_SERVER_ERROR = 500
 
 
@@ -60,7 +62,7 @@
                 )
                 if target is None:
                     break
-                result = await self._attempt(exchange, target)
+                result = await self._attempt(exchange, target, excluded)
             if isinstance(result, _FullResponse):
                 if result.head.succeeded:
                     await self._deliver(exchange, result)
@@ -81,7 +83,10 @@
         raise self.create_refusal(exchange, last)
 
     async def _attempt(
-        self, exchange: RelayExchange, target: ListedTarget
+        self,
+        exchange: RelayExchange,
+        target: ListedTarget,
+        excluded: frozenset[Incarnation],
     ) -> _FullResponse | FailedSend:
         remaining_seconds = self.find_remaining(exchange)
         if remaining_seconds <= 0:
@@ -91,20 +96,21 @@
             remaining=remaining_seconds,
             workspace=exchange.workspace,
         )
-        timeout = self._choose_timeout(exchange, remaining_seconds)
-        end = asyncio.get_running_loop().time() + timeout
+        end = asyncio.get_running_loop().time() + remaining_seconds
+        patience = self._find_patience(exchange, target, excluded)
         self.load_balancer.start(target.incarnation)
         try:
             result = await self.sender.send(
                 exchange,
                 target,
                 call,
-                timeout=timeout,
+                timeout=remaining_seconds,
+                patience=patience,
                 fresh=not exchange.route.repeatable,
             )
             if isinstance(result, FailedSend):
                 return result
-            return await self._read(exchange, target, result, end)
+            return await self._read(exchange, target, result, end, patience)
         finally:
             self.load_balancer.finish(target.incarnation)
 
@@ -114,10 +120,11 @@
         target: ListedTarget,
         received: ReceivedResponse,
         end: float,
+        patience: Patience | None,
     ) -> _FullResponse | FailedSend:
         response = received.response
         try:
-            async with asyncio.timeout_at(end):
+            async with PatientWait(end, patience):
                 body = await response.read(MAX_RESPONSE_BYTES)
         except TimeoutError:
             response.abort()
@@ -137,17 +144,23 @@
             self.load_balancer.record_failure(target.incarnation, self.clock.now())
         return _FullResponse(received.head, body)
 
-    def _choose_timeout(
-        self, exchange: RelayExchange, remaining_seconds: float
-    ) -> float:
+    def _find_patience(
+        self,
+        exchange: RelayExchange,
+        target: ListedTarget,
+        excluded: frozenset[Incarnation],
+    ) -> Patience | None:
         route = exchange.route
-        may_fail_over = len(exchange.targets) + 1 < route.max_attempts
-        if route.kind is not RouteKind.SAFE or not may_fail_over:
-            return remaining_seconds
-        attempt_timeout = max(
-            MIN_ATTEMPT_TIMEOUT, route.objective * ATTEMPT_TIMEOUT_FACTOR
+        if route.kind is not RouteKind.SAFE:
+            return None
+        seconds = min(
+            max(MIN_PATIENCE, route.objective * PATIENCE_FACTOR),
+            self.find_remaining(exchange) / 2,
+        )
+        return Patience(
+            until=asyncio.get_running_loop().time() + seconds,
+            may_leave=partial(self.may_leave, exchange, target, excluded),
         )
-        return min(attempt_timeout, remaining_seconds / 2)
 
     async def _deliver(self, exchange: RelayExchange, response: _FullResponse) -> None:
         head = response.head
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/instances.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/instances.py
@@ -208,6 +208,7 @@
                 codec=ModelCodec(),
                 budgets=self._create_budgets(),
                 clock=self._clock,
+                decisions=NullTelemetry(),
                 metrics=NullTelemetry(),
                 decisions=NullTelemetry(),
             ),
@@ -248,4 +249,5 @@
             load_balancer=load_balancer,
             budgets=self._create_budgets(),
             clock=self._clock,
+            decisions=NullTelemetry(),
         )
--- a/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
@@ -140,6 +140,20 @@
         self._record_send(chosen.incarnation, now)
         return chosen
 
+    def count_healthy(
+        self,
+        service: str,
+        excluded: frozenset[Incarnation],
+        now: float,
+        data_centres: frozenset[str] | None = None,
+    ) -> int:
+        """Return the number of targets that answered lately and may be sent to."""
+        candidates = self._list_candidates(service, excluded, now, data_centres)
+        return sum(
+            self._read_breaker(one.incarnation, now) is BreakerState.CLOSED
+            for one in candidates
+        )
+
     def find_affinity_target(
         self,
         service: str,
--- a/packages/greengagelatch/src/greengagelatch/relay/outcomes.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/outcomes.py
@@ -5,7 +5,14 @@
 from dataclasses import dataclass
 from enum import Enum
 
-__all__ = ("NextStep", "RetryContext", "SendOutcome", "decide_next")
+__all__ = (
+    "NextStep",
+    "RetryContext",
+    "SendOutcome",
+    "SilenceDecision",
+    "decide_next",
+    "decide_on_silence",
+)
 
 
 class SendOutcome(Enum):
@@ -86,3 +93,34 @@
     if facts.deliveries >= facts.max_attempts:
         return NextStep.GIVE_UP
     return NextStep.RETRY
+
+
+class SilenceDecision(Enum):
+    """Whether to leave a target that is silent, and why not."""
+
+    LEAVE = "leave"
+    #: no retry would be allowed
+    NO_ATTEMPT = "no further attempt is allowed"
+    NO_TARGET = "no other target is healthy"
+    NO_BUDGET = "the retry budget is exhausted"
+
+
+def decide_on_silence(
+    facts: RetryContext, *, targets: int, retries: int
+) -> SilenceDecision:
+    """Return whether to leave a target that does not go on with its answer.
+
+    A sound target may be silent for a while. It is left only if the request is certain
+    to be sent to another one; otherwise a late answer would be exchanged for none.
+
+    :param facts: as if the answer were lost
+    :param targets: number of other targets that are healthy
+    :param retries: number of retries that the budget allows
+    """
+    if decide_next(facts) is not NextStep.RETRY:
+        return SilenceDecision.NO_ATTEMPT
+    if targets < 1:
+        return SilenceDecision.NO_TARGET
+    if retries < 1:
+        return SilenceDecision.NO_BUDGET
+    return SilenceDecision.LEAVE
--- a/tests/test_core/test_relay/test_load_balancer.py
+++ b/tests/test_core/test_relay/test_load_balancer.py
@@ -125,6 +125,18 @@
     assert 0 < send_for_a_minute(balancer, answers=False) <= 21
 
 
+def test_healthy_targets_are_counted_without_the_failing_and_the_excluded():
+    balancer = create_balancer(4)
+    failing, silent = Incarnation("t-0"), frozenset({Incarnation("t-1")})
+    assert balancer.count_healthy("s", silent, NOW) == 3
+    for _ in range(2):
+        balancer.record_failure(failing, NOW)
+    assert balancer.count_healthy("s", silent, NOW) == 2
+    assert balancer.count_healthy("s", silent, NOW, frozenset({"north"})) == 1
+    # also once it may be probed: it has not answered yet
+    assert balancer.count_healthy("s", silent, NOW + 60) == 2
+
+
 def test_circuit_breakers_never_eject_all_targets():
     """Guards against an instance that refuses all requests of a healthy service.
 
--- a/tests/test_entry/test_relay/test_unary.py
+++ b/tests/test_entry/test_relay/test_unary.py
@@ -219,3 +219,34 @@
         reply = await request
         assert (reply.status, reply.body) == (200, f"answer to {name} ".encode())
     assert sum(count_runs(world, name) for name in requests) == 3
+
+
+async def leave_one_target(world):
+    """Return the only target that is left of two."""
+    left, other = world.targets.values()
+    other.register(world.store, state="draining")
+    await world.wait_for(lambda: not world.accepts(other.target_id))
+    return left
+
+
+async def test_request_at_a_target_that_never_answers_ends_at_its_deadline(world):
+    target = await leave_one_target(world)
+    target.fault = TargetFault.MUTE
+    reply = await world.ask("/look/1", request_id="s-1", X_Deadline_Ms="1200")
+    assert reply.status == 504
+    assert json.loads(reply.body)["verdict"] == "may-have-run"
+    assert world.count("decisions.silence") == 1
+    assert count_runs(world, "s-1") == 1
+
+
+async def test_silent_target_is_left_by_a_request_whose_caller_leaves(world):
+    """Guards against requests that wait for a silent target on behalf of nobody."""
+    target = await leave_one_target(world)
+    target.silences = [0]
+    await world.extend_timeouts()
+    held = asyncio.create_task(world.ask("/look/1"))
+    await world.wait_for_silence(held)
+    held.cancel()
+    await world.wait_for(lambda: world.count("requests.cancelled") == 1)
+    target.resume()
+    assert (await world.ask("/look/1")).status == 200
