Leave a silent target only for a retry that is certain: streams

Callers of resumable streams had their connection closed in the middle when their engine was silent for longer than the gap timeout (0.75 s or three pauses), or got 502 before the first event, although it would have gone on: no other engine, the retry budget spent, or the last attempt, whose head was timed out although no retry could follow.

Evidence: a stream at the only engine with two silences in the middle, one event apart, ended with ClientPayloadError before and is whole now, as is one that is silent before its first event. One that waits moves on as soon as another engine is listed.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from typing import TYPE_CHECKING
 
 from greengagelatch.errors import RefusalCode
@@ -14,6 +15,7 @@
 from .event_splitter import EventSplitter
 from .input_fetch_timer import InputFetchTimer
 from .messages import AttemptContext
+from .patience import Patience, PatientWait
 from .refusals import create_error
 from .runners import Runner
 from .target_connections import TargetResponseError
@@ -37,15 +39,15 @@
 
 #: maximum size in bytes of a forwarded error response
 MAX_ERROR_BODY_BYTES = 1024 * 1024
-#: timeout for the first event of a resumable stream, after which it fails over to
-#: another target: a fraction of the route's latency objective, and the minimum in
-#: seconds
+#: patience for the first event of a resumable stream, after which it fails over to
+#: another target if it may: a fraction of the route's latency objective, and the
+#: minimum in seconds
 FIRST_EVENT_FACTOR = 0.9
-MIN_FIRST_EVENT_TIMEOUT = 1.0
-#: timeout between events: a multiple of the route's maximum event gap, and the minimum
+MIN_FIRST_EVENT_PATIENCE = 1.0
+#: patience between events: a multiple of the route's maximum event gap, and the minimum
 #: in seconds
 EVENT_GAP_FACTOR = 3.0
-MIN_EVENT_GAP_TIMEOUT = 0.75
+MIN_EVENT_GAP_PATIENCE = 0.75
 
 
 class StreamRunner(Runner):
@@ -133,6 +135,8 @@
         self._prompt = exchange.request.prompt or Prompt()
         self._last_event_id = exchange.request.resume_after
         self._first_event_seen = False
+        #: targets to which the request is not sent again
+        self._excluded: frozenset[Incarnation] = frozenset()
         #: whether results were released that another target would have to fetch
         self._inputs_released = False
         self._sent_at = 0.0
@@ -142,13 +146,12 @@
     async def serve(self) -> None:
         """Send until the stream is complete or no further retry is allowed."""
         exchange, runner = self._exchange, self._runner
-        excluded: frozenset[Incarnation] = frozenset()
         last: FailedSend | None = None
         while True:
             if self._run.is_lost(self._results):
                 await self._rerun_stages()
             async with runner.suspects.admit(exchange):
-                target = self._choose(excluded)
+                target = self._choose()
                 if target is None:
                     break
                 last = await self._attempt(target)
@@ -156,7 +159,7 @@
                 return
             lost = self._run.is_lost(self._results)
             if not lost or last.outcome is not SendOutcome.UNSENT:
-                excluded |= {target.incarnation}
+                self._excluded |= {target.incarnation}
             if not runner.may_retry(exchange, last.outcome):
                 break
             if last.status == STATUS_CONFLICT or self._inputs_released:
@@ -169,14 +172,14 @@
         self._inputs_released = False
         self._results = await self._run.execute()
 
-    def _choose(self, excluded: frozenset[Incarnation]) -> ListedTarget | None:
+    def _choose(self) -> ListedTarget | None:
         need = EngineDemand(
             self._prompt,
             self._results.bytes_by_data_centre,
             self._exchange.data_centres,
         )
         fleet, now = self._runner.load_balancer, self._runner.clock.now()
-        return fleet.choose_engine(self._exchange.service, need, excluded, now)
+        return fleet.choose_engine(self._exchange.service, need, self._excluded, now)
 
     async def _attempt(self, target: ListedTarget) -> FailedSend | None:
         """Send once and forward events; return ``None`` if the response is complete."""
@@ -204,8 +207,8 @@
                 exchange,
                 target,
                 call,
-                timeout=self._choose_first_event_timeout(left),
-                patience=None,
+                timeout=left,
+                patience=self._find_patience(target),
                 fresh=not exchange.route.repeatable,
                 may_send=lambda: fetch_timer.start(
                     not self._run.is_lost(self._results)
@@ -261,7 +264,7 @@
         writer = self._exchange.writer
         chunks = received.response.iterate()
         while True:
-            data = await self._read_chunk(chunks)
+            data = await self._read_chunk(target, chunks)
             if data is None:
                 break
             events = splitter.feed(data)
@@ -287,11 +290,13 @@
             self._exchange, self._runner.clock.now() - self._sent_at
         )
 
-    async def _read_chunk(self, chunks: AsyncIterator[bytes]) -> bytes | None:
+    async def _read_chunk(
+        self, target: ListedTarget, chunks: AsyncIterator[bytes]
+    ) -> bytes | None:
         left = self._runner.find_remaining(self._exchange)
-        timeout = min(left, self._choose_event_timeout())
+        end = asyncio.get_running_loop().time() + max(0.0, left)
         try:
-            async with asyncio.timeout(max(0.0, timeout)):
+            async with PatientWait(end, self._find_patience(target)):
                 return await anext(chunks, None)
         except TimeoutError:
             raise TargetResponseError("timed out waiting for the next event") from None
@@ -334,27 +339,24 @@
             return 0.0
         return self._runner.clock.now() - self._first_event_at
 
-    def _choose_first_event_timeout(self, left: float) -> float:
-        if not self._may_fail_over():
-            return left
-        timeout = self._exchange.route.objective * FIRST_EVENT_FACTOR
-        return min(left, max(MIN_FIRST_EVENT_TIMEOUT, timeout))
-
-    def _choose_event_timeout(self) -> float:
-        left = self._runner.find_remaining(self._exchange)
-        if not self._may_fail_over():
-            return left
-        if not self._first_event_seen:
-            return self._choose_first_event_timeout(left)
-        return max(
-            MIN_EVENT_GAP_TIMEOUT, self._exchange.route.longest_pause * EVENT_GAP_FACTOR
+    def _find_patience(self, target: ListedTarget) -> Patience | None:
+        exchange = self._exchange
+        route = exchange.route
+        if not route.resumable:
+            return None
+        if self._first_event_seen:
+            seconds = max(
+                MIN_EVENT_GAP_PATIENCE, route.longest_pause * EVENT_GAP_FACTOR
+            )
+        else:
+            seconds = max(
+                MIN_FIRST_EVENT_PATIENCE, route.objective * FIRST_EVENT_FACTOR
+            )
+        return Patience(
+            until=asyncio.get_running_loop().time() + seconds,
+            may_leave=partial(self._runner.may_leave, exchange, target, self._excluded),
         )
 
-    def _may_fail_over(self) -> bool:
-        route = self._exchange.route
-        sent = len(set(self._exchange.targets))
-        return route.resumable and sent <= route.max_attempts - 1
-
 
 class _PrefillTracker:
     """Accounts for a request at its engine: first in prefill, then in decoding."""
--- a/tests/test_entry/test_relay/test_streams.py
+++ b/tests/test_entry/test_relay/test_streams.py
@@ -282,3 +282,20 @@
     for places in ([2, 3], [0]):
         reply = await stream_with_silences(pipeline, silent, places)
         assert (reply.status, reply.error, reply.body) == (200, "", WHOLE)
+
+
+async def test_stream_leaves_a_silent_engine_once_another_is_there(pipeline):
+    """A stream that waits for a silent engine moves on as soon as it can."""
+    await pipeline.extend_timeouts()
+    silent, other = engines(pipeline)
+    other.register(pipeline.store, state="draining")
+    await pipeline.wait_for(lambda: not pipeline.accepts(other.target_id))
+    silent.silences = [2]
+    held = asyncio.create_task(pipeline.stream(X_Attempt_Id="r-1"))
+    await pipeline.wait_for(lambda: silent.silent)
+    await pipeline.wait_for_silence(held)
+    assert not held.done()
+    added = await pipeline.add("llm-3", "llm")
+    reply = await held
+    assert (reply.status, reply.body) == (200, WHOLE)
+    assert added.runs["r-1"] == 1
