Name the system's error where a response is lost

"no response: ClientOSError" in a send line was the same for a reset and for a connection that the kernel had timed out. The name of the error stands with it now, such as ECONNRESET or ETIMEDOUT.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 from collections import defaultdict
 from dataclasses import dataclass
@@ -374,7 +375,20 @@
 def _create_error(what: str, error: Exception) -> TargetResponseError:
     # malformed data comes from a live process
     broken = not isinstance(error, HttpProcessingError)
-    return TargetResponseError(f"{what}: {type(error).__name__}", broken=broken)
+    reason = f"{what}: {type(error).__name__}"
+    code = _find_error_code(error)
+    if code:
+        reason += f" ({code})"
+    return TargetResponseError(reason, broken=broken)
+
+
+def _find_error_code(error: BaseException | None) -> str:
+    """Return the name of the system's error, such as ``ETIMEDOUT``; empty if none."""
+    while error is not None:
+        if isinstance(error, OSError) and error.errno is not None:
+            return errno.errorcode.get(error.errno, "")
+        error = error.__cause__
+    return ""
 
 
 def _parse_idle_seconds(text: str) -> float:
--- a/tests/test_entry/test_relay/test_target_connections.py
+++ b/tests/test_entry/test_relay/test_target_connections.py
@@ -4,10 +4,14 @@
 
 import asyncio
 import socket
+import struct
+
+import pytest
 
 from greengagelatch.relay.connection_loss import ConnectionLossRule
 from greengagelatch.relay.incarnations import Incarnation
 from greengagelatch_entry.relay.messages import OutboundRequest
+from greengagelatch_entry.relay.target_connections import TargetResponseError
 
 #: seconds: two silences of a sound target with a lost probe between them
 SOUND_SILENCE = 4.0
@@ -106,3 +110,27 @@
         )
         assert await response.read(SMALL_BUFFER) == b"read"
         response.abort()
+
+
+async def test_lost_response_names_the_error_of_the_system(world):
+    """Guards against a log in which the kernel's timeout looks like a reset."""
+
+    async def serve(reader, writer) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        connection = writer.get_extra_info("socket")
+        linger = struct.pack("ii", 1, 0)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        writer.transport.abort()
+
+    pool = world.find("crash-watch")._connections
+    async with await asyncio.start_server(serve, "127.0.0.1", 0) as server:
+        _, port = server.sockets[0].getsockname()
+        with pytest.raises(TargetResponseError, match="ECONNRESET") as lost:
+            await pool.send(
+                incarnation=Incarnation("resetting"),
+                address=f"127.0.0.1:{port}",
+                outbound=OutboundRequest(method="GET", target="/"),
+                fresh=True,
+                timeout=20,
+            )
+    assert lost.value.broken
