Let callers that wait survive a lost keepalive probe

A caller that waits for an answer without a byte to exchange was dropped, and its request cancelled, when a single probe was lost: probes began after 10 s, 5 s apart, and the user timeout of 5 s made the second one due end the connection. Same cause as with connections to targets, found by reading.

Evidence: by the options of an accepted socket no probe could be lost before, and a vanished caller was found after 15 s. Probes begin after 2 s, 1 s apart: two in a row may be lost, and a vanished caller is found after 5 s. A delay of all its segments that begins with the first probe may last 3 s, for 5 s before.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_connections.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_connections.py
@@ -46,10 +46,11 @@
 MAX_HEADERS = 64
 #: maximum characters of an invalid value in an error message
 MAX_SHOWN = 64
-#: seconds without traffic until the kernel sends the first TCP keepalive probe
-KEEPALIVE_IDLE = 10
+#: seconds without traffic until the kernel sends the first TCP keepalive probe. The
+#: write timeout also ends the probes, so that several have to fit in it
+KEEPALIVE_IDLE = 2
 #: seconds between two keepalive probes
-KEEPALIVE_INTERVAL = 5
+KEEPALIVE_INTERVAL = 1
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_entry/test_relay/conftest.py
+++ b/tests/test_entry/test_relay/conftest.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from dataclasses import dataclass
 from typing import Any
 
@@ -11,6 +12,7 @@
 from yarl import URL
 
 from greengagelatch.relay.cold_targets import ColdTargetRule
+from greengagelatch.relay.connection_loss import ConnectionLossRule
 from greengagelatch.relay.digests import compute_digest
 from greengagelatch.relay.requests import OpaqueRequest
 from greengagelatch.relay.retry_budget import RetryBudgetRule
@@ -233,6 +235,21 @@
         )
 
 
+def read_rule(connection: socket.socket) -> ConnectionLossRule:
+    """Return the bounds that are set on a socket."""
+
+    def read(option: int) -> int:
+        return connection.getsockopt(socket.IPPROTO_TCP, option)
+
+    assert connection.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+    return ConnectionLossRule(
+        user_timeout=read(socket.TCP_USER_TIMEOUT) / 1000,
+        probe_idle=read(socket.TCP_KEEPIDLE),
+        probe_interval=read(socket.TCP_KEEPINTVL),
+        probe_count=read(socket.TCP_KEEPCNT),
+    )
+
+
 def find_digest(path: str) -> str:
     """Return the digest of a GET request for ``path`` by :meth:`World.ask`."""
     request = OpaqueRequest(
--- a/tests/test_entry/test_relay/test_target_connections.py
+++ b/tests/test_entry/test_relay/test_target_connections.py
@@ -8,11 +8,12 @@
 
 import pytest
 
-from greengagelatch.relay.connection_loss import ConnectionLossRule
 from greengagelatch.relay.incarnations import Incarnation
 from greengagelatch_entry.relay.messages import OutboundRequest
 from greengagelatch_entry.relay.target_connections import TargetResponseError
 
+from .conftest import read_rule
+
 #: seconds: two silences of a sound target with a lost probe between them
 SOUND_SILENCE = 4.0
 #: seconds within which a target that vanished without a reset is found
@@ -46,19 +47,6 @@
     assert count_idle(world) > 0
 
 
-def read_rule(connection: socket.socket) -> ConnectionLossRule:
-    def read(option: int) -> int:
-        return connection.getsockopt(socket.IPPROTO_TCP, option)
-
-    assert connection.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
-    return ConnectionLossRule(
-        user_timeout=read(socket.TCP_USER_TIMEOUT) / 1000,
-        probe_idle=read(socket.TCP_KEEPIDLE),
-        probe_interval=read(socket.TCP_KEEPINTVL),
-        probe_count=read(socket.TCP_KEEPCNT),
-    )
-
-
 async def test_connection_survives_the_silence_of_a_sound_target(world):
     """Guards against a kernel that ends requests at targets that would go on.
 
