Ask nothing for a wait whose time is over

A stream whose deadline had just passed could still be charged a retry while its read was being cancelled; shown by a test of the wait that fails without the check.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/patience.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/patience.py
@@ -60,6 +60,8 @@
         self._timer = asyncio.get_running_loop().call_soon(self._ask)
 
     def _ask(self) -> None:
+        if self._scope.expired():
+            return
         loop = asyncio.get_running_loop()
         if self._patience.may_leave(self._asked):
             self._scope.reschedule(loop.time())
--- a/tests/test_entry/test_relay/test_patience.py
+++ b/tests/test_entry/test_relay/test_patience.py
@@ -57,6 +57,27 @@
             await asyncio.Event().wait()
 
 
+async def test_wait_that_has_ended_asks_no_more():
+    """Guards against a retry that is charged in the turn in which the time is over.
+
+    What is awaited takes some turns of the loop to end.
+    """
+    may_leave = Asked(1)
+
+    async def end_slowly() -> None:
+        try:
+            await asyncio.Event().wait()
+        finally:
+            for _ in range(10):
+                await asyncio.sleep(0)
+
+    now = asyncio.get_running_loop().time()
+    with pytest.raises(TimeoutError):
+        async with PatientWait(now, create(may_leave)):
+            await end_slowly()
+    assert may_leave.calls == []
+
+
 async def test_cancelled_wait_asks_no_more():
     """Guards against a retry that is charged for a caller that has left."""
     may_leave = Asked(100)
