Name the system's error of a truncated response too

The error that ended a connection is not among the causes of the parser's error, so that "response truncated: ClientPayloadError" did not say whether a reset or the kernel's timeout had ended it. It is kept from the end of the connection now. The test with a part of a response failed before.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
@@ -97,8 +97,8 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
-        #: whether it ended by anything other than an orderly close
-        self.reset = False
+        #: error that ended it; ``None`` while it is open and after an orderly close
+        self.loss: BaseException | None = None
         #: monotonic time in seconds until which it may be reused
         self.reusable_until = 0.0
 
@@ -109,7 +109,7 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         # the parser takes the end of the connection for the end of a response without
         # a length, even if a reset truncated it
-        self.reset = exc is not None
+        self.loss = exc
         super().connection_lost(exc)
 
     @property
@@ -138,8 +138,10 @@
             while chunk := await self.content.readany():
                 yield chunk
         except (ClientError, HttpProcessingError, OSError) as error:
-            raise _create_error("response truncated", error) from error
-        if self._connection.reset and not self._is_framed():
+            raise _create_error(
+                "response truncated", error, self._connection.loss
+            ) from error
+        if self._connection.loss is not None and not self._is_framed():
             raise TargetResponseError(
                 "connection reset during a response without a length", broken=True
             )
@@ -246,7 +248,7 @@
             ) from None
         except (ClientError, HttpProcessingError, OSError) as error:
             connection.abort()
-            raise _create_error("no response", error) from error
+            raise _create_error("no response", error, connection.loss) from error
         except BaseException:
             connection.abort()
             raise
@@ -372,25 +374,22 @@
         self._keep_idle(incarnation, connection, seconds)
 
 
-def _create_error(what: str, error: Exception) -> TargetResponseError:
+def _create_error(
+    what: str, error: Exception, loss: BaseException | None
+) -> TargetResponseError:
+    """Create the error of a lost response.
+
+    :param loss: error that ended the connection; ``None`` if there was none
+    """
     # malformed data comes from a live process
     broken = not isinstance(error, HttpProcessingError)
     reason = f"{what}: {type(error).__name__}"
-    code = _find_error_code(error)
-    if code:
-        reason += f" ({code})"
+    code = getattr(loss, "errno", None)
+    if code in errno.errorcode:
+        reason += f" ({errno.errorcode[code]})"
     return TargetResponseError(reason, broken=broken)
 
 
-def _find_error_code(error: BaseException | None) -> str:
-    """Return the name of the system's error, such as ``ETIMEDOUT``; empty if none."""
-    while error is not None:
-        if isinstance(error, OSError) and error.errno is not None:
-            return errno.errorcode.get(error.errno, "")
-        error = error.__cause__
-    return ""
-
-
 def _parse_idle_seconds(text: str) -> float:
     """Return for how many seconds the connection may be reused after a response."""
     for part in text.split(","):
--- a/tests/test_entry/test_relay/test_target_connections.py
+++ b/tests/test_entry/test_relay/test_target_connections.py
@@ -100,11 +100,18 @@
         response.abort()
 
 
-async def test_lost_response_names_the_error_of_the_system(world):
+@pytest.mark.parametrize(
+    "answer", [b"", b"HTTP/1.1 200 Said\r\nContent-Length: 10\r\n\r\npart"]
+)
+async def test_lost_response_names_the_error_of_the_system(world, answer):
     """Guards against a log in which the kernel's timeout looks like a reset."""
+    received = asyncio.Event()
 
     async def serve(reader, writer) -> None:
         await reader.readuntil(b"\r\n\r\n")
+        writer.write(answer)
+        if answer:
+            await received.wait()
         connection = writer.get_extra_info("socket")
         linger = struct.pack("ii", 1, 0)
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
@@ -114,11 +121,13 @@
     async with await asyncio.start_server(serve, "127.0.0.1", 0) as server:
         _, port = server.sockets[0].getsockname()
         with pytest.raises(TargetResponseError, match="ECONNRESET") as lost:
-            await pool.send(
+            response = await pool.send(
                 incarnation=Incarnation("resetting"),
                 address=f"127.0.0.1:{port}",
                 outbound=OutboundRequest(method="GET", target="/"),
                 fresh=True,
                 timeout=20,
             )
+            received.set()
+            await response.read(SMALL_BUFFER)
     assert lost.value.broken
