--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 from collections import defaultdict
 from dataclasses import dataclass
@@ -12,6 +13,10 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http_exceptions import HttpProcessingError
 
+from greengagelatch.relay.connection_loss import ConnectionLossRule
+
+from .patience import PatientWait
+
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
 
@@ -23,6 +28,7 @@
 
     from ..metrics import Metrics
     from .messages import OutboundRequest
+    from .patience import Patience
 
 __all__ = (
     "TargetResponseError",
@@ -40,11 +46,10 @@
 MAX_IDLE_SECONDS = 3.0
 #: fraction of the idle timeout announced by a target that is used
 KEEP_ALIVE_FRACTION = 0.5
-#: seconds without an acknowledgement after which the kernel drops a connection
-UNACKNOWLEDGED_SECONDS = 2.0
-#: TCP keepalive: seconds of idleness before the first probe and between probes
-PROBE_INTERVAL = 1
-PROBE_COUNT = 2
+#: when the kernel drops a connection to a silent target
+LOSS_RULE = ConnectionLossRule(
+    user_timeout=5.0, probe_idle=1, probe_interval=1, probe_count=4
+)
 #: size in bytes of the read buffer for a response
 READ_BUFFER_BYTES = 256 * 1024
 MAX_HEADER_BYTES = 32_768
@@ -68,7 +73,7 @@
         self.broken = broken
 
 
-def configure_socket(connection: socket.socket) -> None:
+def configure_socket(connection: socket.socket, rule: ConnectionLossRule) -> None:
     """Configure the kernel to detect a peer that vanished silently.
 
     A connection across a partition, or one whose state a middlebox has lost, accepts
@@ -76,19 +81,15 @@
     wait until its deadline.
     """
     options = (
-        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-        (
-            socket.IPPROTO_TCP,
-            socket.TCP_USER_TIMEOUT,
-            int(UNACKNOWLEDGED_SECONDS * 1000),
-        ),
-        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_INTERVAL),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBE_COUNT),
+        (socket.TCP_NODELAY, 1),
+        (socket.TCP_USER_TIMEOUT, int(rule.user_timeout * 1000)),
+        (socket.TCP_KEEPIDLE, rule.probe_idle),
+        (socket.TCP_KEEPINTVL, rule.probe_interval),
+        (socket.TCP_KEEPCNT, rule.probe_count),
     )
-    for level, option, value in options:
-        connection.setsockopt(level, option, value)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in options:
+        connection.setsockopt(socket.IPPROTO_TCP, option, value)
 
 
 class _TargetConnection(ResponseHandler):
@@ -96,19 +97,19 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
-        #: whether it ended by anything other than an orderly close
-        self.reset = False
+        #: error that ended it; ``None`` while it is open and after an orderly close
+        self.loss: BaseException | None = None
         #: monotonic time in seconds until which it may be reused
         self.reusable_until = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
-        configure_socket(transport.get_extra_info("socket"))
+        configure_socket(transport.get_extra_info("socket"), LOSS_RULE)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         # the parser takes the end of the connection for the end of a response without
         # a length, even if a reset truncated it
-        self.reset = exc is not None
+        self.loss = exc
         super().connection_lost(exc)
 
     @property
@@ -137,8 +138,10 @@
             while chunk := await self.content.readany():
                 yield chunk
         except (ClientError, HttpProcessingError, OSError) as error:
-            raise _create_error("response truncated", error) from error
-        if self._connection.reset and not self._is_framed():
+            raise _create_error(
+                "response truncated", error, self._connection.loss
+            ) from error
+        if self._connection.loss is not None and not self._is_framed():
             raise TargetResponseError(
                 "connection reset during a response without a length", broken=True
             )
@@ -202,6 +205,7 @@
         outbound: OutboundRequest,
         fresh: bool,
         timeout: float,
+        patience: Patience | None = None,
         may_send: Callable[[], bool] | None = None,
     ) -> TargetResponse:
         """Write a request and wait for the head of its response.
@@ -209,6 +213,7 @@
         :param fresh: whether to open a new connection; a pooled one may drop the
             request without evidence of whether it ran
         :param timeout: seconds until the head must have arrived
+        :param patience: when a target that is silent may be left before that
         :param may_send: checked once connected, and again before pooling the connection
         :raises NotSentError: if no byte was sent
         :raises TargetResponseError: if the request was written without a response
@@ -234,7 +239,7 @@
             data = _serialize(outbound, address)
             self._metrics.count("links.bytes_out", len(data))
             connection.transport.write(data)
-            async with asyncio.timeout_at(end):
+            async with PatientWait(end, patience):
                 message, content = await self._read_head(connection)
         except TimeoutError:
             connection.abort()
@@ -243,7 +248,7 @@
             ) from None
         except (ClientError, HttpProcessingError, OSError) as error:
             connection.abort()
-            raise _create_error("no response", error) from error
+            raise _create_error("no response", error, connection.loss) from error
         except BaseException:
             connection.abort()
             raise
@@ -369,10 +374,20 @@
         self._keep_idle(incarnation, connection, seconds)
 
 
-def _create_error(what: str, error: Exception) -> TargetResponseError:
+def _create_error(
+    what: str, error: Exception, loss: BaseException | None
+) -> TargetResponseError:
+    """Create the error of a lost response.
+
+    :param loss: error that ended the connection; ``None`` if there was none
+    """
     # malformed data comes from a live process
     broken = not isinstance(error, HttpProcessingError)
-    return TargetResponseError(f"{what}: {type(error).__name__}", broken=broken)
+    reason = f"{what}: {type(error).__name__}"
+    code = getattr(loss, "errno", None)
+    if code in errno.errorcode:
+        reason += f" ({errno.errorcode[code]})"
+    return TargetResponseError(reason, broken=broken)
 
 
 def _parse_idle_seconds(text: str) -> float:
--- a/tests/test_entry/test_relay/test_target_connections.py
+++ b/tests/test_entry/test_relay/test_target_connections.py
@@ -2,6 +2,28 @@
 
 from __future__ import annotations
 
+import asyncio
+import socket
+import struct
+
+import pytest
+
+from greengagelatch.relay.incarnations import Incarnation
+from greengagelatch_entry.relay.messages import OutboundRequest
+from greengagelatch_entry.relay.target_connections import TargetResponseError
+
+from .conftest import read_rule
+
+#: seconds: two silences of a sound target with a lost probe between them
+SOUND_SILENCE = 4.0
+#: seconds within which a target that vanished without a reset is found
+VANISHED_SECONDS = 5.0
+#: seconds for which a target stands still, as a process that is stopped
+HALT_SECONDS = 3.0
+#: size in bytes of a body for which the buffers of both ends have no room
+LARGE_BODY = 4 * 1024 * 1024
+SMALL_BUFFER = 4096
+
 
 def count_idle(world) -> int:
     return world.describe()["links"]["idle"]
@@ -23,3 +45,89 @@
         await world.ask("/look/1")
     assert world.count("links.opened") <= 2
     assert count_idle(world) > 0
+
+
+async def test_connection_survives_the_silence_of_a_sound_target(world):
+    """Guards against a kernel that ends requests at targets that would go on.
+
+    The user timeout also decides when keepalive probes give up, so that a single lost
+    probe may end a request that waits for its first byte.
+    """
+    for _ in range(2):
+        await world.ask("/look/1")
+    idle = world.find("crash-watch")._connections._idle
+    (connection,) = next(iter(idle.values()))
+    rule = read_rule(connection.transport.get_extra_info("socket"))
+    assert rule.find_survived_silence() >= SOUND_SILENCE
+    assert rule.count_losable_probes() >= 1
+    assert rule.find_drop_time() <= VANISHED_SECONDS
+
+
+async def start_halted_target() -> asyncio.Server:
+    """Start a target that reads nothing at first, then responds to one request."""
+
+    async def serve(reader, writer) -> None:
+        writer.transport.pause_reading()
+        await asyncio.sleep(HALT_SECONDS)
+        writer.transport.resume_reading()
+        await reader.readuntil(b"\r\n\r\n")
+        await reader.readexactly(LARGE_BODY)
+        writer.write(b"HTTP/1.1 200 Said\r\nContent-Length: 4\r\n\r\nread")
+        await writer.drain()
+
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER)
+    listener.bind(("127.0.0.1", 0))
+    return await asyncio.start_server(serve, sock=listener)
+
+
+async def test_request_outlasts_a_target_that_stops_reading(world):
+    """Guards against a kernel that drops a connection with a zero window.
+
+    A user timeout ends it even though the target's kernel answers the probes.
+    """
+    pool = world.find("crash-watch")._connections
+    async with await start_halted_target() as server:
+        _, port = server.sockets[0].getsockname()
+        response = await pool.send(
+            incarnation=Incarnation("halted"),
+            address=f"127.0.0.1:{port}",
+            outbound=OutboundRequest(method="POST", target="/", body=bytes(LARGE_BODY)),
+            fresh=True,
+            timeout=20,
+        )
+        assert await response.read(SMALL_BUFFER) == b"read"
+        response.abort()
+
+
+@pytest.mark.parametrize(
+    "answer", [b"", b"HTTP/1.1 200 Said\r\nContent-Length: 10\r\n\r\npart"]
+)
+async def test_lost_response_names_the_error_of_the_system(world, answer):
+    """Guards against a log in which the kernel's timeout looks like a reset."""
+    received = asyncio.Event()
+
+    async def serve(reader, writer) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(answer)
+        if answer:
+            await received.wait()
+        connection = writer.get_extra_info("socket")
+        linger = struct.pack("ii", 1, 0)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        writer.transport.abort()
+
+    pool = world.find("crash-watch")._connections
+    async with await asyncio.start_server(serve, "127.0.0.1", 0) as server:
+        _, port = server.sockets[0].getsockname()
+        with pytest.raises(TargetResponseError, match="ECONNRESET") as lost:
+            response = await pool.send(
+                incarnation=Incarnation("resetting"),
+                address=f"127.0.0.1:{port}",
+                outbound=OutboundRequest(method="GET", target="/"),
+                fresh=True,
+                timeout=20,
+            )
+            received.set()
+            await response.read(SMALL_BUFFER)
+    assert lost.value.broken
