Answer when a target's response head has control characters

A caller whose request had run saw its connection closed without a byte if the target's reason phrase or a header held a control character: aiohttp's client lets most of them through, and its server refuses to write them. The writer counted the response as started before that error, so that the request was neither answered nor refused; the connection was aborted.

The writer replaces control characters by spaces, as RFC 9110, 5.5 allows, so that the head can be written. The stand-in target learns to send such heads.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -26,6 +27,8 @@
 
 #: seconds after which a write is abandoned because the caller does not read
 WRITE_TIMEOUT = 10.0
+#: control characters that must not occur in a response head (RFC 9110, 5.5)
+_CONTROL_CHARACTERS = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 
 
 class CallerDisconnectedError(Exception):
@@ -69,6 +72,8 @@
         close: bool = False,
     ) -> None:
         """Write a complete response."""
+        if reason is not None:
+            reason = _replace_control_characters(reason)
         response = web.Response(status=status, reason=reason, body=body)
         _copy_headers(headers, response)
         if close or not self._keep_alive():
@@ -79,7 +84,9 @@
 
     async def begin(self, head: ResponseHead) -> None:
         """Write the head of a streamed response."""
-        response = web.StreamResponse(status=head.status, reason=head.reason)
+        response = web.StreamResponse(
+            status=head.status, reason=_replace_control_characters(head.reason)
+        )
         _copy_headers(head.headers, response)
         if not self._keep_alive():
             response.force_close()
@@ -169,4 +176,12 @@
     headers: tuple[tuple[str, str], ...], response: web.StreamResponse
 ) -> None:
     for name, value in headers:
-        response.headers.add(name, value)
+        response.headers.add(name, _replace_control_characters(value))
+
+
+def _replace_control_characters(text: str) -> str:
+    """Replace each control character by a space.
+
+    Targets may send them, and the HTTP library refuses to write a head with one.
+    """
+    return _CONTROL_CHARACTERS.sub(" ", text)
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/targets.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/targets.py
@@ -87,6 +87,9 @@
     gate: asyncio.Event | None = None
     #: reported load as ``running,queued,slots``; empty: no load header
     load: str = ""
+    #: reason phrase and further headers of its responses to requests that it runs
+    reason: str = "Said"
+    more_headers: dict[str, str] = field(default_factory=dict)
     #: awaited by a stream after its first event
     stream_gate: asyncio.Event | None = None
     address: str = ""
@@ -202,6 +205,7 @@
             return True
         self.runs[request_id] += 1
         headers["X-Replica-Signature"] = SIGNATURE + self.target_id
+        headers |= self.more_headers
         await self._wait_for_gate()
         if request.target in self.crashed_by:
             await self.stop()
@@ -243,7 +247,7 @@
                 return False
             case TargetFault.FOREIGN:
                 headers = {**headers, "X-Attempt-Id": "somebody-else"}
-        _write(writer, 200, headers, body)
+        _write(writer, 200, headers, body, reason=self.reason)
         if self.fault is TargetFault.EXTRA:
             _write(writer, 200, headers, b"once more")
         return True
@@ -256,7 +260,7 @@
         first = int(request.headers.get("last-event-id", "0")) + 1
         break_after = self.breaks.pop() if self.breaks else self.break_after
         lines = {**headers, "Content-Type": "text/event-stream"}
-        _write(writer, 200, lines, b"", chunked=True)
+        _write(writer, 200, lines, b"", chunked=True, reason=self.reason)
         for number in range(first, EVENTS + 1):
             if break_after is not None and number > break_after:
                 half = f"id: {number}\ndata: ha".encode()
@@ -328,8 +332,9 @@
     *,
     length: int | None = -1,
     chunked: bool = False,
+    reason: str = "Said",
 ) -> None:
-    lines = [f"HTTP/1.1 {status} Said"]
+    lines = [f"HTTP/1.1 {status} {reason}"]
     lines += [f"{name}: {value}" for name, value in headers.items()]
     if chunked:
         lines.append("Transfer-Encoding: chunked")
