Set the drain time in the tests of a stop

Three tests assigned to ``_longest``, an attribute that the drain controller no longer has, so that their stops took the 0.2 s of the fixture. Their assertions are unchanged; they pass with the times that they name.

--- a/tests/test_entry/test_relay/test_stop.py
+++ b/tests/test_entry/test_relay/test_stop.py
@@ -188,7 +188,7 @@
     the stop. By that deadline alone, it would begin work that can't finish in time.
     """
     drain = world.parts.drain
-    drain._longest = 2.0
+    drain._max_drain_seconds = 2.0
     drain.request_stop()
     reply = await world.ask("/look/1", X_Deadline_Ms="60000")
     assert reply.status == 200
@@ -207,7 +207,7 @@
     request at once.
     """
     drain = pipeline.parts.drain
-    drain._longest = 0.05
+    drain._max_drain_seconds = 0.05
     drain.request_stop()
     reply = await pipeline.stream(X_Deadline_Ms="15000")
     assert reply.status == 503
@@ -232,7 +232,7 @@
     two iterations later, so that the stop completes and interrupts it.
     """
     drain, front = world.parts.drain, world.parts.front
-    drain._longest = WAIT_SECONDS
+    drain._max_drain_seconds = WAIT_SECONDS
     reader, writer = await connect(world)
     writer.write(encode_request("first"))
     assert (await read_answer(reader))[0] == 200
