Refuse requests that become whole once a stop has drained

A caller whose request headers arrived in two parts, the first before the stop and the second more than half a second later, when no other request was in flight, had its request forwarded and its connection closed 0.2 s later without an answer: the stop had stopped waiting for such headers, but the handler took the request as one from before the stop.

test_request_whose_headers_are_complete_after_a_stop_is_refused fails before (connection closed, no status) and passes after.

The drain now rejects what begins after it, as it already did after a drain that ran out of time: the request is refused as not run, with a retry at once.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/drain.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/drain.py
@@ -59,7 +59,8 @@
     :param close_listener: stops accepting connections.
     :param wait_idle: waits until no request is in flight, at most the given
         seconds; returns whether none is left.
-    :param abort_requests: aborts the requests in flight, so that each is answered.
+    :param abort_requests: aborts the requests in flight, so that each is answered, and
+        refuses those whose headers are complete only after that.
     """
 
     name = "drain"
@@ -144,7 +145,10 @@
             drain_task.cancel()
         results = await asyncio.gather(drain_task, return_exceptions=True)
         finished = results[0] is True
-        if not finished:
+        if finished:
+            # the process exits before a request that begins now could be answered
+            self._abort_requests()
+        else:
             await self._abort()
         self._state = DrainState.STOPPED
         self._metrics.count("drain.finished" if finished else "drain.cut")
--- a/tests/test_entry/test_relay/test_stop.py
+++ b/tests/test_entry/test_relay/test_stop.py
@@ -335,3 +335,31 @@
     assert "connection: close" in head
     assert count_runs(world, "next") == 0
     writer.close()
+
+
+async def test_request_whose_headers_are_complete_after_a_stop_is_refused(world):
+    """Guards against requests that are forwarded by a process that is exiting.
+
+    The first bytes of a request arrive before the stop, and the rest once no request
+    is in flight. Its headers were incomplete for too long to be waited for. The fault
+    is to forward it, although the server is closed a moment later.
+    """
+    drain, front = world.parts.drain, world.parts.front
+    drain._max_drain_seconds = WAIT_SECONDS
+    gate = hold_targets(world)
+    reader, writer = await connect(world)
+    data = encode_request("slow")
+    writer.write(data[:40])
+    (connection,) = front._connections._server.connections
+    await world.wait_for(lambda: connection.busy)
+    drain.request_stop()
+    async with asyncio.timeout(WAIT_SECONDS):
+        assert await drain.wait()
+    connection.data_received(data[40:])
+    await front.stop()
+    status, head = await read_answer(reader)
+    gate.set()
+    assert status == 503
+    assert "connection: close" in head
+    assert count_runs(world, "slow") == 0
+    writer.close()
