Close idle callers' connections by the timeout in force

When a configuration raised the idle timeout, the server still closed callers' connections after the timeout that it had read as the listener was opened, which may be the default. Callers keep connections for up to four fifths of the new timeout, so that requests were sent on connections as these were closed.

The timer of a connection looks up the timeout when it fires, and is set again if the connection has been idle for less.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_connections.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_connections.py
@@ -66,6 +66,8 @@
     """Protocol factory for accepted connections, which it counts and closes.
 
     :param handle: serves one request; cancelled if the connection is lost
+    :param find_idle_timeout: returns the seconds after which an idle connection is
+        closed. A higher value applies to open connections as well
     """
 
     def __init__(
@@ -74,16 +76,16 @@
         *,
         max_connections: int,
         max_header_bytes: int,
-        idle_timeout: float,
+        find_idle_timeout: Callable[[], float],
         write_timeout: float,
     ) -> None:
         self._max_connections = max_connections
         self._server = _Server(
             handle,
             write_timeout=write_timeout,
+            find_idle_timeout=find_idle_timeout,
             handler_cancellation=True,
             access_log=None,
-            keepalive_timeout=idle_timeout,
             lingering_time=LINGER_SECONDS,
             max_line_size=max_header_bytes,
             max_field_size=max_header_bytes,
@@ -145,16 +147,24 @@
         handle: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
         *,
         write_timeout: float,
+        find_idle_timeout: Callable[[], float],
         **options: Any,
     ) -> None:
         super().__init__(handle, **options)
         self._write_timeout = write_timeout
+        self.find_idle_timeout = find_idle_timeout
         self.connection_numbers = count(1)
         #: whether connections are closed once they become idle
         self.closing = False
 
     def __call__(self) -> RequestHandler:
-        return _Connection(self, self._write_timeout, loop=self._loop, **self._kwargs)
+        return _Connection(
+            self,
+            self._write_timeout,
+            loop=self._loop,
+            keepalive_timeout=self.find_idle_timeout(),
+            **self._kwargs,
+        )
 
 
 class _Connection(RequestHandler):
@@ -186,6 +196,17 @@
             self._begin()
         super().data_received(data)
 
+    def _process_keepalive(self) -> None:
+        # the timer was set with the timeout in force then
+        idle_since = self._next_keepalive_close_time - self._keepalive_timeout
+        close_time = idle_since + self._callers_server.find_idle_timeout()
+        if self._loop.time() < close_time:
+            self._keepalive_handle = self._loop.call_at(
+                close_time, self._process_keepalive
+            )
+            return
+        super()._process_keepalive()
+
     def _begin(self) -> None:
         self.busy = True
         self._started_at = self._loop.time()
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/callers.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/callers.py
@@ -93,7 +93,7 @@
             self.handle,
             max_connections=limits.max_connections,
             max_header_bytes=limits.max_header_bytes,
-            idle_timeout=limits.idle_timeout,
+            find_idle_timeout=lambda: limits.idle_timeout,
             write_timeout=limits.write_timeout,
         )
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/front.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/front.py
@@ -71,7 +71,7 @@
             self.handle,
             max_connections=MAX_CONNECTIONS,
             max_header_bytes=limits.max_header_bytes,
-            idle_timeout=limits.idle_timeout + IDLE_MARGIN_SECONDS,
+            find_idle_timeout=self._find_idle_timeout,
             write_timeout=WRITE_TIMEOUT,
         )
 
@@ -119,6 +119,9 @@
             request, limit=limits.max_body_bytes, timeout=limits.header_timeout
         )
 
+    def _find_idle_timeout(self) -> float:
+        return self._find_limits().idle_timeout + IDLE_MARGIN_SECONDS
+
     def _count_bytes_sent(self, size: int) -> None:
         self._metrics.count("front.bytes_out", size)
 
