Accept queued connections before the listener closes

Callers that had connected and sent a request as a stopping instance closed its listener saw a reset instead of a response: closing a listening socket resets the connections that the kernel has queued for it. In a restart of all instances of a data centre callers still connect at that moment.

test_queued_connections_are_accepted_before_the_listener_closes fails before (reset, no status) and passes after; new connections are refused as before.

A second descriptor keeps the socket open until its queue has been accepted.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_listener.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_listener.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import socket
 from abc import abstractmethod
 from typing import TYPE_CHECKING, Any, ClassVar
 
@@ -76,8 +77,12 @@
         """Stop accepting connections; close the open ones once they become idle."""
         if self._listener is None:
             return
-        self._listener.close()
-        self._listener = None
+        listener, self._listener = self._listener, None
+        # a listening socket stays open while it has a descriptor
+        sockets = [one.dup() for one in listener.sockets]
+        listener.close()
+        for one in sockets:
+            await self._accept_queued(one)
         closed = self._connections.close_idle()
         logger.info(
             "no new connections: %d idle ones closed, %d kept, %d requests in flight",
@@ -86,6 +91,21 @@
             self._in_flight,
         )
 
+    async def _accept_queued(self, listening: socket.socket) -> None:
+        """Accept the connections queued by the kernel, and close the socket.
+
+        Closing it alone would reset them, and callers may have sent requests on them.
+        """
+        loop = asyncio.get_running_loop()
+        with listening:
+            for _ in range(self.backlog):
+                try:
+                    connection, _ = listening.accept()
+                except OSError:
+                    return
+                connection.setblocking(False)
+                await loop.connect_accepted_socket(self._connections.create, connection)
+
     async def wait_idle(self, timeout: float) -> bool:
         """Wait at most ``timeout`` seconds until no request is in flight.
 
--- a/tests/test_entry/test_relay/test_stop.py
+++ b/tests/test_entry/test_relay/test_stop.py
@@ -4,6 +4,9 @@
 
 import asyncio
 import os
+import socket
+
+import pytest
 
 from greengagelatch.relay.groups import MakerGroup
 from greengagelatch_entry.controllers.drain import DrainState
@@ -309,6 +312,31 @@
     writer.close()
 
 
+async def test_queued_connections_are_accepted_before_the_listener_closes(world):
+    """Guards against resets of connections that the kernel has accepted.
+
+    Callers have connected and sent requests, but the event loop has not accepted their
+    connections yet. The fault is to close the listening socket, which resets them.
+    """
+    front = world.parts.front
+    queued = []
+    for number in range(3):
+        # blocking, so that the loop does not run before the close
+        connection = socket.create_connection(("127.0.0.1", front.port))
+        connection.sendall(encode_request(f"queued-{number}"))
+        connection.setblocking(False)
+        queued.append(connection)
+    await front.close_listener()
+    for connection in queued:
+        reader, writer = await asyncio.open_connection(sock=connection)
+        status, head = await read_answer(reader)
+        assert status in (200, 503)
+        assert "connection: close" in head
+        writer.close()
+    with pytest.raises(ConnectionRefusedError):
+        await connect(world)
+
+
 async def test_request_sent_during_a_stream_is_refused_after_it(world):
     """Guards against dropping a request that was read during a stream.
 
