Forward encoded request bodies unchanged

A target received the decompressed body of a request with ``Content-Encoding: gzip``, together with that header, as the HTTP server decodes bodies by default. Bodies in an encoding that it doesn't know, or that were not valid, were refused with 400.

test_encoded_request_body_is_forwarded_unchanged fails before for a valid and an invalid gzip body and for an unknown encoding, and passes after. The server for pipelines still decodes bodies, as it reads them.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_connections.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_connections.py
@@ -68,6 +68,7 @@
     :param handle: serves one request; cancelled if the connection is lost
     :param find_idle_timeout: returns the seconds after which an idle connection is
         closed. A higher value applies to open connections as well
+    :param decompress_bodies: whether to decode bodies by their ``Content-Encoding``
     """
 
     def __init__(
@@ -78,6 +79,7 @@
         max_header_bytes: int,
         find_idle_timeout: Callable[[], float],
         write_timeout: float,
+        decompress_bodies: bool = True,
     ) -> None:
         self._max_connections = max_connections
         self._server = _Server(
@@ -86,6 +88,7 @@
             find_idle_timeout=find_idle_timeout,
             handler_cancellation=True,
             access_log=None,
+            auto_decompress=decompress_bodies,
             lingering_time=LINGER_SECONDS,
             max_line_size=max_header_bytes,
             max_field_size=max_header_bytes,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/front.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/front.py
@@ -73,6 +73,8 @@
             max_header_bytes=limits.max_header_bytes,
             find_idle_timeout=self._find_idle_timeout,
             write_timeout=WRITE_TIMEOUT,
+            # targets receive bodies as they are, with their Content-Encoding
+            decompress_bodies=False,
         )
 
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
--- a/tests/test_entry/test_relay/test_unary.py
+++ b/tests/test_entry/test_relay/test_unary.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gzip
 import json
 
 import pytest
@@ -28,6 +29,24 @@
     assert seen[0].target == "/look/1?a=%2F&&b"
 
 
+@pytest.mark.parametrize(
+    ("encoding", "body"),
+    [("gzip", gzip.compress(b"prompt")), ("gzip", b"not gzip"), ("br", b"prompt")],
+)
+async def test_encoded_request_body_is_forwarded_unchanged(world, encoding, body):
+    """Guards against bodies that are decompressed on the way to a target.
+
+    Their header still announces the encoding. Bodies in an encoding that the HTTP
+    library does not know would be refused.
+    """
+    headers = {"Content_Encoding": encoding, "Content_Length": str(len(body))}
+    reply = await world.ask("/book/1", method="POST", body=body, **headers)
+    assert reply.status == 200
+    (seen,) = [one for target in world.targets.values() for one in target.received]
+    assert seen.headers["content-encoding"] == encoding
+    assert seen.body == body
+
+
 async def test_system_sets_its_own_headers(world):
     """Guards against callers that set headers reserved for the system.
 
