Test requests across changes of configuration and targets

Each way in which a change could end a request without a response is played: its route, service, workspace or makers leave, its route becomes one of another kind and service, limits fall below it, or a configuration is replaced in the loop iteration in which it is read; its target drains, leaves the listing, is evacuated, restarts or hands its address on. All pass on the code as it was.

--- a/tests/test_entry/test_relay/test_unanswered_requests.py
+++ b/tests/test_entry/test_relay/test_unanswered_requests.py
@@ -3,13 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import json
 
 import pytest
 
 from greengagelatch_entry.relay import front
 from greengagelatch_lab.platform_standins.deployment import create_configuration
+from greengagelatch_lab.platform_standins.targets import EVENTS
 
-from .test_stop import WAIT_SECONDS, connect, encode_request, read_answer
+from .test_stop import WAIT_SECONDS, connect, encode_request, hold_targets, read_answer
+
+#: headers of a request for a stream
+PROMPT = {"X_Prefix_Hash": "aa:60,bb:40", "X_Token_Counts": "100,20"}
+#: header of a request that a test holds
+PATIENT = {"X_Deadline_Ms": "60000"}
 
 
 async def configure(world, version: int, **changes) -> None:
@@ -19,6 +26,14 @@
     await world.wait_for(lambda: configuration.deployment.version == version)
 
 
+async def allow_time(world) -> None:
+    """Configure routes whose requests are not given up while a test holds them."""
+    routes = create_configuration(timeout_ms=60_000)["routes"]
+    for route in routes:
+        route |= {"slo-ms": 10_000, "itl-target-ms": 10_000}
+    await configure(world, 4, routes=routes)
+
+
 def create_limits(idle_ms: int) -> dict[str, int]:
     return {
         "max-header-bytes": 16384,
@@ -78,3 +93,178 @@
     async with asyncio.timeout(WAIT_SECONDS):
         assert await reader.read() == b""
     writer.close()
+
+
+def create_changes() -> dict[str, dict]:
+    """Return the fields of configurations that leave little as it was."""
+    replaced = create_configuration(timeout_ms=900)
+    del replaced["version"]
+    kinds = {"safe": "streaming", "unsafe": "safe", "streaming": "unsafe"}
+    for route in replaced["routes"]:
+        route["route-kind"] = kinds[route["route-kind"]]
+        route["service"] = "nobody"
+        route.pop("stages", None)
+    for service in replaced["services"]:
+        service.pop("segments", None)
+    limits = {**create_limits(100), "max-body-bytes": 1, "header-timeout-ms": 100}
+    return {
+        "emptied": {"routes": [], "services": [], "tenants": [], "limits": {}},
+        "replaced": {**replaced, "limits": limits},
+    }
+
+
+def find_held(world, service: str) -> list:
+    """Return the targets of a service that have received a request or a call."""
+    targets = [one for one in world.targets.values() if one.service == service]
+    return [one for one in targets if one.runs or one.batches]
+
+
+@pytest.mark.parametrize("change", ["emptied", "replaced"])
+@pytest.mark.parametrize(
+    ("path", "service"),
+    [
+        ("/look/1", "desk"),
+        ("/book/1", "desk"),
+        ("/scan/1", "llm"),
+        ("/draft/1", "llm"),
+        ("/draft/1", "portal"),
+        ("/draft/1", "ledger"),
+    ],
+)
+async def test_request_at_a_target_is_answered_after_a_change(
+    pipeline, path, service, change
+):
+    """Guards against requests interrupted by a new configuration.
+
+    The request waits for a target, or for a maker of one of its stages. Meanwhile its
+    route, service, workspace and key are removed, or its route is of another kind and
+    leads to another service.
+    """
+    await pipeline.add("desk-1", "desk")
+    await pipeline.wait_until_synced(7)
+    await allow_time(pipeline)
+    gate = hold_targets(pipeline)
+    for target in pipeline.targets.values():
+        if target.service != service:
+            target.gate = None
+    headers = dict(PATIENT)
+    if service != "desk":
+        headers |= PROMPT | {"X_Pieces": "1,2", "X_Piece_Key": "k"}
+    pending = asyncio.create_task(pipeline.ask(path, method="POST", **headers))
+    await pipeline.wait_for(lambda: find_held(pipeline, service))
+    await configure(pipeline, 5, **create_changes()[change])
+    gate.set()
+    reply = await pending
+    assert reply.error == ""
+    # stages of a service without makers are refused
+    assert reply.status == 200 or (reply.status == 503 and service == "portal")
+
+
+@pytest.mark.parametrize("change", ["emptied", "replaced"])
+async def test_stream_is_completed_after_a_change(pipeline, change):
+    """Guards against streams interrupted by a new configuration."""
+    await allow_time(pipeline)
+    gate = asyncio.Event()
+    for target in pipeline.targets.values():
+        target.stream_gate = gate
+    headers = PROMPT | PATIENT
+    pending = asyncio.create_task(pipeline.ask("/scan/1", method="POST", **headers))
+    await pipeline.wait_for(lambda: find_held(pipeline, "llm"))
+    await configure(pipeline, 5, **create_changes()[change])
+    gate.set()
+    reply = await pending
+    assert (reply.status, reply.error) == (200, "")
+    assert reply.body.count(b"id: ") == EVENTS
+
+
+@pytest.mark.parametrize("change", ["emptied", "replaced"])
+@pytest.mark.parametrize("framing", ["length", "chunked", "continue"])
+async def test_request_being_read_is_answered_after_a_change(world, change, framing):
+    """Guards against a request without a response if it arrives across a change.
+
+    Its body arrives in parts, one of them after a configuration that no longer has its
+    route, and whose limits it exceeds.
+    """
+    head = {
+        "length": "Content-Length: 6",
+        "chunked": "Transfer-Encoding: chunked",
+        "continue": "Expect: 100-continue\r\nContent-Length: 6",
+    }[framing]
+    parts = [b"abc", b"def"]
+    if framing == "chunked":
+        parts = [b"3\r\nabc\r\n", b"3\r\ndef\r\n0\r\n\r\n"]
+    reader, writer = await connect(world)
+    writer.write(encode_request("r-1", "/book/1", head))
+    if framing == "continue":
+        async with asyncio.timeout(WAIT_SECONDS):
+            assert b" 100 " in await reader.readuntil(b"\r\n\r\n")
+    writer.write(parts[0])
+    await world.wait_for(lambda: world.parts.front.in_flight == 1)
+    await configure(world, 4, **create_changes()[change])
+    writer.write(parts[1])
+    status, _ = await read_answer(reader)
+    assert status in (401, 404, 503)
+    writer.close()
+
+
+async def test_requests_read_as_a_configuration_is_replaced_are_answered(world):
+    """Guards against requests lost in the loop iteration of a change."""
+    configuration = world.find("news")._configuration
+    connections = [await connect(world) for _ in range(4)]
+    front = world.parts.front
+    await world.wait_for(lambda: len(front._connections) == len(connections))
+    for version, fields in enumerate(create_changes().values(), start=4):
+        value = json.dumps(create_configuration(version, **fields)).encode()
+        for number, connection in enumerate(front._connections._server.connections):
+            if number == 2:
+                configuration.apply(value, configuration.revision + 1, "store")
+            # two requests on each connection
+            connection.data_received(encode_request("r-1") + encode_request("r-2"))
+        for reader, _ in connections:
+            for _ in range(2):
+                assert (await read_answer(reader))[0] in (200, 404, 503)
+    for _, writer in connections:
+        writer.close()
+
+
+@pytest.mark.parametrize("event", ["drain", "leave", "evacuate", "reuse", "restart"])
+@pytest.mark.parametrize("path", ["/look/1", "/book/1", "/scan/1", "/draft/1"])
+async def test_request_is_completed_by_a_target_that_leaves(pipeline, path, event):
+    """Guards against requests interrupted because their target is no longer listed.
+
+    It drains, is removed, is evacuated, restarts under its id, or its address is given
+    to a target of another service. The process goes on until the request is complete.
+    """
+    await pipeline.add("desk-1", "desk")
+    await pipeline.wait_until_synced(7)
+    await allow_time(pipeline)
+    gate = asyncio.Event()
+    service = "desk" if path in ("/look/1", "/book/1") else "llm"
+    for target in pipeline.targets.values():
+        if target.service == "desk":
+            target.gate = gate
+        target.stream_gate = gate
+    headers = PATIENT | ({} if service == "desk" else PROMPT)
+    pending = asyncio.create_task(pipeline.ask(path, method="POST", **headers))
+    await pipeline.wait_for(lambda: find_held(pipeline, service))
+    (target,) = find_held(pipeline, service)
+    store, name = pipeline.store, target.target_id
+    match event:
+        case "drain":
+            target.register(store, state="draining")
+        case "leave":
+            store.remove(f"servers/{name}")
+        case "evacuate":
+            pipeline.evacuate("north")
+        case "reuse":
+            store.remove(f"servers/{name}")
+            store.put("servers/other", {**target.describe(), "service": "portal"})
+        case "restart":
+            await target.restart(store, cut=False)
+    revision = store.put("op/other", {})
+    await pipeline.wait_for_revision(revision)
+    gate.set()
+    reply = await pending
+    assert (reply.status, reply.error) == (200, "")
+    if service == "llm":
+        assert reply.body.count(b"id: ") == EVENTS
