Test reloads during a stop

A process that completes a stream after SIGTERM is told to reload settings that are missing, invalid or name other addresses, and to stop again.

--- a/tests/test_processes/test_platform_program.py
+++ b/tests/test_processes/test_platform_program.py
@@ -237,6 +237,50 @@
     assert instance.process.returncode is None
 
 
+@pytest.mark.parametrize("settings", ["gone", "invalid", "changed"])
+async def test_reload_during_a_stop_interrupts_no_request(fleet, settings):
+    """Guards against a signal that ends a process which is completing its requests.
+
+    A stopping instance is told to reload settings that are missing or invalid, or that
+    name other addresses, and is then told to stop again.
+    """
+    instance = fleet.instances[0]
+    fleet.store.put("op/config", create_configuration(4, timeout_ms=60_000))
+    async with asyncio.timeout(WAIT_SECONDS):
+        while not knows_version(instance, 4):  # noqa: ASYNC110
+            await asyncio.sleep(0.02)
+    engines = fleet.find_targets("llm")
+    gate = asyncio.Event()
+    for engine in engines:
+        engine.stream_gate = gate
+    calling = asyncio.create_task(KeepAliveCaller(instance, 0).call())
+    async with asyncio.timeout(WAIT_SECONDS):
+        while not any(engine.runs for engine in engines):  # noqa: ASYNC110
+            await asyncio.sleep(0.02)
+    instance.process.send_signal(signal.SIGTERM)
+    text = instance.settings.read_text(encoding="utf-8")
+    match settings:
+        case "gone":
+            instance.settings.unlink()
+        case "invalid":
+            instance.settings.write_text(text[:-9], encoding="utf-8")
+        case "changed":
+            text = text.replace(instance.front, fleet.instances[1].front)
+            instance.settings.write_text(text, encoding="utf-8")
+    for one in (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP):
+        await asyncio.sleep(0.1)
+        instance.process.send_signal(one)
+    async with asyncio.timeout(WAIT_SECONDS):
+        while not find_log_message(instance, "no new connections"):  # noqa: ASYNC110
+            await asyncio.sleep(0.02)
+    gate.set()
+    assert await calling == [200]
+    async with asyncio.timeout(WAIT_SECONDS):
+        assert await instance.process.wait() == 0
+    text = "settings reloaded" if settings == "changed" else "cannot reload"
+    assert find_log_message(instance, text)
+
+
 async def test_revoked_key_is_received_from_peers(fleet, session):
     """Guards against revoked keys that one instance accepts for minutes.
 
