Apply a raised limit on header lines to new connections

Requests within the limits in force were refused with 400, which callers don't retry, if a header line exceeded the limit that was in force, or the default, as the listener was opened.

test_raised_header_limit_applies_to_new_connections fails before (400) and passes after. Open connections keep the limit that they were opened with.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_connections.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_connections.py
@@ -66,6 +66,8 @@
     """Protocol factory for accepted connections, which it counts and closes.
 
     :param handle: serves one request; cancelled if the connection is lost
+    :param find_max_header_bytes: returns the maximum size of a header line; looked up
+        for each new connection
     :param find_idle_timeout: returns the seconds after which an idle connection is
         closed. A higher value applies to open connections as well
     :param decompress_bodies: whether to decode bodies by their ``Content-Encoding``
@@ -76,7 +78,7 @@
         handle: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
         *,
         max_connections: int,
-        max_header_bytes: int,
+        find_max_header_bytes: Callable[[], int],
         find_idle_timeout: Callable[[], float],
         write_timeout: float,
         decompress_bodies: bool = True,
@@ -85,13 +87,12 @@
         self._server = _Server(
             handle,
             write_timeout=write_timeout,
+            find_max_header_bytes=find_max_header_bytes,
             find_idle_timeout=find_idle_timeout,
             handler_cancellation=True,
             access_log=None,
             auto_decompress=decompress_bodies,
             lingering_time=LINGER_SECONDS,
-            max_line_size=max_header_bytes,
-            max_field_size=max_header_bytes,
             max_headers=MAX_HEADERS,
         )
 
@@ -150,21 +151,26 @@
         handle: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
         *,
         write_timeout: float,
+        find_max_header_bytes: Callable[[], int],
         find_idle_timeout: Callable[[], float],
         **options: Any,
     ) -> None:
         super().__init__(handle, **options)
         self._write_timeout = write_timeout
+        self._find_max_header_bytes = find_max_header_bytes
         self.find_idle_timeout = find_idle_timeout
         self.connection_numbers = count(1)
         #: whether connections are closed once they become idle
         self.closing = False
 
     def __call__(self) -> RequestHandler:
+        max_header_bytes = self._find_max_header_bytes()
         return _Connection(
             self,
             self._write_timeout,
             loop=self._loop,
+            max_line_size=max_header_bytes,
+            max_field_size=max_header_bytes,
             keepalive_timeout=self.find_idle_timeout(),
             **self._kwargs,
         )
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/callers.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/callers.py
@@ -92,7 +92,7 @@
         return CallerConnections(
             self.handle,
             max_connections=limits.max_connections,
-            max_header_bytes=limits.max_header_bytes,
+            find_max_header_bytes=lambda: limits.max_header_bytes,
             find_idle_timeout=lambda: limits.idle_timeout,
             write_timeout=limits.write_timeout,
         )
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/front.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/front.py
@@ -66,11 +66,10 @@
         self._metrics = metrics
 
     def create_connections(self) -> CallerConnections:
-        limits = self._find_limits()
         return CallerConnections(
             self.handle,
             max_connections=MAX_CONNECTIONS,
-            max_header_bytes=limits.max_header_bytes,
+            find_max_header_bytes=lambda: self._find_limits().max_header_bytes,
             find_idle_timeout=self._find_idle_timeout,
             write_timeout=WRITE_TIMEOUT,
             # targets receive bodies as they are, with their Content-Encoding
--- a/tests/test_entry/test_relay/test_unanswered_requests.py
+++ b/tests/test_entry/test_relay/test_unanswered_requests.py
@@ -34,9 +34,11 @@
     await configure(world, 4, routes=routes)
 
 
-def create_limits(idle_ms: int) -> dict[str, int]:
+def create_limits(
+    idle_ms: int = 15_000, *, header_bytes: int = 16_384
+) -> dict[str, int]:
     return {
-        "max-header-bytes": 16384,
+        "max-header-bytes": header_bytes,
         "max-body-bytes": 65536,
         "header-timeout-ms": 3000,
         "idle-timeout-ms": idle_ms,
@@ -268,3 +270,18 @@
     assert (reply.status, reply.error) == (200, "")
     if service == "llm":
         assert reply.body.count(b"id: ") == EVENTS
+
+
+async def test_raised_header_limit_applies_to_new_connections(world):
+    """Guards against refusals of requests that are within the limits.
+
+    The fault is to apply the limit that was in force when the listener was opened.
+    """
+    long_header = "X-Note: " + 20_000 * "a"
+    for version, limit in ((4, 16_384), (5, 32_768)):
+        await configure(world, version, limits=create_limits(header_bytes=limit))
+        reader, writer = await connect(world)
+        writer.write(encode_request("r-1", "/look/1", long_header))
+        expected = 400 if limit < len(long_header) else 200
+        assert (await read_answer(reader))[0] == expected
+        writer.close()
