Bound the time for reading an error response on a streaming route

A caller got no response at all, also after its deadline, if the target of a streaming request sent the head of an error response and then fell silent: its body was read without a timeout.

The body is read until the deadline; after it the request ends like any other whose response is lost.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -313,7 +313,7 @@
         self, target: ListedTarget, received: ReceivedResponse
     ) -> FailedSend | None:
         head: ResponseHead = received.head
-        body = await received.response.read(MAX_ERROR_BODY_BYTES)
+        body = await self._read_error(received)
         received.response.release()
         self._runner.sender.record_survival(self._exchange, target)
         self._runner.load_balancer.record_failure(
@@ -327,6 +327,14 @@
         await exchange.writer.send(head.status, head.headers, body, reason=head.reason)
         return None
 
+    async def _read_error(self, received: ReceivedResponse) -> bytes:
+        left = self._runner.find_remaining(self._exchange)
+        try:
+            async with asyncio.timeout(max(0.0, left)):
+                return await received.response.read(MAX_ERROR_BODY_BYTES)
+        except TimeoutError:
+            raise TargetResponseError("timed out reading an error response") from None
+
     def _find_ran_seconds(self) -> float:
         """Return for how many seconds the target has been sending events."""
         if self._first_event_at is None:
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/targets.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/targets.py
@@ -39,6 +39,8 @@
     MUTE = "mute"
     #: it runs the request and responds 500
     FAIL = "fail"
+    #: it responds 500, and never sends the rest of the body
+    HANG_IN_ERROR = "hang-in-error"
     #: it sends a second, unsolicited response after a complete one
     EXTRA = "extra"
     #: it aborts the connection before the body is complete
@@ -210,6 +212,9 @@
         if request.target in self.crashed_by:
             await self.stop()
             return False
+        if self.fault is TargetFault.HANG_IN_ERROR:
+            _write(writer, 500, headers, b"fai", length=6)
+            await asyncio.sleep(3600)
         if "x-prefix-hash" in request.headers:
             return await self._stream(request, headers, writer)
         return await self._answer_plain(request, headers, writer)
--- a/tests/test_entry/test_relay/test_unanswered_requests.py
+++ b/tests/test_entry/test_relay/test_unanswered_requests.py
@@ -9,7 +9,7 @@
 
 from greengagelatch_entry.relay import front
 from greengagelatch_lab.platform_standins.deployment import create_configuration
-from greengagelatch_lab.platform_standins.targets import EVENTS
+from greengagelatch_lab.platform_standins.targets import EVENTS, TargetFault
 
 from .test_stop import WAIT_SECONDS, connect, encode_request, hold_targets, read_answer
 
@@ -285,3 +285,20 @@
         expected = 400 if limit < len(long_header) else 200
         assert (await read_answer(reader))[0] == expected
         writer.close()
+
+
+@pytest.mark.parametrize("path", ["/look/1", "/book/1", "/scan/1", "/draft/1"])
+async def test_target_that_hangs_in_an_error_response(pipeline, path):
+    """Guards against requests without a response after their deadline.
+
+    A target sends the head of an error response and only a part of its body. The fault
+    is to read the body without a timeout.
+    """
+    await pipeline.add("desk-1", "desk")
+    await pipeline.wait_until_synced(7)
+    for target in pipeline.targets.values():
+        target.fault = TargetFault.HANG_IN_ERROR
+    headers = PROMPT if path in ("/scan/1", "/draft/1") else {}
+    async with asyncio.timeout(WAIT_SECONDS):
+        reply = await pipeline.ask(path, method="POST", X_Deadline_Ms="500", **headers)
+    assert (reply.status, reply.error) in ((502, ""), (504, ""))
