--- a/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/targets.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/targets.py
@@ -89,7 +89,8 @@
     gate: asyncio.Event | None = None
     #: reported load as ``running,queued,slots``; empty: no load header
     load: str = ""
-    #: reason phrase and further headers of its responses to requests that it runs
+    #: reason phrase of its responses to requests that it runs, and further headers of
+    #: these and of responses to stage calls
     reason: str = "Said"
     more_headers: dict[str, str] = field(default_factory=dict)
     #: awaited by a stream after its first event
@@ -297,7 +298,8 @@
         await asyncio.sleep(CALL_SECONDS)
         results = [self._make_piece(item) for item in items]
         body = json.dumps({"items": results}).encode()
-        _write(writer, 200, {"Content-Type": "application/json"}, body)
+        headers = {"Content-Type": "application/json", **self.more_headers}
+        _write(writer, 200, headers, body)
         return True
 
     async def _wait_for_gate(self) -> None:
@@ -345,7 +347,8 @@
         lines.append("Transfer-Encoding: chunked")
     elif length is not None:
         lines.append(f"Content-Length: {len(body) if length < 0 else length}")
-    writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+    head = "\r\n".join(lines).encode("utf-8", "surrogateescape")
+    writer.write(head + b"\r\n\r\n" + body)
 
 
 def _reset(writer: asyncio.StreamWriter) -> None:
--- a/tests/test_entry/test_relay/test_unanswered_requests.py
+++ b/tests/test_entry/test_relay/test_unanswered_requests.py
@@ -302,3 +302,22 @@
     async with asyncio.timeout(WAIT_SECONDS):
         reply = await pipeline.ask(path, method="POST", X_Deadline_Ms="500", **headers)
     assert (reply.status, reply.error) in ((502, ""), (504, ""))
+
+
+@pytest.mark.parametrize("path", ["/look/1", "/book/1", "/scan/1", "/draft/1"])
+async def test_connection_header_of_a_target_is_not_text(pipeline, path):
+    """Guards against requests that wait for ever for the result of a stage.
+
+    A response to a call for a stage has a ``Connection`` header that is not UTF-8, and
+    the error in decoding it ends the call without a result.
+    """
+    await pipeline.add("desk-1", "desk")
+    await pipeline.wait_until_synced(7)
+    for target in pipeline.targets.values():
+        target.more_headers["Connection"] = "\udcff"
+    headers = PROMPT | {"X_Pieces": "1,2", "X_Piece_Key": "k"}
+    async with asyncio.timeout(WAIT_SECONDS):
+        reply = await pipeline.ask(
+            path, method="POST", **(headers if path in ("/scan/1", "/draft/1") else {})
+        )
+    assert (reply.status, reply.error) == (200, "")
