--- a/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/targets.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/targets.py
@@ -100,6 +100,8 @@
     break_after: int | None = None
     #: the same for one stream each, last first; targets may share the list
     breaks: list[int] = field(default_factory=list)
+    #: the first event of each stream
+    first_event: bytes = b"id: 1\ndata: piece 1\n\n"
     #: paths of requests, and input keys of stage calls, that crash it when they start
     #: to run
     crashed_by: frozenset[str] = frozenset()
@@ -275,6 +277,8 @@
                 # an orderly close: a reset would discard data the client has not read
                 return False
             event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            if number == 1:
+                event = self.first_event
             writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
             await writer.drain()
             if number == first and self.stream_gate is not None:
--- a/tests/test_entry/test_relay/test_unanswered_requests.py
+++ b/tests/test_entry/test_relay/test_unanswered_requests.py
@@ -321,3 +321,18 @@
             path, method="POST", **(headers if path in ("/scan/1", "/draft/1") else {})
         )
     assert (reply.status, reply.error) == (200, "")
+
+
+@pytest.mark.parametrize("path", ["/scan/1", "/draft/1"])
+async def test_stream_whose_event_id_is_very_long(pipeline, path):
+    """Guards against streams that are interrupted by an id that is not a number.
+
+    Python decodes no number of more than 4,300 digits.
+    """
+    first = b"id: " + 5000 * b"9" + b"\ndata: piece 1\n\n"
+    for target in pipeline.targets.values():
+        target.first_event = first
+    reply = await pipeline.ask(path, method="POST", **PROMPT)
+    assert (reply.status, reply.error) == (200, "")
+    assert reply.body.startswith(first)
+    assert reply.body.count(b"id: ") == EVENTS
