Count a call for a stage as lost if an unexpected error ends it

The requests whose pieces were in a call for a stage never got a response if an error that the code did not expect ended its task: the pieces were neither made nor failed, and the maker seemed busy from then on.

Such a call is logged with its error and counts as lost, so that its pieces are sent again.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/maker_calls.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/maker_calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -28,6 +29,8 @@
     "MakerCaller",
 )
 
+logger = logging.getLogger(__name__)
+
 #: maximum size of an answer to a call, in bytes
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 STATUS_OK = 200
@@ -37,6 +40,8 @@
 #: the maker answered that it did not execute the call
 REJECTED = "rejected"
 TIMED_OUT = "timeout"
+#: an unexpected error of this instance ended the call
+INTERNAL_ERROR = "internal-error"
 #: outcomes after which the maker holds no results except those in the answer
 SETTLED_OUTCOMES = frozenset({MADE, UNSENT, REJECTED})
 
@@ -79,6 +84,7 @@
         try:
             async with asyncio.timeout(call_timeout):
                 head, body = await self._exchange(maker, call, call_timeout, started)
+            return self._process_answer(maker, head, body, count, started)
         except NotSentError:
             if self._may_send(maker, call):
                 maker.record_failure(self._clock.now())
@@ -95,7 +101,11 @@
         except asyncio.CancelledError:
             maker.calls -= 1
             raise
-        return self._process_answer(maker, head, body, count, started)
+        except Exception:
+            # without a result, the requests of the call would never be answered
+            logger.exception("call to %s failed", maker.target.incarnation)
+            maker.record_failure(self._clock.now())
+            return CallResult(INTERNAL_ERROR)
 
     async def _exchange(
         self, maker: Maker, call: PlannedCall, call_timeout: float, started: float
--- a/tests/test_entry/test_relay/test_unanswered_requests.py
+++ b/tests/test_entry/test_relay/test_unanswered_requests.py
@@ -10,6 +10,7 @@
 from greengagelatch_entry.relay import front
 from greengagelatch_lab.platform_standins.deployment import create_configuration
 from greengagelatch_lab.platform_standins.targets import EVENTS, TargetFault
+from greengagelatch_platform.targets import PlatformTargetCodec
 
 from .test_stop import WAIT_SECONDS, connect, encode_request, hold_targets, read_answer
 
@@ -336,3 +337,24 @@
     assert (reply.status, reply.error) == (200, "")
     assert reply.body.startswith(first)
     assert reply.body.count(b"id: ") == EVENTS
+
+
+async def test_unexpected_error_in_a_call_for_a_stage(pipeline, monkeypatch):
+    """Guards against requests that wait for ever for the result of a stage.
+
+    The fault is to let an error end the task of a call, so that its pieces are neither
+    made nor failed.
+    """
+    read_pieces = PlatformTargetCodec.read_pieces
+    errors = iter([RuntimeError("first"), RuntimeError("second")])
+
+    def fail_at_first(self, *arguments):
+        error = next(errors, None)
+        if error is not None:
+            raise error
+        return read_pieces(self, *arguments)
+
+    monkeypatch.setattr(PlatformTargetCodec, "read_pieces", fail_at_first)
+    async with asyncio.timeout(WAIT_SECONDS):
+        reply = await pipeline.stream(X_Deadline_Ms="15000")
+    assert (reply.status, reply.error) == (200, "")
