Keep a complete response when an error follows it

An error after a response was written, for example in logging the request, aborted the connection as if the response were incomplete, and with it what was still buffered. No error of this kind is known.

test_error_after_a_response_does_not_abort_the_connection fails before (the next request on the connection gets no response) and passes after.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
@@ -56,6 +56,8 @@
         self._stream: web.StreamResponse | None = None
         #: response object that the connection handler must return
         self.response: web.StreamResponse | None = None
+        #: whether the whole response was written
+        self.complete = False
 
     @property
     def started(self) -> bool:
@@ -81,6 +83,7 @@
         self.response = response
         self._on_bytes_sent(len(body))
         await self._write_with_timeout(self._write_whole(response))
+        self.complete = True
 
     async def begin(self, head: ResponseHead) -> None:
         """Write the head of a streamed response."""
@@ -101,6 +104,7 @@
     async def finish(self) -> None:
         """Terminate a streamed response as complete."""
         await self._write_with_timeout(self._stream.write_eof())
+        self.complete = True
 
     def abort(self) -> None:
         """Abort the connection, so that a partial response does not look complete."""
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/front.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/front.py
@@ -132,6 +132,9 @@
     async def _refuse(
         self, writer: ResponseWriter, request_id: str, refusal: Refusal, status: int
     ) -> None:
+        if writer.complete:
+            # an abort would discard the bytes that are still buffered
+            return
         if writer.started:
             # a partial response has been sent; only an abort marks it as incomplete
             writer.abort()
--- a/tests/test_entry/test_relay/test_unanswered_requests.py
+++ b/tests/test_entry/test_relay/test_unanswered_requests.py
@@ -8,6 +8,7 @@
 import pytest
 
 from greengagelatch_entry.relay import front
+from greengagelatch_entry.relay.decisions import DecisionLog
 from greengagelatch_lab.platform_standins.deployment import create_configuration
 from greengagelatch_lab.platform_standins.targets import EVENTS, TargetFault
 from greengagelatch_platform.targets import PlatformTargetCodec
@@ -358,3 +359,24 @@
     async with asyncio.timeout(WAIT_SECONDS):
         reply = await pipeline.stream(X_Deadline_Ms="15000")
     assert (reply.status, reply.error) == (200, "")
+
+
+async def test_error_after_a_response_does_not_abort_the_connection(world, monkeypatch):
+    """Guards against responses that are cut off by an error after they were written.
+
+    Logging a request fails while the end of its response may still be buffered. The
+    fault is to abort the connection, as if the response were incomplete.
+    """
+    log_decision = DecisionLog.log_decision
+
+    def fail_for_requests(self, kind, **fields):
+        if kind == "request":
+            raise RuntimeError("not a field")
+        log_decision(self, kind, **fields)
+
+    monkeypatch.setattr(DecisionLog, "log_decision", fail_for_requests)
+    reader, writer = await connect(world)
+    for number in range(2):
+        writer.write(encode_request(f"r-{number}"))
+        assert (await read_answer(reader))[0] == 200
+    writer.close()
