--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -26,6 +27,8 @@
 
 #: seconds after which a write is abandoned because the caller does not read
 WRITE_TIMEOUT = 10.0
+#: control characters that must not occur in a response head (RFC 9110, 5.5)
+_CONTROL_CHARACTERS = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 
 
 class CallerDisconnectedError(Exception):
@@ -53,6 +56,8 @@
         self._stream: web.StreamResponse | None = None
         #: response object that the connection handler must return
         self.response: web.StreamResponse | None = None
+        #: whether the whole response was written
+        self.complete = False
 
     @property
     def started(self) -> bool:
@@ -69,6 +74,8 @@
         close: bool = False,
     ) -> None:
         """Write a complete response."""
+        if reason is not None:
+            reason = _replace_control_characters(reason)
         response = web.Response(status=status, reason=reason, body=body)
         _copy_headers(headers, response)
         if close or not self._keep_alive():
@@ -76,10 +83,13 @@
         self.response = response
         self._on_bytes_sent(len(body))
         await self._write_with_timeout(self._write_whole(response))
+        self.complete = True
 
     async def begin(self, head: ResponseHead) -> None:
         """Write the head of a streamed response."""
-        response = web.StreamResponse(status=head.status, reason=head.reason)
+        response = web.StreamResponse(
+            status=head.status, reason=_replace_control_characters(head.reason)
+        )
         _copy_headers(head.headers, response)
         if not self._keep_alive():
             response.force_close()
@@ -94,6 +104,7 @@
     async def finish(self) -> None:
         """Terminate a streamed response as complete."""
         await self._write_with_timeout(self._stream.write_eof())
+        self.complete = True
 
     def abort(self) -> None:
         """Abort the connection, so that a partial response does not look complete."""
@@ -171,4 +182,12 @@
     headers: tuple[tuple[str, str], ...], response: web.StreamResponse
 ) -> None:
     for name, value in headers:
-        response.headers.add(name, value)
+        response.headers.add(name, _replace_control_characters(value))
+
+
+def _replace_control_characters(text: str) -> str:
+    """Replace each control character by a space.
+
+    Targets may send them, and the HTTP library refuses to write a head with one.
+    """
+    return _CONTROL_CHARACTERS.sub(" ", text)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/front.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/front.py
@@ -66,13 +66,14 @@
         self._metrics = metrics
 
     def create_connections(self) -> CallerConnections:
-        limits = self._find_limits()
         return CallerConnections(
             self.handle,
             max_connections=MAX_CONNECTIONS,
-            max_header_bytes=limits.max_header_bytes,
-            idle_timeout=limits.idle_timeout + IDLE_MARGIN_SECONDS,
+            find_max_header_bytes=lambda: self._find_limits().max_header_bytes,
+            find_idle_timeout=self._find_idle_timeout,
             write_timeout=WRITE_TIMEOUT,
+            # targets receive bodies as they are, with their Content-Encoding
+            decompress_bodies=False,
         )
 
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -119,6 +120,9 @@
             request, limit=limits.max_body_bytes, timeout=limits.header_timeout
         )
 
+    def _find_idle_timeout(self) -> float:
+        return self._find_limits().idle_timeout + IDLE_MARGIN_SECONDS
+
     def _count_bytes_sent(self, size: int) -> None:
         self._metrics.count("front.bytes_out", size)
 
@@ -128,6 +132,9 @@
     async def _refuse(
         self, writer: ResponseWriter, request_id: str, refusal: Refusal, status: int
     ) -> None:
+        if writer.complete:
+            # an abort would discard the bytes that are still buffered
+            return
         if writer.started:
             # a partial response has been sent; only an abort marks it as incomplete
             writer.abort()
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/targets.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/targets.py
@@ -39,6 +39,8 @@
     MUTE = "mute"
     #: it runs the request and responds 500
     FAIL = "fail"
+    #: it responds 500, and never sends the rest of the body
+    HANG_IN_ERROR = "hang-in-error"
     #: it sends a second, unsolicited response after a complete one
     EXTRA = "extra"
     #: it aborts the connection before the body is complete
@@ -87,6 +89,10 @@
     gate: asyncio.Event | None = None
     #: reported load as ``running,queued,slots``; empty: no load header
     load: str = ""
+    #: reason phrase of its responses to requests that it runs, and further headers of
+    #: these and of responses to stage calls
+    reason: str = "Said"
+    more_headers: dict[str, str] = field(default_factory=dict)
     #: awaited by a stream after its first event
     stream_gate: asyncio.Event | None = None
     address: str = ""
@@ -99,6 +105,8 @@
     silences: list[int] = field(default_factory=list)
     #: whether it is silent
     silent: bool = False
+    #: the first event of each stream
+    first_event: bytes = b"id: 1\ndata: piece 1\n\n"
     #: paths of requests, and input keys of stage calls, that crash it when they start
     #: to run
     crashed_by: frozenset[str] = frozenset()
@@ -213,11 +221,15 @@
             return True
         self.runs[request_id] += 1
         headers["X-Replica-Signature"] = SIGNATURE + self.target_id
+        headers |= self.more_headers
         await self._wait_for_gate()
         await self._keep_silence(0)
         if request.target in self.crashed_by:
             await self.stop()
             return False
+        if self.fault is TargetFault.HANG_IN_ERROR:
+            _write(writer, 500, headers, b"fai", length=6)
+            await asyncio.sleep(3600)
         if "x-prefix-hash" in request.headers:
             return await self._stream(request, headers, writer)
         return await self._answer_plain(request, headers, writer)
@@ -255,7 +267,7 @@
                 return False
             case TargetFault.FOREIGN:
                 headers = {**headers, "X-Attempt-Id": "somebody-else"}
-        _write(writer, 200, headers, body)
+        _write(writer, 200, headers, body, reason=self.reason)
         if self.fault is TargetFault.EXTRA:
             _write(writer, 200, headers, b"once more")
         return True
@@ -268,7 +280,7 @@
         first = int(request.headers.get("last-event-id", "0")) + 1
         break_after = self.breaks.pop() if self.breaks else self.break_after
         lines = {**headers, "Content-Type": "text/event-stream"}
-        _write(writer, 200, lines, b"", chunked=True)
+        _write(writer, 200, lines, b"", chunked=True, reason=self.reason)
         for number in range(first, EVENTS + 1):
             if break_after is not None and number > break_after:
                 half = f"id: {number}\ndata: ha".encode()
@@ -277,6 +289,8 @@
                 # an orderly close: a reset would discard data the client has not read
                 return False
             event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            if number == 1:
+                event = self.first_event
             writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
             await writer.drain()
             if number == first and self.stream_gate is not None:
@@ -301,7 +315,8 @@
         await asyncio.sleep(CALL_SECONDS)
         results = [self._make_piece(item) for item in items]
         body = json.dumps({"items": results}).encode()
-        _write(writer, 200, {"Content-Type": "application/json"}, body)
+        headers = {"Content-Type": "application/json", **self.more_headers}
+        _write(writer, 200, headers, body)
         return True
 
     async def _wait_for_gate(self) -> None:
@@ -348,14 +363,16 @@
     *,
     length: int | None = -1,
     chunked: bool = False,
+    reason: str = "Said",
 ) -> None:
-    lines = [f"HTTP/1.1 {status} Said"]
+    lines = [f"HTTP/1.1 {status} {reason}"]
     lines += [f"{name}: {value}" for name, value in headers.items()]
     if chunked:
         lines.append("Transfer-Encoding: chunked")
     elif length is not None:
         lines.append(f"Content-Length: {len(body) if length < 0 else length}")
-    writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+    head = "\r\n".join(lines).encode("utf-8", "surrogateescape")
+    writer.write(head + b"\r\n\r\n" + body)
 
 
 def _reset(writer: asyncio.StreamWriter) -> None:
--- a/tests/test_entry/test_relay/test_stop.py
+++ b/tests/test_entry/test_relay/test_stop.py
@@ -4,6 +4,9 @@
 
 import asyncio
 import os
+import socket
+
+import pytest
 
 from greengagelatch.relay.groups import MakerGroup
 from greengagelatch_entry.controllers.drain import DrainState
@@ -188,7 +191,7 @@
     the stop. By that deadline alone, it would begin work that can't finish in time.
     """
     drain = world.parts.drain
-    drain._longest = 2.0
+    drain._max_drain_seconds = 2.0
     drain.request_stop()
     reply = await world.ask("/look/1", X_Deadline_Ms="60000")
     assert reply.status == 200
@@ -207,7 +210,7 @@
     request at once.
     """
     drain = pipeline.parts.drain
-    drain._longest = 0.05
+    drain._max_drain_seconds = 0.05
     drain.request_stop()
     reply = await pipeline.stream(X_Deadline_Ms="15000")
     assert reply.status == 503
@@ -232,7 +235,7 @@
     two iterations later, so that the stop completes and interrupts it.
     """
     drain, front = world.parts.drain, world.parts.front
-    drain._longest = WAIT_SECONDS
+    drain._max_drain_seconds = WAIT_SECONDS
     reader, writer = await connect(world)
     writer.write(encode_request("first"))
     assert (await read_answer(reader))[0] == 200
@@ -309,6 +312,31 @@
     writer.close()
 
 
+async def test_queued_connections_are_accepted_before_the_listener_closes(world):
+    """Guards against resets of connections that the kernel has accepted.
+
+    Callers have connected and sent requests, but the event loop has not accepted their
+    connections yet. The fault is to close the listening socket, which resets them.
+    """
+    front = world.parts.front
+    queued = []
+    for number in range(3):
+        # blocking, so that the loop does not run before the close
+        connection = socket.create_connection(("127.0.0.1", front.port))
+        connection.sendall(encode_request(f"queued-{number}"))
+        connection.setblocking(False)
+        queued.append(connection)
+    await front.close_listener()
+    for connection in queued:
+        reader, writer = await asyncio.open_connection(sock=connection)
+        status, head = await read_answer(reader)
+        assert status in (200, 503)
+        assert "connection: close" in head
+        writer.close()
+    with pytest.raises(ConnectionRefusedError):
+        await connect(world)
+
+
 async def test_request_sent_during_a_stream_is_refused_after_it(world):
     """Guards against dropping a request that was read during a stream.
 
@@ -335,3 +363,31 @@
     assert "connection: close" in head
     assert count_runs(world, "next") == 0
     writer.close()
+
+
+async def test_request_whose_headers_are_complete_after_a_stop_is_refused(world):
+    """Guards against requests that are forwarded by a process that is exiting.
+
+    The first bytes of a request arrive before the stop, and the rest once no request
+    is in flight. Its headers were incomplete for too long to be waited for. The fault
+    is to forward it, although the server is closed a moment later.
+    """
+    drain, front = world.parts.drain, world.parts.front
+    drain._max_drain_seconds = WAIT_SECONDS
+    gate = hold_targets(world)
+    reader, writer = await connect(world)
+    data = encode_request("slow")
+    writer.write(data[:40])
+    (connection,) = front._connections._server.connections
+    await world.wait_for(lambda: connection.busy)
+    drain.request_stop()
+    async with asyncio.timeout(WAIT_SECONDS):
+        assert await drain.wait()
+    connection.data_received(data[40:])
+    await front.stop()
+    status, head = await read_answer(reader)
+    gate.set()
+    assert status == 503
+    assert "connection: close" in head
+    assert count_runs(world, "slow") == 0
+    writer.close()
