--- a/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/instances.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/instances.py
@@ -210,7 +210,6 @@
                 clock=self._clock,
                 decisions=NullTelemetry(),
                 metrics=NullTelemetry(),
-                decisions=NullTelemetry(),
             ),
         )
 
