--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_dialers.py
@@ -0,0 +1,98 @@
+"""Opening of connections to targets."""
+
+from __future__ import annotations
+
+import asyncio
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from greengagelatch.relay.incarnations import Incarnation
+
+    from ..metrics import Metrics
+
+__all__ = ("Destination", "DialError", "DialFailure", "DirectDialer", "TargetDialer")
+
+
+class DialFailure(Enum):
+    """Why no connection to a target was opened."""
+
+    #: the target's host refused it
+    REFUSED = "refused"
+    TIMED_OUT = "timed-out"
+    #: any other network error
+    FAILED = "failed"
+
+
+class DialError(Exception):
+    """No connection to the target was opened; nothing was sent to it."""
+
+    def __init__(self, message: str, failure: DialFailure) -> None:
+        super().__init__(message)
+        self.failure = failure
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Destination:
+    """The target to connect to, and which instances may carry the request."""
+
+    incarnation: Incarnation
+    #: ``host:port``
+    address: str
+    service: str = ""
+    data_centre: str = ""
+    #: data centres of the instances that the request may pass; ``None``: all
+    data_centres: frozenset[str] | None = None
+
+
+class TargetDialer(ABC):
+    """Interface for opening connections to targets."""
+
+    @abstractmethod
+    async def dial(
+        self,
+        destination: Destination,
+        create_protocol: Callable[[], asyncio.Protocol],
+        timeout: float,
+    ) -> asyncio.Protocol:
+        """Open a connection within ``timeout`` seconds and return its protocol.
+
+        :raises DialError: if it can't be opened
+        """
+
+
+class DirectDialer(TargetDialer):
+    """Connects to the address of the target.
+
+    :param metrics: counts the attempts
+    """
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+
+    async def dial(
+        self,
+        destination: Destination,
+        create_protocol: Callable[[], asyncio.Protocol],
+        timeout: float,
+    ) -> asyncio.Protocol:
+        host, _, port = destination.address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        self._metrics.count("links.opened")
+        try:
+            async with asyncio.timeout(timeout):
+                _, protocol = await loop.create_connection(
+                    create_protocol, host, int(port)
+                )
+        except TimeoutError as error:
+            raise DialError("connect timed out", DialFailure.TIMED_OUT) from error
+        except ConnectionRefusedError as error:
+            raise DialError("connection refused", DialFailure.REFUSED) from error
+        except (OSError, ValueError) as error:
+            reason = f"connect failed: {type(error).__name__}"
+            raise DialError(reason, DialFailure.FAILED) from error
+        return protocol
