Open connections to targets through a dialer

The pool of connections to targets takes a dialer and tells it the service and the data centre of the target and which data centres the request may pass, so that another way to a target can be put in without a change of the request path. What happens on the wire is the same. The loss of a connection by the loss of a peer that carried it is told apart from a reset by the target, which counts as a sign of a crash.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -63,6 +63,7 @@
 from .suspect_admission import SuspectAdmission
 from .suspect_locks import SuspectLocks
 from .target_connections import TargetConnectionPool
+from .target_dialers import DirectDialer
 from .target_sender import TargetSender
 from .unary import UnaryRunner
 from .usage import UsageController
@@ -158,7 +159,9 @@
             data_centre=self.settings.data_centre,
             random_source=self.random,
         )
+        self.direct_dialer = DirectDialer(self.metrics)
         self.connections = TargetConnectionPool(
+            dialer=self.direct_dialer,
             find_idle_limit=self._find_idle_limit,
             clock=self.clock,
             metrics=self.metrics,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/maker_calls.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/maker_calls.py
@@ -113,6 +113,9 @@
             fresh=True,
             timeout=call_timeout,
             may_send=lambda: self._may_send(maker, call),
+            service=target.service,
+            data_centre=target.data_centre,
+            data_centres=_intersect_data_centres(call),
         )
         try:
             head = self._codec.read_head(reply)
@@ -165,3 +168,15 @@
         made = any(result.failure is None for result in results)
         maker.record_completion(count, started, now, made=made)
         return CallResult(MADE, results)
+
+
+def _intersect_data_centres(call: PlannedCall) -> frozenset[str] | None:
+    """Return the data centres that all pieces of a call may pass; ``None``: all."""
+    allowed: frozenset[str] | None = None
+    for bundle, _ in call.pieces:
+        if bundle.data_centres is None:
+            continue
+        allowed = (
+            bundle.data_centres if allowed is None else allowed & bundle.data_centres
+        )
+    return allowed
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
@@ -12,6 +12,10 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http_exceptions import HttpProcessingError
 
+from greengagelatch.relay.incarnations import Incarnation
+
+from .target_dialers import Destination, DialError, DialFailure, TunnelLostError
+
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
 
@@ -19,10 +23,10 @@
     from aiohttp.http import RawResponseMessage
 
     from greengagelatch.clock import Clock
-    from greengagelatch.relay.incarnations import Incarnation
 
     from ..metrics import Metrics
     from .messages import OutboundRequest
+    from .target_dialers import TargetDialer
 
 __all__ = (
     "TargetResponseError",
@@ -98,6 +102,8 @@
         super().__init__(loop)
         #: whether it ended by anything other than an orderly close
         self.reset = False
+        #: whether it ended because a peer that carried it was lost
+        self.tunnel_lost = False
         #: monotonic time in seconds until which it may be reused
         self.reusable_until = 0.0
 
@@ -109,6 +115,7 @@
         # the parser takes the end of the connection for the end of a response without
         # a length, even if a reset truncated it
         self.reset = exc is not None
+        self.tunnel_lost = isinstance(exc, TunnelLostError)
         super().connection_lost(exc)
 
     @property
@@ -137,10 +144,13 @@
             while chunk := await self.content.readany():
                 yield chunk
         except (ClientError, HttpProcessingError, OSError) as error:
-            raise _create_error("response truncated", error) from error
+            raise _create_error(
+                "response truncated", error, self._connection
+            ) from error
         if self._connection.reset and not self._is_framed():
             raise TargetResponseError(
-                "connection reset during a response without a length", broken=True
+                "connection reset during a response without a length",
+                broken=not self._connection.tunnel_lost,
             )
 
     async def read(self, limit: int) -> bytes:
@@ -177,16 +187,19 @@
     drops. Here each request is written once, so that requests that are not idempotent
     run at most once.
 
+    :param dialer: opens the connections
     :param find_idle_limit: returns the maximum number of idle connections to a target
     """
 
     def __init__(
         self,
         *,
+        dialer: TargetDialer,
         find_idle_limit: Callable[[Incarnation], int],
         clock: Clock,
         metrics: Metrics,
     ) -> None:
+        self._dialer = dialer
         self._find_idle_limit = find_idle_limit
         self._clock = clock
         self._metrics = metrics
@@ -203,6 +216,9 @@
         fresh: bool,
         timeout: float,
         may_send: Callable[[], bool] | None = None,
+        service: str = "",
+        data_centre: str = "",
+        data_centres: frozenset[str] | None = None,
     ) -> TargetResponse:
         """Write a request and wait for the head of its response.
 
@@ -210,13 +226,24 @@
             request without evidence of whether it ran
         :param timeout: seconds until the head must have arrived
         :param may_send: checked once connected, and again before pooling the connection
+        :param service: service of the target
+        :param data_centre: data centre of the target
+        :param data_centres: those of the instances that the request may pass;
+            ``None``: all
         :raises NotSentError: if no byte was sent
         :raises TargetResponseError: if the request was written without a response
         """
         end = asyncio.get_running_loop().time() + timeout
         connection = None if fresh else self._checkout(incarnation)
         if connection is None:
-            connection = await self._open(address, min(timeout, CONNECT_TIMEOUT))
+            destination = Destination(
+                incarnation=incarnation,
+                address=address,
+                service=service,
+                data_centre=data_centre,
+                data_centres=data_centres,
+            )
+            connection = await self._open(destination, min(timeout, CONNECT_TIMEOUT))
         if may_send is not None and not may_send():
             connection.abort()
             raise NotSentError(
@@ -243,7 +270,7 @@
             ) from None
         except (ClientError, HttpProcessingError, OSError) as error:
             connection.abort()
-            raise _create_error("no response", error) from error
+            raise _create_error("no response", error, connection) from error
         except BaseException:
             connection.abort()
             raise
@@ -259,10 +286,11 @@
 
         A connect timeout is no evidence of that: the target may only be unreachable.
         """
+        destination = Destination(incarnation=Incarnation(""), address=address)
         try:
-            connection = await self._open(address, CONNECT_TIMEOUT)
-        except NotSentError as error:
-            return isinstance(error.__cause__, ConnectionRefusedError)
+            connection = await self._dial(destination, CONNECT_TIMEOUT)
+        except DialError as error:
+            return error.failure is DialFailure.REFUSED
         connection.abort()
         return False
 
@@ -290,19 +318,22 @@
             if message.code >= 200:
                 return message, content
 
-    async def _open(self, address: str, timeout: float) -> _TargetConnection:
-        host, _, port = address.rpartition(":")
-        loop = asyncio.get_running_loop()
-        self._metrics.count("links.opened")
+    async def _open(
+        self, destination: Destination, timeout: float
+    ) -> _TargetConnection:
         try:
-            async with asyncio.timeout(timeout):
-                _, connection = await loop.create_connection(
-                    lambda: _TargetConnection(loop), host, int(port)
-                )
-        except TimeoutError:
-            raise NotSentError("connect timed out") from None
-        except (OSError, ValueError) as error:
-            raise NotSentError(f"connect failed: {type(error).__name__}") from error
+            return await self._dial(destination, timeout)
+        except DialError as error:
+            raise NotSentError(str(error)) from error
+
+    async def _dial(
+        self, destination: Destination, timeout: float
+    ) -> _TargetConnection:
+        loop = asyncio.get_running_loop()
+        connection = await self._dialer.dial(
+            destination, lambda: _TargetConnection(loop), timeout
+        )
+        assert isinstance(connection, _TargetConnection)
         return connection
 
     def _checkout(self, incarnation: Incarnation) -> _TargetConnection | None:
@@ -369,9 +400,13 @@
         self._keep_idle(incarnation, connection, seconds)
 
 
-def _create_error(what: str, error: Exception) -> TargetResponseError:
-    # malformed data comes from a live process
-    broken = not isinstance(error, HttpProcessingError)
+def _create_error(
+    what: str, error: Exception, connection: _TargetConnection
+) -> TargetResponseError:
+    # malformed data comes from a live process, and the loss of a peer that carried the
+    # connection says nothing about the target
+    malformed = isinstance(error, HttpProcessingError)
+    broken = not malformed and not connection.tunnel_lost
     return TargetResponseError(f"{what}: {type(error).__name__}", broken=broken)
 
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_dialers.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_dialers.py
@@ -15,7 +15,14 @@
 
     from ..metrics import Metrics
 
-__all__ = ("Destination", "DialError", "DialFailure", "DirectDialer", "TargetDialer")
+__all__ = (
+    "Destination",
+    "DialError",
+    "DialFailure",
+    "DirectDialer",
+    "TargetDialer",
+    "TunnelLostError",
+)
 
 
 class DialFailure(Enum):
@@ -36,6 +43,10 @@
         self.failure = failure
 
 
+class TunnelLostError(ConnectionError):
+    """The peer that carried a connection was lost; the target may be well."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Destination:
     """The target to connect to, and which instances may carry the request."""
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_sender.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_sender.py
@@ -102,6 +102,9 @@
                 may_send=lambda: (
                     self._target_table.is_available(incarnation) and may_send()
                 ),
+                service=target.service,
+                data_centre=target.data_centre,
+                data_centres=exchange.data_centres,
             )
         except NotSentError as error:
             exchange.unsent += 1
