Tunnels to targets through a peer

An instance can open its connection to a target through a peer, at the level of bytes: a WebSocket connection of its own to the peers' listener, by the path /tunnel. The peer looks the target up in its own table by incarnation, dials it directly and passes bytes both ways with backpressure. It refuses while it stops, at its limit, and for targets that it does not know or expects not to reach. An orderly end, a reset by the target and the loss of the peer are told apart; the last is no evidence that the target crashed. Tunnels are not pooled, as idle ones would hold up a planned stop of the peer.

The server is wired into the instance; no request uses the dialer yet.

Shown by tests/test_entry/test_relay/test_tunnels.py over loopback.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_links.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_links.py
@@ -22,7 +22,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Coroutine
+    from collections.abc import Awaitable, Callable, Coroutine
 
     from websockets.asyncio.server import Server
 
@@ -107,6 +107,8 @@
         self._traffic = Traffic()
         self._options = SocketOptions(open_timeout=limits.open_timeout)
         self._server: Server | None = None
+        #: handlers of the connections that are no links, by path
+        self._path_handlers: dict[str, Callable[[Connection], Awaitable[None]]] = {}
         self._links: dict[str, Link] = {}
         #: all open links, including retired ones
         self._running: set[Link] = set()
@@ -135,6 +137,15 @@
         """Return all links in use."""
         return tuple(self._links.values())
 
+    def serve_path(
+        self, path: str, handler: Callable[[Connection], Awaitable[None]]
+    ) -> None:
+        """Pass the connections for a path to ``handler`` instead of taking links.
+
+        Each is open until the handler returns; all must end before :meth:`stop`.
+        """
+        self._path_handlers[path] = handler
+
     async def start(self, host: str, port: int) -> None:
         """Start accepting links."""
         self._server = await listen(
@@ -281,6 +292,11 @@
         return Ok(self._links.get(link.instance_id, link))
 
     async def _accept(self, connection: Connection) -> None:
+        request = connection.request
+        handler = self._path_handlers.get(request.path if request else "")
+        if handler is not None:
+            await handler(connection)
+            return
         if self._closing or self._unidentified >= MAX_UNIDENTIFIED:
             await connection.close(CloseCode.FULL, "too many connections")
             return
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_sockets.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_sockets.py
@@ -74,6 +74,17 @@
         self._traffic = traffic
         #: seconds of the event loop's clock
         self.last_received = self.loop.time()
+        self._lost = False
+
+    def abort(self) -> None:
+        """Drop the connection without a closing handshake, unless it is lost."""
+        # asyncio raises an error for a transport that closed after a last write
+        if not self._lost:
+            self.transport.abort()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._lost = True
+        super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
         self.last_received = self.loop.time()
@@ -132,16 +143,17 @@
 
 
 async def open_connection(
-    address: str, traffic: Traffic, options: SocketOptions
+    address: str, traffic: Traffic, options: SocketOptions, path: str = ""
 ) -> Connection:
     """Open a connection to a peer, without retries.
 
+    :param path: path of the request; empty for a link
     :raises OSError, TimeoutError, websockets.exceptions.WebSocketException:
         if it can't be opened.
     """
     host, _, port = address.rpartition(":")
     return await connect(
-        f"ws://{address}",
+        f"ws://{address}{path}",
         # with an explicit host the library follows no redirect to another address
         host=host.strip("[]"),
         port=int(port),
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peers.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peers.py
@@ -30,6 +30,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Awaitable, Callable
 
     from greengagelatch.clock import Clock
     from greengagelatch.events import EventBus
@@ -37,6 +38,7 @@
 
     from ..metrics import Metrics
     from .peer_link import Link
+    from .peer_sockets import Connection
 
 __all__ = ("PeerHub",)
 
@@ -185,6 +187,12 @@
             **self._membership.dump(),
         }
 
+    def serve_path(
+        self, path: str, handler: Callable[[Connection], Awaitable[None]]
+    ) -> None:
+        """Serve WebSocket connections for a path on the listener of the links."""
+        self._links.serve_path(path, handler)
+
     # service
 
     async def on_start(self) -> None:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -65,6 +65,9 @@
 from .target_connections import TargetConnectionPool
 from .target_dialers import DirectDialer
 from .target_sender import TargetSender
+from .tunnel_dialer import PeerTunnelDialer
+from .tunnel_frames import TUNNEL_PATH
+from .tunnel_server import TunnelServer
 from .unary import UnaryRunner
 from .usage import UsageController
 
@@ -210,6 +213,16 @@
             metrics=self.metrics,
             capacity=self.settings.capacity.bundles,
         )
+        self.tunnel_dialer = PeerTunnelDialer(peers=self.peers, metrics=self.metrics)
+        self.tunnels = TunnelServer(
+            target_table=self.target_table,
+            dialer=self.direct_dialer,
+            is_stopping=lambda: self.drain.draining,
+            is_reachable=lambda incarnation: True,
+            metrics=self.metrics,
+            decisions=self.decisions,
+        )
+        self.peers.serve_path(TUNNEL_PATH, self.tunnels.accept)
         self.crash_reports = CrashReportReplicator(
             instance_id=self.settings.instance_id,
             quarantine=self.quarantine,
@@ -389,7 +402,7 @@
             max_drain_seconds=self.settings.longest_drain,
             close_listener=self.front.close_listener,
             wait_idle=self._wait_idle,
-            abort_requests=self.in_flight.abort_all,
+            abort_requests=self._abort_requests,
         )
         self.readiness = ReadinessServer(
             listen=self.settings.readiness_listen,
@@ -451,6 +464,7 @@
     def _list_controllers(self) -> tuple[Controller, ...]:
         return (
             self.peers,
+            self.tunnels,
             self.registry,
             self.crash_reports,
             self.crash_detector,
@@ -474,7 +488,13 @@
         end = self.clock.now() + timeout
         if not await self.front.wait_idle(timeout):
             return False
-        return await self.stage_executor.wait_idle(max(0.0, end - self.clock.now()))
+        if not await self.stage_executor.wait_idle(max(0.0, end - self.clock.now())):
+            return False
+        return await self.tunnels.wait_idle(max(0.0, end - self.clock.now()))
+
+    def _abort_requests(self) -> None:
+        self.in_flight.abort_all()
+        self.tunnels.abort_all()
 
     def _forget_target(self, incarnation: Incarnation) -> None:
         self.connections.close_idle(incarnation)
@@ -494,10 +514,14 @@
             **parts,
             "targets": self.load_balancer.describe(self.clock.now()),
             "cold_targets": self.cold_targets.describe(self.clock.now()),
-            "links": {"idle": self.connections.count_idle()},
+            "links": {
+                "idle": self.connections.count_idle(),
+                "tunnelled": self.tunnel_dialer.count_open(),
+            },
             "metrics": self.metrics.dump(),
         }
 
     async def _close(self) -> None:
         self.connections.close_all_idle()
+        await self.tunnel_dialer.close()
         await self.store.close()
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
@@ -15,6 +15,7 @@
 from greengagelatch.relay.incarnations import Incarnation
 
 from .target_dialers import Destination, DialError, DialFailure, TunnelLostError
+from .tunnel_transport import TUNNELLED
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
@@ -120,9 +121,12 @@
 
     @property
     def reusable(self) -> bool:
-        """Whether no data of an earlier request is left on the connection."""
+        """Whether it is direct and no data of an earlier request is left on it."""
         if not self.is_connected() or self.should_close:
             return False
+        # once idle, a tunnel would hold up a planned stop of the peer that carries it
+        if self.transport.get_extra_info(TUNNELLED):
+            return False
         return self.transport.get_write_buffer_size() == 0
 
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/usage.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/usage.py
@@ -25,7 +25,12 @@
 #: seconds between two samples
 SAMPLE_INTERVAL = 1.0
 #: counters of bytes sent by this instance
-SENT_BYTE_COUNTERS = ("links.bytes_out", "peers.wire_out", "front.bytes_out")
+SENT_BYTE_COUNTERS = (
+    "links.bytes_out",
+    "peers.wire_out",
+    "tunnels.bytes_out",
+    "front.bytes_out",
+)
 
 
 class UsageController(Controller):
