--- a/tests/test_entry/test_relay/conftest.py
+++ b/tests/test_entry/test_relay/conftest.py
@@ -59,15 +59,23 @@
         if configured:
             self.store.put("op/config", create_configuration())
         self.parts = compose_relay(self._create_rules(), self._create_adapters())
+        await self.start_parts()
+
+    async def start_parts(self) -> None:
+        """Start the composed instance."""
         for controller in self.parts.controllers:
             await controller.start()
         self.session = aiohttp.ClientSession()
 
-    async def stop(self) -> None:
+    async def stop_parts(self) -> None:
+        """Stop the instance alone."""
         await self.session.close()
         for controller in reversed(self.parts.controllers):
             await controller.stop()
         await self.parts.close()
+
+    async def stop(self) -> None:
+        await self.stop_parts()
         for target in self.targets.values():
             await target.stop()
         await self.store.stop()
--- a/tests/test_entry/test_relay/test_makers.py
+++ b/tests/test_entry/test_relay/test_makers.py
@@ -13,8 +13,9 @@
 from greengagelatch.relay.pieces import Bundle, Piece, PieceFailure
 from greengagelatch.relay.result_memory import ResultMemory
 from greengagelatch.relay.targets import ListedTarget
-from greengagelatch_entry.relay.maker_calls import MADE, MakerCaller
+from greengagelatch_entry.relay.maker_calls import MADE, UNSENT, MakerCaller
 from greengagelatch_entry.relay.makers import Maker
+from greengagelatch_entry.relay.target_connections import NotSentError
 from greengagelatch_lab.stage_load import models
 from greengagelatch_lab.stage_load.shapes import MakerShape, StageShape
 from greengagelatch_lab.stage_load.trial import LoopClock
@@ -122,3 +123,52 @@
     )
     assert await world.call() == {None}
     assert world.find_slowness() < usual - 0.1
+
+
+@pytest.mark.parametrize(
+    ("allowed", "expected"),
+    [
+        ((None, None), None),
+        ((None, {"north"}), {"north"}),
+        (({"north", "south"}, {"south", "east"}), {"south"}),
+        (({"north"}, {"south"}), set()),
+    ],
+)
+async def test_call_may_pass_what_all_its_requests_allow(world, allowed, expected):
+    """Guard against pieces that leave the region of their request by a shared call."""
+    passed = []
+
+    async def send(**details):
+        passed.append(details)
+        raise NotSentError("not sent")
+
+    now = world.clock.now()
+    rows = []
+    for number, one in enumerate(allowed):
+        piece = Piece(request_id=f"r-{number}", stage=1, segment=0)
+        bundle = Bundle(
+            bundle_id=f"r-{number}/1",
+            service="ledger",
+            pieces=(piece,),
+            result_bytes=100,
+            soft_deadline=now + CALL_TIMEOUT,
+            hard_deadline=now + CALL_TIMEOUT,
+            data_centres=None if one is None else frozenset(one),
+        )
+        rows.append((bundle, piece))
+    caller = MakerCaller(
+        connections=SimpleNamespace(send=send),
+        codec=models.ModelCodec(),
+        target_table=SimpleNamespace(
+            is_available=lambda incarnation: True,
+            has_superseded=lambda incarnations: False,
+        ),
+        clock=world.clock,
+    )
+    world.maker.start_call(len(rows), now)
+    call = PlannedCall(Incarnation("m", 1), rows)
+    assert (await caller.call(world.maker, call, CALL_TIMEOUT, now)).outcome == UNSENT
+    (details,) = passed
+    assert details["data_centres"] == expected
+    assert details["service"] == "ledger"
+    assert details["data_centre"] == "north"
