Keep tunnels open over a pause of this process

Both sides of a tunnel drop it after three seconds of silence. Where both are paused for longer, as on one machine, the first to run again saw silence. A timer that comes late now restarts the measurement. The new test fails without it.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/tunnel_frames.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/tunnel_frames.py
@@ -10,6 +10,7 @@
     "SILENCE_SECONDS",
     "TUNNEL_PATH",
     "TunnelCloseCode",
+    "was_paused",
 )
 
 #: path by which the peers' listener tells tunnels from links
@@ -20,6 +21,9 @@
 HEARTBEAT_SECONDS = 0.5
 #: seconds without a received byte after which the other side counts as lost
 SILENCE_SECONDS = 3.0
+#: multiple of the heartbeat interval after which a timer shows that this process was
+#: paused
+PAUSE_FACTOR = 2.0
 
 
 class TunnelCloseCode(IntEnum):
@@ -31,3 +35,11 @@
     RESET = 4010
     #: refused, or the first message was invalid
     REFUSED = 4011
+
+
+def was_paused(seconds: float) -> bool:
+    """Return whether a timer of one heartbeat interval that took longer shows a pause.
+
+    :param seconds: how long it took
+    """
+    return seconds > PAUSE_FACTOR * HEARTBEAT_SECONDS
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/tunnel_server.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/tunnel_server.py
@@ -27,6 +27,7 @@
     HEARTBEAT_SECONDS,
     SILENCE_SECONDS,
     TunnelCloseCode,
+    was_paused,
 )
 
 if TYPE_CHECKING:
@@ -85,6 +86,10 @@
         self._connection.abort()
         self._stream.abort()
 
+    def reset_silence(self) -> None:
+        """Restart the measurement of silence after a pause of this process."""
+        self._reading_since = self._loop.time()
+
     async def keep_alive(self) -> None:
         """Send a heartbeat, and drop the connection if the peer sends none."""
         since = max(self._connection.last_received, self._reading_since)
@@ -236,8 +241,12 @@
     @Service.task
     async def _keep_alive_forever(self) -> None:
         while not self.should_stop:
+            began = asyncio.get_running_loop().time()
             await asyncio.sleep(HEARTBEAT_SECONDS)
+            paused = was_paused(asyncio.get_running_loop().time() - began)
             for tunnel in tuple(self._tunnels):
+                if paused:
+                    tunnel.reset_silence()
                 await tunnel.keep_alive()
 
     async def _read_request(self, connection: Connection) -> TunnelRequest | None:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/tunnel_transport.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/tunnel_transport.py
@@ -15,6 +15,7 @@
     HEARTBEAT_SECONDS,
     SILENCE_SECONDS,
     TunnelCloseCode,
+    was_paused,
 )
 
 if TYPE_CHECKING:
@@ -184,10 +185,13 @@
                     await self._write_next()
                     continue
                 self._queue_changed.clear()
+                began = self._loop.time()
                 try:
                     async with asyncio.timeout(HEARTBEAT_SECONDS):
                         await self._queue_changed.wait()
                 except TimeoutError:
+                    if was_paused(self._loop.time() - began):
+                        self._reading_since = self._loop.time()
                     await self._keep_alive()
             await self._connection.close(TunnelCloseCode.END)
         except ConnectionClosed:
--- a/tests/test_entry/test_relay/test_tunnels.py
+++ b/tests/test_entry/test_relay/test_tunnels.py
@@ -7,6 +7,7 @@
 import random
 import socket
 import struct
+import time
 from types import SimpleNamespace
 from typing import TYPE_CHECKING
 
@@ -26,7 +27,11 @@
 from greengagelatch.settings import parse
 from greengagelatch_entry.adapters.peer_sockets import SocketOptions, Traffic, listen
 from greengagelatch_entry.adapters.peers import PeerHub
-from greengagelatch_entry.relay import tunnel_server, tunnel_transport
+from greengagelatch_entry.relay import (
+    tunnel_frames,
+    tunnel_server,
+    tunnel_transport,
+)
 from greengagelatch_entry.relay.decisions import DecisionLog
 from greengagelatch_entry.relay.messages import OutboundRequest
 from greengagelatch_entry.relay.prometheus import PrometheusMetrics
@@ -272,7 +277,7 @@
 @pytest.fixture
 def short_silence(monkeypatch):
     """Shorten the detection of a lost peer."""
-    for module in (tunnel_server, tunnel_transport):
+    for module in (tunnel_frames, tunnel_server, tunnel_transport):
         monkeypatch.setattr(module, "HEARTBEAT_SECONDS", 0.05)
         monkeypatch.setattr(module, "SILENCE_SECONDS", 0.5)
 
@@ -457,6 +462,18 @@
     await wait_until(lambda: protocol.received == b"answer")
 
 
+async def test_pause_of_the_process_drops_no_tunnel(world, short_silence):
+    """Guard against requests that are cut after a process was not run for a while."""
+    protocol, _, writer = await world.open()
+    # the tunnel is idle when the pause begins
+    await asyncio.sleep(2 * tunnel_server.HEARTBEAT_SECONDS)
+    # blocks the loop, as a pause does
+    time.sleep(2 * tunnel_server.SILENCE_SECONDS)  # noqa: ASYNC251
+    await asyncio.sleep(tunnel_server.SILENCE_SECONDS)
+    writer.write(b"answer")
+    await wait_until(lambda: protocol.received == b"answer")
+
+
 async def test_silent_peer_is_dropped_by_both_sides(world, short_silence):
     """Guard against requests, and tunnels, that wait for an instance that is gone."""
     direct = world.address
