TCP proxy that refuses or ignores new connections while open ones live on

Partitions of one instance take three forms: everything hangs, is reset, or open connections live on while new ones are refused.

--- a/packages/greengagelatch-lab/src/greengagelatch_lab/standins/tcp_proxy.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/standins/tcp_proxy.py
@@ -1,8 +1,9 @@
-"""TCP proxy between processes that injects disconnects, blackholing and delay."""
+"""TCP proxy between processes that injects partitions, blackholing and delay."""
 
 from __future__ import annotations
 
 import asyncio
+import socket
 from dataclasses import dataclass
 from enum import Flag, auto
 from types import TracebackType
@@ -11,6 +12,8 @@
 
 CHUNK_BYTES = 64 * 1024
 HOST = "127.0.0.1"
+#: connections that fill the accept queue of a socket without a backlog
+QUEUE_FILLERS = 1
 
 
 class Direction(Flag):
@@ -51,6 +54,8 @@
         self._connections: set[_Connection] = set()
         self._blackholed = NO_DIRECTION
         self._delays = {Direction.FORWARD: 0.0, Direction.BACKWARD: 0.0}
+        #: sockets that keep connections from being accepted
+        self._hanging: list[socket.socket] = []
         #: number of connections accepted so far
         self.accepted = 0
 
@@ -70,10 +75,29 @@
 
     async def disconnect(self) -> None:
         """Close all connections and refuse new ones until :meth:`heal`."""
+        self.refuse_new()
+        await self.close_connections()
+
+    def refuse_new(self) -> None:
+        """Refuse new connections until :meth:`heal`; open ones live on."""
+        self._close_hanging()
         if self._server is not None:
             self._server.close()
             self._server = None
-        await self.close_connections()
+
+    def hang_new(self) -> None:
+        """Answer no attempt to connect until :meth:`heal`; open ones live on.
+
+        The kernel drops the SYN of a connection that finds the accept queue full.
+        """
+        self.refuse_new()
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((self._host, self._port))
+        listener.listen(0)
+        self._hanging.append(listener)
+        for _ in range(QUEUE_FILLERS):
+            self._hanging.append(socket.create_connection((self._host, self._port)))
 
     async def close_connections(self) -> None:
         """Close all connections; new ones are still accepted."""
@@ -105,6 +129,7 @@
         """Clear all faults; connections that have lost data keep discarding it."""
         self._blackholed = NO_DIRECTION
         self.delay(0.0)
+        self._close_hanging()
         if self._server is None:
             await self.start()
 
@@ -120,6 +145,11 @@
     ) -> None:
         await self.stop()
 
+    def _close_hanging(self) -> None:
+        for one in reversed(self._hanging):
+            one.close()
+        self._hanging.clear()
+
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
--- a/tests/test_lab/test_tcp_proxy.py
+++ b/tests/test_lab/test_tcp_proxy.py
@@ -107,3 +107,35 @@
         await client.ask(b"a", LOSS_TIMEOUT)
     proxy.delay(0.0)
     assert await client.ask(b"b") in (b"a", b"ab")
+
+
+async def test_open_connections_live_on_while_new_ones_are_refused(
+    proxy: TcpProxy,
+) -> None:
+    client = await connect(proxy)
+    proxy.refuse_new()
+    with pytest.raises(ConnectionRefusedError):
+        await connect(proxy)
+    assert await client.ask(b"a") == b"a"
+    await proxy.heal()
+    assert await (await connect(proxy)).ask(b"b") == b"b"
+
+
+async def test_attempts_to_connect_hang_until_healed(proxy: TcpProxy) -> None:
+    client = await connect(proxy)
+    proxy.hang_new()
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(LOSS_TIMEOUT):
+            await connect(proxy)
+    assert await client.ask(b"a") == b"a"
+    await proxy.heal()
+    assert await (await connect(proxy)).ask(b"b") == b"b"
+
+
+async def test_form_of_a_partition_can_change(proxy: TcpProxy) -> None:
+    proxy.hang_new()
+    await proxy.disconnect()
+    with pytest.raises(ConnectionRefusedError):
+        await connect(proxy)
+    await proxy.heal()
+    assert await (await connect(proxy)).ask(b"b") == b"b"
