Failing test of an instance that is cut off from all targets

Callers of instances that had lost their connections to targets were refused nearly always, while the store, callers and other instances still reached these instances.

The test runs three instances with links of their own to the targets and cuts those of one in each of three forms.

Peers pass on the addresses of their own links with the listing, so that the links are put in place where the table of targets is written.

--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/target_links.py
@@ -0,0 +1,94 @@
+"""Links between one instance and its targets, which can be partitioned."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from ..standins.tcp_proxy import TcpProxy
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from greengagelatch.relay.targets import ListedTarget, TargetTable
+
+    from .targets import SimulatedTarget
+
+__all__ = ("PartitionForm", "TargetLinks")
+
+
+class PartitionForm(Enum):
+    """What happens to the connections between an instance and its targets."""
+
+    #: open ones lose all data, and attempts to connect are not answered
+    HANG = "hang"
+    #: open ones are reset and new ones are refused
+    RESET = "reset"
+    #: open ones live on and new ones are refused
+    REFUSE_NEW = "refuse-new"
+
+
+class TargetLinks:
+    """One proxy per target, seen by one instance only."""
+
+    def __init__(self) -> None:
+        #: by target id
+        self._proxies: dict[str, TcpProxy] = {}
+        self._services: dict[str, str] = {}
+
+    async def add(self, targets: Iterable[SimulatedTarget]) -> None:
+        """Start the links to targets."""
+        for target in targets:
+            proxy = self._proxies[target.target_id] = TcpProxy(target.address)
+            self._services[target.target_id] = target.service
+            await proxy.start()
+
+    def attach(self, table: TargetTable) -> None:
+        """Make an instance use these links.
+
+        The table is where all listings meet: peers pass on the addresses of their own
+        links.
+        """
+        put = table.put
+
+        def put_linked(target: ListedTarget) -> bool:
+            proxy = self._proxies.get(target.target_id)
+            if proxy is None:
+                return put(target)
+            return put(replace(target, address=proxy.address))
+
+        table.put = put_linked
+
+    async def cut(self, form: PartitionForm, service: str = "") -> None:
+        """Partition the instance from the targets of a service; empty: from all."""
+        for proxy in self._list_proxies(service):
+            match form:
+                case PartitionForm.HANG:
+                    proxy.hang_new()
+                    proxy.blackhole()
+                case PartitionForm.RESET:
+                    await proxy.disconnect()
+                case PartitionForm.REFUSE_NEW:
+                    proxy.refuse_new()
+
+    async def heal(self) -> None:
+        """End all partitions."""
+        for proxy in self._proxies.values():
+            await proxy.heal()
+
+    def count_accepted(self) -> int:
+        """Return how many connections the instance has opened to targets."""
+        return sum(proxy.accepted for proxy in self._proxies.values())
+
+    async def stop(self) -> None:
+        """Close all links."""
+        await asyncio.gather(*(proxy.stop() for proxy in self._proxies.values()))
+
+    def _list_proxies(self, service: str) -> list[TcpProxy]:
+        return [
+            proxy
+            for target_id, proxy in self._proxies.items()
+            if not service or self._services[target_id] == service
+        ]
--- a/tests/test_entry/test_relay/conftest.py
+++ b/tests/test_entry/test_relay/conftest.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 import aiohttp
 import pytest
 from yarl import URL
 
+from greengagelatch.peers import MemberState
 from greengagelatch.relay.cold_targets import ColdTargetRule
 from greengagelatch.relay.digests import compute_digest
 from greengagelatch.relay.requests import OpaqueRequest
@@ -21,7 +22,9 @@
     HOST,
     create_configuration,
 )
+from greengagelatch_lab.platform_standins.fleet import find_free_ports
 from greengagelatch_lab.platform_standins.store import SimulatedStore
+from greengagelatch_lab.platform_standins.target_links import TargetLinks
 from greengagelatch_lab.platform_standins.targets import SimulatedTarget
 from greengagelatch_platform.callers import PlatformCallerCodec
 from greengagelatch_platform.configuration import PlatformDeploymentCodec
@@ -219,6 +222,90 @@
         )
 
 
+class LinkedInstance(World):
+    """One of several instances, with links of its own to the targets."""
+
+    def __init__(self, shared: World, instance_id: str, listen: str, seeds: str):
+        super().__init__()
+        self.store = shared.store
+        self.targets = shared.targets
+        self.links = TargetLinks()
+        self.instance_id = instance_id
+        self._listen = listen
+        self._seeds = seeds
+
+    async def start(self) -> None:
+        await self.links.add(self.targets.values())
+        self.parts = compose_relay(self._create_rules(), self._create_adapters())
+        self.links.attach(self.find("news")._target_table)
+        for controller in self.parts.controllers:
+            await controller.start()
+        self.session = aiohttp.ClientSession()
+
+    async def stop(self) -> None:
+        await self.session.close()
+        for controller in reversed(self.parts.controllers):
+            await controller.stop()
+        await self.parts.close()
+        await self.links.stop()
+
+    def count_members(self) -> int:
+        """Return how many instances it knows to be alive."""
+        members = self.find_known_instances()._list_members()
+        return sum(one.state is MemberState.ALIVE for one in members)
+
+    async def wait_until_serving(self) -> None:
+        """Wait until requests to all services are answered."""
+        async with asyncio.timeout(WAIT_SECONDS):
+            while True:
+                replies = (await self.ask("/look/1"), await self.stream())
+                if all(reply.status == 200 for reply in replies):
+                    return
+                await asyncio.sleep(0.05)
+
+    def _create_rules(self) -> RelaySettings:
+        return replace(
+            super()._create_rules(),
+            instance_id=self.instance_id,
+            peers_listen=self._listen,
+            peers_seeds=self._seeds,
+        )
+
+
+class Fleet(World):
+    """Several instances with one store and the same targets."""
+
+    def __init__(self, count: int) -> None:
+        super().__init__()
+        addresses = [f"127.0.0.1:{port}" for port in find_free_ports(count)]
+        seeds = ",".join(addresses)
+        self.instances = [
+            LinkedInstance(self, f"entry-{number}", address, seeds)
+            for number, address in enumerate(addresses, start=1)
+        ]
+
+    async def start(self) -> None:
+        await self.store.start()
+        self.store.put("op/config", create_configuration())
+        for service in ("desk", "llm", "portal", "ledger"):
+            for number in (1, 2):
+                await self.add(f"{service}-{number}", service)
+        for instance in self.instances:
+            await instance.start()
+        for instance in self.instances:
+            await instance.wait_until_synced(len(self.targets))
+            await instance.wait_for(
+                lambda one=instance: one.count_members() == len(self.instances)
+            )
+
+    async def stop(self) -> None:
+        for instance in self.instances:
+            await instance.stop()
+        for target in self.targets.values():
+            await target.stop()
+        await self.store.stop()
+
+
 def find_digest(path: str) -> str:
     """Return the digest of a GET request for ``path`` by :meth:`World.ask`."""
     request = OpaqueRequest(
@@ -257,3 +344,12 @@
     await created.wait_until_synced(6)
     yield created
     await created.stop()
+
+
+@pytest.fixture
+async def fleet():
+    """Three instances with two targets of each service and links of their own."""
+    created = Fleet(3)
+    await created.start()
+    yield created
+    await created.stop()
--- /dev/null
+++ b/tests/test_entry/test_relay/test_partitioned_instances.py
@@ -0,0 +1,64 @@
+"""Tests of instances that are partitioned from targets which others reach."""
+
+from __future__ import annotations
+
+import asyncio
+
+from greengagelatch_lab.platform_standins.target_links import PartitionForm
+
+#: seconds after the start of a partition from which on first tries must be served
+CONTACT_SECONDS = 3.0
+#: first tries of each kind of request at each instance, before and after that time,
+#: and the seconds between them
+TRIES_BEFORE, TRIES_AFTER, INTERVAL = 30, 20, 0.1
+#: first tries that may fail at an instance that is cut off: these and 1 in 50
+MAX_FAILED, FAILED_DIVISOR = 10, 50
+
+
+async def ask_each_kind(instance) -> list[int]:
+    """Send one request of each kind; return the statuses."""
+    replies = await asyncio.gather(
+        instance.ask("/look/1"),
+        instance.ask("/book/1", method="POST", body=b"order"),
+        instance.stream(),
+    )
+    return [reply.status for reply in replies]
+
+
+async def send_tries(instance, number: int) -> list[int]:
+    """Send requests at a steady rate, whether or not earlier ones are answered."""
+    tries = []
+    for _ in range(number):
+        tries.append(asyncio.create_task(ask_each_kind(instance)))
+        await asyncio.sleep(INTERVAL)
+    return [status for answers in await asyncio.gather(*tries) for status in answers]
+
+
+async def send_from_contact(fleet) -> list[list[int]]:
+    """Send requests to all instances; return the statuses of the later ones."""
+    before = asyncio.gather(
+        *(send_tries(instance, TRIES_BEFORE) for instance in fleet.instances)
+    )
+    await asyncio.sleep(CONTACT_SECONDS)
+    after = await asyncio.gather(
+        *(send_tries(instance, TRIES_AFTER) for instance in fleet.instances)
+    )
+    await before
+    return after
+
+
+async def test_instance_cut_off_from_all_targets_serves_first_tries(fleet):
+    """Guards against an instance that refuses what its peers could pass on."""
+    cut = fleet.instances[0]
+    served: dict[PartitionForm, tuple[int, ...]] = {}
+    for form in PartitionForm:
+        for instance in fleet.instances:
+            await instance.wait_until_serving()
+        await cut.links.cut(form)
+        statuses = await send_from_contact(fleet)
+        served[form] = tuple(one.count(200) for one in statuses)
+        await cut.links.heal()
+    number = 3 * TRIES_AFTER
+    for at_cut, *at_others in served.values():
+        assert number - at_cut <= MAX_FAILED + number // FAILED_DIVISOR, served
+        assert 3 * at_cut >= 2 * max(at_others), served
