--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_dialers.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_dialers.py
@@ -12,6 +12,7 @@
     from collections.abc import Callable
 
     from greengagelatch.relay.incarnations import Incarnation
+    from greengagelatch.relay.targets import ListedTarget
 
     from ..metrics import Metrics
 
@@ -22,6 +23,7 @@
     "DirectDialer",
     "TargetDialer",
     "TunnelLostError",
+    "create_destination",
 )
 
 
@@ -60,6 +62,16 @@
     data_centres: frozenset[str] | None = None
 
 
+def create_destination(target: ListedTarget) -> Destination:
+    """Return the destination of a connection that carries no caller's data."""
+    return Destination(
+        incarnation=target.incarnation,
+        address=target.address,
+        service=target.service,
+        data_centre=target.data_centre,
+    )
+
+
 class TargetDialer(ABC):
     """Interface for opening connections to targets."""
 
