Serve callers at instances that are cut off from targets through peers

Callers of an instance that had lost its connections to targets were refused nearly always: "connect timed out", "queue too long to meet the latency objective", late stages. Each connection that failed was taken for a failure of its target, so that all targets looked broken, though only the path of this instance was.

Connections to targets, and to makers, are now opened by the dialer that goes through a peer where the direct path fails. Opening one may take 1 s in place of 0.3 s, of which a direct attempt still gets 0.3 s. The server of tunnels answers at once for a target that this instance bypasses itself.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -18,6 +18,7 @@
 from greengagelatch.relay.load_balancer import LoadBalancer
 from greengagelatch.relay.placed_batches import PlacedBatching
 from greengagelatch.relay.quarantine import Quarantine
+from greengagelatch.relay.reachability import Reachability
 from greengagelatch.relay.targets import TargetTable
 
 from ..adapters.peers import PeerHub
@@ -51,10 +52,12 @@
 from .peer_settings import create_peer_settings
 from .peer_sync import PeerSyncController
 from .prometheus import PrometheusMetrics
+from .reachability_probes import ReachabilityController
 from .readiness import ReadinessServer
 from .registry import RegistryController
 from .retry_budgets import RetryBudgets
 from .route_latencies import RouteLatencies
+from .routed_dialer import RoutedDialer
 from .stage_groups import MakerGroups
 from .stage_pool import StagePool
 from .stages import StageRunner
@@ -162,13 +165,6 @@
             data_centre=self.settings.data_centre,
             random_source=self.random,
         )
-        self.direct_dialer = DirectDialer(self.metrics)
-        self.connections = TargetConnectionPool(
-            dialer=self.direct_dialer,
-            find_idle_limit=self._find_idle_limit,
-            clock=self.clock,
-            metrics=self.metrics,
-        )
         self.configuration = ConfigurationFollower(
             codec=self.adapters.deployments, clock=self.clock, decisions=self.decisions
         )
@@ -213,16 +209,44 @@
             metrics=self.metrics,
             capacity=self.settings.capacity.bundles,
         )
+        self.direct_dialer = DirectDialer(self.metrics)
+        self.reachability = Reachability(
+            instance_id=self.settings.instance_id,
+            data_centre=self.settings.data_centre,
+            random_source=self.random,
+        )
         self.tunnel_dialer = PeerTunnelDialer(peers=self.peers, metrics=self.metrics)
         self.tunnels = TunnelServer(
             target_table=self.target_table,
             dialer=self.direct_dialer,
             is_stopping=lambda: self.drain.draining,
-            is_reachable=lambda incarnation: True,
+            is_reachable=self.reachability.is_reachable,
             metrics=self.metrics,
             decisions=self.decisions,
         )
         self.peers.serve_path(TUNNEL_PATH, self.tunnels.accept)
+        self.dialer = RoutedDialer(
+            direct=self.direct_dialer,
+            tunnels=self.tunnel_dialer,
+            reachability=self.reachability,
+            peers=self.peers,
+            on_bypassed=lambda incarnation: self.connections.close_idle(incarnation),
+            clock=self.clock,
+            metrics=self.metrics,
+            decisions=self.decisions,
+        )
+        self.reachability_probes = ReachabilityController(
+            dialer=self.dialer,
+            reachability=self.reachability,
+            target_table=self.target_table,
+            clock=self.clock,
+        )
+        self.connections = TargetConnectionPool(
+            dialer=self.dialer,
+            find_idle_limit=self._find_idle_limit,
+            clock=self.clock,
+            metrics=self.metrics,
+        )
         self.crash_reports = CrashReportReplicator(
             instance_id=self.settings.instance_id,
             quarantine=self.quarantine,
@@ -468,6 +492,7 @@
             self.registry,
             self.crash_reports,
             self.crash_detector,
+            self.reachability_probes,
             self.suspect_locks,
             self.follower,
             self.peer_sync,
@@ -499,6 +524,7 @@
     def _forget_target(self, incarnation: Incarnation) -> None:
         self.connections.close_idle(incarnation)
         self.crash_detector.record_removal(incarnation)
+        self.reachability.forget(incarnation)
         self.load_balancer.forget(incarnation)
         self.cold_targets.forget(incarnation)
         self.local_executor.record_removal(incarnation)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/routed_dialer.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/routed_dialer.py
@@ -7,6 +7,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Any
 
+from greengagelatch.peers import MemberState
 from greengagelatch.relay.reachability import Approach
 
 from .target_dialers import DialError, DialFailure, TargetDialer
@@ -25,15 +26,13 @@
     from .target_dialers import Destination
     from .tunnel_dialer import TunnelDialer
 
-__all__ = ("DIAL_TIMEOUT", "DIRECT_TIMEOUT", "PeerFinding", "RoutedDialer")
+__all__ = ("DIRECT_TIMEOUT", "PeerFinding", "RoutedDialer")
 
 #: seconds for a direct attempt. Targets are milliseconds away and the kernel repeats a
 #: lost SYN only after a second
 DIRECT_TIMEOUT = 0.3
 #: seconds for one peer to open a tunnel
 TUNNEL_TIMEOUT = 0.4
-#: seconds for a direct attempt and all tunnels that are tried after it
-DIAL_TIMEOUT = 1.0
 #: seconds for which a direct attempt is alone before a tunnel is tried beside it
 HEAD_START = 0.05
 #: log lines on changes of belief: in a period of so many seconds, at most so many
@@ -48,6 +47,8 @@
     REFUSED = "refused"
     #: none reached it or could tell why
     UNKNOWN = "unknown"
+    #: no other instance is alive
+    NO_PEERS = "no-peers"
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,6 +135,8 @@
 
     async def probe_by_peers(self, destination: Destination) -> PeerFinding:
         """Let a few peers connect to a target; return what they found."""
+        if not self._has_peers():
+            return PeerFinding.NO_PEERS
         finding = PeerFinding.UNKNOWN
         for peer_id in self._choose_peers(destination):
             try:
@@ -254,6 +257,13 @@
             self._record_all_failed(destination, unreached)
         raise DialError("no peer reaches the target", DialFailure.FAILED)
 
+    def _has_peers(self) -> bool:
+        return any(
+            member.state in (MemberState.ALIVE, MemberState.SUSPECT)
+            and member.instance_id != self._peers.instance_id
+            for member in self._peers.members()
+        )
+
     def _choose_peers(self, destination: Destination) -> tuple[str, ...]:
         return self._reachability.choose_peers(
             destination.service,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
@@ -37,10 +37,9 @@
     "configure_socket",
 )
 
-#: connect timeout in seconds. Targets are milliseconds away and the kernel retransmits
-#: a lost SYN only after a second, so that trying another target is faster. Without the
-#: timeout, a target behind a partition holds a request until its deadline
-CONNECT_TIMEOUT = 0.3
+#: seconds for opening a connection, directly or through peers. Without the timeout, a
+#: target behind a partition holds a request until its deadline
+DIAL_TIMEOUT = 1.0
 #: seconds for which an idle connection is reused if the target announces no timeout
 MAX_IDLE_SECONDS = 3.0
 #: fraction of the idle timeout announced by a target that is used
@@ -247,7 +246,7 @@
                 data_centre=data_centre,
                 data_centres=data_centres,
             )
-            connection = await self._open(destination, min(timeout, CONNECT_TIMEOUT))
+            connection = await self._open(destination, min(timeout, DIAL_TIMEOUT))
         if may_send is not None and not may_send():
             connection.abort()
             raise NotSentError(
@@ -292,7 +291,7 @@
         """
         destination = Destination(incarnation=Incarnation(""), address=address)
         try:
-            connection = await self._dial(destination, CONNECT_TIMEOUT)
+            connection = await self._dial(destination, DIAL_TIMEOUT)
         except DialError as error:
             return error.failure is DialFailure.REFUSED
         connection.abort()
--- a/tests/test_entry/test_relay/test_partition_simulation.py
+++ b/tests/test_entry/test_relay/test_partition_simulation.py
@@ -20,7 +20,8 @@
 from greengagelatch.relay.targets import ListedTarget, TargetTable
 from greengagelatch_entry.relay.prometheus import PrometheusMetrics
 from greengagelatch_entry.relay.reachability_probes import ReachabilityController
-from greengagelatch_entry.relay.routed_dialer import DIAL_TIMEOUT, RoutedDialer
+from greengagelatch_entry.relay.routed_dialer import RoutedDialer
+from greengagelatch_entry.relay.target_connections import DIAL_TIMEOUT
 from greengagelatch_entry.relay.target_dialers import (
     DialError,
     DialFailure,
--- a/tests/test_entry/test_relay/test_routed_dialer.py
+++ b/tests/test_entry/test_relay/test_routed_dialer.py
@@ -15,12 +15,12 @@
 from greengagelatch_entry.relay.prometheus import PrometheusMetrics
 from greengagelatch_entry.relay.reachability_probes import ReachabilityController
 from greengagelatch_entry.relay.routed_dialer import (
-    DIAL_TIMEOUT,
     DIRECT_TIMEOUT,
     HEAD_START,
     LOG_LINES,
     RoutedDialer,
 )
+from greengagelatch_entry.relay.target_connections import DIAL_TIMEOUT
 from greengagelatch_entry.relay.target_dialers import (
     DialError,
     DialFailure,
