Don't take partitions of an instance for crashes of targets

A request whose connection breaks is a suspect if its target refuses connections after it. An instance that a partition resets and refuses connections of reported its targets as crashed, with whatever ran on them; after a few of these reports such requests are refused everywhere.

A refusal now counts if another target of the service is connected to after it, or if peers are refused as well, none reaches the target, and this instance bypasses none. In other cases the listing decides, as for targets that don't answer. The check is an interface of its own; the daemon without tunnels keeps taking each refusal as evidence.

The test that shows that the dial tells crashes from lost answers now replaces the new check, as the pool no longer dials for it.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/composition.py
@@ -59,6 +59,7 @@
 from .metrics import Metrics
 from .pipeline_runner import PipelineRunner
 from .relay.crash_detector import CrashDetector
+from .relay.crash_evidence import PortEvidence
 from .relay.decisions import DecisionLog
 from .stage_caller import StageCaller
 from .stage_quarantine import DirectoryAvailability, SharedStageQuarantine
@@ -191,7 +192,7 @@
             ),
             quarantine=self.quarantine,
             target_table=DirectoryAvailability(self.targets),
-            connections=PortProbe(),
+            evidence=PortEvidence(PortProbe()),
             clock=self.clock,
             metrics=self.metrics,
             decisions=DecisionLog(clock=self.clock, metrics=self.metrics),
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -30,6 +30,7 @@
 from .bundle_quarantine import SharedBundleQuarantine
 from .configuration import ConfigurationFollower
 from .crash_detector import CrashDetector
+from .crash_evidence import RefusalEvidence
 from .crash_report_replicator import CrashReportReplicator
 from .decisions import DecisionLog
 from .evacuation import EvacuationFollower
@@ -260,7 +261,12 @@
             replicator=self.crash_reports,
             quarantine=self.quarantine,
             target_table=self.target_table,
-            connections=self.connections,
+            evidence=RefusalEvidence(
+                dialer=self.dialer,
+                reachability=self.reachability,
+                target_table=self.target_table,
+                random_source=self.random,
+            ),
             clock=self.clock,
             metrics=self.metrics,
             decisions=self.decisions,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/crash_detector.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/crash_detector.py
@@ -19,9 +19,9 @@
     from greengagelatch.relay.targets import ListedTarget, TargetTable
 
     from ..metrics import Metrics
+    from .crash_evidence import CrashEvidence
     from .crash_report_replicator import CrashReportReplicator
     from .decisions import DecisionLog
-    from .target_connections import TargetConnectionPool
 
 __all__ = ("SETTLE_SECONDS", "CrashDetector")
 
@@ -58,9 +58,9 @@
     """Detects targets that crashed with requests of this instance in progress.
 
     A broken connection alone does not prove a crash: answers get lost and connections
-    are reset by targets that are still running. It counts as a crash if no process
-    listens at the address any more, or if the listing shows within
-    :data:`CONFIRM_SECONDS` that the target has ended.
+    are reset by targets that are still running. It counts as a crash if the evidence
+    shows that the process has ended, or if the listing shows it within
+    :data:`CONFIRM_SECONDS`.
     """
 
     name = "crash-watch"
@@ -71,7 +71,7 @@
         replicator: CrashReportReplicator,
         quarantine: Quarantine,
         target_table: TargetTable,
-        connections: TargetConnectionPool,
+        evidence: CrashEvidence,
         clock: Clock,
         metrics: Metrics,
         decisions: DecisionLog,
@@ -80,7 +80,7 @@
         self._replicator = replicator
         self._quarantine = quarantine
         self._target_table = target_table
-        self._connections = connections
+        self._evidence = evidence
         self._clock = clock
         self._metrics = metrics
         self._decisions = decisions
@@ -177,7 +177,7 @@
     ) -> str | None:
         """Return what shows that a target has crashed; ``None`` if nothing does."""
         origin = "refused"
-        if not await self._connections.is_port_closed(target.address):
+        if not await self._evidence.has_ended(target):
             origin = "listing"
             try:
                 async with asyncio.timeout(CONFIRM_SECONDS):
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
@@ -14,7 +14,7 @@
 
 from greengagelatch.relay.incarnations import Incarnation
 
-from .target_dialers import Destination, DialError, DialFailure, TunnelLostError
+from .target_dialers import Destination, DialError, TunnelLostError
 from .tunnel_transport import TUNNELLED
 
 if TYPE_CHECKING:
@@ -284,19 +284,6 @@
             lambda one, head: self._release(incarnation, one, head, may_send),
         )
 
-    async def is_port_closed(self, address: str) -> bool:
-        """Return whether an address refuses connections: its process has ended.
-
-        A connect timeout is no evidence of that: the target may only be unreachable.
-        """
-        destination = Destination(incarnation=Incarnation(""), address=address)
-        try:
-            connection = await self._dial(destination, DIAL_TIMEOUT)
-        except DialError as error:
-            return error.failure is DialFailure.REFUSED
-        connection.abort()
-        return False
-
     def close_idle(self, incarnation: Incarnation) -> None:
         """Close the idle connections to a target."""
         self._last_requested.pop(incarnation, None)
--- a/tests/test_entry/test_relay/test_crash_detector.py
+++ b/tests/test_entry/test_relay/test_crash_detector.py
@@ -35,7 +35,7 @@
             replicator=SimpleNamespace(publish=self.record),
             quarantine=self.quarantine,
             target_table=SimpleNamespace(is_available=lambda incarnation: True),
-            connections=SimpleNamespace(is_port_closed=self.dial),
+            evidence=SimpleNamespace(has_ended=self.dial),
             clock=self.clock,
             metrics=NullTelemetry(),
             decisions=NullTelemetry(),
@@ -44,7 +44,7 @@
     def record(self, report: CrashReport) -> None:
         self.quarantine.record_crash(report, self.clock.now())
 
-    async def dial(self, address: str) -> bool:
+    async def dial(self, target: ListedTarget) -> bool:
         await asyncio.sleep(DIAL_SECONDS)
         return self.crashed
 
--- a/tests/test_entry/test_relay/test_crash_fleets.py
+++ b/tests/test_entry/test_relay/test_crash_fleets.py
@@ -154,7 +154,7 @@
             ),
             quarantine=self.quarantine,
             target_table=SimpleNamespace(is_available=lambda incarnation: True),
-            connections=SimpleNamespace(is_port_closed=_dial),
+            evidence=SimpleNamespace(has_ended=_dial),
             clock=fleet.clock,
             metrics=telemetry,
             decisions=telemetry,
@@ -328,7 +328,7 @@
                 ended.set_result(False)
 
 
-async def _dial(address: str) -> bool:
+async def _dial(target: ListedTarget) -> bool:
     await asyncio.sleep(DIAL_SECONDS)
     return True
 
--- a/tests/test_entry/test_relay/test_guards.py
+++ b/tests/test_entry/test_relay/test_guards.py
@@ -14,10 +14,10 @@
 from greengagelatch.relay.targets import ListedTarget, TargetTable
 from greengagelatch_entry.adapters.caller_connections import _Connection
 from greengagelatch_entry.relay import runners
+from greengagelatch_entry.relay.crash_evidence import RefusalEvidence
 from greengagelatch_entry.relay.event_splitter import EventSplitter
 from greengagelatch_entry.relay.front import RelayFront
 from greengagelatch_entry.relay.target_connections import (
-    TargetConnectionPool,
     _TargetConnection,
 )
 from greengagelatch_lab.platform_standins.targets import TargetFault
@@ -233,10 +233,10 @@
 
 
 async def test_dial_distinguishes_lost_responses_from_crashes(world, monkeypatch):
-    async def believe(self, address):
+    async def believe(self, target):
         return True
 
-    monkeypatch.setattr(TargetConnectionPool, "is_port_closed", believe)
+    monkeypatch.setattr(RefusalEvidence, "has_ended", believe)
     await test_crash_report_replicator.lose_answers(world)
     await world.wait_for(lambda: world.describe()["crashes"]["held_count"] == 1)
     assert (await world.ask(test_crash_report_replicator.LOST)).status == 503
--- a/tests/test_entry/test_relay/test_partitioned_instances.py
+++ b/tests/test_entry/test_relay/test_partitioned_instances.py
@@ -62,3 +62,25 @@
     for at_cut, *at_others in served.values():
         assert number - at_cut <= MAX_FAILED + number // FAILED_DIVISOR, served
         assert 3 * at_cut >= 2 * max(at_others), served
+
+
+async def test_partition_is_not_taken_for_crashes_of_targets(fleet):
+    """Guards against innocent requests that are held for resets by a partition."""
+    cut = fleet.instances[0]
+    gate = asyncio.Event()
+    for target in fleet.targets.values():
+        target.gate = gate
+    replies = [
+        asyncio.create_task(cut.ask(f"/book/{number}", method="POST"))
+        for number in range(4)
+    ]
+    await cut.wait_for(
+        lambda: sum(len(one.received) for one in fleet.targets.values()) >= 4
+    )
+    await cut.links.cut(PartitionForm.RESET)
+    await asyncio.gather(*replies)
+    gate.set()
+    detector = cut.find("crash-watch")
+    await cut.wait_for(lambda: not detector.dump()["suspected"])
+    assert cut.count("targets.ended_under_requests") == 0
+    assert cut.count("targets.broke_and_live") > 0
--- a/tests/test_entry/test_relay/test_tunnel_fleets.py
+++ b/tests/test_entry/test_relay/test_tunnel_fleets.py
@@ -96,11 +96,11 @@
 
     async def start(self, *, configured: bool = True) -> None:
         self.parts = compose_relay(self._create_rules(), self._create_adapters())
-        pool = self.find("crash-watch")._connections
+        routed = self.find("reachability")._dialer
         self.dialer = ThroughPeer(
-            PeerTunnelDialer(peers=self.find("peers"), metrics=pool._metrics)
+            PeerTunnelDialer(peers=self.find("peers"), metrics=routed._metrics)
         )
-        pool._dialer = self.dialer
+        routed.dial = self.dialer.dial
         await self.start_parts()
         await self.wait_for(
             lambda: PEER in {one.instance_id for one in self.find("peers").members()}
--- a/tests/test_entry/test_stage_quarantine.py
+++ b/tests/test_entry/test_stage_quarantine.py
@@ -21,6 +21,7 @@
 from greengagelatch_entry.metrics import Metrics
 from greengagelatch_entry.pipeline_runner import PipelineRunner
 from greengagelatch_entry.relay.crash_detector import CrashDetector
+from greengagelatch_entry.relay.crash_evidence import PortEvidence
 from greengagelatch_entry.relay.decisions import DecisionLog
 from greengagelatch_entry.stage_caller import StageCaller
 from greengagelatch_entry.stage_quarantine import (
@@ -135,7 +136,7 @@
             replicator=self._gossip,
             quarantine=self.quarantine,
             target_table=DirectoryAvailability(directory),
-            connections=service,
+            evidence=PortEvidence(service),
             clock=self.clock,
             metrics=metrics,
             decisions=decisions,
