Keep the port of a proxy that refuses connections

A proxy that had stopped listening could lose its port to another process, so that its heal failed with "address already in use"; seen once in three runs of the test of partitioned instances at the same time. A bound socket that does not listen holds the port now.

--- a/packages/greengagelatch-lab/src/greengagelatch_lab/standins/tcp_proxy.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/standins/tcp_proxy.py
@@ -54,8 +54,8 @@
         self._connections: set[_Connection] = set()
         self._blackholed = NO_DIRECTION
         self._delays = {Direction.FORWARD: 0.0, Direction.BACKWARD: 0.0}
-        #: sockets that keep connections from being accepted
-        self._hanging: list[socket.socket] = []
+        #: sockets that hold the port while no connection is accepted
+        self._holding: list[socket.socket] = []
         #: number of connections accepted so far
         self.accepted = 0
 
@@ -72,6 +72,7 @@
     async def stop(self) -> None:
         """Close the listening socket and all connections."""
         await self.disconnect()
+        self._close_holding()
 
     async def disconnect(self) -> None:
         """Close all connections and refuse new ones until :meth:`heal`."""
@@ -80,10 +81,16 @@
 
     def refuse_new(self) -> None:
         """Refuse new connections until :meth:`heal`; open ones live on."""
-        self._close_hanging()
+        self._close_holding()
         if self._server is not None:
             self._server.close()
             self._server = None
+        # a bound socket that does not listen refuses connections, and keeps the port
+        # from others
+        holder = socket.socket()
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        holder.bind((self._host, self._port))
+        self._holding.append(holder)
 
     def hang_new(self) -> None:
         """Answer no attempt to connect until :meth:`heal`; open ones live on.
@@ -91,13 +98,9 @@
         The kernel drops the SYN of a connection that finds the accept queue full.
         """
         self.refuse_new()
-        listener = socket.socket()
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind((self._host, self._port))
-        listener.listen(0)
-        self._hanging.append(listener)
+        self._holding[0].listen(0)
         for _ in range(QUEUE_FILLERS):
-            self._hanging.append(socket.create_connection((self._host, self._port)))
+            self._holding.append(socket.create_connection((self._host, self._port)))
 
     async def close_connections(self) -> None:
         """Close all connections; new ones are still accepted."""
@@ -129,7 +132,7 @@
         """Clear all faults; connections that have lost data keep discarding it."""
         self._blackholed = NO_DIRECTION
         self.delay(0.0)
-        self._close_hanging()
+        self._close_holding()
         if self._server is None:
             await self.start()
 
@@ -145,10 +148,10 @@
     ) -> None:
         await self.stop()
 
-    def _close_hanging(self) -> None:
-        for one in reversed(self._hanging):
+    def _close_holding(self) -> None:
+        for one in reversed(self._holding):
             one.close()
-        self._hanging.clear()
+        self._holding.clear()
 
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
