Ask peers again that were slow, and hold requests shorter for targets that are down

A peer that gave no answer in 0.4 s was left out for all services for 2 s. Such a peer is now asked last.

A target that does not answer at all held a request up to 1 s, as each peer waited for it as well, and was never taken for down where time ran out before the last peer. While no target is bypassed, peers get 0.2 s each and 0.4 s together, and the target is down if all that answered could not reach it.

The tests in virtual time pass. Those of slow peers fail with the decisions as they were.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/routed_dialer.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/routed_dialer.py
@@ -31,8 +31,12 @@
 #: seconds for a direct attempt. Targets are milliseconds away and the kernel repeats a
 #: lost SYN only after a second
 DIRECT_TIMEOUT = 0.3
-#: seconds for one peer to open a tunnel
-TUNNEL_TIMEOUT = 0.4
+#: seconds for one peer to open a tunnel. Peers under load are slow, and a tunnel that
+#: is given up and tried again elsewhere adds to their load
+TUNNEL_TIMEOUT = 1.0
+#: the same, and for all peers together, while it is not known whether this instance is
+#: partitioned: a target that is down must not hold up requests for long
+FIRST_TUNNEL_TIMEOUT, FIRST_TUNNELS_TIMEOUT = 0.2, 0.4
 #: seconds for which a direct attempt is alone before a tunnel is tried beside it
 HEAD_START = 0.05
 #: log lines on changes of belief: in a period of so many seconds, at most so many
@@ -234,26 +238,33 @@
 
         :raises DialError: if none of them can
         """
+        longest = TUNNEL_TIMEOUT
+        if not self._reachability.is_bypassing:
+            longest = FIRST_TUNNEL_TIMEOUT
+            end = min(end, self._clock.now() + FIRST_TUNNELS_TIMEOUT)
         unreached = []
-        peer_ids = self._choose_peers(destination)
-        for peer_id in peer_ids:
-            left = end - self._clock.now()
-            if left <= 0:
+        for peer_id in self._choose_peers(destination):
+            timeout = min(end - self._clock.now(), longest)
+            if timeout <= 0:
                 break
             self._metrics.count("reachability.tunnels_tried")
             try:
                 protocol = await self._tunnels.dial_through(
-                    peer_id, destination, create_protocol, min(left, TUNNEL_TIMEOUT)
+                    peer_id, destination, create_protocol, timeout
                 )
             except TunnelError as error:
                 self._metrics.count(f"reachability.tunnel_{error.failure.value}")
-                if self._record_tunnel_failure(destination, peer_id, error):
-                    break
                 if error.failure is TunnelFailure.TARGET_UNREACHABLE:
                     unreached.append(peer_id)
+                elif timeout < longest:
+                    # too little time was left to blame the peer
+                    break
+                if self._record_tunnel_failure(destination, peer_id, error):
+                    unreached.clear()
+                    break
                 continue
             return _Tunnel(protocol, peer_id)
-        if unreached and len(unreached) == len(peer_ids):
+        if unreached:
             self._record_all_failed(destination, unreached)
         raise DialError("no peer reaches the target", DialFailure.FAILED)
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
@@ -39,7 +39,7 @@
 
 #: seconds for opening a connection, directly or through peers. Without the timeout, a
 #: target behind a partition holds a request until its deadline
-DIAL_TIMEOUT = 1.0
+DIAL_TIMEOUT = 1.5
 #: seconds for which an idle connection is reused if the target announces no timeout
 MAX_IDLE_SECONDS = 3.0
 #: fraction of the idle timeout announced by a target that is used
--- a/packages/greengagelatch/src/greengagelatch/relay/reachability.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/reachability.py
@@ -22,7 +22,8 @@
 MAX_PEERS = 3
 #: seconds for which a peer that reached a target of a service is preferred for it
 REACHED_SECONDS = 10.0
-#: seconds for which a peer that reaches no target of a service is not asked for it
+#: seconds for which a peer that reaches no target of a service is not asked for it, and
+#: for which one that gave no answer is asked last
 FAILING_SECONDS = 2.0
 #: the same for a peer that denied a tunnel
 DENIED_SECONDS = 0.5
@@ -96,6 +97,8 @@
         #: time until which no tunnel is tried, by target
         self._down: dict[Incarnation, float] = {}
         self._records: dict[tuple[str, str], _PeerRecord] = {}
+        #: time until which a peer is asked last
+        self._lost: dict[str, float] = {}
         #: time of the last direct connection, by service
         self._direct_at: dict[str, float] = {}
         #: time of the next probe, by service with bypassed targets
@@ -167,6 +170,7 @@
         record.reached_at = now
         record.excluded_until = float("-inf")
         record.failed.clear()
+        self._lost.pop(peer_id, None)
         self._down.pop(incarnation, None)
         if incarnation in self._bypassed:
             return False
@@ -206,9 +210,14 @@
         record.excluded_until = now + DENIED_SECONDS
 
     def record_lost_peer(self, peer_id: str, now: float) -> None:
-        """Record that a peer itself can't be connected to."""
-        record = self._find_record(peer_id, "")
-        record.excluded_until = now + FAILING_SECONDS
+        """Record that a peer gave no answer.
+
+        It may only be slow for a moment, as a process under load is, so that it is
+        still asked if no other peer helps.
+        """
+        self._lost.pop(peer_id, None)
+        self._lost[peer_id] = now + FAILING_SECONDS
+        _trim(self._lost, MAX_PEER_RECORDS)
 
     def record_all_failed(
         self,
@@ -291,18 +300,17 @@
         _trim(self._down, MAX_TARGETS)
 
     def _is_excluded(self, peer_id: str, service: str, now: float) -> bool:
-        for key in ((peer_id, service), (peer_id, "")):
-            record = self._records.get(key)
-            if record is not None and now < record.excluded_until:
-                return True
-        return False
+        record = self._records.get((peer_id, service))
+        return record is not None and now < record.excluded_until
 
-    def _rank(self, peer_id: str, service: str, is_near: bool, now: float) -> int:
+    def _rank(
+        self, peer_id: str, service: str, is_near: bool, now: float
+    ) -> tuple[bool, bool, bool]:
         """Return the order of a peer: the lower, the earlier it is asked."""
         record = self._records.get((peer_id, service))
-        if record is not None and now - record.reached_at < REACHED_SECONDS:
-            return 0
-        return 1 if is_near else 2
+        has_reached = record is not None and now - record.reached_at < REACHED_SECONDS
+        is_lost = now < self._lost.get(peer_id, float("-inf"))
+        return is_lost, not has_reached, not (has_reached or is_near)
 
     def _schedule_probe(self, service: str, now: float) -> None:
         jitter = self._random.uniform(1 - PROBE_JITTER, 1 + PROBE_JITTER)
--- a/tests/test_core/test_relay/test_reachability.py
+++ b/tests/test_core/test_relay/test_reachability.py
@@ -162,14 +162,27 @@
     assert reachability.choose_peers("desk", [member], 0.0) == ()
 
 
-def test_peer_that_denies_or_is_lost_is_left_out_for_a_while(reachability):
-    members = create_members("a", "b", "c")
+def test_peer_that_denies_is_left_out_for_a_while(reachability):
+    members = create_members("a", "b")
     reachability.record_denied("a", "desk", 0.0)
-    reachability.record_lost_peer("b", 0.0)
-    assert reachability.choose_peers("desk", members, 0.1) == ("c",)
-    assert set(reachability.choose_peers("llm", members, 0.1)) == {"a", "c"}
+    assert reachability.choose_peers("desk", members, 0.1) == ("b",)
+    assert set(reachability.choose_peers("llm", members, 0.1)) == {"a", "b"}
     chosen = reachability.choose_peers("desk", members, DENIED_SECONDS)
-    assert set(chosen) == {"a", "c"}
+    assert set(chosen) == {"a", "b"}
+
+
+def test_peer_that_gives_no_answer_is_asked_last(reachability):
+    """Guards against peers left out by all since they were slow for a moment."""
+    members = create_members("a", "b")
+    reachability.record_tunnel("a", T1, "desk", 0.0)
+    reachability.record_lost_peer("a", 0.1)
+    assert reachability.choose_peers("desk", members, 0.2) == ("b", "a")
+    reachability.record_lost_peer("b", 0.2)
+    assert reachability.choose_peers("desk", members, 0.3) == ("a", "b")
+    reachability.record_tunnel("b", T1, "desk", 0.3)
+    assert reachability.choose_peers("desk", members, 0.4) == ("b", "a")
+    later = 0.1 + FAILING_SECONDS
+    assert set(reachability.choose_peers("desk", members, later)) == {"a", "b"}
 
 
 def test_one_target_of_a_service_is_probed_at_a_time(reachability):
--- a/tests/test_entry/test_relay/test_routed_dialer.py
+++ b/tests/test_entry/test_relay/test_routed_dialer.py
@@ -16,6 +16,8 @@
 from greengagelatch_entry.relay.reachability_probes import ReachabilityController
 from greengagelatch_entry.relay.routed_dialer import (
     DIRECT_TIMEOUT,
+    FIRST_TUNNEL_TIMEOUT,
+    FIRST_TUNNELS_TIMEOUT,
     HEAD_START,
     LOG_LINES,
     RoutedDialer,
@@ -311,6 +313,47 @@
     assert len(world.tunnels.asked) > 1
 
 
+async def test_hanging_target_is_asked_for_once_a_second(world):
+    """Guards against a machine that is down and holds up each request for long."""
+    world.direct.cut["desk-1"] = DialFailure.TIMED_OUT
+    # peers learn after a while only that the target does not answer
+    world.tunnels.seconds = 0.8 * FIRST_TUNNEL_TIMEOUT
+    for peer_id in "abc":
+        world.tunnels.failures[peer_id, "desk-1"] = create_error(
+            TunnelFailure.TARGET_UNREACHABLE
+        )
+    before = world.clock.now()
+    with pytest.raises(DialError):
+        await world.dial("desk-1")
+    held = world.clock.now() - before
+    assert held <= DIRECT_TIMEOUT + FIRST_TUNNELS_TIMEOUT + 0.001
+    asked = len(world.tunnels.asked)
+    before = world.clock.now()
+    for _ in range(2):
+        with pytest.raises(DialError):
+            await world.dial("desk-1")
+    assert world.clock.now() - before <= 2 * DIRECT_TIMEOUT + 0.001
+    assert len(world.tunnels.asked) == asked
+    # no peer is left out for it
+    world.direct.cut["desk-2"] = DialFailure.REFUSED
+    world.tunnels.seconds = CONNECT_SECONDS
+    assert await world.dial("desk-2") in ("a", "b", "c")
+    chosen = world.reachability.choose_peers("desk", world.members, world.clock.now())
+    assert len(chosen) == 3
+
+
+async def test_peers_that_were_slow_once_are_asked_again(world):
+    """Guards against an instance that refuses all since its peers were slow."""
+    world.cut(DialFailure.REFUSED)
+    assert await world.dial("desk-1") != "direct"
+    for peer_id in "abc":
+        world.tunnels.failures[peer_id] = create_error(TunnelFailure.PEER_UNREACHABLE)
+    with pytest.raises(DialError):
+        await world.dial("desk-1")
+    world.tunnels.failures.clear()
+    assert await world.dial("desk-1") in ("a", "b", "c")
+
+
 async def test_failure_without_a_helping_peer_is_that_of_the_direct_attempt(world):
     world.cut(DialFailure.TIMED_OUT)
     for peer_id in "abc":
