--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -18,6 +18,7 @@
 from greengagelatch.relay.load_balancer import LoadBalancer
 from greengagelatch.relay.placed_batches import PlacedBatching
 from greengagelatch.relay.quarantine import Quarantine
+from greengagelatch.relay.reachability import Reachability
 from greengagelatch.relay.targets import TargetTable
 
 from ..adapters.peers import PeerHub
@@ -29,6 +30,7 @@
 from .bundle_quarantine import SharedBundleQuarantine
 from .configuration import ConfigurationFollower
 from .crash_detector import CrashDetector
+from .crash_evidence import RefusalEvidence
 from .crash_report_replicator import CrashReportReplicator
 from .decisions import DecisionLog
 from .evacuation import EvacuationFollower
@@ -51,10 +53,12 @@
 from .peer_settings import create_peer_settings
 from .peer_sync import PeerSyncController
 from .prometheus import PrometheusMetrics
+from .reachability_probes import ReachabilityController
 from .readiness import ReadinessServer
 from .registry import RegistryController
 from .retry_budgets import RetryBudgets
 from .route_latencies import RouteLatencies
+from .routed_dialer import RoutedDialer
 from .stage_groups import MakerGroups
 from .stage_pool import StagePool
 from .stages import StageRunner
@@ -63,7 +67,11 @@
 from .suspect_admission import SuspectAdmission
 from .suspect_locks import SuspectLocks
 from .target_connections import TargetConnectionPool
+from .target_dialers import DirectDialer
 from .target_sender import TargetSender
+from .tunnel_dialer import PeerTunnelDialer
+from .tunnel_frames import TUNNEL_PATH
+from .tunnel_server import TunnelServer
 from .unary import UnaryRunner
 from .usage import UsageController
 
@@ -158,11 +166,6 @@
             data_centre=self.settings.data_centre,
             random_source=self.random,
         )
-        self.connections = TargetConnectionPool(
-            find_idle_limit=self._find_idle_limit,
-            clock=self.clock,
-            metrics=self.metrics,
-        )
         self.configuration = ConfigurationFollower(
             codec=self.adapters.deployments, clock=self.clock, decisions=self.decisions
         )
@@ -207,6 +210,44 @@
             metrics=self.metrics,
             capacity=self.settings.capacity.bundles,
         )
+        self.direct_dialer = DirectDialer(self.metrics)
+        self.reachability = Reachability(
+            instance_id=self.settings.instance_id,
+            data_centre=self.settings.data_centre,
+            random_source=self.random,
+        )
+        self.tunnel_dialer = PeerTunnelDialer(peers=self.peers, metrics=self.metrics)
+        self.tunnels = TunnelServer(
+            target_table=self.target_table,
+            dialer=self.direct_dialer,
+            is_stopping=lambda: self.drain.draining,
+            is_reachable=self.reachability.is_reachable,
+            metrics=self.metrics,
+            decisions=self.decisions,
+        )
+        self.peers.serve_path(TUNNEL_PATH, self.tunnels.accept)
+        self.dialer = RoutedDialer(
+            direct=self.direct_dialer,
+            tunnels=self.tunnel_dialer,
+            reachability=self.reachability,
+            peers=self.peers,
+            on_bypassed=lambda incarnation: self.connections.close_idle(incarnation),
+            clock=self.clock,
+            metrics=self.metrics,
+            decisions=self.decisions,
+        )
+        self.reachability_probes = ReachabilityController(
+            dialer=self.dialer,
+            reachability=self.reachability,
+            target_table=self.target_table,
+            clock=self.clock,
+        )
+        self.connections = TargetConnectionPool(
+            dialer=self.dialer,
+            find_idle_limit=self._find_idle_limit,
+            clock=self.clock,
+            metrics=self.metrics,
+        )
         self.crash_reports = CrashReportReplicator(
             instance_id=self.settings.instance_id,
             quarantine=self.quarantine,
@@ -220,7 +261,12 @@
             replicator=self.crash_reports,
             quarantine=self.quarantine,
             target_table=self.target_table,
-            connections=self.connections,
+            evidence=RefusalEvidence(
+                dialer=self.dialer,
+                reachability=self.reachability,
+                target_table=self.target_table,
+                random_source=self.random,
+            ),
             clock=self.clock,
             metrics=self.metrics,
             decisions=self.decisions,
@@ -387,7 +433,7 @@
             max_drain_seconds=self.settings.longest_drain,
             close_listener=self.front.close_listener,
             wait_idle=self._wait_idle,
-            abort_requests=self.in_flight.abort_all,
+            abort_requests=self._abort_requests,
         )
         self.readiness = ReadinessServer(
             listen=self.settings.readiness_listen,
@@ -449,9 +495,11 @@
     def _list_controllers(self) -> tuple[Controller, ...]:
         return (
             self.peers,
+            self.tunnels,
             self.registry,
             self.crash_reports,
             self.crash_detector,
+            self.reachability_probes,
             self.suspect_locks,
             self.follower,
             self.peer_sync,
@@ -472,11 +520,18 @@
         end = self.clock.now() + timeout
         if not await self.front.wait_idle(timeout):
             return False
-        return await self.stage_executor.wait_idle(max(0.0, end - self.clock.now()))
+        if not await self.stage_executor.wait_idle(max(0.0, end - self.clock.now())):
+            return False
+        return await self.tunnels.wait_idle(max(0.0, end - self.clock.now()))
+
+    def _abort_requests(self) -> None:
+        self.in_flight.abort_all()
+        self.tunnels.abort_all()
 
     def _forget_target(self, incarnation: Incarnation) -> None:
         self.connections.close_idle(incarnation)
         self.crash_detector.record_removal(incarnation)
+        self.reachability.forget(incarnation)
         self.load_balancer.forget(incarnation)
         self.cold_targets.forget(incarnation)
         self.local_executor.record_removal(incarnation)
@@ -492,10 +547,14 @@
             **parts,
             "targets": self.load_balancer.describe(self.clock.now()),
             "cold_targets": self.cold_targets.describe(self.clock.now()),
-            "links": {"idle": self.connections.count_idle()},
+            "links": {
+                "idle": self.connections.count_idle(),
+                "tunnelled": self.tunnel_dialer.count_open(),
+            },
             "metrics": self.metrics.dump(),
         }
 
     async def _close(self) -> None:
         self.connections.close_all_idle()
+        await self.tunnel_dialer.close()
         await self.store.close()
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
@@ -14,8 +14,11 @@
 from aiohttp.http_exceptions import HttpProcessingError
 
 from greengagelatch.relay.connection_loss import ConnectionLossRule
+from greengagelatch.relay.incarnations import Incarnation
 
 from .patience import PatientWait
+from .target_dialers import Destination, DialError, TunnelLostError
+from .tunnel_transport import TUNNELLED
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
@@ -24,11 +27,11 @@
     from aiohttp.http import RawResponseMessage
 
     from greengagelatch.clock import Clock
-    from greengagelatch.relay.incarnations import Incarnation
 
     from ..metrics import Metrics
     from .messages import OutboundRequest
     from .patience import Patience
+    from .target_dialers import TargetDialer
 
 __all__ = (
     "TargetResponseError",
@@ -38,10 +41,9 @@
     "configure_socket",
 )
 
-#: connect timeout in seconds. Targets are milliseconds away and the kernel retransmits
-#: a lost SYN only after a second, so that trying another target is faster. Without the
-#: timeout, a target behind a partition holds a request until its deadline
-CONNECT_TIMEOUT = 0.3
+#: seconds for opening a connection, directly or through peers. Without the timeout, a
+#: target behind a partition holds a request until its deadline
+DIAL_TIMEOUT = 1.5
 #: seconds for which an idle connection is reused if the target announces no timeout
 MAX_IDLE_SECONDS = 3.0
 #: fraction of the idle timeout announced by a target that is used
@@ -114,9 +116,12 @@
 
     @property
     def reusable(self) -> bool:
-        """Whether no data of an earlier request is left on the connection."""
+        """Whether it is direct and no data of an earlier request is left on it."""
         if not self.is_connected() or self.should_close:
             return False
+        # once idle, a tunnel would hold up a planned stop of the peer that carries it
+        if self.transport.get_extra_info(TUNNELLED):
+            return False
         return self.transport.get_write_buffer_size() == 0
 
 
@@ -143,7 +148,8 @@
             ) from error
         if self._connection.loss is not None and not self._is_framed():
             raise TargetResponseError(
-                "connection reset during a response without a length", broken=True
+                "connection reset during a response without a length",
+                broken=not isinstance(self._connection.loss, TunnelLostError),
             )
 
     async def read(self, limit: int) -> bytes:
@@ -180,16 +186,19 @@
     drops. Here each request is written once, so that requests that are not idempotent
     run at most once.
 
+    :param dialer: opens the connections
     :param find_idle_limit: returns the maximum number of idle connections to a target
     """
 
     def __init__(
         self,
         *,
+        dialer: TargetDialer,
         find_idle_limit: Callable[[Incarnation], int],
         clock: Clock,
         metrics: Metrics,
     ) -> None:
+        self._dialer = dialer
         self._find_idle_limit = find_idle_limit
         self._clock = clock
         self._metrics = metrics
@@ -207,6 +216,9 @@
         timeout: float,
         patience: Patience | None = None,
         may_send: Callable[[], bool] | None = None,
+        service: str = "",
+        data_centre: str = "",
+        data_centres: frozenset[str] | None = None,
     ) -> TargetResponse:
         """Write a request and wait for the head of its response.
 
@@ -215,13 +227,24 @@
         :param timeout: seconds until the head must have arrived
         :param patience: when a target that is silent may be left before that
         :param may_send: checked once connected, and again before pooling the connection
+        :param service: service of the target
+        :param data_centre: data centre of the target
+        :param data_centres: those of the instances that the request may pass;
+            ``None``: all
         :raises NotSentError: if no byte was sent
         :raises TargetResponseError: if the request was written without a response
         """
         end = asyncio.get_running_loop().time() + timeout
         connection = None if fresh else self._checkout(incarnation)
         if connection is None:
-            connection = await self._open(address, min(timeout, CONNECT_TIMEOUT))
+            destination = Destination(
+                incarnation=incarnation,
+                address=address,
+                service=service,
+                data_centre=data_centre,
+                data_centres=data_centres,
+            )
+            connection = await self._open(destination, min(timeout, DIAL_TIMEOUT))
         if may_send is not None and not may_send():
             connection.abort()
             raise NotSentError(
@@ -259,18 +282,6 @@
             lambda one, head: self._release(incarnation, one, head, may_send),
         )
 
-    async def is_port_closed(self, address: str) -> bool:
-        """Return whether an address refuses connections: its process has ended.
-
-        A connect timeout is no evidence of that: the target may only be unreachable.
-        """
-        try:
-            connection = await self._open(address, CONNECT_TIMEOUT)
-        except NotSentError as error:
-            return isinstance(error.__cause__, ConnectionRefusedError)
-        connection.abort()
-        return False
-
     def close_idle(self, incarnation: Incarnation) -> None:
         """Close the idle connections to a target."""
         self._last_requested.pop(incarnation, None)
@@ -295,19 +306,22 @@
             if message.code >= 200:
                 return message, content
 
-    async def _open(self, address: str, timeout: float) -> _TargetConnection:
-        host, _, port = address.rpartition(":")
-        loop = asyncio.get_running_loop()
-        self._metrics.count("links.opened")
+    async def _open(
+        self, destination: Destination, timeout: float
+    ) -> _TargetConnection:
         try:
-            async with asyncio.timeout(timeout):
-                _, connection = await loop.create_connection(
-                    lambda: _TargetConnection(loop), host, int(port)
-                )
-        except TimeoutError:
-            raise NotSentError("connect timed out") from None
-        except (OSError, ValueError) as error:
-            raise NotSentError(f"connect failed: {type(error).__name__}") from error
+            return await self._dial(destination, timeout)
+        except DialError as error:
+            raise NotSentError(str(error)) from error
+
+    async def _dial(
+        self, destination: Destination, timeout: float
+    ) -> _TargetConnection:
+        loop = asyncio.get_running_loop()
+        connection = await self._dialer.dial(
+            destination, lambda: _TargetConnection(loop), timeout
+        )
+        assert isinstance(connection, _TargetConnection)
         return connection
 
     def _checkout(self, incarnation: Incarnation) -> _TargetConnection | None:
@@ -381,8 +395,10 @@
 
     :param loss: error that ended the connection; ``None`` if there was none
     """
-    # malformed data comes from a live process
-    broken = not isinstance(error, HttpProcessingError)
+    # malformed data comes from a live process, and the loss of a peer that carried the
+    # connection says nothing about the target
+    malformed = isinstance(error, HttpProcessingError)
+    broken = not malformed and not isinstance(loss, TunnelLostError)
     reason = f"{what}: {type(error).__name__}"
     code = getattr(loss, "errno", None)
     if code in errno.errorcode:
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/standins/tcp_proxy.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/standins/tcp_proxy.py
@@ -1,8 +1,9 @@
-"""TCP proxy between processes that disconnects, blackholes, pauses and delays."""
+"""TCP proxy that partitions, disconnects, blackholes, pauses and delays."""
 
 from __future__ import annotations
 
 import asyncio
+import socket
 from dataclasses import dataclass
 from enum import Flag, auto
 from types import TracebackType
@@ -11,6 +12,8 @@
 
 CHUNK_BYTES = 64 * 1024
 HOST = "127.0.0.1"
+#: connections that fill the accept queue of a socket without a backlog
+QUEUE_FILLERS = 1
 
 
 class Direction(Flag):
@@ -56,6 +59,8 @@
         }
         self.resume()
         self._delays = {Direction.FORWARD: 0.0, Direction.BACKWARD: 0.0}
+        #: sockets that hold the port while no connection is accepted
+        self._holding: list[socket.socket] = []
         #: number of connections accepted so far
         self.accepted = 0
 
@@ -72,13 +77,35 @@
     async def stop(self) -> None:
         """Close the listening socket and all connections."""
         await self.disconnect()
+        self._close_holding()
 
     async def disconnect(self) -> None:
         """Close all connections and refuse new ones until :meth:`heal`."""
+        self.refuse_new()
+        await self.close_connections()
+
+    def refuse_new(self) -> None:
+        """Refuse new connections until :meth:`heal`; open ones live on."""
+        self._close_holding()
         if self._server is not None:
             self._server.close()
             self._server = None
-        await self.close_connections()
+        # a bound socket that does not listen refuses connections, and keeps the port
+        # from others
+        holder = socket.socket()
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        holder.bind((self._host, self._port))
+        self._holding.append(holder)
+
+    def hang_new(self) -> None:
+        """Answer no attempt to connect until :meth:`heal`; open ones live on.
+
+        The kernel drops the SYN of a connection that finds the accept queue full.
+        """
+        self.refuse_new()
+        self._holding[0].listen(0)
+        for _ in range(QUEUE_FILLERS):
+            self._holding.append(socket.create_connection((self._host, self._port)))
 
     async def close_connections(self) -> None:
         """Close all connections; new ones are still accepted."""
@@ -122,6 +149,7 @@
         self._blackholed = NO_DIRECTION
         self.delay(0.0)
         self.resume()
+        self._close_holding()
         if self._server is None:
             await self.start()
 
@@ -137,6 +165,11 @@
     ) -> None:
         await self.stop()
 
+    def _close_holding(self) -> None:
+        for one in reversed(self._holding):
+            one.close()
+        self._holding.clear()
+
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
--- a/tests/test_entry/test_relay/conftest.py
+++ b/tests/test_entry/test_relay/conftest.py
@@ -4,13 +4,14 @@
 
 import asyncio
 import socket
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 import aiohttp
 import pytest
 from yarl import URL
 
+from greengagelatch.peers import MemberState
 from greengagelatch.relay.cold_targets import ColdTargetRule
 from greengagelatch.relay.connection_loss import ConnectionLossRule
 from greengagelatch.relay.digests import compute_digest
@@ -23,7 +24,9 @@
     HOST,
     create_configuration,
 )
+from greengagelatch_lab.platform_standins.fleet import find_free_ports
 from greengagelatch_lab.platform_standins.store import SimulatedStore
+from greengagelatch_lab.platform_standins.target_links import TargetLinks
 from greengagelatch_lab.platform_standins.targets import SimulatedTarget
 from greengagelatch_platform.callers import PlatformCallerCodec
 from greengagelatch_platform.configuration import PlatformDeploymentCodec
@@ -64,15 +67,23 @@
         if configured:
             self.store.put("op/config", create_configuration())
         self.parts = compose_relay(self._create_rules(), self._create_adapters())
+        await self.start_parts()
+
+    async def start_parts(self) -> None:
+        """Start the composed instance."""
         for controller in self.parts.controllers:
             await controller.start()
         self.session = aiohttp.ClientSession()
 
-    async def stop(self) -> None:
+    async def stop_parts(self) -> None:
+        """Stop the instance alone."""
         await self.session.close()
         for controller in reversed(self.parts.controllers):
             await controller.stop()
         await self.parts.close()
+
+    async def stop(self) -> None:
+        await self.stop_parts()
         for target in self.targets.values():
             await target.stop()
         await self.store.stop()
@@ -250,6 +261,112 @@
     )
 
 
+class LinkedInstance(World):
+    """One of several instances, with links of its own to the targets."""
+
+    def __init__(
+        self,
+        shared: World,
+        instance_id: str,
+        data_centre: str,
+        listen: str,
+        seeds: str,
+    ) -> None:
+        super().__init__()
+        self.store = shared.store
+        self.targets = shared.targets
+        self.links = TargetLinks()
+        self.instance_id = instance_id
+        self.data_centre = data_centre
+        self._listen = listen
+        self._seeds = seeds
+
+    async def start(self) -> None:
+        await self.links.add(self.targets.values())
+        self.parts = compose_relay(self._create_rules(), self._create_adapters())
+        self.links.attach(self.find("news")._target_table)
+        for controller in self.parts.controllers:
+            await controller.start()
+        self.session = aiohttp.ClientSession()
+
+    async def stop(self) -> None:
+        await self.session.close()
+        for controller in reversed(self.parts.controllers):
+            await controller.stop()
+        await self.parts.close()
+        await self.links.stop()
+
+    def count_members(self) -> int:
+        """Return how many instances it knows to be alive."""
+        members = self.find_known_instances()._list_members()
+        return sum(one.state is MemberState.ALIVE for one in members)
+
+    async def wait_until_serving(self) -> None:
+        """Wait until requests to all services are answered."""
+        async with asyncio.timeout(WAIT_SECONDS):
+            while True:
+                replies = (await self.ask("/look/1"), await self.stream())
+                if all(reply.status == 200 for reply in replies):
+                    return
+                await asyncio.sleep(0.05)
+
+    def _create_rules(self) -> RelaySettings:
+        return replace(
+            super()._create_rules(),
+            instance_id=self.instance_id,
+            data_centre=self.data_centre,
+            peers_listen=self._listen,
+            peers_seeds=self._seeds,
+        )
+
+
+class Fleet(World):
+    """Several instances with one store and the same targets.
+
+    :param data_centres: one for each instance
+    :param target_data_centres: two targets of each service are in each of them
+    """
+
+    def __init__(
+        self, data_centres: tuple[str, ...], target_data_centres: tuple[str, ...]
+    ) -> None:
+        super().__init__()
+        self._target_data_centres = target_data_centres
+        ports = find_free_ports(len(data_centres))
+        addresses = [f"127.0.0.1:{port}" for port in ports]
+        self.instances = [
+            LinkedInstance(
+                self, f"entry-{number}", data_centre, address, ",".join(addresses)
+            )
+            for number, (data_centre, address) in enumerate(
+                zip(data_centres, addresses, strict=True), start=1
+            )
+        ]
+
+    async def start(self) -> None:
+        await self.store.start()
+        self.store.put("op/config", create_configuration())
+        for data_centre in self._target_data_centres:
+            for service in ("desk", "llm", "portal", "ledger"):
+                for number in (1, 2):
+                    target_id = f"{service}-{data_centre}-{number}"
+                    await self.add(target_id, service, data_centre=data_centre)
+        for instance in self.instances:
+            await instance.start()
+        for instance in self.instances:
+            await instance.wait_until_synced(len(self.targets))
+            await instance.wait_for(
+                lambda one=instance: one.count_members() == len(self.instances)
+            )
+
+    async def stop(self) -> None:
+        for instance in self.instances:
+            await instance.stop()
+        for target in self.targets.values():
+            await target.stop()
+        await self.store.stop()
+
+
 def find_digest(path: str) -> str:
     """Return the digest of a GET request for ``path`` by :meth:`World.ask`."""
     request = OpaqueRequest(
@@ -301,3 +418,21 @@
     await created.wait_until_synced(6)
     yield created
     await created.stop()
+
+
+@pytest.fixture
+async def fleet():
+    """Three instances with two targets of each service and links of their own."""
+    created = Fleet(("north",) * 3, ("north",))
+    await created.start()
+    yield created
+    await created.stop()
+
+
+@pytest.fixture
+async def wide_fleet():
+    """An instance in each of three regions, and targets in two of them."""
+    created = Fleet(("north", "south", "east"), ("north", "south"))
+    await created.start()
+    yield created
+    await created.stop()
--- /dev/null
+++ b/tests/test_entry/test_relay/test_partitioned_instances.py
@@ -0,0 +1,123 @@
+"""Tests of instances that are partitioned from targets which others reach."""
+
+from __future__ import annotations
+
+import asyncio
+
+from greengagelatch_lab.platform_standins.deployment import create_configuration
+from greengagelatch_lab.platform_standins.target_links import PartitionForm
+
+#: seconds after the start of a partition from which on first tries must be served
+CONTACT_SECONDS = 3.0
+#: first tries of each kind of request at each instance, before and after that time,
+#: and the seconds between them
+TRIES_BEFORE, TRIES_AFTER, INTERVAL = 10, 20, 0.3
+#: first tries that may fail at an instance that is cut off: these and 1 in 50
+MAX_FAILED, FAILED_DIVISOR = 10, 50
+
+
+async def ask_each_kind(instance) -> list[int]:
+    """Send one request of each kind; return the statuses."""
+    replies = await asyncio.gather(
+        instance.ask("/look/1"),
+        instance.ask("/book/1", method="POST", body=b"order"),
+        instance.stream(),
+    )
+    return [reply.status for reply in replies]
+
+
+async def send_tries(instance, number: int) -> list[int]:
+    """Send requests at a steady rate, whether or not earlier ones are answered."""
+    tries = []
+    for _ in range(number):
+        tries.append(asyncio.create_task(ask_each_kind(instance)))
+        await asyncio.sleep(INTERVAL)
+    return [status for answers in await asyncio.gather(*tries) for status in answers]
+
+
+async def send_from_contact(fleet) -> list[list[int]]:
+    """Send requests to all instances; return the statuses of the later ones."""
+    before = asyncio.gather(
+        *(send_tries(instance, TRIES_BEFORE) for instance in fleet.instances)
+    )
+    await asyncio.sleep(CONTACT_SECONDS)
+    after = await asyncio.gather(
+        *(send_tries(instance, TRIES_AFTER) for instance in fleet.instances)
+    )
+    await before
+    return after
+
+
+async def test_instance_cut_off_from_all_targets_serves_first_tries(fleet):
+    """Guards against an instance that refuses what its peers could pass on."""
+    cut = fleet.instances[0]
+    served: dict[PartitionForm, tuple[int, ...]] = {}
+    for form in PartitionForm:
+        for instance in fleet.instances:
+            await instance.wait_until_serving()
+        await cut.links.cut(form)
+        statuses = await send_from_contact(fleet)
+        served[form] = tuple(one.count(200) for one in statuses)
+        await cut.links.heal()
+    number = 3 * TRIES_AFTER
+    for at_cut, *at_others in served.values():
+        assert number - at_cut <= MAX_FAILED + number // FAILED_DIVISOR, served
+        assert 3 * at_cut >= 2 * max(at_others), served
+
+
+async def test_partition_is_not_taken_for_crashes_of_targets(fleet):
+    """Guards against innocent requests that are held for resets by a partition."""
+    cut = fleet.instances[0]
+    gate = asyncio.Event()
+    for target in fleet.targets.values():
+        target.gate = gate
+    replies = [
+        asyncio.create_task(cut.ask(f"/book/{number}", method="POST"))
+        for number in range(4)
+    ]
+    await cut.wait_for(
+        lambda: sum(len(one.received) for one in fleet.targets.values()) >= 4
+    )
+    await cut.links.cut(PartitionForm.RESET)
+    await asyncio.gather(*replies)
+    gate.set()
+    detector = cut.find("crash-watch")
+    await cut.wait_for(lambda: not detector.dump()["suspected"])
+    assert cut.count("targets.ended_under_requests") == 0
+    assert cut.count("targets.broke_and_live") > 0
+
+
+async def test_restricted_requests_pass_no_peer_outside_their_regions(wide_fleet):
+    """Guards against data that passes a region which it may not."""
+    fields = create_configuration(version=4)
+    for route in fields["routes"]:
+        route["allowed-regions"] = ["green"]
+    revision = wide_fleet.store.put("op/config", fields)
+    for instance in wide_fleet.instances:
+        await instance.wait_for_revision(revision)
+    north, south, east = wide_fleet.instances
+    await north.links.cut(PartitionForm.RESET)
+    await north.wait_until_serving()
+    for _ in range(10):
+        assert await ask_each_kind(north) == [200] * 3
+    assert south.count("tunnels.opened") > 0
+    assert east.count("tunnels.opened") == 0
+    assert not any(
+        target.received or target.batches
+        for target in wide_fleet.targets.values()
+        if target.data_centre != "south"
+    )
+
+
+async def test_instance_returns_to_its_own_connections(fleet):
+    """Guards against load on peers that lasts longer than the partition."""
+    cut = fleet.instances[0]
+    await cut.links.cut(PartitionForm.HANG)
+    await cut.wait_until_serving()
+    assert cut.find("reachability").dump()["bypassed_targets"] > 0
+    await cut.links.heal()
+    await cut.wait_for(lambda: not cut.find("reachability").dump()["bypassed_targets"])
+    carried = sum(one.count("tunnels.opened") for one in fleet.instances)
+    for _ in range(5):
+        assert await ask_each_kind(cut) == [200] * 3
+    assert sum(one.count("tunnels.opened") for one in fleet.instances) == carried
