--- a/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/targets.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/targets.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
+    from .brittleness import Brittleness
     from .store import SimulatedStore
 
 __all__ = ("TargetFault", "SimulatedTarget")
@@ -101,8 +102,12 @@
     cold_ms: int = 0
     #: requests within a second that crash it while it is cold; ``None``: no number
     cold_limit: int | None = None
+    #: its slots and queue, and the rejections that it tolerates; ``None``: it has room
+    #: for all requests
+    brittleness: Brittleness | None = None
     _server: asyncio.Server | None = None
     _port: int = 0
+    _fallen: asyncio.Task[None] | None = None
     _arrivals: list[float] = field(default_factory=list)
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
 
@@ -114,6 +119,8 @@
 
     async def stop(self) -> None:
         """Stop listening and abort every connection, as in a crash."""
+        if self._fallen is not None and self._fallen is not asyncio.current_task():
+            self._fallen.cancel()
         self._server.close()
         self.abort_connections()
 
@@ -122,6 +129,12 @@
         for writer in tuple(self._writers):
             writer.transport.abort()
 
+    async def _fall(self) -> None:
+        """Crash, and come back at the same address some seconds later."""
+        await self.stop()
+        await asyncio.sleep(self.brittleness.down_seconds)
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self._port)
+
     async def restart(self, store: SimulatedStore, *, cut: bool = True) -> None:
         """Restart under the same id and address, without the results held before.
 
@@ -149,7 +162,7 @@
             "address": self.address,
             "zone": self.data_centre,
             "version": "v1",
-            "slots": 4,
+            "slots": 4 if self.brittleness is None else self.brittleness.slots,
             "state": state,
             "cold-left-ms": self.cold_ms,
             "seq-no": 1,
@@ -182,7 +195,7 @@
             _write(writer, 421, {"X-Replica-Id": self.target_id}, b"")
             return True
         if request.target == "/v1/stage-run":
-            return await self._make(request, writer)
+            return await self._make_with_room(request, writer)
         if request.target == "/v1/stage-free":
             handles = json.loads(request.body)["handles"]
             self.freed_handles.update(handles)
@@ -200,7 +213,39 @@
         if self.fault is TargetFault.FULL:
             _write(writer, 503, {**headers, "X-Not-Executed": "1"}, b"")
             return True
-        self.runs[request_id] += 1
+        if self.brittleness is not None:
+            return await self._answer_with_room(request, headers, writer)
+        return await self._run(request, headers, writer)
+
+    async def _answer_with_room(
+        self, request: _Request, headers: dict[str, str], writer: asyncio.StreamWriter
+    ) -> bool:
+        """Run a request if there is room for it."""
+        if not self.brittleness.has_room(asyncio.get_running_loop().time()):
+            return self._reject(headers, writer)
+        async with self.brittleness.occupy():
+            headers.update(self._describe_brittleness())
+            return await self._run(request, headers, writer)
+
+    def _reject(self, headers: dict[str, str], writer: asyncio.StreamWriter) -> bool:
+        """Reject for want of room; return whether the connection stays open."""
+        lines = {**headers, **self._describe_brittleness(), "X-Not-Executed": "1"}
+        _write(writer, 503, lines, b"")
+        if not self.brittleness.record_rejection(asyncio.get_running_loop().time()):
+            return True
+        self._fallen = asyncio.create_task(self._fall())
+        return False
+
+    def _describe_brittleness(self) -> dict[str, str]:
+        headers = {"X-Replica-Load": self.brittleness.describe_load()}
+        if self.brittleness.limit is not None:
+            headers["Server-Brittle"] = str(self.brittleness.limit)
+        return headers
+
+    async def _run(
+        self, request: _Request, headers: dict[str, str], writer: asyncio.StreamWriter
+    ) -> bool:
+        self.runs[headers["X-Attempt-Id"]] += 1
         headers["X-Replica-Signature"] = SIGNATURE + self.target_id
         await self._wait_for_gate()
         if request.target in self.crashed_by:
@@ -273,7 +318,19 @@
         writer.write(b"0\r\n\r\n")
         return True
 
-    async def _make(self, request: _Request, writer: asyncio.StreamWriter) -> bool:
+    async def _make_with_room(
+        self, request: _Request, writer: asyncio.StreamWriter
+    ) -> bool:
+        if self.brittleness is None:
+            return await self._make(request, writer, {})
+        if not self.brittleness.has_room(asyncio.get_running_loop().time()):
+            return self._reject({}, writer)
+        async with self.brittleness.occupy():
+            return await self._make(request, writer, self._describe_brittleness())
+
+    async def _make(
+        self, request: _Request, writer: asyncio.StreamWriter, headers: dict[str, str]
+    ) -> bool:
         items = json.loads(request.body)["items"]
         if self.fault is TargetFault.FULL:
             _write(writer, 503, {"X-Not-Executed": "1"}, b"")
@@ -288,7 +345,8 @@
         await asyncio.sleep(CALL_SECONDS)
         results = [self._make_piece(item) for item in items]
         body = json.dumps({"items": results}).encode()
-        _write(writer, 200, {"Content-Type": "application/json"}, body)
+        lines = {"Content-Type": "application/json", **headers}
+        _write(writer, 200, lines, body)
         return True
 
     async def _wait_for_gate(self) -> None:
