Keep brittle targets from rejecting more than they tolerate

Callers saw services lose targets for seconds: a brittle target falls over when it rejects more requests in a second than it says in its answers, and all instances sent it whatever came, each rejected request to the next full target at once.

A target's slots are divided among all instances; a request beyond the share of its instance is at risk, and requests at risk and rejections of the last second stay within a share of half of the limit, whose remainder goes to other instances each four seconds. What can't be sent waits up to a second, most urgent first, or is refused with a time to come back drawn at random. Makers of stage work are limited by the same rule, their owner taking all slots. Services that are not brittle are sent to as before.

--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/brittle_admission.py
@@ -0,0 +1,122 @@
+"""Requests that wait until brittle targets have room for them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import defaultdict
+from typing import TYPE_CHECKING
+
+from greengagelatch.errors import RefusalCode
+
+from .refusals import create_error
+
+if TYPE_CHECKING:
+    import random
+
+    from greengagelatch.clock import Clock
+    from greengagelatch.relay.incarnations import Incarnation
+    from greengagelatch.relay.load_balancer import LoadBalancer
+    from greengagelatch.relay.requests import RefusedError
+
+    from ..metrics import Metrics
+    from .exchange import RelayExchange
+
+    _Queue = tuple[str, frozenset[str] | None]
+    _Place = tuple[float, int]
+
+__all__ = ("BrittleAdmission",)
+
+#: share of the time left, and most seconds, for which a request waits for room
+WAIT_SHARE = 0.3
+MAX_WAIT_SECONDS = 1.0
+#: seconds between two checks of the requests that wait
+CHECK_SECONDS = 0.02
+#: most requests of one service that wait
+MAX_WAITING = 64
+#: bounds of the seconds after which callers of refused requests may retry, drawn at
+#: random so that they don't return at once
+RETRY_AFTER_SECONDS = (0.3, 1.2)
+
+
+class BrittleAdmission:
+    """Holds requests that no brittle target has room for, most urgent first.
+
+    Requests of services whose targets are not brittle pass at once.
+    """
+
+    def __init__(
+        self,
+        *,
+        load_balancer: LoadBalancer,
+        clock: Clock,
+        random_source: random.Random,
+        metrics: Metrics,
+    ) -> None:
+        self._load_balancer = load_balancer
+        self._clock = clock
+        self._random = random_source
+        self._metrics = metrics
+        self._numbers = 0
+        #: rank and number of the requests that wait, by service and the data centres
+        #: that they may be sent to
+        self._waiting: defaultdict[_Queue, list[_Place]] = defaultdict(list)
+
+    async def wait(
+        self, exchange: RelayExchange, excluded: frozenset[Incarnation]
+    ) -> RefusedError | None:
+        """Wait until a target may be sent the request.
+
+        :param excluded: targets that have rejected it
+        :return: the error that refuses it if there is no room in time
+        """
+        queue = exchange.service, exchange.data_centres
+        if queue not in self._waiting and not self._lacks_room(exchange, excluded):
+            return None
+        waiting = self._waiting[queue]
+        if len(waiting) >= MAX_WAITING:
+            return self._create_refusal(exchange)
+        self._metrics.count("brittle_targets.held")
+        self._numbers += 1
+        place = (exchange.rank, self._numbers)
+        waiting.append(place)
+        waiting.sort()
+        try:
+            return await self._wait_for_room(exchange, excluded, place, waiting)
+        finally:
+            waiting.remove(place)
+            if not waiting:
+                self._waiting.pop(queue, None)
+
+    async def _wait_for_room(
+        self,
+        exchange: RelayExchange,
+        excluded: frozenset[Incarnation],
+        place: _Place,
+        waiting: list[_Place],
+    ) -> RefusedError | None:
+        now = self._clock.now()
+        left = (exchange.deadline - now) * WAIT_SHARE
+        end = now + min(left, MAX_WAIT_SECONDS)
+        while self._clock.now() < end:
+            await asyncio.sleep(CHECK_SECONDS)
+            if waiting[0] == place and not self._lacks_room(exchange, excluded):
+                return None
+        return self._create_refusal(exchange)
+
+    def _lacks_room(
+        self, exchange: RelayExchange, excluded: frozenset[Incarnation]
+    ) -> bool:
+        return self._load_balancer.lacks_room(
+            exchange.service, excluded, self._clock.now(), exchange.data_centres
+        )
+
+    def _create_refusal(self, exchange: RelayExchange) -> RefusedError:
+        self._metrics.count("brittle_targets.refused")
+        return create_error(
+            exchange,
+            RefusalCode.OVERLOADED,
+            f"no target of {exchange.service} has room, and all are brittle",
+            retry_after=self._random.uniform(*RETRY_AFTER_SECONDS),
+            field="service",
+            value=exchange.service,
+        )
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -4,7 +4,7 @@
 
 import random
 import signal
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import TYPE_CHECKING, Any
 
 from greengagelatch.clock import SystemClock
@@ -12,6 +12,7 @@
 from greengagelatch.peers import MemberState
 from greengagelatch.relay.admission import DeadlineAdmission
 from greengagelatch.relay.batches import CrossRequestBatching
+from greengagelatch.relay.brittle_targets import BrittleTargets
 from greengagelatch.relay.cold_targets import ColdTargets
 from greengagelatch.relay.groups import CapacityBasedOwnership
 from greengagelatch.relay.idle_connections import count_idle_connections
@@ -26,6 +27,7 @@
 from ..controllers.listing import LISTING_RECEIVED
 from ..filters import chain
 from ..in_flight_requests import InFlightRequests
+from .brittle_admission import BrittleAdmission
 from .bundle_quarantine import SharedBundleQuarantine
 from .configuration import ConfigurationFollower
 from .crash_detector import CrashDetector
@@ -152,11 +154,20 @@
                 self.configuration.find_service(service).cold_rate
             ),
         )
+        self.brittle_targets = BrittleTargets(
+            own=self.settings.peers_listen,
+            find_instances=self._find_sharing_instances,
+            find_wall_seconds=self.clock.wall,
+            on_changed=self._log_brittle_target,
+        )
+        # the owner of a group of makers sends all calls to them
+        self.brittle_makers = BrittleTargets(on_changed=self._log_brittle_target)
         self.load_balancer = LoadBalancer(
             target_table=self.target_table,
             cold_targets=self.cold_targets,
             data_centre=self.settings.data_centre,
             random_source=self.random,
+            brittle_targets=self.brittle_targets,
         )
         self.connections = TargetConnectionPool(
             find_idle_limit=self._find_idle_limit,
@@ -336,6 +347,12 @@
             "load_balancer": self.load_balancer,
             "budgets": self.retry_budgets,
             "suspects": self.suspects,
+            "brittle": BrittleAdmission(
+                load_balancer=self.load_balancer,
+                clock=self.clock,
+                random_source=self.random,
+                metrics=self.metrics,
+            ),
             "clock": self.clock,
         }
         streams = StreamRunner(
@@ -417,11 +434,28 @@
             connections=self.connections,
             codec=self.adapters.targets,
             budgets=self.stage_retry_budgets,
+            brittle_makers=self.brittle_makers,
             clock=self.clock,
             metrics=self.metrics,
             decisions=self.decisions,
         )
 
+    def _find_sharing_instances(self) -> Collection[str]:
+        """Return the instances that share the limits of brittle targets.
+
+        Until all that may exist are known, those known are taken for all: requests
+        would not be sent at all otherwise.
+        """
+        return self.known_instances.find_addresses() or self.known_instances.addresses
+
+    def _log_brittle_target(self, incarnation: Incarnation, limit: int | None) -> None:
+        self.decisions.log_state_change(
+            "brittle-target",
+            target=str(incarnation),
+            brittle=limit is not None,
+            limit=limit or 0,
+        )
+
     def _count_instances(self) -> int:
         """Return how many instances share retry budgets, with a lower bound."""
         alive = sum(
@@ -478,6 +512,8 @@
         self.crash_detector.record_removal(incarnation)
         self.load_balancer.forget(incarnation)
         self.cold_targets.forget(incarnation)
+        self.brittle_targets.forget(incarnation)
+        self.brittle_makers.forget(incarnation)
         self.local_executor.record_removal(incarnation)
 
     def _describe(self) -> dict[str, Any]:
@@ -491,6 +527,10 @@
             **parts,
             "targets": self.load_balancer.describe(self.clock.now()),
             "cold_targets": self.cold_targets.describe(self.clock.now()),
+            "brittle_targets": {
+                **self.brittle_targets.describe(self.clock.now()),
+                **self.brittle_makers.describe(self.clock.now()),
+            },
             "links": {"idle": self.connections.count_idle()},
             "metrics": self.metrics.dump(),
         }
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/known_instances.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/known_instances.py
@@ -74,6 +74,11 @@
             self._collect()
         return self._addresses
 
+    @property
+    def addresses(self) -> frozenset[str]:
+        """The addresses known so far, which may lack some instances."""
+        return self._addresses
+
     def _collect(self) -> None:
         self._members = self._list_members()
         addresses = {self._own, *self._listed}
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/maker_calls.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/maker_calls.py
@@ -80,6 +80,7 @@
             async with asyncio.timeout(call_timeout):
                 head, body = await self._exchange(maker, call, call_timeout, started)
         except NotSentError:
+            maker.brittle_makers.record_unsent(maker.target.incarnation)
             if self._may_send(maker, call):
                 maker.record_failure(self._clock.now())
             else:
@@ -148,6 +149,10 @@
         self, maker: Maker, head: ResponseHead, body: bytes, count: int, started: float
     ) -> CallResult:
         now = self._clock.now()
+        if not head.misdirected:
+            maker.record_limit(
+                head.rejection_limit, head.load, now, rejected=head.not_run
+            )
         if head.misdirected:
             # the call reached the target that has the address now, so that the next
             # attempt is charged as a retry
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/makers.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/makers.py
@@ -5,14 +5,16 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from greengagelatch.relay.batches import MakerView
+from greengagelatch.relay.brittle_targets import BrittleTargets
 from greengagelatch.relay.result_memory import ResultMemory
 
 if TYPE_CHECKING:
     from greengagelatch.relay.deployment import MakerProfile
+    from greengagelatch.relay.load_balancer import LoadReport
     from greengagelatch.relay.targets import ListedTarget
 
 __all__ = ("Maker",)
@@ -44,6 +46,7 @@
     #: expected end of the call in progress
     busy_until: float = 0.0
     backoff_until: float = 0.0
+    brittle_makers: BrittleTargets = field(default_factory=BrittleTargets)
     _backoff: float = INITIAL_BACKOFF
     _slowness: float = 1.0
     _measured_at: float = 0.0
@@ -51,7 +54,9 @@
 
     def is_idle(self, now: float) -> bool:
         """Return whether the maker can start a call at once."""
-        return self.calls < self.profile.slots and self.backoff_until <= now
+        if self.calls >= self.profile.slots or self.backoff_until > now:
+            return False
+        return self.brittle_makers.may_send(self.target, self.calls, now)
 
     def view(self, now: float) -> MakerView:
         """Return the snapshot of the maker that the batch policy uses."""
@@ -59,6 +64,8 @@
         if self.calls >= self.profile.slots:
             # a call that overruns its expected time may end at any moment
             free_at = max(free_at, self.busy_until, now + 0.02)
+        elif not self.brittle_makers.may_send(self.target, self.calls, now):
+            free_at = max(free_at, now + 0.02)
         return MakerView(
             incarnation=self.target.incarnation,
             data_centre=self.target.data_centre,
@@ -75,10 +82,29 @@
     def start_call(self, items: int, now: float) -> float:
         """Record a call that starts; return its timeout in seconds."""
         expected = self.profile.estimate_seconds(items) * self.find_slowness(now)
+        self.brittle_makers.record_send(self.target, now)
         self.calls += 1
         self.busy_until = now + expected
         return expected * CALL_TIMEOUT_FACTOR + CALL_MARGIN
 
+    def record_limit(
+        self,
+        limit: int | None,
+        load: LoadReport | None,
+        now: float,
+        *,
+        rejected: bool,
+    ) -> None:
+        """Record what an answer tells of the limit on the maker's rejections."""
+        self.brittle_makers.record_response(
+            self.target,
+            limit=limit,
+            rejected=rejected,
+            load=load,
+            in_flight=self.calls - 1,
+            now=now,
+        )
+
     def record_completion(
         self, items: int, started: float, now: float, *, made: bool = True
     ) -> None:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/messages.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/messages.py
@@ -58,6 +58,8 @@
     #: whether the body has a content encoding that was not requested
     encoded: bool = False
     load: LoadReport | None = None
+    #: rejections in a second beyond which the target falls over; ``None``: not brittle
+    rejection_limit: int | None = None
 
     @property
     def succeeded(self) -> bool:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/runners.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/runners.py
@@ -20,6 +20,7 @@
     from greengagelatch.relay.load_balancer import LoadBalancer
     from greengagelatch.relay.requests import RefusedError
 
+    from .brittle_admission import BrittleAdmission
     from .exchange import RelayExchange
     from .retry_budgets import RetryBudgets
     from .suspect_admission import SuspectAdmission
@@ -48,12 +49,14 @@
         load_balancer: LoadBalancer,
         budgets: RetryBudgets,
         suspects: SuspectAdmission,
+        brittle: BrittleAdmission,
         clock: Clock,
     ) -> None:
         self.sender = sender
         self.load_balancer = load_balancer
         self.budgets = budgets
         self.suspects = suspects
+        self.brittle = brittle
         self.clock = clock
 
     @abstractmethod
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from greengagelatch.relay.batches import find_infeasible
+from greengagelatch.relay.brittle_targets import BrittleTargets
 from greengagelatch.relay.pieces import PieceFailure, PieceResult
 from greengagelatch.relay.result_memory import ResultMemory
 
@@ -74,12 +75,14 @@
         clock: Clock,
         metrics: Metrics,
         decisions: DecisionLog,
+        brittle_makers: BrittleTargets | None = None,
     ) -> None:
         self._group = group
         self._list_targets = list_makers
         self._find_profile = find_profile
         self._is_exclusive = is_exclusive
         self._quarantine = quarantine
+        self._brittle_makers = brittle_makers or BrittleTargets()
         self._policy = policy
         self._target_table = target_table
         self._clock = clock
@@ -262,7 +265,9 @@
                 result_memory = ResultMemory(
                     profile.result_memory_bytes, profile.retention_seconds
                 )
-                self._makers[target.incarnation] = Maker(target, profile, result_memory)
+                self._makers[target.incarnation] = Maker(
+                    target, profile, result_memory, brittle_makers=self._brittle_makers
+                )
         self._listed = [self._makers[target.incarnation] for target in listed]
         self._listed_from = (listed, profile)
         return self._listed
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -147,6 +147,9 @@
         while True:
             if self._run.is_lost(self._results):
                 await self._rerun_stages()
+            refusal = await runner.brittle.wait(exchange, excluded)
+            if refusal is not None:
+                break
             async with runner.suspects.admit(exchange):
                 target = self._choose(excluded)
                 if target is None:
@@ -162,7 +165,7 @@
             if last.status == STATUS_CONFLICT or self._inputs_released:
                 # another target has to fetch the results again
                 await self._rerun_stages()
-        raise runner.create_refusal(exchange, last)
+        raise refusal or runner.create_refusal(exchange, last)
 
     async def _rerun_stages(self) -> None:
         self._run.free()
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_sender.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_sender.py
@@ -29,6 +29,8 @@
 
 #: status by which a target rejects a request without running it, if marked as such
 STATUS_CONFLICT = 409
+#: the same for a request that it has no room for
+STATUS_UNAVAILABLE = 503
 #: seconds of execution after which the crash of a target is no longer attributed to a
 #: request: requests that crash a target do so soon after they begin to run
 CRASH_BLAME_SECONDS = 1.0
@@ -104,6 +106,7 @@
                 ),
             )
         except NotSentError as error:
+            self._load_balancer.record_unsent(incarnation)
             exchange.unsent += 1
             return self._record_failure(
                 exchange, target, SendOutcome.UNSENT, str(error), blamed=may_send()
@@ -140,9 +143,16 @@
         self, exchange: RelayExchange, target: ListedTarget, response: TargetResponse
     ) -> ReceivedResponse | FailedSend:
         head = self._codec.read_head(response)
+        now = self._clock.now()
         if head.load is not None:
-            self._load_balancer.record_load_report(
-                target.incarnation, head.load, self._clock.now()
+            self._load_balancer.record_load_report(target.incarnation, head.load, now)
+        if not head.misdirected:
+            self._load_balancer.record_limit(
+                target,
+                head.rejection_limit,
+                head.load,
+                now,
+                rejected=head.not_run and head.status == STATUS_UNAVAILABLE,
             )
         if head.request_id != exchange.request.request_id and not head.misdirected:
             # the response belongs to another request or carries no id
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/unary.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/unary.py
@@ -51,6 +51,9 @@
         last: FailedSend | None = None
         error_response: _FullResponse | None = None
         while True:
+            refusal = await self.brittle.wait(exchange, excluded)
+            if refusal is not None:
+                break
             async with self.suspects.admit(exchange):
                 target = self.load_balancer.choose_least_loaded(
                     exchange.service,
@@ -78,7 +81,7 @@
             # the target's own error response tells more than a refusal by this instance
             await self._deliver(exchange, error_response)
             return
-        raise self.create_refusal(exchange, last)
+        raise refusal or self.create_refusal(exchange, last)
 
     async def _attempt(
         self, exchange: RelayExchange, target: ListedTarget
--- /dev/null
+++ b/packages/greengagelatch/src/greengagelatch/relay/brittle_targets.py
@@ -0,0 +1,258 @@
+"""Limits on what brittle targets have to reject for want of room.
+
+A brittle target falls over if it rejects more than a number of requests in a second,
+which it says in all its responses. All instances together must stay below it.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from .cold_targets import compute_share
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Collection
+
+    from .incarnations import Incarnation
+    from .load_balancer import LoadReport
+    from .targets import ListedTarget
+
+__all__ = (
+    "LAPSE_SECONDS",
+    "TURN_SECONDS",
+    "WINDOW_SECONDS",
+    "BrittleTargets",
+)
+
+#: seconds for which a rejection, or a send without a response, counts: the second of
+#: the limit, and the time that a request may spend on its connection
+WINDOW_SECONDS = 1.4
+#: seconds after the last response with a limit until which it holds
+LAPSE_SECONDS = 10.0
+#: share of the limit for requests at risk. Those that are accepted take slots from
+#: instances that count on them, which the rest is for
+LIMIT_SHARE = 0.5
+#: seconds for which the same instances may send requests at risk. At the end of a turn
+#: they don't, so that no window holds the requests of two turns
+TURN_SECONDS = 4.0
+#: seconds for which a load report is used
+REPORT_SECONDS = 1.0
+
+
+@dataclass(slots=True)
+class _Service:
+    """Responses of a service's targets that bore a limit."""
+
+    limit: int
+    said_at: float
+
+
+@dataclass(slots=True)
+class _Target:
+    #: the limit in its last response; ``None``: none
+    limit: int | None
+    answered_at: float
+    #: the load in its last response; ``None``: not said
+    load: LoadReport | None = None
+    #: monotonic times of the sends without a response, oldest first
+    unanswered: deque[float] = field(default_factory=deque)
+    #: monotonic times of its rejections
+    rejections: deque[float] = field(default_factory=deque)
+    #: requests of this instance that it held when it last rejected one
+    held: int = 0
+
+
+class BrittleTargets:
+    """Brittle targets, and whether this instance may send to each now.
+
+    The slots of a target are divided among all instances that may exist. A request
+    within this instance's share of the slots finds one free; any other one is at risk
+    of being rejected. The requests at risk that have not been answered, and the
+    rejections of the last second, stay within this instance's share of the limit.
+
+    :param own: address of this instance
+    :param find_instances: returns the addresses of all instances that may exist
+    :param find_wall_seconds: returns seconds since the Unix epoch
+    :param on_changed: called when a target becomes brittle, with its limit, or no
+        longer is, with ``None``
+    """
+
+    def __init__(
+        self,
+        *,
+        own: str = "",
+        find_instances: Callable[[], Collection[str]] = lambda: ("",),
+        find_wall_seconds: Callable[[], float] = lambda: 0.0,
+        on_changed: Callable[[Incarnation, int | None], None] = lambda *_: None,
+    ) -> None:
+        self._own = own
+        self._find_instances = find_instances
+        self._find_wall_seconds = find_wall_seconds
+        self._on_changed = on_changed
+        self._targets: dict[Incarnation, _Target] = {}
+        self._services: dict[str, _Service] = {}
+        #: cached shares by key and number, of the slots and of the limits in one turn
+        self._slot_shares: dict[tuple[str, int], int] = {}
+        self._limit_shares: dict[tuple[str, int], int] = {}
+        #: what they were computed from
+        self._shared_by: Collection[str] = ()
+        self._turn = 0
+
+    def find_limit(self, target: ListedTarget, now: float) -> int | None:
+        """Return the rejections in a second that a target tolerates.
+
+        All targets of a service become brittle at the same time, so that the limit of
+        another one counts for a target that has not responded recently.
+
+        :return: ``None`` if it is not brittle
+        """
+        if not self._services:
+            return None
+        known = self._targets.get(target.incarnation)
+        if known is not None and now - known.answered_at < LAPSE_SECONDS:
+            return known.limit
+        service = self._services.get(target.service)
+        if service is None or now - service.said_at >= LAPSE_SECONDS:
+            return None
+        return service.limit
+
+    def may_send(self, target: ListedTarget, in_flight: int, now: float) -> bool:
+        """Return whether this instance may send a request to a target now.
+
+        :param in_flight: requests that this instance has at the target
+        """
+        limit = self.find_limit(target, now)
+        if limit is None:
+            return True
+        known = self._find(target.incarnation, now)
+        _drop_old(known, now)
+        room = self._find_room(target, known, now)
+        beyond = in_flight + 1 - room
+        if beyond <= 0 and not known.rejections:
+            return True
+        if _is_full(known, now):
+            return False
+        at_risk = max(1, min(beyond, len(known.unanswered) + 1))
+        allowed = self._find_allowed(target, limit)
+        return len(known.rejections) + at_risk <= allowed
+
+    def record_send(self, target: ListedTarget, now: float) -> None:
+        """Record a request that is sent to a target."""
+        if self.find_limit(target, now) is not None:
+            self._find(target.incarnation, now).unanswered.append(now)
+
+    def record_unsent(self, incarnation: Incarnation) -> None:
+        """Record that a request was not sent after all."""
+        known = self._targets.get(incarnation)
+        if known is not None and known.unanswered:
+            known.unanswered.popleft()
+
+    def record_response(
+        self,
+        target: ListedTarget,
+        *,
+        limit: int | None,
+        rejected: bool,
+        load: LoadReport | None,
+        in_flight: int,
+        now: float,
+    ) -> None:
+        """Record the response of a target to a request.
+
+        :param limit: rejections in a second that it tolerates; ``None``: not said
+        :param rejected: whether it had no room for the request
+        :param load: the load that it reported; ``None``: not said
+        :param in_flight: requests that this instance has at it beside this one
+        """
+        before = self.find_limit(target, now)
+        self.record_unsent(target.incarnation)
+        if limit is None and before is None:
+            return
+        known = self._find(target.incarnation, now)
+        known.limit, known.answered_at = limit, now
+        known.load = load
+        if limit is not None:
+            self._services[target.service] = _Service(limit, now)
+            if rejected:
+                known.rejections.append(now)
+                known.held = max(0, in_flight)
+        if limit != before:
+            self._on_changed(target.incarnation, limit)
+
+    def forget(self, incarnation: Incarnation) -> None:
+        """Discard the state of a target that is gone."""
+        self._targets.pop(incarnation, None)
+
+    def describe(self, now: float) -> dict[str, dict[str, int]]:
+        """Return the brittle targets for the state dump."""
+        return {
+            str(incarnation): {
+                "limit": known.limit,
+                "rejections": len(known.rejections),
+                "unanswered": len(known.unanswered),
+            }
+            for incarnation, known in self._targets.items()
+            if known.limit is not None and now - known.answered_at < LAPSE_SECONDS
+        }
+
+    def _find(self, incarnation: Incarnation, now: float) -> _Target:
+        known = self._targets.get(incarnation)
+        if known is None:
+            known = _Target(limit=None, answered_at=now - LAPSE_SECONDS)
+            self._targets[incarnation] = known
+        return known
+
+    def _find_room(self, target: ListedTarget, known: _Target, now: float) -> int:
+        """Return how many requests of this instance a target certainly has room for."""
+        if known.rejections:
+            return known.held
+        self._drop_shares(self._turn)
+        return self._compute_share(self._slot_shares, target.target_id, target.slots)
+
+    def _find_allowed(self, target: ListedTarget, limit: int) -> int:
+        """Return the share of the limit that this instance may use now."""
+        usable = max(1, int(limit * LIMIT_SHARE)) if limit > 0 else 0
+        seconds = self._find_wall_seconds()
+        turn = int(seconds // TURN_SECONDS)
+        self._drop_shares(turn)
+        if seconds % TURN_SECONDS > TURN_SECONDS - WINDOW_SECONDS:
+            # what each instance may use in all turns
+            return usable // len(self._shared_by)
+        key = f"{target.target_id}/{turn}"
+        return self._compute_share(self._limit_shares, key, usable)
+
+    def _drop_shares(self, turn: int) -> None:
+        """Discard the shares that were computed from other instances or turns."""
+        instances = self._find_instances()
+        if instances is not self._shared_by:
+            self._shared_by = instances
+            self._slot_shares.clear()
+            self._limit_shares.clear()
+        if turn != self._turn:
+            self._turn = turn
+            self._limit_shares.clear()
+
+    def _compute_share(
+        self, shares: dict[tuple[str, int], int], key: str, number: int
+    ) -> int:
+        share = shares.get((key, number))
+        if share is None:
+            share = compute_share(key, self._own, self._shared_by, number)
+            shares[key, number] = share
+        return share
+
+
+def _drop_old(known: _Target, now: float) -> None:
+    for times in (known.unanswered, known.rejections):
+        while times and times[0] <= now - WINDOW_SECONDS:
+            times.popleft()
+
+
+def _is_full(known: _Target, now: float) -> bool:
+    """Return whether a target reported recently that all its slots are taken."""
+    load = known.load
+    if load is None or now - known.answered_at >= REPORT_SECONDS:
+        return False
+    return load.running + load.waiting >= load.slots
--- a/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
@@ -8,6 +8,7 @@
 
 from ..load.breakers import Breaker, BreakerRule, find_ejected
 from ..targets.subset import compute_weight
+from .brittle_targets import BrittleTargets
 from .regions import is_allowed
 
 if TYPE_CHECKING:
@@ -85,9 +86,11 @@
         cold_targets: ColdTargets,
         data_centre: str,
         random_source: random.Random,
+        brittle_targets: BrittleTargets | None = None,
     ) -> None:
         self._target_table = target_table
         self._cold_targets = cold_targets
+        self._brittle_targets = brittle_targets or BrittleTargets()
         self._data_centre = data_centre
         self._random = random_source
         self._states: dict[Incarnation, _TargetState] = {}
@@ -109,7 +112,7 @@
         if not candidates:
             return None
         chosen = min(candidates, key=lambda one: self._score_target(one, now))
-        self._cold_targets.record_send(chosen.incarnation, now)
+        self._record_send(chosen, now)
         return chosen
 
     def choose_engine(
@@ -137,9 +140,28 @@
             candidates,
             key=lambda one: self._score_engine(one, need, affinity_target, now),
         )
-        self._cold_targets.record_send(chosen.incarnation, now)
+        self._record_send(chosen, now)
         return chosen
 
+    def lacks_room(
+        self,
+        service: str,
+        excluded: frozenset[Incarnation],
+        now: float,
+        data_centres: frozenset[str] | None = None,
+    ) -> bool:
+        """Return whether only the limits of brittle targets prevent a send."""
+        listed = [
+            one
+            for one in self._target_table.list_service(service)
+            if is_allowed(one.data_centre, data_centres)
+            and one.incarnation not in excluded
+            and self._cold_targets.may_send(one, now)
+        ]
+        if not any(self._brittle_targets.find_limit(one, now) for one in listed):
+            return False
+        return not any(self._has_room(one, now) for one in listed)
+
     def find_affinity_target(
         self,
         service: str,
@@ -222,6 +244,33 @@
         """Return the prompt tokens that are not expected in an engine's cache."""
         return _count_tokens(self._find_state(incarnation).parts, prompt, now)
 
+    def record_limit(
+        self,
+        target: ListedTarget,
+        limit: int | None,
+        load: LoadReport | None,
+        now: float,
+        *,
+        rejected: bool,
+    ) -> None:
+        """Record what a response tells of a target's limit on rejections.
+
+        :param limit: rejections in a second; ``None``: it is not brittle
+        :param rejected: whether it had no room for the request
+        """
+        self._brittle_targets.record_response(
+            target,
+            limit=limit,
+            rejected=rejected,
+            load=load,
+            in_flight=self._find_state(target.incarnation).in_flight - 1,
+            now=now,
+        )
+
+    def record_unsent(self, incarnation: Incarnation) -> None:
+        """Record that a request did not reach the target chosen for it."""
+        self._brittle_targets.record_unsent(incarnation)
+
     def forget(self, incarnation: Incarnation) -> None:
         """Discard the state of a target that is gone."""
         self._states.pop(incarnation, None)
@@ -257,6 +306,7 @@
             for one in self._target_table.list_service(service)
             if is_allowed(one.data_centre, data_centres)
             and self._cold_targets.may_send(one, now)
+            and self._has_room(one, now)
         ]
         breakers = [
             (one.incarnation, self._find_state(one.incarnation).breaker)
@@ -271,6 +321,16 @@
         healthy = [one for one in left if one.incarnation not in ejected]
         return healthy or left
 
+    def _has_room(self, target: ListedTarget, now: float) -> bool:
+        """Return whether a target takes a request, or tolerates that it rejects it."""
+        state = self._states.get(target.incarnation)
+        in_flight = 0 if state is None else state.in_flight
+        return self._brittle_targets.may_send(target, in_flight, now)
+
+    def _record_send(self, target: ListedTarget, now: float) -> None:
+        self._cold_targets.record_send(target.incarnation, now)
+        self._brittle_targets.record_send(target, now)
+
     def _score_target(self, target: ListedTarget, now: float) -> tuple[float, float]:
         state = self._find_state(target.incarnation)
         requests = state.in_flight + self._count_other_requests(state, now)
--- /dev/null
+++ b/tests/test_core/test_relay/brittle_fleets.py
@@ -0,0 +1,317 @@
+"""Simulation in virtual time of a fleet that sends to brittle targets."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import deque
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from greengagelatch.relay.brittle_targets import WINDOW_SECONDS, BrittleTargets
+from greengagelatch.relay.cold_targets import compute_share
+from greengagelatch.relay.incarnations import Incarnation
+from greengagelatch.relay.load_balancer import LoadReport
+from greengagelatch.relay.targets import ListedTarget
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__ = ("WAYS", "Fleet", "Scenario")
+
+#: seconds after which the targets let fewer requests wait, and those of a run
+SHRINK_SECONDS = 3.0
+RUN_SECONDS = 10.0
+#: latency to a target in seconds, each way
+LATENCIES = (0.001, 0.03)
+#: seconds for which a target stays down
+DOWN_SECONDS = 3.0
+#: requests that an instance holds, for how many seconds, and between its tries
+MAX_HELD = 10
+HOLD_SECONDS = 0.3
+POLL_SECONDS = 0.05
+#: attempts of a caller, and the seconds between them
+CALLER_ATTEMPTS = 3
+CALLER_PAUSES = (0.3, 1.2)
+#: targets to which an instance sends one attempt
+MAX_SENDS = 2
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Scenario:
+    """Size of a fleet and its load; times in seconds."""
+
+    instances: int
+    targets: int
+    slots: int
+    limit: int
+    #: requests offered, as a multiple of those that the targets can run
+    load: float = 1.5
+    run_seconds: float = 0.3
+    queue: int = 8
+    later_queue: int = 0
+
+
+class Unlimited(BrittleTargets):
+    """Sends as if no target were brittle."""
+
+    def may_send(self, target, in_flight, now):
+        return True
+
+
+class RiskOnly(BrittleTargets):
+    """Takes each request to be at risk, also within the share of the slots."""
+
+    def _find_room(self, target, known, now):
+        return 0
+
+
+class SendsOnly(BrittleTargets):
+    """Limits the sends of each second, answered or not."""
+
+    def __init__(self, **fields):
+        super().__init__(**fields)
+        self._sent: dict[Incarnation, deque[float]] = {}
+
+    def may_send(self, target, in_flight, now):
+        limit = self.find_limit(target, now)
+        if limit is None:
+            return True
+        sent = self._sent.setdefault(target.incarnation, deque())
+        while sent and sent[0] <= now - WINDOW_SECONDS:
+            sent.popleft()
+        instances = self._find_instances()
+        return len(sent) < compute_share(target.target_id, self._own, instances, limit)
+
+    def record_send(self, target, now):
+        self._sent.setdefault(target.incarnation, deque()).append(now)
+
+
+WAYS = {
+    "none": Unlimited,
+    "sends": SendsOnly,
+    "risk": RiskOnly,
+    "slots and risk": BrittleTargets,
+}
+
+
+@dataclass(slots=True)
+class _Target:
+    listed: ListedTarget
+    held: int = 0
+    down_until: float = 0.0
+    falls: int = 0
+    rejections: deque[float] = field(default_factory=deque)
+    running: int = 0
+    waiting: deque[Callable[[], None]] = field(default_factory=deque)
+
+
+@dataclass(slots=True)
+class _Instance:
+    name: str
+    rule: BrittleTargets
+    in_flight: dict[Incarnation, int] = field(default_factory=dict)
+    avoided: dict[Incarnation, float] = field(default_factory=dict)
+    waiting: int = 0
+
+
+class Fleet:
+    """Instances, targets and callers of one run."""
+
+    def __init__(self, scenario: Scenario, way: str, seed: int) -> None:
+        self.scenario = scenario
+        self.random = random.Random(seed)
+        self.now = 0.0
+        self.served = self.offered = self.rejected = 0
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._count = 0
+        names = frozenset(f"entry-{n}" for n in range(scenario.instances))
+        self.instances = [
+            _Instance(
+                name,
+                WAYS[way](
+                    own=name,
+                    find_instances=lambda: names,
+                    find_wall_seconds=lambda: self.now,
+                ),
+            )
+            for name in sorted(names)
+        ]
+        self._weights = [self.random.uniform(0.3, 2.0) for _ in self.instances]
+        self.targets = [
+            _Target(
+                ListedTarget(
+                    incarnation=Incarnation(f"desk-{n}", 1),
+                    service="desk",
+                    address=f"desk-{n}:1",
+                    data_centre="north",
+                    slots=scenario.slots,
+                )
+            )
+            for n in range(scenario.targets)
+        ]
+
+    @property
+    def falls(self) -> int:
+        return sum(target.falls for target in self.targets)
+
+    @property
+    def allowed_falls(self) -> float:
+        return 2 + len(self.targets) / 10
+
+    def run(self) -> None:
+        self._later(0.0, self._arrive)
+        while self._events:
+            self.now, _, action = heapq.heappop(self._events)
+            if self.now > RUN_SECONDS:
+                return
+            action()
+
+    def _later(self, seconds: float, action: Callable[[], None]) -> None:
+        self._count += 1
+        heapq.heappush(self._events, (self.now + seconds, self._count, action))
+
+    def _arrive(self) -> None:
+        one = self.scenario
+        rate = one.targets * one.slots / one.run_seconds * one.load
+        self._later(self.random.expovariate(rate), self._arrive)
+        self.offered += 1
+        self._ask(CALLER_ATTEMPTS)
+
+    def _ask(self, attempts: int) -> None:
+        (instance,) = self.random.choices(self.instances, self._weights)
+
+        def refuse() -> None:
+            if attempts > 1:
+                pause = self.random.uniform(*CALLER_PAUSES)
+                self._later(pause, lambda: self._ask(attempts - 1))
+
+        self._try(instance, frozenset(), self.now + HOLD_SECONDS, refuse)
+
+    def _try(
+        self,
+        instance: _Instance,
+        excluded: frozenset[Incarnation],
+        held_until: float,
+        refuse: Callable[[], None],
+    ) -> None:
+        usable = [
+            target
+            for target in self.targets
+            if target.listed.incarnation not in excluded
+            and instance.avoided.get(target.listed.incarnation, 0.0) <= self.now
+            and instance.rule.may_send(
+                target.listed,
+                instance.in_flight.get(target.listed.incarnation, 0),
+                self.now,
+            )
+        ]
+        if usable:
+            chosen = min(
+                usable,
+                key=lambda one: (
+                    instance.in_flight.get(one.listed.incarnation, 0),
+                    self.random.random(),
+                ),
+            )
+            self._send(instance, chosen, excluded, held_until, refuse)
+            return
+        if self.now >= held_until or instance.waiting >= MAX_HELD:
+            refuse()
+            return
+        instance.waiting += 1
+
+        def retry() -> None:
+            instance.waiting -= 1
+            self._try(instance, excluded, held_until, refuse)
+
+        self._later(POLL_SECONDS, retry)
+
+    def _send(self, instance, target, excluded, held_until, refuse) -> None:
+        incarnation = target.listed.incarnation
+        instance.rule.record_send(target.listed, self.now)
+        instance.in_flight[incarnation] = instance.in_flight.get(incarnation, 0) + 1
+
+        def fail() -> None:
+            later = excluded | {incarnation}
+            if len(later) < MAX_SENDS:
+                self._try(instance, later, held_until, refuse)
+            else:
+                refuse()
+
+        def receive(rejected: bool, load: LoadReport) -> None:
+            instance.in_flight[incarnation] -= 1
+            instance.rule.record_response(
+                target.listed,
+                limit=self.scenario.limit,
+                rejected=rejected,
+                load=load,
+                in_flight=instance.in_flight[incarnation],
+                now=self.now,
+            )
+            if rejected:
+                fail()
+            else:
+                self.served += 1
+
+        def miss() -> None:
+            instance.in_flight[incarnation] -= 1
+            instance.rule.record_unsent(incarnation)
+            instance.avoided[incarnation] = self.now + 1.0
+            fail()
+
+        def reach() -> None:
+            if target.down_until > self.now:
+                self._later(self._draw_latency(), miss)
+                return
+            queue = self.scenario.queue
+            if self.now >= SHRINK_SECONDS:
+                queue = self.scenario.later_queue
+            if target.running + len(target.waiting) >= self.scenario.slots + queue:
+                load = self._report(target)
+                self._later(self._draw_latency(), lambda: receive(True, load))
+                self._reject(target)
+                return
+            target.waiting.append(lambda load: receive(False, load))
+            self._start_runs(target)
+
+        self._later(self._draw_latency(), reach)
+
+    def _start_runs(self, target: _Target) -> None:
+        while target.waiting and target.running < self.scenario.slots:
+            answer = target.waiting.popleft()
+            target.running += 1
+
+            def end(answer=answer, fell=target.falls) -> None:
+                if target.falls == fell:
+                    target.running -= 1
+                    self._start_runs(target)
+                load = self._report(target)
+                self._later(self._draw_latency(), lambda: answer(load))
+
+            seconds = self.random.uniform(0.3, 1.7) * self.scenario.run_seconds
+            self._later(seconds, end)
+
+    def _reject(self, target: _Target) -> None:
+        self.rejected += 1
+        rejections = target.rejections
+        while rejections and rejections[0] <= self.now - 1.0:
+            rejections.popleft()
+        rejections.append(self.now)
+        if self.now < SHRINK_SECONDS or len(rejections) <= self.scenario.limit:
+            return
+        rejections.clear()
+        target.falls += 1
+        target.down_until = self.now + DOWN_SECONDS
+        target.running = 0
+        target.waiting.clear()
+
+    def _report(self, target: _Target) -> LoadReport:
+        return LoadReport(
+            running=target.running,
+            waiting=len(target.waiting),
+            slots=self.scenario.slots,
+        )
+
+    def _draw_latency(self) -> float:
+        return self.random.uniform(*LATENCIES)
