Bound what risks a rejection by all that runs beyond an instance's slots

A simulation of whole fleets in virtual time (9 and 89 instances) showed falls as targets began to let fewer requests wait: requests at risk that had been accepted took slots that other instances counted on. They now count until they end, nothing is risked at a target that reports to be full, and the turns of targets differ.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/maker_calls.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/maker_calls.py
@@ -80,7 +80,6 @@
             async with asyncio.timeout(call_timeout):
                 head, body = await self._exchange(maker, call, call_timeout, started)
         except NotSentError:
-            maker.brittle_makers.record_unsent(maker.target.incarnation)
             if self._may_send(maker, call):
                 maker.record_failure(self._clock.now())
             else:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/makers.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/makers.py
@@ -82,7 +82,6 @@
     def start_call(self, items: int, now: float) -> float:
         """Record a call that starts; return its timeout in seconds."""
         expected = self.profile.estimate_seconds(items) * self.find_slowness(now)
-        self.brittle_makers.record_send(self.target, now)
         self.calls += 1
         self.busy_until = now + expected
         return expected * CALL_TIMEOUT_FACTOR + CALL_MARGIN
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_sender.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_sender.py
@@ -106,7 +106,6 @@
                 ),
             )
         except NotSentError as error:
-            self._load_balancer.record_unsent(incarnation)
             exchange.unsent += 1
             return self._record_failure(
                 exchange, target, SendOutcome.UNSENT, str(error), blamed=may_send()
--- a/packages/greengagelatch/src/greengagelatch/relay/brittle_targets.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/brittle_targets.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from ..targets.subset import compute_weight
 from .cold_targets import compute_share
 
 if TYPE_CHECKING:
@@ -26,8 +27,8 @@
     "BrittleTargets",
 )
 
-#: seconds for which a rejection, or a send without a response, counts: the second of
-#: the limit, and the time that a request may spend on its connection
+#: seconds for which a rejection counts: the second of the limit, and the time that a
+#: request may spend on its connection
 WINDOW_SECONDS = 1.4
 #: seconds after the last response with a limit until which it holds
 LAPSE_SECONDS = 10.0
@@ -54,10 +55,11 @@
     #: the limit in its last response; ``None``: none
     limit: int | None
     answered_at: float
+    #: seconds by which its turns are shifted: turns that begin at all targets at once
+    #: would send them the requests that wait in the same moment
+    turn_offset: float
     #: the load in its last response; ``None``: not said
     load: LoadReport | None = None
-    #: monotonic times of the sends without a response, oldest first
-    unanswered: deque[float] = field(default_factory=deque)
     #: monotonic times of its rejections
     rejections: deque[float] = field(default_factory=deque)
     #: requests of this instance that it held when it last rejected one
@@ -69,8 +71,8 @@
 
     The slots of a target are divided among all instances that may exist. A request
     within this instance's share of the slots finds one free; any other one is at risk
-    of being rejected. The requests at risk that have not been answered, and the
-    rejections of the last second, stay within this instance's share of the limit.
+    of being rejected. The requests at risk, and the rejections of the last second,
+    stay within this instance's share of the limit.
 
     :param own: address of this instance
     :param find_instances: returns the addresses of all instances that may exist
@@ -127,28 +129,18 @@
         if limit is None:
             return True
         known = self._find(target.incarnation, now)
-        _drop_old(known, now)
+        while known.rejections and known.rejections[0] <= now - WINDOW_SECONDS:
+            known.rejections.popleft()
         room = self._find_room(target, known, now)
         beyond = in_flight + 1 - room
         if beyond <= 0 and not known.rejections:
             return True
         if _is_full(known, now):
             return False
-        at_risk = max(1, min(beyond, len(known.unanswered) + 1))
-        allowed = self._find_allowed(target, limit)
+        at_risk = max(1, beyond)
+        allowed = self._find_allowed(target, known, limit)
         return len(known.rejections) + at_risk <= allowed
 
-    def record_send(self, target: ListedTarget, now: float) -> None:
-        """Record a request that is sent to a target."""
-        if self.find_limit(target, now) is not None:
-            self._find(target.incarnation, now).unanswered.append(now)
-
-    def record_unsent(self, incarnation: Incarnation) -> None:
-        """Record that a request was not sent after all."""
-        known = self._targets.get(incarnation)
-        if known is not None and known.unanswered:
-            known.unanswered.popleft()
-
     def record_response(
         self,
         target: ListedTarget,
@@ -167,7 +159,6 @@
         :param in_flight: requests that this instance has at it beside this one
         """
         before = self.find_limit(target, now)
-        self.record_unsent(target.incarnation)
         if limit is None and before is None:
             return
         known = self._find(target.incarnation, now)
@@ -191,7 +182,6 @@
             str(incarnation): {
                 "limit": known.limit,
                 "rejections": len(known.rejections),
-                "unanswered": len(known.unanswered),
             }
             for incarnation, known in self._targets.items()
             if known.limit is not None and now - known.answered_at < LAPSE_SECONDS
@@ -200,7 +190,12 @@
     def _find(self, incarnation: Incarnation, now: float) -> _Target:
         known = self._targets.get(incarnation)
         if known is None:
-            known = _Target(limit=None, answered_at=now - LAPSE_SECONDS)
+            offset = compute_weight("", incarnation.target_id) % 1000 / 1000
+            known = _Target(
+                limit=None,
+                answered_at=now - LAPSE_SECONDS,
+                turn_offset=offset * TURN_SECONDS,
+            )
             self._targets[incarnation] = known
         return known
 
@@ -208,19 +203,21 @@
         """Return how many requests of this instance a target certainly has room for."""
         if known.rejections:
             return known.held
+        if _has_queue(known, now):
+            return 0
         self._drop_shares(self._turn)
         return self._compute_share(self._slot_shares, target.target_id, target.slots)
 
-    def _find_allowed(self, target: ListedTarget, limit: int) -> int:
+    def _find_allowed(self, target: ListedTarget, known: _Target, limit: int) -> int:
         """Return the share of the limit that this instance may use now."""
         usable = max(1, int(limit * LIMIT_SHARE)) if limit > 0 else 0
         seconds = self._find_wall_seconds()
-        turn = int(seconds // TURN_SECONDS)
-        self._drop_shares(turn)
-        if seconds % TURN_SECONDS > TURN_SECONDS - WINDOW_SECONDS:
+        self._drop_shares(int(seconds // TURN_SECONDS))
+        turn, elapsed = divmod(seconds + known.turn_offset, TURN_SECONDS)
+        if elapsed > TURN_SECONDS - WINDOW_SECONDS:
             # what each instance may use in all turns
             return usable // len(self._shared_by)
-        key = f"{target.target_id}/{turn}"
+        key = f"{target.target_id}/{turn:.0f}"
         return self._compute_share(self._limit_shares, key, usable)
 
     def _drop_shares(self, turn: int) -> None:
@@ -244,15 +241,18 @@
         return share
 
 
-def _drop_old(known: _Target, now: float) -> None:
-    for times in (known.unanswered, known.rejections):
-        while times and times[0] <= now - WINDOW_SECONDS:
-            times.popleft()
+def _find_load(known: _Target, now: float) -> LoadReport | None:
+    """Return the load that a target reported recently."""
+    return known.load if now - known.answered_at < REPORT_SECONDS else None
 
 
 def _is_full(known: _Target, now: float) -> bool:
     """Return whether a target reported recently that all its slots are taken."""
-    load = known.load
-    if load is None or now - known.answered_at >= REPORT_SECONDS:
-        return False
-    return load.running + load.waiting >= load.slots
+    load = _find_load(known, now)
+    return load is not None and load.running + load.waiting >= load.slots
+
+
+def _has_queue(known: _Target, now: float) -> bool:
+    """Return whether a target reported recently that requests wait for its slots."""
+    load = _find_load(known, now)
+    return load is not None and load.waiting > 0
--- a/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
@@ -112,7 +112,7 @@
         if not candidates:
             return None
         chosen = min(candidates, key=lambda one: self._score_target(one, now))
-        self._record_send(chosen, now)
+        self._cold_targets.record_send(chosen.incarnation, now)
         return chosen
 
     def choose_engine(
@@ -140,7 +140,7 @@
             candidates,
             key=lambda one: self._score_engine(one, need, affinity_target, now),
         )
-        self._record_send(chosen, now)
+        self._cold_targets.record_send(chosen.incarnation, now)
         return chosen
 
     def lacks_room(
@@ -267,10 +267,6 @@
             now=now,
         )
 
-    def record_unsent(self, incarnation: Incarnation) -> None:
-        """Record that a request did not reach the target chosen for it."""
-        self._brittle_targets.record_unsent(incarnation)
-
     def forget(self, incarnation: Incarnation) -> None:
         """Discard the state of a target that is gone."""
         self._states.pop(incarnation, None)
@@ -327,10 +323,6 @@
         in_flight = 0 if state is None else state.in_flight
         return self._brittle_targets.may_send(target, in_flight, now)
 
-    def _record_send(self, target: ListedTarget, now: float) -> None:
-        self._cold_targets.record_send(target.incarnation, now)
-        self._brittle_targets.record_send(target, now)
-
     def _score_target(self, target: ListedTarget, now: float) -> tuple[float, float]:
         state = self._find_state(target.incarnation)
         requests = state.in_flight + self._count_other_requests(state, now)
--- a/tests/test_core/test_relay/brittle_fleets.py
+++ b/tests/test_core/test_relay/test_brittle_fleets.py
@@ -1,4 +1,4 @@
-"""Simulation in virtual time of a fleet that sends to brittle targets."""
+"""Simulation in virtual time of whole fleets that send to brittle targets."""
 
 from __future__ import annotations
 
@@ -8,6 +8,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+import pytest
+
 from greengagelatch.relay.brittle_targets import WINDOW_SECONDS, BrittleTargets
 from greengagelatch.relay.cold_targets import compute_share
 from greengagelatch.relay.incarnations import Incarnation
@@ -17,8 +19,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-__all__ = ("WAYS", "Fleet", "Scenario")
-
 #: seconds after which the targets let fewer requests wait, and those of a run
 SHRINK_SECONDS = 3.0
 RUN_SECONDS = 10.0
@@ -229,7 +229,8 @@
 
     def _send(self, instance, target, excluded, held_until, refuse) -> None:
         incarnation = target.listed.incarnation
-        instance.rule.record_send(target.listed, self.now)
+        if isinstance(instance.rule, SendsOnly):
+            instance.rule.record_send(target.listed, self.now)
         instance.in_flight[incarnation] = instance.in_flight.get(incarnation, 0) + 1
 
         def fail() -> None:
@@ -256,7 +257,6 @@
 
         def miss() -> None:
             instance.in_flight[incarnation] -= 1
-            instance.rule.record_unsent(incarnation)
             instance.avoided[incarnation] = self.now + 1.0
             fail()
 
@@ -315,3 +315,43 @@
 
     def _draw_latency(self) -> float:
         return self.random.uniform(*LATENCIES)
+
+
+SCENARIOS = (
+    Scenario(instances=9, targets=3, slots=1, limit=2),
+    Scenario(instances=9, targets=3, slots=4, limit=2),
+    Scenario(instances=9, targets=6, slots=16, limit=5, run_seconds=0.6),
+    Scenario(instances=89, targets=3, slots=4, limit=2),
+    Scenario(instances=89, targets=3, slots=4, limit=30),
+    Scenario(instances=89, targets=12, slots=4, limit=2, run_seconds=0.5),
+)
+
+
+def run_fleet(scenario: Scenario, way: str, seed: int) -> Fleet:
+    fleet = Fleet(scenario, way, seed)
+    fleet.run()
+    return fleet
+
+
+@pytest.mark.parametrize("seed", range(2))
+@pytest.mark.parametrize("scenario", SCENARIOS, ids=str)
+def test_brittle_targets_fall_no_more_often_than_allowed(scenario, seed):
+    """Guards against overload that makes the brittle targets of a service fall.
+
+    Without the limit they fall too often, and fewer requests are served.
+    """
+    before = run_fleet(scenario, "none", seed)
+    assert before.falls > before.allowed_falls
+    fleet = run_fleet(scenario, "slots and risk", seed)
+    assert fleet.falls <= fleet.allowed_falls
+    assert fleet.served > before.served
+
+
+def test_instances_without_any_response_spare_brittle_targets():
+    """Guards against instances that learn of brittle targets by their rejections.
+
+    Runs last longer than the time in which the targets still let requests wait.
+    """
+    scenario = Scenario(instances=89, targets=45, slots=16, limit=2, run_seconds=12)
+    fleet = run_fleet(scenario, "slots and risk", 0)
+    assert fleet.falls <= fleet.allowed_falls
--- /dev/null
+++ b/tests/test_core/test_relay/test_brittle_targets.py
@@ -0,0 +1,125 @@
+"""Tests of the limits on what brittle targets have to reject."""
+
+from __future__ import annotations
+
+from greengagelatch.relay.brittle_targets import (
+    LAPSE_SECONDS,
+    TURN_SECONDS,
+    WINDOW_SECONDS,
+    BrittleTargets,
+)
+from greengagelatch.relay.incarnations import Incarnation
+from greengagelatch.relay.load_balancer import LoadReport
+from greengagelatch.relay.targets import ListedTarget
+
+SLOTS = 4
+FULL = LoadReport(running=SLOTS, waiting=0, slots=SLOTS)
+NAMES = frozenset(f"entry-{n}" for n in range(9))
+
+
+def make_target(target_id: str = "desk-1", slots: int = SLOTS) -> ListedTarget:
+    return ListedTarget(
+        incarnation=Incarnation(target_id, 1),
+        service="desk",
+        address=f"{target_id}:1",
+        data_centre="north",
+        slots=slots,
+    )
+
+
+def respond(rule, limit, *, target=None, rejected=False, load=None, now=0.0):
+    rule.record_response(
+        target or make_target(),
+        limit=limit,
+        rejected=rejected,
+        load=load,
+        in_flight=0,
+        now=now,
+    )
+
+
+def test_targets_that_are_not_brittle_are_not_limited():
+    rule = BrittleTargets()
+    respond(rule, None, rejected=True)
+    assert rule.may_send(make_target(), 1000, 0.0)
+
+
+def test_limit_ends_with_the_first_response_without_it():
+    changes = []
+    rule = BrittleTargets(on_changed=lambda _, limit: changes.append(limit))
+    respond(rule, 3)
+    respond(rule, 5)
+    assert rule.find_limit(make_target(), 0.0) == 5
+    respond(rule, None)
+    assert rule.find_limit(make_target(), 0.0) is None
+    assert changes == [3, 5, None]
+
+
+def test_limit_lapses_if_the_target_is_silent():
+    rule = BrittleTargets()
+    respond(rule, 3)
+    assert rule.find_limit(make_target(), LAPSE_SECONDS - 0.1) == 3
+    assert rule.find_limit(make_target(), LAPSE_SECONDS) is None
+
+
+def test_limit_holds_for_targets_of_the_service_that_have_not_responded():
+    """Guards against a target that restarts and falls before its first response."""
+    rule = BrittleTargets()
+    respond(rule, 3)
+    assert rule.find_limit(make_target("desk-2"), 1.0) == 3
+
+
+def test_instances_share_the_slots_of_a_target():
+    rules = [BrittleTargets(own=name, find_instances=lambda: NAMES) for name in NAMES]
+    for rule in rules:
+        respond(rule, 1, load=FULL)
+    assert sum(rule.may_send(make_target(), 0, 0.5) for rule in rules) == SLOTS
+
+
+def test_requests_at_risk_stay_below_the_limit_in_every_turn():
+    """Guards against a limit that all instances use up at the same time."""
+    limit = 10
+    for turn in range(20):
+        seconds = [turn * TURN_SECONDS]
+        rules = [
+            BrittleTargets(
+                own=name,
+                find_instances=lambda: NAMES,
+                find_wall_seconds=lambda seconds=seconds: seconds[0],
+            )
+            for name in NAMES
+        ]
+        for rule in rules:
+            respond(rule, limit)
+        sends = 0
+        for rule in rules:
+            at_risk = 0
+            while rule.may_send(make_target(slots=0), at_risk, 2.0):
+                at_risk += 1
+            sends += at_risk
+        assert sends <= limit / 2
+
+
+def test_rejections_of_the_last_second_count_as_requests_at_risk():
+    rule = BrittleTargets()
+    respond(rule, 4, rejected=True)
+    assert rule.may_send(make_target(), 0, 0.0)
+    respond(rule, 4, rejected=True)
+    assert not rule.may_send(make_target(), 0, 0.0)
+    assert rule.may_send(make_target(), 0, WINDOW_SECONDS)
+
+
+def test_nothing_is_risked_at_a_target_that_reports_to_be_full():
+    rule = BrittleTargets()
+    respond(rule, 30, load=FULL)
+    assert not rule.may_send(make_target(), SLOTS, 0.5)
+    respond(rule, 30, load=LoadReport(running=1, waiting=0, slots=SLOTS))
+    assert rule.may_send(make_target(), SLOTS, 0.5)
+
+
+def test_state_of_a_target_that_is_gone_is_discarded():
+    rule = BrittleTargets()
+    respond(rule, 3)
+    assert list(rule.describe(0.0)) == [str(make_target().incarnation)]
+    rule.forget(make_target().incarnation)
+    assert rule.describe(0.0) == {}
