Test held and refused requests, makers and the end of brittleness

The test of makers fails without the limit (both makers full, calls repeated by their owner) and passes with it. A change of belief is logged when a target begins or ceases to say that it is brittle, not with each number: numbers may differ in each response.

--- a/packages/greengagelatch/src/greengagelatch/relay/brittle_targets.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/brittle_targets.py
@@ -77,8 +77,8 @@
     :param own: address of this instance
     :param find_instances: returns the addresses of all instances that may exist
     :param find_wall_seconds: returns seconds since the Unix epoch
-    :param on_changed: called when a target becomes brittle, with its limit, or no
-        longer is, with ``None``
+    :param on_changed: called when a target says that it is brittle, with its limit, and
+        when it no longer does, with ``None``
     """
 
     def __init__(
@@ -158,8 +158,9 @@
         :param load: the load that it reported; ``None``: not said
         :param in_flight: requests that this instance has at it beside this one
         """
-        before = self.find_limit(target, now)
-        if limit is None and before is None:
+        known = self._targets.get(target.incarnation)
+        was_brittle = known is not None and known.limit is not None
+        if limit is None and self.find_limit(target, now) is None and not was_brittle:
             return
         known = self._find(target.incarnation, now)
         known.limit, known.answered_at = limit, now
@@ -169,7 +170,7 @@
             if rejected:
                 known.rejections.append(now)
                 known.held = max(0, in_flight)
-        if limit != before:
+        if (limit is not None) != was_brittle:
             self._on_changed(target.incarnation, limit)
 
     def forget(self, incarnation: Incarnation) -> None:
--- a/tests/test_entry/test_relay/test_brittle_targets.py
+++ b/tests/test_entry/test_relay/test_brittle_targets.py
@@ -44,3 +44,59 @@
     statuses = [reply.status for reply in replies]
     assert set(statuses) <= {SERVED, REFUSED}
     assert statuses.count(SERVED) >= sum(one.slots for one in states)
+
+
+async def test_requests_beyond_the_room_wait_or_are_refused_with_spread_times(world):
+    """Guards against callers that are refused and return at the same moment."""
+    make_brittle(world)
+    await ask_each_target(world)
+    for target in world.targets.values():
+        target.brittleness.shrinks_after = 0.0
+        target.brittleness.serve_seconds = 0.1
+    replies = await asyncio.gather(*(world.ask(f"/look/{n}") for n in range(2 * BURST)))
+    refused = [reply for reply in replies if reply.status == REFUSED]
+    assert len({reply.headers["Retry-After"] for reply in refused}) > len(refused) / 2
+    assert world.count("brittle_targets.held") > 0
+    assert world.count("brittle_targets.refused") == len(refused)
+    assert len(world.describe()["brittle_targets"]) == 2
+
+
+async def test_requests_pass_at_once_when_targets_are_not_brittle(world):
+    """Guards against services that wait for room without need."""
+    make_brittle(world, limit=None, slots=BURST)
+    replies = await asyncio.gather(*(world.ask(f"/look/{n}") for n in range(BURST)))
+    assert {reply.status for reply in replies} == {SERVED}
+    assert world.count("brittle_targets.held") == 0
+    assert world.describe()["brittle_targets"] == {}
+
+
+async def test_end_of_brittleness_ends_the_limit(world):
+    """Guards against a limit that outlives what the targets say."""
+    states = make_brittle(world)
+    await ask_each_target(world)
+    assert len(world.describe()["brittle_targets"]) == 2
+    for one in states:
+        one.limit = None
+    async with asyncio.timeout(20):
+        while world.describe()["brittle_targets"]:
+            await world.ask("/look/1")
+    assert world.count("beliefs.brittle-target") == 4
+
+
+async def test_makers_that_reject_calls_do_not_fall(pipeline):
+    """Guards against an owner that calls full makers until they fall.
+
+    Their slots are taken by calls of another instance.
+    """
+    states = []
+    for name in ("portal-1", "portal-2"):
+        maker = pipeline.targets[name]
+        maker.brittleness = Brittleness(limit=2, slots=1)
+        states.append(maker.brittleness)
+    replies = await asyncio.gather(*(pipeline.stream() for _ in range(4)))
+    assert {reply.status for reply in replies} <= {SERVED, REFUSED}
+    for one in states:
+        one.held = one.slots
+    await asyncio.gather(*(pipeline.stream(X_Deadline_Ms="1500") for _ in range(30)))
+    assert sum(one.rejected for one in states) > 0
+    assert sum(one.falls for one in states) == 0
--- a/tests/test_platform/test_targets.py
+++ b/tests/test_platform/test_targets.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 import json
+from types import SimpleNamespace
+
+import pytest
+from multidict import CIMultiDict
 
 from greengagelatch.relay.incarnations import Incarnation
 from greengagelatch.relay.pieces import Piece, PieceFailure
@@ -94,3 +98,15 @@
 
 def test_handle_contains_the_address_of_the_maker():
     assert CODEC.find_maker_address("10.0.0.1:80/91bd/x") == "10.0.0.1:80"
+
+
+@pytest.mark.parametrize(
+    ("value", "limit"),
+    [("12", 12), (" 0 ", 0), ("", None), ("-1", None), ("1.5", None), ("9" * 10, None)],
+)
+def test_limits_on_rejections_are_decoded(value, limit):
+    message = SimpleNamespace(
+        code=200, reason="OK", headers=CIMultiDict({"Server-Brittle": value})
+    )
+    head = CODEC.read_head(SimpleNamespace(message=message))
+    assert head.rejection_limit == limit
