Hold requests for targets that tolerate no rejection at all

A limit of 0 counted as none where a request decides whether to wait, so it was refused at once. Its first form failed after the change as well: the targets' new number of slots had not been read from the listing yet, which it now awaits.

--- a/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
@@ -158,7 +158,8 @@
             and one.incarnation not in excluded
             and self._cold_targets.may_send(one, now)
         ]
-        if not any(self._brittle_targets.find_limit(one, now) for one in listed):
+        limits = [self._brittle_targets.find_limit(one, now) for one in listed]
+        if all(limit is None for limit in limits):
             return False
         return not any(self._has_room(one, now) for one in listed)
 
--- a/tests/test_entry/test_relay/test_brittle_targets.py
+++ b/tests/test_entry/test_relay/test_brittle_targets.py
@@ -25,6 +25,12 @@
 
 async def ask_each_target(world) -> None:
     """Send requests until each target has answered one."""
+    table = world.find("news")._target_table
+    for target_id, target in world.targets.items():
+        slots = target.brittleness.slots
+        await world.wait_for(
+            lambda one=target_id, slots=slots: table.find_listed(one).slots == slots
+        )
     async with asyncio.timeout(20):
         while not all(target.runs for target in world.targets.values()):
             await asyncio.gather(*(world.ask("/look/1") for _ in range(4)))
@@ -100,3 +106,14 @@
     await asyncio.gather(*(pipeline.stream(X_Deadline_Ms="1500") for _ in range(30)))
     assert sum(one.rejected for one in states) > 0
     assert sum(one.falls for one in states) == 0
+
+
+async def test_targets_that_tolerate_no_rejection_are_held_back_from(world):
+    """Guards against a limit of 0 that counts as no limit."""
+    states = make_brittle(world, limit=0)
+    await ask_each_target(world)
+    for one in states:
+        one.shrinks_after = 0.0
+    await asyncio.gather(*(world.ask(f"/look/{n}") for n in range(BURST)))
+    assert sum(one.falls for one in states) == 0
+    assert world.count("brittle_targets.held") > 0
