Build the streams of the lab's stage load with the new argument

The whole suite failed on eight tests of its trials: runners take the admission to brittle targets, which the model of streams, like that of suspects, does not use. All eight pass after.

--- a/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/instances.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/instances.py
@@ -245,6 +245,7 @@
             admission=self._create_admission(),
             sender=None,
             suspects=None,
+            brittle=None,
             load_balancer=load_balancer,
             budgets=self._create_budgets(),
             clock=self._clock,
