--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/maker_calls.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/maker_calls.py
@@ -161,6 +161,10 @@
         self, maker: Maker, head: ResponseHead, body: bytes, count: int, started: float
     ) -> CallResult:
         now = self._clock.now()
+        if not head.misdirected:
+            maker.record_limit(
+                head.rejection_limit, head.load, now, rejected=head.not_run
+            )
         if head.misdirected:
             # the call reached the target that has the address now, so that the next
             # attempt is charged as a retry
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/runners.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/runners.py
@@ -24,6 +24,7 @@
     from greengagelatch.relay.requests import RefusedError
     from greengagelatch.relay.targets import ListedTarget
 
+    from .brittle_admission import BrittleAdmission
     from .decisions import DecisionLog
     from .exchange import RelayExchange
     from .retry_budgets import RetryBudgets
@@ -53,6 +54,7 @@
         load_balancer: LoadBalancer,
         budgets: RetryBudgets,
         suspects: SuspectAdmission,
+        brittle: BrittleAdmission,
         clock: Clock,
         decisions: DecisionLog,
     ) -> None:
@@ -60,6 +62,7 @@
         self.load_balancer = load_balancer
         self.budgets = budgets
         self.suspects = suspects
+        self.brittle = brittle
         self.clock = clock
         self.decisions = decisions
 
--- a/tests/test_entry/test_relay/conftest.py
+++ b/tests/test_entry/test_relay/conftest.py
@@ -103,6 +103,10 @@
         find_addresses = self.find("news")._cold_targets._find_instances
         return find_addresses.__self__
 
+    def find_connections(self):
+        """Return the pool of the instance's connections to targets."""
+        return self.parts.close.__self__.connections
+
     def describe(self) -> dict[str, Any]:
         """Return the state that the instance exposes to operators."""
         return self.find("readiness")._describe()
--- a/tests/test_entry/test_relay/test_target_connections.py
+++ b/tests/test_entry/test_relay/test_target_connections.py
@@ -55,7 +55,7 @@
     """
     for _ in range(2):
         await world.ask("/look/1")
-    idle = world.find("crash-watch")._connections._idle
+    idle = world.find_connections()._idle
     (connection,) = next(iter(idle.values()))
     rule = read_rule(connection.transport.get_extra_info("socket"))
     assert rule.find_survived_silence() >= SOUND_SILENCE
@@ -86,7 +86,7 @@
 
     A user timeout ends it even though the target's kernel answers the probes.
     """
-    pool = world.find("crash-watch")._connections
+    pool = world.find_connections()
     async with await start_halted_target() as server:
         _, port = server.sockets[0].getsockname()
         response = await pool.send(
@@ -117,7 +117,7 @@
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
         writer.transport.abort()
 
-    pool = world.find("crash-watch")._connections
+    pool = world.find_connections()
     async with await asyncio.start_server(serve, "127.0.0.1", 0) as server:
         _, port = server.sockets[0].getsockname()
         with pytest.raises(TargetResponseError, match="ECONNRESET") as lost:
