Stand-in fleet: an instance is ready only by its own answers

The process that had taken the port between look-up and use was taken for the instance, which had exited.

The fleet asks for the line that an instance logs once it has bound all its addresses, since its latest start. A test with another server on that address fails before and passes after.

--- a/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/fleet.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/fleet.py
@@ -29,6 +29,8 @@
 MAX_PORT_ATTEMPTS = 5
 #: text in a process's log if it could not bind an address
 ADDRESS_IN_USE = "address already in use"
+#: text in a process's log once it has bound all its addresses
+STARTED = "ready callers="
 #: number of targets per service
 TARGETS_PER_SERVICE = 2
 
@@ -48,14 +50,23 @@
     metrics_port: int
     settings: Path
     process: asyncio.subprocess.Process | None = None
+    #: size of the log in bytes before the latest start
+    log_start: int = 0
 
     @property
     def log(self) -> Path:
         """Path of the file that receives the process's standard output."""
         return self.settings.with_suffix(".log")
 
+    def read_log(self) -> str:
+        """Return what the process has logged since its latest start."""
+        return self.log.read_bytes()[self.log_start :].decode(errors="replace")
+
     async def is_ready(self, session: aiohttp.ClientSession) -> bool:
-        """Return whether the readiness endpoint returns 200."""
+        """Return whether it has started and its readiness endpoint returns 200."""
+        # the address may belong to another process that took it first
+        if STARTED not in self.read_log():
+            return False
         try:
             async with session.get(f"http://{self.readiness}/v1/readyz") as response:
                 return response.status == 200
@@ -131,6 +142,7 @@
     async def launch(self, instance: Instance) -> None:
         """Start the process of an instance."""
         log = os.open(instance.log, os.O_WRONLY | os.O_CREAT | os.O_APPEND)
+        instance.log_start = os.fstat(log).st_size
         try:
             instance.process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -163,7 +175,7 @@
     def _check_alive(self, instance: Instance) -> None:
         if instance.process is None or instance.process.returncode is None:
             return
-        text = instance.log.read_text(encoding="utf-8")
+        text = instance.read_log()
         if ADDRESS_IN_USE in text:
             raise PortTakenError(instance.name)
         raise RuntimeError(f"{instance.name} exited: {text[-500:]}")
--- a/tests/test_processes/test_platform_program.py
+++ b/tests/test_processes/test_platform_program.py
@@ -391,3 +391,32 @@
     finally:
         await fleet.stop()
         taken.close()
+
+
+async def test_instance_is_not_ready_by_the_answers_of_another(tmp_path):
+    """Guards against tests of an instance whose readiness address another one has.
+
+    The address is taken between finding a free port and binding it, and whoever took it
+    answers 200. The fault is to take that for the answer of the instance, which exits.
+    """
+
+    async def answer(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        writer.close()
+
+    other = await asyncio.start_server(answer, "127.0.0.1", 0)
+    first = find_free_ports(4)
+    first[1] = other.sockets[0].getsockname()[1]
+    given = iter([first])
+    fleet = PlatformFleet(
+        tmp_path,
+        count=1,
+        find_ports=lambda count: next(given, None) or find_free_ports(count),
+    )
+    try:
+        await fleet.start()
+        assert not fleet.instances[0].readiness.endswith(f":{first[1]}")
+    finally:
+        await fleet.stop()
+        other.close()
