Probe ejected targets with first sends only

What callers saw: nothing yet; found by review, and shown in a test of the load balancer. A request that left a silent target because another one was healthy could be sent to an ejected one that was due for a probe: without requests in flight, that one is the least loaded. If it was the last attempt, the request then waited for a target that had not answered lately.

Cause: targets in the half-open state were candidates of retries as well.

Evidence: test_retry_prefers_a_healthy_target_to_a_probe fails before (t-0, ejected, is chosen) and passes after.

Retries now treat half-open targets as ejected, and use them only if nothing else is left, as before the probes. First sends probe.

--- a/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
@@ -284,14 +284,17 @@
             (one.incarnation, self._find_state(one.incarnation).breaker)
             for one in listed
         ]
-        ejected = {
-            incarnation
-            for incarnation in find_ejected(breakers, BREAKER_RULE, now)
-            if self._read_breaker(incarnation, now) is BreakerState.OPEN
-        }
+        ejected = find_ejected(breakers, BREAKER_RULE, now)
         left = listed
         if excluded:
+            # a retry is no probe: it may be the last attempt
             left = [one for one in left if one.incarnation not in excluded]
+        else:
+            ejected = frozenset(
+                one
+                for one in ejected
+                if self._read_breaker(one, now) is BreakerState.OPEN
+            )
         if not ejected:
             return left
         healthy = [one for one in left if one.incarnation not in ejected]
--- a/tests/test_core/test_relay/test_load_balancer.py
+++ b/tests/test_core/test_relay/test_load_balancer.py
@@ -125,6 +125,28 @@
     assert 0 < send_for_a_minute(balancer, answers=False) <= 21
 
 
+def test_retry_prefers_a_healthy_target_to_a_probe():
+    """Guards against leaving a silent target for one that may be down.
+
+    The retry is certain as another target is healthy. Without requests in flight, an
+    ejected target is the least loaded one as soon as it may be probed.
+    """
+    balancer = create_balancer(4)
+    ejected, silent = Incarnation("t-0"), frozenset({Incarnation("t-3")})
+    for _ in range(2):
+        balancer.record_failure(ejected, NOW)
+    for healthy in ("t-1", "t-2"):
+        balancer.start(Incarnation(healthy))
+    later = NOW + 60
+    chosen = balancer.choose_least_loaded("s", silent, later)
+    assert chosen.incarnation != ejected
+    engine = balancer.choose_engine("s", EngineDemand(Prompt()), silent, later)
+    assert engine.incarnation != ejected
+    # a first send still probes it
+    chosen = balancer.choose_least_loaded("s", NO_TARGETS, later)
+    assert chosen.incarnation == ejected
+
+
 def test_healthy_targets_are_counted_without_the_failing_and_the_excluded():
     balancer = create_balancer(4)
     failing, silent = Incarnation("t-0"), frozenset({Incarnation("t-1")})
