Count one silence for all waits of an attempt

What callers saw: a target was set aside for a second after a single slow request: the head of its response came after the patience, and the body in a later read.

Cause: the wait for the body began with the same patience, but did not know that the wait for the head had asked. It recorded a second failure, and two in a row open the breaker.

The patience now remembers across waits that it was asked.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/patience.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/patience.py
@@ -15,17 +15,21 @@
 ASK_INTERVAL = 0.25
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
+@dataclass(slots=True, kw_only=True)
 class Patience:
     """How long to wait for a silent target while another one could be used.
 
+    One object may serve several waits of one attempt.
+
     :param until: event loop time in seconds
     :param may_leave: called after that time, and again at intervals; returns whether
         to leave the target. The argument tells whether it was called before
+    :param asked: whether it was called
     """
 
     until: float
     may_leave: Callable[[bool], bool]
+    asked: bool = False
 
 
 class PatientWait:
@@ -36,13 +40,12 @@
     :raises TimeoutError: at ``end``, or once the target may be left
     """
 
-    __slots__ = ("_asked", "_patience", "_scope", "_timer")
+    __slots__ = ("_patience", "_scope", "_timer")
 
     def __init__(self, end: float, patience: Patience | None) -> None:
         self._scope = asyncio.timeout_at(end)
         self._patience = patience
         self._timer: asyncio.Handle | None = None
-        self._asked = False
 
     async def __aenter__(self) -> None:
         await self._scope.__aenter__()
@@ -63,8 +66,8 @@
         if self._scope.expired():
             return
         loop = asyncio.get_running_loop()
-        if self._patience.may_leave(self._asked):
+        asked, self._patience.asked = self._patience.asked, True
+        if self._patience.may_leave(asked):
             self._scope.reschedule(loop.time())
             return
-        self._asked = True
         self._timer = loop.call_later(ASK_INTERVAL, self._read_first)
--- a/tests/test_entry/test_relay/test_patience.py
+++ b/tests/test_entry/test_relay/test_patience.py
@@ -51,6 +51,21 @@
     assert may_leave.calls == [False]
 
 
+async def test_waits_of_one_attempt_count_one_silence():
+    """Guards against one slow request that opens the breaker of its target.
+
+    The head of its response comes late and the body later still. Each wait recorded a
+    failure, and two failures in a row eject a target.
+    """
+    may_leave = Asked(100)
+    patience = create(may_leave)
+    for calls in (1, 2):
+        async with PatientWait(find_end(), patience):
+            while len(may_leave.calls) < calls:  # noqa: ASYNC110 - no event tells of it
+                await asyncio.sleep(0.001)
+    assert may_leave.calls == [False, True]
+
+
 async def test_wait_without_patience_ends_at_its_end():
     with pytest.raises(TimeoutError):
         async with PatientWait(asyncio.get_running_loop().time(), None):
