Test two guards of silences that no test covered

A silence counts as a failure with the breaker of its target, and an ejected target is not counted as healthy where nothing else is left. With either taken out, the tests of the load balancer, unary requests and streams passed; now one fails for each.

--- a/tests/test_core/test_relay/test_load_balancer.py
+++ b/tests/test_core/test_relay/test_load_balancer.py
@@ -157,6 +157,10 @@
     assert balancer.count_healthy("s", silent, NOW, frozenset({"north"})) == 1
     # also once it may be probed: it has not answered yet
     assert balancer.count_healthy("s", silent, NOW + 60) == 2
+    # and where a send would have nothing else left
+    others = frozenset(Incarnation(f"t-{number}") for number in (1, 2, 3))
+    for now in (NOW, NOW + 60):
+        assert balancer.count_healthy("s", others, now) == 0
 
 
 def test_circuit_breakers_never_eject_all_targets():
--- a/tests/test_entry/test_relay/test_unary.py
+++ b/tests/test_entry/test_relay/test_unary.py
@@ -274,3 +274,18 @@
     await world.wait_for(lambda: world.count("requests.cancelled") == 1)
     target.resume()
     assert (await world.ask("/look/1")).status == 200
+
+
+async def test_target_is_set_aside_for_new_requests_while_others_wait_for_it(world):
+    """Guards against new requests sent to a target that is known to be silent."""
+    silent = await leave_one_target(world)
+    silent.silences = [0, 0]
+    await world.extend_timeouts()
+    held = [asyncio.create_task(world.ask("/look/1")) for _ in range(2)]
+    await world.wait_for(lambda: world.count("decisions.silence") >= 2)
+    breakers = {one["breaker"] for one in world.describe()["targets"].values()}
+    assert breakers - {"closed"}
+    silent.silences.clear()
+    silent.resume()
+    for request in held:
+        assert (await request).status == 200
