Take a rejection for the answer to a probe

What callers saw: nothing yet; found by review. Rejections don't open a breaker.

Cause: a rejection was recorded neither as a success nor as a failure, and only a success concludes a probe.

Evidence: test_ejected_target_that_is_full_is_used_again fails before (breaker open) and passes after.

A rejection now closes the breaker if it answers a probe, and changes nothing where the breaker is closed.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_sender.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_sender.py
@@ -162,6 +162,7 @@
             )
         if head.not_run:
             response.abort()
+            self._load_balancer.record_rejection(target.incarnation, self._clock.now())
             return self._record_failure(
                 exchange,
                 target,
--- a/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
@@ -222,6 +222,14 @@
         """Record a failure that the target is responsible for."""
         self._find_state(incarnation).breaker.record_failure(now)
 
+    def record_rejection(self, incarnation: Incarnation, now: float) -> None:
+        """Record that a target did not run a request, such as one that is full.
+
+        That is no success, but it answers a probe.
+        """
+        if self._read_breaker(incarnation, now) is not BreakerState.CLOSED:
+            self.record_success(incarnation)
+
     def record_load_report(
         self, incarnation: Incarnation, report: LoadReport, now: float
     ) -> None:
--- a/tests/test_entry/test_relay/test_unary.py
+++ b/tests/test_entry/test_relay/test_unary.py
@@ -21,6 +21,10 @@
     return sum(target.runs[request_id] for target in world.targets.values())
 
 
+def list_breakers(world) -> list[str]:
+    return [one["breaker"] for one in world.describe()["targets"].values()]
+
+
 async def test_response_is_forwarded_unchanged(world):
     reply = await world.ask("/look/1?a=%2F&&b", request_id="r-1")
     assert reply.status == 200
@@ -283,9 +287,28 @@
     await world.extend_timeouts()
     held = [asyncio.create_task(world.ask("/look/1")) for _ in range(2)]
     await world.wait_for(lambda: world.count("decisions.silence") >= 2)
-    breakers = {one["breaker"] for one in world.describe()["targets"].values()}
-    assert breakers - {"closed"}
+    assert "open" in list_breakers(world) or "probing" in list_breakers(world)
     silent.silences.clear()
     silent.resume()
     for request in held:
         assert (await request).status == 200
+
+
+async def test_ejected_target_that_is_full_is_used_again(world):
+    """Guards against a sound target that stays ejected as its probes find it full.
+
+    A target that rejects a request has answered. The next probe would be sent only
+    after another ejection time, and at a busy target find it full again.
+    """
+    full = await leave_one_target(world)
+    full.silences = [0, 0]
+    await world.extend_timeouts()
+    held = [asyncio.create_task(world.ask("/look/1")) for _ in range(2)]
+    await world.wait_for(lambda: world.count("decisions.silence") >= 2)
+    full.silences.clear()
+    full.resume()
+    await asyncio.gather(*held)
+    await world.wait_for(lambda: "probing" in list_breakers(world))
+    full.fault = TargetFault.FULL
+    assert (await world.ask("/look/1")).status == 503
+    assert list_breakers(world) == ["closed"]
