--- a/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
@@ -245,6 +245,14 @@
         """Record a failure that the target is responsible for."""
         self._find_state(incarnation).breaker.record_failure(now)
 
+    def record_rejection(self, incarnation: Incarnation, now: float) -> None:
+        """Record that a target did not run a request, such as one that is full.
+
+        That is no success, but it answers a probe.
+        """
+        if self._read_breaker(incarnation, now) is not BreakerState.CLOSED:
+            self.record_success(incarnation)
+
     def record_load_report(
         self, incarnation: Incarnation, report: LoadReport, now: float
     ) -> None:
@@ -331,14 +339,17 @@
             (one.incarnation, self._find_state(one.incarnation).breaker)
             for one in listed
         ]
-        ejected = {
-            incarnation
-            for incarnation in find_ejected(breakers, BREAKER_RULE, now)
-            if self._read_breaker(incarnation, now) is BreakerState.OPEN
-        }
+        ejected = find_ejected(breakers, BREAKER_RULE, now)
         left = listed
         if excluded:
+            # a retry is no probe: it may be the last attempt
             left = [one for one in left if one.incarnation not in excluded]
+        else:
+            ejected = frozenset(
+                one
+                for one in ejected
+                if self._read_breaker(one, now) is BreakerState.OPEN
+            )
         if not ejected:
             return left
         healthy = [one for one in left if one.incarnation not in ejected]
