Leave connections to targets whose direct path is lost

Callers saw safe requests and resumable streams end at their deadline (504) that were running at targets when an instance was partitioned from them, although the targets were reached through peers by then.

Cause: a silent target was left only if another one was healthy, which means a closed circuit breaker. The silences of a partition open the breakers of all targets of the service; with the only target of a service there was never another one.

Evidence: test_requests_leave_connections_across_a_partition (safe, resumable) and test_request_leaves_the_only_target_for_a_tunnel_to_it fail before, with 504 for some or all of eight requests, and pass after.

A direct connection to a target that is bypassed is known to be on a lost path. Requests that may run once wait on as before: their connection may live on.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -256,6 +256,7 @@
         self.connections = TargetConnectionPool(
             dialer=self.dialer,
             find_idle_limit=self._find_idle_limit,
+            is_reachable=self.reachability.is_reachable,
             clock=self.clock,
             metrics=self.metrics,
         )
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/patience.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/patience.py
@@ -21,11 +21,12 @@
 
     :param until: event loop time in seconds
     :param may_leave: called after that time, and again at intervals; returns whether
-        to leave the target. The argument tells whether it was called before
+        to leave the target. The arguments tell whether it was called before, and
+        whether the path of the connection is lost
     """
 
     until: float
-    may_leave: Callable[[bool], bool]
+    may_leave: Callable[[bool, bool], bool]
 
 
 class PatientWait:
@@ -33,14 +34,22 @@
 
     :param end: event loop time in seconds at which the wait ends in any case
     :param patience: ``None`` if no other target could be used
+    :param is_path_lost: returns whether the connection is direct although its target
+        is reached through peers only
     :raises TimeoutError: at ``end``, or once the target may be left
     """
 
-    __slots__ = ("_asked", "_patience", "_scope", "_timer")
+    __slots__ = ("_asked", "_is_path_lost", "_patience", "_scope", "_timer")
 
-    def __init__(self, end: float, patience: Patience | None) -> None:
+    def __init__(
+        self,
+        end: float,
+        patience: Patience | None,
+        is_path_lost: Callable[[], bool] = lambda: False,
+    ) -> None:
         self._scope = asyncio.timeout_at(end)
         self._patience = patience
+        self._is_path_lost = is_path_lost
         self._timer: asyncio.Handle | None = None
         self._asked = False
 
@@ -63,7 +72,7 @@
         if self._scope.expired():
             return
         loop = asyncio.get_running_loop()
-        if self._patience.may_leave(self._asked):
+        if self._patience.may_leave(self._asked, self._is_path_lost()):
             self._scope.reschedule(loop.time())
             return
         self._asked = True
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/runners.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/runners.py
@@ -94,23 +94,20 @@
         target: ListedTarget,
         excluded: frozenset[Incarnation],
         asked: bool,
+        path_lost: bool,
     ) -> bool:
         """Return whether to leave a silent target; the retry is charged then.
 
         :param excluded: targets that a retry would not use either
         :param asked: whether the answer was no before
+        :param path_lost: whether the target is reached through peers only, and the
+            request waits on a direct connection
         """
-        now = self.clock.now()
         incarnation = target.incarnation
         received = frozenset(exchange.targets) | {incarnation}
         decision = decide_on_silence(
             self._describe(exchange, SendOutcome.LOST, received),
-            targets=self.load_balancer.count_healthy(
-                exchange.service,
-                excluded | {incarnation},
-                now,
-                exchange.data_centres,
-            ),
+            targets=self._count_targets(exchange, incarnation, excluded, path_lost),
             retries=exchange.retry_charged or self.budgets.count_left(exchange.service),
         )
         if decision is SilenceDecision.LEAVE:
@@ -118,14 +115,39 @@
                 exchange.retry_charged = self.budgets.try_spend(exchange.service)
             return True
         if not asked:
-            self._record_silence(exchange, target, decision)
+            self._record_silence(exchange, target, decision, path_lost)
         return False
 
+    def _count_targets(
+        self,
+        exchange: RelayExchange,
+        incarnation: Incarnation,
+        excluded: frozenset[Incarnation],
+        path_lost: bool,
+    ) -> int:
+        """Return how many targets a request that leaves a silent one may be sent to."""
+        service, data_centres = exchange.service, exchange.data_centres
+        now = self.clock.now()
+        if path_lost:
+            # silences on lost paths open the breakers of sound targets, and the silent
+            # one may be reached through a peer as well
+            return self.load_balancer.count_candidates(
+                service, excluded, now, data_centres
+            )
+        return self.load_balancer.count_healthy(
+            service, excluded | {incarnation}, now, data_centres
+        )
+
     def _record_silence(
-        self, exchange: RelayExchange, target: ListedTarget, decision: SilenceDecision
+        self,
+        exchange: RelayExchange,
+        target: ListedTarget,
+        decision: SilenceDecision,
+        path_lost: bool,
     ) -> None:
-        # new requests prefer other targets
-        self.load_balancer.record_failure(target.incarnation, self.clock.now())
+        if not path_lost:
+            # new requests prefer other targets
+            self.load_balancer.record_failure(target.incarnation, self.clock.now())
         self.decisions.log_decision(
             "silence",
             request=exchange.request.request_id,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -161,7 +161,8 @@
             if last is None:
                 return
             lost = self._run.is_lost(self._results)
-            if not lost or last.outcome is not SendOutcome.UNSENT:
+            is_at_fault = not lost or last.outcome is not SendOutcome.UNSENT
+            if is_at_fault and not last.path_lost:
                 self._excluded |= {target.incarnation}
             if not runner.may_retry(exchange, last.outcome):
                 break
@@ -267,7 +268,7 @@
         writer = self._exchange.writer
         chunks = received.response.iterate()
         while True:
-            data = await self._read_chunk(target, chunks)
+            data = await self._read_chunk(target, received, chunks)
             if data is None:
                 break
             events = splitter.feed(data)
@@ -294,15 +295,23 @@
         )
 
     async def _read_chunk(
-        self, target: ListedTarget, chunks: AsyncIterator[bytes]
+        self,
+        target: ListedTarget,
+        received: ReceivedResponse,
+        chunks: AsyncIterator[bytes],
     ) -> bytes | None:
         left = self._runner.find_remaining(self._exchange)
         end = asyncio.get_running_loop().time() + max(0.0, left)
         try:
-            async with PatientWait(end, self._find_patience(target)):
+            async with PatientWait(
+                end, self._find_patience(target), received.response.is_path_lost
+            ):
                 return await anext(chunks, None)
         except TimeoutError:
-            raise TargetResponseError("timed out waiting for the next event") from None
+            raise TargetResponseError(
+                "timed out waiting for the next event",
+                path_lost=received.response.is_path_lost(),
+            ) from None
 
     def _handle_first_event(
         self, target: ListedTarget, prefill: _PrefillTracker
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
@@ -68,11 +68,16 @@
     """A response is missing or incomplete; the request may have run.
 
     :param broken: whether the target closed or reset the connection
+    :param path_lost: whether the connection was direct and the target is reached
+        through peers only now, so that it may be well
     """
 
-    def __init__(self, message: str, *, broken: bool = False) -> None:
+    def __init__(
+        self, message: str, *, broken: bool = False, path_lost: bool = False
+    ) -> None:
         super().__init__(message)
         self.broken = broken
+        self.path_lost = path_lost
 
 
 def configure_socket(connection: socket.socket, rule: ConnectionLossRule) -> None:
@@ -103,9 +108,12 @@
         self.loss: BaseException | None = None
         #: monotonic time in seconds until which it may be reused
         self.reusable_until = 0.0
+        #: whether a peer carries it
+        self.tunnelled = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
+        self.tunnelled = bool(transport.get_extra_info(TUNNELLED))
         configure_socket(transport.get_extra_info("socket"), LOSS_RULE)
 
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -120,7 +128,7 @@
         if not self.is_connected() or self.should_close:
             return False
         # once idle, a tunnel would hold up a planned stop of the peer that carries it
-        if self.transport.get_extra_info(TUNNELLED):
+        if self.tunnelled:
             return False
         return self.transport.get_write_buffer_size() == 0
 
@@ -133,6 +141,9 @@
     content: StreamReader
     _connection: _TargetConnection
     _release: Callable[[_TargetConnection, RawResponseMessage], None]
+    #: returns whether the connection is direct although its target is reached through
+    #: peers only
+    is_path_lost: Callable[[], bool]
 
     async def iterate(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives.
@@ -144,12 +155,13 @@
                 yield chunk
         except (ClientError, HttpProcessingError, OSError) as error:
             raise _create_error(
-                "response truncated", error, self._connection.loss
+                "response truncated", error, self._connection.loss, self.is_path_lost()
             ) from error
         if self._connection.loss is not None and not self._is_framed():
             raise TargetResponseError(
                 "connection reset during a response without a length",
                 broken=not isinstance(self._connection.loss, TunnelLostError),
+                path_lost=self.is_path_lost(),
             )
 
     async def read(self, limit: int) -> bytes:
@@ -188,6 +200,7 @@
 
     :param dialer: opens the connections
     :param find_idle_limit: returns the maximum number of idle connections to a target
+    :param is_reachable: returns whether a direct connection to a target may succeed
     """
 
     def __init__(
@@ -197,7 +210,9 @@
         find_idle_limit: Callable[[Incarnation], int],
         clock: Clock,
         metrics: Metrics,
+        is_reachable: Callable[[Incarnation], bool] = lambda _: True,
     ) -> None:
+        self._is_reachable = is_reachable
         self._dialer = dialer
         self._find_idle_limit = find_idle_limit
         self._clock = clock
@@ -258,20 +273,26 @@
             max_line_size=MAX_HEADER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
         )
+
+        def is_path_lost() -> bool:
+            return not connection.tunnelled and not self._is_reachable(incarnation)
+
         try:
             data = _serialize(outbound, address)
             self._metrics.count("links.bytes_out", len(data))
             connection.transport.write(data)
-            async with PatientWait(end, patience):
+            async with PatientWait(end, patience, is_path_lost):
                 message, content = await self._read_head(connection)
         except TimeoutError:
             connection.abort()
             raise TargetResponseError(
-                "timed out waiting for the response head"
+                "timed out waiting for the response head", path_lost=is_path_lost()
             ) from None
         except (ClientError, HttpProcessingError, OSError) as error:
             connection.abort()
-            raise _create_error("no response", error, connection.loss) from error
+            raise _create_error(
+                "no response", error, connection.loss, is_path_lost()
+            ) from error
         except BaseException:
             connection.abort()
             raise
@@ -280,6 +301,7 @@
             content,
             connection,
             lambda one, head: self._release(incarnation, one, head, may_send),
+            is_path_lost,
         )
 
     def close_idle(self, incarnation: Incarnation) -> None:
@@ -389,7 +411,7 @@
 
 
 def _create_error(
-    what: str, error: Exception, loss: BaseException | None
+    what: str, error: Exception, loss: BaseException | None, path_lost: bool
 ) -> TargetResponseError:
     """Create the error of a lost response.
 
@@ -403,7 +425,7 @@
     code = getattr(loss, "errno", None)
     if code in errno.errorcode:
         reason += f" ({errno.errorcode[code]})"
-    return TargetResponseError(reason, broken=broken)
+    return TargetResponseError(reason, broken=broken, path_lost=path_lost)
 
 
 def _parse_idle_seconds(text: str) -> float:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_sender.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_sender.py
@@ -53,6 +53,8 @@
     reason: str
     #: status with which the target rejected it; 0: none
     status: int = 0
+    #: whether the direct path to the target was lost, and it is reached through peers
+    path_lost: bool = False
 
 
 class TargetSender:
@@ -139,7 +141,14 @@
         """
         if error.broken and ran_seconds < CRASH_BLAME_SECONDS:
             self._crash_detector.record_disconnect(target, exchange.digest)
-        return self._record_failure(exchange, target, SendOutcome.LOST, str(error))
+        return self._record_failure(
+            exchange,
+            target,
+            SendOutcome.LOST,
+            str(error),
+            blamed=not error.path_lost,
+            path_lost=error.path_lost,
+        )
 
     def record_survival(self, exchange: RelayExchange, target: ListedTarget) -> None:
         """Record that a target survived the request, even if it reported a failure."""
@@ -197,6 +206,7 @@
         status: int = 0,
         *,
         blamed: bool = True,
+        path_lost: bool = False,
     ) -> FailedSend:
         if not outcome.proves_not_run:
             exchange.raise_verdict(Verdict.MAY_HAVE_RUN)
@@ -216,4 +226,4 @@
             sends=len(exchange.targets),
             left_ms=round((exchange.deadline - now) * 1000),
         )
-        return FailedSend(outcome, reason, status)
+        return FailedSend(outcome, reason, status, path_lost)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/unary.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/unary.py
@@ -76,7 +76,8 @@
                 outcome = SendOutcome.FAILED
             else:
                 last, outcome = result, result.outcome
-            excluded |= {target.incarnation}
+            if not isinstance(result, FailedSend) or not result.path_lost:
+                excluded |= {target.incarnation}
             if not self.may_retry(exchange, outcome):
                 break
         if error_response is not None:
@@ -127,11 +128,13 @@
     ) -> _FullResponse | FailedSend:
         response = received.response
         try:
-            async with PatientWait(end, patience):
+            async with PatientWait(end, patience, response.is_path_lost):
                 body = await response.read(MAX_RESPONSE_BYTES)
         except TimeoutError:
             response.abort()
-            timed_out = TargetResponseError("timed out reading the response body")
+            timed_out = TargetResponseError(
+                "timed out reading the response body", path_lost=response.is_path_lost()
+            )
             return self.sender.record_lost_response(exchange, target, timed_out)
         except TargetResponseError as error:
             response.abort()
--- a/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
@@ -143,6 +143,16 @@
         self._record_send(chosen.incarnation, now)
         return chosen
 
+    def count_candidates(
+        self,
+        service: str,
+        excluded: frozenset[Incarnation],
+        now: float,
+        data_centres: frozenset[str] | None = None,
+    ) -> int:
+        """Return the number of targets that a request may be sent to."""
+        return len(self._list_candidates(service, excluded, now, data_centres))
+
     def count_healthy(
         self,
         service: str,
--- a/tests/test_entry/test_relay/conftest.py
+++ b/tests/test_entry/test_relay/conftest.py
@@ -276,7 +276,7 @@
         listen: str,
         seeds: str,
     ) -> None:
-        super().__init__()
+        super().__init__(shared._retry_budget)
         self.store = shared.store
         self.targets = shared.targets
         self.links = TargetLinks()
@@ -332,9 +332,12 @@
     """
 
     def __init__(
-        self, data_centres: tuple[str, ...], target_data_centres: tuple[str, ...]
+        self,
+        data_centres: tuple[str, ...],
+        target_data_centres: tuple[str, ...],
+        retry_budget: RetryBudgetRule | None = None,
     ) -> None:
-        super().__init__()
+        super().__init__(retry_budget)
         self._target_data_centres = target_data_centres
         ports = find_free_ports(len(data_centres))
         addresses = [f"127.0.0.1:{port}" for port in ports]
@@ -433,6 +436,16 @@
     await created.stop()
 
 
+@pytest.fixture
+async def lavish_fleet():
+    """Three instances as ``fleet`` that may retry as often as they like."""
+    budget = RetryBudgetRule(ratio=1.0, slack=1000.0)
+    created = Fleet(("north",) * 3, ("north",), budget)
+    await created.start()
+    yield created
+    await created.stop()
+
+
 @pytest.fixture
 async def wide_fleet():
     """An instance in each of three regions, and targets in two of them."""
--- a/tests/test_entry/test_relay/test_partitioned_instances.py
+++ b/tests/test_entry/test_relay/test_partitioned_instances.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+import pytest
+
 from greengagelatch_lab.platform_standins.deployment import create_configuration
 from greengagelatch_lab.platform_standins.target_links import PartitionForm
 
@@ -14,6 +16,10 @@
 TRIES_BEFORE, TRIES_AFTER, INTERVAL = 10, 20, 0.3
 #: first tries that may fail at an instance that is cut off: these and 1 in 50
 MAX_FAILED, FAILED_DIVISOR = 10, 50
+#: requests that run at all targets of a service when a partition begins
+REQUESTS = 8
+#: milliseconds that callers allow: much more than it takes to leave a target
+LONG_TIMEOUT_MS = 12_000
 
 
 async def ask_each_kind(instance) -> list[int]:
@@ -121,3 +127,80 @@
     for _ in range(5):
         assert await ask_each_kind(cut) == [200] * 3
     assert sum(one.count("tunnels.opened") for one in fleet.instances) == carried
+
+
+async def extend_timeouts(fleet) -> None:
+    """Allow more time for requests than they need to leave a target."""
+    fields = create_configuration(version=9, timeout_ms=LONG_TIMEOUT_MS)
+    revision = fleet.store.put("op/config", fields)
+    for instance in fleet.instances:
+        instance.timeout_ms = LONG_TIMEOUT_MS
+        await instance.wait_for_revision(revision)
+
+
+async def start_and_cut(fleet, service: str, send) -> list[asyncio.Task]:
+    """Partition an instance while its requests run at the targets of a service.
+
+    The targets answer as soon as they are out of reach.
+    """
+    cut = fleet.instances[0]
+    targets = [one for one in fleet.targets.values() if one.service == service]
+    gate = asyncio.Event()
+    for target in targets:
+        target.gate = gate
+    requests = [asyncio.create_task(send(cut)) for _ in range(REQUESTS)]
+    await cut.wait_for(lambda: sum(len(one.received) for one in targets) >= REQUESTS)
+    await cut.links.cut(PartitionForm.HANG)
+    gate.set()
+    return requests
+
+
+@pytest.mark.parametrize(
+    ("service", "send"),
+    [
+        ("desk", lambda instance: instance.ask("/look/1")),
+        ("llm", lambda instance: instance.stream()),
+    ],
+    ids=["safe", "resumable"],
+)
+async def test_requests_leave_connections_across_a_partition(
+    lavish_fleet, service, send
+):
+    """Guards against idempotent requests that wait for dead connections to the end.
+
+    Their silences open the breakers of all targets, none of which is at fault.
+    """
+    await extend_timeouts(lavish_fleet)
+    requests = await start_and_cut(lavish_fleet, service, send)
+    replies = await asyncio.gather(*requests)
+    assert [reply.status for reply in replies] == [200] * REQUESTS
+
+
+async def test_request_leaves_the_only_target_for_a_tunnel_to_it(lavish_fleet):
+    """Guards against a wait for a dead connection where a peer reaches the target."""
+    await extend_timeouts(lavish_fleet)
+    cut = lavish_fleet.instances[0]
+    removed = lavish_fleet.targets["desk-north-2"]
+    removed.register(lavish_fleet.store, "draining")
+    await cut.wait_for(lambda: not cut.accepts("desk-north-2"))
+    requests = await start_and_cut(
+        lavish_fleet, "desk", lambda instance: instance.ask("/look/1")
+    )
+    # a new request finds that the target is reached through peers
+    assert (await cut.ask("/look/2")).status == 200
+    replies = await asyncio.gather(*requests)
+    assert [reply.status for reply in replies] == [200] * REQUESTS
+
+
+async def test_booking_on_a_connection_across_a_partition_runs_once(lavish_fleet):
+    """Guards against requests that run twice as their path was lost."""
+    sent = iter(range(REQUESTS))
+    requests = await start_and_cut(
+        lavish_fleet,
+        "desk",
+        lambda one: one.ask("/book/1", method="POST", request_id=f"b-{next(sent)}"),
+    )
+    await asyncio.gather(*requests)
+    runs = [one.runs for one in lavish_fleet.targets.values() if one.service == "desk"]
+    for number in range(REQUESTS):
+        assert sum(one[f"b-{number}"] for one in runs) == 1
--- a/tests/test_entry/test_relay/test_patience.py
+++ b/tests/test_entry/test_relay/test_patience.py
@@ -21,7 +21,7 @@
         self.calls: list[bool] = []
         self._leave_at = leave_at
 
-    def __call__(self, asked: bool) -> bool:
+    def __call__(self, asked: bool, path_lost: bool) -> bool:
         self.calls.append(asked)
         return len(self.calls) >= self._leave_at
 
