End tunnels whose origin left while the target reads nothing

A tunnel to a target that accepted no more of a request body outlived the instance that had opened it, until the kernel gave up on the target after 5 s, and held a planned stop of the peer as long.

Cause: the reader that notices the end of the peer's connection was blocked in the write to the target.

The heartbeat of each tunnel now ends it if its connection is closed other than in good order. After an orderly end queued data is still sent.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/tunnel_server.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/tunnel_server.py
@@ -92,6 +92,10 @@
 
     async def keep_alive(self) -> None:
         """Send a heartbeat, and drop the connection if the peer sends none."""
+        if self._is_abandoned():
+            # the reader does not notice while the target accepts nothing
+            self._stream.abort()
+            return
         since = max(self._connection.last_received, self._reading_since)
         if not self._blocked and self._loop.time() - since > SILENCE_SECONDS:
             self._connection.abort()
@@ -104,6 +108,11 @@
         except ConnectionClosed:
             return
 
+    def _is_abandoned(self) -> bool:
+        """Return whether the peer left other than in good order."""
+        closed = self._connection.state is State.CLOSED
+        return closed and self._connection.close_code != TunnelCloseCode.END
+
     async def _forward_to_target(self) -> None:
         try:
             async for data in self._connection:
--- a/tests/test_entry/test_relay/test_tunnels.py
+++ b/tests/test_entry/test_relay/test_tunnels.py
@@ -8,6 +8,7 @@
 import socket
 import struct
 import time
+from dataclasses import replace
 from types import SimpleNamespace
 from typing import TYPE_CHECKING
 
@@ -28,6 +29,7 @@
 from greengagelatch_entry.adapters.peer_sockets import SocketOptions, Traffic, listen
 from greengagelatch_entry.adapters.peers import PeerHub
 from greengagelatch_entry.relay import (
+    target_streams,
     tunnel_frames,
     tunnel_server,
     tunnel_transport,
@@ -366,6 +368,21 @@
     await world.wait_idle()
 
 
+async def test_abort_closes_the_connection_of_a_target_that_reads_nothing(
+    world, short_silence, monkeypatch
+):
+    """Guard against work at targets for callers that left while a body was sent."""
+    # the kernel would end the connection to the target as well, after some seconds
+    patient = replace(target_streams.LOSS_RULE, user_timeout=120.0)
+    monkeypatch.setattr(target_streams, "LOSS_RULE", patient)
+    protocol, reader, _ = await world.open()
+    protocol.transport.write(bytes(LARGE_BYTES))
+    await wait_until(lambda: world.find_tunnel()._blocked, what="a full target")
+    protocol.transport.abort()
+    await world.wait_idle()
+    assert len(await read_all(reader)) < LARGE_BYTES
+
+
 async def test_close_sends_what_was_written_before(world):
     """Guard against requests that are cut off by an orderly close."""
     protocol, reader, _ = await world.open()
