Leave a silent engine only if the stages can be made again in time

After its first event a stream's stage results are released. It left a silent engine after 0.75 s, its stages were made again, and where they were late its connection was aborted, though the engine would have gone on.

Cause: that a retry is certain was decided without the stages it depends on.

Evidence: test_short_silence_does_not_make_stages_run_again failed before, and with 2 s of patience test_stream_leaves_a_silent_engine_once_another_is_there ended with "stage 0 of portal: late" and a closed connection. That test now sets the patience that it had; what it asserts is the same.

A stream that needs its stages again waits 1.5 s, and leaves only if they are expected to be done before the time by which its caller must have an event.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/runners.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/runners.py
@@ -117,7 +117,7 @@
                 exchange.retry_charged = self.budgets.try_spend(exchange.service)
             return True
         if not asked:
-            self._record_silence(exchange, target, decision, path_lost)
+            self.record_silence(exchange, target, decision, path_lost)
         return False
 
     def _count_targets(
@@ -140,13 +140,14 @@
             service, excluded | {incarnation}, now, data_centres
         )
 
-    def _record_silence(
+    def record_silence(
         self,
         exchange: RelayExchange,
         target: ListedTarget,
         decision: SilenceDecision,
         path_lost: bool,
     ) -> None:
+        """Record that a request goes on waiting for a silent target, and why."""
         if not path_lost:
             # new requests prefer other targets
             self.load_balancer.record_failure(target.incarnation, self.clock.now())
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
@@ -127,6 +127,12 @@
         """Return the estimated times of the stages along the chain."""
         return self._plan.estimate(self._executor.estimate_wait)
 
+    def may_execute_again(self) -> bool:
+        """Return whether all stages are expected to be done in time once more."""
+        chain = self.estimate()
+        seconds = chain.total_wait + chain.work
+        return self._clock.now() + seconds < self._exchange.first_deadline
+
     async def execute(self) -> StageResults:
         """Execute all stages and return the results for the target.
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -9,7 +9,7 @@
 from greengagelatch.errors import RefusalCode
 from greengagelatch.relay.admission import RequestEstimate
 from greengagelatch.relay.load_balancer import EngineDemand
-from greengagelatch.relay.outcomes import SendOutcome
+from greengagelatch.relay.outcomes import SendOutcome, SilenceDecision
 from greengagelatch.relay.requests import Prompt
 
 from .event_splitter import EventSplitter
@@ -48,6 +48,8 @@
 #: in seconds
 EVENT_GAP_FACTOR = 3.0
 MIN_EVENT_GAP_PATIENCE = 0.75
+#: the same in seconds where the stages would have to be executed again, which may fail
+MIN_RERUN_PATIENCE = 1.5
 
 
 class StreamRunner(Runner):
@@ -368,15 +370,33 @@
             seconds = max(
                 MIN_EVENT_GAP_PATIENCE, route.longest_pause * EVENT_GAP_FACTOR
             )
+            if self._needs_rerun():
+                seconds = max(seconds, MIN_RERUN_PATIENCE)
         else:
             seconds = max(
                 MIN_FIRST_EVENT_PATIENCE, route.objective * FIRST_EVENT_FACTOR
             )
         return Patience(
             until=asyncio.get_running_loop().time() + seconds,
-            may_leave=partial(self._runner.may_leave, exchange, target, self._excluded),
+            may_leave=partial(self._may_leave, target),
         )
 
+    def _may_leave(self, target: ListedTarget, asked: bool, path_lost: bool) -> bool:
+        """Return whether to leave a silent target; see :meth:`Runner.may_leave`."""
+        if self._needs_rerun() and not self._run.may_execute_again():
+            if not asked:
+                self._runner.record_silence(
+                    self._exchange, target, SilenceDecision.NO_STAGES, path_lost
+                )
+            return False
+        return self._runner.may_leave(
+            self._exchange, target, self._excluded, asked, path_lost
+        )
+
+    def _needs_rerun(self) -> bool:
+        """Return whether another target would need stage results that are released."""
+        return self._inputs_released and bool(self._results.inputs)
+
 
 class _PrefillTracker:
     """Accounts for a request at its engine: first in prefill, then in decoding."""
--- a/packages/greengagelatch/src/greengagelatch/relay/outcomes.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/outcomes.py
@@ -107,6 +107,7 @@
     NO_ATTEMPT = "no further attempt is allowed"
     NO_TARGET = "no other target is healthy"
     NO_BUDGET = "the retry budget is exhausted"
+    NO_STAGES = "its stages can't be executed again in time"
 
 
 def decide_on_silence(
--- a/tests/test_entry/test_relay/test_streams.py
+++ b/tests/test_entry/test_relay/test_streams.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from greengagelatch_entry.relay import stages, streams
 from greengagelatch_entry.relay.input_fetch_timer import FETCH_SECONDS
 from greengagelatch_lab.platform_standins.targets import EVENTS, TargetFault
 
@@ -284,8 +285,12 @@
         assert (reply.status, reply.error, reply.body) == (200, "", WHOLE)
 
 
-async def test_stream_leaves_a_silent_engine_once_another_is_there(pipeline):
+async def test_stream_leaves_a_silent_engine_once_another_is_there(
+    pipeline, monkeypatch
+):
     """A stream that waits for a silent engine moves on as soon as it can."""
+    # the time left for its stages is short
+    monkeypatch.setattr(streams, "MIN_RERUN_PATIENCE", streams.MIN_EVENT_GAP_PATIENCE)
     await pipeline.extend_timeouts()
     silent, other = engines(pipeline)
     other.register(pipeline.store, state="draining")
@@ -299,3 +304,45 @@
     reply = await held
     assert (reply.status, reply.body) == (200, WHOLE)
     assert added.runs["r-1"] == 1
+
+
+async def test_short_silence_does_not_make_stages_run_again(pipeline, monkeypatch):
+    """Guards against streams that are cut off as their stages can't be made again.
+
+    The engine has read the results of the stages, which are released by then. Another
+    engine would need new ones, although the silent one is about to go on.
+    """
+    await pipeline.extend_timeouts()
+    monkeypatch.setattr(streams, "MIN_EVENT_GAP_PATIENCE", 0.01)
+    monkeypatch.setattr(streams, "EVENT_GAP_FACTOR", 0.01)
+    for engine in engines(pipeline):
+        engine.silences = [2]
+    held = asyncio.create_task(pipeline.stream())
+    await pipeline.wait_for(lambda: any(one.silent for one in engines(pipeline)))
+    made = sum(maker.pieces.total() for maker in makers(pipeline))
+    # longer than the patience for a stream without stages
+    await asyncio.sleep(0.2)
+    for engine in engines(pipeline):
+        engine.resume()
+    assert (await held).body == WHOLE
+    assert sum(maker.pieces.total() for maker in makers(pipeline)) == made
+
+
+async def test_stream_stays_at_a_silent_engine_when_stages_would_be_late(
+    pipeline, monkeypatch
+):
+    """Guards against streams that leave an engine and then fail in their stages."""
+    await pipeline.extend_timeouts()
+    for name in ("MIN_EVENT_GAP_PATIENCE", "EVENT_GAP_FACTOR", "MIN_RERUN_PATIENCE"):
+        monkeypatch.setattr(streams, name, 0.01)
+    monkeypatch.setattr(stages.StageRun, "may_execute_again", lambda _: False)
+    for engine in engines(pipeline):
+        engine.silences = [2]
+    held = asyncio.create_task(pipeline.stream())
+    await pipeline.wait_for(lambda: any(one.silent for one in engines(pipeline)))
+    await asyncio.sleep(0.2)
+    for engine in engines(pipeline):
+        engine.resume()
+    assert (await held).body == WHOLE
+    assert pipeline.count("requests.answered") == 1
+    assert sum(len(engine.received) for engine in engines(pipeline)) == 1
