Give busy peers time to open the first tunnel

Cause: while no target is bypassed, a tunnel may take 0.2 s, and a target counts as bypassed once a tunnel has opened. So the bound never changed, however often it was missed. Calls to makers left still less time, and were given up without any record.

Evidence: test_instance_cut_off_waits_for_peers_that_are_busy fails before at all three instances (not serving after 20 s) and passes after.

A tunnel that is given up unanswered after 0.1 s or more is recorded for its service. For 2 s the bounds of a known partition hold for it, and tunnels are tried beside direct attempts, which leaves enough of the time of a call to a maker. A direct connection ends it. A target whose machine is down may so hold a request for up to 1.5 s in place of 0.7 s, but only if peers don't answer in time either.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/routed_dialer.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/routed_dialer.py
@@ -37,6 +37,8 @@
 #: the same, and for all peers together, while it is not known whether this instance is
 #: partitioned: a target that is down must not hold up requests for long
 FIRST_TUNNEL_TIMEOUT, FIRST_TUNNELS_TIMEOUT = 0.2, 0.4
+#: seconds from which on a tunnel that is given up shows that the peer is slow
+MIN_UNANSWERED = 0.1
 #: seconds for which a direct attempt is alone before a tunnel is tried beside it
 HEAD_START = 0.05
 #: log lines on changes of belief: in a period of so many seconds, at most so many
@@ -109,7 +111,7 @@
     ) -> asyncio.Protocol:
         end = self._clock.now() + timeout
         match self._reachability.find_approach(
-            destination.incarnation, self._clock.now()
+            destination.incarnation, destination.service, self._clock.now()
         ):
             case Approach.DIRECT:
                 return await self._dial_directly(destination, create_protocol, timeout)
@@ -239,12 +241,14 @@
         :raises DialError: if none of them can
         """
         longest = TUNNEL_TIMEOUT
-        if not self._reachability.is_bypassing:
+        service, now = destination.service, self._clock.now()
+        if not self._reachability.may_be_partitioned(service, now):
             longest = FIRST_TUNNEL_TIMEOUT
-            end = min(end, self._clock.now() + FIRST_TUNNELS_TIMEOUT)
+            end = min(end, now + FIRST_TUNNELS_TIMEOUT)
         unreached = []
         for peer_id in self._choose_peers(destination):
-            timeout = min(end - self._clock.now(), longest)
+            began = self._clock.now()
+            timeout = min(end - began, longest)
             if timeout <= 0:
                 break
             self._metrics.count("reachability.tunnels_tried")
@@ -252,8 +256,13 @@
                 protocol = await self._tunnels.dial_through(
                     peer_id, destination, create_protocol, timeout
                 )
+            except asyncio.CancelledError:
+                self._record_unanswered(service, began)
+                raise
             except TunnelError as error:
                 self._metrics.count(f"reachability.tunnel_{error.failure.value}")
+                if error.failure is TunnelFailure.PEER_UNREACHABLE:
+                    self._record_unanswered(service, began)
                 if error.failure is TunnelFailure.TARGET_UNREACHABLE:
                     unreached.append(peer_id)
                 elif timeout < longest:
@@ -321,6 +330,11 @@
                     return True
         return False
 
+    def _record_unanswered(self, service: str, began: float) -> None:
+        now = self._clock.now()
+        if now - began >= MIN_UNANSWERED:
+            self._reachability.record_unanswered(service, began, now)
+
     def _record_all_failed(self, destination: Destination, peer_ids: list[str]) -> None:
         if self._reachability.record_all_failed(
             peer_ids, destination.incarnation, destination.service, self._clock.now()
--- a/packages/greengagelatch/src/greengagelatch/relay/reachability.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/reachability.py
@@ -34,6 +34,8 @@
 DOWN_SECONDS = 1.0
 #: seconds for which a direct connection shows that the path to a service is intact
 DIRECT_SECONDS = 0.5
+#: seconds for which peers that were slow to answer get more time
+UNANSWERED_SECONDS = 2.0
 #: seconds between two probes of a service, and the share by which they vary
 PROBE_SECONDS = 0.5
 PROBE_JITTER = 0.2
@@ -101,6 +103,8 @@
         self._lost: dict[str, float] = {}
         #: time of the last direct connection, by service
         self._direct_at: dict[str, float] = {}
+        #: time at which a peer had not answered in time, by service
+        self._unanswered_at: dict[str, float] = {}
         #: time of the next probe, by service with bypassed targets
         self._next_probe: dict[str, float] = {}
 
@@ -109,18 +113,29 @@
         """Whether any target is bypassed."""
         return bool(self._bypassed)
 
+    def may_be_partitioned(self, service: str, now: float) -> bool:
+        """Return whether tunnels to a service are worth more time than at first."""
+        if self._bypassed:
+            return True
+        unanswered_at = self._unanswered_at.get(service, float("-inf"))
+        return now - unanswered_at < UNANSWERED_SECONDS
+
     def is_reachable(self, incarnation: Incarnation) -> bool:
         """Return whether a direct connection to a target may succeed."""
         return incarnation not in self._bypassed
 
-    def find_approach(self, incarnation: Incarnation, now: float) -> Approach:
-        """Return how to connect to a target."""
+    def find_approach(
+        self, incarnation: Incarnation, service: str, now: float
+    ) -> Approach:
+        """Return how to connect to a target of a service."""
         is_down = now < self._down.get(incarnation, float("-inf"))
         if incarnation in self._bypassed:
             return Approach.NONE if is_down else Approach.TUNNEL
         if is_down:
             return Approach.DIRECT
-        return Approach.RACE if self._bypassed else Approach.DIRECT_FIRST
+        if self.may_be_partitioned(service, now):
+            return Approach.RACE
+        return Approach.DIRECT_FIRST
 
     def choose_peers(
         self,
@@ -156,6 +171,7 @@
         self._direct_at.pop(service, None)
         self._direct_at[service] = now
         _trim(self._direct_at, MAX_TARGETS)
+        self._unanswered_at.pop(service, None)
         self._down.pop(incarnation, None)
         return self._bypassed.pop(incarnation, None) is not None
 
@@ -219,6 +235,17 @@
         self._lost[peer_id] = now + FAILING_SECONDS
         _trim(self._lost, MAX_PEER_RECORDS)
 
+    def record_unanswered(self, service: str, began: float, now: float) -> None:
+        """Record that a tunnel was given up before the peer had answered.
+
+        :param began: time at which the peer was asked
+        """
+        if self._direct_at.get(service, float("-inf")) >= began:
+            return
+        self._unanswered_at.pop(service, None)
+        self._unanswered_at[service] = now
+        _trim(self._unanswered_at, MAX_TARGETS)
+
     def record_all_failed(
         self,
         peer_ids: Iterable[str],
--- a/tests/test_core/test_relay/test_reachability.py
+++ b/tests/test_core/test_relay/test_reachability.py
@@ -17,6 +17,7 @@
     MAX_TARGETS,
     PROBE_JITTER,
     PROBE_SECONDS,
+    UNANSWERED_SECONDS,
     Approach,
     Reachability,
 )
@@ -43,28 +44,48 @@
     )
 
 
+def test_peers_that_do_not_answer_get_more_time_for_a_while(reachability):
+    """Guards against an instance that gives up each tunnel right before it opens."""
+    assert not reachability.may_be_partitioned("desk", 1.0)
+    reachability.record_unanswered("desk", 0.8, 1.0)
+    assert reachability.may_be_partitioned("desk", 1.0)
+    assert reachability.find_approach(T1, "desk", 1.0) is Approach.RACE
+    assert not reachability.may_be_partitioned("llm", 1.0)
+    assert not reachability.may_be_partitioned("desk", 1.0 + UNANSWERED_SECONDS)
+
+
+def test_direct_connection_shows_that_there_is_no_partition(reachability):
+    """Guards against peers that are asked beside direct attempts that succeed."""
+    reachability.record_unanswered("desk", 0.8, 1.0)
+    reachability.record_direct(T1, "desk", 1.1)
+    assert not reachability.may_be_partitioned("desk", 1.1)
+    # the slower one of two attempts is given up after the other has succeeded
+    reachability.record_unanswered("desk", 0.9, 1.1)
+    assert not reachability.may_be_partitioned("desk", 1.1)
+
+
 def test_target_is_bypassed_from_a_tunnel_until_a_direct_connection(reachability):
-    assert reachability.find_approach(T1, 0.0) is Approach.DIRECT_FIRST
+    assert reachability.find_approach(T1, "desk", 0.0) is Approach.DIRECT_FIRST
     assert reachability.record_tunnel("a", T1, "desk", 0.0)
     assert not reachability.record_tunnel("a", T1, "desk", 0.1)
-    assert reachability.find_approach(T1, 0.1) is Approach.TUNNEL
+    assert reachability.find_approach(T1, "desk", 0.1) is Approach.TUNNEL
     assert not reachability.is_reachable(T1)
-    assert reachability.find_approach(T2, 0.1) is Approach.RACE
+    assert reachability.find_approach(T2, "desk", 0.1) is Approach.RACE
     assert reachability.is_reachable(T2)
     assert reachability.record_direct(T1, "desk", 1.0)
-    assert reachability.find_approach(T1, 1.0) is Approach.DIRECT_FIRST
-    assert reachability.find_approach(T2, 1.0) is Approach.DIRECT_FIRST
+    assert reachability.find_approach(T1, "desk", 1.0) is Approach.DIRECT_FIRST
+    assert reachability.find_approach(T2, "desk", 1.0) is Approach.DIRECT_FIRST
 
 
 def test_crashed_target_is_looked_for_at_one_peer_only(reachability):
     """Guards against a crashed target whose every request asks peers in vain."""
     reachability.record_direct(T2, "desk", 0.0)
     assert reachability.record_unreachable("a", T1, "desk", 0.1)
-    assert reachability.find_approach(T1, 0.1) is Approach.DIRECT
+    assert reachability.find_approach(T1, "desk", 0.1) is Approach.DIRECT
     # the peer is not to blame
     assert reachability.choose_peers("desk", create_members("a"), 0.1) == ("a",)
     later = 0.1 + DOWN_SECONDS
-    assert reachability.find_approach(T1, later) is Approach.DIRECT_FIRST
+    assert reachability.find_approach(T1, "desk", later) is Approach.DIRECT_FIRST
 
 
 def test_peer_that_is_partitioned_itself_does_not_make_a_target_down(reachability):
@@ -72,7 +93,7 @@
     now = DIRECT_SECONDS + 0.1
     reachability.record_direct(T2, "desk", 0.0)
     assert not reachability.record_unreachable("a", T1, "desk", now)
-    assert reachability.find_approach(T1, now) is Approach.DIRECT_FIRST
+    assert reachability.find_approach(T1, "desk", now) is Approach.DIRECT_FIRST
     members = create_members("a", "b")
     assert reachability.choose_peers("desk", members, now) == ("b",)
     assert set(reachability.choose_peers("llm", members, now)) == {"a", "b"}
@@ -84,7 +105,7 @@
     for peer_id in ("a", "b", "c"):
         assert not reachability.record_unreachable(peer_id, T1, "desk", 0.0)
     assert reachability.record_all_failed(("a", "b", "c"), T1, "desk", 0.0)
-    assert reachability.find_approach(T1, 0.0) is Approach.DIRECT
+    assert reachability.find_approach(T1, "desk", 0.0) is Approach.DIRECT
     assert len(reachability.choose_peers("desk", create_members(*"abc"), 0.0)) == 3
 
 
@@ -94,7 +115,7 @@
     for peer_id in ("a", "b", "c"):
         assert not reachability.record_unreachable(peer_id, T1, "desk", 0.0)
     assert not reachability.record_all_failed(("a", "b", "c"), T1, "desk", 0.0)
-    assert reachability.find_approach(T1, 0.0) is Approach.RACE
+    assert reachability.find_approach(T1, "desk", 0.0) is Approach.RACE
     members = create_members(*"abcde")
     assert set(reachability.choose_peers("desk", members, 0.0)) == {"d", "e"}
 
@@ -103,8 +124,8 @@
     reachability.record_tunnel("a", T1, "desk", 0.0)
     reachability.record_tunnel("a", T2, "desk", 0.0)
     assert reachability.record_unreachable("a", T1, "desk", 0.1)
-    assert reachability.find_approach(T1, 0.1) is Approach.NONE
-    assert reachability.find_approach(T2, 0.1) is Approach.TUNNEL
+    assert reachability.find_approach(T1, "desk", 0.1) is Approach.NONE
+    assert reachability.find_approach(T2, "desk", 0.1) is Approach.TUNNEL
     assert reachability.choose_peers("desk", create_members("a"), 0.1) == ("a",)
 
 
--- a/tests/test_entry/test_relay/test_partitioned_instances.py
+++ b/tests/test_entry/test_relay/test_partitioned_instances.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from greengagelatch_entry.relay.tunnel_server import TunnelServer
 from greengagelatch_lab.platform_standins.deployment import create_configuration
 from greengagelatch_lab.platform_standins.target_links import PartitionForm
 
@@ -18,6 +19,8 @@
 MAX_FAILED, FAILED_DIVISOR = 10, 50
 #: requests that run at all targets of a service when a partition begins
 REQUESTS = 8
+#: seconds by which a busy peer is late to open a tunnel
+LATE_SECONDS = 0.25
 #: milliseconds that callers allow: much more than it takes to leave a target
 LONG_TIMEOUT_MS = 12_000
 
@@ -204,3 +207,20 @@
     runs = [one.runs for one in lavish_fleet.targets.values() if one.service == "desk"]
     for number in range(REQUESTS):
         assert sum(one[f"b-{number}"] for one in runs) == 1
+
+
+@pytest.mark.parametrize("number", range(3))
+async def test_instance_cut_off_waits_for_peers_that_are_busy(
+    fleet, number, monkeypatch
+):
+    """Guards against an instance that gives up each tunnel right before it opens."""
+    serve = TunnelServer._serve
+
+    async def serve_late(*arguments) -> None:
+        await asyncio.sleep(LATE_SECONDS)
+        await serve(*arguments)
+
+    monkeypatch.setattr(TunnelServer, "_serve", serve_late)
+    cut = fleet.instances[number]
+    await cut.links.cut(PartitionForm.HANG)
+    await cut.wait_until_serving()
