Name the service when results are freed at makers

A maker that was found out of reach when its results were freed was recorded under no service: it was probed apart from the others of its service, and peers that reach it were not known to reach that service.

The new test fails before and passes after.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/result_releaser.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/result_releaser.py
@@ -128,6 +128,7 @@
                 timeout=FREE_TIMEOUT,
                 # a draining maker holds its results until it stops
                 may_send=lambda: self._may_send(incarnation),
+                service=self._service,
             )
             await reply.read(MAX_ANSWER_BYTES)
             if self._target_table.is_available(incarnation):
--- a/tests/test_entry/test_relay/test_result_releaser.py
+++ b/tests/test_entry/test_relay/test_result_releaser.py
@@ -26,8 +26,11 @@
         self.seconds = seconds
         self.sent: list[str] = []
         self.freed: list[str] = []
+        #: services that connections were asked for
+        self.services: set[str] = set()
 
-    async def send(self, *, outbound, **_):
+    async def send(self, *, outbound, service="", **_):
+        self.services.add(service)
         self.sent.extend(outbound.body)
         await asyncio.sleep(self.seconds)
         self.freed.extend(outbound.body)
@@ -95,3 +98,12 @@
     began = asyncio.get_running_loop().time()
     await create_releaser(links).close()
     assert asyncio.get_running_loop().time() == pytest.approx(began, abs=0.001)
+
+
+async def test_connections_are_asked_for_by_service():
+    """Guard against makers out of reach that are taken for those of another service."""
+    links = Links(0.002)
+    releaser = create_releaser(links)
+    releaser.free((create_result("m:1/0"),))
+    await releaser.close()
+    assert links.services == {"ledger"}
