Don't take own pauses for targets out of reach

An instance whose event loop stood still for longer than a direct attempt may take gave up all connections that it was opening, though they were open by then, and went on to ask peers for tunnels, with no partition.

Cause: the timer is due in the same turn of the loop as the connection, and cancels it.

A connection gets a few turns of the loop after its time is over, which take no time unless something has arrived.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_dialers.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_dialers.py
@@ -26,6 +26,10 @@
     "create_destination",
 )
 
+#: turns of the event loop for a connection that is open when its time is over: a loop
+#: that stood still finds the timer due along with the connection
+LATE_TURNS = 8
+
 
 class DialFailure(Enum):
     """Why no connection to a target was opened."""
@@ -107,10 +111,10 @@
         loop = asyncio.get_running_loop()
         self._metrics.count("links.opened")
         try:
-            async with asyncio.timeout(timeout):
-                _, protocol = await loop.create_connection(
-                    create_protocol, host, int(port)
-                )
+            connecting = asyncio.create_task(
+                loop.create_connection(create_protocol, host, int(port))
+            )
+            return await _finish_within(connecting, timeout)
         except TimeoutError as error:
             raise DialError("connect timed out", DialFailure.TIMED_OUT) from error
         except ConnectionRefusedError as error:
@@ -118,4 +122,42 @@
         except (OSError, ValueError) as error:
             reason = f"connect failed: {type(error).__name__}"
             raise DialError(reason, DialFailure.FAILED) from error
-        return protocol
+
+
+async def _finish_within(
+    connecting: asyncio.Task[tuple[asyncio.Transport, asyncio.Protocol]],
+    timeout: float,
+) -> asyncio.Protocol:
+    """Return the protocol of a connection that is opened within ``timeout`` seconds.
+
+    :raises TimeoutError: if it is not
+    """
+    try:
+        await asyncio.wait({connecting}, timeout=timeout)
+        for _ in range(LATE_TURNS):
+            if connecting.done():
+                break
+            await asyncio.sleep(0)
+    except asyncio.CancelledError:
+        _discard(connecting)
+        raise
+    if not connecting.done():
+        _discard(connecting)
+        raise TimeoutError
+    _, protocol = connecting.result()
+    return protocol
+
+
+def _discard(
+    connecting: asyncio.Task[tuple[asyncio.Transport, asyncio.Protocol]],
+) -> None:
+    """Give up a connection, also if it is open by now."""
+    connecting.cancel()
+    connecting.add_done_callback(_close)
+
+
+def _close(task: asyncio.Task[tuple[asyncio.Transport, asyncio.Protocol]]) -> None:
+    if task.cancelled() or task.exception() is not None:
+        return
+    transport, _ = task.result()
+    transport.abort()
