State the deadline as of the end of a slow dial

What callers saw: nothing; found by review. A connection to a target may take up to 1.5 s to open, through peers that are busy, and the request that states its deadline was encoded before: the target was handed up to that much too much.

Evidence: test_deadline_in_a_request_is_that_after_a_slow_dial, with dials of 0.3 s, fails before and passes after. Calls to makers had the same cause.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/maker_calls.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/maker_calls.py
@@ -17,7 +17,7 @@
 
     from .codecs import TargetCodec
     from .makers import Maker
-    from .messages import ResponseHead
+    from .messages import OutboundRequest, ResponseHead
     from .target_connections import TargetConnectionPool
 
 __all__ = (
@@ -112,16 +112,21 @@
     ) -> tuple[ResponseHead, bytes]:
         target = maker.target
         pieces = tuple(piece for _, piece in call.pieces)
-        remaining = tuple(
-            max(0.0, bundle.hard_deadline - started) for bundle, _ in call.pieces
-        )
+
+        def encode(now: float) -> OutboundRequest:
+            remaining = tuple(
+                max(0.0, bundle.hard_deadline - now) for bundle, _ in call.pieces
+            )
+            return self._codec.encode_pieces(pieces, remaining, target.incarnation)
+
         reply = await self._connections.send(
             incarnation=target.incarnation,
             address=target.address,
-            outbound=self._codec.encode_pieces(pieces, remaining, target.incarnation),
+            outbound=encode(started),
             # on a reused connection, a late answer could be taken for this call's
             fresh=True,
             timeout=call_timeout,
+            encode_again=lambda: encode(self._clock.now()),
             may_send=lambda: self._may_send(maker, call),
             service=target.service,
             data_centre=target.data_centre,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
@@ -44,6 +44,8 @@
 #: seconds for opening a connection, directly or through peers. Without the timeout, a
 #: target behind a partition holds a request until its deadline
 DIAL_TIMEOUT = 1.5
+#: seconds of a dial after which the deadline in the request is brought up to date
+SLOW_DIAL_SECONDS = 0.05
 #: seconds for which an idle connection is reused if the target announces no timeout
 MAX_IDLE_SECONDS = 3.0
 #: fraction of the idle timeout announced by a target that is used
@@ -229,6 +231,7 @@
         outbound: OutboundRequest,
         fresh: bool,
         timeout: float,
+        encode_again: Callable[[], OutboundRequest] | None = None,
         patience: Patience | None = None,
         may_send: Callable[[], bool] | None = None,
         service: str = "",
@@ -240,6 +243,8 @@
         :param fresh: whether to open a new connection; a pooled one may drop the
             request without evidence of whether it ran
         :param timeout: seconds until the head must have arrived
+        :param encode_again: returns the request as of now; called after a slow dial, as
+            the deadline that the request states is closer by then
         :param patience: when a target that is silent may be left before that
         :param may_send: checked once connected, and again before pooling the connection
         :param service: service of the target
@@ -249,7 +254,9 @@
         :raises NotSentError: if no byte was sent
         :raises TargetResponseError: if the request was written without a response
         """
-        end = asyncio.get_running_loop().time() + timeout
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        end = started + timeout
         connection = None if fresh else self._checkout(incarnation)
         if connection is None:
             destination = Destination(
@@ -260,6 +267,8 @@
                 data_centres=data_centres,
             )
             connection = await self._open(destination, min(timeout, DIAL_TIMEOUT))
+        if encode_again is not None and loop.time() - started > SLOW_DIAL_SECONDS:
+            outbound = encode_again()
         if may_send is not None and not may_send():
             connection.abort()
             raise NotSentError(
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_sender.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_sender.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 from greengagelatch.relay.outcomes import SendOutcome
@@ -22,7 +22,7 @@
     from .crash_detector import CrashDetector
     from .decisions import DecisionLog
     from .exchange import RelayExchange
-    from .messages import AttemptContext, ResponseHead
+    from .messages import AttemptContext, OutboundRequest, ResponseHead
     from .patience import Patience
     from .target_connections import TargetConnectionPool, TargetResponse
 
@@ -98,14 +98,22 @@
             been lost by then
         """
         incarnation = target.incarnation
-        outbound = self._codec.encode_request(exchange.request, call)
+        started = self._clock.now()
+
+        def encode_again() -> OutboundRequest:
+            left = max(0.0, call.remaining - (self._clock.now() - started))
+            return self._codec.encode_request(
+                exchange.request, replace(call, remaining=left)
+            )
+
         try:
             response = await self._connections.send(
                 incarnation=incarnation,
                 address=target.address,
-                outbound=outbound,
+                outbound=self._codec.encode_request(exchange.request, call),
                 fresh=fresh,
                 timeout=timeout,
+                encode_again=encode_again,
                 patience=patience,
                 may_send=lambda: (
                     self._target_table.is_available(incarnation) and may_send()
--- a/tests/test_entry/test_relay/test_target_connections.py
+++ b/tests/test_entry/test_relay/test_target_connections.py
@@ -11,6 +11,7 @@
 from greengagelatch.relay.incarnations import Incarnation
 from greengagelatch_entry.relay.messages import OutboundRequest
 from greengagelatch_entry.relay.target_connections import TargetResponseError
+from greengagelatch_entry.relay.target_dialers import TargetDialer
 
 from .conftest import read_rule
 
@@ -131,3 +132,29 @@
             received.set()
             await response.read(SMALL_BUFFER)
     assert lost.value.broken
+
+
+class SlowDialer(TargetDialer):
+    """Opens connections after a delay."""
+
+    def __init__(self, dialer: TargetDialer, seconds: float) -> None:
+        self._dialer = dialer
+        self._seconds = seconds
+
+    async def dial(self, destination, create_protocol, timeout):
+        await asyncio.sleep(self._seconds)
+        return await self._dialer.dial(destination, create_protocol, timeout)
+
+
+async def test_deadline_in_a_request_is_that_after_a_slow_dial(world):
+    """Guards against targets that work on requests whose callers have given up.
+
+    The time that a dial takes, as through a peer that is slow, counted twice: it was
+    still in the deadline that the target received.
+    """
+    connections = world.find_connections()
+    connections._dialer = SlowDialer(connections._dialer, 0.3)
+    reply = await world.ask("/book/1", method="POST", X_Deadline_Ms="2000")
+    assert reply.status == 200
+    (seen,) = [one for target in world.targets.values() for one in target.received]
+    assert int(seen.headers["x-deadline-ms"]) <= 1700
