Soak of silences, partitions and brittle targets over processes

Three or four processes of the platform program run with stand-ins for the store and the targets; each has its own links to each target. A seeded schedule of overlapping silences, partitions, brittle times, changes of configuration, restarts and reloads is played while callers send on kept connections, and what callers and targets have seen is checked afterwards.

--- a/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/fleet.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/fleet.py
@@ -51,7 +51,7 @@
 
     @property
     def log(self) -> Path:
-        """Path of the file that receives the process's standard output."""
+        """Path of the file that receives the process's output."""
         return self.settings.with_suffix(".log")
 
     async def is_ready(self, session: aiohttp.ClientSession) -> bool:
@@ -141,6 +141,7 @@
                 "--metrics",
                 f"{instance.metrics_port}/metrics",
                 stdout=log,
+                stderr=log,
                 env=os.environ | {"PYTHONUNBUFFERED": "1"},
             )
         finally:
@@ -175,6 +176,10 @@
             process.send_signal(signal.SIGKILL)
             await process.wait()
 
+    def find_store_address(self, name: str) -> str:
+        """Return the address at which an instance reaches the store."""
+        return self.store.address
+
     def create_instance(self, name: str, seeds: list[str]) -> Instance:
         """Create an instance on free ports and write its settings file."""
         ports = self.find_ports(4)
@@ -197,7 +202,7 @@
             },
             "seeds": seeds[:3],
             "bounds": {"grace-s": 8, "retry-ratio": 0.2, "retry-slack": 58},
-            "platform": {"address": self.store.address},
+            "platform": {"address": self.find_store_address(name)},
         }
         instance.settings.write_text(json.dumps(settings), encoding="utf-8")
         return instance
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/store.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/store.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-__all__ = ("StoreFault", "SimulatedStore")
+__all__ = ("StoreFault", "SimulatedStore", "serve_application")
 
 #: items per page; the platform's own limit is about ten times as high
 PAGE_SIZE = 50
@@ -66,6 +66,10 @@
 
     async def start(self) -> None:
         """Start serving on a free loopback port."""
+        self._runner, self.address = await serve_application(self.create_application())
+
+    def create_application(self) -> web.Application:
+        """Create an application that serves this store's items."""
         app = web.Application(middlewares=[self._apply_fault])
         app.add_routes(
             [
@@ -78,12 +82,7 @@
                 web.delete("/v1/kv-lease-end/{lease}", self._revoke),
             ]
         )
-        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
-        await self._runner.setup()
-        site = web.TCPSite(self._runner, "127.0.0.1", 0)
-        await site.start()
-        port = self._runner.addresses[0][1]
-        self.address = f"127.0.0.1:{port}"
+        return app
 
     async def stop(self) -> None:
         """Cancel the leases' timers and close every connection."""
@@ -112,6 +111,13 @@
         """Revision of the last change."""
         return self._revision
 
+    def find_revision(self, prefix: str) -> int:
+        """Return the revision of the last change of a key that starts with it."""
+        changes = [
+            revision for key, revision in self._history if key.startswith(prefix)
+        ]
+        return max(changes, default=0)
+
     def compact(self) -> None:
         """Discard the change history, so that watches from older revisions fail."""
         self._compacted = self._revision
@@ -274,3 +280,11 @@
         held[1].cancel()
         for key in [key for key, item in self._items.items() if item.lease == lease]:
             self.remove(key)
+
+
+async def serve_application(app: web.Application) -> tuple[web.AppRunner, str]:
+    """Serve on a free loopback port; return the runner and the address."""
+    runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    return runner, f"127.0.0.1:{runner.addresses[0][1]}"
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/target_links.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/target_links.py
@@ -45,6 +45,18 @@
             self._services[target.target_id] = target.service
             await proxy.start()
 
+    def find_address(self, target_id: str) -> str:
+        """Return the address at which the instance reaches a target."""
+        return self._proxies[target_id].address
+
+    def pause(self, target_id: str) -> None:
+        """Let a target fall silent until :meth:`resume`; no data is lost."""
+        self._proxies[target_id].pause()
+
+    def resume(self, target_id: str) -> None:
+        """End the silence of a target; the data held back goes on."""
+        self._proxies[target_id].resume()
+
     def attach(self, table: TargetTable) -> None:
         """Make an instance use these links.
 
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded soak of the platform program under overlapping disturbances."""
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/soak/checks.py
@@ -0,0 +1,187 @@
+"""Checks of a run, from what callers and targets have seen."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ..platform_standins.targets import EVENTS
+from .callers import DEADLINE_SECONDS
+from .disturbances import Cause
+
+if TYPE_CHECKING:
+    from collections import Counter
+    from collections.abc import Iterator, Sequence
+
+    from .callers import Outcome
+    from .disturbances import Period, Periods
+
+__all__ = ("Evidence", "check")
+
+#: seconds before a close in which a request may cross it
+CROSSING_SECONDS = 0.2
+#: seconds after which a disturbance has to be known, and during which its end counts
+CONTACT_SECONDS = 3.0
+#: first tries that may fail in a partition: these and 1 in 50
+MAX_FAILED, FAILED_DIVISOR = 10, 50
+#: tries on each side below which shares are not compared
+MIN_TRIES = 10
+#: falls of brittle targets: these and a tenth of their number
+MAX_FALLS, FALLS_DIVISOR = 2, 10
+#: statuses that promise that a request was not run
+NOT_RUN = (408, 421, 429, 503)
+PLANNED = (Cause.RESTART, Cause.KILL, Cause.EXIT)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Evidence:
+    """All that a run has shown."""
+
+    outcomes: Sequence[Outcome]
+    periods: Periods
+    #: number of runs by request id, over all targets
+    runs: Counter[str]
+    #: ids of requests that a target has received, or stage work for them
+    reached: frozenset[str]
+    brittle_targets: int
+    #: what the processes' logs and ends show, by instance
+    process_faults: Sequence[str]
+
+
+def check(evidence: Evidence) -> list[str]:
+    """Return all violations, in words."""
+    violations = [
+        *_check_answers(evidence),
+        *_check_runs(evidence),
+        *_check_silences(evidence),
+        *_check_partitions(evidence),
+        *_check_falls(evidence),
+    ]
+    return violations + list(evidence.process_faults)
+
+
+def _check_answers(evidence: Evidence) -> Iterator[str]:
+    for outcome in evidence.outcomes:
+        if outcome.abandoned:
+            yield f"no end of the response: {outcome}"
+            continue
+        if outcome.complete:
+            if outcome.status == 200 and not outcome.served:
+                yield f"a stream ends without {EVENTS} events: {outcome}"
+            continue
+        if _is_killed(evidence, outcome):
+            continue
+        if outcome.status == 0:
+            crossed = outcome.ended - outcome.sent <= CROSSING_SECONDS
+            if crossed and outcome.request_id not in evidence.reached:
+                continue
+            yield f"closed without an answer: {outcome}"
+            continue
+        if not _find_excuse(evidence, outcome):
+            yield f"broken without a cause: {outcome}"
+
+
+def _check_runs(evidence: Evidence) -> Iterator[str]:
+    for outcome in evidence.outcomes:
+        runs = evidence.runs[outcome.request_id]
+        if outcome.route.once and runs > 1:
+            yield f"run {runs} times: {outcome}"
+        if outcome.status in NOT_RUN and runs:
+            yield f"refused though it was run: {outcome}"
+
+
+def _check_silences(evidence: Evidence) -> Iterator[str]:
+    for outcome in evidence.outcomes:
+        if outcome.served or outcome.ended - outcome.sent >= DEADLINE_SECONDS:
+            continue
+        if outcome.status == 0:
+            # judged as a connection that closes
+            continue
+        if not _find_excuse(evidence, outcome):
+            yield f"refused or broken with no cause but silence: {outcome}"
+
+
+def _check_partitions(evidence: Evidence) -> Iterator[str]:
+    for start, end, service in sorted(
+        {
+            (one.start, one.end, one.service)
+            for one in evidence.periods.find(Cause.PARTITION)
+        }
+    ):
+        tries = [
+            outcome
+            for outcome in evidence.outcomes
+            if start + CONTACT_SECONDS <= outcome.sent <= end
+            and (not service or service in outcome.route.services)
+            and _is_in_touch(evidence, outcome)
+            and not _meets(evidence.periods.find(Cause.BRITTLE), outcome)
+        ]
+        cut = [one for one in tries if _is_cut(evidence, one, start)]
+        others = [one for one in tries if not _is_cut(evidence, one, start)]
+        yield from _compare(cut, others, f"partition at {start:.3f} ({service})")
+
+
+def _compare(
+    cut: Sequence[Outcome], others: Sequence[Outcome], name: str
+) -> Iterator[str]:
+    served = sum(one.served for one in cut)
+    served_others = sum(one.served for one in others)
+    failed = [str(one) for one in cut if not one.served]
+    words = f"{name}: {served} of {len(cut)} first tries served, at the others "
+    words += f"{served_others} of {len(others)}; failed: {'; '.join(failed[:3])}"
+    if len(failed) > MAX_FAILED + len(cut) / FAILED_DIVISOR:
+        yield words
+        return
+    if min(len(cut), len(others)) < MIN_TRIES:
+        return
+    if served / len(cut) < served_others / len(others) * 2 / 3:
+        yield words
+
+
+def _check_falls(evidence: Evidence) -> Iterator[str]:
+    allowed = MAX_FALLS + evidence.brittle_targets / FALLS_DIVISOR
+    for period in evidence.periods.find(Cause.BRITTLE):
+        if period.falls > allowed:
+            yield f"{period.falls} falls of brittle targets, {allowed} are allowed"
+
+
+def _find_excuse(evidence: Evidence, outcome: Outcome) -> bool:
+    """Return whether anything but silence may have caused a failure."""
+    periods = evidence.periods
+    # stage work is made at several instances
+    instance = "" if len(outcome.route.services) > 1 else outcome.instance
+    causes = (Cause.PARTITION, *PLANNED)
+    if _meets(periods.find(*causes), outcome, instance=instance):
+        return True
+    return _meets(periods.find(Cause.BRITTLE), outcome)
+
+
+def _meets(periods: Iterator[Period], outcome: Outcome, *, instance: str = "") -> bool:
+    """Return whether a period, or the time just after it, concerns a request."""
+    for period in periods:
+        if instance and period.instance not in ("", instance):
+            continue
+        if period.service and period.service not in outcome.route.services:
+            continue
+        if period.overlaps(outcome.sent - CONTACT_SECONDS, outcome.ended):
+            return True
+    return False
+
+
+def _is_in_touch(evidence: Evidence, outcome: Outcome) -> bool:
+    planned = evidence.periods.find(*PLANNED)
+    return not _meets(planned, outcome, instance=outcome.instance)
+
+
+def _is_cut(evidence: Evidence, outcome: Outcome, start: float) -> bool:
+    return any(
+        one.start == start and one.instance == outcome.instance
+        for one in evidence.periods.find(Cause.PARTITION)
+    )
+
+
+def _is_killed(evidence: Evidence, outcome: Outcome) -> bool:
+    return any(
+        one.instance == outcome.instance and one.overlaps(outcome.sent, outcome.ended)
+        for one in evidence.periods.find(Cause.KILL)
+    )
--- /dev/null
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/soak/disturbances.py
@@ -0,0 +1,245 @@
+"""Disturbances of a fleet: silences, partitions, brittle targets, planned work."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from abc import ABC, abstractmethod
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from .fleet import BRITTLE_SERVICE, QUEUE, SERVE_SECONDS
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from ..platform_standins.fleet import Instance
+    from ..platform_standins.target_links import PartitionForm
+    from .fleet import LinkedFleet
+
+__all__ = (
+    "BrittleTime",
+    "Cause",
+    "ConfigurationChange",
+    "Disturbance",
+    "Partition",
+    "Period",
+    "Periods",
+    "Reload",
+    "Restart",
+    "Silence",
+)
+
+#: seconds from which on brittle targets let fewer requests wait
+CONTACT_SECONDS = 3.0
+#: seconds from SIGTERM to SIGKILL; as in the instances' settings
+GRACE_SECONDS = 8.0
+#: seconds that a run takes at a brittle target, and the requests that may wait there
+BRITTLE_SERVE_SECONDS, BRITTLE_QUEUE = 0.8, 1
+
+
+class Cause(Enum):
+    """What happens in a period."""
+
+    SILENCE = "silence"
+    PARTITION = "partition"
+    BRITTLE = "brittle"
+    CONFIGURATION = "configuration"
+    RELOAD = "reload"
+    #: from SIGTERM until the instance is ready again
+    RESTART = "restart"
+    #: a SIGKILL after the grace period
+    KILL = "kill"
+    #: the process has ended, though nobody stopped it
+    EXIT = "exit"
+
+
+@dataclass(slots=True, kw_only=True)
+class Period:
+    """A time in which something is disturbed; times of the loop in seconds."""
+
+    cause: Cause
+    #: the instance; empty: all
+    instance: str = ""
+    #: the service; empty: all
+    service: str = ""
+    start: float
+    end: float = float("inf")
+    #: falls of targets in it
+    falls: int = 0
+
+    def overlaps(self, start: float, end: float) -> bool:
+        """Return whether a part of the period lies in the given time."""
+        return self.start <= end and start <= self.end
+
+
+@dataclass(slots=True)
+class Periods:
+    """All periods of one run, in order of their start."""
+
+    all: list[Period] = field(default_factory=list)
+
+    def begin(self, cause: Cause, instance: str = "", service: str = "") -> Period:
+        """Begin a period now."""
+        now = asyncio.get_running_loop().time()
+        period = Period(cause=cause, instance=instance, service=service, start=now)
+        self.all.append(period)
+        return period
+
+    def end(self, period: Period) -> None:
+        """End a period now."""
+        period.end = asyncio.get_running_loop().time()
+
+    def find(self, *causes: Cause) -> Iterator[Period]:
+        """Return the periods with one of the causes."""
+        return (one for one in self.all if one.cause in causes)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Disturbance(ABC):
+    """One disturbance at a time after the start of the run, in seconds."""
+
+    at: float
+
+    @abstractmethod
+    async def run(self, fleet: LinkedFleet, periods: Periods) -> None:
+        """Disturb a fleet, and end the disturbance."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Silence(Disturbance):
+    """A target falls silent for some times, shortly after each other."""
+
+    target_id: str
+    seconds: tuple[float, ...]
+    pause: float
+    #: events after which one response is silent too; 0: before it
+    events: int
+
+    async def run(self, fleet: LinkedFleet, periods: Periods) -> None:
+        """Hold back the data of all connections to the target."""
+        [target] = [one for one in fleet.targets if one.target_id == self.target_id]
+        for seconds in self.seconds:
+            period = periods.begin(Cause.SILENCE, service=target.service)
+            target.silences = [self.events]
+            for links in fleet.links.values():
+                links.pause(self.target_id)
+            await asyncio.sleep(seconds)
+            target.silences = []
+            target.resume()
+            for links in fleet.links.values():
+                links.resume(self.target_id)
+            periods.end(period)
+            await asyncio.sleep(self.pause)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Partition(Disturbance):
+    """Instances are cut off from the targets of a service; empty: from all."""
+
+    instances: tuple[str, ...]
+    form: PartitionForm
+    service: str
+    seconds: float
+
+    async def run(self, fleet: LinkedFleet, periods: Periods) -> None:
+        """Cut the links, and heal them."""
+        begun = [
+            periods.begin(Cause.PARTITION, name, self.service)
+            for name in self.instances
+        ]
+        for name in self.instances:
+            await fleet.links[name].cut(self.form, self.service)
+        await asyncio.sleep(self.seconds)
+        for name in self.instances:
+            await fleet.links[name].heal()
+        for period in begun:
+            periods.end(period)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class BrittleTime(Disturbance):
+    """The targets of a service are slow and say that they are brittle."""
+
+    limit: int
+    seconds: float
+
+    async def run(self, fleet: LinkedFleet, periods: Periods) -> None:
+        """Announce the limit first, and have less room later."""
+        states = [one.brittleness for one in fleet.find_targets(BRITTLE_SERVICE)]
+        before = sum(state.falls for state in states)
+        period = periods.begin(Cause.BRITTLE, service=BRITTLE_SERVICE)
+        for state in states:
+            state.limit, state.serve_seconds = self.limit, BRITTLE_SERVE_SECONDS
+        await asyncio.sleep(CONTACT_SECONDS)
+        for state in states:
+            state.later_queue = BRITTLE_QUEUE
+        await asyncio.sleep(self.seconds - CONTACT_SECONDS)
+        for state in states:
+            state.limit, state.serve_seconds = None, SERVE_SECONDS
+            state.later_queue = QUEUE
+        period.falls = sum(state.falls for state in states) - before
+        # those that have fallen are not back before
+        await asyncio.sleep(max(state.down_seconds for state in states))
+        periods.end(period)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ConfigurationChange(Disturbance):
+    """The operator writes a new version."""
+
+    async def run(self, fleet: LinkedFleet, periods: Periods) -> None:
+        """Write it."""
+        period = periods.begin(Cause.CONFIGURATION)
+        fleet.change_configuration()
+        periods.end(period)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Reload(Disturbance):
+    """An instance gets SIGHUP."""
+
+    instance: str
+
+    async def run(self, fleet: LinkedFleet, periods: Periods) -> None:
+        """Send it, unless the process is about to be started again."""
+        instance = _find(fleet, self.instance)
+        if instance.process.returncode is not None:
+            return
+        period = periods.begin(Cause.RELOAD, self.instance)
+        instance.process.send_signal(signal.SIGHUP)
+        periods.end(period)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Restart(Disturbance):
+    """An instance gets SIGTERM and is started again at the same address."""
+
+    instance: str
+
+    async def run(self, fleet: LinkedFleet, periods: Periods) -> None:
+        """Stop it, kill it after the grace period, and start it again."""
+        instance = _find(fleet, self.instance)
+        if instance.process.returncode is not None:
+            periods.end(periods.begin(Cause.EXIT, self.instance))
+        period = periods.begin(Cause.RESTART, self.instance)
+        if instance.process.returncode is None:
+            instance.process.send_signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(GRACE_SECONDS):
+                code = await instance.process.wait()
+        except TimeoutError:
+            periods.end(periods.begin(Cause.KILL, self.instance))
+            await fleet.kill(instance)
+            code = 0
+        if code != 0:
+            periods.end(periods.begin(Cause.EXIT, self.instance))
+        await fleet.launch(instance)
+        await fleet.wait_ready(instance)
+        periods.end(period)
+
+
+def _find(fleet: LinkedFleet, name: str) -> Instance:
+    [found] = [one for one in fleet.instances if one.name == name]
+    return found
