--- a/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/target_links.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/target_links.py
@@ -90,8 +90,13 @@
         for proxy in self._proxies.values():
             await proxy.heal()
 
-    def count_accepted(self) -> int:
-        """Return how many connections the instance has opened to targets."""
+    def count_accepted(self, target_id: str = "") -> int:
+        """Return how many connections the instance has opened to a target.
+
+        :param target_id: empty: to all targets
+        """
+        if target_id:
+            return self._proxies[target_id].accepted
         return sum(proxy.accepted for proxy in self._proxies.values())
 
     async def stop(self) -> None:
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/soak/run.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/soak/run.py
@@ -17,6 +17,7 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
+    from ..platform_standins.targets import SimulatedTarget
     from .callers import Outcome
     from .disturbances import Disturbance
 
@@ -145,9 +146,20 @@
         for one in periods.find(Cause.EXIT)
     ]
     for instance in fleet.instances:
+        if not fleet.links[instance.name].count_accepted():
+            faults.append(f"{instance.name} has used none of its links")
         if instance.process.returncode is not None:
             faults.append(f"{instance.name} ended by itself")
         text = instance.log.read_text(encoding="utf-8")
         if "Traceback" in text:
             faults.append(f"{instance.name}: traceback in {instance.log}")
+    for target in fleet.targets:
+        # handles contain the address of their maker, so that results are freed there
+        if not target.pieces and target.connections > _count_accepted(fleet, target):
+            faults.append(f"{target.target_id} was reached past the links")
     return faults
+
+
+def _count_accepted(fleet: LinkedFleet, target: SimulatedTarget) -> int:
+    links = fleet.links.values()
+    return sum(one.count_accepted(target.target_id) for one in links)
