--- /dev/null
+++ b/tests/test_lab/test_soak_checks.py
@@ -0,0 +1,136 @@
+"""Tests that the checks of the soak find what they are for."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+import pytest
+
+from greengagelatch_lab.platform_standins.targets import EVENTS
+from greengagelatch_lab.soak.callers import ROUTES, Outcome
+from greengagelatch_lab.soak.checks import Evidence, check
+from greengagelatch_lab.soak.disturbances import Cause, Partition, Period, Periods
+from greengagelatch_lab.soak.schedule import draw_schedule
+
+LOOK, _, BOOK, SCAN, _ = ROUTES
+INSTANCES = ["one", "two", "three"]
+
+
+def create_outcome(route=LOOK, **fields) -> Outcome:
+    values = {
+        "request_id": "r-1",
+        "instance": "one",
+        "sent": 100.0,
+        "ended": 101.0,
+        "status": 200,
+        "complete": True,
+        "events": EVENTS if route.stream else 0,
+        **fields,
+    }
+    return Outcome(route=route, **values)
+
+
+def find_violations(*outcomes, periods=(), runs=(), reached=()) -> list[str]:
+    evidence = Evidence(
+        outcomes=outcomes,
+        periods=Periods(list(periods)),
+        runs=Counter(runs),
+        reached=frozenset(reached),
+        brittle_targets=2,
+        process_faults=(),
+    )
+    return check(evidence)
+
+
+def create_period(cause, instance="", service="", **fields) -> Period:
+    values = {"start": 99.0, "end": 110.0, **fields}
+    return Period(cause=cause, instance=instance, service=service, **values)
+
+
+def test_served_requests_are_no_violation():
+    outcomes = [create_outcome(route) for route in ROUTES]
+    assert not find_violations(*outcomes, runs=["r-1"])
+
+
+@pytest.mark.parametrize(
+    ("fields", "words"),
+    [
+        ({"status": 0, "complete": False}, "closed without an answer"),
+        ({"status": 0, "complete": False, "abandoned": True}, "no end"),
+        ({"route": SCAN, "complete": False, "events": 2}, "broken without a cause"),
+        ({"route": SCAN, "events": 2}, "a stream ends without"),
+        ({"status": 503}, "no cause but silence"),
+    ],
+)
+def test_requests_that_fail_in_a_silence_are_found(fields, words):
+    silence = create_period(Cause.SILENCE, service="desk")
+    violations = find_violations(create_outcome(**fields), periods=[silence])
+    assert violations
+    assert words in violations[0]
+
+
+def test_request_that_crosses_the_close_is_allowed_unless_a_target_got_it():
+    crossed = create_outcome(status=0, complete=False, ended=100.1)
+    assert not find_violations(crossed)
+    assert find_violations(crossed, reached=["r-1"])
+
+
+def test_stream_may_break_in_a_partition_of_its_instance_only():
+    broken = create_outcome(SCAN, complete=False, events=2)
+    own = create_period(Cause.PARTITION, "one")
+    other = create_period(Cause.PARTITION, "two")
+    assert not find_violations(broken, periods=[own])
+    assert find_violations(broken, periods=[other])
+
+
+def test_unsafe_request_that_runs_twice_is_found():
+    assert find_violations(create_outcome(BOOK), runs=["r-1", "r-1"])
+    assert not find_violations(create_outcome(LOOK), runs=["r-1", "r-1"])
+
+
+def test_refusal_of_a_request_that_was_run_is_found():
+    partition = create_period(Cause.PARTITION, "one")
+    refused = create_outcome(status=503)
+    assert not find_violations(refused, periods=[partition])
+    assert find_violations(refused, periods=[partition], runs=["r-1"])
+
+
+def find_in_partition(served: int, failed: int) -> list[str]:
+    """Return the violations for first tries at an instance that is cut off."""
+    periods = [create_period(Cause.PARTITION, "one")]
+    outcomes = [create_outcome(sent=105.0, ended=106.0) for _ in range(served)]
+    outcomes += [
+        create_outcome(sent=105.0, ended=106.0, status=504) for _ in range(failed)
+    ]
+    outcomes += [
+        create_outcome(sent=105.0, ended=106.0, instance="two") for _ in range(30)
+    ]
+    return find_violations(*outcomes, periods=periods)
+
+
+def test_first_tries_that_fail_in_a_partition_are_found():
+    assert not find_in_partition(40, 10)
+    # more than ten and one in fifty
+    assert find_in_partition(100, 13)
+    # less than two thirds of the share at the others
+    assert find_in_partition(12, 8)
+
+
+def test_falls_of_brittle_targets_are_found():
+    assert not find_violations(periods=[create_period(Cause.BRITTLE, falls=2)])
+    assert find_violations(periods=[create_period(Cause.BRITTLE, falls=3)])
+
+
+def test_schedules_come_back_by_their_seed_and_spare_an_instance():
+    targets, services = ["a-0", "a-1"], ["a"]
+    for seed in range(50):
+        drawn, again = (
+            draw_schedule(random.Random(seed), 20.0, INSTANCES, targets, services)
+            for _ in range(2)
+        )
+        assert drawn == again
+        partitions = [one for one in drawn if isinstance(one, Partition)]
+        assert partitions
+        for one in partitions:
+            assert 0 < len(one.instances) < len(INSTANCES)
