--- a/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/fleet.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/fleet.py
@@ -55,7 +55,7 @@
 
     @property
     def log(self) -> Path:
-        """Path of the file that receives the process's standard output."""
+        """Path of the file that receives the process's output."""
         return self.settings.with_suffix(".log")
 
     def read_log(self) -> str:
@@ -153,6 +153,7 @@
                 "--metrics",
                 f"{instance.metrics_port}/metrics",
                 stdout=log,
+                stderr=log,
                 env=os.environ | {"PYTHONUNBUFFERED": "1"},
             )
         finally:
@@ -187,6 +188,10 @@
             process.send_signal(signal.SIGKILL)
             await process.wait()
 
+    def find_store_address(self, name: str) -> str:
+        """Return the address at which an instance reaches the store."""
+        return self.store.address
+
     def create_instance(self, name: str, seeds: list[str]) -> Instance:
         """Create an instance on free ports and write its settings file."""
         ports = self.find_ports(4)
@@ -209,7 +214,7 @@
             },
             "seeds": seeds[:3],
             "bounds": {"grace-s": 8, "retry-ratio": 0.2, "retry-slack": 58},
-            "platform": {"address": self.store.address},
+            "platform": {"address": self.find_store_address(name)},
         }
         instance.settings.write_text(json.dumps(settings), encoding="utf-8")
         return instance
