--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/patience.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/soft_timeout.py
@@ -9,14 +9,14 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-__all__ = ("ASK_INTERVAL", "Patience", "PatientWait")
+__all__ = ("ASK_INTERVAL", "SoftTimeout", "SoftTimeoutScope")
 
 #: seconds after which it is asked again whether a silent target may be left
 ASK_INTERVAL = 0.25
 
 
 @dataclass(slots=True, kw_only=True)
-class Patience:
+class SoftTimeout:
     """How long to wait for a silent target while another one could be used.
 
     One object may serve several waits of one attempt.
@@ -33,34 +33,34 @@
     asked: bool = False
 
 
-class PatientWait:
+class SoftTimeoutScope:
     """Async context manager around a wait for a target.
 
     :param end: event loop time in seconds at which the wait ends in any case
-    :param patience: ``None`` if no other target could be used
+    :param soft_timeout: ``None`` if no other target could be used
     :param is_path_lost: returns whether the connection is direct although its target
         is reached through peers only
     :raises TimeoutError: at ``end``, or once the target may be left
     """
 
-    __slots__ = ("_is_path_lost", "_patience", "_scope", "_timer")
+    __slots__ = ("_is_path_lost", "_scope", "_soft_timeout", "_timer")
 
     def __init__(
         self,
         end: float,
-        patience: Patience | None,
+        soft_timeout: SoftTimeout | None,
         is_path_lost: Callable[[], bool] = lambda: False,
     ) -> None:
         self._scope = asyncio.timeout_at(end)
-        self._patience = patience
+        self._soft_timeout = soft_timeout
         self._is_path_lost = is_path_lost
         self._timer: asyncio.Handle | None = None
 
     async def __aenter__(self) -> None:
         await self._scope.__aenter__()
-        if self._patience is not None:
+        if self._soft_timeout is not None:
             loop = asyncio.get_running_loop()
-            self._timer = loop.call_at(self._patience.until, self._read_first)
+            self._timer = loop.call_at(self._soft_timeout.until, self._read_first)
 
     async def __aexit__(self, kind, error, traceback) -> bool | None:
         if self._timer is not None:
@@ -75,8 +75,8 @@
         if self._scope.expired():
             return
         loop = asyncio.get_running_loop()
-        asked, self._patience.asked = self._patience.asked, True
-        if self._patience.may_leave(asked, self._is_path_lost()):
+        asked, self._soft_timeout.asked = self._soft_timeout.asked, True
+        if self._soft_timeout.may_leave(asked, self._is_path_lost()):
             self._scope.reschedule(loop.time())
             return
         self._timer = loop.call_later(ASK_INTERVAL, self._read_first)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -15,9 +15,9 @@
 from .event_splitter import EventSplitter
 from .input_fetch_timer import InputFetchTimer
 from .messages import AttemptContext
-from .patience import Patience, PatientWait
 from .refusals import create_error
 from .runners import Runner
+from .soft_timeout import SoftTimeout, SoftTimeoutScope
 from .target_connections import TargetResponseError
 from .target_sender import STATUS_CONFLICT, FailedSend, ReceivedResponse
 
@@ -39,17 +39,17 @@
 
 #: maximum size in bytes of a forwarded error response
 MAX_ERROR_BODY_BYTES = 1024 * 1024
-#: patience for the first event of a resumable stream, after which it fails over to
+#: soft timeout for the first event of a resumable stream, after which it fails over to
 #: another target if it may: a fraction of the route's latency objective, and the
 #: minimum in seconds
 FIRST_EVENT_FACTOR = 0.9
-MIN_FIRST_EVENT_PATIENCE = 1.0
-#: patience between events: a multiple of the route's maximum event gap, and the minimum
-#: in seconds
+MIN_FIRST_EVENT_TIMEOUT = 1.0
+#: soft timeout between events: a multiple of the route's maximum event gap, and the
+#: minimum in seconds
 EVENT_GAP_FACTOR = 3.0
-MIN_EVENT_GAP_PATIENCE = 0.75
+MIN_EVENT_GAP_TIMEOUT = 0.75
 #: the same in seconds where the stages would have to be executed again, which may fail
-MIN_RERUN_PATIENCE = 1.5
+MIN_RERUN_TIMEOUT = 1.5
 
 
 class StreamRunner(Runner):
@@ -214,7 +214,7 @@
                 target,
                 call,
                 timeout=left,
-                patience=self._find_patience(target),
+                soft_timeout=self._create_soft_timeout(target),
                 fresh=not exchange.route.repeatable,
                 may_send=lambda: fetch_timer.start(
                     not self._run.is_lost(self._results)
@@ -305,8 +305,8 @@
         left = self._runner.find_remaining(self._exchange)
         end = asyncio.get_running_loop().time() + max(0.0, left)
         try:
-            async with PatientWait(
-                end, self._find_patience(target), received.response.is_path_lost
+            async with SoftTimeoutScope(
+                end, self._create_soft_timeout(target), received.response.is_path_lost
             ):
                 return await anext(chunks, None)
         except TimeoutError:
@@ -361,22 +361,18 @@
             return 0.0
         return self._runner.clock.now() - self._first_event_at
 
-    def _find_patience(self, target: ListedTarget) -> Patience | None:
+    def _create_soft_timeout(self, target: ListedTarget) -> SoftTimeout | None:
         exchange = self._exchange
         route = exchange.route
         if not route.resumable:
             return None
         if self._first_event_seen:
-            seconds = max(
-                MIN_EVENT_GAP_PATIENCE, route.longest_pause * EVENT_GAP_FACTOR
-            )
+            seconds = max(MIN_EVENT_GAP_TIMEOUT, route.longest_pause * EVENT_GAP_FACTOR)
             if self._needs_rerun():
-                seconds = max(seconds, MIN_RERUN_PATIENCE)
+                seconds = max(seconds, MIN_RERUN_TIMEOUT)
         else:
-            seconds = max(
-                MIN_FIRST_EVENT_PATIENCE, route.objective * FIRST_EVENT_FACTOR
-            )
-        return Patience(
+            seconds = max(MIN_FIRST_EVENT_TIMEOUT, route.objective * FIRST_EVENT_FACTOR)
+        return SoftTimeout(
             until=asyncio.get_running_loop().time() + seconds,
             may_leave=partial(self._may_leave, target),
         )
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
@@ -16,7 +16,7 @@
 from greengagelatch.relay.connection_loss import ConnectionLossRule
 from greengagelatch.relay.incarnations import Incarnation
 
-from .patience import PatientWait
+from .soft_timeout import SoftTimeoutScope
 from .target_dialers import Destination, DialError, TunnelLostError
 from .tunnel_transport import TUNNELLED
 
@@ -30,7 +30,7 @@
 
     from ..metrics import Metrics
     from .messages import OutboundRequest
-    from .patience import Patience
+    from .soft_timeout import SoftTimeout
     from .target_dialers import TargetDialer
 
 __all__ = (
@@ -232,7 +232,7 @@
         fresh: bool,
         timeout: float,
         encode_again: Callable[[], OutboundRequest] | None = None,
-        patience: Patience | None = None,
+        soft_timeout: SoftTimeout | None = None,
         may_send: Callable[[], bool] | None = None,
         service: str = "",
         data_centre: str = "",
@@ -245,7 +245,7 @@
         :param timeout: seconds until the head must have arrived
         :param encode_again: returns the request as of now; called after a slow dial, as
             the deadline that the request states is closer by then
-        :param patience: when a target that is silent may be left before that
+        :param soft_timeout: when a target that is silent may be left before that
         :param may_send: checked once connected, and again before pooling the connection
         :param service: service of the target
         :param data_centre: data centre of the target
@@ -290,7 +290,7 @@
             data = _serialize(outbound, address)
             self._metrics.count("links.bytes_out", len(data))
             connection.transport.write(data)
-            async with PatientWait(end, patience, is_path_lost):
+            async with SoftTimeoutScope(end, soft_timeout, is_path_lost):
                 message, content = await self._read_head(connection)
         except TimeoutError:
             connection.abort()
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_sender.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_sender.py
@@ -23,7 +23,7 @@
     from .decisions import DecisionLog
     from .exchange import RelayExchange
     from .messages import AttemptContext, OutboundRequest, ResponseHead
-    from .patience import Patience
+    from .soft_timeout import SoftTimeout
     from .target_connections import TargetConnectionPool, TargetResponse
 
 __all__ = ("ReceivedResponse", "TargetSender", "FailedSend")
@@ -86,14 +86,14 @@
         call: AttemptContext,
         *,
         timeout: float,
-        patience: Patience | None,
+        soft_timeout: SoftTimeout | None,
         fresh: bool,
         may_send: Callable[[], bool] = lambda: True,
     ) -> ReceivedResponse | FailedSend:
         """Send once and raise the verdict of ``exchange`` accordingly.
 
         :param timeout: seconds until the response head must have arrived
-        :param patience: when a target that is silent may be left before that
+        :param soft_timeout: when a target that is silent may be left before that
         :param may_send: checked once connected, as inputs named in ``call`` may have
             been lost by then
         """
@@ -114,7 +114,7 @@
                 fresh=fresh,
                 timeout=timeout,
                 encode_again=encode_again,
-                patience=patience,
+                soft_timeout=soft_timeout,
                 may_send=lambda: (
                     self._target_table.is_available(incarnation) and may_send()
                 ),
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/unary.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/unary.py
@@ -11,8 +11,8 @@
 from greengagelatch.relay.outcomes import SendOutcome
 
 from .messages import AttemptContext
-from .patience import Patience, PatientWait
 from .runners import Runner
+from .soft_timeout import SoftTimeout, SoftTimeoutScope
 from .target_connections import TargetResponseError
 from .target_sender import FailedSend, ReceivedResponse
 
@@ -27,12 +27,12 @@
 
 #: maximum size in bytes of a forwarded response
 MAX_RESPONSE_BYTES = 32 * 1024 * 1024
-#: patience of idempotent requests as a multiple of the route's latency objective.
+#: soft timeout of idempotent requests as a multiple of the route's latency objective.
 #: After it the request fails over to another target if it may, as a hung target would
 #: hold it until the deadline
-PATIENCE_FACTOR = 1.0
-#: minimum patience in seconds
-MIN_PATIENCE = 0.15
+ATTEMPT_TIMEOUT_FACTOR = 1.0
+#: minimum of it in seconds
+MIN_ATTEMPT_TIMEOUT = 0.15
 STATUS_SERVER_ERROR = 500
 
 
@@ -101,7 +101,7 @@
             workspace=exchange.workspace,
         )
         end = asyncio.get_running_loop().time() + remaining_seconds
-        patience = self._find_patience(exchange, target, excluded)
+        soft_timeout = self._create_soft_timeout(exchange, target, excluded)
         self.load_balancer.start(target.incarnation)
         try:
             result = await self.sender.send(
@@ -109,12 +109,12 @@
                 target,
                 call,
                 timeout=remaining_seconds,
-                patience=patience,
+                soft_timeout=soft_timeout,
                 fresh=not exchange.route.repeatable,
             )
             if isinstance(result, FailedSend):
                 return result
-            return await self._read(exchange, target, result, end, patience)
+            return await self._read(exchange, target, result, end, soft_timeout)
         finally:
             self.load_balancer.finish(target.incarnation)
 
@@ -124,11 +124,11 @@
         target: ListedTarget,
         received: ReceivedResponse,
         end: float,
-        patience: Patience | None,
+        soft_timeout: SoftTimeout | None,
     ) -> _FullResponse | FailedSend:
         response = received.response
         try:
-            async with PatientWait(end, patience, response.is_path_lost):
+            async with SoftTimeoutScope(end, soft_timeout, response.is_path_lost):
                 body = await response.read(MAX_RESPONSE_BYTES)
         except TimeoutError:
             response.abort()
@@ -150,20 +150,20 @@
             self.load_balancer.record_failure(target.incarnation, self.clock.now())
         return _FullResponse(received.head, body)
 
-    def _find_patience(
+    def _create_soft_timeout(
         self,
         exchange: RelayExchange,
         target: ListedTarget,
         excluded: frozenset[Incarnation],
-    ) -> Patience | None:
+    ) -> SoftTimeout | None:
         route = exchange.route
         if route.kind is not RouteKind.SAFE:
             return None
         seconds = min(
-            max(MIN_PATIENCE, route.objective * PATIENCE_FACTOR),
+            max(MIN_ATTEMPT_TIMEOUT, route.objective * ATTEMPT_TIMEOUT_FACTOR),
             self.find_remaining(exchange) / 2,
         )
-        return Patience(
+        return SoftTimeout(
             until=asyncio.get_running_loop().time() + seconds,
             may_leave=partial(self.may_leave, exchange, target, excluded),
         )
--- a/tests/test_entry/test_relay/conftest.py
+++ b/tests/test_entry/test_relay/conftest.py
@@ -145,7 +145,7 @@
                 await asyncio.sleep(0.01)
 
     async def wait_for_silence(self, request: asyncio.Task[Reply]) -> None:
-        """Wait until a request has endured a silence longer than the usual patience.
+        """Wait until a request has endured a silence that outlasts its soft timeout.
 
         Returns also once the request has ended.
         """
--- a/tests/test_entry/test_relay/test_patience.py
+++ b/tests/test_entry/test_relay/test_soft_timeout.py
@@ -1,4 +1,4 @@
-"""Tests of greengagelatch_entry.relay.patience."""
+"""Tests of greengagelatch_entry.relay.soft_timeout."""
 
 from __future__ import annotations
 
@@ -8,7 +8,11 @@
 
 import pytest
 
-from greengagelatch_entry.relay.patience import ASK_INTERVAL, Patience, PatientWait
+from greengagelatch_entry.relay.soft_timeout import (
+    ASK_INTERVAL,
+    SoftTimeout,
+    SoftTimeoutScope,
+)
 
 #: timeout of every wait in seconds
 WAIT_SECONDS = 20
@@ -30,22 +34,22 @@
     return asyncio.get_running_loop().time() + WAIT_SECONDS
 
 
-def create(may_leave: Asked, seconds: float = 0.0) -> Patience:
+def create(may_leave: Asked, seconds: float = 0.0) -> SoftTimeout:
     until = asyncio.get_running_loop().time() + seconds
-    return Patience(until=until, may_leave=may_leave)
+    return SoftTimeout(until=until, may_leave=may_leave)
 
 
 async def test_wait_goes_on_until_the_target_may_be_left():
     may_leave = Asked(3)
     with pytest.raises(TimeoutError):
-        async with PatientWait(find_end(), create(may_leave)):
+        async with SoftTimeoutScope(find_end(), create(may_leave)):
             await asyncio.Event().wait()
     assert may_leave.calls == [False, True, True]
 
 
 async def test_wait_ends_with_the_answer():
     may_leave = Asked(100)
-    async with PatientWait(find_end(), create(may_leave)):
+    async with SoftTimeoutScope(find_end(), create(may_leave)):
         while not may_leave.calls:  # noqa: ASYNC110 - no event tells of a call
             await asyncio.sleep(0.001)
     assert may_leave.calls == [False]
@@ -58,17 +62,17 @@
     failure, and two failures in a row eject a target.
     """
     may_leave = Asked(100)
-    patience = create(may_leave)
+    soft_timeout = create(may_leave)
     for calls in (1, 2):
-        async with PatientWait(find_end(), patience):
+        async with SoftTimeoutScope(find_end(), soft_timeout):
             while len(may_leave.calls) < calls:  # noqa: ASYNC110 - no event tells of it
                 await asyncio.sleep(0.001)
     assert may_leave.calls == [False, True]
 
 
-async def test_wait_without_patience_ends_at_its_end():
+async def test_wait_without_soft_timeout_ends_at_its_end():
     with pytest.raises(TimeoutError):
-        async with PatientWait(asyncio.get_running_loop().time(), None):
+        async with SoftTimeoutScope(asyncio.get_running_loop().time(), None):
             await asyncio.Event().wait()
 
 
@@ -88,7 +92,7 @@
 
     now = asyncio.get_running_loop().time()
     with pytest.raises(TimeoutError):
-        async with PatientWait(now, create(may_leave)):
+        async with SoftTimeoutScope(now, create(may_leave)):
             await end_slowly()
     assert may_leave.calls == []
 
@@ -98,7 +102,7 @@
     may_leave = Asked(100)
 
     async def wait() -> None:
-        async with PatientWait(find_end(), create(may_leave)):
+        async with SoftTimeoutScope(find_end(), create(may_leave)):
             await asyncio.Event().wait()
 
     task = asyncio.create_task(wait())
@@ -122,7 +126,7 @@
     near, far = socket.socketpair()
     reader, writer = await asyncio.open_connection(sock=near)
     may_leave = Asked(1)
-    async with PatientWait(find_end(), create(may_leave, 0.01)):
+    async with SoftTimeoutScope(find_end(), create(may_leave, 0.01)):
         far.send(b"answer")
         stand_still()
         assert await reader.read(100) == b"answer"
--- a/tests/test_entry/test_relay/test_streams.py
+++ b/tests/test_entry/test_relay/test_streams.py
@@ -259,7 +259,7 @@
 
 
 async def stream_with_silences(world, engine, places: list[int]):
-    """Return the reply to a stream whose engine outlasts the patience at each place."""
+    """Return the reply to a stream that outlasts the soft timeout at each place."""
     engine.silences = list(places)
     held = asyncio.create_task(world.stream())
     for _ in places:
@@ -290,7 +290,7 @@
 ):
     """A stream that waits for a silent engine moves on as soon as it can."""
     # the time left for its stages is short
-    monkeypatch.setattr(streams, "MIN_RERUN_PATIENCE", streams.MIN_EVENT_GAP_PATIENCE)
+    monkeypatch.setattr(streams, "MIN_RERUN_TIMEOUT", streams.MIN_EVENT_GAP_TIMEOUT)
     await pipeline.extend_timeouts()
     silent, other = engines(pipeline)
     other.register(pipeline.store, state="draining")
@@ -313,14 +313,14 @@
     engine would need new ones, although the silent one is about to go on.
     """
     await pipeline.extend_timeouts()
-    monkeypatch.setattr(streams, "MIN_EVENT_GAP_PATIENCE", 0.01)
+    monkeypatch.setattr(streams, "MIN_EVENT_GAP_TIMEOUT", 0.01)
     monkeypatch.setattr(streams, "EVENT_GAP_FACTOR", 0.01)
     for engine in engines(pipeline):
         engine.silences = [2]
     held = asyncio.create_task(pipeline.stream())
     await pipeline.wait_for(lambda: any(one.silent for one in engines(pipeline)))
     made = sum(maker.pieces.total() for maker in makers(pipeline))
-    # longer than the patience for a stream without stages
+    # longer than the soft timeout for a stream without stages
     await asyncio.sleep(0.2)
     for engine in engines(pipeline):
         engine.resume()
@@ -333,7 +333,7 @@
 ):
     """Guards against streams that leave an engine and then fail in their stages."""
     await pipeline.extend_timeouts()
-    for name in ("MIN_EVENT_GAP_PATIENCE", "EVENT_GAP_FACTOR", "MIN_RERUN_PATIENCE"):
+    for name in ("MIN_EVENT_GAP_TIMEOUT", "EVENT_GAP_FACTOR", "MIN_RERUN_TIMEOUT"):
         monkeypatch.setattr(streams, name, 0.01)
     monkeypatch.setattr(stages.StageRun, "may_execute_again", lambda _: False)
     for engine in engines(pipeline):
