--- a/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/fleet.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/fleet.py
@@ -21,7 +21,13 @@
     from collections.abc import Callable
     from pathlib import Path
 
-__all__ = ("Instance", "PlatformFleet", "PortTakenError", "find_free_ports")
+__all__ = (
+    "Instance",
+    "PlatformFleet",
+    "PortTakenError",
+    "find_free_addresses",
+    "find_free_ports",
+)
 
 #: seconds allowed for an instance to become ready, also on a heavily loaded host
 READY_TIMEOUT = 30.0
@@ -220,13 +226,24 @@
         return instance
 
 
-def find_free_ports(count: int) -> list[int]:
+def find_free_ports(count: int, host: str = "127.0.0.1") -> list[int]:
     """Return distinct ports that are free at the time of the call."""
     sockets = [socket.socket() for _ in range(count)]
     try:
         for one in sockets:
-            one.bind(("127.0.0.1", 0))
+            one.bind((host, 0))
         return [one.getsockname()[1] for one in sockets]
     finally:
         for one in sockets:
             one.close()
+
+
+def find_free_addresses(count: int) -> list[str]:
+    """Return ``host:port`` addresses that no other process takes.
+
+    They are on a loopback address of this process. On the usual one, connections of
+    other processes take ports at any moment.
+    """
+    pid = os.getpid()
+    host = f"127.{64 + (pid >> 16 & 63)}.{pid >> 8 & 255}.{pid & 255}"
+    return [f"{host}:{port}" for port in find_free_ports(count, host)]
--- a/tests/test_entry/test_relay/conftest.py
+++ b/tests/test_entry/test_relay/conftest.py
@@ -24,7 +24,7 @@
     HOST,
     create_configuration,
 )
-from greengagelatch_lab.platform_standins.fleet import find_free_ports
+from greengagelatch_lab.platform_standins.fleet import find_free_addresses
 from greengagelatch_lab.platform_standins.store import SimulatedStore
 from greengagelatch_lab.platform_standins.target_links import TargetLinks
 from greengagelatch_lab.platform_standins.targets import SimulatedTarget
@@ -339,8 +339,7 @@
     ) -> None:
         super().__init__(retry_budget)
         self._target_data_centres = target_data_centres
-        ports = find_free_ports(len(data_centres))
-        addresses = [f"127.0.0.1:{port}" for port in ports]
+        addresses = find_free_addresses(len(data_centres))
         self.instances = [
             LinkedInstance(
                 self, f"entry-{number}", data_centre, address, ",".join(addresses)
--- a/tests/test_entry/test_relay/test_tunnel_fleets.py
+++ b/tests/test_entry/test_relay/test_tunnel_fleets.py
@@ -16,7 +16,7 @@
     TargetDialer,
 )
 from greengagelatch_entry.relay.tunnel_dialer import PeerTunnelDialer, TunnelError
-from greengagelatch_lab.platform_standins.fleet import find_free_ports
+from greengagelatch_lab.platform_standins.fleet import find_free_addresses
 from greengagelatch_lab.platform_standins.targets import (
     EVENTS,
     SimulatedTarget,
@@ -59,8 +59,7 @@
     def __init__(self, longest_drain: float) -> None:
         super().__init__()
         self._longest_drain = longest_drain
-        (port,) = find_free_ports(1)
-        self.address = f"127.0.0.1:{port}"
+        (self.address,) = find_free_addresses(1)
 
     @property
     def active_tunnels(self) -> int:
@@ -90,8 +89,7 @@
     def __init__(self, peer: Peer) -> None:
         super().__init__()
         self.store = peer.store
-        (port,) = find_free_ports(1)
-        self._address = f"127.0.0.1:{port}"
+        (self._address,) = find_free_addresses(1)
         self._peer = peer
 
     async def start(self, *, configured: bool = True) -> None:
