Read only the log of the latest start in tests of processes

Cause: the first start of the instance found a port taken, closed its listener ("no new connections") and exited; it was started again with the same log.

Shown: with a port that another socket has, the test failed in the same way on the code as it was, for the readiness and the metrics port (2 of 3; the control port is bound before the listener). The soak read the log of earlier starts as well when it judged the exit code of a stop; mended.

--- a/packages/greengagelatch-lab/src/greengagelatch_lab/soak/disturbances.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/soak/disturbances.py
@@ -247,8 +247,7 @@
     if code == ExitCode.FINISHED:
         return True
     # requests that outlast the grace period are aborted just before its end
-    text = instance.log.read_text(encoding="utf-8")
-    return code == ExitCode.FAILED and REQUESTS_ABORTED in text
+    return code == ExitCode.FAILED and REQUESTS_ABORTED in instance.read_log()
 
 
 def _find(fleet: LinkedFleet, name: str) -> Instance:
--- a/tests/test_processes/test_platform_program.py
+++ b/tests/test_processes/test_platform_program.py
@@ -75,7 +75,7 @@
 
 def read_log(instance, kind: str) -> list[dict]:
     lines = []
-    for line in instance.log.read_text(encoding="utf-8").splitlines():
+    for line in instance.read_log().splitlines():
         if not line.startswith("{"):
             continue
         fields = json.loads(line)
@@ -369,13 +369,10 @@
     assert "seconds_since_answer" in state["store"]
 
 
-async def test_instance_whose_port_is_taken_gets_another(tmp_path):
-    """Guards against rare time-outs of tests while an instance starts.
-
-    Between finding a free port and binding it, the system may assign it to another
-    process, so that the instance exits. Without a check for that, a test waits half a
-    minute and fails.
-    """
+def create_fleet_whose_last_port_is_taken(
+    directory,
+) -> tuple[PlatformFleet, socket.socket]:
+    """Create a fleet of one instance; another socket has its metrics port at first."""
     taken = socket.socket()
     taken.bind(("127.0.0.1", 0))
     taken.listen()
@@ -384,7 +381,17 @@
     def find_ports(count: int) -> list[int]:
         return next(given, None) or find_free_ports(count)
 
-    fleet = PlatformFleet(tmp_path, count=1, find_ports=find_ports)
+    return PlatformFleet(directory, count=1, find_ports=find_ports), taken
+
+
+async def test_instance_whose_port_is_taken_gets_another(tmp_path):
+    """Guards against rare time-outs of tests while an instance starts.
+
+    Between finding a free port and binding it, the system may assign it to another
+    process, so that the instance exits. Without a check for that, a test waits half a
+    minute and fails.
+    """
+    fleet, taken = create_fleet_whose_last_port_is_taken(tmp_path)
     try:
         await fleet.start()
         assert fleet.instances[0].process.returncode is None
@@ -393,6 +400,23 @@
         taken.close()
 
 
+async def test_log_of_a_failed_start_is_not_read(tmp_path):
+    """Guards against tests that take a log line of a start that failed for a new one.
+
+    An instance that can't bind an address closes its listener and says so, then starts
+    again with the same log.
+    """
+    fleet, taken = create_fleet_whose_last_port_is_taken(tmp_path)
+    try:
+        await fleet.start()
+        (instance,) = fleet.instances
+        assert "no new connections" in instance.log.read_text(encoding="utf-8")
+        assert not find_log_message(instance, "no new connections")
+    finally:
+        await fleet.stop()
+        taken.close()
+
+
 async def test_instance_is_not_ready_by_the_answers_of_another(tmp_path):
     """Guards against tests of an instance whose readiness address another one has.
 
