--- a/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/__main__.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/__main__.py
@@ -22,7 +22,7 @@
                 print(
                     f"{instance.name}: http://{instance.front}/look/1"
                     f" (Host: {HOST}, Authorization: Bearer {API_KEY}),"
-                    f" metrics http://127.0.0.1:{instance.metrics_port}/metrics"
+                    f" metrics http://{instance.metrics}/metrics"
                 )
             await asyncio.Event().wait()
         finally:
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/fleet.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/fleet.py
@@ -26,7 +26,6 @@
     "PlatformFleet",
     "PortTakenError",
     "find_free_addresses",
-    "find_free_ports",
 )
 
 #: seconds allowed for an instance to become ready, also on a heavily loaded host
@@ -53,7 +52,7 @@
     front: str
     readiness: str
     control: str
-    metrics_port: int
+    metrics: str
     settings: Path
     process: asyncio.subprocess.Process | None = None
     #: size of the log in bytes before the latest start
@@ -89,8 +88,10 @@
     store: SimulatedStore = field(default_factory=SimulatedStore)
     targets: list[SimulatedTarget] = field(default_factory=list)
     instances: list[Instance] = field(default_factory=list)
-    #: returns the given number of free ports
-    find_ports: Callable[[int], list[int]] = field(default=lambda n: find_free_ports(n))
+    #: returns the given number of free addresses
+    find_addresses: Callable[[int], list[str]] = field(
+        default=lambda count: find_free_addresses(count)
+    )
 
     async def start(self) -> None:
         """Start store, targets and instances; wait until all instances are ready."""
@@ -157,7 +158,7 @@
                 "--settings",
                 str(instance.settings),
                 "--metrics",
-                f"{instance.metrics_port}/metrics",
+                f"{instance.metrics.rpartition(':')[2]}/metrics",
                 stdout=log,
                 stderr=log,
                 env=os.environ | {"PYTHONUNBUFFERED": "1"},
@@ -200,18 +201,18 @@
 
     def create_instance(self, name: str, seeds: list[str]) -> Instance:
         """Create an instance on free ports and write its settings file."""
-        ports = self.find_ports(4)
+        front, readiness, control, metrics = self.find_addresses(4)
         instance = Instance(
             name=name,
-            front=f"127.0.0.1:{ports[0]}",
-            readiness=f"127.0.0.1:{ports[1]}",
-            control=f"127.0.0.1:{ports[2]}",
-            metrics_port=ports[3],
+            front=front,
+            readiness=readiness,
+            control=control,
+            metrics=metrics,
             settings=self.directory / f"{name}.json",
         )
         settings = {
             "node-name": name,
-            "ip": "127.0.0.1",
+            "ip": metrics.rpartition(":")[0],
             "zone": "north",
             "listen": {
                 "front": instance.front,
@@ -226,24 +227,19 @@
         return instance
 
 
-def find_free_ports(count: int, host: str = "127.0.0.1") -> list[int]:
-    """Return distinct ports that are free at the time of the call."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for one in sockets:
-            one.bind((host, 0))
-        return [one.getsockname()[1] for one in sockets]
-    finally:
-        for one in sockets:
-            one.close()
-
-
 def find_free_addresses(count: int) -> list[str]:
-    """Return ``host:port`` addresses that no other process takes.
+    """Return distinct ``host:port`` addresses that no other process takes.
 
     They are on a loopback address of this process. On the usual one, connections of
     other processes take ports at any moment.
     """
     pid = os.getpid()
     host = f"127.{64 + (pid >> 16 & 63)}.{pid >> 8 & 255}.{pid & 255}"
-    return [f"{host}:{port}" for port in find_free_ports(count, host)]
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for one in sockets:
+            one.bind((host, 0))
+        return [f"{host}:{one.getsockname()[1]}" for one in sockets]
+    finally:
+        for one in sockets:
+            one.close()
--- a/tests/test_processes/test_platform_program.py
+++ b/tests/test_processes/test_platform_program.py
@@ -18,7 +18,7 @@
 )
 from greengagelatch_lab.platform_standins.fleet import (
     PlatformFleet,
-    find_free_ports,
+    find_free_addresses,
 )
 from greengagelatch_lab.platform_standins.store import StoreFault
 from greengagelatch_lab.platform_standins.targets import EVENTS
@@ -357,7 +357,7 @@
 async def test_metrics_and_state_are_served(fleet, session):
     instance = fleet.instances[0]
     await ask(session, instance)
-    base = f"http://127.0.0.1:{instance.metrics_port}"
+    base = f"http://{instance.metrics}"
     async with session.get(f"{base}/metrics") as response:
         text = await response.text()
     assert 'greengagelatch_events_total{event="requests.answered"} 1.0' in text
@@ -373,15 +373,20 @@
     directory,
 ) -> tuple[PlatformFleet, socket.socket]:
     """Create a fleet of one instance; another socket has its metrics port at first."""
-    taken = socket.socket()
-    taken.bind(("127.0.0.1", 0))
-    taken.listen()
-    given = iter([[*find_free_ports(3), taken.getsockname()[1]]])
+    first = find_free_addresses(4)
+    host, _, port = first[-1].rpartition(":")
+    taken = socket.create_server((host, int(port)))
+    return create_fleet(directory, first), taken
 
-    def find_ports(count: int) -> list[int]:
-        return next(given, None) or find_free_ports(count)
 
-    return PlatformFleet(directory, count=1, find_ports=find_ports), taken
+def create_fleet(directory, first: list[str]) -> PlatformFleet:
+    """Create a fleet of one instance that gets the given addresses at first."""
+    given = iter([first])
+    return PlatformFleet(
+        directory,
+        count=1,
+        find_addresses=lambda count: next(given, None) or find_free_addresses(count),
+    )
 
 
 async def test_instance_whose_port_is_taken_gets_another(tmp_path):
@@ -429,18 +434,13 @@
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
         writer.close()
 
-    other = await asyncio.start_server(answer, "127.0.0.1", 0)
-    first = find_free_ports(4)
-    first[1] = other.sockets[0].getsockname()[1]
-    given = iter([first])
-    fleet = PlatformFleet(
-        tmp_path,
-        count=1,
-        find_ports=lambda count: next(given, None) or find_free_ports(count),
-    )
+    first = find_free_addresses(4)
+    host, _, port = first[1].rpartition(":")
+    other = await asyncio.start_server(answer, host, int(port))
+    fleet = create_fleet(tmp_path, first)
     try:
         await fleet.start()
-        assert not fleet.instances[0].readiness.endswith(f":{first[1]}")
+        assert fleet.instances[0].readiness != first[1]
     finally:
         await fleet.stop()
         other.close()
