Split the composition root of the relay into groups of components

What belongs together is built by modules of its own, each of which returns a frozen data class of its components: connections to targets, the handling of crashes, the state of targets, and the execution of stages. The path of a request is built by another. compose_relay stays the one composition root, and start order and behaviour are the same.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -4,81 +4,42 @@
 
 import random
 import signal
-from collections.abc import Callable, Collection
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
 from greengagelatch.clock import SystemClock
 from greengagelatch.events import EventBus
 from greengagelatch.peers import MemberState
-from greengagelatch.relay.admission import DeadlineAdmission
-from greengagelatch.relay.batches import CrossRequestBatching
-from greengagelatch.relay.brittle_targets import BrittleTargets
-from greengagelatch.relay.cold_targets import ColdTargets
-from greengagelatch.relay.groups import CapacityBasedOwnership
-from greengagelatch.relay.idle_connections import count_idle_connections
-from greengagelatch.relay.load_balancer import LoadBalancer
-from greengagelatch.relay.placed_batches import PlacedBatching
-from greengagelatch.relay.quarantine import Quarantine
-from greengagelatch.relay.reachability import Reachability
 from greengagelatch.relay.targets import TargetTable
 
 from ..adapters.peers import PeerHub
 from ..controllers import Controller
 from ..controllers.drain import DrainController
 from ..controllers.listing import LISTING_RECEIVED
-from ..filters import chain
 from ..in_flight_requests import InFlightRequests
-from .brittle_admission import BrittleAdmission
-from .bundle_quarantine import SharedBundleQuarantine
 from .configuration import ConfigurationFollower
-from .crash_detector import CrashDetector
-from .crash_evidence import RefusalEvidence
-from .crash_report_replicator import CrashReportReplicator
+from .crash_parts import compose_crash_parts
 from .decisions import DecisionLog
 from .evacuation import EvacuationFollower
-from .filters import (
-    ObserveFilter,
-    QuarantineFilter,
-    RouteFilter,
-    RunHandler,
-    SplitFilter,
-    StopFilter,
-)
 from .follower_selection import FollowerSelection
-from .forwarding_stage_executor import ForwardingStageExecutor
 from .front import RelayFront
 from .known_instances import KnownInstances
+from .link_parts import compose_link_parts
 from .listing import ListingFollower
-from .local_stage_executor import LocalStageExecutor
-from .ownership import Ownership
-from .parts import RelayAdapters, RelayParts, RelaySettings
+from .parts import RelayAdapters, RelayParts, RelaySettings, SharedParts
 from .peer_settings import create_peer_settings
 from .peer_sync import PeerSyncController
 from .prometheus import PrometheusMetrics
-from .reachability_probes import ReachabilityController
 from .readiness import ReadinessServer
 from .registry import RegistryController
+from .request_path import compose_filters, compose_runners
 from .retry_budgets import RetryBudgets
-from .route_latencies import RouteLatencies
-from .routed_dialer import RoutedDialer
-from .stage_groups import MakerGroups
-from .stage_pool import StagePool
-from .stages import StageRunner
+from .stage_parts import compose_stage_parts
 from .store_follower import StoreFollower
-from .streams import StreamRunner
-from .suspect_admission import SuspectAdmission
-from .suspect_locks import SuspectLocks
-from .target_connections import TargetConnectionPool
-from .target_dialers import DirectDialer
-from .target_sender import TargetSender
-from .tunnel_dialer import PeerTunnelDialer
-from .tunnel_frames import TUNNEL_PATH
-from .tunnel_server import TunnelServer
-from .unary import UnaryRunner
+from .target_parts import compose_target_parts
 from .usage import UsageController
 
 if TYPE_CHECKING:
-    from greengagelatch.relay.groups import MakerGroup
     from greengagelatch.relay.incarnations import Incarnation
 
 __all__ = ("compose_relay",)
@@ -86,9 +47,6 @@
 #: lower bound on the instances assumed to share a retry budget. It exceeds the usual
 #: fleet size, so that an instance without full membership takes too small a share
 ASSUMED_INSTANCES = 10
-#: lower bound on the instances assumed to own the same service at a time: several
-#: may batch its pieces while their views of the membership differ
-ASSUMED_OWNERS = 3
 
 
 def compose_relay(
@@ -128,7 +86,9 @@
 
     def compose(self) -> RelayParts:
         self.store = self.adapters.create_store(self.metrics)
+        self._build_shared_parts()
         self._build_state()
+        self._build_followers()
         self._build_request_path()
         self._build_servers()
         return RelayParts(
@@ -144,9 +104,8 @@
             },
         )
 
-    def _build_state(self) -> None:
+    def _build_shared_parts(self) -> None:
         self.target_table = TargetTable()
-        self.quarantine = Quarantine()
         self.known_instances = KnownInstances(
             own=self.settings.peers_listen,
             list_members=lambda: self.peers.members(),
@@ -154,53 +113,6 @@
             find_confirmation=lambda: self.follower.confirmed_at,
             clock=self.clock,
         )
-        self.cold_targets = ColdTargets(
-            own=self.settings.peers_listen,
-            rule=self.settings.cold_targets,
-            find_instances=self.known_instances.find_addresses,
-            find_rate=lambda service: (
-                self.configuration.find_service(service).cold_rate
-            ),
-        )
-        self.brittle_targets = BrittleTargets(
-            own=self.settings.peers_listen,
-            find_instances=self._find_sharing_instances,
-            find_wall_seconds=self.clock.wall,
-            on_changed=self._log_brittle_target,
-        )
-        # the owner of a group of makers sends all calls to them
-        self.brittle_makers = BrittleTargets(on_changed=self._log_brittle_target)
-        self.load_balancer = LoadBalancer(
-            target_table=self.target_table,
-            cold_targets=self.cold_targets,
-            data_centre=self.settings.data_centre,
-            random_source=self.random,
-            brittle_targets=self.brittle_targets,
-        )
-        self.configuration = ConfigurationFollower(
-            codec=self.adapters.deployments, clock=self.clock, decisions=self.decisions
-        )
-        self.listing = ListingFollower(
-            codec=self.adapters.listings,
-            target_table=self.target_table,
-            cold_targets=self.cold_targets,
-            on_removed=self._forget_target,
-            find_services=self.configuration.find_services,
-            find_cold_seconds=lambda service: (
-                self.configuration.find_service(service).cold_seconds
-            ),
-            clock=self.clock,
-            metrics=self.metrics,
-            decisions=self.decisions,
-        )
-        self.configuration.callbacks.append(self.listing.check_services)
-        self.evacuation = EvacuationFollower(
-            codec=self.adapters.evacuations,
-            target_table=self.target_table,
-            on_ended=self.listing.handle_evacuation_ended,
-            metrics=self.metrics,
-            decisions=self.decisions,
-        )
         self.registry = RegistryController(
             store=self.store,
             instance_id=self.settings.instance_id,
@@ -221,83 +133,69 @@
             metrics=self.metrics,
             capacity=self.settings.capacity.bundles,
         )
-        self.direct_dialer = DirectDialer(self.metrics)
-        self.reachability = Reachability(
-            instance_id=self.settings.instance_id,
-            data_centre=self.settings.data_centre,
+        self.shared = SharedParts(
+            settings=self.settings,
+            adapters=self.adapters,
+            clock=self.clock,
             random_source=self.random,
-        )
-        self.tunnel_dialer = PeerTunnelDialer(peers=self.peers, metrics=self.metrics)
-        self.tunnels = TunnelServer(
-            target_table=self.target_table,
-            dialer=self.direct_dialer,
-            is_stopping=lambda: self.drain.draining,
-            is_reachable=self.reachability.is_reachable,
             metrics=self.metrics,
             decisions=self.decisions,
-        )
-        self.peers.serve_path(TUNNEL_PATH, self.tunnels.accept)
-        self.dialer = RoutedDialer(
-            direct=self.direct_dialer,
-            tunnels=self.tunnel_dialer,
-            reachability=self.reachability,
+            store=self.store,
             peers=self.peers,
-            on_bypassed=lambda incarnation: self.connections.close_idle(incarnation),
-            clock=self.clock,
-            metrics=self.metrics,
-            decisions=self.decisions,
-        )
-        self.reachability_probes = ReachabilityController(
-            dialer=self.dialer,
-            reachability=self.reachability,
             target_table=self.target_table,
-            clock=self.clock,
         )
-        self.connections = TargetConnectionPool(
-            dialer=self.dialer,
-            find_idle_limit=self._find_idle_limit,
-            is_reachable=self.reachability.is_reachable,
-            clock=self.clock,
-            metrics=self.metrics,
+
+    def _build_state(self) -> None:
+        self.configuration = ConfigurationFollower(
+            codec=self.adapters.deployments, clock=self.clock, decisions=self.decisions
         )
-        self.crash_reports = CrashReportReplicator(
-            instance_id=self.settings.instance_id,
-            quarantine=self.quarantine,
-            store=self.store,
-            peers=self.peers,
+        self.targets = compose_target_parts(
+            self.shared,
+            known_instances=self.known_instances,
+            find_service=self.configuration.find_service,
+        )
+        self.listing = ListingFollower(
+            codec=self.adapters.listings,
+            target_table=self.target_table,
+            cold_targets=self.targets.cold,
+            on_removed=self._forget_target,
+            find_services=self.configuration.find_services,
+            find_cold_seconds=lambda service: (
+                self.configuration.find_service(service).cold_seconds
+            ),
             clock=self.clock,
             metrics=self.metrics,
             decisions=self.decisions,
         )
-        self.crash_detector = CrashDetector(
-            replicator=self.crash_reports,
-            quarantine=self.quarantine,
+        self.configuration.callbacks.append(self.listing.check_services)
+        self.evacuation = EvacuationFollower(
+            codec=self.adapters.evacuations,
             target_table=self.target_table,
-            evidence=RefusalEvidence(
-                dialer=self.dialer,
-                reachability=self.reachability,
-                target_table=self.target_table,
-                random_source=self.random,
-            ),
-            clock=self.clock,
+            on_ended=self.listing.handle_evacuation_ended,
             metrics=self.metrics,
             decisions=self.decisions,
         )
-        self.follower_selection = FollowerSelection(self.peers)
-        self.suspect_locks = SuspectLocks(
-            instance_id=self.settings.instance_id,
-            store=self.store,
+        self.links = compose_link_parts(
+            self.shared,
+            is_stopping=lambda: self.drain.draining,
+            find_service=self.configuration.find_service,
+            count_instances=self._count_instances,
+        )
+        self.connections = self.links.connections
+        self.crashes = compose_crash_parts(
+            self.shared,
+            dialer=self.links.dialer,
+            reachability=self.links.reachability,
             is_store_reachable=lambda: self.follower.reachable,
-            clock=self.clock,
-            metrics=self.metrics,
         )
-        self.suspects = SuspectAdmission(
-            quarantine=self.quarantine,
-            locks=self.suspect_locks,
-            crash_detector=self.crash_detector,
+        self.retry_budgets = RetryBudgets(
+            rule=self.settings.retry_budget,
             clock=self.clock,
-            decisions=self.decisions,
+            count_instances=self._count_instances,
         )
+
+    def _build_followers(self) -> None:
+        self.follower_selection = FollowerSelection(self.peers)
         self.follower = StoreFollower(
             store=self.store,
             subscribers=(
@@ -306,8 +204,8 @@
                 self.evacuation,
                 self.listing,
                 self.registry,
-                self.crash_reports,
-                self.suspect_locks,
+                self.crashes.reports,
+                self.crashes.locks,
             ),
             is_follower=self.follower_selection.is_follower,
             has_dependents=self.follower_selection.has_dependents,
@@ -324,115 +222,41 @@
             configuration=self.configuration,
             listing=self.listing,
             evacuation=self.evacuation,
-            crash_reports=self.crash_reports,
+            crash_reports=self.crashes.reports,
             target_table=self.target_table,
-            cold_targets=self.cold_targets,
+            cold_targets=self.targets.cold,
             clock=self.clock,
             random_source=self.random,
             metrics=self.metrics,
         )
-        self.retry_budgets = RetryBudgets(
-            rule=self.settings.retry_budget,
-            clock=self.clock,
-            count_instances=self._count_instances,
-        )
-        self.stage_retry_budgets = RetryBudgets(
-            rule=self.settings.retry_budget,
-            clock=self.clock,
-            count_instances=self._count_owners,
-        )
 
     def _build_request_path(self) -> None:
-        self.bundle_quarantine = SharedBundleQuarantine(
-            quarantine=self.quarantine,
-            locks=self.suspect_locks,
-            crash_detector=self.crash_detector,
-            clock=self.clock,
-        )
-        self.maker_groups = MakerGroups(
-            rule=CapacityBasedOwnership(),
-            target_table=self.target_table,
-            list_members=self.peers.members,
-            find_profile=self.configuration.find_maker,
-        )
-        self.local_executor = LocalStageExecutor(
-            create_pool=self._create_pool, find_group=self.maker_groups.find_group
-        )
-        self.ownership = Ownership(
-            peers=self.peers, clock=self.clock, decisions=self.decisions
-        )
-        self.stage_executor = ForwardingStageExecutor(
-            local=self.local_executor,
-            groups=self.maker_groups,
-            ownership=self.ownership,
-            peers=self.peers,
-            data_centre=self.settings.data_centre,
+        self.stages = compose_stage_parts(
+            self.shared,
             find_profile=self.configuration.find_maker,
-            clock=self.clock,
-            random_source=self.random,
-            metrics=self.metrics,
-            decisions=self.decisions,
+            connections=self.connections,
+            crashes=self.crashes,
+            load_balancer=self.targets.load_balancer,
+            brittle_makers=self.targets.brittle_makers,
         )
-        stages = StageRunner(
-            executor=self.stage_executor,
-            clock=self.clock,
-            decisions=self.decisions,
-            data_centre=self.settings.data_centre,
-            load_balancer=self.load_balancer,
-            target_table=self.target_table,
+        runners = compose_runners(
+            self.shared,
+            load_balancer=self.targets.load_balancer,
+            connections=self.connections,
+            crashes=self.crashes,
+            budgets=self.retry_budgets,
+            stages=self.stages.runner,
         )
-        common = {
-            "sender": TargetSender(
-                connections=self.connections,
-                codec=self.adapters.targets,
-                load_balancer=self.load_balancer,
-                target_table=self.target_table,
-                crash_detector=self.crash_detector,
-                clock=self.clock,
-                decisions=self.decisions,
-            ),
-            "load_balancer": self.load_balancer,
-            "budgets": self.retry_budgets,
-            "suspects": self.suspects,
-            "brittle": BrittleAdmission(
-                load_balancer=self.load_balancer,
-                clock=self.clock,
-                random_source=self.random,
-                metrics=self.metrics,
-            ),
-            "clock": self.clock,
-            "decisions": self.decisions,
-        }
-        streams = StreamRunner(
-            stages=stages,
-            codec=self.adapters.targets,
-            times=RouteLatencies(),
-            admission=DeadlineAdmission(),
-            **common,
+        self.handler = compose_filters(
+            self.shared,
+            runners,
+            in_flight=self.in_flight,
+            crashes=self.crashes,
+            find_table=lambda: self.configuration.table,
+            find_stop_time=lambda: self.drain.started_at,
+            find_stop_deadline=lambda: self.drain.drain_deadline,
         )
 
-        def find_stop_deadline() -> float:
-            return self.drain.drain_deadline
-
-        filters = (
-            ObserveFilter(
-                find_stop_time=lambda: self.drain.started_at,
-                clock=self.clock,
-                metrics=self.metrics,
-                decisions=self.decisions,
-            ),
-            StopFilter(in_flight=self.in_flight, find_stop_deadline=find_stop_deadline),
-            RouteFilter(
-                find_table=lambda: self.configuration.table,
-                find_stop_deadline=find_stop_deadline,
-                regions=self.settings.regions,
-            ),
-            QuarantineFilter(suspects=self.suspects),
-            SplitFilter(random_source=self.random),
-        )
-        last = RunHandler(unary=UnaryRunner(**common), streams=streams)
-        self.handler = chain(filters, last)
-
     def _build_servers(self) -> None:
         self.front = RelayFront(
             listen=self.settings.callers_listen,
@@ -470,40 +294,6 @@
             decisions=self.decisions,
         )
 
-    def _create_pool(self, group: MakerGroup) -> StagePool:
-        return StagePool(
-            group,
-            list_makers=lambda: self.maker_groups.list_makers(group),
-            find_profile=lambda: self.configuration.find_maker(group.service),
-            is_exclusive=lambda: self.ownership.is_exclusive(group),
-            quarantine=self.bundle_quarantine,
-            policy=PlacedBatching(CrossRequestBatching()),
-            target_table=self.target_table,
-            connections=self.connections,
-            codec=self.adapters.targets,
-            budgets=self.stage_retry_budgets,
-            brittle_makers=self.brittle_makers,
-            clock=self.clock,
-            metrics=self.metrics,
-            decisions=self.decisions,
-        )
-
-    def _find_sharing_instances(self) -> Collection[str]:
-        """Return the instances that share the limits of brittle targets.
-
-        Until all that may exist are known, those known are taken for all: requests
-        would not be sent at all otherwise.
-        """
-        return self.known_instances.find_addresses() or self.known_instances.addresses
-
-    def _log_brittle_target(self, incarnation: Incarnation, limit: int | None) -> None:
-        self.decisions.log_state_change(
-            "brittle-target",
-            target=str(incarnation),
-            brittle=limit is not None,
-            limit=limit or 0,
-        )
-
     def _count_instances(self) -> int:
         """Return how many instances share retry budgets, with a lower bound."""
         alive = sum(
@@ -512,34 +302,19 @@
         )
         return max(alive, ASSUMED_INSTANCES)
 
-    def _count_owners(self) -> int:
-        """Return how many instances share the retry budgets of stage calls."""
-        return max(ASSUMED_OWNERS, self.maker_groups.count_max_groups())
-
-    def _find_idle_limit(self, incarnation: Incarnation) -> int:
-        """Return the maximum number of idle connections to a target."""
-        target = self.target_table.find_listed(incarnation.target_id)
-        service = self.configuration.find_service(target.service) if target else None
-        return count_idle_connections(
-            service.max_connections if service else 0,
-            self._count_instances(),
-            self.settings.instance_id,
-            incarnation.target_id,
-        )
-
     def _list_controllers(self) -> tuple[Controller, ...]:
         return (
             self.peers,
-            self.tunnels,
+            self.links.tunnels,
             self.registry,
-            self.crash_reports,
-            self.crash_detector,
-            self.reachability_probes,
-            self.suspect_locks,
+            self.crashes.reports,
+            self.crashes.detector,
+            self.links.probes,
+            self.crashes.locks,
             self.follower,
             self.peer_sync,
-            self.local_executor,
-            self.stage_executor,
+            self.stages.local_executor,
+            self.stages.executor,
             self.drain,
             self.front,
             self.readiness,
@@ -555,23 +330,20 @@
         end = self.clock.now() + timeout
         if not await self.front.wait_idle(timeout):
             return False
-        if not await self.stage_executor.wait_idle(max(0.0, end - self.clock.now())):
+        if not await self.stages.executor.wait_idle(max(0.0, end - self.clock.now())):
             return False
-        return await self.tunnels.wait_idle(max(0.0, end - self.clock.now()))
+        return await self.links.tunnels.wait_idle(max(0.0, end - self.clock.now()))
 
     def _abort_requests(self) -> None:
         self.in_flight.abort_all()
-        self.tunnels.abort_all()
+        self.links.tunnels.abort_all()
 
     def _forget_target(self, incarnation: Incarnation) -> None:
         self.connections.close_idle(incarnation)
-        self.crash_detector.record_removal(incarnation)
-        self.reachability.forget(incarnation)
-        self.load_balancer.forget(incarnation)
-        self.cold_targets.forget(incarnation)
-        self.brittle_targets.forget(incarnation)
-        self.brittle_makers.forget(incarnation)
-        self.local_executor.record_removal(incarnation)
+        self.crashes.detector.record_removal(incarnation)
+        self.links.reachability.forget(incarnation)
+        self.targets.forget(incarnation)
+        self.stages.local_executor.record_removal(incarnation)
 
     def _describe(self) -> dict[str, Any]:
         parts = {part.name: part.dump() for part in self._list_controllers()}
@@ -582,20 +354,20 @@
             "instance": self.settings.instance_id,
             "data_centre": self.settings.data_centre,
             **parts,
-            "targets": self.load_balancer.describe(self.clock.now()),
-            "cold_targets": self.cold_targets.describe(self.clock.now()),
+            "targets": self.targets.load_balancer.describe(self.clock.now()),
+            "cold_targets": self.targets.cold.describe(self.clock.now()),
             "brittle_targets": {
-                **self.brittle_targets.describe(self.clock.now()),
-                **self.brittle_makers.describe(self.clock.now()),
+                **self.targets.brittle.describe(self.clock.now()),
+                **self.targets.brittle_makers.describe(self.clock.now()),
             },
             "links": {
                 "idle": self.connections.count_idle(),
-                "tunnelled": self.tunnel_dialer.count_open(),
+                "tunnelled": self.links.tunnel_dialer.count_open(),
             },
             "metrics": self.metrics.dump(),
         }
 
     async def _close(self) -> None:
         self.connections.close_all_idle()
-        await self.tunnel_dialer.close()
+        await self.links.tunnel_dialer.close()
         await self.store.close()
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/parts.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/parts.py
@@ -10,9 +10,14 @@
 from greengagelatch.relay.cold_targets import ColdTargetRule
 
 if TYPE_CHECKING:
+    import random
+
+    from greengagelatch.clock import Clock
     from greengagelatch.relay.retry_budget import RetryBudgetRule
+    from greengagelatch.relay.targets import TargetTable
     from greengagelatch.store.ranges import RangeStore
 
+    from ..adapters.peers import PeerHub
     from ..controllers import Controller
     from ..controllers.drain import DrainController
     from .codecs import (
@@ -22,10 +27,11 @@
         ListingCodec,
         TargetCodec,
     )
+    from .decisions import DecisionLog
     from .front import RelayFront
     from .prometheus import PrometheusMetrics
 
-__all__ = ("RelayAdapters", "RelayParts", "RelaySettings")
+__all__ = ("RelayAdapters", "RelayParts", "RelaySettings", "SharedParts")
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -67,6 +73,21 @@
     evacuations: EvacuationCodec
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SharedParts:
+    """Inputs and components that the groups of components have in common."""
+
+    settings: RelaySettings
+    adapters: RelayAdapters
+    clock: Clock
+    random_source: random.Random
+    metrics: PrometheusMetrics
+    decisions: DecisionLog
+    store: RangeStore
+    peers: PeerHub
+    target_table: TargetTable
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RelayParts:
     """Components of one instance."""
