Wait by one function each in the tests of the platform program

Waits for a configuration version, for runs at engines and for a log message stood twice each. The assertions are the same; waiting for a first run now counts runs rather than asking for any, which is the same as runs are only ever counted up.

--- a/tests/test_processes/test_platform_program.py
+++ b/tests/test_processes/test_platform_program.py
@@ -93,6 +93,30 @@
     return any(line["version"] == version for line in lines)
 
 
+def count_runs(engines) -> int:
+    return sum(engine.runs.total() for engine in engines)
+
+
+async def wait_until(condition) -> None:
+    async with asyncio.timeout(WAIT_SECONDS):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.02)
+
+
+async def wait_for_log_message(instance, text: str) -> None:
+    await wait_until(lambda: find_log_message(instance, text))
+
+
+async def wait_for_version(instance, version: int) -> None:
+    """Wait until an instance uses a version of the configuration."""
+    await wait_until(lambda: knows_version(instance, version))
+
+
+async def wait_for_runs(engines, count: int) -> None:
+    """Wait until engines have begun to run a number of requests."""
+    await wait_until(lambda: count_runs(engines) >= count)
+
+
 class KeepAliveCaller:
     """Sends streaming requests in sequence on one connection until it is closed."""
 
@@ -160,7 +184,7 @@
         )
         assert status == 200
     engines = fleet.find_targets("llm")
-    assert sum(engine.runs.total() for engine in engines) == len(fleet.instances)
+    assert count_runs(engines) == len(fleet.instances)
     assert EVENTS > 1
 
 
@@ -203,9 +227,7 @@
     instance = fleet.instances[0]
     # longer than the stop may take, even on a loaded machine
     fleet.store.put("op/config", create_configuration(4, timeout_ms=60_000))
-    async with asyncio.timeout(WAIT_SECONDS):
-        while not knows_version(instance, 4):  # noqa: ASYNC110
-            await asyncio.sleep(0.02)
+    await wait_for_version(instance, 4)
     engines = fleet.find_targets("llm")
     gate = asyncio.Event()
     for engine in engines:
@@ -213,18 +235,14 @@
     callers = [
         asyncio.create_task(KeepAliveCaller(instance, n).call()) for n in range(4)
     ]
-    async with asyncio.timeout(WAIT_SECONDS):
-        while sum(engine.runs.total() for engine in engines) < len(callers):  # noqa: ASYNC110
-            await asyncio.sleep(0.02)
+    await wait_for_runs(engines, len(callers))
     instance.process.send_signal(signal.SIGTERM)
-    async with asyncio.timeout(WAIT_SECONDS):
-        while not find_log_message(instance, "no new connections"):  # noqa: ASYNC110
-            await asyncio.sleep(0.02)
+    await wait_for_log_message(instance, "no new connections")
     gate.set()
     answered = await asyncio.gather(*callers)
     # each caller got a complete response, then its connection was closed
     assert answered == [[200]] * len(callers)
-    assert sum(engine.runs.total() for engine in engines) == len(callers)
+    assert count_runs(engines) == len(callers)
     async with asyncio.timeout(WAIT_SECONDS):
         assert await instance.process.wait() == 0
 
@@ -246,17 +264,13 @@
     """
     instance = fleet.instances[0]
     fleet.store.put("op/config", create_configuration(4, timeout_ms=60_000))
-    async with asyncio.timeout(WAIT_SECONDS):
-        while not knows_version(instance, 4):  # noqa: ASYNC110
-            await asyncio.sleep(0.02)
+    await wait_for_version(instance, 4)
     engines = fleet.find_targets("llm")
     gate = asyncio.Event()
     for engine in engines:
         engine.stream_gate = gate
     calling = asyncio.create_task(KeepAliveCaller(instance, 0).call())
-    async with asyncio.timeout(WAIT_SECONDS):
-        while not any(engine.runs for engine in engines):  # noqa: ASYNC110
-            await asyncio.sleep(0.02)
+    await wait_for_runs(engines, 1)
     instance.process.send_signal(signal.SIGTERM)
     text = instance.settings.read_text(encoding="utf-8")
     match settings:
@@ -270,9 +284,7 @@
     for one in (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP):
         await asyncio.sleep(0.1)
         instance.process.send_signal(one)
-    async with asyncio.timeout(WAIT_SECONDS):
-        while not find_log_message(instance, "no new connections"):  # noqa: ASYNC110
-            await asyncio.sleep(0.02)
+    await wait_for_log_message(instance, "no new connections")
     gate.set()
     assert await calling == [200]
     async with asyncio.timeout(WAIT_SECONDS):
