Leave a silent target only if a retry can be completed

What callers saw: nothing reported; a review read it in the code. A safe request or a stream that may be resumed left its silent target while more than 10 ms were left. The retry was then cut short by the deadline: 504, or a stream that was cut off, though the silent target might have answered.

Cause: the least time for a retry was that of a send, not of an answer.

Fix: the moving average of the route's answers, kept for streams so far, is kept for unary requests as well, and a silent target is left only if more time than that is left; for a stream, than its rest. Silences don't count as part of what a stream has sent. Ruled out: to apply the same to retries after a lost answer; there is nothing to wait for then.

The expected decision without time left in test_outcomes.py is the new reason NO_TIME in place of NO_ATTEMPT; both mean that the target is not left.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -400,13 +400,13 @@
                 random_source=self.random,
                 metrics=self.metrics,
             ),
+            "times": RouteLatencies(),
             "clock": self.clock,
             "decisions": self.decisions,
         }
         streams = StreamRunner(
             stages=stages,
             codec=self.adapters.targets,
-            times=RouteLatencies(),
             admission=DeadlineAdmission(),
             **common,
         )
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/runners.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/runners.py
@@ -28,6 +28,7 @@
     from .decisions import DecisionLog
     from .exchange import RelayExchange
     from .retry_budgets import RetryBudgets
+    from .route_latencies import RouteLatencies
     from .suspect_admission import SuspectAdmission
     from .target_sender import FailedSend, TargetSender
 
@@ -55,6 +56,7 @@
         budgets: RetryBudgets,
         suspects: SuspectAdmission,
         brittle: BrittleAdmission,
+        times: RouteLatencies,
         clock: Clock,
         decisions: DecisionLog,
     ) -> None:
@@ -63,6 +65,7 @@
         self.budgets = budgets
         self.suspects = suspects
         self.brittle = brittle
+        self.times = times
         self.clock = clock
         self.decisions = decisions
 
@@ -93,12 +96,14 @@
         exchange: RelayExchange,
         target: ListedTarget,
         excluded: frozenset[Incarnation],
+        retry_seconds: float,
         asked: bool,
         path_lost: bool,
     ) -> bool:
         """Return whether to leave a silent target; the retry is charged then.
 
         :param excluded: targets that a retry would not use either
+        :param retry_seconds: how long a retry is expected to take
         :param asked: whether the answer was no before
         :param path_lost: whether the target is reached through peers only, and the
             request waits on a direct connection
@@ -106,7 +111,7 @@
         incarnation = target.incarnation
         received = frozenset(exchange.targets) | {incarnation}
         decision = decide_on_silence(
-            self._describe(exchange, SendOutcome.LOST, received),
+            self._describe(exchange, SendOutcome.LOST, received, retry_seconds),
             count_targets=lambda: self._count_targets(
                 exchange, incarnation, excluded, path_lost
             ),
@@ -166,6 +171,7 @@
         exchange: RelayExchange,
         outcome: SendOutcome,
         received: frozenset[Incarnation],
+        min_seconds: float = 0.0,
     ) -> RetryContext:
         route = exchange.route
         return RetryContext(
@@ -175,7 +181,7 @@
             max_attempts=route.max_attempts,
             unsent=exchange.unsent,
             remaining=self.find_remaining(exchange),
-            min_seconds=MIN_ATTEMPT_SECONDS,
+            min_seconds=max(MIN_ATTEMPT_SECONDS, min_seconds),
         )
 
     def create_refusal(
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -32,7 +32,6 @@
     from .codecs import TargetCodec
     from .exchange import RelayExchange
     from .messages import ResponseHead
-    from .route_latencies import RouteLatencies
     from .stages import StageResults, StageRun, StageRunner
 
 __all__ = ("StreamRunner",)
@@ -64,7 +63,6 @@
         *,
         stages: StageRunner,
         codec: TargetCodec,
-        times: RouteLatencies,
         admission: RouteAdmission,
         **common,
     ) -> None:
@@ -72,7 +70,6 @@
         self._admission = admission
         self._stages = stages
         self.codec = codec
-        self.times = times
 
     async def run(self, exchange: RelayExchange) -> None:
         self.budgets.record_request(exchange.service)
@@ -144,6 +141,10 @@
         self._sent_at = 0.0
         #: monotonic time in seconds of the first event of the current attempt
         self._first_event_at: float | None = None
+        #: the same of its last event
+        self._last_event_at = 0.0
+        #: seconds for which the caller has received events, without silences
+        self._streamed_seconds = 0.0
 
     async def serve(self) -> None:
         """Send until the stream is complete or no further retry is allowed."""
@@ -277,6 +278,7 @@
             if not events:
                 continue
             self._handle_first_event(target, prefill)
+            self._record_progress()
             if not writer.started:
                 self._exchange.status = received.head.status
                 await writer.begin(received.head)
@@ -322,13 +324,19 @@
             return
         runner = self._runner
         now = runner.clock.now()
-        self._first_event_at = now
+        self._first_event_at = self._last_event_at = now
         runner.times.record_first_part(self._exchange, now - self._sent_at)
         runner.load_balancer.record_cached_parts(target.incarnation, self._prompt, now)
         self._first_event_seen = self._inputs_released = True
         # the target has fetched the stage results; release their makers' memory
         self._run.free()
 
+    def _record_progress(self) -> None:
+        now = self._runner.clock.now()
+        pause = now - self._last_event_at
+        self._streamed_seconds += min(pause, self._exchange.route.longest_pause)
+        self._last_event_at = now
+
     async def _forward_error(
         self, target: ListedTarget, received: ReceivedResponse
     ) -> FailedSend | None:
@@ -386,9 +394,20 @@
                 )
             return False
         return self._runner.may_leave(
-            self._exchange, target, self._excluded, asked, path_lost
+            self._exchange,
+            target,
+            self._excluded,
+            self._estimate_retry(),
+            asked,
+            path_lost,
         )
 
+    def _estimate_retry(self) -> float:
+        """Return the seconds in which another engine would complete the stream."""
+        first_seconds, total_seconds = self._runner.times.estimate(self._exchange)
+        rest = total_seconds - first_seconds - self._streamed_seconds
+        return first_seconds + max(0.0, rest)
+
     def _needs_rerun(self) -> bool:
         """Return whether another target would need stage results that are released."""
         return self._inputs_released and bool(self._results.inputs)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/unary.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/unary.py
@@ -100,6 +100,7 @@
             remaining=remaining_seconds,
             workspace=exchange.workspace,
         )
+        sent_at = self.clock.now()
         end = asyncio.get_running_loop().time() + remaining_seconds
         soft_timeout = self._create_soft_timeout(exchange, target, excluded)
         self.load_balancer.start(target.incarnation)
@@ -114,9 +115,12 @@
             )
             if isinstance(result, FailedSend):
                 return result
-            return await self._read(exchange, target, result, end, soft_timeout)
+            answer = await self._read(exchange, target, result, end, soft_timeout)
         finally:
             self.load_balancer.finish(target.incarnation)
+        if isinstance(answer, _FullResponse) and answer.head.succeeded:
+            self.times.record_total(exchange, self.clock.now() - sent_at)
+        return answer
 
     async def _read(
         self,
@@ -165,7 +169,21 @@
         )
         return SoftTimeout(
             until=asyncio.get_running_loop().time() + seconds,
-            may_leave=partial(self.may_leave, exchange, target, excluded),
+            may_leave=partial(self._may_leave, exchange, target, excluded),
+        )
+
+    def _may_leave(
+        self,
+        exchange: RelayExchange,
+        target: ListedTarget,
+        excluded: frozenset[Incarnation],
+        asked: bool,
+        path_lost: bool,
+    ) -> bool:
+        """Return whether to leave a silent target; see :meth:`Runner.may_leave`."""
+        _, retry_seconds = self.times.estimate(exchange)
+        return self.may_leave(
+            exchange, target, excluded, retry_seconds, asked, path_lost
         )
 
     async def _deliver(self, exchange: RelayExchange, response: _FullResponse) -> None:
--- a/packages/greengagelatch/src/greengagelatch/relay/outcomes.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/outcomes.py
@@ -103,6 +103,7 @@
     """Whether to leave a target that is silent, and why not."""
 
     LEAVE = "leave"
+    NO_TIME = "too little time is left for a retry"
     #: no retry would be allowed
     NO_ATTEMPT = "no further attempt is allowed"
     NO_TARGET = "no other target is healthy"
@@ -118,11 +119,14 @@
     A sound target may be silent for a while. It is left only if the request is certain
     to be sent to another one; otherwise a late answer would be exchanged for none.
 
-    :param facts: as if the answer were lost
+    :param facts: as if the answer were lost, with the time that a retry is expected to
+        take as the minimum
     :param count_targets: returns the number of other targets that are healthy; called
         only if they matter, as it looks at each target
     :param retries: number of retries that the budget allows
     """
+    if facts.remaining <= facts.min_seconds:
+        return SilenceDecision.NO_TIME
     if decide_next(facts) is not NextStep.RETRY:
         return SilenceDecision.NO_ATTEMPT
     if retries < 1:
--- a/tests/test_core/test_relay/test_outcomes.py
+++ b/tests/test_core/test_relay/test_outcomes.py
@@ -91,7 +91,8 @@
         ({}, 1, 0, SilenceDecision.NO_BUDGET),
         ({"deliveries": 2}, 1, 1, SilenceDecision.NO_ATTEMPT),
         ({"repeatable": False}, 1, 1, SilenceDecision.NO_ATTEMPT),
-        ({"remaining": 0.0}, 1, 1, SilenceDecision.NO_ATTEMPT),
+        ({"remaining": 0.0}, 1, 1, SilenceDecision.NO_TIME),
+        ({"min_seconds": 1.0}, 1, 1, SilenceDecision.NO_TIME),
     ],
 )
 def test_silent_target_is_left_only_for_a_retry(changes, targets, retries, decision):
--- a/tests/test_entry/test_relay/test_streams.py
+++ b/tests/test_entry/test_relay/test_streams.py
@@ -8,6 +8,7 @@
 
 from greengagelatch_entry.relay import stages, streams
 from greengagelatch_entry.relay.input_fetch_timer import FETCH_SECONDS
+from greengagelatch_entry.relay.route_latencies import RouteLatencies
 from greengagelatch_lab.platform_standins.targets import EVENTS, TargetFault
 
 WHOLE = b"".join(
@@ -346,3 +347,20 @@
     assert (await held).body == WHOLE
     assert pipeline.count("requests.answered") == 1
     assert sum(len(engine.received) for engine in engines(pipeline)) == 1
+
+
+async def test_stream_stays_at_a_silent_engine_if_another_would_be_late(
+    pipeline, monkeypatch
+):
+    """Guards against streams that leave an engine and are cut off at their deadline."""
+    monkeypatch.setattr(RouteLatencies, "estimate", lambda *_: (0.1, 5.0))
+    for engine in engines(pipeline):
+        engine.silences = [2]
+    held = asyncio.create_task(pipeline.stream(X_Pieces="", X_Piece_Key=""))
+    await pipeline.wait_for(lambda: any(one.silent for one in engines(pipeline)))
+    (first,) = [one for one in engines(pipeline) if one.silent]
+    await pipeline.wait_for_silence(held)
+    first.resume()
+    reply = await held
+    assert (reply.status, reply.error, reply.body) == (200, "", WHOLE)
+    assert sum(len(engine.received) for engine in engines(pipeline)) == 1
--- a/tests/test_entry/test_relay/test_unary.py
+++ b/tests/test_entry/test_relay/test_unary.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from greengagelatch_entry.relay.route_latencies import RouteLatencies
 from greengagelatch_lab.platform_standins.deployment import create_configuration
 from greengagelatch_lab.platform_standins.targets import TargetFault
 
@@ -249,6 +250,28 @@
     assert sum(count_runs(world, name) for name in requests) == 3
 
 
+async def test_request_stays_at_a_silent_target_if_a_retry_would_be_late(
+    world, monkeypatch
+):
+    """Guards against requests that leave a silent target for a retry cut short.
+
+    More time is left than any send needs, but less than answers of the route take.
+    """
+    monkeypatch.setattr(RouteLatencies, "estimate", lambda *_: (1.0, 1.0))
+    for target in world.targets.values():
+        target.silences = [0]
+    held = asyncio.create_task(
+        world.ask("/look/1", request_id="s-1", X_Deadline_Ms="1300")
+    )
+    await world.wait_for(lambda: count_runs(world, "s-1"))
+    (first,) = [one for one in world.targets.values() if one.runs]
+    await world.wait_for_silence(held)
+    first.resume()
+    reply = await held
+    assert (reply.status, reply.body) == (200, b"answer to s-1 ")
+    assert count_runs(world, "s-1") == 1
+
+
 async def leave_one_target(world):
     """Return the only target that is left of two."""
     left, other = world.targets.values()
