Probe ejected targets with repeatable requests where there are any

What callers saw: at a target that never answers, requests that may run once ended with 504, as they were sent to it to probe whether it is back. A request that may be repeated leaves such a target without its caller noticing.

Cause: the first request after the ejection time is the probe, of any kind.

Fix: for 5 s after a repeatable request for the service, other requests leave half-open targets to those that follow. A target that is not probed for 3 s nevertheless, as repeatable requests may not go to its region or prefer others, is probed by any request. Ruled out: probes of our own (health checks are priced, and a target that answers them may still fail requests); probing by repeatable requests only, which leaves out the targets of services without these (test_target_without_repeatable_requests_is_probed_by_others).

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -184,6 +184,7 @@
             self._prompt,
             self._results.bytes_by_data_centre,
             self._exchange.data_centres,
+            self._exchange.route.repeatable,
         )
         fleet, now = self._runner.load_balancer, self._runner.clock.now()
         return fleet.choose_engine(self._exchange.service, need, self._excluded, now)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/unary.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/unary.py
@@ -62,6 +62,7 @@
                     excluded,
                     self.clock.now(),
                     exchange.data_centres,
+                    repeatable=exchange.route.repeatable,
                 )
                 if target is None:
                     break
--- a/packages/greengagelatch/src/greengagelatch/load/breakers.py
+++ b/packages/greengagelatch/src/greengagelatch/load/breakers.py
@@ -88,6 +88,10 @@
             return BreakerState.CLOSED
         return BreakerState.OPEN if now < self._open_until else BreakerState.HALF_OPEN
 
+    def find_probe_wait(self, now: float) -> float:
+        """Return for how many seconds a probe could have been sent."""
+        return now - self._open_until
+
     @property
     def is_slow(self) -> bool:
         """Whether there are enough latencies to compare the target with others."""
--- a/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
@@ -13,7 +13,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
 
     from .cold_targets import ColdTargets
     from .incarnations import Incarnation
@@ -25,6 +25,11 @@
 #: the circuit breaker of a target opens after two failures in a row: with three
 #: targets, a third of all requests fails while a lost target is still in use
 BREAKER_RULE = BreakerRule(consecutive_failures=2, min_ejection=1.0, max_ejection=4.0)
+#: seconds after a repeatable request for which other requests of its service leave the
+#: probes of ejected targets to those that follow
+REPEATABLE_SECONDS = 5.0
+#: seconds for which a target waits at most for a probe by a repeatable request
+MAX_PROBE_WAIT = 3.0
 #: seconds for which a load report is used
 REPORT_TTL_SECONDS = 1.0
 #: the same where it matters only whether the target was nearly full
@@ -62,6 +67,8 @@
     result_bytes: Mapping[str, int] = field(default_factory=dict)
     #: data centres of the engines that it may be sent to; ``None``: all
     data_centres: frozenset[str] | None = None
+    #: whether it may run again if its answer is lost
+    repeatable: bool = True
 
 
 @dataclass(slots=True)
@@ -94,6 +101,8 @@
         self._data_centre = data_centre
         self._random = random_source
         self._states: dict[Incarnation, _TargetState] = {}
+        #: monotonic time in seconds of the last repeatable request of each service
+        self._repeatable_at: dict[str, float] = {}
 
     def choose_least_loaded(
         self,
@@ -101,14 +110,20 @@
         excluded: frozenset[Incarnation],
         now: float,
         data_centres: frozenset[str] | None = None,
+        *,
+        repeatable: bool = True,
     ) -> ListedTarget | None:
         """Return the least loaded healthy target; local ones win ties.
 
         The request counts as sent to it.
 
         :param data_centres: those of the targets to choose from; ``None``: all
+        :param repeatable: whether the request may run again if its answer is lost
         """
-        candidates = self._list_candidates(service, excluded, now, data_centres)
+        may_probe = self._create_probe_rule(service, repeatable, now)
+        candidates = self._list_candidates(
+            service, excluded, now, data_centres, may_probe
+        )
         if not candidates:
             return None
         chosen = min(candidates, key=lambda one: self._score_target(one, now))
@@ -132,7 +147,10 @@
 
         The request counts as sent to the engine.
         """
-        candidates = self._list_candidates(service, excluded, now, need.data_centres)
+        may_probe = self._create_probe_rule(service, need.repeatable, now)
+        candidates = self._list_candidates(
+            service, excluded, now, need.data_centres, may_probe
+        )
         if not candidates:
             return None
         affinity_target = _find_affinity_target(need.prompt, candidates)
@@ -331,12 +349,29 @@
     def _read_breaker(self, incarnation: Incarnation, now: float) -> BreakerState:
         return self._find_state(incarnation).breaker.read_state(now)
 
+    def _create_probe_rule(
+        self, service: str, repeatable: bool, now: float
+    ) -> Callable[[Breaker], bool]:
+        """Return which ejected targets a request may probe, and record the request.
+
+        A request that may run once is lost if the probe fails. So it probes only if no
+        repeatable request can be expected to do it.
+        """
+        if repeatable:
+            self._repeatable_at[service] = now
+            return lambda _: True
+        last = self._repeatable_at.get(service, float("-inf"))
+        if now - last >= REPEATABLE_SECONDS:
+            return lambda _: True
+        return lambda breaker: breaker.find_probe_wait(now) >= MAX_PROBE_WAIT
+
     def _list_candidates(
         self,
         service: str,
         excluded: frozenset[Incarnation],
         now: float,
         data_centres: frozenset[str] | None,
+        may_probe: Callable[[Breaker], bool] = lambda _: True,
     ) -> list[ListedTarget]:
         listed = [
             one
@@ -359,6 +394,7 @@
                 one
                 for one in ejected
                 if self._read_breaker(one, now) is BreakerState.OPEN
+                or not may_probe(self._find_state(one).breaker)
             )
         if not ejected:
             return left
--- a/tests/test_core/test_relay/test_load_balancer.py
+++ b/tests/test_core/test_relay/test_load_balancer.py
@@ -4,6 +4,8 @@
 
 import random
 
+import pytest
+
 from greengagelatch.relay.cold_targets import ColdTargets
 from greengagelatch.relay.incarnations import Incarnation
 from greengagelatch.relay.load_balancer import EngineDemand, LoadBalancer, LoadReport
@@ -125,6 +127,63 @@
     assert 0 < send_for_a_minute(balancer, answers=False) <= 21
 
 
+def create_balancer_without_t_0() -> LoadBalancer:
+    """Return a balancer that has ejected one of its four targets."""
+    balancer = create_balancer(4)
+    for _ in range(2):
+        balancer.record_failure(Incarnation("t-0"), NOW)
+    return balancer
+
+
+def test_requests_that_may_run_once_leave_probes_to_repeatable_ones():
+    """Guards against bookings sent to a target that never answers, to probe it."""
+    balancer = create_balancer_without_t_0()
+    probes = {True: 0, False: 0}
+    for tick in range(600):
+        now = NOW + tick / 10
+        for repeatable in (False, True):
+            chosen = balancer.choose_least_loaded(
+                "s", NO_TARGETS, now, repeatable=repeatable
+            )
+            if chosen.target_id != "t-0":
+                balancer.record_success(chosen.incarnation)
+                continue
+            probes[repeatable] += 1
+            balancer.record_failure(chosen.incarnation, now)
+    assert probes[False] == 0
+    assert probes[True] > 10
+
+
+def test_streams_that_may_run_once_leave_probes_to_repeatable_ones():
+    balancer = create_balancer_without_t_0()
+    # the others are loaded
+    for number in (1, 2, 3):
+        balancer.start(Incarnation(f"t-{number}"), 9000)
+    later = NOW + 2
+    balancer.choose_least_loaded("s", NO_TARGETS, NOW)
+    once = EngineDemand(Prompt(), repeatable=False)
+    chosen = balancer.choose_engine("s", once, NO_TARGETS, later)
+    assert chosen.target_id != "t-0"
+    chosen = balancer.choose_engine("s", EngineDemand(Prompt()), NO_TARGETS, later)
+    assert chosen.target_id == "t-0"
+
+
+@pytest.mark.parametrize("others", [(), ("south",)], ids=["none", "elsewhere"])
+def test_target_without_repeatable_requests_is_probed_by_others(others):
+    """Guards against ejected targets that no request ever probes.
+
+    Their service has no repeatable requests, or these may not be sent to them.
+    """
+    balancer = create_balancer_without_t_0()
+    for tick in range(200):
+        now = NOW + tick / 10
+        for data_centre in others:
+            balancer.choose_least_loaded("s", NO_TARGETS, now, frozenset({data_centre}))
+        chosen = balancer.choose_least_loaded("s", NO_TARGETS, now, repeatable=False)
+        balancer.record_success(chosen.incarnation)
+    assert balancer.describe(now)["t-0"]["breaker"] == "closed"
+
+
 def test_retry_prefers_a_healthy_target_to_a_probe():
     """Guards against leaving a silent target for one that may be down.
 
