Begin soft timeouts once the request is written

What callers saw: nothing reported; found by reading. Where opening the connection took as long as the soft timeout of a request (0.5 s on a route of that objective; a dial may take 0.3 s directly and 1.5 s through peers), the target was left as soon as the request was sent to it: one retry of the budget spent, one run in vain, a failure held against a target that had no time to answer, and no attempt left for the retry.

Cause: the soft timeout was counted from before the dial. The dial has a timeout of its own.

Evidence: test_slow_dial_is_no_silence_of_the_target, with a dial of 0.6 s and an answer 0.1 s later, found two runs where one is wanted.

Fix: a soft timeout begins with the first wait for the target.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/soft_timeout.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/soft_timeout.py
@@ -21,16 +21,27 @@
 
     One object may serve several waits of one attempt.
 
-    :param until: event loop time in seconds
+    :param seconds: how long, from the beginning of the first wait
     :param may_leave: called after that time, and again at intervals; returns whether
         to leave the target. The arguments tell whether it was called before, and
         whether the path of the connection is lost
     :param asked: whether it was called
     """
 
-    until: float
+    seconds: float
     may_leave: Callable[[bool, bool], bool]
     asked: bool = False
+    _until: float | None = None
+
+    def find_end(self, now: float) -> float:
+        """Return the event loop time in seconds at which it ends.
+
+        Time before the first wait, as for opening the connection, does not count: the
+        target had nothing to answer.
+        """
+        if self._until is None:
+            self._until = now + self.seconds
+        return self._until
 
 
 class SoftTimeoutScope:
@@ -60,7 +71,8 @@
         await self._scope.__aenter__()
         if self._soft_timeout is not None:
             loop = asyncio.get_running_loop()
-            self._timer = loop.call_at(self._soft_timeout.until, self._read_first)
+            end = self._soft_timeout.find_end(loop.time())
+            self._timer = loop.call_at(end, self._read_first)
 
     async def __aexit__(self, kind, error, traceback) -> bool | None:
         if self._timer is not None:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -382,7 +382,7 @@
         else:
             seconds = max(MIN_FIRST_EVENT_TIMEOUT, route.objective * FIRST_EVENT_FACTOR)
         return SoftTimeout(
-            until=asyncio.get_running_loop().time() + seconds,
+            seconds=seconds,
             may_leave=partial(self._may_leave, target),
         )
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/unary.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/unary.py
@@ -169,7 +169,7 @@
             self.find_remaining(exchange) / 2,
         )
         return SoftTimeout(
-            until=asyncio.get_running_loop().time() + seconds,
+            seconds=seconds,
             may_leave=partial(self._may_leave, exchange, target, excluded),
         )
 
--- a/tests/test_entry/test_relay/test_soft_timeout.py
+++ b/tests/test_entry/test_relay/test_soft_timeout.py
@@ -35,8 +35,7 @@
 
 
 def create(may_leave: Asked, seconds: float = 0.0) -> SoftTimeout:
-    until = asyncio.get_running_loop().time() + seconds
-    return SoftTimeout(until=until, may_leave=may_leave)
+    return SoftTimeout(seconds=seconds, may_leave=may_leave)
 
 
 async def test_wait_goes_on_until_the_target_may_be_left():
--- a/tests/test_entry/test_relay/test_unary.py
+++ b/tests/test_entry/test_relay/test_unary.py
@@ -9,6 +9,7 @@
 import pytest
 
 from greengagelatch_entry.relay.route_latencies import RouteLatencies
+from greengagelatch_entry.relay.target_dialers import DirectDialer
 from greengagelatch_lab.platform_standins.deployment import create_configuration
 from greengagelatch_lab.platform_standins.targets import TargetFault
 
@@ -335,3 +336,29 @@
     full.fault = TargetFault.FULL
     assert (await world.ask("/look/1")).status == 503
     assert list_breakers(world) == ["closed"]
+
+
+async def test_slow_dial_is_no_silence_of_the_target(world, monkeypatch):
+    """Guards against targets that are left as soon as a request was sent to them.
+
+    Opening the connection takes longer than the soft timeout of the request.
+    """
+    gate = asyncio.Event()
+    for target in world.targets.values():
+        target.gate = gate
+    dial = DirectDialer.dial
+
+    async def dial_slowly(*arguments):
+        await asyncio.sleep(0.6)
+        return await dial(*arguments)
+
+    monkeypatch.setattr(DirectDialer, "dial", dial_slowly)
+    await world.extend_timeouts()
+    held = asyncio.create_task(world.ask("/look/1", request_id="s-1"))
+    await world.wait_for(lambda: count_runs(world, "s-1"))
+    # shorter than the soft timeout
+    await asyncio.sleep(0.1)
+    gate.set()
+    assert (await held).status == 200
+    assert count_runs(world, "s-1") == 1
+    assert world.count("decisions.send") == 0
