Read what arrived through a tunnel before leaving a target

What callers saw: nothing reported; found by reading. An instance that stood still for longer than a soft timeout finds the timer due along with the answer. Behind a tunnel, the answer passes the task that reads the frames on its way to the request. The target was left for the silence of the instance itself: the answer was lost, and a retry was spent.

Cause: one turn of the event loop was given to reading, which suffices for a direct connection only.

Evidence: test_loop_that_stood_still_reads_through_several_tasks_first failed with TimeoutError in place of the answer.

Fix: eight turns, as for a dial that ends late.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/soft_timeout.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/soft_timeout.py
@@ -13,6 +13,9 @@
 
 #: seconds after which it is asked again whether a silent target may be left
 ASK_INTERVAL = 0.25
+#: turns of the event loop for reading what has arrived. Through a tunnel it passes
+#: several tasks
+READING_TURNS = 8
 
 
 @dataclass(slots=True, kw_only=True)
@@ -79,9 +82,13 @@
             self._timer.cancel()
         return await self._scope.__aexit__(kind, error, traceback)
 
-    def _read_first(self) -> None:
+    def _read_first(self, turns: int = READING_TURNS) -> None:
         # a loop that stood still finds the timer due along with data of the target
-        self._timer = asyncio.get_running_loop().call_soon(self._ask)
+        loop = asyncio.get_running_loop()
+        if turns:
+            self._timer = loop.call_soon(self._read_first, turns - 1)
+            return
+        self._ask()
 
     def _ask(self) -> None:
         if self._scope.expired():
--- a/tests/test_entry/test_relay/test_soft_timeout.py
+++ b/tests/test_entry/test_relay/test_soft_timeout.py
@@ -132,3 +132,31 @@
     assert may_leave.calls == []
     writer.close()
     far.close()
+
+
+async def test_loop_that_stood_still_reads_through_several_tasks_first():
+    """Guards against leaving a target behind a tunnel for a silence of this process.
+
+    What arrives through a tunnel passes several tasks on its way to the request.
+    """
+    near, far = socket.socketpair()
+    reader, writer = await asyncio.open_connection(sock=near)
+    may_leave = Asked(1)
+
+    async def read() -> bytes:
+        return await reader.read(100)
+
+    async def pass_on(task: asyncio.Task[bytes]) -> bytes:
+        return await task
+
+    async with SoftTimeoutScope(find_end(), create(may_leave, 0.01)):
+        task = asyncio.create_task(read())
+        for _ in range(3):
+            task = asyncio.create_task(pass_on(task))
+        await asyncio.sleep(0)
+        far.send(b"answer")
+        stand_still()
+        assert await task == b"answer"
+    assert may_leave.calls == []
+    writer.close()
+    far.close()
