Resume long streams whose stages have to be made again

What callers saw: a stream with stages that had run for longer than its caller waits for a first event (2 s, four objectives or eight pauses) was cut off when its engine broke off, and stayed at a silent engine to its deadline, though another engine could have gone on.

Cause: the stages were due by the time at which the stream must have begun, counted from the request, also once it had begun. They were late before they were asked for: 'stage 0 of portal: late'.

Evidence: in test_long_stream_with_stages_is_resumed an engine breaks off 2.2 s after the request; the caller got ClientPayloadError.

Fix: the time by which the caller must have an event is counted from the last one that was sent to it. Nothing changes before the first event.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
@@ -155,6 +155,8 @@
     #: held while the request is sent, if it is suspected of crashing targets
     suspect_lock: Lock | None = None
     stage_seconds: float = 0.0
+    #: monotonic time in seconds of the last event that was sent to the caller
+    sent_at: float | None = None
     outcome: str = ""
     status: int = 0
 
@@ -168,10 +170,10 @@
         return max(0.0, self.route.timeout - self.request.timeout)
 
     @property
-    def first_deadline(self) -> float:
-        """Monotonic time in seconds by which a stream must have begun."""
-        limit = self.request.received + self.route.silence_limit
-        return min(self.deadline, limit)
+    def event_deadline(self) -> float:
+        """Monotonic time in seconds by which a stream must send its next event."""
+        since = self.request.received if self.sent_at is None else self.sent_at
+        return min(self.deadline, since + self.route.silence_limit)
 
     def raise_verdict(self, verdict: Verdict) -> None:
         """Raise the verdict; a lower one has no effect."""
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_bundles.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_bundles.py
@@ -66,7 +66,7 @@
         return TargetDeadlines(
             soft_deadline=objective - exchange.prior_wait - self._first_seconds,
             hard_deadline=min(
-                exchange.first_deadline - self._first_seconds,
+                exchange.event_deadline - self._first_seconds,
                 exchange.deadline - self._whole_seconds,
             ),
         )
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
@@ -131,7 +131,7 @@
         """Return whether all stages are expected to be done in time once more."""
         chain = self.estimate()
         seconds = chain.total_wait + chain.work
-        return self._clock.now() + seconds < self._exchange.first_deadline
+        return self._clock.now() + seconds < self._exchange.event_deadline
 
     async def execute(self) -> StageResults:
         """Execute all stages and return the results for the target.
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -100,7 +100,7 @@
             total_wait=chain.total_wait,
             urgent_wait=chain.urgent_wait,
             service_time=work,
-            remaining=exchange.first_deadline - self.clock.now(),
+            remaining=exchange.event_deadline - self.clock.now(),
             objective_remaining=route.objective - exchange.prior_wait - elapsed,
             elapsed_share=exchange.prior_wait / route.timeout if route.timeout else 0.0,
         )
@@ -336,7 +336,7 @@
         now = self._runner.clock.now()
         pause = now - self._last_event_at
         self._streamed_seconds += min(pause, self._exchange.route.longest_pause)
-        self._last_event_at = now
+        self._last_event_at = self._exchange.sent_at = now
 
     async def _forward_error(
         self, target: ListedTarget, received: ReceivedResponse
--- a/tests/test_entry/test_relay/test_streams.py
+++ b/tests/test_entry/test_relay/test_streams.py
@@ -364,3 +364,26 @@
     reply = await held
     assert (reply.status, reply.error, reply.body) == (200, "", WHOLE)
     assert sum(len(engine.received) for engine in engines(pipeline)) == 1
+
+
+async def test_long_stream_with_stages_is_resumed(pipeline, monkeypatch):
+    """Guards against streams cut off as their stages count as late.
+
+    The time by which a caller must have the first event is over, but it has had it.
+    """
+    monkeypatch.setattr(streams, "MIN_RERUN_TIMEOUT", 30.0)
+    await pipeline.extend_timeouts()
+    engine, other = engines(pipeline)
+    other.register(pipeline.store, state="draining")
+    await pipeline.wait_for(lambda: not pipeline.accepts(other.target_id))
+    engine.silences = [2]
+    engine.break_after = 3
+    held = asyncio.create_task(pipeline.stream())
+    await pipeline.wait_for(lambda: engine.silent)
+    await pipeline.add("llm-3", "llm")
+    await pipeline.wait_for(lambda: pipeline.accepts("llm-3"))
+    # longer than the time for the first event
+    await asyncio.sleep(2.2)
+    engine.resume()
+    reply = await held
+    assert (reply.status, reply.error, reply.body) == (200, "", WHOLE)
