Leave a silent engine only if its stages are not due yet

What callers saw: nothing reported; found by reading. Whether a stream's stages can be made again was judged by the time by which its caller needs an event. Their pieces are due before that, by what the engine takes to answer. Between the two, a stream left its silent engine and was cut off as late.

Evidence: test_stages_are_made_again_only_if_their_target_has_time, with 1 s left for stages of 0.7 s and an answer of 0.5 s: they counted as feasible.

Fix: the bound of the pieces themselves is asked.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
@@ -128,10 +128,13 @@
         return self._plan.estimate(self._executor.estimate_wait)
 
     def may_execute_again(self) -> bool:
-        """Return whether all stages are expected to be done in time once more."""
+        """Return whether all stages are expected to be done in time once more.
+
+        Later they would be refused as late.
+        """
         chain = self.estimate()
         seconds = chain.total_wait + chain.work
-        return self._clock.now() + seconds < self._exchange.event_deadline
+        return self._clock.now() + seconds < self._bundles.find_bounds().hard_deadline
 
     async def execute(self) -> StageResults:
         """Execute all stages and return the results for the target.
--- a/tests/test_entry/test_relay/test_stages.py
+++ b/tests/test_entry/test_relay/test_stages.py
@@ -93,7 +93,9 @@
 
 
 def create_run(
-    executor: FakeExecutor, counts: tuple[int, ...] = (1, 1, 2, 1)
+    executor: FakeExecutor,
+    counts: tuple[int, ...] = (1, 1, 2, 1),
+    seconds: float = 6.0,
 ) -> StageRun:
     clock = LoopClock()
     runner = StageRunner(
@@ -123,7 +125,7 @@
         deployment=Deployment(version=1, routes=(ROUTE,), services=services),
         route=ROUTE,
         service="engines",
-        deadline=clock.now() + 6.0,
+        deadline=clock.now() + seconds,
     )
     return runner.create_run(exchange, 0.1, 0.5)
 
@@ -183,3 +185,13 @@
         await task
     assert executor.attempts == {0: 1, 1: 1, 2: 1}
     assert sorted(executor.freed) == ["0/1/0", "1/1/0"]
+
+
+@pytest.mark.parametrize(("seconds", "allowed"), [(6.0, True), (1.0, False)])
+async def test_stages_are_made_again_only_if_their_target_has_time(seconds, allowed):
+    """Guards against streams that leave a silent engine and are refused as late.
+
+    The stages take 0.7 s and the answer 0.5 s: pieces are due before that time.
+    """
+    run = create_run(FakeExecutor({}), seconds=seconds)
+    assert run.may_execute_again() == allowed
