--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/request_path.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/request_path.py
@@ -67,13 +67,13 @@
             random_source=shared.random_source,
             metrics=shared.metrics,
         ),
+        "times": RouteLatencies(),
         "clock": shared.clock,
         "decisions": shared.decisions,
     }
     streams = StreamRunner(
         stages=stages,
         codec=shared.adapters.targets,
-        times=RouteLatencies(),
         admission=DeadlineAdmission(),
         **common,
     )
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/soft_timeout.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/soft_timeout.py
@@ -13,6 +13,9 @@
 
 #: seconds after which it is asked again whether a silent target may be left
 ASK_INTERVAL = 0.25
+#: turns of the event loop for reading what has arrived. Through a tunnel it passes
+#: several tasks
+READING_TURNS = 8
 
 
 @dataclass(slots=True, kw_only=True)
@@ -21,16 +24,27 @@
 
     One object may serve several waits of one attempt.
 
-    :param until: event loop time in seconds
+    :param seconds: how long, from the beginning of the first wait
     :param may_leave: called after that time, and again at intervals; returns whether
         to leave the target. The arguments tell whether it was called before, and
         whether the path of the connection is lost
     :param asked: whether it was called
     """
 
-    until: float
+    seconds: float
     may_leave: Callable[[bool, bool], bool]
     asked: bool = False
+    _until: float | None = None
+
+    def find_end(self, now: float) -> float:
+        """Return the event loop time in seconds at which it ends.
+
+        Time before the first wait, as for opening the connection, does not count: the
+        target had nothing to answer.
+        """
+        if self._until is None:
+            self._until = now + self.seconds
+        return self._until
 
 
 class SoftTimeoutScope:
@@ -60,16 +74,21 @@
         await self._scope.__aenter__()
         if self._soft_timeout is not None:
             loop = asyncio.get_running_loop()
-            self._timer = loop.call_at(self._soft_timeout.until, self._read_first)
+            end = self._soft_timeout.find_end(loop.time())
+            self._timer = loop.call_at(end, self._read_first)
 
     async def __aexit__(self, kind, error, traceback) -> bool | None:
         if self._timer is not None:
             self._timer.cancel()
         return await self._scope.__aexit__(kind, error, traceback)
 
-    def _read_first(self) -> None:
+    def _read_first(self, turns: int = READING_TURNS) -> None:
         # a loop that stood still finds the timer due along with data of the target
-        self._timer = asyncio.get_running_loop().call_soon(self._ask)
+        loop = asyncio.get_running_loop()
+        if turns:
+            self._timer = loop.call_soon(self._read_first, turns - 1)
+            return
+        self._ask()
 
     def _ask(self) -> None:
         if self._scope.expired():
