Leave silent targets of stage calls only for a certain retry

Callers of our own daemon got a refusal, or a stream that broke off, where a sound target paused in its answer for longer than `targets.gap_timeout` and would have gone on: 502 "no further data within the timeout" without a further attempt or another target, 503 "the retry budget is exhausted" without a retry in the budget. What may run once ended so in any case, as "may have run". Streams were given up before their head after the delay of a backup call, which may be as short as 50 ms. With a key the refusal was stored for all repeats.

Cause: the client ended the attempt by its own timeout. Only then was it found out whether there was a retry: attempts were counted, the budget charged and a target chosen after the connection was closed.

Ruled out: the kernel (its user timeout is 10 s and there are no probes, so that it drops no silent connection) and the backup call, which leaves the first call going on.

The fix asks `decide_on_silence`, as the path of opaque requests does, and waits in its SoftTimeoutScope, which moves out of `relay` and learns to be moved on cheaply with each token. The retry is charged with the decision, once, and the ticket of the retry says so. A retry is certain if another target would take it at once: a queue, an ejected target, a full one or a late call are no reason to leave. A wait that goes on is one failure with the breaker, as giving up was. `targets.stall_timeout` still ends a call without its first byte.

The only target of a service is no longer left for a new connection to itself; a dead connection there is left to the kernel.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/lazy_timeout.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/lazy_timeout.py
@@ -14,10 +14,9 @@
 class LazyTimeout:
     """Cancels the code in its context once the deadline has passed.
 
-    :func:`asyncio.timeout` sets a new timer whenever it is rescheduled. A stream's
-    deadline moves with each token, and these timers would take a tenth of its CPU
-    time. Here a later deadline costs an assignment: the timer compares it with the
-    clock when it fires, and is set again if time is left.
+    :func:`asyncio.timeout` sets a new timer whenever it is rescheduled. Here a later
+    deadline costs an assignment: the timer compares it with the clock when it fires,
+    and is set again if time is left.
 
     :param deadline: in seconds of the running loop's clock
     """
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/targets.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/targets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from dataclasses import dataclass
 from functools import lru_cache
 from typing import TYPE_CHECKING, Any
@@ -15,6 +16,7 @@
 from greengagelatch.targets import (
     CallFailure,
     FailureKind,
+    SilenceListener,
     StageAnswer,
     StageCall,
     Target,
@@ -23,6 +25,7 @@
 )
 from greengagelatch.verdict import Verdict
 
+from ..soft_timeout import SoftTimeout, SoftTimeoutScope
 from .event_stream import EventParser, EventTooLargeError
 from .lazy_timeout import LazyTimeout
 from .target_answers import (
@@ -63,7 +66,7 @@
     connect_timeout: float = 1.0
     #: maximum time until the first byte of the response
     stall_timeout: float = 60.0
-    #: maximum time between two reads of a response
+    #: time between two reads of a response after which the target may be left
     gap_timeout: float = 2.0
     cancel_timeout: float = 1.0
     #: time after which an idle connection is closed
@@ -105,7 +108,11 @@
         await self._pool.close()
 
     async def call(
-        self, target: Target, call: StageCall, on_token: TokenListener | None = None
+        self,
+        target: Target,
+        call: StageCall,
+        on_token: TokenListener | None = None,
+        may_leave: SilenceListener | None = None,
     ) -> Result[StageAnswer, CallFailure]:
         now = self._clock.now()
         if now >= call.deadline:
@@ -117,7 +124,7 @@
         except (ValueError, RecursionError) as error:
             message = f"input can't be encoded: {error}"
             return Err(_fail(FailureKind.TARGET_ERROR, Verdict.NOT_RUN, message))
-        attempt = _Attempt(self._clock, self._limits, call, on_token)
+        attempt = _Attempt(self._clock, self._limits, call, on_token, may_leave)
         # a pooled connection may be unresponsive or closing: the call is then lost
         # without proof that it did not run, so only repeatable calls may use one
         if not call.repeatable:
@@ -190,12 +197,17 @@
         limits: TargetLimits,
         call: StageCall,
         on_token: TokenListener | None,
+        may_leave: SilenceListener | None,
     ) -> None:
         self._clock = clock
         self._limits = limits
         self._call = call
         self._reader = TokenReader(call, on_token)
+        self._may_leave = may_leave
+        #: ends the attempt in any case
         self._timeout: LazyTimeout | None = None
+        #: ends it while the target is silent, if it may be left
+        self._silence: SoftTimeoutScope | None = None
         self._sent = False
         self._response_started = False
         self._sent_at = 0.0
@@ -213,9 +225,13 @@
     ) -> Result[StageAnswer, CallFailure]:
         """Make the call and return its answer or its failure."""
         try:
-            deadline = self._compute_deadline(self._limits.connect_timeout)
-            async with LazyTimeout(deadline) as timeout:
-                self._timeout = timeout
+            connected_by = self._compute_deadline(self._limits.connect_timeout)
+            end = self._compute_deadline(math.inf)
+            soft_timeout = SoftTimeout(until=end, may_leave=self._leave_silent)
+            async with (
+                LazyTimeout(connected_by) as self._timeout,
+                SoftTimeoutScope(end, soft_timeout) as self._silence,
+            ):
                 return await self._exchange(session, target, body)
         except TimeoutError:
             return Err(self._create_timeout_failure())
@@ -227,13 +243,17 @@
             kind = FailureKind.DISCONNECTED if self._sent else FailureKind.CONNECT
             return Err(self._fail(kind, f"{type(error).__name__}: {error}"))
         finally:
-            self._timeout = None
+            self._timeout = self._silence = None
 
     def record_sending(self) -> None:
         """Record that the next step writes to the socket."""
         self._sent = True
         self._sent_at = self._clock.now()
-        self._extend(self._call.first_byte_timeout or self._limits.stall_timeout)
+        if self._timeout is not None:
+            stalled_at = self._compute_deadline(self._limits.stall_timeout)
+            self._timeout.reschedule(stalled_at)
+        if self._call.first_byte_timeout:
+            self._await_data(self._call.first_byte_timeout)
 
     async def _exchange(
         self, session: aiohttp.ClientSession, target: Target, body: bytes
@@ -259,8 +279,10 @@
         self, response: aiohttp.ClientResponse
     ) -> Result[StageAnswer, CallFailure]:
         self._response_started = True
+        if self._timeout is not None:
+            self._timeout.reschedule(self._compute_deadline(math.inf))
         if not response.content.is_eof():
-            self._extend(self._limits.gap_timeout)
+            self._await_data(self._limits.gap_timeout)
         self._leaving = response.headers.get(STATE_HEADER) == LEAVING
         if response.status != STATUS_OK:
             body = await self._read_body(response)
@@ -285,14 +307,14 @@
             chunks.append(chunk)
             if content.at_eof():
                 break
-            self._extend(self._limits.gap_timeout)
+            self._await_data(self._limits.gap_timeout)
         return chunks[0] if len(chunks) == 1 else b"".join(chunks)
 
     async def _read_stream(self, response: aiohttp.ClientResponse) -> StageAnswer:
         parser = EventParser(self._limits.max_event_bytes)
         size = 0
         while chunk := await response.content.readany():
-            self._extend(self._limits.gap_timeout)
+            self._await_data(self._limits.gap_timeout)
             size += len(chunk)
             if size > self._limits.max_answer_bytes:
                 raise AnswerError(
@@ -307,9 +329,13 @@
             )
         return self._reader.answer
 
-    def _extend(self, seconds: float) -> None:
-        if self._timeout is not None:
-            self._timeout.reschedule(self._compute_deadline(seconds))
+    def _await_data(self, seconds: float) -> None:
+        """Set the time without a byte after which the target counts as silent."""
+        if self._silence is not None:
+            self._silence.reschedule(self._compute_deadline(seconds))
+
+    def _leave_silent(self, asked: bool, _path_lost: bool) -> bool:
+        return self._may_leave is None or self._may_leave(asked)
 
     def _compute_deadline(self, seconds: float) -> float:
         """Return the loop time ``seconds`` from now, at most that of the deadline."""
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/attempt_sender.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/attempt_sender.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 from result import Err, Ok, Result
@@ -30,6 +31,7 @@
     from .logs import StageTrace
     from .metrics import Metrics
     from .stage_quarantine import StageQuarantine
+    from .stage_silences import StageSilences
 
 __all__ = ("StreamMismatchError", "AttemptSender", "StageExecution")
 
@@ -71,6 +73,8 @@
     excluded: frozenset[str] = frozenset()
     #: whether the next attempt counts against the retry budget
     uses_retry_budget: bool = False
+    #: whether the budget was charged for it when the last attempt left its target
+    retry_charged: bool = False
     #: total seconds of failed attempts
     wasted_seconds: float = 0.0
     tokens: StreamedTokens = field(default_factory=StreamedTokens)
@@ -104,8 +108,10 @@
         random_source: random.Random,
         metrics: Metrics,
         quarantine: StageQuarantine,
+        silences: StageSilences,
     ) -> None:
         self._quarantine = quarantine
+        self._silences = silences
         self._dispatcher = dispatcher
         self._directory = directory
         self._client = client
@@ -122,7 +128,8 @@
     ) -> Result[StageAnswer, CallFailure]:
         """Make one attempt and release ``grant`` in every case.
 
-        :param first_byte_timeout: timeout in seconds until the first byte
+        :param first_byte_timeout: seconds without the first byte after which the target
+            may be left
         :raises StreamMismatchError: if the stream differs from the tokens already sent
         """
         call = self._create_call(execution, first_byte_timeout)
@@ -131,7 +138,9 @@
         execution.ledger.begin(call.attempt_id, grant.target.target_id)
         try:
             listener = _create_listener(execution) if call.stream else None
-            result = await self._client.call(grant.target, call, listener)
+            result = await self._client.call(
+                grant.target, call, listener, partial(self._may_leave, attempt)
+            )
             attempt.record_result(result)
             execution.answered = execution.answered or isinstance(result, Ok)
         except StreamMismatchError:
@@ -146,6 +155,11 @@
         self._quarantine.record_result(execution, grant.target, result)
         return result
 
+    def _may_leave(self, attempt: _Attempt, asked: bool) -> bool:
+        may_leave = self._silences.may_leave(attempt.execution, attempt.grant, asked)
+        attempt.silence_recorded = attempt.silence_recorded or not may_leave
+        return may_leave
+
     async def close(self) -> None:
         """Wait for the pending cancellations."""
         await asyncio.gather(*self._cancellations, return_exceptions=True)
@@ -233,6 +247,8 @@
     message: str = ""
     #: whether the target may still be processing the call
     may_be_running: bool = True
+    #: whether load balancing knows already that the target was silent
+    silence_recorded: bool = False
 
     def record_result(self, result: Result[StageAnswer, CallFailure]) -> None:
         """Record the result of the call."""
@@ -243,6 +259,8 @@
             self.outcome = failure.kind.value
             self.message = failure.message
             self.may_be_running = needs_cancel(failure)
+            if failure.kind is FailureKind.STALLED and self.silence_recorded:
+                self.kind = OutcomeKind.ABANDONED
             return
         self.kind = OutcomeKind.SUCCESS
         self.verdict = Verdict.RAN
@@ -253,6 +271,8 @@
         """Record a failure of the target if a backup call was answered first."""
         if self.outcome != CANCELLED or not self.execution.answered:
             return
+        if self.silence_recorded:
+            return
         if self.grant.target.target_id in self.execution.hedged_targets:
             self.kind = OutcomeKind.FAILURE
             self.outcome = "overtaken"
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/composition.py
@@ -183,6 +183,7 @@
         )
 
         self.quarantine = Quarantine()
+        self.decisions = DecisionLog(clock=self.clock, metrics=self.metrics)
         self.crash_detector = CrashDetector(
             replicator=CrashReportGossip(
                 quarantine=self.quarantine,
@@ -195,7 +196,7 @@
             evidence=PortEvidence(PortProbe()),
             clock=self.clock,
             metrics=self.metrics,
-            decisions=DecisionLog(clock=self.clock, metrics=self.metrics),
+            decisions=self.decisions,
         )
         self.quotas = QuotasController(
             peers=self.peers,
@@ -278,6 +279,7 @@
                 crash_detector=self.crash_detector,
                 clock=self.clock,
             ),
+            decisions=self.decisions,
         )
         runner = PipelineRunner(
             stage_caller=self.stage_caller,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/scheduling.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/scheduling.py
@@ -107,6 +107,18 @@
     def record_first_token(self, grant: Grant, seconds: float) -> None:
         self._scheduler.record_first_token(grant, seconds, self._clock.now())
 
+    def record_silence(self, grant: Grant) -> None:
+        self._scheduler.record_silence(grant, self._clock.now())
+
+    def count_targets(self, ticket: Ticket) -> int:
+        return self._scheduler.count_targets(ticket, self._clock.now())
+
+    def count_retries(self) -> int:
+        return self._scheduler.retry_budget.count_left(self._clock.now())
+
+    def charge_retry(self) -> bool:
+        return self._scheduler.retry_budget.try_spend(self._clock.now())
+
     def release(self, grant: Grant, outcome: Outcome) -> None:
         now = self._clock.now()
         self._scheduler.finish(grant, outcome, now)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -12,12 +12,12 @@
 from greengagelatch.relay.outcomes import SendOutcome, SilenceDecision
 from greengagelatch.relay.requests import Prompt
 
+from ..soft_timeout import SoftTimeout, SoftTimeoutScope
 from .event_splitter import EventSplitter
 from .input_fetch_timer import InputFetchTimer
 from .messages import AttemptContext
 from .refusals import create_error
 from .runners import Runner
-from .soft_timeout import SoftTimeout, SoftTimeoutScope
 from .target_connections import TargetResponseError
 from .target_sender import STATUS_CONFLICT, FailedSend, ReceivedResponse
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
@@ -16,7 +16,7 @@
 from greengagelatch.relay.connection_loss import ConnectionLossRule
 from greengagelatch.relay.incarnations import Incarnation
 
-from .soft_timeout import SoftTimeoutScope
+from ..soft_timeout import SoftTimeoutScope
 from .target_dialers import Destination, DialError, TunnelLostError
 from .tunnel_transport import TUNNELLED
 
@@ -29,8 +29,8 @@
     from greengagelatch.clock import Clock
 
     from ..metrics import Metrics
+    from ..soft_timeout import SoftTimeout
     from .messages import OutboundRequest
-    from .soft_timeout import SoftTimeout
     from .target_dialers import TargetDialer
 
 __all__ = (
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_sender.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_sender.py
@@ -18,12 +18,12 @@
     from greengagelatch.relay.load_balancer import LoadBalancer
     from greengagelatch.relay.targets import ListedTarget, TargetTable
 
+    from ..soft_timeout import SoftTimeout
     from .codecs import TargetCodec
     from .crash_detector import CrashDetector
     from .decisions import DecisionLog
     from .exchange import RelayExchange
     from .messages import AttemptContext, OutboundRequest, ResponseHead
-    from .soft_timeout import SoftTimeout
     from .target_connections import TargetConnectionPool, TargetResponse
 
 __all__ = ("ReceivedResponse", "TargetSender", "FailedSend")
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/unary.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/unary.py
@@ -10,9 +10,9 @@
 from greengagelatch.relay.deployment import RouteKind
 from greengagelatch.relay.outcomes import SendOutcome
 
+from ..soft_timeout import SoftTimeout, SoftTimeoutScope
 from .messages import AttemptContext
 from .runners import Runner
-from .soft_timeout import SoftTimeout, SoftTimeoutScope
 from .target_connections import TargetResponseError
 from .target_sender import FailedSend, ReceivedResponse
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/soft_timeout.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/soft_timeout.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -43,7 +44,7 @@
     :raises TimeoutError: at ``end``, or once the target may be left
     """
 
-    __slots__ = ("_is_path_lost", "_scope", "_soft_timeout", "_timer")
+    __slots__ = ("_due", "_is_path_lost", "_scope", "_soft_timeout", "_timer")
 
     def __init__(
         self,
@@ -55,18 +56,36 @@
         self._soft_timeout = soft_timeout
         self._is_path_lost = is_path_lost
         self._timer: asyncio.Handle | None = None
+        #: event loop time in seconds at which the timer is due
+        self._due = math.inf
+
+    def reschedule(self, until: float) -> None:
+        """Change the time of the soft timeout, as the target has gone on.
+
+        A later time costs an assignment: the timer looks at it when it is due. A new
+        timer for each token would take a tenth of the processor time of a stream.
+        """
+        assert self._soft_timeout is not None
+        self._soft_timeout.until = until
+        if until < self._due and self._timer is not None:
+            self._timer.cancel()
+            self._set_timer(until)
 
-    async def __aenter__(self) -> None:
+    async def __aenter__(self) -> SoftTimeoutScope:
         await self._scope.__aenter__()
         if self._soft_timeout is not None:
-            loop = asyncio.get_running_loop()
-            self._timer = loop.call_at(self._soft_timeout.until, self._read_first)
+            self._set_timer(self._soft_timeout.until)
+        return self
 
     async def __aexit__(self, kind, error, traceback) -> bool | None:
         if self._timer is not None:
             self._timer.cancel()
         return await self._scope.__aexit__(kind, error, traceback)
 
+    def _set_timer(self, due: float) -> None:
+        self._due = due
+        self._timer = asyncio.get_running_loop().call_at(due, self._read_first)
+
     def _read_first(self) -> None:
         # a loop that stood still finds the timer due along with data of the target
         self._timer = asyncio.get_running_loop().call_soon(self._ask)
@@ -75,8 +94,11 @@
         if self._scope.expired():
             return
         loop = asyncio.get_running_loop()
+        if loop.time() < self._soft_timeout.until:
+            self._set_timer(self._soft_timeout.until)
+            return
         asked, self._soft_timeout.asked = self._soft_timeout.asked, True
         if self._soft_timeout.may_leave(asked, self._is_path_lost()):
             self._scope.reschedule(loop.time())
             return
-        self._timer = loop.call_later(ASK_INTERVAL, self._read_first)
+        self._set_timer(loop.time() + ASK_INTERVAL)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/stage_caller.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/stage_caller.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
 from result import Err, Ok, Result
@@ -15,7 +16,9 @@
 
 from .attempt_sender import AttemptSender, StreamMismatchError
 from .hedged_call import CallResult, call_with_hedge
+from .relay.decisions import DecisionLog
 from .stage_quarantine import DisabledStageQuarantine
+from .stage_silences import StageSilences
 
 if TYPE_CHECKING:
     import random
@@ -46,6 +49,7 @@
 
     :param durations: durations by ``(pipeline, stage)``, recorded by the dispatcher;
         without them the hedge delay depends on the stage's deadline alone
+    :param decisions: tells why calls go on waiting for silent targets
     :param quarantine: keeps requests that crash targets from them; ``None``: no request
         is suspected
     """
@@ -63,10 +67,12 @@
         retry_rules: RetryRules | None = None,
         hedge_rule: HedgeRule | None = None,
         quarantine: StageQuarantine | None = None,
+        decisions: DecisionLog | None = None,
     ) -> None:
         self._dispatcher = dispatcher
         self._directory = directory
         self._quarantine = quarantine or DisabledStageQuarantine()
+        self._retry_rules = retry_rules or RetryRules()
         self._sender = AttemptSender(
             dispatcher=dispatcher,
             directory=directory,
@@ -75,11 +81,17 @@
             random_source=random_source,
             metrics=metrics,
             quarantine=self._quarantine,
+            silences=StageSilences(
+                dispatcher=dispatcher,
+                retry_rules=self._retry_rules,
+                create_ticket=_create_retry_ticket,
+                clock=clock,
+                decisions=decisions or DecisionLog(clock=clock, metrics=metrics),
+            ),
         )
         self._clock = clock
         self._metrics = metrics
         self._durations = durations
-        self._retry_rules = retry_rules or RetryRules()
         self._hedge_rule = hedge_rule or HedgeRule()
 
     async def call(self, execution: StageExecution) -> Result[StageAnswer, Refusal]:
@@ -152,9 +164,9 @@
         unavailable: frozenset[str] = frozenset()
         while True:
             self._readmit_targets(execution, unavailable)
-            result = await self._dispatcher.acquire(
-                _create_ticket(execution, unavailable)
-            )
+            ticket = _create_ticket(execution, unavailable)
+            execution.retry_charged = False
+            result = await self._dispatcher.acquire(ticket)
             if isinstance(result, Err):
                 return result
             grant = result.ok_value
@@ -224,9 +236,15 @@
         prefix=_find_prefix(stage.kind, execution.input),
         excluded=execution.excluded | unavailable,
         retry=execution.uses_retry_budget,
+        charged=execution.retry_charged,
     )
 
 
+def _create_retry_ticket(execution: StageExecution) -> Ticket:
+    """Return the ticket of an attempt that would follow the present one."""
+    return replace(_create_ticket(execution, frozenset()), retry=True)
+
+
 def _find_prefix(kind: StageKind, value: Any) -> str:
     """Return the prefix that an input specifies, or the start of a text input."""
     if kind is not StageKind.GENERATE:
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/scripted.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/scripted.py
@@ -11,6 +11,7 @@
 from greengagelatch.load import Dispatcher, Grant, Outcome, Ticket
 from greengagelatch.targets import (
     CallFailure,
+    SilenceListener,
     StageAnswer,
     StageCall,
     Target,
@@ -80,6 +81,15 @@
             self._before_grant(ticket)
         return result
 
+    def count_targets(self, ticket: Ticket) -> int:
+        return self._inner.count_targets(ticket)
+
+    def count_retries(self) -> int:
+        return self._inner.count_retries()
+
+    def charge_retry(self) -> bool:
+        return self._inner.charge_retry()
+
     def release(self, grant: Grant, outcome: Outcome) -> None:
         self.releases[grant.grant_id] += 1
         self.outcomes.append(outcome)
@@ -100,7 +110,11 @@
         self.cancelled: list[str] = []
 
     async def call(
-        self, target: Target, call: StageCall, on_token: TokenListener | None = None
+        self,
+        target: Target,
+        call: StageCall,
+        on_token: TokenListener | None = None,
+        may_leave: SilenceListener | None = None,
     ) -> Result[StageAnswer, CallFailure]:
         self.calls.append((target, call))
         return await self._script(target, call, on_token)
--- a/packages/greengagelatch/src/greengagelatch/load/__init__.py
+++ b/packages/greengagelatch/src/greengagelatch/load/__init__.py
@@ -40,6 +40,8 @@
     excluded: frozenset[str] = frozenset()
     #: whether this is a second or later attempt, charged to the retry budget
     retry: bool = False
+    #: whether the retry budget has been charged for it already
+    charged: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,6 +95,21 @@
         :param seconds: time from sending the call to its first token.
         """
 
+    def record_silence(self, grant: Grant) -> None:  # noqa: B027
+        """Record that the target of a call is silent while the call goes on."""
+
+    @abstractmethod
+    def count_targets(self, ticket: Ticket) -> int:
+        """Return how many healthy targets would take a call at once."""
+
+    @abstractmethod
+    def count_retries(self) -> int:
+        """Return the number of retries that the retry budget allows now."""
+
+    @abstractmethod
+    def charge_retry(self) -> bool:
+        """Charge one retry in advance; return ``False`` if the budget is exhausted."""
+
     @abstractmethod
     def release(self, grant: Grant, outcome: Outcome) -> None:
         """Release a grant; must be called exactly once."""
--- a/packages/greengagelatch/src/greengagelatch/load/budgets.py
+++ b/packages/greengagelatch/src/greengagelatch/load/budgets.py
@@ -52,6 +52,11 @@
         self.granted += 1
         return True
 
+    def count_left(self, now: float) -> int:
+        """Return the number of retries that can be spent now."""
+        self._refill(now)
+        return int(self._tokens)
+
     def _refill(self, now: float) -> None:
         earned = (now - self._refilled) * self._rule.per_second
         self._refilled = now
--- a/packages/greengagelatch/src/greengagelatch/load/free_capacity.py
+++ b/packages/greengagelatch/src/greengagelatch/load/free_capacity.py
@@ -77,6 +77,10 @@
         """Whether some target has free capacity for the call."""
         return any(self._fits(view, queued) for view in self._views.values())
 
+    def count_fitting(self, queued: QueuedCall) -> int:
+        """Return how many targets have free capacity for the call."""
+        return sum(self._fits(view, queued) for view in self._views.values())
+
     def prefers(self, queued: QueuedCall) -> bool:
         """Whether a target with free capacity probably caches the call's prefix."""
         prefix = queued.ticket.prefix
--- a/packages/greengagelatch/src/greengagelatch/load/round_robin.py
+++ b/packages/greengagelatch/src/greengagelatch/load/round_robin.py
@@ -13,12 +13,15 @@
 
 if TYPE_CHECKING:
     from ..clock import Clock
+    from ..targets import Target
     from ..targets.directory import TargetDirectory
 
 __all__ = ("RoundRobinDispatcher",)
 
 #: milliseconds after which a caller should retry if a service has no target
 NO_TARGET_RETRY_MS = 1000
+#: retries that are always left, as no budget bounds them
+UNLIMITED_RETRIES = 1
 
 
 class RoundRobinDispatcher(Dispatcher):
@@ -31,11 +34,7 @@
         self._ids = count(1)
 
     async def acquire(self, ticket: Ticket) -> Result[Grant, Refusal]:
-        candidates = []
-        for candidate in self._directory.candidates(ticket.service):
-            if candidate.target.target_id in ticket.excluded:
-                continue
-            candidates.append(candidate.target)
+        candidates = self._list_targets(ticket)
         if not candidates:
             return Err(
                 Refusal(
@@ -51,5 +50,21 @@
         target = candidates[turn % len(candidates)]
         return Ok(Grant(next(self._ids), ticket, target, self._clock.now()))
 
+    def count_targets(self, ticket: Ticket) -> int:
+        return len(self._list_targets(ticket))
+
+    def count_retries(self) -> int:
+        return UNLIMITED_RETRIES
+
+    def charge_retry(self) -> bool:
+        return True
+
     def release(self, grant: Grant, outcome: Outcome) -> None:
         """Do nothing: without limits there is nothing to release."""
+
+    def _list_targets(self, ticket: Ticket) -> list[Target]:
+        return [
+            candidate.target
+            for candidate in self._directory.candidates(ticket.service)
+            if candidate.target.target_id not in ticket.excluded
+        ]
--- a/packages/greengagelatch/src/greengagelatch/load/scheduler.py
+++ b/packages/greengagelatch/src/greengagelatch/load/scheduler.py
@@ -200,6 +200,22 @@
         """Record the time to first token of a granted stream."""
         self.find_service(grant.ticket.service).record_first_token(grant, seconds, now)
 
+    def record_silence(self, grant: Grant, now: float) -> None:
+        """Record that the target of a granted call is silent."""
+        self.find_service(grant.ticket.service).record_silence(grant, now)
+
+    def count_targets(self, ticket: Ticket, now: float) -> int:
+        """Return how many healthy targets would take a call at once."""
+        service = self.find_service(ticket.service)
+        if len(service.queue):
+            return 0
+        queued = self._prepare(service, ticket, now)
+        if _is_late(queued, service.is_busy(now), now):
+            return 0
+        capacity = service.find_free_capacity(now)
+        capacity.begin(long_queued=queued.long, contended=False)
+        return capacity.count_fitting(queued)
+
     def mark_all_dirty(self) -> None:
         """Mark all services for scheduling, as the target directory has changed."""
         self._dirty_services.update(self._services)
@@ -222,7 +238,7 @@
         if not ticket.retry:
             self._retries.record_request(now)
             return None
-        if self._retries.try_spend(now):
+        if ticket.charged or self._retries.try_spend(now):
             return None
         message = "the retry budget is exhausted"
         return self._create_overload(service, ticket, message, now)
--- a/packages/greengagelatch/src/greengagelatch/load/service.py
+++ b/packages/greengagelatch/src/greengagelatch/load/service.py
@@ -228,6 +228,13 @@
         ratio = self._times.compare_first_token(grant.ticket, seconds, now)
         self._targets[grant.target.target_id].breaker.record_latency(ratio)
 
+    def record_silence(self, grant: Grant, now: float) -> None:
+        """Record that a target is silent; new calls prefer others."""
+        if grant.grant_id not in self._running:
+            return
+        self._cached_capacity = None
+        self._targets[grant.target.target_id].breaker.record_failure(now)
+
     def check_overdue(self, now: float) -> None:
         """Record overdue calls and trip the breakers of slow targets."""
         if now - self._overdue_checked < OVERDUE_INTERVAL:
--- a/packages/greengagelatch/src/greengagelatch/settings/table.py
+++ b/packages/greengagelatch/src/greengagelatch/settings/table.py
@@ -396,7 +396,9 @@
         unit="s",
         minimum=0.05,
         maximum=600,
-        description="Longest time between bytes of a response that has begun.",
+        description="Time between bytes of a response that has begun after which its"
+        " call moves to another target, if it may and one would take it at once;"
+        " otherwise the call goes on waiting, to its deadline at the most.",
     ),
     Setting(
         name="targets.idle_timeout",
--- a/packages/greengagelatch/src/greengagelatch/targets/__init__.py
+++ b/packages/greengagelatch/src/greengagelatch/targets/__init__.py
@@ -16,6 +16,7 @@
 __all__ = (
     "CallFailure",
     "FailureKind",
+    "SilenceListener",
     "StageAnswer",
     "StageCall",
     "Target",
@@ -60,8 +61,8 @@
     resume_at: int = 0
     #: those tokens, which are needed to check the digest of the whole output
     received: tuple[str, ...] = ()
-    #: seconds without a first byte after which the call is given up; ``None``: the
-    #: client's own stall time-out
+    #: seconds without a first byte after which the call may leave its target;
+    #: ``None``: the client's own stall time-out
     first_byte_timeout: float | None = None
 
 
@@ -84,7 +85,7 @@
     CONNECT = "connect"
     #: the target answered that the call did not run
     TARGET_REFUSED = "target-refused"
-    #: no data was received within the stall time-out
+    #: the target was silent, and the call left it
     STALLED = "stalled"
     #: the connection was lost before the answer was complete
     DISCONNECTED = "cut"
@@ -114,15 +115,26 @@
 #: receives the offset and text of each new token, in order and without gaps
 TokenListener = Callable[[int, str], None]
 
+#: asked while a target is silent, with whether it was asked before in this call;
+#: returns whether to leave the target
+SilenceListener = Callable[[bool], bool]
+
 
 class TargetClient(ABC):
     """Client for calls to targets; implementations must not retry calls."""
 
     @abstractmethod
     async def call(
-        self, target: Target, call: StageCall, on_token: TokenListener | None = None
+        self,
+        target: Target,
+        call: StageCall,
+        on_token: TokenListener | None = None,
+        may_leave: SilenceListener | None = None,
     ) -> Result[StageAnswer, CallFailure]:
-        """Send one attempt at a stage and return its answer."""
+        """Send one attempt at a stage and return its answer.
+
+        :param may_leave: ``None``: a silent target is left in any case
+        """
 
     @abstractmethod
     async def cancel(self, target: Target, attempt_id: str) -> bool:
--- a/tests/test_core/test_load/test_scheduler.py
+++ b/tests/test_core/test_load/test_scheduler.py
@@ -10,6 +10,7 @@
 from greengagelatch.config.policy_resolution import Weights
 from greengagelatch.errors import RefusalCode
 from greengagelatch.load import Grant, Outcome, OutcomeKind, Ticket
+from greengagelatch.load.budgets import BudgetRule
 from greengagelatch.load.durations import DurationTracker
 from greengagelatch.load.scheduler import Scheduler, SchedulerRule
 from greengagelatch.targets import Target
@@ -182,3 +183,63 @@
     (decision,) = scheduler.poll(0.1)
     assert isinstance(decision.result, Err)
     assert decision.result.err_value.code is RefusalCode.NO_TARGET
+
+
+def test_only_targets_that_would_take_a_retry_are_counted():
+    """Guards against calls that leave a silent target and are refused or queued."""
+    directory = FixedDirectory(3, capacity=1)
+    scheduler = create_scheduler(directory)
+    retry = create_ticket("r9", retry=True, excluded=frozenset({"t0"}))
+    assert scheduler.count_targets(retry, 0.0) == 2
+    scheduler.submit(create_ticket("r1", excluded=frozenset({"t0", "t2"})), 0.0)
+    (busy,) = get_grants(scheduler.poll(0.0))
+    assert scheduler.count_targets(retry, 0.0) == 1
+    for number in (2, 3):
+        scheduler.submit(create_ticket(f"r{number}"), 0.0)
+    assert len(get_grants(scheduler.poll(0.0))) == 2
+    assert scheduler.count_targets(retry, 0.0) == 0
+    scheduler.submit(create_ticket("r4"), 0.0)
+    assert scheduler.poll(0.0) == ()
+    scheduler.finish(busy, Outcome(OutcomeKind.SUCCESS, 0.1), 0.1)
+    # the queued call is to take what has become free
+    assert scheduler.count_targets(retry, 0.1) == 0
+
+
+def test_ejected_target_counts_for_no_retry():
+    """Guards against calls that leave a silent target for one that has failed."""
+    directory = FixedDirectory(3, capacity=4)
+    scheduler = create_scheduler(directory)
+    only_first = create_ticket("r1", excluded=frozenset({"t1", "t2"}))
+    for _ in range(3):
+        scheduler.submit(only_first, 0.0)
+        (grant,) = get_grants(scheduler.poll(0.0))
+        scheduler.record_silence(grant, 0.0)
+        scheduler.finish(grant, Outcome(OutcomeKind.ABANDONED, 0.1), 0.0)
+    excluded = frozenset({"t1"})
+    retry = create_ticket("r9", retry=True, deadline=120.0, excluded=excluded)
+    for now in (0.0, 60.0):
+        assert scheduler.count_targets(retry, now) == 1
+
+
+def test_retry_that_would_be_late_counts_no_targets():
+    """Guards against calls that leave a silent target and are refused as late."""
+    durations = DurationTracker()
+    for _ in range(20):
+        durations.record(("p", "draft"), 1.0, 0.0)
+    scheduler = create_scheduler(FixedDirectory(2, capacity=1), durations=durations)
+    retry = create_ticket("r9", retry=True, deadline=2.0, excluded=frozenset({"t0"}))
+    assert scheduler.count_targets(retry, 0.5) == 1
+    assert scheduler.count_targets(retry, 1.5) == 0
+
+
+def test_retry_that_was_charged_before_is_not_charged_again():
+    directory = FixedDirectory(2, capacity=4)
+    rule = BudgetRule(share=0.0, burst=1)
+    scheduler = create_scheduler(directory, retries=rule)
+    assert scheduler.retry_budget.count_left(0.0) == 1
+    assert scheduler.retry_budget.try_spend(0.0)
+    assert scheduler.retry_budget.count_left(0.0) == 0
+    scheduler.submit(create_ticket("r1", retry=True, charged=True), 0.0)
+    assert len(get_grants(scheduler.poll(0.0))) == 1
+    scheduler.submit(create_ticket("r2", retry=True), 0.0)
+    assert get_grants(scheduler.poll(0.0)) == []
--- a/tests/test_entry/test_relay/test_soft_timeout.py
+++ b/tests/test_entry/test_soft_timeout.py
@@ -1,4 +1,4 @@
-"""Tests of greengagelatch_entry.relay.soft_timeout."""
+"""Tests of greengagelatch_entry.soft_timeout."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 import pytest
 
-from greengagelatch_entry.relay.soft_timeout import (
+from greengagelatch_entry.soft_timeout import (
     ASK_INTERVAL,
     SoftTimeout,
     SoftTimeoutScope,
@@ -133,3 +133,37 @@
     assert may_leave.calls == []
     writer.close()
     far.close()
+
+
+async def test_target_that_goes_on_is_not_left():
+    """Guards against streams that are left although tokens keep arriving.
+
+    The timer of the first wait is due after the time was extended.
+    """
+    may_leave = Asked(1)
+    now = asyncio.get_running_loop().time()
+    async with SoftTimeoutScope(find_end(), create(may_leave)) as scope:
+        scope.reschedule(now + WAIT_SECONDS)
+        await asyncio.sleep(0.05)
+    assert may_leave.calls == []
+
+
+async def test_target_that_falls_silent_later_is_left():
+    may_leave = Asked(1)
+    now = asyncio.get_running_loop().time()
+    with pytest.raises(TimeoutError):
+        async with SoftTimeoutScope(find_end(), create(may_leave)) as scope:
+            scope.reschedule(now + 0.02)
+            await asyncio.Event().wait()
+    assert may_leave.calls == [False]
+
+
+async def test_earlier_soft_timeout_replaces_the_later_one():
+    """Guards against calls to hung targets that last until their deadline."""
+    may_leave = Asked(1)
+    soft_timeout = create(may_leave, WAIT_SECONDS)
+    with pytest.raises(TimeoutError):
+        async with SoftTimeoutScope(find_end() + WAIT_SECONDS, soft_timeout) as scope:
+            scope.reschedule(asyncio.get_running_loop().time() + 0.01)
+            await asyncio.Event().wait()
+    assert may_leave.calls == [False]
