Probe the daemon's connections to targets

A call that waits for a target that has vanished without a reset, as its host loses power or a middlebox its state, waited to its deadline, ten minutes at the most; before the head of its answer for 60 s.

Cause: the sockets had a user timeout of 10 s and no keepalive. A user timeout alone bounds unacknowledged data; a connection without traffic is never looked at. So a silent connection was kept, and a dead one as well.

They get the bounds of the platform's connections to targets, by the same constant and function, which move to adapters/socket_options.py: a silence of 4 s is survived wherever it begins, or three lost probes in a row; a vanished target is found after 5 s. Longer bounds were weighed (10 s, probes each 2 s): requests whose deadline is some seconds away are better served by the shorter ones, and nothing asks for silences of more than a second or so. A target that reads nothing for 5 s in place of 10 is dropped now.

That a dead connection is dropped was not played, only followed from the replay of the kernel's timer in test_connection_loss.py.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/target_pool.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/target_pool.py
@@ -9,6 +9,8 @@
 
 import aiohttp
 
+from .socket_options import LOSS_RULE, configure_socket
+
 if TYPE_CHECKING:
     import random
     from collections.abc import Iterator
@@ -20,8 +22,6 @@
 #: maximum relative jitter of the age limit, so that many instances do not reconnect
 #: to one target at the same time
 JITTER = 0.3
-#: seconds without an acknowledgement after which the kernel drops a connection
-UNACKNOWLEDGED_LIMIT = 10.0
 #: maximum number of targets with a pool; the least recently used one is retired
 MAX_TARGETS = 1024
 
@@ -152,6 +152,5 @@
 def _create_socket(info: aiohttp.AddrInfoType) -> socket.socket:
     family, kind, protocol, _, _ = info
     created = socket.socket(family, kind, protocol)
-    limit = int(UNACKNOWLEDGED_LIMIT * 1000)
-    created.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit)
+    configure_socket(created, LOSS_RULE)
     return created
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import errno
-import socket
 from collections import defaultdict
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -13,9 +12,9 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http_exceptions import HttpProcessingError
 
-from greengagelatch.relay.connection_loss import ConnectionLossRule
 from greengagelatch.relay.incarnations import Incarnation
 
+from ..adapters.socket_options import LOSS_RULE, configure_socket
 from ..soft_timeout import SoftTimeoutScope
 from .target_dialers import Destination, DialError, TunnelLostError
 from .tunnel_transport import TUNNELLED
@@ -38,7 +37,6 @@
     "NotSentError",
     "TargetConnectionPool",
     "TargetResponse",
-    "configure_socket",
 )
 
 #: seconds for opening a connection, directly or through peers. Without the timeout, a
@@ -50,10 +48,6 @@
 MAX_IDLE_SECONDS = 3.0
 #: fraction of the idle timeout announced by a target that is used
 KEEP_ALIVE_FRACTION = 0.5
-#: when the kernel drops a connection to a silent target
-LOSS_RULE = ConnectionLossRule(
-    user_timeout=5.0, probe_idle=1, probe_interval=1, probe_count=4
-)
 #: size in bytes of the read buffer for a response
 READ_BUFFER_BYTES = 256 * 1024
 MAX_HEADER_BYTES = 32_768
@@ -82,25 +76,6 @@
         self.path_lost = path_lost
 
 
-def configure_socket(connection: socket.socket, rule: ConnectionLossRule) -> None:
-    """Configure the kernel to detect a peer that vanished silently.
-
-    A connection across a partition, or one whose state a middlebox has lost, accepts
-    writes but never delivers a response. Without detection, a request on it would
-    wait until its deadline.
-    """
-    options = (
-        (socket.TCP_NODELAY, 1),
-        (socket.TCP_USER_TIMEOUT, int(rule.user_timeout * 1000)),
-        (socket.TCP_KEEPIDLE, rule.probe_idle),
-        (socket.TCP_KEEPINTVL, rule.probe_interval),
-        (socket.TCP_KEEPCNT, rule.probe_count),
-    )
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    for option, value in options:
-        connection.setsockopt(socket.IPPROTO_TCP, option, value)
-
-
 class _TargetConnection(ResponseHandler):
     """One connection; records whether it was reset."""
 
