--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/soft_timeout.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/soft_timeout.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -24,7 +25,8 @@
 
     One object may serve several waits of one attempt.
 
-    :param seconds: how long, from the beginning of the first wait
+    :param seconds: how long, from the beginning of the first wait; infinite until
+        :meth:`SoftTimeoutScope.reschedule` sets its end
     :param may_leave: called after that time, and again at intervals; returns whether
         to leave the target. The arguments tell whether it was called before, and
         whether the path of the connection is lost
@@ -34,17 +36,18 @@
     seconds: float
     may_leave: Callable[[bool, bool], bool]
     asked: bool = False
-    _until: float | None = None
+    #: event loop time in seconds at which it ends; ``None`` before the first wait
+    until: float | None = None
 
-    def find_end(self, now: float) -> float:
-        """Return the event loop time in seconds at which it ends.
+    def begin(self, now: float) -> float:
+        """Begin a wait; return the event loop time in seconds at which it ends.
 
         Time before the first wait, as for opening the connection, does not count: the
         target had nothing to answer.
         """
-        if self._until is None:
-            self._until = now + self.seconds
-        return self._until
+        if self.until is None:
+            self.until = now + self.seconds
+        return self.until
 
 
 class SoftTimeoutScope:
@@ -57,7 +60,7 @@
     :raises TimeoutError: at ``end``, or once the target may be left
     """
 
-    __slots__ = ("_is_path_lost", "_scope", "_soft_timeout", "_timer")
+    __slots__ = ("_due", "_is_path_lost", "_scope", "_soft_timeout", "_timer")
 
     def __init__(
         self,
@@ -69,19 +72,39 @@
         self._soft_timeout = soft_timeout
         self._is_path_lost = is_path_lost
         self._timer: asyncio.Handle | None = None
+        #: event loop time in seconds at which the timer is due
+        self._due = math.inf
 
-    async def __aenter__(self) -> None:
+    def reschedule(self, until: float) -> None:
+        """Change the time of the soft timeout, as the target has gone on.
+
+        A later time costs an assignment: the timer looks at it when it is due. A new
+        timer for each token would take a tenth of the processor time of a stream.
+        """
+        assert self._soft_timeout is not None
+        self._soft_timeout.until = until
+        if until < self._due:
+            self._set_timer(until)
+
+    async def __aenter__(self) -> SoftTimeoutScope:
         await self._scope.__aenter__()
         if self._soft_timeout is not None:
-            loop = asyncio.get_running_loop()
-            end = self._soft_timeout.find_end(loop.time())
-            self._timer = loop.call_at(end, self._read_first)
+            now = asyncio.get_running_loop().time()
+            self._set_timer(self._soft_timeout.begin(now))
+        return self
 
     async def __aexit__(self, kind, error, traceback) -> bool | None:
         if self._timer is not None:
             self._timer.cancel()
         return await self._scope.__aexit__(kind, error, traceback)
 
+    def _set_timer(self, due: float) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._due = due
+        if due < math.inf:
+            self._timer = asyncio.get_running_loop().call_at(due, self._read_first)
+
     def _read_first(self, turns: int = READING_TURNS) -> None:
         # a loop that stood still finds the timer due along with data of the target
         loop = asyncio.get_running_loop()
@@ -94,8 +117,11 @@
         if self._scope.expired():
             return
         loop = asyncio.get_running_loop()
+        if loop.time() < self._soft_timeout.until:
+            self._set_timer(self._soft_timeout.until)
+            return
         asked, self._soft_timeout.asked = self._soft_timeout.asked, True
         if self._soft_timeout.may_leave(asked, self._is_path_lost()):
             self._scope.reschedule(loop.time())
             return
-        self._timer = loop.call_later(ASK_INTERVAL, self._read_first)
+        self._set_timer(loop.time() + ASK_INTERVAL)
