Send requests to targets by their destination

TargetConnectionPool.send took the parts of a Destination one by one and put them together; callers pass create_destination(target) now, or the destination itself where the target may no longer be listed.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/maker_calls.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/maker_calls.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from .target_connections import NotSentError, TargetResponseError
+from .target_dialers import create_destination
 
 if TYPE_CHECKING:
     from greengagelatch.clock import Clock
@@ -120,17 +121,13 @@
             return self._codec.encode_pieces(pieces, remaining, target.incarnation)
 
         reply = await self._connections.send(
-            incarnation=target.incarnation,
-            address=target.address,
-            outbound=encode(started),
+            create_destination(target, _intersect_data_centres(call)),
+            encode(started),
             # on a reused connection, a late answer could be taken for this call's
             fresh=True,
             timeout=call_timeout,
             encode_again=lambda: encode(self._clock.now()),
             may_send=lambda: self._may_send(maker, call),
-            service=target.service,
-            data_centre=target.data_centre,
-            data_centres=_intersect_data_centres(call),
         )
         try:
             head = self._codec.read_head(reply)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/result_releaser.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/result_releaser.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from .target_connections import NotSentError, TargetResponseError
+from .target_dialers import Destination
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -121,14 +122,14 @@
     ) -> None:
         try:
             reply = await self._connections.send(
-                incarnation=incarnation,
-                address=address,
-                outbound=self._codec.encode_release(handles, incarnation),
+                Destination(
+                    incarnation=incarnation, address=address, service=self._service
+                ),
+                self._codec.encode_release(handles, incarnation),
                 fresh=False,
                 timeout=FREE_TIMEOUT,
                 # a draining maker holds its results until it stops
                 may_send=lambda: self._may_send(incarnation),
-                service=self._service,
             )
             await reply.read(MAX_ANSWER_BYTES)
             if self._target_table.is_available(incarnation):
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
@@ -14,10 +14,9 @@
 from aiohttp.http_exceptions import HttpProcessingError
 
 from greengagelatch.relay.connection_loss import ConnectionLossRule
-from greengagelatch.relay.incarnations import Incarnation
 
 from .soft_timeout import SoftTimeoutScope
-from .target_dialers import Destination, DialError, TunnelLostError
+from .target_dialers import DialError, TunnelLostError
 from .tunnel_transport import TUNNELLED
 
 if TYPE_CHECKING:
@@ -27,11 +26,12 @@
     from aiohttp.http import RawResponseMessage
 
     from greengagelatch.clock import Clock
+    from greengagelatch.relay.incarnations import Incarnation
 
     from ..metrics import Metrics
     from .messages import OutboundRequest
     from .soft_timeout import SoftTimeout
-    from .target_dialers import TargetDialer
+    from .target_dialers import Destination, TargetDialer
 
 __all__ = (
     "TargetResponseError",
@@ -225,18 +225,14 @@
 
     async def send(
         self,
-        *,
-        incarnation: Incarnation,
-        address: str,
+        destination: Destination,
         outbound: OutboundRequest,
+        *,
         fresh: bool,
         timeout: float,
         encode_again: Callable[[], OutboundRequest] | None = None,
         soft_timeout: SoftTimeout | None = None,
         may_send: Callable[[], bool] | None = None,
-        service: str = "",
-        data_centre: str = "",
-        data_centres: frozenset[str] | None = None,
     ) -> TargetResponse:
         """Write a request and wait for the head of its response.
 
@@ -247,25 +243,15 @@
             the deadline that the request states is closer by then
         :param soft_timeout: when a target that is silent may be left before that
         :param may_send: checked once connected, and again before pooling the connection
-        :param service: service of the target
-        :param data_centre: data centre of the target
-        :param data_centres: those of the instances that the request may pass;
-            ``None``: all
         :raises NotSentError: if no byte was sent
         :raises TargetResponseError: if the request was written without a response
         """
+        incarnation = destination.incarnation
         loop = asyncio.get_running_loop()
         started = loop.time()
         end = started + timeout
         connection = None if fresh else self._checkout(incarnation)
         if connection is None:
-            destination = Destination(
-                incarnation=incarnation,
-                address=address,
-                service=service,
-                data_centre=data_centre,
-                data_centres=data_centres,
-            )
             connection = await self._open(destination, min(timeout, DIAL_TIMEOUT))
         if encode_again is not None and loop.time() - started > SLOW_DIAL_SECONDS:
             outbound = encode_again()
@@ -287,7 +273,7 @@
             return not connection.tunnelled and not self._is_reachable(incarnation)
 
         try:
-            data = _serialize(outbound, address)
+            data = _serialize(outbound, destination.address)
             self._metrics.count("links.bytes_out", len(data))
             connection.transport.write(data)
             async with SoftTimeoutScope(end, soft_timeout, is_path_lost):
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_dialers.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_dialers.py
@@ -66,13 +66,20 @@
     data_centres: frozenset[str] | None = None
 
 
-def create_destination(target: ListedTarget) -> Destination:
-    """Return the destination of a connection that carries no caller's data."""
+def create_destination(
+    target: ListedTarget, data_centres: frozenset[str] | None = None
+) -> Destination:
+    """Return the destination of a connection to a target.
+
+    :param data_centres: those of the instances that may carry a caller's data;
+        ``None``: all, or the connection carries none
+    """
     return Destination(
         incarnation=target.incarnation,
         address=target.address,
         service=target.service,
         data_centre=target.data_centre,
+        data_centres=data_centres,
     )
 
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_sender.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_sender.py
@@ -10,6 +10,7 @@
 from greengagelatch.verdict import Verdict
 
 from .target_connections import NotSentError, TargetResponseError
+from .target_dialers import create_destination
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -108,9 +109,8 @@
 
         try:
             response = await self._connections.send(
-                incarnation=incarnation,
-                address=target.address,
-                outbound=self._codec.encode_request(exchange.request, call),
+                create_destination(target, exchange.data_centres),
+                self._codec.encode_request(exchange.request, call),
                 fresh=fresh,
                 timeout=timeout,
                 encode_again=encode_again,
@@ -118,9 +118,6 @@
                 may_send=lambda: (
                     self._target_table.is_available(incarnation) and may_send()
                 ),
-                service=target.service,
-                data_centre=target.data_centre,
-                data_centres=exchange.data_centres,
             )
         except NotSentError as error:
             exchange.unsent += 1
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/models.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/models.py
@@ -17,6 +17,7 @@
     from collections.abc import Callable
 
     from greengagelatch.relay.pieces import Piece
+    from greengagelatch_entry.relay.target_dialers import Destination
 
     from .network import ModelHost
     from .shapes import MakerShape, StageShape
@@ -241,8 +242,11 @@
         """Return these connections charged to the host of one instance."""
         return _HostConnections(self, host)
 
-    async def send(self, *, address: str, outbound: OutboundRequest, **_) -> _Reply:
+    async def send(
+        self, destination: Destination, outbound: OutboundRequest, **_
+    ) -> _Reply:
         """Execute a call and return its response."""
+        address = destination.address
         maker = self._makers[address]
         if maker.lost:
             await asyncio.sleep(CONNECT_TIMEOUT)
@@ -271,10 +275,12 @@
         self._connections = connections
         self._host = host
 
-    async def send(self, *, outbound: OutboundRequest, **details) -> _Reply:
+    async def send(
+        self, destination: Destination, outbound: OutboundRequest, **details
+    ) -> _Reply:
         await self._host.work(CALL_CPU_SECONDS)
         await self._host.send(_estimate_size(outbound))
-        reply = await self._connections.send(outbound=outbound, **details)
+        reply = await self._connections.send(destination, outbound, **details)
         await self._host.work(CALL_CPU_SECONDS)
         return reply
 
--- a/tests/test_entry/test_relay/test_makers.py
+++ b/tests/test_entry/test_relay/test_makers.py
@@ -138,8 +138,8 @@
     """Guard against pieces that leave the region of their request by a shared call."""
     passed = []
 
-    async def send(**details):
-        passed.append(details)
+    async def send(destination, outbound, **details):
+        passed.append(destination)
         raise NotSentError("not sent")
 
     now = world.clock.now()
@@ -168,7 +168,7 @@
     world.maker.start_call(len(rows), now)
     call = PlannedCall(Incarnation("m", 1), rows)
     assert (await caller.call(world.maker, call, CALL_TIMEOUT, now)).outcome == UNSENT
-    (details,) = passed
-    assert details["data_centres"] == expected
-    assert details["service"] == "ledger"
-    assert details["data_centre"] == "north"
+    (destination,) = passed
+    assert destination.data_centres == expected
+    assert destination.service == "ledger"
+    assert destination.data_centre == "north"
--- a/tests/test_entry/test_relay/test_result_releaser.py
+++ b/tests/test_entry/test_relay/test_result_releaser.py
@@ -29,8 +29,8 @@
         #: services that connections were asked for
         self.services: set[str] = set()
 
-    async def send(self, *, outbound, service="", **_):
-        self.services.add(service)
+    async def send(self, destination, outbound, **_):
+        self.services.add(destination.service)
         self.sent.extend(outbound.body)
         await asyncio.sleep(self.seconds)
         self.freed.extend(outbound.body)
--- a/tests/test_entry/test_relay/test_target_connections.py
+++ b/tests/test_entry/test_relay/test_target_connections.py
@@ -11,7 +11,7 @@
 from greengagelatch.relay.incarnations import Incarnation
 from greengagelatch_entry.relay.messages import OutboundRequest
 from greengagelatch_entry.relay.target_connections import TargetResponseError
-from greengagelatch_entry.relay.target_dialers import TargetDialer
+from greengagelatch_entry.relay.target_dialers import Destination, TargetDialer
 
 from .conftest import read_rule
 
@@ -82,6 +82,11 @@
     return await asyncio.start_server(serve, sock=listener)
 
 
+def create_destination(target_id: str, port: int) -> Destination:
+    """Return the destination of a target that is not listed."""
+    return Destination(incarnation=Incarnation(target_id), address=f"127.0.0.1:{port}")
+
+
 async def test_request_outlasts_a_target_that_stops_reading(world):
     """Guards against a kernel that drops a connection with a zero window.
 
@@ -91,9 +96,8 @@
     async with await start_halted_target() as server:
         _, port = server.sockets[0].getsockname()
         response = await pool.send(
-            incarnation=Incarnation("halted"),
-            address=f"127.0.0.1:{port}",
-            outbound=OutboundRequest(method="POST", target="/", body=bytes(LARGE_BODY)),
+            create_destination("halted", port),
+            OutboundRequest(method="POST", target="/", body=bytes(LARGE_BODY)),
             fresh=True,
             timeout=20,
         )
@@ -123,9 +127,8 @@
         _, port = server.sockets[0].getsockname()
         with pytest.raises(TargetResponseError, match="ECONNRESET") as lost:
             response = await pool.send(
-                incarnation=Incarnation("resetting"),
-                address=f"127.0.0.1:{port}",
-                outbound=OutboundRequest(method="GET", target="/"),
+                create_destination("resetting", port),
+                OutboundRequest(method="GET", target="/"),
                 fresh=True,
                 timeout=20,
             )
--- a/tests/test_entry/test_relay/test_tunnels.py
+++ b/tests/test_entry/test_relay/test_tunnels.py
@@ -704,9 +704,8 @@
     """Send a request; return its task and the connection at the target."""
     task = asyncio.create_task(
         pool.send(
-            incarnation=TARGET,
-            address=world.target.address,
-            outbound=OutboundRequest(method="GET", target="/"),
+            Destination(incarnation=TARGET, address=world.target.address),
+            OutboundRequest(method="GET", target="/"),
             fresh=False,
             timeout=TIMEOUT,
         )
