Give responses of targets a module of their own

target_connections.py (442 lines) holds the pool now; the connection, which parses responses, and the response are in target_responses.py, the socket options that the store's connections use as well in socket_options.py. Tests only import from there; the connection's class is no longer private, as another module uses it.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/codecs.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/codecs.py
@@ -16,7 +16,7 @@
     from greengagelatch.relay.targets import ListedTarget
 
     from .messages import AttemptContext, OutboundRequest, ResponseHead
-    from .target_connections import TargetResponse
+    from .target_responses import TargetResponse
 
 __all__ = (
     "CallerCodec",
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/maker_calls.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/maker_calls.py
@@ -7,8 +7,9 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from .target_connections import NotSentError, TargetResponseError
+from .target_connections import NotSentError
 from .target_dialers import create_destination
+from .target_responses import TargetResponseError
 
 if TYPE_CHECKING:
     from greengagelatch.clock import Clock
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/result_releaser.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/result_releaser.py
@@ -5,8 +5,9 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from .target_connections import NotSentError, TargetResponseError
+from .target_connections import NotSentError
 from .target_dialers import Destination
+from .target_responses import TargetResponseError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/socket_options.py
@@ -0,0 +1,33 @@
+"""Options of sockets by which the kernel detects a peer that vanished silently."""
+
+from __future__ import annotations
+
+import socket
+
+from greengagelatch.relay.connection_loss import ConnectionLossRule
+
+__all__ = ("LOSS_RULE", "configure_socket")
+
+#: when the kernel drops a connection to a silent target
+LOSS_RULE = ConnectionLossRule(
+    user_timeout=5.0, probe_idle=1, probe_interval=1, probe_count=4
+)
+
+
+def configure_socket(connection: socket.socket, rule: ConnectionLossRule) -> None:
+    """Configure the kernel to detect a peer that vanished silently.
+
+    A connection across a partition, or one whose state a middlebox has lost, accepts
+    writes but never delivers a response. Without detection, a request on it would
+    wait until its deadline.
+    """
+    options = (
+        (socket.TCP_NODELAY, 1),
+        (socket.TCP_USER_TIMEOUT, int(rule.user_timeout * 1000)),
+        (socket.TCP_KEEPIDLE, rule.probe_idle),
+        (socket.TCP_KEEPINTVL, rule.probe_interval),
+        (socket.TCP_KEEPCNT, rule.probe_count),
+    )
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in options:
+        connection.setsockopt(socket.IPPROTO_TCP, option, value)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -18,7 +18,7 @@
 from .refusals import create_error
 from .runners import Runner
 from .soft_timeout import SoftTimeout, SoftTimeoutScope
-from .target_connections import TargetResponseError
+from .target_responses import TargetResponseError
 from .target_sender import STATUS_CONFLICT, FailedSend, ReceivedResponse
 
 if TYPE_CHECKING:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
@@ -3,26 +3,24 @@
 from __future__ import annotations
 
 import asyncio
-import errno
-import socket
 from collections import defaultdict
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from aiohttp import ClientError
-from aiohttp.client_proto import ResponseHandler
 from aiohttp.http_exceptions import HttpProcessingError
 
-from greengagelatch.relay.connection_loss import ConnectionLossRule
-
 from .soft_timeout import SoftTimeoutScope
-from .target_dialers import DialError, TunnelLostError
-from .tunnel_transport import TUNNELLED
+from .target_dialers import DialError
+from .target_responses import (
+    TargetConnection,
+    TargetResponse,
+    TargetResponseError,
+    create_response_error,
+)
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Callable
+    from collections.abc import Callable
 
-    from aiohttp import StreamReader
     from aiohttp.http import RawResponseMessage
 
     from greengagelatch.clock import Clock
@@ -33,13 +31,7 @@
     from .soft_timeout import SoftTimeout
     from .target_dialers import Destination, TargetDialer
 
-__all__ = (
-    "TargetResponseError",
-    "NotSentError",
-    "TargetConnectionPool",
-    "TargetResponse",
-    "configure_socket",
-)
+__all__ = ("NotSentError", "TargetConnectionPool")
 
 #: seconds for opening a connection, directly or through peers. Without the timeout, a
 #: target behind a partition holds a request until its deadline
@@ -50,14 +42,6 @@
 MAX_IDLE_SECONDS = 3.0
 #: fraction of the idle timeout announced by a target that is used
 KEEP_ALIVE_FRACTION = 0.5
-#: when the kernel drops a connection to a silent target
-LOSS_RULE = ConnectionLossRule(
-    user_timeout=5.0, probe_idle=1, probe_interval=1, probe_count=4
-)
-#: size in bytes of the read buffer for a response
-READ_BUFFER_BYTES = 256 * 1024
-MAX_HEADER_BYTES = 32_768
-
 #: targets for which the time of the last request for an idle connection is kept
 MAX_TRACKED_TARGETS = 1024
 
@@ -66,133 +50,6 @@
     """No byte of the request was sent to the target."""
 
 
-class TargetResponseError(Exception):
-    """A response is missing or incomplete; the request may have run.
-
-    :param broken: whether the target closed or reset the connection
-    :param path_lost: whether the connection was direct and the target is reached
-        through peers only now, so that it may be well
-    """
-
-    def __init__(
-        self, message: str, *, broken: bool = False, path_lost: bool = False
-    ) -> None:
-        super().__init__(message)
-        self.broken = broken
-        self.path_lost = path_lost
-
-
-def configure_socket(connection: socket.socket, rule: ConnectionLossRule) -> None:
-    """Configure the kernel to detect a peer that vanished silently.
-
-    A connection across a partition, or one whose state a middlebox has lost, accepts
-    writes but never delivers a response. Without detection, a request on it would
-    wait until its deadline.
-    """
-    options = (
-        (socket.TCP_NODELAY, 1),
-        (socket.TCP_USER_TIMEOUT, int(rule.user_timeout * 1000)),
-        (socket.TCP_KEEPIDLE, rule.probe_idle),
-        (socket.TCP_KEEPINTVL, rule.probe_interval),
-        (socket.TCP_KEEPCNT, rule.probe_count),
-    )
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    for option, value in options:
-        connection.setsockopt(socket.IPPROTO_TCP, option, value)
-
-
-class _TargetConnection(ResponseHandler):
-    """One connection; records whether it was reset."""
-
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        super().__init__(loop)
-        #: error that ended it; ``None`` while it is open and after an orderly close
-        self.loss: BaseException | None = None
-        #: monotonic time in seconds until which it may be reused
-        self.reusable_until = 0.0
-        #: whether a peer carries it
-        self.tunnelled = False
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        super().connection_made(transport)
-        self.tunnelled = bool(transport.get_extra_info(TUNNELLED))
-        configure_socket(transport.get_extra_info("socket"), LOSS_RULE)
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        # the parser takes the end of the connection for the end of a response without
-        # a length, even if a reset truncated it
-        self.loss = exc
-        super().connection_lost(exc)
-
-    @property
-    def reusable(self) -> bool:
-        """Whether it is direct and no data of an earlier request is left on it."""
-        if not self.is_connected() or self.should_close:
-            return False
-        # once idle, a tunnel would hold up a planned stop of the peer that carries it
-        if self.tunnelled:
-            return False
-        return self.transport.get_write_buffer_size() == 0
-
-
-@dataclass(slots=True)
-class TargetResponse:
-    """A response whose head was received; it must be released or aborted."""
-
-    message: RawResponseMessage
-    content: StreamReader
-    _connection: _TargetConnection
-    _release: Callable[[_TargetConnection, RawResponseMessage], None]
-    #: returns whether the connection is direct although its target is reached through
-    #: peers only
-    is_path_lost: Callable[[], bool]
-
-    async def iterate(self) -> AsyncIterator[bytes]:
-        """Yield the body as it arrives.
-
-        :raises TargetResponseError: if the body is truncated
-        """
-        try:
-            while chunk := await self.content.readany():
-                yield chunk
-        except (ClientError, HttpProcessingError, OSError) as error:
-            raise _create_error(
-                "response truncated", error, self._connection.loss, self.is_path_lost()
-            ) from error
-        if self._connection.loss is not None and not self._is_framed():
-            raise TargetResponseError(
-                "connection reset during a response without a length",
-                broken=not isinstance(self._connection.loss, TunnelLostError),
-                path_lost=self.is_path_lost(),
-            )
-
-    async def read(self, limit: int) -> bytes:
-        """Return the complete body.
-
-        :raises TargetResponseError: if it is truncated or exceeds ``limit`` bytes
-        """
-        chunks = []
-        size = 0
-        async for chunk in self.iterate():
-            size += len(chunk)
-            if size > limit:
-                raise TargetResponseError(f"response exceeds {limit} bytes")
-            chunks.append(chunk)
-        return b"".join(chunks)
-
-    def release(self) -> None:
-        """Return the connection to the pool if it is reusable."""
-        self._release(self._connection, self.message)
-
-    def abort(self) -> None:
-        """Close the connection immediately; the target may cancel its work."""
-        self._connection.abort()
-
-    def _is_framed(self) -> bool:
-        headers = self.message.headers
-        return self.message.chunked or "Content-Length" in headers
-
-
 class TargetConnectionPool:
     """Pools connections by the incarnation of their target.
 
@@ -219,7 +76,7 @@
         self._find_idle_limit = find_idle_limit
         self._clock = clock
         self._metrics = metrics
-        self._idle: dict[Incarnation, list[_TargetConnection]] = defaultdict(list)
+        self._idle: dict[Incarnation, list[TargetConnection]] = defaultdict(list)
         #: monotonic time in seconds at which an idle connection was last requested
         self._last_requested: dict[Incarnation, float] = {}
 
@@ -260,14 +117,7 @@
             raise NotSentError(
                 "the target is leaving, or inputs of the request are lost"
             )
-        connection.set_response_params(
-            skip_payload=outbound.method == "HEAD",
-            read_until_eof=True,
-            auto_decompress=False,
-            read_bufsize=READ_BUFFER_BYTES,
-            max_line_size=MAX_HEADER_BYTES,
-            max_field_size=MAX_HEADER_BYTES,
-        )
+        connection.expect_response(outbound.method)
 
         def is_path_lost() -> bool:
             return not connection.tunnelled and not self._is_reachable(incarnation)
@@ -277,7 +127,7 @@
             self._metrics.count("links.bytes_out", len(data))
             connection.transport.write(data)
             async with SoftTimeoutScope(end, soft_timeout, is_path_lost):
-                message, content = await self._read_head(connection)
+                message, content = await connection.read_head()
         except TimeoutError:
             connection.abort()
             raise TargetResponseError(
@@ -285,7 +135,7 @@
             ) from None
         except (ClientError, HttpProcessingError, OSError) as error:
             connection.abort()
-            raise _create_error(
+            raise create_response_error(
                 "no response", error, connection.loss, is_path_lost()
             ) from error
         except BaseException:
@@ -314,34 +164,21 @@
         """Return the number of idle connections."""
         return sum(len(connections) for connections in self._idle.values())
 
-    async def _read_head(
-        self, connection: _TargetConnection
-    ) -> tuple[RawResponseMessage, StreamReader]:
-        while True:
-            message, content = await connection.read()
-            # skip informational responses such as 100
-            if message.code >= 200:
-                return message, content
-
-    async def _open(
-        self, destination: Destination, timeout: float
-    ) -> _TargetConnection:
+    async def _open(self, destination: Destination, timeout: float) -> TargetConnection:
         try:
             return await self._dial(destination, timeout)
         except DialError as error:
             raise NotSentError(str(error)) from error
 
-    async def _dial(
-        self, destination: Destination, timeout: float
-    ) -> _TargetConnection:
+    async def _dial(self, destination: Destination, timeout: float) -> TargetConnection:
         loop = asyncio.get_running_loop()
         connection = await self._dialer.dial(
-            destination, lambda: _TargetConnection(loop), timeout
+            destination, lambda: TargetConnection(loop), timeout
         )
-        assert isinstance(connection, _TargetConnection)
+        assert isinstance(connection, TargetConnection)
         return connection
 
-    def _checkout(self, incarnation: Incarnation) -> _TargetConnection | None:
+    def _checkout(self, incarnation: Incarnation) -> TargetConnection | None:
         connections = self._idle.get(incarnation)
         now = self._clock.now()
         self._record_demand(incarnation, now)
@@ -355,7 +192,7 @@
     def _keep_idle(
         self,
         incarnation: Incarnation,
-        connection: _TargetConnection,
+        connection: TargetConnection,
         seconds: float = MAX_IDLE_SECONDS,
     ) -> None:
         connections = self._idle[incarnation]
@@ -389,7 +226,7 @@
     def _release(
         self,
         incarnation: Incarnation,
-        connection: _TargetConnection,
+        connection: TargetConnection,
         message: RawResponseMessage,
         may_send: Callable[[], bool] | None,
     ) -> None:
@@ -405,24 +242,6 @@
         self._keep_idle(incarnation, connection, seconds)
 
 
-def _create_error(
-    what: str, error: Exception, loss: BaseException | None, path_lost: bool
-) -> TargetResponseError:
-    """Create the error of a lost response.
-
-    :param loss: error that ended the connection; ``None`` if there was none
-    """
-    # malformed data comes from a live process, and the loss of a peer that carried the
-    # connection says nothing about the target
-    malformed = isinstance(error, HttpProcessingError)
-    broken = not malformed and not isinstance(loss, TunnelLostError)
-    reason = f"{what}: {type(error).__name__}"
-    code = getattr(loss, "errno", None)
-    if code in errno.errorcode:
-        reason += f" ({errno.errorcode[code]})"
-    return TargetResponseError(reason, broken=broken, path_lost=path_lost)
-
-
 def _parse_idle_seconds(text: str) -> float:
     """Return for how many seconds the connection may be reused after a response."""
     for part in text.split(","):
--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_responses.py
@@ -0,0 +1,178 @@
+"""Responses of targets, and the connections on which they arrive."""
+
+from __future__ import annotations
+
+import errno
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from aiohttp import ClientError
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.http_exceptions import HttpProcessingError
+
+from .socket_options import LOSS_RULE, configure_socket
+from .target_dialers import TunnelLostError
+from .tunnel_transport import TUNNELLED
+
+if TYPE_CHECKING:
+    import asyncio
+    from collections.abc import AsyncIterator, Callable
+
+    from aiohttp import StreamReader
+    from aiohttp.http import RawResponseMessage
+
+__all__ = (
+    "TargetConnection",
+    "TargetResponse",
+    "TargetResponseError",
+    "create_response_error",
+)
+
+#: size in bytes of the read buffer for a response
+READ_BUFFER_BYTES = 256 * 1024
+MAX_HEADER_BYTES = 32_768
+
+
+class TargetResponseError(Exception):
+    """A response is missing or incomplete; the request may have run.
+
+    :param broken: whether the target closed or reset the connection
+    :param path_lost: whether the connection was direct and the target is reached
+        through peers only now, so that it may be well
+    """
+
+    def __init__(
+        self, message: str, *, broken: bool = False, path_lost: bool = False
+    ) -> None:
+        super().__init__(message)
+        self.broken = broken
+        self.path_lost = path_lost
+
+
+class TargetConnection(ResponseHandler):
+    """One connection; records whether it was reset."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        #: error that ended it; ``None`` while it is open and after an orderly close
+        self.loss: BaseException | None = None
+        #: monotonic time in seconds until which it may be reused
+        self.reusable_until = 0.0
+        #: whether a peer carries it
+        self.tunnelled = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self.tunnelled = bool(transport.get_extra_info(TUNNELLED))
+        configure_socket(transport.get_extra_info("socket"), LOSS_RULE)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        # the parser takes the end of the connection for the end of a response without
+        # a length, even if a reset truncated it
+        self.loss = exc
+        super().connection_lost(exc)
+
+    @property
+    def reusable(self) -> bool:
+        """Whether it is direct and no data of an earlier request is left on it."""
+        if not self.is_connected() or self.should_close:
+            return False
+        # once idle, a tunnel would hold up a planned stop of the peer that carries it
+        if self.tunnelled:
+            return False
+        return self.transport.get_write_buffer_size() == 0
+
+    def expect_response(self, method: str) -> None:
+        """Prepare for the response to a request that is about to be written."""
+        self.set_response_params(
+            skip_payload=method == "HEAD",
+            read_until_eof=True,
+            auto_decompress=False,
+            read_bufsize=READ_BUFFER_BYTES,
+            max_line_size=MAX_HEADER_BYTES,
+            max_field_size=MAX_HEADER_BYTES,
+        )
+
+    async def read_head(self) -> tuple[RawResponseMessage, StreamReader]:
+        """Return the head of the response and the reader of its body."""
+        while True:
+            message, content = await self.read()
+            # skip informational responses such as 100
+            if message.code >= 200:
+                return message, content
+
+
+@dataclass(slots=True)
+class TargetResponse:
+    """A response whose head was received; it must be released or aborted."""
+
+    message: RawResponseMessage
+    content: StreamReader
+    _connection: TargetConnection
+    _release: Callable[[TargetConnection, RawResponseMessage], None]
+    #: returns whether the connection is direct although its target is reached through
+    #: peers only
+    is_path_lost: Callable[[], bool]
+
+    async def iterate(self) -> AsyncIterator[bytes]:
+        """Yield the body as it arrives.
+
+        :raises TargetResponseError: if the body is truncated
+        """
+        try:
+            while chunk := await self.content.readany():
+                yield chunk
+        except (ClientError, HttpProcessingError, OSError) as error:
+            raise create_response_error(
+                "response truncated", error, self._connection.loss, self.is_path_lost()
+            ) from error
+        if self._connection.loss is not None and not self._is_framed():
+            raise TargetResponseError(
+                "connection reset during a response without a length",
+                broken=not isinstance(self._connection.loss, TunnelLostError),
+                path_lost=self.is_path_lost(),
+            )
+
+    async def read(self, limit: int) -> bytes:
+        """Return the complete body.
+
+        :raises TargetResponseError: if it is truncated or exceeds ``limit`` bytes
+        """
+        chunks = []
+        size = 0
+        async for chunk in self.iterate():
+            size += len(chunk)
+            if size > limit:
+                raise TargetResponseError(f"response exceeds {limit} bytes")
+            chunks.append(chunk)
+        return b"".join(chunks)
+
+    def release(self) -> None:
+        """Return the connection to the pool if it is reusable."""
+        self._release(self._connection, self.message)
+
+    def abort(self) -> None:
+        """Close the connection immediately; the target may cancel its work."""
+        self._connection.abort()
+
+    def _is_framed(self) -> bool:
+        headers = self.message.headers
+        return self.message.chunked or "Content-Length" in headers
+
+
+def create_response_error(
+    what: str, error: Exception, loss: BaseException | None, path_lost: bool
+) -> TargetResponseError:
+    """Create the error of a lost response.
+
+    :param loss: error that ended the connection; ``None`` if there was none
+    """
+    # malformed data comes from a live process, and the loss of a peer that carried the
+    # connection says nothing about the target
+    malformed = isinstance(error, HttpProcessingError)
+    broken = not malformed and not isinstance(loss, TunnelLostError)
+    reason = f"{what}: {type(error).__name__}"
+    code = getattr(loss, "errno", None)
+    if code in errno.errorcode:
+        reason += f" ({errno.errorcode[code]})"
+    return TargetResponseError(reason, broken=broken, path_lost=path_lost)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_sender.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_sender.py
@@ -9,8 +9,9 @@
 from greengagelatch.relay.outcomes import SendOutcome
 from greengagelatch.verdict import Verdict
 
-from .target_connections import NotSentError, TargetResponseError
+from .target_connections import NotSentError
 from .target_dialers import create_destination
+from .target_responses import TargetResponseError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -25,7 +26,8 @@
     from .exchange import RelayExchange
     from .messages import AttemptContext, OutboundRequest, ResponseHead
     from .soft_timeout import SoftTimeout
-    from .target_connections import TargetConnectionPool, TargetResponse
+    from .target_connections import TargetConnectionPool
+    from .target_responses import TargetResponse
 
 __all__ = ("ReceivedResponse", "TargetSender", "FailedSend")
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_streams.py
@@ -6,7 +6,7 @@
 from collections import deque
 from typing import cast
 
-from .target_connections import LOSS_RULE, configure_socket
+from .socket_options import LOSS_RULE, configure_socket
 
 __all__ = ("TargetStream",)
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/unary.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/unary.py
@@ -13,7 +13,7 @@
 from .messages import AttemptContext
 from .runners import Runner
 from .soft_timeout import SoftTimeout, SoftTimeoutScope
-from .target_connections import TargetResponseError
+from .target_responses import TargetResponseError
 from .target_sender import FailedSend, ReceivedResponse
 
 if TYPE_CHECKING:
--- a/tests/test_entry/test_relay/test_guards.py
+++ b/tests/test_entry/test_relay/test_guards.py
@@ -17,9 +17,7 @@
 from greengagelatch_entry.relay.crash_evidence import RefusalEvidence
 from greengagelatch_entry.relay.event_splitter import EventSplitter
 from greengagelatch_entry.relay.front import RelayFront
-from greengagelatch_entry.relay.target_connections import (
-    _TargetConnection,
-)
+from greengagelatch_entry.relay.target_responses import TargetConnection
 from greengagelatch_lab.platform_standins.targets import TargetFault
 from greengagelatch_platform import headers
 from greengagelatch_platform.listing import PlatformListingCodec
@@ -55,12 +53,12 @@
 
 
 async def test_reset_is_distinguished_from_an_orderly_close(world, monkeypatch):
-    connection_lost = _TargetConnection.connection_lost
+    connection_lost = TargetConnection.connection_lost
 
     def close_in_order(self, exc):
         connection_lost(self, None)
 
-    monkeypatch.setattr(_TargetConnection, "connection_lost", close_in_order)
+    monkeypatch.setattr(TargetConnection, "connection_lost", close_in_order)
     set_fault(world, TargetFault.UNFRAMED_RESET)
     reply = await world.ask("/book/1", method="POST", request_id="b-1")
     assert reply.status == 200
--- a/tests/test_entry/test_relay/test_target_connections.py
+++ b/tests/test_entry/test_relay/test_target_connections.py
@@ -10,8 +10,8 @@
 
 from greengagelatch.relay.incarnations import Incarnation
 from greengagelatch_entry.relay.messages import OutboundRequest
-from greengagelatch_entry.relay.target_connections import TargetResponseError
 from greengagelatch_entry.relay.target_dialers import Destination, TargetDialer
+from greengagelatch_entry.relay.target_responses import TargetResponseError
 
 from .conftest import read_rule
 
--- a/tests/test_entry/test_relay/test_tunnels.py
+++ b/tests/test_entry/test_relay/test_tunnels.py
@@ -37,10 +37,7 @@
 from greengagelatch_entry.relay.decisions import DecisionLog
 from greengagelatch_entry.relay.messages import OutboundRequest
 from greengagelatch_entry.relay.prometheus import PrometheusMetrics
-from greengagelatch_entry.relay.target_connections import (
-    TargetConnectionPool,
-    TargetResponseError,
-)
+from greengagelatch_entry.relay.target_connections import TargetConnectionPool
 from greengagelatch_entry.relay.target_dialers import (
     Destination,
     DialError,
@@ -49,6 +46,7 @@
     TargetDialer,
     TunnelLostError,
 )
+from greengagelatch_entry.relay.target_responses import TargetResponseError
 from greengagelatch_entry.relay.target_streams import MAX_BUFFERED_BYTES
 from greengagelatch_entry.relay.tunnel_dialer import (
     PeerTunnelDialer,
