--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -15,6 +15,7 @@
 from .event_splitter import EventSplitter
 from .input_fetch_timer import InputFetchTimer
 from .messages import AttemptContext
+from .prefill_tracker import PrefillTracker
 from .refusals import create_error
 from .runners import Runner
 from .soft_timeout import SoftTimeout, SoftTimeoutScope
@@ -26,7 +27,6 @@
 
     from greengagelatch.relay.admission import RouteAdmission
     from greengagelatch.relay.incarnations import Incarnation
-    from greengagelatch.relay.load_balancer import LoadBalancer
     from greengagelatch.relay.targets import ListedTarget
 
     from .codecs import TargetCodec
@@ -206,7 +206,7 @@
         )
         self._sent_at = now
         self._first_event_at = None
-        prefill = _PrefillTracker(runner.load_balancer, target.incarnation, tokens)
+        prefill = PrefillTracker(runner.load_balancer, target.incarnation, tokens)
         fetch_timer = InputFetchTimer(lambda: self._release_fetched_inputs(target))
         try:
             result = await runner.sender.send(
@@ -241,7 +241,7 @@
         self._run.free()
 
     async def _forward_response(
-        self, target: ListedTarget, received: ReceivedResponse, prefill: _PrefillTracker
+        self, target: ListedTarget, received: ReceivedResponse, prefill: PrefillTracker
     ) -> FailedSend | None:
         response = received.response
         try:
@@ -264,7 +264,7 @@
         return None
 
     async def _forward_events(
-        self, target: ListedTarget, received: ReceivedResponse, prefill: _PrefillTracker
+        self, target: ListedTarget, received: ReceivedResponse, prefill: PrefillTracker
     ) -> None:
         splitter = EventSplitter()
         writer = self._exchange.writer
@@ -316,7 +316,7 @@
             ) from None
 
     def _handle_first_event(
-        self, target: ListedTarget, prefill: _PrefillTracker
+        self, target: ListedTarget, prefill: PrefillTracker
     ) -> None:
         if not prefill.finish_prefill():
             return
@@ -392,29 +392,3 @@
     def _needs_rerun(self) -> bool:
         """Return whether another target would need stage results that are released."""
         return self._inputs_released and bool(self._results.inputs)
-
-
-class _PrefillTracker:
-    """Accounts for a request at its engine: first in prefill, then in decoding."""
-
-    def __init__(
-        self, fleet: LoadBalancer, incarnation: Incarnation, tokens: float
-    ) -> None:
-        self.fleet = fleet
-        self._incarnation = incarnation
-        self._tokens = tokens
-        self._in_prefill = True
-        fleet.start(incarnation, tokens)
-
-    def finish_prefill(self) -> bool:
-        """Record the first event; return whether the request was still in prefill."""
-        if not self._in_prefill:
-            return False
-        self._in_prefill = False
-        self.fleet.finish_prefill(self._incarnation, self._tokens)
-        return True
-
-    def end(self) -> None:
-        """Record the end of the attempt."""
-        self.finish_prefill()
-        self.fleet.finish(self._incarnation)
