--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_links.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_links.py
@@ -5,16 +5,16 @@
 import asyncio
 import logging
 from abc import ABC, abstractmethod
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 from result import Err, Ok, Result
 from websockets.exceptions import WebSocketException
 
-from greengagelatch.peers.codec import PROTOCOL_VERSION, Envelope, decode, encode
-from greengagelatch.peers.messages import Hello
+from greengagelatch.peers.codec import Envelope, encode
 
 from .dial_backoff import DialBackoff
+from .handshake import Handshake, truncate_reason
 from .link_retirement import close_when_drained
 from .link_tie_break import replaces
 from .peer_link import CloseCode, Link
@@ -26,6 +26,8 @@
 
     from websockets.asyncio.server import Server
 
+    from greengagelatch.peers.messages import Hello
+
     from ..metrics import Metrics
     from .peer_sockets import Connection
 
@@ -39,9 +41,6 @@
 #: maximum number of concurrent dials
 MAX_DIALS = 16
 
-#: most bytes of the reason in a close frame
-MAX_REASON_BYTES = 123
-
 #: seconds without use after which a link may be evicted for another one
 EVICTION_IDLE_SECONDS = 2.0
 
@@ -101,7 +100,12 @@
             be higher than any that an earlier process with the same id has sent.
         """
         self._owner = owner
-        self._last_hello_number = last_hello_number
+        self._handshake = Handshake(
+            create_hello=owner.create_hello,
+            check_hello=owner.check_hello,
+            timeout=limits.open_timeout,
+            last_number=last_hello_number,
+        )
         self._limits = limits
         self._metrics = metrics
         self._traffic = Traffic()
@@ -266,19 +270,19 @@
             # side has no link, and replace the one in use
             self._spawn(connection.close(CloseCode.DUPLICATE, "duplicate"))
             return Ok(current)
-        own = self._create_hello()
+        own = self._handshake.create_hello()
         try:
             await connection.send(encode(Envelope(own)))
-            hello = await self._read_hello(connection)
+            hello = await self._handshake.read_hello(connection)
         except (TimeoutError, WebSocketException) as error:
             await connection.close()
             return Err(str(error) or type(error).__name__)
         except asyncio.CancelledError:
             connection.transport.abort()
             raise
-        problem = self._check_hello(hello, instance_id)
+        problem = self._handshake.check_hello(hello, instance_id)
         if problem or hello is None:
-            await connection.close(CloseCode.IDENTITY, _truncate_reason(problem))
+            await connection.close(CloseCode.IDENTITY, truncate_reason(problem))
             return Err(problem)
         link = Link(
             connection=connection,
@@ -302,23 +306,23 @@
             return
         self._unidentified += 1
         try:
-            hello = await self._read_hello(connection)
+            hello = await self._handshake.read_hello(connection)
         except (TimeoutError, WebSocketException):
             return
         finally:
             self._unidentified -= 1
-        problem = self._check_hello(hello, "")
+        problem = self._handshake.check_hello(hello, "")
         if problem or hello is None:
             self._metrics.count("peers.rejected")
             logger.warning("rejected link from a peer: %s", problem)
-            await connection.close(CloseCode.IDENTITY, _truncate_reason(problem))
+            await connection.close(CloseCode.IDENTITY, truncate_reason(problem))
             return
         known = hello.instance_id in self._links
         if not known and len(self._links) >= self._limits.max_links:
             self._metrics.count("peers.links_refused")
             await connection.close(CloseCode.FULL, "too many links")
             return
-        own = self._create_hello()
+        own = self._handshake.create_hello()
         link = Link(
             connection=connection,
             peer=hello,
@@ -335,31 +339,6 @@
         self._register(link)
         await self._run(link, encode(Envelope(own)))
 
-    def _create_hello(self) -> Hello:
-        self._last_hello_number += 1
-        return replace(self._owner.create_hello(), number=self._last_hello_number)
-
-    async def _read_hello(self, connection: Connection) -> Hello | None:
-        async with asyncio.timeout(self._limits.open_timeout):
-            data = await connection.recv()
-        if isinstance(data, str):
-            return None
-        match decode(data):
-            case Ok(Envelope(message=Hello() as hello)):
-                return hello
-        return None
-
-    def _check_hello(self, hello: Hello | None, dialled_id: str) -> str:
-        if hello is None:
-            return "no valid hello received"
-        if hello.protocol != PROTOCOL_VERSION:
-            return f"protocol version {hello.protocol!r}, expected {PROTOCOL_VERSION}"
-        if dialled_id and hello.instance_id != dialled_id:
-            return (
-                f"dialled instance {dialled_id!r}, but {hello.instance_id!r} answered"
-            )
-        return self._owner.check_hello(hello)
-
     # choosing one link per peer
 
     def _is_redundant(self, link: Link) -> bool:
@@ -421,7 +400,3 @@
         least_recent = min(evictable, key=lambda link: link.last_used)
         self._retire(least_recent, CloseCode.IDLE, "making room")
         return True
-
-
-def _truncate_reason(reason: str) -> str:
-    return reason.encode()[:MAX_REASON_BYTES].decode(errors="ignore")
