--- a/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from ..load.breakers import Breaker, BreakerRule, BreakerState, find_ejected
-from ..targets.subset import compute_weight
 from .brittle_targets import BrittleTargets
+from .cached_parts import CachedParts, find_affinity_target
 from .regions import is_allowed
 
 if TYPE_CHECKING:
@@ -38,10 +37,6 @@
 #: tokens whose prefill costs as much as the transfer of one byte of results to another
 #: data centre, by the price lists of both and a small surcharge for the delay
 TOKENS_PER_REMOTE_BYTE = 0.0005
-#: seconds for which a prompt part is expected to stay in an engine's prefix cache
-PART_TTL_SECONDS = 20.0
-#: most prompt parts that are tracked for one engine
-MAX_PARTS = 2048
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,8 +67,7 @@
     pending_tokens: float = 0.0
     report: LoadReport | None = None
     reported: float = 0.0
-    #: prompt parts by id, with the time of their last use; least recently used first
-    parts: OrderedDict[str, float] = field(default_factory=OrderedDict)
+    cached_parts: CachedParts = field(default_factory=CachedParts)
 
 
 class LoadBalancer:
@@ -135,7 +129,7 @@
         candidates = self._list_candidates(service, excluded, now, need.data_centres)
         if not candidates:
             return None
-        affinity_target = _find_affinity_target(need.prompt, candidates)
+        affinity_target = find_affinity_target(need.prompt, candidates)
         chosen = min(
             candidates,
             key=lambda one: self._score_engine(one, need, affinity_target, now),
@@ -196,7 +190,7 @@
     ) -> ListedTarget | None:
         """Return the engine to which consistent hashing assigns a prompt's parts."""
         candidates = self._list_candidates(service, frozenset(), now, data_centres)
-        return _find_affinity_target(prompt, candidates)
+        return find_affinity_target(prompt, candidates)
 
     def has_free_slots(self, target: ListedTarget, now: float) -> bool:
         """Return whether an engine starts a request at once rather than queue it.
@@ -240,12 +234,7 @@
         self, incarnation: Incarnation, prompt: Prompt, now: float
     ) -> None:
         """Record the prompt parts that an engine has cached for a request."""
-        parts = self._find_state(incarnation).parts
-        for part in prompt.shared_parts:
-            parts.pop(part.part_id, None)
-            parts[part.part_id] = now
-        while len(parts) > MAX_PARTS:
-            parts.popitem(last=False)
+        self._find_state(incarnation).cached_parts.record(prompt, now)
 
     def record_success(self, incarnation: Incarnation) -> None:
         """Record an answer."""
@@ -275,7 +264,7 @@
         self, incarnation: Incarnation, prompt: Prompt, now: float
     ) -> float:
         """Return the prompt tokens that are not expected in an engine's cache."""
-        return _count_tokens(self._find_state(incarnation).parts, prompt, now)
+        return self._find_state(incarnation).cached_parts.count_missing(prompt, now)
 
     def record_limit(
         self,
@@ -385,7 +374,7 @@
         now: float,
     ) -> tuple[float, float]:
         state = self._find_state(target.incarnation)
-        tokens = _count_tokens(state.parts, need.prompt, now)
+        tokens = state.cached_parts.count_missing(need.prompt, now)
         if target is affinity_target:
             # other instances send the parts there too, so they are taken to be cached
             shared = sum(part.tokens for part in need.prompt.shared_parts)
@@ -416,29 +405,3 @@
     ):
         return None
     return max(report.running + report.waiting, state.in_flight) / report.slots
-
-
-def _count_tokens(parts: Mapping[str, float], prompt: Prompt, now: float) -> float:
-    cached = 0
-    for part in prompt.shared_parts:
-        if now - parts.get(part.part_id, -PART_TTL_SECONDS) >= PART_TTL_SECONDS:
-            break
-        cached += part.tokens
-    return max(0.0, prompt.tokens_in - cached)
-
-
-def _find_affinity_target(
-    prompt: Prompt, candidates: list[ListedTarget]
-) -> ListedTarget | None:
-    if not prompt.shared_parts or not candidates:
-        return None
-    last = prompt.shared_parts[-1].part_id
-    # hash the id rather than the incarnation: a restart of one engine must not
-    # reassign the parts of other engines
-    return min(
-        candidates,
-        key=lambda one: (
-            compute_weight(last, one.incarnation.target_id),
-            one.incarnation.target_id,
-        ),
-    )
