--- a/tests/test_entry/test_relay/test_tunnels.py
+++ b/tests/test_entry/test_relay/test_tunnels.py
@@ -37,10 +37,7 @@
 from greengagelatch_entry.relay.decisions import DecisionLog
 from greengagelatch_entry.relay.messages import OutboundRequest
 from greengagelatch_entry.relay.prometheus import PrometheusMetrics
-from greengagelatch_entry.relay.target_connections import (
-    TargetConnectionPool,
-    TargetResponseError,
-)
+from greengagelatch_entry.relay.target_connections import TargetConnectionPool
 from greengagelatch_entry.relay.target_dialers import (
     Destination,
     DialError,
@@ -49,6 +46,7 @@
     TargetDialer,
     TunnelLostError,
 )
+from greengagelatch_entry.relay.target_responses import TargetResponseError
 from greengagelatch_entry.relay.target_streams import MAX_BUFFERED_BYTES
 from greengagelatch_entry.relay.tunnel_dialer import (
     PeerTunnelDialer,
@@ -704,9 +702,8 @@
     """Send a request; return its task and the connection at the target."""
     task = asyncio.create_task(
         pool.send(
-            incarnation=TARGET,
-            address=world.target.address,
-            outbound=OutboundRequest(method="GET", target="/"),
+            Destination(incarnation=TARGET, address=world.target.address),
+            OutboundRequest(method="GET", target="/"),
             fresh=False,
             timeout=TIMEOUT,
         )
