Go back to a silent target if no other can be reached

A request left its silent target for another one that counted as healthy but refused connections. It ended with 502, a stream that had begun with a closed connection, though the silent target would have gone on.

Cause: the target that was left is excluded from then on, for whatever reason it was left.

Fix: with nothing else left, the request is sent once more to targets that were left as they were silent, and once only (test_request_goes_back_to_a_silent_ target_once).

Ruled out: dialling the other target before leaving, a dial for each silence.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -136,6 +136,8 @@
         self._first_event_seen = False
         #: targets to which the request is not sent again
         self._excluded: frozenset[Incarnation] = frozenset()
+        #: those of them that were left as they were silent
+        self._silent: frozenset[Incarnation] = frozenset()
         #: whether results were released that another target would have to fetch
         self._inputs_released = False
         self._sent_at = 0.0
@@ -158,6 +160,11 @@
                 break
             async with runner.suspects.admit(exchange):
                 target = self._choose()
+                if target is None and self._silent:
+                    # nothing else is left, and they may go on by now
+                    self._excluded -= self._silent
+                    self._silent = frozenset()
+                    target = self._choose()
                 if target is None:
                     break
                 last = await self._attempt(target)
@@ -167,6 +174,8 @@
             is_at_fault = not lost or last.outcome is not SendOutcome.UNSENT
             if is_at_fault and not last.path_lost:
                 self._excluded |= {target.incarnation}
+            if last.silent:
+                self._silent |= {target.incarnation}
             if not runner.may_retry(exchange, last.outcome):
                 break
             if last.status == STATUS_CONFLICT or self._inputs_released:
@@ -316,6 +325,7 @@
             raise TargetResponseError(
                 "timed out waiting for the next event",
                 path_lost=received.response.is_path_lost(),
+                silent=True,
             ) from None
 
     def _handle_first_event(
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
@@ -72,14 +72,21 @@
     :param broken: whether the target closed or reset the connection
     :param path_lost: whether the connection was direct and the target is reached
         through peers only now, so that it may be well
+    :param silent: whether it was given up as the target was silent
     """
 
     def __init__(
-        self, message: str, *, broken: bool = False, path_lost: bool = False
+        self,
+        message: str,
+        *,
+        broken: bool = False,
+        path_lost: bool = False,
+        silent: bool = False,
     ) -> None:
         super().__init__(message)
         self.broken = broken
         self.path_lost = path_lost
+        self.silent = silent
 
 
 def configure_socket(connection: socket.socket, rule: ConnectionLossRule) -> None:
@@ -295,7 +302,9 @@
         except TimeoutError:
             connection.abort()
             raise TargetResponseError(
-                "timed out waiting for the response head", path_lost=is_path_lost()
+                "timed out waiting for the response head",
+                path_lost=is_path_lost(),
+                silent=True,
             ) from None
         except (ClientError, HttpProcessingError, OSError) as error:
             connection.abort()
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_sender.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_sender.py
@@ -55,6 +55,8 @@
     status: int = 0
     #: whether the direct path to the target was lost, and it is reached through peers
     path_lost: bool = False
+    #: whether the target was left as it was silent
+    silent: bool = False
 
 
 class TargetSender:
@@ -156,6 +158,7 @@
             str(error),
             blamed=not error.path_lost,
             path_lost=error.path_lost,
+            silent=error.silent,
         )
 
     def record_survival(self, exchange: RelayExchange, target: ListedTarget) -> None:
@@ -216,6 +219,7 @@
         *,
         blamed: bool = True,
         path_lost: bool = False,
+        silent: bool = False,
     ) -> FailedSend:
         if not outcome.proves_not_run:
             exchange.raise_verdict(Verdict.MAY_HAVE_RUN)
@@ -235,4 +239,4 @@
             sends=len(exchange.targets),
             left_ms=round((exchange.deadline - now) * 1000),
         )
-        return FailedSend(outcome, reason, status, path_lost)
+        return FailedSend(outcome, reason, status, path_lost, silent)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/unary.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/unary.py
@@ -50,6 +50,8 @@
     async def run(self, exchange: RelayExchange) -> None:
         self.budgets.record_request(exchange.service)
         excluded: frozenset[Incarnation] = frozenset()
+        #: those of them that were left as they were silent
+        silent: frozenset[Incarnation] = frozenset()
         last: FailedSend | None = None
         error_response: _FullResponse | None = None
         while True:
@@ -57,13 +59,11 @@
             if refusal is not None:
                 break
             async with self.suspects.admit(exchange):
-                target = self.load_balancer.choose_least_loaded(
-                    exchange.service,
-                    excluded,
-                    self.clock.now(),
-                    exchange.data_centres,
-                    repeatable=exchange.route.repeatable,
-                )
+                target = self._choose(exchange, excluded)
+                if target is None and silent:
+                    # nothing else is left, and they may go on by now
+                    excluded, silent = excluded - silent, frozenset()
+                    target = self._choose(exchange, excluded)
                 if target is None:
                     break
                 result = await self._attempt(exchange, target, excluded)
@@ -79,6 +79,8 @@
                 last, outcome = result, result.outcome
             if not isinstance(result, FailedSend) or not result.path_lost:
                 excluded |= {target.incarnation}
+            if isinstance(result, FailedSend) and result.silent:
+                silent |= {target.incarnation}
             if not self.may_retry(exchange, outcome):
                 break
         if error_response is not None:
@@ -87,6 +89,17 @@
             return
         raise refusal or self.create_refusal(exchange, last)
 
+    def _choose(
+        self, exchange: RelayExchange, excluded: frozenset[Incarnation]
+    ) -> ListedTarget | None:
+        return self.load_balancer.choose_least_loaded(
+            exchange.service,
+            excluded,
+            self.clock.now(),
+            exchange.data_centres,
+            repeatable=exchange.route.repeatable,
+        )
+
     async def _attempt(
         self,
         exchange: RelayExchange,
@@ -138,7 +151,9 @@
         except TimeoutError:
             response.abort()
             timed_out = TargetResponseError(
-                "timed out reading the response body", path_lost=response.is_path_lost()
+                "timed out reading the response body",
+                path_lost=response.is_path_lost(),
+                silent=True,
             )
             return self.sender.record_lost_response(exchange, target, timed_out)
         except TargetResponseError as error:
--- a/tests/test_entry/test_relay/test_streams.py
+++ b/tests/test_entry/test_relay/test_streams.py
@@ -387,3 +387,18 @@
     engine.resume()
     reply = await held
     assert (reply.status, reply.error, reply.body) == (200, "", WHOLE)
+
+
+async def test_stream_goes_back_to_a_silent_engine_if_no_other_is_reached(pipeline):
+    """Guards against streams cut off as the other engine turns out to be gone."""
+    await pipeline.extend_timeouts()
+    for engine in engines(pipeline):
+        engine.silences = [2]
+    held = asyncio.create_task(pipeline.stream(X_Pieces="", X_Piece_Key=""))
+    await pipeline.wait_for(lambda: any(one.silent for one in engines(pipeline)))
+    silent, other = sorted(engines(pipeline), key=lambda one: not one.silent)
+    await other.stop()
+    await pipeline.wait_for(lambda: held.done() or len(silent.received) == 2)
+    silent.resume()
+    reply = await held
+    assert (reply.status, reply.error, reply.body) == (200, "", WHOLE)
--- a/tests/test_entry/test_relay/test_unary.py
+++ b/tests/test_entry/test_relay/test_unary.py
@@ -11,7 +11,7 @@
 from greengagelatch_entry.relay.route_latencies import RouteLatencies
 from greengagelatch_entry.relay.target_dialers import DirectDialer
 from greengagelatch_lab.platform_standins.deployment import create_configuration
-from greengagelatch_lab.platform_standins.targets import TargetFault
+from greengagelatch_lab.platform_standins.targets import SimulatedTarget, TargetFault
 
 
 def set_fault(world, fault: TargetFault) -> None:
@@ -362,3 +362,36 @@
     assert (await held).status == 200
     assert count_runs(world, "s-1") == 1
     assert world.count("decisions.send") == 0
+
+
+async def hold_at_silent_target(world) -> tuple[asyncio.Task, SimulatedTarget]:
+    """Send a request to the first of several silent targets; return both."""
+    for target in world.targets.values():
+        target.silences = [0]
+    held = asyncio.create_task(world.ask("/look/1", request_id="s-1"))
+    await world.wait_for(lambda: count_runs(world, "s-1"))
+    (silent,) = [one for one in world.targets.values() if one.silent]
+    return held, silent
+
+
+async def test_request_goes_back_to_a_silent_target_if_no_other_is_reached(world):
+    """Guards against leaving a silent target for one that turns out to be gone."""
+    await world.extend_timeouts()
+    held, silent = await hold_at_silent_target(world)
+    (other,) = [one for one in world.targets.values() if one is not silent]
+    await other.stop()
+    await world.wait_for(lambda: held.done() or silent.runs["s-1"] == 2)
+    silent.resume()
+    assert (await held).status == 200
+
+
+async def test_request_goes_back_to_a_silent_target_once(world):
+    """Guards against a request sent to the same target again and again."""
+    await world.extend_timeouts()
+    held, silent = await hold_at_silent_target(world)
+    (other,) = [one for one in world.targets.values() if one is not silent]
+    await other.stop()
+    silent.fault = TargetFault.FULL
+    # its first send may have run
+    assert (await held).status == 502
+    assert len(silent.received) == 2
