Leave a silent target only if a stop leaves time for a retry

What callers saw: nothing reported; found by reading. During a planned stop a request that had arrived before it left its silent target for a retry that the end of the drain would interrupt: 503, a stream that had begun was cut off.

Cause: the deadline of a request is bounded by the stop only if the request arrives after it.

Evidence: test_request_stays_at_a_silent_target_if_a_stop_leaves_no_time, with 5 s left of the stop, 20 s of the request and answers that take 8 s, ended with 504, as the request was moved to a second silent target.

Fix: the time left for another attempt ends with the stop as well. Attempts that run keep the deadline that their targets were told.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -381,6 +381,10 @@
             load_balancer=self.load_balancer,
             target_table=self.target_table,
         )
+
+        def find_stop_deadline() -> float:
+            return self.drain.drain_deadline
+
         common = {
             "sender": TargetSender(
                 connections=self.connections,
@@ -401,6 +405,7 @@
                 metrics=self.metrics,
             ),
             "times": RouteLatencies(),
+            "find_stop_deadline": find_stop_deadline,
             "clock": self.clock,
             "decisions": self.decisions,
         }
@@ -410,10 +415,6 @@
             admission=DeadlineAdmission(),
             **common,
         )
-
-        def find_stop_deadline() -> float:
-            return self.drain.drain_deadline
-
         filters = (
             ObserveFilter(
                 find_stop_time=lambda: self.drain.started_at,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/runners.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/runners.py
@@ -18,6 +18,8 @@
 from .refusals import create_error
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from greengagelatch.clock import Clock
     from greengagelatch.relay.incarnations import Incarnation
     from greengagelatch.relay.load_balancer import LoadBalancer
@@ -46,7 +48,11 @@
 
 
 class Runner(ABC):
-    """Runs one kind of request to its answer."""
+    """Runs one kind of request to its answer.
+
+    :param find_stop_deadline: returns the monotonic time at which a planned stop
+        interrupts requests
+    """
 
     def __init__(
         self,
@@ -57,6 +63,7 @@
         suspects: SuspectAdmission,
         brittle: BrittleAdmission,
         times: RouteLatencies,
+        find_stop_deadline: Callable[[], float],
         clock: Clock,
         decisions: DecisionLog,
     ) -> None:
@@ -66,6 +73,7 @@
         self.suspects = suspects
         self.brittle = brittle
         self.times = times
+        self.find_stop_deadline = find_stop_deadline
         self.clock = clock
         self.decisions = decisions
 
@@ -174,13 +182,15 @@
         min_seconds: float = 0.0,
     ) -> RetryContext:
         route = exchange.route
+        # a stop interrupts what is still running then
+        end = min(exchange.deadline, self.find_stop_deadline())
         return RetryContext(
             outcome=outcome,
             repeatable=route.repeatable,
             deliveries=len(received),
             max_attempts=route.max_attempts,
             unsent=exchange.unsent,
-            remaining=self.find_remaining(exchange),
+            remaining=end - self.clock.now(),
             min_seconds=max(MIN_ATTEMPT_SECONDS, min_seconds),
         )
 
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/instances.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/instances.py
@@ -246,6 +246,7 @@
             sender=None,
             suspects=None,
             brittle=None,
+            find_stop_deadline=lambda: float("inf"),
             load_balancer=load_balancer,
             budgets=self._create_budgets(),
             clock=self._clock,
--- a/tests/test_entry/test_relay/test_unary.py
+++ b/tests/test_entry/test_relay/test_unary.py
@@ -395,3 +395,18 @@
     # its first send may have run
     assert (await held).status == 502
     assert len(silent.received) == 2
+
+
+async def test_request_stays_at_a_silent_target_if_a_stop_leaves_no_time(
+    world, monkeypatch
+):
+    """Guards against retries that are cut short by a planned stop."""
+    monkeypatch.setattr(RouteLatencies, "estimate", lambda *_: (8.0, 8.0))
+    monkeypatch.setattr(world.parts.drain, "_max_drain_seconds", 5.0)
+    await world.extend_timeouts()
+    held, silent = await hold_at_silent_target(world)
+    world.parts.drain.start_drain()
+    await world.wait_for_silence(held)
+    silent.resume()
+    assert (await held).status == 200
+    assert count_runs(world, "s-1") == 1
