Stay at a silent target while others wait for room

What callers saw: nothing reported; found by reading. A request left its silent target for a brittle one that had room, but other requests waited for that room. It had to wait behind them, for a second at most, and was refused with 502 after it had run; a stream that had begun was cut off.

Cause: whether a retry is certain was decided without the admission to brittle targets that stands before it.

Evidence: test_request_stays_at_a_silent_target_if_it_had_to_wait_for_room ended with 502, 'no target of desk has room'.

Fix: a target that a retry had to wait for does not count.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/brittle_admission.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/brittle_admission.py
@@ -69,9 +69,9 @@
         :param excluded: targets that have rejected it
         :return: the error that refuses it if there is no room in time
         """
-        queue = exchange.service, exchange.data_centres
-        if queue not in self._waiting and not self._lacks_room(exchange, excluded):
+        if not self.has_to_wait(exchange, excluded):
             return None
+        queue = exchange.service, exchange.data_centres
         waiting = self._waiting[queue]
         if len(waiting) >= MAX_WAITING:
             return self._create_refusal(exchange)
@@ -87,6 +87,13 @@
             if not waiting:
                 self._waiting.pop(queue, None)
 
+    def has_to_wait(
+        self, exchange: RelayExchange, excluded: frozenset[Incarnation]
+    ) -> bool:
+        """Return whether there is no room for a request, or others wait for it."""
+        queue = exchange.service, exchange.data_centres
+        return queue in self._waiting or self._lacks_room(exchange, excluded)
+
     async def _wait_for_room(
         self,
         exchange: RelayExchange,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/runners.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/runners.py
@@ -143,15 +143,18 @@
         """Return how many targets a request that leaves a silent one may be sent to."""
         service, data_centres = exchange.service, exchange.data_centres
         now = self.clock.now()
+        if not path_lost:
+            excluded |= {incarnation}
+        if self.brittle.has_to_wait(exchange, excluded):
+            # it could be refused
+            return 0
         if path_lost:
             # silences on lost paths open the breakers of sound targets, and the silent
             # one may be reached through a peer as well
             return self.load_balancer.count_candidates(
                 service, excluded, now, data_centres
             )
-        return self.load_balancer.count_healthy(
-            service, excluded | {incarnation}, now, data_centres
-        )
+        return self.load_balancer.count_healthy(service, excluded, now, data_centres)
 
     def record_silence(
         self,
--- a/packages/greengagelatch/src/greengagelatch/relay/outcomes.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/outcomes.py
@@ -106,7 +106,7 @@
     NO_TIME = "too little time is left for a retry"
     #: no retry would be allowed
     NO_ATTEMPT = "no further attempt is allowed"
-    NO_TARGET = "no other target is healthy"
+    NO_TARGET = "no other target is healthy and has room"
     NO_BUDGET = "the retry budget is exhausted"
     NO_STAGES = "its stages can't be executed again in time"
 
--- a/tests/test_entry/test_relay/test_unary.py
+++ b/tests/test_entry/test_relay/test_unary.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from greengagelatch_entry.relay.brittle_admission import BrittleAdmission
 from greengagelatch_entry.relay.route_latencies import RouteLatencies
 from greengagelatch_entry.relay.target_dialers import DirectDialer
 from greengagelatch_lab.platform_standins.deployment import create_configuration
@@ -410,3 +411,21 @@
     silent.resume()
     assert (await held).status == 200
     assert count_runs(world, "s-1") == 1
+
+
+async def test_request_stays_at_a_silent_target_if_it_had_to_wait_for_room(
+    world, monkeypatch
+):
+    """Guards against leaving a silent target to be refused for want of room.
+
+    The other target is brittle, and further requests wait for it.
+    """
+    monkeypatch.setattr(
+        BrittleAdmission, "_lacks_room", lambda _, exchange, excluded: bool(excluded)
+    )
+    await world.extend_timeouts()
+    held, silent = await hold_at_silent_target(world)
+    await world.wait_for_silence(held)
+    silent.resume()
+    assert (await held).status == 200
+    assert count_runs(world, "s-1") == 1
