Keep a suspected request at its silent target

What callers saw: nothing reported; found by reading. A request that is suspected of crashing targets is sent to one target at a time, and again once the outcome of its last send is known. It left a silent target all the same and was sent to the next one, while the first might be about to crash. Another attempt at it could take its turn, and it would be refused after it had run.

Cause: that a retry is certain was decided without the admission of suspected requests that stands before it.

Evidence: in test_undecided_request_stays_at_a_silent_target two targets had received the request where one is allowed.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/runners.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/runners.py
@@ -116,6 +116,13 @@
         :param path_lost: whether the target is reached through peers only, and the
             request waits on a direct connection
         """
+        if self.suspects.is_undecided(exchange):
+            # the silent target may be about to crash
+            if not asked:
+                self.record_silence(
+                    exchange, target, SilenceDecision.SUSPECTED, path_lost
+                )
+            return False
         incarnation = target.incarnation
         received = frozenset(exchange.targets) | {incarnation}
         decision = decide_on_silence(
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/suspect_admission.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/suspect_admission.py
@@ -83,6 +83,10 @@
             if self._crash_detector.is_settled(digest):
                 self._quarantine.end_trial(digest)
 
+    def is_undecided(self, exchange: RelayExchange) -> bool:
+        """Return whether a request must not be sent before its last send has ended."""
+        return self._quarantine.count_crashed(exchange.digest) >= SUSPECT_CRASHES
+
     def release(self, exchange: RelayExchange) -> None:
         """Let other instances send the request once this one does not send it again."""
         lock, exchange.suspect_lock = exchange.suspect_lock, None
--- a/packages/greengagelatch/src/greengagelatch/relay/outcomes.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/outcomes.py
@@ -108,6 +108,7 @@
     NO_ATTEMPT = "no further attempt is allowed"
     NO_TARGET = "no other target is healthy and has room"
     NO_BUDGET = "the retry budget is exhausted"
+    SUSPECTED = "it is suspected of crashing targets"
     NO_STAGES = "its stages can't be executed again in time"
 
 
--- a/tests/test_entry/test_relay/test_suspect_admission.py
+++ b/tests/test_entry/test_relay/test_suspect_admission.py
@@ -78,6 +78,27 @@
     assert (await first).status == 200
 
 
+async def test_undecided_request_stays_at_a_silent_target(world):
+    """Guards against a request sent to a second target before it is decided.
+
+    The silent target may be about to crash. Another attempt would take the turn of
+    the request that has left, which would be refused after it had run.
+    """
+    await report_crashes(world, find_digest(PATH), "another")
+    await world.extend_timeouts()
+    for target in world.targets.values():
+        target.silences = [0]
+    first = asyncio.create_task(world.ask(PATH))
+    await world.wait_for(lambda: list_arrivals(world))
+    second = asyncio.create_task(world.ask(PATH))
+    await world.wait_for_silence(first)
+    assert len(list_arrivals(world)) == 1
+    for target in world.targets.values():
+        target.silences.clear()
+        target.resume()
+    assert [(await one).status for one in (first, second)] == [200, 200]
+
+
 async def test_other_requests_run_beside_an_undecided_one(world, gate):
     """Guards against harmless requests that wait for a suspected one."""
     await report_crashes(world, find_digest(PATH), "another")
