--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -246,6 +246,7 @@
             crashes=self.crashes,
             budgets=self.retry_budgets,
             stages=self.stages.runner,
+            find_stop_deadline=lambda: self.drain.drain_deadline,
         )
         self.handler = compose_filters(
             self.shared,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/request_path.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/request_path.py
@@ -46,8 +46,13 @@
     crashes: CrashParts,
     budgets: RetryBudgets,
     stages: StageRunner,
+    find_stop_deadline: Callable[[], float],
 ) -> RunHandler:
-    """Build the handler that sends requests to targets."""
+    """Build the handler that sends requests to targets.
+
+    :param find_stop_deadline: returns the monotonic time at which a stop cancels the
+        requests in flight
+    """
     common = {
         "sender": TargetSender(
             connections=connections,
@@ -68,6 +73,7 @@
             metrics=shared.metrics,
         ),
         "times": RouteLatencies(),
+        "find_stop_deadline": find_stop_deadline,
         "clock": shared.clock,
         "decisions": shared.decisions,
     }
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/runners.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/runners.py
@@ -18,6 +18,8 @@
 from .refusals import create_error
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from greengagelatch.clock import Clock
     from greengagelatch.relay.incarnations import Incarnation
     from greengagelatch.relay.load_balancer import LoadBalancer
@@ -46,7 +48,11 @@
 
 
 class Runner(ABC):
-    """Runs one kind of request to its answer."""
+    """Runs one kind of request to its answer.
+
+    :param find_stop_deadline: returns the monotonic time at which a planned stop
+        interrupts requests
+    """
 
     def __init__(
         self,
@@ -57,6 +63,7 @@
         suspects: SuspectAdmission,
         brittle: BrittleAdmission,
         times: RouteLatencies,
+        find_stop_deadline: Callable[[], float],
         clock: Clock,
         decisions: DecisionLog,
     ) -> None:
@@ -66,6 +73,7 @@
         self.suspects = suspects
         self.brittle = brittle
         self.times = times
+        self.find_stop_deadline = find_stop_deadline
         self.clock = clock
         self.decisions = decisions
 
@@ -108,6 +116,13 @@
         :param path_lost: whether the target is reached through peers only, and the
             request waits on a direct connection
         """
+        if self.suspects.is_undecided(exchange):
+            # the silent target may be about to crash
+            if not asked:
+                self.record_silence(
+                    exchange, target, SilenceDecision.SUSPECTED, path_lost
+                )
+            return False
         incarnation = target.incarnation
         received = frozenset(exchange.targets) | {incarnation}
         decision = decide_on_silence(
@@ -135,15 +150,18 @@
         """Return how many targets a request that leaves a silent one may be sent to."""
         service, data_centres = exchange.service, exchange.data_centres
         now = self.clock.now()
+        if not path_lost:
+            excluded |= {incarnation}
+        if self.brittle.has_to_wait(exchange, excluded):
+            # it could be refused
+            return 0
         if path_lost:
             # silences on lost paths open the breakers of sound targets, and the silent
             # one may be reached through a peer as well
             return self.load_balancer.count_candidates(
                 service, excluded, now, data_centres
             )
-        return self.load_balancer.count_healthy(
-            service, excluded | {incarnation}, now, data_centres
-        )
+        return self.load_balancer.count_healthy(service, excluded, now, data_centres)
 
     def record_silence(
         self,
@@ -174,13 +192,15 @@
         min_seconds: float = 0.0,
     ) -> RetryContext:
         route = exchange.route
+        # a stop interrupts what is still running then
+        end = min(exchange.deadline, self.find_stop_deadline())
         return RetryContext(
             outcome=outcome,
             repeatable=route.repeatable,
             deliveries=len(received),
             max_attempts=route.max_attempts,
             unsent=exchange.unsent,
-            remaining=self.find_remaining(exchange),
+            remaining=end - self.clock.now(),
             min_seconds=max(MIN_ATTEMPT_SECONDS, min_seconds),
         )
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
@@ -131,7 +131,9 @@
         except TimeoutError:
             connection.abort()
             raise TargetResponseError(
-                "timed out waiting for the response head", path_lost=is_path_lost()
+                "timed out waiting for the response head",
+                path_lost=is_path_lost(),
+                silent=True,
             ) from None
         except (ClientError, HttpProcessingError, OSError) as error:
             connection.abort()
--- a/tests/test_entry/test_relay/test_unary.py
+++ b/tests/test_entry/test_relay/test_unary.py
@@ -8,10 +8,11 @@
 
 import pytest
 
+from greengagelatch_entry.relay.brittle_admission import BrittleAdmission
 from greengagelatch_entry.relay.route_latencies import RouteLatencies
 from greengagelatch_entry.relay.target_dialers import DirectDialer
 from greengagelatch_lab.platform_standins.deployment import create_configuration
-from greengagelatch_lab.platform_standins.targets import TargetFault
+from greengagelatch_lab.platform_standins.targets import SimulatedTarget, TargetFault
 
 
 def set_fault(world, fault: TargetFault) -> None:
@@ -362,3 +363,69 @@
     assert (await held).status == 200
     assert count_runs(world, "s-1") == 1
     assert world.count("decisions.send") == 0
+
+
+async def hold_at_silent_target(world) -> tuple[asyncio.Task, SimulatedTarget]:
+    """Send a request to the first of several silent targets; return both."""
+    for target in world.targets.values():
+        target.silences = [0]
+    held = asyncio.create_task(world.ask("/look/1", request_id="s-1"))
+    await world.wait_for(lambda: count_runs(world, "s-1"))
+    (silent,) = [one for one in world.targets.values() if one.silent]
+    return held, silent
+
+
+async def test_request_goes_back_to_a_silent_target_if_no_other_is_reached(world):
+    """Guards against leaving a silent target for one that turns out to be gone."""
+    await world.extend_timeouts()
+    held, silent = await hold_at_silent_target(world)
+    (other,) = [one for one in world.targets.values() if one is not silent]
+    await other.stop()
+    await world.wait_for(lambda: held.done() or silent.runs["s-1"] == 2)
+    silent.resume()
+    assert (await held).status == 200
+
+
+async def test_request_goes_back_to_a_silent_target_once(world):
+    """Guards against a request sent to the same target again and again."""
+    await world.extend_timeouts()
+    held, silent = await hold_at_silent_target(world)
+    (other,) = [one for one in world.targets.values() if one is not silent]
+    await other.stop()
+    silent.fault = TargetFault.FULL
+    # its first send may have run
+    assert (await held).status == 502
+    assert len(silent.received) == 2
+
+
+async def test_request_stays_at_a_silent_target_if_a_stop_leaves_no_time(
+    world, monkeypatch
+):
+    """Guards against retries that are cut short by a planned stop."""
+    monkeypatch.setattr(RouteLatencies, "estimate", lambda *_: (8.0, 8.0))
+    monkeypatch.setattr(world.parts.drain, "_max_drain_seconds", 5.0)
+    await world.extend_timeouts()
+    held, silent = await hold_at_silent_target(world)
+    world.parts.drain.start_drain()
+    await world.wait_for_silence(held)
+    silent.resume()
+    assert (await held).status == 200
+    assert count_runs(world, "s-1") == 1
+
+
+async def test_request_stays_at_a_silent_target_if_it_had_to_wait_for_room(
+    world, monkeypatch
+):
+    """Guards against leaving a silent target to be refused for want of room.
+
+    The other target is brittle, and further requests wait for it.
+    """
+    monkeypatch.setattr(
+        BrittleAdmission, "_lacks_room", lambda _, exchange, excluded: bool(excluded)
+    )
+    await world.extend_timeouts()
+    held, silent = await hold_at_silent_target(world)
+    await world.wait_for_silence(held)
+    silent.resume()
+    assert (await held).status == 200
+    assert count_runs(world, "s-1") == 1
