Write once what pairs of tests of tunnels and of stops have in common

The start of a response through a tunnel, and the longer timeouts before a stop, stood twice each. The assertions are the same.

--- a/tests/test_entry/test_relay/test_tunnels.py
+++ b/tests/test_entry/test_relay/test_tunnels.py
@@ -714,6 +714,22 @@
     return task, writer
 
 
+async def start_response(world: World, head: bytes):
+    """Let the target send the head of a response, or nothing.
+
+    Return the target's connection, and what reads the rest of the response.
+    """
+    task, writer = await start_request(world, create_pool(world))
+    writer.write(head)
+    await wait_until(lambda: world.metrics.value("tunnels.bytes_in") == len(head))
+    response = await task if head else None
+
+    async def read() -> None:
+        await (response.read(10) if response is not None else task)
+
+    return writer, read
+
+
 async def test_tunnel_is_not_pooled(world):
     """Guard against idle tunnels that hold up a planned stop of the peer."""
     pool = create_pool(world)
@@ -728,27 +744,19 @@
 
 @pytest.mark.parametrize("head", [b"", b"HTTP/1.1 200 OK\r\n\r\npart"])
 async def test_loss_of_the_peer_is_no_evidence_of_a_crash(world, head):
-    task, writer = await start_request(world, create_pool(world))
-    writer.write(head)
-    await wait_until(lambda: world.metrics.value("tunnels.bytes_in") == len(head))
-    if head:
-        response = await task
+    _, read = await start_response(world, head)
     world.tunnels.abort_all()
     with pytest.raises(TargetResponseError) as caught:
-        await (response.read(10) if head else task)
+        await read()
     assert not caught.value.broken
 
 
 @pytest.mark.parametrize("head", [b"", b"HTTP/1.1 200 OK\r\n\r\npart"])
 async def test_reset_by_the_target_is_reported_as_such(world, head):
-    task, writer = await start_request(world, create_pool(world))
-    writer.write(head)
-    await wait_until(lambda: world.metrics.value("tunnels.bytes_in") == len(head))
-    if head:
-        response = await task
+    writer, read = await start_response(world, head)
     reset(writer)
     with pytest.raises(TargetResponseError) as caught:
-        await (response.read(10) if head else task)
+        await read()
     assert caught.value.broken
 
 
--- a/tests/test_processes/test_platform_program.py
+++ b/tests/test_processes/test_platform_program.py
@@ -112,6 +112,12 @@
     await wait_until(lambda: knows_version(instance, version))
 
 
+async def extend_timeouts(fleet, instance) -> None:
+    """Configure timeouts that are longer than a stop, even on a loaded machine."""
+    fleet.store.put("op/config", create_configuration(4, timeout_ms=60_000))
+    await wait_for_version(instance, 4)
+
+
 async def wait_for_runs(engines, count: int) -> None:
     """Wait until engines have begun to run a number of requests."""
     await wait_until(lambda: count_runs(engines) >= count)
@@ -225,9 +231,7 @@
     process exits.
     """
     instance = fleet.instances[0]
-    # longer than the stop may take, even on a loaded machine
-    fleet.store.put("op/config", create_configuration(4, timeout_ms=60_000))
-    await wait_for_version(instance, 4)
+    await extend_timeouts(fleet, instance)
     engines = fleet.find_targets("llm")
     gate = asyncio.Event()
     for engine in engines:
@@ -263,8 +267,7 @@
     name other addresses, and is then told to stop again.
     """
     instance = fleet.instances[0]
-    fleet.store.put("op/config", create_configuration(4, timeout_ms=60_000))
-    await wait_for_version(instance, 4)
+    await extend_timeouts(fleet, instance)
     engines = fleet.find_targets("llm")
     gate = asyncio.Event()
     for engine in engines:
