Daemon: judge refused connections by other targets and by peers

Callers whose sound request ran on three targets while one instance of our own daemon lost its links were refused by all instances for ten minutes, as quarantined.

Cause: a connection that breaks before its answer is checked by a dial, and a refused dial was taken for the end of the process. What refuses connections may be a partition in place of the target's host. Reports are spread, so that three of them from the one instance hold the request back everywhere.

Ruled out: refused connects of new calls. They are failures of the kind `connect` and no crash detector hears of them. Dials that time out were no evidence before either.

Evidence: test_links_of_one_instance_that_are_reset_blame_no_request resets the links of one of three instances while the same request runs on three targets. On the code before, the request was refused at the next instance with QUARANTINED and 599 s in `retry_after_ms`.

The daemon uses RefusalEvidence now: a refusal counts if another target of the service is connected to after it, or if up to three peers are asked to dial the target and one is refused and none reaches it, or if there are no peers. Peers name the target by its id and dial what they have listed, so that no instance can be made to dial another address.

Left: an instance does not know whether it is partitioned, so that where all peers it asks are cut off too, refusals are believed. Crashes of a target that peers list no more are not counted if no other target is reached.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/port_probe.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/port_probe.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+from ..relay.target_dialers import DialFailure
+
 __all__ = ("PortProbe",)
 
 #: seconds after which a target that does not answer is taken to be unreachable
@@ -13,18 +15,17 @@
 class PortProbe:
     """Opens connections to see whether they are refused."""
 
-    async def is_port_closed(self, address: str) -> bool:
-        """Return whether an address refuses connections: its process has ended.
-
-        A connect timeout is no evidence of that: the target may only be unreachable.
-        """
+    async def probe(self, address: str) -> DialFailure | None:
+        """Connect to an address; return why that failed."""
         host, _, port = address.rpartition(":")
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT):
                 _, writer = await asyncio.open_connection(host.strip("[]"), int(port))
         except ConnectionRefusedError:
-            return True
-        except (OSError, OverflowError, TimeoutError, ValueError):
-            return False
+            return DialFailure.REFUSED
+        except TimeoutError:
+            return DialFailure.TIMED_OUT
+        except (OSError, OverflowError, ValueError):
+            return DialFailure.FAILED
         writer.close()
-        return False
+        return None
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/composition.py
@@ -57,9 +57,10 @@
 )
 from .logs import LogLevel, RequestLog
 from .metrics import Metrics
+from .peer_assisted_prober import PeerAssistedProber
 from .pipeline_runner import PipelineRunner
 from .relay.crash_detector import CrashDetector
-from .relay.crash_evidence import PortEvidence
+from .relay.crash_evidence import RefusalEvidence
 from .relay.decisions import DecisionLog
 from .stage_caller import StageCaller
 from .stage_quarantine import DirectoryAvailability, SharedStageQuarantine
@@ -184,6 +185,7 @@
 
         self.quarantine = Quarantine()
         self.decisions = DecisionLog(clock=self.clock, metrics=self.metrics)
+        target_table = DirectoryAvailability(self.targets)
         self.crash_detector = CrashDetector(
             replicator=CrashReportGossip(
                 quarantine=self.quarantine,
@@ -192,8 +194,17 @@
                 metrics=self.metrics,
             ),
             quarantine=self.quarantine,
-            target_table=DirectoryAvailability(self.targets),
-            evidence=PortEvidence(PortProbe()),
+            target_table=target_table,
+            evidence=RefusalEvidence(
+                prober=PeerAssistedProber(
+                    port_probe=PortProbe(),
+                    peers=self.peers,
+                    find_target=self.targets.find_target,
+                    random_source=self.random,
+                ),
+                target_table=target_table,
+                random_source=self.random,
+            ),
             clock=self.clock,
             metrics=self.metrics,
             decisions=self.decisions,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/targets.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/targets.py
@@ -163,6 +163,10 @@
         """Estimate how many entry instances share one target of ``service``."""
         return self._registry.estimate_users(service)
 
+    def find_target(self, target_id: str) -> Target | None:
+        """Return a target, or ``None`` if it is leaving, gone or unknown."""
+        return self._registry.find_target(target_id)
+
     def list_targets(self) -> tuple[tuple[Target, bool], ...]:
         """Return all targets that are not leaving, each with whether it is ejected."""
         return self._registry.list_targets()
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -274,7 +274,7 @@
             quarantine=self.quarantine,
             target_table=self.target_table,
             evidence=RefusalEvidence(
-                dialer=self.dialer,
+                prober=self.dialer,
                 reachability=self.reachability,
                 target_table=self.target_table,
                 random_source=self.random,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/routed_dialer.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/routed_dialer.py
@@ -4,13 +4,13 @@
 
 import asyncio
 from dataclasses import dataclass
-from enum import Enum
 from typing import TYPE_CHECKING, Any
 
 from greengagelatch.peers import MemberState
 from greengagelatch.relay.reachability import Approach
 
 from .target_dialers import DialError, DialFailure, TargetDialer
+from .target_probers import PeerFinding, TargetProber
 from .tunnel_dialer import TunnelError, TunnelFailure
 
 if TYPE_CHECKING:
@@ -26,7 +26,7 @@
     from .target_dialers import Destination
     from .tunnel_dialer import TunnelDialer
 
-__all__ = ("DIRECT_TIMEOUT", "PeerFinding", "RoutedDialer")
+__all__ = ("DIRECT_TIMEOUT", "RoutedDialer")
 
 #: seconds for a direct attempt. Targets are milliseconds away and the kernel repeats a
 #: lost SYN only after a second
@@ -45,18 +45,6 @@
 LOG_PERIOD, LOG_LINES = 10.0, 200
 
 
-class PeerFinding(Enum):
-    """What peers have found that were to connect to a target."""
-
-    REACHED = "reached"
-    #: none reached it, and its host refused one at least
-    REFUSED = "refused"
-    #: none reached it or could tell why
-    UNKNOWN = "unknown"
-    #: no other instance is alive
-    NO_PEERS = "no-peers"
-
-
 @dataclass(frozen=True, slots=True)
 class _Tunnel:
     protocol: asyncio.Protocol
@@ -70,7 +58,7 @@
         self.transport = transport
 
 
-class RoutedDialer(TargetDialer):
+class RoutedDialer(TargetDialer, TargetProber):
     """Connects to targets directly, or through a peer if only that one reaches them.
 
     The protocols that are created must keep their transport as ``transport``.
@@ -128,7 +116,6 @@
             return await self._dial_after(error, destination, create_protocol, end)
 
     async def probe(self, destination: Destination) -> DialFailure | None:
-        """Connect directly and close the connection; return why that failed."""
         self._metrics.count("reachability.probes")
         try:
             protocol = await self._dial_directly(
@@ -140,7 +127,6 @@
         return None
 
     async def probe_by_peers(self, destination: Destination) -> PeerFinding:
-        """Let a few peers connect to a target; return what they found."""
         if not self._has_peers():
             return PeerFinding.NO_PEERS
         finding = PeerFinding.UNKNOWN
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/stage_quarantine.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/stage_quarantine.py
@@ -116,15 +116,20 @@
 
 
 class DirectoryAvailability:
-    """Tells the crash detector which targets are leaving, whose ends are planned."""
+    """What the detection of crashes needs to know of the targets."""
 
     def __init__(self, directory: TargetDirectory) -> None:
         self._directory = directory
 
     def is_available(self, incarnation: Incarnation) -> bool:
-        """Return whether a target is not leaving."""
+        """Return whether a target is not leaving, so that its end is not planned."""
         return self._directory.accepts(incarnation.target_id)
 
+    def list_service(self, service: str) -> tuple[ListedTarget, ...]:
+        """Return the targets of a service that accept new work."""
+        candidates = self._directory.candidates(service)
+        return tuple(_to_listed(candidate.target) for candidate in candidates)
+
 
 def _build_key(execution: StageExecution) -> str:
     request = execution.request
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/matrix/instance.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/matrix/instance.py
@@ -23,6 +23,7 @@
 from greengagelatch_entry.controllers.scheduling import SchedulingController
 from greengagelatch_entry.controllers.targets import TargetsController
 from greengagelatch_entry.metrics import Metrics
+from greengagelatch_entry.relay.target_dialers import DialFailure
 
 from .callers_server import SimulatedCallersServer
 from .peers import SimulatedPeers
@@ -152,16 +153,16 @@
     def __init__(self, *, dialer: Dialer) -> None:
         self._dialer = dialer
 
-    async def is_port_closed(self, address: str) -> bool:
+    async def probe(self, address: str) -> DialFailure | None:
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT):
                 connection = await self._dialer.open(address)
         except aiohttp.ClientConnectionError:
-            return True
+            return DialFailure.REFUSED
         except TimeoutError:
-            return False
+            return DialFailure.TIMED_OUT
         connection.close()
-        return False
+        return None
 
 
 class NoOperators(Controller):
--- a/packages/greengagelatch/src/greengagelatch/targets/messages.py
+++ b/packages/greengagelatch/src/greengagelatch/targets/messages.py
@@ -6,7 +6,7 @@
 
 from ..peers.codec import Message, register
 
-__all__ = ("LeavingQuery", "TargetsLeaving")
+__all__ = ("LeavingQuery", "TargetProbeQuery", "TargetProbeResult", "TargetsLeaving")
 
 
 @register("targets-leaving")
@@ -25,3 +25,25 @@
     A new instance sends it, as its first listing may show targets as live that its
     peers already know to be leaving.
     """
+
+
+@register("target-probe-query")
+@dataclass(frozen=True, slots=True)
+class TargetProbeQuery(Message):
+    """Requests a connection to a listed target; answered by ``target-probe-result``.
+
+    An instance to which a target refuses connections can't tell a crash from the loss
+    of its own links.
+    """
+
+    target_id: str = ""
+
+
+@register("target-probe-result")
+@dataclass(frozen=True, slots=True)
+class TargetProbeResult(Message):
+    """Result of a connection; neither flag is set if it is not known."""
+
+    reached: bool = False
+    #: whether the target's host refused it
+    refused: bool = False
--- a/tests/test_entry/test_relay/test_crash_evidence.py
+++ b/tests/test_entry/test_relay/test_crash_evidence.py
@@ -22,7 +22,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.evidence = RefusalEvidence(
-            dialer=self.dialer,
+            prober=self.dialer,
             reachability=self.reachability,
             target_table=self.table,
             random_source=random.Random(1),
--- a/tests/test_entry/test_stage_quarantine.py
+++ b/tests/test_entry/test_stage_quarantine.py
@@ -19,10 +19,13 @@
 from greengagelatch_entry.controllers.crash_report_gossip import CrashReportGossip
 from greengagelatch_entry.filters import Exchange
 from greengagelatch_entry.metrics import Metrics
+from greengagelatch_entry.peer_assisted_prober import PeerAssistedProber
 from greengagelatch_entry.pipeline_runner import PipelineRunner
 from greengagelatch_entry.relay.crash_detector import CrashDetector
-from greengagelatch_entry.relay.crash_evidence import PortEvidence
+from greengagelatch_entry.relay.crash_evidence import RefusalEvidence
 from greengagelatch_entry.relay.decisions import DecisionLog
+from greengagelatch_entry.relay.target_dialers import DialFailure
+from greengagelatch_entry.request_digests import compute_digest
 from greengagelatch_entry.stage_caller import StageCaller
 from greengagelatch_entry.stage_quarantine import (
     DirectoryAvailability,
@@ -59,37 +62,77 @@
         self.crashed: set[str] = set()
         self.arrivals = 0
         self.crashing_input = BAD
+        #: whether a new target follows each that has crashed
+        self.replaces = True
+        #: seconds that a call takes
+        self.seconds = 0.01
         #: whether targets break off calls and go on running
         self.loses_answers = False
         for _ in range(3):
-            self._add()
+            self.add()
 
-    def _add(self) -> None:
+    def add(self) -> None:
         number = len(self.targets)
         target = Target(f"t{number}", SERVICE, "hall", f"10.0.0.{number}:1")
         self.targets.append(target)
 
+    def find_target(self, target_id: str) -> Target | None:
+        return next((t for t in self.targets if t.target_id == target_id), None)
+
     def list_running(self) -> list[Target]:
         return [one for one in self.targets if one.target_id not in self.crashed]
 
-    async def is_port_closed(self, address: str) -> bool:
+    async def probe(self, address: str) -> DialFailure | None:
         crashed = [one for one in self.targets if one.target_id in self.crashed]
-        return address in [one.address for one in crashed]
+        if address in [one.address for one in crashed]:
+            return DialFailure.REFUSED
+        return None
 
     async def answer(self, target, call, on_token):
         self.arrivals += call.input == BAD
-        await asyncio.sleep(0.01)
+        await asyncio.sleep(self.seconds)
         if target.target_id in self.crashed:
             return _fail(FailureKind.DISCONNECTED, Verdict.MAY_HAVE_RUN)
         if call.input == self.crashing_input:
             self.crashed.add(target.target_id)
-            self._add()
+            if self.replaces:
+                self.add()
             return _fail(FailureKind.DISCONNECTED, Verdict.MAY_HAVE_RUN)
         if self.loses_answers:
             return _fail(FailureKind.DISCONNECTED, Verdict.MAY_HAVE_RUN)
         return Ok(StageAnswer(output="done"))
 
 
+class Links:
+    """One instance's connections to the targets, which may be reset."""
+
+    def __init__(self, service: Service) -> None:
+        self._service = service
+        #: set once the links are cut
+        self.cut = asyncio.Event()
+
+    async def probe(self, address: str) -> DialFailure | None:
+        if self.cut.is_set():
+            return DialFailure.REFUSED
+        return await self._service.probe(address)
+
+    async def answer(self, target, call, on_token):
+        if self.cut.is_set():
+            return _fail(FailureKind.CONNECT, Verdict.NOT_RUN)
+        answering = asyncio.ensure_future(self._service.answer(target, call, on_token))
+        cutting = asyncio.ensure_future(self.cut.wait())
+        try:
+            await asyncio.wait(
+                (answering, cutting), return_when=asyncio.FIRST_COMPLETED
+            )
+            if cutting.done():
+                return _fail(FailureKind.DISCONNECTED, Verdict.MAY_HAVE_RUN)
+            return answering.result()
+        finally:
+            answering.cancel()
+            cutting.cancel()
+
+
 class Directory(FixedDirectory):
     def __init__(self, service: Service) -> None:
         super().__init__(())
@@ -124,19 +167,32 @@
         self.clock = SystemClock()
         metrics = Metrics("127.0.0.1:9")
         directory = Directory(service)
+        self.links = Links(service)
+        self.client = ScriptedClient(self.links.answer)
         self.quarantine = Quarantine()
+        target_table = DirectoryAvailability(directory)
         decisions = DecisionLog(clock=self.clock, metrics=metrics)
+        peers = join(network, name)
         self._gossip = CrashReportGossip(
             quarantine=self.quarantine,
-            peers=join(network, name),
+            peers=peers,
             clock=self.clock,
             metrics=metrics,
         )
         self.detector = CrashDetector(
             replicator=self._gossip,
             quarantine=self.quarantine,
-            target_table=DirectoryAvailability(directory),
-            evidence=PortEvidence(service),
+            target_table=target_table,
+            evidence=RefusalEvidence(
+                prober=PeerAssistedProber(
+                    port_probe=self.links,
+                    peers=peers,
+                    find_target=service.find_target,
+                    random_source=random.Random(8),
+                ),
+                target_table=target_table,
+                random_source=random.Random(9),
+            ),
             clock=self.clock,
             metrics=metrics,
             decisions=decisions,
@@ -144,7 +200,7 @@
         self.caller = StageCaller(
             dispatcher=RoundRobinDispatcher(directory=directory, clock=self.clock),
             directory=directory,
-            client=ScriptedClient(service.answer),
+            client=self.client,
             clock=self.clock,
             random_source=random.Random(7),
             metrics=metrics,
@@ -158,6 +214,11 @@
             stage_caller=self.caller, clock=self.clock, metrics=metrics
         )
 
+    def count_blamed(self) -> int:
+        """Return how many crashes this instance knows of the crashing request."""
+        digest = compute_digest("north", "booking", BAD)
+        return self.quarantine.count_crashed(f"{digest}/book")
+
     async def ask(self, text: str, budget: float = 5.0):
         now = self.clock.now()
         request = Request(
@@ -254,3 +315,47 @@
     await world.crash_targets()
     answer = await world.instances[2].ask(BAD)
     assert answer.refusal.code is RefusalCode.QUARANTINED
+
+
+async def test_links_of_one_instance_that_are_reset_blame_no_request(world):
+    """Guards against sound requests refused for the lost links of one instance.
+
+    Its connections are reset while one request runs on three targets, and all of them
+    refuse it afterwards. They run on, and other instances reach them.
+    """
+    cut_off, *others = world.instances
+    world.service.seconds = 1.0
+    asked = [asyncio.create_task(cut_off.ask("good")) for _ in range(3)]
+    await wait_until(lambda: len(cut_off.client.calls) == 3)
+    cut_off.links.cut.set()
+    await asyncio.gather(*asked)
+    await asyncio.sleep(0.2)
+    world.service.seconds = 0.01
+    for instance in others:
+        assert (await instance.ask("good")).result == "done"
+        assert not instance.quarantine.has_crashes()
+    assert not cut_off.quarantine.has_crashes()
+
+
+async def test_crash_of_all_targets_is_blamed_if_peers_confirm_it(world):
+    """Guards against crashes that are taken for the lost links of an instance.
+
+    No target of the service is left that could be reached in place of the others.
+    """
+    world.service.replaces = False
+    await world.crash_targets()
+    world.service.replaces = True
+    world.service.add()
+    for instance in world.instances:
+        await wait_until(lambda one=instance: one.count_blamed() == MAX_CRASHES)
+
+
+async def test_crash_is_blamed_by_the_only_instance(world):
+    """Guards against an instance without peers that waits for their word."""
+    world.network.states = {
+        name: state for name, state in world.network.states.items() if name == "e-0"
+    }
+    world.service.replaces = False
+    await world.crash_targets()
+    only = world.instances[0]
+    await wait_until(lambda: only.count_blamed() == MAX_CRASHES)
