--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/crash_parts.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/crash_parts.py
@@ -61,7 +61,7 @@
         quarantine=quarantine,
         target_table=shared.target_table,
         evidence=RefusalEvidence(
-            dialer=dialer,
+            prober=dialer,
             reachability=reachability,
             target_table=shared.target_table,
             random_source=shared.random_source,
