Test silences of all targets, of makers and of links

Guards of what a review ruled out: requests of each kind that wait for silent targets when no other one answers, twice in a row, a stream whose makers are silent, and requests on connections whose link holds back bytes.

--- a/tests/test_entry/test_relay/test_unanswered_requests.py
+++ b/tests/test_entry/test_relay/test_unanswered_requests.py
@@ -380,3 +380,108 @@
         writer.write(encode_request(f"r-{number}"))
         assert (await read_answer(reader))[0] == 200
     writer.close()
+
+
+#: requests that wait for silent targets at the same time
+CROWD = 8
+
+
+async def endure_silence(world, requests: list[asyncio.Task]) -> None:
+    """Wait until each request has outlasted its soft timeout, then end all silences."""
+    count = world.count("decisions.silence")
+    await world.wait_for(
+        lambda: (
+            world.count("decisions.silence") >= count + len(requests)
+            or any(one.done() for one in requests)
+        )
+    )
+    for target in world.targets.values():
+        target.silences.clear()
+        target.resume()
+
+
+@pytest.mark.parametrize("path", ["/look/1", "/draft/1"])
+async def test_requests_outlast_silences_of_all_targets_of_a_service(pipeline, path):
+    """Guards against requests given up as no target of their service answers.
+
+    The targets fall silent twice, before their answers and in the middle of streams.
+    """
+    await pipeline.add("desk-1", "desk")
+    await pipeline.add("desk-2", "desk")
+    await pipeline.wait_until_synced(8)
+    await pipeline.extend_timeouts()
+    for target in pipeline.targets.values():
+        target.silences = [0] * 4 * CROWD
+    headers = PROMPT if path == "/draft/1" else {}
+    requests = [
+        asyncio.create_task(pipeline.ask(path, method="POST", **headers))
+        for _ in range(CROWD)
+    ]
+    await endure_silence(pipeline, requests)
+    if path == "/draft/1":
+        for target in pipeline.targets.values():
+            target.silences = [2] * 4 * CROWD
+        await endure_silence(pipeline, requests)
+    for request in requests:
+        reply = await request
+        assert (reply.status, reply.error) == (200, "")
+        if path == "/draft/1":
+            assert reply.body.count(b"id: ") == EVENTS
+
+
+@pytest.mark.parametrize("path", ["/book/1", "/scan/1"])
+async def test_requests_that_may_run_once_outlast_a_silence(pipeline, path):
+    """Guards against requests that wait for a silent target, but not long enough."""
+    await pipeline.add("desk-1", "desk")
+    await pipeline.wait_until_synced(7)
+    await pipeline.extend_timeouts()
+    places = [0] if path == "/book/1" else [0, 2]
+    for target in pipeline.targets.values():
+        target.silences = list(places)
+    headers = PROMPT if path == "/scan/1" else {}
+    held = asyncio.create_task(pipeline.ask(path, method="POST", **headers))
+    for _ in places:
+        await pipeline.wait_for(
+            lambda: any(one.silent for one in pipeline.targets.values())
+        )
+        await asyncio.sleep(1.5)
+        for target in pipeline.targets.values():
+            target.resume()
+    reply = await held
+    assert (reply.status, reply.error) == (200, "")
+    received = sum(len(one.received) for one in pipeline.targets.values())
+    assert received == 1
+
+
+async def test_stream_outlasts_the_silence_of_all_makers(pipeline):
+    """Guards against requests refused as calls to silent makers time out."""
+    await pipeline.extend_timeouts()
+    gate = asyncio.Event()
+    makers = [one for one in pipeline.targets.values() if one.service != "llm"]
+    for maker in makers:
+        maker.gate = gate
+    held = asyncio.create_task(pipeline.stream())
+    await pipeline.wait_for(lambda: any(maker.batches for maker in makers))
+    await asyncio.sleep(1.2)
+    gate.set()
+    reply = await held
+    assert (reply.status, reply.error) == (200, "")
+
+
+@pytest.mark.parametrize("path", ["/look/1", "/book/1"])
+async def test_request_outlasts_a_silent_link_to_its_target(fleet, path):
+    """Guards against requests on idle connections whose target has fallen silent."""
+    instance = fleet.instances[0]
+    await instance.extend_timeouts()
+    for target in fleet.targets.values():
+        if target.service == "desk" and target.target_id != "desk-north-1":
+            target.register(fleet.store, state="draining")
+    await instance.wait_for(lambda: not instance.accepts("desk-north-2"))
+    for _ in range(2):
+        assert (await instance.ask("/look/1")).status == 200
+    assert instance.find_connections().count_idle()
+    instance.links.pause("desk-north-1")
+    held = asyncio.create_task(instance.ask(path, method="POST", body=b"x" * 50_000))
+    await asyncio.sleep(1.5)
+    instance.links.resume("desk-north-1")
+    assert (await held).status == 200
