Test silences beside changes and planned stops

Guards of what a review ruled out: a target that leaves the listing or drains while it is silent, a configuration that gives the route another service, and a planned stop while requests wait for silent targets. All passed on the code as it is.

--- a/tests/test_entry/test_relay/test_stop.py
+++ b/tests/test_entry/test_relay/test_stop.py
@@ -391,3 +391,32 @@
     assert "connection: close" in head
     assert count_runs(world, "slow") == 0
     writer.close()
+
+
+@pytest.mark.parametrize("path", ["/look/1", "/book/1", "/draft/1"])
+async def test_stop_waits_for_requests_at_silent_targets(pipeline, monkeypatch, path):
+    """Guards against a planned stop that ends what silent targets would have answered.
+
+    All targets of the service fall silent before or after the signal.
+    """
+    await pipeline.add("desk-1", "desk")
+    await pipeline.wait_until_synced(7)
+    await pipeline.extend_timeouts()
+    monkeypatch.setattr(pipeline.parts.drain, "_max_drain_seconds", WAIT_SECONDS)
+    for target in pipeline.targets.values():
+        target.silences = [2 if target.service == "llm" else 0]
+    headers = {"X_Prefix_Hash": "aa:60"} if path == "/draft/1" else {}
+    held = asyncio.create_task(pipeline.ask(path, method="POST", **headers))
+    await pipeline.wait_for(lambda: any(one.runs for one in pipeline.targets.values()))
+    stop = asyncio.create_task(pipeline.parts.drain.wait())
+    pipeline.parts.drain.start_drain()
+    await pipeline.wait_for(
+        lambda: any(one.silent for one in pipeline.targets.values())
+    )
+    await asyncio.sleep(1.5)
+    for target in pipeline.targets.values():
+        target.silences.clear()
+        target.resume()
+    reply = await held
+    assert (reply.status, reply.error) == (200, "")
+    assert await stop
--- a/tests/test_entry/test_relay/test_unanswered_requests.py
+++ b/tests/test_entry/test_relay/test_unanswered_requests.py
@@ -485,3 +485,41 @@
     await asyncio.sleep(1.5)
     instance.links.resume("desk-north-1")
     assert (await held).status == 200
+
+
+@pytest.mark.parametrize("event", ["drain", "leave", "replaced"])
+@pytest.mark.parametrize("path", ["/look/1", "/book/1", "/scan/1", "/draft/1"])
+async def test_change_beside_a_silence_interrupts_no_request(pipeline, path, event):
+    """Guards against requests that end as a target leaves while it is silent.
+
+    The same for a new configuration, with another service for the route.
+    """
+    await pipeline.add("desk-1", "desk")
+    await pipeline.wait_until_synced(7)
+    await pipeline.extend_timeouts()
+    service = "desk" if path in ("/look/1", "/book/1") else "llm"
+    for target in pipeline.targets.values():
+        target.silences = [0 if service == "desk" else 2]
+    headers = {} if service == "desk" else PROMPT
+    held = asyncio.create_task(pipeline.ask(path, method="POST", **headers))
+    await pipeline.wait_for(lambda: find_held(pipeline, service))
+    (target,) = find_held(pipeline, service)
+    await pipeline.wait_for(lambda: target.silent)
+    match event:
+        case "drain":
+            target.register(pipeline.store, state="draining")
+        case "leave":
+            pipeline.store.remove(f"servers/{target.target_id}")
+        case "replaced":
+            await configure(pipeline, 10, **create_changes()[event])
+    revision = pipeline.store.put("op/other", {})
+    await pipeline.wait_for_revision(revision)
+    # longer than the soft timeouts
+    await asyncio.sleep(1.7)
+    for one in pipeline.targets.values():
+        one.silences.clear()
+        one.resume()
+    reply = await held
+    assert (reply.status, reply.error) == (200, "")
+    if service == "llm":
+        assert reply.body.count(b"id: ") == EVENTS
