Count a request that waits in vain as one failure

What callers saw: nothing reported; found by reading. A safe request or a stream that may be resumed, at a target that never answered it, counted twice with the breaker: as its soft timeout ran out without a retry, and at its end. Two failures open the breaker, so one slow request ejected its target.

Evidence: test_request_that_waits_in_vain_is_one_failure found the breaker open after the first request.

Fix: an end of the wait whose silence was recorded before is no further failure. Idle connections to the target are closed all the same.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/soft_timeout.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/soft_timeout.py
@@ -29,11 +29,13 @@
         to leave the target. The arguments tell whether it was called before, and
         whether the path of the connection is lost
     :param asked: whether it was called
+    :param endured: whether the wait went on then, as the target may not be left
     """
 
     seconds: float
     may_leave: Callable[[bool, bool], bool]
     asked: bool = False
+    endured: bool = False
     _until: float | None = None
 
     def find_end(self, now: float) -> float:
@@ -98,4 +100,5 @@
         if self._soft_timeout.may_leave(asked, self._is_path_lost()):
             self._scope.reschedule(loop.time())
             return
+        self._soft_timeout.endured = True
         self._timer = loop.call_later(ASK_INTERVAL, self._read_first)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -316,9 +316,10 @@
     ) -> bytes | None:
         left = self._runner.find_remaining(self._exchange)
         end = asyncio.get_running_loop().time() + max(0.0, left)
+        soft_timeout = self._create_soft_timeout(target)
         try:
             async with SoftTimeoutScope(
-                end, self._create_soft_timeout(target), received.response.is_path_lost
+                end, soft_timeout, received.response.is_path_lost
             ):
                 return await anext(chunks, None)
         except TimeoutError:
@@ -326,6 +327,7 @@
                 "timed out waiting for the next event",
                 path_lost=received.response.is_path_lost(),
                 silent=True,
+                endured=soft_timeout is not None and soft_timeout.endured,
             ) from None
 
     def _handle_first_event(
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
@@ -73,6 +73,7 @@
     :param path_lost: whether the connection was direct and the target is reached
         through peers only now, so that it may be well
     :param silent: whether it was given up as the target was silent
+    :param endured: whether that silence is recorded, as the request waited on before
     """
 
     def __init__(
@@ -82,11 +83,13 @@
         broken: bool = False,
         path_lost: bool = False,
         silent: bool = False,
+        endured: bool = False,
     ) -> None:
         super().__init__(message)
         self.broken = broken
         self.path_lost = path_lost
         self.silent = silent
+        self.endured = endured
 
 
 def configure_socket(connection: socket.socket, rule: ConnectionLossRule) -> None:
@@ -305,6 +308,7 @@
                 "timed out waiting for the response head",
                 path_lost=is_path_lost(),
                 silent=True,
+                endured=soft_timeout is not None and soft_timeout.endured,
             ) from None
         except (ClientError, HttpProcessingError, OSError) as error:
             connection.abort()
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_sender.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_sender.py
@@ -159,6 +159,7 @@
             blamed=not error.path_lost,
             path_lost=error.path_lost,
             silent=error.silent,
+            recorded=error.endured,
         )
 
     def record_survival(self, exchange: RelayExchange, target: ListedTarget) -> None:
@@ -220,12 +221,14 @@
         blamed: bool = True,
         path_lost: bool = False,
         silent: bool = False,
+        recorded: bool = False,
     ) -> FailedSend:
         if not outcome.proves_not_run:
             exchange.raise_verdict(Verdict.MAY_HAVE_RUN)
         now = self._clock.now()
         if blamed and outcome is not SendOutcome.REJECTED:
-            self._load_balancer.record_failure(target.incarnation, now)
+            if not recorded:
+                self._load_balancer.record_failure(target.incarnation, now)
             # idle connections to it may be broken as well
             self._connections.close_idle(target.incarnation)
         self._decisions.log_decision(
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/unary.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/unary.py
@@ -154,6 +154,7 @@
                 "timed out reading the response body",
                 path_lost=response.is_path_lost(),
                 silent=True,
+                endured=soft_timeout is not None and soft_timeout.endured,
             )
             return self.sender.record_lost_response(exchange, target, timed_out)
         except TargetResponseError as error:
--- a/tests/test_entry/test_relay/test_unary.py
+++ b/tests/test_entry/test_relay/test_unary.py
@@ -429,3 +429,15 @@
     silent.resume()
     assert (await held).status == 200
     assert count_runs(world, "s-1") == 1
+
+
+async def test_request_that_waits_in_vain_is_one_failure(world):
+    """Guards against one request that opens the breaker of its target.
+
+    The silence counted as a failure, and the end of the request as another one.
+    """
+    target = await leave_one_target(world)
+    target.fault = TargetFault.MUTE
+    for breaker in ("closed", "open"):
+        assert (await world.ask("/look/1", X_Deadline_Ms="1200")).status == 504
+        assert list_breakers(world) == [breaker]
