--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
@@ -134,6 +134,7 @@
                 "timed out waiting for the response head",
                 path_lost=is_path_lost(),
                 silent=True,
+                endured=soft_timeout is not None and soft_timeout.endured,
             ) from None
         except (ClientError, HttpProcessingError, OSError) as error:
             connection.abort()
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/soft_timeout.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/soft_timeout.py
@@ -31,11 +31,13 @@
         to leave the target. The arguments tell whether it was called before, and
         whether the path of the connection is lost
     :param asked: whether it was called
+    :param endured: whether the wait went on then, as the target may not be left
     """
 
     seconds: float
     may_leave: Callable[[bool, bool], bool]
     asked: bool = False
+    endured: bool = False
     #: event loop time in seconds at which it ends; ``None`` before the first wait
     until: float | None = None
 
@@ -124,4 +126,5 @@
         if self._soft_timeout.may_leave(asked, self._is_path_lost()):
             self._scope.reschedule(loop.time())
             return
+        self._soft_timeout.endured = True
         self._set_timer(loop.time() + ASK_INTERVAL)
