Daemon: ask suspected peers for what they reach as well

An instance that loses all its links suspects its peers within seconds, then took itself for the only one and believed each refusal as a sign of a crash. The platform's path counts suspected peers as peers.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/peer_assisted_prober.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/peer_assisted_prober.py
@@ -85,10 +85,10 @@
         )
 
     def _pick_peers(self) -> list[str]:
-        alive = [
+        peers = [
             member.instance_id
             for member in self._peers.members()
-            if member.state is MemberState.ALIVE
+            if member.state in (MemberState.ALIVE, MemberState.SUSPECT)
             and member.instance_id != self._peers.instance_id
         ]
-        return self._random.sample(alive, min(len(alive), MAX_PEERS))
+        return self._random.sample(peers, min(len(peers), MAX_PEERS))
--- a/tests/test_entry/test_peer_assisted_prober.py
+++ b/tests/test_entry/test_peer_assisted_prober.py
@@ -84,6 +84,15 @@
     assert await world.ask_peers() is PeerFinding.UNKNOWN
 
 
+async def test_suspected_peers_out_of_reach_confirm_nothing():
+    """Guards against an instance without any links that believes all refusals."""
+    world = World()
+    world.network.blocked |= {("e-0", peer) for peer in PEERS}
+    for peer in PEERS:
+        world.network.states[peer] = MemberState.SUSPECT
+    assert await world.ask_peers() is PeerFinding.UNKNOWN
+
+
 async def test_dead_peers_are_not_asked():
     world = World()
     for peer in PEERS:
