Tell other instances which services are brittle

Callers saw 503s and lost responses for some seconds: targets that say how many rejections in a second they tolerate fell over, as instances without any response from them sent without bounds and learnt of the limit by rejections, all in the same second.

Cause: the limit was kept by each instance for itself. One with few requests, or with runs that outlast the notice of 3 to 5 s, has no response by then.

Now each instance tells its neighbours in the overlay which services are brittle, with the limit and the age of the last response that bore it: at once when it did not know, and each half second while it holds. The answers of PeerSyncController carry it too, for instances that nobody has as a neighbour. News age with each hop, so that they lapse with the responses they tell of and don't overrule a newer one; of a target's own response and the news, the newer counts, also if the response bore no limit. Makers' owners use the same news.

Ruled out: the store (may be away, a write for each renewal), the answers of PeerSyncController alone (a fleet of up to 12 asks nobody), a message to each other instance (38,000 at 195 instances).

Evidence: test_instance_that_has_sent_nothing_is_bounded_by_news on the code before (without the lines that read the new part of the state): both targets fell, "assert 2 == 0"; passes now.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -12,6 +12,7 @@
 from greengagelatch.peers import MemberState
 from greengagelatch.relay.admission import DeadlineAdmission
 from greengagelatch.relay.batches import CrossRequestBatching
+from greengagelatch.relay.brittle_services import BrittleServices, BrittleSource
 from greengagelatch.relay.brittle_targets import BrittleTargets
 from greengagelatch.relay.cold_targets import ColdTargets
 from greengagelatch.relay.groups import CapacityBasedOwnership
@@ -29,6 +30,7 @@
 from ..filters import chain
 from ..in_flight_requests import InFlightRequests
 from .brittle_admission import BrittleAdmission
+from .brittle_news import BrittleNewsController
 from .bundle_quarantine import SharedBundleQuarantine
 from .configuration import ConfigurationFollower
 from .crash_detector import CrashDetector
@@ -162,14 +164,21 @@
                 self.configuration.find_service(service).cold_rate
             ),
         )
+        self.brittle_services = BrittleServices(
+            on_begun=self._handle_brittle_service,
+            on_ended=self._log_brittle_service_ended,
+        )
         self.brittle_targets = BrittleTargets(
             own=self.settings.peers_listen,
             find_instances=self._find_sharing_instances,
             find_wall_seconds=self.clock.wall,
+            services=self.brittle_services,
             on_changed=self._log_brittle_target,
         )
         # the owner of a group of makers sends all calls to them
-        self.brittle_makers = BrittleTargets(on_changed=self._log_brittle_target)
+        self.brittle_makers = BrittleTargets(
+            services=self.brittle_services, on_changed=self._log_brittle_target
+        )
         self.load_balancer = LoadBalancer(
             target_table=self.target_table,
             cold_targets=self.cold_targets,
@@ -221,6 +230,12 @@
             metrics=self.metrics,
             capacity=self.settings.capacity.bundles,
         )
+        self.brittle_news = BrittleNewsController(
+            peers=self.peers,
+            services=self.brittle_services,
+            clock=self.clock,
+            metrics=self.metrics,
+        )
         self.direct_dialer = DirectDialer(self.metrics)
         self.reachability = Reachability(
             instance_id=self.settings.instance_id,
@@ -327,6 +342,7 @@
             crash_reports=self.crash_reports,
             target_table=self.target_table,
             cold_targets=self.cold_targets,
+            brittle_news=self.brittle_news,
             clock=self.clock,
             random_source=self.random,
             metrics=self.metrics,
@@ -504,6 +520,23 @@
             limit=limit or 0,
         )
 
+    def _handle_brittle_service(
+        self, service: str, limit: int, source: BrittleSource
+    ) -> None:
+        self.decisions.log_state_change(
+            "brittle-service",
+            service=service,
+            brittle=True,
+            limit=limit,
+            source=source.value,
+        )
+        self.brittle_news.handle_change()
+
+    def _log_brittle_service_ended(self, service: str) -> None:
+        self.decisions.log_state_change(
+            "brittle-service", service=service, brittle=False, limit=0, source="lapse"
+        )
+
     def _count_instances(self) -> int:
         """Return how many instances share retry budgets, with a lower bound."""
         alive = sum(
@@ -534,6 +567,7 @@
             self.registry,
             self.crash_reports,
             self.crash_detector,
+            self.brittle_news,
             self.reachability_probes,
             self.suspect_locks,
             self.follower,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/peer_sync.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/peer_sync.py
@@ -27,6 +27,7 @@
     from greengagelatch.relay.targets import TargetTable
 
     from ..metrics import Metrics
+    from .brittle_news import BrittleNewsController
     from .configuration import ConfigurationFollower
     from .crash_report_replicator import CrashReportReplicator
     from .evacuation import EvacuationFollower
@@ -77,6 +78,7 @@
         crash_reports: CrashReportReplicator,
         target_table: TargetTable,
         cold_targets: ColdTargets,
+        brittle_news: BrittleNewsController,
         clock: Clock,
         random_source: random.Random,
         metrics: Metrics,
@@ -92,6 +94,7 @@
         self._crash_reports = crash_reports
         self._target_table = target_table
         self._cold_targets = cold_targets
+        self._brittle_news = brittle_news
         self._clock = clock
         self._random = random_source
         self._metrics = metrics
@@ -191,6 +194,7 @@
                 seconds - elapsed,
                 "peer",
             )
+        self._brittle_news.apply(update.brittle_services, elapsed)
         self._crash_reports.apply_updates(update.crashes)
         if update.heard_seconds is not None:
             self._follower.record_peer_report(update.heard_seconds + elapsed)
@@ -223,6 +227,7 @@
                 (one.target_id, one.started_ms, seconds)
                 for one, seconds in self._cold_targets.list_cold(self._clock.now())
             ),
+            brittle_services=self._brittle_news.list_rows(),
         )
 
     def _compress_configuration(self) -> bytes:
--- a/packages/greengagelatch/src/greengagelatch/relay/brittle_targets.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/brittle_targets.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from ..targets.subset import compute_weight
+from .brittle_services import LAPSE_SECONDS, BrittleServices
 from .cold_targets import compute_share
 
 if TYPE_CHECKING:
@@ -30,8 +31,6 @@
 #: seconds for which a rejection counts: the second of the limit, and the time that a
 #: request may spend on its connection
 WINDOW_SECONDS = 1.4
-#: seconds after the last response with a limit until which it holds
-LAPSE_SECONDS = 10.0
 #: share of the limit for requests at risk. Those that are accepted take slots from
 #: instances that count on them, which the rest is for
 LIMIT_SHARE = 0.5
@@ -40,14 +39,7 @@
 TURN_SECONDS = 4.0
 #: seconds for which a load report is used
 REPORT_SECONDS = 1.0
-
-
-@dataclass(slots=True)
-class _Service:
-    """Responses of a service's targets that bore a limit."""
-
-    limit: int
-    said_at: float
+_NOT_SAID = (None, float("-inf"))
 
 
 @dataclass(slots=True)
@@ -77,6 +69,7 @@
     :param own: address of this instance
     :param find_instances: returns the addresses of all instances that may exist
     :param find_wall_seconds: returns seconds since the Unix epoch
+    :param services: services that are brittle, also by what other instances tell
     :param on_changed: called when a target says that it is brittle, with its limit, and
         when it no longer does, with ``None``
     """
@@ -87,14 +80,15 @@
         own: str = "",
         find_instances: Callable[[], Collection[str]] = lambda: ("",),
         find_wall_seconds: Callable[[], float] = lambda: 0.0,
+        services: BrittleServices | None = None,
         on_changed: Callable[[Incarnation, int | None], None] = lambda *_: None,
     ) -> None:
         self._own = own
         self._find_instances = find_instances
         self._find_wall_seconds = find_wall_seconds
+        self._services = BrittleServices() if services is None else services
         self._on_changed = on_changed
         self._targets: dict[Incarnation, _Target] = {}
-        self._services: dict[str, _Service] = {}
         #: cached shares by key and number, of the slots and of the limits in one turn
         self._slot_shares: dict[tuple[str, int], int] = {}
         self._limit_shares: dict[tuple[str, int], int] = {}
@@ -106,19 +100,17 @@
         """Return the rejections in a second that a target tolerates.
 
         All targets of a service become brittle at the same time, so that the limit of
-        another one counts for a target that has not responded recently.
+        another one counts for a target that has not responded since.
 
         :return: ``None`` if it is not brittle
         """
         if not self._services:
             return None
+        limit, said_at = self._services.find(target.service, now) or _NOT_SAID
         known = self._targets.get(target.incarnation)
-        if known is not None and now - known.answered_at < LAPSE_SECONDS:
-            return known.limit
-        service = self._services.get(target.service)
-        if service is None or now - service.said_at >= LAPSE_SECONDS:
-            return None
-        return service.limit
+        if known is None or now - known.answered_at >= LAPSE_SECONDS:
+            return limit
+        return limit if said_at > known.answered_at else known.limit
 
     def may_send(self, target: ListedTarget, in_flight: int, now: float) -> bool:
         """Return whether this instance may send a request to a target now.
@@ -160,13 +152,12 @@
         """
         known = self._targets.get(target.incarnation)
         was_brittle = known is not None and known.limit is not None
-        if limit is None and self.find_limit(target, now) is None and not was_brittle:
-            return
+        # also without a limit, or older news of another instance would overrule it
         known = self._find(target.incarnation, now)
         known.limit, known.answered_at = limit, now
         known.load = load
         if limit is not None:
-            self._services[target.service] = _Service(limit, now)
+            self._services.record_response(target.service, limit, now)
             if rejected:
                 known.rejections.append(now)
                 known.held = max(0, in_flight)
--- a/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
@@ -303,6 +303,7 @@
     def forget(self, incarnation: Incarnation) -> None:
         """Discard the state of a target that is gone."""
         self._states.pop(incarnation, None)
+        self._brittle_targets.forget(incarnation)
 
     def describe(self, now: float) -> dict[str, dict[str, float | str]]:
         """Return the state of each target for the state dump."""
--- a/packages/greengagelatch/src/greengagelatch/relay/messages.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/messages.py
@@ -6,13 +6,17 @@
 from typing import TYPE_CHECKING, Any
 
 from ..peers.codec import Message, check_type, register
+from .brittle_services import BrittleNews
 from .incarnations import Incarnation
 from .pieces import Bundle, Piece, PieceFailure, PieceResult
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from .groups import MakerGroup
 
 __all__ = (
+    "BrittleServicesUpdate",
     "CrashReportsUpdate",
     "PeerSyncAnswer",
     "PeerSyncQuery",
@@ -22,8 +26,10 @@
     "BundleRequest",
     "ResultsReleased",
     "StageWaits",
+    "decode_brittle",
     "decode_bundle",
     "decode_results",
+    "encode_brittle",
     "encode_bundle",
     "encode_results",
 )
@@ -190,12 +196,15 @@
     evacuations: tuple[Any, ...] = ()
     #: id and start of cold targets, and the seconds for which each may still be cold
     cold_targets: tuple[Any, ...] = ()
+    #: see :func:`encode_brittle`
+    brittle_services: tuple[Any, ...] = ()
 
     def __post_init__(self) -> None:
         check_type(self.crashes, (tuple, list))
         check_type(self.evacuations_revision, int)
         _check_rows(self.evacuations, (str, int), 0)
         _check_rows(self.cold_targets, (str, int), 1)
+        _check_rows(self.brittle_services, (str, int), 1)
         check_type(self.heard_seconds, (int, float, type(None)))
         check_type(self.configuration, bytes)
         check_type(self.configuration_revision, int)
@@ -215,6 +224,34 @@
         check_type(self.rows, (tuple, list))
 
 
+@register("brittle-services")
+@dataclass(frozen=True, slots=True)
+class BrittleServicesUpdate(Message):
+    """Services whose targets are brittle, as the sender knows."""
+
+    #: see :func:`encode_brittle`
+    rows: tuple[Any, ...] = ()
+
+    def __post_init__(self) -> None:
+        _check_rows(self.rows, (str, int), 1)
+
+
+def encode_brittle(news: Iterable[BrittleNews]) -> tuple[Any, ...]:
+    """Return brittle services as rows of a message.
+
+    A row holds the service, its limit, and the seconds since it was last said.
+    """
+    return tuple((one.service, one.limit, round(one.age, 3)) for one in news)
+
+
+def decode_brittle(rows: Iterable[Any]) -> list[BrittleNews]:
+    """Return the brittle services in rows of a message."""
+    return [
+        BrittleNews(service=service, limit=max(0, limit), age=age)
+        for service, limit, age in rows
+    ]
+
+
 def encode_bundle(bundle: Bundle, group: MakerGroup, now: float) -> BundleRequest:
     """Return the message that asks the owner of a group for a bundle."""
     first = bundle.pieces[0]
--- a/tests/test_core/test_relay/test_brittle_fleets.py
+++ b/tests/test_core/test_relay/test_brittle_fleets.py
@@ -6,10 +6,12 @@
 import random
 from collections import deque
 from dataclasses import dataclass, field
+from functools import partial
 from typing import TYPE_CHECKING
 
 import pytest
 
+from greengagelatch.relay.brittle_services import BrittleNews, BrittleServices
 from greengagelatch.relay.brittle_targets import WINDOW_SECONDS, BrittleTargets
 from greengagelatch.relay.cold_targets import compute_share
 from greengagelatch.relay.incarnations import Incarnation
@@ -35,6 +37,12 @@
 CALLER_PAUSES = (0.3, 1.2)
 #: targets to which an instance sends one attempt
 MAX_SENDS = 2
+#: instances that each one tells of brittle services, and the seconds between two times,
+#: as in ``PEER_BOUNDS`` and ``relay/brittle_news.py`` of the entry instance
+NEIGHBOURS = 8
+NEWS_SECONDS = 0.5
+#: seconds until news that are sent on a change arrive: the pause before, and the way
+NEWS_LATENCIES = (0.01, 0.1)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -110,6 +118,8 @@
 class _Instance:
     name: str
     rule: BrittleTargets
+    services: BrittleServices
+    neighbours: list[_Instance] = field(default_factory=list)
     in_flight: dict[Incarnation, int] = field(default_factory=dict)
     avoided: dict[Incarnation, float] = field(default_factory=dict)
     waiting: int = 0
@@ -123,20 +133,23 @@
         self.random = random.Random(seed)
         self.now = 0.0
         self.served = self.offered = self.rejected = 0
+        #: messages with news, and when each instance has learnt of the limit
+        self.told = 0
+        self.learnt: dict[str, float] = {}
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._count = 0
         names = frozenset(f"entry-{n}" for n in range(scenario.instances))
         self.instances = [
-            _Instance(
-                name,
-                WAYS[way](
-                    own=name,
-                    find_instances=lambda: names,
-                    find_wall_seconds=lambda: self.now,
-                ),
-            )
-            for name in sorted(names)
+            self._create_instance(name, names, WAYS[way]) for name in sorted(names)
         ]
+        # of its own, so that news don't change what callers and targets draw
+        self._news_random = random.Random(seed)
+        for instance in self.instances:
+            others = [one for one in self.instances if one is not instance]
+            count = len(others) if len(others) <= 2 * NEIGHBOURS else NEIGHBOURS
+            instance.neighbours = self._news_random.sample(others, count)
+            first = self._news_random.uniform(0.0, NEWS_SECONDS)
+            self._later(first, partial(self._tell_forever, instance))
         self._weights = [self.random.uniform(0.3, 2.0) for _ in self.instances]
         self.targets = [
             _Target(
@@ -167,6 +180,39 @@
                 return
             action()
 
+    def _create_instance(
+        self, name: str, names: frozenset[str], way: type[BrittleTargets]
+    ) -> _Instance:
+        def learn(*_) -> None:
+            self.learnt[name] = self.now
+            self._later(0.0, partial(self._tell, instance))
+
+        services = BrittleServices(on_begun=learn)
+        rule = way(
+            own=name,
+            find_instances=lambda: names,
+            find_wall_seconds=lambda: self.now,
+            services=services,
+        )
+        instance = _Instance(name, rule, services)
+        return instance
+
+    def _tell_forever(self, instance: _Instance) -> None:
+        self._tell(instance)
+        self._later(NEWS_SECONDS, partial(self._tell_forever, instance))
+
+    def _tell(self, instance: _Instance) -> None:
+        """Send the neighbours of an instance what it knows of brittle services."""
+        news = instance.services.list_news(self.now)
+        for neighbour in instance.neighbours if news else ():
+            self.told += 1
+            delay = self._news_random.uniform(*NEWS_LATENCIES)
+            self._later(delay, partial(self._receive_news, neighbour, news))
+
+    def _receive_news(self, instance: _Instance, news: list[BrittleNews]) -> None:
+        for one in news:
+            instance.services.record_news(one, self.now)
+
     def _later(self, seconds: float, action: Callable[[], None]) -> None:
         self._count += 1
         heapq.heappush(self._events, (self.now + seconds, self._count, action))
@@ -355,3 +401,15 @@
     scenario = Scenario(instances=89, targets=45, slots=16, limit=2, run_seconds=12)
     fleet = run_fleet(scenario, "slots and risk", 0)
     assert fleet.falls <= fleet.allowed_falls
+
+
+def test_news_of_brittle_targets_reach_a_large_fleet_without_a_storm():
+    """Guards against instances that learn too late, and against a message by each of
+    them to each other.
+    """
+    scenario = Scenario(instances=195, targets=3, slots=1, limit=2, load=0.02)
+    fleet = run_fleet(scenario, "slots and risk", 0)
+    assert len(fleet.learnt) == scenario.instances
+    assert max(fleet.learnt.values()) - min(fleet.learnt.values()) < SHRINK_SECONDS / 2
+    repeats = RUN_SECONDS / NEWS_SECONDS
+    assert fleet.told <= scenario.instances * NEIGHBOURS * (1 + repeats)
--- a/tests/test_core/test_relay/test_brittle_targets.py
+++ b/tests/test_core/test_relay/test_brittle_targets.py
@@ -2,6 +2,12 @@
 
 from __future__ import annotations
 
+from greengagelatch.relay.brittle_services import (
+    HOP_SECONDS,
+    BrittleNews,
+    BrittleServices,
+    BrittleSource,
+)
 from greengagelatch.relay.brittle_targets import (
     LAPSE_SECONDS,
     TURN_SECONDS,
@@ -124,3 +130,56 @@
     assert list(rule.describe(0.0)) == [str(make_target().incarnation)]
     rule.forget(make_target().incarnation)
     assert rule.describe(0.0) == {}
+
+
+def tell(services, limit=3, *, age=0.0, now=0.0):
+    services.record_news(BrittleNews(service="desk", limit=limit, age=age), now)
+
+
+def test_news_bound_an_instance_without_any_response():
+    services = BrittleServices()
+    rule = BrittleTargets(services=services)
+    tell(services, 0)
+    assert rule.find_limit(make_target(), 1.0) == 0
+    assert not rule.may_send(make_target(), SLOTS, 1.0)
+
+
+def test_older_news_do_not_overrule_a_response():
+    """Guards against a limit that other instances keep up after its end."""
+    services = BrittleServices()
+    rule = BrittleTargets(services=services)
+    respond(rule, None, now=5.0)
+    tell(services, age=1.0, now=5.5)
+    assert rule.find_limit(make_target(), 5.5) is None
+    tell(services, age=0.1, now=5.9)
+    assert rule.find_limit(make_target(), 5.9) == 3
+    respond(rule, None, now=6.0)
+    assert rule.find_limit(make_target(), 6.0) is None
+
+
+def test_instances_do_not_prolong_the_news_of_each_other():
+    """Guards against news that go back and forth for good."""
+    ended = []
+    first = BrittleServices(on_ended=ended.append)
+    second = BrittleServices()
+    first.record_response("desk", 3, 0.0)
+    now = 0.0
+    while now < 2 * LAPSE_SECONDS:
+        for sender, receiver in ((first, second), (second, first)):
+            news = sender.list_news(now)
+            now += HOP_SECONDS / 2
+            for one in news:
+                receiver.record_news(one, now)
+    assert ended == ["desk"]
+    assert first.describe(now) == second.describe(now) == {}
+
+
+def test_each_change_of_a_service_is_reported_once_with_its_source():
+    begun = []
+    services = BrittleServices(on_begun=lambda *change: begun.append(change))
+    tell(services, 3)
+    tell(services, 4, now=0.5)
+    services.record_response("desk", 5, 1.0)
+    assert begun == [("desk", 3, BrittleSource.PEER)]
+    services.record_response("desk", 6, 1.0 + LAPSE_SECONDS)
+    assert begun[1:] == [("desk", 6, BrittleSource.TARGET)]
--- a/tests/test_entry/test_relay/test_brittle_targets.py
+++ b/tests/test_entry/test_relay/test_brittle_targets.py
@@ -4,6 +4,9 @@
 
 import asyncio
 
+from greengagelatch.peers.codec import Envelope, decode, encode
+from greengagelatch.relay.brittle_services import BrittleServices
+from greengagelatch.relay.messages import PeerSyncQuery
 from greengagelatch_lab.platform_standins.brittleness import Brittleness
 
 SERVED = 200
@@ -108,6 +111,59 @@
     assert sum(one.falls for one in states) == 0
 
 
+def list_brittle(world) -> dict:
+    """Return the services that an instance knows to be brittle."""
+    return world.describe()["brittle_news"]["services"]
+
+
+async def test_instance_that_has_sent_nothing_is_bounded_by_news(fleet):
+    """Guards against an instance that learns of brittle targets by their rejections."""
+    states = make_brittle(fleet)
+    teller, listener, _ = fleet.instances
+    table = listener.find("news")._target_table
+    await listener.wait_for(
+        lambda: table.find_listed("desk-north-1").slots == states[0].slots
+    )
+    assert (await teller.ask("/look/1")).status == SERVED
+    await listener.wait_for(lambda: list_brittle(listener))
+    assert list_brittle(listener)["desk"]["source"] == "peer"
+    assert listener.count("beliefs.brittle-service") == 1
+    assert listener.count("beliefs.brittle-target") == 0
+    for one in states:
+        one.shrinks_after = 0.0
+    await asyncio.gather(*(listener.ask(f"/look/{n}") for n in range(BURST)))
+    assert sum(one.falls for one in states) == 0
+    assert listener.count("brittle_targets.held") > 0
+
+
+async def test_instance_that_was_cut_off_learns_of_brittle_targets(fleet):
+    """Guards against news that are told only once."""
+    make_brittle(fleet)
+    teller, listener, _ = fleet.instances
+    services = listener.find("brittle_news")._services
+    record_news, services.record_news = services.record_news, lambda *_: None
+    assert (await teller.ask("/look/1")).status == SERVED
+    await listener.wait_for(lambda: listener.count("brittle_targets.updates_received"))
+    assert not list_brittle(listener)
+    services.record_news = record_news
+    await listener.wait_for(lambda: list_brittle(listener))
+
+
+async def test_news_of_brittle_targets_are_received_with_those_of_the_store(world):
+    """Guards against an instance that no other one has as its neighbour."""
+    make_brittle(world)
+    await ask_each_target(world)
+    answer = world.find("news")._handle_query("peer", PeerSyncQuery())
+    received = decode(encode(Envelope(answer))).unwrap().message
+    (row,) = received.brittle_services
+    assert row[:2] == ("desk", 3)
+    services = world.find("brittle_news")._services = BrittleServices()
+    world.find("news")._apply(received, 0.5)
+    (news,) = services.list_news(world.find("news")._clock.now())
+    assert (news.service, news.limit) == ("desk", 3)
+    assert news.age >= row[2] + 0.5
+
+
 async def test_targets_that_tolerate_no_rejection_are_held_back_from(world):
     """Guards against a limit of 0 that counts as no limit."""
     states = make_brittle(world, limit=0)
--- a/tests/test_entry/test_relay/test_peer_sync.py
+++ b/tests/test_entry/test_relay/test_peer_sync.py
@@ -74,6 +74,7 @@
         crash_reports=SimpleNamespace(revision=1, apply_updates=lambda rows: None),
         target_table=None,
         cold_targets=ColdTargets(),
+        brittle_news=SimpleNamespace(list_rows=tuple, apply=lambda rows, elapsed: None),
         clock=LoopClock(),
         random_source=random.Random(1),
         metrics=NullTelemetry(),
