Leave earlier requests their slots at brittle targets

Callers saw targets fall over, and lost what ran there, although all instances knew of the limit and kept to their shares of the slots.

Cause: a request within the share of the slots was taken to find one free. With runs of 12 s the slots are held unevenly when the service becomes brittle, and stay so for as long as those requests run. Each instance whose share was taken tried again 1.4 s after its last rejection, up to 16 of them at each target, where two rejections a second are allowed.

Now, from when a service became brittle and from each rejection until the longest run known has passed, an instance has room for as many requests as it has had at the target since: one that has ended leaves its slot free. All others are at risk, and bounded as those beyond the share. One that was not rejected within the window is taken for accepted. Instances measure the longest run by the age of their oldest requests in flight, and tell it with the news.

The simulation tells the rule when a request is sent, as the load balancer does.

--- a/packages/greengagelatch/src/greengagelatch/relay/brittle_services.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/brittle_services.py
@@ -12,6 +12,7 @@
 __all__ = (
     "HOP_SECONDS",
     "LAPSE_SECONDS",
+    "MAX_RUN_SECONDS",
     "BrittleNews",
     "BrittleServices",
     "BrittleSource",
@@ -22,6 +23,8 @@
 #: seconds by which news age each time that they are received. A message takes less, so
 #: that news neither outlive the responses that they tell of nor overrule a newer one
 HOP_SECONDS = 0.1
+#: longest run of a request that is told or believed, in seconds
+MAX_RUN_SECONDS = 60.0
 
 
 class BrittleSource(Enum):
@@ -40,14 +43,19 @@
     limit: int
     #: seconds since the last response that bore the limit
     age: float
+    #: longest time that a request is known to have run, at any instance
+    run_seconds: float = 0.0
 
 
 @dataclass(slots=True)
 class _Service:
     limit: int
+    #: monotonic time of the first response that bore a limit, as known here
+    began_at: float
     #: monotonic time of the last response that bore a limit, at any instance
     said_at: float
     source: BrittleSource
+    run_seconds: float = 0.0
 
 
 class BrittleServices:
@@ -81,6 +89,25 @@
             return None
         return known.limit, known.said_at
 
+    def is_settling(self, service: str, since: float, now: float) -> bool:
+        """Return whether requests sent before a moment may still run.
+
+        Those sent before the service was found to be brittle count as well.
+
+        :param since: monotonic time in seconds
+        """
+        known = self._services.get(service)
+        if known is None:
+            return False
+        return now - max(known.began_at, since) < known.run_seconds
+
+    def record_run(self, service: str, seconds: float) -> None:
+        """Record how long a request has run so far."""
+        known = self._services.get(service)
+        if known is not None:
+            seconds = min(seconds, MAX_RUN_SECONDS)
+            known.run_seconds = max(known.run_seconds, seconds)
+
     def record_response(self, service: str, limit: int, now: float) -> None:
         """Record a response that bore a limit."""
         self._record(service, limit, now, BrittleSource.TARGET, now)
@@ -90,12 +117,18 @@
         age = max(0.0, news.age) + HOP_SECONDS
         if age < LAPSE_SECONDS:
             self._record(news.service, news.limit, now - age, BrittleSource.PEER, now)
+            self.record_run(news.service, news.run_seconds)
 
     def list_news(self, now: float) -> list[BrittleNews]:
         """Return what to tell other instances."""
         self._drop_lapsed(now)
         return [
-            BrittleNews(service=name, limit=known.limit, age=now - known.said_at)
+            BrittleNews(
+                service=name,
+                limit=known.limit,
+                age=now - known.said_at,
+                run_seconds=known.run_seconds,
+            )
             for name, known in self._services.items()
         ]
 
@@ -105,6 +138,7 @@
             name: {
                 "limit": known.limit,
                 "age": round(now - known.said_at, 3),
+                "run_seconds": round(known.run_seconds, 3),
                 "source": known.source.value,
             }
             for name, known in self._services.items()
@@ -122,7 +156,7 @@
         self._drop_lapsed(now)
         known = self._services.get(name)
         if known is None:
-            self._services[name] = _Service(limit, said_at, source)
+            self._services[name] = _Service(limit, said_at, said_at, source)
             self._on_begun(name, limit, source)
         elif said_at > known.said_at:
             known.limit, known.said_at, known.source = limit, said_at, source
--- a/packages/greengagelatch/src/greengagelatch/relay/brittle_targets.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/brittle_targets.py
@@ -54,8 +54,14 @@
     load: LoadReport | None = None
     #: monotonic times of its rejections
     rejections: deque[float] = field(default_factory=deque)
+    rejected_at: float = float("-inf")
     #: requests of this instance that it held when it last rejected one
     held: int = 0
+    #: most requests of this instance that it has held since then, or since it has been
+    #: brittle
+    kept: int = 0
+    #: monotonic times at which the latest of its requests in flight were sent
+    started: deque[float] = field(default_factory=deque)
 
 
 class BrittleTargets:
@@ -66,6 +72,10 @@
     of being rejected. The requests at risk, and the rejections of the last second,
     stay within this instance's share of the limit.
 
+    Requests sent before the target was known to be brittle, or accepted at risk, may
+    hold slots of other instances' shares for as long as they run. Until they have
+    ended, only requests that follow one of this instance are within its share.
+
     :param own: address of this instance
     :param find_instances: returns the addresses of all instances that may exist
     :param find_wall_seconds: returns seconds since the Unix epoch
@@ -121,6 +131,7 @@
         if limit is None:
             return True
         known = self._find(target.incarnation, now)
+        self._measure_run(target, known, in_flight, now)
         while known.rejections and known.rejections[0] <= now - WINDOW_SECONDS:
             known.rejections.popleft()
         room = self._find_room(target, known, now)
@@ -133,6 +144,17 @@
         allowed = self._find_allowed(target, known, limit)
         return len(known.rejections) + at_risk <= allowed
 
+    def record_start(
+        self, incarnation: Incarnation, in_flight: int, now: float
+    ) -> None:
+        """Record that a request is sent to a target.
+
+        :param in_flight: requests that this instance has at it beside this one
+        """
+        known = self._find(incarnation, now)
+        known.started.append(now)
+        _drop_ended(known, in_flight + 1)
+
     def record_response(
         self,
         target: ListedTarget,
@@ -154,13 +176,18 @@
         was_brittle = known is not None and known.limit is not None
         # also without a limit, or older news of another instance would overrule it
         known = self._find(target.incarnation, now)
+        if limit is None or now - known.answered_at >= LAPSE_SECONDS:
+            known.kept = 0
         known.limit, known.answered_at = limit, now
         known.load = load
         if limit is not None:
             self._services.record_response(target.service, limit, now)
             if rejected:
                 known.rejections.append(now)
-                known.held = max(0, in_flight)
+                known.rejected_at = now
+                known.held = known.kept = max(0, in_flight)
+            else:
+                known.kept = max(known.kept, in_flight + 1)
         if (limit is not None) != was_brittle:
             self._on_changed(target.incarnation, limit)
 
@@ -198,7 +225,17 @@
         if _has_queue(known, now):
             return 0
         self._drop_shares(self._turn)
-        return self._compute_share(self._slot_shares, target.target_id, target.slots)
+        share = self._compute_share(self._slot_shares, target.target_id, target.slots)
+        if self._services.is_settling(target.service, known.rejected_at, now):
+            return min(share, max(known.kept, _count_accepted(known, now)))
+        return share
+
+    def _measure_run(
+        self, target: ListedTarget, known: _Target, in_flight: int, now: float
+    ) -> None:
+        _drop_ended(known, in_flight)
+        if known.started:
+            self._services.record_run(target.service, now - known.started[0])
 
     def _find_allowed(self, target: ListedTarget, known: _Target, limit: int) -> int:
         """Return the share of the limit that this instance may use now."""
@@ -233,6 +270,20 @@
         return share
 
 
+def _drop_ended(known: _Target, in_flight: int) -> None:
+    """Discard the oldest starts, as if requests ended in their order.
+
+    The age of the oldest one that is left doesn't exceed the longest run then.
+    """
+    while len(known.started) > max(0, in_flight):
+        known.started.popleft()
+
+
+def _count_accepted(known: _Target, now: float) -> int:
+    """Return how many requests in flight would have been rejected by now if at all."""
+    return sum(sent_at <= now - WINDOW_SECONDS for sent_at in known.started)
+
+
 def _find_load(known: _Target, now: float) -> LoadReport | None:
     """Return the load that a target reported recently."""
     return known.load if now - known.answered_at < REPORT_SECONDS else None
--- a/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
@@ -326,6 +326,8 @@
 
     def _record_send(self, incarnation: Incarnation, now: float) -> None:
         self._cold_targets.record_send(incarnation, now)
+        in_flight = self._find_state(incarnation).in_flight
+        self._brittle_targets.record_start(incarnation, in_flight, now)
         if self._read_breaker(incarnation, now) is BreakerState.HALF_OPEN:
             self._find_state(incarnation).breaker.begin_probe(now)
 
--- a/packages/greengagelatch/src/greengagelatch/relay/messages.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/messages.py
@@ -204,7 +204,7 @@
         check_type(self.evacuations_revision, int)
         _check_rows(self.evacuations, (str, int), 0)
         _check_rows(self.cold_targets, (str, int), 1)
-        _check_rows(self.brittle_services, (str, int), 1)
+        _check_rows(self.brittle_services, (str, int), 2)
         check_type(self.heard_seconds, (int, float, type(None)))
         check_type(self.configuration, bytes)
         check_type(self.configuration_revision, int)
@@ -233,22 +233,28 @@
     rows: tuple[Any, ...] = ()
 
     def __post_init__(self) -> None:
-        _check_rows(self.rows, (str, int), 1)
+        _check_rows(self.rows, (str, int), 2)
 
 
 def encode_brittle(news: Iterable[BrittleNews]) -> tuple[Any, ...]:
     """Return brittle services as rows of a message.
 
-    A row holds the service, its limit, and the seconds since it was last said.
+    A row holds the service, its limit, the seconds since it was last said, and those
+    of the longest run.
     """
-    return tuple((one.service, one.limit, round(one.age, 3)) for one in news)
+    return tuple(
+        (one.service, one.limit, round(one.age, 3), round(one.run_seconds, 3))
+        for one in news
+    )
 
 
 def decode_brittle(rows: Iterable[Any]) -> list[BrittleNews]:
     """Return the brittle services in rows of a message."""
     return [
-        BrittleNews(service=service, limit=max(0, limit), age=age)
-        for service, limit, age in rows
+        BrittleNews(
+            service=service, limit=max(0, limit), age=age, run_seconds=run_seconds
+        )
+        for service, limit, age, run_seconds in rows
     ]
 
 
--- a/tests/test_core/test_relay/test_brittle_fleets.py
+++ b/tests/test_core/test_relay/test_brittle_fleets.py
@@ -277,7 +277,9 @@
         incarnation = target.listed.incarnation
         if isinstance(instance.rule, SendsOnly):
             instance.rule.record_send(target.listed, self.now)
-        instance.in_flight[incarnation] = instance.in_flight.get(incarnation, 0) + 1
+        in_flight = instance.in_flight.get(incarnation, 0)
+        instance.rule.record_start(incarnation, in_flight, self.now)
+        instance.in_flight[incarnation] = in_flight + 1
 
         def fail() -> None:
             later = excluded | {incarnation}
--- a/tests/test_core/test_relay/test_brittle_targets.py
+++ b/tests/test_core/test_relay/test_brittle_targets.py
@@ -183,3 +183,61 @@
     assert begun == [("desk", 3, BrittleSource.PEER)]
     services.record_response("desk", 6, 1.0 + LAPSE_SECONDS)
     assert begun[1:] == [("desk", 6, BrittleSource.TARGET)]
+
+
+def hear_of_runs(seconds: float, limit: int = 0) -> BrittleTargets:
+    """Return the rule of an instance that hears of a brittle service with long runs."""
+    services = BrittleServices()
+    news = BrittleNews(service="desk", limit=limit, age=0.0, run_seconds=seconds)
+    services.record_news(news, 0.0)
+    return BrittleTargets(services=services)
+
+
+def test_share_is_not_used_while_earlier_requests_of_others_may_run():
+    """Guards against shares that other instances' requests still take.
+
+    They were sent before the targets were known to be brittle, and run long.
+    """
+    rule = hear_of_runs(5.0)
+    assert not rule.may_send(make_target(), 0, 1.0)
+    assert rule.may_send(make_target(), SLOTS - 1, 5.0)
+    assert not rule.may_send(make_target(), SLOTS, 5.0)
+
+
+def test_requests_may_follow_each_other_while_those_of_others_run():
+    rule = hear_of_runs(5.0)
+    respond(rule, 0, now=1.0)
+    assert rule.may_send(make_target(), 0, 1.0)
+    assert not rule.may_send(make_target(), 1, 1.0)
+
+
+def test_request_that_was_not_rejected_is_no_longer_at_risk():
+    rule = hear_of_runs(9.0, limit=2)
+    target = make_target()
+    assert rule.may_send(target, 0, 1.0)
+    rule.record_start(target.incarnation, 0, 1.0)
+    assert not rule.may_send(target, 1, 1.0 + WINDOW_SECONDS - 0.1)
+    assert rule.may_send(target, 1, 1.0 + WINDOW_SECONDS)
+
+
+def test_rejection_within_the_share_holds_for_as_long_as_requests_run():
+    """Guards against instances that each try again while their slots are taken."""
+    rule = hear_of_runs(3.0)
+    respond(rule, 0, rejected=True, now=8.0)
+    assert not rule.may_send(make_target(), 0, 8.0 + 2.9)
+    assert rule.may_send(make_target(), 0, 8.0 + 3.0)
+
+
+def test_longest_run_is_told_while_the_request_still_runs():
+    services = BrittleServices()
+    rule = BrittleTargets(services=services)
+    target = make_target()
+    for sent_at in (0.0, 1.0, 2.0):
+        rule.record_start(target.incarnation, int(sent_at), sent_at)
+    rule.record_response(
+        target, limit=3, rejected=False, load=None, in_flight=2, now=3.0
+    )
+    rule.may_send(target, 2, 4.0)
+    assert [news.run_seconds for news in services.list_news(4.0)] == [3.0]
+    rule.may_send(target, 0, 9.0)
+    assert [news.run_seconds for news in services.list_news(9.0)] == [3.0]
