--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_parts.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_parts.py
@@ -5,10 +5,13 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from greengagelatch.relay.brittle_services import BrittleServices, BrittleSource
 from greengagelatch.relay.brittle_targets import BrittleTargets
 from greengagelatch.relay.cold_targets import ColdTargets
 from greengagelatch.relay.load_balancer import LoadBalancer
 
+from .brittle_news import BrittleNewsController
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
 
@@ -28,6 +31,7 @@
     cold: ColdTargets
     brittle: BrittleTargets
     brittle_makers: BrittleTargets
+    brittle_news: BrittleNewsController
     load_balancer: LoadBalancer
 
     def forget(self, incarnation: Incarnation) -> None:
@@ -63,23 +67,51 @@
             limit=limit or 0,
         )
 
+    def handle_brittle_service(service: str, limit: int, source: BrittleSource) -> None:
+        shared.decisions.log_state_change(
+            "brittle-service",
+            service=service,
+            brittle=True,
+            limit=limit,
+            source=source.value,
+        )
+        brittle_news.handle_change()
+
+    def log_brittle_service_ended(service: str) -> None:
+        shared.decisions.log_state_change(
+            "brittle-service", service=service, brittle=False, limit=0, source="lapse"
+        )
+
     cold = ColdTargets(
         own=settings.peers_listen,
         rule=settings.cold_targets,
         find_instances=known_instances.find_addresses,
         find_rate=lambda service: find_service(service).cold_rate,
     )
+    brittle_services = BrittleServices(
+        on_begun=handle_brittle_service, on_ended=log_brittle_service_ended
+    )
+    brittle_news = BrittleNewsController(
+        peers=shared.peers,
+        services=brittle_services,
+        clock=shared.clock,
+        metrics=shared.metrics,
+    )
     brittle = BrittleTargets(
         own=settings.peers_listen,
         find_instances=find_sharing_instances,
         find_wall_seconds=shared.clock.wall,
+        services=brittle_services,
         on_changed=log_brittle_target,
     )
     return TargetParts(
         cold=cold,
         brittle=brittle,
         # the owner of a group of makers sends all calls to them
-        brittle_makers=BrittleTargets(on_changed=log_brittle_target),
+        brittle_makers=BrittleTargets(
+            services=brittle_services, on_changed=log_brittle_target
+        ),
+        brittle_news=brittle_news,
         load_balancer=LoadBalancer(
             target_table=shared.target_table,
             cold_targets=cold,
--- a/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
@@ -310,6 +310,7 @@
     def forget(self, incarnation: Incarnation) -> None:
         """Discard the state of a target that is gone."""
         self._states.pop(incarnation, None)
+        self._brittle_targets.forget(incarnation)
 
     def describe(self, now: float) -> dict[str, dict[str, float | str]]:
         """Return the state of each target for the state dump."""
@@ -332,6 +333,8 @@
 
     def _record_send(self, incarnation: Incarnation, now: float) -> None:
         self._cold_targets.record_send(incarnation, now)
+        in_flight = self._find_state(incarnation).in_flight
+        self._brittle_targets.record_start(incarnation, in_flight, now)
         if self._read_breaker(incarnation, now) is BreakerState.HALF_OPEN:
             self._find_state(incarnation).breaker.begin_probe(now)
 
