Leave a lost path whatever time is left

A request that waits on a direct connection whose path is lost stayed there if less time was left than a retry is expected to take, and ended with 504.

Cause: that time is asked for as a silent target may still answer, which is not to be expected where the path is lost.

Evidence: test_request_leaves_a_lost_path_with_little_time_left ended with 504.

Fix: on a lost path the least time of a send suffices, as before.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/runners.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/runners.py
@@ -123,6 +123,9 @@
                     exchange, target, SilenceDecision.SUSPECTED, path_lost
                 )
             return False
+        if path_lost:
+            # no answer is expected there, so that a late one elsewhere is better
+            retry_seconds = 0.0
         incarnation = target.incarnation
         received = frozenset(exchange.targets) | {incarnation}
         decision = decide_on_silence(
--- a/tests/test_entry/test_relay/test_unary.py
+++ b/tests/test_entry/test_relay/test_unary.py
@@ -441,3 +441,17 @@
     for breaker in ("closed", "open"):
         assert (await world.ask("/look/1", X_Deadline_Ms="1200")).status == 504
         assert list_breakers(world) == [breaker]
+
+
+async def test_request_leaves_a_lost_path_with_little_time_left(world, monkeypatch):
+    """Guards against requests that wait for an answer on a path that is lost.
+
+    At a silent target that can be reached they wait rather than be late elsewhere.
+    """
+    monkeypatch.setattr(RouteLatencies, "estimate", lambda *_: (5.0, 5.0))
+    held, silent = await hold_at_silent_target(world)
+    for target in world.targets.values():
+        target.silences.clear()
+    monkeypatch.setattr(world.find_connections(), "_is_reachable", lambda _: False)
+    assert (await held).status == 200
+    assert silent.silent
