Let requests with room pass a retry that has none

What callers saw: nothing reported; a review read it in the code. While the targets of a service are brittle, requests wait in one queue. A retry at its head, whose last targets have rejected it, held back all others for up to a second, also where there was room for them at the target that had rejected it. They were refused.

Cause: only the head of the queue asked for room, with the targets left to itself.

Ruled out: a queue for each set of targets, which would let less urgent requests take the room that a more urgent one waits for.

Fix: a request goes on if there is room for it and none for a more urgent one. Only the first of those with the same targets left asks.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/brittle_admission.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/brittle_admission.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+from bisect import insort
 from collections import defaultdict
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from greengagelatch.errors import RefusalCode
@@ -22,7 +24,6 @@
     from .exchange import RelayExchange
 
     _Queue = tuple[str, frozenset[str] | None]
-    _Place = tuple[float, int]
 
 __all__ = ("BrittleAdmission",)
 
@@ -38,6 +39,16 @@
 RETRY_AFTER_SECONDS = (0.3, 1.2)
 
 
+@dataclass(frozen=True, slots=True, order=True)
+class _Waiter:
+    """A request that waits, in the order in which requests go on."""
+
+    rank: float
+    number: int
+    #: targets that have rejected it
+    excluded: frozenset[Incarnation] = field(compare=False)
+
+
 class BrittleAdmission:
     """Holds requests that no brittle target has room for, most urgent first.
 
@@ -57,9 +68,8 @@
         self._random = random_source
         self._metrics = metrics
         self._numbers = 0
-        #: rank and number of the requests that wait, by service and the data centres
-        #: that they may be sent to
-        self._waiting: defaultdict[_Queue, list[_Place]] = defaultdict(list)
+        #: requests that wait, by service and the data centres that they may be sent to
+        self._waiting: defaultdict[_Queue, list[_Waiter]] = defaultdict(list)
 
     async def wait(
         self, exchange: RelayExchange, excluded: frozenset[Incarnation]
@@ -77,13 +87,12 @@
             return self._create_refusal(exchange)
         self._metrics.count("brittle_targets.held")
         self._numbers += 1
-        place = (exchange.rank, self._numbers)
-        waiting.append(place)
-        waiting.sort()
+        waiter = _Waiter(exchange.rank, self._numbers, excluded)
+        insort(waiting, waiter)
         try:
-            return await self._wait_for_room(exchange, excluded, place, waiting)
+            return await self._wait_for_room(exchange, waiter, waiting)
         finally:
-            waiting.remove(place)
+            waiting.remove(waiter)
             if not waiting:
                 self._waiting.pop(queue, None)
 
@@ -97,19 +106,31 @@
     async def _wait_for_room(
         self,
         exchange: RelayExchange,
-        excluded: frozenset[Incarnation],
-        place: _Place,
-        waiting: list[_Place],
+        waiter: _Waiter,
+        waiting: list[_Waiter],
     ) -> RefusedError | None:
         now = self._clock.now()
         left = (exchange.deadline - now) * WAIT_SHARE
         end = now + min(left, MAX_WAIT_SECONDS)
         while self._clock.now() < end:
             await asyncio.sleep(CHECK_SECONDS)
-            if waiting[0] == place and not self._lacks_room(exchange, excluded):
+            if self._is_next(exchange, waiter, waiting):
                 return None
         return self._create_refusal(exchange)
 
+    def _is_next(
+        self, exchange: RelayExchange, waiter: _Waiter, waiting: list[_Waiter]
+    ) -> bool:
+        """Return whether there is room for a request, and for no more urgent one."""
+        for other in waiting:
+            if other is waiter:
+                return not self._lacks_room(exchange, waiter.excluded)
+            if other.excluded == waiter.excluded:
+                return False
+            if not self._lacks_room(exchange, other.excluded):
+                return False
+        return False
+
     def _lacks_room(
         self, exchange: RelayExchange, excluded: frozenset[Incarnation]
     ) -> bool:
