Name the shared parts of a prompt in the lines of a request and its sends

With the ids of their shared parts, the requests of a target that ended can be compared across instances. At most eight ids of 64 characters a line; lines of requests without a prompt are as before.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
@@ -27,6 +27,10 @@
 
 #: seconds after which a write is abandoned because the caller does not read
 WRITE_TIMEOUT = 10.0
+#: maximum number of prompt parts in one log entry
+MAX_LOGGED_PARTS = 8
+#: maximum length of the id of a prompt part in a log entry
+MAX_LOGGED_PART_LENGTH = 64
 #: control characters that must not occur in a response head (RFC 9110, 5.5)
 _CONTROL_CHARACTERS = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 
@@ -160,6 +164,19 @@
     outcome: str = ""
     status: int = 0
 
+    @property
+    def part_ids(self) -> tuple[str, ...]:
+        """Ids of the prompt parts that other requests may share, each once."""
+        prompt = self.request.prompt
+        if prompt is None:
+            return ()
+        return tuple(dict.fromkeys(part.part_id for part in prompt.shared_parts))
+
+    def describe_parts(self) -> dict[str, list[str]]:
+        """Return the log field that names the shared prompt parts; empty if none."""
+        ids = self.part_ids[:MAX_LOGGED_PARTS]
+        return {"parts": [one[:MAX_LOGGED_PART_LENGTH] for one in ids]} if ids else {}
+
     @property
     def prior_wait(self) -> float:
         """Estimated seconds that the caller has waited before this attempt.
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/filters.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/filters.py
@@ -126,6 +126,7 @@
             left_ms=_to_ms(exchange.deadline - now) if exchange.deadline else None,
             connection=exchange.use.connection,
             connection_request=exchange.use.request,
+            **exchange.describe_parts(),
             **since_stop,
         )
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_sender.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_sender.py
@@ -240,5 +240,6 @@
             reason=reason,
             sends=len(exchange.targets),
             left_ms=round((exchange.deadline - now) * 1000),
+            **exchange.describe_parts(),
         )
         return FailedSend(outcome, reason, status, path_lost, silent)
