Quarantine prompt parts that crash targets

Cause: a request that crashes its targets is known by a digest of method, host, path, workspace and body. Requests of which no two are alike have one to four crashes each, so that no limit is reached, however many there are. Class: a limit that is counted by a key finer than the cause.

Ruled out by the stand-ins: one request with a changing body, engines that end by themselves.

Why it works: crash reports name the shared parts of each request. A part has the crashes since it was last answered; a part that a target has begun to answer is known as harmless by the instance that forwarded it, which tells so when a report names the part, so that first parts of a route are not held for crashes that they only meet. Three crashes are enough where nothing else explains them, five at the latest; the decision waits a second for what others know. Requests with it are refused before their stages, and before each send; of two parts that always came together, requests with one of them pass. A part whose guilt is not certain is tried at once, others after 30 s, one request at a time under a lock in the store.

Crashes on a quarantined part blame no request by its digest.

Weighed and left: counting digests by a coarser key (caller and route), which refuses harmless requests; a lock for each suspected part from the second crash on, which would put a route in a line.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/crash_detector.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/crash_detector.py
@@ -47,7 +47,8 @@
 
     #: monotonic time in seconds at which the first connection broke
     began_at: float
-    digests: dict[str, None] = field(default_factory=dict)
+    #: ids of the shared prompt parts by digest
+    digests: dict[str, tuple[str, ...]] = field(default_factory=dict)
     #: set once the listing shows that the target has ended
     ended: asyncio.Event = field(default_factory=asyncio.Event)
     #: set once the target has been checked and a crash has been reported
@@ -87,8 +88,13 @@
         self._suspicions: dict[Incarnation, _Suspicion] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def record_disconnect(self, target: ListedTarget, digest: str) -> None:
-        """Record a connection that broke before its request was answered."""
+    def record_disconnect(
+        self, target: ListedTarget, digest: str, part_ids: tuple[str, ...] = ()
+    ) -> None:
+        """Record a connection that broke before its request was answered.
+
+        :param part_ids: prompt parts that the request shares with others
+        """
         incarnation = target.incarnation
         if self._quarantine.is_cleared(digest, self._clock.now()):
             return
@@ -103,7 +109,7 @@
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
         if len(suspicion.digests) < MAX_DIGESTS:
-            suspicion.digests[digest] = None
+            suspicion.digests[digest] = part_ids
 
     def record_answer(self, target: ListedTarget, digest: str) -> None:
         """Record that a target has answered a request."""
@@ -189,7 +195,10 @@
 
     def _report(self, target: ListedTarget, suspicion: _Suspicion, origin: str) -> None:
         report = CrashReport(
-            target.incarnation, target.service, tuple(suspicion.digests)
+            target.incarnation,
+            target.service,
+            tuple(suspicion.digests),
+            tuple(suspicion.digests.values()),
         )
         self._metrics.count("targets.ended_under_requests")
         self._decisions.log_state_change(
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/crash_parts.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/crash_parts.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from greengagelatch.relay.part_quarantine import PartQuarantine
 from greengagelatch.relay.quarantine import Quarantine
 
 from .crash_detector import CrashDetector
@@ -18,6 +19,7 @@
 
     from greengagelatch.relay.reachability import Reachability
 
+    from .part_survivals import PartSurvivals
     from .parts import SharedParts
     from .routed_dialer import RoutedDialer
 
@@ -30,6 +32,7 @@
 
     quarantine: Quarantine
     reports: CrashReportReplicator
+    part_survivals: PartSurvivals
     detector: CrashDetector
     locks: SuspectLocks
     suspects: SuspectAdmission
@@ -46,10 +49,13 @@
 
     :param is_store_reachable: returns whether the store answers this instance
     """
-    quarantine = Quarantine()
+    part_quarantine = PartQuarantine()
+    quarantine = Quarantine(part_quarantine.is_explained)
     reports = CrashReportReplicator(
         instance_id=shared.settings.instance_id,
         quarantine=quarantine,
+        part_quarantine=part_quarantine,
+        random_source=shared.random_source,
         store=shared.store,
         peers=shared.peers,
         clock=shared.clock,
@@ -79,6 +85,7 @@
     )
     suspects = SuspectAdmission(
         quarantine=quarantine,
+        part_quarantine=part_quarantine,
         locks=locks,
         crash_detector=detector,
         clock=shared.clock,
@@ -87,6 +94,7 @@
     return CrashParts(
         quarantine=quarantine,
         reports=reports,
+        part_survivals=reports.part_survivals,
         detector=detector,
         locks=locks,
         suspects=suspects,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/crash_report_replicator.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/crash_report_replicator.py
@@ -18,19 +18,29 @@
     encode_reports,
 )
 from greengagelatch.relay.messages import CrashReportsUpdate
-from greengagelatch.relay.quarantine import QUARANTINE_SECONDS, SurvivalReport
+from greengagelatch.relay.part_quarantine import SETTLE_SECONDS, SharedPart
+from greengagelatch.relay.quarantine import (
+    QUARANTINE_SECONDS,
+    CrashReport,
+    PartSurvivalReport,
+    SurvivalReport,
+)
 from greengagelatch.store import ABSENT, WriteOutcome
 
 from ..controllers import Controller
+from .exchange import MAX_LOGGED_PART_LENGTH
+from .part_survivals import PartSurvivals
 from .store_follower import StoreSubscriber
 
 if TYPE_CHECKING:
+    import random
     from collections.abc import Iterable
 
     from greengagelatch.clock import Clock
     from greengagelatch.peers import PeerNetwork
     from greengagelatch.relay.crash_reports import Report
-    from greengagelatch.relay.quarantine import CrashReport, Quarantine
+    from greengagelatch.relay.part_quarantine import PartHold, PartQuarantine
+    from greengagelatch.relay.quarantine import Quarantine
     from greengagelatch.store.ranges import Changes, RangeStore, Scan
 
     from ..metrics import Metrics
@@ -81,6 +91,8 @@
         *,
         instance_id: str,
         quarantine: Quarantine,
+        part_quarantine: PartQuarantine,
+        random_source: random.Random,
         store: RangeStore,
         peers: PeerNetwork,
         clock: Clock,
@@ -90,6 +102,14 @@
         super().__init__()
         self._instance_id = instance_id
         self._quarantine = quarantine
+        self._part_quarantine = part_quarantine
+        #: what this instance knows of harmless prompt parts
+        self.part_survivals = PartSurvivals(
+            quarantine=part_quarantine,
+            publish=self._publish_part_survival,
+            clock=clock,
+            random_source=random_source,
+        )
         self._store = store
         self._peers = peers
         self._clock = clock
@@ -109,6 +129,7 @@
         #: store revision up to which all reports are known
         self._revision = 0
         self._quarantined_digests: set[str] = set()
+        self._quarantined_parts: dict[SharedPart, PartHold] = {}
         peers.handle(CrashReportsUpdate, self._receive_reports)
 
     @property
@@ -121,6 +142,13 @@
         self._record((report,))
         self._pending.append(report)
         self._wake.set()
+        self.part_survivals.answer(report, own=True)
+
+    def _publish_part_survival(self, report: PartSurvivalReport) -> None:
+        self._metrics.count("parts.cleared")
+        self._pending_survivals.append(report)
+        self._record((report,))
+        self._wake.set()
 
     def publish_survival(self, digest: str) -> None:
         """Apply the answer to a request of this instance, and queue it for the others.
@@ -140,14 +168,51 @@
             if isinstance(report, SurvivalReport):
                 self._quarantine.record_survival(report.digest, now)
                 continue
+            if isinstance(report, PartSurvivalReport):
+                self._record_part_survival(report, now)
+                continue
             self._quarantine.record_crash(report, now)
+            self._part_quarantine.record_crash(report, now)
             suspected.update(report.digests)
+            if any(report.parts):
+                # until then other instances may tell that a part is harmless
+                loop = asyncio.get_running_loop()
+                loop.call_later(SETTLE_SECONDS, self._update_quarantined_parts)
         # a further crash may also clear another request of suspicion
         for digest in sorted(suspected | self._quarantined_digests):
             self._update_quarantined(
                 digest, self._quarantine.find_hold_seconds(digest, now)
             )
 
+    def _record_part_survival(self, report: PartSurvivalReport, now: float) -> None:
+        for part_id, age in zip(report.part_ids, report.ages, strict=True):
+            part = SharedPart(report.service, part_id)
+            self._part_quarantine.record_survival((part,), now - age)
+        self.part_survivals.record_published(report)
+        self._update_quarantined_parts()
+
+    def _update_quarantined_parts(self) -> None:
+        """Log which prompt parts have entered or left quarantine."""
+        holds = self._part_quarantine.list_holds(self._clock.now())
+        found = {hold.part: hold for hold in holds}
+        for part in self._quarantined_parts.keys() - found.keys():
+            self._decisions.log_state_change(
+                "part-released",
+                part=part.part_id[:MAX_LOGGED_PART_LENGTH],
+                service=part.service,
+            )
+        for part in found.keys() - self._quarantined_parts.keys():
+            self._metrics.count("parts.held")
+            hold = found[part]
+            self._decisions.log_state_change(
+                "part-held",
+                part=part.part_id[:MAX_LOGGED_PART_LENGTH],
+                service=part.service,
+                targets=[str(one) for one in hold.targets[:MAX_LOGGED_ITEMS]],
+                trial_seconds=round(hold.trial_seconds),
+            )
+        self._quarantined_parts = found
+
     def _update_quarantined(self, digest: str, seconds: float | None) -> None:
         held = seconds is not None
         if held == (digest in self._quarantined_digests):
@@ -299,6 +364,9 @@
             )
             return
         self._record(reports)
+        for report in reports:
+            if isinstance(report, CrashReport):
+                self.part_survivals.answer(report, own=False)
 
     def _evict_expired(self) -> None:
         cutoff = self._clock.now() - QUARANTINE_SECONDS
@@ -318,6 +386,10 @@
         return {
             "held": dict(sorted(held.items())[:MAX_LOGGED_ITEMS]),
             "held_count": len(held),
+            "held_parts": [
+                {"service": part.service, "part": part.part_id}
+                for part in tuple(self._quarantined_parts)[:MAX_LOGGED_ITEMS]
+            ],
             "values_known": len(self._entries),
             "values_unwritten": len(self._unwritten),
         }
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
@@ -9,6 +9,8 @@
 
 from aiohttp import web
 
+from greengagelatch.relay.crash_reports import MAX_PARTS
+from greengagelatch.relay.part_quarantine import SharedPart
 from greengagelatch.verdict import Verdict
 
 from ..adapters.caller_connections import RequestPosition
@@ -158,6 +160,8 @@
     retry_charged: bool = False
     #: held while the request is sent, if it is suspected of crashing targets
     suspect_lock: Lock | None = None
+    #: held while it is sent on trial, as a part of its prompt is in quarantine
+    part_lock: Lock | None = None
     stage_seconds: float = 0.0
     #: monotonic time in seconds of the last event that was sent to the caller
     sent_at: float | None = None
@@ -170,7 +174,13 @@
         prompt = self.request.prompt
         if prompt is None:
             return ()
-        return tuple(dict.fromkeys(part.part_id for part in prompt.shared_parts))
+        ids = dict.fromkeys(part.part_id for part in prompt.shared_parts)
+        return tuple(ids)[:MAX_PARTS]
+
+    @property
+    def shared_parts(self) -> tuple[SharedPart, ...]:
+        """Prompt parts that other requests to the service may share, each once."""
+        return tuple(SharedPart(self.service, one) for one in self.part_ids)
 
     def describe_parts(self) -> dict[str, list[str]]:
         """Return the log field that names the shared prompt parts; empty if none."""
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/refusals.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/refusals.py
@@ -11,10 +11,13 @@
 from ..adapters.caller_answers import CONTENT_TYPE, describe_refusal, encode
 
 if TYPE_CHECKING:
+    from greengagelatch.relay.part_quarantine import PartHold
+
     from .exchange import RelayExchange
 
 __all__ = (
     "create_error",
+    "create_part_error",
     "create_quarantine_error",
     "create_trial_error",
     "encode_refusal",
@@ -28,6 +31,10 @@
     RefusalCode.TOO_LARGE: 413,
     RefusalCode.QUOTA: 429,
 }
+#: least seconds after which callers may retry while a prompt part is in quarantine
+MIN_TRIAL_RETRY_AFTER = 1.0
+#: maximum length of the id of a prompt part in a refusal
+MAX_SHOWN_PART_LENGTH = 64
 STATUS_UNAVAILABLE = 503
 STATUS_BAD_GATEWAY = 502
 STATUS_GATEWAY_TIMEOUT = 504
@@ -94,6 +101,23 @@
     )
 
 
+def create_part_error(exchange: RelayExchange, hold: PartHold) -> RefusedError:
+    """Return the error that refuses a request as a part of its prompt crashes targets.
+
+    A retry before the next trial would be refused as well.
+    """
+    seconds = max(hold.trial_seconds, MIN_TRIAL_RETRY_AFTER)
+    return create_error(
+        exchange,
+        RefusalCode.QUARANTINED,
+        "targets have crashed on a part of the prompt; it is tried again in"
+        f" {seconds:.0f} s",
+        retry_after=seconds,
+        field="parts",
+        value=hold.part.part_id[:MAX_SHOWN_PART_LENGTH],
+    )
+
+
 def create_trial_error(exchange: RelayExchange, seconds: float) -> RefusedError:
     """Return the error that refuses a suspected request while another send of it runs.
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/request_path.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/request_path.py
@@ -60,6 +60,7 @@
             load_balancer=load_balancer,
             target_table=shared.target_table,
             crash_detector=crashes.detector,
+            part_survivals=crashes.part_survivals,
             clock=shared.clock,
             decisions=shared.decisions,
         ),
@@ -116,7 +117,7 @@
             find_stop_deadline=find_stop_deadline,
             regions=shared.settings.regions,
         ),
-        QuarantineFilter(suspects=crashes.suspects),
         SplitFilter(random_source=shared.random_source),
+        QuarantineFilter(suspects=crashes.suspects),
     )
     return chain(filters, last)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -20,7 +20,12 @@
 from .refusals import create_error
 from .runners import Runner
 from .target_responses import TargetResponseError
-from .target_sender import STATUS_CONFLICT, FailedSend, ReceivedResponse
+from .target_sender import (
+    CRASH_BLAME_SECONDS,
+    STATUS_CONFLICT,
+    FailedSend,
+    ReceivedResponse,
+)
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -134,6 +139,7 @@
         self._prompt = exchange.request.prompt or Prompt()
         self._last_event_id = exchange.request.resume_after
         self._first_event_seen = False
+        self._parts_survived = False
         #: targets to which the request is not sent again
         self._excluded: frozenset[Incarnation] = frozenset()
         #: those of them that were left as they were silent
@@ -271,6 +277,7 @@
         response.release()
         self._runner.load_balancer.record_success(target.incarnation)
         self._runner.sender.record_survival(self._exchange, target)
+        self._record_part_survival()
         self._exchange.outcome = "answered"
         return None
 
@@ -344,8 +351,16 @@
         # the target has fetched the stage results; release their makers' memory
         self._run.free()
 
+    def _record_part_survival(self) -> None:
+        if self._first_event_at is not None and not self._parts_survived:
+            self._parts_survived = True
+            begun_at = self._first_event_at
+            self._runner.sender.record_part_survival(self._exchange, begun_at)
+
     def _record_progress(self) -> None:
         now = self._runner.clock.now()
+        if now - self._first_event_at >= CRASH_BLAME_SECONDS:
+            self._record_part_survival()
         pause = now - self._last_event_at
         self._streamed_seconds += min(pause, self._exchange.route.longest_pause)
         self._last_event_at = self._exchange.sent_at = now
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/suspect_admission.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/suspect_admission.py
@@ -4,17 +4,23 @@
 
 import asyncio
 from contextlib import asynccontextmanager
+from hashlib import blake2b
 from typing import TYPE_CHECKING
 
 from greengagelatch.relay.quarantine import SUSPECT_CRASHES
 
 from .crash_detector import SETTLE_SECONDS
-from .refusals import create_quarantine_error, create_trial_error
+from .refusals import (
+    create_part_error,
+    create_quarantine_error,
+    create_trial_error,
+)
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
     from greengagelatch.clock import Clock
+    from greengagelatch.relay.part_quarantine import PartHold, PartQuarantine
     from greengagelatch.relay.quarantine import Quarantine
 
     from .crash_detector import CrashDetector
@@ -38,18 +44,23 @@
     A request is suspected if targets crashed while they ran it. Most suspects are
     harmless, so they are sent again; but only once the outcome of the previous send is
     known, as a request that crashes its targets would crash one per attempt.
+
+    Requests with a prompt part in quarantine are refused, but for one at a time over
+    all instances that shows now and then whether the part still crashes its target.
     """
 
     def __init__(
         self,
         *,
         quarantine: Quarantine,
+        part_quarantine: PartQuarantine,
         locks: SuspectLocks,
         crash_detector: CrashDetector,
         clock: Clock,
         decisions: DecisionLog,
     ) -> None:
         self._quarantine = quarantine
+        self._part_quarantine = part_quarantine
         self._locks = locks
         self._crash_detector = crash_detector
         self._clock = clock
@@ -60,6 +71,7 @@
 
         :raises RefusedError: if it is
         """
+        await self._check_parts(exchange)
         if self._find_hold_seconds(exchange) is not None:
             await self._crash_detector.wait_settled(exchange.digest)
             self._check_hold(exchange)
@@ -72,6 +84,7 @@
             another send is not known in time
         """
         digest = exchange.digest
+        await self._check_parts(exchange)
         if not self._quarantine.count_crashed(digest):
             yield
             return
@@ -94,6 +107,38 @@
             # the next instance must have the report of a crash
             settled = self._crash_detector.is_settled(exchange.digest)
             self._locks.release(lock, 0.0 if settled else SETTLE_SECONDS)
+        lock, exchange.part_lock = exchange.part_lock, None
+        if lock is not None:
+            self._locks.release(lock, SETTLE_SECONDS)
+
+    async def _check_parts(self, exchange: RelayExchange) -> None:
+        """Check that no prompt part of a request is in quarantine.
+
+        :raises RefusedError: if one is, and the request is not sent on trial
+        """
+        while True:
+            now = self._clock.now()
+            hold = self._part_quarantine.find_hold(exchange.shared_parts, now)
+            if hold is None:
+                return
+            if not hold.settle_seconds:
+                break
+            await asyncio.sleep(hold.settle_seconds)
+        is_on_trial = exchange.part_lock is not None and not exchange.targets
+        if is_on_trial or await self._begin_trial(exchange, hold):
+            return
+        raise create_part_error(exchange, hold)
+
+    async def _begin_trial(self, exchange: RelayExchange, hold: PartHold) -> bool:
+        """Return whether a request is to show if a part still crashes its target."""
+        if hold.trial_seconds or exchange.targets:
+            return False
+        name = f"parts/{hold.part.service}"
+        lock = await self._locks.acquire(blake2b(name.encode()).hexdigest()[:24])
+        if lock is None or not lock.lease_id:
+            return False
+        exchange.part_lock = lock
+        return True
 
     async def _wait_for_turn(self, exchange: RelayExchange) -> None:
         digest, began_at = exchange.digest, self._clock.now()
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_sender.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_sender.py
@@ -26,10 +26,11 @@
     from .decisions import DecisionLog
     from .exchange import RelayExchange
     from .messages import AttemptContext, OutboundRequest, ResponseHead
+    from .part_survivals import PartSurvivals
     from .target_connections import TargetConnectionPool
     from .target_responses import TargetResponse
 
-__all__ = ("ReceivedResponse", "TargetSender", "FailedSend")
+__all__ = ("CRASH_BLAME_SECONDS", "ReceivedResponse", "TargetSender", "FailedSend")
 
 #: status by which a target rejects a request without running it, if marked as such
 STATUS_CONFLICT = 409
@@ -73,10 +74,12 @@
         load_balancer: LoadBalancer,
         target_table: TargetTable,
         crash_detector: CrashDetector,
+        part_survivals: PartSurvivals,
         clock: Clock,
         decisions: DecisionLog,
     ) -> None:
         self._crash_detector = crash_detector
+        self._part_survivals = part_survivals
         self._connections = connections
         self._codec = codec
         self._load_balancer = load_balancer
@@ -149,7 +152,9 @@
         :param ran_seconds: time for which the target is known to have been running it
         """
         if error.broken and ran_seconds < CRASH_BLAME_SECONDS:
-            self._crash_detector.record_disconnect(target, exchange.digest)
+            self._crash_detector.record_disconnect(
+                target, exchange.digest, exchange.part_ids
+            )
         return self._record_failure(
             exchange,
             target,
@@ -165,6 +170,13 @@
         """Record that a target survived the request, even if it reported a failure."""
         self._crash_detector.record_answer(target, exchange.digest)
 
+    def record_part_survival(self, exchange: RelayExchange, begun_at: float) -> None:
+        """Record that a target has begun to answer on the parts of the prompt.
+
+        :param begun_at: monotonic time in seconds of the beginning of the answer
+        """
+        self._part_survivals.record_answer(exchange.shared_parts, begun_at)
+
     def _classify(
         self, exchange: RelayExchange, target: ListedTarget, response: TargetResponse
     ) -> ReceivedResponse | FailedSend:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/unary.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/unary.py
@@ -166,6 +166,7 @@
         response.release()
         self.sender.record_survival(exchange, target)
         if received.head.succeeded:
+            self.sender.record_part_survival(exchange, self.clock.now())
             self.load_balancer.record_success(target.incarnation)
         else:
             self.load_balancer.record_failure(target.incarnation, self.clock.now())
--- a/packages/greengagelatch/src/greengagelatch/relay/crash_reports.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/crash_reports.py
@@ -6,17 +6,26 @@
 from typing import TYPE_CHECKING
 
 from .incarnations import Incarnation
-from .quarantine import CrashReport, SurvivalReport
+from .quarantine import CrashReport, PartSurvivalReport, SurvivalReport
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-__all__ = ("MAX_DIGESTS", "MAX_REPORTS", "Report", "decode_reports", "encode_reports")
+__all__ = (
+    "MAX_DIGESTS",
+    "MAX_PARTS",
+    "MAX_REPORTS",
+    "Report",
+    "decode_reports",
+    "encode_reports",
+)
 
-Report = CrashReport | SurvivalReport
+Report = CrashReport | SurvivalReport | PartSurvivalReport
 
 #: most requests in one report; an instance rarely has more on one target
 MAX_DIGESTS = 128
+#: most prompt parts of one request, and of one survival report
+MAX_PARTS = 64
 #: most reports in one value
 MAX_REPORTS = 256
 
@@ -30,12 +39,20 @@
 def _encode(report: Report) -> dict[str, object]:
     if isinstance(report, SurvivalReport):
         return {"answered": report.digest}
-    return {
+    if isinstance(report, PartSurvivalReport):
+        ages = [round(age, 3) for age in report.ages]
+        return {
+            "service": report.service,
+            "parts-answered": report.part_ids,
+            "ages": ages,
+        }
+    row = {
         "target": report.target.target_id,
         "born": report.target.started_ms,
         "service": report.service,
         "requests": report.digests,
     }
+    return row | {"parts": report.parts} if report.parts else row
 
 
 def decode_reports(value: bytes) -> tuple[Report, ...]:
@@ -57,14 +74,21 @@
         if not isinstance(answered, str) or not answered:
             raise ValueError(f"invalid answered: {str(answered)[:64]!r}")
         return SurvivalReport(answered)
+    service = row.get("service")
+    if not isinstance(service, str):
+        raise ValueError(f"invalid service: {str(service)[:64]!r}")
+    if "parts-answered" in row:
+        answered = _decode_part_ids(row["parts-answered"], "parts-answered")
+        ages = row.get("ages")
+        valid = isinstance(ages, list) and len(ages) == len(answered)
+        if not valid or not all(_is_age(age) for age in ages):
+            raise ValueError(f"invalid ages: {str(ages)[:64]!r}")
+        return PartSurvivalReport(service, answered, tuple(ages))
     target, started_ms, digests = (
         row.get("target"),
         row.get("born"),
         row.get("requests"),
     )
-    service = row.get("service")
-    if not isinstance(service, str):
-        raise ValueError(f"invalid service: {str(service)[:64]!r}")
     if not isinstance(target, str) or not target:
         raise ValueError(f"invalid target: {str(target)[:64]!r}")
     if (
@@ -76,4 +100,24 @@
     valid = isinstance(digests, list) and len(digests) <= MAX_DIGESTS
     if not valid or not all(isinstance(one, str) for one in digests):
         raise ValueError(f"invalid requests: {str(digests)[:64]!r}")
-    return CrashReport(Incarnation(target, started_ms), service, tuple(digests))
+    parts = row.get("parts", [])
+    if not isinstance(parts, list) or len(parts) not in (0, len(digests)):
+        raise ValueError(f"invalid parts: {str(parts)[:64]!r}")
+    return CrashReport(
+        Incarnation(target, started_ms),
+        service,
+        tuple(digests),
+        tuple(_decode_part_ids(one, "parts") for one in parts),
+    )
+
+
+def _is_age(value: object) -> bool:
+    is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
+    return is_number and 0 <= value < float("inf")
+
+
+def _decode_part_ids(value: object, field: str) -> tuple[str, ...]:
+    valid = isinstance(value, list) and len(value) <= MAX_PARTS
+    if not valid or not all(isinstance(one, str) for one in value):
+        raise ValueError(f"invalid {field}: {str(value)[:64]!r}")
+    return tuple(value)
--- a/packages/greengagelatch/src/greengagelatch/relay/quarantine.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/quarantine.py
@@ -7,13 +7,20 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from .incarnations import Incarnation
 
 __all__ = (
+    "AMBIGUOUS_CRASH_LIMIT",
+    "CLEARED_SECONDS",
+    "CORRELATION_SECONDS",
+    "CRASH_LIMIT",
     "QUARANTINE_SECONDS",
     "SUSPECT_CRASHES",
     "TRIAL_SECONDS",
     "CrashReport",
+    "PartSurvivalReport",
     "Quarantine",
     "SurvivalReport",
 )
@@ -50,6 +57,9 @@
     service: str
     #: digests of requests that were not answered and had not been running for long
     digests: tuple[str, ...]
+    #: ids of the prompt parts that each of them shares with other requests, in the
+    #: same order; empty: reported by an earlier release
+    parts: tuple[tuple[str, ...], ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,6 +69,16 @@
     digest: str
 
 
+@dataclass(frozen=True, slots=True)
+class PartSurvivalReport:
+    """Prompt parts of requests that targets of a service have begun to answer."""
+
+    service: str
+    part_ids: tuple[str, ...]
+    #: seconds since the last answer to each of them
+    ages: tuple[float, ...]
+
+
 class Quarantine:
     """Finds requests that crash one target after the other.
 
@@ -74,9 +94,14 @@
 
     Decisions depend on the reports and their arrival times but not on their order, so
     that instances with the same reports agree.
+
+    :param is_explained: returns whether a target crashed for another known reason
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, is_explained: Callable[[Incarnation], bool] = lambda target: False
+    ) -> None:
+        self._is_explained_otherwise = is_explained
         #: crashed targets by the request that they ran, with the time of the report
         self._crashed_targets: dict[str, dict[Incarnation, float]] = {}
         self._suspects: dict[Incarnation, set[str]] = {}
@@ -232,11 +257,15 @@
             if service in services
             and first <= crashed_at <= last
             and digest not in self._suspects.get(target, ())
+            and not self._is_explained_otherwise(target)
         }
 
     def _is_explained(self, target: Incarnation, crashes: int) -> bool:
-        """Return whether a target ran a request with more crashes than a number."""
-        return any(
+        """Return whether a target ran a request with more crashes than a number.
+
+        Crashes that have another known reason are explained as well.
+        """
+        return self._is_explained_otherwise(target) or any(
             len(self._crashed_targets[one]) > crashes for one in self._suspects[target]
         )
 
--- a/tests/test_entry/test_relay/test_crash_fleets.py
+++ b/tests/test_entry/test_relay/test_crash_fleets.py
@@ -15,6 +15,7 @@
 from result import Ok
 
 from greengagelatch.relay.incarnations import Incarnation
+from greengagelatch.relay.part_quarantine import PartQuarantine
 from greengagelatch.relay.quarantine import AMBIGUOUS_CRASH_LIMIT, Quarantine
 from greengagelatch.relay.requests import RefusedError
 from greengagelatch.relay.targets import ListedTarget
@@ -161,6 +162,7 @@
         )
         self.admission = SuspectAdmission(
             quarantine=self.quarantine,
+            part_quarantine=PartQuarantine(),
             locks=self.locks,
             crash_detector=self.detector,
             clock=fleet.clock,
@@ -181,9 +183,13 @@
         self._engines: list[Engine] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self._instances = [
-            Instance(f"entry-{number}", self) for number in range(conditions.instances)
+            self._create_instance(f"entry-{number}")
+            for number in range(conditions.instances)
         ]
 
+    def _create_instance(self, name: str) -> Instance:
+        return Instance(name, self)
+
     async def run(self) -> Result:
         conditions = self.conditions
         for _ in range(conditions.engines):
@@ -258,6 +264,8 @@
             request=SimpleNamespace(request_id=digest),
             verdict=Verdict.NOT_RUN,
             suspect_lock=None,
+            part_lock=None,
+            shared_parts=(),
         )
         await instance.admission.check(exchange)
         try:
