--- a/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/targets.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/targets.py
@@ -115,6 +115,11 @@
     crashed_by: frozenset[str] = frozenset()
     #: ids of shared prompt parts that crash it when it begins to respond to them
     crashed_by_parts: frozenset[str] = frozenset()
+    #: whether its responses have neither a length nor chunks, and end with the
+    #: connection
+    unframed: bool = False
+    #: protocol version in its responses
+    http_version: str = "1.1"
     #: for how long it is cold, as its entry tells
     cold_ms: int = 0
     #: requests within a second that crash it while it is cold; ``None``: no number
@@ -147,6 +152,11 @@
         for writer in tuple(self._writers):
             writer.transport.abort()
 
+    def reset_connections(self) -> None:
+        """Reset every connection, after the data that was written."""
+        for writer in tuple(self._writers):
+            _reset(writer)
+
     def resume(self) -> None:
         """End a silence; the target goes on where it was."""
         self.silent = False
@@ -307,6 +317,9 @@
             case TargetFault.MUTE:
                 await asyncio.sleep(3600)
             case TargetFault.FAIL:
+                if self.unframed:
+                    self._write_unframed(writer, 500, headers, b"failed")
+                    return False
                 _write(writer, 500, headers, b"failed")
                 return True
             case TargetFault.TRUNCATE:
@@ -322,6 +335,9 @@
                 return False
             case TargetFault.FOREIGN:
                 headers = {**headers, "X-Attempt-Id": "somebody-else"}
+        if self.unframed:
+            self._write_unframed(writer, 200, headers, body)
+            return False
         _write(writer, 200, headers, body, reason=self.reason)
         if self.fault is TargetFault.EXTRA:
             _write(writer, 200, headers, b"once more")
@@ -335,26 +351,53 @@
         first = int(request.headers.get("last-event-id", "0")) + 1
         break_after = self.breaks.pop() if self.breaks else self.break_after
         lines = {**headers, "Content-Type": "text/event-stream"}
-        _write(writer, 200, lines, b"", chunked=True, reason=self.reason)
+        if self.unframed:
+            self._write_unframed(writer, 200, lines, b"")
+        else:
+            _write(writer, 200, lines, b"", chunked=True, reason=self.reason)
         for number in range(first, EVENTS + 1):
             if break_after is not None and number > break_after:
                 half = f"id: {number}\ndata: ha".encode()
-                writer.write(f"{len(half):x}\r\n".encode() + half + b"\r\n")
+                writer.write(self._frame(half))
                 await writer.drain()
                 # an orderly close: a reset would discard data the client has not read
                 return False
             event = f"id: {number}\ndata: piece {number}\n\n".encode()
             if number == 1:
                 event = self.first_event
-            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            writer.write(self._frame(event))
             await writer.drain()
             if number == first and self.stream_gate is not None:
                 await self.stream_gate.wait()
             await self._keep_silence(number)
             await asyncio.sleep(EVENT_SECONDS)
+        if self.unframed:
+            return False
         writer.write(b"0\r\n\r\n")
         return True
 
+    def _frame(self, data: bytes) -> bytes:
+        if self.unframed:
+            return data
+        return f"{len(data):x}\r\n".encode() + data + b"\r\n"
+
+    def _write_unframed(
+        self,
+        writer: asyncio.StreamWriter,
+        status: int,
+        headers: dict[str, str],
+        body: bytes,
+    ) -> None:
+        _write(
+            writer,
+            status,
+            headers,
+            body,
+            length=None,
+            reason=self.reason,
+            version=self.http_version,
+        )
+
     async def _make_with_room(
         self, request: _Request, writer: asyncio.StreamWriter
     ) -> bool:
@@ -383,6 +426,9 @@
         results = [self._make_piece(item) for item in items]
         body = json.dumps({"items": results}).encode()
         lines = {"Content-Type": "application/json", **headers, **self.more_headers}
+        if self.unframed:
+            self._write_unframed(writer, 200, lines, body)
+            return False
         _write(writer, 200, lines, body)
         return True
 
@@ -431,8 +477,9 @@
     length: int | None = -1,
     chunked: bool = False,
     reason: str = "Said",
+    version: str = "1.1",
 ) -> None:
-    lines = [f"HTTP/1.1 {status} {reason}"]
+    lines = [f"HTTP/{version} {status} {reason}"]
     lines += [f"{name}: {value}" for name, value in headers.items()]
     if chunked:
         lines.append("Transfer-Encoding: chunked")
--- a/tests/test_entry/test_relay/test_tunnel_fleets.py
+++ b/tests/test_entry/test_relay/test_tunnel_fleets.py
@@ -213,6 +213,14 @@
     assert peer.count_runs("b-1") == 1
 
 
+async def test_response_that_ends_with_its_tunnel_is_complete(peer, partitioned):
+    """Guard against the end of a connection that a tunnel takes for its loss."""
+    peer.targets["desk-1"].unframed = True
+    reply = await partitioned.ask("/book/1", method="POST", body=b"x", request_id="b-1")
+    assert (reply.status, reply.body) == (200, b"answer to b-1 x")
+    assert peer.count_runs("b-1") == 1
+
+
 async def test_target_hears_that_the_caller_has_left(peer, partitioned):
     """Guard against work at targets for callers that have left."""
     peer.hold_targets()
