Tests of a balancer that gives one instance most new connections

The stand-in of a balancer learns it: all new connections go to one instance while that is ready.

Not mended: lending unused slots has to keep the limit when the balancer turns back at once.

--- a/tests/test_core/test_relay/test_brittle_fleets.py
+++ b/tests/test_core/test_relay/test_brittle_fleets.py
@@ -415,3 +415,24 @@
     assert max(fleet.learnt.values()) - min(fleet.learnt.values()) < SHRINK_SECONDS / 2
     repeats = RUN_SECONDS / NEWS_SECONDS
     assert fleet.told <= scenario.instances * NEIGHBOURS * (1 + repeats)
+
+
+def test_instance_that_gets_all_requests_may_use_the_slots(monkeypatch):
+    """Guards against slots kept for instances that the balancer gives no requests."""
+    monkeypatch.setattr(f"{__name__}.CALLER_ATTEMPTS", 1)
+    served_shares = []
+    for is_uneven in (False, True):
+        fleet = Fleet(
+            Scenario(instances=9, targets=5, slots=16, limit=5, load=0.6),
+            "slots and risk",
+            seed=1,
+        )
+        if is_uneven:
+            fleet._weights = [
+                float(one is fleet.instances[0]) for one in fleet.instances
+            ]
+        fleet.run()
+        served_shares.append(fleet.served / fleet.offered)
+    even, uneven = served_shares
+    # three quarters of the share before, as callers see it
+    assert uneven >= 0.75 * even
