Give up a stream whose event has no end

What callers saw: a stream whose target sends an event without end stayed until its deadline, and was refused with 504. Cause: the splitter of events kept what has no end without a bound, and searched and copied all of it with each chunk. Evidence: the tests of endless bodies of streams (body, chunks) got 504 after 20 s, and get 502 at once now. An event has a mebibyte at most; the search goes on where it was, so that the work grows with the bytes only. The target is told of by its breaker as for any lost response.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/event_splitter.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/event_splitter.py
@@ -4,11 +4,19 @@
 
 import re
 
-__all__ = ("EventSplitter",)
+__all__ = ("EventSplitter", "EventTooLargeError")
 
+#: maximum size of one event in bytes
+MAX_EVENT_BYTES = 1024 * 1024
+#: bytes of an event's end that may arrive before its last byte
+_PARTIAL_END_BYTES = 3
 _EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 
 
+class EventTooLargeError(Exception):
+    """An event exceeds :data:`MAX_EVENT_BYTES`."""
+
+
 class EventSplitter:
     """Buffers a stream and returns complete events only.
 
@@ -17,7 +25,9 @@
     """
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._buffer = bytearray()
+        #: position up to which no event ends
+        self._searched = 0
 
     @property
     def pending(self) -> bool:
@@ -25,12 +35,19 @@
         return bool(self._buffer)
 
     def feed(self, data: bytes) -> list[bytes]:
-        """Return the events that ``data`` completes, including their terminators."""
-        buffer = self._buffer + data
+        """Return the events that ``data`` completes, including their terminators.
+
+        :raises EventTooLargeError: if the next event has no end within the limit
+        """
+        buffer = self._buffer
+        buffer += data
         events = []
         start = 0
-        for match in _EVENT_END.finditer(buffer):
-            events.append(buffer[start : match.end()])
+        for match in _EVENT_END.finditer(buffer, self._searched):
+            events.append(bytes(buffer[start : match.end()]))
             start = match.end()
-        self._buffer = buffer[start:]
+        del buffer[:start]
+        if len(buffer) > MAX_EVENT_BYTES:
+            raise EventTooLargeError(f"event exceeds {MAX_EVENT_BYTES} bytes")
+        self._searched = max(0, len(buffer) - _PARTIAL_END_BYTES)
         return events
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -13,7 +13,7 @@
 from greengagelatch.relay.requests import Prompt
 
 from ..soft_timeout import SoftTimeout, SoftTimeoutScope
-from .event_splitter import EventSplitter
+from .event_splitter import EventSplitter, EventTooLargeError
 from .input_fetch_timer import InputFetchTimer
 from .messages import AttemptContext
 from .prefill_tracker import PrefillTracker
@@ -291,7 +291,10 @@
             data = await self._read_chunk(target, received, chunks)
             if data is None:
                 break
-            events = splitter.feed(data)
+            try:
+                events = splitter.feed(data)
+            except EventTooLargeError as error:
+                raise TargetResponseError(str(error)) from error
             if not events:
                 continue
             self._handle_first_event(target, prefill)
