Give up responses whose head or framing has no end

The stand-in of a target learns seven kinds: a header line, header lines, informational responses, a body, chunks, the extension of a chunk's size, trailers; for plain requests, streams, errors and stage calls.

Cause: nothing counted responses below 200, nor bytes that the parser takes in without any part of a head or body. Now 32 of the first and 256 KiB of the second end the connection as malformed: 502, as it may have run; no sign of a crash. Lines, header lines, lengths of bodies and trailers had bounds. Others are served meanwhile (test).

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_responses.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_responses.py
@@ -8,7 +8,7 @@
 
 from aiohttp import ClientError
 from aiohttp.client_proto import ResponseHandler
-from aiohttp.http_exceptions import HttpProcessingError
+from aiohttp.http_exceptions import BadHttpMessage, HttpProcessingError
 
 from ..adapters.socket_options import LOSS_RULE, configure_socket
 from .target_dialers import TunnelLostError
@@ -31,6 +31,11 @@
 #: size in bytes of the read buffer for a response
 READ_BUFFER_BYTES = 256 * 1024
 MAX_HEADER_BYTES = 32_768
+#: maximum number of informational responses before a response
+MAX_INFORMATIONAL = 32
+#: maximum size in bytes of what arrives without any part of a head or body, such as the
+#: extension of a chunk's size
+MAX_OVERHEAD_BYTES = 256 * 1024
 
 
 class TargetResponseError(Exception):
@@ -70,6 +75,11 @@
         self.reusable_until = 0.0
         #: whether a peer carries it
         self.tunnelled = False
+        #: bytes received since the last part of a head or body
+        self._overhead_bytes = 0
+        #: what was received of the current body by then
+        self._body: StreamReader | None = None
+        self._body_bytes = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
@@ -82,6 +92,25 @@
         self.loss = exc
         super().connection_lost(exc)
 
+    def data_received(self, data: bytes) -> None:
+        super().data_received(data)
+        body, received = self._payload, getattr(self._payload, "total_bytes", 0)
+        if body is not self._body or received != self._body_bytes:
+            self._body, self._body_bytes = body, received
+            self._overhead_bytes = 0
+            return
+        self._overhead_bytes += len(data)
+        if self._overhead_bytes > MAX_OVERHEAD_BYTES:
+            self._reject(f"more than {MAX_OVERHEAD_BYTES} bytes without head or body")
+
+    def _reject(self, reason: str) -> None:
+        """Close the connection, as its data is no response."""
+        error = BadHttpMessage(reason)
+        if self._payload is not None and not self._payload.is_eof():
+            self._payload.set_exception(error)
+        self.set_exception(error)
+        self.abort()
+
     @property
     def reusable(self) -> bool:
         """Whether it is direct and no data of an earlier request is left on it."""
@@ -105,11 +134,12 @@
 
     async def read_head(self) -> tuple[RawResponseMessage, StreamReader]:
         """Return the head of the response and the reader of its body."""
-        while True:
+        for _ in range(MAX_INFORMATIONAL + 1):
             message, content = await self.read()
             # skip informational responses such as 100
             if message.code >= 200:
                 return message, content
+        raise BadHttpMessage(f"more than {MAX_INFORMATIONAL} informational responses")
 
 
 @dataclass(slots=True)
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/targets.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/targets.py
@@ -15,7 +15,7 @@
     from .brittleness import Brittleness
     from .store import SimulatedStore
 
-__all__ = ("TargetFault", "SimulatedTarget")
+__all__ = ("EndlessPart", "TargetFault", "SimulatedTarget")
 
 SIGNATURE = "signed-by-"
 #: number of events in a stream
@@ -52,6 +52,48 @@
     FOREIGN = "foreign"
 
 
+class EndlessPart(Enum):
+    """Part of a response that a target sends without end."""
+
+    #: one header line
+    HEADER = "header"
+    #: header lines
+    HEADERS = "headers"
+    #: informational responses
+    INFORMATIONAL = "informational"
+    #: a body without a length
+    BODY = "body"
+    #: a chunked body
+    CHUNKS = "chunks"
+    #: the extension of a chunk's size
+    CHUNK_EXTENSION = "chunk-extension"
+    #: lines after the last chunk
+    TRAILERS = "trailers"
+
+
+#: what a target sends once, and then again and again
+_ENDLESS_BYTES = {
+    EndlessPart.HEADER: (b"X-Long: ", b"a" * 1000),
+    EndlessPart.HEADERS: (b"", b"X-More: " + b"a" * 100 + b"\r\n"),
+    EndlessPart.INFORMATIONAL: (b"", b"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"),
+    EndlessPart.BODY: (b"\r\n", b"a" * 1000),
+    EndlessPart.CHUNKS: (
+        b"Transfer-Encoding: chunked\r\n\r\n",
+        b"3e8\r\n" + b"a" * 1000 + b"\r\n",
+    ),
+    EndlessPart.CHUNK_EXTENSION: (
+        b"Transfer-Encoding: chunked\r\n\r\n5;a=",
+        b"a" * 1000,
+    ),
+    EndlessPart.TRAILERS: (
+        b"Transfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n0\r\n",
+        b"X-More: " + b"a" * 100 + b"\r\n",
+    ),
+}
+#: size in bytes of each write of an endless response, and its pause in seconds
+_ENDLESS_WRITE_BYTES, _ENDLESS_PAUSE = 64 * 1024, 0.001
+
+
 @dataclass(frozen=True, slots=True)
 class _Request:
     method: str
@@ -120,6 +162,12 @@
     unframed: bool = False
     #: protocol version in its responses
     http_version: str = "1.1"
+    #: part of its responses that has no end
+    endless: EndlessPart | None = None
+    #: status of such a response
+    endless_status: int = 200
+    #: bytes of such responses that callers have taken, one number for each
+    endless_bytes: list[int] = field(default_factory=list)
     #: for how long it is cold, as its entry tells
     cold_ms: int = 0
     #: requests within a second that crash it while it is cold; ``None``: no number
@@ -157,6 +205,10 @@
         for writer in tuple(self._writers):
             _reset(writer)
 
+    def has_open_connections(self) -> bool:
+        """Return whether a connection is open."""
+        return bool(self._writers)
+
     def resume(self) -> None:
         """End a silence; the target goes on where it was."""
         self.silent = False
@@ -287,6 +339,8 @@
         if request.target in self.crashed_by or self.has_crashing_part(request):
             await self.stop()
             return False
+        if self.endless is not None:
+            return await self._send_without_end(headers, writer)
         if self.fault is TargetFault.HANG_IN_ERROR:
             _write(writer, 500, headers, b"fai", length=6)
             await asyncio.sleep(3600)
@@ -299,6 +353,24 @@
         *shared, _ = request.headers.get("x-prefix-hash", "").split(",")
         return any(part.partition(":")[0] in self.crashed_by_parts for part in shared)
 
+    async def _send_without_end(
+        self, headers: dict[str, str], writer: asyncio.StreamWriter
+    ) -> bool:
+        """Send a response until the caller closes the connection."""
+        first, again = _ENDLESS_BYTES[self.endless]
+        if self.endless is not EndlessPart.INFORMATIONAL:
+            lines = [f"HTTP/1.1 {self.endless_status} Said"]
+            lines += [f"{name}: {value}" for name, value in headers.items()]
+            writer.write("\r\n".join(lines).encode() + b"\r\n" + first)
+        data = again * (_ENDLESS_WRITE_BYTES // len(again))
+        number = len(self.endless_bytes)
+        self.endless_bytes.append(0)
+        while True:
+            writer.write(data)
+            await writer.drain()
+            self.endless_bytes[number] += len(data)
+            await asyncio.sleep(_ENDLESS_PAUSE)
+
     def _is_overloaded(self) -> bool:
         """Return whether it received too many requests for a cold target."""
         now = asyncio.get_running_loop().time()
@@ -419,6 +491,8 @@
             await asyncio.sleep(3600)
         self.batches.append(len(items))
         await self._wait_for_gate()
+        if self.endless is not None:
+            return await self._send_without_end(headers, writer)
         if any(item.get("key") in self.crashed_by for item in items):
             await self.stop()
             return False
