Hold parts that were harmless after fewer moments; test of restarted instances

A part that targets answered until a new version crashes on it was held late: its five crashes came within half a second, and three moments were asked for, which is to tell them from targets that lose power together.

Instances that are killed and started again know a part from the store: none of three requests with it reaches an engine, those beside it are served.

--- a/packages/greengagelatch/src/greengagelatch/relay/part_quarantine.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/part_quarantine.py
@@ -29,7 +29,7 @@
 MIN_REQUESTS = 2
 #: the same for the times of the crashes, if the part was answered recently: targets
 #: that lose power together are one event
-MIN_MOMENTS = 3
+MIN_MOMENTS = 2
 #: seconds between two crashes that are counted as two events
 MOMENT_SECONDS = 0.1
 #: seconds before each trial of a quarantined part, in which one request is sent
--- a/tests/test_processes/test_crashing_parts.py
+++ b/tests/test_processes/test_crashing_parts.py
@@ -59,12 +59,13 @@
     def now(self) -> float:
         return asyncio.get_running_loop().time()
 
-    async def run(self) -> None:
+    async def run(self, seconds: float = STORM_SECONDS) -> None:
+        """Send harmless requests, and after a while crashing ones as well."""
         self._start(self._restart_engines())
         self._start(self._repeat(HARMLESS_PAUSE, self._prompts.harmless, self.harmless))
         await asyncio.sleep(CALM_SECONDS)
         self._start(self._repeat(CRASHING_PAUSE, self._prompts.crashing, self.crashing))
-        await asyncio.sleep(STORM_SECONDS)
+        await asyncio.sleep(seconds)
         for task in tuple(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -79,6 +80,13 @@
             self._start(self._ask(parts, results))
             await asyncio.sleep(pause)
 
+    async def ask_each(self, parts) -> list[int]:
+        """Return the statuses of requests with some parts, one at each instance."""
+        results: list[tuple[float, int]] = []
+        for _ in self._fleet.instances:
+            await self._ask(parts, results)
+        return [status for _, status in results]
+
     async def _ask(self, parts, results) -> None:
         number = next(self._numbers)
         sent_at = self.now()
@@ -172,3 +180,23 @@
     # a request that is kept from engines has not run, and its status says so
     late = [status for at, status in storm.crashing if at > decided_at]
     assert len(late) - late.count(503) <= MAX_LATE_ARRIVALS
+
+
+async def test_restarted_instances_know_the_part(fleet):
+    """Guard against crash reports on parts that are lost with the instances."""
+    for engine in fleet.find_targets("llm"):
+        engine.crashed_by_parts = frozenset({"bad"})
+    async with aiohttp.ClientSession() as session:
+        storm = Storm(fleet, session, Prompts(("shared",), ("shared", "bad")))
+        await storm.run(seconds=7.0)
+        for instance in fleet.instances:
+            await fleet.kill(instance)
+        for instance in fleet.instances:
+            await fleet.launch(instance)
+            await fleet.wait_ready(instance)
+        restarted_at = storm.now()
+        # until what the instances know of harmless parts has been told
+        await asyncio.sleep(CONTACT_SECONDS)
+        assert await storm.ask_each(("shared", "bad")) == [503] * 3
+        assert storm.count_crashing_arrivals(restarted_at) == 0
+        assert await storm.ask_each(("shared",)) == [200] * 3
