Release the lock of a trial that is refused; the part that is tried last decides

Found in reading. A request that is sent on trial for a part and then refused for its content kept the lock of the trial until its lease ended after five seconds, as the filter released only what it had passed on (the test failed so). A request with two parts in quarantine was sent as soon as one of them was to be tried, and would crash its target on the other: the later trial decides now.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/filters.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/filters.py
@@ -262,8 +262,8 @@
         self._suspects = suspects
 
     async def apply(self, exchange: RelayExchange, proceed: RelayHandler) -> None:
-        await self._suspects.check(exchange)
         try:
+            await self._suspects.check(exchange)
             await proceed(exchange)
         finally:
             self._suspects.release(exchange)
--- a/packages/greengagelatch/src/greengagelatch/relay/part_quarantine.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/part_quarantine.py
@@ -175,15 +175,23 @@
         return part in self._targets
 
     def find_hold(self, parts: Sequence[SharedPart], now: float) -> PartHold | None:
-        """Return why a request with some parts must not be sent; ``None``: it may."""
+        """Return why a request with some parts must not be sent; ``None``: it may.
+
+        Of several reasons, the one that lasts longest.
+        """
+        holds = []
         for part in parts:
             is_suspected = len(self._targets.get(part, ())) >= CRASH_LIMIT
             if not is_suspected and part not in self._quarantined:
                 continue
             hold = self._find_hold(part, frozenset(parts), now)
             if hold is not None:
-                return hold
-        return None
+                holds.append(hold)
+        return max(
+            holds,
+            key=lambda hold: (hold.trial_seconds, hold.settle_seconds),
+            default=None,
+        )
 
     def list_holds(self, now: float) -> list[PartHold]:
         """Return the holds of all parts in quarantine."""
--- a/tests/test_core/test_relay/test_part_quarantine.py
+++ b/tests/test_core/test_relay/test_part_quarantine.py
@@ -183,6 +183,20 @@
     assert not reports.is_held("a")
 
 
+def test_part_that_is_tried_later_decides():
+    """Guards against a crashing part sent along as a harmless one is tried."""
+    reports = Reports()
+    reports.crash_repeatedly(CRASH_LIMIT, ("bad",))
+    assert reports.is_held("bad")
+    for number in range(AMBIGUOUS_CRASH_LIMIT):
+        reports.crash(("likely",), (f"other-{number}",))
+        reports.crash((f"third-{number}",))
+    reports.now += LATER
+    both = tuple(SharedPart("llm", part) for part in ("likely", "bad"))
+    assert reports.quarantine.find_hold(both[:1], reports.now).trial_seconds == 0
+    assert reports.quarantine.find_hold(both, reports.now).trial_seconds > 0
+
+
 def test_trials_become_rarer():
     """Guards against a crashing part that is tried again every few seconds."""
     reports = Reports()
--- a/tests/test_entry/test_relay/test_crashing_part_fleets.py
+++ b/tests/test_entry/test_relay/test_crashing_part_fleets.py
@@ -282,8 +282,8 @@
             shared_parts=tuple(SharedPart(SERVICE, one) for one in sent.parts),
             targets=[],
         )
-        await instance.admission.check(exchange)
         try:
+            await instance.admission.check(exchange)
             return await self._send_repeatedly(instance, exchange, sent)
         finally:
             instance.admission.release(exchange)
