--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/crash_report_replicator.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/crash_report_replicator.py
@@ -18,7 +18,8 @@
     encode_reports,
 )
 from greengagelatch.relay.messages import CrashReportsUpdate
-from greengagelatch.relay.part_quarantine import SETTLE_SECONDS, SharedPart
+from greengagelatch.relay.part_crashes import SharedPart
+from greengagelatch.relay.part_quarantine import SETTLE_SECONDS
 from greengagelatch.relay.quarantine import (
     QUARANTINE_SECONDS,
     CrashReport,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
@@ -10,7 +10,7 @@
 from aiohttp import web
 
 from greengagelatch.relay.crash_reports import MAX_PARTS
-from greengagelatch.relay.part_quarantine import SharedPart
+from greengagelatch.relay.part_crashes import SharedPart
 from greengagelatch.verdict import Verdict
 
 from ..adapters.caller_connections import RequestPosition
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/part_survivals.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/part_survivals.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from greengagelatch.relay.crash_reports import MAX_PARTS
-from greengagelatch.relay.part_quarantine import MAX_SURVIVED, SharedPart
+from greengagelatch.relay.part_crashes import MAX_SURVIVED, SharedPart
 from greengagelatch.relay.quarantine import CLEARED_SECONDS, PartSurvivalReport
 
 if TYPE_CHECKING:
--- a/packages/greengagelatch/src/greengagelatch/relay/part_quarantine.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/part_quarantine.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from .part_crashes import PartCrashes, SharedPart
 from .quarantine import (
     AMBIGUOUS_CRASH_LIMIT,
-    CLEARED_SECONDS,
     CORRELATION_SECONDS,
     CRASH_LIMIT,
     QUARANTINE_SECONDS,
@@ -20,7 +19,7 @@
     from .incarnations import Incarnation
     from .quarantine import CrashReport
 
-__all__ = ("SETTLE_SECONDS", "PartHold", "PartQuarantine", "SharedPart")
+__all__ = ("SETTLE_SECONDS", "PartHold", "PartQuarantine")
 
 #: seconds from a crash report until the other instances have told what they know of
 #: the target and of its requests
@@ -30,25 +29,10 @@
 #: the same for the times of the crashes, if the part was answered recently: targets
 #: that lose power together are one event
 MIN_MOMENTS = 2
-#: seconds between two crashes that are counted as two events
-MOMENT_SECONDS = 0.1
 #: seconds before each trial of a quarantined part, in which one request is sent
 TRIAL_PAUSES = (0.0, 5.0, 30.0, 120.0, 480.0)
 #: number of these that are skipped if nothing else is a likely cause
 SKIPPED_PAUSES = 2
-#: maximum number of crashes, and of answered parts, that are remembered
-MAX_CRASHES = 512
-MAX_SURVIVED = 16_384
-#: maximum number of requests that are remembered for one crash
-MAX_REQUESTS = 64
-
-
-@dataclass(frozen=True, slots=True)
-class SharedPart:
-    """A prompt part at a service; another service may run another model."""
-
-    service: str
-    part_id: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,16 +48,6 @@
     trial_seconds: float
 
 
-@dataclass(slots=True)
-class _Crash:
-    """A crashed target with the requests that it had not begun to respond to."""
-
-    service: str
-    reported_at: float
-    #: shared parts by digest
-    requests: dict[str, frozenset[SharedPart]] = field(default_factory=dict)
-
-
 @dataclass(slots=True)
 class _Quarantined:
     """State of a part in quarantine."""
@@ -108,28 +82,14 @@
     """
 
     def __init__(self) -> None:
-        #: crashed targets, the earliest report first
-        self._crashes: OrderedDict[Incarnation, _Crash] = OrderedDict()
-        #: crashes of each part since it was last answered
-        self._targets: dict[SharedPart, set[Incarnation]] = {}
-        #: targets of each request
-        self._request_targets: dict[str, set[Incarnation]] = {}
-        #: time of the last answer, the least recent first
-        self._survived: OrderedDict[SharedPart, float] = OrderedDict()
+        self._crashes = PartCrashes()
         self._quarantined: dict[SharedPart, _Quarantined] = {}
 
     def record_crash(self, report: CrashReport, now: float) -> None:
         """Record a crash report; idempotent."""
         self._expire(now)
-        for digest, part_ids in zip(report.digests, report.parts, strict=False):
-            crash = self._crashes.setdefault(report.target, _Crash(report.service, now))
-            if digest in crash.requests or len(crash.requests) >= MAX_REQUESTS:
-                continue
-            parts = frozenset(SharedPart(report.service, one) for one in part_ids)
-            crash.requests[digest] = parts
-            self._request_targets.setdefault(digest, set()).add(report.target)
+        for parts in self._crashes.record_crash(report, now):
             for part in parts:
-                self._targets.setdefault(part, set()).add(report.target)
                 self._record_crash_in_quarantine(part, parts, now)
 
     def _record_crash_in_quarantine(
@@ -147,32 +107,22 @@
     def record_survival(self, parts: Iterable[SharedPart], survived_at: float) -> None:
         """Record that a target has begun to answer a request with some parts."""
         for part in parts:
-            known_at = self._survived.pop(part, float("-inf"))
-            self._survived[part] = max(known_at, survived_at)
-            self._forget_crashes(part, survived_at)
-        while len(self._survived) > MAX_SURVIVED:
-            self._survived.popitem(last=False)
-
-    def _forget_crashes(self, part: SharedPart, survived_at: float) -> None:
-        """Forget the crashes of a part that were reported before it was answered."""
-        for target in tuple(self._targets.get(part, ())):
-            if self._crashes[target].reported_at <= survived_at:
-                _discard(self._targets, part, target)
-        state = self._quarantined.get(part)
-        if state is not None and survived_at >= state.final_at - SETTLE_SECONDS:
-            del self._quarantined[part]
+            self._crashes.record_survival(part, survived_at)
+            state = self._quarantined.get(part)
+            if state is not None and survived_at >= state.final_at - SETTLE_SECONDS:
+                del self._quarantined[part]
 
     def find_age(self, part: SharedPart, now: float) -> float:
         """Return the seconds since a part was last answered; ``inf``: not known."""
-        return now - self._survived.get(part, float("-inf"))
+        return self._crashes.find_age(part, now)
 
     def has_survived(self, part: SharedPart, now: float) -> bool:
         """Return whether a request with a part was answered recently."""
-        return self.find_age(part, now) < CLEARED_SECONDS
+        return self._crashes.has_survived(part, now)
 
     def has_crashes(self, part: SharedPart) -> bool:
         """Return whether a target has crashed since a part was last answered."""
-        return part in self._targets
+        return self._crashes.count(part) > 0
 
     def find_hold(self, parts: Sequence[SharedPart], now: float) -> PartHold | None:
         """Return why a request with some parts must not be sent; ``None``: it may.
@@ -181,7 +131,7 @@
         """
         holds = []
         for part in parts:
-            is_suspected = len(self._targets.get(part, ())) >= CRASH_LIMIT
+            is_suspected = self._crashes.count(part) >= CRASH_LIMIT
             if not is_suspected and part not in self._quarantined:
                 continue
             hold = self._find_hold(part, frozenset(parts), now)
@@ -195,23 +145,17 @@
 
     def list_holds(self, now: float) -> list[PartHold]:
         """Return the holds of all parts in quarantine."""
-        suspected = [
-            part
-            for part, targets in self._targets.items()
-            if len(targets) >= CRASH_LIMIT
-        ]
         holds = (
-            self._find_hold(part, self._find_companions(part), now)
-            for part in suspected
+            self._find_hold(part, self._crashes.find_companions(part), now)
+            for part in self._crashes.list_suspected(CRASH_LIMIT)
         )
         return [hold for hold in holds if hold is not None and not hold.settle_seconds]
 
     def is_explained(self, target: Incarnation) -> bool:
         """Return whether a target crashed on a part that is in quarantine."""
-        crash = self._crashes.get(target)
-        if crash is None or not self._quarantined:
+        if not self._quarantined:
             return False
-        return any(self._is_known_cause(part) for part in self._list_parts((target,)))
+        return any(map(self._is_known_cause, self._crashes.list_parts(target)))
 
     def _is_known_cause(self, part: SharedPart) -> bool:
         state = self._quarantined.get(part)
@@ -244,22 +188,13 @@
         longer count against the other.
         """
         found = {}
-        for part in self._list_parts(targets):
+        for part in frozenset().union(*map(self._crashes.list_parts, targets)):
             state = None if part in self._quarantined else self._judge(part, now)
             if state is not None:
                 found[part] = state
         # crashes that follow without these parts don't release them
         self._quarantined |= found
 
-    def _list_parts(self, targets: Iterable[Incarnation]) -> frozenset[SharedPart]:
-        return frozenset().union(
-            *(
-                parts
-                for target in targets
-                for parts in self._crashes[target].requests.values()
-            )
-        )
-
     def _judge(self, part: SharedPart, now: float) -> _Quarantined | None:
         """Return the state of a part that is to be quarantined."""
         blamed = self._find_blamed(part, now)
@@ -267,8 +202,8 @@
         if not is_certain and not self._is_likely(part, blamed, now):
             return None
         trials = SKIPPED_PAUSES if is_certain else 0
-        last = max(self._crashes[target].reported_at for target in blamed)
-        companions = self._find_companions(part)
+        last = self._crashes.find_last_report(blamed)
+        companions = self._crashes.find_companions(part)
         return _Quarantined(
             companions=frozenset(
                 one for one in companions if not self.has_survived(one, now)
@@ -283,13 +218,14 @@
 
     def _find_blamed(self, part: SharedPart, now: float) -> list[Incarnation]:
         """Return the crashes for which a part is to blame; empty if too few."""
-        targets = self._targets.get(part, ())
-        if len(targets) < CRASH_LIMIT or len(self._list_requests(part)) < MIN_REQUESTS:
+        crashes = self._crashes
+        is_suspected = crashes.count(part) >= CRASH_LIMIT
+        if not is_suspected or len(crashes.list_requests(part)) < MIN_REQUESTS:
             return []
         return [
             target
-            for target in self._crashes
-            if target in targets and not self._is_explained(target, part, now)
+            for target in crashes.list_targets(part)
+            if not self._is_explained(target, part, now)
         ]
 
     def _is_certain(
@@ -314,32 +250,21 @@
             return False
         if not self.has_survived(part, now):
             return True
-        return self._count_moments(blamed) >= MIN_MOMENTS
-
-    def _count_moments(self, targets: Iterable[Incarnation]) -> int:
-        moments, last = 0, float("-inf")
-        for reported_at in sorted(self._crashes[one].reported_at for one in targets):
-            if reported_at - last >= MOMENT_SECONDS:
-                moments, last = moments + 1, reported_at
-        return moments
+        return self._crashes.count_moments(blamed) >= MIN_MOMENTS
 
     def _is_explained(self, target: Incarnation, part: SharedPart, now: float) -> bool:
         """Return whether a crash has a known cause, or one that implies this part."""
-        crashes = len(self._targets[part])
-        requests = self._crashes[target].requests
-        if any(
-            len(self._request_targets[digest]) >= max(CRASH_LIMIT, crashes)
-            for digest in requests
-        ):
+        crashes = self._crashes
+        count = crashes.count(part)
+        if crashes.find_most_repeated(target) >= max(CRASH_LIMIT, count):
             return True
-        companions = self._find_companions(part)
-        for other in self._list_parts((target,)) - {part}:
+        companions = crashes.find_companions(part)
+        for other in crashes.list_parts(target) - {part}:
             if self._is_known_cause(other) and other not in companions:
                 return True
-            found = len(self._targets.get(other, ()))
-            if found < crashes or self.has_survived(other, now):
+            if crashes.count(other) < count or self.has_survived(other, now):
                 continue
-            if self._is_narrower(other, part):
+            if crashes.is_narrower(other, part):
                 return True
         return False
 
@@ -348,85 +273,29 @@
 
         Parts that come with this one in every request don't count.
         """
-        others = self._list_parts((target,))
+        crashes = self._crashes
+        others = crashes.list_parts(target) - crashes.find_companions(part)
         return any(
-            len(self._targets.get(other, ())) >= len(self._targets[part])
+            crashes.count(other) >= crashes.count(part)
             and not self.has_survived(other, now)
-            for other in others - self._find_companions(part)
+            for other in others
         )
 
-    def _is_narrower(self, other: SharedPart, part: SharedPart) -> bool:
-        """Return whether only some of the requests with a part have another one."""
-        return self._list_requests(other) < self._list_requests(part)
-
-    def _list_requests(self, part: SharedPart) -> set[str]:
-        """Return the requests with a part that were on crashed targets."""
-        return {
-            digest
-            for target in self._targets.get(part, ())
-            for digest, parts in self._crashes[target].requests.items()
-            if part in parts
-        }
-
-    def _find_companions(self, part: SharedPart) -> frozenset[SharedPart]:
-        """Return the parts of every such request, with the part itself."""
-        found = [
-            parts
-            for target in self._targets.get(part, ())
-            for parts in self._crashes[target].requests.values()
-            if part in parts
-        ]
-        return frozenset.intersection(*found) if found else frozenset()
-
     def _has_independent(self, part: SharedPart, blamed: list[Incarnation]) -> bool:
         """Return whether targets of the service crash for no known cause as well.
 
         Crashes in the same period that one other part or request explains don't count.
         """
-        times = [self._crashes[target].reported_at for target in blamed]
-        first, last = min(times), max(times)
         others = {
             target
-            for target, crash in self._crashes.items()
-            if crash.service == part.service
-            and first - CORRELATION_SECONDS <= crash.reported_at
-            and crash.reported_at <= last + CORRELATION_SECONDS
-            and target not in self._targets[part]
-            and not self.is_explained(target)
+            for target in self._crashes.list_others(part, blamed, CORRELATION_SECONDS)
+            if not self.is_explained(target)
         }
-        explained = 0
-        for target in others:
-            for digest, parts in self._crashes[target].requests.items():
-                causes = [self._targets.get(one, set()) for one in parts]
-                for crashed in (self._request_targets[digest], *causes):
-                    if len(crashed) >= CRASH_LIMIT:
-                        explained = max(explained, len(crashed & others))
+        explained = self._crashes.count_by_one_cause(others, CRASH_LIMIT)
         return explained < len(others)
 
     def _expire(self, now: float) -> None:
-        horizon = now - QUARANTINE_SECONDS
-        while self._crashes:
-            target, crash = next(iter(self._crashes.items()))
-            if crash.reported_at > horizon and len(self._crashes) <= MAX_CRASHES:
-                break
-            del self._crashes[target]
-            for digest, parts in crash.requests.items():
-                _discard(self._request_targets, digest, target)
-                for part in parts:
-                    _discard(self._targets, part, target)
+        self._crashes.expire(now)
         for part, state in tuple(self._quarantined.items()):
             if now >= state.expires_at:
                 del self._quarantined[part]
-
-
-def _discard(
-    targets: dict[SharedPart, set[Incarnation]] | dict[str, set[Incarnation]],
-    key: SharedPart | str,
-    target: Incarnation,
-) -> None:
-    found = targets.get(key)
-    if found is None:
-        return
-    found.discard(target)
-    if not found:
-        del targets[key]
--- a/tests/test_core/test_relay/test_part_quarantine.py
+++ b/tests/test_core/test_relay/test_part_quarantine.py
@@ -6,11 +6,11 @@
 import random
 
 from greengagelatch.relay.incarnations import Incarnation
+from greengagelatch.relay.part_crashes import SharedPart
 from greengagelatch.relay.part_quarantine import (
     SETTLE_SECONDS,
     TRIAL_PAUSES,
     PartQuarantine,
-    SharedPart,
 )
 from greengagelatch.relay.quarantine import (
     AMBIGUOUS_CRASH_LIMIT,
--- a/tests/test_entry/test_relay/test_crashing_part_fleets.py
+++ b/tests/test_entry/test_relay/test_crashing_part_fleets.py
@@ -11,10 +11,10 @@
 
 import pytest
 
+from greengagelatch.relay.part_crashes import SharedPart
 from greengagelatch.relay.part_quarantine import (
     SETTLE_SECONDS,
     PartQuarantine,
-    SharedPart,
 )
 from greengagelatch.relay.quarantine import (
     PartSurvivalReport,
