Soak: prompt parts that crash engines

In half of the runs requests come to all instances whose prompts have a part that crashes engines, in second or first place or alone, while instances are stopped, reloaded and partitioned and targets fall silent; engines are back a second after each crash. Checked: at most three of them reach engines later than three seconds after the fifth crash, from instances that are not disturbed.

--- a/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/targets.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/targets.py
@@ -157,6 +157,8 @@
     crashed_by: frozenset[str] = frozenset()
     #: ids of shared prompt parts that crash it when it begins to respond to them
     crashed_by_parts: frozenset[str] = frozenset()
+    #: times of the event loop at which it crashed on one
+    part_crashes: list[float] = field(default_factory=list)
     #: whether its responses have neither a length nor chunks, and end with the
     #: connection
     unframed: bool = False
@@ -195,6 +197,10 @@
         self._server.close()
         self.abort_connections()
 
+    def is_serving(self) -> bool:
+        """Return whether it accepts connections."""
+        return self._server.is_serving()
+
     def abort_connections(self) -> None:
         """Abort every connection with whatever is in flight on it."""
         for writer in tuple(self._writers):
@@ -336,7 +342,11 @@
         headers |= self.more_headers
         await self._wait_for_gate()
         await self._keep_silence(0)
-        if request.target in self.crashed_by or self.has_crashing_part(request):
+        if self.has_crashing_part(request):
+            self.part_crashes.append(asyncio.get_running_loop().time())
+            await self.stop()
+            return False
+        if request.target in self.crashed_by:
             await self.stop()
             return False
         if self.endless is not None:
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/soak/checks.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/soak/checks.py
@@ -28,6 +28,9 @@
 MIN_TRIES = 10
 #: falls of brittle targets: these and a tenth of their number
 MAX_FALLS, FALLS_DIVISOR = 2, 10
+#: crashes of engines after which a prompt part has to be known, and the requests with
+#: it that may reach engines once it is
+MAX_CRASHES, MAX_LATE_ARRIVALS = 5, 3
 #: statuses that promise that a request was not run
 NOT_RUN = (408, 421, 429, 503)
 PLANNED = (Cause.RESTART, Cause.KILL, Cause.EXIT)
@@ -58,6 +61,7 @@
         *_check_silences(evidence),
         *_check_partitions(evidence),
         *_check_falls(evidence),
+        *_check_crashing_parts(evidence),
     ]
     return violations + list(evidence.process_faults)
 
@@ -113,7 +117,9 @@
             and (not service or service in outcome.route.services)
             and _is_in_touch(evidence, outcome, outcome.instance)
             and _has_relay(evidence, outcome, period)
-            and not _meets(evidence.periods.find(Cause.BRITTLE), outcome)
+            and not _meets(
+                evidence.periods.find(Cause.BRITTLE, Cause.CRASHING_PART), outcome
+            )
         ]
         cut = [one for one in tries if one.instance in period.instances]
         others = [one for one in tries if one.instance not in period.instances]
@@ -145,12 +151,37 @@
             yield f"{period.falls} falls of brittle targets, {allowed} are allowed"
 
 
+def _check_crashing_parts(evidence: Evidence) -> Iterator[str]:
+    for period in evidence.periods.find(Cause.CRASHING_PART):
+        if len(period.crashes) < MAX_CRASHES:
+            continue
+        known_at = period.crashes[MAX_CRASHES - 1] + CONTACT_SECONDS
+        late = [
+            f"{at:.3f} from {instance}"
+            for at, instance in period.arrivals
+            if at > known_at and not _is_disturbed(evidence, instance, at)
+        ]
+        if len(late) > MAX_LATE_ARRIVALS:
+            yield (
+                f"{len(late)} requests with a crashing part reach engines after "
+                f"{known_at:.3f}: {', '.join(late[:6])}"
+            )
+
+
+def _is_disturbed(evidence: Evidence, instance: str, at: float) -> bool:
+    """Return whether an instance was stopped, started or partitioned lately."""
+    return any(
+        instance in period.instances and period.overlaps(at - CONTACT_SECONDS, at)
+        for period in evidence.periods.find(Cause.PARTITION, *PLANNED)
+    )
+
+
 def _find_excuse(evidence: Evidence, outcome: Outcome) -> bool:
     """Return whether anything but silence may have caused a failure."""
     periods = evidence.periods
     # stage work is made at several instances
     instance = "" if len(outcome.route.services) > 1 else outcome.instance
-    causes = (Cause.PARTITION, *PLANNED)
+    causes = (Cause.PARTITION, Cause.CRASHING_PART, *PLANNED)
     if _meets(periods.find(*causes), outcome, instance=instance):
         return True
     return _meets(periods.find(Cause.BRITTLE), outcome)
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/soak/disturbances.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/soak/disturbances.py
@@ -3,14 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import itertools
 import signal
 from abc import ABC, abstractmethod
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import TYPE_CHECKING
 
+import aiohttp
+
 from greengagelatch_entry.application import ExitCode
 
+from ..platform_standins.deployment import API_KEY, HOST
 from .fleet import BRITTLE_SERVICE, QUEUE, SERVE_SECONDS
 
 if TYPE_CHECKING:
@@ -18,12 +23,15 @@
 
     from ..platform_standins.fleet import Instance
     from ..platform_standins.target_links import PartitionForm
+    from ..platform_standins.targets import SimulatedTarget
     from .fleet import LinkedFleet
 
 __all__ = (
+    "BAD_PART",
     "BrittleTime",
     "Cause",
     "ConfigurationChange",
+    "CrashingPart",
     "Disturbance",
     "Partition",
     "Period",
@@ -41,6 +49,14 @@
 BRITTLE_SERVE_SECONDS, BRITTLE_QUEUE = 0.8, 1
 
 
+#: service whose targets crash on a prompt part, and that part
+ENGINE_SERVICE, BAD_PART = "llm", "bad"
+#: beginning of the ids of requests with that part; number and instance follow
+CRASHING_PREFIX = "crashing-"
+#: seconds between two of them at one instance
+BETWEEN_CRASHING = 0.6
+#: seconds until an engine that crashed is started again, and between two checks
+DOWN_SECONDS, POLL_SECONDS = 1.0, 0.05
 #: text in the log of a process that aborted requests
 REQUESTS_ABORTED = "requests aborted"
 
@@ -51,6 +67,8 @@
     SILENCE = "silence"
     PARTITION = "partition"
     BRITTLE = "brittle"
+    #: requests come with a prompt part that crashes engines
+    CRASHING_PART = "crashing-part"
     CONFIGURATION = "configuration"
     RELOAD = "reload"
     #: from SIGTERM until the instance is ready again
@@ -74,6 +92,10 @@
     end: float = float("inf")
     #: falls of targets in it
     falls: int = 0
+    #: times at which targets crashed on a prompt part in it
+    crashes: list[float] = field(default_factory=list)
+    #: time and instance of each request with that part that has reached a target
+    arrivals: list[tuple[float, str]] = field(default_factory=list)
 
     def overlaps(self, start: float, end: float) -> bool:
         """Return whether a part of the period lies in the given time."""
@@ -187,6 +209,57 @@
         periods.end(period)
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CrashingPart(Disturbance):
+    """Requests come whose prompts have a part that crashes engines."""
+
+    #: shared parts; one of them is ``bad``
+    parts: tuple[str, ...]
+    seconds: float
+
+    async def run(self, fleet: LinkedFleet, periods: Periods) -> None:
+        """Send such requests to all instances, and restart the engines that crash."""
+        engines = fleet.find_targets(ENGINE_SERVICE)
+        period = periods.begin(Cause.CRASHING_PART, service=ENGINE_SERVICE)
+        for engine in engines:
+            engine.crashed_by_parts = frozenset({BAD_PART})
+        try:
+            async with asyncio.timeout(self.seconds), asyncio.TaskGroup() as group:
+                for engine in engines:
+                    group.create_task(_keep_restarting(engine, fleet))
+                for instance in fleet.instances:
+                    group.create_task(self._send_forever(instance))
+        except TimeoutError:
+            pass
+        for engine in engines:
+            engine.crashed_by_parts = frozenset()
+            period.crashes += engine.part_crashes
+            period.arrivals += _list_crashing_arrivals(engine)
+            if not engine.is_serving():
+                await engine.restart(fleet.store)
+        period.crashes.sort()
+        periods.end(period)
+
+    async def _send_forever(self, instance: Instance) -> None:
+        prompt = ",".join(f"{part}:20" for part in self.parts)
+        async with aiohttp.ClientSession() as session:
+            for number in itertools.count():
+                lines = {
+                    "Host": HOST,
+                    "Authorization": f"Bearer {API_KEY}",
+                    "X-Attempt-Id": f"{CRASHING_PREFIX}{number}-{instance.name}",
+                    "X-Deadline-Ms": "3000",
+                    "X-Model": "m",
+                    "X-Token-Counts": "100,20",
+                    "X-Prefix-Hash": f"{prompt},own-{number}:20",
+                }
+                url = f"http://{instance.front}/scan/{instance.name}-{number}"
+                with contextlib.suppress(aiohttp.ClientError):
+                    async with session.post(url, headers=lines) as response:
+                        await response.read()
+                await asyncio.sleep(BETWEEN_CRASHING)
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ConfigurationChange(Disturbance):
     """The operator writes a new version."""
@@ -250,6 +323,24 @@
     return code == ExitCode.FAILED and REQUESTS_ABORTED in instance.read_log()
 
 
+async def _keep_restarting(engine: SimulatedTarget, fleet: LinkedFleet) -> None:
+    """Start an engine again some time after each crash."""
+    while True:
+        await asyncio.sleep(POLL_SECONDS)
+        if not engine.is_serving():
+            await asyncio.sleep(DOWN_SECONDS)
+            await engine.restart(fleet.store)
+
+
+def _list_crashing_arrivals(engine: SimulatedTarget) -> list[tuple[float, str]]:
+    """Return time and instance of the requests with the crashing part."""
+    return [
+        (arrived_at, request_id.removeprefix(CRASHING_PREFIX).partition("-")[2])
+        for request_id, arrived_at in engine.arrived_at.items()
+        if request_id.startswith(CRASHING_PREFIX)
+    ]
+
+
 def _find(fleet: LinkedFleet, name: str) -> Instance:
     [found] = [one for one in fleet.instances if one.name == name]
     return found
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/soak/schedule.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/soak/schedule.py
@@ -6,8 +6,10 @@
 
 from ..platform_standins.target_links import PartitionForm
 from .disturbances import (
+    BAD_PART,
     BrittleTime,
     ConfigurationChange,
+    CrashingPart,
     Partition,
     Reload,
     Restart,
@@ -28,6 +30,10 @@
 PARTITION_SECONDS, BETWEEN_PARTITIONS = (6.0, 10.0), 2.0
 #: shortest and longest time in which targets are brittle, in seconds
 BRITTLE_SECONDS = (5.0, 8.0)
+#: share of runs with requests whose prompts crash engines, and for how many seconds
+CRASHING_SHARE, CRASHING_SECONDS = 0.5, (7.0, 11.0)
+#: shared parts of these requests; harmless ones have ``aa``
+CRASHING_PROMPTS = (("aa", BAD_PART), (BAD_PART, "aa"), (BAD_PART,))
 #: longest time in seconds between two silences, two changes, two signals
 BETWEEN_SILENCES, BETWEEN_CHANGES, BETWEEN_SIGNALS = 2.0, 4.0, 5.0
 #: share of runs in which targets are brittle
@@ -60,6 +66,11 @@
         at = random_source.uniform(START_SECONDS, max(START_SECONDS, seconds - length))
         limit = random_source.choice(BRITTLE_LIMITS)
         drawn.append(BrittleTime(at=at, limit=limit, seconds=length))
+    if random_source.random() < CRASHING_SHARE:
+        length = random_source.uniform(*CRASHING_SECONDS)
+        at = random_source.uniform(START_SECONDS, max(START_SECONDS, seconds - length))
+        parts = random_source.choice(CRASHING_PROMPTS)
+        drawn.append(CrashingPart(at=at, parts=parts, seconds=length))
     return sorted(drawn, key=lambda one: one.at)
 
 
--- a/tests/test_lab/test_soak_checks.py
+++ b/tests/test_lab/test_soak_checks.py
@@ -141,3 +141,16 @@
         assert partitions
         for one in partitions:
             assert 0 < len(one.instances) < len(INSTANCES)
+
+
+def test_late_requests_with_a_crashing_part_are_found():
+    crashes = [99.0, 99.5, 100.0, 100.5, 101.0]
+    late = [(104.1 + number, "two") for number in range(4)]
+    period = create_period(Cause.CRASHING_PART, crashes=crashes, arrivals=late)
+    (violation,) = find_violations(periods=[period])
+    assert "4 requests with a crashing part" in violation
+    # not once the instance has been started again shortly before
+    restart = create_period(Cause.RESTART, "two", start=103.0, end=105.0)
+    assert not find_violations(periods=[period, restart])
+    few = create_period(Cause.CRASHING_PART, crashes=crashes[:4], arrivals=late)
+    assert not find_violations(periods=[few])
--- a/tests/test_processes/test_crashing_parts.py
+++ b/tests/test_processes/test_crashing_parts.py
@@ -111,7 +111,7 @@
         restarting: set[str] = set()
         while True:
             for engine in self._fleet.find_targets("llm"):
-                if engine.target_id in restarting or engine._server.is_serving():
+                if engine.target_id in restarting or engine.is_serving():
                     continue
                 restarting.add(engine.target_id)
                 self.crashes.append(self.now())
--- a/tests/test_processes/test_crashing_requests.py
+++ b/tests/test_processes/test_crashing_requests.py
@@ -63,7 +63,7 @@
 
     def list_crashed(self) -> list:
         targets = self._fleet.find_targets(self._service)
-        return [one for one in targets if not one._server.is_serving()]
+        return [one for one in targets if not one.is_serving()]
 
     def count_arrivals(self, path: str) -> int:
         targets = self._fleet.find_targets(self._service)
