--- a/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/targets.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/targets.py
@@ -162,6 +162,8 @@
     #: whether its responses have neither a length nor chunks, and end with the
     #: connection
     unframed: bool = False
+    #: status of responses that never have a body, such as 204; 0: none
+    bodiless_status: int = 0
     #: protocol version in its responses
     http_version: str = "1.1"
     #: part of its responses that has no end
@@ -417,6 +419,12 @@
                 return False
             case TargetFault.FOREIGN:
                 headers = {**headers, "X-Attempt-Id": "somebody-else"}
+        if self.bodiless_status:
+            _write(writer, self.bodiless_status, headers, b"", length=None)
+            return True
+        if request.method == "HEAD":
+            _write(writer, 200, headers, b"", length=len(body))
+            return True
         if self.unframed:
             self._write_unframed(writer, 200, headers, body)
             return False
--- a/tests/test_entry/test_relay/test_unframed_responses.py
+++ b/tests/test_entry/test_relay/test_unframed_responses.py
@@ -51,6 +51,25 @@
     assert (reply.status, reply.body) == (500, b"failed")
 
 
+@pytest.mark.parametrize("status", [204, 304])
+async def test_response_that_has_no_body_needs_no_end(world, status):
+    """Guards against a request that waits for the end of a body that never comes."""
+    for target in world.targets.values():
+        target.bodiless_status = status
+    for number in range(4):
+        reply = await world.ask(f"/look/{number}")
+        assert (reply.status, reply.body) == (status, b"")
+    # nothing is left on the connections
+    connections = sum(target.connections for target in world.targets.values())
+    assert connections <= len(world.targets)
+
+
+async def test_length_in_the_response_to_head_is_not_waited_for(world):
+    for number in range(4):
+        reply = await world.ask(f"/look/{number}", method="HEAD")
+        assert (reply.status, reply.body) == (200, b"")
+
+
 async def test_connection_of_such_a_response_is_not_used_again(world):
     """Guards against a request sent on a connection that its target is closing."""
     make_unframed(world)
