Bound the work of a decision on prompt parts

Cause: for each crash and each part on it, the requests of both were collected anew. They are kept by part now, parts that explain others are found once for a decision, the list that is logged has at most 64 parts, and one timer serves all reports of a moment.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/crash_report_replicator.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/crash_report_replicator.py
@@ -131,6 +131,9 @@
         self._revision = 0
         self._quarantined_digests: set[str] = set()
         self._quarantined_parts: dict[SharedPart, PartHold] = {}
+        #: the next decision on parts, and the time of the last one that is due
+        self._part_update: asyncio.TimerHandle | None = None
+        self._part_update_at = 0.0
         peers.handle(CrashReportsUpdate, self._receive_reports)
 
     @property
@@ -176,9 +179,7 @@
             self._part_quarantine.record_crash(report, now)
             suspected.update(report.digests)
             if any(report.parts):
-                # until then other instances may tell that a part is harmless
-                loop = asyncio.get_running_loop()
-                loop.call_later(SETTLE_SECONDS, self._update_quarantined_parts)
+                self._schedule_part_update()
         # a further crash may also clear another request of suspicion
         for digest in sorted(suspected | self._quarantined_digests):
             self._update_quarantined(
@@ -190,7 +191,23 @@
             part = SharedPart(report.service, part_id)
             self._part_quarantine.record_survival((part,), now - age)
         self.part_survivals.record_published(report)
+        released = {SharedPart(report.service, one) for one in report.part_ids}
+        if not released.isdisjoint(self._quarantined_parts):
+            self._update_quarantined_parts()
+
+    def _schedule_part_update(self) -> None:
+        """Decide on parts once other instances have told which are harmless."""
+        loop = asyncio.get_running_loop()
+        self._part_update_at = loop.time() + SETTLE_SECONDS
+        if self._part_update is None:
+            self._part_update = loop.call_at(self._part_update_at, self._update_parts)
+
+    def _update_parts(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._part_update = None
         self._update_quarantined_parts()
+        if loop.time() < self._part_update_at:
+            self._part_update = loop.call_at(self._part_update_at, self._update_parts)
 
     def _update_quarantined_parts(self) -> None:
         """Log which prompt parts have entered or left quarantine."""
--- a/packages/greengagelatch/src/greengagelatch/relay/part_crashes.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/part_crashes.py
@@ -54,8 +54,11 @@
         self._crashes: OrderedDict[Incarnation, _Crash] = OrderedDict()
         #: crashes of each part since it was last answered
         self._targets: dict[SharedPart, set[Incarnation]] = {}
-        #: crashes of each request
+        #: requests with each part on these targets
+        self._requests: dict[SharedPart, set[str]] = {}
+        #: crashes and parts of each request
         self._request_targets: dict[str, set[Incarnation]] = {}
+        self._request_parts: dict[str, frozenset[SharedPart]] = {}
         #: time of the last answer, the least recent first
         self._survived: OrderedDict[SharedPart, float] = OrderedDict()
 
@@ -71,8 +74,10 @@
             parts = frozenset(SharedPart(report.service, one) for one in part_ids)
             crash.requests[digest] = parts
             self._request_targets.setdefault(digest, set()).add(report.target)
+            self._request_parts[digest] = parts
             for part in parts:
                 self._targets.setdefault(part, set()).add(report.target)
+                self._requests.setdefault(part, set()).add(digest)
             recorded.append(parts)
         return recorded
 
@@ -84,7 +89,7 @@
             self._survived.popitem(last=False)
         for target in tuple(self._targets.get(part, ())):
             if self._crashes[target].reported_at <= survived_at:
-                _discard(self._targets, part, target)
+                self._remove_crash(part, target)
 
     def expire(self, now: float) -> None:
         """Forget the crashes that were reported too long ago."""
@@ -95,9 +100,27 @@
                 return
             del self._crashes[target]
             for digest, parts in crash.requests.items():
-                _discard(self._request_targets, digest, target)
                 for part in parts:
-                    _discard(self._targets, part, target)
+                    self._remove_crash(part, target)
+                targets = self._request_targets[digest]
+                targets.discard(target)
+                if not targets:
+                    del self._request_targets[digest], self._request_parts[digest]
+
+    def _remove_crash(self, part: SharedPart, target: Incarnation) -> None:
+        """Forget that a target crashed while it ran requests with a part."""
+        targets = self._targets.get(part, set())
+        targets.discard(target)
+        if not targets:
+            self._targets.pop(part, None)
+            self._requests.pop(part, None)
+            return
+        self._requests[part] = {
+            digest
+            for one in targets
+            for digest, parts in self._crashes[one].requests.items()
+            if part in parts
+        }
 
     def find_age(self, part: SharedPart, now: float) -> float:
         """Return the seconds since a part was last answered; ``inf``: not known."""
@@ -112,15 +135,20 @@
         return len(self._targets.get(part, ()))
 
     def list_suspected(self, limit: int) -> list[SharedPart]:
-        """Return the parts with at least a number of crashes."""
-        return [
+        """Return the parts with at least a number of crashes, the most first."""
+        found = [
             part for part, targets in self._targets.items() if len(targets) >= limit
         ]
+        return sorted(found, key=self.count, reverse=True)
 
     def list_targets(self, part: SharedPart) -> list[Incarnation]:
         """Return the targets that crashed, in order of the reports."""
         targets = self._targets.get(part, ())
-        return [target for target in self._crashes if target in targets]
+        return sorted(targets, key=lambda one: self._crashes[one].reported_at)
+
+    def has_any(self, part: SharedPart, targets: Iterable[Incarnation]) -> bool:
+        """Return whether one of some targets crashed while it ran a part."""
+        return not self._targets.get(part, set()).isdisjoint(targets)
 
     def list_parts(self, target: Incarnation) -> frozenset[SharedPart]:
         """Return the parts of all requests on a target that crashed."""
@@ -144,28 +172,23 @@
                 moments, last = moments + 1, reported_at
         return moments
 
-    def list_requests(self, part: SharedPart) -> set[str]:
-        """Return the requests with a part that were on crashed targets."""
-        return {
-            digest
-            for target in self._targets.get(part, ())
-            for digest, parts in self._crashes[target].requests.items()
-            if part in parts
-        }
+    def count_requests(self, part: SharedPart) -> int:
+        """Return the number of requests with a part that were on crashed targets."""
+        return len(self._requests.get(part, ()))
 
     def find_companions(self, part: SharedPart) -> frozenset[SharedPart]:
         """Return the parts of every such request, with the part itself."""
-        found = [
-            parts
-            for target in self._targets.get(part, ())
-            for parts in self._crashes[target].requests.values()
-            if part in parts
-        ]
-        return frozenset.intersection(*found) if found else frozenset()
+        companions = None
+        for digest in self._requests.get(part, ()):
+            parts = self._request_parts[digest]
+            companions = parts if companions is None else companions & parts
+            if len(companions) == 1:
+                break
+        return frozenset() if companions is None else companions
 
     def is_narrower(self, other: SharedPart, part: SharedPart) -> bool:
         """Return whether only some of the requests with a part have another one."""
-        return self.list_requests(other) < self.list_requests(part)
+        return self._requests.get(other, set()) < self._requests.get(part, set())
 
     def list_others(
         self, part: SharedPart, targets: Iterable[Incarnation], seconds: float
@@ -197,16 +220,3 @@
                     if len(crashed) >= limit:
                         most = max(most, len(crashed & targets))
         return most
-
-
-def _discard(
-    targets: dict[SharedPart, set[Incarnation]] | dict[str, set[Incarnation]],
-    key: SharedPart | str,
-    target: Incarnation,
-) -> None:
-    found = targets.get(key)
-    if found is None:
-        return
-    found.discard(target)
-    if not found:
-        del targets[key]
--- a/packages/greengagelatch/src/greengagelatch/relay/part_quarantine.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/part_quarantine.py
@@ -29,6 +29,8 @@
 #: the same for the times of the crashes, if the part was answered recently: targets
 #: that lose power together are one event
 MIN_MOMENTS = 2
+#: maximum number of parts that are listed
+MAX_LISTED = 64
 #: seconds before each trial of a quarantined part, in which one request is sent
 TRIAL_PAUSES = (0.0, 5.0, 30.0, 120.0, 480.0)
 #: number of these that are skipped if nothing else is a likely cause
@@ -144,10 +146,10 @@
         )
 
     def list_holds(self, now: float) -> list[PartHold]:
-        """Return the holds of all parts in quarantine."""
+        """Return the holds of the parts in quarantine, the most crashes first."""
         holds = (
             self._find_hold(part, self._crashes.find_companions(part), now)
-            for part in self._crashes.list_suspected(CRASH_LIMIT)
+            for part in self._crashes.list_suspected(CRASH_LIMIT)[:MAX_LISTED]
         )
         return [hold for hold in holds if hold is not None and not hold.settle_seconds]
 
@@ -220,21 +222,36 @@
         """Return the crashes for which a part is to blame; empty if too few."""
         crashes = self._crashes
         is_suspected = crashes.count(part) >= CRASH_LIMIT
-        if not is_suspected or len(crashes.list_requests(part)) < MIN_REQUESTS:
+        if not is_suspected or crashes.count_requests(part) < MIN_REQUESTS:
             return []
+        limit = max(CRASH_LIMIT, crashes.count(part))
+        causes = self._list_causes(part, now)
         return [
             target
             for target in crashes.list_targets(part)
-            if not self._is_explained(target, part, now)
+            if crashes.find_most_repeated(target) < limit
+            and causes.isdisjoint(crashes.list_parts(target))
         ]
 
+    def _list_causes(self, part: SharedPart, now: float) -> set[SharedPart]:
+        """Return the parts that explain crashes better than a part does."""
+        crashes = self._crashes
+        companions = crashes.find_companions(part)
+        known = {one for one in self._quarantined if self._is_known_cause(one)}
+        narrower = {
+            other
+            for other in crashes.list_suspected(crashes.count(part))
+            if not self.has_survived(other, now) and crashes.is_narrower(other, part)
+        }
+        return (known - companions - {part}) | narrower
+
     def _is_certain(
         self, part: SharedPart, blamed: list[Incarnation], now: float
     ) -> bool:
         """Return whether nothing else is a likely cause of some crashes."""
         if len(blamed) < CRASH_LIMIT or self.has_survived(part, now):
             return False
-        if any(self._has_rival(target, part, now) for target in blamed):
+        if self._has_rival(part, blamed, now):
             return False
         return not self._has_independent(part, blamed)
 
@@ -252,33 +269,20 @@
             return True
         return self._crashes.count_moments(blamed) >= MIN_MOMENTS
 
-    def _is_explained(self, target: Incarnation, part: SharedPart, now: float) -> bool:
-        """Return whether a crash has a known cause, or one that implies this part."""
-        crashes = self._crashes
-        count = crashes.count(part)
-        if crashes.find_most_repeated(target) >= max(CRASH_LIMIT, count):
-            return True
-        companions = crashes.find_companions(part)
-        for other in crashes.list_parts(target) - {part}:
-            if self._is_known_cause(other) and other not in companions:
-                return True
-            if crashes.count(other) < count or self.has_survived(other, now):
-                continue
-            if crashes.is_narrower(other, part):
-                return True
-        return False
-
-    def _has_rival(self, target: Incarnation, part: SharedPart, now: float) -> bool:
-        """Return whether other requests on a target have a part with as many crashes.
+    def _has_rival(
+        self, part: SharedPart, blamed: list[Incarnation], now: float
+    ) -> bool:
+        """Return whether other requests on some targets have a part with more crashes.
 
-        Parts that come with this one in every request don't count.
+        Or with as many. Parts that come with this one in every request don't count.
         """
         crashes = self._crashes
-        others = crashes.list_parts(target) - crashes.find_companions(part)
+        companions = crashes.find_companions(part)
         return any(
-            crashes.count(other) >= crashes.count(part)
+            other not in companions
             and not self.has_survived(other, now)
-            for other in others
+            and crashes.has_any(other, blamed)
+            for other in crashes.list_suspected(crashes.count(part))
         )
 
     def _has_independent(self, part: SharedPart, blamed: list[Incarnation]) -> bool:
