--- a/packages/greengagelatch/src/greengagelatch/relay/part_quarantine.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/part_quarantine.py
@@ -74,7 +74,7 @@
     their other parts and their targets. A part is cleared of its crashes by each
     request with it that a target has begun to answer. It is blamed for a crash unless
 
-    * a part in quarantine was on the same target,
+    * a part that is certainly the cause was on the same target,
     * or a part with as many crashes that only some of the requests with this one have,
     * or a request with as many crashes, which crashes its targets whatever its parts.
 
@@ -154,7 +154,7 @@
         return [hold for hold in holds if hold is not None and not hold.settle_seconds]
 
     def is_explained(self, target: Incarnation) -> bool:
-        """Return whether a target crashed on a part that is in quarantine."""
+        """Return whether a target crashed on a part that is certainly the cause."""
         if not self._quarantined:
             return False
         return any(map(self._is_known_cause, self._crashes.list_parts(target)))
@@ -272,9 +272,10 @@
     def _has_rival(
         self, part: SharedPart, blamed: list[Incarnation], now: float
     ) -> bool:
-        """Return whether other requests on some targets have a part with more crashes.
+        """Return whether other requests on some targets have a part as suspicious.
 
-        Or with as many. Parts that come with this one in every request don't count.
+        That is one with at least as many crashes. Parts that come with this one in
+        every request don't count.
         """
         crashes = self._crashes
         companions = crashes.find_companions(part)
