Bound the size of what is told of prompt parts

Found in reading before the landing: ids of parts are as long as callers make them, and a report on a crash names those of up to 128 requests, so that an entry could be larger than the store takes. It is rejected then, tried again each second, and holds up all later ones. Ids of more than 64 characters are replaced by a digest, 32 parts of a request count, and reports beyond 256 KiB go in several entries (a test with 40 crashes under 20 requests of 22 long parts each).

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/crash_report_replicator.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/crash_report_replicator.py
@@ -29,7 +29,6 @@
 from greengagelatch.store import ABSENT, WriteOutcome
 
 from ..controllers import Controller
-from .exchange import MAX_LOGGED_PART_LENGTH
 from .part_survivals import PartSurvivals
 from .store_follower import StoreSubscriber
 
@@ -56,6 +55,9 @@
 LEASE_REUSE_SECONDS = 30.0
 #: seconds between two attempts to write an entry that the store did not accept
 WRITE_RETRY_SECONDS = 1.0
+#: size in bytes above which reports are written in several entries: the store rejects
+#: large values, and an entry that is rejected holds up the next ones
+MAX_VALUE_BYTES = 256 * 1024
 #: maximum number of entries that wait to be written, and that are kept for peers
 MAX_UNWRITTEN = 64
 MAX_ENTRIES = 2048
@@ -216,7 +218,7 @@
         for part in self._quarantined_parts.keys() - found.keys():
             self._decisions.log_state_change(
                 "part-released",
-                part=part.part_id[:MAX_LOGGED_PART_LENGTH],
+                part=part.part_id,
                 service=part.service,
             )
         for part in found.keys() - self._quarantined_parts.keys():
@@ -224,7 +226,7 @@
             hold = found[part]
             self._decisions.log_state_change(
                 "part-held",
-                part=part.part_id[:MAX_LOGGED_PART_LENGTH],
+                part=part.part_id,
                 service=part.service,
                 targets=[str(one) for one in hold.targets[:MAX_LOGGED_ITEMS]],
                 trial_seconds=round(hold.trial_seconds),
@@ -275,8 +277,13 @@
         while pending:
             self._entry_count += 1
             key = f"{PREFIX}{self._instance_id}/{self._entry_count}"
-            self._unwritten.append((key, encode_reports(pending[:MAX_REPORTS])))
-            del pending[:MAX_REPORTS]
+            count = min(MAX_REPORTS, len(pending))
+            value = encode_reports(pending[:count])
+            while len(value) > MAX_VALUE_BYTES and count > 1:
+                count //= 2
+                value = encode_reports(pending[:count])
+            self._unwritten.append((key, value))
+            del pending[:count]
 
     async def _write(self, key: str, value: bytes) -> bool:
         lease_id = await self._ensure_lease()
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
@@ -9,7 +9,7 @@
 
 from aiohttp import web
 
-from greengagelatch.relay.crash_reports import MAX_PARTS
+from greengagelatch.relay.crash_reports import MAX_PARTS, shorten_part_id
 from greengagelatch.relay.part_crashes import SharedPart
 from greengagelatch.verdict import Verdict
 
@@ -31,8 +31,6 @@
 WRITE_TIMEOUT = 10.0
 #: maximum number of prompt parts in one log entry
 MAX_LOGGED_PARTS = 8
-#: maximum length of the id of a prompt part in a log entry
-MAX_LOGGED_PART_LENGTH = 64
 #: control characters that must not occur in a response head (RFC 9110, 5.5)
 _CONTROL_CHARACTERS = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 
@@ -174,7 +172,8 @@
         prompt = self.request.prompt
         if prompt is None:
             return ()
-        ids = dict.fromkeys(part.part_id for part in prompt.shared_parts)
+        parts = prompt.shared_parts
+        ids = dict.fromkeys(shorten_part_id(part.part_id) for part in parts)
         return tuple(ids)[:MAX_PARTS]
 
     @property
@@ -185,7 +184,7 @@
     def describe_parts(self) -> dict[str, list[str]]:
         """Return the log field that names the shared prompt parts; empty if none."""
         ids = self.part_ids[:MAX_LOGGED_PARTS]
-        return {"parts": [one[:MAX_LOGGED_PART_LENGTH] for one in ids]} if ids else {}
+        return {"parts": list(ids)} if ids else {}
 
     @property
     def prior_wait(self) -> float:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/refusals.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/refusals.py
@@ -33,8 +33,6 @@
 }
 #: least seconds after which callers may retry while a prompt part is in quarantine
 MIN_TRIAL_RETRY_AFTER = 1.0
-#: maximum length of the id of a prompt part in a refusal
-MAX_SHOWN_PART_LENGTH = 64
 STATUS_UNAVAILABLE = 503
 STATUS_BAD_GATEWAY = 502
 STATUS_GATEWAY_TIMEOUT = 504
@@ -114,7 +112,7 @@
         f" {seconds:.0f} s",
         retry_after=seconds,
         field="parts",
-        value=hold.part.part_id[:MAX_SHOWN_PART_LENGTH],
+        value=hold.part.part_id,
     )
 
 
--- a/packages/greengagelatch/src/greengagelatch/relay/crash_reports.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/crash_reports.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from hashlib import blake2b
 from typing import TYPE_CHECKING
 
 from .incarnations import Incarnation
@@ -14,10 +15,12 @@
 __all__ = (
     "MAX_DIGESTS",
     "MAX_PARTS",
+    "MAX_PART_ID_LENGTH",
     "MAX_REPORTS",
     "Report",
     "decode_reports",
     "encode_reports",
+    "shorten_part_id",
 )
 
 Report = CrashReport | SurvivalReport | PartSurvivalReport
@@ -25,7 +28,9 @@
 #: most requests in one report; an instance rarely has more on one target
 MAX_DIGESTS = 128
 #: most prompt parts of one request, and of one survival report
-MAX_PARTS = 64
+MAX_PARTS = 32
+#: longest id of a prompt part in characters; a longer one is replaced by its digest
+MAX_PART_ID_LENGTH = 64
 #: most reports in one value
 MAX_REPORTS = 256
 
@@ -55,6 +60,14 @@
     return row | {"parts": report.parts} if report.parts else row
 
 
+def shorten_part_id(part_id: str) -> str:
+    """Return the id of a prompt part in reports."""
+    if len(part_id) <= MAX_PART_ID_LENGTH:
+        return part_id
+    encoded = part_id.encode("utf-8", "surrogatepass")
+    return blake2b(encoded, digest_size=MAX_PART_ID_LENGTH // 2).hexdigest()
+
+
 def decode_reports(value: bytes) -> tuple[Report, ...]:
     """Return the reports of a value from the store.
 
--- a/tests/test_entry/test_relay/test_crashing_parts.py
+++ b/tests/test_entry/test_relay/test_crashing_parts.py
@@ -8,7 +8,7 @@
 from greengagelatch.relay.crash_reports import encode_reports
 from greengagelatch.relay.incarnations import Incarnation
 from greengagelatch.relay.quarantine import CrashReport
-from greengagelatch_entry.relay.crash_report_replicator import PREFIX
+from greengagelatch_entry.relay.crash_report_replicator import MAX_VALUE_BYTES, PREFIX
 from greengagelatch_entry.relay.decisions import DecisionLog
 
 
@@ -125,3 +125,16 @@
     reply = await pipeline.stream("scan")
     assert reply.status == 503
     await pipeline.wait_for(lambda: not suspects.dump()["held"])
+
+
+async def test_reports_of_many_crashes_are_written_in_several_entries(pipeline):
+    """Guards against an entry that the store rejects as too large, again and again."""
+    crashes = pipeline.find("crashes")
+    parts = tuple(f"{number}" * 60 for number in range(10, 32))
+    for number in range(40):
+        digests = tuple(f"d{number}-{index}" for index in range(20))
+        target = Incarnation(f"t{number}")
+        crashes.publish(CrashReport(target, "llm", digests, (parts,) * 20))
+    await pipeline.wait_for(lambda: len(list_published(pipeline)) == 40)
+    own = pipeline.store.find(f"{PREFIX}entry-1/").values()
+    assert max(map(len, own)) <= MAX_VALUE_BYTES
