--- a/tests/test_entry/test_relay/test_crash_fleets.py
+++ b/tests/test_entry/test_relay/test_crash_fleets.py
@@ -191,16 +191,9 @@
         return Instance(name, self)
 
     async def run(self) -> Result:
-        conditions = self.conditions
-        for _ in range(conditions.engines):
+        for _ in range(self.conditions.engines):
             self._start_engine()
-        self._repeat(conditions.bad_per_second, lambda: self._ask(BAD))
-        self._repeat(
-            conditions.harmless_per_second,
-            lambda: self._ask(f"harmless-{next(self._numbers)}"),
-        )
-        self._repeat(conditions.crashes_per_second, self._crash_any)
-        await asyncio.sleep(conditions.seconds)
+        await self._send_all()
         for task in tuple(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -209,6 +202,16 @@
             await instance.locks.stop()
         return self.result
 
+    async def _send_all(self) -> None:
+        conditions = self.conditions
+        self._repeat(conditions.bad_per_second, lambda: self._ask(BAD))
+        self._repeat(
+            conditions.harmless_per_second,
+            lambda: self._ask(f"harmless-{next(self._numbers)}"),
+        )
+        self._repeat(conditions.crashes_per_second, self._crash_any)
+        await asyncio.sleep(conditions.seconds)
+
     def publish(self, origin: Instance, record) -> None:
         """Record at all instances, at those but ``origin`` after some time."""
         for instance in self._instances:
--- a/tests/test_entry/test_relay/test_crashing_part_fleets.py
+++ b/tests/test_entry/test_relay/test_crashing_part_fleets.py
@@ -193,10 +193,8 @@
     def _create_instance(self, name: str) -> Instance:
         return Instance(name, self)
 
-    async def run(self) -> Result:
+    async def _send_all(self) -> None:
         conditions = self.conditions
-        for _ in range(conditions.engines):
-            self._start_engine()
         self._repeat(conditions.harmless_per_second, self._ask_harmless)
         self._repeat(conditions.crashes_per_second, self._crash_any)
         power_at, count = conditions.power
@@ -208,13 +206,6 @@
                 conditions.bad_per_second, lambda parts=parts: self._ask_bad(parts)
             )
         await asyncio.sleep(conditions.seconds - conditions.begin)
-        for task in tuple(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-        for instance in self._instances:
-            await instance.detector.on_stop()
-            await instance.locks.stop()
-        return self.result
 
     def publish_report(self, origin: Instance, report) -> None:
         """Apply a report at all instances, at those but ``origin`` after some time."""
