Lend unused slots of brittle targets to other instances

Cause: the slots of brittle targets were divided among all instances, also those that the balancer gives no requests. One that got all of them could use only its share.

Change: an instance that lacks slots asks its neighbours; those that don't need theirs lend them for a second, target by target. The time counts from the request at the borrower and from the answer at the lender, which then waits until the longest run has passed. So slots are never in two hands: not when the balancer turns back at once, when a link is cut, or when either dies.

The simulated fleets now carry the messages of the loans.

Conclusion: whole in fleets of up to 17 instances. In larger ones an instance borrows from its 8 neighbours only.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -312,6 +312,7 @@
             self.crashes.reports,
             self.crashes.detector,
             self.targets.brittle_news,
+            self.targets.slot_loans,
             self.links.probes,
             self.crashes.locks,
             self.follower,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_parts.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_parts.py
@@ -9,8 +9,10 @@
 from greengagelatch.relay.brittle_targets import BrittleTargets
 from greengagelatch.relay.cold_targets import ColdTargets
 from greengagelatch.relay.load_balancer import LoadBalancer
+from greengagelatch.relay.slot_lending import SlotLending
 
 from .brittle_news import BrittleNewsController
+from .slot_loans import SlotLoansController
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
@@ -32,6 +34,7 @@
     brittle: BrittleTargets
     brittle_makers: BrittleTargets
     brittle_news: BrittleNewsController
+    slot_loans: SlotLoansController
     load_balancer: LoadBalancer
 
     def forget(self, incarnation: Incarnation) -> None:
@@ -97,13 +100,37 @@
         clock=shared.clock,
         metrics=shared.metrics,
     )
+    lending = SlotLending(
+        services=brittle_services,
+        on_wanted=lambda service: slot_loans.handle_need(service),
+    )
     brittle = BrittleTargets(
         own=settings.peers_listen,
         find_instances=find_sharing_instances,
         find_wall_seconds=shared.clock.wall,
         services=brittle_services,
+        lending=lending,
+        started_at=shared.clock.now(),
         on_changed=log_brittle_target,
     )
+    load_balancer = LoadBalancer(
+        target_table=shared.target_table,
+        cold_targets=cold,
+        data_centre=settings.data_centre,
+        random_source=shared.random_source,
+        brittle_targets=brittle,
+    )
+    slot_loans = SlotLoansController(
+        own=settings.peers_listen,
+        peers=shared.peers,
+        lending=lending,
+        brittle_targets=brittle,
+        load_balancer=load_balancer,
+        target_table=shared.target_table,
+        clock=shared.clock,
+        metrics=shared.metrics,
+        decisions=shared.decisions,
+    )
     return TargetParts(
         cold=cold,
         brittle=brittle,
@@ -112,11 +139,6 @@
             services=brittle_services, on_changed=log_brittle_target
         ),
         brittle_news=brittle_news,
-        load_balancer=LoadBalancer(
-            target_table=shared.target_table,
-            cold_targets=cold,
-            data_centre=settings.data_centre,
-            random_source=shared.random_source,
-            brittle_targets=brittle,
-        ),
+        slot_loans=slot_loans,
+        load_balancer=load_balancer,
     )
--- a/packages/greengagelatch/src/greengagelatch/relay/brittle_services.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/brittle_services.py
@@ -101,6 +101,11 @@
             return False
         return now - max(known.began_at, since) < known.run_seconds
 
+    def find_run(self, service: str) -> float:
+        """Return the longest time that a request is known to have run, in seconds."""
+        known = self._services.get(service)
+        return 0.0 if known is None else known.run_seconds
+
     def record_run(self, service: str, seconds: float) -> None:
         """Record how long a request has run so far."""
         known = self._services.get(service)
--- a/packages/greengagelatch/src/greengagelatch/relay/brittle_targets.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/brittle_targets.py
@@ -13,9 +13,10 @@
 from ..targets.subset import compute_weight
 from .brittle_services import LAPSE_SECONDS, BrittleServices
 from .cold_targets import compute_share
+from .slot_lending import LOAN_SECONDS, SlotLending
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection
+    from collections.abc import Callable, Collection, Iterable
 
     from .incarnations import Incarnation
     from .load_balancer import LoadReport
@@ -37,6 +38,10 @@
 #: seconds for which the same instances may send requests at risk. At the end of a turn
 #: they don't, so that no window holds the requests of two turns
 TURN_SECONDS = 4.0
+#: seconds for which an instance keeps as many slots as it had requests in
+PEAK_SECONDS = 4.0
+#: slots of a service that an instance without requests keeps for its next one
+KEPT_SLOTS = 1
 #: seconds for which a load report is used
 REPORT_SECONDS = 1.0
 _NOT_SAID = (None, float("-inf"))
@@ -60,6 +65,9 @@
     #: most requests of this instance that it has held since then, or since it has been
     #: brittle
     kept: int = 0
+    #: most requests of this instance that it has held lately, and when it did
+    peak: int = 0
+    peak_at: float = float("-inf")
     #: monotonic times at which the latest of its requests in flight were sent
     started: deque[float] = field(default_factory=deque)
 
@@ -76,10 +84,15 @@
     hold slots of other instances' shares for as long as they run. Until they have
     ended, only requests that follow one of this instance are within its share.
 
+    An instance lends the slots that it doesn't need to others that lack some.
+
     :param own: address of this instance
     :param find_instances: returns the addresses of all instances that may exist
     :param find_wall_seconds: returns seconds since the Unix epoch
     :param services: services that are brittle, also by what other instances tell
+    :param lending: slots that instances lend each other; ``None``: none
+    :param started_at: monotonic time at which this instance started. Slots that it
+        lent before a restart may be in use for a while
     :param on_changed: called when a target says that it is brittle, with its limit, and
         when it no longer does, with ``None``
     """
@@ -91,12 +104,16 @@
         find_instances: Callable[[], Collection[str]] = lambda: ("",),
         find_wall_seconds: Callable[[], float] = lambda: 0.0,
         services: BrittleServices | None = None,
+        lending: SlotLending | None = None,
+        started_at: float = float("-inf"),
         on_changed: Callable[[Incarnation, int | None], None] = lambda *_: None,
     ) -> None:
         self._own = own
         self._find_instances = find_instances
         self._find_wall_seconds = find_wall_seconds
         self._services = BrittleServices() if services is None else services
+        self._lending = lending or SlotLending(services=self._services)
+        self._usable_at = started_at + LOAN_SECONDS
         self._on_changed = on_changed
         self._targets: dict[Incarnation, _Target] = {}
         #: cached shares by key and number, of the slots and of the limits in one turn
@@ -132,9 +149,10 @@
             return True
         known = self._find(target.incarnation, now)
         self._measure_run(target, known, in_flight, now)
-        while known.rejections and known.rejections[0] <= now - WINDOW_SECONDS:
-            known.rejections.popleft()
         room = self._find_room(target, known, now)
+        borrowed = self._count_borrowed(target, known, now)
+        if borrowed and in_flight >= room - borrowed:
+            self._lending.record_need(target.service, now)
         beyond = in_flight + 1 - room
         if beyond <= 0 and not known.rejections:
             return True
@@ -154,6 +172,41 @@
         known = self._find(incarnation, now)
         known.started.append(now)
         _drop_ended(known, in_flight + 1)
+        if in_flight + 1 >= _find_peak(known, 0, now):
+            known.peak, known.peak_at = in_flight + 1, now
+
+    def record_shortage(self, service: str, now: float) -> None:
+        """Record that no target of a service may be sent a request."""
+        self._lending.record_need(service, now)
+
+    def lend(
+        self,
+        service: str,
+        borrower: str,
+        targets: Iterable[tuple[ListedTarget, int]],
+        now: float,
+    ) -> dict[Incarnation, int]:
+        """Lend the slots that this instance doesn't need to one that asks for them.
+
+        :param targets: the targets of the service, and how many requests this instance
+            has at each
+        :return: the slots lent, by target
+        """
+        spare: dict[Incarnation, int] = {}
+        if not self._lending.may_lend(service, now):
+            return spare
+        for target, in_flight in targets:
+            if self.find_limit(target, now) is None:
+                continue
+            known = self._find(target.incarnation, now)
+            slots = self._find_own_room(target, known, now)
+            slots -= _find_peak(known, in_flight, now)
+            if slots > 0:
+                spare[target.incarnation] = slots
+        if spare:
+            kept = min(spare, key=lambda one: compute_weight(self._own, one.target_id))
+            spare[kept] -= KEPT_SLOTS
+        return self._lending.lend(service, borrower, spare, now)
 
     def record_response(
         self,
@@ -194,6 +247,7 @@
     def forget(self, incarnation: Incarnation) -> None:
         """Discard the state of a target that is gone."""
         self._targets.pop(incarnation, None)
+        self._lending.forget(incarnation)
 
     def describe(self, now: float) -> dict[str, dict[str, int]]:
         """Return the brittle targets for the state dump."""
@@ -220,13 +274,37 @@
 
     def _find_room(self, target: ListedTarget, known: _Target, now: float) -> int:
         """Return how many requests of this instance a target certainly has room for."""
+        own = self._find_own_room(target, known, now)
+        if known.rejections or _has_queue(known, now):
+            return own
+        own -= self._lending.count_lent(target.service, target.incarnation, now)
+        return max(0, own + self._count_borrowed(target, known, now))
+
+    def _count_borrowed(self, target: ListedTarget, known: _Target, now: float) -> int:
+        """Return how many slots of other instances this one may use.
+
+        After a rejection others are in them, for as long as requests run.
+        """
+        if not self._lending.is_borrowing:
+            return 0
+        run_seconds = self._services.find_run(target.service)
+        if now - known.rejected_at < max(WINDOW_SECONDS, run_seconds):
+            return 0
+        instances = self._shared_by
+        return self._lending.count_borrowed(target.incarnation, instances, now)
+
+    def _find_own_room(self, target: ListedTarget, known: _Target, now: float) -> int:
+        """Return how many slots this instance has, whether or not it lends them."""
+        while known.rejections and known.rejections[0] <= now - WINDOW_SECONDS:
+            known.rejections.popleft()
         if known.rejections:
             return known.held
         if _has_queue(known, now):
             return 0
         self._drop_shares(self._turn)
         share = self._compute_share(self._slot_shares, target.target_id, target.slots)
-        if self._services.is_settling(target.service, known.rejected_at, now):
+        since = max(known.rejected_at, self._usable_at)
+        if self._services.is_settling(target.service, since, now):
             return min(share, max(known.kept, _count_accepted(known, now)))
         return share
 
@@ -279,6 +357,13 @@
         known.started.popleft()
 
 
+def _find_peak(known: _Target, in_flight: int, now: float) -> int:
+    """Return the most requests of this instance that a target has held lately."""
+    if now - known.peak_at >= PEAK_SECONDS:
+        return in_flight
+    return max(in_flight, known.peak)
+
+
 def _count_accepted(known: _Target, now: float) -> int:
     """Return how many requests in flight would have been rejected by now if at all."""
     return sum(sent_at <= now - WINDOW_SECONDS for sent_at in known.started)
--- a/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
@@ -197,7 +197,10 @@
         limits = [self._brittle_targets.find_limit(one, now) for one in listed]
         if all(limit is None for limit in limits):
             return False
-        return not any(self._has_room(one, now) for one in listed)
+        lacks = not any(self._has_room(one, now) for one in listed)
+        if lacks and not excluded:
+            self._brittle_targets.record_shortage(service, now)
+        return lacks
 
     def find_affinity_target(
         self,
@@ -234,6 +237,11 @@
         state.in_flight += 1
         state.pending_tokens += tokens
 
+    def count_in_flight(self, incarnation: Incarnation) -> int:
+        """Return how many requests of this instance a target has."""
+        state = self._states.get(incarnation)
+        return 0 if state is None else state.in_flight
+
     def finish_prefill(self, incarnation: Incarnation, tokens: float) -> None:
         """Record that an engine has finished the prefill of a request."""
         state = self._find_state(incarnation)
@@ -395,8 +403,7 @@
 
     def _has_room(self, target: ListedTarget, now: float) -> bool:
         """Return whether a target takes a request, or tolerates that it rejects it."""
-        state = self._states.get(target.incarnation)
-        in_flight = 0 if state is None else state.in_flight
+        in_flight = self.count_in_flight(target.incarnation)
         return self._brittle_targets.may_send(target, in_flight, now)
 
     def _score_target(self, target: ListedTarget, now: float) -> tuple[float, float]:
--- a/tests/test_core/test_relay/test_brittle_fleets.py
+++ b/tests/test_core/test_relay/test_brittle_fleets.py
@@ -16,6 +16,7 @@
 from greengagelatch.relay.cold_targets import compute_share
 from greengagelatch.relay.incarnations import Incarnation
 from greengagelatch.relay.load_balancer import LoadReport
+from greengagelatch.relay.slot_lending import SlotLending
 from greengagelatch.relay.targets import ListedTarget
 
 if TYPE_CHECKING:
@@ -41,6 +42,8 @@
 #: as in ``PEER_BOUNDS`` and ``relay/brittle_news.py`` of the entry instance
 NEIGHBOURS = 8
 NEWS_SECONDS = 0.5
+#: seconds between two requests for slots of others, as in ``relay/slot_loans.py``
+REQUEST_SECONDS = 0.4
 #: seconds until news that are sent on a change arrive: the pause before, and the way
 NEWS_LATENCIES = (0.01, 0.1)
 
@@ -119,6 +122,7 @@
     name: str
     rule: BrittleTargets
     services: BrittleServices
+    lending: SlotLending
     neighbours: list[_Instance] = field(default_factory=list)
     in_flight: dict[Incarnation, int] = field(default_factory=dict)
     avoided: dict[Incarnation, float] = field(default_factory=dict)
@@ -135,6 +139,8 @@
         self.served = self.offered = self.rejected = 0
         #: messages with news, and when each instance has learnt of the limit
         self.told = 0
+        #: instances whose requests for slots are lost
+        self.cut_off: set[str] = set()
         self.learnt: dict[str, float] = {}
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._count = 0
@@ -164,6 +170,22 @@
             for n in range(scenario.targets)
         ]
 
+    def prefer(self, number: int) -> None:
+        """Send all requests to one instance from now on."""
+        self._weights = [float(n == number) for n in range(len(self.instances))]
+
+    def turn_at(self, seconds: float, number: int, cut_off: frozenset[str]) -> None:
+        """Send all requests to another instance from some time on.
+
+        :param cut_off: instances that lend nothing any more and borrow nothing
+        """
+
+        def turn() -> None:
+            self.cut_off |= cut_off
+            self.prefer(number)
+
+        self._later(seconds, turn)
+
     @property
     def falls(self) -> int:
         return sum(target.falls for target in self.targets)
@@ -188,13 +210,18 @@
             self._later(0.0, partial(self._tell, instance))
 
         services = BrittleServices(on_begun=learn)
+        lending = SlotLending(
+            services=services,
+            on_wanted=lambda _: self._later(0.0, partial(self._borrow, instance)),
+        )
         rule = way(
             own=name,
             find_instances=lambda: names,
             find_wall_seconds=lambda: self.now,
             services=services,
+            lending=lending,
         )
-        instance = _Instance(name, rule, services)
+        instance = _Instance(name, rule, services, lending)
         return instance
 
     def _tell_forever(self, instance: _Instance) -> None:
@@ -213,6 +240,29 @@
         for one in news:
             instance.services.record_news(one, self.now)
 
+    def _borrow(self, instance: _Instance) -> None:
+        """Ask the neighbours of an instance for slots while it needs some."""
+        request = instance.lending.create_request(self.now)
+        if request is None:
+            return
+        for neighbour in instance.neighbours:
+            if {instance.name, neighbour.name} & self.cut_off:
+                continue
+            delay = self._news_random.uniform(*NEWS_LATENCIES)
+            lend = partial(self._lend, neighbour, instance, request.number)
+            self._later(delay, lend)
+        self._later(REQUEST_SECONDS, partial(self._borrow, instance))
+
+    def _lend(self, lender: _Instance, borrower: _Instance, number: int) -> None:
+        targets = [
+            (one.listed, lender.in_flight.get(one.listed.incarnation, 0))
+            for one in self.targets
+        ]
+        lent = lender.rule.lend("desk", borrower.name, targets, self.now)
+        record = partial(borrower.lending.record_loan, lender.name, number, lent)
+        delay = self._news_random.uniform(*NEWS_LATENCIES)
+        self._later(delay, lambda: record(self.now))
+
     def _later(self, seconds: float, action: Callable[[], None]) -> None:
         self._count += 1
         heapq.heappush(self._events, (self.now + seconds, self._count, action))
@@ -252,6 +302,8 @@
                 self.now,
             )
         ]
+        if not usable and not excluded:
+            instance.rule.record_shortage("desk", self.now)
         if usable:
             chosen = min(
                 usable,
@@ -436,3 +488,25 @@
     even, uneven = served_shares
     # three quarters of the share before, as callers see it
     assert uneven >= 0.75 * even
+
+
+@pytest.mark.parametrize("is_cut", [False, True])
+def test_slots_are_lent_once_when_the_balancer_turns_to_the_lenders(is_cut):
+    """Guards against lenders that take slots back while the borrower is in them.
+
+    The borrower is cut off at the same time, or dies: nobody can ask it.
+    """
+    fleet = Fleet(
+        Scenario(instances=9, targets=6, slots=16, limit=2, run_seconds=1.0),
+        "slots and risk",
+        seed=1,
+    )
+    fleet.prefer(0)
+    turns = (4.0, 5.5, 7.0, 8.0)
+    for number, seconds in enumerate(turns, start=1):
+        former = fleet.instances[number - 1].name
+        fleet.turn_at(seconds, number, frozenset({former} if is_cut else ()))
+    fleet.run()
+    assert fleet.falls == 0
+    # requests at risk, of which one target tolerates as many in a second
+    assert fleet.rejected <= fleet.scenario.limit
