--- a/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/__main__.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/__main__.py
@@ -11,6 +11,7 @@
 from greengagelatch.relay.batches import PerRequestBatching
 from greengagelatch.relay.groups import PerDataCentreOwnership, SingleOwnership
 
+from .ranked_shapes import RANKED_SCENARIOS, RANKED_SHAPES
 from .shapes import SCENARIOS, SHAPES
 from .trial import Policies, run_trial
 
@@ -19,6 +20,9 @@
 
 __all__ = ("main",)
 
+#: all fleets and load scenarios, by the name given on the command line
+ALL_SHAPES = SHAPES | RANKED_SHAPES
+ALL_SCENARIOS = SCENARIOS | RANKED_SCENARIOS
 #: worker processes that run trials in parallel
 WORKERS = 6
 #: sets of policies under comparison, by the name given on the command line
@@ -75,14 +79,18 @@
 
 
 def _run(fleet: str, scenario: str, variant: str, seed: int) -> Outcome:
-    return run_trial(SHAPES[fleet], SCENARIOS[scenario], VARIANTS[variant], seed)
+    return run_trial(
+        ALL_SHAPES[fleet], ALL_SCENARIOS[scenario], VARIANTS[variant], seed
+    )
 
 
 def _parse() -> argparse.Namespace:
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--fleet", nargs="+", choices=sorted(SHAPES), default=["luzon"])
     parser.add_argument(
-        "--scenario", nargs="+", choices=sorted(SCENARIOS), default=list(SCENARIOS)
+        "--fleet", nargs="+", choices=sorted(ALL_SHAPES), default=["luzon"]
+    )
+    parser.add_argument(
+        "--scenario", nargs="+", choices=sorted(ALL_SCENARIOS), default=list(SCENARIOS)
     )
     parser.add_argument(
         "--variant", nargs="+", choices=sorted(VARIANTS), default=list(VARIANTS)
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/shapes.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/shapes.py
@@ -8,6 +8,7 @@
 
 __all__ = (
     "SCENARIOS",
+    "MEGABIT",
     "SHAPES",
     "Burst",
     "CallerClass",
@@ -17,10 +18,14 @@
     "MakerShape",
     "Scenario",
     "StageShape",
+    "create_chain",
+    "create_makers",
 )
 
 #: bytes per megabyte
 MEGABYTE = 1_000_000
+#: bytes per second of a 1 Mbit/s link
+MEGABIT = 125_000
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -139,7 +144,7 @@
     outages: tuple[Outage, ...] = ()
 
 
-def _create_chain(
+def create_chain(
     services: tuple[str, str, str],
     middle_pieces: int,
     first: int = 0,
@@ -183,7 +188,7 @@
     small = StageShape(
         service=services[0], result_bytes=1_500_000, pieces=1.5, share=0.4
     )
-    chained = (small, *_create_chain(services, middle_pieces, first=1))
+    chained = (small, *create_chain(services, middle_pieces, first=1))
     return (
         CallerClass(
             name="draft",
@@ -211,7 +216,7 @@
             own_tokens=1800,
             shared_part_count=90,
             generation_seconds=0.15,
-            stages=_create_chain(services, middle_pieces),
+            stages=create_chain(services, middle_pieces),
         ),
         CallerClass(
             name="talk",
@@ -272,7 +277,7 @@
             own_tokens=628,
             shared_part_count=130,
             generation_seconds=1.2,
-            stages=_create_chain(services, **chain),
+            stages=create_chain(services, **chain),
         ),
         CallerClass(
             name="check",
@@ -286,12 +291,12 @@
             own_tokens=1800,
             shared_part_count=200,
             generation_seconds=0.15,
-            stages=(small, *_create_chain(services, first=1, **chain)),
+            stages=(small, *create_chain(services, first=1, **chain)),
         ),
     )
 
 
-def _create_makers(
+def create_makers(
     *rows: tuple[str, int, int, float, float], call_seconds: float = 0.2
 ) -> tuple[MakerShape, ...]:
     return tuple(
@@ -314,7 +319,7 @@
         data_centres=3,
         engines=5,
         workspace_priorities=(1, 0, 1, 0, 1),
-        makers=_create_makers(
+        makers=create_makers(
             ("portal", 3, 5, 0.0336, 11.25),
             ("ledger", 3, 17, 0.0101, 2.295),
             ("audit", 3, 28, 0.00607, 0.3624),
@@ -332,7 +337,7 @@
         name="kyushu",
         data_centres=3,
         engines=5,
-        makers=_create_makers(
+        makers=create_makers(
             ("price", 3, 4, 0.042, 9.5),
             ("ledger", 3, 8, 0.02125, 1.12),
             ("alert", 3, 23, 0.00743, 0.2957),
@@ -351,7 +356,7 @@
         data_centres=3,
         engines=70,
         workspace_priorities=(1, 0, 1, 0, 1),
-        makers=_create_makers(
+        makers=create_makers(
             ("portal", 9, 18, 0.0095, 40.0),
             ("ledger", 8, 62, 0.00277, 8.079),
             ("audit", 8, 84, 0.00204, 1.12),
@@ -369,7 +374,7 @@
         name="kyushu-grown",
         data_centres=4,
         engines=45,
-        makers=_create_makers(
+        makers=create_makers(
             ("price", 9, 14, 0.012, 32.0),
             ("ledger", 8, 34, 0.00508, 4.533),
             ("alert", 8, 76, 0.0023, 0.99),
@@ -388,7 +393,7 @@
         data_centres=4,
         engines=9,
         workspace_priorities=(1, 0, 1, 0, 1),
-        makers=_create_makers(
+        makers=create_makers(
             ("registry", 4, 9, 0.02333, 10.93),
             ("finance", 4, 19, 0.01089, 2.153),
             ("portal", 4, 29, 0.00714, 0.3152),
@@ -406,7 +411,7 @@
         data_centres=4,
         engines=70,
         workspace_priorities=(1, 0, 1, 0, 1),
-        makers=_create_makers(
+        makers=create_makers(
             ("registry", 9, 19, 0.01053, 22.8),
             ("finance", 8, 43, 0.00481, 4.861),
             ("portal", 8, 58, 0.0035, 0.65),
@@ -421,9 +426,6 @@
     ),
 }
 
-#: bytes per second of a 1 Mbit/s link
-MEGABIT = 125_000
-
 
 def _create_instance_shapes(strong: int, small: int) -> tuple[InstanceShape, ...]:
     """Return the sizes of instances, from their numbers in each data centre."""
