--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/bundle_queue.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/bundle_queue.py
@@ -139,6 +139,20 @@
             if entry.pending:
                 self.fail(entry, failure)
 
+    def fail_unplaceable(self, data_centres: set[str]) -> None:
+        """Fail the bundles that no maker may make.
+
+        :param data_centres: those of all makers
+        """
+        for entry in tuple(self):
+            allowed = entry.bundle.data_centres
+            if (
+                allowed is not None
+                and entry.pending
+                and data_centres.isdisjoint(allowed)
+            ):
+                self.fail(entry, PieceFailure.NO_MAKER)
+
     def discard_results(self, incarnation: Incarnation) -> None:
         """Discard the results of a maker that has restarted and lost them."""
         for entry in tuple(self):
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -235,6 +235,7 @@
         self.stages = compose_stage_parts(
             self.shared,
             find_profile=self.configuration.find_maker,
+            list_routes=self.configuration.list_routes,
             connections=self.connections,
             crashes=self.crashes,
             load_balancer=self.targets.load_balancer,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/configuration.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/configuration.py
@@ -15,7 +15,7 @@
     from collections.abc import Callable, Collection
 
     from greengagelatch.clock import Clock
-    from greengagelatch.relay.deployment import Deployment, MakerProfile
+    from greengagelatch.relay.deployment import Deployment, MakerProfile, Route
     from greengagelatch.store.ranges import Changes, Scan
 
     from .codecs import DeploymentCodec
@@ -80,6 +80,10 @@
         """Return the profile of the makers of a service; ``None`` if it has none."""
         return self.find_service(service).maker
 
+    def list_routes(self) -> tuple[Route, ...]:
+        """Return the routes in force, the same object until another version is."""
+        return self.deployment.routes if self.deployment else ()
+
     def find_limits(self) -> CallerLimits:
         """Return the limits on callers."""
         deployment = self.deployment
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/forwarding_stage_executor.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/forwarding_stage_executor.py
@@ -169,7 +169,10 @@
     # groups
 
     def _choose_group(self, bundle: Bundle) -> MakerGroup:
-        views = self._list_views(bundle.service)
+        views = [
+            GroupView(one.group, one.wait.find_at_rank(bundle.rank))
+            for one in self._list_views(bundle.service)
+        ]
         views = [
             one
             for one in views
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/queue_wait_reports.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/queue_wait_reports.py
@@ -6,7 +6,7 @@
 
 from greengagelatch.relay.groups import MakerGroup
 from greengagelatch.relay.messages import StageWaits
-from greengagelatch.relay.queue_waits import QueueWait
+from greengagelatch.relay.queue_waits import QueueWait, RankWait
 
 if TYPE_CHECKING:
     from greengagelatch.clock import Clock
@@ -75,10 +75,15 @@
             (MakerGroup(service), QueueWait(*waits))
             for service, *waits in message.waits
         ]
-        queues = [
-            (MakerGroup(service, data_centre), QueueWait(*waits))
-            for service, data_centre, *waits in message.queues
-        ]
+        by_rank: dict[MakerGroup, list[RankWait]] = {}
+        for service, data_centre, *waits in message.ranks:
+            group = MakerGroup(service, data_centre)
+            by_rank.setdefault(group, []).append(RankWait(*waits))
+        queues = []
+        for service, data_centre, *waits in message.queues:
+            group = MakerGroup(service, data_centre)
+            ranks = tuple(by_rank.get(group, ()))
+            queues.append((group, QueueWait(*waits, by_rank=ranks)))
         return former + queues
 
     def store(self, group: MakerGroup, wait: QueueWait) -> None:
@@ -104,5 +109,16 @@
                 round(wait.call, 3),
             )
             for group, wait in rows
-        )
+        ),
+        ranks=tuple(
+            (
+                group.service,
+                group.data_centre,
+                one.rank,
+                round(one.urgent, 3),
+                round(one.total, 3),
+            )
+            for group, wait in rows
+            for one in wait.by_rank
+        ),
     )
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_bundles.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_bundles.py
@@ -15,6 +15,7 @@
     from greengagelatch.relay.incarnations import Incarnation
     from greengagelatch.relay.load_balancer import LoadBalancer
     from greengagelatch.relay.pieces import PieceResult
+    from greengagelatch.relay.queue_waits import QueueWait
     from greengagelatch.relay.stage_plan import StagePlan, StageWork
 
     from .exchange import RelayExchange
@@ -71,6 +72,11 @@
             ),
         )
 
+    def estimate_wait(self, service: str) -> QueueWait:
+        """Return the wait of a bundle of this request in the queue of a service."""
+        wait = self._executor.estimate_wait(service)
+        return wait.find_at_rank(self._exchange.rank)
+
     def create(
         self, work: StageWork, held: Mapping[int, tuple[PieceResult, ...]]
     ) -> Bundle:
@@ -79,7 +85,7 @@
         :param held: results of the stages made so far, by stage
         """
         bounds = self.find_bounds()
-        remaining_seconds = self._plan.estimate_rest(work, self._executor.estimate_wait)
+        remaining_seconds = self._plan.estimate_rest(work, self.estimate_wait)
         handles = {
             one: tuple(result.handle for result in held[one]) for one in work.after
         }
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_parts.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_parts.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from greengagelatch.relay.batches import CrossRequestBatching
+from greengagelatch.relay.bundle_orders import ConfiguredOrder
 from greengagelatch.relay.groups import CapacityBasedOwnership
 from greengagelatch.relay.placed_batches import PlacedBatching
 
@@ -19,10 +20,10 @@
 from .stages import StageRunner
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from greengagelatch.relay.brittle_targets import BrittleTargets
-    from greengagelatch.relay.deployment import MakerProfile
+    from greengagelatch.relay.deployment import MakerProfile, Route
     from greengagelatch.relay.groups import MakerGroup
     from greengagelatch.relay.load_balancer import LoadBalancer
 
@@ -50,6 +51,7 @@
     shared: SharedParts,
     *,
     find_profile: Callable[[str], MakerProfile | None],
+    list_routes: Callable[[], Sequence[Route]],
     connections: TargetConnectionPool,
     crashes: CrashParts,
     load_balancer: LoadBalancer,
@@ -58,6 +60,7 @@
     """Build and wire the components without starting them.
 
     :param find_profile: returns the configured profile of a service's makers
+    :param list_routes: returns the configured routes
     """
     settings = shared.settings
     groups = MakerGroups(
@@ -83,13 +86,15 @@
     )
 
     def create_pool(group: MakerGroup) -> StagePool:
+        order = ConfiguredOrder(group.service, list_routes)
         return StagePool(
             group,
             list_makers=lambda: groups.list_makers(group),
             find_profile=lambda: find_profile(group.service),
             is_exclusive=lambda: ownership.is_exclusive(group),
             quarantine=quarantine,
-            policy=PlacedBatching(CrossRequestBatching()),
+            policy=PlacedBatching(CrossRequestBatching(order)),
+            order=order,
             target_table=shared.target_table,
             connections=connections,
             codec=shared.adapters.targets,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
@@ -7,6 +7,7 @@
 
 from greengagelatch.relay.batches import find_infeasible
 from greengagelatch.relay.brittle_targets import BrittleTargets
+from greengagelatch.relay.bundle_orders import DeadlineOrder
 from greengagelatch.relay.pieces import PieceFailure, PieceResult
 from greengagelatch.relay.result_memory import ResultMemory
 
@@ -21,6 +22,7 @@
 
     from greengagelatch.clock import Clock
     from greengagelatch.relay.batches import BatchPolicy, PlannedCall
+    from greengagelatch.relay.bundle_orders import BundleOrder
     from greengagelatch.relay.deployment import MakerProfile
     from greengagelatch.relay.groups import MakerGroup
     from greengagelatch.relay.incarnations import Incarnation
@@ -76,6 +78,7 @@
         metrics: Metrics,
         decisions: DecisionLog,
         brittle_makers: BrittleTargets | None = None,
+        order: BundleOrder | None = None,
     ) -> None:
         self._group = group
         self._list_targets = list_makers
@@ -84,6 +87,7 @@
         self._quarantine = quarantine
         self._brittle_makers = brittle_makers or BrittleTargets()
         self._policy = policy
+        self._order = order or DeadlineOrder()
         self._target_table = target_table
         self._clock = clock
         self._decisions = decisions
@@ -98,7 +102,7 @@
         #: cached makers, and the entries and the profile that they were created from
         self._listed: list[Maker] = []
         self._listed_from: tuple[object, MakerProfile] | None = None
-        self._estimator = WaitEstimator(clock.now())
+        self._estimator = WaitEstimator(clock.now(), self._order)
         self._expiry_checked_at = 0.0
         self._tasks: set[asyncio.Task[None]] = set()
         self._timer: asyncio.TimerHandle | None = None
@@ -128,7 +132,7 @@
             return (gone,) * len(bundle.pieces)
         entry = self._queue.add(bundle, on_read)
         self._schedule()
-        self._estimator.record_added(len(entry.pending))
+        self._estimator.record_added(len(entry.pending), bundle.rank)
         try:
             return await entry.done
         except asyncio.CancelledError:
@@ -162,6 +166,7 @@
         return {
             "bundles": len(self._queue),
             "pieces": self._queue.count_waiting(),
+            "by_rank": self._order.by_rank,
             "makers": {
                 str(incarnation): {
                     "calls": maker.calls,
@@ -277,23 +282,11 @@
     ) -> None:
         """Fail the bundles whose request can no longer meet its deadline."""
         views = [maker.view(now) for maker in makers]
-        self._fail_unplaceable(makers)
+        self._queue.fail_unplaceable({maker.target.data_centre for maker in makers})
         waiting = self._queue.list_waiting()
-        for bundle in find_infeasible(waiting, views, profile, now):
+        for bundle in find_infeasible(waiting, views, profile, now, self._order):
             self._queue.fail(self._queue.find(bundle), PieceFailure.LATE)
 
-    def _fail_unplaceable(self, makers: list[Maker]) -> None:
-        """Fail the bundles that none of the makers may make."""
-        data_centres = {maker.target.data_centre for maker in makers}
-        for entry in tuple(self._queue):
-            allowed = entry.bundle.data_centres
-            if (
-                allowed is not None
-                and entry.pending
-                and data_centres.isdisjoint(allowed)
-            ):
-                self._queue.fail(entry, PieceFailure.NO_MAKER)
-
     def _fail_quarantined(self) -> None:
         """Fail the bundles that are held in quarantine."""
         for entry in tuple(self._queue):
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
@@ -125,7 +125,7 @@
 
     def estimate(self) -> ChainEstimate:
         """Return the estimated times of the stages along the chain."""
-        return self._plan.estimate(self._executor.estimate_wait)
+        return self._plan.estimate(self._bundles.estimate_wait)
 
     def may_execute_again(self) -> bool:
         """Return whether all stages are expected to be done in time once more.
@@ -286,7 +286,7 @@
         await self._delay_start(work)
         if self._target_table.has_superseded(list_makers(self._held, work.after)):
             raise _StageFailedError(work, PieceFailure.GONE)
-        queue = self._executor.estimate_wait(work.service)
+        queue = self._bundles.estimate_wait(work.service)
         seconds = queue.urgent + queue.estimate_stage(work.seconds)
         self._ends[number] = self._clock.now() + seconds
         bundle = self._bundles.create(work, self._held)
@@ -307,7 +307,7 @@
                 work,
                 self._clock.now(),
                 self._ends,
-                self._executor.estimate_wait,
+                self._bundles.estimate_wait,
                 self._bundles.find_bounds(),
                 self._held,
             )
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/__main__.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/__main__.py
@@ -9,6 +9,7 @@
 
 from greengagelatch.relay.admission import AdmitAll
 from greengagelatch.relay.batches import PerRequestBatching
+from greengagelatch.relay.bundle_orders import DeadlineOrder
 from greengagelatch.relay.groups import PerDataCentreOwnership, SingleOwnership
 
 from .ranked_shapes import RANKED_SCENARIOS, RANKED_SHAPES
@@ -32,8 +33,9 @@
     "undivided": Policies(create_ownership_policy=SingleOwnership),
     "divided": Policies(create_ownership_policy=PerDataCentreOwnership),
     "admit-all": Policies(create_admission=AdmitAll),
+    "by-deadline": Policies(create_order=lambda *_: DeadlineOrder()),
     "naive": Policies(
-        create_batch_policy=PerRequestBatching, create_admission=AdmitAll
+        create_batch_policy=lambda _: PerRequestBatching(), create_admission=AdmitAll
     ),
 }
 
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/instances.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/instances.py
@@ -29,6 +29,7 @@
     from greengagelatch.clock import Clock
     from greengagelatch.relay.admission import RouteAdmission
     from greengagelatch.relay.batches import BatchPolicy
+    from greengagelatch.relay.bundle_orders import BundleOrder
     from greengagelatch.relay.deployment import Deployment, MakerProfile
     from greengagelatch.relay.groups import MakerGroup, OwnershipPolicy
     from greengagelatch.relay.targets import TargetTable
@@ -111,7 +112,8 @@
         connections: ModelConnections,
         data_centres: list[str],
         random_source: random.Random,
-        create_batch_policy: Callable[[], BatchPolicy],
+        create_order: Callable[[str, Callable], BundleOrder],
+        create_batch_policy: Callable[[BundleOrder], BatchPolicy],
         create_admission: Callable[[], RouteAdmission],
         create_ownership_policy: Callable[[], OwnershipPolicy],
     ) -> None:
@@ -122,6 +124,7 @@
         self._connections = connections
         self._data_centres = data_centres
         self._random = random_source
+        self._create_order = create_order
         self._create_batch_policy = create_batch_policy
         self._create_admission = create_admission
         self._create_ownership_policy = create_ownership_policy
@@ -194,15 +197,16 @@
         groups: MakerGroups,
         is_exclusive: Callable[[MakerGroup], bool],
     ) -> LocalStageExecutor:
-        return LocalStageExecutor(
-            find_group=groups.find_group,
-            create_pool=lambda group: StagePool(
+        def create_pool(group: MakerGroup) -> StagePool:
+            order = self._create_order(group.service, lambda: self._deployment.routes)
+            return StagePool(
                 group,
                 list_makers=lambda: groups.list_makers(group),
                 find_profile=lambda: self._find_profile(group.service),
                 is_exclusive=lambda: is_exclusive(group),
                 quarantine=DisabledBundleQuarantine(),
-                policy=self._create_batch_policy(),
+                policy=self._create_batch_policy(order),
+                order=order,
                 target_table=self._target_table,
                 connections=connections,
                 codec=ModelCodec(),
@@ -210,8 +214,9 @@
                 clock=self._clock,
                 decisions=NullTelemetry(),
                 metrics=NullTelemetry(),
-            ),
-        )
+            )
+
+        return LocalStageExecutor(find_group=groups.find_group, create_pool=create_pool)
 
     def _create_budgets(self) -> RetryBudgets:
         return RetryBudgets(
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/trial.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/trial.py
@@ -9,6 +9,7 @@
 
 from greengagelatch.relay.admission import DeadlineAdmission, RouteAdmission
 from greengagelatch.relay.batches import BatchPolicy, CrossRequestBatching
+from greengagelatch.relay.bundle_orders import BundleOrder, ConfiguredOrder
 from greengagelatch.relay.deployment import (
     Deployment,
     Route,
@@ -49,7 +50,8 @@
 class Policies:
     """The policies under which a trial runs."""
 
-    create_batch_policy: Callable[[], BatchPolicy] = CrossRequestBatching
+    create_order: Callable[[str, Callable], BundleOrder] = ConfiguredOrder
+    create_batch_policy: Callable[[BundleOrder], BatchPolicy] = CrossRequestBatching
     create_admission: Callable[[], RouteAdmission] = DeadlineAdmission
     create_ownership_policy: Callable[[], OwnershipPolicy] = CapacityBasedOwnership
     #: whether a single instance knows that it has exclusive use of the makers
@@ -139,6 +141,7 @@
             connections=ModelConnections(self.makers, self.results, self._find_stage),
             data_centres=self.data_centres,
             random_source=self.random,
+            create_order=policies.create_order,
             create_batch_policy=policies.create_batch_policy,
             create_admission=policies.create_admission,
             create_ownership_policy=policies.create_ownership_policy,
--- a/packages/greengagelatch/src/greengagelatch/relay/batches.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/batches.py
@@ -7,7 +7,12 @@
 from math import ceil
 from typing import TYPE_CHECKING
 
+from .bundle_orders import DeadlineOrder, WaitingBundle
+
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from .bundle_orders import BundleOrder
     from .deployment import MakerProfile
     from .incarnations import Incarnation
     from .pieces import Bundle, Piece
@@ -18,14 +23,10 @@
     "PlannedCall",
     "PerRequestBatching",
     "CrossRequestBatching",
+    "estimate_rate",
     "find_infeasible",
-    "is_late",
 )
 
-#: seconds added to a bundle's soft deadline for each priority rank: enough to order
-#: bundles that arrive together, too little to starve any
-RANK_PENALTY_SECONDS = 0.8
-
 #: bytes moved between data centres from which a bundle waits for a local maker
 LARGE_INPUT_BYTES = 500_000
 #: longest time that a bundle waits for a local maker, in seconds; about as long as a
@@ -35,12 +36,6 @@
 MAX_LOCAL_SLOWNESS = 1.5
 #: seconds added to a bundle's urgency at a maker in another data centre than its inputs
 REMOTE_PENALTY_SECONDS = 0.3
-#: seconds before its hard deadline at which a late bundle is put first: about the time
-#: of a call. With more, late bundles displace others that could still be on time
-DEADLINE_MARGIN_SECONDS = 0.3
-#: the same before its inputs expire, which would have to be made again: a little more
-#: than the time of a call, in seconds
-EXPIRY_MARGIN_SECONDS = 0.4
 #: share of the makers' full throughput that estimates assume: calls are not always full
 ASSUMED_UTILISATION = 0.8
 #: lower bound on the slowness of a maker in estimates of throughput
@@ -100,6 +95,9 @@
     load rises, bundles queue while makers are busy, and the calls grow.
     """
 
+    def __init__(self, order: BundleOrder | None = None) -> None:
+        self._order = order or DeadlineOrder()
+
     def plan(
         self,
         bundles: list[tuple[Bundle, list[Piece]]],
@@ -110,9 +108,9 @@
         idle = _list_eligible(makers, profile, now)
         calls = []
         call = _estimate_call(bundles, len(idle), profile)
-        waiting = _defer_to_local(
-            _sort_bundles(bundles, profile, now, call), idle, makers, profile, now
-        )
+        rate = estimate_rate(makers, profile)
+        waiting = self._order.sort(bundles, profile, now, rate=rate, call=call)
+        waiting = _defer_to_local(waiting, idle, makers, profile, now)
         while waiting and idle:
             share = _count_share(waiting, len(idle), profile)
             maker = _choose_maker(idle, waiting[0].bundle)
@@ -141,29 +139,13 @@
                 break
             if not left:
                 continue
-            waiting = [_WaitingBundle(bundle, left)]
+            waiting = [WaitingBundle(bundle, left)]
             call = _fill(idle.pop(0), waiting, profile.batch, profile)
             if call.pieces:
                 calls.append(call)
         return calls
 
 
-@dataclass(slots=True)
-class _WaitingBundle:
-    """A waiting bundle with its sort keys."""
-
-    bundle: Bundle
-    #: pieces that are not in a call yet
-    left: list[Piece]
-    late: bool = False
-    urgency: float = 0.0
-
-    @property
-    def has_large_inputs(self) -> bool:
-        """Whether its inputs are too large to be moved between data centres."""
-        return self.bundle.moved_bytes >= LARGE_INPUT_BYTES
-
-
 def _estimate_call(
     bundles: list[tuple[Bundle, list[Piece]]], makers: int, profile: MakerProfile
 ) -> float:
@@ -173,68 +155,34 @@
     return profile.estimate_seconds(min(share, profile.batch))
 
 
-def _sort_bundles(
-    bundles: list[tuple[Bundle, list[Piece]]],
-    profile: MakerProfile,
-    now: float,
-    call: float = 0.0,
-) -> list[_WaitingBundle]:
-    """Sort bundles: those that can still meet the soft deadline first, by urgency.
-
-    A late bundle has lost most of its value, so it yields to those that are on time.
-    Shortly before its hard deadline, or before its inputs expire, it is put first:
-    the work already done for its request should not be wasted, and admission control
-    lets few late requests in.
-
-    :param call: seconds that the next shared call takes
-    """
-    waiting = []
-    for bundle, left in bundles:
-        if not left:
-            continue
-        late = is_late(bundle, len(left), profile, now, call)
-        urgency = bundle.soft_deadline + bundle.rank * RANK_PENALTY_SECONDS
-        if late and now > _find_promotion_time(bundle):
-            late, urgency = False, now
-        waiting.append(_WaitingBundle(bundle, left, late, urgency))
-    waiting.sort(key=lambda one: (one.late, one.urgency))
-    return waiting
-
-
-def _find_promotion_time(bundle: Bundle) -> float:
-    return min(
-        bundle.hard_deadline - DEADLINE_MARGIN_SECONDS,
-        bundle.inputs_expire_at - EXPIRY_MARGIN_SECONDS,
-    )
-
-
 def _sort_for_maker(
-    maker: MakerView, waiting: list[_WaitingBundle]
-) -> list[_WaitingBundle]:
+    maker: MakerView, waiting: list[WaitingBundle]
+) -> list[WaitingBundle]:
     """Sort bundles for one maker, those with large inputs in its data centre first.
 
     Traffic between data centres is billed.
     """
-    if not any(one.has_large_inputs for one in waiting):
+    if not any(_has_large_inputs(one) for one in waiting):
         return waiting
-    return sorted(waiting, key=lambda one: (one.late, _find_urgency(one, maker)))
+    return sorted(waiting, key=lambda one: (one.tier, _find_urgency(one, maker)))
+
+
+def _has_large_inputs(one: WaitingBundle) -> bool:
+    """Return whether its inputs are too large to be moved between data centres."""
+    return one.bundle.moved_bytes >= LARGE_INPUT_BYTES
 
 
-def _find_urgency(one: _WaitingBundle, maker: MakerView) -> float:
-    if one.has_large_inputs and one.bundle.data_centre != maker.data_centre:
+def _find_urgency(one: WaitingBundle, maker: MakerView) -> float:
+    if _has_large_inputs(one) and one.bundle.data_centre != maker.data_centre:
         return one.urgency + REMOTE_PENALTY_SECONDS
     return one.urgency
 
 
-def is_late(
-    bundle: Bundle, count: int, profile: MakerProfile, now: float, call: float = 0.0
-) -> bool:
-    """Return whether a bundle can't meet its soft deadline any more.
-
-    :param call: seconds that a call shared with other requests takes
-    """
-    alone = profile.estimate_seconds(min(count, profile.batch))
-    return now + max(alone, call) > bundle.soft_deadline
+def estimate_rate(makers: Iterable[MakerView], profile: MakerProfile) -> float:
+    """Return the pieces that makers can be assumed to complete per second."""
+    speed = sum(1 / max(one.slowness, MIN_SLOWNESS) for one in makers)
+    rate = speed * profile.batch / profile.estimate_seconds(profile.batch)
+    return rate * ASSUMED_UTILISATION
 
 
 def find_infeasible(
@@ -242,6 +190,7 @@
     makers: list[MakerView],
     profile: MakerProfile,
     now: float,
+    order: BundleOrder | None = None,
 ) -> list[Bundle]:
     """Return the bundles that can't be made before their hard deadline.
 
@@ -250,13 +199,11 @@
     at their deadline: a caller that is refused early still has time to retry, and
     such bundles would inflate the queue estimates that newer requests are judged by.
     """
-    speed = sum(1 / max(one.slowness, MIN_SLOWNESS) for one in makers)
-    rate = speed * profile.batch / profile.estimate_seconds(profile.batch)
-    rate *= ASSUMED_UTILISATION
+    rate = estimate_rate(makers, profile)
     least = now + profile.estimate_seconds(1)
     infeasible = []
     before = 0
-    for one in _sort_bundles(bundles, profile, now):
+    for one in (order or DeadlineOrder()).sort(bundles, profile, now, rate=rate):
         count = len(one.left)
         call = profile.estimate_seconds(min(count, profile.batch))
         latest = one.bundle.hard_deadline
@@ -268,12 +215,12 @@
 
 
 def _defer_to_local(
-    waiting: list[_WaitingBundle],
+    waiting: list[WaitingBundle],
     idle: list[MakerView],
     makers: list[MakerView],
     profile: MakerProfile,
     now: float,
-) -> list[_WaitingBundle]:
+) -> list[WaitingBundle]:
     """Return the bundles to place now, without those that wait for a local maker.
 
     Traffic between data centres is billed, and every piece reads all inputs of its
@@ -291,7 +238,7 @@
         local_makers = makers_by_data_centre.get(data_centre, [])
         count = deferred.get(data_centre, 0) + len(one.left)
         if (
-            not one.has_large_inputs
+            not _has_large_inputs(one)
             or data_centre in idle_data_centres
             or count > profile.batch * len(local_makers)
             or not any(
@@ -341,9 +288,7 @@
     return eligible
 
 
-def _count_share(
-    waiting: list[_WaitingBundle], idle: int, profile: MakerProfile
-) -> int:
+def _count_share(waiting: list[WaitingBundle], idle: int, profile: MakerProfile) -> int:
     pieces = sum(len(one.left) for one in waiting)
     return max(1, min(profile.batch, ceil(pieces / idle)))
 
@@ -361,7 +306,7 @@
 
 
 def _fill(
-    maker: MakerView, waiting: list[_WaitingBundle], share: int, profile: MakerProfile
+    maker: MakerView, waiting: list[WaitingBundle], share: int, profile: MakerProfile
 ) -> PlannedCall:
     """Move pieces from ``waiting`` to one call, whole bundles if possible.
 
--- a/packages/greengagelatch/src/greengagelatch/relay/groups.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/groups.py
@@ -7,7 +7,8 @@
 from typing import TYPE_CHECKING
 
 from ..targets.subset import compute_weight
-from .batches import LARGE_INPUT_BYTES, is_late
+from .batches import LARGE_INPUT_BYTES
+from .bundle_orders import is_late
 
 if TYPE_CHECKING:
     import random
--- a/packages/greengagelatch/src/greengagelatch/relay/messages.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/messages.py
@@ -119,9 +119,13 @@
     #: rows of service, data centre of its makers (empty: all of them), both waits as
     #: above, and the seconds that a call takes
     queues: tuple[Any, ...] = ()
+    #: rows of service, data centre, priority rank and both waits at this rank, where
+    #: less urgent requests yield; the ranks of a queue rise
+    ranks: tuple[Any, ...] = ()
 
     def __post_init__(self) -> None:
         _check_rows(self.waits, (str,), 2)
+        _check_rows(self.ranks, (str, str), 3)
         _check_rows(self.queues, (str, str), 3)
 
 
--- a/tests/test_core/test_relay/test_batches.py
+++ b/tests/test_core/test_relay/test_batches.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 from greengagelatch.relay.batches import (
-    DEADLINE_MARGIN_SECONDS,
-    EXPIRY_MARGIN_SECONDS,
     CrossRequestBatching,
     MakerView,
     PerRequestBatching,
     find_infeasible,
 )
+from greengagelatch.relay.bundle_orders import (
+    DEADLINE_MARGIN_SECONDS,
+    EXPIRY_MARGIN_SECONDS,
+)
 from greengagelatch.relay.deployment import MakerProfile
 from greengagelatch.relay.incarnations import Incarnation
 from greengagelatch.relay.pieces import Bundle, Piece
--- a/tests/test_lab/test_stage_load/test_trial.py
+++ b/tests/test_lab/test_stage_load/test_trial.py
@@ -14,7 +14,9 @@
 from greengagelatch_lab.stage_load.trial import Policies, run_trial
 
 CALM = dataclasses.replace(SCENARIOS["calm"], seconds=6.0)
-NAIVE = Policies(create_batch_policy=PerRequestBatching, create_admission=AdmitAll)
+NAIVE = Policies(
+    create_batch_policy=lambda _: PerRequestBatching(), create_admission=AdmitAll
+)
 
 
 def run(scenario: Scenario, policies: Policies, seed: int = 1) -> Outcome:
