--- a/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/ranked_shapes.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/ranked_shapes.py
@@ -104,4 +104,13 @@
         ),
         outages=(Outage(":0", 11.0, 4.6),),
     ),
+    "ranked-heavy": Scenario(
+        name="ranked-heavy",
+        bursts=(
+            Burst("review", 2.5, 6.8, 3.0),
+            Burst("check", 4.0, 8.0, 3.4),
+            Burst("hint", 17.0, 5.0, 3.0),
+            Burst("", 25.0, 4.0, 2.5),
+        ),
+    ),
 }
