--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_parts.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_parts.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from greengagelatch.relay.batches import CrossRequestBatching
-from greengagelatch.relay.bundle_orders import ConfiguredOrder
+from greengagelatch.relay.configured_order import ConfiguredOrder
 from greengagelatch.relay.groups import CapacityBasedOwnership
 from greengagelatch.relay.placed_batches import PlacedBatching
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
@@ -14,6 +14,7 @@
 from .bundle_queue import BundleQueue
 from .maker_calls import SETTLED_OUTCOMES, CallResult, MakerCaller
 from .makers import Maker
+from .order_reports import OrderReports
 from .result_releaser import ResultReleaser
 from .wait_estimator import WaitEstimator
 
@@ -98,6 +99,9 @@
             budgets=budgets,
             metrics=metrics,
         )
+        self._order_reports = OrderReports(
+            group, self._order, metrics=metrics, decisions=decisions
+        )
         self._makers: dict[Incarnation, Maker] = {}
         #: cached makers, and the entries and the profile that they were created from
         self._listed: list[Maker] = []
@@ -132,7 +136,7 @@
             return (gone,) * len(bundle.pieces)
         entry = self._queue.add(bundle, on_read)
         self._schedule()
-        self._estimator.record_added(len(entry.pending), bundle.rank)
+        self._estimator.record_added(bundle, self._clock.now())
         try:
             return await entry.done
         except asyncio.CancelledError:
@@ -221,6 +225,7 @@
     ) -> None:
         for call in self._plan_calls(makers, profile, now):
             self._queue.dequeue(call)
+            self._order_reports.record_start(call, self._queue)
             self._quarantine.record_start(bundle for bundle, _ in call.pieces)
             # counted before its task runs: the maker would seem idle to bundles that
             # are added in the meantime
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/wait_estimator.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/wait_estimator.py
@@ -2,17 +2,18 @@
 
 from __future__ import annotations
 
-from collections import defaultdict, deque
-from dataclasses import dataclass
+from collections import deque
 from statistics import median
 from typing import TYPE_CHECKING
 
 from greengagelatch.relay.bundle_orders import is_late
-from greengagelatch.relay.queue_waits import QueueWait, RankWait
+from greengagelatch.relay.queue_waits import QueueWait
+from greengagelatch.relay.rank_waits import RankCounts
 
 if TYPE_CHECKING:
     from greengagelatch.relay.bundle_orders import BundleOrder
     from greengagelatch.relay.deployment import MakerProfile
+    from greengagelatch.relay.pieces import Bundle
 
     from .bundle_queue import BundleQueue
     from .makers import Maker
@@ -27,14 +28,6 @@
 COUNT_CACHE_SECONDS = 0.02
 
 
-@dataclass(slots=True)
-class _RankCount:
-    """Queued pieces of one rank."""
-
-    urgent: int = 0
-    late: int = 0
-
-
 class WaitEstimator:
     """Estimates the queue wait from the queued pieces and the speed of their makers.
 
@@ -52,8 +45,12 @@
         #: end time, duration and number of pieces made of each answered call
         self._completed: deque[tuple[float, float, int]] = deque()
         self._counted_until = 0.0
-        #: queued pieces by rank; those added since the last count are urgent
-        self._counts: defaultdict[float, _RankCount] = defaultdict(_RankCount)
+        #: urgent and all queued pieces at the last count, and pieces added since
+        self._urgent = 0
+        self._waiting = 0
+        self._added = 0
+        #: the same by rank, where less urgent bundles yield
+        self._ranks = RankCounts()
         #: estimated throughput, in pieces per second
         self._rate = 1.0
         #: median duration of a call, in seconds
@@ -63,9 +60,11 @@
         """Record the pieces that a call has made, and its duration."""
         self._completed.append((now, seconds, count))
 
-    def record_added(self, count: int, rank: float) -> None:
-        """Count pieces of one rank that were added to the queue."""
-        self._counts[rank].urgent += count
+    def record_added(self, bundle: Bundle, now: float) -> None:
+        """Count the pieces of a bundle that was added to the queue."""
+        self._added += len(bundle.pieces)
+        if self._order.by_rank:
+            self._ranks.record_added(bundle, now)
 
     def estimate(
         self,
@@ -82,26 +81,13 @@
         if now >= self._counted_until:
             self._count(queue, makers, profile, now)
             self._counted_until = now + COUNT_CACHE_SECONDS
-        urgent = sum(one.urgent for one in self._counts.values())
-        late = sum(one.late for one in self._counts.values())
         return QueueWait(
-            urgent / self._rate,
-            (urgent + late) / self._rate,
+            (self._urgent + self._added) / self._rate,
+            (self._waiting + self._added) / self._rate,
             self._call_seconds,
-            self._estimate_by_rank() if self._order.by_rank else (),
+            self._ranks.estimate(self._rate) if self._order.by_rank else (),
         )
 
-    def _estimate_by_rank(self) -> tuple[RankWait, ...]:
-        """Return the wait at each rank: late pieces go before less urgent ones."""
-        waits = []
-        before = 0
-        for rank in sorted(self._counts):
-            count = self._counts[rank]
-            urgent = before + count.urgent
-            before = urgent + count.late
-            waits.append(RankWait(rank, urgent / self._rate, before / self._rate))
-        return tuple(waits)
-
     def _count(
         self,
         queue: BundleQueue,
@@ -112,19 +98,23 @@
         while self._completed and self._completed[0][0] < now - RATE_WINDOW_SECONDS:
             self._completed.popleft()
         self._call_seconds = median([one[1] for one in self._completed] or [0.0])
-        self._counts.clear()
-        waiting = 0
+        self._urgent = self._waiting = self._added = 0
+        urgent = []
+        late = []
         for bundle, pending in queue.list_waiting():
-            waiting += len(pending)
-            count = self._counts[bundle.rank]
-            if is_late(bundle, len(pending), profile, now, self._call_seconds):
-                count.late += len(pending)
-            else:
-                count.urgent += len(pending)
+            count = len(pending)
+            self._waiting += count
+            if is_late(bundle, count, profile, now, self._call_seconds):
+                late.append((bundle, count))
+                continue
+            self._urgent += count
+            urgent.append((bundle, count))
+        if self._order.by_rank:
+            self._ranks.count(urgent, late, now)
         speed = sum(1 / maker.find_slowness(now) for maker in makers)
         rate = profile.batch / profile.estimate_seconds(profile.batch)
         rate *= max(0.1, speed)
-        if waiting <= profile.batch:
+        if self._waiting <= profile.batch:
             self._queued_since = now
         elif now - self._queued_since >= RATE_WINDOW_SECONDS:
             # the makers' memory may limit the throughput more than their speed
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/trial.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/trial.py
@@ -9,7 +9,8 @@
 
 from greengagelatch.relay.admission import DeadlineAdmission, RouteAdmission
 from greengagelatch.relay.batches import BatchPolicy, CrossRequestBatching
-from greengagelatch.relay.bundle_orders import BundleOrder, ConfiguredOrder
+from greengagelatch.relay.bundle_orders import BundleOrder
+from greengagelatch.relay.configured_order import ConfiguredOrder
 from greengagelatch.relay.deployment import (
     Deployment,
     Route,
--- a/packages/greengagelatch/src/greengagelatch/relay/queue_waits.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/queue_waits.py
@@ -13,7 +13,8 @@
 
     #: 0 is the most urgent
     rank: float
-    #: behind what goes before a piece that can still meet its objective
+    #: behind what goes before a piece that can still meet its objective: more urgent or
+    #: as urgent, with an earlier deadline
     urgent: float
     #: behind all pieces of this and of more urgent ranks
     total: float
@@ -30,8 +31,8 @@
     #: recent duration of a call, with the pieces of all requests that share it; 0:
     #: unknown
     call: float = 0.0
-    #: the wait at each rank that is queued, the most urgent first, where less urgent
-    #: requests yield; empty: all wait behind each other
+    #: the wait at each rank that has been queued, the most urgent first, where less
+    #: urgent requests yield; empty: all wait behind each other
     by_rank: tuple[RankWait, ...] = ()
 
     def estimate_stage(self, alone: float) -> float:
--- a/tests/test_entry/test_relay/test_forwarding_stage_executor.py
+++ b/tests/test_entry/test_relay/test_forwarding_stage_executor.py
@@ -13,10 +13,10 @@
 from greengagelatch.peers import Member, MemberState, PeerError, PeerErrorKind
 from greengagelatch.relay.groups import CapacityBasedOwnership, MakerGroup
 from greengagelatch.relay.incarnations import Incarnation
-from greengagelatch.relay.messages import BundleCancelled, BundleRequest
+from greengagelatch.relay.messages import BundleCancelled, BundleRequest, StageWaits
 from greengagelatch.relay.owners import rank_owners
 from greengagelatch.relay.pieces import Bundle, Piece, PieceFailure, PieceResult
-from greengagelatch.relay.queue_waits import QueueWait
+from greengagelatch.relay.queue_waits import QueueWait, RankWait
 from greengagelatch.relay.targets import ListedTarget
 from greengagelatch_entry.relay.decisions import DecisionLog
 from greengagelatch_entry.relay.forwarding_stage_executor import ForwardingStageExecutor
@@ -549,6 +549,24 @@
     assert world.executors[third].estimate_wait(SERVICE) == QueueWait()
 
 
+async def test_owner_reports_its_queue_wait_by_rank(world):
+    owner, _, third = world.ranked
+    await world.executors[third].execute(BUNDLE, do_nothing)
+    ranks = (RankWait(0.45, 0.2, 0.3), RankWait(0.9, 1.0, 1.5))
+    world.local[owner].wait = wait = QueueWait(0.9, 1.5, 0.3, ranks)
+    world.executors[owner]._reports.publish(world.local[owner].list_waits())
+    assert world.executors[third].estimate_wait(SERVICE) == wait
+
+
+async def test_owner_of_an_earlier_release_reports_one_wait_for_all_ranks(world):
+    """Guards against requests admitted behind a queue whose ranks are not known."""
+    owner, _, third = world.ranked
+    message = StageWaits(queues=((SERVICE, "", 0.5, 1.5, 0.3),))
+    world.executors[third]._handle_waits(owner, message)
+    wait = world.executors[third].estimate_wait(SERVICE)
+    assert wait.find_at_rank(0.0) == QueueWait(0.5, 1.5, 0.3)
+
+
 async def test_failure_of_pieces_is_passed_on(world):
     owner, _, third = world.ranked
 
