--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/bundle_queue.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/bundle_queue.py
@@ -22,11 +22,15 @@
     from .maker_calls import CallResult
     from .retry_budgets import RetryBudgets
 
-__all__ = ("BundleQueue", "QueuedBundle")
+__all__ = ("INPUT_READ_SECONDS", "BundleQueue", "QueuedBundle")
 
 #: number of lost or failed pieces after which a bundle fails
 MAX_PIECE_FAILURES = 60
 
+#: seconds after which a call that started at once has fetched its inputs, which takes a
+#: few milliseconds
+INPUT_READ_SECONDS = 0.1
+
 
 @dataclass(slots=True, eq=False)
 class QueuedBundle:
@@ -153,6 +157,13 @@
             ):
                 self.fail(entry, PieceFailure.NO_MAKER)
 
+    def fail_without_inputs(self, now: float) -> None:
+        """Fail the bundles whose inputs expire before a call could read them."""
+        for entry in tuple(self):
+            expires_at = entry.bundle.inputs_expire_at
+            if entry.pending and now > expires_at - INPUT_READ_SECONDS:
+                self.fail(entry, PieceFailure.GONE)
+
     def discard_results(self, incarnation: Incarnation) -> None:
         """Discard the results of a maker that has restarted and lost them."""
         for entry in tuple(self):
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
@@ -11,7 +11,7 @@
 from greengagelatch.relay.pieces import PieceFailure, PieceResult
 from greengagelatch.relay.result_memory import ResultMemory
 
-from .bundle_queue import BundleQueue
+from .bundle_queue import INPUT_READ_SECONDS, BundleQueue
 from .maker_calls import SETTLED_OUTCOMES, CallResult, MakerCaller
 from .makers import Maker
 from .order_reports import OrderReports
@@ -44,9 +44,6 @@
 #: seconds after which queued pieces are scheduled again, and between two searches for
 #: pieces that cannot be made in time
 RESCHEDULE_SECONDS = 0.05
-#: seconds after which a call that started at once has fetched its inputs, which takes a
-#: few milliseconds
-INPUT_READ_SECONDS = 0.1
 #: slowness up to which a maker is assumed to start calls at once
 MAX_PROMPT_SLOWNESS = 1.5
 
@@ -170,7 +167,6 @@
         return {
             "bundles": len(self._queue),
             "pieces": self._queue.count_waiting(),
-            "by_rank": self._order.by_rank,
             "makers": {
                 str(incarnation): {
                     "calls": maker.calls,
@@ -288,6 +284,8 @@
         """Fail the bundles whose request can no longer meet its deadline."""
         views = [maker.view(now) for maker in makers]
         self._queue.fail_unplaceable({maker.target.data_centre for maker in makers})
+        if self._order.by_rank:
+            self._queue.fail_without_inputs(now)
         waiting = self._queue.list_waiting()
         for bundle in find_infeasible(waiting, views, profile, now, self._order):
             self._queue.fail(self._queue.find(bundle), PieceFailure.LATE)
--- a/packages/greengagelatch/src/greengagelatch/relay/rank_order.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/rank_order.py
@@ -26,9 +26,9 @@
     a more urgent request that misses its objective by little would wait behind less
     urgent ones with seconds to spare.
 
-    Less urgent bundles go before more urgent ones only as long as these stay on time.
-    Late bundles, and those that have yielded, go before on-time bundles of a less
-    urgent rank while all these stay on time.
+    Less urgent bundles go before more urgent ones only as long as these stay on time,
+    also shortly before their hard deadline. Late bundles go before on-time bundles of
+    a less urgent rank while all these stay on time.
     """
 
     @property
@@ -46,13 +46,11 @@
     ) -> list[WaitingBundle]:
         waiting = list_waiting(bundles, profile, now, call)
         waiting.sort(key=lambda one: (one.tier, one.urgency))
-        promoted = [one for one in waiting if one.promoted]
-        on_time = [one for one in waiting if not one.tier and not one.promoted]
+        first = [one for one in waiting if not one.tier]
         yielding = [one for one in waiting if one.tier]
-        count = sum(len(one.left) for one in promoted)
-        schedule = _Schedule(profile, now, rate, call, count)
         yielding.sort(key=lambda one: (one.bundle.rank, one.urgency))
-        return promoted + schedule.merge(schedule.postpone(on_time), yielding)
+        schedule = _Schedule(profile, now, rate, call)
+        return schedule.merge(schedule.postpone(first), yielding)
 
 
 def count_overtaken(started: Iterable[Bundle], waiting: Iterable[Bundle]) -> int:
@@ -73,13 +71,10 @@
 
 
 class _Postponer:
-    """Puts less urgent bundles behind those that they would make late.
+    """Puts less urgent bundles behind those that they would make late."""
 
-    :param first: pieces that go before all others
-    """
-
-    def __init__(self, first: int) -> None:
-        self._before = first
+    def __init__(self) -> None:
+        self._before = 0
         self._placed: list[WaitingBundle | None] = []
         #: bundles that have yielded, until they return
         self._postponed: list[WaitingBundle] = []
@@ -137,32 +132,30 @@
 
 
 class _Schedule:
-    """Estimates when bundles end, from the pieces that go before them.
-
-    :param first: pieces that go before all others
-    """
+    """Estimates when bundles end, from the pieces that go before them."""
 
     def __init__(
-        self, profile: MakerProfile, now: float, rate: float, call: float, first: int
+        self, profile: MakerProfile, now: float, rate: float, call: float
     ) -> None:
         self._profile = profile
         self._now = now
         self._rate = rate
         self._call = call
-        self._first = first
 
     def _count_allowed(self, one: WaitingBundle) -> float:
         """Return the pieces that may go before a bundle that is to end on time."""
+        if one.promoted:
+            return float("inf")
         call = estimate_call(len(one.left), self._profile, self._call)
         return (one.bundle.soft_deadline - call - self._now) * self._rate
 
-    def postpone(self, on_time: list[WaitingBundle]) -> list[WaitingBundle]:
+    def postpone(self, first: list[WaitingBundle]) -> list[WaitingBundle]:
         """Put less urgent bundles behind the more urgent ones that they make late.
 
-        :param on_time: bundles that could meet their deadline alone, by urgency
+        :param first: bundles that could meet their deadline alone, by urgency
         """
-        postponer = _Postponer(self._first)
-        for one in on_time:
+        postponer = _Postponer()
+        for one in first:
             postponer.add(one, self._count_allowed(one))
         return postponer.list_placed()
 
@@ -199,10 +192,11 @@
         """Return what may go before each bundle and all that follow it.
 
         That is the number of pieces with which those on time stay so, with a full call
-        as margin, and the most urgent rank among all.
+        as margin, and the most urgent rank among all. Nothing goes before those that
+        are near their hard deadline.
         """
         margin = self._profile.estimate_seconds(self._profile.batch) * self._rate
-        before = self._first + sum(len(one.left) for one in kept)
+        before = sum(len(one.left) for one in kept)
         spare = [0.0] * len(kept)
         ranks = [0.0] * len(kept)
         least, lowest = float("inf"), float("inf")
@@ -210,7 +204,9 @@
             one = kept[index]
             before -= len(one.left)
             allowed = self._count_allowed(one) - before
-            if allowed >= 0:
+            if one.promoted:
+                least = 0.0
+            elif allowed >= 0:
                 least = min(least, allowed - margin)
             lowest = min(lowest, one.bundle.rank)
             spare[index] = least
