Targets are chosen by their measured speed

Cause: load reports with a fourth figure were dropped, and nothing told a fast target from a slow one: requests went by requests over slots. Change: the fourth figure is read; the time of each target is learned from its own answers, and a request goes to the one expected to answer first, where targets report how long work takes.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/makers.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/makers.py
@@ -14,7 +14,7 @@
 
 if TYPE_CHECKING:
     from greengagelatch.relay.deployment import MakerProfile
-    from greengagelatch.relay.load_balancer import LoadReport
+    from greengagelatch.relay.load_reports import LoadReport
     from greengagelatch.relay.targets import ListedTarget
 
 __all__ = ("Maker",)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/messages.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/messages.py
@@ -7,7 +7,7 @@
 
 if TYPE_CHECKING:
     from greengagelatch.relay.incarnations import Incarnation
-    from greengagelatch.relay.load_balancer import LoadReport
+    from greengagelatch.relay.load_reports import LoadReport
     from greengagelatch.relay.requests import HeaderLine
 
 __all__ = ("ResponseHead", "OutboundRequest", "AttemptContext")
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/parts.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/parts.py
@@ -8,6 +8,7 @@
 
 from greengagelatch.relay.capacity import Capacity
 from greengagelatch.relay.cold_targets import ColdTargetRule
+from greengagelatch.relay.target_speeds import SpeedMode
 
 if TYPE_CHECKING:
     import random
@@ -59,6 +60,8 @@
     regions: Mapping[str, str] = field(default_factory=dict)
     cold_targets: ColdTargetRule = field(default_factory=ColdTargetRule)
     capacity: Capacity = field(default_factory=Capacity)
+    #: for which services targets are chosen by their measured speed
+    measured_speeds: SpeedMode = SpeedMode.REPORTED
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -8,7 +8,7 @@
 
 from greengagelatch.errors import RefusalCode
 from greengagelatch.relay.admission import RequestEstimate
-from greengagelatch.relay.load_balancer import EngineDemand
+from greengagelatch.relay.engine_costs import EngineDemand
 from greengagelatch.relay.outcomes import SendOutcome, SilenceDecision
 from greengagelatch.relay.requests import Prompt
 
@@ -223,7 +223,7 @@
         )
         self._sent_at = now
         self._first_event_at = None
-        prefill = PrefillTracker(runner.load_balancer, target.incarnation, tokens)
+        prefill = PrefillTracker(runner.load_balancer, target.incarnation, tokens, now)
         fetch_timer = InputFetchTimer(lambda: self._release_fetched_inputs(target))
         try:
             result = await runner.sender.send(
@@ -343,10 +343,10 @@
     def _handle_first_event(
         self, target: ListedTarget, prefill: PrefillTracker
     ) -> None:
-        if not prefill.finish_prefill():
-            return
         runner = self._runner
         now = runner.clock.now()
+        if not prefill.record_first_event(now):
+            return
         self._first_event_at = self._last_event_at = now
         runner.times.record_first_part(self._exchange, now - self._sent_at)
         runner.load_balancer.record_cached_parts(target.incarnation, self._prompt, now)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_parts.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_parts.py
@@ -9,6 +9,7 @@
 from greengagelatch.relay.brittle_targets import BrittleTargets
 from greengagelatch.relay.cold_targets import ColdTargets
 from greengagelatch.relay.load_balancer import LoadBalancer
+from greengagelatch.relay.target_speeds import TargetSpeeds
 
 from .brittle_news import BrittleNewsController
 
@@ -17,6 +18,8 @@
 
     from greengagelatch.relay.deployment import RoutedService
     from greengagelatch.relay.incarnations import Incarnation
+    from greengagelatch.relay.target_speeds import SpeedBelief
+    from greengagelatch.relay.targets import ListedTarget
 
     from .known_instances import KnownInstances
     from .parts import SharedParts
@@ -82,6 +85,17 @@
             "brittle-service", service=service, brittle=False, limit=0, source="lapse"
         )
 
+    def log_target_speed(
+        target: ListedTarget, belief: SpeedBelief, slowness: float
+    ) -> None:
+        shared.decisions.log_state_change(
+            "target-speed",
+            target=str(target.incarnation),
+            service=target.service,
+            speed=belief.value,
+            slowness=round(slowness, 2),
+        )
+
     cold = ColdTargets(
         own=settings.peers_listen,
         rule=settings.cold_targets,
@@ -118,5 +132,7 @@
             data_centre=settings.data_centre,
             random_source=shared.random_source,
             brittle_targets=brittle,
+            speeds=TargetSpeeds(settings.measured_speeds, log_target_speed),
+            own=settings.peers_listen,
         ),
     )
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/unary.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/unary.py
@@ -9,6 +9,7 @@
 
 from greengagelatch.relay.deployment import RouteKind
 from greengagelatch.relay.outcomes import SendOutcome
+from greengagelatch.relay.target_speeds import Answer
 
 from ..soft_timeout import SoftTimeout, SoftTimeoutScope
 from .messages import AttemptContext
@@ -118,6 +119,7 @@
         end = asyncio.get_running_loop().time() + remaining_seconds
         soft_timeout = self._create_soft_timeout(exchange, target, excluded)
         self.load_balancer.start(target.incarnation)
+        requests = self.load_balancer.count_requests(target.incarnation, sent_at)
         try:
             result = await self.sender.send(
                 exchange,
@@ -133,7 +135,17 @@
         finally:
             self.load_balancer.finish(target.incarnation)
         if isinstance(answer, _FullResponse) and answer.head.succeeded:
-            self.times.record_total(exchange, self.clock.now() - sent_at)
+            now = self.clock.now()
+            self.times.record_total(exchange, now - sent_at)
+            self.load_balancer.record_answer(
+                target.incarnation,
+                Answer(
+                    requests=requests,
+                    kind=exchange.route.name,
+                    seconds=now - sent_at,
+                ),
+                now,
+            )
         return answer
 
     async def _read(
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/instances.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/instances.py
@@ -6,7 +6,8 @@
 from typing import TYPE_CHECKING
 
 from greengagelatch.relay.cold_targets import ColdTargets
-from greengagelatch.relay.load_balancer import EngineDemand, LoadBalancer
+from greengagelatch.relay.engine_costs import EngineDemand
+from greengagelatch.relay.load_balancer import LoadBalancer
 from greengagelatch.relay.retry_budget import RetryBudgetRule
 from greengagelatch_entry.relay.bundle_quarantine import DisabledBundleQuarantine
 from greengagelatch_entry.relay.forwarding_stage_executor import ForwardingStageExecutor
--- a/packages/greengagelatch/src/greengagelatch/relay/brittle_targets.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/brittle_targets.py
@@ -18,7 +18,7 @@
     from collections.abc import Callable, Collection
 
     from .incarnations import Incarnation
-    from .load_balancer import LoadReport
+    from .load_reports import LoadReport
     from .targets import ListedTarget
 
 __all__ = (
--- a/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
@@ -2,24 +2,30 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from ..load.breakers import Breaker, BreakerRule, BreakerState, find_ejected
 from .brittle_targets import BrittleTargets
-from .cached_parts import CachedParts, find_affinity_target
+from .cached_parts import find_affinity_target
+from .engine_costs import compute_transfer, count_prompt, count_work, estimate_work
 from .regions import is_allowed
+from .target_scores import FastestChoice, TargetOption
+from .target_speeds import TargetSpeeds
+from .target_states import TargetState
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable, Mapping
+    from collections.abc import Callable
 
     from .cold_targets import ColdTargets
+    from .engine_costs import EngineDemand
     from .incarnations import Incarnation
+    from .load_reports import LoadReport
     from .requests import Prompt
+    from .target_speeds import Answer
     from .targets import ListedTarget, TargetTable
 
-__all__ = ("EngineDemand", "LoadBalancer", "LoadReport")
+__all__ = ("LoadBalancer",)
 
 #: the circuit breaker of a target opens after two failures in a row: with three
 #: targets, a third of all requests fails while a lost target is still in use
@@ -29,52 +35,10 @@
 REPEATABLE_SECONDS = 5.0
 #: seconds for which a target waits at most for a probe by a repeatable request
 MAX_PROBE_WAIT = 3.0
-#: seconds for which a load report is used
-REPORT_TTL_SECONDS = 1.0
-#: the same where it matters only whether the target was nearly full
-SLOTS_REPORT_TTL_SECONDS = 3.0
 #: share of occupied slots up to which an engine is taken to have free ones
 FREE_SLOTS_SHARE = 0.5
 #: penalty on the load of a target in another data centre, as a share of its slots
 REMOTE_PENALTY = 0.05
-#: cost of a running request, as the tokens whose prefill delays others as much
-RUNNING_REQUEST_TOKENS = 60.0
-#: tokens whose prefill costs as much as the transfer of one byte of results to another
-#: data centre, by the price lists of both and a small surcharge for the delay
-TOKENS_PER_REMOTE_BYTE = 0.0005
-
-
-@dataclass(frozen=True, slots=True)
-class LoadReport:
-    """Load that a target reported."""
-
-    running: int
-    waiting: int
-    slots: int
-
-
-@dataclass(frozen=True, slots=True)
-class EngineDemand:
-    """What a request asks of its engine."""
-
-    prompt: Prompt
-    #: bytes of stage results to read, by the data centre of their makers
-    result_bytes: Mapping[str, int] = field(default_factory=dict)
-    #: data centres of the engines that it may be sent to; ``None``: all
-    data_centres: frozenset[str] | None = None
-    #: whether it may run again if its answer is lost
-    repeatable: bool = True
-
-
-@dataclass(slots=True)
-class _TargetState:
-    breaker: Breaker
-    in_flight: int = 0
-    #: prompt tokens of requests sent whose prefill has not finished
-    pending_tokens: float = 0.0
-    report: LoadReport | None = None
-    reported: float = 0.0
-    cached_parts: CachedParts = field(default_factory=CachedParts)
 
 
 class LoadBalancer:
@@ -88,13 +52,19 @@
         data_centre: str,
         random_source: random.Random,
         brittle_targets: BrittleTargets | None = None,
+        speeds: TargetSpeeds | None = None,
+        own: str = "",
     ) -> None:
         self._target_table = target_table
         self._cold_targets = cold_targets
         self._brittle_targets = brittle_targets or BrittleTargets()
         self._data_centre = data_centre
         self._random = random_source
-        self._states: dict[Incarnation, _TargetState] = {}
+        self._speeds = speeds or TargetSpeeds()
+        self._fastest = FastestChoice(
+            own=own, speeds=self._speeds, random_source=random_source
+        )
+        self._states: dict[Incarnation, TargetState] = {}
         #: monotonic time in seconds of the last repeatable request of each service
         self._repeatable_at: dict[str, float] = {}
 
@@ -109,7 +79,8 @@
     ) -> ListedTarget | None:
         """Return the least loaded healthy target; local ones win ties.
 
-        The request counts as sent to it.
+        Where the speed of targets is measured, it is the one that is expected to answer
+        first. The request counts as sent to it.
 
         :param data_centres: those of the targets to choose from; ``None``: all
         :param repeatable: whether the request may run again if its answer is lost
@@ -120,7 +91,10 @@
         )
         if not candidates:
             return None
-        chosen = min(candidates, key=lambda one: self._score_target(one, now))
+        if self._speeds.is_used(service, now):
+            chosen = self._choose_fastest(service, candidates, now)
+        else:
+            chosen = min(candidates, key=lambda one: self._score_target(one, now))
         self._record_send(chosen.incarnation, now)
         return chosen
 
@@ -219,12 +193,12 @@
         other engines of the service must be half as high.
         """
         state = self._find_state(target.incarnation)
-        own_share = _find_occupancy(state, now)
+        own_share = state.find_occupancy(now)
         if own_share is not None:
             return own_share <= FREE_SLOTS_SHARE
         listed = self._target_table.list_service(target.service)
         states = [self._find_state(one.incarnation) for one in listed]
-        shares = [_find_occupancy(one, now) for one in states]
+        shares = [one.find_occupancy(now) for one in states]
         reported = [share for share in shares if share is not None]
         return bool(reported) and sum(reported) / len(reported) <= FREE_SLOTS_SHARE / 2
 
@@ -234,6 +208,24 @@
         state.in_flight += 1
         state.pending_tokens += tokens
 
+    def count_requests(self, incarnation: Incarnation, now: float) -> float:
+        """Return the requests that a target is expected to have, of all instances."""
+        return self._find_state(incarnation).count_expected(now)
+
+    def estimate_work(
+        self, incarnation: Incarnation, tokens: float, now: float
+    ) -> float:
+        """Return an engine's work before a first event; see :func:`estimate_work`."""
+        return estimate_work(self._find_state(incarnation), tokens, now)
+
+    def record_answer(
+        self, incarnation: Incarnation, answer: Answer, now: float
+    ) -> None:
+        """Record the time of a request that a target has answered successfully."""
+        target = self._find_listed(incarnation)
+        if target is not None:
+            self._speeds.record_answer(target, answer, now)
+
     def finish_prefill(self, incarnation: Incarnation, tokens: float) -> None:
         """Record that an engine has finished the prefill of a request."""
         state = self._find_state(incarnation)
@@ -261,6 +253,7 @@
     def record_failure(self, incarnation: Incarnation, now: float) -> None:
         """Record a failure that the target is responsible for."""
         self._find_state(incarnation).breaker.record_failure(now)
+        self._speeds.record_failure(incarnation, now)
 
     def record_rejection(self, incarnation: Incarnation, now: float) -> None:
         """Record that a target did not run a request, such as one that is full.
@@ -275,8 +268,10 @@
     ) -> None:
         """Record the load that a target reported."""
         state = self._find_state(incarnation)
-        state.report = report
-        state.reported = now
+        state.load.record(report, state.in_flight, now)
+        target = self._find_listed(incarnation)
+        if target is not None and report.slowness is not None:
+            self._speeds.record_told(target, report.slowness, now)
 
     def count_tokens(
         self, incarnation: Incarnation, prompt: Prompt, now: float
@@ -310,33 +305,38 @@
     def forget(self, incarnation: Incarnation) -> None:
         """Discard the state of a target that is gone."""
         self._states.pop(incarnation, None)
+        self._speeds.forget(incarnation)
         self._brittle_targets.forget(incarnation)
 
     def describe(self, now: float) -> dict[str, dict[str, float | str]]:
         """Return the state of each target for the state dump."""
         return {
             str(incarnation): {
-                "breaker": state.breaker.read_state(now).value,
-                "in_flight": state.in_flight,
-                "pending_tokens": state.pending_tokens,
-                "report_age": now - state.reported if state.report else -1.0,
+                **state.describe(now),
+                **self._speeds.describe(incarnation, now),
             }
             for incarnation, state in self._states.items()
         }
 
-    def _find_state(self, incarnation: Incarnation) -> _TargetState:
+    def _find_state(self, incarnation: Incarnation) -> TargetState:
         state = self._states.get(incarnation)
         if state is None:
-            state = _TargetState(Breaker(BREAKER_RULE, self._random))
+            state = TargetState(Breaker(BREAKER_RULE, self._random))
             self._states[incarnation] = state
         return state
 
+    def _find_listed(self, incarnation: Incarnation) -> ListedTarget | None:
+        target = self._target_table.find_listed(incarnation.target_id)
+        matches = target is not None and target.incarnation == incarnation
+        return target if matches else None
+
     def _record_send(self, incarnation: Incarnation, now: float) -> None:
         self._cold_targets.record_send(incarnation, now)
-        in_flight = self._find_state(incarnation).in_flight
-        self._brittle_targets.record_start(incarnation, in_flight, now)
-        if self._read_breaker(incarnation, now) is BreakerState.HALF_OPEN:
-            self._find_state(incarnation).breaker.begin_probe(now)
+        state = self._find_state(incarnation)
+        state.sent_at = now
+        self._brittle_targets.record_start(incarnation, state.in_flight, now)
+        if state.breaker.read_state(now) is BreakerState.HALF_OPEN:
+            state.breaker.begin_probe(now)
 
     def _read_breaker(self, incarnation: Incarnation, now: float) -> BreakerState:
         return self._find_state(incarnation).breaker.read_state(now)
@@ -399,9 +399,29 @@
         in_flight = 0 if state is None else state.in_flight
         return self._brittle_targets.may_send(target, in_flight, now)
 
-    def _score_target(self, target: ListedTarget, now: float) -> tuple[float, float]:
+    def _choose_fastest(
+        self, service: str, candidates: list[ListedTarget], now: float
+    ) -> ListedTarget:
+        options = [
+            self._create_option(one, now)
+            for one in self._fastest.select(service, candidates)
+        ]
+        return self._fastest.choose(service, options, now)
+
+    def _create_option(self, target: ListedTarget, now: float) -> TargetOption:
         state = self._find_state(target.incarnation)
-        requests = state.in_flight + self._count_other_requests(state, now)
+        remote = target.data_centre != self._data_centre
+        return TargetOption(
+            target=target,
+            requests=state.count_expected(now),
+            in_use=state.in_flight > 0,
+            sent_at=state.sent_at,
+            half_open=state.breaker.read_state(now) is BreakerState.HALF_OPEN,
+            penalty=1.0 + REMOTE_PENALTY if remote else 1.0,
+        )
+
+    def _score_target(self, target: ListedTarget, now: float) -> tuple[float, float]:
+        requests = self._find_state(target.incarnation).count_reported(now)
         remote = 0.0 if target.data_centre == self._data_centre else REMOTE_PENALTY
         return requests / max(1, target.slots) + remote, self._random.random()
 
@@ -413,34 +433,12 @@
         now: float,
     ) -> tuple[float, float]:
         state = self._find_state(target.incarnation)
-        tokens = state.cached_parts.count_missing(need.prompt, now)
-        if target is affinity_target:
-            # other instances send the parts there too, so they are taken to be cached
-            shared = sum(part.tokens for part in need.prompt.shared_parts)
-            tokens = min(tokens, need.prompt.tokens_in - shared)
-        running = state.in_flight + self._count_other_requests(state, now)
-        remote = sum(
-            size
-            for data_centre, size in need.result_bytes.items()
-            if data_centre != target.data_centre
+        tokens = count_prompt(
+            state, need.prompt, now, is_affinity_target=target is affinity_target
         )
-        cost = tokens + state.pending_tokens + running * RUNNING_REQUEST_TOKENS
-        return cost + remote * TOKENS_PER_REMOTE_BYTE, self._random.random()
-
-    def _count_other_requests(self, state: _TargetState, now: float) -> float:
-        if state.report is None or now - state.reported > REPORT_TTL_SECONDS:
-            return 0.0
-        reported = state.report.running + state.report.waiting
-        return max(0.0, float(reported - state.in_flight))
-
-
-def _find_occupancy(state: _TargetState, now: float) -> float | None:
-    """Return the share of an engine's slots in use; ``None`` if unknown."""
-    report = state.report
-    if (
-        report is None
-        or now - state.reported > SLOTS_REPORT_TTL_SECONDS
-        or report.slots <= 0
-    ):
-        return None
-    return max(report.running + report.waiting, state.in_flight) / report.slots
+        if self._speeds.is_used(target.service, now):
+            slowness = self._speeds.find_slowness(target.incarnation, now)
+            cost = estimate_work(state, tokens, now) * slowness
+        else:
+            cost = count_work(state, tokens, state.count_reported(now))
+        return cost + compute_transfer(need, target.data_centre), self._random.random()
--- a/tests/test_core/test_relay/test_brittle_fleets.py
+++ b/tests/test_core/test_relay/test_brittle_fleets.py
@@ -15,7 +15,7 @@
 from greengagelatch.relay.brittle_targets import WINDOW_SECONDS, BrittleTargets
 from greengagelatch.relay.cold_targets import compute_share
 from greengagelatch.relay.incarnations import Incarnation
-from greengagelatch.relay.load_balancer import LoadReport
+from greengagelatch.relay.load_reports import LoadReport
 from greengagelatch.relay.targets import ListedTarget
 
 if TYPE_CHECKING:
--- a/tests/test_core/test_relay/test_brittle_targets.py
+++ b/tests/test_core/test_relay/test_brittle_targets.py
@@ -15,7 +15,7 @@
     BrittleTargets,
 )
 from greengagelatch.relay.incarnations import Incarnation
-from greengagelatch.relay.load_balancer import LoadReport
+from greengagelatch.relay.load_reports import LoadReport
 from greengagelatch.relay.targets import ListedTarget
 
 SLOTS = 4
--- a/tests/test_core/test_relay/test_incarnations.py
+++ b/tests/test_core/test_relay/test_incarnations.py
@@ -10,8 +10,10 @@
 
 from greengagelatch.peers.codec import Envelope, decode, encode
 from greengagelatch.relay.cold_targets import ColdTargets
+from greengagelatch.relay.engine_costs import EngineDemand
 from greengagelatch.relay.incarnations import Incarnation, IncarnationOrder
-from greengagelatch.relay.load_balancer import EngineDemand, LoadBalancer, LoadReport
+from greengagelatch.relay.load_balancer import LoadBalancer
+from greengagelatch.relay.load_reports import LoadReport
 from greengagelatch.relay.messages import PeerSyncAnswer
 from greengagelatch.relay.requests import Prompt, PromptPart
 from greengagelatch.relay.target_rows import decode_target, encode_target
--- a/tests/test_core/test_relay/test_load_balancer.py
+++ b/tests/test_core/test_relay/test_load_balancer.py
@@ -7,8 +7,10 @@
 import pytest
 
 from greengagelatch.relay.cold_targets import ColdTargets
+from greengagelatch.relay.engine_costs import EngineDemand
 from greengagelatch.relay.incarnations import Incarnation
-from greengagelatch.relay.load_balancer import EngineDemand, LoadBalancer, LoadReport
+from greengagelatch.relay.load_balancer import LoadBalancer
+from greengagelatch.relay.load_reports import LoadReport
 from greengagelatch.relay.requests import Prompt, PromptPart
 from greengagelatch.relay.targets import ListedTarget, TargetTable
 
--- a/tests/test_platform/test_targets.py
+++ b/tests/test_platform/test_targets.py
@@ -9,6 +9,7 @@
 from multidict import CIMultiDict
 
 from greengagelatch.relay.incarnations import Incarnation
+from greengagelatch.relay.load_reports import LoadReport
 from greengagelatch.relay.pieces import Piece, PieceFailure
 from greengagelatch.relay.requests import OpaqueRequest
 from greengagelatch.relay.targets import ListedTarget
@@ -110,3 +111,44 @@
     )
     head = CODEC.read_head(SimpleNamespace(message=message))
     assert head.rejection_limit == limit
+
+
+def read_load(value: str):
+    message = SimpleNamespace(
+        code=200, reason="OK", headers=CIMultiDict({"X-Replica-Load": value})
+    )
+    return CODEC.read_head(SimpleNamespace(message=message)).load
+
+
+@pytest.mark.parametrize(
+    ("value", "load"),
+    [
+        ("3,0,8", LoadReport(3, 0, 8)),
+        ("3, 0 ,64,170", LoadReport(3, 0, 64, 1.7)),
+        ("3,0,64,170,9,x", LoadReport(3, 0, 64, 1.7)),
+    ],
+)
+def test_load_reports_are_decoded(value, load):
+    assert read_load(value) == load
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        "",
+        "3,0",
+        "3,0,0",
+        "3,0,64,0",
+        "3,0,64,",
+        "3,0,64,x",
+        "-3,0,8",
+        "1.5,0,8",
+        "\u0663,0,8",
+        "\u00b3,0,8",
+        "3,0," + "9" * 5000,
+        "3,0,64," + "9" * 5000,
+    ],
+)
+def test_invalid_load_report_is_ignored(value):
+    """Guards against a caller's request that fails by what its target says of load."""
+    assert read_load(value) is None
