--- a/packages/greengagelatch/src/greengagelatch/relay/target_speeds.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/target_speeds.py
@@ -20,14 +20,14 @@
 __all__ = ("Answer", "SpeedBelief", "SpeedMode", "TargetSpeeds")
 
 #: seconds in which what is known of a target loses half of its weight
-HALF_LIFE = 4.0
+HALF_LIFE = 3.0
 #: weight that each further answer leaves to the earlier ones
 ANSWER_MEMORY = 0.94
-#: the same for an answer that took longer, or less, than expected by this factor; one
-#: that is fast proves more, as any request may be slow for reasons of its own
+#: the same for an answer that differs from the expected time by this factor; one of a
+#: target that seemed slow proves that it no longer is
 SURPRISE_FACTOR = 2.0
-SLOWER_MEMORY = 0.5
-FASTER_MEMORY = 0.05
+SURPRISE_MEMORY = 0.5
+RECOVERY_MEMORY = 0.0
 #: largest time of one answer that is used, as a multiple of the expected time
 MAX_SURPRISE = 4.0
 #: weights, in answers, of the usual base and of a slope of zero
@@ -40,7 +40,7 @@
 MIN_TOLD = 0.5
 MAX_TOLD = 2.0
 #: share of one report in the average of what a target tells
-TOLD_WEIGHT = 0.4
+TOLD_WEIGHT = 0.5
 #: weight of one answer in the usual time of its kind of work
 USUAL_WEIGHT = 0.05
 #: weight of one outcome in a target's share of failures, and its upper bound
@@ -192,7 +192,11 @@
         expected = base + slope * further
         usual = self._record_usual(target.service, answer.kind, seconds / expected)
         ratio = min(seconds / usual, expected * MAX_SURPRISE)
-        speed.add(further, ratio, _find_memory(ratio / expected), now)
+        memory = _find_memory(ratio, expected)
+        if memory == RECOVERY_MEMORY:
+            # nor does its own word that it is slow count any more
+            speed.told = 1.0
+        speed.add(further, ratio, memory, now)
         self._record_outcome(speed, False, now)
         self._review_belief(target, speed, now)
 
@@ -284,16 +288,11 @@
     return 0.5 ** (max(0.0, seconds) / HALF_LIFE)
 
 
-def _find_memory(deviation: float) -> float:
-    """Return the weight that an answer leaves to the earlier ones.
-
-    :param deviation: its time as a multiple of the expected one
-    """
-    if deviation > SURPRISE_FACTOR:
-        return SLOWER_MEMORY
-    if deviation < 1.0 / SURPRISE_FACTOR:
-        return FASTER_MEMORY
-    return ANSWER_MEMORY
+def _find_memory(ratio: float, expected: float) -> float:
+    """Return the weight that an answer leaves to the earlier ones."""
+    if ratio * SURPRISE_FACTOR < expected:
+        return RECOVERY_MEMORY if expected >= SLOW_FROM else SURPRISE_MEMORY
+    return SURPRISE_MEMORY if ratio > expected * SURPRISE_FACTOR else ANSWER_MEMORY
 
 
 def _find_wait(requests: float, slots: int) -> float:
--- a/tests/test_platform/test_settings.py
+++ b/tests/test_platform/test_settings.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from greengagelatch.relay.target_speeds import SpeedMode
 from greengagelatch_platform.__main__ import main
 from greengagelatch_platform.json_fields import FieldError
 from greengagelatch_platform.settings import load_settings, parse_settings
@@ -53,10 +54,20 @@
     assert read(listen=listen).peers_listen == "10.1.0.41:7740"
 
 
+@pytest.mark.parametrize("mode", SpeedMode)
+def test_measured_speeds_are_decoded(mode):
+    assert read().measured_speeds is SpeedMode.REPORTED
+    settings = read(balancing={"measured-speeds": mode.value})
+    assert settings.measured_speeds is mode
+
+
 @pytest.mark.parametrize(
     ("change", "name"),
     [
         ({"zone": 7}, "zone"),
+        ({"balancing": {"measured-speeds": "on"}}, "balancing.measured-speeds"),
+        ({"balancing": {"measured-speeds": True}}, "measured-speeds"),
+        ({"balancing": "always"}, "balancing"),
         ({"listen": None}, "listen"),
         ({"platform": {}}, "address"),
         ({"bounds": {"grace-s": "eight"}}, "grace-s"),
