--- a/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
@@ -410,14 +410,13 @@
 
     def _create_option(self, target: ListedTarget, now: float) -> TargetOption:
         state = self._find_state(target.incarnation)
-        remote = target.data_centre != self._data_centre
         return TargetOption(
             target=target,
             requests=state.count_expected(now),
             in_use=state.in_flight > 0,
             sent_at=state.sent_at,
             half_open=state.breaker.read_state(now) is BreakerState.HALF_OPEN,
-            penalty=1.0 + REMOTE_PENALTY if remote else 1.0,
+            remote=target.data_centre != self._data_centre,
         )
 
     def _score_target(self, target: ListedTarget, now: float) -> tuple[float, float]:
--- a/packages/greengagelatch/src/greengagelatch/relay/target_scores.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/target_scores.py
@@ -23,6 +23,9 @@
 #: largest random addition to an expected time, as a share of it: instances with equal
 #: knowledge must not run to the same target together
 SPREAD = 0.2
+#: factor on the expected time of targets in other data centres, so that of equals the
+#: local ones win
+REMOTE_FACTOR = 1.0 + SPREAD
 #: share of a service's requests that are sent to targets about which nothing recent is
 #: known
 TRIAL_SHARE = 0.02
@@ -45,8 +48,8 @@
     sent_at: float
     #: whether it is being tried again after failures
     half_open: bool = False
-    #: factor on its expected time, such as for its distance
-    penalty: float = 1.0
+    #: whether it is in another data centre
+    remote: bool = False
 
 
 class FastestChoice:
@@ -112,9 +115,10 @@
         return min(due, key=lambda one: one.sent_at)
 
     def _score(self, option: TargetOption, now: float) -> float:
-        spread = 1.0 + SPREAD * self._random.random()
+        factor = 1.0 + SPREAD * self._random.random()
+        if option.remote:
+            factor *= REMOTE_FACTOR
         if option.half_open:
             # its history would deny it the request that shows whether it works again
-            return option.penalty * spread
-        expected = self._speeds.estimate(option.target, option.requests, now)
-        return expected * option.penalty * spread
+            return factor
+        return factor * self._speeds.estimate(option.target, option.requests, now)
--- a/packages/greengagelatch/src/greengagelatch/relay/target_speeds.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/target_speeds.py
@@ -30,9 +30,11 @@
 RECOVERY_MEMORY = 0.0
 #: largest time of one answer that is used, as a multiple of the expected time
 MAX_SURPRISE = 4.0
-#: weights, in answers, of the usual base and of a slope of zero
+#: weights, in answers, of the usual base and of the usual slope
 BASE_PRIOR = 0.5
 SLOPE_PRIOR = 1.0
+#: what each further request adds, in usual times, as long as nothing is known
+USUAL_SLOPE = 0.1
 #: bounds on the base, as a multiple of the usual time
 MIN_BASE = 0.1
 MAX_BASE = 20.0
@@ -111,7 +113,7 @@
         further = self.further * kept
         squared = self.further_squared * kept + SLOPE_PRIOR
         time = self.time * kept + BASE_PRIOR * usual
-        mixed = self.further_time * kept
+        mixed = self.further_time * kept + SLOPE_PRIOR * USUAL_SLOPE
         slope = (weight * mixed - further * time) / (
             weight * squared - further * further
         )
@@ -216,7 +218,7 @@
         :param requests: those that the target runs or has queued already
         """
         speed = self._speeds.get(target.incarnation)
-        base, slope = (1.0, 0.0) if speed is None else speed.fit(now)
+        base, slope = (1.0, USUAL_SLOPE) if speed is None else speed.fit(now)
         failures = 0.0 if speed is None else speed.find_failures(now)
         slots = max(1, target.slots)
         time = base + slope * max(0.0, min(requests, slots - 1))
