--- a/packages/greengagelatch/src/greengagelatch/relay/target_speeds.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/target_speeds.py
@@ -242,6 +242,7 @@
         base, slope = speed.fit(now)
         return {
             "speed": speed.belief.value,
+            "answers": round(speed.weight * _decay(now - speed.updated), 3),
             "slowness": round(base, 3),
             "slowness_per_request": round(slope, 3),
             "failures": round(speed.find_failures(now), 3),
