--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
@@ -133,7 +133,7 @@
             return (gone,) * len(bundle.pieces)
         entry = self._queue.add(bundle, on_read)
         self._schedule()
-        self._estimator.record_added(bundle, self._clock.now())
+        self._estimator.record_added(bundle, len(entry.pending), self._clock.now())
         try:
             return await entry.done
         except asyncio.CancelledError:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/wait_estimator.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/wait_estimator.py
@@ -60,11 +60,11 @@
         """Record the pieces that a call has made, and its duration."""
         self._completed.append((now, seconds, count))
 
-    def record_added(self, bundle: Bundle, now: float) -> None:
-        """Count the pieces of a bundle that was added to the queue."""
-        self._added += len(bundle.pieces)
+    def record_added(self, bundle: Bundle, count: int, now: float) -> None:
+        """Count the pieces of a bundle that were added to the queue."""
+        self._added += count
         if self._order.by_rank:
-            self._ranks.record_added(bundle, now)
+            self._ranks.record_added(bundle, count, now)
 
     def estimate(
         self,
--- a/packages/greengagelatch/src/greengagelatch/relay/rank_waits.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/rank_waits.py
@@ -35,8 +35,8 @@
         self._before: defaultdict[float, int] = defaultdict(int)
         self._total: defaultdict[float, int] = defaultdict(int)
 
-    def record_added(self, bundle: Bundle, now: float) -> None:
-        """Count a bundle that was added to the queue."""
+    def record_added(self, bundle: Bundle, count: int, now: float) -> None:
+        """Count the pieces of a bundle that were added to the queue."""
         slack = bundle.soft_deadline - now
         known = self._slacks.get(bundle.rank)
         if known is not None:
@@ -45,8 +45,8 @@
             self._slacks[bundle.rank] = slack
         for rank in self._slacks:
             if bundle.rank <= rank:
-                self._before[rank] += len(bundle.pieces)
-                self._total[rank] += len(bundle.pieces)
+                self._before[rank] += count
+                self._total[rank] += count
 
     def count(
         self,
