--- a/tests/test_core/test_relay/test_rank_waits.py
+++ b/tests/test_core/test_relay/test_rank_waits.py
@@ -9,6 +9,7 @@
 NOW = 100.0
 RATE = 10.0
 URGENT, LOOSE = 0.45, 0.9
+HOUR = 3600.0
 
 
 def create_bundle(rank: float, aim: float) -> tuple[Bundle, int]:
@@ -28,7 +29,7 @@
 def count(urgent=(), late=()) -> tuple[RankWait, ...]:
     counts = RankCounts()
     for rank, aim in ((URGENT, 1.0), (LOOSE, 3.0)):
-        counts.record_added(*create_bundle(rank, aim), NOW)
+        counts.record_added(*create_bundle(rank, aim - HOUR), NOW - HOUR)
     counts.count(urgent, late, NOW)
     return counts.estimate(RATE)
 
@@ -52,6 +53,19 @@
     assert loose_row == RankWait(LOOSE, 0.5, 0.5)
 
 
+def test_less_urgent_requests_wait_for_urgent_ones_that_arrive_meanwhile():
+    """Guards against checks admitted up to their limit, who make each hint late."""
+    counts = RankCounts()
+    counts.record_added(*create_bundle(LOOSE, 3.0), NOW)
+    alone = counts.estimate(RATE)[0]
+    counts.record_added(*create_bundle(URGENT, 1.0), NOW)
+    counts.count([create_bundle(LOOSE, 3.0)], (), NOW)
+    urgent_row, loose_row = counts.estimate(RATE)
+    assert alone == RankWait(LOOSE, 0.5, 0.5)
+    assert urgent_row == RankWait(URGENT, 0.0, 0.0)
+    assert loose_row.urgent > alone.urgent
+
+
 def test_added_requests_count_at_once():
     counts = RankCounts()
     counts.record_added(*create_bundle(URGENT, 1.0), NOW)
