--- a/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
@@ -9,7 +9,7 @@
 from .cached_parts import find_affinity_target
 from .engine_costs import compute_transfer, count_prompt, count_work, estimate_work
 from .regions import is_allowed
-from .target_scores import FastestChoice, TargetOption
+from .target_choice import FastestChoice
 from .target_speeds import TargetSpeeds
 from .target_states import TargetState
 
@@ -62,7 +62,11 @@
         self._random = random_source
         self._speeds = speeds or TargetSpeeds()
         self._fastest = FastestChoice(
-            own=own, speeds=self._speeds, random_source=random_source
+            own=own,
+            data_centre=data_centre,
+            speeds=self._speeds,
+            find_state=self._find_state,
+            random_source=random_source,
         )
         self._states: dict[Incarnation, TargetState] = {}
         #: monotonic time in seconds of the last repeatable request of each service
@@ -92,7 +96,9 @@
         if not candidates:
             return None
         if self._speeds.is_used(service, now):
-            chosen = self._choose_fastest(service, candidates, now)
+            chosen = self._fastest.choose(
+                service, candidates, now, may_try=not excluded
+            )
         else:
             chosen = min(candidates, key=lambda one: self._score_target(one, now))
         self._record_send(chosen.incarnation, now)
@@ -399,26 +405,6 @@
         in_flight = 0 if state is None else state.in_flight
         return self._brittle_targets.may_send(target, in_flight, now)
 
-    def _choose_fastest(
-        self, service: str, candidates: list[ListedTarget], now: float
-    ) -> ListedTarget:
-        options = [
-            self._create_option(one, now)
-            for one in self._fastest.select(service, candidates)
-        ]
-        return self._fastest.choose(service, options, now)
-
-    def _create_option(self, target: ListedTarget, now: float) -> TargetOption:
-        state = self._find_state(target.incarnation)
-        return TargetOption(
-            target=target,
-            requests=state.count_expected(now),
-            in_use=state.in_flight > 0,
-            sent_at=state.sent_at,
-            half_open=state.breaker.read_state(now) is BreakerState.HALF_OPEN,
-            remote=target.data_centre != self._data_centre,
-        )
-
     def _score_target(self, target: ListedTarget, now: float) -> tuple[float, float]:
         requests = self._find_state(target.incarnation).count_reported(now)
         remote = 0.0 if target.data_centre == self._data_centre else REMOTE_PENALTY
--- a/packages/greengagelatch/src/greengagelatch/relay/target_scores.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/target_choice.py
@@ -2,24 +2,29 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
-from dataclasses import dataclass
+from operator import itemgetter
 from typing import TYPE_CHECKING
 
+from ..load.breakers import BreakerState
 from ..targets.subset import compute_weight
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable, Sequence
 
     from .incarnations import Incarnation
     from .target_speeds import TargetSpeeds
+    from .target_states import TargetState
     from .targets import ListedTarget
 
-__all__ = ("FastestChoice", "TargetOption")
+__all__ = ("FastestChoice",)
 
 #: most targets among which an instance chooses: with its requests spread over more, it
 #: would learn of none of them before what it knew is out of date
 MAX_CHOICE = 8
+#: those of them that are in the instance's own data centre, if it has as many; the rest
+#: may be anywhere, for when these have too much to do
+LOCAL_CHOICE = 4
 #: largest random addition to an expected time, as a share of it: instances with equal
 #: knowledge must not run to the same target together
 SPREAD = 0.2
@@ -35,42 +40,54 @@
 MAX_SERVICES = 1024
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class TargetOption:
-    """A target that a request may be sent to."""
-
-    target: ListedTarget
-    #: requests that it is expected to have now
-    requests: float
-    #: whether requests of this instance are in flight there
-    in_use: bool
-    #: monotonic time in seconds at which this instance last sent it a request
-    sent_at: float
-    #: whether it is being tried again after failures
-    half_open: bool = False
-    #: whether it is in another data centre
-    remote: bool = False
-
-
 class FastestChoice:
     """Chooses the target that is expected to answer first.
 
     :param own: name of this instance, from which follows its choice of targets of a
         large service
+    :param find_state: returns what is known of a target's requests and health
     """
 
     def __init__(
-        self, *, own: str, speeds: TargetSpeeds, random_source: random.Random
+        self,
+        *,
+        own: str,
+        data_centre: str,
+        speeds: TargetSpeeds,
+        find_state: Callable[[Incarnation], TargetState],
+        random_source: random.Random,
     ) -> None:
         self._own = own
+        self._data_centre = data_centre
         self._speeds = speeds
+        self._find_state = find_state
         self._random = random_source
         #: trials that each service may make, in requests
         self._trials: dict[str, float] = {}
-        #: rank of each target that was seen in the last table of its service
+        #: rank of each target of large services
         self._ranks: dict[str, dict[Incarnation, int]] = {}
 
-    def select(
+    def choose(
+        self,
+        service: str,
+        candidates: Sequence[ListedTarget],
+        now: float,
+        *,
+        may_try: bool = True,
+    ) -> ListedTarget:
+        """Return the target for a request: the fastest, or one that is due a trial.
+
+        :param may_try: whether the request may be a trial; a retry may be the last
+            attempt
+        """
+        selected = self._select(service, candidates)
+        if may_try:
+            due = self._find_due(service, selected, now)
+            if due is not None:
+                return due
+        return min(selected, key=lambda one: self._score(one, now))
+
+    def _select(
         self, service: str, candidates: Sequence[ListedTarget]
     ) -> list[ListedTarget]:
         """Return the candidates among which this instance chooses."""
@@ -84,41 +101,38 @@
             if one.incarnation not in ranks:
                 ranks[one.incarnation] = compute_weight(self._own, one.target_id)
         ranked = sorted(candidates, key=lambda one: ranks[one.incarnation])
-        return ranked[:MAX_CHOICE]
-
-    def choose(
-        self, service: str, options: Sequence[TargetOption], now: float
-    ) -> ListedTarget:
-        """Return the target for a request: the fastest, or one that is due a trial."""
-        due = self._find_due(service, options, now)
-        if due is not None:
-            return due.target
-        return min(options, key=lambda one: self._score(one, now)).target
+        local = [one for one in ranked if one.data_centre == self._data_centre]
+        chosen = local[:LOCAL_CHOICE]
+        rest = [one for one in ranked if one not in chosen]
+        return chosen + rest[: MAX_CHOICE - len(chosen)]
 
     def _find_due(
-        self, service: str, options: Sequence[TargetOption], now: float
-    ) -> TargetOption | None:
+        self, service: str, candidates: Sequence[ListedTarget], now: float
+    ) -> ListedTarget | None:
+        """Return the target that a trial is due at, if the service may make one."""
         if service not in self._trials and len(self._trials) >= MAX_SERVICES:
             self._trials.clear()
         trials = min(1.0, self._trials.get(service, 0.0) + TRIAL_SHARE)
         self._trials[service] = trials
         if trials < 1.0:
             return None
-        due = [
-            one
-            for one in options
-            if not one.in_use and now - one.sent_at >= TRIAL_SECONDS
-        ]
+        due: list[tuple[float, ListedTarget]] = []
+        for one in candidates:
+            state = self._find_state(one.incarnation)
+            if state.in_flight or now - state.sent_at < TRIAL_SECONDS:
+                continue
+            due.append((state.sent_at, one))
         if not due:
             return None
         self._trials[service] = 0.0
-        return min(due, key=lambda one: one.sent_at)
+        return min(due, key=itemgetter(0))[1]
 
-    def _score(self, option: TargetOption, now: float) -> float:
+    def _score(self, target: ListedTarget, now: float) -> float:
         factor = 1.0 + SPREAD * self._random.random()
-        if option.remote:
+        if target.data_centre != self._data_centre:
             factor *= REMOTE_FACTOR
-        if option.half_open:
+        state = self._find_state(target.incarnation)
+        if state.breaker.read_state(now) is BreakerState.HALF_OPEN:
             # its history would deny it the request that shows whether it works again
             return factor
-        return factor * self._speeds.estimate(option.target, option.requests, now)
+        return factor * self._speeds.estimate(target, state.count_expected(now), now)
--- a/tests/test_core/test_relay/test_target_speeds.py
+++ b/tests/test_core/test_relay/test_target_speeds.py
@@ -292,3 +292,16 @@
     speeds.forget(target.incarnation)
     assert speeds.describe(target.incarnation, 1.0) == {}
     assert speeds.find_slowness(target.incarnation, 1.0) == 1.0
+
+
+def test_retry_is_no_trial():
+    """Guards against a last attempt that is spent to learn of a target."""
+    targets = [create_target(0, FAST), create_target(1, SLOW), create_target(2, FAST)]
+    fleet = Fleet(1, targets)
+    fleet.play(3.0)
+    (balancer,) = fleet.balancers
+    excluded = frozenset((targets[0].entry.incarnation,))
+    later = fleet.now + 1.0
+    for _ in range(100):
+        chosen = balancer.choose_least_loaded("s", excluded, later)
+        assert chosen is targets[2].entry
