--- a/tests/test_core/test_relay/test_load_balancer.py
+++ b/tests/test_core/test_relay/test_load_balancer.py
@@ -321,3 +321,23 @@
     balancer.record_load_report(third.incarnation, LoadReport(5, 0, 6), NOW)
     assert not balancer.has_free_slots(unheard, NOW)
     assert not balancer.has_free_slots(unheard, NOW + 60.0)
+
+
+@pytest.mark.parametrize(("tokens", "chosen"), [(3000, "t-0"), (9000, "t-1")])
+def test_slow_engine_is_used_for_what_it_has_cached(tokens, chosen):
+    """Guards against prompts that are read at half the speed, or read again elsewhere.
+
+    Of a short prompt nearly all is cached at the slow engine, of a long one a part.
+    """
+    balancer = create_balancer(2)
+    for _ in range(5):
+        balancer.record_load_report(Incarnation("t-0"), LoadReport(0, 0, 6, 1.7), NOW)
+        balancer.record_load_report(Incarnation("t-1"), LoadReport(0, 0, 6, 0.7), NOW)
+    needs = [create_need(f"part-{number}", tokens) for number in range(8)]
+    of_slow = [
+        need
+        for need in needs
+        if balancer.find_affinity_target("s", need.prompt, NOW).target_id == "t-0"
+    ]
+    assert of_slow
+    assert {choose(balancer, need) for need in of_slow} == {chosen}
