--- a/packages/greengagelatch/src/greengagelatch/relay/target_speeds.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/target_speeds.py
@@ -79,7 +79,7 @@
 class Answer:
     """The time that a target took to answer."""
 
-    #: requests that it ran or queued when the request was sent, this one included
+    #: requests that the target had when this one was sent, this one included
     requests: float
     #: kind of work; times are compared with those of the same kind
     kind: str
@@ -114,10 +114,8 @@
         squared = self.further_squared * kept + SLOPE_PRIOR
         time = self.time * kept + BASE_PRIOR * usual
         mixed = self.further_time * kept + SLOPE_PRIOR * USUAL_SLOPE
-        slope = (weight * mixed - further * time) / (
-            weight * squared - further * further
-        )
-        slope = max(0.0, slope)
+        spread = weight * squared - further * further
+        slope = max(0.0, (weight * mixed - further * time) / spread)
         base = (time - slope * further) / weight
         return min(MAX_BASE, max(MIN_BASE, base)), slope
 
@@ -187,8 +185,7 @@
         speed = self._find(target.incarnation, now)
         base, slope = speed.fit(now)
         slots = max(1, target.slots)
-        further = min(answer.requests, slots) - 1
-        further = max(0.0, further)
+        further = max(0.0, min(answer.requests, slots) - 1)
         wait = _find_wait(answer.requests, slots)
         seconds = answer.seconds / (answer.size * (1.0 + wait))
         expected = base + slope * further
