--- a/tests/test_core/test_relay/test_rank_waits.py
+++ b/tests/test_core/test_relay/test_rank_waits.py
@@ -6,7 +6,7 @@
 from greengagelatch.relay.queue_waits import RankWait
 from greengagelatch.relay.rank_waits import MAX_RANKS, RankCounts
 
-NOW = 100.0
+NOW = 10_000.0
 RATE = 10.0
 URGENT, LOOSE = 0.45, 0.9
 HOUR = 3600.0
