Explain where a request would be sent now, and why

Cause: operators saw what each part of an instance believes, but not what follows from it for a request.

Change: greengagelatch explain HOST PATH, with key, model, tokens and parts of the prompt, asks an instance at its metrics address. It tells route, workspace, rank, allowed data centres, and of each target what bars it, its score, and whether it is chosen. RouteFilter.resolve and the load balancer's own code decide, the latter on a copy of its state: no probe is begun, no request recorded, no random number drawn, no slots asked for. An unknown route or key is an error with field and value; of a key only the first four characters are shown.

Before: nothing but the state dump.

Conclusion: whole for the choice of a target. Quarantine, admission by deadline, retries, makers of stages, and jobs of our own daemon are not explained.

--- a/packages/greengagelatch-cli/src/greengagelatch_cli/application.py
+++ b/packages/greengagelatch-cli/src/greengagelatch_cli/application.py
@@ -9,6 +9,7 @@
 
 from .commands.changes import ListChanges, RollBack, ShowChange, WaitForChange
 from .commands.checks import Check
+from .commands.explanations import Explain
 from .commands.fleet import Drain, Dump, Status
 from .commands.labels import Label
 from .commands.objects import Apply, Delete, Diff, Get
@@ -29,6 +30,7 @@
     ListChanges,
     RollBack,
     Status,
+    Explain,
     Dump,
     Drain,
     Check,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -32,7 +32,7 @@
 from .prometheus import PrometheusMetrics
 from .readiness import ReadinessServer
 from .registry import RegistryController
-from .request_path import compose_filters, compose_runners
+from .request_path import compose_explainer, compose_filters, compose_runners
 from .retry_budgets import RetryBudgets
 from .stage_parts import compose_stage_parts
 from .store_follower import StoreFollower
@@ -287,6 +287,11 @@
             is_ready=self._is_ready,
             metrics=self.metrics,
             describe=self._describe,
+            explain=compose_explainer(
+                self.shared,
+                load_balancer=self.targets.load_balancer,
+                find_table=lambda: self.configuration.table,
+            ).explain,
         )
         self.usage = UsageController(
             capacity=self.settings.capacity,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/filters.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/filters.py
@@ -203,6 +203,14 @@
         self._find_stop_deadline = find_stop_deadline
 
     async def apply(self, exchange: RelayExchange, proceed: RelayHandler) -> None:
+        self.resolve(exchange)
+        await proceed(exchange)
+
+    def resolve(self, exchange: RelayExchange) -> None:
+        """Resolve route and workspace of a request.
+
+        :raises RefusedError: if either is unknown
+        """
         table = self._find_table()
         if table is None:
             # without a configuration, neither routes nor keys can be judged
@@ -241,7 +249,6 @@
             route.priority, None if workspace is None else workspace.priority
         )
         exchange.digest = compute_digest(request, exchange.workspace)
-        await proceed(exchange)
 
     def _authorize(self, exchange: RelayExchange, table: RouteTable) -> RoutedWorkspace:
         workspace = table.find_workspace(exchange.request.key)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/readiness.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/readiness.py
@@ -9,9 +9,10 @@
 from prometheus_client import CollectorRegistry, generate_latest
 
 from ..controllers import Controller
+from .explanations import InvalidQuestionError
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
     from .prometheus import PrometheusMetrics
 
@@ -19,13 +20,16 @@
 
 #: idle timeout of connections from the balancer in seconds
 IDLE_TIMEOUT = 15.0
+STATUS_BAD_REQUEST = 400
 
 
 class ReadinessServer(Controller):
     """Serves internal endpoints on addresses that callers can't reach.
 
     :param listen: address of the readiness endpoint
-    :param metrics_listen: address of the metrics and state endpoints; empty: not served
+    :param metrics_listen: address of the metrics, state and explanation endpoints;
+        empty: not served
+    :param explain: answers a question where a request would be sent
     """
 
     name = "readiness"
@@ -40,6 +44,7 @@
         is_ready: Callable[[], bool],
         metrics: PrometheusMetrics,
         describe: Callable[[], dict[str, Any]],
+        explain: Callable[[Mapping[str, Any]], dict[str, Any]],
     ) -> None:
         super().__init__()
         self._listen = listen
@@ -48,6 +53,7 @@
         self._metrics_path = metrics_path
         self._is_ready = is_ready
         self._describe = describe
+        self._explain = explain
         self._registry = CollectorRegistry()
         self._registry.register(metrics)
         self._runners: list[web.ServerRunner] = []
@@ -86,6 +92,31 @@
                 headers={"Content-Type": "text/plain; version=0.0.4; charset=utf-8"},
             )
         if request.path == "/state":
-            text = json.dumps(self._describe(), default=str)
-            return web.Response(text=text, content_type="application/json")
+            return _create_json(200, self._describe())
+        if request.path == "/explain" and request.method == "POST":
+            return self._answer(await request.read())
         return web.Response(status=404)
+
+    def _answer(self, body: bytes) -> web.Response:
+        """Answer a question where a request would be sent."""
+        try:
+            question = json.loads(body)
+        except (ValueError, RecursionError):
+            question = None
+        if not isinstance(question, dict):
+            message = {"message": "the question must be a JSON object"}
+            return _create_json(STATUS_BAD_REQUEST, message)
+        try:
+            return _create_json(200, self._explain(question))
+        except InvalidQuestionError as error:
+            refusal = {
+                "message": str(error),
+                "field": error.field,
+                "value": error.value,
+            }
+            return _create_json(error.status, refusal)
+
+
+def _create_json(status: int, value: dict[str, Any]) -> web.Response:
+    text = json.dumps(value, default=str)
+    return web.Response(status=status, text=text, content_type="application/json")
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/request_path.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/request_path.py
@@ -8,6 +8,7 @@
 
 from ..filters import chain
 from .brittle_admission import BrittleAdmission
+from .explanations import RequestExplainer
 from .filters import (
     ObserveFilter,
     QuarantineFilter,
@@ -35,7 +36,7 @@
     from .stages import StageRunner
     from .target_connections import TargetConnectionPool
 
-__all__ = ("compose_filters", "compose_runners")
+__all__ = ("compose_explainer", "compose_filters", "compose_runners")
 
 
 def compose_runners(
@@ -121,3 +122,22 @@
         QuarantineFilter(suspects=crashes.suspects),
     )
     return chain(filters, last)
+
+
+def compose_explainer(
+    shared: SharedParts,
+    *,
+    load_balancer: LoadBalancer,
+    find_table: Callable[[], RouteTable | None],
+) -> RequestExplainer:
+    """Build what explains where requests would be sent."""
+    return RequestExplainer(
+        instance_id=shared.settings.instance_id,
+        route_filter=RouteFilter(
+            find_table=find_table,
+            find_stop_deadline=lambda: float("inf"),
+            regions=shared.settings.regions,
+        ),
+        load_balancer=load_balancer,
+        clock=shared.clock,
+    )
