BrittleTargets decides whether a service lacks room

Cause: the load balancer had grown by the record of lacking slots.

Change: the decision and the record move to BrittleTargets.lacks_room. A retry that finds no room counts as well now.

Before and after: the tests of the core's relay and of brittle targets, loans and explanations of whole instances pass (1193).

--- a/packages/greengagelatch/src/greengagelatch/relay/brittle_targets.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/brittle_targets.py
@@ -175,9 +175,20 @@
         if in_flight + 1 >= _find_peak(known, 0, now):
             known.peak, known.peak_at = in_flight + 1, now
 
-    def record_shortage(self, service: str, now: float) -> None:
-        """Record that no target of a service may be sent a request."""
+    def lacks_room(
+        self, service: str, targets: Collection[tuple[ListedTarget, int]], now: float
+    ) -> bool:
+        """Return whether only their limits prevent a send to any of some targets.
+
+        :param targets: targets of a service, and how many requests this instance has
+            at each
+        """
+        if all(self.find_limit(target, now) is None for target, _ in targets):
+            return False
+        if any(self.may_send(target, held, now) for target, held in targets):
+            return False
         self._lending.record_need(service, now)
+        return True
 
     def lend(
         self,
--- a/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
@@ -194,13 +194,8 @@
             and one.incarnation not in excluded
             and self._cold_targets.may_send(one, now)
         ]
-        limits = [self._brittle_targets.find_limit(one, now) for one in listed]
-        if all(limit is None for limit in limits):
-            return False
-        lacks = not any(self._has_room(one, now) for one in listed)
-        if lacks and not excluded:
-            self._brittle_targets.record_shortage(service, now)
-        return lacks
+        in_flight = [(one, self.count_in_flight(one.incarnation)) for one in listed]
+        return self._brittle_targets.lacks_room(service, in_flight, now)
 
     def find_affinity_target(
         self,
--- a/tests/test_core/test_relay/test_brittle_fleets.py
+++ b/tests/test_core/test_relay/test_brittle_fleets.py
@@ -303,7 +303,7 @@
             )
         ]
         if not usable and not excluded:
-            instance.rule.record_shortage("desk", self.now)
+            instance.lending.record_need("desk", self.now)
         if usable:
             chosen = min(
                 usable,
--- a/tests/test_core/test_relay/test_slot_lending.py
+++ b/tests/test_core/test_relay/test_slot_lending.py
@@ -56,7 +56,7 @@
         return self.rule.lend("desk", borrower, idle, now)
 
     def borrow(self, lender: Instance, asked_at: float, answered_at: float) -> None:
-        self.rule.record_shortage("desk", asked_at)
+        self.lending.record_need("desk", asked_at)
         request = self.lending.create_request(asked_at)
         lent = lender.lend((asked_at + answered_at) / 2)
         self.lending.record_loan("entry-2", request.number, lent, answered_at)
@@ -161,7 +161,7 @@
 
 def test_instance_that_lacks_slots_lends_none():
     _, lender = create_instances()
-    lender.rule.record_shortage("desk", START)
+    lender.lending.record_need("desk", START)
     assert lender.lend(START + PAUSE_SECONDS - 0.1) == {}
     assert lender.lend(START + PAUSE_SECONDS) != {}
 
