Tell refused callers a time to return at which they can be served

Cause: a refused streaming request was told to return after the wait that was reported then: all those refused in a moment at the same time, also if nothing could serve them before their deadline, and bounded by the silence of the attempt rather than by the caller's own deadline. A request whose stages ended after its caller had left was still sent to an engine.

Change: relay/retry_times.py finds when a refused caller may be served, spreads the returns, and tells no time where none fits. StreamAdmission takes admission out of streams.py, logs each refusal, and refuses before the target what nobody can answer any more; its results are freed.

test_late_first_attempt_is_told_when_to_retry now reads the window in place of the single time, with the same bounds.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/request_path.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/request_path.py
@@ -17,6 +17,7 @@
     StopFilter,
 )
 from .route_latencies import RouteLatencies
+from .stream_admission import StreamAdmission
 from .streams import StreamRunner
 from .target_sender import TargetSender
 from .unary import UnaryRunner
@@ -81,7 +82,12 @@
     streams = StreamRunner(
         stages=stages,
         codec=shared.adapters.targets,
-        admission=DeadlineAdmission(),
+        admission=StreamAdmission(
+            policy=DeadlineAdmission(),
+            clock=shared.clock,
+            random_source=shared.random_source,
+            decisions=shared.decisions,
+        ),
         **common,
     )
     return RunHandler(unary=UnaryRunner(**common), streams=streams)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/runners.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/runners.py
@@ -34,7 +34,7 @@
     from .suspect_admission import SuspectAdmission
     from .target_sender import FailedSend, TargetSender
 
-__all__ = ("Runner",)
+__all__ = ("MIN_ATTEMPT_SECONDS", "Runner")
 
 #: seconds before the deadline that an attempt needs at the least
 MIN_ATTEMPT_SECONDS = 0.01
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -6,8 +6,6 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from greengagelatch.errors import RefusalCode
-from greengagelatch.relay.admission import RequestEstimate
 from greengagelatch.relay.load_balancer import EngineDemand
 from greengagelatch.relay.outcomes import SendOutcome, SilenceDecision
 from greengagelatch.relay.requests import Prompt
@@ -17,7 +15,6 @@
 from .input_fetch_timer import InputFetchTimer
 from .messages import AttemptContext
 from .prefill_tracker import PrefillTracker
-from .refusals import create_error
 from .runners import Runner
 from .target_responses import TargetResponseError
 from .target_sender import (
@@ -30,7 +27,6 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    from greengagelatch.relay.admission import RouteAdmission
     from greengagelatch.relay.incarnations import Incarnation
     from greengagelatch.relay.targets import ListedTarget
 
@@ -38,6 +34,7 @@
     from .exchange import RelayExchange
     from .messages import ResponseHead
     from .stages import StageResults, StageRun, StageRunner
+    from .stream_admission import StreamAdmission
 
 __all__ = ("StreamRunner",)
 
@@ -68,7 +65,7 @@
         *,
         stages: StageRunner,
         codec: TargetCodec,
-        admission: RouteAdmission,
+        admission: StreamAdmission,
         **common,
     ) -> None:
         super().__init__(**common)
@@ -80,9 +77,10 @@
         self.budgets.record_request(exchange.service)
         first_seconds, total_seconds = self.times.estimate(exchange)
         run = self._stages.create_run(exchange, first_seconds, total_seconds)
-        self._check_admission(exchange, run, first_seconds)
+        self._admission.check_start(exchange, run.estimate(), first_seconds)
         try:
             results = await run.execute()
+            self._admission.check_target(exchange)
             await self.pass_on(exchange, run, results)
         finally:
             run.free()
@@ -93,34 +91,6 @@
         """Send a request whose stages are complete, and forward its events."""
         await _Stream(self, exchange, run, results).serve()
 
-    def _check_admission(
-        self, exchange: RelayExchange, run: StageRun, first_seconds: float
-    ) -> None:
-        """Refuse a request that admission control rejects, before any work is done."""
-        chain = run.estimate()
-        work = chain.work + first_seconds
-        route = exchange.route
-        elapsed = self.clock.now() - exchange.request.received
-        estimate = RequestEstimate(
-            total_wait=chain.total_wait,
-            urgent_wait=chain.urgent_wait,
-            service_time=work,
-            remaining=exchange.event_deadline - self.clock.now(),
-            objective_remaining=route.objective - exchange.prior_wait - elapsed,
-            elapsed_share=exchange.prior_wait / route.timeout if route.timeout else 0.0,
-        )
-        decision = self._admission.decide(estimate)
-        if decision.admitted:
-            return
-        raise create_error(
-            exchange,
-            RefusalCode.OVERLOADED,
-            f"{decision.reason}: {estimate.urgent_wait:.1f} of"
-            f" {estimate.total_wait:.1f} s of queue, {work:.1f} s of work,"
-            f" {estimate.remaining:.1f} s left",
-            retry_after=decision.retry_after,
-        )
-
 
 class _Stream:
     """State of one stream to a caller."""
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/instances.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/instances.py
@@ -17,6 +17,7 @@
 from greengagelatch_entry.relay.stage_groups import MakerGroups
 from greengagelatch_entry.relay.stage_pool import StagePool
 from greengagelatch_entry.relay.stages import StageRunner
+from greengagelatch_entry.relay.stream_admission import StreamAdmission
 from greengagelatch_entry.relay.streams import StreamRunner
 
 from .models import ModelCodec
@@ -242,7 +243,12 @@
             stages=stages,
             codec=ModelCodec(),
             times=RouteLatencies(),
-            admission=self._create_admission(),
+            admission=StreamAdmission(
+                policy=self._create_admission(),
+                clock=self._clock,
+                random_source=self._random,
+                decisions=NullTelemetry(),
+            ),
             sender=None,
             suspects=None,
             brittle=None,
--- a/packages/greengagelatch/src/greengagelatch/relay/admission.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/admission.py
@@ -5,6 +5,8 @@
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 
+from .retry_times import RetryWindow, find_retry_window
+
 __all__ = (
     "AdmitAll",
     "AdmissionDecision",
@@ -26,11 +28,6 @@
 #: seconds left, so this limits late requests to a third of the makers' time while
 #: first attempts could use all of it
 LATE_QUEUE_SECONDS = 1.2
-#: bounds of the time to retry after, in seconds
-MIN_RETRY_AFTER = 0.3
-MAX_RETRY_AFTER = 3.0
-#: share of the remaining time that a caller may be told to wait before it retries
-RETRY_AFTER_SHARE = 0.3
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -43,8 +40,10 @@
     urgent_wait: float
     #: service time of its stages, and of its target until the answer begins
     service_time: float
-    #: until the caller's deadline
+    #: until the caller's deadline, or until it abandons this attempt as silent
     remaining: float
+    #: until the caller's deadline; the silence starts anew with each attempt
+    deadline_remaining: float
     #: until the latency objective is missed
     objective_remaining: float
     #: share of the route's timeout that had passed before this attempt was sent
@@ -56,8 +55,8 @@
     """Whether a request is admitted, and if not, when to retry."""
 
     admitted: bool
-    #: seconds; 0 for an admitted request
-    retry_after: float = 0.0
+    #: ``None`` for an admitted request, and for one that can't be served later either
+    retry_window: RetryWindow | None = None
     reason: str = ""
 
 
@@ -79,6 +78,9 @@
     refused at once, while the caller still has time to retry after the burst. Retries
     are admitted even if late, as long as few of them wait: a late answer is worth
     little, but a caller that is refused twice gets none.
+
+    A caller that can't be served before its deadline, whenever it returns, is not told
+    to return.
     """
 
     def decide(self, estimate: RequestEstimate) -> AdmissionDecision:
@@ -104,6 +106,9 @@
 
 
 def _refuse(estimate: RequestEstimate, reason: str) -> AdmissionDecision:
-    latest = min(MAX_RETRY_AFTER, estimate.remaining * RETRY_AFTER_SHARE)
-    seconds = max(MIN_RETRY_AFTER, min(estimate.total_wait, latest))
-    return AdmissionDecision(False, seconds, reason)
+    window = find_retry_window(
+        drain_seconds=estimate.total_wait,
+        service_time=estimate.service_time,
+        remaining=estimate.deadline_remaining,
+    )
+    return AdmissionDecision(False, window, reason)
--- a/tests/test_core/test_relay/test_admission.py
+++ b/tests/test_core/test_relay/test_admission.py
@@ -11,6 +11,7 @@
     urgent_wait=0.0,
     service_time=0.9,
     remaining=6.0,
+    deadline_remaining=6.0,
     objective_remaining=1.9,
     elapsed_share=0.0,
 )
@@ -32,7 +33,8 @@
 def test_late_first_attempt_is_told_when_to_retry():
     decision = POLICY.decide(replace(ESTIMATE, total_wait=1.5, urgent_wait=1.5))
     assert not decision.admitted
-    assert 0 < decision.retry_after <= ESTIMATE.remaining / 3
+    assert decision.retry_window.earliest > 0
+    assert decision.retry_window.latest <= ESTIMATE.remaining / 3
 
 
 def test_late_retry_is_admitted():
@@ -72,6 +74,7 @@
 def test_request_that_would_miss_its_deadline_is_refused():
     decision = POLICY.decide(replace(ESTIMATE, total_wait=5.5, urgent_wait=5.5))
     assert not decision.admitted
+    assert decision.retry_window is None
 
 
 def test_late_request_is_admitted_to_a_short_queue():
