--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_bundles.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_bundles.py
@@ -2,9 +2,16 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from greengagelatch.relay.load_balancer import TOKENS_PER_REMOTE_BYTE
 from greengagelatch.relay.pieces import Bundle
+from greengagelatch.relay.placement_plan import (
+    EngineOutlook,
+    PlacementPlan,
+    plan_placement,
+)
 from greengagelatch.relay.regions import is_allowed
 from greengagelatch.relay.stage_plan import TargetDeadlines
 
@@ -15,6 +22,7 @@
     from greengagelatch.relay.incarnations import Incarnation
     from greengagelatch.relay.load_balancer import LoadBalancer
     from greengagelatch.relay.pieces import PieceResult
+    from greengagelatch.relay.placement_plan import StagePlacement
     from greengagelatch.relay.stage_plan import StagePlan, StageWork
 
     from .exchange import RelayExchange
@@ -58,6 +66,7 @@
         self._data_centre = data_centre
         self._first_seconds = first_seconds
         self._whole_seconds = whole_seconds
+        self._placement: PlacementPlan | None = None
 
     def find_bounds(self) -> TargetDeadlines:
         """Return the times by which the target has to start on the request."""
@@ -83,6 +92,7 @@
         handles = {
             one: tuple(result.handle for result in held[one]) for one in work.after
         }
+        placement = self._find_place(work, held)
         return Bundle(
             bundle_id=f"{self._exchange.request.request_id}/{work.number}",
             service=work.service,
@@ -93,41 +103,61 @@
             inputs_expire_at=self._find_input_expiry(work),
             input_makers=list_makers(held, work.after),
             rank=self._exchange.rank,
-            data_centre=self._find_data_centre(work, held),
-            moved_bytes=self._count_moved_bytes(work, held),
+            data_centre=placement.data_centre,
+            moved_bytes=placement.moved_bytes,
             begun=bool(work.after),
             digest=self._exchange.digest,
             data_centres=self._exchange.data_centres,
         )
 
-    def _find_data_centre(
+    def _find_place(
         self, work: StageWork, held: Mapping[int, tuple[PieceResult, ...]]
-    ) -> str:
-        """Return the data centre in which a stage is best executed.
-
-        Each piece reads all results of the stages before it. Results of a first stage
-        go to the engine, most likely the one that has the prompt's prefix cached.
-        """
+    ) -> StagePlacement:
+        """Return the data centre in which a stage is best executed."""
         sizes: dict[str, int] = {}
         for one in work.after:
             size = self._plan.stages[one].result_bytes
             for result in held[one]:
                 sizes[result.data_centre] = sizes.get(result.data_centre, 0) + size
-        if sizes:
-            return max(sizes, key=sizes.get)
+        if self._placement is None:
+            self._placement = self._plan_placement()
+        is_final = work.number in self._plan.final
+        placement = self._placement.place_stage(
+            count=work.count,
+            input_bytes=sizes,
+            output_bytes=work.count * work.result_bytes if is_final else 0,
+        )
+        if placement.data_centre:
+            return placement
+        data_centres = self._exchange.data_centres
+        local = self._data_centre
+        if not is_allowed(local, data_centres):
+            local = min(data_centres, default="")
+        return replace(placement, data_centre=local)
+
+    def _plan_placement(self) -> PlacementPlan:
+        """Return the plan for the data centres of the stages and the engine.
+
+        The engine is most likely the one to which the prompt's parts are assigned.
+        """
         exchange = self._exchange
-        if work.number in self._plan.final and exchange.request.prompt is not None:
+        prompt = exchange.request.prompt
+        home = None
+        if prompt is not None and self._plan.final:
             home = self._load_balancer.find_affinity_target(
-                exchange.service,
-                exchange.request.prompt,
-                self._clock.now(),
-                exchange.data_centres,
+                exchange.service, prompt, self._clock.now(), exchange.data_centres
             )
-            if home is not None:
-                return home.data_centre
-        if is_allowed(self._data_centre, exchange.data_centres):
-            return self._data_centre
-        return min(exchange.data_centres, default="")
+        if home is None:
+            return PlacementPlan()
+        outlook = EngineOutlook(
+            data_centre=home.data_centre,
+            shared_tokens=sum(part.tokens for part in prompt.shared_parts),
+            tokens_per_byte=TOKENS_PER_REMOTE_BYTE,
+        )
+        works = [self._plan.stages[one] for one in self._plan.final]
+        return plan_placement(
+            outlook, sum(one.count * one.result_bytes for one in works)
+        )
 
     def _find_input_expiry(self, work: StageWork) -> float:
         """Return when the first input of a stage expires at its maker."""
@@ -139,15 +169,3 @@
             if found is not None and found.maker is not None:
                 expiries.append(now + found.maker.retention_seconds)
         return min(expiries)
-
-    def _count_moved_bytes(
-        self, work: StageWork, held: Mapping[int, tuple[PieceResult, ...]]
-    ) -> int:
-        """Return the bytes that cross data centres if a remote maker is chosen.
-
-        First stages count as none: they have the most waiting ahead of them, and
-        waiting for a maker near the engine costs more time than it saves.
-        """
-        return work.count * sum(
-            len(held[one]) * self._plan.stages[one].result_bytes for one in work.after
-        )
--- a/packages/greengagelatch/src/greengagelatch/relay/batches.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/batches.py
@@ -31,6 +31,9 @@
 #: longest time that a bundle waits for a local maker, in seconds; about as long as a
 #: full call
 MAX_LOCAL_WAIT_SECONDS = 0.45
+#: share of the time until its soft deadline that a first stage may take with such a
+#: wait: the later stages and the engine need the rest if they are slower than expected
+FIRST_STAGE_SLACK_SHARE = 0.5
 #: slowness up to which a bundle waits for a local maker
 MAX_LOCAL_SLOWNESS = 1.5
 #: seconds added to a bundle's urgency at a maker in another data centre than its inputs
@@ -115,7 +118,7 @@
         )
         while waiting and idle:
             share = _count_share(waiting, len(idle), profile)
-            maker = _choose_maker(idle, waiting[0].bundle)
+            maker = _choose_maker(idle, waiting[0])
             idle.remove(maker)
             call = _fill(maker, _sort_for_maker(maker, waiting), share, profile)
             waiting = [one for one in waiting if one.left]
@@ -315,7 +318,10 @@
     ):
         return False
     end = maker.free_at + profile.estimate_seconds(min(count, profile.batch))
-    return end <= bundle.soft_deadline
+    slack = bundle.soft_deadline - now
+    if not bundle.begun:
+        slack *= FIRST_STAGE_SLACK_SHARE
+    return end <= now + slack
 
 
 def _list_eligible(
@@ -348,13 +354,20 @@
     return max(1, min(profile.batch, ceil(pieces / idle)))
 
 
-def _choose_maker(idle: list[MakerView], bundle: Bundle) -> MakerView:
-    """Return a maker: fast ones first, then local ones, then the most free memory."""
+def _choose_maker(idle: list[MakerView], first: _WaitingBundle) -> MakerView:
+    """Return a maker: fast ones first, then local ones, then the most free memory.
+
+    Large inputs or results keep a bundle local unless the makers there are slow.
+    """
+    data_centre = first.bundle.data_centre
+    local = [one for one in idle if one.data_centre == data_centre]
+    if first.has_large_inputs:
+        idle = [one for one in local if one.slowness <= MAX_LOCAL_SLOWNESS] or idle
     return min(
         idle,
         key=lambda one: (
             round(one.slowness, 1),
-            one.data_centre != bundle.data_centre,
+            one.data_centre != data_centre,
             -one.free_bytes,
         ),
     )
--- a/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
@@ -19,7 +19,7 @@
     from .requests import Prompt
     from .targets import ListedTarget, TargetTable
 
-__all__ = ("EngineDemand", "LoadBalancer", "LoadReport")
+__all__ = ("TOKENS_PER_REMOTE_BYTE", "EngineDemand", "LoadBalancer", "LoadReport")
 
 #: the circuit breaker of a target opens after two failures in a row: with three
 #: targets, a third of all requests fails while a lost target is still in use
