--- a/packages/greengagelatch/src/greengagelatch/relay/batches.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/batches.py
@@ -7,6 +7,8 @@
 from math import ceil
 from typing import TYPE_CHECKING
 
+from .local_makers import choose_maker, defer_to_local
+
 if TYPE_CHECKING:
     from .deployment import MakerProfile
     from .incarnations import Incarnation
@@ -28,14 +30,6 @@
 
 #: bytes moved between data centres from which a bundle waits for a local maker
 LARGE_INPUT_BYTES = 500_000
-#: longest time that a bundle waits for a local maker, in seconds; about as long as a
-#: full call
-MAX_LOCAL_WAIT_SECONDS = 0.45
-#: share of the time until its soft deadline that a first stage may take with such a
-#: wait: the later stages and the engine need the rest if they are slower than expected
-FIRST_STAGE_SLACK_SHARE = 0.5
-#: slowness up to which a bundle waits for a local maker
-MAX_LOCAL_SLOWNESS = 1.5
 #: seconds added to a bundle's urgency at a maker in another data centre than its inputs
 REMOTE_PENALTY_SECONDS = 0.3
 #: seconds before its hard deadline at which a late bundle is put first: about the time
@@ -113,12 +107,12 @@
         idle = _list_eligible(makers, profile, now)
         calls = []
         call = _estimate_call(bundles, len(idle), profile)
-        waiting = _defer_to_local(
+        waiting = defer_to_local(
             _sort_bundles(bundles, profile, now, call), idle, makers, profile, now
         )
         while waiting and idle:
             share = _count_share(waiting, len(idle), profile)
-            maker = _choose_maker(idle, waiting[0])
+            maker = choose_maker(idle, waiting[0])
             idle.remove(maker)
             call = _fill(maker, _sort_for_maker(maker, waiting), share, profile)
             waiting = [one for one in waiting if one.left]
@@ -163,7 +157,7 @@
 
     @property
     def has_large_inputs(self) -> bool:
-        """Whether its inputs are too large to be moved between data centres."""
+        """Whether its inputs, or results, are too large to be moved."""
         return self.bundle.moved_bytes >= LARGE_INPUT_BYTES
 
 
@@ -270,60 +264,6 @@
     return infeasible
 
 
-def _defer_to_local(
-    waiting: list[_WaitingBundle],
-    idle: list[MakerView],
-    makers: list[MakerView],
-    profile: MakerProfile,
-    now: float,
-) -> list[_WaitingBundle]:
-    """Return the bundles to place now, without those that wait for a local maker.
-
-    Traffic between data centres is billed, and every piece reads all inputs of its
-    bundle. A bundle with large inputs waits for a maker in their data centre as long
-    as the next call of that maker can include it and meet its soft deadline.
-    """
-    idle_data_centres = {one.data_centre for one in idle}
-    makers_by_data_centre: dict[str, list[MakerView]] = {}
-    for maker in makers:
-        makers_by_data_centre.setdefault(maker.data_centre, []).append(maker)
-    deferred: dict[str, int] = {}
-    ready = []
-    for one in waiting:
-        data_centre = one.bundle.data_centre
-        local_makers = makers_by_data_centre.get(data_centre, [])
-        count = deferred.get(data_centre, 0) + len(one.left)
-        if (
-            not one.has_large_inputs
-            or data_centre in idle_data_centres
-            or count > profile.batch * len(local_makers)
-            or not any(
-                _is_available_soon(maker, one.bundle, count, profile, now)
-                for maker in local_makers
-            )
-        ):
-            ready.append(one)
-            continue
-        deferred[data_centre] = count
-    return ready
-
-
-def _is_available_soon(
-    maker: MakerView, bundle: Bundle, count: int, profile: MakerProfile, now: float
-) -> bool:
-    """Return whether a busy maker can finish ``count`` pieces by the soft deadline."""
-    if (
-        maker.free_at > now + MAX_LOCAL_WAIT_SECONDS
-        or maker.slowness > MAX_LOCAL_SLOWNESS
-    ):
-        return False
-    end = maker.free_at + profile.estimate_seconds(min(count, profile.batch))
-    slack = bundle.soft_deadline - now
-    if not bundle.begun:
-        slack *= FIRST_STAGE_SLACK_SHARE
-    return end <= now + slack
-
-
 def _list_eligible(
     makers: list[MakerView], profile: MakerProfile, now: float
 ) -> list[MakerView]:
@@ -354,25 +294,6 @@
     return max(1, min(profile.batch, ceil(pieces / idle)))
 
 
-def _choose_maker(idle: list[MakerView], first: _WaitingBundle) -> MakerView:
-    """Return a maker: fast ones first, then local ones, then the most free memory.
-
-    Large inputs or results keep a bundle local unless the makers there are slow.
-    """
-    data_centre = first.bundle.data_centre
-    local = [one for one in idle if one.data_centre == data_centre]
-    if first.has_large_inputs:
-        idle = [one for one in local if one.slowness <= MAX_LOCAL_SLOWNESS] or idle
-    return min(
-        idle,
-        key=lambda one: (
-            round(one.slowness, 1),
-            one.data_centre != data_centre,
-            -one.free_bytes,
-        ),
-    )
-
-
 def _fill(
     maker: MakerView, waiting: list[_WaitingBundle], share: int, profile: MakerProfile
 ) -> PlannedCall:
--- a/tests/test_core/test_relay/test_batches.py
+++ b/tests/test_core/test_relay/test_batches.py
@@ -37,6 +37,7 @@
     data_centre: str = "north",
     rank: float = 0.0,
     inputs_until: float = float("inf"),
+    begun: bool = True,
 ) -> tuple[Bundle, list[Piece]]:
     pieces = tuple(
         Piece(request_id=name, stage=0, segment=number, key="k")
@@ -53,6 +54,7 @@
         data_centre=data_centre,
         rank=rank,
         inputs_expire_at=inputs_until,
+        begun=begun,
     )
     return bundle, list(pieces)
 
@@ -203,6 +205,38 @@
     assert plan([bundle], [makers_by_data_centre, far]) == {"far": ["a"] * 6}
 
 
+def test_first_stage_waits_for_a_local_maker_within_half_of_its_slack():
+    near = create_maker("near", free_at=NOW + 0.2)
+    far = create_maker("far", data_centre="south")
+    bundle = create_bundle("a", 6, moved_bytes=9_000_000, aim=NOW + 1.0, begun=False)
+    assert plan([bundle], [near, far]) == {}
+
+
+def test_first_stage_keeps_half_of_its_slack_for_later_stages():
+    """With less time it came too late once the engine was slower than expected."""
+    near = create_maker("near", free_at=NOW + 0.2)
+    far = create_maker("far", data_centre="south")
+    bundle = create_bundle("a", 6, moved_bytes=9_000_000, aim=NOW + 0.8, begun=False)
+    assert plan([bundle], [near, far]) == {"far": ["a"] * 6}
+
+
+def test_idle_local_maker_is_preferred_to_a_slightly_faster_one():
+    """Guards against large results made elsewhere for a tenth of a call's time."""
+    near = create_maker("near", slowness=1.2)
+    far = create_maker("far", data_centre="south")
+    large = create_bundle("a", 6, moved_bytes=9_000_000)
+    small = create_bundle("b", 6)
+    assert plan([large], [near, far]) == {"near": ["a"] * 6}
+    assert plan([small], [near, far]) == {"far": ["b"] * 6}
+
+
+def test_slow_local_maker_is_not_preferred():
+    near = create_maker("near", slowness=1.9)
+    far = create_maker("far", data_centre="south")
+    bundle = create_bundle("a", 6, moved_bytes=9_000_000)
+    assert plan([bundle], [near, far]) == {"far": ["a"] * 6}
+
+
 def test_local_bundle_goes_first_at_a_maker():
     large = 2_000_000
     far = create_bundle(
