--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_bundles.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_bundles.py
@@ -68,6 +68,13 @@
         self._whole_seconds = whole_seconds
         self._placement: PlacementPlan | None = None
 
+    @property
+    def placement(self) -> PlacementPlan:
+        """The plan for the data centres, made before the first bundle."""
+        if self._placement is None:
+            self._placement = self._plan_placement()
+        return self._placement
+
     def find_bounds(self) -> TargetDeadlines:
         """Return the times by which the target has to start on the request."""
         exchange = self._exchange
@@ -119,10 +126,8 @@
             size = self._plan.stages[one].result_bytes
             for result in held[one]:
                 sizes[result.data_centre] = sizes.get(result.data_centre, 0) + size
-        if self._placement is None:
-            self._placement = self._plan_placement()
         is_final = work.number in self._plan.final
-        placement = self._placement.place_stage(
+        placement = self.placement.place_stage(
             count=work.count,
             input_bytes=sizes,
             output_bytes=work.count * work.result_bytes if is_final else 0,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from greengagelatch.errors import RefusalCode
+from greengagelatch.relay.batches import LARGE_INPUT_BYTES
 from greengagelatch.relay.pieces import PieceFailure, PieceResult
 from greengagelatch.relay.stage_plan import StagePlan
 
@@ -336,8 +337,20 @@
                 results.inputs += (result.handle,)
                 size = self._plan.stages[number].result_bytes
                 sizes[result.data_centre] = sizes.get(result.data_centre, 0) + size
+        self._log_placement(results)
         return results
 
+    def _log_placement(self, results: StageResults) -> None:
+        sizes = results.bytes_by_data_centre
+        if sum(sizes.values()) < LARGE_INPUT_BYTES:
+            return
+        self._decisions.log_decision(
+            "placement",
+            request=self._exchange.request.request_id,
+            engine=self._bundles.placement.engine_data_centre,
+            bytes=dict(sizes),
+        )
+
     def _free_stage(self, number: int) -> None:
         held = self._held.pop(number, ())
         if held:
