Placement: engine that follows the results stays a preference; groups keep half of the slack

Before, a plan without a fixed engine gave up the preference for makers near the assigned engine. The choice of a group of makers now has the same bound as the wait for a single one.

New cases cover first stages.

--- a/packages/greengagelatch/src/greengagelatch/relay/groups.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/groups.py
@@ -8,6 +8,7 @@
 
 from ..targets.subset import compute_weight
 from .batches import LARGE_INPUT_BYTES, is_late
+from .local_makers import find_latest_end
 
 if TYPE_CHECKING:
     import random
@@ -190,4 +191,4 @@
         return True
     count = min(len(bundle.pieces), profile.batch)
     seconds = view.wait.estimate_stage(profile.estimate_seconds(count))
-    return now + view.wait.urgent + seconds <= bundle.soft_deadline
+    return now + view.wait.urgent + seconds <= find_latest_end(bundle, now)
--- a/packages/greengagelatch/src/greengagelatch/relay/local_makers.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/local_makers.py
@@ -9,7 +9,7 @@
     from .deployment import MakerProfile
     from .pieces import Bundle
 
-__all__ = ("choose_maker", "defer_to_local")
+__all__ = ("choose_maker", "defer_to_local", "find_latest_end")
 
 #: longest time that a bundle waits for a local maker, in seconds; about as long as a
 #: full call
@@ -70,10 +70,15 @@
     ):
         return False
     end = maker.free_at + profile.estimate_seconds(min(count, profile.batch))
+    return end <= find_latest_end(bundle, now)
+
+
+def find_latest_end(bundle: Bundle, now: float) -> float:
+    """Return by when a bundle that waits to be executed locally has to be done."""
     slack = bundle.soft_deadline - now
     if not bundle.begun:
         slack *= FIRST_STAGE_SLACK_SHARE
-    return end <= now + slack
+    return now + slack
 
 
 def choose_maker(idle: list[MakerView], first: _WaitingBundle) -> MakerView:
--- a/packages/greengagelatch/src/greengagelatch/relay/placement_plan.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/placement_plan.py
@@ -37,8 +37,10 @@
 class PlacementPlan:
     """Where the engine of a request is expected to be; kept for all of its stages."""
 
-    #: empty: the engine is chosen near the results
+    #: empty: unknown
     engine_data_centre: str = ""
+    #: whether the engine stays there; otherwise it follows the results
+    is_fixed: bool = False
 
     def place_stage(
         self, *, count: int, input_bytes: Mapping[str, int], output_bytes: int
@@ -53,10 +55,10 @@
         """
         sizes = {place: count * size for place, size in input_bytes.items()}
         engine = self.engine_data_centre
-        if engine and output_bytes:
+        if engine and output_bytes and self.is_fixed:
             sizes[engine] = sizes.get(engine, 0) + output_bytes
         if not sizes:
-            return StagePlacement()
+            return StagePlacement(data_centre=engine if output_bytes else "")
         best = max(sizes, key=sizes.get)
         return StagePlacement(data_centre=best, moved_bytes=sum(sizes.values()))
 
@@ -66,10 +68,12 @@
 
     The engine with the shared prompt parts is kept if reading these again costs more
     than the transfer of the results. Otherwise the engine follows the results, and
-    their makers are chosen for their speed alone.
+    makers near it are only preferred to equal ones.
 
     :param result_bytes: size of all results that the engine reads
     """
-    if result_bytes * outlook.tokens_per_byte < outlook.shared_tokens:
-        return PlacementPlan(engine_data_centre=outlook.data_centre)
-    return PlacementPlan()
+    transfer_tokens = result_bytes * outlook.tokens_per_byte
+    return PlacementPlan(
+        engine_data_centre=outlook.data_centre,
+        is_fixed=transfer_tokens < outlook.shared_tokens,
+    )
--- a/tests/test_core/test_relay/test_groups.py
+++ b/tests/test_core/test_relay/test_groups.py
@@ -39,7 +39,9 @@
     return ServiceView(makers=counts, load=load, capacity=capacity)
 
 
-def create_bundle(moved_bytes: int = 0, aim: float = NOW + 5) -> Bundle:
+def create_bundle(
+    moved_bytes: int = 0, aim: float = NOW + 5, *, begun: bool = True
+) -> Bundle:
     return Bundle(
         bundle_id="r-1/1",
         service=SERVICE,
@@ -49,6 +51,7 @@
         hard_deadline=aim + 5,
         data_centre="north",
         moved_bytes=moved_bytes,
+        begun=begun,
     )
 
 
@@ -126,3 +129,11 @@
     assert choose(large, create_views(north=1.0)) == {"north": 200}
     chosen = choose(large, create_views(north=1.9))
     assert chosen["north"] == 0
+
+
+def test_large_results_stay_local_within_half_of_the_slack():
+    """A first stage leaves the other half to later stages and the engine."""
+    large = create_bundle(moved_bytes=4_000_000, aim=NOW + 2.0, begun=False)
+    assert choose(large, create_views(north=0.6)) == {"north": 200}
+    chosen = choose(large, create_views(north=1.0))
+    assert chosen["north"] == 0
--- a/tests/test_core/test_relay/test_placement_plan.py
+++ b/tests/test_core/test_relay/test_placement_plan.py
@@ -31,27 +31,30 @@
 
 def test_cached_parts_keep_the_engine():
     plan = plan_placement(OUTLOOK, 3 * RESULT_BYTES)
-    assert plan == PlacementPlan(engine_data_centre="b")
+    assert plan == PlacementPlan(engine_data_centre="b", is_fixed=True)
 
 
 def test_engine_follows_results_larger_than_its_cached_parts():
-    assert plan_placement(OUTLOOK, 10 * RESULT_BYTES) == PlacementPlan()
+    plan = plan_placement(OUTLOOK, 10 * RESULT_BYTES)
+    assert plan == PlacementPlan(engine_data_centre="b")
+    placed = plan.place_stage(count=10, input_bytes={}, output_bytes=15_000_000)
+    assert placed == StagePlacement(data_centre="b", moved_bytes=0)
 
 
 def test_results_of_a_first_stage_are_made_near_the_engine():
-    plan = PlacementPlan(engine_data_centre="b")
+    plan = PlacementPlan(engine_data_centre="b", is_fixed=True)
     placed = plan.place_stage(count=3, input_bytes={}, output_bytes=4_500_000)
     assert placed == StagePlacement(data_centre="b", moved_bytes=4_500_000)
 
 
 def test_stage_that_only_another_reads_is_not_bound_to_the_engine():
-    plan = PlacementPlan(engine_data_centre="b")
+    plan = PlacementPlan(engine_data_centre="b", is_fixed=True)
     placed = plan.place_stage(count=6, input_bytes={}, output_bytes=0)
     assert placed == StagePlacement()
 
 
 def test_inputs_that_every_piece_reads_outweigh_the_results():
-    plan = PlacementPlan(engine_data_centre="b")
+    plan = PlacementPlan(engine_data_centre="b", is_fixed=True)
     placed = plan.place_stage(
         count=10, input_bytes={"a": 300_000, "c": 60_000}, output_bytes=60_000
     )
@@ -59,7 +62,7 @@
 
 
 def test_results_outweigh_small_inputs():
-    plan = PlacementPlan(engine_data_centre="b")
+    plan = PlacementPlan(engine_data_centre="b", is_fixed=True)
     placed = plan.place_stage(count=2, input_bytes={"a": 8_000}, output_bytes=3_000_000)
     assert placed.data_centre == "b"
 
@@ -69,7 +72,7 @@
 
     Results were made wherever a maker was idle: three quarters moved.
     """
-    planned = _play(PlacementPlan(engine_data_centre="b"))
+    planned = _play(PlacementPlan(engine_data_centre="b", is_fixed=True))
     assert planned <= 0.1
 
 
