--- a/packages/greengagelatch/src/greengagelatch/relay/batches.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/batches.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from .bundle_orders import DeadlineOrder, WaitingBundle
+from .local_makers import choose_maker, defer_to_local, moves_much
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -27,13 +28,6 @@
     "find_infeasible",
 )
 
-#: bytes moved between data centres from which a bundle waits for a local maker
-LARGE_INPUT_BYTES = 500_000
-#: longest time that a bundle waits for a local maker, in seconds; about as long as a
-#: full call
-MAX_LOCAL_WAIT_SECONDS = 0.45
-#: slowness up to which a bundle waits for a local maker
-MAX_LOCAL_SLOWNESS = 1.5
 #: seconds added to a bundle's urgency at a maker in another data centre than its inputs
 REMOTE_PENALTY_SECONDS = 0.3
 #: share of the makers' full throughput that estimates assume: calls are not always full
@@ -110,10 +104,10 @@
         call = _estimate_call(bundles, len(idle), profile)
         rate = estimate_rate(makers, profile)
         waiting = self._order.sort(bundles, profile, now, rate=rate, call=call)
-        waiting = _defer_to_local(waiting, idle, makers, profile, now)
+        waiting = defer_to_local(waiting, idle, makers, profile, now)
         while waiting and idle:
             share = _count_share(waiting, len(idle), profile)
-            maker = _choose_maker(idle, waiting[0].bundle)
+            maker = choose_maker(idle, waiting[0])
             idle.remove(maker)
             call = _fill(maker, _sort_for_maker(maker, waiting), share, profile)
             waiting = [one for one in waiting if one.left]
@@ -162,18 +156,13 @@
 
     Traffic between data centres is billed.
     """
-    if not any(_has_large_inputs(one) for one in waiting):
+    if not any(moves_much(one.bundle) for one in waiting):
         return waiting
     return sorted(waiting, key=lambda one: (one.tier, _find_urgency(one, maker)))
 
 
-def _has_large_inputs(one: WaitingBundle) -> bool:
-    """Return whether its inputs are too large to be moved between data centres."""
-    return one.bundle.moved_bytes >= LARGE_INPUT_BYTES
-
-
 def _find_urgency(one: WaitingBundle, maker: MakerView) -> float:
-    if _has_large_inputs(one) and one.bundle.data_centre != maker.data_centre:
+    if moves_much(one.bundle) and one.bundle.data_centre != maker.data_centre:
         return one.urgency + REMOTE_PENALTY_SECONDS
     return one.urgency
 
@@ -214,57 +203,6 @@
     return infeasible
 
 
-def _defer_to_local(
-    waiting: list[WaitingBundle],
-    idle: list[MakerView],
-    makers: list[MakerView],
-    profile: MakerProfile,
-    now: float,
-) -> list[WaitingBundle]:
-    """Return the bundles to place now, without those that wait for a local maker.
-
-    Traffic between data centres is billed, and every piece reads all inputs of its
-    bundle. A bundle with large inputs waits for a maker in their data centre as long
-    as the next call of that maker can include it and meet its soft deadline.
-    """
-    idle_data_centres = {one.data_centre for one in idle}
-    makers_by_data_centre: dict[str, list[MakerView]] = {}
-    for maker in makers:
-        makers_by_data_centre.setdefault(maker.data_centre, []).append(maker)
-    deferred: dict[str, int] = {}
-    ready = []
-    for one in waiting:
-        data_centre = one.bundle.data_centre
-        local_makers = makers_by_data_centre.get(data_centre, [])
-        count = deferred.get(data_centre, 0) + len(one.left)
-        if (
-            not _has_large_inputs(one)
-            or data_centre in idle_data_centres
-            or count > profile.batch * len(local_makers)
-            or not any(
-                _is_available_soon(maker, one.bundle, count, profile, now)
-                for maker in local_makers
-            )
-        ):
-            ready.append(one)
-            continue
-        deferred[data_centre] = count
-    return ready
-
-
-def _is_available_soon(
-    maker: MakerView, bundle: Bundle, count: int, profile: MakerProfile, now: float
-) -> bool:
-    """Return whether a busy maker can finish ``count`` pieces by the soft deadline."""
-    if (
-        maker.free_at > now + MAX_LOCAL_WAIT_SECONDS
-        or maker.slowness > MAX_LOCAL_SLOWNESS
-    ):
-        return False
-    end = maker.free_at + profile.estimate_seconds(min(count, profile.batch))
-    return end <= bundle.soft_deadline
-
-
 def _list_eligible(
     makers: list[MakerView], profile: MakerProfile, now: float
 ) -> list[MakerView]:
@@ -293,18 +231,6 @@
     return max(1, min(profile.batch, ceil(pieces / idle)))
 
 
-def _choose_maker(idle: list[MakerView], bundle: Bundle) -> MakerView:
-    """Return a maker: fast ones first, then local ones, then the most free memory."""
-    return min(
-        idle,
-        key=lambda one: (
-            round(one.slowness, 1),
-            one.data_centre != bundle.data_centre,
-            -one.free_bytes,
-        ),
-    )
-
-
 def _fill(
     maker: MakerView, waiting: list[WaitingBundle], share: int, profile: MakerProfile
 ) -> PlannedCall:
--- a/packages/greengagelatch/src/greengagelatch/relay/engine_costs.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/engine_costs.py
@@ -12,6 +12,7 @@
     from .target_states import TargetState
 
 __all__ = (
+    "TOKENS_PER_REMOTE_BYTE",
     "EngineDemand",
     "compute_transfer",
     "count_prompt",
--- a/packages/greengagelatch/src/greengagelatch/relay/groups.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/groups.py
@@ -7,8 +7,8 @@
 from typing import TYPE_CHECKING
 
 from ..targets.subset import compute_weight
-from .batches import LARGE_INPUT_BYTES
 from .bundle_orders import is_late
+from .local_makers import LARGE_BYTES, find_latest_end
 
 if TYPE_CHECKING:
     import random
@@ -169,7 +169,7 @@
         return min(others, key=lambda one: _find_wait(one, late)).group
     if not others:
         return local.group
-    moved = bundle.moved_bytes >= LARGE_INPUT_BYTES
+    moved = bundle.moved_bytes >= LARGE_BYTES
     if moved and not late and _is_on_time(local, bundle, profile, now):
         return local.group
     best = min(others, key=lambda one: _find_wait(one, late))
@@ -191,4 +191,4 @@
         return True
     count = min(len(bundle.pieces), profile.batch)
     seconds = view.wait.estimate_stage(profile.estimate_seconds(count))
-    return now + view.wait.urgent + seconds <= bundle.soft_deadline
+    return now + view.wait.urgent + seconds <= find_latest_end(bundle, now)
