--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
@@ -7,12 +7,14 @@
 
 from greengagelatch.relay.batches import find_infeasible
 from greengagelatch.relay.brittle_targets import BrittleTargets
+from greengagelatch.relay.bundle_orders import DeadlineOrder
 from greengagelatch.relay.pieces import PieceFailure, PieceResult
 from greengagelatch.relay.result_memory import ResultMemory
 
-from .bundle_queue import BundleQueue
+from .bundle_queue import INPUT_READ_SECONDS, BundleQueue
 from .maker_calls import SETTLED_OUTCOMES, CallResult, MakerCaller
 from .makers import Maker
+from .order_reports import OrderReports
 from .result_releaser import ResultReleaser
 from .wait_estimator import WaitEstimator
 
@@ -21,6 +23,7 @@
 
     from greengagelatch.clock import Clock
     from greengagelatch.relay.batches import BatchPolicy, PlannedCall
+    from greengagelatch.relay.bundle_orders import BundleOrder
     from greengagelatch.relay.deployment import MakerProfile
     from greengagelatch.relay.groups import MakerGroup
     from greengagelatch.relay.incarnations import Incarnation
@@ -41,9 +44,6 @@
 #: seconds after which queued pieces are scheduled again, and between two searches for
 #: pieces that cannot be made in time
 RESCHEDULE_SECONDS = 0.05
-#: seconds after which a call that started at once has fetched its inputs, which takes a
-#: few milliseconds
-INPUT_READ_SECONDS = 0.1
 #: slowness up to which a maker is assumed to start calls at once
 MAX_PROMPT_SLOWNESS = 1.5
 
@@ -76,6 +76,7 @@
         metrics: Metrics,
         decisions: DecisionLog,
         brittle_makers: BrittleTargets | None = None,
+        order: BundleOrder | None = None,
     ) -> None:
         self._group = group
         self._list_targets = list_makers
@@ -84,6 +85,7 @@
         self._quarantine = quarantine
         self._brittle_makers = brittle_makers or BrittleTargets()
         self._policy = policy
+        self._order = order or DeadlineOrder()
         self._target_table = target_table
         self._clock = clock
         self._decisions = decisions
@@ -94,11 +96,14 @@
             budgets=budgets,
             metrics=metrics,
         )
+        self._order_reports = OrderReports(
+            group, self._order, metrics=metrics, decisions=decisions
+        )
         self._makers: dict[Incarnation, Maker] = {}
         #: cached makers, and the entries and the profile that they were created from
         self._listed: list[Maker] = []
         self._listed_from: tuple[object, MakerProfile] | None = None
-        self._estimator = WaitEstimator(clock.now())
+        self._estimator = WaitEstimator(clock.now(), self._order)
         self._expiry_checked_at = 0.0
         self._tasks: set[asyncio.Task[None]] = set()
         self._timer: asyncio.TimerHandle | None = None
@@ -128,7 +133,7 @@
             return (gone,) * len(bundle.pieces)
         entry = self._queue.add(bundle, on_read)
         self._schedule()
-        self._estimator.record_added(len(entry.pending))
+        self._estimator.record_added(bundle, len(entry.pending), self._clock.now())
         try:
             return await entry.done
         except asyncio.CancelledError:
@@ -216,6 +221,7 @@
     ) -> None:
         for call in self._plan_calls(makers, profile, now):
             self._queue.dequeue(call)
+            self._order_reports.record_start(call, self._queue)
             self._quarantine.record_start(bundle for bundle, _ in call.pieces)
             # counted before its task runs: the maker would seem idle to bundles that
             # are added in the meantime
@@ -277,23 +283,13 @@
     ) -> None:
         """Fail the bundles whose request can no longer meet its deadline."""
         views = [maker.view(now) for maker in makers]
-        self._fail_unplaceable(makers)
+        self._queue.fail_unplaceable({maker.target.data_centre for maker in makers})
+        if self._order.by_rank:
+            self._queue.fail_without_inputs(now)
         waiting = self._queue.list_waiting()
-        for bundle in find_infeasible(waiting, views, profile, now):
+        for bundle in find_infeasible(waiting, views, profile, now, self._order):
             self._queue.fail(self._queue.find(bundle), PieceFailure.LATE)
 
-    def _fail_unplaceable(self, makers: list[Maker]) -> None:
-        """Fail the bundles that none of the makers may make."""
-        data_centres = {maker.target.data_centre for maker in makers}
-        for entry in tuple(self._queue):
-            allowed = entry.bundle.data_centres
-            if (
-                allowed is not None
-                and entry.pending
-                and data_centres.isdisjoint(allowed)
-            ):
-                self._queue.fail(entry, PieceFailure.NO_MAKER)
-
     def _fail_quarantined(self) -> None:
         """Fail the bundles that are held in quarantine."""
         for entry in tuple(self._queue):
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
@@ -9,13 +9,17 @@
 from typing import TYPE_CHECKING
 
 from greengagelatch.errors import RefusalCode
+from greengagelatch.relay.local_makers import LARGE_BYTES
 from greengagelatch.relay.pieces import PieceFailure, PieceResult
+from greengagelatch.relay.retry_times import find_retry_window
 from greengagelatch.relay.stage_plan import StagePlan
 
 from .refusals import create_error
 from .stage_bundles import BundleFactory, list_makers
 
 if TYPE_CHECKING:
+    import random
+
     from greengagelatch.clock import Clock
     from greengagelatch.relay.incarnations import Incarnation
     from greengagelatch.relay.load_balancer import LoadBalancer
@@ -71,7 +75,9 @@
         data_centre: str,
         load_balancer: LoadBalancer,
         target_table: TargetTable,
+        random_source: random.Random,
     ) -> None:
+        self.random = random_source
         self.load_balancer = load_balancer
         self.target_table = target_table
         self.executor = executor
@@ -103,8 +109,10 @@
         self._executor = runner.executor
         self._clock = runner.clock
         self._decisions = runner.decisions
+        self._random = runner.random
         self._target_table = runner.target_table
         self._exchange = exchange
+        self._first_seconds = first_seconds
         self._plan = StagePlan(exchange.request, exchange.route, exchange.deployment)
         self._bundles = BundleFactory(
             exchange=exchange,
@@ -125,7 +133,7 @@
 
     def estimate(self) -> ChainEstimate:
         """Return the estimated times of the stages along the chain."""
-        return self._plan.estimate(self._executor.estimate_wait)
+        return self._plan.estimate(self._bundles.estimate_wait)
 
     def may_execute_again(self) -> bool:
         """Return whether all stages are expected to be done in time once more.
@@ -286,7 +294,7 @@
         await self._delay_start(work)
         if self._target_table.has_superseded(list_makers(self._held, work.after)):
             raise _StageFailedError(work, PieceFailure.GONE)
-        queue = self._executor.estimate_wait(work.service)
+        queue = self._bundles.estimate_wait(work.service)
         seconds = queue.urgent + queue.estimate_stage(work.seconds)
         self._ends[number] = self._clock.now() + seconds
         bundle = self._bundles.create(work, self._held)
@@ -307,7 +315,7 @@
                 work,
                 self._clock.now(),
                 self._ends,
-                self._executor.estimate_wait,
+                self._bundles.estimate_wait,
                 self._bundles.find_bounds(),
                 self._held,
             )
@@ -336,8 +344,20 @@
                 results.inputs += (result.handle,)
                 size = self._plan.stages[number].result_bytes
                 sizes[result.data_centre] = sizes.get(result.data_centre, 0) + size
+        self._log_placement(results)
         return results
 
+    def _log_placement(self, results: StageResults) -> None:
+        sizes = results.bytes_by_data_centre
+        if sum(sizes.values()) < LARGE_BYTES:
+            return
+        self._decisions.log_decision(
+            "placement",
+            request=self._exchange.request.request_id,
+            engine=self._bundles.placement.engine_data_centre,
+            bytes=dict(sizes),
+        )
+
     def _free_stage(self, number: int) -> None:
         held = self._held.pop(number, ())
         if held:
@@ -360,7 +380,16 @@
             self._exchange,
             code,
             str(error),
-            retry_after=max(MIN_RETRY_AFTER, wait),
+            retry_after=self._find_retry_after(wait),
             field="stage",
             value=str(error.work.number),
         )
+
+    def _find_retry_after(self, wait: float) -> float | None:
+        """Return when the caller may retry; ``None`` if that would be too late."""
+        window = find_retry_window(
+            drain_seconds=wait,
+            service_time=self.estimate().work + self._first_seconds,
+            remaining=self._exchange.deadline - self._clock.now(),
+        )
+        return None if window is None else window.draw(self._random.random())
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/wait_estimator.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/wait_estimator.py
@@ -6,11 +6,14 @@
 from statistics import median
 from typing import TYPE_CHECKING
 
-from greengagelatch.relay.batches import is_late
+from greengagelatch.relay.bundle_orders import is_late
 from greengagelatch.relay.queue_waits import QueueWait
+from greengagelatch.relay.rank_waits import RankCounts
 
 if TYPE_CHECKING:
+    from greengagelatch.relay.bundle_orders import BundleOrder
     from greengagelatch.relay.deployment import MakerProfile
+    from greengagelatch.relay.pieces import Bundle
 
     from .bundle_queue import BundleQueue
     from .makers import Maker
@@ -31,9 +34,12 @@
     Every request reads the estimate, some several times. Counting the whole queue each
     time would cost more CPU time than the calls during a burst in a large deployment.
     So the queue is counted at most 50 times a second, and later arrivals are added.
+
+    :param order: the order in which queued bundles are made
     """
 
-    def __init__(self, now: float) -> None:
+    def __init__(self, now: float, order: BundleOrder) -> None:
+        self._order = order
         #: monotonic seconds since when more pieces than fill one call have been queued
         self._queued_since = now
         #: end time, duration and number of pieces made of each answered call
@@ -43,6 +49,8 @@
         self._urgent = 0
         self._waiting = 0
         self._added = 0
+        #: the same by rank, where less urgent bundles yield
+        self._ranks = RankCounts()
         #: estimated throughput, in pieces per second
         self._rate = 1.0
         #: median duration of a call, in seconds
@@ -52,9 +60,11 @@
         """Record the pieces that a call has made, and its duration."""
         self._completed.append((now, seconds, count))
 
-    def record_added(self, count: int) -> None:
-        """Count pieces that were added to the queue."""
+    def record_added(self, bundle: Bundle, count: int, now: float) -> None:
+        """Count the pieces of a bundle that were added to the queue."""
         self._added += count
+        if self._order.by_rank:
+            self._ranks.record_added(bundle, count, now)
 
     def estimate(
         self,
@@ -75,6 +85,7 @@
             (self._urgent + self._added) / self._rate,
             (self._waiting + self._added) / self._rate,
             self._call_seconds,
+            self._ranks.estimate(self._rate) if self._order.by_rank else (),
         )
 
     def _count(
@@ -88,10 +99,18 @@
             self._completed.popleft()
         self._call_seconds = median([one[1] for one in self._completed] or [0.0])
         self._urgent = self._waiting = self._added = 0
+        urgent = []
+        late = []
         for bundle, pending in queue.list_waiting():
-            self._waiting += len(pending)
-            if not is_late(bundle, len(pending), profile, now, self._call_seconds):
-                self._urgent += len(pending)
+            count = len(pending)
+            self._waiting += count
+            if is_late(bundle, count, profile, now, self._call_seconds):
+                late.append((bundle, count))
+                continue
+            self._urgent += count
+            urgent.append((bundle, count))
+        if self._order.by_rank:
+            self._ranks.count(urgent, late, now)
         speed = sum(1 / maker.find_slowness(now) for maker in makers)
         rate = profile.batch / profile.estimate_seconds(profile.batch)
         rate *= max(0.1, speed)
--- a/tests/test_core/test_relay/test_brittle_fleets.py
+++ b/tests/test_core/test_relay/test_brittle_fleets.py
@@ -15,7 +15,7 @@
 from greengagelatch.relay.brittle_targets import WINDOW_SECONDS, BrittleTargets
 from greengagelatch.relay.cold_targets import compute_share
 from greengagelatch.relay.incarnations import Incarnation
-from greengagelatch.relay.load_balancer import LoadReport
+from greengagelatch.relay.load_reports import LoadReport
 from greengagelatch.relay.slot_lending import SlotLending
 from greengagelatch.relay.targets import ListedTarget
 
@@ -303,7 +303,7 @@
             )
         ]
         if not usable and not excluded:
-            instance.rule.record_shortage("desk", self.now)
+            instance.lending.record_need("desk", self.now)
         if usable:
             chosen = min(
                 usable,
