A stop doesn't keep refused callers from returning elsewhere

Cause: the time to return was judged by the deadline that a stop of the instance has shortened, so that callers refused for the stop were told none; test_request_refused_for_lack_of_time_before_a_stop_may_retry_at_once failed.

The fixture of test_stages gives the caller the time that its deadline says.

Before: no Retry-After in a refusal for lack of time before a stop. After: 0, as the unchanged test asks.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
@@ -195,6 +195,14 @@
         """
         return max(0.0, self.route.timeout - self.request.timeout)
 
+    @property
+    def caller_deadline(self) -> float:
+        """Monotonic time in seconds until which the caller waits or retries.
+
+        A stop of this instance ends its requests earlier, but not a retry elsewhere.
+        """
+        return self.request.received + self.request.timeout
+
     @property
     def event_deadline(self) -> float:
         """Monotonic time in seconds by which a stream must send its next event."""
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stages.py
@@ -377,6 +377,6 @@
         window = find_retry_window(
             drain_seconds=wait,
             service_time=self.estimate().work + self._first_seconds,
-            remaining=self._exchange.deadline - self._clock.now(),
+            remaining=self._exchange.caller_deadline - self._clock.now(),
         )
         return None if window is None else window.draw(self._random.random())
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stream_admission.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stream_admission.py
@@ -59,7 +59,7 @@
             urgent_wait=chain.urgent_wait,
             service_time=work,
             remaining=exchange.event_deadline - now,
-            deadline_remaining=exchange.deadline - now,
+            deadline_remaining=exchange.caller_deadline - now,
             objective_remaining=route.objective - exchange.prior_wait - elapsed,
             elapsed_share=exchange.prior_wait / route.timeout if route.timeout else 0.0,
         )
--- a/tests/test_entry/test_relay/test_stages.py
+++ b/tests/test_entry/test_relay/test_stages.py
@@ -116,7 +116,7 @@
         headers=(),
         body=b"",
         received=clock.now(),
-        timeout=6.0,
+        timeout=seconds,
         piece_counts=counts,
         piece_key="key",
     )
