--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
@@ -198,6 +198,14 @@
         usual = self.route.timeout * (1.0 - self.timeout_spread)
         return max(0.0, usual - self.request.timeout)
 
+    @property
+    def caller_deadline(self) -> float:
+        """Monotonic time in seconds until which the caller waits or retries.
+
+        A stop of this instance ends its requests earlier, but not a retry elsewhere.
+        """
+        return self.request.received + self.request.timeout
+
     @property
     def event_deadline(self) -> float:
         """Monotonic time in seconds by which a stream must send its next event."""
