--- a/tests/test_core/test_relay/test_target_speeds.py
+++ b/tests/test_core/test_relay/test_target_speeds.py
@@ -186,7 +186,9 @@
     assert find_share(fleet, slow, 2.0) <= 0.03
 
 
-@pytest.mark.parametrize(("instances", "count"), [(3, 3), (9, 9), (40, 40)])
+@pytest.mark.parametrize(
+    ("instances", "count"), [(3, 3), (9, 9), (40, 40), (89, 45), (300, 60)]
+)
 def test_change_of_speeds_is_followed_in_four_seconds(instances, count):
     """Guards against requests that follow the speeds of before."""
     targets = create_uneven(count)
