Explanations where speeds of targets are measured

Cause: joined with the speeds of targets, the explanation called a method of the load balancer that is gone, and the copied choice kept a method of the original, which it gave empty states.

Change: scores are the expected times, and methods of the load balancer that its parts hold are bound to the copy.

Before: AttributeError for a service whose speeds are measured, and state of the original changed (the new test failed on either).

--- a/packages/greengagelatch/src/greengagelatch/relay/rehearsals.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/rehearsals.py
@@ -53,6 +53,8 @@
     def __init__(self, original: LoadBalancer) -> None:
         table = original._target_table
         memo: dict[int, Any] = {
+            # methods that its parts were given become those of the copy
+            id(original): self,
             id(table): table,
             id(original._random): random.Random(0),
         }
@@ -126,8 +128,8 @@
         if is_engine:
             score, _ = self._score_engine(target, demand, affinity, now)
         elif self._speeds.is_used(target.service, now):
-            option = self._create_option(target, now)
-            score = self._speeds.estimate(target, option.requests, now)
+            requests = self.count_requests(target.incarnation, now)
+            score = self._speeds.estimate(target, requests, now)
         else:
             score, _ = self._score_target(target, now)
         return score
@@ -156,6 +158,9 @@
 def _keep_callables(part: object, memo: dict[int, Any]) -> None:
     """Let a copy of ``part`` share its functions, and tell nobody of changes."""
     for name, value in vars(part).items():
+        if id(getattr(value, "__self__", None)) in memo:
+            # bound to the copy when it is copied
+            continue
         if callable(value):
             memo[id(value)] = _ignore if name.startswith("_on_") else value
         elif id(value) not in memo and _is_own(value):
--- a/tests/test_core/test_relay/test_rehearsals.py
+++ b/tests/test_core/test_relay/test_rehearsals.py
@@ -16,6 +16,7 @@
 from greengagelatch.relay.rehearsals import ChoiceRehearsal
 from greengagelatch.relay.requests import Prompt, PromptPart
 from greengagelatch.relay.slot_lending import SlotLending
+from greengagelatch.relay.target_speeds import Answer, SpeedMode, TargetSpeeds
 from greengagelatch.relay.targets import ListedTarget, TargetTable
 
 NOW = 50.0
@@ -27,7 +28,7 @@
 class Choice:
     """A load balancer over four targets, the last one in another data centre."""
 
-    def __init__(self) -> None:
+    def __init__(self, mode: SpeedMode = SpeedMode.NEVER) -> None:
         self.random = random.Random(4)
         self.table = TargetTable()
         self.needs: list[str] = []
@@ -44,6 +45,7 @@
             brittle_targets=BrittleTargets(
                 services=self.services, lending=self.lending
             ),
+            speeds=TargetSpeeds(mode),
         )
 
     def put(self, incarnation: Incarnation, **fields) -> None:
@@ -182,3 +184,16 @@
     assert choice.find_chosen() == []
     assert choice.needs == []
     assert choice.lending.create_request(NOW) is None
+
+
+def test_expected_times_are_told_where_speeds_are_measured():
+    choice = Choice(SpeedMode.ALWAYS)
+    for one, seconds in ((FIRST, 0.15), (SECOND, 0.02), (THIRD, 0.15), (OTHER, 0.15)):
+        for _ in range(8):
+            answer = Answer(requests=1.0, kind="look", seconds=seconds)
+            choice.balancer.record_answer(one, answer, NOW)
+    before = choice.snapshot()
+    reasons = choice.explain()
+    assert choice.snapshot() == before
+    assert choice.find_chosen() == [str(SECOND)]
+    assert reasons[str(SECOND)].score < reasons[str(FIRST)].score
