Explanations are not counted among the timeouts of callers

Cause: joined, the route filter's resolve() served explanations and recorded the timeout of the request as well. An operator's question has none, so that each counted as a caller that waits for the whole timeout, and the spread of callers' timeouts fell. Found in reading the whole change.

Change: only requests that pass the filter are recorded.

Before: the new test fails, the wait of a caller changed after 64 questions. No bound or assertion was changed.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/filters.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/filters.py
@@ -207,10 +207,12 @@
 
     async def apply(self, exchange: RelayExchange, proceed: RelayHandler) -> None:
         self.resolve(exchange)
+        self._caller_timeouts.record(exchange.request.timeout, exchange.route.timeout)
+        exchange.timeout_spread = self._caller_timeouts.find_spread()
         await proceed(exchange)
 
     def resolve(self, exchange: RelayExchange) -> None:
-        """Resolve route and workspace of a request.
+        """Resolve route and workspace of a request, without a change of state.
 
         :raises RefusedError: if either is unknown
         """
@@ -235,8 +237,6 @@
                 value=request.target[:64],
             )
         exchange.route = route
-        self._caller_timeouts.record(request.timeout, route.timeout)
-        exchange.timeout_spread = self._caller_timeouts.find_spread()
         exchange.deadline = min(
             request.received + min(request.timeout, route.timeout),
             self._find_stop_deadline(),
--- a/tests/test_entry/test_relay/test_caller_waits.py
+++ b/tests/test_entry/test_relay/test_caller_waits.py
@@ -30,8 +30,7 @@
     )
 
 
-async def find_wait(route_filter: RouteFilter, timeout: float) -> float:
-    """Return the wait before a request with this timeout."""
+def create_exchange(timeout: float) -> RelayExchange:
     request = OpaqueRequest(
         request_id="r",
         method="POST",
@@ -42,7 +41,12 @@
         received=0.0,
         timeout=timeout,
     )
-    exchange = RelayExchange(request=request, writer=None)
+    return RelayExchange(request=request, writer=None)
+
+
+async def find_wait(route_filter: RouteFilter, timeout: float) -> float:
+    """Return the wait before a request with this timeout."""
+    exchange = create_exchange(timeout)
 
     async def proceed(_: RelayExchange) -> None:
         pass
@@ -68,3 +72,14 @@
     for _ in range(20):
         assert await find_wait(route_filter, 20.0) == 0.0
     assert await find_wait(route_filter, 18.5) == 1.5
+
+
+async def test_explained_requests_are_not_counted_among_callers():
+    """Guards against waits that change as operators ask where requests would go."""
+    route_filter = create_filter()
+    for _ in range(4):
+        await find_wait(route_filter, 18.0)
+    wait = await find_wait(route_filter, 15.0)
+    for _ in range(64):
+        route_filter.resolve(create_exchange(float("inf")))
+    assert await find_wait(route_filter, 15.0) == wait
