Log the rates that targets name in their answers

Now the codec reads Server-Limit, a target-limit line tells each change, and the state dump shows what is known. No decision uses it yet. Values that can't be read neither limit a target nor end a limit that it named; the lowest of several counts.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -240,6 +240,7 @@
             crashes=self.crashes,
             load_balancer=self.targets.load_balancer,
             brittle_makers=self.targets.brittle_makers,
+            rate_limits=self.targets.rate_limits,
         )
         runners = compose_runners(
             self.shared,
@@ -370,6 +371,7 @@
                 **self.targets.brittle.describe(self.clock.now()),
                 **self.targets.brittle_makers.describe(self.clock.now()),
             },
+            "rate_limits": self.targets.rate_limits.describe(),
             "links": {
                 "idle": self.connections.count_idle(),
                 "tunnelled": self.links.tunnel_dialer.count_open(),
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/makers.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/makers.py
@@ -10,11 +10,13 @@
 
 from greengagelatch.relay.batches import MakerView
 from greengagelatch.relay.brittle_targets import BrittleTargets
+from greengagelatch.relay.rate_limits import RateLimits
 from greengagelatch.relay.result_memory import ResultMemory
 
 if TYPE_CHECKING:
     from greengagelatch.relay.deployment import MakerProfile
     from greengagelatch.relay.load_reports import LoadReport
+    from greengagelatch.relay.rate_limits import NamedRate
     from greengagelatch.relay.targets import ListedTarget
 
 __all__ = ("Maker",)
@@ -47,6 +49,7 @@
     busy_until: float = 0.0
     backoff_until: float = 0.0
     brittle_makers: BrittleTargets = field(default_factory=BrittleTargets)
+    rate_limits: RateLimits = field(default_factory=RateLimits)
     _backoff: float = INITIAL_BACKOFF
     _slowness: float = 1.0
     _measured_at: float = 0.0
@@ -104,6 +107,10 @@
             now=now,
         )
 
+    def record_rate(self, named: NamedRate) -> None:
+        """Record what an answer says of the rate of calls that the maker takes."""
+        self.rate_limits.record_answer(self.target.incarnation, named)
+
     def record_completion(
         self, items: int, started: float, now: float, *, made: bool = True
     ) -> None:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/messages.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/messages.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from greengagelatch.relay.rate_limits import NO_RATE, NamedRate
+
 if TYPE_CHECKING:
     from greengagelatch.relay.incarnations import Incarnation
     from greengagelatch.relay.load_reports import LoadReport
@@ -60,6 +62,8 @@
     load: LoadReport | None = None
     #: rejections in a second beyond which the target falls over; ``None``: not brittle
     rejection_limit: int | None = None
+    #: what it says of the rate that the target takes from all instances together
+    named_rate: NamedRate = NO_RATE
 
     @property
     def succeeded(self) -> bool:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_parts.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_parts.py
@@ -26,6 +26,7 @@
     from greengagelatch.relay.deployment import MakerProfile, Route
     from greengagelatch.relay.groups import MakerGroup
     from greengagelatch.relay.load_balancer import LoadBalancer
+    from greengagelatch.relay.rate_limits import RateLimits
 
     from .crash_parts import CrashParts
     from .parts import SharedParts
@@ -56,6 +57,7 @@
     crashes: CrashParts,
     load_balancer: LoadBalancer,
     brittle_makers: BrittleTargets,
+    rate_limits: RateLimits,
 ) -> StageParts:
     """Build and wire the components without starting them.
 
@@ -100,6 +102,7 @@
             codec=shared.adapters.targets,
             budgets=budgets,
             brittle_makers=brittle_makers,
+            rate_limits=rate_limits,
             clock=shared.clock,
             metrics=shared.metrics,
             decisions=shared.decisions,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_parts.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_parts.py
@@ -9,6 +9,7 @@
 from greengagelatch.relay.brittle_targets import BrittleTargets
 from greengagelatch.relay.cold_targets import ColdTargets
 from greengagelatch.relay.load_balancer import LoadBalancer
+from greengagelatch.relay.rate_limits import RateLimits
 from greengagelatch.relay.slot_lending import SlotLending
 from greengagelatch.relay.target_speeds import TargetSpeeds
 
@@ -36,6 +37,7 @@
     cold: ColdTargets
     brittle: BrittleTargets
     brittle_makers: BrittleTargets
+    rate_limits: RateLimits
     brittle_news: BrittleNewsController
     slot_loans: SlotLoansController
     load_balancer: LoadBalancer
@@ -88,6 +90,15 @@
             "brittle-service", service=service, brittle=False, limit=0, source="lapse"
         )
 
+    def log_rate_limit(incarnation: Incarnation, rate: float | None) -> None:
+        # the rate may change with each answer, so that the lines are limited
+        shared.decisions.log_decision(
+            "target-limit",
+            target=str(incarnation),
+            limited=rate is not None,
+            rate=rate or 0.0,
+        )
+
     def log_target_speed(
         target: ListedTarget, belief: SpeedBelief, slowness: float
     ) -> None:
@@ -127,12 +138,14 @@
         started_at=shared.clock.now(),
         on_changed=log_brittle_target,
     )
+    rate_limits = RateLimits(on_changed=log_rate_limit)
     load_balancer = LoadBalancer(
         target_table=shared.target_table,
         cold_targets=cold,
         data_centre=settings.data_centre,
         random_source=shared.random_source,
         brittle_targets=brittle,
+        rate_limits=rate_limits,
         speeds=TargetSpeeds(settings.measured_speeds, log_target_speed),
         own=settings.peers_listen,
     )
@@ -154,6 +167,7 @@
         brittle_makers=BrittleTargets(
             services=brittle_services, on_changed=log_brittle_target
         ),
+        rate_limits=rate_limits,
         brittle_news=brittle_news,
         slot_loans=slot_loans,
         load_balancer=load_balancer,
--- a/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
@@ -8,6 +8,7 @@
 from .brittle_targets import BrittleTargets
 from .cached_parts import find_affinity_target
 from .engine_costs import compute_transfer, count_prompt, count_work, estimate_work
+from .rate_limits import RateLimits
 from .regions import is_allowed
 from .target_choice import FastestChoice
 from .target_speeds import TargetSpeeds
@@ -21,6 +22,7 @@
     from .engine_costs import EngineDemand
     from .incarnations import Incarnation
     from .load_reports import LoadReport
+    from .rate_limits import NamedRate
     from .requests import Prompt
     from .target_speeds import Answer
     from .targets import ListedTarget, TargetTable
@@ -52,12 +54,14 @@
         data_centre: str,
         random_source: random.Random,
         brittle_targets: BrittleTargets | None = None,
+        rate_limits: RateLimits | None = None,
         speeds: TargetSpeeds | None = None,
         own: str = "",
     ) -> None:
         self._target_table = target_table
         self._cold_targets = cold_targets
         self._brittle_targets = brittle_targets or BrittleTargets()
+        self._rate_limits = rate_limits or RateLimits()
         self._data_centre = data_centre
         self._random = random_source
         self._speeds = speeds or TargetSpeeds()
@@ -311,8 +315,13 @@
             now=now,
         )
 
+    def record_rate(self, incarnation: Incarnation, named: NamedRate) -> None:
+        """Record what an answer says of the rate that a target takes."""
+        self._rate_limits.record_answer(incarnation, named)
+
     def forget(self, incarnation: Incarnation) -> None:
         """Discard the state of a target that is gone."""
+        self._rate_limits.forget(incarnation)
         self._states.pop(incarnation, None)
         self._speeds.forget(incarnation)
         self._brittle_targets.forget(incarnation)
--- a/tests/test_platform/test_targets.py
+++ b/tests/test_platform/test_targets.py
@@ -11,6 +11,7 @@
 from greengagelatch.relay.incarnations import Incarnation
 from greengagelatch.relay.load_reports import LoadReport
 from greengagelatch.relay.pieces import Piece, PieceFailure
+from greengagelatch.relay.rate_limits import NO_RATE, NamedRate
 from greengagelatch.relay.requests import OpaqueRequest
 from greengagelatch.relay.targets import ListedTarget
 from greengagelatch_entry.relay.messages import AttemptContext
@@ -113,6 +114,36 @@
     assert head.rejection_limit == limit
 
 
+def read_rate(*values: str) -> NamedRate:
+    headers = CIMultiDict([("Server-Limit", value) for value in values])
+    message = SimpleNamespace(code=200, reason="OK", headers=headers)
+    return CODEC.read_head(SimpleNamespace(message=message)).named_rate
+
+
+@pytest.mark.parametrize(
+    ("value", "rate"),
+    [("0", 0.0), ("0.5", 0.5), (" 2.50 ", 2.5), ("1e3", 1000.0), (".5", 0.5)],
+)
+def test_rates_of_targets_are_decoded(value, rate):
+    assert read_rate(value) == NamedRate(rate)
+
+
+@pytest.mark.parametrize("value", ["", "NaN", "inf", "-1", "many", "1 2", "1_000"])
+def test_invalid_rates_tell_nothing(value):
+    assert read_rate(value).is_unreadable
+
+
+def test_rates_without_a_meaning_as_a_limit_are_none():
+    assert read_rate() == NO_RATE
+    assert read_rate("9" * 400) == NO_RATE
+    assert read_rate("1e999") == NO_RATE
+
+
+def test_lowest_of_several_rates_counts():
+    assert read_rate("3", "2.5") == NamedRate(2.5)
+    assert read_rate("3, 2.5, x") == NamedRate(2.5)
+
+
 def read_load(value: str):
     message = SimpleNamespace(
         code=200, reason="OK", headers=CIMultiDict({"X-Replica-Load": value})
