--- a/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/targets.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/targets.py
@@ -11,6 +11,8 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Any
 
+from .announced_rates import AnnouncedRate
+
 if TYPE_CHECKING:
     from .brittleness import Brittleness
     from .store import SimulatedStore
@@ -118,6 +120,8 @@
     received: list[_Request] = field(default_factory=list)
     #: times of the event loop at which they arrived, by request id
     arrived_at: dict[str, float] = field(default_factory=dict)
+    #: the rate that it names in its answers
+    announced_rate: AnnouncedRate = field(default_factory=AnnouncedRate)
     #: number of times each piece was made, by request id, stage and segment
     pieces: Counter[tuple[str, int, int]] = field(default_factory=Counter)
     #: number of pieces in each stage call
@@ -287,6 +291,8 @@
             self.misdirected += 1
             _write(writer, 421, {"X-Replica-Id": self.target_id}, b"")
             return True
+        if request.target != "/v1/stage-free":
+            self.announced_rate.record_arrival(asyncio.get_running_loop().time())
         if request.target == "/v1/stage-run":
             return await self._make_with_room(request, writer)
         if request.target == "/v1/stage-free":
@@ -301,7 +307,7 @@
             return False
         request_id = request.headers.get("x-attempt-id", "")
         self.arrived_at[request_id] = asyncio.get_running_loop().time()
-        headers = {"X-Attempt-Id": request_id}
+        headers = {"X-Attempt-Id": request_id, **self.announced_rate.describe()}
         if self.load:
             headers["X-Replica-Load"] = self.load
         if self.fault is TargetFault.FULL:
@@ -501,6 +507,7 @@
     async def _make(
         self, request: _Request, writer: asyncio.StreamWriter, headers: dict[str, str]
     ) -> bool:
+        headers = {**headers, **self.announced_rate.describe()}
         items = json.loads(request.body)["items"]
         if self.fault is TargetFault.FULL:
             _write(writer, 503, {"X-Not-Executed": "1"}, b"")
