Instances share the rate that a target names

What callers saw: a target in need that named Server-Limit: 1 got 12 requests in 4 s, 11 allowed; with our stand-ins 115 to 133. Class: a limit of a target that counts over all instances, kept by none or by each.

One instance, by rendezvous hashing over those alive, issues a permit for each request to such a target, by a token bucket at the named rate, the most urgent first. It begins empty, so that a takeover repeats nothing, and issues a part only where it reaches half of the instances or fewer. Permits last half a second. First sends, retries, resumed streams and stage calls all take one where their target is chosen. What gets none goes to other targets, waits up to a second, or is refused at once with the wait that the issuer tells; streams also before their stages. Limits are told to the neighbours; they end with an answer that names none, at a rate that doubles for four seconds.

Why it works: arrivals are what one bucket issues, whatever each instance believes.

--- a/packages/greengagelatch-cli/src/greengagelatch_cli/commands/explanations.py
+++ b/packages/greengagelatch-cli/src/greengagelatch_cli/commands/explanations.py
@@ -32,7 +32,7 @@
 )
 #: what becomes of a request, by the outcome of the rehearsed choice
 OUTCOMES = {
-    "held": "held for a moment, then refused: all targets are brittle and lack room",
+    "held": "held for a moment, then refused: no target has room within its limits",
     "refused": "refused: no target accepts requests",
 }
 NO_TARGETS = "  (no targets)"
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/brittle_admission.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/brittle_admission.py
@@ -1,4 +1,4 @@
-"""Requests that wait until brittle targets have room for them."""
+"""Requests that wait until targets have room for them within their limits."""
 
 from __future__ import annotations
 
@@ -22,6 +22,7 @@
 
     from ..metrics import Metrics
     from .exchange import RelayExchange
+    from .permit_exchange import PermitExchange
 
     _Queue = tuple[str, frozenset[str] | None]
 
@@ -50,9 +51,11 @@
 
 
 class BrittleAdmission:
-    """Holds requests that no brittle target has room for, most urgent first.
+    """Holds requests that no target may be sent within its limits, most urgent first.
 
-    Requests of services whose targets are not brittle pass at once.
+    Requests of services whose targets have named no limit pass at once.
+
+    :param permits: asked for permits for targets that have named a rate
     """
 
     def __init__(
@@ -62,7 +65,9 @@
         clock: Clock,
         random_source: random.Random,
         metrics: Metrics,
+        permits: PermitExchange,
     ) -> None:
+        self._permits = permits
         self._load_balancer = load_balancer
         self._clock = clock
         self._random = random_source
@@ -103,21 +108,69 @@
         queue = exchange.service, exchange.data_centres
         return queue in self._waiting or self._lacks_room(exchange, excluded)
 
+    def check_start(self, exchange: RelayExchange) -> None:
+        """Refuse a request that would find no target when its stages are made.
+
+        :raises RefusedError: if all targets have refused a permit just now
+        """
+        wanted = self._list_limited(exchange, frozenset())
+        if not wanted or not self._lacks_room(exchange, frozenset()):
+            return
+        wait = self._permits.find_wait(wanted, self._find_patience(exchange))
+        if wait is not None:
+            raise self._create_refusal(exchange, wait)
+
     async def _wait_for_room(
         self,
         exchange: RelayExchange,
         waiter: _Waiter,
         waiting: list[_Waiter],
     ) -> RefusedError | None:
-        now = self._clock.now()
-        left = (exchange.deadline - now) * WAIT_SHARE
-        end = now + min(left, MAX_WAIT_SECONDS)
-        while self._clock.now() < end:
-            await asyncio.sleep(CHECK_SECONDS)
-            if self._is_next(exchange, waiter, waiting):
-                return None
+        end = self._clock.now() + self._find_patience(exchange)
+        permit = self._ask_for_permit(exchange, waiter, end)
+        try:
+            while (left := end - self._clock.now()) > 0:
+                await asyncio.wait({permit}, timeout=CHECK_SECONDS)
+                if self._is_next(exchange, waiter, waiting):
+                    return None
+                if not permit.done():
+                    continue
+                wait = permit.result()
+                if wait is not None and wait > left:
+                    return self._create_refusal(exchange, wait)
+                await asyncio.sleep(CHECK_SECONDS)
+                permit = self._ask_for_permit(exchange, waiter, end)
+        finally:
+            permit.cancel()
         return self._create_refusal(exchange)
 
+    def _ask_for_permit(
+        self, exchange: RelayExchange, waiter: _Waiter, end: float
+    ) -> asyncio.Task[float | None]:
+        """Begin to ask for a permit; the task ends with the wait for one, if too long.
+
+        :param end: monotonic time until which the request waits
+        """
+        return asyncio.create_task(
+            self._permits.obtain(
+                lambda: self._list_limited(exchange, waiter.excluded),
+                exchange.rank,
+                max(0.0, end - self._clock.now()),
+            )
+        )
+
+    def _find_patience(self, exchange: RelayExchange) -> float:
+        """Return the seconds for which a request waits for room."""
+        left = (exchange.deadline - self._clock.now()) * WAIT_SHARE
+        return min(left, MAX_WAIT_SECONDS)
+
+    def _list_limited(
+        self, exchange: RelayExchange, excluded: frozenset[Incarnation]
+    ) -> list[Incarnation]:
+        return self._load_balancer.list_limited(
+            exchange.service, excluded, self._clock.now(), exchange.data_centres
+        )
+
     def _is_next(
         self, exchange: RelayExchange, waiter: _Waiter, waiting: list[_Waiter]
     ) -> bool:
@@ -138,13 +191,19 @@
             exchange.service, excluded, self._clock.now(), exchange.data_centres
         )
 
-    def _create_refusal(self, exchange: RelayExchange) -> RefusedError:
+    def _create_refusal(
+        self, exchange: RelayExchange, wait: float = 0.0
+    ) -> RefusedError:
+        """Return the error that refuses a request.
+
+        :param wait: seconds until there is room, as far as known
+        """
         self._metrics.count("brittle_targets.refused")
         return create_error(
             exchange,
             RefusalCode.OVERLOADED,
-            f"no target of {exchange.service} has room, and all are brittle",
-            retry_after=self._random.uniform(*RETRY_AFTER_SECONDS),
+            f"no target of {exchange.service} has room within its limits",
+            retry_after=wait + self._random.uniform(*RETRY_AFTER_SECONDS),
             field="service",
             value=exchange.service,
         )
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -26,6 +26,7 @@
 from .known_instances import KnownInstances
 from .link_parts import compose_link_parts
 from .listing import ListingFollower
+from .ownership import Ownership
 from .parts import RelayAdapters, RelayParts, RelaySettings, SharedParts
 from .peer_settings import create_peer_settings
 from .peer_sync import PeerSyncController
@@ -149,10 +150,15 @@
         self.configuration = ConfigurationFollower(
             codec=self.adapters.deployments, clock=self.clock, decisions=self.decisions
         )
+        self.ownership = Ownership(
+            peers=self.peers, clock=self.clock, decisions=self.decisions
+        )
         self.targets = compose_target_parts(
             self.shared,
             known_instances=self.known_instances,
             find_service=self.configuration.find_service,
+            list_candidates=self.ownership.list_candidates,
+            min_instances=ASSUMED_INSTANCES,
         )
         self.listing = ListingFollower(
             codec=self.adapters.listings,
@@ -226,6 +232,7 @@
             target_table=self.target_table,
             cold_targets=self.targets.cold,
             brittle_news=self.targets.brittle_news,
+            rate_limit_news=self.targets.rate_limit_news,
             clock=self.clock,
             random_source=self.random,
             metrics=self.metrics,
@@ -240,7 +247,8 @@
             crashes=self.crashes,
             load_balancer=self.targets.load_balancer,
             brittle_makers=self.targets.brittle_makers,
-            rate_limits=self.targets.rate_limits,
+            permits=self.targets.permits,
+            ownership=self.ownership,
         )
         runners = compose_runners(
             self.shared,
@@ -249,6 +257,7 @@
             crashes=self.crashes,
             budgets=self.retry_budgets,
             stages=self.stages.runner,
+            permits=self.targets.permit_exchange,
             find_stop_deadline=lambda: self.drain.drain_deadline,
         )
         self.handler = compose_filters(
@@ -320,6 +329,8 @@
             self.crashes.detector,
             self.targets.brittle_news,
             self.targets.slot_loans,
+            self.targets.rate_limit_news,
+            self.targets.permit_exchange,
             self.links.probes,
             self.crashes.locks,
             self.follower,
@@ -371,7 +382,6 @@
                 **self.targets.brittle.describe(self.clock.now()),
                 **self.targets.brittle_makers.describe(self.clock.now()),
             },
-            "rate_limits": self.targets.rate_limits.describe(),
             "links": {
                 "idle": self.connections.count_idle(),
                 "tunnelled": self.links.tunnel_dialer.count_open(),
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/maker_calls.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/maker_calls.py
@@ -168,7 +168,7 @@
             maker.record_limit(
                 head.rejection_limit, head.load, now, rejected=head.not_run
             )
-            maker.record_rate(head.named_rate)
+            maker.record_rate(head.named_rate, now)
         if head.misdirected:
             # the call reached the target that has the address now, so that the next
             # attempt is charged as a retry
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/makers.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/makers.py
@@ -10,7 +10,7 @@
 
 from greengagelatch.relay.batches import MakerView
 from greengagelatch.relay.brittle_targets import BrittleTargets
-from greengagelatch.relay.rate_limits import RateLimits
+from greengagelatch.relay.permits import Permits
 from greengagelatch.relay.result_memory import ResultMemory
 
 if TYPE_CHECKING:
@@ -32,6 +32,8 @@
 RECENT_FAILURE_SECONDS = 5.0
 #: upper bound of the measured slowness, as a multiple of the expected time
 MAX_SLOWNESS = 10.0
+#: seconds for which a call waits for a permit before it is asked for again
+PERMIT_PATIENCE = 1.0
 #: seconds for which a maker that failed gets no calls: initial and maximum backoff
 INITIAL_BACKOFF = 0.25
 MAX_BACKOFF = 3.0
@@ -49,7 +51,7 @@
     busy_until: float = 0.0
     backoff_until: float = 0.0
     brittle_makers: BrittleTargets = field(default_factory=BrittleTargets)
-    rate_limits: RateLimits = field(default_factory=RateLimits)
+    permits: Permits = field(default_factory=Permits)
     _backoff: float = INITIAL_BACKOFF
     _slowness: float = 1.0
     _measured_at: float = 0.0
@@ -59,7 +61,12 @@
         """Return whether the maker can start a call at once."""
         if self.calls >= self.profile.slots or self.backoff_until > now:
             return False
-        return self.brittle_makers.may_send(self.target, self.calls, now)
+        if not self.brittle_makers.may_send(self.target, self.calls, now):
+            return False
+        if self.permits.may_send(self.target.incarnation, now):
+            return True
+        self.permits.want((self.target.incarnation,), now, patience=PERMIT_PATIENCE)
+        return False
 
     def view(self, now: float) -> MakerView:
         """Return the snapshot of the maker that the batch policy uses."""
@@ -69,6 +76,9 @@
             free_at = max(free_at, self.busy_until, now + 0.02)
         elif not self.brittle_makers.may_send(self.target, self.calls, now):
             free_at = max(free_at, now + 0.02)
+        elif not self.permits.may_send(self.target.incarnation, now):
+            rate = self.permits.limits.find_rate(self.target.incarnation, now)
+            free_at = max(free_at, now + 1.0 / rate)
         return MakerView(
             incarnation=self.target.incarnation,
             data_centre=self.target.data_centre,
@@ -86,6 +96,7 @@
         """Record a call that starts; return its timeout in seconds."""
         expected = self.profile.estimate_seconds(items) * self.find_slowness(now)
         self.calls += 1
+        self.permits.record_send(self.target.incarnation, now)
         self.busy_until = now + expected
         return expected * CALL_TIMEOUT_FACTOR + CALL_MARGIN
 
@@ -107,9 +118,9 @@
             now=now,
         )
 
-    def record_rate(self, named: NamedRate) -> None:
+    def record_rate(self, named: NamedRate, now: float) -> None:
         """Record what an answer says of the rate of calls that the maker takes."""
-        self.rate_limits.record_answer(self.target.incarnation, named)
+        self.permits.limits.record_answer(self.target.incarnation, named, now)
 
     def record_completion(
         self, items: int, started: float, now: float, *, made: bool = True
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/peer_sync.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/peer_sync.py
@@ -32,6 +32,7 @@
     from .crash_report_replicator import CrashReportReplicator
     from .evacuation import EvacuationFollower
     from .listing import ListingFollower
+    from .rate_limit_news import RateLimitNewsController
     from .store_follower import StoreFollower
 
 __all__ = ("PeerSyncController",)
@@ -79,6 +80,7 @@
         target_table: TargetTable,
         cold_targets: ColdTargets,
         brittle_news: BrittleNewsController,
+        rate_limit_news: RateLimitNewsController,
         clock: Clock,
         random_source: random.Random,
         metrics: Metrics,
@@ -95,6 +97,7 @@
         self._target_table = target_table
         self._cold_targets = cold_targets
         self._brittle_news = brittle_news
+        self._rate_limit_news = rate_limit_news
         self._clock = clock
         self._random = random_source
         self._metrics = metrics
@@ -195,6 +198,7 @@
                 "peer",
             )
         self._brittle_news.apply(update.brittle_services, elapsed)
+        self._rate_limit_news.apply(update.rate_limits, elapsed)
         self._crash_reports.apply_updates(update.crashes)
         if update.heard_seconds is not None:
             self._follower.record_peer_report(update.heard_seconds + elapsed)
@@ -228,6 +232,7 @@
                 for one, seconds in self._cold_targets.list_cold(self._clock.now())
             ),
             brittle_services=self._brittle_news.list_rows(),
+            rate_limits=self._rate_limit_news.list_rows(),
         )
 
     def _compress_configuration(self) -> bytes:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/request_path.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/request_path.py
@@ -33,6 +33,7 @@
     from ..in_flight_requests import InFlightRequests
     from .crash_parts import CrashParts
     from .parts import SharedParts
+    from .permit_exchange import PermitExchange
     from .retry_budgets import RetryBudgets
     from .stages import StageRunner
     from .target_connections import TargetConnectionPool
@@ -48,6 +49,7 @@
     crashes: CrashParts,
     budgets: RetryBudgets,
     stages: StageRunner,
+    permits: PermitExchange,
     find_stop_deadline: Callable[[], float],
 ) -> RunHandler:
     """Build the handler that sends requests to targets.
@@ -74,6 +76,7 @@
             clock=shared.clock,
             random_source=shared.random_source,
             metrics=shared.metrics,
+            permits=permits,
         ),
         "times": RouteLatencies(),
         "find_stop_deadline": find_stop_deadline,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_parts.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_parts.py
@@ -13,7 +13,6 @@
 from .bundle_quarantine import SharedBundleQuarantine
 from .forwarding_stage_executor import ForwardingStageExecutor
 from .local_stage_executor import LocalStageExecutor
-from .ownership import Ownership
 from .retry_budgets import RetryBudgets
 from .stage_groups import MakerGroups
 from .stage_pool import StagePool
@@ -26,9 +25,10 @@
     from greengagelatch.relay.deployment import MakerProfile, Route
     from greengagelatch.relay.groups import MakerGroup
     from greengagelatch.relay.load_balancer import LoadBalancer
-    from greengagelatch.relay.rate_limits import RateLimits
+    from greengagelatch.relay.permits import Permits
 
     from .crash_parts import CrashParts
+    from .ownership import Ownership
     from .parts import SharedParts
     from .target_connections import TargetConnectionPool
 
@@ -57,7 +57,8 @@
     crashes: CrashParts,
     load_balancer: LoadBalancer,
     brittle_makers: BrittleTargets,
-    rate_limits: RateLimits,
+    permits: Permits,
+    ownership: Ownership,
 ) -> StageParts:
     """Build and wire the components without starting them.
 
@@ -71,9 +72,6 @@
         list_members=shared.peers.members,
         find_profile=find_profile,
     )
-    ownership = Ownership(
-        peers=shared.peers, clock=shared.clock, decisions=shared.decisions
-    )
     quarantine = SharedBundleQuarantine(
         quarantine=crashes.quarantine,
         locks=crashes.locks,
@@ -102,7 +100,7 @@
             codec=shared.adapters.targets,
             budgets=budgets,
             brittle_makers=brittle_makers,
-            rate_limits=rate_limits,
+            permits=permits,
             clock=shared.clock,
             metrics=shared.metrics,
             decisions=shared.decisions,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
@@ -8,8 +8,8 @@
 from greengagelatch.relay.batches import find_infeasible
 from greengagelatch.relay.brittle_targets import BrittleTargets
 from greengagelatch.relay.bundle_orders import DeadlineOrder
+from greengagelatch.relay.permits import Permits
 from greengagelatch.relay.pieces import PieceFailure, PieceResult
-from greengagelatch.relay.rate_limits import RateLimits
 from greengagelatch.relay.result_memory import ResultMemory
 
 from .bundle_queue import INPUT_READ_SECONDS, BundleQueue
@@ -77,7 +77,7 @@
         metrics: Metrics,
         decisions: DecisionLog,
         brittle_makers: BrittleTargets | None = None,
-        rate_limits: RateLimits | None = None,
+        permits: Permits | None = None,
         order: BundleOrder | None = None,
     ) -> None:
         self._group = group
@@ -86,7 +86,7 @@
         self._is_exclusive = is_exclusive
         self._quarantine = quarantine
         self._brittle_makers = brittle_makers or BrittleTargets()
-        self._rate_limits = rate_limits or RateLimits()
+        self._permits = permits or Permits()
         self._policy = policy
         self._order = order or DeadlineOrder()
         self._target_table = target_table
@@ -279,7 +279,7 @@
                     profile,
                     result_memory,
                     brittle_makers=self._brittle_makers,
-                    rate_limits=self._rate_limits,
+                    permits=self._permits,
                 )
         self._listed = [self._makers[target.incarnation] for target in listed]
         self._listed_from = (listed, profile)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -75,6 +75,7 @@
 
     async def run(self, exchange: RelayExchange) -> None:
         self.budgets.record_request(exchange.service)
+        self.brittle.check_start(exchange)
         first_seconds, total_seconds = self.times.estimate(exchange)
         run = self._stages.create_run(exchange, first_seconds, total_seconds)
         self._admission.check_start(exchange, run.estimate(), first_seconds)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_parts.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_parts.py
@@ -9,18 +9,23 @@
 from greengagelatch.relay.brittle_targets import BrittleTargets
 from greengagelatch.relay.cold_targets import ColdTargets
 from greengagelatch.relay.load_balancer import LoadBalancer
+from greengagelatch.relay.permits import Permits
 from greengagelatch.relay.rate_limits import RateLimits
 from greengagelatch.relay.slot_lending import SlotLending
 from greengagelatch.relay.target_speeds import TargetSpeeds
 
 from .brittle_news import BrittleNewsController
+from .permit_exchange import PermitExchange
+from .rate_limit_news import RateLimitNewsController
 from .slot_loans import SlotLoansController
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
 
+    from greengagelatch.peers import Member
     from greengagelatch.relay.deployment import RoutedService
     from greengagelatch.relay.incarnations import Incarnation
+    from greengagelatch.relay.rate_limits import RateSource
     from greengagelatch.relay.target_speeds import SpeedBelief
     from greengagelatch.relay.targets import ListedTarget
 
@@ -37,7 +42,9 @@
     cold: ColdTargets
     brittle: BrittleTargets
     brittle_makers: BrittleTargets
-    rate_limits: RateLimits
+    permits: Permits
+    permit_exchange: PermitExchange
+    rate_limit_news: RateLimitNewsController
     brittle_news: BrittleNewsController
     slot_loans: SlotLoansController
     load_balancer: LoadBalancer
@@ -48,6 +55,7 @@
         self.cold.forget(incarnation)
         self.brittle.forget(incarnation)
         self.brittle_makers.forget(incarnation)
+        self.permit_exchange.forget(incarnation)
 
 
 def compose_target_parts(
@@ -55,8 +63,14 @@
     *,
     known_instances: KnownInstances,
     find_service: Callable[[str], RoutedService],
+    list_candidates: Callable[[], tuple[Member, ...]],
+    min_instances: int,
 ) -> TargetParts:
-    """Build and wire the components."""
+    """Build and wire the components.
+
+    :param list_candidates: returns the instances that are alive
+    :param min_instances: how many may exist at least while they are not all known
+    """
     settings = shared.settings
 
     def find_sharing_instances() -> Collection[str]:
@@ -90,14 +104,24 @@
             "brittle-service", service=service, brittle=False, limit=0, source="lapse"
         )
 
-    def log_rate_limit(incarnation: Incarnation, rate: float | None) -> None:
+    def count_instances() -> int:
+        known = known_instances.find_addresses()
+        if known is not None:
+            return len(known)
+        return max(min_instances, len(known_instances.addresses))
+
+    def handle_rate_limit(
+        incarnation: Incarnation, rate: float | None, source: RateSource
+    ) -> None:
         # the rate may change with each answer, so that the lines are limited
         shared.decisions.log_decision(
             "target-limit",
             target=str(incarnation),
             limited=rate is not None,
             rate=rate or 0.0,
+            source=source.value,
         )
+        rate_limit_news.handle_change()
 
     def log_target_speed(
         target: ListedTarget, belief: SpeedBelief, slowness: float
@@ -138,14 +162,34 @@
         started_at=shared.clock.now(),
         on_changed=log_brittle_target,
     )
-    rate_limits = RateLimits(on_changed=log_rate_limit)
+    rate_limits = RateLimits(on_changed=handle_rate_limit)
+    rate_limit_news = RateLimitNewsController(
+        peers=shared.peers,
+        limits=rate_limits,
+        clock=shared.clock,
+        metrics=shared.metrics,
+    )
+    permits = Permits(
+        rate_limits,
+        lambda wanted, patience: permit_exchange.handle_wanted(wanted, patience),
+    )
+    permit_exchange = PermitExchange(
+        peers=shared.peers,
+        permits=permits,
+        news=rate_limit_news,
+        list_candidates=list_candidates,
+        count_instances=count_instances,
+        clock=shared.clock,
+        random_source=shared.random_source,
+        metrics=shared.metrics,
+    )
     load_balancer = LoadBalancer(
         target_table=shared.target_table,
         cold_targets=cold,
         data_centre=settings.data_centre,
         random_source=shared.random_source,
         brittle_targets=brittle,
-        rate_limits=rate_limits,
+        permits=permits,
         speeds=TargetSpeeds(settings.measured_speeds, log_target_speed),
         own=settings.peers_listen,
     )
@@ -167,7 +211,9 @@
         brittle_makers=BrittleTargets(
             services=brittle_services, on_changed=log_brittle_target
         ),
-        rate_limits=rate_limits,
+        permits=permits,
+        permit_exchange=permit_exchange,
+        rate_limit_news=rate_limit_news,
         brittle_news=brittle_news,
         slot_loans=slot_loans,
         load_balancer=load_balancer,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_sender.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_sender.py
@@ -192,7 +192,7 @@
                 now,
                 rejected=head.not_run and head.status == STATUS_UNAVAILABLE,
             )
-            self._load_balancer.record_rate(target.incarnation, head.named_rate)
+            self._load_balancer.record_rate(target.incarnation, head.named_rate, now)
         if head.request_id != exchange.request.request_id and not head.misdirected:
             # the response belongs to another request or carries no id
             response.abort()
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/instances.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/instances.py
@@ -9,6 +9,7 @@
 from greengagelatch.relay.engine_costs import EngineDemand
 from greengagelatch.relay.load_balancer import LoadBalancer
 from greengagelatch.relay.retry_budget import RetryBudgetRule
+from greengagelatch_entry.relay.brittle_admission import BrittleAdmission
 from greengagelatch_entry.relay.bundle_quarantine import DisabledBundleQuarantine
 from greengagelatch_entry.relay.forwarding_stage_executor import ForwardingStageExecutor
 from greengagelatch_entry.relay.local_stage_executor import LocalStageExecutor
@@ -258,7 +259,14 @@
             ),
             sender=None,
             suspects=None,
-            brittle=None,
+            brittle=BrittleAdmission(
+                load_balancer=load_balancer,
+                clock=self._clock,
+                random_source=self._random,
+                metrics=NullTelemetry(),
+                # the modelled engines name no rate
+                permits=None,
+            ),
             find_stop_deadline=lambda: float("inf"),
             load_balancer=load_balancer,
             budgets=self._create_budgets(),
--- a/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
@@ -8,7 +8,7 @@
 from .brittle_targets import BrittleTargets
 from .cached_parts import find_affinity_target
 from .engine_costs import compute_transfer, count_prompt, count_work, estimate_work
-from .rate_limits import RateLimits
+from .permits import Permits
 from .regions import is_allowed
 from .target_choice import FastestChoice
 from .target_speeds import TargetSpeeds
@@ -54,14 +54,14 @@
         data_centre: str,
         random_source: random.Random,
         brittle_targets: BrittleTargets | None = None,
-        rate_limits: RateLimits | None = None,
+        permits: Permits | None = None,
         speeds: TargetSpeeds | None = None,
         own: str = "",
     ) -> None:
         self._target_table = target_table
         self._cold_targets = cold_targets
         self._brittle_targets = brittle_targets or BrittleTargets()
-        self._rate_limits = rate_limits or RateLimits()
+        self._permits = permits or Permits()
         self._data_centre = data_centre
         self._random = random_source
         self._speeds = speeds or TargetSpeeds()
@@ -97,6 +97,7 @@
         candidates = self._list_candidates(
             service, excluded, now, data_centres, may_probe
         )
+        self._permits.want(self.list_limited(service, excluded, now, data_centres), now)
         if not candidates:
             return None
         if self._speeds.is_used(service, now):
@@ -129,6 +130,9 @@
         candidates = self._list_candidates(
             service, excluded, now, need.data_centres, may_probe
         )
+        self._permits.want(
+            self.list_limited(service, excluded, now, need.data_centres), now
+        )
         if not candidates:
             return None
         affinity_target = find_affinity_target(need.prompt, candidates)
@@ -170,17 +174,33 @@
         now: float,
         data_centres: frozenset[str] | None = None,
     ) -> bool:
-        """Return whether only the limits of brittle targets prevent a send."""
-        listed = [
-            one
-            for one in self._target_table.list_service(service)
-            if is_allowed(one.data_centre, data_centres)
-            and one.incarnation not in excluded
-            and self._cold_targets.may_send(one, now)
+        """Return whether only the limits that targets have named prevent a send."""
+        listed = self._list_warm(service, excluded, now, data_centres)
+        permitted = [
+            one for one in listed if self._permits.may_send(one.incarnation, now)
         ]
-        in_flight = [(one, self.count_in_flight(one.incarnation)) for one in listed]
+        if listed and not permitted:
+            return True
+        in_flight = [(one, self.count_in_flight(one.incarnation)) for one in permitted]
         return self._brittle_targets.lacks_room(service, in_flight, now)
 
+    def list_limited(
+        self,
+        service: str,
+        excluded: frozenset[Incarnation],
+        now: float,
+        data_centres: frozenset[str] | None = None,
+    ) -> list[Incarnation]:
+        """Return the targets that a request could be sent to with a permit."""
+        if not self._permits.limits:
+            return []
+        return [
+            one.incarnation
+            for one in self._list_warm(service, excluded, now, data_centres)
+            if not self._permits.may_send(one.incarnation, now)
+            and self._has_room(one, now)
+        ]
+
     def find_affinity_target(
         self,
         service: str,
@@ -315,13 +335,15 @@
             now=now,
         )
 
-    def record_rate(self, incarnation: Incarnation, named: NamedRate) -> None:
+    def record_rate(
+        self, incarnation: Incarnation, named: NamedRate, now: float
+    ) -> None:
         """Record what an answer says of the rate that a target takes."""
-        self._rate_limits.record_answer(incarnation, named)
+        self._permits.limits.record_answer(incarnation, named, now)
 
     def forget(self, incarnation: Incarnation) -> None:
         """Discard the state of a target that is gone."""
-        self._rate_limits.forget(incarnation)
+        self._permits.forget(incarnation)
         self._states.pop(incarnation, None)
         self._speeds.forget(incarnation)
         self._brittle_targets.forget(incarnation)
@@ -350,6 +372,7 @@
 
     def _record_send(self, incarnation: Incarnation, now: float) -> None:
         self._cold_targets.record_send(incarnation, now)
+        self._permits.record_send(incarnation, now)
         state = self._find_state(incarnation)
         state.sent_at = now
         self._brittle_targets.record_start(incarnation, state.in_flight, now)
@@ -388,6 +411,7 @@
             for one in self._target_table.list_service(service)
             if is_allowed(one.data_centre, data_centres)
             and self._cold_targets.may_send(one, now)
+            and self._permits.may_send(one.incarnation, now)
             and self._has_room(one, now)
         ]
         breakers = [
@@ -411,6 +435,22 @@
         healthy = [one for one in left if one.incarnation not in ejected]
         return healthy or left
 
+    def _list_warm(
+        self,
+        service: str,
+        excluded: frozenset[Incarnation],
+        now: float,
+        data_centres: frozenset[str] | None,
+    ) -> list[ListedTarget]:
+        """Return the targets that only limits of their own may keep a request from."""
+        return [
+            one
+            for one in self._target_table.list_service(service)
+            if is_allowed(one.data_centre, data_centres)
+            and one.incarnation not in excluded
+            and self._cold_targets.may_send(one, now)
+        ]
+
     def _has_room(self, target: ListedTarget, now: float) -> bool:
         """Return whether a target takes a request, or tolerates that it rejects it."""
         in_flight = self.count_in_flight(target.incarnation)
--- a/packages/greengagelatch/src/greengagelatch/relay/messages.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/messages.py
@@ -8,6 +8,7 @@
 from ..peers.codec import Message, check_type, register
 from .brittle_services import BrittleNews
 from .incarnations import Incarnation
+from .permit_messages import RateLimitsUpdate
 from .pieces import Bundle, Piece, PieceFailure, PieceResult
 
 if TYPE_CHECKING:
@@ -202,8 +203,11 @@
     cold_targets: tuple[Any, ...] = ()
     #: see :func:`encode_brittle`
     brittle_services: tuple[Any, ...] = ()
+    #: see :func:`~greengagelatch.relay.permit_messages.encode_rate_limits`
+    rate_limits: tuple[Any, ...] = ()
 
     def __post_init__(self) -> None:
+        RateLimitsUpdate(self.rate_limits)
         check_type(self.crashes, (tuple, list))
         check_type(self.evacuations_revision, int)
         _check_rows(self.evacuations, (str, int), 0)
--- a/packages/greengagelatch/src/greengagelatch/relay/rehearsals.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/rehearsals.py
@@ -29,7 +29,7 @@
     data_centre: str
     chosen: bool
     #: what keeps requests from it: ``leaving``, ``evacuated``, ``region``, ``cold``,
-    #: ``brittle``, or ``breaker``
+    #: ``brittle``, ``rate`` (no permit is held now), or ``breaker``
     barred_by: tuple[str, ...]
     #: the lowest is chosen; at equal ones a draw decides
     score: float
@@ -39,6 +39,8 @@
     missing_tokens: float | None
     #: rejections in a second that it tolerates; ``None``: not brittle
     brittle_limit: int | None
+    #: requests a second that it takes from all instances; ``None``: any number
+    rate_limit: float | None
     #: its state as in the state dump
     state: dict[str, float | str]
 
@@ -96,6 +98,7 @@
                 has_affinity=is_engine and one is affinity,
                 missing_tokens=self._count_missing(one, demand, now, is_engine),
                 brittle_limit=self._brittle_targets.find_limit(one, now),
+                rate_limit=self._permits.limits.find_rate(one.incarnation, now),
                 state=states.get(str(one.incarnation), {}),
             )
             for one in listed
@@ -114,6 +117,7 @@
             ("region", is_allowed(target.data_centre, demand.data_centres)),
             ("cold", self._cold_targets.may_send(target, now)),
             ("brittle", self._has_room(target, now)),
+            ("rate", self._permits.may_send(target.incarnation, now)),
         )
         return tuple(name for name, passed in checks if not passed)
 
--- a/tests/test_entry/test_relay/test_brittle_admission.py
+++ b/tests/test_entry/test_relay/test_brittle_admission.py
@@ -28,11 +28,16 @@
             clock=LoopClock(),
             random_source=random.Random(1),
             metrics=SimpleNamespace(count=lambda name: None),
+            permits=self,
         )
 
     def lacks_room(self, service, excluded, now, data_centres) -> bool:
         return not any(self.has_room[one] for one in self.has_room.keys() - excluded)
 
+    async def obtain(self, list_wanted, rank, patience) -> None:
+        """Wait in vain for a permit, as no target has named a rate."""
+        await asyncio.sleep(patience)
+
     async def add(
         self, name: str, rank: float, excluded=ANY, seconds: float = 60.0
     ) -> None:
--- a/tests/test_entry/test_relay/test_limited_targets.py
+++ b/tests/test_entry/test_relay/test_limited_targets.py
@@ -49,3 +49,29 @@
         assert target.announced_rate.find_peak(since) >= WINDOW_SECONDS - 2
     if not names_all:
         assert statuses.count(200) == len(statuses)
+
+
+async def test_engines_and_makers_get_no_more_than_they_name(fleet):
+    """Guards against streams, resumed streams and stage calls beyond a named rate."""
+    limited = [one for one in fleet.targets.values() if one.service != "desk"]
+    for target in limited:
+        target.announced_rate.value = "2"
+    breaks = [1, 3] * 3
+    for target in limited:
+        target.breaks = breaks
+    loop = asyncio.get_running_loop()
+    since = loop.time() + CONTACT_SECONDS
+    end = since + 1.5 * WINDOW_SECONDS
+
+    async def stream_to(instance) -> list[int]:
+        tasks = []
+        while loop.time() < end:
+            tasks.append(asyncio.create_task(instance.stream()))
+            await asyncio.sleep(4 * PAUSE_SECONDS)
+        return [reply.status for reply in await asyncio.gather(*tasks)]
+
+    statuses = await asyncio.gather(*map(stream_to, fleet.instances))
+    assert 200 in itertools.chain.from_iterable(statuses)
+    assert not breaks
+    for target in limited:
+        assert target.announced_rate.find_peak(since) <= count_allowed(2.0)
--- a/tests/test_entry/test_relay/test_peer_sync.py
+++ b/tests/test_entry/test_relay/test_peer_sync.py
@@ -75,6 +75,9 @@
         target_table=None,
         cold_targets=ColdTargets(),
         brittle_news=SimpleNamespace(list_rows=tuple, apply=lambda rows, elapsed: None),
+        rate_limit_news=SimpleNamespace(
+            list_rows=tuple, apply=lambda rows, elapsed: None
+        ),
         clock=LoopClock(),
         random_source=random.Random(1),
         metrics=NullTelemetry(),
