Log the software versions of targets, and streams that callers take up again

Now the listing keeps the version of any type, peers tell it each other, target and request lines show it, and the latter what a caller resumes. No decision uses it yet.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
@@ -21,6 +21,7 @@
     from greengagelatch.relay.deployment import Deployment, Route
     from greengagelatch.relay.incarnations import Incarnation
     from greengagelatch.relay.requests import OpaqueRequest
+    from greengagelatch.relay.targets import ListedTarget
 
     from .messages import ResponseHead
     from .suspect_locks import Lock
@@ -154,6 +155,8 @@
     verdict: Verdict = Verdict.NOT_RUN
     #: targets that the request was sent to, in order
     targets: list[Incarnation] = field(default_factory=list)
+    #: versions of the software of these targets
+    software_versions: list[str] = field(default_factory=list)
     #: attempts in which no target received the request
     unsent: int = 0
     #: whether its next retry is already charged to the retry budget
@@ -188,6 +191,15 @@
         ids = self.part_ids[:MAX_LOGGED_PARTS]
         return {"parts": list(ids)} if ids else {}
 
+    def describe_resumption(self) -> dict[str, str | int]:
+        """Return the log fields of a stream that goes on; empty if it begins."""
+        if self.request.resume_after is None:
+            return {}
+        return {
+            "resumes": self.request.resumes,
+            "resume_after": self.request.resume_after,
+        }
+
     @property
     def prior_wait(self) -> float:
         """Estimated seconds that the caller has waited before this attempt.
@@ -212,6 +224,16 @@
         since = self.request.received if self.sent_at is None else self.sent_at
         return min(self.deadline, since + self.route.silence_limit)
 
+    def record_send(self, target: ListedTarget) -> None:
+        """Record that a target may have received the request."""
+        self.targets.append(target.incarnation)
+        self.software_versions.append(target.software_version)
+
+    def withdraw_send(self) -> None:
+        """Record that the last target has not received the request after all."""
+        self.targets.pop()
+        self.software_versions.pop()
+
     def raise_verdict(self, verdict: Verdict) -> None:
         """Raise the verdict; a lower one has no effect."""
         self.verdict = self.verdict.raise_to(verdict)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/filters.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/filters.py
@@ -122,6 +122,8 @@
             workspace=exchange.workspace,
             version=deployment.version if deployment else 0,
             targets=[str(one) for one in exchange.targets[-4:]],
+            versions=exchange.software_versions[-4:],
+            **exchange.describe_resumption(),
             stages_ms=_to_ms(exchange.stage_seconds),
             ms=_to_ms(seconds),
             left_ms=_to_ms(exchange.deadline - now) if exchange.deadline else None,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/listing.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/listing.py
@@ -160,6 +160,7 @@
             service=target.service,
             address=target.address,
             data_centre=target.data_centre,
+            version=target.software_version,
             state="leaving" if target.leaving else "ready",
             revision=target.revision,
         )
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/peer_sync.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/peer_sync.py
@@ -13,7 +13,11 @@
 from greengagelatch.relay.evacuations import Evacuation
 from greengagelatch.relay.incarnations import Incarnation
 from greengagelatch.relay.messages import PeerSyncAnswer, PeerSyncQuery
-from greengagelatch.relay.target_rows import decode_target, encode_target
+from greengagelatch.relay.target_rows import (
+    decode_targets,
+    encode_target,
+    encode_versions,
+)
 
 from ..controllers import Controller
 
@@ -188,7 +192,7 @@
             update.evacuations_revision,
         )
         if update.listed:
-            targets = tuple(filter(None, map(decode_target, update.targets)))
+            targets = tuple(decode_targets(update.targets, update.target_versions))
             self._listing.apply_peer_listing(targets, update.listing_revision)
         for target_id, started_ms, seconds in update.cold_targets:
             self._listing.record_cold(
@@ -211,15 +215,15 @@
         )
         evacuation = self._evacuation
         evacuations_newer = evacuation.revision > query.evacuations_revision
+        targets = self._target_table.list_all() if listed else ()
         return PeerSyncAnswer(
             heard_seconds=self._follower.staleness,
             configuration_revision=configuration.revision,
             configuration=self._compress_configuration() if newer else b"",
             listing_revision=self._listing.revision,
             listed=listed,
-            targets=tuple(map(encode_target, self._target_table.list_all()))
-            if listed
-            else (),
+            targets=tuple(map(encode_target, targets)),
+            target_versions=encode_versions(targets),
             crashes=self._crash_reports.list_newer(query.crashes_revision),
             evacuations_revision=evacuation.revision if evacuations_newer else 0,
             evacuations=tuple(
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_sender.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_sender.py
@@ -132,12 +132,12 @@
                 exchange, target, SendOutcome.UNSENT, str(error), blamed=may_send()
             )
         except TargetResponseError as error:
-            exchange.targets.append(incarnation)
+            exchange.record_send(target)
             return self.record_lost_response(exchange, target, error)
         except asyncio.CancelledError:
             exchange.raise_verdict(Verdict.MAY_HAVE_RUN)
             raise
-        exchange.targets.append(incarnation)
+        exchange.record_send(target)
         return self._classify(exchange, target, response)
 
     def record_lost_response(
@@ -200,7 +200,7 @@
             return self._record_failure(exchange, target, SendOutcome.LOST, reason)
         if head.misdirected:
             response.abort()
-            exchange.targets.pop()
+            exchange.withdraw_send()
             exchange.unsent += 1
             return self._record_failure(
                 exchange, target, SendOutcome.MISDIRECTED, "another target responded"
--- a/packages/greengagelatch/src/greengagelatch/relay/messages.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/messages.py
@@ -203,11 +203,18 @@
     cold_targets: tuple[Any, ...] = ()
     #: see :func:`encode_brittle`
     brittle_services: tuple[Any, ...] = ()
+    #: see :func:`~greengagelatch.relay.target_rows.encode_versions`
+    target_versions: tuple[Any, ...] = ()
     #: see :func:`~greengagelatch.relay.permit_messages.encode_rate_limits`
     rate_limits: tuple[Any, ...] = ()
 
     def __post_init__(self) -> None:
         RateLimitsUpdate(self.rate_limits)
+        check_type(self.target_versions, (tuple, list))
+        for row in self.target_versions:
+            check_type(row, (tuple, list))
+            for value, kind in zip(row, (str, int, str), strict=True):
+                check_type(value, kind)
         check_type(self.crashes, (tuple, list))
         check_type(self.evacuations_revision, int)
         _check_rows(self.evacuations, (str, int), 0)
--- a/packages/greengagelatch/src/greengagelatch/relay/requests.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/requests.py
@@ -64,6 +64,8 @@
     key: str = field(default="", repr=False)
     #: id of the last event that the caller has received
     resume_after: int | None = None
+    #: id of the attempt that brought the first event of the stream; empty: not told
+    resumes: str = ""
     prompt: Prompt | None = None
     piece_counts: PieceCounts = ()
     #: identifies the input of the request's first stages
--- a/packages/greengagelatch/src/greengagelatch/relay/target_rows.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/target_rows.py
@@ -2,16 +2,23 @@
 
 from __future__ import annotations
 
-from typing import Any
+from dataclasses import replace
+from typing import TYPE_CHECKING, Any
 
 from .incarnations import Incarnation
 from .targets import ListedTarget
 
-__all__ = ("decode_target", "encode_target")
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+__all__ = ("decode_target", "decode_targets", "encode_target", "encode_versions")
 
 
 def encode_target(target: ListedTarget) -> tuple[Any, ...]:
-    """Return a target as a row of a message."""
+    """Return a target as a row of a message, without the version of its software.
+
+    Earlier releases refuse rows of another length.
+    """
     return (
         target.target_id,
         target.incarnation.started_ms,
@@ -43,3 +50,30 @@
         leaving=leaving,
         revision=revision,
     )
+
+
+def encode_versions(targets: Iterable[ListedTarget]) -> tuple[Any, ...]:
+    """Return the software versions of targets as rows of a message.
+
+    A row holds the target's id and start, and the version.
+    """
+    return tuple(
+        (one.target_id, one.incarnation.started_ms, one.software_version)
+        for one in targets
+    )
+
+
+def decode_targets(rows: Iterable[Any], versions: Iterable[Any]) -> list[ListedTarget]:
+    """Return the targets of valid rows, with the versions of their software.
+
+    :param versions: see :func:`encode_versions`; empty: sent by an earlier release
+    """
+    by_incarnation = {
+        Incarnation(target_id, started_ms): version
+        for target_id, started_ms, version in versions
+    }
+    targets = filter(None, map(decode_target, rows))
+    return [
+        replace(one, software_version=by_incarnation.get(one.incarnation, ""))
+        for one in targets
+    ]
--- a/packages/greengagelatch/src/greengagelatch/relay/targets.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/targets.py
@@ -34,6 +34,8 @@
     #: seconds for which it was still cold when the entry was written; a cold target
     #: tolerates few requests
     cold_seconds: float = 0.0
+    #: version of its software; empty: not known
+    software_version: str = ""
     #: store revision at which its entry was written
     revision: int = 0
 
@@ -145,7 +147,11 @@
                 self._targets.pop(target.target_id, None)
             case IncarnationOrder.SAME:
                 newest = self._newest[target.target_id].incarnation
-                target = replace(target, incarnation=newest)
+                # an earlier release that passes on an entry tells no version
+                version = target.software_version or (
+                    self._newest[target.target_id].software_version
+                )
+                target = replace(target, incarnation=newest, software_version=version)
         known = self._targets.get(target.target_id)
         if known is not None and known.revision > target.revision:
             return False
--- a/tests/test_entry/test_relay/test_listing.py
+++ b/tests/test_entry/test_relay/test_listing.py
@@ -13,7 +13,11 @@
 from greengagelatch.peers.codec import Envelope, decode, encode
 from greengagelatch.relay.cold_targets import ColdTargets
 from greengagelatch.relay.messages import PeerSyncAnswer
-from greengagelatch.relay.target_rows import decode_target, encode_target
+from greengagelatch.relay.target_rows import (
+    decode_targets,
+    encode_target,
+    encode_versions,
+)
 from greengagelatch.relay.targets import TargetTable
 from greengagelatch.store import Entry
 from greengagelatch.store.ranges import Changes, Scan
@@ -226,10 +230,12 @@
     listed = listing.book.list_all()
     # listed targets can be encoded for peers and for requests
     rows = tuple(map(encode_target, listed))
-    message = decode(
-        encode(Envelope(PeerSyncAnswer(listed=True, targets=rows)))
-    ).unwrap()
-    assert tuple(map(decode_target, message.message.targets)) == listed
+    answer = PeerSyncAnswer(
+        listed=True, targets=rows, target_versions=encode_versions(listed)
+    )
+    message = decode(encode(Envelope(answer))).unwrap().message
+    decoded = decode_targets(message.targets, message.target_versions)
+    assert tuple(decoded) == listed
     for target in listed:
         assert target.target_id.isascii()
         assert target.address.rpartition(":")[2].isdecimal()
--- a/tests/test_platform/test_listing.py
+++ b/tests/test_platform/test_listing.py
@@ -63,6 +63,26 @@
     assert decode(json.dumps(fields).encode()).unwrap_err().key == name
 
 
+@pytest.mark.parametrize(
+    ("value", "version"),
+    [("v1.2", "v1.2"), (1.2, "1.2"), (True, "true"), ([1, "a"], '[1, "a"]')],
+)
+def test_software_version_may_be_of_any_type(value, version):
+    target = decode(json.dumps({**FIELDS, "version": value}).encode()).unwrap()
+    assert target.software_version == version
+
+
+def test_unwieldy_software_versions_are_told_apart():
+    versions = ["v" * 10_000, "v" * 10_001, "", "v\n1", "v\ud800"]
+    found = {
+        decode(json.dumps({**FIELDS, "version": one}).encode()).unwrap()
+        for one in versions
+    }
+    shown = {one.software_version for one in found}
+    assert len(shown) == len(versions)
+    assert all(0 < len(one) <= 64 and one.isprintable() for one in shown)
+
+
 @pytest.mark.parametrize("target_id", ["", "i\r\nX: y", "\u00e9", "i\u2028"])
 def test_id_that_is_no_valid_header_value_is_rejected(target_id):
     value = json.dumps(FIELDS).encode()
