--- a/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/targets.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/targets.py
@@ -114,6 +114,10 @@
     #: its start time in Unix milliseconds; ``None``: not in its store entry
     started_ms: int | None = FIRST_START
     fault: TargetFault = TargetFault.NONE
+    #: version of its software
+    software_version: str = "v1"
+    #: events that it has written, by request id
+    events: Counter[str] = field(default_factory=Counter)
     #: number of runs by request id
     runs: Counter[str] = field(default_factory=Counter)
     #: received requests, in order of arrival
@@ -258,7 +262,7 @@
             "service": self.service,
             "address": self.address,
             "zone": self.data_centre,
-            "version": "v1",
+            "version": self.software_version,
             "slots": 4 if self.brittleness is None else self.brittleness.slots,
             "state": state,
             "cold-left-ms": self.cold_ms,
@@ -462,6 +466,7 @@
             if number == 1:
                 event = self.first_event
             writer.write(self._frame(event))
+            self.events[headers["X-Attempt-Id"]] += 1
             await writer.drain()
             if number == first and self.stream_gate is not None:
                 await self.stream_gate.wait()
--- /dev/null
+++ b/tests/test_entry/test_relay/test_mixed_versions.py
@@ -0,0 +1,125 @@
+"""Tests of streams while targets of several software versions serve side by side."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import aiohttp
+from yarl import URL
+
+from greengagelatch_lab.platform_standins.deployment import API_KEY, HOST
+from greengagelatch_lab.platform_standins.targets import TargetFault
+
+STREAMS = 30
+COMPLETE = 200
+LAST_EVENT = b"id: 5\n"
+
+
+async def add_versions(fleet) -> None:
+    """Let two engines of each of two versions serve."""
+    for number in (1, 2):
+        await fleet.add(f"llm-new-{number}", "llm", software_version="v1.2")
+    for instance in fleet.instances:
+        await instance.wait_until_synced(len(fleet.targets))
+
+
+def list_engines(fleet) -> list:
+    return [one for one in fleet.targets.values() if one.service == "llm"]
+
+
+def find_versions(fleet, *attempts: str) -> set[str]:
+    """Return the versions of the engines whose events a caller has got."""
+    return {
+        engine.software_version
+        for engine in list_engines(fleet)
+        if any(engine.events[attempt] for attempt in attempts)
+    }
+
+
+def name_parts(number: int) -> str:
+    """Return the prompt parts of a stream, which no other stream shares."""
+    return f"{number:04x}:60,{number + 0x8000:x}:40"
+
+
+async def read_first_event(instance, attempt: str, parts: str) -> None:
+    """Begin a stream, and leave after its first event."""
+    url = URL(f"http://127.0.0.1:{instance.parts.front.port}/draft/1", encoded=True)
+    headers = {
+        "Host": HOST,
+        "X-Attempt-Id": attempt,
+        "X-Deadline-Ms": "10000",
+        "Authorization": f"Bearer {API_KEY}",
+        "X-Model": "m",
+        "X-Token-Counts": "100,20",
+        "X-Prefix-Hash": parts,
+        "X-Pieces": "1,1",
+        "X-Piece-Key": "piece-key",
+    }
+    async with aiohttp.ClientSession() as session:
+        response = await session.post(url, headers=headers, data=b"prompt")
+        with contextlib.suppress(aiohttp.ClientError):
+            assert await response.content.readuntil(b"\n\n")
+        response.close()
+
+
+async def test_stream_goes_on_within_an_answer_at_its_version(lavish_fleet):
+    """Guards against a break of a stream after which another version goes on."""
+    fleet = lavish_fleet
+    await add_versions(fleet)
+    breaks = [2, 1, 3] * (STREAMS // 3)
+    for engine in list_engines(fleet):
+        engine.breaks = breaks
+    replies = []
+    for number in range(STREAMS):
+        instance = fleet.instances[number % len(fleet.instances)]
+        replies.append(
+            await instance.stream(
+                X_Attempt_Id=f"s-{number}", X_Prefix_Hash=name_parts(number)
+            )
+        )
+    assert not breaks
+    mixed = [n for n in range(STREAMS) if len(find_versions(fleet, f"s-{n}")) > 1]
+    assert mixed == []
+    # the only other engine of the version may have broken the stream before
+    whole = [one for one in replies if LAST_EVENT in one.body]
+    assert len(whole) >= STREAMS * 0.8
+
+
+async def test_stream_that_a_caller_takes_up_goes_on_at_its_version(lavish_fleet):
+    """Guards against an instance that does not know which version began a stream.
+
+    The one that began it may be gone by the time that its caller returns. One engine
+    of each version has no room any more.
+    """
+    fleet = lavish_fleet
+    await add_versions(fleet)
+    gates = [asyncio.Event() for _ in list_engines(fleet)]
+    for engine, gate in zip(list_engines(fleet), gates, strict=True):
+        engine.stream_gate = gate
+    first, *others = fleet.instances
+    for number in range(STREAMS):
+        await read_first_event(first, f"a-{number}", name_parts(number))
+    for engine in list_engines(fleet):
+        if engine.target_id.endswith("1"):
+            engine.fault = TargetFault.FULL
+    for gate in gates:
+        gate.set()
+    await first.stop()
+    fleet.instances.remove(first)
+    replies = []
+    for number in range(STREAMS):
+        instance = others[number % len(others)]
+        reply = await instance.stream(
+            X_Attempt_Id=f"b-{number}",
+            X_Prefix_Hash=name_parts(number),
+            Resumes=f"a-{number}",
+            Last_Event_Id="1",
+        )
+        replies.append(reply)
+    mixed = [
+        n for n in range(STREAMS) if len(find_versions(fleet, f"a-{n}", f"b-{n}")) > 1
+    ]
+    assert mixed == []
+    assert [one.status for one in replies] == [COMPLETE] * STREAMS
+    assert all(LAST_EVENT in one.body for one in replies)
