Streams that callers take up again go on at the version that began them

The instance that a caller returns to knows no more than the id of the attempt that began the stream.

Before a stream is sent to a target, its attempt's id and the target's version go to three other instances, the best-ranked ones of different data centres by rendezvous hashing of the id's group; they remember it for a minute, and hand it over when they stop. The instance that gets a resumed stream asks nine, the first that knows it decides, and the stream is bound to that version from the start. If nobody knows it, it goes on only if one version was listed lately; else, and if no target has its version, it is refused as not run, before its stages.

Why it works: the message leaves before the first event can come, let alone the caller return, and a copy outlives the instance, its data centre's cut and a rolling restart. Fleets of 2 to 300 instances in virtual time join none: all streams go on in a calm fleet, at least nine in ten with a third killed at once or a data centre cut off, half with two thirds killed.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -37,6 +37,7 @@
 from .retry_budgets import RetryBudgets
 from .stage_parts import compose_stage_parts
 from .store_follower import StoreFollower
+from .stream_version_exchange import StreamVersionExchange
 from .target_parts import compose_target_parts
 from .usage import UsageController
 
@@ -250,6 +251,13 @@
             permits=self.targets.permits,
             ownership=self.ownership,
         )
+        self.stream_versions = StreamVersionExchange(
+            peers=self.peers,
+            target_table=self.target_table,
+            clock=self.clock,
+            metrics=self.metrics,
+            decisions=self.decisions,
+        )
         runners = compose_runners(
             self.shared,
             load_balancer=self.targets.load_balancer,
@@ -258,6 +266,7 @@
             budgets=self.retry_budgets,
             stages=self.stages.runner,
             permits=self.targets.permit_exchange,
+            versions=self.stream_versions,
             find_stop_deadline=lambda: self.drain.drain_deadline,
         )
         self.handler = compose_filters(
@@ -331,6 +340,7 @@
             self.targets.slot_loans,
             self.targets.rate_limit_news,
             self.targets.permit_exchange,
+            self.stream_versions,
             self.links.probes,
             self.crashes.locks,
             self.follower,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
@@ -150,6 +150,8 @@
     rank: float = 0.0
     #: monotonic time in seconds by which the response must be complete
     deadline: float = 0.0
+    #: software version of the targets that a resumed stream may go on at; ``None``: any
+    software_version: str | None = None
     #: share of the route's timeout by which the timeouts of first attempts differ
     timeout_spread: float = 0.0
     verdict: Verdict = Verdict.NOT_RUN
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/request_path.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/request_path.py
@@ -36,6 +36,7 @@
     from .permit_exchange import PermitExchange
     from .retry_budgets import RetryBudgets
     from .stages import StageRunner
+    from .stream_version_exchange import StreamVersionExchange
     from .target_connections import TargetConnectionPool
 
 __all__ = ("compose_explainer", "compose_filters", "compose_runners")
@@ -50,6 +51,7 @@
     budgets: RetryBudgets,
     stages: StageRunner,
     permits: PermitExchange,
+    versions: StreamVersionExchange,
     find_stop_deadline: Callable[[], float],
 ) -> RunHandler:
     """Build the handler that sends requests to targets.
@@ -87,6 +89,7 @@
         stages=stages,
         codec=shared.adapters.targets,
         target_table=shared.target_table,
+        versions=versions,
         admission=StreamAdmission(
             policy=DeadlineAdmission(),
             clock=shared.clock,
--- /dev/null
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stream_version_exchange.py
@@ -0,0 +1,222 @@
+"""Software versions of streams, told to other instances and asked of them."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+from result import Ok
+
+from greengagelatch.errors import RefusalCode
+from greengagelatch.peers import MemberState
+from greengagelatch.relay.stream_messages import (
+    StreamVersionAnswer,
+    StreamVersionQuery,
+    StreamVersionsUpdate,
+)
+from greengagelatch.relay.stream_versions import (
+    COPIES,
+    ServiceVersions,
+    StreamVersions,
+    find_group,
+    rank_keepers,
+)
+
+from ..controllers import Controller
+from .refusals import create_error
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from greengagelatch.clock import Clock
+    from greengagelatch.peers import Member, PeerNetwork
+    from greengagelatch.relay.requests import RefusedError
+    from greengagelatch.relay.targets import ListedTarget, TargetTable
+
+    from ..metrics import Metrics
+    from .decisions import DecisionLog
+    from .exchange import RelayExchange
+
+__all__ = ("StreamVersionExchange",)
+
+#: seconds in which the streams to be remembered by an instance are collected
+FLUSH_SECONDS = 0.01
+#: seconds for which the version of a stream is asked for at the most
+QUERY_SECONDS = 0.4
+#: instances that are asked: those that should remember a stream, and some that should
+#: have in another view of the fleet
+ASKED = 9
+#: seconds after which callers may retry a stream that can't go on now
+LOST_RETRY_AFTER = 0.5
+
+
+class StreamVersionExchange(Controller):
+    """Remembers which software version began each stream, also for other instances.
+
+    Before a request is sent to a target, its version is told to a few instances, chosen
+    by the request's id: the first event comes later, and the caller later still. The
+    instance that gets a resumed stream asks them.
+    """
+
+    name = "stream_versions"
+
+    def __init__(
+        self,
+        *,
+        peers: PeerNetwork,
+        target_table: TargetTable,
+        clock: Clock,
+        metrics: Metrics,
+        decisions: DecisionLog,
+    ) -> None:
+        super().__init__()
+        self._peers = peers
+        self._target_table = target_table
+        self._clock = clock
+        self._metrics = metrics
+        self._decisions = decisions
+        self._streams = StreamVersions()
+        self._services = ServiceVersions()
+        #: other instances by group, ranked as its keepers, and what they were ranked of
+        self._keepers: dict[int, tuple[str, ...]] = {}
+        self._members: tuple[Member, ...] = ()
+        #: rows to be sent, by instance
+        self._pending: dict[str, list[tuple[str, str]]] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        peers.handle(StreamVersionsUpdate, self._receive)
+        peers.handle(StreamVersionQuery, self._answer)
+
+    def record_send(self, request_id: str, target: ListedTarget) -> None:
+        """Record that a stream is sent to a target, here and at a few instances."""
+        version = target.software_version
+        self._streams.record(request_id, version, self._clock.now())
+        self._tell(request_id, version)
+        if self._timer is None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(FLUSH_SECONDS, self._flush)
+
+    async def find_version(self, exchange: RelayExchange) -> str | None:
+        """Return the version at which a request has to go on with its stream.
+
+        :return: ``None`` if any target may be sent the request
+        :raises RefusedError: if the version is not known, or no target has it
+        """
+        service = exchange.service
+        listed = {
+            one.software_version for one in self._target_table.list_service(service)
+        }
+        now = self._clock.now()
+        self._services.observe(service, listed, now)
+        if exchange.request.resume_after is None:
+            return None
+        version = await self._find(exchange.request.resumes)
+        if version is None and len(listed) <= 1:
+            only = self._services.find_only(service, now)
+            if only is not None or not listed:
+                # it was the only one for as long as streams last
+                return only
+        self._decisions.log_decision(
+            "stream-resumed",
+            request=exchange.request.request_id,
+            resumes=exchange.request.resumes,
+            service=service,
+            version=version,
+            listed=sorted(listed),
+        )
+        if version in listed:
+            return version
+        raise self._create_refusal(exchange, version)
+
+    def dump(self) -> dict[str, Any]:
+        return {"remembered": len(self._streams)}
+
+    async def on_stop(self) -> None:
+        """Hand over what is remembered: in a rolling restart, all keepers stop."""
+        if self._timer is not None:
+            self._timer.cancel()
+        for request_id, version in self._streams.list_remembered(self._clock.now()):
+            self._tell(request_id, version)
+        self._flush()
+
+    def _list_keepers(self, request_id: str) -> tuple[str, ...]:
+        """Return the other instances, those that should remember a request first."""
+        members = self._peers.members()
+        if members is not self._members:
+            self._members = members
+            self._keepers.clear()
+        group = find_group(request_id)
+        if group not in self._keepers:
+            own = self._peers.instance_id
+            alive = [one for one in members if one.state is MemberState.ALIVE]
+            ranked = rank_keepers(group, alive)
+            self._keepers[group] = tuple(one for one in ranked if one != own)
+        return self._keepers[group]
+
+    def _tell(self, request_id: str, version: str) -> None:
+        for keeper in self._list_keepers(request_id)[:COPIES]:
+            self._pending.setdefault(keeper, []).append((request_id, version))
+
+    def _flush(self) -> None:
+        self._timer = None
+        pending, self._pending = self._pending, {}
+        for keeper, rows in pending.items():
+            if self._peers.send(keeper, StreamVersionsUpdate(tuple(rows))):
+                self._metrics.count("stream_versions.updates_sent")
+
+    def _receive(self, sender: str, update: StreamVersionsUpdate) -> None:
+        now = self._clock.now()
+        for request_id, version in update.rows:
+            self._streams.record(request_id, version, now)
+
+    def _answer(self, sender: str, query: StreamVersionQuery) -> StreamVersionAnswer:
+        version = self._streams.find(query.request_id, self._clock.now())
+        return StreamVersionAnswer(version)
+
+    async def _find(self, request_id: str) -> str | None:
+        """Return the version that began a stream, as far as any instance knows."""
+        version = self._streams.find(request_id, self._clock.now())
+        if version is not None or not request_id:
+            return version
+        version = await self._ask_all(
+            self._list_keepers(request_id)[:ASKED], request_id
+        )
+        found = "found" if version is not None else "unknown"
+        self._metrics.count(f"stream_versions.{found}")
+        return version
+
+    async def _ask_all(self, asked: Sequence[str], request_id: str) -> str | None:
+        """Return the first version that one of some instances knows."""
+        tasks = [asyncio.create_task(self._ask(one, request_id)) for one in asked]
+        try:
+            for done in asyncio.as_completed(tasks):
+                version = await done
+                if version is not None:
+                    return version
+        finally:
+            for task in tasks:
+                task.cancel()
+        return None
+
+    async def _ask(self, instance_id: str, request_id: str) -> str | None:
+        query = StreamVersionQuery(request_id)
+        match await self._peers.ask(instance_id, query, QUERY_SECONDS):
+            case Ok(StreamVersionAnswer(version)):
+                return version
+        return None
+
+    def _create_refusal(
+        self, exchange: RelayExchange, version: str | None
+    ) -> RefusedError:
+        self._metrics.count("stream_versions.refused")
+        if version is None:
+            message = "the software version that began the stream is not known"
+        else:
+            message = "no target has the software version that began the stream"
+        return create_error(
+            exchange,
+            RefusalCode.NO_TARGET,
+            message,
+            retry_after=LOST_RETRY_AFTER,
+            field="resumes",
+            value=exchange.request.resumes[:64],
+        )
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -35,6 +35,7 @@
     from .messages import ResponseHead
     from .stages import StageResults, StageRun, StageRunner
     from .stream_admission import StreamAdmission
+    from .stream_version_exchange import StreamVersionExchange
 
 __all__ = ("StreamRunner",)
 
@@ -67,16 +68,19 @@
         codec: TargetCodec,
         admission: StreamAdmission,
         target_table: TargetTable,
+        versions: StreamVersionExchange,
         **common,
     ) -> None:
         super().__init__(**common)
         self.target_table = target_table
+        self.versions = versions
         self._admission = admission
         self._stages = stages
         self.codec = codec
 
     async def run(self, exchange: RelayExchange) -> None:
         self.budgets.record_request(exchange.service)
+        exchange.software_version = await self.versions.find_version(exchange)
         self.brittle.check_start(exchange)
         first_seconds, total_seconds = self.times.estimate(exchange)
         run = self._stages.create_run(exchange, first_seconds, total_seconds)
@@ -118,7 +122,7 @@
         #: those of them that were left as they were silent
         self._silent: frozenset[Incarnation] = frozenset()
         #: software version that began the stream; ``None``: it has not begun
-        self._software_version: str | None = None
+        self._software_version = exchange.software_version
         #: whether results were released that another target would have to fetch
         self._inputs_released = False
         self._sent_at = 0.0
@@ -211,6 +215,9 @@
         )
         self._sent_at = now
         self._first_event_at = None
+        if exchange.route.resumable:
+            # its caller may return to another instance
+            runner.versions.record_send(exchange.request.request_id, target)
         prefill = PrefillTracker(runner.load_balancer, target.incarnation, tokens, now)
         fetch_timer = InputFetchTimer(lambda: self._release_fetched_inputs(target))
         try:
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/instances.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/instances.py
@@ -20,8 +20,10 @@
 from greengagelatch_entry.relay.stage_pool import StagePool
 from greengagelatch_entry.relay.stages import StageRunner
 from greengagelatch_entry.relay.stream_admission import StreamAdmission
+from greengagelatch_entry.relay.stream_version_exchange import StreamVersionExchange
 from greengagelatch_entry.relay.streams import StreamRunner
 
+from ..standins.peers import MemoryNetwork
 from .models import ModelCodec
 from .network import ModelHost, ModelNetwork
 
@@ -251,6 +253,14 @@
             stages=stages,
             codec=ModelCodec(),
             target_table=self._target_table,
+            # the modelled callers take up no stream
+            versions=StreamVersionExchange(
+                peers=MemoryNetwork().join(""),
+                target_table=self._target_table,
+                clock=self._clock,
+                metrics=NullTelemetry(),
+                decisions=NullTelemetry(),
+            ),
             times=RouteLatencies(),
             admission=StreamAdmission(
                 policy=self._create_admission(),
--- /dev/null
+++ b/packages/greengagelatch/src/greengagelatch/relay/stream_versions.py
@@ -0,0 +1,132 @@
+"""Software versions that began streams, and the instances that remember them.
+
+A stream may go on only at the version that began it. The caller of an interrupted one
+returns to any instance, with no more than the id of the attempt that began it.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ..targets.subset import compute_weight
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Iterable
+
+    from ..peers import Member
+
+__all__ = (
+    "COPIES",
+    "MEMORY_SECONDS",
+    "ServiceVersions",
+    "StreamVersions",
+    "find_group",
+    "rank_keepers",
+)
+
+#: seconds for which a version is remembered: longer than a caller takes up a stream
+MEMORY_SECONDS = 60.0
+#: most streams that are remembered
+MAX_STREAMS = 20_000
+#: instances that remember each stream beside the one that sends it to a target
+COPIES = 3
+#: groups that streams are divided into by their ids. Each group has the same keepers,
+#: so that an instance has links to few of them
+GROUPS = 4
+
+
+def find_group(request_id: str) -> int:
+    """Return the number of the group that a stream belongs to."""
+    return compute_weight("", request_id) % GROUPS
+
+
+def rank_keepers(group: int, members: Collection[Member]) -> tuple[str, ...]:
+    """Return instance ids in the order in which they are to remember a group.
+
+    The first ones are in different data centres, so that one that is cut off leaves a
+    copy on either side. Instances with the same view agree without coordination.
+    """
+    key = f"streams-{group}"
+    ranked = sorted(
+        members,
+        key=lambda one: (compute_weight(one.instance_id, key), one.instance_id),
+    )
+    found: dict[str, Member] = {}
+    for member in ranked:
+        found.setdefault(member.data_centre, member)
+    first = [one.instance_id for one in found.values()][:COPIES]
+    rest = [one.instance_id for one in ranked if one.instance_id not in first]
+    return (*first, *rest)
+
+
+@dataclass(frozen=True, slots=True)
+class _Stream:
+    software_version: str
+    #: monotonic time until which it is remembered
+    until: float
+
+
+class StreamVersions:
+    """Versions of the targets that streams were last sent to, by the attempt's id.
+
+    A target that brings no event binds nothing: the next one that the request is sent
+    to replaces it. One that has brought events is replaced by none of another version.
+    """
+
+    def __init__(self) -> None:
+        #: least recently recorded first
+        self._streams: OrderedDict[str, _Stream] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._streams)
+
+    def record(self, request_id: str, software_version: str, now: float) -> None:
+        """Record the version of the target that a request is sent to."""
+        self._streams[request_id] = _Stream(software_version, now + MEMORY_SECONDS)
+        self._streams.move_to_end(request_id)
+        while self._streams:
+            oldest = next(iter(self._streams))
+            if len(self) <= MAX_STREAMS and self._streams[oldest].until > now:
+                return
+            del self._streams[oldest]
+
+    def list_remembered(self, now: float) -> list[tuple[str, str]]:
+        """Return the streams that are remembered, and their versions."""
+        return [
+            (request_id, stream.software_version)
+            for request_id, stream in self._streams.items()
+            if stream.until > now
+        ]
+
+    def find(self, request_id: str, now: float) -> str | None:
+        """Return the version that began a stream; ``None`` if it is not known."""
+        known = self._streams.get(request_id)
+        return None if known is None or known.until <= now else known.software_version
+
+
+class ServiceVersions:
+    """Versions that the targets of each service have had lately.
+
+    :param seconds: time for which a version is remembered
+    """
+
+    def __init__(self, seconds: float = MEMORY_SECONDS) -> None:
+        self._seconds = seconds
+        #: monotonic times at which each version was last listed, by service
+        self._seen: dict[str, dict[str, float]] = {}
+
+    def observe(self, service: str, versions: Iterable[str], now: float) -> None:
+        """Record the versions of the targets that are listed now."""
+        seen = self._seen.setdefault(service, {})
+        for version in versions:
+            seen[version] = now
+
+    def find_only(self, service: str, now: float) -> str | None:
+        """Return the version of all targets lately; ``None`` if there were several."""
+        seen = self._seen.get(service, {})
+        for version, seen_at in tuple(seen.items()):
+            if now - seen_at >= self._seconds:
+                del seen[version]
+        return next(iter(seen)) if len(seen) == 1 else None
--- a/tests/test_entry/test_relay/test_mixed_versions.py
+++ b/tests/test_entry/test_relay/test_mixed_versions.py
@@ -6,8 +6,10 @@
 import contextlib
 
 import aiohttp
+import pytest
 from yarl import URL
 
+from greengagelatch.relay.stream_versions import StreamVersions
 from greengagelatch_lab.platform_standins.deployment import API_KEY, HOST
 from greengagelatch_lab.platform_standins.targets import TargetFault
 
@@ -86,7 +88,10 @@
     assert all(LAST_EVENT in one.body for one in replies)
 
 
-async def test_stream_that_a_caller_takes_up_goes_on_at_its_version(lavish_fleet):
+@pytest.mark.parametrize("is_killed", [False, True])
+async def test_stream_that_a_caller_takes_up_goes_on_at_its_version(
+    lavish_fleet, is_killed
+):
     """Guards against an instance that does not know which version began a stream.
 
     The one that began it may be gone by the time that its caller returns. One engine
@@ -105,8 +110,11 @@
             engine.fault = TargetFault.FULL
     for gate in gates:
         gate.set()
-    await first.stop()
-    fleet.instances.remove(first)
+    if is_killed:
+        # nothing is handed over
+        first.find("stream_versions")._streams = StreamVersions()
+        await first.stop()
+        fleet.instances.remove(first)
     replies = []
     for number in range(STREAMS):
         instance = others[number % len(others)]
--- /dev/null
+++ b/tests/test_entry/test_relay/test_stream_version_fleets.py
@@ -0,0 +1,200 @@
+"""Tests of the versions of streams over whole fleets, in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from types import SimpleNamespace
+
+import pytest
+
+from greengagelatch.peers import MemberState
+from greengagelatch.relay.incarnations import Incarnation
+from greengagelatch.relay.requests import RefusedError
+from greengagelatch.relay.targets import ListedTarget, TargetTable
+from greengagelatch.verdict import Verdict
+from greengagelatch_entry.relay.stream_version_exchange import StreamVersionExchange
+from greengagelatch_lab.stage_load.instances import NullTelemetry
+from greengagelatch_lab.stage_load.virtual_time import LoopClock, run_in_virtual_time
+from greengagelatch_lab.standins.peers import MemoryNetwork
+
+from .test_permit_fleets import DelayedPeers
+
+SERVICE = "llm"
+STREAMS = 200
+DATA_CENTRES = ("north", "south", "east")
+#: seconds until an instance has detected that another is dead
+DETECTION_SECONDS = (0.3, 2.0)
+
+
+class Fleet:
+    """Instances of three data centres, and streams of two software versions."""
+
+    def __init__(self, count: int, seed: int = 1) -> None:
+        self.random = random.Random(seed)
+        self.network = MemoryNetwork()
+        self.table = TargetTable()
+        self.targets = [
+            self.add_target(number, version) for number, version in enumerate("1212")
+        ]
+        self.exchanges: dict[str, StreamVersionExchange] = {}
+        for number in range(count):
+            self.start(f"entry-{number}", DATA_CENTRES[number % len(DATA_CENTRES)])
+        #: version and first instance of each stream
+        self.streams: dict[str, tuple[str, str]] = {}
+        self.tasks: list[asyncio.Task] = []
+
+    def add_target(self, number: int, version: str) -> ListedTarget:
+        target = ListedTarget(
+            incarnation=Incarnation(f"t-{number}", 1),
+            service=SERVICE,
+            address=f"10.0.0.{number}:80",
+            data_centre="north",
+            software_version=version,
+        )
+        self.table.put(target)
+        return target
+
+    def start(self, name: str, data_centre: str) -> None:
+        self.network.join(name, data_centre)
+        peers = DelayedPeers(self.network, name, self.random)
+        self.network._peers[name] = peers
+        self.exchanges[name] = StreamVersionExchange(
+            peers=peers,
+            target_table=self.table,
+            clock=LoopClock(),
+            metrics=NullTelemetry(),
+            decisions=NullTelemetry(),
+        )
+
+    async def begin_streams(self) -> None:
+        for number in range(STREAMS):
+            request_id = f"a-{number}"
+            name = self.random.choice(sorted(self.exchanges))
+            target = self.random.choice(self.targets)
+            self.exchanges[name].record_send(request_id, target)
+            self.streams[request_id] = (target.software_version, name)
+            await asyncio.sleep(0.01)
+
+    async def take_up(self, instances: list[str], only: set[str] | None = None):
+        """Return how many streams went on, were refused, and went on wrongly.
+
+        :param only: first instances whose streams are taken up; ``None``: all
+        """
+        went_on = refused = wrong = 0
+        for request_id, (version, first) in self.streams.items():
+            if only is not None and first not in only:
+                continue
+            exchange = SimpleNamespace(
+                service=SERVICE,
+                verdict=Verdict.NOT_RUN,
+                request=SimpleNamespace(
+                    request_id=f"b-{request_id}", resumes=request_id, resume_after=3
+                ),
+            )
+            name = self.random.choice(instances)
+            try:
+                found = await self.exchanges[name].find_version(exchange)
+            except RefusedError:
+                refused += 1
+                continue
+            went_on += 1
+            wrong += found != version
+        return went_on, refused, wrong
+
+    def kill(self, name: str) -> None:
+        """End an instance, of which the others hear at their times."""
+        del self.exchanges[name]
+        self.network._peers.pop(name)
+        for other in self.exchanges:
+            noticing = self.notice_death(other, name)
+            self.tasks.append(asyncio.create_task(noticing))
+
+    async def notice_death(self, viewer: str, name: str) -> None:
+        await asyncio.sleep(self.random.uniform(*DETECTION_SECONDS))
+        overrides = self.network.state_overrides.setdefault(viewer, {})
+        overrides[name] = MemberState.DEAD
+
+
+@pytest.mark.parametrize("count", [2, 7, 89, 300])
+def test_all_streams_go_on_at_their_version_in_a_calm_fleet(count):
+    """Guards against streams lost or joined though no instance has failed."""
+
+    async def run():
+        fleet = Fleet(count)
+        await fleet.begin_streams()
+        return await fleet.take_up(sorted(fleet.exchanges))
+
+    assert run_in_virtual_time(run()) == (STREAMS, 0, 0)
+
+
+@pytest.mark.parametrize("count", [7, 89])
+@pytest.mark.parametrize(("share", "least"), [(0.15, 1.0), (0.35, 0.9), (0.65, 0.5)])
+def test_streams_of_killed_instances_go_on_at_their_version(count, share, least):
+    """Guards against versions that are lost with the instances that know them.
+
+    Others start at the same time, which changes who is to remember a stream.
+    """
+
+    async def run():
+        fleet = Fleet(count)
+        await fleet.begin_streams()
+        killed = set(fleet.random.sample(sorted(fleet.exchanges), int(count * share)))
+        for name in sorted(killed):
+            fleet.kill(name)
+        survivors = sorted(fleet.exchanges)
+        for number in range(len(killed)):
+            fleet.start(f"new-{number}", DATA_CENTRES[number % len(DATA_CENTRES)])
+        found = await fleet.take_up(survivors, killed)
+        await asyncio.gather(*fleet.tasks)
+        return found
+
+    went_on, refused, wrong = run_in_virtual_time(run())
+    assert wrong == 0
+    assert went_on >= least * (went_on + refused)
+
+
+@pytest.mark.parametrize("count", [9, 89])
+def test_streams_begun_before_a_cut_go_on_at_either_side(count):
+    """Guards against copies that are all on the other side of a partition."""
+
+    async def run():
+        fleet = Fleet(count)
+        await fleet.begin_streams()
+        north = {one for one in fleet.exchanges if int(one[6:]) % 3 == 0}
+        rest = set(fleet.exchanges) - north
+        fleet.network.blocked |= {(a, b) for a in north for b in rest}
+        fleet.network.blocked |= {(b, a) for a in north for b in rest}
+        return [
+            await fleet.take_up(sorted(north), rest),
+            await fleet.take_up(sorted(rest), north),
+        ]
+
+    for went_on, refused, wrong in run_in_virtual_time(run()):
+        assert wrong == 0
+        assert went_on >= 0.9 * (went_on + refused)
+
+
+def test_stream_goes_on_anywhere_while_there_is_one_version():
+    """Guards against streams lost for want of a version that nobody has to know."""
+
+    async def run():
+        fleet = Fleet(7)
+        for target in fleet.targets:
+            if target.software_version == "2":
+                fleet.table.remove(target.incarnation, 0)
+        fleet.streams = {f"x-{n}": ("1", "entry-0") for n in range(20)}
+        return await fleet.take_up(sorted(fleet.exchanges))
+
+    assert run_in_virtual_time(run()) == (20, 0, 0)
+
+
+def test_unknown_stream_is_refused_while_there_are_several_versions():
+    """Guards against a guess, which would join two versions."""
+
+    async def run():
+        fleet = Fleet(7)
+        fleet.streams = {f"x-{n}": ("1", "entry-0") for n in range(20)}
+        return await fleet.take_up(sorted(fleet.exchanges))
+
+    assert run_in_virtual_time(run()) == (0, 20, 0)
