--- a/tests/test_cli/test_explanations.py
+++ b/tests/test_cli/test_explanations.py
@@ -99,7 +99,10 @@
 
 @pytest.mark.parametrize(
     ("outcome", "text"),
-    [("held", "no target has room within its limits"), ("refused", "no target accepts requests")],
+    [
+        ("held", "no target has room within its limits"),
+        ("refused", "no target accepts requests"),
+    ],
 )
 async def test_request_that_would_not_be_sent_is_shown(
     server, run_command, outcome, text
