A stream that was sent again is known by its last version before it is sent

What callers would see: a stream joined from two versions, after its first target was silent and the second one, of another version, began it. Its log: sent to llm-1 (v1), no response, then to llm-newer-1 (v1.2); stream-resumed with version v1 27 ms later.

Where other instances know a stream by another version, the next send waits until they are told, 0.2 s at the most. Rows of it that wait to be sent are dropped. What an instance hands over when it stops replaces nothing. And a stream that nobody knows is asked for once more after 50 ms, as its news may be on their way.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stream_version_exchange.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stream_version_exchange.py
@@ -42,7 +42,11 @@
 #: seconds in which the streams to be remembered by an instance are collected
 FLUSH_SECONDS = 0.01
 #: seconds for which the version of a stream is asked for at the most
-QUERY_SECONDS = 0.4
+QUERY_SECONDS = 0.3
+#: seconds after which it is asked for again: longer than its news take
+NEWS_SECONDS = 0.05
+#: seconds for which the news of another version of a stream are waited for
+REPLACE_SECONDS = 0.2
 #: instances that are asked: those that should remember a stream, and some that should
 #: have in another view of the fleet
 ASKED = 9
@@ -86,15 +90,38 @@
         peers.handle(StreamVersionsUpdate, self._receive)
         peers.handle(StreamVersionQuery, self._answer)
 
-    def record_send(self, request_id: str, target: ListedTarget) -> None:
-        """Record that a stream is sent to a target, here and at a few instances."""
+    async def record_send(self, request_id: str, target: ListedTarget) -> None:
+        """Record that a stream is sent to a target, here and at a few instances.
+
+        Where they know it by another version, this returns once they have been told:
+        until then they would give a caller that has returned the former one.
+        """
         version = target.software_version
-        self._streams.record(request_id, version, self._clock.now())
+        now = self._clock.now()
+        before = self._streams.find(request_id, now)
+        self._streams.record(request_id, version, now)
+        if before not in (None, version):
+            await self._replace(request_id, version)
+            return
         self._tell(request_id, version)
         if self._timer is None:
             loop = asyncio.get_running_loop()
             self._timer = loop.call_later(FLUSH_SECONDS, self._flush)
 
+    async def _replace(self, request_id: str, version: str) -> None:
+        """Tell the instances that know another version of a stream, and wait for it."""
+        for rows in self._pending.values():
+            rows[:] = [row for row in rows if row[0] != request_id]
+        update = StreamVersionsUpdate(((request_id, version),))
+        keepers = self._list_keepers(request_id)[:COPIES]
+        if keepers:
+            await asyncio.wait(
+                [
+                    asyncio.create_task(self._peers.ask(one, update, REPLACE_SECONDS))
+                    for one in keepers
+                ]
+            )
+
     async def find_version(self, exchange: RelayExchange) -> str | None:
         """Return the version at which a request has to go on with its stream.
 
@@ -134,9 +161,10 @@
         """Hand over what is remembered: in a rolling restart, all keepers stop."""
         if self._timer is not None:
             self._timer.cancel()
+        self._flush()
         for request_id, version in self._streams.list_remembered(self._clock.now()):
             self._tell(request_id, version)
-        self._flush()
+        self._flush(handed_over=True)
 
     def _list_keepers(self, request_id: str) -> tuple[str, ...]:
         """Return the other instances, those that should remember a request first."""
@@ -156,17 +184,23 @@
         for keeper in self._list_keepers(request_id)[:COPIES]:
             self._pending.setdefault(keeper, []).append((request_id, version))
 
-    def _flush(self) -> None:
+    def _flush(self, *, handed_over: bool = False) -> None:
         self._timer = None
         pending, self._pending = self._pending, {}
         for keeper, rows in pending.items():
-            if self._peers.send(keeper, StreamVersionsUpdate(tuple(rows))):
+            update = StreamVersionsUpdate(tuple(rows), handed_over)
+            if self._peers.send(keeper, update):
                 self._metrics.count("stream_versions.updates_sent")
 
-    def _receive(self, sender: str, update: StreamVersionsUpdate) -> None:
+    def _receive(
+        self, sender: str, update: StreamVersionsUpdate
+    ) -> StreamVersionAnswer:
         now = self._clock.now()
         for request_id, version in update.rows:
-            self._streams.record(request_id, version, now)
+            known = self._streams.find(request_id, now)
+            if known is None or not update.handed_over:
+                self._streams.record(request_id, version, now)
+        return StreamVersionAnswer()
 
     def _answer(self, sender: str, query: StreamVersionQuery) -> StreamVersionAnswer:
         version = self._streams.find(query.request_id, self._clock.now())
@@ -177,9 +211,12 @@
         version = self._streams.find(request_id, self._clock.now())
         if version is not None or not request_id:
             return version
-        version = await self._ask_all(
-            self._list_keepers(request_id)[:ASKED], request_id
-        )
+        asked = self._list_keepers(request_id)[:ASKED]
+        version = await self._ask_all(asked, request_id)
+        if version is None and asked:
+            # the news may be on their way
+            await asyncio.sleep(NEWS_SECONDS)
+            version = await self._ask_all(asked, request_id)
         found = "found" if version is not None else "unknown"
         self._metrics.count(f"stream_versions.{found}")
         return version
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -217,7 +217,7 @@
         self._first_event_at = None
         if exchange.route.resumable:
             # its caller may return to another instance
-            runner.versions.record_send(exchange.request.request_id, target)
+            await runner.versions.record_send(exchange.request.request_id, target)
         prefill = PrefillTracker(runner.load_balancer, target.incarnation, tokens, now)
         fetch_timer = InputFetchTimer(lambda: self._release_fetched_inputs(target))
         try:
--- a/packages/greengagelatch/src/greengagelatch/relay/stream_messages.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/stream_messages.py
@@ -17,8 +17,11 @@
 
     #: pairs of a request's id and the version of the target that it is sent to
     rows: tuple[Any, ...] = ()
+    #: whether the sender was told them, and stops: the receiver may know them better
+    handed_over: bool = False
 
     def __post_init__(self) -> None:
+        check_type(self.handed_over, bool)
         check_type(self.rows, (tuple, list))
         for row in self.rows:
             check_type(row, (tuple, list))
--- a/tests/test_entry/test_relay/test_stream_version_fleets.py
+++ b/tests/test_entry/test_relay/test_stream_version_fleets.py
@@ -18,7 +18,7 @@
 from greengagelatch_lab.stage_load.virtual_time import LoopClock, run_in_virtual_time
 from greengagelatch_lab.standins.peers import MemoryNetwork
 
-from .test_permit_fleets import DelayedPeers
+from .test_permit_fleets import MESSAGE_SECONDS, DelayedPeers
 
 SERVICE = "llm"
 STREAMS = 200
@@ -72,7 +72,7 @@
             request_id = f"a-{number}"
             name = self.random.choice(sorted(self.exchanges))
             target = self.random.choice(self.targets)
-            self.exchanges[name].record_send(request_id, target)
+            await self.exchanges[name].record_send(request_id, target)
             self.streams[request_id] = (target.software_version, name)
             await asyncio.sleep(0.01)
 
@@ -175,6 +175,64 @@
         assert went_on >= 0.9 * (went_on + refused)
 
 
+@pytest.mark.parametrize("count", [2, 7, 89])
+def test_stream_that_was_sent_again_is_known_by_its_last_version(count):
+    """Guards against a caller that is back before the news of the second send.
+
+    The first target was silent, and the second one has another version.
+    """
+
+    async def run():
+        fleet = Fleet(count)
+        await fleet.begin_streams()
+        names = sorted(fleet.exchanges)
+        found = [0, 0, 0]
+        for request_id, (version, name) in tuple(fleet.streams.items()):
+            other = next(
+                one for one in fleet.targets if one.software_version != version
+            )
+            await fleet.exchanges[name].record_send(request_id, other)
+            fleet.streams = {request_id: (other.software_version, name)}
+            others = [one for one in names if one != name]
+            counts = await fleet.take_up(others)
+            found = [sum(pair) for pair in zip(found, counts, strict=True)]
+        return tuple(found)
+
+    assert run_in_virtual_time(run()) == (STREAMS, 0, 0)
+
+
+def test_stream_is_known_to_a_caller_that_is_back_at_once():
+    """Guards against a refusal while the news of a stream are on their way."""
+
+    async def run():
+        fleet = Fleet(7)
+        target = fleet.targets[1]
+        await fleet.exchanges["entry-0"].record_send("a-1", target)
+        fleet.streams = {"a-1": (target.software_version, "entry-0")}
+        return await fleet.take_up(["entry-1"])
+
+    assert run_in_virtual_time(run()) == (1, 0, 0)
+
+
+def test_instance_that_stops_hands_over_what_it_remembers():
+    """Guards against versions lost as one instance after the other is restarted."""
+
+    async def run():
+        fleet = Fleet(7)
+        await fleet.begin_streams()
+        first = set(fleet.exchanges)
+        for number, name in enumerate(sorted(first)):
+            fleet.start(f"new-{number}", DATA_CENTRES[number % len(DATA_CENTRES)])
+            await fleet.exchanges[name].on_stop()
+            await asyncio.sleep(MESSAGE_SECONDS[1])
+            fleet.kill(name)
+            await asyncio.sleep(DETECTION_SECONDS[1])
+        await asyncio.gather(*fleet.tasks)
+        return await fleet.take_up(sorted(fleet.exchanges))
+
+    assert run_in_virtual_time(run()) == (STREAMS, 0, 0)
+
+
 def test_stream_goes_on_anywhere_while_there_is_one_version():
     """Guards against streams lost for want of a version that nobody has to know."""
 
