The soak learns named rates, software versions and streams taken up again

Targets of the plain service name a rate for a time, engines of two versions serve, streams break at engines, and callers leave streams after an event and take them up at another instance.

--- a/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/announced_rates.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/announced_rates.py
@@ -29,14 +29,24 @@
     value: str | None = None
     #: monotonic times in seconds of the requests that it got
     arrivals: list[float] = field(default_factory=list)
+    #: the same with their ids, for those that callers have sent
+    requests: list[tuple[float, str]] = field(default_factory=list)
+    #: time and id of each request that was answered with the rate
+    answers: list[tuple[float, str]] = field(default_factory=list)
 
-    def record_arrival(self, now: float) -> None:
+    def record_arrival(self, now: float, request_id: str = "") -> None:
         """Record a request or a stage call, whether or not it is run."""
         self.arrivals.append(now)
-
-    def describe(self) -> dict[str, str]:
-        """Return the header lines of its answers."""
-        return {} if self.value is None else {"Server-Limit": self.value}
+        if request_id:
+            self.requests.append((now, request_id))
+
+    def describe(self, now: float = 0.0, request_id: str = "") -> dict[str, str]:
+        """Return the header lines of an answer."""
+        if self.value is None:
+            return {}
+        if request_id:
+            self.answers.append((now, request_id))
+        return {"Server-Limit": self.value}
 
     def find_peak(self, since: float) -> int:
         """Return the most requests that it got in a window, from a time on."""
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/fleet.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/fleet.py
@@ -100,12 +100,16 @@
         for service in ("desk", "llm", "portal", "ledger"):
             for number in range(TARGETS_PER_SERVICE):
                 await self.add_target(f"{service}-{number}", service)
+        await self.add_more_targets()
         seeds: list[str] = []
         for number in range(self.count):
             instance = await self.start_instance(f"entry-{number}", seeds)
             seeds.append(instance.control)
             self.instances.append(instance)
 
+    async def add_more_targets(self) -> None:
+        """Start the targets that a kind of fleet has beside those of all fleets."""
+
     async def start_instance(self, name: str, seeds: list[str]) -> Instance:
         """Start an instance and wait until it is ready.
 
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/soak/disturbances.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/soak/disturbances.py
@@ -16,7 +16,7 @@
 from greengagelatch_entry.application import ExitCode
 
 from ..platform_standins.deployment import API_KEY, HOST
-from .fleet import BRITTLE_SERVICE, QUEUE, SERVE_SECONDS
+from .fleet import BRITTLE_SERVICE, ENGINE_SERVICE, QUEUE, SERVE_SECONDS
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -29,10 +29,12 @@
 __all__ = (
     "BAD_PART",
     "BrittleTime",
+    "BrokenStreams",
     "Cause",
     "ConfigurationChange",
     "CrashingPart",
     "Disturbance",
+    "LimitedTime",
     "Partition",
     "Period",
     "Periods",
@@ -49,8 +51,10 @@
 BRITTLE_SERVE_SECONDS, BRITTLE_QUEUE = 0.8, 1
 
 
-#: service whose targets crash on a prompt part, and that part
-ENGINE_SERVICE, BAD_PART = "llm", "bad"
+#: path of the streams that may go on at another engine
+RESUMABLE_PATH = "/draft"
+#: prompt part that engines crash on
+BAD_PART = "bad"
 #: beginning of the ids of requests with that part; number and instance follow
 CRASHING_PREFIX = "crashing-"
 #: seconds between two of them at one instance
@@ -69,6 +73,8 @@
     BRITTLE = "brittle"
     #: requests come with a prompt part that crashes engines
     CRASHING_PART = "crashing-part"
+    #: targets name a rate
+    LIMIT = "limit"
     CONFIGURATION = "configuration"
     RELOAD = "reload"
     #: from SIGTERM until the instance is ready again
@@ -92,6 +98,8 @@
     end: float = float("inf")
     #: falls of targets in it
     falls: int = 0
+    #: rate that targets name in it, in requests per second
+    rate: float = 0.0
     #: times at which targets crashed on a prompt part in it
     crashes: list[float] = field(default_factory=list)
     #: time and instance of each request with that part that has reached a target
@@ -209,6 +217,39 @@
         periods.end(period)
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LimitedTime(Disturbance):
+    """The targets of a service name a rate that they take."""
+
+    rate: float
+    seconds: float
+
+    async def run(self, fleet: LinkedFleet, periods: Periods) -> None:
+        """Let them name it, and no longer."""
+        targets = fleet.find_targets(BRITTLE_SERVICE)
+        period = periods.begin(Cause.LIMIT, service=BRITTLE_SERVICE)
+        period.rate = self.rate
+        for target in targets:
+            target.announced_rate.value = str(self.rate)
+        await asyncio.sleep(self.seconds)
+        for target in targets:
+            target.announced_rate.value = None
+        periods.end(period)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class BrokenStreams(Disturbance):
+    """Engines break streams that may go on elsewhere, after some events."""
+
+    count: int
+
+    async def run(self, fleet: LinkedFleet, periods: Periods) -> None:
+        """Break the next streams, at whatever engines they are."""
+        breaks = [1 + number % 3 for number in range(self.count)]
+        for engine in fleet.find_targets(ENGINE_SERVICE):
+            engine.breaks, engine.broken_path = breaks, RESUMABLE_PATH
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class CrashingPart(Disturbance):
     """Requests come whose prompts have a part that crashes engines."""
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/soak/fleet.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/soak/fleet.py
@@ -19,6 +19,7 @@
     from pathlib import Path
 
     from ..platform_standins.fleet import Instance
+    from ..platform_standins.targets import SimulatedTarget
 
 __all__ = ("LinkedFleet", "StoreView")
 
@@ -28,6 +29,10 @@
 SLOTS, QUEUE, SERVE_SECONDS = 4, 16, 0.03
 #: service whose targets may become brittle
 BRITTLE_SERVICE = "desk"
+#: service of the engines, their software versions, and how many have the newer one
+ENGINE_SERVICE, FIRST_VERSION, NEWER_VERSION, NEWER_ENGINES = "llm", "v1", "v1.2", 2
+#: text before the version in each event
+VERSION_NOTE = " by "
 #: longest time in milliseconds for which a request is kept waiting
 TIMEOUT_MS = 8000
 
@@ -89,6 +94,8 @@
         super().__init__(directory, count)
         #: by the name of the instance
         self.links: dict[str, TargetLinks] = {}
+        #: engines of a newer software version
+        self.newer: list[SimulatedTarget] = []
         self._views: dict[str, StoreView] = {}
         self._version = 0
 
@@ -107,6 +114,9 @@
 
     async def add_target(self, target_id: str, service: str, **fields: Any) -> Any:
         """Start a target and register it in the store."""
+        if service == ENGINE_SERVICE:
+            version = fields.setdefault("software_version", FIRST_VERSION)
+            fields["event_note"] = f"{VERSION_NOTE}{version}"
         if service == BRITTLE_SERVICE:
             fields["brittleness"] = Brittleness(
                 limit=None,
@@ -117,6 +127,15 @@
             )
         return await super().add_target(target_id, service, **fields)
 
+    async def add_more_targets(self) -> None:
+        """Start engines of another software version."""
+        for number in range(NEWER_ENGINES):
+            name, version = f"{ENGINE_SERVICE}-newer-{number}", NEWER_VERSION
+            engine = await self.add_target(
+                name, ENGINE_SERVICE, software_version=version
+            )
+            self.newer.append(engine)
+
     async def start_instance(self, name: str, seeds: list[str]) -> Instance:
         """Start the links of an instance, then the instance."""
         links = self.links[name] = TargetLinks()
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/soak/schedule.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/soak/schedule.py
@@ -8,8 +8,10 @@
 from .disturbances import (
     BAD_PART,
     BrittleTime,
+    BrokenStreams,
     ConfigurationChange,
     CrashingPart,
+    LimitedTime,
     Partition,
     Reload,
     Restart,
@@ -44,6 +46,11 @@
 RESTART_SECONDS = 10.0
 #: rejections within a second that brittle targets tolerate
 BRITTLE_LIMITS = (1, 2, 4)
+#: share of runs in which targets name a rate, for how many seconds, and the rates in
+#: requests per second
+LIMIT_SHARE, LIMIT_SECONDS, LIMIT_RATES = 0.6, (8.0, 12.0), (0.5, 1.0, 2.5)
+#: most times that engines break some streams
+MAX_BROKEN = 4
 #: shortest time in seconds before the first disturbance
 START_SECONDS = 1.0
 
@@ -71,9 +78,23 @@
         at = random_source.uniform(START_SECONDS, max(START_SECONDS, seconds - length))
         parts = random_source.choice(CRASHING_PROMPTS)
         drawn.append(CrashingPart(at=at, parts=parts, seconds=length))
+    drawn += _draw_limits(random_source, seconds)
     return sorted(drawn, key=lambda one: one.at)
 
 
+def _draw_limits(
+    random_source: random.Random, seconds: float
+) -> Iterator[LimitedTime | BrokenStreams]:
+    for _ in range(random_source.randrange(1 + MAX_BROKEN)):
+        at = random_source.uniform(START_SECONDS, seconds)
+        yield BrokenStreams(at=at, count=random_source.randint(1, 3))
+    if random_source.random() < LIMIT_SHARE:
+        length = random_source.uniform(*LIMIT_SECONDS)
+        at = random_source.uniform(START_SECONDS, max(START_SECONDS, seconds - length))
+        rate = random_source.choice(LIMIT_RATES)
+        yield LimitedTime(at=at, rate=rate, seconds=length)
+
+
 def _draw_silences(
     random_source: random.Random, seconds: float, targets: Sequence[str]
 ) -> Iterator[Silence]:
