--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/permit_exchange.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/permit_exchange.py
@@ -62,8 +62,7 @@
     One instance issues all permits for a target. Rendezvous hashing over the instances
     that are alive selects it, so that nothing has to be agreed on.
 
-    :param list_candidates: returns the instances that may issue permits, the same
-        object until they change
+    :param list_candidates: returns the instances that may issue permits
     :param count_instances: returns how many instances may exist
     """
 
