--- a/packages/greengagelatch/src/greengagelatch/relay/rate_limits.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/rate_limits.py
@@ -14,6 +14,7 @@
     from .incarnations import Incarnation
 
 __all__ = (
+    "DOUBLING_SECONDS",
     "ENDED_SECONDS",
     "LAPSE_SECONDS",
     "MIN_RATE",
@@ -28,11 +29,11 @@
 #: requests per second that a target is sent at the least: only an answer can tell that
 #: its limit has ended
 MIN_RATE = 0.2
-#: seconds after the end of a limit in which its rate doubles each second, rather than
-#: that all instances turn to the target at once
-RECOVERY_SECONDS = 4.0
-#: lowest rate in requests per second from which it doubles
-MIN_RECOVERY_RATE = 1.0
+#: seconds after the end of a limit in which its rate doubles again and again, rather
+#: than that all instances turn to the target at once
+RECOVERY_SECONDS = 1.0
+#: seconds in which it doubles, and the lowest rate in requests per second before that
+DOUBLING_SECONDS, MIN_RECOVERY_RATE = 0.25, 5.0
 #: seconds for which the end of a limit is remembered and told: older news of the limit
 #: must not bring it back
 ENDED_SECONDS = 30.0
@@ -124,7 +125,8 @@
             return max(known.rate, MIN_RATE)
         elapsed = max(0.0, now - known.ended_at)
         if elapsed < RECOVERY_SECONDS:
-            return max(known.rate, MIN_RECOVERY_RATE) * 2.0**elapsed
+            growth = 2.0 ** (elapsed / DOUBLING_SECONDS)
+            return max(known.rate, MIN_RECOVERY_RATE) * growth
         return None
 
     def find_age(self, incarnation: Incarnation, now: float) -> float:
--- a/tests/test_entry/test_relay/test_permit_fleets.py
+++ b/tests/test_entry/test_relay/test_permit_fleets.py
@@ -324,3 +324,22 @@
     assert max(peaks[1]) <= count_allowed(1.0)
     # all that arrive but in the first seconds after the limit
     assert counts[2] >= 0.6 * 12.0 * 60.0
+
+
+@pytest.mark.parametrize("count", [7, 89])
+def test_requests_are_served_soon_after_the_end_of_all_limits(count):
+    """Guards against callers refused while all targets take any rate again."""
+    fleet = Fleet(instances=count, rates=["2", "2"], seed=4)
+
+    async def run() -> int:
+        work = asyncio.create_task(fleet.run(12.0, 60.0))
+        await asyncio.sleep(8.0)
+        for target in fleet.targets:
+            target.rate = None
+        # until the next permit, its answer, and what waited before
+        await asyncio.sleep(1 / 2 + CONNECT_SECONDS[1] + ANSWER_SECONDS[1] + 1.2)
+        refused = fleet.refused
+        await work
+        return fleet.refused - refused
+
+    assert run_in_virtual_time(run()) == 0
