The soak knows that the end of a limit is learnt by the next answer

A target that names half a request a second is sent the next one two seconds later, and nobody can know before that it takes any rate again. Until then, and for the second of its recovery, refusals are excused. The check of the rate itself ends when the target ceases to name it, as before.

--- a/packages/greengagelatch-lab/src/greengagelatch_lab/soak/disturbances.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/soak/disturbances.py
@@ -13,6 +13,7 @@
 
 import aiohttp
 
+from greengagelatch.relay.rate_limits import RECOVERY_SECONDS
 from greengagelatch_entry.application import ExitCode
 
 from ..platform_standins.deployment import API_KEY, HOST
@@ -98,8 +99,9 @@
     end: float = float("inf")
     #: falls of targets in it
     falls: int = 0
-    #: rate that targets name in it, in requests per second
+    #: rate that targets name in it, in requests per second, and until when
     rate: float = 0.0
+    named_until: float = float("inf")
     #: times at which targets crashed on a prompt part in it
     crashes: list[float] = field(default_factory=list)
     #: time and instance of each request with that part that has reached a target
@@ -234,6 +236,9 @@
         await asyncio.sleep(self.seconds)
         for target in targets:
             target.announced_rate.value = None
+        period.named_until = asyncio.get_running_loop().time()
+        # the end is known once the next request is permitted and answered
+        await asyncio.sleep(1 / self.rate + RECOVERY_SECONDS)
         periods.end(period)
 
 
