--- a/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/targets.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/targets.py
@@ -153,8 +153,9 @@
     break_after: int | None = None
     #: the same for one stream each, last first; targets may share the list
     breaks: list[int] = field(default_factory=list)
-    #: beginning of the paths of these streams
+    #: beginning of the paths of these streams, and whether those that go on count
     broken_path: str = ""
+    breaks_resumed: bool = True
     #: places at which it falls silent until :meth:`resume`, next first: the number of
     #: events that it has sent of a response; 0: before the response
     silences: list[int] = field(default_factory=list)
@@ -457,8 +458,9 @@
         if self.fault is TargetFault.MUTE:
             await asyncio.sleep(3600)
         first = int(request.headers.get("last-event-id", "0")) + 1
-        breaks = self.breaks and request.target.startswith(self.broken_path)
-        break_after = self.breaks.pop() if breaks else self.break_after
+        break_after = self.break_after
+        if self.breaks and self._may_break(request):
+            break_after = self.breaks.pop()
         lines = {**headers, "Content-Type": "text/event-stream"}
         if self.unframed:
             self._write_unframed(writer, 200, lines, b"")
@@ -486,6 +488,11 @@
         writer.write(b"0\r\n\r\n")
         return True
 
+    def _may_break(self, request: _Request) -> bool:
+        is_resumed = "last-event-id" in request.headers
+        is_on_path = request.target.startswith(self.broken_path)
+        return is_on_path and (self.breaks_resumed or not is_resumed)
+
     def _frame(self, data: bytes) -> bytes:
         if self.unframed:
             return data
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/soak/disturbances.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/soak/disturbances.py
@@ -253,6 +253,8 @@
         breaks = [1 + number % 3 for number in range(self.count)]
         for engine in fleet.find_targets(ENGINE_SERVICE):
             engine.breaks, engine.broken_path = breaks, RESUMABLE_PATH
+            # a stream may be sent to two engines only
+            engine.breaks_resumed = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
