The load balancer lists the targets to choose from in one place

Both choices asked for permits and listed candidates with the same lines, and the filter by region and coldness stood twice. No change of behaviour.

--- a/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
@@ -93,11 +93,9 @@
         :param data_centres: those of the targets to choose from; ``None``: all
         :param repeatable: whether the request may run again if its answer is lost
         """
-        may_probe = self._create_probe_rule(service, repeatable, now)
-        candidates = self._list_candidates(
-            service, excluded, now, data_centres, may_probe
+        candidates = self._find_candidates(
+            service, excluded, now, data_centres, repeatable
         )
-        self._permits.want(self.list_limited(service, excluded, now, data_centres), now)
         if not candidates:
             return None
         if self._speeds.is_used(service, now):
@@ -126,12 +124,8 @@
 
         The request counts as sent to the engine.
         """
-        may_probe = self._create_probe_rule(service, need.repeatable, now)
-        candidates = self._list_candidates(
-            service, excluded, now, need.data_centres, may_probe
-        )
-        self._permits.want(
-            self.list_limited(service, excluded, now, need.data_centres), now
+        candidates = self._find_candidates(
+            service, excluded, now, need.data_centres, need.repeatable
         )
         if not candidates:
             return None
@@ -398,6 +392,20 @@
             return lambda _: True
         return lambda breaker: breaker.find_probe_wait(now) >= MAX_PROBE_WAIT
 
+    def _find_candidates(
+        self,
+        service: str,
+        excluded: frozenset[Incarnation],
+        now: float,
+        data_centres: frozenset[str] | None,
+        repeatable: bool,
+    ) -> list[ListedTarget]:
+        """Return the targets to choose from, and ask for permits for limited ones."""
+        limited = self.list_limited(service, excluded, now, data_centres)
+        self._permits.want(limited, now)
+        may_probe = self._create_probe_rule(service, repeatable, now)
+        return self._list_candidates(service, excluded, now, data_centres, may_probe)
+
     def _list_candidates(
         self,
         service: str,
@@ -408,11 +416,8 @@
     ) -> list[ListedTarget]:
         listed = [
             one
-            for one in self._target_table.list_service(service)
-            if is_allowed(one.data_centre, data_centres)
-            and self._cold_targets.may_send(one, now)
-            and self._permits.may_send(one.incarnation, now)
-            and self._has_room(one, now)
+            for one in self._list_warm(service, frozenset(), now, data_centres)
+            if self._permits.may_send(one.incarnation, now) and self._has_room(one, now)
         ]
         breakers = [
             (one.incarnation, self._find_state(one.incarnation).breaker)
