Nobody is asked for the version of a stream where there has been only one

Where all targets of a service have one version, a caller that takes up a stream waited for an answer of nine instances, and for up to 0.65 s where none knew it, such as after many were killed at once. An instance that has seen one version only for as long as streams are remembered, without a gap, now goes on at once. All others ask as before.

test_nobody_is_asked_while_there_has_been_one_version_for_long failed before: its replaced network was asked.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stream_version_exchange.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stream_version_exchange.py
@@ -136,12 +136,13 @@
         self._services.observe(service, listed, now)
         if exchange.request.resume_after is None:
             return None
+        # the only one for as long as streams last, as far as this instance has seen
+        only = self._services.find_only(service, now)
+        if only is not None and self._services.is_certain(service, now):
+            return only
         version = await self._find(exchange.request.resumes)
-        if version is None and len(listed) <= 1:
-            only = self._services.find_only(service, now)
-            if only is not None or not listed:
-                # it was the only one for as long as streams last
-                return only
+        if version is None and (only is not None or not listed):
+            return only
         self._decisions.log_decision(
             "stream-resumed",
             request=exchange.request.request_id,
--- a/packages/greengagelatch/src/greengagelatch/relay/stream_versions.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/stream_versions.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from ..targets.subset import compute_weight
@@ -28,6 +28,9 @@
 
 #: seconds for which a version is remembered: longer than a caller takes up a stream
 MEMORY_SECONDS = 60.0
+#: longest time in seconds between two looks at the targets of a service in which no
+#: version comes and goes unseen
+MAX_GAP_SECONDS = 5.0
 #: most streams that are remembered
 MAX_STREAMS = 20_000
 #: instances that remember each stream beside the one that sends it to a target
@@ -106,6 +109,15 @@
         return None if known is None or known.until <= now else known.software_version
 
 
+@dataclass(slots=True)
+class _History:
+    #: monotonic time since which the service has been observed without a gap
+    since: float
+    observed_at: float
+    #: monotonic times at which each version was last listed
+    seen_at: dict[str, float] = field(default_factory=dict)
+
+
 class ServiceVersions:
     """Versions that the targets of each service have had lately.
 
@@ -114,19 +126,28 @@
 
     def __init__(self, seconds: float = MEMORY_SECONDS) -> None:
         self._seconds = seconds
-        #: monotonic times at which each version was last listed, by service
-        self._seen: dict[str, dict[str, float]] = {}
+        self._services: dict[str, _History] = {}
 
     def observe(self, service: str, versions: Iterable[str], now: float) -> None:
         """Record the versions of the targets that are listed now."""
-        seen = self._seen.setdefault(service, {})
+        history = self._services.setdefault(service, _History(now, now))
+        if now - history.observed_at > MAX_GAP_SECONDS:
+            history.since = now
+        history.observed_at = now
         for version in versions:
-            seen[version] = now
+            history.seen_at[version] = now
 
     def find_only(self, service: str, now: float) -> str | None:
         """Return the version of all targets lately; ``None`` if there were several."""
-        seen = self._seen.get(service, {})
-        for version, seen_at in tuple(seen.items()):
+        history = self._services.get(service)
+        if history is None:
+            return None
+        for version, seen_at in tuple(history.seen_at.items()):
             if now - seen_at >= self._seconds:
-                del seen[version]
-        return next(iter(seen)) if len(seen) == 1 else None
+                del history.seen_at[version]
+        return next(iter(history.seen_at)) if len(history.seen_at) == 1 else None
+
+    def is_certain(self, service: str, now: float) -> bool:
+        """Return whether no version of that time can have been missed."""
+        history = self._services.get(service)
+        return history is not None and now - history.since >= self._seconds
--- a/tests/test_core/test_relay/test_stream_versions.py
+++ b/tests/test_core/test_relay/test_stream_versions.py
@@ -9,6 +9,7 @@
 from greengagelatch.relay.stream_versions import (
     COPIES,
     GROUPS,
+    MAX_GAP_SECONDS,
     MEMORY_SECONDS,
     ServiceVersions,
     StreamVersions,
@@ -83,3 +84,15 @@
     assert services.find_only("llm", 3.0) is None
     services.observe("llm", {"v2"}, 12.0)
     assert services.find_only("llm", 12.0) == "v2"
+
+
+def test_only_version_is_certain_after_a_time_without_a_gap():
+    """Guards against a version that came and went while nobody looked."""
+    services = ServiceVersions(10.0)
+    assert not services.is_certain("llm", 0.0)
+    for second in range(0, 11, 2):
+        services.observe("llm", {"v1"}, float(second))
+    assert not services.is_certain("llm", 9.9)
+    assert services.is_certain("llm", 10.0)
+    services.observe("llm", {"v1"}, 11.0 + MAX_GAP_SECONDS)
+    assert not services.is_certain("llm", 11.0 + MAX_GAP_SECONDS)
--- a/tests/test_entry/test_relay/test_stream_version_fleets.py
+++ b/tests/test_entry/test_relay/test_stream_version_fleets.py
@@ -256,3 +256,27 @@
         return await fleet.take_up(sorted(fleet.exchanges))
 
     assert run_in_virtual_time(run()) == (0, 20, 0)
+
+
+def test_nobody_is_asked_while_there_has_been_one_version_for_long():
+    """Guards against callers that wait for instances which need not be asked."""
+    asked = []
+
+    async def run():
+        fleet = Fleet(3)
+        for target in fleet.targets:
+            if target.software_version == "2":
+                fleet.table.remove(target.incarnation, 0)
+        exchange = fleet.exchanges["entry-1"]
+        exchange._peers.ask = lambda *call: asked.append(call)
+        begins = SimpleNamespace(
+            service=SERVICE, request=SimpleNamespace(resume_after=None)
+        )
+        for _ in range(40):
+            assert await exchange.find_version(begins) is None
+            await asyncio.sleep(2.0)
+        fleet.streams = {"x": ("1", "entry-0")}
+        return await fleet.take_up(["entry-1"])
+
+    assert run_in_virtual_time(run()) == (1, 0, 0)
+    assert asked == []
