--- a/packages/greengagelatch/src/greengagelatch/peers/codec.py
+++ b/packages/greengagelatch/src/greengagelatch/peers/codec.py
@@ -15,6 +15,7 @@
     "DecodeError",
     "Envelope",
     "Message",
+    "check_rows",
     "check_type",
     "decode",
     "encode",
@@ -73,6 +74,18 @@
         raise ValueError(f"unexpected type {type(value).__name__}")
 
 
+def check_rows(rows: Any, kinds: tuple[type | tuple[type, ...], ...]) -> None:
+    """Check that a field holds rows whose values are of the given types.
+
+    :raises ValueError: if a row has another length or type
+    """
+    check_type(rows, (tuple, list))
+    for row in rows:
+        check_type(row, (tuple, list))
+        for value, kind in zip(row, kinds, strict=True):
+            check_type(value, kind)
+
+
 @dataclass(frozen=True, slots=True)
 class Envelope:
     """A message with the ids that correlate calls and replies.
--- a/packages/greengagelatch/src/greengagelatch/relay/messages.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/messages.py
@@ -5,10 +5,10 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
-from ..peers.codec import Message, check_type, register
+from ..peers.codec import Message, check_rows, check_type, register
 from .brittle_services import BrittleNews
 from .incarnations import Incarnation
-from .permit_messages import RateLimitsUpdate
+from .permit_messages import RATE_LIMIT_KINDS
 from .pieces import Bundle, Piece, PieceFailure, PieceResult
 
 if TYPE_CHECKING:
@@ -209,12 +209,8 @@
     rate_limits: tuple[Any, ...] = ()
 
     def __post_init__(self) -> None:
-        RateLimitsUpdate(self.rate_limits)
-        check_type(self.target_versions, (tuple, list))
-        for row in self.target_versions:
-            check_type(row, (tuple, list))
-            for value, kind in zip(row, (str, int, str), strict=True):
-                check_type(value, kind)
+        check_rows(self.rate_limits, RATE_LIMIT_KINDS)
+        check_rows(self.target_versions, (str, int, str))
         check_type(self.crashes, (tuple, list))
         check_type(self.evacuations_revision, int)
         _check_rows(self.evacuations, (str, int), 0)
@@ -402,9 +398,4 @@
 
     :raises ValueError: if a row does not
     """
-    check_type(rows, (tuple, list))
-    kinds = (*names, *((int, float),) * numbers)
-    for row in rows:
-        check_type(row, (tuple, list))
-        for value, kind in zip(row, kinds, strict=True):
-            check_type(value, kind)
+    check_rows(rows, (*names, *((int, float),) * numbers))
--- a/packages/greengagelatch/src/greengagelatch/relay/permit_messages.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/permit_messages.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
-from ..peers.codec import Message, check_type, register
+from ..peers.codec import Message, check_rows, check_type, register
 from .incarnations import Incarnation
 from .rate_limits import RateLimitNews
 
@@ -13,6 +13,7 @@
     from collections.abc import Iterable
 
 __all__ = (
+    "RATE_LIMIT_KINDS",
     "PermitAnswer",
     "PermitRequest",
     "RateLimitsUpdate",
@@ -20,6 +21,9 @@
     "encode_rate_limits",
 )
 
+#: types of the values in a row of :func:`encode_rate_limits`
+RATE_LIMIT_KINDS = (str, int, (int, float), (int, float), bool)
+
 
 @register("target-limits")
 @dataclass(frozen=True, slots=True)
@@ -30,12 +34,7 @@
     rows: tuple[Any, ...] = ()
 
     def __post_init__(self) -> None:
-        check_type(self.rows, (tuple, list))
-        for row in self.rows:
-            check_type(row, (tuple, list))
-            kinds = (str, int, (int, float), (int, float), bool)
-            for value, kind in zip(row, kinds, strict=True):
-                check_type(value, kind)
+        check_rows(self.rows, RATE_LIMIT_KINDS)
 
 
 @register("permits-wanted")
@@ -60,7 +59,7 @@
         check_type(self.count, int)
         check_type(self.rank, (int, float))
         check_type(self.patience, (int, float))
-        RateLimitsUpdate(self.rows)
+        check_rows(self.rows, RATE_LIMIT_KINDS)
 
 
 @register("permits")
--- a/packages/greengagelatch/src/greengagelatch/relay/slot_messages.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/slot_messages.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
-from ..peers.codec import Message, check_type, register
+from ..peers.codec import Message, check_rows, check_type, register
 from .incarnations import Incarnation
 
 if TYPE_CHECKING:
@@ -44,11 +44,7 @@
     def __post_init__(self) -> None:
         check_type(self.number, int)
         check_type(self.lender, str)
-        check_type(self.rows, (tuple, list))
-        for row in self.rows:
-            check_type(row, (tuple, list))
-            for value, kind in zip(row, (str, int, int), strict=True):
-                check_type(value, kind)
+        check_rows(self.rows, (str, int, int))
 
 
 def encode_slots(lent: Mapping[Incarnation, int]) -> tuple[Any, ...]:
--- a/packages/greengagelatch/src/greengagelatch/relay/stream_messages.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/stream_messages.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from ..peers.codec import Message, check_type, register
+from ..peers.codec import Message, check_rows, check_type, register
 
 __all__ = ("StreamVersionAnswer", "StreamVersionQuery", "StreamVersionsUpdate")
 
@@ -22,11 +22,7 @@
 
     def __post_init__(self) -> None:
         check_type(self.handed_over, bool)
-        check_type(self.rows, (tuple, list))
-        for row in self.rows:
-            check_type(row, (tuple, list))
-            for value, kind in zip(row, (str, str), strict=True):
-                check_type(value, kind)
+        check_rows(self.rows, (str, str))
 
 
 @register("stream-version-query")
