Requests held by brittle targets alone ask for no permits again and again

Each of up to 64 requests that wait started a task every 20 ms to ask for a permit, also where no target of its service has named a rate. They ask again only if one has. A target that is gone was forgotten twice by the permits, and a caller of the soak was given a number that it doesn't use. What is decided stays as it is; the stand-in of the load balancer in test_brittle_admission gets the method that is called now.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/brittle_admission.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/brittle_admission.py
@@ -139,7 +139,8 @@
                 if wait is not None and wait > left:
                     return self._create_refusal(exchange, wait)
                 await asyncio.sleep(CHECK_SECONDS)
-                permit = self._ask_for_permit(exchange, waiter, end)
+                if self._list_limited(exchange, waiter.excluded):
+                    permit = self._ask_for_permit(exchange, waiter, end)
         finally:
             permit.cancel()
         return self._create_refusal(exchange)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/permit_exchange.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/permit_exchange.py
@@ -162,8 +162,7 @@
         task.add_done_callback(lambda _: self._wanting.discard(incarnation))
 
     def forget(self, incarnation: Incarnation) -> None:
-        """Discard what is known of a target that is gone."""
-        self._permits.forget(incarnation)
+        """Discard what issuers have told of a target that is gone, and its queue."""
         self._refusals.pop(incarnation, None)
         self._issuers.pop(incarnation, None)
         queue = self._queues.pop(incarnation, None)
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/soak/callers.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/soak/callers.py
@@ -208,7 +208,6 @@
         """Go on with a stream at another instance."""
         name, address = self._leaving.choice(self._others)
         caller = Caller(f"{name}-{self._name}", name, address, None, self._record)
-        caller._number = self._number
         if not await caller._connect():
             return
         outcome = Outcome(
--- a/tests/test_entry/test_relay/test_brittle_admission.py
+++ b/tests/test_entry/test_relay/test_brittle_admission.py
@@ -34,6 +34,9 @@
     def lacks_room(self, service, excluded, now, data_centres) -> bool:
         return not any(self.has_room[one] for one in self.has_room.keys() - excluded)
 
+    def list_limited(self, service, excluded, now, data_centres) -> list:
+        return []
+
     async def obtain(self, list_wanted, rank, patience) -> None:
         """Wait in vain for a permit, as no target has named a rate."""
         await asyncio.sleep(patience)
