--- a/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/store.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/store.py
@@ -20,7 +20,7 @@
 PAGE_SIZE = 50
 STATUS_CONFLICT = 412
 STATUS_GONE = 410
-
+WRITE_PATH = "/v1/kv-txn"
 
 #: keys that instances may not write
 READ_ONLY_PREFIXES = ("op/", "servers/")
@@ -38,6 +38,8 @@
     LOST_RESPONSE = "lost"
     #: writes take effect and are answered with 500
     FAILED_RESPONSE = "failed"
+    #: writes are rejected with 503 and have no effect; all other calls are served
+    READ_ONLY = "read-only"
 
 
 @dataclass(slots=True)
@@ -76,7 +78,7 @@
                 web.get("/v1/kv-key", self._get),
                 web.get("/v1/kv-range", self._list),
                 web.get("/v1/kv-watch", self._watch),
-                web.post("/v1/kv-txn", self._write),
+                web.post(WRITE_PATH, self._write),
                 web.post("/v1/kv-lease", self._grant),
                 web.post("/v1/kv-keep/{lease}", self._renew),
                 web.delete("/v1/kv-lease-end/{lease}", self._revoke),
@@ -138,7 +140,10 @@
         self, request: web.Request, handler: Callable[..., Any]
     ) -> web.StreamResponse:
         self.calls[request.path] = self.calls.get(request.path, 0) + 1
-        if self.fault is StoreFault.UNAVAILABLE:
+        is_write = request.path == WRITE_PATH
+        if self.fault is StoreFault.UNAVAILABLE or (
+            self.fault is StoreFault.READ_ONLY and is_write
+        ):
             return web.Response(status=503)
         if self.fault is StoreFault.UNRESPONSIVE:
             await asyncio.sleep(3600)
--- a/tests/test_entry/test_relay/test_mixed_versions.py
+++ b/tests/test_entry/test_relay/test_mixed_versions.py
@@ -11,11 +11,14 @@
 
 from greengagelatch.relay.stream_versions import StreamVersions
 from greengagelatch_lab.platform_standins.deployment import API_KEY, HOST
+from greengagelatch_lab.platform_standins.store import StoreFault
 from greengagelatch_lab.platform_standins.targets import TargetFault
 
 STREAMS = 30
 COMPLETE = 200
 LAST_EVENT = b"id: 5\n"
+#: key of the record of versions in the store
+RECORD = "greengagelatch/versions"
 
 
 async def add_versions(fleet) -> None:
@@ -115,9 +118,17 @@
         first.find("stream_versions")._streams = StreamVersions()
         await first.stop()
         fleet.instances.remove(first)
+    replies = await take_up_streams(fleet, others)
+    assert list_mixed(fleet) == []
+    assert [one.status for one in replies] == [COMPLETE] * STREAMS
+    assert all(LAST_EVENT in one.body for one in replies)
+
+
+async def take_up_streams(fleet, instances: list) -> list:
+    """Let the callers of all streams return to some instances."""
     replies = []
     for number in range(STREAMS):
-        instance = others[number % len(others)]
+        instance = instances[number % len(instances)]
         reply = await instance.stream(
             X_Attempt_Id=f"b-{number}",
             X_Prefix_Hash=name_parts(number),
@@ -125,12 +136,16 @@
             Last_Event_Id="1",
         )
         replies.append(reply)
-    mixed = [
-        n for n in range(STREAMS) if len(find_versions(fleet, f"a-{n}", f"b-{n}")) > 1
+    return replies
+
+
+def list_mixed(fleet) -> list[int]:
+    """Return the streams whose callers have got events of several versions."""
+    return [
+        number
+        for number in range(STREAMS)
+        if len(find_versions(fleet, f"a-{number}", f"b-{number}")) > 1
     ]
-    assert mixed == []
-    assert [one.status for one in replies] == [COMPLETE] * STREAMS
-    assert all(LAST_EVENT in one.body for one in replies)
 
 
 def end_version(fleet, version: str) -> None:
@@ -154,22 +169,12 @@
         for instance in fleet.instances:
             await instance.wait_for(lambda one=instance: not one.accepts("llm-north-1"))
     # the platform keeps what all instances forget
-    await fleet.wait_for(lambda: fleet.store.find("greengagelatch/versions"))
+    await fleet.wait_for(lambda: fleet.store.find(RECORD))
     await fleet.kill_all()
     if leaves == "meanwhile":
         end_version(fleet, "v1")
     await fleet.restart_all()
-    replies = []
-    for number in range(STREAMS):
-        instance = fleet.instances[number % len(fleet.instances)]
-        reply = await instance.stream(
-            X_Attempt_Id=f"b-{number}",
-            X_Prefix_Hash=name_parts(number),
-            Resumes=f"a-{number}",
-            Last_Event_Id="1",
-        )
-        replies.append(reply)
-    return replies
+    return await take_up_streams(fleet, fleet.instances)
 
 
 @pytest.mark.parametrize("leaves", ["before", "meanwhile"])
@@ -184,10 +189,7 @@
     fleet = lavish_fleet
     await add_versions(fleet)
     replies = await take_up_after_restart(fleet, leaves)
-    mixed = [
-        n for n in range(STREAMS) if len(find_versions(fleet, f"a-{n}", f"b-{n}")) > 1
-    ]
-    assert mixed == []
+    assert list_mixed(fleet) == []
     assert {one.status for one in replies} <= {COMPLETE, 503}
 
 
@@ -196,3 +198,24 @@
     replies = await take_up_after_restart(lavish_fleet, "never")
     assert [one.status for one in replies] == [COMPLETE] * STREAMS
     assert all(LAST_EVENT in one.body for one in replies)
+
+
+async def test_version_that_is_not_recorded_begins_no_streams(lavish_fleet):
+    """Guards against streams of a version that no record holds after a restart of all.
+
+    The version is rolled back before the store has taken a write of the record.
+    """
+    fleet = lavish_fleet
+    await fleet.wait_for(lambda: fleet.store.find(RECORD))
+    fleet.store.fault = StoreFault.READ_ONLY
+    await add_versions(fleet)
+    for number in range(STREAMS):
+        instance = fleet.instances[number % len(fleet.instances)]
+        await read_first_event(instance, f"a-{number}", name_parts(number))
+    end_version(fleet, "v1.2")
+    await fleet.kill_all()
+    fleet.store.fault = StoreFault.NONE
+    await fleet.restart_all()
+    replies = await take_up_streams(fleet, fleet.instances)
+    assert list_mixed(fleet) == []
+    assert [one.status for one in replies] == [COMPLETE] * STREAMS
