ORDER: a version begins streams only once its record is in the store

What callers saw: where a version was listed for a moment, as by a release that is rolled back or a lone target that crashes, and all instances were killed within seconds, streams that it had begun went on at the former version, answered 200 and complete.

Cause: the record of versions was written after their first streams: the history looks each 0.25 s, waits by rank, and writes may be slow, lost or conflict, while sends waited for none of it. Class: what is remembered is written after what it guards has begun.

Fix: targets whose version the record that this instance has read does not hold are excluded from streams that may be resumed, on first sends, retries and streams that are taken up. Targets of recorded versions serve meanwhile. Where there is none, a request waits for up to a second and has the record written without regard to rank; then it is refused as not run. A scan, a change or a peer's word that is older than the instance's own write is ignored: it would take the record back.

Stores of tests hold a record from the start, as a platform does.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -282,6 +282,7 @@
         )
         self.stream_versions = StreamVersionExchange(
             peers=self.peers,
+            target_table=self.target_table,
             history=self.version_history,
             clock=self.clock,
             metrics=self.metrics,
@@ -340,6 +341,7 @@
                 self.shared,
                 load_balancer=self.targets.load_balancer,
                 find_table=lambda: self.configuration.table,
+                list_unrecorded=self.version_history.list_unrecorded,
             ).explain,
         )
         self.usage = UsageController(
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/explanations.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/explanations.py
@@ -20,9 +20,10 @@
 from .refusals import find_refusal_status
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
 
     from greengagelatch.clock import Clock
+    from greengagelatch.relay.incarnations import Incarnation
     from greengagelatch.relay.load_balancer import LoadBalancer
 
     from .filters import RouteFilter
@@ -51,6 +52,9 @@
     """Tells where a request would be sent now, by the code that sends requests.
 
     Nothing is sent, and no state is changed.
+
+    :param list_unrecorded: returns the targets of a service at which streams that may
+        be resumed can't begin yet
     """
 
     def __init__(
@@ -59,11 +63,13 @@
         instance_id: str,
         route_filter: RouteFilter,
         load_balancer: LoadBalancer,
+        list_unrecorded: Callable[[str], frozenset[Incarnation]],
         clock: Clock,
     ) -> None:
         self._instance_id = instance_id
         self._route_filter = route_filter
         self._load_balancer = load_balancer
+        self._list_unrecorded = list_unrecorded
         self._clock = clock
 
     def explain(self, question: Mapping[str, Any]) -> dict[str, Any]:
@@ -129,7 +135,13 @@
             repeatable=route.repeatable,
         )
         candidates = rehearsal.explain(
-            service, demand, now, is_engine=route.kind is RouteKind.STREAMING
+            service,
+            demand,
+            now,
+            is_engine=route.kind is RouteKind.STREAMING,
+            unrecorded=self._list_unrecorded(service)
+            if route.resumable
+            else frozenset(),
         )
         chosen = [one.target for one in candidates if one.chosen]
         outcome = "sent" if chosen else "held" if lacks_room else "refused"
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/request_path.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/request_path.py
@@ -26,6 +26,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from greengagelatch.relay.incarnations import Incarnation
     from greengagelatch.relay.load_balancer import LoadBalancer
     from greengagelatch.relay.routes import RouteTable
 
@@ -142,6 +143,7 @@
     *,
     load_balancer: LoadBalancer,
     find_table: Callable[[], RouteTable | None],
+    list_unrecorded: Callable[[str], frozenset[Incarnation]],
 ) -> RequestExplainer:
     """Build what explains where requests would be sent."""
     return RequestExplainer(
@@ -152,5 +154,6 @@
             regions=shared.settings.regions,
         ),
         load_balancer=load_balancer,
+        list_unrecorded=list_unrecorded,
         clock=shared.clock,
     )
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stream_version_exchange.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stream_version_exchange.py
@@ -9,6 +9,7 @@
 
 from greengagelatch.errors import RefusalCode
 from greengagelatch.peers import MemberState
+from greengagelatch.relay.regions import is_allowed
 from greengagelatch.relay.stream_messages import (
     StreamVersionAnswer,
     StreamVersionQuery,
@@ -29,8 +30,9 @@
 
     from greengagelatch.clock import Clock
     from greengagelatch.peers import Member, PeerNetwork
+    from greengagelatch.relay.incarnations import Incarnation
     from greengagelatch.relay.requests import RefusedError
-    from greengagelatch.relay.targets import ListedTarget
+    from greengagelatch.relay.targets import ListedTarget, TargetTable
 
     from ..metrics import Metrics
     from .decisions import DecisionLog
@@ -50,8 +52,12 @@
 #: instances that are asked: those that should remember a stream, and some that should
 #: have in another view of the fleet
 ASKED = 9
-#: seconds after which callers may retry a stream that can't go on now
+#: seconds after which callers may retry a stream that can't go on, or begin, now
 LOST_RETRY_AFTER = 0.5
+#: seconds for which a stream waits for a version to be recorded at the most, and the
+#: same as a share of the time that is left
+MAX_RECORD_WAIT = 1.0
+RECORD_WAIT_SHARE = 0.3
 
 
 class StreamVersionExchange(Controller):
@@ -61,7 +67,7 @@
     by the request's id: the first event comes later, and the caller later still. The
     instance that gets a resumed stream asks them.
 
-    :param history: tells which versions may have begun a stream
+    :param history: tells which versions may begin streams, and may have begun one
     """
 
     name = "stream_versions"
@@ -70,6 +76,7 @@
         self,
         *,
         peers: PeerNetwork,
+        target_table: TargetTable,
         history: VersionHistory,
         clock: Clock,
         metrics: Metrics,
@@ -77,6 +84,7 @@
     ) -> None:
         super().__init__()
         self._peers = peers
+        self._target_table = target_table
         self._history = history
         self._clock = clock
         self._metrics = metrics
@@ -130,7 +138,9 @@
         :raises RefusedError: if the version is not known, or no target has it
         """
         service = exchange.service
-        listed = self._history.observe(service)
+        listed = {
+            one.software_version for one in self._target_table.list_service(service)
+        }
         if exchange.request.resume_after is None or not listed:
             return None
         possible = self._history.list_possible(service)
@@ -151,6 +161,64 @@
             return version
         raise self._create_refusal(exchange, version)
 
+    def list_excluded(
+        self, exchange: RelayExchange, version: str | None
+    ) -> frozenset[Incarnation]:
+        """Return the targets that a stream must not be sent to.
+
+        What two software versions write does not fit together, and a version that is
+        not recorded begins no streams.
+
+        :param version: the version that began it; ``None``: it has not begun
+        """
+        excluded: frozenset[Incarnation] = frozenset()
+        if version is not None:
+            excluded = self._target_table.list_other_versions(exchange.service, version)
+        if not exchange.route.resumable:
+            return excluded
+        return excluded | self._history.list_unrecorded(exchange.service)
+
+    async def wait_for_record(self, exchange: RelayExchange) -> None:
+        """Wait until a stream may begin at any of the targets.
+
+        :raises RefusedError: if it may not for now
+        """
+        if not exchange.route.resumable:
+            return
+        if self._history.is_any_recorded(self._list_targets(exchange)):
+            return
+        now = self._clock.now()
+        left = exchange.deadline - now
+        is_recorded = await self._history.wait_for_any(
+            lambda: self._list_targets(exchange),
+            min(MAX_RECORD_WAIT, left * RECORD_WAIT_SHARE),
+        )
+        self._decisions.log_decision(
+            "version-awaited",
+            request=exchange.request.request_id,
+            service=exchange.service,
+            recorded=is_recorded,
+            ms=round((self._clock.now() - now) * 1000),
+        )
+        self._metrics.count("stream_versions.awaited")
+        if not is_recorded:
+            message = "the software versions of all targets are not recorded yet"
+            raise create_error(
+                exchange,
+                RefusalCode.NO_TARGET,
+                message,
+                retry_after=LOST_RETRY_AFTER,
+                field="service",
+                value=exchange.service,
+            )
+
+    def _list_targets(self, exchange: RelayExchange) -> list[ListedTarget]:
+        return [
+            one
+            for one in self._target_table.list_service(exchange.service)
+            if is_allowed(one.data_centre, exchange.data_centres)
+        ]
+
     def dump(self) -> dict[str, Any]:
         return {"remembered": len(self._streams)}
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -83,10 +83,11 @@
         self.budgets.record_request(exchange.service)
         exchange.software_version = await self.versions.find_version(exchange)
         self._check_targets(exchange)
+        await self.versions.wait_for_record(exchange)
         first_seconds, total_seconds = self.times.estimate(exchange)
         run = self._stages.create_run(exchange, first_seconds, total_seconds)
         chain = run.estimate()
-        excluded = self.list_other_versions(exchange, exchange.software_version)
+        excluded = self.versions.list_excluded(exchange, exchange.software_version)
         self.brittle.check_start(exchange, excluded, chain.total_wait + chain.work)
         self._admission.check_start(exchange, chain, first_seconds)
         try:
@@ -107,19 +108,6 @@
         ):
             raise self.create_refusal(exchange, None)
 
-    def list_other_versions(
-        self, exchange: RelayExchange, software_version: str | None
-    ) -> frozenset[Incarnation]:
-        """Return the targets at which a stream of a version can't go on.
-
-        What two software versions write does not fit together.
-
-        :param software_version: ``None``: it has not begun
-        """
-        if software_version is None:
-            return frozenset()
-        return self.target_table.list_other_versions(exchange.service, software_version)
-
     async def pass_on(
         self, exchange: RelayExchange, run: StageRun, results: StageResults
     ) -> None:
@@ -215,7 +203,7 @@
 
     def _list_excluded(self) -> frozenset[Incarnation]:
         """Return the targets that the request is not sent to."""
-        return self._excluded | self._runner.list_other_versions(
+        return self._excluded | self._runner.versions.list_excluded(
             self._exchange, self._software_version
         )
 
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/instances.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/instances.py
@@ -257,6 +257,7 @@
             # the modelled callers take up no stream
             versions=StreamVersionExchange(
                 peers=peers,
+                target_table=self._target_table,
                 history=VersionHistory(
                     store=None,
                     peers=peers,
--- a/packages/greengagelatch/src/greengagelatch/relay/version_records.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/version_records.py
@@ -23,9 +23,11 @@
 
 @dataclass(frozen=True, slots=True)
 class VersionRecord:
-    """Versions by service; each may have begun a stream that its caller takes up."""
+    """Versions by service that may begin streams, or have begun some lately."""
 
     services: Mapping[str, frozenset[str]] = field(default_factory=dict)
+    #: whether no other version can have begun a stream that its caller takes up
+    complete: bool = True
 
 
 def update_record(
@@ -37,10 +39,11 @@
     """Return the record with what one instance has seen.
 
     A version is added at once. It is dropped by an instance that has seen all that was
-    listed for as long as streams last.
+    listed for as long as streams last; such an instance completes a record, too.
 
     :param services: services of which streams may be resumed
     """
+    services = tuple(services)
     changed = dict(record.services)
     for service in services:
         lately = seen.list_lately(service, now)
@@ -50,13 +53,15 @@
             changed[service] = frozenset(sorted(lately)[-MAX_VERSIONS:])
         else:
             changed.pop(service, None)
-    return VersionRecord(changed)
+    is_certain = all(seen.is_certain(service, now) for service in services)
+    return VersionRecord(changed, record.complete or (bool(services) and is_certain))
 
 
 def encode_record(record: VersionRecord) -> bytes:
     """Return the value of a record in the store."""
     rows = {name: sorted(versions) for name, versions in record.services.items()}
-    return json.dumps({"services": rows}, sort_keys=True).encode()
+    fields = {"complete": record.complete, "services": rows}
+    return json.dumps(fields, sort_keys=True).encode()
 
 
 def decode_record(value: bytes) -> VersionRecord:
@@ -65,8 +70,11 @@
     :raises ValueError: if it holds none
     """
     try:
-        rows = json.loads(value)["services"].items()
-        return VersionRecord({str(name): _read_versions(row) for name, row in rows})
+        fields = json.loads(value)
+        rows = fields["services"].items()
+        services = {str(name): _read_versions(row) for name, row in rows}
+        # an earlier release writes no "complete"
+        return VersionRecord(services, fields.get("complete", True) is True)
     except (KeyError, TypeError, AttributeError, RecursionError) as error:
         raise ValueError(f"no record of versions: {error}") from error
 
--- a/tests/test_entry/test_relay/conftest.py
+++ b/tests/test_entry/test_relay/conftest.py
@@ -18,6 +18,7 @@
 from greengagelatch.relay.requests import OpaqueRequest
 from greengagelatch.relay.retry_budget import RetryBudgetRule
 from greengagelatch.relay.stream_versions import StreamVersions
+from greengagelatch.relay.version_records import VersionRecord, encode_record
 from greengagelatch_entry.relay.composition import compose_relay
 from greengagelatch_entry.relay.parts import RelayAdapters, RelayParts, RelaySettings
 from greengagelatch_lab.platform_standins.deployment import (
@@ -38,6 +39,9 @@
 
 #: timeout of every wait in seconds
 WAIT_SECONDS = 20
+#: record of versions that the store holds, so that streams begin at once
+VERSIONS_KEY = "greengagelatch/versions"
+VERSIONS = encode_record(VersionRecord({"llm": frozenset({"v1"})}))
 
 
 @dataclass(frozen=True)
@@ -71,6 +75,7 @@
         await self.store.start()
         if configured:
             self.store.put("op/config", create_configuration())
+            self.store.put_bytes(VERSIONS_KEY, VERSIONS)
         self.parts = compose_relay(self._create_rules(), self._create_adapters())
         await self.start_parts()
 
@@ -374,6 +379,7 @@
     async def start(self) -> None:
         await self.store.start()
         self.store.put("op/config", create_configuration())
+        self.store.put_bytes(VERSIONS_KEY, VERSIONS)
         for data_centre in self._target_data_centres:
             for service in ("desk", "llm", "portal", "ledger"):
                 for number in range(1, self._targets_per_service + 1):
--- a/tests/test_entry/test_relay/test_explanations.py
+++ b/tests/test_entry/test_relay/test_explanations.py
@@ -6,6 +6,7 @@
 
 from greengagelatch_entry.relay.explanations import InvalidQuestionError
 from greengagelatch_lab.platform_standins.deployment import API_KEY, HOST
+from greengagelatch_lab.platform_standins.store import StoreFault
 
 PATH = "/look/1"
 
@@ -58,6 +59,21 @@
     assert sum(one["chosen"] for one in choice["candidates"]) == 1
 
 
+async def test_version_that_is_not_recorded_is_explained(pipeline):
+    """Guards against an operator who sees a sound target without streams."""
+    await pipeline.wait_for(lambda: pipeline.store.find("greengagelatch/versions"))
+    pipeline.store.fault = StoreFault.READ_ONLY
+    newer = await pipeline.add("llm-3", "llm", software_version="v2")
+    await pipeline.wait_for(lambda: pipeline.accepts(newer.target_id))
+    question = {"host": HOST, "path": "/draft/1", "key": API_KEY}
+    (choice,) = explain(pipeline, **question)["choices"]
+    bars = {
+        one["target"].partition("@")[0]: one["barred_by"]
+        for one in choice["candidates"]
+    }
+    assert bars == {"llm-1": (), "llm-2": (), "llm-3": ("version",)}
+
+
 async def test_request_that_no_target_takes_is_explained(world):
     world.evacuate("north")
     table = world.find("news")._target_table
--- /dev/null
+++ b/tests/test_entry/test_relay/test_version_record_fleets.py
@@ -0,0 +1,138 @@
+"""Tests of the record of versions over whole fleets, in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from greengagelatch.store import WriteOutcome, WriteResult
+from greengagelatch_entry.relay.version_history import CHECK_SECONDS, YOUNG_SECONDS
+from greengagelatch_lab.stage_load.virtual_time import run_in_virtual_time
+
+from .test_stream_version_fleets import SERVICE, Fleet, SharedStore
+
+#: seconds between two streams
+STREAM_SECONDS = 0.01
+#: seconds after which a slow store takes a write
+SLOW_SECONDS = 3.0
+
+
+class SlowStore(SharedStore):
+    """A store that takes writes late."""
+
+    async def swap(self, key, value, expected, *, lease_id="") -> WriteResult:
+        await asyncio.sleep(SLOW_SECONDS)
+        return await super().swap(key, value, expected)
+
+
+class LossyStore(SharedStore):
+    """A store of which each second response is lost, with or without the write."""
+
+    async def swap(self, key, value, expected, *, lease_id="") -> WriteResult:
+        number = self.outcomes.total()
+        if number % 4 == 1:
+            self.outcomes[WriteOutcome.UNKNOWN] += 1
+            return WriteResult(WriteOutcome.UNKNOWN, 0)
+        written = await super().swap(key, value, expected)
+        if number % 4 == 3:
+            return WriteResult(WriteOutcome.UNKNOWN, 0)
+        return written
+
+
+async def begin_streams(fleet: Fleet, seconds: float, only: set[str] | None) -> None:
+    """Begin streams at the targets at which the instances let them begin.
+
+    :param only: instances that ask the record; ``None``: all
+    """
+    for _ in range(round(seconds / STREAM_SECONDS)):
+        number = len(fleet.streams)
+        name = fleet.random.choice(sorted(fleet.exchanges))
+        excluded = frozenset()
+        if only is None or name in only:
+            excluded = fleet.store.histories[name].list_unrecorded(SERVICE)
+        listed = fleet.table.list_service(SERVICE)
+        allowed = [one for one in listed if one.incarnation not in excluded]
+        if allowed:
+            target = fleet.random.choice(allowed)
+            await fleet.exchanges[name].record_send(f"a-{number}", target)
+            fleet.streams[f"a-{number}"] = (target.software_version, name)
+        await asyncio.sleep(STREAM_SECONDS)
+
+
+async def create_fleet(count: int, store: SharedStore) -> Fleet:
+    """Create a fleet that has recorded the one version that serves."""
+    fleet = Fleet(count)
+    fleet.end_version("2")
+    await fleet.settle(YOUNG_SECONDS + 1.0)
+    store.value, store.revision = fleet.store.value, fleet.store.revision
+    store.histories = fleet.store.histories
+    fleet.store = store
+    for history in store.histories.values():
+        history._store = store
+    return fleet
+
+
+async def release_and_restart(fleet: Fleet, seconds: float, only=None):
+    """List a version for some seconds, kill all instances, and take streams up."""
+    settling = asyncio.create_task(fleet.settle(seconds + 2 * CHECK_SECONDS))
+    begun = asyncio.create_task(begin_streams(fleet, seconds, only))
+    fleet.targets.append(fleet.add_target(9, "2"))
+    await begun
+    fleet.end_version("2")
+    await asyncio.sleep(0.1)
+    settling.cancel()
+    fleet.restart_all()
+    return await fleet.take_up(sorted(fleet.exchanges))
+
+
+@pytest.mark.parametrize("count", [3, 9, 89, 300])
+@pytest.mark.parametrize("seconds", [0.3, 2.0])
+@pytest.mark.parametrize("create_store", [SharedStore, SlowStore, LossyStore])
+def test_no_stream_of_a_short_lived_version_is_joined(count, seconds, create_store):
+    """Guards against streams of a version that left before it was recorded."""
+
+    async def run():
+        fleet = await create_fleet(count, create_store())
+        return await release_and_restart(fleet, seconds)
+
+    went_on, refused, wrong = run_in_virtual_time(run())
+    assert wrong == 0
+    assert went_on + refused > 0
+
+
+@pytest.mark.parametrize("count", [3, 9])
+def test_record_of_one_instance_serves_those_of_an_earlier_release(count):
+    """Guards against joined streams while a release of the instances is under way.
+
+    Only one of them writes the record; the others let streams begin anywhere.
+    """
+
+    async def run():
+        fleet = await create_fleet(count, SharedStore())
+        for name in sorted(fleet.store.histories)[1:]:
+            fleet.store.histories[name]._update = wait_for_nothing
+        # of the moment before the write only this release is sure
+        fleet.targets.append(fleet.add_target(9, "2"))
+        await fleet.settle(count * 0.5 + 1.0)
+        return await release_and_restart(fleet, 1.0, set())
+
+    _, _, wrong = run_in_virtual_time(run())
+    assert wrong == 0
+
+
+async def wait_for_nothing() -> None:
+    """Stand in for the update of a record that an earlier release doesn't know."""
+
+
+@pytest.mark.parametrize("count", [3, 9, 89, 300])
+def test_new_version_begins_streams_at_all_instances(count):
+    """Guards against a version that is recorded and yet gets no streams."""
+
+    async def run():
+        fleet = await create_fleet(count, SharedStore())
+        fleet.add_target(9, "2")
+        await fleet.settle(2.0)
+        return [one.list_unrecorded(SERVICE) for one in fleet.store.histories.values()]
+
+    assert run_in_virtual_time(run()) == [frozenset()] * count
