ORDER: an instance drops only versions that it could have seen

What callers would have seen: streams joined from two versions after a kill of all instances, a while after a release, where an instance had been cut off from the store.

Cause: "certain" asked for how long an instance had looked at its own table, not for how long the table was up to date. One that was cut off for a minute took what it had not seen for gone, and dropped it from the record by a swap that succeeded, as it had read the record just before. Likewise an instance that asks followers may never list a version that another one has recorded. Class: absence that is read as "nothing happened".

Evidence: by reading, then two tests in virtual time. With the former rule (the time of the look in place of that of the confirmation) the instance that was cut off drops v1; without what others have added being kept, a version listed for a moment is dropped in the next quarter of a second. Both pass now.

Fix: the span without a gap counts moments at which the store or a peer confirmed the listing. A version that appears in the record counts as seen at that moment.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -225,6 +225,7 @@
             peers=self.peers,
             target_table=self.target_table,
             list_services=self.configuration.list_resumable_services,
+            find_confirmed_at=lambda: self.follower.confirmed_at,
             clock=self.clock,
             random_source=self.random,
             metrics=self.metrics,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/version_history.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/version_history.py
@@ -59,6 +59,8 @@
     for the one that began each stream.
 
     :param list_services: returns the services of which streams may be resumed
+    :param find_confirmed_at: returns the monotonic time at which the listing of targets
+        was last known to be current
     """
 
     name = "version_history"
@@ -71,6 +73,7 @@
         peers: PeerNetwork,
         target_table: TargetTable,
         list_services: Callable[[], Collection[str]],
+        find_confirmed_at: Callable[[], float],
         clock: Clock,
         random_source: random.Random,
         metrics: Metrics,
@@ -81,6 +84,7 @@
         self._peers = peers
         self._target_table = target_table
         self._list_services = list_services
+        self._find_confirmed_at = find_confirmed_at
         self._clock = clock
         self._random = random_source
         self._metrics = metrics
@@ -258,8 +262,9 @@
         for target in self._target_table.list_all():
             if target.service in versions:
                 versions[target.service].add(target.software_version)
+        confirmed_at = self._find_confirmed_at()
         for service, listed in versions.items():
-            self._seen.observe(service, listed, now)
+            self._seen.observe(service, listed, confirmed_at, now)
 
     async def _write(self, record: VersionRecord) -> None:
         self._due_at = None
@@ -304,10 +309,18 @@
             return
         self._value = value
         self._due_at = None
-        self._record = self._decode(value, revision, origin)
+        former, self._record = self._record, self._decode(value, revision, origin)
+        self._add_reported(former or VersionRecord(), self._record or VersionRecord())
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
 
+    def _add_reported(self, former: VersionRecord, record: VersionRecord) -> None:
+        """Keep versions that others have added for as long as their streams last."""
+        now = self._clock.now()
+        for service, versions in record.services.items():
+            added = versions - former.services.get(service, frozenset())
+            self._seen.add_reported(service, added, now)
+
     def _decode(self, value: bytes, revision: int, origin: str) -> VersionRecord | None:
         if not value:
             return VersionRecord()
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/instances.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/instances.py
@@ -263,6 +263,7 @@
                     peers=peers,
                     target_table=self._target_table,
                     list_services=tuple,
+                    find_confirmed_at=self._clock.now,
                     clock=self._clock,
                     random_source=self._random,
                     **telemetry,
--- a/packages/greengagelatch/src/greengagelatch/relay/stream_versions.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/stream_versions.py
@@ -28,8 +28,8 @@
 
 #: seconds for which a version is remembered: longer than a caller takes up a stream
 MEMORY_SECONDS = 60.0
-#: longest time in seconds between two looks at the targets of a service in which no
-#: version comes and goes unseen
+#: longest time in seconds between two confirmations of the listing in which no version
+#: comes and goes unseen
 MAX_GAP_SECONDS = 5.0
 #: most streams that are remembered
 MAX_STREAMS = 20_000
@@ -111,9 +111,9 @@
 
 @dataclass(slots=True)
 class _History:
-    #: monotonic time since which the service has been observed without a gap
-    since: float
-    observed_at: float
+    #: monotonic times between which the listing was known to be current without a gap
+    since: float = float("-inf")
+    confirmed_at: float = float("-inf")
     #: monotonic times at which each version was last listed
     seen_at: dict[str, float] = field(default_factory=dict)
 
@@ -128,12 +128,23 @@
         self._seconds = seconds
         self._services: dict[str, _History] = {}
 
-    def observe(self, service: str, versions: Iterable[str], now: float) -> None:
-        """Record the versions of the targets that are listed now."""
-        history = self._services.setdefault(service, _History(now, now))
-        if now - history.observed_at > MAX_GAP_SECONDS:
-            history.since = now
-        history.observed_at = now
+    def observe(
+        self, service: str, versions: Iterable[str], confirmed_at: float, now: float
+    ) -> None:
+        """Record the versions of the targets that are listed now.
+
+        :param confirmed_at: monotonic time at which the listing was known to be current
+        """
+        history = self._find(service)
+        if confirmed_at - history.confirmed_at > MAX_GAP_SECONDS:
+            history.since = confirmed_at
+        history.confirmed_at = max(history.confirmed_at, confirmed_at)
+        for version in versions:
+            history.seen_at[version] = now
+
+    def add_reported(self, service: str, versions: Iterable[str], now: float) -> None:
+        """Add versions that another instance has seen, maybe only a moment ago."""
+        history = self._find(service)
         for version in versions:
             history.seen_at[version] = now
 
@@ -150,4 +161,9 @@
     def is_certain(self, service: str, now: float) -> bool:
         """Return whether no version of that time can have been missed."""
         history = self._services.get(service)
-        return history is not None and now - history.since >= self._seconds
+        if history is None or now - history.confirmed_at > MAX_GAP_SECONDS:
+            return False
+        return min(now, history.confirmed_at) - history.since >= self._seconds
+
+    def _find(self, service: str) -> _History:
+        return self._services.setdefault(service, _History())
--- a/tests/test_core/test_relay/test_version_records.py
+++ b/tests/test_core/test_relay/test_version_records.py
@@ -18,7 +18,7 @@
 
 def look(services: ServiceVersions, versions: set[str], seconds: int) -> None:
     for second in range(seconds + 1):
-        services.observe("llm", versions, float(second))
+        services.observe("llm", versions, float(second), float(second))
 
 
 def test_record_survives_its_encoding():
@@ -46,7 +46,7 @@
 
 def test_version_that_is_listed_is_added_at_once():
     seen = ServiceVersions(10.0)
-    seen.observe("llm", {"v3"}, 0.0)
+    seen.observe("llm", {"v3"}, 0.0, 0.0)
     updated = update_record(RECORD, ["llm"], seen, 0.0)
     assert updated.services["llm"] == {"v1", "v2", "v3"}
     assert updated.services["chat"] == {"v7"}
@@ -69,7 +69,7 @@
 
 def test_versions_of_a_service_are_bounded():
     seen = ServiceVersions(10.0)
-    seen.observe("llm", {f"v{number}" for number in range(100)}, 0.0)
+    seen.observe("llm", {f"v{number}" for number in range(100)}, 0.0, 0.0)
     assert len(update_record(RECORD, ["llm"], seen, 0.0).services["llm"]) == (
         MAX_VERSIONS
     )
--- a/tests/test_entry/test_relay/test_stream_version_fleets.py
+++ b/tests/test_entry/test_relay/test_stream_version_fleets.py
@@ -107,6 +107,7 @@
             peers=peers,
             target_table=self.table,
             list_services=lambda: (SERVICE,),
+            find_confirmed_at=LoopClock().now,
             clock=LoopClock(),
             random_source=self.random,
             metrics=NullTelemetry(),
--- a/tests/test_entry/test_relay/test_version_history.py
+++ b/tests/test_entry/test_relay/test_version_history.py
@@ -35,6 +35,8 @@
     def __init__(self, *versions: str) -> None:
         self.writes: list[tuple[bytes, int]] = []
         self.outcome = WriteOutcome.APPLIED
+        self.is_cut_off = False
+        self.confirmed_at = 0.0
         self.table = TargetTable()
         for number, version in enumerate(versions):
             self.table.put(
@@ -52,12 +54,18 @@
             peers=self.network.join("entry-1"),
             target_table=self.table,
             list_services=lambda: ("llm",),
+            find_confirmed_at=self._find_confirmed_at,
             clock=LoopClock(),
             random_source=random.Random(1),
             metrics=NullTelemetry(),
             decisions=NullTelemetry(),
         )
 
+    def _find_confirmed_at(self) -> float:
+        if not self.is_cut_off:
+            self.confirmed_at = LoopClock().now()
+        return self.confirmed_at
+
     async def swap(self, key, value, expected, *, lease_id="") -> WriteResult:
         self.writes.append((value, expected))
         return WriteResult(self.outcome, 100 + len(self.writes))
@@ -203,6 +211,40 @@
     assert world.history.list_unrecorded("llm") == frozenset()
 
 
+async def test_instance_that_was_cut_off_drops_nothing_that_it_can_not_have_seen():
+    """Guards against a minute of looking at targets that were out of date.
+
+    Meanwhile a version was listed, began streams and left.
+    """
+    world = World("v2")
+    world.read(encode_record(VersionRecord({"llm": frozenset({"v1", "v2"})})))
+    await world.run(MEMORY_SECONDS / 2)
+    world.is_cut_off = True
+    await world.run(2 * MEMORY_SECONDS)
+    assert world.list_possible() == {"v1", "v2"}
+    world.is_cut_off = False
+    await world.run(MEMORY_SECONDS - 1.0)
+    assert world.list_possible() == {"v1", "v2"}
+    assert world.writes == []
+    await world.run(2.0)
+    value, _ = world.writes[-1]
+    assert value == encode_record(VersionRecord({"llm": frozenset({"v2"})}))
+
+
+async def test_version_that_others_have_seen_is_kept_for_as_long_as_streams_last():
+    """Guards against an instance that drops what was listed for too short a time."""
+    world = World("v2")
+    world.read(encode_record(VersionRecord({"llm": frozenset({"v2"})})))
+    await world.run(2 * MEMORY_SECONDS)
+    both = encode_record(VersionRecord({"llm": frozenset({"v1", "v2"})}))
+    world.history.apply_changes(Changes((Entry(KEY, both, 12),), (), 12))
+    await world.run(MEMORY_SECONDS - 1.0)
+    assert world.writes == []
+    assert world.list_possible() == {"v1", "v2"}
+    await world.run(2.0)
+    assert len(world.writes) == 1
+
+
 async def test_write_that_fails_is_made_again():
     """Guards against a record that misses a version for good."""
     world = World("v2")
