ORDER: no recorded version is dropped to make room for another

What callers would have seen: streams joined from two versions after a kill of all instances, where more than 16 versions of a service were listed within a minute.

Cause: the record kept the last 16 versions by the alphabet, where v10 comes before v9.

Evidence: by reading; test_recorded_versions_are_dropped_for_no_others failed before (nine of 16 recorded versions were dropped for others).

Fix: since a version begins streams only once it is recorded, one that finds no room can wait: recorded ones stay until they are a minute old, and new ones are added in the order in which they were last seen. The room is 64. /state tells which targets get no streams.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/version_history.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/version_history.py
@@ -213,6 +213,10 @@
             "known": self._record is not None,
             "complete": self._record is not None and self._record.complete,
             "recorded": {name: sorted(one) for name, one in services.items()},
+            "unrecorded": {
+                name: sorted(map(str, self.list_unrecorded(name)))
+                for name in self._list_services()
+            },
         }
 
     @Service.task
--- a/packages/greengagelatch/src/greengagelatch/relay/stream_versions.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/stream_versions.py
@@ -158,6 +158,11 @@
                 del history.seen_at[version]
         return frozenset(history.seen_at)
 
+    def sort_by_time(self, service: str, versions: Iterable[str]) -> list[str]:
+        """Return versions in the order in which they were last seen, latest first."""
+        seen_at = self._find(service).seen_at
+        return sorted(versions, key=lambda one: (-seen_at.get(one, 0.0), one))
+
     def is_certain(self, service: str, now: float) -> bool:
         """Return whether no version of that time can have been missed."""
         history = self._services.get(service)
--- a/packages/greengagelatch/src/greengagelatch/relay/version_records.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/version_records.py
@@ -18,7 +18,7 @@
 __all__ = ("VersionRecord", "decode_record", "encode_record", "update_record")
 
 #: most versions of a service that are recorded
-MAX_VERSIONS = 16
+MAX_VERSIONS = 64
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,7 +38,8 @@
 ) -> VersionRecord:
     """Return the record with what one instance has seen.
 
-    A version is added at once. It is dropped by an instance that has seen all that was
+    A version is added at once if there is room: none is dropped for it that may have
+    begun streams. It is dropped by an instance that has seen all that was
     listed for as long as streams last; such an instance completes a record, too.
 
     :param services: services of which streams may be resumed
@@ -49,10 +50,13 @@
         lately = seen.list_lately(service, now)
         if not seen.is_certain(service, now):
             lately |= record.services.get(service, frozenset())
-        if lately:
-            changed[service] = frozenset(sorted(lately)[-MAX_VERSIONS:])
-        else:
+        if not lately:
             changed.pop(service, None)
+            continue
+        kept = lately & record.services.get(service, frozenset())
+        added = seen.sort_by_time(service, lately - kept)
+        room = max(0, MAX_VERSIONS - len(kept))
+        changed[service] = kept | frozenset(added[:room])
     is_certain = all(seen.is_certain(service, now) for service in services)
     return VersionRecord(changed, record.complete or (bool(services) and is_certain))
 
--- a/tests/test_core/test_relay/test_version_records.py
+++ b/tests/test_core/test_relay/test_version_records.py
@@ -67,6 +67,22 @@
     assert "llm" not in update_record(RECORD, ["llm"], seen, 10.0).services
 
 
+def test_recorded_versions_are_dropped_for_no_others():
+    """Guards against a version that has begun streams and ranks last by its name."""
+    record = VersionRecord({"llm": frozenset(f"v{n}" for n in range(MAX_VERSIONS))})
+    seen = ServiceVersions(10.0)
+    seen.observe("llm", {f"w{n}" for n in range(9)}, 0.0, 0.0)
+    assert update_record(record, ["llm"], seen, 0.0) == record
+
+
+def test_version_that_was_listed_last_is_recorded_first():
+    """Guards against a new version that waits for those that are gone."""
+    seen = ServiceVersions(10.0)
+    seen.observe("llm", {f"v{n}" for n in range(2 * MAX_VERSIONS)}, 0.0, 0.0)
+    seen.observe("llm", {"v10"}, 1.0, 1.0)
+    assert "v10" in update_record(RECORD, ["llm"], seen, 1.0).services["llm"]
+
+
 def test_versions_of_a_service_are_bounded():
     seen = ServiceVersions(10.0)
     seen.observe("llm", {f"v{number}" for number in range(100)}, 0.0, 0.0)
