ORDER: a record that is missing after the first start is not taken for complete

Cause: a missing record was read as "no version has begun a stream", and the first lone version that was listed became the only one there had been.

Evidence: test_lone_version_is_not_known_where_a_release_without_a_record_served; without the change the record is written as complete, and the lone version is believed in the first second.

Fix: the settings tell whether the whole system starts for the first time. If not, a missing record is replaced by one that is not complete, as one that can't be read: versions may begin streams at once, streams that nobody remembers are refused until an instance has looked for a minute.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -226,6 +226,7 @@
             target_table=self.target_table,
             list_services=self.configuration.list_resumable_services,
             find_confirmed_at=lambda: self.follower.confirmed_at,
+            is_first_start=self.settings.is_first_start,
             clock=self.clock,
             random_source=self.random,
             metrics=self.metrics,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/parts.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/parts.py
@@ -62,6 +62,8 @@
     capacity: Capacity = field(default_factory=Capacity)
     #: for which services targets are chosen by their measured speed
     measured_speeds: SpeedMode = SpeedMode.REPORTED
+    #: whether no instance has served before
+    is_first_start: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/version_history.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/version_history.py
@@ -61,6 +61,8 @@
     :param list_services: returns the services of which streams may be resumed
     :param find_confirmed_at: returns the monotonic time at which the listing of targets
         was last known to be current
+    :param is_first_start: whether no instance has served before, so that a record that
+        is missing has held nothing
     """
 
     name = "version_history"
@@ -74,6 +76,7 @@
         target_table: TargetTable,
         list_services: Callable[[], Collection[str]],
         find_confirmed_at: Callable[[], float],
+        is_first_start: bool,
         clock: Clock,
         random_source: random.Random,
         metrics: Metrics,
@@ -85,6 +88,7 @@
         self._target_table = target_table
         self._list_services = list_services
         self._find_confirmed_at = find_confirmed_at
+        self._is_first_start = is_first_start
         self._clock = clock
         self._random = random_source
         self._metrics = metrics
@@ -327,7 +331,8 @@
 
     def _decode(self, value: bytes, revision: int, origin: str) -> VersionRecord | None:
         if not value:
-            return VersionRecord()
+            # a release that keeps no record may have served until now
+            return VersionRecord(complete=self._is_first_start)
         try:
             record = decode_record(value)
         except ValueError as error:
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/fleet.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/fleet.py
@@ -224,6 +224,7 @@
                 "control": instance.control,
             },
             "seeds": seeds[:3],
+            "bootstrap": True,
             "bounds": {"grace-s": 8, "retry-ratio": 0.2, "retry-slack": 58},
             "platform": {"address": self.find_store_address(name)},
         }
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/instances.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/instances.py
@@ -264,6 +264,7 @@
                     target_table=self._target_table,
                     list_services=tuple,
                     find_confirmed_at=self._clock.now,
+                    is_first_start=True,
                     clock=self._clock,
                     random_source=self._random,
                     **telemetry,
--- a/tests/test_entry/test_relay/test_stream_version_fleets.py
+++ b/tests/test_entry/test_relay/test_stream_version_fleets.py
@@ -108,6 +108,7 @@
             target_table=self.table,
             list_services=lambda: (SERVICE,),
             find_confirmed_at=LoopClock().now,
+            is_first_start=True,
             clock=LoopClock(),
             random_source=self.random,
             metrics=NullTelemetry(),
--- a/tests/test_entry/test_relay/test_version_history.py
+++ b/tests/test_entry/test_relay/test_version_history.py
@@ -32,7 +32,7 @@
 class World:
     """One instance that lists targets, and a store that takes its writes."""
 
-    def __init__(self, *versions: str) -> None:
+    def __init__(self, *versions: str, is_first_start: bool = True) -> None:
         self.writes: list[tuple[bytes, int]] = []
         self.outcome = WriteOutcome.APPLIED
         self.is_cut_off = False
@@ -55,6 +55,7 @@
             target_table=self.table,
             list_services=lambda: ("llm",),
             find_confirmed_at=self._find_confirmed_at,
+            is_first_start=is_first_start,
             clock=LoopClock(),
             random_source=random.Random(1),
             metrics=NullTelemetry(),
@@ -105,6 +106,22 @@
     assert world.list_possible() == {"v1"}
 
 
+async def test_lone_version_is_not_known_where_a_release_without_a_record_served():
+    """Guards against streams joined after all instances of it were replaced at once."""
+    world = World("v2", is_first_start=False)
+    world.read(None)
+    await world.run(MAX_RANDOM_DELAY + 2 * CHECK_SECONDS)
+    lone = {"llm": frozenset({"v2"})}
+    assert [value for value, _ in world.writes] == [
+        encode_record(VersionRecord(lone, complete=False))
+    ]
+    assert world.list_possible() is None
+    assert world.history.list_unrecorded("llm") == frozenset()
+    await world.run(MEMORY_SECONDS)
+    assert world.list_possible() == {"v2"}
+    assert world.writes[-1][0] == encode_record(VersionRecord(lone))
+
+
 async def test_instance_that_has_looked_for_long_needs_no_record():
     world = World("v1")
     await world.run(MEMORY_SECONDS + 1.0)
--- a/tests/test_platform/test_settings.py
+++ b/tests/test_platform/test_settings.py
@@ -61,10 +61,17 @@
     assert settings.measured_speeds is mode
 
 
+@pytest.mark.parametrize("is_first", [True, False])
+def test_first_start_is_decoded(is_first):
+    assert read().is_first_start is False
+    assert read(bootstrap=is_first).is_first_start is is_first
+
+
 @pytest.mark.parametrize(
     ("change", "name"),
     [
         ({"zone": 7}, "zone"),
+        ({"bootstrap": "yes"}, "bootstrap"),
         ({"balancing": {"measured-speeds": "on"}}, "balancing.measured-speeds"),
         ({"balancing": {"measured-speeds": True}}, "measured-speeds"),
         ({"balancing": "always"}, "balancing"),
