--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/explanations.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/explanations.py
@@ -134,14 +134,15 @@
             data_centres=exchange.data_centres,
             repeatable=route.repeatable,
         )
+        unrecorded: frozenset[Incarnation] = frozenset()
+        if route.resumable:
+            unrecorded = self._list_unrecorded(service)
         candidates = rehearsal.explain(
             service,
             demand,
             now,
             is_engine=route.kind is RouteKind.STREAMING,
-            unrecorded=self._list_unrecorded(service)
-            if route.resumable
-            else frozenset(),
+            unrecorded=unrecorded,
         )
         chosen = [one.target for one in candidates if one.chosen]
         outcome = "sent" if chosen else "held" if lacks_room else "refused"
