ORDER: a newer record is not taken back by a late response or a peer

What callers would have seen: streams of a version that is recorded wait or are refused for a moment, or, after a restart of all, are joined: the record that an instance believes lacks a version.

Cause, found by a review: the response to an own write was applied without a look at what the watch had brought meanwhile; and the revision up to which a record is known was that of a scan's first page, though the record came on a later one, so that a peer that knows less replaced it.

Evidence: test_late_response_does_not_take_a_newer_record_back and test_peer_does_not_take_back_a_record_that_is_newer_than_its_scan failed before (written_at 101 for 150, 7 for 12).

Fix: a response that is older than what is known is dropped, and what is known reaches up to the record's own revision.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/version_history.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/version_history.py
@@ -189,7 +189,8 @@
             self._apply(b"", ABSENT, "store")
         else:
             self._apply(found.value, found.revision, "store")
-        self._known_at = scan.revision
+        # of several pages, a later one may be newer than the scan's revision
+        self._known_at = max(scan.revision, self._revision)
 
     def apply_changes(self, changes: Changes) -> None:
         for key, revision in changes.removed:
@@ -282,8 +283,11 @@
         if written.outcome is not WriteOutcome.APPLIED:
             # another instance has written it, or the store is away
             return
+        if written.revision < self._known_at:
+            # the watch has told of it, and maybe of a newer one
+            return
         self._apply(value, written.revision, "own")
-        self._known_at = max(self._known_at, written.revision)
+        self._known_at = written.revision
 
     def _find_delay(self, now: float) -> float:
         """Return for how many seconds this instance waits for others to write."""
--- a/tests/test_entry/test_relay/test_version_history.py
+++ b/tests/test_entry/test_relay/test_version_history.py
@@ -294,3 +294,34 @@
     assert world.list_possible() is None
     await world.run(MAX_RANDOM_DELAY + 2 * CHECK_SECONDS)
     assert world.writes == [(FORMER, ABSENT)]
+
+
+async def test_late_response_does_not_take_a_newer_record_back():
+    """Guards against a record that is lost as the response to an own write is late.
+
+    Another instance has written meanwhile, and the watch has told of it.
+    """
+    world = World("v1", "v2")
+    world.read(FORMER)
+    three = encode_record(VersionRecord({"llm": frozenset({"v1", "v2", "v3"})}))
+    swap = world.swap
+
+    async def swap_slowly(key, value, expected, *, lease_id="") -> WriteResult:
+        written = await swap(key, value, expected)
+        world.history.apply_changes(Changes((Entry(KEY, three, 150),), (), 150))
+        return written
+
+    world.swap = swap_slowly
+    await world.run(MAX_RANDOM_DELAY + 2 * CHECK_SECONDS)
+    assert len(world.writes) == 1
+    assert (world.history.written_at, world.history.value) == (150, three)
+
+
+async def test_peer_does_not_take_back_a_record_that_is_newer_than_its_scan():
+    """Guards against a scan of several pages, the first of which is the oldest."""
+    world = World("v1", "v2")
+    both = encode_record(VersionRecord({"llm": frozenset({"v1", "v2"})}))
+    world.history.apply_scan(Scan((Entry(KEY, both, 12),), 9))
+    world.history.apply_peer_record(FORMER, 7, 10)
+    assert world.history.written_at == 12
+    assert world.history.list_unrecorded("llm") == frozenset()
