ORDER: services that no route leads to leave the record

What callers would have seen: nothing for long; the record grows with each service that was ever configured, until the store takes it no more, and then no new version begins streams.

Cause, found by a review: the update changed the services of the configuration only.

Evidence: test_service_that_no_route_leads_to_for_long_is_dropped failed before.

Fix: an instance that has seen all that was listed for a minute drops them, but for those that others have reported within a minute, whose configuration may be newer.

--- a/packages/greengagelatch/src/greengagelatch/relay/version_records.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/version_records.py
@@ -57,8 +57,15 @@
         added = seen.sort_by_time(service, lately - kept)
         room = max(0, MAX_VERSIONS - len(kept))
         changed[service] = kept | frozenset(added[:room])
-    is_certain = all(seen.is_certain(service, now) for service in services)
-    return VersionRecord(changed, record.complete or (bool(services) and is_certain))
+    is_certain = bool(services) and all(
+        seen.is_certain(service, now) for service in services
+    )
+    if is_certain:
+        # the others have had no route for as long, but for those just reported
+        for service in changed.keys() - set(services):
+            if not seen.list_lately(service, now):
+                del changed[service]
+    return VersionRecord(changed, record.complete or is_certain)
 
 
 def encode_record(record: VersionRecord) -> bytes:
--- a/tests/test_core/test_relay/test_version_records.py
+++ b/tests/test_core/test_relay/test_version_records.py
@@ -89,3 +89,10 @@
     assert len(update_record(RECORD, ["llm"], seen, 0.0).services["llm"]) == (
         MAX_VERSIONS
     )
+
+
+def test_service_that_no_route_leads_to_for_long_is_dropped():
+    """Guards against a record that grows until the store takes it no more."""
+    seen = ServiceVersions(10.0)
+    look(seen, {"v2"}, 10)
+    assert set(update_record(RECORD, ["llm"], seen, 10.0).services) == {"llm"}
