--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/version_history.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/version_history.py
@@ -9,7 +9,7 @@
 from mode import Service
 
 from greengagelatch.peers import MemberState
-from greengagelatch.relay.stream_versions import ServiceVersions
+from greengagelatch.relay.service_versions import ServiceVersions
 from greengagelatch.relay.version_records import (
     VersionRecord,
     decode_record,
--- a/packages/greengagelatch/src/greengagelatch/relay/stream_versions.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/stream_versions.py
@@ -7,20 +7,19 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from ..targets.subset import compute_weight
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable
+    from collections.abc import Collection
 
     from ..peers import Member
 
 __all__ = (
     "COPIES",
     "MEMORY_SECONDS",
-    "ServiceVersions",
     "StreamVersions",
     "find_group",
     "rank_keepers",
@@ -28,9 +27,6 @@
 
 #: seconds for which a version is remembered: longer than a caller takes up a stream
 MEMORY_SECONDS = 60.0
-#: longest time in seconds between two confirmations of the listing in which no version
-#: comes and goes unseen
-MAX_GAP_SECONDS = 5.0
 #: most streams that are remembered
 MAX_STREAMS = 20_000
 #: instances that remember each stream beside the one that sends it to a target
@@ -107,68 +103,3 @@
         """Return the version that began a stream; ``None`` if it is not known."""
         known = self._streams.get(request_id)
         return None if known is None or known.until <= now else known.software_version
-
-
-@dataclass(slots=True)
-class _History:
-    #: monotonic times between which the listing was known to be current without a gap
-    since: float = float("-inf")
-    confirmed_at: float = float("-inf")
-    #: monotonic times at which each version was last listed
-    seen_at: dict[str, float] = field(default_factory=dict)
-
-
-class ServiceVersions:
-    """Versions that the targets of each service have had lately.
-
-    :param seconds: time for which a version is remembered
-    """
-
-    def __init__(self, seconds: float = MEMORY_SECONDS) -> None:
-        self._seconds = seconds
-        self._services: dict[str, _History] = {}
-
-    def observe(
-        self, service: str, versions: Iterable[str], confirmed_at: float, now: float
-    ) -> None:
-        """Record the versions of the targets that are listed now.
-
-        :param confirmed_at: monotonic time at which the listing was known to be current
-        """
-        history = self._find(service)
-        if confirmed_at - history.confirmed_at > MAX_GAP_SECONDS:
-            history.since = confirmed_at
-        history.confirmed_at = max(history.confirmed_at, confirmed_at)
-        for version in versions:
-            history.seen_at[version] = now
-
-    def add_reported(self, service: str, versions: Iterable[str], now: float) -> None:
-        """Add versions that another instance has seen, maybe only a moment ago."""
-        history = self._find(service)
-        for version in versions:
-            history.seen_at[version] = now
-
-    def list_lately(self, service: str, now: float) -> frozenset[str]:
-        """Return the versions that targets have had lately."""
-        history = self._services.get(service)
-        if history is None:
-            return frozenset()
-        for version, seen_at in tuple(history.seen_at.items()):
-            if now - seen_at >= self._seconds:
-                del history.seen_at[version]
-        return frozenset(history.seen_at)
-
-    def sort_by_time(self, service: str, versions: Iterable[str]) -> list[str]:
-        """Return versions in the order in which they were last seen, latest first."""
-        seen_at = self._find(service).seen_at
-        return sorted(versions, key=lambda one: (-seen_at.get(one, 0.0), one))
-
-    def is_certain(self, service: str, now: float) -> bool:
-        """Return whether no version of that time can have been missed."""
-        history = self._services.get(service)
-        if history is None or now - history.confirmed_at > MAX_GAP_SECONDS:
-            return False
-        return min(now, history.confirmed_at) - history.since >= self._seconds
-
-    def _find(self, service: str) -> _History:
-        return self._services.setdefault(service, _History())
--- a/packages/greengagelatch/src/greengagelatch/relay/version_records.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/version_records.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from .stream_versions import ServiceVersions
+from .service_versions import ServiceVersions
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
--- a/tests/test_core/test_relay/test_version_records.py
+++ b/tests/test_core/test_relay/test_version_records.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from greengagelatch.relay.stream_versions import ServiceVersions
+from greengagelatch.relay.service_versions import ServiceVersions
 from greengagelatch.relay.version_records import (
     MAX_VERSIONS,
     VersionRecord,
