ORDER: a version is retired before it is dropped from the record

What callers would have seen: streams joined from two versions after a kill of all instances, where a version is listed again a minute after it had left.

Fix: a version that was not seen for a minute is retired by one write, begins no streams from then on, and is dropped by another one fifteen seconds later, which expects the record that retired it. One that is listed again is made active first, which changes the record, so that a late write fails. An instance that has just started neither takes what is retired for seen, nor drops it at once.

--- a/packages/greengagelatch/src/greengagelatch/relay/service_versions.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/service_versions.py
@@ -22,8 +22,12 @@
     #: monotonic times between which the listing was known to be current without a gap
     since: float = float("-inf")
     confirmed_at: float = float("-inf")
+    #: versions at the last look
+    listed: frozenset[str] = frozenset()
     #: monotonic times at which each version was last listed
     seen_at: dict[str, float] = field(default_factory=dict)
+    #: monotonic times since which versions are known to begin no streams any more
+    retired_at: dict[str, float] = field(default_factory=dict)
 
 
 class ServiceVersions:
@@ -47,7 +51,8 @@
         if confirmed_at - history.confirmed_at > MAX_GAP_SECONDS:
             history.since = confirmed_at
         history.confirmed_at = max(history.confirmed_at, confirmed_at)
-        for version in versions:
+        history.listed = frozenset(versions)
+        for version in history.listed:
             history.seen_at[version] = now
 
     def add_reported(self, service: str, versions: Iterable[str], now: float) -> None:
@@ -56,6 +61,23 @@
         for version in versions:
             history.seen_at[version] = now
 
+    def set_retired(self, service: str, versions: Iterable[str], now: float) -> None:
+        """Set the versions that begin no streams any more."""
+        history = self._find(service)
+        known = history.retired_at
+        history.retired_at = {one: known.get(one, now) for one in versions}
+
+    def list_retired(self, service: str, seconds: float, now: float) -> frozenset[str]:
+        """Return the versions that have begun no streams for some seconds."""
+        retired_at = self._find(service).retired_at
+        return frozenset(
+            version for version, at in retired_at.items() if now - at >= seconds
+        )
+
+    def list_listed(self, service: str) -> frozenset[str]:
+        """Return the versions that were listed at the last look."""
+        return self._find(service).listed
+
     def list_lately(self, service: str, now: float) -> frozenset[str]:
         """Return the versions that targets have had lately."""
         history = self._services.get(service)
--- a/packages/greengagelatch/src/greengagelatch/relay/version_records.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/version_records.py
@@ -13,65 +13,105 @@
 from .service_versions import ServiceVersions
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Collection, Mapping
 
-__all__ = ("VersionRecord", "decode_record", "encode_record", "update_record")
+__all__ = (
+    "MAX_VERSIONS",
+    "RETIRED_SECONDS",
+    "VersionRecord",
+    "decode_record",
+    "encode_record",
+    "update_record",
+)
 
 #: most versions of a service that are recorded
 MAX_VERSIONS = 64
+#: seconds for which a version begins no streams before it is dropped: longer than a
+#: write may take, and than an instance that is not cut off knows an older record
+RETIRED_SECONDS = 15.0
 
 
 @dataclass(frozen=True, slots=True)
 class VersionRecord:
-    """Versions by service that may begin streams, or have begun some lately."""
+    """Versions by service that have begun streams lately, or may begin some."""
 
     services: Mapping[str, frozenset[str]] = field(default_factory=dict)
+    #: those of them that begin none any more
+    retired: Mapping[str, frozenset[str]] = field(default_factory=dict)
     #: whether no other version can have begun a stream that its caller takes up
     complete: bool = True
 
+    def list_versions(self, service: str) -> frozenset[str]:
+        """Return the versions of a service that may have begun streams."""
+        return self.services.get(service, frozenset())
+
+    def list_retired(self, service: str) -> frozenset[str]:
+        """Return the versions of a service that begin no streams any more."""
+        return self.retired.get(service, frozenset())
+
+    def list_active(self, service: str) -> frozenset[str]:
+        """Return the versions of a service that may begin streams."""
+        return self.list_versions(service) - self.list_retired(service)
+
 
 def update_record(
     record: VersionRecord,
-    services: Iterable[str],
+    services: Collection[str],
     seen: ServiceVersions,
     now: float,
 ) -> VersionRecord:
     """Return the record with what one instance has seen.
 
     A version is added at once if there is room: none is dropped for it that may have
-    begun streams. It is dropped by an instance that has seen all that was
-    listed for as long as streams last; such an instance completes a record, too.
+    begun streams. One that an instance has not seen for as long as streams last, though
+    it has seen all that was listed, is retired first, and dropped later: a write that
+    drops it may be late, and must fail if the version is listed again meanwhile.
 
     :param services: services of which streams may be resumed
     """
-    services = tuple(services)
-    changed = dict(record.services)
-    for service in services:
-        lately = seen.list_lately(service, now)
-        if not seen.is_certain(service, now):
-            lately |= record.services.get(service, frozenset())
-        if not lately:
-            changed.pop(service, None)
-            continue
-        kept = lately & record.services.get(service, frozenset())
-        added = seen.sort_by_time(service, lately - kept)
-        room = max(0, MAX_VERSIONS - len(kept))
-        changed[service] = kept | frozenset(added[:room])
     is_certain = bool(services) and all(
         seen.is_certain(service, now) for service in services
     )
-    if is_certain:
-        # the others have had no route for as long, but for those just reported
-        for service in changed.keys() - set(services):
-            if not seen.list_lately(service, now):
-                del changed[service]
-    return VersionRecord(changed, record.complete or is_certain)
+    versions: dict[str, frozenset[str]] = {}
+    retired: dict[str, frozenset[str]] = {}
+    for service in {*services, *record.services}:
+        # a service without a route is judged by what is known of the others
+        certain = seen.is_certain(service, now) if service in services else is_certain
+        kept, ended = _update_service(record, service, seen, certain, now)
+        if kept:
+            versions[service] = kept
+        if ended:
+            retired[service] = ended
+    return VersionRecord(versions, retired, record.complete or is_certain)
+
+
+def _update_service(
+    record: VersionRecord,
+    service: str,
+    seen: ServiceVersions,
+    certain: bool,
+    now: float,
+) -> tuple[frozenset[str], frozenset[str]]:
+    """Return the versions of a service, and those of them that are retired."""
+    kept = record.list_versions(service)
+    retired = record.list_retired(service) - seen.list_listed(service)
+    lately = seen.list_lately(service, now)
+    if certain:
+        dropped = retired & seen.list_retired(service, RETIRED_SECONDS, now)
+        kept -= dropped
+        retired = (retired | (kept - lately)) - dropped
+    added = seen.sort_by_time(service, lately - kept)
+    room = max(0, MAX_VERSIONS - len(kept))
+    return kept | frozenset(added[:room]), retired
 
 
 def encode_record(record: VersionRecord) -> bytes:
     """Return the value of a record in the store."""
-    rows = {name: sorted(versions) for name, versions in record.services.items()}
-    fields = {"complete": record.complete, "services": rows}
+    fields = {
+        "complete": record.complete,
+        "services": _encode_versions(record.services),
+        "retired": _encode_versions(record.retired),
+    }
     return json.dumps(fields, sort_keys=True).encode()
 
 
@@ -82,14 +122,26 @@
     """
     try:
         fields = json.loads(value)
-        rows = fields["services"].items()
-        services = {str(name): _read_versions(row) for name, row in rows}
-        # an earlier release writes no "complete"
-        return VersionRecord(services, fields.get("complete", True) is True)
+        # an earlier release writes the versions of services only
+        return VersionRecord(
+            _decode_versions(fields["services"]),
+            _decode_versions(fields.get("retired", {})),
+            fields.get("complete", True) is True,
+        )
     except (KeyError, TypeError, AttributeError, RecursionError) as error:
         raise ValueError(f"no record of versions: {error}") from error
 
 
+def _encode_versions(
+    services: Mapping[str, frozenset[str]],
+) -> dict[str, list[str]]:
+    return {name: sorted(versions) for name, versions in services.items()}
+
+
+def _decode_versions(rows: dict[str, object]) -> dict[str, frozenset[str]]:
+    return {str(name): _read_versions(row) for name, row in rows.items()}
+
+
 def _read_versions(row: object) -> frozenset[str]:
     if not isinstance(row, list) or not all(isinstance(one, str) for one in row):
         raise TypeError(f"{row!r} is no list of versions")
--- a/tests/test_entry/test_relay/test_version_record_fleets.py
+++ b/tests/test_entry/test_relay/test_version_record_fleets.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from greengagelatch.relay.stream_versions import MEMORY_SECONDS
+from greengagelatch.relay.version_records import RETIRED_SECONDS
 from greengagelatch.store import WriteOutcome, WriteResult
 from greengagelatch_entry.relay.version_history import CHECK_SECONDS, YOUNG_SECONDS
 from greengagelatch_lab.stage_load.virtual_time import run_in_virtual_time
@@ -136,3 +138,55 @@
         return [one.list_unrecorded(SERVICE) for one in fleet.store.histories.values()]
 
     assert run_in_virtual_time(run()) == [frozenset()] * count
+
+
+class LateStore(SharedStore):
+    """A store that executes some writes seconds after they were given up."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.is_late = False
+        self.landed = asyncio.Event()
+        self.sent = asyncio.Event()
+
+    async def swap(self, key, value, expected, *, lease_id="") -> WriteResult:
+        if not self.is_late:
+            return await super().swap(key, value, expected)
+        asyncio.get_running_loop().call_later(SLOW_SECONDS, self._land, value, expected)
+        self.sent.set()
+        return WriteResult(WriteOutcome.UNKNOWN, 0)
+
+    def _land(self, value: bytes, expected: int) -> None:
+        if expected != self.revision:
+            return
+        self.value, self.revision = value, self.revision + 1
+        self.landed.set()
+
+
+@pytest.mark.parametrize("seconds", [0.0, RETIRED_SECONDS])
+def test_late_write_drops_no_version_that_is_listed_again(seconds):
+    """Guards against a write that was given up, and drops a version seconds later.
+
+    Meanwhile the version is listed again and begins streams, as the record that all
+    have read still holds it.
+    """
+
+    async def run():
+        fleet = await create_fleet(3, LateStore())
+        fleet.add_target(9, "2")
+        await fleet.settle(2.0)
+        fleet.end_version("1")
+        await fleet.settle(MEMORY_SECONDS + seconds - 3.0)
+        fleet.store.is_late = True
+        settling = asyncio.create_task(fleet.settle(2 * MEMORY_SECONDS))
+        await fleet.store.sent.wait()
+        back = fleet.add_target(8, "1")
+        await begin_streams(fleet, 1.0, None)
+        fleet.table.remove(back.incarnation, 0)
+        await fleet.store.landed.wait()
+        settling.cancel()
+        fleet.restart_all()
+        return await fleet.take_up(sorted(fleet.exchanges))
+
+    _, _, wrong = run_in_virtual_time(run())
+    assert wrong == 0
