ORDER: those that remember a stream are asked before a lone version is believed

What callers saw: a stream that they took up went on at another software version, where the instance that they returned to had not heard yet of the version that began it.

Cause, found by a review: where one version alone was possible, nobody was asked. But an instance's listing and record may be late: it asks followers each 0.4 s, its watch may have lost its history, the store may turn it away. Class as before: absence is read as "nothing happened".

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stream_version_exchange.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stream_version_exchange.py
@@ -143,11 +143,11 @@
         }
         if exchange.request.resume_after is None or not listed:
             return None
+        version = await self._find(exchange.request.resumes)
         possible = self._history.list_possible(service)
-        if possible is not None and len(possible) == 1:
-            # nobody has to know which version began the stream
+        if version is None and possible is not None and len(possible) == 1:
+            # nobody remembers the stream, and no other version can have begun it
             return next(iter(possible))
-        version = await self._find(exchange.request.resumes)
         self._decisions.log_decision(
             "stream-resumed",
             request=exchange.request.request_id,
--- a/tests/test_entry/test_relay/test_mixed_versions.py
+++ b/tests/test_entry/test_relay/test_mixed_versions.py
@@ -219,3 +219,36 @@
     replies = await take_up_streams(fleet, fleet.instances)
     assert list_mixed(fleet) == []
     assert [one.status for one in replies] == [COMPLETE] * STREAMS
+
+
+async def ignore_peers() -> None:
+    """Stand in for a query to a peer that is not due yet."""
+
+
+async def test_stream_is_not_joined_by_an_instance_whose_news_are_late(lavish_fleet):
+    """Guards against a lone version that is believed before a new one is heard of.
+
+    The watch of the instance has lost its history, and brings no changes for a while.
+    """
+    fleet = lavish_fleet
+    await fleet.wait_for(lambda: fleet.store.find(RECORD))
+    first, late, *_ = fleet.instances
+    await late.wait_for(lambda: late.find("version_history").list_possible("llm"))
+    late.find("store")._subscribers = ()
+    late.find("news")._query_peer = ignore_peers
+    for number in (1, 2):
+        await fleet.add(f"llm-new-{number}", "llm", software_version="v1.2")
+    history = first.find("version_history")
+    await first.wait_for(
+        lambda: (
+            first.accepts("llm-new-1")
+            and first.accepts("llm-new-2")
+            and not history.list_unrecorded("llm")
+        )
+    )
+    for number in range(STREAMS):
+        await read_first_event(first, f"a-{number}", name_parts(number))
+    begun = [n for n in range(STREAMS) if "v1.2" in find_versions(fleet, f"a-{n}")]
+    assert begun
+    await take_up_streams(fleet, [late])
+    assert list_mixed(fleet) == []
--- a/tests/test_entry/test_relay/test_version_record_fleets.py
+++ b/tests/test_entry/test_relay/test_version_record_fleets.py
@@ -7,10 +7,11 @@
 import pytest
 
 from greengagelatch.relay.stream_versions import MEMORY_SECONDS
+from greengagelatch.relay.targets import TargetTable
 from greengagelatch.relay.version_records import RETIRED_SECONDS
 from greengagelatch.store import WriteOutcome, WriteResult
 from greengagelatch_entry.relay.version_history import CHECK_SECONDS, YOUNG_SECONDS
-from greengagelatch_lab.stage_load.virtual_time import run_in_virtual_time
+from greengagelatch_lab.stage_load.virtual_time import LoopClock, run_in_virtual_time
 
 from .test_stream_version_fleets import SERVICE, Fleet, SharedStore
 
@@ -190,3 +191,47 @@
 
     _, _, wrong = run_in_virtual_time(run())
     assert wrong == 0
+
+
+def cut_off(fleet: Fleet, name: str) -> None:
+    """Let an instance hear nothing more of the store: neither targets nor record."""
+    history = fleet.store.histories.pop(name)
+    table = TargetTable()
+    for target in fleet.table.list_all():
+        table.put(target)
+    cut_at = LoopClock().now()
+    history._target_table = fleet.exchanges[name]._target_table = table
+    history._find_confirmed_at = lambda: cut_at
+
+
+def select_streams(fleet: Fleet, version: str) -> None:
+    """Keep the streams that a version began."""
+    fleet.streams = {
+        request_id: row
+        for request_id, row in fleet.streams.items()
+        if row[0] == version
+    }
+    assert fleet.streams
+
+
+@pytest.mark.parametrize("count", [3, 9, 89])
+def test_lone_version_is_not_believed_by_an_instance_whose_news_are_late(count):
+    """Guards against streams of a new version that are taken up where it is unknown.
+
+    The instance has not heard of the version for less than two seconds. Those that
+    are to remember the streams know them; in a small fleet it is one of them.
+    """
+
+    async def run():
+        fleet = await create_fleet(count, SharedStore())
+        cut_off(fleet, "entry-1")
+        fleet.add_target(9, "2")
+        await fleet.settle(1.5)
+        excluded = fleet.exchanges.pop("entry-1")
+        await begin_streams(fleet, 0.3, None)
+        fleet.exchanges["entry-1"] = excluded
+        select_streams(fleet, "2")
+        return await fleet.take_up(["entry-1"])
+
+    _, _, wrong = run_in_virtual_time(run())
+    assert wrong == 0
