ORDER: a stream that is taken up waits for the record of its version

What callers saw: a stream that they took up was refused at an instance that had not read the record of its version yet, though others knew the version and a target of it was listed.

Cause, found by a review: the wait for a record asked for any target, and those of other versions were recorded.

Evidence: test_stream_that_is_taken_up_waits_for_the_record_of_its_version failed before.

Fix: where the version is known, only its targets count.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stream_version_exchange.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stream_version_exchange.py
@@ -179,7 +179,7 @@
         return excluded | self._history.list_unrecorded(exchange.service)
 
     async def wait_for_record(self, exchange: RelayExchange) -> None:
-        """Wait until a stream may begin at any of the targets.
+        """Wait until a stream may begin, or go on, at any of the targets.
 
         :raises RefusedError: if it may not for now
         """
@@ -213,10 +213,13 @@
             )
 
     def _list_targets(self, exchange: RelayExchange) -> list[ListedTarget]:
+        """Return the targets of the version that began a stream, or of all versions."""
+        version = exchange.software_version
         return [
             one
             for one in self._target_table.list_service(exchange.service)
             if is_allowed(one.data_centre, exchange.data_centres)
+            and version in (None, one.software_version)
         ]
 
     def dump(self) -> dict[str, Any]:
--- a/tests/test_entry/test_relay/test_version_record_fleets.py
+++ b/tests/test_entry/test_relay/test_version_record_fleets.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+from types import SimpleNamespace
 
 import pytest
 
 from greengagelatch.relay.stream_versions import MEMORY_SECONDS
 from greengagelatch.relay.targets import TargetTable
 from greengagelatch.relay.version_records import RETIRED_SECONDS
-from greengagelatch.store import WriteOutcome, WriteResult
-from greengagelatch_entry.relay.version_history import CHECK_SECONDS, YOUNG_SECONDS
+from greengagelatch.store import Entry, WriteOutcome, WriteResult
+from greengagelatch.store.ranges import Changes
+from greengagelatch.verdict import Verdict
+from greengagelatch_entry.relay.version_history import CHECK_SECONDS, KEY, YOUNG_SECONDS
 from greengagelatch_lab.stage_load.virtual_time import LoopClock, run_in_virtual_time
 
 from .test_stream_version_fleets import SERVICE, Fleet, SharedStore
@@ -235,3 +238,44 @@
 
     _, _, wrong = run_in_virtual_time(run())
     assert wrong == 0
+
+
+def test_stream_that_is_taken_up_waits_for_the_record_of_its_version():
+    """Guards against a refusal where the record is read late and others serve."""
+
+    async def run():
+        fleet = await create_fleet(3, SharedStore())
+        late = fleet.store.histories.pop("entry-1")
+        target = fleet.add_target(9, "2")
+        await fleet.settle(1.5)
+        await fleet.exchanges["entry-0"].record_send("a-1", target)
+        now = LoopClock().now()
+        late._observe_all((SERVICE,), now)
+        entry = Entry(KEY, fleet.store.value, fleet.store.revision)
+        asyncio.get_running_loop().call_later(
+            0.3, late.apply_changes, Changes((entry,), (), entry.revision)
+        )
+        exchange = create_exchange("a-1", SERVICE, deadline=now + 5.0)
+        versions = fleet.exchanges["entry-1"]
+        exchange.software_version = await versions.find_version(exchange)
+        await versions.wait_for_record(exchange)
+        return exchange.software_version, target.incarnation in versions.list_excluded(
+            exchange, exchange.software_version
+        )
+
+    assert run_in_virtual_time(run()) == ("2", False)
+
+
+def create_exchange(resumes: str, service: str, deadline: float = 0.0):
+    """Create a request that takes up a stream."""
+    return SimpleNamespace(
+        service=service,
+        verdict=Verdict.NOT_RUN,
+        route=SimpleNamespace(resumable=True),
+        data_centres=None,
+        deadline=deadline,
+        software_version=None,
+        request=SimpleNamespace(
+            request_id=f"b-{resumes}", resumes=resumes, resume_after=3
+        ),
+    )
