ORDER: a stream goes on at the service that began it

What callers would have seen: a stream that they took up at a route which splits traffic, or has been moved, went on at another service, whose one version was believed to have begun it.

Cause, found by a review: what is remembered of a stream was its version, not its service; a split route draws a service for each request, and a lone version was believed unasked.

Evidence: test_stream_of_another_service_is_not_taken_for_one_of_its_lone_version failed before ('7', the lone version of the other service).

Fix: instances remember the service as well, in a field that earlier releases ignore; a request is moved to that service if its route leads there, otherwise refused. A request is counted for the retry budget of the service that it ends up at.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stream_version_exchange.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stream_version_exchange.py
@@ -17,6 +17,7 @@
 )
 from greengagelatch.relay.stream_versions import (
     COPIES,
+    StreamOrigin,
     StreamVersions,
     find_group,
     rank_keepers,
@@ -94,7 +95,7 @@
         self._keepers: dict[int, tuple[str, ...]] = {}
         self._members: tuple[Member, ...] = ()
         #: rows to be sent, by instance
-        self._pending: dict[str, list[tuple[str, str]]] = {}
+        self._pending: dict[str, list[tuple[str, StreamOrigin]]] = {}
         self._timer: asyncio.TimerHandle | None = None
         peers.handle(StreamVersionsUpdate, self._receive)
         peers.handle(StreamVersionQuery, self._answer)
@@ -105,23 +106,23 @@
         Where they know it by another version, this returns once they have been told:
         until then they would give a caller that has returned the former one.
         """
-        version = target.software_version
+        origin = StreamOrigin(target.service, target.software_version)
         now = self._clock.now()
         before = self._streams.find(request_id, now)
-        self._streams.record(request_id, version, now)
-        if before not in (None, version):
-            await self._replace(request_id, version)
+        self._streams.record(request_id, origin, now)
+        if before not in (None, origin):
+            await self._replace(request_id, origin)
             return
-        self._tell(request_id, version)
+        self._tell(request_id, origin)
         if self._timer is None:
             loop = asyncio.get_running_loop()
             self._timer = loop.call_later(FLUSH_SECONDS, self._flush)
 
-    async def _replace(self, request_id: str, version: str) -> None:
-        """Tell the instances that know another version of a stream, and wait for it."""
+    async def _replace(self, request_id: str, origin: StreamOrigin) -> None:
+        """Tell the instances that know another origin of a stream, and wait for it."""
         for rows in self._pending.values():
             rows[:] = [row for row in rows if row[0] != request_id]
-        update = StreamVersionsUpdate(((request_id, version),))
+        update = StreamVersionsUpdate.create([(request_id, origin)])
         keepers = self._list_keepers(request_id)[:COPIES]
         if keepers:
             await asyncio.wait(
@@ -134,18 +135,25 @@
     async def find_version(self, exchange: RelayExchange) -> str | None:
         """Return the version at which a request has to go on with its stream.
 
+        A route that splits traffic leads it to the service that began the stream.
+
         :return: ``None`` if any target may be sent the request
         :raises RefusedError: if the version is not known, or no target has it
         """
+        if exchange.request.resume_after is None:
+            return None
+        if not self._target_table.list_service(exchange.service):
+            return None
+        origin = await self._find(exchange.request.resumes)
+        if origin is not None and origin.service:
+            self._move(exchange, origin)
         service = exchange.service
         listed = {
             one.software_version for one in self._target_table.list_service(service)
         }
-        if exchange.request.resume_after is None or not listed:
-            return None
-        version = await self._find(exchange.request.resumes)
         possible = self._history.list_possible(service)
-        if version is None and possible is not None and len(possible) == 1:
+        is_lone = possible is not None and len(possible) == 1
+        if origin is None and is_lone and len(exchange.route.split) <= 1:
             # nobody remembers the stream, and no other version can have begun it
             return next(iter(possible))
         self._decisions.log_decision(
@@ -153,13 +161,19 @@
             request=exchange.request.request_id,
             resumes=exchange.request.resumes,
             service=service,
-            version=version,
+            version=None if origin is None else origin.software_version,
             listed=sorted(listed),
             possible=None if possible is None else sorted(possible),
         )
-        if version in listed:
-            return version
-        raise self._create_refusal(exchange, version)
+        is_here = origin is not None and origin.service in ("", service)
+        if is_here and origin.software_version in listed:
+            return origin.software_version
+        raise self._create_refusal(exchange, origin)
+
+    def _move(self, exchange: RelayExchange, origin: StreamOrigin) -> None:
+        """Lead a request to the service that began its stream, if its route does."""
+        if any(origin.service == service for service, _ in exchange.route.split):
+            exchange.service = origin.service
 
     def list_excluded(
         self, exchange: RelayExchange, version: str | None
@@ -230,8 +244,8 @@
         if self._timer is not None:
             self._timer.cancel()
         self._flush()
-        for request_id, version in self._streams.list_remembered(self._clock.now()):
-            self._tell(request_id, version)
+        for request_id, origin in self._streams.list_remembered(self._clock.now()):
+            self._tell(request_id, origin)
         self._flush(handed_over=True)
 
     def _list_keepers(self, request_id: str) -> tuple[str, ...]:
@@ -248,15 +262,15 @@
             self._keepers[group] = tuple(one for one in ranked if one != own)
         return self._keepers[group]
 
-    def _tell(self, request_id: str, version: str) -> None:
+    def _tell(self, request_id: str, origin: StreamOrigin) -> None:
         for keeper in self._list_keepers(request_id)[:COPIES]:
-            self._pending.setdefault(keeper, []).append((request_id, version))
+            self._pending.setdefault(keeper, []).append((request_id, origin))
 
     def _flush(self, *, handed_over: bool = False) -> None:
         self._timer = None
         pending, self._pending = self._pending, {}
         for keeper, rows in pending.items():
-            update = StreamVersionsUpdate(tuple(rows), handed_over)
+            update = StreamVersionsUpdate.create(rows, handed_over)
             if self._peers.send(keeper, update):
                 self._metrics.count("stream_versions.updates_sent")
 
@@ -264,56 +278,60 @@
         self, sender: str, update: StreamVersionsUpdate
     ) -> StreamVersionAnswer:
         now = self._clock.now()
-        for request_id, version in update.rows:
+        for request_id, origin in update.list_origins():
             known = self._streams.find(request_id, now)
             if known is None or not update.handed_over:
-                self._streams.record(request_id, version, now)
+                self._streams.record(request_id, origin, now)
         return StreamVersionAnswer()
 
     def _answer(self, sender: str, query: StreamVersionQuery) -> StreamVersionAnswer:
-        version = self._streams.find(query.request_id, self._clock.now())
-        return StreamVersionAnswer(version)
-
-    async def _find(self, request_id: str) -> str | None:
-        """Return the version that began a stream, as far as any instance knows."""
-        version = self._streams.find(request_id, self._clock.now())
-        if version is not None or not request_id:
-            return version
+        origin = self._streams.find(query.request_id, self._clock.now())
+        if origin is None:
+            return StreamVersionAnswer()
+        return StreamVersionAnswer(origin.software_version, origin.service)
+
+    async def _find(self, request_id: str) -> StreamOrigin | None:
+        """Return where a stream has begun, as far as any instance knows."""
+        origin = self._streams.find(request_id, self._clock.now())
+        if origin is not None or not request_id:
+            return origin
         asked = self._list_keepers(request_id)[:ASKED]
-        version = await self._ask_all(asked, request_id)
-        if version is None and asked:
+        origin = await self._ask_all(asked, request_id)
+        if origin is None and asked:
             # the news may be on their way
             await asyncio.sleep(NEWS_SECONDS)
-            version = await self._ask_all(asked, request_id)
-        found = "found" if version is not None else "unknown"
+            origin = await self._ask_all(asked, request_id)
+        found = "found" if origin is not None else "unknown"
         self._metrics.count(f"stream_versions.{found}")
-        return version
+        return origin
 
-    async def _ask_all(self, asked: Sequence[str], request_id: str) -> str | None:
-        """Return the first version that one of some instances knows."""
+    async def _ask_all(
+        self, asked: Sequence[str], request_id: str
+    ) -> StreamOrigin | None:
+        """Return the first origin that one of some instances knows."""
         tasks = [asyncio.create_task(self._ask(one, request_id)) for one in asked]
         try:
             for done in asyncio.as_completed(tasks):
-                version = await done
-                if version is not None:
-                    return version
+                origin = await done
+                if origin is not None:
+                    return origin
         finally:
             for task in tasks:
                 task.cancel()
         return None
 
-    async def _ask(self, instance_id: str, request_id: str) -> str | None:
+    async def _ask(self, instance_id: str, request_id: str) -> StreamOrigin | None:
         query = StreamVersionQuery(request_id)
         match await self._peers.ask(instance_id, query, QUERY_SECONDS):
-            case Ok(StreamVersionAnswer(version)):
-                return version
+            case Ok(StreamVersionAnswer(str(version), service)):
+                return StreamOrigin(service, version)
         return None
 
     def _create_refusal(
-        self, exchange: RelayExchange, version: str | None
+        self, exchange: RelayExchange, origin: StreamOrigin | None
     ) -> RefusedError:
         self._metrics.count("stream_versions.refused")
-        if version is None:
+        if origin is None:
             message = "the software version that began the stream is not known"
         else:
             message = "no target has the software version that began the stream"
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -80,8 +80,8 @@
         self.codec = codec
 
     async def run(self, exchange: RelayExchange) -> None:
-        self.budgets.record_request(exchange.service)
         exchange.software_version = await self.versions.find_version(exchange)
+        self.budgets.record_request(exchange.service)
         self._check_targets(exchange)
         await self.versions.wait_for_record(exchange)
         first_seconds, total_seconds = self.times.estimate(exchange)
--- a/packages/greengagelatch/src/greengagelatch/relay/stream_versions.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/stream_versions.py
@@ -20,6 +20,7 @@
 __all__ = (
     "COPIES",
     "MEMORY_SECONDS",
+    "StreamOrigin",
     "StreamVersions",
     "find_group",
     "rank_keepers",
@@ -61,14 +62,23 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Stream:
+class StreamOrigin:
+    """Where a stream has begun."""
+
+    #: empty: not known, as an earlier release told it
+    service: str
     software_version: str
+
+
+@dataclass(frozen=True, slots=True)
+class _Stream:
+    origin: StreamOrigin
     #: monotonic time until which it is remembered
     until: float
 
 
 class StreamVersions:
-    """Versions of the targets that streams were last sent to, by the attempt's id.
+    """Origins of streams by the attempt's id: where they were last sent to.
 
     A target that brings no event binds nothing: the next one that the request is sent
     to replaces it. One that has brought events is replaced by none of another version.
@@ -81,9 +91,9 @@
     def __len__(self) -> int:
         return len(self._streams)
 
-    def record(self, request_id: str, software_version: str, now: float) -> None:
-        """Record the version of the target that a request is sent to."""
-        self._streams[request_id] = _Stream(software_version, now + MEMORY_SECONDS)
+    def record(self, request_id: str, origin: StreamOrigin, now: float) -> None:
+        """Record where a request is sent to."""
+        self._streams[request_id] = _Stream(origin, now + MEMORY_SECONDS)
         self._streams.move_to_end(request_id)
         while self._streams:
             oldest = next(iter(self._streams))
@@ -91,15 +101,15 @@
                 return
             del self._streams[oldest]
 
-    def list_remembered(self, now: float) -> list[tuple[str, str]]:
-        """Return the streams that are remembered, and their versions."""
+    def list_remembered(self, now: float) -> list[tuple[str, StreamOrigin]]:
+        """Return the streams that are remembered, and their origins."""
         return [
-            (request_id, stream.software_version)
+            (request_id, stream.origin)
             for request_id, stream in self._streams.items()
             if stream.until > now
         ]
 
-    def find(self, request_id: str, now: float) -> str | None:
-        """Return the version that began a stream; ``None`` if it is not known."""
+    def find(self, request_id: str, now: float) -> StreamOrigin | None:
+        """Return where a stream has begun; ``None`` if it is not known."""
         known = self._streams.get(request_id)
-        return None if known is None or known.until <= now else known.software_version
+        return None if known is None or known.until <= now else known.origin
--- a/tests/test_core/test_relay/test_stream_versions.py
+++ b/tests/test_core/test_relay/test_stream_versions.py
@@ -10,11 +10,14 @@
     COPIES,
     GROUPS,
     MEMORY_SECONDS,
+    StreamOrigin,
     StreamVersions,
     find_group,
     rank_keepers,
 )
 
+FIRST, SECOND = StreamOrigin("llm", "v1"), StreamOrigin("llm", "v2")
+
 
 def create_members(count: int, data_centres: int) -> list[Member]:
     return [
@@ -31,18 +34,18 @@
 def test_last_target_of_an_attempt_counts():
     """Guards against a stream bound to a target that brought no event."""
     streams = StreamVersions()
-    streams.record("a", "v1", 0.0)
-    streams.record("a", "v2", 1.0)
-    assert streams.find("a", 2.0) == "v2"
+    streams.record("a", FIRST, 0.0)
+    streams.record("a", SECOND, 1.0)
+    assert streams.find("a", 2.0) == SECOND
     assert streams.find("b", 2.0) is None
 
 
 def test_streams_are_forgotten_after_some_time():
     streams = StreamVersions()
-    streams.record("a", "v1", 0.0)
-    assert streams.list_remembered(1.0) == [("a", "v1")]
+    streams.record("a", FIRST, 0.0)
+    assert streams.list_remembered(1.0) == [("a", FIRST)]
     assert streams.find("a", MEMORY_SECONDS) is None
-    streams.record("b", "v1", MEMORY_SECONDS)
+    streams.record("b", FIRST, MEMORY_SECONDS)
     assert len(streams) == 1
 
 
@@ -51,9 +54,9 @@
     monkeypatch.setattr(stream_versions, "MAX_STREAMS", 10)
     streams = StreamVersions()
     for number in range(25):
-        streams.record(f"a-{number}", "v1", 0.0)
+        streams.record(f"a-{number}", FIRST, 0.0)
     assert len(streams) == 10
-    assert streams.find("a-24", 0.0) == "v1"
+    assert streams.find("a-24", 0.0) == FIRST
 
 
 @pytest.mark.parametrize("data_centres", [1, 2, 3, 5])
--- a/tests/test_entry/test_relay/test_stream_version_fleets.py
+++ b/tests/test_entry/test_relay/test_stream_version_fleets.py
@@ -149,6 +149,7 @@
                 continue
             exchange = SimpleNamespace(
                 service=SERVICE,
+                route=SimpleNamespace(split=()),
                 verdict=Verdict.NOT_RUN,
                 request=SimpleNamespace(
                     request_id=f"b-{request_id}", resumes=request_id, resume_after=3
--- a/tests/test_entry/test_relay/test_version_record_fleets.py
+++ b/tests/test_entry/test_relay/test_version_record_fleets.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from types import SimpleNamespace
 
 import pytest
 
+from greengagelatch.relay.requests import RefusedError
 from greengagelatch.relay.stream_versions import MEMORY_SECONDS
 from greengagelatch.relay.targets import TargetTable
 from greengagelatch.relay.version_records import RETIRED_SECONDS
@@ -266,12 +268,12 @@
     assert run_in_virtual_time(run()) == ("2", False)
 
 
-def create_exchange(resumes: str, service: str, deadline: float = 0.0):
+def create_exchange(resumes: str, service: str, deadline: float = 0.0, split=()):
     """Create a request that takes up a stream."""
     return SimpleNamespace(
         service=service,
         verdict=Verdict.NOT_RUN,
-        route=SimpleNamespace(resumable=True),
+        route=SimpleNamespace(resumable=True, split=split),
         data_centres=None,
         deadline=deadline,
         software_version=None,
@@ -279,3 +281,50 @@
             request_id=f"b-{resumes}", resumes=resumes, resume_after=3
         ),
     )
+
+
+def test_stream_of_another_service_is_not_taken_for_one_of_its_lone_version():
+    """Guards against a split or moved route that leads a stream to another service.
+
+    Each of the services has had one version only.
+    """
+
+    async def run():
+        fleet = Fleet(3)
+        fleet.end_version("2")
+        fleet.table.put(replace(fleet.add_target(9, "7"), service="chat", revision=1))
+        for history in fleet.store.histories.values():
+            history._list_services = lambda: (SERVICE, "chat")
+        await fleet.settle(YOUNG_SECONDS + 1.0)
+        await fleet.exchanges["entry-0"].record_send("a-1", fleet.targets[0])
+        found = []
+        for name in sorted(fleet.exchanges):
+            exchange = create_exchange("a-1", "chat")
+            try:
+                found.append(await fleet.exchanges[name].find_version(exchange))
+            except RefusedError:
+                continue
+        return found
+
+    assert run_in_virtual_time(run()) == []
+
+
+def test_stream_goes_on_at_the_service_that_began_it():
+    """Guards against a split route that leads a stream to another service."""
+
+    async def run():
+        fleet = Fleet(3)
+        fleet.table.put(replace(fleet.add_target(9, "1"), service="chat", revision=1))
+        for history in fleet.store.histories.values():
+            history._list_services = lambda: (SERVICE, "chat")
+        await fleet.settle(YOUNG_SECONDS + 1.0)
+        await fleet.exchanges["entry-0"].record_send("a-1", fleet.targets[0])
+        split = ((SERVICE, 1.0), ("chat", 1.0))
+        exchange = create_exchange("a-1", "chat", split=split)
+        found = await fleet.exchanges["entry-1"].find_version(exchange)
+        unknown = create_exchange("a-2", "chat", split=split)
+        with pytest.raises(RefusedError):
+            await fleet.exchanges["entry-1"].find_version(unknown)
+        return exchange.service, found
+
+    assert run_in_virtual_time(run()) == (SERVICE, "1")
