Rates of what was not called in a window are measured as 0

`test_fleet_is_measured_idle_and_under_changes` failed once with `KeyError: 'calls_fetch_per_s'`.

Cause: the difference of two `Counter`s leaves out what is zero, so that a kind of call that nobody made in the window has no figure. Daemons read the list of instances every 1.5 to 2.5 s; in a window of 2 s two of them may read it not at all, on an idle machine too.

Before: with a window of 0.05 s the new test fails with the same error. After: rates are computed for all counters known, zero included, also for those of the bytes between peers. An idle window ends after its seconds and not before the list was read in it (bounded by the timeout of calls), and at least two changes are timed however long each takes: the assertions of the test are unchanged and no longer depend on the pace of the machine in these two points. That daemons send bytes to each other within the window is still awaited for its seconds only.

--- a/packages/greengagelatch-lab/src/greengagelatch_lab/capacity/control_plane.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/capacity/control_plane.py
@@ -13,7 +13,9 @@
 from .fits import Point, Series
 from .meters import ProcessMeter
 from .running_fleet import (
+    POLL_SECONDS,
     START_TIMEOUT,
+    TIMEOUT_SECONDS,
     WORKSPACES,
     RunningFleet,
     format_objects,
@@ -21,9 +23,10 @@
 )
 
 if TYPE_CHECKING:
+    from collections import Counter
     from pathlib import Path
 
-__all__ = ("measure_fleet", "measure_mixed_fleet")
+__all__ = ("compute_rates", "measure_fleet", "measure_mixed_fleet")
 
 SIZES = (3, 9, 18, 27, 40)
 #: total members of fleets in which a few daemons are measured
@@ -36,6 +39,8 @@
 MEASUREMENT_SECONDS = 10.0
 #: seconds between two changes
 CHANGE_SECONDS = 1.0
+#: changes of which the delay is measured, however long each of them takes
+MIN_CHANGES = 2
 
 
 async def measure_fleet(
@@ -54,7 +59,7 @@
             generation = await fleet.change(format_objects())
             await fleet.wait_in_force(generation)
             await asyncio.sleep(settle)
-            idle.append(await _measure(fleet, size, asyncio.sleep(seconds)))
+            idle.append(await _measure(fleet, size, _stay_idle(fleet, seconds)))
             delays: list[float] = []
             workload = _apply_tracked_changes(fleet, seconds, interval, delays)
             changing.append(await _measure(fleet, size, workload))
@@ -111,8 +116,9 @@
     loop_lag = fleet.sum_loop_lag() - lag_before
     elapsed = time.monotonic() - begun
     after, calls_after = await fleet.read_counters(), await fleet.count_calls()
-    calls_made = calls_after - calls_before
+    call_rates = compute_rates(calls_before, calls_after, elapsed)
     daemon_seconds = elapsed * len(fleet.daemons)
+    daemon_rates = compute_rates(before.counters, after.counters, daemon_seconds)
     figures = {
         "cpu_percent": statistics.mean(cpu_percents),
         "cpu_percent_worst": max(cpu_percents),
@@ -122,25 +128,49 @@
         "company_late_s": loop_lag,
         "memory_mb": statistics.mean(after.memory_mb),
         "bytes_per_s": (after.sent_bytes - before.sent_bytes) / daemon_seconds,
-        "store_calls_per_s": (calls_made.total() - calls_made["fetch"]) / elapsed,
+        "store_calls_per_s": sum(
+            rate for kind, rate in call_rates.items() if kind != "fetch"
+        ),
     }
-    for kind, number in sorted(calls_made.items()):
-        figures[f"calls_{kind}_per_s"] = number / elapsed
-    counters = after.counters - before.counters
-    for name, amount in sorted(counters.items()):
+    for kind, rate in sorted(call_rates.items()):
+        figures[f"calls_{kind}_per_s"] = rate
+    for name, rate in sorted(daemon_rates.items()):
         prefix, _, kind = name.partition("peers.bytes_out.")
         if not prefix and kind:
-            figures[f"bytes_{kind}_per_s"] = amount / daemon_seconds
+            figures[f"bytes_{kind}_per_s"] = rate
     return Point(drivers={"members": size}, figures=figures)
 
 
+async def _stay_idle(fleet: RunningFleet, seconds: float) -> None:
+    """Wait for some seconds, and on until a daemon has read the instance list."""
+    reads = (await fleet.count_calls())["fetch"]
+    await asyncio.sleep(seconds)
+    async with asyncio.timeout(TIMEOUT_SECONDS):
+        while True:
+            await asyncio.sleep(POLL_SECONDS)
+            if (await fleet.count_calls())["fetch"] > reads:
+                return
+
+
+def compute_rates(
+    before: Counter[str], after: Counter[str], seconds: float
+) -> dict[str, float]:
+    """Return the rate of each counter in a window; 0 if it did not grow.
+
+    :param before: counters at the start of the window
+    :param after: counters at its end
+    :param seconds: length of the window
+    """
+    return {kind: (after[kind] - before[kind]) / seconds for kind in after}
+
+
 async def _apply_tracked_changes(
     fleet: RunningFleet, seconds: float, interval: float, delays: list[float]
 ) -> None:
     """Apply changes at a fixed interval and record each propagation delay."""
     end = time.monotonic() + seconds
     number = 0
-    while time.monotonic() < end:
+    while number < MIN_CHANGES or time.monotonic() < end:
         number += 1
         generation = await fleet.change(format_workspace(number % WORKSPACES, number))
         accepted = time.monotonic()
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/capacity/running_fleet.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/capacity/running_fleet.py
@@ -23,7 +23,9 @@
     from pathlib import Path
 
 __all__ = (
+    "POLL_SECONDS",
     "START_TIMEOUT",
+    "TIMEOUT_SECONDS",
     "WORKSPACES",
     "CounterSnapshot",
     "RunningFleet",
@@ -45,7 +47,7 @@
 SERVICES = 4
 #: seconds until all members must have the first configuration generation
 START_TIMEOUT = 120.0
-#: seconds between two queries for a generation
+#: seconds between two queries for a condition
 POLL_SECONDS = 0.02
 #: timeout of HTTP calls in seconds
 TIMEOUT_SECONDS = 30.0
--- a/tests/test_lab/test_capacity/test_roles.py
+++ b/tests/test_lab/test_capacity/test_roles.py
@@ -106,6 +106,21 @@
     assert min(get_figures(delays, "changes")) >= 2
 
 
+@pytest.mark.processes
+async def test_window_shorter_than_an_interval_has_all_figures(tmp_path):
+    """Guards against a KeyError where no daemon read the list within the window.
+
+    Daemons read it every 1.5 to 2.5 s, and a busy machine delays them.
+    """
+    idle, changing, delays = await control_plane.measure_fleet(
+        tmp_path, (2,), seconds=0.05, settle=1.0, interval=0.2
+    )
+    assert get_figures(idle, "calls_fetch_per_s")[0] > 0
+    assert get_figures(changing, "calls_fetch_per_s")[0] >= 0
+    assert get_figures(changing, "calls_swap_per_s")[0] > 0
+    assert get_figures(delays, "changes")[0] >= 2
+
+
 @pytest.mark.processes
 async def test_lightweight_members_are_part_of_the_fleet(tmp_path):
     idle, _, delays = await control_plane.measure_mixed_fleet(
