Test of halted targets closes its server's connection

A warning in the summary of `make test` names `test_lost_response_names_the_error_of_the_system`: a transport is left open as its loop closes.

Cause: it isn't that test's. The object is the server's half of the connection of the test before it, `test_request_outlasts_a_target_that_stops_reading`: its handler ends without closing the writer, and the stream's finaliser runs during the next test, after the loop was closed. A probe in the finaliser of `StreamWriter` named the task; the product closes its half. The other test alone gives no warning.

Conclusion: a fault of the test only. Other servers of this kind in tests and stand-ins close their writers, or abort them at their stop, by reading.

--- a/tests/test_entry/test_relay/test_target_connections.py
+++ b/tests/test_entry/test_relay/test_target_connections.py
@@ -75,6 +75,7 @@
         await reader.readexactly(LARGE_BODY)
         writer.write(b"HTTP/1.1 200 Said\r\nContent-Length: 4\r\n\r\nread")
         await writer.drain()
+        writer.close()
 
     listener = socket.socket()
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER)
