After a target has become slower, saved trials find the fast ones

Cause: an instance with six requests a second made a regular trial of a target each eight seconds (one request in fifty), so that after fast and slow targets had changed places it found few of those that are fast now in four seconds.

Now an answer that takes more than twice the expected time, of a target that was known, allows the next request to be a trial. Four of these are saved, and a hundredth is earned with each request, as times may vary by themselves.

--- a/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
@@ -252,8 +252,10 @@
     ) -> None:
         """Record the time of a request that a target has answered successfully."""
         target = self._find_listed(incarnation)
-        if target is not None:
-            self._speeds.record_answer(target, answer, now)
+        if target is None:
+            return
+        if self._speeds.record_answer(target, answer, now):
+            self._fastest.record_change(target.service)
 
     def finish_prefill(self, incarnation: Incarnation, tokens: float) -> None:
         """Record that an engine has finished the prefill of a request."""
--- a/packages/greengagelatch/src/greengagelatch/relay/target_choice.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/target_choice.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from operator import itemgetter
 from typing import TYPE_CHECKING
 
@@ -36,10 +37,44 @@
 TRIAL_SHARE = 0.02
 #: seconds without a request after which a target is due for a trial
 TRIAL_SECONDS = 1.0
+#: most trials that a service saves for changes of speed, and the share of its requests
+#: that adds to them
+SAVED_TRIALS = 4.0
+SAVED_SHARE = 0.01
 #: most services whose trials are counted
 MAX_SERVICES = 1024
 
 
+@dataclass(slots=True)
+class _Trials:
+    """Trials that the requests of a service may make."""
+
+    regular: float = 0.0
+    saved: float = SAVED_TRIALS
+    #: whether a target has become slower, and no trial has followed yet
+    is_changed: bool = False
+
+    def earn(self) -> None:
+        """Count a request."""
+        self.regular = min(1.0, self.regular + TRIAL_SHARE)
+        self.saved = min(SAVED_TRIALS, self.saved + SAVED_SHARE)
+
+    def may_try(self) -> bool:
+        """Return whether a request may be a trial."""
+        return self.is_changed or self.regular >= 1.0
+
+    def record_change(self) -> None:
+        """Allow a trial from those that are saved, if there is one."""
+        self.is_changed = self.is_changed or self.saved >= 1.0
+
+    def spend(self) -> None:
+        """Count a trial."""
+        self.regular = 0.0
+        if self.is_changed:
+            self.saved -= 1.0
+            self.is_changed = False
+
+
 class FastestChoice:
     """Chooses the target that is expected to answer first.
 
@@ -62,8 +97,7 @@
         self._speeds = speeds
         self._find_state = find_state
         self._random = random_source
-        #: trials that each service may make, in requests
-        self._trials: dict[str, float] = {}
+        self._trials: dict[str, _Trials] = {}
         #: rank of each target of large services
         self._ranks: dict[str, dict[Incarnation, int]] = {}
 
@@ -87,6 +121,14 @@
                 return due
         return min(selected, key=lambda one: self._score(one, now))
 
+    def record_change(self, service: str) -> None:
+        """Record that a target has become slower: others may have changed as well.
+
+        An instance with few requests would find those that have become faster too
+        late by its regular trials.
+        """
+        self._find_trials(service).record_change()
+
     def _select(
         self, service: str, candidates: Sequence[ListedTarget]
     ) -> list[ListedTarget]:
@@ -110,11 +152,9 @@
         self, service: str, candidates: Sequence[ListedTarget], now: float
     ) -> ListedTarget | None:
         """Return the target that a trial is due at, if the service may make one."""
-        if service not in self._trials and len(self._trials) >= MAX_SERVICES:
-            self._trials.clear()
-        trials = min(1.0, self._trials.get(service, 0.0) + TRIAL_SHARE)
-        self._trials[service] = trials
-        if trials < 1.0:
+        trials = self._find_trials(service)
+        trials.earn()
+        if not trials.may_try():
             return None
         due: list[tuple[float, ListedTarget]] = []
         for one in candidates:
@@ -124,9 +164,18 @@
             due.append((state.sent_at, one))
         if not due:
             return None
-        self._trials[service] = 0.0
+        trials.spend()
         return min(due, key=itemgetter(0))[1]
 
+    def _find_trials(self, service: str) -> _Trials:
+        trials = self._trials.get(service)
+        if trials is not None:
+            return trials
+        if len(self._trials) >= MAX_SERVICES:
+            self._trials.clear()
+        trials = self._trials[service] = _Trials()
+        return trials
+
     def _score(self, target: ListedTarget, now: float) -> float:
         factor = 1.0 + SPREAD * self._random.random()
         if target.data_centre != self._data_centre:
--- a/packages/greengagelatch/src/greengagelatch/relay/target_speeds.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/target_speeds.py
@@ -28,6 +28,8 @@
 SURPRISE_FACTOR = 2.0
 SURPRISE_MEMORY = 0.5
 RECOVERY_MEMORY = 0.0
+#: weight, in answers, from which on an answer may contradict what is known of a target
+KNOWN_WEIGHT = 1.0
 #: largest time of one answer that is used, as a multiple of the expected time
 MAX_SURPRISE = 4.0
 #: weights, in answers, of the usual base and of the usual slope
@@ -129,6 +131,10 @@
         self.time = self.time * kept + ratio
         self.further_time = self.further_time * kept + further * ratio
 
+    def find_weight(self, now: float) -> float:
+        """Return the weight of the answers, decayed with their age."""
+        return self.weight * _decay(now - self.updated)
+
     def find_failures(self, now: float) -> float:
         """Return the share of failures, decayed with its age."""
         return self.failures * _decay(now - self.failures_at)
@@ -178,10 +184,13 @@
         speed.told = known + (told - known) * TOLD_WEIGHT
         speed.told_at = now
 
-    def record_answer(self, target: ListedTarget, answer: Answer, now: float) -> None:
-        """Record the time of a request that a target has answered successfully."""
+    def record_answer(self, target: ListedTarget, answer: Answer, now: float) -> bool:
+        """Record the time of a request that a target has answered successfully.
+
+        :return: whether the target has become slower, by what was known of it
+        """
         if not self.is_used(target.service, now) or answer.size <= 0:
-            return
+            return False
         speed = self._find(target.incarnation, now)
         base, slope = speed.fit(now)
         slots = max(1, target.slots)
@@ -195,9 +204,11 @@
         if memory == RECOVERY_MEMORY:
             # nor does its own word that it is slow count any more
             speed.told = 1.0
+        was_known = speed.find_weight(now) >= KNOWN_WEIGHT
         speed.add(further, ratio, memory, now)
         self._record_outcome(speed, False, now)
         self._review_belief(target, speed, now)
+        return was_known and ratio > expected * SURPRISE_FACTOR
 
     def record_failure(self, incarnation: Incarnation, now: float) -> None:
         """Record a failure that a target is responsible for.
@@ -239,7 +250,7 @@
         base, slope = speed.fit(now)
         return {
             "speed": speed.belief.value,
-            "answers": round(speed.weight * _decay(now - speed.updated), 3),
+            "answers": round(speed.find_weight(now), 3),
             "slowness": round(base, 3),
             "slowness_per_request": round(slope, 3),
             "failures": round(speed.find_failures(now), 3),
--- a/tests/test_core/test_relay/test_target_speeds.py
+++ b/tests/test_core/test_relay/test_target_speeds.py
@@ -294,6 +294,20 @@
     assert speeds.find_slowness(target.incarnation, 1.0) == 1.0
 
 
+def test_only_slower_answers_of_known_targets_are_changes():
+    """Guards against trials for each target that an instance meets first."""
+    speeds = TargetSpeeds(SpeedMode.ALWAYS)
+    known, new = create_target(0, FAST).entry, create_target(1, SLOW).entry
+    usual = Answer(requests=1.0, kind="r", seconds=FAST)
+    slow = Answer(requests=1.0, kind="r", seconds=SLOW)
+    assert not any(speeds.record_answer(known, usual, 1.0) for _ in range(10))
+    assert not speeds.record_answer(new, slow, 1.0)
+    assert speeds.record_answer(known, slow, 1.0)
+    assert not speeds.record_answer(known, usual, 1.0)
+    # long ago is as good as unknown
+    assert not speeds.record_answer(known, slow, 61.0)
+
+
 def test_retry_is_no_trial():
     """Guards against a last attempt that is spent to learn of a target."""
     targets = [create_target(0, FAST), create_target(1, SLOW), create_target(2, FAST)]
