Benchmark: what a start of the platform program costs, by step and by module

Cause: starts were measured by hand, so that no one could tell what a change of imports is worth. Before: no tool. After: make cost, also AGAINST another tree; counts and ratios only. The stand-ins' settings file is written by a function that the benchmark uses, too.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PACKAGES := $(wildcard packages/*) platform
 STAMP := $(VENV)/installed
 
-.PHONY: demo bench capacity matrix soak differential outages test lint format docs clean
+.PHONY: demo bench capacity cost matrix soak differential outages test lint format docs clean
 
 $(STAMP): constraints.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -24,6 +24,12 @@
 capacity: $(STAMP)
 	$(BIN)/python -m greengagelatch_lab.capacity
 
+# against another source tree by AGAINST, such as a worktree of an earlier commit
+AGAINST ?=
+
+cost: $(STAMP)
+	$(BIN)/python -m greengagelatch_lab.cost $(if $(AGAINST),--against $(AGAINST))
+
 # the order of sets of strings is part of what a seed brings back
 export PYTHONHASHSEED := 0
 
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/fleet.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/fleet.py
@@ -25,6 +25,7 @@
     "Instance",
     "PlatformFleet",
     "PortTakenError",
+    "create_settings",
     "find_free_addresses",
 )
 
@@ -214,24 +215,42 @@
             metrics=metrics,
             settings=self.directory / f"{name}.json",
         )
-        settings = {
-            "node-name": name,
-            "ip": metrics.rpartition(":")[0],
-            "zone": "north",
-            "listen": {
-                "front": instance.front,
-                "readiness": instance.readiness,
-                "control": instance.control,
-            },
-            "seeds": seeds[:3],
-            "bootstrap": True,
-            "bounds": {"grace-s": 8, "retry-ratio": 0.2, "retry-slack": 58},
-            "platform": {"address": self.find_store_address(name)},
-        }
+        settings = create_settings(
+            name,
+            host=metrics.rpartition(":")[0],
+            front=instance.front,
+            readiness=instance.readiness,
+            control=instance.control,
+            seeds=seeds[:3],
+            store=self.find_store_address(name),
+        )
         instance.settings.write_text(json.dumps(settings), encoding="utf-8")
         return instance
 
 
+def create_settings(
+    name: str,
+    *,
+    host: str,
+    front: str,
+    readiness: str,
+    control: str,
+    seeds: list[str],
+    store: str,
+) -> dict[str, Any]:
+    """Return the content of an instance's settings file."""
+    return {
+        "node-name": name,
+        "ip": host,
+        "zone": "north",
+        "listen": {"front": front, "readiness": readiness, "control": control},
+        "seeds": seeds,
+        "bootstrap": True,
+        "bounds": {"grace-s": 8, "retry-ratio": 0.2, "retry-slack": 58},
+        "platform": {"address": store},
+    }
+
+
 def find_free_addresses(count: int) -> list[str]:
     """Return distinct ``host:port`` addresses that no other process takes.
 
