Starts: no web applications of aiohttp where only its server is used

Cause: the callers' connections and the readiness endpoint used a server, requests and responses by way of aiohttp.web, which also loads applications, routes, files, middlewares and web sockets. Conclusion: the submodules that are needed. The readiness endpoint opens and closes its listeners itself, as aiohttp's runner did: same backlog, same order, same timeout. Its test asks for the address by a property, as there is no runner to look into.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_bodies.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_bodies.py
@@ -5,12 +5,13 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from aiohttp import web
+from aiohttp.web_protocol import RequestPayloadError
 
 from greengagelatch.errors import Refusal, RefusalCode
 
 if TYPE_CHECKING:
     from aiohttp import StreamReader
+    from aiohttp.web_request import BaseRequest
 
 __all__ = ("CLOSING_STATUSES", "BodyError", "read_body")
 
@@ -33,7 +34,7 @@
         self.refusal = refusal
 
 
-async def read_body(request: web.BaseRequest, *, limit: int, timeout: float) -> bytes:
+async def read_body(request: BaseRequest, *, limit: int, timeout: float) -> bytes:
     """Read the body of a request.
 
     :param limit: maximum size in bytes
@@ -57,7 +58,7 @@
     except TimeoutError:
         message = f"request body not received within {timeout:g} s"
         raise BodyError(STATUS_TIMEOUT, _refuse_body(message)) from None
-    except web.RequestPayloadError as error:
+    except RequestPayloadError as error:
         message = f"request body can't be read: {str(error)[:MAX_SHOWN]}"
         raise BodyError(400, _refuse_body(message)) from None
 
@@ -73,7 +74,7 @@
     return b"".join(chunks)
 
 
-async def _send_continue(request: web.BaseRequest) -> None:
+async def _send_continue(request: BaseRequest) -> None:
     """Send ``100 Continue`` if the caller expects it (RFC 9110, section 10.1.1)."""
     if request.headers.get("Expect", "").lower() != "100-continue":
         return
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_connections.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_connections.py
@@ -10,8 +10,9 @@
 from itertools import count
 from typing import TYPE_CHECKING, Any
 
-from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
+from aiohttp.web_response import Response
+from aiohttp.web_server import Server
 
 from greengagelatch.errors import Refusal, RefusalCode
 from greengagelatch.verdict import Verdict
@@ -21,6 +22,9 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterable
 
+    from aiohttp.web_request import BaseRequest
+    from aiohttp.web_response import StreamResponse
+
 __all__ = (
     "CallerConnections",
     "RequestPosition",
@@ -76,7 +80,7 @@
 
     def __init__(
         self,
-        handle: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+        handle: Callable[[BaseRequest], Awaitable[StreamResponse]],
         *,
         max_connections: int,
         find_max_header_bytes: Callable[[], int],
@@ -144,12 +148,12 @@
         await self._server.shutdown(CLOSE_TIMEOUT)
 
 
-class _Server(web.Server):
+class _Server(Server):
     """aiohttp's low-level server with refusals instead of its error pages."""
 
     def __init__(
         self,
-        handle: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+        handle: Callable[[BaseRequest], Awaitable[StreamResponse]],
         *,
         write_timeout: float,
         find_max_header_bytes: Callable[[], int],
@@ -249,11 +253,11 @@
 
     def handle_error(
         self,
-        request: web.BaseRequest,
+        request: BaseRequest,
         status: int = 500,
         exc: BaseException | None = None,
         message: str | None = None,
-    ) -> web.StreamResponse:
+    ) -> StreamResponse:
         """Respond with a refusal to a request that can't be parsed or handled."""
         if request.writer.output_size > 0:
             # part of a response is sent: only closing the connection signals the error
@@ -272,7 +276,7 @@
                 message="internal error of this instance",
                 verdict=Verdict.MAY_HAVE_RUN,
             )
-        response = web.Response(
+        response = Response(
             status=status,
             body=encode(describe_refusal("", refusal)),
             headers=create_headers(refusal),
@@ -281,19 +285,19 @@
         return response
 
 
-def begin_request(request: web.BaseRequest) -> None:
+def begin_request(request: BaseRequest) -> None:
     """Increment the request count of the connection."""
     if isinstance(request.protocol, _Connection):
         request.protocol.requests += 1
 
 
-def end_request(request: web.BaseRequest) -> None:
+def end_request(request: BaseRequest) -> None:
     """Mark a request as finished on its connection."""
     if isinstance(request.protocol, _Connection):
         request.protocol.end_request()
 
 
-def find_position(request: web.BaseRequest) -> RequestPosition:
+def find_position(request: BaseRequest) -> RequestPosition:
     """Return the connection of a request and the place of the request there."""
     connection = request.protocol
     if not isinstance(connection, _Connection):
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from aiohttp import web
+from aiohttp.web_response import Response, StreamResponse
 
 from greengagelatch.relay.crash_reports import MAX_PARTS, shorten_part_id
 from greengagelatch.relay.part_crashes import SharedPart
@@ -18,6 +18,8 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from aiohttp.web_request import BaseRequest
+
     from greengagelatch.relay.deployment import Deployment, Route
     from greengagelatch.relay.incarnations import Incarnation
     from greengagelatch.relay.requests import OpaqueRequest
@@ -50,7 +52,7 @@
 
     def __init__(
         self,
-        request: web.BaseRequest,
+        request: BaseRequest,
         *,
         keep_alive: Callable[[], bool],
         on_bytes_sent: Callable[[int], None] = lambda _: None,
@@ -58,9 +60,9 @@
         self._request = request
         self._keep_alive = keep_alive
         self._on_bytes_sent = on_bytes_sent
-        self._stream: web.StreamResponse | None = None
+        self._stream: StreamResponse | None = None
         #: response object that the connection handler must return
-        self.response: web.StreamResponse | None = None
+        self.response: StreamResponse | None = None
         #: whether the whole response was written
         self.complete = False
 
@@ -81,7 +83,7 @@
         """Write a complete response."""
         if reason is not None:
             reason = _replace_control_characters(reason)
-        response = web.Response(status=status, reason=reason, body=body)
+        response = Response(status=status, reason=reason, body=body)
         _copy_headers(headers, response)
         if close or not self._keep_alive():
             response.force_close()
@@ -92,7 +94,7 @@
 
     async def begin(self, head: ResponseHead) -> None:
         """Write the head of a streamed response."""
-        response = web.StreamResponse(
+        response = StreamResponse(
             status=head.status, reason=_replace_control_characters(head.reason)
         )
         _copy_headers(head.headers, response)
@@ -117,7 +119,7 @@
         if transport is not None:
             transport.abort()
 
-    async def _write_whole(self, response: web.Response) -> None:
+    async def _write_whole(self, response: Response) -> None:
         await response.prepare(self._request)
         await response.write_eof()
 
@@ -242,7 +244,7 @@
 
 
 def _copy_headers(
-    headers: tuple[tuple[str, str], ...], response: web.StreamResponse
+    headers: tuple[tuple[str, str], ...], response: StreamResponse
 ) -> None:
     for name, value in headers:
         response.headers.add(name, _replace_control_characters(value))
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/readiness.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/readiness.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from typing import TYPE_CHECKING, Any
 
-from aiohttp import web
+from aiohttp.web_response import Response
+from aiohttp.web_server import Server
 from prometheus_client import CollectorRegistry, generate_latest
 
 from ..controllers import Controller
@@ -14,12 +16,18 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
+    from aiohttp.web_request import BaseRequest
+
     from .prometheus import PrometheusMetrics
 
 __all__ = ("ReadinessServer",)
 
 #: idle timeout of connections from the balancer in seconds
 IDLE_TIMEOUT = 15.0
+#: seconds in which responses may finish during a stop
+SHUTDOWN_TIMEOUT = 60.0
+#: connections that the kernel queues until this process accepts them
+BACKLOG = 128
 STATUS_BAD_REQUEST = 400
 
 
@@ -56,7 +64,12 @@
         self._explain = explain
         self._registry = CollectorRegistry()
         self._registry.register(metrics)
-        self._runners: list[web.ServerRunner] = []
+        self._endpoints: list[_Endpoint] = []
+
+    @property
+    def addresses(self) -> list[tuple[str, int]]:
+        """Host and port of each endpoint that is served."""
+        return [endpoint.address for endpoint in self._endpoints]
 
     async def on_start(self) -> None:
         """Start the listeners."""
@@ -66,28 +79,27 @@
 
     async def on_stop(self) -> None:
         """Stop the listeners."""
-        for runner in self._runners:
-            await runner.cleanup()
+        for endpoint in self._endpoints:
+            await endpoint.close()
 
     def dump(self) -> dict[str, Any]:
         return {"ready": self._is_ready()}
 
     async def _serve(self, address: str, handler) -> None:
-        server = web.Server(handler, access_log=None, keepalive_timeout=IDLE_TIMEOUT)
-        runner = web.ServerRunner(server)
-        await runner.setup()
+        server = Server(handler, access_log=None, keepalive_timeout=IDLE_TIMEOUT)
         host, _, port = address.rpartition(":")
-        await web.TCPSite(runner, host, int(port)).start()
-        self._runners.append(runner)
+        loop = asyncio.get_running_loop()
+        listener = await loop.create_server(server, host, int(port), backlog=BACKLOG)
+        self._endpoints.append(_Endpoint(listener, server))
 
-    async def _handle_readiness(self, request: web.BaseRequest) -> web.Response:
+    async def _handle_readiness(self, request: BaseRequest) -> Response:
         if request.path != self._readiness_path:
-            return web.Response(status=404)
-        return web.Response(status=200 if self._is_ready() else 503)
+            return Response(status=404)
+        return Response(status=200 if self._is_ready() else 503)
 
-    async def _handle_operators(self, request: web.BaseRequest) -> web.Response:
+    async def _handle_operators(self, request: BaseRequest) -> Response:
         if request.path == self._metrics_path:
-            return web.Response(
+            return Response(
                 body=generate_latest(self._registry),
                 headers={"Content-Type": "text/plain; version=0.0.4; charset=utf-8"},
             )
@@ -95,9 +107,9 @@
             return _create_json(200, self._describe())
         if request.path == "/explain" and request.method == "POST":
             return self._answer(await request.read())
-        return web.Response(status=404)
+        return Response(status=404)
 
-    def _answer(self, body: bytes) -> web.Response:
+    def _answer(self, body: bytes) -> Response:
         """Answer a question where a request would be sent."""
         try:
             question = json.loads(body)
@@ -117,6 +129,24 @@
             return _create_json(error.status, refusal)
 
 
-def _create_json(status: int, value: dict[str, Any]) -> web.Response:
+class _Endpoint:
+    """One listener and the connections that it has accepted."""
+
+    def __init__(self, listener: asyncio.Server, server: Server) -> None:
+        self._listener = listener
+        self._server = server
+        self.address: tuple[str, int] = listener.sockets[0].getsockname()[:2]
+
+    async def close(self) -> None:
+        """Stop accepting connections and close the open ones."""
+        self._listener.close()
+        # a request that has just been received begins to be served before the
+        # connections without one are closed
+        await asyncio.sleep(0)
+        self._server.pre_shutdown()
+        await self._server.shutdown(SHUTDOWN_TIMEOUT)
+
+
+def _create_json(status: int, value: dict[str, Any]) -> Response:
     text = json.dumps(value, default=str)
-    return web.Response(status=status, text=text, content_type="application/json")
+    return Response(status=status, text=text, content_type="application/json")
--- a/tests/test_entry/test_relay/test_explanations.py
+++ b/tests/test_entry/test_relay/test_explanations.py
@@ -15,7 +15,7 @@
     """Ask as the command does."""
     readiness = world.find("readiness")
     await readiness._serve("127.0.0.1:0", readiness._handle_operators)
-    address = readiness._runners[-1].addresses[0]
+    address = readiness.addresses[-1]
     url = f"http://{address[0]}:{address[1]}/explain"
     async with world.session.post(url, json=question) as response:
         return response.status, await response.json()
