Starts: parts of the own interface are not loaded by the platform program

Cause: totals of metrics came with statsd's client, values of settings with the table and reader of the settings file, targets and load with the objects of operators, for types only. Conclusion: MetricTotals and Settings have modules of their own; names for types are imported for types only, as elsewhere.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peers.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peers.py
@@ -19,7 +19,7 @@
 )
 from greengagelatch.peers.codec import DecodeError, Envelope, Message, decode
 from greengagelatch.peers.messages import Hello, NotUnderstood
-from greengagelatch.settings import split_endpoints
+from greengagelatch.setting_values import split_endpoints
 
 from ..controllers import Controller
 from ..controllers.membership import MembershipController, is_probe
@@ -34,7 +34,7 @@
 
     from greengagelatch.clock import Clock
     from greengagelatch.events import EventBus
-    from greengagelatch.settings import Settings
+    from greengagelatch.setting_values import Settings
 
     from ..metrics import Metrics
     from .peer_link import Link
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/listing.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/listing.py
@@ -19,7 +19,7 @@
     from greengagelatch.events import EventBus
     from greengagelatch.instances import InstanceList, Listing
     from greengagelatch.peers import PeerNetwork
-    from greengagelatch.settings import Settings
+    from greengagelatch.setting_values import Settings
 
     from ..metrics import Metrics
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/membership.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/membership.py
@@ -35,7 +35,7 @@
     from greengagelatch.membership.records import MemberRecord
     from greengagelatch.peers import PeerNetwork
     from greengagelatch.peers.codec import Message
-    from greengagelatch.settings import Settings
+    from greengagelatch.setting_values import Settings
 
     from ..metrics import Metrics
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/metrics.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/metrics.py
@@ -4,14 +4,16 @@
 
 import time
 from collections import Counter
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import statsd
 
+from .metric_totals import MetricTotals
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-__all__ = ("MetricTotals", "Metrics")
+__all__ = ("Metrics",)
 
 #: prefix of all metric names
 PREFIX = "greengagelatch"
@@ -25,30 +27,6 @@
 _UNSAFE_CHARS = str.maketrans(dict.fromkeys(":|@# \n", "_"))
 
 
-class MetricTotals:
-    """Totals of counters and the last values of gauges."""
-
-    def __init__(self) -> None:
-        self._counts: Counter[str] = Counter()
-        self._gauges: dict[str, float] = {}
-
-    def count(self, name: str, amount: int = 1) -> None:
-        """Add ``amount`` to a counter."""
-        self._counts[name] += amount
-
-    def gauge(self, name: str, value: float) -> None:
-        """Set a gauge."""
-        self._gauges[name] = value
-
-    def value(self, name: str) -> int:
-        """Return the total of a counter."""
-        return self._counts[name]
-
-    def dump(self) -> dict[str, Any]:
-        """Return all totals and gauges."""
-        return {"counters": dict(self._counts), "gauges": dict(self._gauges)}
-
-
 class Metrics(MetricTotals):
     """Collects metrics, sends them to statsd by UDP and keeps the totals.
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/peer_settings.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/peer_settings.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from greengagelatch.settings import Settings
+from greengagelatch.setting_values import Settings
 
 if TYPE_CHECKING:
     from .parts import RelaySettings
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/prometheus.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/prometheus.py
@@ -13,7 +13,7 @@
 )
 from prometheus_client.registry import Collector
 
-from ..metrics import MetricTotals
+from ..metric_totals import MetricTotals
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/tunnel_dialer.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/tunnel_dialer.py
@@ -29,7 +29,7 @@
     from greengagelatch.peers.codec import Message
 
     from ..adapters.peer_sockets import Connection
-    from ..metrics import MetricTotals
+    from ..metric_totals import MetricTotals
     from .target_dialers import Destination
 
 __all__ = ("PeerTunnelDialer", "TunnelDialer", "TunnelError", "TunnelFailure")
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/tunnel_server.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/tunnel_server.py
@@ -36,7 +36,7 @@
     from greengagelatch.relay.targets import ListedTarget, TargetTable
 
     from ..adapters.peer_sockets import Connection
-    from ..metrics import MetricTotals
+    from ..metric_totals import MetricTotals
     from .decisions import DecisionLog
     from .target_dialers import TargetDialer
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/usage.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/usage.py
@@ -17,7 +17,7 @@
     from greengagelatch.clock import Clock
     from greengagelatch.relay.capacity import Capacity
 
-    from ..metrics import MetricTotals
+    from ..metric_totals import MetricTotals
     from .decisions import DecisionLog
 
 __all__ = ("UsageController",)
--- a/packages/greengagelatch/src/greengagelatch/instances/__init__.py
+++ b/packages/greengagelatch/src/greengagelatch/instances/__init__.py
@@ -5,10 +5,12 @@
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 from enum import Enum
+from typing import TYPE_CHECKING
 
-from result import Result
+if TYPE_CHECKING:
+    from result import Result
 
-from ..store import StoreError
+    from ..store import StoreError
 
 __all__ = (
     "Instance",
--- a/packages/greengagelatch/src/greengagelatch/load/__init__.py
+++ b/packages/greengagelatch/src/greengagelatch/load/__init__.py
@@ -5,12 +5,14 @@
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 from enum import Enum
+from typing import TYPE_CHECKING
 
-from result import Result
+if TYPE_CHECKING:
+    from result import Result
 
-from ..config.objects import StageKind
-from ..errors import Refusal
-from ..targets import Target
+    from ..config.objects import StageKind
+    from ..errors import Refusal
+    from ..targets import Target
 
 __all__ = ("Dispatcher", "Grant", "Outcome", "OutcomeKind", "Ticket")
 
--- a/packages/greengagelatch/src/greengagelatch/settings/__init__.py
+++ b/packages/greengagelatch/src/greengagelatch/settings/__init__.py
@@ -4,12 +4,12 @@
 
 import configparser
 import ipaddress
-from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
 
 from result import Err, Ok, Result
 
+from ..setting_values import Settings, split_endpoints
 from .declaration import Setting
 from .table import SETTINGS
 
@@ -40,25 +40,6 @@
 _FALSE = frozenset({"no", "false", "off", "0"})
 
 
-class Settings:
-    """Validated settings by ``section.key``."""
-
-    def __init__(self, values: Mapping[str, Any]) -> None:
-        self._values = dict(values)
-
-    def __getitem__(self, name: str) -> Any:
-        return self._values[name]
-
-    def as_dict(self) -> dict[str, Any]:
-        """Return all values by name, for the state dump."""
-        return dict(self._values)
-
-
-def split_endpoints(text: str) -> tuple[str, ...]:
-    """Split comma-separated addresses."""
-    return tuple(part.strip() for part in text.split(",") if part.strip())
-
-
 def load(path: str) -> Result[Settings, SettingError]:
     """Load and validate the INI file at ``path``."""
     try:
--- a/packages/greengagelatch/src/greengagelatch/targets/__init__.py
+++ b/packages/greengagelatch/src/greengagelatch/targets/__init__.py
@@ -6,12 +6,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
-from result import Result
+if TYPE_CHECKING:
+    from result import Result
 
-from ..config.objects import StageKind
-from ..verdict import Verdict
+    from ..config.objects import StageKind
+    from ..verdict import Verdict
 
 __all__ = (
     "CallFailure",
--- a/tests/test_entry/test_relay/test_usage.py
+++ b/tests/test_entry/test_relay/test_usage.py
@@ -6,7 +6,7 @@
 
 from greengagelatch.clock import Clock
 from greengagelatch.relay.capacity import Capacity
-from greengagelatch_entry.metrics import MetricTotals
+from greengagelatch_entry.metric_totals import MetricTotals
 from greengagelatch_entry.relay import usage
 from greengagelatch_entry.relay.usage import UsageController
 
