Stage calls follow one another on kept connections

Each stage call opened a connection of its own and closed it after the answer, as a late answer could have been taken for that of the next call: answers to calls carry no id (a trial sent one with each call, and makers did not echo it).

Calls now use a connection that was idle for less than a second. An answer that arrives again is told by the handles of its results or by the id of a request, and the call fails as crossed; a connection is kept only after an answer with results, as one without could not be told. After a failed call the maker's idle connections are closed. What may run once still opens its own. Counters tell why connections are opened.

The fakes of the makers' connections learn to close idle ones.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/maker_calls.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/maker_calls.py
@@ -17,10 +17,12 @@
     from greengagelatch.relay.pieces import PieceResult
     from greengagelatch.relay.targets import TargetTable
 
+    from ..metrics import Metrics
     from .codecs import TargetCodec
     from .makers import Maker
     from .messages import OutboundRequest, ResponseHead
     from .target_connections import TargetConnectionPool
+    from .target_responses import TargetResponse
 
 __all__ = (
     "MADE",
@@ -35,6 +37,9 @@
 
 #: maximum size of an answer to a call, in bytes
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
+#: seconds for which a connection may have been idle that takes a call: a call has no
+#: soft timeout, and would wait at a maker that has been cut off meanwhile
+MAX_IDLE_SECONDS = 1.0
 STATUS_OK = 200
 MADE = "made"
 #: no byte of the call was sent to the maker
@@ -42,6 +47,8 @@
 #: the maker answered that it did not execute the call
 REJECTED = "rejected"
 TIMED_OUT = "timeout"
+#: the answer was that of an earlier call or request on the connection
+CROSSED = "crossed"
 #: an unexpected error of this instance ended the call
 INTERNAL_ERROR = "internal-error"
 #: outcomes after which the maker holds no results except those in the answer
@@ -68,11 +75,13 @@
         codec: TargetCodec,
         target_table: TargetTable,
         clock: Clock,
+        metrics: Metrics,
     ) -> None:
         self._connections = connections
         self._codec = codec
         self._target_table = target_table
         self._clock = clock
+        self._metrics = metrics
 
     async def call(
         self, maker: Maker, call: PlannedCall, call_timeout: float, started: float
@@ -85,17 +94,21 @@
         count = len(call.pieces)
         try:
             async with asyncio.timeout(call_timeout):
-                head, body = await self._exchange(maker, call, call_timeout, started)
-            return self._process_answer(maker, head, body, count, started)
+                reply, head, body = await self._exchange(
+                    maker, call, call_timeout, started
+                )
+            return self._process_answer(maker, reply, head, body, count, started)
         except NotSentError:
             if self._may_send(maker, call):
                 maker.record_failure(self._clock.now())
+                self._close_idle(maker)
             else:
                 # not a failure of the maker: it no longer accepts calls, or inputs of
                 # the pieces were lost in the meantime
                 maker.calls -= 1
             return CallResult(UNSENT)
         except TimeoutError:
+            self._close_idle(maker)
             maker.record_timeout(count, started, self._clock.now())
             return CallResult(TIMED_OUT)
         except TargetResponseError as error:
@@ -111,7 +124,7 @@
 
     async def _exchange(
         self, maker: Maker, call: PlannedCall, call_timeout: float, started: float
-    ) -> tuple[ResponseHead, bytes]:
+    ) -> tuple[TargetResponse, ResponseHead, bytes]:
         target = maker.target
         pieces = tuple(piece for _, piece in call.pieces)
 
@@ -124,17 +137,18 @@
         reply = await self._connections.send(
             create_destination(target, _intersect_data_centres(call)),
             encode(started),
-            # on a reused connection, a late answer could be taken for this call's
-            fresh=True,
+            fresh=False,
             timeout=call_timeout,
             encode_again=lambda: encode(self._clock.now()),
             may_send=lambda: self._may_send(maker, call),
+            max_idle=MAX_IDLE_SECONDS,
         )
         try:
             head = self._codec.read_head(reply)
-            return head, await reply.read(MAX_ANSWER_BYTES)
-        finally:
+            return reply, head, await reply.read(MAX_ANSWER_BYTES)
+        except BaseException:
             reply.abort()
+            raise
 
     def _may_send(self, maker: Maker, call: PlannedCall) -> bool:
         """Return whether the maker takes calls now and no input of this one is lost."""
@@ -156,16 +170,54 @@
         error: TargetResponseError,
     ) -> CallResult:
         now = self._clock.now()
+        self._close_idle(maker)
         if now - started >= call_timeout:
             maker.record_timeout(count, started, now)
         else:
             maker.record_failure(now)
         return CallResult(str(error), broken=error.broken)
 
+    def _close_idle(self, maker: Maker) -> None:
+        """Close the idle connections to a maker, which may be broken as well."""
+        self._connections.close_idle(maker.target.incarnation)
+
     def _process_answer(
-        self, maker: Maker, head: ResponseHead, body: bytes, count: int, started: float
+        self,
+        maker: Maker,
+        reply: TargetResponse,
+        head: ResponseHead,
+        body: bytes,
+        count: int,
+        started: float,
+    ) -> CallResult:
+        """Record an answer, and pool its connection if a next one can be told from it.
+
+        Answers to calls carry no id. One that arrives again is told from that of the
+        next call by the handles of its results.
+        """
+        call_result = CallResult(INTERNAL_ERROR)
+        try:
+            call_result = self._record_answer(maker, reply, head, body, count, started)
+        finally:
+            if any(_is_made(result) for result in call_result.results or ()):
+                reply.release()
+            else:
+                reply.abort()
+        return call_result
+
+    def _record_answer(
+        self,
+        maker: Maker,
+        reply: TargetResponse,
+        head: ResponseHead,
+        body: bytes,
+        count: int,
+        started: float,
     ) -> CallResult:
         now = self._clock.now()
+        if reply.reused and head.request_id:
+            # the late response to a request that used the connection before
+            return self._record_crossed(maker)
         if not head.misdirected:
             maker.record_limit(
                 head.rejection_limit, head.load, now, rejected=head.not_run
@@ -185,10 +237,22 @@
         if results is None:
             maker.record_failure(now)
             return CallResult(f"status {head.status}")
-        made = any(result.failure is None for result in results)
+        if not reply.record_results(one.handle for one in results if _is_made(one)):
+            return self._record_crossed(maker)
+        made = any(_is_made(result) for result in results)
         maker.record_completion(count, started, now, made=made)
         return CallResult(MADE, results)
 
+    def _record_crossed(self, maker: Maker) -> CallResult:
+        """Record that the answer was that of an earlier call or request."""
+        self._metrics.count("stages.crossed")
+        maker.record_failure(self._clock.now())
+        return CallResult(CROSSED)
+
+
+def _is_made(result: PieceResult) -> bool:
+    return result.failure is None
+
 
 def _intersect_data_centres(call: PlannedCall) -> frozenset[str] | None:
     """Return the data centres that all pieces of a call may pass; ``None``: all."""
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stage_pool.py
@@ -108,7 +108,11 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._timer: asyncio.TimerHandle | None = None
         self._caller = MakerCaller(
-            connections=connections, codec=codec, target_table=target_table, clock=clock
+            connections=connections,
+            codec=codec,
+            target_table=target_table,
+            clock=clock,
+            metrics=metrics,
         )
         self._releaser = ResultReleaser(
             group.service,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import defaultdict
 from typing import TYPE_CHECKING
 
@@ -93,6 +94,7 @@
         encode_again: Callable[[], OutboundRequest] | None = None,
         soft_timeout: SoftTimeout | None = None,
         may_send: Callable[[], bool] | None = None,
+        max_idle: float = math.inf,
     ) -> TargetResponse:
         """Write a request and wait for the head of its response.
 
@@ -103,6 +105,7 @@
             the deadline that the request states is closer by then
         :param soft_timeout: when a target that is silent may be left before that
         :param may_send: checked once connected, and again before pooling the connection
+        :param max_idle: seconds for which a pooled connection may have been idle
         :raises NotSentError: if no byte was sent
         :raises TargetResponseError: if the request was written without a response
         """
@@ -110,7 +113,12 @@
         loop = asyncio.get_running_loop()
         started = loop.time()
         end = started + timeout
-        connection = None if fresh else self._checkout(incarnation)
+        if fresh:
+            connection = None
+            self._metrics.count("links.opened_for.unrepeatable")
+        else:
+            connection = self._checkout(incarnation, max_idle)
+        reused = connection is not None
         if connection is None:
             connection = await self._open(destination, min(timeout, DIAL_TIMEOUT))
         if encode_again is not None and loop.time() - started > SLOW_DIAL_SECONDS:
@@ -153,6 +161,7 @@
             connection,
             lambda one, head: self._release(incarnation, one, head, may_send),
             is_path_lost,
+            reused=reused,
         )
         self._on_response(incarnation, response)
         return response
@@ -186,15 +195,26 @@
         assert isinstance(connection, TargetConnection)
         return connection
 
-    def _checkout(self, incarnation: Incarnation) -> TargetConnection | None:
+    def _checkout(
+        self, incarnation: Incarnation, max_idle: float
+    ) -> TargetConnection | None:
         connections = self._idle.get(incarnation)
         now = self._clock.now()
         self._record_demand(incarnation, now)
+        reason = "none_idle"
         while connections:
-            connection = connections.pop()
-            if connection.reusable and now < connection.reusable_until:
-                return connection
-            connection.abort()
+            connection = connections[-1]
+            if not connection.reusable or now >= connection.reusable_until:
+                connections.pop().abort()
+                reason = "expired"
+                continue
+            if now - connection.idle_since > max_idle:
+                # the others have been idle for longer
+                reason = "idle_too_long"
+                break
+            self._metrics.count("links.reused")
+            return connections.pop()
+        self._metrics.count(f"links.opened_for.{reason}")
         return None
 
     def _keep_idle(
@@ -209,6 +229,7 @@
         if len(connections) >= (self._find_idle_limit(incarnation) if in_demand else 0):
             connection.abort()
             return
+        connection.idle_since = now
         connection.reusable_until = now + seconds
         connections.append(connection)
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_responses.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_responses.py
@@ -16,7 +16,7 @@
 
 if TYPE_CHECKING:
     import asyncio
-    from collections.abc import AsyncIterator, Callable
+    from collections.abc import AsyncIterator, Callable, Iterable
 
     from aiohttp import StreamReader
     from aiohttp.http import RawResponseMessage
@@ -36,6 +36,9 @@
 #: maximum size in bytes of what arrives without any part of a head or body, such as the
 #: extension of a chunk's size
 MAX_OVERHEAD_BYTES = 256 * 1024
+#: results in the answers on one connection from which on it is not reused, as the
+#: handles of all of them are kept
+MAX_RESULTS = 4096
 
 
 class TargetResponseError(Exception):
@@ -71,8 +74,11 @@
         super().__init__(loop)
         #: error that ended it; ``None`` while it is open and after an orderly close
         self.loss: BaseException | None = None
-        #: monotonic time in seconds until which it may be reused
-        self.reusable_until = 0.0
+        #: monotonic times in seconds since which it is idle, and until which it may be
+        #: reused
+        self.idle_since = self.reusable_until = 0.0
+        #: handles of the results in the answers that arrived on it
+        self._handles: set[str] = set()
         #: whether a peer carries it, and the id of that peer
         self.tunnelled, self.carrier = False, ""
         #: bytes received since the last part of a head or body
@@ -118,10 +124,17 @@
         if not self.is_connected() or self.should_close:
             return False
         # once idle, a tunnel would hold up a planned stop of the peer that carries it
-        if self.tunnelled:
+        if self.tunnelled or len(self._handles) >= MAX_RESULTS:
             return False
         return self.transport.get_write_buffer_size() == 0
 
+    def record_results(self, handles: Iterable[str]) -> bool:
+        """Record the results in an answer; return whether all of them are new."""
+        handles = set(handles)
+        is_new = self._handles.isdisjoint(handles)
+        self._handles |= handles
+        return is_new
+
     def expect_response(self, method: str) -> None:
         """Prepare for the response to a request that is about to be written."""
         self.set_response_params(
@@ -154,6 +167,8 @@
     #: returns whether the connection is direct although its target is reached through
     #: peers only
     is_path_lost: Callable[[], bool]
+    #: whether other responses arrived on the connection before
+    reused: bool = False
 
     @property
     def carrier(self) -> str:
@@ -193,6 +208,13 @@
             chunks.append(chunk)
         return b"".join(chunks)
 
+    def record_results(self, handles: Iterable[str]) -> bool:
+        """Record the results in the response; return whether they are new.
+
+        Those in an earlier answer on the same connection belong to its call.
+        """
+        return self._connection.record_results(handles)
+
     def release(self) -> None:
         """Return the connection to the pool if it is reusable."""
         self._release(self._connection, self.message)
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/targets.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/targets.py
@@ -48,6 +48,9 @@
     HANG_IN_ERROR = "hang-in-error"
     #: it sends a second, unsolicited response after a complete one
     EXTRA = "extra"
+    #: it sends the answer to a stage call once more, ahead of that to the next call on
+    #: the connection
+    REPEAT = "repeat"
     #: it aborts the connection before the body is complete
     TRUNCATE = "truncate"
     #: it responds without ``Content-Length`` and resets the connection
@@ -206,6 +209,8 @@
     _fallen: asyncio.Task[None] | None = None
     _arrivals: list[float] = field(default_factory=list)
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
+    #: body of the last answer to a stage call on each connection
+    _answers: dict[asyncio.StreamWriter, bytes] = field(default_factory=dict)
     _resumed: asyncio.Event = field(default_factory=asyncio.Event)
 
     async def start(self) -> None:
@@ -304,6 +309,7 @@
             return
         finally:
             self._writers.discard(writer)
+            self._answers.pop(writer, None)
             writer.close()
 
     async def _answer(self, request: _Request, writer: asyncio.StreamWriter) -> bool:
@@ -579,12 +585,15 @@
             await self.stop()
             return False
         await asyncio.sleep(CALL_SECONDS)
+        if self.fault is TargetFault.REPEAT and writer in self._answers:
+            _write(writer, 200, headers, self._answers[writer])
         results = [self._make_piece(item) for item in items]
         body = json.dumps({"items": results}).encode()
         lines = {"Content-Type": "application/json", **headers, **self.more_headers}
         if self.unframed:
             self._write_unframed(writer, 200, lines, body)
             return False
+        self._answers[writer] = body
         _write(writer, 200, lines, body)
         return True
 
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/models.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/models.py
@@ -15,8 +15,9 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
+    from greengagelatch.relay.incarnations import Incarnation
     from greengagelatch.relay.pieces import Piece
     from greengagelatch_entry.relay.target_dialers import Destination
 
@@ -212,6 +213,10 @@
     """A maker's response, which needs no decoding."""
 
     results: tuple[PieceResult, ...]
+    reused: bool = False
+
+    def record_results(self, handles: Iterable[str]) -> bool:
+        return True
 
     async def read(self, limit: int) -> tuple[PieceResult, ...]:
         return self.results
@@ -243,6 +248,9 @@
         """Return these connections charged to the host of one instance."""
         return _HostConnections(self, host)
 
+    def close_idle(self, incarnation: Incarnation) -> None:
+        """Close no connection, as none is kept."""
+
     async def send(
         self, destination: Destination, outbound: OutboundRequest, **_
     ) -> _Reply:
@@ -276,6 +284,9 @@
         self._connections = connections
         self._host = host
 
+    def close_idle(self, incarnation: Incarnation) -> None:
+        self._connections.close_idle(incarnation)
+
     async def send(
         self, destination: Destination, outbound: OutboundRequest, **details
     ) -> _Reply:
--- a/tests/test_entry/test_relay/test_makers.py
+++ b/tests/test_entry/test_relay/test_makers.py
@@ -15,6 +15,7 @@
 from greengagelatch.relay.targets import ListedTarget
 from greengagelatch_entry.relay.maker_calls import MADE, UNSENT, MakerCaller
 from greengagelatch_entry.relay.makers import Maker
+from greengagelatch_entry.relay.prometheus import PrometheusMetrics
 from greengagelatch_entry.relay.target_connections import NotSentError
 from greengagelatch_lab.stage_load import models
 from greengagelatch_lab.stage_load.shapes import MakerShape, StageShape
@@ -52,6 +53,7 @@
             codec=models.ModelCodec(),
             target_table=SimpleNamespace(accepts=lambda incarnation: True),
             clock=self.clock,
+            metrics=PrometheusMetrics(),
         )
 
     async def call(self, *inputs: str) -> set[PieceFailure | None]:
@@ -157,13 +159,14 @@
         )
         rows.append((bundle, piece))
     caller = MakerCaller(
-        connections=SimpleNamespace(send=send),
+        connections=SimpleNamespace(send=send, close_idle=lambda incarnation: None),
         codec=models.ModelCodec(),
         target_table=SimpleNamespace(
             is_available=lambda incarnation: True,
             has_superseded=lambda incarnations: False,
         ),
         clock=world.clock,
+        metrics=PrometheusMetrics(),
     )
     world.maker.start_call(len(rows), now)
     call = PlannedCall(Incarnation("m", 1), rows)
