--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -25,6 +25,8 @@
 TENANT = "first"
 #: how often a replica renews its entry, and after which silence the entry ends
 PING_SECONDS, ENTRY_SECONDS = 1.2, 3.6
+#: most bytes that a replica reads at once
+READ_BYTES = 65_536
 
 
 @dataclass
@@ -397,6 +399,8 @@
         self._reads.set()
         #: times that each request was run, by its id
         self.runs: dict[str, int] = {}
+        #: bytes of bodies read in a second on each channel; 0: all at once
+        self.reading_rate = 0
 
     def fall_silent(self) -> None:
         """Neither read nor answer anything, as a process that hangs."""
@@ -435,13 +439,24 @@
     ) -> None:
         while True:
             await self._reads.wait()
-            request = await read_message(reader)
+            request = await read_message(reader, bodiless=True)
             if request is None:
                 return
+            await self._read_body(reader, request)
             await self._reads.wait()
             await self._answer(request, writer)
             await writer.drain()
 
+    async def _read_body(self, reader: asyncio.StreamReader, request: Message) -> None:
+        left = int(request.headers.get("content-length", "0"))
+        while left:
+            data = await reader.read(min(left, READ_BYTES))
+            if not data:
+                raise asyncio.IncompleteReadError(b"", left)
+            left -= len(data)
+            if self.reading_rate:
+                await asyncio.sleep(len(data) / self.reading_rate)
+
     async def _answer(self, request: Message, writer: asyncio.StreamWriter) -> None:
         expected = request.headers.get("x-expected-replica", self.name)
         if expected != self.name:
