--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -397,6 +397,7 @@
         self._record = record
         self._reads = asyncio.Event()
         self._reads.set()
+        self._is_cut = False
         #: times that each request was run, by its id
         self.runs: dict[str, int] = {}
         #: bytes of bodies read in a second on each channel; 0: all at once
@@ -412,6 +413,16 @@
         self._record.write(f"replica {self.name} goes on")
         self._reads.set()
 
+    def cut_from_store(self) -> None:
+        """Reach the store no more."""
+        self._record.write(f"replica {self.name} is cut off from the store")
+        self._is_cut = True
+
+    def join_store(self) -> None:
+        """Reach the store again."""
+        self._record.write(f"replica {self.name} reaches the store again")
+        self._is_cut = False
+
     async def register_forever(self) -> None:
         """Keep the entry in the store."""
         lease = 0
@@ -427,7 +438,9 @@
             "seq-no": 1,
         }
         while True:
-            is_up = not self._store.is_silent and self._reads.is_set()
+            is_up = not (self._store.is_silent or self._is_cut) and (
+                self._reads.is_set()
+            )
             if is_up and not (lease and self._store.keep(lease)):
                 lease = self._store.grant(ENTRY_SECONDS)
                 self._store.put(key, json.dumps(fields).encode(), lease)
