--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -489,6 +489,59 @@
         writer.write(encode_message("HTTP/1.1 200 OK", headers, body))
 
 
+class SilentChannels(Server):
+    """A proxy whose open channels can go silent for good, while new ones work."""
+
+    def __init__(self, host: str) -> None:
+        super().__init__(host)
+        self._beyond = ""
+        #: set for each open channel; cleared once it is silent
+        self._open: set[asyncio.Event] = set()
+
+    async def start(self, beyond: str = "") -> None:
+        """Listen on a free port.
+
+        :param beyond: address that the channels lead to
+        """
+        self._beyond = beyond
+        await super().start()
+
+    def fall_silent(self) -> None:
+        """Carry nothing more on the channels that are open now."""
+        for one in self._open:
+            one.clear()
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        host, _, port = self._beyond.rpartition(":")
+        far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        speaks = asyncio.Event()
+        speaks.set()
+        self._open.add(speaks)
+        try:
+            await asyncio.gather(
+                self._carry(reader, far_writer, speaks),
+                self._carry(far_reader, writer, speaks),
+            )
+        finally:
+            self._open.discard(speaks)
+            far_writer.close()
+
+    async def _carry(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        speaks: asyncio.Event,
+    ) -> None:
+        while data := await reader.read(READ_BYTES):
+            await speaks.wait()
+            writer.write(data)
+            await writer.drain()
+        await speaks.wait()
+        writer.close()
+
+
 @dataclass
 class Instance:
     """One process of the program, on a loopback address of its own."""
@@ -671,14 +724,19 @@
 
 
 def encode_request(
-    method: str, path: str, request_id: str, deadline_ms: int, body: bytes = b""
+    method: str,
+    path: str,
+    request_id: str,
+    deadline_ms: int,
+    body: bytes = b"",
+    key: str = KEY,
 ) -> bytes:
     """Return a requester's request."""
     headers = {
         "Host": HOST,
         "X-Attempt-Id": request_id,
         "X-Deadline-Ms": str(deadline_ms),
-        "Authorization": f"Bearer {KEY}",
+        "Authorization": f"Bearer {key}",
     }
     return encode_message(f"{method} {path} HTTP/1.1", headers, body)
 
