Review, case 5: a data centre that is cut off begins streams at a dropped version

Cause: the record of versions drops one 75 s after its last entry is gone, by the clocks of the instances in touch; an instance that is cut off goes on beginning streams at it, and the others then believe the lone version left.

--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -387,8 +387,10 @@
         *,
         zone: str,
         work: float,
+        version: str = "v1",
     ) -> None:
         super().__init__(host)
+        self.version = version
         self.name = name
         self.service = service
         self.work = work
@@ -431,7 +433,7 @@
             "service": self.service,
             "address": self.address,
             "zone": self.zone,
-            "version": "v1",
+            "version": self.version,
             "slots": 96,
             "state": "ready",
             "cold-left-ms": 0,
@@ -497,6 +499,7 @@
         self._beyond = ""
         #: set for each open channel; cleared once it is silent
         self._open: set[asyncio.Event] = set()
+        self._is_cut = False
 
     async def start(self, beyond: str = "") -> None:
         """Listen on a free port.
@@ -511,13 +514,19 @@
         for one in self._open:
             one.clear()
 
+    def cut(self) -> None:
+        """Carry nothing more on any channel, as in a partition."""
+        self._is_cut = True
+        self.fall_silent()
+
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         host, _, port = self._beyond.rpartition(":")
         far_reader, far_writer = await asyncio.open_connection(host, int(port))
         speaks = asyncio.Event()
-        speaks.set()
+        if not self._is_cut:
+            speaks.set()
         self._open.add(speaks)
         try:
             await asyncio.gather(
@@ -542,6 +551,43 @@
         writer.close()
 
 
+class Engine(Replica):
+    """A replica that answers with a stream of events.
+
+    :param work: seconds between two events
+    """
+
+    #: events of each stream
+    events = 8
+
+    async def _answer(self, request: Message, writer: asyncio.StreamWriter) -> None:
+        expected = request.headers.get("x-expected-replica", self.name)
+        if expected != self.name:
+            headers = {"X-Replica-Id": self.name}
+            writer.write(encode_message("HTTP/1.1 421 Misdirected", headers))
+            return
+        request_id = request.headers.get("x-attempt-id", "")
+        self.runs[request_id] = self.runs.get(request_id, 0) + 1
+        first = int(request.headers.get("last-event-id", "0")) + 1
+        self._record.write(
+            f"replica {self.name} ({self.version}) runs {request_id} from event {first}"
+        )
+        lines = [
+            "HTTP/1.1 200 OK",
+            f"X-Attempt-Id: {request_id}",
+            f"X-Replica-Signature: signed-by-{self.name}",
+            "Content-Type: text/event-stream",
+            "Transfer-Encoding: chunked",
+        ]
+        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+        for number in range(first, self.events + 1):
+            event = f"id: {number}\ndata: {self.version} {number}\n\n".encode()
+            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            await writer.drain()
+            await asyncio.sleep(self.work)
+        writer.write(b"0\r\n\r\n")
+
+
 @dataclass
 class Instance:
     """One process of the program, on a loopback address of its own."""
@@ -730,6 +776,7 @@
     deadline_ms: int,
     body: bytes = b"",
     key: str = KEY,
+    more_headers: dict[str, str] | None = None,
 ) -> bytes:
     """Return a requester's request."""
     headers = {
@@ -737,6 +784,7 @@
         "X-Attempt-Id": request_id,
         "X-Deadline-Ms": str(deadline_ms),
         "Authorization": f"Bearer {key}",
+        **(more_headers or {}),
     }
     return encode_message(f"{method} {path} HTTP/1.1", headers, body)
 
