Review: scripts end their processes however they are stopped

Cause: an error that no script expected led to the exit code of a broken rule, and a second signal while a script ended left instances running.

Change: all scripts run through one function, which ends with 2 then and after 115 s, and ignores further signals; checks are as before.

--- a/review/common/recovery.py
+++ b/review/common/recovery.py
@@ -8,7 +8,6 @@
 import os
 import signal
 import sys
-import tempfile
 import time
 from pathlib import Path
 
@@ -24,6 +23,7 @@
     create_route,
     encode_request,
     read_message,
+    run_script,
 )
 
 INSTANCES = 3
@@ -210,11 +210,7 @@
     :param folder: where the record is written
     """
     record = Record(folder / "record.txt")
-    is_troubled = os.environ.get("TROUBLE", "1") != "0"
-    with tempfile.TemporaryDirectory() as settings:
-        try:
-            return await kind(Path(settings), record, is_troubled).execute()
-        except (OSError, RuntimeError, TimeoutError) as error:
-            record.write(f"could not run: {error!r}")
-            print(f"could not run: {error!r}")
-            return 2
+    return await run_script(
+        record,
+        lambda settings, is_troubled: kind(settings, record, is_troubled).execute(),
+    )
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -12,13 +12,17 @@
 import os
 import signal
 import socket
+import tempfile
 import time
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
 
 ROOT = Path(__file__).resolve().parents[2]
 READY_SECONDS = 30.0
+#: longest time that a script runs, with some seconds to end its processes
+LONGEST_SECONDS = 115.0
 PAGE = 500
 HOST = "desk.example"
 KEY = "key-of-the-first-tenant"
@@ -101,6 +105,35 @@
         self._file.flush()
 
 
+async def run_script(
+    record: Record, execute: Callable[[Path, bool], Awaitable[int]]
+) -> int:
+    """Run a script in a temporary folder; return its exit code.
+
+    Whatever stops it early, a signal too, leads to exit code 2, not to that of a broken
+    rule, and its processes are ended on the way.
+
+    :param execute: runs it, with or without the disruption, and ends its processes
+    """
+    task = asyncio.current_task()
+
+    def cancel() -> None:
+        # a second signal must not interrupt the end of the processes
+        if not task.cancelling():
+            task.cancel()
+
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, cancel)
+    is_troubled = os.environ.get("TROUBLE", "1") != "0"
+    with tempfile.TemporaryDirectory() as folder:
+        try:
+            async with asyncio.timeout(LONGEST_SECONDS):
+                return await execute(Path(folder), is_troubled)
+        except (Exception, asyncio.CancelledError) as error:
+            record.write(f"could not run: {error!r}")
+            print(f"could not run: {error!r}")
+            return 2
+
+
 class Server:
     """An HTTP server on a loopback address."""
 
@@ -597,6 +630,7 @@
     folder: Path
     settings: dict
     process: asyncio.subprocess.Process | None = None
+    creation: asyncio.Future | None = None
     log_files: list = field(default_factory=list)
 
     @property
@@ -611,7 +645,7 @@
         path.write_text(json.dumps(self.settings), encoding="utf-8")
         log = (self.folder / f"{self.name}.log").open("ab")
         self.log_files.append(log)
-        self.process = await asyncio.create_subprocess_exec(
+        creation = asyncio.create_subprocess_exec(
             *read_command(),
             cwd=ROOT,
             stdout=log,
@@ -623,6 +657,9 @@
                 "GREENGAGELATCH_BOOT": str(path),
             },
         )
+        # goes on where this call is cancelled, so that the process is known and ended
+        self.creation = asyncio.ensure_future(creation)
+        self.process = await asyncio.shield(self.creation)
 
     async def wait_ready(self) -> None:
         """Wait until the balancer's question is answered with 200."""
@@ -652,6 +689,9 @@
 
     async def end(self) -> None:
         """Kill the process if it runs."""
+        if self.creation is not None:
+            with contextlib.suppress(OSError):
+                self.process = await self.creation
         if self.process is not None and self.process.returncode is None:
             with contextlib.suppress(ProcessLookupError):
                 self.process.send_signal(signal.SIGKILL)
