--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PACKAGES := $(wildcard packages/*) platform
 STAMP := $(VENV)/installed
 
-.PHONY: demo bench capacity cost matrix soak differential outages test lint format docs clean
+.PHONY: demo bench capacity cost matrix explore soak differential outages test lint format docs clean
 
 $(STAMP): constraints.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -39,6 +39,9 @@
 matrix: $(STAMP)
 	$(BIN)/python -m greengagelatch_lab.matrix --pairs --seeds $(SEEDS)
 
+explore: $(STAMP)
+	$(BIN)/python -m greengagelatch_lab.exploration --seeds $(SEEDS) --shorten
+
 soak: $(STAMP)
 	$(BIN)/python -m greengagelatch_lab.soak --seeds $(SEEDS)
 
