Streams: log events that don't tell where their stream is

Logs and metrics could not tell whether events had gone back, come twice, or had no id: streams of all kinds were logged as answered. A line stream-disorder now names target, id and the id before, once for each reason and send, and is counted as decisions.stream-disorder. What is forwarded is unchanged.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/event_splitter.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/event_splitter.py
@@ -4,13 +4,14 @@
 
 import re
 
-__all__ = ("EventSplitter", "EventTooLargeError")
+__all__ = ("EventSplitter", "EventTooLargeError", "has_data")
 
 #: maximum size of one event in bytes
 MAX_EVENT_BYTES = 1024 * 1024
 #: bytes of an event's end that may arrive before its last byte
 _PARTIAL_END_BYTES = 3
 _EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+_DATA = re.compile(rb"(?:^|[\r\n])data(?:[:\r\n]|$)")
 
 
 class EventTooLargeError(Exception):
@@ -51,3 +52,8 @@
             raise EventTooLargeError(f"event exceeds {MAX_EVENT_BYTES} bytes")
         self._searched = max(0, len(buffer) - _PARTIAL_END_BYTES)
         return events
+
+
+def has_data(event: bytes) -> bool:
+    """Return whether an event carries data; callers ignore those that carry none."""
+    return _DATA.search(event) is not None
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -10,9 +10,10 @@
 from greengagelatch.relay.outcomes import SendOutcome, SilenceDecision
 from greengagelatch.relay.regions import is_allowed
 from greengagelatch.relay.requests import Prompt
+from greengagelatch.relay.stream_positions import StreamPosition
 
 from ..soft_timeout import SoftTimeout, SoftTimeoutScope
-from .event_splitter import EventSplitter, EventTooLargeError
+from .event_splitter import EventSplitter, EventTooLargeError, has_data
 from .input_fetch_timer import InputFetchTimer
 from .messages import AttemptContext
 from .prefill_tracker import PrefillTracker
@@ -29,6 +30,7 @@
     from collections.abc import AsyncIterator
 
     from greengagelatch.relay.incarnations import Incarnation
+    from greengagelatch.relay.stream_positions import EventDisorder
     from greengagelatch.relay.targets import ListedTarget, TargetTable
 
     from .codecs import TargetCodec
@@ -130,7 +132,9 @@
         self._run = run
         self._results = results
         self._prompt = exchange.request.prompt or Prompt()
-        self._last_event_id = exchange.request.resume_after
+        self._position = StreamPosition(exchange.request.resume_after)
+        #: what was logged of the events of the current attempt
+        self._logged_disorders: set[EventDisorder] = set()
         self._first_event_seen = False
         self._parts_survived = False
         #: targets to which the request is not sent again
@@ -217,7 +221,7 @@
             incarnation=target.incarnation,
             remaining=left,
             workspace=exchange.workspace,
-            resume_after=self._last_event_id,
+            resume_after=self._position.last_event_id,
             inputs=self._results.inputs,
         )
         now = runner.clock.now()
@@ -226,6 +230,7 @@
         )
         self._sent_at = now
         self._first_event_at = None
+        self._logged_disorders.clear()
         if exchange.route.resumable:
             # its caller may return to another instance
             await runner.versions.record_send(exchange.request.request_id, target)
@@ -310,8 +315,12 @@
                 await writer.begin(received.head)
             for event in events:
                 event_id = self._runner.codec.read_event_id(event)
-                if event_id is not None:
-                    self._last_event_id = event_id
+                disorder = self._position.find_disorder(
+                    event_id, has_data=has_data(event)
+                )
+                if disorder is not None:
+                    self._log_disorder(target, disorder, event_id)
+                self._position.advance(event_id)
             await writer.write(b"".join(events))
         if splitter.pending:
             raise TargetResponseError(
@@ -324,6 +333,23 @@
             self._exchange, self._runner.clock.now() - self._sent_at
         )
 
+    def _log_disorder(
+        self, target: ListedTarget, disorder: EventDisorder, event_id: int | None
+    ) -> None:
+        """Log an event that is out of order, once for each reason and attempt."""
+        if disorder in self._logged_disorders:
+            return
+        self._logged_disorders.add(disorder)
+        self._runner.decisions.log_decision(
+            "stream-disorder",
+            request=self._exchange.request.request_id,
+            target=str(target.incarnation),
+            address=target.address,
+            reason=disorder.value,
+            event=event_id,
+            after=self._position.last_event_id,
+        )
+
     async def _read_chunk(
         self,
         target: ListedTarget,
--- a/tests/test_entry/test_relay/test_event_splitter.py
+++ b/tests/test_entry/test_relay/test_event_splitter.py
@@ -10,6 +10,7 @@
     MAX_EVENT_BYTES,
     EventSplitter,
     EventTooLargeError,
+    has_data,
 )
 
 
@@ -35,3 +36,12 @@
     splitter.feed(b"data: 1\n\n" + b"a" * MAX_EVENT_BYTES)
     with pytest.raises(EventTooLargeError):
         splitter.feed(b"a")
+
+
+@pytest.mark.parametrize("end", [b"\n", b"\r\n", b"\r"])
+def test_comments_are_told_from_data(end):
+    """Guards against comments that are taken for events without an id."""
+    assert has_data(b"id: 1" + end + b"data: x" + end + end)
+    assert has_data(b"data" + end + end)
+    assert not has_data(b": data: x" + end + end)
+    assert not has_data(b"id: 1" + end + b"database: x" + end + end)
