Failing test: events that go back are passed on to callers

An engine that repeats events, goes back, or starts over where it was asked to go on: the caller gets 1 2 3 4 2 3 4 5 6 7 8 and a complete end.

--- /dev/null
+++ b/tests/test_entry/test_relay/test_stream_pieces.py
@@ -0,0 +1,175 @@
+"""Tests of the order and number of the events that the caller of a stream gets."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from dataclasses import dataclass
+
+import aiohttp
+import pytest
+
+from greengagelatch.relay.retry_budget import RetryBudgetRule
+from greengagelatch_lab.platform_standins.deployment import (
+    API_KEY,
+    HOST,
+    create_configuration,
+)
+
+from .conftest import World
+from .scripted_engines import (
+    EVENTS,
+    Ending,
+    EventScript,
+    ScriptedEngine,
+)
+
+#: engines of the instance, and how often a stream may be sent to one of them
+ENGINES, MAX_ATTEMPTS = 4, 3
+
+
+@dataclass(frozen=True)
+class Piece:
+    """An event that a caller got."""
+
+    number: int
+    run: str
+
+
+@dataclass(frozen=True)
+class Answer:
+    """What a caller got in one attempt."""
+
+    pieces: tuple[Piece, ...]
+    #: whether the response looks whole
+    complete: bool
+    status: int
+
+
+class EngineWorld(World):
+    """An instance with engines that play scripts."""
+
+    def __init__(self) -> None:
+        super().__init__(RetryBudgetRule(ratio=1.0, slack=1000.0))
+        self.engines: list[ScriptedEngine] = []
+
+    async def start(self) -> None:
+        await super().start()
+        news = self.find("news")._configuration
+        await self.wait_for(lambda: news.table is not None)
+        before = news.revision
+        configuration = create_configuration(5)
+        for route in configuration["routes"]:
+            if route["route-kind"] == "streaming":
+                route["max-attempts"] = MAX_ATTEMPTS
+        self.store.put("op/config", configuration)
+        for number in range(1, ENGINES + 1):
+            engine = ScriptedEngine(f"llm-{number}", "llm")
+            await engine.start()
+            engine.register(self.store)
+            self.targets[engine.target_id] = engine
+            self.engines.append(engine)
+        await self.wait_until_synced(ENGINES)
+        await self.wait_for(lambda: news.revision > before)
+
+    def list_asked(self) -> dict[str, int]:
+        """Return the event that each run was to go on after."""
+        return {run: after for one in self.engines for run, after in one.asked.items()}
+
+    async def read(
+        self, route: str, request_id: str, after: int = 0, pause: float = 0.0
+    ) -> Answer:
+        """Send one attempt and return all that arrives before it ends."""
+        headers = {
+            "Host": HOST,
+            "X-Attempt-Id": request_id,
+            "X-Deadline-Ms": str(self.timeout_ms),
+            "Authorization": f"Bearer {API_KEY}",
+            "X-Model": "m",
+            "X-Token-Counts": "100,20",
+            "X-Prefix-Hash": f"{random.Random(request_id).getrandbits(60):x}:60",
+        }
+        if after:
+            headers["Last-Event-Id"] = str(after)
+        url = f"http://127.0.0.1:{self.parts.front.port}/{route}/1"
+        data, complete, status = bytearray(), False, 0
+        try:
+            async with self.session.post(url, headers=headers, data=b"p") as response:
+                status = response.status
+                async for chunk in response.content.iter_any():
+                    data += chunk
+                    await asyncio.sleep(pause)
+                complete = True
+        except aiohttp.ClientError:
+            complete = False
+        pieces = _read_pieces(bytes(data)) if status == 200 else ()
+        return Answer(pieces, complete and status == 200, status)
+
+
+def _read_pieces(data: bytes) -> tuple[Piece, ...]:
+    text = data.decode().replace("\r\n", "\n").replace("\r", "\n")
+    *events, rest = text.split("\n\n")
+    assert not rest.strip("\n"), "an event was cut"
+    pieces = []
+    for event in events:
+        (line,) = [one for one in event.split("\n") if one.startswith("data: ")]
+        run, number = line.removeprefix("data: ").split(" ")
+        pieces.append(Piece(int(number), run))
+    return tuple(pieces)
+
+
+def check_pieces(answers: list[Answer], asked: dict[str, int]) -> None:
+    """Check that over all attempts each event came once and in order.
+
+    An event of another run than the one before is allowed where that run was asked to
+    go on after it.
+    """
+    last, run = 0, None
+    for answer in answers:
+        for piece in answer.pieces:
+            assert piece.number == last + 1, (piece, answers)
+            if piece.run != run:
+                assert asked[piece.run] == last, (piece, answers)
+            last, run = piece.number, piece.run
+        if answer.complete:
+            assert last == EVENTS, answers
+
+
+@pytest.fixture
+async def engine_world():
+    created = EngineWorld()
+    await created.start()
+    yield created
+    await created.stop()
+
+
+def play(world: EngineWorld, *scripts: EventScript) -> None:
+    """Let the next runs, at whatever engines, play scripts."""
+    left = list(scripts)
+    for engine in world.engines:
+        engine.scripts = left
+
+
+async def read_once(world: EngineWorld, route: str) -> Answer:
+    """Return the answer to a new stream, whose events are in order."""
+    answer = await world.read(route, f"r-{len(world.list_asked())}")
+    check_pieces([answer], world.list_asked())
+    return answer
+
+
+async def test_events_that_go_back_are_not_passed_on(engine_world):
+    """Guards against engines that repeat events, or ignore where to go on.
+
+    Their events were passed on as they came: callers got events twice.
+    """
+    broken = EventScript(events=3, ending=Ending.CLOSE)
+    for first in (
+        (EventScript(events=4, ending=Ending.GO_BACK),),
+        (EventScript(events=4, ending=Ending.REPEAT),),
+        (broken, EventScript(skipped=True)),
+    ):
+        play(engine_world, *first)
+        assert (await read_once(engine_world, "draft")).complete
+        play(engine_world, *first)
+        assert not (await read_once(engine_world, "scan")).complete
+    assert engine_world.count("decisions.stream-disorder") == 5
