Streams: events that go back or come twice end the run

What callers saw: 1 2 3 4 2 3 4 5 6 7 8 and a complete end, where an engine repeated events, went back, or started over when it was asked to go on.

Cause: the place of a stream was taken from whatever arrived; nothing compared an event with the one before. Class: input of another process that is trusted.

Why it works: ids increase in a stream, so an event whose id doesn't is none of the rest of this stream. It is not passed on, the send counts as lost, and the stream goes on at another target after the last event that the caller has, or is cut off and doesn't look complete. Events in order that came with it are passed on first. A run without any event in order binds no software version and releases no inputs.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -10,7 +10,7 @@
 from greengagelatch.relay.outcomes import SendOutcome, SilenceDecision
 from greengagelatch.relay.regions import is_allowed
 from greengagelatch.relay.requests import Prompt
-from greengagelatch.relay.stream_positions import StreamPosition
+from greengagelatch.relay.stream_positions import EventDisorder, StreamPosition
 
 from ..soft_timeout import SoftTimeout, SoftTimeoutScope
 from .event_splitter import EventSplitter, EventTooLargeError, has_data
@@ -30,7 +30,6 @@
     from collections.abc import AsyncIterator
 
     from greengagelatch.relay.incarnations import Incarnation
-    from greengagelatch.relay.stream_positions import EventDisorder
     from greengagelatch.relay.targets import ListedTarget, TargetTable
 
     from .codecs import TargetCodec
@@ -306,22 +305,16 @@
                 events = splitter.feed(data)
             except EventTooLargeError as error:
                 raise TargetResponseError(str(error)) from error
-            if not events:
-                continue
-            self._handle_first_event(target, prefill)
-            self._record_progress()
-            if not writer.started:
-                self._exchange.status = received.head.status
-                await writer.begin(received.head)
-            for event in events:
-                event_id = self._runner.codec.read_event_id(event)
-                disorder = self._position.find_disorder(
-                    event_id, has_data=has_data(event)
-                )
-                if disorder is not None:
-                    self._log_disorder(target, disorder, event_id)
-                self._position.advance(event_id)
-            await writer.write(b"".join(events))
+            ordered = self._select_ordered(target, events)
+            if ordered:
+                self._handle_first_event(target, prefill)
+                self._record_progress()
+                if not writer.started:
+                    self._exchange.status = received.head.status
+                    await writer.begin(received.head)
+                await writer.write(b"".join(ordered))
+            if len(ordered) < len(events):
+                raise TargetResponseError("the ids of events don't increase")
         if splitter.pending:
             raise TargetResponseError(
                 "stream ended in the middle of an event", broken=True
@@ -333,6 +326,20 @@
             self._exchange, self._runner.clock.now() - self._sent_at
         )
 
+    def _select_ordered(self, target: ListedTarget, events: list[bytes]) -> list[bytes]:
+        """Return the events before one that the caller has, or that is older."""
+        ordered = []
+        for event in events:
+            event_id = self._runner.codec.read_event_id(event)
+            disorder = self._position.find_disorder(event_id, has_data=has_data(event))
+            if disorder is not None:
+                self._log_disorder(target, disorder, event_id)
+            if disorder is EventDisorder.BACKWARD:
+                break
+            self._position.advance(event_id)
+            ordered.append(event)
+        return ordered
+
     def _log_disorder(
         self, target: ListedTarget, disorder: EventDisorder, event_id: int | None
     ) -> None:
