--- a/tests/test_entry/test_relay/scripted_engines.py
+++ b/tests/test_entry/test_relay/scripted_engines.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from typing import TYPE_CHECKING
 
@@ -58,6 +58,7 @@
     :param skipped: whether it starts with the first event whatever it is asked for
     :param framed: whether the body is chunked; otherwise it ends with the connection
     :param events: number of events before the ending
+    :param unnumbered: number of an event that is sent without an id; 0: none
     :param extra: bytes after a complete body
     :param line_end: end of each line of an event
     :param cut: returns the sizes in bytes of the parts in which data is written, and
@@ -68,6 +69,7 @@
     framed: bool = True
     events: int = EVENTS
     ending: Ending = Ending.COMPLETE
+    unnumbered: int = 0
     extra: bytes = b""
     line_end: str = "\n"
     cut: Callable[[bytes], list[tuple[float, bytes]]] | None = None
@@ -147,9 +149,10 @@
             case Ending.REPEAT:
                 rest = [max(1, last), *rest]
             case Ending.LOSE_ID:
-                event = _create_event(script, run, last + 1)
-                _, _, data = event.partition(script.line_end.encode())
-                await self._send(writer, script, data)
+                event = _create_event(
+                    replace(script, unnumbered=last + 1), run, last + 1
+                )
+                await self._send(writer, script, event)
                 return False
         for number in rest:
             await self._send(writer, script, _create_event(script, run, number))
@@ -174,7 +177,8 @@
 
 def _create_event(script: EventScript, run: str, number: int) -> bytes:
     end = script.line_end
-    return f"id: {number}{end}data: {run} {number}{end}{end}".encode()
+    line = "" if number == script.unnumbered else f"id: {number}{end}"
+    return f"{line}data: {run} {number}{end}{end}".encode()
 
 
 def draw_script(source: random.Random) -> EventScript:
--- a/tests/test_entry/test_relay/test_stream_pieces.py
+++ b/tests/test_entry/test_relay/test_stream_pieces.py
@@ -173,3 +173,12 @@
         play(engine_world, *first)
         assert not (await read_once(engine_world, "scan")).complete
     assert engine_world.count("decisions.stream-disorder") == 5
+
+
+async def test_stream_does_not_go_on_after_an_event_without_an_id(engine_world):
+    """Guards against resuming before an event that the caller has."""
+    for events in (0, 3):
+        play(engine_world, EventScript(events=events, ending=Ending.LOSE_ID))
+        answer = await read_once(engine_world, "draft")
+        assert not answer.complete
+        assert len(answer.pieces) == events + 1
