Streams: none goes on before an event that its caller has

What callers saw: an event twice, or the whole stream again from the beginning, where an engine had sent events without an id and broke off.

Cause: the next engine was asked to go on after the last id that had been read, whether or not events had followed it. Class: a state that is not known is taken for the last one that was.

Why it works: an event with data and no id makes the place of the stream unknown until one with an id follows. Meanwhile the stream is not sent to another target: a break cuts it off, so that its caller, who knows what it has, returns; a pause is waited out. Comments carry no data and change nothing.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -180,6 +180,9 @@
                 self._excluded |= {target.incarnation}
             if last.silent:
                 self._silent |= {target.incarnation}
+            if not self._position.is_known:
+                # its caller knows better where to go on
+                break
             if not runner.may_retry(exchange, last.outcome):
                 break
             if last.status == STATUS_CONFLICT or self._inputs_released:
@@ -331,12 +334,13 @@
         ordered = []
         for event in events:
             event_id = self._runner.codec.read_event_id(event)
-            disorder = self._position.find_disorder(event_id, has_data=has_data(event))
+            with_data = has_data(event)
+            disorder = self._position.find_disorder(event_id, has_data=with_data)
             if disorder is not None:
                 self._log_disorder(target, disorder, event_id)
             if disorder is EventDisorder.BACKWARD:
                 break
-            self._position.advance(event_id)
+            self._position.advance(event_id, has_data=with_data)
             ordered.append(event)
         return ordered
 
@@ -444,7 +448,7 @@
     def _create_soft_timeout(self, target: ListedTarget) -> SoftTimeout | None:
         exchange = self._exchange
         route = exchange.route
-        if not route.resumable:
+        if not route.resumable or not self._position.is_known:
             return None
         if self._first_event_seen:
             seconds = max(MIN_EVENT_GAP_TIMEOUT, route.longest_pause * EVENT_GAP_FACTOR)
--- a/packages/greengagelatch/src/greengagelatch/relay/stream_positions.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/stream_positions.py
@@ -23,11 +23,14 @@
         begins with the first one
     """
 
-    __slots__ = ("last_event_id",)
+    __slots__ = ("is_known", "last_event_id")
 
     def __init__(self, last_event_id: int | None = None) -> None:
         #: id of the last event that the caller has
         self.last_event_id = last_event_id
+        #: whether the caller has nothing after that event, so that another target can
+        #: go on there
+        self.is_known = True
 
     def find_disorder(
         self, event_id: int | None, *, has_data: bool
@@ -42,7 +45,10 @@
             return EventDisorder.BACKWARD
         return None
 
-    def advance(self, event_id: int | None) -> None:
+    def advance(self, event_id: int | None, *, has_data: bool) -> None:
         """Record that the caller is sent an event."""
         if event_id is not None:
             self.last_event_id = event_id
+            self.is_known = True
+        elif has_data:
+            self.is_known = False
--- a/tests/test_core/test_relay/test_stream_positions.py
+++ b/tests/test_core/test_relay/test_stream_positions.py
@@ -33,6 +33,17 @@
 
 def test_comments_do_not_move_a_stream():
     position = StreamPosition()
-    position.advance(4)
-    position.advance(None)
+    position.advance(4, has_data=True)
+    position.advance(None, has_data=False)
     assert position.last_event_id == 4
+    assert position.is_known
+
+
+def test_position_is_not_known_until_an_event_with_an_id():
+    """Guards against resuming before an event that the caller has."""
+    position = StreamPosition()
+    position.advance(None, has_data=True)
+    assert not position.is_known
+    position.advance(7, has_data=True)
+    assert position.is_known
+    assert position.last_event_id == 7
--- a/tests/test_entry/test_relay/test_stream_pieces.py
+++ b/tests/test_entry/test_relay/test_stream_pieces.py
@@ -10,6 +10,7 @@
 import pytest
 
 from greengagelatch.relay.retry_budget import RetryBudgetRule
+from greengagelatch_entry.relay.streams import MIN_EVENT_GAP_TIMEOUT
 from greengagelatch_lab.platform_standins.deployment import (
     API_KEY,
     HOST,
@@ -182,3 +183,17 @@
         answer = await read_once(engine_world, "draft")
         assert not answer.complete
         assert len(answer.pieces) == events + 1
+
+
+async def test_silent_engine_is_not_left_after_an_event_without_an_id(engine_world):
+    """Guards against streams that are cut off though their engine would go on."""
+    await engine_world.extend_timeouts()
+    number = 2
+    script = EventScript(ending=Ending.PAUSE, events=number, unnumbered=number)
+    play(engine_world, script)
+    for engine in engine_world.engines:
+        # longer than the soft timeout
+        engine.pause_seconds = 2 * MIN_EVENT_GAP_TIMEOUT
+    answer = await read_once(engine_world, "draft")
+    assert answer.complete
+    assert len(engine_world.list_asked()) == 1
