Failing test: ids are not found where lines end with CR

The stream is cut off after a break, as its place is not known; before that was a rule, it began again at another engine, 1 2 3 1 2 3 4 5 6 7 8 at the caller.

--- a/tests/test_entry/test_relay/test_stream_pieces.py
+++ b/tests/test_entry/test_relay/test_stream_pieces.py
@@ -197,3 +197,17 @@
     answer = await read_once(engine_world, "draft")
     assert answer.complete
     assert len(engine_world.list_asked()) == 1
+
+
+async def test_stream_goes_on_after_its_last_event_whatever_ends_its_lines(
+    engine_world,
+):
+    """Guards against streams that begin again as the id of no event was found.
+
+    Lines of events may end with CR alone.
+    """
+    for line_end in ("\r", "\r\n"):
+        broken = EventScript(events=3, ending=Ending.CLOSE, line_end=line_end)
+        play(engine_world, broken, EventScript(line_end=line_end))
+        answer = await read_once(engine_world, "draft")
+        assert answer.complete
