--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/event_splitter.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/event_splitter.py
@@ -10,7 +10,7 @@
 MAX_EVENT_BYTES = 1024 * 1024
 #: bytes of an event's end that may arrive before its last byte
 _PARTIAL_END_BYTES = 3
-_EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+_EVENT_END = re.compile(rb"\n\r?\n|\r\r")
 _DATA = re.compile(rb"(?:^|[\r\n])data(?:[:\r\n]|$)")
 
 
--- a/tests/test_entry/test_relay/test_event_splitter.py
+++ b/tests/test_entry/test_relay/test_event_splitter.py
@@ -30,6 +30,13 @@
     assert cut.pending == whole.pending
 
 
+def test_events_end_whatever_ends_their_lines():
+    """Guards against two events that are taken for one, with the id of the first."""
+    events = [b"id: 1\n\r\n", b"id: 2\r\n\r\n", b"id: 3\n\n", b"id: 4\r\n\n"]
+    events.append(b"id: 5\r\r")
+    assert EventSplitter().feed(b"".join(events)) == events
+
+
 def test_event_without_an_end_is_too_large():
     """Guards against memory taken up by an event that does not end."""
     splitter = EventSplitter()
--- a/tests/test_platform/test_targets.py
+++ b/tests/test_platform/test_targets.py
@@ -99,6 +99,18 @@
     assert CODEC.read_event_id(b"data: id: 4\n\n") is None
 
 
+def test_event_ids_are_decoded_whatever_ends_the_lines():
+    """Guards against streams that begin again as the id of no event was found."""
+    assert CODEC.read_event_id(b"id: 12\rdata: x\r\r") == 12
+    assert CODEC.read_event_id(b"data: x\rid: 12\r\n\n") == 12
+    assert CODEC.read_event_id(b"data: id: 4\r\r") is None
+
+
+def test_last_id_of_an_event_counts():
+    """Guards against resuming before an event that the caller has."""
+    assert CODEC.read_event_id(b"id: 4\ndata: x\nid: 5\n\n") == 5
+
+
 def test_handle_contains_the_address_of_the_maker():
     assert CODEC.find_maker_address("10.0.0.1:80/91bd/x") == "10.0.0.1:80"
 
