Failing test: a close before the first event is taken for the end

An engine that is killed between its head and its first event, in a response without a length: the caller gets an empty stream that looks complete, or one that lacks its rest where it was taken up.

--- a/tests/test_entry/test_relay/test_stream_pieces.py
+++ b/tests/test_entry/test_relay/test_stream_pieces.py
@@ -211,3 +211,19 @@
         play(engine_world, broken, EventScript(line_end=line_end))
         answer = await read_once(engine_world, "draft")
         assert answer.complete
+
+
+async def test_close_before_the_first_event_is_no_end(engine_world):
+    """Guards against empty streams that look complete.
+
+    A response without a length ends with its connection, which the kernel of a process
+    that is killed closes in good order.
+    """
+    empty = EventScript(events=0, ending=Ending.CLOSE, framed=False)
+    play(engine_world, empty)
+    assert (await read_once(engine_world, "draft")).complete
+    play(engine_world, EventScript(events=3, ending=Ending.CLOSE), empty)
+    assert (await read_once(engine_world, "draft")).complete
+    play(engine_world, empty)
+    answer = await read_once(engine_world, "scan")
+    assert (answer.status, answer.pieces) == (502, ())
