Streams: a close before the first event is no end

What callers saw: an empty stream, or one that lacked its rest, that looked complete, where a target closed a response without a length before its first event.

Cause: such a response ends with its connection, and the kernel of a process that is killed closes its connections in good order. Class: the absence of an error is taken for success.

Why it works: a stream has events, so that a close before the first one is a break; the stream goes on elsewhere or is not answered. A chunked response without events is complete, as its end was sent: the rest of a stream may be empty, and so is a response whose status has no body.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -322,6 +322,11 @@
             raise TargetResponseError(
                 "stream ended in the middle of an event", broken=True
             )
+        if self._first_event_at is None and not received.response.is_framed:
+            # a process that is killed closes its connections in good order, too
+            raise TargetResponseError(
+                "connection closed before the first event", broken=True
+            )
         if not writer.started:
             await writer.begin(received.head)
         await writer.finish()
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_responses.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_responses.py
@@ -36,6 +36,8 @@
 #: maximum size in bytes of what arrives without any part of a head or body, such as the
 #: extension of a chunk's size
 MAX_OVERHEAD_BYTES = 256 * 1024
+#: status codes of responses that never have a body
+BODILESS_STATUSES = frozenset({204, 304})
 #: results in the answers on one connection from which on it is not reused, as the
 #: handles of all of them are kept
 MAX_RESULTS = 4096
@@ -175,6 +177,13 @@
         """Id of the peer that carries the connection; empty: it is direct."""
         return self._connection.carrier
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether its end is known without that of its connection."""
+        message = self.message
+        has_length = "Content-Length" in message.headers
+        return message.chunked or has_length or message.code in BODILESS_STATUSES
+
     async def iterate(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives.
 
@@ -187,7 +196,7 @@
             raise create_response_error(
                 "response truncated", error, self._connection.loss, self.is_path_lost()
             ) from error
-        if self._connection.loss is not None and not self._is_framed():
+        if self._connection.loss is not None and not self.is_framed:
             raise TargetResponseError(
                 "connection reset during a response without a length",
                 broken=not isinstance(self._connection.loss, TunnelLostError),
@@ -223,10 +232,6 @@
         """Close the connection immediately; the target may cancel its work."""
         self._connection.abort()
 
-    def _is_framed(self) -> bool:
-        headers = self.message.headers
-        return self.message.chunked or "Content-Length" in headers
-
 
 def create_response_error(
     what: str, error: Exception, loss: BaseException | None, path_lost: bool
--- a/tests/test_entry/test_relay/scripted_engines.py
+++ b/tests/test_entry/test_relay/scripted_engines.py
@@ -98,6 +98,9 @@
     async def _stream(
         self, request, headers: dict[str, str], writer: asyncio.StreamWriter
     ) -> bool:
+        if self.bodiless_status:
+            _write(writer, self.bodiless_status, headers, b"", length=None)
+            return True
         script = self._next_script()
         self.played.append(script)
         after = int(request.headers.get("last-event-id", "0"))
--- a/tests/test_entry/test_relay/test_stream_pieces.py
+++ b/tests/test_entry/test_relay/test_stream_pieces.py
@@ -227,3 +227,9 @@
     play(engine_world, empty)
     answer = await read_once(engine_world, "scan")
     assert (answer.status, answer.pieces) == (502, ())
+
+
+async def test_response_that_has_no_body_needs_no_event(engine_world):
+    for engine in engine_world.engines:
+        engine.bodiless_status = 204
+    assert (await engine_world.read("scan", "r-1")).status == 204
