Failing test: streams with malformed chunks are waited for

The parser drops the response and the connection is closed, but nobody tells the reader of the body: a stream that may not go on elsewhere is held to its deadline, 2.0 of 2.0 s in a trial, one that may for 0.75 s.

--- a/tests/test_entry/test_relay/test_stream_pieces.py
+++ b/tests/test_entry/test_relay/test_stream_pieces.py
@@ -17,7 +17,7 @@
     create_configuration,
 )
 
-from .conftest import World
+from .conftest import WAIT_SECONDS, World
 from .scripted_engines import (
     EVENTS,
     Ending,
@@ -233,3 +233,16 @@
     for engine in engine_world.engines:
         engine.bodiless_status = 204
     assert (await engine_world.read("scan", "r-1")).status == 204
+
+
+async def test_stream_with_bytes_that_are_no_chunk_is_not_waited_for(engine_world):
+    """Guards against callers that wait to their deadline for a stream that is broken."""
+    await engine_world.extend_timeouts()
+    for engine in engine_world.engines:
+        engine.pause_seconds = 3600
+    for route, complete in (("scan", False), ("draft", True)):
+        play(engine_world, EventScript(events=3, ending=Ending.SPOIL))
+        async with asyncio.timeout(WAIT_SECONDS / 2):
+            answer = await read_once(engine_world, route)
+        assert answer.complete is complete
+    assert engine_world.count("decisions.silence") == 0
