Target connections: readers learn that a body is malformed

What callers saw: a stream that may not go on elsewhere was held to its deadline after its target had sent bytes that are no chunk, one that may for a soft timeout of 0.75 s.

Cause: the parser raises on such bytes and forgets the body; the library closes the connection and tells the next reader of a head, not that of the body. Class: an error that reaches one of two waiters.

Evidence: test_stream_with_bytes_that_are_no_chunk_is_not_waited_for, which failed before.

Why it works: after each read the connection hands an error of the parser to the body that is still open, as it did for bytes without end. Unary responses and stage calls are read in the same way.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_responses.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_responses.py
@@ -103,6 +103,10 @@
 
     def data_received(self, data: bytes) -> None:
         super().data_received(data)
+        error = self.exception()
+        if error is not None:
+            self._fail_body(error)
+            return
         body, received = self._payload, getattr(self._payload, "total_bytes", 0)
         if body is not self._body or received != self._body_bytes:
             self._body, self._body_bytes = body, received
@@ -115,11 +119,18 @@
     def _reject(self, reason: str) -> None:
         """Close the connection, as its data is no response."""
         error = BadHttpMessage(reason)
-        if self._payload is not None and not self._payload.is_eof():
-            self._payload.set_exception(error)
+        self._fail_body(error)
         self.set_exception(error)
         self.abort()
 
+    def _fail_body(self, error: BaseException) -> None:
+        """Tell the reader of the current body, unless the body is complete.
+
+        The parser does not, and forgets the body.
+        """
+        if self._payload is not None and not self._payload.is_eof():
+            self._payload.set_exception(error)
+
     @property
     def reusable(self) -> bool:
         """Whether it is direct and no data of an earlier request is left on it."""
--- a/tests/test_entry/test_relay/test_stream_pieces.py
+++ b/tests/test_entry/test_relay/test_stream_pieces.py
@@ -236,7 +236,7 @@
 
 
 async def test_stream_with_bytes_that_are_no_chunk_is_not_waited_for(engine_world):
-    """Guards against callers that wait to their deadline for a stream that is broken."""
+    """Guards against callers that wait to their deadline for a broken stream."""
     await engine_world.extend_timeouts()
     for engine in engine_world.engines:
         engine.pause_seconds = 3600
