--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -10,9 +10,10 @@
 from greengagelatch.relay.outcomes import SendOutcome, SilenceDecision
 from greengagelatch.relay.regions import is_allowed
 from greengagelatch.relay.requests import Prompt
+from greengagelatch.relay.stream_positions import EventDisorder, StreamPosition
 
 from ..soft_timeout import SoftTimeout, SoftTimeoutScope
-from .event_splitter import EventSplitter, EventTooLargeError
+from .event_splitter import EventSplitter, EventTooLargeError, has_data
 from .input_fetch_timer import InputFetchTimer
 from .messages import AttemptContext
 from .prefill_tracker import PrefillTracker
@@ -130,7 +131,9 @@
         self._run = run
         self._results = results
         self._prompt = exchange.request.prompt or Prompt()
-        self._last_event_id = exchange.request.resume_after
+        self._position = StreamPosition(exchange.request.resume_after)
+        #: what was logged of the events of the current attempt
+        self._logged_disorders: set[EventDisorder] = set()
         self._first_event_seen = False
         self._parts_survived = False
         #: targets to which the request is not sent again
@@ -177,6 +180,9 @@
                 self._excluded |= {target.incarnation}
             if last.silent:
                 self._silent |= {target.incarnation}
+            if not self._position.is_known:
+                # its caller knows better where to go on
+                break
             if not runner.may_retry(exchange, last.outcome):
                 break
             if last.status == STATUS_CONFLICT or self._inputs_released:
@@ -217,7 +223,7 @@
             incarnation=target.incarnation,
             remaining=left,
             workspace=exchange.workspace,
-            resume_after=self._last_event_id,
+            resume_after=self._position.last_event_id,
             inputs=self._results.inputs,
         )
         now = runner.clock.now()
@@ -226,6 +232,7 @@
         )
         self._sent_at = now
         self._first_event_at = None
+        self._logged_disorders.clear()
         if exchange.route.resumable:
             # its caller may return to another instance
             await runner.versions.record_send(exchange.request.request_id, target)
@@ -301,22 +308,25 @@
                 events = splitter.feed(data)
             except EventTooLargeError as error:
                 raise TargetResponseError(str(error)) from error
-            if not events:
-                continue
-            self._handle_first_event(target, prefill)
-            self._record_progress()
-            if not writer.started:
-                self._exchange.status = received.head.status
-                await writer.begin(received.head)
-            for event in events:
-                event_id = self._runner.codec.read_event_id(event)
-                if event_id is not None:
-                    self._last_event_id = event_id
-            await writer.write(b"".join(events))
+            ordered = self._select_ordered(target, events)
+            if ordered:
+                self._handle_first_event(target, prefill)
+                self._record_progress()
+                if not writer.started:
+                    self._exchange.status = received.head.status
+                    await writer.begin(received.head)
+                await writer.write(b"".join(ordered))
+            if len(ordered) < len(events):
+                raise TargetResponseError("the ids of events don't increase")
         if splitter.pending:
             raise TargetResponseError(
                 "stream ended in the middle of an event", broken=True
             )
+        if self._first_event_at is None and not received.response.is_framed:
+            # a process that is killed closes its connections in good order, too
+            raise TargetResponseError(
+                "connection closed before the first event", broken=True
+            )
         if not writer.started:
             await writer.begin(received.head)
         await writer.finish()
@@ -324,6 +334,38 @@
             self._exchange, self._runner.clock.now() - self._sent_at
         )
 
+    def _select_ordered(self, target: ListedTarget, events: list[bytes]) -> list[bytes]:
+        """Return the events before one that the caller has, or that is older."""
+        ordered = []
+        for event in events:
+            event_id = self._runner.codec.read_event_id(event)
+            with_data = has_data(event)
+            disorder = self._position.find_disorder(event_id, has_data=with_data)
+            if disorder is not None:
+                self._log_disorder(target, disorder, event_id)
+            if disorder is EventDisorder.BACKWARD:
+                break
+            self._position.advance(event_id, has_data=with_data)
+            ordered.append(event)
+        return ordered
+
+    def _log_disorder(
+        self, target: ListedTarget, disorder: EventDisorder, event_id: int | None
+    ) -> None:
+        """Log an event that is out of order, once for each reason and attempt."""
+        if disorder in self._logged_disorders:
+            return
+        self._logged_disorders.add(disorder)
+        self._runner.decisions.log_decision(
+            "stream-disorder",
+            request=self._exchange.request.request_id,
+            target=str(target.incarnation),
+            address=target.address,
+            reason=disorder.value,
+            event=event_id,
+            after=self._position.last_event_id,
+        )
+
     async def _read_chunk(
         self,
         target: ListedTarget,
@@ -411,7 +453,7 @@
     def _create_soft_timeout(self, target: ListedTarget) -> SoftTimeout | None:
         exchange = self._exchange
         route = exchange.route
-        if not route.resumable:
+        if not route.resumable or not self._position.is_known:
             return None
         if self._first_event_seen:
             seconds = max(MIN_EVENT_GAP_TIMEOUT, route.longest_pause * EVENT_GAP_FACTOR)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_responses.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_responses.py
@@ -36,6 +36,8 @@
 #: maximum size in bytes of what arrives without any part of a head or body, such as the
 #: extension of a chunk's size
 MAX_OVERHEAD_BYTES = 256 * 1024
+#: status codes of responses that never have a body
+BODILESS_STATUSES = frozenset({204, 304})
 #: results in the answers on one connection from which on it is not reused, as the
 #: handles of all of them are kept
 MAX_RESULTS = 4096
@@ -101,6 +103,10 @@
 
     def data_received(self, data: bytes) -> None:
         super().data_received(data)
+        error = self.exception()
+        if error is not None:
+            self._fail_body(error)
+            return
         body, received = self._payload, getattr(self._payload, "total_bytes", 0)
         if body is not self._body or received != self._body_bytes:
             self._body, self._body_bytes = body, received
@@ -113,11 +119,18 @@
     def _reject(self, reason: str) -> None:
         """Close the connection, as its data is no response."""
         error = BadHttpMessage(reason)
-        if self._payload is not None and not self._payload.is_eof():
-            self._payload.set_exception(error)
+        self._fail_body(error)
         self.set_exception(error)
         self.abort()
 
+    def _fail_body(self, error: BaseException) -> None:
+        """Tell the reader of the current body, unless the body is complete.
+
+        The parser does not, and forgets the body.
+        """
+        if self._payload is not None and not self._payload.is_eof():
+            self._payload.set_exception(error)
+
     @property
     def reusable(self) -> bool:
         """Whether it is direct and no data of an earlier request is left on it."""
@@ -175,6 +188,13 @@
         """Id of the peer that carries the connection; empty: it is direct."""
         return self._connection.carrier
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether its end is known without that of its connection."""
+        message = self.message
+        has_length = "Content-Length" in message.headers
+        return message.chunked or has_length or message.code in BODILESS_STATUSES
+
     async def iterate(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives.
 
@@ -187,7 +207,7 @@
             raise create_response_error(
                 "response truncated", error, self._connection.loss, self.is_path_lost()
             ) from error
-        if self._connection.loss is not None and not self._is_framed():
+        if self._connection.loss is not None and not self.is_framed:
             raise TargetResponseError(
                 "connection reset during a response without a length",
                 broken=not isinstance(self._connection.loss, TunnelLostError),
@@ -223,10 +243,6 @@
         """Close the connection immediately; the target may cancel its work."""
         self._connection.abort()
 
-    def _is_framed(self) -> bool:
-        headers = self.message.headers
-        return self.message.chunked or "Content-Length" in headers
-
 
 def create_response_error(
     what: str, error: Exception, loss: BaseException | None, path_lost: bool
