--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/listing.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/listing.py
@@ -147,6 +147,8 @@
                 return
             case IncarnationOrder.NEWER:
                 former = self._target_table.find_newest(target.target_id)
+        if self._target_table.has_departed(target.incarnation) and not target.leaving:
+            self._record_departed(target)
         changed = self._target_table.put(target)
         if former is not None:
             self._handle_restart(target, former)
@@ -246,6 +248,16 @@
             revision=target.revision,
         )
 
+    def _record_departed(self, target: ListedTarget) -> None:
+        """Count and log an entry that is not used."""
+        self._metrics.count("targets.departed_listed")
+        self._decisions.log_decision(
+            "target-departed-listed",
+            target=str(target.incarnation),
+            service=target.service,
+            revision=target.revision,
+        )
+
     def check_services(self) -> None:
         """Check all targets again after the configured services have changed."""
         for target in self._target_table.list_all():
--- a/packages/greengagelatch/src/greengagelatch/relay/targets.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/targets.py
@@ -73,6 +73,10 @@
             return False
         return self._accepts_requests(target)
 
+    def has_departed(self, incarnation: Incarnation) -> bool:
+        """Return whether a target is taken to have left for good."""
+        return incarnation in self._departed
+
     def is_evacuated(self, data_centre: str) -> bool:
         """Return whether the targets of a data centre are to receive nothing."""
         return data_centre in self._evacuated
