RECOVER: a target whose entry lapsed is used again once it is written again

What callers saw: after the entries of targets had ended for some seconds, as the store was silent for less than a watch or as the targets could not reach it, each request got 503 until the processes were started again.

Cause: the removal of an entry outside of the two seconds after a noticed outage was taken for the end of its incarnation for good. Class: evidence that says something about now is remembered as if it were final.

Fix: the ends of targets are remembered with their evidence (target_ends.py), which says what ends them. Only a target that has said that it leaves, or has started anew, is excluded for good; one whose entry was removed or can't be used returns by an entry that the store has later, or still shows at a later revision. An older entry, as of a peer that lags, brings nothing back. A target at whose address one of another service was listed after it gets nothing while that one is listed.

Tests changed: remove() has no argument lapsed any more, as all removals may be taken back; the tests that passed it ask for the same, test_incarnations draws both kinds of evidence.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/listing.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/listing.py
@@ -8,9 +8,11 @@
 from result import Err, Ok
 
 from greengagelatch.relay.incarnations import IncarnationOrder
+from greengagelatch.relay.target_ends import EndEvidence
 from greengagelatch.relay.targets import REREGISTRATION_SECONDS
 
 from .invalid_entries import InvalidEntries
+from .listing_log import ListingLog
 from .store_follower import StoreSubscriber
 
 if TYPE_CHECKING:
@@ -68,6 +70,9 @@
         self._find_services = find_services
         self._find_cold_seconds = find_cold_seconds
         self._metrics = metrics
+        self._log = ListingLog(
+            target_table=target_table, metrics=metrics, decisions=decisions
+        )
         self._invalid = InvalidEntries(metrics=metrics, decisions=decisions)
         #: incarnations whose outdated entries have been logged, by target id
         self._outdated: dict[str, Incarnation] = {}
@@ -98,13 +103,13 @@
                 continue
             self._handle_missing(target, scan.revision)
         for target in targets:
-            self._put(target)
+            self._put(target, scan.revision)
         self._revision = max(self._revision, scan.revision)
         self._synced = True
 
     def apply_changes(self, changes: Changes) -> None:
         for target in self._read(changes.written):
-            self._put(target)
+            self._put(target, changes.revision)
         for key, revision in changes.removed:
             self._invalid.discard(key)
             target = self._target_table.find_listed(
@@ -123,7 +128,7 @@
         listed = {target.target_id for target in targets}
         for target in self._target_table.list_all():
             if target.target_id not in listed and target.revision <= revision:
-                self._remove(target, revision, lapsed=True)
+                self._remove(target, revision)
         for target in targets:
             self._put(target)
         self._revision = max(self._revision, revision)
@@ -134,7 +139,8 @@
         # their entries again within this time
         self._grace_until = self._clock.now() + REREGISTRATION_SECONDS
 
-    def _put(self, target: ListedTarget) -> None:
+    def _put(self, target: ListedTarget, read_revision: int = 0) -> None:
+        """Apply an entry; see :meth:`TargetTable.put`."""
         former = None
         match self._target_table.compare(target):
             case IncarnationOrder.OUTDATED:
@@ -147,15 +153,20 @@
                 return
             case IncarnationOrder.NEWER:
                 former = self._target_table.find_newest(target.target_id)
-        if self._target_table.has_departed(target.incarnation) and not target.leaving:
-            self._record_departed(target)
-        changed = self._target_table.put(target)
+        listed = self._target_table.find_listed(target.target_id)
+        end = self._target_table.find_end(target.incarnation)
+        changed = self._target_table.put(target, read_revision)
         if former is not None:
             self._handle_restart(target, former)
         self.record_cold(target.incarnation, target.cold_seconds, "entry")
         self._check_service(target.target_id)
+        if end is not None and not target.leaving:
+            record = self._log.record_returned if changed else self._log.record_unused
+            record(target, end)
         if not changed:
             return
+        if listed is None:
+            self._log.record_replaced(target)
         self._decisions.log_state_change(
             "target",
             target=str(target.incarnation),
@@ -248,16 +259,6 @@
             revision=target.revision,
         )
 
-    def _record_departed(self, target: ListedTarget) -> None:
-        """Count and log an entry that is not used."""
-        self._metrics.count("targets.departed_listed")
-        self._decisions.log_decision(
-            "target-departed-listed",
-            target=str(target.incarnation),
-            service=target.service,
-            revision=target.revision,
-        )
-
     def check_services(self) -> None:
         """Check all targets again after the configured services have changed."""
         for target in self._target_table.list_all():
@@ -300,14 +301,19 @@
             loop = asyncio.get_running_loop()
             loop.call_later(left, self._remove_if_still_missing, target, revision)
             return
-        self._remove(target, revision, lapsed=in_grace)
+        self._remove(target, revision)
 
     def _remove_if_still_missing(self, target: ListedTarget, revision: int) -> None:
         # has no effect if the entry was rewritten or the target has restarted
-        self._remove(target, revision, lapsed=True)
+        self._remove(target, revision)
 
-    def _remove(self, target: ListedTarget, revision: int, *, lapsed: bool) -> None:
-        if not self._target_table.remove(target.incarnation, revision, lapsed=lapsed):
+    def _remove(
+        self,
+        target: ListedTarget,
+        revision: int,
+        evidence: EndEvidence = EndEvidence.REMOVAL,
+    ) -> None:
+        if not self._target_table.remove(target.incarnation, revision, evidence):
             return
         self._outdated.pop(target.target_id, None)
         self._unknown_services.pop(target.target_id, None)
@@ -316,7 +322,8 @@
             target=str(target.incarnation),
             service=target.service,
             address=target.address,
-            state="lapsed" if lapsed else "gone",
+            state="gone",
+            evidence=evidence.value,
             revision=revision,
         )
         self._on_removed(target.incarnation)
@@ -355,7 +362,7 @@
             entry.key.removeprefix(self._codec.prefix)
         )
         if target is not None and target.revision < entry.revision:
-            self._remove(target, entry.revision, lapsed=True)
+            self._remove(target, entry.revision, EndEvidence.INVALID_ENTRY)
 
     def dump(self) -> dict[str, Any]:
         """Return the state as JSON-compatible values."""
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/target_links.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/target_links.py
@@ -71,11 +71,11 @@
         """
         put = table.put
 
-        def put_linked(target: ListedTarget) -> bool:
+        def put_linked(target: ListedTarget, read_revision: int = 0) -> bool:
             proxy = self._proxies.get(target.target_id)
             if proxy is None:
-                return put(target)
-            return put(replace(target, address=proxy.address))
+                return put(target, read_revision)
+            return put(replace(target, address=proxy.address), read_revision)
 
         table.put = put_linked
 
--- a/tests/test_core/test_relay/test_incarnations.py
+++ b/tests/test_core/test_relay/test_incarnations.py
@@ -15,6 +15,7 @@
 from greengagelatch.relay.load_reports import LoadReport
 from greengagelatch.relay.messages import PeerSyncAnswer
 from greengagelatch.relay.requests import Prompt, PromptPart
+from greengagelatch.relay.target_ends import EndEvidence
 from greengagelatch.relay.target_rows import decode_target, encode_target
 from greengagelatch.relay.targets import ListedTarget, TargetTable
 
@@ -22,6 +23,7 @@
 CURRENT = Incarnation("t-1", 2000)
 WITHOUT_START = Incarnation("t-1")
 NOW = 50.0
+REMOVALS = (EndEvidence.REMOVAL, EndEvidence.INVALID_ENTRY)
 NO_TARGETS: frozenset[Incarnation] = frozenset()
 PROMPT = Prompt(tokens_in=9000, parts=(PromptPart("a", 8000), PromptPart("own", 1000)))
 
@@ -136,7 +138,7 @@
 
 
 _entries = st.tuples(
-    st.sampled_from(["put", "remove", "lapse"]),
+    st.sampled_from(["put", *REMOVALS]),
     st.sampled_from(["t-1", "t-2"]),
     st.integers(0, 3),
     st.integers(1, 9),
@@ -155,7 +157,7 @@
             entry = create(incarnation, revision, leaving=leaving, address=address)
             table.put(entry)
         else:
-            table.remove(incarnation, revision, lapsed=step == "lapse")
+            table.remove(incarnation, revision, step)
         for known_id, before in newest.items():
             accepted = [
                 number
--- a/tests/test_core/test_relay/test_targets.py
+++ b/tests/test_core/test_relay/test_targets.py
@@ -59,7 +59,7 @@
     """
     table = TargetTable()
     table.put(create("t-1", 5))
-    assert table.remove(Incarnation("t-1"), 6, lapsed=True)
+    assert table.remove(Incarnation("t-1"), 6)
     assert not table.is_available(Incarnation("t-1"))
     assert table.put(create("t-1", 7))
     assert table.is_available(Incarnation("t-1"))
@@ -80,7 +80,7 @@
     assert not table.mark_leaving(Incarnation("t-1"))
     assert not table.is_available(Incarnation("t-1"))
     assert not table.put(create("t-1", 8))
-    table.remove(Incarnation("t-1"), 9, lapsed=True)
+    table.remove(Incarnation("t-1"), 9)
     assert not table.put(create("t-1", 10))
     assert table.list_service("desk") == ()
 
