Rests: a target that asked for rest rests on after its entry has lapsed

What callers saw: nothing before, as no target returned; a resting target that is used again would get requests that it rejects, each late elsewhere.

Cause: all that is known of a target was discarded with its entry. Class: the end of an entry taken for the end of its process.

Fix: rests are discarded with a final end only (said leaving, or a new start); at most 4096 are remembered.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -410,7 +410,9 @@
         self.connections.close_idle(incarnation)
         self.crashes.detector.record_removal(incarnation)
         self.links.reachability.forget(incarnation)
-        self.targets.forget(incarnation)
+        end = self.target_table.find_end(incarnation)
+        may_return = end is not None and not end.evidence.is_final
+        self.targets.forget(incarnation, may_return=may_return)
         self.stages.local_executor.record_removal(incarnation)
 
     def _describe(self) -> dict[str, Any]:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_parts.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_parts.py
@@ -54,11 +54,14 @@
     slot_loans: SlotLoansController
     load_balancer: LoadBalancer
 
-    def forget(self, incarnation: Incarnation) -> None:
-        """Discard the state of a target that is gone."""
-        self.load_balancer.forget(incarnation)
+    def forget(self, incarnation: Incarnation, *, may_return: bool) -> None:
+        """Discard the state of a target that is gone.
+
+        :param may_return: whether it may be listed again as the same process
+        """
+        self.load_balancer.forget(incarnation, may_return=may_return)
         self.cold.forget(incarnation)
-        self.maker_limits.forget(incarnation)
+        self.maker_limits.forget(incarnation, may_return=may_return)
         self.permit_exchange.forget(incarnation)
 
 
--- a/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/load_balancer.py
@@ -339,9 +339,9 @@
         """Record what an answer says of the rate that a target takes."""
         self._limits.permits.limits.record_answer(incarnation, named, now)
 
-    def forget(self, incarnation: Incarnation) -> None:
-        """Discard the state of a target that is gone."""
-        self._limits.forget(incarnation)
+    def forget(self, incarnation: Incarnation, *, may_return: bool = False) -> None:
+        """Discard the state of a target that is gone; see :class:`SendLimits`."""
+        self._limits.forget(incarnation, may_return=may_return)
         self._states.pop(incarnation, None)
         self._speeds.forget(incarnation)
 
--- a/packages/greengagelatch/src/greengagelatch/relay/send_limits.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/send_limits.py
@@ -98,8 +98,13 @@
         self.permits.record_send(incarnation, now)
         self.rests.record_send(incarnation, now)
 
-    def forget(self, incarnation: Incarnation) -> None:
-        """Discard the state of a target that is gone."""
+    def forget(self, incarnation: Incarnation, *, may_return: bool = False) -> None:
+        """Discard the state of a target that is gone.
+
+        :param may_return: whether it may be listed again, and then rests as long as it
+            has asked for
+        """
         self.permits.forget(incarnation)
         self.brittle.forget(incarnation)
-        self.rests.forget(incarnation)
+        if not may_return:
+            self.rests.forget(incarnation)
--- a/packages/greengagelatch/src/greengagelatch/relay/target_rests.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/target_rests.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -23,6 +23,8 @@
 #: most seconds of a rest that other instances are told of, and the least by which news
 #: have to prolong what is known
 MAX_TOLD_SECONDS, MIN_NEWS_SECONDS = 10.0, 1.0
+#: most rests, and most that other instances have told of, that are remembered
+MAX_RESTS = 4096
 
 
 @dataclass(slots=True)
@@ -56,6 +58,7 @@
         """Record that a target asks for rest; a longer one that is known goes on."""
         left = self.find_seconds(incarnation, now)
         self._rests[incarnation] = _Rest(now + max(left, seconds))
+        _drop_surplus(self._rests)
         if not left:
             self._on_begun(incarnation, seconds)
 
@@ -76,6 +79,7 @@
         if until <= known + MIN_NEWS_SECONDS:
             return False
         self._told_until[incarnation] = until
+        _drop_surplus(self._told_until)
         return True
 
     def record_answer(self, incarnation: Incarnation, now: float) -> None:
@@ -142,3 +146,9 @@
     def _has_passed(self, known: _Rest, now: float) -> bool:
         first = known.first_trial_at
         return first is not None and now - first >= TRIAL_SECONDS
+
+
+def _drop_surplus(rests: dict[Incarnation, Any]) -> None:
+    """Drop the oldest of more than may be remembered."""
+    if len(rests) > MAX_RESTS:
+        del rests[next(iter(rests))]
