--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stream_version_exchange.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stream_version_exchange.py
@@ -153,9 +153,6 @@
         }
         possible = self._history.list_possible(service)
         is_lone = possible is not None and len(possible) == 1
-        if origin is None and is_lone and len(exchange.route.split) <= 1:
-            # nobody remembers the stream, and no other version can have begun it
-            return next(iter(possible))
         self._decisions.log_decision(
             "stream-resumed",
             request=exchange.request.request_id,
@@ -164,12 +161,24 @@
             version=None if origin is None else origin.software_version,
             listed=sorted(listed),
             possible=None if possible is None else sorted(possible),
+            source=self._find_source(exchange.request.resumes, origin),
+            confirmed_ms=round((self._clock.now() - self._history.confirmed_at) * 1000),
         )
+        if origin is None and is_lone and len(exchange.route.split) <= 1:
+            # nobody remembers the stream, and no other version can have begun it
+            return next(iter(possible))
         is_here = origin is not None and origin.service in ("", service)
         if is_here and origin.software_version in listed:
             return origin.software_version
         raise self._create_refusal(exchange, origin)
 
+    def _find_source(self, request_id: str, origin: StreamOrigin | None) -> str:
+        """Return who has told the origin of a stream: ``own``, ``peer``, or nobody."""
+        if origin is None:
+            return ""
+        known = self._streams.find(request_id, self._clock.now())
+        return "peer" if known is None else "own"
+
     def _move(self, exchange: RelayExchange, origin: StreamOrigin) -> None:
         """Lead a request to the service that began its stream, if its route does."""
         if any(origin.service == service for service, _ in exchange.route.split):
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/version_history.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/version_history.py
@@ -125,6 +125,11 @@
         """Store revision at which the record was written."""
         return self._revision
 
+    @property
+    def confirmed_at(self) -> float:
+        """Monotonic time in seconds at which the state was last known to be current."""
+        return self._find_confirmed_at()
+
     def list_unrecorded(self, service: str) -> frozenset[Incarnation]:
         """Return the targets at which no stream may begin yet.
 
