A lone version is believed once the record was read after the request came

Callers got streams of two software versions where an instance that was cut off during a release took them up. It took the only version of its record for the one that began a stream that nobody remembered, however old its reading was and whether or not the keepers could be reached.

The record is written before a version begins streams, so that a reading that begins after the request has come holds the version of its stream. The instance reads it from the store then, and refuses if it can't. Streams that come together share a read.

test_lone_version_is_not_believed_by_an_instance_that_is_cut_off failed before. The stand-in of the store can be read, and an instance that is cut off from it in test_version_record_fleets.py reads nothing of it.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stream_version_exchange.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stream_version_exchange.py
@@ -50,6 +50,8 @@
 NEWS_SECONDS = 0.05
 #: seconds for which the news of another version of a stream are waited for
 REPLACE_SECONDS = 0.2
+#: seconds for which the store is asked at the most whether the record has changed
+CONFIRM_SECONDS = 0.5
 #: instances that are asked: those that should remember a stream, and some that should
 #: have in another view of the fleet
 ASKED = 9
@@ -147,36 +149,72 @@
         origin = await self._find(exchange.request.resumes)
         if origin is not None and origin.service:
             self._move(exchange, origin)
+        version = None if origin is None else origin.software_version
+        if origin is None:
+            version = await self._find_lone(exchange)
+        self._log_resumed(exchange, version, self._find_source(exchange, origin))
+        if version is None:
+            raise self._create_refusal(exchange, origin)
+        if origin is None:
+            return version
+        is_here = origin.service in ("", exchange.service)
+        if is_here and version in self._list_versions(exchange.service):
+            return version
+        raise self._create_refusal(exchange, origin)
+
+    async def _find_lone(self, exchange: RelayExchange) -> str | None:
+        """Return the only version that can have begun a stream nobody remembers.
+
+        The record is read after the request has come. Without that, an instance that is
+        cut off would know neither the stream nor that there is another version.
+        """
+        service = exchange.service
+        if len(exchange.route.split) > 1 or self._find_possible(service) is None:
+            return None
+        if not await self._history.confirm(CONFIRM_SECONDS):
+            return None
+        return self._find_possible(service)
+
+    def _find_possible(self, service: str) -> str | None:
+        """Return the version that may have begun streams, if it is the only one."""
+        possible = self._history.list_possible(service)
+        if possible is None or len(possible) != 1:
+            return None
+        return next(iter(possible))
+
+    def _list_versions(self, service: str) -> frozenset[str]:
+        """Return the versions of the listed targets of a service."""
+        targets = self._target_table.list_service(service)
+        return frozenset(one.software_version for one in targets)
+
+    def _log_resumed(
+        self, exchange: RelayExchange, version: str | None, source: str
+    ) -> None:
+        """Log a stream that is taken up.
+
+        :param version: the one that began it; ``None`` if it is not known
+        :param source: who knows it
+        """
         service = exchange.service
-        listed = {
-            one.software_version for one in self._target_table.list_service(service)
-        }
         possible = self._history.list_possible(service)
-        is_lone = possible is not None and len(possible) == 1
+        confirmed_at = self._history.confirmed_at
         self._decisions.log_decision(
             "stream-resumed",
             request=exchange.request.request_id,
             resumes=exchange.request.resumes,
             service=service,
-            version=None if origin is None else origin.software_version,
-            listed=sorted(listed),
+            version=version,
+            source=source,
+            listed=sorted(self._list_versions(service)),
             possible=None if possible is None else sorted(possible),
-            source=self._find_source(exchange.request.resumes, origin),
-            confirmed_ms=round((self._clock.now() - self._history.confirmed_at) * 1000),
+            confirmed_ms=round((self._clock.now() - confirmed_at) * 1000),
         )
-        if origin is None and is_lone and len(exchange.route.split) <= 1:
-            # nobody remembers the stream, and no other version can have begun it
-            return next(iter(possible))
-        is_here = origin is not None and origin.service in ("", service)
-        if is_here and origin.software_version in listed:
-            return origin.software_version
-        raise self._create_refusal(exchange, origin)
 
-    def _find_source(self, request_id: str, origin: StreamOrigin | None) -> str:
-        """Return who has told the origin of a stream: ``own``, ``peer``, or nobody."""
+    def _find_source(self, exchange: RelayExchange, origin: StreamOrigin | None) -> str:
+        """Return who knows the origin of a stream: ``own``, ``peer``, or nobody."""
         if origin is None:
             return ""
-        known = self._streams.find(request_id, self._clock.now())
+        known = self._streams.find(exchange.request.resumes, self._clock.now())
         return "peer" if known is None else "own"
 
     def _move(self, exchange: RelayExchange, origin: StreamOrigin) -> None:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/version_history.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/version_history.py
@@ -20,6 +20,7 @@
 from greengagelatch.targets.subset import compute_weight
 
 from ..controllers import Controller
+from .shared_read import SharedRead
 from .store_follower import StoreSubscriber
 
 if TYPE_CHECKING:
@@ -30,6 +31,7 @@
     from greengagelatch.peers import PeerNetwork
     from greengagelatch.relay.incarnations import Incarnation
     from greengagelatch.relay.targets import ListedTarget, TargetTable
+    from greengagelatch.store import Entry
     from greengagelatch.store.ranges import Changes, RangeStore, Scan
 
     from ..metrics import Metrics
@@ -109,6 +111,9 @@
         self._requested = asyncio.Event()
         #: set, and replaced, when the record has changed
         self._changed = asyncio.Event()
+        self._read = SharedRead(
+            store=store, key=KEY, apply=self._apply_entry, clock=clock
+        )
 
     @property
     def revision(self) -> int:
@@ -186,6 +191,26 @@
             return None
         return recorded | self._seen.list_lately(service, now)
 
+    async def confirm(self, seconds: float) -> bool:
+        """Read the record again, which may have changed unnoticed.
+
+        :param seconds: time to wait at the most
+        :return: whether it is known as it was when this was called, or later
+        """
+        is_confirmed = await self._read.read(seconds)
+        outcome = "confirmed" if is_confirmed else "unconfirmed"
+        self._metrics.count(f"version_history.{outcome}")
+        return is_confirmed
+
+    def _apply_entry(self, entry: Entry | None) -> bool:
+        """Apply the record as it was read; return whether it is known."""
+        if entry is None:
+            return not self._value
+        if entry.revision > self._revision:
+            self._apply(entry.value, entry.revision, "store")
+            self._known_at = max(self._known_at, entry.revision)
+        return True
+
     def apply_scan(self, scan: Scan) -> None:
         if scan.revision < self._known_at:
             # sent before this instance wrote
--- a/tests/test_entry/test_relay/test_mixed_versions.py
+++ b/tests/test_entry/test_relay/test_mixed_versions.py
@@ -231,6 +231,32 @@
     The watch of the instance has lost its history, and brings no changes for a while.
     """
     fleet = lavish_fleet
+    late = await begin_streams_unheard(fleet)
+    await take_up_streams(fleet, [late])
+    assert list_mixed(fleet) == []
+
+
+async def test_stream_that_nobody_remembers_is_not_joined_by_an_instance_that_is_late(
+    lavish_fleet,
+):
+    """Guards against a lone version that is believed by an old reading of the record.
+
+    The instances that were told of the streams remember them no more.
+    """
+    fleet = lavish_fleet
+    late = await begin_streams_unheard(fleet)
+    for instance in fleet.instances:
+        instance.find("stream_versions")._streams = StreamVersions()
+    replies = await take_up_streams(fleet, [late])
+    assert list_mixed(fleet) == []
+    assert {one.status for one in replies} <= {COMPLETE, 503}
+
+
+async def begin_streams_unheard(fleet):
+    """Begin streams of another version, of which one instance hears nothing.
+
+    :return: that instance
+    """
     await fleet.wait_for(lambda: fleet.store.find(RECORD))
     first, late, *_ = fleet.instances
     await late.wait_for(lambda: late.find("version_history").list_possible("llm"))
@@ -250,5 +276,4 @@
         await read_first_event(first, f"a-{number}", name_parts(number))
     begun = [n for n in range(STREAMS) if "v1.2" in find_versions(fleet, f"a-{n}")]
     assert begun
-    await take_up_streams(fleet, [late])
-    assert list_mixed(fleet) == []
+    return late
--- a/tests/test_entry/test_relay/test_out_of_step_fleets.py
+++ b/tests/test_entry/test_relay/test_out_of_step_fleets.py
@@ -5,6 +5,8 @@
 import asyncio
 import itertools
 
+import pytest
+
 from greengagelatch_entry.relay.version_history import YOUNG_SECONDS
 from greengagelatch_lab.stage_load.virtual_time import run_in_virtual_time
 
@@ -13,6 +15,8 @@
 
 #: seconds for which an instance is out of step
 OUT_SECONDS = 3.0
+#: seconds after which an instance that is back has read the record
+READ_SECONDS = 0.3
 #: targets of the new version
 JOINED = 3
 
@@ -76,6 +80,22 @@
     return found
 
 
+@pytest.mark.parametrize("moment", ["meanwhile", "back"])
+@pytest.mark.parametrize("others", ["live", "killed"])
+@pytest.mark.parametrize("cut", ["others", "store", "both"])
+@pytest.mark.parametrize(("count", "late"), [(3, 1), (9, 1), (9, 2)])
+def test_no_stream_is_joined_at_an_instance_that_is_out_of_step(
+    count, late, cut, others, moment
+):
+    """Guards against a lone version that is believed by one who has heard nothing.
+
+    The instance is cut off for seconds, while targets of a new version begin streams
+    through the others; callers come to it meanwhile, or the moment it is back.
+    """
+    _, _, wrong = run_in_virtual_time(play(count, cut, others, moment, late))
+    assert wrong == 0
+
+
 def test_lone_version_is_not_believed_by_an_instance_that_is_cut_off():
     """Guards against a lone version that is believed by one who has heard nothing.
 
@@ -84,3 +104,40 @@
     """
     _, _, wrong = run_in_virtual_time(play(9, "both", "live", "meanwhile"))
     assert wrong == 0
+
+
+async def play_one_version(count: int, share: float, *, is_store_up: bool):
+    """Take up streams of the only version after some instances were killed.
+
+    :return: counts as of :meth:`Fleet.take_up`, and reads of the store
+    """
+    fleet = Fleet(count)
+    fleet.end_version("2")
+    await fleet.settle(YOUNG_SECONDS + 1.0)
+    fleet.targets = [one for one in fleet.targets if one.software_version == "1"]
+    await fleet.begin_streams()
+    fleet.store.is_up = is_store_up
+    killed = set(fleet.random.sample(sorted(fleet.exchanges), round(count * share)))
+    for name in sorted(killed):
+        fleet.kill(name)
+    found = await fleet.take_up(sorted(fleet.exchanges), killed)
+    await asyncio.gather(*fleet.tasks)
+    return found, fleet.store.reads
+
+
+@pytest.mark.parametrize("count", [3, 9, 89])
+def test_all_streams_of_one_version_go_on_where_nobody_remembers_them(count):
+    """Guards against refusals for want of news that the store can give."""
+    found, reads = run_in_virtual_time(play_one_version(count, 0.67, is_store_up=True))
+    went_on, refused, wrong = found
+    assert (refused, wrong) == (0, 0)
+    assert went_on >= reads
+
+
+@pytest.mark.parametrize("count", [3, 9, 89])
+def test_streams_go_on_without_the_store_where_an_instance_remembers_them(count):
+    """Guards against refusals in an outage of the store beside usual failures."""
+    found, reads = run_in_virtual_time(play_one_version(count, 0.34, is_store_up=False))
+    went_on, refused, wrong = found
+    assert went_on
+    assert (refused, wrong, reads) == (0, 0, 0)
--- a/tests/test_entry/test_relay/test_stream_version_fleets.py
+++ b/tests/test_entry/test_relay/test_stream_version_fleets.py
@@ -8,13 +8,21 @@
 from types import SimpleNamespace
 
 import pytest
+from result import Err, Ok, Result
 
 from greengagelatch.peers import MemberState
 from greengagelatch.relay.incarnations import Incarnation
 from greengagelatch.relay.requests import RefusedError
 from greengagelatch.relay.stream_versions import MEMORY_SECONDS
 from greengagelatch.relay.targets import ListedTarget, TargetTable
-from greengagelatch.store import ABSENT, Entry, WriteOutcome, WriteResult
+from greengagelatch.store import (
+    ABSENT,
+    Entry,
+    StoreError,
+    StoreErrorKind,
+    WriteOutcome,
+    WriteResult,
+)
 from greengagelatch.store.ranges import Changes, Scan
 from greengagelatch.verdict import Verdict
 from greengagelatch_entry.relay.stream_version_exchange import (
@@ -49,6 +57,9 @@
         self.value, self.revision = b"", ABSENT
         self.histories: dict[str, VersionHistory] = {}
         self.outcomes: Counter[WriteOutcome] = Counter()
+        #: whether it can be read
+        self.is_up = True
+        self.reads = 0
 
     def join(self, name: str, history: VersionHistory) -> None:
         """Let an instance read the record and follow it."""
@@ -56,6 +67,13 @@
         entries = (Entry(KEY, self.value, self.revision),) if self.value else ()
         history.apply_scan(Scan(entries, max(1, self.revision)))
 
+    async def get(self, key) -> Result[Entry | None, StoreError]:
+        self.reads += 1
+        await asyncio.sleep(MESSAGE_SECONDS[1])
+        if not self.is_up:
+            return Err(StoreError(StoreErrorKind.UNREACHABLE, "no route"))
+        return Ok(Entry(KEY, self.value, self.revision) if self.value else None)
+
     async def swap(self, key, value, expected, *, lease_id="") -> WriteResult:
         await asyncio.sleep(MESSAGE_SECONDS[1])
         outcome = WriteOutcome.APPLIED
--- a/tests/test_entry/test_relay/test_version_record_fleets.py
+++ b/tests/test_entry/test_relay/test_version_record_fleets.py
@@ -80,7 +80,7 @@
     store.histories = fleet.store.histories
     fleet.store = store
     for history in store.histories.values():
-        history._store = store
+        history._store = history._read._store = store
     return fleet
 
 
@@ -209,6 +209,9 @@
 def cut_off(fleet: Fleet, name: str) -> None:
     """Let an instance hear nothing more of the store: neither targets nor record."""
     history = fleet.store.histories.pop(name)
+    unreachable = SharedStore()
+    unreachable.is_up = False
+    history._read._store = unreachable
     table = TargetTable()
     for target in fleet.table.list_all():
         table.put(target)
