Test that a request taken while a stop waits for tunnels is not aborted (known failure)

A stop waits for callers, then for stage calls of peers, then for tunnels. A request whose first bytes came before the stop and whose rest comes while the tunnels are waited for is passed on, and answered 502 as soon as they end.

--- a/tests/test_entry/test_relay/test_stop.py
+++ b/tests/test_entry/test_relay/test_stop.py
@@ -9,6 +9,7 @@
 import pytest
 
 from greengagelatch.relay.groups import MakerGroup
+from greengagelatch_entry.adapters import caller_connections
 from greengagelatch_entry.controllers.drain import DrainState
 from greengagelatch_lab.platform_standins.deployment import (
     API_KEY,
@@ -56,6 +57,10 @@
     return gate
 
 
+def list_connections(front) -> list:
+    return list(front._connections._server.connections)
+
+
 def count_runs(world, request_id: str) -> int:
     return sum(target.runs[request_id] for target in world.targets.values())
 
@@ -393,6 +398,43 @@
     writer.close()
 
 
+async def test_request_taken_while_a_stop_waits_for_tunnels_is_not_aborted(
+    world, monkeypatch
+):
+    """Guards against aborting a request because peers' requests have just ended.
+
+    The first bytes of a request arrive before the stop, and the rest while the stop
+    waits for a tunnel of a peer. The fault is to take all callers' requests as ended
+    since none was in flight before.
+    """
+    monkeypatch.setattr(caller_connections, "HEADER_SECONDS", 0.0)
+    drain, front = world.parts.drain, world.parts.front
+    drain._max_drain_seconds = WAIT_SECONDS
+    tunnels = world.find("tunnels")
+    tunnel = object()
+    tunnels._active.add(tunnel)
+    tunnels._idle.clear()
+    gate = hold_targets(world)
+    reader, writer = await connect(world)
+    data = encode_request("slow", "/book/1")
+    writer.write(data[:40])
+    await world.wait_for(lambda: any(one.busy for one in list_connections(front)))
+    drain.request_stop()
+    stopping = asyncio.create_task(stop_instance(world))
+    await world.wait_for(lambda: front.closing)
+    # long enough for a stop that waits for callers only once
+    await asyncio.sleep(0.05)
+    writer.write(data[40:])
+    await world.wait_for(lambda: count_runs(world, "slow") == 1)
+    tunnels._active.discard(tunnel)
+    tunnels._idle.set()
+    await asyncio.sleep(0.05)
+    gate.set()
+    assert (await read_answer(reader))[0] == 200
+    assert await stopping
+    writer.close()
+
+
 @pytest.mark.parametrize("path", ["/look/1", "/book/1", "/draft/1"])
 async def test_stop_waits_for_requests_at_silent_targets(pipeline, monkeypatch, path):
     """Guards against a planned stop that ends what silent targets would have answered.
