fix(stop): end a stop when all entrances are idle at the same moment

What callers saw: an unsafe request that was passed on late in a planned stop was answered 502 although most of the grace period was left.

Cause: the stop waited for callers, then for stage calls of peers, then for tunnels, each once. A request whose first bytes came before the stop and whose rest came while the tunnels were waited for was aborted as soon as these ended. Besides, requests were rejected only some turns of the loop after the last one had ended; one read in between was passed on and aborted.

Fix: the wait ends when none of the three has work at one moment, and the entrances are closed in the same turn of the loop.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_listener.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_listener.py
@@ -106,15 +106,19 @@
                 connection.setblocking(False)
                 await loop.connect_accepted_socket(self._connections.create, connection)
 
-    async def wait_idle(self, timeout: float) -> bool:
-        """Wait at most ``timeout`` seconds until no request is in flight.
+    def is_idle(self) -> bool:
+        """Return whether no request is in flight.
 
         This includes requests that are being read and have no handler yet: a stop
         that went on would abort them after they were forwarded.
         """
+        return not self._in_flight and not self._count_busy()
+
+    async def wait_idle(self, timeout: float) -> bool:
+        """Wait at most ``timeout`` seconds until no request is in flight."""
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout
-        while self._in_flight or self._count_busy():
+        while not self.is_idle():
             remaining = deadline - loop.time()
             if remaining <= 0:
                 return False
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/drain.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/controllers/drain.py
@@ -145,10 +145,7 @@
             drain_task.cancel()
         results = await asyncio.gather(drain_task, return_exceptions=True)
         finished = results[0] is True
-        if finished:
-            # the process exits before a request that begins now could be answered
-            self._abort_requests()
-        else:
+        if not finished:
             await self._abort()
         self._state = DrainState.STOPPED
         self._metrics.count("drain.finished" if finished else "drain.cut")
@@ -164,7 +161,11 @@
             await self._close_listener()
             # counted from the request, so that a suspended process does not overrun it
             seconds = max(0.0, self.drain_deadline - self._clock.now())
-            return await self._wait_idle(seconds)
+            finished = await self._wait_idle(seconds)
+            if finished:
+                # the process exits before a request that begins now could be answered
+                self._abort_requests()
+            return finished
         except Exception:
             logger.exception("graceful shutdown failed; aborting requests in flight")
             return False
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -394,13 +394,17 @@
         return synced and not self.drain.draining
 
     async def _wait_idle(self, timeout: float) -> bool:
-        """Wait until no request of a caller or a peer is in flight."""
+        """Wait until no request of a caller or a peer is in flight.
+
+        A request may begin at one of the servers while another one is waited for.
+        """
+        servers = (self.front, self.stages.executor, self.links.tunnels)
         end = self.clock.now() + timeout
-        if not await self.front.wait_idle(timeout):
-            return False
-        if not await self.stages.executor.wait_idle(max(0.0, end - self.clock.now())):
-            return False
-        return await self.links.tunnels.wait_idle(max(0.0, end - self.clock.now()))
+        while not all(server.is_idle() for server in servers):
+            for server in servers:
+                if not await server.wait_idle(max(0.0, end - self.clock.now())):
+                    return False
+        return True
 
     def _abort_requests(self) -> None:
         self.in_flight.abort_all()
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/forwarding_stage_executor.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/forwarding_stage_executor.py
@@ -143,6 +143,10 @@
         # a bundle most likely goes to the local group, unless another queue is shorter
         return min(local_views + views, key=lambda one: one.wait.urgent).wait
 
+    def is_idle(self) -> bool:
+        """Return whether no bundle of a peer is in progress."""
+        return not self._in_progress
+
     async def wait_idle(self, timeout: float) -> bool:
         """Wait up to ``timeout`` seconds until no bundle of a peer is in progress.
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/tunnel_server.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/tunnel_server.py
@@ -225,6 +225,10 @@
             if not self._active:
                 self._idle.set()
 
+    def is_idle(self) -> bool:
+        """Return whether no tunnel is open."""
+        return self._idle.is_set()
+
     async def wait_idle(self, timeout: float) -> bool:
         """Wait up to ``timeout`` seconds until no tunnel is open."""
         try:
--- a/tests/test_entry/test_drain.py
+++ b/tests/test_entry/test_drain.py
@@ -91,6 +91,25 @@
     assert drain.state is DrainState.STOPPED
 
 
+async def test_no_request_begins_once_none_is_in_flight():
+    """Guards against requests that are passed on by a process which exits.
+
+    A request is read in the turn of the loop after the last one has ended. The fault is
+    to accept it, as requests are rejected some turns later only.
+    """
+    listener = FakeListener()
+    drain = create_drain(listener)
+
+    async def end_last_request(_: float) -> bool:
+        asyncio.get_running_loop().call_soon(listener.steps.append, "next read")
+        return True
+
+    drain._wait_idle = end_last_request
+    drain.request_stop()
+    assert await asyncio.wait_for(drain.wait(), TIMEOUT)
+    assert listener.steps == ["closed", "broken off", "next read"]
+
+
 async def test_second_stop_request_stops_at_once():
     listener = FakeListener()
     drain = create_drain(listener, lag=3600)
