Bound the sum of the bytes of request bodies

Cause: each body is bounded and their sum is not, and each is held twice and more: joined from its parts, joined with the head, and copied by the transport.

A ByteAccount counts what is held, under a limit made from memory-mb. The stated length of a body is reserved before it is read on; where there is no room, the request waits for a second at most and is refused as not run with 503, Retry-After and a closed connection, at once if waiting can't help. A quarter of the limit is for small bodies only. A body is read into one block and written in parts as the target reads it, beside the wait for the response; a connection whose body isn't wholly written is not reused.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_bodies.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_bodies.py
@@ -10,6 +10,8 @@
 from greengagelatch.errors import Refusal, RefusalCode
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from aiohttp import StreamReader
     from aiohttp.web_request import BaseRequest
 
@@ -17,6 +19,7 @@
 
 STATUS_TIMEOUT = 408
 STATUS_TOO_LARGE = 413
+STATUS_UNAVAILABLE = 503
 #: statuses after which the connection is closed, as the rest of the body is unread
 CLOSING_STATUSES = frozenset({STATUS_TIMEOUT, STATUS_TOO_LARGE})
 #: maximum characters of an invalid value in an error message
@@ -33,13 +36,31 @@
         self.status = status
         self.refusal = refusal
 
+    @property
+    def closes(self) -> bool:
+        """Whether the connection is closed, as the rest of the body is unread."""
+        return self.status in CLOSING_STATUSES or self.status == STATUS_UNAVAILABLE
+
+
+async def accept_size(size: int) -> bool:
+    """Accept any size."""
+    return True
 
-async def read_body(request: BaseRequest, *, limit: int, timeout: float) -> bytes:
+
+async def read_body(
+    request: BaseRequest,
+    *,
+    limit: int,
+    timeout: float,
+    reserve: Callable[[int], Awaitable[bool]] = accept_size,
+) -> bytes | bytearray:
     """Read the body of a request.
 
     :param limit: maximum size in bytes
     :param timeout: seconds within which the whole body must arrive
-    :raises BodyError: if the body is too large, late or malformed
+    :param reserve: called with sizes in bytes before as much of the body is read;
+        returns whether there is memory for it
+    :raises BodyError: if the body is too large, late or malformed, or has no room
     """
     length = request.content_length or 0
     if length > limit:
@@ -50,11 +71,13 @@
         body = content.read_nowait()
         if len(body) > limit:
             raise BodyError(STATUS_TOO_LARGE, _refuse_size(limit, str(len(body))))
+        await _reserve(reserve, len(body))
         return body
+    await _reserve(reserve, length)
     await _send_continue(request)
     try:
         async with asyncio.timeout(timeout):
-            return await _read_chunks(content, limit)
+            return await _read_chunks(content, limit, length, reserve)
     except TimeoutError:
         message = f"request body not received within {timeout:g} s"
         raise BodyError(STATUS_TIMEOUT, _refuse_body(message)) from None
@@ -63,15 +86,31 @@
         raise BodyError(400, _refuse_body(message)) from None
 
 
-async def _read_chunks(content: StreamReader, limit: int) -> bytes:
-    chunks: list[bytes] = []
+async def _reserve(reserve: Callable[[int], Awaitable[bool]], size: int) -> None:
+    if size and not await reserve(size):
+        raise BodyError(STATUS_UNAVAILABLE, _refuse_room(size))
+
+
+async def _read_chunks(
+    content: StreamReader,
+    limit: int,
+    reserved: int,
+    reserve: Callable[[int], Awaitable[bool]],
+) -> bytearray:
+    # one block from the beginning, as joined chunks would be held twice for a moment
+    body = bytearray(reserved)
     size = 0
     while chunk := await content.readany():
+        start = size
         size += len(chunk)
         if size > limit:
             raise BodyError(STATUS_TOO_LARGE, _refuse_size(limit, f"over {limit}"))
-        chunks.append(chunk)
-    return b"".join(chunks)
+        if size > reserved:
+            await _reserve(reserve, size - reserved)
+            reserved = size
+        body[start:size] = chunk
+    del body[size:]
+    return body
 
 
 async def _send_continue(request: BaseRequest) -> None:
@@ -92,6 +131,16 @@
     )
 
 
+def _refuse_room(size: int) -> Refusal:
+    return Refusal(
+        code=RefusalCode.OVERLOADED,
+        message="this instance has no memory for the request body",
+        field="body",
+        value=str(size),
+        retry_after_ms=RETRY_MS,
+    )
+
+
 def _refuse_body(message: str) -> Refusal:
     return Refusal(
         code=RefusalCode.BAD_REQUEST,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -10,6 +10,7 @@
 from greengagelatch.clock import SystemClock
 from greengagelatch.events import EventBus
 from greengagelatch.peers import MemberState
+from greengagelatch.relay.byte_account import create_account_rule
 from greengagelatch.relay.targets import TargetTable
 
 from ..adapters.peers import PeerHub
@@ -27,6 +28,7 @@
 from .leaving_news import LeavingNewsController
 from .link_parts import compose_link_parts
 from .listing import ListingFollower
+from .memory import MemoryController
 from .ownership import Ownership
 from .parts import RelayAdapters, RelayParts, RelaySettings, SharedParts
 from .peer_settings import create_peer_settings
@@ -111,6 +113,11 @@
 
     def _build_shared_parts(self) -> None:
         self.target_table = TargetTable()
+        self.memory = MemoryController(
+            rule=create_account_rule(self.settings.capacity.memory_bytes),
+            metrics=self.metrics,
+            decisions=self.decisions,
+        )
         self.known_instances = KnownInstances(
             own=self.settings.peers_listen,
             list_members=lambda: self.peers.members(),
@@ -318,6 +325,7 @@
             handler=self.handler,
             find_limits=self.configuration.find_limits,
             is_draining=lambda: self.drain.draining,
+            memory=self.memory,
             clock=self.clock,
             metrics=self.metrics,
         )
@@ -387,6 +395,7 @@
             self.front,
             self.readiness,
             self.usage,
+            self.memory,
         )
 
     def _is_ready(self) -> bool:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/front.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/front.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from greengagelatch.errors import Refusal, RefusalCode
+from greengagelatch.relay.byte_account import HoldingKind
 from greengagelatch.relay.requests import RefusedError
 from greengagelatch.verdict import Verdict
 
@@ -21,10 +22,12 @@
     from aiohttp import web
 
     from greengagelatch.clock import Clock
+    from greengagelatch.relay.byte_account import ByteHolding
     from greengagelatch.relay.deployment import CallerLimits
 
     from ..metrics import Metrics
     from .codecs import CallerCodec
+    from .memory import MemoryController
 
 __all__ = ("RelayFront",)
 
@@ -54,6 +57,7 @@
         handler: Callable[[RelayExchange], Awaitable[None]],
         find_limits: Callable[[], CallerLimits],
         is_draining: Callable[[], bool],
+        memory: MemoryController,
         clock: Clock,
         metrics: Metrics,
     ) -> None:
@@ -62,6 +66,7 @@
         self._handler = handler
         self._find_limits = find_limits
         self._is_draining = is_draining
+        self._memory = memory
         self._clock = clock
         self._metrics = metrics
 
@@ -85,9 +90,12 @@
         )
         use = find_position(request)
         request_id = ""
+        holding = self._memory.open(HoldingKind.REQUESTS)
         try:
             # a late request is refused without reading its body
-            body = b"" if use.received_while_closing else await self._read_body(request)
+            body = b""
+            if not use.received_while_closing:
+                body = await self._read_body(request, holding)
             opaque = self._codec.decode(
                 method=request.method,
                 target=request.raw_path,
@@ -98,7 +106,9 @@
             request_id = opaque.request_id
             await self._handler(RelayExchange(request=opaque, writer=writer, use=use))
         except BodyError as error:
-            await self._refuse(writer, request_id, error.refusal, error.status)
+            await self._refuse(
+                writer, request_id, error.refusal, error.status, close=error.closes
+            )
         except RefusedError as error:
             await self._refuse(writer, request_id, error.refusal, error.status)
         except CallerDisconnectedError:
@@ -112,12 +122,17 @@
                 verdict=Verdict.MAY_HAVE_RUN,
             )
             await self._refuse(writer, request_id, refusal, 0)
+        finally:
+            holding.release()
         return writer.response
 
-    async def _read_body(self, request: web.BaseRequest) -> bytes:
+    async def _read_body(self, request: web.BaseRequest, holding: ByteHolding) -> bytes:
         limits = self._find_limits()
         return await read_body(
-            request, limit=limits.max_body_bytes, timeout=limits.header_timeout
+            request,
+            limit=limits.max_body_bytes,
+            timeout=limits.header_timeout,
+            reserve=lambda size: self._memory.reserve(holding, size),
         )
 
     def _find_idle_timeout(self) -> float:
@@ -130,7 +145,13 @@
         return not self._is_draining() and not self.closing
 
     async def _refuse(
-        self, writer: ResponseWriter, request_id: str, refusal: Refusal, status: int
+        self,
+        writer: ResponseWriter,
+        request_id: str,
+        refusal: Refusal,
+        status: int,
+        *,
+        close: bool = False,
     ) -> None:
         if writer.complete:
             # an abort would discard the bytes that are still buffered
@@ -142,6 +163,8 @@
         status = status or find_refusal_status(refusal)
         headers, body = encode_refusal(request_id, refusal)
         try:
-            await writer.send(status, headers, body, close=status in CLOSING_STATUSES)
+            await writer.send(
+                status, headers, body, close=close or status in CLOSING_STATUSES
+            )
         except CallerDisconnectedError:
             self._metrics.count("front.gone")
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
@@ -134,9 +134,9 @@
             return not connection.tunnelled and not self._is_reachable(incarnation)
 
         try:
-            data = _serialize(outbound, destination.address)
-            self._metrics.count("links.bytes_out", len(data))
-            connection.transport.write(data)
+            head = _serialize_head(outbound, destination.address)
+            self._metrics.count("links.bytes_out", len(head) + len(outbound.body))
+            connection.write_request(head, outbound.body)
             async with SoftTimeoutScope(end, soft_timeout, is_path_lost):
                 message, content = await connection.read_head()
         except TimeoutError:
@@ -280,11 +280,11 @@
     return MAX_IDLE_SECONDS
 
 
-def _serialize(outbound: OutboundRequest, address: str) -> bytes:
+def _serialize_head(outbound: OutboundRequest, address: str) -> bytes:
     lines = [f"{outbound.method} {outbound.target} HTTP/1.1".encode()]
     if not any(name.lower() == b"host" for name, _ in outbound.headers):
         lines.append(b"Host: " + address.encode())
     lines.extend(name + b": " + value for name, value in outbound.headers)
     if outbound.body or outbound.method in ("POST", "PUT", "PATCH"):
         lines.append(f"Content-Length: {len(outbound.body)}".encode())
-    return b"\r\n".join(lines) + b"\r\n\r\n" + outbound.body
+    return b"\r\n".join(lines) + b"\r\n\r\n"
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_responses.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_responses.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 import errno
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -15,7 +17,6 @@
 from .tunnel_transport import CARRIER, TUNNELLED
 
 if TYPE_CHECKING:
-    import asyncio
     from collections.abc import AsyncIterator, Callable, Iterable
 
     from aiohttp import StreamReader
@@ -31,6 +32,8 @@
 #: size in bytes of the read buffer for a response
 READ_BUFFER_BYTES = 256 * 1024
 MAX_HEADER_BYTES = 32_768
+#: size in bytes of the parts in which the body of a request is written
+WRITE_BYTES = 128 * 1024
 #: maximum number of informational responses before a response
 MAX_INFORMATIONAL = 32
 #: maximum size in bytes of what arrives without any part of a head or body, such as the
@@ -86,6 +89,8 @@
         #: what was received of the current body by then
         self._body: StreamReader | None = None
         self._body_bytes = 0
+        #: writes the rest of a request's body, while the response may arrive already
+        self._writing: asyncio.Task[None] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
@@ -97,8 +102,13 @@
         # the parser takes the end of the connection for the end of a response without
         # a length, even if a reset truncated it
         self.loss = exc
+        self._stop_writing()
         super().connection_lost(exc)
 
+    def abort(self) -> None:
+        self._stop_writing()
+        super().abort()
+
     def data_received(self, data: bytes) -> None:
         super().data_received(data)
         body, received = self._payload, getattr(self._payload, "total_bytes", 0)
@@ -126,6 +136,8 @@
         # once idle, a tunnel would hold up a planned stop of the peer that carries it
         if self.tunnelled or len(self._handles) >= MAX_RESULTS:
             return False
+        if self._writing is not None and not self._writing.done():
+            return False
         return self.transport.get_write_buffer_size() == 0
 
     def record_results(self, handles: Iterable[str]) -> bool:
@@ -146,6 +158,28 @@
             max_field_size=MAX_HEADER_BYTES,
         )
 
+    def write_request(self, head: bytes, body: bytes) -> None:
+        """Write a request, the rest of a large body as the target reads it."""
+        view = memoryview(body)
+        self.transport.write(head + view[:WRITE_BYTES])
+        self._writing = None
+        if len(view) > WRITE_BYTES:
+            self._writing = asyncio.create_task(self._write(view[WRITE_BYTES:]))
+
+    async def _write(self, body: memoryview) -> None:
+        # a lost connection is reported to whoever reads the response
+        with contextlib.suppress(ConnectionError):
+            for start in range(0, len(body), WRITE_BYTES):
+                await self._drain_helper()
+                if self.transport is None:
+                    return
+                self.transport.write(body[start : start + WRITE_BYTES])
+
+    def _stop_writing(self) -> None:
+        if self._writing is not None:
+            self._writing.cancel()
+            self._writing = None
+
     async def read_head(self) -> tuple[RawResponseMessage, StreamReader]:
         """Return the head of the response and the reader of its body."""
         for _ in range(MAX_INFORMATIONAL + 1):
--- a/packages/greengagelatch/src/greengagelatch/relay/capacity.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/capacity.py
@@ -27,6 +27,8 @@
     cores: float = 0.0
     #: bytes per second that its network link carries
     link_bytes: float = 0.0
+    #: bytes of memory of its process
+    memory_bytes: float = 0.0
 
     @property
     def bundles(self) -> int:
--- /dev/null
+++ b/tests/test_entry/test_relay/test_held_bytes.py
@@ -0,0 +1,145 @@
+"""Tests of the account of bytes held by an instance."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import aiohttp
+import pytest
+
+from greengagelatch.relay.byte_account import ByteAccount, ByteAccountRule, HoldingKind
+from greengagelatch_lab.platform_standins.targets import TargetFault
+
+#: limits of the account in these tests, in bytes
+RULE = ByteAccountRule(limit=100_000, small_bytes=2_000, small_share=0.25)
+LARGE_BODY = b"x" * 50_000
+#: seed and number of the requests of the random mix
+MIX_SEED, MIX_REQUESTS = 1, 60
+
+
+@pytest.fixture
+def memory(world):
+    """Return the controller of the instance, with small limits."""
+    controller = world.find("memory")
+    controller._account = ByteAccount(RULE)
+    return controller
+
+
+def fill(memory):
+    """Return a holding that leaves no room for other large ones."""
+    holding = memory.open(HoldingKind.RESPONSES)
+    assert holding.try_grow(RULE.large_limit)
+    return holding
+
+
+def count_runs(world) -> int:
+    return sum(target.runs.total() for target in world.targets.values())
+
+
+async def send_chunks(body: bytes):
+    """Yield a body in parts, so that its length is not stated."""
+    for start in range(0, len(body), 10_000):
+        yield body[start : start + 10_000]
+        await asyncio.sleep(0)
+
+
+@pytest.mark.parametrize("chunked", [False, True])
+async def test_body_that_has_no_room_waits_for_it(world, memory, chunked):
+    holding = fill(memory)
+    body = send_chunks(LARGE_BODY) if chunked else LARGE_BODY
+    asked = asyncio.create_task(world.ask("/book/1", method="POST", body=body))
+    await world.wait_for(memory._account.count_pending)
+    assert not count_runs(world)
+    holding.release()
+    reply = await asked
+    assert reply.status == 200
+    assert reply.body.endswith(LARGE_BODY)
+
+
+@pytest.mark.parametrize("chunked", [False, True])
+async def test_body_without_room_is_refused_as_not_run(world, memory, chunked):
+    """Guards against memory that the sum of request bodies takes up."""
+    holding = fill(memory)
+    body = send_chunks(LARGE_BODY) if chunked else LARGE_BODY
+    reply = await world.ask("/book/1", method="POST", body=body)
+    assert reply.status == 503
+    assert float(reply.headers["Retry-After"]) > 0
+    assert reply.headers["Connection"] == "close"
+    assert not count_runs(world)
+    assert world.count("memory.refused.requests") == 1
+    holding.release()
+    assert (await world.ask("/book/2", method="POST", body=LARGE_BODY)).status == 200
+
+
+async def test_body_that_never_has_room_does_not_wait(world, memory):
+    memory._account = ByteAccount(ByteAccountRule(limit=10_000, small_bytes=2_000))
+    reply = await world.ask("/book/1", method="POST", body=LARGE_BODY)
+    assert reply.status == 503
+    assert not world.count("memory.waits")
+
+
+async def test_small_requests_are_served_beside_large_ones(world, memory):
+    """Guards against small requests that are refused as large ones take the room."""
+    holding = fill(memory)
+    for number in range(20):
+        body = b"x" * 1_000
+        reply = await world.ask(f"/book/{number}", method="POST", body=body)
+        assert reply.status == 200
+    holding.release()
+
+
+async def test_caller_that_leaves_does_not_wait_on(world, memory):
+    """Guards against room that is granted to a request that is gone."""
+    holding = fill(memory)
+    asked = asyncio.create_task(world.ask("/book/1", method="POST", body=LARGE_BODY))
+    await world.wait_for(memory._account.count_pending)
+    asked.cancel()
+    await world.wait_for(lambda: not memory._account.count_pending())
+    holding.release()
+    assert memory._account.total == 0
+
+
+async def test_shortage_of_room_is_logged_once(world, memory):
+    holding = fill(memory)
+    for number in range(3):
+        await world.ask(f"/book/{number}", method="POST", body=LARGE_BODY)
+    assert world.count("beliefs.memory-full") == 1
+    assert world.describe()["memory"]["full"]
+    holding.release()
+    await world.wait_for(lambda: world.count("beliefs.memory-relieved") == 1)
+    assert not world.describe()["memory"]["full"]
+
+
+async def ask_at_random(world, source: random.Random) -> None:
+    """Send a request that may be large, and may be given up."""
+    body = b"x" * source.choice((0, 500, 10_000, 40_000, 60_000))
+    path = source.choice(("/book/1", "/look/1", "/none/1"))
+    sent = send_chunks(body) if source.random() < 0.3 else body
+    try:
+        async with asyncio.timeout(source.choice((0.01, 0.05, 5.0))):
+            await world.ask(path, method="POST", body=sent)
+    except (TimeoutError, aiohttp.ClientError):
+        return
+
+
+async def test_all_bytes_are_given_back_in_the_end(world, memory):
+    """Guards against bytes that count as held after their request has ended."""
+    source = random.Random(MIX_SEED)
+    tasks = []
+    for _ in range(MIX_REQUESTS):
+        for target in world.targets.values():
+            target.fault = source.choice(
+                (
+                    TargetFault.NONE,
+                    TargetFault.NONE,
+                    TargetFault.FAIL,
+                    TargetFault.TRUNCATE,
+                    TargetFault.LOSE_ANSWER,
+                )
+            )
+        tasks.append(asyncio.create_task(ask_at_random(world, source)))
+        await asyncio.sleep(source.uniform(0, 0.02))
+    await asyncio.gather(*tasks)
+    await world.wait_for(lambda: memory._account.total == 0)
+    assert not memory._account.count_pending()
--- a/tests/test_entry/test_relay/test_target_connections.py
+++ b/tests/test_entry/test_relay/test_target_connections.py
@@ -162,3 +162,35 @@
     assert reply.status == 200
     (seen,) = [one for target in world.targets.values() for one in target.received]
     assert int(seen.headers["x-deadline-ms"]) <= 1700
+
+
+async def test_connection_is_not_reused_before_the_body_is_written(world):
+    """Guards against a target that reads the next request as the rest of a body.
+
+    It may respond before it has read the body, and keep the connection.
+    """
+    pool = world.find_connections()
+    requests = []
+    checked = asyncio.Event()
+
+    async def serve(reader, writer) -> None:
+        requests.append(await reader.readuntil(b"\r\n\r\n"))
+        writer.write(b"HTTP/1.1 200 Said\r\nContent-Length: 4\r\n\r\nread")
+        await checked.wait()
+        writer.transport.abort()
+
+    async with await asyncio.start_server(serve, "127.0.0.1", 0) as server:
+        _, port = server.sockets[0].getsockname()
+        for _ in range(2):
+            response = await pool.send(
+                create_destination("hasty", port),
+                OutboundRequest(method="POST", target="/", body=bytes(16 * LARGE_BODY)),
+                fresh=False,
+                timeout=20,
+            )
+            assert await response.read(SMALL_BUFFER) == b"read"
+            response.release()
+        assert len(requests) == 2
+        assert pool._idle[Incarnation("hasty")] == []
+        checked.set()
+        await asyncio.sleep(0.1)
