Caller connections: aborted responses without chunks end by a reset

What callers saw: a caller of HTTP/1.0 got a stream that broke off and an orderly close, which is how its responses end.

Cause: aborting a transport drops what is buffered and closes the socket, for which the kernel sends FIN. Class: as for the close before the first event, the absence of an error stands for success.

Why it works: a zero linger time makes the kernel send a reset. With chunks the last one is missing, which tells enough, and what a caller has not read yet is kept.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/socket_options.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/socket_options.py
@@ -1,17 +1,20 @@
-"""Options by which the kernel drops connections to silent peers."""
+"""Options by which the kernel drops or resets connections."""
 
 from __future__ import annotations
 
 import socket
+import struct
 
 from greengagelatch.relay.connection_loss import ConnectionLossRule
 
-__all__ = ("LOSS_RULE", "configure_socket")
+__all__ = ("LOSS_RULE", "configure_socket", "reset_on_close")
 
 #: when the kernel drops a connection to a silent target
 LOSS_RULE = ConnectionLossRule(
     user_timeout=5.0, probe_idle=1, probe_interval=1, probe_count=4
 )
+#: SO_LINGER with a time of zero
+_ZERO_LINGER = struct.pack("ii", 1, 0)
 
 
 def configure_socket(connection: socket.socket, rule: ConnectionLossRule) -> None:
@@ -31,3 +34,8 @@
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     for option, value in options:
         connection.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
+def reset_on_close(connection: socket.socket) -> None:
+    """Have the kernel end a connection by a reset, and discard what is not sent."""
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _ZERO_LINGER)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from aiohttp import HttpVersion11
 from aiohttp.web_response import Response, StreamResponse
 
 from greengagelatch.relay.crash_reports import MAX_PARTS, shorten_part_id
@@ -14,6 +15,7 @@
 from greengagelatch.verdict import Verdict
 
 from ..adapters.caller_connections import RequestPosition
+from ..adapters.socket_options import reset_on_close
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -116,8 +118,12 @@
     def abort(self) -> None:
         """Abort the connection, so that a partial response does not look complete."""
         transport = self._request.transport
-        if transport is not None:
-            transport.abort()
+        if transport is None:
+            return
+        if self._request.version < HttpVersion11:
+            # without chunks, an orderly close is the end of the response
+            reset_on_close(transport.get_extra_info("socket"))
+        transport.abort()
 
     async def _write_whole(self, response: Response) -> None:
         await response.prepare(self._request)
