--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -10,10 +10,10 @@
 from greengagelatch.relay.outcomes import SendOutcome, SilenceDecision
 from greengagelatch.relay.regions import is_allowed
 from greengagelatch.relay.requests import Prompt
-from greengagelatch.relay.stream_positions import EventDisorder, StreamPosition
 
 from ..soft_timeout import SoftTimeout, SoftTimeoutScope
-from .event_splitter import EventSplitter, EventTooLargeError, has_data
+from .event_order import EventOrder
+from .event_splitter import EventSplitter, EventTooLargeError
 from .input_fetch_timer import InputFetchTimer
 from .messages import AttemptContext
 from .prefill_tracker import PrefillTracker
@@ -131,9 +131,9 @@
         self._run = run
         self._results = results
         self._prompt = exchange.request.prompt or Prompt()
-        self._position = StreamPosition(exchange.request.resume_after)
-        #: what was logged of the events of the current attempt
-        self._logged_disorders: set[EventDisorder] = set()
+        self._order = EventOrder(
+            exchange.request, codec=runner.codec, decisions=runner.decisions
+        )
         self._first_event_seen = False
         self._parts_survived = False
         #: targets to which the request is not sent again
@@ -180,7 +180,7 @@
                 self._excluded |= {target.incarnation}
             if last.silent:
                 self._silent |= {target.incarnation}
-            if not self._position.is_known:
+            if not self._order.position.is_known:
                 # its caller knows better where to go on
                 break
             if not runner.may_retry(exchange, last.outcome):
@@ -223,7 +223,7 @@
             incarnation=target.incarnation,
             remaining=left,
             workspace=exchange.workspace,
-            resume_after=self._position.last_event_id,
+            resume_after=self._order.position.last_event_id,
             inputs=self._results.inputs,
         )
         now = runner.clock.now()
@@ -232,7 +232,7 @@
         )
         self._sent_at = now
         self._first_event_at = None
-        self._logged_disorders.clear()
+        self._order.begin_attempt(target)
         if exchange.route.resumable:
             # its caller may return to another instance
             await runner.versions.record_send(exchange.request.request_id, target)
@@ -308,7 +308,7 @@
                 events = splitter.feed(data)
             except EventTooLargeError as error:
                 raise TargetResponseError(str(error)) from error
-            ordered = self._select_ordered(target, events)
+            ordered = self._order.select(events)
             if ordered:
                 self._handle_first_event(target, prefill)
                 self._record_progress()
@@ -334,38 +334,6 @@
             self._exchange, self._runner.clock.now() - self._sent_at
         )
 
-    def _select_ordered(self, target: ListedTarget, events: list[bytes]) -> list[bytes]:
-        """Return the events before one that the caller has, or that is older."""
-        ordered = []
-        for event in events:
-            event_id = self._runner.codec.read_event_id(event)
-            with_data = has_data(event)
-            disorder = self._position.find_disorder(event_id, has_data=with_data)
-            if disorder is not None:
-                self._log_disorder(target, disorder, event_id)
-            if disorder is EventDisorder.BACKWARD:
-                break
-            self._position.advance(event_id, has_data=with_data)
-            ordered.append(event)
-        return ordered
-
-    def _log_disorder(
-        self, target: ListedTarget, disorder: EventDisorder, event_id: int | None
-    ) -> None:
-        """Log an event that is out of order, once for each reason and attempt."""
-        if disorder in self._logged_disorders:
-            return
-        self._logged_disorders.add(disorder)
-        self._runner.decisions.log_decision(
-            "stream-disorder",
-            request=self._exchange.request.request_id,
-            target=str(target.incarnation),
-            address=target.address,
-            reason=disorder.value,
-            event=event_id,
-            after=self._position.last_event_id,
-        )
-
     async def _read_chunk(
         self,
         target: ListedTarget,
@@ -453,7 +421,7 @@
     def _create_soft_timeout(self, target: ListedTarget) -> SoftTimeout | None:
         exchange = self._exchange
         route = exchange.route
-        if not route.resumable or not self._position.is_known:
+        if not route.resumable or not self._order.position.is_known:
             return None
         if self._first_event_seen:
             seconds = max(MIN_EVENT_GAP_TIMEOUT, route.longest_pause * EVENT_GAP_FACTOR)
