--- a/tests/test_entry/test_relay/test_out_of_step_fleets.py
+++ b/tests/test_entry/test_relay/test_out_of_step_fleets.py
@@ -141,3 +141,39 @@
     went_on, refused, wrong = found
     assert went_on
     assert (refused, wrong, reads) == (0, 0, 0)
+
+
+async def send_again(count: int, seed: int = 1):
+    """Send streams to another version while a keeper of each is cut off from it.
+
+    :return: streams that were sent again, and of them those that went on, were refused
+        and went on wrongly at that keeper
+    """
+    fleet = Fleet(count, seed)
+    await fleet.settle(YOUNG_SECONDS + 1.0)
+    sent, total = 0, [0, 0, 0]
+    for number in range(20):
+        name = fleet.random.choice(sorted(fleet.exchanges))
+        exchange, request_id = fleet.exchanges[name], f"a-{number}"
+        first, second = fleet.random.sample(fleet.targets[:2], 2)
+        await exchange.record_send(request_id, first)
+        await asyncio.sleep(0.1)
+        late = fleet.random.choice(exchange._list_keepers(request_id)[:3])
+        fleet.network.blocked = {(name, late), (late, name)}
+        if await exchange.record_send(request_id, second) is not False:
+            sent += 1
+            fleet.streams = {request_id: (second.software_version, name)}
+            found = await fleet.take_up([late])
+            total = [sum(pair) for pair in zip(total, found, strict=True)]
+        fleet.network.blocked = set()
+    return sent, *total
+
+
+@pytest.mark.parametrize("count", [3])
+def test_stream_sent_to_another_version_is_not_known_by_its_first(count):
+    """Guards against an instance that remembers the version of a target in vain.
+
+    It was told the first send of a stream, and was out of step as the stream was sent
+    to another version.
+    """
+    assert run_in_virtual_time(send_again(count))[3] == 0
