A stream is sent to another version once all that know the former have forgotten it

Callers could get streams of two versions from an instance that was out of step as a stream, which had brought no event, was sent to another version: it remembered the first one, and an instance looks into its own memory before it asks. The sender told the keepers of that moment, waited 0.2 s, and went on whatever they answered.

Now it asks all that were told of the stream to forget it. If one doesn't confirm, the stream is bound to the former version. Partial success is safe: who has forgotten is told again, or refuses.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stream_version_exchange.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stream_version_exchange.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING, Any
 
-from result import Ok
+from result import Err, Ok
 
 from greengagelatch.errors import RefusalCode
 from greengagelatch.peers import MemberState
@@ -17,6 +17,7 @@
 )
 from greengagelatch.relay.stream_versions import (
     COPIES,
+    UNDECIDED,
     StreamOrigin,
     StreamVersions,
     find_group,
@@ -48,8 +49,8 @@
 QUERY_SECONDS = 0.3
 #: seconds after which it is asked for again: longer than its news take
 NEWS_SECONDS = 0.05
-#: seconds for which the news of another version of a stream are waited for
-REPLACE_SECONDS = 0.2
+#: seconds for which instances may take to forget the version of a stream
+REPLACE_SECONDS = 0.3
 #: seconds for which the store is asked at the most whether the record has changed
 CONFIRM_SECONDS = 0.5
 #: instances that are asked: those that should remember a stream, and some that should
@@ -102,37 +103,55 @@
         peers.handle(StreamVersionsUpdate, self._receive)
         peers.handle(StreamVersionQuery, self._answer)
 
-    async def record_send(self, request_id: str, target: ListedTarget) -> None:
+    async def record_send(self, request_id: str, target: ListedTarget) -> bool:
         """Record that a stream is sent to a target, here and at a few instances.
 
-        Where they know it by another version, this returns once they have been told:
-        until then they would give a caller that has returned the former one.
+        Those that know it by another version have to forget it first: they would give a
+        caller that has returned the former one.
+
+        :return: whether it may be sent. If not, an instance could not be told, and the
+            stream is bound to the former version
         """
         origin = StreamOrigin(target.service, target.software_version)
-        now = self._clock.now()
-        before = self._streams.find(request_id, now)
-        self._streams.record(request_id, origin, now)
-        if before not in (None, origin):
-            await self._replace(request_id, origin)
-            return
+        before = self._streams.find(request_id, self._clock.now())
+        is_known = before not in (None, origin)
+        if is_known and not await self._withdraw(request_id, origin):
+            self._streams.bind(request_id)
+            # some may have forgotten it
+            self._tell(request_id, before)
+            return False
         self._tell(request_id, origin)
-        if self._timer is None:
-            loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(FLUSH_SECONDS, self._flush)
+        keepers = self._list_keepers(request_id)[:COPIES]
+        self._streams.record(request_id, origin, self._clock.now(), keepers)
+        return True
+
+    async def _withdraw(self, request_id: str, origin: StreamOrigin) -> bool:
+        """Let all instances that know a stream forget it.
 
-    async def _replace(self, request_id: str, origin: StreamOrigin) -> None:
-        """Tell the instances that know another origin of a stream, and wait for it."""
+        :param origin: where it is to be sent to
+        :return: whether all have
+        """
         for rows in self._pending.values():
             rows[:] = [row for row in rows if row[0] != request_id]
-        update = StreamVersionsUpdate.create([(request_id, origin)])
-        keepers = self._list_keepers(request_id)[:COPIES]
-        if keepers:
-            await asyncio.wait(
-                [
-                    asyncio.create_task(self._peers.ask(one, update, REPLACE_SECONDS))
-                    for one in keepers
-                ]
-            )
+        undecided = StreamOrigin(origin.service, UNDECIDED)
+        update = StreamVersionsUpdate.create([(request_id, undecided)])
+        told = sorted(self._streams.list_told(request_id))
+        answers = await asyncio.gather(
+            *(self._peers.ask(one, update, REPLACE_SECONDS) for one in told)
+        )
+        pairs = zip(told, answers, strict=True)
+        untold = [one for one, answer in pairs if isinstance(answer, Err)]
+        if not untold:
+            return True
+        self._metrics.count("stream_versions.bound")
+        self._decisions.log_decision(
+            "stream-bound",
+            request=request_id,
+            service=origin.service,
+            rejected=origin.software_version,
+            untold=untold,
+        )
+        return False
 
     async def find_version(self, exchange: RelayExchange) -> str | None:
         """Return the version at which a request has to go on with its stream.
@@ -233,6 +252,8 @@
         :param version: the version that began it; ``None``: it has not begun
         """
         excluded: frozenset[Incarnation] = frozenset()
+        if version is None:
+            version = self._streams.find_bound(exchange.request.request_id)
         if version is not None:
             excluded = self._target_table.list_other_versions(exchange.service, version)
         if not exchange.route.resumable:
@@ -288,8 +309,6 @@
 
     async def on_stop(self) -> None:
         """Hand over what is remembered: in a rolling restart, all keepers stop."""
-        if self._timer is not None:
-            self._timer.cancel()
         self._flush()
         for request_id, origin in self._streams.list_remembered(self._clock.now()):
             self._tell(request_id, origin)
@@ -310,11 +329,17 @@
         return self._keepers[group]
 
     def _tell(self, request_id: str, origin: StreamOrigin) -> None:
+        """Tell a few instances soon where a stream is sent to."""
         for keeper in self._list_keepers(request_id)[:COPIES]:
             self._pending.setdefault(keeper, []).append((request_id, origin))
+        if self._timer is None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(FLUSH_SECONDS, self._flush)
 
     def _flush(self, *, handed_over: bool = False) -> None:
-        self._timer = None
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
         pending, self._pending = self._pending, {}
         for keeper, rows in pending.items():
             update = StreamVersionsUpdate.create(rows, handed_over)
@@ -326,6 +351,10 @@
     ) -> StreamVersionAnswer:
         now = self._clock.now()
         for request_id, origin in update.list_origins():
+            if origin.software_version == UNDECIDED:
+                if not update.handed_over:
+                    self._streams.forget(request_id)
+                continue
             known = self._streams.find(request_id, now)
             if known is None or not update.handed_over:
                 self._streams.record(request_id, origin, now)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -228,7 +228,10 @@
         self._first_event_at = None
         if exchange.route.resumable:
             # its caller may return to another instance
-            await runner.versions.record_send(exchange.request.request_id, target)
+            request_id = exchange.request.request_id
+            if not await runner.versions.record_send(request_id, target):
+                reason = "an instance that knows a former version was not reached"
+                return FailedSend(SendOutcome.UNSENT, reason)
         prefill = PrefillTracker(runner.load_balancer, target.incarnation, tokens, now)
         fetch_timer = InputFetchTimer(lambda: self._release_fetched_inputs(target))
         try:
--- a/packages/greengagelatch/src/greengagelatch/relay/stream_versions.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/stream_versions.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 from ..targets.subset import compute_weight
@@ -20,6 +20,7 @@
 __all__ = (
     "COPIES",
     "MEMORY_SECONDS",
+    "UNDECIDED",
     "StreamOrigin",
     "StreamVersions",
     "find_group",
@@ -28,6 +29,9 @@
 
 #: seconds for which a version is remembered: longer than a caller takes up a stream
 MEMORY_SECONDS = 60.0
+#: version that is told of a stream before it is sent to another version than before.
+#: No target has it, so that an earlier release refuses to go on with the stream
+UNDECIDED = "\0"
 #: most streams that are remembered
 MAX_STREAMS = 20_000
 #: instances that remember each stream beside the one that sends it to a target
@@ -75,6 +79,10 @@
     origin: StreamOrigin
     #: monotonic time until which it is remembered
     until: float
+    #: instances that were told where it was sent to
+    told: frozenset[str] = frozenset()
+    #: whether it is sent to no other version, though it may not have begun
+    bound: bool = False
 
 
 class StreamVersions:
@@ -91,9 +99,22 @@
     def __len__(self) -> int:
         return len(self._streams)
 
-    def record(self, request_id: str, origin: StreamOrigin, now: float) -> None:
-        """Record where a request is sent to."""
-        self._streams[request_id] = _Stream(origin, now + MEMORY_SECONDS)
+    def record(
+        self,
+        request_id: str,
+        origin: StreamOrigin,
+        now: float,
+        told: Collection[str] = (),
+    ) -> None:
+        """Record where a request is sent to.
+
+        :param told: instances that are told of it
+        """
+        known = self._streams.get(request_id)
+        told = self.list_told(request_id).union(told)
+        bound = known is not None and known.bound
+        stream = _Stream(origin, now + MEMORY_SECONDS, told, bound)
+        self._streams[request_id] = stream
         self._streams.move_to_end(request_id)
         while self._streams:
             oldest = next(iter(self._streams))
@@ -101,6 +122,28 @@
                 return
             del self._streams[oldest]
 
+    def list_told(self, request_id: str) -> frozenset[str]:
+        """Return the instances that were told of a stream, of any of its sends."""
+        known = self._streams.get(request_id)
+        return frozenset() if known is None else known.told
+
+    def bind(self, request_id: str) -> None:
+        """Record that a stream is sent to no other version."""
+        known = self._streams.get(request_id)
+        if known is not None:
+            self._streams[request_id] = replace(known, bound=True)
+
+    def find_bound(self, request_id: str) -> str | None:
+        """Return the only version that a stream is sent to; ``None``: any."""
+        known = self._streams.get(request_id)
+        if known is None or not known.bound:
+            return None
+        return known.origin.software_version
+
+    def forget(self, request_id: str) -> None:
+        """Forget where a stream was sent to."""
+        self._streams.pop(request_id, None)
+
     def list_remembered(self, now: float) -> list[tuple[str, StreamOrigin]]:
         """Return the streams that are remembered, and their origins."""
         return [
--- a/tests/test_entry/test_relay/test_out_of_step_fleets.py
+++ b/tests/test_entry/test_relay/test_out_of_step_fleets.py
@@ -7,11 +7,18 @@
 
 import pytest
 
+from greengagelatch.relay.stream_messages import StreamVersionsUpdate
+from greengagelatch.relay.stream_versions import COPIES, UNDECIDED, StreamOrigin
 from greengagelatch_entry.relay.version_history import YOUNG_SECONDS
 from greengagelatch_lab.stage_load.virtual_time import run_in_virtual_time
 
-from .test_stream_version_fleets import Fleet
-from .test_version_record_fleets import begin_streams, cut_off, select_streams
+from .test_stream_version_fleets import SERVICE, Fleet
+from .test_version_record_fleets import (
+    begin_streams,
+    create_exchange,
+    cut_off,
+    select_streams,
+)
 
 #: seconds for which an instance is out of step
 OUT_SECONDS = 3.0
@@ -143,37 +150,72 @@
     assert (refused, wrong, reads) == (0, 0, 0)
 
 
-async def send_again(count: int, seed: int = 1):
-    """Send streams to another version while a keeper of each is cut off from it.
+async def send_again(count: int, is_cut_off: bool):
+    """Send streams to another version while a keeper of each is out of step.
 
-    :return: streams that were sent again, and of them those that went on, were refused
-        and went on wrongly at that keeper
+    :param is_cut_off: whether it is cut off from the instance that sends
+    :return: streams that were sent to another version, and of all that went on, were
+        refused and went on wrongly at that keeper
     """
-    fleet = Fleet(count, seed)
+    fleet = Fleet(count)
     await fleet.settle(YOUNG_SECONDS + 1.0)
-    sent, total = 0, [0, 0, 0]
+    moved, total = 0, (0, 0, 0)
     for number in range(20):
         name = fleet.random.choice(sorted(fleet.exchanges))
         exchange, request_id = fleet.exchanges[name], f"a-{number}"
         first, second = fleet.random.sample(fleet.targets[:2], 2)
-        await exchange.record_send(request_id, first)
+        assert await exchange.record_send(request_id, first)
         await asyncio.sleep(0.1)
-        late = fleet.random.choice(exchange._list_keepers(request_id)[:3])
-        fleet.network.blocked = {(name, late), (late, name)}
-        if await exchange.record_send(request_id, second) is not False:
-            sent += 1
-            fleet.streams = {request_id: (second.software_version, name)}
-            found = await fleet.take_up([late])
-            total = [sum(pair) for pair in zip(total, found, strict=True)]
+        late = fleet.random.choice(exchange._list_keepers(request_id)[:COPIES])
+        if is_cut_off:
+            fleet.network.blocked = {(name, late), (late, name)}
+        began = second
+        if await exchange.record_send(request_id, second):
+            moved += 1
+        else:
+            began = first
+            resent = create_exchange("", SERVICE)
+            resent.request.request_id = request_id
+            assert second.incarnation in exchange.list_excluded(resent, None)
+            assert first.incarnation not in exchange.list_excluded(resent, None)
+            assert await exchange.record_send(request_id, first)
+        fleet.streams = {request_id: (began.software_version, name)}
+        found = await fleet.take_up([late])
+        total = tuple(map(sum, zip(total, found, strict=True)))
         fleet.network.blocked = set()
-    return sent, *total
+    return moved, total
 
 
-@pytest.mark.parametrize("count", [3])
+@pytest.mark.parametrize("count", [3, 9, 89])
 def test_stream_sent_to_another_version_is_not_known_by_its_first(count):
     """Guards against an instance that remembers the version of a target in vain.
 
     It was told the first send of a stream, and was out of step as the stream was sent
     to another version.
     """
-    assert run_in_virtual_time(send_again(count))[3] == 0
+    moved, found = run_in_virtual_time(send_again(count, is_cut_off=True))
+    assert moved == 0
+    assert found == (20, 0, 0)
+
+
+@pytest.mark.parametrize("count", [2, 3, 9, 89])
+def test_stream_is_sent_to_another_version_while_its_keepers_are_reached(count):
+    """Guards against streams bound to a version whose targets bring no event."""
+    moved, found = run_in_virtual_time(send_again(count, is_cut_off=False))
+    assert moved == 20
+    assert found == (20, 0, 0)
+
+
+def test_instance_that_stops_hands_over_no_withdrawn_version():
+    """Guards against a version that is forgotten for what an earlier release knows."""
+
+    async def run():
+        fleet = Fleet(3)
+        await fleet.exchanges["entry-0"].record_send("a-1", fleet.targets[0])
+        undecided = StreamOrigin(SERVICE, UNDECIDED)
+        update = StreamVersionsUpdate.create([("a-1", undecided)], handed_over=True)
+        fleet.exchanges["entry-0"]._receive("entry-1", update)
+        fleet.streams = {"a-1": (fleet.targets[0].software_version, "entry-0")}
+        return await fleet.take_up(["entry-0"])
+
+    assert run_in_virtual_time(run()) == (1, 0, 0)
