--- a/tests/test_entry/test_relay/test_mixed_versions.py
+++ b/tests/test_entry/test_relay/test_mixed_versions.py
@@ -10,7 +10,11 @@
 from yarl import URL
 
 from greengagelatch.relay.stream_versions import StreamVersions
-from greengagelatch_lab.platform_standins.deployment import API_KEY, HOST
+from greengagelatch_lab.platform_standins.deployment import (
+    API_KEY,
+    HOST,
+    create_configuration,
+)
 from greengagelatch_lab.platform_standins.store import StoreFault
 from greengagelatch_lab.platform_standins.targets import TargetFault
 
@@ -277,3 +281,39 @@
     begun = [n for n in range(STREAMS) if "v1.2" in find_versions(fleet, f"a-{n}")]
     assert begun
     return late
+
+
+async def configure_resumable(fleet, version: int, *, resumable: bool) -> None:
+    """Configure whether streams may be resumed."""
+    fields = create_configuration(version, timeout_ms=10_000)
+    for route in fields["routes"]:
+        if route["name"] == "draft":
+            route["resumable"] = resumable
+    fleet.store.put("op/config", fields)
+    for instance in fleet.instances:
+        configuration = instance.find("news")._configuration
+        await instance.wait_for(
+            lambda one=configuration: (
+                any(route.resumable for route in one.list_routes()) is resumable
+            )
+        )
+
+
+async def test_stream_begun_before_its_route_may_be_resumed_is_not_joined(lavish_fleet):
+    """Guards against versions that were not recorded as no stream could be resumed.
+
+    A version is rolled back just before a configuration lets callers resume streams.
+    """
+    fleet = lavish_fleet
+    await fleet.wait_for(lambda: fleet.store.find(RECORD))
+    await configure_resumable(fleet, 4, resumable=False)
+    await add_versions(fleet)
+    for number in range(STREAMS):
+        instance = fleet.instances[number % len(fleet.instances)]
+        await read_first_event(instance, f"a-{number}", name_parts(number))
+    end_version(fleet, "v1.2")
+    for instance in fleet.instances:
+        await instance.wait_for(lambda one=instance: not one.accepts("llm-new-1"))
+    await configure_resumable(fleet, 5, resumable=True)
+    await take_up_streams(fleet, fleet.instances)
+    assert list_mixed(fleet) == []
