--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -224,7 +224,7 @@
             store=self.store,
             peers=self.peers,
             target_table=self.target_table,
-            list_services=self.configuration.list_resumable_services,
+            list_services=self.configuration.list_streaming_services,
             find_confirmed_at=lambda: self.follower.confirmed_at,
             is_first_start=self.settings.is_first_start,
             clock=self.clock,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/configuration.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/configuration.py
@@ -6,7 +6,7 @@
 
 from result import Err, Ok
 
-from greengagelatch.relay.deployment import CallerLimits, RoutedService
+from greengagelatch.relay.deployment import CallerLimits, RoutedService, RouteKind
 from greengagelatch.relay.routes import RouteTable
 
 from .store_follower import StoreSubscriber
@@ -84,12 +84,12 @@
         """Return the routes in force, the same object until another version is."""
         return self.deployment.routes if self.deployment else ()
 
-    def list_resumable_services(self) -> frozenset[str]:
-        """Return the services of which streams may be resumed."""
+    def list_streaming_services(self) -> frozenset[str]:
+        """Return the services that answer by streams."""
         return frozenset(
             service
             for route in self.list_routes()
-            if route.resumable
+            if route.kind is RouteKind.STREAMING
             for service, _ in route.split
         )
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/version_history.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/version_history.py
@@ -60,7 +60,8 @@
     else remembers a version whose targets have left, and a lone version would be taken
     for the one that began each stream.
 
-    :param list_services: returns the services of which streams may be resumed
+    :param list_services: returns the services that answer by streams. Those that may
+        not be resumed may be as of the next configuration
     :param find_confirmed_at: returns the monotonic time at which the listing of targets
         was last known to be current
     :param is_first_start: whether no instance has served before, so that a record that
--- a/packages/greengagelatch/src/greengagelatch/relay/version_records.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/version_records.py
@@ -67,7 +67,7 @@
     it has seen all that was listed, is retired first, and dropped later: a write that
     drops it may be late, and must fail if the version is listed again meanwhile.
 
-    :param services: services of which streams may be resumed
+    :param services: services that answer by streams
     """
     is_certain = bool(services) and all(
         seen.is_certain(service, now) for service in services
