A version is held in the record while an instance that may know it is missing

Callers of a data centre that was cut off for longer than 75 s got streams of two versions: it served on, and began streams at a version that the others had dropped by then. They took the end of its registration, or no news of it at all, for the end of the version.

The record holds the addresses of the instances that were registered. While one of them is missing, versions are retired and not dropped, until an instance is registered at its address, or it has been missing for 70 minutes, counted in periods of ten minutes in the record.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -225,6 +225,7 @@
             peers=self.peers,
             target_table=self.target_table,
             list_services=self.configuration.list_streaming_services,
+            list_instances=self._list_registered,
             find_confirmed_at=lambda: self.follower.confirmed_at,
             is_first_start=self.settings.is_first_start,
             clock=self.clock,
@@ -354,6 +355,12 @@
             decisions=self.decisions,
         )
 
+    def _list_registered(self) -> frozenset[str] | None:
+        """Return the addresses of the registered instances; ``None``: not known."""
+        if not self.follower.is_following:
+            return None
+        return self.registry.list_addresses()
+
     def _count_instances(self) -> int:
         """Return how many instances share retry budgets, with a lower bound."""
         alive = sum(
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/registry.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/registry.py
@@ -93,6 +93,10 @@
             return float("inf")
         return self._registered_at
 
+    def list_addresses(self) -> frozenset[str]:
+        """Return the addresses of the instances that are registered."""
+        return frozenset(one.address for _, one in self._instances.values())
+
     def apply_scan(self, scan: Scan) -> None:
         self._instances = {}
         for entry in scan.entries:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/store_follower.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/store_follower.py
@@ -142,6 +142,11 @@
         """Whether this instance currently relies on followers for updates."""
         return self._passive
 
+    @property
+    def is_following(self) -> bool:
+        """Whether this instance watches the store itself, and has read all of it."""
+        return self._after is not None and not self._passive
+
     @property
     def is_replaceable(self) -> bool:
         """Whether other instances follow the store for this one."""
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/version_history.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/version_history.py
@@ -9,10 +9,12 @@
 from mode import Service
 
 from greengagelatch.peers import MemberState
+from greengagelatch.relay.record_holders import RecordHolders
 from greengagelatch.relay.service_versions import ServiceVersions
 from greengagelatch.relay.version_records import (
     VersionRecord,
     decode_record,
+    describe_record,
     encode_record,
     update_record,
 )
@@ -62,6 +64,8 @@
 
     :param list_services: returns the services that answer by streams. Those that may
         not be resumed may be as of the next configuration
+    :param list_instances: returns the addresses of the instances that are registered;
+        ``None`` if that is not known
     :param find_confirmed_at: returns the monotonic time at which the listing of targets
         was last known to be current
     :param is_first_start: whether no instance has served before, so that a record that
@@ -78,6 +82,7 @@
         peers: PeerNetwork,
         target_table: TargetTable,
         list_services: Callable[[], Collection[str]],
+        list_instances: Callable[[], Collection[str] | None],
         find_confirmed_at: Callable[[], float],
         is_first_start: bool,
         clock: Clock,
@@ -90,6 +95,7 @@
         self._peers = peers
         self._target_table = target_table
         self._list_services = list_services
+        self._list_instances = list_instances
         self._find_confirmed_at = find_confirmed_at
         self._is_first_start = is_first_start
         self._clock = clock
@@ -97,6 +103,7 @@
         self._metrics = metrics
         self._decisions = decisions
         self._seen = ServiceVersions()
+        self._holders = RecordHolders()
         #: ``None``: not read yet, or unreadable
         self._record: VersionRecord | None = None
         self._value = b""
@@ -248,9 +255,8 @@
         record = self._record or VersionRecord(complete=False)
         return {
             "known": self._record is not None,
-            "complete": record.complete,
-            "recorded": {name: sorted(one) for name, one in record.services.items()},
-            "retired": {name: sorted(one) for name, one in record.retired.items()},
+            **describe_record(record),
+            "instances": dict(record.instances),
             "unrecorded": {
                 name: sorted(map(str, self.list_unrecorded(name)))
                 for name in self._list_services()
@@ -289,7 +295,7 @@
             return
         # one that can't be read may have held other versions
         record = self._record or VersionRecord(complete=False)
-        wanted = update_record(record, services, self._seen, now)
+        wanted = self._create_wanted(record, services, now)
         if wanted == self._record:
             self._due_at = None
             return
@@ -298,6 +304,16 @@
         if now >= self._due_at:
             await self._write(wanted)
 
+    def _create_wanted(
+        self, record: VersionRecord, services: Collection[str], now: float
+    ) -> VersionRecord:
+        """Return the record as it should be, by what this instance knows."""
+        present, instances, is_held = self._list_instances(), None, True
+        if present is not None:
+            instances = self._holders.update(record.instances, present, now)
+            is_held = self._holders.is_any_missing(now)
+        return update_record(record, services, self._seen, now, instances, is_held)
+
     def _observe_all(self, services: Collection[str], now: float) -> None:
         """Record the versions of all listed targets, also of those that leave."""
         versions: dict[str, set[str]] = {service: set() for service in services}
@@ -326,7 +342,11 @@
         """Return for how many seconds this instance waits for others to write."""
         if now - self._started_at < YOUNG_SECONDS:
             return self._random.uniform(0.0, MAX_RANDOM_DELAY)
-        alive = self._list_alive()
+        alive = [
+            one.instance_id
+            for one in self._peers.members()
+            if one.state is MemberState.ALIVE
+        ]
         if self._waiting:
             most = min(MAX_RANDOM_DELAY, len(alive) * URGENT_SECONDS)
             return self._random.uniform(0.0, most)
@@ -337,13 +357,6 @@
         own = compute_weight(self._peers.instance_id, KEY)
         return sum(compute_weight(one, KEY) < own for one in alive)
 
-    def _list_alive(self) -> list[str]:
-        return [
-            one.instance_id
-            for one in self._peers.members()
-            if one.state is MemberState.ALIVE
-        ]
-
     def _apply(self, value: bytes, revision: int, origin: str) -> None:
         """Take over a record, and tell those that wait for it.
 
@@ -356,8 +369,8 @@
         self._due_at = None
         former, self._record = self._record, self._decode(value, revision, origin)
         self._add_reported(former or VersionRecord(), self._record or VersionRecord())
-        changed, self._changed = self._changed, asyncio.Event()
-        changed.set()
+        self._changed.set()
+        self._changed = asyncio.Event()
 
     def _add_reported(self, former: VersionRecord, record: VersionRecord) -> None:
         """Keep versions that others have added for as long as their streams last."""
@@ -382,8 +395,6 @@
             "version-record",
             revision=revision,
             origin=origin,
-            complete=record.complete,
-            recorded={name: sorted(one) for name, one in record.services.items()},
-            retired={name: sorted(one) for name, one in record.retired.items()},
+            **describe_record(record),
         )
         return record
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/instances.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/instances.py
@@ -263,6 +263,7 @@
                     peers=peers,
                     target_table=self._target_table,
                     list_services=tuple,
+                    list_instances=tuple,
                     find_confirmed_at=self._clock.now,
                     is_first_start=True,
                     clock=self._clock,
--- a/packages/greengagelatch/src/greengagelatch/relay/version_records.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/version_records.py
@@ -8,7 +8,7 @@
 
 import json
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from .service_versions import ServiceVersions
 
@@ -20,6 +20,7 @@
     "RETIRED_SECONDS",
     "VersionRecord",
     "decode_record",
+    "describe_record",
     "encode_record",
     "update_record",
 )
@@ -40,6 +41,9 @@
     retired: Mapping[str, frozenset[str]] = field(default_factory=dict)
     #: whether no other version can have begun a stream that its caller takes up
     complete: bool = True
+    #: instances that may have read the record, by address, and the periods for which
+    #: each has been missing
+    instances: Mapping[str, int] = field(default_factory=dict)
 
     def list_versions(self, service: str) -> frozenset[str]:
         """Return the versions of a service that may have begun streams."""
@@ -59,6 +63,8 @@
     services: Collection[str],
     seen: ServiceVersions,
     now: float,
+    instances: Mapping[str, int] | None = None,
+    is_held: bool = False,
 ) -> VersionRecord:
     """Return the record with what one instance has seen.
 
@@ -68,6 +74,9 @@
     drops it may be late, and must fail if the version is listed again meanwhile.
 
     :param services: services that answer by streams
+    :param instances: as in the record; ``None``: as they are
+    :param is_held: whether an instance may have missed that versions are retired, and
+        none is dropped
     """
     is_certain = bool(services) and all(
         seen.is_certain(service, now) for service in services
@@ -77,12 +86,17 @@
     for service in {*services, *record.services}:
         # a service without a route is judged by what is known of the others
         certain = seen.is_certain(service, now) if service in services else is_certain
-        kept, ended = _update_service(record, service, seen, certain, now)
+        kept, ended = _update_service(record, service, seen, certain, now, is_held)
         if kept:
             versions[service] = kept
         if ended:
             retired[service] = ended
-    return VersionRecord(versions, retired, record.complete or is_certain)
+    if instances is None:
+        instances = record.instances
+    if not versions:
+        instances = {}
+    is_complete = record.complete or is_certain
+    return VersionRecord(versions, retired, is_complete, instances)
 
 
 def _update_service(
@@ -91,20 +105,34 @@
     seen: ServiceVersions,
     certain: bool,
     now: float,
+    is_held: bool,
 ) -> tuple[frozenset[str], frozenset[str]]:
     """Return the versions of a service, and those of them that are retired."""
     kept = record.list_versions(service)
     retired = record.list_retired(service) - seen.list_listed(service)
     lately = seen.list_lately(service, now)
+    added = seen.sort_by_time(service, lately - kept)
     if certain:
         dropped = retired & seen.list_retired(service, RETIRED_SECONDS, now)
+        if is_held:
+            # those that are held make room
+            excess = max(0, len(kept) + len(added) - MAX_VERSIONS)
+            dropped = frozenset(sorted(dropped)[:excess])
         kept -= dropped
         retired = (retired | (kept - lately)) - dropped
-    added = seen.sort_by_time(service, lately - kept)
     room = max(0, MAX_VERSIONS - len(kept))
     return kept | frozenset(added[:room]), retired
 
 
+def describe_record(record: VersionRecord) -> dict[str, Any]:
+    """Return what operators see of a record."""
+    return {
+        "complete": record.complete,
+        "recorded": _encode_versions(record.services),
+        "retired": _encode_versions(record.retired),
+    }
+
+
 def encode_record(record: VersionRecord) -> bytes:
     """Return the value of a record in the store."""
     fields = {
@@ -112,6 +140,8 @@
         "services": _encode_versions(record.services),
         "retired": _encode_versions(record.retired),
     }
+    if record.instances:
+        fields["instances"] = dict(record.instances)
     return json.dumps(fields, sort_keys=True).encode()
 
 
@@ -127,6 +157,7 @@
             _decode_versions(fields["services"]),
             _decode_versions(fields.get("retired", {})),
             fields.get("complete", True) is True,
+            _read_instances(fields.get("instances", {})),
         )
     except (KeyError, TypeError, AttributeError, RecursionError) as error:
         raise ValueError(f"no record of versions: {error}") from error
@@ -142,6 +173,13 @@
     return {str(name): _read_versions(row) for name, row in rows.items()}
 
 
+def _read_instances(rows: dict[str, object]) -> dict[str, int]:
+    for periods in rows.values():
+        if type(periods) is not int:
+            raise TypeError(f"{periods!r} is no number of periods")
+    return {str(address): periods for address, periods in rows.items()}
+
+
 def _read_versions(row: object) -> frozenset[str]:
     if not isinstance(row, list) or not all(isinstance(one, str) for one in row):
         raise TypeError(f"{row!r} is no list of versions")
--- a/tests/test_core/test_relay/test_version_records.py
+++ b/tests/test_core/test_relay/test_version_records.py
@@ -135,3 +135,40 @@
     seen = ServiceVersions(10.0)
     look(seen, {"v2"}, 10)
     assert set(update_until(seen, ACTIVE, 10.0).services) == {"llm"}
+
+
+def test_held_versions_make_room_for_others():
+    """Guards against versions that begin no streams, as an instance is missing."""
+    names = [f"v{number:02}" for number in range(MAX_VERSIONS)]
+    full = VersionRecord({"llm": frozenset(names)}, {"llm": frozenset(names[:-1])})
+    seen = ServiceVersions()
+    for second in range(100):
+        seen.observe("llm", {names[-1]}, second, second)
+    seen.set_retired("llm", names[:-1], 0.0)
+    assert update_record(full, ["llm"], seen, 99.0, {}, True) == full
+    seen.observe("llm", {names[-1], "new"}, 100.0, 100.0)
+    updated = update_record(full, ["llm"], seen, 100.0, {}, True)
+    assert updated.services["llm"] == {*names[1:], "new"}
+    dropped = update_record(full, ["llm"], seen, 100.0, {}, False)
+    assert dropped.services["llm"] == {names[-1], "new"}
+
+
+def test_instances_are_read_as_they_were_written():
+    record = VersionRecord(RECORD.services, instances={"10.0.0.1:80": 3})
+    assert decode_record(encode_record(record)) == record
+    for value in (
+        b'{"services": {}, "instances": 3}',
+        b'{"services": {}, "instances":',
+    ):
+        with pytest.raises(ValueError):
+            decode_record(value)
+    with pytest.raises(ValueError):
+        decode_record(b'{"services": {}, "instances": {"10.0.0.1:80": "x"}}')
+
+
+def test_instances_are_not_recorded_where_no_versions_are():
+    """Guards against writes for systems that answer by no streams."""
+    updated = update_record(
+        VersionRecord(), [], ServiceVersions(), 0.0, {"10.0.0.1:80": 0}
+    )
+    assert updated == VersionRecord()
--- a/tests/test_entry/test_relay/test_stream_version_fleets.py
+++ b/tests/test_entry/test_relay/test_stream_version_fleets.py
@@ -129,6 +129,7 @@
             peers=peers,
             target_table=self.table,
             list_services=lambda: (SERVICE,),
+            list_instances=self.list_addresses,
             find_confirmed_at=LoopClock().now,
             is_first_start=True,
             clock=LoopClock(),
@@ -147,6 +148,10 @@
             decisions=NullTelemetry(),
         )
 
+    def list_addresses(self) -> list[str]:
+        """Return the instances that the store lists; one that restarts has its own."""
+        return [one.removesuffix("-again") for one in self.store.histories]
+
     async def begin_streams(self) -> None:
         for number in range(STREAMS):
             request_id = f"a-{number}"
--- a/tests/test_entry/test_relay/test_version_history.py
+++ b/tests/test_entry/test_relay/test_version_history.py
@@ -58,6 +58,7 @@
             peers=self.network.join("entry-1"),
             target_table=self.table,
             list_services=lambda: ("llm",),
+            list_instances=tuple,
             find_confirmed_at=self._find_confirmed_at,
             is_first_start=is_first_start,
             clock=LoopClock(),
--- a/tests/test_entry/test_relay/test_version_record_fleets.py
+++ b/tests/test_entry/test_relay/test_version_record_fleets.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from greengagelatch.relay.record_holders import MAX_PERIODS, PERIOD_SECONDS
 from greengagelatch.relay.requests import RefusedError
 from greengagelatch.relay.stream_versions import MEMORY_SECONDS
 from greengagelatch.relay.targets import TargetTable
@@ -370,3 +371,86 @@
         return (await fleet.take_up(others))[2]
 
     assert run_in_virtual_time(run()) == 0
+
+
+async def release_beside_a_cut(fleet: Fleet) -> None:
+    """Replace a version while an instance is cut off, for two minutes."""
+    cut_off(fleet, "entry-0")
+    fleet.add_target(9, "2")
+    fleet.end_version("1")
+    await fleet.settle(2 * MEMORY_SECONDS)
+
+
+def test_version_is_dropped_once_the_instance_that_was_cut_off_has_returned():
+    """Guards against a former version that is held for longer than it is needed."""
+
+    async def run():
+        fleet = await create_fleet(3, SharedStore())
+        late = fleet.store.histories["entry-0"]
+        confirm, table = late._find_confirmed_at, late._target_table
+        await release_beside_a_cut(fleet)
+        held = fleet.store.histories["entry-1"].list_possible(SERVICE)
+        late._find_confirmed_at, late._target_table = confirm, table
+        late._store = fleet.store
+        fleet.store.join("entry-0", late)
+        await fleet.settle(MEMORY_SECONDS / 2)
+        streams_last = fleet.store.histories["entry-1"].list_possible(SERVICE)
+        await fleet.settle(2 * MEMORY_SECONDS)
+        return (
+            held,
+            streams_last,
+            fleet.store.histories["entry-1"].list_possible(SERVICE),
+        )
+
+    assert run_in_virtual_time(run()) == ({"1", "2"}, {"1", "2"}, {"2"})
+
+
+@pytest.mark.parametrize("count", [3, 9])
+def test_version_is_dropped_after_an_instance_was_killed_and_started(count):
+    """Guards against refusals for an hour after a usual failure in a release."""
+
+    async def run():
+        fleet = await create_fleet(count, SharedStore())
+        fleet.add_target(9, "2")
+        fleet.end_version("1")
+        fleet.kill("entry-0")
+        await fleet.settle(5.0)
+        fleet.start("entry-0-again", "north")
+        await fleet.settle(2 * MEMORY_SECONDS + RETIRED_SECONDS)
+        return fleet.store.histories["entry-1"].list_possible(SERVICE)
+
+    assert run_in_virtual_time(run()) == {"2"}
+
+
+def test_version_is_dropped_after_an_instance_was_removed_for_good():
+    """Guards against a former version that is held for good."""
+
+    async def run():
+        fleet = await create_fleet(3, SharedStore())
+        fleet.add_target(9, "2")
+        fleet.end_version("1")
+        fleet.kill("entry-0")
+        await fleet.settle(MAX_PERIODS * PERIOD_SECONDS - 60.0)
+        held = fleet.store.histories["entry-1"].list_possible(SERVICE)
+        written = fleet.store.outcomes.total()
+        await fleet.settle(2 * MEMORY_SECONDS + 60.0)
+        return held, fleet.store.histories["entry-1"].list_possible(SERVICE), written
+
+    held, dropped, written = run_in_virtual_time(run())
+    assert (held, dropped) == ({"1", "2"}, {"2"})
+    assert written <= 4 * MAX_PERIODS
+
+
+def test_instance_that_can_not_know_who_is_registered_drops_nothing():
+    """Guards against a list of instances that is out of date, or empty."""
+
+    async def run():
+        fleet = await create_fleet(3, SharedStore())
+        for history in fleet.store.histories.values():
+            history._list_instances = lambda: None
+        fleet.add_target(9, "2")
+        fleet.end_version("1")
+        await fleet.settle(3 * MEMORY_SECONDS)
+        return fleet.store.histories["entry-1"].list_possible(SERVICE)
+
+    assert run_in_virtual_time(run()) == {"1", "2"}
