A keeper that has handed its streams over confirms no withdrawal

A keeper that stops tells others what it remembers. As it confirmed that it had forgotten a stream after that, those others still knew the former version, and a caller could get it from them.

test_stream_is_bound_once_a_keeper_has_handed_its_version_over failed before. With it come tests of instances that start in a release, of targets that crash after it, and of a stream that goes on at its first version over sockets, which passed.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stream_version_exchange.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stream_version_exchange.py
@@ -100,6 +100,8 @@
         #: rows to be sent, by instance
         self._pending: dict[str, list[tuple[str, StreamOrigin]]] = {}
         self._timer: asyncio.TimerHandle | None = None
+        #: whether others were told what this instance remembers, as it stops
+        self._is_handed_over = False
         peers.handle(StreamVersionsUpdate, self._receive)
         peers.handle(StreamVersionQuery, self._answer)
 
@@ -313,6 +315,7 @@
         for request_id, origin in self._streams.list_remembered(self._clock.now()):
             self._tell(request_id, origin)
         self._flush(handed_over=True)
+        self._is_handed_over = True
 
     def _list_keepers(self, request_id: str) -> tuple[str, ...]:
         """Return the other instances, those that should remember a request first."""
@@ -348,10 +351,13 @@
 
     def _receive(
         self, sender: str, update: StreamVersionsUpdate
-    ) -> StreamVersionAnswer:
+    ) -> StreamVersionAnswer | None:
         now = self._clock.now()
         for request_id, origin in update.list_origins():
             if origin.software_version == UNDECIDED:
+                if self._is_handed_over:
+                    # other instances know it from this one
+                    return None
                 if not update.handed_over:
                     self._streams.forget(request_id)
                 continue
--- a/tests/test_entry/test_relay/test_mixed_versions.py
+++ b/tests/test_entry/test_relay/test_mixed_versions.py
@@ -317,3 +317,36 @@
     await configure_resumable(fleet, 5, resumable=True)
     await take_up_streams(fleet, fleet.instances)
     assert list_mixed(fleet) == []
+
+
+async def test_stream_goes_on_at_its_first_version_if_an_instance_can_not_be_told(
+    lavish_fleet, monkeypatch
+):
+    """Guards against streams that are known by two versions, or lost for that.
+
+    The first target of each stream breaks before its first event.
+    """
+    fleet = lavish_fleet
+    await add_versions(fleet)
+    breaks: list[int] = []
+    for engine in list_engines(fleet):
+        engine.breaks = breaks
+    instance = fleet.instances[0]
+    versions = instance.find("stream_versions")
+    bound: dict[str, str] = {}
+
+    async def fail_to_tell(request_id, origin) -> bool:
+        now = asyncio.get_running_loop().time()
+        bound[request_id] = versions._streams.find(request_id, now).software_version
+        return False
+
+    monkeypatch.setattr(versions, "_withdraw", fail_to_tell)
+    for number in range(STREAMS):
+        breaks.append(0)
+        reply = await instance.stream(
+            X_Attempt_Id=f"s-{number}", X_Prefix_Hash=name_parts(number)
+        )
+        assert (reply.status, LAST_EVENT in reply.body) == (COMPLETE, True)
+    assert bound
+    for request_id, version in bound.items():
+        assert find_versions(fleet, request_id) == {version}
--- a/tests/test_entry/test_relay/test_out_of_step_fleets.py
+++ b/tests/test_entry/test_relay/test_out_of_step_fleets.py
@@ -219,3 +219,56 @@
         return await fleet.take_up(["entry-0"])
 
     assert run_in_virtual_time(run()) == (1, 0, 0)
+
+
+def test_stream_is_bound_once_a_keeper_has_handed_its_version_over():
+    """Guards against a version that is known where its sender doesn't withdraw it."""
+
+    async def run():
+        fleet = Fleet(9)
+        exchange = fleet.exchanges["entry-0"]
+        await exchange.record_send("a-1", fleet.targets[0])
+        await asyncio.sleep(0.1)
+        keeper = exchange._list_keepers("a-1")[0]
+        await fleet.exchanges[keeper].on_stop()
+        return await exchange.record_send("a-1", fleet.targets[1])
+
+    assert run_in_virtual_time(run()) is False
+
+
+@pytest.mark.parametrize("is_cut_off", [False, True])
+def test_no_stream_is_joined_at_an_instance_that_starts_in_a_release(is_cut_off):
+    """Guards against a lone version that is believed by one that has just started.
+
+    It has read the store before the release, and may be cut off from it since.
+    """
+
+    async def run():
+        world = OutOfStep(9, "others")
+        world.fleet.start("entry-9", "north")
+        if is_cut_off:
+            cut_off(world.fleet, "entry-9")
+        world.late.append("entry-9")
+        young = world.fleet.exchanges["entry-9"]
+        await world.begin()
+        assert world.fleet.exchanges["entry-9"] is young
+        others = {(one, "entry-9") for one in world.others}
+        world.fleet.network.blocked |= others | {(b, a) for a, b in others}
+        return await world.fleet.take_up(["entry-9"])
+
+    _, _, wrong = run_in_virtual_time(run())
+    assert wrong == 0
+
+
+@pytest.mark.parametrize("cut", ["others", "store", "both"])
+def test_no_stream_is_joined_after_its_targets_have_crashed(cut):
+    """Guards against a former version that is the only one left after a crash."""
+
+    async def run():
+        world = OutOfStep(9, cut)
+        await world.begin()
+        world.fleet.end_version("2")
+        return await world.take_up()
+
+    _, _, wrong = run_in_virtual_time(run())
+    assert wrong == 0
