--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -235,7 +235,10 @@
         self._order.begin_attempt(target)
         if exchange.route.resumable:
             # its caller may return to another instance
-            await runner.versions.record_send(exchange.request.request_id, target)
+            request_id = exchange.request.request_id
+            if not await runner.versions.record_send(request_id, target):
+                reason = "an instance that knows a former version was not reached"
+                return FailedSend(SendOutcome.UNSENT, reason)
         prefill = PrefillTracker(runner.load_balancer, target.incarnation, tokens, now)
         fetch_timer = InputFetchTimer(lambda: self._release_fetched_inputs(target))
         try:
