Bound the sum of the bytes of unary responses

What callers saw: a faulty target that sends without end, or many sound answers, took the memory of the instance, which ended with all its requests.

Cause: one response is bounded (32 MiB), all together are not; each is joined and kept until the caller has read it.

Responses are held in the account while there is room, a stated length as a whole, and so may be fetched again if they are cut. Where there is none, one that is final is passed on as it arrives, at the pace of its caller; it is cut if it does not end well, and never sent again. A server error, which another target may answer better, waits a second and is given up as lost. Parts are not joined; they are sent in slices and given back as they are sent. The buffer of a connection is 64 KiB in place of 256.

At 200 endless responses the buffers of the connections are still too large.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -304,6 +304,7 @@
             crashes=self.crashes,
             budgets=self.retry_budgets,
             stages=self.stages.runner,
+            memory=self.memory,
             permits=self.targets.permit_exchange,
             versions=self.stream_versions,
             find_stop_deadline=lambda: self.drain.drain_deadline,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
@@ -32,6 +32,8 @@
 
 #: seconds after which a write is abandoned because the caller does not read
 WRITE_TIMEOUT = 10.0
+#: size in bytes of the slices in which a large chunk is written
+SLICE_BYTES = 64 * 1024
 #: maximum number of prompt parts in one log entry
 MAX_LOGGED_PARTS = 8
 #: control characters that must not occur in a response head (RFC 9110, 5.5)
@@ -92,22 +94,32 @@
         await self._write_with_timeout(self._write_whole(response))
         self.complete = True
 
-    async def begin(self, head: ResponseHead) -> None:
-        """Write the head of a streamed response."""
+    async def begin(self, head: ResponseHead, length: int | None = None) -> None:
+        """Write the head of a streamed response.
+
+        :param length: size in bytes of its body; ``None``: not known
+        """
         response = StreamResponse(
             status=head.status, reason=_replace_control_characters(head.reason)
         )
         _copy_headers(head.headers, response)
+        response.content_length = length
         if not self._keep_alive():
             response.force_close()
         self.response = self._stream = response
         await self._write_with_timeout(response.prepare(self._request))
 
-    async def write(self, data: bytes) -> None:
+    async def write(self, data: bytes | memoryview) -> None:
         """Write a chunk of a streamed response."""
         self._on_bytes_sent(len(data))
         await self._write_with_timeout(self._stream.write(data))
 
+    async def write_slices(self, data: bytes) -> None:
+        """Write a large chunk in slices, as fast as the caller reads them."""
+        view = memoryview(data)
+        for start in range(0, len(view), SLICE_BYTES):
+            await self.write(view[start : start + SLICE_BYTES])
+
     async def finish(self) -> None:
         """Terminate a streamed response as complete."""
         await self._write_with_timeout(self._stream.write_eof())
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/memory.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/memory.py
@@ -82,6 +82,10 @@
         self._record_shortage()
         return False
 
+    def record_passing_on(self) -> None:
+        """Record a response that is passed on as it arrives, for lack of room."""
+        self._metrics.count("memory.passed_on")
+
     async def _wait(self, holding: ByteHolding, size: int) -> bool:
         granted = asyncio.Event()
         growth = holding.wait_to_grow(size, granted.set)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_responses.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_responses.py
@@ -11,6 +11,7 @@
 from aiohttp import ClientError
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http_exceptions import BadHttpMessage, HttpProcessingError
+from aiohttp.streams import EMPTY_PAYLOAD
 
 from ..adapters.socket_options import LOSS_RULE, configure_socket
 from .target_dialers import TunnelLostError
@@ -30,7 +31,7 @@
 )
 
 #: size in bytes of the read buffer for a response
-READ_BUFFER_BYTES = 256 * 1024
+READ_BUFFER_BYTES = 64 * 1024
 MAX_HEADER_BYTES = 32_768
 #: size in bytes of the parts in which the body of a request is written
 WRITE_BYTES = 128 * 1024
@@ -209,6 +210,14 @@
         """Id of the peer that carries the connection; empty: it is direct."""
         return self._connection.carrier
 
+    @property
+    def stated_length(self) -> int | None:
+        """Length in bytes of the body that follows; ``None``: it isn't stated."""
+        if self.message.chunked or self.content is EMPTY_PAYLOAD:
+            return None
+        length = self.message.headers.get("Content-Length", "")
+        return int(length) if length.isdecimal() else None
+
     async def iterate(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives.
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/unary.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/unary.py
@@ -5,7 +5,7 @@
 import asyncio
 from dataclasses import dataclass
 from functools import partial
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from greengagelatch.relay.deployment import RouteKind
 from greengagelatch.relay.outcomes import SendOutcome
@@ -13,6 +13,7 @@
 
 from ..soft_timeout import SoftTimeout, SoftTimeoutScope
 from .messages import AttemptContext
+from .response_bodies import ResponseBodies
 from .runners import Runner
 from .target_responses import TargetResponseError
 from .target_sender import FailedSend, ReceivedResponse
@@ -22,12 +23,14 @@
     from greengagelatch.relay.targets import ListedTarget
 
     from .exchange import RelayExchange
+    from .memory import MemoryController
     from .messages import ResponseHead
+    from .response_bodies import ResponseBody
 
 __all__ = ("UnaryRunner",)
 
-#: maximum size in bytes of a forwarded response
-MAX_RESPONSE_BYTES = 32 * 1024 * 1024
+#: size in bytes up to which a response is written in one piece
+MAX_WHOLE_BYTES = 64 * 1024
 #: soft timeout of idempotent requests as a multiple of the route's latency objective.
 #: After it the request fails over to another target if it may, as a hung target would
 #: hold it until the deadline
@@ -39,16 +42,31 @@
 
 @dataclass(frozen=True, slots=True)
 class _FullResponse:
-    """A response whose body has been read completely."""
+    """A response whose body has been read completely.
+
+    It may have been passed on as it arrived, and is complete at the caller then.
+    """
 
     head: ResponseHead
-    body: bytes
+    body: ResponseBody
+    passed_on: bool = False
 
 
 class UnaryRunner(Runner):
     """Sends a request until a target answers or no further retry is allowed."""
 
+    def __init__(self, *, memory: MemoryController, **fields: Any) -> None:
+        super().__init__(**fields)
+        self.memory = memory
+
     async def run(self, exchange: RelayExchange) -> None:
+        bodies = ResponseBodies(self.memory)
+        try:
+            await self._run(exchange, bodies)
+        finally:
+            bodies.release()
+
+    async def _run(self, exchange: RelayExchange, bodies: ResponseBodies) -> None:
         self.budgets.record_request(exchange.service)
         excluded: frozenset[Incarnation] = frozenset()
         #: those of them that were left as they were silent
@@ -67,8 +85,10 @@
                     target = self._choose(exchange, excluded)
                 if target is None:
                     break
-                result = await self._attempt(exchange, target, excluded)
+                result = await self._attempt(exchange, target, excluded, bodies)
             if isinstance(result, _FullResponse):
+                if result.passed_on:
+                    return
                 if result.head.succeeded:
                     await self._deliver(exchange, result)
                     return
@@ -107,6 +127,7 @@
         exchange: RelayExchange,
         target: ListedTarget,
         excluded: frozenset[Incarnation],
+        bodies: ResponseBodies,
     ) -> _FullResponse | FailedSend:
         remaining_seconds = self.find_remaining(exchange)
         if remaining_seconds <= 0:
@@ -132,10 +153,13 @@
             )
             if isinstance(result, FailedSend):
                 return result
-            answer = await self._read(exchange, target, result, end, soft_timeout)
+            body = bodies.open(result.response)
+            answer = await self._read(exchange, target, result, body, end, soft_timeout)
         finally:
             self.load_balancer.finish(target.incarnation)
-        if isinstance(answer, _FullResponse) and answer.head.succeeded:
+        if not isinstance(answer, _FullResponse) or answer.passed_on:
+            return answer
+        if answer.head.succeeded:
             now = self.clock.now()
             self.times.record_total(exchange, now - sent_at)
             self.load_balancer.record_answer(
@@ -154,13 +178,20 @@
         exchange: RelayExchange,
         target: ListedTarget,
         received: ReceivedResponse,
+        body: ResponseBody,
         end: float,
         soft_timeout: SoftTimeout | None,
     ) -> _FullResponse | FailedSend:
         response = received.response
+        # another target may be asked after a server error
+        may_pass_on = received.head.status < STATUS_SERVER_ERROR
         try:
             async with SoftTimeoutScope(end, soft_timeout, response.is_path_lost):
-                body = await response.read(MAX_RESPONSE_BYTES)
+                is_held = await body.read(may_wait=not may_pass_on)
+            if not is_held:
+                if not may_pass_on:
+                    raise TargetResponseError("no memory for the response body")
+                await self._pass_on(exchange, received.head, body, end)
         except TimeoutError:
             response.abort()
             timed_out = TargetResponseError(
@@ -169,10 +200,10 @@
                 silent=True,
                 endured=soft_timeout is not None and soft_timeout.endured,
             )
-            return self.sender.record_lost_response(exchange, target, timed_out)
+            return self._record_lost(exchange, target, timed_out)
         except TargetResponseError as error:
             response.abort()
-            return self.sender.record_lost_response(exchange, target, error)
+            return self._record_lost(exchange, target, error)
         except BaseException:
             response.abort()
             raise
@@ -183,7 +214,59 @@
             self.load_balancer.record_success(target.incarnation)
         else:
             self.load_balancer.record_failure(target.incarnation, self.clock.now())
-        return _FullResponse(received.head, body)
+        return _FullResponse(received.head, body, passed_on=not is_held)
+
+    def _record_lost(
+        self,
+        exchange: RelayExchange,
+        target: ListedTarget,
+        error: TargetResponseError,
+    ) -> FailedSend:
+        """Record a lost response.
+
+        :raises RefusedError: if a part of it was passed on, so that it can't be
+            replaced by another
+        """
+        failed = self.sender.record_lost_response(exchange, target, error)
+        if exchange.writer.started:
+            raise self.create_refusal(exchange, failed)
+        return failed
+
+    async def _pass_on(
+        self,
+        exchange: RelayExchange,
+        head: ResponseHead,
+        body: ResponseBody,
+        end: float,
+    ) -> None:
+        """Send a response to the caller as it arrives.
+
+        :param end: event loop time in seconds by which it must have arrived, apart from
+            the time in which the caller does not read
+        """
+        self.memory.record_passing_on()
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        await self._begin(exchange, head, body.stated_length)
+        for part in body.take_parts():
+            await exchange.writer.write_slices(part)
+        end += loop.time() - began
+        while True:
+            async with asyncio.timeout_at(end):
+                part = await body.read_part()
+            if not part:
+                break
+            began = loop.time()
+            await exchange.writer.write_slices(part)
+            end += loop.time() - began
+        await exchange.writer.finish()
+
+    async def _begin(
+        self, exchange: RelayExchange, head: ResponseHead, length: int | None
+    ) -> None:
+        exchange.status = head.status
+        exchange.outcome = "answered" if head.succeeded else "failed"
+        await exchange.writer.begin(head, length)
 
     def _create_soft_timeout(
         self,
@@ -218,9 +301,14 @@
         )
 
     async def _deliver(self, exchange: RelayExchange, response: _FullResponse) -> None:
-        head = response.head
+        head, body = response.head, response.body
+        if body.size > MAX_WHOLE_BYTES:
+            await self._begin(exchange, head, body.size)
+            for part in body.take_parts():
+                await exchange.writer.write_slices(part)
+            await exchange.writer.finish()
+            return
         exchange.status = head.status
         exchange.outcome = "answered" if head.succeeded else "failed"
-        await exchange.writer.send(
-            head.status, head.headers, response.body, reason=head.reason
-        )
+        data = b"".join(body.take_parts())
+        await exchange.writer.send(head.status, head.headers, data, reason=head.reason)
--- a/tests/test_entry/test_relay/test_held_bytes.py
+++ b/tests/test_entry/test_relay/test_held_bytes.py
@@ -9,7 +9,7 @@
 import pytest
 
 from greengagelatch.relay.byte_account import ByteAccount, ByteAccountRule, HoldingKind
-from greengagelatch_lab.platform_standins.targets import TargetFault
+from greengagelatch_lab.platform_standins.targets import EndlessPart, TargetFault
 
 #: limits of the account in these tests, in bytes
 RULE = ByteAccountRule(limit=100_000, small_bytes=2_000, small_share=0.25)
@@ -111,6 +111,48 @@
     assert not world.describe()["memory"]["full"]
 
 
+@pytest.mark.parametrize("unframed", [False, True])
+async def test_answer_without_room_is_passed_on_whole(world, memory, unframed):
+    """Guards against sound answers that are lost as there is no room for them."""
+    for target in world.targets.values():
+        target.unframed = unframed
+    memory._account = ByteAccount(
+        ByteAccountRule(limit=100_000, small_bytes=2_000, small_share=0.4)
+    )
+    for number in range(3):
+        reply = await world.ask(f"/book/{number}", method="POST", body=LARGE_BODY)
+        assert reply.status == 200
+        assert reply.body.endswith(LARGE_BODY)
+        length = reply.headers.get("Content-Length")
+        assert length == (None if unframed else str(len(reply.body)))
+    assert world.count("memory.passed_on") == 3
+    assert memory._account.total == 0
+
+
+async def test_answer_that_breaks_while_it_is_passed_on_is_cut(world, memory):
+    """Guards against a part of an answer that looks like all of it."""
+    holding = fill(memory)
+    for target in world.targets.values():
+        target.endless = EndlessPart.CHUNKS
+    reply = await world.ask("/look/1")
+    assert reply.error
+    assert world.count("memory.passed_on") == 1
+    assert count_runs(world) == 1
+    holding.release()
+
+
+async def test_error_without_room_is_not_passed_on(world, memory):
+    """Guards against an error that reaches the caller while a target would serve."""
+    holding = fill(memory)
+    first, second = (world.targets[f"desk-{number}"] for number in (1, 2))
+    first.endless, first.endless_status = EndlessPart.BODY, 500
+    second.endless, second.endless_status = EndlessPart.BODY, 500
+    reply = await world.ask("/look/1")
+    assert reply.status in (502, 504)
+    assert not world.count("memory.passed_on")
+    holding.release()
+
+
 async def ask_at_random(world, source: random.Random) -> None:
     """Send a request that may be large, and may be given up."""
     body = b"x" * source.choice((0, 500, 10_000, 40_000, 60_000))
--- a/tests/test_processes/test_bytes_held.py
+++ b/tests/test_processes/test_bytes_held.py
@@ -198,3 +198,12 @@
     results = await run_beside_others(fleet, session, requests)
     # one that has begun is cut, so that it can't be taken for complete
     assert {status for status, *_ in results} <= {0, 502}
+
+
+async def test_many_large_answers_fit_into_memory_and_are_whole(fleet, session):
+    """Guards against sound answers whose sum takes up the memory."""
+    for target in fleet.bulk:
+        target.answer_bytes = LARGE_BYTES
+    requests = [ask(fleet, session, f"b-{one}", f"/book/{one}") for one in range(80)]
+    results = await run_beside_others(fleet, session, requests)
+    assert {(status, size) for status, size, _ in results} == {(OK, LARGE_BYTES)}
