--- a/tests/test_processes/test_bytes_held.py
+++ b/tests/test_processes/test_bytes_held.py
@@ -16,7 +16,7 @@
     create_configuration,
 )
 from greengagelatch_lab.platform_standins.fleet import PlatformFleet
-from greengagelatch_lab.platform_standins.targets import SimulatedTarget
+from greengagelatch_lab.platform_standins.targets import EndlessPart, SimulatedTarget
 
 pytestmark = [pytest.mark.processes, pytest.mark.timeout(180)]
 
@@ -187,3 +187,23 @@
         assert float(headers["Retry-After"]) > 0
         assert not runs[f"b-{number}"]
     assert max(runs.values()) == 1
+
+
+async def test_many_endless_bodies_fit_into_memory(fleet, session):
+    """Guards against bodies each of which is bounded while their sum is not."""
+    parts = (EndlessPart.BODY, EndlessPart.CHUNKS)
+    for target, part in zip(fleet.bulk, parts, strict=True):
+        target.endless = part
+    requests = [ask(fleet, session, f"b-{one}", f"/book/{one}") for one in range(40)]
+    results = await run_beside_others(fleet, session, requests)
+    # one that has begun is cut, so that it can't be taken for complete
+    assert {status for status, *_ in results} <= {0, 502}
+
+
+async def test_many_large_answers_fit_into_memory_and_are_whole(fleet, session):
+    """Guards against sound answers whose sum takes up the memory."""
+    for target in fleet.bulk:
+        target.answer_bytes = LARGE_BYTES
+    requests = [ask(fleet, session, f"b-{one}", f"/book/{one}") for one in range(80)]
+    results = await run_beside_others(fleet, session, requests)
+    assert {(status, size) for status, size, _ in results} == {(OK, LARGE_BYTES)}
