Test that a request which a stop would interrupt is not passed on (known failure)

A stopping instance passes requests on although those of their route usually take longer than what is left of the stop: it aborts them, and answers 502 or 504.

--- a/tests/test_entry/test_relay/test_stop.py
+++ b/tests/test_entry/test_relay/test_stop.py
@@ -11,6 +11,7 @@
 from greengagelatch.relay.groups import MakerGroup
 from greengagelatch_entry.adapters import caller_connections
 from greengagelatch_entry.controllers.drain import DrainState
+from greengagelatch_entry.relay.route_latencies import INITIAL_TOTAL_SECONDS
 from greengagelatch_lab.platform_standins.deployment import (
     API_KEY,
     HOST,
@@ -223,6 +224,21 @@
     assert not any(target.pieces for target in pipeline.targets.values())
 
 
+async def test_request_that_a_stop_would_interrupt_is_not_passed_on(world):
+    """Guards against unsafe requests that are passed on just before they are aborted.
+
+    What is left of a stop is shorter than requests of the route usually take. The fault
+    is to pass a new one on, so that its caller never learns whether it has run.
+    """
+    drain = world.parts.drain
+    drain._max_drain_seconds = INITIAL_TOTAL_SECONDS * 0.9
+    drain.request_stop()
+    reply = await world.ask("/book/1", method="POST", request_id="late")
+    assert (reply.status, reply.error) == (503, "")
+    assert float(reply.headers["Retry-After"]) == 0.0
+    assert count_runs(world, "late") == 0
+
+
 async def stop_instance(world) -> bool:
     """Complete a requested stop in the same way as the application."""
     async with asyncio.timeout(WAIT_SECONDS):
