fix(stop): pass on late requests only if they usually end in time

What callers saw: requests whose first byte came before the listener was closed, but whose rest came slowly, were passed on up to 6.1 s after the signal, unsafe ones among them, and answered 504 at the end of the stop 0.9 s later. The same holds for requests that came before the signal and waited for stages, a permit or a lock; their targets were even told to work on after the end of the stop.

Cause: whether a request can still be finished was asked where it comes in, not where it is passed on.

Fix: after the listener is closed, a request that no target has received is refused as not run, with Retry-After 0, if requests of its route usually take longer than what is left. Each attempt's deadline is bounded by the stop.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -300,6 +300,7 @@
             permits=self.targets.permit_exchange,
             versions=self.stream_versions,
             find_stop_deadline=lambda: self.drain.drain_deadline,
+            is_closing=lambda: self.front.closing,
         )
         self.handler = compose_filters(
             self.shared,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/request_path.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/request_path.py
@@ -54,11 +54,13 @@
     permits: PermitExchange,
     versions: StreamVersionExchange,
     find_stop_deadline: Callable[[], float],
+    is_closing: Callable[[], bool],
 ) -> RunHandler:
     """Build the handler that sends requests to targets.
 
     :param find_stop_deadline: returns the monotonic time at which a stop cancels the
         requests in flight
+    :param is_closing: returns whether the listener for callers is closed
     """
     common = {
         "sender": TargetSender(
@@ -83,6 +85,7 @@
         ),
         "times": RouteLatencies(),
         "find_stop_deadline": find_stop_deadline,
+        "is_closing": is_closing,
         "clock": shared.clock,
         "decisions": shared.decisions,
     }
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/runners.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/runners.py
@@ -16,6 +16,7 @@
 )
 from greengagelatch.verdict import Verdict
 
+from ..filters.stop import STOPPING_RETRY_MS
 from .refusals import create_error
 
 if TYPE_CHECKING:
@@ -53,6 +54,7 @@
 
     :param find_stop_deadline: returns the monotonic time at which a planned stop
         interrupts requests
+    :param is_closing: returns whether callers' new connections lead to other instances
     """
 
     def __init__(
@@ -65,6 +67,7 @@
         brittle: BrittleAdmission,
         times: RouteLatencies,
         find_stop_deadline: Callable[[], float],
+        is_closing: Callable[[], bool],
         clock: Clock,
         decisions: DecisionLog,
     ) -> None:
@@ -75,6 +78,7 @@
         self.brittle = brittle
         self.times = times
         self.find_stop_deadline = find_stop_deadline
+        self.is_closing = is_closing
         self.clock = clock
         self.decisions = decisions
 
@@ -89,6 +93,25 @@
         """Return the seconds until the deadline."""
         return exchange.deadline - self.clock.now()
 
+    def find_attempt_seconds(self, exchange: RelayExchange) -> float:
+        """Return the seconds that an attempt may take, at most until a stop ends it.
+
+        :raises RefusedError: if no target has received the request, and a planned stop
+            would most likely interrupt it
+        """
+        now, stop_deadline = self.clock.now(), self.find_stop_deadline()
+        is_shortened = exchange.caller_deadline > stop_deadline
+        if is_shortened and self.is_closing() and not exchange.targets:
+            _, seconds = self.times.estimate(exchange)
+            if now + seconds > stop_deadline:
+                raise create_error(
+                    exchange,
+                    RefusalCode.NOT_READY,
+                    "this instance stops before the request could end",
+                    retry_after=STOPPING_RETRY_MS / 1000,
+                )
+        return min(exchange.deadline, stop_deadline) - now
+
     def may_retry(self, exchange: RelayExchange, outcome: SendOutcome) -> bool:
         """Return whether to send again after ``outcome``; a retry is charged."""
         facts = self._describe(exchange, outcome, frozenset(exchange.targets))
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/unary.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/unary.py
@@ -108,7 +108,7 @@
         target: ListedTarget,
         excluded: frozenset[Incarnation],
     ) -> _FullResponse | FailedSend:
-        remaining_seconds = self.find_remaining(exchange)
+        remaining_seconds = self.find_attempt_seconds(exchange)
         if remaining_seconds <= 0:
             return FailedSend(SendOutcome.UNSENT, "deadline exceeded")
         call = AttemptContext(
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/instances.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/stage_load/instances.py
@@ -290,6 +290,7 @@
                 permits=None,
             ),
             find_stop_deadline=lambda: float("inf"),
+            is_closing=lambda: False,
             load_balancer=load_balancer,
             budgets=self._create_budgets(),
             clock=self._clock,
--- a/tests/test_entry/test_relay/test_stop.py
+++ b/tests/test_entry/test_relay/test_stop.py
@@ -227,16 +227,68 @@
 async def test_request_that_a_stop_would_interrupt_is_not_passed_on(world):
     """Guards against unsafe requests that are passed on just before they are aborted.
 
-    What is left of a stop is shorter than requests of the route usually take. The fault
-    is to pass a new one on, so that its caller never learns whether it has run.
+    The last bytes of a request come when what is left of a stop is shorter than
+    requests of its route usually take. The fault is to pass it on, so that its caller
+    never learns whether it has run.
     """
-    drain = world.parts.drain
+    drain, front = world.parts.drain, world.parts.front
     drain._max_drain_seconds = INITIAL_TOTAL_SECONDS * 0.9
+    reader, writer = await connect(world)
+    writer.write(encode_request("late", "/book/1", "Content-Length: 5"))
+    await world.wait_for(lambda: front.in_flight == 1)
+    drain.request_stop()
+    await front.close_listener()
+    writer.write(b"order")
+    status, head = await read_answer(reader)
+    assert status == 503
+    assert "retry-after: 0" in head
+    assert count_runs(world, "late") == 0
+    writer.close()
+
+
+async def test_stream_that_a_stop_would_interrupt_is_not_passed_on_after_its_stages(
+    pipeline,
+):
+    """Guards against streams that are passed on just before they are aborted.
+
+    A stream came before the stop and has waited for its stages. The fault is to pass it
+    on with a deadline that lies after the end of the stop.
+    """
+    drain = pipeline.parts.drain
+    drain._max_drain_seconds = INITIAL_TOTAL_SECONDS * 0.9
+    await pipeline.extend_timeouts()
+    gate = hold_targets(pipeline)
+    asked = asyncio.create_task(pipeline.stream())
+    pool = pipeline.find("stages").find_pool(MakerGroup("portal"))
+    await pipeline.wait_for(lambda: pool.describe()["bundles"] == 1)
     drain.request_stop()
-    reply = await world.ask("/book/1", method="POST", request_id="late")
+    await pipeline.parts.front.close_listener()
+    gate.set()
+    reply = await asked
     assert (reply.status, reply.error) == (503, "")
     assert float(reply.headers["Retry-After"]) == 0.0
-    assert count_runs(world, "late") == 0
+    engines = [one for one in pipeline.targets.values() if one.service == "llm"]
+    assert not any(engine.runs for engine in engines)
+
+
+async def test_deadline_of_a_waiting_request_is_capped_by_the_end_of_a_stop(pipeline):
+    """Guards against targets that are told to work on after an instance has stopped.
+
+    A stream came before the stop and has waited for its stages.
+    """
+    drain = pipeline.parts.drain
+    drain._max_drain_seconds = 5.0
+    await pipeline.extend_timeouts()
+    gate = hold_targets(pipeline)
+    asked = asyncio.create_task(pipeline.stream())
+    pool = pipeline.find("stages").find_pool(MakerGroup("portal"))
+    await pipeline.wait_for(lambda: pool.describe()["bundles"] == 1)
+    drain.request_stop()
+    gate.set()
+    assert (await asked).status == 200
+    engines = [one for one in pipeline.targets.values() if one.service == "llm"]
+    (seen,) = [one for engine in engines for one in engine.received]
+    assert int(seen.headers["x-deadline-ms"]) <= 5000
 
 
 async def stop_instance(world) -> bool:
