test(soak): instances use their own links only, and held-back answers tell nothing

Two faults of the soak itself, both traced from kept logs on:

The fronts of the store could not exclude that. Instances now run through a module that replaces the addresses where all listings meet, as the fleets in one process do. It now binds from the first answer that was not held back by a silence, as for rests. The test has a second answer that binds.

--- a/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/announced_leaving.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/announced_leaving.py
@@ -23,6 +23,8 @@
     value: str | None = None
     #: first time of an answer that says so, by the host that it went to
     told_at: dict[str, float] = field(default_factory=dict)
+    #: times of all these answers, by host
+    answers: dict[str, list[float]] = field(default_factory=dict)
     #: time, host and id of each request, or of the request of a piece, since then
     arrivals: list[tuple[float, str, str]] = field(default_factory=list)
 
@@ -37,6 +39,7 @@
             return {}
         if self.value == "1":
             self.told_at.setdefault(host, now)
+            self.answers.setdefault(host, []).append(now)
         return {"Server-Leaving": self.value}
 
     def list_late(self, sent_at: Mapping[str, float]) -> list[str]:
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/fleet.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/fleet.py
@@ -93,6 +93,8 @@
     find_addresses: Callable[[int], list[str]] = field(
         default=lambda count: find_free_addresses(count)
     )
+    #: module that runs an instance
+    module: str = "greengagelatch_platform"
 
     async def start(self) -> None:
         """Start store, targets and instances; wait until all instances are ready."""
@@ -143,10 +145,14 @@
         """Start a target and register it in the store."""
         target = SimulatedTarget(target_id, service, **fields)
         await target.start()
+        await self.link_target(target)
         target.register(self.store)
         self.targets.append(target)
         return target
 
+    async def link_target(self, target: SimulatedTarget) -> None:
+        """Prepare the ways to a target that has started and is not registered yet."""
+
     def find_targets(self, service: str) -> list[SimulatedTarget]:
         """Return the targets of a service."""
         return [target for target in self.targets if target.service == service]
@@ -159,7 +165,7 @@
             instance.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
-                "greengagelatch_platform",
+                self.module,
                 "--settings",
                 str(instance.settings),
                 "--metrics",
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/soak/checks.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/soak/checks.py
@@ -63,8 +63,8 @@
     brittle_targets: int
     #: the rates of the targets that name one
     rates: Sequence[AnnouncedRate]
-    #: what all processes of targets have announced; rests with their services
-    leavings: Sequence[AnnouncedLeaving]
+    #: what all processes of targets have announced, with their services
+    leavings: Sequence[tuple[str, AnnouncedLeaving]]
     rests: Sequence[tuple[str, AnnouncedRest]]
     #: name of the instance that connects to targets from each host
     names: Mapping[str, str]
@@ -226,20 +226,26 @@
 
 def _check_leavings(evidence: Evidence) -> Iterator[str]:
     sent_at = {one.request_id: one.sent for one in evidence.outcomes}
-    for leaving in evidence.leavings:
+    for service, leaving in evidence.leavings:
         for at, host, request_id in leaving.arrivals:
             instance = evidence.names.get(host, host)
-            bound_from = leaving.told_at[host] + DRAIN_SECONDS
-            if sent_at.get(request_id, 0.0) <= bound_from:
+            told_at = _find_told_at(evidence, service, leaving.answers[host])
+            if sent_at.get(request_id, 0.0) <= told_at + DRAIN_SECONDS:
                 continue
-            if _was_restarted(evidence, instance, leaving.told_at[host], at):
+            if _was_restarted(evidence, instance, told_at, at):
                 continue
             yield (
                 f"{request_id} reaches a target from {instance}, which it has told "
-                f"{at - leaving.told_at[host]:.3f} s before that it leaves"
+                f"{at - told_at:.3f} s before that it leaves"
             )
 
 
+def _find_told_at(evidence: Evidence, service: str, answers: Sequence[float]) -> float:
+    """Return the time of the first answer that was not held back."""
+    told = (at for at in answers if not _is_held_back(evidence, service, at))
+    return next(told, float("inf"))
+
+
 def _check_rests(evidence: Evidence) -> Iterator[str]:
     for service, rest in evidence.rests:
         for host, asked_at, times in rest.list_arrivals():
@@ -256,7 +262,7 @@
 
 
 def _is_held_back(evidence: Evidence, service: str, at: float) -> bool:
-    """Return whether a rejection may answer a request that was held back on its link.
+    """Return whether an answer may be to a request that was held back on its link.
 
     Its instance may have given the request up by then, and gets no answer.
     """
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/soak/fleet.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/soak/fleet.py
@@ -2,29 +2,25 @@
 
 from __future__ import annotations
 
-import base64
 import json
 from typing import TYPE_CHECKING, Any
 
-from aiohttp import web
-
 from ..platform_standins.brittleness import Brittleness
 from ..platform_standins.deployment import create_configuration
 from ..platform_standins.fleet import PlatformFleet
-from ..platform_standins.store import SimulatedStore, serve_application
 from ..platform_standins.target_links import TargetLinks
+from .instance import LINKS_SUFFIX
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Iterable
     from pathlib import Path
 
     from ..platform_standins.fleet import Instance
     from ..platform_standins.targets import SimulatedTarget
     from .callers import Outcome
 
-__all__ = ("LinkedFleet", "StoreView")
+__all__ = ("LinkedFleet",)
 
-TARGETS_PREFIX = "servers/"
 #: slots of a target of the plain service, requests that may wait there, and the
 #: seconds that a run takes
 SLOTS, QUEUE, SERVE_SECONDS = 4, 16, 0.03
@@ -40,56 +36,6 @@
 TIMEOUT_MS = 8000
 
 
-class StoreView:
-    """Front of a store that shows an instance the addresses of its own links.
-
-    Scans end at the last change of a target's entry, so that the listings of all
-    instances have the same revision: from one with a newer listing, the others would
-    accept the addresses of its links.
-    """
-
-    def __init__(self, store: SimulatedStore, links: TargetLinks) -> None:
-        self._store = store
-        self._links = links
-        self._runner: web.AppRunner | None = None
-        self.address = ""
-
-    async def start(self) -> None:
-        """Start serving on a free loopback port."""
-        app = self._store.create_application()
-        app.middlewares.append(self._rewrite)
-        self._runner, self.address = await serve_application(app)
-
-    async def stop(self) -> None:
-        """Close all connections."""
-        if self._runner is not None:
-            await self._runner.cleanup()
-
-    @web.middleware
-    async def _rewrite(
-        self, request: web.Request, handler: Callable[..., Any]
-    ) -> web.StreamResponse:
-        response = await handler(request)
-        if request.method != "GET" or response.status != 200:
-            return response
-        fields = json.loads(response.body)
-        for item in (*fields.get("items", ()), *fields.get("events", ())):
-            if item["key"].startswith(TARGETS_PREFIX):
-                self._rewrite_item(item)
-        if "items" in fields:
-            # the following watch returns all that is newer
-            fields["store-revision"] = self._store.find_revision(TARGETS_PREFIX)
-        return web.json_response(fields)
-
-    def _rewrite_item(self, item: dict[str, Any]) -> None:
-        if "value" not in item:
-            return
-        entry = json.loads(base64.b64decode(item["value"]))
-        target_id = item["key"].removeprefix(TARGETS_PREFIX)
-        entry["address"] = self._links.find_address(target_id)
-        item["value"] = base64.b64encode(json.dumps(entry).encode()).decode()
-
-
 class LinkedFleet(PlatformFleet):
     """A fleet whose instances can be partitioned from targets one by one."""
 
@@ -103,8 +49,8 @@
         self.outcomes: list[Outcome] = []
         #: engines of a newer software version
         self.newer: list[SimulatedTarget] = []
-        self._views: dict[str, StoreView] = {}
         self._version = 0
+        self.module = "greengagelatch_lab.soak.instance"
 
     async def start(self) -> None:
         """Start store, targets, links and instances; wait until all are ready."""
@@ -114,8 +60,6 @@
     async def stop(self) -> None:
         """Kill the instances and stop everything else."""
         await super().stop()
-        for view in self._views.values():
-            await view.stop()
         for links in self.links.values():
             await links.stop()
 
@@ -149,13 +93,20 @@
         self.names[source] = name
         links = self.links[name] = TargetLinks(source)
         await links.add(self.targets)
-        view = self._views[name] = StoreView(self.store, links)
-        await view.start()
+        self._write_links(name, self.targets)
         return await super().start_instance(name, seeds)
 
-    def find_store_address(self, name: str) -> str:
-        """Return the address of the instance's own view of the store."""
-        return self._views[name].address
+    async def link_target(self, target: SimulatedTarget) -> None:
+        """Start the links of all instances to a target that joins later."""
+        for name, links in self.links.items():
+            await links.add((target,))
+            self._write_links(name, (*self.targets, target))
+
+    def _write_links(self, name: str, targets: Iterable[SimulatedTarget]) -> None:
+        find_address = self.links[name].find_address
+        addresses = {one.target_id: find_address(one.target_id) for one in targets}
+        path = (self.directory / name).with_suffix(LINKS_SUFFIX)
+        path.write_text(json.dumps(addresses), encoding="utf-8")
 
     def change_configuration(self) -> None:
         """Write a configuration of the next version."""
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/soak/run.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/soak/run.py
@@ -138,7 +138,7 @@
         runs=runs,
         reached=frozenset(reached),
         leavings=[
-            leaving
+            (one.service, leaving)
             for one in fleet.targets
             for leaving in (*one.former_leavings, one.announced_leaving)
         ],
--- a/tests/test_lab/test_soak_checks.py
+++ b/tests/test_lab/test_soak_checks.py
@@ -200,15 +200,35 @@
 
 def test_late_requests_to_a_target_that_leaves_are_found():
     leaving = AnnouncedLeaving(
-        told_at={HOST: 97.0}, arrivals=[(100.5, HOST, "r-1"), (100.6, HOST, "r-2")]
+        told_at={HOST: 97.0},
+        answers={HOST: [97.0, 97.8]},
+        arrivals=[(100.5, HOST, "r-1"), (100.6, HOST, "r-2")],
     )
+    leavings = [("desk", leaving)]
     late = create_outcome()
     sent_before = create_outcome(request_id="r-2", sent=98.9)
-    (violation,) = find_violations(late, sent_before, leavings=[leaving])
+    (violation,) = find_violations(late, sent_before, leavings=leavings)
     assert "r-1 reaches a target from one" in violation
     # not once the instance has been started again
     restart = create_period(Cause.RESTART, "one", start=98.0, end=99.0)
-    assert not find_violations(late, leavings=[leaving], periods=[restart])
+    assert not find_violations(late, leavings=leavings, periods=[restart])
+
+
+def test_answers_that_were_held_back_tell_nobody_that_a_target_leaves():
+    """Guards against violations by instances that had given the request up."""
+    leaving = AnnouncedLeaving(
+        told_at={HOST: 97.0},
+        answers={HOST: [97.0, 99.0]},
+        arrivals=[(100.5, HOST, "r-1"), (101.5, HOST, "r-2")],
+    )
+    leavings = [("desk", leaving)]
+    outcomes = create_outcome(), create_outcome(request_id="r-2", sent=101.2)
+    held = create_period(Cause.SILENCE, service="desk", start=96.0, end=96.9)
+    # the next answer binds
+    (violation,) = find_violations(*outcomes, leavings=leavings, periods=[held])
+    assert "r-2 reaches a target from one" in violation
+    other = create_period(Cause.SILENCE, service="llm", start=96.0, end=96.9)
+    assert len(find_violations(*outcomes, leavings=leavings, periods=[other])) == 2
 
 
 def test_requests_in_a_rest_are_found():
