Guard test: the memory of targets that left is that of their ends

The method that the test took out is gone since the ends of targets are remembered with their evidence. It takes out the memory itself now, and asks for the same.

--- a/tests/test_entry/test_relay/test_guards.py
+++ b/tests/test_entry/test_relay/test_guards.py
@@ -11,6 +11,7 @@
 
 from greengagelatch.relay.incarnations import Incarnation
 from greengagelatch.relay.outcomes import NextStep
+from greengagelatch.relay.target_ends import TargetEnds
 from greengagelatch.relay.targets import ListedTarget, TargetTable
 from greengagelatch_entry.adapters.caller_connections import _Connection
 from greengagelatch_entry.relay import runners
@@ -99,7 +100,7 @@
 
 
 def test_targets_that_left_are_remembered(monkeypatch):
-    monkeypatch.setattr(TargetTable, "_remember_departed", lambda self, target_id: None)
+    monkeypatch.setattr(TargetEnds, "record", lambda self, incarnation, end: False)
     book = TargetTable()
     target = ListedTarget(
         incarnation=Incarnation("t-1"),
