CONFIG: connections to the store that go silent are left once an answer is overdue

What callers saw: requests with a key that was taken away were run until 3.8 s after the ack, and targets whose entries were gone stayed in use as long, where open connections to the store carried nothing more and new ones worked.

Cause: one watch of 2.5 s was the only way to learn of a change, and a silence counted from its time-out on, 1.5 s later. Class: a channel that is trusted while it is open.

Fix: a watch waits for 2.0 s. If its answer is 0.35 s late the store is scanned on a new connection while the watch goes on; the first answer counts, so that a slow store is no outage. A call that times out makes all later ones go on new connections too, as idle ones may be as silent; calls in flight keep theirs.

No switch in ten minutes of calm in virtual time.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/store_follower.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/store_follower.py
@@ -18,6 +18,8 @@
     import random
     from collections.abc import Callable
 
+    from result import Result
+
     from greengagelatch.clock import Clock
     from greengagelatch.store import StoreError
     from greengagelatch.store.ranges import RangeStore
@@ -33,10 +35,14 @@
 #: watch may leave it pending without an error, and the changes show only in the next
 #: one. The value trades staleness for one call to the store per wait. Peers, whose
 #: watches began at other times, are queried meanwhile
-WATCH_SECONDS = 2.5
+WATCH_SECONDS = 2.0
 #: the same for an instance whose peers depend on its watch; its updates reach them
 #: with a further delay of half a second
 SHARED_WATCH_SECONDS = 1.5
+#: seconds after the end of a watch from which its connection is taken for silent, and
+#: the store is read on another one; the second figure leaves time to handle an answer
+#: that has arrived while the process was not running
+SILENT_SECONDS, LATE_SECONDS = 0.3, 0.05
 #: minimum interval between two calls in seconds, so that bursts of changes, as when
 #: all instances start, arrive in one response
 MIN_CALL_SPACING = 0.2
@@ -208,9 +214,7 @@
         if self._after is None:
             result = await self._store.scan(ALL_KEYS)
         else:
-            shared = self._has_dependents()
-            seconds = SHARED_WATCH_SECONDS if shared else WATCH_SECONDS
-            result = await self._store.follow(ALL_KEYS, self._after, seconds)
+            result = await self._watch(self._after)
         match result:
             case Ok(found):
                 self._record_reachable()
@@ -220,6 +224,42 @@
             case Err(error):
                 return self._handle_error(error)
 
+    async def _watch(self, after: int) -> Result[Scan | Changes, StoreError]:
+        """Watch once; scan on another connection if the watch is not answered in time.
+
+        A connection may go silent without an error, and the state would be used until
+        the call times out, longer than an old one may be.
+        """
+        shared = self._has_dependents()
+        seconds = SHARED_WATCH_SECONDS if shared else WATCH_SECONDS
+        watch = asyncio.ensure_future(self._store.follow(ALL_KEYS, after, seconds))
+        scan: asyncio.Future[Result[Scan, StoreError]] | None = None
+        try:
+            for left in (seconds + SILENT_SECONDS, LATE_SECONDS):
+                await asyncio.wait((watch,), timeout=left)
+            if watch.done():
+                return watch.result()
+            self._record_silent(after)
+            # its history may be lost too, so that another watch may stay silent as well
+            self._after = None
+            scan = asyncio.ensure_future(self._store.scan(ALL_KEYS))
+            await asyncio.wait((watch, scan), return_when=asyncio.FIRST_COMPLETED)
+            if watch.done() and isinstance(watch.result(), Ok):
+                return watch.result()
+            return await scan
+        finally:
+            watch.cancel()
+            if scan is not None:
+                scan.cancel()
+
+    def _record_silent(self, after: int) -> None:
+        """Record a watch without an answer, and leave the connections it may be on."""
+        self._metrics.count("store.silent_channels")
+        self._decisions.log_state_change(
+            "store-silent", after=after, silence_ms=round(self.staleness * 1000)
+        )
+        self._store.renew_connections()
+
     def _handle_error(self, error: StoreError) -> bool:
         if error.kind is StoreErrorKind.COMPACTED:
             self._decisions.log_state_change("history-lost", after=self._after)
--- a/packages/greengagelatch/src/greengagelatch/store/ranges.py
+++ b/packages/greengagelatch/src/greengagelatch/store/ranges.py
@@ -41,6 +41,13 @@
     async def scan(self, prefix: str) -> Result[Scan, StoreError]:
         """Return all entries whose keys start with ``prefix``."""
 
+    def renew_connections(self) -> None:
+        """Make further calls on connections that are opened from now on.
+
+        Open ones may have gone silent without an error. Calls that wait for their
+        answers are not affected.
+        """
+
     @abstractmethod
     async def follow(
         self, prefix: str, after: int, wait: float
--- a/tests/test_entry/test_relay/test_silent_store_channels.py
+++ b/tests/test_entry/test_relay/test_silent_store_channels.py
@@ -207,3 +207,56 @@
     await asyncio.sleep(CONTACT_SECONDS)
     assert instances.list_believers("op/config") == []
     await instances.stop()
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("silent", [9, 5, 1])
+@pytest.mark.parametrize("key", ["op/config", "servers/t-1"])
+async def test_removed_key_is_not_used_beyond_the_bound(key, silent, seed):
+    """Guards against a removed key or target that is used after its bound.
+
+    The open connections of all, half or one of the instances go silent before or after
+    the removal, while new ones work. The fault is to wait until the watch times out.
+    """
+    instances = Instances(9, seed)
+    assert await find_late(instances, key, silent) == []
+    assert instances.metrics.value("store.silent_channels") >= silent
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+async def test_follower_with_dependents_notices_silence_in_time_to_tell(seed):
+    """Guards against followers that notice a silence too late to tell others."""
+    instances = Instances(3, seed, dependents=True)
+    await instances.start()
+    await asyncio.sleep(instances.random.uniform(4.0, 8.0))
+    for channels in instances.channels:
+        channels.fall_silent()
+    instances.backend.put("op/config")
+    await asyncio.sleep(CONTACT_SECONDS - 1.0)
+    assert len(instances.list_believers("op/config")) == 3
+    await instances.stop()
+
+
+async def test_connections_are_not_renewed_while_all_is_calm():
+    """Guards against needless calls to the store, each of which is billed."""
+    instances = Instances(3, 1)
+    await instances.start()
+    await asyncio.sleep(CALM_SECONDS)
+    await instances.stop()
+    assert [one.renewals for one in instances.channels] == [0, 0, 0]
+    # one watch of two seconds after the other
+    assert max(one.calls for one in instances.channels) <= CALM_SECONDS / 2 + 2
+
+
+async def test_silent_store_is_not_taken_for_a_silent_connection_again_and_again():
+    """Guards against calls in quick succession to a store that answers nobody."""
+    instances = Instances(1, 1)
+    await instances.start()
+    await asyncio.sleep(4.0)
+    (channels,) = instances.channels
+    channels.renew_connections = channels.fall_silent
+    channels.fall_silent()
+    before = channels.calls
+    await asyncio.sleep(20.0)
+    assert channels.calls - before <= 20
+    await instances.stop()
--- a/tests/test_entry/test_relay/test_store_outages.py
+++ b/tests/test_entry/test_relay/test_store_outages.py
@@ -2,8 +2,14 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
+from greengagelatch_entry.relay.composition import compose_relay
+from greengagelatch_entry.relay.parts import RelayAdapters
 from greengagelatch_lab.platform_standins.deployment import create_configuration
 from greengagelatch_lab.platform_standins.store import StoreFault
+from greengagelatch_lab.standins.tcp_proxy import TcpProxy
+from greengagelatch_platform.store import PlatformStore
 
 from .conftest import World
 
@@ -90,3 +96,51 @@
     await world.wait_for(lambda: registry.dump()["registered"])
     prefix = "greengagelatch/instances/"
     assert list(world.store.find(prefix)) == [f"{prefix}entry-1"]
+
+
+class ProxiedWorld(World):
+    """An instance whose connections to the store may go silent."""
+
+    async def start(self) -> None:
+        await self.store.start()
+        self.proxy = TcpProxy(self.store.address)
+        await self.proxy.start()
+        self.store.put("op/config", create_configuration())
+        self.parts = compose_relay(self._create_rules(), self._create_adapters())
+        await self.start_parts()
+
+    async def stop(self) -> None:
+        await super().stop()
+        await self.proxy.stop()
+
+    def _create_adapters(self) -> RelayAdapters:
+        return replace(
+            super()._create_adapters(),
+            create_store=lambda metrics: PlatformStore(
+                address=self.proxy.address, metrics=metrics
+            ),
+        )
+
+
+async def test_changes_are_heard_although_open_connections_went_silent():
+    """Guards against a configuration and targets that outlive a silent connection.
+
+    No outage counts, as the store answers on new connections.
+    """
+    world = ProxiedWorld()
+    await world.start()
+    try:
+        await world.add("desk-1", "desk")
+        await world.add("desk-2", "desk")
+        await world.wait_until_synced(2)
+        world.proxy.blackhole(only_open=True)
+        world.store.remove("servers/desk-1")
+        world.store.put("op/config", create_configuration(12))
+        configuration = world.find("news")._configuration
+        await world.wait_for(lambda: configuration.deployment.version == 12)
+        assert not world.accepts("desk-1")
+        assert (await world.ask("/look/1")).status == 200
+        assert world.count("store.silent_channels") == 1
+        assert world.count("beliefs.store-lost") == 0
+    finally:
+        await world.stop()
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
 from greengagelatch.store import ABSENT, StoreErrorKind, WriteOutcome
 from greengagelatch_entry.relay.prometheus import PrometheusMetrics
 from greengagelatch_lab.platform_standins.store import SimulatedStore, StoreFault
+from greengagelatch_lab.standins.tcp_proxy import TcpProxy
 from greengagelatch_platform import store as store_module
 from greengagelatch_platform.store import PlatformStore
 
@@ -152,3 +155,42 @@
     result = await store.scan("")
     assert result.unwrap_err().kind is StoreErrorKind.UNREACHABLE
     await store.close()
+
+
+async def test_calls_leave_connections_that_may_be_silent_like_another(
+    standin, monkeypatch
+):
+    """Guards against calls that time out one after the other on silent connections.
+
+    The idle connections of an instance go silent at once, without an error.
+    """
+    monkeypatch.setattr(PlatformStore._call, "__defaults__", (None, 0.3))
+    monkeypatch.setattr(PlatformStore._read, "__defaults__", (0.3,))
+    proxy = TcpProxy(standin.address)
+    await proxy.start()
+    metrics = PrometheusMetrics()
+    store = PlatformStore(address=proxy.address, metrics=metrics)
+    await asyncio.gather(*(store.get("a") for _ in range(4)))
+    opened = proxy.accepted
+    assert opened > 1
+    proxy.blackhole(only_open=True)
+    result = await store.get("a")
+    assert result.unwrap_err().kind is StoreErrorKind.TIMEOUT
+    assert metrics.value("store.connections_renewed") == 1
+    assert (await store.swap("a", b"1", ABSENT)).outcome is WriteOutcome.APPLIED
+    assert (await store.grant_lease(60.0)).is_ok()
+    assert proxy.accepted == opened + 1
+    await store.close()
+    await proxy.stop()
+
+
+async def test_watch_in_flight_survives_new_connections(store, standin):
+    """Guards against watches that are cut as other connections are given up."""
+    revision = standin.put("a", {})
+    watch = asyncio.create_task(store.follow("", revision, 5.0))
+    while not standin.calls.get("/v1/kv-watch"):  # noqa: ASYNC110
+        await asyncio.sleep(0.01)
+    store.renew_connections()
+    await store.get("a")
+    standin.put("a", {"n": 1})
+    assert [one.key for one in (await watch).unwrap().written] == ["a"]
