An instance that has read nothing of the store reports no age of its news

An instance that had just started told others that its state was as old as itself, though it had read nothing. Where neither reached the store, the other took its own state for confirmed at that moment.

confirmed_at of a follower that has read nothing was the time of its start, and its answer to peers seconds; now there is none until the store or a peer that has read it has confirmed it. The test fails on the code before.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/peer_sync.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/peer_sync.py
@@ -227,7 +227,7 @@
         history = self._version_history
         versions_newer = history.revision > query.versions_revision
         return PeerSyncAnswer(
-            heard_seconds=self._follower.staleness,
+            heard_seconds=self._follower.reported_staleness,
             configuration_revision=configuration.revision,
             configuration=self._compress_configuration() if newer else b"",
             listing_revision=self._listing.revision,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/store_follower.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/store_follower.py
@@ -111,9 +111,11 @@
         self._decisions = decisions
         #: revision to watch from; ``None``: a scan is needed first
         self._after: int | None = None
+        #: monotonic time in seconds from which the silence of the store is counted
+        self._silent_since = clock.now()
         #: monotonic time in seconds at which the replicated state was last known to be
         #: current, by a response of the store or a report of a peer
-        self._confirmed_at = clock.now()
+        self._confirmed_at = float("-inf")
         #: monotonic time in seconds of the last report of a peer
         self._peer_reported_at = float("-inf")
         self._called_at = float("-inf")
@@ -124,7 +126,17 @@
 
     @property
     def staleness(self) -> float:
-        """Seconds since the state was last confirmed by the store or by a peer."""
+        """Seconds since the state was last confirmed by the store or by a peer.
+
+        Before the first time: since this instance has started.
+        """
+        return self._clock.now() - max(self._silent_since, self._confirmed_at)
+
+    @property
+    def reported_staleness(self) -> float | None:
+        """Seconds since the state was confirmed; ``None`` if it never was."""
+        if self._confirmed_at == float("-inf"):
+            return None
         return self._clock.now() - self._confirmed_at
 
     @property
@@ -259,7 +271,7 @@
             self._decisions.log_state_change(
                 "store-regained",
                 after=self._after,
-                silence_ms=round((now - self._confirmed_at) * 1000),
+                silence_ms=round(self.staleness * 1000),
             )
             for subscriber in self._subscribers:
                 subscriber.handle_store_recovered()
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stream_version_exchange.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stream_version_exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from math import isfinite
 from typing import TYPE_CHECKING, Any
 
 from result import Err, Ok
@@ -218,7 +219,7 @@
         """
         service = exchange.service
         possible = self._history.list_possible(service)
-        confirmed_at = self._history.confirmed_at
+        age = self._clock.now() - self._history.confirmed_at
         self._decisions.log_decision(
             "stream-resumed",
             request=exchange.request.request_id,
@@ -228,7 +229,7 @@
             source=source,
             listed=sorted(self._list_versions(service)),
             possible=None if possible is None else sorted(possible),
-            confirmed_ms=round((self._clock.now() - confirmed_at) * 1000),
+            confirmed_ms=round(age * 1000) if isfinite(age) else None,
         )
 
     def _find_source(self, exchange: RelayExchange, origin: StreamOrigin | None) -> str:
--- a/tests/test_entry/test_relay/test_store_follower.py
+++ b/tests/test_entry/test_relay/test_store_follower.py
@@ -90,3 +90,24 @@
     assert store.waits
     assert max(store.waits) <= IN_FORCE / 2
     await follower.stop()
+
+
+async def test_instance_that_has_read_nothing_reports_no_age():
+    """Guards against news that are taken for current, as a peer has just started.
+
+    Neither of two instances reaches the store, and one of them starts again.
+    """
+    started = create_follower(Store())
+    assert started.reported_staleness is None
+    assert started.confirmed_at == float("-inf")
+    await asyncio.sleep(5.0)
+    assert started.reported_staleness is None
+    started.record_peer_report(7.0)
+    assert started.reported_staleness == pytest.approx(7.0)
+    await asyncio.sleep(1.0)
+    started.record_peer_report(20.0)
+    assert started.reported_staleness == pytest.approx(8.0)
+    await started.start()
+    await asyncio.sleep(0.1)
+    await started.stop()
+    assert started.reported_staleness < 1.0
