--- a/tests/test_entry/test_relay/test_mixed_versions.py
+++ b/tests/test_entry/test_relay/test_mixed_versions.py
@@ -350,3 +350,25 @@
     assert bound
     for request_id, version in bound.items():
         assert find_versions(fleet, request_id) == {version}
+
+
+async def test_stream_with_a_home_is_not_joined_on_an_open_connection(wide_fleet):
+    """Guards against a lone version that is believed for a caller on a kept channel.
+
+    The workspace is restricted to the region of the targets of both versions, and the
+    instance that is late is in another one.
+    """
+    fleet = wide_fleet
+    fields = create_configuration(version=4, timeout_ms=10_000)
+    fields["tenants"][0]["allowed-regions"] = ["red"]
+    revision = fleet.store.put("op/config", fields)
+    for instance in fleet.instances:
+        await instance.wait_for_revision(revision)
+    opened = await fleet.instances[1].stream(X_Attempt_Id="opened")
+    assert opened.status == COMPLETE
+    late = await begin_streams_unheard(fleet)
+    for instance in fleet.instances:
+        instance.find("stream_versions")._streams = StreamVersions()
+    replies = await take_up_streams(fleet, [late])
+    assert list_mixed(fleet) == []
+    assert {one.status for one in replies} <= {COMPLETE, 503}
