--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/version_history.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/version_history.py
@@ -119,9 +119,7 @@
         self._requested = asyncio.Event()
         #: set, and replaced, when the record has changed
         self._changed = asyncio.Event()
-        self._read = SharedRead(
-            store=store, key=KEY, apply=self._apply_entry, clock=clock
-        )
+        self._read = SharedRead(store=store, key=KEY, apply=self._adopt, clock=clock)
 
     @property
     def revision(self) -> int:
@@ -210,8 +208,8 @@
         self._metrics.count(f"version_history.{outcome}")
         return is_confirmed
 
-    def _apply_entry(self, entry: Entry | None) -> bool:
-        """Apply the record as it was read; return whether it is known."""
+    def _adopt(self, entry: Entry | None) -> bool:
+        """Take over the record as it was read; return whether it is known."""
         if entry is None:
             return not self._value
         if entry.revision > self._revision:
