--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stream_version_exchange.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/stream_version_exchange.py
@@ -9,7 +9,6 @@
 from result import Err, Ok
 
 from greengagelatch.errors import RefusalCode
-from greengagelatch.peers import MemberState
 from greengagelatch.relay.regions import is_allowed
 from greengagelatch.relay.stream_messages import (
     StreamVersionAnswer,
@@ -17,22 +16,20 @@
     StreamVersionsUpdate,
 )
 from greengagelatch.relay.stream_versions import (
-    COPIES,
     UNDECIDED,
     StreamOrigin,
     StreamVersions,
-    find_group,
-    rank_keepers,
 )
 
 from ..controllers import Controller
 from .refusals import create_error
+from .stream_keepers import StreamKeepers
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from greengagelatch.clock import Clock
-    from greengagelatch.peers import Member, PeerNetwork
+    from greengagelatch.peers import PeerNetwork
     from greengagelatch.relay.incarnations import Incarnation
     from greengagelatch.relay.requests import RefusedError
     from greengagelatch.relay.targets import ListedTarget, TargetTable
@@ -44,8 +41,6 @@
 
 __all__ = ("StreamVersionExchange",)
 
-#: seconds in which the streams to be remembered by an instance are collected
-FLUSH_SECONDS = 0.01
 #: seconds for which the version of a stream is asked for at the most
 QUERY_SECONDS = 0.3
 #: seconds after which it is asked for again: longer than its news take
@@ -95,12 +90,7 @@
         self._metrics = metrics
         self._decisions = decisions
         self._streams = StreamVersions()
-        #: other instances by group, ranked as its keepers, and what they were ranked of
-        self._keepers: dict[int, tuple[str, ...]] = {}
-        self._members: tuple[Member, ...] = ()
-        #: rows to be sent, by instance
-        self._pending: dict[str, list[tuple[str, StreamOrigin]]] = {}
-        self._timer: asyncio.TimerHandle | None = None
+        self._keepers = StreamKeepers(peers=peers, metrics=metrics)
         #: whether others were told what this instance remembers, as it stops
         self._is_handed_over = False
         peers.handle(StreamVersionsUpdate, self._receive)
@@ -121,11 +111,10 @@
         if is_known and not await self._withdraw(request_id, origin):
             self._streams.bind(request_id)
             # some may have forgotten it
-            self._tell(request_id, before)
+            self._keepers.tell(request_id, before)
             return False
-        self._tell(request_id, origin)
-        keepers = self._list_keepers(request_id)[:COPIES]
-        self._streams.record(request_id, origin, self._clock.now(), keepers)
+        told = self._keepers.tell(request_id, origin)
+        self._streams.record(request_id, origin, self._clock.now(), told)
         return True
 
     async def _withdraw(self, request_id: str, origin: StreamOrigin) -> bool:
@@ -134,8 +123,7 @@
         :param origin: where it is to be sent to
         :return: whether all have
         """
-        for rows in self._pending.values():
-            rows[:] = [row for row in rows if row[0] != request_id]
+        self._keepers.discard(request_id)
         undecided = StreamOrigin(origin.service, UNDECIDED)
         update = StreamVersionsUpdate.create([(request_id, undecided)])
         told = sorted(self._streams.list_told(request_id))
@@ -312,44 +300,12 @@
 
     async def on_stop(self) -> None:
         """Hand over what is remembered: in a rolling restart, all keepers stop."""
-        self._flush()
+        self._keepers.flush()
         for request_id, origin in self._streams.list_remembered(self._clock.now()):
-            self._tell(request_id, origin)
-        self._flush(handed_over=True)
+            self._keepers.tell(request_id, origin)
+        self._keepers.flush(handed_over=True)
         self._is_handed_over = True
 
-    def _list_keepers(self, request_id: str) -> tuple[str, ...]:
-        """Return the other instances, those that should remember a request first."""
-        members = self._peers.members()
-        if members is not self._members:
-            self._members = members
-            self._keepers.clear()
-        group = find_group(request_id)
-        if group not in self._keepers:
-            own = self._peers.instance_id
-            alive = [one for one in members if one.state is MemberState.ALIVE]
-            ranked = rank_keepers(group, alive)
-            self._keepers[group] = tuple(one for one in ranked if one != own)
-        return self._keepers[group]
-
-    def _tell(self, request_id: str, origin: StreamOrigin) -> None:
-        """Tell a few instances soon where a stream is sent to."""
-        for keeper in self._list_keepers(request_id)[:COPIES]:
-            self._pending.setdefault(keeper, []).append((request_id, origin))
-        if self._timer is None:
-            loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(FLUSH_SECONDS, self._flush)
-
-    def _flush(self, *, handed_over: bool = False) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
-        pending, self._pending = self._pending, {}
-        for keeper, rows in pending.items():
-            update = StreamVersionsUpdate.create(rows, handed_over)
-            if self._peers.send(keeper, update):
-                self._metrics.count("stream_versions.updates_sent")
-
     def _receive(
         self, sender: str, update: StreamVersionsUpdate
     ) -> StreamVersionAnswer | None:
@@ -378,7 +334,7 @@
         origin = self._streams.find(request_id, self._clock.now())
         if origin is not None or not request_id:
             return origin
-        asked = self._list_keepers(request_id)[:ASKED]
+        asked = self._keepers.rank(request_id)[:ASKED]
         origin = await self._ask_all(asked, request_id)
         if origin is None and asked:
             # the news may be on their way
--- a/tests/test_entry/test_relay/test_out_of_step_fleets.py
+++ b/tests/test_entry/test_relay/test_out_of_step_fleets.py
@@ -166,7 +166,7 @@
         first, second = fleet.random.sample(fleet.targets[:2], 2)
         assert await exchange.record_send(request_id, first)
         await asyncio.sleep(0.1)
-        late = fleet.random.choice(exchange._list_keepers(request_id)[:COPIES])
+        late = fleet.random.choice(exchange._keepers.rank(request_id)[:COPIES])
         if is_cut_off:
             fleet.network.blocked = {(name, late), (late, name)}
         began = second
@@ -229,7 +229,7 @@
         exchange = fleet.exchanges["entry-0"]
         await exchange.record_send("a-1", fleet.targets[0])
         await asyncio.sleep(0.1)
-        keeper = exchange._list_keepers("a-1")[0]
+        keeper = exchange._keepers.rank("a-1")[0]
         await fleet.exchanges[keeper].on_stop()
         return await exchange.record_send("a-1", fleet.targets[1])
 
