--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/runners.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/runners.py
@@ -99,15 +99,23 @@
             charged, exchange.retry_charged = exchange.retry_charged, False
             if charged or self.budgets.try_spend(exchange.service):
                 return True
+        reason = "budget" if step is NextStep.RETRY else "rule"
+        self.record_no_retry(exchange, outcome, reason)
+        return False
+
+    def record_no_retry(
+        self, exchange: RelayExchange, outcome: SendOutcome, reason: str
+    ) -> None:
+        """Record that a request is not sent again, and why."""
+        end = min(exchange.deadline, self.find_stop_deadline())
         self.decisions.log_decision(
             "no-retry",
             request=exchange.request.request_id,
             outcome=outcome.value,
-            reason="budget" if step is NextStep.RETRY else "rule",
+            reason=reason,
             sends=len(exchange.targets),
-            left_ms=round(facts.remaining * 1000),
+            left_ms=round((end - self.clock.now()) * 1000),
         )
-        return False
 
     def may_send_again(self, exchange: RelayExchange) -> bool:
         """Return whether a request could be sent again if its next send is rejected."""
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -182,6 +182,7 @@
                 self._silent |= {target.incarnation}
             if not self._order.position.is_known:
                 # its caller knows better where to go on
+                runner.record_no_retry(exchange, last.outcome, "position")
                 break
             if not runner.may_retry(exchange, last.outcome):
                 break
--- a/tests/test_entry/test_relay/test_stream_pieces.py
+++ b/tests/test_entry/test_relay/test_stream_pieces.py
@@ -201,6 +201,7 @@
         answer = await read_once(engine_world, "draft")
         assert not answer.complete
         assert len(answer.pieces) == events + 1
+    assert engine_world.count("decisions.no-retry") == 2
 
 
 async def test_silent_engine_is_not_left_after_an_event_without_an_id(engine_world):
