--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_connections.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_connections.py
@@ -18,6 +18,7 @@
 from greengagelatch.verdict import Verdict
 
 from .caller_answers import create_headers, describe_refusal, encode
+from .socket_options import limit_read_size
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterable
@@ -203,6 +204,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
+        limit_read_size(transport)
         _enable_loss_detection(transport.get_extra_info("socket"), self._write_timeout)
 
     def data_received(self, data: bytes) -> None:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/socket_options.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/socket_options.py
@@ -1,17 +1,33 @@
-"""Options by which the kernel drops connections to silent peers."""
+"""Options of sockets: loss of silent peers, and size of reads."""
 
 from __future__ import annotations
 
 import socket
+from typing import TYPE_CHECKING
 
 from greengagelatch.relay.connection_loss import ConnectionLossRule
 
-__all__ = ("LOSS_RULE", "configure_socket")
+if TYPE_CHECKING:
+    import asyncio
+
+__all__ = ("LOSS_RULE", "configure_socket", "limit_read_size")
 
 #: when the kernel drops a connection to a silent target
 LOSS_RULE = ConnectionLossRule(
     user_timeout=5.0, probe_idle=1, probe_interval=1, probe_count=4
 )
+#: maximum size in bytes of one read from a socket
+MAX_READ_BYTES = 128 * 1024
+
+
+def limit_read_size(transport: asyncio.BaseTransport) -> None:
+    """Limit the bytes that a transport reads at once.
+
+    It may read that many beyond the limit of the protocol's buffer. Transports that
+    have no such attribute are left as they are.
+    """
+    if hasattr(transport, "max_size"):
+        transport.max_size = MAX_READ_BYTES
 
 
 def configure_socket(connection: socket.socket, rule: ConnectionLossRule) -> None:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_responses.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_responses.py
@@ -13,7 +13,7 @@
 from aiohttp.http_exceptions import BadHttpMessage, HttpProcessingError
 from aiohttp.streams import EMPTY_PAYLOAD
 
-from ..adapters.socket_options import LOSS_RULE, configure_socket
+from ..adapters.socket_options import LOSS_RULE, configure_socket, limit_read_size
 from .target_dialers import TunnelLostError
 from .tunnel_transport import CARRIER, TUNNELLED
 
@@ -97,6 +97,7 @@
         super().connection_made(transport)
         self.tunnelled = bool(transport.get_extra_info(TUNNELLED))
         self.carrier = transport.get_extra_info(CARRIER) or ""
+        limit_read_size(transport)
         configure_socket(transport.get_extra_info("socket"), LOSS_RULE)
 
     def connection_lost(self, exc: BaseException | None) -> None:
