--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/memory.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/memory.py
@@ -73,6 +73,9 @@
             if await self._wait(holding, size):
                 return True
         self._metrics.count(f"memory.refused.{holding.kind.value}")
+        self._decisions.log_decision(
+            "memory-refused", kind=holding.kind.value, bytes=holding.size + size
+        )
         return False
 
     def try_reserve(self, holding: ByteHolding, size: int) -> bool:
--- a/tests/test_entry/test_relay/test_held_bytes.py
+++ b/tests/test_entry/test_relay/test_held_bytes.py
@@ -105,6 +105,7 @@
     for number in range(3):
         await world.ask(f"/book/{number}", method="POST", body=LARGE_BODY)
     assert world.count("beliefs.memory-full") == 1
+    assert world.count("decisions.memory-refused") == 3
     assert world.describe()["memory"]["full"]
     holding.release()
     await world.wait_for(lambda: world.count("beliefs.memory-relieved") == 1)
