--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/memory.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/memory.py
@@ -74,7 +74,7 @@
                 return True
         self._metrics.count(f"memory.refused.{holding.kind.value}")
         self._decisions.log_decision(
-            "memory-refused", kind=holding.kind.value, bytes=holding.size + size
+            "memory-refused", held_for=holding.kind.value, bytes=holding.size + size
         )
         return False
 
