Don't take a target for crashed that gives up a response passed on

A response that is passed on for lack of room is read no faster than its caller reads. Targets cut off what is not read for some seconds. Such a cut, within a second of the response's beginning, counted as a crash of the target on that request: two would have had the request held. Found by reading; the test failed before, with one disconnect recorded for the request. What arrived of a lost response, or of a server error that another one replaces, is given back at once, not at the end of the request.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/unary.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/unary.py
@@ -16,7 +16,7 @@
 from .response_bodies import ResponseBodies
 from .runners import Runner
 from .target_responses import TargetResponseError
-from .target_sender import FailedSend, ReceivedResponse
+from .target_sender import CRASH_BLAME_SECONDS, FailedSend, ReceivedResponse
 
 if TYPE_CHECKING:
     from greengagelatch.relay.incarnations import Incarnation
@@ -92,6 +92,8 @@
                 if result.head.succeeded:
                     await self._deliver(exchange, result)
                     return
+                if error_response is not None:
+                    error_response.body.release()
                 error_response = result
                 if result.head.status < STATUS_SERVER_ERROR:
                     break
@@ -200,10 +202,10 @@
                 silent=True,
                 endured=soft_timeout is not None and soft_timeout.endured,
             )
-            return self._record_lost(exchange, target, timed_out)
+            return self._record_lost(exchange, target, body, timed_out)
         except TargetResponseError as error:
             response.abort()
-            return self._record_lost(exchange, target, error)
+            return self._record_lost(exchange, target, body, error)
         except BaseException:
             response.abort()
             raise
@@ -220,17 +222,22 @@
         self,
         exchange: RelayExchange,
         target: ListedTarget,
+        body: ResponseBody,
         error: TargetResponseError,
     ) -> FailedSend:
-        """Record a lost response.
+        """Record a lost response, and drop what has arrived of it.
 
         :raises RefusedError: if a part of it was passed on, so that it can't be
             replaced by another
         """
-        failed = self.sender.record_lost_response(exchange, target, error)
-        if exchange.writer.started:
-            raise self.create_refusal(exchange, failed)
-        return failed
+        body.release()
+        if not exchange.writer.started:
+            return self.sender.record_lost_response(exchange, target, error)
+        # it may have given up a response that was read no faster than by the caller
+        failed = self.sender.record_lost_response(
+            exchange, target, error, ran_seconds=CRASH_BLAME_SECONDS
+        )
+        raise self.create_refusal(exchange, failed)
 
     async def _pass_on(
         self,
--- a/tests/test_entry/test_relay/test_held_bytes.py
+++ b/tests/test_entry/test_relay/test_held_bytes.py
@@ -154,6 +154,26 @@
     holding.release()
 
 
+async def test_target_that_cuts_an_answer_passed_on_is_not_taken_for_crashed(
+    world, memory, monkeypatch
+):
+    """Guards against crashes that are seen where a target gave up a slow reader."""
+    detector = world.parts.close.__self__.crashes.detector
+    disconnects = []
+    monkeypatch.setattr(
+        detector, "record_disconnect", lambda *fields: disconnects.append(fields)
+    )
+    memory._account = ByteAccount(
+        ByteAccountRule(limit=100_000, small_bytes=2_000, small_share=0.4)
+    )
+    for target in world.targets.values():
+        target.fault = TargetFault.TRUNCATE
+    reply = await world.ask("/book/1", method="POST", body=LARGE_BODY)
+    assert reply.error
+    assert world.count("memory.passed_on") == 1
+    assert not disconnects
+
+
 async def ask_at_random(world, source: random.Random) -> None:
     """Send a request that may be large, and may be given up."""
     body = b"x" * source.choice((0, 500, 10_000, 40_000, 60_000))
