Count answers to calls for stages and error responses to streams

The same cause as for unary responses: each is bounded (4 and 1 MiB), their sum is not. They are read into one block.

The tests failed before, with none refused. The pool of connections has a new parameter, so that test_tunnels.py creates it with an account of its own; what it checks is unchanged.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/link_parts.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/link_parts.py
@@ -110,6 +110,7 @@
         find_idle_limit=find_idle_limit,
         is_reachable=reachability.is_reachable,
         on_response=notices.record,
+        memory=shared.memory,
         clock=shared.clock,
         metrics=shared.metrics,
     )
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/parts.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/parts.py
@@ -30,6 +30,7 @@
     )
     from .decisions import DecisionLog
     from .front import RelayFront
+    from .memory import MemoryController
     from .prometheus import PrometheusMetrics
 
 __all__ = ("RelayAdapters", "RelayParts", "RelaySettings", "SharedParts")
@@ -88,6 +89,7 @@
     random_source: random.Random
     metrics: PrometheusMetrics
     decisions: DecisionLog
+    memory: MemoryController
     store: RangeStore
     peers: PeerHub
     target_table: TargetTable
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/request_path.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/request_path.py
@@ -33,7 +33,6 @@
     from ..filters import Handler
     from ..in_flight_requests import InFlightRequests
     from .crash_parts import CrashParts
-    from .memory import MemoryController
     from .parts import SharedParts
     from .permit_exchange import PermitExchange
     from .retry_budgets import RetryBudgets
@@ -52,7 +51,6 @@
     crashes: CrashParts,
     budgets: RetryBudgets,
     stages: StageRunner,
-    memory: MemoryController,
     permits: PermitExchange,
     versions: StreamVersionExchange,
     find_stop_deadline: Callable[[], float],
@@ -101,7 +99,9 @@
         ),
         **common,
     )
-    return RunHandler(unary=UnaryRunner(memory=memory, **common), streams=streams)
+    return RunHandler(
+        unary=UnaryRunner(memory=shared.memory, **common), streams=streams
+    )
 
 
 def compose_filters(
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
@@ -29,6 +29,7 @@
 
     from ..metrics import Metrics
     from ..soft_timeout import SoftTimeout
+    from .memory import MemoryController
     from .messages import OutboundRequest
     from .target_dialers import Destination, TargetDialer
 
@@ -69,6 +70,7 @@
         *,
         dialer: TargetDialer,
         find_idle_limit: Callable[[Incarnation], int],
+        memory: MemoryController,
         clock: Clock,
         metrics: Metrics,
         is_reachable: Callable[[Incarnation], bool] = lambda _: True,
@@ -77,6 +79,7 @@
         self._is_reachable = is_reachable
         self._on_response = on_response
         self._dialer = dialer
+        self._memory = memory
         self._find_idle_limit = find_idle_limit
         self._clock = clock
         self._metrics = metrics
@@ -161,6 +164,7 @@
             connection,
             lambda one, head: self._release(incarnation, one, head, may_send),
             is_path_lost,
+            self._memory,
             reused=reused,
         )
         self._on_response(incarnation, response)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_responses.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_responses.py
@@ -13,6 +13,8 @@
 from aiohttp.http_exceptions import BadHttpMessage, HttpProcessingError
 from aiohttp.streams import EMPTY_PAYLOAD
 
+from greengagelatch.relay.byte_account import HoldingKind
+
 from ..adapters.socket_options import LOSS_RULE, configure_socket, limit_read_size
 from .target_dialers import TunnelLostError
 from .tunnel_transport import CARRIER, TUNNELLED
@@ -23,6 +25,8 @@
     from aiohttp import StreamReader
     from aiohttp.http import RawResponseMessage
 
+    from .memory import MemoryController
+
 __all__ = (
     "TargetConnection",
     "TargetResponse",
@@ -203,6 +207,7 @@
     #: returns whether the connection is direct although its target is reached through
     #: peers only
     is_path_lost: Callable[[], bool]
+    _memory: MemoryController
     #: whether other responses arrived on the connection before
     reused: bool = False
 
@@ -241,16 +246,21 @@
     async def read(self, limit: int) -> bytes:
         """Return the complete body.
 
-        :raises TargetResponseError: if it is truncated or exceeds ``limit`` bytes
+        :raises TargetResponseError: if it is truncated or exceeds ``limit`` bytes, or
+            if there is no memory for it
         """
-        chunks = []
-        size = 0
-        async for chunk in self.iterate():
-            size += len(chunk)
-            if size > limit:
-                raise TargetResponseError(f"response exceeds {limit} bytes")
-            chunks.append(chunk)
-        return b"".join(chunks)
+        holding = self._memory.open(HoldingKind.ANSWERS)
+        body = bytearray()
+        try:
+            async for chunk in self.iterate():
+                if len(body) + len(chunk) > limit:
+                    raise TargetResponseError(f"response exceeds {limit} bytes")
+                if not await self._memory.reserve(holding, len(chunk)):
+                    raise TargetResponseError("no memory for the response body")
+                body += chunk
+        finally:
+            holding.release()
+        return bytes(body)
 
     def record_results(self, handles: Iterable[str]) -> bool:
         """Record the results in the response; return whether they are new.
--- a/packages/greengagelatch/src/greengagelatch/relay/byte_account.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/byte_account.py
@@ -41,6 +41,8 @@
 
     REQUESTS = "requests"
     RESPONSES = "responses"
+    #: to calls for stages, and error responses to streams
+    ANSWERS = "answers"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/test_entry/test_relay/test_held_bytes.py
+++ b/tests/test_entry/test_relay/test_held_bytes.py
@@ -174,6 +174,33 @@
     assert not disconnects
 
 
+@pytest.mark.parametrize("part", [EndlessPart.BODY, EndlessPart.CHUNKS])
+async def test_answers_to_calls_for_stages_are_counted(pipeline, part):
+    """Guards against makers whose answers take up memory that nobody counts."""
+    memory = pipeline.find("memory")
+    memory._account = ByteAccount(RULE)
+    makers = [one for one in pipeline.targets.values() if one.service == "portal"]
+    for maker in makers:
+        maker.endless = part
+    reply = await pipeline.stream("draft")
+    assert reply.status in (502, 503, 504)
+    assert pipeline.count("memory.refused.answers") >= 1
+    await pipeline.wait_for(lambda: memory._account.total == 0)
+
+
+async def test_error_of_a_stream_is_counted(pipeline):
+    """Guards against error responses that take up memory that nobody counts."""
+    memory = pipeline.find("memory")
+    memory._account = ByteAccount(RULE)
+    engines = [one for one in pipeline.targets.values() if one.service == "llm"]
+    for engine in engines:
+        engine.endless, engine.endless_status = EndlessPart.BODY, 500
+    reply = await pipeline.stream("scan")
+    assert reply.status in (502, 503, 504)
+    assert pipeline.count("memory.refused.answers") >= 1
+    await pipeline.wait_for(lambda: memory._account.total == 0)
+
+
 async def ask_at_random(world, source: random.Random) -> None:
     """Send a request that may be large, and may be given up."""
     body = b"x" * source.choice((0, 500, 10_000, 40_000, 60_000))
--- a/tests/test_entry/test_relay/test_tunnels.py
+++ b/tests/test_entry/test_relay/test_tunnels.py
@@ -23,6 +23,7 @@
 from greengagelatch.peers import Member, MemberState
 from greengagelatch.peers.codec import PROTOCOL_VERSION, Envelope, encode
 from greengagelatch.peers.messages import Hello
+from greengagelatch.relay.byte_account import create_account_rule
 from greengagelatch.relay.incarnations import Incarnation
 from greengagelatch.relay.targets import ListedTarget, TargetTable
 from greengagelatch.settings import parse
@@ -35,6 +36,7 @@
     tunnel_transport,
 )
 from greengagelatch_entry.relay.decisions import DecisionLog
+from greengagelatch_entry.relay.memory import MemoryController
 from greengagelatch_entry.relay.messages import OutboundRequest
 from greengagelatch_entry.relay.prometheus import PrometheusMetrics
 from greengagelatch_entry.relay.target_connections import TargetConnectionPool
@@ -712,6 +714,11 @@
     return TargetConnectionPool(
         dialer=ThroughPeer(world),
         find_idle_limit=lambda incarnation: 4,
+        memory=MemoryController(
+            rule=create_account_rule(0),
+            metrics=world.own_metrics,
+            decisions=DecisionLog(clock=SystemClock(), metrics=world.own_metrics),
+        ),
         clock=SystemClock(),
         metrics=world.own_metrics,
     )
