--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/socket_options.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/socket_options.py
@@ -1,13 +1,17 @@
-"""Options by which the kernel drops or resets connections."""
+"""Options of sockets: loss of silent peers, resets, and size of reads."""
 
 from __future__ import annotations
 
 import socket
 import struct
+from typing import TYPE_CHECKING
 
 from greengagelatch.relay.connection_loss import ConnectionLossRule
 
-__all__ = ("LOSS_RULE", "configure_socket", "reset_on_close")
+if TYPE_CHECKING:
+    import asyncio
+
+__all__ = ("LOSS_RULE", "configure_socket", "limit_read_size", "reset_on_close")
 
 #: when the kernel drops a connection to a silent target
 LOSS_RULE = ConnectionLossRule(
@@ -15,6 +19,18 @@
 )
 #: SO_LINGER with a time of zero
 _ZERO_LINGER = struct.pack("ii", 1, 0)
+#: maximum size in bytes of one read from a socket
+MAX_READ_BYTES = 128 * 1024
+
+
+def limit_read_size(transport: asyncio.BaseTransport) -> None:
+    """Limit the bytes that a transport reads at once.
+
+    It may read that many beyond the limit of the protocol's buffer. Transports that
+    have no such attribute are left as they are.
+    """
+    if hasattr(transport, "max_size"):
+        transport.max_size = MAX_READ_BYTES
 
 
 def configure_socket(connection: socket.socket, rule: ConnectionLossRule) -> None:
