--- a/tests/test_entry/test_relay/test_stop.py
+++ b/tests/test_entry/test_relay/test_stop.py
@@ -438,6 +438,47 @@
     writer.close()
 
 
+async def test_request_behind_an_answer_that_closes_is_not_passed_on(world):
+    """Guards against running a request whose connection is closed before its answer.
+
+    A caller has sent two requests at once while the balancer lags. The first answer
+    says that the connection closes, so that the second must not run.
+    """
+    world.parts.drain.request_stop()
+    reader, writer = await connect(world)
+    writer.write(encode_request("one", "/book/1") + encode_request("two", "/book/1"))
+    status, head = await read_answer(reader)
+    assert status == 200
+    assert "connection: close" in head
+    async with asyncio.timeout(WAIT_SECONDS):
+        assert await reader.read() == b""
+    assert (count_runs(world, "one"), count_runs(world, "two")) == (1, 0)
+    writer.close()
+
+
+async def test_expected_body_that_comes_after_the_close_is_answered(world):
+    """Guards against a caller that waits for ``100 Continue`` in vain.
+
+    The head of a request comes before the listener is closed, and its body after it.
+    """
+    drain, front = world.parts.drain, world.parts.front
+    drain._max_drain_seconds = WAIT_SECONDS
+    reader, writer = await connect(world)
+    lines = "Content-Length: 5", "Expect: 100-continue"
+    writer.write(encode_request("expected", "/book/1", *lines))
+    async with asyncio.timeout(WAIT_SECONDS):
+        head = await reader.readuntil(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 100 ")
+    drain.request_stop()
+    await front.close_listener()
+    writer.write(b"order")
+    status, head = await read_answer(reader)
+    assert status == 200
+    assert "connection: close" in head
+    assert count_runs(world, "expected") == 1
+    writer.close()
+
+
 async def test_request_whose_headers_are_complete_after_a_stop_is_refused(world):
     """Guards against requests that are forwarded by a process that is exiting.
 
