test(soak): overlapping stops with more signals, hurried unsafe callers, releases

Instances were stopped one at a time, with one signal; failures around a stop were excused, and a process that was killed after its grace period passed.

In half of the runs without a kill of all instances, stops of several ones now overlap, up to three more signals (SIGTERM, SIGINT, SIGHUP) follow each, three callers send unsafe requests every 0.05 s until the process is gone, and targets join and leave. New checks: no unsafe request is given up in a planned stop unless its target is disturbed as well; no process outlasts its grace period.

--- a/packages/greengagelatch-lab/src/greengagelatch_lab/soak/callers.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/soak/callers.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
-__all__ = ("ROUTES", "Caller", "Outcome", "Route")
+__all__ = ("HURRIED_ROUTES", "ROUTES", "Caller", "Outcome", "Route")
 
 #: seconds that callers wait for an answer
 DEADLINE_SECONDS = 8.0
@@ -68,6 +68,8 @@
         attempts=2,
     ),
 )
+#: routes whose requests are answered by a target at once, and may run once only
+HURRIED_ROUTES = tuple(one for one in ROUTES if one.once and not one.stream)
 RESUMABLE_ROUTE = ROUTES[-1]
 
 
@@ -126,6 +128,8 @@
     It leaves some streams after an event, and takes them up at another instance.
 
     :param others: name and address of each other instance
+    :param routes: what it sends requests on
+    :param pause: average seconds between two of its requests
     """
 
     def __init__(
@@ -136,8 +140,12 @@
         random_source: random.Random,
         record: Callable[[Outcome], None],
         others: Sequence[tuple[str, str]] = (),
+        routes: Sequence[Route] = ROUTES,
+        pause: float = BETWEEN_REQUESTS,
     ) -> None:
         self._others = others
+        self._routes = routes
+        self._pause = pause
         # of its own, so that the requests of a seed stay as they are
         self._leaving = random.Random(name)
         self._name = name
@@ -153,8 +161,8 @@
         """Send requests until stopped; the last one is completed."""
         try:
             while not stopped.is_set():
-                await _wait(stopped, self._random.expovariate(1 / BETWEEN_REQUESTS))
-                route = self._random.choice(ROUTES)
+                await _wait(stopped, self._random.expovariate(1 / self._pause))
+                route = self._random.choice(self._routes)
                 if stopped.is_set() or not await self._connect():
                     continue
                 await self._send(route)
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/soak/checks.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/soak/checks.py
@@ -45,6 +45,9 @@
 HELD_SECONDS = 0.2
 #: statuses that promise that a request was not run
 NOT_RUN = (408, 421, 429, 503)
+STATUS_SERVER_ERROR = 500
+#: what delays no answer of a target
+UNDISTURBING = (Cause.RESTART, Cause.RELOAD, Cause.CONFIGURATION)
 PLANNED = (Cause.RESTART, Cause.KILL, Cause.EXIT)
 
 
@@ -77,6 +80,7 @@
     violations = [
         *_check_answers(evidence),
         *_check_runs(evidence),
+        *_check_stops(evidence),
         *_check_silences(evidence),
         *_check_partitions(evidence),
         *_check_falls(evidence),
@@ -121,6 +125,24 @@
             yield f"refused though it was run: {outcome}"
 
 
+def _check_stops(evidence: Evidence) -> Iterator[str]:
+    """Find requests that may run once only and were given up in a planned stop.
+
+    Targets answer them at once, unless something else disturbs them.
+    """
+    others = [one for one in Cause if one not in UNDISTURBING]
+    for outcome in evidence.outcomes:
+        if not outcome.route.once or outcome.route.stream or not outcome.complete:
+            continue
+        if outcome.status < STATUS_SERVER_ERROR or outcome.status in NOT_RUN:
+            continue
+        stops = evidence.periods.find(Cause.RESTART)
+        if not _meets(stops, outcome, instance=outcome.instance):
+            continue
+        if not _meets(evidence.periods.find(*others), outcome):
+            yield f"given up in a planned stop: {outcome}"
+
+
 def _check_silences(evidence: Evidence) -> Iterator[str]:
     for outcome in evidence.outcomes:
         if (
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/soak/disturbances.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/soak/disturbances.py
@@ -54,6 +54,8 @@
     "Restart",
     "RestingTarget",
     "Silence",
+    "find_instance",
+    "is_starting",
 )
 
 #: seconds from which on brittle targets let fewer requests wait
@@ -97,6 +99,8 @@
     RESTART = "restart"
     #: a SIGKILL after the grace period
     KILL = "kill"
+    #: a process has not ended within its grace period
+    OVERDUE = "overdue"
     #: a target says in its answers that it leaves
     LEAVING = "leaving"
     #: a target rejects requests and asks for rest
@@ -432,8 +436,8 @@
 
     async def run(self, fleet: LinkedFleet, periods: Periods) -> None:
         """Send it, unless the process is about to be started again."""
-        instance = _find(fleet, self.instance)
-        if instance.process.returncode is not None or _is_starting(periods, instance):
+        instance = find_instance(fleet, self.instance)
+        if instance.process.returncode is not None or is_starting(periods, instance):
             return
         period = periods.begin(Cause.RELOAD, self.instance)
         instance.process.send_signal(signal.SIGHUP)
@@ -448,7 +452,9 @@
 
     async def run(self, fleet: LinkedFleet, periods: Periods) -> None:
         """Stop it, kill it after the grace period, and start it again."""
-        instance = _find(fleet, self.instance)
+        instance = find_instance(fleet, self.instance)
+        if is_starting(periods, instance):
+            return
         if instance.process.returncode is not None:
             periods.end(periods.begin(Cause.EXIT, self.instance))
         period = periods.begin(Cause.RESTART, self.instance)
@@ -458,6 +464,7 @@
             async with asyncio.timeout(GRACE_SECONDS):
                 code = await instance.process.wait()
         except TimeoutError:
+            periods.end(periods.begin(Cause.OVERDUE, self.instance))
             periods.end(periods.begin(Cause.KILL, self.instance))
             await fleet.kill(instance)
             code = 0
@@ -468,8 +475,8 @@
         periods.end(period)
 
 
-def _is_starting(periods: Periods, instance: Instance) -> bool:
-    """Return whether an instance may not have run its first lines yet."""
+def is_starting(periods: Periods, instance: Instance) -> bool:
+    """Return whether an instance is stopped, or may not have run its first lines."""
     return any(
         instance.name in one.instances and one.end == float("inf")
         for one in periods.find(Cause.RESTART)
@@ -533,6 +540,7 @@
     ]
 
 
-def _find(fleet: LinkedFleet, name: str) -> Instance:
+def find_instance(fleet: LinkedFleet, name: str) -> Instance:
+    """Return the instance with a name."""
     [found] = [one for one in fleet.instances if one.name == name]
     return found
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/soak/fleet.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/soak/fleet.py
@@ -21,6 +21,8 @@
 
 __all__ = ("LinkedFleet",)
 
+#: beginning of the keys of targets' entries in the store
+TARGETS_PREFIX = "servers/"
 #: slots of a target of the plain service, requests that may wait there, and the
 #: seconds that a run takes
 SLOTS, QUEUE, SERVE_SECONDS = 4, 16, 0.03
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/soak/run.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/soak/run.py
@@ -10,9 +10,10 @@
 
 from .callers import Caller
 from .checks import Evidence, check
-from .disturbances import Cause, Periods
+from .disturbances import Cause, Outage, Periods
 from .fleet import BRITTLE_SERVICE, LinkedFleet
 from .schedule import draw_schedule
+from .stops import draw_planned_work
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -72,13 +73,19 @@
 async def _disturb(
     fleet: LinkedFleet, seed: int, seconds: float, random_source: random.Random
 ) -> SoakReport:
+    names = [one.name for one in fleet.instances]
     schedule = draw_schedule(
         random_source,
         seconds,
-        [one.name for one in fleet.instances],
+        names,
         [one.target_id for one in fleet.targets if one not in fleet.newer],
         sorted({one.service for one in fleet.targets}),
     )
+    if not any(isinstance(one, Outage) for one in schedule):
+        # of a source of its own, so that the rest of a seed stays as it is
+        stops = random.Random(f"{seed}-planned")
+        schedule += draw_planned_work(stops, seconds, names)
+        schedule.sort(key=lambda one: one.at)
     outcomes = fleet.outcomes
     periods = Periods()
     stopped = asyncio.Event()
@@ -159,6 +166,10 @@
         f"{one.instances[0]} ended by itself or with an error"
         for one in periods.find(Cause.EXIT)
     ]
+    faults += [
+        f"{one.instances[0]} did not end within its grace period"
+        for one in periods.find(Cause.OVERDUE)
+    ]
     for instance in fleet.instances:
         if not fleet.links[instance.name].count_accepted():
             faults.append(f"{instance.name} has used none of its links")
--- a/tests/test_lab/test_soak_checks.py
+++ b/tests/test_lab/test_soak_checks.py
@@ -214,6 +214,19 @@
     assert not find_violations(late, leavings=leavings, periods=[restart])
 
 
+def test_request_given_up_in_a_planned_stop_is_found():
+    """Guards against a soak that excuses all failures of an instance that stops."""
+    stop = create_period(Cause.RESTART, "one")
+    given_up = create_outcome(BOOK, status=504)
+    (violation,) = find_violations(given_up, periods=[stop])
+    assert "given up in a planned stop" in violation
+    refused = create_outcome(BOOK, status=503)
+    assert not find_violations(refused, periods=[stop])
+    # not if its target was silent meanwhile
+    held = create_period(Cause.SILENCE, service="desk")
+    assert not find_violations(given_up, periods=[stop, held])
+
+
 def test_answers_that_were_held_back_tell_nobody_that_a_target_leaves():
     """Guards against violations by instances that had given the request up."""
     leaving = AnnouncedLeaving(
