Explorer: registrations of instances, and connections to the store that are renewed

The record of versions asks which instances are registered, and a call that times out leaves the connections.

--- a/packages/greengagelatch-lab/src/greengagelatch_lab/exploration/instances.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/exploration/instances.py
@@ -24,7 +24,7 @@
 from greengagelatch_entry.relay.follower_selection import FollowerSelection
 from greengagelatch_entry.relay.listing import ListingFollower
 from greengagelatch_entry.relay.peer_sync import PeerSyncController
-from greengagelatch_entry.relay.store_follower import StoreFollower
+from greengagelatch_entry.relay.store_follower import StoreFollower, StoreSubscriber
 from greengagelatch_entry.relay.stream_version_exchange import StreamVersionExchange
 from greengagelatch_entry.relay.version_history import VersionHistory
 
@@ -39,6 +39,7 @@
 
     from greengagelatch.config.problems import Problem
     from greengagelatch.peers.codec import Message
+    from greengagelatch.store.ranges import Changes, Scan
 
     from ..standins.peers import MemoryNetwork
     from .store import ModelStore
@@ -47,6 +48,7 @@
     "CONFIGURATION_KEY",
     "HOST",
     "PLAIN_SERVICE",
+    "REGISTRY_PREFIX",
     "STREAM_SERVICE",
     "ModelInstance",
     "encode_configuration",
@@ -56,6 +58,8 @@
 HOST = "callers.example"
 #: service of requests that are answered at once, and service of streams
 PLAIN_SERVICE, STREAM_SERVICE = "desk", "llm"
+#: prefix of the keys by which instances are registered
+REGISTRY_PREFIX = "instances/"
 #: bounds of the seconds of a message between instances
 MESSAGE_SECONDS = (0.001, 0.02)
 #: seconds for which callers wait
@@ -136,6 +140,22 @@
         pass
 
 
+class _Registry(StoreSubscriber):
+    """The names of the instances that are registered in the store."""
+
+    prefix = REGISTRY_PREFIX
+
+    def __init__(self) -> None:
+        self.names: frozenset[str] = frozenset()
+
+    def apply_scan(self, scan: Scan) -> None:
+        self.names = frozenset(entry.key for entry in scan.entries)
+
+    def apply_changes(self, changes: Changes) -> None:
+        self.names |= {entry.key for entry in changes.written}
+        self.names -= {key for key, _ in changes.removed}
+
+
 class _DelayedPeers(MemoryPeers):
     """Peers whose messages take some time."""
 
@@ -165,12 +185,15 @@
     ) -> None:
         self.name = name
         self.data_centre = data_centre
+        #: key by which it is registered
+        self.key = REGISTRY_PREFIX + name
         self.channel = StoreChannel(store, random_source)
         self.table = TargetTable()
         self._random = random_source
         self._clock = LoopClock()
         self._telemetry = NullTelemetry()
         self._cold = ColdTargets()
+        self._registry = _Registry()
         self._join(network)
         self._build_followers(is_first_start)
         self._build_sync()
@@ -208,6 +231,9 @@
         for controller in reversed(self._controllers):
             await controller.stop()
 
+    def _list_registered(self) -> frozenset[str] | None:
+        return self._registry.names if self.follower.is_following else None
+
     def _join(self, network: MemoryNetwork) -> None:
         network.join(self.name, self.data_centre)
         self.peers = _DelayedPeers(network, self.name, self._random)
@@ -240,7 +266,8 @@
             store=self.channel,
             peers=self.peers,
             target_table=self.table,
-            list_services=self.configuration.list_resumable_services,
+            list_services=self.configuration.list_streaming_services,
+            list_instances=self._list_registered,
             find_confirmed_at=lambda: self.follower.confirmed_at,
             is_first_start=is_first_start,
             clock=clock,
@@ -267,6 +294,7 @@
                 self.evacuation,
                 self.listing,
                 self.history,
+                self._registry,
             ),
             is_follower=selection.is_follower,
             has_dependents=selection.has_dependents,
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/exploration/store.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/exploration/store.py
@@ -34,7 +34,7 @@
 LOSS_SECONDS = 3.0
 #: seconds between two checks for entries whose time is over
 EXPIRY_SECONDS = 0.05
-#: seconds for which a lease is granted to an instance
+#: time at which items expire that need no renewal
 NEVER = float("inf")
 
 
@@ -192,6 +192,8 @@
         self._random = random_source
         self._idle: list[_Connection] = []
         self._busy: set[_Connection] = set()
+        #: those of them that are not used again
+        self._former: set[_Connection] = set()
         self._path = asyncio.Event()
         self._path.set()
         #: calls by kind
@@ -204,11 +206,20 @@
         else:
             self._path.set()
 
+    @property
+    def is_cut(self) -> bool:
+        """Whether there is no path to the store."""
+        return not self._path.is_set()
+
     def fall_silent(self) -> None:
         """Let nothing pass on the open connections any more."""
         for connection in (*self._idle, *self._busy):
             connection.is_silent = True
 
+    def renew_connections(self) -> None:
+        self._idle.clear()
+        self._former |= self._busy
+
     async def get(self, key: str) -> Result[Entry | None, StoreError]:
         return await self._call(CALL_TIMEOUT, lambda: self._read(self._store.find, key))
 
@@ -273,6 +284,8 @@
                 answer = await serve()
                 await self._transmit(connection)
         except TimeoutError:
+            if connection not in self._former:
+                self.renew_connections()
             return Err(StoreError(StoreErrorKind.TIMEOUT, "no answer"))
         except _LostError:
             return Err(StoreError(StoreErrorKind.UNREACHABLE, "no path"))
@@ -280,7 +293,10 @@
             return Err(StoreError(StoreErrorKind.RATE_LIMITED, "rejected"))
         finally:
             self._busy.discard(connection)
-        self._idle.append(connection)
+            is_former = connection in self._former
+            self._former.discard(connection)
+        if not is_former:
+            self._idle.append(connection)
         return Ok(answer)
 
     async def _transmit(self, connection: _Connection) -> None:
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/exploration/world.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/exploration/world.py
@@ -28,6 +28,8 @@
 DATA_CENTRES = ("north", "south")
 #: bounds of the number of instances
 MIN_INSTANCES, MAX_INSTANCES = 2, 4
+#: seconds between two renewals of an instance's registration, and until it expires
+REGISTRATION_SECONDS, LEASE_SECONDS = 1.0, 12.0
 #: bounds of the seconds until the others know that an instance is out of reach
 DETECTION_SECONDS = (0.3, 2.5)
 
@@ -59,6 +61,7 @@
     async def start(self) -> None:
         """Start the store, the targets and the instances."""
         self.run_task(self.store.expire_forever())
+        self.run_task(self._register_forever())
         self.write_configuration(self.keys)
         for data_centre in DATA_CENTRES:
             for service in (PLAIN_SERVICE, STREAM_SERVICE):
@@ -130,6 +133,15 @@
         self.network.leave(instance.name)
         await instance.kill()
 
+    async def _register_forever(self) -> None:
+        """Renew the registrations of the instances that reach the store."""
+        while True:
+            now = asyncio.get_running_loop().time()
+            for instance in self.instances:
+                if self.store.is_available and not instance.channel.is_cut:
+                    self.store.put(instance.key, b"{}", now + LEASE_SECONDS)
+            await asyncio.sleep(REGISTRATION_SECONDS)
+
     def is_alive(self, instance: ModelInstance) -> bool:
         """Return whether an instance has not been killed."""
         return instance in self.instances
