Read little of a caller's body before it has room

2,000 connections that send a body of 4 MB at once took 323 MiB of the 225 allowed, 187 at 500: each was read ahead by several reads of 128 KiB (616 KB in the test) before its body was refused. Reads and buffers have 32 KiB now, and reads 128 KiB once the body has room.

The test failed before: 616,149 unread bytes, 100,000 allowed.

test_socket_options.py passes the limit, which is a parameter now; it is as strict.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_bodies.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_bodies.py
@@ -9,6 +9,8 @@
 
 from greengagelatch.errors import Refusal, RefusalCode
 
+from .socket_options import limit_read_size
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
@@ -22,6 +24,11 @@
 STATUS_UNAVAILABLE = 503
 #: statuses after which the connection is closed, as the rest of the body is unread
 CLOSING_STATUSES = frozenset({STATUS_TIMEOUT, STATUS_TOO_LARGE})
+#: size in bytes of one read from a caller, and of the buffer; there may be thousands of
+#: connections whose bodies are not read
+READ_BYTES = 32 * 1024
+#: the same while a body is read
+BODY_READ_BYTES = 128 * 1024
 #: maximum characters of an invalid value in an error message
 MAX_SHOWN = 64
 #: milliseconds after which a caller may retry a request whose body was incomplete
@@ -74,6 +81,8 @@
         await _reserve(reserve, len(body))
         return body
     await _reserve(reserve, length)
+    # what is read from here on has room
+    limit_read_size(request.transport, BODY_READ_BYTES)
     await _send_continue(request)
     try:
         async with asyncio.timeout(timeout):
@@ -84,6 +93,8 @@
     except RequestPayloadError as error:
         message = f"request body can't be read: {str(error)[:MAX_SHOWN]}"
         raise BodyError(400, _refuse_body(message)) from None
+    finally:
+        limit_read_size(request.transport, READ_BYTES)
 
 
 async def _reserve(reserve: Callable[[int], Awaitable[bool]], size: int) -> None:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_connections.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_connections.py
@@ -18,6 +18,7 @@
 from greengagelatch.verdict import Verdict
 
 from .caller_answers import create_headers, describe_refusal, encode
+from .caller_bodies import READ_BYTES
 from .socket_options import limit_read_size
 
 if TYPE_CHECKING:
@@ -100,6 +101,7 @@
             auto_decompress=decompress_bodies,
             lingering_time=LINGER_SECONDS,
             max_headers=MAX_HEADERS,
+            read_bufsize=READ_BYTES,
         )
 
     def __len__(self) -> int:
@@ -204,7 +206,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
-        limit_read_size(transport)
+        limit_read_size(transport, READ_BYTES)
         _enable_loss_detection(transport.get_extra_info("socket"), self._write_timeout)
 
     def data_received(self, data: bytes) -> None:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/socket_options.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/socket_options.py
@@ -16,18 +16,16 @@
 LOSS_RULE = ConnectionLossRule(
     user_timeout=5.0, probe_idle=1, probe_interval=1, probe_count=4
 )
-#: maximum size in bytes of one read from a socket
-MAX_READ_BYTES = 128 * 1024
 
 
-def limit_read_size(transport: asyncio.BaseTransport) -> None:
+def limit_read_size(transport: asyncio.BaseTransport | None, size: int) -> None:
     """Limit the bytes that a transport reads at once.
 
     It may read that many beyond the limit of the protocol's buffer. Transports that
     have no such attribute are left as they are.
     """
     if hasattr(transport, "max_size"):
-        transport.max_size = MAX_READ_BYTES
+        transport.max_size = size
 
 
 def configure_socket(connection: socket.socket, rule: ConnectionLossRule) -> None:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_responses.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_responses.py
@@ -36,6 +36,8 @@
 
 #: size in bytes of the read buffer for a response
 READ_BUFFER_BYTES = 64 * 1024
+#: maximum size in bytes of one read
+MAX_READ_BYTES = 128 * 1024
 MAX_HEADER_BYTES = 32_768
 #: size in bytes of the parts in which the body of a request is written
 WRITE_BYTES = 128 * 1024
@@ -101,7 +103,7 @@
         super().connection_made(transport)
         self.tunnelled = bool(transport.get_extra_info(TUNNELLED))
         self.carrier = transport.get_extra_info(CARRIER) or ""
-        limit_read_size(transport)
+        limit_read_size(transport, MAX_READ_BYTES)
         configure_socket(transport.get_extra_info("socket"), LOSS_RULE)
 
     def connection_lost(self, exc: BaseException | None) -> None:
--- a/tests/test_entry/test_adapters/test_socket_options.py
+++ b/tests/test_entry/test_adapters/test_socket_options.py
@@ -7,10 +7,12 @@
 
 import pytest
 
-from greengagelatch_entry.adapters.socket_options import MAX_READ_BYTES, limit_read_size
+from greengagelatch_entry.adapters.socket_options import limit_read_size
 
 #: size in bytes of what is sent at once
 SENT_BYTES = 1024 * 1024
+#: limit in bytes of one read
+MAX_READ_BYTES = 32 * 1024
 
 
 class Receiver(asyncio.Protocol):
@@ -23,7 +25,7 @@
 
     def connection_made(self, transport) -> None:
         if self._limited:
-            limit_read_size(transport)
+            limit_read_size(transport, MAX_READ_BYTES)
 
     def data_received(self, data: bytes) -> None:
         self.sizes.append(len(data))
--- a/tests/test_entry/test_relay/test_held_bytes.py
+++ b/tests/test_entry/test_relay/test_held_bytes.py
@@ -9,11 +9,14 @@
 import pytest
 
 from greengagelatch.relay.byte_account import ByteAccount, ByteAccountRule, HoldingKind
+from greengagelatch_lab.platform_standins.deployment import create_configuration
 from greengagelatch_lab.platform_standins.targets import EndlessPart, TargetFault
 
 #: limits of the account in these tests, in bytes
 RULE = ByteAccountRule(limit=100_000, small_bytes=2_000, small_share=0.25)
 LARGE_BODY = b"x" * 50_000
+#: bytes that a connection may hold of a body that is not read
+MAX_UNREAD_BYTES = 100_000
 #: seed and number of the requests of the random mix
 MIX_SEED, MIX_REQUESTS = 1, 60
 
@@ -33,6 +36,10 @@
     return holding
 
 
+def find_limits(world):
+    return world.parts.front._find_limits()
+
+
 def count_runs(world) -> int:
     return sum(target.runs.total() for target in world.targets.values())
 
@@ -100,6 +107,26 @@
     assert memory._account.total == 0
 
 
+async def test_body_that_waits_is_not_read_on(world, memory):
+    """Guards against connections whose unread bytes take up the memory together."""
+    configuration = create_configuration(9, timeout_ms=20_000)
+    configuration["limits"]["max-body-bytes"] = 4_000_000
+    world.store.put("op/config", configuration)
+    await world.wait_for(lambda: find_limits(world).max_body_bytes == 4_000_000)
+    memory._account = ByteAccount(ByteAccountRule(limit=4_000_000, small_share=0.1))
+    holding = memory.open(HoldingKind.RESPONSES)
+    assert holding.try_grow(3_000_000)
+    body = b"x" * 2_000_000
+    asked = asyncio.create_task(world.ask("/book/1", method="POST", body=body))
+    await world.wait_for(memory._account.count_pending)
+    # the caller sends on meanwhile
+    await asyncio.sleep(0.3)
+    (connection,) = world.parts.front._connections._server.connections
+    assert connection._current_request.content._size <= MAX_UNREAD_BYTES
+    holding.release()
+    await asked
+
+
 async def test_shortage_of_room_is_logged_once(world, memory):
     holding = fill(memory)
     for number in range(3):
