--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/socket_options.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/socket_options.py
@@ -19,18 +19,16 @@
 )
 #: SO_LINGER with a time of zero
 _ZERO_LINGER = struct.pack("ii", 1, 0)
-#: maximum size in bytes of one read from a socket
-MAX_READ_BYTES = 128 * 1024
 
 
-def limit_read_size(transport: asyncio.BaseTransport) -> None:
+def limit_read_size(transport: asyncio.BaseTransport | None, size: int) -> None:
     """Limit the bytes that a transport reads at once.
 
     It may read that many beyond the limit of the protocol's buffer. Transports that
     have no such attribute are left as they are.
     """
     if hasattr(transport, "max_size"):
-        transport.max_size = MAX_READ_BYTES
+        transport.max_size = size
 
 
 def configure_socket(connection: socket.socket, rule: ConnectionLossRule) -> None:
