--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/runners.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/runners.py
@@ -93,24 +93,23 @@
         """Return the seconds until the deadline."""
         return exchange.deadline - self.clock.now()
 
-    def find_attempt_seconds(self, exchange: RelayExchange) -> float:
-        """Return the seconds that an attempt may take, at most until a stop ends it.
+    def check_stop(self, exchange: RelayExchange) -> None:
+        """Check that a request can be sent for the first time during a planned stop.
 
-        :raises RefusedError: if no target has received the request, and a planned stop
-            would most likely interrupt it
+        :raises RefusedError: if the stop would most likely interrupt it
         """
-        now, stop_deadline = self.clock.now(), self.find_stop_deadline()
+        stop_deadline = self.find_stop_deadline()
         is_shortened = exchange.caller_deadline > stop_deadline
-        if is_shortened and self.is_closing() and not exchange.targets:
-            _, seconds = self.times.estimate(exchange)
-            if now + seconds > stop_deadline:
-                raise create_error(
-                    exchange,
-                    RefusalCode.NOT_READY,
-                    "this instance stops before the request could end",
-                    retry_after=STOPPING_RETRY_MS / 1000,
-                )
-        return min(exchange.deadline, stop_deadline) - now
+        if exchange.targets or not is_shortened or not self.is_closing():
+            return
+        _, seconds = self.times.estimate(exchange)
+        if self.clock.now() + seconds > stop_deadline:
+            raise create_error(
+                exchange,
+                RefusalCode.NOT_READY,
+                "this instance stops before the request could end",
+                retry_after=STOPPING_RETRY_MS / 1000,
+            )
 
     def may_retry(self, exchange: RelayExchange, outcome: SendOutcome) -> bool:
         """Return whether to send again after ``outcome``; a retry is charged."""
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -210,7 +210,8 @@
     async def _attempt(self, target: ListedTarget) -> FailedSend | None:
         """Send once and forward events; return ``None`` if the response is complete."""
         runner, exchange = self._runner, self._exchange
-        left = runner.find_attempt_seconds(exchange)
+        runner.check_stop(exchange)
+        left = runner.find_remaining(exchange)
         if left <= 0:
             return FailedSend(SendOutcome.UNSENT, "deadline exceeded")
         call = AttemptContext(
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/unary.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/unary.py
@@ -108,7 +108,8 @@
         target: ListedTarget,
         excluded: frozenset[Incarnation],
     ) -> _FullResponse | FailedSend:
-        remaining_seconds = self.find_attempt_seconds(exchange)
+        self.check_stop(exchange)
+        remaining_seconds = self.find_remaining(exchange)
         if remaining_seconds <= 0:
             return FailedSend(SendOutcome.UNSENT, "deadline exceeded")
         call = AttemptContext(
