--- a/packages/greengagelatch-lab/src/greengagelatch_lab/exploration/disturbances.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/exploration/disturbances.py
@@ -94,13 +94,13 @@
     async def _cut(self, name: str, disturbance: Disturbance, *cuts: set[str]) -> None:
         """Cut an instance, a target or a data centre off for some seconds."""
         world = self._world
-        for instance in world.instances:
-            if name in (instance.name, instance.data_centre):
-                world.record_disturbance(instance.name, disturbance.seconds)
         for cut in cuts:
             cut.add(name)
         world.apply_paths()
         await asyncio.sleep(disturbance.seconds)
+        for instance in world.instances:
+            if name in (instance.name, instance.data_centre):
+                world.record_disturbance(instance.name)
         for cut in cuts:
             cut.discard(name)
         world.apply_paths()
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/exploration/world.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/exploration/world.py
@@ -161,11 +161,17 @@
 
     def is_undisturbed(self, instance: ModelInstance) -> bool:
         """Return whether the bounds of the rules hold for an instance."""
+        if {instance.name, instance.data_centre} & self._list_cut():
+            # it may have started since the cut began
+            return False
         until = self._disturbed_until.get(instance.name, float("-inf"))
         until = max(until, self._all_disturbed_until)
         now = asyncio.get_running_loop().time()
         return self.is_alive(instance) and now > until + CONTACT_SECONDS
 
+    def _list_cut(self) -> set[str]:
+        return self.cut_from_store | self.cut_from_others
+
     # paths
 
     def can_reach(self, instance: ModelInstance, target: ModelTarget) -> bool:
