Count the incomplete events of streams

What callers saw: nothing yet; events without an end, of 1 MiB each at the most, had no bound together, as endless responses had none.

A stream holds what has arrived of an event until its end has.

Evidence: test_incomplete_events_of_streams_are_counted failed before (no event was ever refused) and passes now.

Why it works: the incomplete event of a stream is a holding of the account, which follows its size. Where there is no room the response is given up as lost, and the stream goes on at another target if it may.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/event_splitter.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/event_splitter.py
@@ -31,9 +31,9 @@
         self._searched = 0
 
     @property
-    def pending(self) -> bool:
-        """Whether an incomplete event is buffered."""
-        return bool(self._buffer)
+    def pending(self) -> int:
+        """Size in bytes of the incomplete event that is buffered."""
+        return len(self._buffer)
 
     def feed(self, data: bytes) -> list[bytes]:
         """Return the events that ``data`` completes, including their terminators.
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/memory.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/memory.py
@@ -72,10 +72,7 @@
             self._metrics.count("memory.waits")
             if await self._wait(holding, size):
                 return True
-        self._metrics.count(f"memory.refused.{holding.kind.value}")
-        self._decisions.log_decision(
-            "memory-refused", held_for=holding.kind.value, bytes=holding.size + size
-        )
+        self._record_refusal(holding, holding.size + size)
         return False
 
     def try_reserve(self, holding: ByteHolding, size: int) -> bool:
@@ -85,6 +82,16 @@
         self._record_shortage()
         return False
 
+    def try_resize(self, holding: ByteHolding, size: int) -> bool:
+        """Set the size of a holding if there is room; return whether there was."""
+        if size <= holding.size:
+            holding.shrink(holding.size - size)
+            return True
+        if self.try_reserve(holding, size - holding.size):
+            return True
+        self._record_refusal(holding, size)
+        return False
+
     def record_passing_on(self) -> None:
         """Record a response that is passed on as it arrives, for lack of room."""
         self._metrics.count("memory.passed_on")
@@ -122,6 +129,12 @@
         self._is_full = True
         self._decisions.log_state_change("memory-full", **self._describe())
 
+    def _record_refusal(self, holding: ByteHolding, size: int) -> None:
+        self._metrics.count(f"memory.refused.{holding.kind.value}")
+        self._decisions.log_decision(
+            "memory-refused", held_for=holding.kind.value, bytes=size
+        )
+
     def _describe(self) -> dict[str, int]:
         return {
             "limit": self._account.rule.limit,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -38,6 +38,7 @@
     from .stages import StageResults, StageRun, StageRunner
     from .stream_admission import StreamAdmission
     from .stream_version_exchange import StreamVersionExchange
+    from .target_responses import EventHolding
 
 __all__ = ("StreamRunner",)
 
@@ -300,6 +301,19 @@
 
     async def _forward_events(
         self, target: ListedTarget, received: ReceivedResponse, prefill: PrefillTracker
+    ) -> None:
+        holding = received.response.open_events()
+        try:
+            await self._forward_ordered(target, received, prefill, holding)
+        finally:
+            holding.release()
+
+    async def _forward_ordered(
+        self,
+        target: ListedTarget,
+        received: ReceivedResponse,
+        prefill: PrefillTracker,
+        holding: EventHolding,
     ) -> None:
         splitter = EventSplitter()
         writer = self._exchange.writer
@@ -312,6 +326,7 @@
                 events = splitter.feed(data)
             except EventTooLargeError as error:
                 raise TargetResponseError(str(error)) from error
+            holding.resize(splitter.pending)
             ordered = self._order.select(events)
             if ordered:
                 self._handle_first_event(target, prefill)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_responses.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_responses.py
@@ -28,6 +28,7 @@
     from .memory import MemoryController
 
 __all__ = (
+    "EventHolding",
     "TargetConnection",
     "TargetResponse",
     "TargetResponseError",
@@ -265,6 +266,10 @@
                 path_lost=self.is_path_lost(),
             )
 
+    def open_events(self) -> EventHolding:
+        """Return the room for the incomplete events of the body."""
+        return EventHolding(self._memory)
+
     async def read(self, limit: int) -> bytes:
         """Return the complete body.
 
@@ -300,6 +305,26 @@
         self._connection.abort()
 
 
+class EventHolding:
+    """Room for the incomplete event of one stream; it must be released."""
+
+    def __init__(self, memory: MemoryController) -> None:
+        self._memory = memory
+        self._holding = memory.open(HoldingKind.EVENTS)
+
+    def resize(self, size: int) -> None:
+        """Hold ``size`` bytes.
+
+        :raises TargetResponseError: if there is no memory for them
+        """
+        if not self._memory.try_resize(self._holding, size):
+            raise TargetResponseError("no memory for an event")
+
+    def release(self) -> None:
+        """Give the room back."""
+        self._holding.release()
+
+
 def create_response_error(
     what: str, error: Exception, loss: BaseException | None, path_lost: bool
 ) -> TargetResponseError:
--- a/packages/greengagelatch/src/greengagelatch/relay/byte_account.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/byte_account.py
@@ -43,6 +43,8 @@
     RESPONSES = "responses"
     #: to calls for stages, and error responses to streams
     ANSWERS = "answers"
+    #: of streams, while they are incomplete
+    EVENTS = "events"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/test_entry/test_relay/test_held_bytes.py
+++ b/tests/test_entry/test_relay/test_held_bytes.py
@@ -228,6 +228,18 @@
     await pipeline.wait_for(lambda: memory._account.total == 0)
 
 
+async def test_incomplete_events_of_streams_are_counted(pipeline):
+    """Guards against events without an end that take up memory that nobody counts."""
+    memory = pipeline.find("memory")
+    memory._account = ByteAccount(RULE)
+    for engine in pipeline.targets.values():
+        engine.endless = EndlessPart.CHUNKS if engine.service == "llm" else None
+    reply = await pipeline.stream("scan")
+    assert reply.status == 502
+    assert pipeline.count("memory.refused.events") >= 1
+    await pipeline.wait_for(lambda: memory._account.total == 0)
+
+
 async def ask_at_random(world, source: random.Random) -> None:
     """Send a request that may be large, and may be given up."""
     body = b"x" * source.choice((0, 500, 10_000, 40_000, 60_000))
