--- a/packages/greengagelatch-lab/src/greengagelatch_lab/soak/instance.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/soak/instance.py
@@ -27,9 +27,12 @@
     """
     put = TargetTable.put
 
-    def put_linked(table: TargetTable, target: ListedTarget) -> bool:
+    def put_linked(
+        table: TargetTable, target: ListedTarget, read_revision: int = 0
+    ) -> bool:
         addresses = json.loads(path.read_text(encoding="utf-8"))
-        return put(table, replace(target, address=addresses[target.target_id]))
+        linked = replace(target, address=addresses[target.target_id])
+        return put(table, linked, read_revision)
 
     TargetTable.put = put_linked
 
