Targets are not blamed for what this instance has no memory for

What callers saw: nothing yet; breakers of sound targets and makers would open as memory is short, so that requests are refused that they would serve.

Cause, found by an independent review: an answer given up for lack of memory, or read no faster than its caller reads, was recorded as a failure of its target. Class: an own lack taken for another's failure. In the same way an answer to a call for stages that grew step by step waited in its middle, and kept others from their rest; it reserves its stated length first now, and doesn't wait later.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/maker_calls.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/maker_calls.py
@@ -170,6 +170,9 @@
         error: TargetResponseError,
     ) -> CallResult:
         now = self._clock.now()
+        if error.own:
+            maker.calls -= 1
+            return CallResult(str(error))
         self._close_idle(maker)
         if now - started >= call_timeout:
             maker.record_timeout(count, started, now)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_responses.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_responses.py
@@ -62,6 +62,7 @@
         through peers only now, so that it may be well
     :param silent: whether it was given up as the target was silent
     :param endured: whether that silence is recorded, as the request waited on before
+    :param own: whether this instance has caused it, so that the target may be well
     """
 
     def __init__(
@@ -72,8 +73,10 @@
         path_lost: bool = False,
         silent: bool = False,
         endured: bool = False,
+        own: bool = False,
     ) -> None:
         super().__init__(message)
+        self.own = own
         self.broken = broken
         self.path_lost = path_lost
         self.silent = silent
@@ -278,12 +281,17 @@
         """
         holding = self._memory.open(HoldingKind.ANSWERS)
         body = bytearray()
+        expected = self.stated_length or 0
         try:
+            if expected <= limit and not await self._memory.reserve(holding, expected):
+                raise TargetResponseError("no memory for the response", own=True)
             async for chunk in self.iterate():
-                if len(body) + len(chunk) > limit:
+                size = len(body) + len(chunk)
+                if size > limit:
                     raise TargetResponseError(f"response exceeds {limit} bytes")
-                if not await self._memory.reserve(holding, len(chunk)):
-                    raise TargetResponseError("no memory for the response body")
+                # one that has to wait in the middle could keep others from their rest
+                if size > holding.size and not self._memory.try_resize(holding, size):
+                    raise TargetResponseError("no memory for the response", own=True)
                 body += chunk
         finally:
             holding.release()
@@ -318,7 +326,7 @@
         :raises TargetResponseError: if there is no memory for them
         """
         if not self._memory.try_resize(self._holding, size):
-            raise TargetResponseError("no memory for an event")
+            raise TargetResponseError("no memory for an event", own=True)
 
     def release(self) -> None:
         """Give the room back."""
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_sender.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_sender.py
@@ -163,7 +163,7 @@
             target,
             SendOutcome.LOST,
             str(error),
-            blamed=not error.path_lost,
+            blamed=not error.path_lost and not error.own,
             path_lost=error.path_lost,
             silent=error.silent,
             recorded=error.endured,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/unary.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/unary.py
@@ -193,7 +193,7 @@
                 is_held = await body.read(may_wait=not may_pass_on)
             if not is_held:
                 if not may_pass_on:
-                    raise TargetResponseError("no memory for the response body")
+                    raise TargetResponseError("no memory for the response", own=True)
                 await self._pass_on(exchange, received.head, body, end)
         except TimeoutError:
             response.abort()
@@ -235,6 +235,7 @@
         if not exchange.writer.started:
             return self.sender.record_lost_response(exchange, target, error)
         # it may have given up a response that was read no faster than by the caller
+        error.own = True
         failed = self.sender.record_lost_response(
             exchange, target, error, ran_seconds=CRASH_BLAME_SECONDS
         )
