Bodies without a length reserve the largest, and none before it begins

What callers saw: of 16 sound bodies of 4 MB in chunks at an instance of 160 MB none was served (14 times 408, twice 503), though seven had room at a time; of bodies of 100 kB, 26 of 32 were refused beside 40 callers that sent a head and nothing more.

Class: a partial holding that waits for more; a promise taken for the thing.

Evidence: test_bodies_without_a_length_do_not_keep_each_other_from_their_rest and test_caller_that_sends_no_body_takes_up_no_room failed before.

Why it works: a body that is not small reserves room for the largest at once and gives back what it did not need, so that those that have begun can end; the others wait unread, or are refused as not run. Room is reserved once the first part is here, which the connection's buffer bounds.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/front.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/front.py
@@ -10,7 +10,12 @@
 from greengagelatch.relay.requests import RefusedError
 from greengagelatch.verdict import Verdict
 
-from ..adapters.caller_bodies import CLOSING_STATUSES, BodyError, read_body
+from ..adapters.caller_bodies import (
+    CLOSING_STATUSES,
+    BodyError,
+    BodyRoom,
+    read_body,
+)
 from ..adapters.caller_connections import CallerConnections, find_position
 from ..adapters.caller_listener import CallerListener
 from .exchange import CallerDisconnectedError, RelayExchange, ResponseWriter
@@ -42,6 +47,21 @@
 WRITE_TIMEOUT = 5.0
 
 
+class _HeldRoom(BodyRoom):
+    """Room for a request body in the account of the instance."""
+
+    def __init__(self, memory: MemoryController, holding: ByteHolding) -> None:
+        self._memory = memory
+        self._holding = holding
+        self.largest = memory.largest
+
+    async def reserve(self, size: int) -> bool:
+        return await self._memory.reserve(self._holding, size)
+
+    def give_back(self, size: int) -> None:
+        self._holding.shrink(size)
+
+
 class RelayFront(CallerListener):
     """Reads each request, runs the handler and ensures exactly one response."""
 
@@ -132,7 +152,7 @@
             request,
             limit=limits.max_body_bytes,
             timeout=limits.header_timeout,
-            reserve=lambda size: self._memory.reserve(holding, size),
+            room=_HeldRoom(self._memory, holding),
         )
 
     def _find_idle_timeout(self) -> float:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/memory.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/memory.py
@@ -55,6 +55,11 @@
     def dump(self) -> dict[str, Any]:
         return {"full": self._is_full, **self._describe()}
 
+    @property
+    def largest(self) -> int:
+        """Size in bytes of the largest holding that could have room."""
+        return self._account.rule.large_limit
+
     def open(self, kind: HoldingKind) -> ByteHolding:
         """Return a new holding; it must be released."""
         return self._account.open(kind)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/response_bodies.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/response_bodies.py
@@ -41,14 +41,15 @@
     async def read(self, *, may_wait: bool) -> bool:
         """Read on until the end; return whether there was room for all of it.
 
-        :param may_wait: whether to wait for room
+        :param may_wait: whether to wait for room before anything is read
         :raises TargetResponseError: if the body is truncated or too large
         """
         if not await self._reserve(self._find_expected_bytes(), may_wait):
             return False
         while part := await self.read_part():
             self._parts.append(part)
-            if not await self._reserve(self.size - self._holding.size, may_wait):
+            # one that has to wait in the middle could keep others from their rest
+            if not await self._reserve(self.size - self._holding.size, False):
                 return False
         return True
 
--- a/tests/test_entry/test_relay/test_held_bytes.py
+++ b/tests/test_entry/test_relay/test_held_bytes.py
@@ -127,6 +127,66 @@
     await asked
 
 
+async def limit_bodies(world, size: int) -> None:
+    """Configure the maximum size of a body, and long timeouts."""
+    configuration = create_configuration(9, timeout_ms=20_000)
+    configuration["limits"]["max-body-bytes"] = size
+    world.store.put("op/config", configuration)
+    await world.wait_for(lambda: find_limits(world).max_body_bytes == size)
+
+
+async def test_bodies_without_a_length_do_not_keep_each_other_from_their_rest(
+    world, memory
+):
+    """Guards against bodies that each hold a part and wait for room for the rest."""
+    await limit_bodies(world, 200_000)
+    memory._account = ByteAccount(ByteAccountRule(limit=600_000, small_share=0.0))
+    replies = await asyncio.gather(
+        *(
+            world.ask(f"/book/{number}", method="POST", body=send_slowly(150_000))
+            for number in range(6)
+        )
+    )
+    assert [one.status for one in replies] == [200] * 6
+
+
+async def send_slowly(size: int):
+    """Yield a body in parts with pauses, so that its length is not stated."""
+    for _ in range(0, size, 10_000):
+        yield b"x" * 10_000
+        await asyncio.sleep(0.005)
+
+
+async def test_caller_that_sends_no_body_takes_up_no_room(world, memory):
+    """Guards against requests that are refused for bodies that never come."""
+    address = ("127.0.0.1", world.parts.front.port)
+    _, writer = await asyncio.open_connection(*address)
+    writer.write(b"POST /book/1 HTTP/1.1\r\nHost: x\r\nContent-Length: 50000\r\n\r\n")
+    front = world.parts.front
+    await world.wait_for(lambda: front.in_flight == 1)
+    assert memory._account.total == 0
+    reply = await world.ask("/book/2", method="POST", body=LARGE_BODY)
+    assert reply.status == 200
+    writer.close()
+
+
+async def test_target_is_not_blamed_for_an_answer_that_was_passed_on(
+    world, memory, monkeypatch
+):
+    """Guards against breakers that open as this instance is short of memory."""
+    memory._account = ByteAccount(
+        ByteAccountRule(limit=100_000, small_bytes=2_000, small_share=0.4)
+    )
+    failures = []
+    balancer = world.parts.close.__self__.targets.load_balancer
+    monkeypatch.setattr(balancer, "record_failure", lambda *row: failures.append(row))
+    for target in world.targets.values():
+        target.fault = TargetFault.TRUNCATE
+    await world.ask("/book/1", method="POST", body=LARGE_BODY)
+    assert world.count("memory.passed_on") == 1
+    assert failures == []
+
+
 async def test_shortage_of_room_is_logged_once(world, memory):
     holding = fill(memory)
     for number in range(3):
