A scan that fails beside a late watch ends neither it nor its connections

Cause: the watch was cancelled as soon as the scan on new connections had failed, and the former connections were given up before a new one had shown that it works. Class: an error of the second way taken for the silence of the first.

Evidence: test_store_that_answers_late_is_not_lost and test_former_connections_are_used_on_if_new_ones_fail failed before; those of silent channels pass.

Why it works: whichever ends first with an answer counts, and the other is waited for if it ends without one. Further calls go back to the former connections if the scan has failed.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/store_follower.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/store_follower.py
@@ -259,23 +259,23 @@
             self._record_silent(after)
             # its history may be lost too, so that another watch may stay silent as well
             self._after = None
-            scan = asyncio.ensure_future(self._store.scan(ALL_KEYS))
+            scan = asyncio.ensure_future(self._store.scan_anew(ALL_KEYS))
             await asyncio.wait((watch, scan), return_when=asyncio.FIRST_COMPLETED)
-            if watch.done() and isinstance(watch.result(), Ok):
-                return watch.result()
-            return await scan
+            # the failure of one does not end the other, which may only be late
+            first, second = (watch, scan) if watch.done() else (scan, watch)
+            found = await first
+            return found if isinstance(found, Ok) else await second
         finally:
             watch.cancel()
             if scan is not None:
                 scan.cancel()
 
     def _record_silent(self, after: int) -> None:
-        """Record a watch without an answer, and leave the connections it may be on."""
+        """Record a watch without an answer."""
         self._metrics.count("store.silent_channels")
         self._decisions.log_state_change(
             "store-silent", after=after, silence_ms=round(self.staleness * 1000)
         )
-        self._store.renew_connections()
 
     def _handle_error(self, error: StoreError) -> bool:
         if error.kind is StoreErrorKind.COMPACTED:
--- a/packages/greengagelatch/src/greengagelatch/store/ranges.py
+++ b/packages/greengagelatch/src/greengagelatch/store/ranges.py
@@ -48,6 +48,14 @@
         answers are not affected.
         """
 
+    async def scan_anew(self, prefix: str) -> Result[Scan, StoreError]:
+        """Scan on connections that are opened for it.
+
+        Further calls use these, unless the scan fails: the former ones may be better.
+        """
+        self.renew_connections()
+        return await self.scan(prefix)
+
     @abstractmethod
     async def follow(
         self, prefix: str, after: int, wait: float
--- a/tests/test_entry/test_relay/test_silent_store_channels.py
+++ b/tests/test_entry/test_relay/test_silent_store_channels.py
@@ -237,6 +237,29 @@
     await instances.stop()
 
 
+class LateChannels(Channels):
+    """Connections on which each answer is late, by less than a watch allows for."""
+
+    late = WATCH_MARGIN - 0.1
+
+    async def _answer(self, current, timeout):
+        await asyncio.sleep(min(self.late, timeout))
+        return self.late < timeout
+
+
+async def test_store_that_answers_late_is_not_lost():
+    """Guards against a late watch that ends as a scan beside it fails."""
+    instances = Instances(1, 1)
+    (follower,) = instances._followers
+    await instances.start()
+    await asyncio.sleep(4.0)
+    follower._store = LateChannels(instances.backend, instances.random, delay=0.0)
+    for _ in range(600):
+        await asyncio.sleep(0.1)
+        assert follower.reachable
+    await instances.stop()
+
+
 async def test_connections_are_not_renewed_while_all_is_calm():
     """Guards against needless calls to the store, each of which is billed."""
     instances = Instances(3, 1)
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -5,8 +5,9 @@
 import asyncio
 
 import pytest
+from result import Err
 
-from greengagelatch.store import ABSENT, StoreErrorKind, WriteOutcome
+from greengagelatch.store import ABSENT, StoreError, StoreErrorKind, WriteOutcome
 from greengagelatch_entry.relay.prometheus import PrometheusMetrics
 from greengagelatch_lab.platform_standins.store import SimulatedStore, StoreFault
 from greengagelatch_lab.standins.tcp_proxy import TcpProxy
@@ -194,3 +195,27 @@
     await store.get("a")
     standin.put("a", {"n": 1})
     assert [one.key for one in (await watch).unwrap().written] == ["a"]
+
+
+async def test_former_connections_are_used_on_if_new_ones_fail(
+    store, standin, monkeypatch
+):
+    """Guards against giving up connections that are late for some that fail."""
+    revision = standin.put("a", {})
+    watch = asyncio.create_task(store.follow("", revision, 5.0))
+    while not standin.calls.get("/v1/kv-watch"):  # noqa: ASYNC110
+        await asyncio.sleep(0.01)
+    former = store._pool
+
+    async def fail(prefix):
+        store._open_pool()
+        return Err(StoreError(StoreErrorKind.UNREACHABLE, "refused"))
+
+    with monkeypatch.context() as patch:
+        patch.setattr(store, "scan", fail)
+        assert (await store.scan_anew("")).is_err()
+    assert store._pool is former
+    assert (await store.scan_anew("")).is_ok()
+    assert store._pool is not former
+    standin.put("a", {"n": 1})
+    assert (await watch).is_ok()
