An instance that begins to follow the store holds the versions of the record

What callers saw: nothing yet. After an instance that was cut off had returned, another that began to follow the store dropped the versions that its streams need for another minute.

Class: absence of news taken for evidence.

Evidence: test_instance_that_begins_to_look_may_have_missed_one_that_was_missing failed before. test_instance_whose_registration_has_ended_is_missing asked for the fault, as it believed the first look; it looks for a minute now, and asks for the same then.

--- a/packages/greengagelatch/src/greengagelatch/relay/record_holders.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/record_holders.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from .service_versions import MAX_GAP_SECONDS
 from .stream_versions import MEMORY_SECONDS
 
 if TYPE_CHECKING:
@@ -37,8 +38,9 @@
 
     def __init__(self) -> None:
         self._absences: dict[str, _Absence] = {}
-        #: monotonic time at which one was last seen missing
+        #: monotonic time at which one was last seen missing, or may have been
         self._missing_at = float("-inf")
+        self._updated_at = float("-inf")
 
     def update(
         self, known: Mapping[str, int], present: Collection[str], now: float
@@ -50,8 +52,10 @@
         """
         found = dict.fromkeys(present, 0)
         missing = {one: n for one, n in known.items() if one not in found}
-        if missing:
+        if missing or now - self._updated_at > MAX_GAP_SECONDS:
+            # without a look, one may have been missing until now
             self._missing_at = now
+        self._updated_at = now
         self._absences = {
             one: self._find_absence(one, periods, now)
             for one, periods in missing.items()
