Streams: a comment is no first event

What callers saw: a stream that looked complete without an event, where a target had sent a comment in a response without a length and closed it.

Cause: any event counted as the first, also one without data. Found by an independent review of the fix of closes before the first event; test_close_after_a_comment_is_no_end failed before.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -13,7 +13,7 @@
 
 from ..soft_timeout import SoftTimeout, SoftTimeoutScope
 from .event_order import EventOrder
-from .event_splitter import EventSplitter, EventTooLargeError
+from .event_splitter import EventSplitter, EventTooLargeError, has_data
 from .input_fetch_timer import InputFetchTimer
 from .messages import AttemptContext
 from .prefill_tracker import PrefillTracker
@@ -330,7 +330,8 @@
             holding.resize(splitter.pending)
             ordered = self._order.select(events)
             if ordered:
-                self._handle_first_event(target, prefill)
+                if any(map(has_data, ordered)):
+                    self._handle_first_event(target, prefill)
                 self._record_progress()
                 if not writer.started:
                     self._exchange.status = received.head.status
@@ -399,12 +400,15 @@
             self._runner.sender.record_part_survival(self._exchange, begun_at)
 
     def _record_progress(self) -> None:
-        now = self._runner.clock.now()
+        now = self._exchange.sent_at = self._runner.clock.now()
+        if self._first_event_at is None:
+            # nothing but comments so far
+            return
         if now - self._first_event_at >= CRASH_BLAME_SECONDS:
             self._record_part_survival()
         pause = now - self._last_event_at
         self._streamed_seconds += min(pause, self._exchange.route.longest_pause)
-        self._last_event_at = self._exchange.sent_at = now
+        self._last_event_at = now
 
     async def _forward_error(
         self, target: ListedTarget, received: ReceivedResponse
--- a/tests/test_entry/test_relay/test_stream_pieces.py
+++ b/tests/test_entry/test_relay/test_stream_pieces.py
@@ -248,6 +248,21 @@
     assert (answer.status, answer.pieces) == (502, ())
 
 
+async def test_close_after_a_comment_is_no_end(engine_world, monkeypatch):
+    """Guards against streams that look complete though no event has come."""
+
+    async def send_comment(self, request, headers, writer) -> bool:
+        lines = [f"{name}: {value}" for name, value in headers.items()]
+        head = "\r\n".join(("HTTP/1.1 200 OK", "Connection: close", *lines))
+        writer.write(f"{head}\r\n\r\n: ping\n\n".encode())
+        await writer.drain()
+        return False
+
+    monkeypatch.setattr(ScriptedEngine, "_stream", send_comment)
+    answer = await engine_world.read("scan", "r-1")
+    assert not answer.complete
+
+
 async def test_response_that_has_no_body_needs_no_event(engine_world):
     for engine in engine_world.engines:
         engine.bodiless_status = 204
