Logs: lines wait for a slow reader, and tell what a request waited for

The record of a stop held no line of the stopped instance. They wait in a queue of 256 KiB now; the end of the process gives a reader 0.1 s, and tells what was dropped. The test with a pipe failed before.

A request's line has the step that it ended in, so that one that was cut while its stages ran can be told from one at its target.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/logs.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/logs.py
@@ -6,7 +6,9 @@
 import os
 import select
 import sys
+import time
 import traceback
+from collections import deque
 from enum import IntEnum
 from typing import TYPE_CHECKING, Any
 
@@ -39,6 +41,11 @@
 MAX_TRACEBACK_BYTES = 1500
 #: maximum bytes of a line; a pipe that polls as writable accepts this many at once
 MAX_LINE_BYTES = 4096
+#: maximum bytes of lines that wait for a slow reader; the requests of a stop that end
+#: together write several times what a pipe takes
+MAX_PENDING_BYTES = 256 * 1024
+#: seconds for which an output that is closed waits for its reader
+CLOSE_SECONDS = 0.1
 #: maximum stages per request, and attempts per stage, that are logged
 MAX_LOGGED_STAGES = 16
 MAX_LOGGED_ATTEMPTS = 8
@@ -77,9 +84,9 @@
     """Writes log lines to a file descriptor without blocking.
 
     If the reader of standard output stalls, the pipe fills up and a blocking write
-    would stop the event loop: the process would be alive but answer no request. A
-    line is therefore written only if the descriptor is writable, and is otherwise
-    dropped and counted.
+    would stop the event loop: the process would be alive but answer no request. Lines
+    therefore wait, up to :data:`MAX_PENDING_BYTES`, until the descriptor is writable;
+    beyond that they are dropped and counted.
     """
 
     def __init__(self, descriptor: int, *, owned: bool) -> None:
@@ -89,26 +96,31 @@
         self._poll.register(descriptor, select.POLLOUT)
         self._bridge = _LoggingBridge()
         self._destination = eliot.FileDestination(file=self)
+        self._pending: deque[bytes] = deque()
+        self._pending_bytes = 0
+        #: lines written or waiting
         self.written = 0
         self.dropped = 0
 
     def write(self, line: bytes) -> int:
-        """Write ``line`` or drop it; return the number of bytes written."""
+        """Write ``line`` now or later, or drop it; return the number of bytes taken."""
         if not line:
             return 0
-        if len(line) > MAX_LINE_BYTES or not self._is_writable():
-            self.dropped += 1
-            return 0
-        try:
-            os.write(self._descriptor, line)
-        except OSError:
+        self._write_pending()
+        if (
+            len(line) > MAX_LINE_BYTES
+            or self._pending_bytes + len(line) > MAX_PENDING_BYTES
+        ):
             self.dropped += 1
             return 0
+        self._pending.append(line)
+        self._pending_bytes += len(line)
         self.written += 1
+        self._write_pending()
         return len(line)
 
     def flush(self) -> None:
-        """Do nothing, as writes are not buffered."""
+        """Do nothing: lines are written as soon as the reader has room."""
 
     def attach(self, level: LogLevel) -> None:
         """Send eliot's messages and ``logging`` records to this output."""
@@ -120,12 +132,32 @@
             logging.getLogger(name).setLevel(logging.WARNING)
 
     def close(self) -> None:
-        """Detach and close the file, unless it is standard output."""
+        """Write what is left, detach, and close the file unless it is standard output.
+
+        Waits for a slow reader for at most :data:`CLOSE_SECONDS`.
+        """
+        if self.dropped:
+            eliot.log_message("greengagelatch:log-dropped", lines=self.dropped)
         eliot.remove_destination(self._destination)
         logging.getLogger().removeHandler(self._bridge)
+        end = time.monotonic() + CLOSE_SECONDS
+        self._write_pending()
+        while self._pending and (left := end - time.monotonic()) > 0:
+            self._poll.poll(left * 1000)
+            self._write_pending()
         if self._owned:
             os.close(self._descriptor)
 
+    def _write_pending(self) -> None:
+        while self._pending and self._is_writable():
+            line = self._pending.popleft()
+            self._pending_bytes -= len(line)
+            try:
+                os.write(self._descriptor, line)
+            except OSError:
+                self.written -= 1
+                self.dropped += 1
+
     def _is_writable(self) -> bool:
         return any(event & select.POLLOUT for _, event in self._poll.poll(0))
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
@@ -190,6 +190,8 @@
     stage_seconds: float = 0.0
     #: monotonic time in seconds of the last event that was sent to the caller
     sent_at: float | None = None
+    #: what it waits for, or waited for as it ended: ``stages`` or ``target``
+    step: str = ""
     outcome: str = ""
     status: int = 0
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/filters.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/filters.py
@@ -124,6 +124,7 @@
             targets=[str(one) for one in exchange.targets[-4:]],
             versions=exchange.software_versions[-4:],
             **exchange.describe_resumption(),
+            step=exchange.step,
             stages_ms=_to_ms(exchange.stage_seconds),
             ms=_to_ms(seconds),
             left_ms=_to_ms(exchange.deadline - now) if exchange.deadline else None,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -93,6 +93,7 @@
         self.brittle.check_start(exchange, excluded, chain.total_wait + chain.work)
         self._admission.check_start(exchange, chain, first_seconds)
         try:
+            exchange.step = "stages"
             results = await run.execute()
             self._admission.check_target(exchange)
             await self.pass_on(exchange, run, results)
@@ -193,6 +194,7 @@
         raise refusal or runner.create_refusal(exchange, last)
 
     async def _rerun_stages(self) -> None:
+        self._exchange.step = "stages"
         self._run.free()
         self._inputs_released = False
         self._results = await self._run.execute()
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_sender.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_sender.py
@@ -107,6 +107,7 @@
             been lost by then
         """
         incarnation = target.incarnation
+        exchange.step = "target"
         started = self._clock.now()
 
         def encode_again() -> OutboundRequest:
--- a/tests/test_entry/test_logs.py
+++ b/tests/test_entry/test_logs.py
@@ -5,6 +5,7 @@
 import json
 import logging
 import os
+import threading
 
 import eliot
 import pytest
@@ -22,6 +23,9 @@
     truncate,
 )
 
+#: timeout of every wait in seconds
+WAIT_SECONDS = 20
+
 SETTINGS = """
 [instance]
 id = entry-1
@@ -190,6 +194,40 @@
         os.close(writer)
 
 
+def test_last_lines_of_a_burst_are_written_as_the_output_is_closed(monkeypatch):
+    """Guards against stops whose last lines are dropped while the reader is slow."""
+    monkeypatch.setattr(logs, "CLOSE_SECONDS", WAIT_SECONDS)
+    reader, writer = os.pipe()
+    output = LogOutput(writer, owned=True)
+    output.attach(LogLevel.REQUESTS)
+    lines = [b"%06d" % number + b"x" * 992 + b"\n" for number in range(200)]
+    for line in lines:
+        output.write(line)
+    read = []
+
+    def read_all():
+        while data := os.read(reader, 1 << 16):
+            read.append(data)
+
+    thread = threading.Thread(target=read_all, daemon=True)
+    thread.start()
+    output.close()
+    thread.join(WAIT_SECONDS)
+    os.close(reader)
+    assert b"".join(read) == b"".join(lines)
+    assert output.dropped == 0
+
+
+def test_close_of_an_output_without_a_reader_ends():
+    reader, writer = os.pipe()
+    output = LogOutput(writer, owned=True)
+    output.attach(LogLevel.REQUESTS)
+    for _ in range(200):
+        output.write(b"x" * 999 + b"\n")
+    output.close()
+    os.close(reader)
+
+
 def test_line_too_long_for_a_pipe_is_dropped_and_counted():
     reader, writer = os.pipe()
     output = LogOutput(writer, owned=True)
