Streams: a silent engine is left only once there are new stage results

Callers saw streams that ended without their end, in planned stops and elsewhere. A stream whose engine had fetched the results of its stages left it when it was silent, and executed the stages only after that. Where they failed, hung or outlasted the stop, the stream was cut, though its engine went on seconds later.

The stages are executed while the engine is still listened to. It is left once their results are there and the retry still fits, by the end of a stop too; if it goes on before that they are cancelled and freed, and if it breaks they serve the next attempt.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/streams.py
@@ -18,6 +18,7 @@
 from .messages import AttemptContext
 from .prefill_tracker import PrefillTracker
 from .runners import Runner
+from .stage_rerun import StageRerun
 from .target_responses import TargetResponseError
 from .target_sender import (
     CRASH_BLAME_SECONDS,
@@ -132,6 +133,7 @@
         self._exchange = exchange
         self._run = run
         self._results = results
+        self._rerun = StageRerun(run)
         self._prompt = exchange.request.prompt or Prompt()
         self._order = EventOrder(
             exchange.request, codec=runner.codec, decisions=runner.decisions
@@ -156,6 +158,12 @@
 
     async def serve(self) -> None:
         """Send until the stream is complete or no further retry is allowed."""
+        try:
+            await self._serve()
+        finally:
+            await self._rerun.discard()
+
+    async def _serve(self) -> None:
         exchange, runner = self._exchange, self._runner
         last: FailedSend | None = None
         while True:
@@ -195,9 +203,8 @@
 
     async def _rerun_stages(self) -> None:
         self._exchange.step = "stages"
-        self._run.free()
+        self._results = await self._rerun.finish()
         self._inputs_released = False
-        self._results = await self._run.execute()
 
     def _choose(self) -> ListedTarget | None:
         need = EngineDemand(
@@ -370,7 +377,7 @@
             async with SoftTimeoutScope(
                 end, soft_timeout, received.response.is_path_lost
             ):
-                return await anext(chunks, None)
+                chunk = await anext(chunks, None)
         except TimeoutError:
             raise TargetResponseError(
                 "timed out waiting for the next event",
@@ -378,6 +385,8 @@
                 silent=True,
                 endured=soft_timeout is not None and soft_timeout.endured,
             ) from None
+        await self._rerun.discard()
+        return chunk
 
     def _handle_first_event(
         self, target: ListedTarget, prefill: PrefillTracker
@@ -462,20 +471,31 @@
 
     def _may_leave(self, target: ListedTarget, asked: bool, path_lost: bool) -> bool:
         """Return whether to leave a silent target; see :meth:`Runner.may_leave`."""
-        if self._needs_rerun() and not self._run.may_execute_again():
-            if not asked:
-                self._runner.record_silence(
-                    self._exchange, target, SilenceDecision.NO_STAGES, path_lost
-                )
-            return False
-        return self._runner.may_leave(
+        if not self._may_rerun_stages():
+            decision = SilenceDecision.NO_STAGES
+        elif not self._runner.may_leave(
             self._exchange,
             target,
             self._list_excluded(),
             self._estimate_retry(),
             asked,
             path_lost,
-        )
+        ):
+            return False
+        elif not self._needs_rerun() or self._rerun.is_ready:
+            return True
+        else:
+            self._rerun.begin()
+            decision = SilenceDecision.STAGES_FIRST
+        if not asked:
+            self._runner.record_silence(self._exchange, target, decision, path_lost)
+        return False
+
+    def _may_rerun_stages(self) -> bool:
+        """Return whether another target could get the stage results that it needs."""
+        if not self._needs_rerun() or self._rerun.is_begun:
+            return True
+        return self._run.may_execute_again()
 
     def _estimate_retry(self) -> float:
         """Return the seconds in which another engine would complete the stream."""
--- a/packages/greengagelatch/src/greengagelatch/relay/outcomes.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/outcomes.py
@@ -110,6 +110,7 @@
     NO_BUDGET = "the retry budget is exhausted"
     SUSPECTED = "it is suspected of crashing targets"
     NO_STAGES = "its stages can't be executed again in time"
+    STAGES_FIRST = "its stages are executed again first"
 
 
 def decide_on_silence(
--- a/tests/test_entry/test_relay/test_silences_in_stops.py
+++ b/tests/test_entry/test_relay/test_silences_in_stops.py
@@ -67,3 +67,40 @@
     reply = await held
     assert (reply.status, reply.error, reply.body) == (200, "", WHOLE)
     assert count_received(pipeline) == 1
+
+
+async def test_stages_made_again_in_vain_are_released(pipeline, silenced):
+    """Guards against results that take up room as their engine has gone on."""
+    held, engine = silenced
+    gate = asyncio.Event()
+    for maker in list_makers(pipeline):
+        maker.gate = gate
+    calls = [len(one.batches) for one in list_makers(pipeline)]
+    await pipeline.wait_for(
+        lambda: [len(one.batches) for one in list_makers(pipeline)] != calls
+    )
+    engine.resume()
+    reply = await held
+    assert (reply.status, reply.error, reply.body) == (200, "", WHOLE)
+    assert count_received(pipeline) == 1
+    gate.set()
+    await pipeline.wait_for(lambda: count_held(pipeline) == 0)
+
+
+async def test_stages_made_ahead_serve_a_stream_whose_engine_breaks(pipeline, silenced):
+    """Guards against stages that are executed twice for one other attempt."""
+    held, engine = silenced
+    made = sum(one.pieces.total() for one in list_makers(pipeline))
+    gate = asyncio.Event()
+    for maker in list_makers(pipeline):
+        maker.gate = gate
+    calls = [len(one.batches) for one in list_makers(pipeline)]
+    await pipeline.wait_for(
+        lambda: [len(one.batches) for one in list_makers(pipeline)] != calls
+    )
+    engine.abort_connections()
+    engine.resume()
+    gate.set()
+    reply = await held
+    assert (reply.status, reply.error, reply.body) == (200, "", WHOLE)
+    assert sum(one.pieces.total() for one in list_makers(pipeline)) == 2 * made
