Known failures: clients that send ahead, without end, or not at all

Real processes with 128 MB and 400 descriptors in their settings, a crowd of 100 connections that send up to 2 MiB each, one of 600 that send no request, and 2,000 that leave. Crowd and bounds stay as they are.

They run after the other tests, one at a time.

--- /dev/null
+++ b/tests/test_processes/test_careless_clients.py
@@ -0,0 +1,268 @@
+"""Tests of a process whose clients send without end, ahead, or not at all."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import aiohttp
+import pytest
+
+from greengagelatch_lab.platform_standins.deployment import (
+    API_KEY,
+    HOST,
+    create_configuration,
+)
+from greengagelatch_lab.platform_standins.fleet import PlatformFleet
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+pytestmark = [
+    pytest.mark.processes,
+    pytest.mark.alone,
+    pytest.mark.timeout(180),
+]
+
+#: timeout of every wait in seconds
+WAIT_SECONDS = 60
+MEGABYTE = 1_048_576
+#: memory of the process, and the share of it that must suffice
+MEMORY_MB = 128
+MAX_SHARE = 0.75
+#: descriptors of the process
+MAX_DESCRIPTORS = 400
+MAX_HEADER_BYTES = 16_384
+#: connections that send much, and connections that hold descriptors
+CROWD = 100
+IDLE_CROWD = 600
+#: bytes that a connection sends at most, and size of its writes
+MAX_SENT_BYTES = 2 * MEGABYTE
+WRITE_BYTES = 64 * 1024
+#: seconds after which a connection that is not read stops sending
+UNREAD_SECONDS = 2.0
+#: connections that are opened for one request each, and how many at a time
+CLOSED_CROWD = 2000
+CLOSED_AT_ONCE = 64
+ENTRANCES = ("front", "readiness", "metrics", "control")
+HTTP_ENTRANCES = ENTRANCES[:3]
+PATHS = {"front": "/scan/1", "readiness": "/v1/readyz", "metrics": "/metrics"}
+
+
+@dataclass(slots=True)
+class CarelessFleet(PlatformFleet):
+    """One instance with little memory and few descriptors."""
+
+    #: awaited by engines before they answer
+    gate: asyncio.Event = field(default_factory=asyncio.Event)
+    max_descriptors: int = 0
+
+    async def add_more_targets(self) -> None:
+        configuration = create_configuration(timeout_ms=WAIT_SECONDS * 1000)
+        configuration["limits"]["max-header-bytes"] = MAX_HEADER_BYTES
+        self.store.put("op/config", configuration)
+        for engine in self.find_targets("llm"):
+            engine.gate = self.gate
+
+    def create_instance(self, name, seeds):
+        instance = PlatformFleet.create_instance(self, name, seeds)
+        settings = json.loads(instance.settings.read_text())
+        settings["limits"] = {"memory-mb": MEMORY_MB, "max-fds": MAX_DESCRIPTORS}
+        instance.settings.write_text(json.dumps(settings))
+        return instance
+
+    @property
+    def instance(self):
+        return self.instances[0]
+
+    @property
+    def process_directory(self) -> Path:
+        return Path(f"/proc/{self.instance.process.pid}")
+
+    def read_peak_bytes(self) -> int:
+        """Return the highest resident memory that the instance has had."""
+        status = (self.process_directory / "status").read_text()
+        (line,) = (one for one in status.splitlines() if one.startswith("VmHWM:"))
+        return int(line.split()[1]) * 1024
+
+    def record_descriptors(self) -> None:
+        """Record the descriptors that the instance has open."""
+        count = len(os.listdir(self.process_directory / "fd"))
+        self.max_descriptors = max(self.max_descriptors, count)
+
+
+@pytest.fixture
+async def fleet(tmp_path):
+    created = CarelessFleet(tmp_path, count=1)
+    try:
+        await created.start()
+        yield created
+    finally:
+        created.gate.set()
+        await created.stop()
+
+
+async def connect(fleet, entrance: str):
+    host, _, port = getattr(fleet.instance, entrance).rpartition(":")
+    return await asyncio.open_connection(host, int(port))
+
+
+def encode_head(entrance: str, number: int, *lines: str) -> bytes:
+    """Return a request that a target holds back, where the entrance is for callers."""
+    head = [
+        f"GET {PATHS.get(entrance, '/')} HTTP/1.1",
+        f"Host: {HOST}",
+        f"X-Attempt-Id: c-{number}",
+        f"X-Deadline-Ms: {WAIT_SECONDS * 1000}",
+        f"Authorization: Bearer {API_KEY}",
+        "X-Prefix-Hash: aa:60",
+        *lines,
+    ]
+    return "\r\n".join(head).encode() + b"\r\n"
+
+
+async def send(fleet, entrance: str, number: int, first: bytes, again: bytes) -> None:
+    """Send without reading until nothing is read, or the connection is closed."""
+    writer = None
+    try:
+        _, writer = await connect(fleet, entrance)
+        data = again * max(1, WRITE_BYTES // len(again))
+        writer.write(first)
+        for _ in range(MAX_SENT_BYTES // len(data)):
+            writer.write(data)
+            async with asyncio.timeout(UNREAD_SECONDS):
+                await writer.drain()
+    except (ConnectionError, TimeoutError):
+        return
+    finally:
+        if writer is not None:
+            fleet.record_descriptors()
+            writer.transport.abort()
+
+
+async def send_by_crowd(
+    fleet, entrance: str, create: Callable[[int], tuple[bytes, bytes]]
+) -> None:
+    """Let a crowd send, each connection what ``create`` returns for its number."""
+    sending = (
+        send(fleet, entrance, number, *create(number)) for number in range(CROWD)
+    )
+    async with asyncio.timeout(WAIT_SECONDS):
+        await asyncio.gather(*sending)
+
+
+async def check(fleet) -> None:
+    """Check that the process lives within its bounds, and answers others."""
+    async with asyncio.timeout(WAIT_SECONDS), aiohttp.ClientSession() as session:
+        headers = {
+            "Host": HOST,
+            "X-Attempt-Id": "ordinary",
+            "X-Deadline-Ms": str(WAIT_SECONDS * 1000),
+            "Authorization": f"Bearer {API_KEY}",
+        }
+        url = f"http://{fleet.instance.front}/look/1"
+        async with session.get(url, headers=headers) as response:
+            await response.read()
+            assert response.status == 200
+        async with session.get(f"http://{fleet.instance.readiness}/v1/readyz") as ready:
+            assert ready.status == 200
+    fleet.record_descriptors()
+    peak = fleet.read_peak_bytes()
+    print(f"peak {peak / MEGABYTE:.1f} MiB, {fleet.max_descriptors} descriptors")
+    assert fleet.instance.process.returncode is None
+    assert peak <= MEMORY_MB * 1_000_000 * MAX_SHARE
+    assert fleet.max_descriptors <= MAX_DESCRIPTORS
+
+
+@pytest.mark.parametrize("entrance", HTTP_ENTRANCES)
+async def test_requests_sent_ahead_fit_into_memory(fleet, entrance):
+    """Guards against requests with large heads that are read ahead of their turn."""
+
+    def create(number: int) -> tuple[bytes, bytes]:
+        lines = [f"X-More-{one}: " + "a" * 4000 for one in range(3)]
+        request = encode_head(entrance, number, *lines) + b"\r\n"
+        return request, request
+
+    await send_by_crowd(fleet, entrance, create)
+    await check(fleet)
+
+
+@pytest.mark.parametrize("entrance", ENTRANCES)
+async def test_header_line_without_end_fits_into_memory(fleet, entrance):
+    """Guards against bytes that are kept after a head is found to be invalid."""
+    await send_by_crowd(
+        fleet, entrance, lambda one: (encode_head(entrance, one) + b"X-Long: ", b"a")
+    )
+    await check(fleet)
+
+
+@pytest.mark.parametrize("entrance", ENTRANCES)
+async def test_header_lines_without_end_fit_into_memory(fleet, entrance):
+    """Guards against heads that are bounded by the line only."""
+    line = b"X-More: " + b"a" * 4000 + b"\r\n"
+    await send_by_crowd(fleet, entrance, lambda one: (encode_head(entrance, one), line))
+    await check(fleet)
+
+
+@pytest.mark.parametrize(
+    "again",
+    [
+        pytest.param(b"1\r\na\r\n", id="chunks"),
+        pytest.param(b"a", id="extension"),
+        pytest.param(b"ffff\r\n" + b"a" * 65535 + b"\r\n", id="large-chunks"),
+    ],
+)
+@pytest.mark.parametrize("entrance", HTTP_ENTRANCES)
+async def test_body_without_end_fits_into_memory(fleet, entrance, again):
+    """Guards against bodies that are kept by a server that does not read them."""
+    end = b"1;a=" if again == b"a" else b""
+
+    def create(number: int) -> tuple[bytes, bytes]:
+        head = encode_head(entrance, number, "Transfer-Encoding: chunked")
+        return head.replace(b"GET", b"POST", 1) + b"\r\n" + end, again
+
+    await send_by_crowd(fleet, entrance, create)
+    await check(fleet)
+
+
+@pytest.mark.parametrize(
+    "is_begun", [pytest.param(False, id="unused"), pytest.param(True, id="begun")]
+)
+@pytest.mark.parametrize("entrance", ENTRANCES)
+async def test_connections_that_send_no_request_leave_descriptors(
+    fleet, entrance, is_begun
+):
+    """Guards against clients that take up all descriptors and send no request."""
+    writers = []
+    try:
+        async with asyncio.timeout(WAIT_SECONDS):
+            for number in range(IDLE_CROWD):
+                _, writer = await connect(fleet, entrance)
+                writers.append(writer)
+                if is_begun:
+                    writer.write(encode_head(entrance, number))
+                fleet.record_descriptors()
+        await check(fleet)
+    finally:
+        for writer in writers:
+            writer.transport.abort()
+
+
+async def test_requests_whose_callers_leave_leave_descriptors(fleet):
+    """Guards against requests of callers that have left, each with a descriptor."""
+    numbers = iter(range(CLOSED_CROWD))
+
+    async def send_and_close() -> None:
+        for number in numbers:
+            _, writer = await connect(fleet, "front")
+            writer.write(encode_head("front", number) + b"\r\n")
+            writer.close()
+            fleet.record_descriptors()
+
+    async with asyncio.timeout(WAIT_SECONDS):
+        await asyncio.gather(*(send_and_close() for _ in range(CLOSED_AT_ONCE)))
+    await check(fleet)
