HTTP listeners: connections are bounded in sum, whatever clients send

Clients ended a process: it ran out of memory by requests sent ahead, their answers unread. Each connection was bounded, their sum was not; the readiness and metrics addresses had no limits of their own, and after an invalid head each further read was kept as one more invalid request. Idle connections took all descriptors.

All HTTP listeners have one kind of connection now. Two requests wait on one, and heads are bounded whole. What all connections hold ahead has a limit within the account of memory; the one that is furthest ahead loses it. The longest idle one yields to a new one at the limit of their number, which follows from the process's descriptors. A request that waited is not begun if its client has left meanwhile.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_bodies.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_bodies.py
@@ -11,6 +11,7 @@
 
 from greengagelatch.errors import Refusal, RefusalCode
 
+from .bounded_connections import READ_BYTES
 from .socket_options import limit_read_size
 
 if TYPE_CHECKING:
@@ -24,9 +25,6 @@
 STATUS_UNAVAILABLE = 503
 #: statuses after which the connection is closed, as the rest of the body is unread
 CLOSING_STATUSES = frozenset({STATUS_TIMEOUT, STATUS_TOO_LARGE})
-#: size in bytes of one read from a caller, and of the buffer; there may be thousands of
-#: connections whose bodies are not read
-READ_BYTES = 32 * 1024
 #: the same while a body is read
 BODY_READ_BYTES = 128 * 1024
 #: size in bytes up to which a body without a stated length gets its room step by step
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_connections.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_connections.py
@@ -7,19 +7,15 @@
 import select
 import socket
 from dataclasses import dataclass
-from itertools import count
 from typing import TYPE_CHECKING, Any
 
-from aiohttp.web_protocol import RequestHandler
 from aiohttp.web_response import Response
-from aiohttp.web_server import Server
 
 from greengagelatch.errors import Refusal, RefusalCode
 from greengagelatch.verdict import Verdict
 
+from .bounded_connections import READ_BYTES, BoundedConnection, BoundedServer
 from .caller_answers import create_headers, describe_refusal, encode
-from .caller_bodies import READ_BYTES
-from .socket_options import limit_read_size
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterable
@@ -27,6 +23,8 @@
     from aiohttp.web_request import BaseRequest
     from aiohttp.web_response import StreamResponse
 
+    from greengagelatch.connection_limits import ConnectionLimits
+
 __all__ = (
     "CallerConnections",
     "RequestPosition",
@@ -84,15 +82,19 @@
         self,
         handle: Callable[[BaseRequest], Awaitable[StreamResponse]],
         *,
-        max_connections: int,
+        limits: ConnectionLimits,
         find_max_header_bytes: Callable[[], int],
         find_idle_timeout: Callable[[], float],
         write_timeout: float,
         decompress_bodies: bool = True,
+        on_limit: Callable[[str, str], None] = lambda *_: None,
+        on_held: Callable[[int], None] = lambda _: None,
     ) -> None:
-        self._max_connections = max_connections
         self._server = _Server(
             handle,
+            limits=limits,
+            on_limit=on_limit,
+            on_held=on_held,
             write_timeout=write_timeout,
             find_max_header_bytes=find_max_header_bytes,
             find_idle_timeout=find_idle_timeout,
@@ -109,8 +111,6 @@
 
     def create(self) -> asyncio.BaseProtocol:
         """Create the protocol of a newly accepted connection."""
-        if len(self) >= self._max_connections:
-            return _RejectingProtocol(self._max_connections)
         return self._server()
 
     def close_idle(self) -> int:
@@ -151,8 +151,8 @@
         await self._server.shutdown(CLOSE_TIMEOUT)
 
 
-class _Server(Server):
-    """aiohttp's low-level server with refusals instead of its error pages."""
+class _Server(BoundedServer):
+    """Server with refusals instead of aiohttp's error pages."""
 
     def __init__(
         self,
@@ -167,11 +167,26 @@
         self._write_timeout = write_timeout
         self._find_max_header_bytes = find_max_header_bytes
         self.find_idle_timeout = find_idle_timeout
-        self.connection_numbers = count(1)
         #: whether connections are closed once they become idle
         self.closing = False
 
-    def __call__(self) -> RequestHandler:
+    def create_rejection(self) -> bytes:
+        limit = self.limits.max_connections
+        refusal = Refusal(
+            code=RefusalCode.OVERLOADED,
+            message="too many open connections",
+            field="connections",
+            value=str(limit),
+            retry_after_ms=FULL_RETRY_MS,
+        )
+        body = encode(describe_refusal("", refusal))
+        lines = ["HTTP/1.1 503 Service Unavailable", "Connection: close"]
+        for name, value in create_headers(refusal).items():
+            lines.append(f"{name}: {value}")
+        lines.append(f"Content-Length: {len(body)}")
+        return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+    def create_connection(self) -> _Connection:
         max_header_bytes = self._find_max_header_bytes()
         return _Connection(
             self,
@@ -184,7 +199,7 @@
         )
 
 
-class _Connection(RequestHandler):
+class _Connection(BoundedConnection):
     """Connection of a caller."""
 
     def __init__(self, server: _Server, write_timeout: float, **options: Any) -> None:
@@ -199,14 +214,11 @@
         self._started_at = 0.0
         #: whether that request started after the shutdown of connections began
         self.started_while_closing = False
-        #: sequence number among the connections of this process
-        self.number = next(server.connection_numbers)
         #: requests received on this connection
         self.requests = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
-        limit_read_size(transport, READ_BYTES)
         _enable_loss_detection(transport.get_extra_info("socket"), self._write_timeout)
 
     def data_received(self, data: bytes) -> None:
@@ -343,33 +355,5 @@
         connection.setsockopt(socket.IPPROTO_TCP, option, value)
 
 
-class _RejectingProtocol(asyncio.Protocol):
-    """Rejects a connection above the limit with a response and closes it.
-
-    Without a response the caller would see a reset and could not tell whether its
-    request was executed.
-    """
-
-    def __init__(self, limit: int) -> None:
-        refusal = Refusal(
-            code=RefusalCode.OVERLOADED,
-            message="too many open connections",
-            field="connections",
-            value=str(limit),
-            retry_after_ms=FULL_RETRY_MS,
-        )
-        body = encode(describe_refusal("", refusal))
-        lines = ["HTTP/1.1 503 Service Unavailable", "Connection: close"]
-        for name, value in create_headers(refusal).items():
-            lines.append(f"{name}: {value}")
-        lines.append(f"Content-Length: {len(body)}")
-        self._answer = "\r\n".join(lines).encode() + b"\r\n\r\n" + body
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        transport.write(self._answer)
-        transport.close()
-
-
 def _shorten(text: str) -> str:
     return " ".join(text.split())[:MAX_SHOWN]
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_listener.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_listener.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING, Any, ClassVar
 
 from ..controllers import Controller
+from .bounded_connections import listen
 from .caller_connections import CallerConnections, begin_request, end_request
 
 if TYPE_CHECKING:
@@ -62,14 +63,10 @@
 
     async def on_start(self) -> None:
         """Bind the address and start serving."""
-        loop = asyncio.get_running_loop()
         self._connections = self.create_connections()
         host, _, port = self._listen.rpartition(":")
-        self._listener = await loop.create_server(
-            self._connections.create,
-            host.strip("[]"),
-            int(port),
-            backlog=self.backlog,
+        self._listener = await listen(
+            self._connections.create, host.strip("[]"), int(port), self.backlog
         )
         self.port = self._listener.sockets[0].getsockname()[1]
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/callers.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/callers.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 from result import Err
 
+from greengagelatch.connection_limits import ConnectionLimits
 from greengagelatch.errors import Refusal, RefusalCode
 from greengagelatch.request import Answer
 from greengagelatch.verdict import Verdict
@@ -91,7 +92,7 @@
         limits = self._limits
         return CallerConnections(
             self.handle,
-            max_connections=limits.max_connections,
+            limits=ConnectionLimits(max_connections=limits.max_connections),
             find_max_header_bytes=lambda: limits.max_header_bytes,
             find_idle_timeout=lambda: limits.idle_timeout,
             write_timeout=limits.write_timeout,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/operators.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/operators.py
@@ -14,8 +14,10 @@
 from mode import Service
 
 from greengagelatch.clock import SystemClock
+from greengagelatch.connection_limits import ConnectionLimits
 
 from ..controllers import Controller
+from .bounded_connections import BoundedServer
 from .loop_lag import LoopLag
 from .state_dump import encode
 
@@ -40,12 +42,30 @@
 READY_RETRY = 1
 #: seconds that handlers get to finish when the server stops
 STOP_TIMEOUT = 2.0
+#: limits on the connections of operators and health checks
+CONNECTION_LIMITS = ConnectionLimits(
+    max_connections=128, max_read_ahead=4 * 1024 * 1024
+)
 
 TARGET_FIELD = "target"
 #: maximum characters of an invalid value in an error message
 MAX_SHOWN = 200
 
 
+class _BoundedRunner(web.AppRunner):
+    """Runs an application on connections that are bounded in sum."""
+
+    async def _make_server(self) -> BoundedServer:
+        server = await super()._make_server()
+        return BoundedServer(
+            server.request_handler,
+            limits=CONNECTION_LIMITS,
+            request_factory=server.request_factory,
+            handler_cancellation=server.handler_cancellation,
+            **server._kwargs,
+        )
+
+
 class OperatorsServer(Controller):
     """Serves health checks, state dump, status, drain and additional routes.
 
@@ -89,7 +109,7 @@
     async def on_start(self) -> None:
         """Bind the address and start serving."""
         host, _, port = self._listen.rpartition(":")
-        self._runner = web.AppRunner(
+        self._runner = _BoundedRunner(
             self._create_application(),
             access_log=None,
             shutdown_timeout=STOP_TIMEOUT,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/socket_options.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/socket_options.py
@@ -10,8 +10,19 @@
 
 if TYPE_CHECKING:
     import asyncio
+    from collections.abc import Iterable
 
-__all__ = ("LOSS_RULE", "configure_socket", "limit_read_size", "reset_on_close")
+__all__ = (
+    "ACCEPTED_AT_ONCE",
+    "LOSS_RULE",
+    "configure_socket",
+    "extend_backlog",
+    "limit_read_size",
+    "reset_on_close",
+)
+
+#: connections that are accepted in one turn of the event loop
+ACCEPTED_AT_ONCE = 16
 
 #: when the kernel drops a connection to a silent target
 LOSS_RULE = ConnectionLossRule(
@@ -31,6 +42,19 @@
         transport.max_size = size
 
 
+def extend_backlog(
+    listeners: Iterable[asyncio.trsock.TransportSocket], backlog: int
+) -> None:
+    """Have the kernel queue more connections than the event loop accepts at once.
+
+    The event loop accepts as many as it is told that the kernel queues, and only then
+    closes any: their descriptors would exceed all limits.
+    """
+    for one in listeners:
+        with one.dup() as listener:
+            listener.listen(backlog)
+
+
 def configure_socket(connection: socket.socket, rule: ConnectionLossRule) -> None:
     """Configure the kernel to detect a peer that vanished silently.
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, Any
 
 from greengagelatch.clock import SystemClock
+from greengagelatch.connection_limits import ConnectionLimits, find_max_connections
 from greengagelatch.events import EventBus
 from greengagelatch.peers import MemberState
 from greengagelatch.relay.byte_account import create_account_rule
@@ -54,6 +55,8 @@
 #: lower bound on the instances assumed to share a retry budget. It exceeds the usual
 #: fleet size, so that an instance without full membership takes too small a share
 ASSUMED_INSTANCES = 10
+#: most connections of callers, however many descriptors there are
+MAX_CONNECTIONS = 2400
 
 
 def compose_relay(
@@ -328,6 +331,8 @@
             handler=self.handler,
             find_limits=self.configuration.find_limits,
             is_draining=lambda: self.drain.draining,
+            connection_limits=self._create_connection_limits(),
+            on_limit=self._record_limit,
             memory=self.memory,
             clock=self.clock,
             metrics=self.metrics,
@@ -356,6 +361,7 @@
                 find_table=lambda: self.configuration.table,
                 list_unrecorded=self.version_history.list_unrecorded,
             ).explain,
+            on_limit=self._record_limit,
         )
         self.usage = UsageController(
             capacity=self.settings.capacity,
@@ -365,6 +371,20 @@
             decisions=self.decisions,
         )
 
+    def _create_connection_limits(self) -> ConnectionLimits:
+        """Return the limits on connections of callers."""
+        return ConnectionLimits(
+            max_connections=find_max_connections(
+                self.settings.capacity.descriptors, MAX_CONNECTIONS
+            ),
+            max_read_ahead=self.memory.max_head_bytes,
+        )
+
+    def _record_limit(self, listener: str, limit: str, peer: str) -> None:
+        self.decisions.log_decision(
+            "connection-limit", listener=listener, limit=limit, peer=peer
+        )
+
     def _list_registered(self) -> frozenset[str] | None:
         """Return the addresses of the registered instances; ``None``: not known."""
         if not self.follower.is_following:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/front.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/front.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from greengagelatch.errors import Refusal, RefusalCode
-from greengagelatch.relay.byte_account import HoldingKind
+from greengagelatch.relay.byte_account import HEAD_COPIES, HoldingKind
 from greengagelatch.relay.requests import RefusedError
 from greengagelatch.verdict import Verdict
 
@@ -27,6 +27,7 @@
     from aiohttp import web
 
     from greengagelatch.clock import Clock
+    from greengagelatch.connection_limits import ConnectionLimits
     from greengagelatch.relay.byte_account import ByteHolding
     from greengagelatch.relay.deployment import CallerLimits
 
@@ -38,8 +39,6 @@
 
 logger = logging.getLogger(__name__)
 
-#: connections of callers; connections to targets need file descriptors as well
-MAX_CONNECTIONS = 2400
 #: seconds added to the callers' own idle timeout, so that the server closes no
 #: connection on which a request is in transit
 IDLE_MARGIN_SECONDS = 5.0
@@ -63,7 +62,11 @@
 
 
 class RelayFront(CallerListener):
-    """Reads each request, runs the handler and ensures exactly one response."""
+    """Reads each request, runs the handler and ensures exactly one response.
+
+    :param on_limit: called with the listener, the name of a limit, and the address of
+        the client whose connection is closed or rejected by it
+    """
 
     name = "front"
     # accept queue: connections of a burst beyond it are delayed by seconds
@@ -77,11 +80,16 @@
         handler: Callable[[RelayExchange], Awaitable[None]],
         find_limits: Callable[[], CallerLimits],
         is_draining: Callable[[], bool],
+        connection_limits: ConnectionLimits,
+        on_limit: Callable[[str, str, str], None],
         memory: MemoryController,
         clock: Clock,
         metrics: Metrics,
     ) -> None:
         super().__init__(listen)
+        self._connection_limits = connection_limits
+        self._on_limit = on_limit
+        self._heads = memory.open(HoldingKind.HEADS)
         self._codec = codec
         self._handler = handler
         self._find_limits = find_limits
@@ -93,7 +101,9 @@
     def create_connections(self) -> CallerConnections:
         return CallerConnections(
             self.handle,
-            max_connections=MAX_CONNECTIONS,
+            limits=self._connection_limits,
+            on_limit=self._record_limit,
+            on_held=self._hold_heads,
             find_max_header_bytes=lambda: self._find_limits().max_header_bytes,
             find_idle_timeout=self._find_idle_timeout,
             write_timeout=WRITE_TIMEOUT,
@@ -155,6 +165,12 @@
             room=_HeldRoom(self._memory, holding),
         )
 
+    def _record_limit(self, limit: str, peer: str) -> None:
+        self._on_limit(self.name, limit, peer)
+
+    def _hold_heads(self, size: int) -> None:
+        self._heads.resize(size * HEAD_COPIES)
+
     def _find_idle_timeout(self) -> float:
         return self._find_limits().idle_timeout + IDLE_MARGIN_SECONDS
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/memory.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/memory.py
@@ -60,6 +60,11 @@
         """Size in bytes of the largest holding that could have room."""
         return self._account.rule.large_limit
 
+    @property
+    def max_head_bytes(self) -> int:
+        """Size in bytes of all heads that may be read before their turn."""
+        return self._account.rule.max_head_bytes
+
     def open(self, kind: HoldingKind) -> ByteHolding:
         """Return a new holding; it must be released."""
         return self._account.open(kind)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/readiness.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/readiness.py
@@ -7,9 +7,11 @@
 from typing import TYPE_CHECKING, Any
 
 from aiohttp.web_response import Response
-from aiohttp.web_server import Server
 from prometheus_client import CollectorRegistry, generate_latest
 
+from greengagelatch.connection_limits import ConnectionLimits
+
+from ..adapters.bounded_connections import BoundedServer, listen
 from ..controllers import Controller
 from .explanations import InvalidQuestionError
 
@@ -28,7 +30,11 @@
 SHUTDOWN_TIMEOUT = 60.0
 #: connections that the kernel queues until this process accepts them
 BACKLOG = 128
+#: limits on the connections of one endpoint
+LIMITS = ConnectionLimits(max_connections=64, max_read_ahead=2 * 1024 * 1024)
 STATUS_BAD_REQUEST = 400
+#: seconds for which the rest of a body that is not used is read and dropped
+LINGER_SECONDS = 1.0
 
 
 class ReadinessServer(Controller):
@@ -38,6 +44,8 @@
     :param metrics_listen: address of the metrics, state and explanation endpoints;
         empty: not served
     :param explain: answers a question where a request would be sent
+    :param on_limit: called with this listener, the name of a limit, and the address of
+        the client whose connection is closed or rejected by it
     """
 
     name = "readiness"
@@ -53,6 +61,7 @@
         metrics: PrometheusMetrics,
         describe: Callable[[], dict[str, Any]],
         explain: Callable[[Mapping[str, Any]], dict[str, Any]],
+        on_limit: Callable[[str, str, str], None],
     ) -> None:
         super().__init__()
         self._listen = listen
@@ -62,6 +71,7 @@
         self._is_ready = is_ready
         self._describe = describe
         self._explain = explain
+        self._on_limit = on_limit
         self._registry = CollectorRegistry()
         self._registry.register(metrics)
         self._endpoints: list[_Endpoint] = []
@@ -86,10 +96,16 @@
         return {"ready": self._is_ready()}
 
     async def _serve(self, address: str, handler) -> None:
-        server = Server(handler, access_log=None, keepalive_timeout=IDLE_TIMEOUT)
+        server = BoundedServer(
+            handler,
+            limits=LIMITS,
+            on_limit=lambda limit, peer: self._on_limit(self.name, limit, peer),
+            access_log=None,
+            keepalive_timeout=IDLE_TIMEOUT,
+            lingering_time=LINGER_SECONDS,
+        )
         host, _, port = address.rpartition(":")
-        loop = asyncio.get_running_loop()
-        listener = await loop.create_server(server, host, int(port), backlog=BACKLOG)
+        listener = await listen(server, host, int(port), BACKLOG)
         self._endpoints.append(_Endpoint(listener, server))
 
     async def _handle_readiness(self, request: BaseRequest) -> Response:
@@ -132,7 +148,7 @@
 class _Endpoint:
     """One listener and the connections that it has accepted."""
 
-    def __init__(self, listener: asyncio.Server, server: Server) -> None:
+    def __init__(self, listener: asyncio.Server, server: BoundedServer) -> None:
         self._listener = listener
         self._server = server
         self.address: tuple[str, int] = listener.sockets[0].getsockname()[:2]
--- a/packages/greengagelatch/src/greengagelatch/relay/byte_account.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/byte_account.py
@@ -11,6 +11,7 @@
     from collections.abc import Callable
 
 __all__ = (
+    "HEAD_COPIES",
     "ByteAccount",
     "ByteAccountRule",
     "ByteHolding",
@@ -34,6 +35,10 @@
 SMALL_BYTES = 64 * 1024
 #: share of the limit that only small holdings use
 SMALL_SHARE = 0.25
+#: share of the limit that heads of requests may use, whether or not there is room
+HEAD_SHARE = 0.25
+#: bytes of a holding for each byte of a head, which is decoded into many objects
+HEAD_COPIES = 2
 
 
 class HoldingKind(Enum):
@@ -45,6 +50,8 @@
     ANSWERS = "answers"
     #: of streams, while they are incomplete
     EVENTS = "events"
+    #: of callers' requests, until these are served
+    HEADS = "heads"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -58,6 +65,11 @@
     #: share of ``limit`` that only small holdings use
     small_share: float = SMALL_SHARE
 
+    @property
+    def max_head_bytes(self) -> int:
+        """Limit for the heads of all callers' requests, as they are received."""
+        return int(self.limit * HEAD_SHARE / HEAD_COPIES)
+
     @property
     def large_limit(self) -> int:
         """Limit for all holdings together that are not small."""
@@ -197,6 +209,10 @@
         """Give back ``size`` bytes, or all if it holds fewer."""
         self._account.change(self, max(0, self.size - size))
 
+    def resize(self, size: int) -> None:
+        """Set the size, also where there is no room; others wait for it then."""
+        self._account.change(self, size)
+
     def release(self) -> None:
         """Give back all bytes; it can't grow any more."""
         self._released = True
--- a/packages/greengagelatch/src/greengagelatch/relay/capacity.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/capacity.py
@@ -29,6 +29,8 @@
     link_bytes: float = 0.0
     #: bytes of memory of its process
     memory_bytes: float = 0.0
+    #: descriptors that its process may have open
+    descriptors: int = 0
 
     @property
     def bundles(self) -> int:
