Links: handshakes are bounded in number and bytes

Strangers at the address for other instances took 106 MiB by headers without end on 100 connections, and all descriptors by connections without a handshake: the library's bounds hold for each.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_links.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_links.py
@@ -35,6 +35,9 @@
 
 logger = logging.getLogger(__name__)
 
+#: seconds between two log lines about limits of handshakes
+LIMIT_LOG_INTERVAL = 1.0
+
 #: maximum number of accepted connections that have not sent their hello
 MAX_UNIDENTIFIED = 64
 
@@ -56,6 +59,8 @@
     open_timeout: float
     idle_timeout: float
     max_links: int
+    #: accepted connections that are not open yet
+    max_handshakes: int
 
 
 class LinkOwner(ABC):
@@ -109,7 +114,13 @@
         self._limits = limits
         self._metrics = metrics
         self._traffic = Traffic()
-        self._options = SocketOptions(open_timeout=limits.open_timeout)
+        self._options = SocketOptions(
+            open_timeout=limits.open_timeout,
+            max_handshakes=limits.max_handshakes,
+            on_limit=self._record_limit,
+        )
+        #: event loop time in seconds from which a limit is logged again
+        self._limit_logged_until = 0.0
         self._server: Server | None = None
         #: handlers of the connections that are no links, by path
         self._path_handlers: dict[str, Callable[[Connection], Awaitable[None]]] = {}
@@ -156,6 +167,13 @@
             host, port, self._accept, self._traffic, self._options
         )
 
+    def _record_limit(self, limit: str, peer: str) -> None:
+        self._metrics.count("peers.handshakes_closed")
+        now = asyncio.get_running_loop().time()
+        if now >= self._limit_logged_until:
+            self._limit_logged_until = now + LIMIT_LOG_INTERVAL
+            logger.warning("handshake of %s closed by the limit %s", peer, limit)
+
     async def stop(self) -> None:
         """Close all links; returns within the close timeout."""
         self._closing = True
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_sockets.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_sockets.py
@@ -10,14 +10,25 @@
 from websockets.asyncio.client import ClientConnection, connect
 from websockets.asyncio.server import Server, ServerConnection, serve
 
+from greengagelatch.connection_limits import MAX_HANDSHAKES, ConnectionLimit
 from greengagelatch.peers.codec import MAX_MESSAGE_BYTES
 
+from .socket_options import ACCEPTED_AT_ONCE, extend_backlog, limit_read_size
+
 if TYPE_CHECKING:
+    import asyncio
     from collections.abc import Awaitable, Callable
 
     from ..metrics import Metrics
 
-__all__ = ("Connection", "SocketOptions", "Traffic", "listen", "open_connection")
+__all__ = (
+    "Connection",
+    "PendingHandshakes",
+    "SocketOptions",
+    "Traffic",
+    "listen",
+    "open_connection",
+)
 
 #: received frames that are buffered; above it, TCP applies backpressure
 MAX_READ_AHEAD = 16
@@ -28,12 +39,51 @@
 #: seconds for the closing handshake, after which a connection is dropped
 CLOSE_TIMEOUT = 1.0
 
+#: maximum bytes that a peer sends before its connection is open
+MAX_HANDSHAKE_BYTES = 16 * 1024
+
+#: bytes of one read from a connection that is open
+READ_BYTES = 256 * 1024
+
+#: connections that the kernel queues until this process accepts them
+BACKLOG = 128
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SocketOptions:
-    """Timeouts of a connection, in seconds."""
+    """Timeouts and limits of connections; times in seconds."""
 
     open_timeout: float
+    #: accepted connections that are not open yet
+    max_handshakes: int = MAX_HANDSHAKES
+    #: called with the name of a limit and the address of the client whose connection
+    #: is closed by it
+    on_limit: Callable[[str, str], None] = lambda *_: None
+
+
+class PendingHandshakes:
+    """Accepted connections that are not open yet; the oldest yields to a new one."""
+
+    def __init__(self, options: SocketOptions) -> None:
+        self._most = options.max_handshakes
+        self._on_limit = options.on_limit
+        self._connections: dict[_CountingServer, None] = {}
+
+    def add(self, connection: _CountingServer) -> None:
+        """Add a new connection; close the oldest one if there are too many."""
+        self._connections[connection] = None
+        if len(self._connections) > self._most:
+            self.abort(next(iter(self._connections)), ConnectionLimit.NUMBER)
+
+    def remove(self, connection: _CountingServer) -> None:
+        """Remove a connection that is open or closed."""
+        self._connections.pop(connection, None)
+
+    def abort(self, connection: _CountingServer, limit: str) -> None:
+        """Close a connection by a limit."""
+        self.remove(connection)
+        self._on_limit(limit, connection.describe_peer())
+        connection.abort()
 
 
 @dataclass(slots=True, eq=False)
@@ -101,7 +151,43 @@
 
 
 class _CountingServer(_CountingConnection, ServerConnection):
-    pass
+    """Accepted connection, whose client may send little until it is open."""
+
+    def __init__(
+        self, pending: PendingHandshakes, traffic: Traffic, *args: Any, **options: Any
+    ) -> None:
+        super().__init__(traffic, *args, **options)
+        self._pending = pending
+        self._is_open = False
+        self._handshake_bytes = 0
+
+    def describe_peer(self) -> str:
+        """Return the address of the client."""
+        name = self.transport.get_extra_info("peername")
+        return f"{name[0]}:{name[1]}" if name else ""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        limit_read_size(transport, MAX_HANDSHAKE_BYTES)
+        self._pending.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._pending.remove(self)
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        if not self._is_open:
+            self._handshake_bytes += len(data)
+            if self._handshake_bytes > MAX_HANDSHAKE_BYTES:
+                self._pending.abort(self, ConnectionLimit.HANDSHAKE)
+                return
+        super().data_received(data)
+
+    def mark_open(self) -> None:
+        """Lift the limits for the handshake."""
+        self._is_open = True
+        self._pending.remove(self)
+        limit_read_size(self.transport, READ_BYTES)
 
 
 Connection = _CountingClient | _CountingServer
@@ -132,14 +218,22 @@
     options: SocketOptions,
 ) -> Server:
     """Listen for connections of peers; each is open until its ``accept`` returns."""
-    return await serve(
-        accept,
+
+    async def accept_open(connection: _CountingServer) -> None:
+        connection.mark_open()
+        await accept(connection)
+
+    server = await serve(
+        accept_open,
         host,
         port,
-        create_connection=partial(_CountingServer, traffic),
+        create_connection=partial(_CountingServer, PendingHandshakes(options), traffic),
         server_header=None,
+        backlog=ACCEPTED_AT_ONCE,
         **_create_options(options),
     )
+    extend_backlog(server.sockets, BACKLOG)
+    return server
 
 
 async def open_connection(
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peers.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peers.py
@@ -359,4 +359,5 @@
         open_timeout=settings["peers.open_timeout"],
         idle_timeout=settings["peers.idle"],
         max_links=settings["peers.max_links"],
+        max_handshakes=settings["peers.max_handshakes"],
     )
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/peer_settings.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/peer_settings.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from greengagelatch.connection_limits import find_max_handshakes
 from greengagelatch.setting_values import Settings
 
 if TYPE_CHECKING:
@@ -41,6 +42,7 @@
             "peers.listen": rules.peers_listen,
             "peers.advertise": rules.peers_listen,
             "peers.seeds": rules.peers_seeds,
+            "peers.max_handshakes": find_max_handshakes(rules.capacity.descriptors),
             **PEER_BOUNDS,
         }
     )
--- a/packages/greengagelatch/src/greengagelatch/settings/table.py
+++ b/packages/greengagelatch/src/greengagelatch/settings/table.py
@@ -58,8 +58,8 @@
         default=4096,
         minimum=1,
         maximum=100000,
-        description="Limit of open caller connections; further ones are answered and"
-        " closed.",
+        description="Limit of open caller connections; beyond it the longest idle one is"
+        " closed, or the new one is answered and closed if none is idle.",
     ),
     Setting(
         name="callers.idle_timeout",
@@ -206,6 +206,15 @@
         description="Limit of links that are open at the same time, whichever side"
         " opened them.",
     ),
+    Setting(
+        name="peers.max_handshakes",
+        type=int,
+        default=256,
+        minimum=16,
+        maximum=10000,
+        description="Limit of accepted connections of instances that have not finished"
+        " their handshake; beyond it the oldest is closed.",
+    ),
     Setting(
         name="peers.in_work",
         type=int,
