HTTP listeners: no response to clients that have sent nothing

A connection that yields to a new one got a 503 while it was idle, which a client could take for the response to its next request. It is closed without one, unless a request had begun. Whether a client has left is asked only where a request has waited.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/bounded_connections.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/bounded_connections.py
@@ -198,6 +198,8 @@
         #: whether it is closed, or will be after the current response
         self.is_closing = False
         self._serving = False
+        #: whether a request waits, or waited, for the response to another one
+        self._is_ahead = False
         #: bytes of the head that is being read
         self._head_bytes = 0
         #: bytes of requests that are not served completely
@@ -226,11 +228,12 @@
         if self._dropped_bytes is not None:
             self._drop(data)
             return
-        is_body = self._body is not None and not self._body.is_eof()
+        is_body = self._is_reading_body()
         before = len(self._messages)
         super().data_received(data)
         new = len(self._messages) - before
         if new:
+            self._is_ahead = self._serving or len(self._messages) > 1
             message, self._body = self._messages[-1]
             if isinstance(getattr(message, "exc", None), HttpProcessingError):
                 self._dropped_bytes = 0
@@ -241,8 +244,12 @@
     def shed(self, status: int) -> None:
         """Drop what was read ahead, and close the connection.
 
-        The response of a request that is served is written first.
+        The response of a request that is served is written first. A client that has
+        sent nothing expects no response.
+
+        :param status: of the response to a request that is not served
         """
+        is_begun = self._head_bytes > 0 or bool(self._messages)
         self.is_closing = True
         self._bounded_server.remove(self)
         self._change_held(-self._count_ahead())
@@ -250,9 +257,10 @@
         if self._serving:
             self.close()
             self._pause_reading_for_buffer()
-        elif self.transport is not None:
+            return
+        if is_begun and self.transport is not None:
             self.transport.write(create_response(status))
-            self.force_close()
+        self.force_close()
 
     def describe_use(self) -> ConnectionUse:
         """Return what the connection takes up."""
@@ -266,7 +274,7 @@
         """
         self._serving = True
         self._bounded_server.remove_idle(self)
-        if self._request_count > 1 and self.has_peer_left():
+        if self._is_ahead and self.has_peer_left():
             raise ConnectionResetError("the client has left")
 
     def abort(self) -> None:
@@ -280,9 +288,15 @@
         """Mark a request as served completely."""
         self._change_held(self._count_ahead() - self._held_bytes)
         self._serving = False
+        self._is_ahead = bool(self._messages)
+        if not self._is_reading_body():
+            self._body = None
         if not self.is_closing:
             self._bounded_server.add_idle(self)
 
+    def _is_reading_body(self) -> bool:
+        return self._body is not None and not self._body.is_eof()
+
     def _count_ahead(self) -> int:
         """Return the bytes that are held, without those of the request in service."""
         if not self._serving:
--- a/packages/greengagelatch/src/greengagelatch/settings/table.py
+++ b/packages/greengagelatch/src/greengagelatch/settings/table.py
@@ -58,8 +58,8 @@
         default=4096,
         minimum=1,
         maximum=100000,
-        description="Limit of open caller connections; beyond it the longest idle one is"
-        " closed, or the new one is answered and closed if none is idle.",
+        description="Limit of open caller connections; beyond it the longest idle one"
+        " is closed, or the new one is answered and closed if none is idle.",
     ),
     Setting(
         name="callers.idle_timeout",
