HTTP listeners: a connection whose request is incomplete may yield

Beside load an ordinary request was refused once in the test of a body without end: all connections were taken by requests whose bodies had not ended, and counted as in service until their time was over. Nothing of such a request has run. Its connection yields to a new one as an idle one does, the longest first, with 503. A test with a part of a body failed before.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/bounded_connections.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/bounded_connections.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import select
+from functools import partial
 from itertools import count
 from typing import TYPE_CHECKING, Any
 
@@ -83,7 +84,7 @@
         self._held_bytes = 0
         #: connections that are not closed, by their numbers
         self._open: dict[int, BoundedConnection] = {}
-        #: those of them without a request in service, the longest idle one first
+        #: those of them without a complete request, the longest idle one first
         self._idle: dict[BoundedConnection, None] = {}
         self.connection_numbers = count(1)
 
@@ -142,10 +143,11 @@
 
     def add_idle(self, connection: BoundedConnection) -> None:
         """Record that a connection has no request in service from now on."""
+        self._idle.pop(connection, None)
         self._idle[connection] = None
 
     def remove_idle(self, connection: BoundedConnection) -> None:
-        """Record that a connection has a request in service."""
+        """Record that a connection has a complete request in service."""
         self._idle.pop(connection, None)
 
     def change_held(self, change: int) -> None:
@@ -160,7 +162,7 @@
 
     async def _serve(self, request: BaseRequest) -> StreamResponse:
         connection = request.protocol
-        connection.begin_serving()
+        connection.begin_serving(request)
         try:
             return await self._handler(request)
         finally:
@@ -198,6 +200,8 @@
         #: whether it is closed, or will be after the current response
         self.is_closing = False
         self._serving = False
+        #: the request in service, while its body is incomplete
+        self._incomplete: BaseRequest | None = None
         #: whether a request waits, or waited, for the response to another one
         self._is_ahead = False
         #: bytes of the head that is being read
@@ -250,11 +254,13 @@
         :param status: of the response to a request that is not served
         """
         is_begun = self._head_bytes > 0 or bool(self._messages)
+        if self._incomplete is not None:
+            is_begun = self._incomplete.writer.output_size == 0
         self.is_closing = True
         self._bounded_server.remove(self)
         self._change_held(-self._count_ahead())
         self._messages.clear()
-        if self._serving:
+        if self._serving and self._incomplete is None:
             self.close()
             self._pause_reading_for_buffer()
             return
@@ -266,14 +272,19 @@
         """Return what the connection takes up."""
         return ConnectionUse(number=self.number, ahead_bytes=self._count_ahead())
 
-    def begin_serving(self) -> None:
+    def begin_serving(self, request: BaseRequest) -> None:
         """Mark a request as served.
 
+        While its body is incomplete the connection may yield to a new one, as if it was
+        idle: nothing of the request has run.
+
         :raises ConnectionError: if the client has left; what it had sent ahead hides
             the end of the connection from the event loop
         """
         self._serving = True
-        self._bounded_server.remove_idle(self)
+        self._incomplete = request
+        # called at once if the body is complete
+        request.content.on_eof(partial(self._complete_request, request))
         if self._is_ahead and self.has_peer_left():
             raise ConnectionResetError("the client has left")
 
@@ -288,6 +299,7 @@
         """Mark a request as served completely."""
         self._change_held(self._count_ahead() - self._held_bytes)
         self._serving = False
+        self._incomplete = None
         self._is_ahead = bool(self._messages)
         if not self._is_reading_body():
             self._body = None
@@ -297,6 +309,12 @@
     def _is_reading_body(self) -> bool:
         return self._body is not None and not self._body.is_eof()
 
+    def _complete_request(self, request: BaseRequest) -> None:
+        # its body may be read on after its response
+        if self._incomplete is request:
+            self._incomplete = None
+            self._bounded_server.remove_idle(self)
+
     def _count_ahead(self) -> int:
         """Return the bytes that are held, without those of the request in service."""
         if not self._serving:
--- a/tests/test_entry/test_adapters/test_bounded_connections.py
+++ b/tests/test_entry/test_adapters/test_bounded_connections.py
@@ -45,6 +45,8 @@
         self.served.append(request.path)
         if request.path.startswith("/held"):
             await self.gate.wait()
+        if request.path == "/body":
+            await request.read()
         return Response(text="done")
 
     def _record_held(self, size: int) -> None:
@@ -124,6 +126,21 @@
         assert await read_status(opened[1][0]) == 200
 
 
+async def test_connection_with_a_part_of_a_body_is_refused_for_a_new_one():
+    """Guards against clients that keep others out by bodies that never end."""
+    async with open_harness() as harness:
+        opened = [await harness.connect() for _ in range(3)]
+        for _, writer in opened:
+            writer.write(encode("/body", "Content-Length: 2") + b"a")
+        await wait_for(lambda: len(harness.served) == 3)
+        reader, writer = await harness.connect()
+        writer.write(REQUEST)
+        assert await read_status(reader) == 200
+        assert await read_status(opened[0][0]) == 503
+        opened[1][1].write(b"b")
+        assert await read_status(opened[1][0]) == 200
+
+
 async def test_new_connection_is_rejected_while_all_others_are_served():
     async with open_harness() as harness:
         opened = [await harness.connect() for _ in range(3)]
