One function for the address of a transport's peer

It stood three times in the limits on connections. The twin preparation of two tests of silences is one function; their assertions are as they were. Behaviour is unchanged.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/bounded_connections.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/bounded_connections.py
@@ -20,7 +20,12 @@
     find_largest,
 )
 
-from .socket_options import ACCEPTED_AT_ONCE, extend_backlog, limit_read_size
+from .socket_options import (
+    ACCEPTED_AT_ONCE,
+    describe_peer,
+    extend_backlog,
+    limit_read_size,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -134,7 +139,7 @@
     def add(self, connection: BoundedConnection) -> None:
         """Record a new connection."""
         self._open[connection.number] = connection
-        self._idle[connection] = None
+        self.add_idle(connection)
 
     def remove(self, connection: BoundedConnection) -> None:
         """Record that a connection is closed."""
@@ -216,8 +221,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
         limit_read_size(transport, READ_BYTES)
-        name = transport.get_extra_info("peername")
-        self.peer = f"{name[0]}:{name[1]}" if name else ""
+        self.peer = describe_peer(transport)
         self._bounded_server.add(self)
 
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -389,8 +393,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
-        name = transport.get_extra_info("peername")
-        self._on_rejected(f"{name[0]}:{name[1]}" if name else "")
+        self._on_rejected(describe_peer(transport))
         transport.write(self._response)
         transport.close()
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_sockets.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_sockets.py
@@ -13,7 +13,12 @@
 from greengagelatch.connection_limits import MAX_HANDSHAKES, ConnectionLimit
 from greengagelatch.peers.codec import MAX_MESSAGE_BYTES
 
-from .socket_options import ACCEPTED_AT_ONCE, extend_backlog, limit_read_size
+from .socket_options import (
+    ACCEPTED_AT_ONCE,
+    describe_peer,
+    extend_backlog,
+    limit_read_size,
+)
 
 if TYPE_CHECKING:
     import asyncio
@@ -82,7 +87,7 @@
     def abort(self, connection: _CountingServer, limit: str) -> None:
         """Close a connection by a limit."""
         self.remove(connection)
-        self._on_limit(limit, connection.describe_peer())
+        self._on_limit(limit, describe_peer(connection.transport))
         connection.abort()
 
 
@@ -161,11 +166,6 @@
         self._is_open = False
         self._handshake_bytes = 0
 
-    def describe_peer(self) -> str:
-        """Return the address of the client."""
-        name = self.transport.get_extra_info("peername")
-        return f"{name[0]}:{name[1]}" if name else ""
-
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
         limit_read_size(transport, MAX_HANDSHAKE_BYTES)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/socket_options.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/socket_options.py
@@ -16,6 +16,7 @@
     "ACCEPTED_AT_ONCE",
     "LOSS_RULE",
     "configure_socket",
+    "describe_peer",
     "extend_backlog",
     "limit_read_size",
     "reset_on_close",
@@ -42,6 +43,12 @@
         transport.max_size = size
 
 
+def describe_peer(transport: asyncio.BaseTransport) -> str:
+    """Return the address of a transport's peer; empty: not known."""
+    name = transport.get_extra_info("peername")
+    return f"{name[0]}:{name[1]}" if name else ""
+
+
 def extend_backlog(
     listeners: Iterable[asyncio.trsock.TransportSocket], backlog: int
 ) -> None:
--- a/tests/test_entry/test_relay/test_silences_in_stops.py
+++ b/tests/test_entry/test_relay/test_silences_in_stops.py
@@ -34,6 +34,18 @@
     return sum(len(one.received) for one in list_targets(pipeline, "llm"))
 
 
+async def hold_stages_made_again(pipeline) -> asyncio.Event:
+    """Wait until a stage is made again; return the event that lets makers answer."""
+    gate = asyncio.Event()
+    for maker in list_makers(pipeline):
+        maker.gate = gate
+    calls = [len(one.batches) for one in list_makers(pipeline)]
+    await pipeline.wait_for(
+        lambda: [len(one.batches) for one in list_makers(pipeline)] != calls
+    )
+    return gate
+
+
 @pytest.fixture
 async def silenced(pipeline, monkeypatch):
     """A stream with stages whose engine is silent after its second event, in a stop."""
@@ -72,13 +84,7 @@
 async def test_stages_made_again_in_vain_are_released(pipeline, silenced):
     """Guards against results that take up room as their engine has gone on."""
     held, engine = silenced
-    gate = asyncio.Event()
-    for maker in list_makers(pipeline):
-        maker.gate = gate
-    calls = [len(one.batches) for one in list_makers(pipeline)]
-    await pipeline.wait_for(
-        lambda: [len(one.batches) for one in list_makers(pipeline)] != calls
-    )
+    gate = await hold_stages_made_again(pipeline)
     engine.resume()
     reply = await held
     assert (reply.status, reply.error, reply.body) == (200, "", WHOLE)
@@ -91,13 +97,7 @@
     """Guards against stages that are executed twice for one other attempt."""
     held, engine = silenced
     made = sum(one.pieces.total() for one in list_makers(pipeline))
-    gate = asyncio.Event()
-    for maker in list_makers(pipeline):
-        maker.gate = gate
-    calls = [len(one.batches) for one in list_makers(pipeline)]
-    await pipeline.wait_for(
-        lambda: [len(one.batches) for one in list_makers(pipeline)] != calls
-    )
+    gate = await hold_stages_made_again(pipeline)
     engine.abort_connections()
     engine.resume()
     gate.set()
