Targets: a connection lost before its request is written sent nothing

The connection is lost between the turn of the loop in which the dial ends and the one in which the request is written; `write_request` then finds no transport (AttributeError), or a transport that drops what is written, which passed for a request that may have run.

The pool asks whether the connection is still open once nothing can come between that and the write, and reports "not sent" if it isn't: the request goes to another target, or is refused as not run. Pooled connections are checked in the same turn already.

The test aborts connections 0 and 2 turns before the write: both failed before (502 both, which promises nothing), both pass.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_connections.py
@@ -131,6 +131,9 @@
             raise NotSentError(
                 "the target takes no requests now, or inputs of the request are lost"
             )
+        # a new connection may be lost before this task runs again
+        if not connection.is_connected():
+            raise NotSentError("the connection was lost before the request was sent")
         connection.expect_response(outbound.method)
 
         def is_path_lost() -> bool:
--- a/tests/test_entry/test_relay/test_target_connections.py
+++ b/tests/test_entry/test_relay/test_target_connections.py
@@ -194,3 +194,28 @@
         assert pool._idle[Incarnation("hasty")] == []
         checked.set()
         await asyncio.sleep(0.1)
+
+
+class LostDialer(TargetDialer):
+    """Opens connections that are lost some turns of the event loop later."""
+
+    def __init__(self, dialer: TargetDialer, turns: int) -> None:
+        self._dialer = dialer
+        self._turns = turns
+
+    async def dial(self, destination, create_protocol, timeout):
+        connection = await self._dialer.dial(destination, create_protocol, timeout)
+        connection.transport.abort()
+        for _ in range(self._turns):
+            await asyncio.sleep(0)
+        return connection
+
+
+@pytest.mark.parametrize("turns", [0, 2])
+async def test_request_is_not_sent_on_a_connection_that_was_lost(world, turns):
+    """Guards against an error for a request of which no byte was sent."""
+    connections = world.find_connections()
+    connections._dialer = LostDialer(connections._dialer, turns)
+    reply = await world.ask("/book/1", method="POST")
+    assert reply.status == 503
+    assert not [one for target in world.targets.values() for one in target.received]
