Permits: an instance that stops last issues them by itself

A stopping instance is no candidate for issuing permits. If no other is alive in its view, it issues them itself, and counted none that it reaches: its part of the rate was 0, and the wait for a permit a division by zero.

The issuer counts itself, as `compute_issued_share` says that it does. With no other reached, that is the part of a minority, so that another side of a partition and this one keep to the rate together.

The test ends two of three instances and stops the last: ZeroDivisionError before, requests served within the rate after. The same share is asked for nowhere else; the number of instances that divides a batch is one or more.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/permit_exchange.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/permit_exchange.py
@@ -325,7 +325,8 @@
         rate = self._permits.limits.find_rate(incarnation, now)
         if rate is None:
             return None
-        reachable = len(self._list_candidates())
+        # an instance that stops is no candidate, and issues if there is no other
+        reachable = max(1, len(self._list_candidates()))
         return rate * compute_issued_share(reachable, self._count_instances())
 
     def _schedule(self, incarnation: Incarnation) -> None:
--- a/tests/test_entry/test_relay/test_permit_fleets.py
+++ b/tests/test_entry/test_relay/test_permit_fleets.py
@@ -342,3 +342,25 @@
         return fleet.refused - refused
 
     assert run_in_virtual_time(run()) == 0
+
+
+def test_last_instance_issues_permits_while_it_stops():
+    """Guards against errors for requests at a stopping instance without a successor."""
+    fleet = Fleet(instances=3, rates=["20"], seed=5)
+    last, *others = fleet.names
+
+    async def run() -> int:
+        work = asyncio.create_task(fleet.run(16.0, 40.0))
+        await asyncio.sleep(2.0)
+        for name in others:
+            fleet.kill(name)
+        await asyncio.sleep(DETECTION_SECONDS[1])
+        states = fleet.network.state_overrides.setdefault(last, {})
+        states[last] = MemberState.LEAVING
+        await asyncio.sleep(2.0)
+        served = fleet.served
+        await work
+        return fleet.served - served
+
+    assert run_in_virtual_time(run()) > 0
+    check_limits(fleet)
