Tests of keyed requests: a failure tells what became of each request

Its assertion compared flags only, and the first requests were not checked, so that a first request that was refused can't be told from a repeat whose outcome was not found, or from a second run.

Each answer is part of the message now, and the first requests have to get results, which nothing checked before.

--- a/tests/test_processes/test_keyed_requests.py
+++ b/tests/test_processes/test_keyed_requests.py
@@ -69,6 +69,25 @@
             raise AssertionError(failure)
 
 
+def describe(observations) -> str:
+    """Return what became of each request, for a test that fails."""
+    return "\n".join(
+        f"{seen.instance} {seen.outcome.value} {seen.status} {seen.verdict} {seen.code}"
+        f" {seen.message} after {seen.latency_seconds:.2f} s"
+        for seen in observations
+    )
+
+
+def check_results(observations, count: int = COUNT) -> None:
+    outcomes = [seen.outcome for seen in observations]
+    assert outcomes == [RequestOutcome.RESULT] * count, describe(observations)
+
+
+def check_replayed(observations) -> None:
+    replayed = [seen.replayed for seen in observations]
+    assert replayed == [True] * COUNT, describe(observations)
+
+
 async def test_keys_run_once_while_instances_pause_die_and_stop(tmp_path):
     """Guards against double bookings and against results lost with a planned stop.
 
@@ -89,18 +108,16 @@
         paused, killed, stopped = runner.daemons
         caller = Caller(client)
         early = range(COUNT)
-        await caller.ask(killed, early)
-        repeats = await caller.ask(stopped, early)
-        assert [seen.replayed for seen in repeats] == [True] * COUNT
+        check_results(await caller.ask(killed, early))
+        check_replayed(await caller.ask(stopped, early))
 
         paused.process.pause()
         late = range(COUNT, 2 * COUNT)
         during = await caller.ask(stopped, late)
         during += await caller.ask(killed, late)
         paused.process.resume()
-        assert [seen.outcome for seen in during] == [RequestOutcome.RESULT] * 2 * COUNT
-        after = await caller.ask(paused, late)
-        assert [seen.replayed for seen in after] == [True] * COUNT
+        check_results(during, 2 * COUNT)
+        check_replayed(await caller.ask(paused, late))
 
         killed.process.kill()
         await killed.process.wait()
@@ -108,8 +125,7 @@
         assert {seen.verdict for seen in gone} == {"may-have-run"}
 
         await runner.stop_daemon(stopped)
-        handed_over = await caller.ask(paused, late)
-        assert [seen.replayed for seen in handed_over] == [True] * COUNT
+        check_replayed(await caller.ask(paused, late))
         records = await read_records(runner.targets)
     checker = Checker(
         observations=caller.observations,
