Links and tunnels: the handshake ends with the first message of a peer

What was seen: clients that open a WebSocket connection at the address of instances and send no first message took 613 descriptors of 400 (600 connections, 1 s each until the closing handshake is given up), and 253 MiB of 91.6 as empty fragments of a message, which have no size that the library counts (100 connections). Further ones were refused at 64, so that strangers who say nothing kept peers out.

The limits on handshakes ended with the HTTP upgrade, and what came after it was bounded in time only.

Until then, and until a rejected connection is closed, it is one of `peers.max_handshakes`, the oldest of which yields, and may send 4 KiB. The limits of 64 for connections without a first message, which refused the newest, are gone: one limit in their place.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_links.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_links.py
@@ -29,7 +29,7 @@
     from greengagelatch.peers.messages import Hello
 
     from ..metrics import Metrics
-    from .peer_sockets import Connection
+    from .peer_sockets import AcceptedConnection
 
 __all__ = ("LinkLimits", "LinkOwner", "PeerLinks")
 
@@ -38,9 +38,6 @@
 #: seconds between two log lines about limits of handshakes
 LIMIT_LOG_INTERVAL = 1.0
 
-#: maximum number of accepted connections that have not sent their hello
-MAX_UNIDENTIFIED = 64
-
 #: maximum number of concurrent dials
 MAX_DIALS = 16
 
@@ -59,7 +56,7 @@
     open_timeout: float
     idle_timeout: float
     max_links: int
-    #: accepted connections that are not open yet
+    #: accepted connections in their handshake
     max_handshakes: int
 
 
@@ -123,13 +120,14 @@
         self._limit_logged_until = 0.0
         self._server: Server | None = None
         #: handlers of the connections that are no links, by path
-        self._path_handlers: dict[str, Callable[[Connection], Awaitable[None]]] = {}
+        self._path_handlers: dict[
+            str, Callable[[AcceptedConnection], Awaitable[None]]
+        ] = {}
         self._links: dict[str, Link] = {}
         #: all open links, including retired ones
         self._running: set[Link] = set()
         self._dials: dict[str, asyncio.Task[Link | None]] = {}
         self._dial_backoff = DialBackoff(random_source)
-        self._unidentified = 0
         self._tasks: set[asyncio.Task[None]] = set()
         self._closing = False
 
@@ -153,11 +151,12 @@
         return tuple(self._links.values())
 
     def serve_path(
-        self, path: str, handler: Callable[[Connection], Awaitable[None]]
+        self, path: str, handler: Callable[[AcceptedConnection], Awaitable[None]]
     ) -> None:
         """Pass the connections for a path to ``handler`` instead of taking links.
 
-        Each is open until the handler returns; all must end before :meth:`stop`.
+        Each is open until the handler returns; all must end before :meth:`stop`. The
+        handler ends the handshake of a connection once its client is identified.
         """
         self._path_handlers[path] = handler
 
@@ -313,22 +312,19 @@
         self._spawn(self._run(link))
         return Ok(self._links.get(link.instance_id, link))
 
-    async def _accept(self, connection: Connection) -> None:
+    async def _accept(self, connection: AcceptedConnection) -> None:
         request = connection.request
         handler = self._path_handlers.get(request.path if request else "")
         if handler is not None:
             await handler(connection)
             return
-        if self._closing or self._unidentified >= MAX_UNIDENTIFIED:
-            await connection.close(CloseCode.FULL, "too many connections")
+        if self._closing:
+            await connection.close(1001, "stopping")
             return
-        self._unidentified += 1
         try:
             hello = await self._handshake.read_hello(connection)
         except (TimeoutError, WebSocketException):
             return
-        finally:
-            self._unidentified -= 1
         problem = self._handshake.check_hello(hello, "")
         if problem or hello is None:
             self._metrics.count("peers.rejected")
@@ -352,6 +348,7 @@
             # the peer has received no hello yet, so no calls are pending on the link
             await connection.close(CloseCode.DUPLICATE, "duplicate")
             return
+        connection.end_handshake()
         # without an await after the number is drawn: a hello sent in between on a dial
         # would have a later number, as if its sender knew of this link
         self._register(link)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_sockets.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peer_sockets.py
@@ -27,6 +27,7 @@
     from ..metrics import Metrics
 
 __all__ = (
+    "AcceptedConnection",
     "Connection",
     "PendingHandshakes",
     "SocketOptions",
@@ -44,10 +45,10 @@
 #: seconds for the closing handshake, after which a connection is dropped
 CLOSE_TIMEOUT = 1.0
 
-#: maximum bytes that a peer sends before its connection is open
-MAX_HANDSHAKE_BYTES = 16 * 1024
+#: maximum bytes that a peer sends in its handshake, its first message included
+MAX_HANDSHAKE_BYTES = 4 * 1024
 
-#: bytes of one read from a connection that is open
+#: bytes of one read after the handshake
 READ_BYTES = 256 * 1024
 
 #: connections that the kernel queues until this process accepts them
@@ -59,7 +60,7 @@
     """Timeouts and limits of connections; times in seconds."""
 
     open_timeout: float
-    #: accepted connections that are not open yet
+    #: accepted connections in their handshake
     max_handshakes: int = MAX_HANDSHAKES
     #: called with the name of a limit and the address of the client whose connection
     #: is closed by it
@@ -67,24 +68,28 @@
 
 
 class PendingHandshakes:
-    """Accepted connections that are not open yet; the oldest yields to a new one."""
+    """Accepted connections in their handshake; the oldest yields to a new one.
+
+    The handshake ends with the first valid message of a peer. One that is rejected is
+    pending until its connection is closed.
+    """
 
     def __init__(self, options: SocketOptions) -> None:
         self._most = options.max_handshakes
         self._on_limit = options.on_limit
-        self._connections: dict[_CountingServer, None] = {}
+        self._connections: dict[AcceptedConnection, None] = {}
 
-    def add(self, connection: _CountingServer) -> None:
+    def add(self, connection: AcceptedConnection) -> None:
         """Add a new connection; close the oldest one if there are too many."""
         self._connections[connection] = None
         if len(self._connections) > self._most:
             self.abort(next(iter(self._connections)), ConnectionLimit.NUMBER)
 
-    def remove(self, connection: _CountingServer) -> None:
-        """Remove a connection that is open or closed."""
+    def remove(self, connection: AcceptedConnection) -> None:
+        """Remove a connection whose handshake has ended, or that is closed."""
         self._connections.pop(connection, None)
 
-    def abort(self, connection: _CountingServer, limit: str) -> None:
+    def abort(self, connection: AcceptedConnection, limit: str) -> None:
         """Close a connection by a limit."""
         self.remove(connection)
         self._on_limit(limit, describe_peer(connection.transport))
@@ -155,15 +160,15 @@
     pass
 
 
-class _CountingServer(_CountingConnection, ServerConnection):
-    """Accepted connection, whose client may send little until it is open."""
+class AcceptedConnection(_CountingConnection, ServerConnection):
+    """Accepted connection, whose client may send little until it is identified."""
 
     def __init__(
         self, pending: PendingHandshakes, traffic: Traffic, *args: Any, **options: Any
     ) -> None:
         super().__init__(traffic, *args, **options)
         self._pending = pending
-        self._is_open = False
+        self._is_identified = False
         self._handshake_bytes = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -176,21 +181,22 @@
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
-        if not self._is_open:
-            self._handshake_bytes += len(data)
-            if self._handshake_bytes > MAX_HANDSHAKE_BYTES:
-                self._pending.abort(self, ConnectionLimit.HANDSHAKE)
-                return
         super().data_received(data)
-
-    def mark_open(self) -> None:
-        """Lift the limits for the handshake."""
-        self._is_open = True
+        # the library drops what follows invalid data, and tells the client the reason
+        if self._is_identified or self.protocol.parser_exc is not None:
+            return
+        self._handshake_bytes += len(data)
+        if self._handshake_bytes > MAX_HANDSHAKE_BYTES:
+            self._pending.abort(self, ConnectionLimit.HANDSHAKE)
+
+    def end_handshake(self) -> None:
+        """Lift the limits for the handshake, as the client is a peer."""
+        self._is_identified = True
         self._pending.remove(self)
         limit_read_size(self.transport, READ_BYTES)
 
 
-Connection = _CountingClient | _CountingServer
+Connection = _CountingClient | AcceptedConnection
 
 
 def _create_options(options: SocketOptions) -> dict[str, Any]:
@@ -213,21 +219,21 @@
 async def listen(
     host: str,
     port: int,
-    accept: Callable[[Connection], Awaitable[None]],
+    accept: Callable[[AcceptedConnection], Awaitable[None]],
     traffic: Traffic,
     options: SocketOptions,
 ) -> Server:
-    """Listen for connections of peers; each is open until its ``accept`` returns."""
-
-    async def accept_open(connection: _CountingServer) -> None:
-        connection.mark_open()
-        await accept(connection)
+    """Listen for connections of peers; each is open until its ``accept`` returns.
 
+    :param accept: must end the handshake of a connection once a peer is identified
+    """
     server = await serve(
-        accept_open,
+        accept,
         host,
         port,
-        create_connection=partial(_CountingServer, PendingHandshakes(options), traffic),
+        create_connection=partial(
+            AcceptedConnection, PendingHandshakes(options), traffic
+        ),
         server_header=None,
         backlog=ACCEPTED_AT_ONCE,
         **_create_options(options),
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peers.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/peers.py
@@ -38,7 +38,7 @@
 
     from ..metrics import Metrics
     from .peer_link import Link
-    from .peer_sockets import Connection
+    from .peer_sockets import AcceptedConnection
 
 __all__ = ("PeerHub",)
 
@@ -188,7 +188,7 @@
         }
 
     def serve_path(
-        self, path: str, handler: Callable[[Connection], Awaitable[None]]
+        self, path: str, handler: Callable[[AcceptedConnection], Awaitable[None]]
     ) -> None:
         """Serve WebSocket connections for a path on the listener of the links."""
         self._links.serve_path(path, handler)
