Known failure: clients that read large responses slowly

100 clients read responses without end, 1 KiB every 0.2 s. They take up all connections, so that an ordinary request gets 503 for some seconds, and what waits for each of them in readers, writers and between them takes the process to 123 MiB of 91.6 allowed.

--- a/tests/test_processes/test_careless_clients.py
+++ b/tests/test_processes/test_careless_clients.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
+import socket
 import struct
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -20,6 +22,7 @@
     create_configuration,
 )
 from greengagelatch_lab.platform_standins.fleet import PlatformFleet
+from greengagelatch_lab.platform_standins.targets import EndlessPart
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -47,6 +50,11 @@
 WRITE_BYTES = 64 * 1024
 #: seconds after which a connection that is not read stops sending
 UNREAD_SECONDS = 2.0
+#: size in bytes of the kernel's buffer and of one read of a client that reads slowly,
+#: and its pause in seconds
+SLOW_BUFFER, SLOW_BYTES, SLOW_PAUSE = 4096, 1024, 0.2
+#: seconds without progress after which responses are blocked
+BLOCKED_SECONDS = 3.0
 #: connections that are opened for one request each, and how many at a time
 CLOSED_CROWD = 2000
 CLOSED_AT_ONCE = 64
@@ -333,3 +341,53 @@
     finally:
         for writer in writers:
             writer.transport.abort()
+
+
+async def connect_slowly(fleet, number: int):
+    """Send a request over a connection that takes little of its response at a time."""
+    connection = socket.socket()
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_BUFFER)
+    connection.setblocking(False)
+    host, _, port = fleet.instance.front.rpartition(":")
+    await asyncio.get_running_loop().sock_connect(connection, (host, int(port)))
+    reader, writer = await asyncio.open_connection(sock=connection, limit=SLOW_BYTES)
+    head = encode_head("front", number).replace(b"/scan/1", b"/look/1")
+    writer.write(head + b"\r\n")
+    fleet.record_descriptors()
+    return reader, writer
+
+
+async def read_slowly(reader: asyncio.StreamReader) -> None:
+    """Read until the connection is closed."""
+    with contextlib.suppress(ConnectionError):
+        while await reader.read(SLOW_BYTES):  # noqa: ASYNC110
+            await asyncio.sleep(SLOW_PAUSE)
+
+
+async def wait_until_blocked(targets) -> None:
+    """Wait until nothing is taken of the responses without end."""
+    before = -1
+    async with asyncio.timeout(WAIT_SECONDS):
+        while before != (taken := sum(sum(one.endless_bytes) for one in targets)):
+            before = taken
+            await asyncio.sleep(BLOCKED_SECONDS)
+
+
+async def test_slow_readers_leave_room_for_others(fleet):
+    """Guards against clients that take up all connections by reading slowly."""
+    targets = fleet.find_targets("desk")
+    for target in targets:
+        target.endless = EndlessPart.CHUNKS
+    opened = await asyncio.gather(*(connect_slowly(fleet, one) for one in range(CROWD)))
+    reading = [asyncio.create_task(read_slowly(reader)) for reader, _ in opened]
+    try:
+        await wait_until_blocked(targets)
+        for target in targets:
+            target.endless = None
+        await check(fleet)
+    finally:
+        for task in reading:
+            task.cancel()
+        await asyncio.gather(*reading, return_exceptions=True)
+        for _, writer in opened:
+            writer.transport.abort()
