HTTP listeners: a response that its client does not read may yield

What callers saw: 503 while clients that read slowly held all connections, each until the kernel gave up its window or a write took ten seconds. What an operator saw: 123 MiB of 91.6 allowed, with 80 such connections: up to half a MiB waits for each in the reader of its target, in the writer, and between them, outside of the account. Connections of callers are limited in number by descriptors, not by what these buffers hold together.

Responses are counted that wait for a client which does not read on: the transport tells when more than 32 KiB are written and not taken by the kernel. Their number is limited by an eighth of the account's limit / 128 KiB; beyond it, the longest waiting one is cut. At the limit of connections, the one that has waited longest, a second at least, yields to a new connection, where none is idle, has left or has sent ahead. The buffers of one response are smaller: reads of 32 KiB, slices of 32 KiB.

Both tests of the server failed before: a new connection was refused, and nothing was limited.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/bounded_connections.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/bounded_connections.py
@@ -18,6 +18,7 @@
     ConnectionLimits,
     ConnectionUse,
     find_largest,
+    find_longest_unread,
 )
 
 from .socket_options import (
@@ -44,6 +45,9 @@
 #: size in bytes of one read from a client, and of the buffer of a body; there may be
 #: thousands of connections that are not read on
 READ_BYTES = 32 * 1024
+#: bytes of responses written and not taken by the kernel from which on a client counts
+#: as not reading
+WRITE_BUFFER_BYTES = 32 * 1024
 #: complete requests that may wait for their turn on a connection before it is not read
 #: on; those of one read may be more
 MAX_REQUESTS_AHEAD = 2
@@ -91,6 +95,8 @@
         self._open: dict[int, BoundedConnection] = {}
         #: those of them without a complete request, the longest idle one first
         self._idle: dict[BoundedConnection, None] = {}
+        #: those whose clients do not read on, the longest waiting one first
+        self._unread: dict[BoundedConnection, None] = {}
         self.connection_numbers = count(1)
 
     def create_connection(self) -> BoundedConnection:
@@ -102,8 +108,8 @@
         """Create the protocol of a newly accepted connection.
 
         If there are too many, the one that has served nothing for longest is closed. If
-        all are served, it is one whose client has left, or has sent most ahead; the new
-        one is rejected if there is none.
+        all are served, it is one whose client has left, has sent most ahead, or has not
+        read its response for longest; the new one is rejected if there is none.
         """
         if len(self._open) < self.limits.max_connections or self._make_room():
             return self.create_connection()
@@ -121,11 +127,11 @@
         if self._abort_left():
             return True
         number = self._find_largest()
+        if number is None:
+            number = find_longest_unread(one.describe_use() for one in self._unread)
         if number is None:
             return False
-        largest = self._open[number]
-        self.report_limit(ConnectionLimit.NUMBER, largest.peer)
-        largest.abort()
+        self._abort(self._open[number], ConnectionLimit.NUMBER)
         return True
 
     def create_rejection(self) -> bytes:
@@ -145,6 +151,7 @@
         """Record that a connection is closed."""
         self._open.pop(connection.number, None)
         self._idle.pop(connection, None)
+        self._unread.pop(connection, None)
 
     def add_idle(self, connection: BoundedConnection) -> None:
         """Record that a connection has no request in service from now on."""
@@ -155,6 +162,16 @@
         """Record that a connection has a complete request in service."""
         self._idle.pop(connection, None)
 
+    def add_unread(self, connection: BoundedConnection) -> None:
+        """Record that a client does not read on; abort the longest if need be."""
+        self._unread[connection] = None
+        if len(self._unread) > self.limits.max_unread:
+            self._abort(next(iter(self._unread)), ConnectionLimit.UNREAD)
+
+    def remove_unread(self, connection: BoundedConnection) -> None:
+        """Record that a client reads on."""
+        self._unread.pop(connection, None)
+
     def change_held(self, change: int) -> None:
         """Change the bytes that connections hold; close the largest ones if need be."""
         self._held_bytes += change
@@ -186,6 +203,10 @@
             one.abort()
         return bool(left)
 
+    def _abort(self, connection: BoundedConnection, limit: str) -> None:
+        self.report_limit(limit, connection.peer)
+        connection.abort()
+
     def _shed(self, connection: BoundedConnection, limit: str) -> None:
         self.report_limit(limit, connection.peer)
         connection.shed(STATUS_UNAVAILABLE)
@@ -205,6 +226,8 @@
         #: whether it is closed, or will be after the current response
         self.is_closing = False
         self._serving = False
+        #: event loop time in seconds since which the client does not read on
+        self._unread_since: float | None = None
         #: the request in service, while its body is incomplete
         self._incomplete: BaseRequest | None = None
         #: whether a request waits, or waited, for the response to another one
@@ -221,6 +244,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
         limit_read_size(transport, READ_BYTES)
+        transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         self.peer = describe_peer(transport)
         self._bounded_server.add(self)
 
@@ -230,6 +254,17 @@
         self._change_held(-self._held_bytes)
         super().connection_lost(exc)
 
+    def pause_writing(self) -> None:
+        super().pause_writing()
+        if not self.is_closing:
+            self._unread_since = self._loop.time()
+            self._bounded_server.add_unread(self)
+
+    def resume_writing(self) -> None:
+        super().resume_writing()
+        self._unread_since = None
+        self._bounded_server.remove_unread(self)
+
     def data_received(self, data: bytes) -> None:
         if self.is_closing:
             return
@@ -274,7 +309,12 @@
 
     def describe_use(self) -> ConnectionUse:
         """Return what the connection takes up."""
-        return ConnectionUse(number=self.number, ahead_bytes=self._count_ahead())
+        unread = 0.0
+        if self._unread_since is not None:
+            unread = self._loop.time() - self._unread_since
+        return ConnectionUse(
+            number=self.number, ahead_bytes=self._count_ahead(), unread_seconds=unread
+        )
 
     def begin_serving(self, request: BaseRequest) -> None:
         """Mark a request as served.
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -378,6 +378,7 @@
                 self.settings.capacity.descriptors, MAX_CONNECTIONS
             ),
             max_read_ahead=self.memory.max_head_bytes,
+            max_unread=self.memory.max_unread,
         )
 
     def _record_limit(self, listener: str, limit: str, peer: str) -> None:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/exchange.py
@@ -35,7 +35,7 @@
 #: seconds after which a write is abandoned because the caller does not read
 WRITE_TIMEOUT = 10.0
 #: size in bytes of the slices in which a large chunk is written
-SLICE_BYTES = 128 * 1024
+SLICE_BYTES = 32 * 1024
 #: maximum number of prompt parts in one log entry
 MAX_LOGGED_PARTS = 8
 #: control characters that must not occur in a response head (RFC 9110, 5.5)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/memory.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/memory.py
@@ -65,6 +65,11 @@
         """Size in bytes of all heads that may be read before their turn."""
         return self._account.rule.max_head_bytes
 
+    @property
+    def max_unread(self) -> int:
+        """Number of responses that may wait for their clients to read on."""
+        return self._account.rule.max_unread
+
     def open(self, kind: HoldingKind) -> ByteHolding:
         """Return a new holding; it must be released."""
         return self._account.open(kind)
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_responses.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/target_responses.py
@@ -36,9 +36,9 @@
 )
 
 #: size in bytes of the read buffer for a response
-READ_BUFFER_BYTES = 64 * 1024
+READ_BUFFER_BYTES = 16 * 1024
 #: maximum size in bytes of one read
-MAX_READ_BYTES = 128 * 1024
+MAX_READ_BYTES = 32 * 1024
 MAX_HEADER_BYTES = 32_768
 #: size in bytes of the parts in which the body of a request is written
 WRITE_BYTES = 128 * 1024
--- a/packages/greengagelatch/src/greengagelatch/connection_limits.py
+++ b/packages/greengagelatch/src/greengagelatch/connection_limits.py
@@ -10,10 +10,12 @@
 
 __all__ = (
     "MAX_HANDSHAKES",
+    "MIN_UNREAD_SECONDS",
     "ConnectionLimit",
     "ConnectionLimits",
     "ConnectionUse",
     "find_largest",
+    "find_longest_unread",
     "find_max_connections",
     "find_max_handshakes",
 )
@@ -30,6 +32,9 @@
 HANDSHAKE_SHARE = 0.125
 MIN_HANDSHAKES = 64
 MAX_HANDSHAKES = 256
+#: seconds for which a client does not read its response before its connection may yield
+#: to a new one
+MIN_UNREAD_SECONDS = 1.0
 
 
 class ConnectionLimit:
@@ -41,7 +46,9 @@
     HEAD = "head-bytes"
     #: bytes of all requests that were read ahead
     READ_AHEAD = "read-ahead-bytes"
-    #: bytes before the handshake of a link
+    #: number of responses that wait for their clients to read on
+    UNREAD = "unread-responses"
+    #: bytes before the first message of a peer
     HANDSHAKE = "handshake-bytes"
 
 
@@ -52,6 +59,8 @@
     max_connections: int
     #: for all requests together that were read before their turn
     max_read_ahead: int = 16 * 1024 * 1024
+    #: responses that wait for their clients to read on
+    max_unread: int = 64
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -61,6 +70,8 @@
     number: int
     #: bytes of requests that were read, without the one that is served
     ahead_bytes: int
+    #: seconds for which its client has not read on; 0: it has
+    unread_seconds: float = 0.0
 
 
 def find_largest(uses: Iterable[ConnectionUse]) -> int | None:
@@ -74,6 +85,17 @@
     return None if largest is None else largest.number
 
 
+def find_longest_unread(uses: Iterable[ConnectionUse]) -> int | None:
+    """Return the number of the connection whose response is unread for longest.
+
+    :return: ``None``: no client keeps its response waiting
+    """
+    longest = max(uses, key=lambda one: one.unread_seconds, default=None)
+    if longest is None or longest.unread_seconds < MIN_UNREAD_SECONDS:
+        return None
+    return longest.number
+
+
 def find_max_connections(descriptors: int, most: int) -> int:
     """Return how many connections callers may have open.
 
--- a/packages/greengagelatch/src/greengagelatch/relay/byte_account.py
+++ b/packages/greengagelatch/src/greengagelatch/relay/byte_account.py
@@ -37,6 +37,10 @@
 SMALL_SHARE = 0.25
 #: share of the limit that heads of requests may use, whether or not there is room
 HEAD_SHARE = 0.25
+#: bytes outside of the account that wait for a client which does not read on, and the
+#: share of the limit that they may amount to
+UNREAD_BYTES = 128 * 1024
+UNREAD_SHARE = 0.125
 #: bytes of a holding for each byte of a head, which is decoded into many objects
 HEAD_COPIES = 2
 
@@ -70,6 +74,11 @@
         """Limit for the heads of all callers' requests, as they are received."""
         return int(self.limit * HEAD_SHARE / HEAD_COPIES)
 
+    @property
+    def max_unread(self) -> int:
+        """Limit for the responses that wait for their clients to read on."""
+        return int(self.limit * UNREAD_SHARE / UNREAD_BYTES)
+
     @property
     def large_limit(self) -> int:
         """Limit for all holdings together that are not small."""
--- a/tests/test_entry/test_adapters/test_bounded_connections.py
+++ b/tests/test_entry/test_adapters/test_bounded_connections.py
@@ -4,11 +4,16 @@
 
 import asyncio
 from contextlib import asynccontextmanager
+from functools import partial
 
 import pytest
 from aiohttp.web_response import Response
 
-from greengagelatch.connection_limits import ConnectionLimit, ConnectionLimits
+from greengagelatch.connection_limits import (
+    MIN_UNREAD_SECONDS,
+    ConnectionLimit,
+    ConnectionLimits,
+)
 from greengagelatch_entry.adapters.bounded_connections import (
     MAX_DROPPED_BYTES,
     BoundedServer,
@@ -20,6 +25,8 @@
 WAIT_SECONDS = 20
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 MAX_LINE = 1000
+#: more than the kernel's buffers of both ends
+LARGE_BODY = bytes(32 * 1024 * 1024)
 
 
 class Harness:
@@ -47,11 +54,19 @@
             await self.gate.wait()
         if request.path == "/body":
             await request.read()
+        if request.path == "/large":
+            response = Response(body=LARGE_BODY)
+            await response.prepare(request)
+            await response.write_eof()
+            return response
         return Response(text="done")
 
     def _record_held(self, size: int) -> None:
         self.held = size
 
+    def has_unread(self, count: int) -> bool:
+        return len(self.server._unread) >= count
+
     async def connect(self):
         return await asyncio.open_connection(HOST, self.port)
 
@@ -243,3 +258,53 @@
         assert "/ahead" not in harness.served
         for _, writer in (small, large, other):
             writer.close()
+
+
+async def open_unread(harness, count: int):
+    """Open connections whose clients do not read their responses."""
+    opened = []
+    for number in range(1, count + 1):
+        opened.append(await harness.connect())
+        opened[-1][1].write(encode("/large"))
+        await wait_for(partial(harness.has_unread, number))
+    return opened
+
+
+async def is_whole(reader) -> bool:
+    """Read a response; return whether it is complete."""
+    try:
+        return await read_status(reader) == 200
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return False
+
+
+async def test_connection_whose_response_is_unread_for_longest_yields():
+    """Guards against clients that take up all connections and do not read."""
+    async with open_harness() as harness:
+        opened = await open_unread(harness, 3)
+        await wait_for(
+            lambda: all(
+                one.describe_use().unread_seconds >= MIN_UNREAD_SECONDS
+                for one in harness.server._unread
+            )
+        )
+        reader, writer = await harness.connect()
+        writer.write(REQUEST)
+        assert await read_status(reader) == 200
+        assert harness.limits == [ConnectionLimit.NUMBER]
+        assert [await is_whole(one) for one, _ in opened] == [False, True, True]
+        for _, one in [*opened, (reader, writer)]:
+            one.close()
+
+
+async def test_unread_responses_are_limited():
+    """Guards against the memory that responses of all slow clients take up."""
+    async with open_harness(max_connections=10, max_unread=2) as harness:
+        opened = await open_unread(harness, 2)
+        opened.append(await harness.connect())
+        opened[2][1].write(encode("/large"))
+        await wait_for(lambda: harness.limits)
+        assert harness.limits == [ConnectionLimit.UNREAD]
+        assert [await is_whole(one) for one, _ in opened] == [False, True, True]
+        for _, one in opened:
+            one.close()
