--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_connections.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_connections.py
@@ -14,7 +14,13 @@
 from greengagelatch.errors import Refusal, RefusalCode
 from greengagelatch.verdict import Verdict
 
-from .bounded_connections import READ_BYTES, BoundedConnection, BoundedServer
+from .bounded_connections import (
+    READ_BYTES,
+    STATUS_UNAVAILABLE,
+    BoundedConnection,
+    create_response,
+)
+from .bounded_server import BoundedServer
 from .caller_answers import create_headers, describe_refusal, encode
 
 if TYPE_CHECKING:
@@ -180,11 +186,7 @@
             retry_after_ms=FULL_RETRY_MS,
         )
         body = encode(describe_refusal("", refusal))
-        lines = ["HTTP/1.1 503 Service Unavailable", "Connection: close"]
-        for name, value in create_headers(refusal).items():
-            lines.append(f"{name}: {value}")
-        lines.append(f"Content-Length: {len(body)}")
-        return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+        return create_response(STATUS_UNAVAILABLE, create_headers(refusal), body)
 
     def create_connection(self) -> _Connection:
         max_header_bytes = self._find_max_header_bytes()
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_listener.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_listener.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING, Any, ClassVar
 
 from ..controllers import Controller
-from .bounded_connections import listen
+from .bounded_server import listen
 from .caller_connections import CallerConnections, begin_request, end_request
 
 if TYPE_CHECKING:
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/operators.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/operators.py
@@ -17,7 +17,7 @@
 from greengagelatch.connection_limits import ConnectionLimits
 
 from ..controllers import Controller
-from .bounded_connections import BoundedServer
+from .bounded_server import BoundedServer
 from .loop_lag import LoopLag
 from .state_dump import encode
 
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/readiness.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/readiness.py
@@ -11,7 +11,7 @@
 
 from greengagelatch.connection_limits import ConnectionLimits
 
-from ..adapters.bounded_connections import BoundedServer, listen
+from ..adapters.bounded_server import BoundedServer, listen
 from ..controllers import Controller
 from .explanations import InvalidQuestionError
 
--- a/tests/test_entry/test_adapters/test_bounded_connections.py
+++ b/tests/test_entry/test_adapters/test_bounded_server.py
@@ -14,11 +14,8 @@
     ConnectionLimit,
     ConnectionLimits,
 )
-from greengagelatch_entry.adapters.bounded_connections import (
-    MAX_DROPPED_BYTES,
-    BoundedServer,
-    listen,
-)
+from greengagelatch_entry.adapters.bounded_connections import MAX_DROPPED_BYTES
+from greengagelatch_entry.adapters.bounded_server import BoundedServer, listen
 
 HOST = "127.0.0.1"
 #: timeout of every wait in seconds
