Descriptors: what the kernel allows the process counts, not only its settings

What callers saw: no answer at all, for as long as idle connections last. 600 unused connections at a process that the kernel allows 400 descriptors, and whose settings state none: the limit was 2,400 connections, accepting ended with "too many open files", and an ordinary request waited in the kernel's queue (not answered within 60 s with an idle time of ten minutes). The same where the settings state more than the kernel allows, and in our own daemon, whose default is 4,096.

Both programs take the lower of the two numbers for callers' connections; the relay for handshakes of peers, too. A setting lower than the least share is kept as it is.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/limits.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/limits.py
@@ -4,10 +4,12 @@
 
 from typing import TYPE_CHECKING
 
+from greengagelatch.connection_limits import find_max_connections
 from greengagelatch.stages.retries import RetryRules
 
 from .adapters.callers import CallerLimits
 from .adapters.targets import TargetLimits
+from .descriptors import find_descriptor_limit
 from .filters.request_parser import RequestLimits
 
 if TYPE_CHECKING:
@@ -26,7 +28,9 @@
     return CallerLimits(
         max_body_bytes=settings["callers.max_body_bytes"],
         max_header_bytes=settings["callers.max_header_bytes"],
-        max_connections=settings["callers.max_connections"],
+        max_connections=find_max_connections(
+            find_descriptor_limit(), settings["callers.max_connections"]
+        ),
         idle_timeout=settings["callers.idle_timeout"],
         body_timeout=settings["callers.body_timeout"],
         write_timeout=settings["callers.write_timeout"],
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/composition.py
@@ -18,6 +18,7 @@
 from ..controllers import Controller
 from ..controllers.drain import DrainController
 from ..controllers.listing import LISTING_RECEIVED
+from ..descriptors import find_descriptor_limit
 from ..in_flight_requests import InFlightRequests
 from .configuration import ConfigurationFollower
 from .crash_parts import compose_crash_parts
@@ -375,7 +376,8 @@
         """Return the limits on connections of callers."""
         return ConnectionLimits(
             max_connections=find_max_connections(
-                self.settings.capacity.descriptors, MAX_CONNECTIONS
+                find_descriptor_limit(self.settings.capacity.descriptors),
+                MAX_CONNECTIONS,
             ),
             max_read_ahead=self.memory.max_head_bytes,
             max_unread=self.memory.max_unread,
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/relay/peer_settings.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/relay/peer_settings.py
@@ -7,6 +7,8 @@
 from greengagelatch.connection_limits import find_max_handshakes
 from greengagelatch.setting_values import Settings
 
+from ..descriptors import find_descriptor_limit
+
 if TYPE_CHECKING:
     from .parts import RelaySettings
 
@@ -42,7 +44,9 @@
             "peers.listen": rules.peers_listen,
             "peers.advertise": rules.peers_listen,
             "peers.seeds": rules.peers_seeds,
-            "peers.max_handshakes": find_max_handshakes(rules.capacity.descriptors),
+            "peers.max_handshakes": find_max_handshakes(
+                find_descriptor_limit(rules.capacity.descriptors)
+            ),
             **PEER_BOUNDS,
         }
     )
--- a/packages/greengagelatch/src/greengagelatch/connection_limits.py
+++ b/packages/greengagelatch/src/greengagelatch/connection_limits.py
@@ -105,7 +105,7 @@
     if descriptors <= 0:
         return most
     share = int((descriptors - FILE_DESCRIPTORS) * CALLER_SHARE)
-    return max(MIN_CONNECTIONS, min(most, share))
+    return min(most, max(MIN_CONNECTIONS, share))
 
 
 def find_max_handshakes(descriptors: int) -> int:
--- a/packages/greengagelatch/src/greengagelatch/settings/table.py
+++ b/packages/greengagelatch/src/greengagelatch/settings/table.py
@@ -59,7 +59,8 @@
         minimum=1,
         maximum=100000,
         description="Limit of open caller connections; beyond it the longest idle one"
-        " is closed, or the new one is answered and closed if none is idle.",
+        " is closed, or the new one is answered and closed if none is idle. At most"
+        " 0.4 of the descriptors beyond 200 that the kernel allows the process.",
     ),
     Setting(
         name="callers.idle_timeout",
--- a/tests/test_core/test_connection_limits.py
+++ b/tests/test_core/test_connection_limits.py
@@ -60,6 +60,11 @@
         assert 2 * callers + MIN_HANDSHAKES < descriptors
 
 
+def test_connections_stay_under_a_low_limit():
+    assert find_max_connections(4100, 3) == 3
+    assert find_max_connections(100, 3) == 3
+
+
 def test_limits_without_known_descriptors_are_the_largest():
     assert find_max_connections(0, MOST) == MOST
     assert find_max_handshakes(0) == MAX_HANDSHAKES
--- a/tests/test_processes/test_careless_clients.py
+++ b/tests/test_processes/test_careless_clients.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import os
+import resource
 import socket
 import struct
 from dataclasses import dataclass, field
@@ -79,10 +80,14 @@
     #: awaited by engines before they answer
     gate: asyncio.Event = field(default_factory=asyncio.Event)
     max_descriptors: int = 0
+    #: limits in the configuration that differ from the usual ones
+    limits: dict[str, int] = field(
+        default_factory=lambda: {"max-header-bytes": MAX_HEADER_BYTES}
+    )
 
     async def add_more_targets(self) -> None:
         configuration = create_configuration(timeout_ms=WAIT_SECONDS * 1000)
-        configuration["limits"]["max-header-bytes"] = MAX_HEADER_BYTES
+        configuration["limits"] |= self.limits
         self.store.put("op/config", configuration)
         for engine in self.find_targets("llm"):
             engine.gate = self.gate
@@ -114,6 +119,25 @@
         self.max_descriptors = max(self.max_descriptors, count)
 
 
+class KernelLimitedFleet(CarelessFleet):
+    """One instance whose descriptors are limited by the kernel only."""
+
+    def create_instance(self, name, seeds):
+        instance = CarelessFleet.create_instance(self, name, seeds)
+        settings = json.loads(instance.settings.read_text())
+        del settings["limits"]["max-fds"]
+        instance.settings.write_text(json.dumps(settings))
+        return instance
+
+    async def launch(self, instance) -> None:
+        limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (MAX_DESCRIPTORS, limits[1]))
+        try:
+            await CarelessFleet.launch(self, instance)
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+
+
 @pytest.fixture
 async def fleet(tmp_path):
     created = CarelessFleet(tmp_path, count=1)
@@ -271,6 +295,24 @@
             writer.transport.abort()
 
 
+async def test_unused_connections_leave_descriptors_that_the_kernel_allows(tmp_path):
+    """Guards against a limit of the process that its settings do not state."""
+    limits = {"idle-timeout-ms": 10 * WAIT_SECONDS * 1000}
+    fleet = KernelLimitedFleet(tmp_path, count=1, limits=limits)
+    writers = []
+    try:
+        await fleet.start()
+        async with asyncio.timeout(WAIT_SECONDS):
+            for _ in range(IDLE_CROWD):
+                _, writer = await connect(fleet, "front")
+                writers.append(writer)
+        await check(fleet)
+    finally:
+        for writer in writers:
+            writer.transport.abort()
+        await fleet.stop()
+
+
 async def test_requests_whose_callers_leave_leave_descriptors(fleet):
     """Guards against requests of callers that have left, each with a descriptor."""
     numbers = iter(range(CLOSED_CROWD))
