Callers' streams: a write without a timer stays under the new limit of the buffer

Callers' transports pause writers from 32 KiB on since responses that are not read are counted. Streams of the daemon still took 64 KiB for that limit: a chunk of 32 KiB with its frame could have paused the writer in a write that nothing ends. Found by reading.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/bounded_connections.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/bounded_connections.py
@@ -26,6 +26,7 @@
 __all__ = (
     "READ_BYTES",
     "STATUS_UNAVAILABLE",
+    "WRITE_BUFFER_BYTES",
     "BoundedConnection",
     "create_response",
 )
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_stream.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/adapters/caller_stream.py
@@ -8,6 +8,7 @@
 import xxhash
 from aiohttp import web
 
+from .bounded_connections import WRITE_BUFFER_BYTES
 from .caller_answers import describe_end, describe_refusal
 from .event_stream import encode_event, encode_token
 
@@ -19,8 +20,8 @@
 __all__ = ("CallerStream",)
 
 #: maximum bytes of a write to an empty buffer that is made without a timer: it never
-#: blocks, as asyncio pauses writers only from 64 KiB on
-MAX_UNTIMED_WRITE = 32 * 1024
+#: blocks, as writers are paused only from twice as many on
+MAX_UNTIMED_WRITE = WRITE_BUFFER_BYTES // 2
 
 
 class CallerStream:
