Keyed requests: an outage counts from the first call that failed

What callers saw: keyed requests refused at once, as the store was unreachable, where it missed a single call. Its age was the time since the store last answered a claim, in which nothing may have been asked: after five seconds without a keyed request any failed call counted as an outage that long, also the very first, by which an instance learns the number of shards, so that all requests that wait for it are refused together.

All calls for claims, the layout's too, are recorded in one place. The age counts from the first call without an answer since the last one that had one.

The test puts the clock forward by a minute and lets the store miss calls: refused before, on an instance that had used the store and on one that had not; served after.

--- a/packages/greengagelatch-entry/src/greengagelatch_entry/claims/committer.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/claims/committer.py
@@ -11,6 +11,7 @@
 from greengagelatch.claims.head import ShardLimits
 from greengagelatch.claims.messages import ClaimAnswer, ClaimQuery
 from greengagelatch.claims.operations import GiveBack, OperationResult, ResultKind
+from greengagelatch.claims.outage import StoreContact
 from greengagelatch.claims.sharding import choose_shard, name_head, rank_instances
 from greengagelatch.peers import MemberState, PeerErrorKind
 
@@ -82,15 +83,17 @@
             segment_claims=settings["claims.segment_claims"],
             segments=settings["claims.segments"],
         )
+        self._contact = StoreContact()
         self._layout = ShardLayout(
             store=store,
+            contact=self._contact,
+            clock=clock,
             peers=peers,
             shards=settings["claims.shards"],
             own=instance_id,
         )
         self._writers: dict[int, ShardWriter] = {}
         self._give_backs: set[asyncio.Task[None]] = set()
-        self._store_answered_at = clock.now()
         self._write_failed_at = float("-inf")
         #: monotonic seconds at which an instance last failed to answer
         self._silent: dict[str, float] = {}
@@ -114,8 +117,8 @@
 
     @property
     def store_silent_for(self) -> float:
-        """Seconds since the store last answered this instance."""
-        return self._clock.now() - self._find_last_answer()
+        """Seconds for which the store has answered none of this instance's calls."""
+        return self._contact.measure_silence(self._clock.now())
 
     async def find_candidates(self, key: bytes, deadline: float) -> tuple[str, ...]:
         """Return the instances that may commit for a key, in order of preference.
@@ -161,7 +164,6 @@
     def sweep(self) -> None:
         """Drop the state of shards and peers that is no longer needed."""
         now = self._clock.now()
-        self._store_answered_at = self._find_last_answer()
         for instance_id, since in list(self._silent.items()):
             if now - since > SILENT_AVOIDANCE:
                 del self._silent[instance_id]
@@ -226,6 +228,7 @@
             writer = ShardWriter(
                 shard=shard,
                 store=self._store,
+                contact=self._contact,
                 clock=self._clock,
                 random_source=self._random,
                 limits=self._limits,
@@ -251,10 +254,6 @@
         since = self._silent.get(instance_id)
         return since is not None and self._clock.now() - since <= SILENT_AVOIDANCE
 
-    def _find_last_answer(self) -> float:
-        answers = [writer.answered_at for writer in self._writers.values()]
-        return max([self._store_answered_at, *answers])
-
 
 def is_resolved(result: OperationResult) -> bool:
     """Whether a give-back is complete, or its attempt no longer holds the key."""
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/claims/layout.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/claims/layout.py
@@ -14,8 +14,12 @@
 from greengagelatch.store import ABSENT, Entry, WriteOutcome
 
 if TYPE_CHECKING:
+    from result import Result
+
+    from greengagelatch.claims.outage import StoreContact
+    from greengagelatch.clock import Clock
     from greengagelatch.peers import PeerNetwork
-    from greengagelatch.store import Store
+    from greengagelatch.store import Store, StoreError
 
 __all__ = ("ShardLayout",)
 
@@ -36,9 +40,18 @@
     """
 
     def __init__(
-        self, *, store: Store, peers: PeerNetwork | None, shards: int, own: str
+        self,
+        *,
+        store: Store,
+        contact: StoreContact,
+        clock: Clock,
+        peers: PeerNetwork | None,
+        shards: int,
+        own: str,
     ) -> None:
         self._store = store
+        self._contact = contact
+        self._clock = clock
         self._peers = peers
         self._wanted = shards
         self._own = own
@@ -77,19 +90,24 @@
             )
 
     async def _read(self) -> int | None:
-        found = await self._store.get(LAYOUT_KEY)
+        found = await self._get()
         if found == Ok(None):
             value = str(self._wanted).encode()
             written = await self._store.swap(LAYOUT_KEY, value, ABSENT)
             if written.outcome is WriteOutcome.APPLIED:
                 return self._wanted
             # written by another instance, or by this one with a lost answer
-            found = await self._store.get(LAYOUT_KEY)
+            found = await self._get()
         match found:
             case Ok(Entry(value=value)):
                 return _parse(value)
         return None
 
+    async def _get(self) -> Result[Entry | None, StoreError]:
+        found = await self._store.get(LAYOUT_KEY)
+        self._contact.record(answered=found.is_ok(), now=self._clock.now())
+        return found
+
     async def _ask(self) -> int | None:
         if self._peers is None:
             return None
--- a/packages/greengagelatch-entry/src/greengagelatch_entry/claims/writer.py
+++ b/packages/greengagelatch-entry/src/greengagelatch_entry/claims/writer.py
@@ -20,6 +20,7 @@
 
     from greengagelatch.claims.head import Segment, SegmentRef, ShardLimits, ShardView
     from greengagelatch.claims.operations import Operation
+    from greengagelatch.claims.outage import StoreContact
     from greengagelatch.clock import Clock
     from greengagelatch.store import Entry, Store, StoreError, WriteResult
 
@@ -66,6 +67,7 @@
         *,
         shard: int,
         store: Store,
+        contact: StoreContact,
         clock: Clock,
         random_source: random.Random,
         limits: ShardLimits,
@@ -74,6 +76,7 @@
     ) -> None:
         self._shard = shard
         self._store = store
+        self._contact = contact
         self._clock = clock
         self._random = random_source
         self._limits = limits
@@ -87,8 +90,6 @@
         self._paced = clock.now() - BURST * interval
         #: monotonic seconds of the last submitted operation
         self.used_at = clock.now()
-        #: monotonic seconds of the last answer from the store
-        self.answered_at = clock.now()
 
     @property
     def idle(self) -> bool:
@@ -223,14 +224,13 @@
     async def _read(self, key: str) -> Result[Entry | None, StoreError]:
         self._metrics.count("claims.reads")
         answer = await self._store.get(key)
-        if answer.is_ok():
-            self.answered_at = self._clock.now()
+        self._contact.record(answered=answer.is_ok(), now=self._clock.now())
         return answer
 
     async def _write(self, key: str, data: bytes, expected: int) -> WriteResult:
         written = await self._store.swap(key, data, expected)
-        if written.outcome in (WriteOutcome.APPLIED, WriteOutcome.CONFLICT):
-            self.answered_at = self._clock.now()
+        answered = written.outcome in (WriteOutcome.APPLIED, WriteOutcome.CONFLICT)
+        self._contact.record(answered=answered, now=self._clock.now())
         return written
 
     async def _delete_retired(self) -> None:
--- a/packages/greengagelatch-lab/src/greengagelatch_lab/capacity/claims.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/capacity/claims.py
@@ -13,6 +13,7 @@
 from greengagelatch.claims.encoding import encode_segment
 from greengagelatch.claims.head import Segment, ShardLimits
 from greengagelatch.claims.operations import Acquire, ResultKind
+from greengagelatch.claims.outage import StoreContact
 from greengagelatch.claims.sharding import create_digest, create_key
 from greengagelatch.clock import SystemClock
 from greengagelatch.store import Entry, StoreError, WriteResult
@@ -152,6 +153,7 @@
     return ShardWriter(
         shard=1,
         store=store,
+        contact=StoreContact(),
         clock=SystemClock(),
         random_source=random.Random(1),
         limits=limits,
--- a/packages/greengagelatch/src/greengagelatch/claims/outage.py
+++ b/packages/greengagelatch/src/greengagelatch/claims/outage.py
@@ -14,6 +14,7 @@
     "ImmediateRefusal",
     "RetryThenRefuse",
     "RetryAfter",
+    "StoreContact",
     "create_policy",
 )
 
@@ -31,10 +32,32 @@
     elapsed: float
     #: seconds until its deadline
     remaining: float
-    #: seconds since the store last answered this instance
+    #: seconds since the first of this instance's calls that the store has not answered
+    #: since its last answer
     store_silent_for: float
 
 
+class StoreContact:
+    """Since when the store answers none of an instance's calls.
+
+    Times are monotonic, in seconds.
+    """
+
+    def __init__(self) -> None:
+        self._failing_since: float | None = None
+
+    def record(self, *, answered: bool, now: float) -> None:
+        """Record whether the store has answered a call."""
+        if answered:
+            self._failing_since = None
+        elif self._failing_since is None:
+            self._failing_since = now
+
+    def measure_silence(self, now: float) -> float:
+        """Return the seconds since the first unanswered call; 0: the last had one."""
+        return 0.0 if self._failing_since is None else now - self._failing_since
+
+
 @dataclass(frozen=True, slots=True)
 class RetryAfter:
     """Decision to try all instances again after ``delay`` seconds."""
--- a/tests/test_core/test_claims/test_attempt.py
+++ b/tests/test_core/test_claims/test_attempt.py
@@ -12,7 +12,12 @@
     choose_candidates,
 )
 from greengagelatch.claims.operations import Acquire, OperationResult, ResultKind
-from greengagelatch.claims.outage import Outage, RetryAfter, RetryThenRefuse
+from greengagelatch.claims.outage import (
+    Outage,
+    RetryAfter,
+    RetryThenRefuse,
+    StoreContact,
+)
 from greengagelatch.claims.registry import AttemptRecord, AttemptRegistry, AttemptState
 from greengagelatch.claims.sharding import create_key, rank_instances
 from greengagelatch.verdict import Verdict
@@ -128,6 +133,16 @@
     assert all(list(before.values()).count(name) > 8 for name in names)
 
 
+def test_silence_of_the_store_counts_from_the_first_unanswered_call():
+    contact = StoreContact()
+    assert contact.measure_silence(100.0) == 0.0
+    contact.record(answered=False, now=100.0)
+    contact.record(answered=False, now=103.0)
+    assert contact.measure_silence(104.0) == 4.0
+    contact.record(answered=True, now=104.0)
+    assert contact.measure_silence(200.0) == 0.0
+
+
 @pytest.mark.parametrize(
     ("elapsed", "silent_for", "retries"),
     [(0.1, 0.5, True), (2.6, 0.5, False), (0.1, 6.0, False)],
--- a/tests/test_entry/test_controllers/test_claims.py
+++ b/tests/test_entry/test_controllers/test_claims.py
@@ -23,7 +23,19 @@
 from greengagelatch_lab.standins.peers import MemoryNetwork
 from greengagelatch_lab.waiting import wait_until
 
-CLOCK = SystemClock()
+
+class ShiftedClock(SystemClock):
+    """Clock that tests put forward."""
+
+    offset = 0.0
+
+    def now(self) -> float:
+        return super().now() + self.offset
+
+
+CLOCK = ShiftedClock()
+#: seconds without a request, longer than requests are retried in an outage
+CALM_SECONDS = 60.0
 
 
 class Instance:
@@ -352,6 +364,24 @@
         assert (await asked).verdict is Verdict.RAN
 
 
+@pytest.mark.parametrize("is_used", [False, True])
+async def test_request_after_a_calm_time_is_retried_during_a_short_outage(is_used):
+    """Guards against an outage that is counted from the last request before it."""
+    async with run_fleet("a") as fleet:
+        if is_used:
+            await fleet.instances["a"].ask("warm-up")
+        CLOCK.offset += CALM_SECONDS
+        fleet.stores["a"].faults.outage = True
+        asked = asyncio.create_task(fleet.instances["a"].ask("k"))
+        calls = fleet.stores["a"].calls
+        before = calls["get"] + calls["swap"]
+        await wait_until(
+            lambda: asked.done() or calls["get"] + calls["swap"] > before + 2, timeout=5
+        )
+        fleet.stores["a"].faults.outage = False
+        assert (await asked).verdict is Verdict.RAN
+
+
 async def test_instance_of_the_first_attempt_crashes():
     """The instance that runs a request crashes, and the caller repeats it elsewhere.
 
