--- a/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/target_links.py
+++ b/packages/greengagelatch-lab/src/greengagelatch_lab/platform_standins/target_links.py
@@ -93,7 +93,7 @@
 
     async def heal(self) -> None:
         """End all partitions."""
-        for proxy in self._proxies.values():
+        for proxy in self._list_proxies(""):
             await proxy.heal()
 
     def count_accepted(self, target_id: str = "") -> int:
@@ -110,6 +110,7 @@
         await asyncio.gather(*(proxy.stop() for proxy in self._proxies.values()))
 
     def _list_proxies(self, service: str) -> list[TcpProxy]:
+        """Return the links to the targets of a service; empty: to all."""
         return [
             proxy
             for target_id, proxy in self._proxies.items()
